--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Every target sets up what it needs; nothing outside .venv is touched.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint format bench thrift clean
+
+$(VENV)/installed: requirements.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	touch $@
+
+demo: $(VENV)/installed
+	$(BIN)/python -m tanagerwalk demo
+
+test: $(VENV)/installed
+	CI=true $(BIN)/python -m pytest -p no:cacheprovider
+
+lint: $(VENV)/installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(VENV)/installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: $(VENV)/installed
+	$(BIN)/python -m bench
+
+# The generated code is committed; this needs Debian's thrift-compiler.
+thrift:
+	thrift --gen py:package_prefix=tanagerwalk.peers.gen. -out tanagerwalk/peers/gen tanagerwalk/peers/exchange.thrift
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/tanagerwalk/api/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interfaces of an entry instance."""
--- /dev/null
+++ b/tanagerwalk/api/admin.py
@@ -0,0 +1,34 @@
+"""The operators' API of one instance: metrics and status."""
+
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from sanic.response import json as json_response
+from sanic.response import raw
+
+from .listener import Listener
+
+
+class AdminApi:
+    """Serves operators and the monitoring.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        What `/metrics` shows.
+    report_status : callable
+        Returns the JSON object that `/status` shows.
+    """
+
+    def __init__(self, metrics, report_status):
+        self._metrics = metrics
+        self._report_status = report_status
+        self.listener = Listener("admin")
+        app = self.listener.app
+        app.add_route(self._show_metrics, "/metrics", methods=["GET"])
+        app.add_route(self._show_status, "/status", methods=["GET"])
+
+    async def _show_metrics(self, request):
+        page = generate_latest(self._metrics.registry)
+        return raw(page, content_type=CONTENT_TYPE_LATEST)
+
+    async def _show_status(self, request):
+        return json_response(self._report_status())
--- /dev/null
+++ b/tanagerwalk/api/callers.py
@@ -0,0 +1,255 @@
+"""The callers' API: chat completions and calls to plain services."""
+
+import time
+import uuid
+
+import msgspec
+from sanic.response import json as json_response
+from sanic.response import raw
+
+from ..ids import RequestId
+from ..messages import RequestContext, Sink
+from ..outcomes import Interface, Refusal, RefusalReason
+from .listener import Listener
+
+REQUEST_ID_HEADER = "X-Request-Id"
+SESSION_HEADER = "X-Session"
+VERSION_HEADER = "X-Version"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+NEW_SESSION = "new"
+OK_STATUS = 200
+END_MARKER = "data: [DONE]\n\n"
+STOPPING_RETRY_AFTER_S = 1.0
+
+
+class StreamSink(Sink):
+    """Streams an answer to the caller as server-sent events.
+
+    The response starts with the first piece, so that a refusal before it still
+    has its own HTTP status.
+
+    Parameters
+    ----------
+    request : sanic.Request
+        The caller's request.
+    context : RequestContext
+        The request in the chain.
+    """
+
+    def __init__(self, request, context):
+        self._request = request
+        self._context = context
+        self.response = None
+
+    async def write(self, text):
+        """Send one piece of text."""
+        await self.send({"delta": {"content": text}, "finish_reason": None})
+
+    async def send(self, choice, usage=None):
+        """Send one chunk of the chat-completions API."""
+        if self.response is None:
+            self.response = await self._request.respond(
+                content_type="text/event-stream",
+                headers=make_headers(self._context, self._context.version),
+            )
+        chunk = {
+            "id": self._context.request_id,
+            "object": "chat.completion.chunk",
+            "model": self._context.version,
+            "choices": [{"index": 0, **choice}],
+        }
+        if usage is not None:
+            chunk["usage"] = usage
+        await self.send_event(chunk)
+
+    async def send_event(self, event):
+        """Send one server-sent event."""
+        data = msgspec.json.encode(event).decode()
+        await self.response.send(f"data: {data}\n\n")
+
+
+class CallersApi:
+    """Serves callers.
+
+    Parameters
+    ----------
+    handler : Handler
+        The filter chain.
+    is_ready : callable
+        Returns whether the balancer may send requests here.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, handler, is_ready, clock):
+        self._handler = handler
+        self._is_ready = is_ready
+        self._clock = clock
+        self.in_flight = 0
+        self.draining = False
+        self.stopping = False
+        self.listener = Listener("callers")
+        app = self.listener.app
+        app.add_route(self._chat, "/v1/chat/completions", methods=["POST"])
+        app.add_route(self._call, "/v1/classes/<name:str>", methods=["POST"])
+        app.add_route(self._ready, "/health/ready", methods=["GET"])
+
+    async def _ready(self, request):
+        ready = self._is_ready() and not self.draining
+        return json_response({"ready": ready}, status=OK_STATUS if ready else 503)
+
+    async def _chat(self, request):
+        payload = _read_payload(request)
+        if payload is None or not isinstance(payload.get("messages"), list):
+            return _refuse_malformed(request)
+        name = str(payload.pop("model", ""))
+        return await self._serve(request, payload, name, Interface.CHAT)
+
+    async def _call(self, request, name):
+        payload = _read_payload(request)
+        if payload is None:
+            return _refuse_malformed(request)
+        return await self._serve(request, payload, name, Interface.SERVICE)
+
+    async def _serve(self, request, payload, name, interface):
+        stream = interface is Interface.CHAT and payload.pop("stream", False) is True
+        context = self._make_context(request, payload, name, interface)
+        if self.stopping:
+            return _render_refusal(_refuse_stopping(), context)
+        sink = None
+        if stream:
+            sink = StreamSink(request, context)
+            context.sink = sink
+        self.in_flight += 1
+        try:
+            result = await self._handler(context)
+            if sink is not None:
+                return await _finish_stream(sink, context, result)
+            return _render(result, context, interface)
+        finally:
+            self.in_flight -= 1
+
+    def _make_context(self, request, payload, name, interface):
+        session = request.headers.get(SESSION_HEADER, "")
+        identity = request.headers.get(REQUEST_ID_HEADER) or uuid.uuid4().hex
+        return RequestContext(
+            request_id=RequestId(identity),
+            payload=payload,
+            credential=request.token or "",
+            class_name=name,
+            interface=interface,
+            idempotency_key=request.headers.get(IDEMPOTENCY_HEADER),
+            session_token=session if session != NEW_SESSION else None,
+            wants_session=session == NEW_SESSION,
+            arrived=self._clock(),
+        )
+
+
+def _read_payload(request):
+    try:
+        payload = msgspec.json.decode(request.body)
+    except msgspec.DecodeError:
+        return None
+    return payload if isinstance(payload, dict) else None
+
+
+def make_headers(context, version):
+    """Return the headers that go with every answer.
+
+    Parameters
+    ----------
+    context : RequestContext
+        The request.
+    version : VersionName or None
+        The version that answers.
+    """
+    headers = {REQUEST_ID_HEADER: context.request_id}
+    if context.session is not None:
+        headers[SESSION_HEADER] = context.session.token
+    if version is not None:
+        headers[VERSION_HEADER] = version
+    return headers
+
+
+def _render(result, context, interface):
+    if result.is_error():
+        return _render_refusal(result.error, context)
+    answer = result.ok
+    headers = make_headers(context, answer.version)
+    if interface is Interface.SERVICE or answer.status != OK_STATUS:
+        return raw(answer.content, answer.status, headers, answer.content_type)
+    return json_response(_make_completion(answer, context), headers=headers)
+
+
+def _make_completion(answer, context):
+    message = {"role": "assistant", "content": answer.content.decode()}
+    return {
+        "id": context.request_id,
+        "object": "chat.completion",
+        "created": int(time.time()),
+        "model": answer.version,
+        "choices": [
+            {"index": 0, "message": message, "finish_reason": answer.finish_reason}
+        ],
+        "usage": _make_usage(context),
+    }
+
+
+def _make_usage(context):
+    usage = context.usage
+    return {
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+    }
+
+
+async def _finish_stream(sink, context, result):
+    if result.is_error():
+        if sink.response is None:
+            return _render_refusal(result.error, context)
+        await sink.send_event(_make_error(result.error))
+        await sink.response.eof()
+        return None
+    answer = result.ok
+    if answer.status != OK_STATUS:
+        return _render(result, context, Interface.CHAT)
+    finish = {"delta": {}, "finish_reason": answer.finish_reason}
+    await sink.send(finish, _make_usage(context))
+    await sink.response.send(END_MARKER)
+    await sink.response.eof()
+    return None
+
+
+def _make_error(refusal):
+    return {
+        "error": {
+            "type": "refused",
+            "code": refusal.reason.value,
+            "message": refusal.message,
+            "run_state": refusal.run_state.value,
+            "retry_after": refusal.retry_after,
+        }
+    }
+
+
+def _render_refusal(refusal, context):
+    headers = make_headers(context, None)
+    if refusal.retry_after is not None:
+        headers["Retry-After"] = str(max(1, round(refusal.retry_after)))
+    return json_response(
+        _make_error(refusal), status=refusal.http_status, headers=headers
+    )
+
+
+def _refuse_malformed(request):
+    refusal = Refusal(RefusalReason.INVALID_REQUEST, "the body is not a valid request")
+    return json_response(_make_error(refusal), status=refusal.http_status)
+
+
+def _refuse_stopping():
+    return Refusal(
+        RefusalReason.STOPPING,
+        "this instance is stopping",
+        retry_after=STOPPING_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/tanagerwalk/app.py
@@ -0,0 +1,292 @@
+"""Composition root: wires the parts of an entry instance."""
+
+import asyncio
+import random
+import time
+import uuid
+
+import aiohttp
+import structlog
+
+from .api.admin import AdminApi
+from .api.callers import CallersApi
+from .clients.engines import EngineClient
+from .clients.keyvalue import KeyValueClient
+from .clients.ratings import RatingsClient
+from .clients.services import ServiceClient
+from .clients.targets import TargetsClient
+from .controllers.billing import BillingController
+from .controllers.configuration import ConfigurationController
+from .controllers.load import LoadController
+from .controllers.loop import poll_until
+from .controllers.membership import MembershipController
+from .controllers.rollouts import RolloutController
+from .decisions.configuration import ConfigurationState
+from .decisions.limits import AdmissionQueue, DurationEstimates
+from .decisions.retries import RetryBudget
+from .decisions.rollouts import RolloutBook
+from .decisions.servers import Home, ServerTable
+from .decisions.sessions import SessionTokens
+from .decisions.versions import PlanInputs
+from .filters.admit import AdmitFilter
+from .filters.bill import BillFilter
+from .filters.chain import link_filters
+from .filters.claim import ClaimFilter
+from .filters.count import CountFilter
+from .filters.dispatch import DispatchFilter
+from .filters.guard import GuardFilter
+from .filters.identify import IdentifyFilter
+from .filters.plan import PlanFilter
+from .filters.retry import RetryFilter
+from .filters.session import SessionFilter, SessionStarter
+from .gate import Gate
+from .ids import Incarnation
+from .metrics import Metrics
+
+log = structlog.get_logger(__name__)
+
+DRAIN_POLL_S = 0.02
+
+
+class EntryInstance:
+    """One entry instance: listeners, filter chain and controllers.
+
+    Build it inside a running event loop.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    clock : callable
+        Returns monotonic time in seconds.
+    wall_clock : callable
+        Returns seconds since the epoch.
+    seed : int or None
+        Seed of jitter and sampling; None for a random one.
+    """
+
+    def __init__(self, settings, clock=time.monotonic, wall_clock=time.time, seed=None):
+        self.settings = settings
+        self.incarnation = Incarnation(f"{settings.instance.id}.{uuid.uuid4().hex}")
+        self.metrics = Metrics()
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._random = random.Random(seed)
+        self._tasks = []
+        self._wire_clients()
+        self._wire_state()
+        self._wire_controllers()
+        self._wire_apis()
+
+    def _wire_clients(self):
+        platform = self.settings.platform
+        retries = self.settings.retries
+        # One connector limit for all would let slow drafts block lookups.
+        self._http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self._fresh_http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+        )
+        timeout = platform.timeout
+        self.store = KeyValueClient(self._http, platform.keyvalue, timeout)
+        self._targets = TargetsClient(self._http, platform.instances, timeout)
+        self._ratings = RatingsClient(self._http, platform.ratings, timeout)
+        self._engines = EngineClient(self._http, retries)
+        self._services = ServiceClient(self._http, self._fresh_http, retries)
+
+    def _wire_state(self):
+        settings = self.settings
+        home = Home(settings.instance.region, settings.instance.failure_domain)
+        self.configuration = ConfigurationState(settings.configuration.stale_after)
+        self.table = ServerTable(home, settings.limits, settings.load.stale_after)
+        self.durations = DurationEstimates()
+        self.book = RolloutBook()
+        queue = AdmissionQueue(self.table, self.durations, settings.limits.queue_length)
+        self.gate = Gate(queue, self.table, self._expect_duration, self._clock)
+        self.metrics.waiting.set_function(lambda: len(queue))
+
+    def _wire_controllers(self):
+        settings = self.settings
+        self.configuring = ConfigurationController(
+            self.store,
+            self.configuration,
+            settings.configuration,
+            self.metrics,
+            self._clock,
+            self._random,
+        )
+        self.membership = MembershipController(
+            self._targets,
+            self.table,
+            settings.platform.instances_interval,
+            self.metrics,
+            self._random,
+        )
+        self.load = LoadController(
+            self._engines,
+            self._services,
+            self.table,
+            self.gate,
+            settings.load,
+            self._clock,
+            self._random,
+        )
+        self.rollouts = RolloutController(
+            self.book,
+            self.configuration,
+            self._ratings,
+            settings.rollouts,
+            self.metrics,
+            self._random,
+        )
+        self.billing = BillingController(
+            self.store, self.incarnation, self.metrics, self._random
+        )
+
+    def _wire_apis(self):
+        self.callers = CallersApi(self._build_chain(), self.is_ready, self._clock)
+        self.admin = AdminApi(self.metrics, self.report_status)
+
+    def _build_chain(self):
+        settings = self.settings
+        tokens = SessionTokens(settings.sessions.secret, settings.sessions.lifetime)
+        starter = SessionStarter(tokens, self.configuration, self._wall_clock)
+        budget = RetryBudget(
+            settings.retries.budget_ratio, settings.retries.budget_burst
+        )
+        self.claims = ClaimFilter(
+            self.store, self.incarnation, self.membership.list_live
+        )
+        return link_filters(
+            [
+                CountFilter(self.metrics, self._clock),
+                IdentifyFilter(self.configuration),
+                SessionFilter(tokens, self._wall_clock),
+                self.claims,
+                BillFilter(self.billing),
+                PlanFilter(
+                    self.configuration,
+                    self.rollouts,
+                    starter,
+                    self._collect_plan_inputs,
+                    self.metrics,
+                ),
+                RetryFilter(
+                    settings.retries, budget, self.table, self.metrics, self._clock
+                ),
+                AdmitFilter(
+                    self.gate, self.durations, self.table, self._is_long, self._clock
+                ),
+                GuardFilter(self.configuration, self.rollouts, self.table),
+                DispatchFilter(self._engines, self._services, self._clock),
+            ]
+        )
+
+    def _expect_duration(self, ticket):
+        work_class = self.configuration.declaration.classes.get(ticket.work_class)
+        lateness = work_class.lateness if work_class else 0.0
+        return self.durations.estimate(ticket.work_class, ticket.version, lateness)
+
+    def _is_long(self, work_class):
+        classes = self.configuration.declaration.classes.values()
+        shortest = min(other.lateness for other in classes)
+        return work_class.lateness > shortest * self.settings.limits.long_factor
+
+    def _collect_plan_inputs(self, work_class):
+        available = set()
+        for server in self.table.servers.values():
+            if not server.leaving:
+                available |= server.versions
+        exposed = frozenset()
+        if not self.configuration.is_stale(self._clock()):
+            exposed = self.book.list_exposed(self.configuration.declaration)
+        return PlanInputs(
+            ratings=self.book.ratings,
+            available=frozenset(available),
+            halted=frozenset(self.book.halted),
+            exposed=exposed,
+            durations=lambda version: self.durations.estimate(
+                work_class.name, version, work_class.lateness
+            ),
+            rating_up=self.rollouts.rating_up,
+        )
+
+    def is_ready(self):
+        """Return whether requests can be served here."""
+        return self.configuration.ready and bool(self.table.servers)
+
+    def report_status(self):
+        """Return the JSON object of the admin API's status page."""
+        return {
+            "instance": self.settings.instance.id,
+            "incarnation": self.incarnation,
+            "failure_domain": self.settings.instance.failure_domain,
+            "ready": self.is_ready(),
+            "revision": self.configuration.revision,
+            "in_flight": self.callers.in_flight,
+            "backend_servers": [
+                {
+                    "id": server.record.id,
+                    "leaving": server.leaving,
+                    "in_flight": server.in_flight,
+                    "limit": round(server.limit, 2),
+                    "versions": sorted(server.versions),
+                }
+                for server in self.table.servers.values()
+            ],
+        }
+
+    async def start(self):
+        """Open the listeners and start the controllers.
+
+        Raises
+        ------
+        OSError
+            If an address is not to be had.
+        """
+        instance = self.settings.instance
+        await self.callers.listener.start(instance.address, instance.callers_port)
+        await self.admin.listener.start(instance.address, instance.admin_port)
+        for run in (
+            self.configuring.run,
+            self.membership.run,
+            self.load.run,
+            self.rollouts.run,
+            self.billing.run,
+            self.gate.run,
+        ):
+            self._tasks.append(asyncio.create_task(run()))
+        log.info(
+            "listening",
+            instance=instance.id,
+            incarnation=self.incarnation,
+            address=instance.address,
+            callers_port=self.callers.listener.port,
+            admin_port=self.admin.listener.port,
+        )
+
+    async def stop(self):
+        """Stop without cutting a request in flight."""
+        instance = self.settings.instance
+        log.info("stopping", in_flight=self.callers.in_flight)
+        self.callers.draining = True
+        await asyncio.sleep(instance.drain_notice)
+        self.callers.stopping = True
+        await self.callers.listener.stop()
+        deadline = self._clock() + instance.drain_limit
+        await poll_until(
+            lambda: not self.callers.in_flight, DRAIN_POLL_S, instance.drain_limit
+        )
+        await self.claims.drain(max(0.0, deadline - self._clock()))
+        await self.billing.flush_all(max(0.0, deadline - self._clock()))
+        await self.close()
+        log.info("stopped", in_flight=self.callers.in_flight)
+
+    async def close(self):
+        """Stop the controllers and close every connection at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.callers.listener.stop()
+        await self.admin.listener.stop()
+        await self._http.close()
+        await self._fresh_http.close()
--- /dev/null
+++ b/tanagerwalk/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform and of backend servers."""
--- /dev/null
+++ b/tanagerwalk/clients/keyvalue.py
@@ -0,0 +1,336 @@
+"""Client of the platform's key-value service, over the etcd v3 JSON gateway."""
+
+import asyncio
+import base64
+from dataclasses import dataclass
+from enum import Enum
+
+import aiohttp
+import msgspec
+from expression import Error, Ok
+
+from ..ids import Revision
+
+ENDLESS_KEY = b"\0"
+
+
+class StoreFault(Enum):
+    """Why a call gave no answer."""
+
+    NOT_APPLIED = "not_applied"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A key's value with its revisions.
+
+    Parameters
+    ----------
+    key : str
+        The key.
+    value : bytes
+        The value.
+    revision : Revision
+        The store's revision at the last write of this key.
+    """
+
+    key: str
+    value: bytes
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class WriteOutcome:
+    """What a conditional write did.
+
+    Parameters
+    ----------
+    applied : bool
+        Whether the condition held.
+    revision : Revision
+        The store's revision after the call.
+    existing : Entry or None
+        The entry that made the condition fail, if there is one.
+    """
+
+    applied: bool
+    revision: Revision
+    existing: Entry | None = None
+
+
+class _KeyValuePair(msgspec.Struct, frozen=True):
+    key: str = ""
+    value: str = ""
+    mod_revision: str = "0"
+
+    def to_entry(self):
+        return Entry(
+            base64.b64decode(self.key).decode(),
+            base64.b64decode(self.value),
+            Revision(int(self.mod_revision)),
+        )
+
+
+class _Header(msgspec.Struct, frozen=True):
+    revision: str = "0"
+
+
+class _RangeResponse(msgspec.Struct, frozen=True):
+    header: _Header = _Header()
+    kvs: list[_KeyValuePair] = []
+
+
+class _OperationResponse(msgspec.Struct, frozen=True):
+    response_range: _RangeResponse | None = None
+
+
+class _TxnResponse(msgspec.Struct, frozen=True):
+    header: _Header = _Header()
+    succeeded: bool = False
+    responses: list[_OperationResponse] = []
+
+
+class _Event(msgspec.Struct, frozen=True):
+    kv: _KeyValuePair = _KeyValuePair()
+    type: str = "PUT"
+
+
+class _WatchResult(msgspec.Struct, frozen=True):
+    header: _Header = _Header()
+    events: list[_Event] = []
+    canceled: bool = False
+
+
+class _WatchResponse(msgspec.Struct, frozen=True):
+    result: _WatchResult = _WatchResult()
+
+
+class _LeaseResponse(msgspec.Struct, frozen=True):
+    ID: str = "0"
+    TTL: str = "0"
+
+
+class _KeepAliveResponse(msgspec.Struct, frozen=True):
+    result: _LeaseResponse = _LeaseResponse()
+
+
+class KeyValueClient:
+    """Narrow client of the key-value service.
+
+    Every method returns a Result whose error is a `StoreFault`; `UNKNOWN` means
+    that a write may have taken effect.
+
+    Parameters
+    ----------
+    http : aiohttp.ClientSession
+        Session to call with.
+    base_url : str
+        Address of the gateway, by IP number.
+    timeout : float
+        Time limit of one call, in seconds.
+    """
+
+    def __init__(self, http, base_url, timeout):
+        self._http = http
+        self._base_url = base_url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(total=timeout)
+
+    async def _call(self, path, body, kind):
+        try:
+            async with self._http.post(
+                self._base_url + path, json=body, timeout=self._timeout
+            ) as response:
+                content = await response.read()
+                if response.status != 200:
+                    return Error(StoreFault.UNKNOWN)
+                return Ok(msgspec.json.decode(content, type=kind))
+        except aiohttp.ClientConnectorError:
+            return Error(StoreFault.NOT_APPLIED)
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
+            return Error(StoreFault.UNKNOWN)
+
+    async def get(self, key):
+        """Read one key.
+
+        Returns
+        -------
+        Result of Entry or None, or of StoreFault
+        """
+        body = {"key": _encode(key)}
+        result = await self._call("/v3/kv/range", body, _RangeResponse)
+        return result.map(lambda r: r.kvs[0].to_entry() if r.kvs else None)
+
+    async def list(self, prefix):
+        """Read all keys that begin with `prefix`.
+
+        Returns
+        -------
+        Result of list of Entry, or of StoreFault
+        """
+        body = {"key": _encode(prefix), "range_end": _encode_end(prefix)}
+        result = await self._call("/v3/kv/range", body, _RangeResponse)
+        return result.map(lambda r: [pair.to_entry() for pair in r.kvs])
+
+    async def create(self, key, value, lease=0):
+        """Write a key that must not exist yet.
+
+        Parameters
+        ----------
+        key : str
+            The key.
+        value : bytes
+            The value.
+        lease : int
+            Lease that the key ends with; 0 for none.
+
+        Returns
+        -------
+        Result of WriteOutcome, or of StoreFault
+        """
+        compare = {"key": _encode(key), "target": "CREATE", "create_revision": "0"}
+        return await self._write(key, compare, _put(key, value, lease))
+
+    async def replace(self, key, value, revision, lease=0):
+        """Write a key whose last write must have been at `revision`.
+
+        Returns
+        -------
+        Result of WriteOutcome, or of StoreFault
+        """
+        compare = _compare_revision(key, revision)
+        return await self._write(key, compare, _put(key, value, lease))
+
+    async def delete(self, key, revision):
+        """Delete a key whose last write must have been at `revision`.
+
+        Returns
+        -------
+        Result of WriteOutcome, or of StoreFault
+        """
+        request = {"request_delete_range": {"key": _encode(key)}}
+        return await self._write(key, _compare_revision(key, revision), request)
+
+    async def _write(self, key, compare, request):
+        body = {
+            "compare": [{"result": "EQUAL", **compare}],
+            "success": [request],
+            "failure": [{"request_range": {"key": _encode(key)}}],
+        }
+        result = await self._call("/v3/kv/txn", body, _TxnResponse)
+        return result.map(_read_outcome)
+
+    async def wait_for_change(self, prefix, after, limit):
+        """Wait until a key under `prefix` is written after a revision.
+
+        Parameters
+        ----------
+        prefix : str
+            Beginning of the keys.
+        after : Revision
+            Revision that is known already.
+        limit : float
+            Longest time to wait, in seconds.
+
+        Returns
+        -------
+        Result of list of Entry, or of StoreFault
+            The entries written; empty if the limit passed first.
+        """
+        request = {
+            "key": _encode(prefix),
+            "range_end": _encode_end(prefix),
+            "start_revision": str(after + 1),
+        }
+        try:
+            async with (
+                asyncio.timeout(limit),
+                self._http.post(
+                    self._base_url + "/v3/watch",
+                    json={"create_request": request},
+                    timeout=aiohttp.ClientTimeout(total=None),
+                ) as response,
+            ):
+                return await _read_events(response)
+        except TimeoutError:
+            return Ok([])
+        except (aiohttp.ClientError, msgspec.DecodeError):
+            return Error(StoreFault.UNKNOWN)
+
+    async def grant_lease(self, ttl):
+        """Create a lease of `ttl` seconds.
+
+        Returns
+        -------
+        Result of int, or of StoreFault
+            The lease's number.
+        """
+        body = {"TTL": str(int(ttl))}
+        result = await self._call("/v3/lease/grant", body, _LeaseResponse)
+        return result.map(lambda response: int(response.ID))
+
+    async def keep_lease(self, lease):
+        """Renew a lease.
+
+        Returns
+        -------
+        Result of bool, or of StoreFault
+            False if the lease has lapsed.
+        """
+        body = {"ID": str(lease)}
+        result = await self._call("/v3/lease/keepalive", body, _KeepAliveResponse)
+        return result.map(lambda response: int(response.result.TTL) > 0)
+
+    async def revoke_lease(self, lease):
+        """End a lease and delete its keys.
+
+        Returns
+        -------
+        Result of None, or of StoreFault
+        """
+        body = {"ID": str(lease)}
+        result = await self._call("/v3/lease/revoke", body, _LeaseResponse)
+        return result.map(lambda _response: None)
+
+
+async def _read_events(response):
+    if response.status != 200:
+        return Error(StoreFault.UNKNOWN)
+    async for line in response.content:
+        result = msgspec.json.decode(line, type=_WatchResponse).result
+        if result.canceled:
+            return Error(StoreFault.UNKNOWN)
+        entries = [event.kv.to_entry() for event in result.events if event.kv.key]
+        if entries:
+            return Ok(entries)
+    return Error(StoreFault.UNKNOWN)
+
+
+def _read_outcome(response):
+    existing = None
+    for operation in response.responses:
+        if operation.response_range is not None and operation.response_range.kvs:
+            existing = operation.response_range.kvs[0].to_entry()
+    revision = Revision(int(response.header.revision))
+    return WriteOutcome(response.succeeded, revision, existing)
+
+
+def _compare_revision(key, revision):
+    return {"key": _encode(key), "target": "MOD", "mod_revision": str(revision)}
+
+
+def _put(key, value, lease):
+    put = {"key": _encode(key), "value": base64.b64encode(value).decode()}
+    if lease:
+        put["lease"] = str(lease)
+    return {"request_put": put}
+
+
+def _encode(key):
+    return base64.b64encode(key.encode()).decode()
+
+
+def _encode_end(prefix):
+    raw = prefix.encode()
+    end = raw[:-1] + bytes([raw[-1] + 1]) if raw else ENDLESS_KEY
+    return base64.b64encode(end).decode()
--- /dev/null
+++ b/tanagerwalk/clients/loads.py
@@ -0,0 +1,35 @@
+"""Reading of the load that backend servers publish as Prometheus text."""
+
+from prometheus_client.parser import text_string_to_metric_families
+
+RUNNING_METRICS = frozenset({"vllm:num_requests_running", "num_requests_running"})
+WAITING_METRICS = frozenset({"vllm:num_requests_waiting", "num_requests_waiting"})
+
+
+def parse_load(text):
+    """Read the running and waiting requests from a Prometheus page.
+
+    Parameters
+    ----------
+    text : str
+        The page in Prometheus text format.
+
+    Returns
+    -------
+    tuple of int
+        Running and waiting requests, summed over all labels.
+
+    Raises
+    ------
+    ValueError
+        If the page is malformed.
+    """
+    running = 0.0
+    waiting = 0.0
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            if sample.name in RUNNING_METRICS:
+                running += sample.value
+            elif sample.name in WAITING_METRICS:
+                waiting += sample.value
+    return int(running), int(waiting)
--- /dev/null
+++ b/tanagerwalk/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Loops that keep the state of an instance up to date."""
--- /dev/null
+++ b/tanagerwalk/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as plain code; time, random numbers and observations are arguments."""
--- /dev/null
+++ b/tanagerwalk/decisions/configuration.py
@@ -0,0 +1,69 @@
+"""The declaration in force at an instance; it only moves to newer revisions."""
+
+from ..declarations import EMPTY_DECLARATION, parse_declaration
+from ..ids import Revision
+
+NO_REVISION = Revision(0)
+
+
+class ConfigurationState:
+    """Holds the newest declaration that this instance has seen.
+
+    Parameters
+    ----------
+    stale_after : float
+        Seconds without news after which the instance counts as cut off.
+    """
+
+    def __init__(self, stale_after):
+        self._stale_after = stale_after
+        self.declaration = EMPTY_DECLARATION
+        self.revision = NO_REVISION
+        self.text = ""
+        self._confirmed_at = float("-inf")
+
+    @property
+    def ready(self):
+        """Whether any declaration is in force."""
+        return self.revision > NO_REVISION
+
+    def offer(self, revision, text, now):
+        """Take a declaration from the store or from a peer.
+
+        Parameters
+        ----------
+        revision : Revision
+            The store's revision of the declaration.
+        text : str
+            The declaration.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        tuple of str
+            Problems of the text; the declaration in force stays if there are any.
+        """
+        if revision <= self.revision:
+            return ()
+        result = parse_declaration(text)
+        if result.is_error():
+            return result.error
+        self.declaration = result.ok
+        self.revision = revision
+        self.text = text
+        self._confirmed_at = now
+        return ()
+
+    def confirm(self, revision, now):
+        """Note that `revision` was the newest one at time `now`."""
+        if revision == self.revision:
+            self._confirmed_at = max(self._confirmed_at, now)
+
+    def is_stale(self, now):
+        """Return whether the instance has been without news for too long."""
+        return now - self._confirmed_at > self._stale_after
+
+    def age(self, now):
+        """Return seconds since the declaration was last known to be the newest."""
+        return now - self._confirmed_at
--- /dev/null
+++ b/tanagerwalk/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The chain of steps that a request passes."""
--- /dev/null
+++ b/tanagerwalk/filters/admit.py
@@ -0,0 +1,67 @@
+"""Waits for room on a backend server."""
+
+from ..decisions.limits import Ticket
+from ..outcomes import Interface
+
+
+class AdmitFilter:
+    """Holds an attempt until the gate grants it a server.
+
+    Parameters
+    ----------
+    gate : Gate
+        Grants room.
+    durations : DurationEstimates
+        Learns how long attempts take.
+    table : ServerTable
+        Learns of successes.
+    is_long : callable
+        Returns whether a class of work is long.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, gate, durations, table, is_long, clock):
+        self._gate = gate
+        self._durations = durations
+        self._table = table
+        self._is_long = is_long
+        self._clock = clock
+
+    async def handle(self, context, proceed):
+        """Wait, run the attempt, and give the room back."""
+        ticket = self._make_ticket(context)
+        acquired = await self._gate.acquire(ticket)
+        if acquired.is_error():
+            return acquired
+        grant = acquired.ok
+        context.grant = grant
+        started = self._clock()
+        try:
+            result = await proceed(context)
+        finally:
+            self._gate.release(grant)
+        if result.is_ok():
+            seconds = self._clock() - started
+            self._durations.record(ticket.work_class, ticket.version, seconds)
+            self._table.record_success(grant.server)
+        return result
+
+    def _make_ticket(self, context):
+        work_class = context.work_class
+        is_service = work_class.interface is Interface.SERVICE
+        version = None if is_service else context.version
+        service = work_class.service if is_service else None
+        serving = self._table.list_serving(version, service)
+        if all(server.record.id in context.tried for server in serving):
+            # Each one failed once; after its pause any of them may try again.
+            context.tried.clear()
+        return Ticket(
+            account=context.account.name,
+            work_class=work_class.name,
+            deadline=context.deadline,
+            version=version,
+            service=service,
+            long=self._is_long(work_class),
+            exclude=frozenset(context.tried),
+        )
--- /dev/null
+++ b/tanagerwalk/filters/count.py
@@ -0,0 +1,58 @@
+"""Outermost filter: counts and logs the outcome of every request."""
+
+import structlog
+
+log = structlog.get_logger(__name__)
+
+
+class CountFilter:
+    """Counts answers, refusals, lateness and cost.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Counters.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, metrics, clock):
+        self._metrics = metrics
+        self._clock = clock
+
+    async def handle(self, context, proceed):
+        """Pass the request on and count its outcome."""
+        result = await proceed(context)
+        seconds = self._clock() - context.arrived
+        if result.is_ok():
+            self._count_answer(context, result.ok, seconds)
+        else:
+            self._count_refusal(context, result.error, seconds)
+        return result
+
+    def _count_answer(self, context, answer, seconds):
+        name = context.work_class.name
+        self._metrics.requests.labels(name).inc()
+        self._metrics.latency.labels(name).observe(seconds)
+        self._metrics.cost.labels(name).inc(context.cost)
+        if seconds > context.work_class.lateness:
+            self._metrics.late.labels(name).inc()
+        log.info(
+            "request answered",
+            request_id=context.request_id,
+            work_class=name,
+            version=answer.version,
+            seconds=round(seconds, 4),
+            cost=context.cost,
+        )
+
+    def _count_refusal(self, context, refusal, seconds):
+        self._metrics.refusals.labels(refusal.reason.value).inc()
+        log.info(
+            "request refused",
+            request_id=context.request_id,
+            work_class=context.class_name,
+            reason=refusal.reason.value,
+            run_state=refusal.run_state.value,
+            seconds=round(seconds, 4),
+        )
--- /dev/null
+++ b/tanagerwalk/filters/dispatch.py
@@ -0,0 +1,106 @@
+"""Innermost filter: sends the attempt to its backend server."""
+
+import dataclasses
+import uuid
+from functools import singledispatchmethod
+
+from expression import Error, Ok
+
+from ..clients.engines import ChatAttempt, ChatOutcome
+from ..clients.services import ServiceAttempt, ServiceOutcome
+from ..ids import AttemptId
+from ..messages import Answer
+from ..outcomes import Interface
+
+OK_STATUS = 200
+MILLISECONDS = 1000
+
+
+class DispatchFilter:
+    """Calls an engine or a plain service.
+
+    Parameters
+    ----------
+    engines : EngineClient
+        Calls engines.
+    services : ServiceClient
+        Calls plain services.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, engines, services, clock):
+        self._engines = engines
+        self._services = services
+        self._clock = clock
+
+    async def handle(self, context, proceed):
+        """Run one attempt; the error is an AttemptFailure."""
+        del proceed
+        context.attempt = AttemptId(f"{context.request_id}.{uuid.uuid4().hex[:8]}")
+        limit = max(0.0, context.deadline - self._clock())
+        if context.work_class.interface is Interface.SERVICE:
+            result = await self._services.call(_make_service_attempt(context), limit)
+        else:
+            result = await self._complete(context, limit)
+        if result.is_error():
+            server = context.grant.server
+            return Error(dataclasses.replace(result.error, server=server))
+        return Ok(self._make_answer(result.ok, context))
+
+    async def _complete(self, context, limit):
+        attempt = context.attempt
+
+        async def take_text(text):
+            # A late piece of an abandoned attempt must not reach the caller.
+            if context.attempt != attempt:
+                return
+            context.generated.append(text)
+            await context.sink.write(text)
+
+        return await self._engines.complete(
+            _make_chat_attempt(context), limit, take_text
+        )
+
+    @singledispatchmethod
+    def _make_answer(self, outcome, context):
+        raise AssertionError(f"unknown outcome {outcome!r}")
+
+    @_make_answer.register
+    def _(self, outcome: ChatOutcome, context):
+        if outcome.status != OK_STATUS:
+            return Answer(outcome.status, outcome.error, version=context.version)
+        return Answer(
+            OK_STATUS,
+            "".join(context.generated).encode(),
+            "text/plain",
+            context.version,
+            outcome.usage,
+            outcome.finish_reason,
+        )
+
+    @_make_answer.register
+    def _(self, outcome: ServiceOutcome, context):
+        return Answer(outcome.status, outcome.content, outcome.content_type)
+
+
+def _make_chat_attempt(context):
+    return ChatAttempt(
+        attempt=context.attempt,
+        address=context.grant.address,
+        version=context.version,
+        payload=context.payload,
+        generated="".join(context.generated),
+        priority=int(context.work_class.lateness * MILLISECONDS),
+    )
+
+
+def _make_service_attempt(context):
+    return ServiceAttempt(
+        attempt=context.attempt,
+        address=context.grant.address,
+        work_class=context.work_class.name,
+        payload=context.payload,
+        idempotent=context.work_class.idempotent,
+        idempotency_key=context.idempotency_key,
+    )
--- /dev/null
+++ b/tanagerwalk/filters/identify.py
@@ -0,0 +1,73 @@
+"""Finds the client account and the class of work of a request."""
+
+import hashlib
+
+import msgspec
+from expression import Error
+
+from ..ids import ClassName, Fingerprint
+from ..outcomes import Refusal, RefusalReason
+
+NOT_READY_RETRY_AFTER_S = 2.0
+
+
+class IdentifyFilter:
+    """Checks the caller's key and the class that it names.
+
+    Parameters
+    ----------
+    configuration : ConfigurationState
+        The declaration in force.
+    """
+
+    def __init__(self, configuration):
+        self._configuration = configuration
+
+    async def handle(self, context, proceed):
+        """Fill in account, class, deadline and fingerprint."""
+        if not self._configuration.ready:
+            return _refuse(
+                RefusalReason.NOT_READY,
+                "this instance has no declaration yet",
+                NOT_READY_RETRY_AFTER_S,
+            )
+        declaration = self._configuration.declaration
+        account = declaration.find_account(context.credential)
+        if account is None:
+            return _refuse(RefusalReason.UNAUTHENTICATED, "the key is not known")
+        work_class = declaration.classes.get(ClassName(context.class_name))
+        if work_class is None or work_class.interface is not context.interface:
+            return _refuse(
+                RefusalReason.CLASS_UNKNOWN,
+                f'no class "{context.class_name}" is served at this path',
+            )
+        if work_class.name not in account.classes:
+            return _refuse(
+                RefusalReason.CLASS_NOT_ALLOWED,
+                f'class "{work_class.name}" is not allowed to the account',
+            )
+        context.account = account
+        context.work_class = work_class
+        context.deadline = context.arrived + work_class.patience
+        context.fingerprint = make_fingerprint(context)
+        return await proceed(context)
+
+
+def make_fingerprint(context):
+    """Return the hash of a request's account, class and body.
+
+    Parameters
+    ----------
+    context : RequestContext
+        A request whose account and class are known.
+    """
+    body = msgspec.json.encode(context.payload, order="deterministic")
+    digest = hashlib.sha256()
+    for part in (context.account.name.encode(), context.work_class.name.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return Fingerprint(digest.hexdigest()[:32])
+
+
+def _refuse(reason, message, retry_after=None):
+    return Error(Refusal(reason, message, retry_after=retry_after))
--- /dev/null
+++ b/tanagerwalk/filters/retry.py
@@ -0,0 +1,75 @@
+"""Repeats failed attempts while that is allowed and worth while."""
+
+import dataclasses
+
+from expression import Error
+
+from ..decisions.retries import RetryState, decide_retry, is_overload
+from ..outcomes import Refusal, RunState
+
+
+class RetryFilter:
+    """Turns attempt failures into further attempts or a final answer.
+
+    Parameters
+    ----------
+    settings : RetrySettings
+        Bounds.
+    budget : RetryBudget
+        Retries allowed to this instance.
+    table : ServerTable
+        Learns of failures.
+    metrics : Metrics
+        Counters.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, settings, budget, table, metrics, clock):
+        self._settings = settings
+        self._budget = budget
+        self._table = table
+        self._metrics = metrics
+        self._clock = clock
+
+    async def handle(self, context, proceed):
+        """Run attempts until one gives an answer or none may follow."""
+        self._budget.earn()
+        attempts = 0
+        while True:
+            attempts += 1
+            result = await proceed(context)
+            if result.is_ok():
+                return result
+            failure = result.error
+            if isinstance(failure, Refusal):
+                return Error(_correct_run_state(failure, context))
+            refusal = self._decide(context, failure, attempts)
+            if refusal is not None:
+                return Error(refusal)
+            self._metrics.retries.labels(failure.reason.value).inc()
+
+    def _decide(self, context, failure, attempts):
+        now = self._clock()
+        context.sent = context.sent or failure.sent
+        if failure.server is not None:
+            context.tried.add(failure.server)
+            self._table.record_failure(
+                failure.server, now, is_overload(failure.reason), failure.retry_after
+            )
+        state = RetryState(
+            idempotent=context.work_class.idempotent,
+            sent=context.sent,
+            attempts=attempts,
+            max_attempts=self._settings.max_attempts,
+            now=now,
+            deadline=context.deadline,
+        )
+        return decide_retry(failure, state, self._budget)
+
+
+def _correct_run_state(refusal, context):
+    """Never let a refusal say "not run" after an earlier attempt was sent."""
+    if context.sent and refusal.run_state is RunState.NOT_RUN:
+        return dataclasses.replace(refusal, run_state=RunState.UNKNOWN)
+    return refusal
--- /dev/null
+++ b/tanagerwalk/gate.py
@@ -0,0 +1,88 @@
+"""The gate before backend servers: waits, in an event loop, for admission."""
+
+import asyncio
+from contextlib import suppress
+
+from expression import Error, Ok
+
+EXPIRY_INTERVAL_S = 0.05
+
+
+class Gate:
+    """Lets attempts through to backend servers as the admission queue grants it.
+
+    Parameters
+    ----------
+    queue : AdmissionQueue
+        Decides.
+    table : ServerTable
+        Counts attempts in flight.
+    expect : callable
+        Returns the expected duration of a ticket's attempt, in seconds.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, queue, table, expect, clock):
+        self._queue = queue
+        self._table = table
+        self._expect = expect
+        self._clock = clock
+        self._futures = {}
+
+    async def acquire(self, ticket):
+        """Wait for room on a server.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The attempt.
+
+        Returns
+        -------
+        Result of Grant, or of Refusal
+        """
+        offered = self._queue.offer(ticket, self._expect(ticket), self._clock())
+        if offered.is_error():
+            return offered
+        future = asyncio.get_running_loop().create_future()
+        self._futures[ticket.number] = future
+        self.pump()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._queue.withdraw(ticket)
+            if future.done() and not future.cancelled() and future.result().is_ok():
+                self.release(future.result().ok)
+            raise
+        finally:
+            del self._futures[ticket.number]
+
+    def release(self, grant):
+        """Give the room of a grant back."""
+        self._table.finish(grant.server, grant.incarnation, grant.ticket.long)
+        self.pump()
+
+    def pump(self):
+        """Grant and expire what can be granted and expired now."""
+        now = self._clock()
+        for ticket, refusal in self._queue.expire(now, self._expect):
+            self._resolve(ticket, Error(refusal))
+        for grant in self._queue.grant(now, self._expect):
+            self._resolve(grant.ticket, Ok(grant))
+
+    def _resolve(self, ticket, result):
+        future = self._futures[ticket.number]
+        if not future.done():
+            future.set_result(result)
+            return
+        if result.is_ok():
+            grant = result.ok
+            self._table.finish(grant.server, grant.incarnation, ticket.long)
+
+    async def run(self):
+        """Expire waiting tickets as time passes, until cancelled."""
+        with suppress(asyncio.CancelledError):
+            while True:
+                await asyncio.sleep(EXPIRY_INTERVAL_S)
+                self.pump()
--- /dev/null
+++ b/tanagerwalk/ids.py
@@ -0,0 +1,18 @@
+"""Identifier types shared by the whole package."""
+
+from typing import NewType
+
+ClassName = NewType("ClassName", str)
+ClientAccountId = NewType("ClientAccountId", str)
+VersionName = NewType("VersionName", str)
+ServiceName = NewType("ServiceName", str)
+BackendServerId = NewType("BackendServerId", str)
+InstanceId = NewType("InstanceId", str)
+Incarnation = NewType("Incarnation", str)
+FailureDomain = NewType("FailureDomain", str)
+Region = NewType("Region", str)
+RequestId = NewType("RequestId", str)
+AttemptId = NewType("AttemptId", str)
+Fingerprint = NewType("Fingerprint", str)
+Revision = NewType("Revision", int)
+FencingToken = NewType("FencingToken", int)
--- /dev/null
+++ b/tanagerwalk/metrics.py
@@ -0,0 +1,45 @@
+"""Counters and gauges of an entry instance, for Prometheus."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from .outcomes import RefusalReason, RetryReason
+
+LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0, 300.0)
+
+
+class Metrics:
+    """All metrics of one entry instance, in a registry of their own."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.requests = self._count("requests", "Requests answered.", ["work_class"])
+        self.refusals = self._count("refusals", "Requests refused.", ["reason"])
+        self.retries = self._count("retries", "Attempts repeated.", ["reason"])
+        self.late = self._count("late", "Answers past their target.", ["work_class"])
+        self.cost = self._count("cost", "Cost of answers.", ["work_class"])
+        self.escalations = self._count(
+            "escalations", "Cascade answers that were rejected.", ["work_class"]
+        )
+        self.dropped_ratings = self._count("dropped_ratings", "Ratings given up.")
+        self.platform_faults = self._count(
+            "platform_faults", "Failed calls to the platform.", ["service"]
+        )
+        self.latency = Histogram(
+            "tanagerwalk_latency_seconds",
+            "Time to the whole answer.",
+            ["work_class"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.waiting = self._gauge("waiting", "Requests that wait for room.")
+        self.revision = self._gauge("revision", "Revision of the declaration in force.")
+        for reason in RefusalReason:
+            self.refusals.labels(reason.value)
+        for reason in RetryReason:
+            self.retries.labels(reason.value)
+
+    def _count(self, name, text, labels=()):
+        return Counter(f"tanagerwalk_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name, text):
+        return Gauge(f"tanagerwalk_{name}", text, registry=self.registry)
--- /dev/null
+++ b/tanagerwalk/outcomes.py
@@ -0,0 +1,123 @@
+"""States, reasons and outcome values shared by the whole package."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class VersionState(Enum):
+    """Where a version stands in its roll-out."""
+
+    CANDIDATE = "candidate"
+    RELEASED = "released"
+    DRAINING = "draining"
+    WITHDRAWN = "withdrawn"
+
+
+class Interface(Enum):
+    """The protocol that serves a class of work."""
+
+    CHAT = "chat"
+    SERVICE = "service"
+
+
+class AttemptState(Enum):
+    """How far an attempt to run a request got."""
+
+    PREPARED = "prepared"
+    SENT = "sent"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+
+
+class RunState(Enum):
+    """What a caller may conclude about a refused request."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class RetryReason(Enum):
+    """Why an attempt is followed by another one."""
+
+    CONNECT_FAILED = "connect_failed"
+    SERVER_REFUSED = "server_refused"
+    SERVER_LEAVING = "server_leaving"
+    CONNECTION_LOST = "connection_lost"
+    SERVER_ERROR = "server_error"
+    INCOMPLETE_ANSWER = "incomplete_answer"
+    ATTEMPT_TIMEOUT = "attempt_timeout"
+
+
+class RefusalReason(Enum):
+    """Why a request is refused."""
+
+    INVALID_REQUEST = "invalid_request"
+    UNAUTHENTICATED = "unauthenticated"
+    CLASS_UNKNOWN = "class_unknown"
+    CLASS_NOT_ALLOWED = "class_not_allowed"
+    NO_ALLOWED_VERSION = "no_allowed_version"
+    VERSION_WITHDRAWN = "version_withdrawn"
+    SESSION_INVALID = "session_invalid"
+    SESSION_UNCONFIRMED = "session_unconfirmed"
+    QUARANTINED = "quarantined"
+    IDEMPOTENCY_KEY_MISSING = "idempotency_key_missing"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    CLAIM_RUNNING = "claim_running"
+    CLAIM_UNRESOLVED = "claim_unresolved"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    NO_BACKEND_SERVER = "no_backend_server"
+    RETRY_BUDGET_SPENT = "retry_budget_spent"
+    BACKEND_FAILED = "backend_failed"
+    NOT_READY = "not_ready"
+    STOPPING = "stopping"
+
+
+HTTP_STATUS = {
+    RefusalReason.INVALID_REQUEST: 400,
+    RefusalReason.UNAUTHENTICATED: 401,
+    RefusalReason.CLASS_UNKNOWN: 404,
+    RefusalReason.CLASS_NOT_ALLOWED: 403,
+    RefusalReason.NO_ALLOWED_VERSION: 503,
+    RefusalReason.VERSION_WITHDRAWN: 410,
+    RefusalReason.SESSION_INVALID: 400,
+    RefusalReason.QUARANTINED: 422,
+    RefusalReason.IDEMPOTENCY_KEY_MISSING: 400,
+    RefusalReason.IDEMPOTENCY_KEY_REUSED: 422,
+    RefusalReason.CLAIM_RUNNING: 409,
+    RefusalReason.CLAIM_UNRESOLVED: 409,
+    RefusalReason.QUEUE_FULL: 429,
+    RefusalReason.DEADLINE_EXCEEDED: 504,
+    RefusalReason.BACKEND_FAILED: 502,
+}
+DEFAULT_HTTP_STATUS = 503
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """The final answer to a request that the router gives up on.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+        The machine-readable cause.
+    message : str
+        One plain sentence for the caller.
+    run_state : RunState
+        `NOT_RUN` only if no byte of the request left for a backend server.
+    retry_after : float or None
+        Seconds until a resend is worth while; None if it never is.
+    """
+
+    reason: RefusalReason
+    message: str
+    run_state: RunState = RunState.NOT_RUN
+    retry_after: float | None = None
+
+    @property
+    def http_status(self):
+        """Status code of the HTTP response that carries this refusal."""
+        return HTTP_STATUS.get(self.reason, DEFAULT_HTTP_STATUS)
--- /dev/null
+++ b/tanagerwalk/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The exchange of state between entry instances."""
--- /dev/null
+++ b/tanagerwalk/settings.py
@@ -0,0 +1,187 @@
+"""Checked, typed settings of one process, read from INI."""
+
+import configparser
+from dataclasses import dataclass, fields
+from importlib import resources
+
+from expression import Error, Ok
+
+from .ids import FailureDomain, InstanceId, Region
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceSettings:
+    """Identity, addresses and drain times of the instance."""
+
+    id: InstanceId
+    region: Region
+    failure_domain: FailureDomain
+    address: str
+    callers_port: int
+    admin_port: int
+    peers_port: int
+    drain_notice: float
+    drain_limit: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Addresses of the platform's services."""
+
+    keyvalue: str
+    instances: str
+    ratings: str
+    timeout: float
+    instances_interval: float
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSettings:
+    """How the declaration is kept up to date."""
+
+    watch_limit: float
+    poll_interval: float
+    stale_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSettings:
+    """The exchange between entry instances."""
+
+    secret: str
+    interval: float
+    cross_domain: float
+
+
+@dataclass(frozen=True, slots=True)
+class SessionSettings:
+    """Signing and age of session tokens."""
+
+    secret: str
+    lifetime: float
+
+
+@dataclass(frozen=True, slots=True)
+class LimitSettings:
+    """Queue and concurrency limits."""
+
+    queue_length: int
+    initial_concurrency: int
+    max_concurrency: int
+    short_reserve: float
+    long_factor: float
+
+
+@dataclass(frozen=True, slots=True)
+class RetrySettings:
+    """Attempts, retry budget and time limits."""
+
+    max_attempts: int
+    budget_ratio: float
+    budget_burst: float
+    connect_timeout: float
+    idle_timeout: float
+
+
+@dataclass(frozen=True, slots=True)
+class LoadSettings:
+    """How the load of backend servers is read."""
+
+    interval: float
+    timeout: float
+    stale_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineSettings:
+    """Bounds of the quarantine for requests that crash servers."""
+
+    crashes: int
+    lifetime: float
+    capacity: int
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutSettings:
+    """Rating and halting of versions."""
+
+    rating_share: float
+    rating_queue: int
+    false_alarm: float
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """All settings of one process."""
+
+    instance: InstanceSettings
+    platform: PlatformSettings
+    configuration: ConfigurationSettings
+    peers: PeerSettings
+    sessions: SessionSettings
+    limits: LimitSettings
+    retries: RetrySettings
+    load: LoadSettings
+    quarantine: QuarantineSettings
+    rollouts: RolloutSettings
+
+
+def parse_settings(text=""):
+    """Parse settings, with the shipped defaults under them.
+
+    Parameters
+    ----------
+    text : str
+        The operator's INI text.
+
+    Returns
+    -------
+    Result of Settings, or of a tuple of str
+        The settings, or one plain line for each problem.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    defaults = resources.files(__package__).joinpath("config_default.ini")
+    parser.read_string(defaults.read_text())
+    known = {name: set(parser[name]) for name in parser.sections()}
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        return Error((f"settings are not INI: {error.message}",))
+    problems = _find_unknown(parser, known)
+    sections = {}
+    for section in fields(Settings):
+        sections[section.name] = _read_section(
+            section.type, parser[section.name], problems
+        )
+    if problems:
+        return Error(tuple(problems))
+    return Ok(Settings(**sections))
+
+
+def _find_unknown(parser, known):
+    problems = []
+    for name in parser.sections():
+        if name not in known:
+            problems.append(f"unknown section [{name}]")
+            continue
+        for key in sorted(set(parser[name]) - known[name]):
+            problems.append(f'section [{name}] has unknown key "{key}"')
+    return problems
+
+
+def _read_section(kind, section, problems):
+    values = {}
+    for field in fields(kind):
+        raw = section[field.name]
+        if field.type not in (int, float):
+            values[field.name] = raw
+            continue
+        try:
+            number = field.type(raw)
+        except ValueError:
+            problems.append(f'[{section.name}] {field.name} = "{raw}" is not a number')
+            continue
+        if number < 0:
+            problems.append(f"[{section.name}] {field.name} = {raw} is negative")
+        values[field.name] = number
+    return kind(**values) if len(values) == len(fields(kind)) else None
--- /dev/null
+++ b/tanagerwalk/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, for the demo and the tests."""
--- /dev/null
+++ b/tanagerwalk/standins/keyvalue.py
@@ -0,0 +1,204 @@
+"""Stand-in of the key-value service: the etcd v3 JSON gateway, in memory."""
+
+import asyncio
+import base64
+import json
+import time
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from .server import StandIn
+
+
+@dataclass(slots=True)
+class _Item:
+    value: str
+    create_revision: int
+    mod_revision: int
+    lease: int = 0
+
+
+class KeyValueStandIn(StandIn):
+    """Serves range, txn, watch and lease calls.
+
+    Attributes
+    ----------
+    outage : bool
+        Whether every call is answered by status 503.
+    lose_answers : int
+        So many txn calls take effect while their connection is cut.
+    delay : float
+        Seconds that each call takes.
+    calls, writes : int
+        Calls so far, and those that wrote.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.outage = False
+        self.lose_answers = 0
+        self.delay = 0.0
+        self.calls = 0
+        self.writes = 0
+        self.revision = 0
+        self._items = {}
+        self._leases = {}
+        self._next_lease = 1000
+        self._changed = asyncio.Event()
+
+    def list_routes(self):
+        """Return the routes of the gateway."""
+        return [
+            web.post("/v3/kv/range", self._guarded(self._range)),
+            web.post("/v3/kv/txn", self._guarded(self._txn)),
+            web.post("/v3/watch", self._watch),
+            web.post("/v3/lease/grant", self._guarded(self._grant)),
+            web.post("/v3/lease/keepalive", self._guarded(self._keep)),
+            web.post("/v3/lease/revoke", self._guarded(self._revoke)),
+        ]
+
+    def _guarded(self, handler):
+        async def handle(request):
+            self.calls += 1
+            body = await request.json()
+            if self.delay:
+                await asyncio.sleep(self.delay)
+            if self.outage:
+                raise web.HTTPServiceUnavailable
+            self._expire_leases()
+            response = handler(body)
+            if "compare" in body and self.lose_answers > 0:
+                self.lose_answers -= 1
+                request.transport.close()
+            return web.json_response(response)
+
+        return handle
+
+    def _header(self):
+        return {"revision": str(self.revision)}
+
+    def _expire_leases(self):
+        now = time.monotonic()
+        for lease, (_ttl, ends) in list(self._leases.items()):
+            if ends <= now:
+                self._drop_lease(lease)
+
+    def _drop_lease(self, lease):
+        self._leases.pop(lease, None)
+        for key in [k for k, item in self._items.items() if item.lease == lease]:
+            self._delete(key)
+
+    def _select(self, body):
+        key = body["key"]
+        if "range_end" not in body:
+            return [key] if key in self._items else []
+        low = base64.b64decode(key)
+        high = base64.b64decode(body["range_end"])
+        return sorted(k for k in self._items if low <= base64.b64decode(k) < high)
+
+    def _range(self, body):
+        pairs = [self._render(key) for key in self._select(body)]
+        return {"header": self._header(), "kvs": pairs}
+
+    def _render(self, key):
+        item = self._items[key]
+        return {
+            "key": key,
+            "value": item.value,
+            "create_revision": str(item.create_revision),
+            "mod_revision": str(item.mod_revision),
+        }
+
+    def _txn(self, body):
+        holds = all(self._compare(compare) for compare in body.get("compare", []))
+        operations = body.get("success" if holds else "failure", [])
+        responses = [self._apply(operation) for operation in operations]
+        return {
+            "header": self._header(),
+            "succeeded": holds,
+            "responses": responses,
+        }
+
+    def _compare(self, compare):
+        item = self._items.get(compare["key"])
+        if compare["target"] == "CREATE":
+            current = item.create_revision if item else 0
+            return current == int(compare["create_revision"])
+        current = item.mod_revision if item else 0
+        return current == int(compare["mod_revision"])
+
+    def _apply(self, operation):
+        if "request_txn" in operation:
+            return {"response_txn": self._txn(operation["request_txn"])}
+        if "request_put" in operation:
+            self._put(operation["request_put"])
+            return {"response_put": {}}
+        if "request_delete_range" in operation:
+            for key in self._select(operation["request_delete_range"]):
+                self._delete(key)
+            return {"response_delete_range": {}}
+        return {"response_range": self._range(operation["request_range"])}
+
+    def _put(self, body):
+        self.writes += 1
+        self.revision += 1
+        key = body["key"]
+        old = self._items.get(key)
+        created = old.create_revision if old else self.revision
+        lease = int(body.get("lease", 0))
+        self._items[key] = _Item(body["value"], created, self.revision, lease)
+        self._wake()
+
+    def _delete(self, key):
+        self.writes += 1
+        self.revision += 1
+        del self._items[key]
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _watch(self, request):
+        self.calls += 1
+        wanted = (await request.json())["create_request"]
+        if self.outage:
+            raise web.HTTPServiceUnavailable
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await self._send(response, {"created": True})
+        seen = int(wanted.get("start_revision", 0)) - 1
+        while True:
+            changed = self._changed
+            keys = [k for k in self._select(wanted) if self._is_newer(k, seen)]
+            if keys and not self.outage:
+                seen = max(self._items[key].mod_revision for key in keys)
+                events = [{"type": "PUT", "kv": self._render(key)} for key in keys]
+                await self._send(response, {"events": events})
+            await changed.wait()
+
+    def _is_newer(self, key, seen):
+        return self._items[key].mod_revision > seen
+
+    async def _send(self, response, result):
+        message = {"result": {"header": self._header(), **result}}
+        await response.write(json.dumps(message).encode() + b"\n")
+
+    def _grant(self, body):
+        self._next_lease += 1
+        ttl = int(body["TTL"])
+        self._leases[self._next_lease] = (ttl, time.monotonic() + ttl)
+        return {"ID": str(self._next_lease), "TTL": str(ttl)}
+
+    def _keep(self, body):
+        lease = int(body["ID"])
+        if lease not in self._leases:
+            return {"result": {"ID": str(lease), "TTL": "0"}}
+        ttl = self._leases[lease][0]
+        self._leases[lease] = (ttl, time.monotonic() + ttl)
+        return {"result": {"ID": str(lease), "TTL": str(ttl)}}
+
+    def _revoke(self, body):
+        self._drop_lease(int(body["ID"]))
+        return {}
--- /dev/null
+++ b/tanagerwalk/standins/server.py
@@ -0,0 +1,61 @@
+"""What all stand-ins share: an HTTP server on a port that the kernel chooses."""
+
+import asyncio
+import signal
+
+import structlog
+from aiohttp import web
+
+log = structlog.get_logger(__name__)
+
+ADDRESS = "127.0.0.1"
+
+
+class StandIn:
+    """Base of the stand-ins; `POST /standin` sets its attributes from JSON."""
+
+    def __init__(self):
+        self.address = ""
+        self._runner = None
+
+    def list_routes(self):
+        """Return the aiohttp routes of the stand-in."""
+        return []
+
+    async def start(self):
+        """Listen; `address` then holds `IP:port`."""
+        app = web.Application()
+        app.add_routes([*self.list_routes(), web.post("/standin", self._control)])
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, ADDRESS, 0)
+        await site.start()
+        port = self._runner.addresses[0][1]
+        self.address = f"{ADDRESS}:{port}"
+
+    async def stop(self):
+        """Close every connection."""
+        await self._runner.cleanup()
+
+    async def _control(self, request):
+        for name, value in (await request.json()).items():
+            if not hasattr(self, name):
+                raise web.HTTPBadRequest(text=f'no attribute "{name}"')
+            setattr(self, name, value)
+        return web.json_response({})
+
+
+async def run_standin(standin):
+    """Run a stand-in until SIGTERM.
+
+    Parameters
+    ----------
+    standin : StandIn
+        The stand-in.
+    """
+    stopped = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
+    await standin.start()
+    log.info("listening", kind=type(standin).__name__, address=standin.address)
+    await stopped.wait()
+    await standin.stop()
--- /dev/null
+++ b/tanagerwalk/standins/service.py
@@ -0,0 +1,63 @@
+"""Stand-in of a plain service: bookings that must happen once, and lookups."""
+
+import asyncio
+
+from aiohttp import web
+
+from .server import StandIn
+
+
+class ServiceStandIn(StandIn):
+    """Answers every call with its number and counts them.
+
+    Attributes
+    ----------
+    delay : float
+        Seconds that a call takes.
+    lose_answers : int
+        So many calls take effect while their connection is cut.
+    runs : list of str
+        Idempotency key of each call that took effect, in order.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.delay = 0.0
+        self.lose_answers = 0
+        self.refuse = False
+        self.runs = []
+        self.running = 0
+
+    def list_routes(self):
+        """Return the routes of the service."""
+        return [
+            web.get("/metrics", self._metrics),
+            web.get("/runs", self._list_runs),
+            web.post("/{work_class}", self._call),
+        ]
+
+    async def _metrics(self, request):
+        return web.Response(
+            text="# TYPE num_requests_running gauge\n"
+            f"num_requests_running {self.running}\n"
+        )
+
+    async def _list_runs(self, request):
+        return web.json_response(self.runs)
+
+    async def _call(self, request):
+        if self.refuse:
+            raise web.HTTPServiceUnavailable(headers={"Retry-After": "1"})
+        body = await request.json()
+        self.running += 1
+        try:
+            self.runs.append(request.headers.get("Idempotency-Key", ""))
+            number = len(self.runs)
+            if self.delay:
+                await asyncio.sleep(self.delay)
+        finally:
+            self.running -= 1
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            request.transport.abort()
+        return web.json_response({"number": number, "asked": body})
--- /dev/null
+++ b/tanagerwalk/standins/world.py
@@ -0,0 +1,198 @@
+"""A whole small world in one process: stand-ins and entry instances."""
+
+from importlib import resources
+
+import aiohttp
+
+from ..app import EntryInstance
+from ..clients.keyvalue import KeyValueClient
+from ..controllers.loop import poll_until
+from ..settings import parse_settings
+from ..ui.apply import put_declaration
+from .engine import EngineStandIn
+from .keyvalue import KeyValueStandIn
+from .platform import PlatformStandIn
+from .service import ServiceStandIn
+
+DEMO_KEY = "desk-key"
+READY_LIMIT_S = 10.0
+READY_POLL_S = 0.01
+SETTINGS = """
+[instance]
+id = {name}
+region = {region}
+failure_domain = {failure_domain}
+drain_notice = 0
+[platform]
+keyvalue = http://{keyvalue}
+instances = http://{platform}/targets
+ratings = http://{platform}
+instances_interval = 0.1
+[load]
+interval = 0.1
+[sessions]
+secret = demo
+[peers]
+secret = demo
+interval = 0.05
+"""
+
+
+class World:
+    """Stand-ins of everything outside, and entry instances between them.
+
+    Attributes
+    ----------
+    keyvalue : KeyValueStandIn
+    platform : PlatformStandIn
+    engines : dict of str to EngineStandIn
+    services : dict of str to ServiceStandIn
+    instances : dict of str to EntryInstance
+    """
+
+    def __init__(self):
+        self.keyvalue = KeyValueStandIn()
+        self.platform = PlatformStandIn()
+        self.engines = {}
+        self.services = {}
+        self.instances = {}
+        self.http = None
+
+    async def __aenter__(self):
+        self.http = aiohttp.ClientSession()
+        await self.keyvalue.start()
+        await self.platform.start()
+        return self
+
+    async def __aexit__(self, *_error):
+        for instance in self.instances.values():
+            await instance.close()
+        for standin in (*self.engines.values(), *self.services.values()):
+            await standin.stop()
+        await self.keyvalue.stop()
+        await self.platform.stop()
+        await self.http.close()
+
+    async def add_engine(self, name, versions, region="r1", domain="r1-a", capacity=8):
+        """Start an engine stand-in and list it."""
+        engine = EngineStandIn(versions, capacity)
+        await engine.start()
+        self.engines[name] = engine
+        self._list(engine, name, region, domain, role="engine")
+        return engine
+
+    async def add_service(self, name, service, region="r1", domain="r1-a"):
+        """Start a stand-in of a plain service and list it."""
+        standin = ServiceStandIn()
+        await standin.start()
+        self.services[name] = standin
+        self._list(standin, name, region, domain, role="service", service=service)
+        return standin
+
+    def _list(self, standin, name, region, domain, **labels):
+        self.platform.add(
+            standin.address,
+            id=name,
+            region=region,
+            failure_domain=domain,
+            incarnation=f"{name}.1",
+            state="live",
+            **labels,
+        )
+
+    def make_settings(self, name, region="r1", domain="r1-a", extra=""):
+        """Return the settings text of an entry instance."""
+        text = SETTINGS.format(
+            name=name,
+            region=region,
+            failure_domain=domain,
+            keyvalue=self.keyvalue.address,
+            platform=self.platform.address,
+        )
+        return text + extra
+
+    async def add_instance(self, name, region="r1", domain="r1-a", seed=1):
+        """Start an entry instance and list it."""
+        settings = parse_settings(self.make_settings(name, region, domain)).ok
+        instance = EntryInstance(settings, seed=seed)
+        await instance.start()
+        self.instances[name] = instance
+        self.platform.add(
+            f"127.0.0.1:{instance.settings.instance.peers_port}",
+            id=name,
+            role="entry",
+            region=region,
+            failure_domain=domain,
+            incarnation=instance.incarnation,
+            state="live",
+        )
+        return instance
+
+    async def apply(self, text=None):
+        """Put a declaration in force, by default the demo's."""
+        if text is None:
+            text = resources.files(__package__).joinpath("demo.ini").read_text()
+        store = KeyValueClient(self.http, f"http://{self.keyvalue.address}", 2.0)
+        result = await put_declaration(store, text)
+        if result.is_error():
+            raise AssertionError(result.error)
+        return result.ok
+
+    async def wait_until(self, condition):
+        """Wait until `condition()` holds.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not hold in time.
+        """
+        if not await poll_until(condition, READY_POLL_S, READY_LIMIT_S):
+            raise TimeoutError("the condition did not hold in time")
+
+    async def post(self, instance, path, body, key=DEMO_KEY, **headers):
+        """Call an entry instance as a caller does.
+
+        Returns
+        -------
+        tuple of int, bytes and mapping
+            Status, body and headers.
+        """
+        url = f"http://127.0.0.1:{instance.callers.listener.port}{path}"
+        headers = {"Authorization": f"Bearer {key}", **headers}
+        async with self.http.post(url, json=body, headers=headers) as response:
+            return response.status, await response.read(), response.headers
+
+    async def chat(self, instance, work_class, text, **headers):
+        """Ask a class of work for one completion."""
+        body = {"model": work_class, "messages": [{"role": "user", "content": text}]}
+        return await self.post(instance, "/v1/chat/completions", body, **headers)
+
+    async def call(self, instance, work_class, body, **headers):
+        """Call a plain service."""
+        return await self.post(instance, f"/v1/classes/{work_class}", body, **headers)
+
+
+async def build_demo(world, instances=2):
+    """Fill a world with the demo's engines, services and entry instances.
+
+    Parameters
+    ----------
+    world : World
+        A started world.
+    instances : int
+        Number of entry instances.
+    """
+    await world.add_engine("engine-1", ["wren:1", "heron:1"])
+    await world.add_engine("engine-2", ["wren:1", "heron:1", "heron:2"])
+    await world.add_service("booking-1", "booking")
+    world.platform.quality = {"wren:1": 0.8, "heron:1": 0.95, "heron:2": 0.94}
+    await world.apply()
+    for number in range(1, instances + 1):
+        await world.add_instance(f"entry-{number}", seed=number)
+    await world.wait_until(lambda: all(map(_is_complete, world.instances.values())))
+
+
+def _is_complete(instance):
+    servers = instance.table.servers.values()
+    loaded = sum(1 for server in servers if server.load_at > 0)
+    return instance.is_ready() and loaded == len(servers) and loaded > 0
--- /dev/null
+++ b/tanagerwalk/ui/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, one module a command."""
--- /dev/null
+++ b/tanagerwalk/ui/apply.py
@@ -0,0 +1,83 @@
+"""Command `apply`: put a declaration in force."""
+
+import click
+from expression import Error, Ok
+
+from ..clients.keyvalue import StoreFault
+from ..controllers.configuration import DECLARATION_KEY
+from ..declarations import parse_declaration
+from ..ids import Revision
+from .common import fail, read_settings, read_text, run_with_store, settings_option
+
+
+@click.command()
+@settings_option
+@click.option(
+    "--after",
+    type=int,
+    help="Revision that the change builds on; refused if another came since.",
+)
+@click.argument("declaration")
+def apply(settings_path, after, declaration):
+    """Put a DECLARATION file in force on the whole fleet."""
+    settings = read_settings(settings_path)
+    text = read_text(declaration)
+    checked = parse_declaration(text)
+    if checked.is_error():
+        fail(*checked.error)
+
+    async def work(store):
+        return await put_declaration(store, text, after)
+
+    result = run_with_store(settings, work)
+    if result.is_error():
+        fail(result.error)
+    click.echo(f"revision {result.ok}")
+
+
+async def put_declaration(store, text, after=None):
+    """Write a declaration with one compare-and-swap.
+
+    Parameters
+    ----------
+    store : KeyValueClient
+        The store.
+    text : str
+        A checked declaration.
+    after : int or None
+        Revision that the change builds on; None for the newest.
+
+    Returns
+    -------
+    Result of Revision, or of str
+    """
+    found = await store.get(DECLARATION_KEY)
+    if found.is_error():
+        return Error("the key-value service is not reached")
+    newest = found.ok.revision if found.ok else Revision(0)
+    if found.ok and found.ok.value.decode() == text:
+        return Ok(newest)
+    if after is None:
+        after = newest
+    if after != newest:
+        return Error(f"another change came first: revision {newest} is in force")
+    value = text.encode()
+    if newest:
+        written = await store.replace(DECLARATION_KEY, value, newest)
+    else:
+        written = await store.create(DECLARATION_KEY, value)
+    if written.is_error():
+        return await _resolve_write(store, text, written.error)
+    if not written.ok.applied:
+        return Error("another change came first; read it and apply again")
+    return Ok(written.ok.revision)
+
+
+async def _resolve_write(store, text, fault):
+    """Find out whether a write whose answer was lost took effect."""
+    if fault is StoreFault.NOT_APPLIED:
+        return Error("the key-value service is not reached")
+    found = await store.get(DECLARATION_KEY)
+    if found.is_ok() and found.ok is not None and found.ok.value.decode() == text:
+        return Ok(found.ok.revision)
+    return Error("the key-value service gave no answer; apply again to be sure")
--- /dev/null
+++ b/tanagerwalk/ui/bills.py
@@ -0,0 +1,25 @@
+"""Command `bills`: show what each client account owes."""
+
+from collections import Counter
+
+import click
+
+from ..controllers.billing import read_bills
+from ..decisions.bills import fold_bills
+from .common import fail, read_settings, run_with_store, settings_option
+
+
+@click.command()
+@settings_option
+def bills(settings_path):
+    """Show requests and cost of each client account, each request once."""
+    result = run_with_store(read_settings(settings_path), read_bills)
+    if result.is_error():
+        fail("the key-value service is not reached")
+    cost = Counter()
+    requests = Counter()
+    for bill in fold_bills(result.ok).values():
+        cost[bill.account] += bill.cost
+        requests[bill.account] += 1
+    for account in sorted(cost):
+        click.echo(f"{account}\t{requests[account]}\t{cost[account]:.4f}")
--- /dev/null
+++ b/tanagerwalk/ui/common.py
@@ -0,0 +1,64 @@
+"""What several commands share: reading files and calling the store."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import aiohttp
+import click
+
+from ..clients.keyvalue import KeyValueClient
+from ..settings import parse_settings
+
+
+def fail(*lines):
+    """Print one plain line for each problem and end with status 1."""
+    for line in lines:
+        click.echo(f"tanagerwalk: {line}", err=True)
+    sys.exit(1)
+
+
+def read_text(path):
+    """Return the text of a file, or end with a plain message."""
+    try:
+        return Path(path).read_text()
+    except OSError as error:
+        return fail(f"{path}: {error.strerror}")
+
+
+def read_settings(path):
+    """Return the checked settings of a file, or end with plain messages.
+
+    Parameters
+    ----------
+    path : str or None
+        Path of the settings file; None for the defaults.
+    """
+    result = parse_settings(read_text(path) if path else "")
+    if result.is_error():
+        return fail(*result.error)
+    return result.ok
+
+
+def run_with_store(settings, work):
+    """Run `work` with a client of the key-value service.
+
+    Parameters
+    ----------
+    settings : Settings
+        Says where the service is.
+    work : callable
+        Coroutine function that takes a KeyValueClient.
+    """
+
+    async def run():
+        async with aiohttp.ClientSession() as http:
+            platform = settings.platform
+            return await work(KeyValueClient(http, platform.keyvalue, platform.timeout))
+
+    return asyncio.run(run())
+
+
+settings_option = click.option(
+    "--settings", "settings_path", metavar="FILE", help="Settings file (INI)."
+)
--- /dev/null
+++ b/tanagerwalk/ui/demo.py
@@ -0,0 +1,38 @@
+"""Command `demo`: the main job on embedded stand-ins."""
+
+import json
+
+import click
+import uvloop
+
+from ..logs import configure_logs
+from ..standins.world import World, build_demo
+
+
+@click.command()
+@click.option("--verbose", is_flag=True, help="Show the logs too.")
+def demo(verbose):
+    """Serve plans, labels and bookings in one process, against stand-ins."""
+    configure_logs("info" if verbose else "error")
+    uvloop.run(run_demo())
+
+
+async def run_demo():
+    """Run one request of each kind and show its outcome."""
+    async with World() as world:
+        await build_demo(world)
+        first, second = world.instances.values()
+        for work_class in ("label", "plan"):
+            status, content, headers = await world.chat(first, work_class, "deed book")
+            answer = json.loads(content)["choices"][0]["message"]["content"]
+            version = headers["X-Version"]
+            click.echo(f"{work_class}: {status} from {version}: {answer[:40]}")
+        key = {"Idempotency-Key": "slot-1"}
+        for instance in (first, second):
+            status, content, _ = await world.call(
+                instance, "booking", {"slot": 1}, **key
+            )
+            name = instance.settings.instance.id
+            click.echo(f"booking at {name}: {status} {content.decode()}")
+        runs = len(world.services["booking-1"].runs)
+        click.echo(f"bookings that ran: {runs}")
--- /dev/null
+++ b/tanagerwalk/ui/standin.py
@@ -0,0 +1,29 @@
+"""Command `standin`: run one stand-in of an outside system, for tests."""
+
+import asyncio
+
+import click
+
+from ..logs import configure_logs
+from ..standins.engine import EngineStandIn
+from ..standins.keyvalue import KeyValueStandIn
+from ..standins.platform import PlatformStandIn
+from ..standins.server import run_standin
+from ..standins.service import ServiceStandIn
+
+KINDS = {
+    "engine": EngineStandIn,
+    "keyvalue": KeyValueStandIn,
+    "platform": PlatformStandIn,
+    "service": ServiceStandIn,
+}
+
+
+@click.command()
+@click.argument("kind", type=click.Choice(sorted(KINDS)))
+@click.option("--version", "versions", multiple=True, help="Version that is loaded.")
+def standin(kind, versions):
+    """Run the stand-in KIND on a port that the kernel chooses."""
+    configure_logs()
+    built = EngineStandIn(versions) if kind == "engine" else KINDS[kind]()
+    asyncio.run(run_standin(built))
