--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -22,6 +22,7 @@
 from .controllers.membership import MembershipController
 from .controllers.rollouts import RolloutController
 from .decisions.configuration import ConfigurationState
+from .decisions.facts import FactTable
 from .decisions.limits import AdmissionQueue, DurationEstimates
 from .decisions.retries import RetryBudget
 from .decisions.rollouts import RolloutBook
@@ -100,6 +101,7 @@
         self.table = ServerTable(home, settings.limits, settings.load.stale_after)
         self.durations = DurationEstimates()
         self.book = RolloutBook()
+        self.facts = FactTable(self.incarnation)
         queue = AdmissionQueue(self.table, self.durations, settings.limits.queue_length)
         self.gate = Gate(queue, self.table, self._expect_duration, self._clock)
         self.metrics.waiting.set_function(lambda: len(queue))
