Index admission and selection, add quarantine, hedges and backoff

Cause: granting, expiry and selection scanned every waiting ticket and every server, on each pump; nothing kept a request that crashes servers from the next one.

--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -10,6 +10,7 @@
 
 from .api.admin import AdminApi
 from .api.callers import CallersApi
+from .clients.attempts import probe_refusal
 from .clients.engines import EngineClient
 from .clients.keyvalue import KeyValueClient
 from .clients.ratings import RatingsClient
@@ -23,7 +24,9 @@
 from .controllers.rollouts import RolloutController
 from .decisions.configuration import ConfigurationState
 from .decisions.facts import FactTable
+from .decisions.hedges import HedgeDelays
 from .decisions.limits import AdmissionQueue, DurationEstimates
+from .decisions.quarantine import Quarantine
 from .decisions.retries import RetryBudget
 from .decisions.rollouts import RolloutBook
 from .decisions.servers import Home, ServerTable
@@ -36,8 +39,10 @@
 from .filters.count import CountFilter
 from .filters.dispatch import DispatchFilter
 from .filters.guard import GuardFilter
+from .filters.hedge import HedgeFilter
 from .filters.identify import IdentifyFilter
 from .filters.plan import PlanFilter
+from .filters.quarantine import QuarantineFilter
 from .filters.retry import RetryFilter
 from .filters.session import SessionFilter, SessionStarter
 from .gate import Gate
@@ -96,7 +101,8 @@
 
     def _wire_state(self):
         settings = self.settings
-        home = Home(settings.instance.region, settings.instance.failure_domain)
+        place = settings.instance
+        home = Home(place.region, place.failure_domain, place.id)
         self.configuration = ConfigurationState(settings.configuration.stale_after)
         self.table = ServerTable(home, settings.limits, settings.load.stale_after)
         self.durations = DurationEstimates()
@@ -152,9 +158,10 @@
         settings = self.settings
         tokens = SessionTokens(settings.sessions.secret, settings.sessions.lifetime)
         starter = SessionStarter(tokens, self.configuration, self._wall_clock)
-        budget = RetryBudget(
-            settings.retries.budget_ratio, settings.retries.budget_burst
-        )
+        retries = settings.retries
+        budget = RetryBudget(retries.budget_ratio, retries.budget_burst)
+        hedge_budget = RetryBudget(retries.hedge_ratio, retries.hedge_burst)
+        self.quarantine = Quarantine(settings.quarantine)
         self.claims = ClaimFilter(
             self.store, self.incarnation, self.membership.list_live
         )
@@ -173,7 +180,22 @@
                     self.metrics,
                 ),
                 RetryFilter(
-                    settings.retries, budget, self.table, self.metrics, self._clock
+                    retries,
+                    budget,
+                    self.table,
+                    self.metrics,
+                    self._clock,
+                    self._random,
+                ),
+                HedgeFilter(HedgeDelays(), hedge_budget, self.metrics, self._clock),
+                QuarantineFilter(
+                    self.quarantine,
+                    self.facts,
+                    self.table,
+                    settings.quarantine,
+                    lambda address: probe_refusal(address, retries.connect_timeout),
+                    self.metrics,
+                    self._clock,
                 ),
                 AdmitFilter(
                     self.gate, self.durations, self.table, self._is_long, self._clock
--- a/tanagerwalk/clients/attempts.py
+++ b/tanagerwalk/clients/attempts.py
@@ -60,6 +60,31 @@
         return Error(AttemptFailure(RetryReason.SERVER_ERROR, sent=True))
 
 
+async def probe_refusal(address, limit):
+    """Return whether a host answers but refuses connections to a port.
+
+    A process that crashed leaves a host that refuses; a cut network leaves
+    silence, and a live process accepts.
+
+    Parameters
+    ----------
+    address : str
+        `IP:port`.
+    limit : float
+        Seconds to wait.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(limit):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
+
+
 def judge_status(response):
     """Return the failure that a response's status means, or None.
 
--- /dev/null
+++ b/tanagerwalk/decisions/backends.py
@@ -0,0 +1,224 @@
+"""One backend server: its record, its load, its room and its score."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from ..ids import (
+    BackendServerId,
+    FailureDomain,
+    Incarnation,
+    Region,
+    ServiceName,
+    VersionName,
+)
+
+MIN_LIMIT = 1.0
+MIN_START_LIMIT = 2.0
+LIMIT_DECREASE = 0.8
+PROBE_SHARE = 0.9
+CAPACITY_PROBE = 1.0
+FAILURES_BEFORE_PAUSE = 3
+FAILURE_PAUSE_S = 1.0
+MAX_FAILURE_PAUSE_S = 30.0
+SLOWNESS_SMOOTHING = 0.3
+MIN_SLOWNESS = 0.5
+MAX_SLOWNESS = 20.0
+TIMEOUT_SLOWNESS = 10.0
+SLOWNESS_HALF_LIFE_S = 20.0
+ERROR_SMOOTHING = 0.3
+ERROR_WEIGHT = 10.0
+
+
+class ServerRole(Enum):
+    """What a backend server is."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRecord:
+    """One backend server as the platform lists it."""
+
+    id: BackendServerId
+    address: str
+    role: ServerRole
+    region: Region
+    failure_domain: FailureDomain
+    incarnation: Incarnation
+    service: ServiceName | None = None
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load that a backend server published of itself."""
+
+    running: int = 0
+    waiting: int = 0
+    versions: frozenset[VersionName] = frozenset()
+
+
+class FailureKind(Enum):
+    """What a failed attempt says about its server."""
+
+    OVERLOAD = "overload"
+    ERROR = "error"
+    UNREACHABLE = "unreachable"
+    TIMEOUT = "timeout"
+
+
+@dataclass(slots=True)
+class BackendServer:
+    """A backend server with what this instance has learned of it.
+
+    Parameters
+    ----------
+    record : ServerRecord
+        The platform's record.
+    limit : float
+        Attempts that this instance may have in flight.
+    """
+
+    record: ServerRecord
+    limit: float
+    in_flight: int = 0
+    long_in_flight: int = 0
+    suspects_in_flight: int = 0
+    load: LoadReport = LoadReport()
+    load_at: float = float("-inf")
+    own_at_load: int = 0
+    capacity: float = float("inf")
+    leaving: bool = False
+    paused_until: float = float("-inf")
+    failures: int = 0
+    versions: frozenset[VersionName] = frozenset()
+    slowness: float = 1.0
+    slowness_at: float = 0.0
+    error_share: float = 0.0
+
+    def take_load(self, report, now, sharers):
+        """Take a load report and adapt the concurrency limit.
+
+        A server that has requests waiting is full at what it runs. Every instance
+        shrinks its own part in proportion, so that all of them together end at
+        the capacity, and a report that is read twice shrinks it only once.
+
+        Parameters
+        ----------
+        report : LoadReport
+            What the server published.
+        now : float
+            Monotonic time in seconds.
+        sharers : int
+            Instances that send to the server.
+        """
+        self.load = report
+        self.load_at = now
+        self.own_at_load = self.in_flight
+        self.versions = report.versions
+        total = report.running + report.waiting
+        if report.waiting > 0:
+            self.capacity = max(1.0, float(report.running))
+            share = self.in_flight * report.running / total
+            self.limit = max(MIN_LIMIT, min(self.limit, share))
+            return
+        if self.capacity == float("inf"):
+            return
+        if total >= self.capacity * PROBE_SHARE:
+            self.capacity = max(self.capacity, total) + CAPACITY_PROBE
+        # Every sharer sees the same free room, and takes its part of it.
+        free = max(0.0, self.capacity - total) / sharers
+        self.limit = max(MIN_LIMIT, self.in_flight + free)
+
+    def grow(self, ceiling):
+        """Raise the limit after an answer, if the limit was well used."""
+        if self.in_flight * 2 < self.limit or self.load.waiting > 0:
+            return
+        # Doubles each round trip until the capacity has been seen, then linear.
+        step = 1.0 if self.capacity == float("inf") else 1.0 / self.limit
+        self.limit = min(self.limit + step, ceiling)
+
+    def take_success(self, now, ratio):
+        """Note an answer that took `ratio` times the expected duration."""
+        self.failures = 0
+        self.error_share *= 1.0 - ERROR_SMOOTHING
+        self._take_slowness(now, ratio)
+
+    def _take_slowness(self, now, ratio):
+        ratio = min(max(ratio, MIN_SLOWNESS), MAX_SLOWNESS)
+        current = self.read_slowness(now)
+        self.slowness = current + SLOWNESS_SMOOTHING * (ratio - current)
+        self.slowness_at = now
+
+    def read_slowness(self, now):
+        """Return the slowness, which fades so that the server is tried again."""
+        if self.slowness <= 1.0:
+            return self.slowness
+        faded = 0.5 ** ((now - self.slowness_at) / SLOWNESS_HALF_LIFE_S)
+        return 1.0 + (self.slowness - 1.0) * faded
+
+    def take_failure(self, now, kind, retry_after):
+        """Note a failed attempt and pause the server if it deserves that.
+
+        A single error says as much about the request as about the server, so it
+        takes several in a row for a pause; a server that can't be reached is
+        paused at once.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        kind : FailureKind
+            What the failure says about the server.
+        retry_after : float or None
+            Seconds that the server asked to wait.
+        """
+        self.limit = max(MIN_LIMIT, self.limit * LIMIT_DECREASE)
+        if kind is FailureKind.OVERLOAD:
+            self._pause(now, FAILURE_PAUSE_S if retry_after is None else retry_after)
+            return
+        self.failures += 1
+        self.error_share += ERROR_SMOOTHING * (1.0 - self.error_share)
+        if kind is FailureKind.TIMEOUT:
+            self._take_slowness(now, TIMEOUT_SLOWNESS)
+        patience = 1 if kind is FailureKind.UNREACHABLE else FAILURES_BEFORE_PAUSE
+        excess = self.failures - patience
+        if excess >= 0:
+            # The exponent is bounded so that a long outage does not overflow it.
+            self._pause(now, FAILURE_PAUSE_S * 2 ** min(excess, 10))
+        elif retry_after:
+            self._pause(now, retry_after)
+
+    def _pause(self, now, seconds):
+        until = now + min(seconds, MAX_FAILURE_PAUSE_S)
+        self.paused_until = max(self.paused_until, until)
+
+    def has_room(self, long, short_reserve):
+        """Return whether one more attempt may be sent.
+
+        Parameters
+        ----------
+        long : bool
+            Whether the attempt belongs to a long class.
+        short_reserve : float
+            Share of the limit that long classes leave to short ones.
+        """
+        long_limit = max(1, int(self.limit * (1.0 - short_reserve)))
+        if long:
+            return self.in_flight < int(self.limit) and self.long_in_flight < long_limit
+        # Even at the smallest limit a long attempt leaves room to a short one.
+        return self.in_flight < max(int(self.limit), long_limit + 1)
+
+    def score(self, now, stale_after):
+        """Return how late an attempt here would be; lower is better."""
+        others = 0
+        if now - self.load_at <= stale_after:
+            reported = self.load.running + self.load.waiting
+            others = max(0, reported - self.own_at_load)
+        busy = (self.in_flight + others + 1) / self._size()
+        errors = 1.0 + ERROR_WEIGHT * self.error_share
+        return busy * self.read_slowness(now) * errors
+
+    def _size(self):
+        return self.limit if self.capacity == float("inf") else self.capacity
--- /dev/null
+++ b/tanagerwalk/decisions/durations.py
@@ -0,0 +1,27 @@
+"""How long attempts take, by class of work and version."""
+
+DURATION_SMOOTHING = 0.1
+
+
+class DurationEstimates:
+    """Smoothed time that attempts take, by class and version.
+
+    Parameters
+    ----------
+    default_share : float
+        Share of the lateness target that is assumed before anything is measured.
+    """
+
+    def __init__(self, default_share=0.25):
+        self._default_share = default_share
+        self._means = {}
+
+    def record(self, work_class, version, seconds):
+        """Take the duration of one whole attempt."""
+        key = (work_class, version)
+        mean = self._means.setdefault(key, seconds)
+        self._means[key] = mean + DURATION_SMOOTHING * (seconds - mean)
+
+    def estimate(self, work_class, version, lateness):
+        """Return the expected duration of an attempt, in seconds."""
+        return self._means.get((work_class, version), lateness * self._default_share)
--- a/tanagerwalk/decisions/limits.py
+++ b/tanagerwalk/decisions/limits.py
@@ -1,5 +1,6 @@
 """Admission: who waits, who goes next and who is refused at once."""
 
+import heapq
 from dataclasses import dataclass, field
 from itertools import count
 
@@ -15,9 +16,14 @@
     VersionName,
 )
 from ..outcomes import Refusal, RefusalReason
+from .durations import DurationEstimates
+from .shares import FairShares
+
+__all__ = ["AdmissionQueue", "DurationEstimates", "Grant", "Ticket"]
 
 MIN_RETRY_AFTER_S = 1.0
-DURATION_SMOOTHING = 0.1
+SHORT_WEIGHT = 4.0
+LONG_WEIGHT = 1.0
 
 
 @dataclass(slots=True, eq=False)
@@ -30,16 +36,21 @@
         For fair shares.
     work_class : ClassName
         For the estimate of how long the attempt takes.
+    deadline : float
+        Monotonic time after which the answer is of no use.
     version : VersionName or None
         The version that must be loaded; None for a plain service.
     service : ServiceName or None
         The plain service that must be offered; None for an engine.
-    deadline : float
-        Monotonic time after which the answer is of no use.
     long : bool
         Whether the class is long, so that it leaves room to short ones.
     exclude : frozenset of BackendServerId
         Servers that may not be chosen.
+    suspect : bool
+        Whether the request was in flight on a server that crashed.
+    far_at : float
+        Monotonic time from which servers of other regions may be used even
+        though the own region is merely busy.
     """
 
     account: ClientAccountId
@@ -49,8 +60,26 @@
     service: ServiceName | None = None
     long: bool = False
     exclude: frozenset[BackendServerId] = frozenset()
+    suspect: bool = False
+    far_at: float = float("-inf")
     number: int = field(default_factory=count().__next__)
 
+    @property
+    def need(self):
+        """What the ticket asks for; equal needs are granted or blocked alike."""
+        return Need(self.version, self.service, self.long, self.exclude, self.suspect)
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """The room that a ticket asks for."""
+
+    version: VersionName | None
+    service: ServiceName | None
+    long: bool
+    exclude: frozenset[BackendServerId]
+    suspect: bool
+
 
 @dataclass(frozen=True, slots=True)
 class Grant:
@@ -62,36 +91,57 @@
     incarnation: Incarnation
 
 
-class DurationEstimates:
-    """Smoothed time that attempts take, by class and version.
+class _Pool:
+    """The waiting tickets of one need, by client account and deadline."""
 
-    Parameters
-    ----------
-    default_share : float
-        Share of the lateness target that is assumed before anything is measured.
-    """
+    def __init__(self):
+        self.accounts = {}
+        self.length = 0
+        self.work = 0.0
 
-    def __init__(self, default_share=0.25):
-        self._default_share = default_share
-        self._means = {}
+    def add(self, ticket, expected):
+        tickets = self.accounts.get(ticket.account)
+        if tickets is None:
+            tickets = self.accounts[ticket.account] = SortedKeyList(key=_sort_key)
+        tickets.add(ticket)
+        self.length += 1
+        self.work += expected
 
-    def record(self, work_class, version, seconds):
-        """Take the duration of one whole attempt."""
-        key = (work_class, version)
-        mean = self._means.setdefault(key, seconds)
-        self._means[key] = mean + DURATION_SMOOTHING * (seconds - mean)
+    def remove(self, ticket, expected):
+        tickets = self.accounts[ticket.account]
+        tickets.remove(ticket)
+        if not tickets:
+            del self.accounts[ticket.account]
+        self.length -= 1
+        self.work -= expected
+
+    def count_ahead(self, ticket):
+        """Return how many tickets fair shares and deadlines put before a ticket."""
+        own = self.accounts.get(ticket.account)
+        before = 0 if own is None else own.bisect_key_left(_sort_key(ticket))
+        others = sum(
+            min(len(tickets), before + 1)
+            for account, tickets in self.accounts.items()
+            if account != ticket.account
+        )
+        return before + others
+
+    def list_all(self):
+        return [ticket for tickets in self.accounts.values() for ticket in tickets]
 
-    def estimate(self, work_class, version, lateness):
-        """Return the expected duration of an attempt, in seconds."""
-        return self._means.get((work_class, version), lateness * self._default_share)
+    def pick_first(self, shares):
+        account = min(self.accounts, key=shares.read)
+        return self.accounts[account][0]
 
 
 class AdmissionQueue:
     """Holds the tickets that wait for room and grants it in order.
 
-    Inside an account the earliest deadline goes first. Between accounts the one
-    that was granted the least expected server time goes first, so that a flood
-    from one client account delays only itself.
+    Short and long classes share the servers' time in proportion to fixed weights
+    while both wait, so that neither starves the other. Between client accounts
+    the one that was granted the least expected server time goes first, so that a
+    flood from one delays only itself. Inside an account the earliest deadline
+    goes first.
 
     Parameters
     ----------
@@ -107,12 +157,14 @@
         self._table = table
         self._durations = durations
         self._max_length = max_length
-        self._waiting = {}
-        self._granted_time = {}
-        self._length = 0
+        self._pools = {}
+        self._expected = {}
+        self._lanes = FairShares()
+        self._shares = {False: FairShares(), True: FairShares()}
+        self._latest_starts = []
 
     def __len__(self):
-        return self._length
+        return len(self._expected)
 
     def offer(self, ticket, expected, now):
         """Put a ticket in the queue, or refuse it at once.
@@ -130,15 +182,15 @@
         -------
         Result of None, or of Refusal
         """
-        serving = self._table.list_serving(ticket.version, ticket.service)
-        if not any(server.record.id not in ticket.exclude for server in serving):
+        serving = self._list_eligible(ticket.need)
+        if not serving:
             return Error(_refuse_unserved())
-        wait = self.estimate_wait(ticket, expected, serving)
-        if self._length >= self._max_length:
+        wait = self.estimate_wait(ticket, expected, serving, now)
+        if len(self) >= self._max_length:
             return Error(
                 Refusal(
                     RefusalReason.QUEUE_FULL,
-                    f"{self._length} requests wait already",
+                    f"{len(self)} requests wait already",
                     retry_after=max(MIN_RETRY_AFTER_S, wait),
                 )
             )
@@ -150,54 +202,65 @@
                     retry_after=max(MIN_RETRY_AFTER_S, wait),
                 )
             )
-        self._add(ticket)
+        self._add(ticket, expected)
         return Ok(None)
 
-    def _add(self, ticket):
-        if ticket.account not in self._waiting:
-            # An account that was idle starts level with the others: it may not
-            # save up server time.
-            active = [self._granted_time.get(name, 0.0) for name in self._waiting]
-            level = min(active, default=0.0)
-            previous = self._granted_time.get(ticket.account, 0.0)
-            self._granted_time[ticket.account] = max(level, previous)
-            self._waiting[ticket.account] = SortedKeyList(key=_sort_key)
-        self._waiting[ticket.account].add(ticket)
-        self._length += 1
-
-    def estimate_wait(self, ticket, expected, serving):
-        """Return the expected time in the queue, in seconds."""
-        room = sum(max(1.0, server.limit) for server in serving)
-        if self._has_free_room(ticket):
-            return 0.0
-        ahead = sum(
-            1
-            for tickets in self._waiting.values()
-            for other in tickets
-            if (other.version, other.service) == (ticket.version, ticket.service)
-            and (other.account != ticket.account or other.deadline <= ticket.deadline)
-        )
-        return (ahead + 1) * expected / max(1.0, room)
+    def _list_eligible(self, need):
+        serving = self._table.list_serving(need.version, need.service)
+        if not need.exclude:
+            return serving
+        return [server for server in serving if server.record.id not in need.exclude]
+
+    def _add(self, ticket, expected):
+        need = ticket.need
+        pool = self._pools.get(need)
+        if pool is None:
+            pool = self._pools[need] = _Pool()
+        pool.add(ticket, expected)
+        self._expected[ticket] = expected
+        self._lanes.enter(need.long)
+        self._shares[need.long].enter(ticket.account)
+        latest = (ticket.deadline - expected, ticket.number, ticket)
+        heapq.heappush(self._latest_starts, latest)
+
+    def estimate_wait(self, ticket, expected, serving, now):
+        """Return the expected time in the queue, in seconds.
 
-    def _has_free_room(self, ticket):
-        chosen = self._table.choose(
-            float("inf"),
-            version=ticket.version,
-            service=ticket.service,
-            long=ticket.long,
-            exclude=ticket.exclude,
-        )
-        return chosen is not None and self._length == 0
+        Parameters
+        ----------
+        ticket : Ticket
+            The attempt.
+        expected : float
+            Expected duration of the attempt, in seconds.
+        serving : list of BackendServer
+            The servers that may take it.
+        now : float
+            Monotonic time in seconds.
+        """
+        need = ticket.need
+        pool = self._pools.get(need)
+        if pool is None and self._choose(ticket, now) is not None:
+            return 0.0
+        ahead = pool.count_ahead(ticket) if pool else 0
+        mean = pool.work / pool.length if pool else expected
+        room = sum(max(1.0, server.limit) for server in serving)
+        if ticket.long:
+            room *= 1.0 - self._table.limits.short_reserve
+        wait = (ahead + 1) * mean / max(1.0, room)
+        return max(wait, _find_resumption(serving) - now)
 
     def withdraw(self, ticket):
         """Take a ticket out again, if it still waits."""
-        tickets = self._waiting.get(ticket.account)
-        if tickets is None or ticket not in tickets:
+        expected = self._expected.pop(ticket, None)
+        if expected is None:
             return
-        tickets.remove(ticket)
-        self._length -= 1
-        if not tickets:
-            del self._waiting[ticket.account]
+        need = ticket.need
+        pool = self._pools[need]
+        pool.remove(ticket, expected)
+        if pool.length == 0:
+            del self._pools[need]
+        self._lanes.leave(need.long)
+        self._shares[need.long].leave(ticket.account)
 
     def grant(self, now, expect):
         """Give the room that there is to the tickets that are next.
@@ -215,43 +278,52 @@
             Each granted server already counts the attempt.
         """
         grants = []
-        blocked = set()
-        while True:
-            grant = self._grant_next(now, blocked)
-            if grant is None:
-                return grants
-            grants.append(grant)
-            account = grant.ticket.account
-            self._granted_time[account] = self._granted_time.get(account, 0.0) + expect(
-                grant.ticket
-            )
+        open_needs = set(self._pools)
+        while open_needs:
+            need, ticket = self._pick_next(open_needs)
+            server = self._choose(ticket, now)
+            if server is None:
+                open_needs.discard(need)
+                continue
+            self._charge(ticket, expect(ticket))
+            self.withdraw(ticket)
+            self._table.start(server.record.id, ticket.long, ticket.suspect)
+            record = server.record
+            grants.append(Grant(ticket, record.id, record.address, record.incarnation))
+            if need not in self._pools:
+                open_needs.discard(need)
+        return grants
+
+    def _pick_next(self, needs):
+        heads = (
+            (need, self._pools[need].pick_first(self._shares[need.long]))
+            for need in needs
+        )
+        return min(heads, key=self._order)
 
-    def _grant_next(self, now, blocked):
-        order = sorted(self._waiting, key=lambda name: self._granted_time[name])
-        for account in order:
-            for ticket in list(self._waiting[account]):
-                # Tickets that ask for the same room are blocked together.
-                wanted = (ticket.version, ticket.service, ticket.long, ticket.exclude)
-                if wanted in blocked:
-                    continue
-                server = self._table.choose(
-                    now,
-                    version=ticket.version,
-                    service=ticket.service,
-                    long=ticket.long,
-                    exclude=ticket.exclude,
-                )
-                if server is None:
-                    blocked.add(wanted)
-                    continue
-                self.withdraw(ticket)
-                self._table.start(server.record.id, ticket.long)
-                record = server.record
-                return Grant(ticket, record.id, record.address, record.incarnation)
-        return None
+    def _order(self, head):
+        need, ticket = head
+        share = self._shares[need.long].read(ticket.account)
+        return self._lanes.read(need.long), share, _sort_key(ticket)
+
+    def _charge(self, ticket, expected):
+        weight = LONG_WEIGHT if ticket.long else SHORT_WEIGHT
+        self._lanes.charge(ticket.long, expected / weight)
+        self._shares[ticket.long].charge(ticket.account, expected)
+
+    def _choose(self, ticket, now):
+        return self._table.choose(
+            now,
+            version=ticket.version,
+            service=ticket.service,
+            long=ticket.long,
+            exclude=ticket.exclude,
+            suspect=ticket.suspect,
+            far=now >= ticket.far_at,
+        )
 
     def expire(self, now, expect):
-        """Remove the tickets whose deadline can no longer be met.
+        """Remove the tickets that no server can serve in time any more.
 
         Parameters
         ----------
@@ -264,33 +336,61 @@
         -------
         list of (Ticket, Refusal)
         """
+        expired = self._expire_late(now, expect)
+        for need, pool in list(self._pools.items()):
+            eligible = self._list_eligible(need)
+            if not eligible:
+                expired += [(ticket, _refuse_unserved()) for ticket in pool.list_all()]
+                continue
+            resumption = _find_resumption(eligible)
+            if resumption > now:
+                expired += self._list_hopeless(pool, resumption)
+        for ticket, _ in expired:
+            self.withdraw(ticket)
+        return expired
+
+    def _list_hopeless(self, pool, resumption):
+        """List the tickets that are late before a paused server resumes."""
+        return [
+            (ticket, _refuse_late(self._expected[ticket]))
+            for ticket in pool.list_all()
+            if resumption + self._expected[ticket] > ticket.deadline
+        ]
+
+    def _expire_late(self, now, expect):
         expired = []
-        for tickets in list(self._waiting.values()):
-            for ticket in list(tickets):
-                refusal = self._judge(ticket, now, expect(ticket))
-                if refusal is None:
-                    continue
-                self.withdraw(ticket)
-                expired.append((ticket, refusal))
+        while self._latest_starts and self._latest_starts[0][0] < now:
+            ticket = heapq.heappop(self._latest_starts)[2]
+            if ticket not in self._expected:
+                continue
+            expected = expect(ticket)
+            if now + expected <= ticket.deadline:
+                # The estimate has fallen since the ticket came.
+                latest = (ticket.deadline - expected, ticket.number, ticket)
+                heapq.heappush(self._latest_starts, latest)
+                continue
+            self.withdraw(ticket)
+            expired.append((ticket, _refuse_late(expected)))
         return expired
 
-    def _judge(self, ticket, now, expected):
-        serving = self._table.list_serving(ticket.version, ticket.service)
-        if all(server.record.id in ticket.exclude for server in serving):
-            return _refuse_unserved()
-        if now + expected <= ticket.deadline:
-            return None
-        return Refusal(
-            RefusalReason.DEADLINE_EXCEEDED,
-            "no backend server had room in time",
-            retry_after=max(MIN_RETRY_AFTER_S, expected),
-        )
+
+def _find_resumption(servers):
+    """Return when the first of the servers takes work; in the past if one does."""
+    return min(server.paused_until for server in servers)
 
 
 def _sort_key(ticket):
     return (ticket.deadline, ticket.number)
 
 
+def _refuse_late(expected):
+    return Refusal(
+        RefusalReason.DEADLINE_EXCEEDED,
+        "no backend server had room in time",
+        retry_after=max(MIN_RETRY_AFTER_S, expected),
+    )
+
+
 def _refuse_unserved():
     return Refusal(
         RefusalReason.NO_BACKEND_SERVER,
--- a/tanagerwalk/decisions/retries.py
+++ b/tanagerwalk/decisions/retries.py
@@ -3,8 +3,18 @@
 from dataclasses import dataclass
 
 from ..outcomes import Refusal, RefusalReason, RetryReason, RunState
+from .backends import FailureKind
 
 RETRY_AFTER_FAILURE_S = 2.0
+BACKOFF_BASE_S = 0.05
+MAX_BACKOFF_S = 2.0
+FAILURE_KINDS = {
+    RetryReason.SERVER_REFUSED: FailureKind.OVERLOAD,
+    RetryReason.SERVER_LEAVING: FailureKind.OVERLOAD,
+    RetryReason.CONNECT_FAILED: FailureKind.UNREACHABLE,
+    RetryReason.CONNECTION_LOST: FailureKind.UNREACHABLE,
+    RetryReason.ATTEMPT_TIMEOUT: FailureKind.TIMEOUT,
+}
 
 
 class RetryBudget:
@@ -109,6 +119,27 @@
     return None
 
 
-def is_overload(reason):
-    """Return whether a failure means a lack of room, not a fault."""
-    return reason in (RetryReason.SERVER_REFUSED, RetryReason.SERVER_LEAVING)
+def choose_backoff(attempts, all_failed, chance):
+    """Return how long to wait before the next attempt, in seconds.
+
+    The first retry goes at once to another server. From then on, or where no
+    other server is left, the pause doubles; it is jittered over its whole length
+    so that requests that failed together do not come back together.
+
+    Parameters
+    ----------
+    attempts : int
+        Attempts made so far.
+    all_failed : bool
+        Whether each eligible server has failed the request once.
+    chance : float
+        Random number from 0 to 1.
+    """
+    if attempts < 2 and not all_failed:
+        return 0.0
+    return chance * min(MAX_BACKOFF_S, BACKOFF_BASE_S * 2**attempts)
+
+
+def judge_server(reason):
+    """Return the FailureKind that a failed attempt means for its server."""
+    return FAILURE_KINDS.get(reason, FailureKind.ERROR)
--- a/tanagerwalk/decisions/servers.py
+++ b/tanagerwalk/decisions/servers.py
@@ -1,78 +1,39 @@
 """The table of backend servers, and which of them takes an attempt."""
 
+import hashlib
 from dataclasses import dataclass
-from enum import Enum
-
-from ..ids import (
-    BackendServerId,
-    FailureDomain,
-    Incarnation,
-    Region,
-    ServiceName,
-    VersionName,
-)
-
-LIMIT_DECREASE = 0.8
-MIN_LIMIT = 1.0
-FAILURE_PAUSE_S = 1.0
-MAX_FAILURE_PAUSE_S = 30.0
-DISTANT_DOMAIN_PENALTY = 0.1
-DISTANT_REGION_PENALTY = 1.0
-
-
-class ServerRole(Enum):
-    """What a backend server is."""
-
-    ENGINE = "engine"
-    SERVICE = "service"
-
-
-@dataclass(frozen=True, slots=True)
-class ServerRecord:
-    """One backend server as the platform lists it."""
-
-    id: BackendServerId
-    address: str
-    role: ServerRole
-    region: Region
-    failure_domain: FailureDomain
-    incarnation: Incarnation
-    service: ServiceName | None = None
-    leaving: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class LoadReport:
-    """Load that a backend server published of itself."""
-
-    running: int = 0
-    waiting: int = 0
-    versions: frozenset[VersionName] = frozenset()
 
+from ..ids import BackendServerId, FailureDomain, Incarnation, Region
+from .backends import (
+    MIN_START_LIMIT,
+    BackendServer,
+    FailureKind,
+    LoadReport,
+    ServerRecord,
+    ServerRole,
+)
 
-@dataclass(slots=True)
-class BackendServer:
-    """A backend server with what this instance has learned of it."""
+__all__ = [
+    "BackendServer",
+    "FailureKind",
+    "Home",
+    "LoadReport",
+    "ServerRecord",
+    "ServerRole",
+    "ServerTable",
+]
 
-    record: ServerRecord
-    limit: float
-    in_flight: int = 0
-    long_in_flight: int = 0
-    load: LoadReport = LoadReport()
-    load_at: float = float("-inf")
-    own_at_load: int = 0
-    leaving: bool = False
-    paused_until: float = float("-inf")
-    failures: int = 0
-    versions: frozenset[VersionName] = frozenset()
+DISTANT_DOMAIN_PENALTY = 0.1
+MAX_SERVERS_IN_USE = 32
 
 
 @dataclass(frozen=True, slots=True)
 class Home:
-    """Where the choosing instance stands."""
+    """Where the choosing instance stands, and its name."""
 
     region: Region
     failure_domain: FailureDomain
+    instance: str = ""
 
 
 class ServerTable:
@@ -93,7 +54,9 @@
         self.limits = limits
         self.load_stale_after = load_stale_after
         self.servers: dict[BackendServerId, BackendServer] = {}
+        self.sharers = 1
         self._left: set[Incarnation] = set()
+        self._nearest = {}
 
     def update_records(self, records):
         """Take the platform's list of backend servers.
@@ -106,6 +69,7 @@
         records : iterable of ServerRecord
             The whole list.
         """
+        self._nearest.clear()
         listed = {record.id: record for record in records}
         for gone in self.servers.keys() - listed.keys():
             self.servers[gone].leaving = True
@@ -119,7 +83,7 @@
     def _update_record(self, record):
         server = self.servers.get(record.id)
         if server is None or server.record.incarnation != record.incarnation:
-            server = BackendServer(record, float(self.limits.initial_concurrency))
+            server = BackendServer(record, self._make_initial_limit())
             self.servers[record.id] = server
         server.record = record
         if record.leaving:
@@ -144,46 +108,40 @@
         """Return the incarnations that are known to be leaving."""
         return frozenset(self._left)
 
+    def _make_initial_limit(self):
+        # All sharers find a new server at the same time.
+        share = self.limits.initial_concurrency / self.sharers
+        return max(MIN_START_LIMIT, share)
+
     def update_load(self, server_id, report, now):
         """Take a load report and adapt the server's concurrency limit."""
         server = self.servers.get(server_id)
         if server is None:
             return
-        server.load = report
-        server.load_at = now
-        server.own_at_load = server.in_flight
-        server.versions = report.versions
-        if report.waiting > 0 and server.in_flight > 0:
-            self._lower_limit(server)
-
-    def start(self, server_id, long):
+        if server.versions != report.versions:
+            self._nearest.clear()
+        server.take_load(report, now, self.sharers)
+
+    def start(self, server_id, long, suspect=False):
         """Count an attempt that is about to go to a server."""
         server = self.servers[server_id]
         server.in_flight += 1
         server.long_in_flight += long
+        server.suspects_in_flight += suspect
 
-    def finish(self, server_id, incarnation, long):
+    def finish(self, server_id, incarnation, long, suspect=False):
         """Count the end of an attempt, whatever its outcome."""
         server = self.servers.get(server_id)
         if server is None or server.record.incarnation != incarnation:
             return
         server.in_flight -= 1
         server.long_in_flight -= long
-        if server.in_flight < 0 or server.long_in_flight < 0:
+        server.suspects_in_flight -= suspect
+        if min(server.in_flight, server.long_in_flight, server.suspects_in_flight) < 0:
             raise AssertionError(f"server {server_id} finished more than it started")
 
-    def record_success(self, server_id):
-        """Raise the limit of a server that answered while it was well used."""
-        server = self.servers.get(server_id)
-        if server is None:
-            return
-        server.failures = 0
-        if server.in_flight * 2 >= server.limit:
-            grown = server.limit + 1.0 / server.limit
-            server.limit = min(grown, float(self.limits.max_concurrency))
-
-    def record_failure(self, server_id, now, overloaded, retry_after=None):
-        """Lower the limit of a server that failed, and leave it alone for a while.
+    def record_success(self, server_id, now=0.0, ratio=1.0):
+        """Note an answer; raise the limit of a server that is well used.
 
         Parameters
         ----------
@@ -191,33 +149,64 @@
             The server.
         now : float
             Monotonic time in seconds.
-        overloaded : bool
-            Whether the server refused for want of room, rather than failed.
-        retry_after : float or None
-            Seconds that the server asked to wait.
+        ratio : float
+            Duration of the attempt over the expected one.
         """
         server = self.servers.get(server_id)
         if server is None:
             return
-        self._lower_limit(server)
-        if not overloaded:
-            server.failures += 1
-        pause = FAILURE_PAUSE_S * 2 ** max(0, server.failures - 1)
-        pause = max(min(pause, MAX_FAILURE_PAUSE_S), retry_after or 0.0)
-        server.paused_until = now + pause
+        server.take_success(now, ratio)
+        server.grow(float(self.limits.max_concurrency))
 
-    def _lower_limit(self, server):
-        server.limit = max(MIN_LIMIT, server.limit * LIMIT_DECREASE)
+    def record_failure(self, server_id, now, kind, retry_after=None):
+        """Note a failed attempt; see `BackendServer.take_failure`."""
+        server = self.servers.get(server_id)
+        if server is not None:
+            server.take_failure(now, kind, retry_after)
 
     def list_serving(self, version=None, service=None):
-        """Return the servers that are not leaving and serve a version or service."""
-        return [
+        """Return the servers in use that serve a version or service, nearest first."""
+        tiers = self._list_tiers(version, service)
+        return [server for tier in tiers for server in tier if not server.leaving]
+
+    def _list_tiers(self, version, service):
+        """Return the servers in use of the own region, and of the other regions.
+
+        An instance uses a bounded number of servers of each need. Which ones is
+        spread over the instances by rendezvous hashing, so that all servers are
+        used, and a change of the list moves few of them.
+        """
+        tiers = self._nearest.get((version, service))
+        if tiers is not None:
+            return tiers
+        able = [
             server
             for server in self.servers.values()
             if not server.leaving and _serves(server, version, service)
         ]
-
-    def choose(self, now, *, version=None, service=None, long=False, exclude=()):
+        able.sort(key=self._rank)
+        near = [s for s in able if s.record.region == self.home.region]
+        far = [s for s in able if s.record.region != self.home.region]
+        tiers = (near[:MAX_SERVERS_IN_USE], far[:MAX_SERVERS_IN_USE])
+        self._nearest[(version, service)] = tiers
+        return tiers
+
+    def _rank(self, server):
+        distant = server.record.failure_domain != self.home.failure_domain
+        name = f"{self.home.instance}/{server.record.id}".encode()
+        return distant, hashlib.blake2b(name, digest_size=8).digest()
+
+    def choose(
+        self,
+        now,
+        *,
+        version=None,
+        service=None,
+        long=False,
+        exclude=(),
+        suspect=False,
+        far=True,
+    ):
         """Choose the server for the next attempt.
 
         Parameters
@@ -232,46 +221,46 @@
             Whether the attempt belongs to a long class, which leaves room to others.
         exclude : collection of BackendServerId
             Servers that may not be chosen.
+        suspect : bool
+            Whether the request was in flight in a crash; it runs apart from others
+            of its kind.
+        far : bool
+            Whether other regions may be used while the own one is merely busy.
 
         Returns
         -------
         BackendServer or None
             None if no eligible server has room now.
         """
+        near, distant = self._list_tiers(version, service)
+        usable = [s for s in near if _is_usable(s, now, exclude)]
+        best = self._choose_best(usable, now, long, suspect)
+        if best is not None or (usable and not far):
+            return best
+        usable = [s for s in distant if _is_usable(s, now, exclude)]
+        return self._choose_best(usable, now, long, suspect)
+
+    def _choose_best(self, servers, now, long, suspect):
         best = None
         best_score = float("inf")
-        for server in self.list_serving(version, service):
-            if server.record.id in exclude or server.paused_until > now:
+        reserve = self.limits.short_reserve
+        for server in servers:
+            if suspect and server.suspects_in_flight:
                 continue
-            if not self._has_room(server, long):
+            if not server.has_room(long, reserve):
                 continue
-            score = self._score(server, now)
+            score = server.score(now, self.load_stale_after)
+            if server.record.failure_domain != self.home.failure_domain:
+                score += DISTANT_DOMAIN_PENALTY
             if score < best_score:
                 best, best_score = server, score
         return best
 
-    def _has_room(self, server, long):
-        if server.in_flight >= max(MIN_LIMIT, int(server.limit)):
-            return False
-        if not long:
-            return True
-        room = int(server.limit * (1.0 - self.limits.short_reserve))
-        return server.long_in_flight < max(1, room)
-
-    def _score(self, server, now):
-        others = 0
-        if now - server.load_at <= self.load_stale_after:
-            reported = server.load.running + server.load.waiting
-            others = max(0, reported - server.own_at_load)
-        busy = (server.in_flight + others) / max(MIN_LIMIT, server.limit)
-        return busy + self._penalize_distance(server.record)
-
-    def _penalize_distance(self, record):
-        if record.region != self.home.region:
-            return DISTANT_REGION_PENALTY
-        if record.failure_domain != self.home.failure_domain:
-            return DISTANT_DOMAIN_PENALTY
-        return 0.0
+
+def _is_usable(server, now, exclude):
+    if server.leaving or server.paused_until > now:
+        return False
+    return server.record.id not in exclude
 
 
 def _serves(server, version, service):
--- /dev/null
+++ b/tanagerwalk/decisions/shares.py
@@ -0,0 +1,53 @@
+"""Fair shares of server time between those that wait for it."""
+
+
+class FairShares:
+    """Virtual time of each party, by start-time fair queueing.
+
+    A party that was idle starts level with those that wait: it may not save up
+    server time. Parties that do not wait are forgotten once their virtual time
+    is behind the others, so memory is bounded by those who use the system.
+    """
+
+    def __init__(self):
+        self._times = {}
+        self._waiting = {}
+        self._floor = 0.0
+
+    def enter(self, party):
+        """Count one more ticket of a party."""
+        if party not in self._waiting:
+            self._waiting[party] = 0
+            self._times[party] = max(self._times.get(party, 0.0), self._floor)
+        self._waiting[party] += 1
+
+    def leave(self, party):
+        """Count one ticket of a party less."""
+        self._waiting[party] -= 1
+        if self._waiting[party] > 0:
+            return
+        del self._waiting[party]
+        if not self._waiting:
+            # Nobody waits, so nobody was passed over: all are level again.
+            self._times.clear()
+            self._floor = 0.0
+            return
+        if self._times[party] <= self._floor:
+            del self._times[party]
+
+    def read(self, party):
+        """Return the virtual time of a waiting party; the lowest goes first."""
+        return self._times[party]
+
+    def charge(self, party, amount):
+        """Add granted server time to a waiting party.
+
+        Parameters
+        ----------
+        party : hashable
+            The party; it waits.
+        amount : float
+            Seconds of server time over the party's weight.
+        """
+        self._floor = max(self._floor, self._times[party])
+        self._times[party] += amount
--- a/tanagerwalk/filters/admit.py
+++ b/tanagerwalk/filters/admit.py
@@ -3,6 +3,8 @@
 from ..decisions.limits import Ticket
 from ..outcomes import Interface
 
+FAR_WAIT_SHARE = 0.2
+
 
 class AdmitFilter:
     """Holds an attempt until the gate grants it a server.
@@ -43,10 +45,15 @@
             self._gate.release(grant)
         if result.is_ok():
             seconds = self._clock() - started
-            self._durations.record(ticket.work_class, ticket.version, seconds)
-            self._table.record_success(grant.server)
+            self._learn(ticket, grant, seconds, context.work_class.lateness)
         return result
 
+    def _learn(self, ticket, grant, seconds, lateness):
+        expected = self._durations.estimate(ticket.work_class, ticket.version, lateness)
+        ratio = seconds / expected if expected > 0.0 else 1.0
+        self._durations.record(ticket.work_class, ticket.version, seconds)
+        self._table.record_success(grant.server, self._clock(), ratio)
+
     def _make_ticket(self, context):
         work_class = context.work_class
         is_service = work_class.interface is Interface.SERVICE
@@ -56,12 +63,18 @@
         if all(server.record.id in context.tried for server in serving):
             # Each one failed once; after its pause any of them may try again.
             context.tried.clear()
+        long = self._is_long(work_class)
+        far_at = float("-inf")
+        if long:
+            far_at = self._clock() + work_class.lateness * FAR_WAIT_SHARE
         return Ticket(
             account=context.account.name,
             work_class=work_class.name,
             deadline=context.deadline,
             version=version,
             service=service,
-            long=self._is_long(work_class),
+            long=long,
             exclude=frozenset(context.tried),
+            suspect=context.suspect,
+            far_at=far_at,
         )
--- /dev/null
+++ b/tanagerwalk/filters/hedge.py
@@ -0,0 +1,94 @@
+"""Sends a late lookup to a second server and takes the first answer."""
+
+import asyncio
+import dataclasses
+
+from ..decisions.hedges import may_hedge
+from ..outcomes import Interface
+
+
+class HedgeFilter:
+    """Hedges the idempotent calls of plain services whose class allows it.
+
+    Parameters
+    ----------
+    delays : HedgeDelays
+        How long to wait before a hedge.
+    budget : RetryBudget
+        Hedges allowed to this instance.
+    metrics : Metrics
+        Counters.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, delays, budget, metrics, clock):
+        self._delays = delays
+        self._budget = budget
+        self._metrics = metrics
+        self._clock = clock
+
+    async def handle(self, context, proceed):
+        """Run an attempt, and a second one if the first is late."""
+        work_class = context.work_class
+        if not work_class.hedge or work_class.interface is not Interface.SERVICE:
+            return await proceed(context)
+        self._budget.earn()
+        started = self._clock()
+        result = await self._race(context, proceed)
+        if result.is_ok():
+            self._delays.record(work_class.name, self._clock() - started)
+        return result
+
+    async def _race(self, context, proceed):
+        delay = self._delays.read(context.work_class.name)
+        if delay is None:
+            return await proceed(context)
+        first = asyncio.ensure_future(proceed(context))
+        tasks = {first: context}
+        try:
+            done, _ = await asyncio.wait({first}, timeout=delay)
+            sent = context.grant is not None
+            if done or not sent or not self._may_hedge(context):
+                return await first
+            second = dataclasses.replace(
+                context, tried=context.tried | {context.grant.server}, grant=None
+            )
+            tasks[asyncio.ensure_future(proceed(second))] = second
+            return await self._take_first(context, first, tasks)
+        finally:
+            await _cancel(tasks)
+
+    def _may_hedge(self, context):
+        return may_hedge(context.work_class, context.suspect, self._budget)
+
+    async def _take_first(self, context, first, tasks):
+        pending = set(tasks)
+        while pending:
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            # The first attempt wins a tie.
+            for task in sorted(done, key=lambda task: task is not first):
+                if task.result().is_ok():
+                    self._count(task is not first, done)
+                    _adopt(context, tasks[task])
+                    return task.result()
+        self._metrics.hedges.labels("failed").inc()
+        return first.result()
+
+    def _count(self, won, done):
+        self._metrics.hedges.labels("won" if won else "lost").inc()
+        if len(done) > 1:
+            self._metrics.hedges.labels("dropped").inc()
+
+
+def _adopt(context, winner):
+    context.grant = winner.grant
+    context.attempt = winner.attempt
+
+
+async def _cancel(tasks):
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/tanagerwalk/filters/quarantine.py
@@ -0,0 +1,91 @@
+"""Keeps requests that crash servers away from further ones."""
+
+from expression import Error
+
+from ..decisions.facts import Topic
+from ..decisions.quarantine import Standing, refuse_quarantined
+from ..messages import AttemptFailure
+
+SEPARATOR = "\n"
+
+
+class QuarantineFilter:
+    """Blames the requests that were in flight in a crash, and refuses repeaters.
+
+    Parameters
+    ----------
+    quarantine : Quarantine
+        Decides.
+    facts : FactTable
+        Carries blame to and from the peers.
+    table : ServerTable
+        Servers.
+    settings : QuarantineSettings
+        Lifetime of blame.
+    probe : callable
+        Coroutine function that returns whether an address refuses connections.
+    metrics : Metrics
+        Counters.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, quarantine, facts, table, settings, probe, metrics, clock):
+        self._quarantine = quarantine
+        self._facts = facts
+        self._table = table
+        self._settings = settings
+        self._probe = probe
+        self._metrics = metrics
+        self._clock = clock
+        facts.subscribe(Topic.BLAME, self._take_fact)
+
+    async def handle(self, context, proceed):
+        """Run an attempt unless the request is quarantined."""
+        standing = self._quarantine.judge(context.fingerprint, self._clock())
+        if standing is Standing.QUARANTINED:
+            return Error(refuse_quarantined(context.sent))
+        context.suspect = standing is Standing.SUSPECT
+        context.grant = None
+        result = await proceed(context)
+        if result.is_ok():
+            self._quarantine.clear(context.fingerprint)
+            return result
+        failure = result.error
+        if not isinstance(failure, AttemptFailure) or not failure.crashed:
+            return result
+        await self._blame(context)
+        standing = self._quarantine.judge(context.fingerprint, self._clock())
+        if standing is Standing.QUARANTINED:
+            return Error(refuse_quarantined(sent=True))
+        return result
+
+    async def _blame(self, context):
+        server = self._table.servers.get(context.grant.server)
+        if server is None or server.leaving:
+            return
+        if not await self._probe(context.grant.address):
+            # The server lives, or the network is cut: no crash either way.
+            self._metrics.blames.labels("unconfirmed").inc()
+            return
+        record = server.record
+        domain_size = sum(
+            other.record.failure_domain == record.failure_domain
+            for other in self._table.servers.values()
+        )
+        now = self._clock()
+        incarnations = self._quarantine.record_crash(
+            context.fingerprint, record, domain_size, now
+        )
+        if incarnations is None:
+            self._metrics.blames.labels("correlated").inc()
+            return
+        self._metrics.blames.labels("blamed").inc()
+        value = SEPARATOR.join(sorted(incarnations)).encode()
+        self._facts.state(
+            Topic.BLAME, context.fingerprint, value, now, self._settings.lifetime
+        )
+
+    def _take_fact(self, fact):
+        incarnations = fact.value.decode(errors="replace").split(SEPARATOR)
+        self._quarantine.take_blame(fact.key, incarnations, self._clock())
--- a/tanagerwalk/filters/retry.py
+++ b/tanagerwalk/filters/retry.py
@@ -1,10 +1,16 @@
 """Repeats failed attempts while that is allowed and worth while."""
 
+import asyncio
 import dataclasses
 
 from expression import Error
 
-from ..decisions.retries import RetryState, decide_retry, is_overload
+from ..decisions.retries import (
+    RetryState,
+    choose_backoff,
+    decide_retry,
+    judge_server,
+)
 from ..outcomes import Refusal, RunState
 
 
@@ -23,14 +29,17 @@
         Counters.
     clock : callable
         Returns monotonic time in seconds.
+    random : random.Random
+        Source of jitter.
     """
 
-    def __init__(self, settings, budget, table, metrics, clock):
+    def __init__(self, settings, budget, table, metrics, clock, random):
         self._settings = settings
         self._budget = budget
         self._table = table
         self._metrics = metrics
         self._clock = clock
+        self._random = random
 
     async def handle(self, context, proceed):
         """Run attempts until one gives an answer or none may follow."""
@@ -48,6 +57,7 @@
             if refusal is not None:
                 return Error(refusal)
             self._metrics.retries.labels(failure.reason.value).inc()
+            await self._back_off(context, attempts)
 
     def _decide(self, context, failure, attempts):
         now = self._clock()
@@ -55,7 +65,7 @@
         if failure.server is not None:
             context.tried.add(failure.server)
             self._table.record_failure(
-                failure.server, now, is_overload(failure.reason), failure.retry_after
+                failure.server, now, judge_server(failure.reason), failure.retry_after
             )
         state = RetryState(
             idempotent=context.work_class.idempotent,
@@ -67,6 +77,14 @@
         )
         return decide_retry(failure, state, self._budget)
 
+    async def _back_off(self, context, attempts):
+        service = context.work_class.service
+        serving = self._table.list_serving(context.version, service)
+        all_failed = all(server.record.id in context.tried for server in serving)
+        pause = choose_backoff(attempts, all_failed, self._random.random())
+        if pause > 0.0:
+            await asyncio.sleep(pause)
+
 
 def _correct_run_state(refusal, context):
     """Never let a refusal say "not run" after an earlier attempt was sent."""
--- a/tanagerwalk/gate.py
+++ b/tanagerwalk/gate.py
@@ -60,9 +60,13 @@
 
     def release(self, grant):
         """Give the room of a grant back."""
-        self._table.finish(grant.server, grant.incarnation, grant.ticket.long)
+        self._finish(grant)
         self.pump()
 
+    def _finish(self, grant):
+        ticket = grant.ticket
+        self._table.finish(grant.server, grant.incarnation, ticket.long, ticket.suspect)
+
     def pump(self):
         """Grant and expire what can be granted and expired now."""
         now = self._clock()
@@ -77,8 +81,7 @@
             future.set_result(result)
             return
         if result.is_ok():
-            grant = result.ok
-            self._table.finish(grant.server, grant.incarnation, ticket.long)
+            self._finish(result.ok)
 
     async def run(self):
         """Expire waiting tickets as time passes, until cancelled."""
--- a/tanagerwalk/messages.py
+++ b/tanagerwalk/messages.py
@@ -113,6 +113,9 @@
         The server that was tried.
     retry_after : float or None
         Seconds that the server asked to wait.
+    crashed : bool
+        Whether the connection broke while the server had the request, so that the
+        server may have crashed.
     """
 
     reason: RetryReason
@@ -186,5 +189,6 @@
     generated: list[str] = field(default_factory=list)
     usage: Usage = Usage()
     sent: bool = False
+    suspect: bool = False
     cost: float = 0.0
     tried: set[BackendServerId] = field(default_factory=set)
--- a/tanagerwalk/metrics.py
+++ b/tanagerwalk/metrics.py
@@ -20,6 +20,10 @@
         self.escalations = self._count(
             "escalations", "Cascade answers that were rejected.", ["work_class"]
         )
+        self.blames = self._count(
+            "blames", "Broken connections, by whether the request is blamed.", ["kind"]
+        )
+        self.hedges = self._count("hedges", "Calls sent twice.", ["outcome"])
         self.dropped_ratings = self._count("dropped_ratings", "Ratings given up.")
         self.platform_faults = self._count(
             "platform_faults", "Failed calls to the platform.", ["service"]
@@ -33,6 +37,10 @@
         )
         self.waiting = self._gauge("waiting", "Requests that wait for room.")
         self.revision = self._gauge("revision", "Revision of the declaration in force.")
+        for kind in ("blamed", "unconfirmed", "correlated"):
+            self.blames.labels(kind)
+        for outcome in ("won", "lost", "dropped", "failed"):
+            self.hedges.labels(outcome)
         for reason in RefusalReason:
             self.refusals.labels(reason.value)
         for reason in RetryReason:
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -79,6 +79,8 @@
     max_attempts: int
     budget_ratio: float
     budget_burst: float
+    hedge_ratio: float
+    hedge_burst: float
     connect_timeout: float
     idle_timeout: float
 
