Bound the cost of admission and of load reports

Cause: each pump walked every waiting ticket and every server twice (expiry, grant), and every instance parsed the whole metrics page of every server each second. Ruled out: power-of-two choices over all servers; it finds no room in a nearly full fleet without a full scan. Change: needs are pooled, only the needs that an event can meet are tried, an instance uses 32 servers a need and region side (rendezvous), late tickets come off a heap; scraping has a budget and parses only the lines it needs.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decision code, run as `python -m bench.NAME`."""
--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -137,6 +137,7 @@
             settings.load,
             self._clock,
             self._random,
+            self._count_sharers,
         )
         self.rollouts = RolloutController(
             self.book,
@@ -205,6 +206,13 @@
             ]
         )
 
+    def _count_sharers(self):
+        domain = self.settings.instance.failure_domain
+        return sum(
+            peer.failure_domain == domain and not peer.leaving
+            for peer in self.membership.peers
+        )
+
     def _expect_duration(self, ticket):
         work_class = self.configuration.declaration.classes.get(ticket.work_class)
         lateness = work_class.lateness if work_class else 0.0
--- a/tanagerwalk/clients/engines.py
+++ b/tanagerwalk/clients/engines.py
@@ -138,7 +138,7 @@
                 return Ok(ChatOutcome(response.status, error=await response.read()))
             return await _read_stream(response, on_text)
 
-    async def read_load(self, address, timeout):
+    async def read_load(self, address, timeout, models=True):
         """Read an engine's load and the versions that it has loaded.
 
         Parameters
@@ -147,6 +147,8 @@
             `IP:port` of the engine.
         timeout : float
             Time limit in seconds.
+        models : bool
+            Whether to read the versions too.
 
         Returns
         -------
@@ -157,13 +159,16 @@
         try:
             async with self._http.get(f"{base}/metrics", timeout=limit) as response:
                 running, waiting = parse_load(await response.text())
-            async with self._http.get(f"{base}/v1/models", timeout=limit) as response:
-                models = msgspec.json.decode(await response.read(), type=_Models)
+            versions = await self._read_models(base, limit) if models else None
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             return Error(f"engine {address}: {type(error).__name__}")
-        versions = frozenset(model.id for model in models.data)
         return Ok(LoadReport(running, waiting, versions))
 
+    async def _read_models(self, base, limit):
+        async with self._http.get(f"{base}/v1/models", timeout=limit) as response:
+            models = msgspec.json.decode(await response.read(), type=_Models)
+        return frozenset(model.id for model in models.data)
+
 
 def _encode_body(attempt):
     body = dict(attempt.payload)
--- a/tanagerwalk/clients/loads.py
+++ b/tanagerwalk/clients/loads.py
@@ -26,7 +26,9 @@
     """
     running = 0.0
     waiting = 0.0
-    for family in text_string_to_metric_families(text):
+    # A serving engine publishes hundreds of lines; parsing all of them is dear.
+    lines = [line for line in text.splitlines() if "num_requests_" in line]
+    for family in text_string_to_metric_families("\n".join(lines) + "\n"):
         for sample in family.samples:
             if sample.name in RUNNING_METRICS:
                 running += sample.value
--- a/tanagerwalk/clients/services.py
+++ b/tanagerwalk/clients/services.py
@@ -107,13 +107,14 @@
                 return Error(failure)
             return Ok(ServiceOutcome(response.status, content, response.content_type))
 
-    async def read_load(self, address, timeout):
-        """Read a service's load.
+    async def read_load(self, address, timeout, models=True):
+        """Read a service's load; it has no models to read.
 
         Returns
         -------
         Result of LoadReport, or of str
         """
+        del models
         limit = aiohttp.ClientTimeout(total=timeout)
         try:
             async with self._http.get(
--- a/tanagerwalk/decisions/backends.py
+++ b/tanagerwalk/decisions/backends.py
@@ -52,11 +52,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load that a backend server published of itself."""
+    """Load that a backend server published of itself; no versions if not asked."""
 
     running: int = 0
     waiting: int = 0
-    versions: frozenset[VersionName] = frozenset()
+    versions: frozenset[VersionName] | None = frozenset()
 
 
 class FailureKind(Enum):
@@ -87,6 +87,7 @@
     suspects_in_flight: int = 0
     load: LoadReport = LoadReport()
     load_at: float = float("-inf")
+    scraped_at: float = float("-inf")
     own_at_load: int = 0
     capacity: float = float("inf")
     leaving: bool = False
@@ -97,6 +98,12 @@
     slowness_at: float = 0.0
     error_share: float = 0.0
 
+    def serves(self, version, service):
+        """Return whether the server offers a service, or has loaded a version."""
+        if service is not None:
+            return self.record.service == service
+        return version in self.versions
+
     def take_load(self, report, now, sharers):
         """Take a load report and adapt the concurrency limit.
 
@@ -116,7 +123,8 @@
         self.load = report
         self.load_at = now
         self.own_at_load = self.in_flight
-        self.versions = report.versions
+        if report.versions is not None:
+            self.versions = report.versions
         total = report.running + report.waiting
         if report.waiting > 0:
             self.capacity = max(1.0, float(report.running))
--- a/tanagerwalk/decisions/limits.py
+++ b/tanagerwalk/decisions/limits.py
@@ -262,7 +262,16 @@
         self._lanes.leave(need.long)
         self._shares[need.long].leave(ticket.account)
 
-    def grant(self, now, expect):
+    def list_needs(self, server_id):
+        """Return the needs of waiting tickets that room on a server may meet."""
+        server = self._table.servers.get(server_id)
+        if server is None:
+            return frozenset()
+        return frozenset(
+            need for need in self._pools if server.serves(need.version, need.service)
+        )
+
+    def grant(self, now, expect, needs=None):
         """Give the room that there is to the tickets that are next.
 
         Parameters
@@ -271,6 +280,8 @@
             Monotonic time in seconds.
         expect : callable
             Returns the expected duration of a ticket's attempt, in seconds.
+        needs : collection of Need or None
+            The needs for which there may be new room; None for all.
 
         Returns
         -------
@@ -279,6 +290,8 @@
         """
         grants = []
         open_needs = set(self._pools)
+        if needs is not None:
+            open_needs.intersection_update(needs)
         while open_needs:
             need, ticket = self._pick_next(open_needs)
             server = self._choose(ticket, now)
@@ -336,7 +349,7 @@
         -------
         list of (Ticket, Refusal)
         """
-        expired = self._expire_late(now, expect)
+        expired = self.expire_late(now, expect)
         for need, pool in list(self._pools.items()):
             eligible = self._list_eligible(need)
             if not eligible:
@@ -357,7 +370,8 @@
             if resumption + self._expected[ticket] > ticket.deadline
         ]
 
-    def _expire_late(self, now, expect):
+    def expire_late(self, now, expect):
+        """Remove the tickets whose latest start has passed; see `expire`."""
         expired = []
         while self._latest_starts and self._latest_starts[0][0] < now:
             ticket = heapq.heappop(self._latest_starts)[2]
--- a/tanagerwalk/decisions/retries.py
+++ b/tanagerwalk/decisions/retries.py
@@ -12,7 +12,6 @@
     RetryReason.SERVER_REFUSED: FailureKind.OVERLOAD,
     RetryReason.SERVER_LEAVING: FailureKind.OVERLOAD,
     RetryReason.CONNECT_FAILED: FailureKind.UNREACHABLE,
-    RetryReason.CONNECTION_LOST: FailureKind.UNREACHABLE,
     RetryReason.ATTEMPT_TIMEOUT: FailureKind.TIMEOUT,
 }
 
--- a/tanagerwalk/decisions/servers.py
+++ b/tanagerwalk/decisions/servers.py
@@ -25,6 +25,7 @@
 
 DISTANT_DOMAIN_PENALTY = 0.1
 MAX_SERVERS_IN_USE = 32
+MAX_SERVERS_WATCHED = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +58,7 @@
         self.sharers = 1
         self._left: set[Incarnation] = set()
         self._nearest = {}
+        self._watched = None
 
     def update_records(self, records):
         """Take the platform's list of backend servers.
@@ -70,6 +72,7 @@
             The whole list.
         """
         self._nearest.clear()
+        self._watched = None
         listed = {record.id: record for record in records}
         for gone in self.servers.keys() - listed.keys():
             self.servers[gone].leaving = True
@@ -118,7 +121,7 @@
         server = self.servers.get(server_id)
         if server is None:
             return
-        if server.versions != report.versions:
+        if report.versions is not None and server.versions != report.versions:
             self._nearest.clear()
         server.take_load(report, now, self.sharers)
 
@@ -182,7 +185,7 @@
         able = [
             server
             for server in self.servers.values()
-            if not server.leaving and _serves(server, version, service)
+            if not server.leaving and server.serves(version, service)
         ]
         able.sort(key=self._rank)
         near = [s for s in able if s.record.region == self.home.region]
@@ -191,6 +194,22 @@
         self._nearest[(version, service)] = tiers
         return tiers
 
+    def list_watched(self):
+        """Return the ids of the servers whose load matters here.
+
+        They are the nearest ones of each role and service, by the order in which
+        an instance uses them.
+        """
+        if self._watched is None:
+            groups = {}
+            for server in sorted(self.servers.values(), key=self._rank):
+                distant = server.record.region != self.home.region
+                group = (server.record.role, server.record.service, distant)
+                groups.setdefault(group, []).append(server.record.id)
+            near = (ids[:MAX_SERVERS_WATCHED] for ids in groups.values())
+            self._watched = frozenset(name for ids in near for name in ids)
+        return self._watched
+
     def _rank(self, server):
         distant = server.record.failure_domain != self.home.failure_domain
         name = f"{self.home.instance}/{server.record.id}".encode()
@@ -261,9 +280,3 @@
     if server.leaving or server.paused_until > now:
         return False
     return server.record.id not in exclude
-
-
-def _serves(server, version, service):
-    if service is not None:
-        return server.record.service == service
-    return version in server.versions
--- a/tanagerwalk/filters/hedge.py
+++ b/tanagerwalk/filters/hedge.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from ..decisions.hedges import may_hedge
+from ..messages import AttemptFailure
 from ..outcomes import Interface
 
 
@@ -75,6 +76,7 @@
                     _adopt(context, tasks[task])
                     return task.result()
         self._metrics.hedges.labels("failed").inc()
+        context.sent = context.sent or any(_was_sent(task.result()) for task in tasks)
         return first.result()
 
     def _count(self, won, done):
@@ -83,6 +85,11 @@
             self._metrics.hedges.labels("dropped").inc()
 
 
+def _was_sent(result):
+    failure = result.error
+    return isinstance(failure, AttemptFailure) and failure.sent
+
+
 def _adopt(context, winner):
     context.grant = winner.grant
     context.attempt = winner.attempt
--- a/tanagerwalk/filters/quarantine.py
+++ b/tanagerwalk/filters/quarantine.py
@@ -2,6 +2,7 @@
 
 from expression import Error
 
+from ..decisions.backends import FailureKind
 from ..decisions.facts import Topic
 from ..decisions.quarantine import Standing, refuse_quarantined
 from ..messages import AttemptFailure
@@ -74,6 +75,7 @@
             for other in self._table.servers.values()
         )
         now = self._clock()
+        self._table.record_failure(record.id, now, FailureKind.UNREACHABLE)
         incarnations = self._quarantine.record_crash(
             context.fingerprint, record, domain_size, now
         )
--- a/tanagerwalk/gate.py
+++ b/tanagerwalk/gate.py
@@ -47,7 +47,7 @@
             return offered
         future = asyncio.get_running_loop().create_future()
         self._futures[ticket.number] = future
-        self.pump()
+        self._pump_needs({ticket.need})
         try:
             return await future
         except asyncio.CancelledError:
@@ -61,7 +61,7 @@
     def release(self, grant):
         """Give the room of a grant back."""
         self._finish(grant)
-        self.pump()
+        self._pump_needs(self._queue.list_needs(grant.server))
 
     def _finish(self, grant):
         ticket = grant.ticket
@@ -70,9 +70,19 @@
     def pump(self):
         """Grant and expire what can be granted and expired now."""
         now = self._clock()
-        for ticket, refusal in self._queue.expire(now, self._expect):
+        expired = self._queue.expire(now, self._expect)
+        self._settle(expired, self._queue.grant(now, self._expect))
+
+    def _pump_needs(self, needs):
+        """Do what `pump` does where one event has made room only for `needs`."""
+        now = self._clock()
+        expired = self._queue.expire_late(now, self._expect)
+        self._settle(expired, self._queue.grant(now, self._expect, needs))
+
+    def _settle(self, expired, grants):
+        for ticket, refusal in expired:
             self._resolve(ticket, Error(refusal))
-        for grant in self._queue.grant(now, self._expect):
+        for grant in grants:
             self._resolve(grant.ticket, Ok(grant))
 
     def _resolve(self, ticket, result):
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -90,6 +90,9 @@
     """How the load of backend servers is read."""
 
     interval: float
+    idle_interval: float
+    models_interval: float
+    scrapes_per_second: float
     timeout: float
     stale_after: float
 
--- a/tanagerwalk/standins/world.py
+++ b/tanagerwalk/standins/world.py
@@ -30,6 +30,9 @@
 instances_interval = 0.1
 [load]
 interval = 0.1
+idle_interval = 0.1
+models_interval = 0.1
+scrapes_per_second = 200
 [sessions]
 secret = demo
 [peers]
