Measure lateness in virtual time; share reported room between instances

Cause: with limits that follow load reports the short reserve vanished when drafts filled a server, and the estimate of the wait took the limits for room that other instances use. Change: a short class always has its own slots, long limits follow the reported room less the reserve, parts below one attempt are drawn by lot, and waits are estimated from the observed time between grants.

--- /dev/null
+++ b/bench/lateness.py
@@ -0,0 +1,408 @@
+"""Measures lateness under load and faults: `python -m bench.lateness [SCENARIO]`.
+
+Entry instances, each with its own decisions, share engines in virtual time. The
+rows are means over the seeds; `worst` is the seed with the fewest labels in time.
+"""
+
+import sys
+from random import Random
+
+from bench.traffic import (
+    KINDS,
+    MEAN_WORK_S,
+    REGIONS,
+    VERSION,
+    Clock,
+    Engine,
+    Request,
+    make_traffic,
+)
+from tanagerwalk.decisions.durations import DurationEstimates
+from tanagerwalk.decisions.limits import AdmissionQueue, Ticket
+from tanagerwalk.decisions.quarantine import Quarantine, Standing
+from tanagerwalk.decisions.retries import (
+    RetryBudget,
+    RetryState,
+    choose_backoff,
+    decide_retry,
+    judge_server,
+)
+from tanagerwalk.decisions.servers import Home, ServerTable
+from tanagerwalk.messages import AttemptFailure
+from tanagerwalk.outcomes import RetryReason
+from tanagerwalk.settings import parse_settings
+
+SEEDS = range(10)
+ENGINES = 6
+INSTANCES = 9
+ENDS_S = 240.0
+LISTEN_S = 480.0
+FAULT_FROM_S = 80.0
+FAULT_TO_S = 160.0
+PUMP_S = 0.1
+REPORT_S = 1.0
+REPORT_LAG_S = 1.0
+RESTART_S = 60.0
+RESEND_S = 2.0
+BLAME_SPREAD_S = 1.0
+POLICIES = ("tanagerwalk", "fifo", "round_robin", "random", "least_loaded")
+SCENARIOS = ("load", "flood", "crash", "gray", "errors", "cut", "poison")
+
+
+class Instance:
+    """An entry instance: the decisions of the package, and virtual time."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.clock = world.clock
+        self.region = REGIONS[number % len(REGIONS)]
+        settings = parse_settings().ok
+        home = Home(self.region, f"{self.region}-a", f"entry-{number}")
+        self.table = ServerTable(home, settings.limits, settings.load.stale_after)
+        self.table.sharers = INSTANCES // len(REGIONS)
+        self.durations = DurationEstimates()
+        self.queue = AdmissionQueue(self.table, self.durations, 1000)
+        self.budget = RetryBudget(0.2, 20)
+        self.quarantine = Quarantine(settings.quarantine)
+        self.max_attempts = settings.retries.max_attempts
+        self.tickets = {}
+
+    def expect(self, ticket):
+        """Return the expected duration of a ticket's attempt, in seconds."""
+        lateness = self.tickets[ticket].kind.work_class.lateness
+        return self.durations.estimate(ticket.work_class, VERSION, lateness)
+
+    def arrive(self, request):
+        """Take a request from its caller."""
+        self.budget.earn()
+        self.attempt(request)
+
+    def attempt(self, request):
+        """Queue one attempt."""
+        now = self.clock.now
+        standing = self.quarantine.judge(id(request.kind), now)
+        if request.poison:
+            standing = self.quarantine.judge("poison", now)
+        if standing is Standing.QUARANTINED:
+            self.world.refuse(request, "quarantined")
+            return
+        work_class = request.kind.work_class
+        serving = self.table.list_serving(VERSION)
+        if all(server.record.id in request.tried for server in serving):
+            request.tried.clear()
+        long = work_class.name == "draft"
+        ticket = Ticket(
+            account=request.account,
+            work_class=work_class.name,
+            deadline=request.arrived + work_class.patience,
+            version=VERSION,
+            long=long,
+            exclude=frozenset(request.tried),
+            suspect=standing is Standing.SUSPECT,
+            far_at=now + 0.2 * work_class.lateness if long else float("-inf"),
+        )
+        self.tickets[ticket] = request
+        offered = self.queue.offer(ticket, self.expect(ticket), now)
+        if offered.is_error():
+            del self.tickets[ticket]
+            self.world.refuse(request, offered.error.reason.value)
+            return
+        self.pump()
+
+    def pump(self):
+        """Grant and expire."""
+        now = self.clock.now
+        for ticket, refusal in self.queue.expire(now, self.expect):
+            self.world.refuse(self.tickets.pop(ticket), refusal.reason.value)
+        for grant in self.queue.grant(now, self.expect):
+            request = self.tickets[grant.ticket]
+            request.attempts += 1
+            engine = self.world.engines[grant.server]
+            engine.send(request, self.region, self._make_done(grant, now))
+
+    def _make_done(self, grant, started):
+        def done(reason):
+            request = self.tickets[grant.ticket]
+            now = self.clock.now
+            self.table.finish(
+                grant.server, grant.incarnation, grant.ticket.long, grant.ticket.suspect
+            )
+            if reason is None:
+                expected = self.expect(grant.ticket)
+                ratio = (now - started) / expected
+                name = grant.ticket.work_class
+                self.durations.record(name, VERSION, now - started)
+                self.table.record_success(grant.server, now, ratio)
+                request.ended = now
+            else:
+                self._fail(request, grant, reason)
+            del self.tickets[grant.ticket]
+            self.pump()
+
+        return done
+
+    def _fail(self, request, grant, reason):
+        now = self.clock.now
+        request.tried.add(grant.server)
+        self.table.record_failure(grant.server, now, judge_server(reason))
+        if reason is RetryReason.CONNECTION_LOST and request.poison:
+            self.world.blame(self, "poison", self.table.servers[grant.server].record)
+        state = RetryState(
+            idempotent=True,
+            sent=True,
+            attempts=request.attempts,
+            max_attempts=self.max_attempts,
+            now=now,
+            deadline=request.arrived + request.kind.work_class.patience,
+        )
+        failure = AttemptFailure(reason, sent=True, server=grant.server)
+        refusal = decide_retry(failure, state, self.budget)
+        if refusal is not None:
+            self.world.refuse(request, refusal.reason.value)
+            return
+        serving = self.table.list_serving(VERSION)
+        all_failed = all(server.record.id in request.tried for server in serving)
+        chance = self.world.random.random()
+        pause = choose_backoff(request.attempts, all_failed, chance)
+        self.clock.call_at(now + pause, self.attempt, request)
+
+
+class FifoInstance(Instance):
+    """Baseline: one queue in order of arrival, limits but no reserve."""
+
+    def __init__(self, world, number):
+        super().__init__(world, number)
+        self.line = []
+
+    def attempt(self, request):
+        """Queue one attempt at the end."""
+        self.line.append(request)
+        self.pump()
+
+    def pump(self):
+        """Send the head of the line while there is room."""
+        now = self.clock.now
+        while self.line:
+            request = self.line[0]
+            if now > request.arrived + request.kind.work_class.patience:
+                self.world.refuse(self.line.pop(0), "deadline_exceeded")
+                continue
+            server = self.pick(request, now)
+            if server is None:
+                return
+            self.line.pop(0)
+            self.table.start(server.record.id, False)
+            request.attempts += 1
+            engine = self.world.engines[server.record.id]
+            engine.send(request, self.region, self._make_line_done(request, server))
+
+    def pick(self, request, now):
+        """Choose a server, or None to wait."""
+        return self.table.choose(now, version=VERSION, exclude=request.tried)
+
+    def _make_line_done(self, request, server):
+        def done(reason):
+            record = server.record
+            self.table.finish(record.id, record.incarnation, False)
+            if reason is None:
+                self.table.record_success(record.id, self.clock.now)
+                request.ended = self.clock.now
+            elif request.attempts >= self.max_attempts:
+                self.world.refuse(request, "backend_failed")
+            else:
+                self.table.record_failure(
+                    record.id, self.clock.now, judge_server(reason)
+                )
+                self.attempt(request)
+            self.pump()
+
+        return done
+
+
+class DirectInstance(FifoInstance):
+    """Baseline: no queue; every request goes to an engine at once."""
+
+    def pick(self, request, now):
+        """Choose a server by the world's policy."""
+        servers = sorted(self.table.list_serving(VERSION), key=lambda s: s.record.id)
+        if not servers:
+            return None
+        return getattr(self, f"_pick_{self.world.policy}")(servers)
+
+    def _pick_round_robin(self, servers):
+        self.turn = getattr(self, "turn", -1) + 1
+        return servers[self.turn % len(servers)]
+
+    def _pick_random(self, servers):
+        return self.world.random.choice(servers)
+
+    def _pick_least_loaded(self, servers):
+        return min(
+            servers,
+            key=lambda s: s.load.running + s.load.waiting - s.own_at_load + s.in_flight,
+        )
+
+
+class Bench:
+    """One run: engines, instances, traffic and a fault."""
+
+    def __init__(self, policy, scenario, load, seed):
+        self.policy = policy
+        self.clock = Clock()
+        self.random = Random(seed)
+        kind = {"tanagerwalk": Instance, "fifo": FifoInstance}.get(
+            policy, DirectInstance
+        )
+        engines = [
+            Engine(self.clock, number, policy == "tanagerwalk")
+            for number in range(ENGINES)
+        ]
+        for engine in engines:
+            engine.on_crash = self._plan_restart
+        self.engines = {engine.name: engine for engine in engines}
+        self.instances = [kind(self, number) for number in range(INSTANCES)]
+        self.refused = []
+        flood = 1.0 if scenario == "flood" else 0.0
+        self.requests = make_traffic(self.random, load, ENGINES, ENDS_S, flood)
+        for request in self.requests:
+            instance = self.random.choice(self.instances)
+            self.clock.call_at(request.arrived, instance.arrive, request)
+        self.list_servers()
+        self._every(PUMP_S, self._pump)
+        self._every(REPORT_S, self._report)
+        self._plan_fault(scenario, engines)
+        self.clock.run(LISTEN_S)
+
+    def _every(self, interval, action):
+        def step():
+            action()
+            self.clock.call_at(self.clock.now + interval, step)
+
+        self.clock.call_at(self.clock.now, step)
+
+    def _pump(self):
+        for instance in self.instances:
+            instance.pump()
+
+    def list_servers(self):
+        """Give every instance the platform's list."""
+        records = [engine.make_record() for engine in self.engines.values()]
+        for instance in self.instances:
+            instance.table.update_records(records)
+
+    def _report(self):
+        for name, engine in self.engines.items():
+            if not engine.up:
+                continue
+            for instance in self.instances:
+                if engine.reach(instance.region):
+                    when = self.clock.now + REPORT_LAG_S * self.random.random()
+                    report = engine.report()
+                    self.clock.call_at(
+                        when, instance.table.update_load, name, report, when
+                    )
+
+    def _plan_fault(self, scenario, engines):
+        at = self.clock.call_at
+        first = engines[0]
+        if scenario == "crash":
+            at(FAULT_FROM_S, first.crash)
+        elif scenario == "gray":
+            at(FAULT_FROM_S, setattr, first, "factor", 10.0)
+            at(FAULT_TO_S, setattr, first, "factor", 1.0)
+        elif scenario == "errors":
+            at(FAULT_FROM_S, setattr, first, "erring", True)
+            at(FAULT_TO_S, setattr, first, "erring", False)
+        elif scenario == "cut":
+            for engine in engines:
+                if engine.region == REGIONS[0]:
+                    at(FAULT_FROM_S, setattr, engine, "cut", True)
+                    at(FAULT_TO_S, setattr, engine, "cut", False)
+        elif scenario == "poison":
+            when = FAULT_FROM_S
+            while when < FAULT_TO_S:
+                at(when, self._send_poison)
+                when += RESEND_S
+
+    def _send_poison(self):
+        request = Request(KINDS[0], "account-0", self.clock.now, 0.4, poison=True)
+        self.random.choice(self.instances).arrive(request)
+
+    def _plan_restart(self, engine):
+        self.clock.call_at(self.clock.now + RESTART_S, self._restart, engine)
+
+    def _restart(self, engine):
+        engine.restart()
+        self.list_servers()
+
+    def blame(self, instance, fingerprint, record):
+        """Blame a request here, and a while later at the other instances."""
+        now = self.clock.now
+        known = instance.quarantine.record_crash(fingerprint, record, ENGINES, now)
+        for other in self.instances:
+            if other is not instance and known:
+                later = now + BLAME_SPREAD_S
+                take = other.quarantine.take_blame
+                self.clock.call_at(later, take, fingerprint, known, later)
+
+    def refuse(self, request, reason):
+        """Note the refusal of a request."""
+        request.refusal = reason
+        request.refused = self.clock.now
+        request.ended = None
+
+
+def summarize(runs):
+    """Return one line: per class the share in time, percentiles and refusals."""
+    cells = []
+    for kind in KINDS:
+        requests = [
+            request
+            for run in runs
+            for request in run.requests
+            if request.kind is kind and request.account != "flooder"
+        ]
+        times = sorted(r.ended - r.arrived for r in requests if r.ended is not None)
+        late = kind.work_class.lateness
+        in_time = sum(seconds <= late for seconds in times) / len(requests)
+        refused = sum(r.refusal is not None for r in requests) / len(requests)
+        lost = len(requests) - len(times) - sum(r.refusal is not None for r in requests)
+        quantiles = "/".join(
+            f"{times[int(len(times) * q)]:.1f}" for q in (0.5, 0.95, 0.99)
+        )
+        cells.append(
+            f"{kind.work_class.name} {in_time:6.1%} {quantiles:>16} "
+            f"refused {refused:5.1%}"
+            + _describe_refusals(requests)
+            + (f" lost {lost}" if lost else "")
+        )
+    sent = [r for run in runs for r in run.requests]
+    attempts = sum(r.attempts for r in sent) / len(sent)
+    peak = max(engine.peak_waiting for run in runs for engine in run.engines.values())
+    crashes = [sum(e.crashes for e in run.engines.values()) for run in runs]
+    return (
+        " | ".join(cells)
+        + f" | attempts {attempts:.2f} engine queue {peak} crashes {max(crashes)}"
+    )
+
+
+def _describe_refusals(requests):
+    waits = sorted(r.refused - r.arrived for r in requests if r.refusal is not None)
+    return f" after {waits[len(waits) // 2]:.1f}" if waits else ""
+
+
+def main(scenarios):
+    """Print a line for each scenario, load and policy."""
+    print(f"{INSTANCES} instances, {ENGINES} engines, {len(SEEDS)} seeds,", end=" ")
+    print(f"mean work {MEAN_WORK_S:.2f} s; share in time, p50/p95/p99 s, refusals")
+    for scenario in scenarios:
+        loads = (0.6, 0.9, 1.2, 2.0) if scenario == "load" else (0.6,)
+        for load in loads:
+            for policy in POLICIES:
+                runs = [Bench(policy, scenario, load, seed) for seed in SEEDS]
+                line = f"{scenario:>6} {load:4.0%} {policy:>12}: {summarize(runs)}"
+                print(line, flush=True)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:] or SCENARIOS)
--- /dev/null
+++ b/bench/traffic.py
@@ -0,0 +1,226 @@
+"""Seeded traffic and model engines in virtual time, for `bench.lateness`."""
+
+import heapq
+from dataclasses import dataclass, field
+from itertools import count
+
+from tanagerwalk.decisions.servers import LoadReport, ServerRecord, ServerRole
+from tanagerwalk.declarations import WorkClass
+from tanagerwalk.ids import BackendServerId, ClassName
+from tanagerwalk.outcomes import Interface, RetryReason
+
+VERSION = "wren:1"
+REGIONS = ("r0", "r1", "r2")
+ENGINE_SLOTS = 8
+CROSS_REGION_S = 0.008
+CONNECT_TIMEOUT_S = 1.0
+IDLE_TIMEOUT_S = 10.0
+ERROR_S = 0.005
+WARM_UP_S = 3.0
+
+
+def _make_class(name, lateness, patience):
+    return WorkClass(ClassName(name), Interface.CHAT, 0.0, lateness, patience, 0, True)
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """One class of work in the traffic: its share of requests and mean duration."""
+
+    work_class: WorkClass
+    share: float
+    mean_s: float
+
+
+KINDS = (
+    Kind(_make_class("label", 2.0, 6.0), 0.5, 0.4),
+    Kind(_make_class("note", 6.0, 18.0), 0.3, 1.5),
+    Kind(_make_class("draft", 60.0, 180.0), 0.2, 15.0),
+)
+MEAN_WORK_S = sum(kind.share * kind.mean_s for kind in KINDS)
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """One request of the traffic, and what became of it."""
+
+    kind: Kind
+    account: str
+    arrived: float
+    work: float
+    poison: bool = False
+    tried: set[BackendServerId] = field(default_factory=set)
+    attempts: int = 0
+    ended: float | None = None
+    refused: float | None = None
+    refusal: str | None = None
+
+
+class Clock:
+    """A queue of events in virtual time."""
+
+    def __init__(self):
+        self.now = 0.0
+        self._events = []
+        self._order = count()
+
+    def call_at(self, when, action, *arguments):
+        """Run `action(*arguments)` at a time."""
+        heapq.heappush(self._events, (when, next(self._order), action, arguments))
+
+    def run(self, until):
+        """Run the events up to a time."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action, arguments = heapq.heappop(self._events)
+            action(*arguments)
+
+
+class Engine:
+    """A model engine: some slots, and a queue by priority before them.
+
+    Parameters
+    ----------
+    clock : Clock
+        Virtual time.
+    number : int
+        Its place in the list; the regions take turns.
+    priorities : bool
+        Whether waiting requests go by priority, or first in, first out.
+    """
+
+    def __init__(self, clock, number, priorities):
+        self.clock = clock
+        self.on_crash = None
+        self.region = REGIONS[number % len(REGIONS)]
+        self.name = f"engine-{number}"
+        self.incarnation = 1
+        self.priorities = priorities
+        self.factor = 1.0
+        self.up = True
+        self.erring = False
+        self.crashes = 0
+        self.peak_waiting = 0
+        self.cut = False
+        self.running = {}
+        self.waiting = []
+        self._order = count()
+
+    def make_record(self):
+        """Return the engine as the platform lists it."""
+        return ServerRecord(
+            BackendServerId(self.name),
+            self.name,
+            ServerRole.ENGINE,
+            self.region,
+            f"{self.region}-a",
+            f"{self.name}.{self.incarnation}",
+        )
+
+    def report(self):
+        """Return the published load."""
+        return LoadReport(len(self.running), len(self.waiting), frozenset({VERSION}))
+
+    def reach(self, region):
+        """Return whether a region reaches the engine."""
+        return not self.cut or region == self.region
+
+    def send(self, request, region, done):
+        """Run a request; `done` gets None, or the RetryReason of its failure."""
+        now = self.clock.now
+        delay = 0.0 if region == self.region else CROSS_REGION_S
+        if not self.reach(region):
+            failure = RetryReason.CONNECT_FAILED
+            self.clock.call_at(now + CONNECT_TIMEOUT_S, done, failure)
+        elif not self.up:
+            self.clock.call_at(now + delay, done, RetryReason.CONNECT_FAILED)
+        elif self.erring:
+            self.clock.call_at(now + delay + ERROR_S, done, RetryReason.SERVER_ERROR)
+        elif request.poison:
+            self.crash()
+            self.clock.call_at(now + delay, done, RetryReason.CONNECTION_LOST)
+        else:
+            self.clock.call_at(now + delay, self._enqueue, request, region, done)
+
+    def _enqueue(self, request, region, done):
+        if not self.up:
+            done(RetryReason.CONNECTION_LOST)
+            return
+        priority = request.kind.work_class.lateness if self.priorities else 0.0
+        item = (priority, next(self._order), request, region, done)
+        heapq.heappush(self.waiting, item)
+        self._fill()
+        self.peak_waiting = max(self.peak_waiting, len(self.waiting))
+
+    def _fill(self):
+        while self.waiting and len(self.running) < ENGINE_SLOTS:
+            _, number, request, region, done = heapq.heappop(self.waiting)
+            self.running[number] = (region, done)
+            ends = self.clock.now + request.work * self.factor
+            self.clock.call_at(ends, self._finish, number, self.incarnation)
+
+    def _finish(self, number, incarnation):
+        if incarnation != self.incarnation or number not in self.running:
+            return
+        region, done = self.running.pop(number)
+        if self.reach(region):
+            done(None)
+        else:
+            late = self.clock.now + IDLE_TIMEOUT_S
+            self.clock.call_at(late, done, RetryReason.ATTEMPT_TIMEOUT)
+        self._fill()
+
+    def crash(self):
+        """Lose everything that runs or waits."""
+        self.crashes += 1
+        self.up = False
+        lost = list(self.running.values())
+        lost += [(region, done) for *_, region, done in self.waiting]
+        self.running.clear()
+        self.waiting.clear()
+        self.on_crash(self)
+        for _, done in lost:
+            done(RetryReason.CONNECTION_LOST)
+
+    def restart(self):
+        """Come back under a new incarnation."""
+        self.incarnation += 1
+        self.up = True
+
+
+def make_traffic(random, load, engines, ends, flood):
+    """Return requests in order of arrival.
+
+    Parameters
+    ----------
+    random : random.Random
+        Source of the traffic.
+    load : float
+        Offered work as a share of the engines' slots.
+    engines : int
+        Number of engines.
+    ends : float
+        Virtual time of the last arrival, in seconds.
+    flood : float
+        Drafts that account `flooder` adds, as a share of the engines' slots.
+    """
+    slots = engines * ENGINE_SLOTS
+    requests = []
+    rate = load * slots / MEAN_WORK_S
+    shares = [kind.share for kind in KINDS]
+    now = WARM_UP_S + random.expovariate(rate)
+    while now < ends:
+        kind = random.choices(KINDS, shares)[0]
+        account = f"account-{min(random.randrange(10), random.randrange(10))}"
+        requests.append(_draw(random, kind, account, now))
+        now += random.expovariate(rate)
+    if flood:
+        now = random.expovariate(flood * slots / KINDS[-1].mean_s)
+        while now < ends:
+            requests.append(_draw(random, KINDS[-1], "flooder", now))
+            now += random.expovariate(flood * slots / KINDS[-1].mean_s)
+    return sorted(requests, key=lambda request: request.arrived)
+
+
+def _draw(random, kind, account, now):
+    work = kind.mean_s * random.choice((0.5, 0.75, 1.0, 1.25, 1.5))
+    return Request(kind, account, now, work)
--- a/tanagerwalk/decisions/backends.py
+++ b/tanagerwalk/decisions/backends.py
@@ -68,6 +68,31 @@
     TIMEOUT = "timeout"
 
 
+@dataclass(frozen=True, slots=True)
+class RoomShare:
+    """One instance's part of the free room that all instances see.
+
+    Parameters
+    ----------
+    sharers : int
+        Instances that send to the server.
+    short_reserve : float
+        Share of the server that long classes leave to short ones.
+    chance : float
+        Random number from 0 to 1. A part of less than one attempt is drawn by lot:
+        rounded up, the instances would overrun the server together, and rounded
+        down, none of them would use its last room.
+    """
+
+    sharers: int
+    short_reserve: float
+    chance: float
+
+    def take(self, free):
+        """Return how many attempts of `free` ones fall to this instance."""
+        return int(max(0.0, free) / self.sharers + self.chance)
+
+
 @dataclass(slots=True)
 class BackendServer:
     """A backend server with what this instance has learned of it.
@@ -90,6 +115,7 @@
     scraped_at: float = float("-inf")
     own_at_load: int = 0
     capacity: float = float("inf")
+    long_limit: float = float("inf")
     leaving: bool = False
     paused_until: float = float("-inf")
     failures: int = 0
@@ -104,8 +130,8 @@
             return self.record.service == service
         return version in self.versions
 
-    def take_load(self, report, now, sharers):
-        """Take a load report and adapt the concurrency limit.
+    def take_load(self, report, now, share):
+        """Take a load report and adapt the concurrency limits.
 
         A server that has requests waiting is full at what it runs. Every instance
         shrinks its own part in proportion, so that all of them together end at
@@ -117,8 +143,8 @@
             What the server published.
         now : float
             Monotonic time in seconds.
-        sharers : int
-            Instances that send to the server.
+        share : RoomShare
+            This instance's part of the room that a report shows.
         """
         self.load = report
         self.load_at = now
@@ -128,16 +154,17 @@
         total = report.running + report.waiting
         if report.waiting > 0:
             self.capacity = max(1.0, float(report.running))
-            share = self.in_flight * report.running / total
-            self.limit = max(MIN_LIMIT, min(self.limit, share))
+            kept = self.in_flight * report.running / total
+            self.limit = max(MIN_LIMIT, min(self.limit, kept))
+            self.long_limit = 0.0
             return
         if self.capacity == float("inf"):
             return
         if total >= self.capacity * PROBE_SHARE:
             self.capacity = max(self.capacity, total) + CAPACITY_PROBE
-        # Every sharer sees the same free room, and takes its part of it.
-        free = max(0.0, self.capacity - total) / sharers
-        self.limit = max(MIN_LIMIT, self.in_flight + free)
+        self.limit = max(MIN_LIMIT, self.in_flight + share.take(self.capacity - total))
+        long_room = self.capacity * (1.0 - share.short_reserve) - total
+        self.long_limit = self.long_in_flight + share.take(long_room)
 
     def grow(self, ceiling):
         """Raise the limit after an answer, if the limit was well used."""
@@ -212,11 +239,15 @@
         short_reserve : float
             Share of the limit that long classes leave to short ones.
         """
-        long_limit = max(1, int(self.limit * (1.0 - short_reserve)))
         if long:
+            reserved = max(1, int(self.limit * (1.0 - short_reserve)))
+            long_limit = min(reserved, self.long_limit)
             return self.in_flight < int(self.limit) and self.long_in_flight < long_limit
-        # Even at the smallest limit a long attempt leaves room to a short one.
-        return self.in_flight < max(int(self.limit), long_limit + 1)
+        # Engines serve short classes first, so that these need not wait until the
+        # long ones that fill a server have ended.
+        short = self.in_flight - self.long_in_flight
+        reserve = max(1, int(self.limit * short_reserve))
+        return self.in_flight < int(self.limit) or short < reserve
 
     def score(self, now, stale_after):
         """Return how late an attempt here would be; lower is better."""
--- a/tanagerwalk/decisions/limits.py
+++ b/tanagerwalk/decisions/limits.py
@@ -16,6 +16,7 @@
     VersionName,
 )
 from ..outcomes import Refusal, RefusalReason
+from .drains import DrainRates
 from .durations import DurationEstimates
 from .shares import FairShares
 
@@ -80,6 +81,11 @@
     exclude: frozenset[BackendServerId]
     suspect: bool
 
+    @property
+    def drain(self):
+        """What kind of room it is, whichever servers have failed the request."""
+        return self.version, self.service, self.long
+
 
 @dataclass(frozen=True, slots=True)
 class Grant:
@@ -94,7 +100,8 @@
 class _Pool:
     """The waiting tickets of one need, by client account and deadline."""
 
-    def __init__(self):
+    def __init__(self, now):
+        self.since = now
         self.accounts = {}
         self.length = 0
         self.work = 0.0
@@ -161,6 +168,7 @@
         self._expected = {}
         self._lanes = FairShares()
         self._shares = {False: FairShares(), True: FairShares()}
+        self._drains = DrainRates()
         self._latest_starts = []
 
     def __len__(self):
@@ -199,10 +207,12 @@
                 Refusal(
                     RefusalReason.DEADLINE_UNREACHABLE,
                     "the answer would come after its deadline",
-                    retry_after=max(MIN_RETRY_AFTER_S, wait),
+                    retry_after=max(
+                        MIN_RETRY_AFTER_S, now + wait + expected - ticket.deadline
+                    ),
                 )
             )
-        self._add(ticket, expected)
+        self._add(ticket, expected, now)
         return Ok(None)
 
     def _list_eligible(self, need):
@@ -211,11 +221,11 @@
             return serving
         return [server for server in serving if server.record.id not in need.exclude]
 
-    def _add(self, ticket, expected):
+    def _add(self, ticket, expected, now):
         need = ticket.need
         pool = self._pools.get(need)
         if pool is None:
-            pool = self._pools[need] = _Pool()
+            pool = self._pools[need] = _Pool(now)
         pool.add(ticket, expected)
         self._expected[ticket] = expected
         self._lanes.enter(need.long)
@@ -242,6 +252,9 @@
         if pool is None and self._choose(ticket, now) is not None:
             return 0.0
         ahead = pool.count_ahead(ticket) if pool else 0
+        interval = self._drains.estimate(need.drain, now)
+        if pool is not None and interval is not None:
+            return max((ahead + 1) * interval, _find_resumption(serving) - now)
         mean = pool.work / pool.length if pool else expected
         room = sum(max(1.0, server.limit) for server in serving)
         if ticket.long:
@@ -299,6 +312,7 @@
                 open_needs.discard(need)
                 continue
             self._charge(ticket, expect(ticket))
+            self._drains.record(need.drain, self._pools[need].since, now)
             self.withdraw(ticket)
             self._table.start(server.record.id, ticket.long, ticket.suspect)
             record = server.record
--- a/tanagerwalk/decisions/servers.py
+++ b/tanagerwalk/decisions/servers.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from dataclasses import dataclass
+from random import Random
 
 from ..ids import BackendServerId, FailureDomain, Incarnation, Region
 from .backends import (
@@ -9,6 +10,7 @@
     BackendServer,
     FailureKind,
     LoadReport,
+    RoomShare,
     ServerRecord,
     ServerRole,
 )
@@ -59,6 +61,7 @@
         self._left: set[Incarnation] = set()
         self._nearest = {}
         self._watched = None
+        self._random = Random(home.instance)
 
     def update_records(self, records):
         """Take the platform's list of backend servers.
@@ -123,7 +126,9 @@
             return
         if report.versions is not None and server.versions != report.versions:
             self._nearest.clear()
-        server.take_load(report, now, self.sharers)
+        reserve = self.limits.short_reserve
+        share = RoomShare(self.sharers, reserve, self._random.random())
+        server.take_load(report, now, share)
 
     def start(self, server_id, long, suspect=False):
         """Count an attempt that is about to go to a server."""
