--- a/tanagerwalk/clients/engines.py
+++ b/tanagerwalk/clients/engines.py
@@ -111,7 +111,8 @@
         deadline : float
             Seconds that the attempt may take.
         on_text : callable
-            Awaited with each piece of text.
+            Awaited with each piece of text; raises `asyncio.CancelledError` if the
+            caller has gone, which is no failure of the engine.
 
         Returns
         -------
--- a/tanagerwalk/decisions/backends.py
+++ b/tanagerwalk/decisions/backends.py
@@ -88,9 +88,17 @@
     short_reserve: float
     chance: float
 
-    def take(self, free):
-        """Return how many attempts of `free` ones fall to this instance."""
-        return int(max(0.0, free) / self.sharers + self.chance)
+    def take(self, free, unseen):
+        """Return how many more attempts this instance may send.
+
+        Parameters
+        ----------
+        free : float
+            Free room of the server by its report.
+        unseen : int
+            Attempts of this instance that the report does not show yet.
+        """
+        return max(0, int(max(0.0, free) / self.sharers + self.chance) - unseen)
 
 
 @dataclass(slots=True)
@@ -146,6 +154,8 @@
         share : RoomShare
             This instance's part of the room that a report shows.
         """
+        # A lagging report does not show yet what was added since the last one.
+        unseen = max(0, self.in_flight - self.own_at_load)
         self.load = report
         self.load_at = now
         self.own_at_load = self.in_flight
@@ -162,17 +172,19 @@
             return
         if total >= self.capacity * PROBE_SHARE:
             self.capacity = max(self.capacity, total) + CAPACITY_PROBE
-        self.limit = max(MIN_LIMIT, self.in_flight + share.take(self.capacity - total))
-        long_room = self.capacity * (1.0 - share.short_reserve) - total
-        self.long_limit = self.long_in_flight + share.take(long_room)
+        free = self.capacity - total
+        self.limit = max(MIN_LIMIT, self.in_flight + share.take(free, unseen))
+        long_free = self.capacity * (1.0 - share.short_reserve) - total
+        self.long_limit = self.long_in_flight + share.take(long_free, unseen)
 
     def grow(self, ceiling):
-        """Raise the limit after an answer, if the limit was well used."""
-        if self.in_flight * 2 < self.limit or self.load.waiting > 0:
-            return
-        # Doubles each round trip until the capacity has been seen, then linear.
-        step = 1.0 if self.capacity == float("inf") else 1.0 / self.limit
-        self.limit = min(self.limit + step, ceiling)
+        """Raise the limit of a server that never had requests waiting.
+
+        It doubles each round trip while it is well used. Once the capacity has
+        been seen the reports set the limit.
+        """
+        if self.capacity == float("inf") and self.in_flight * 2 >= self.limit:
+            self.limit = min(self.limit + 1.0, ceiling)
 
     def take_success(self, now, ratio):
         """Note an answer that took `ratio` times the expected duration."""
@@ -229,19 +241,24 @@
         until = now + min(seconds, MAX_FAILURE_PAUSE_S)
         self.paused_until = max(self.paused_until, until)
 
-    def has_room(self, long, short_reserve):
+    def has_room(self, now, long, short_reserve, stale_after):
         """Return whether one more attempt may be sent.
 
         Parameters
         ----------
+        now : float
+            Monotonic time in seconds.
         long : bool
             Whether the attempt belongs to a long class.
         short_reserve : float
             Share of the limit that long classes leave to short ones.
+        stale_after : float
+            Seconds after which a report counts for nothing.
         """
         if long:
-            reserved = max(1, int(self.limit * (1.0 - short_reserve)))
-            long_limit = min(reserved, self.long_limit)
+            long_limit = max(1, int(self.limit * (1.0 - short_reserve)))
+            if now - self.load_at <= stale_after:
+                long_limit = min(long_limit, self.long_limit)
             return self.in_flight < int(self.limit) and self.long_in_flight < long_limit
         # Engines serve short classes first, so that these need not wait until the
         # long ones that fill a server have ended.
--- a/tanagerwalk/decisions/servers.py
+++ b/tanagerwalk/decisions/servers.py
@@ -271,7 +271,7 @@
         for server in servers:
             if suspect and server.suspects_in_flight:
                 continue
-            if not server.has_room(long, reserve):
+            if not server.has_room(now, long, reserve, self.load_stale_after):
                 continue
             score = server.score(now, self.load_stale_after)
             if server.record.failure_domain != self.home.failure_domain:
--- a/tanagerwalk/messages.py
+++ b/tanagerwalk/messages.py
@@ -138,6 +138,11 @@
         ----------
         text : str
             The piece, never empty.
+
+        Raises
+        ------
+        asyncio.CancelledError
+            If the caller has gone.
         """
 
 
--- a/tanagerwalk/standins/engine.py
+++ b/tanagerwalk/standins/engine.py
@@ -79,7 +79,7 @@
             raise web.HTTPNotFound(text="model not found")
         if "poison" in str(body["messages"][-1].get("content", "")):
             self.crashed = True
-            request.transport.abort()
+            await self.crash()
             raise web.HTTPInternalServerError
         self.waiting += 1
         async with self._room:
--- a/tanagerwalk/standins/server.py
+++ b/tanagerwalk/standins/server.py
@@ -17,6 +17,7 @@
     def __init__(self):
         self.address = ""
         self._runner = None
+        self._site = None
 
     def list_routes(self):
         """Return the aiohttp routes of the stand-in."""
@@ -28,8 +29,8 @@
         app.add_routes([*self.list_routes(), web.post("/standin", self._control)])
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, ADDRESS, 0)
-        await site.start()
+        self._site = web.TCPSite(self._runner, ADDRESS, 0)
+        await self._site.start()
         port = self._runner.addresses[0][1]
         self.address = f"{ADDRESS}:{port}"
 
@@ -37,6 +38,12 @@
         """Close every connection."""
         await self._runner.cleanup()
 
+    async def crash(self):
+        """Refuse further connections and break those that are open."""
+        await self._site.stop()
+        for connection in self._runner.server.connections:
+            connection.transport.abort()
+
     async def _control(self, request):
         for name, value in (await request.json()).items():
             if not hasattr(self, name):
