Compare distant servers with slow near ones, and look twice at suspects

Cause: a near server with room was taken whatever its score, so labels went to a gray server while its near neighbour was full. Change: scores are compared across regions with a penalty; slowness rises fast and fades slowly. Also: the order of servers is rebuilt only when the list changes; a request that was blamed while it waited is checked again before it leaves.

--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -42,7 +42,7 @@
 from .filters.hedge import HedgeFilter
 from .filters.identify import IdentifyFilter
 from .filters.plan import PlanFilter
-from .filters.quarantine import QuarantineFilter
+from .filters.quarantine import QuarantineFilter, QuarantineGuardFilter
 from .filters.retry import RetryFilter
 from .filters.session import SessionFilter, SessionStarter
 from .gate import Gate
@@ -201,6 +201,7 @@
                 AdmitFilter(
                     self.gate, self.durations, self.table, self._is_long, self._clock
                 ),
+                QuarantineGuardFilter(self.quarantine, self._clock),
                 GuardFilter(self.configuration, self.rollouts, self.table),
                 DispatchFilter(self._engines, self._services, self._clock),
             ]
--- a/tanagerwalk/decisions/backends.py
+++ b/tanagerwalk/decisions/backends.py
@@ -21,6 +21,8 @@
 FAILURE_PAUSE_S = 1.0
 MAX_FAILURE_PAUSE_S = 30.0
 SLOWNESS_SMOOTHING = 0.3
+SLOWNESS_ATTACK = 0.8
+SLOW_RATIO = 2.5
 MIN_SLOWNESS = 0.5
 MAX_SLOWNESS = 20.0
 TIMEOUT_SLOWNESS = 10.0
@@ -195,7 +197,9 @@
     def _take_slowness(self, now, ratio):
         ratio = min(max(ratio, MIN_SLOWNESS), MAX_SLOWNESS)
         current = self.read_slowness(now)
-        self.slowness = current + SLOWNESS_SMOOTHING * (ratio - current)
+        # Fast up and slow down: each further look at a slow server is a late answer.
+        weight = SLOWNESS_ATTACK if ratio > SLOW_RATIO else SLOWNESS_SMOOTHING
+        self.slowness = current + weight * (ratio - current)
         self.slowness_at = now
 
     def read_slowness(self, now):
@@ -277,4 +281,6 @@
         return busy * self.read_slowness(now) * errors
 
     def _size(self):
-        return self.limit if self.capacity == float("inf") else self.capacity
+        if self.capacity == float("inf"):
+            return max(self.limit, self.load.running)
+        return self.capacity
--- a/tanagerwalk/decisions/servers.py
+++ b/tanagerwalk/decisions/servers.py
@@ -26,6 +26,7 @@
 ]
 
 DISTANT_DOMAIN_PENALTY = 0.1
+DISTANT_REGION_PENALTY = 1.5
 MAX_SERVERS_IN_USE = 32
 MAX_SERVERS_WATCHED = 64
 
@@ -74,13 +75,12 @@
         records : iterable of ServerRecord
             The whole list.
         """
-        self._nearest.clear()
-        self._watched = None
         listed = {record.id: record for record in records}
         for gone in self.servers.keys() - listed.keys():
-            self.servers[gone].leaving = True
+            self._set_leaving(self.servers[gone], True)
             if self.servers[gone].in_flight == 0:
                 del self.servers[gone]
+                self._forget_order()
         for record in listed.values():
             self._update_record(record)
         live = {server.record.incarnation for server in self.servers.values()}
@@ -91,10 +91,23 @@
         if server is None or server.record.incarnation != record.incarnation:
             server = BackendServer(record, self._make_initial_limit())
             self.servers[record.id] = server
-        server.record = record
+            self._forget_order()
+        if server.record != record:
+            server.record = record
+            self._forget_order()
         if record.leaving:
             self._left.add(record.incarnation)
-        server.leaving = record.incarnation in self._left
+        self._set_leaving(server, record.incarnation in self._left)
+
+    def _set_leaving(self, server, leaving):
+        if server.leaving == leaving:
+            return
+        server.leaving = leaving
+        self._forget_order()
+
+    def _forget_order(self):
+        self._nearest.clear()
+        self._watched = None
 
     def mark_leaving(self, server_id):
         """Note that a server said or showed that it is leaving."""
@@ -102,7 +115,7 @@
         if server is None:
             return
         self._left.add(server.record.incarnation)
-        server.leaving = True
+        self._set_leaving(server, True)
 
     def mark_incarnation_leaving(self, incarnation):
         """Note a peer's word that an incarnation of a server is leaving."""
@@ -258,11 +271,14 @@
         """
         near, distant = self._list_tiers(version, service)
         usable = [s for s in near if _is_usable(s, now, exclude)]
-        best = self._choose_best(usable, now, long, suspect)
-        if best is not None or (usable and not far):
+        best, score = self._choose_best(usable, now, long, suspect)
+        if score < DISTANT_REGION_PENALTY:
             return best
+        if best is None and usable and not far:
+            return None
         usable = [s for s in distant if _is_usable(s, now, exclude)]
-        return self._choose_best(usable, now, long, suspect)
+        other, other_score = self._choose_best(usable, now, long, suspect)
+        return other if other_score + DISTANT_REGION_PENALTY < score else best
 
     def _choose_best(self, servers, now, long, suspect):
         best = None
@@ -278,7 +294,7 @@
                 score += DISTANT_DOMAIN_PENALTY
             if score < best_score:
                 best, best_score = server, score
-        return best
+        return best, best_score
 
 
 def _is_usable(server, now, exclude):
--- a/tanagerwalk/filters/quarantine.py
+++ b/tanagerwalk/filters/quarantine.py
@@ -6,6 +6,7 @@
 from ..decisions.facts import Topic
 from ..decisions.quarantine import Standing, refuse_quarantined
 from ..messages import AttemptFailure
+from ..outcomes import RetryReason
 
 SEPARATOR = "\n"
 
@@ -91,3 +92,29 @@
     def _take_fact(self, fact):
         incarnations = fact.value.decode(errors="replace").split(SEPARATOR)
         self._quarantine.take_blame(fact.key, incarnations, self._clock())
+
+
+class QuarantineGuardFilter:
+    """Checks the standing of a request once more, after its wait for room.
+
+    Parameters
+    ----------
+    quarantine : Quarantine
+        Decides.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, quarantine, clock):
+        self._quarantine = quarantine
+        self._clock = clock
+
+    async def handle(self, context, proceed):
+        """Pass the attempt on unless news of a crash came while it waited."""
+        standing = self._quarantine.judge(context.fingerprint, self._clock())
+        if standing is Standing.QUARANTINED:
+            return Error(refuse_quarantined(context.sent))
+        if standing is Standing.SUSPECT and not context.grant.ticket.suspect:
+            # It must wait again, for a server without other suspects.
+            return Error(AttemptFailure(RetryReason.SUSPECTED, sent=False))
+        return await proceed(context)
--- a/tanagerwalk/outcomes.py
+++ b/tanagerwalk/outcomes.py
@@ -47,6 +47,7 @@
     SERVER_ERROR = "server_error"
     INCOMPLETE_ANSWER = "incomplete_answer"
     ATTEMPT_TIMEOUT = "attempt_timeout"
+    SUSPECTED = "suspected"
 
 
 class RefusalReason(Enum):
--- a/test/decisions/test_servers.py
+++ b/test/decisions/test_servers.py
@@ -148,3 +148,10 @@
         assert len(serving) == 32
         used.update(serving)
     assert len(used) == len(records)
+
+
+def test_slow_near_server_is_left_for_another_region():
+    table = make_table(make_record("near"), make_record("far", "r2-a"))
+    for _ in range(3):
+        table.record_success("near", 0.0, 20.0)
+    assert choose(table).record.id == "far"
