--- /dev/null
+++ b/bench/poison.py
@@ -0,0 +1,34 @@
+"""Counts the servers that one poison request crashes: `python -m bench.poison`.
+
+Its caller sends it again, each time to another of nine entry instances; blame
+reaches the other instances after some time.
+"""
+
+import bench.lateness as lateness
+
+RESENDS_S = (0.1, 0.5, 2.0, 5.0)
+SPREADS_S = (0.1, 0.5, 2.0)
+LOAD = 0.6
+
+
+def count_crashes(resend, spread, seed):
+    """Return the crashes of one run."""
+    lateness.RESEND_S = resend
+    lateness.BLAME_SPREAD_S = spread
+    run = lateness.Bench("tanagerwalk", "poison", LOAD, seed)
+    return sum(engine.crashes for engine in run.engines.values())
+
+
+def main():
+    """Print the most crashes over the seeds for each pair of times."""
+    print("resend after", *(f"blame after {spread} s" for spread in SPREADS_S))
+    for resend in RESENDS_S:
+        crashes = [
+            max(count_crashes(resend, spread, seed) for seed in lateness.SEEDS)
+            for spread in SPREADS_S
+        ]
+        print(f"{resend:>10} s", *(f"{number:>17}" for number in crashes))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/upkeep.py
@@ -0,0 +1,107 @@
+"""Measures the upkeep of an instance: `python -m bench.upkeep`.
+
+Cost of one reading of the instance list, of one choice of the servers to scrape,
+and processor time of one scrape of an engine with a page of 400 lines.
+"""
+
+import asyncio
+import multiprocessing
+import time
+
+import aiohttp
+from aiohttp import web
+
+from bench.admission import SERVER_COUNTS, build_queue, make_record
+from tanagerwalk.clients.engines import EngineClient
+from tanagerwalk.decisions.scrapes import select_scrapes
+from tanagerwalk.settings import parse_settings
+
+SETTINGS = parse_settings().ok
+PAGE_LINES = 400
+SCRAPES = 300
+REPEATS = 50
+PAGE = "".join(
+    f'vllm:time_bucket{{engine="0",le="{number}"}} {number}\n'
+    for number in range(PAGE_LINES)
+) + ("vllm:num_requests_running 3\nvllm:num_requests_waiting 0\n")
+
+
+def time_calls(action):
+    """Return microseconds of one call."""
+    began = time.perf_counter()
+    for _ in range(REPEATS):
+        action()
+    return (time.perf_counter() - began) / REPEATS * 1e6
+
+
+def measure_table(servers):
+    """Return the cost of an unchanged list, of a changed one, and of choosing."""
+    table, _ = build_queue(servers)
+    records = [make_record(number) for number in range(servers)]
+    table.list_serving("v0")
+    unchanged = time_calls(lambda: table.update_records(records))
+
+    def change():
+        table.mark_leaving("s0")
+        table.list_serving("v0")
+        table.list_watched()
+        table.servers["s0"].leaving = False
+
+    changed = time_calls(change)
+    chosen = time_calls(lambda: select_scrapes(table, 100.0, SETTINGS.load, 10))
+    return unchanged, changed, chosen
+
+
+async def measure_scrapes(address):
+    """Return microseconds of processor time of a scrape without and with models."""
+    costs = []
+    async with aiohttp.ClientSession() as http:
+        client = EngineClient(http, SETTINGS.retries)
+        for models in (False, True):
+            await client.read_load(address, 1.0, models)
+            began = time.process_time()
+            for _ in range(SCRAPES):
+                assert (await client.read_load(address, 1.0, models)).is_ok()
+            costs.append((time.process_time() - began) / SCRAPES * 1e6)
+    return costs
+
+
+def serve(pipe):
+    """Serve the engine's pages in a process of its own."""
+
+    async def run():
+        app = web.Application()
+        app.router.add_get("/metrics", lambda _: _answer(web.Response(text=PAGE)))
+        models = {"data": [{"id": "m1"}]}
+        app.router.add_get("/v1/models", lambda _: _answer(web.json_response(models)))
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        pipe.send(f"127.0.0.1:{runner.addresses[0][1]}")
+        await asyncio.to_thread(pipe.recv)
+        await runner.cleanup()
+
+    asyncio.run(run())
+
+
+async def _answer(response):
+    return response
+
+
+def main():
+    """Print the table."""
+    print("microseconds: list unchanged, order rebuilt, choice of scrapes")
+    for servers in SERVER_COUNTS:
+        costs = " ".join(f"{cost:9.0f}" for cost in measure_table(servers))
+        print(f"{servers:>4} servers {costs}")
+    pipe, remote = multiprocessing.Pipe()
+    server = multiprocessing.Process(target=serve, args=(remote,))
+    server.start()
+    plain, whole = asyncio.run(measure_scrapes(pipe.recv()))
+    pipe.send(None)
+    server.join()
+    print(f"one scrape: load {plain:.0f}, load and models {whole:.0f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tanagerwalk/controllers/load.py
+++ b/tanagerwalk/controllers/load.py
@@ -8,7 +8,7 @@
 from ..decisions.scrapes import select_scrapes
 from .loop import run_periodically
 
-STEP_SHARE = 0.25
+STEP_SHARE = 0.5
 MAX_MODELS_KNOWN = 10000
 
 
