Add the link between entry instances

Cause: nothing passed between entry instances yet; bills, facts and the declaration need a request and an answer between any two of them. Ruled out: one connection with many requests in flight (a large answer would delay the exchange); a MAC without nonces (a recorded frame could be replayed). Change: thrift IDL with generated code, frames authenticated by HMAC-SHA256 with a key for each connection and direction and the frame's number, a server and a client with kept connections, wired into the instance.

--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -43,6 +43,7 @@
 from .gate import Gate
 from .ids import Incarnation
 from .metrics import Metrics
+from .peers.link import PeerClient, PeerServer
 
 log = structlog.get_logger(__name__)
 
@@ -93,6 +94,11 @@
         self._ratings = RatingsClient(self._http, platform.ratings, timeout)
         self._engines = EngineClient(self._http, retries)
         self._services = ServiceClient(self._http, self._fresh_http, retries)
+        peers = self.settings.peers
+        self.peer_server = PeerServer(peers.secret)
+        self.peer_client = PeerClient(
+            peers.secret, self.settings.instance.id, peers.timeout
+        )
 
     def _wire_state(self):
         settings = self.settings
@@ -212,6 +218,11 @@
             rating_up=self.rollouts.rating_up,
         )
 
+    @property
+    def peers_port(self):
+        """The port that other entry instances reach this one at."""
+        return self.peer_server.port
+
     def is_ready(self):
         """Return whether requests can be served here."""
         return self.configuration.ready and bool(self.table.servers)
@@ -248,6 +259,7 @@
         instance = self.settings.instance
         await self.callers.listener.start(instance.address, instance.callers_port)
         await self.admin.listener.start(instance.address, instance.admin_port)
+        await self.peer_server.start(instance.address, instance.peers_port)
         for run in (
             self.configuring.run,
             self.membership.run,
@@ -264,6 +276,7 @@
             address=instance.address,
             callers_port=self.callers.listener.port,
             admin_port=self.admin.listener.port,
+            peers_port=self.peers_port,
         )
 
     async def stop(self):
@@ -290,5 +303,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.listener.stop()
         await self.admin.listener.stop()
+        await self.peer_client.close()
+        await self.peer_server.stop()
         await self._http.close()
         await self._fresh_http.close()
--- /dev/null
+++ b/tanagerwalk/peers/frames.py
@@ -0,0 +1,150 @@
+"""Authenticated frames on a connection between two entry instances.
+
+Each side draws a nonce. Both nonces and the shared secret give one key for each
+direction, and every frame is authenticated together with its number on the
+connection, so a recorded frame is worth nothing on any other connection, in the
+other direction or at another place.
+"""
+
+import hashlib
+import hmac
+import os
+import struct
+from enum import Enum
+
+from expression import Error, Ok
+
+from ..ids import InstanceId
+from .codec import decode, encode
+from .gen.exchange.ttypes import Hello
+
+MAX_PAYLOAD_BYTES = 2 * 1024 * 1024
+MAX_HELLO_BYTES = 512
+NONCE_BYTES = 16
+MAC_BYTES = 16
+
+_HEADER = struct.Struct("!IB")
+_COUNTER = struct.Struct("!QB")
+_HELLO_KIND = 0
+
+
+class FrameFault(Enum):
+    """Why a connection is dropped."""
+
+    CLOSED = "closed"
+    TOO_LARGE = "too_large"
+    NOT_AUTHENTIC = "not_authentic"
+    MALFORMED = "malformed"
+
+
+class Channel:
+    """One direction-aware end of a connection.
+
+    Parameters
+    ----------
+    reader : asyncio.StreamReader
+    writer : asyncio.StreamWriter
+    secret : str
+        Shared by the fleet.
+    """
+
+    def __init__(self, reader, writer, secret):
+        self.reader = reader
+        self.writer = writer
+        self._secret = secret.encode()
+        self._sending_key = self._secret
+        self._receiving_key = self._secret
+        self._sent = 0
+        self._received = 0
+
+    async def greet(self, own_id):
+        """Exchange hellos as the connecting side."""
+        nonce = os.urandom(NONCE_BYTES)
+        self._write_hello(own_id, nonce)
+        result = await self._read_hello()
+        if result.is_error():
+            return result
+        self._derive_keys(nonce, result.ok.nonce, b"connect", b"accept")
+        return Ok(InstanceId(result.ok.instance))
+
+    async def welcome(self, own_id=""):
+        """Exchange hellos as the accepting side; return the caller's id."""
+        result = await self._read_hello()
+        if result.is_error():
+            return result
+        nonce = os.urandom(NONCE_BYTES)
+        self._write_hello(own_id, nonce)
+        self._derive_keys(result.ok.nonce, nonce, b"accept", b"connect")
+        return Ok(InstanceId(result.ok.instance))
+
+    def _write_hello(self, own_id, nonce):
+        self.write(_HELLO_KIND, encode(Hello(own_id, nonce)))
+
+    async def _read_hello(self):
+        frame = await self.read(MAX_HELLO_BYTES)
+        if frame.is_error():
+            return frame
+        kind, payload = frame.ok
+        hello = decode(Hello, payload)
+        if kind != _HELLO_KIND or hello.is_error():
+            return Error(FrameFault.MALFORMED)
+        if not hello.ok.instance and not hello.ok.nonce:
+            return Error(FrameFault.MALFORMED)
+        return hello
+
+    def _derive_keys(self, first, second, sending, receiving):
+        nonces = first + second
+        self._sending_key = _sign(self._secret, nonces + sending)
+        self._receiving_key = _sign(self._secret, nonces + receiving)
+
+    def write(self, kind, payload):
+        """Put one frame into the connection's buffer.
+
+        Parameters
+        ----------
+        kind : int
+            0 to 255.
+        payload : bytes
+            At most `MAX_PAYLOAD_BYTES`.
+        """
+        signed = _COUNTER.pack(self._sent, kind) + payload
+        mac = _sign(self._sending_key, signed)[:MAC_BYTES]
+        self._sent += 1
+        self.writer.write(_HEADER.pack(len(payload), kind) + mac + payload)
+
+    async def read(self, limit=MAX_PAYLOAD_BYTES):
+        """Read one frame.
+
+        Parameters
+        ----------
+        limit : int
+            Largest payload that is accepted, in bytes.
+
+        Returns
+        -------
+        Result of tuple of int and bytes, or of FrameFault
+            Kind and payload.
+        """
+        try:
+            header = await self.reader.readexactly(_HEADER.size)
+            size, kind = _HEADER.unpack(header)
+            if size > limit:
+                return Error(FrameFault.TOO_LARGE)
+            mac = await self.reader.readexactly(MAC_BYTES)
+            payload = await self.reader.readexactly(size)
+        except (EOFError, OSError):
+            return Error(FrameFault.CLOSED)
+        signed = _COUNTER.pack(self._received, kind) + payload
+        expected = _sign(self._receiving_key, signed)[:MAC_BYTES]
+        if not hmac.compare_digest(mac, expected):
+            return Error(FrameFault.NOT_AUTHENTIC)
+        self._received += 1
+        return Ok((kind, payload))
+
+    def close(self):
+        """Drop the connection at once."""
+        self.writer.close()
+
+
+def _sign(key, content):
+    return hmac.digest(key, content, hashlib.sha256)
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -51,6 +51,8 @@
     secret: str
     interval: float
     cross_domain: float
+    timeout: float
+    slow_rate: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/tanagerwalk/standins/world.py
+++ b/tanagerwalk/standins/world.py
@@ -118,7 +118,7 @@
         await instance.start()
         self.instances[name] = instance
         self.platform.add(
-            f"127.0.0.1:{instance.settings.instance.peers_port}",
+            f"127.0.0.1:{instance.peers_port}",
             id=name,
             role="entry",
             region=region,
