Protect operators from each other's changes; measure an entry instance

Cause: apply without a revision overwrote whatever was in force, so of two racing operators the second undid the first unseen (the store's compare-and-swap only guards the milliseconds between its read and write). Test: a second change built on revision 1 printed 'revision 3' before; it is refused by name now.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each module is run by itself and prints a small table."""
--- /dev/null
+++ b/bench/serving.py
@@ -0,0 +1,108 @@
+"""Processor time and memory that an entry instance spends on serving and control.
+
+The instance is a process of its own; stand-ins and load run in this process.
+"""
+
+import asyncio
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+import msgspec
+
+from tanagerwalk.logs import configure_logs
+from tanagerwalk.standins.world import World
+
+from .measuring import read_process
+
+IDLE_S = 10.0
+REQUESTS = 1500
+WORKERS = 16
+ENGINE_COUNTS = (3, 9, 30, 90)
+WARM_UP_S = 3.0
+
+
+class ServedWorld(World):
+    """A world with one entry instance as a process."""
+
+    async def serve(self, folder):
+        """Start the entry instance and wait until it listens."""
+        path = Path(folder) / "entry.ini"
+        text = self.make_settings("entry-1")
+        path.write_text(text.replace("interval = 0.1", "interval = 1"))
+        self.process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "tanagerwalk", "serve", "--settings", str(path)),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        async for line in self.process.stdout:
+            entry = msgspec.json.decode(line)
+            if entry["event"] == "listening":
+                self.port = entry["callers_port"]
+                break
+        self.reader = asyncio.create_task(self.process.stdout.read())
+        await asyncio.sleep(WARM_UP_S)
+
+    async def load(self, body, path="/v1/chat/completions"):
+        """Send REQUESTS requests and return processor time for each, in ms."""
+        url = f"http://127.0.0.1:{self.port}{path}"
+        headers = {"Authorization": "Bearer desk-key"}
+        left = iter(range(REQUESTS))
+        failed = 0
+
+        async def work():
+            nonlocal failed
+            for _ in left:
+                async with self.http.post(url, json=body, headers=headers) as response:
+                    await response.read()
+                    failed += response.status != 200
+
+        before = read_process(self.process.pid)
+        await asyncio.gather(*(work() for _ in range(WORKERS)))
+        after = read_process(self.process.pid)
+        spent = (after.processor_s - before.processor_s) * 1000 / REQUESTS
+        return spent, after.resident_mb, failed
+
+
+async def measure(engines):
+    """Measure with a number of engines and print one row."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with ServedWorld() as world:
+            for number in range(engines):
+                await world.add_engine(f"engine-{number}", ["wren:1", "heron:1"])
+            await world.add_service("booking-1", "booking")
+            await world.apply()
+            await world.serve(folder)
+            before = read_process(world.process.pid)
+            await asyncio.sleep(IDLE_S)
+            idle = read_process(world.process.pid)
+            share = 100 * (idle.processor_s - before.processor_s) / IDLE_S
+            message = {"role": "user", "content": "deed book"}
+            chat = await world.load(
+                {"model": "label", "messages": [message], "max_tokens": 8}
+            )
+            long = await world.load(
+                {"model": "label", "messages": [message], "max_tokens": 64}
+            )
+            status = await world.load({"job": 1}, "/v1/classes/status")
+            per_token = (long[0] - chat[0]) / (64 - 8)
+            print(
+                f"{engines:>7} {share:>8.2f} {idle.resident_mb:>8.1f} {chat[0]:>8.2f}"
+                f" {per_token:>9.4f} {status[0]:>8.2f} {status[1]:>8.1f}"
+                f" {chat[2] + long[2] + status[2]:>7}",
+                flush=True,
+            )
+            world.process.send_signal(signal.SIGKILL)
+            await world.process.wait()
+
+
+def main():
+    """Print one row for each number of engines."""
+    configure_logs("critical")
+    print("engines idle_cpu%  idle_MB  chat_ms  token_ms  call_ms  busy_MB  failed")
+    for engines in ENGINE_COUNTS:
+        asyncio.run(measure(engines))
+
+
+if __name__ == "__main__":
+    main()
--- a/tanagerwalk/standins/world.py
+++ b/tanagerwalk/standins/world.py
@@ -6,6 +6,7 @@
 
 from ..app import EntryInstance
 from ..clients.keyvalue import KeyValueClient
+from ..controllers.configuration import DECLARATION_KEY
 from ..controllers.loop import poll_until
 from ..settings import parse_settings
 from ..ui.apply import put_declaration
@@ -133,7 +134,9 @@
         if text is None:
             text = resources.files(__package__).joinpath("demo.ini").read_text()
         store = KeyValueClient(self.http, f"http://{self.keyvalue.address}", 2.0)
-        result = await put_declaration(store, text)
+        found = await store.get(DECLARATION_KEY)
+        newest = found.ok.revision if found.ok else 0
+        result = await put_declaration(store, text, newest)
         if result.is_error():
             raise AssertionError(result.error)
         return result.ok
--- a/tanagerwalk/ui/apply.py
+++ b/tanagerwalk/ui/apply.py
@@ -15,7 +15,8 @@
 @click.option(
     "--after",
     type=int,
-    help="Revision that the change builds on; refused if another came since.",
+    default=0,
+    help="Revision in force that the change builds on, as `diff` and `show` tell.",
 )
 @click.argument("declaration")
 def apply(settings_path, after, declaration):
@@ -35,7 +36,7 @@
     click.echo(f"revision {result.ok}")
 
 
-async def put_declaration(store, text, after=None):
+async def put_declaration(store, text, after):
     """Write a declaration with one compare-and-swap.
 
     Parameters
@@ -44,8 +45,8 @@
         The store.
     text : str
         A checked declaration.
-    after : int or None
-        Revision that the change builds on; None for the newest.
+    after : int
+        Revision that the change builds on; 0 if none is in force yet.
 
     Returns
     -------
@@ -57,10 +58,11 @@
     newest = found.ok.revision if found.ok else Revision(0)
     if found.ok and found.ok.value.decode() == text:
         return Ok(newest)
-    if after is None:
-        after = newest
     if after != newest:
-        return Error(f"another change came first: revision {newest} is in force")
+        return Error(
+            f"revision {newest} is in force, not {after}: compare with"
+            f" `tanagerwalk diff`, then apply --after {newest}"
+        )
     value = text.encode()
     if newest:
         written = await store.replace(DECLARATION_KEY, value, newest)
--- a/tanagerwalk/ui/commands.py
+++ b/tanagerwalk/ui/commands.py
@@ -1,22 +1,43 @@
-"""The group of all commands."""
+"""The group of all commands; each is imported when it is called.
+
+An entry instance has little memory, so `serve` must not load what the other
+commands need.
+"""
+
+from importlib import import_module
 
 import click
 
 from .. import __version__
-from .apply import apply
-from .bills import bills
-from .check import check
-from .demo import demo
-from .serve import serve
-from .standin import standin
-from .status import status
 
+COMMANDS = (
+    "apply",
+    "bills",
+    "check",
+    "demo",
+    "diff",
+    "serve",
+    "show",
+    "standin",
+    "status",
+)
+
+
+class CommandGroup(click.Group):
+    """Finds each command in the module of its name."""
+
+    def list_commands(self, ctx):
+        """Return the names of all commands."""
+        return list(COMMANDS)
 
-@click.group()
+    def get_command(self, ctx, cmd_name):
+        """Return one command, or None if there is none of this name."""
+        if cmd_name not in COMMANDS:
+            return None
+        return getattr(import_module(f".{cmd_name}", __package__), cmd_name)
+
+
+@click.group(cls=CommandGroup)
 @click.version_option(__version__)
 def cli():
     """Route requests to versions and cascades, as the declaration says."""
-
-
-for command in (serve, check, apply, status, bills, demo, standin):
-    cli.add_command(command)
--- a/tanagerwalk/ui/common.py
+++ b/tanagerwalk/ui/common.py
@@ -8,6 +8,7 @@
 import click
 
 from ..clients.keyvalue import KeyValueClient
+from ..controllers.configuration import DECLARATION_KEY
 from ..settings import parse_settings
 
 
@@ -59,6 +60,24 @@
     return asyncio.run(run())
 
 
+def read_declaration(settings_path):
+    """Return the store's entry of the declaration in force, or None.
+
+    Parameters
+    ----------
+    settings_path : str or None
+        Path of the settings file; None for the defaults.
+    """
+
+    async def work(store):
+        return await store.get(DECLARATION_KEY)
+
+    result = run_with_store(read_settings(settings_path), work)
+    if result.is_error():
+        return fail("the key-value service is not reached")
+    return result.ok
+
+
 settings_option = click.option(
     "--settings", "settings_path", metavar="FILE", help="Settings file (INI)."
 )
--- /dev/null
+++ b/tanagerwalk/ui/diff.py
@@ -0,0 +1,27 @@
+"""Command `diff`: compare a declaration file with the one in force."""
+
+import difflib
+import sys
+
+import click
+
+from .common import read_declaration, read_text, settings_option
+
+
+@click.command()
+@settings_option
+@click.argument("declaration")
+def diff(settings_path, declaration):
+    """Show what applying a DECLARATION file would change; status 1 if anything."""
+    wanted = read_text(declaration)
+    entry = read_declaration(settings_path)
+    current = entry.value.decode() if entry else ""
+    title = f"revision {entry.revision}" if entry else "nothing in force"
+    lines = list(
+        difflib.unified_diff(
+            current.splitlines(), wanted.splitlines(), title, declaration, lineterm=""
+        )
+    )
+    for line in lines:
+        click.echo(line)
+    sys.exit(1 if lines else 0)
