Turn failures inside the router into typed answers; end on a dead controller

Cause: an exception in the chain left sanic's plain 500 page, which says nothing of whether the request ran, and an exception in a controller ended its task unseen, so that the instance went on with a table that no longer changed. Change: the outermost filter answers internal_error with run state unknown; a controller that ends by itself makes the process drain and end with status 1. Requests are bounded in size.

--- a/tanagerwalk/api/callers.py
+++ b/tanagerwalk/api/callers.py
@@ -79,9 +79,11 @@
         Returns whether the balancer may send requests here.
     clock : callable
         Returns monotonic time in seconds.
+    request_size : int
+        Largest body of a request, in bytes.
     """
 
-    def __init__(self, handler, is_ready, clock):
+    def __init__(self, handler, is_ready, clock, request_size):
         self._handler = handler
         self._is_ready = is_ready
         self._clock = clock
@@ -90,6 +92,7 @@
         self.stopping = False
         self.listener = Listener("callers")
         app = self.listener.app
+        app.config.REQUEST_MAX_SIZE = request_size
         app.add_route(self._chat, "/v1/chat/completions", methods=["POST"])
         app.add_route(self._call, "/v1/classes/<name:str>", methods=["POST"])
         app.add_route(self._ready, "/health/ready", methods=["GET"])
--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -64,6 +64,11 @@
         Returns seconds since the epoch.
     seed : int or None
         Seed of jitter and sampling; None for a random one.
+
+    Attributes
+    ----------
+    failed : asyncio.Event
+        Set when an invariant is broken and the process has to end.
     """
 
     def __init__(self, settings, clock=time.monotonic, wall_clock=time.time, seed=None):
@@ -74,6 +79,8 @@
         self._wall_clock = wall_clock
         self._random = random.Random(seed)
         self._tasks = []
+        self._closing = False
+        self.failed = asyncio.Event()
         self._wire_clients()
         self._wire_state()
         self._wire_controllers()
@@ -145,7 +152,13 @@
         )
 
     def _wire_apis(self):
-        self.callers = CallersApi(self._build_chain(), self.is_ready, self._clock)
+        settings = self.settings
+        self.callers = CallersApi(
+            self._build_chain(),
+            self.is_ready,
+            self._clock,
+            settings.limits.request_size,
+        )
         self.admin = AdminApi(self.metrics, self.report_status)
 
     def _build_chain(self):
@@ -256,7 +269,7 @@
             self.billing.run,
             self.gate.run,
         ):
-            self._tasks.append(asyncio.create_task(run()))
+            self._supervise(run())
         log.info(
             "listening",
             instance=instance.id,
@@ -266,6 +279,18 @@
             admin_port=self.admin.listener.port,
         )
 
+    def _supervise(self, work):
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._judge_end)
+        self._tasks.append(task)
+
+    def _judge_end(self, task):
+        """Ask for a stop if a controller ended by itself: its state would rot."""
+        if task.cancelled() or self._closing:
+            return
+        log.critical("controller failed", exc_info=task.exception())
+        self.failed.set()
+
     async def stop(self):
         """Stop without cutting a request in flight."""
         instance = self.settings.instance
@@ -285,6 +310,7 @@
 
     async def close(self):
         """Stop the controllers and close every connection at once."""
+        self._closing = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tanagerwalk/filters/count.py
+++ b/tanagerwalk/filters/count.py
@@ -1,6 +1,9 @@
 """Outermost filter: counts and logs the outcome of every request."""
 
 import structlog
+from expression import Error
+
+from ..outcomes import Refusal, RefusalReason, RunState
 
 log = structlog.get_logger(__name__)
 
@@ -22,7 +25,7 @@
 
     async def handle(self, context, proceed):
         """Pass the request on and count its outcome."""
-        result = await proceed(context)
+        result = await _run(context, proceed)
         seconds = self._clock() - context.arrived
         if result.is_ok():
             self._count_answer(context, result.ok, seconds)
@@ -56,3 +59,18 @@
             run_state=refusal.run_state.value,
             seconds=round(seconds, 4),
         )
+
+
+async def _run(context, proceed):
+    """Run the chain; an exception in it becomes an answer like any other."""
+    try:
+        return await proceed(context)
+    except Exception:
+        log.exception("request failed", request_id=context.request_id)
+        return Error(
+            Refusal(
+                RefusalReason.INTERNAL_ERROR,
+                "the router failed while it handled the request",
+                RunState.UNKNOWN,
+            )
+        )
--- a/tanagerwalk/outcomes.py
+++ b/tanagerwalk/outcomes.py
@@ -72,6 +72,7 @@
     NO_BACKEND_SERVER = "no_backend_server"
     RETRY_BUDGET_SPENT = "retry_budget_spent"
     BACKEND_FAILED = "backend_failed"
+    INTERNAL_ERROR = "internal_error"
     NOT_READY = "not_ready"
     STOPPING = "stopping"
 
@@ -92,6 +93,7 @@
     RefusalReason.QUEUE_FULL: 429,
     RefusalReason.DEADLINE_EXCEEDED: 504,
     RefusalReason.BACKEND_FAILED: 502,
+    RefusalReason.INTERNAL_ERROR: 500,
 }
 DEFAULT_HTTP_STATUS = 503
 
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -66,6 +66,7 @@
     """Queue and concurrency limits."""
 
     queue_length: int
+    request_size: int
     initial_concurrency: int
     max_concurrency: int
     short_reserve: float
--- a/tanagerwalk/ui/serve.py
+++ b/tanagerwalk/ui/serve.py
@@ -18,9 +18,11 @@
     settings = read_settings(settings_path)
     configure_logs()
     try:
-        uvloop.run(run_until_stopped(settings))
+        failed = uvloop.run(run_until_stopped(settings))
     except OSError as error:
         fail(f"cannot listen on {settings.instance.address}: {error.strerror}")
+    if failed:
+        fail("a controller failed; see the log")
 
 
 async def run_until_stopped(settings):
@@ -30,12 +32,21 @@
     ----------
     settings : Settings
         Checked settings.
+
+    Returns
+    -------
+    bool
+        Whether the instance stopped because an invariant was broken.
     """
-    stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
     instance = EntryInstance(settings)
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
     await instance.start()
-    await stopped.wait()
+    causes = [asyncio.create_task(e.wait()) for e in (stopping, instance.failed)]
+    await asyncio.wait(causes, return_when=asyncio.FIRST_COMPLETED)
+    for cause in causes:
+        cause.cancel()
     await instance.stop()
+    return instance.failed.is_set()
--- a/test/test_app.py
+++ b/test/test_app.py
@@ -89,3 +89,24 @@
     body = {"model": "label", "messages": []}
     status, content, _ = await demo.post(first, "/v1/chat/completions", body, key="x")
     assert (status, read_error(content)["code"]) == (401, "unauthenticated")
+
+
+async def test_exception_in_the_chain_is_a_typed_answer(demo, monkeypatch):
+    first, _ = demo.instances.values()
+
+    def fail(*_arguments):
+        raise ValueError("broken")
+
+    monkeypatch.setattr(first.table, "choose", fail)
+    status, content, _ = await demo.chat(first, "label", "a")
+    assert (status, read_error(content)["code"]) == (500, "internal_error")
+    assert read_error(content)["run_state"] == "unknown"
+    monkeypatch.undo()
+    status, _, _ = await demo.chat(first, "label", "b")
+    assert status == 200
+
+
+async def test_failed_controller_asks_for_a_stop(demo, monkeypatch):
+    first, _ = demo.instances.values()
+    monkeypatch.setattr(first.table, "update_records", lambda _records: 1 / 0)
+    await demo.wait_until(first.failed.is_set)
