--- a/tanagerwalk/ui/commands.py
+++ b/tanagerwalk/ui/commands.py
@@ -16,6 +16,7 @@
     "check",
     "demo",
     "diff",
+    "report",
     "serve",
     "show",
     "standin",
--- /dev/null
+++ b/tanagerwalk/ui/report.py
@@ -0,0 +1,65 @@
+"""Command `report`: the users' measures over several entry instances."""
+
+import asyncio
+
+import aiohttp
+import click
+
+from ..declarations import EMPTY_DECLARATION, parse_declaration
+from ..reports import FleetReport
+from .common import fail, read_declaration, settings_option
+
+TIMEOUT_S = 5
+
+
+@click.command()
+@settings_option
+@click.argument("admin_addresses", nargs=-1, required=True)
+def report(settings_path, admin_addresses):
+    """Show lateness, cost and refusals of instances (ADMIN_ADDRESSES: IP:port)."""
+    fleet = FleetReport()
+    for page in asyncio.run(_read_pages(admin_addresses)):
+        fleet.add(page)
+    entry = read_declaration(settings_path)
+    declaration = EMPTY_DECLARATION
+    if entry is not None:
+        declaration = parse_declaration(entry.value.decode()).ok
+    for line in render_report(fleet, declaration):
+        click.echo(line)
+
+
+def render_report(fleet, declaration):
+    """Return the lines of a report.
+
+    Parameters
+    ----------
+    fleet : FleetReport
+        Measures.
+    declaration : Declaration
+        Targets to compare them with.
+    """
+    lines = [f"{'class':<16}{'answered':>10}{'late':>8}{'cost':>12}{'target':>12}"]
+    for name, measures in sorted(fleet.classes.items()):
+        work_class = declaration.classes.get(name)
+        target = f"{work_class.cost:.6f}" if work_class and work_class.cost else "-"
+        lines.append(
+            f"{name:<16}{measures.answered:>10.0f}{measures.late_share:>8.1%}"
+            f"{measures.mean_cost:>12.6f}{target:>12}"
+        )
+    for title, counts in (("refused", fleet.refusals), ("retried", fleet.retries)):
+        lines += [f"{title} {reason}: {n:.0f}" for reason, n in sorted(counts.items())]
+    return lines
+
+
+async def _read_pages(addresses):
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as http:
+        return [await _read_page(http, address) for address in addresses]
+
+
+async def _read_page(http, address):
+    try:
+        async with http.get(f"http://{address}/metrics") as response:
+            return await response.text()
+    except (aiohttp.ClientError, TimeoutError) as error:
+        return fail(f"{address}: {type(error).__name__}")
--- a/tanagerwalk/ui/serve.py
+++ b/tanagerwalk/ui/serve.py
@@ -8,6 +8,7 @@
 
 from ..app import EntryInstance
 from ..logs import configure_logs
+from ..settings import parse_settings
 from .common import fail, read_settings, settings_option
 
 
@@ -16,6 +17,7 @@
 def serve(settings_path):
     """Run an entry instance until SIGTERM or SIGINT, then drain it."""
     settings = read_settings(settings_path)
+    check_secrets(settings)
     configure_logs()
     try:
         failed = uvloop.run(run_until_stopped(settings))
@@ -25,6 +27,18 @@
         fail("a controller failed; see the log")
 
 
+def check_secrets(settings):
+    """End with plain messages if a secret still has its shipped value."""
+    defaults = parse_settings().ok
+    problems = [
+        f"[{name}] secret is the shipped one; set your own"
+        for name in ("peers", "sessions")
+        if getattr(settings, name).secret == getattr(defaults, name).secret
+    ]
+    if problems:
+        fail(*problems)
+
+
 async def run_until_stopped(settings):
     """Run one entry instance until a signal asks it to stop.
 
--- a/test/ui/test_commands.py
+++ b/test/ui/test_commands.py
@@ -86,6 +86,15 @@
     assert "Traceback" not in result.stderr
 
 
+def test_shipped_secrets_are_refused():
+    result = run("serve")
+    assert result.exit_code == 1
+    assert result.stderr.splitlines() == [
+        "tanagerwalk: [peers] secret is the shipped one; set your own",
+        "tanagerwalk: [sessions] secret is the shipped one; set your own",
+    ]
+
+
 def test_missing_file_ends_with_a_plain_line():
     result = run("check", "/nowhere.ini")
     assert result.exit_code == 1
