Refuse what would lose a part of the answer; count refusals before the chain

Cause: the callers' API passed n, tools and logprobs on, but the stream reader joins the text of all choices and drops tool calls, so that a caller got half an answer without a word. Refusals made before the chain had no counter. Ruled out: passing tool calls through; resume and rating know text only. Change: bodies are read by one module that names the parameter it refuses. The test of an unknown key sent an empty conversation, which is refused by itself now; it sends a message instead and still expects status 401.

--- a/tanagerwalk/api/callers.py
+++ b/tanagerwalk/api/callers.py
@@ -11,6 +11,7 @@
 from ..messages import RequestContext, Sink
 from ..outcomes import Interface, Refusal, RefusalReason
 from .listener import Listener
+from .payloads import read_body
 
 REQUEST_ID_HEADER = "X-Request-Id"
 SESSION_HEADER = "X-Session"
@@ -77,15 +78,18 @@
         The filter chain.
     is_ready : callable
         Returns whether the balancer may send requests here.
+    metrics : Metrics
+        Counters.
     clock : callable
         Returns monotonic time in seconds.
     request_size : int
         Largest body of a request, in bytes.
     """
 
-    def __init__(self, handler, is_ready, clock, request_size):
+    def __init__(self, handler, is_ready, metrics, clock, request_size):
         self._handler = handler
         self._is_ready = is_ready
+        self._metrics = metrics
         self._clock = clock
         self.in_flight = 0
         self.draining = False
@@ -102,25 +106,20 @@
         return json_response({"ready": ready}, status=OK_STATUS if ready else 503)
 
     async def _chat(self, request):
-        payload = _read_payload(request)
-        if payload is None or not isinstance(payload.get("messages"), list):
-            return _refuse_malformed(request)
-        name = str(payload.pop("model", ""))
-        return await self._serve(request, payload, name, Interface.CHAT)
+        return await self._serve(request, read_body(request.body, Interface.CHAT))
 
     async def _call(self, request, name):
-        payload = _read_payload(request)
-        if payload is None:
-            return _refuse_malformed(request)
-        return await self._serve(request, payload, name, Interface.SERVICE)
-
-    async def _serve(self, request, payload, name, interface):
-        stream = interface is Interface.CHAT and payload.pop("stream", False) is True
-        context = self._make_context(request, payload, name, interface)
+        body = read_body(request.body, Interface.SERVICE, name)
+        return await self._serve(request, body, Interface.SERVICE)
+
+    async def _serve(self, request, checked, interface=Interface.CHAT):
+        if checked.is_error():
+            return self._refuse(checked.error)
+        context = self._make_context(request, checked.ok, interface)
         if self.stopping:
-            return _render_refusal(_refuse_stopping(), context)
+            return self._refuse(_refuse_stopping())
         sink = None
-        if stream:
+        if checked.ok.stream:
             sink = StreamSink(request, context)
             context.sink = sink
         self.in_flight += 1
@@ -132,14 +131,19 @@
         finally:
             self.in_flight -= 1
 
-    def _make_context(self, request, payload, name, interface):
+    def _refuse(self, refusal):
+        """Refuse a request before the chain, which would have counted it."""
+        self._metrics.refusals.labels(refusal.reason.value).inc()
+        return _render_refusal(refusal, {})
+
+    def _make_context(self, request, body, interface):
         session = request.headers.get(SESSION_HEADER, "")
         identity = request.headers.get(REQUEST_ID_HEADER) or uuid.uuid4().hex
         return RequestContext(
             request_id=RequestId(identity),
-            payload=payload,
+            payload=body.payload,
             credential=request.token or "",
-            class_name=name,
+            class_name=body.class_name,
             interface=interface,
             idempotency_key=request.headers.get(IDEMPOTENCY_HEADER),
             session_token=session if session != NEW_SESSION else None,
@@ -148,14 +152,6 @@
         )
 
 
-def _read_payload(request):
-    try:
-        payload = msgspec.json.decode(request.body)
-    except msgspec.DecodeError:
-        return None
-    return payload if isinstance(payload, dict) else None
-
-
 def make_headers(context, version):
     """Return the headers that go with every answer.
 
@@ -176,7 +172,7 @@
 
 def _render(result, context, interface):
     if result.is_error():
-        return _render_refusal(result.error, context)
+        return _render_refusal(result.error, make_headers(context, None))
     answer = result.ok
     headers = make_headers(context, answer.version)
     if interface is Interface.SERVICE or answer.status != OK_STATUS:
@@ -210,7 +206,7 @@
 async def _finish_stream(sink, context, result):
     if result.is_error():
         if sink.response is None:
-            return _render_refusal(result.error, context)
+            return _render_refusal(result.error, make_headers(context, None))
         await sink.send_event(_make_error(result.error))
         await sink.response.eof()
         return None
@@ -236,8 +232,7 @@
     }
 
 
-def _render_refusal(refusal, context):
-    headers = make_headers(context, None)
+def _render_refusal(refusal, headers):
     if refusal.retry_after is not None:
         headers["Retry-After"] = str(max(1, round(refusal.retry_after)))
     return json_response(
@@ -245,11 +240,6 @@
     )
 
 
-def _refuse_malformed(request):
-    refusal = Refusal(RefusalReason.INVALID_REQUEST, "the body is not a valid request")
-    return json_response(_make_error(refusal), status=refusal.http_status)
-
-
 def _refuse_stopping():
     return Refusal(
         RefusalReason.STOPPING,
--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -156,6 +156,7 @@
         self.callers = CallersApi(
             self._build_chain(),
             self.is_ready,
+            self.metrics,
             self._clock,
             settings.limits.request_size,
         )
--- /dev/null
+++ b/test/filters/test_dispatch.py
@@ -0,0 +1,83 @@
+"""The innermost filter: which text reaches the caller."""
+
+import asyncio
+import time
+
+from expression import Error, Ok
+
+from tanagerwalk.clients.engines import ChatOutcome
+from tanagerwalk.decisions.limits import Grant
+from tanagerwalk.declarations import parse_declaration
+from tanagerwalk.filters.dispatch import DispatchFilter
+from tanagerwalk.messages import AttemptFailure, RequestContext, Sink
+from tanagerwalk.outcomes import RetryReason
+
+DECLARATION = parse_declaration("[class label]\nlateness = 1 s\n").ok
+
+
+class ListSink(Sink):
+    def __init__(self):
+        self.pieces = []
+
+    async def write(self, text):
+        self.pieces.append(text)
+
+
+class LateEngines:
+    """Abandons the first attempt, whose text comes while the second one runs."""
+
+    def __init__(self):
+        self.late = None
+        self.attempts = []
+
+    async def complete(self, attempt, deadline, on_text):
+        self.attempts.append(attempt)
+        if self.late is None:
+            self.late = on_text
+            await on_text("a ")
+            return Error(AttemptFailure(RetryReason.ATTEMPT_TIMEOUT, sent=True))
+        await on_text("b ")
+        await self.late("late ")
+        await on_text("c")
+        return Ok(ChatOutcome(200))
+
+
+def make_context(text="x"):
+    context = RequestContext("r1", {"messages": [text]}, "key", "label")
+    context.sink = ListSink()
+    context.work_class = DECLARATION.classes["label"]
+    context.deadline = time.monotonic() + 10
+    context.version = "m1"
+    context.grant = Grant(None, "engine-1", "127.0.0.1:1", "engine-1.1")
+    return context
+
+
+async def test_late_text_of_an_abandoned_attempt_is_dropped():
+    engines = LateEngines()
+    dispatch = DispatchFilter(engines, None, time.monotonic)
+    context = make_context()
+    assert (await dispatch.handle(context, None)).is_error()
+    answer = (await dispatch.handle(context, None)).ok
+    assert engines.attempts[1].generated == "a "
+    assert answer.content == b"a b c"
+    assert "".join(context.sink.pieces) == "a b c"
+
+
+class MixingEngines:
+    """Answers concurrent requests in turns, the last one first."""
+
+    async def complete(self, attempt, deadline, on_text):
+        number = attempt.payload["messages"][0]
+        await on_text(f"{number} ")
+        await asyncio.sleep(0.001 * (9 - number))
+        await on_text(f"{number}")
+        return Ok(ChatOutcome(200))
+
+
+async def test_answers_out_of_order_go_to_their_own_request():
+    dispatch = DispatchFilter(MixingEngines(), None, time.monotonic)
+    contexts = [make_context(number) for number in range(9)]
+    results = await asyncio.gather(*(dispatch.handle(c, None) for c in contexts))
+    for number, (context, result) in enumerate(zip(contexts, results, strict=True)):
+        assert result.ok.content == f"{number} {number}".encode()
+        assert "".join(context.sink.pieces) == f"{number} {number}"
--- a/test/test_app.py
+++ b/test/test_app.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+from prometheus_client import generate_latest
+
 
 def read_error(content):
     return json.loads(content)["error"]
@@ -86,7 +88,8 @@
     first, _ = demo.instances.values()
     status, content, _ = await demo.chat(first, "novel", "a")
     assert (status, read_error(content)["code"]) == (404, "class_unknown")
-    body = {"model": "label", "messages": []}
+    message = {"role": "user", "content": "a"}
+    body = {"model": "label", "messages": [message]}
     status, content, _ = await demo.post(first, "/v1/chat/completions", body, key="x")
     assert (status, read_error(content)["code"]) == (401, "unauthenticated")
 
@@ -110,3 +113,17 @@
     first, _ = demo.instances.values()
     monkeypatch.setattr(first.table, "update_records", lambda _records: 1 / 0)
     await demo.wait_until(first.failed.is_set)
+
+
+async def test_refusals_before_the_chain_are_counted(demo):
+    first, _ = demo.instances.values()
+    body = {"model": "label", "messages": []}
+    status, content, _ = await demo.post(first, "/v1/chat/completions", body)
+    assert (status, read_error(content)["code"]) == (400, "invalid_request")
+    first.callers.stopping = True
+    status, content, headers = await demo.chat(first, "label", "a")
+    assert (status, read_error(content)["code"]) == (503, "stopping")
+    assert int(headers["Retry-After"]) >= 1
+    page = generate_latest(first.metrics.registry).decode()
+    assert 'tanagerwalk_refusals_total{reason="invalid_request"} 1.0' in page
+    assert 'tanagerwalk_refusals_total{reason="stopping"} 1.0' in page
