Bring the facts of two instances together by what either lacks

Cause: a table of facts had no way to a peer. At 340 instances a full version vector is about 4 KB, more than a second's budget for control. Ruled out: the full vector in each exchange (4 KB twice a second); pushing recent changes (needs bookkeeping of who knows what, and repeats each fact many times). Change: each origin's facts form two streams, urgent and slow. An exchange opens with four bytes for each bucket of streams; only the streams of differing buckets are named and only facts beyond the partner's sequence numbers are sent. A byte budget bounds the slow lane. Lifetimes travel as what remains of them.

--- a/tanagerwalk/decisions/facts.py
+++ b/tanagerwalk/decisions/facts.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from ..ids import Incarnation
+from .streams import BucketIndex, Lane, Stream, derive_stream_id
 
 
 class Topic(Enum):
@@ -47,6 +48,15 @@
 
 Subscriber = Callable[[Fact], None]
 
+SLOW_TOPICS = frozenset({Topic.RATINGS, Topic.EXPOSURE})
+URGENT_BUCKETS = 8
+SLOW_BUCKETS = 16
+
+
+def find_lane(topic):
+    """Return the lane that the facts of a topic travel in."""
+    return Lane.SLOW if topic in SLOW_TOPICS else Lane.URGENT
+
 
 class FactTable:
     """Holds the newest value of every fact.
@@ -58,11 +68,21 @@
     ----------
     origin : Incarnation
         This instance.
+
+    Attributes
+    ----------
+    buckets : dict of Lane to BucketIndex
+        State of the streams, for comparison with a peer.
     """
 
     def __init__(self, origin):
         self.origin = origin
-        self._facts: dict[tuple[Incarnation, Topic, str], Fact] = {}
+        self.buckets = {
+            Lane.URGENT: BucketIndex(URGENT_BUCKETS),
+            Lane.SLOW: BucketIndex(SLOW_BUCKETS),
+        }
+        self._streams = {}
+        self._topics = {topic: {} for topic in Topic}
         self._subscribers: dict[Topic, list[Subscriber]] = {}
         self._sequence = 0
 
@@ -87,7 +107,9 @@
             Seconds until it is forgotten.
         """
         self._sequence += 1
-        self._keep(Fact(self.origin, topic, key, value, self._sequence, now + lifetime))
+        fact = Fact(self.origin, topic, key, value, self._sequence, now + lifetime)
+        self._keep(fact)
+        self.advance(self.origin, find_lane(topic), self._sequence)
 
     def merge(self, fact):
         """Take a fact from a peer; return whether it was newer.
@@ -103,20 +125,65 @@
             subscriber(fact)
         return True
 
+    def advance(self, origin, lane, upto):
+        """Note that all statements of a stream up to a sequence number were taken.
+
+        Parameters
+        ----------
+        origin : Incarnation
+            Origin of the stream.
+        lane : Lane
+            Lane of the stream.
+        upto : int
+            The sequence number.
+        """
+        stream = self._streams.get(derive_stream_id(origin, lane))
+        if stream is None or stream.upto >= upto:
+            return
+        stream.upto = upto
+        self.buckets[lane].set(stream.id, upto)
+
+    def find_stream(self, stream_id):
+        """Return a stream, or None if none of its facts is held."""
+        return self._streams.get(stream_id)
+
+    def owns(self, stream_id):
+        """Return whether a stream is this instance's own."""
+        return any(stream_id == derive_stream_id(self.origin, lane) for lane in Lane)
+
+    def list_origins(self, topic, key):
+        """Return the origins that state a fact of this topic and key."""
+        return [origin for origin, other in self._topics[topic] if other == key]
+
     def _keep(self, fact):
-        identity = (fact.origin, fact.topic, fact.key)
-        known = self._facts.get(identity)
+        stream = self._find_or_add(fact.origin, find_lane(fact.topic))
+        known = stream.facts.get((fact.topic, fact.key))
         if known is not None and known.sequence >= fact.sequence:
             return False
-        self._facts[identity] = fact
+        stream.facts[(fact.topic, fact.key)] = fact
+        self._topics[fact.topic][(fact.origin, fact.key)] = fact
         return True
 
+    def _find_or_add(self, origin, lane):
+        stream_id = derive_stream_id(origin, lane)
+        stream = self._streams.get(stream_id)
+        if stream is None:
+            stream = Stream(stream_id, origin, lane)
+            self._streams[stream_id] = stream
+        return stream
+
     def list_facts(self, topic=None):
         """Return the facts of one topic, or of all."""
-        return [fact for fact in self._facts.values() if topic in (None, fact.topic)]
+        topics = Topic if topic is None else (topic,)
+        return [fact for other in topics for fact in self._topics[other].values()]
 
     def expire(self, now):
-        """Forget the facts whose time has passed."""
-        for identity, fact in list(self._facts.items()):
-            if fact.expires <= now:
-                del self._facts[identity]
+        """Forget the facts whose time has passed, and streams without facts."""
+        for stream in list(self._streams.values()):
+            passed = [f for f in stream.facts.values() if f.expires <= now]
+            for fact in passed:
+                del stream.facts[(fact.topic, fact.key)]
+                del self._topics[fact.topic][(fact.origin, fact.key)]
+            if not stream.facts:
+                del self._streams[stream.id]
+                self.buckets[stream.lane].set(stream.id, 0)
--- a/tanagerwalk/peers/exchange.thrift
+++ b/tanagerwalk/peers/exchange.thrift
@@ -23,10 +23,10 @@
 // The streams of those buckets that differ.
 struct DigestReply {
   1: DeclarationNews news
-  2: list<i16> urgent_buckets
-  3: list<i16> slow_buckets
-  4: list<i64> streams
-  5: list<i64> sequences
+  2: list<i16> urgent_buckets = []
+  3: list<i16> slow_buckets = []
+  4: list<i64> streams = []
+  5: list<i64> sequences = []
 }
 
 struct FactItem {
@@ -43,18 +43,18 @@
   1: i64 stream
   2: optional string origin
   3: i64 upto
-  4: list<FactItem> facts
+  4: list<FactItem> facts = []
 }
 
 // Deltas that the partner lacks, and the streams that the sender lacks.
 struct Transfer {
-  1: list<Delta> deltas
-  2: list<i64> streams
-  3: list<i64> sequences
+  1: list<Delta> deltas = []
+  2: list<i64> streams = []
+  3: list<i64> sequences = []
 }
 
 struct TransferReply {
-  1: list<Delta> deltas
+  1: list<Delta> deltas = []
 }
 
 // One request of an exchange: first the digest, then the transfer if any is due.
--- a/tanagerwalk/peers/gen/exchange/ttypes.py
+++ b/tanagerwalk/peers/gen/exchange/ttypes.py
@@ -244,11 +244,27 @@
     """
 
 
-    def __init__(self, news=None, urgent_buckets=None, slow_buckets=None, streams=None, sequences=None,):
+    def __init__(self, news=None, urgent_buckets=[
+    ], slow_buckets=[
+    ], streams=[
+    ], sequences=[
+    ],):
         self.news = news
+        if urgent_buckets is self.thrift_spec[2][4]:
+            urgent_buckets = [
+            ]
         self.urgent_buckets = urgent_buckets
+        if slow_buckets is self.thrift_spec[3][4]:
+            slow_buckets = [
+            ]
         self.slow_buckets = slow_buckets
+        if streams is self.thrift_spec[4][4]:
+            streams = [
+            ]
         self.streams = streams
+        if sequences is self.thrift_spec[5][4]:
+            sequences = [
+            ]
         self.sequences = sequences
 
     def read(self, iprot):
@@ -478,10 +494,14 @@
     """
 
 
-    def __init__(self, stream=None, origin=None, upto=None, facts=None,):
+    def __init__(self, stream=None, origin=None, upto=None, facts=[
+    ],):
         self.stream = stream
         self.origin = origin
         self.upto = upto
+        if facts is self.thrift_spec[4][4]:
+            facts = [
+            ]
         self.facts = facts
 
     def read(self, iprot):
@@ -576,9 +596,21 @@
     """
 
 
-    def __init__(self, deltas=None, streams=None, sequences=None,):
+    def __init__(self, deltas=[
+    ], streams=[
+    ], sequences=[
+    ],):
+        if deltas is self.thrift_spec[1][4]:
+            deltas = [
+            ]
         self.deltas = deltas
+        if streams is self.thrift_spec[2][4]:
+            streams = [
+            ]
         self.streams = streams
+        if sequences is self.thrift_spec[3][4]:
+            sequences = [
+            ]
         self.sequences = sequences
 
     def read(self, iprot):
@@ -678,7 +710,11 @@
     """
 
 
-    def __init__(self, deltas=None,):
+    def __init__(self, deltas=[
+    ],):
+        if deltas is self.thrift_spec[1][4]:
+            deltas = [
+            ]
         self.deltas = deltas
 
     def read(self, iprot):
@@ -896,10 +932,14 @@
 DigestReply.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'news', [DeclarationNews, None], None, ),  # 1
-    (2, TType.LIST, 'urgent_buckets', (TType.I16, None, False), None, ),  # 2
-    (3, TType.LIST, 'slow_buckets', (TType.I16, None, False), None, ),  # 3
-    (4, TType.LIST, 'streams', (TType.I64, None, False), None, ),  # 4
-    (5, TType.LIST, 'sequences', (TType.I64, None, False), None, ),  # 5
+    (2, TType.LIST, 'urgent_buckets', (TType.I16, None, False), [
+    ], ),  # 2
+    (3, TType.LIST, 'slow_buckets', (TType.I16, None, False), [
+    ], ),  # 3
+    (4, TType.LIST, 'streams', (TType.I64, None, False), [
+    ], ),  # 4
+    (5, TType.LIST, 'sequences', (TType.I64, None, False), [
+    ], ),  # 5
 )
 all_structs.append(FactItem)
 FactItem.thrift_spec = (
@@ -916,19 +956,24 @@
     (1, TType.I64, 'stream', None, None, ),  # 1
     (2, TType.STRING, 'origin', 'UTF8', None, ),  # 2
     (3, TType.I64, 'upto', None, None, ),  # 3
-    (4, TType.LIST, 'facts', (TType.STRUCT, [FactItem, None], False), None, ),  # 4
+    (4, TType.LIST, 'facts', (TType.STRUCT, [FactItem, None], False), [
+    ], ),  # 4
 )
 all_structs.append(Transfer)
 Transfer.thrift_spec = (
     None,  # 0
-    (1, TType.LIST, 'deltas', (TType.STRUCT, [Delta, None], False), None, ),  # 1
-    (2, TType.LIST, 'streams', (TType.I64, None, False), None, ),  # 2
-    (3, TType.LIST, 'sequences', (TType.I64, None, False), None, ),  # 3
+    (1, TType.LIST, 'deltas', (TType.STRUCT, [Delta, None], False), [
+    ], ),  # 1
+    (2, TType.LIST, 'streams', (TType.I64, None, False), [
+    ], ),  # 2
+    (3, TType.LIST, 'sequences', (TType.I64, None, False), [
+    ], ),  # 3
 )
 all_structs.append(TransferReply)
 TransferReply.thrift_spec = (
     None,  # 0
-    (1, TType.LIST, 'deltas', (TType.STRUCT, [Delta, None], False), None, ),  # 1
+    (1, TType.LIST, 'deltas', (TType.STRUCT, [Delta, None], False), [
+    ], ),  # 1
 )
 all_structs.append(ExchangeRequest)
 ExchangeRequest.thrift_spec = (
--- /dev/null
+++ b/tanagerwalk/peers/reconcile.py
@@ -0,0 +1,239 @@
+"""Brings the facts of two instances together, sending only what either lacks.
+
+An exchange is a digest of bucket hashes, a reply that names the streams of the
+differing buckets, and, if any stream differs, a transfer of facts both ways. All
+of it is plain code; the controller carries the messages.
+"""
+
+import random as random_module
+
+from ..decisions.facts import Fact, Topic, find_lane
+from ..decisions.streams import Lane
+from .gen.exchange.ttypes import (
+    Delta,
+    Digest,
+    DigestReply,
+    FactItem,
+    Transfer,
+    TransferReply,
+)
+
+TOPIC_NUMBERS = {
+    Topic.LEAVING: 1,
+    Topic.BLAME: 2,
+    Topic.HALT: 3,
+    Topic.RATINGS: 4,
+    Topic.EXPOSURE: 5,
+}
+TOPICS = {number: topic for topic, number in TOPIC_NUMBERS.items()}
+
+MAX_LISTED_STREAMS = {Lane.URGENT: 256, Lane.SLOW: 32}
+MAX_URGENT_BYTES = 16 * 1024
+# A fact near its end stays where it is, or two instances could keep it alive by
+# handing it to and fro.
+MIN_LIFETIME_S = 1.0
+MAX_LIFETIME_S = 2_000_000.0
+MILLISECONDS = 1000
+FACT_OVERHEAD_BYTES = 16
+DELTA_OVERHEAD_BYTES = 20
+
+
+class ByteBudget:
+    """Bounds the bytes that facts without urgency may take.
+
+    Parameters
+    ----------
+    rate : float
+        Bytes a second.
+    burst : float
+        Bytes that may be spent at once after a quiet time.
+    """
+
+    def __init__(self, rate, burst):
+        self._rate = rate
+        self._burst = burst
+        self._left = burst
+        self._at = None
+
+    def measure(self, now):
+        """Return the bytes that may be spent now."""
+        if self._at is not None:
+            earned = (now - self._at) * self._rate
+            self._left = min(self._burst, self._left + earned)
+        self._at = now
+        return self._left
+
+    def spend(self, size):
+        """Take bytes off; the budget may be overdrawn by one message."""
+        self._left -= size
+
+
+class Reconciler:
+    """One instance's side of the exchanges.
+
+    Parameters
+    ----------
+    table : FactTable
+        The facts.
+    budget : ByteBudget
+        Bounds the slow lane.
+    random : random.Random
+        Chooses what goes first when not all fits.
+    """
+
+    def __init__(self, table, budget, random=random_module):
+        self._table = table
+        self._budget = budget
+        self._random = random
+
+    def make_digest(self, news, with_slow):
+        """Return the digest that opens an exchange.
+
+        Parameters
+        ----------
+        news : DeclarationNews
+            What this instance knows of the declaration.
+        with_slow : bool
+            Whether to compare the slow lane too.
+        """
+        slow = self._table.buckets[Lane.SLOW].pack() if with_slow else None
+        return Digest(news, self._table.buckets[Lane.URGENT].pack(), slow)
+
+    def answer_digest(self, digest, news):
+        """Return the reply to a digest: the streams of the differing buckets."""
+        reply = DigestReply(news, [], [], [], [])
+        reply.urgent_buckets = self._list_differing(Lane.URGENT, digest.urgent, reply)
+        reply.slow_buckets = self._list_differing(Lane.SLOW, digest.slow, reply)
+        return reply
+
+    def _list_differing(self, lane, packed, reply):
+        if packed is None:
+            return []
+        index = self._table.buckets[lane]
+        differing = index.find_differing(packed)
+        self._random.shuffle(differing)
+        listed = []
+        room = MAX_LISTED_STREAMS[lane]
+        for bucket in differing:
+            streams = index.list_streams(bucket)
+            if listed and len(streams) > room:
+                break
+            listed.append(bucket)
+            room -= len(streams)
+            reply.streams.extend(streams.keys())
+            reply.sequences.extend(streams.values())
+        return listed
+
+    def make_transfer(self, reply, now):
+        """Return the transfer that a digest's reply calls for, or None."""
+        theirs = dict(zip(reply.streams, reply.sequences, strict=False))
+        transfer = Transfer([], [], [])
+        wanted = {}
+        for stream_id, sequence in theirs.items():
+            own = self._table.find_stream(stream_id)
+            known = own.upto if own else 0
+            if sequence > known and not self._table.owns(stream_id):
+                wanted[stream_id] = known
+        ahead = {}
+        for lane, buckets in self._pair_lanes(reply):
+            for bucket in buckets:
+                streams = self._list_bucket(lane, bucket)
+                for stream_id, sequence in streams.items():
+                    if sequence > theirs.get(stream_id, 0):
+                        ahead[stream_id] = theirs.get(stream_id, 0)
+        transfer.deltas = self._make_deltas(ahead, now)
+        transfer.streams = list(wanted.keys())
+        transfer.sequences = list(wanted.values())
+        if not transfer.deltas and not wanted:
+            return None
+        return transfer
+
+    def _pair_lanes(self, reply):
+        return (
+            (Lane.URGENT, reply.urgent_buckets),
+            (Lane.SLOW, reply.slow_buckets),
+        )
+
+    def _list_bucket(self, lane, bucket):
+        index = self._table.buckets[lane]
+        if not 0 <= bucket < index.count:
+            return {}
+        return index.list_streams(bucket)
+
+    def answer_transfer(self, transfer, now):
+        """Take the partner's deltas and return those that it wants."""
+        self.take_deltas(transfer.deltas, now)
+        wanted = dict(zip(transfer.streams, transfer.sequences, strict=False))
+        return TransferReply(self._make_deltas(wanted, now))
+
+    def _make_deltas(self, known, now):
+        """Return deltas for the streams in `known`, from the sequences given."""
+        streams = [self._table.find_stream(stream_id) for stream_id in known]
+        streams = [stream for stream in streams if stream is not None]
+        self._random.shuffle(streams)
+        room = {Lane.URGENT: MAX_URGENT_BYTES, Lane.SLOW: self._budget.measure(now)}
+        deltas = []
+        for stream in streams:
+            if room[stream.lane] <= 0:
+                continue
+            delta, size = _make_delta(stream, known[stream.id], now, room[stream.lane])
+            room[stream.lane] -= size
+            if stream.lane is Lane.SLOW:
+                self._budget.spend(size)
+            deltas.append(delta)
+        return deltas
+
+    def take_deltas(self, deltas, now):
+        """Merge deltas of a partner; return how many facts were new."""
+        return sum(self._take_delta(delta, now) for delta in deltas)
+
+    def _take_delta(self, delta, now):
+        stream = self._table.find_stream(delta.stream)
+        origin = stream.origin if stream else delta.origin
+        if origin is None or origin == self._table.origin:
+            return 0
+        fresh = 0
+        upto = delta.upto
+        lanes = set()
+        for item in delta.facts:
+            topic = TOPICS.get(item.topic)
+            if topic is None:
+                # A newer program's topic: leave the rest to those who know it.
+                upto = item.sequence - 1
+                break
+            lanes.add(find_lane(topic))
+            expires = now + item.lifetime_ms / MILLISECONDS
+            fresh += self._table.merge(
+                Fact(origin, topic, item.key, item.value, item.sequence, expires)
+            )
+        if stream is not None:
+            lanes.add(stream.lane)
+        if len(lanes) == 1:
+            self._table.advance(origin, lanes.pop(), upto)
+        return fresh
+
+
+def _make_delta(stream, known, now, room):
+    """Return a delta of a stream, cut at `room` bytes, and its size."""
+    origin = None if known else stream.origin
+    size = DELTA_OVERHEAD_BYTES + len(origin or "")
+    items = []
+    upto = stream.upto
+    for fact in stream.list_after(known):
+        if size >= room:
+            upto = items[-1].sequence if items else known
+            break
+        lifetime = min(fact.expires - now, MAX_LIFETIME_S)
+        if lifetime < MIN_LIFETIME_S:
+            continue
+        size += FACT_OVERHEAD_BYTES + len(fact.key) + len(fact.value)
+        items.append(
+            FactItem(
+                TOPIC_NUMBERS[fact.topic],
+                fact.key,
+                fact.value,
+                fact.sequence,
+                int(lifetime * MILLISECONDS),
+            )
+        )
+    return Delta(stream.id, origin, upto, items), size
