Exchange facts, the declaration and leaving servers with peers

Ruled out: taking a refusal or a failed connection for leaving at once, and for good: an overloaded server or a cut link would lose its capacity on the fleet.

--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -17,6 +17,7 @@
 from .clients.targets import TargetsClient
 from .controllers.billing import BillingController
 from .controllers.configuration import ConfigurationController
+from .controllers.exchange import ExchangeController
 from .controllers.load import LoadController
 from .controllers.loop import poll_until
 from .controllers.membership import MembershipController
@@ -24,6 +25,7 @@
 from .decisions.configuration import ConfigurationState
 from .decisions.facts import FactTable
 from .decisions.limits import AdmissionQueue, DurationEstimates
+from .decisions.partners import PartnerChooser
 from .decisions.retries import RetryBudget
 from .decisions.rollouts import RolloutBook
 from .decisions.servers import Home, ServerTable
@@ -44,10 +46,12 @@
 from .ids import Incarnation
 from .metrics import Metrics
 from .peers.link import PeerClient, PeerServer
+from .peers.reconcile import ByteBudget, Reconciler
 
 log = structlog.get_logger(__name__)
 
 DRAIN_POLL_S = 0.02
+SLOW_BURST_BYTES = 64 * 1024
 
 
 class EntryInstance:
@@ -132,10 +136,13 @@
         self.membership = MembershipController(
             self._targets,
             self.table,
+            self.facts,
             settings.platform.instances_interval,
             self.metrics,
+            self._clock,
             self._random,
         )
+        self._wire_exchange()
         self.load = LoadController(
             self._engines,
             self._services,
@@ -157,6 +164,33 @@
             self.store, self.incarnation, self.metrics, self._random
         )
 
+    def _wire_exchange(self):
+        settings = self.settings
+        budget = ByteBudget(settings.peers.slow_rate, SLOW_BURST_BYTES)
+        partners = PartnerChooser(
+            self.incarnation, self.table.home, settings.peers.cross_domain, self._random
+        )
+        self.exchange = ExchangeController(
+            self.facts,
+            Reconciler(self.facts, budget, self._random),
+            self.configuring,
+            self.configuration,
+            partners,
+            self.peer_client,
+            self.membership.list_peers,
+            settings.peers,
+            self.metrics,
+            self._clock,
+            self._random,
+        )
+        self.exchange.answer_on(self.peer_server)
+        self.metrics.peer_bytes.set_function(self._count_peer_bytes)
+
+    def _count_peer_bytes(self):
+        client, server = self.peer_client, self.peer_server
+        sent = client.bytes_sent + server.bytes_sent
+        return sent + client.bytes_received + server.bytes_received
+
     def _wire_apis(self):
         settings = self.settings
         self.callers = CallersApi(
@@ -277,6 +311,7 @@
         for run in (
             self.configuring.run,
             self.membership.run,
+            self.exchange.run,
             self.load.run,
             self.rollouts.run,
             self.billing.run,
--- a/tanagerwalk/clients/attempts.py
+++ b/tanagerwalk/clients/attempts.py
@@ -11,6 +11,7 @@
 from .responses import read_retry_after
 
 REQUEST_ID_HEADER = "X-Request-Id"
+UNAVAILABLE_STATUS = 503
 OVERLOAD_STATUSES = frozenset({429, 503})
 SERVER_ERROR_STATUS = 500
 
@@ -70,7 +71,17 @@
     """
     if response.status in OVERLOAD_STATUSES:
         wait = read_retry_after(response.headers)
-        return AttemptFailure(RetryReason.SERVER_REFUSED, sent=True, retry_after=wait)
+        return AttemptFailure(
+            RetryReason.SERVER_REFUSED,
+            sent=True,
+            retry_after=wait,
+            closing=_is_closing(response),
+        )
     if response.status >= SERVER_ERROR_STATUS:
         return AttemptFailure(RetryReason.SERVER_ERROR, sent=True)
     return None
+
+
+def _is_closing(response):
+    closes = response.headers.get("Connection", "").lower() == "close"
+    return closes and response.status == UNAVAILABLE_STATUS
--- a/tanagerwalk/clients/keyvalue.py
+++ b/tanagerwalk/clients/keyvalue.py
@@ -40,6 +40,22 @@
     revision: Revision
 
 
+@dataclass(frozen=True, slots=True)
+class Newer:
+    """What a read for newer writes found.
+
+    Parameters
+    ----------
+    entry : Entry or None
+        None if there is no newer write.
+    revision : Revision
+        The store's revision at the read.
+    """
+
+    entry: Entry | None
+    revision: Revision
+
+
 @dataclass(frozen=True, slots=True)
 class WriteOutcome:
     """What a conditional write did.
@@ -161,6 +177,17 @@
         result = await self._call("/v3/kv/range", body, _RangeResponse)
         return result.map(lambda r: r.kvs[0].to_entry() if r.kvs else None)
 
+    async def get_newer(self, key, after):
+        """Read one key if it was written after a revision.
+
+        Returns
+        -------
+        Result of Newer, or of StoreFault
+        """
+        body = {"key": _encode(key), "min_mod_revision": str(after + 1)}
+        result = await self._call("/v3/kv/range", body, _RangeResponse)
+        return result.map(_read_newer)
+
     async def list(self, prefix):
         """Read all keys that begin with `prefix`.
 
@@ -315,6 +342,11 @@
     return WriteOutcome(response.succeeded, revision, existing)
 
 
+def _read_newer(response):
+    entry = response.kvs[0].to_entry() if response.kvs else None
+    return Newer(entry, Revision(int(response.header.revision)))
+
+
 def _compare_revision(key, revision):
     return {"key": _encode(key), "target": "MOD", "mod_revision": str(revision)}
 
--- a/tanagerwalk/controllers/configuration.py
+++ b/tanagerwalk/controllers/configuration.py
@@ -4,12 +4,14 @@
 
 import structlog
 
+from ..decisions.configuration import NO_REVISION
 from .loop import run_periodically
 
 log = structlog.get_logger(__name__)
 
 DECLARATION_KEY = "tanagerwalk/declaration"
 WATCH_RETRY_S = 1.0
+FRESH_SHARE = 0.5
 
 
 class ConfigurationController:
@@ -52,17 +54,25 @@
             tasks.create_task(run_periodically(self.poll, interval, self._random))
 
     async def poll(self):
-        """Read the declaration once."""
-        result = await self._store.get(DECLARATION_KEY)
+        """Read the declaration once, unless a peer confirmed it just now."""
+        asked_at = self._clock()
+        if self._state.age(asked_at) < self._settings.poll_interval * FRESH_SHARE:
+            return
+        known = self._state.revision
+        result = await self._store.get_newer(DECLARATION_KEY, known)
         if result.is_error():
             self._metrics.platform_faults.labels("keyvalue").inc()
             return
-        if result.ok is not None:
-            self.take(result.ok.revision, result.ok.value.decode())
-            self._state.confirm(result.ok.revision, self._clock())
+        if result.ok.entry is not None:
+            self.take(
+                result.ok.entry.revision, result.ok.entry.value.decode(), asked_at
+            )
+        elif result.ok.revision >= known > NO_REVISION:
+            self._state.confirm(known, asked_at)
 
     async def _watch(self):
         while True:
+            started_at = self._clock()
             result = await self._store.wait_for_change(
                 DECLARATION_KEY, self._state.revision, self._settings.watch_limit
             )
@@ -71,9 +81,9 @@
                 await asyncio.sleep(WATCH_RETRY_S)
                 continue
             for entry in result.ok:
-                self.take(entry.revision, entry.value.decode())
+                self.take(entry.revision, entry.value.decode(), started_at)
 
-    def take(self, revision, text):
+    def take(self, revision, text, confirmed_at):
         """Take a declaration from the store or a peer, if it is newer.
 
         Parameters
@@ -82,9 +92,11 @@
             The store's revision of the declaration.
         text : str
             The declaration.
+        confirmed_at : float
+            Monotonic time in seconds at which it was known to be the newest.
         """
         before = self._state.revision
-        problems = self._state.offer(revision, text, self._clock())
+        problems = self._state.offer(revision, text, confirmed_at)
         if problems:
             log.error("declaration refused", revision=revision, problems=problems)
             return
--- a/tanagerwalk/decisions/configuration.py
+++ b/tanagerwalk/decisions/configuration.py
@@ -20,6 +20,7 @@
         self.declaration = EMPTY_DECLARATION
         self.revision = NO_REVISION
         self.text = ""
+        self._refused = NO_REVISION
         self._confirmed_at = float("-inf")
 
     @property
@@ -27,7 +28,11 @@
         """Whether any declaration is in force."""
         return self.revision > NO_REVISION
 
-    def offer(self, revision, text, now):
+    def wants(self, revision):
+        """Return whether the declaration of a revision is newer and worth fetching."""
+        return revision > max(self.revision, self._refused)
+
+    def offer(self, revision, text, confirmed_at):
         """Take a declaration from the store or from a peer.
 
         Parameters
@@ -36,8 +41,8 @@
             The store's revision of the declaration.
         text : str
             The declaration.
-        now : float
-            Monotonic time in seconds.
+        confirmed_at : float
+            Monotonic time in seconds at which it was known to be the newest.
 
         Returns
         -------
@@ -48,17 +53,19 @@
             return ()
         result = parse_declaration(text)
         if result.is_error():
+            self._refused = max(self._refused, revision)
             return result.error
         self.declaration = result.ok
         self.revision = revision
         self.text = text
-        self._confirmed_at = now
+        # A newer one was written after the last confirmation of the older one.
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
         return ()
 
-    def confirm(self, revision, now):
-        """Note that `revision` was the newest one at time `now`."""
+    def confirm(self, revision, confirmed_at):
+        """Note that `revision` was the newest one at a monotonic time in seconds."""
         if revision == self.revision:
-            self._confirmed_at = max(self._confirmed_at, now)
+            self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
     def is_stale(self, now):
         """Return whether the instance has been without news for too long."""
--- a/tanagerwalk/decisions/facts.py
+++ b/tanagerwalk/decisions/facts.py
@@ -151,10 +151,6 @@
         """Return whether a stream is this instance's own."""
         return any(stream_id == derive_stream_id(self.origin, lane) for lane in Lane)
 
-    def list_origins(self, topic, key):
-        """Return the origins that state a fact of this topic and key."""
-        return [origin for origin, other in self._topics[topic] if other == key]
-
     def _keep(self, fact):
         stream = self._find_or_add(fact.origin, find_lane(fact.topic))
         known = stream.facts.get((fact.topic, fact.key))
--- a/tanagerwalk/decisions/servers.py
+++ b/tanagerwalk/decisions/servers.py
@@ -11,6 +11,7 @@
     ServiceName,
     VersionName,
 )
+from .leaving import LeavingBook
 
 LIMIT_DECREASE = 0.8
 MIN_LIMIT = 1.0
@@ -93,7 +94,8 @@
         self.limits = limits
         self.load_stale_after = load_stale_after
         self.servers: dict[BackendServerId, BackendServer] = {}
-        self._left: set[Incarnation] = set()
+        self.departures = LeavingBook()
+        self._listed: frozenset[BackendServerId] = frozenset()
 
     def update_records(self, records):
         """Take the platform's list of backend servers.
@@ -107,14 +109,13 @@
             The whole list.
         """
         listed = {record.id: record for record in records}
+        self._listed = frozenset(listed)
         for gone in self.servers.keys() - listed.keys():
             self.servers[gone].leaving = True
             if self.servers[gone].in_flight == 0:
                 del self.servers[gone]
         for record in listed.values():
             self._update_record(record)
-        live = {server.record.incarnation for server in self.servers.values()}
-        self._left &= live
 
     def _update_record(self, record):
         server = self.servers.get(record.id)
@@ -123,26 +124,42 @@
             self.servers[record.id] = server
         server.record = record
         if record.leaving:
-            self._left.add(record.incarnation)
-        server.leaving = record.incarnation in self._left
-
-    def mark_leaving(self, server_id):
-        """Note that a server said or showed that it is leaving."""
-        server = self.servers.get(server_id)
-        if server is None:
-            return
-        self._left.add(server.record.incarnation)
-        server.leaving = True
+            self.departures.note_listed(record.incarnation)
+        server.leaving = self.departures.is_leaving(record.incarnation)
 
     def mark_incarnation_leaving(self, incarnation):
-        """Note a peer's word that an incarnation of a server is leaving."""
+        """Note the platform's word, through a peer, that a server is leaving."""
+        self.departures.note_listed(incarnation)
+        self._follow_departure(incarnation)
+
+    def infer_leaving(self, incarnation, until):
+        """Take a server for leaving until a monotonic time in seconds."""
+        self.departures.infer(incarnation, until)
+        self._follow_departure(incarnation)
+
+    def suspect_leaving(self, incarnation, suspicion, now):
+        """Weigh a suspicion; return whether the server is taken for leaving."""
+        is_leaving = self.departures.suspect(incarnation, suspicion, now)
+        self._follow_departure(incarnation)
+        return is_leaving
+
+    def expire_leaving(self, now):
+        """Give a server that was only taken for leaving another chance in time."""
+        self.departures.expire(now)
+        for server in self.servers.values():
+            if server.record.id in self._listed:
+                server.leaving = self.departures.is_leaving(server.record.incarnation)
+
+    def _follow_departure(self, incarnation):
+        if not self.departures.is_leaving(incarnation):
+            return
         for server in self.servers.values():
             if server.record.incarnation == incarnation:
-                self.mark_leaving(server.record.id)
+                server.leaving = True
 
     def list_leaving(self):
         """Return the incarnations that are known to be leaving."""
-        return frozenset(self._left)
+        return self.departures.list_leaving()
 
     def update_load(self, server_id, report, now):
         """Take a load report and adapt the server's concurrency limit."""
@@ -178,6 +195,7 @@
         if server is None:
             return
         server.failures = 0
+        self.departures.clear_suspicion(server.record.incarnation)
         if server.in_flight * 2 >= server.limit:
             grown = server.limit + 1.0 / server.limit
             server.limit = min(grown, float(self.limits.max_concurrency))
--- a/tanagerwalk/filters/retry.py
+++ b/tanagerwalk/filters/retry.py
@@ -4,8 +4,9 @@
 
 from expression import Error
 
+from ..decisions.leaving import Suspicion
 from ..decisions.retries import RetryState, decide_retry, is_overload
-from ..outcomes import Refusal, RunState
+from ..outcomes import Refusal, RetryReason, RunState
 
 
 class RetryFilter:
@@ -57,6 +58,7 @@
             self._table.record_failure(
                 failure.server, now, is_overload(failure.reason), failure.retry_after
             )
+            self._weigh_leaving(context.grant, failure, now)
         state = RetryState(
             idempotent=context.work_class.idempotent,
             sent=context.sent,
@@ -67,6 +69,22 @@
         )
         return decide_retry(failure, state, self._budget)
 
+    def _weigh_leaving(self, grant, failure, now):
+        """Let a failure count against the incarnation that it came from."""
+        suspicion = find_suspicion(failure)
+        if suspicion is None or grant is None or grant.server != failure.server:
+            return
+        self._table.suspect_leaving(grant.incarnation, suspicion, now)
+
+
+def find_suspicion(failure):
+    """Return why a failure makes its server look as if it were leaving, or None."""
+    if failure.closing:
+        return Suspicion.CLOSING_REFUSAL
+    if failure.reason is RetryReason.CONNECT_FAILED:
+        return Suspicion.CONNECT_FAILED
+    return None
+
 
 def _correct_run_state(refusal, context):
     """Never let a refusal say "not run" after an earlier attempt was sent."""
--- a/tanagerwalk/messages.py
+++ b/tanagerwalk/messages.py
@@ -113,6 +113,10 @@
         The server that was tried.
     retry_after : float or None
         Seconds that the server asked to wait.
+    crashed : bool
+        Whether the server may have died of the attempt.
+    closing : bool
+        Whether the server refused and closed the connection.
     """
 
     reason: RetryReason
@@ -120,6 +124,7 @@
     server: BackendServerId | None = None
     retry_after: float | None = None
     crashed: bool = False
+    closing: bool = False
 
 
 class Sink:
--- a/tanagerwalk/metrics.py
+++ b/tanagerwalk/metrics.py
@@ -33,6 +33,17 @@
         )
         self.waiting = self._gauge("waiting", "Requests that wait for room.")
         self.revision = self._gauge("revision", "Revision of the declaration in force.")
+        self.exchanges = self._count(
+            "exchanges", "Exchanges that this instance started.", ["outcome"]
+        )
+        self.facts_received = self._count("facts_received", "New facts from peers.")
+        self.declarations_fetched = self._count(
+            "declarations_fetched", "Declarations that a peer gave."
+        )
+        self.peer_bytes = self._gauge("peer_bytes", "Bytes to and from peers.")
+        self.leaving_inferred = self._count(
+            "leaving_inferred", "Servers taken for leaving because of their refusals."
+        )
         for reason in RefusalReason:
             self.refusals.labels(reason.value)
         for reason in RetryReason:
--- a/tanagerwalk/standins/keyvalue.py
+++ b/tanagerwalk/standins/keyvalue.py
@@ -98,7 +98,9 @@
         return sorted(k for k in self._items if low <= base64.b64decode(k) < high)
 
     def _range(self, body):
-        pairs = [self._render(key) for key in self._select(body)]
+        after = int(body.get("min_mod_revision", 0)) - 1
+        keys = [key for key in self._select(body) if self._is_newer(key, after)]
+        pairs = [self._render(key) for key in keys]
         return {"header": self._header(), "kvs": pairs}
 
     def _render(self, key):
--- a/tanagerwalk/standins/world.py
+++ b/tanagerwalk/standins/world.py
@@ -101,20 +101,32 @@
             **labels,
         )
 
-    def make_settings(self, name, region="r1", domain="r1-a", extra=""):
-        """Return the settings text of an entry instance."""
+    def make_settings(
+        self,
+        name,
+        region="r1",
+        domain="r1-a",
+        extra="",
+        keyvalue=None,
+        platform=None,
+    ):
+        """Return the settings text of an entry instance.
+
+        `keyvalue` and `platform` replace the addresses of the world's own stand-ins.
+        """
         text = SETTINGS.format(
             name=name,
             region=region,
             failure_domain=domain,
-            keyvalue=self.keyvalue.address,
-            platform=self.platform.address,
+            keyvalue=keyvalue or self.keyvalue.address,
+            platform=platform or self.platform.address,
         )
         return text + extra
 
-    async def add_instance(self, name, region="r1", domain="r1-a", seed=1):
-        """Start an entry instance and list it."""
-        settings = parse_settings(self.make_settings(name, region, domain)).ok
+    async def add_instance(self, name, region="r1", domain="r1-a", seed=1, **more):
+        """Start an entry instance and list it; `more` goes to `make_settings`."""
+        text = self.make_settings(name, region, domain, **more)
+        settings = parse_settings(text).ok
         instance = EntryInstance(settings, seed=seed)
         await instance.start()
         self.instances[name] = instance
--- /dev/null
+++ b/test/controllers/test_exchange.py
@@ -0,0 +1,125 @@
+"""Exchanges between whole instances, under faults of the platform."""
+
+import asyncio
+import copy
+
+import pytest
+import pytest_asyncio
+
+from tanagerwalk.controllers.exchange import decompress
+from tanagerwalk.decisions.facts import Topic
+from tanagerwalk.standins.platform import PlatformStandIn
+
+UNREACHABLE = "127.0.0.1:1"
+
+
+@pytest_asyncio.fixture
+async def cut_off(demo):
+    """Start an instance that reaches its peers, but not the key-value service."""
+    extra = "[configuration]\nstale_after = 1.5\n"
+    instance = await demo.add_instance("cut-off", keyvalue=UNREACHABLE, extra=extra)
+    await demo.wait_until(instance.is_ready)
+    return instance
+
+
+@pytest_asyncio.fixture
+async def lagging(demo):
+    """Serve a list that no longer follows the platform."""
+    platform = PlatformStandIn()
+    platform.groups = copy.deepcopy(demo.platform.groups)
+    await platform.start()
+    yield platform
+    await platform.stop()
+
+
+def list_exposed(instance):
+    declaration = instance.configuration.declaration
+    work_class = next(iter(declaration.classes.values()))
+    return instance._collect_plan_inputs(work_class).exposed
+
+
+async def test_declaration_reaches_an_instance_without_the_store(demo, cut_off):
+    first = demo.instances["entry-1"]
+    for state in ("draining", "withdrawn"):
+        text = first.configuration.text.replace("released", state, 1)
+        revision = await demo.apply(text)
+        await demo.wait_until(lambda r=revision: cut_off.configuration.revision == r)
+        assert cut_off.configuration.text == text
+
+
+async def test_instance_is_stale_only_without_news_from_store_and_peers(demo, cut_off):
+    exposed = list_exposed(demo.instances["entry-1"])
+    assert exposed
+    # Peers' confirmations keep it fresh for longer than the age that is allowed.
+    await asyncio.sleep(3.0)
+    await demo.wait_until(lambda: list_exposed(cut_off) == exposed)
+    for name in ("entry-1", "entry-2"):
+        await demo.instances[name].close()
+    await demo.wait_until(lambda: not list_exposed(cut_off))
+    for number in range(20):
+        status, _, headers = await demo.chat(cut_off, "plan", f"book {number}")
+        assert (status, headers["X-Version"]) != (200, "heron:2")
+        assert status == 200
+
+
+async def test_fresh_instance_without_store_gets_the_declaration_of_a_peer(demo):
+    demo.keyvalue.outage = True
+    third = await demo.add_instance("entry-3")
+    await demo.wait_until(third.is_ready)
+    first = demo.instances["entry-1"]
+    assert third.configuration.revision == first.configuration.revision
+
+
+async def test_fresh_instance_without_store_and_peers_is_not_ready(world):
+    await world.apply()
+    await world.add_engine("engine-1", ["wren:1"])
+    world.keyvalue.outage = True
+    alone = await world.add_instance("entry-1")
+    await world.wait_until(lambda: alone.table.servers)
+    assert not alone.is_ready()
+    status, _, _ = await world.chat(alone, "label", "a")
+    assert status == 503
+
+
+async def test_leaving_reaches_an_instance_whose_list_lags(demo, lagging):
+    third = await demo.add_instance("entry-3", platform=lagging.address)
+    lagging.groups = copy.deepcopy(demo.platform.groups)
+    await demo.wait_until(third.is_ready)
+    for group in demo.platform.groups:
+        if group["labels"]["id"] == "engine-1":
+            group["labels"]["state"] = "leaving"
+    await demo.wait_until(lambda: third.table.servers["engine-1"].leaving)
+    assert not third.table.servers["engine-2"].leaving
+    # Its own list goes on saying "live".
+    await third.membership.step()
+    assert third.table.servers["engine-1"].leaving
+
+
+async def test_inferred_leaving_reaches_the_peers(demo):
+    first, second = demo.instances.values()
+    first.table.infer_leaving("engine-1.1", first._clock() + 30.0)
+    await demo.wait_until(lambda: second.table.servers["engine-1"].leaving)
+
+
+async def test_facts_of_a_killed_instance_outlive_it(demo):
+    first, second = demo.instances.values()
+    first.facts.state(Topic.BLAME, "f", b"v", first._clock(), 60.0)
+    await demo.wait_until(lambda: second.facts.list_facts(Topic.BLAME))
+    await first.close()
+    third = await demo.add_instance("entry-3")
+    await demo.wait_until(lambda: third.facts.list_facts(Topic.BLAME))
+    assert third.facts.list_facts(Topic.BLAME)[0].origin == first.incarnation
+
+
+async def test_refused_declaration_is_not_fetched_again(demo):
+    first, _ = demo.instances.values()
+    state = first.configuration
+    newer = state.revision + 5
+    assert state.offer(newer, "[class label]\nquality = x", 0.0)
+    assert not state.wants(newer)
+    assert state.wants(newer + 1)
+
+
+@pytest.mark.parametrize("content", [b"", None, b"\xff\xff", b"x\x9c\x03"])
+def test_malformed_copies_are_refused(content):
+    assert decompress(content) is None
