--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -17,6 +17,8 @@
 from .clients.targets import TargetsClient
 from .controllers.billing import BillingController
 from .controllers.configuration import ConfigurationController
+from .controllers.exposure import ExposureController
+from .controllers.halts import HaltController
 from .controllers.load import LoadController
 from .controllers.loop import poll_until
 from .controllers.membership import MembershipController
@@ -24,6 +26,7 @@
 from .decisions.configuration import ConfigurationState
 from .decisions.facts import FactTable
 from .decisions.limits import AdmissionQueue, DurationEstimates
+from .decisions.ratings import RatingGate
 from .decisions.retries import RetryBudget
 from .decisions.rollouts import RolloutBook
 from .decisions.servers import Home, ServerTable
@@ -31,6 +34,7 @@
 from .decisions.versions import PlanInputs
 from .filters.admit import AdmitFilter
 from .filters.bill import BillFilter
+from .filters.cascade import CascadeRunner
 from .filters.chain import link_filters
 from .filters.claim import ClaimFilter
 from .filters.count import CountFilter
@@ -100,7 +104,7 @@
         self.configuration = ConfigurationState(settings.configuration.stale_after)
         self.table = ServerTable(home, settings.limits, settings.load.stale_after)
         self.durations = DurationEstimates()
-        self.book = RolloutBook()
+        self.book = RolloutBook(self.incarnation, settings.rollouts.false_alarm)
         self.facts = FactTable(self.incarnation)
         queue = AdmissionQueue(self.table, self.durations, settings.limits.queue_length)
         self.gate = Gate(queue, self.table, self._expect_duration, self._clock)
@@ -132,16 +136,44 @@
             self._clock,
             self._random,
         )
+        self._wire_rollouts()
+        self.billing = BillingController(
+            self.store, self.incarnation, self.metrics, self._random
+        )
+
+    def _wire_rollouts(self):
+        settings = self.settings.rollouts
+        self.halting = HaltController(
+            self.book,
+            self.store,
+            self.facts,
+            settings,
+            self.metrics,
+            self._clock,
+            self._wall_clock,
+            self._random,
+        )
         self.rollouts = RolloutController(
             self.book,
             self.configuration,
             self._ratings,
-            settings.rollouts,
+            RatingGate(settings.rating_rate, settings.rating_burst),
+            settings,
             self.metrics,
+            self._clock,
             self._random,
+            on_halt=self.halting.halt,
         )
-        self.billing = BillingController(
-            self.store, self.incarnation, self.metrics, self._random
+        self.halting.follow(self.rollouts)
+        self.exposing = ExposureController(
+            self.book,
+            self.configuration,
+            self.store,
+            self.incarnation,
+            settings,
+            self.metrics,
+            self._clock,
+            self._random,
         )
 
     def _wire_apis(self):
@@ -155,6 +187,14 @@
         budget = RetryBudget(
             settings.retries.budget_ratio, settings.retries.budget_burst
         )
+        runner = CascadeRunner(
+            self.configuration,
+            self.rollouts,
+            self.durations,
+            settings.rollouts.rating_cost,
+            self.metrics,
+            self._clock,
+        )
         self.claims = ClaimFilter(
             self.store, self.incarnation, self.membership.list_live
         )
@@ -170,7 +210,9 @@
                     self.rollouts,
                     starter,
                     self._collect_plan_inputs,
+                    runner,
                     self.metrics,
+                    self._clock,
                 ),
                 RetryFilter(
                     settings.retries, budget, self.table, self.metrics, self._clock
@@ -178,7 +220,7 @@
                 AdmitFilter(
                     self.gate, self.durations, self.table, self._is_long, self._clock
                 ),
-                GuardFilter(self.configuration, self.rollouts, self.table),
+                GuardFilter(self.configuration, self.rollouts, self.table, self._clock),
                 DispatchFilter(self._engines, self._services, self._clock),
             ]
         )
@@ -193,23 +235,34 @@
         shortest = min(other.lateness for other in classes)
         return work_class.lateness > shortest * self.settings.limits.long_factor
 
-    def _collect_plan_inputs(self, work_class):
+    def _collect_plan_inputs(self, context, excluded):
+        work_class = context.work_class
+        name = work_class.name
+        now = self._clock()
+        self.book.configure(self.configuration.declaration)
         available = set()
         for server in self.table.servers.values():
             if not server.leaving:
                 available |= server.versions
-        exposed = frozenset()
-        if not self.configuration.is_stale(self._clock()):
-            exposed = self.book.list_exposed(self.configuration.declaration)
+        exposed = {}
+        if not self.configuration.is_stale(now):
+            exposed = self.book.find_exposed(name, now)
         return PlanInputs(
-            ratings=self.book.ratings,
             available=frozenset(available),
-            halted=frozenset(self.book.halted),
-            exposed=exposed,
             durations=lambda version: self.durations.estimate(
-                work_class.name, version, work_class.lateness
+                name, version, work_class.lateness
             ),
-            rating_up=self.rollouts.rating_up,
+            evidence=lambda version: self.book.sum_evidence(name, version),
+            halted=self.book.list_halted(name),
+            exposed=exposed,
+            # A session would hold its caller to a version on trial.
+            draw=1.0 if context.wants_session else self._random.random(),
+            time_left=context.arrived + work_class.lateness - now,
+            rating_cost=self.settings.rollouts.rating_cost,
+            rating_time=self.rollouts.gate.time,
+            # A session has one version, so it can't go through a cascade.
+            cascades=self.rollouts.gate.is_up(now) and not context.wants_session,
+            excluded=excluded,
         )
 
     def is_ready(self):
@@ -253,6 +306,9 @@
             self.membership.run,
             self.load.run,
             self.rollouts.run,
+            self.halting.run,
+            self.halting.run_store,
+            self.exposing.run,
             self.billing.run,
             self.gate.run,
         ):
--- a/tanagerwalk/clients/ratings.py
+++ b/tanagerwalk/clients/ratings.py
@@ -1,9 +1,30 @@
 """Client of the platform's service that rates answers."""
 
+from dataclasses import dataclass
+
 import aiohttp
 import msgspec
 from expression import Error, Ok
 
+OK_STATUS = 200
+MAX_RETRY_AFTER_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class RatingFault:
+    """Why an answer got no rating.
+
+    Parameters
+    ----------
+    message : str
+        One line for the log.
+    retry_after : float or None
+        Seconds that the service asked to wait.
+    """
+
+    message: str
+    retry_after: float | None = None
+
 
 class _Rating(msgspec.Struct, frozen=True):
     rating: float
@@ -43,8 +64,8 @@
 
         Returns
         -------
-        Result of float, or of str
-            The rating, 0 to 1, or one line for the log.
+        Result of float, or of RatingFault
+            The rating, 0 to 1.
         """
         body = {
             "class": work_class,
@@ -57,11 +78,23 @@
                 self._url, json=body, timeout=self._timeout
             ) as response:
                 content = await response.read()
-                if response.status != 200:
-                    return Error(f"rating service answered {response.status}")
+                if response.status != OK_STATUS:
+                    return Error(_read_fault(response))
                 rating = msgspec.json.decode(content, type=_Rating).rating
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
-            return Error(f"rating service: {type(error).__name__}")
+            return Error(RatingFault(f"rating service: {type(error).__name__}"))
         if not 0.0 <= rating <= 1.0:
-            return Error(f"rating service gave {rating}")
+            return Error(RatingFault(f"rating service gave {rating}"))
         return Ok(rating)
+
+
+def _read_fault(response):
+    message = f"rating service answered {response.status}"
+    try:
+        retry_after = float(response.headers.get("Retry-After", ""))
+    except ValueError:
+        return RatingFault(message)
+    # Also false for a value that is not a number.
+    if not retry_after >= 0.0:
+        return RatingFault(message)
+    return RatingFault(message, min(MAX_RETRY_AFTER_S, retry_after))
--- /dev/null
+++ b/tanagerwalk/controllers/exposure.py
@@ -0,0 +1,122 @@
+"""Takes units of candidates' budgets out of the ledgers in the key-value service."""
+
+import structlog
+
+from ..decisions.exposure import (
+    AbandonedGrants,
+    Grant,
+    Ledger,
+    decode_ledger,
+    encode_ledger,
+)
+from .loop import run_periodically
+
+log = structlog.get_logger(__name__)
+
+LEDGERS_PREFIX = "tanagerwalk/exposure/"
+IDLE_READ_S = 5.0
+
+
+class ExposureController:
+    """Sizes this instance's grants by what its traffic asks for.
+
+    Parameters
+    ----------
+    book : RolloutBook
+        Holds the slices.
+    configuration : ConfigurationState
+        The declaration in force.
+    store : KeyValueClient
+        Holds the ledgers.
+    incarnation : Incarnation
+        This instance.
+    settings : RolloutSettings
+        Intervals.
+    metrics : Metrics
+        Counters.
+    clock : callable
+        Returns monotonic time in seconds.
+    random : random.Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self, book, configuration, store, incarnation, settings, metrics, clock, random
+    ):
+        self._book = book
+        self._configuration = configuration
+        self._store = store
+        self._incarnation = incarnation
+        self._settings = settings
+        self._metrics = metrics
+        self._clock = clock
+        self._random = random
+        self._abandoned = {}
+        self._next_read = {}
+
+    async def run(self):
+        """Size the grants until cancelled."""
+        await run_periodically(
+            self.step, self._settings.exposure_interval, self._random
+        )
+
+    async def step(self):
+        """Size every grant once."""
+        self._book.configure(self._configuration.declaration)
+        candidates = self._book.list_candidates()
+        for arm, held in list(self._book.slices.items()):
+            written_off = held.recover(self._clock())
+            self._metrics.exposure_lost.inc(written_off)
+            budget = candidates[arm].exposure if arm in candidates else 0
+            await self._size(arm, held, budget)
+
+    async def _size(self, arm, held, budget):
+        now = self._clock()
+        is_idle = held.units == 0 and held.held == 0
+        if is_idle and now < self._next_read.get(arm, now):
+            return
+        if is_idle and (budget == 0 or not held.is_wanted(now)):
+            return
+        key = LEDGERS_PREFIX + arm.to_key()
+        read = await self._store.get(key)
+        if read.is_error():
+            self._metrics.platform_faults.labels("keyvalue").inc()
+            return
+        entry = read.ok
+        ledger = Ledger() if entry is None else decode_ledger(entry.value)
+        if ledger is None:
+            log.error("exposure ledger is malformed", key=key)
+            return
+        await self._write(arm, held, budget, ledger, entry)
+        if held.units == 0:
+            self._next_read[arm] = now + IDLE_READ_S * (0.5 + self._random.random())
+
+    async def _write(self, arm, held, budget, ledger, entry):
+        now = self._clock()
+        key = LEDGERS_PREFIX + arm.to_key()
+        dropped = self._find_abandoned(arm, ledger, now)
+        ledger = ledger.drop(dropped)
+        wanted = held.find_wanted(ledger, self._incarnation, budget, now)
+        recorded = ledger.grants.get(self._incarnation, Grant(0, 0)).units
+        if not held.needs_write(wanted, recorded, now):
+            return
+        held.begin_write(wanted)
+        value = encode_ledger(ledger.resize(self._incarnation, wanted))
+        if entry is None:
+            written = await self._store.create(key, value)
+        else:
+            written = await self._store.replace(key, value, entry.revision)
+        if written.is_error():
+            self._metrics.platform_faults.labels("keyvalue").inc()
+            return
+        if not written.ok.applied:
+            return
+        held.finish_write(wanted, now)
+        if dropped:
+            self._metrics.exposure_reclaimed.inc(len(dropped))
+
+    def _find_abandoned(self, arm, ledger, now):
+        watcher = self._abandoned.setdefault(arm, AbandonedGrants())
+        work_class = self._configuration.declaration.classes.get(arm.work_class)
+        longest = work_class.patience if work_class else 0.0
+        return watcher.find(ledger, longest, now) - {self._incarnation}
--- /dev/null
+++ b/tanagerwalk/decisions/cascades.py
@@ -0,0 +1,110 @@
+"""What follows a step of a cascade that gave no acceptable answer."""
+
+from dataclasses import dataclass
+
+from ..ids import BackendServerId, VersionName
+from ..messages import Answer
+from ..outcomes import RefusalReason, RetryReason, RunState
+
+# Another version may do better where these stopped the first one. A full queue and a
+# spent retry budget speak against any further attempt.
+ESCALATING = frozenset(
+    {
+        RefusalReason.VERSION_WITHDRAWN,
+        RefusalReason.NO_BACKEND_SERVER,
+        RefusalReason.DEADLINE_UNREACHABLE,
+        RefusalReason.BACKEND_FAILED,
+    }
+)
+REPLANNING = ESCALATING - {RefusalReason.BACKEND_FAILED}
+VERSION_FAULTS = frozenset({RetryReason.SERVER_ERROR, RetryReason.INCOMPLETE_ANSWER})
+CRASH_PAUSE_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """A whole answer that was not good enough, or not rated.
+
+    Parameters
+    ----------
+    answer : Answer
+        The answer.
+    value : float
+        Its rating, or the lower bound of what its version's ratings are.
+    """
+
+    answer: Answer
+    value: float
+
+
+def may_escalate(refusal, idempotent):
+    """Return whether the next step of a cascade may follow a refused one.
+
+    Parameters
+    ----------
+    refusal : Refusal
+        Why the step gave no answer.
+    idempotent : bool
+        Whether the class of work may run twice.
+    """
+    if refusal.reason not in ESCALATING:
+        return False
+    return idempotent or refusal.run_state is RunState.NOT_RUN
+
+
+def may_replan(refusal, sent):
+    """Return whether another plan may take the place of a refused one.
+
+    Parameters
+    ----------
+    refusal : Refusal
+        Why the plan gave no answer.
+    sent : bool
+        Whether any attempt may have reached a backend server.
+    """
+    if sent or refusal.run_state is not RunState.NOT_RUN:
+        return False
+    return refusal.reason in REPLANNING
+
+
+class FaultAttribution:
+    """Tells the failures of a version from those of servers and networks.
+
+    A refused or lost connection says nothing about the version. A crash ends all
+    streams of a server at once; it counts once.
+    """
+
+    def __init__(self):
+        self._crashed_at: dict[tuple[VersionName, BackendServerId], float] = {}
+
+    def blames_version(self, version, failure, seconds, lateness, now):
+        """Return whether a failed attempt counts against its version.
+
+        Parameters
+        ----------
+        version : VersionName
+            The version.
+        failure : AttemptFailure
+            The failure.
+        seconds : float
+            Duration of the attempt.
+        lateness : float
+            The class's lateness target in seconds. An attempt that was given less
+            time than that shows nothing by a timeout.
+        now : float
+            Monotonic time in seconds.
+        """
+        if not failure.sent:
+            return False
+        if failure.reason is RetryReason.ATTEMPT_TIMEOUT:
+            return seconds >= lateness
+        if failure.reason not in VERSION_FAULTS:
+            return False
+        return not failure.crashed or self._is_first(version, failure.server, now)
+
+    def _is_first(self, version, server, now):
+        recent = {
+            key: at for key, at in self._crashed_at.items() if now - at < CRASH_PAUSE_S
+        }
+        self._crashed_at = recent
+        return recent.setdefault((version, server), now) == now
--- /dev/null
+++ b/tanagerwalk/decisions/evidence.py
@@ -0,0 +1,269 @@
+"""Fleet-wide evidence about versions: counters by origin, version and epoch."""
+
+from dataclasses import dataclass
+from urllib.parse import quote, unquote
+
+import msgspec
+from sortedcontainers import SortedDict
+
+from ..ids import ClassName, SectionHash, VersionName
+from .sequential import STAKES, bet_below
+
+EPOCHS_KEPT = 12
+# Afterwards an epoch takes no more news, and its counters are no longer told apart
+# by origin.
+EPOCHS_OPEN = 3
+SMALL_EPOCH = 20
+SAFE_IN_KEY = ":"
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Arm:
+    """A version at a class of work, as one declaration describes it.
+
+    Parameters
+    ----------
+    section : SectionHash
+        Hash of the version's section of the declaration.
+    work_class : ClassName
+        The class of work.
+    version : VersionName
+        The version.
+    """
+
+    section: SectionHash
+    work_class: ClassName
+    version: VersionName
+
+    def to_key(self):
+        """Return the arm as part of a key: `SECTION/CLASS/VERSION`."""
+        parts = (self.section, self.work_class, self.version)
+        return "/".join(quote(part, safe=SAFE_IN_KEY) for part in parts)
+
+    @classmethod
+    def from_key(cls, key):
+        """Read what `to_key` wrote.
+
+        Raises
+        ------
+        ValueError
+            If it is malformed.
+        """
+        section, work_class, version = map(unquote, key.split("/"))
+        return cls(SectionHash(section), ClassName(work_class), VersionName(version))
+
+
+class Counts(msgspec.Struct, array_like=True):
+    """What was seen of one arm; sums only, so that they can be added up.
+
+    Parameters
+    ----------
+    count : int
+        Ratings.
+    total, squares : float
+        Sums of the ratings and of their squares.
+    accepted : int
+        Ratings at or above the class's target.
+    accepted_total : float
+        Sum of those.
+    attempts : int
+        Attempts that were sent and ended.
+    errors : int
+        Attempts that failed by the fault of the version.
+    late : int
+        Whole answers that took longer than the class's lateness target.
+    answers : int
+        Whole answers.
+    tokens : int
+        Generated tokens of those.
+    wealth : tuple of float
+        Log wealth of the bets that the mean rating is below the floor.
+    """
+
+    count: int = 0
+    total: float = 0.0
+    squares: float = 0.0
+    accepted: int = 0
+    accepted_total: float = 0.0
+    attempts: int = 0
+    errors: int = 0
+    late: int = 0
+    answers: int = 0
+    tokens: int = 0
+    wealth: tuple[float, ...] = (0.0,) * len(STAKES)
+
+    def add_rating(self, rating, target, floor):
+        """Add one rating; `floor` is the mean that the sequential test guards."""
+        self.count += 1
+        self.total += rating
+        self.squares += rating * rating
+        if rating >= target:
+            self.accepted += 1
+            self.accepted_total += rating
+        growth = bet_below(rating, floor)
+        self.wealth = tuple(map(sum, zip(self.wealth, growth, strict=True)))
+
+    def add_error(self):
+        """Add an attempt that failed by the fault of the version."""
+        self.attempts += 1
+        self.errors += 1
+
+    def add_answer(self, tokens, late):
+        """Add a whole answer."""
+        self.attempts += 1
+        self.answers += 1
+        self.tokens += tokens
+        self.late += late
+
+    def combine(self, other, sign=1):
+        """Return the sum of these counts and `sign` times others."""
+        ours, theirs = msgspec.structs.astuple(self), msgspec.structs.astuple(other)
+        sums = [a + sign * b for a, b in zip(ours[:-1], theirs[:-1], strict=True)]
+        wealth = zip(self.wealth, other.wealth, strict=True)
+        return Counts(*sums, tuple(a + sign * b for a, b in wealth))
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """Newest counts of one origin about one arm in one epoch."""
+
+    arm: Arm
+    epoch: int
+    counts: Counts
+
+
+class EvidenceTable:
+    """Adds up what all instances report.
+
+    An origin's counts of an epoch only grow, and a report with more replaces one
+    with less; reports may therefore come in any order and any number of times.
+    """
+
+    def __init__(self):
+        self._by_origin = {}
+        self._epochs = {}
+        self._sums = {}
+        self._newest = 0
+
+    def advance(self, epoch):
+        """Forget what is too old once `epoch` has begun."""
+        if epoch <= self._newest:
+            return
+        self._newest = epoch
+        self._by_origin = {
+            identity: counts
+            for identity, counts in self._by_origin.items()
+            if identity[2] > epoch - EPOCHS_OPEN
+        }
+        for epochs in self._epochs.values():
+            _coalesce(epochs, epoch - EPOCHS_OPEN)
+            while len(epochs) > EPOCHS_KEPT:
+                epochs.popitem(0)
+        self._sums.clear()
+
+    def forget(self, keep):
+        """Forget the arms for which `keep(arm)` is false."""
+        self._by_origin = {i: c for i, c in self._by_origin.items() if keep(i[1])}
+        self._epochs = {a: e for a, e in self._epochs.items() if keep(a)}
+        self._sums.clear()
+
+    def merge(self, origin, report):
+        """Take a report; return whether it was newer.
+
+        Parameters
+        ----------
+        origin : Incarnation
+            The instance whose counts they are.
+        report : Report
+            Its counts. A report from a far future or from a closed epoch counts
+            for nothing: a wrong clock elsewhere must not empty the table.
+        """
+        if abs(report.epoch - self._newest) >= EPOCHS_OPEN:
+            return False
+        identity = (origin, report.arm, report.epoch)
+        known = self._by_origin.get(identity, Counts())
+        size = (report.counts.attempts, report.counts.count)
+        if size[0] < known.attempts or size[1] < known.count:
+            return False
+        if size == (known.attempts, known.count):
+            return False
+        self._by_origin[identity] = report.counts
+        epochs = self._epochs.setdefault(report.arm, SortedDict())
+        grown = report.counts.combine(known, -1)
+        epochs[report.epoch] = epochs.get(report.epoch, Counts()).combine(grown)
+        self._sums.pop((report.arm.work_class, report.arm.version), None)
+        return True
+
+    def get_own(self, origin, arm):
+        """Return a copy of an origin's counts of the newest epoch."""
+        known = self._by_origin.get((origin, arm, self._newest))
+        return known.combine(Counts()) if known is not None else Counts()
+
+    def list_own(self, origin):
+        """Return the Report of each open epoch of one origin."""
+        return [
+            Report(arm, epoch, counts)
+            for (known, arm, epoch), counts in self._by_origin.items()
+            if known == origin
+        ]
+
+    @property
+    def newest(self):
+        """The epoch that runs."""
+        return self._newest
+
+    def list_epochs(self, arm):
+        """Return the arm's counts of each epoch, newest first."""
+        epochs = self._epochs.get(arm, {})
+        return [epochs[epoch] for epoch in reversed(epochs)]
+
+    def sum_newest(self, work_class, version, enough):
+        """Return the sum of the newest epochs that hold `enough` ratings together.
+
+        A version can turn bad: older ratings count only while newer ones are few.
+        What was learned before the version's section was changed counts too.
+        """
+        key = (work_class, version)
+        if key not in self._sums:
+            self._sums[key] = self._sum(key, enough)
+        return self._sums[key]
+
+    def _sum(self, key, enough):
+        epochs = [
+            (epoch, counts)
+            for arm, known in self._epochs.items()
+            if (arm.work_class, arm.version) == key
+            for epoch, counts in known.items()
+        ]
+        total = Counts()
+        for _, counts in sorted(epochs, key=lambda pair: pair[0], reverse=True):
+            total = total.combine(counts)
+            if total.count >= enough:
+                break
+        return total
+
+
+def _coalesce(epochs, closed):
+    """Join neighbouring closed epochs that hold little, so that rare work lasts."""
+    younger = None
+    for epoch in reversed([epoch for epoch in epochs if epoch <= closed]):
+        if younger is not None and epochs[younger].attempts < SMALL_EPOCH:
+            epochs[epoch] = epochs[epoch].combine(epochs.pop(younger))
+        younger = epoch
+
+
+def encode_report(report):
+    """Return the key and the value of the fact that carries a report."""
+    return f"{report.arm.to_key()}/{report.epoch}", msgspec.msgpack.encode(
+        report.counts
+    )
+
+
+def decode_report(key, value):
+    """Read what `encode_report` wrote; None if it is malformed."""
+    try:
+        arm_key, _, epoch = key.rpartition("/")
+        counts = msgspec.msgpack.decode(value, type=Counts)
+        return Report(Arm.from_key(arm_key), int(epoch), counts)
+    except (ValueError, msgspec.DecodeError):
+        return None
--- /dev/null
+++ b/tanagerwalk/decisions/halts.py
@@ -0,0 +1,195 @@
+"""When a version is stopped, and what a stop means for the rest of its class."""
+
+import hashlib
+import math
+from dataclasses import dataclass
+
+import msgspec
+
+from ..ids import SectionHash
+from ..outcomes import HaltCause, VersionState
+from .evidence import EPOCHS_KEPT, Arm, Counts
+from .quality import is_tolerable
+from .sequential import bet_on_events, mix
+from .versions import serves
+
+EVALUATION_SLACK = 0.05
+ERROR_CEILING = 0.05
+LATE_CEILING = 0.1
+RELATIVE_CEILING = 2.0
+MIN_PEER_ATTEMPTS = 20
+# The rate of an event in few attempts is not trusted to be below this share.
+CEILING_LIMIT = 0.5
+
+
+class Halt(msgspec.Struct, frozen=True):
+    """The fact that a version was stopped at a class; it is never taken back.
+
+    Parameters
+    ----------
+    cause : HaltCause
+        Which test stopped it.
+    mean : float
+        Mean rating at that time; 1 if the ratings were not the cause.
+    """
+
+    cause: HaltCause
+    mean: float
+
+
+def encode_halt(halt):
+    """Return the bytes of a halt."""
+    return msgspec.json.encode(halt)
+
+
+def decode_halt(value):
+    """Read what `encode_halt` wrote; None if it is malformed."""
+    try:
+        return msgspec.json.decode(value, type=Halt)
+    except msgspec.DecodeError:
+        return None
+
+
+def hash_section(version):
+    """Return the hash of a version's section, the same on every instance."""
+    parts = (
+        version.name,
+        version.state.value,
+        version.cost,
+        sorted(version.evaluated.items()),
+        version.exposure,
+        version.replaces,
+    )
+    return SectionHash(hashlib.sha256(repr(parts).encode()).hexdigest()[:16])
+
+
+def find_floor(declaration, version, work_class):
+    """Return the mean rating below which a version is bad at a class.
+
+    That is the class's target, unless less is expected: a candidate need not be
+    better than the version it replaces, nor a cheap first step of cascades better
+    than its operators found it to be.
+
+    Parameters
+    ----------
+    declaration : Declaration
+        The declaration in force.
+    version : Version
+        The version.
+    work_class : WorkClass
+        The class.
+    """
+    expected = version.evaluated.get(work_class.name, work_class.quality)
+    replaced = declaration.versions.get(version.replaces)
+    if version.state is VersionState.CANDIDATE and replaced is not None:
+        expected = replaced.evaluated.get(work_class.name, expected)
+    else:
+        expected -= EVALUATION_SLACK
+    return max(0.0, min(work_class.quality, expected))
+
+
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """What the tests of one arm look at.
+
+    Parameters
+    ----------
+    epochs : list of Counts
+        Evidence of the arm, newest first.
+    others : Counts
+        Newest evidence of the other versions at the class.
+    released : bool
+        Whether the version is released. Its failures count only against those of
+        others, since an outage strikes all of them.
+    """
+
+    epochs: list[Counts]
+    others: Counts
+    released: bool
+
+
+def judge(trial, false_alarm):
+    """Return the Halt of an arm, or None.
+
+    The evidence of the newest epochs is tested for every number of epochs: a
+    version that was good for long still shows at once that it has turned bad.
+
+    Parameters
+    ----------
+    trial : Trial
+        The evidence.
+    false_alarm : float
+        Chance that a good version is stopped while one epoch's tests run.
+    """
+    limit = math.log(len(HaltCause) * EPOCHS_KEPT / false_alarm)
+    error_ceiling = _find_ceiling(trial, ERROR_CEILING, "errors", "attempts")
+    late_ceiling = _find_ceiling(trial, LATE_CEILING, "late", "answers")
+    total = Counts()
+    for counts in trial.epochs:
+        total = total.combine(counts)
+        if mix(total.wealth) >= limit:
+            return Halt(HaltCause.RATINGS, total.total / total.count)
+        if _exceeds(total.errors, total.attempts, error_ceiling, limit):
+            return Halt(HaltCause.ERRORS, 1.0)
+        if _exceeds(total.late, total.answers, late_ceiling, limit):
+            return Halt(HaltCause.LATENESS, 1.0)
+    return None
+
+
+def _exceeds(events, trials, ceiling, limit):
+    if ceiling is None:
+        return False
+    return mix(bet_on_events(events, trials, ceiling)) >= limit
+
+
+def _find_ceiling(trial, least, events, trials):
+    size = getattr(trial.others, trials)
+    if size < MIN_PEER_ATTEMPTS:
+        return None if trial.released else least
+    rate = getattr(trial.others, events) / size
+    return min(CEILING_LIMIT, max(least, RELATIVE_CEILING * rate))
+
+
+def find_spared(declaration, arms, halts, work_class):
+    """Return the version that serves a class on although it was stopped.
+
+    Only where every released version of the class was stopped: then the one that
+    was rated best, if its answers are still better than refusals. A pure function
+    of declaration and halts, so that all instances spare the same one.
+
+    Parameters
+    ----------
+    declaration : Declaration
+        The declaration in force.
+    arms : mapping of (ClassName, VersionName) to Arm
+        Its arms.
+    halts : mapping of Arm to Halt
+        All halts known.
+    work_class : WorkClass
+        The class.
+
+    Returns
+    -------
+    VersionName or None
+    """
+    found = []
+    for version in declaration.versions.values():
+        if version.state is not VersionState.RELEASED:
+            continue
+        if not serves(version, work_class.name):
+            continue
+        halt = halts.get(arms[(work_class.name, version.name)])
+        if halt is None:
+            return None
+        if is_tolerable(halt.mean, work_class):
+            found.append((halt.mean, version.name))
+    return max(found)[1] if found else None
+
+
+def list_arms(declaration):
+    """Return the Arm of every version and class of a declaration."""
+    return {
+        (work_class, version.name): Arm(hash_section(version), work_class, version.name)
+        for version in declaration.versions.values()
+        for work_class in declaration.classes
+    }
--- a/tanagerwalk/decisions/rollouts.py
+++ b/tanagerwalk/decisions/rollouts.py
@@ -1,62 +1,218 @@
-"""Roll-outs: exposure of candidates, evidence from ratings, and halts."""
+"""Roll-outs: evidence, halts and exposure of all versions, as one instance knows."""
 
-from dataclasses import dataclass, field
+from ..outcomes import Interface, VersionState
+from .evidence import Counts, EvidenceTable, Report
+from .exposure import Exposure, Slice
+from .halts import Trial, find_floor, find_spared, judge, list_arms
+from .sequential import mix
+from .versions import serves
 
-from ..ids import ClassName, VersionName
-from ..outcomes import VersionState
-from .versions import RatingSums
+ENOUGH_RATINGS = 200
+START_SHARE = 0.05
+MAX_SHARE = 0.5
+# Ratings after which the share of a candidate doubles.
+RAMP_RATINGS = 20
+# Log wealth of the bets against a candidate from which its share stays small.
+SUSPICION = 1.0
+RATINGS_PER_EPOCH = 10
 
-VersionAtClass = tuple[ClassName, VersionName]
 
-
-@dataclass(slots=True)
 class RolloutBook:
-    """What this instance knows of the ratings of all versions.
+    """What an instance knows of the versions in force.
 
     Parameters
     ----------
-    ratings : dict of VersionAtClass to RatingSums
-        Ratings gathered so far.
-    unrated : dict of VersionAtClass to int
-        Answers of candidates that were started and are not rated yet.
-    halted : set of VersionAtClass
-        Versions that were stopped at a class.
+    origin : Incarnation
+        This instance.
+    false_alarm : float
+        Error probability of the tests that halt versions.
     """
 
-    ratings: dict[VersionAtClass, RatingSums] = field(default_factory=dict)
-    unrated: dict[VersionAtClass, int] = field(default_factory=dict)
-    halted: set[VersionAtClass] = field(default_factory=set)
+    def __init__(self, origin, false_alarm):
+        self.origin = origin
+        self.evidence = EvidenceTable()
+        self.halts = {}
+        self.slices = {}
+        self._false_alarm = false_alarm
+        self._declaration = None
+        self._arms = {}
+        self._floors = {}
+        self._spared = {}
+        self._changed = set()
+
+    def configure(self, declaration):
+        """Take the declaration in force; a changed section starts a new trial."""
+        if declaration is self._declaration:
+            return
+        self._declaration = declaration
+        self._arms = list_arms(declaration)
+        self._floors = {
+            (work_class.name, version.name): find_floor(
+                declaration, version, work_class
+            )
+            for version in declaration.versions.values()
+            for work_class in declaration.classes.values()
+        }
+        self.evidence.forget(lambda arm: (arm.work_class, arm.version) in self._arms)
+        current = set(self._arms.values())
+        self.slices = {
+            arm: known
+            for arm, known in self.slices.items()
+            if arm in current or known.held
+        }
+        self._spare()
+
+    def get_arm(self, key):
+        """Return the Arm of a (class, version), or None if it is not declared."""
+        return self._arms.get(key)
+
+    def record_rating(self, key, rating):
+        """Add the rating of an answer that was given here."""
+        work_class = self._declaration.classes[key[0]]
+        self._record(
+            key,
+            lambda own: own.add_rating(rating, work_class.quality, self._floors[key]),
+        )
+
+    def record_error(self, key):
+        """Add an attempt that failed by the fault of its version."""
+        self._record(key, lambda own: own.add_error())
+
+    def record_answer(self, key, tokens, seconds):
+        """Add a whole answer and the time that its attempt took, in seconds."""
+        late = seconds > self._declaration.classes[key[0]].lateness
+        self._record(key, lambda own: own.add_answer(tokens, late))
+
+    def _record(self, key, change):
+        arm = self._arms[key]
+        own = self.evidence.get_own(self.origin, arm)
+        change(own)
+        self.merge(self.origin, Report(arm, self.evidence.newest, own))
+
+    def merge(self, origin, report):
+        """Take the counts of this instance or of a peer."""
+        if self.evidence.merge(origin, report):
+            self._changed.add((report.arm.work_class, report.arm.version))
+
+    def sum_evidence(self, work_class, version):
+        """Return the newest Counts of a version at a class."""
+        return self.evidence.sum_newest(work_class, version, ENOUGH_RATINGS)
+
+    def wants_rating(self, key):
+        """Return whether too few answers of a version were rated of late."""
+        arm = self._arms.get(key)
+        if arm is None:
+            return False
+        epochs = self.evidence.list_epochs(arm)
+        return not epochs or epochs[0].count < RATINGS_PER_EPOCH
+
+    def find_bad(self):
+        """Return the Halt of each arm that has just shown to be bad."""
+        found = {}
+        for key in self._changed & self._arms.keys():
+            arm = self._arms[key]
+            if arm in self.halts:
+                continue
+            version = self._declaration.versions[key[1]]
+            epochs = self.evidence.list_epochs(arm)
+            if not epochs or version.state is VersionState.WITHDRAWN:
+                continue
+            released = version.state is not VersionState.CANDIDATE
+            trial = Trial(epochs, self._sum_others(key), released)
+            halt = judge(trial, self._false_alarm)
+            if halt is not None:
+                found[arm] = halt
+        self._changed.clear()
+        return found
+
+    def _sum_others(self, key):
+        total = Counts()
+        for work_class, version in self._arms:
+            if work_class == key[0] and version != key[1]:
+                total = total.combine(self.sum_evidence(work_class, version))
+        return total
+
+    def take_halt(self, arm, halt):
+        """Take a halt from any source; return whether the arm was not halted yet."""
+        known = self.halts.get(arm)
+        self.halts[arm] = halt if known is None else min(known, halt, key=_sort_key)
+        self._spare()
+        return known is None
+
+    def _spare(self):
+        if self._declaration is None:
+            return
+        self._spared = {
+            name: find_spared(self._declaration, self._arms, self.halts, work_class)
+            for name, work_class in self._declaration.classes.items()
+            if work_class.interface is Interface.CHAT
+        }
+
+    def is_halted(self, key):
+        """Return whether a version gets no work of a class."""
+        arm = self._arms.get(key)
+        return arm in self.halts and self._spared.get(key[0]) != key[1]
+
+    def list_halted(self, work_class):
+        """Return the versions that get no work of a class."""
+        return frozenset(
+            version
+            for name, version in self._arms
+            if name == work_class and self.is_halted((name, version))
+        )
+
+    def list_candidates(self):
+        """Return the Version of each arm under roll-out, by arm."""
+        found = {}
+        for (work_class, name), arm in self._arms.items():
+            version = self._declaration.versions[name]
+            is_chat = self._declaration.classes[work_class].interface is Interface.CHAT
+            if version.state is not VersionState.CANDIDATE or not is_chat:
+                continue
+            if serves(version, work_class) and arm not in self.halts:
+                found[arm] = version
+        return found
 
-    def list_exposed(self, declaration):
-        """Return the candidates that may take one more unrated answer.
+    def find_exposed(self, work_class, now):
+        """Return the candidates with a free unit, and their shares of the traffic.
 
         Parameters
         ----------
-        declaration : Declaration
-            The newest declaration known.
+        work_class : ClassName
+            The class of work.
+        now : float
+            Monotonic time in seconds.
 
         Returns
         -------
-        frozenset of VersionAtClass
+        dict of VersionName to float
         """
-        exposed = set()
-        for version in declaration.versions.values():
-            if version.state is not VersionState.CANDIDATE:
-                continue
-            for work_class in declaration.classes:
-                key = (work_class, version.name)
-                if self.unrated.get(key, 0) < version.exposure:
-                    exposed.add(key)
-        return frozenset(exposed)
-
-    def start_exposure(self, key):
-        """Count an answer of a candidate that is about to be started."""
-        self.unrated[key] = self.unrated.get(key, 0) + 1
-
-    def cancel_exposure(self, key):
-        """Take back an answer that was never given."""
-        self.unrated[key] -= 1
-
-    def record_rating(self, key, rating, threshold):
-        """Add the rating of an answer."""
-        self.ratings.setdefault(key, RatingSums()).add(rating, threshold)
+        return {
+            arm.version: self.find_share(arm)
+            for arm in self.list_candidates()
+            if arm.work_class == work_class and self._get_slice(arm).has_free(now)
+        }
+
+    def find_share(self, arm):
+        """Return the share of a class's traffic that a candidate may get."""
+        total = Counts()
+        for counts in self.evidence.list_epochs(arm):
+            total = total.combine(counts)
+        if mix(total.wealth) > SUSPICION:
+            return START_SHARE
+        return min(MAX_SHARE, START_SHARE * 2.0 ** (total.count // RAMP_RATINGS))
+
+    def _get_slice(self, arm):
+        return self.slices.setdefault(arm, Slice())
+
+    def start_exposure(self, key, now):
+        """Take a unit for an answer of a candidate; return the Exposure or None."""
+        arm = self._arms.get(key)
+        if arm is None or arm in self.halts:
+            return None
+        known = self._get_slice(arm)
+        return Exposure(known) if known.start(now) else None
+
+
+def _sort_key(halt):
+    return (halt.mean, halt.cause.value)
--- /dev/null
+++ b/tanagerwalk/decisions/sequential.py
@@ -0,0 +1,70 @@
+"""Sequential tests whose false alarms stay bounded however often one looks.
+
+Each test bets against the hypothesis that a mean in [0, 1] lies on the good side
+of a bound. The wealth of the bets is a nonnegative supermartingale while the
+hypothesis holds, so it reaches `1 / alpha` with probability `alpha` at most. The
+logarithm of the wealth is a plain sum over observations: instances add theirs up
+in any order.
+"""
+
+import math
+
+STAKES = (0.25, 0.5, 0.9)
+SMALLEST_BOUND = 0.01
+
+
+def bet_below(rating, floor):
+    """Return the log growth for each stake, betting that the mean is below `floor`.
+
+    Parameters
+    ----------
+    rating : float
+        One observation, 0 to 1.
+    floor : float
+        Lower bound of a good mean.
+
+    Returns
+    -------
+    tuple of float
+        One growth for each of `STAKES`.
+    """
+    # The largest loss is 1 - floor, so no stake can lose more than itself.
+    scale = 1.0 / max(1.0 - floor, SMALLEST_BOUND)
+    return tuple(math.log1p(stake * scale * (floor - rating)) for stake in STAKES)
+
+
+def bet_on_events(events, trials, ceiling):
+    """Return the log wealth of bets that an event is more frequent than `ceiling`.
+
+    Parameters
+    ----------
+    events, trials : int
+        How often the event was seen, and how often it could have been.
+    ceiling : float
+        Largest rate of a good version, between 0 and 1.
+
+    Returns
+    -------
+    tuple of float
+        One log wealth for each of `STAKES`.
+    """
+    ceiling = min(max(ceiling, SMALLEST_BOUND), 1.0 - SMALLEST_BOUND)
+    scale = 1.0 / ceiling
+    return tuple(
+        events * math.log1p(stake * scale * (1.0 - ceiling))
+        + (trials - events) * math.log1p(-stake * scale * ceiling)
+        for stake in STAKES
+    )
+
+
+def mix(wealths):
+    """Return the log wealth of a gambler who splits evenly over all stakes.
+
+    Parameters
+    ----------
+    wealths : sequence of float
+        Log wealth for each of `STAKES`.
+    """
+    top = max(wealths)
+    total = sum(math.exp(wealth - top) for wealth in wealths)
+    return top + math.log(total / len(wealths))
--- a/tanagerwalk/decisions/versions.py
+++ b/tanagerwalk/decisions/versions.py
@@ -1,63 +1,19 @@
 """Which versions answer a request: the cheapest plan that meets the quality."""
 
-import math
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 
 from expression import Error, Ok
 
-from ..ids import ClassName, VersionName
+from ..ids import VersionName
 from ..messages import Plan
 from ..outcomes import Refusal, RefusalReason, VersionState
+from .evidence import Counts
+from .quality import estimate_quality
 
-CONFIDENCE_Z = 1.64
-EVALUATION_WEIGHT = 50.0
-DEFAULT_RATING = 0.5
-DEFAULT_RATING_WEIGHT = 2.0
-PRIOR_VARIANCE = 0.05
-MAX_CASCADE_LATENESS_SHARE = 1.0
 RETRY_AFTER_UNAVAILABLE_S = 5.0
-
-
-@dataclass(slots=True)
-class RatingSums:
-    """Sums over the ratings of one version at one class; they only grow."""
-
-    count: int = 0
-    total: float = 0.0
-    squares: float = 0.0
-    accepted: int = 0
-    accepted_total: float = 0.0
-
-    def add(self, rating, threshold):
-        """Add one rating; `threshold` is the class's quality target."""
-        self.count += 1
-        self.total += rating
-        self.squares += rating * rating
-        if rating >= threshold:
-            self.accepted += 1
-            self.accepted_total += rating
-
-
-@dataclass(frozen=True, slots=True)
-class QualityEstimate:
-    """Expected rating of a version's answers at one class.
-
-    Parameters
-    ----------
-    mean : float
-        Expected rating, 0 to 1.
-    lower : float
-        One-sided 95% lower confidence bound of `mean`.
-    accept : float
-        Expected share of answers that are rated at or above the target.
-    accepted_mean : float
-        Expected rating of those answers.
-    """
-
-    mean: float
-    lower: float
-    accept: float
-    accepted_mean: float
+# Share of the traffic that all candidates of a class may get together.
+MAX_CANDIDATES_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,64 +22,40 @@
 
     Parameters
     ----------
-    ratings : mapping of (ClassName, VersionName) to RatingSums
-        Ratings gathered on the whole fleet.
+    evidence : callable
+        Returns the Counts of a version at the class, from the whole fleet.
     available : frozenset of VersionName
         Versions that some backend server has loaded.
-    halted : frozenset of (ClassName, VersionName)
-        Versions that the router itself stopped.
-    exposed : frozenset of (ClassName, VersionName)
-        Candidates that may take one more unrated answer.
+    halted : frozenset of VersionName
+        Versions that the router itself stopped at the class.
+    exposed : mapping of VersionName to float
+        Candidates that may take one more unrated answer, each with the share of
+        the class's traffic that it may get.
     durations : callable
         Returns the expected seconds of an attempt for a version name.
-    rating_cost : float
-        Cost of rating one answer.
-    rating_up : bool
-        Whether the rating service answers, so that cascades can run.
+    draw : float
+        Random number, 0 to 1, that spreads candidates over the traffic.
+    time_left : float
+        Seconds until the answer is late.
+    rating_cost, rating_time : float
+        Cost of rating one answer, and the seconds that it takes.
+    cascades : bool
+        Whether an answer can be rated before its caller gets it.
+    excluded : frozenset of VersionName
+        Versions that refused this very request before anything was sent.
     """
 
-    ratings: dict[tuple[ClassName, VersionName], RatingSums]
     available: frozenset[VersionName]
-    halted: frozenset[tuple[ClassName, VersionName]]
-    exposed: frozenset[tuple[ClassName, VersionName]]
-    durations: object
+    durations: Callable[[VersionName], float]
+    evidence: Callable[[VersionName], Counts] = lambda _version: Counts()
+    halted: frozenset[VersionName] = frozenset()
+    exposed: Mapping[VersionName, float] = field(default_factory=dict)
+    draw: float = 1.0
+    time_left: float = float("inf")
     rating_cost: float = 0.0
-    rating_up: bool = True
-
-
-def estimate_quality(version, work_class, sums):
-    """Estimate the quality of a version at a class of work.
-
-    Parameters
-    ----------
-    version : Version
-        Its operators' evaluation is the prior.
-    work_class : WorkClass
-        The class; its target is the threshold of acceptance.
-    sums : RatingSums or None
-        Ratings gathered so far.
-
-    Returns
-    -------
-    QualityEstimate
-    """
-    sums = sums or RatingSums()
-    prior = version.evaluated.get(work_class.name)
-    weight = DEFAULT_RATING_WEIGHT if prior is None else EVALUATION_WEIGHT
-    prior = DEFAULT_RATING if prior is None else prior
-    size = sums.count + weight
-    mean = (sums.total + prior * weight) / size
-    squares = (sums.squares + (prior * prior + PRIOR_VARIANCE) * weight) / size
-    variance = max(0.0, squares - mean * mean)
-    lower = mean - CONFIDENCE_Z * math.sqrt(variance / size)
-    accept = (sums.accepted + prior * weight) / size
-    accepted_prior = (1.0 + work_class.quality) / 2.0
-    accepted_size = sums.accepted + prior * weight
-    accepted_mean = work_class.quality
-    if accepted_size > 0:
-        accepted_sum = sums.accepted_total + accepted_prior * prior * weight
-        accepted_mean = accepted_sum / accepted_size
-    return QualityEstimate(mean, max(0.0, lower), accept, accepted_mean)
+    rating_time: float = 0.0
+    cascades: bool = True
+    excluded: frozenset[VersionName] = frozenset()
 
 
 def is_allowed(declaration, account, version_name, in_session):
@@ -149,6 +81,14 @@
     return version.state is not VersionState.WITHDRAWN
 
 
+def serves(version, work_class_name):
+    """Return whether a version is meant for a class of work.
+
+    A version without any evaluation serves every class.
+    """
+    return not version.evaluated or work_class_name in version.evaluated
+
+
 def choose_plan(declaration, account, work_class, inputs):
     """Choose the plan for a request that has no session yet.
 
@@ -161,21 +101,25 @@
     work_class : WorkClass
         The class of work.
     inputs : PlanInputs
-        Ratings, availability and halts.
+        Evidence, availability and halts.
 
     Returns
     -------
     Result of Plan, or of Refusal
-        The cheapest plan that meets the quality and lateness targets. Where none
-        does, the plan of the best quality among those that are in time.
+        A candidate's plan for its share of the traffic. Otherwise the cheapest
+        plan that meets the quality and lateness targets; where none does, one in
+        time, then one of the best quality.
     """
     usable = [
         declaration.versions[name]
         for name in sorted(account.versions)
-        if _is_usable(declaration, account, work_class, name, inputs)
+        if _is_usable(declaration, account, work_class.name, name, inputs)
     ]
-    plans = _list_plans(usable, work_class, inputs)
-    if not plans:
+    released = [v for v in usable if v.state is VersionState.RELEASED]
+    candidate = _draw_candidate(usable, released, inputs)
+    if candidate is not None:
+        return Ok(_plan_single(candidate, work_class, inputs))
+    if not released:
         return Error(
             Refusal(
                 RefusalReason.NO_ALLOWED_VERSION,
@@ -183,66 +127,116 @@
                 retry_after=RETRY_AFTER_UNAVAILABLE_S,
             )
         )
-    exposing = [plan for plan in plans if plan.candidate is not None]
-    if exposing:
-        return Ok(min(exposing, key=lambda plan: plan.cost))
-    good = [plan for plan in plans if plan.quality >= work_class.quality]
-    if good:
-        return Ok(min(good, key=lambda plan: plan.cost))
-    return Ok(max(plans, key=lambda plan: plan.quality))
+    plans = _list_plans(released, work_class, inputs)
+    return Ok(min(plans, key=lambda plan: _rank(plan, work_class, inputs)))
 
 
-def _is_usable(declaration, account, work_class, name, inputs):
+def _is_usable(declaration, account, work_class_name, name, inputs):
     if not is_allowed(declaration, account.name, name, in_session=False):
         return False
-    if name not in inputs.available or (work_class.name, name) in inputs.halted:
+    if name not in inputs.available or name in inputs.halted:
         return False
-    version = declaration.versions[name]
-    if version.evaluated and work_class.name not in version.evaluated:
-        return False
-    if version.state is VersionState.CANDIDATE:
-        return (work_class.name, name) in inputs.exposed
-    return True
+    return name not in inputs.excluded and serves(
+        declaration.versions[name], work_class_name
+    )
 
 
-def _list_plans(usable, work_class, inputs):
-    estimates = {
-        version.name: estimate_quality(
-            version, work_class, inputs.ratings.get((work_class.name, version.name))
-        )
-        for version in usable
-    }
-    plans = [_plan_single(v, work_class, estimates[v.name]) for v in usable]
-    released = [v for v in usable if v.state is VersionState.RELEASED]
-    if not inputs.rating_up:
+def _draw_candidate(usable, released, inputs):
+    """Return the candidate whose part of [0, 1) holds the draw.
+
+    Where nothing else may answer, any exposed candidate may.
+    """
+    candidates = [v for v in usable if v.name in inputs.exposed]
+    candidates = [v for v in candidates if v.state is VersionState.CANDIDATE]
+    total = sum(inputs.exposed[version.name] for version in candidates)
+    scale = min(1.0, MAX_CANDIDATES_SHARE / total) if total > 0.0 else 0.0
+    reached = 0.0
+    for version in candidates:
+        reached += inputs.exposed[version.name] * scale
+        if inputs.draw < reached:
+            return version
+    return candidates[0] if candidates and not released else None
+
+
+def _rank(plan, work_class, inputs):
+    in_time = plan.duration <= inputs.time_left
+    if plan.quality >= work_class.quality and in_time:
+        return (0, plan.cost, len(plan.steps), plan.steps)
+    return (1, not in_time, -plan.quality, plan.cost, plan.steps)
+
+
+def _list_plans(released, work_class, inputs):
+    plans = [_plan_single(version, work_class, inputs) for version in released]
+    # A cascade runs a request twice.
+    if not inputs.cascades or not work_class.idempotent:
         return plans
     for cheap in released:
         for strong in released:
-            if cheap.cost >= strong.cost:
-                continue
-            plan = _plan_cascade(cheap, strong, work_class, estimates, inputs)
-            if plan is not None:
-                plans.append(plan)
+            if cheap.cost < strong.cost:
+                plans.append(_plan_cascade(cheap, strong, work_class, inputs))
     return plans
 
 
-def _plan_single(version, work_class, estimate):
+def _estimate(version, work_class, inputs):
+    return estimate_quality(version, work_class, inputs.evidence(version.name))
+
+
+def _plan_single(version, work_class, inputs):
     candidate = None
     if version.state is VersionState.CANDIDATE:
         candidate = version.name
-    cost = version.cost * work_class.tokens / 1000.0
-    return Plan((version.name,), cost, estimate.lower, candidate)
-
-
-def _plan_cascade(cheap, strong, work_class, estimates, inputs):
-    slow = inputs.durations(cheap.name) + inputs.durations(strong.name)
-    if slow > work_class.lateness * MAX_CASCADE_LATENESS_SHARE:
-        return None
-    first = estimates[cheap.name]
-    escalate = 1.0 - first.accept
-    tokens = work_class.tokens / 1000.0
-    cost = (cheap.cost + escalate * strong.cost) * tokens + inputs.rating_cost
-    margin = estimates[strong.name].mean - estimates[strong.name].lower
-    quality = first.accept * first.accepted_mean
-    quality += escalate * (estimates[strong.name].lower)
-    return Plan((cheap.name, strong.name), cost, quality - margin * escalate)
+    estimate = _estimate(version, work_class, inputs)
+    cost = version.cost * estimate.tokens / 1000.0
+    duration = inputs.durations(version.name)
+    return Plan((version.name,), cost, estimate.lower, candidate, duration)
+
+
+def _plan_cascade(cheap, strong, work_class, inputs):
+    first = _estimate(cheap, work_class, inputs)
+    last = _estimate(strong, work_class, inputs)
+    cost = cheap.cost * first.tokens / 1000.0 + inputs.rating_cost
+    cost += (1.0 - first.accept) * strong.cost * last.tokens / 1000.0
+    # An accepted answer was rated at the target at least; the other ones are as
+    # good as the last step. The share of either is uncertain.
+    quality = min(
+        _mix_quality(accept, first, last)
+        for accept in (first.accept_lower, 2.0 * first.accept - first.accept_lower)
+    )
+    duration = inputs.durations(cheap.name) + inputs.rating_time
+    duration += inputs.durations(strong.name)
+    return Plan((cheap.name, strong.name), cost, quality, duration=duration)
+
+
+def _mix_quality(accept, first, last):
+    accept = min(1.0, accept)
+    return accept * first.accepted_mean + (1.0 - accept) * last.lower
+
+
+def find_next_step(steps, index, time_left, durations, rating_time):
+    """Return the index of the step of a cascade to run next.
+
+    Parameters
+    ----------
+    steps : tuple of VersionName
+        The cascade.
+    index : int
+        The step that is due.
+    time_left : float
+        Seconds until the request is given up.
+    durations : callable
+        Returns the expected seconds of an attempt for a version name.
+    rating_time : float
+        Seconds that rating an answer takes.
+
+    Returns
+    -------
+    int or None
+        The first step from `index` on after which there is still time for the
+        last one; None if not even the last one fits.
+    """
+    last = len(steps) - 1
+    needed = durations(steps[last])
+    for number in range(index, last):
+        if durations(steps[number]) + rating_time + needed <= time_left:
+            return number
+    return last if needed <= time_left else None
--- a/tanagerwalk/filters/guard.py
+++ b/tanagerwalk/filters/guard.py
@@ -2,35 +2,43 @@
 
 from expression import Error
 
+from ..decisions.cascades import FaultAttribution
 from ..decisions.versions import is_allowed
 from ..messages import AttemptFailure
 from ..outcomes import Interface, Refusal, RefusalReason, RetryReason
 
+OK_STATUS = 200
+
 
 class GuardFilter:
     """Checks version and server once more, after every wait.
 
     Every path to a backend server passes here: first attempts, retries, cascade
-    steps and resumed streams.
+    steps and resumed streams. What comes back is evidence about the version.
 
     Parameters
     ----------
     configuration : ConfigurationState
         The declaration in force.
     rollouts : RolloutController
-        Halts.
+        Halts and exposure; takes the evidence.
     table : ServerTable
         Servers that are leaving.
+    clock : callable
+        Returns monotonic time in seconds.
     """
 
-    def __init__(self, configuration, rollouts, table):
+    def __init__(self, configuration, rollouts, table, clock):
         self._configuration = configuration
         self._rollouts = rollouts
         self._table = table
+        self._clock = clock
+        self._faults = FaultAttribution()
 
     async def handle(self, context, proceed):
         """Pass the attempt on if it is still allowed."""
-        if context.work_class.interface is Interface.CHAT:
+        is_chat = context.work_class.interface is Interface.CHAT
+        if is_chat:
             refusal = self._check_version(context)
             if refusal is not None:
                 return Error(refusal)
@@ -41,7 +49,11 @@
                     RetryReason.SERVER_LEAVING, sent=False, server=context.grant.server
                 )
             )
-        return await proceed(context)
+        started = self._clock()
+        result = await proceed(context)
+        if is_chat:
+            self._record(context, result, started)
+        return result
 
     def _check_version(self, context):
         allowed = is_allowed(
@@ -51,10 +63,26 @@
             in_session=context.session is not None,
         )
         halted = self._rollouts.is_halted((context.work_class.name, context.version))
-        if allowed and not halted:
+        if allowed and not halted and self._rollouts.is_exposed(context):
             return None
         return Refusal(
             RefusalReason.VERSION_WITHDRAWN,
             f'version "{context.version}" takes no more work of the account',
             retry_after=None if context.session else 0.0,
         )
+
+    def _record(self, context, result, started):
+        key = (context.work_class.name, context.version)
+        now = self._clock()
+        seconds = now - started
+        if result.is_ok():
+            answer = result.ok
+            if answer.status == OK_STATUS:
+                tokens = answer.usage.completion_tokens
+                self._rollouts.record_answer(key, tokens, seconds)
+            return
+        lateness = context.work_class.lateness
+        if self._faults.blames_version(
+            context.version, result.error, seconds, lateness, now
+        ):
+            self._rollouts.record_error(key)
--- a/tanagerwalk/filters/plan.py
+++ b/tanagerwalk/filters/plan.py
@@ -1,12 +1,13 @@
-"""Chooses the versions of a request and runs them as a cascade."""
+"""Chooses the versions of a request, and another plan where one was refused."""
 
-from dataclasses import replace
-
-from expression import Error, Ok
+from expression import Error
 
+from ..decisions.cascades import may_replan
 from ..decisions.versions import choose_plan, is_allowed
-from ..messages import Plan, Sink, Usage
-from ..outcomes import Interface, Refusal, RefusalReason
+from ..messages import Plan
+from ..outcomes import Interface, Refusal, RefusalReason, VersionState
+
+RETRY_AFTER_EXPOSURE_S = 5.0
 
 
 class PlanFilter:
@@ -17,96 +18,119 @@
     configuration : ConfigurationState
         The declaration in force.
     rollouts : RolloutController
-        Ratings, exposure and halts.
+        Exposure and halts.
     starter : SessionStarter
         Mints sessions.
     collect_inputs : callable
-        Returns the PlanInputs for a class of work.
+        Returns the PlanInputs for a request and the versions to leave out.
+    runner : CascadeRunner
+        Runs plans.
     metrics : Metrics
         Counters.
+    clock : callable
+        Returns monotonic time in seconds.
     """
 
-    def __init__(self, configuration, rollouts, starter, collect_inputs, metrics):
+    def __init__(
+        self, configuration, rollouts, starter, collect_inputs, runner, metrics, clock
+    ):
         self._configuration = configuration
         self._rollouts = rollouts
         self._starter = starter
         self._collect_inputs = collect_inputs
+        self._runner = runner
         self._metrics = metrics
+        self._clock = clock
 
     async def handle(self, context, proceed):
         """Choose a plan and run its steps."""
         if context.work_class.interface is Interface.SERVICE:
             context.plan = Plan(())
             return await proceed(context)
-        chosen = self._choose(context)
-        if chosen.is_error():
-            return chosen
-        context.plan = chosen.ok
-        if context.session is None and context.wants_session:
-            self._starter.start(context, context.plan.steps[0])
-        if context.plan.candidate is None:
-            return await self._run_steps(context, proceed)
-        key = (context.work_class.name, context.plan.candidate)
-        with self._rollouts.expose(key) as exposure:
-            result = await self._run_steps(context, proceed)
-            if result.is_ok():
-                exposure.confirm()
-            return result
+        if context.session is not None:
+            return await self._continue_session(context, proceed)
+        return await self._run_new(context, proceed)
 
-    def _choose(self, context):
-        declaration = self._configuration.declaration
-        work_class = context.work_class
-        if context.session is None:
-            inputs = self._collect_inputs(work_class)
+    async def _run_new(self, context, proceed):
+        excluded = frozenset()
+        refused = None
+        sink = context.sink
+        while True:
+            chosen = self._choose(context, excluded)
+            if chosen.is_error():
+                return refused or chosen
+            context.plan = chosen.ok
             if context.wants_session:
-                # A session has one version, so it can't go through a cascade.
-                inputs = replace(inputs, rating_up=False)
-            return choose_plan(declaration, context.account, work_class, inputs)
-        version = context.session.version
-        halted = self._rollouts.is_halted((work_class.name, version))
-        if halted or not is_allowed(
-            declaration, context.account.name, version, in_session=True
-        ):
-            return Error(
-                Refusal(
-                    RefusalReason.VERSION_WITHDRAWN,
-                    "the version of this session takes no more work",
-                )
+                self._starter.start(context, context.plan.steps[0])
+            context.sink = sink
+            result = await self._run_exposed(context, proceed)
+            if result.is_ok() or not may_replan(result.error, context.sent):
+                return result
+            refused = result
+            excluded |= {context.version}
+            context.session = None
+            self._metrics.replans.labels(result.error.reason.value).inc()
+
+    def _choose(self, context, excluded):
+        """Choose a plan; a candidate's takes its unit of exposure."""
+        while True:
+            chosen = choose_plan(
+                self._configuration.declaration,
+                context.account,
+                context.work_class,
+                self._collect_inputs(context, excluded),
             )
-        return Ok(Plan((version,)))
+            if chosen.is_error() or chosen.ok.candidate is None:
+                return chosen
+            key = (context.work_class.name, chosen.ok.candidate)
+            context.exposure = self._rollouts.expose(key)
+            if context.exposure is not None:
+                return chosen
+            excluded |= {chosen.ok.candidate}
 
-    async def _run_steps(self, context, proceed):
-        sink = context.sink
-        steps = context.plan.steps
-        for version in steps[:-1]:
-            result = await self._run_step(context, proceed, version, Sink())
-            if result.is_ok() and await self._is_good(context, result.ok):
-                if result.ok.content:
-                    await sink.write(result.ok.content.decode())
-                return result
-            self._metrics.escalations.labels(context.work_class.name).inc()
-        return await self._run_step(context, proceed, steps[-1], sink)
+    async def _continue_session(self, context, proceed):
+        declaration = self._configuration.declaration
+        name = context.session.version
+        key = (context.work_class.name, name)
+        allowed = is_allowed(declaration, context.account.name, name, in_session=True)
+        if not allowed or self._rollouts.is_halted(key):
+            return _refuse(
+                RefusalReason.VERSION_WITHDRAWN,
+                "the version of this session takes no more work",
+            )
+        if declaration.versions[name].state is VersionState.CANDIDATE:
+            context.exposure = self._rollouts.expose(key)
+            if context.exposure is None:
+                return _refuse(
+                    RefusalReason.EXPOSURE_SPENT,
+                    "the version of this session is on trial and has to wait",
+                    RETRY_AFTER_EXPOSURE_S,
+                )
+        context.plan = Plan((name,))
+        return await self._run_exposed(context, proceed)
+
+    async def _run_exposed(self, context, proceed):
+        exposure = context.exposure
+        if exposure is None:
+            return await self._runner.run(context, proceed)
+        given = False
+        try:
+            result = await self._runner.run(context, proceed)
+            given = result.is_ok() and result.ok.status == 200
+            return result
+        finally:
+            # The rating settles the exposure of a whole answer; a part that the
+            # caller saw can't be rated.
+            if not given:
+                self._settle(exposure, context)
+            context.exposure = None
 
-    async def _run_step(self, context, proceed, version, sink):
-        context.version = version
-        context.sink = sink
-        context.generated = []
-        context.tried = set()
-        result = await proceed(context)
-        if result.is_ok():
-            self._charge(context, version, result.ok.usage)
-            if result.ok.status == 200:
-                self._rollouts.sample(context, result.ok)
-        return result
+    def _settle(self, exposure, context):
+        if context.generated:
+            exposure.lose(self._clock())
+        else:
+            exposure.end()
 
-    def _charge(self, context, version_name, usage):
-        context.usage = context.usage.add(usage or Usage())
-        version = self._configuration.declaration.versions.get(version_name)
-        if version is not None:
-            context.cost += version.cost * usage.completion_tokens / 1000.0
 
-    async def _is_good(self, context, answer):
-        if answer.status != 200:
-            return False
-        rating = await self._rollouts.rate_now(context, answer)
-        return rating is not None and rating >= context.work_class.quality
+def _refuse(reason, message, retry_after=None):
+    return Error(Refusal(reason, message, retry_after=retry_after))
--- a/tanagerwalk/messages.py
+++ b/tanagerwalk/messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from .decisions.exposure import Exposure
 from .decisions.limits import Grant
 from .declarations import ClientAccount, WorkClass
 from .ids import (
@@ -60,12 +61,15 @@
         Lower confidence bound of the expected quality, 0 to 1.
     candidate : VersionName or None
         The version under roll-out that this plan exposes the request to.
+    duration : float
+        Expected seconds if every step runs.
     """
 
     steps: tuple[VersionName, ...]
     cost: float = 0.0
     quality: float = 1.0
     candidate: VersionName | None = None
+    duration: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,6 +184,7 @@
     deadline: float = 0.0
     session: Session | None = None
     plan: Plan | None = None
+    exposure: Exposure | None = None
     version: VersionName | None = None
     attempt: AttemptId | None = None
     grant: Grant | None = None
--- a/tanagerwalk/metrics.py
+++ b/tanagerwalk/metrics.py
@@ -2,7 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
-from .outcomes import RefusalReason, RetryReason
+from .outcomes import HaltCause, RatingLoss, RefusalReason, RetryReason
 
 LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0, 300.0)
 
@@ -18,9 +18,27 @@
         self.late = self._count("late", "Answers past their target.", ["work_class"])
         self.cost = self._count("cost", "Cost of answers.", ["work_class"])
         self.escalations = self._count(
-            "escalations", "Cascade answers that were rejected.", ["work_class"]
+            "escalations",
+            "Cascade steps that were not the last word.",
+            ["work_class", "reason"],
+        )
+        self.dropped_ratings = self._count(
+            "dropped_ratings", "Ratings given up.", ["reason"]
+        )
+        self.replans = self._count(
+            "replans", "Plans replaced before anything was sent.", ["reason"]
+        )
+        self.below_target = self._count(
+            "below_target", "Answers given below their target.", ["work_class"]
+        )
+        self.halts = self._count("halts", "Versions halted here.", ["cause"])
+        self.halted = self._gauge("halted", "Halts known, of all declarations.")
+        self.exposure_lost = self._count(
+            "exposure_lost", "Unrated answers of candidates that were written off."
+        )
+        self.exposure_reclaimed = self._count(
+            "exposure_reclaimed", "Grants taken back from instances that are gone."
         )
-        self.dropped_ratings = self._count("dropped_ratings", "Ratings given up.")
         self.platform_faults = self._count(
             "platform_faults", "Failed calls to the platform.", ["service"]
         )
@@ -38,6 +56,11 @@
         for reason in RetryReason:
             self.retries.labels(reason.value)
 
+        for loss in RatingLoss:
+            self.dropped_ratings.labels(loss.value)
+        for cause in HaltCause:
+            self.halts.labels(cause.value)
+
     def _count(self, name, text, labels=()):
         return Counter(f"tanagerwalk_{name}", text, labels, registry=self.registry)
 
--- a/tanagerwalk/outcomes.py
+++ b/tanagerwalk/outcomes.py
@@ -49,6 +49,31 @@
     ATTEMPT_TIMEOUT = "attempt_timeout"
 
 
+class HaltCause(Enum):
+    """Which test stopped a version."""
+
+    RATINGS = "ratings"
+    ERRORS = "errors"
+    LATENESS = "lateness"
+
+
+class RatingLoss(Enum):
+    """Why an answer that should have been rated was not."""
+
+    QUEUE_FULL = "queue_full"
+    RATE_LIMIT = "rate_limit"
+    SERVICE_FAILED = "service_failed"
+
+
+class EscalationReason(Enum):
+    """Why a cascade went on to its next step."""
+
+    BELOW_TARGET = "below_target"
+    UNRATED = "unrated"
+    STEP_FAILED = "step_failed"
+    NO_TIME = "no_time"
+
+
 class RefusalReason(Enum):
     """Why a request is refused."""
 
@@ -58,6 +83,8 @@
     CLASS_NOT_ALLOWED = "class_not_allowed"
     NO_ALLOWED_VERSION = "no_allowed_version"
     VERSION_WITHDRAWN = "version_withdrawn"
+    EXPOSURE_SPENT = "exposure_spent"
+    QUALITY_UNREACHABLE = "quality_unreachable"
     SESSION_INVALID = "session_invalid"
     SESSION_UNCONFIRMED = "session_unconfirmed"
     QUARANTINED = "quarantined"
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -107,7 +107,14 @@
 
     rating_share: float
     rating_queue: int
+    rating_rate: float
+    rating_burst: float
+    rating_cost: float
     false_alarm: float
+    epoch: float
+    share_interval: float
+    halts_interval: float
+    exposure_interval: float
 
 
 @dataclass(frozen=True, slots=True)
