Prove and measure plans, halts and exposure

Tests: properties of plan choice, evidence merged in any order, tables of halts, spared versions and refused steps, a state machine of the exposure ledger. bench.rollouts drives the decisions with seeded traffic.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions, with seeded traffic."""
--- /dev/null
+++ b/bench/rollouts.py
@@ -0,0 +1,371 @@
+"""Cost, quality and exposure of roll-outs, with seeded traffic through the decisions.
+
+Run it as `python -m bench.rollouts [--seeds N] [--kind KIND ...]`.
+"""
+
+import argparse
+import heapq
+import random
+import statistics
+from dataclasses import dataclass, field
+
+from bench.policies import POLICIES
+from tanagerwalk.decisions.evidence import decode_report, encode_report
+from tanagerwalk.decisions.exposure import Ledger
+from tanagerwalk.decisions.rollouts import RolloutBook
+from tanagerwalk.decisions.versions import PlanInputs, choose_plan
+from tanagerwalk.declarations import parse_declaration
+
+INSTANCES = 6
+RATE_PER_S = 10.0
+DURATION_S = 900
+EPOCH_S = 60
+TARGET = 0.9
+# Spread of the ratings: 0.04 around a mean of 0.95, 0.1 around 0.6.
+CONCENTRATION = 25.0
+RATING_DELAY_S = 1.0
+RATING_LOSS = 0.02
+RATING_SHARE = 0.05
+SHARE_EVERY_S = 2
+FALSE_ALARM = 0.01
+LATENESS_S = 2.0
+RELEASE_AT_S = 300
+TURN_AT_S = 450
+DECLARATION = """
+[class plan]
+quality = 0.9
+lateness = 2 s
+tokens = 1000
+[class note]
+quality = 0.9
+lateness = 2 s
+tokens = 1000
+[account desk]
+key_sha256 = ab
+classes = plan note
+versions = cheap strong new
+[version cheap]
+state = released
+cost = 0.1
+evaluated = plan:0.85 note:0.85
+[version strong]
+state = released
+cost = 1.0
+evaluated = plan:0.95 note:0.95
+[version new]
+state = {state}
+cost = 0.5
+evaluated = plan:0.95 note:0.95
+exposure = 20
+replaces = strong
+"""
+
+
+@dataclass(frozen=True)
+class Kind:
+    """How the new version behaves; `turns` at `TURN_AT_S` if it is released before."""
+
+    mean: float = 0.95
+    note_mean: float = 0.95
+    errors: float = 0.0
+    late: float = 0.0
+    turns: bool = False
+    bad: bool = True
+
+
+KINDS = {
+    "good": Kind(bad=False),
+    "good, at target": Kind(0.9, 0.9, bad=False),
+    "-0.05": Kind(0.85, 0.85),
+    "-0.3": Kind(0.6, 0.6),
+    "one class": Kind(0.95, 0.6),
+    "errors 30%": Kind(errors=0.3),
+    "slow 50%": Kind(late=0.5),
+    "turns -0.05": Kind(0.85, 0.85, turns=True),
+    "turns -0.3": Kind(0.6, 0.6, turns=True),
+}
+
+
+@dataclass
+class Outcome:
+    """What one run gave."""
+
+    costs: list = field(default_factory=list)
+    ratings: list = field(default_factory=list)
+    bad_answers: int = 0
+    unrated_peak: int = 0
+    halted_at: dict = field(default_factory=dict)
+    ramped_at: float = float("nan")
+
+
+class Traffic:
+    """Draws requests and the answers of the versions."""
+
+    def __init__(self, kind, seed):
+        self.kind = kind
+        self.random = random.Random(seed)
+
+    def answer(self, version, work_class, now):
+        """Return (rating or None for an error, late) of one attempt."""
+        kind = self.kind
+        means = {"cheap": 0.85, "strong": 0.95}
+        late = errors = 0.0
+        if version == "new":
+            active = not kind.turns or now >= TURN_AT_S
+            mean = kind.mean if work_class == "plan" else kind.note_mean
+            means["new"] = mean if active else 0.95
+            late, errors = kind.late, kind.errors
+        if self.random.random() < errors:
+            return None, False
+        mean = means[version]
+        rating = self.random.betavariate(
+            mean * CONCENTRATION, (1.0 - mean) * CONCENTRATION
+        )
+        return rating, self.random.random() < late
+
+    def is_bad(self, work_class, now):
+        """Return whether the new version is bad at a class now."""
+        if not self.kind.bad or (self.kind.turns and now < TURN_AT_S):
+            return False
+        return self.kind.mean < TARGET or work_class == "note" or self.kind.errors > 0
+
+
+class Fleet:
+    """The decisions of several instances, with exchange and ledger in between."""
+
+    def __init__(self, traffic):
+        self.traffic = traffic
+        self.names = [f"i{number}" for number in range(INSTANCES)]
+        self.books = {name: RolloutBook(name, FALSE_ALARM) for name in self.names}
+        self.ledgers = {}
+        self.due = []
+        self.stated = {}
+        self.outcome = Outcome()
+        self.declare("candidate")
+
+    def declare(self, state):
+        """Put a declaration in force on all instances."""
+        self.declaration = parse_declaration(DECLARATION.format(state=state)).ok
+        for book in self.books.values():
+            book.configure(self.declaration)
+
+    def tick(self, now):
+        """Do what controllers do every second."""
+        if self.traffic.kind.turns and now == RELEASE_AT_S:
+            self.declare("released")
+        for name, book in self.books.items():
+            book.evidence.advance(1 + now // EPOCH_S)
+            self._size(name, book, now)
+        if now % SHARE_EVERY_S == 0:
+            self._exchange()
+        for book in self.books.values():
+            self._halt(book, now)
+        self._measure(now)
+
+    def _size(self, name, book, now):
+        candidates = book.list_candidates()
+        for arm, held in book.slices.items():
+            held.recover(now)
+            ledger = self.ledgers.get(arm, Ledger())
+            budget = candidates[arm].exposure if arm in candidates else 0
+            wanted = held.find_wanted(ledger, name, budget, now)
+            held.begin_write(wanted)
+            self.ledgers[arm] = ledger.resize(name, wanted)
+            held.finish_write(wanted, now)
+
+    def _exchange(self):
+        for name, book in self.books.items():
+            for report in book.evidence.list_own(name):
+                key, value = encode_report(report)
+                if self.stated.get((name, key)) == value:
+                    continue
+                self.stated[(name, key)] = value
+                for other, peer in self.books.items():
+                    if other != name:
+                        peer.merge(name, decode_report(key, value))
+            for arm, halt in book.halts.items():
+                for peer in self.books.values():
+                    peer.take_halt(arm, halt)
+
+    def _halt(self, book, now):
+        for arm, halt in book.find_bad().items():
+            book.take_halt(arm, halt)
+            self.outcome.halted_at.setdefault((arm.version, arm.work_class), now)
+
+    def _measure(self, now):
+        book = self.books[self.names[0]]
+        arm = book.get_arm(("plan", "new"))
+        if self.outcome.ramped_at != self.outcome.ramped_at and (
+            book.find_share(arm) >= 0.5
+        ):
+            self.outcome.ramped_at = now
+        unrated = {}
+        for other in self.books.values():
+            for arm, held in other.slices.items():
+                unrated[arm] = unrated.get(arm, 0) + held.held
+        peak = max(unrated.values(), default=0)
+        self.outcome.unrated_peak = max(self.outcome.unrated_peak, peak)
+
+    def serve(self, now):
+        """Serve one request at a random instance."""
+        rng = self.traffic.random
+        book = self.books[rng.choice(self.names)]
+        work_class = self.declaration.classes[rng.choice(["plan", "note"])]
+        name = work_class.name
+        inputs = PlanInputs(
+            available=frozenset(["cheap", "strong", "new"]),
+            durations=lambda _version: LATENESS_S / 4,
+            evidence=lambda version: book.sum_evidence(name, version),
+            halted=book.list_halted(name),
+            exposed=book.find_exposed(name, now),
+            draw=rng.random(),
+        )
+        account = self.declaration.client_accounts["desk"]
+        plan = choose_plan(self.declaration, account, work_class, inputs).ok
+        exposure = None
+        if plan.candidate:
+            exposure = book.start_exposure((name, plan.candidate), now)
+        cost, rating = self._run(book, plan.steps, name, now, exposure)
+        self.outcome.costs.append(cost)
+        self.outcome.ratings.append(rating)
+
+    def _run(self, book, steps, work_class, now, exposure):
+        cost = 0.0
+        for version in steps:
+            key = (work_class, version)
+            bad = version == "new" and self.traffic.is_bad(work_class, now)
+            self.outcome.bad_answers += bad
+            rating, late = self.traffic.answer(version, work_class, now)
+            cost += self.declaration.versions[version].cost
+            if rating is None:
+                book.record_error(key)
+                if exposure:
+                    exposure.end()
+                continue
+            book.record_answer(key, 1000, 2 * LATENESS_S if late else 0.1)
+            if version != steps[-1]:
+                book.record_rating(key, rating)
+                if rating >= TARGET:
+                    return cost, rating
+                continue
+            self._sample(book, key, rating, now, exposure)
+            return cost, rating
+        # The caller gets an answer of another version after the error.
+        rating, _ = self.traffic.answer("strong", work_class, now)
+        return cost + 1.0, rating
+
+    def _sample(self, book, key, rating, now, exposure):
+        rng = self.traffic.random
+        sampled = rng.random() < RATING_SHARE or book.wants_rating(key)
+        if exposure is None and not sampled:
+            return
+        if rng.random() < RATING_LOSS:
+            if exposure:
+                exposure.lose(now)
+            return
+        item = (now + RATING_DELAY_S, rng.random(), book, key, rating, exposure)
+        heapq.heappush(self.due, item)
+
+    def deliver(self, now):
+        """Give the ratings that are due to their instances."""
+        while self.due and self.due[0][0] <= now:
+            _, _, book, key, rating, exposure = heapq.heappop(self.due)
+            book.record_rating(key, rating)
+            if exposure:
+                exposure.end()
+
+
+def run_router(kind, seed):
+    """Run the decisions on one kind of new version; return the Outcome."""
+    fleet = Fleet(Traffic(kind, seed))
+    for second in range(DURATION_S):
+        fleet.tick(second)
+        for number in range(int(RATE_PER_S)):
+            now = second + number / RATE_PER_S
+            fleet.deliver(now)
+            fleet.serve(now)
+    return fleet.outcome
+
+
+def run_policy(choose, kind, seed):
+    """Run a fixed policy on one kind of new version; return the Outcome."""
+    traffic = Traffic(kind, seed)
+    costs = {"cheap": 0.1, "strong": 1.0, "new": 0.5}
+    outcome = Outcome()
+    for number in range(int(DURATION_S * RATE_PER_S)):
+        now = number / RATE_PER_S
+        work_class = traffic.random.choice(["plan", "note"])
+        released = kind.turns and now >= RELEASE_AT_S
+        version = choose(traffic.random, released)
+        outcome.bad_answers += version == "new" and traffic.is_bad(work_class, now)
+        rating, _ = traffic.answer(version, work_class, now)
+        cost = costs[version]
+        if rating is None:
+            rating, _ = traffic.answer("strong", work_class, now)
+            cost += 1.0
+        outcome.costs.append(cost)
+        outcome.ratings.append(rating)
+    return outcome
+
+
+def _mean(values):
+    values = list(values)
+    return statistics.mean(values) if values else float("nan")
+
+
+def print_row(kind_name, policy, outcomes):
+    """Print the means over all seeds."""
+    kind = KINDS[kind_name]
+    halted = [dict(o.halted_at) for o in outcomes]
+    start = TURN_AT_S if kind.turns else 0
+    target = ("new", "note") if kind_name == "one class" else ("new", "plan")
+    times = [
+        h[target] - start for h in halted if kind.bad and h.get(target, -1) >= start
+    ]
+    false = sum(
+        1
+        for h in halted
+        for (version, work_class), at in h.items()
+        if version != "new"
+        or not kind.bad
+        or at < start
+        or (kind_name == "one class" and work_class == "plan")
+    )
+    ramped = [o.ramped_at for o in outcomes if o.ramped_at == o.ramped_at]
+    print(
+        f"{kind_name:16} {policy:10}"
+        f" {_mean(_mean(o.costs) for o in outcomes):6.3f}"
+        f" {_mean(_mean(o.ratings) for o in outcomes):7.3f}"
+        f" {_mean(_mean(r < TARGET for r in o.ratings) for o in outcomes):7.3f}"
+        f" {_mean(o.bad_answers for o in outcomes):8.1f}"
+        f" {max(o.bad_answers for o in outcomes):6}"
+        f" {max(o.unrated_peak for o in outcomes):6}"
+        f" {len(times):4}/{len(outcomes)}"
+        f" {statistics.median(times) if times else float('nan'):7.0f}"
+        f" {false:5}"
+        f" {statistics.median(ramped) if ramped else float('nan'):7.0f}",
+        flush=True,
+    )
+
+
+def main():
+    """Run the kinds asked for and print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=20)
+    parser.add_argument("--kind", nargs="*", choices=KINDS, default=list(KINDS))
+    arguments = parser.parse_args()
+    print(
+        "kind             policy       cost quality  under      bad    max"
+        " unrated halted  delay false  ramped"
+    )
+    for name in arguments.kind:
+        seeds = range(arguments.seeds)
+        runs = [run_router(KINDS[name], seed) for seed in seeds]
+        print_row(name, "router", runs)
+        for policy, choose in POLICIES.items():
+            runs = [run_policy(choose, KINDS[name], seed) for seed in seeds]
+            print_row(name, policy, runs)
+
+
+if __name__ == "__main__":
+    main()
--- a/tanagerwalk/decisions/evidence.py
+++ b/tanagerwalk/decisions/evidence.py
@@ -7,12 +7,13 @@
 from sortedcontainers import SortedDict
 
 from ..ids import ClassName, SectionHash, VersionName
-from .sequential import STAKES, bet_below
+from .sequential import NO_WEALTH, add_wealths, bet_below
 
 EPOCHS_KEPT = 12
 # Afterwards an epoch takes no more news, and its counters are no longer told apart
 # by origin.
 EPOCHS_OPEN = 3
+# Ratings below which a closed epoch is joined with the one before.
 SMALL_EPOCH = 20
 SAFE_IN_KEY = ":"
 
@@ -90,7 +91,7 @@
     late: int = 0
     answers: int = 0
     tokens: int = 0
-    wealth: tuple[float, ...] = (0.0,) * len(STAKES)
+    wealth: tuple[float, ...] = NO_WEALTH
 
     def add_rating(self, rating, target, floor):
         """Add one rating; `floor` is the mean that the sequential test guards."""
@@ -101,7 +102,7 @@
             self.accepted += 1
             self.accepted_total += rating
         growth = bet_below(rating, floor)
-        self.wealth = tuple(map(sum, zip(self.wealth, growth, strict=True)))
+        self.wealth = add_wealths(self.wealth, growth)
 
     def add_error(self):
         """Add an attempt that failed by the fault of the version."""
@@ -115,12 +116,36 @@
         self.tokens += tokens
         self.late += late
 
-    def combine(self, other, sign=1):
-        """Return the sum of these counts and `sign` times others."""
-        ours, theirs = msgspec.structs.astuple(self), msgspec.structs.astuple(other)
-        sums = [a + sign * b for a, b in zip(ours[:-1], theirs[:-1], strict=True)]
-        wealth = zip(self.wealth, other.wealth, strict=True)
-        return Counts(*sums, tuple(a + sign * b for a, b in wealth))
+    def combine(self, other):
+        """Return the sum of these counts and others."""
+        return Counts(
+            self.count + other.count,
+            self.total + other.total,
+            self.squares + other.squares,
+            self.accepted + other.accepted,
+            self.accepted_total + other.accepted_total,
+            self.attempts + other.attempts,
+            self.errors + other.errors,
+            self.late + other.late,
+            self.answers + other.answers,
+            self.tokens + other.tokens,
+            add_wealths(self.wealth, other.wealth),
+        )
+
+    def negate(self):
+        """Return the counts that cancel these."""
+        fields = msgspec.structs.astuple(self)
+        return Counts(
+            *(-number for number in fields[:-1]), tuple(-w for w in self.wealth)
+        )
+
+    def shows_more(self, other):
+        """Return whether a test could now come out otherwise than with `other`."""
+        return (self.count, self.errors, self.late) != (
+            other.count,
+            other.errors,
+            other.late,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,7 +193,7 @@
         self._sums.clear()
 
     def merge(self, origin, report):
-        """Take a report; return whether it was newer.
+        """Take a report; return whether it calls for new tests.
 
         Parameters
         ----------
@@ -189,10 +214,10 @@
             return False
         self._by_origin[identity] = report.counts
         epochs = self._epochs.setdefault(report.arm, SortedDict())
-        grown = report.counts.combine(known, -1)
+        grown = report.counts.combine(known.negate())
         epochs[report.epoch] = epochs.get(report.epoch, Counts()).combine(grown)
         self._sums.pop((report.arm.work_class, report.arm.version), None)
-        return True
+        return report.counts.shows_more(known)
 
     def get_own(self, origin, arm):
         """Return a copy of an origin's counts of the newest epoch."""
@@ -247,7 +272,7 @@
     """Join neighbouring closed epochs that hold little, so that rare work lasts."""
     younger = None
     for epoch in reversed([epoch for epoch in epochs if epoch <= closed]):
-        if younger is not None and epochs[younger].attempts < SMALL_EPOCH:
+        if younger is not None and epochs[younger].count < SMALL_EPOCH:
             epochs[epoch] = epochs[epoch].combine(epochs.pop(younger))
         younger = epoch
 
--- a/tanagerwalk/decisions/halts.py
+++ b/tanagerwalk/decisions/halts.py
@@ -10,7 +10,7 @@
 from ..outcomes import HaltCause, VersionState
 from .evidence import EPOCHS_KEPT, Arm, Counts
 from .quality import is_tolerable
-from .sequential import bet_on_events, mix
+from .sequential import NO_WEALTH, add_wealths, bet_on_events, has_won
 from .versions import serves
 
 EVALUATION_SLACK = 0.05
@@ -124,22 +124,30 @@
     limit = math.log(len(HaltCause) * EPOCHS_KEPT / false_alarm)
     error_ceiling = _find_ceiling(trial, ERROR_CEILING, "errors", "attempts")
     late_ceiling = _find_ceiling(trial, LATE_CEILING, "late", "answers")
-    total = Counts()
+    wealth = NO_WEALTH
+    errors = attempts = late = answers = count = 0
+    total = 0.0
     for counts in trial.epochs:
-        total = total.combine(counts)
-        if mix(total.wealth) >= limit:
-            return Halt(HaltCause.RATINGS, total.total / total.count)
-        if _exceeds(total.errors, total.attempts, error_ceiling, limit):
+        wealth = add_wealths(wealth, counts.wealth)
+        count += counts.count
+        total += counts.total
+        errors += counts.errors
+        attempts += counts.attempts
+        late += counts.late
+        answers += counts.answers
+        if has_won(wealth, limit):
+            return Halt(HaltCause.RATINGS, total / count)
+        if _exceeds(errors, attempts, error_ceiling, limit):
             return Halt(HaltCause.ERRORS, 1.0)
-        if _exceeds(total.late, total.answers, late_ceiling, limit):
+        if _exceeds(late, answers, late_ceiling, limit):
             return Halt(HaltCause.LATENESS, 1.0)
     return None
 
 
 def _exceeds(events, trials, ceiling, limit):
-    if ceiling is None:
+    if ceiling is None or events <= ceiling * trials:
         return False
-    return mix(bet_on_events(events, trials, ceiling)) >= limit
+    return has_won(bet_on_events(events, trials, ceiling), limit)
 
 
 def _find_ceiling(trial, least, events, trials):
--- a/tanagerwalk/decisions/rollouts.py
+++ b/tanagerwalk/decisions/rollouts.py
@@ -4,7 +4,7 @@
 from .evidence import Counts, EvidenceTable, Report
 from .exposure import Exposure, Slice
 from .halts import Trial, find_floor, find_spared, judge, list_arms
-from .sequential import mix
+from .sequential import NO_WEALTH, add_wealths, has_won
 from .versions import serves
 
 ENOUGH_RATINGS = 200
@@ -99,12 +99,18 @@
         return self.evidence.sum_newest(work_class, version, ENOUGH_RATINGS)
 
     def wants_rating(self, key):
-        """Return whether too few answers of a version were rated of late."""
+        """Return whether every answer of a version should be rated now.
+
+        So it is while the current epoch has few ratings, and while those that
+        there are make the version suspect.
+        """
         arm = self._arms.get(key)
         if arm is None:
             return False
         epochs = self.evidence.list_epochs(arm)
-        return not epochs or epochs[0].count < RATINGS_PER_EPOCH
+        if not epochs or epochs[0].count < RATINGS_PER_EPOCH:
+            return True
+        return self._is_suspected(epochs)
 
     def find_bad(self):
         """Return the Halt of each arm that has just shown to be bad."""
@@ -195,12 +201,19 @@
 
     def find_share(self, arm):
         """Return the share of a class's traffic that a candidate may get."""
-        total = Counts()
-        for counts in self.evidence.list_epochs(arm):
-            total = total.combine(counts)
-        if mix(total.wealth) > SUSPICION:
+        epochs = self.evidence.list_epochs(arm)
+        if self._is_suspected(epochs):
             return START_SHARE
-        return min(MAX_SHARE, START_SHARE * 2.0 ** (total.count // RAMP_RATINGS))
+        count = sum(counts.count for counts in epochs)
+        return min(MAX_SHARE, START_SHARE * 2.0 ** (count // RAMP_RATINGS))
+
+    def _is_suspected(self, epochs):
+        wealth = NO_WEALTH
+        for counts in epochs:
+            wealth = add_wealths(wealth, counts.wealth)
+            if has_won(wealth, SUSPICION):
+                return True
+        return False
 
     def _get_slice(self, arm):
         return self.slices.setdefault(arm, Slice())
--- a/tanagerwalk/decisions/sequential.py
+++ b/tanagerwalk/decisions/sequential.py
@@ -11,6 +11,7 @@
 
 STAKES = (0.25, 0.5, 0.9)
 SMALLEST_BOUND = 0.01
+NO_WEALTH = (0.0,) * len(STAKES)
 
 
 def bet_below(rating, floor):
@@ -68,3 +69,13 @@
     top = max(wealths)
     total = sum(math.exp(wealth - top) for wealth in wealths)
     return top + math.log(total / len(wealths))
+
+
+def has_won(wealths, limit):
+    """Return whether the mixed log wealth has reached `limit`."""
+    return max(wealths) >= limit and mix(wealths) >= limit
+
+
+def add_wealths(ours, theirs):
+    """Return the log wealth of two series of bets together."""
+    return tuple(map(float.__add__, ours, theirs))
--- /dev/null
+++ b/test/decisions/test_exposure.py
@@ -0,0 +1,158 @@
+"""The budget of unrated answers holds in any interleaving."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from tanagerwalk.decisions.exposure import (
+    GRANT_LIFETIME_S,
+    RECOVERY_S,
+    AbandonedGrants,
+    Exposure,
+    Grant,
+    Ledger,
+    Slice,
+    decode_ledger,
+    encode_ledger,
+)
+
+BUDGET = 6
+LONGEST_ANSWER_S = 30.0
+NAMES = st.sampled_from(["a", "b", "c", "d"])
+
+
+class Instance:
+    """One entry instance; it may be cut off from the store."""
+
+    def __init__(self):
+        self.slice = Slice()
+        self.watch = AbandonedGrants()
+        self.running = []
+        self.given = []
+
+
+class ExposureMachine(RuleBasedStateMachine):
+    """Instances that share one ledger, lose writes, crash and are replaced."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.value = encode_ledger(Ledger())
+        self.instances = {}
+        self.number = 0
+        self.names = {}
+        # Times of answers that were given and neither rated nor written off.
+        self.orphans = []
+
+    def get(self, slot):
+        if slot not in self.names:
+            self.number += 1
+            self.names[slot] = f"{slot}{self.number}"
+            self.instances[self.names[slot]] = Instance()
+        name = self.names[slot]
+        return name, self.instances[name]
+
+    @rule(slot=NAMES, outcome=st.sampled_from(["ok", "lost", "refused"]))
+    def size(self, slot, outcome):
+        name, instance = self.get(slot)
+        held = instance.slice
+        held.recover(self.now)
+        ledger = decode_ledger(self.value)
+        dropped = instance.watch.find(ledger, LONGEST_ANSWER_S, self.now) - {name}
+        ledger = ledger.drop(dropped)
+        wanted = held.find_wanted(ledger, name, BUDGET, self.now)
+        recorded = ledger.grants.get(name, Grant(0, 0)).units
+        if not held.needs_write(wanted, recorded, self.now):
+            return
+        held.begin_write(wanted)
+        if outcome == "refused":
+            return
+        self.value = encode_ledger(ledger.resize(name, wanted))
+        if outcome == "ok":
+            held.finish_write(wanted, self.now)
+
+    @rule(slot=NAMES)
+    def start(self, slot):
+        _, instance = self.get(slot)
+        if instance.slice.start(self.now):
+            instance.running.append((Exposure(instance.slice), self.now))
+
+    @rule(slot=NAMES)
+    def give(self, slot):
+        _, instance = self.get(slot)
+        if not instance.running:
+            return
+        exposure, started = instance.running.pop(0)
+        if self.now - started > LONGEST_ANSWER_S:
+            exposure.end()
+            return
+        instance.given.append((exposure, self.now))
+
+    @rule(slot=NAMES, fate=st.sampled_from(["rated", "lost"]))
+    def settle(self, slot, fate):
+        _, instance = self.get(slot)
+        if not instance.given:
+            return
+        exposure, given = instance.given.pop(0)
+        if fate == "rated":
+            exposure.end()
+            return
+        exposure.lose(self.now)
+        self.orphans.append(given)
+
+    @rule(slot=NAMES)
+    def crash(self, slot):
+        name, instance = self.get(slot)
+        self.orphans.extend(given for _, given in instance.given)
+        del self.instances[name]
+        del self.names[slot]
+
+    @rule(seconds=st.sampled_from([1.0, 20.0, GRANT_LIFETIME_S, 300.0, 800.0]))
+    def wait(self, seconds):
+        self.now += seconds
+        for instance in self.instances.values():
+            # The rating queue gives up what is too old; so does a caller.
+            for exposure, given in list(instance.given):
+                if self.now - given > RECOVERY_S:
+                    exposure.lose(self.now)
+                    instance.given.remove((exposure, given))
+            for exposure, started in list(instance.running):
+                if self.now - started > LONGEST_ANSWER_S:
+                    exposure.end()
+                    instance.running.remove((exposure, started))
+
+    @invariant()
+    def unrated_answers_stay_within_the_budget(self):
+        answers = [given for i in self.instances.values() for _, given in i.given]
+        running = sum(len(i.running) for i in self.instances.values())
+        recent = [t for t in answers + self.orphans if self.now - t <= RECOVERY_S]
+        assert len(recent) + running <= BUDGET
+
+    @precondition(lambda self: self.instances)
+    @invariant()
+    def grants_stay_within_the_budget(self):
+        grants = decode_ledger(self.value).grants.values()
+        assert sum(grant.units for grant in grants) <= BUDGET
+
+
+TestExposure = ExposureMachine.TestCase
+TestExposure.settings = settings(max_examples=150, stateful_step_count=60)
+
+
+def test_units_of_a_crashed_instance_come_back():
+    ledger = Ledger({"dead": Grant(BUDGET, 3)})
+    watch, held = AbandonedGrants(), Slice()
+    limit = GRANT_LIFETIME_S + LONGEST_ANSWER_S + RECOVERY_S
+    assert not watch.find(ledger, LONGEST_ANSWER_S, 0.0)
+    assert not watch.find(ledger, LONGEST_ANSWER_S, limit)
+    held.has_free(2 * limit)
+    abandoned = watch.find(ledger, LONGEST_ANSWER_S, 2 * limit)
+    assert held.find_wanted(ledger, "live", BUDGET, 2 * limit) == 0
+    assert held.find_wanted(ledger.drop(abandoned), "live", BUDGET, 2 * limit) > 0
+
+
+def test_grant_that_is_not_renewed_is_not_spent():
+    held = Slice()
+    held.finish_write(3, 0.0)
+    assert held.start(1.0)
+    assert not held.start(GRANT_LIFETIME_S)
