--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the decisions, with seeded traffic."""
+"""Benchmarks; each module is run by itself and prints a small table."""
