Give up silent servers in time for another; prove a cut-off domain

Cause: an instance whose domain is cut off sends what its own engine has no room for to engines it can't reach. The connection is accepted and then silent, and the attempt waited idle_timeout (10 s), past the class's patience: of 10 labels at a cut domain 1 ended with 504 (test_partitions.py, seen twice). Ruled out: a shorter idle_timeout for all (it cuts slow drafts short). Change: an attempt that may be repeated is given up after half of the time that is left since its last piece; others keep the whole time. The list of instances is read with an entity tag: at the target size a list of 1,140 records each second would not fit 3 KB/s. After: all 10 are answered, two partition tests pass, bookings are refused as not run while the store is out of reach and run once after it heals.

--- a/tanagerwalk/clients/targets.py
+++ b/tanagerwalk/clients/targets.py
@@ -18,6 +18,8 @@
 
 ENTRY_ROLE = "entry"
 LEAVING_STATE = "leaving"
+OK_STATUS = 200
+NOT_MODIFIED = 304
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,22 +64,34 @@
         self._http = http
         self._url = url
         self._timeout = aiohttp.ClientTimeout(total=timeout)
+        self._last = None
+        self._last_tag = None
 
     async def read(self):
         """Read the list.
 
+        A list that has not changed since the last reading is not sent again, if
+        the platform supports entity tags.
+
         Returns
         -------
         Result of InstanceList, or of str
             The error is one line for the log.
         """
+        headers = {"If-None-Match": self._last_tag} if self._last_tag else {}
         try:
-            async with self._http.get(self._url, timeout=self._timeout) as response:
+            async with self._http.get(
+                self._url, headers=headers, timeout=self._timeout
+            ) as response:
+                if response.status == NOT_MODIFIED and self._last is not None:
+                    return Ok(self._last)
                 content = await response.read()
-                if response.status != 200:
+                if response.status != OK_STATUS:
                     return Error(f"instance list answered {response.status}")
                 groups = msgspec.json.decode(content, type=list[_TargetGroup])
-                return Ok(_sort_groups(groups))
+                self._last = _sort_groups(groups)
+                self._last_tag = response.headers.get("ETag")
+                return Ok(self._last)
         except (aiohttp.ClientError, TimeoutError) as error:
             return Error(f"instance list: {type(error).__name__}")
         except (msgspec.DecodeError, KeyError, ValueError) as error:
--- a/tanagerwalk/filters/dispatch.py
+++ b/tanagerwalk/filters/dispatch.py
@@ -1,5 +1,6 @@
 """Innermost filter: sends the attempt to its backend server."""
 
+import asyncio
 import dataclasses
 import uuid
 from functools import singledispatchmethod
@@ -9,11 +10,13 @@
 from ..clients.engines import ChatAttempt, ChatOutcome
 from ..clients.services import ServiceAttempt, ServiceOutcome
 from ..ids import AttemptId
-from ..messages import Answer
-from ..outcomes import Interface
+from ..messages import Answer, AttemptFailure
+from ..outcomes import Interface, RetryReason
 
 OK_STATUS = 200
 MILLISECONDS = 1000
+MIN_SILENCE_S = 0.25
+SILENCE_SHARE = 0.5
 
 
 class DispatchFilter:
@@ -38,7 +41,7 @@
         """Run one attempt; the error is an AttemptFailure."""
         del proceed
         context.attempt = AttemptId(f"{context.request_id}.{uuid.uuid4().hex[:8]}")
-        limit = max(0.0, context.deadline - self._clock())
+        limit = self._limit_silence(context)
         if context.work_class.interface is Interface.SERVICE:
             result = await self._services.call(_make_service_attempt(context), limit)
         else:
@@ -48,19 +51,37 @@
             return Error(dataclasses.replace(result.error, server=server))
         return Ok(self._make_answer(result.ok, context))
 
-    async def _complete(self, context, limit):
-        attempt = context.attempt
+    def _limit_silence(self, context):
+        """Return the seconds that the server may be silent.
 
-        async def take_text(text):
-            # A late piece of an abandoned attempt must not reach the caller.
-            if context.attempt != attempt:
-                return
-            context.generated.append(text)
-            await context.sink.write(text)
+        A server that is cut off accepts a request and says nothing. One that may
+        be repeated is given up while there is time left for another server.
+        """
+        left = max(0.0, context.deadline - self._clock())
+        if not context.work_class.idempotent:
+            return left
+        return min(left, max(MIN_SILENCE_S, left * SILENCE_SHARE))
 
-        return await self._engines.complete(
-            _make_chat_attempt(context), limit, take_text
-        )
+    async def _complete(self, context, silence):
+        attempt = context.attempt
+        left = max(0.0, context.deadline - self._clock())
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(silence) as watch:
+
+                async def take_text(text):
+                    # A late piece of an abandoned attempt must not reach the caller.
+                    if context.attempt != attempt:
+                        return
+                    watch.reschedule(loop.time() + self._limit_silence(context))
+                    context.generated.append(text)
+                    await context.sink.write(text)
+
+                return await self._engines.complete(
+                    _make_chat_attempt(context), left, take_text
+                )
+        except TimeoutError:
+            return Error(AttemptFailure(RetryReason.ATTEMPT_TIMEOUT, sent=True))
 
     @singledispatchmethod
     def _make_answer(self, outcome, context):
--- /dev/null
+++ b/tanagerwalk/standins/link.py
@@ -0,0 +1,74 @@
+"""Stand-in of the network between two places; it can be cut."""
+
+import asyncio
+from contextlib import suppress
+
+ADDRESS = "127.0.0.1"
+CHUNK_BYTES = 65536
+
+
+class Link:
+    """Forwards TCP connections to a target until it is cut.
+
+    While it is cut, bytes and new connections vanish without an answer, as in a
+    partition; connections that were open at a cut stay dead after it heals.
+
+    Parameters
+    ----------
+    target : str
+        `IP:port` to forward to.
+    """
+
+    def __init__(self, target):
+        self._target = target
+        self._server = None
+        self._tasks = set()
+        self.cut = False
+        self.address = ""
+
+    async def start(self):
+        """Listen; `address` then holds `IP:port`."""
+        self._server = await asyncio.start_server(self._accept, ADDRESS, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{ADDRESS}:{port}"
+
+    async def stop(self):
+        """Close every connection."""
+        self._server.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        try:
+            if self.cut:
+                await asyncio.Event().wait()
+            await self._forward(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(asyncio.current_task())
+            writer.close()
+
+    async def _forward(self, reader, writer):
+        host, _, port = self._target.partition(":")
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        pumps = [
+            asyncio.create_task(self._pump(reader, far_writer)),
+            asyncio.create_task(self._pump(far_reader, writer)),
+        ]
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            far_writer.close()
+
+    async def _pump(self, reader, writer):
+        with suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                if self.cut:
+                    await asyncio.Event().wait()
+                writer.write(data)
+                await writer.drain()
--- a/tanagerwalk/standins/platform.py
+++ b/tanagerwalk/standins/platform.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's instance list and of its rating service."""
 
 import hashlib
+import json
 
 from aiohttp import web
 
@@ -23,8 +24,8 @@
         Mean rating of each version.
     outage : bool
         Whether every call is answered by status 503.
-    rated : int
-        Answers rated so far.
+    rated, lists_sent : int
+        Answers rated and whole lists sent so far.
     """
 
     def __init__(self):
@@ -33,6 +34,7 @@
         self.quality = {}
         self.outage = False
         self.rated = 0
+        self.lists_sent = 0
 
     def list_routes(self):
         """Return the routes of the platform."""
@@ -53,7 +55,14 @@
     async def _targets(self, request):
         if self.outage:
             raise web.HTTPServiceUnavailable
-        return web.json_response(self.groups)
+        content = json.dumps(self.groups)
+        tag = hashlib.sha256(content.encode()).hexdigest()[:16]
+        if request.headers.get("If-None-Match") == f'"{tag}"':
+            raise web.HTTPNotModified
+        self.lists_sent += 1
+        response = web.Response(text=content, content_type="application/json")
+        response.etag = tag
+        return response
 
     async def _rate(self, request):
         if self.outage:
--- a/test/filters/test_dispatch.py
+++ b/test/filters/test_dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import pytest
 from expression import Error, Ok
 
 from tanagerwalk.clients.engines import ChatOutcome
@@ -81,3 +82,27 @@
     for number, (context, result) in enumerate(zip(contexts, results, strict=True)):
         assert result.ok.content == f"{number} {number}".encode()
         assert "".join(context.sink.pieces) == f"{number} {number}"
+
+
+class SilentEngines:
+    """Gives one piece of text and then nothing more."""
+
+    async def complete(self, attempt, deadline, on_text):
+        await on_text("a ")
+        await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize(("idempotent", "share"), [("yes", 0.5), ("no", 1.0)])
+async def test_silent_server_is_given_up_in_time_for_another(idempotent, share):
+    declared = f"[class label]\nlateness = 1 s\nidempotent = {idempotent}\n"
+    context = make_context()
+    context.work_class = parse_declaration(declared).ok.classes["label"]
+    started = time.monotonic()
+    context.deadline = started + 1.0
+    result = await DispatchFilter(SilentEngines(), None, time.monotonic).handle(
+        context, None
+    )
+    assert result.error.reason is RetryReason.ATTEMPT_TIMEOUT
+    assert result.error.sent
+    # An attempt is never given up before its share of the time has passed.
+    assert time.monotonic() - started >= share * 0.9
--- /dev/null
+++ b/test/test_partitions.py
@@ -0,0 +1,117 @@
+"""A failure domain that is cut off from the platform and from the others.
+
+`north` reaches everything outside its domain through links of its own, and is
+reached by its peers through one; cutting them is a partition without any answer.
+"""
+
+import asyncio
+import copy
+import time
+
+import pytest_asyncio
+
+from tanagerwalk.standins.link import Link
+from tanagerwalk.standins.platform import PlatformStandIn
+
+STALE = "[configuration]\nstale_after = 1.5\n"
+PLACE = {"region": "north", "domain": "north-a"}
+
+
+class Partition:
+    """The links of one cut-off domain."""
+
+    def __init__(self):
+        self.links = []
+        self.platform = PlatformStandIn()
+
+    async def connect(self, target):
+        link = Link(target)
+        await link.start()
+        self.links.append(link)
+        return link.address
+
+    def set_cut(self, cut):
+        self.platform.outage = cut
+        for link in self.links:
+            link.cut = cut
+
+    async def stop(self):
+        for link in self.links:
+            await link.stop()
+        await self.platform.stop()
+
+
+@pytest_asyncio.fixture
+async def partition(demo):
+    built = Partition()
+    await built.platform.start()
+    far = copy.deepcopy(demo.platform.groups)
+    for group in far:
+        group["targets"] = [await built.connect(group["targets"][0])]
+    keyvalue = await built.connect(demo.keyvalue.address)
+    near = len(demo.platform.groups)
+    await demo.add_engine("engine-n", ["wren:1", "heron:1", "heron:2"], **PLACE)
+    await demo.add_service("booking-n", "booking", **PLACE)
+    built.platform.groups = far + copy.deepcopy(demo.platform.groups[near:])
+    north = await demo.add_instance(
+        "north",
+        **PLACE,
+        keyvalue=keyvalue,
+        platform=built.platform.address,
+        extra=STALE,
+    )
+    group = demo.platform.groups[-1]
+    group["targets"] = [await built.connect(group["targets"][0])]
+    built.platform.groups.append(copy.deepcopy(group))
+    await demo.wait_until(lambda: is_able(north))
+    yield built
+    await built.stop()
+
+
+def is_able(instance):
+    engine = instance.table.servers.get("engine-n")
+    return instance.is_ready() and engine is not None and engine.versions
+
+
+async def test_cut_domain_serves_what_it_can_and_comes_back(demo, partition):
+    north = demo.instances["north"]
+    first = demo.instances["entry-1"]
+    partition.set_cut(True)
+    await demo.wait_until(lambda: north.configuration.is_stale(time.monotonic()))
+    withdrawn = first.configuration.text.replace("released", "withdrawn", 1)
+    revision = await demo.apply(withdrawn)
+    await demo.wait_until(lambda: first.configuration.revision == revision)
+
+    # Its own engine and service answer; nothing is claimed without the store.
+    results = await asyncio.gather(
+        *(demo.chat(north, "label", f"spine {n}") for n in range(10)),
+        demo.call(north, "status", {"job": 1}),
+    )
+    assert [status for status, _, _ in results] == [200] * 11
+    key = {"Idempotency-Key": "slot-1"}
+    status, content, headers = await demo.call(north, "booking", {}, **key)
+    assert (status, b"not_run" in content) == (503, True)
+    assert "Retry-After" in headers
+    assert demo.services["booking-n"].runs.count("slot-1") == 0
+    for number in range(10):
+        _, _, headers = await demo.chat(north, "plan", f"book {number}")
+        assert headers.get("X-Version") != "heron:2"
+
+    partition.set_cut(False)
+    await demo.wait_until(lambda: north.configuration.revision == revision)
+    status, _, headers = await demo.chat(north, "label", "spine")
+    assert (status, headers["X-Version"]) == (200, "heron:1")
+    status, _, _ = await demo.call(north, "booking", {}, **key)
+    assert status == 200
+
+
+async def test_others_keep_serving_while_a_domain_is_cut(demo, partition):
+    first = demo.instances["entry-1"]
+    partition.set_cut(True)
+    results = await asyncio.gather(
+        *(demo.chat(first, "label", f"spine {n}") for n in range(20))
+    )
+    assert [status for status, _, _ in results] == [200] * 20
+    key = {"Idempotency-Key": "slot-1"}
+    status, _, _ = await demo.call(first, "booking", {}, **key)
+    assert status == 200
