Give the declaration to a partner that has an older one; measure the exchange

Cause: only the instance that starts an exchange learned of a newer revision. One that knows no peer, or that others reach and that reaches none, never did (test failed first: test_declaration_reaches_an_instance_that_knows_no_peer). Ruled out: letting the answering side fetch: it may not know the asker's address.

--- /dev/null
+++ b/bench/exchange.py
@@ -0,0 +1,277 @@
+"""Bytes, time and processor time of the exchange between entry instances.
+
+Fact tables exchange in memory through the real encoding, at the intervals and with
+the partners of real instances; links have no latency. In each case one instance
+learns a newer revision of the declaration and another one learns that a backend
+server is leaving. The last table is of the real link over 127.0.0.1.
+"""
+
+import argparse
+import heapq
+import random
+import time
+from dataclasses import dataclass, field
+
+import uvloop
+
+from tanagerwalk.clients.targets import PeerRecord
+from tanagerwalk.controllers.exchange import EXPIRY_EVERY, SLOW_EVERY
+from tanagerwalk.controllers.loop import JITTER
+from tanagerwalk.decisions.facts import FactTable, Topic
+from tanagerwalk.decisions.partners import PartnerChooser
+from tanagerwalk.decisions.servers import Home
+from tanagerwalk.ids import InstanceId
+from tanagerwalk.peers.codec import decode, encode
+from tanagerwalk.peers.gen.exchange.ttypes import DeclarationNews, ExchangeRequest
+from tanagerwalk.peers.link import MessageKind, PeerClient, PeerServer
+from tanagerwalk.peers.reconcile import ByteBudget, Reconciler
+from tanagerwalk.settings import parse_settings
+
+SEED = 7
+SIZES = (10, 40, 120, 340)
+REGIONS = 3
+DOMAINS = 6
+WARM_UP_S = 90.0
+MEASURED_S = 30.0
+SHARE_INTERVAL_S = 2.0
+MAX_SPREAD_S = 60.0
+RATING_LIFETIME_S = 180.0
+FRAME_BYTES = 21
+# IP and TCP headers with timestamps. An answer acknowledges its request, so of two
+# messages only one has an acknowledgement of its own.
+SEGMENT_BYTES = 52
+ACKNOWLEDGEMENT_BYTES = 26
+DECLARATION_BYTES = 4096
+LINK_REQUESTS = 4000
+LINK_PAYLOAD_BYTES = 120
+
+
+@dataclass
+class Node:
+    """One simulated instance."""
+
+    record: PeerRecord
+    table: FactTable
+    reconciler: Reconciler
+    partners: PartnerChooser
+    revision: int = 1
+    steps: int = 0
+    sent: int = 0
+    received: int = 0
+
+
+@dataclass
+class Case:
+    """Size and load of one simulation."""
+
+    nodes: int
+    ratings: int
+    slow_rate: float
+
+
+@dataclass
+class Totals:
+    """What a simulation has counted."""
+
+    exchanges: int = 0
+    requests: int = 0
+    processor_s: float = 0.0
+    merged: int = 0
+    queue: list = field(default_factory=list)
+
+
+class Fleet:
+    """Instances that exchange in simulated time.
+
+    Parameters
+    ----------
+    case : Case
+        Size and load.
+    settings : PeerSettings
+        Interval and partners.
+    """
+
+    def __init__(self, case, settings):
+        self.case = case
+        self.settings = settings
+        self.random = random.Random(SEED)
+        self.now = 1000.0
+        self.totals = Totals()
+        self.nodes = [self._make_node(number) for number in range(case.nodes)]
+        self.peers = tuple(node.record for node in self.nodes)
+        self.by_id = {node.record.id: node for node in self.nodes}
+        for node in self.nodes:
+            self._plan(node, self._exchange, settings.interval)
+            self._plan(node, self._state_ratings, SHARE_INTERVAL_S)
+
+    def _make_node(self, number):
+        domain = number % DOMAINS
+        home = Home(f"r{domain % REGIONS}", f"d{domain}")
+        identity = f"entry-{number}"
+        origin = f"{identity}.{self.random.getrandbits(128):032x}"
+        record = PeerRecord(
+            identity, identity, home.region, home.failure_domain, origin
+        )
+        table = FactTable(origin)
+        budget = ByteBudget(self.case.slow_rate, self.case.slow_rate)
+        chooser = PartnerChooser(
+            origin, home, self.settings.cross_domain, random.Random(number)
+        )
+        reconciler = Reconciler(table, budget, random.Random(number))
+        return Node(record, table, reconciler, chooser)
+
+    def _plan(self, node, action, interval):
+        spread = 1.0 + JITTER * (2.0 * self.random.random() - 1.0)
+        at = self.now + interval * spread
+        entry = (at, self.random.random(), node, action, interval)
+        heapq.heappush(self.totals.queue, entry)
+
+    def run(self, seconds, condition=None):
+        """Run until a time has passed or a condition holds; return the time."""
+        begun = self.now
+        while self.now < begun + seconds:
+            if condition is not None and condition():
+                break
+            self.now, _, node, action, interval = heapq.heappop(self.totals.queue)
+            action(node)
+            self._plan(node, action, interval)
+        return self.now - begun
+
+    def _state_ratings(self, node):
+        for number in range(self.case.ratings):
+            key = f"plan/heron:{number}/28913442"
+            value = self.random.randbytes(24)
+            node.table.state(Topic.RATINGS, key, value, self.now, RATING_LIFETIME_S)
+
+    def _exchange(self, node):
+        node.steps += 1
+        record = node.partners.choose(self.peers, self.now)
+        partner = self.by_id[record.id]
+        begun = time.process_time()
+        if node.steps % EXPIRY_EVERY == 0:
+            node.table.expire(self.now)
+        self._reconcile(node, partner)
+        self.totals.processor_s += time.process_time() - begun
+        self.totals.exchanges += 1
+
+    def _reconcile(self, node, partner):
+        news = DeclarationNews(node.revision, 1500)
+        digest = node.reconciler.make_digest(news, node.steps % SLOW_EVERY == 0)
+        request = self._carry(ExchangeRequest(digest=digest), node, partner)
+        theirs = DeclarationNews(partner.revision, 1500)
+        reply = partner.reconciler.answer_digest(request.digest, theirs)
+        reply = self._carry(reply, partner, node)
+        newest = max(node.revision, partner.revision)
+        if node.revision != partner.revision:
+            self._count(DECLARATION_BYTES, node, partner)
+        node.revision = partner.revision = newest
+        transfer = node.reconciler.make_transfer(reply, self.now)
+        self.totals.requests += 1
+        if transfer is None:
+            return
+        request = self._carry(ExchangeRequest(transfer=transfer), node, partner)
+        answer = partner.reconciler.answer_transfer(request.transfer, self.now)
+        answer = self._carry(answer, partner, node)
+        self.totals.merged += node.reconciler.take_deltas(answer.deltas, self.now)
+        self.totals.requests += 1
+
+    def _carry(self, message, sender, receiver):
+        content = encode(message)
+        self._count(len(content), sender, receiver)
+        return decode(type(message), content).ok
+
+    def _count(self, size, sender, receiver):
+        size += FRAME_BYTES + SEGMENT_BYTES + ACKNOWLEDGEMENT_BYTES
+        sender.sent += size
+        receiver.received += size
+
+    def measure(self):
+        """Return the row of the table: steady load, then the spread of news."""
+        self.run(WARM_UP_S)
+        self.totals = Totals(queue=self.totals.queue)
+        for node in self.nodes:
+            node.sent = node.received = 0
+        seconds = self.run(MEASURED_S)
+        traffic = [(n.sent + n.received) / seconds for n in self.nodes]
+        sent = sum(node.sent for node in self.nodes) / seconds / len(self.nodes)
+        processor = self.totals.processor_s / self.totals.exchanges
+        share = self.totals.processor_s / seconds / len(self.nodes)
+        facts = sum(len(n.table.list_facts()) for n in self.nodes) / len(self.nodes)
+        return (
+            facts,
+            sent,
+            sum(traffic) / len(traffic),
+            max(traffic),
+            processor * 1e6,
+            share * 100,
+            self._spread_revision(),
+            self._spread_fact(),
+            self._measure_age(),
+        )
+
+    def _spread_revision(self):
+        self.nodes[0].revision = 2
+        return self.run(MAX_SPREAD_S, lambda: all(n.revision == 2 for n in self.nodes))
+
+    def _spread_fact(self):
+        origin = self.nodes[-1].table
+        origin.state(Topic.LEAVING, "engine-17.4f2a91c0", b"listed", self.now, 600.0)
+        return self.run(
+            MAX_SPREAD_S,
+            lambda: all(node.table.list_facts(Topic.LEAVING) for node in self.nodes),
+        )
+
+    def _measure_age(self):
+        """Return the mean age of the slow facts held, in seconds."""
+        node = self.nodes[0]
+        facts = node.table.list_facts(Topic.RATINGS)
+        ages = [RATING_LIFETIME_S - (fact.expires - self.now) for fact in facts]
+        return sum(ages) / len(ages) if ages else 0.0
+
+
+async def measure_link():
+    """Return processor microseconds of one request over 127.0.0.1, both sides."""
+
+    async def echo(payload, sender):
+        return payload
+
+    server = PeerServer("bench")
+    server.handle(MessageKind.EXCHANGE, echo)
+    await server.start("127.0.0.1", 0)
+    client = PeerClient("bench", InstanceId("entry-1"), 5.0)
+    address = f"127.0.0.1:{server.port}"
+    payload = b"x" * LINK_PAYLOAD_BYTES
+    await client.request(address, MessageKind.EXCHANGE, payload)
+    begun = time.process_time()
+    for _ in range(LINK_REQUESTS):
+        await client.request(address, MessageKind.EXCHANGE, payload)
+    spent = time.process_time() - begun
+    await client.close()
+    await server.stop()
+    return spent / LINK_REQUESTS * 1e6
+
+
+HEADINGS = (
+    "nodes ratings slow_rate | facts sent_B/s both_B/s max_B/s "
+    "us/exchange core_% revision_s leaving_s rating_age_s"
+)
+
+
+def main(sizes=SIZES):
+    """Print the table."""
+    settings = parse_settings().ok.peers
+    print(HEADINGS)
+    for ratings in (0, 1, 4):
+        for size in sizes:
+            case = Case(size, ratings, settings.slow_rate)
+            row = Fleet(case, settings).measure()
+            figures = " ".join(f"{value:9.1f}" for value in row)
+            print(f"{size:5} {ratings:7} {case.slow_rate:9.0f} | {figures}", flush=True)
+    spent = uvloop.run(measure_link())
+    print(f"link: {spent:.0f} us of processor time a request, both sides together")
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description="measure the exchange")
+    parser.add_argument("sizes", type=int, nargs="*", default=SIZES)
+    main(parser.parse_args().sizes)
--- a/tanagerwalk/controllers/exchange.py
+++ b/tanagerwalk/controllers/exchange.py
@@ -181,7 +181,8 @@
         age_ms = None
         if math.isfinite(age):
             age_ms = min(int(math.ceil(age * MILLISECONDS)), 2**31 - 1)
-        return DeclarationNews(self._state.revision, age_ms)
+        refused = self._state.refused or None
+        return DeclarationNews(self._state.revision, age_ms, refused)
 
     def _confirm(self, news, asked_at):
         """Take a peer's confirmation, dated no later than the peer can have meant."""
@@ -190,8 +191,14 @@
             self._state.confirm(Revision(news.revision), confirmed_at)
 
     async def _heed_news(self, news, peer):
-        """Fetch the declaration of a peer that has a newer one."""
-        if news is None or not self._state.wants(news.revision) or self._fetching:
+        """Fetch the declaration of a peer that has a newer one, or give ours."""
+        if news is None:
+            return
+        if max(news.revision, news.refused or 0) < self._state.revision:
+            request = ExchangeRequest(declaration=self._copy_declaration())
+            await self._ask(peer, request, TransferReply)
+            return
+        if self._fetching or not self._state.wants(news.revision):
             return
         self._fetching = True
         try:
@@ -208,14 +215,24 @@
             self._metrics.exchanges.labels(answer.error.value).inc()
             return
         copy = decode(DeclarationCopy, answer.ok)
-        text = decompress(copy.ok.text) if copy.is_ok() else None
-        if text is None or copy.ok.news is None:
+        if copy.is_error():
             self._metrics.exchanges.labels("malformed").inc()
             return
-        age_ms = copy.ok.news.confirmed_age_ms
-        confirmed_at = -math.inf if age_ms is None else asked_at - age_ms / MILLISECONDS
+        self._take_copy(copy.ok, asked_at)
+
+    def _take_copy(self, copy, asked_at):
+        """Take a peer's declaration; without `asked_at` its age is unknown."""
+        text = decompress(copy.text)
+        if text is None or copy.news is None:
+            self._metrics.exchanges.labels("malformed").inc()
+            return
+        if not self._state.wants(copy.news.revision):
+            return
+        confirmed_at = -math.inf
+        if asked_at is not None and copy.news.confirmed_age_ms is not None:
+            confirmed_at = asked_at - copy.news.confirmed_age_ms / MILLISECONDS
         self._metrics.declarations_fetched.inc()
-        self._configuring.take(Revision(copy.ok.news.revision), text, confirmed_at)
+        self._configuring.take(Revision(copy.news.revision), text, confirmed_at)
 
     async def _answer_exchange(self, payload, sender):
         del sender
@@ -227,16 +244,21 @@
             return encode(
                 self._reconciler.answer_digest(request.ok.digest, self._make_news(now))
             )
+        if request.ok.declaration is not None:
+            self._take_copy(request.ok.declaration, None)
+            return encode(TransferReply())
         if request.ok.transfer is None:
-            raise ValueError("an exchange without digest and transfer")
+            raise ValueError("an empty exchange request")
         self._take_deltas(request.ok.transfer.deltas)
         return encode(self._reconciler.answer_transfer(request.ok.transfer, now))
 
     async def _answer_fetch(self, payload, sender):
         del payload, sender
+        return encode(self._copy_declaration())
+
+    def _copy_declaration(self):
         news = self._make_news(self._clock())
-        text = zlib.compress(self._state.text.encode())
-        return encode(DeclarationCopy(news, text))
+        return DeclarationCopy(news, zlib.compress(self._state.text.encode()))
 
 
 def decompress(content):
--- a/tanagerwalk/decisions/configuration.py
+++ b/tanagerwalk/decisions/configuration.py
@@ -28,6 +28,11 @@
         """Whether any declaration is in force."""
         return self.revision > NO_REVISION
 
+    @property
+    def refused(self):
+        """The newest revision whose declaration could not be read, or 0."""
+        return self._refused
+
     def wants(self, revision):
         """Return whether the declaration of a revision is newer and worth fetching."""
         return revision > max(self.revision, self._refused)
--- a/tanagerwalk/peers/exchange.thrift
+++ b/tanagerwalk/peers/exchange.thrift
@@ -6,10 +6,12 @@
   2: binary nonce
 }
 
-// What an instance knows of the declaration; the age is absent if unconfirmed.
+// What an instance knows of the declaration; the age is absent if unconfirmed, and
+// `refused` is the newest revision that it could not read.
 struct DeclarationNews {
   1: i64 revision
   2: optional i32 confirmed_age_ms
+  3: optional i64 refused
 }
 
 // Hashes of the buckets of streams, four bytes a bucket; an absent lane is not
@@ -57,14 +59,16 @@
   1: list<Delta> deltas = []
 }
 
-// One request of an exchange: first the digest, then the transfer if any is due.
-struct ExchangeRequest {
-  1: optional Digest digest
-  2: optional Transfer transfer
-}
-
 // The declaration, its text compressed by zlib.
 struct DeclarationCopy {
   1: DeclarationNews news
   2: binary text
 }
+
+// One request of an exchange: the digest, the transfer if one is due, or the
+// declaration for a partner whose revision is older.
+struct ExchangeRequest {
+  1: optional Digest digest
+  2: optional Transfer transfer
+  3: optional DeclarationCopy declaration
+}
--- a/tanagerwalk/peers/gen/exchange/ttypes.py
+++ b/tanagerwalk/peers/gen/exchange/ttypes.py
@@ -89,13 +89,15 @@
     Attributes:
      - revision
      - confirmed_age_ms
+     - refused
 
     """
 
 
-    def __init__(self, revision=None, confirmed_age_ms=None,):
+    def __init__(self, revision=None, confirmed_age_ms=None, refused=None,):
         self.revision = revision
         self.confirmed_age_ms = confirmed_age_ms
+        self.refused = refused
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -116,6 +118,11 @@
                     self.confirmed_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.refused = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -134,6 +141,10 @@
             oprot.writeFieldBegin('confirmed_age_ms', TType.I32, 2)
             oprot.writeI32(self.confirmed_age_ms)
             oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.I64, 3)
+            oprot.writeI64(self.refused)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -772,18 +783,18 @@
         return not (self == other)
 
 
-class ExchangeRequest(object):
+class DeclarationCopy(object):
     """
     Attributes:
-     - digest
-     - transfer
+     - news
+     - text
 
     """
 
 
-    def __init__(self, digest=None, transfer=None,):
-        self.digest = digest
-        self.transfer = transfer
+    def __init__(self, news=None, text=None,):
+        self.news = news
+        self.text = text
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -796,14 +807,13 @@
                 break
             if fid == 1:
                 if ftype == TType.STRUCT:
-                    self.digest = Digest()
-                    self.digest.read(iprot)
+                    self.news = DeclarationNews()
+                    self.news.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRUCT:
-                    self.transfer = Transfer()
-                    self.transfer.read(iprot)
+                if ftype == TType.STRING:
+                    self.text = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             else:
@@ -815,14 +825,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ExchangeRequest')
-        if self.digest is not None:
-            oprot.writeFieldBegin('digest', TType.STRUCT, 1)
-            self.digest.write(oprot)
+        oprot.writeStructBegin('DeclarationCopy')
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.STRUCT, 1)
+            self.news.write(oprot)
             oprot.writeFieldEnd()
-        if self.transfer is not None:
-            oprot.writeFieldBegin('transfer', TType.STRUCT, 2)
-            self.transfer.write(oprot)
+        if self.text is not None:
+            oprot.writeFieldBegin('text', TType.STRING, 2)
+            oprot.writeBinary(self.text)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -842,18 +852,20 @@
         return not (self == other)
 
 
-class DeclarationCopy(object):
+class ExchangeRequest(object):
     """
     Attributes:
-     - news
-     - text
+     - digest
+     - transfer
+     - declaration
 
     """
 
 
-    def __init__(self, news=None, text=None,):
-        self.news = news
-        self.text = text
+    def __init__(self, digest=None, transfer=None, declaration=None,):
+        self.digest = digest
+        self.transfer = transfer
+        self.declaration = declaration
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -866,13 +878,20 @@
                 break
             if fid == 1:
                 if ftype == TType.STRUCT:
-                    self.news = DeclarationNews()
-                    self.news.read(iprot)
+                    self.digest = Digest()
+                    self.digest.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.text = iprot.readBinary()
+                if ftype == TType.STRUCT:
+                    self.transfer = Transfer()
+                    self.transfer.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.declaration = DeclarationCopy()
+                    self.declaration.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -884,14 +903,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('DeclarationCopy')
-        if self.news is not None:
-            oprot.writeFieldBegin('news', TType.STRUCT, 1)
-            self.news.write(oprot)
+        oprot.writeStructBegin('ExchangeRequest')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRUCT, 1)
+            self.digest.write(oprot)
             oprot.writeFieldEnd()
-        if self.text is not None:
-            oprot.writeFieldBegin('text', TType.STRING, 2)
-            oprot.writeBinary(self.text)
+        if self.transfer is not None:
+            oprot.writeFieldBegin('transfer', TType.STRUCT, 2)
+            self.transfer.write(oprot)
+            oprot.writeFieldEnd()
+        if self.declaration is not None:
+            oprot.writeFieldBegin('declaration', TType.STRUCT, 3)
+            self.declaration.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -920,6 +943,7 @@
     None,  # 0
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.I32, 'confirmed_age_ms', None, None, ),  # 2
+    (3, TType.I64, 'refused', None, None, ),  # 3
 )
 all_structs.append(Digest)
 Digest.thrift_spec = (
@@ -975,17 +999,18 @@
     (1, TType.LIST, 'deltas', (TType.STRUCT, [Delta, None], False), [
     ], ),  # 1
 )
-all_structs.append(ExchangeRequest)
-ExchangeRequest.thrift_spec = (
-    None,  # 0
-    (1, TType.STRUCT, 'digest', [Digest, None], None, ),  # 1
-    (2, TType.STRUCT, 'transfer', [Transfer, None], None, ),  # 2
-)
 all_structs.append(DeclarationCopy)
 DeclarationCopy.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'news', [DeclarationNews, None], None, ),  # 1
     (2, TType.STRING, 'text', 'BINARY', None, ),  # 2
 )
+all_structs.append(ExchangeRequest)
+ExchangeRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'digest', [Digest, None], None, ),  # 1
+    (2, TType.STRUCT, 'transfer', [Transfer, None], None, ),  # 2
+    (3, TType.STRUCT, 'declaration', [DeclarationCopy, None], None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/test/controllers/test_exchange.py
+++ b/test/controllers/test_exchange.py
@@ -123,3 +123,16 @@
 @pytest.mark.parametrize("content", [b"", None, b"\xff\xff", b"x\x9c\x03"])
 def test_malformed_copies_are_refused(content):
     assert decompress(content) is None
+
+
+async def test_declaration_reaches_an_instance_that_knows_no_peer(demo, lagging):
+    lagging.groups = [g for g in lagging.groups if g["labels"]["role"] != "entry"]
+    deaf = await demo.add_instance(
+        "deaf", keyvalue=UNREACHABLE, platform=lagging.address
+    )
+    await demo.wait_until(deaf.is_ready)
+    text = deaf.configuration.text.replace("released", "draining", 1)
+    revision = await demo.apply(text)
+    await demo.wait_until(lambda: deaf.configuration.revision == revision)
+    # How old the pushed copy is cannot be known, so candidates stay out.
+    assert not list_exposed(deaf)
