--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 
 from . import __path__ as folder
 
-HELPERS = {"__main__", "measuring"}
+HELPERS = {"__main__", "measuring", "policies"}
 
 
 def main():
--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -113,6 +113,7 @@
         self.durations = DurationEstimates()
         self.book = RolloutBook(self.incarnation, settings.rollouts.false_alarm)
         self.facts = FactTable(self.incarnation)
+        self.metrics.spared.set_function(lambda: len(self.book.spared))
         queue = AdmissionQueue(self.table, self.durations, settings.limits.queue_length)
         self.gate = Gate(queue, self.table, self._expect_duration, self._clock)
         self.metrics.waiting.set_function(lambda: len(queue))
@@ -281,7 +282,8 @@
 
     def is_ready(self):
         """Return whether requests can be served here."""
-        return self.configuration.ready and bool(self.table.servers)
+        is_informed = self.configuration.ready and self.halting.asked
+        return is_informed and bool(self.table.servers)
 
     def report_status(self):
         """Return the JSON object of the admin API's status page."""
@@ -292,6 +294,7 @@
             "ready": self.is_ready(),
             "revision": self.configuration.revision,
             "in_flight": self.callers.in_flight,
+            "rollouts": self.rollouts.report(),
             "backend_servers": [
                 {
                     "id": server.record.id,
--- a/tanagerwalk/controllers/halts.py
+++ b/tanagerwalk/controllers/halts.py
@@ -20,8 +20,6 @@
     ----------
     book : RolloutBook
         Takes halts and holds the evidence.
-    rollouts : RolloutController or None
-        Takes the evidence of peers; set by `follow`.
     store : KeyValueClient
         Keeps the halts.
     facts : FactTable
@@ -51,6 +49,9 @@
         self._wall_clock = wall_clock
         self._random = random
         self._stated = {}
+        # Whether the store was asked for halts, so that a fresh instance does not
+        # serve before; while the store is out, peers are all there is to ask.
+        self.asked = False
         facts.subscribe(Topic.HALT, self._take_fact)
         facts.subscribe(Topic.RATINGS, self._take_report)
 
@@ -132,11 +133,13 @@
         """
         result = await self._store.list(HALTS_PREFIX)
         if result.is_error():
+            self.asked = True
             self._metrics.platform_faults.labels("keyvalue").inc()
             return
         kept = {entry.key.removeprefix(HALTS_PREFIX): entry for entry in result.ok}
         for key, entry in kept.items():
             self._take_encoded(key, entry.value)
+        self.asked = True
         for arm, halt in list(self._book.halts.items()):
             if arm.to_key() not in kept:
                 await self._keep(arm, halt)
--- a/tanagerwalk/controllers/rollouts.py
+++ b/tanagerwalk/controllers/rollouts.py
@@ -146,6 +146,23 @@
         for arm, halt in self.book.find_bad().items():
             self._on_halt(arm, halt)
 
+    def report(self):
+        """Return the JSON objects of the status page: halts and trials."""
+        self._sync()
+        return [
+            {
+                "work_class": state.arm.work_class,
+                "version": state.arm.version,
+                "halted": state.halt.cause.value if state.halt else None,
+                "mean": state.halt.mean if state.halt else None,
+                "spared": state.spared,
+                "ratings": state.ratings,
+                "share": state.share,
+                "units": state.units,
+            }
+            for state in self.book.list_states()
+        ]
+
     def sample(self, context, answer):
         """Put an answer up for rating: always a candidate's, some of the others.
 
--- a/tanagerwalk/decisions/rollouts.py
+++ b/tanagerwalk/decisions/rollouts.py
@@ -1,9 +1,11 @@
 """Roll-outs: evidence, halts and exposure of all versions, as one instance knows."""
 
+from dataclasses import dataclass
+
 from ..outcomes import Interface, VersionState
-from .evidence import Counts, EvidenceTable, Report
+from .evidence import Arm, Counts, EvidenceTable, Report
 from .exposure import Exposure, Slice
-from .halts import Trial, find_floor, find_spared, judge, list_arms
+from .halts import Halt, Trial, find_floor, find_spared, judge, list_arms
 from .sequential import NO_WEALTH, add_wealths, has_won
 from .versions import serves
 
@@ -17,6 +19,34 @@
 RATINGS_PER_EPOCH = 10
 
 
+@dataclass(frozen=True, slots=True)
+class ArmState:
+    """Where the trial of one arm stands, for operators.
+
+    Parameters
+    ----------
+    arm : Arm
+        The version at its class.
+    halt : Halt or None
+        Why it was stopped.
+    spared : bool
+        Whether it serves nevertheless.
+    ratings : int
+        Ratings of the whole fleet that count for its trial.
+    share : float
+        Share of the class's traffic that it may get.
+    units : int
+        Unrated answers that this instance may give.
+    """
+
+    arm: Arm
+    halt: Halt | None
+    spared: bool
+    ratings: int
+    share: float
+    units: int
+
+
 class RolloutBook:
     """What an instance knows of the versions in force.
 
@@ -154,6 +184,11 @@
             if work_class.interface is Interface.CHAT
         }
 
+    @property
+    def spared(self):
+        """The halted versions that serve for want of others, as (class, version)."""
+        return {(name, spared) for name, spared in self._spared.items() if spared}
+
     def is_halted(self, key):
         """Return whether a version gets no work of a class."""
         arm = self._arms.get(key)
@@ -218,6 +253,21 @@
     def _get_slice(self, arm):
         return self.slices.setdefault(arm, Slice())
 
+    def list_states(self):
+        """Return the ArmState of every arm that is halted or under roll-out."""
+        return [
+            ArmState(
+                arm,
+                self.halts.get(arm),
+                key in self.spared,
+                sum(counts.count for counts in self.evidence.list_epochs(arm)),
+                self.find_share(arm),
+                self.slices.get(arm, Slice()).units,
+            )
+            for key, arm in self._arms.items()
+            if arm in self.halts or arm in self.list_candidates()
+        ]
+
     def start_exposure(self, key, now):
         """Take a unit for an answer of a candidate; return the Exposure or None."""
         arm = self._arms.get(key)
--- a/tanagerwalk/metrics.py
+++ b/tanagerwalk/metrics.py
@@ -33,6 +33,7 @@
         )
         self.halts = self._count("halts", "Versions halted here.", ["cause"])
         self.halted = self._gauge("halted", "Halts known, of all declarations.")
+        self.spared = self._gauge("spared", "Classes that a halted version serves.")
         self.exposure_lost = self._count(
             "exposure_lost", "Unrated answers of candidates that were written off."
         )
--- a/tanagerwalk/standins/world.py
+++ b/tanagerwalk/standins/world.py
@@ -33,6 +33,10 @@
 interval = 0.1
 [sessions]
 secret = demo
+[rollouts]
+share_interval = 0.05
+halts_interval = 0.1
+exposure_interval = 0.1
 [peers]
 secret = demo
 interval = 0.05
--- /dev/null
+++ b/test/filters/test_cascade.py
@@ -0,0 +1,207 @@
+"""Cascades under faults: what the caller gets and what is said to have run."""
+
+from types import SimpleNamespace
+
+import pytest
+from expression import Error, Ok
+
+from tanagerwalk.decisions.evidence import Counts
+from tanagerwalk.decisions.ratings import PAUSE_S, RatingGate
+from tanagerwalk.declarations import ClientAccount, parse_declaration
+from tanagerwalk.filters.cascade import CascadeRunner
+from tanagerwalk.messages import Answer, Plan, RequestContext, Sink, Usage
+from tanagerwalk.metrics import Metrics
+from tanagerwalk.outcomes import Refusal, RefusalReason, RunState
+
+TEXT = """
+[class plan]
+quality = 0.9
+lateness = 10 s
+patience = 30 s
+[version cheap]
+state = released
+cost = 0.1
+evaluated = plan:{cheap}
+[version strong]
+state = released
+cost = 1
+evaluated = plan:0.97
+"""
+WITHDRAWN = Refusal(RefusalReason.VERSION_WITHDRAWN, "")
+NO_SERVER = Refusal(RefusalReason.NO_BACKEND_SERVER, "")
+FULL = Refusal(RefusalReason.QUEUE_FULL, "")
+FAILED = Refusal(RefusalReason.BACKEND_FAILED, "", RunState.UNKNOWN)
+GOOD, POOR, BAD, UNRATED = 0.95, 0.8, 0.3, None
+
+
+class Rollouts:
+    """Gives the same rating always, after some time."""
+
+    def __init__(self, rating, clock, seconds):
+        self.gate = RatingGate(10.0, 10.0)
+        self.book = SimpleNamespace(sum_evidence=lambda _class, _version: Counts())
+        self.rating = rating
+        self.clock = clock
+        self.seconds = seconds
+        self.sampled = []
+
+    async def rate_now(self, _context, _answer):
+        self.clock.now += self.seconds
+        return self.rating
+
+    def sample(self, _context, answer):
+        self.sampled.append(answer.version)
+
+
+class TextSink(Sink):
+    """Keeps what the caller would see."""
+
+    def __init__(self):
+        self.text = ""
+
+    async def write(self, text):
+        self.text += text
+
+
+class Bench:
+    """A cascade runner over scripted versions."""
+
+    def __init__(self, rating, script, cheap=0.6, seconds=0.0, idempotent=True):
+        self.now = 0.0
+        self.script = script
+        self.ran = []
+        declaration = parse_declaration(TEXT.format(cheap=cheap)).ok
+        self.rollouts = Rollouts(rating, self, seconds)
+        self.sink = TextSink()
+        self.context = RequestContext("r1", {}, "", "plan", sink=self.sink)
+        self.context.work_class = declaration.classes["plan"]
+        if not idempotent:
+            text = TEXT.format(cheap=cheap).replace(
+                "[class plan]", "[class plan]\nidempotent = no"
+            )
+            self.context.work_class = parse_declaration(text).ok.classes["plan"]
+        self.context.account = ClientAccount("desk", "", frozenset(), frozenset())
+        self.context.plan = Plan(("cheap", "strong"))
+        self.context.deadline = 30.0
+        self.runner = CascadeRunner(
+            SimpleNamespace(declaration=declaration),
+            self.rollouts,
+            SimpleNamespace(estimate=lambda _class, _version, _lateness: 5.0),
+            0.0,
+            Metrics(),
+            lambda: self.now,
+        )
+
+    async def proceed(self, context):
+        version = context.version
+        self.ran.append(version)
+        outcome = self.script.get(version)
+        if outcome is not None:
+            return Error(outcome)
+        await context.sink.write(version)
+        context.generated.append(version)
+        usage = Usage(completion_tokens=1000)
+        return Ok(Answer(200, version.encode(), version=version, usage=usage))
+
+    async def run(self):
+        return await self.runner.run(self.context, self.proceed)
+
+
+CASES = [
+    ("accepted", GOOD, {}, {}, ["cheap"], "cheap"),
+    ("rejected", POOR, {}, {}, ["cheap", "strong"], "strong"),
+    ("unrated", UNRATED, {}, {}, ["cheap", "strong"], "strong"),
+    ("unrated, known good", UNRATED, {}, {"cheap": 0.99}, ["cheap"], "cheap"),
+    ("cheap withdrawn", GOOD, {"cheap": WITHDRAWN}, {}, ["cheap", "strong"], "strong"),
+    ("cheap unserved", GOOD, {"cheap": NO_SERVER}, {}, ["cheap", "strong"], "strong"),
+    ("cheap failed", GOOD, {"cheap": FAILED}, {}, ["cheap", "strong"], "strong"),
+    ("queue full", GOOD, {"cheap": FULL}, {}, ["cheap"], RefusalReason.QUEUE_FULL),
+    (
+        "may not run twice",
+        GOOD,
+        {"cheap": FAILED},
+        {"idempotent": False},
+        ["cheap"],
+        RefusalReason.BACKEND_FAILED,
+    ),
+    (
+        "strong gone, cheap poor",
+        POOR,
+        {"strong": NO_SERVER},
+        {},
+        ["cheap", "strong"],
+        "cheap",
+    ),
+    (
+        "strong gone, cheap bad",
+        BAD,
+        {"strong": NO_SERVER},
+        {},
+        ["cheap", "strong"],
+        RefusalReason.NO_BACKEND_SERVER,
+    ),
+    ("rating slow, cheap poor", POOR, {}, {"seconds": 26.0}, ["cheap"], "cheap"),
+    (
+        "rating slow, cheap bad",
+        BAD,
+        {},
+        {"seconds": 26.0},
+        ["cheap"],
+        RefusalReason.QUALITY_UNREACHABLE,
+    ),
+    (
+        "rating slow and lost",
+        UNRATED,
+        {},
+        {"seconds": 26.0},
+        ["cheap"],
+        RefusalReason.QUALITY_UNREACHABLE,
+    ),
+]
+
+
+@pytest.mark.parametrize(("name", "rating", "script", "extra", "ran", "end"), CASES)
+async def test_case_ends(name, rating, script, extra, ran, end):
+    bench = Bench(rating, script, **extra)
+    result = await bench.run()
+    assert bench.ran == ran
+    if result.is_ok():
+        assert result.ok.version == bench.sink.text == end
+        return
+    assert result.error.reason is end
+    assert bench.sink.text == ""
+    finished = "cheap" not in script
+    assert (result.error.run_state is RunState.RAN) == finished
+
+
+async def test_step_that_no_longer_fits_is_skipped():
+    bench = Bench(GOOD, {})
+    bench.now = 24.0
+    assert (await bench.run()).ok.version == "strong"
+    assert bench.ran == ["strong"]
+
+
+async def test_both_steps_are_charged_and_only_the_last_is_sampled():
+    bench = Bench(POOR, {})
+    await bench.run()
+    assert bench.context.cost == pytest.approx(1.1)
+    assert bench.rollouts.sampled == ["strong"]
+
+
+def test_rating_gate_pauses_while_the_service_is_out():
+    gate = RatingGate(rate=10.0, burst=10.0)
+    for _ in range(3):
+        assert gate.start(0.0, urgent=True)
+        gate.record_fault(0.0, None)
+    assert not gate.is_up(PAUSE_S / 2)
+    assert gate.start(PAUSE_S, urgent=True)
+    gate.record_fault(PAUSE_S, None)
+    assert not gate.is_up(PAUSE_S + 1.0)
+
+
+def test_samples_leave_room_to_urgent_ratings():
+    gate = RatingGate(rate=0.0, burst=4.0)
+    taken = [gate.start(0.0, urgent=False) for _ in range(4)]
+    assert taken == [True, True, True, False]
+    assert gate.start(0.0, urgent=True)
+    assert not gate.start(0.0, urgent=True)
