--- /dev/null
+++ b/bench/sequential.py
@@ -0,0 +1,171 @@
+"""False alarms and detection delay of tests that could halt a version.
+
+Run it as `python -m bench.sequential`. Ratings are beta-distributed around the
+version's mean, independent, one seed a run.
+"""
+
+import math
+import random
+import statistics
+
+from tanagerwalk.decisions.sequential import NO_WEALTH, add_wealths, bet_below, mix
+
+RUNS = 300
+RATINGS = 1000
+GOOD_RATINGS = 600
+EPOCH = 20
+EPOCHS = 12
+ALPHA = 0.01
+FLOOR = 0.9
+CONCENTRATION = 25.0
+DECAY = 0.8
+MIN_RATINGS = 5
+MIXTURE_VARIANCE = 0.04
+
+
+class Betting:
+    """Bets with fixed stakes on all ratings."""
+
+    limit = -math.log(ALPHA)
+
+    def __init__(self):
+        self.wealth = NO_WEALTH
+
+    def add(self, rating):
+        """Add a rating; return whether the version is halted."""
+        self.wealth = add_wealths(self.wealth, bet_below(rating, FLOOR))
+        return mix(self.wealth) >= self.limit
+
+
+class Windows:
+    """Bets that begin anew with every epoch, as the router does it."""
+
+    limit = math.log(EPOCHS / ALPHA)
+
+    def __init__(self):
+        self.epochs = [NO_WEALTH]
+        self.count = 0
+
+    def add(self, rating):
+        """Add a rating; return whether the version is halted."""
+        if self.count == EPOCH:
+            self.epochs = [NO_WEALTH, *self.epochs[: EPOCHS - 1]]
+            self.count = 0
+        self.count += 1
+        self.epochs[0] = add_wealths(self.epochs[0], bet_below(rating, FLOOR))
+        total = NO_WEALTH
+        for wealth in self.epochs:
+            total = add_wealths(total, wealth)
+            if mix(total) >= self.limit:
+                return True
+        return False
+
+
+class Decay(Betting):
+    """Bets whose log wealth shrinks with every epoch."""
+
+    limit = math.log(EPOCHS / ALPHA)
+
+    def __init__(self):
+        super().__init__()
+        self.count = 0
+
+    def add(self, rating):
+        """Add a rating; return whether the version is halted."""
+        self.count += 1
+        if self.count % EPOCH == 0:
+            self.wealth = tuple(DECAY * wealth for wealth in self.wealth)
+        return super().add(rating)
+
+
+class Mixture:
+    """A normal mixture over the drift, with the variance of any bounded rating."""
+
+    def __init__(self):
+        self.count = 0
+        self.total = 0.0
+        self.squares = 0.0
+
+    def variance(self):
+        """Return the variance that the test assumes."""
+        return 0.25
+
+    def add(self, rating):
+        """Add a rating; return whether the version is halted."""
+        self.count += 1
+        self.total += FLOOR - rating
+        self.squares += (FLOOR - rating) ** 2
+        if self.total <= 0.0 or self.count < MIN_RATINGS:
+            return False
+        spread = self.variance()
+        scale = spread + self.count * MIXTURE_VARIANCE
+        log_ratio = 0.5 * math.log(spread / scale)
+        log_ratio += MIXTURE_VARIANCE * self.total**2 / (2.0 * spread * scale)
+        return log_ratio >= -math.log(2.0 * ALPHA)
+
+
+class PlugInMixture(Mixture):
+    """The normal mixture with the variance that was seen."""
+
+    def variance(self):
+        """Return the variance of the ratings so far, never quite 0."""
+        mean = self.total / self.count
+        return max(1e-4, self.squares / self.count - mean * mean)
+
+
+class RepeatedTest(PlugInMixture):
+    """A test for one look, repeated with each rating."""
+
+    def add(self, rating):
+        """Add a rating; return whether the version is halted."""
+        super().add(rating)
+        if self.count < MIN_RATINGS:
+            return False
+        error = math.sqrt(self.variance() / self.count)
+        return self.total / self.count > 2.33 * error
+
+
+TESTS = [Betting, Windows, Decay, Mixture, PlugInMixture, RepeatedTest]
+
+
+def draw(rng, mean):
+    """Return one rating."""
+    return rng.betavariate(mean * CONCENTRATION, (1.0 - mean) * CONCENTRATION)
+
+
+def run(test, seed, mean, turned_at):
+    """Return the rating after the turn at which the test halts; None if never."""
+    rng = random.Random(seed)
+    current = test()
+    for number in range(turned_at + RATINGS):
+        if current.add(draw(rng, 0.95 if number < turned_at else mean)):
+            return number + 1 - turned_at
+    return None
+
+
+def main():
+    """Print the table."""
+    print("test            at floor  -0.02    -0.05     -0.3   turn-0.05  turn-0.3")
+    cases = [
+        (FLOOR, 0),
+        (FLOOR - 0.02, 0),
+        (FLOOR - 0.05, 0),
+        (FLOOR - 0.3, 0),
+        (FLOOR - 0.05, GOOD_RATINGS),
+        (FLOOR - 0.3, GOOD_RATINGS),
+    ]
+    for test in TESTS:
+        cells = []
+        for mean, turned_at in cases:
+            ends = [run(test, seed, mean, turned_at) for seed in range(RUNS)]
+            halted = [end for end in ends if end is not None]
+            if mean == FLOOR:
+                cells.append(f"{len(halted) / RUNS:8.3f}")
+                continue
+            middle = statistics.median(halted) if halted else float("nan")
+            cells.append(f"{middle:5.0f}/{len(halted) / RUNS:4.2f}")
+        print(f"{test.__name__:15}", *cells, flush=True)
+
+
+if __name__ == "__main__":
+    main()
