Bound the statements of evidence by the size of the fleet

Cause: with 340 instances that state every arm every 2 s, each would receive some thousand facts a second; the target is 3 KB/s for control. Change: 8 deputies for each released arm, by rendezvous hashing over the list of live instances; the fleet states 8 facts a second, those on trial first.

--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -160,6 +160,7 @@
             self._clock,
             self._wall_clock,
             self._random,
+            self.membership.list_live,
         )
         self.rollouts = RolloutController(
             self.book,
@@ -170,6 +171,7 @@
             self.metrics,
             self._clock,
             self._random,
+            self.membership.list_live,
             on_halt=self.halting.halt,
         )
         self.halting.follow(self.rollouts)
--- a/tanagerwalk/controllers/halts.py
+++ b/tanagerwalk/controllers/halts.py
@@ -2,7 +2,14 @@
 
 import structlog
 
-from ..decisions.evidence import EPOCHS_OPEN, Arm, decode_report, encode_report
+from ..decisions.deputies import Deputies, StatementBudget
+from ..decisions.evidence import (
+    EPOCHS_OPEN,
+    Arm,
+    Counts,
+    decode_report,
+    encode_report,
+)
 from ..decisions.facts import Topic
 from ..decisions.halts import decode_halt, encode_halt
 from .loop import run_periodically
@@ -34,10 +41,21 @@
         Returns seconds since the epoch; numbers the epochs of evidence.
     random : random.Random
         Source of jitter.
+    list_live : callable
+        Returns the incarnations of live instances, or None.
     """
 
     def __init__(
-        self, book, store, facts, settings, metrics, clock, wall_clock, random
+        self,
+        book,
+        store,
+        facts,
+        settings,
+        metrics,
+        clock,
+        wall_clock,
+        random,
+        list_live,
     ):
         self._book = book
         self._rollouts = None
@@ -48,6 +66,9 @@
         self._clock = clock
         self._wall_clock = wall_clock
         self._random = random
+        self._list_live = list_live
+        self._deputies = Deputies()
+        self._budget = StatementBudget()
         self._stated = {}
         # Whether the store was asked for halts, so that a fresh instance does not
         # serve before; while the store is out, peers are all there is to ask.
@@ -112,18 +133,45 @@
         await run_periodically(self.poll, self._settings.halts_interval, self._random)
 
     async def share(self):
-        """State the evidence that has grown since it was last stated."""
+        """State the evidence that has grown most, within the fleet's rate."""
         epoch = int(self._wall_clock() // self._settings.epoch)
         self._book.evidence.advance(epoch)
-        lifetime = EPOCHS_OPEN * self._settings.epoch
+        live = self._list_live()
+        self._budget.refill(self._clock(), len(live or ()))
         reports = self._book.evidence.list_own(self._facts.origin)
-        stated = {}
-        for report in reports:
-            key, value = encode_report(report)
-            if self._stated.get(key) != value:
-                self._facts.state(Topic.RATINGS, key, value, self._clock(), lifetime)
-            stated[key] = value
-        self._stated = stated
+        self._stated = {
+            key: counts
+            for key, counts in self._stated.items()
+            if key[1] > epoch - EPOCHS_OPEN
+        }
+        for report in sorted(reports, key=self._measure_news, reverse=True):
+            if not self._is_due(report, live):
+                continue
+            if not self._budget.take():
+                return
+            self._state(report)
+
+    def _state(self, report):
+        key, value = encode_report(report)
+        lifetime = EPOCHS_OPEN * self._settings.epoch
+        self._facts.state(Topic.RATINGS, key, value, self._clock(), lifetime)
+        self._stated[(report.arm, report.epoch)] = report.counts
+
+    def _measure_news(self, report):
+        stated = self._stated.get((report.arm, report.epoch), Counts())
+        return (
+            self._book.is_on_trial(report.arm),
+            report.counts.count + report.counts.errors - stated.count - stated.errors,
+            report.counts.attempts - stated.attempts,
+        )
+
+    def _is_due(self, report, live):
+        stated = self._stated.get((report.arm, report.epoch), Counts())
+        if report.counts == stated:
+            return False
+        if self._book.is_on_trial(report.arm):
+            return True
+        return self._deputies.includes(self._facts.origin, report.arm, live)
 
     async def poll(self):
         """Read the halts of the store, and write those that it lacks.
--- a/tanagerwalk/controllers/rollouts.py
+++ b/tanagerwalk/controllers/rollouts.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from ..decisions.deputies import Deputies
 from ..decisions.exposure import RECOVERY_S, Exposure
 from ..ids import ClassName, VersionName
 from ..outcomes import RatingLoss, VersionState
@@ -64,6 +65,8 @@
         Returns monotonic time in seconds.
     random : random.Random
         Chooses the answers to rate.
+    list_live : callable
+        Returns the incarnations of live instances, or None.
     on_halt : callable
         Called with the Arm and the Halt of each version that shows to be bad.
     """
@@ -78,6 +81,7 @@
         metrics,
         clock,
         random,
+        list_live,
         on_halt,
     ):
         self.book = book
@@ -88,7 +92,9 @@
         self._metrics = metrics
         self._clock = clock
         self._random = random
+        self._list_live = list_live
         self._on_halt = on_halt
+        self._deputies = Deputies()
         self._tasks = asyncio.Queue(settings.rating_queue)
 
     def _sync(self):
@@ -175,6 +181,8 @@
         """
         self._sync()
         key = (context.work_class.name, answer.version)
+        if self.book.get_arm(key) is None:
+            return
         if context.exposure is None and not self._is_sampled(key):
             return
         task = _make_task(context, answer, self._clock())
@@ -184,6 +192,9 @@
             self._lose(task, RatingLoss.QUEUE_FULL)
 
     def _is_sampled(self, key):
+        arm = self.book.get_arm(key)
+        if not self._deputies.includes(self.book.origin, arm, self._list_live()):
+            return False
         if self._random.random() < self._settings.rating_share:
             return True
         return self.book.wants_rating(key)
--- a/tanagerwalk/decisions/rollouts.py
+++ b/tanagerwalk/decisions/rollouts.py
@@ -214,6 +214,13 @@
                 found[arm] = version
         return found
 
+    def is_on_trial(self, arm):
+        """Return whether an arm is a candidate of the declaration in force."""
+        if self._arms.get((arm.work_class, arm.version)) != arm:
+            return False
+        state = self._declaration.versions[arm.version].state
+        return state is VersionState.CANDIDATE
+
     def find_exposed(self, work_class, now):
         """Return the candidates with a free unit, and their shares of the traffic.
 
--- a/test/filters/test_plan.py
+++ b/test/filters/test_plan.py
@@ -100,6 +100,7 @@
             Metrics(),
             self.clock,
             random.Random(1),
+            lambda: None,
             on_halt=self.book.take_halt,
         )
 
