--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -123,6 +123,7 @@
         self.durations = DurationEstimates()
         self.book = RolloutBook(self.incarnation, settings.rollouts.false_alarm)
         self.facts = FactTable(self.incarnation)
+        self.metrics.spared.set_function(lambda: len(self.book.spared))
         queue = AdmissionQueue(self.table, self.durations, settings.limits.queue_length)
         self.gate = Gate(queue, self.table, self._expect_duration, self._clock)
         self.metrics.waiting.set_function(lambda: len(queue))
@@ -172,6 +173,7 @@
             self._clock,
             self._wall_clock,
             self._random,
+            self.membership.list_live,
         )
         self.rollouts = RolloutController(
             self.book,
@@ -182,6 +184,7 @@
             self.metrics,
             self._clock,
             self._random,
+            self.membership.list_live,
             on_halt=self.halting.halt,
         )
         self.halting.follow(self.rollouts)
@@ -326,7 +329,8 @@
 
     def is_ready(self):
         """Return whether requests can be served here."""
-        return self.configuration.ready and bool(self.table.servers)
+        is_informed = self.configuration.ready and self.halting.asked
+        return is_informed and bool(self.table.servers)
 
     def report_status(self):
         """Return the JSON object of the admin API's status page."""
@@ -337,6 +341,7 @@
             "ready": self.is_ready(),
             "revision": self.configuration.revision,
             "in_flight": self.callers.in_flight,
+            "rollouts": self.rollouts.report(),
             "backend_servers": [
                 {
                     "id": server.record.id,
