--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the decision code, run as `python -m bench.NAME`."""
+"""Benchmarks; each module is run by itself and prints a small table."""
--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -18,6 +18,9 @@
 from .clients.targets import TargetsClient
 from .controllers.billing import BillingController
 from .controllers.configuration import ConfigurationController
+from .controllers.exchange import ExchangeController
+from .controllers.exposure import ExposureController
+from .controllers.halts import HaltController
 from .controllers.load import LoadController
 from .controllers.loop import poll_until
 from .controllers.membership import MembershipController
@@ -26,7 +29,9 @@
 from .decisions.facts import FactTable
 from .decisions.hedges import HedgeDelays
 from .decisions.limits import AdmissionQueue, DurationEstimates
+from .decisions.partners import PartnerChooser
 from .decisions.quarantine import Quarantine
+from .decisions.ratings import RatingGate
 from .decisions.retries import RetryBudget
 from .decisions.rollouts import RolloutBook
 from .decisions.servers import Home, ServerTable
@@ -34,6 +39,7 @@
 from .decisions.versions import PlanInputs
 from .filters.admit import AdmitFilter
 from .filters.bill import BillFilter
+from .filters.cascade import CascadeRunner
 from .filters.chain import link_filters
 from .filters.claim import ClaimFilter
 from .filters.count import CountFilter
@@ -48,10 +54,13 @@
 from .gate import Gate
 from .ids import Incarnation
 from .metrics import Metrics
+from .peers.link import PeerClient, PeerServer
+from .peers.reconcile import ByteBudget, Reconciler
 
 log = structlog.get_logger(__name__)
 
 DRAIN_POLL_S = 0.02
+SLOW_BURST_BYTES = 64 * 1024
 
 
 class EntryInstance:
@@ -69,6 +78,11 @@
         Returns seconds since the epoch.
     seed : int or None
         Seed of jitter and sampling; None for a random one.
+
+    Attributes
+    ----------
+    failed : asyncio.Event
+        Set when an invariant is broken and the process has to end.
     """
 
     def __init__(self, settings, clock=time.monotonic, wall_clock=time.time, seed=None):
@@ -79,6 +93,8 @@
         self._wall_clock = wall_clock
         self._random = random.Random(seed)
         self._tasks = []
+        self._closing = False
+        self.failed = asyncio.Event()
         self._wire_clients()
         self._wire_state()
         self._wire_controllers()
@@ -98,6 +114,11 @@
         self._ratings = RatingsClient(self._http, platform.ratings, timeout)
         self._engines = EngineClient(self._http, retries)
         self._services = ServiceClient(self._http, self._fresh_http, retries)
+        peers = self.settings.peers
+        self.peer_server = PeerServer(peers.secret)
+        self.peer_client = PeerClient(
+            peers.secret, self.settings.instance.id, peers.timeout
+        )
 
     def _wire_state(self):
         settings = self.settings
@@ -106,8 +127,9 @@
         self.configuration = ConfigurationState(settings.configuration.stale_after)
         self.table = ServerTable(home, settings.limits, settings.load.stale_after)
         self.durations = DurationEstimates()
-        self.book = RolloutBook()
+        self.book = RolloutBook(self.incarnation, settings.rollouts.false_alarm)
         self.facts = FactTable(self.incarnation)
+        self.metrics.spared.set_function(lambda: len(self.book.spared))
         queue = AdmissionQueue(self.table, self.durations, settings.limits.queue_length)
         self.gate = Gate(queue, self.table, self._expect_duration, self._clock)
         self.metrics.waiting.set_function(lambda: len(queue))
@@ -125,10 +147,13 @@
         self.membership = MembershipController(
             self._targets,
             self.table,
+            self.facts,
             settings.platform.instances_interval,
             self.metrics,
+            self._clock,
             self._random,
         )
+        self._wire_exchange()
         self.load = LoadController(
             self._engines,
             self._services,
@@ -139,20 +164,84 @@
             self._random,
             self._count_sharers,
         )
+        self._wire_rollouts()
+        self.billing = BillingController(
+            self.store, self.incarnation, self.metrics, self._random
+        )
+
+    def _wire_rollouts(self):
+        settings = self.settings.rollouts
+        self.halting = HaltController(
+            self.book,
+            self.store,
+            self.facts,
+            settings,
+            self.metrics,
+            self._clock,
+            self._wall_clock,
+            self._random,
+            self.membership.list_live,
+        )
         self.rollouts = RolloutController(
             self.book,
             self.configuration,
             self._ratings,
-            settings.rollouts,
+            RatingGate(settings.rating_rate, settings.rating_burst),
+            settings,
             self.metrics,
+            self._clock,
             self._random,
+            self.membership.list_live,
+            on_halt=self.halting.halt,
         )
-        self.billing = BillingController(
-            self.store, self.incarnation, self.metrics, self._random
+        self.halting.follow(self.rollouts)
+        self.exposing = ExposureController(
+            self.book,
+            self.configuration,
+            self.store,
+            self.incarnation,
+            settings,
+            self.metrics,
+            self._clock,
+            self._random,
         )
 
+    def _wire_exchange(self):
+        settings = self.settings
+        budget = ByteBudget(settings.peers.slow_rate, SLOW_BURST_BYTES)
+        partners = PartnerChooser(
+            self.incarnation, self.table.home, settings.peers.cross_domain, self._random
+        )
+        self.exchange = ExchangeController(
+            self.facts,
+            Reconciler(self.facts, budget, self._random),
+            self.configuring,
+            self.configuration,
+            partners,
+            self.peer_client,
+            self.membership.list_peers,
+            settings.peers,
+            self.metrics,
+            self._clock,
+            self._random,
+        )
+        self.exchange.answer_on(self.peer_server)
+        self.metrics.peer_bytes.set_function(self._count_peer_bytes)
+
+    def _count_peer_bytes(self):
+        client, server = self.peer_client, self.peer_server
+        sent = client.bytes_sent + server.bytes_sent
+        return sent + client.bytes_received + server.bytes_received
+
     def _wire_apis(self):
-        self.callers = CallersApi(self._build_chain(), self.is_ready, self._clock)
+        settings = self.settings
+        self.callers = CallersApi(
+            self._build_chain(),
+            self.is_ready,
+            self.metrics,
+            self._clock,
+            settings.limits.request_size,
+        )
         self.admin = AdminApi(self.metrics, self.report_status)
 
     def _build_chain(self):
@@ -163,6 +252,14 @@
         budget = RetryBudget(retries.budget_ratio, retries.budget_burst)
         hedge_budget = RetryBudget(retries.hedge_ratio, retries.hedge_burst)
         self.quarantine = Quarantine(settings.quarantine)
+        runner = CascadeRunner(
+            self.configuration,
+            self.rollouts,
+            self.durations,
+            settings.rollouts.rating_cost,
+            self.metrics,
+            self._clock,
+        )
         self.claims = ClaimFilter(
             self.store, self.incarnation, self.membership.list_live
         )
@@ -178,7 +275,9 @@
                     self.rollouts,
                     starter,
                     self._collect_plan_inputs,
+                    runner,
                     self.metrics,
+                    self._clock,
                 ),
                 RetryFilter(
                     retries,
@@ -194,7 +293,7 @@
                     self.facts,
                     self.table,
                     settings.quarantine,
-                    lambda address: probe_refusal(address, retries.connect_timeout),
+                    probe_refusal,
                     self.metrics,
                     self._clock,
                 ),
@@ -202,7 +301,7 @@
                     self.gate, self.durations, self.table, self._is_long, self._clock
                 ),
                 QuarantineGuardFilter(self.quarantine, self._clock),
-                GuardFilter(self.configuration, self.rollouts, self.table),
+                GuardFilter(self.configuration, self.rollouts, self.table, self._clock),
                 DispatchFilter(self._engines, self._services, self._clock),
             ]
         )
@@ -224,28 +323,45 @@
         shortest = min(other.lateness for other in classes)
         return work_class.lateness > shortest * self.settings.limits.long_factor
 
-    def _collect_plan_inputs(self, work_class):
+    def _collect_plan_inputs(self, context, excluded):
+        work_class = context.work_class
+        name = work_class.name
+        now = self._clock()
+        self.book.configure(self.configuration.declaration)
         available = set()
         for server in self.table.servers.values():
             if not server.leaving:
                 available |= server.versions
-        exposed = frozenset()
-        if not self.configuration.is_stale(self._clock()):
-            exposed = self.book.list_exposed(self.configuration.declaration)
+        exposed = {}
+        if not self.configuration.is_stale(now):
+            exposed = self.book.find_exposed(name, now)
         return PlanInputs(
-            ratings=self.book.ratings,
             available=frozenset(available),
-            halted=frozenset(self.book.halted),
-            exposed=exposed,
             durations=lambda version: self.durations.estimate(
-                work_class.name, version, work_class.lateness
+                name, version, work_class.lateness
             ),
-            rating_up=self.rollouts.rating_up,
+            evidence=lambda version: self.book.sum_evidence(name, version),
+            halted=self.book.list_halted(name),
+            exposed=exposed,
+            # A session would hold its caller to a version on trial.
+            draw=1.0 if context.wants_session else self._random.random(),
+            time_left=context.arrived + work_class.lateness - now,
+            rating_cost=self.settings.rollouts.rating_cost,
+            rating_time=self.rollouts.gate.time,
+            # A session has one version, so it can't go through a cascade.
+            cascades=self.rollouts.gate.is_up(now) and not context.wants_session,
+            excluded=excluded,
         )
 
+    @property
+    def peers_port(self):
+        """The port that other entry instances reach this one at."""
+        return self.peer_server.port
+
     def is_ready(self):
         """Return whether requests can be served here."""
-        return self.configuration.ready and bool(self.table.servers)
+        is_informed = self.configuration.ready and self.halting.asked
+        return is_informed and bool(self.table.servers)
 
     def report_status(self):
         """Return the JSON object of the admin API's status page."""
@@ -256,6 +372,7 @@
             "ready": self.is_ready(),
             "revision": self.configuration.revision,
             "in_flight": self.callers.in_flight,
+            "rollouts": self.rollouts.report(),
             "backend_servers": [
                 {
                     "id": server.record.id,
@@ -279,15 +396,20 @@
         instance = self.settings.instance
         await self.callers.listener.start(instance.address, instance.callers_port)
         await self.admin.listener.start(instance.address, instance.admin_port)
+        await self.peer_server.start(instance.address, instance.peers_port)
         for run in (
             self.configuring.run,
             self.membership.run,
+            self.exchange.run,
             self.load.run,
             self.rollouts.run,
+            self.halting.run,
+            self.halting.run_store,
+            self.exposing.run,
             self.billing.run,
             self.gate.run,
         ):
-            self._tasks.append(asyncio.create_task(run()))
+            self._supervise(run())
         log.info(
             "listening",
             instance=instance.id,
@@ -295,8 +417,21 @@
             address=instance.address,
             callers_port=self.callers.listener.port,
             admin_port=self.admin.listener.port,
+            peers_port=self.peers_port,
         )
 
+    def _supervise(self, work):
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._judge_end)
+        self._tasks.append(task)
+
+    def _judge_end(self, task):
+        """Ask for a stop if a controller ended by itself: its state would rot."""
+        if task.cancelled() or self._closing:
+            return
+        log.critical("controller failed", exc_info=task.exception())
+        self.failed.set()
+
     async def stop(self):
         """Stop without cutting a request in flight."""
         instance = self.settings.instance
@@ -316,10 +451,13 @@
 
     async def close(self):
         """Stop the controllers and close every connection at once."""
+        self._closing = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.listener.stop()
         await self.admin.listener.stop()
+        await self.peer_client.close()
+        await self.peer_server.stop()
         await self._http.close()
         await self._fresh_http.close()
--- a/tanagerwalk/clients/attempts.py
+++ b/tanagerwalk/clients/attempts.py
@@ -11,8 +11,10 @@
 from .responses import read_retry_after
 
 REQUEST_ID_HEADER = "X-Request-Id"
+UNAVAILABLE_STATUS = 503
 OVERLOAD_STATUSES = frozenset({429, 503})
 SERVER_ERROR_STATUS = 500
+PROBE_LIMIT_S = 0.3
 
 
 def build_timeout(retries):
@@ -60,7 +62,7 @@
         return Error(AttemptFailure(RetryReason.SERVER_ERROR, sent=True))
 
 
-async def probe_refusal(address, limit):
+async def probe_refusal(address, limit=PROBE_LIMIT_S):
     """Return whether a host answers but refuses connections to a port.
 
     A process that crashed leaves a host that refuses; a cut network leaves
@@ -95,7 +97,17 @@
     """
     if response.status in OVERLOAD_STATUSES:
         wait = read_retry_after(response.headers)
-        return AttemptFailure(RetryReason.SERVER_REFUSED, sent=True, retry_after=wait)
+        return AttemptFailure(
+            RetryReason.SERVER_REFUSED,
+            sent=True,
+            retry_after=wait,
+            closing=_is_closing(response),
+        )
     if response.status >= SERVER_ERROR_STATUS:
         return AttemptFailure(RetryReason.SERVER_ERROR, sent=True)
     return None
+
+
+def _is_closing(response):
+    closes = response.headers.get("Connection", "").lower() == "close"
+    return closes and response.status == UNAVAILABLE_STATUS
--- a/tanagerwalk/clients/engines.py
+++ b/tanagerwalk/clients/engines.py
@@ -16,6 +16,7 @@
 DATA_PREFIX = b"data: "
 END_MARKER = b"[DONE]"
 OK_STATUS = 200
+NOT_FOUND_STATUS = 404
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,7 +119,7 @@
         -------
         Result of ChatOutcome, or of AttemptFailure
             Ok only if the engine sent its end marker, or refused the request as
-            such (status 400 to 499).
+            such (status 400 to 499, but for a version that it has not loaded).
         """
         return await run_attempt(self._exchange(attempt, on_text), deadline)
 
@@ -135,6 +136,9 @@
             failure = judge_status(response)
             if failure is not None:
                 return Error(failure)
+            if response.status == NOT_FOUND_STATUS:
+                # The engine's own word that it has no such model: nothing ran.
+                return Error(AttemptFailure(RetryReason.VERSION_MISSING, sent=False))
             if response.status != OK_STATUS:
                 return Ok(ChatOutcome(response.status, error=await response.read()))
             return await _read_stream(response, on_text)
--- a/tanagerwalk/decisions/servers.py
+++ b/tanagerwalk/decisions/servers.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from ..ids import BackendServerId, FailureDomain, Incarnation, Region
+from ..ids import BackendServerId, FailureDomain, Region
 from .backends import (
     MIN_START_LIMIT,
     BackendServer,
@@ -14,6 +14,7 @@
     ServerRecord,
     ServerRole,
 )
+from .leaving import LeavingBook
 
 __all__ = [
     "BackendServer",
@@ -59,7 +60,8 @@
         self.load_stale_after = load_stale_after
         self.servers: dict[BackendServerId, BackendServer] = {}
         self.sharers = 1
-        self._left: set[Incarnation] = set()
+        self.departures = LeavingBook()
+        self._listed: frozenset[BackendServerId] = frozenset()
         self._nearest = {}
         self._watched = None
         self._random = Random(home.instance)
@@ -76,6 +78,7 @@
             The whole list.
         """
         listed = {record.id: record for record in records}
+        self._listed = frozenset(listed)
         for gone in self.servers.keys() - listed.keys():
             self._set_leaving(self.servers[gone], True)
             if self.servers[gone].in_flight == 0:
@@ -83,8 +86,6 @@
                 self._forget_order()
         for record in listed.values():
             self._update_record(record)
-        live = {server.record.incarnation for server in self.servers.values()}
-        self._left &= live
 
     def _update_record(self, record):
         server = self.servers.get(record.id)
@@ -96,8 +97,8 @@
             server.record = record
             self._forget_order()
         if record.leaving:
-            self._left.add(record.incarnation)
-        self._set_leaving(server, record.incarnation in self._left)
+            self.departures.note_listed(record.incarnation)
+        self._set_leaving(server, self.departures.is_leaving(record.incarnation))
 
     def _set_leaving(self, server, leaving):
         if server.leaving == leaving:
@@ -109,23 +110,40 @@
         self._nearest.clear()
         self._watched = None
 
-    def mark_leaving(self, server_id):
-        """Note that a server said or showed that it is leaving."""
-        server = self.servers.get(server_id)
-        if server is None:
-            return
-        self._left.add(server.record.incarnation)
-        self._set_leaving(server, True)
-
     def mark_incarnation_leaving(self, incarnation):
-        """Note a peer's word that an incarnation of a server is leaving."""
+        """Note the platform's word, through a peer, that a server is leaving."""
+        self.departures.note_listed(incarnation)
+        self._follow_departure(incarnation)
+
+    def infer_leaving(self, incarnation, until):
+        """Take a server for leaving until a monotonic time in seconds."""
+        self.departures.infer(incarnation, until)
+        self._follow_departure(incarnation)
+
+    def suspect_leaving(self, incarnation, suspicion, now):
+        """Weigh a suspicion; return whether the server is taken for leaving."""
+        is_leaving = self.departures.suspect(incarnation, suspicion, now)
+        self._follow_departure(incarnation)
+        return is_leaving
+
+    def expire_leaving(self, now):
+        """Give a server that was only taken for leaving another chance in time."""
+        self.departures.expire(now)
+        for server in self.servers.values():
+            if server.record.id in self._listed:
+                leaving = self.departures.is_leaving(server.record.incarnation)
+                self._set_leaving(server, leaving)
+
+    def _follow_departure(self, incarnation):
+        if not self.departures.is_leaving(incarnation):
+            return
         for server in self.servers.values():
             if server.record.incarnation == incarnation:
-                self.mark_leaving(server.record.id)
+                self._set_leaving(server, True)
 
     def list_leaving(self):
         """Return the incarnations that are known to be leaving."""
-        return frozenset(self._left)
+        return self.departures.list_leaving()
 
     def _make_initial_limit(self):
         # All sharers find a new server at the same time.
@@ -143,6 +161,13 @@
         share = RoomShare(self.sharers, reserve, self._random.random())
         server.take_load(report, now, share)
 
+    def forget_version(self, server_id, version):
+        """Note that a server has not loaded a version, until it says otherwise."""
+        server = self.servers.get(server_id)
+        if server is not None:
+            server.versions -= {version}
+            self._forget_order()
+
     def start(self, server_id, long, suspect=False):
         """Count an attempt that is about to go to a server."""
         server = self.servers[server_id]
@@ -176,6 +201,7 @@
         server = self.servers.get(server_id)
         if server is None:
             return
+        self.departures.clear_suspicion(server.record.incarnation)
         server.take_success(now, ratio)
         server.grow(float(self.limits.max_concurrency))
 
--- a/tanagerwalk/filters/quarantine.py
+++ b/tanagerwalk/filters/quarantine.py
@@ -64,7 +64,10 @@
 
     async def _blame(self, context):
         server = self._table.servers.get(context.grant.server)
-        if server is None or server.leaving:
+        if server is None or self._table.departures.is_listed(
+            server.record.incarnation
+        ):
+            # A server that the platform stops does not crash by its requests.
             return
         if not await self._probe(context.grant.address):
             # The server lives, or the network is cut: no crash either way.
--- a/tanagerwalk/filters/retry.py
+++ b/tanagerwalk/filters/retry.py
@@ -5,13 +5,14 @@
 
 from expression import Error
 
+from ..decisions.leaving import Suspicion
 from ..decisions.retries import (
     RetryState,
     choose_backoff,
     decide_retry,
     judge_server,
 )
-from ..outcomes import Refusal, RunState
+from ..outcomes import Refusal, RetryReason, RunState
 
 
 class RetryFilter:
@@ -64,9 +65,7 @@
         context.sent = context.sent or failure.sent
         if failure.server is not None:
             context.tried.add(failure.server)
-            self._table.record_failure(
-                failure.server, now, judge_server(failure.reason), failure.retry_after
-            )
+            self._record_failure(context, failure, now)
         state = RetryState(
             idempotent=context.work_class.idempotent,
             sent=context.sent,
@@ -85,6 +84,31 @@
         if pause > 0.0:
             await asyncio.sleep(pause)
 
+    def _record_failure(self, context, failure, now):
+        if failure.reason is RetryReason.VERSION_MISSING:
+            self._table.forget_version(failure.server, context.version)
+            return
+        self._table.record_failure(
+            failure.server, now, judge_server(failure.reason), failure.retry_after
+        )
+        self._weigh_leaving(context.grant, failure, now)
+
+    def _weigh_leaving(self, grant, failure, now):
+        """Let a failure count against the incarnation that it came from."""
+        suspicion = find_suspicion(failure)
+        if suspicion is None or grant is None or grant.server != failure.server:
+            return
+        self._table.suspect_leaving(grant.incarnation, suspicion, now)
+
+
+def find_suspicion(failure):
+    """Return why a failure makes its server look as if it were leaving, or None."""
+    if failure.closing:
+        return Suspicion.CLOSING_REFUSAL
+    if failure.reason is RetryReason.CONNECT_FAILED:
+        return Suspicion.CONNECT_FAILED
+    return None
+
 
 def _correct_run_state(refusal, context):
     """Never let a refusal say "not run" after an earlier attempt was sent."""
--- a/tanagerwalk/messages.py
+++ b/tanagerwalk/messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from .decisions.exposure import Exposure
 from .decisions.limits import Grant
 from .declarations import ClientAccount, WorkClass
 from .ids import (
@@ -60,12 +61,15 @@
         Lower confidence bound of the expected quality, 0 to 1.
     candidate : VersionName or None
         The version under roll-out that this plan exposes the request to.
+    duration : float
+        Expected seconds if every step runs.
     """
 
     steps: tuple[VersionName, ...]
     cost: float = 0.0
     quality: float = 1.0
     candidate: VersionName | None = None
+    duration: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,7 +112,8 @@
     reason : RetryReason
         What went wrong.
     sent : bool
-        Whether any byte of the request may have reached the backend server.
+        Whether any byte of the request may have reached the backend server; False
+        also if the server said that it has not loaded the version.
     server : BackendServerId or None
         The server that was tried.
     retry_after : float or None
@@ -116,6 +121,8 @@
     crashed : bool
         Whether the connection broke while the server had the request, so that the
         server may have crashed.
+    closing : bool
+        Whether the server refused and closed the connection.
     """
 
     reason: RetryReason
@@ -123,6 +130,7 @@
     server: BackendServerId | None = None
     retry_after: float | None = None
     crashed: bool = False
+    closing: bool = False
 
 
 class Sink:
@@ -188,6 +196,7 @@
     deadline: float = 0.0
     session: Session | None = None
     plan: Plan | None = None
+    exposure: Exposure | None = None
     version: VersionName | None = None
     attempt: AttemptId | None = None
     grant: Grant | None = None
--- a/tanagerwalk/outcomes.py
+++ b/tanagerwalk/outcomes.py
@@ -48,6 +48,32 @@
     INCOMPLETE_ANSWER = "incomplete_answer"
     ATTEMPT_TIMEOUT = "attempt_timeout"
     SUSPECTED = "suspected"
+    VERSION_MISSING = "version_missing"
+
+
+class HaltCause(Enum):
+    """Which test stopped a version."""
+
+    RATINGS = "ratings"
+    ERRORS = "errors"
+    LATENESS = "lateness"
+
+
+class RatingLoss(Enum):
+    """Why an answer that should have been rated was not."""
+
+    QUEUE_FULL = "queue_full"
+    RATE_LIMIT = "rate_limit"
+    SERVICE_FAILED = "service_failed"
+
+
+class EscalationReason(Enum):
+    """Why a cascade went on to its next step."""
+
+    BELOW_TARGET = "below_target"
+    UNRATED = "unrated"
+    STEP_FAILED = "step_failed"
+    NO_TIME = "no_time"
 
 
 class RefusalReason(Enum):
@@ -59,6 +85,8 @@
     CLASS_NOT_ALLOWED = "class_not_allowed"
     NO_ALLOWED_VERSION = "no_allowed_version"
     VERSION_WITHDRAWN = "version_withdrawn"
+    EXPOSURE_SPENT = "exposure_spent"
+    QUALITY_UNREACHABLE = "quality_unreachable"
     SESSION_INVALID = "session_invalid"
     SESSION_UNCONFIRMED = "session_unconfirmed"
     QUARANTINED = "quarantined"
@@ -73,6 +101,7 @@
     NO_BACKEND_SERVER = "no_backend_server"
     RETRY_BUDGET_SPENT = "retry_budget_spent"
     BACKEND_FAILED = "backend_failed"
+    INTERNAL_ERROR = "internal_error"
     NOT_READY = "not_ready"
     STOPPING = "stopping"
 
@@ -93,6 +122,7 @@
     RefusalReason.QUEUE_FULL: 429,
     RefusalReason.DEADLINE_EXCEEDED: 504,
     RefusalReason.BACKEND_FAILED: 502,
+    RefusalReason.INTERNAL_ERROR: 500,
 }
 DEFAULT_HTTP_STATUS = 503
 
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -51,6 +51,8 @@
     secret: str
     interval: float
     cross_domain: float
+    timeout: float
+    slow_rate: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +68,7 @@
     """Queue and concurrency limits."""
 
     queue_length: int
+    request_size: int
     initial_concurrency: int
     max_concurrency: int
     short_reserve: float
@@ -112,7 +115,14 @@
 
     rating_share: float
     rating_queue: int
+    rating_rate: float
+    rating_burst: float
+    rating_cost: float
     false_alarm: float
+    epoch: float
+    share_interval: float
+    halts_interval: float
+    exposure_interval: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/test/clients/test_attempts.py
+++ b/test/clients/test_attempts.py
@@ -198,6 +198,13 @@
     assert failure.sent is False
 
 
+async def test_version_that_is_not_loaded_did_not_run():
+    async with serve([make_refusal("404 Not Found")]) as address:
+        result, _ = await complete(address)
+    assert result.error.reason is RetryReason.VERSION_MISSING
+    assert result.error.sent is False
+
+
 async def test_attempt_ends_at_its_own_limit_and_its_late_answer_is_dropped():
     async with serve([STREAM + PIECE, STREAM, SLOW, PIECE + FINISH + END]) as address:
         result, taken = await complete(address, limit=0.1)
