--- /dev/null
+++ b/tanagerwalk/decisions/demand.py
@@ -0,0 +1,41 @@
+"""How much work each version is asked for, as a decaying average."""
+
+import math
+from dataclasses import dataclass
+
+DECAY_TIME_S = 120.0
+
+
+@dataclass(slots=True)
+class _Sum:
+    seconds: float = 0.0
+    at: float = float("-inf")
+
+
+class DemandMeter:
+    """Estimates the concurrency that each version needs, whether granted or refused.
+
+    Parameters
+    ----------
+    decay_time : float
+        Time in seconds after which a request counts for 1/e.
+    """
+
+    def __init__(self, decay_time=DECAY_TIME_S):
+        self._decay_time = decay_time
+        self._sums = {}
+
+    def record(self, version, seconds, now):
+        """Count one request that needs a server for `seconds`."""
+        total = self._sums.setdefault(version, _Sum(at=now))
+        total.seconds = self._decay(total, now) + seconds
+        total.at = max(total.at, now)
+
+    def estimate(self, version, now):
+        """Return the mean number of requests of a version that run at once."""
+        total = self._sums.get(version)
+        return self._decay(total, now) / self._decay_time if total else 0.0
+
+    def _decay(self, total, now):
+        age = max(0.0, now - total.at)
+        return total.seconds * math.exp(-age / self._decay_time)
