Order versions onto the engines of each failure domain

Cause: versions were loaded by hand; a declared version reached no engine.

It is now retried elsewhere with reason version_not_loaded, and the server is not chosen again for that version until it reports it.

The stand-in of the key-value service took a write under a lapsed lease; it refuses it now, as etcd does.

--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -12,18 +12,24 @@
 from .api.callers import CallersApi
 from .clients.engines import EngineClient
 from .clients.keyvalue import KeyValueClient
+from .clients.orders import OrderClient
 from .clients.ratings import RatingsClient
 from .clients.services import ServiceClient
 from .clients.targets import TargetsClient
 from .controllers.billing import BillingController
 from .controllers.configuration import ConfigurationController
+from .controllers.leases import LeaseController, read_boot_time
 from .controllers.load import LoadController
 from .controllers.loop import poll_until
 from .controllers.membership import MembershipController
+from .controllers.orders import OrderController
 from .controllers.rollouts import RolloutController
 from .decisions.configuration import ConfigurationState
+from .decisions.demand import DemandMeter
 from .decisions.facts import FactTable
+from .decisions.leases import DomainLease, LeaseTimes
 from .decisions.limits import AdmissionQueue, DurationEstimates
+from .decisions.orders import OrderBook
 from .decisions.retries import RetryBudget
 from .decisions.rollouts import RolloutBook
 from .decisions.servers import Home, ServerTable
@@ -34,6 +40,7 @@
 from .filters.chain import link_filters
 from .filters.claim import ClaimFilter
 from .filters.count import CountFilter
+from .filters.demand import DemandFilter
 from .filters.dispatch import DispatchFilter
 from .filters.guard import GuardFilter
 from .filters.identify import IdentifyFilter
@@ -93,6 +100,7 @@
         self._ratings = RatingsClient(self._http, platform.ratings, timeout)
         self._engines = EngineClient(self._http, retries)
         self._services = ServiceClient(self._http, self._fresh_http, retries)
+        self._orders = OrderClient(self._fresh_http, self.settings.orders)
 
     def _wire_state(self):
         settings = self.settings
@@ -102,6 +110,7 @@
         self.durations = DurationEstimates()
         self.book = RolloutBook()
         self.facts = FactTable(self.incarnation)
+        self.demand = DemandMeter()
         queue = AdmissionQueue(self.table, self.durations, settings.limits.queue_length)
         self.gate = Gate(queue, self.table, self._expect_duration, self._clock)
         self.metrics.waiting.set_function(lambda: len(queue))
@@ -144,6 +153,48 @@
             self.store, self.incarnation, self.metrics, self._random
         )
 
+        self._wire_orders()
+
+    def _wire_orders(self):
+        orders = self.settings.orders
+        times = LeaseTimes(orders.lease_ttl, orders.lease_margin, orders.look_interval)
+        home = self.table.home
+        self.leases = LeaseController(
+            self.store,
+            DomainLease(home.failure_domain, self.incarnation, times),
+            home,
+            self.incarnation,
+            self.membership,
+            orders.lease_ttl,
+            self.metrics,
+            read_boot_time,
+        )
+        self.ordering = OrderController(
+            self.leases,
+            self._orders,
+            OrderBook(orders.report_lag),
+            self.table,
+            self.configuration,
+            self.book,
+            self._estimate_demand,
+            orders,
+            self.metrics,
+            self._clock,
+            self._random,
+        )
+
+    def _estimate_demand(self, version):
+        """Return the engines of this domain that a version's demand needs.
+
+        The balancer spreads callers evenly, so this instance's part stands for that
+        of each other one.
+        """
+        home = self.table.home.failure_domain
+        instances = [p for p in self.membership.peers if p.failure_domain == home]
+        running = self.demand.estimate(version, self._clock()) * max(1, len(instances))
+        limits = [s.limit for s in self.ordering.list_engines(self._clock())]
+        return running * len(limits) / sum(limits) if limits else 0.0
+
     def _wire_apis(self):
         self.callers = CallersApi(self._build_chain(), self.is_ready, self._clock)
         self.admin = AdminApi(self.metrics, self.report_status)
@@ -172,6 +223,7 @@
                     self._collect_plan_inputs,
                     self.metrics,
                 ),
+                DemandFilter(self.demand, self.durations, self._clock),
                 RetryFilter(
                     settings.retries, budget, self.table, self.metrics, self._clock
                 ),
@@ -225,6 +277,12 @@
             "ready": self.is_ready(),
             "revision": self.configuration.revision,
             "in_flight": self.callers.in_flight,
+            "orders": {
+                "holder": self.leases.lease.holder,
+                "phase": self.leases.lease.phase.value,
+                "token": self.leases.lease.token,
+                "wanted_copies": self.ordering.report_wanted(),
+            },
             "backend_servers": [
                 {
                     "id": server.record.id,
@@ -254,6 +312,8 @@
             self.load.run,
             self.rollouts.run,
             self.billing.run,
+            self.leases.run,
+            self.ordering.run,
             self.gate.run,
         ):
             self._tasks.append(asyncio.create_task(run()))
@@ -279,6 +339,7 @@
             lambda: not self.callers.in_flight, DRAIN_POLL_S, instance.drain_limit
         )
         await self.claims.drain(max(0.0, deadline - self._clock()))
+        await self.leases.release()
         await self.billing.flush_all(max(0.0, deadline - self._clock()))
         await self.close()
         log.info("stopped", in_flight=self.callers.in_flight)
--- a/tanagerwalk/clients/engines.py
+++ b/tanagerwalk/clients/engines.py
@@ -11,11 +11,12 @@
 from ..messages import AttemptFailure, Usage
 from ..outcomes import RetryReason
 from .attempts import REQUEST_ID_HEADER, build_timeout, judge_status, run_attempt
-from .loads import parse_load
+from .loads import parse_load, parse_slots
 
 DATA_PREFIX = b"data: "
 END_MARKER = b"[DONE]"
 OK_STATUS = 200
+UNKNOWN_MODEL_STATUS = 404
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +135,9 @@
             failure = judge_status(response)
             if failure is not None:
                 return Error(failure)
+            if response.status == UNKNOWN_MODEL_STATUS:
+                # The version was unloaded since the last report.
+                return Error(AttemptFailure(RetryReason.VERSION_NOT_LOADED, True))
             if response.status != OK_STATUS:
                 return Ok(ChatOutcome(response.status, error=await response.read()))
             return await _read_stream(response, on_text)
@@ -156,13 +160,14 @@
         base = f"http://{address}"
         try:
             async with self._http.get(f"{base}/metrics", timeout=limit) as response:
-                running, waiting = parse_load(await response.text())
+                page = await response.text()
+                running, waiting = parse_load(page)
             async with self._http.get(f"{base}/v1/models", timeout=limit) as response:
                 models = msgspec.json.decode(await response.read(), type=_Models)
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             return Error(f"engine {address}: {type(error).__name__}")
         versions = frozenset(model.id for model in models.data)
-        return Ok(LoadReport(running, waiting, versions))
+        return Ok(LoadReport(running, waiting, versions, parse_slots(page)))
 
 
 def _encode_body(attempt):
--- a/tanagerwalk/clients/loads.py
+++ b/tanagerwalk/clients/loads.py
@@ -1,11 +1,22 @@
 """Reading of the load that backend servers publish as Prometheus text."""
 
+import re
+
 from prometheus_client.parser import text_string_to_metric_families
 
 RUNNING_METRICS = frozenset({"vllm:num_requests_running", "num_requests_running"})
 WAITING_METRICS = frozenset({"vllm:num_requests_waiting", "num_requests_waiting"})
 
 
+SLOTS_PATTERN = re.compile(r'^vllm:lora_requests_info\{[^}]*max_lora="(\d+)"', re.M)
+
+
+def parse_slots(text):
+    """Return the versions that an engine's memory holds; 0 if it does not say."""
+    found = SLOTS_PATTERN.search(text)
+    return int(found[1]) if found else 0
+
+
 def parse_load(text):
     """Read the running and waiting requests from a Prometheus page.
 
--- /dev/null
+++ b/tanagerwalk/clients/orders.py
@@ -0,0 +1,142 @@
+"""Client of the engines' orders: vLLM's calls that load and unload at run time."""
+
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from ..decisions.orders import OrderOutcome
+from ..decisions.placement import MoveKind
+from .responses import read_retry_after
+
+FENCING_HEADER = "X-Fencing-Token"
+PATHS = {
+    MoveKind.LOAD: "/v1/load_lora_adapter",
+    MoveKind.UNLOAD: "/v1/unload_lora_adapter",
+}
+ALREADY_LOADED = "already been loaded"
+OUTCOMES = {
+    200: OrderOutcome.APPLIED,
+    405: OrderOutcome.UNSUPPORTED,
+    409: OrderOutcome.FENCED,
+    412: OrderOutcome.FENCED,
+    429: OrderOutcome.BUSY,
+    500: OrderOutcome.IN_DOUBT,
+    501: OrderOutcome.UNSUPPORTED,
+    502: OrderOutcome.IN_DOUBT,
+    503: OrderOutcome.BUSY,
+    504: OrderOutcome.IN_DOUBT,
+    507: OrderOutcome.NO_MEMORY,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class OrderAnswer:
+    """What became of an order.
+
+    Parameters
+    ----------
+    outcome : OrderOutcome
+        `IN_DOUBT` if the order may have taken effect.
+    retry_after : float or None
+        Seconds that the engine asked to wait.
+    """
+
+    outcome: OrderOutcome
+    retry_after: float | None = None
+
+
+class _Problem(msgspec.Struct, frozen=True):
+    message: str = ""
+
+
+class _ErrorBody(msgspec.Struct, frozen=True):
+    """The error of vLLM's API in its newer form, and in its older, flat one."""
+
+    error: _Problem | None = None
+    object: str = ""
+    message: str = ""
+
+
+class OrderClient:
+    """Tells engines which versions to have.
+
+    An order names one version and says whether the engine is to have it. Repeating
+    it changes nothing, so an order in doubt may be sent again.
+
+    Parameters
+    ----------
+    http : aiohttp.ClientSession
+        Session to call with.
+    settings : OrderSettings
+        Time limits, and where the weights are.
+    """
+
+    def __init__(self, http, settings):
+        self._http = http
+        self._weights = settings.weights
+        self._timeout = aiohttp.ClientTimeout(
+            total=settings.timeout, connect=settings.connect_timeout
+        )
+
+    async def send(self, order):
+        """Send an order and wait until it has taken effect.
+
+        Parameters
+        ----------
+        order : Order
+            The order.
+
+        Returns
+        -------
+        OrderAnswer
+        """
+        kind = order.move.kind
+        body = {"lora_name": order.move.version}
+        if kind is MoveKind.LOAD:
+            body["lora_path"] = self._weights + order.move.version
+        try:
+            async with self._http.post(
+                f"http://{order.address}{PATHS[kind]}",
+                json=body,
+                headers={FENCING_HEADER: str(order.token)},
+                timeout=self._timeout,
+            ) as response:
+                return _judge(kind, response, await response.read())
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return OrderAnswer(OrderOutcome.NOT_SENT)
+        except (aiohttp.ClientError, TimeoutError):
+            return OrderAnswer(OrderOutcome.IN_DOUBT)
+
+
+def _judge(kind, response, content):
+    status = response.status
+    if status == 404:
+        return OrderAnswer(_judge_missing(kind, content))
+    if status == 400 and kind is MoveKind.LOAD and _is_loaded(content):
+        return OrderAnswer(OrderOutcome.APPLIED)
+    outcome = OUTCOMES.get(status, OrderOutcome.REFUSED)
+    return OrderAnswer(outcome, read_retry_after(response.headers))
+
+
+def _judge_missing(kind, content):
+    """Tell a missing version from an engine that has no such call."""
+    if not _read_message(content):
+        return OrderOutcome.UNSUPPORTED
+    if kind is MoveKind.UNLOAD:
+        return OrderOutcome.APPLIED
+    return OrderOutcome.VERSION_MISSING
+
+
+def _is_loaded(content):
+    return ALREADY_LOADED in _read_message(content)
+
+
+def _read_message(content):
+    try:
+        body = msgspec.json.decode(content, type=_ErrorBody)
+    except msgspec.DecodeError:
+        return ""
+    if body.error is not None:
+        return body.error.message
+    return body.message if body.object == "error" else ""
--- a/tanagerwalk/clients/targets.py
+++ b/tanagerwalk/clients/targets.py
@@ -18,6 +18,7 @@
 
 ENTRY_ROLE = "entry"
 LEAVING_STATE = "leaving"
+CHECKS_FENCING = "checked"
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,4 +119,5 @@
         incarnation=Incarnation(labels["incarnation"]),
         service=ServiceName(service) if service else None,
         leaving=labels.get("state") == LEAVING_STATE,
+        checks_fencing=labels.get("fencing") == CHECKS_FENCING,
     )
--- /dev/null
+++ b/tanagerwalk/controllers/leases.py
@@ -0,0 +1,135 @@
+"""Takes and keeps the lease for orders to this failure domain's engines."""
+
+import asyncio
+import time
+
+import structlog
+
+from ..decisions.leases import LeasePhase, rank_instance
+
+log = structlog.get_logger(__name__)
+
+MAX_SLEEP_S = 1.0
+
+
+def read_boot_time():
+    """Return monotonic seconds that go on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class LeaseController:
+    """Runs the steps that a domain's lease asks for.
+
+    Parameters
+    ----------
+    store : KeyValueClient
+        Holds the lease.
+    lease : DomainLease
+        Decides.
+    home : Home
+        Where this instance stands.
+    incarnation : Incarnation
+        This instance.
+    membership : MembershipController
+        Knows the live instances.
+    ttl : float
+        Time to live of the lease, in seconds.
+    metrics : Metrics
+        Counters.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(
+        self, store, lease, home, incarnation, membership, ttl, metrics, clock
+    ):
+        self.lease = lease
+        self._store = store
+        self._home = home
+        self._incarnation = incarnation
+        self._membership = membership
+        self._ttl = ttl
+        self._metrics = metrics
+        self._clock = clock
+        self._steps = {
+            LeasePhase.SEEKING: self._look,
+            LeasePhase.GRANTING: self._grant,
+            LeasePhase.CREATING: self._create,
+            LeasePhase.IN_DOUBT: self._look,
+            LeasePhase.HELD: self._renew,
+        }
+
+    def may_order(self, checks_fencing):
+        """Return whether an order may be sent at this moment."""
+        return self.lease.may_order(self._clock(), checks_fencing)
+
+    def record_fenced(self, token):
+        """Note that an engine refused the token of one of this instance's orders."""
+        log.warning("order refused for its fencing token", token=token)
+        self.lease.record_fenced(token, self._clock())
+
+    async def run(self):
+        """Take the lease, or keep it, until cancelled or released."""
+        while not self.lease.resigned:
+            pause = self.lease.due - self._clock()
+            if pause > 0:
+                await asyncio.sleep(min(pause, MAX_SLEEP_S))
+                continue
+            await self.step()
+
+    async def step(self):
+        """Do what the lease asks for next."""
+        before = self.lease.phase
+        await self._steps[before]()
+        self._metrics.lease_held.set(self.lease.phase is LeasePhase.HELD)
+        if (before is LeasePhase.HELD) != (self.lease.phase is LeasePhase.HELD):
+            log.info(
+                "lease changed",
+                phase=self.lease.phase.value,
+                token=self.lease.token,
+                failure_domain=self._home.failure_domain,
+            )
+
+    async def release(self):
+        """Give the lease up for good, so that another instance may take it at once."""
+        number = self.lease.resign()
+        self._metrics.lease_held.set(0)
+        if number:
+            self._count_fault(await self._store.revoke_lease(number))
+
+    async def _look(self):
+        result = self._count_fault(await self._store.get(self.lease.key))
+        if result.is_error():
+            self.lease.record_unread(self._clock())
+            return
+        self.lease.record_entry(result.ok, self._clock(), self._find_rank())
+
+    async def _grant(self):
+        sent_at = self._clock()
+        result = self._count_fault(await self._store.grant_lease(self._ttl))
+        self.lease.record_grant(result, sent_at, self._clock())
+
+    async def _create(self):
+        lease = self.lease
+        result = await self._store.create(lease.key, lease.value, lease.lease)
+        self._count_fault(result)
+        lease.record_create(result, self._clock())
+
+    async def _renew(self):
+        sent_at = self._clock()
+        result = self._count_fault(await self._store.keep_lease(self.lease.lease))
+        self.lease.record_renewal(result, sent_at, self._clock())
+
+    def _count_fault(self, result):
+        if result.is_error():
+            self._metrics.platform_faults.labels("keyvalue").inc()
+        return result
+
+    def _find_rank(self):
+        domain = self._home.failure_domain
+        live = [
+            peer.incarnation
+            for peer in self._membership.peers
+            if peer.failure_domain == domain and not peer.leaving
+        ]
+        return rank_instance(domain, self._incarnation, live)
--- /dev/null
+++ b/tanagerwalk/controllers/orders.py
@@ -0,0 +1,151 @@
+"""Tells the engines of this failure domain which versions to have."""
+
+import asyncio
+
+import structlog
+
+from ..decisions.orders import Order, OrderOutcome
+from ..decisions.placement import MoveKind, list_needs, plan_moves
+from ..decisions.servers import ServerRole
+from ..outcomes import VersionState
+from .loop import run_periodically
+
+log = structlog.get_logger(__name__)
+
+
+class OrderController:
+    """Compares what is loaded with what is wanted, and orders the difference.
+
+    Parameters
+    ----------
+    leases : LeaseController
+        Says whether this instance may order.
+    client : OrderClient
+        Sends orders.
+    book : OrderBook
+        Remembers them.
+    table : ServerTable
+        What engines report.
+    configuration : ConfigurationState
+        The declaration in force.
+    rollouts : RolloutBook
+        Versions that were stopped.
+    estimate_demand : callable
+        Returns the engines that the demand for a version needs.
+    settings : OrderSettings
+        Intervals and limits.
+    metrics : Metrics
+        Counters.
+    clock : callable
+        Returns monotonic time in seconds.
+    random : random.Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        leases,
+        client,
+        book,
+        table,
+        configuration,
+        rollouts,
+        estimate_demand,
+        settings,
+        metrics,
+        clock,
+        random,
+    ):
+        self._leases = leases
+        self._client = client
+        self._book = book
+        self._table = table
+        self._configuration = configuration
+        self._rollouts = rollouts
+        self._estimate_demand = estimate_demand
+        self._settings = settings
+        self._metrics = metrics
+        self._clock = clock
+        self._random = random
+        self._sending = set()
+
+    async def run(self):
+        """Reconcile until cancelled."""
+        try:
+            await run_periodically(self.step, self._settings.interval, self._random)
+        finally:
+            for task in self._sending:
+                task.cancel()
+
+    async def step(self):
+        """Start the orders that are due now."""
+        if not self._leases.may_order(checks_fencing=True):
+            return
+        now = self._clock()
+        if not self._configuration.ready or self._configuration.is_stale(now):
+            return
+        engines = self._book.observe(self.list_engines(now), now)
+        moves = plan_moves(self.list_needs(), engines, self._settings.loads_at_once)
+        for move in moves:
+            record = self._table.servers[move.server].record
+            if not self._leases.may_order(record.checks_fencing):
+                continue
+            self._book.start(move)
+            task = asyncio.create_task(self._send(move, record))
+            self._sending.add(task)
+            task.add_done_callback(self._sending.discard)
+
+    def list_engines(self, now):
+        """Return the engines of this failure domain whose report is fresh."""
+        return [
+            server
+            for server in self._table.servers.values()
+            if server.record.role is ServerRole.ENGINE
+            and server.record.failure_domain == self._table.home.failure_domain
+            and not server.leaving
+            and now - server.load_at <= self._table.load_stale_after
+        ]
+
+    def list_needs(self):
+        """Return what the declaration in force asks of this failure domain."""
+        return list_needs(
+            self._configuration.declaration,
+            self._rollouts.halted,
+            self._estimate_demand,
+        )
+
+    def report_wanted(self):
+        """Return the copies that are wanted of each version, for the status page."""
+        return {name: need.floor for name, need in sorted(self.list_needs().items())}
+
+    async def _send(self, move, record):
+        outcome, retry_after = await self._send_checked(move, record)
+        kind = move.kind.value
+        self._metrics.orders.labels(kind, outcome.value).inc()
+        log.info(
+            "order ended",
+            kind=kind,
+            server=move.server,
+            version=move.version,
+            outcome=outcome.value,
+        )
+        self._book.finish(move, outcome, self._clock(), retry_after)
+
+    async def _send_checked(self, move, record):
+        if self._is_outdated(move):
+            return OrderOutcome.OUTDATED, None
+        # Nothing may come between this check and the sending.
+        if not self._leases.may_order(record.checks_fencing):
+            return OrderOutcome.LEASE_LAPSED, None
+        order = Order(move, record.address, self._leases.lease.token)
+        answer = await self._client.send(order)
+        if answer.outcome is OrderOutcome.FENCED:
+            self._leases.record_fenced(order.token)
+        return answer.outcome, answer.retry_after
+
+    def _is_outdated(self, move):
+        """Return whether the declaration has turned against a move since its choice."""
+        version = self._configuration.declaration.versions.get(move.version)
+        if move.kind is MoveKind.LOAD:
+            return version is None or version.state is VersionState.WITHDRAWN
+        return False
--- a/tanagerwalk/decisions/leases.py
+++ b/tanagerwalk/decisions/leases.py
@@ -70,6 +70,8 @@
         Of the last time that this instance held the lease.
     holder : str
         Incarnation of the holder that was seen last; empty for none.
+    resigned : bool
+        Whether this instance gave the lease up for good.
     """
 
     def __init__(self, failure_domain: FailureDomain, incarnation: Incarnation, times):
@@ -83,6 +85,7 @@
         self.lease = 0
         self.token = FencingToken(0)
         self.holder = ""
+        self.resigned = False
         self._incarnation = incarnation
         self._times = times
         self._valid_until = float("-inf")
@@ -104,7 +107,9 @@
             Whether the engine refuses orders with an old token. One that does not
             gets orders only after every earlier holder must have stopped.
         """
-        if self.phase is not LeasePhase.HELD or now >= self._valid_until:
+        if self.resigned or self.phase is not LeasePhase.HELD:
+            return False
+        if now >= self._valid_until:
             return False
         return checks_fencing or now >= self._settled_at
 
@@ -178,6 +183,7 @@
     def resign(self):
         """Stop holding or seeking the lease for good; return its number or 0."""
         lease = self.lease
+        self.resigned = True
         self._seek(float("inf"))
         return lease
 
--- a/tanagerwalk/decisions/servers.py
+++ b/tanagerwalk/decisions/servers.py
@@ -39,6 +39,7 @@
     incarnation: Incarnation
     service: ServiceName | None = None
     leaving: bool = False
+    checks_fencing: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +49,7 @@
     running: int = 0
     waiting: int = 0
     versions: frozenset[VersionName] = frozenset()
+    slots: int = 0
 
 
 @dataclass(slots=True)
@@ -206,6 +208,12 @@
         pause = max(min(pause, MAX_FAILURE_PAUSE_S), retry_after or 0.0)
         server.paused_until = now + pause
 
+    def forget_version(self, server_id, version):
+        """Note that a server refused a version that it reported earlier."""
+        server = self.servers.get(server_id)
+        if server is not None:
+            server.versions -= {version}
+
     def _lower_limit(self, server):
         server.limit = max(MIN_LIMIT, server.limit * LIMIT_DECREASE)
 
--- a/tanagerwalk/filters/retry.py
+++ b/tanagerwalk/filters/retry.py
@@ -5,7 +5,7 @@
 from expression import Error
 
 from ..decisions.retries import RetryState, decide_retry, is_overload
-from ..outcomes import Refusal, RunState
+from ..outcomes import Refusal, RetryReason, RunState
 
 
 class RetryFilter:
@@ -54,9 +54,7 @@
         context.sent = context.sent or failure.sent
         if failure.server is not None:
             context.tried.add(failure.server)
-            self._table.record_failure(
-                failure.server, now, is_overload(failure.reason), failure.retry_after
-            )
+            self._record_failure(context, failure, now)
         state = RetryState(
             idempotent=context.work_class.idempotent,
             sent=context.sent,
@@ -67,6 +65,14 @@
         )
         return decide_retry(failure, state, self._budget)
 
+    def _record_failure(self, context, failure, now):
+        if failure.reason is RetryReason.VERSION_NOT_LOADED:
+            self._table.forget_version(failure.server, context.version)
+            return
+        self._table.record_failure(
+            failure.server, now, is_overload(failure.reason), failure.retry_after
+        )
+
 
 def _correct_run_state(refusal, context):
     """Never let a refusal say "not run" after an earlier attempt was sent."""
--- a/tanagerwalk/metrics.py
+++ b/tanagerwalk/metrics.py
@@ -31,6 +31,8 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.orders = self._count("orders", "Orders to engines.", ["kind", "outcome"])
+        self.lease_held = self._gauge("lease_held", "Whether this instance orders.")
         self.waiting = self._gauge("waiting", "Requests that wait for room.")
         self.revision = self._gauge("revision", "Revision of the declaration in force.")
         for reason in RefusalReason:
--- a/tanagerwalk/outcomes.py
+++ b/tanagerwalk/outcomes.py
@@ -43,6 +43,7 @@
     CONNECT_FAILED = "connect_failed"
     SERVER_REFUSED = "server_refused"
     SERVER_LEAVING = "server_leaving"
+    VERSION_NOT_LOADED = "version_not_loaded"
     CONNECTION_LOST = "connection_lost"
     SERVER_ERROR = "server_error"
     INCOMPLETE_ANSWER = "incomplete_answer"
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -110,6 +110,21 @@
     false_alarm: float
 
 
+@dataclass(frozen=True, slots=True)
+class OrderSettings:
+    """The lease for orders to engines, and their limits."""
+
+    lease_ttl: float
+    lease_margin: float
+    look_interval: float
+    interval: float
+    loads_at_once: int
+    timeout: float
+    connect_timeout: float
+    report_lag: float
+    weights: str
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All settings of one process."""
@@ -124,6 +139,7 @@
     load: LoadSettings
     quarantine: QuarantineSettings
     rollouts: RolloutSettings
+    orders: OrderSettings
 
 
 def parse_settings(text=""):
--- a/tanagerwalk/standins/engine.py
+++ b/tanagerwalk/standins/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import dataclass
 
 from aiohttp import web
 
@@ -9,6 +10,56 @@
 
 CHARS_PER_TOKEN = 4
 DEFAULT_TOKENS = 8
+LOAD_PATH = "/v1/load_lora_adapter"
+UNLOAD_PATH = "/v1/unload_lora_adapter"
+
+
+class WeightStore:
+    """Stand-in of the weight store: lets so many loads through at once.
+
+    Parameters
+    ----------
+    rate : int
+        Loads at once, over all engines that share it.
+    load_time : float
+        Seconds that one load takes.
+
+    Attributes
+    ----------
+    most : int
+        Loads that ran at once at most.
+    loads : int
+        Loads so far.
+    """
+
+    def __init__(self, rate=2, load_time=0.0):
+        self.rate = rate
+        self.load_time = load_time
+        self.running = 0
+        self.most = 0
+        self.loads = 0
+
+    async def fetch(self):
+        """Fetch one version's weights; return False if the rate is used up."""
+        if self.running >= self.rate:
+            return False
+        self.running += 1
+        self.loads += 1
+        self.most = max(self.most, self.running)
+        try:
+            await asyncio.sleep(self.load_time)
+        finally:
+            self.running -= 1
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class TakenOrder:
+    """An order that an engine obeyed."""
+
+    path: str
+    version: str
+    token: int
 
 
 class EngineStandIn(StandIn):
@@ -22,6 +73,12 @@
         Versions that are loaded.
     capacity : int
         Requests that run at once; more of them wait.
+    slots : int
+        Versions that memory holds; 0 for an engine that takes no orders.
+    checks_fencing : bool
+        Whether orders with an older token than the newest met are refused.
+    store : WeightStore or None
+        Where versions are loaded from.
 
     Attributes
     ----------
@@ -35,9 +92,17 @@
         So many streams are cut.
     log : list of dict
         Every request that was taken.
+    orders : list of TakenOrder
+        Every order that was obeyed.
+    lose_orders : int
+        So many orders take effect while their connection is cut.
+    missing_versions : list of str
+        Versions that the weight store does not have.
     """
 
-    def __init__(self, versions=(), capacity=8):
+    def __init__(
+        self, versions=(), capacity=8, slots=0, checks_fencing=False, store=None
+    ):
         super().__init__()
         self.versions = list(versions)
         self.token_delay = 0.001
@@ -49,6 +114,14 @@
         self.running = 0
         self.waiting = 0
         self._room = asyncio.Semaphore(capacity)
+        self.slots = slots
+        self.checks_fencing = checks_fencing
+        self.store = store or WeightStore()
+        self.orders = []
+        self.lose_orders = 0
+        self.missing_versions = []
+        self.newest_token = 0
+        self._loading = set()
 
     def list_routes(self):
         """Return the routes of an engine."""
@@ -56,8 +129,54 @@
             web.post("/v1/chat/completions", self._complete),
             web.get("/v1/models", self._models),
             web.get("/metrics", self._metrics),
+            web.post(LOAD_PATH, self._take_order),
+            web.post(UNLOAD_PATH, self._take_order),
         ]
 
+    def restart(self):
+        """Forget what was loaded and which tokens were met."""
+        self.versions.clear()
+        self.newest_token = 0
+
+    async def _take_order(self, request):
+        if not self.slots:
+            raise web.HTTPNotFound
+        token = int(request.headers.get("X-Fencing-Token", 0))
+        if self.checks_fencing and token < self.newest_token:
+            raise web.HTTPPreconditionFailed
+        self.newest_token = max(token, self.newest_token)
+        name = (await request.json())["lora_name"]
+        refusal = await self._obey(request.path, name)
+        if refusal is not None:
+            return refusal
+        self.orders.append(TakenOrder(request.path, name, token))
+        if self.lose_orders > 0:
+            self.lose_orders -= 1
+            request.transport.abort()
+        return web.Response(text="Success")
+
+    async def _obey(self, path, name):
+        if path == UNLOAD_PATH:
+            if name not in self.versions:
+                return _refuse_order(404, f"adapter '{name}' cannot be found")
+            self.versions.remove(name)
+            return None
+        if name in self.versions:
+            return _refuse_order(400, f"adapter '{name}' has already been loaded")
+        if name in self.missing_versions:
+            return _refuse_order(404, f"no weights of '{name}'")
+        if len({*self.versions, *self._loading, name}) > self.slots:
+            return _refuse_order(507, "out of memory")
+        self._loading.add(name)
+        try:
+            if not await self.store.fetch():
+                return _refuse_order(429, "weight store is busy")
+        finally:
+            self._loading.discard(name)
+        if name not in self.versions:
+            self.versions.append(name)
+        return None
+
     async def _models(self, request):
         return web.json_response({"data": [{"id": name} for name in self.versions]})
 
@@ -67,6 +186,8 @@
             f'vllm:num_requests_running{{engine="0"}} {self.running}',
             "# TYPE vllm:num_requests_waiting gauge",
             f'vllm:num_requests_waiting{{engine="0"}} {self.waiting}',
+            "# TYPE vllm:lora_requests_info gauge",
+            f'vllm:lora_requests_info{{max_lora="{self.slots}"}} 1',
         ]
         return web.Response(text="\n".join(lines) + "\n")
 
@@ -113,6 +234,11 @@
         return response
 
 
+def _refuse_order(status, message):
+    error = {"message": message, "type": "BadRequestError", "code": status}
+    return web.json_response({"error": error}, status=status)
+
+
 def _count_done(body):
     if not body.get("continue_final_message"):
         return 0
--- a/tanagerwalk/standins/keyvalue.py
+++ b/tanagerwalk/standins/keyvalue.py
@@ -147,6 +147,8 @@
         old = self._items.get(key)
         created = old.create_revision if old else self.revision
         lease = int(body.get("lease", 0))
+        if lease and lease not in self._leases:
+            raise web.HTTPNotFound(text="requested lease not found")
         self._items[key] = _Item(body["value"], created, self.revision, lease)
         self._wake()
 
--- a/tanagerwalk/standins/world.py
+++ b/tanagerwalk/standins/world.py
@@ -30,6 +30,12 @@
 instances_interval = 0.1
 [load]
 interval = 0.1
+[orders]
+lease_ttl = 2
+lease_margin = 0.5
+look_interval = 0.2
+interval = 0.1
+report_lag = 0.5
 [sessions]
 secret = demo
 [peers]
@@ -73,12 +79,15 @@
         await self.platform.stop()
         await self.http.close()
 
-    async def add_engine(self, name, versions, region="r1", domain="r1-a", capacity=8):
-        """Start an engine stand-in and list it."""
-        engine = EngineStandIn(versions, capacity)
+    async def add_engine(
+        self, name, versions, region="r1", domain="r1-a", capacity=8, **orders
+    ):
+        """Start an engine stand-in and list it; `orders` says how it takes them."""
+        engine = EngineStandIn(versions, capacity, **orders)
         await engine.start()
         self.engines[name] = engine
-        self._list(engine, name, region, domain, role="engine")
+        fencing = "checked" if engine.checks_fencing else "ignored"
+        self._list(engine, name, region, domain, role="engine", fencing=fencing)
         return engine
 
     async def add_service(self, name, service, region="r1", domain="r1-a"):
--- a/test/decisions/test_leases.py
+++ b/test/decisions/test_leases.py
@@ -252,6 +252,14 @@
     assert holder.phase is LeasePhase.SEEKING
 
 
+def test_answers_that_come_after_resigning_change_nothing():
+    holder = take_lease()
+    assert holder.resign() == 5
+    holder.record_renewal(Ok(True), 1.0, 1.0)
+    holder.record_create(Ok(WriteOutcome(True, 9)), 1.0)
+    assert not holder.may_order(1.0, checks_fencing=True)
+
+
 def test_looks_at_the_store_hardly_grow_with_the_fleet():
     """340 instances in 6 failure domains read far below 340 times a second."""
     looks = sum(1.0 / choose_look_interval(2.0, rank) for rank in range(57))
