--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -18,7 +18,8 @@
 from .clients.targets import TargetsClient
 from .controllers.billing import BillingController
 from .controllers.configuration import ConfigurationController
-from .controllers.leases import LeaseController, read_boot_time
+from .controllers.exchange import ExchangeController
+from .controllers.leases import LeaseController
 from .controllers.load import LoadController
 from .controllers.loop import poll_until
 from .controllers.membership import MembershipController
@@ -27,9 +28,9 @@
 from .decisions.configuration import ConfigurationState
 from .decisions.demand import DemandMeter
 from .decisions.facts import FactTable
-from .decisions.leases import DomainLease, LeaseTimes
 from .decisions.limits import AdmissionQueue, DurationEstimates
 from .decisions.orders import OrderBook
+from .decisions.partners import PartnerChooser
 from .decisions.retries import RetryBudget
 from .decisions.rollouts import RolloutBook
 from .decisions.servers import Home, ServerTable
@@ -50,10 +51,13 @@
 from .gate import Gate
 from .ids import Incarnation
 from .metrics import Metrics
+from .peers.link import PeerClient, PeerServer
+from .peers.reconcile import ByteBudget, Reconciler
 
 log = structlog.get_logger(__name__)
 
 DRAIN_POLL_S = 0.02
+SLOW_BURST_BYTES = 64 * 1024
 
 
 class EntryInstance:
@@ -71,6 +75,11 @@
         Returns seconds since the epoch.
     seed : int or None
         Seed of jitter and sampling; None for a random one.
+
+    Attributes
+    ----------
+    failed : asyncio.Event
+        Set when an invariant is broken and the process has to end.
     """
 
     def __init__(self, settings, clock=time.monotonic, wall_clock=time.time, seed=None):
@@ -81,6 +90,8 @@
         self._wall_clock = wall_clock
         self._random = random.Random(seed)
         self._tasks = []
+        self._closing = False
+        self.failed = asyncio.Event()
         self._wire_clients()
         self._wire_state()
         self._wire_controllers()
@@ -100,7 +111,11 @@
         self._ratings = RatingsClient(self._http, platform.ratings, timeout)
         self._engines = EngineClient(self._http, retries)
         self._services = ServiceClient(self._http, self._fresh_http, retries)
-        self._orders = OrderClient(self._fresh_http, self.settings.orders)
+        peers = self.settings.peers
+        self.peer_server = PeerServer(peers.secret)
+        self.peer_client = PeerClient(
+            peers.secret, self.settings.instance.id, peers.timeout
+        )
 
     def _wire_state(self):
         settings = self.settings
@@ -128,10 +143,14 @@
         self.membership = MembershipController(
             self._targets,
             self.table,
+            self.facts,
             settings.platform.instances_interval,
             self.metrics,
+            self._clock,
             self._random,
         )
+        self._wire_exchange()
+        self._wire_orders()
         self.load = LoadController(
             self._engines,
             self._services,
@@ -153,50 +172,65 @@
             self.store, self.incarnation, self.metrics, self._random
         )
 
-        self._wire_orders()
-
     def _wire_orders(self):
-        orders = self.settings.orders
-        times = LeaseTimes(orders.lease_ttl, orders.lease_margin, orders.look_interval)
-        home = self.table.home
         self.leases = LeaseController(
             self.store,
-            DomainLease(home.failure_domain, self.incarnation, times),
-            home,
+            self.table.home,
             self.incarnation,
             self.membership,
-            orders.lease_ttl,
+            self.settings.orders,
             self.metrics,
-            read_boot_time,
         )
         self.ordering = OrderController(
             self.leases,
-            self._orders,
-            OrderBook(orders.report_lag),
+            OrderClient(self._fresh_http, self.settings.orders),
+            OrderBook(self.settings.orders.report_lag),
             self.table,
             self.configuration,
             self.book,
-            self._estimate_demand,
-            orders,
+            self.demand,
+            self.settings.orders,
             self.metrics,
             self._clock,
             self._random,
         )
 
-    def _estimate_demand(self, version):
-        """Return the engines of this domain that a version's demand needs.
+    def _wire_exchange(self):
+        settings = self.settings
+        budget = ByteBudget(settings.peers.slow_rate, SLOW_BURST_BYTES)
+        partners = PartnerChooser(
+            self.incarnation, self.table.home, settings.peers.cross_domain, self._random
+        )
+        self.exchange = ExchangeController(
+            self.facts,
+            Reconciler(self.facts, budget, self._random),
+            self.configuring,
+            self.configuration,
+            partners,
+            self.peer_client,
+            self.membership.list_peers,
+            settings.peers,
+            self.metrics,
+            self._clock,
+            self._random,
+        )
+        self.exchange.answer_on(self.peer_server)
+        self.metrics.peer_bytes.set_function(self._count_peer_bytes)
 
-        The balancer spreads callers evenly, so this instance's part stands for that
-        of each other one.
-        """
-        home = self.table.home.failure_domain
-        instances = [p for p in self.membership.peers if p.failure_domain == home]
-        running = self.demand.estimate(version, self._clock()) * max(1, len(instances))
-        limits = [s.limit for s in self.ordering.list_engines(self._clock())]
-        return running * len(limits) / sum(limits) if limits else 0.0
+    def _count_peer_bytes(self):
+        client, server = self.peer_client, self.peer_server
+        sent = client.bytes_sent + server.bytes_sent
+        return sent + client.bytes_received + server.bytes_received
 
     def _wire_apis(self):
-        self.callers = CallersApi(self._build_chain(), self.is_ready, self._clock)
+        settings = self.settings
+        self.callers = CallersApi(
+            self._build_chain(),
+            self.is_ready,
+            self.metrics,
+            self._clock,
+            settings.limits.request_size,
+        )
         self.admin = AdminApi(self.metrics, self.report_status)
 
     def _build_chain(self):
@@ -264,6 +298,11 @@
             rating_up=self.rollouts.rating_up,
         )
 
+    @property
+    def peers_port(self):
+        """The port that other entry instances reach this one at."""
+        return self.peer_server.port
+
     def is_ready(self):
         """Return whether requests can be served here."""
         return self.configuration.ready and bool(self.table.servers)
@@ -277,12 +316,7 @@
             "ready": self.is_ready(),
             "revision": self.configuration.revision,
             "in_flight": self.callers.in_flight,
-            "orders": {
-                "holder": self.leases.lease.holder,
-                "phase": self.leases.lease.phase.value,
-                "token": self.leases.lease.token,
-                "wanted_copies": self.ordering.report_wanted(),
-            },
+            "orders": self.ordering.report_status(),
             "backend_servers": [
                 {
                     "id": server.record.id,
@@ -306,9 +340,11 @@
         instance = self.settings.instance
         await self.callers.listener.start(instance.address, instance.callers_port)
         await self.admin.listener.start(instance.address, instance.admin_port)
+        await self.peer_server.start(instance.address, instance.peers_port)
         for run in (
             self.configuring.run,
             self.membership.run,
+            self.exchange.run,
             self.load.run,
             self.rollouts.run,
             self.billing.run,
@@ -316,7 +352,7 @@
             self.ordering.run,
             self.gate.run,
         ):
-            self._tasks.append(asyncio.create_task(run()))
+            self._supervise(run())
         log.info(
             "listening",
             instance=instance.id,
@@ -324,8 +360,21 @@
             address=instance.address,
             callers_port=self.callers.listener.port,
             admin_port=self.admin.listener.port,
+            peers_port=self.peers_port,
         )
 
+    def _supervise(self, work):
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._judge_end)
+        self._tasks.append(task)
+
+    def _judge_end(self, task):
+        """Ask for a stop if a controller ended by itself: its state would rot."""
+        if task.cancelled() or self._closing:
+            return
+        log.critical("controller failed", exc_info=task.exception())
+        self.failed.set()
+
     async def stop(self):
         """Stop without cutting a request in flight."""
         instance = self.settings.instance
@@ -346,10 +395,13 @@
 
     async def close(self):
         """Stop the controllers and close every connection at once."""
+        self._closing = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.listener.stop()
         await self.admin.listener.stop()
+        await self.peer_client.close()
+        await self.peer_server.stop()
         await self._http.close()
         await self._fresh_http.close()
--- a/tanagerwalk/controllers/leases.py
+++ b/tanagerwalk/controllers/leases.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from ..decisions.leases import LeasePhase, rank_instance
+from ..decisions.leases import DomainLease, LeasePhase, LeaseTimes, rank_instance
 
 log = structlog.get_logger(__name__)
 
@@ -24,16 +24,14 @@
     ----------
     store : KeyValueClient
         Holds the lease.
-    lease : DomainLease
-        Decides.
     home : Home
         Where this instance stands.
     incarnation : Incarnation
         This instance.
     membership : MembershipController
         Knows the live instances.
-    ttl : float
-        Time to live of the lease, in seconds.
+    settings : OrderSettings
+        Durations of the lease.
     metrics : Metrics
         Counters.
     clock : callable
@@ -41,14 +39,24 @@
     """
 
     def __init__(
-        self, store, lease, home, incarnation, membership, ttl, metrics, clock
+        self,
+        store,
+        home,
+        incarnation,
+        membership,
+        settings,
+        metrics,
+        clock=read_boot_time,
     ):
-        self.lease = lease
+        times = LeaseTimes(
+            settings.lease_ttl, settings.lease_margin, settings.look_interval
+        )
+        self.lease = DomainLease(home.failure_domain, incarnation, times)
         self._store = store
         self._home = home
         self._incarnation = incarnation
         self._membership = membership
-        self._ttl = ttl
+        self._ttl = settings.lease_ttl
         self._metrics = metrics
         self._clock = clock
         self._steps = {
@@ -125,11 +133,14 @@
             self._metrics.platform_faults.labels("keyvalue").inc()
         return result
 
-    def _find_rank(self):
-        domain = self._home.failure_domain
-        live = [
+    def list_neighbours(self):
+        """Return the live entry instances of this failure domain."""
+        return [
             peer.incarnation
             for peer in self._membership.peers
-            if peer.failure_domain == domain and not peer.leaving
+            if peer.failure_domain == self._home.failure_domain and not peer.leaving
         ]
-        return rank_instance(domain, self._incarnation, live)
+
+    def _find_rank(self):
+        domain = self._home.failure_domain
+        return rank_instance(domain, self._incarnation, self.list_neighbours())
--- a/tanagerwalk/controllers/orders.py
+++ b/tanagerwalk/controllers/orders.py
@@ -30,8 +30,8 @@
         The declaration in force.
     rollouts : RolloutBook
         Versions that were stopped.
-    estimate_demand : callable
-        Returns the engines that the demand for a version needs.
+    demand : DemandMeter
+        What this instance is asked for.
     settings : OrderSettings
         Intervals and limits.
     metrics : Metrics
@@ -50,7 +50,7 @@
         table,
         configuration,
         rollouts,
-        estimate_demand,
+        demand,
         settings,
         metrics,
         clock,
@@ -62,7 +62,7 @@
         self._table = table
         self._configuration = configuration
         self._rollouts = rollouts
-        self._estimate_demand = estimate_demand
+        self._demand = demand
         self._settings = settings
         self._metrics = metrics
         self._clock = clock
@@ -114,9 +114,29 @@
             self._estimate_demand,
         )
 
-    def report_wanted(self):
-        """Return the copies that are wanted of each version, for the status page."""
-        return {name: need.floor for name, need in sorted(self.list_needs().items())}
+    def _estimate_demand(self, version):
+        """Return the engines of this domain that a version's demand needs.
+
+        The balancer spreads callers evenly, so this instance's part stands for that
+        of each other one.
+        """
+        now = self._clock()
+        instances = max(1, len(self._leases.list_neighbours()))
+        running = self._demand.estimate(version, now) * instances
+        limits = [server.limit for server in self.list_engines(now)]
+        return running * len(limits) / sum(limits) if limits else 0.0
+
+    def report_status(self):
+        """Return what the status page shows of the lease and the orders."""
+        lease = self._leases.lease
+        needs = sorted(self.list_needs().items())
+        return {
+            "holder": lease.holder,
+            "phase": lease.phase.value,
+            "token": lease.token,
+            "under_way": len(self._sending),
+            "wanted_copies": {name: need.floor for name, need in needs},
+        }
 
     async def _send(self, move, record):
         outcome, retry_after = await self._send_checked(move, record)
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -51,6 +51,8 @@
     secret: str
     interval: float
     cross_domain: float
+    timeout: float
+    slow_rate: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +68,7 @@
     """Queue and concurrency limits."""
 
     queue_length: int
+    request_size: int
     initial_concurrency: int
     max_concurrency: int
     short_reserve: float
--- a/tanagerwalk/ui/serve.py
+++ b/tanagerwalk/ui/serve.py
@@ -8,6 +8,7 @@
 
 from ..app import EntryInstance
 from ..logs import configure_logs
+from ..settings import parse_settings
 from .common import fail, read_settings, settings_option
 
 
@@ -16,11 +17,26 @@
 def serve(settings_path):
     """Run an entry instance until SIGTERM or SIGINT, then drain it."""
     settings = read_settings(settings_path)
+    check_secrets(settings)
     configure_logs()
     try:
-        uvloop.run(run_until_stopped(settings))
+        failed = uvloop.run(run_until_stopped(settings))
     except OSError as error:
         fail(f"cannot listen on {settings.instance.address}: {error.strerror}")
+    if failed:
+        fail("a controller failed; see the log")
+
+
+def check_secrets(settings):
+    """End with plain messages if a secret still has its shipped value."""
+    defaults = parse_settings().ok
+    problems = [
+        f"[{name}] secret is the shipped one; set your own"
+        for name in ("peers", "sessions")
+        if getattr(settings, name).secret == getattr(defaults, name).secret
+    ]
+    if problems:
+        fail(*problems)
 
 
 async def run_until_stopped(settings):
@@ -30,12 +46,21 @@
     ----------
     settings : Settings
         Checked settings.
+
+    Returns
+    -------
+    bool
+        Whether the instance stopped because an invariant was broken.
     """
-    stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
     instance = EntryInstance(settings)
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
     await instance.start()
-    await stopped.wait()
+    causes = [asyncio.create_task(e.wait()) for e in (stopping, instance.failed)]
+    await asyncio.wait(causes, return_when=asyncio.FIRST_COMPLETED)
+    for cause in causes:
+        cause.cancel()
     await instance.stop()
+    return instance.failed.is_set()
