--- a/tanagerwalk/clients/targets.py
+++ b/tanagerwalk/clients/targets.py
@@ -18,6 +18,7 @@
 
 ENTRY_ROLE = "entry"
 LEAVING_STATE = "leaving"
+NOT_MODIFIED = 304
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +49,8 @@
 class TargetsClient:
     """Reads the list of live and leaving instances.
 
+    A platform that marks its list with an ETag sends it again only once it changed.
+
     Parameters
     ----------
     http : aiohttp.ClientSession
@@ -62,6 +65,8 @@
         self._http = http
         self._url = url
         self._timeout = aiohttp.ClientTimeout(total=timeout)
+        self._etag = None
+        self._last = None
 
     async def read(self):
         """Read the list.
@@ -72,17 +77,26 @@
             The error is one line for the log.
         """
         try:
-            async with self._http.get(self._url, timeout=self._timeout) as response:
+            async with self._http.get(
+                self._url, headers=self._make_headers(), timeout=self._timeout
+            ) as response:
                 content = await response.read()
+                if response.status == NOT_MODIFIED and self._last is not None:
+                    return Ok(self._last)
                 if response.status != 200:
                     return Error(f"instance list answered {response.status}")
                 groups = msgspec.json.decode(content, type=list[_TargetGroup])
-                return Ok(_sort_groups(groups))
+                self._last = _sort_groups(groups)
+                self._etag = response.headers.get("ETag")
+                return Ok(self._last)
         except (aiohttp.ClientError, TimeoutError) as error:
             return Error(f"instance list: {type(error).__name__}")
         except (msgspec.DecodeError, KeyError, ValueError) as error:
             return Error(f"instance list is malformed: {error}")
 
+    def _make_headers(self):
+        return {} if self._etag is None else {"If-None-Match": self._etag}
+
 
 def _sort_groups(groups):
     servers = []
--- a/tanagerwalk/standins/platform.py
+++ b/tanagerwalk/standins/platform.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's instance list and of its rating service."""
 
 import hashlib
+import json
 
 from aiohttp import web
 
@@ -25,6 +26,8 @@
         Whether every call is answered by status 503.
     rated : int
         Answers rated so far.
+    list_reads, list_bytes : int
+        Readings of the list, and the bytes of the lists sent.
     """
 
     def __init__(self):
@@ -33,6 +36,8 @@
         self.quality = {}
         self.outage = False
         self.rated = 0
+        self.list_reads = 0
+        self.list_bytes = 0
 
     def list_routes(self):
         """Return the routes of the platform."""
@@ -53,7 +58,16 @@
     async def _targets(self, request):
         if self.outage:
             raise web.HTTPServiceUnavailable
-        return web.json_response(self.groups)
+        self.list_reads += 1
+        content = json.dumps(self.groups)
+        etag = f'"{hashlib.sha256(content.encode()).hexdigest()}"'
+        if request.headers.get("If-None-Match") == etag:
+            return web.Response(status=304, headers={"ETag": etag})
+        self.list_bytes += len(content)
+        headers = {"ETag": etag}
+        return web.Response(
+            text=content, content_type="application/json", headers=headers
+        )
 
     async def _rate(self, request):
         if self.outage:
--- a/tanagerwalk/standins/service.py
+++ b/tanagerwalk/standins/service.py
@@ -16,6 +16,10 @@
         Seconds that a call takes.
     lose_answers : int
         So many calls take effect while their connection is cut.
+    refuse : bool
+        Whether calls are answered by status 503.
+    closing : bool
+        Whether such an answer closes its connection, as a leaving server's does.
     runs : list of str
         Idempotency key of each call that took effect, in order.
     """
@@ -25,6 +29,7 @@
         self.delay = 0.0
         self.lose_answers = 0
         self.refuse = False
+        self.closing = False
         self.runs = []
         self.running = 0
 
@@ -47,7 +52,10 @@
 
     async def _call(self, request):
         if self.refuse:
-            raise web.HTTPServiceUnavailable(headers={"Retry-After": "1"})
+            headers = {"Retry-After": "1"}
+            if self.closing:
+                headers["Connection"] = "close"
+            raise web.HTTPServiceUnavailable(headers=headers)
         body = await request.json()
         self.running += 1
         try:
--- a/test/clients/test_platform.py
+++ b/test/clients/test_platform.py
@@ -73,6 +73,17 @@
     assert [peer.address for peer in listed.peers] == ["127.0.0.1:3"]
 
 
+async def test_unchanged_list_is_not_sent_again(http, platform):
+    platform.add("127.0.0.1:1", role="engine", **LABELS)
+    client = TargetsClient(http, f"http://{platform.address}/targets", 1.0)
+    first = (await client.read()).ok
+    sent = platform.list_bytes
+    assert (await client.read()).ok == first
+    assert (platform.list_reads, platform.list_bytes) == (2, sent)
+    platform.groups[0]["labels"]["state"] = "leaving"
+    assert (await client.read()).ok.servers[0].leaving
+
+
 async def test_rating_is_between_0_and_1(http, platform):
     platform.quality = {"m": 0.9}
     client = RatingsClient(http, f"http://{platform.address}", 1.0)
--- a/test/controllers/test_exchange.py
+++ b/test/controllers/test_exchange.py
@@ -101,6 +101,22 @@
     await demo.wait_until(lambda: second.table.servers["engine-1"].leaving)
 
 
+@pytest.mark.parametrize("closing", [True, False])
+async def test_only_refusals_that_close_count_for_leaving(demo, closing):
+    first, second = demo.instances.values()
+    service = demo.services["booking-1"]
+    service.refuse, service.closing = True, closing
+    server = first.table.servers["booking-1"]
+    for _ in range(4):
+        await demo.call(first, "status", {})
+        await asyncio.sleep(0.1)
+        if server.leaving:
+            break
+    assert server.leaving is closing
+    if closing:
+        await demo.wait_until(lambda: second.table.servers["booking-1"].leaving)
+
+
 async def test_facts_of_a_killed_instance_outlive_it(demo):
     first, second = demo.instances.values()
     first.facts.state(Topic.BLAME, "f", b"v", first._clock(), 60.0)
