--- a/tanagerwalk/standins/platform.py
+++ b/tanagerwalk/standins/platform.py
@@ -24,10 +24,8 @@
         Mean rating of each version.
     outage : bool
         Whether every call is answered by status 503.
-    rated : int
-        Answers rated so far.
-    list_reads, list_bytes : int
-        Readings of the list, and the bytes of the lists sent.
+    rated, lists_sent : int
+        Answers rated and whole lists sent so far.
     """
 
     def __init__(self):
@@ -36,8 +34,7 @@
         self.quality = {}
         self.outage = False
         self.rated = 0
-        self.list_reads = 0
-        self.list_bytes = 0
+        self.lists_sent = 0
 
     def list_routes(self):
         """Return the routes of the platform."""
@@ -58,16 +55,14 @@
     async def _targets(self, request):
         if self.outage:
             raise web.HTTPServiceUnavailable
-        self.list_reads += 1
         content = json.dumps(self.groups)
-        etag = f'"{hashlib.sha256(content.encode()).hexdigest()}"'
-        if request.headers.get("If-None-Match") == etag:
-            return web.Response(status=304, headers={"ETag": etag})
-        self.list_bytes += len(content)
-        headers = {"ETag": etag}
-        return web.Response(
-            text=content, content_type="application/json", headers=headers
-        )
+        tag = hashlib.sha256(content.encode()).hexdigest()[:16]
+        if request.headers.get("If-None-Match") == f'"{tag}"':
+            raise web.HTTPNotModified
+        self.lists_sent += 1
+        response = web.Response(text=content, content_type="application/json")
+        response.etag = tag
+        return response
 
     async def _rate(self, request):
         if self.outage:
