--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -200,6 +200,9 @@
             on_halt=self.halting.halt,
         )
         self.halting.follow(self.rollouts)
+        self.configuring.notify(
+            lambda: self.book.configure(self.configuration.declaration)
+        )
         self.exposing = ExposureController(
             self.book,
             self.configuration,
@@ -251,6 +254,7 @@
             settings.peers,
             self.metrics,
             self._clock,
+            self._wall_clock,
             self._random,
         )
         self.exchange.answer_on(self.peer_server)
