--- a/test/decisions/test_halts.py
+++ b/test/decisions/test_halts.py
@@ -110,6 +110,18 @@
     assert book.is_halted(NEW)
 
 
+def test_halted_candidate_gets_no_unit():
+    book = make_book()
+    book.find_exposed("plan", 0.0)
+    book.slices[book.get_arm(NEW)].finish_write(3, 0.0)
+    assert book.find_exposed("plan", 1.0) == {"new": book.find_share(book.get_arm(NEW))}
+    exposure = book.start_exposure(NEW, 1.0)
+    exposure.end()
+    book.take_halt(book.get_arm(NEW), Halt(HaltCause.RATINGS, 0.95))
+    assert book.find_exposed("plan", 1.0) == {}
+    assert book.start_exposure(NEW, 1.0) is None
+
+
 def test_evidence_before_a_changed_section_does_not_halt():
     book = make_book()
     for _ in range(50):
