--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -17,6 +17,7 @@
 from .clients.targets import TargetsClient
 from .controllers.billing import BillingController
 from .controllers.configuration import ConfigurationController
+from .controllers.exchange import ExchangeController
 from .controllers.exposure import ExposureController
 from .controllers.halts import HaltController
 from .controllers.load import LoadController
@@ -26,6 +27,7 @@
 from .decisions.configuration import ConfigurationState
 from .decisions.facts import FactTable
 from .decisions.limits import AdmissionQueue, DurationEstimates
+from .decisions.partners import PartnerChooser
 from .decisions.ratings import RatingGate
 from .decisions.retries import RetryBudget
 from .decisions.rollouts import RolloutBook
@@ -47,10 +49,13 @@
 from .gate import Gate
 from .ids import Incarnation
 from .metrics import Metrics
+from .peers.link import PeerClient, PeerServer
+from .peers.reconcile import ByteBudget, Reconciler
 
 log = structlog.get_logger(__name__)
 
 DRAIN_POLL_S = 0.02
+SLOW_BURST_BYTES = 64 * 1024
 
 
 class EntryInstance:
@@ -104,6 +109,11 @@
         self._ratings = RatingsClient(self._http, platform.ratings, timeout)
         self._engines = EngineClient(self._http, retries)
         self._services = ServiceClient(self._http, self._fresh_http, retries)
+        peers = self.settings.peers
+        self.peer_server = PeerServer(peers.secret)
+        self.peer_client = PeerClient(
+            peers.secret, self.settings.instance.id, peers.timeout
+        )
 
     def _wire_state(self):
         settings = self.settings
@@ -131,10 +141,13 @@
         self.membership = MembershipController(
             self._targets,
             self.table,
+            self.facts,
             settings.platform.instances_interval,
             self.metrics,
+            self._clock,
             self._random,
         )
+        self._wire_exchange()
         self.load = LoadController(
             self._engines,
             self._services,
@@ -151,6 +164,9 @@
 
     def _wire_rollouts(self):
         settings = self.settings.rollouts
+        self.configuring.notify(
+            lambda: self.book.configure(self.configuration.declaration)
+        )
         self.halting = HaltController(
             self.book,
             self.store,
@@ -186,6 +202,33 @@
             self._random,
         )
 
+    def _wire_exchange(self):
+        settings = self.settings
+        budget = ByteBudget(settings.peers.slow_rate, SLOW_BURST_BYTES)
+        partners = PartnerChooser(
+            self.incarnation, self.table.home, settings.peers.cross_domain, self._random
+        )
+        self.exchange = ExchangeController(
+            self.facts,
+            Reconciler(self.facts, budget, self._random),
+            self.configuring,
+            self.configuration,
+            partners,
+            self.peer_client,
+            self.membership.list_peers,
+            settings.peers,
+            self.metrics,
+            self._clock,
+            self._random,
+        )
+        self.exchange.answer_on(self.peer_server)
+        self.metrics.peer_bytes.set_function(self._count_peer_bytes)
+
+    def _count_peer_bytes(self):
+        client, server = self.peer_client, self.peer_server
+        sent = client.bytes_sent + server.bytes_sent
+        return sent + client.bytes_received + server.bytes_received
+
     def _wire_apis(self):
         settings = self.settings
         self.callers = CallersApi(
@@ -282,6 +325,11 @@
             excluded=excluded,
         )
 
+    @property
+    def peers_port(self):
+        """The port that other entry instances reach this one at."""
+        return self.peer_server.port
+
     def is_ready(self):
         """Return whether requests can be served here."""
         is_informed = self.configuration.ready and self.halting.asked
@@ -320,9 +368,11 @@
         instance = self.settings.instance
         await self.callers.listener.start(instance.address, instance.callers_port)
         await self.admin.listener.start(instance.address, instance.admin_port)
+        await self.peer_server.start(instance.address, instance.peers_port)
         for run in (
             self.configuring.run,
             self.membership.run,
+            self.exchange.run,
             self.load.run,
             self.rollouts.run,
             self.halting.run,
@@ -339,6 +389,7 @@
             address=instance.address,
             callers_port=self.callers.listener.port,
             admin_port=self.admin.listener.port,
+            peers_port=self.peers_port,
         )
 
     def _supervise(self, work):
@@ -378,5 +429,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.listener.stop()
         await self.admin.listener.stop()
+        await self.peer_client.close()
+        await self.peer_server.stop()
         await self._http.close()
         await self._fresh_http.close()
