--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -18,21 +18,12 @@
 PARALLEL = 10
 
 
-def exchange(world):
-    """Carry every fact to every instance, as the peers' exchange does."""
-    for instance in world.instances.values():
-        for fact in instance.facts.list_facts():
-            for peer in world.instances.values():
-                peer.facts.merge(fact)
-
-
 async def drive(world, instance, until, rounds=ROUNDS):
     """Send plans to an instance until a condition holds."""
     for _ in range(rounds):
         await asyncio.gather(
             *(world.chat(instance, "plan", f"p{number}") for number in range(PARALLEL))
         )
-        exchange(world)
         if until():
             return
 
@@ -130,7 +121,7 @@
     for _ in range(60):
         second.book.record_rating(("label", version), 0.1)
     second.rollouts._judge()
-    exchange(demo)
+    await demo.wait_until(lambda: first.rollouts.is_halted(("label", version)))
     session = {"X-Session": headers["X-Session"]}
     status, content, _ = await demo.chat(first, "label", "b", **session)
     assert status == 410
@@ -188,7 +179,6 @@
 async def test_racing_operators_leave_one_declaration_and_the_halt(demo):
     first, second = demo.instances.values()
     first.halting.halt(first.book.get_arm(KEY), next(iter(_make_halts(first).values())))
-    exchange(demo)
     text, before = first.configuration.text, first.configuration.revision
     changes = [text.replace("quality = 0.9", f"quality = 0.{n}") for n in (7, 8)]
     results = await asyncio.gather(
@@ -202,7 +192,7 @@
         lambda: all(i.configuration.revision == newest for i in instances)
     )
     assert first.configuration.text == second.configuration.text
-    assert all(i.rollouts.is_halted(KEY) for i in instances)
+    await demo.wait_until(lambda: all(i.rollouts.is_halted(KEY) for i in instances))
 
 
 def _make_halts(instance):
