--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -418,6 +418,7 @@
         )
         await self.claims.drain(max(0.0, deadline - self._clock()))
         await self.billing.flush_all(max(0.0, deadline - self._clock()))
+        await self.exposing.release()
         await self.close()
         log.info("stopped", in_flight=self.callers.in_flight)
 
--- a/tanagerwalk/controllers/exposure.py
+++ b/tanagerwalk/controllers/exposure.py
@@ -53,6 +53,7 @@
         self._random = random
         self._abandoned = {}
         self._next_read = {}
+        self._is_stopping = False
 
     async def run(self):
         """Size the grants until cancelled."""
@@ -62,6 +63,8 @@
 
     async def step(self):
         """Size every grant once."""
+        if self._is_stopping:
+            return
         self._book.configure(self._configuration.declaration)
         candidates = self._book.list_candidates()
         for arm, held in list(self._book.slices.items()):
@@ -70,6 +73,12 @@
             budget = candidates[arm].exposure if arm in candidates else 0
             await self._size(arm, held, budget)
 
+    async def release(self):
+        """Give back the units that no answer holds, for a planned stop."""
+        self._is_stopping = True
+        for arm, held in list(self._book.slices.items()):
+            await self._size(arm, held, 0)
+
     async def _size(self, arm, held, budget):
         now = self._clock()
         is_idle = held.units == 0 and held.held == 0
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -154,6 +154,17 @@
     assert 0 < sum(units) <= BUDGET
 
 
+async def test_stopped_instance_gives_its_units_back(demo):
+    first, _ = demo.instances.values()
+    await get_grant(demo, first)
+    key = LEDGERS_PREFIX + first.book.get_arm(KEY).to_key()
+    ledger = decode_ledger((await open_store(demo).get(key)).ok.value)
+    assert first.incarnation in ledger.grants
+    await first.stop()
+    ledger = decode_ledger((await open_store(demo).get(key)).ok.value)
+    assert first.incarnation not in ledger.grants
+
+
 async def test_rollout_stopped_halfway_sends_nothing_more(demo):
     instances = list(demo.instances.values())
     for instance in instances:
