Rate side by side; settle the unit of a version no longer declared

Cause: one worker rated one answer at a time, so a service that takes a second bounded an instance to one rating a second. An answer whose version left the declaration while it ran kept its unit of exposure for ever.

--- a/tanagerwalk/controllers/rollouts.py
+++ b/tanagerwalk/controllers/rollouts.py
@@ -9,6 +9,8 @@
 from ..outcomes import RatingLoss, VersionState
 
 GATE_POLL_S = 0.2
+# One rating at a time would bound the rate by the service's latency.
+RATING_WORKERS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,11 +183,12 @@
         """
         self._sync()
         key = (context.work_class.name, answer.version)
+        task = _make_task(context, answer, self._clock())
         if self.book.get_arm(key) is None:
+            self._lose(task, RatingLoss.NOT_DECLARED)
             return
         if context.exposure is None and not self._is_sampled(key):
             return
-        task = _make_task(context, answer, self._clock())
         try:
             self._tasks.put_nowait(task)
         except asyncio.QueueFull:
@@ -235,6 +238,11 @@
 
     async def run(self):
         """Rate queued answers until cancelled."""
+        async with asyncio.TaskGroup() as workers:
+            for _ in range(RATING_WORKERS):
+                workers.create_task(self._work())
+
+    async def _work(self):
         while True:
             task = await self._tasks.get()
             await self._settle(task)
--- a/tanagerwalk/outcomes.py
+++ b/tanagerwalk/outcomes.py
@@ -63,6 +63,7 @@
     QUEUE_FULL = "queue_full"
     RATE_LIMIT = "rate_limit"
     SERVICE_FAILED = "service_failed"
+    NOT_DECLARED = "not_declared"
 
 
 class EscalationReason(Enum):
