--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -176,6 +176,9 @@
 
     def _wire_rollouts(self):
         settings = self.settings.rollouts
+        self.configuring.notify(
+            lambda: self.book.configure(self.configuration.declaration)
+        )
         self.halting = HaltController(
             self.book,
             self.store,
@@ -459,6 +462,7 @@
         await self.claims.drain(max(0.0, deadline - self._clock()))
         await self.leases.release()
         await self.billing.flush_all(max(0.0, deadline - self._clock()))
+        await self.exposing.release()
         await self.close()
         log.info("stopped", in_flight=self.callers.in_flight)
 
