--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -13,6 +13,7 @@
 from .clients.attempts import probe_refusal
 from .clients.engines import EngineClient
 from .clients.keyvalue import KeyValueClient
+from .clients.orders import OrderClient
 from .clients.ratings import RatingsClient
 from .clients.services import ServiceClient
 from .clients.targets import TargetsClient
@@ -21,14 +22,18 @@
 from .controllers.exchange import ExchangeController
 from .controllers.exposure import ExposureController
 from .controllers.halts import HaltController
+from .controllers.leases import LeaseController
 from .controllers.load import LoadController
 from .controllers.loop import poll_until
 from .controllers.membership import MembershipController
+from .controllers.orders import OrderController
 from .controllers.rollouts import RolloutController
 from .decisions.configuration import ConfigurationState
+from .decisions.demand import DemandMeter
 from .decisions.facts import FactTable
 from .decisions.hedges import HedgeDelays
 from .decisions.limits import AdmissionQueue, DurationEstimates
+from .decisions.orders import OrderBook
 from .decisions.partners import PartnerChooser
 from .decisions.quarantine import Quarantine
 from .decisions.ratings import RatingGate
@@ -43,6 +48,7 @@
 from .filters.chain import link_filters
 from .filters.claim import ClaimFilter
 from .filters.count import CountFilter
+from .filters.demand import DemandFilter
 from .filters.dispatch import DispatchFilter
 from .filters.guard import GuardFilter
 from .filters.hedge import HedgeFilter
@@ -130,6 +136,7 @@
         self.book = RolloutBook(self.incarnation, settings.rollouts.false_alarm)
         self.facts = FactTable(self.incarnation)
         self.metrics.spared.set_function(lambda: len(self.book.spared))
+        self.demand = DemandMeter()
         queue = AdmissionQueue(self.table, self.durations, settings.limits.queue_length)
         self.gate = Gate(queue, self.table, self._expect_duration, self._clock)
         self.metrics.waiting.set_function(lambda: len(queue))
@@ -154,6 +161,7 @@
             self._random,
         )
         self._wire_exchange()
+        self._wire_orders()
         self.load = LoadController(
             self._engines,
             self._services,
@@ -165,12 +173,19 @@
             self._count_sharers,
         )
         self._wire_rollouts()
+        self.configuring.notify(self._configure_book)
         self.billing = BillingController(
             self.store, self.incarnation, self.metrics, self._random
         )
 
+    def _configure_book(self):
+        self.book.configure(self.configuration.declaration)
+
     def _wire_rollouts(self):
         settings = self.settings.rollouts
+        self.configuring.notify(
+            lambda: self.book.configure(self.configuration.declaration)
+        )
         self.halting = HaltController(
             self.book,
             self.store,
@@ -195,6 +210,9 @@
             on_halt=self.halting.halt,
         )
         self.halting.follow(self.rollouts)
+        self.configuring.notify(
+            lambda: self.book.configure(self.configuration.declaration)
+        )
         self.exposing = ExposureController(
             self.book,
             self.configuration,
@@ -206,6 +224,29 @@
             self._random,
         )
 
+    def _wire_orders(self):
+        self.leases = LeaseController(
+            self.store,
+            self.table.home,
+            self.incarnation,
+            self.membership,
+            self.settings.orders,
+            self.metrics,
+        )
+        self.ordering = OrderController(
+            self.leases,
+            OrderClient(self._fresh_http, self.settings.orders),
+            OrderBook(self.settings.orders.report_lag),
+            self.table,
+            self.configuration,
+            self.book,
+            self.demand,
+            self.settings.orders,
+            self.metrics,
+            self._clock,
+            self._random,
+        )
+
     def _wire_exchange(self):
         settings = self.settings
         budget = ByteBudget(settings.peers.slow_rate, SLOW_BURST_BYTES)
@@ -223,6 +264,7 @@
             settings.peers,
             self.metrics,
             self._clock,
+            self._wall_clock,
             self._random,
         )
         self.exchange.answer_on(self.peer_server)
@@ -279,6 +321,7 @@
                     self.metrics,
                     self._clock,
                 ),
+                DemandFilter(self.demand, self.durations, self._clock),
                 RetryFilter(
                     retries,
                     budget,
@@ -373,6 +416,7 @@
             "revision": self.configuration.revision,
             "in_flight": self.callers.in_flight,
             "rollouts": self.rollouts.report(),
+            "orders": self.ordering.report_status(),
             "backend_servers": [
                 {
                     "id": server.record.id,
@@ -407,6 +451,8 @@
             self.halting.run_store,
             self.exposing.run,
             self.billing.run,
+            self.leases.run,
+            self.ordering.run,
             self.gate.run,
         ):
             self._supervise(run())
@@ -445,7 +491,9 @@
             lambda: not self.callers.in_flight, DRAIN_POLL_S, instance.drain_limit
         )
         await self.claims.drain(max(0.0, deadline - self._clock()))
+        await self.leases.release()
         await self.billing.flush_all(max(0.0, deadline - self._clock()))
+        await self.exposing.release()
         await self.close()
         log.info("stopped", in_flight=self.callers.in_flight)
 
--- a/tanagerwalk/clients/engines.py
+++ b/tanagerwalk/clients/engines.py
@@ -11,12 +11,12 @@
 from ..messages import AttemptFailure, Usage
 from ..outcomes import RetryReason
 from .attempts import REQUEST_ID_HEADER, build_timeout, judge_status, run_attempt
-from .loads import parse_load
+from .loads import parse_load, parse_slots
 
 DATA_PREFIX = b"data: "
 END_MARKER = b"[DONE]"
 OK_STATUS = 200
-NOT_FOUND_STATUS = 404
+UNKNOWN_MODEL_STATUS = 404
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,9 +136,11 @@
             failure = judge_status(response)
             if failure is not None:
                 return Error(failure)
-            if response.status == NOT_FOUND_STATUS:
-                # The engine's own word that it has no such model: nothing ran.
-                return Error(AttemptFailure(RetryReason.VERSION_MISSING, sent=False))
+            if response.status == UNKNOWN_MODEL_STATUS:
+                # The engine's own word that it has unloaded the version since its
+                # last report: nothing ran.
+                failure = AttemptFailure(RetryReason.VERSION_NOT_LOADED, sent=False)
+                return Error(failure)
             if response.status != OK_STATUS:
                 return Ok(ChatOutcome(response.status, error=await response.read()))
             return await _read_stream(response, on_text)
@@ -163,11 +165,12 @@
         base = f"http://{address}"
         try:
             async with self._http.get(f"{base}/metrics", timeout=limit) as response:
-                running, waiting = parse_load(await response.text())
+                page = await response.text()
+            running, waiting = parse_load(page)
             versions = await self._read_models(base, limit) if models else None
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             return Error(f"engine {address}: {type(error).__name__}")
-        return Ok(LoadReport(running, waiting, versions))
+        return Ok(LoadReport(running, waiting, versions, parse_slots(page)))
 
     async def _read_models(self, base, limit):
         async with self._http.get(f"{base}/v1/models", timeout=limit) as response:
--- a/tanagerwalk/decisions/backends.py
+++ b/tanagerwalk/decisions/backends.py
@@ -50,6 +50,7 @@
     incarnation: Incarnation
     service: ServiceName | None = None
     leaving: bool = False
+    checks_fencing: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +60,7 @@
     running: int = 0
     waiting: int = 0
     versions: frozenset[VersionName] | None = frozenset()
+    slots: int = 0
 
 
 class FailureKind(Enum):
--- a/tanagerwalk/filters/retry.py
+++ b/tanagerwalk/filters/retry.py
@@ -85,7 +85,7 @@
             await asyncio.sleep(pause)
 
     def _record_failure(self, context, failure, now):
-        if failure.reason is RetryReason.VERSION_MISSING:
+        if failure.reason is RetryReason.VERSION_NOT_LOADED:
             self._table.forget_version(failure.server, context.version)
             return
         self._table.record_failure(
--- a/test/clients/test_attempts.py
+++ b/test/clients/test_attempts.py
@@ -201,7 +201,7 @@
 async def test_version_that_is_not_loaded_did_not_run():
     async with serve([make_refusal("404 Not Found")]) as address:
         result, _ = await complete(address)
-    assert result.error.reason is RetryReason.VERSION_MISSING
+    assert result.error.reason is RetryReason.VERSION_NOT_LOADED
     assert result.error.sent is False
 
 
