Tell peers of a blamed request at once, and prove hedges case by case

Cause: blame went out with the next exchange, while a caller may resend at once. Ruled out: a pause before each suspect's retry, which makes all innocents late. Hedges: a failed pair is never reported as not run if either call was sent.

--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -336,6 +336,7 @@
                     self.facts,
                     self.table,
                     settings.quarantine,
+                    self.exchange.spread,
                     probe_refusal,
                     self.metrics,
                     self._clock,
--- a/tanagerwalk/controllers/exchange.py
+++ b/tanagerwalk/controllers/exchange.py
@@ -23,6 +23,8 @@
 log = structlog.get_logger(__name__)
 
 MAX_RUNNING = 4
+MAX_SPREAD = 16
+SPREAD_LIMIT_S = 0.1
 SLOW_EVERY = 4
 EXPIRY_EVERY = 10
 MILLISECONDS = 1000
@@ -127,6 +129,25 @@
         self._running.add(task)
         task.add_done_callback(self._note_end)
 
+    async def spread(self):
+        """Exchange with several peers now, for facts that can't wait for a step.
+
+        Returns after a short time at most, so that a peer that can't be reached
+        holds nobody up; the exchanges go on.
+        """
+        peers = [
+            peer
+            for peer in self._list_peers()
+            if peer.incarnation != self._facts.origin and not peer.leaving
+        ]
+        chosen = self._random.sample(peers, min(len(peers), MAX_SPREAD))
+        tasks = [asyncio.create_task(self.exchange(peer)) for peer in chosen]
+        for task in tasks:
+            self._running.add(task)
+            task.add_done_callback(self._note_end)
+        if tasks:
+            await asyncio.wait(tasks, timeout=SPREAD_LIMIT_S)
+
     def _note_end(self, task):
         self._running.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/tanagerwalk/filters/quarantine.py
+++ b/tanagerwalk/filters/quarantine.py
@@ -24,6 +24,8 @@
         Servers.
     settings : QuarantineSettings
         Lifetime of blame.
+    spread : callable
+        Coroutine function that tells the peers at once.
     probe : callable
         Coroutine function that returns whether an address refuses connections.
     metrics : Metrics
@@ -32,11 +34,14 @@
         Returns monotonic time in seconds.
     """
 
-    def __init__(self, quarantine, facts, table, settings, probe, metrics, clock):
+    def __init__(
+        self, quarantine, facts, table, settings, spread, probe, metrics, clock
+    ):
         self._quarantine = quarantine
         self._facts = facts
         self._table = table
         self._settings = settings
+        self._spread = spread
         self._probe = probe
         self._metrics = metrics
         self._clock = clock
@@ -91,6 +96,8 @@
         self._facts.state(
             Topic.BLAME, context.fingerprint, value, now, self._settings.lifetime
         )
+        # The caller may resend at once, to an instance that must know by then.
+        await self._spread()
 
     def _take_fact(self, fact):
         incarnations = fact.value.decode(errors="replace").split(SEPARATOR)
--- /dev/null
+++ b/test/filters/test_hedge.py
@@ -0,0 +1,100 @@
+"""Hedged calls: who wins, what is cancelled, and what a caller may conclude."""
+
+import asyncio
+
+import pytest
+from expression import Error, Ok
+
+from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.decisions.hedges import HedgeDelays
+from tanagerwalk.decisions.limits import Grant, Ticket
+from tanagerwalk.decisions.retries import RetryBudget
+from tanagerwalk.declarations import WorkClass
+from tanagerwalk.filters.hedge import HedgeFilter
+from tanagerwalk.messages import AttemptFailure, RequestContext
+from tanagerwalk.metrics import Metrics
+from tanagerwalk.outcomes import Interface, RetryReason
+
+DELAY_S = 0.01
+SLOW_S = 5 * DELAY_S
+NEVER_S = 1000.0
+UNSENT = Error(AttemptFailure(RetryReason.CONNECT_FAILED, sent=False))
+SENT = Error(AttemptFailure(RetryReason.CONNECTION_LOST, sent=True))
+
+# Duration and result of the first and the second attempt; the result, the outcome
+# that is counted, whether the request may have run, and the calls cancelled.
+CASES = {
+    "first is slow": ((NEVER_S, Ok(1)), (0, Ok(2)), Ok(2), "won", False, 1),
+    "second is slow": ((SLOW_S, Ok(1)), (NEVER_S, Ok(2)), Ok(1), "lost", False, 1),
+    "second fails": ((SLOW_S, Ok(1)), (0, SENT), Ok(1), "lost", False, 0),
+    "first fails": ((SLOW_S, SENT), (2 * SLOW_S, Ok(2)), Ok(2), "won", False, 0),
+    "both fail, second sent": ((SLOW_S, UNSENT), (0, SENT), UNSENT, "failed", True, 0),
+    "both fail unsent": ((SLOW_S, UNSENT), (0, UNSENT), UNSENT, "failed", False, 0),
+}
+
+
+class Calls:
+    """The rest of the chain: runs scripted attempts on servers of their own."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.cancelled = 0
+        self.excluded = []
+
+    async def __call__(self, context):
+        number = len(self.excluded) + 1
+        self.excluded.append(set(context.tried))
+        ticket = Ticket("a", "lookup", 10.0)
+        context.grant = Grant(ticket, f"s{number}", "s:1", f"s{number}.1")
+        seconds, result = self.script[number - 1]
+        try:
+            await asyncio.sleep(seconds)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return result
+
+
+def make_context():
+    work_class = WorkClass("lookup", Interface.SERVICE, 0, 1, 3, 0, True, hedge=True)
+    context = RequestContext("r1", {}, "", "lookup", Interface.SERVICE)
+    context.work_class = work_class
+    return context
+
+
+def make_filter(metrics, tokens=1):
+    delays = HedgeDelays()
+    for _ in range(20):
+        delays.record("lookup", DELAY_S)
+    return HedgeFilter(delays, RetryBudget(0.0, tokens), metrics, lambda: 0.0)
+
+
+@pytest.mark.parametrize("case", CASES)
+async def test_race(case):
+    first, second, result, outcome, sent, cancelled = CASES[case]
+    metrics, calls, context = Metrics(), Calls(first, second), make_context()
+    got = await make_filter(metrics).handle(context, calls)
+    assert got == result
+    assert context.sent is sent
+    assert calls.cancelled == cancelled
+    assert calls.excluded == [set(), {"s1"}]
+    count = metrics.registry.get_sample_value(
+        "tanagerwalk_hedges_total", {"outcome": outcome}
+    )
+    assert count == 1.0
+
+
+async def test_no_hedge_without_budget():
+    calls = Calls((SLOW_S, Ok(1)))
+    got = await make_filter(Metrics(), tokens=0).handle(make_context(), calls)
+    assert got == Ok(1)
+    assert len(calls.excluded) == 1
+
+
+async def test_caller_that_goes_away_cancels_both_calls():
+    calls = Calls((NEVER_S, Ok(1)), (NEVER_S, Ok(2)))
+    running = asyncio.create_task(make_filter(Metrics()).handle(make_context(), calls))
+    assert await poll_until(lambda: len(calls.excluded) == 2, DELAY_S, SLOW_S * 100)
+    running.cancel()
+    await asyncio.wait([running])
+    assert calls.cancelled == 2
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -60,6 +60,16 @@
     assert status == 200
 
 
+async def test_poison_that_is_sent_again_at_once_elsewhere_crashes_no_third(fleet):
+    """The exchange alone carries the blame, before the caller has its answer."""
+    instances = list(fleet.instances.values())
+    await fleet.wait_until(lambda: all(len(i.membership.peers) > 8 for i in instances))
+    for instance in instances:
+        _, content, _ = await fleet.chat(instance, "label", "poison")
+        assert read_code(content) == "quarantined"
+    assert count_crashes(fleet) == 2
+
+
 async def test_innocent_request_of_a_crash_is_answered_and_cleared(fleet):
     first, *_ = fleet.instances.values()
     for engine in fleet.engines.values():
