Make room where a version already is, when no other engine has any

Failure found: the state machine of the order book (three engines of two slots, three released versions, nothing loaded) settled with one copy of the third version: its second copy fitted only beside the first one. Placement now loads a copy of another version there and gives that one's copy elsewhere up.

Also: bench/placement.py.

--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,184 @@
+"""Placement of versions: time of a decision, steps and loads until it settles.
+
+The baseline rebuilds the placement greedily from nothing at each change, as many
+schedulers do, and loads whatever differs. Seeded; no network.
+"""
+
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, replace
+
+from tanagerwalk.decisions.leases import choose_look_interval
+from tanagerwalk.decisions.placement import (
+    Engine,
+    MoveKind,
+    Need,
+    allot_copies,
+    plan_moves,
+)
+from tanagerwalk.outcomes import VersionState
+
+SEED = 7
+SIZES = (5, 50, 133)
+SLOTS = 4
+LOADS_AT_ONCE = 4
+MAX_STEPS = 2000
+REPEATS = 50
+NODES = 340
+FAILURE_DOMAINS = 6
+LOOK_INTERVAL_S = 2.0
+LEASE_TTL_S = 15.0
+RENEWALS_PER_TTL = 3
+
+
+@dataclass
+class Settled:
+    """What it took until nothing was left to do."""
+
+    engines: list
+    steps: int = 0
+    loads: int = 0
+    unloads: int = 0
+    decision_s: float = 0.0
+
+
+def make_needs(rng, size, drift=0.0):
+    """Return 8 versions: 6 released, one draining, one candidate."""
+    shares = [rng.random() ** 2 for _ in range(6)]
+    needs = {}
+    for number, share in enumerate(shares):
+        demand = share / sum(shares) * size * 0.8 * (1 + drift * rng.uniform(-1, 1))
+        needs[f"v{number}"] = Need(VersionState.RELEASED, 2, demand)
+    needs["v6"] = Need(VersionState.DRAINING, 1, 0.2)
+    needs["v7"] = Need(VersionState.CANDIDATE, 1)
+    return needs
+
+
+def settle(needs, engines):
+    """Apply decisions, each taking effect at once, until one is empty."""
+    result = Settled(engines)
+    while result.steps < MAX_STEPS:
+        started = time.perf_counter()
+        moves = plan_moves(needs, result.engines, LOADS_AT_ONCE)
+        result.decision_s = max(result.decision_s, time.perf_counter() - started)
+        if not moves:
+            return result
+        result.steps += 1
+        loads = sum(move.kind is MoveKind.LOAD for move in moves)
+        result.loads += loads
+        result.unloads += len(moves) - loads
+        result.engines = apply_moves(result.engines, moves)
+    raise AssertionError(f"not settled after {MAX_STEPS} steps")
+
+
+def apply_moves(engines, moves):
+    """Return the engines after the moves."""
+    after = {engine.id: engine for engine in engines}
+    for move in moves:
+        changed = after[move.server].loaded ^ {move.version}
+        after[move.server] = replace(after[move.server], loaded=changed)
+    return list(after.values())
+
+
+def rebuild(needs, engines):
+    """Return the greedy placement from nothing, and the loads that it needs."""
+    copies = {name: a.low for name, a in allot_copies(needs, engines).items()}
+    target = {engine.id: set() for engine in engines}
+    for name in sorted(copies, key=lambda name: -copies[name]):
+        roomy = [e for e in engines if len(target[e.id]) < e.slots]
+        roomy.sort(key=lambda engine: (len(target[engine.id]), engine.id))
+        for engine in roomy[: copies[name]]:
+            target[engine.id].add(name)
+    loads = sum(len(target[engine.id] - engine.loaded) for engine in engines)
+    return [replace(e, loaded=frozenset(target[e.id])) for e in engines], loads
+
+
+def make_engines(size):
+    """Return empty engines."""
+    return [Engine(f"e{number:03d}", SLOTS) for number in range(size)]
+
+
+def list_changes(rng, needs, size):
+    """Return the changes that are measured, as (name, needs, lost engines)."""
+    new = {**needs, "v8": Need(VersionState.RELEASED, 2, needs["v0"].demand)}
+    new["v0"] = replace(needs["v0"], state=VersionState.DRAINING, floor=1, demand=0.5)
+    noisy = {
+        name: replace(need, demand=need.demand * rng.uniform(0.85, 1.15))
+        for name, need in needs.items()
+    }
+    return [
+        ("same input", needs, 0),
+        ("demand +-15%", noisy, 0),
+        ("version declared", new, 0),
+        ("engine lost", needs, 1),
+        ("half lost", needs, size // 2),
+    ]
+
+
+def measure(size):
+    """Print one line for each change at one size."""
+    rng = random.Random(SEED)
+    needs = make_needs(rng, size)
+    start = settle(needs, make_engines(size))
+    baseline, loads = rebuild(needs, make_engines(size))
+    report(size, "from nothing", start, loads)
+    for name, changed, lost in list_changes(rng, needs, size):
+        gone = {engine.id for engine in rng.sample(start.engines, lost)}
+        settled = settle(changed, [e for e in start.engines if e.id not in gone])
+        left = [engine for engine in baseline if engine.id not in gone]
+        _, loads = rebuild(changed, left)
+        report(size, name, settled, loads)
+
+
+def report(size, change, settled, baseline_loads):
+    """Print one line of the table."""
+    copies = Counter(v for engine in settled.engines for v in engine.loaded)
+    print(
+        f"{size:>7} {change:<18}{settled.decision_s * 1e3:>8.2f}{settled.steps:>7}"
+        f"{settled.loads:>7}{settled.unloads:>9}{baseline_loads:>15}"
+        f"{min(copies.values()):>12}"
+    )
+
+
+def measure_decision(size):
+    """Return the median seconds of a decision that finds nothing to do."""
+    needs = make_needs(random.Random(SEED), size)
+    engines = settle(needs, make_engines(size)).engines
+    times = []
+    for _ in range(REPEATS):
+        started = time.perf_counter()
+        plan_moves(needs, engines, LOADS_AT_ONCE)
+        times.append(time.perf_counter() - started)
+    return sorted(times)[REPEATS // 2]
+
+
+def report_store_calls():
+    """Print the calls to the key-value service that the leases need."""
+    own = -(-NODES // FAILURE_DOMAINS)
+    looks = sum(
+        1.0 / choose_look_interval(LOOK_INTERVAL_S, rank) for rank in range(1, own)
+    )
+    renewals = RENEWALS_PER_TTL / LEASE_TTL_S
+    print(
+        f"leases, {NODES} nodes in {FAILURE_DOMAINS} failure domains: "
+        f"{looks * FAILURE_DOMAINS:.1f} reads/s, "
+        f"{renewals * FAILURE_DOMAINS:.1f} renewals/s"
+    )
+
+
+def main():
+    """Print the table."""
+    print(
+        "engines change             max ms  steps  loads  unloads"
+        "  rebuild loads  min copies"
+    )
+    for size in SIZES:
+        measure(size)
+    for size in SIZES:
+        print(f"idle decision, {size} engines: {measure_decision(size) * 1e3:.2f} ms")
+    report_store_calls()
+
+
+if __name__ == "__main__":
+    main()
--- a/tanagerwalk/decisions/placement.py
+++ b/tanagerwalk/decisions/placement.py
@@ -330,12 +330,36 @@
             if victim in self.chosen[engine.id] and self._may_go(victim, urgent)
         ]
         if not choices:
+            if urgent:
+                self._shift_copy(able)
             return
         _rank, number, victim = min(choices)
         self._unload(able[number], victim)
         self.coming[able[number].id] -= 1
         self.budget -= 1
 
+    def _shift_copy(self, able):
+        """Add a copy where there is memory, so that one on an able engine may go."""
+        spare = [
+            other
+            for engine in able
+            for other in engine.loaded
+            if self.held[other] > self._find_low(other)
+        ]
+        if spare:
+            # An earlier shift is under way.
+            return
+        for target in self.engines:
+            if self.room[target.id] <= 0:
+                continue
+            for other in sorted({other for engine in able for other in engine.loaded}):
+                if self._is_able(target, other):
+                    self._load(target, other)
+                    return
+
+    def _find_low(self, name):
+        return self.allotments[name].low if name in self.allotments else 0
+
     def _rank_loss(self, victim):
         if victim not in self.allotments:
             return (0, 0)
