--- a/tanagerwalk/controllers/leases.py
+++ b/tanagerwalk/controllers/leases.py
@@ -59,6 +59,7 @@
         self._ttl = settings.lease_ttl
         self._metrics = metrics
         self._clock = clock
+        metrics.lease_held.set_function(lambda: self.may_order(checks_fencing=True))
         self._steps = {
             LeasePhase.SEEKING: self._look,
             LeasePhase.GRANTING: self._grant,
@@ -89,7 +90,6 @@
         """Do what the lease asks for next."""
         before = self.lease.phase
         await self._steps[before]()
-        self._metrics.lease_held.set(self.lease.phase is LeasePhase.HELD)
         if (before is LeasePhase.HELD) != (self.lease.phase is LeasePhase.HELD):
             log.info(
                 "lease changed",
@@ -101,7 +101,6 @@
     async def release(self):
         """Give the lease up for good, so that another instance may take it at once."""
         number = self.lease.resign()
-        self._metrics.lease_held.set(0)
         if number:
             self._count_fault(await self._store.revoke_lease(number))
 
--- a/tanagerwalk/controllers/orders.py
+++ b/tanagerwalk/controllers/orders.py
@@ -133,6 +133,7 @@
         return {
             "holder": lease.holder,
             "phase": lease.phase.value,
+            "may_order": self._leases.may_order(checks_fencing=True),
             "token": lease.token,
             "under_way": len(self._sending),
             "wanted_copies": {name: need.floor for name, need in needs},
--- a/tanagerwalk/decisions/orders.py
+++ b/tanagerwalk/decisions/orders.py
@@ -7,6 +7,7 @@
 from .placement import Engine, Move, MoveKind
 
 UNKNOWN_SLOTS = 8
+BUSY_PAUSE_S = 1.0
 FIRST_PAUSE_S = 5.0
 MAX_PAUSE_S = 300.0
 
@@ -184,6 +185,10 @@
             trace.believed_until = now + self._report_lag
             trace.is_unconfirmed = True
             return
+        if outcome is OrderOutcome.BUSY:
+            # The weight store has its limit; nothing is wrong with the version.
+            trace.paused_until = now + max(BUSY_PAUSE_S, retry_after or 0.0)
+            return
         trace.pause(now, retry_after)
         if outcome is OrderOutcome.NO_MEMORY:
             memory.slots = max(1, memory.reported)
--- a/test/decisions/test_orders.py
+++ b/test/decisions/test_orders.py
@@ -139,6 +139,8 @@
         (OrderOutcome.IN_DOUBT, 10.0, set(), {"b"}, 2),
         (OrderOutcome.NOT_SENT, 1.0, set(), {"b"}, 2),
         (OrderOutcome.NOT_SENT, 6.0, set(), set(), 2),
+        (OrderOutcome.BUSY, 0.9, set(), {"b"}, 2),
+        (OrderOutcome.BUSY, 1.1, set(), set(), 2),
         (OrderOutcome.LEASE_LAPSED, 1.0, set(), set(), 2),
         (OrderOutcome.NO_MEMORY, 1.0, set(), {"b"}, 1),
         (OrderOutcome.UNSUPPORTED, 1.0, set(), {"a"}, 1),
