--- a/tanagerwalk/decisions/placement.py
+++ b/tanagerwalk/decisions/placement.py
@@ -94,15 +94,15 @@
     demand: float = 0.0
 
 
-def list_needs(declaration, halted, estimate_demand):
+def list_needs(declaration, is_halted, estimate_demand):
     """Return what the declaration asks for, by version.
 
     Parameters
     ----------
     declaration : Declaration
         The newest declaration known.
-    halted : collection of (ClassName, VersionName)
-        Versions that were stopped at a class.
+    is_halted : callable
+        Returns whether a (ClassName, VersionName) was stopped.
     estimate_demand : callable
         Returns the engines that a version's demand needs.
 
@@ -114,18 +114,18 @@
     return {
         version.name: Need(
             version.state,
-            _choose_floor(declaration, version, halted),
+            _choose_floor(declaration, version, is_halted),
             estimate_demand(version.name),
         )
         for version in declaration.versions.values()
     }
 
 
-def _choose_floor(declaration, version, halted):
+def _choose_floor(declaration, version, is_halted):
     if version.state is VersionState.WITHDRAWN:
         return 0
     classes = _list_classes(declaration, version)
-    if all((work_class, version.name) in halted for work_class in classes):
+    if all(is_halted((work_class, version.name)) for work_class in classes):
         return 0
     if version.state is VersionState.CANDIDATE:
         return min(1, version.exposure)
