--- a/tanagerwalk/controllers/orders.py
+++ b/tanagerwalk/controllers/orders.py
@@ -110,7 +110,7 @@
         """Return what the declaration in force asks of this failure domain."""
         return list_needs(
             self._configuration.declaration,
-            self._rollouts.list_all_halted(),
+            self._rollouts.is_halted,
             self._estimate_demand,
         )
 
@@ -133,6 +133,7 @@
         return {
             "holder": lease.holder,
             "phase": lease.phase.value,
+            "may_order": self._leases.may_order(checks_fencing=True),
             "token": lease.token,
             "under_way": len(self._sending),
             "wanted_copies": {name: need.floor for name, need in needs},
--- a/tanagerwalk/decisions/placement.py
+++ b/tanagerwalk/decisions/placement.py
@@ -94,15 +94,15 @@
     demand: float = 0.0
 
 
-def list_needs(declaration, halted, estimate_demand):
+def list_needs(declaration, is_halted, estimate_demand):
     """Return what the declaration asks for, by version.
 
     Parameters
     ----------
     declaration : Declaration
         The newest declaration known.
-    halted : collection of (ClassName, VersionName)
-        Versions that were stopped at a class.
+    is_halted : callable
+        Returns whether a (ClassName, VersionName) was stopped.
     estimate_demand : callable
         Returns the engines that a version's demand needs.
 
@@ -114,18 +114,18 @@
     return {
         version.name: Need(
             version.state,
-            _choose_floor(declaration, version, halted),
+            _choose_floor(declaration, version, is_halted),
             estimate_demand(version.name),
         )
         for version in declaration.versions.values()
     }
 
 
-def _choose_floor(declaration, version, halted):
+def _choose_floor(declaration, version, is_halted):
     if version.state is VersionState.WITHDRAWN:
         return 0
     classes = _list_classes(declaration, version)
-    if all((work_class, version.name) in halted for work_class in classes):
+    if all(is_halted((work_class, version.name)) for work_class in classes):
         return 0
     if version.state is VersionState.CANDIDATE:
         return min(1, version.exposure)
@@ -330,12 +330,36 @@
             if victim in self.chosen[engine.id] and self._may_go(victim, urgent)
         ]
         if not choices:
+            if urgent:
+                self._shift_copy(able)
             return
         _rank, number, victim = min(choices)
         self._unload(able[number], victim)
         self.coming[able[number].id] -= 1
         self.budget -= 1
 
+    def _shift_copy(self, able):
+        """Add a copy where there is memory, so that one on an able engine may go."""
+        spare = [
+            other
+            for engine in able
+            for other in engine.loaded
+            if self.held[other] > self._find_low(other)
+        ]
+        if spare:
+            # An earlier shift is under way.
+            return
+        for target in self.engines:
+            if self.room[target.id] <= 0:
+                continue
+            for other in sorted({other for engine in able for other in engine.loaded}):
+                if self._is_able(target, other):
+                    self._load(target, other)
+                    return
+
+    def _find_low(self, name):
+        return self.allotments[name].low if name in self.allotments else 0
+
     def _rank_loss(self, victim):
         if victim not in self.allotments:
             return (0, 0)
--- a/tanagerwalk/decisions/rollouts.py
+++ b/tanagerwalk/decisions/rollouts.py
@@ -202,10 +202,6 @@
             if name == work_class and self.is_halted((name, version))
         )
 
-    def list_all_halted(self):
-        """Return the (class, version) pairs that get no work."""
-        return frozenset(key for key in self._arms if self.is_halted(key))
-
     def list_candidates(self):
         """Return the Version of each arm under roll-out, by arm."""
         found = {}
