--- /dev/null
+++ b/bench/instances.py
@@ -0,0 +1,213 @@
+"""Entry instances for `bench.lateness`: the package's decisions, and baselines."""
+
+from bench.traffic import REGIONS, VERSION
+from tanagerwalk.decisions.durations import DurationEstimates
+from tanagerwalk.decisions.limits import AdmissionQueue, Ticket
+from tanagerwalk.decisions.quarantine import Quarantine, Standing
+from tanagerwalk.decisions.retries import (
+    RetryBudget,
+    RetryState,
+    choose_backoff,
+    decide_retry,
+    judge_server,
+)
+from tanagerwalk.decisions.servers import Home, ServerTable
+from tanagerwalk.messages import AttemptFailure
+from tanagerwalk.outcomes import RetryReason
+from tanagerwalk.settings import parse_settings
+
+INSTANCES = 9
+
+
+class Instance:
+    """An entry instance: the decisions of the package, and virtual time."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.clock = world.clock
+        self.region = REGIONS[number % len(REGIONS)]
+        settings = parse_settings().ok
+        home = Home(self.region, f"{self.region}-a", f"entry-{number}")
+        self.table = ServerTable(home, settings.limits, settings.load.stale_after)
+        self.table.sharers = INSTANCES // len(REGIONS)
+        self.durations = DurationEstimates()
+        self.queue = AdmissionQueue(self.table, self.durations, 1000)
+        self.budget = RetryBudget(0.2, 20)
+        self.quarantine = Quarantine(settings.quarantine)
+        self.max_attempts = settings.retries.max_attempts
+        self.tickets = {}
+
+    def expect(self, ticket):
+        """Return the expected duration of a ticket's attempt, in seconds."""
+        lateness = self.tickets[ticket].kind.work_class.lateness
+        return self.durations.estimate(ticket.work_class, VERSION, lateness)
+
+    def arrive(self, request):
+        """Take a request from its caller."""
+        self.budget.earn()
+        self.attempt(request)
+
+    def attempt(self, request):
+        """Queue one attempt."""
+        now = self.clock.now
+        standing = self.quarantine.judge(id(request.kind), now)
+        if request.poison:
+            standing = self.quarantine.judge("poison", now)
+        if standing is Standing.QUARANTINED:
+            self.world.refuse(request, "quarantined")
+            return
+        work_class = request.kind.work_class
+        serving = self.table.list_serving(VERSION)
+        if all(server.record.id in request.tried for server in serving):
+            request.tried.clear()
+        long = work_class.name == "draft"
+        ticket = Ticket(
+            account=request.account,
+            work_class=work_class.name,
+            deadline=request.arrived + work_class.patience,
+            version=VERSION,
+            long=long,
+            exclude=frozenset(request.tried),
+            suspect=standing is Standing.SUSPECT,
+            far_at=now + 0.2 * work_class.lateness if long else float("-inf"),
+        )
+        self.tickets[ticket] = request
+        offered = self.queue.offer(ticket, self.expect(ticket), now)
+        if offered.is_error():
+            del self.tickets[ticket]
+            self.world.refuse(request, offered.error.reason.value)
+            return
+        self.pump()
+
+    def pump(self):
+        """Grant and expire."""
+        now = self.clock.now
+        for ticket, refusal in self.queue.expire(now, self.expect):
+            self.world.refuse(self.tickets.pop(ticket), refusal.reason.value)
+        for grant in self.queue.grant(now, self.expect):
+            request = self.tickets[grant.ticket]
+            request.attempts += 1
+            engine = self.world.engines[grant.server]
+            engine.send(request, self.region, self._make_done(grant, now))
+
+    def _make_done(self, grant, started):
+        def done(reason):
+            request = self.tickets[grant.ticket]
+            now = self.clock.now
+            self.table.finish(
+                grant.server, grant.incarnation, grant.ticket.long, grant.ticket.suspect
+            )
+            if reason is None:
+                expected = self.expect(grant.ticket)
+                ratio = (now - started) / expected
+                name = grant.ticket.work_class
+                self.durations.record(name, VERSION, now - started)
+                self.table.record_success(grant.server, now, ratio)
+                request.ended = now
+            else:
+                self._fail(request, grant, reason)
+            del self.tickets[grant.ticket]
+            self.pump()
+
+        return done
+
+    def _fail(self, request, grant, reason):
+        now = self.clock.now
+        request.tried.add(grant.server)
+        self.table.record_failure(grant.server, now, judge_server(reason))
+        if reason is RetryReason.CONNECTION_LOST and request.poison:
+            self.world.blame(self, "poison", self.table.servers[grant.server].record)
+        state = RetryState(
+            idempotent=True,
+            sent=True,
+            attempts=request.attempts,
+            max_attempts=self.max_attempts,
+            now=now,
+            deadline=request.arrived + request.kind.work_class.patience,
+        )
+        failure = AttemptFailure(reason, sent=True, server=grant.server)
+        refusal = decide_retry(failure, state, self.budget)
+        if refusal is not None:
+            self.world.refuse(request, refusal.reason.value)
+            return
+        serving = self.table.list_serving(VERSION)
+        all_failed = all(server.record.id in request.tried for server in serving)
+        chance = self.world.random.random()
+        pause = choose_backoff(request.attempts, all_failed, chance)
+        self.clock.call_at(now + pause, self.attempt, request)
+
+
+class FifoInstance(Instance):
+    """Baseline: one queue in order of arrival, limits but no reserve."""
+
+    def __init__(self, world, number):
+        super().__init__(world, number)
+        self.line = []
+
+    def attempt(self, request):
+        """Queue one attempt at the end."""
+        self.line.append(request)
+        self.pump()
+
+    def pump(self):
+        """Send the head of the line while there is room."""
+        now = self.clock.now
+        while self.line:
+            request = self.line[0]
+            if now > request.arrived + request.kind.work_class.patience:
+                self.world.refuse(self.line.pop(0), "deadline_exceeded")
+                continue
+            server = self.pick(request, now)
+            if server is None:
+                return
+            self.line.pop(0)
+            self.table.start(server.record.id, False)
+            request.attempts += 1
+            engine = self.world.engines[server.record.id]
+            engine.send(request, self.region, self._make_line_done(request, server))
+
+    def pick(self, request, now):
+        """Choose a server, or None to wait."""
+        return self.table.choose(now, version=VERSION, exclude=request.tried)
+
+    def _make_line_done(self, request, server):
+        def done(reason):
+            record = server.record
+            self.table.finish(record.id, record.incarnation, False)
+            if reason is None:
+                self.table.record_success(record.id, self.clock.now)
+                request.ended = self.clock.now
+            elif request.attempts >= self.max_attempts:
+                self.world.refuse(request, "backend_failed")
+            else:
+                self.table.record_failure(
+                    record.id, self.clock.now, judge_server(reason)
+                )
+                self.attempt(request)
+            self.pump()
+
+        return done
+
+
+class DirectInstance(FifoInstance):
+    """Baseline: no queue; every request goes to an engine at once."""
+
+    def pick(self, request, now):
+        """Choose a server by the world's policy."""
+        servers = sorted(self.table.list_serving(VERSION), key=lambda s: s.record.id)
+        if not servers:
+            return None
+        return getattr(self, f"_pick_{self.world.policy}")(servers)
+
+    def _pick_round_robin(self, servers):
+        self.turn = getattr(self, "turn", -1) + 1
+        return servers[self.turn % len(servers)]
+
+    def _pick_random(self, servers):
+        return self.world.random.choice(servers)
+
+    def _pick_least_loaded(self, servers):
+        return min(
+            servers,
+            key=lambda s: s.load.running + s.load.waiting - s.own_at_load + s.in_flight,
+        )
--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -10,6 +10,7 @@
 
 from .api.admin import AdminApi
 from .api.callers import CallersApi
+from .clients.attempts import probe_refusal
 from .clients.engines import EngineClient
 from .clients.keyvalue import KeyValueClient
 from .clients.orders import OrderClient
@@ -30,9 +31,11 @@
 from .decisions.configuration import ConfigurationState
 from .decisions.demand import DemandMeter
 from .decisions.facts import FactTable
+from .decisions.hedges import HedgeDelays
 from .decisions.limits import AdmissionQueue, DurationEstimates
 from .decisions.orders import OrderBook
 from .decisions.partners import PartnerChooser
+from .decisions.quarantine import Quarantine
 from .decisions.ratings import RatingGate
 from .decisions.retries import RetryBudget
 from .decisions.rollouts import RolloutBook
@@ -48,8 +51,10 @@
 from .filters.demand import DemandFilter
 from .filters.dispatch import DispatchFilter
 from .filters.guard import GuardFilter
+from .filters.hedge import HedgeFilter
 from .filters.identify import IdentifyFilter
 from .filters.plan import PlanFilter
+from .filters.quarantine import QuarantineFilter, QuarantineGuardFilter
 from .filters.retry import RetryFilter
 from .filters.session import SessionFilter, SessionStarter
 from .gate import Gate
@@ -123,7 +128,8 @@
 
     def _wire_state(self):
         settings = self.settings
-        home = Home(settings.instance.region, settings.instance.failure_domain)
+        place = settings.instance
+        home = Home(place.region, place.failure_domain, place.id)
         self.configuration = ConfigurationState(settings.configuration.stale_after)
         self.table = ServerTable(home, settings.limits, settings.load.stale_after)
         self.durations = DurationEstimates()
@@ -164,6 +170,7 @@
             settings.load,
             self._clock,
             self._random,
+            self._count_sharers,
         )
         self._wire_rollouts()
         self.configuring.notify(self._configure_book)
@@ -283,9 +290,10 @@
         settings = self.settings
         tokens = SessionTokens(settings.sessions.secret, settings.sessions.lifetime)
         starter = SessionStarter(tokens, self.configuration, self._wall_clock)
-        budget = RetryBudget(
-            settings.retries.budget_ratio, settings.retries.budget_burst
-        )
+        retries = settings.retries
+        budget = RetryBudget(retries.budget_ratio, retries.budget_burst)
+        hedge_budget = RetryBudget(retries.hedge_ratio, retries.hedge_burst)
+        self.quarantine = Quarantine(settings.quarantine)
         runner = CascadeRunner(
             self.configuration,
             self.rollouts,
@@ -315,16 +323,39 @@
                 ),
                 DemandFilter(self.demand, self.durations, self._clock),
                 RetryFilter(
-                    settings.retries, budget, self.table, self.metrics, self._clock
+                    retries,
+                    budget,
+                    self.table,
+                    self.metrics,
+                    self._clock,
+                    self._random,
+                ),
+                HedgeFilter(HedgeDelays(), hedge_budget, self.metrics, self._clock),
+                QuarantineFilter(
+                    self.quarantine,
+                    self.facts,
+                    self.table,
+                    settings.quarantine,
+                    probe_refusal,
+                    self.metrics,
+                    self._clock,
                 ),
                 AdmitFilter(
                     self.gate, self.durations, self.table, self._is_long, self._clock
                 ),
+                QuarantineGuardFilter(self.quarantine, self._clock),
                 GuardFilter(self.configuration, self.rollouts, self.table, self._clock),
                 DispatchFilter(self._engines, self._services, self._clock),
             ]
         )
 
+    def _count_sharers(self):
+        domain = self.settings.instance.failure_domain
+        return sum(
+            peer.failure_domain == domain and not peer.leaving
+            for peer in self.membership.peers
+        )
+
     def _expect_duration(self, ticket):
         work_class = self.configuration.declaration.classes.get(ticket.work_class)
         lateness = work_class.lateness if work_class else 0.0
--- a/tanagerwalk/clients/engines.py
+++ b/tanagerwalk/clients/engines.py
@@ -16,7 +16,7 @@
 DATA_PREFIX = b"data: "
 END_MARKER = b"[DONE]"
 OK_STATUS = 200
-UNKNOWN_MODEL_STATUS = 404
+NOT_FOUND_STATUS = 404
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,13 +112,14 @@
         deadline : float
             Seconds that the attempt may take.
         on_text : callable
-            Awaited with each piece of text.
+            Awaited with each piece of text; raises `asyncio.CancelledError` if the
+            caller has gone, which is no failure of the engine.
 
         Returns
         -------
         Result of ChatOutcome, or of AttemptFailure
             Ok only if the engine sent its end marker, or refused the request as
-            such (status 400 to 499).
+            such (status 400 to 499, but for a version that it has not loaded).
         """
         return await run_attempt(self._exchange(attempt, on_text), deadline)
 
@@ -135,14 +136,14 @@
             failure = judge_status(response)
             if failure is not None:
                 return Error(failure)
-            if response.status == UNKNOWN_MODEL_STATUS:
-                # The version was unloaded since the last report.
-                return Error(AttemptFailure(RetryReason.VERSION_NOT_LOADED, True))
+            if response.status == NOT_FOUND_STATUS:
+                # The engine's own word that it has no such model: nothing ran.
+                return Error(AttemptFailure(RetryReason.VERSION_MISSING, sent=False))
             if response.status != OK_STATUS:
                 return Ok(ChatOutcome(response.status, error=await response.read()))
             return await _read_stream(response, on_text)
 
-    async def read_load(self, address, timeout):
+    async def read_load(self, address, timeout, models=True):
         """Read an engine's load and the versions that it has loaded.
 
         Parameters
@@ -151,6 +152,8 @@
             `IP:port` of the engine.
         timeout : float
             Time limit in seconds.
+        models : bool
+            Whether to read the versions too.
 
         Returns
         -------
@@ -161,14 +164,17 @@
         try:
             async with self._http.get(f"{base}/metrics", timeout=limit) as response:
                 page = await response.text()
-                running, waiting = parse_load(page)
-            async with self._http.get(f"{base}/v1/models", timeout=limit) as response:
-                models = msgspec.json.decode(await response.read(), type=_Models)
+            running, waiting = parse_load(page)
+            versions = await self._read_models(base, limit) if models else None
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             return Error(f"engine {address}: {type(error).__name__}")
-        versions = frozenset(model.id for model in models.data)
         return Ok(LoadReport(running, waiting, versions, parse_slots(page)))
 
+    async def _read_models(self, base, limit):
+        async with self._http.get(f"{base}/v1/models", timeout=limit) as response:
+            models = msgspec.json.decode(await response.read(), type=_Models)
+        return frozenset(model.id for model in models.data)
+
 
 def _encode_body(attempt):
     body = dict(attempt.payload)
--- a/tanagerwalk/messages.py
+++ b/tanagerwalk/messages.py
@@ -112,13 +112,15 @@
     reason : RetryReason
         What went wrong.
     sent : bool
-        Whether any byte of the request may have reached the backend server.
+        Whether any byte of the request may have reached the backend server; False
+        also if the server said that it has not loaded the version.
     server : BackendServerId or None
         The server that was tried.
     retry_after : float or None
         Seconds that the server asked to wait.
     crashed : bool
-        Whether the server may have died of the attempt.
+        Whether the connection broke while the server had the request, so that the
+        server may have crashed.
     closing : bool
         Whether the server refused and closed the connection.
     """
@@ -144,6 +146,11 @@
         ----------
         text : str
             The piece, never empty.
+
+        Raises
+        ------
+        asyncio.CancelledError
+            If the caller has gone.
         """
 
 
@@ -196,5 +203,6 @@
     generated: list[str] = field(default_factory=list)
     usage: Usage = Usage()
     sent: bool = False
+    suspect: bool = False
     cost: float = 0.0
     tried: set[BackendServerId] = field(default_factory=set)
