--- a/tanagerwalk/clients/engines.py
+++ b/tanagerwalk/clients/engines.py
@@ -16,7 +16,7 @@
 DATA_PREFIX = b"data: "
 END_MARKER = b"[DONE]"
 OK_STATUS = 200
-UNKNOWN_MODEL_STATUS = 404
+NOT_FOUND_STATUS = 404
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,11 +136,9 @@
             failure = judge_status(response)
             if failure is not None:
                 return Error(failure)
-            if response.status == UNKNOWN_MODEL_STATUS:
-                # The engine's own word that it has unloaded the version since its
-                # last report: nothing ran.
-                failure = AttemptFailure(RetryReason.VERSION_NOT_LOADED, sent=False)
-                return Error(failure)
+            if response.status == NOT_FOUND_STATUS:
+                # The engine's own word that it has no such model: nothing ran.
+                return Error(AttemptFailure(RetryReason.VERSION_MISSING, sent=False))
             if response.status != OK_STATUS:
                 return Ok(ChatOutcome(response.status, error=await response.read()))
             return await _read_stream(response, on_text)
