--- a/tanagerwalk/decisions/limits.py
+++ b/tanagerwalk/decisions/limits.py
@@ -1,24 +1,14 @@
 """Admission: who waits, who goes next and who is refused at once."""
 
 import heapq
-from dataclasses import dataclass, field
-from itertools import count
 
 from expression import Error, Ok
-from sortedcontainers import SortedKeyList
-
-from ..ids import (
-    BackendServerId,
-    ClassName,
-    ClientAccountId,
-    Incarnation,
-    ServiceName,
-    VersionName,
-)
+
 from ..outcomes import Refusal, RefusalReason
 from .drains import DrainRates
 from .durations import DurationEstimates
 from .shares import FairShares
+from .tickets import Grant, Pool, Ticket, sort_key
 
 __all__ = ["AdmissionQueue", "DurationEstimates", "Grant", "Ticket"]
 
@@ -27,120 +17,6 @@
 LONG_WEIGHT = 1.0
 
 
-@dataclass(slots=True, eq=False)
-class Ticket:
-    """One attempt that asks for room on a backend server.
-
-    Parameters
-    ----------
-    account : ClientAccountId
-        For fair shares.
-    work_class : ClassName
-        For the estimate of how long the attempt takes.
-    deadline : float
-        Monotonic time after which the answer is of no use.
-    version : VersionName or None
-        The version that must be loaded; None for a plain service.
-    service : ServiceName or None
-        The plain service that must be offered; None for an engine.
-    long : bool
-        Whether the class is long, so that it leaves room to short ones.
-    exclude : frozenset of BackendServerId
-        Servers that may not be chosen.
-    suspect : bool
-        Whether the request was in flight on a server that crashed.
-    far_at : float
-        Monotonic time from which servers of other regions may be used even
-        though the own region is merely busy.
-    """
-
-    account: ClientAccountId
-    work_class: ClassName
-    deadline: float
-    version: VersionName | None = None
-    service: ServiceName | None = None
-    long: bool = False
-    exclude: frozenset[BackendServerId] = frozenset()
-    suspect: bool = False
-    far_at: float = float("-inf")
-    number: int = field(default_factory=count().__next__)
-
-    @property
-    def need(self):
-        """What the ticket asks for; equal needs are granted or blocked alike."""
-        return Need(self.version, self.service, self.long, self.exclude, self.suspect)
-
-
-@dataclass(frozen=True, slots=True)
-class Need:
-    """The room that a ticket asks for."""
-
-    version: VersionName | None
-    service: ServiceName | None
-    long: bool
-    exclude: frozenset[BackendServerId]
-    suspect: bool
-
-    @property
-    def drain(self):
-        """What kind of room it is, whichever servers have failed the request."""
-        return self.version, self.service, self.long
-
-
-@dataclass(frozen=True, slots=True)
-class Grant:
-    """Room on a backend server that was given to a ticket."""
-
-    ticket: Ticket
-    server: BackendServerId
-    address: str
-    incarnation: Incarnation
-
-
-class _Pool:
-    """The waiting tickets of one need, by client account and deadline."""
-
-    def __init__(self, now):
-        self.since = now
-        self.accounts = {}
-        self.length = 0
-        self.work = 0.0
-
-    def add(self, ticket, expected):
-        tickets = self.accounts.get(ticket.account)
-        if tickets is None:
-            tickets = self.accounts[ticket.account] = SortedKeyList(key=_sort_key)
-        tickets.add(ticket)
-        self.length += 1
-        self.work += expected
-
-    def remove(self, ticket, expected):
-        tickets = self.accounts[ticket.account]
-        tickets.remove(ticket)
-        if not tickets:
-            del self.accounts[ticket.account]
-        self.length -= 1
-        self.work -= expected
-
-    def count_ahead(self, ticket):
-        """Return how many tickets fair shares and deadlines put before a ticket."""
-        own = self.accounts.get(ticket.account)
-        before = 0 if own is None else own.bisect_key_left(_sort_key(ticket))
-        others = sum(
-            min(len(tickets), before + 1)
-            for account, tickets in self.accounts.items()
-            if account != ticket.account
-        )
-        return before + others
-
-    def list_all(self):
-        return [ticket for tickets in self.accounts.values() for ticket in tickets]
-
-    def pick_first(self, shares):
-        account = min(self.accounts, key=shares.read)
-        return self.accounts[account][0]
-
-
 class AdmissionQueue:
     """Holds the tickets that wait for room and grants it in order.
 
@@ -225,7 +101,7 @@
         need = ticket.need
         pool = self._pools.get(need)
         if pool is None:
-            pool = self._pools[need] = _Pool(now)
+            pool = self._pools[need] = Pool(now)
         pool.add(ticket, expected)
         self._expected[ticket] = expected
         self._lanes.enter(need.long)
@@ -331,7 +207,7 @@
     def _order(self, head):
         need, ticket = head
         share = self._shares[need.long].read(ticket.account)
-        return self._lanes.read(need.long), share, _sort_key(ticket)
+        return self._lanes.read(need.long), share, sort_key(ticket)
 
     def _charge(self, ticket, expected):
         weight = LONG_WEIGHT if ticket.long else SHORT_WEIGHT
@@ -407,10 +283,6 @@
     return min(server.paused_until for server in servers)
 
 
-def _sort_key(ticket):
-    return (ticket.deadline, ticket.number)
-
-
 def _refuse_late(expected):
     return Refusal(
         RefusalReason.DEADLINE_EXCEEDED,
