Spare a halted version for the accounts that may use no other

Cause: a version was spared only where every released version of its class was halted, so an account that may use just that version was refused although the answers were tolerable.

--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -313,7 +313,7 @@
                 name, version, work_class.lateness
             ),
             evidence=lambda version: self.book.sum_evidence(name, version),
-            halted=self.book.list_halted(name),
+            halted=self.book.list_halted(name, context.account.versions),
             exposed=exposed,
             # A session would hold its caller to a version on trial.
             draw=1.0 if context.wants_session else self._random.random(),
--- a/tanagerwalk/controllers/halts.py
+++ b/tanagerwalk/controllers/halts.py
@@ -73,9 +73,14 @@
         # Whether the store was asked for halts, so that a fresh instance does not
         # serve before; while the store is out, peers are all there is to ask.
         self.asked = False
+        # Before the first report of a peer comes: one of a far epoch is dropped.
+        book.evidence.advance(self._find_epoch())
         facts.subscribe(Topic.HALT, self._take_fact)
         facts.subscribe(Topic.RATINGS, self._take_report)
 
+    def _find_epoch(self):
+        return int(self._wall_clock() // self._settings.epoch)
+
     def follow(self, rollouts):
         """Give the evidence of peers to `rollouts`."""
         self._rollouts = rollouts
@@ -134,7 +139,7 @@
 
     async def share(self):
         """State the evidence that has grown most, within the fleet's rate."""
-        epoch = int(self._wall_clock() // self._settings.epoch)
+        epoch = self._find_epoch()
         self._book.evidence.advance(epoch)
         live = self._list_live()
         self._budget.refill(self._clock(), len(live or ()))
--- a/tanagerwalk/controllers/rollouts.py
+++ b/tanagerwalk/controllers/rollouts.py
@@ -102,10 +102,18 @@
     def _sync(self):
         self.book.configure(self._configuration.declaration)
 
-    def is_halted(self, key):
-        """Return whether a version gets no work of a class."""
+    def is_halted(self, key, allowed=None):
+        """Return whether a version gets no work of a class.
+
+        Parameters
+        ----------
+        key : tuple of ClassName and VersionName
+            The version at its class.
+        allowed : frozenset of VersionName or None
+            Versions of the client account; None for all that are declared.
+        """
         self._sync()
-        return self.book.is_halted(key)
+        return self.book.is_halted(key, allowed)
 
     def expose(self, key):
         """Take a unit of a candidate's budget; return an Exposure or None."""
--- a/tanagerwalk/decisions/halts.py
+++ b/tanagerwalk/decisions/halts.py
@@ -158,11 +158,11 @@
     return min(CEILING_LIMIT, max(least, RELATIVE_CEILING * rate))
 
 
-def find_spared(declaration, arms, halts, work_class):
+def find_spared(declaration, arms, halts, work_class, allowed):
     """Return the version that serves a class on although it was stopped.
 
-    Only where every released version of the class was stopped: then the one that
-    was rated best, if its answers are still better than refusals. A pure function
+    Only where every released version that an account may use was stopped: then the
+    one rated best, if its answers are still better than refusals. A pure function
     of declaration and halts, so that all instances spare the same one.
 
     Parameters
@@ -175,6 +175,8 @@
         All halts known.
     work_class : WorkClass
         The class.
+    allowed : frozenset of VersionName
+        Versions that the account may use.
 
     Returns
     -------
@@ -184,7 +186,7 @@
     for version in declaration.versions.values():
         if version.state is not VersionState.RELEASED:
             continue
-        if not serves(version, work_class.name):
+        if version.name not in allowed or not serves(version, work_class.name):
             continue
         halt = halts.get(arms[(work_class.name, version.name)])
         if halt is None:
--- a/tanagerwalk/decisions/rollouts.py
+++ b/tanagerwalk/decisions/rollouts.py
@@ -178,28 +178,46 @@
     def _spare(self):
         if self._declaration is None:
             return
+        declaration = self._declaration
+        accounts = declaration.client_accounts.values()
+        choices = {account.versions for account in accounts}
+        choices.add(frozenset(declaration.versions))
         self._spared = {
-            name: find_spared(self._declaration, self._arms, self.halts, work_class)
-            for name, work_class in self._declaration.classes.items()
+            (name, allowed): find_spared(
+                declaration, self._arms, self.halts, work_class, allowed
+            )
+            for name, work_class in declaration.classes.items()
             if work_class.interface is Interface.CHAT
+            for allowed in choices
         }
 
     @property
     def spared(self):
         """The halted versions that serve for want of others, as (class, version)."""
-        return {(name, spared) for name, spared in self._spared.items() if spared}
+        return {(key[0], name) for key, name in self._spared.items() if name}
 
-    def is_halted(self, key):
-        """Return whether a version gets no work of a class."""
-        arm = self._arms.get(key)
-        return arm in self.halts and self._spared.get(key[0]) != key[1]
+    def is_halted(self, key, allowed=None):
+        """Return whether a version gets no work of a class.
+
+        Parameters
+        ----------
+        key : tuple of ClassName and VersionName
+            The version at its class.
+        allowed : frozenset of VersionName or None
+            Versions of the client account; None for all that are declared.
+        """
+        if self._arms.get(key) not in self.halts:
+            return False
+        if allowed is None:
+            allowed = frozenset(self._declaration.versions)
+        return self._spared.get((key[0], allowed)) != key[1]
 
-    def list_halted(self, work_class):
-        """Return the versions that get no work of a class."""
+    def list_halted(self, work_class, allowed=None):
+        """Return the versions that get no work of a class; see `is_halted`."""
         return frozenset(
             version
             for name, version in self._arms
-            if name == work_class and self.is_halted((name, version))
+            if name == work_class and self.is_halted((name, version), allowed)
         )
 
     def list_candidates(self):
--- a/tanagerwalk/filters/guard.py
+++ b/tanagerwalk/filters/guard.py
@@ -62,7 +62,8 @@
             context.version,
             in_session=context.session is not None,
         )
-        halted = self._rollouts.is_halted((context.work_class.name, context.version))
+        key = (context.work_class.name, context.version)
+        halted = self._rollouts.is_halted(key, context.account.versions)
         if allowed and not halted and self._rollouts.is_exposed(context):
             return None
         return Refusal(
--- a/tanagerwalk/filters/plan.py
+++ b/tanagerwalk/filters/plan.py
@@ -93,7 +93,8 @@
         name = context.session.version
         key = (context.work_class.name, name)
         allowed = is_allowed(declaration, context.account.name, name, in_session=True)
-        if not allowed or self._rollouts.is_halted(key):
+        halted = self._rollouts.is_halted(key, context.account.versions)
+        if not allowed or halted:
             return _refuse(
                 RefusalReason.VERSION_WITHDRAWN,
                 "the version of this session takes no more work",
--- a/test/decisions/test_halts.py
+++ b/test/decisions/test_halts.py
@@ -25,6 +25,10 @@
 [class plan]
 quality = 0.9
 lateness = 10 s
+[account desk]
+key_sha256 = ab
+classes = plan
+versions = old
 [version old]
 state = released
 cost = 1
@@ -40,6 +44,7 @@
 exposure = 8
 replaces = old
 """
+ONLY_OLD = frozenset(["old"])
 OLD, TWIN, NEW = (("plan", name) for name in ("old", "twin", "new"))
 
 
@@ -165,6 +170,16 @@
         assert {key for key in (OLD, TWIN, NEW) if book.is_halted(key)} == halted
 
 
+def test_account_without_another_version_keeps_a_tolerable_one():
+    book = make_book()
+    book.take_halt(book.get_arm(OLD), Halt(HaltCause.RATINGS, 0.85))
+    assert book.is_halted(OLD)
+    assert book.is_halted(OLD, frozenset(["old", "twin"]))
+    assert not book.is_halted(OLD, ONLY_OLD)
+    assert book.list_halted("plan", ONLY_OLD) == frozenset()
+    assert book.spared == {OLD}
+
+
 def test_section_hash_does_not_depend_on_order():
     text = TEXT.replace("[class plan]", "[class note]\nlateness = 1 s\n[class plan]")
     first = parse_declaration(text.replace("plan:0.95", "plan:0.95 note:0.9")).ok
