--- a/test/filters/test_plan.py
+++ b/test/filters/test_plan.py
@@ -14,7 +14,7 @@
 from tanagerwalk.decisions.configuration import ConfigurationState
 from tanagerwalk.decisions.halts import Halt
 from tanagerwalk.decisions.limits import DurationEstimates, Grant
-from tanagerwalk.decisions.ratings import RatingGate
+from tanagerwalk.decisions.ratings import PAUSE_S, RatingGate
 from tanagerwalk.decisions.rollouts import RolloutBook
 from tanagerwalk.decisions.sessions import SessionTokens
 from tanagerwalk.decisions.versions import PlanInputs
@@ -208,6 +208,9 @@
         self.rating = rating
         while not self.rollouts._tasks.empty():
             task = self.rollouts._tasks.get_nowait()
+            # The controller waits for the rating service, and this clock stands still.
+            while not self.rollouts.gate.is_up(self.now):
+                self.now += PAUSE_S
             self.loop.run_until_complete(self.rollouts._settle(task))
         self.rating = 0.95
 
