--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -17,6 +17,7 @@
 from .clients.targets import TargetsClient
 from .controllers.billing import BillingController
 from .controllers.configuration import ConfigurationController
+from .controllers.evidence import EvidenceController
 from .controllers.exchange import ExchangeController
 from .controllers.exposure import ExposureController
 from .controllers.halts import HaltController
@@ -164,9 +165,6 @@
 
     def _wire_rollouts(self):
         settings = self.settings.rollouts
-        self.configuring.notify(
-            lambda: self.book.configure(self.configuration.declaration)
-        )
         self.halting = HaltController(
             self.book,
             self.store,
@@ -174,10 +172,9 @@
             settings,
             self.metrics,
             self._clock,
-            self._wall_clock,
             self._random,
-            self.membership.list_live,
         )
+        self.configuring.notify(self._heed_declaration)
         self.rollouts = RolloutController(
             self.book,
             self.configuration,
@@ -190,7 +187,15 @@
             self.membership.list_live,
             on_halt=self.halting.halt,
         )
-        self.halting.follow(self.rollouts)
+        self.evidence = EvidenceController(
+            self.rollouts,
+            self.facts,
+            settings,
+            self._clock,
+            self._wall_clock,
+            self._random,
+            self.membership.list_live,
+        )
         self.exposing = ExposureController(
             self.book,
             self.configuration,
@@ -229,6 +234,10 @@
         sent = client.bytes_sent + server.bytes_sent
         return sent + client.bytes_received + server.bytes_received
 
+    def _heed_declaration(self):
+        self.book.configure(self.configuration.declaration)
+        self.halting.heed_declaration()
+
     def _wire_apis(self):
         settings = self.settings
         self.callers = CallersApi(
@@ -375,8 +384,8 @@
             self.exchange.run,
             self.load.run,
             self.rollouts.run,
+            self.evidence.run,
             self.halting.run,
-            self.halting.run_store,
             self.exposing.run,
             self.billing.run,
             self.gate.run,
--- a/tanagerwalk/controllers/halts.py
+++ b/tanagerwalk/controllers/halts.py
@@ -1,18 +1,13 @@
-"""Spreads halts and evidence to peers, and keeps halts in the key-value service."""
+"""Spreads halts to peers, and keeps them in the key-value service."""
+
+import asyncio
 
 import structlog
 
-from ..decisions.deputies import Deputies, StatementBudget
-from ..decisions.evidence import (
-    EPOCHS_OPEN,
-    Arm,
-    Counts,
-    decode_report,
-    encode_report,
-)
+from ..decisions.evidence import Arm
 from ..decisions.facts import Topic
 from ..decisions.halts import decode_halt, encode_halt
-from .loop import run_periodically
+from .loop import JITTER
 
 log = structlog.get_logger(__name__)
 
@@ -21,69 +16,44 @@
 
 
 class HaltController:
-    """Makes halts last and evidence shared.
+    """Makes halts last, everywhere.
 
     Parameters
     ----------
     book : RolloutBook
-        Takes halts and holds the evidence.
+        Takes halts.
     store : KeyValueClient
         Keeps the halts.
     facts : FactTable
-        Carries halts and evidence between instances.
+        Carries halts between instances.
     settings : RolloutSettings
         Intervals.
     metrics : Metrics
         Counters.
     clock : callable
         Returns monotonic time in seconds.
-    wall_clock : callable
-        Returns seconds since the epoch; numbers the epochs of evidence.
     random : random.Random
         Source of jitter.
-    list_live : callable
-        Returns the incarnations of live instances, or None.
     """
 
-    def __init__(
-        self,
-        book,
-        store,
-        facts,
-        settings,
-        metrics,
-        clock,
-        wall_clock,
-        random,
-        list_live,
-    ):
+    def __init__(self, book, store, facts, settings, metrics, clock, random):
         self._book = book
-        self._rollouts = None
         self._store = store
         self._facts = facts
         self._settings = settings
         self._metrics = metrics
         self._clock = clock
-        self._wall_clock = wall_clock
         self._random = random
-        self._list_live = list_live
-        self._deputies = Deputies()
-        self._budget = StatementBudget()
-        self._stated = {}
+        self._asked = set()
+        self._is_due = asyncio.Event()
         # Whether the store was asked for halts, so that a fresh instance does not
         # serve before; while the store is out, peers are all there is to ask.
         self.asked = False
-        # Before the first report of a peer comes: one of a far epoch is dropped.
-        book.evidence.advance(self._find_epoch())
         facts.subscribe(Topic.HALT, self._take_fact)
-        facts.subscribe(Topic.RATINGS, self._take_report)
-
-    def _find_epoch(self):
-        return int(self._wall_clock() // self._settings.epoch)
 
-    def follow(self, rollouts):
-        """Give the evidence of peers to `rollouts`."""
-        self._rollouts = rollouts
+    def heed_declaration(self):
+        """Ask for the halts of sections that are new, without a wait."""
+        self._is_due.set()
 
     def halt(self, arm, halt):
         """Stop a version that this instance found to be bad.
@@ -103,6 +73,8 @@
         self._facts.state(
             Topic.HALT, arm.to_key(), encode_halt(halt), self._clock(), HALT_LIFETIME_S
         )
+        self._asked.discard(arm.section)
+        self._is_due.set()
 
     def _take(self, arm, halt):
         is_new = self._book.take_halt(arm, halt)
@@ -123,79 +95,54 @@
             return
         self._take(arm, halt)
 
-    def _take_report(self, fact):
-        report = decode_report(fact.key, fact.value)
-        if report is None or self._rollouts is None:
-            return
-        self._rollouts.take_report(fact.origin, report)
-
     async def run(self):
-        """Share evidence until cancelled."""
-        await run_periodically(self.share, self._settings.share_interval, self._random)
-
-    async def run_store(self):
         """Read and write the store's halts until cancelled."""
-        await run_periodically(self.poll, self._settings.halts_interval, self._random)
-
-    async def share(self):
-        """State the evidence that has grown most, within the fleet's rate."""
-        epoch = self._find_epoch()
-        self._book.evidence.advance(epoch)
-        live = self._list_live()
-        self._budget.refill(self._clock(), len(live or ()))
-        reports = self._book.evidence.list_own(self._facts.origin)
-        self._stated = {
-            key: counts
-            for key, counts in self._stated.items()
-            if key[1] > epoch - EPOCHS_OPEN
-        }
-        for report in sorted(reports, key=self._measure_news, reverse=True):
-            if not self._is_due(report, live):
-                continue
-            if not self._budget.take():
-                return
-            self._state(report)
-
-    def _state(self, report):
-        key, value = encode_report(report)
-        lifetime = EPOCHS_OPEN * self._settings.epoch
-        self._facts.state(Topic.RATINGS, key, value, self._clock(), lifetime)
-        self._stated[(report.arm, report.epoch)] = report.counts
-
-    def _measure_news(self, report):
-        stated = self._stated.get((report.arm, report.epoch), Counts())
-        return (
-            self._book.is_on_trial(report.arm),
-            report.counts.count + report.counts.errors - stated.count - stated.errors,
-            report.counts.attempts - stated.attempts,
-        )
-
-    def _is_due(self, report, live):
-        stated = self._stated.get((report.arm, report.epoch), Counts())
-        if report.counts == stated:
-            return False
-        if self._book.is_on_trial(report.arm):
-            return True
-        return self._deputies.includes(self._facts.origin, report.arm, live)
+        while True:
+            await self._is_due.wait()
+            self._is_due.clear()
+            await self.poll(self._book.list_sections() - self._asked)
+            spread = 1.0 + JITTER * (2.0 * self._random.random() - 1.0)
+            await self._wait(self._settings.halts_interval * spread)
+
+    async def _wait(self, limit):
+        """Wait for the time of the next poll, or for a new declaration."""
+        try:
+            async with asyncio.timeout(limit):
+                await self._is_due.wait()
+        except TimeoutError:
+            # Time to ask for all of them again.
+            self._asked.clear()
+            self._is_due.set()
 
-    async def poll(self):
-        """Read the halts of the store, and write those that it lacks.
+    async def poll(self, sections):
+        """Read the halts of some sections, and write those that the store lacks.
 
         Halts learned from peers are written too: the instance that found them may
-        have died before it could.
+        have died before it could. Sections no longer in force are not read, so a
+        long history costs nothing.
+
+        Parameters
+        ----------
+        sections : set of SectionHash
+            The sections.
         """
-        result = await self._store.list(HALTS_PREFIX)
+        for section in sorted(sections):
+            if await self._poll_section(section):
+                self._asked.add(section)
+        self.asked = True
+
+    async def _poll_section(self, section):
+        result = await self._store.list(f"{HALTS_PREFIX}{section}/")
         if result.is_error():
-            self.asked = True
             self._metrics.platform_faults.labels("keyvalue").inc()
-            return
+            return False
         kept = {entry.key.removeprefix(HALTS_PREFIX): entry for entry in result.ok}
         for key, entry in kept.items():
             self._take_encoded(key, entry.value)
-        self.asked = True
         for arm, halt in list(self._book.halts.items()):
-            if arm.to_key() not in kept:
+            if arm.section == section and arm.to_key() not in kept:
                 await self._keep(arm, halt)
+        return True
 
     async def _keep(self, arm, halt):
         written = await self._store.create(
--- a/tanagerwalk/decisions/rollouts.py
+++ b/tanagerwalk/decisions/rollouts.py
@@ -96,6 +96,10 @@
         """Return the Arm of a (class, version), or None if it is not declared."""
         return self._arms.get(key)
 
+    def list_sections(self):
+        """Return the hashes of the versions' sections in force."""
+        return {arm.section for arm in self._arms.values()}
+
     def record_rating(self, key, rating):
         """Add the rating of an answer that was given here."""
         work_class = self._declaration.classes[key[0]]
