--- a/tanagerwalk/decisions/cascades.py
+++ b/tanagerwalk/decisions/cascades.py
@@ -16,7 +16,6 @@
         RefusalReason.BACKEND_FAILED,
     }
 )
-REPLANNING = ESCALATING - {RefusalReason.BACKEND_FAILED}
 VERSION_FAULTS = frozenset({RetryReason.SERVER_ERROR, RetryReason.INCOMPLETE_ANSWER})
 CRASH_PAUSE_S = 10.0
 
@@ -52,19 +51,23 @@
     return idempotent or refusal.run_state is RunState.NOT_RUN
 
 
-def may_replan(refusal, sent):
+def may_replan(refusal, idempotent, on_trial):
     """Return whether another plan may take the place of a refused one.
 
     Parameters
     ----------
     refusal : Refusal
         Why the plan gave no answer.
-    sent : bool
-        Whether any attempt may have reached a backend server.
+    idempotent : bool
+        Whether the class of work may run twice.
+    on_trial : bool
+        Whether the plan was a candidate's: its failures must not cost callers
+        their answers. Other failed versions are not replaced, since that would
+        multiply the load of an outage.
     """
-    if sent or refusal.run_state is not RunState.NOT_RUN:
+    if refusal.reason is RefusalReason.BACKEND_FAILED and not on_trial:
         return False
-    return refusal.reason in REPLANNING
+    return may_escalate(refusal, idempotent)
 
 
 class FaultAttribution:
