--- a/tanagerwalk/filters/retry.py
+++ b/tanagerwalk/filters/retry.py
@@ -1,11 +1,17 @@
 """Repeats failed attempts while that is allowed and worth while."""
 
+import asyncio
 import dataclasses
 
 from expression import Error
 
 from ..decisions.leaving import Suspicion
-from ..decisions.retries import RetryState, decide_retry, is_overload
+from ..decisions.retries import (
+    RetryState,
+    choose_backoff,
+    decide_retry,
+    judge_server,
+)
 from ..outcomes import Refusal, RetryReason, RunState
 
 
@@ -24,14 +30,17 @@
         Counters.
     clock : callable
         Returns monotonic time in seconds.
+    random : random.Random
+        Source of jitter.
     """
 
-    def __init__(self, settings, budget, table, metrics, clock):
+    def __init__(self, settings, budget, table, metrics, clock, random):
         self._settings = settings
         self._budget = budget
         self._table = table
         self._metrics = metrics
         self._clock = clock
+        self._random = random
 
     async def handle(self, context, proceed):
         """Run attempts until one gives an answer or none may follow."""
@@ -49,6 +58,7 @@
             if refusal is not None:
                 return Error(refusal)
             self._metrics.retries.labels(failure.reason.value).inc()
+            await self._back_off(context, attempts)
 
     def _decide(self, context, failure, attempts):
         now = self._clock()
@@ -56,7 +66,6 @@
         if failure.server is not None:
             context.tried.add(failure.server)
             self._record_failure(context, failure, now)
-            self._weigh_leaving(context.grant, failure, now)
         state = RetryState(
             idempotent=context.work_class.idempotent,
             sent=context.sent,
@@ -67,13 +76,22 @@
         )
         return decide_retry(failure, state, self._budget)
 
+    async def _back_off(self, context, attempts):
+        service = context.work_class.service
+        serving = self._table.list_serving(context.version, service)
+        all_failed = all(server.record.id in context.tried for server in serving)
+        pause = choose_backoff(attempts, all_failed, self._random.random())
+        if pause > 0.0:
+            await asyncio.sleep(pause)
+
     def _record_failure(self, context, failure, now):
-        if failure.reason is RetryReason.VERSION_NOT_LOADED:
+        if failure.reason is RetryReason.VERSION_MISSING:
             self._table.forget_version(failure.server, context.version)
             return
         self._table.record_failure(
-            failure.server, now, is_overload(failure.reason), failure.retry_after
+            failure.server, now, judge_server(failure.reason), failure.retry_after
         )
+        self._weigh_leaving(context.grant, failure, now)
 
     def _weigh_leaving(self, grant, failure, now):
         """Let a failure count against the incarnation that it came from."""
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -82,6 +82,8 @@
     max_attempts: int
     budget_ratio: float
     budget_burst: float
+    hedge_ratio: float
+    hedge_burst: float
     connect_timeout: float
     idle_timeout: float
 
@@ -91,6 +93,9 @@
     """How the load of backend servers is read."""
 
     interval: float
+    idle_interval: float
+    models_interval: float
+    scrapes_per_second: float
     timeout: float
     stale_after: float
 
