--- a/test/decisions/test_versions.py
+++ b/test/decisions/test_versions.py
@@ -178,3 +178,14 @@
         ("cheap", "strong"), index, time_left, durations.__getitem__, 0.1
     )
     assert step == expected
+
+
+@pytest.mark.parametrize(("idempotent", "steps"), [(True, 2), (False, 1)])
+def test_class_that_may_not_run_twice_gets_no_cascade(idempotent, steps):
+    counts = {"cheap": rated(0.9, 40)}
+    plan = choose(
+        work_class=replace(WORK_CLASS, idempotent=idempotent),
+        available=frozenset(["cheap", "middle"]),
+        evidence=lambda name: counts.get(name, Counts()),
+    ).ok
+    assert len(plan.steps) == steps
