--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -19,6 +19,7 @@
 from .clients.targets import TargetsClient
 from .controllers.billing import BillingController
 from .controllers.configuration import ConfigurationController
+from .controllers.evidence import EvidenceController
 from .controllers.exchange import ExchangeController
 from .controllers.exposure import ExposureController
 from .controllers.halts import HaltController
@@ -183,9 +184,6 @@
 
     def _wire_rollouts(self):
         settings = self.settings.rollouts
-        self.configuring.notify(
-            lambda: self.book.configure(self.configuration.declaration)
-        )
         self.halting = HaltController(
             self.book,
             self.store,
@@ -193,10 +191,9 @@
             settings,
             self.metrics,
             self._clock,
-            self._wall_clock,
             self._random,
-            self.membership.list_live,
         )
+        self.configuring.notify(self._heed_declaration)
         self.rollouts = RolloutController(
             self.book,
             self.configuration,
@@ -209,9 +206,14 @@
             self.membership.list_live,
             on_halt=self.halting.halt,
         )
-        self.halting.follow(self.rollouts)
-        self.configuring.notify(
-            lambda: self.book.configure(self.configuration.declaration)
+        self.evidence = EvidenceController(
+            self.rollouts,
+            self.facts,
+            settings,
+            self._clock,
+            self._wall_clock,
+            self._random,
+            self.membership.list_live,
         )
         self.exposing = ExposureController(
             self.book,
@@ -275,6 +277,10 @@
         sent = client.bytes_sent + server.bytes_sent
         return sent + client.bytes_received + server.bytes_received
 
+    def _heed_declaration(self):
+        self.book.configure(self.configuration.declaration)
+        self.halting.heed_declaration()
+
     def _wire_apis(self):
         settings = self.settings
         self.callers = CallersApi(
@@ -384,7 +390,7 @@
                 name, version, work_class.lateness
             ),
             evidence=lambda version: self.book.sum_evidence(name, version),
-            halted=self.book.list_halted(name),
+            halted=self.book.list_halted(name, context.account.versions),
             exposed=exposed,
             # A session would hold its caller to a version on trial.
             draw=1.0 if context.wants_session else self._random.random(),
@@ -447,8 +453,8 @@
             self.exchange.run,
             self.load.run,
             self.rollouts.run,
+            self.evidence.run,
             self.halting.run,
-            self.halting.run_store,
             self.exposing.run,
             self.billing.run,
             self.leases.run,
--- a/test/filters/test_cascade.py
+++ b/test/filters/test_cascade.py
@@ -186,6 +186,7 @@
     await bench.run()
     assert bench.context.cost == pytest.approx(1.1)
     assert bench.rollouts.sampled == ["strong"]
+    assert bench.context.sent
 
 
 def test_rating_gate_pauses_while_the_service_is_out():
