--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -12,6 +12,7 @@
 from .api.callers import CallersApi
 from .clients.engines import EngineClient
 from .clients.keyvalue import KeyValueClient
+from .clients.orders import OrderClient
 from .clients.ratings import RatingsClient
 from .clients.services import ServiceClient
 from .clients.targets import TargetsClient
@@ -20,13 +21,17 @@
 from .controllers.exchange import ExchangeController
 from .controllers.exposure import ExposureController
 from .controllers.halts import HaltController
+from .controllers.leases import LeaseController
 from .controllers.load import LoadController
 from .controllers.loop import poll_until
 from .controllers.membership import MembershipController
+from .controllers.orders import OrderController
 from .controllers.rollouts import RolloutController
 from .decisions.configuration import ConfigurationState
+from .decisions.demand import DemandMeter
 from .decisions.facts import FactTable
 from .decisions.limits import AdmissionQueue, DurationEstimates
+from .decisions.orders import OrderBook
 from .decisions.partners import PartnerChooser
 from .decisions.ratings import RatingGate
 from .decisions.retries import RetryBudget
@@ -40,6 +45,7 @@
 from .filters.chain import link_filters
 from .filters.claim import ClaimFilter
 from .filters.count import CountFilter
+from .filters.demand import DemandFilter
 from .filters.dispatch import DispatchFilter
 from .filters.guard import GuardFilter
 from .filters.identify import IdentifyFilter
@@ -124,6 +130,7 @@
         self.book = RolloutBook(self.incarnation, settings.rollouts.false_alarm)
         self.facts = FactTable(self.incarnation)
         self.metrics.spared.set_function(lambda: len(self.book.spared))
+        self.demand = DemandMeter()
         queue = AdmissionQueue(self.table, self.durations, settings.limits.queue_length)
         self.gate = Gate(queue, self.table, self._expect_duration, self._clock)
         self.metrics.waiting.set_function(lambda: len(queue))
@@ -148,6 +155,7 @@
             self._random,
         )
         self._wire_exchange()
+        self._wire_orders()
         self.load = LoadController(
             self._engines,
             self._services,
@@ -158,12 +166,19 @@
             self._random,
         )
         self._wire_rollouts()
+        self.configuring.notify(self._configure_book)
         self.billing = BillingController(
             self.store, self.incarnation, self.metrics, self._random
         )
 
+    def _configure_book(self):
+        self.book.configure(self.configuration.declaration)
+
     def _wire_rollouts(self):
         settings = self.settings.rollouts
+        self.configuring.notify(
+            lambda: self.book.configure(self.configuration.declaration)
+        )
         self.halting = HaltController(
             self.book,
             self.store,
@@ -202,6 +217,29 @@
             self._random,
         )
 
+    def _wire_orders(self):
+        self.leases = LeaseController(
+            self.store,
+            self.table.home,
+            self.incarnation,
+            self.membership,
+            self.settings.orders,
+            self.metrics,
+        )
+        self.ordering = OrderController(
+            self.leases,
+            OrderClient(self._fresh_http, self.settings.orders),
+            OrderBook(self.settings.orders.report_lag),
+            self.table,
+            self.configuration,
+            self.book,
+            self.demand,
+            self.settings.orders,
+            self.metrics,
+            self._clock,
+            self._random,
+        )
+
     def _wire_exchange(self):
         settings = self.settings
         budget = ByteBudget(settings.peers.slow_rate, SLOW_BURST_BYTES)
@@ -275,6 +313,7 @@
                     self.metrics,
                     self._clock,
                 ),
+                DemandFilter(self.demand, self.durations, self._clock),
                 RetryFilter(
                     settings.retries, budget, self.table, self.metrics, self._clock
                 ),
@@ -346,6 +385,7 @@
             "revision": self.configuration.revision,
             "in_flight": self.callers.in_flight,
             "rollouts": self.rollouts.report(),
+            "orders": self.ordering.report_status(),
             "backend_servers": [
                 {
                     "id": server.record.id,
@@ -380,6 +420,8 @@
             self.halting.run_store,
             self.exposing.run,
             self.billing.run,
+            self.leases.run,
+            self.ordering.run,
             self.gate.run,
         ):
             self._supervise(run())
@@ -418,7 +460,9 @@
             lambda: not self.callers.in_flight, DRAIN_POLL_S, instance.drain_limit
         )
         await self.claims.drain(max(0.0, deadline - self._clock()))
+        await self.leases.release()
         await self.billing.flush_all(max(0.0, deadline - self._clock()))
+        await self.exposing.release()
         await self.close()
         log.info("stopped", in_flight=self.callers.in_flight)
 
--- a/tanagerwalk/clients/targets.py
+++ b/tanagerwalk/clients/targets.py
@@ -20,6 +20,7 @@
 LEAVING_STATE = "leaving"
 OK_STATUS = 200
 NOT_MODIFIED = 304
+CHECKS_FENCING = "checked"
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,4 +133,5 @@
         incarnation=Incarnation(labels["incarnation"]),
         service=ServiceName(service) if service else None,
         leaving=labels.get("state") == LEAVING_STATE,
+        checks_fencing=labels.get("fencing") == CHECKS_FENCING,
     )
