--- a/test/controllers/test_exchange.py
+++ b/test/controllers/test_exchange.py
@@ -45,7 +45,9 @@
 
 def list_exposed(instance):
     context = RequestContext("r", {}, "", "plan", arrived=time.monotonic())
-    context.work_class = instance.configuration.declaration.classes["plan"]
+    declaration = instance.configuration.declaration
+    context.work_class = declaration.classes["plan"]
+    context.account = declaration.client_accounts["desk"]
     return set(instance._collect_plan_inputs(context, frozenset()).exposed)
 
 
