Make claims a state machine that survives lost and late writes

Cause: the release of a claim deleted its key, so a create whose answer was lost could take effect afterwards and block the key for good; a run in doubt left its claim "running" for ever; an answer above the bound was replayed empty; resends during an outage were told "not run" by the instance that was running the request; nothing ever deleted a finished claim.

Change: Claim is a state machine without I/O; keys go claimed -> released, finished or unresolved by compare-and-swap and are never deleted by us. Writes go through BatchingStore, one etcd txn with nested txns. The stand-in now has etcd's rules: one revision a call, 128 operations, no two puts of one key.

--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -10,9 +10,11 @@
 
 from .api.admin import AdminApi
 from .api.callers import CallersApi
+from .clients.batches import BatchingStore
 from .clients.engines import EngineClient
 from .clients.keyvalue import KeyValueClient
 from .clients.ratings import RatingsClient
+from .clients.retention import RetentionLease
 from .clients.services import ServiceClient
 from .clients.targets import TargetsClient
 from .controllers.billing import BillingController
@@ -89,6 +91,7 @@
         )
         timeout = platform.timeout
         self.store = KeyValueClient(self._http, platform.keyvalue, timeout)
+        self.batches = BatchingStore(self.store)
         self._targets = TargetsClient(self._http, platform.instances, timeout)
         self._ratings = RatingsClient(self._http, platform.ratings, timeout)
         self._engines = EngineClient(self._http, retries)
@@ -156,7 +159,11 @@
             settings.retries.budget_ratio, settings.retries.budget_burst
         )
         self.claims = ClaimFilter(
-            self.store, self.incarnation, self.membership.list_live
+            self.batches,
+            RetentionLease(self.store, settings.claims.retention, self._clock),
+            self.incarnation,
+            self.membership.list_live,
+            self._wall_clock,
         )
         return link_filters(
             [
--- /dev/null
+++ b/tanagerwalk/clients/batches.py
@@ -0,0 +1,160 @@
+"""Group commit: many conditional writes in one call of the key-value service."""
+
+import asyncio
+from dataclasses import dataclass
+
+from expression import Error
+
+from ..writes import StoreFault, Write
+
+# etcd allows 128 operations a transaction, one of which is the outer level's share.
+MAX_WRITES = 100
+MAX_BYTES = 512 * 1024
+MAX_CALLS = 2
+MAX_WAIT_S = 1.0
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _Item:
+    write: Write
+    future: asyncio.Future
+
+    @property
+    def size(self):
+        return len(self.write.key) + len(self.write.value or b"")
+
+
+class BatchingStore:
+    """Gathers the writes that come while calls are under way.
+
+    A write goes out at once while fewer than `MAX_CALLS` calls run, so that an idle
+    instance adds no latency. What was not sent within `MAX_WAIT_S` fails as not
+    applied.
+
+    Parameters
+    ----------
+    store : KeyValueClient
+        Makes the calls.
+    linger : float
+        Seconds to wait for more writes before a call.
+
+    Attributes
+    ----------
+    calls, writes : int
+        Calls made and writes sent so far.
+    """
+
+    def __init__(self, store, linger=0.0):
+        self._store = store
+        self._linger = linger
+        self._waiting = []
+        self._running = 0
+        self._tasks = set()
+        self._timer = None
+        self.calls = 0
+        self.writes = 0
+
+    async def write(self, write):
+        """Make one conditional write.
+
+        Parameters
+        ----------
+        write : Write
+            The write.
+
+        Returns
+        -------
+        Result of WriteOutcome, or of StoreFault
+            If a call's outcome is unknown, it is unknown for each of its writes.
+        """
+        loop = asyncio.get_running_loop()
+        item = _Item(write, loop.create_future())
+        self._waiting.append(item)
+        expiry = loop.call_later(MAX_WAIT_S, self._expire, item)
+        self._schedule(loop)
+        try:
+            return await item.future
+        finally:
+            expiry.cancel()
+
+    def _schedule(self, loop):
+        if self._timer is None:
+            self._timer = loop.call_later(self._linger, self._pump)
+
+    def _pump(self):
+        self._timer = None
+        self._waiting = [item for item in self._waiting if not item.future.done()]
+        while self._waiting and self._running < MAX_CALLS:
+            batch = choose_batch(self._waiting)
+            taken = set(batch)
+            self._waiting = [item for item in self._waiting if item not in taken]
+            self._running += 1
+            task = asyncio.get_running_loop().create_task(self._send(batch))
+            self._tasks.add(task)
+            task.add_done_callback(self._finish)
+
+    def _finish(self, task):
+        self._tasks.discard(task)
+        self._running -= 1
+        if self._waiting:
+            self._pump()
+
+    def _expire(self, item):
+        if item not in self._waiting:
+            return
+        self._waiting.remove(item)
+        _resolve(item, Error(StoreFault.NOT_APPLIED))
+
+    async def _send(self, batch):
+        if len(batch) == 1:
+            _resolve(batch[0], await self._send_one(batch[0]))
+            return
+        self._count(len(batch))
+        result = await self._store.write_all([item.write for item in batch])
+        if result.is_error() and result.error is StoreFault.REJECTED:
+            # One write that the store refuses must not fail the others.
+            for item in batch:
+                _resolve(item, await self._send_one(item))
+            return
+        for number, item in enumerate(batch):
+            _resolve(item, result.map(lambda outcomes, number=number: outcomes[number]))
+
+    async def _send_one(self, item):
+        self._count(1)
+        return await self._store.write(item.write)
+
+    def _count(self, writes):
+        self.calls += 1
+        self.writes += writes
+
+
+def choose_batch(waiting):
+    """Choose the writes of the next call.
+
+    Parameters
+    ----------
+    waiting : sequence
+        Items in order of arrival, with `write` and `size` in bytes.
+
+    Returns
+    -------
+    list
+        The first items of distinct keys that fit into one call, at least one.
+    """
+    batch = []
+    keys = set()
+    size = 0
+    for item in waiting:
+        if batch and (len(batch) >= MAX_WRITES or size + item.size > MAX_BYTES):
+            break
+        if item.write.key in keys:
+            continue
+        batch.append(item)
+        keys.add(item.write.key)
+        size += item.size
+    return batch
+
+
+def _resolve(item, result):
+    if not item.future.done():
+        item.future.set_result(result)
--- a/tanagerwalk/clients/keyvalue.py
+++ b/tanagerwalk/clients/keyvalue.py
@@ -2,61 +2,16 @@
 
 import asyncio
 import base64
-from dataclasses import dataclass
-from enum import Enum
 
 import aiohttp
 import msgspec
 from expression import Error, Ok
 
 from ..ids import Revision
+from ..writes import ABSENT, Entry, StoreFault, Write, WriteOutcome
 
 ENDLESS_KEY = b"\0"
-
-
-class StoreFault(Enum):
-    """Why a call gave no answer."""
-
-    NOT_APPLIED = "not_applied"
-    UNKNOWN = "unknown"
-
-
-@dataclass(frozen=True, slots=True)
-class Entry:
-    """A key's value with its revisions.
-
-    Parameters
-    ----------
-    key : str
-        The key.
-    value : bytes
-        The value.
-    revision : Revision
-        The store's revision at the last write of this key.
-    """
-
-    key: str
-    value: bytes
-    revision: Revision
-
-
-@dataclass(frozen=True, slots=True)
-class WriteOutcome:
-    """What a conditional write did.
-
-    Parameters
-    ----------
-    applied : bool
-        Whether the condition held.
-    revision : Revision
-        The store's revision after the call.
-    existing : Entry or None
-        The entry that made the condition fail, if there is one.
-    """
-
-    applied: bool
-    revision: Revision
-    existing: Entry | None = None
+REJECTED_STATUSES = frozenset({400, 404, 413})
 
 
 class _KeyValuePair(msgspec.Struct, frozen=True):
@@ -83,6 +38,7 @@
 
 class _OperationResponse(msgspec.Struct, frozen=True):
     response_range: _RangeResponse | None = None
+    response_txn: "_TxnResponse | None" = None
 
 
 class _TxnResponse(msgspec.Struct, frozen=True):
@@ -142,6 +98,8 @@
                 self._base_url + path, json=body, timeout=self._timeout
             ) as response:
                 content = await response.read()
+                if response.status in REJECTED_STATUSES:
+                    return Error(StoreFault.REJECTED)
                 if response.status != 200:
                     return Error(StoreFault.UNKNOWN)
                 return Ok(msgspec.json.decode(content, type=kind))
@@ -188,8 +146,7 @@
         -------
         Result of WriteOutcome, or of StoreFault
         """
-        compare = {"key": _encode(key), "target": "CREATE", "create_revision": "0"}
-        return await self._write(key, compare, _put(key, value, lease))
+        return await self.write(Write(key, value, ABSENT, lease))
 
     async def replace(self, key, value, revision, lease=0):
         """Write a key whose last write must have been at `revision`.
@@ -198,8 +155,7 @@
         -------
         Result of WriteOutcome, or of StoreFault
         """
-        compare = _compare_revision(key, revision)
-        return await self._write(key, compare, _put(key, value, lease))
+        return await self.write(Write(key, value, revision, lease))
 
     async def delete(self, key, revision):
         """Delete a key whose last write must have been at `revision`.
@@ -208,17 +164,42 @@
         -------
         Result of WriteOutcome, or of StoreFault
         """
-        request = {"request_delete_range": {"key": _encode(key)}}
-        return await self._write(key, _compare_revision(key, revision), request)
-
-    async def _write(self, key, compare, request):
-        body = {
-            "compare": [{"result": "EQUAL", **compare}],
-            "success": [request],
-            "failure": [{"request_range": {"key": _encode(key)}}],
-        }
+        return await self.write(Write(key, None, revision))
+
+    async def write(self, write):
+        """Make one conditional write.
+
+        Parameters
+        ----------
+        write : Write
+            The write.
+
+        Returns
+        -------
+        Result of WriteOutcome, or of StoreFault
+        """
+        result = await self._call("/v3/kv/txn", _render_write(write), _TxnResponse)
+        return result.map(lambda txn: _read_outcome(txn, txn.header))
+
+    async def write_all(self, writes):
+        """Make several conditional writes of distinct keys in one call.
+
+        Each takes effect or not by its own condition.
+
+        Parameters
+        ----------
+        writes : sequence of Write
+            Fewer than the store's limit of operations a transaction.
+
+        Returns
+        -------
+        Result of list of WriteOutcome, or of StoreFault
+            In the order of `writes`. `REJECTED` may be the fault of one of them.
+        """
+        nested = [{"request_txn": _render_write(write)} for write in writes]
+        body = {"compare": [], "success": nested, "failure": []}
         result = await self._call("/v3/kv/txn", body, _TxnResponse)
-        return result.map(_read_outcome)
+        return result.map(_read_outcomes)
 
     async def wait_for_change(self, prefix, after, limit):
         """Wait until a key under `prefix` is written after a revision.
@@ -306,23 +287,38 @@
     return Error(StoreFault.UNKNOWN)
 
 
-def _read_outcome(response):
+def _read_outcomes(txn):
+    # Nested responses carry no revision of their own: one call, one revision.
+    return [_read_outcome(each.response_txn, txn.header) for each in txn.responses]
+
+
+def _read_outcome(txn, header):
     existing = None
-    for operation in response.responses:
+    for operation in txn.responses:
         if operation.response_range is not None and operation.response_range.kvs:
             existing = operation.response_range.kvs[0].to_entry()
-    revision = Revision(int(response.header.revision))
-    return WriteOutcome(response.succeeded, revision, existing)
-
-
-def _compare_revision(key, revision):
-    return {"key": _encode(key), "target": "MOD", "mod_revision": str(revision)}
-
-
-def _put(key, value, lease):
-    put = {"key": _encode(key), "value": base64.b64encode(value).decode()}
-    if lease:
-        put["lease"] = str(lease)
+    return WriteOutcome(txn.succeeded, Revision(int(header.revision)), existing)
+
+
+def _render_write(write):
+    key = _encode(write.key)
+    if write.revision == ABSENT:
+        compare = {"key": key, "target": "CREATE", "create_revision": "0"}
+    else:
+        compare = {"key": key, "target": "MOD", "mod_revision": str(write.revision)}
+    return {
+        "compare": [{"result": "EQUAL", **compare}],
+        "success": [_render_operation(write, key)],
+        "failure": [{"request_range": {"key": key}}],
+    }
+
+
+def _render_operation(write, key):
+    if write.value is None:
+        return {"request_delete_range": {"key": key}}
+    put = {"key": key, "value": base64.b64encode(write.value).decode()}
+    if write.lease:
+        put["lease"] = str(write.lease)
     return {"request_put": put}
 
 
--- /dev/null
+++ b/tanagerwalk/clients/retention.py
@@ -0,0 +1,49 @@
+"""Leases that let the key-value service itself delete settled records."""
+
+from expression import Ok
+
+RENEWAL_S = 3600.0
+
+
+class RetentionLease:
+    """A lease that is shared by all records of about one hour.
+
+    The store deletes the records when it ends, so that no instance has to sweep.
+    Nothing renews it.
+
+    Parameters
+    ----------
+    store : KeyValueClient
+        Grants leases.
+    retention : float
+        Seconds that a record is kept at least.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, store, retention, clock):
+        self._store = store
+        self._retention = retention
+        self._clock = clock
+        self._lease = None
+        self._granted_at = 0.0
+
+    async def get(self):
+        """Return a lease that lasts for the retention.
+
+        Returns
+        -------
+        Result of int, or of StoreFault
+        """
+        now = self._clock()
+        if self._lease is not None and now - self._granted_at < RENEWAL_S:
+            return Ok(self._lease)
+        granted = await self._store.grant_lease(self._retention + RENEWAL_S)
+        if granted.is_ok():
+            self._lease = granted.ok
+            self._granted_at = now
+        return granted
+
+    def forget(self):
+        """Stop using the lease, because the store does not know it."""
+        self._lease = None
--- a/tanagerwalk/decisions/claims.py
+++ b/tanagerwalk/decisions/claims.py
@@ -1,22 +1,35 @@
-"""Claims on non-idempotent requests: at most one instance ever sends one."""
+"""Claims on non-idempotent requests: at most one submission of a key ever runs.
+
+A claim is one key of the store. It goes from absent to `CLAIMED` and from there to
+`FINISHED`, `UNRESOLVED` or `RELEASED`; a released key may be claimed again. Each
+step is conditional on the key's revision, and no step deletes the key, so a write
+whose answer was lost can never take effect after a later step was confirmed.
+"""
 
 from enum import Enum
 
 import msgspec
 from expression import Error, Ok
 
-from ..ids import Fingerprint, Incarnation
+from ..ids import Fingerprint, Incarnation, VersionName
+from ..messages import Answer, Usage
 from ..outcomes import Refusal, RefusalReason, RunState
+from ..writes import ABSENT, StoreFault, Write
 
 RETRY_AFTER_RUNNING_S = 2.0
 RETRY_AFTER_OUTAGE_S = 5.0
+MAX_CLAIM_WRITES = 3
+MAX_STORED_ANSWER = 256 * 1024
+LISTING_LAG_S = 30.0
 
 
 class ClaimState(Enum):
     """What the claim record says about the request."""
 
     CLAIMED = "claimed"
+    RELEASED = "released"
     FINISHED = "finished"
+    UNRESOLVED = "unresolved"
 
 
 class ClaimRecord(msgspec.Struct, frozen=True):
@@ -25,50 +38,235 @@
     Parameters
     ----------
     nonce : str
-        Chosen by the claiming instance; tells its own write from another's.
+        Chosen by the claiming submission; tells its own write from another's.
     holder : Incarnation
         The claiming instance.
     fingerprint : Fingerprint
         Of the request, so that a key is not reused for other work.
+    claimed_at : float
+        Wall-clock time of the claim, in seconds since the epoch.
     state : ClaimState
-        Whether the answer is known.
-    status : int
-        HTTP status of the answer, if finished.
-    content : bytes
-        Body of the answer, if finished.
-    content_type : str
-        Media type of the answer, if finished.
+        How far the request is known to have got.
+    answer : Answer or None
+        The answer, if finished and not too large to be kept.
     """
 
     nonce: str
     holder: Incarnation
     fingerprint: Fingerprint
+    claimed_at: float = 0.0
     state: ClaimState = ClaimState.CLAIMED
-    status: int = 0
-    content: bytes = b""
-    content_type: str = ""
+    answer: "StoredAnswer | None" = None
+
+
+class StoredAnswer(msgspec.Struct, frozen=True):
+    """An answer as the claim record keeps it; see `Answer` for the fields."""
+
+    status: int
+    content: bytes
+    content_type: str
+    version: VersionName | None
+    prompt_tokens: int
+    completion_tokens: int
+    finish_reason: str
+
+    def replay(self):
+        """Return the Answer for a resend."""
+        return Answer(
+            self.status,
+            self.content,
+            self.content_type,
+            self.version,
+            Usage(self.prompt_tokens, self.completion_tokens),
+            self.finish_reason,
+            replayed=True,
+        )
+
+
+class ClaimPhase(Enum):
+    """How far one submission's handling of its claim got."""
+
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    ABANDONING = "abandoning"
+    SETTLING = "settling"
+    SETTLED = "settled"
+
+
+class Claim:
+    """The claim of one submission, as a state machine without I/O.
+
+    While `phase` is neither `RUNNING` nor `SETTLED`, make the write that
+    `make_write` returns and hand its result to `take`. Once `verdict` is set, the
+    caller's answer need not wait for the writes that follow.
+
+    Parameters
+    ----------
+    key : str
+        Key of the claim in the store.
+    record : ClaimRecord
+        What to claim with; its nonce is used by this submission only.
+
+    Attributes
+    ----------
+    verdict : Result of Answer or None, or of Refusal; or None
+        None while claiming; `Ok(None)` to run the request, `Ok(Answer)` to replay.
+    """
+
+    def __init__(self, key, record):
+        self.key = key
+        self.record = record
+        self.phase = ClaimPhase.CLAIMING
+        self.verdict = None
+        self._revision = ABSENT
+        self._writes = 0
+        self._in_doubt = False
+
+    def make_write(self, lease=0):
+        """Return the next write.
+
+        Parameters
+        ----------
+        lease : int
+            Lease that ends the record of a request that needs no more care.
+        """
+        value = msgspec.json.encode(self.record)
+        lasts = self.record.state in (ClaimState.CLAIMED, ClaimState.UNRESOLVED)
+        return Write(self.key, value, self._revision, 0 if lasts else lease)
+
+    def take(self, result, live_incarnations=None, now=0.0):
+        """Take the result of the last write.
 
+        Parameters
+        ----------
+        result : Result of WriteOutcome, or of StoreFault
+            What came of it.
+        live_incarnations : frozenset of Incarnation or None
+            Instances known to live; None if that is not known.
+        now : float
+            Wall-clock time in seconds since the epoch.
+        """
+        if self.phase is ClaimPhase.SETTLING:
+            self._take_settled(result)
+        elif result.is_error():
+            self._take_fault(result.error)
+        else:
+            self._take_claimed(result.ok, live_incarnations, now)
 
-def judge_existing(existing, own_nonce, fingerprint, live_incarnations):
-    """Decide what a claim that is already in the store means for a request.
+    def _take_settled(self, result):
+        # Only this submission writes the key now: if the condition failed, an
+        # earlier try of the same write took effect.
+        if result.is_ok():
+            self.phase = ClaimPhase.SETTLED
+
+    def _take_fault(self, fault):
+        self._in_doubt = self._in_doubt or fault is StoreFault.UNKNOWN
+        if self.phase is ClaimPhase.ABANDONING:
+            return
+        self._writes += 1
+        if fault is StoreFault.UNKNOWN and self._writes < MAX_CLAIM_WRITES:
+            return
+        self._refuse(refuse_unavailable())
+
+    def _refuse(self, refusal):
+        self.verdict = Error(refusal)
+        in_doubt = self._in_doubt
+        self.phase = ClaimPhase.ABANDONING if in_doubt else ClaimPhase.SETTLED
+
+    def _take_claimed(self, outcome, live_incarnations, now):
+        if outcome.applied:
+            self._hold(outcome.revision)
+            return
+        entry = outcome.existing
+        existing = entry and msgspec.json.decode(entry.value, type=ClaimRecord)
+        if existing and existing.nonce == self.record.nonce:
+            self._hold(entry.revision)
+            return
+        # The key shows another's claim, so no earlier write of ours can apply now.
+        self._in_doubt = False
+        if self.phase is ClaimPhase.ABANDONING:
+            self.phase = ClaimPhase.SETTLED
+            return
+        if existing is None or existing.state is ClaimState.RELEASED:
+            self._claim_again(entry.revision if entry else ABSENT)
+            return
+        self.verdict = judge_existing(
+            existing, self.record.fingerprint, live_incarnations, now
+        )
+        self.phase = ClaimPhase.SETTLED
+
+    def _claim_again(self, revision):
+        self._revision = revision
+        self._writes += 1
+        if self._writes >= MAX_CLAIM_WRITES:
+            self._refuse(refuse_unavailable())
+
+    def _hold(self, revision):
+        self._revision = revision
+        if self.phase is ClaimPhase.ABANDONING:
+            self._settle(ClaimState.RELEASED)
+            return
+        self.phase = ClaimPhase.RUNNING
+        self.verdict = Ok(None)
+
+    def finish(self, result):
+        """Take the outcome of the run, which decides how the claim ends.
+
+        Parameters
+        ----------
+        result : Result of Answer, or of Refusal
+            The claim is released only if the refusal says that nothing ran.
+        """
+        if self.phase is not ClaimPhase.RUNNING:
+            raise AssertionError(f"claim {self.key} is {self.phase.value}")
+        if result.is_ok():
+            self._settle(ClaimState.FINISHED, _store_answer(result.ok))
+        elif result.error.run_state is RunState.NOT_RUN:
+            self._settle(ClaimState.RELEASED)
+        else:
+            self._settle(ClaimState.UNRESOLVED)
+
+    def _settle(self, state, answer=None):
+        self.record = msgspec.structs.replace(self.record, state=state, answer=answer)
+        self.phase = ClaimPhase.SETTLING
+
+
+def _store_answer(answer):
+    if len(answer.content) > MAX_STORED_ANSWER:
+        return None
+    return StoredAnswer(
+        answer.status,
+        answer.content,
+        answer.content_type,
+        answer.version,
+        answer.usage.prompt_tokens,
+        answer.usage.completion_tokens,
+        answer.finish_reason,
+    )
+
+
+def judge_existing(existing, fingerprint, live_incarnations, now):
+    """Decide what another submission's claim means for a request.
 
     Parameters
     ----------
     existing : ClaimRecord
         The claim found.
-    own_nonce : str
-        Nonce of the claim that this instance tried to create.
     fingerprint : Fingerprint
         Of the request at hand.
     live_incarnations : frozenset of Incarnation or None
-        Instances known to live; None if that is not known.
+        Instances known to live; None if that is not known. The list lags, so an
+        instance that is not on it counts as gone only for claims of some age.
+    now : float
+        Wall-clock time in seconds since the epoch.
 
     Returns
     -------
-    Result of ClaimRecord, or of Refusal
-        The own claim (state `CLAIMED`), the stored answer (state `FINISHED`), or
-        the refusal. It never allows a second run.
+    Result of Answer, or of Refusal
+        The stored answer or the refusal. It never allows a run.
     """
+    if existing.state is ClaimState.RELEASED:
+        return _refuse_running()
     if existing.fingerprint != fingerprint:
         return Error(
             Refusal(
@@ -76,9 +274,11 @@
                 "the idempotency key was used for another request",
             )
         )
-    if existing.nonce == own_nonce or existing.state is ClaimState.FINISHED:
-        return Ok(existing)
-    if live_incarnations is not None and existing.holder not in live_incarnations:
+    if existing.state is ClaimState.FINISHED:
+        return _replay(existing)
+    settled = now - existing.claimed_at >= LISTING_LAG_S
+    is_listed = live_incarnations is None or existing.holder in live_incarnations
+    if existing.state is ClaimState.UNRESOLVED or (settled and not is_listed):
         return Error(
             Refusal(
                 RefusalReason.CLAIM_UNRESOLVED,
@@ -86,6 +286,22 @@
                 RunState.UNKNOWN,
             )
         )
+    return _refuse_running()
+
+
+def _replay(existing):
+    if existing.answer is not None:
+        return Ok(existing.answer.replay())
+    return Error(
+        Refusal(
+            RefusalReason.ANSWER_NOT_KEPT,
+            "the request ran and its answer was too large to be kept",
+            RunState.RAN,
+        )
+    )
+
+
+def _refuse_running():
     return Error(
         Refusal(
             RefusalReason.CLAIM_RUNNING,
--- a/tanagerwalk/filters/claim.py
+++ b/tanagerwalk/filters/claim.py
@@ -3,25 +3,27 @@
 import asyncio
 import uuid
 
-import msgspec
 import structlog
 from expression import Error, Ok
 
-from ..clients.keyvalue import StoreFault
 from ..decisions.claims import (
+    Claim,
+    ClaimPhase,
     ClaimRecord,
-    ClaimState,
     judge_existing,
     refuse_unavailable,
 )
-from ..messages import Answer
 from ..outcomes import Refusal, RefusalReason, RunState
+from ..writes import StoreFault
 
 log = structlog.get_logger(__name__)
 
+OK_STATUS = 200
 CLAIM_PREFIX = "tanagerwalk/claims/"
-MAX_STORED_ANSWER = 256 * 1024
-CLEANUP_INTERVAL_S = 1.0
+MAX_KEY_LENGTH = 255
+MAX_OPEN_CLAIMS = 2000
+SETTLE_RETRY_S = 0.5
+CLAIM_RETRY_S = 0.05
 
 
 class ClaimFilter:
@@ -29,111 +31,94 @@
 
     Parameters
     ----------
-    store : KeyValueClient
+    store : BatchingStore
         Holds the claims.
+    retention : RetentionLease
+        Ends the records of settled claims.
     incarnation : Incarnation
         Of this instance.
     list_live : callable
         Returns the incarnations known to live, or None if not known.
+    wall_clock : callable
+        Returns seconds since the epoch.
     """
 
-    def __init__(self, store, incarnation, list_live):
+    def __init__(self, store, retention, incarnation, list_live, wall_clock):
         self._store = store
+        self._retention = retention
         self._incarnation = incarnation
         self._list_live = list_live
+        self._wall_clock = wall_clock
         self._tasks = set()
+        self._open = {}
+
+    @property
+    def open_count(self):
+        """Claims of this instance that the store does not show as settled yet."""
+        return len(self._open)
 
     async def handle(self, context, proceed):
         """Claim, run, and record the answer; replay the answer of a resend."""
         if context.work_class.idempotent:
             return await proceed(context)
-        if not context.idempotency_key:
-            return Error(
-                Refusal(
-                    RefusalReason.IDEMPOTENCY_KEY_MISSING,
-                    "this class of work needs an Idempotency-Key header",
-                )
-            )
+        refusal = _check_key(context.idempotency_key)
+        if refusal is not None:
+            return Error(refusal)
         # The caller may hang up; the run and its record go on regardless.
         return await asyncio.shield(self._spawn(self._run(context, proceed)))
 
     async def _run(self, context, proceed):
         key = f"{CLAIM_PREFIX}{context.account.name}/{context.idempotency_key}"
-        nonce = uuid.uuid4().hex
-        record = ClaimRecord(nonce, self._incarnation, context.fingerprint)
-        claimed = await self._claim(key, record)
-        if claimed.is_error():
-            return claimed
-        existing, revision = claimed.ok
-        if existing.state is ClaimState.FINISHED:
-            return Ok(_replay(existing))
-        result = await proceed(context)
-        if result.is_error() and result.error.run_state is RunState.NOT_RUN:
-            self._spawn(self._release(key, revision))
-            return result
-        if result.is_ok():
-            finished = _finish(record, result.ok)
-            self._spawn(self._record(key, finished, revision))
-        return result
-
-    async def _claim(self, key, record):
-        """Return the claim in force and its revision, or a refusal."""
-        created = await self._store.create(key, msgspec.json.encode(record))
-        if created.is_error():
-            return await self._resolve_claim(key, record, created.error)
-        if created.ok.applied:
-            return Ok((record, created.ok.revision))
-        return self._judge(created.ok.existing, record)
-
-    def _judge(self, entry, record):
-        if entry is None:
+        own = self._open.get(key)
+        if own is not None:
+            # Known without the store, so it holds during an outage as well.
+            verdict = judge_existing(own.record, context.fingerprint, None, 0.0)
+            return await _deliver(verdict, context)
+        if len(self._open) >= MAX_OPEN_CLAIMS:
             return Error(refuse_unavailable())
-        existing = msgspec.json.decode(entry.value, type=ClaimRecord)
-        judged = judge_existing(
-            existing, record.nonce, record.fingerprint, self._list_live()
-        )
-        return judged.map(lambda claim: (claim, entry.revision))
+        claim = self._open[key] = self._make_claim(key, context)
+        try:
+            await self._confirm(claim)
+            if claim.phase is not ClaimPhase.RUNNING:
+                return await _deliver(claim.verdict, context)
+            result = await _run_once(context, proceed)
+            claim.finish(result)
+            return result
+        finally:
+            self._spawn(self._settle(claim))
 
-    async def _resolve_claim(self, key, record, fault):
-        """Find out whether a write whose answer was lost took effect."""
-        if fault is StoreFault.NOT_APPLIED:
-            return Error(refuse_unavailable())
-        found = await self._store.get(key)
-        if found.is_ok() and found.ok is not None:
-            return self._judge(found.ok, record)
-        # The write may still take effect later, so the claim must be cleaned up.
-        self._spawn(self._clean_up(key, record))
-        return Error(refuse_unavailable())
-
-    async def _clean_up(self, key, record):
-        """Delete the own claim once the store shows it."""
-        while True:
-            await asyncio.sleep(CLEANUP_INTERVAL_S)
-            found = await self._store.get(key)
-            if found.is_error():
-                continue
-            if found.ok is None:
-                return
-            existing = msgspec.json.decode(found.ok.value, type=ClaimRecord)
-            if existing.nonce != record.nonce:
-                return
-            deleted = await self._store.delete(key, found.ok.revision)
-            if deleted.is_ok():
-                return
-
-    async def _release(self, key, revision):
-        await self._repeat(lambda: self._store.delete(key, revision))
-
-    async def _record(self, key, record, revision):
-        value = msgspec.json.encode(record)
-        await self._repeat(lambda: self._store.replace(key, value, revision))
-
-    async def _repeat(self, write):
-        while True:
-            result = await write()
-            if result.is_ok():
-                return
-            await asyncio.sleep(CLEANUP_INTERVAL_S)
+    def _make_claim(self, key, context):
+        nonce = uuid.uuid4().hex
+        now = self._wall_clock()
+        record = ClaimRecord(nonce, self._incarnation, context.fingerprint, now)
+        return Claim(key, record)
+
+    async def _confirm(self, claim):
+        while claim.verdict is None:
+            result = await self._store.write(claim.make_write())
+            claim.take(result, self._list_live(), self._wall_clock())
+            if result.is_error() and claim.verdict is None:
+                await asyncio.sleep(CLAIM_RETRY_S)
+
+    async def _settle(self, claim):
+        """Write until the store shows how the claim ended."""
+        if claim.phase is ClaimPhase.RUNNING:
+            # The run itself was cancelled: nobody knows its outcome any more.
+            return
+        while claim.phase is not ClaimPhase.SETTLED:
+            if not await self._take_settling_step(claim):
+                await asyncio.sleep(SETTLE_RETRY_S)
+        del self._open[claim.key]
+
+    async def _take_settling_step(self, claim):
+        lease = await self._retention.get()
+        if lease.is_error():
+            return False
+        result = await self._store.write(claim.make_write(lease.ok))
+        claim.take(result, self._list_live(), self._wall_clock())
+        if result.is_error() and result.error is StoreFault.REJECTED:
+            self._retention.forget()
+        return result.is_ok()
 
     def _spawn(self, work):
         task = asyncio.get_running_loop().create_task(work)
@@ -148,21 +133,57 @@
         ----------
         limit : float
             Longest wait in seconds.
-        """
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=limit)
 
-
-def _finish(record, answer):
-    content = answer.content if len(answer.content) <= MAX_STORED_ANSWER else b""
-    return msgspec.structs.replace(
-        record,
-        state=ClaimState.FINISHED,
-        status=answer.status,
-        content=content,
-        content_type=answer.content_type,
-    )
-
-
-def _replay(record):
-    return Answer(record.status, record.content, record.content_type, replayed=True)
+        Returns
+        -------
+        int
+            Claims whose outcome the store does not show; others will take them
+            for unresolved.
+        """
+        ends = asyncio.get_running_loop().time() + limit
+        while self._tasks:
+            left = ends - asyncio.get_running_loop().time()
+            if left <= 0:
+                break
+            await asyncio.wait(self._tasks, timeout=left)
+        return len(self._open)
+
+
+async def _run_once(context, proceed):
+    try:
+        return await proceed(context)
+    except Exception:
+        # Whatever broke, the request may have been sent by then.
+        unresolved = Refusal(
+            RefusalReason.BACKEND_FAILED,
+            "the request was cut off by an internal error; it may have run",
+            RunState.UNKNOWN,
+        )
+        log.exception("run of a claimed request failed", request=context.request_id)
+        return Error(unresolved)
+
+
+async def _deliver(verdict, context):
+    """Give the stored answer to a resend as if it had just been generated."""
+    if verdict.is_error():
+        return verdict
+    answer = verdict.ok
+    context.usage = answer.usage
+    if answer.version is not None and answer.status == OK_STATUS and answer.content:
+        context.version = answer.version
+        await context.sink.write(answer.content.decode())
+    return Ok(answer)
+
+
+def _check_key(key):
+    if not key:
+        return Refusal(
+            RefusalReason.IDEMPOTENCY_KEY_MISSING,
+            "this class of work needs an Idempotency-Key header",
+        )
+    if len(key) > MAX_KEY_LENGTH:
+        return Refusal(
+            RefusalReason.INVALID_REQUEST,
+            f"the idempotency key is longer than {MAX_KEY_LENGTH} characters",
+        )
+    return None
--- a/tanagerwalk/filters/retry.py
+++ b/tanagerwalk/filters/retry.py
@@ -40,6 +40,8 @@
             attempts += 1
             result = await proceed(context)
             if result.is_ok():
+                # A later step of a cascade may be refused; this one did run.
+                context.sent = True
                 return result
             failure = result.error
             if isinstance(failure, Refusal):
--- a/tanagerwalk/outcomes.py
+++ b/tanagerwalk/outcomes.py
@@ -66,6 +66,7 @@
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CLAIM_RUNNING = "claim_running"
     CLAIM_UNRESOLVED = "claim_unresolved"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     QUEUE_FULL = "queue_full"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_EXCEEDED = "deadline_exceeded"
@@ -89,6 +90,7 @@
     RefusalReason.IDEMPOTENCY_KEY_REUSED: 422,
     RefusalReason.CLAIM_RUNNING: 409,
     RefusalReason.CLAIM_UNRESOLVED: 409,
+    RefusalReason.ANSWER_NOT_KEPT: 409,
     RefusalReason.QUEUE_FULL: 429,
     RefusalReason.DEADLINE_EXCEEDED: 504,
     RefusalReason.BACKEND_FAILED: 502,
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -61,6 +61,13 @@
     lifetime: float
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimSettings:
+    """How long the outcome of a non-idempotent request is kept."""
+
+    retention: float
+
+
 @dataclass(frozen=True, slots=True)
 class LimitSettings:
     """Queue and concurrency limits."""
@@ -119,6 +126,7 @@
     configuration: ConfigurationSettings
     peers: PeerSettings
     sessions: SessionSettings
+    claims: ClaimSettings
     limits: LimitSettings
     retries: RetrySettings
     load: LoadSettings
--- a/tanagerwalk/standins/keyvalue.py
+++ b/tanagerwalk/standins/keyvalue.py
@@ -10,6 +10,8 @@
 
 from .server import StandIn
 
+MAX_TXN_OPERATIONS = 128
+
 
 @dataclass(slots=True)
 class _Item:
@@ -28,6 +30,10 @@
         Whether every call is answered by status 503.
     lose_answers : int
         So many txn calls take effect while their connection is cut.
+    late_writes : int
+        So many txn calls are cut at once and take effect `late_delay` later.
+    late_delay : float
+        Seconds.
     delay : float
         Seconds that each call takes.
     calls, writes : int
@@ -38,6 +44,8 @@
         super().__init__()
         self.outage = False
         self.lose_answers = 0
+        self.late_writes = 0
+        self.late_delay = 0.5
         self.delay = 0.0
         self.calls = 0
         self.writes = 0
@@ -67,6 +75,11 @@
             if self.outage:
                 raise web.HTTPServiceUnavailable
             self._expire_leases()
+            if "compare" in body and self.late_writes > 0:
+                self.late_writes -= 1
+                loop = asyncio.get_running_loop()
+                loop.call_later(self.late_delay, handler, body)
+                raise web.HTTPGatewayTimeout
             response = handler(body)
             if "compare" in body and self.lose_answers > 0:
                 self.lose_answers -= 1
@@ -86,8 +99,10 @@
 
     def _drop_lease(self, lease):
         self._leases.pop(lease, None)
+        self.revision += 1
         for key in [k for k, item in self._items.items() if item.lease == lease]:
             self._delete(key)
+        self._wake()
 
     def _select(self, body):
         key = body["key"]
@@ -111,14 +126,31 @@
         }
 
     def _txn(self, body):
+        _check_txn(body, MAX_TXN_OPERATIONS, set())
+        self._check_leases(body)
+        # As in etcd, all writes of one call share one revision.
+        before = self.writes
+        self.revision += 1
+        response = self._run_txn(body)
+        if self.writes == before:
+            self.revision -= 1
+            return {"header": self._header(), **response}
+        self._wake()
+        return {"header": self._header(), **response}
+
+    def _run_txn(self, body):
         holds = all(self._compare(compare) for compare in body.get("compare", []))
         operations = body.get("success" if holds else "failure", [])
         responses = [self._apply(operation) for operation in operations]
-        return {
-            "header": self._header(),
-            "succeeded": holds,
-            "responses": responses,
-        }
+        return {"succeeded": holds, "responses": responses}
+
+    def _check_leases(self, body):
+        for operation in body.get("success", []):
+            if "request_txn" in operation:
+                self._check_leases(operation["request_txn"])
+            lease = int(operation.get("request_put", {}).get("lease", 0))
+            if lease and lease not in self._leases:
+                raise web.HTTPNotFound(text="requested lease not found")
 
     def _compare(self, compare):
         item = self._items.get(compare["key"])
@@ -130,7 +162,7 @@
 
     def _apply(self, operation):
         if "request_txn" in operation:
-            return {"response_txn": self._txn(operation["request_txn"])}
+            return {"response_txn": self._run_txn(operation["request_txn"])}
         if "request_put" in operation:
             self._put(operation["request_put"])
             return {"response_put": {}}
@@ -142,19 +174,15 @@
 
     def _put(self, body):
         self.writes += 1
-        self.revision += 1
         key = body["key"]
         old = self._items.get(key)
         created = old.create_revision if old else self.revision
         lease = int(body.get("lease", 0))
         self._items[key] = _Item(body["value"], created, self.revision, lease)
-        self._wake()
 
     def _delete(self, key):
         self.writes += 1
-        self.revision += 1
         del self._items[key]
-        self._wake()
 
     def _wake(self):
         self._changed.set()
@@ -202,3 +230,20 @@
     def _revoke(self, body):
         self._drop_lease(int(body["ID"]))
         return {}
+
+
+def _check_txn(body, allowed, keys):
+    """Refuse what etcd refuses: too many operations, or two puts of one key."""
+    success = body.get("success", [])
+    size = max(len(body.get("compare", [])), len(success), len(body.get("failure", [])))
+    if size > allowed:
+        raise web.HTTPBadRequest(text="too many operations in txn request")
+    for operation in success:
+        if "request_txn" in operation:
+            _check_txn(operation["request_txn"], allowed - size, keys)
+        put = operation.get("request_put")
+        if put is None:
+            continue
+        if put["key"] in keys:
+            raise web.HTTPBadRequest(text="duplicate key given in txn request")
+        keys.add(put["key"])
--- /dev/null
+++ b/test/decisions/test_claims.py
@@ -0,0 +1,263 @@
+"""Claims of several instances under crashes, freezes, and lost and late writes."""
+
+import pytest
+from expression import Error, Ok
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+from stores import Fate, StoreModel
+
+from tanagerwalk.decisions.claims import (
+    LISTING_LAG_S,
+    MAX_STORED_ANSWER,
+    Claim,
+    ClaimPhase,
+    ClaimRecord,
+    ClaimState,
+    judge_existing,
+)
+from tanagerwalk.ids import Fingerprint, Incarnation
+from tanagerwalk.messages import Answer
+from tanagerwalk.outcomes import Refusal, RefusalReason, RunState
+
+KEY = "claims/desk/slot-1"
+FATES = st.sampled_from([Fate.ANSWERED, *Fate])
+PICKS = st.integers(0, 3)
+MAX_OPEN = 3
+MAX_CRASHES = 1
+
+
+class Submission:
+    """One submission of the key at some instance."""
+
+    def __init__(self, number):
+        nonce = f"nonce-{number}"
+        holder = Incarnation(f"entry-{number % 3}.1")
+        record = ClaimRecord(nonce, holder, Fingerprint("f"))
+        self.number = number
+        self.claim = Claim(KEY, record)
+        self.told = None
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Interleaves steps of submissions; a frozen one is simply not chosen."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = StoreModel()
+        self.submissions = []
+        self.effects = []
+        self.finished = {}
+        self.crashed = 0
+
+    @precondition(lambda self: self._count(_is_open) < MAX_OPEN)
+    @rule()
+    def submit(self):
+        self.submissions.append(Submission(len(self.submissions) + self.crashed))
+
+    @precondition(lambda self: self._count(_wants_write))
+    @rule(pick=PICKS, fate=FATES)
+    def write(self, pick, fate):
+        self._write(self._pick(pick, _wants_write), fate)
+
+    @precondition(lambda self: self._count(_is_running))
+    @rule(pick=PICKS, result=st.sampled_from(["answer", "refused", "unknown"]))
+    def run(self, pick, result):
+        self._run(self._pick(pick, _is_running), result)
+
+    @precondition(lambda self: self.store.late)
+    @rule(pick=PICKS)
+    def apply_late(self, pick):
+        self.store.apply_late(pick)
+
+    @precondition(lambda self: self._count(_is_open) and self.crashed < MAX_CRASHES)
+    @rule(pick=PICKS)
+    def crash(self, pick):
+        chosen = self._pick(pick, _is_open)
+        self.submissions.remove(chosen)
+        self.crashed += 1
+        if _is_running(chosen) and pick % 2:
+            self.effects.append(chosen.number)
+
+    def _pick(self, pick, condition):
+        eligible = [each for each in self.submissions if condition(each)]
+        return eligible[pick % len(eligible)]
+
+    def _count(self, condition):
+        return sum(1 for each in self.submissions if condition(each))
+
+    def _write(self, submission, fate):
+        claim = submission.claim
+        claim.take(self.store.send(claim.make_write(lease=7), fate))
+        if claim.verdict is not None and submission.told is None:
+            self._tell(submission)
+
+    def _tell(self, submission):
+        verdict = submission.claim.verdict
+        if verdict.is_ok() and verdict.ok is None:
+            return
+        submission.told = verdict
+        if verdict.is_ok():
+            assert verdict.ok.content == self.finished[KEY]
+
+    def _run(self, submission, kind):
+        if kind == "refused":
+            result = Error(Refusal(RefusalReason.QUEUE_FULL, "full"))
+        else:
+            self.effects.append(submission.number)
+            result = Error(Refusal(RefusalReason.BACKEND_FAILED, "", RunState.UNKNOWN))
+        if kind == "answer":
+            self.finished[KEY] = f"answer {submission.number}".encode()
+            result = Ok(Answer(200, self.finished[KEY]))
+        submission.claim.finish(result)
+        submission.told = result
+
+    @invariant()
+    def at_most_one_effect(self):
+        assert len(self.effects) <= 1
+
+    @invariant()
+    def not_run_is_true(self):
+        for submission in self.submissions:
+            told = submission.told
+            if told is None or told.is_ok():
+                continue
+            if told.error.run_state is RunState.NOT_RUN:
+                assert submission.number not in self.effects
+
+    def _settle(self, submission):
+        while submission.claim.phase is not ClaimPhase.SETTLED:
+            if _is_running(submission):
+                self._run(submission, "refused")
+            if _wants_write(submission):
+                self._write(submission, Fate.ANSWERED)
+
+    def teardown(self):
+        """Once faults end, a key under which nothing was cut off is free again."""
+        while self.store.late:
+            self.store.apply_late(0)
+        for submission in self.submissions:
+            self._settle(submission)
+        self.at_most_one_effect()
+        if not self.effects and not self.crashed:
+            last = Submission(99)
+            while last.claim.verdict is None:
+                self._write(last, Fate.ANSWERED)
+            assert last.claim.verdict == Ok(None)
+
+
+def _is_open(submission):
+    return submission.claim.phase is not ClaimPhase.SETTLED
+
+
+def _is_running(submission):
+    return submission.claim.phase is ClaimPhase.RUNNING
+
+
+def _wants_write(submission):
+    phase = submission.claim.phase
+    return phase not in (ClaimPhase.RUNNING, ClaimPhase.SETTLED)
+
+
+TestClaims = ClaimsMachine.TestCase
+TestClaims.settings = settings(max_examples=300, stateful_step_count=40)
+
+
+def make_record(state, **more):
+    holder = Incarnation("entry-1.1")
+    return ClaimRecord("n", holder, Fingerprint("f"), 100.0, state, **more)
+
+
+@pytest.mark.parametrize(
+    ("state", "age", "live", "reason"),
+    [
+        (ClaimState.CLAIMED, 1.0, frozenset(), RefusalReason.CLAIM_RUNNING),
+        (ClaimState.CLAIMED, LISTING_LAG_S, None, RefusalReason.CLAIM_RUNNING),
+        (
+            ClaimState.CLAIMED,
+            LISTING_LAG_S,
+            frozenset(["entry-1.1"]),
+            RefusalReason.CLAIM_RUNNING,
+        ),
+        (
+            ClaimState.CLAIMED,
+            LISTING_LAG_S,
+            frozenset(["entry-2.1"]),
+            RefusalReason.CLAIM_UNRESOLVED,
+        ),
+        (ClaimState.UNRESOLVED, 0.0, None, RefusalReason.CLAIM_UNRESOLVED),
+        (ClaimState.FINISHED, 0.0, None, RefusalReason.ANSWER_NOT_KEPT),
+        (ClaimState.RELEASED, 0.0, None, RefusalReason.CLAIM_RUNNING),
+    ],
+)
+def test_existing_claim_is_refused(state, age, live, reason):
+    verdict = judge_existing(make_record(state), Fingerprint("f"), live, 100.0 + age)
+    assert verdict.error.reason is reason
+    assert verdict.error.run_state is not RunState.NOT_RUN
+
+
+def test_key_of_another_request_is_refused():
+    record = make_record(ClaimState.CLAIMED)
+    verdict = judge_existing(record, Fingerprint("g"), None, 0.0)
+    assert verdict.error.reason is RefusalReason.IDEMPOTENCY_KEY_REUSED
+
+
+@pytest.mark.parametrize("size", [0, 1, MAX_STORED_ANSWER, MAX_STORED_ANSWER + 1])
+def test_answer_is_replayed_equal_or_not_at_all(size):
+    store = StoreModel()
+    first, second = Submission(1).claim, Submission(2).claim
+    first.take(store.send(first.make_write()))
+    content = b"x" * size
+    answer = Answer(201, content, "text/plain", "wren:1", finish_reason="length")
+    first.finish(Ok(answer))
+    first.take(store.send(first.make_write()))
+    second.take(store.send(second.make_write()))
+    if size > MAX_STORED_ANSWER:
+        assert second.verdict.error.reason is RefusalReason.ANSWER_NOT_KEPT
+        assert second.verdict.error.run_state is RunState.RAN
+        return
+    replayed = second.verdict.ok
+    assert replayed.replayed
+    assert (replayed.status, replayed.content) == (201, content)
+    assert (replayed.version, replayed.finish_reason) == ("wren:1", "length")
+
+
+@pytest.mark.parametrize(
+    ("result", "leased"),
+    [
+        (Ok(Answer(200, b"")), True),
+        (Error(Refusal(RefusalReason.QUEUE_FULL, "")), True),
+        (Error(Refusal(RefusalReason.BACKEND_FAILED, "", RunState.UNKNOWN)), False),
+    ],
+)
+def test_only_settled_claims_end_with_the_retention_lease(result, leased):
+    claim = Submission(1).claim
+    assert claim.make_write(lease=7).lease == 0
+    claim.take(StoreModel().send(claim.make_write()))
+    claim.finish(result)
+    assert (claim.make_write(lease=7).lease == 7) is leased
+
+
+@pytest.mark.parametrize("fate", [Fate.LATE, Fate.ANSWER_LOST, Fate.LOST])
+@pytest.mark.parametrize("last", [Fate.LOST, Fate.UNREACHED, Fate.ANSWER_LOST])
+def test_claim_in_doubt_is_released_whenever_its_write_takes_effect(fate, last):
+    store = StoreModel()
+    submission = Submission(1)
+    claim = submission.claim
+    fates = [fate]
+    while claim.verdict is None:
+        claim.take(store.send(claim.make_write(), fates.pop() if fates else last))
+    assert claim.verdict.error.run_state is RunState.NOT_RUN
+    while claim.phase is not ClaimPhase.SETTLED:
+        claim.take(store.send(claim.make_write()))
+    while store.late:
+        store.apply_late(0)
+    resend = Submission(2).claim
+    while resend.verdict is None:
+        resend.take(store.send(resend.make_write()))
+    assert resend.verdict == Ok(None)
--- /dev/null
+++ b/test/filters/test_claim.py
@@ -0,0 +1,116 @@
+"""Claims of whole instances while the store or the caller fails."""
+
+import asyncio
+import json
+
+import pytest
+
+from tanagerwalk.filters.claim import MAX_KEY_LENGTH
+
+KEY = {"Idempotency-Key": "slot-1"}
+
+
+def read_error(content):
+    return json.loads(content)["error"]
+
+
+async def book(world, instance, slot=1, **headers):
+    return await world.call(instance, "booking", {"slot": slot}, **{**KEY, **headers})
+
+
+async def test_claim_whose_write_takes_effect_late_is_released(demo):
+    """Told "not run", the caller's resend must be able to run later."""
+    first, second = demo.instances.values()
+    demo.keyvalue.late_writes = 3
+    demo.keyvalue.late_delay = 1.5
+    status, content, _ = await book(demo, first)
+    assert (status, read_error(content)["run_state"]) == (503, "not_run")
+    await demo.wait_until(lambda: not first.claims.open_count)
+    status, _, _ = await book(demo, second)
+    assert status == 200
+    assert demo.services["booking-1"].runs == ["slot-1"]
+
+
+async def test_answer_reaches_the_caller_while_the_store_is_out(demo):
+    first, second = demo.instances.values()
+    service = demo.services["booking-1"]
+    service.delay = 0.2
+    request = asyncio.create_task(book(demo, first))
+    await demo.wait_until(lambda: service.runs)
+    demo.keyvalue.outage = True
+    status, content, _ = await request
+    assert status == 200
+    assert (await book(demo, first))[1] == content
+    demo.keyvalue.outage = False
+    await demo.wait_until(lambda: not first.claims.open_count)
+    assert (await book(demo, second))[1] == content
+    assert service.runs == ["slot-1"]
+
+
+async def test_resend_of_a_run_in_doubt_is_told_so_for_good(demo):
+    first, second = demo.instances.values()
+    demo.services["booking-1"].lose_answers = 1
+    await book(demo, first)
+    await demo.wait_until(lambda: not first.claims.open_count)
+    for instance in (first, second):
+        _, content, _ = await book(demo, instance)
+        assert read_error(content)["code"] == "claim_unresolved"
+        assert read_error(content)["run_state"] == "unknown"
+    assert demo.services["booking-1"].runs == ["slot-1"]
+
+
+async def test_refused_request_may_run_later(demo):
+    first, second = demo.instances.values()
+    first.table.servers["booking-1"].leaving = True
+    _, content, _ = await book(demo, first)
+    assert read_error(content)["run_state"] == "not_run"
+    await demo.wait_until(lambda: not first.claims.open_count)
+    assert (await book(demo, second))[0] == 200
+
+
+async def test_caller_that_hangs_up_still_gets_its_booking(demo):
+    first, second = demo.instances.values()
+    service = demo.services["booking-1"]
+    service.delay = 0.2
+    request = asyncio.create_task(book(demo, first))
+    await demo.wait_until(lambda: service.runs)
+    request.cancel()
+    await asyncio.gather(request, return_exceptions=True)
+    await demo.wait_until(lambda: not first.claims.open_count)
+    status, content, _ = await book(demo, second)
+    assert (status, json.loads(content)["number"]) == (200, 1)
+    assert service.runs == ["slot-1"]
+
+
+async def test_same_key_with_another_body_is_refused(demo):
+    first, second = demo.instances.values()
+    await book(demo, first)
+    status, content, _ = await book(demo, second, slot=2)
+    assert (status, read_error(content)["code"]) == (422, "idempotency_key_reused")
+
+
+@pytest.mark.parametrize(
+    ("key", "code"),
+    [
+        ("", "idempotency_key_missing"),
+        ("k" * (MAX_KEY_LENGTH + 1), "invalid_request"),
+    ],
+)
+async def test_unusable_key_is_refused(demo, key, code):
+    first, _ = demo.instances.values()
+    _, content, _ = await demo.call(
+        first, "booking", {}, **({"Idempotency-Key": key} if key else {})
+    )
+    assert read_error(content)["code"] == code
+
+
+async def test_finished_claim_ends_with_its_retention(demo):
+    """The store deletes it, without a call of ours."""
+    first, _ = demo.instances.values()
+    await book(demo, first)
+    await demo.wait_until(lambda: not first.claims.open_count)
+    claims = await first.store.list("tanagerwalk/claims/")
+    assert len(claims.ok) == 1
+    for lease in list(demo.keyvalue._leases):
+        await first.store.revoke_lease(lease)
+    assert (await first.store.list("tanagerwalk/claims/")).ok == []
