--- a/tanagerwalk/clients/keyvalue.py
+++ b/tanagerwalk/clients/keyvalue.py
@@ -8,7 +8,7 @@
 from expression import Error, Ok
 
 from ..ids import Revision
-from ..writes import ABSENT, Entry, StoreFault, Write, WriteOutcome
+from ..writes import ABSENT, Entry, Newer, StoreFault, Write, WriteOutcome
 
 ENDLESS_KEY = b"\0"
 REJECTED_STATUSES = frozenset({400, 404, 413})
@@ -119,6 +119,17 @@
         result = await self._call("/v3/kv/range", body, _RangeResponse)
         return result.map(lambda r: r.kvs[0].to_entry() if r.kvs else None)
 
+    async def get_newer(self, key, after):
+        """Read one key if it was written after a revision.
+
+        Returns
+        -------
+        Result of Newer, or of StoreFault
+        """
+        body = {"key": _encode(key), "min_mod_revision": str(after + 1)}
+        result = await self._call("/v3/kv/range", body, _RangeResponse)
+        return result.map(_read_newer)
+
     async def list(self, prefix):
         """Read all keys that begin with `prefix`.
 
@@ -313,6 +324,11 @@
     }
 
 
+def _read_newer(response):
+    entry = response.kvs[0].to_entry() if response.kvs else None
+    return Newer(entry, Revision(int(response.header.revision)))
+
+
 def _render_operation(write, key):
     if write.value is None:
         return {"request_delete_range": {"key": key}}
--- a/tanagerwalk/standins/world.py
+++ b/tanagerwalk/standins/world.py
@@ -6,6 +6,7 @@
 
 from ..app import EntryInstance
 from ..clients.keyvalue import KeyValueClient
+from ..controllers.configuration import DECLARATION_KEY
 from ..controllers.loop import poll_until
 from ..settings import parse_settings
 from ..ui.apply import put_declaration
@@ -100,25 +101,37 @@
             **labels,
         )
 
-    def make_settings(self, name, region="r1", domain="r1-a", extra=""):
-        """Return the settings text of an entry instance."""
+    def make_settings(
+        self,
+        name,
+        region="r1",
+        domain="r1-a",
+        extra="",
+        keyvalue=None,
+        platform=None,
+    ):
+        """Return the settings text of an entry instance.
+
+        `keyvalue` and `platform` replace the addresses of the world's own stand-ins.
+        """
         text = SETTINGS.format(
             name=name,
             region=region,
             failure_domain=domain,
-            keyvalue=self.keyvalue.address,
-            platform=self.platform.address,
+            keyvalue=keyvalue or self.keyvalue.address,
+            platform=platform or self.platform.address,
         )
         return text + extra
 
-    async def add_instance(self, name, region="r1", domain="r1-a", seed=1):
-        """Start an entry instance and list it."""
-        settings = parse_settings(self.make_settings(name, region, domain)).ok
+    async def add_instance(self, name, region="r1", domain="r1-a", seed=1, **more):
+        """Start an entry instance and list it; `more` goes to `make_settings`."""
+        text = self.make_settings(name, region, domain, **more)
+        settings = parse_settings(text).ok
         instance = EntryInstance(settings, seed=seed)
         await instance.start()
         self.instances[name] = instance
         self.platform.add(
-            f"127.0.0.1:{instance.settings.instance.peers_port}",
+            f"127.0.0.1:{instance.peers_port}",
             id=name,
             role="entry",
             region=region,
@@ -133,7 +146,9 @@
         if text is None:
             text = resources.files(__package__).joinpath("demo.ini").read_text()
         store = KeyValueClient(self.http, f"http://{self.keyvalue.address}", 2.0)
-        result = await put_declaration(store, text)
+        found = await store.get(DECLARATION_KEY)
+        newest = found.ok.revision if found.ok else 0
+        result = await put_declaration(store, text, newest)
         if result.is_error():
             raise AssertionError(result.error)
         return result.ok
--- a/tanagerwalk/writes.py
+++ b/tanagerwalk/writes.py
@@ -40,6 +40,22 @@
     revision: Revision
 
 
+@dataclass(frozen=True, slots=True)
+class Newer:
+    """What a read for newer writes found.
+
+    Parameters
+    ----------
+    entry : Entry or None
+        None if there is no newer write.
+    revision : Revision
+        The store's revision at the read.
+    """
+
+    entry: Entry | None
+    revision: Revision
+
+
 @dataclass(frozen=True, slots=True)
 class Write:
     """One write that takes effect only if its key is as expected.
