Copy bills to peers before the answer ends, and write them in batches

Cause: a bill was kept in memory for up to a second after its answer; kill -9 in that time lost it. Tokens of an engine that died before its usage chunk were not billed.

Change: batches with a fixed name and content go to two peers (the first in another failure domain) before the answer ends; with no peer in reach, to the store. Holders write the batches of an origin that is no longer listed, create-only, so a repeated write changes nothing. Memory is bounded on both sides; past the bound work is refused as not run. Reused request ids for other work are billed by fingerprint. An attempt that died is billed by its pieces of text.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 # The generated code is committed; this needs Debian's thrift-compiler.
 thrift:
 	thrift --gen py:package_prefix=tanagerwalk.peers.gen. -out tanagerwalk/peers/gen tanagerwalk/peers/exchange.thrift
+	thrift --gen py:package_prefix=tanagerwalk.peers.gen. -out tanagerwalk/peers/gen tanagerwalk/peers/bills.thrift
 
 clean:
 	rm -rf $(VENV)
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import random
 import statistics
 import time
@@ -18,22 +19,26 @@
 
 SEED = 7
 DURATION_S = 4.0
-STORE_DELAY_S = 0.004
-RATES_PER_S = (1, 10, 50, 150, 400, 800)
-LINGERS_S = {"direct": None, "batched": 0.0, "linger 5 ms": 0.005}
+STORE_DELAYS_S = (0.004, 0.02)
+RATES_PER_S = (1, 50, 200, 800)
+WAYS = {
+    "direct": lambda client: client,
+    "1 call": lambda client: BatchingStore(client, max_calls=1),
+    "2 calls": lambda client: BatchingStore(client, max_calls=2),
+    "2 calls, 5 ms": lambda client: BatchingStore(client, 0.005, 2),
+}
 VALUE = b"x" * 200
 MS = 1000.0
 
 
-async def drive(rate, linger):
+async def drive(rate, make_store, delay):
     """Return store calls, writes and latencies in seconds of one run."""
     standin = KeyValueStandIn()
     await standin.start()
-    standin.delay = STORE_DELAY_S
+    standin.delay = delay
     async with aiohttp.ClientSession() as http:
         client = KeyValueClient(http, f"http://{standin.address}", 5.0)
-        store = client if linger is None else BatchingStore(client, linger)
-        latencies = await offer(store, rate)
+        latencies = await offer(make_store(client), rate)
     await standin.stop()
     return standin.calls, standin.writes, latencies
 
@@ -59,18 +64,16 @@
 
 
 def main():
-    """Print one line for each rate and way of writing."""
-    print(f"store call {STORE_DELAY_S * MS:.0f} ms, {DURATION_S:.0f} s, seed {SEED}")
-    print("offered/s  way          calls/s  writes/call   p50 ms   p95 ms")
-    for rate in RATES_PER_S:
-        for name, linger in LINGERS_S.items():
-            calls, writes, latencies = asyncio.run(drive(rate, linger))
-            cuts = statistics.quantiles(latencies or [0.0, 0.0], n=20)
-            print(
-                f"{rate:9d}  {name:11s} {calls / DURATION_S:8.1f} "
-                f"{writes / max(1, calls):12.2f} "
-                f"{cuts[9] * MS:8.2f} {cuts[18] * MS:8.2f}"
-            )
+    """Print one line for each delay of the store, rate and way of writing."""
+    print(f"{DURATION_S:.0f} s each, seed {SEED}")
+    print("store ms  offered/s  way            calls/s  writes/call   p50 ms   p95 ms")
+    for delay, rate, name in itertools.product(STORE_DELAYS_S, RATES_PER_S, WAYS):
+        calls, writes, latencies = asyncio.run(drive(rate, WAYS[name], delay))
+        cuts = statistics.quantiles(latencies or [0.0, 0.0], n=20)
+        print(
+            f"{delay * MS:8.0f}  {rate:9d}  {name:13s} {calls / DURATION_S:8.1f} "
+            f"{writes / max(1, calls):12.2f} {cuts[9] * MS:8.2f} {cuts[18] * MS:8.2f}"
+        )
 
 
 if __name__ == "__main__":
--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -19,11 +19,14 @@
 from .clients.targets import TargetsClient
 from .controllers.billing import BillingController
 from .controllers.configuration import ConfigurationController
+from .controllers.copies import BillCopies
 from .controllers.exchange import ExchangeController
+from .controllers.holding import HoldingController
 from .controllers.load import LoadController
 from .controllers.loop import poll_until
 from .controllers.membership import MembershipController
 from .controllers.rollouts import RolloutController
+from .decisions.bills import HeldBatches, HolderChooser
 from .decisions.configuration import ConfigurationState
 from .decisions.facts import FactTable
 from .decisions.limits import AdmissionQueue, DurationEstimates
@@ -163,9 +166,35 @@
             self.metrics,
             self._random,
         )
+        self._wire_billing()
+
+    def _wire_billing(self):
+        copies = BillCopies(
+            self.peer_client,
+            HolderChooser(self.incarnation, self.table.home),
+            self.membership.list_peers,
+            self._clock,
+        )
         self.billing = BillingController(
-            self.store, self.incarnation, self.metrics, self._random
+            self.batches,
+            copies,
+            self.incarnation,
+            self.settings.bills.flush_interval,
+            self.metrics,
+            self._random,
+        )
+        self.held = HeldBatches(self.settings.bills.adopt_after)
+        self.holding = HoldingController(
+            self.batches,
+            self.held,
+            copies,
+            self.membership.list_live,
+            self._clock,
+            self._random,
         )
+        self.holding.answer_on(self.peer_server)
+        self.metrics.bills_unwritten.set_function(self.billing.count_unwritten)
+        self.metrics.bill_batches_held.set_function(lambda: len(self.held))
 
     def _wire_exchange(self):
         settings = self.settings
@@ -322,6 +351,7 @@
             self.load.run,
             self.rollouts.run,
             self.billing.run,
+            self.holding.run,
             self.gate.run,
         ):
             self._supervise(run())
@@ -361,6 +391,7 @@
         )
         await self.claims.drain(max(0.0, deadline - self._clock()))
         await self.billing.flush_all(max(0.0, deadline - self._clock()))
+        await self.holding.hand_on()
         await self.close()
         log.info("stopped", in_flight=self.callers.in_flight)
 
--- a/tanagerwalk/clients/batches.py
+++ b/tanagerwalk/clients/batches.py
@@ -27,7 +27,7 @@
 class BatchingStore:
     """Gathers the writes that come while calls are under way.
 
-    A write goes out at once while fewer than `MAX_CALLS` calls run, so that an idle
+    A write goes out at once while fewer than `max_calls` calls run, so that an idle
     instance adds no latency. What was not sent within `MAX_WAIT_S` fails as not
     applied.
 
@@ -37,6 +37,8 @@
         Makes the calls.
     linger : float
         Seconds to wait for more writes before a call.
+    max_calls : int
+        Calls under way at most.
 
     Attributes
     ----------
@@ -44,9 +46,10 @@
         Calls made and writes sent so far.
     """
 
-    def __init__(self, store, linger=0.0):
+    def __init__(self, store, linger=0.0, max_calls=MAX_CALLS):
         self._store = store
         self._linger = linger
+        self._max_calls = max_calls
         self._waiting = []
         self._running = 0
         self._tasks = set()
@@ -84,7 +87,7 @@
     def _pump(self):
         self._timer = None
         self._waiting = [item for item in self._waiting if not item.future.done()]
-        while self._waiting and self._running < MAX_CALLS:
+        while self._waiting and self._running < self._max_calls:
             batch = choose_batch(self._waiting)
             taken = set(batch)
             self._waiting = [item for item in self._waiting if item not in taken]
--- a/tanagerwalk/decisions/bills.py
+++ b/tanagerwalk/decisions/bills.py
@@ -1,8 +1,16 @@
 """Bills: one for each request, however often it is recorded."""
 
+import hashlib
+from dataclasses import dataclass
+
 import msgspec
 
-from ..ids import ClassName, ClientAccountId, RequestId, VersionName
+from ..ids import ClassName, ClientAccountId, Fingerprint, RequestId, VersionName
+
+COPIES = 2
+FAULT_PAUSE_S = 5.0
+ADOPT_ANY_FACTOR = 20.0
+MAX_HELD_BYTES = 16 * 1024 * 1024
 
 
 class Bill(msgspec.Struct, frozen=True):
@@ -22,6 +30,8 @@
         Tokens of all attempts.
     cost : float
         Cost of all attempts.
+    fingerprint : Fingerprint
+        Of the request, so that an id that is used again for other work is billed.
     """
 
     account: ClientAccountId
@@ -31,6 +41,7 @@
     prompt_tokens: int
     completion_tokens: int
     cost: float
+    fingerprint: Fingerprint = Fingerprint("")
 
 
 def fold_bills(bills):
@@ -39,14 +50,176 @@
     Parameters
     ----------
     bills : iterable of Bill
-        Bills in the order in which the store took them.
+        Bills in any order.
 
     Returns
     -------
-    dict of (ClientAccountId, RequestId) to Bill
-        The first bill of each request.
+    dict of (ClientAccountId, RequestId, Fingerprint) to Bill
+        The cheapest bill of each request: a resend that ran again is not the
+        account's to pay. The result does not depend on the order.
     """
     folded = {}
     for bill in bills:
-        folded.setdefault((bill.account, bill.request_id), bill)
+        key = (bill.account, bill.request_id, bill.fingerprint)
+        kept = folded.setdefault(key, bill)
+        if _rank_bill(bill) < _rank_bill(kept):
+            folded[key] = bill
     return folded
+
+
+def _rank_bill(bill):
+    return (bill.cost, msgspec.json.encode(bill))
+
+
+@dataclass(frozen=True, slots=True)
+class BatchId:
+    """Names a batch of bills on the whole fleet and for good."""
+
+    incarnation: str
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class _HeldBatch:
+    bills: bytes
+    kept_at: float
+
+
+class HeldBatches:
+    """Copies of other instances' batches, until the store is known to have them.
+
+    Parameters
+    ----------
+    adopt_after : float
+        Age in seconds after which this instance writes the batches of an instance
+        that is gone; those of any other wait `ADOPT_ANY_FACTOR` times as long.
+    """
+
+    def __init__(self, adopt_after):
+        self._adopt_after = adopt_after
+        self._batches = {}
+        self.size = 0
+
+    def __len__(self):
+        return len(self._batches)
+
+    def keep(self, batch_id, bills, now):
+        """Keep a copy.
+
+        Parameters
+        ----------
+        batch_id : BatchId
+            Its name.
+        bills : bytes
+            The batch as the store will hold it.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            False if there is no room for it.
+        """
+        if batch_id in self._batches:
+            return True
+        if self.size + len(bills) > MAX_HELD_BYTES:
+            return False
+        self._batches[batch_id] = _HeldBatch(bills, now)
+        self.size += len(bills)
+        return True
+
+    def drop(self, batch_id):
+        """Forget a copy, if there is one."""
+        held = self._batches.pop(batch_id, None)
+        if held is not None:
+            self.size -= len(held.bills)
+
+    def list_due(self, live_incarnations, now):
+        """Return the copies that this instance has to write to the store itself.
+
+        Parameters
+        ----------
+        live_incarnations : frozenset of Incarnation or None
+            Instances known to live; None if that is not known.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        list of (BatchId, bytes)
+            Batches whose origin is gone, and old ones of any origin. Writing a batch
+            twice changes nothing, so an origin that was only paused does no harm.
+        """
+        due = []
+        for batch_id, held in self._batches.items():
+            gone = (
+                live_incarnations is not None
+                and batch_id.incarnation not in live_incarnations
+            )
+            wait = self._adopt_after * (1.0 if gone else ADOPT_ANY_FACTOR)
+            if now - held.kept_at >= wait:
+                due.append((batch_id, held.bills))
+        return due
+
+    def list_all(self):
+        """Return all copies as (BatchId, bytes)."""
+        return [(batch_id, held.bills) for batch_id, held in self._batches.items()]
+
+
+class HolderChooser:
+    """Chooses the peers that keep copies of this instance's bills.
+
+    Parameters
+    ----------
+    own : Incarnation
+        This instance.
+    home : Home
+        Where it stands.
+    """
+
+    def __init__(self, own, home):
+        self._own = own
+        self._home = home
+        self._paused = {}
+
+    def choose(self, peers, now):
+        """Return the peers to ask, in order.
+
+        Parameters
+        ----------
+        peers : tuple of PeerRecord
+            The entry instances that the platform listed last.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        list of PeerRecord
+            First one of another failure domain, of this region if there is one,
+            since links between regions are slow and paid; then the nearest ones.
+            The order changes only with the fleet, so that connections are kept.
+        """
+        usable = [
+            peer
+            for peer in peers
+            if peer.incarnation != self._own
+            and not peer.leaving
+            and self._paused.get(peer.address, now) <= now
+        ]
+        usable.sort(key=self._rank)
+        other = [
+            peer for peer in usable if peer.failure_domain != self._home.failure_domain
+        ]
+        return other[:1] + [peer for peer in usable if peer not in other[:1]]
+
+    def record_fault(self, peer, now):
+        """Leave a peer alone for a while that did not keep a copy."""
+        self._paused = {a: ends for a, ends in self._paused.items() if ends > now}
+        self._paused[peer.address] = now + FAULT_PAUSE_S
+
+    def _rank(self, peer):
+        is_far = peer.region != self._home.region
+        is_away = peer.failure_domain != self._home.failure_domain
+        name = f"{self._own}/{peer.incarnation}".encode()
+        digest = hashlib.blake2b(name, digest_size=8).digest()
+        return (is_far, is_away, digest)
--- a/tanagerwalk/filters/bill.py
+++ b/tanagerwalk/filters/bill.py
@@ -1,11 +1,16 @@
 """Records one bill for every answered request."""
 
+from expression import Error
+
 from ..decisions.bills import Bill
 from ..ids import RequestId
+from ..outcomes import Refusal, RefusalReason
+
+RETRY_AFTER_FULL_S = 30.0
 
 
 class BillFilter:
-    """Hands the bill over before the answer ends.
+    """Makes the bill safe before the answer ends.
 
     Parameters
     ----------
@@ -18,17 +23,38 @@
 
     async def handle(self, context, proceed):
         """Pass the request on and bill its answer."""
+        if self._billing.is_full:
+            return Error(
+                Refusal(
+                    RefusalReason.BILLS_UNWRITTEN,
+                    "too many bills wait for the platform's key-value service",
+                    retry_after=RETRY_AFTER_FULL_S,
+                )
+            )
         result = await proceed(context)
         if result.is_error():
             return result
-        bill = Bill(
-            account=context.account.name,
-            request_id=RequestId(context.idempotency_key or context.request_id),
-            work_class=context.work_class.name,
-            version=result.ok.version,
-            prompt_tokens=context.usage.prompt_tokens,
-            completion_tokens=context.usage.completion_tokens,
-            cost=context.cost,
-        )
-        await self._billing.record(bill)
+        await self._billing.record(make_bill(context, result.ok))
         return result
+
+
+def make_bill(context, answer):
+    """Return the bill of a request and its answer.
+
+    Parameters
+    ----------
+    context : RequestContext
+        The request; its usage and cost are of all attempts.
+    answer : Answer
+        The answer.
+    """
+    return Bill(
+        account=context.account.name,
+        request_id=RequestId(context.idempotency_key or context.request_id),
+        work_class=context.work_class.name,
+        version=answer.version,
+        prompt_tokens=context.usage.prompt_tokens,
+        completion_tokens=context.usage.completion_tokens,
+        cost=context.cost,
+        fingerprint=context.fingerprint,
+    )
--- a/tanagerwalk/filters/dispatch.py
+++ b/tanagerwalk/filters/dispatch.py
@@ -9,7 +9,7 @@
 from ..clients.engines import ChatAttempt, ChatOutcome
 from ..clients.services import ServiceAttempt, ServiceOutcome
 from ..ids import AttemptId
-from ..messages import Answer
+from ..messages import Answer, Usage
 from ..outcomes import Interface
 
 OK_STATUS = 200
@@ -39,6 +39,7 @@
         del proceed
         context.attempt = AttemptId(f"{context.request_id}.{uuid.uuid4().hex[:8]}")
         limit = max(0.0, context.deadline - self._clock())
+        resumed = len(context.generated)
         if context.work_class.interface is Interface.SERVICE:
             result = await self._services.call(_make_service_attempt(context), limit)
         else:
@@ -46,7 +47,10 @@
         if result.is_error():
             server = context.grant.server
             return Error(dataclasses.replace(result.error, server=server))
-        return Ok(self._make_answer(result.ok, context))
+        answer = self._make_answer(result.ok, context)
+        return Ok(
+            dataclasses.replace(answer, usage=_sum_usage(answer, context, resumed))
+        )
 
     async def _complete(self, context, limit):
         attempt = context.attempt
@@ -84,6 +88,14 @@
         return Answer(outcome.status, outcome.content, outcome.content_type)
 
 
+def _sum_usage(answer, context, resumed):
+    """Count a piece of text as a token wherever the engine died uncounted."""
+    usage = answer.usage
+    if usage.completion_tokens == 0 and answer.status == OK_STATUS:
+        usage = usage.add(Usage(0, len(context.generated) - resumed))
+    return usage.add(Usage(0, resumed))
+
+
 def _make_chat_attempt(context):
     return ChatAttempt(
         attempt=context.attempt,
--- a/tanagerwalk/metrics.py
+++ b/tanagerwalk/metrics.py
@@ -32,6 +32,15 @@
             registry=self.registry,
         )
         self.waiting = self._gauge("waiting", "Requests that wait for room.")
+        self.bills_at_risk = self._count(
+            "bills_at_risk", "Bills that neither store nor peer took at once."
+        )
+        self.bills_unwritten = self._gauge(
+            "bills_unwritten", "Own bills that the store has not confirmed."
+        )
+        self.bill_batches_held = self._gauge(
+            "bill_batches_held", "Copies of peers' batches of bills."
+        )
         self.revision = self._gauge("revision", "Revision of the declaration in force.")
         self.exchanges = self._count(
             "exchanges", "Exchanges that this instance started.", ["outcome"]
--- a/tanagerwalk/outcomes.py
+++ b/tanagerwalk/outcomes.py
@@ -74,6 +74,7 @@
     RETRY_BUDGET_SPENT = "retry_budget_spent"
     BACKEND_FAILED = "backend_failed"
     INTERNAL_ERROR = "internal_error"
+    BILLS_UNWRITTEN = "bills_unwritten"
     NOT_READY = "not_ready"
     STOPPING = "stopping"
 
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -70,6 +70,14 @@
     retention: float
 
 
+@dataclass(frozen=True, slots=True)
+class BillSettings:
+    """How bills reach the key-value service."""
+
+    flush_interval: float
+    adopt_after: float
+
+
 @dataclass(frozen=True, slots=True)
 class LimitSettings:
     """Queue and concurrency limits."""
@@ -130,6 +138,7 @@
     peers: PeerSettings
     sessions: SessionSettings
     claims: ClaimSettings
+    bills: BillSettings
     limits: LimitSettings
     retries: RetrySettings
     load: LoadSettings
--- a/tanagerwalk/standins/world.py
+++ b/tanagerwalk/standins/world.py
@@ -29,6 +29,9 @@
 instances = http://{platform}/targets
 ratings = http://{platform}
 instances_interval = 0.1
+[bills]
+flush_interval = 0.2
+adopt_after = 1
 [load]
 interval = 0.1
 [sessions]
