Pin the versions of sessions whose ids the callers chose

Cause: only minted tokens worked; any other X-Session was refused, and a secret could not be rotated. Change: a create-only pin in the store under account and id, cached, ended by a lease of twice the session's life; the loser of a race takes the winner's version; with the store out an unknown id is refused as not run. Tokens carry a prefix that tells them from chosen ids. Several secrets are accepted, the first signs.

--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -13,6 +13,7 @@
 from .clients.batches import BatchingStore
 from .clients.engines import EngineClient
 from .clients.keyvalue import KeyValueClient
+from .clients.pins import SessionPins
 from .clients.ratings import RatingsClient
 from .clients.retention import RetentionLease
 from .clients.services import ServiceClient
@@ -237,7 +238,12 @@
     def _build_chain(self):
         settings = self.settings
         tokens = SessionTokens(settings.sessions.secret, settings.sessions.lifetime)
-        starter = SessionStarter(tokens, self.configuration, self._wall_clock)
+        # A pin outlives its session, so that an old id is refused, not begun anew.
+        retention = RetentionLease(
+            self.store, 2.0 * settings.sessions.lifetime, self._clock
+        )
+        pins = SessionPins(self.store, self.batches, retention)
+        starter = SessionStarter(tokens, pins, self.configuration, self._wall_clock)
         budget = RetryBudget(
             settings.retries.budget_ratio, settings.retries.budget_burst
         )
@@ -252,7 +258,7 @@
             [
                 CountFilter(self.metrics, self._clock),
                 IdentifyFilter(self.configuration),
-                SessionFilter(tokens, self._wall_clock),
+                SessionFilter(tokens, pins, self._wall_clock),
                 self.claims,
                 BillFilter(self.billing),
                 PlanFilter(
--- /dev/null
+++ b/tanagerwalk/clients/pins.py
@@ -0,0 +1,100 @@
+"""Pins: the versions of sessions whose ids the callers chose."""
+
+import msgspec
+from cachetools import LRUCache
+from expression import Error, Ok
+
+from ..decisions.sessions import SessionClaims
+from ..writes import StoreFault, Write
+
+PIN_PREFIX = "tanagerwalk/sessions/"
+MAX_CACHED = 10_000
+MAX_WRITES = 3
+
+
+class SessionPins:
+    """Create-only pins in the key-value service, cached since they never change.
+
+    Parameters
+    ----------
+    reader : KeyValueClient
+        Reads pins.
+    store : BatchingStore
+        Writes them.
+    retention : RetentionLease
+        Ends pins some time after their session's life.
+    """
+
+    def __init__(self, reader, store, retention):
+        self._reader = reader
+        self._store = store
+        self._retention = retention
+        self._cache = LRUCache(MAX_CACHED)
+
+    async def find(self, account, session_id):
+        """Look a session up.
+
+        Parameters
+        ----------
+        account : ClientAccountId
+            The caller's client account.
+        session_id : str
+            The id that the caller chose.
+
+        Returns
+        -------
+        Result of SessionClaims or None, or of StoreFault
+            None if the session has not begun.
+        """
+        key = _make_key(account, session_id)
+        if key in self._cache:
+            return Ok(self._cache[key])
+        found = await self._reader.get(key)
+        if found.is_error():
+            return found
+        return Ok(self._remember(key, found.ok.value) if found.ok else None)
+
+    async def pin(self, session_id, claims):
+        """Begin a session, unless another request has begun it.
+
+        Parameters
+        ----------
+        session_id : str
+            The id that the caller chose.
+        claims : SessionClaims
+            The session as this request would have it.
+
+        Returns
+        -------
+        Result of SessionClaims, or of StoreFault
+            The session in force, which may be another request's.
+        """
+        key = _make_key(claims.account, session_id)
+        value = msgspec.json.encode(claims)
+        result = Error(StoreFault.NOT_APPLIED)
+        for _ in range(MAX_WRITES):
+            result = await self._try_pin(key, value)
+            if result.is_ok() or result.error is StoreFault.NOT_APPLIED:
+                break
+        return result
+
+    async def _try_pin(self, key, value):
+        lease = await self._retention.get()
+        if lease.is_error():
+            return lease
+        result = await self._store.write(Write(key, value, lease=lease.ok))
+        if result.is_error():
+            if result.error is StoreFault.REJECTED:
+                self._retention.forget()
+            return result
+        existing = result.ok.existing
+        return Ok(self._remember(key, existing.value if existing else value))
+
+    def _remember(self, key, value):
+        claims = msgspec.json.decode(value, type=SessionClaims)
+        self._cache[key] = claims
+        return claims
+
+
+def _make_key(account, session_id):
+    return f"{PIN_PREFIX}{account}/{session_id}"
--- a/tanagerwalk/decisions/sessions.py
+++ b/tanagerwalk/decisions/sessions.py
@@ -1,4 +1,8 @@
-"""Session tokens: a conversation's version, signed, with nothing stored."""
+"""Sessions: a conversation's version, signed in a token or pinned in the store.
+
+A token that the router minted states its version and needs no storage. For an id
+that the caller chose, the first request pins the version under the id.
+"""
 
 import hashlib
 
@@ -10,9 +14,13 @@
 from ..messages import Session
 from ..outcomes import Refusal, RefusalReason
 
+TOKEN_PREFIX = "tw1."
+MAX_ID_LENGTH = 128
+RETRY_AFTER_UNCONFIRMED_S = 5.0
+
 
 class SessionClaims(msgspec.Struct, frozen=True):
-    """What a session token states.
+    """What a session token states, and what a pin holds.
 
     Parameters
     ----------
@@ -40,20 +48,23 @@
 
     Parameters
     ----------
-    secret : str
-        Signing secret, the same on all instances.
+    secrets : str
+        Signing secrets, separated by blanks and the same on all instances. The
+        first one signs; each is accepted, so that secrets can be rotated.
     lifetime : float
         Seconds after which a token is refused.
     """
 
-    def __init__(self, secret, lifetime):
-        self._signer = Signer(secret, salt="session", digest_method=hashlib.sha256)
+    def __init__(self, secrets, lifetime):
+        # The library signs with the last key.
+        keys = secrets.split()[::-1]
+        self._signer = Signer(keys, salt="session", digest_method=hashlib.sha256)
         self._lifetime = lifetime
 
     def mint(self, claims):
         """Return the Session for `claims`."""
         token = self._signer.sign(msgspec.json.encode(claims).hex()).decode()
-        return Session(claims.version, token)
+        return Session(claims.version, TOKEN_PREFIX + token)
 
     def verify(self, token, account, work_class, now):
         """Check a token that a caller sent.
@@ -74,15 +85,56 @@
         Result of Session, or of Refusal
         """
         try:
-            payload = bytes.fromhex(self._signer.unsign(token).decode())
+            signed = token.removeprefix(TOKEN_PREFIX)
+            payload = bytes.fromhex(self._signer.unsign(signed).decode())
             claims = msgspec.json.decode(payload, type=SessionClaims)
         except (BadSignature, ValueError):
             return _refuse("the session token is not valid")
+        return self.check(claims, token, account, work_class, now)
+
+    def check(self, claims, name, account, work_class, now):
+        """Check whether a request may continue a session.
+
+        Parameters
+        ----------
+        claims : SessionClaims
+            The session.
+        name : str
+            Its token or id, by which the caller continues it.
+        account, work_class, now
+            As for `verify`.
+
+        Returns
+        -------
+        Result of Session, or of Refusal
+        """
         if (claims.account, claims.work_class) != (account, work_class):
-            return _refuse("the session token belongs to other work")
+            return _refuse("the session belongs to other work")
         if now - claims.started > self._lifetime:
-            return _refuse("the session token is too old")
-        return Ok(Session(claims.version, token))
+            return _refuse("the session is too old")
+        return Ok(Session(claims.version, name))
+
+
+def is_token(name):
+    """Return whether a session's name is a minted token, not a caller's id."""
+    return name.startswith(TOKEN_PREFIX)
+
+
+def check_id(name):
+    """Return the refusal of an unusable session id, or None."""
+    if len(name) <= MAX_ID_LENGTH and name.isprintable():
+        return None
+    message = f"a session id has up to {MAX_ID_LENGTH} printable characters"
+    return Refusal(RefusalReason.SESSION_INVALID, message)
+
+
+def refuse_unconfirmed():
+    """Return the refusal for a session id that the store does not confirm."""
+    return Refusal(
+        RefusalReason.SESSION_UNCONFIRMED,
+        "the platform's key-value service does not confirm the session's version",
+        retry_after=RETRY_AFTER_UNCONFIRMED_S,
+    )
 
 
 def _refuse(message):
--- a/tanagerwalk/filters/plan.py
+++ b/tanagerwalk/filters/plan.py
@@ -43,7 +43,14 @@
             return chosen
         context.plan = chosen.ok
         if context.session is None and context.wants_session:
-            self._starter.start(context, context.plan.steps[0])
+            started = await self._starter.start(context, context.plan.steps[0])
+            if started.is_error():
+                return started
+            if started.ok != context.plan.steps[0]:
+                chosen = self._choose(context)
+                if chosen.is_error():
+                    return chosen
+                context.plan = chosen.ok
         if context.plan.candidate is None:
             return await self._run_steps(context, proceed)
         key = (context.work_class.name, context.plan.candidate)
--- a/tanagerwalk/filters/session.py
+++ b/tanagerwalk/filters/session.py
@@ -1,59 +1,108 @@
 """Binds a request to the version of its session."""
 
-from ..decisions.sessions import SessionClaims
+from expression import Error, Ok
+
+from ..decisions.sessions import (
+    SessionClaims,
+    check_id,
+    is_token,
+    refuse_unconfirmed,
+)
 
 
 class SessionFilter:
-    """Verifies the token of a session that the request continues.
+    """Finds the session that the request continues.
 
     Parameters
     ----------
     tokens : SessionTokens
         Verifies tokens.
+    pins : SessionPins
+        Sessions whose ids the callers chose.
     wall_clock : callable
         Returns seconds since the epoch.
     """
 
-    def __init__(self, tokens, wall_clock):
+    def __init__(self, tokens, pins, wall_clock):
         self._tokens = tokens
+        self._pins = pins
         self._wall_clock = wall_clock
 
     async def handle(self, context, proceed):
-        """Verify the token, if there is one."""
-        if not context.session_token:
+        """Find the session, if the request names one."""
+        name = context.session_token
+        if not name:
             return await proceed(context)
-        verified = self._tokens.verify(
+        found = self._verify(context) if is_token(name) else await self._find(context)
+        if found.is_error():
+            return found
+        if found.ok is None:
+            context.session_id = name
+            context.wants_session = True
+        context.session = found.ok
+        return await proceed(context)
+
+    def _verify(self, context):
+        return self._tokens.verify(
             context.session_token,
             context.account.name,
             context.work_class.name,
             self._wall_clock(),
         )
-        if verified.is_error():
-            return verified
-        context.session = verified.ok
-        return await proceed(context)
+
+    async def _find(self, context):
+        name = context.session_token
+        refusal = check_id(name)
+        if refusal is not None:
+            return Error(refusal)
+        account = context.account.name
+        found = await self._pins.find(account, name)
+        if found.is_error():
+            return Error(refuse_unconfirmed())
+        if found.ok is None:
+            return Ok(None)
+        return self._tokens.check(
+            found.ok, name, account, context.work_class.name, self._wall_clock()
+        )
 
 
 class SessionStarter:
-    """Mints the session of a request that asks for one.
+    """Begins the session of a request that asks for one.
 
     Parameters
     ----------
     tokens : SessionTokens
         Mints tokens.
+    pins : SessionPins
+        Pins the versions of ids that the callers chose.
     configuration : ConfigurationState
         The declaration in force.
     wall_clock : callable
         Returns seconds since the epoch.
     """
 
-    def __init__(self, tokens, configuration, wall_clock):
+    def __init__(self, tokens, pins, configuration, wall_clock):
         self._tokens = tokens
+        self._pins = pins
         self._configuration = configuration
         self._wall_clock = wall_clock
 
-    def start(self, context, version):
-        """Bind the request's new session to `version`."""
+    async def start(self, context, version):
+        """Bind the request's new session to a version.
+
+        Parameters
+        ----------
+        context : RequestContext
+            Its `session` is set.
+        version : VersionName
+            The version for the session.
+
+        Returns
+        -------
+        Result of VersionName, or of Refusal
+            The version in force: another one, if another request with the same id
+            was first.
+        """
         claims = SessionClaims(
             version,
             context.account.name,
@@ -61,4 +110,20 @@
             self._configuration.revision,
             int(self._wall_clock()),
         )
-        context.session = self._tokens.mint(claims)
+        if context.session_id is None:
+            context.session = self._tokens.mint(claims)
+            return Ok(version)
+        pinned = await self._pins.pin(context.session_id, claims)
+        if pinned.is_error():
+            return Error(refuse_unconfirmed())
+        checked = self._tokens.check(
+            pinned.ok,
+            context.session_id,
+            context.account.name,
+            context.work_class.name,
+            self._wall_clock(),
+        )
+        if checked.is_error():
+            return checked
+        context.session = checked.ok
+        return Ok(checked.ok.version)
--- a/tanagerwalk/messages.py
+++ b/tanagerwalk/messages.py
@@ -162,7 +162,9 @@
     idempotency_key : str or None
         Key that makes resends of a non-idempotent request safe.
     session_token : str or None
-        Token of the session to continue.
+        Token of the session to continue, or an id that the caller chose.
+    session_id : str or None
+        That id, if its session is yet to begin.
     arrived : float
         Monotonic time of arrival, in seconds.
     sink : Sink
@@ -176,6 +178,7 @@
     interface: Interface = Interface.CHAT
     idempotency_key: str | None = None
     session_token: str | None = None
+    session_id: str | None = None
     wants_session: bool = False
     arrived: float = 0.0
     sink: Sink = field(default_factory=Sink)
