Stop without cutting what is under way, and free the room of a caller that left

Cause: the stop counted requests in flight, but not answers that were not sent yet or claimed requests whose caller had hung up; it waited for claims before it flushed bills; kept connections were answered without "Connection: close". A claimed stream whose caller hung up was cut, because the HTTP server raises on a write.

A claimed run writes to a detached sink. Answers of a draining instance close their connection.

--- a/tanagerwalk/api/callers.py
+++ b/tanagerwalk/api/callers.py
@@ -1,9 +1,11 @@
 """The callers' API: chat completions and calls to plain services."""
 
+import asyncio
 import time
 import uuid
 
 import msgspec
+from sanic.exceptions import SanicException
 from sanic.response import json as json_response
 from sanic.response import raw
 
@@ -64,9 +66,18 @@
         await self.send_event(chunk)
 
     async def send_event(self, event):
-        """Send one server-sent event."""
+        """Send one server-sent event.
+
+        Raises
+        ------
+        ConnectionResetError
+            If the caller has hung up.
+        """
         data = msgspec.json.encode(event).decode()
-        await self.response.send(f"data: {data}\n\n")
+        try:
+            await self.response.send(f"data: {data}\n\n")
+        except SanicException as error:
+            raise ConnectionResetError("the caller has hung up") from error
 
 
 class CallersApi:
@@ -116,6 +127,9 @@
         if checked.is_error():
             return self._refuse(checked.error)
         context = self._make_context(request, checked.ok, interface)
+        if self.draining:
+            # The caller's next request is to open a connection elsewhere.
+            request.stream.keep_alive = False
         if self.stopping:
             return self._refuse(_refuse_stopping())
         sink = None
@@ -128,6 +142,9 @@
             if sink is not None:
                 return await _finish_stream(sink, context, result)
             return _render(result, context, interface)
+        except asyncio.CancelledError:
+            self._metrics.hang_ups.inc()
+            raise
         finally:
             self.in_flight -= 1
 
--- a/tanagerwalk/api/listener.py
+++ b/tanagerwalk/api/listener.py
@@ -48,7 +48,20 @@
 
     async def stop(self):
         """Take no more connections; those that are open stay."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self):
+        """Close the connections on which no request is under way.
+
+        Returns
+        -------
+        int
+            Connections that are still open, for a request or for unsent bytes.
+        """
         if self._server is None:
-            return
-        self._server.close()
-        self._server = None
+            return 0
+        connections = self._server.connections
+        for connection in list(connections):
+            connection.close_if_idle()
+        return len(connections)
--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -392,15 +392,23 @@
         self.callers.stopping = True
         await self.callers.listener.stop()
         deadline = self._clock() + instance.drain_limit
-        await poll_until(
-            lambda: not self.callers.in_flight, DRAIN_POLL_S, instance.drain_limit
+        await poll_until(self._is_quiet, DRAIN_POLL_S, instance.drain_limit)
+        left = max(0.0, deadline - self._clock())
+        unresolved, _ = await asyncio.gather(
+            self.claims.drain(left), self.billing.flush_all(left)
         )
-        await self.claims.drain(max(0.0, deadline - self._clock()))
-        await self.billing.flush_all(max(0.0, deadline - self._clock()))
+        if unresolved:
+            log.error("claims not settled", count=unresolved)
         await self.holding.hand_on()
         await self.close()
         log.info("stopped", in_flight=self.callers.in_flight)
 
+    def _is_quiet(self):
+        """Return whether every answer is sent and no claimed request runs."""
+        open_connections = self.callers.listener.close_idle()
+        in_flight = self.callers.in_flight or open_connections
+        return not in_flight and not self.claims.has_runs()
+
     async def close(self):
         """Stop the controllers and close every connection at once."""
         self._closing = True
--- a/tanagerwalk/filters/claim.py
+++ b/tanagerwalk/filters/claim.py
@@ -13,6 +13,7 @@
     judge_existing,
     refuse_unavailable,
 )
+from ..messages import Sink
 from ..outcomes import Refusal, RefusalReason, RunState
 from ..writes import StoreFault
 
@@ -26,6 +27,31 @@
 CLAIM_RETRY_S = 0.05
 
 
+class DetachedSink(Sink):
+    """Passes pieces on until the caller has hung up; the run goes on without it.
+
+    Parameters
+    ----------
+    sink : Sink
+        The caller's.
+    """
+
+    def __init__(self, sink):
+        self._sink = sink
+
+    async def write(self, text):
+        """Pass one piece on."""
+        if self._sink is None:
+            return
+        try:
+            await self._sink.write(text)
+        except (asyncio.CancelledError, OSError):
+            # The HTTP server raises CancelledError for a closed connection too.
+            if asyncio.current_task().cancelling():
+                raise
+            self._sink = None
+
+
 class ClaimFilter:
     """Lets a non-idempotent request through at most once on the whole fleet.
 
@@ -68,6 +94,7 @@
         return await asyncio.shield(self._spawn(self._run(context, proceed)))
 
     async def _run(self, context, proceed):
+        context.sink = DetachedSink(context.sink)
         key = f"{CLAIM_PREFIX}{context.account.name}/{context.idempotency_key}"
         own = self._open.get(key)
         if own is not None:
@@ -126,6 +153,13 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def has_runs(self):
+        """Return whether a claimed request may still be running."""
+        return any(
+            claim.verdict is None or claim.phase is ClaimPhase.RUNNING
+            for claim in self._open.values()
+        )
+
     async def drain(self, limit):
         """Wait until every claim is recorded or released.
 
--- a/tanagerwalk/metrics.py
+++ b/tanagerwalk/metrics.py
@@ -20,6 +20,7 @@
         self.escalations = self._count(
             "escalations", "Cascade answers that were rejected.", ["work_class"]
         )
+        self.hang_ups = self._count("hang_ups", "Callers that did not wait.")
         self.dropped_ratings = self._count("dropped_ratings", "Ratings given up.")
         self.platform_faults = self._count(
             "platform_faults", "Failed calls to the platform.", ["service"]
--- a/test/test_process_bills.py
+++ b/test/test_process_bills.py
@@ -15,6 +15,13 @@
 class BillWorld(ProcessWorld):
     """A world of processes that know each other."""
 
+    drain_limit = 60
+
+    def make_settings(self, *names, **more):
+        text = super().make_settings(*names, **more)
+        limit = f"drain_notice = 0\ndrain_limit = {self.drain_limit}"
+        return text.replace("drain_notice = 0", limit)
+
     async def serve_listed(self, name, domain):
         process = await self.serve(name)
         ports = process.ports
