--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -254,6 +254,9 @@
             self.membership.list_live,
             self._wall_clock,
         )
+        self.metrics.claims_open.set_function(lambda: self.claims.open_count)
+        self.metrics.store_calls.set_function(lambda: self.batches.calls)
+        self.metrics.store_writes.set_function(lambda: self.batches.writes)
         return link_filters(
             [
                 CountFilter(self.metrics, self._clock),
--- a/tanagerwalk/decisions/claims.py
+++ b/tanagerwalk/decisions/claims.py
@@ -316,6 +316,7 @@
     """Return the refusal for a claim that could not be confirmed."""
     return Refusal(
         RefusalReason.CLAIM_UNAVAILABLE,
-        "the platform's key-value service does not confirm the claim",
+        "this submission was not run: the platform's key-value service does not "
+        "confirm its claim",
         retry_after=RETRY_AFTER_OUTAGE_S,
     )
--- a/tanagerwalk/metrics.py
+++ b/tanagerwalk/metrics.py
@@ -42,6 +42,11 @@
         self.bill_batches_held = self._gauge(
             "bill_batches_held", "Copies of peers' batches of bills."
         )
+        self.claims_open = self._gauge(
+            "claims_open", "Own claims whose end the store does not show yet."
+        )
+        self.store_calls = self._gauge("store_calls", "Calls with batched writes.")
+        self.store_writes = self._gauge("store_writes", "Writes in those calls.")
         self.revision = self._gauge("revision", "Revision of the declaration in force.")
         self.exchanges = self._count(
             "exchanges", "Exchanges that this instance started.", ["outcome"]
--- a/tanagerwalk/standins/keyvalue.py
+++ b/tanagerwalk/standins/keyvalue.py
@@ -35,7 +35,9 @@
     late_delay : float
         Seconds.
     delay : float
-        Seconds that each call takes.
+        Seconds that each call takes before it takes effect.
+    hold_answers : float
+        Seconds by which the answers of txn calls come later.
     calls, writes : int
         Calls so far, and those that wrote.
     """
@@ -47,6 +49,7 @@
         self.late_writes = 0
         self.late_delay = 0.5
         self.delay = 0.0
+        self.hold_answers = 0.0
         self.calls = 0
         self.writes = 0
         self.revision = 0
@@ -81,6 +84,8 @@
                 loop.call_later(self.late_delay, handler, body)
                 raise web.HTTPGatewayTimeout
             response = handler(body)
+            if "compare" in body and self.hold_answers:
+                await asyncio.sleep(self.hold_answers)
             if "compare" in body and self.lose_answers > 0:
                 self.lose_answers -= 1
                 request.transport.close()
--- /dev/null
+++ b/test/test_golden.py
@@ -0,0 +1,106 @@
+"""Whole sessions against golden files; UPDATE_GOLDEN=1 writes the answers anew.
+
+A step sends a request, sets an attribute of a stand-in, or changes the declaration.
+"$session" stands for the session that the last answer named.
+"""
+
+import json
+import os
+import re
+from pathlib import Path
+
+import pytest
+
+FOLDER = Path(__file__).parent / "golden"
+SESSIONS = sorted(path.stem for path in FOLDER.glob("*.json"))
+HEADERS = ("Content-Type", "Retry-After", "X-Session", "X-Version")
+TOKEN = re.compile(r"tw1\.[0-9a-f]+\.[\w-]+")
+MINTED_ID = re.compile(r"\b[0-9a-f]{32}\b")
+CREATED = re.compile(r'"created":\d+')
+EVENT = "data: "
+
+
+def normalise(text):
+    text = TOKEN.sub("$session", text)
+    text = MINTED_ID.sub("$id", text)
+    return CREATED.sub('"created":0', text)
+
+
+def read_body(content):
+    text = normalise(content.decode())
+    if not text.startswith(EVENT):
+        return json.loads(text)
+    events = [line[len(EVENT) :] for line in text.split("\n\n") if line]
+    return [json.loads(e) if e.startswith("{") else e for e in events]
+
+
+class GoldenSession:
+    """Plays the steps of one file."""
+
+    def __init__(self, demo):
+        self.demo = demo
+        self.instances = list(demo.instances.values())
+        self.session = ""
+
+    async def play(self, step):
+        if "set" in step:
+            target, name = step["set"].split(".")
+            setattr(self.find_standin(target), name, step["value"])
+            return None
+        if "change" in step:
+            await self.change(*step["change"])
+            return None
+        return await self.send(step["instance"], step["request"])
+
+    async def settle(self):
+        """Wait until the store shows how earlier steps ended."""
+        if not self.demo.keyvalue.outage:
+            await self.demo.wait_until(
+                lambda: not any(i.claims.open_count for i in self.instances)
+            )
+
+    def find_standin(self, name):
+        demo = self.demo
+        standins = {"keyvalue": demo.keyvalue, **demo.services, **demo.engines}
+        return standins[name]
+
+    async def change(self, old, new):
+        text = self.instances[0].configuration.text
+        assert old in text
+        revision = await self.demo.apply(text.replace(old, new, 1))
+        await self.demo.wait_until(
+            lambda: all(i.configuration.revision == revision for i in self.instances)
+        )
+
+    async def send(self, number, request):
+        headers = {
+            name: value.replace("$session", self.session)
+            for name, value in request.get("headers", {}).items()
+        }
+        status, content, answered = await self.demo.post(
+            self.instances[number],
+            request["path"],
+            request["body"],
+            request.get("key", "desk-key"),
+            **headers,
+        )
+        self.session = answered.get("X-Session", self.session)
+        kept = {name: normalise(answered[name]) for name in HEADERS if name in answered}
+        return {"status": status, "headers": kept, "body": read_body(content)}
+
+
+@pytest.mark.parametrize("name", SESSIONS)
+async def test_session_is_answered_as_its_golden_file_says(demo, name):
+    path = FOLDER / f"{name}.json"
+    steps = json.loads(path.read_text())
+    session = GoldenSession(demo)
+    for step in steps:
+        await session.settle()
+        answer = await session.play(step)
+        if answer is None:
+            continue
+        if os.environ.get("UPDATE_GOLDEN"):
+            step["answer"] = answer
+        assert step["answer"] == answer, step["why"]
+    if os.environ.get("UPDATE_GOLDEN"):
+        path.write_text(json.dumps(steps, indent=1) + "\n")
