Refuse at once while the store gives no answer

Cause: with a hung store each booking waited for several time limits, and after an outage the bills held back would have stood before new claims; every settling record asked for a lease of its own. Change: after a call without answer one call at a time tries the store and other writes fail as not applied; bills have a batching store of their own; one grant at a time.

--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -176,8 +176,10 @@
             self.membership.list_peers,
             self._clock,
         )
+        # Bills that an outage held back must not delay claims.
+        store = BatchingStore(self.store, max_calls=1)
         self.billing = BillingController(
-            self.batches,
+            store,
             copies,
             self.incarnation,
             self.settings.bills.flush_interval,
@@ -186,7 +188,7 @@
         )
         self.held = HeldBatches(self.settings.bills.adopt_after)
         self.holding = HoldingController(
-            self.batches,
+            store,
             self.held,
             copies,
             self.membership.list_live,
--- a/tanagerwalk/clients/batches.py
+++ b/tanagerwalk/clients/batches.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from expression import Error
+from expression import Error, Ok
 
 from ..writes import StoreFault, Write
 
@@ -29,7 +29,8 @@
 
     A write goes out at once while fewer than `max_calls` calls run, so that an idle
     instance adds no latency. What was not sent within `MAX_WAIT_S` fails as not
-    applied.
+    applied. After a call without answer, one call at a time tries the store, and
+    writes that come meanwhile fail at once as not applied.
 
     Parameters
     ----------
@@ -52,6 +53,7 @@
         self._max_calls = max_calls
         self._waiting = []
         self._running = 0
+        self._faulty = False
         self._tasks = set()
         self._timer = None
         self.calls = 0
@@ -70,6 +72,8 @@
         Result of WriteOutcome, or of StoreFault
             If a call's outcome is unknown, it is unknown for each of its writes.
         """
+        if self._faulty and self._running:
+            return Error(StoreFault.NOT_APPLIED)
         loop = asyncio.get_running_loop()
         item = _Item(write, loop.create_future())
         self._waiting.append(item)
@@ -87,20 +91,15 @@
     def _pump(self):
         self._timer = None
         self._waiting = [item for item in self._waiting if not item.future.done()]
-        while self._waiting and self._running < self._max_calls:
+        limit = 1 if self._faulty else self._max_calls
+        while self._waiting and self._running < limit:
             batch = choose_batch(self._waiting)
             taken = set(batch)
             self._waiting = [item for item in self._waiting if item not in taken]
             self._running += 1
             task = asyncio.get_running_loop().create_task(self._send(batch))
             self._tasks.add(task)
-            task.add_done_callback(self._finish)
-
-    def _finish(self, task):
-        self._tasks.discard(task)
-        self._running -= 1
-        if self._waiting:
-            self._pump()
+            task.add_done_callback(self._tasks.discard)
 
     def _expire(self, item):
         if item not in self._waiting:
@@ -109,22 +108,38 @@
         _resolve(item, Error(StoreFault.NOT_APPLIED))
 
     async def _send(self, batch):
+        try:
+            results = await self._call(batch)
+        finally:
+            self._running -= 1
+        for item, result in zip(batch, results, strict=True):
+            _resolve(item, result)
+        if self._waiting:
+            self._pump()
+
+    async def _call(self, batch):
+        """Return the Result of each item."""
         if len(batch) == 1:
-            _resolve(batch[0], await self._send_one(batch[0]))
-            return
+            return [await self._send_one(batch[0])]
         self._count(len(batch))
         result = await self._store.write_all([item.write for item in batch])
-        if result.is_error() and result.error is StoreFault.REJECTED:
+        self._note_fault(result)
+        if result.is_ok():
+            return [Ok(outcome) for outcome in result.ok]
+        if result.error is StoreFault.REJECTED:
             # One write that the store refuses must not fail the others.
-            for item in batch:
-                _resolve(item, await self._send_one(item))
-            return
-        for number, item in enumerate(batch):
-            _resolve(item, result.map(lambda outcomes, number=number: outcomes[number]))
+            return [await self._send_one(item) for item in batch]
+        return [result] * len(batch)
 
     async def _send_one(self, item):
         self._count(1)
-        return await self._store.write(item.write)
+        result = await self._store.write(item.write)
+        self._note_fault(result)
+        return result
+
+    def _note_fault(self, result):
+        rejected = result.is_error() and result.error is StoreFault.REJECTED
+        self._faulty = result.is_error() and not rejected
 
     def _count(self, writes):
         self.calls += 1
--- a/tanagerwalk/clients/retention.py
+++ b/tanagerwalk/clients/retention.py
@@ -1,8 +1,11 @@
 """Leases that let the key-value service itself delete settled records."""
 
+import asyncio
+
 from expression import Ok
 
 RENEWAL_S = 3600.0
+FAULT_PAUSE_S = 0.5
 
 
 class RetentionLease:
@@ -27,6 +30,9 @@
         self._clock = clock
         self._lease = None
         self._granted_at = 0.0
+        self._fault = None
+        self._fault_at = 0.0
+        self._lock = asyncio.Lock()
 
     async def get(self):
         """Return a lease that lasts for the retention.
@@ -35,13 +41,22 @@
         -------
         Result of int, or of StoreFault
         """
+        async with self._lock:
+            return await self._get()
+
+    async def _get(self):
         now = self._clock()
         if self._lease is not None and now - self._granted_at < RENEWAL_S:
             return Ok(self._lease)
+        # Many records may wait for a lease while the store is out.
+        if self._fault is not None and now - self._fault_at < FAULT_PAUSE_S:
+            return self._fault
         granted = await self._store.grant_lease(self._retention + RENEWAL_S)
         if granted.is_ok():
             self._lease = granted.ok
             self._granted_at = now
+        self._fault = granted if granted.is_error() else None
+        self._fault_at = self._clock()
         return granted
 
     def forget(self):
--- a/tanagerwalk/controllers/billing.py
+++ b/tanagerwalk/controllers/billing.py
@@ -21,6 +21,7 @@
 LATE_S = 60.0
 MAX_BATCH = 1000
 MAX_HANDOVERS = 4
+MAX_FLUSHED = 200
 MAX_UNWRITTEN = 100_000
 
 
@@ -131,10 +132,13 @@
     async def flush(self):
         """Write all batches; return whether nothing is left to write."""
         batches = list(self._unwritten.values())
-        if batches and not await self._write(batches):
+        for start in range(0, len(batches), MAX_FLUSHED):
+            if await self._write(batches[start : start + MAX_FLUSHED]):
+                continue
             self._metrics.platform_faults.labels("keyvalue").inc()
             self._warn_if_late()
             await self._copy_again()
+            break
         return not self._unwritten and not self._gathering
 
     async def _write(self, batches):
@@ -163,6 +167,7 @@
     async def _copy_again(self):
         """Give the batches that no peer holds to peers, if there are any now."""
         alone = [batch for batch in self._unwritten.values() if not batch.holders]
+        alone = alone[:MAX_FLUSHED]
         if not alone:
             return
         holders = await self._copies.spread([(b.batch_id, b.bills) for b in alone])
--- a/tanagerwalk/controllers/holding.py
+++ b/tanagerwalk/controllers/holding.py
@@ -93,9 +93,8 @@
 
     async def hand_on(self):
         """Before a planned stop, write every copy, or give it to another peer."""
-        left = await self._write(self._held.list_all())
-        if not left:
-            return
-        holders = await self._copies.spread(left, wanted=1)
-        if not holders:
-            log.error("copies of bills given up", batches=len(left))
+        batches = self._held.list_all()
+        for start in range(0, len(batches), MAX_ADOPTED):
+            left = await self._write(batches[start : start + MAX_ADOPTED])
+            if left and not await self._copies.spread(left, wanted=1):
+                log.error("copies of bills given up", batches=len(left))
--- a/test/clients/test_batches.py
+++ b/test/clients/test_batches.py
@@ -129,3 +129,20 @@
     results = await asyncio.gather(*first)
     assert all(result.is_ok() for result in results)
     assert "late" not in client.model.entries
+
+
+async def test_after_a_fault_one_call_at_a_time_tries_the_store():
+    client = FakeClient(StoreFault.UNKNOWN)
+    store = BatchingStore(client)
+    client.release.set()
+    assert (await store.write(Write("a", b"v"))).error is StoreFault.UNKNOWN
+    client.release.clear()
+    probe = asyncio.create_task(store.write(Write("b", b"v")))
+    await asyncio.sleep(0.01)
+    assert len(client.batches) == 2
+    meanwhile = await send_all(store, make_writes(5))
+    assert {result.error for result in meanwhile} == {StoreFault.NOT_APPLIED}
+    client.fault = None
+    client.release.set()
+    assert (await probe).is_ok()
+    assert all(result.is_ok() for result in await send_all(store, make_writes(5)))
