--- /dev/null
+++ b/bench/bills.py
@@ -0,0 +1,131 @@
+"""What it costs to copy a bill to two peers before its answer ends.
+
+Poisson arrivals at one instance; the peers and the store run in the same process, so
+the figures hold no latency of a network.
+"""
+
+import asyncio
+import random
+import statistics
+import time
+
+from expression import Ok
+
+from tanagerwalk.clients.targets import PeerRecord
+from tanagerwalk.controllers.billing import BillingController
+from tanagerwalk.controllers.copies import BillCopies
+from tanagerwalk.controllers.holding import HoldingController
+from tanagerwalk.decisions.bills import (
+    FINGERPRINT_LENGTH,
+    Bill,
+    HeldBatches,
+    HolderChooser,
+)
+from tanagerwalk.decisions.servers import Home
+from tanagerwalk.metrics import Metrics
+from tanagerwalk.peers.link import PeerClient, PeerServer
+from tanagerwalk.writes import WriteOutcome
+
+SEED = 7
+DURATION_S = 4.0
+FLUSH_INTERVAL_S = 5.0
+RATES_PER_S = (1, 11, 100, 500)
+PEERS = 3
+SECRET = "bench-secret"
+ADDRESS = "127.0.0.1"
+MS = 1000.0
+
+
+class FakeStore:
+    """Takes every write and counts them."""
+
+    def __init__(self):
+        self.writes = 0
+
+    async def write(self, _write):
+        """Count one write."""
+        self.writes += 1
+        return Ok(WriteOutcome(True, self.writes))
+
+
+async def drive(rate):
+    """Return latencies in seconds, bytes sent, batches and processor seconds."""
+    servers = [await start_holder() for _ in range(PEERS)]
+    peers = tuple(
+        PeerRecord(str(n), f"{ADDRESS}:{s.port}", "r1", f"r1-{n % 2}", f"{n}.1")
+        for n, s in enumerate(servers)
+    )
+    client = PeerClient(SECRET, "own", 1.0)
+    chooser = HolderChooser("own.1", Home("r1", "r1-0"))
+    copies = BillCopies(client, chooser, lambda: peers, time.monotonic)
+    store = FakeStore()
+    billing = BillingController(
+        store, copies, "own.1", FLUSH_INTERVAL_S, Metrics(), random.Random(SEED)
+    )
+    started = time.process_time()
+    latencies = await offer(billing, rate)
+    await billing.flush()
+    spent = time.process_time() - started
+    await client.close()
+    for server in servers:
+        await server.stop()
+    return latencies, client.bytes_sent, store.writes, spent
+
+
+async def start_holder():
+    """Return a PeerServer that keeps bills."""
+    server = PeerServer(SECRET)
+    held = HeldBatches(FLUSH_INTERVAL_S)
+    holding = HoldingController(
+        None, held, None, lambda: None, time.monotonic, random.Random(SEED)
+    )
+    holding.answer_on(server)
+    await server.start(ADDRESS, 0)
+    return server
+
+
+async def offer(billing, rate):
+    """Record bills at `rate` a second; return the latencies in seconds."""
+    source = random.Random(SEED)
+    latencies = []
+
+    async def record(number):
+        bill = Bill(
+            "desk",
+            f"{number:032d}",
+            "label",
+            "wren:1",
+            100,
+            200,
+            0.02,
+            "f" * FINGERPRINT_LENGTH,
+        )
+        started = time.perf_counter()
+        await billing.record(bill)
+        latencies.append(time.perf_counter() - started)
+
+    tasks = []
+    ends = time.perf_counter() + DURATION_S
+    while time.perf_counter() < ends:
+        tasks.append(asyncio.create_task(record(len(tasks))))
+        await asyncio.sleep(source.expovariate(rate))
+    await asyncio.gather(*tasks)
+    return latencies
+
+
+def main():
+    """Print one line for each rate."""
+    print(f"{DURATION_S:.0f} s each, {PEERS} peers on loopback, seed {SEED}")
+    print("bills/s   p50 ms   p95 ms  bytes/bill  bills/batch  processor ms/bill")
+    for rate in RATES_PER_S:
+        latencies, sent, batches, spent = asyncio.run(drive(rate))
+        count = len(latencies)
+        cuts = statistics.quantiles(latencies, n=20)
+        print(
+            f"{rate:7d} {cuts[9] * MS:8.2f} {cuts[18] * MS:8.2f} {sent / count:11.0f} "
+            f"{count / batches:12.2f} {spent * MS / count:18.3f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -10,24 +10,17 @@
 
 from .api.admin import AdminApi
 from .api.callers import CallersApi
-from .clients.batches import BatchingStore
 from .clients.engines import EngineClient
 from .clients.keyvalue import KeyValueClient
-from .clients.pins import SessionPins
 from .clients.ratings import RatingsClient
-from .clients.retention import RetentionLease
 from .clients.services import ServiceClient
 from .clients.targets import TargetsClient
-from .controllers.billing import BillingController
 from .controllers.configuration import ConfigurationController
-from .controllers.copies import BillCopies
 from .controllers.exchange import ExchangeController
-from .controllers.holding import HoldingController
 from .controllers.load import LoadController
 from .controllers.loop import poll_until
 from .controllers.membership import MembershipController
 from .controllers.rollouts import RolloutController
-from .decisions.bills import HeldBatches, HolderChooser
 from .decisions.configuration import ConfigurationState
 from .decisions.facts import FactTable
 from .decisions.limits import AdmissionQueue, DurationEstimates
@@ -35,12 +28,10 @@
 from .decisions.retries import RetryBudget
 from .decisions.rollouts import RolloutBook
 from .decisions.servers import Home, ServerTable
-from .decisions.sessions import SessionTokens
 from .decisions.versions import PlanInputs
 from .filters.admit import AdmitFilter
 from .filters.bill import BillFilter
 from .filters.chain import link_filters
-from .filters.claim import ClaimFilter
 from .filters.count import CountFilter
 from .filters.dispatch import DispatchFilter
 from .filters.guard import GuardFilter
@@ -53,6 +44,7 @@
 from .metrics import Metrics
 from .peers.link import PeerClient, PeerServer
 from .peers.reconcile import ByteBudget, Reconciler
+from .records import RecordInputs, Records
 
 log = structlog.get_logger(__name__)
 
@@ -107,7 +99,6 @@
         )
         timeout = platform.timeout
         self.store = KeyValueClient(self._http, platform.keyvalue, timeout)
-        self.batches = BatchingStore(self.store)
         self._targets = TargetsClient(self._http, platform.instances, timeout)
         self._ratings = RatingsClient(self._http, platform.ratings, timeout)
         self._engines = EngineClient(self._http, retries)
@@ -167,37 +158,21 @@
             self.metrics,
             self._random,
         )
-        self._wire_billing()
-
-    def _wire_billing(self):
-        copies = BillCopies(
-            self.peer_client,
-            HolderChooser(self.incarnation, self.table.home),
-            self.membership.list_peers,
-            self._clock,
-        )
-        # Bills that an outage held back must not delay claims.
-        store = BatchingStore(self.store, max_calls=1)
-        self.billing = BillingController(
-            store,
-            copies,
-            self.incarnation,
-            self.settings.bills.flush_interval,
-            self.metrics,
-            self._random,
-        )
-        self.held = HeldBatches(self.settings.bills.adopt_after)
-        self.holding = HoldingController(
-            store,
-            self.held,
-            copies,
-            self.membership.list_live,
-            self._clock,
-            self._random,
+        self.records = Records(
+            RecordInputs(
+                settings,
+                self.store,
+                self.peer_client,
+                self.peer_server,
+                self.membership,
+                self.table.home,
+                self.incarnation,
+                self.metrics,
+                self._clock,
+                self._wall_clock,
+                self._random,
+            )
         )
-        self.holding.answer_on(self.peer_server)
-        self.metrics.bills_unwritten.set_function(self.billing.count_unwritten)
-        self.metrics.bill_batches_held.set_function(lambda: len(self.held))
 
     def _wire_exchange(self):
         settings = self.settings
@@ -239,33 +214,20 @@
 
     def _build_chain(self):
         settings = self.settings
-        tokens = SessionTokens(settings.sessions.secret, settings.sessions.lifetime)
-        # A pin outlives its session, so that an old id is refused, not begun anew.
-        retention = RetentionLease(
-            self.store, 2.0 * settings.sessions.lifetime, self._clock
+        records = self.records
+        starter = SessionStarter(
+            records.tokens, records.pins, self.configuration, self._wall_clock
         )
-        pins = SessionPins(self.store, self.batches, retention)
-        starter = SessionStarter(tokens, pins, self.configuration, self._wall_clock)
         budget = RetryBudget(
             settings.retries.budget_ratio, settings.retries.budget_burst
         )
-        self.claims = ClaimFilter(
-            self.batches,
-            RetentionLease(self.store, settings.claims.retention, self._clock),
-            self.incarnation,
-            self.membership.list_live,
-            self._wall_clock,
-        )
-        self.metrics.claims_open.set_function(lambda: self.claims.open_count)
-        self.metrics.store_calls.set_function(lambda: self.batches.calls)
-        self.metrics.store_writes.set_function(lambda: self.batches.writes)
         return link_filters(
             [
                 CountFilter(self.metrics, self._clock),
                 IdentifyFilter(self.configuration),
-                SessionFilter(tokens, pins, self._wall_clock),
-                self.claims,
-                BillFilter(self.billing),
+                SessionFilter(records.tokens, records.pins, self._wall_clock),
+                records.claims,
+                BillFilter(records.billing),
                 PlanFilter(
                     self.configuration,
                     self.rollouts,
@@ -361,8 +323,8 @@
             self.exchange.run,
             self.load.run,
             self.rollouts.run,
-            self.billing.run,
-            self.holding.run,
+            self.records.billing.run,
+            self.records.holding.run,
             self.gate.run,
         ):
             self._supervise(run())
@@ -398,13 +360,7 @@
         await self.callers.listener.stop()
         deadline = self._clock() + instance.drain_limit
         await poll_until(self._is_quiet, DRAIN_POLL_S, instance.drain_limit)
-        left = max(0.0, deadline - self._clock())
-        unresolved, _ = await asyncio.gather(
-            self.claims.drain(left), self.billing.flush_all(left)
-        )
-        if unresolved:
-            log.error("claims not settled", count=unresolved)
-        await self.holding.hand_on()
+        await self.records.drain(max(0.0, deadline - self._clock()))
         await self.close()
         log.info("stopped", in_flight=self.callers.in_flight)
 
@@ -412,7 +368,7 @@
         """Return whether every answer is sent and no claimed request runs."""
         open_connections = self.callers.listener.close_idle()
         in_flight = self.callers.in_flight or open_connections
-        return not in_flight and not self.claims.has_runs()
+        return not in_flight and not self.records.claims.has_runs()
 
     async def close(self):
         """Stop the controllers and close every connection at once."""
--- a/tanagerwalk/decisions/bills.py
+++ b/tanagerwalk/decisions/bills.py
@@ -8,13 +8,14 @@
 from ..ids import ClassName, ClientAccountId, Fingerprint, RequestId, VersionName
 
 COPIES = 2
+FINGERPRINT_LENGTH = 12
 FAULT_PAUSE_S = 5.0
 ADOPT_ANY_FACTOR = 20.0
 MAX_HELD_BYTES = 16 * 1024 * 1024
 
 
-class Bill(msgspec.Struct, frozen=True):
-    """What one request cost.
+class Bill(msgspec.Struct, frozen=True, array_like=True):
+    """What one request cost; stored as an array, so new fields go last.
 
     Parameters
     ----------
@@ -31,7 +32,8 @@
     cost : float
         Cost of all attempts.
     fingerprint : Fingerprint
-        Of the request, so that an id that is used again for other work is billed.
+        Beginning of the request's, so that an id that is used again for other work
+        is billed again.
     """
 
     account: ClientAccountId
--- a/tanagerwalk/filters/bill.py
+++ b/tanagerwalk/filters/bill.py
@@ -2,8 +2,8 @@
 
 from expression import Error
 
-from ..decisions.bills import Bill
-from ..ids import RequestId
+from ..decisions.bills import FINGERPRINT_LENGTH, Bill
+from ..ids import Fingerprint, RequestId
 from ..outcomes import Refusal, RefusalReason
 
 RETRY_AFTER_FULL_S = 30.0
@@ -56,5 +56,5 @@
         prompt_tokens=context.usage.prompt_tokens,
         completion_tokens=context.usage.completion_tokens,
         cost=context.cost,
-        fingerprint=context.fingerprint,
+        fingerprint=Fingerprint(context.fingerprint[:FINGERPRINT_LENGTH]),
     )
--- a/test/api/test_callers.py
+++ b/test/api/test_callers.py
@@ -56,7 +56,7 @@
     await asyncio.sleep(0.1)
     request.cancel()
     await asyncio.gather(request, return_exceptions=True)
-    await demo.wait_until(lambda: not first.claims.open_count)
+    await demo.wait_until(lambda: not first.records.claims.open_count)
     body["stream"] = False
     status, content, _ = await demo.post(second, "/v1/chat/completions", body, **key)
     assert status == 200
--- a/test/controllers/test_billing.py
+++ b/test/controllers/test_billing.py
@@ -26,17 +26,17 @@
     demo.keyvalue.outage = True
     status, _, _ = await demo.chat(first, "label", "spine")
     assert status == 200
-    assert len(second.held) == 1
+    assert len(second.records.held) == 1
     demo.keyvalue.outage = False
-    await demo.wait_until(lambda: not first.billing.count_unwritten())
-    await demo.wait_until(lambda: not second.held)
+    await demo.wait_until(lambda: not first.records.billing.count_unwritten())
+    await demo.wait_until(lambda: not second.records.held)
     assert len(await read_stored(demo)) == 1
 
 
 async def test_bill_without_peers_is_in_the_store_before_the_answer_ends(demo):
     first, _ = demo.instances.values()
     first.membership.list_peers = tuple
-    first.billing._copies._list_peers = tuple
+    first.records.billing._copies._list_peers = tuple
     await demo.chat(first, "label", "spine")
     assert len(await read_stored(demo)) == 1
     assert first.metrics.bills_at_risk._value.get() == 0
@@ -44,13 +44,13 @@
 
 async def test_without_store_and_peers_the_bill_is_held_and_counted(demo):
     first, _ = demo.instances.values()
-    first.billing._copies._list_peers = tuple
+    first.records.billing._copies._list_peers = tuple
     demo.keyvalue.outage = True
     status, _, _ = await demo.chat(first, "label", "spine")
     assert status == 200
     assert first.metrics.bills_at_risk._value.get() == 1
     demo.keyvalue.outage = False
-    await demo.wait_until(lambda: not first.billing.count_unwritten())
+    await demo.wait_until(lambda: not first.records.billing.count_unwritten())
     assert len(await read_stored(demo)) == 1
 
 
@@ -63,7 +63,7 @@
     assert status == 503
     assert b'"run_state":"not_run"' in content
     demo.keyvalue.outage = False
-    await demo.wait_until(lambda: not first.billing.count_unwritten())
+    await demo.wait_until(lambda: not first.records.billing.count_unwritten())
     assert (await demo.chat(first, "label", "c"))[0] == 200
 
 
@@ -74,9 +74,11 @@
     demo.keyvalue.outage = True
     await demo.chat(first, "label", "spine")
     demo.keyvalue.outage = False
-    await asyncio.gather(second.holding.hand_on(), first.billing.flush())
+    await asyncio.gather(
+        second.records.holding.hand_on(), first.records.billing.flush()
+    )
     assert len(await read_stored(demo)) == 1
-    assert not second.held
+    assert not second.records.held
 
 
 @pytest.mark.parametrize("cut_after", [1, 3, 7])
@@ -87,7 +89,7 @@
         engine.cuts = 1
     status, _, _ = await demo.chat(first, "label", "spine", **{"X-Request-Id": "r"})
     assert status == 200
-    await demo.wait_until(lambda: not first.billing.count_unwritten())
+    await demo.wait_until(lambda: not first.records.billing.count_unwritten())
     (bill,) = await read_stored(demo)
     assert (bill.request_id, bill.completion_tokens) == ("r", 8)
 
@@ -102,6 +104,6 @@
     answers = await asyncio.gather(*requests)
     assert {status for status, _, _ in answers} == {200}
     for instance in demo.instances.values():
-        await instance.billing.flush()
+        await instance.records.billing.flush()
     folded = fold_bills(await read_stored(demo))
     assert Counter(bill.request_id for bill in folded.values()) == {"a": 1, "b": 1}
--- a/test/filters/test_claim.py
+++ b/test/filters/test_claim.py
@@ -25,7 +25,7 @@
     demo.keyvalue.late_delay = 1.5
     status, content, _ = await book(demo, first)
     assert (status, read_error(content)["run_state"]) == (503, "not_run")
-    await demo.wait_until(lambda: not first.claims.open_count)
+    await demo.wait_until(lambda: not first.records.claims.open_count)
     status, _, _ = await book(demo, second)
     assert status == 200
     assert demo.services["booking-1"].runs == ["slot-1"]
@@ -42,7 +42,7 @@
     assert status == 200
     assert (await book(demo, first))[1] == content
     demo.keyvalue.outage = False
-    await demo.wait_until(lambda: not first.claims.open_count)
+    await demo.wait_until(lambda: not first.records.claims.open_count)
     assert (await book(demo, second))[1] == content
     assert service.runs == ["slot-1"]
 
@@ -51,7 +51,7 @@
     first, second = demo.instances.values()
     demo.services["booking-1"].lose_answers = 1
     await book(demo, first)
-    await demo.wait_until(lambda: not first.claims.open_count)
+    await demo.wait_until(lambda: not first.records.claims.open_count)
     for instance in (first, second):
         _, content, _ = await book(demo, instance)
         assert read_error(content)["code"] == "claim_unresolved"
@@ -64,7 +64,7 @@
     first.table.servers["booking-1"].leaving = True
     _, content, _ = await book(demo, first)
     assert read_error(content)["run_state"] == "not_run"
-    await demo.wait_until(lambda: not first.claims.open_count)
+    await demo.wait_until(lambda: not first.records.claims.open_count)
     assert (await book(demo, second))[0] == 200
 
 
@@ -76,7 +76,7 @@
     await demo.wait_until(lambda: service.runs)
     request.cancel()
     await asyncio.gather(request, return_exceptions=True)
-    await demo.wait_until(lambda: not first.claims.open_count)
+    await demo.wait_until(lambda: not first.records.claims.open_count)
     status, content, _ = await book(demo, second)
     assert (status, json.loads(content)["number"]) == (200, 1)
     assert service.runs == ["slot-1"]
@@ -108,7 +108,7 @@
     """The store deletes it, without a call of ours."""
     first, _ = demo.instances.values()
     await book(demo, first)
-    await demo.wait_until(lambda: not first.claims.open_count)
+    await demo.wait_until(lambda: not first.records.claims.open_count)
     claims = await first.store.list("tanagerwalk/claims/")
     assert len(claims.ok) == 1
     for lease in list(demo.keyvalue._leases):
--- a/test/test_golden.py
+++ b/test/test_golden.py
@@ -56,7 +56,7 @@
         """Wait until the store shows how earlier steps ended."""
         if not self.demo.keyvalue.outage:
             await self.demo.wait_until(
-                lambda: not any(i.claims.open_count for i in self.instances)
+                lambda: not any(i.records.claims.open_count for i in self.instances)
             )
 
     def find_standin(self, name):
