--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -12,27 +12,37 @@
 from .api.callers import CallersApi
 from .clients.engines import EngineClient
 from .clients.keyvalue import KeyValueClient
+from .clients.orders import OrderClient
 from .clients.ratings import RatingsClient
 from .clients.services import ServiceClient
 from .clients.targets import TargetsClient
 from .controllers.configuration import ConfigurationController
 from .controllers.exchange import ExchangeController
+from .controllers.exposure import ExposureController
+from .controllers.halts import HaltController
+from .controllers.leases import LeaseController
 from .controllers.load import LoadController
 from .controllers.loop import poll_until
 from .controllers.membership import MembershipController
+from .controllers.orders import OrderController
 from .controllers.rollouts import RolloutController
 from .decisions.configuration import ConfigurationState
+from .decisions.demand import DemandMeter
 from .decisions.facts import FactTable
 from .decisions.limits import AdmissionQueue, DurationEstimates
+from .decisions.orders import OrderBook
 from .decisions.partners import PartnerChooser
+from .decisions.ratings import RatingGate
 from .decisions.retries import RetryBudget
 from .decisions.rollouts import RolloutBook
 from .decisions.servers import Home, ServerTable
 from .decisions.versions import PlanInputs
 from .filters.admit import AdmitFilter
 from .filters.bill import BillFilter
+from .filters.cascade import CascadeRunner
 from .filters.chain import link_filters
 from .filters.count import CountFilter
+from .filters.demand import DemandFilter
 from .filters.dispatch import DispatchFilter
 from .filters.guard import GuardFilter
 from .filters.identify import IdentifyFilter
@@ -115,8 +125,10 @@
         self.configuration = ConfigurationState(settings.configuration.stale_after)
         self.table = ServerTable(home, settings.limits, settings.load.stale_after)
         self.durations = DurationEstimates()
-        self.book = RolloutBook()
+        self.book = RolloutBook(self.incarnation, settings.rollouts.false_alarm)
         self.facts = FactTable(self.incarnation)
+        self.metrics.spared.set_function(lambda: len(self.book.spared))
+        self.demand = DemandMeter()
         queue = AdmissionQueue(self.table, self.durations, settings.limits.queue_length)
         self.gate = Gate(queue, self.table, self._expect_duration, self._clock)
         self.metrics.waiting.set_function(lambda: len(queue))
@@ -141,6 +153,7 @@
             self._random,
         )
         self._wire_exchange()
+        self._wire_orders()
         self.load = LoadController(
             self._engines,
             self._services,
@@ -150,14 +163,8 @@
             self._clock,
             self._random,
         )
-        self.rollouts = RolloutController(
-            self.book,
-            self.configuration,
-            self._ratings,
-            settings.rollouts,
-            self.metrics,
-            self._random,
-        )
+        self._wire_rollouts()
+        self.configuring.notify(self._configure_book)
         self.records = Records(
             RecordInputs(
                 settings,
@@ -174,6 +181,75 @@
             )
         )
 
+    def _configure_book(self):
+        self.book.configure(self.configuration.declaration)
+
+    def _wire_rollouts(self):
+        settings = self.settings.rollouts
+        self.configuring.notify(
+            lambda: self.book.configure(self.configuration.declaration)
+        )
+        self.halting = HaltController(
+            self.book,
+            self.store,
+            self.facts,
+            settings,
+            self.metrics,
+            self._clock,
+            self._wall_clock,
+            self._random,
+            self.membership.list_live,
+        )
+        self.rollouts = RolloutController(
+            self.book,
+            self.configuration,
+            self._ratings,
+            RatingGate(settings.rating_rate, settings.rating_burst),
+            settings,
+            self.metrics,
+            self._clock,
+            self._random,
+            self.membership.list_live,
+            on_halt=self.halting.halt,
+        )
+        self.halting.follow(self.rollouts)
+        self.configuring.notify(
+            lambda: self.book.configure(self.configuration.declaration)
+        )
+        self.exposing = ExposureController(
+            self.book,
+            self.configuration,
+            self.store,
+            self.incarnation,
+            settings,
+            self.metrics,
+            self._clock,
+            self._random,
+        )
+
+    def _wire_orders(self):
+        self.leases = LeaseController(
+            self.store,
+            self.table.home,
+            self.incarnation,
+            self.membership,
+            self.settings.orders,
+            self.metrics,
+        )
+        self.ordering = OrderController(
+            self.leases,
+            OrderClient(self._fresh_http, self.settings.orders),
+            OrderBook(self.settings.orders.report_lag),
+            self.table,
+            self.configuration,
+            self.book,
+            self.demand,
+            self.settings.orders,
+            self.metrics,
+            self._clock,
+            self._random,
+        )
+
     def _wire_exchange(self):
         settings = self.settings
         budget = ByteBudget(settings.peers.slow_rate, SLOW_BURST_BYTES)
@@ -191,6 +267,7 @@
             settings.peers,
             self.metrics,
             self._clock,
+            self._wall_clock,
             self._random,
         )
         self.exchange.answer_on(self.peer_server)
@@ -221,6 +298,14 @@
         budget = RetryBudget(
             settings.retries.budget_ratio, settings.retries.budget_burst
         )
+        runner = CascadeRunner(
+            self.configuration,
+            self.rollouts,
+            self.durations,
+            settings.rollouts.rating_cost,
+            self.metrics,
+            self._clock,
+        )
         return link_filters(
             [
                 CountFilter(self.metrics, self._clock),
@@ -233,15 +318,18 @@
                     self.rollouts,
                     starter,
                     self._collect_plan_inputs,
+                    runner,
                     self.metrics,
+                    self._clock,
                 ),
+                DemandFilter(self.demand, self.durations, self._clock),
                 RetryFilter(
                     settings.retries, budget, self.table, self.metrics, self._clock
                 ),
                 AdmitFilter(
                     self.gate, self.durations, self.table, self._is_long, self._clock
                 ),
-                GuardFilter(self.configuration, self.rollouts, self.table),
+                GuardFilter(self.configuration, self.rollouts, self.table, self._clock),
                 DispatchFilter(self._engines, self._services, self._clock),
             ]
         )
@@ -256,23 +344,34 @@
         shortest = min(other.lateness for other in classes)
         return work_class.lateness > shortest * self.settings.limits.long_factor
 
-    def _collect_plan_inputs(self, work_class):
+    def _collect_plan_inputs(self, context, excluded):
+        work_class = context.work_class
+        name = work_class.name
+        now = self._clock()
+        self.book.configure(self.configuration.declaration)
         available = set()
         for server in self.table.servers.values():
             if not server.leaving:
                 available |= server.versions
-        exposed = frozenset()
-        if not self.configuration.is_stale(self._clock()):
-            exposed = self.book.list_exposed(self.configuration.declaration)
+        exposed = {}
+        if not self.configuration.is_stale(now):
+            exposed = self.book.find_exposed(name, now)
         return PlanInputs(
-            ratings=self.book.ratings,
             available=frozenset(available),
-            halted=frozenset(self.book.halted),
-            exposed=exposed,
             durations=lambda version: self.durations.estimate(
-                work_class.name, version, work_class.lateness
+                name, version, work_class.lateness
             ),
-            rating_up=self.rollouts.rating_up,
+            evidence=lambda version: self.book.sum_evidence(name, version),
+            halted=self.book.list_halted(name),
+            exposed=exposed,
+            # A session would hold its caller to a version on trial.
+            draw=1.0 if context.wants_session else self._random.random(),
+            time_left=context.arrived + work_class.lateness - now,
+            rating_cost=self.settings.rollouts.rating_cost,
+            rating_time=self.rollouts.gate.time,
+            # A session has one version, so it can't go through a cascade.
+            cascades=self.rollouts.gate.is_up(now) and not context.wants_session,
+            excluded=excluded,
         )
 
     @property
@@ -282,7 +381,8 @@
 
     def is_ready(self):
         """Return whether requests can be served here."""
-        return self.configuration.ready and bool(self.table.servers)
+        is_informed = self.configuration.ready and self.halting.asked
+        return is_informed and bool(self.table.servers)
 
     def report_status(self):
         """Return the JSON object of the admin API's status page."""
@@ -293,6 +393,8 @@
             "ready": self.is_ready(),
             "revision": self.configuration.revision,
             "in_flight": self.callers.in_flight,
+            "rollouts": self.rollouts.report(),
+            "orders": self.ordering.report_status(),
             "backend_servers": [
                 {
                     "id": server.record.id,
@@ -325,6 +427,11 @@
             self.rollouts.run,
             self.records.billing.run,
             self.records.holding.run,
+            self.halting.run,
+            self.halting.run_store,
+            self.exposing.run,
+            self.leases.run,
+            self.ordering.run,
             self.gate.run,
         ):
             self._supervise(run())
@@ -361,6 +468,8 @@
         deadline = self._clock() + instance.drain_limit
         await poll_until(self._is_quiet, DRAIN_POLL_S, instance.drain_limit)
         await self.records.drain(max(0.0, deadline - self._clock()))
+        await self.leases.release()
+        await self.exposing.release()
         await self.close()
         log.info("stopped", in_flight=self.callers.in_flight)
 
--- a/tanagerwalk/controllers/billing.py
+++ b/tanagerwalk/controllers/billing.py
@@ -8,7 +8,7 @@
 import msgspec
 import structlog
 
-from ..decisions.bills import COPIES, BatchId, Bill
+from ..decisions.bills import BatchId, Bill
 from ..writes import ABSENT, Write
 from .loop import run_periodically
 
@@ -194,7 +194,7 @@
         while not await self.flush():
             waited = time.monotonic() - started
             copied = not self._gathering and all(
-                len(batch.holders) >= COPIES for batch in self._unwritten.values()
+                batch.holders for batch in self._unwritten.values()
             )
             if waited >= limit or (copied and waited >= STOP_GRACE_S):
                 log.error(
--- a/tanagerwalk/decisions/claims.py
+++ b/tanagerwalk/decisions/claims.py
@@ -122,6 +122,12 @@
         self._writes = 0
         self._in_doubt = False
 
+    @property
+    def never_ran(self):
+        """Whether this submission was refused as not run and has yet to settle."""
+        is_released = self.record.state is ClaimState.RELEASED
+        return self.phase is ClaimPhase.ABANDONING or is_released
+
     def make_write(self, lease=0):
         """Return the next write.
 
--- a/tanagerwalk/filters/claim.py
+++ b/tanagerwalk/filters/claim.py
@@ -6,6 +6,7 @@
 import structlog
 from expression import Error, Ok
 
+from ..controllers.loop import poll_until
 from ..decisions.claims import (
     Claim,
     ClaimPhase,
@@ -25,6 +26,8 @@
 MAX_OPEN_CLAIMS = 2000
 SETTLE_RETRY_S = 0.5
 CLAIM_RETRY_S = 0.05
+RELEASE_POLL_S = 0.02
+RELEASE_LIMIT_S = 3.0
 
 
 class DetachedSink(Sink):
@@ -96,6 +99,11 @@
     async def _run(self, context, proceed):
         context.sink = DetachedSink(context.sink)
         key = f"{CLAIM_PREFIX}{context.account.name}/{context.idempotency_key}"
+        await poll_until(
+            lambda: not self._is_releasing(key), RELEASE_POLL_S, RELEASE_LIMIT_S
+        )
+        if self._is_releasing(key):
+            return Error(refuse_unavailable())
         own = self._open.get(key)
         if own is not None:
             # Known without the store, so it holds during an outage as well.
@@ -114,6 +122,10 @@
         finally:
             self._spawn(self._settle(claim))
 
+    def _is_releasing(self, key):
+        own = self._open.get(key)
+        return own is not None and own.never_ran
+
     def _make_claim(self, key, context):
         nonce = uuid.uuid4().hex
         now = self._wall_clock()
@@ -138,7 +150,9 @@
         del self._open[claim.key]
 
     async def _take_settling_step(self, claim):
-        lease = await self._retention.get()
+        # Only the record of a settled claim ends with a lease.
+        abandoning = claim.phase is ClaimPhase.ABANDONING
+        lease = Ok(0) if abandoning else await self._retention.get()
         if lease.is_error():
             return False
         result = await self._store.write(claim.make_write(lease.ok))
--- a/tanagerwalk/filters/retry.py
+++ b/tanagerwalk/filters/retry.py
@@ -57,9 +57,7 @@
         context.sent = context.sent or failure.sent
         if failure.server is not None:
             context.tried.add(failure.server)
-            self._table.record_failure(
-                failure.server, now, is_overload(failure.reason), failure.retry_after
-            )
+            self._record_failure(context, failure, now)
             self._weigh_leaving(context.grant, failure, now)
         state = RetryState(
             idempotent=context.work_class.idempotent,
@@ -71,6 +69,14 @@
         )
         return decide_retry(failure, state, self._budget)
 
+    def _record_failure(self, context, failure, now):
+        if failure.reason is RetryReason.VERSION_NOT_LOADED:
+            self._table.forget_version(failure.server, context.version)
+            return
+        self._table.record_failure(
+            failure.server, now, is_overload(failure.reason), failure.retry_after
+        )
+
     def _weigh_leaving(self, grant, failure, now):
         """Let a failure count against the incarnation that it came from."""
         suspicion = find_suspicion(failure)
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -125,7 +125,29 @@
 
     rating_share: float
     rating_queue: int
+    rating_rate: float
+    rating_burst: float
+    rating_cost: float
     false_alarm: float
+    epoch: float
+    share_interval: float
+    halts_interval: float
+    exposure_interval: float
+
+
+@dataclass(frozen=True, slots=True)
+class OrderSettings:
+    """The lease for orders to engines, and their limits."""
+
+    lease_ttl: float
+    lease_margin: float
+    look_interval: float
+    interval: float
+    loads_at_once: int
+    timeout: float
+    connect_timeout: float
+    report_lag: float
+    weights: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,6 +166,7 @@
     load: LoadSettings
     quarantine: QuarantineSettings
     rollouts: RolloutSettings
+    orders: OrderSettings
 
 
 def parse_settings(text=""):
