--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,80 @@
+"""Group commit of claims: writes a call and latency, by rate of claims.
+
+Poisson arrivals at one instance; the store takes a fixed time for each call and runs
+in the same process, so the highest rates are bounded by the processor.
+"""
+
+import asyncio
+import itertools
+import random
+import statistics
+import time
+
+import aiohttp
+
+from tanagerwalk.clients.batches import BatchingStore
+from tanagerwalk.clients.keyvalue import KeyValueClient
+from tanagerwalk.standins.keyvalue import KeyValueStandIn
+from tanagerwalk.writes import Write
+
+SEED = 7
+DURATION_S = 4.0
+STORE_DELAYS_S = (0.004, 0.02)
+RATES_PER_S = (1, 50, 200, 800)
+WAYS = {
+    "direct": lambda client: client,
+    "1 call": lambda client: BatchingStore(client, max_calls=1),
+    "2 calls": lambda client: BatchingStore(client, max_calls=2),
+    "2 calls, 5 ms": lambda client: BatchingStore(client, 0.005, 2),
+}
+VALUE = b"x" * 200
+MS = 1000.0
+
+
+async def drive(rate, make_store, delay):
+    """Return store calls, writes and latencies in seconds of one run."""
+    standin = KeyValueStandIn()
+    await standin.start()
+    standin.delay = delay
+    async with aiohttp.ClientSession() as http:
+        client = KeyValueClient(http, f"http://{standin.address}", 5.0)
+        latencies = await offer(make_store(client), rate)
+    await standin.stop()
+    return standin.calls, standin.writes, latencies
+
+
+async def offer(store, rate):
+    """Create keys at `rate` a second; return the latencies in seconds."""
+    source = random.Random(SEED)
+    latencies = []
+
+    async def create(number):
+        started = time.perf_counter()
+        result = await store.write(Write(f"claims/{number}", VALUE))
+        if result.is_ok():
+            latencies.append(time.perf_counter() - started)
+
+    tasks = []
+    ends = time.perf_counter() + DURATION_S
+    while time.perf_counter() < ends:
+        tasks.append(asyncio.create_task(create(len(tasks))))
+        await asyncio.sleep(source.expovariate(rate))
+    await asyncio.gather(*tasks)
+    return latencies
+
+
+def main():
+    """Print one line for each delay of the store, rate and way of writing."""
+    print(f"{DURATION_S:.0f} s each, seed {SEED}")
+    print("store ms  offered/s  way            calls/s  writes/call   p50 ms   p95 ms")
+    for delay, rate, name in itertools.product(STORE_DELAYS_S, RATES_PER_S, WAYS):
+        calls, writes, latencies = asyncio.run(drive(rate, WAYS[name], delay))
+        cuts = statistics.quantiles(latencies or [0.0, 0.0], n=20)
+        print(
+            f"{delay * MS:8.0f}  {rate:9d}  {name:13s} {calls / DURATION_S:8.1f} "
+            f"{writes / max(1, calls):12.2f} {cuts[9] * MS:8.2f} {cuts[18] * MS:8.2f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -17,7 +17,6 @@
 from .clients.ratings import RatingsClient
 from .clients.services import ServiceClient
 from .clients.targets import TargetsClient
-from .controllers.billing import BillingController
 from .controllers.configuration import ConfigurationController
 from .controllers.evidence import EvidenceController
 from .controllers.exchange import ExchangeController
@@ -41,13 +40,11 @@
 from .decisions.retries import RetryBudget
 from .decisions.rollouts import RolloutBook
 from .decisions.servers import Home, ServerTable
-from .decisions.sessions import SessionTokens
 from .decisions.versions import PlanInputs
 from .filters.admit import AdmitFilter
 from .filters.bill import BillFilter
 from .filters.cascade import CascadeRunner
 from .filters.chain import link_filters
-from .filters.claim import ClaimFilter
 from .filters.count import CountFilter
 from .filters.demand import DemandFilter
 from .filters.dispatch import DispatchFilter
@@ -63,6 +60,7 @@
 from .metrics import Metrics
 from .peers.link import PeerClient, PeerServer
 from .peers.reconcile import ByteBudget, Reconciler
+from .records import RecordInputs, Records
 
 log = structlog.get_logger(__name__)
 
@@ -175,8 +173,20 @@
         )
         self._wire_rollouts()
         self.configuring.notify(self._configure_book)
-        self.billing = BillingController(
-            self.store, self.incarnation, self.metrics, self._random
+        self.records = Records(
+            RecordInputs(
+                settings,
+                self.store,
+                self.peer_client,
+                self.peer_server,
+                self.membership,
+                self.table.home,
+                self.incarnation,
+                self.metrics,
+                self._clock,
+                self._wall_clock,
+                self._random,
+            )
         )
 
     def _configure_book(self):
@@ -294,8 +304,10 @@
 
     def _build_chain(self):
         settings = self.settings
-        tokens = SessionTokens(settings.sessions.secret, settings.sessions.lifetime)
-        starter = SessionStarter(tokens, self.configuration, self._wall_clock)
+        records = self.records
+        starter = SessionStarter(
+            records.tokens, records.pins, self.configuration, self._wall_clock
+        )
         retries = settings.retries
         budget = RetryBudget(retries.budget_ratio, retries.budget_burst)
         hedge_budget = RetryBudget(retries.hedge_ratio, retries.hedge_burst)
@@ -308,16 +320,13 @@
             self.metrics,
             self._clock,
         )
-        self.claims = ClaimFilter(
-            self.store, self.incarnation, self.membership.list_live
-        )
         return link_filters(
             [
                 CountFilter(self.metrics, self._clock),
                 IdentifyFilter(self.configuration),
-                SessionFilter(tokens, self._wall_clock),
-                self.claims,
-                BillFilter(self.billing),
+                SessionFilter(records.tokens, records.pins, self._wall_clock),
+                records.claims,
+                BillFilter(records.billing),
                 PlanFilter(
                     self.configuration,
                     self.rollouts,
@@ -455,9 +464,10 @@
             self.load.run,
             self.rollouts.run,
             self.evidence.run,
+            self.records.billing.run,
+            self.records.holding.run,
             self.halting.run,
             self.exposing.run,
-            self.billing.run,
             self.leases.run,
             self.ordering.run,
             self.gate.run,
@@ -494,16 +504,19 @@
         self.callers.stopping = True
         await self.callers.listener.stop()
         deadline = self._clock() + instance.drain_limit
-        await poll_until(
-            lambda: not self.callers.in_flight, DRAIN_POLL_S, instance.drain_limit
-        )
-        await self.claims.drain(max(0.0, deadline - self._clock()))
+        await poll_until(self._is_quiet, DRAIN_POLL_S, instance.drain_limit)
+        await self.records.drain(max(0.0, deadline - self._clock()))
         await self.leases.release()
-        await self.billing.flush_all(max(0.0, deadline - self._clock()))
         await self.exposing.release()
         await self.close()
         log.info("stopped", in_flight=self.callers.in_flight)
 
+    def _is_quiet(self):
+        """Return whether every answer is sent and no claimed request runs."""
+        open_connections = self.callers.listener.close_idle()
+        in_flight = self.callers.in_flight or open_connections
+        return not in_flight and not self.records.claims.has_runs()
+
     async def close(self):
         """Stop the controllers and close every connection at once."""
         self._closing = True
--- a/tanagerwalk/filters/plan.py
+++ b/tanagerwalk/filters/plan.py
@@ -1,6 +1,6 @@
 """Chooses the versions of a request, and another plan where one was refused."""
 
-from expression import Error
+from expression import Error, Ok
 
 from ..decisions.cascades import may_replan
 from ..decisions.versions import choose_plan, is_allowed
@@ -61,11 +61,16 @@
                 return refused or chosen
             context.plan = chosen.ok
             if context.wants_session:
-                self._starter.start(context, context.plan.steps[0])
+                started = await self._starter.start(context, context.plan.steps[0])
+                if started != Ok(context.plan.steps[0]):
+                    return await self._follow_session(started, context, proceed)
             context.sink = sink
             result = await self._run_exposed(context, proceed)
             if result.is_ok() or not self._may_replan(context, result.error):
                 return result
+            if context.session_id is not None:
+                # Its version is pinned for good.
+                return result
             refused = result
             excluded |= {context.version}
             context.session = None
@@ -78,6 +83,15 @@
         on_trial = context.plan.candidate is not None
         return may_replan(refusal, context.work_class.idempotent, on_trial)
 
+    async def _follow_session(self, started, context, proceed):
+        """Continue a session that another request began first, or refuse."""
+        if context.exposure is not None:
+            context.exposure.end()
+            context.exposure = None
+        if started.is_error():
+            return started
+        return await self._continue_session(context, proceed)
+
     def _choose(self, context, excluded):
         """Choose a plan; a candidate's takes its unit of exposure."""
         while True:
--- a/tanagerwalk/metrics.py
+++ b/tanagerwalk/metrics.py
@@ -44,6 +44,7 @@
             "blames", "Broken connections, by whether the request is blamed.", ["kind"]
         )
         self.hedges = self._count("hedges", "Calls sent twice.", ["outcome"])
+        self.hang_ups = self._count("hang_ups", "Callers that did not wait.")
         self.platform_faults = self._count(
             "platform_faults", "Failed calls to the platform.", ["service"]
         )
@@ -57,6 +58,20 @@
         self.orders = self._count("orders", "Orders to engines.", ["kind", "outcome"])
         self.lease_held = self._gauge("lease_held", "Whether this instance orders.")
         self.waiting = self._gauge("waiting", "Requests that wait for room.")
+        self.bills_at_risk = self._count(
+            "bills_at_risk", "Bills that neither store nor peer took at once."
+        )
+        self.bills_unwritten = self._gauge(
+            "bills_unwritten", "Own bills that the store has not confirmed."
+        )
+        self.bill_batches_held = self._gauge(
+            "bill_batches_held", "Copies of peers' batches of bills."
+        )
+        self.claims_open = self._gauge(
+            "claims_open", "Own claims whose end the store does not show yet."
+        )
+        self.store_calls = self._gauge("store_calls", "Calls with batched writes.")
+        self.store_writes = self._gauge("store_writes", "Writes in those calls.")
         self.revision = self._gauge("revision", "Revision of the declaration in force.")
         for kind in ("blamed", "unconfirmed", "correlated"):
             self.blames.labels(kind)
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -63,6 +63,21 @@
     lifetime: float
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimSettings:
+    """How long the outcome of a non-idempotent request is kept."""
+
+    retention: float
+
+
+@dataclass(frozen=True, slots=True)
+class BillSettings:
+    """How bills reach the key-value service."""
+
+    flush_interval: float
+    adopt_after: float
+
+
 @dataclass(frozen=True, slots=True)
 class LimitSettings:
     """Queue and concurrency limits."""
@@ -149,6 +164,8 @@
     configuration: ConfigurationSettings
     peers: PeerSettings
     sessions: SessionSettings
+    claims: ClaimSettings
+    bills: BillSettings
     limits: LimitSettings
     retries: RetrySettings
     load: LoadSettings
--- a/test/filters/test_plan.py
+++ b/test/filters/test_plan.py
@@ -107,7 +107,7 @@
     def make_chain(self):
         metrics, durations = Metrics(), DurationEstimates()
         tokens = SessionTokens("secret", 1000.0)
-        starter = SessionStarter(tokens, self.configuration, self.clock)
+        starter = SessionStarter(tokens, None, self.configuration, self.clock)
         runner = CascadeRunner(
             self.configuration, self.rollouts, durations, 0.0, metrics, self.clock
         )
