Keep a withdrawn version loaded while its answers end

Cause: a withdrawn version was unloaded at once, while requests that were sent before may still run on it, also from instances that learn of the declaration later.

Change: unload_delay in [orders]; the allotment of copies has a module of its own.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -9,14 +9,9 @@
 from collections import Counter
 from dataclasses import dataclass, replace
 
+from tanagerwalk.decisions.allotments import Need, allot_copies
 from tanagerwalk.decisions.leases import choose_look_interval
-from tanagerwalk.decisions.placement import (
-    Engine,
-    MoveKind,
-    Need,
-    allot_copies,
-    plan_moves,
-)
+from tanagerwalk.decisions.placement import Engine, MoveKind, plan_moves
 from tanagerwalk.outcomes import VersionState
 
 SEED = 7
--- a/tanagerwalk/controllers/orders.py
+++ b/tanagerwalk/controllers/orders.py
@@ -4,8 +4,9 @@
 
 import structlog
 
+from ..decisions.allotments import list_needs
 from ..decisions.orders import Order, OrderOutcome
-from ..decisions.placement import MoveKind, list_needs, plan_moves
+from ..decisions.placement import MoveKind, plan_moves
 from ..decisions.servers import ServerRole
 from ..outcomes import VersionState
 from .loop import run_periodically
@@ -40,6 +41,11 @@
         Returns monotonic time in seconds.
     random : random.Random
         Source of jitter.
+
+    Attributes
+    ----------
+    unload_delay : float
+        Seconds for which a withdrawn version stays loaded.
     """
 
     def __init__(
@@ -64,10 +70,12 @@
         self._rollouts = rollouts
         self._demand = demand
         self._settings = settings
+        self.unload_delay = settings.unload_delay
         self._metrics = metrics
         self._clock = clock
         self._random = random
         self._sending = set()
+        self._withdrawn_since = {}
 
     async def run(self):
         """Reconcile until cancelled."""
@@ -86,15 +94,29 @@
             return
         engines = self._book.observe(self.list_engines(now), now)
         moves = plan_moves(self.list_needs(), engines, self._settings.loads_at_once)
+        self._note_withdrawals(now)
         for move in moves:
             record = self._table.servers[move.server].record
             if not self._leases.may_order(record.checks_fencing):
                 continue
+            if move.kind is MoveKind.UNLOAD and self._may_run(move.version, now):
+                continue
             self._book.start(move)
             task = asyncio.create_task(self._send(move, record))
             self._sending.add(task)
             task.add_done_callback(self._sending.discard)
 
+    def _note_withdrawals(self, now):
+        versions = self._configuration.declaration.versions.values()
+        withdrawn = {v.name for v in versions if v.state is VersionState.WITHDRAWN}
+        since = self._withdrawn_since
+        self._withdrawn_since = {name: since.get(name, now) for name in withdrawn}
+
+    def _may_run(self, version, now):
+        """Return whether a withdrawn version may still run requests somewhere."""
+        since = self._withdrawn_since.get(version)
+        return since is not None and now < since + self.unload_delay
+
     def list_engines(self, now):
         """Return the engines of this failure domain whose report is fresh."""
         return [
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -132,6 +132,7 @@
     timeout: float
     connect_timeout: float
     report_lag: float
+    unload_delay: float
     weights: str
 
 
--- a/tanagerwalk/standins/world.py
+++ b/tanagerwalk/standins/world.py
@@ -37,6 +37,7 @@
 look_interval = 0.2
 interval = 0.1
 report_lag = 0.5
+unload_delay = 0.5
 [sessions]
 secret = demo
 [rollouts]
--- a/test/controllers/test_order_controller.py
+++ b/test/controllers/test_order_controller.py
@@ -77,6 +77,16 @@
     await world.wait_until(lambda: count_copies(world, "b") == 1)
 
 
+async def test_withdrawn_version_stays_loaded_while_its_answers_end(world):
+    ordering = world.instances[await build(world, checks_fencing=True)].ordering
+    ordering.unload_delay = 3600.0
+    await world.apply(declare(a="withdrawn", b="released"))
+    await world.wait_until(lambda: count_copies(world, "b") == 2)
+    assert count_copies(world, "a") == 3
+    ordering.unload_delay = 0.0
+    await world.wait_until(lambda: count_copies(world, "a") == 0)
+
+
 async def test_frozen_holder_does_no_lasting_harm(world):
     """Its late order loads a withdrawn version, which the next holder unloads."""
     holder = await build(world)
--- a/test/decisions/test_orders.py
+++ b/test/decisions/test_orders.py
@@ -7,8 +7,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from tanagerwalk.decisions.allotments import Need
 from tanagerwalk.decisions.orders import MAX_PAUSE_S, OrderBook, OrderOutcome
-from tanagerwalk.decisions.placement import Move, MoveKind, Need, plan_moves
+from tanagerwalk.decisions.placement import Move, MoveKind, plan_moves
 from tanagerwalk.decisions.servers import (
     BackendServer,
     LoadReport,
--- a/test/decisions/test_placement.py
+++ b/test/decisions/test_placement.py
@@ -7,14 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tanagerwalk.decisions.placement import (
-    Engine,
-    MoveKind,
-    Need,
-    allot_copies,
-    list_needs,
-    plan_moves,
-)
+from tanagerwalk.decisions.allotments import Need, allot_copies, list_needs
+from tanagerwalk.decisions.placement import Engine, MoveKind, plan_moves
 from tanagerwalk.declarations import parse_declaration
 from tanagerwalk.outcomes import VersionState
 
