--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -129,8 +129,8 @@
         self.durations = DurationEstimates()
         self.book = RolloutBook(self.incarnation, settings.rollouts.false_alarm)
         self.facts = FactTable(self.incarnation)
-        self.demand = DemandMeter()
         self.metrics.spared.set_function(lambda: len(self.book.spared))
+        self.demand = DemandMeter()
         queue = AdmissionQueue(self.table, self.durations, settings.limits.queue_length)
         self.gate = Gate(queue, self.table, self._expect_duration, self._clock)
         self.metrics.waiting.set_function(lambda: len(queue))
@@ -166,12 +166,19 @@
             self._random,
         )
         self._wire_rollouts()
+        self.configuring.notify(self._configure_book)
         self.billing = BillingController(
             self.store, self.incarnation, self.metrics, self._random
         )
 
+    def _configure_book(self):
+        self.book.configure(self.configuration.declaration)
+
     def _wire_rollouts(self):
         settings = self.settings.rollouts
+        self.configuring.notify(
+            lambda: self.book.configure(self.configuration.declaration)
+        )
         self.halting = HaltController(
             self.book,
             self.store,
@@ -196,6 +203,9 @@
             on_halt=self.halting.halt,
         )
         self.halting.follow(self.rollouts)
+        self.configuring.notify(
+            lambda: self.book.configure(self.configuration.declaration)
+        )
         self.exposing = ExposureController(
             self.book,
             self.configuration,
@@ -247,6 +257,7 @@
             settings.peers,
             self.metrics,
             self._clock,
+            self._wall_clock,
             self._random,
         )
         self.exchange.answer_on(self.peer_server)
@@ -373,8 +384,8 @@
             "ready": self.is_ready(),
             "revision": self.configuration.revision,
             "in_flight": self.callers.in_flight,
-            "orders": self.ordering.report_status(),
             "rollouts": self.rollouts.report(),
+            "orders": self.ordering.report_status(),
             "backend_servers": [
                 {
                     "id": server.record.id,
@@ -451,6 +462,7 @@
         await self.claims.drain(max(0.0, deadline - self._clock()))
         await self.leases.release()
         await self.billing.flush_all(max(0.0, deadline - self._clock()))
+        await self.exposing.release()
         await self.close()
         log.info("stopped", in_flight=self.callers.in_flight)
 
--- a/tanagerwalk/clients/targets.py
+++ b/tanagerwalk/clients/targets.py
@@ -18,9 +18,9 @@
 
 ENTRY_ROLE = "entry"
 LEAVING_STATE = "leaving"
-CHECKS_FENCING = "checked"
 OK_STATUS = 200
 NOT_MODIFIED = 304
+CHECKS_FENCING = "checked"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tanagerwalk/controllers/orders.py
+++ b/tanagerwalk/controllers/orders.py
@@ -132,7 +132,7 @@
         """Return what the declaration in force asks of this failure domain."""
         return list_needs(
             self._configuration.declaration,
-            self._rollouts.is_halted,
+            self._rollouts.list_all_halted(),
             self._estimate_demand,
         )
 
