Let only the first in line write when a lease is absent; simulate the leases

Change: all but the first in line look a second time, n turns later, before they write; an unlisted instance has a place drawn from its incarnation.

Conclusion: the slower takeover is worth it; orders are not urgent, what is loaded keeps serving.

--- /dev/null
+++ b/bench/leases.py
@@ -0,0 +1,126 @@
+"""Calls to the key-value service for the leases, and the time to a new holder.
+
+Simulated time; each call lasts a tick, so that reads of one tick see the same. The
+nodes of one failure domain start together on an empty store, and their holder is
+killed later. "Listed" tells whether the platform's list of instances can be read; it
+then still names the killed one.
+"""
+
+from collections import Counter
+
+from expression import Ok
+
+from tanagerwalk.clients.keyvalue import Entry, WriteOutcome
+from tanagerwalk.decisions.leases import (
+    DomainLease,
+    LeasePhase,
+    LeaseTimes,
+    rank_instance,
+)
+from tanagerwalk.settings import parse_settings
+
+FAILURE_DOMAINS = 6
+SIZES = (2, 3, 57)
+TICK_S = 0.05
+KILL_S = 300.0
+END_S = 600.0
+
+
+class Domain:
+    """The nodes of one failure domain and the part of the store that they use."""
+
+    def __init__(self, size, times, listed):
+        self.times = times
+        self.names = [f"n{number}" for number in range(size)]
+        self.listed = list(self.names) if listed else []
+        self.nodes = {name: DomainLease("d", name, times) for name in self.names}
+        self.entry = None
+        self.seen = None
+        self.lease_ends = {}
+        self.revision = 0
+        self.calls = Counter()
+
+    def run(self, begin, end):
+        """Let simulated time pass."""
+        for tick in range(int(begin / TICK_S), int(end / TICK_S)):
+            now = tick * TICK_S
+            if self.entry and self.lease_ends[self.entry_lease] <= now:
+                self.entry = None
+            self.seen = self.entry
+            for name, node in self.nodes.items():
+                if node.due <= now:
+                    self.step(name, node, now)
+            yield now
+
+    def step(self, name, node, now):
+        """Make one call for a node."""
+        kind = "read" if node.phase is LeasePhase.SEEKING else "write"
+        self.calls[kind, int(now)] += 1
+        if node.phase is LeasePhase.SEEKING:
+            node.record_entry(self.seen, now, rank_instance("d", name, self.listed))
+        elif node.phase is LeasePhase.GRANTING:
+            self.revision += 1
+            self.lease_ends[self.revision] = now + self.times.ttl
+            node.record_grant(Ok(self.revision), now, now)
+        elif node.phase is LeasePhase.CREATING:
+            node.record_create(Ok(self.create(node)), now)
+        else:
+            self.lease_ends[node.lease] = now + self.times.ttl
+            node.record_renewal(Ok(True), now, now)
+
+    def create(self, node):
+        """Write the key, if nobody has it."""
+        if self.entry:
+            return WriteOutcome(False, self.revision, self.entry)
+        self.revision += 1
+        self.entry = Entry(node.key, node.value, self.revision)
+        self.entry_lease = node.lease
+        return WriteOutcome(True, self.revision)
+
+    def find_holder(self, now, checks_fencing):
+        """Return the node that may order now, or None."""
+        for name, node in self.nodes.items():
+            if node.may_order(now, checks_fencing):
+                return name
+        return None
+
+
+def measure(size, times, listed):
+    """Print one line of the table."""
+    domain = Domain(size, times, listed)
+    for _ in domain.run(0.0, KILL_S):
+        pass
+    del domain.nodes[domain.find_holder(KILL_S, checks_fencing=True)]
+    taken = {}
+    for now in domain.run(KILL_S, END_S):
+        for checks in (True, False):
+            if checks not in taken and domain.find_holder(now, checks):
+                taken[checks] = now - KILL_S
+    steady = sum(n for (_kind, at), n in domain.calls.items() if 120 <= at < KILL_S)
+    most = {
+        kind: max(n for (other, _at), n in domain.calls.items() if other == kind)
+        for kind in ("read", "write")
+    }
+    rate = steady / (KILL_S - 120) * FAILURE_DOMAINS
+    print(
+        f"{size:>6} {'yes' if listed else 'no':>6}{rate:>14.1f}"
+        f"{most['read'] * FAILURE_DOMAINS:>13}{most['write'] * FAILURE_DOMAINS:>13}"
+        f"{taken[True]:>12.1f}{taken[False]:>13.1f}"
+    )
+
+
+def main():
+    """Print the table."""
+    orders = parse_settings().ok.orders
+    times = LeaseTimes(orders.lease_ttl, orders.lease_margin, orders.look_interval)
+    print(
+        "nodes/d listed  fleet calls/s  max reads/s max writes/s"
+        "  checking, s  ignoring, s"
+    )
+    for size in SIZES:
+        for listed in (True, False):
+            measure(size, times, listed)
+
+
+if __name__ == "__main__":
+    main()
--- a/tanagerwalk/decisions/leases.py
+++ b/tanagerwalk/decisions/leases.py
@@ -10,6 +10,8 @@
 RENEWALS_PER_TTL = 3
 RETRIES_PER_TTL = 8
 MAX_LOOK_INTERVAL_S = 60.0
+MAX_TURNS = 8
+UNLISTED_PLACES = 32
 
 
 class LeasePhase(Enum):
@@ -86,6 +88,7 @@
         self.token = FencingToken(0)
         self.holder = ""
         self.resigned = False
+        self._seen_absent = False
         self._incarnation = incarnation
         self._times = times
         self._valid_until = float("-inf")
@@ -127,14 +130,24 @@
         """
         if entry is None:
             self.holder = ""
-            self._move(LeasePhase.GRANTING, now)
+            self._note_absence(now, rank)
             return
+        self._seen_absent = False
         self.holder = entry.value.decode().partition(" ")[0]
         if self.phase is LeasePhase.IN_DOUBT and entry.value == self.value:
             self._take(entry.revision, now)
             return
         self._seek(now + choose_look_interval(self._times.look_interval, rank))
 
+    def _note_absence(self, now, rank):
+        """Let those in front go first: all the rest look again before they write."""
+        if self.phase is LeasePhase.SEEKING and rank > 0 and not self._seen_absent:
+            self._seen_absent = True
+            self.due = now + min(rank, MAX_TURNS) * self._times.look_interval
+            return
+        self._seen_absent = False
+        self._move(LeasePhase.GRANTING, now)
+
     def record_unread(self, now):
         """Note that the key could not be read."""
         doubtful = self.phase is LeasePhase.IN_DOUBT
@@ -241,12 +254,13 @@
     Returns
     -------
     int
-        0 for the first. An instance that is not listed comes last.
+        0 for the first. An instance that is not listed comes after all that are, at
+        a place of its own even if the list is empty.
     """
     listed = set(live)
-    if incarnation not in listed:
-        return len(listed)
     own = _draw(failure_domain, incarnation)
+    if incarnation not in listed:
+        return len(listed) + own[0] % UNLISTED_PLACES
     return sum(1 for other in listed if _draw(failure_domain, other) < own)
 
 
--- a/test/test_frozen_holder.py
+++ b/test/test_frozen_holder.py
@@ -24,6 +24,18 @@
         await asyncio.sleep(0.05)
 
 
+def list_instance(world, process):
+    world.platform.add(
+        f"127.0.0.1:{process.ports['peers_port']}",
+        id=process.ports["instance"],
+        role="entry",
+        region="r1",
+        failure_domain="r1-a",
+        incarnation=process.ports["incarnation"],
+        state="live",
+    )
+
+
 @pytest.mark.parametrize("checks_fencing", [True, False])
 async def test_rollout_outlives_a_frozen_holder(tmp_path, checks_fencing):
     """The holder is stopped in mid-order and goes on when another one has ended it."""
@@ -39,6 +51,8 @@
             )
         await world.apply(declare(a="released"))
         processes = [await world.serve(name) for name in ("entry-1", "entry-2")]
+        for process in processes:
+            list_instance(world, process)
         try:
             holder = await find_holder(world)
             first = (await read_orders(world, holder))["token"]
