--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 
 from . import __path__ as folder
 
-HELPERS = {"__main__", "measuring", "policies"}
+HELPERS = {"__main__", "measuring", "policies", "traffic", "instances"}
 
 
 def main():
--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -10,6 +10,7 @@
 
 from .api.admin import AdminApi
 from .api.callers import CallersApi
+from .clients.attempts import probe_refusal
 from .clients.engines import EngineClient
 from .clients.keyvalue import KeyValueClient
 from .clients.orders import OrderClient
@@ -18,6 +19,7 @@
 from .clients.targets import TargetsClient
 from .controllers.billing import BillingController
 from .controllers.configuration import ConfigurationController
+from .controllers.evidence import EvidenceController
 from .controllers.exchange import ExchangeController
 from .controllers.exposure import ExposureController
 from .controllers.halts import HaltController
@@ -30,9 +32,11 @@
 from .decisions.configuration import ConfigurationState
 from .decisions.demand import DemandMeter
 from .decisions.facts import FactTable
+from .decisions.hedges import HedgeDelays
 from .decisions.limits import AdmissionQueue, DurationEstimates
 from .decisions.orders import OrderBook
 from .decisions.partners import PartnerChooser
+from .decisions.quarantine import Quarantine
 from .decisions.ratings import RatingGate
 from .decisions.retries import RetryBudget
 from .decisions.rollouts import RolloutBook
@@ -48,8 +52,10 @@
 from .filters.demand import DemandFilter
 from .filters.dispatch import DispatchFilter
 from .filters.guard import GuardFilter
+from .filters.hedge import HedgeFilter
 from .filters.identify import IdentifyFilter
 from .filters.plan import PlanFilter
+from .filters.quarantine import QuarantineFilter, QuarantineGuardFilter
 from .filters.retry import RetryFilter
 from .filters.session import SessionFilter, SessionStarter
 from .gate import Gate
@@ -123,7 +129,8 @@
 
     def _wire_state(self):
         settings = self.settings
-        home = Home(settings.instance.region, settings.instance.failure_domain)
+        place = settings.instance
+        home = Home(place.region, place.failure_domain, place.id)
         self.configuration = ConfigurationState(settings.configuration.stale_after)
         self.table = ServerTable(home, settings.limits, settings.load.stale_after)
         self.durations = DurationEstimates()
@@ -164,6 +171,7 @@
             settings.load,
             self._clock,
             self._random,
+            self._count_sharers,
         )
         self._wire_rollouts()
         self.configuring.notify(self._configure_book)
@@ -176,9 +184,6 @@
 
     def _wire_rollouts(self):
         settings = self.settings.rollouts
-        self.configuring.notify(
-            lambda: self.book.configure(self.configuration.declaration)
-        )
         self.halting = HaltController(
             self.book,
             self.store,
@@ -186,10 +191,9 @@
             settings,
             self.metrics,
             self._clock,
-            self._wall_clock,
             self._random,
-            self.membership.list_live,
         )
+        self.configuring.notify(self._heed_declaration)
         self.rollouts = RolloutController(
             self.book,
             self.configuration,
@@ -202,9 +206,14 @@
             self.membership.list_live,
             on_halt=self.halting.halt,
         )
-        self.halting.follow(self.rollouts)
-        self.configuring.notify(
-            lambda: self.book.configure(self.configuration.declaration)
+        self.evidence = EvidenceController(
+            self.rollouts,
+            self.facts,
+            settings,
+            self._clock,
+            self._wall_clock,
+            self._random,
+            self.membership.list_live,
         )
         self.exposing = ExposureController(
             self.book,
@@ -268,6 +277,10 @@
         sent = client.bytes_sent + server.bytes_sent
         return sent + client.bytes_received + server.bytes_received
 
+    def _heed_declaration(self):
+        self.book.configure(self.configuration.declaration)
+        self.halting.heed_declaration()
+
     def _wire_apis(self):
         settings = self.settings
         self.callers = CallersApi(
@@ -283,9 +296,10 @@
         settings = self.settings
         tokens = SessionTokens(settings.sessions.secret, settings.sessions.lifetime)
         starter = SessionStarter(tokens, self.configuration, self._wall_clock)
-        budget = RetryBudget(
-            settings.retries.budget_ratio, settings.retries.budget_burst
-        )
+        retries = settings.retries
+        budget = RetryBudget(retries.budget_ratio, retries.budget_burst)
+        hedge_budget = RetryBudget(retries.hedge_ratio, retries.hedge_burst)
+        self.quarantine = Quarantine(settings.quarantine)
         runner = CascadeRunner(
             self.configuration,
             self.rollouts,
@@ -315,16 +329,40 @@
                 ),
                 DemandFilter(self.demand, self.durations, self._clock),
                 RetryFilter(
-                    settings.retries, budget, self.table, self.metrics, self._clock
+                    retries,
+                    budget,
+                    self.table,
+                    self.metrics,
+                    self._clock,
+                    self._random,
+                ),
+                HedgeFilter(HedgeDelays(), hedge_budget, self.metrics, self._clock),
+                QuarantineFilter(
+                    self.quarantine,
+                    self.facts,
+                    self.table,
+                    settings.quarantine,
+                    self.exchange.spread,
+                    probe_refusal,
+                    self.metrics,
+                    self._clock,
                 ),
                 AdmitFilter(
                     self.gate, self.durations, self.table, self._is_long, self._clock
                 ),
+                QuarantineGuardFilter(self.quarantine, self._clock),
                 GuardFilter(self.configuration, self.rollouts, self.table, self._clock),
                 DispatchFilter(self._engines, self._services, self._clock),
             ]
         )
 
+    def _count_sharers(self):
+        domain = self.settings.instance.failure_domain
+        return sum(
+            peer.failure_domain == domain and not peer.leaving
+            for peer in self.membership.peers
+        )
+
     def _expect_duration(self, ticket):
         work_class = self.configuration.declaration.classes.get(ticket.work_class)
         lateness = work_class.lateness if work_class else 0.0
@@ -353,7 +391,7 @@
                 name, version, work_class.lateness
             ),
             evidence=lambda version: self.book.sum_evidence(name, version),
-            halted=self.book.list_halted(name),
+            halted=self.book.list_halted(name, context.account.versions),
             exposed=exposed,
             # A session would hold its caller to a version on trial.
             draw=1.0 if context.wants_session else self._random.random(),
@@ -416,8 +454,8 @@
             self.exchange.run,
             self.load.run,
             self.rollouts.run,
+            self.evidence.run,
             self.halting.run,
-            self.halting.run_store,
             self.exposing.run,
             self.billing.run,
             self.leases.run,
--- a/tanagerwalk/clients/attempts.py
+++ b/tanagerwalk/clients/attempts.py
@@ -14,6 +14,7 @@
 UNAVAILABLE_STATUS = 503
 OVERLOAD_STATUSES = frozenset({429, 503})
 SERVER_ERROR_STATUS = 500
+PROBE_LIMIT_S = 0.3
 
 
 def build_timeout(retries):
@@ -61,6 +62,31 @@
         return Error(AttemptFailure(RetryReason.SERVER_ERROR, sent=True))
 
 
+async def probe_refusal(address, limit=PROBE_LIMIT_S):
+    """Return whether a host answers but refuses connections to a port.
+
+    A process that crashed leaves a host that refuses; a cut network leaves
+    silence, and a live process accepts.
+
+    Parameters
+    ----------
+    address : str
+        `IP:port`.
+    limit : float
+        Seconds to wait.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(limit):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
+
+
 def judge_status(response):
     """Return the failure that a response's status means, or None.
 
--- /dev/null
+++ b/tanagerwalk/decisions/backends.py
@@ -0,0 +1,288 @@
+"""One backend server: its record, its load, its room and its score."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from ..ids import (
+    BackendServerId,
+    FailureDomain,
+    Incarnation,
+    Region,
+    ServiceName,
+    VersionName,
+)
+
+MIN_LIMIT = 1.0
+MIN_START_LIMIT = 2.0
+LIMIT_DECREASE = 0.8
+PROBE_SHARE = 0.9
+CAPACITY_PROBE = 1.0
+FAILURES_BEFORE_PAUSE = 3
+FAILURE_PAUSE_S = 1.0
+MAX_FAILURE_PAUSE_S = 30.0
+SLOWNESS_SMOOTHING = 0.3
+SLOWNESS_ATTACK = 0.8
+SLOW_RATIO = 2.5
+MIN_SLOWNESS = 0.5
+MAX_SLOWNESS = 20.0
+TIMEOUT_SLOWNESS = 10.0
+SLOWNESS_HALF_LIFE_S = 20.0
+ERROR_SMOOTHING = 0.3
+ERROR_WEIGHT = 10.0
+
+
+class ServerRole(Enum):
+    """What a backend server is."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRecord:
+    """One backend server as the platform lists it."""
+
+    id: BackendServerId
+    address: str
+    role: ServerRole
+    region: Region
+    failure_domain: FailureDomain
+    incarnation: Incarnation
+    service: ServiceName | None = None
+    leaving: bool = False
+    checks_fencing: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load that a backend server published of itself; no versions if not asked."""
+
+    running: int = 0
+    waiting: int = 0
+    versions: frozenset[VersionName] | None = frozenset()
+    slots: int = 0
+
+
+class FailureKind(Enum):
+    """What a failed attempt says about its server."""
+
+    OVERLOAD = "overload"
+    ERROR = "error"
+    UNREACHABLE = "unreachable"
+    TIMEOUT = "timeout"
+
+
+@dataclass(frozen=True, slots=True)
+class RoomShare:
+    """One instance's part of the free room that all instances see.
+
+    Parameters
+    ----------
+    sharers : int
+        Instances that send to the server.
+    short_reserve : float
+        Share of the server that long classes leave to short ones.
+    chance : float
+        Random number from 0 to 1. A part of less than one attempt is drawn by lot:
+        rounded up, the instances would overrun the server together, and rounded
+        down, none of them would use its last room.
+    """
+
+    sharers: int
+    short_reserve: float
+    chance: float
+
+    def take(self, free, unseen):
+        """Return how many more attempts this instance may send.
+
+        Parameters
+        ----------
+        free : float
+            Free room of the server by its report.
+        unseen : int
+            Attempts of this instance that the report does not show yet.
+        """
+        return max(0, int(max(0.0, free) / self.sharers + self.chance) - unseen)
+
+
+@dataclass(slots=True)
+class BackendServer:
+    """A backend server with what this instance has learned of it.
+
+    Parameters
+    ----------
+    record : ServerRecord
+        The platform's record.
+    limit : float
+        Attempts that this instance may have in flight.
+    """
+
+    record: ServerRecord
+    limit: float
+    in_flight: int = 0
+    long_in_flight: int = 0
+    suspects_in_flight: int = 0
+    load: LoadReport = LoadReport()
+    load_at: float = float("-inf")
+    scraped_at: float = float("-inf")
+    own_at_load: int = 0
+    capacity: float = float("inf")
+    long_limit: float = float("inf")
+    leaving: bool = False
+    paused_until: float = float("-inf")
+    failures: int = 0
+    versions: frozenset[VersionName] = frozenset()
+    slowness: float = 1.0
+    slowness_at: float = 0.0
+    error_share: float = 0.0
+
+    def serves(self, version, service):
+        """Return whether the server offers a service, or has loaded a version."""
+        if service is not None:
+            return self.record.service == service
+        return version in self.versions
+
+    def take_load(self, report, now, share):
+        """Take a load report and adapt the concurrency limits.
+
+        A server that has requests waiting is full at what it runs. Every instance
+        shrinks its own part in proportion, so that all of them together end at
+        the capacity, and a report that is read twice shrinks it only once.
+
+        Parameters
+        ----------
+        report : LoadReport
+            What the server published.
+        now : float
+            Monotonic time in seconds.
+        share : RoomShare
+            This instance's part of the room that a report shows.
+        """
+        # A lagging report does not show yet what was added since the last one.
+        unseen = max(0, self.in_flight - self.own_at_load)
+        self.load = report
+        self.load_at = now
+        self.own_at_load = self.in_flight
+        if report.versions is not None:
+            self.versions = report.versions
+        total = report.running + report.waiting
+        if report.waiting > 0:
+            self.capacity = max(1.0, float(report.running))
+            kept = self.in_flight * report.running / total
+            self.limit = max(MIN_LIMIT, min(self.limit, kept))
+            self.long_limit = 0.0
+            return
+        if self.capacity == float("inf"):
+            return
+        if total >= self.capacity * PROBE_SHARE:
+            self.capacity = max(self.capacity, total) + CAPACITY_PROBE
+        free = self.capacity - total
+        self.limit = max(MIN_LIMIT, self.in_flight + share.take(free, unseen))
+        long_free = self.capacity * (1.0 - share.short_reserve) - total
+        self.long_limit = self.long_in_flight + share.take(long_free, unseen)
+
+    def grow(self, ceiling):
+        """Raise the limit of a server that never had requests waiting.
+
+        It doubles each round trip while it is well used. Once the capacity has
+        been seen the reports set the limit.
+        """
+        if self.capacity == float("inf") and self.in_flight * 2 >= self.limit:
+            self.limit = min(self.limit + 1.0, ceiling)
+
+    def take_success(self, now, ratio):
+        """Note an answer that took `ratio` times the expected duration."""
+        self.failures = 0
+        self.error_share *= 1.0 - ERROR_SMOOTHING
+        self._take_slowness(now, ratio)
+
+    def _take_slowness(self, now, ratio):
+        ratio = min(max(ratio, MIN_SLOWNESS), MAX_SLOWNESS)
+        current = self.read_slowness(now)
+        # Fast up and slow down: each further look at a slow server is a late answer.
+        weight = SLOWNESS_ATTACK if ratio > SLOW_RATIO else SLOWNESS_SMOOTHING
+        self.slowness = current + weight * (ratio - current)
+        self.slowness_at = now
+
+    def read_slowness(self, now):
+        """Return the slowness, which fades so that the server is tried again."""
+        if self.slowness <= 1.0:
+            return self.slowness
+        faded = 0.5 ** ((now - self.slowness_at) / SLOWNESS_HALF_LIFE_S)
+        return 1.0 + (self.slowness - 1.0) * faded
+
+    def take_failure(self, now, kind, retry_after):
+        """Note a failed attempt and pause the server if it deserves that.
+
+        A single error says as much about the request as about the server, so it
+        takes several in a row for a pause; a server that can't be reached is
+        paused at once.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        kind : FailureKind
+            What the failure says about the server.
+        retry_after : float or None
+            Seconds that the server asked to wait.
+        """
+        self.limit = max(MIN_LIMIT, self.limit * LIMIT_DECREASE)
+        if kind is FailureKind.OVERLOAD:
+            self._pause(now, FAILURE_PAUSE_S if retry_after is None else retry_after)
+            return
+        self.failures += 1
+        self.error_share += ERROR_SMOOTHING * (1.0 - self.error_share)
+        if kind is FailureKind.TIMEOUT:
+            self._take_slowness(now, TIMEOUT_SLOWNESS)
+        patience = 1 if kind is FailureKind.UNREACHABLE else FAILURES_BEFORE_PAUSE
+        excess = self.failures - patience
+        if excess >= 0:
+            # The exponent is bounded so that a long outage does not overflow it.
+            self._pause(now, FAILURE_PAUSE_S * 2 ** min(excess, 10))
+        elif retry_after:
+            self._pause(now, retry_after)
+
+    def _pause(self, now, seconds):
+        until = now + min(seconds, MAX_FAILURE_PAUSE_S)
+        self.paused_until = max(self.paused_until, until)
+
+    def has_room(self, now, long, short_reserve, stale_after):
+        """Return whether one more attempt may be sent.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        long : bool
+            Whether the attempt belongs to a long class.
+        short_reserve : float
+            Share of the limit that long classes leave to short ones.
+        stale_after : float
+            Seconds after which a report counts for nothing.
+        """
+        if long:
+            long_limit = max(1, int(self.limit * (1.0 - short_reserve)))
+            if now - self.load_at <= stale_after:
+                long_limit = min(long_limit, self.long_limit)
+            return self.in_flight < int(self.limit) and self.long_in_flight < long_limit
+        # Engines serve short classes first, so that these need not wait until the
+        # long ones that fill a server have ended.
+        short = self.in_flight - self.long_in_flight
+        reserve = max(1, int(self.limit * short_reserve))
+        return self.in_flight < int(self.limit) or short < reserve
+
+    def score(self, now, stale_after):
+        """Return how late an attempt here would be; lower is better."""
+        others = 0
+        if now - self.load_at <= stale_after:
+            reported = self.load.running + self.load.waiting
+            others = max(0, reported - self.own_at_load)
+        busy = (self.in_flight + others + 1) / self._size()
+        errors = 1.0 + ERROR_WEIGHT * self.error_share
+        return busy * self.read_slowness(now) * errors
+
+    def _size(self):
+        if self.capacity == float("inf"):
+            return max(self.limit, self.load.running)
+        return self.capacity
--- a/tanagerwalk/filters/plan.py
+++ b/tanagerwalk/filters/plan.py
@@ -64,13 +64,20 @@
                 self._starter.start(context, context.plan.steps[0])
             context.sink = sink
             result = await self._run_exposed(context, proceed)
-            if result.is_ok() or not may_replan(result.error, context.sent):
+            if result.is_ok() or not self._may_replan(context, result.error):
                 return result
             refused = result
             excluded |= {context.version}
             context.session = None
             self._metrics.replans.labels(result.error.reason.value).inc()
 
+    def _may_replan(self, context, refusal):
+        if context.generated:
+            # The caller has a part of this answer; another one can't follow it.
+            return False
+        on_trial = context.plan.candidate is not None
+        return may_replan(refusal, context.work_class.idempotent, on_trial)
+
     def _choose(self, context, excluded):
         """Choose a plan; a candidate's takes its unit of exposure."""
         while True:
@@ -93,7 +100,8 @@
         name = context.session.version
         key = (context.work_class.name, name)
         allowed = is_allowed(declaration, context.account.name, name, in_session=True)
-        if not allowed or self._rollouts.is_halted(key):
+        halted = self._rollouts.is_halted(key, context.account.versions)
+        if not allowed or halted:
             return _refuse(
                 RefusalReason.VERSION_WITHDRAWN,
                 "the version of this session takes no more work",
--- a/tanagerwalk/metrics.py
+++ b/tanagerwalk/metrics.py
@@ -40,6 +40,10 @@
         self.exposure_reclaimed = self._count(
             "exposure_reclaimed", "Grants taken back from instances that are gone."
         )
+        self.blames = self._count(
+            "blames", "Broken connections, by whether the request is blamed.", ["kind"]
+        )
+        self.hedges = self._count("hedges", "Calls sent twice.", ["outcome"])
         self.platform_faults = self._count(
             "platform_faults", "Failed calls to the platform.", ["service"]
         )
@@ -54,6 +58,10 @@
         self.lease_held = self._gauge("lease_held", "Whether this instance orders.")
         self.waiting = self._gauge("waiting", "Requests that wait for room.")
         self.revision = self._gauge("revision", "Revision of the declaration in force.")
+        for kind in ("blamed", "unconfirmed", "correlated"):
+            self.blames.labels(kind)
+        for outcome in ("won", "lost", "dropped", "failed"):
+            self.hedges.labels(outcome)
         self.exchanges = self._count(
             "exchanges", "Exchanges that this instance started.", ["outcome"]
         )
--- a/tanagerwalk/standins/world.py
+++ b/tanagerwalk/standins/world.py
@@ -31,6 +31,9 @@
 instances_interval = 0.1
 [load]
 interval = 0.1
+idle_interval = 0.1
+models_interval = 0.1
+scrapes_per_second = 200
 [orders]
 lease_ttl = 2
 lease_margin = 0.5
@@ -224,4 +227,7 @@
 def _is_complete(instance):
     servers = instance.table.servers.values()
     loaded = sum(1 for server in servers if server.load_at > 0)
-    return instance.is_ready() and loaded == len(servers) and loaded > 0
+    if not instance.is_ready() or not loaded or loaded < len(servers):
+        return False
+    # The roll-out book takes the declaration a step later.
+    return bool(instance.book.list_states())
