--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -152,6 +152,7 @@
     timeout: float
     connect_timeout: float
     report_lag: float
+    unload_delay: float
     weights: str
 
 
