Send changes of the declaration as patches; end a watch that spun

And a refused text left the watch at the revision before it, so that the store answered at once, again and again, without a pause. Change: apply writes text and patch in one transaction; instances watch the patch and read the text only where it does not fit; the watch moves past every revision that it was shown.

--- a/tanagerwalk/clients/keyvalue.py
+++ b/tanagerwalk/clients/keyvalue.py
@@ -319,7 +319,10 @@
         compare = {"key": key, "target": "MOD", "mod_revision": str(write.revision)}
     return {
         "compare": [{"result": "EQUAL", **compare}],
-        "success": [_render_operation(write, key)],
+        "success": [
+            _render_operation(write, key),
+            *(_render_put(name, value) for name, value in write.also),
+        ],
         "failure": [{"request_range": {"key": key}}],
     }
 
@@ -332,9 +335,13 @@
 def _render_operation(write, key):
     if write.value is None:
         return {"request_delete_range": {"key": key}}
-    put = {"key": key, "value": base64.b64encode(write.value).decode()}
-    if write.lease:
-        put["lease"] = str(write.lease)
+    return _render_put(write.key, write.value, write.lease)
+
+
+def _render_put(name, value, lease=0):
+    put = {"key": _encode(name), "value": base64.b64encode(value).decode()}
+    if lease:
+        put["lease"] = str(lease)
     return {"request_put": put}
 
 
--- a/tanagerwalk/controllers/configuration.py
+++ b/tanagerwalk/controllers/configuration.py
@@ -2,14 +2,18 @@
 
 import asyncio
 
+import msgspec
 import structlog
 
 from ..decisions.configuration import NO_REVISION
+from ..decisions.patches import Patch, apply_patch
 from .loop import run_periodically
 
 log = structlog.get_logger(__name__)
 
 DECLARATION_KEY = "tanagerwalk/declaration"
+# Written with each declaration but the first, in one transaction.
+PATCH_KEY = "tanagerwalk/patch"
 WATCH_RETRY_S = 1.0
 FRESH_SHARE = 0.5
 
@@ -41,6 +45,7 @@
         self._clock = clock
         self._random = random
         self._on_change = []
+        self._watched = NO_REVISION
 
     def notify(self, callback):
         """Call `callback` whenever a newer declaration comes into force."""
@@ -55,33 +60,54 @@
 
     async def poll(self):
         """Read the declaration once, unless a peer confirmed it just now."""
+        age = self._state.age(self._clock())
+        if age >= self._settings.poll_interval * FRESH_SHARE:
+            await self._read()
+
+    async def _read(self):
+        """Read the declaration if the store has a newer one."""
         asked_at = self._clock()
-        if self._state.age(asked_at) < self._settings.poll_interval * FRESH_SHARE:
-            return
         known = self._state.revision
         result = await self._store.get_newer(DECLARATION_KEY, known)
         if result.is_error():
             self._metrics.platform_faults.labels("keyvalue").inc()
             return
         if result.ok.entry is not None:
-            self.take(
-                result.ok.entry.revision, result.ok.entry.value.decode(), asked_at
-            )
+            entry = result.ok.entry
+            self.take(entry.revision, entry.value.decode(), asked_at)
         elif result.ok.revision >= known > NO_REVISION:
             self._state.confirm(known, asked_at)
 
     async def _watch(self):
+        """Follow the patches; the whole text is read only where one does not fit."""
         while True:
             started_at = self._clock()
+            known = max(self._state.revision, self._watched)
             result = await self._store.wait_for_change(
-                DECLARATION_KEY, self._state.revision, self._settings.watch_limit
+                PATCH_KEY, known, self._settings.watch_limit
             )
             if result.is_error():
                 self._metrics.platform_faults.labels("keyvalue").inc()
                 await asyncio.sleep(WATCH_RETRY_S)
                 continue
             for entry in result.ok:
-                self.take(entry.revision, entry.value.decode(), started_at)
+                # One that leads nowhere must not be watched for again at once.
+                self._watched = max(self._watched, entry.revision)
+                if not self._take_patch(entry, started_at):
+                    self._metrics.patch_misfits.inc()
+                    await self._read()
+
+    def _take_patch(self, entry, started_at):
+        """Take the declaration that a patch leads to; return whether it fits."""
+        try:
+            patch = msgspec.json.decode(entry.value, type=Patch)
+        except msgspec.DecodeError:
+            return False
+        patched = apply_patch(self._state.text, patch)
+        if patched.is_error():
+            return False
+        self.take(entry.revision, patched.ok, started_at)
+        return True
 
     def take(self, revision, text, confirmed_at):
         """Take a declaration from the store or a peer, if it is newer.
--- a/tanagerwalk/metrics.py
+++ b/tanagerwalk/metrics.py
@@ -72,6 +72,9 @@
         )
         self.store_calls = self._gauge("store_calls", "Calls with batched writes.")
         self.store_writes = self._gauge("store_writes", "Writes in those calls.")
+        self.patch_misfits = self._count(
+            "patch_misfits", "Patches of the declaration for another text."
+        )
         self.revision = self._gauge("revision", "Revision of the declaration in force.")
         for kind in ("blamed", "unconfirmed", "correlated"):
             self.blames.labels(kind)
--- a/tanagerwalk/ui/apply.py
+++ b/tanagerwalk/ui/apply.py
@@ -1,12 +1,14 @@
 """Command `apply`: put a declaration in force."""
 
 import click
+import msgspec
 from expression import Error, Ok
 
-from ..clients.keyvalue import StoreFault
-from ..controllers.configuration import DECLARATION_KEY
+from ..controllers.configuration import DECLARATION_KEY, PATCH_KEY
+from ..decisions.patches import make_patch
 from ..declarations import parse_declaration
 from ..ids import Revision
+from ..writes import StoreFault, Write
 from .common import fail, read_settings, read_text, run_with_store, settings_option
 
 
@@ -63,11 +65,13 @@
             f"revision {newest} is in force, not {after}: compare with"
             f" `tanagerwalk diff`, then apply --after {newest}"
         )
-    value = text.encode()
-    if newest:
-        written = await store.replace(DECLARATION_KEY, value, newest)
-    else:
-        written = await store.create(DECLARATION_KEY, value)
+    also = ()
+    if found.ok:
+        patch = make_patch(found.ok.value.decode(), text)
+        also = ((PATCH_KEY, msgspec.json.encode(patch)),)
+    written = await store.write(
+        Write(DECLARATION_KEY, text.encode(), newest, also=also)
+    )
     if written.is_error():
         return await _resolve_write(store, text, written.error)
     if not written.ok.applied:
--- a/tanagerwalk/writes.py
+++ b/tanagerwalk/writes.py
@@ -70,12 +70,15 @@
         Revision of the key's last write; `ABSENT` if it must not exist.
     lease : int
         Lease that the key ends with; 0 for none.
+    also : tuple of (str, bytes)
+        Further keys that are written with it, whatever they hold.
     """
 
     key: str
     value: bytes | None
     revision: Revision = ABSENT
     lease: int = 0
+    also: tuple[tuple[str, bytes], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
