Say not run only where no earlier submission of the key can have run

Cause: while the store is out, or the instance stops, a resend of a booking was refused with run state not_run without a look at its claim. An earlier submission may have run at another instance, so a caller could book a second time elsewhere on that word. Ruled out: telling the submission apart from the request in the text only (a caller reads the state, not the message); refusing nothing and waiting for the store (a request given up on gets its answer at once). Change: such refusals say unknown. A caller that sends a key for the first time may say so with X-First-Submission: true and then gets not_run. Tests: test_resend_is_not_told_not_run_of_a_booking_that_ran is new.

--- a/tanagerwalk/api/callers.py
+++ b/tanagerwalk/api/callers.py
@@ -9,6 +9,8 @@
 from sanic.response import json as json_response
 from sanic.response import raw
 
+from ..decisions.claims import qualify_refusal
+from ..filters.submission import describe_submission
 from ..ids import RequestId
 from ..messages import RequestContext, Sink
 from ..outcomes import Interface, Refusal, RefusalReason
@@ -19,6 +21,7 @@
 SESSION_HEADER = "X-Session"
 VERSION_HEADER = "X-Version"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
+FIRST_HEADER = "X-First-Submission"
 NEW_SESSION = "new"
 OK_STATUS = 200
 END_MARKER = "data: [DONE]\n\n"
@@ -131,7 +134,8 @@
             # The caller's next request is to open a connection elsewhere.
             request.stream.keep_alive = False
         if self.stopping:
-            return self._refuse(_refuse_stopping())
+            submission = describe_submission(context)
+            return self._refuse(qualify_refusal(_refuse_stopping(), submission))
         sink = None
         if checked.ok.stream:
             sink = StreamSink(request, context)
@@ -163,6 +167,7 @@
             class_name=body.class_name,
             interface=interface,
             idempotency_key=request.headers.get(IDEMPOTENCY_HEADER),
+            first_submission=request.headers.get(FIRST_HEADER) == "true",
             session_token=session if session != NEW_SESSION else None,
             wants_session=session == NEW_SESSION,
             arrived=self._clock(),
--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -55,6 +55,7 @@
 from .filters.quarantine import QuarantineFilter, QuarantineGuardFilter
 from .filters.retry import RetryFilter
 from .filters.session import SessionFilter, SessionStarter
+from .filters.submission import SubmissionFilter
 from .gate import Gate
 from .ids import Incarnation
 from .metrics import Metrics
@@ -323,6 +324,7 @@
         return link_filters(
             [
                 CountFilter(self.metrics, self._clock),
+                SubmissionFilter(),
                 IdentifyFilter(self.configuration),
                 SessionFilter(records.tokens, records.pins, self._wall_clock),
                 records.claims,
--- a/tanagerwalk/decisions/claims.py
+++ b/tanagerwalk/decisions/claims.py
@@ -6,6 +6,7 @@
 whose answer was lost can never take effect after a later step was confirmed.
 """
 
+import dataclasses
 from enum import Enum
 
 import msgspec
@@ -23,6 +24,45 @@
 LISTING_LAG_S = 30.0
 
 
+# These hold for every submission of a request alike.
+CERTAIN_REASONS = frozenset(
+    {
+        RefusalReason.INVALID_REQUEST,
+        RefusalReason.IDEMPOTENCY_KEY_MISSING,
+        RefusalReason.IDEMPOTENCY_KEY_REUSED,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submission:
+    """One sending of a request, as far as earlier ones matter.
+
+    Parameters
+    ----------
+    idempotency_key : str or None
+        Ties the submissions of one request together.
+    first : bool
+        Whether the caller says that it sends the key for the first time.
+    claimed : bool
+        Whether this submission held the claim, which no earlier one can have used.
+    idempotent : bool
+        Whether the class of work is known to be idempotent.
+    """
+
+    idempotency_key: str | None
+    first: bool = False
+    claimed: bool = False
+    idempotent: bool = False
+
+    @property
+    def is_certain(self):
+        """Whether no earlier submission can have run."""
+        if not self.idempotency_key or self.idempotent:
+            return True
+        return self.first or self.claimed
+
+
 class ClaimState(Enum):
     """What the claim record says about the request."""
 
@@ -318,6 +358,31 @@
     )
 
 
+def qualify_refusal(refusal, submission):
+    """Take back a "not run" that may be untrue of an earlier submission.
+
+    A refusal that was decided without a look at the claim knows only of the
+    submission at hand. If the caller sent the same idempotency key before, that
+    one may have run.
+
+    Parameters
+    ----------
+    refusal : Refusal
+        The refusal as decided.
+    submission : Submission
+        What is known of the request.
+
+    Returns
+    -------
+    Refusal
+    """
+    if refusal.run_state is not RunState.NOT_RUN or submission.is_certain:
+        return refusal
+    if refusal.reason in CERTAIN_REASONS:
+        return refusal
+    return dataclasses.replace(refusal, run_state=RunState.UNKNOWN)
+
+
 def refuse_unavailable():
     """Return the refusal for a claim that could not be confirmed."""
     return Refusal(
--- a/tanagerwalk/filters/claim.py
+++ b/tanagerwalk/filters/claim.py
@@ -116,6 +116,7 @@
             await self._confirm(claim)
             if claim.phase is not ClaimPhase.RUNNING:
                 return await _deliver(claim.verdict, context)
+            context.claimed = True
             result = await _run_once(context, proceed)
             claim.finish(result)
             return result
--- a/tanagerwalk/messages.py
+++ b/tanagerwalk/messages.py
@@ -172,6 +172,8 @@
         The interface that the caller used.
     idempotency_key : str or None
         Key that makes resends of a non-idempotent request safe.
+    first_submission : bool
+        Whether the caller says that it sends the idempotency key for the first time.
     session_token : str or None
         Token of the session to continue, or an id that the caller chose.
     session_id : str or None
@@ -188,6 +190,7 @@
     class_name: str
     interface: Interface = Interface.CHAT
     idempotency_key: str | None = None
+    first_submission: bool = False
     session_token: str | None = None
     session_id: str | None = None
     wants_session: bool = False
@@ -206,6 +209,7 @@
     generated: list[str] = field(default_factory=list)
     usage: Usage = Usage()
     sent: bool = False
+    claimed: bool = False
     suspect: bool = False
     cost: float = 0.0
     tried: set[BackendServerId] = field(default_factory=set)
--- a/test/test_app.py
+++ b/test/test_app.py
@@ -38,7 +38,7 @@
 async def test_booking_is_refused_as_not_run_while_the_store_is_out(demo):
     first, _ = demo.instances.values()
     demo.keyvalue.outage = True
-    key = {"Idempotency-Key": "slot-1"}
+    key = {"Idempotency-Key": "slot-1", "X-First-Submission": "true"}
     status, content, headers = await demo.call(first, "booking", {}, **key)
     assert status == 503
     assert read_error(content)["run_state"] == "not_run"
@@ -46,6 +46,21 @@
     assert demo.services["booking-1"].runs == []
 
 
+async def test_resend_is_not_told_not_run_of_a_booking_that_ran(demo):
+    """The second instance can't read the claim, and is about to stop besides."""
+    first, second = demo.instances.values()
+    key = {"Idempotency-Key": "slot-1"}
+    assert (await demo.call(first, "booking", {}, **key))[0] == 200
+    demo.keyvalue.outage = True
+    _, content, _ = await demo.call(second, "booking", {}, **key)
+    assert read_error(content)["code"] == "claim_unavailable"
+    assert read_error(content)["run_state"] == "unknown"
+    second.callers.stopping = True
+    _, content, _ = await demo.call(second, "booking", {}, **key)
+    assert read_error(content)["code"] == "stopping"
+    assert read_error(content)["run_state"] == "unknown"
+
+
 async def test_claim_whose_write_answer_is_lost_runs_once(demo):
     first, _ = demo.instances.values()
     demo.keyvalue.lose_answers = 1
--- a/test/test_partitions.py
+++ b/test/test_partitions.py
@@ -88,7 +88,7 @@
         demo.call(north, "status", {"job": 1}),
     )
     assert [status for status, _, _ in results] == [200] * 11
-    key = {"Idempotency-Key": "slot-1"}
+    key = {"Idempotency-Key": "slot-1", "X-First-Submission": "true"}
     status, content, headers = await demo.call(north, "booking", {}, **key)
     assert (status, b"not_run" in content) == (503, True)
     assert "Retry-After" in headers
