Split the composition root

Cause: app.py had grown to 531 lines: wiring, planning inputs, supervision and the status page in one class. Change: outside.py builds the clients, planning.py collects what plans and room need, supervisor.py runs controllers, chains.py links the filters, status.py renders the status page; app.py wires them in 347 lines. The book was told of each declaration twice; once now. Tests name the new places, and check the same.

--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -5,18 +5,11 @@
 import time
 import uuid
 
-import aiohttp
 import structlog
 
 from .api.admin import AdminApi
 from .api.callers import CallersApi
-from .clients.attempts import probe_refusal
-from .clients.engines import EngineClient
-from .clients.keyvalue import KeyValueClient
-from .clients.orders import OrderClient
-from .clients.ratings import RatingsClient
-from .clients.services import ServiceClient
-from .clients.targets import TargetsClient
+from .chains import build_chain
 from .controllers.configuration import ConfigurationController
 from .controllers.evidence import EvidenceController
 from .controllers.exchange import ExchangeController
@@ -31,37 +24,22 @@
 from .decisions.configuration import ConfigurationState
 from .decisions.demand import DemandMeter
 from .decisions.facts import FactTable
-from .decisions.hedges import HedgeDelays
 from .decisions.limits import AdmissionQueue, DurationEstimates
 from .decisions.orders import OrderBook
 from .decisions.partners import PartnerChooser
 from .decisions.quarantine import Quarantine
 from .decisions.ratings import RatingGate
-from .decisions.retries import RetryBudget
 from .decisions.rollouts import RolloutBook
 from .decisions.servers import Home, ServerTable
-from .decisions.versions import PlanInputs
-from .filters.admit import AdmitFilter
-from .filters.bill import BillFilter
-from .filters.cascade import CascadeRunner
-from .filters.chain import link_filters
-from .filters.count import CountFilter
-from .filters.demand import DemandFilter
-from .filters.dispatch import DispatchFilter
-from .filters.guard import GuardFilter
-from .filters.hedge import HedgeFilter
-from .filters.identify import IdentifyFilter
-from .filters.plan import PlanFilter
-from .filters.quarantine import QuarantineFilter, QuarantineGuardFilter
-from .filters.retry import RetryFilter
-from .filters.session import SessionFilter, SessionStarter
-from .filters.submission import SubmissionFilter
 from .gate import Gate
 from .ids import Incarnation
 from .metrics import Metrics
-from .peers.link import PeerClient, PeerServer
+from .outside import OutsideClients
 from .peers.reconcile import ByteBudget, Reconciler
+from .planning import Planning
 from .records import RecordInputs, Records
+from .status import describe_instance
+from .supervisor import Supervisor
 
 log = structlog.get_logger(__name__)
 
@@ -84,48 +62,22 @@
         Returns seconds since the epoch.
     seed : int or None
         Seed of jitter and sampling; None for a random one.
-
-    Attributes
-    ----------
-    failed : asyncio.Event
-        Set when an invariant is broken and the process has to end.
     """
 
     def __init__(self, settings, clock=time.monotonic, wall_clock=time.time, seed=None):
         self.settings = settings
         self.incarnation = Incarnation(f"{settings.instance.id}.{uuid.uuid4().hex}")
         self.metrics = Metrics()
-        self._clock = clock
-        self._wall_clock = wall_clock
-        self._random = random.Random(seed)
-        self._tasks = []
-        self._closing = False
-        self.failed = asyncio.Event()
-        self._wire_clients()
+        self.clock = clock
+        self.wall_clock = wall_clock
+        self.random = random.Random(seed)
+        self.supervisor = Supervisor()
+        self.outside = OutsideClients(settings)
+        self.store = self.outside.store
         self._wire_state()
         self._wire_controllers()
         self._wire_apis()
 
-    def _wire_clients(self):
-        platform = self.settings.platform
-        retries = self.settings.retries
-        # One connector limit for all would let slow drafts block lookups.
-        self._http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
-        self._fresh_http = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True)
-        )
-        timeout = platform.timeout
-        self.store = KeyValueClient(self._http, platform.keyvalue, timeout)
-        self._targets = TargetsClient(self._http, platform.instances, timeout)
-        self._ratings = RatingsClient(self._http, platform.ratings, timeout)
-        self._engines = EngineClient(self._http, retries)
-        self._services = ServiceClient(self._http, self._fresh_http, retries)
-        peers = self.settings.peers
-        self.peer_server = PeerServer(peers.secret)
-        self.peer_client = PeerClient(
-            peers.secret, self.settings.instance.id, peers.timeout
-        )
-
     def _wire_state(self):
         settings = self.settings
         place = settings.instance
@@ -137,8 +89,21 @@
         self.facts = FactTable(self.incarnation)
         self.metrics.spared.set_function(lambda: len(self.book.spared))
         self.demand = DemandMeter()
+        self.quarantine = Quarantine(settings.quarantine)
+        rollouts = settings.rollouts
+        self.rating_gate = RatingGate(rollouts.rating_rate, rollouts.rating_burst)
+        self.planning = Planning(
+            self.configuration,
+            self.table,
+            self.durations,
+            self.book,
+            self.rating_gate,
+            settings,
+            self.clock,
+            self.random,
+        )
         queue = AdmissionQueue(self.table, self.durations, settings.limits.queue_length)
-        self.gate = Gate(queue, self.table, self._expect_duration, self._clock)
+        self.gate = Gate(queue, self.table, self.planning.expect_duration, self.clock)
         self.metrics.waiting.set_function(lambda: len(queue))
 
     def _wire_controllers(self):
@@ -148,51 +113,47 @@
             self.configuration,
             settings.configuration,
             self.metrics,
-            self._clock,
-            self._random,
+            self.clock,
+            self.random,
         )
         self.membership = MembershipController(
-            self._targets,
+            self.outside.targets,
             self.table,
             self.facts,
             settings.platform.instances_interval,
             self.metrics,
-            self._clock,
-            self._random,
+            self.clock,
+            self.random,
         )
         self._wire_exchange()
         self._wire_orders()
         self.load = LoadController(
-            self._engines,
-            self._services,
+            self.outside.engines,
+            self.outside.services,
             self.table,
             self.gate,
             settings.load,
-            self._clock,
-            self._random,
+            self.clock,
+            self.random,
             self._count_sharers,
         )
         self._wire_rollouts()
-        self.configuring.notify(self._configure_book)
         self.records = Records(
             RecordInputs(
                 settings,
                 self.store,
-                self.peer_client,
-                self.peer_server,
+                self.outside.peer_client,
+                self.outside.peer_server,
                 self.membership,
                 self.table.home,
                 self.incarnation,
                 self.metrics,
-                self._clock,
-                self._wall_clock,
-                self._random,
+                self.clock,
+                self.wall_clock,
+                self.random,
             )
         )
 
-    def _configure_book(self):
-        self.book.configure(self.configuration.declaration)
-
     def _wire_rollouts(self):
         settings = self.settings.rollouts
         self.halting = HaltController(
@@ -201,19 +162,19 @@
             self.facts,
             settings,
             self.metrics,
-            self._clock,
-            self._random,
+            self.clock,
+            self.random,
         )
         self.configuring.notify(self._heed_declaration)
         self.rollouts = RolloutController(
             self.book,
             self.configuration,
-            self._ratings,
-            RatingGate(settings.rating_rate, settings.rating_burst),
+            self.outside.ratings,
+            self.rating_gate,
             settings,
             self.metrics,
-            self._clock,
-            self._random,
+            self.clock,
+            self.random,
             self.membership.list_live,
             on_halt=self.halting.halt,
         )
@@ -221,9 +182,9 @@
             self.rollouts,
             self.facts,
             settings,
-            self._clock,
-            self._wall_clock,
-            self._random,
+            self.clock,
+            self.wall_clock,
+            self.random,
             self.membership.list_live,
         )
         self.exposing = ExposureController(
@@ -233,8 +194,8 @@
             self.incarnation,
             settings,
             self.metrics,
-            self._clock,
-            self._random,
+            self.clock,
+            self.random,
         )
 
     def _wire_orders(self):
@@ -248,7 +209,7 @@
         )
         self.ordering = OrderController(
             self.leases,
-            OrderClient(self._fresh_http, self.settings.orders),
+            self.outside.orders,
             OrderBook(self.settings.orders.report_lag),
             self.table,
             self.configuration,
@@ -256,37 +217,32 @@
             self.demand,
             self.settings.orders,
             self.metrics,
-            self._clock,
-            self._random,
+            self.clock,
+            self.random,
         )
 
     def _wire_exchange(self):
         settings = self.settings
         budget = ByteBudget(settings.peers.slow_rate, SLOW_BURST_BYTES)
         partners = PartnerChooser(
-            self.incarnation, self.table.home, settings.peers.cross_domain, self._random
+            self.incarnation, self.table.home, settings.peers.cross_domain, self.random
         )
         self.exchange = ExchangeController(
             self.facts,
-            Reconciler(self.facts, budget, self._random),
+            Reconciler(self.facts, budget, self.random),
             self.configuring,
             self.configuration,
             partners,
-            self.peer_client,
+            self.outside.peer_client,
             self.membership.list_peers,
             settings.peers,
             self.metrics,
-            self._clock,
-            self._wall_clock,
-            self._random,
+            self.clock,
+            self.wall_clock,
+            self.random,
         )
-        self.exchange.answer_on(self.peer_server)
-        self.metrics.peer_bytes.set_function(self._count_peer_bytes)
-
-    def _count_peer_bytes(self):
-        client, server = self.peer_client, self.peer_server
-        sent = client.bytes_sent + server.bytes_sent
-        return sent + client.bytes_received + server.bytes_received
+        self.exchange.answer_on(self.outside.peer_server)
+        self.metrics.peer_bytes.set_function(self.outside.count_peer_bytes)
 
     def _heed_declaration(self):
         self.book.configure(self.configuration.declaration)
@@ -295,77 +251,13 @@
     def _wire_apis(self):
         settings = self.settings
         self.callers = CallersApi(
-            self._build_chain(),
+            build_chain(self),
             self.is_ready,
             self.metrics,
-            self._clock,
+            self.clock,
             settings.limits.request_size,
         )
-        self.admin = AdminApi(self.metrics, self.report_status)
-
-    def _build_chain(self):
-        settings = self.settings
-        records = self.records
-        starter = SessionStarter(
-            records.tokens, records.pins, self.configuration, self._wall_clock
-        )
-        retries = settings.retries
-        budget = RetryBudget(retries.budget_ratio, retries.budget_burst)
-        hedge_budget = RetryBudget(retries.hedge_ratio, retries.hedge_burst)
-        self.quarantine = Quarantine(settings.quarantine)
-        runner = CascadeRunner(
-            self.configuration,
-            self.rollouts,
-            self.durations,
-            settings.rollouts.rating_cost,
-            self.metrics,
-            self._clock,
-        )
-        return link_filters(
-            [
-                CountFilter(self.metrics, self._clock),
-                SubmissionFilter(),
-                IdentifyFilter(self.configuration),
-                SessionFilter(records.tokens, records.pins, self._wall_clock),
-                records.claims,
-                BillFilter(records.billing),
-                PlanFilter(
-                    self.configuration,
-                    self.rollouts,
-                    starter,
-                    self._collect_plan_inputs,
-                    runner,
-                    self.metrics,
-                    self._clock,
-                ),
-                DemandFilter(self.demand, self.durations, self._clock),
-                RetryFilter(
-                    retries,
-                    budget,
-                    self.table,
-                    self.metrics,
-                    self._clock,
-                    self._random,
-                ),
-                HedgeFilter(HedgeDelays(), hedge_budget, self.metrics, self._clock),
-                QuarantineFilter(
-                    self.quarantine,
-                    self.facts,
-                    self.table,
-                    settings.quarantine,
-                    self.exchange.spread,
-                    probe_refusal,
-                    self.metrics,
-                    self._clock,
-                ),
-                AdmitFilter(
-                    self.gate, self.durations, self.table, self._is_long, self._clock
-                ),
-                QuarantineGuardFilter(self.quarantine, self._clock),
-                GuardFilter(self.configuration, self.rollouts, self.table, self._clock),
-                DispatchFilter(self._engines, self._services, self._clock),
-            ]
-        )
+        self.admin = AdminApi(self.metrics, lambda: describe_instance(self))
 
     def _count_sharers(self):
         domain = self.settings.instance.failure_domain
@@ -374,79 +266,21 @@
             for peer in self.membership.peers
         )
 
-    def _expect_duration(self, ticket):
-        work_class = self.configuration.declaration.classes.get(ticket.work_class)
-        lateness = work_class.lateness if work_class else 0.0
-        return self.durations.estimate(ticket.work_class, ticket.version, lateness)
-
-    def _is_long(self, work_class):
-        classes = self.configuration.declaration.classes.values()
-        shortest = min(other.lateness for other in classes)
-        return work_class.lateness > shortest * self.settings.limits.long_factor
-
-    def _collect_plan_inputs(self, context, excluded):
-        work_class = context.work_class
-        name = work_class.name
-        now = self._clock()
-        self.book.configure(self.configuration.declaration)
-        available = set()
-        for server in self.table.servers.values():
-            if not server.leaving:
-                available |= server.versions
-        exposed = {}
-        if not self.configuration.is_stale(now):
-            exposed = self.book.find_exposed(name, now)
-        return PlanInputs(
-            available=frozenset(available),
-            durations=lambda version: self.durations.estimate(
-                name, version, work_class.lateness
-            ),
-            evidence=lambda version: self.book.sum_evidence(name, version),
-            halted=self.book.list_halted(name, context.account.versions),
-            exposed=exposed,
-            # A session would hold its caller to a version on trial.
-            draw=1.0 if context.wants_session else self._random.random(),
-            time_left=context.arrived + work_class.lateness - now,
-            rating_cost=self.settings.rollouts.rating_cost,
-            rating_time=self.rollouts.gate.time,
-            # A session has one version, so it can't go through a cascade.
-            cascades=self.rollouts.gate.is_up(now) and not context.wants_session,
-            excluded=excluded,
-        )
+    @property
+    def failed(self):
+        """Event that is set when an invariant is broken and the process has to end."""
+        return self.supervisor.failed
 
     @property
     def peers_port(self):
         """The port that other entry instances reach this one at."""
-        return self.peer_server.port
+        return self.outside.peer_server.port
 
     def is_ready(self):
         """Return whether requests can be served here."""
         is_informed = self.configuration.ready and self.halting.asked
         return is_informed and bool(self.table.servers)
 
-    def report_status(self):
-        """Return the JSON object of the admin API's status page."""
-        return {
-            "instance": self.settings.instance.id,
-            "incarnation": self.incarnation,
-            "failure_domain": self.settings.instance.failure_domain,
-            "ready": self.is_ready(),
-            "revision": self.configuration.revision,
-            "in_flight": self.callers.in_flight,
-            "rollouts": self.rollouts.report(),
-            "orders": self.ordering.report_status(),
-            "backend_servers": [
-                {
-                    "id": server.record.id,
-                    "leaving": server.leaving,
-                    "in_flight": server.in_flight,
-                    "limit": round(server.limit, 2),
-                    "versions": sorted(server.versions),
-                }
-                for server in self.table.servers.values()
-            ],
-        }
-
     async def start(self):
         """Open the listeners and start the controllers.
 
@@ -458,7 +292,7 @@
         instance = self.settings.instance
         await self.callers.listener.start(instance.address, instance.callers_port)
         await self.admin.listener.start(instance.address, instance.admin_port)
-        await self.peer_server.start(instance.address, instance.peers_port)
+        await self.outside.peer_server.start(instance.address, instance.peers_port)
         for run in (
             self.configuring.run,
             self.membership.run,
@@ -474,7 +308,7 @@
             self.ordering.run,
             self.gate.run,
         ):
-            self._supervise(run())
+            self.supervisor.run(run())
         log.info(
             "listening",
             instance=instance.id,
@@ -485,18 +319,6 @@
             peers_port=self.peers_port,
         )
 
-    def _supervise(self, work):
-        task = asyncio.create_task(work)
-        task.add_done_callback(self._judge_end)
-        self._tasks.append(task)
-
-    def _judge_end(self, task):
-        """Ask for a stop if a controller ended by itself: its state would rot."""
-        if task.cancelled() or self._closing:
-            return
-        log.critical("controller failed", exc_info=task.exception())
-        self.failed.set()
-
     async def stop(self):
         """Stop without cutting a request in flight."""
         instance = self.settings.instance
@@ -505,9 +327,9 @@
         await asyncio.sleep(instance.drain_notice)
         self.callers.stopping = True
         await self.callers.listener.stop()
-        deadline = self._clock() + instance.drain_limit
+        deadline = self.clock() + instance.drain_limit
         await poll_until(self._is_quiet, DRAIN_POLL_S, instance.drain_limit)
-        await self.records.drain(max(0.0, deadline - self._clock()))
+        await self.records.drain(max(0.0, deadline - self.clock()))
         await self.leases.release()
         await self.exposing.release()
         await self.close()
@@ -521,13 +343,7 @@
 
     async def close(self):
         """Stop the controllers and close every connection at once."""
-        self._closing = True
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.supervisor.close()
         await self.callers.listener.stop()
         await self.admin.listener.stop()
-        await self.peer_client.close()
-        await self.peer_server.stop()
-        await self._http.close()
-        await self._fresh_http.close()
+        await self.outside.close()
--- /dev/null
+++ b/tanagerwalk/chains.py
@@ -0,0 +1,102 @@
+"""The filter chain of an entry instance."""
+
+from .clients.attempts import probe_refusal
+from .decisions.hedges import HedgeDelays
+from .decisions.retries import RetryBudget
+from .filters.admit import AdmitFilter
+from .filters.bill import BillFilter
+from .filters.cascade import CascadeRunner
+from .filters.chain import link_filters
+from .filters.count import CountFilter
+from .filters.demand import DemandFilter
+from .filters.dispatch import DispatchFilter
+from .filters.guard import GuardFilter
+from .filters.hedge import HedgeFilter
+from .filters.identify import IdentifyFilter
+from .filters.plan import PlanFilter
+from .filters.quarantine import QuarantineFilter, QuarantineGuardFilter
+from .filters.retry import RetryFilter
+from .filters.session import SessionFilter, SessionStarter
+from .filters.submission import SubmissionFilter
+
+
+def build_chain(instance):
+    """Return the Handler that runs a request through every filter.
+
+    Parameters
+    ----------
+    instance : EntryInstance
+        Its parts, all but its interfaces to callers and operators.
+    """
+    settings = instance.settings
+    records = instance.records
+    starter = SessionStarter(
+        records.tokens, records.pins, instance.configuration, instance.wall_clock
+    )
+    retries = settings.retries
+    budget = RetryBudget(retries.budget_ratio, retries.budget_burst)
+    hedge_budget = RetryBudget(retries.hedge_ratio, retries.hedge_burst)
+    runner = CascadeRunner(
+        instance.configuration,
+        instance.rollouts,
+        instance.durations,
+        settings.rollouts.rating_cost,
+        instance.metrics,
+        instance.clock,
+    )
+    return link_filters(
+        [
+            CountFilter(instance.metrics, instance.clock),
+            SubmissionFilter(),
+            IdentifyFilter(instance.configuration),
+            SessionFilter(records.tokens, records.pins, instance.wall_clock),
+            records.claims,
+            BillFilter(records.billing),
+            PlanFilter(
+                instance.configuration,
+                instance.rollouts,
+                starter,
+                instance.planning.collect_inputs,
+                runner,
+                instance.metrics,
+                instance.clock,
+            ),
+            DemandFilter(instance.demand, instance.durations, instance.clock),
+            RetryFilter(
+                retries,
+                budget,
+                instance.table,
+                instance.metrics,
+                instance.clock,
+                instance.random,
+            ),
+            HedgeFilter(HedgeDelays(), hedge_budget, instance.metrics, instance.clock),
+            QuarantineFilter(
+                instance.quarantine,
+                instance.facts,
+                instance.table,
+                settings.quarantine,
+                instance.exchange.spread,
+                probe_refusal,
+                instance.metrics,
+                instance.clock,
+            ),
+            AdmitFilter(
+                instance.gate,
+                instance.durations,
+                instance.table,
+                instance.planning.is_long,
+                instance.clock,
+            ),
+            QuarantineGuardFilter(instance.quarantine, instance.clock),
+            GuardFilter(
+                instance.configuration,
+                instance.rollouts,
+                instance.table,
+                instance.clock,
+            ),
+            DispatchFilter(
+                instance.outside.engines, instance.outside.services, instance.clock
+            ),
+        ]
+    )
--- /dev/null
+++ b/tanagerwalk/outside.py
@@ -0,0 +1,63 @@
+"""The clients of everything outside: platform, backend servers and peers."""
+
+import aiohttp
+
+from .clients.engines import EngineClient
+from .clients.keyvalue import KeyValueClient
+from .clients.orders import OrderClient
+from .clients.ratings import RatingsClient
+from .clients.services import ServiceClient
+from .clients.targets import TargetsClient
+from .peers.link import PeerClient, PeerServer
+
+
+class OutsideClients:
+    """Builds the clients and the HTTP sessions that they share.
+
+    Parameters
+    ----------
+    settings : Settings
+        Addresses and time limits.
+
+    Attributes
+    ----------
+    store : KeyValueClient
+    targets : TargetsClient
+    ratings : RatingsClient
+    engines : EngineClient
+    services : ServiceClient
+    orders : OrderClient
+    peer_client : PeerClient
+    peer_server : PeerServer
+    """
+
+    def __init__(self, settings):
+        # One connector limit for all would let slow drafts block lookups.
+        self._http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self._fresh_http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+        )
+        platform = settings.platform
+        limit = platform.timeout
+        self.store = KeyValueClient(self._http, platform.keyvalue, limit)
+        self.targets = TargetsClient(self._http, platform.instances, limit)
+        self.ratings = RatingsClient(self._http, platform.ratings, limit)
+        self.engines = EngineClient(self._http, settings.retries)
+        self.services = ServiceClient(self._http, self._fresh_http, settings.retries)
+        self.orders = OrderClient(self._fresh_http, settings.orders)
+        peers = settings.peers
+        self.peer_server = PeerServer(peers.secret)
+        self.peer_client = PeerClient(peers.secret, settings.instance.id, peers.timeout)
+
+    def count_peer_bytes(self):
+        """Return the bytes sent to peers and received from them."""
+        client, server = self.peer_client, self.peer_server
+        sent = client.bytes_sent + server.bytes_sent
+        return sent + client.bytes_received + server.bytes_received
+
+    async def close(self):
+        """Close every connection."""
+        await self.peer_client.close()
+        await self.peer_server.stop()
+        await self._http.close()
+        await self._fresh_http.close()
--- a/test/controllers/test_exchange.py
+++ b/test/controllers/test_exchange.py
@@ -48,7 +48,7 @@
     declaration = instance.configuration.declaration
     context.work_class = declaration.classes["plan"]
     context.account = declaration.client_accounts["desk"]
-    return set(instance._collect_plan_inputs(context, frozenset()).exposed)
+    return set(instance.planning.collect_inputs(context, frozenset()).exposed)
 
 
 async def test_declaration_reaches_an_instance_without_the_store(demo, cut_off):
@@ -110,7 +110,7 @@
 
 async def test_inferred_leaving_reaches_the_peers(demo):
     first, second = demo.instances.values()
-    first.table.infer_leaving("engine-1.1", first._clock() + 30.0)
+    first.table.infer_leaving("engine-1.1", first.clock() + 30.0)
     await demo.wait_until(lambda: second.table.servers["engine-1"].leaving)
 
 
@@ -132,7 +132,7 @@
 
 async def test_facts_of_a_killed_instance_outlive_it(demo):
     first, second = demo.instances.values()
-    first.facts.state(Topic.BLAME, "f", b"v", first._clock(), 60.0)
+    first.facts.state(Topic.BLAME, "f", b"v", first.clock(), 60.0)
     await demo.wait_until(lambda: second.facts.list_facts(Topic.BLAME))
     await first.close()
     third = await demo.add_instance("entry-3")
--- a/test/controllers/test_order_controller.py
+++ b/test/controllers/test_order_controller.py
@@ -93,9 +93,7 @@
     frozen = world.instances[holder]
     record = frozen.table.servers["engine-0"].record
     token = frozen.leases.lease.token
-    for task in frozen._tasks:
-        task.cancel()
-    await asyncio.gather(*frozen._tasks, return_exceptions=True)
+    await frozen.supervisor.close()
     await world.apply(declare(a="withdrawn", b="released"))
     await world.wait_until(lambda: count_copies(world, "b") == 2)
     await world.wait_until(lambda: count_copies(world, "a") == 0)
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -9,6 +9,7 @@
 from tanagerwalk.controllers.exposure import LEDGERS_PREFIX
 from tanagerwalk.controllers.halts import HALTS_PREFIX
 from tanagerwalk.decisions.exposure import decode_ledger
+from tanagerwalk.status import describe_instance
 from tanagerwalk.ui.apply import put_declaration
 
 CANDIDATE = "heron:2"
@@ -46,7 +47,7 @@
 
     def has_grant():
         book = instance.book
-        book.find_exposed("plan", instance._clock())
+        book.find_exposed("plan", instance.clock())
         arm = book.get_arm(KEY)
         return arm in book.slices and book.slices[arm].units > 0
 
@@ -87,7 +88,7 @@
     third = await demo.add_instance("entry-3", seed=3)
     await demo.wait_until(third.is_ready)
     assert third.rollouts.is_halted(KEY)
-    (state,) = (s for s in third.report_status()["rollouts"] if s["halted"])
+    (state,) = (s for s in describe_instance(third)["rollouts"] if s["halted"])
     assert (state["version"], state["halted"]) == (CANDIDATE, "ratings")
     text = first.configuration.text
     revision = await demo.apply(text.replace("cost = 0.0005", "cost = 0.0006"))
