End a planned stop with status 0 although the lease is given up

Cause: LeaseController.run returns once its lease is resigned; the supervisor took that for a controller that ended by itself, so a planned stop that then waited for a slow store logged 'controller failed' and ended with status 1. Ruled out: keeping the controller's loop alive after the release (it has nothing left to do). Change: a stop tells the supervisor to expect ends; exceptions still count.

--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -323,6 +323,7 @@
         """Stop without cutting a request in flight."""
         instance = self.settings.instance
         log.info("stopping", in_flight=self.callers.in_flight)
+        self.supervisor.expect_ends()
         self.callers.draining = True
         await asyncio.sleep(instance.drain_notice)
         self.callers.stopping = True
--- a/tanagerwalk/supervisor.py
+++ b/tanagerwalk/supervisor.py
@@ -19,6 +19,7 @@
     def __init__(self):
         self.failed = asyncio.Event()
         self._tasks = []
+        self._stopping = False
         self._closing = False
 
     def run(self, work):
@@ -27,9 +28,15 @@
         task.add_done_callback(self._judge_end)
         self._tasks.append(task)
 
+    def expect_ends(self):
+        """Take a coroutine that returns from now on for one that is done."""
+        self._stopping = True
+
     def _judge_end(self, task):
         if task.cancelled() or self._closing:
             return
+        if self._stopping and task.exception() is None:
+            return
         log.critical("controller failed", exc_info=task.exception())
         self.failed.set()
 
--- /dev/null
+++ b/test/test_supervisor.py
@@ -0,0 +1,44 @@
+"""Which ends of a controller are failures."""
+
+import asyncio
+
+import pytest
+
+from tanagerwalk.supervisor import Supervisor
+
+
+async def end():
+    return None
+
+
+async def fail():
+    raise ValueError("broken")
+
+
+CASES = [
+    ("ends by itself", end, False, True),
+    ("fails", fail, False, True),
+    ("ends during a planned stop", end, True, False),
+    ("fails during a planned stop", fail, True, True),
+]
+
+
+@pytest.mark.parametrize(("name", "work", "stopping", "failed"), CASES)
+async def test_end_of_a_controller_is_judged(name, work, stopping, failed):
+    supervisor = Supervisor()
+    if stopping:
+        supervisor.expect_ends()
+    supervisor.run(work())
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert supervisor.failed.is_set() is failed
+    await supervisor.close()
+
+
+async def test_lease_that_is_given_up_is_no_failure(demo):
+    """Its controller ends before the stop does."""
+    first, _ = demo.instances.values()
+    first.supervisor.expect_ends()
+    await first.leases.release()
+    await asyncio.sleep(1.0)
+    assert not first.failed.is_set()
