--- a/tanagerwalk/decisions/facts.py
+++ b/tanagerwalk/decisions/facts.py
@@ -15,7 +15,6 @@
     BLAME = "blame"
     HALT = "halt"
     RATINGS = "ratings"
-    EXPOSURE = "exposure"
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +47,7 @@
 
 Subscriber = Callable[[Fact], None]
 
-SLOW_TOPICS = frozenset({Topic.RATINGS, Topic.EXPOSURE})
+SLOW_TOPICS = frozenset({Topic.RATINGS})
 URGENT_BUCKETS = 8
 SLOW_BUCKETS = 16
 
--- a/tanagerwalk/outcomes.py
+++ b/tanagerwalk/outcomes.py
@@ -20,15 +20,6 @@
     SERVICE = "service"
 
 
-class AttemptState(Enum):
-    """How far an attempt to run a request got."""
-
-    PREPARED = "prepared"
-    SENT = "sent"
-    ANSWERED = "answered"
-    UNKNOWN = "unknown"
-
-
 class RunState(Enum):
     """What a caller may conclude about a refused request."""
 
--- a/tanagerwalk/peers/link.py
+++ b/tanagerwalk/peers/link.py
@@ -30,7 +30,6 @@
     FETCH_DECLARATION = 2
     KEEP_BILLS = 3
     DROP_BILLS = 4
-    LIST_BILLS = 5
 
 
 class LinkFault(Enum):
--- a/tanagerwalk/peers/reconcile.py
+++ b/tanagerwalk/peers/reconcile.py
@@ -23,7 +23,6 @@
     Topic.BLAME: 2,
     Topic.HALT: 3,
     Topic.RATINGS: 4,
-    Topic.EXPOSURE: 5,
 }
 TOPICS = {number: topic for topic, number in TOPIC_NUMBERS.items()}
 
--- a/test/peers/test_link.py
+++ b/test/peers/test_link.py
@@ -80,9 +80,9 @@
         await release.wait()
         return payload
 
-    server.handle(MessageKind.LIST_BILLS, wait)
+    server.handle(MessageKind.FETCH_DECLARATION, wait)
     slow = asyncio.create_task(
-        client.request(locate(server), MessageKind.LIST_BILLS, b"")
+        client.request(locate(server), MessageKind.FETCH_DECLARATION, b"")
     )
     await asyncio.sleep(0)
     assert (await client.request(locate(server), KIND, b"")).is_ok()
@@ -114,7 +114,7 @@
     address = locate(server)
     cases = (
         (address, MessageKind.DROP_BILLS, b"", LinkFault.FAILED),
-        (address, MessageKind.LIST_BILLS, b"", LinkFault.FAILED),
+        (address, MessageKind.FETCH_DECLARATION, b"", LinkFault.FAILED),
         (address, KIND, big, LinkFault.TOO_LARGE),
         ("127.0.0.1:1", KIND, b"", LinkFault.UNREACHABLE),
     )
