See the failure of an order as that of its controller

Cause: an exception in the task of one order ended it unseen, and the order stayed under way until its engine restarted; the exchange had a remedy of its own for the same. Change: BackgroundTasks in controllers/loop.py serves both; the exception is raised at the controller's next step.

--- a/tanagerwalk/controllers/exchange.py
+++ b/tanagerwalk/controllers/exchange.py
@@ -18,7 +18,7 @@
     TransferReply,
 )
 from ..peers.link import MessageKind
-from .loop import run_periodically
+from .loop import BackgroundTasks, run_periodically
 
 log = structlog.get_logger(__name__)
 
@@ -89,9 +89,8 @@
         self._wall_clock = wall_clock
         self._random = random
         self._steps = 0
-        self._running = set()
+        self._running = BackgroundTasks()
         self._fetching = False
-        self._broken = None
 
     def answer_on(self, server):
         """Answer the exchanges of peers on a PeerServer."""
@@ -103,8 +102,7 @@
         try:
             await run_periodically(self.step, self._settings.interval, self._random)
         finally:
-            for task in self._running:
-                task.cancel()
+            self._running.cancel()
 
     async def step(self):
         """Start one exchange, without waiting for its end.
@@ -114,8 +112,7 @@
         Exception
             What ended an earlier exchange: only a broken invariant does.
         """
-        if self._broken is not None:
-            raise self._broken
+        self._running.raise_failure()
         self._steps += 1
         now = self._clock()
         if self._steps % EXPIRY_EVERY == 0:
@@ -125,9 +122,7 @@
         peer = self._partners.choose(self._list_peers(), now, self._wall_clock())
         if peer is None:
             return
-        task = asyncio.create_task(self.exchange(peer))
-        self._running.add(task)
-        task.add_done_callback(self._note_end)
+        self._running.start(self.exchange(peer))
 
     async def spread(self):
         """Exchange with several peers now, for facts that can't wait for a step.
@@ -141,18 +136,10 @@
             if peer.incarnation != self._facts.origin and not peer.leaving
         ]
         chosen = self._random.sample(peers, min(len(peers), MAX_SPREAD))
-        tasks = [asyncio.create_task(self.exchange(peer)) for peer in chosen]
-        for task in tasks:
-            self._running.add(task)
-            task.add_done_callback(self._note_end)
+        tasks = [self._running.start(self.exchange(peer)) for peer in chosen]
         if tasks:
             await asyncio.wait(tasks, timeout=SPREAD_LIMIT_S)
 
-    def _note_end(self, task):
-        self._running.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self._broken = task.exception()
-
     async def exchange(self, peer):
         """Exchange with one peer.
 
--- a/tanagerwalk/controllers/loop.py
+++ b/tanagerwalk/controllers/loop.py
@@ -48,3 +48,46 @@
         await step()
         spread = 1.0 + JITTER * (2.0 * random.random() - 1.0)
         await asyncio.sleep(interval * spread)
+
+
+class BackgroundTasks:
+    """Work that a controller starts and does not wait for.
+
+    An exception in it is a broken invariant; it is raised at the controller's next
+    step, where the supervisor sees it.
+    """
+
+    def __init__(self):
+        self._running = set()
+        self._failure = None
+
+    def __len__(self):
+        return len(self._running)
+
+    def start(self, work):
+        """Start a coroutine and return its task."""
+        task = asyncio.create_task(work)
+        self._running.add(task)
+        task.add_done_callback(self._note_end)
+        return task
+
+    def _note_end(self, task):
+        self._running.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._failure = task.exception()
+
+    def raise_failure(self):
+        """Raise what ended a coroutine, if anything did.
+
+        Raises
+        ------
+        Exception
+            The exception of the coroutine.
+        """
+        if self._failure is not None:
+            raise self._failure
+
+    def cancel(self):
+        """Cancel what still runs."""
+        for task in self._running:
+            task.cancel()
--- a/tanagerwalk/controllers/orders.py
+++ b/tanagerwalk/controllers/orders.py
@@ -1,7 +1,5 @@
 """Tells the engines of this failure domain which versions to have."""
 
-import asyncio
-
 import structlog
 
 from ..decisions.allotments import list_needs
@@ -9,7 +7,7 @@
 from ..decisions.placement import MoveKind, plan_moves
 from ..decisions.servers import ServerRole
 from ..outcomes import VersionState
-from .loop import run_periodically
+from .loop import BackgroundTasks, run_periodically
 
 log = structlog.get_logger(__name__)
 
@@ -74,7 +72,7 @@
         self._metrics = metrics
         self._clock = clock
         self._random = random
-        self._sending = set()
+        self._sending = BackgroundTasks()
         self._withdrawn_since = {}
 
     async def run(self):
@@ -82,11 +80,17 @@
         try:
             await run_periodically(self.step, self._settings.interval, self._random)
         finally:
-            for task in self._sending:
-                task.cancel()
+            self._sending.cancel()
 
     async def step(self):
-        """Start the orders that are due now."""
+        """Start the orders that are due now.
+
+        Raises
+        ------
+        Exception
+            What ended an earlier order: only a broken invariant does.
+        """
+        self._sending.raise_failure()
         if not self._leases.may_order(checks_fencing=True):
             return
         now = self._clock()
@@ -102,9 +106,7 @@
             if move.kind is MoveKind.UNLOAD and self._may_run(move.version, now):
                 continue
             self._book.start(move)
-            task = asyncio.create_task(self._send(move, record))
-            self._sending.add(task)
-            task.add_done_callback(self._sending.discard)
+            self._sending.start(self._send(move, record))
 
     def _note_withdrawals(self, now):
         versions = self._configuration.declaration.versions.values()
--- a/test/test_supervisor.py
+++ b/test/test_supervisor.py
@@ -42,3 +42,9 @@
     await first.leases.release()
     await asyncio.sleep(1.0)
     assert not first.failed.is_set()
+
+
+async def test_exception_in_an_order_asks_for_a_stop(demo):
+    first, _ = demo.instances.values()
+    first.ordering._sending.start(fail())
+    await demo.wait_until(first.failed.is_set)
