Count a late outcome only for its own incarnation of a server

Cause: outcomes of attempts were noted by server id, so the end of a request on a server's old incarnation paused the one that had just started. Change: success and failure carry the incarnation of their grant. Before (with the check taken out): the late failure of s1.1 paused s1.2, 1 of 19 tests of test_servers.py failed; after: all pass.

--- a/tanagerwalk/decisions/servers.py
+++ b/tanagerwalk/decisions/servers.py
@@ -186,7 +186,14 @@
         if min(server.in_flight, server.long_in_flight, server.suspects_in_flight) < 0:
             raise AssertionError(f"server {server_id} finished more than it started")
 
-    def record_success(self, server_id, now=0.0, ratio=1.0):
+    def _find(self, server_id, incarnation):
+        """Return a server unless it was restarted since; None then, or if gone."""
+        server = self.servers.get(server_id)
+        if server is None or incarnation in (None, server.record.incarnation):
+            return server
+        return None
+
+    def record_success(self, server_id, now=0.0, ratio=1.0, incarnation=None):
         """Note an answer; raise the limit of a server that is well used.
 
         Parameters
@@ -197,17 +204,22 @@
             Monotonic time in seconds.
         ratio : float
             Duration of the attempt over the expected one.
+        incarnation : Incarnation or None
+            The one that answered; None for whichever runs now.
         """
-        server = self.servers.get(server_id)
+        server = self._find(server_id, incarnation)
         if server is None:
             return
         self.departures.clear_suspicion(server.record.incarnation)
         server.take_success(now, ratio)
         server.grow(float(self.limits.max_concurrency))
 
-    def record_failure(self, server_id, now, kind, retry_after=None):
-        """Note a failed attempt; see `BackendServer.take_failure`."""
-        server = self.servers.get(server_id)
+    def record_failure(self, server_id, now, kind, retry_after=None, incarnation=None):
+        """Note a failed attempt; see `BackendServer.take_failure`.
+
+        A late failure of an `incarnation` says nothing of the one that follows it.
+        """
+        server = self._find(server_id, incarnation)
         if server is not None:
             server.take_failure(now, kind, retry_after)
 
--- a/tanagerwalk/filters/admit.py
+++ b/tanagerwalk/filters/admit.py
@@ -52,7 +52,9 @@
         expected = self._durations.estimate(ticket.work_class, ticket.version, lateness)
         ratio = seconds / expected if expected > 0.0 else 1.0
         self._durations.record(ticket.work_class, ticket.version, seconds)
-        self._table.record_success(grant.server, self._clock(), ratio)
+        self._table.record_success(
+            grant.server, self._clock(), ratio, grant.incarnation
+        )
 
     def _make_ticket(self, context):
         work_class = context.work_class
--- a/tanagerwalk/filters/retry.py
+++ b/tanagerwalk/filters/retry.py
@@ -90,8 +90,14 @@
         if failure.reason is RetryReason.VERSION_MISSING:
             self._table.forget_version(failure.server, context.version)
             return
+        grant = context.grant
+        is_granted = grant is not None and grant.server == failure.server
         self._table.record_failure(
-            failure.server, now, judge_server(failure.reason), failure.retry_after
+            failure.server,
+            now,
+            judge_server(failure.reason),
+            failure.retry_after,
+            grant.incarnation if is_granted else None,
         )
         self._weigh_leaving(context.grant, failure, now)
 
--- a/test/decisions/test_servers.py
+++ b/test/decisions/test_servers.py
@@ -155,3 +155,14 @@
     for _ in range(3):
         table.record_success("near", 0.0, 20.0)
     assert choose(table).record.id == "far"
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "is_paused"), [("s1.1", False), ("s1.2", True)]
+)
+def test_late_failure_counts_only_against_its_own_incarnation(incarnation, is_paused):
+    table = make_table(make_record("s1"))
+    table.update_records([make_record("s1", incarnation=2)])
+    report_load(table, "s1", 0, 0, 0.0)
+    table.record_failure("s1", 0.0, FailureKind.UNREACHABLE, incarnation=incarnation)
+    assert (choose(table) is None) is is_paused
