Send each request once and as it is; keep sides and budgets over a reload

Cause: aiohttp repeats GET, PUT and DELETE by itself over a kept connection that ends (_retry_connection), follows redirects, unpacks bodies, adds headers and quotes paths anew; the sessions of the old path had all of that on. A reload of the settings in mid roll-out made new choosers, which forget the sides of sessions, and new budgets, which forget the repeats of the window; a budget's share of the slack was that of the fleet when the instance saw the service first.

Change: clients/http.py builds the sessions; each trap has a test that shows it with the default session. Choosers and budgets take changed bounds and keep what they know. The slack follows the number of instances. One copy of split_address.

--- a/tanagerwalk/clients/engines.py
+++ b/tanagerwalk/clients/engines.py
@@ -11,6 +11,7 @@
 from ..messages import AttemptFailure, Usage
 from ..outcomes import RetryReason
 from .attempts import REQUEST_ID_HEADER, build_timeout, judge_status, run_attempt
+from .http import build_url
 from .loads import parse_load, parse_slots
 
 DATA_PREFIX = b"data: "
@@ -125,8 +126,9 @@
 
     async def _exchange(self, attempt, on_text):
         async with self._http.post(
-            f"http://{attempt.address}/v1/chat/completions",
+            build_url(attempt.address, "/v1/chat/completions"),
             data=_encode_body(attempt),
+            allow_redirects=False,
             headers={
                 "Content-Type": "application/json",
                 REQUEST_ID_HEADER: attempt.attempt,
--- a/tanagerwalk/clients/services.py
+++ b/tanagerwalk/clients/services.py
@@ -9,6 +9,7 @@
 
 from ..decisions.servers import LoadReport
 from .attempts import REQUEST_ID_HEADER, build_timeout, judge_status, run_attempt
+from .http import build_url
 from .loads import parse_load
 
 IDEMPOTENCY_HEADER = "Idempotency-Key"
@@ -96,8 +97,9 @@
             headers[IDEMPOTENCY_HEADER] = attempt.idempotency_key
         http = self._http if attempt.idempotent else self._fresh_http
         async with http.post(
-            f"http://{attempt.address}/{attempt.work_class}",
+            build_url(attempt.address, f"/{attempt.work_class}"),
             data=msgspec.json.encode(attempt.payload),
+            allow_redirects=False,
             headers=headers,
             timeout=self._timeout,
         ) as response:
--- a/tanagerwalk/decisions/arrivals.py
+++ b/tanagerwalk/decisions/arrivals.py
@@ -20,11 +20,25 @@
     """
 
     def __init__(self, ratio, window, slack):
+        self.take_bounds(ratio, window, slack)
+        self._requests = deque()
+        self._repeats = deque()
+
+    def take_bounds(self, ratio, window, slack):
+        """Put changed bounds in force; what was counted stays counted.
+
+        Parameters
+        ----------
+        ratio : float
+            Repeats that one request allows.
+        window : float
+            Length of the window in seconds.
+        slack : float
+            Repeats that are allowed on top, in each window.
+        """
         self._ratio = ratio
         self._window = window
         self._slack = slack
-        self._requests = deque()
-        self._repeats = deque()
 
     def note_request(self, now):
         """Count a request's first attempt at monotonic time `now`."""
--- a/tanagerwalk/decisions/trials.py
+++ b/tanagerwalk/decisions/trials.py
@@ -246,15 +246,27 @@
 
     def __init__(self, service, canary_share, session_gap):
         self._service = service
-        self._canary_share = canary_share
-        self._share = canary_share * CANARY_SHARE
-        self._gap = session_gap * PIN_FACTOR
+        self.take_bounds(canary_share, session_gap)
         self._pins = {}
         self._told = {}
         self._requests = 0
         self._exposed = 0
         self._trial = None
 
+    def take_bounds(self, canary_share, session_gap):
+        """Put changed bounds in force; sessions stay on their sides.
+
+        Parameters
+        ----------
+        canary_share : float
+            Share of the service's requests that a bad release may get.
+        session_gap : float
+            Requests of a session that follow each other sooner stay together.
+        """
+        self._canary_share = canary_share
+        self._share = canary_share * CANARY_SHARE
+        self._gap = session_gap * PIN_FACTOR
+
     def choose(self, trial, session, now, outlook):
         """Return whether a request goes to the release on trial.
 
--- a/tanagerwalk/gateway/forwarding.py
+++ b/tanagerwalk/gateway/forwarding.py
@@ -42,9 +42,7 @@
 
     def take_bounds(self, bounds):
         """Put changed Bounds in force."""
-        if bounds != self._bounds:
-            self._bounds = bounds
-            self._budgets = {}
+        self._bounds = bounds
 
     def _choose_service(self, route):
         """Return the service that serves a request, by the route's weights."""
@@ -54,11 +52,13 @@
         return self._random.choices(route.shares, weights)[0].service
 
     def _find_budget(self, service):
-        """Return the repeat budget of a service."""
+        """Return the repeat budget of a service, as its bounds are now."""
+        bounds = self._bounds
+        # Instances come and go, and with them the part of the slack.
+        slack = bounds.retry_slack / max(1, self._sharers())
+        limits = (bounds.retry_ratio, bounds.retry_window, slack)
         budget = self._budgets.get(service)
         if budget is None:
-            bounds = self._bounds
-            slack = bounds.retry_slack / max(1, self._sharers())
-            budget = ArrivalBudget(bounds.retry_ratio, bounds.retry_window, slack)
-            self._budgets[service] = budget
+            budget = self._budgets[service] = ArrivalBudget(*limits)
+        budget.take_bounds(*limits)
         return budget
--- a/tanagerwalk/gateway/rollouts.py
+++ b/tanagerwalk/gateway/rollouts.py
@@ -108,9 +108,9 @@
 
     def take_bounds(self, bounds):
         """Put changed Bounds in force for the sessions that come from now on."""
-        if bounds != self._bounds:
-            self._bounds = bounds
-            self._choosers = {}
+        self._bounds = bounds
+        for chooser in self._choosers.values():
+            chooser.take_bounds(bounds.canary_share, bounds.session_gap)
 
     # Used by requests.
 
--- a/tanagerwalk/outside.py
+++ b/tanagerwalk/outside.py
@@ -1,8 +1,7 @@
 """The clients of everything outside: platform, backend servers and peers."""
 
-import aiohttp
-
 from .clients.engines import EngineClient
+from .clients.http import build_session
 from .clients.keyvalue import KeyValueClient
 from .clients.orders import OrderClient
 from .clients.ratings import RatingsClient
@@ -32,11 +31,8 @@
     """
 
     def __init__(self, settings):
-        # One connector limit for all would let slow drafts block lookups.
-        self._http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
-        self._fresh_http = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True)
-        )
+        self._http = build_session()
+        self._fresh_http = build_session(keep_connections=False)
         platform = settings.platform
         limit = platform.timeout
         self.store = KeyValueClient(self._http, platform.keyvalue, limit)
--- a/tanagerwalk/platform/servers.py
+++ b/tanagerwalk/platform/servers.py
@@ -6,6 +6,7 @@
 from ..decisions.trials import Phase
 from ..ids import BackendServerId, FailureDomain, ReleaseName, ServiceName
 from ..registry import RegisteredServer, RolloutOrder, ServerState
+from .addresses import split_address
 from .names import (
     ROLLOUT_ORDER_PREFIX,
     ROLLOUT_STATUS_PREFIX,
@@ -64,7 +65,7 @@
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return Error(f"entry {key}: {error}")
     state = STATES.get(wire.state)
-    address = _split_address(wire.address)
+    address = split_address(wire.address)
     if state is None or address is None or wire.slots < 1 or not wire.service:
         return Error(f"entry {key}: not a server (state {wire.state!r})")
     server = RegisteredServer(
@@ -80,13 +81,6 @@
     return Ok(server)
 
 
-def _split_address(text):
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
-        return None
-    return host, int(port)
-
-
 def parse_rollout_order(key, data, revision):
     """Decode an order to roll a release out.
 
--- a/tanagerwalk/platform/settings.py
+++ b/tanagerwalk/platform/settings.py
@@ -7,6 +7,7 @@
 
 from ..gateway.settings import Bounds, GatewaySettings, Listeners, StoreAddress
 from ..ids import FailureDomain, InstanceId, Region
+from .addresses import split_address
 
 MS_PER_S = 1000.0
 # Stands in the deploy file too.
@@ -83,7 +84,7 @@
         ("listen.ready", wire.listen.ready),
         ("platform.address", wire.platform.address),
     ):
-        address = _split_address(raw)
+        address = split_address(raw)
         if address is None:
             return Error(f"settings: {name} = {raw!r} is not IP:PORT")
         addresses[name] = address
@@ -120,10 +121,3 @@
         session_gap=wire.session_s,
         contact=wire.contact_ms / MS_PER_S,
     )
-
-
-def _split_address(text):
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
-        return None
-    return host, int(port)
--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -35,7 +35,7 @@
         `reset` (after reading), `silent`, `foreign` (an answer to another request
         comes first), `extra` (a second answer follows), `unframed`, `unframed_reset`,
         `torn` (a stream ends inside its third event), `cut` (a stream breaks after
-        its second event), `unsigned`.
+        its second event), `unsigned`, `redirect` (302 to another place).
     times : int
         Requests that the fault hits; -1 for all.
     delay : float
@@ -158,6 +158,8 @@
             self._write(seen, "421 Misdirected Request", b"", [])
         elif fault == "error":
             self._write(seen, "500 Internal Server Error", b"broken")
+        elif fault == "redirect":
+            self._write(seen, "302 Found", b"", ["Location: /elsewhere/"])
         elif "x-tanagerwalk-token-count" in seen.headers:
             await self._stream(seen, fault)
         else:
--- a/test/decisions/test_trials.py
+++ b/test/decisions/test_trials.py
@@ -172,6 +172,24 @@
     assert [second.choose(trial, s, 1.0, CALM) for s in sessions] == sides
 
 
+def test_session_keeps_its_side_when_the_bounds_change():
+    """A reload of the settings in mid roll-out sent running sessions across."""
+    chooser = ReleaseChooser("drafts", 0.15, 5.0)
+    trial = build_trial()
+    sessions = [b"s%d" % n for n in range(300)]
+    sides = [chooser.choose(trial, s, 0.0, CALM) for s in sessions]
+    chooser.take_bounds(0.05, 5.0)
+    assert [chooser.choose(trial, s, 1.0, CALM) for s in sessions] == sides
+
+
+def test_smaller_share_is_heeded_from_the_change_on():
+    chooser = ReleaseChooser("drafts", 0.5, 5.0)
+    chooser.take_bounds(0.1, 5.0)
+    trial = build_trial()
+    chosen = sum(chooser.choose(trial, b"s%d" % n, 0.0, CALM) for n in range(400))
+    assert chosen <= 0.1 * 400 + 3
+
+
 def test_word_of_a_session_is_forgotten_with_its_gap():
     chooser = ReleaseChooser("drafts", 0.15, 5.0)
     free = next(
--- /dev/null
+++ b/test/gateway/test_forwarding.py
@@ -0,0 +1,38 @@
+"""The last filter's share of the repeat budget, over changes of fleet and bounds."""
+
+import dataclasses
+import random
+
+import pytest
+
+from tanagerwalk.gateway.forwarding import ForwardFilter
+from tanagerwalk.gateway.settings import Bounds
+
+BOUNDS = Bounds(retry_ratio=0.0, retry_window=10.0, retry_slack=12.0)
+
+
+def count_repeats(forward, now=0.0):
+    budget = forward._find_budget("drafts")
+    count = 0
+    while budget.allows(now):
+        budget.note_repeat(now)
+        count += 1
+    return count
+
+
+@pytest.mark.parametrize(("before", "after", "more"), [(1, 6, 0), (6, 1, 10)])
+def test_slack_follows_the_number_of_instances(before, after, more):
+    """One that knew no others at its start kept the slack of the whole fleet."""
+    instances = before
+    forward = ForwardFilter(None, BOUNDS, lambda: instances, random.Random(1))
+    assert count_repeats(forward) == 12 // before
+    instances = after
+    assert count_repeats(forward) == more
+
+
+def test_repeats_stay_counted_when_the_bounds_change():
+    """Each reload of the settings gave the whole budget once more."""
+    forward = ForwardFilter(None, BOUNDS, lambda: 3, random.Random(1))
+    assert count_repeats(forward) == 4
+    forward.take_bounds(dataclasses.replace(BOUNDS, retry_slack=15.0))
+    assert count_repeats(forward) == 1
--- a/test/gateway/test_path.py
+++ b/test/gateway/test_path.py
@@ -135,6 +135,30 @@
     assert reply.status in (500, 502)
 
 
+async def test_method_does_not_say_what_may_be_repeated(world):
+    """HTTP libraries repeat a GET by themselves where a kept connection ends."""
+    for number in range(4):
+        await world.send(world.encode("GET", f"/bookings/{number}"))
+    set_fault(world, "desk", "reset")
+    reply = await world.send(world.encode("GET", "/bookings/last"))
+    assert len(list_seen(world, "/bookings/last")) == 1
+    assert reply.status == 502
+
+
+async def test_redirect_is_the_answer(world):
+    set_fault(world, "desk", "redirect")
+    reply = await world.send(world.encode("GET", "/jobs/1"))
+    assert (reply.status, reply.headers["location"]) == (302, "/elsewhere/")
+    assert not list_seen(world, "/elsewhere/")
+
+
+async def test_server_gets_no_header_that_the_client_did_not_send(world):
+    await world.send(world.encode("GET", "/jobs/1"))
+    (seen,) = list_seen(world, "/jobs/")
+    own = {"accept", "accept-encoding", "user-agent", "cookie", "content-type"}
+    assert not own & seen.headers.keys()
+
+
 async def test_non_idempotent_request_that_no_server_ran_goes_on(world):
     set_fault(world, "desk", "refuse", 1)
     world.servers["desk-1"].behaviour = Behaviour("refuse", 1)
