--- a/tanagerwalk/decisions/freshness.py
+++ b/tanagerwalk/decisions/freshness.py
@@ -1,7 +1,9 @@
 """How long what an instance knows of the manifest may be acted on."""
 
-WATCH_GAP_S = 1.0
-CLOCK_MARGIN_S = 0.1
+# A process may be held up between the check of a key and the sending.
+REVOCATION_MARGIN_S = 1.0
+# The store's clock may run a little fast.
+WATCH_MARGIN_S = 0.1
 
 
 class Freshness:
@@ -51,5 +53,24 @@
     """
     if not strict:
         return float("inf")
-    # A watch may miss changes for a while before the store cuts it.
-    return revocation - WATCH_GAP_S - CLOCK_MARGIN_S
+    return revocation - REVOCATION_MARGIN_S
+
+
+def find_confirmed_time(asked_at, answered_at, wait, is_empty):
+    """Return the time up to which the answer to a watch tells of every change.
+
+    A watch without changes is answered at the end of its wait, so that it speaks for
+    that time and not only for the time of asking.
+
+    Parameters
+    ----------
+    asked_at, answered_at : float
+        When the watch was sent and when its answer came, in seconds.
+    wait : float
+        Seconds that the store was asked to wait for changes.
+    is_empty : bool
+        Whether the answer holds no change.
+    """
+    if not is_empty or answered_at - asked_at < wait:
+        return asked_at
+    return asked_at + wait - WATCH_MARGIN_S
--- a/tanagerwalk/gateway/mirror.py
+++ b/tanagerwalk/gateway/mirror.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from ..decisions.freshness import find_confirmed_time
 from ..ids import Revision
 
 log = structlog.get_logger(__name__)
@@ -82,31 +83,50 @@
     async def run(self):
         """Follow the prefix until cancelled."""
         while True:
-            asked_at = read_boot_clock()
             if self._revision is None:
-                result = await self._store.list(self._prefix)
+                result = await self._read_all()
             else:
-                result = await self._store.wait_for_changes(
-                    self._prefix, self._revision, self._wait
-                )
+                result = await self._read_changes()
             if result.is_error():
                 self._note_fault(result.error)
                 await asyncio.sleep(RETRY_PAUSE_S * (0.5 + self._random.random()))
-                continue
-            self._note_answer()
-            if self._revision is None:
-                self._take_snapshot(result.ok)
-            elif result.ok.lost:
-                log.info("store history lost", prefix=self._prefix)
-                self._revision = None
-                continue
-            else:
-                self._take_changes(result.ok)
-            for confirmer in self._confirmers:
-                confirmer(asked_at)
-            if self._pause > 0.0:
+            elif self._revision is not None and self._pause > 0.0:
                 await asyncio.sleep(self._pause)
 
+    async def _read_all(self):
+        asked_at = read_boot_clock()
+        result = await self._store.list(self._prefix)
+        if result.is_ok():
+            self._note_answer()
+            self._take_snapshot(result.ok)
+            self._confirm(asked_at)
+        return result
+
+    async def _read_changes(self):
+        asked_at = read_boot_clock()
+        result = await self._store.wait_for_changes(
+            self._prefix, self._revision, self._wait
+        )
+        if result.is_error():
+            return result
+        answered_at = read_boot_clock()
+        self._note_answer()
+        changes = result.ok
+        if changes.lost:
+            log.info("store history lost", prefix=self._prefix)
+            self._revision = None
+            return result
+        self._take_changes(changes)
+        confirmed_at = find_confirmed_time(
+            asked_at, answered_at, self._wait, changes.is_empty
+        )
+        self._confirm(confirmed_at)
+        return result
+
+    def _confirm(self, time):
+        for confirmer in self._confirmers:
+            confirmer(time)
+
     def _note_fault(self, fault):
         if not self._lost:
             log.warning("store lost", prefix=self._prefix, fault=fault.value)
--- a/tanagerwalk/platform/store.py
+++ b/tanagerwalk/platform/store.py
@@ -92,6 +92,11 @@
     revision: Revision = Revision(0)
     lost: bool = False
 
+    @property
+    def is_empty(self):
+        """Whether nothing was written or deleted."""
+        return not self.written and not self.deleted
+
 
 class MetadataStore:
     """Calls the metadata store.
