Count the silence of an engine as load

Cause: after a power cut of all instances an engine still worked for clients long gone. Ruled out: a dark engine (it answered later) and a lost link (three zones saw it).

Change: the longest wait for a head, own or told by another instance, beyond what a long prompt takes on an idle engine, counts as load.

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -4,6 +4,7 @@
 
 from ..ids import BackendServerId, FailureDomain, Region
 from ..registry import RegisteredServer, ServerState
+from .sharing import SharedLoad
 
 FAILURE_PAUSE_S = 0.5
 MAX_FAILURE_PAUSE_S = 4.0
@@ -15,6 +16,8 @@
 DECODING_TOKENS = 300.0
 USUAL_WORK_TOKENS = 800.0
 WORK_SMOOTHING = 0.05
+# Even an idle engine takes this long to read a long prompt.
+USUAL_SILENCE_S = 0.9
 # A short wait delays nobody beyond an objective; a long one does.
 LIGHT_LOAD_WEIGHT = 1.0
 MANY_SERVERS = 12
@@ -31,18 +34,25 @@
         Tokens that are still to be read, weighted by the size of the model.
     decoding : float
         What the generation costs the server's other requests.
+    sent_at : float
+        Monotonic time of the sending, in seconds.
     """
 
     reading: float = 0.0
     decoding: float = 0.0
+    sent_at: float = float("inf")
 
     @property
     def total(self):
         """What the request still costs."""
         return self.reading + self.decoding
 
+    def measure_silence(self, now):
+        """Return the seconds since the sending, or 0 if the head has come."""
+        return max(0.0, now - self.sent_at) if self.reading > 0.0 else 0.0
 
-def weigh_work(prompt_tokens, weight):
+
+def weigh_work(prompt_tokens, weight, sent_at=float("inf")):
     """Return the Work of a request for a model.
 
     Parameters
@@ -51,8 +61,10 @@
         Tokens of the prompt.
     weight : float
         Work for each token, relative to the largest model.
+    sent_at : float
+        Monotonic time of the sending, in seconds.
     """
-    return Work(prompt_tokens * weight, DECODING_TOKENS * weight)
+    return Work(prompt_tokens * weight, DECODING_TOKENS * weight, sent_at)
 
 
 @dataclass(slots=True)
@@ -99,7 +111,14 @@
             return (self.in_flight + others) / self.server.slots
         own = sum(work.total for work in self.work)
         untold = others - shared.in_flight
-        return (own + shared.tokens + untold * usual_work) / ENGINE_CAPACITY_TOKENS
+        load = (own + shared.tokens + untold * usual_work) / ENGINE_CAPACITY_TOKENS
+        # An engine that is stuck tells nothing of its queue; those who wait do.
+        silence = max(self.measure_silence(now), shared.silence)
+        return max(load, silence - USUAL_SILENCE_S)
+
+    def measure_silence(self, now):
+        """Return the seconds for which the oldest unanswered request has waited."""
+        return max((work.measure_silence(now) for work in self.work), default=0.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -306,13 +325,17 @@
         shared = self._shared.sum(use.server.id, now)
         return use.estimate_load(now, shared, self._usual_work)
 
-    def list_own_loads(self):
-        """Return id, requests and tokens of each server that this instance uses."""
-        return [
-            (server_id, use.in_flight, sum(work.total for work in use.work))
+    def list_own_loads(self, now):
+        """Return the SharedLoad that this instance puts on each server, by its id."""
+        return {
+            server_id: SharedLoad(
+                use.in_flight,
+                sum(work.total for work in use.work),
+                use.measure_silence(now),
+            )
             for server_id, use in self._uses.items()
             if use.in_flight
-        ]
+        }
 
     def note_sent(self, server, work=None):
         """Count a request that is sent to a server.
--- a/tanagerwalk/decisions/sharing.py
+++ b/tanagerwalk/decisions/sharing.py
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SharedLoad:
-    """One instance's load on one backend server.
+    """Load of one instance, or of several, on one backend server.
 
     Parameters
     ----------
@@ -21,10 +21,13 @@
         Requests.
     tokens : float
         Tokens that its engine has still to work off for them.
+    silence : float
+        Seconds for which the oldest unanswered one has waited.
     """
 
     in_flight: int
     tokens: float
+    silence: float = 0.0
 
 
 @dataclass(slots=True)
@@ -72,13 +75,15 @@
         key = hash_server(server)
         in_flight = 0
         tokens = 0.0
+        silence = 0.0
         lifetime = self.lifetime
         for teller in self._tellers.values():
             load = teller.loads.get(key)
             if load is not None and now - teller.heard_at <= lifetime:
                 in_flight += load.in_flight
                 tokens += load.tokens
-        return SharedLoad(in_flight, tokens)
+                silence = max(silence, load.silence)
+        return SharedLoad(in_flight, tokens, silence)
 
     @property
     def lifetime(self):
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -11,6 +11,8 @@
 
 log = structlog.get_logger(__name__)
 
+MS_PER_S = 1000.0
+
 
 class LoadSharing(asyncio.DatagramProtocol):
     """Sends and receives loads as datagrams.
@@ -80,7 +82,9 @@
             return
         message = result.ok
         loads = {
-            load.server: SharedLoad(load.in_flight, load.tokens)
+            load.server: SharedLoad(
+                load.in_flight, load.tokens, (load.silence_ms or 0) / MS_PER_S
+            )
             for load in message.loads or ()
         }
         self._shared.take(message.sender, message.sequence, loads, self._clock())
@@ -108,8 +112,8 @@
 
     def _tell(self, peers):
         loads = [
-            ServerLoad(hash_server(server_id), in_flight, int(tokens))
-            for server_id, in_flight, tokens in self._servers.list_own_loads()
+            _encode_load(server_id, load)
+            for server_id, load in self._servers.list_own_loads(self._clock()).items()
         ]
         blames = [
             CrashBlame(fingerprint, sorted(servers))
@@ -142,3 +146,10 @@
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
+
+
+def _encode_load(server_id, load):
+    silence_ms = int(load.silence * MS_PER_S) or None
+    return ServerLoad(
+        hash_server(server_id), load.in_flight, int(load.tokens), silence_ms
+    )
--- a/tanagerwalk/gateway/work.py
+++ b/tanagerwalk/gateway/work.py
@@ -171,7 +171,7 @@
         if service is None or not service.runs_models:
             return None
         weight = 1.0 if model is None else model.weight
-        return weigh_work(self._request.shape.prompt_tokens, weight)
+        return weigh_work(self._request.shape.prompt_tokens, weight, self._clock())
 
     def _plan_placement(self):
         """Return what speaks for one server or another, or None."""
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -22,14 +22,16 @@
      - server
      - in_flight
      - tokens
+     - silence_ms
 
     """
 
 
-    def __init__(self, server=None, in_flight=None, tokens=None,):
+    def __init__(self, server=None, in_flight=None, tokens=None, silence_ms=None,):
         self.server = server
         self.in_flight = in_flight
         self.tokens = tokens
+        self.silence_ms = silence_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -55,6 +57,11 @@
                     self.tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.silence_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -77,6 +84,10 @@
             oprot.writeFieldBegin('tokens', TType.I32, 3)
             oprot.writeI32(self.tokens)
             oprot.writeFieldEnd()
+        if self.silence_ms is not None:
+            oprot.writeFieldBegin('silence_ms', TType.I32, 4)
+            oprot.writeI32(self.silence_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -398,6 +409,7 @@
     (1, TType.I64, 'server', None, None, ),  # 1
     (2, TType.I32, 'in_flight', None, None, ),  # 2
     (3, TType.I32, 'tokens', None, None, ),  # 3
+    (4, TType.I32, 'silence_ms', None, None, ),  # 4
 )
 all_structs.append(CrashBlame)
 CrashBlame.thrift_spec = (
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -6,6 +6,8 @@
   1: i64 server
   2: i32 in_flight
   3: i32 tokens
+  // For how long the oldest request without an answer has waited.
+  4: optional i32 silence_ms
 }
 
 // A request that was in flight when servers crashed.
--- a/test/decisions/test_selection.py
+++ b/test/decisions/test_selection.py
@@ -51,6 +51,28 @@
     assert set(send_many(pool, 10, tokens=600)) == {"s1"}
 
 
+def test_engine_that_is_stuck_is_not_taken_for_the_least_loaded():
+    """After a power cut one worked for clients long gone, and told of no load.
+
+    Its few small prompts weighed nothing, so that all that came went there and waited
+    two seconds (scale-2 of the residency site, from second 35 on).
+    """
+    pool = build_pool(build_server("s0"), build_server("s1"))
+    pool.note_sent(pool.find("s0").server, weigh_work(600, 0.1, sent_at=0.0))
+    pool.note_sent(pool.find("s1").server, weigh_work(6000, 1.0, sent_at=0.0))
+    pool.find("s1").work[0].reading = 0.0
+    assert pool.choose("drafts", 0.1).id == "s0"
+    assert pool.choose("drafts", 1.6).id == "s1"
+
+
+def test_other_instances_heed_an_engine_that_is_stuck():
+    shared = SharedLoads()
+    pool = build_pool(build_server("s0"), build_server("s1"), shared=shared)
+    pool.note_sent(pool.find("s1").server, weigh_work(6000, 0.1))
+    shared.take("other", 1, {hash_server("s0"): SharedLoad(1, 90, 1.6)}, 0.0)
+    assert pool.choose("drafts", 0.1).id == "s1"
+
+
 def test_server_that_answers_nobody_is_not_taken_for_idle():
     """Two engines held a queue of thirty while each instance saw three of them."""
     shared = SharedLoads()
