Wait for a server that any instance hears

Cause: an attempt without a head was given up after 0.5 to 2 s unless this instance itself had an answer from the server meanwhile.

Change: events of streams are signs of life; messages between instances say when each server was last heard; a server that anyone hears is waited for.

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -332,9 +332,10 @@
                 use.in_flight,
                 sum(work.total for work in use.work),
                 use.measure_silence(now),
+                now - use.answered_at,
             )
             for server_id, use in self._uses.items()
-            if use.in_flight
+            if use.in_flight or now - use.answered_at <= self._shared.period
         }
 
     def note_sent(self, server, work=None):
@@ -386,10 +387,29 @@
             use.others = max(0, load[0] + load[1] - use.in_flight)
             use.reported_at = now
 
-    def has_answered(self, server, since):
-        """Return whether a server has answered anything since a monotonic time."""
+    def note_heard(self, server, now):
+        """Note that a server sends something."""
         use = self._uses.get(server.id)
-        return use is not None and use.answered_at >= since
+        if use is not None:
+            use.answered_at = now
+
+    def is_heard(self, server, since):
+        """Return whether a server has sent anything, to any instance, since a time.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        since : float
+            Monotonic time in seconds. What others heard is told a little later.
+        """
+        use = self._uses.get(server.id)
+        if use is None:
+            return False
+        told_since = since - self._shared.period
+        return use.answered_at >= since or (
+            self._shared.find_heard(server.id) >= told_since
+        )
 
     def note_failure(self, server, now):
         """Keep away for a while from a server that failed."""
--- a/tanagerwalk/decisions/sharing.py
+++ b/tanagerwalk/decisions/sharing.py
@@ -23,11 +23,14 @@
         Tokens that its engine has still to work off for them.
     silence : float
         Seconds for which the oldest unanswered one has waited.
+    heard_ago : float
+        Seconds since the server last sent anything.
     """
 
     in_flight: int
     tokens: float
     silence: float = 0.0
+    heard_ago: float = float("inf")
 
 
 @dataclass(slots=True)
@@ -85,11 +88,31 @@
                 silence = max(silence, load.silence)
         return SharedLoad(in_flight, tokens, silence)
 
+    def find_heard(self, server):
+        """Return when another instance last heard from a server, in monotonic time.
+
+        Parameters
+        ----------
+        server : BackendServerId
+            The server.
+        """
+        key = hash_server(server)
+        heard = float("-inf")
+        for teller in self._tellers.values():
+            load = teller.loads.get(key)
+            if load is not None:
+                heard = max(heard, teller.heard_at - load.heard_ago)
+        return heard
+
+    @property
+    def period(self):
+        """Seconds between two messages of an instance."""
+        return find_period(len(self._tellers))
+
     @property
     def lifetime(self):
         """Seconds after which the word of an instance that fell silent is void."""
-        period = find_period(len(self._tellers))
-        return max(MIN_LIFETIME_S, LIFETIME_PERIODS * period)
+        return max(MIN_LIFETIME_S, LIFETIME_PERIODS * self.period)
 
     def forget_silent(self, now):
         """Forget the instances that were not heard for long."""
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -160,7 +160,7 @@
                 return AttemptEnd(Outcome.DECLINED, detail), None
             if is_stream:
                 end = await self._relay(
-                    connection, request, raw, head, patience, progress, pace
+                    connection, request, attempt, raw, head, patience, progress, pace
                 )
                 return end, raw if end.outcome is Outcome.DELIVERED else None
         body = await _limit(connection.read_body(), patience.between)
@@ -183,7 +183,7 @@
             is_silent = result.is_error() and result.error is None
             if not is_silent or limit >= left:
                 return result
-            if not self._servers.has_answered(attempt.server, asked_at):
+            if not self._servers.is_heard(attempt.server, asked_at):
                 return result
 
     async def _read_head(self, connection, seconds):
@@ -195,7 +195,9 @@
             return Ok((result.ok, self._codec.judge_head(result.ok)))
         return Error(limit.cause)
 
-    async def _relay(self, connection, request, raw, head, patience, progress, pace):
+    async def _relay(
+        self, connection, request, attempt, raw, head, patience, progress, pace
+    ):
         """Pass a stream on event by event."""
         splitter = EventSplitter()
         wait = patience.between if progress.started else patience.most
@@ -209,6 +211,7 @@
             if not events:
                 continue
             wait = patience.between
+            self._servers.note_heard(attempt.server, self._clock())
             whole = _take_next(events, progress)
             if whole is None:
                 return AttemptEnd(Outcome.LOST, "events out of order")
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -12,6 +12,8 @@
 log = structlog.get_logger(__name__)
 
 MS_PER_S = 1000.0
+# What is older says nothing of a server's health.
+MAX_TOLD_AGO_S = 10.0
 
 
 class LoadSharing(asyncio.DatagramProtocol):
@@ -81,12 +83,7 @@
             log.warning("load message ignored", sender=addr[0], count=self.malformed)
             return
         message = result.ok
-        loads = {
-            load.server: SharedLoad(
-                load.in_flight, load.tokens, (load.silence_ms or 0) / MS_PER_S
-            )
-            for load in message.loads or ()
-        }
+        loads = {load.server: _decode_load(load) for load in message.loads or ()}
         self._shared.take(message.sender, message.sequence, loads, self._clock())
         if message.blames:
             self._quarantine.take_blames(
@@ -149,7 +146,21 @@
 
 
 def _encode_load(server_id, load):
-    silence_ms = int(load.silence * MS_PER_S) or None
+    heard_ago_ms = None
+    if load.heard_ago < MAX_TOLD_AGO_S:
+        heard_ago_ms = int(load.heard_ago * MS_PER_S)
     return ServerLoad(
-        hash_server(server_id), load.in_flight, int(load.tokens), silence_ms
+        hash_server(server_id),
+        load.in_flight,
+        int(load.tokens),
+        int(load.silence * MS_PER_S) or None,
+        heard_ago_ms,
     )
+
+
+def _decode_load(load):
+    heard_ago = float("inf")
+    if load.heard_ago_ms is not None:
+        heard_ago = load.heard_ago_ms / MS_PER_S
+    silence = (load.silence_ms or 0) / MS_PER_S
+    return SharedLoad(load.in_flight, load.tokens, silence, heard_ago)
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -23,15 +23,17 @@
      - in_flight
      - tokens
      - silence_ms
+     - heard_ago_ms
 
     """
 
 
-    def __init__(self, server=None, in_flight=None, tokens=None, silence_ms=None,):
+    def __init__(self, server=None, in_flight=None, tokens=None, silence_ms=None, heard_ago_ms=None,):
         self.server = server
         self.in_flight = in_flight
         self.tokens = tokens
         self.silence_ms = silence_ms
+        self.heard_ago_ms = heard_ago_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -62,6 +64,11 @@
                     self.silence_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.heard_ago_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -88,6 +95,10 @@
             oprot.writeFieldBegin('silence_ms', TType.I32, 4)
             oprot.writeI32(self.silence_ms)
             oprot.writeFieldEnd()
+        if self.heard_ago_ms is not None:
+            oprot.writeFieldBegin('heard_ago_ms', TType.I32, 5)
+            oprot.writeI32(self.heard_ago_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -410,6 +421,7 @@
     (2, TType.I32, 'in_flight', None, None, ),  # 2
     (3, TType.I32, 'tokens', None, None, ),  # 3
     (4, TType.I32, 'silence_ms', None, None, ),  # 4
+    (5, TType.I32, 'heard_ago_ms', None, None, ),  # 5
 )
 all_structs.append(CrashBlame)
 CrashBlame.thrift_spec = (
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -8,6 +8,8 @@
   3: i32 tokens
   // For how long the oldest request without an answer has waited.
   4: optional i32 silence_ms
+  // For how long the server has sent nothing at all; absent if it never has.
+  5: optional i32 heard_ago_ms
 }
 
 // A request that was in flight when servers crashed.
--- a/test/decisions/test_selection.py
+++ b/test/decisions/test_selection.py
@@ -73,6 +73,31 @@
     assert pool.choose("drafts", 0.1).id == "s1"
 
 
+@pytest.mark.parametrize(
+    ("heard_ago", "heard"), [(0.1, True), (3.0, False), (float("inf"), False)]
+)
+def test_server_that_another_instance_hears_is_heard(heard_ago, heard):
+    """With seventy instances each hears an engine every few seconds only.
+
+    One attempt in ten was given up at a server that answered others all the while
+    (trouble-1 of both grown deployments), and read anew at the next.
+    """
+    shared = SharedLoads()
+    pool = build_pool(build_server("s0"), shared=shared)
+    load = SharedLoad(0, 0, heard_ago=heard_ago)
+    shared.take("other", 1, {hash_server("s0"): load}, 10.0)
+    assert pool.is_heard(pool.find("s0").server, 9.8) is heard
+
+
+def test_events_of_a_stream_are_a_sign_of_life():
+    pool = build_pool(build_server("s0"))
+    server = pool.find("s0").server
+    assert not pool.is_heard(server, 1.0)
+    pool.note_heard(server, 1.2)
+    assert pool.is_heard(server, 1.0)
+    assert pool.list_own_loads(1.3)["s0"].heard_ago == pytest.approx(0.1)
+
+
 def test_server_that_answers_nobody_is_not_taken_for_idle():
     """Two engines held a queue of thirty while each instance saw three of them."""
     shared = SharedLoads()
