Tell evidence of roll-outs by datagram; ask the store less often in large fleets

Cause: each call of each instance is paid for.

Change: evidence goes with the messages between instances, cumulative, newest first, and outlives its sender there; what is agreed stays in the store. The pause between watches and the pause after a fault grow with the fleet.

--- a/tanagerwalk/decisions/freshness.py
+++ b/tanagerwalk/decisions/freshness.py
@@ -4,6 +4,13 @@
 REVOCATION_MARGIN_S = 1.0
 # The store's clock may run a little fast.
 WATCH_MARGIN_S = 0.1
+# Changes of this part of the time to heed them come in one call of the store.
+PAUSE_SHARE = 0.32
+LARGE_FLEET_PAUSE_SHARE = 0.45
+LARGE_FLEET = 60
+# So many calls a second all instances together make of a store that is down.
+RETRIES_PER_S = 100.0
+MIN_RETRY_PAUSE_S = 0.2
 
 
 class Freshness:
@@ -74,3 +81,23 @@
     if not is_empty or answered_at - asked_at < wait:
         return asked_at
     return asked_at + wait - WATCH_MARGIN_S
+
+
+def find_watch_pause(drain, instances):
+    """Return the seconds between two watches; each call of each instance is paid for.
+
+    Parameters
+    ----------
+    drain : float
+        Seconds within which changes have to be heeded.
+    instances : int
+        Instances that watch.
+    """
+    part = min(1.0, instances / LARGE_FLEET)
+    share = PAUSE_SHARE + part * (LARGE_FLEET_PAUSE_SHARE - PAUSE_SHARE)
+    return share * drain
+
+
+def find_retry_pause(instances):
+    """Return the mean seconds until a store that is down is asked again."""
+    return max(MIN_RETRY_PAUSE_S, instances / RETRIES_PER_S)
--- a/tanagerwalk/decisions/sharing.py
+++ b/tanagerwalk/decisions/sharing.py
@@ -59,11 +59,17 @@
             Loads by hash of the server's id.
         now : float
             Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the message is newer than those before.
         """
         known = self._tellers.get(sender)
         if known is not None and known.sequence >= sequence:
-            return
+            return False
         self._tellers[sender] = _Teller(sequence, now, loads)
+        return True
 
     def sum(self, server, now):
         """Return the SharedLoad of all other instances on a server.
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -10,7 +10,12 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from ..controllers.loop import poll_until
-from ..decisions.freshness import Freshness, find_age_limit
+from ..decisions.freshness import (
+    Freshness,
+    find_age_limit,
+    find_retry_pause,
+    find_watch_pause,
+)
 from ..decisions.selection import Home, ServerPool
 from ..decisions.sharing import SharedLoads
 from ..filters.chain import link_filters
@@ -37,8 +42,6 @@
 CONNECT_TIMEOUT_S = 0.4
 ALL_KEYS = ""
 WATCH_WAIT_S = 1.0
-# Changes of this part of the time to heed them come in one call.
-WATCH_PAUSE_SHARE = 0.32
 PEER_PREFIX = OWN_PREFIX + "instance/"
 ACCEPT_AFTER_STOP_S = 2.6
 STOP_MARGIN_S = 0.6
@@ -95,7 +98,10 @@
             self.store,
             ALL_KEYS,
             WATCH_WAIT_S,
-            WATCH_PAUSE_SHARE * bounds.drain,
+            lambda: find_watch_pause(
+                self.settings.bounds.drain, self.count_instances()
+            ),
+            lambda: find_retry_pause(self.count_instances()),
             self.random,
             self.codec.server_prefix,
         )
@@ -115,7 +121,6 @@
             self.codec,
             self.freshness,
             bounds,
-            self.owner,
             self.clock,
             self.random,
         )
--- a/tanagerwalk/gateway/mirror.py
+++ b/tanagerwalk/gateway/mirror.py
@@ -10,7 +10,6 @@
 
 log = structlog.get_logger(__name__)
 
-RETRY_PAUSE_S = 0.2
 RETURN_GRACE_S = 2.0
 
 
@@ -32,8 +31,10 @@
         What to follow.
     wait : float
         Seconds that one call may wait for changes.
-    pause : float
-        Seconds between two calls; changes of that time come together.
+    find_pause : callable
+        Returns the seconds between two calls; changes of that time come together.
+    find_retry_pause : callable
+        Returns the mean seconds until the store is asked again after a fault.
     random : random.Random
         Source of jitter.
     lapsing : str
@@ -48,11 +49,14 @@
         Whether the prefix was read at all.
     """
 
-    def __init__(self, store, prefix, wait, pause, random, lapsing):
+    def __init__(
+        self, store, prefix, wait, find_pause, find_retry_pause, random, lapsing
+    ):
         self._store = store
         self._prefix = prefix
         self._wait = wait
-        self._pause = pause
+        self._find_pause = find_pause
+        self._find_retry_pause = find_retry_pause
         self._random = random
         self._lapsing = lapsing
         self._revision = None
@@ -89,9 +93,10 @@
                 result = await self._read_changes()
             if result.is_error():
                 self._note_fault(result.error)
-                await asyncio.sleep(RETRY_PAUSE_S * (0.5 + self._random.random()))
-            elif self._revision is not None and self._pause > 0.0:
-                await asyncio.sleep(self._pause)
+                pause = self._find_retry_pause()
+                await asyncio.sleep(pause * (0.5 + self._random.random()))
+            elif self._revision is not None:
+                await asyncio.sleep(self._find_pause())
 
     async def _read_all(self):
         asked_at = read_boot_clock()
--- a/tanagerwalk/gateway/rollouts.py
+++ b/tanagerwalk/gateway/rollouts.py
@@ -10,7 +10,6 @@
     Outlook,
     Phase,
     ReleaseChooser,
-    SideCount,
     Tally,
     Trial,
     find_next_phase,
@@ -24,9 +23,7 @@
 
 OWN_PREFIX = "tanagerwalk/"
 TRIAL_PREFIX = OWN_PREFIX + "rollout/"
-TALLY_PREFIX = OWN_PREFIX + "tally/"
 STEP_S = 0.25
-PUBLISH_S = 1.0
 CLAIM_JITTER_S = 0.3
 WRITE_RETRY_S = 0.7
 INFORMED_AGE_S = 2.5
@@ -40,12 +37,6 @@
     elapsed_ms: int
 
 
-class _TallyRecord(msgspec.Struct, frozen=True):
-    order: int
-    target: dict[str, tuple[int, int]]
-    base: dict[str, tuple[int, int]]
-
-
 class RolloutController:
     """Decides with the other instances on each roll-out and publishes it.
 
@@ -65,8 +56,6 @@
         Says how old the copies are.
     bounds : Bounds
         Bounds of the deployment.
-    owner : str
-        This incarnation.
     clock : callable
         Returns monotonic time in seconds.
     random : random.Random
@@ -82,7 +71,6 @@
         codec,
         freshness,
         bounds,
-        owner,
         clock,
         random,
     ):
@@ -94,7 +82,6 @@
         self._freshness = freshness
         self._clock = clock
         self._random = random
-        self._owner = owner
         self._bounds = bounds
         self._choosers = {}
         self._trials = {}
@@ -102,7 +89,7 @@
         self._started = {}
         self._halted = set()
         self._tallies = {}
-        self._published = {}
+        self._told = {}
         self._paces = PaceBook()
         mirror.notify(self._read_trials)
 
@@ -269,7 +256,6 @@
             phase = Phase.ROLLED_BACK
         if phase is not None:
             await self._change(order, _move(trial, phase, elapsed))
-        await self._publish(order)
 
     async def _begin(self, order):
         key = (order.service, order.revision)
@@ -307,60 +293,50 @@
             await asyncio.sleep(WRITE_RETRY_S)
 
     def _pool_tallies(self, order):
+        key = (order.service, order.revision)
         pooled = Tally()
-        own = TALLY_PREFIX + order.service + "/" + self._owner
-        prefix = TALLY_PREFIX + order.service + "/"
-        for key, entry in self._mirror.entries.items():
-            if not key.startswith(prefix) or key == own:
-                continue
-            tally = _decode_tally(entry, order.revision)
-            if tally is not None:
-                pooled.add(tally)
-        mine = self._tallies.get((order.service, order.revision))
+        for tally in self._told.get(key, {}).values():
+            pooled.add(tally)
+        mine = self._tallies.get(key)
         if mine is not None:
             pooled.add(mine)
         return pooled
 
-    async def _publish(self, order):
-        """Tell the others what this instance has seen of the release on trial."""
-        key = (order.service, order.revision)
-        tally = self._tallies.get(key)
-        if tally is None or not tally.target:
-            return
-        at, sent = self._published.get(key, (float("-inf"), None))
-        seen = sum(count.answers for count in tally.target.values())
-        if seen == sent or self._clock() - at < PUBLISH_S:
-            return
-        self._published[key] = (self._clock(), seen)
-        name = TALLY_PREFIX + order.service + "/" + self._owner
-        result = await self._store.put(name, _encode_tally(tally, order.revision))
-        if result.is_error():
-            log.warning("tally not written", key=name, fault=result.error.value)
-            self._published[key] = (self._clock(), None)
+    def list_tallies(self):
+        """Return this instance's evidence on the roll-outs that run.
+
+        Returns
+        -------
+        dict of (ServiceName, int) to Tally
+            By service and revision of the order.
+        """
+        return {
+            (order.service, order.revision): self._tallies[
+                order.service, order.revision
+            ]
+            for order in self._knowledge.orders.values()
+            if (order.service, order.revision) in self._tallies
+            and not self._find_trial(order).phase.is_final
+        }
 
+    def take_tally(self, sender, service, order, tally):
+        """Take another instance's evidence, all of it since the order.
 
-def _move(trial, phase, elapsed):
-    return Trial(trial.service, trial.target, trial.order, phase, elapsed)
+        It outlives its sender, which may be killed right after.
+
+        Parameters
+        ----------
+        sender : str
+            The instance's incarnation.
+        service : ServiceName
+            The service that is rolled out.
+        order : int
+            Revision of the order.
+        tally : Tally
+            The evidence.
+        """
+        self._told.setdefault((service, order), {})[sender] = tally
 
 
-def _encode_tally(tally, order):
-    sides = [
-        {route: (count.answers, count.bad) for route, count in side.items()}
-        for side in (tally.target, tally.base)
-    ]
-    return msgspec.json.encode(_TallyRecord(order, *sides))
-
-
-def _decode_tally(entry, order):
-    try:
-        record = msgspec.json.decode(entry.value, type=_TallyRecord)
-    except msgspec.MsgspecError as error:
-        log.warning("tally unreadable", key=entry.key, problem=str(error))
-        return None
-    if record.order != order:
-        return None
-    sides = [
-        {route: SideCount(*count) for route, count in side.items()}
-        for side in (record.target, record.base)
-    ]
-    return Tally(*sides)
+def _move(trial, phase, elapsed):
+    return Trial(trial.service, trial.target, trial.order, phase, elapsed)
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -5,9 +5,17 @@
 import structlog
 
 from ..decisions.sharing import SharedLoad, find_period, hash_server
-from ..ids import Fingerprint, ServiceName
+from ..decisions.trials import SideCount, Tally
+from ..ids import Fingerprint, RouteName, ServiceName
 from ..peers.codec import decode, encode
-from ..peers.gen.loads.ttypes import CrashBlame, LoadMessage, ServerLoad, SessionSides
+from ..peers.gen.loads.ttypes import (
+    CrashBlame,
+    LoadMessage,
+    RouteTally,
+    ServerLoad,
+    SessionSides,
+    TrialTally,
+)
 
 log = structlog.get_logger(__name__)
 
@@ -83,17 +91,25 @@
             log.warning("load message ignored", sender=addr[0], count=self.malformed)
             return
         message = result.ok
-        loads = {load.server: _decode_load(load) for load in message.loads or ()}
-        self._shared.take(message.sender, message.sequence, loads, self._clock())
+        loads = {load.server: decode_load(load) for load in message.loads or ()}
+        now = self._clock()
+        if self._shared.take(message.sender, message.sequence, loads, now):
+            self._take_rest(message)
+
+    def _take_rest(self, message):
+        """Take what a new message tells beside loads."""
         if message.blames:
             self._quarantine.take_blames(
                 {Fingerprint(b.fingerprint): b.servers for b in message.blames}
             )
-
         for sides in message.sides or ():
             exceptions = dict.fromkeys(sides.on_target, True)
             exceptions |= dict.fromkeys(sides.on_base, False)
             self._rollouts.take_exceptions(ServiceName(sides.service_name), exceptions)
+        for told in message.tallies or ():
+            service = ServiceName(told.service_name)
+            tally = decode_tally(told)
+            self._rollouts.take_tally(message.sender, service, told.order, tally)
 
     def error_received(self, exc):
         """Ignore that a peer is gone; its entry ends with its lease."""
@@ -109,7 +125,7 @@
 
     def _tell(self, peers):
         loads = [
-            _encode_load(server_id, load)
+            encode_load(server_id, load)
             for server_id, load in self._servers.list_own_loads(self._clock()).items()
         ]
         blames = [
@@ -121,8 +137,17 @@
             return
         self._was_idle = not loads
         self._sequence += 1
+        tallies = [
+            encode_tally(service, order, tally)
+            for (service, order), tally in self._rollouts.list_tallies().items()
+        ]
         message = LoadMessage(
-            self._owner, self._sequence, loads, blames or None, sides or None
+            self._owner,
+            self._sequence,
+            loads,
+            blames or None,
+            sides or None,
+            tallies or None,
         )
         data = encode(message)
         for address in peers:
@@ -145,7 +170,8 @@
             self._transport.close()
 
 
-def _encode_load(server_id, load):
+def encode_load(server_id, load):
+    """Return the ServerLoad that tells of a SharedLoad."""
     heard_ago_ms = None
     if load.heard_ago < MAX_TOLD_AGO_S:
         heard_ago_ms = int(load.heard_ago * MS_PER_S)
@@ -158,9 +184,33 @@
     )
 
 
-def _decode_load(load):
+def decode_load(load):
+    """Return the SharedLoad that a ServerLoad tells of."""
     heard_ago = float("inf")
     if load.heard_ago_ms is not None:
         heard_ago = load.heard_ago_ms / MS_PER_S
     silence = (load.silence_ms or 0) / MS_PER_S
     return SharedLoad(load.in_flight, load.tokens, silence, heard_ago)
+
+
+def encode_tally(service, order, tally):
+    """Return the TrialTally that tells of a Tally."""
+    nothing = SideCount()
+    routes = []
+    for route in tally.target.keys() | tally.base.keys():
+        target = tally.target.get(route, nothing)
+        base = tally.base.get(route, nothing)
+        counts = (target.answers, target.bad, base.answers, base.bad)
+        routes.append(RouteTally(route, *counts))
+    return TrialTally(service, order, routes)
+
+
+def decode_tally(told):
+    """Return the Tally that a TrialTally tells of."""
+    tally = Tally()
+    for counts in told.routes:
+        route = RouteName(counts.route)
+        target = SideCount(counts.target_answers, counts.target_bad)
+        tally.target[route] = target
+        tally.base[route] = SideCount(counts.base_answers, counts.base_bad)
+    return tally
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -288,6 +288,195 @@
         return not (self == other)
 
 
+class RouteTally(object):
+    """
+    Attributes:
+     - route
+     - target_answers
+     - target_bad
+     - base_answers
+     - base_bad
+
+    """
+
+
+    def __init__(self, route=None, target_answers=None, target_bad=None, base_answers=None, base_bad=None,):
+        self.route = route
+        self.target_answers = target_answers
+        self.target_bad = target_bad
+        self.base_answers = base_answers
+        self.base_bad = base_bad
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.target_answers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.target_bad = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.base_answers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.base_bad = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RouteTally')
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 1)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.target_answers is not None:
+            oprot.writeFieldBegin('target_answers', TType.I32, 2)
+            oprot.writeI32(self.target_answers)
+            oprot.writeFieldEnd()
+        if self.target_bad is not None:
+            oprot.writeFieldBegin('target_bad', TType.I32, 3)
+            oprot.writeI32(self.target_bad)
+            oprot.writeFieldEnd()
+        if self.base_answers is not None:
+            oprot.writeFieldBegin('base_answers', TType.I32, 4)
+            oprot.writeI32(self.base_answers)
+            oprot.writeFieldEnd()
+        if self.base_bad is not None:
+            oprot.writeFieldBegin('base_bad', TType.I32, 5)
+            oprot.writeI32(self.base_bad)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TrialTally(object):
+    """
+    Attributes:
+     - service_name
+     - order
+     - routes
+
+    """
+
+
+    def __init__(self, service_name=None, order=None, routes=None,):
+        self.service_name = service_name
+        self.order = order
+        self.routes = routes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.order = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.routes = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = RouteTally()
+                        _elem26.read(iprot)
+                        self.routes.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TrialTally')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.I64, 2)
+            oprot.writeI64(self.order)
+            oprot.writeFieldEnd()
+        if self.routes is not None:
+            oprot.writeFieldBegin('routes', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.routes))
+            for iter27 in self.routes:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadMessage(object):
     """
     Attributes:
@@ -296,16 +485,18 @@
      - loads
      - blames
      - sides
+     - tallies
 
     """
 
 
-    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None,):
+    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None,):
         self.sender = sender
         self.sequence = sequence
         self.loads = loads
         self.blames = blames
         self.sides = sides
+        self.tallies = tallies
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -329,33 +520,44 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = ServerLoad()
-                        _elem26.read(iprot)
-                        self.loads.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = ServerLoad()
+                        _elem33.read(iprot)
+                        self.loads.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.blames = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = CrashBlame()
-                        _elem32.read(iprot)
-                        self.blames.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = CrashBlame()
+                        _elem39.read(iprot)
+                        self.blames.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.sides = []
-                    (_etype36, _size33) = iprot.readListBegin()
-                    for _i37 in range(_size33):
-                        _elem38 = SessionSides()
-                        _elem38.read(iprot)
-                        self.sides.append(_elem38)
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = SessionSides()
+                        _elem45.read(iprot)
+                        self.sides.append(_elem45)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.tallies = []
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = TrialTally()
+                        _elem51.read(iprot)
+                        self.tallies.append(_elem51)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -380,22 +582,29 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter39 in self.loads:
-                iter39.write(oprot)
+            for iter52 in self.loads:
+                iter52.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blames is not None:
             oprot.writeFieldBegin('blames', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.blames))
-            for iter40 in self.blames:
-                iter40.write(oprot)
+            for iter53 in self.blames:
+                iter53.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sides is not None:
             oprot.writeFieldBegin('sides', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.sides))
-            for iter41 in self.sides:
-                iter41.write(oprot)
+            for iter54 in self.sides:
+                iter54.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.tallies is not None:
+            oprot.writeFieldBegin('tallies', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.tallies))
+            for iter55 in self.tallies:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -436,6 +645,22 @@
     (2, TType.LIST, 'on_target', (TType.I64, None, False), None, ),  # 2
     (3, TType.LIST, 'on_base', (TType.I64, None, False), None, ),  # 3
 )
+all_structs.append(RouteTally)
+RouteTally.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'target_answers', None, None, ),  # 2
+    (3, TType.I32, 'target_bad', None, None, ),  # 3
+    (4, TType.I32, 'base_answers', None, None, ),  # 4
+    (5, TType.I32, 'base_bad', None, None, ),  # 5
+)
+all_structs.append(TrialTally)
+TrialTally.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'order', None, None, ),  # 2
+    (3, TType.LIST, 'routes', (TType.STRUCT, [RouteTally, None], False), None, ),  # 3
+)
 all_structs.append(LoadMessage)
 LoadMessage.thrift_spec = (
     None,  # 0
@@ -444,6 +669,7 @@
     (3, TType.LIST, 'loads', (TType.STRUCT, [ServerLoad, None], False), None, ),  # 3
     (4, TType.LIST, 'blames', (TType.STRUCT, [CrashBlame, None], False), None, ),  # 4
     (5, TType.LIST, 'sides', (TType.STRUCT, [SessionSides, None], False), None, ),  # 5
+    (6, TType.LIST, 'tallies', (TType.STRUCT, [TrialTally, None], False), None, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -25,6 +25,22 @@
   3: list<i64> on_base
 }
 
+// Answers on one route that a sender has seen of both releases of a roll-out.
+struct RouteTally {
+  1: string route
+  2: i32 target_answers
+  3: i32 target_bad
+  4: i32 base_answers
+  5: i32 base_bad
+}
+
+// A sender's evidence on one roll-out, since the order.
+struct TrialTally {
+  1: string service_name
+  2: i64 order
+  3: list<RouteTally> routes
+}
+
 // The newest message of a sender replaces those before it.
 struct LoadMessage {
   1: string sender
@@ -32,4 +48,5 @@
   3: list<ServerLoad> loads
   4: optional list<CrashBlame> blames
   5: optional list<SessionSides> sides
+  6: optional list<TrialTally> tallies
 }
--- a/test/decisions/test_gateway_rules.py
+++ b/test/decisions/test_gateway_rules.py
@@ -11,6 +11,8 @@
     Freshness,
     find_age_limit,
     find_confirmed_time,
+    find_retry_pause,
+    find_watch_pause,
 )
 from tanagerwalk.decisions.paces import PaceBook, PaceSample
 from tanagerwalk.decisions.sharing import find_period
@@ -82,6 +84,18 @@
             assert len(again) <= 0.5 * len(recent) + 2.0
 
 
+@pytest.mark.parametrize("instances", [1, 9, 69, 340])
+def test_changes_are_heeded_in_time_in_fleets_of_any_size(instances):
+    """The store may take a second to answer, and be asked again once."""
+    assert find_watch_pause(4.0, instances) + 1.0 + 1.0 <= 4.0
+    assert find_watch_pause(2.5, 9) <= 1.0
+
+
+def test_large_fleet_does_not_hammer_a_store_that_is_down():
+    assert find_retry_pause(9) == 0.2
+    assert 340 / find_retry_pause(340) <= 100.0
+
+
 @given(st.floats(0.5, 3.0), st.floats(0.0, 5.0), st.booleans())
 def test_confirmed_time_is_never_later_than_the_store_can_have_spoken(
     wait, took, is_empty
--- a/test/gateway/test_mirror.py
+++ b/test/gateway/test_mirror.py
@@ -22,7 +22,8 @@
         store,
         "",
         options["wait"],
-        options["pause"],
+        lambda: options["pause"],
+        lambda: 0.2,
         random.Random(1),
         options["lapsing"],
     )
@@ -31,6 +32,11 @@
     return mirror, task
 
 
+def build_mirror():
+    """Return a Mirror whose store is never called."""
+    return Mirror(None, "", 1.0, None, None, random.Random(1), "servers/")
+
+
 @pytest.fixture
 async def standin():
     standin = MetadataStandIn()
@@ -94,7 +100,7 @@
 
 
 def test_older_revision_never_replaces_a_newer_one():
-    mirror = Mirror(None, "", 1.0, 0.0, random.Random(1), "servers/")
+    mirror = build_mirror()
     mirror._take_snapshot(Snapshot((Entry("op/config", b"new", 9),), 9))
     mirror._take_changes(Changes((Entry("op/config", b"old", 7),), (), 9))
     assert mirror.entries["op/config"].value == b"new"
@@ -130,7 +136,7 @@
 ):
     """A server that had left got requests 3.9 s later (fresh-79f8, mending desk)."""
     monkeypatch.setattr(module, "RETURN_GRACE_S", 0.2)
-    mirror = Mirror(None, "", 1.0, 0.0, random.Random(1), "servers/")
+    mirror = build_mirror()
     mirror._take_snapshot(Snapshot((Entry("servers/gone", b"1", 5),), 5))
     mirror._returned_at = module.read_boot_clock()
     mirror._take_changes(Changes((), (("servers/gone", 6),), 6))
--- a/test/gateway/test_sharing.py
+++ b/test/gateway/test_sharing.py
@@ -3,7 +3,13 @@
 import pytest
 
 from tanagerwalk.decisions.sharing import SharedLoad
-from tanagerwalk.gateway.sharing import _decode_load, _encode_load
+from tanagerwalk.decisions.trials import SideCount, Tally
+from tanagerwalk.gateway.sharing import (
+    decode_load,
+    decode_tally,
+    encode_load,
+    encode_tally,
+)
 from tanagerwalk.peers.codec import decode, encode
 from tanagerwalk.peers.gen.loads.ttypes import LoadMessage
 
@@ -17,6 +23,19 @@
     ],
 )
 def test_load_comes_as_it_was_told(load):
-    message = LoadMessage("sender", 1, [_encode_load("s0", load)])
+    message = LoadMessage("sender", 1, [encode_load("s0", load)])
     (told,) = decode(LoadMessage, encode(message)).ok.loads
-    assert _decode_load(told) == load
+    assert decode_load(told) == load
+
+
+def test_evidence_comes_as_it_was_told():
+    tally = Tally(
+        {"plans": SideCount(9, 2)},
+        {"plans": SideCount(90, 1), "notes": SideCount(30, 0)},
+    )
+    message = LoadMessage("sender", 1, [], tallies=[encode_tally("drafts", 7, tally)])
+    (told,) = decode(LoadMessage, encode(message)).ok.tallies
+    assert (told.service_name, told.order) == ("drafts", 7)
+    pooled = decode_tally(told)
+    assert pooled.base == tally.base
+    assert pooled.target == tally.target | {"notes": SideCount()}
