--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format bench thrift clean
+.PHONY: demo test lint format soak bench thrift clean
 
 $(VENV)/installed: requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -24,6 +24,9 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+soak: $(VENV)/installed
+	PYTHONPATH=.:test $(BIN)/python -m soak --seeds 50
+
 bench: $(VENV)/installed
 	$(BIN)/python -m bench
 
--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -22,6 +22,7 @@
     body: bytes = b""
     cancelled: bool = False
     finished: bool = False
+    rejected: bool = False
 
 
 @dataclass(slots=True)
@@ -152,6 +153,7 @@
         if fault == "reset":
             self.transport.abort()
             return
+        seen.rejected = fault in ("refuse", "misdirect")
         if fault == "refuse":
             self._write(seen, "503 Service Unavailable", b"", _NOT_RUN)
         elif fault == "misdirect":
--- /dev/null
+++ b/test/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real gateway processes, faults from outside, promises checked."""
