Restart a gateway of the soak once at a time

Cause, from its log: the metrics port was in use; two restarts of one gateway had overlapped, the harness started two processes and forgot one, which held the port in the next run. Ruled out: the gateway (it says so in one line and ends).

--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -12,6 +12,7 @@
 MAX_HARM_S = 3.0
 MAX_PAUSE_S = 2.5
 MIN_SERVERS = 2
+RESTART_S = 8.0
 SERVER_FAULTS = (
     "refuse",
     "misdirect",
@@ -127,12 +128,9 @@
         await self._restart(signal.SIGTERM)
 
     async def _restart(self, number):
-        gateway = self._choose_gateway()
-        process = gateway.process
-        self._disturbances.append((time.monotonic(), time.monotonic() + 8.0))
-        await gateway.end(number)
-        if gateway.process is process:
-            await gateway.start()
+        began = time.monotonic()
+        self._disturbances.append((began, began + RESTART_S))
+        await self._choose_gateway().restart(number)
 
     async def _reload(self):
         self._choose_gateway().send(signal.SIGHUP)
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -78,6 +78,8 @@
     ready: int = 0
     process: asyncio.subprocess.Process | None = None
     starts: int = 0
+    # Restarts may overlap; two processes at once would fight for the ports.
+    restarting: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     async def start(self):
         """Start the process; its log goes to a file of its own."""
@@ -105,6 +107,12 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
+    async def restart(self, number):
+        """Signal the process, wait until it is gone, and start the next one."""
+        async with self.restarting:
+            await self.end(number)
+            await self.start()
+
     async def end(self, number):
         """Signal the process and wait until it is gone."""
         self.send(signal.SIGCONT)
--- a/test/soak/links.py
+++ b/test/soak/links.py
@@ -76,9 +76,11 @@
             return
         ends = {writer, far_writer}
         self._writers |= ends
-        await asyncio.gather(
-            self._pump(reader, far_writer, True), self._pump(far_reader, writer, False)
-        )
+        with suppress(asyncio.CancelledError):
+            await asyncio.gather(
+                self._pump(reader, far_writer, True),
+                self._pump(far_reader, writer, False),
+            )
         self._writers -= ends
 
     async def _pump(self, reader, writer, is_request):
