--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -10,7 +11,8 @@
 from ..decisions.events import EventSplitter
 from ..decisions.paces import PaceSample
 from ..manifest import Repeatability
-from .attempts import AttemptEnd, Outcome, Verdict
+from .attempts import Attempt, AttemptEnd, AttemptHead, Outcome, Verdict
+from .requests import GatewayRequest
 
 
 @dataclass(slots=True)
@@ -63,6 +65,31 @@
     most: float
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptPlan:
+    """One attempt, and what the request asks of it.
+
+    Parameters
+    ----------
+    request : GatewayRequest
+        The request.
+    attempt : Attempt
+        Where it goes.
+    patience : Patience
+        When to give it up.
+    accepts : callable
+        Takes an AttemptHead and returns whether that answer is good enough.
+    progress : Progress
+        What the client has received.
+    """
+
+    request: GatewayRequest
+    attempt: Attempt
+    patience: Patience
+    accepts: Callable[[AttemptHead], bool]
+    progress: Progress
+
+
 class Exchange:
     """Runs attempts over kept connections.
 
@@ -84,26 +111,19 @@
         self._codec = codec
         self._clock = clock
 
-    async def run(self, request, attempt, patience, accept, progress):
+    async def run(self, plan):
         """Run one attempt.
 
         Parameters
         ----------
-        request : GatewayRequest
-            The request.
-        attempt : Attempt
-            Where it goes.
-        patience : Patience
-            When to give it up.
-        accept : callable
-            Takes an AttemptHead and returns whether that answer is good enough.
-        progress : Progress
-            What the client has received.
+        plan : AttemptPlan
+            The attempt.
 
         Returns
         -------
         AttemptEnd
         """
+        request, attempt = plan.request, plan.attempt
         # Counted before the first wait, so that requests that come together spread.
         self._servers.note_sent(attempt.server, attempt.work)
         connection = None
@@ -118,9 +138,7 @@
                 bodiless=request.raw.method == b"HEAD",
                 is_mine=partial(self._codec.is_answer_to, request),
             )
-            end, head = await self._read(
-                connection, request, attempt, patience, accept, progress, pace
-            )
+            end, head = await self._read(connection, plan, pace)
             end = dataclasses.replace(end, pace=pace.read(request), load=pace.load)
             if head is not None and end.outcome is not Outcome.DECLINED:
                 self._pool.keep(attempt.server, connection, head)
@@ -137,11 +155,10 @@
             return Ok(kept)
         return await self._pool.open(attempt.server, attempt.left)
 
-    async def _read(
-        self, connection, request, attempt, patience, accept, progress, pace
-    ):
+    async def _read(self, connection, plan, pace):
         """Return the AttemptEnd, and the head if the connection is intact."""
-        found = await self._wait_for_head(connection, attempt, patience)
+        attempt = plan.attempt
+        found = await self._wait_for_head(connection, attempt, plan.patience)
         if found.is_error():
             return _end_lost(found.error), None
         raw, head = found.ok
@@ -153,17 +170,15 @@
         self._servers.note_answer(attempt.server, head.load, self._clock())
         if head.verdict is Verdict.UNSIGNED:
             return AttemptEnd(Outcome.LOST, f"status {raw.status} unsigned"), None
-        is_stream = request.route.repeatability is Repeatability.STREAM
+        is_stream = plan.request.route.repeatability is Repeatability.STREAM
         if head.verdict is Verdict.ANSWERED and head.is_success:
-            if not accept(head):
+            if not plan.accepts(head):
                 detail = f"confidence {head.confidence}"
                 return AttemptEnd(Outcome.DECLINED, detail), None
             if is_stream:
-                end = await self._relay(
-                    connection, request, attempt, raw, head, patience, progress, pace
-                )
+                end = await self._relay(connection, plan, raw, head, pace)
                 return end, raw if end.outcome is Outcome.DELIVERED else None
-        body = await _limit(connection.read_body(), patience.between)
+        body = await _limit(connection.read_body(), plan.patience.between)
         if body.is_error():
             return _end_lost(body.error), None
         return _end_whole(raw, head, body.ok), raw
@@ -195,10 +210,9 @@
             return Ok((result.ok, self._codec.judge_head(result.ok)))
         return Error(limit.cause)
 
-    async def _relay(
-        self, connection, request, attempt, raw, head, patience, progress, pace
-    ):
+    async def _relay(self, connection, plan, raw, head, pace):
         """Pass a stream on event by event."""
+        request, progress, patience = plan.request, plan.progress, plan.patience
         splitter = EventSplitter()
         wait = patience.between if progress.started else patience.most
         while True:
@@ -211,7 +225,7 @@
             if not events:
                 continue
             wait = patience.between
-            self._servers.note_heard(attempt.server, self._clock())
+            self._servers.note_heard(plan.attempt.server, self._clock())
             whole = _take_next(events, progress)
             if whole is None:
                 return AttemptEnd(Outcome.LOST, "events out of order")
--- a/tanagerwalk/gateway/work.py
+++ b/tanagerwalk/gateway/work.py
@@ -13,7 +13,7 @@
 from ..manifest import Repeatability
 from ..outcomes import Refusal, RefusalReason, RunState
 from .attempts import Attempt, Outcome
-from .exchange import Exchange, Patience, Progress
+from .exchange import AttemptPlan, Exchange, Patience, Progress
 from .metrics import GatewayMetrics
 from .quarantine import QuarantineFilter
 from .rollouts import RolloutController
@@ -151,9 +151,10 @@
         )
         self._running = server.id
         wait = self._estimate_wait()
-        end = await self._parts.exchange.run(
+        plan = AttemptPlan(
             self._request, attempt, self._find_patience(), self._accepts, self._progress
         )
+        end = await self._parts.exchange.run(plan)
         self._parts.rollouts.note_attempt(self._request, attempt, end)
         self._parts.quarantine.note_attempt(self._request, attempt, end)
         self._parts.metrics.attempts.labels(end.outcome.value).inc()
