--- a/tanagerwalk/decisions/latency_baselines.py
+++ b/tanagerwalk/decisions/latency_baselines.py
@@ -8,6 +8,10 @@
 BASE_LATENCY_S = 0.03
 PREFILL_TOKENS_PER_S = 20000.0
 MIN_EVENTS = 3
+# A delay that users do not notice is not counted, however large its ratio.
+MIN_DELAY_SHARE = 0.1
+MAX_MIN_DELAY_S = 0.1
+MIN_GAP_DELAY_SHARE = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,11 +35,14 @@
     events: int = 0
     prompt_tokens: int = 0
 
+    @property
+    def expected_head_latency(self):
+        """Head latency that is usual for a prompt of this length, in seconds."""
+        return BASE_LATENCY_S + self.prompt_tokens / PREFILL_TOKENS_PER_S
+
     def normalize(self):
         """Return the head latency relative to the expected one for the prompt."""
-        return self.head_latency / (
-            BASE_LATENCY_S + self.prompt_tokens / PREFILL_TOKENS_PER_S
-        )
+        return self.head_latency / self.expected_head_latency
 
 
 class LatencyBaselines:
@@ -51,11 +58,28 @@
         if sample.events >= MIN_EVENTS:
             _update_mean(self._event_intervals, key, sample.event_interval)
 
-    def is_slow(self, key, sample):
-        """Return whether a sample is several times slower than the baseline."""
+    def is_slow(self, key, sample, objective, gap_objective):
+        """Return whether a sample is several times slower than the baseline.
+
+        Parameters
+        ----------
+        key : hashable
+            Key under which the baseline was recorded.
+        sample : LatencySample
+            Latency of the answer.
+        objective : float
+            Latency objective of the route, in seconds.
+        gap_objective : float
+            Objective for the pause between events, in seconds.
+        """
         if sample.events >= MIN_EVENTS:
-            return _exceeds(self._event_intervals, key, sample.event_interval)
-        return _exceeds(self._head_latencies, key, sample.normalize())
+            min_delay = MIN_GAP_DELAY_SHARE * gap_objective
+            return _exceeds(
+                self._event_intervals, key, sample.event_interval, min_delay
+            )
+        min_delay = min(MAX_MIN_DELAY_S, MIN_DELAY_SHARE * objective)
+        min_difference = min_delay / sample.expected_head_latency
+        return _exceeds(self._head_latencies, key, sample.normalize(), min_difference)
 
 
 def _update_mean(means, key, value):
@@ -64,6 +88,8 @@
     means[key] = (count + 1, mean + weight * (value - mean))
 
 
-def _exceeds(means, key, value):
+def _exceeds(means, key, value, min_difference):
     count, mean = means.get(key, (0, 0.0))
-    return count >= MIN_SAMPLES and value > SLOW_RATIO * mean
+    if count < MIN_SAMPLES or value < mean + min_difference:
+        return False
+    return value > SLOW_RATIO * mean
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -184,15 +184,15 @@
         """Update the latency baselines and count the result for a roll-out."""
         order = self._cluster_state.orders.get(attempt.server.service)
         is_target = order is not None and attempt.server.release == order.target
-        route = request.route.name
-        key = (route, attempt.model)
+        route = request.route
+        key = (route.name, attempt.model)
         is_bad = result.outcome in (Outcome.FAILED, Outcome.SILENT)
         if (
             result.latency_sample is not None
             and result.outcome in OUTCOMES_WITH_RESPONSE
         ):
             is_bad = is_bad or self._latency_baselines.is_slow(
-                key, result.latency_sample
+                key, result.latency_sample, route.objective, route.gap_objective
             )
             if not is_target:
                 self._latency_baselines.record(key, result.latency_sample)
@@ -201,7 +201,7 @@
         ):
             return
         tally = self._own_tallies.setdefault((order.service, order.revision), Tally())
-        tally.record(route, is_target, is_bad)
+        tally.record(route.name, is_target, is_bad)
 
     def _get_chooser(self, service):
         chooser = self._choosers.get(service)
