--- a/tanagerwalk/decisions/release_rollouts.py
+++ b/tanagerwalk/decisions/release_rollouts.py
@@ -6,10 +6,11 @@
 
 import hashlib
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
-from ..ids import ReleaseName, RouteName, ServiceName
+from ..ids import ReleaseName, ServiceName
+from .tallies import SideCount
 
 # Part of the allowed canary share that the session hash assigns to the target in the
 # canary phase; in the ramp phase, RAMP_FACTOR times as much.
@@ -90,48 +91,6 @@
     elapsed: float = 0.0
 
 
-@dataclass(slots=True)
-class SideCount:
-    """Number of answers of one release on one route, and how many were bad."""
-
-    answers: int = 0
-    bad: int = 0
-
-    def add(self, other):
-        """Add another count."""
-        self.answers += other.answers
-        self.bad += other.bad
-
-
-@dataclass(slots=True)
-class Tally:
-    """Counts of answers of both releases by route.
-
-    Parameters
-    ----------
-    target : dict of RouteName to SideCount
-        Answers of the release that is rolled out.
-    base : dict of RouteName to SideCount
-        Answers of the release that it replaces.
-    """
-
-    target: dict[RouteName, SideCount] = field(default_factory=dict)
-    base: dict[RouteName, SideCount] = field(default_factory=dict)
-
-    def record(self, route, is_target, is_bad):
-        """Count one answer."""
-        side = self.target if is_target else self.base
-        count = side.setdefault(route, SideCount())
-        count.answers += 1
-        count.bad += is_bad
-
-    def add(self, other):
-        """Add another instance's tally."""
-        for own, peer in ((self.target, other.target), (self.base, other.base)):
-            for route, count in peer.items():
-                own.setdefault(route, SideCount()).add(count)
-
-
 def is_significantly_worse(target, base):
     """Return whether the target release fails significantly more often than the base.
 
--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -311,13 +311,13 @@
         server : RegisteredServer
             The server.
         since : float
-            Monotonic time in seconds. Reports of other instances arrive up to one
-            sharing period later, so they are compared to an earlier time.
+            Monotonic time in seconds. Reports of other instances arrive later, so
+            they are compared to an earlier time.
         """
         usage = self._usages.get(server.id)
         if usage is None:
             return False
-        reported_since = since - self._shared.period
+        reported_since = since - self._shared.delay
         return usage.last_activity_at >= since or (
             self._shared.find_last_activity(server.id) >= reported_since
         )
--- a/tanagerwalk/decisions/shared_loads.py
+++ b/tanagerwalk/decisions/shared_loads.py
@@ -4,11 +4,14 @@
 from dataclasses import dataclass
 
 from ..ids import BackendServerId
+from .relays import RELAY_PERIOD_S, Role, Scope
 
 MIN_LIFETIME_S = 2.0
 LIFETIME_PERIODS = 2.5
 BASE_PERIOD_S = 0.3
 PEERS_PER_PERIOD = 14
+# From a member to its relay, from there to another relay and on to its members.
+RELAYED_STEPS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,27 +35,119 @@
     silence: float = 0.0
     heard_ago: float = float("inf")
 
+    def add(self, other):
+        """Return the load that both cause together."""
+        return SharedLoad(
+            self.in_flight + other.in_flight,
+            self.tokens + other.tokens,
+            max(self.silence, other.silence),
+            min(self.heard_ago, other.heard_ago),
+        )
+
+    def subtract(self, part):
+        """Return the load without a part of it, which may be a little newer."""
+        return SharedLoad(
+            max(0, self.in_flight - part.in_flight),
+            max(0.0, self.tokens - part.tokens),
+            self.silence,
+            self.heard_ago,
+        )
+
+    def age(self, seconds):
+        """Return the load as it is when it was reported `seconds` ago."""
+        return SharedLoad(
+            self.in_flight, self.tokens, self.silence, self.heard_ago + seconds
+        )
+
+
+NO_LOAD = SharedLoad(0, 0.0)
+
+
+@dataclass(frozen=True, slots=True)
+class ReportSource:
+    """Whose load a report holds, and which part of the servers it covers.
+
+    Parameters
+    ----------
+    scope : Scope
+        Instance, failure domain or fleet.
+    name : str
+        Incarnation of the instance or name of the failure domain.
+    part, parts : int
+        The report covers the servers whose hash modulo `parts` is `part`.
+    """
+
+    scope: Scope
+    name: str
+    part: int = 0
+    parts: int = 1
+
 
 @dataclass(slots=True)
-class _PeerReport:
+class _Report:
+    sender: str
     sequence: int
     received_at: float
     loads: dict[int, SharedLoad]
 
 
 class SharedLoadTable:
-    """Aggregates the loads reported by the other instances."""
+    """Aggregates the loads reported by the other instances.
+
+    Attributes
+    ----------
+    period : float
+        Seconds between messages of an instance.
+    delay : float
+        Seconds after which a load has reached all instances.
+    """
 
     def __init__(self):
-        self._peers = {}
+        self._reports = {}
+        self._role = Role.FLAT
+        self._own_reported = {}
+        self.period = BASE_PERIOD_S
+        self.delay = BASE_PERIOD_S
 
-    def update(self, sender, sequence, loads, now):
-        """Store the latest loads of an instance.
+    def set_role(self, role, peers):
+        """Adapt to the way in which messages are exchanged.
 
         Parameters
         ----------
+        role : Role
+            How this instance takes part.
+        peers : int
+            Number of other instances.
+        """
+        if role is not self._role:
+            self._role = role
+            self._reports.clear()
+            self._own_reported = {}
+        is_flat = role is Role.FLAT
+        self.period = compute_period(peers) if is_flat else RELAY_PERIOD_S
+        self.delay = self.period if is_flat else RELAYED_STEPS * self.period
+
+    def set_own_reported(self, loads):
+        """Record the own loads that the sums of a relay contain, by server hash."""
+        self._own_reported = loads
+
+    def accepts(self, scope):
+        """Return whether reports of a scope are counted in the current role."""
+        if self._role is Role.MEMBER:
+            return scope is Scope.FLEET
+        if self._role is Role.RELAY:
+            return scope is not Scope.FLEET
+        return scope is Scope.INSTANCE
+
+    def update(self, source, sender, sequence, loads, now):
+        """Store the latest loads of an instance, a failure domain or the fleet.
+
+        Parameters
+        ----------
+        source : ReportSource
+            Whose loads these are.
         sender : str
-            Incarnation of the instance.
+            Incarnation of the instance that sent the report.
         sequence : int
             Sequence number of the message; datagrams may arrive out of order.
         loads : dict of int to SharedLoad
@@ -63,12 +158,12 @@
         Returns
         -------
         bool
-            Whether the message is newer than all previous ones of the sender.
+            Whether the report is newer than all previous ones of the sender.
         """
-        known = self._peers.get(sender)
-        if known is not None and known.sequence >= sequence:
+        known = self._reports.get(source)
+        if known is not None and known.sender == sender and known.sequence >= sequence:
             return False
-        self._peers[sender] = _PeerReport(sequence, now, loads)
+        self._reports[source] = _Report(sender, sequence, now, loads)
         return True
 
     def sum(self, server, now):
@@ -82,17 +177,11 @@
             Monotonic time in seconds.
         """
         key = hash_server(server)
-        in_flight = 0
-        tokens = 0.0
-        silence = 0.0
-        lifetime = self.lifetime
-        for peer in self._peers.values():
-            load = peer.loads.get(key)
-            if load is not None and now - peer.received_at <= lifetime:
-                in_flight += load.in_flight
-                tokens += load.tokens
-                silence = max(silence, load.silence)
-        return SharedLoad(in_flight, tokens, silence)
+        total = NO_LOAD
+        for report in self._list_reports_on(key, now):
+            total = total.add(report.loads[key])
+        own = self._own_reported.get(key)
+        return total if own is None else total.subtract(own)
 
     def find_last_activity(self, server):
         """Return the monotonic time at which a server last sent data to a peer.
@@ -103,33 +192,57 @@
             The server.
         """
         key = hash_server(server)
-        last_activity = float("-inf")
-        for peer in self._peers.values():
-            load = peer.loads.get(key)
-            if load is not None:
-                last_activity = max(last_activity, peer.received_at - load.heard_ago)
-        return last_activity
+        return max(
+            (
+                report.received_at - report.loads[key].heard_ago
+                for report in self._list_reports_on(key, float("-inf"))
+            ),
+            default=float("-inf"),
+        )
 
-    @property
-    def period(self):
-        """Seconds between messages of an instance."""
-        return compute_period(len(self._peers))
+    def sum_all(self, scopes, now):
+        """Return the total load by server hash over the reports of some scopes.
+
+        Parameters
+        ----------
+        scopes : collection of Scope
+            Scopes to include.
+        now : float
+            Monotonic time in seconds.
+        """
+        totals = {}
+        for source, report in self._reports.items():
+            age = now - report.received_at
+            if source.scope not in scopes or age > self.lifetime:
+                continue
+            for key, load in report.loads.items():
+                totals[key] = totals.get(key, NO_LOAD).add(load.age(age))
+        return totals
+
+    def _list_reports_on(self, key, now):
+        """Return the reports that mention a server and have not expired."""
+        lifetime = self.lifetime
+        return [
+            report
+            for source, report in self._reports.items()
+            if key % source.parts == source.part
+            and key in report.loads
+            and now - report.received_at <= lifetime
+        ]
 
     @property
     def lifetime(self):
         """Seconds after which the last report of an instance expires."""
         return max(MIN_LIFETIME_S, LIFETIME_PERIODS * self.period)
 
-    def expire_peers(self, now):
-        """Remove the instances whose last report has expired."""
+    def expire_reports(self, now):
+        """Remove the reports that have expired."""
         lifetime = self.lifetime
-        expired = [
-            sender
-            for sender, report in self._peers.items()
-            if now - report.received_at > lifetime
-        ]
-        for sender in expired:
-            del self._peers[sender]
+        self._reports = {
+            source: report
+            for source, report in self._reports.items()
+            if now - report.received_at <= lifetime
+        }
 
 
 def hash_server(server: BackendServerId):
@@ -140,8 +253,7 @@
 def compute_period(peers):
     """Return the seconds between two messages to all peers.
 
-    The period grows with the number of peers, to limit the cost of the messages in
-    a large fleet.
+    The period grows with the number of peers, to limit the cost of the messages.
 
     Parameters
     ----------
--- /dev/null
+++ b/tanagerwalk/decisions/tallies.py
@@ -0,0 +1,134 @@
+"""Counts of answers during a roll-out, and their sums over instances."""
+
+from dataclasses import dataclass, field
+
+from ..ids import RouteName
+from .relays import Role, Scope
+
+
+@dataclass(slots=True)
+class SideCount:
+    """Number of answers of one release on one route, and how many were bad."""
+
+    answers: int = 0
+    bad: int = 0
+
+    def add(self, other):
+        """Add another count."""
+        self.answers += other.answers
+        self.bad += other.bad
+
+    def raise_to(self, other):
+        """Raise both numbers to those of another count of the same answers."""
+        self.answers = max(self.answers, other.answers)
+        self.bad = max(self.bad, other.bad)
+
+
+@dataclass(slots=True)
+class Tally:
+    """Counts of answers of both releases by route.
+
+    Parameters
+    ----------
+    target : dict of RouteName to SideCount
+        Answers of the release that is rolled out.
+    base : dict of RouteName to SideCount
+        Answers of the release that it replaces.
+    """
+
+    target: dict[RouteName, SideCount] = field(default_factory=dict)
+    base: dict[RouteName, SideCount] = field(default_factory=dict)
+
+    def record(self, route, is_target, is_bad):
+        """Count one answer."""
+        side = self.target if is_target else self.base
+        count = side.setdefault(route, SideCount())
+        count.answers += 1
+        count.bad += is_bad
+
+    def add(self, other):
+        """Add a tally of other answers."""
+        for own, peer in ((self.target, other.target), (self.base, other.base)):
+            for route, count in peer.items():
+                own.setdefault(route, SideCount()).add(count)
+
+    def raise_to(self, other):
+        """Raise the counts to those of another tally of the same answers.
+
+        The counts of an instance only grow, so the higher ones are the newer ones.
+        """
+        for own, peer in ((self.target, other.target), (self.base, other.base)):
+            for route, count in peer.items():
+                own.setdefault(route, SideCount()).raise_to(count)
+
+
+class TallyBook:
+    """Tallies of one roll-out: the own one and those of other instances.
+
+    Counts are kept after their sender ends, since it may be killed right after it
+    reported the failures.
+
+    Parameters
+    ----------
+    failure_domain : FailureDomain
+        Where this instance runs.
+    """
+
+    def __init__(self, failure_domain):
+        self._failure_domain = failure_domain
+        self._received = {scope: {} for scope in Scope}
+        self.own = Tally()
+
+    def record_received(self, scope, domain, sender, tally):
+        """Add a tally that covers all answers of its scope since the order.
+
+        Parameters
+        ----------
+        scope : Scope
+            Whose answers the tally counts.
+        domain : FailureDomain
+            Failure domain of the sender.
+        sender : str
+            Incarnation of the sender.
+        tally : Tally
+            The counts.
+        """
+        key = {Scope.INSTANCE: (domain, sender), Scope.DOMAIN: domain}.get(scope)
+        self._received[scope].setdefault(key, Tally()).raise_to(tally)
+
+    def sum_domain(self):
+        """Return the Tally of the failure domain, as a relay knows it."""
+        total = Tally()
+        total.add(self.own)
+        for (domain, _), tally in self._received[Scope.INSTANCE].items():
+            if domain == self._failure_domain:
+                total.add(tally)
+        other_relay = self._received[Scope.DOMAIN].get(self._failure_domain)
+        if other_relay is not None:
+            total.raise_to(other_relay)
+        return total
+
+    def sum_fleet(self, role):
+        """Return the Tally of all instances.
+
+        Parameters
+        ----------
+        role : Role
+            How this instance takes part in the exchange of messages.
+        """
+        total = Tally()
+        if role is Role.MEMBER:
+            total.add(self.own)
+            for tally in self._received[Scope.FLEET].values():
+                total.raise_to(tally)
+            return total
+        if role is Role.RELAY:
+            total = self.sum_domain()
+            for domain, tally in self._received[Scope.DOMAIN].items():
+                if domain != self._failure_domain:
+                    total.add(tally)
+            return total
+        total.add(self.own)
+        for tally in self._received[Scope.INSTANCE].values():
+            total.add(tally)
+        return total
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -11,6 +11,7 @@
 
 from ..controllers.loop import poll_until
 from ..decisions.freshness import Freshness, find_age_limit
+from ..decisions.relays import RelaySelection
 from ..decisions.rendezvous import find_rank
 from ..decisions.selection import Home, ServerPool
 from ..decisions.shared_loads import SharedLoadTable
@@ -116,6 +117,7 @@
             self.codec,
             self.freshness,
             bounds,
+            settings.failure_domain,
             self._find_rank,
             self.clock,
             self.random,
@@ -125,11 +127,13 @@
         self.quarantine = QuarantineFilter(self.servers, self.clock)
         self.sharing = LoadSharing(
             self.incarnation,
+            settings.failure_domain,
             self.servers,
             self.shared_loads,
+            self.relays,
             self.quarantine,
             self.rollouts,
-            lambda: [peer.address for peer in self.membership.peers.values()],
+            lambda: self.membership.peers,
             self.clock,
             self.random,
         )
@@ -161,9 +165,8 @@
             lambda: Peer(self.sharing.address, own_domain, self.change_server.port),
             self.random,
         )
-        self.membership.subscribe(
-            lambda: self.watchers.set_peers(self.membership.peers)
-        )
+        self.relays = RelaySelection(self.incarnation, own_domain)
+        self.membership.subscribe(self._update_peers)
         self.fleet_key = FleetKey(
             self.store,
             self.mirror,
@@ -172,15 +175,20 @@
             self.random,
         )
 
+    def _update_peers(self):
+        self.watchers.set_peers(self.membership.peers)
+        self.relays.set_peers(self.membership.peers)
+
     def _find_rank(self, name):
         """Return how many instances come before this one for a name."""
         return find_rank(name.encode(), self.incarnation, self.membership.peers)
 
     async def _authenticate(self):
-        """Share changes of the store with other instances once the key is known."""
+        """Exchange data with other instances once the key is known."""
         secret = await self.fleet_key.find()
         self.change_server.authenticate(secret)
         self.feed.authenticate(secret)
+        self.sharing.authenticate(secret)
 
     def _get_changes_address(self, peer_id):
         peer = self.membership.peers.get(peer_id)
--- /dev/null
+++ b/tanagerwalk/gateway/load_messages.py
@@ -0,0 +1,129 @@
+"""Conversion of loads, tallies and sessions' sides to messages between instances."""
+
+import hashlib
+import hmac
+
+from expression import Error
+
+from ..decisions.relays import Scope
+from ..decisions.shared_loads import SharedLoad
+from ..decisions.tallies import SideCount, Tally
+from ..ids import RouteName
+from ..peers.codec import decode
+from ..peers.gen.loads.ttypes import (
+    LoadMessage,
+    RouteTally,
+    ServerLoad,
+    SessionSides,
+    TrialTally,
+)
+
+MS_PER_S = 1000.0
+# An older response says nothing about a server's current health.
+MAX_REPORTED_AGE_S = 10.0
+MAC_BYTES = 16
+KNOWN_SCOPES = frozenset(scope.value for scope in Scope)
+
+
+def sign(secret, data):
+    """Return a datagram that proves to come from an instance with the fleet's key."""
+    return hmac.digest(secret, data, hashlib.sha256)[:MAC_BYTES] + data
+
+
+def decode_message(secret, datagram):
+    """Decode a signed datagram into a LoadMessage.
+
+    Parameters
+    ----------
+    secret : bytes
+        Key of the fleet.
+    datagram : bytes
+        Output of `sign`.
+
+    Returns
+    -------
+    Result of LoadMessage, or of str
+        The error is one line for the log.
+    """
+    mac, data = datagram[:MAC_BYTES], datagram[MAC_BYTES:]
+    expected = hmac.digest(secret, data, hashlib.sha256)[:MAC_BYTES]
+    if not hmac.compare_digest(mac, expected):
+        return Error("wrong MAC")
+    result = decode(LoadMessage, data)
+    if result.is_error():
+        return result
+    message = result.ok
+    if not message.sender or message.sequence is None or message.domain is None:
+        return Error("no sender, sequence or failure domain")
+    if message.scope not in KNOWN_SCOPES:
+        return Error(f"unknown scope {message.scope}")
+    if not message.parts or message.part not in range(message.parts):
+        return Error(f"part {message.part} of {message.parts}")
+    return result
+
+
+def encode_load(key, load):
+    """Convert a SharedLoad to a ServerLoad message; `key` is the server's hash."""
+    heard_ago_ms = None
+    if load.heard_ago < MAX_REPORTED_AGE_S:
+        heard_ago_ms = int(load.heard_ago * MS_PER_S)
+    return ServerLoad(
+        key,
+        load.in_flight,
+        int(load.tokens),
+        int(load.silence * MS_PER_S) or None,
+        heard_ago_ms,
+    )
+
+
+def decode_load(load):
+    """Convert a ServerLoad message to a SharedLoad."""
+    heard_ago = float("inf")
+    if load.heard_ago_ms is not None:
+        heard_ago = load.heard_ago_ms / MS_PER_S
+    silence = (load.silence_ms or 0) / MS_PER_S
+    return SharedLoad(load.in_flight, load.tokens, silence, heard_ago)
+
+
+def encode_tally(service, order, tally):
+    """Convert a Tally to a TrialTally message."""
+    empty = SideCount()
+    routes = []
+    for route in tally.target.keys() | tally.base.keys():
+        target = tally.target.get(route, empty)
+        base = tally.base.get(route, empty)
+        counts = (target.answers, target.bad, base.answers, base.bad)
+        routes.append(RouteTally(route, *counts))
+    return TrialTally(service, order, routes)
+
+
+def decode_tally(encoded):
+    """Convert a TrialTally message to a Tally."""
+    tally = Tally()
+    for counts in encoded.routes:
+        route = RouteName(counts.route)
+        target = SideCount(counts.target_answers, counts.target_bad)
+        tally.target[route] = target
+        tally.base[route] = SideCount(counts.base_answers, counts.base_bad)
+    return tally
+
+
+def encode_sides(overrides):
+    """Convert side overrides to SessionSides messages.
+
+    Parameters
+    ----------
+    overrides : dict of (ServiceName, int) to bool
+        Whether each session, given by service and hash, is on the target release.
+    """
+    by_service = {}
+    for (service, session), on_target in overrides.items():
+        sides = by_service.setdefault(service, SessionSides(service, [], []))
+        (sides.on_target if on_target else sides.on_base).append(session)
+    return list(by_service.values())
+
+
+def decode_sides(encoded):
+    """Convert a SessionSides message to a dict of session hash to bool."""
+    sides = dict.fromkeys(encoded.on_target, True)
+    return sides | dict.fromkeys(encoded.on_base, False)
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -6,16 +6,17 @@
 import structlog
 
 from ..decisions.latency_baselines import LatencyBaselines
+from ..decisions.relays import Role
 from ..decisions.release_rollouts import (
     ReleaseChooser,
     RolloutPhase,
     RolloutState,
     RoutingConditions,
-    Tally,
     find_next_phase,
     find_write_delay,
     is_bad_release,
 )
+from ..decisions.tallies import TallyBook
 from ..ids import ReleaseName, ServiceName
 from ..writes import ABSENT, Write
 from .attempts import Outcome
@@ -61,6 +62,8 @@
         Tells how old the copy of the store is.
     bounds : Bounds
         Configured limits of the deployment.
+    failure_domain : FailureDomain
+        Where this instance runs.
     find_rank : callable
         Takes a name and returns how many instances come before this one for it.
     clock : callable
@@ -78,6 +81,7 @@
         codec,
         freshness,
         bounds,
+        failure_domain,
         find_rank,
         clock,
         random,
@@ -88,6 +92,7 @@
         self._servers = servers
         self._codec = codec
         self._freshness = freshness
+        self._failure_domain = failure_domain
         self._find_rank = find_rank
         self._clock = clock
         self._random = random
@@ -97,8 +102,8 @@
         self._revisions = {}
         self._started_at = {}
         self._rolled_back = set()
-        self._own_tallies = {}
-        self._peer_tallies = {}
+        self._tallies = {}
+        self._role = Role.FLAT
         self._latency_baselines = LatencyBaselines()
         mirror.subscribe(self._load_states)
 
@@ -204,8 +209,8 @@
             result.outcome not in OUTCOMES_WITH_RESPONSE and not is_bad
         ):
             return
-        tally = self._own_tallies.setdefault((order.service, order.revision), Tally())
-        tally.record(route.name, is_target, is_bad)
+        book = self._get_tallies((order.service, order.revision))
+        book.own.record(route.name, is_target, is_bad)
 
     def _get_chooser(self, service):
         chooser = self._choosers.get(service)
@@ -278,7 +283,7 @@
             return
         if state.phase.is_final:
             return
-        tally = self._merge_tallies(order)
+        tally = self._get_tallies(key).sum_fleet(self._role)
         if is_bad_release(tally) and key not in self._rolled_back:
             self._rolled_back.add(key)
             log.warning("release halted", service=order.service, tally=repr(tally))
@@ -299,14 +304,14 @@
         await self._write_phase(order, state)
 
     def _discard_old_tallies(self, order):
-        """Delete the peers' tallies for earlier orders of the service."""
+        """Delete the tallies for earlier orders of the service."""
         old = [
             key
-            for key in self._peer_tallies
+            for key in self._tallies
             if key[0] == order.service and key[1] < order.revision
         ]
         for key in old:
-            del self._peer_tallies[key]
+            del self._tallies[key]
 
     async def _write_phase(self, order, state):
         """Write a new phase unless another instance wrote one first."""
@@ -338,15 +343,11 @@
         if result.is_error() or not result.ok.applied:
             await asyncio.sleep(WRITE_RETRY_S)
 
-    def _merge_tallies(self, order):
-        key = (order.service, order.revision)
-        merged = Tally()
-        for tally in self._peer_tallies.get(key, {}).values():
-            merged.add(tally)
-        own = self._own_tallies.get(key)
-        if own is not None:
-            merged.add(own)
-        return merged
+    # Exchanged with other instances.
+
+    def set_role(self, role):
+        """Set how this instance takes part in the exchange of tallies."""
+        self._role = role
 
     def list_own_tallies(self):
         """Return this instance's tallies for the active roll-outs.
@@ -356,34 +357,46 @@
         dict of (ServiceName, int) to Tally
             By service and revision of the order.
         """
+        return {key: book.own for key, book in self._list_active_tallies()}
+
+    def list_domain_tallies(self):
+        """Return the tallies of the failure domain, like `list_own_tallies`."""
+        return {key: book.sum_domain() for key, book in self._list_active_tallies()}
+
+    def list_fleet_tallies(self):
+        """Return the tallies of all instances, like `list_own_tallies`."""
         return {
-            (order.service, order.revision): self._own_tallies[
-                order.service, order.revision
-            ]
-            for order in self._cluster_state.orders.values()
-            if (order.service, order.revision) in self._own_tallies
-            and not self._get_state(order).phase.is_final
+            key: book.sum_fleet(self._role) for key, book in self._list_active_tallies()
         }
 
-    def record_peer_tally(self, sender, service, order, tally):
-        """Store the latest tally of another instance.
+    def _list_active_tallies(self):
+        for order in self._cluster_state.orders.values():
+            key = (order.service, order.revision)
+            if key in self._tallies and not self._get_state(order).phase.is_final:
+                yield key, self._tallies[key]
 
-        A tally covers all answers since the order and replaces the sender's earlier
-        one. It is kept after the sender ends, since the sender may be killed right
-        after it reported the failures.
+    def record_peer_tally(self, key, scope, domain, sender, tally):
+        """Add a tally that another instance sent.
 
         Parameters
         ----------
+        key : tuple of (ServiceName, int)
+            Service and revision of the order.
+        scope : Scope
+            Whose answers the tally counts.
+        domain : FailureDomain
+            Failure domain of the sender.
         sender : str
-            Incarnation of the other instance.
-        service : ServiceName
-            The service of the roll-out.
-        order : int
-            Revision of the order.
+            Incarnation of the sender.
         tally : Tally
-            Answers and bad answers of both releases.
+            Answers and bad answers of both releases, since the order.
         """
-        self._peer_tallies.setdefault((service, order), {})[sender] = tally
+        self._get_tallies(key).record_received(scope, domain, sender, tally)
+
+    def _get_tallies(self, key):
+        if key not in self._tallies:
+            self._tallies[key] = TallyBook(self._failure_domain)
+        return self._tallies[key]
 
 
 def _with_phase(state, phase, elapsed):
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -1,27 +1,64 @@
 """Exchanges backend server loads and roll-out data with the other instances."""
 
 import asyncio
+from dataclasses import dataclass
 
 import structlog
 
-from ..decisions.release_rollouts import SideCount, Tally
-from ..decisions.shared_loads import SharedLoad, compute_period, hash_server
-from ..ids import Fingerprint, RouteName, ServiceName
-from ..peers.codec import decode, encode
-from ..peers.gen.loads.ttypes import (
-    CrashBlame,
-    LoadMessage,
-    RouteTally,
-    ServerLoad,
-    SessionSides,
-    TrialTally,
+from ..decisions.relayed_items import RelayedItems
+from ..decisions.relays import Role, Scope
+from ..decisions.shared_loads import ReportSource, SharedLoad, hash_server
+from ..ids import FailureDomain, Fingerprint, ServiceName
+from ..peers.codec import encode
+from ..peers.gen.loads.ttypes import CrashBlame, LoadMessage
+from .load_messages import (
+    decode_load,
+    decode_message,
+    decode_sides,
+    decode_tally,
+    encode_load,
+    encode_sides,
+    encode_tally,
+    sign,
 )
 
 log = structlog.get_logger(__name__)
 
-MS_PER_S = 1000.0
-# An older response says nothing about a server's current health.
-MAX_REPORTED_AGE_S = 10.0
+# Keep a message within one packet of 1,400 bytes.
+MAX_LOADS = 60
+MAX_SIDES = 80
+MAX_BLAMES = 16
+RELAYED_LIFETIME_S = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class Contents:
+    """What one round of messages tells about an instance, a domain or the fleet.
+
+    Parameters
+    ----------
+    scope : Scope
+        Whose data this is.
+    loads : dict of int to SharedLoad
+        Loads by server hash.
+    blames : dict of Fingerprint to collection of str
+        Crashed servers by the request that they ran.
+    sides : dict of (ServiceName, int) to bool
+        Side overrides by service and session hash.
+    tallies : list of TrialTally
+        Encoded tallies of the active roll-outs.
+    """
+
+    scope: Scope
+    loads: dict[int, SharedLoad]
+    blames: dict
+    sides: dict
+    tallies: list
+
+    @property
+    def is_empty(self):
+        """Whether there is neither a load nor a crash record or side override."""
+        return not self.loads and not self.blames and not self.sides
 
 
 class LoadSharing(asyncio.DatagramProtocol):
@@ -31,16 +68,20 @@
     ----------
     incarnation : str
         Id of this instance, new at every start.
+    failure_domain : FailureDomain
+        Where this instance runs.
     servers : ServerPool
         Provides the load that this instance puts on the servers.
     shared : SharedLoadTable
         Stores the loads reported by the other instances.
+    relays : RelaySelection
+        Tells to whom messages are sent.
     quarantine : QuarantineFilter
         Provides and merges crash records.
     rollouts : ReleaseRolloutController
         Provides and merges side overrides and tallies.
-    list_peers : callable
-        Returns the addresses of the other instances.
+    get_peers : callable
+        Returns the Peer of each other instance, by incarnation.
     clock : callable
         Returns monotonic time in seconds.
     random : random.Random
@@ -50,26 +91,38 @@
     def __init__(
         self,
         incarnation,
+        failure_domain,
         servers,
         shared,
+        relays,
         quarantine,
         rollouts,
-        list_peers,
+        get_peers,
         clock,
         random,
     ):
-        self._quarantine = quarantine
-        self._rollouts = rollouts
         self._incarnation = incarnation
+        self._failure_domain = failure_domain
         self._servers = servers
         self._shared = shared
-        self._list_peers = list_peers
+        self._relays = relays
+        self._quarantine = quarantine
+        self._rollouts = rollouts
+        self._get_peers = get_peers
         self._clock = clock
         self._random = random
+        self._relayed_blames = RelayedItems(RELAYED_LIFETIME_S)
+        self._relayed_sides = RelayedItems(RELAYED_LIFETIME_S)
+        self._secret = None
         self._transport = None
         self._sequence = 0
+        self._role = Role.FLAT
         self._was_idle = False
-        self.malformed = 0
+        self.rejected = 0
+
+    def authenticate(self, secret):
+        """Start to send and to believe messages, with the key of the fleet."""
+        self._secret = secret.encode()
 
     async def start(self, address):
         """Listen at an (IP, port) tuple.
@@ -93,36 +146,60 @@
 
     def datagram_received(self, data, addr):
         """Process a load message of another instance."""
-        result = decode(LoadMessage, data)
-        if result.is_error() or not result.ok.sender:
-            self.malformed += 1
+        if self._secret is None:
+            return
+        result = decode_message(self._secret, data)
+        if result.is_error():
+            self.rejected += 1
             log.warning(
-                "ignored malformed load message", sender=addr[0], count=self.malformed
+                "rejected load message",
+                sender=addr[0],
+                problem=result.error,
+                count=self.rejected,
             )
             return
-        message = result.ok
-        loads = {load.server: decode_load(load) for load in message.loads or ()}
+        self._process(result.ok)
+
+    def _process(self, message):
         now = self._clock()
-        if self._shared.update(message.sender, message.sequence, loads, now):
-            self._apply_other_sections(message)
+        self._relays.record_heard(message.sender, now)
+        scope = Scope(message.scope)
+        domain = FailureDomain(message.domain)
+        if not self._shared.accepts(scope):
+            return
+        if scope is Scope.DOMAIN and domain != self._failure_domain:
+            self._relays.record_remote_relay(message.sender, now)
+        names = {Scope.INSTANCE: message.sender, Scope.DOMAIN: domain}
+        name = names.get(scope, "")
+        source = ReportSource(scope, name, message.part, message.parts)
+        loads = {load.server: decode_load(load) for load in message.loads or ()}
+        if scope is Scope.DOMAIN and domain == self._failure_domain:
+            # The other relay of this domain sums up the same members.
+            loads = {}
+        if self._shared.update(source, message.sender, message.sequence, loads, now):
+            self._apply_other_sections(message, scope, domain, now)
 
-    def _apply_other_sections(self, message):
+    def _apply_other_sections(self, message, scope, domain, now):
         """Process crash records, side overrides and tallies of a message."""
-        if message.blames:
-            self._quarantine.merge_blames(
-                {Fingerprint(b.fingerprint): b.servers for b in message.blames}
-            )
-        for sides in message.sides or ():
-            overrides = dict.fromkeys(sides.on_target, True)
-            overrides |= dict.fromkeys(sides.on_base, False)
-            self._rollouts.merge_side_overrides(
-                ServiceName(sides.service_name), overrides
-            )
-        for encoded in message.tallies or ():
+        blames = {Fingerprint(b.fingerprint): b.servers for b in message.blames or ()}
+        if blames:
+            self._quarantine.merge_blames(blames)
+        for fingerprint, servers in blames.items():
+            self._relayed_blames.record(scope, fingerprint, servers, now)
+        for encoded in message.sides or ():
             service = ServiceName(encoded.service_name)
-            tally = decode_tally(encoded)
+            overrides = decode_sides(encoded)
+            self._rollouts.merge_side_overrides(service, overrides)
+            for session, on_target in overrides.items():
+                key = (service, session)
+                self._relayed_sides.record(scope, key, on_target, now)
+        for encoded in message.tallies or ():
             self._rollouts.record_peer_tally(
-                message.sender, service, encoded.order, tally
+                (ServiceName(encoded.service_name), encoded.order),
+                scope,
+                domain,
+                message.sender,
+                decode_tally(encoded),
             )
 
     def error_received(self, exc):
@@ -131,100 +208,119 @@
     async def run(self):
         """Send load messages until cancelled."""
         while True:
-            peers = self._list_peers()
-            period = compute_period(len(peers))
+            self._update_role()
+            period = self._shared.period
             await asyncio.sleep(period * (0.75 + 0.5 * self._random.random()))
-            self._broadcast(peers)
-            self._shared.expire_peers(self._clock())
-
-    def _broadcast(self, peers):
-        loads = [
-            encode_load(server_id, load)
-            for server_id, load in self._servers.list_own_loads(self._clock()).items()
-        ]
-        blames = [
-            CrashBlame(fingerprint, sorted(servers))
-            for fingerprint, servers in self._quarantine.list_recent_blames().items()
-        ]
-        sides = self._encode_sides()
-        if not loads and not blames and not sides and self._was_idle:
-            return
-        self._was_idle = not loads
+            if self._secret is not None:
+                self._send_round(self._clock())
+            self._shared.expire_reports(self._clock())
+
+    def _update_role(self):
+        role = self._relays.find_role(self._clock())
+        if role is not self._role:
+            log.info("role in the exchange of loads", role=role.value)
+        self._role = role
+        self._shared.set_role(role, len(self._get_peers()))
+        self._rollouts.set_role(role)
+
+    def _send_round(self, now):
         self._sequence += 1
-        tallies = [
-            encode_tally(service, order, tally)
-            for (service, order), tally in self._rollouts.list_own_tallies().items()
-        ]
-        message = LoadMessage(
-            self._incarnation,
-            self._sequence,
+        own = self._collect_own(now)
+        if self._role is Role.FLAT:
+            self._send(own, self._get_peers())
+            return
+        relays = self._relays.list_relays(now)
+        self._send(own, relays)
+        if self._role is Role.MEMBER:
+            self._shared.set_own_reported(own.loads)
+            return
+        remote_relays = self._relays.list_remote_relays(now)
+        self._send(self._collect_domain(own, now), relays + remote_relays)
+        self._send(self._collect_fleet(own, now), self._relays.list_members())
+
+    def _collect_own(self, now):
+        loads = {
+            hash_server(server_id): load
+            for server_id, load in self._servers.list_own_loads(now).items()
+        }
+        tallies = self._rollouts.list_own_tallies()
+        return Contents(
+            Scope.INSTANCE,
             loads,
-            blames or None,
-            sides or None,
-            tallies or None,
+            self._quarantine.list_recent_blames(),
+            self._list_own_sides(),
+            [encode_tally(*key, tally) for key, tally in tallies.items()],
         )
-        data = encode(message)
-        for address in peers:
-            self._transport.sendto(data, address)
-
-    def _encode_sides(self):
-        return [
-            SessionSides(
-                service,
-                [key for key, on_target in overrides.items() if on_target],
-                [key for key, on_target in overrides.items() if not on_target],
-            )
+
+    def _list_own_sides(self):
+        return {
+            (service, session): on_target
             for service, overrides in self._rollouts.list_side_overrides().items()
-            if overrides
-        ]
+            for session, on_target in overrides.items()
+        }
+
+    def _collect_domain(self, own, now):
+        tallies = self._rollouts.list_domain_tallies()
+        return self._add_received(own, Scope.DOMAIN, {Scope.INSTANCE}, tallies, now)
+
+    def _collect_fleet(self, own, now):
+        tallies = self._rollouts.list_fleet_tallies()
+        sources = {Scope.INSTANCE, Scope.DOMAIN}
+        return self._add_received(own, Scope.FLEET, sources, tallies, now)
+
+    def _add_received(self, own, scope, sources, tallies, now):
+        """Return the own contents together with those received from `sources`."""
+        loads = self._shared.sum_all(sources, now)
+        for key, load in own.loads.items():
+            loads[key] = loads[key].add(load) if key in loads else load
+        return Contents(
+            scope,
+            loads,
+            self._relayed_blames.list(sources, now) | own.blames,
+            self._relayed_sides.list(sources, now) | own.sides,
+            [encode_tally(*key, tally) for key, tally in tallies.items()],
+        )
+
+    def _send(self, contents, receiver_ids):
+        """Send contents, in as many messages as they need, to some instances."""
+        if contents.scope is Scope.INSTANCE:
+            if contents.is_empty and self._was_idle:
+                return
+            self._was_idle = not contents.loads
+        peers = self._get_peers()
+        addresses = [peers[i].address for i in receiver_ids if i in peers]
+        for message in self._build_messages(contents):
+            datagram = sign(self._secret, encode(message))
+            for address in addresses:
+                self._transport.sendto(datagram, address)
+
+    def _build_messages(self, contents):
+        parts = -(-len(contents.loads) // MAX_LOADS) or 1
+        sides = list(contents.sides.items())
+        blames = list(contents.blames.items())
+        sides_per_part = min(MAX_SIDES, -(-len(sides) // parts))
+        blames_per_part = min(MAX_BLAMES, -(-len(blames) // parts))
+        for part in range(parts):
+            part_sides = sides[part * sides_per_part :][:sides_per_part]
+            part_blames = blames[part * blames_per_part :][:blames_per_part]
+            yield LoadMessage(
+                self._incarnation,
+                self._sequence,
+                [
+                    encode_load(key, load)
+                    for key, load in contents.loads.items()
+                    if key % parts == part
+                ],
+                [CrashBlame(f, sorted(servers)) for f, servers in part_blames] or None,
+                encode_sides(dict(part_sides)) or None,
+                contents.tallies or None,
+                contents.scope.value,
+                self._failure_domain,
+                part,
+                parts,
+            )
 
     def stop(self):
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
-
-
-def encode_load(server_id, load):
-    """Convert a SharedLoad to a ServerLoad message."""
-    heard_ago_ms = None
-    if load.heard_ago < MAX_REPORTED_AGE_S:
-        heard_ago_ms = int(load.heard_ago * MS_PER_S)
-    return ServerLoad(
-        hash_server(server_id),
-        load.in_flight,
-        int(load.tokens),
-        int(load.silence * MS_PER_S) or None,
-        heard_ago_ms,
-    )
-
-
-def decode_load(load):
-    """Convert a ServerLoad message to a SharedLoad."""
-    heard_ago = float("inf")
-    if load.heard_ago_ms is not None:
-        heard_ago = load.heard_ago_ms / MS_PER_S
-    silence = (load.silence_ms or 0) / MS_PER_S
-    return SharedLoad(load.in_flight, load.tokens, silence, heard_ago)
-
-
-def encode_tally(service, order, tally):
-    """Convert a Tally to a TrialTally message."""
-    empty = SideCount()
-    routes = []
-    for route in tally.target.keys() | tally.base.keys():
-        target = tally.target.get(route, empty)
-        base = tally.base.get(route, empty)
-        counts = (target.answers, target.bad, base.answers, base.bad)
-        routes.append(RouteTally(route, *counts))
-    return TrialTally(service, order, routes)
-
-
-def decode_tally(encoded):
-    """Convert a TrialTally message to a Tally."""
-    tally = Tally()
-    for counts in encoded.routes:
-        route = RouteName(counts.route)
-        target = SideCount(counts.target_answers, counts.target_bad)
-        tally.target[route] = target
-        tally.base[route] = SideCount(counts.base_answers, counts.base_bad)
-    return tally
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -16,6 +16,24 @@
 all_structs = []
 
 
+class Scope(object):
+    INSTANCE = 0
+    DOMAIN = 1
+    FLEET = 2
+
+    _VALUES_TO_NAMES = {
+        0: "INSTANCE",
+        1: "DOMAIN",
+        2: "FLEET",
+    }
+
+    _NAMES_TO_VALUES = {
+        "INSTANCE": 0,
+        "DOMAIN": 1,
+        "FLEET": 2,
+    }
+
+
 class ServerLoad(object):
     """
     Attributes:
@@ -486,17 +504,25 @@
      - blames
      - sides
      - tallies
+     - scope
+     - domain
+     - part
+     - parts
 
     """
 
 
-    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None,):
+    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None, scope=None, domain=None, part=None, parts=None,):
         self.sender = sender
         self.sequence = sequence
         self.loads = loads
         self.blames = blames
         self.sides = sides
         self.tallies = tallies
+        self.scope = scope
+        self.domain = domain
+        self.part = part
+        self.parts = parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -561,6 +587,26 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.scope = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.part = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.parts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -607,6 +653,22 @@
                 iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.scope is not None:
+            oprot.writeFieldBegin('scope', TType.I32, 7)
+            oprot.writeI32(self.scope)
+            oprot.writeFieldEnd()
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 8)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I32, 9)
+            oprot.writeI32(self.part)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.I32, 10)
+            oprot.writeI32(self.parts)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -670,6 +732,10 @@
     (4, TType.LIST, 'blames', (TType.STRUCT, [CrashBlame, None], False), None, ),  # 4
     (5, TType.LIST, 'sides', (TType.STRUCT, [SessionSides, None], False), None, ),  # 5
     (6, TType.LIST, 'tallies', (TType.STRUCT, [TrialTally, None], False), None, ),  # 6
+    (7, TType.I32, 'scope', None, None, ),  # 7
+    (8, TType.STRING, 'domain', 'UTF8', None, ),  # 8
+    (9, TType.I32, 'part', None, None, ),  # 9
+    (10, TType.I32, 'parts', None, None, ),  # 10
 )
 fix_spec(all_structs)
 del all_structs
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -42,7 +42,17 @@
   3: list<RouteTally> routes
 }
 
-// The newest message of a sender replaces all earlier ones.
+// Whose data a message holds.
+enum Scope {
+  // The sender's own.
+  INSTANCE = 0
+  // The sum over the instances of a failure domain.
+  DOMAIN = 1
+  // The sum over all instances, the receiver included.
+  FLEET = 2
+}
+
+// The newest message of a sender replaces its earlier ones of the same scope and part.
 struct LoadMessage {
   1: string sender
   2: i64 sequence
@@ -50,4 +60,10 @@
   4: optional list<CrashBlame> blames
   5: optional list<SessionSides> sides
   6: optional list<TrialTally> tallies
+  7: Scope scope
+  // Failure domain of the sender.
+  8: string domain
+  // A sum is split into parts by the server's hash, so that each fits a datagram.
+  9: i32 part
+  10: i32 parts
 }
--- a/test/decisions/test_release_rollouts.py
+++ b/test/decisions/test_release_rollouts.py
@@ -9,13 +9,12 @@
     RolloutPhase,
     RolloutState,
     RoutingConditions,
-    SideCount,
-    Tally,
     find_next_phase,
     hash_session,
     is_bad_release,
     is_significantly_worse,
 )
+from tanagerwalk.decisions.tallies import SideCount, Tally
 
 DURATION = 24.0
 DEFAULT_CONDITIONS = RoutingConditions()
--- a/test/decisions/test_selection.py
+++ b/test/decisions/test_selection.py
@@ -5,9 +5,11 @@
 import pytest
 
 from tanagerwalk.decisions.prompt_affinity import compute_affinity
+from tanagerwalk.decisions.relays import Role, Scope
 from tanagerwalk.decisions.selection import Home, ServerPool
 from tanagerwalk.decisions.server_usage import estimate_work
 from tanagerwalk.decisions.shared_loads import (
+    ReportSource,
     SharedLoad,
     SharedLoadTable,
     compute_period,
@@ -16,6 +18,7 @@
 from tanagerwalk.gateway.requests import PromptInfo
 from tanagerwalk.registry import RegisteredServer, ServerState
 
+OTHER = ReportSource(Scope.INSTANCE, "other")
 HOME = Home("a-1", "a", {"a-1": "a", "a-2": "a", "b-1": "b"})
 
 
@@ -70,7 +73,7 @@
     shared = SharedLoadTable()
     pool = build_pool(build_server("s0"), build_server("s1"), shared=shared)
     pool.record_sent(pool.find("s1").server, estimate_work(6000, 0.1))
-    shared.update("other", 1, {hash_server("s0"): SharedLoad(1, 90, 1.6)}, 0.0)
+    shared.update(OTHER, "other", 1, {hash_server("s0"): SharedLoad(1, 90, 1.6)}, 0.0)
     assert pool.choose("drafts", 0.1).id == "s1"
 
 
@@ -86,7 +89,7 @@
     shared = SharedLoadTable()
     pool = build_pool(build_server("s0"), shared=shared)
     load = SharedLoad(0, 0, heard_ago=heard_ago)
-    shared.update("other", 1, {hash_server("s0"): load}, 10.0)
+    shared.update(OTHER, "other", 1, {hash_server("s0"): load}, 10.0)
     assert pool.has_sent_since(pool.find("s0").server, 9.8) is is_active
 
 
@@ -103,22 +106,22 @@
     """Two engines had thirty requests queued, of which each instance saw three."""
     shared = SharedLoadTable()
     load = {hash_server("s0"): SharedLoad(30, 40000)}
-    shared.update("other", 1, load, 0.0)
+    shared.update(OTHER, "other", 1, load, 0.0)
     pool = build_pool(build_server("s0"), build_server("s1"), shared=shared)
     assert set(send_many(pool, 20)) == {"s1"}
 
 
 def test_load_reported_by_a_silent_instance_expires():
     shared = SharedLoadTable()
-    shared.update("other", 1, {hash_server("s0"): SharedLoad(30, 40000)}, 0.0)
+    shared.update(OTHER, "other", 1, {hash_server("s0"): SharedLoad(30, 40000)}, 0.0)
     assert shared.sum("s0", 1.0).in_flight == 30
     assert shared.sum("s0", 9.0).in_flight == 0
 
 
 def test_older_message_does_not_replace_a_newer_one():
     shared = SharedLoadTable()
-    shared.update("other", 2, {}, 0.0)
-    shared.update("other", 1, {hash_server("s0"): SharedLoad(30, 1)}, 0.1)
+    shared.update(OTHER, "other", 2, {}, 0.0)
+    shared.update(OTHER, "other", 1, {hash_server("s0"): SharedLoad(30, 1)}, 0.1)
     assert shared.sum("s0", 0.2).in_flight == 0
 
 
@@ -203,7 +206,7 @@
             hash_server(s.id): SharedLoad(9, 9000 + i) for i, s in enumerate(servers)
         }
         loads[hash_server("s7")] = SharedLoad(0, 0)
-        shared.update("other", 1, loads, 0.0)
+        shared.update(OTHER, "other", 1, loads, 0.0)
         pool = ServerPool(HOME, shared, random.Random(seed))
         pool.replace_servers(servers)
         name = pool.choose("drafts", 0.5).id
@@ -213,10 +216,13 @@
 
 def test_loads_in_a_large_fleet_last_until_the_next_message():
     shared = SharedLoadTable()
+    shared.set_role(Role.FLAT, 300)
     for number in range(300):
-        shared.update(f"i{number}", 1, {hash_server("s0"): SharedLoad(1, 10)}, 0.0)
+        source = ReportSource(Scope.INSTANCE, f"i{number}")
+        loads = {hash_server("s0"): SharedLoad(1, 10)}
+        shared.update(source, source.name, 1, loads, 0.0)
     assert shared.sum("s0", compute_period(300) * 1.3).in_flight == 300
-    shared.expire_peers(60.0)
+    shared.expire_reports(60.0)
     assert shared.sum("s0", 60.0).in_flight == 0
 
 
--- a/test/gateway/test_gateway_rollouts.py
+++ b/test/gateway/test_gateway_rollouts.py
@@ -8,8 +8,9 @@
 import pytest_asyncio
 
 from tanagerwalk.controllers.loop import poll_until
-from tanagerwalk.decisions.release_rollouts import Tally
+from tanagerwalk.decisions.relays import Scope
 from tanagerwalk.decisions.server_usage import ServerUsage
+from tanagerwalk.decisions.tallies import Tally
 from tanagerwalk.standins.backend import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
@@ -118,12 +119,14 @@
     assert not filters[0](instance.servers.find("late").server)
 
 
-async def test_peer_tallies_of_earlier_orders_are_deleted(world):
+async def test_tallies_of_earlier_orders_are_deleted(world):
     """Tallies of earlier orders must not accumulate until the process ends."""
     rollouts = world.instances[0].rollouts
-    rollouts.record_peer_tally("other", "desk", 1, Tally())
-    rollouts.record_peer_tally("other", "drafts", 1, Tally())
+    for service in ("desk", "drafts"):
+        rollouts.record_peer_tally(
+            (service, 1), Scope.INSTANCE, "a-1", "other", Tally()
+        )
     await world.store.put("op/rollout/desk", json.dumps(ORDER).encode())
     assert await poll_until(lambda: read_state(world) == "running", 0.02, 5.0)
-    assert ("desk", 1) not in rollouts._peer_tallies
-    assert ("drafts", 1) in rollouts._peer_tallies
+    assert ("desk", 1) not in rollouts._tallies
+    assert ("drafts", 1) in rollouts._tallies
--- a/test/gateway/test_sharing.py
+++ b/test/gateway/test_sharing.py
@@ -1,15 +1,27 @@
-"""Loads and tallies are unchanged after encoding and decoding as load messages."""
+"""Load messages: their encoding, authentication and size."""
+
+import random
+from types import SimpleNamespace
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from tanagerwalk.decisions.release_rollouts import SideCount, Tally
-from tanagerwalk.decisions.shared_loads import SharedLoad
-from tanagerwalk.gateway.sharing import (
+from tanagerwalk.decisions.relays import RelaySelection, Scope
+from tanagerwalk.decisions.shared_loads import (
+    SharedLoad,
+    SharedLoadTable,
+    hash_server,
+)
+from tanagerwalk.decisions.tallies import SideCount, Tally
+from tanagerwalk.gateway.load_messages import (
     decode_load,
     decode_tally,
     encode_load,
     encode_tally,
+    sign,
 )
+from tanagerwalk.gateway.sharing import Contents, LoadSharing
 from tanagerwalk.peers.codec import decode, encode
 from tanagerwalk.peers.gen.loads.ttypes import LoadMessage
 
@@ -23,7 +35,7 @@
     ],
 )
 def test_load_survives_encoding(load):
-    message = LoadMessage("sender", 1, [encode_load("s0", load)])
+    message = LoadMessage("sender", 1, [encode_load(7, load)], scope=0)
     (encoded,) = decode(LoadMessage, encode(message)).ok.loads
     assert decode_load(encoded) == load
 
@@ -39,3 +51,104 @@
     merged = decode_tally(encoded)
     assert merged.base == tally.base
     assert merged.target == tally.target | {"notes": SideCount()}
+
+
+SECRET = b"key of the fleet"
+
+
+def build_sharing():
+    """Return a LoadSharing that knows the key, and the table it writes to."""
+    shared = SharedLoadTable()
+    sharing = LoadSharing(
+        "own",
+        "a-1",
+        None,
+        shared,
+        RelaySelection("own", "a-1"),
+        SimpleNamespace(merge_blames=lambda blames: None),
+        SimpleNamespace(record_peer_tally=lambda *tally: None),
+        dict,
+        lambda: 10.0,
+        random.Random(1),
+    )
+    sharing.authenticate(SECRET.decode())
+    return sharing, shared
+
+
+def build_datagram(secret=SECRET, sequence=1, in_flight=3, **changes):
+    load = encode_load(hash_server("s0"), SharedLoad(in_flight, 10.0))
+    message = LoadMessage(
+        "other", sequence, [load], scope=0, domain="a-1", part=0, parts=1
+    )
+    for name, value in changes.items():
+        setattr(message, name, value)
+    return sign(secret, encode(message))
+
+
+def test_message_with_the_key_is_believed():
+    sharing, shared = build_sharing()
+    sharing.datagram_received(build_datagram(), ("10.0.0.1", 1))
+    assert shared.sum("s0", 10.0).in_flight == 3
+
+
+@pytest.mark.parametrize(
+    "datagram",
+    [
+        build_datagram(b"another key"),
+        build_datagram()[:-1],
+        build_datagram() + b"x",
+        b"",
+        b"x" * 15,
+        b"x" * 70000,
+        build_datagram(scope=9),
+        build_datagram(parts=0, part=5),
+        build_datagram(parts=2, part=-1),
+        build_datagram(sender=""),
+    ],
+)
+def test_forged_altered_or_malformed_message_changes_nothing(datagram):
+    sharing, shared = build_sharing()
+    sharing.datagram_received(datagram, ("10.0.0.1", 1))
+    assert shared.sum("s0", 10.0).in_flight == 0
+    assert sharing.rejected == 1
+
+
+@given(st.binary(max_size=400))
+def test_random_datagrams_change_nothing(data):
+    sharing, shared = build_sharing()
+    sharing.datagram_received(data, ("10.0.0.1", 1))
+    sharing.datagram_received(sign(SECRET, data), ("10.0.0.1", 1))
+    assert shared.sum("s0", 10.0).in_flight == 0
+
+
+def test_replayed_message_does_not_replace_a_newer_one():
+    sharing, shared = build_sharing()
+    old = build_datagram(sequence=1, in_flight=9)
+    for datagram in (old, build_datagram(sequence=2), old):
+        sharing.datagram_received(datagram, ("10.0.0.1", 1))
+    assert shared.sum("s0", 10.0).in_flight == 3
+
+
+def test_instance_without_the_key_believes_nothing():
+    sharing, shared = build_sharing()
+    sharing._secret = None
+    sharing.datagram_received(build_datagram(), ("10.0.0.1", 1))
+    assert shared.sum("s0", 10.0).in_flight == 0
+
+
+@pytest.mark.parametrize("servers", [0, 1, 68, 130, 800])
+def test_messages_fit_a_packet_whatever_the_number_of_servers(servers):
+    sharing, _ = build_sharing()
+    loads = {
+        hash_server(f"s{n}"): SharedLoad(n % 200, 90000.0, 1.5, 0.9)
+        for n in range(servers)
+    }
+    sides = {("drafts", n * 2**55): True for n in range(200)}
+    blames = {f"{n:032x}": [f"i-{n}"] for n in range(20)}
+    tally = Tally({f"route-{n}": SideCount(900, 90) for n in range(5)}, {})
+    tallies = [encode_tally("drafts", 7, tally)]
+    contents = Contents(Scope.FLEET, loads, blames, sides, tallies)
+    messages = list(sharing._build_messages(contents))
+    assert max(len(sign(SECRET, encode(message))) for message in messages) <= 1400
+    told = {load.server for message in messages for load in message.loads}
+    assert told == set(loads)
