Count the requests beyond an engine's slots as load

Cause: a request for the smallest model counts as few tokens, so that an engine whose twelve slots were all taken looked idle.

Change: requests beyond the slots wait for one, 1.5 s for each full set.

--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -8,6 +8,8 @@
 # Prompt tokens of the largest model that correspond to a load of 1.
 ENGINE_CAPACITY_TOKENS = 20000.0
 DECODE_TOKENS = 300.0
+# Time for which a request occupies a slot of an engine.
+MEAN_SLOT_TIME_S = 1.5
 # Time that even an idle engine needs to process a long prompt.
 PREFILL_ALLOWANCE_S = 0.9
 
@@ -109,10 +111,19 @@
         own = sum(work.total for work in self.work)
         unreported = others - shared.in_flight
         load = (own + shared.tokens + unreported * mean_work) / ENGINE_CAPACITY_TOKENS
+        load += self._estimate_slot_wait(self.in_flight + others)
         # A stuck engine does not report its queue, but the waiting requests show it.
         silence = max(self.measure_silence(now), shared.silence)
         return max(load, silence - PREFILL_ALLOWANCE_S)
 
+    def _estimate_slot_wait(self, requests):
+        """Return the seconds until the next request gets a slot.
+
+        Requests for a small model cost an engine little, but occupy its slots.
+        """
+        queued = max(0, requests + 1 - self.server.slots)
+        return queued / self.server.slots * MEAN_SLOT_TIME_S
+
     def measure_silence(self, now):
         """Return the waiting time of the oldest unanswered request, in seconds."""
         return max((work.measure_silence(now) for work in self.work), default=0.0)
--- a/test/decisions/test_selection.py
+++ b/test/decisions/test_selection.py
@@ -9,6 +9,7 @@
 from tanagerwalk.decisions.selection import Home, ServerPool
 from tanagerwalk.decisions.server_usage import estimate_work
 from tanagerwalk.decisions.shared_loads import (
+    NO_LOAD,
     ReportSource,
     SharedLoad,
     SharedLoadTable,
@@ -69,6 +70,21 @@
     assert pool.choose("drafts", 1.6).id == "s1"
 
 
+def test_engine_whose_slots_are_taken_by_cheap_requests_is_not_idle():
+    """Checks queued for seconds at engines of twelve slots that looked idle.
+
+    Twelve requests for the smallest model count as few tokens.
+    """
+    shared = SharedLoadTable()
+    loads = {hash_server("full"): SharedLoad(15, 300), hash_server("free"): NO_LOAD}
+    shared.update(OTHER, "other", 1, loads, 0.0)
+    servers = build_server("full", slots=12), build_server("free", "b-1", slots=12)
+    pool = build_pool(*servers, shared=shared)
+    pool.record_sent(servers[1], estimate_work(4000, 0.07))
+    assert pool.choose("drafts", 0.1).id == "free"
+    assert pool.estimate_wait("drafts", 0.1) < 0.1
+
+
 def test_stuck_engine_reported_by_a_peer_is_avoided():
     shared = SharedLoadTable()
     pool = build_pool(build_server("s0"), build_server("s1"), shared=shared)
