Stop waiting for a server that answers others without a queue

The engine dropped their requests, but answered others within 0.1 s, at 12 of its 128 slots; a server that sends to anyone counted as working off a queue.

Change: an overdue answer is waited for only if the server may have a queue, by its last report of 2.5 s at most or by its slots. Without such a report it is as before.

Ruled out: a shorter timeout for all, which would give up on engines with long queues.

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -295,6 +295,7 @@
         usage.last_activity_at = now
         if load is not None:
             usage.other_requests = max(0, load[0] + load[1] - usage.in_flight)
+            usage.reported_queue = load[1]
             usage.reported_at = now
 
     def record_activity(self, server, now):
@@ -322,6 +323,24 @@
             self._shared.find_last_activity(server.id) >= reported_since
         )
 
+    def is_worth_waiting_for(self, server, since, now):
+        """Return whether an answer that is overdue may still come.
+
+        A server that sends to others while it has a queue answers later. One without
+        a queue has dropped the request.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        since, now : float
+            Monotonic times in seconds: from when to look for data, and the present.
+        """
+        usage = self._usages.get(server.id)
+        if usage is None or not self.has_sent_since(server, since):
+            return False
+        return usage.may_have_queue(now, self._shared.sum(server.id, now))
+
     def record_failure(self, server, now):
         """Pause a server that failed; the pause doubles with each failure in a row."""
         usage = self._usages.get(server.id)
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -5,6 +5,8 @@
 from ..registry import RegisteredServer
 
 REPORT_LIFETIME_S = 1.5
+# A queue that takes longer to build up is seen in a newer report.
+QUEUE_REPORT_LIFETIME_S = 2.5
 # Prompt tokens of the largest model that correspond to a load of 1.
 ENGINE_CAPACITY_TOKENS = 20000.0
 DECODE_TOKENS = 300.0
@@ -71,6 +73,8 @@
         Costs of these requests, if the server is an engine.
     other_requests : int
         Requests of other instances, according to the server's last report.
+    reported_queue : int
+        Requests that were waiting, according to the same report.
     reported_at, last_activity_at : float
         Monotonic times of the server's last report and of the last data from it.
     address_reused : bool
@@ -85,6 +89,7 @@
     failures: int = 0
     paused_until: float = float("-inf")
     other_requests: int = 0
+    reported_queue: int = 0
     reported_at: float = float("-inf")
     last_activity_at: float = float("-inf")
     address_reused: bool = False
@@ -116,6 +121,22 @@
         silence = max(self.measure_silence(now), shared.silence)
         return max(load, silence - PREFILL_ALLOWANCE_S)
 
+    def may_have_queue(self, now, shared):
+        """Return whether requests may be waiting at the server.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        shared : SharedLoad
+            Load reported by the other instances for the server.
+        """
+        is_recent = now - self.reported_at <= QUEUE_REPORT_LIFETIME_S
+        if not is_recent or self.reported_queue > 0:
+            return True
+        others = max(shared.in_flight, self.other_requests)
+        return self.in_flight + others >= self.server.slots
+
     def _estimate_slot_wait(self, requests):
         """Return the seconds until the next request gets a slot.
 
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -53,11 +53,12 @@
     Parameters
     ----------
     unresponsive : float
-        For the response head, while the server sends nothing to any request.
+        For the response head, while the server sends nothing to any request, or has
+        no queue.
     idle : float
         Between two chunks of the response body.
     head : float
-        For the response head, while the server responds to other requests.
+        For the response head, while the server works off its queue.
     """
 
     unresponsive: float
@@ -188,10 +189,11 @@
         return _build_result(raw, head, body.ok), raw
 
     async def _wait_for_head(self, connection, attempt, timeouts):
-        """Wait for the response head while the server responds to any request.
+        """Wait for the response head while the server may still send it.
 
         A server with a long queue responds to other requests in the meantime; an
-        unreachable server responds to none.
+        unreachable server responds to none, and one that responds to others without
+        a queue has dropped this one.
         """
         sent_at = self._clock()
         while True:
@@ -202,7 +204,9 @@
             timed_out = result.is_error() and result.error is None
             if not timed_out or limit >= remaining:
                 return result
-            if not self._servers.has_sent_since(attempt.server, wait_started_at):
+            if not self._servers.is_worth_waiting_for(
+                attempt.server, wait_started_at, self._clock()
+            ):
                 return result
 
     async def _read_head(self, connection, seconds):
--- a/test/decisions/test_selection.py
+++ b/test/decisions/test_selection.py
@@ -109,6 +109,30 @@
     assert pool.has_sent_since(pool.find("s0").server, 9.8) is is_active
 
 
+@pytest.mark.parametrize(
+    ("load", "reported_at", "is_worth_waiting"),
+    [
+        ((3, 0, 8), 1.5, False),
+        ((8, 0, 8), 1.5, True),
+        ((3, 2, 8), 1.5, True),
+        ((3, 0, 8), -1.0, True),
+    ],
+)
+def test_server_without_a_queue_that_answers_others_dropped_the_request(
+    load, reported_at, is_worth_waiting
+):
+    """A server that drops part of its requests kept clients waiting for six seconds.
+
+    It answered other requests within 0.1 s, of at most 12 on its 128 slots.
+    """
+    pool = build_pool(build_server("s0"))
+    server = pool.find("s0").server
+    pool.record_sent(server, estimate_work(200, 0.1))
+    pool.record_answer(server, load, reported_at)
+    pool.record_activity(server, 1.6)
+    assert pool.is_worth_waiting_for(server, 1.0, 2.0) is is_worth_waiting
+
+
 def test_stream_events_count_as_server_activity():
     pool = build_pool(build_server("s0"))
     server = pool.find("s0").server
