--- a/tanagerwalk/decisions/relays.py
+++ b/tanagerwalk/decisions/relays.py
@@ -9,7 +9,7 @@
 
 from enum import Enum
 
-from .rendezvous import rank_members
+from .peers import rank_domains
 
 RELAYS_PER_DOMAIN = 2
 # Fleets up to this size exchange messages between all instances.
@@ -65,13 +65,9 @@
         peers : dict of str to Peer
             The other instances, by incarnation.
         """
-        domains = {self._failure_domain: [self._own_id]}
-        for peer_id, peer in peers.items():
-            domains.setdefault(peer.failure_domain, []).append(peer_id)
-        self._domains = {
-            domain: rank_members(RELAYS_KEY, members)
-            for domain, members in domains.items()
-        }
+        self._domains = rank_domains(
+            RELAYS_KEY, self._own_id, self._failure_domain, peers
+        )
         self._peers = peers
         for times in (
             self._heard_at,
--- a/tanagerwalk/decisions/watchers.py
+++ b/tanagerwalk/decisions/watchers.py
@@ -6,10 +6,7 @@
 watches the store itself once it is the first of those left.
 """
 
-from dataclasses import dataclass
-
-from ..ids import FailureDomain
-from .rendezvous import rank_members
+from .peers import rank_domains
 
 # Below this size, instances that only ask would save few calls.
 MIN_DOMAIN_SIZE = 6
@@ -17,25 +14,6 @@
 WATCHERS_KEY = b"store watchers"
 
 
-@dataclass(frozen=True, slots=True)
-class Peer:
-    """Another instance.
-
-    Parameters
-    ----------
-    address : tuple of (str, int)
-        IP address and port of its load messages.
-    failure_domain : FailureDomain
-        Where it runs; empty if it did not say.
-    changes_port : int
-        Port at which it serves changes of the store; 0 if it does not.
-    """
-
-    address: tuple[str, int]
-    failure_domain: FailureDomain = FailureDomain("")
-    changes_port: int = 0
-
-
 class WatcherSelection:
     """Tells which instances watch the store, as this instance sees the fleet.
 
@@ -62,13 +40,9 @@
         peers : dict of str to Peer
             The other instances, by incarnation.
         """
-        domains = {self._failure_domain: [self._own_id]}
-        for peer_id, peer in peers.items():
-            domains.setdefault(peer.failure_domain, []).append(peer_id)
-        self._domains = {
-            domain: rank_members(WATCHERS_KEY, members)
-            for domain, members in domains.items()
-        }
+        self._domains = rank_domains(
+            WATCHERS_KEY, self._own_id, self._failure_domain, peers
+        )
         self._suspected_until = {
             peer_id: until
             for peer_id, until in self._suspected_until.items()
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -11,11 +11,12 @@
 
 from ..controllers.loop import poll_until
 from ..decisions.freshness import Freshness, find_age_limit
+from ..decisions.peers import Peer
 from ..decisions.relays import RelaySelection
 from ..decisions.rendezvous import find_rank
 from ..decisions.selection import Home, ServerPool
 from ..decisions.shared_loads import SharedLoadTable
-from ..decisions.watchers import Peer, WatcherSelection
+from ..decisions.watchers import WatcherSelection
 from ..filters.chain import link_filters
 from ..manifest import ClientLimits
 from ..outcomes import Refusal, RefusalReason
--- a/tanagerwalk/gateway/membership.py
+++ b/tanagerwalk/gateway/membership.py
@@ -1,11 +1,13 @@
 """Discovers the other gateway instances through leased entries in the store."""
 
 import asyncio
+import math
 
 import msgspec
 import structlog
 
-from ..decisions.watchers import Peer
+from ..controllers.loop import poll_until
+from ..decisions.peers import Peer
 from ..ids import FailureDomain
 from ..writes import StoreFault
 
@@ -93,8 +95,7 @@
         Registering waits for the first copy of the store: a fleet that restarts while
         the store is out should not call it twice.
         """
-        while not self._mirror.is_loaded:
-            await asyncio.sleep(LOAD_POLL_INTERVAL_S)
+        await poll_until(lambda: self._mirror.is_loaded, LOAD_POLL_INTERVAL_S, math.inf)
         while True:
             if self._lease is None:
                 succeeded = await self._register()
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import msgspec
 import structlog
 
 from ..decisions.latency_baselines import LatencyBaselines
@@ -17,9 +16,10 @@
     is_bad_release,
 )
 from ..decisions.tallies import TallyBook
-from ..ids import ReleaseName, ServiceName
+from ..ids import ServiceName
 from ..writes import ABSENT, Write
 from .attempts import Outcome
+from .rollout_records import decode_state, encode_state
 
 log = structlog.get_logger(__name__)
 
@@ -33,13 +33,6 @@
 )
 
 
-class _RolloutRecord(msgspec.Struct, frozen=True):
-    target: str
-    order: int
-    phase: str
-    elapsed_ms: int
-
-
 class ReleaseRolloutController:
     """Advances each roll-out together with the other instances.
 
@@ -254,25 +247,25 @@
             self._load_state(service, entry)
 
     def _load_state(self, service, entry):
-        try:
-            record = msgspec.json.decode(entry.value, type=_RolloutRecord)
-            phase = RolloutPhase(record.phase)
-        except (msgspec.MsgspecError, ValueError) as error:
+        result = decode_state(service, entry.value)
+        if result.is_error():
             log.warning(
-                "cannot decode roll-out state", key=entry.key, problem=str(error)
+                "cannot decode roll-out state", key=entry.key, problem=result.error
             )
             return
-        elapsed = record.elapsed_ms / 1000.0
-        state = RolloutState(
-            service, ReleaseName(record.target), record.order, phase, elapsed
-        )
+        state = result.ok
         self._revisions[service] = entry.revision
         self._states[service] = state
-        key = (service, record.order)
+        key = (service, state.order)
         known = self._started_at.get(key)
-        started = self._clock() - elapsed
+        started = self._clock() - state.elapsed
         self._started_at[key] = started if known is None else min(known, started)
-        log.info("rollout phase", service=service, phase=phase.value, elapsed=elapsed)
+        log.info(
+            "rollout phase",
+            service=service,
+            phase=state.phase.value,
+            elapsed=state.elapsed,
+        )
 
     async def _advance(self, order):
         if not self._mirror.is_loaded:
@@ -322,13 +315,10 @@
         await asyncio.sleep(find_write_delay(rank, instances, self._random))
         if self._revisions.get(service) != known:
             return
-        record = _RolloutRecord(
-            state.target, state.order, state.phase.value, int(state.elapsed * 1000)
-        )
         status = self._codec.encode_rollout_status(service, state.target, state.phase)
         write = Write(
             key=ROLLOUT_PREFIX + service,
-            value=msgspec.json.encode(record),
+            value=encode_state(state),
             revision=ABSENT if known is None else known,
             extra_puts=(status,),
         )
--- /dev/null
+++ b/tanagerwalk/gateway/rollout_records.py
@@ -0,0 +1,48 @@
+"""Encoding of a roll-out's state as a value in the store."""
+
+import msgspec
+from expression import Error, Ok
+
+from ..decisions.release_rollouts import RolloutPhase, RolloutState
+from ..ids import ReleaseName
+
+MS_PER_S = 1000.0
+
+
+class _RolloutRecord(msgspec.Struct, frozen=True):
+    target: str
+    order: int
+    phase: str
+    elapsed_ms: int
+
+
+def encode_state(state):
+    """Encode a RolloutState."""
+    elapsed_ms = int(state.elapsed * MS_PER_S)
+    record = _RolloutRecord(state.target, state.order, state.phase.value, elapsed_ms)
+    return msgspec.json.encode(record)
+
+
+def decode_state(service, value):
+    """Decode the RolloutState of a service.
+
+    Parameters
+    ----------
+    service : ServiceName
+        The service.
+    value : bytes
+        Output of `encode_state`.
+
+    Returns
+    -------
+    Result of RolloutState, or of str
+        The error is one line for the log.
+    """
+    try:
+        record = msgspec.json.decode(value, type=_RolloutRecord)
+        phase = RolloutPhase(record.phase)
+    except (msgspec.MsgspecError, ValueError) as error:
+        return Error(str(error))
+    elapsed = record.elapsed_ms / MS_PER_S
+    target = ReleaseName(record.target)
+    return Ok(RolloutState(service, target, record.order, phase, elapsed))
--- a/test/decisions/test_relays.py
+++ b/test/decisions/test_relays.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tanagerwalk.decisions.peers import Peer
 from tanagerwalk.decisions.relayed_items import RelayedItems
 from tanagerwalk.decisions.relays import (
     MAX_FLAT_FLEET,
@@ -26,7 +27,6 @@
     hash_server,
 )
 from tanagerwalk.decisions.tallies import SideCount, Tally, TallyBook
-from tanagerwalk.decisions.watchers import Peer
 from tanagerwalk.ids import FailureDomain
 
 DOMAINS = [FailureDomain(name) for name in ("a", "b", "c", "d", "e", "f")]
--- a/test/decisions/test_watchers.py
+++ b/test/decisions/test_watchers.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from tanagerwalk.decisions.peers import Peer
 from tanagerwalk.decisions.watchers import (
     MIN_DOMAIN_SIZE,
     SUSPICION_S,
-    Peer,
     WatcherSelection,
 )
 from tanagerwalk.ids import FailureDomain
