Let the instances that watch the store write the phases of a roll-out

The first instance in order may learn of an order a second after those that watch the store, and may be down; the time of a roll-out counts from what the first writer knew, so that it completed late.

Change: those that watch write within 0.3 s, the others after 1.5 s or more. The order by rank is gone from the roll-outs.

Ruled out: a longer margin before the end, which would take capacity from every roll-out.

--- a/tanagerwalk/decisions/release_rollouts.py
+++ b/tanagerwalk/decisions/release_rollouts.py
@@ -30,13 +30,10 @@
 SIGNIFICANCE_LEVEL = 0.002
 MIN_BASE_RATE = 0.02
 HASH_RANGE = 1 << 63
-# In a large fleet a phase is written by the first instance of an order that all agree
-# on; the next ones follow in turn, if they have not seen it by then. All turns together
-# are shorter than FINISH_MARGIN_S, since the first ones may be down.
-MIN_FLEET_WITH_TURNS = 25
+# A phase is written by the instances that watch the store, which are the first to know
+# of an order. The others write it if they have not seen it after LATE_WRITE_S.
 WRITE_JITTER_S = 0.3
-WRITE_TURN_S = 0.4
-MAX_WRITE_TURNS = 4
+LATE_WRITE_S = 1.5
 LATE_WRITES_SPREAD_S = 3.0
 # A session whose gap has just expired on one instance may still be within it on
 # another.
@@ -181,23 +178,19 @@
     return RolloutPhase.COMPLETE if elapsed >= ready_at else None
 
 
-def find_write_delay(rank, instances, random):
+def find_write_delay(is_watcher, random):
     """Return the seconds that an instance waits before it writes a new phase.
 
     Parameters
     ----------
-    rank : int
-        Number of instances that come before this one.
-    instances : int
-        Instances of the fleet.
+    is_watcher : bool
+        Whether the instance watches the store itself.
     random : random.Random
-        Spreads the writes of a small fleet, and of the last ranks of a large one.
+        Spreads the writes of several instances.
     """
-    if instances < MIN_FLEET_WITH_TURNS:
+    if is_watcher:
         return WRITE_JITTER_S * random.random()
-    if rank < MAX_WRITE_TURNS:
-        return rank * WRITE_TURN_S
-    return MAX_WRITE_TURNS * WRITE_TURN_S + LATE_WRITES_SPREAD_S * random.random()
+    return LATE_WRITE_S + LATE_WRITES_SPREAD_S * random.random()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -119,7 +119,7 @@
             self.freshness,
             bounds,
             settings.failure_domain,
-            self._find_rank,
+            lambda: self.feed.is_watcher,
             self.clock,
             self.random,
         )
@@ -181,9 +181,8 @@
         self.relays.set_peers(self.membership.peers)
 
     def _find_rank(self, name):
-        """Return how many instances come first for a name, and how many there are."""
-        peers = self.membership.peers
-        return find_rank(name.encode(), self.incarnation, peers), 1 + len(peers)
+        """Return how many instances come before this one for a name."""
+        return find_rank(name.encode(), self.incarnation, self.membership.peers)
 
     async def _authenticate(self):
         """Exchange data with other instances once the key is known."""
--- a/tanagerwalk/gateway/change_feed.py
+++ b/tanagerwalk/gateway/change_feed.py
@@ -163,7 +163,7 @@
         return Ok(newest) if result.is_error() and newest is not None else result
 
     def _list_sources(self):
-        is_watcher = self._is_watcher()
+        is_watcher = self.is_watcher
         if is_watcher != self._was_watcher:
             self._was_watcher = is_watcher
             log.info("watching the store", watcher=is_watcher)
@@ -171,7 +171,9 @@
             return []
         return self._selection.list_sources(self._clock(), self._random)
 
-    def _is_watcher(self):
+    @property
+    def is_watcher(self):
+        """Whether this instance watches the store itself."""
         return self._client is None or self._selection.is_watcher(self._clock())
 
     async def _ask(self, peer_id, revision):
@@ -217,7 +219,7 @@
     @property
     def pause(self):
         """Seconds until the next read."""
-        if self._is_watcher():
+        if self.is_watcher:
             is_shared = self._client is not None and self._selection.is_shared
             return find_watch_pause(self._get_drain_timeout(), is_shared)
         return PEER_POLL_INTERVAL_S
--- a/tanagerwalk/gateway/fleet_key.py
+++ b/tanagerwalk/gateway/fleet_key.py
@@ -31,8 +31,7 @@
     key_name : str
         Store key that holds the secret.
     find_rank : callable
-        Takes a name and returns how many instances come before this one for it, and
-        how many there are.
+        Takes a name and returns how many instances come before this one for it.
     random : random.Random
         Source of jitter.
 
@@ -66,8 +65,7 @@
             waited += POLL_INTERVAL_S
 
     def _is_first(self):
-        rank, _ = self._find_rank(self._key_name)
-        return rank == 0
+        return self._find_rank(self._key_name) == 0
 
     async def _create(self):
         value = secrets.token_bytes(KEY_BYTES)
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -57,9 +57,8 @@
         Configured limits of the deployment.
     failure_domain : FailureDomain
         Where this instance runs.
-    find_rank : callable
-        Takes a name and returns how many instances come before this one for it, and
-        how many there are.
+    is_watcher : callable
+        Returns whether this instance watches the store itself.
     clock : callable
         Returns monotonic time in seconds.
     random : random.Random
@@ -76,7 +75,7 @@
         freshness,
         bounds,
         failure_domain,
-        find_rank,
+        is_watcher,
         clock,
         random,
     ):
@@ -87,7 +86,7 @@
         self._codec = codec
         self._freshness = freshness
         self._failure_domain = failure_domain
-        self._find_rank = find_rank
+        self._is_watcher = is_watcher
         self._clock = clock
         self._random = random
         self._bounds = bounds
@@ -311,8 +310,8 @@
         """Write a new phase unless another instance wrote one first."""
         service = order.service
         known = self._revisions.get(service)
-        rank, instances = self._find_rank(service)
-        await asyncio.sleep(find_write_delay(rank, instances, self._random))
+        delay = find_write_delay(self._is_watcher(), self._random)
+        await asyncio.sleep(delay)
         if self._revisions.get(service) != known:
             return
         status = self._codec.encode_rollout_status(service, state.target, state.phase)
