--- a/test/decisions/test_selection.py
+++ b/test/decisions/test_selection.py
@@ -123,7 +123,7 @@
 ):
     """A server that drops part of its requests kept clients waiting for six seconds.
 
-    It answered other requests within 0.1 s, of at most 12 on its 128 slots.
+    It answered other requests within 0.3 s, of at most 8 on its 128 slots.
     """
     pool = build_pool(build_server("s0"))
     server = pool.find("s0").server
