Log which servers an instance can't reach, and kept connections

Logs told hypothesis 1 (no second way) from 2 and 3 by outcomes, but not since when a server could not be reached from an instance, nor whether an attempt ended silent or lost on a connection opened before. Change: 'server unreachable' and 'server reachable again' with cause and duration; the attempts of a 'request' line say whether the connection was kept. No decision uses it.

--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -11,6 +11,7 @@
 
 from ..controllers.loop import poll_until
 from ..decisions.freshness import Freshness, find_age_limit
+from ..decisions.paths import PathTable
 from ..decisions.peers import Peer
 from ..decisions.relays import RelaySelection
 from ..decisions.rendezvous import find_rank
@@ -100,7 +101,9 @@
         home = Home(settings.failure_domain, settings.region, settings.regions)
         self.shared_loads = SharedLoadTable()
         self.servers = ServerPool(home, self.shared_loads, self.random)
-        self.connection_pool = ConnectionPool(CONNECT_TIMEOUT_S, self.clock)
+        self.connection_pool = ConnectionPool(
+            CONNECT_TIMEOUT_S, PathTable(), self.clock
+        )
         self._create_mirror()
         self.mirror.subscribe_to_confirmations(self.freshness.confirm)
         self.cluster_state = ClusterState(
--- a/tanagerwalk/gateway/attempts.py
+++ b/tanagerwalk/gateway/attempts.py
@@ -124,6 +124,8 @@
         Latency measurements of the response.
     load : tuple of (int, int, int) or None
         Running requests, waiting requests and slots that the server reported.
+    kept : bool
+        Whether the connection had been opened for an earlier request.
     """
 
     outcome: Outcome
@@ -134,3 +136,4 @@
     body: bytes = b""
     latency_sample: LatencySample | None = None
     load: tuple[int, int, int] | None = None
+    kept: bool = False
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -132,10 +132,13 @@
         connection = None
         timer = _ResponseTimer(self._clock())
         try:
-            opened = await self._connect(attempt)
-            if opened.is_error():
-                return AttemptResult(Outcome.NOT_SENT, opened.error)
-            connection = opened.ok
+            connection = self._pool.acquire_idle(attempt.server)
+            kept = connection is not None
+            if not kept:
+                opened = await self._pool.open(attempt.server, attempt.time_left)
+                if opened.is_error():
+                    return AttemptResult(Outcome.NOT_SENT, opened.error)
+                connection = opened.ok
             connection.send(
                 self._codec.encode_attempt(request, attempt),
                 has_no_body=request.raw.method == b"HEAD",
@@ -143,7 +146,10 @@
             )
             result, head = await self._read_response(connection, plan, timer)
             result = dataclasses.replace(
-                result, latency_sample=timer.build_sample(request), load=timer.load
+                result,
+                latency_sample=timer.build_sample(request),
+                load=timer.load,
+                kept=kept,
             )
             if head is not None and result.outcome is not Outcome.DECLINED:
                 self._pool.release(attempt.server, connection, head)
@@ -154,12 +160,6 @@
             if connection is not None:
                 connection.abort()
 
-    async def _connect(self, attempt):
-        idle = self._pool.acquire_idle(attempt.server)
-        if idle is not None:
-            return Ok(idle)
-        return await self._pool.open(attempt.server, attempt.time_left)
-
     async def _read_response(self, connection, plan, timer):
         """Return the AttemptResult, and the raw head if the connection is reusable."""
         attempt = plan.attempt
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -360,6 +360,7 @@
         "model": attempt.model,
         "outcome": result.outcome.value,
         "detail": result.detail,
+        "kept": result.kept,
         "ms": round(seconds * 1000.0),
         "first_ms": round(result.latency_sample.head_latency * 1000.0)
         if result.latency_sample
--- a/tanagerwalk/gateway/pool.py
+++ b/tanagerwalk/gateway/pool.py
@@ -2,13 +2,17 @@
 
 from dataclasses import dataclass
 
-from expression import Error, Ok
+import structlog
+from expression import Error
 
 from .connections import open_connection
 
+log = structlog.get_logger(__name__)
+
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 IDLE_TIMEOUT_MARGIN_S = 1.0
 MAX_IDLE_PER_SERVER = 16
+MS_PER_S = 1000.0
 
 
 @dataclass(slots=True)
@@ -26,12 +30,15 @@
     ----------
     connect_timeout : float
         Connect timeout in seconds.
+    paths : PathTable
+        Records which servers this instance can connect to.
     clock : callable
         Returns monotonic time in seconds.
     """
 
-    def __init__(self, connect_timeout, clock):
+    def __init__(self, connect_timeout, paths, clock):
         self._connect_timeout = connect_timeout
+        self._paths = paths
         self._clock = clock
         self._idle = {}
         self.opened_count = 0
@@ -70,11 +77,32 @@
         if timeout <= 0.0:
             return Error("no time left")
         result = await open_connection(server.address, timeout)
-        if result.is_ok():
-            self.opened_count += 1
-            return Ok(result.ok)
+        if result.is_error():
+            self._record_failure(server, result.error)
+            return result
+        self.opened_count += 1
+        self._record_opened(server)
         return result
 
+    def _record_failure(self, server, cause):
+        if self._paths.record_failure(server.id, self._clock()):
+            log.info(
+                "server unreachable",
+                server=server.id,
+                service=server.service,
+                cause=cause,
+            )
+
+    def _record_opened(self, server):
+        lost_for = self._paths.record_opened(server.id, self._clock())
+        if lost_for is not None:
+            log.info(
+                "server reachable again",
+                server=server.id,
+                service=server.service,
+                after_ms=round(lost_for * MS_PER_S),
+            )
+
     def release(self, server, connection, head):
         """Return a connection to the pool, or abort it if it is not reusable.
 
@@ -97,7 +125,8 @@
             idle.pop(0).connection.abort()
 
     def close_idle_to(self, server):
-        """Close the idle connections to a server."""
+        """Close the idle connections to a server that is gone."""
+        self._paths.forget(server.id)
         for entry in self._idle.pop((server.id, server.address), []):
             entry.connection.abort()
 
--- a/tanagerwalk/ui/why.py
+++ b/tanagerwalk/ui/why.py
@@ -10,6 +10,8 @@
     {
         "manifest in force",
         "server gone",
+        "server unreachable",
+        "server reachable again",
         "store lost",
         "store regained",
         "store history lost",
