--- a/tanagerwalk/gateway/pool.py
+++ b/tanagerwalk/gateway/pool.py
@@ -34,12 +34,18 @@
         Records which servers this instance can connect to.
     clock : callable
         Returns monotonic time in seconds.
+
+    Attributes
+    ----------
+    connect : callable
+        Opens a TCP connection, like `open_connection`.
     """
 
     def __init__(self, connect_timeout, paths, clock):
         self._connect_timeout = connect_timeout
         self._paths = paths
         self._clock = clock
+        self.connect = open_connection
         self._idle = {}
         self.opened_count = 0
 
@@ -76,7 +82,7 @@
         timeout = min(self._connect_timeout, limit)
         if timeout <= 0.0:
             return Error("no time left")
-        result = await open_connection(server.address, timeout)
+        result = await self.connect(server.address, timeout)
         if result.is_error():
             self._record_failure(server, result.error)
             return result
