Bound the pause of a server that fails again and again

What callers saw: no answer; the connection closed. Cause: the pause doubles with each failure in a row and is computed without a bound on the exponent, so that it overflows a float at the 1,025th failure.

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -9,6 +9,8 @@
 
 FAILURE_PAUSE_S = 0.5
 MAX_FAILURE_PAUSE_S = 4.0
+# Reaches MAX_FAILURE_PAUSE_S; an unbounded exponent would overflow.
+MAX_PAUSE_DOUBLINGS = 8
 REMOTE_DOMAIN_COST = 0.02
 REMOTE_REGION_COST = 0.15
 INITIAL_MEAN_WORK_TOKENS = 800.0
@@ -347,8 +349,7 @@
         if usage is None:
             return
         usage.failures += 1
-        pause = min(MAX_FAILURE_PAUSE_S, FAILURE_PAUSE_S * 2 ** (usage.failures - 1))
-        usage.paused_until = now + pause
+        usage.paused_until = now + compute_failure_pause(usage.failures)
 
     def mark_address_reused(self, server):
         """Record that another server answers at the address of this one."""
@@ -357,6 +358,18 @@
             usage.address_reused = True
 
 
+def compute_failure_pause(failures):
+    """Return the seconds for which a server is paused after failures in a row.
+
+    Parameters
+    ----------
+    failures : int
+        Number of failures without an answer in between, at least 1.
+    """
+    doublings = min(failures - 1, MAX_PAUSE_DOUBLINGS)
+    return min(MAX_FAILURE_PAUSE_S, FAILURE_PAUSE_S * 2**doublings)
+
+
 def _find_preferred(usages, affinity):
     """Return the server that all instances prefer for a shared part, or None."""
     if not affinity.key:
--- a/test/decisions/test_selection.py
+++ b/test/decisions/test_selection.py
@@ -6,7 +6,7 @@
 
 from tanagerwalk.decisions.prompt_affinity import compute_affinity
 from tanagerwalk.decisions.relays import Role, Scope
-from tanagerwalk.decisions.selection import Home, ServerPool
+from tanagerwalk.decisions.selection import MAX_FAILURE_PAUSE_S, Home, ServerPool
 from tanagerwalk.decisions.server_usage import estimate_work
 from tanagerwalk.decisions.shared_loads import (
     NO_LOAD,
@@ -273,3 +273,12 @@
     assert set(send_many(pool, 20)) == {"s1"}
     pool.set_possibly_leaving({"s0", "s1"})
     assert "s0" in send_many(pool, 20)
+
+
+# Guards against a request that ended with an exception after about a thousand refused
+# connections in a row, as the pause of the server overflowed.
+def test_pause_of_a_server_stays_bounded_after_any_number_of_failures():
+    pool = build_pool(build_server("s0"))
+    for _ in range(3000):
+        pool.record_failure(pool.find("s0").server, 1.0)
+    assert pool.find("s0").paused_until == 1.0 + MAX_FAILURE_PAUSE_S
