Reach servers through other instances when the own path is lost

Cause: an instance had no way to a server but its own. Each attempt waited 400 ms for a connection that could not open, then tried the next server, until the deadline; what others told of a server (alive, little loaded) was taken as saying something about the own path. The class: knowledge about a server used as knowledge about the path to it. Change: PathTable tracks how this instance reaches each server. A connection attempt is joined after 120 ms, or when it fails, by attempts through other instances, of several failure domains in turn; the first that opens is used. Nothing is sent before, so this is safe for every request. Once the direct path is lost, tunnels come first and the direct path is probed in the background. A tunnel carries authenticated frames, leads to registered servers only, and says explicitly that a server ended its stream. An instance that stops takes no new tunnels and finishes the open ones. Kept connections older than the loss of a path are not used, and no answer is waited for on a lost direct path. If no instance reaches any server of a service, a request waits a sixteenth of its time and is refused with a Retry-After that is spread; before, refused connections were repeated without a pause until the deadline.

--- a/tanagerwalk/decisions/attempts.py
+++ b/tanagerwalk/decisions/attempts.py
@@ -6,6 +6,13 @@
 from ..gateway.attempts import Outcome
 
 MIN_TIME_FOR_ATTEMPT_S = 0.02
+# Share of a client's time for which a request that was not sent yet waits for a path to
+# any server; the client's next attempt reaches another instance.
+MAX_PATH_WAIT_SHARE = 1.0 / 16.0
+# The same for a request that was sent before and can't be refused as not run.
+MAX_RESUME_WAIT_S = 2.0
+MEAN_RETRY_AFTER_S = 0.5
+MAX_RETRY_AFTER_SHARE = 1.0 / 3.0
 NOT_RUN_OUTCOMES = frozenset({Outcome.NOT_SENT, Outcome.REJECTED, Outcome.MISDIRECTED})
 # Fraction of the retry budget that may be used after each outcome.
 BUDGET_SHARES = {
@@ -91,3 +98,32 @@
     if history.may_have_run:
         return NextAction.REFUSE_UNKNOWN
     return NextAction.REFUSE_NOT_RUN
+
+
+def find_path_wait(history, client_timeout):
+    """Return how long to wait for a path if all servers are unreachable, in seconds.
+
+    Parameters
+    ----------
+    history : AttemptHistory
+        Attempts so far.
+    client_timeout : float
+        Seconds that the client waits for its answer.
+    """
+    if history.may_have_run:
+        return MAX_RESUME_WAIT_S
+    return MAX_PATH_WAIT_SHARE * client_timeout
+
+
+def find_retry_after(time_left, random):
+    """Return when a refused client should come back, in seconds.
+
+    Parameters
+    ----------
+    time_left : float
+        Seconds until the client's deadline.
+    random : random.Random
+        Spreads the clients that are refused at the same time.
+    """
+    spread = MEAN_RETRY_AFTER_S * (0.5 + random.random())
+    return min(spread, max(0.0, MAX_RETRY_AFTER_SHARE * time_left))
--- a/tanagerwalk/decisions/paths.py
+++ b/tanagerwalk/decisions/paths.py
@@ -1,56 +1,91 @@
-"""Network paths from this instance to the backend servers."""
+"""Network paths from this instance to the backend servers.
+
+An instance may lose its own path to servers that other instances still reach. It then
+connects through one of them. What others report about a server proves that the server
+is alive, but nothing about the path of this instance, so only own connection attempts
+count here.
+"""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from ..ids import BackendServerId
 
+# A connection attempt that takes longer is joined by one through another instance.
+TUNNEL_DELAY_S = 0.12
+# The same, soon after another server could only be reached through an instance.
+SUSPICIOUS_TUNNEL_DELAY_S = 0.03
+SUSPICION_S = 3.0
+
+
+class PathState(Enum):
+    """How this instance reaches a server.
+
+    DIRECT: by itself, also if nothing is known. INDIRECT: only through another
+    instance. UNREACHABLE: neither way worked.
+    """
+
+    DIRECT = "direct"
+    INDIRECT = "indirect"
+    UNREACHABLE = "unreachable"
+
 
 @dataclass(slots=True)
-class _Path:
+class _LostPath:
+    state: PathState
     lost_at: float
 
 
 class PathTable:
-    """Tracks which backend servers this instance can't connect to.
-
-    An instance may lose its own path to a server that others still reach, so nothing
-    that another instance reports counts here.
-    """
+    """Tracks how this instance reaches each backend server."""
 
     def __init__(self):
-        self._lost: dict[BackendServerId, _Path] = {}
+        self._lost: dict[BackendServerId, _LostPath] = {}
+        self._indirect_at = float("-inf")
 
-    def is_lost(self, server_id):
-        """Return whether the last connection attempt to a server failed."""
-        return server_id in self._lost
+    def get_state(self, server_id):
+        """Return the PathState of a server."""
+        path = self._lost.get(server_id)
+        return PathState.DIRECT if path is None else path.state
 
-    def record_failure(self, server_id, now):
-        """Record that a connection could not be opened.
+    def is_unreachable(self, server_id):
+        """Return whether no path to a server worked when last tried."""
+        return self.get_state(server_id) is PathState.UNREACHABLE
+
+    def record_lost(self, server_id, state, now):
+        """Record that the direct path failed.
 
         Parameters
         ----------
         server_id : BackendServerId
             The server.
+        state : PathState
+            INDIRECT or UNREACHABLE.
         now : float
             Monotonic time in seconds.
 
         Returns
         -------
         bool
-            Whether the path was not known to be lost.
+            Whether the state has changed.
         """
-        if server_id in self._lost:
-            return False
-        self._lost[server_id] = _Path(now)
-        return True
+        if state is PathState.INDIRECT:
+            self._indirect_at = now
+        path = self._lost.get(server_id)
+        if path is None:
+            self._lost[server_id] = _LostPath(state, now)
+            return True
+        changed = path.state is not state
+        path.state = state
+        return changed
 
-    def record_opened(self, server_id, now):
-        """Record that a connection was opened.
+    def record_direct(self, server_id, now):
+        """Record that a direct connection was opened.
 
         Returns
         -------
         float or None
-            Seconds for which the path was lost; None if it was not.
+            Seconds for which the direct path was lost; None if it was not.
         """
         path = self._lost.pop(server_id, None)
         return None if path is None else now - path.lost_at
@@ -58,3 +93,24 @@
     def forget(self, server_id):
         """Drop what is known about a server that is gone."""
         self._lost.pop(server_id, None)
+
+    def is_doubtful(self, last_used_at):
+        """Return whether a kept direct connection may be as dead as new ones.
+
+        Parameters
+        ----------
+        last_used_at : float
+            Monotonic time of the last answer on the connection, in seconds.
+        """
+        return last_used_at < self._indirect_at
+
+    def find_tunnel_delay(self, now):
+        """Return the seconds after which a tunnel is tried beside a direct connection.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        is_suspicious = now - self._indirect_at <= SUSPICION_S
+        return SUSPICIOUS_TUNNEL_DELAY_S if is_suspicious else TUNNEL_DELAY_S
--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -4,6 +4,7 @@
 
 from ..ids import BackendServerId, FailureDomain, Region
 from ..registry import ServerState
+from .paths import PathState
 from .server_usage import ServerUsage
 from .shared_loads import SharedLoad
 
@@ -52,13 +53,16 @@
         Location of this instance.
     shared : SharedLoadTable
         Loads reported by the other instances.
+    paths : PathTable
+        Tells which servers can't be reached at present.
     random : random.Random
         Breaks ties and samples the candidates in a large fleet.
     """
 
-    def __init__(self, home, shared, random):
+    def __init__(self, home, shared, paths, random):
         self._home = home
         self._shared = shared
+        self._paths = paths
         self._random = random
         self._usages: dict[BackendServerId, ServerUsage] = {}
         self._mean_work = INITIAL_MEAN_WORK_TOKENS
@@ -148,6 +152,7 @@
             for usage in self.list_usages(service)
             if usage.server.state is ServerState.READY
             and usage.paused_until <= now
+            and not self._paths.is_unreachable(usage.server.id)
             and (is_allowed is None or is_allowed(usage.server))
         ]
         return min(loads, default=0.0)
@@ -175,8 +180,8 @@
         ready = [
             usage
             for usage in self.list_usages(service)
-            if usage.server.state is ServerState.READY
-            and not usage.address_reused
+            if usage.accepts_requests
+            and not self._paths.is_unreachable(usage.server.id)
             and usage.server.id not in tried
             and (is_allowed is None or is_allowed(usage.server))
         ]
@@ -325,11 +330,12 @@
             self._shared.find_last_activity(server.id) >= reported_since
         )
 
-    def is_worth_waiting_for(self, server, since, now):
+    def is_worth_waiting_for(self, server, since, now, is_direct=True):
         """Return whether an answer that is overdue may still come.
 
         A server that sends to others while it has a queue answers later. One without
-        a queue has dropped the request.
+        a queue has dropped the request. Over a direct path that is lost, nothing comes
+        whatever the server does.
 
         Parameters
         ----------
@@ -337,7 +343,12 @@
             The server.
         since, now : float
             Monotonic times in seconds: from when to look for data, and the present.
+        is_direct : bool
+            Whether the request was sent over a direct connection.
         """
+        is_lost = self._paths.get_state(server.id) is not PathState.DIRECT
+        if is_direct and is_lost:
+            return False
         usage = self._usages.get(server.id)
         if usage is None or not self.has_sent_since(server, since):
             return False
@@ -351,6 +362,13 @@
         usage.failures += 1
         usage.paused_until = now + compute_failure_pause(usage.failures)
 
+    def end_pause(self, server):
+        """Use a server again whose failures were those of the path to it."""
+        usage = self._usages.get(server.id)
+        if usage is not None:
+            usage.failures = 0
+            usage.paused_until = float("-inf")
+
     def mark_address_reused(self, server):
         """Record that another server answers at the address of this one."""
         usage = self._usages.get(server.id)
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from ..registry import RegisteredServer
+from ..registry import RegisteredServer, ServerState
 
 REPORT_LIFETIME_S = 1.5
 # A queue that takes longer to build up is seen in a newer report.
@@ -95,6 +95,11 @@
     address_reused: bool = False
     runs_models: bool = False
 
+    @property
+    def accepts_requests(self):
+        """Whether the server is registered as ready, and still at its address."""
+        return self.server.state is ServerState.READY and not self.address_reused
+
     def estimate_load(self, now, shared, mean_work):
         """Return the load of the server; 1 means fully used.
 
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -17,14 +17,17 @@
 from ..decisions.rendezvous import find_rank
 from ..decisions.selection import Home, ServerPool
 from ..decisions.shared_loads import SharedLoadTable
+from ..decisions.tunnel_peers import TunnelPeers
 from ..decisions.watchers import WatcherSelection
 from ..filters.chain import link_filters
 from ..manifest import ClientLimits
 from ..outcomes import Refusal, RefusalReason
+from ..peers.rpc import MessageKind, PeerServer
 from ..supervisor import Supervisor
 from .change_feed import ChangeServer, SharedFeed, StoreFeed
 from .clocks import read_boot_clock
 from .cluster_state import ClusterState
+from .connector import ServerConnector
 from .exchange import AttemptRunner
 from .execution import ExecutionContext
 from .fleet_key import FleetKey
@@ -39,10 +42,10 @@
 from .release_rollouts import STORE_PREFIX, ReleaseRolloutController
 from .routing import RouteFilter
 from .sharing import LoadSharing
+from .tunnels import TunnelClient, TunnelServer
 
 log = structlog.get_logger(__name__)
 
-CONNECT_TIMEOUT_S = 0.4
 # The mirror watches the empty key prefix, which matches every key in the store.
 ALL_KEYS = ""
 FLEET_KEY_NAME = STORE_PREFIX + "fleet-key"
@@ -100,17 +103,16 @@
         self.freshness = Freshness(limit, read_boot_clock)
         home = Home(settings.failure_domain, settings.region, settings.regions)
         self.shared_loads = SharedLoadTable()
-        self.servers = ServerPool(home, self.shared_loads, self.random)
-        self.connection_pool = ConnectionPool(
-            CONNECT_TIMEOUT_S, PathTable(), self.clock
-        )
+        self.paths = PathTable()
+        self.servers = ServerPool(home, self.shared_loads, self.paths, self.random)
+        self._create_connections()
         self._create_mirror()
         self.mirror.subscribe_to_confirmations(self.freshness.confirm)
         self.cluster_state = ClusterState(
             self.mirror,
             self.codec,
             self.servers,
-            self.connection_pool.close_idle_to,
+            self._forget_server,
         )
 
         self.rollouts = ReleaseRolloutController(
@@ -142,12 +144,30 @@
             self.random,
         )
 
+    def _create_connections(self):
+        self.tunnel_server = TunnelServer(self.servers, self.paths)
+        self.tunnel_client = TunnelClient(
+            TunnelPeers(self.settings.failure_domain, self.random),
+            lambda: self.membership.peers,
+            self._get_peer_address,
+            self.clock,
+        )
+        connector = ServerConnector(
+            self.paths, self.tunnel_client, self.clock, self.random
+        )
+        connector.on_reachable = self.servers.end_pause
+        self.connection_pool = ConnectionPool(connector, self.paths, self.clock)
+
+    def _forget_server(self, server):
+        self.paths.forget(server.id)
+        self.connection_pool.close_idle_to(server)
+
     def _create_mirror(self):
         self.watchers = WatcherSelection(self.incarnation, self.settings.failure_domain)
         self.feed = SharedFeed(
             StoreFeed(self.store, ALL_KEYS),
             self.watchers,
-            self._get_changes_address,
+            self._get_peer_address,
             self.incarnation,
             lambda: self.settings.bounds.drain_timeout,
             self.count_instances,
@@ -157,7 +177,11 @@
         self.mirror = Mirror(
             self.store, ALL_KEYS, self.feed, self.random, self.codec.server_prefix
         )
-        self.change_server = ChangeServer(self.mirror)
+        self.peer_server = PeerServer(None)
+        ChangeServer(self.mirror).register(self.peer_server)
+        self.peer_server.register_stream_handler(
+            MessageKind.OPEN_TUNNEL, self.tunnel_server.open
+        )
 
     def _create_membership(self):
         own_domain = self.settings.failure_domain
@@ -166,7 +190,7 @@
             self.mirror,
             PEER_PREFIX,
             self.incarnation,
-            lambda: Peer(self.sharing.address, own_domain, self.change_server.port),
+            lambda: Peer(self.sharing.address, own_domain, self.peer_server.port),
             self.random,
         )
         self.relays = RelaySelection(self.incarnation, own_domain)
@@ -190,11 +214,12 @@
     async def _authenticate(self):
         """Exchange data with other instances once the key is known."""
         secret = await self.fleet_key.find()
-        self.change_server.authenticate(secret)
+        self.peer_server.secret = secret
         self.feed.authenticate(secret)
+        self.tunnel_client.authenticate(secret, self.incarnation)
         self.sharing.authenticate(secret)
 
-    def _get_changes_address(self, peer_id):
+    def _get_peer_address(self, peer_id):
         peer = self.membership.peers.get(peer_id)
         if peer is None or not peer.changes_port:
             return None
@@ -211,6 +236,7 @@
             self.quarantine,
             self.metrics,
             self.clock,
+            self.random,
         )
         self.forward_filter = ForwardFilter(
             context, self.settings.bounds, self.count_instances, self.random
@@ -326,7 +352,7 @@
         await self.readiness_listener.start(listeners.readiness)
         await self.metrics_listener.start(listeners.metrics)
         await self.sharing.start(listeners.peers)
-        await self.change_server.start(listeners.peers)
+        await self.peer_server.start(*listeners.peers)
         await self.client_listener.start(listeners.clients)
         self.supervisor.run(self.mirror.run())
         self.supervisor.run(self.rollouts.run())
@@ -345,6 +371,7 @@
         self.stopping = True
         self.client_listener.closing = True
         self.supervisor.begin_shutdown()
+        self.tunnel_server.stop_accepting()
         grace = self.settings.bounds.shutdown_grace - STOP_MARGIN_S
         await asyncio.sleep(min(ACCEPT_AFTER_STOP_S, grace))
         self.rejecting_requests = True
@@ -357,7 +384,8 @@
 
     def _is_drained(self):
         self.client_listener.close_idle()
-        return self.client_listener.in_flight == 0
+        in_flight = self.client_listener.in_flight + self.tunnel_server.tunnel_count
+        return in_flight == 0
 
     async def close(self):
         """Stop the controllers and abort every connection immediately."""
@@ -367,7 +395,7 @@
         self.readiness_listener.stop()
         self.metrics_listener.stop()
         self.sharing.stop()
-        await self.change_server.stop()
+        await self.peer_server.stop()
         await self.feed.close()
         self.connection_pool.close()
         self.store.close()
--- a/tanagerwalk/gateway/attempts.py
+++ b/tanagerwalk/gateway/attempts.py
@@ -126,6 +126,8 @@
         Running requests, waiting requests and slots that the server reported.
     kept : bool
         Whether the connection had been opened for an earlier request.
+    via : str or None
+        Incarnation of the instance through which the server was reached, if any.
     """
 
     outcome: Outcome
@@ -137,3 +139,4 @@
     latency_sample: LatencySample | None = None
     load: tuple[int, int, int] | None = None
     kept: bool = False
+    via: str | None = None
--- a/tanagerwalk/gateway/change_feed.py
+++ b/tanagerwalk/gateway/change_feed.py
@@ -18,7 +18,7 @@
     DeletedEntry,
     WrittenEntry,
 )
-from ..peers.rpc import MessageKind, PeerClient, PeerServer, RequestFault
+from ..peers.rpc import MessageKind, PeerClient, RequestFault
 from ..writes import Entry
 from .clocks import read_boot_clock
 
@@ -246,27 +246,10 @@
 
     def __init__(self, mirror):
         self._mirror = mirror
-        self._server = PeerServer(None)
-        self._server.register_handler(MessageKind.FETCH_CHANGES, self._serve)
 
-    def authenticate(self, secret):
-        """Start to answer other instances, with the key of the fleet."""
-        self._server.secret = secret
-
-    @property
-    def port(self):
-        """The listening port."""
-        return self._server.port
-
-    async def start(self, address):
-        """Listen at an (IP, port) tuple; every connection is closed without the key.
-
-        Raises
-        ------
-        OSError
-            If the address cannot be bound.
-        """
-        await self._server.start(*address)
+    def register(self, peer_server):
+        """Answer the questions for changes that reach a PeerServer."""
+        peer_server.register_handler(MessageKind.FETCH_CHANGES, self._serve)
 
     async def _serve(self, payload, sender):
         request = decode(ChangesRequest, payload)
@@ -276,10 +259,6 @@
         changes = self._mirror.change_log.list_since(request.ok.revision)
         return encode(encode_changes(changes, self._mirror, read_boot_clock()))
 
-    async def stop(self):
-        """Close the listener and its connections."""
-        await self._server.stop()
-
 
 def encode_changes(changes, mirror, now):
     """Convert Changes to a ChangesResponse message, with the age of the copy.
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -56,6 +56,12 @@
 class Connection(asyncio.Protocol):
     """A client connection that carries one request at a time, without pipelining.
 
+    Parameters
+    ----------
+    via : str or None
+        Incarnation of the instance through which the server is reached; None for a
+        direct connection.
+
     Attributes
     ----------
     closed : bool
@@ -64,7 +70,8 @@
         Whether any data was received since the last request was sent.
     """
 
-    def __init__(self):
+    def __init__(self, via=None):
+        self.via = via
         self.closed = False
         self.received = False
         self._transport = None
@@ -110,23 +117,12 @@
         if (
             self._body_ends_at_close
             and self._pending_responses
-            and not self._has_pending_reset()
+            and not has_pending_reset(self._transport)
         ):
             self._end_body()
         self._fail(ConnectionFailure.CLOSED)
         return False
 
-    def _has_pending_reset(self):
-        """Return whether a connection reset follows the data already received.
-
-        The event loop may report such a reset as an orderly end of the stream; only
-        the socket error tells them apart.
-        """
-        sock = self._transport.get_extra_info("socket")
-        if sock is None:
-            return False
-        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
-
     def connection_lost(self, exc):
         """Fail the pending response."""
         del exc
@@ -286,11 +282,34 @@
         )
         return not self.closed and is_idle and self._keep_alive
 
+    def retire(self):
+        """Serve no further request; close now if there is none."""
+        self._keep_alive = False
+        if self._pending_responses == 0:
+            self.abort()
+
     def abort(self):
         """Abort the connection immediately."""
         self._fail(ConnectionFailure.CLOSED)
 
 
+def has_pending_reset(transport):
+    """Return whether a connection reset follows the data already received.
+
+    The event loop may report such a reset as an orderly end of the stream; only the
+    socket error tells them apart.
+
+    Parameters
+    ----------
+    transport : asyncio.Transport
+        Transport whose stream has ended.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
+
 def set_socket_options(sock):
     """Disable Nagle's algorithm and set short timeouts that detect a dead peer."""
     if sock is None:
@@ -309,7 +328,7 @@
             sock.setsockopt(level, name, value)
 
 
-async def open_connection(address, timeout):
+async def open_connection(address, timeout, create_protocol=Connection):
     """Open a TCP connection.
 
     Parameters
@@ -318,16 +337,18 @@
         IP address and port.
     timeout : float
         Connect timeout in seconds.
+    create_protocol : callable
+        Returns the protocol of the connection.
 
     Returns
     -------
-    Result of Connection, or of str
+    Result of asyncio.Protocol, or of str
         The error is the name of the exception.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout):
-            _, connection = await loop.create_connection(Connection, *address)
+            _, protocol = await loop.create_connection(create_protocol, *address)
     except (OSError, TimeoutError) as error:
         return Error(type(error).__name__)
-    return Ok(connection)
+    return Ok(protocol)
--- /dev/null
+++ b/tanagerwalk/gateway/connector.py
@@ -0,0 +1,243 @@
+"""Opens connections to backend servers, by the path that works."""
+
+import asyncio
+import itertools
+
+import structlog
+from expression import Error
+
+from ..decisions.paths import PathState
+from .connections import open_connection
+
+log = structlog.get_logger(__name__)
+
+CONNECT_TIMEOUT_S = 0.4
+# Between the instances that are asked for one connection.
+NEXT_PEER_DELAY_S = 0.08
+MIN_PROBE_PAUSE_S = 0.25
+MAX_PROBE_PAUSE_S = 2.0
+MS_PER_S = 1000.0
+
+
+class ServerConnector:
+    """Connects to a server directly, or through another instance.
+
+    A connection attempt has sent nothing yet, so that several may run at once for one
+    request. While the direct path to a server is out, it is probed in the background.
+
+    Parameters
+    ----------
+    paths : PathTable
+        Records which paths work.
+    tunnels : TunnelClient
+        Opens connections through other instances.
+    clock : callable
+        Returns monotonic time in seconds.
+    random : random.Random
+        Spreads the probes of the fleet over time.
+
+    Attributes
+    ----------
+    dial : callable
+        Opens a TCP connection, like `open_connection`.
+    on_probed : callable
+        Takes a RegisteredServer and an unused Connection to it, which a probe opened.
+    on_reachable : callable
+        Takes a RegisteredServer whose direct path works again.
+    """
+
+    def __init__(self, paths, tunnels, clock, random):
+        self._paths = paths
+        self._tunnels = tunnels
+        self._clock = clock
+        self._random = random
+        self._probes = {}
+        self.dial = open_connection
+        self.on_probed = _abort_unused
+        self.on_reachable = _ignore
+
+    async def connect(self, server, limit):
+        """Open a connection to a server.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        limit : float
+            Longest time in seconds.
+
+        Returns
+        -------
+        Result of Connection, or of str
+        """
+        timeout = min(CONNECT_TIMEOUT_S, limit)
+        if timeout <= 0.0:
+            return Error("no time left")
+        state = self._paths.get_state(server.id)
+        if state is PathState.UNREACHABLE:
+            return Error("unreachable")
+        direct = self._dial(server, timeout)
+        tunnels = [
+            self._tunnels.open(peer_id, server)
+            for peer_id in self._tunnels.rank_peers(server)
+        ]
+        if state is PathState.INDIRECT:
+            return await self._connect_indirectly(server, [*tunnels, direct], timeout)
+        return await self._connect_directly(server, direct, tunnels, timeout)
+
+    async def _connect_directly(self, server, direct, tunnels, timeout):
+        tunnel_delay = self._paths.find_tunnel_delay(self._clock())
+        delays = itertools.chain([tunnel_delay], itertools.repeat(NEXT_PEER_DELAY_S))
+        result = await open_first([direct, *tunnels], delays, timeout)
+        if result.is_error() or result.ok.via is not None:
+            self._record_lost(server, result)
+        return result
+
+    async def _connect_indirectly(self, server, openers, timeout):
+        delays = itertools.repeat(NEXT_PEER_DELAY_S)
+        result = await open_first(openers, delays, timeout)
+        if result.is_error():
+            self._record_lost(server, result)
+        elif result.ok.via is None:
+            self._record_direct(server)
+        return result
+
+    async def _dial(self, server, timeout):
+        return await self.dial(server.address, timeout)
+
+    def _record_lost(self, server, result):
+        is_reached = result.is_ok()
+        state = PathState.INDIRECT if is_reached else PathState.UNREACHABLE
+        if self._paths.record_lost(server.id, state, self._clock()):
+            log.info(
+                "server unreachable",
+                server=server.id,
+                service=server.service,
+                path=state.value,
+                via=result.ok.via if is_reached else None,
+                cause=None if is_reached else result.error,
+            )
+        if server.id not in self._probes:
+            task = asyncio.get_running_loop().create_task(self._probe(server))
+            self._probes[server.id] = task
+
+    def _record_direct(self, server):
+        lost_for = self._paths.record_direct(server.id, self._clock())
+        if lost_for is not None:
+            log.info(
+                "server reachable again",
+                server=server.id,
+                service=server.service,
+                after_ms=round(lost_for * MS_PER_S),
+            )
+            self.on_reachable(server)
+
+    async def _probe(self, server):
+        """Try the lost paths to a server until the direct one works."""
+        pause = MIN_PROBE_PAUSE_S
+        try:
+            while True:
+                await asyncio.sleep(pause * (0.5 + self._random.random()))
+                state = self._paths.get_state(server.id)
+                if state is PathState.DIRECT:
+                    return
+                await self._probe_paths(server, state)
+                pause = min(2.0 * pause, MAX_PROBE_PAUSE_S)
+        finally:
+            del self._probes[server.id]
+
+    async def _probe_paths(self, server, state):
+        result = await self.dial(server.address, CONNECT_TIMEOUT_S)
+        if result.is_ok():
+            self._record_direct(server)
+            self.on_probed(server, result.ok)
+            return
+        if state is PathState.INDIRECT:
+            return
+        openers = [
+            self._tunnels.open(peer_id, server)
+            for peer_id in self._tunnels.rank_peers(server)
+        ]
+        delays = itertools.repeat(NEXT_PEER_DELAY_S)
+        result = await open_first(openers, delays, CONNECT_TIMEOUT_S)
+        # The server may have gone, or a direct connection opened, in the meantime.
+        is_lost = self._paths.get_state(server.id) is not PathState.DIRECT
+        if result.is_ok():
+            if is_lost:
+                self._record_lost(server, result)
+            self.on_probed(server, result.ok)
+
+    def close(self):
+        """Stop the probes."""
+        for task in self._probes.values():
+            task.cancel()
+
+
+def _abort_unused(server, connection):
+    del server
+    connection.abort()
+
+
+def _ignore(server):
+    del server
+
+
+async def open_first(openers, delays, timeout):
+    """Run coroutines that open a connection, and return the first that succeeds.
+
+    The next one starts when one has failed, or after a delay beside those that run.
+
+    Parameters
+    ----------
+    openers : list of coroutine
+        Each returns a Result of Connection, or of str.
+    delays : iterable of float
+        Seconds after which the second one and those that follow start.
+    timeout : float
+        Seconds after which all are cancelled.
+
+    Returns
+    -------
+    Result of Connection, or of str
+        The error is the last one.
+    """
+    waiting = list(openers)
+    delays = iter(delays)
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + timeout
+    running = set()
+    result = Error("no path")
+    try:
+        while waiting or running:
+            if waiting:
+                running.add(loop.create_task(waiting.pop(0)))
+            remaining = ends_at - loop.time()
+            delay = min(remaining, next(delays)) if waiting else remaining
+            done, running = await asyncio.wait(
+                running, timeout=max(0.0, delay), return_when=asyncio.FIRST_COMPLETED
+            )
+            opened = [task.result() for task in done]
+            succeeded = [each for each in opened if each.is_ok()]
+            for extra in succeeded[1:]:
+                extra.ok.abort()
+            if succeeded:
+                result = succeeded[0]
+                break
+            result = opened[0] if opened else result
+            if loop.time() >= ends_at:
+                result = Error("TimeoutError")
+                break
+    finally:
+        await _cancel(running)
+        for opener in waiting:
+            opener.close()
+    return result
+
+
+async def _cancel(tasks):
+    """Cancel tasks that open a connection, and close those that open one anyway."""
+    for task in tasks:
+        task.cancel()
+    for result in await asyncio.gather(*tasks, return_exceptions=True):
+        if not isinstance(result, BaseException) and result.is_ok():
+            result.ok.abort()
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -139,6 +139,7 @@
                 if opened.is_error():
                     return AttemptResult(Outcome.NOT_SENT, opened.error)
                 connection = opened.ok
+            via = connection.via
             connection.send(
                 self._codec.encode_attempt(request, attempt),
                 has_no_body=request.raw.method == b"HEAD",
@@ -150,6 +151,7 @@
                 latency_sample=timer.build_sample(request),
                 load=timer.load,
                 kept=kept,
+                via=via,
             )
             if head is not None and result.outcome is not Outcome.DECLINED:
                 self._pool.release(attempt.server, connection, head)
@@ -205,7 +207,10 @@
             if not timed_out or limit >= remaining:
                 return result
             if not self._servers.is_worth_waiting_for(
-                attempt.server, wait_started_at, self._clock()
+                attempt.server,
+                wait_started_at,
+                self._clock(),
+                is_direct=connection.via is None,
             ):
                 return result
 
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -1,7 +1,9 @@
 """Runs the attempts of one request until one delivers a response."""
 
+import asyncio
 from dataclasses import dataclass
 from functools import partial
+from random import Random
 
 import structlog
 from expression import Error, Ok
@@ -11,6 +13,8 @@
     AttemptHistory,
     NextAction,
     decide_next_action,
+    find_path_wait,
+    find_retry_after,
 )
 from ..decisions.model_selection import is_confident_enough, plan_models
 from ..decisions.prompt_affinity import compute_affinity
@@ -26,7 +30,7 @@
 
 log = structlog.get_logger(__name__)
 
-NO_SERVER_RETRY_S = 0.5
+PATH_POLL_INTERVAL_S = 0.05
 UNRESPONSIVE_TIMEOUT_SHARE = 0.3
 MIN_UNRESPONSIVE_TIMEOUT_S = 0.5
 MAX_UNRESPONSIVE_TIMEOUT_S = 2.0
@@ -56,6 +60,8 @@
         Metrics of the instance.
     clock : callable
         Returns monotonic time in seconds.
+    random : random.Random
+        Spreads the times at which refused clients come back.
     """
 
     attempt_runner: AttemptRunner
@@ -64,6 +70,7 @@
     quarantine: QuarantineFilter
     metrics: GatewayMetrics
     clock: object
+    random: Random
 
 
 class RequestExecution:
@@ -100,6 +107,7 @@
         self._tried = set()
         self._attempt_log = []
         self._current_server_id = None
+        self._unreachable_since = None
 
     @property
     def _time_left(self):
@@ -116,6 +124,8 @@
             if self._would_miss_deadline():
                 return self._log_result(self._give_up(RefusalReason.QUEUE_FULL))
             server = self._choose_server()
+            if server is None and await self._wait_for_path():
+                continue
             if server is None:
                 return self._log_result(self._give_up(RefusalReason.NO_BACKEND_SERVER))
             result = await self._attempt(server)
@@ -155,6 +165,27 @@
             service, now, frozenset(), lambda server: server.release != rolled_back
         )
 
+    async def _wait_for_path(self):
+        """Wait a moment if servers exist but can't be reached.
+
+        Returns
+        -------
+        bool
+            Whether to look for a server again.
+        """
+        servers = self._context.servers
+        if not servers.has_server(self._service, self._allows_server):
+            return False
+        now = self._clock()
+        if self._unreachable_since is None:
+            self._unreachable_since = now
+        waited = now - self._unreachable_since
+        limit = find_path_wait(self._history, self._request.client_timeout)
+        if waited >= limit or self._time_left <= PATH_POLL_INTERVAL_S:
+            return False
+        await asyncio.sleep(PATH_POLL_INTERVAL_S)
+        return True
+
     async def _attempt(self, server):
         now = self._clock()
         if self._history.sent == 0:
@@ -294,7 +325,8 @@
             return Ok(None)
         ran = self._history.may_have_run
         state = RunState.UNKNOWN if ran else RunState.NOT_RUN
-        return Error(_refuse(reason, state))
+        retry_after = find_retry_after(self._time_left, self._context.random)
+        return Error(_refuse(reason, state, retry_after))
 
     def _deliver(self, result):
         headers = result.head.headers
@@ -344,12 +376,10 @@
         )
 
 
-def _refuse(reason, state):
+def _refuse(reason, state, retry_after=None):
     if state is not RunState.NOT_RUN:
         return Refusal(reason, f"no complete answer: {reason.value}", state)
-    return Refusal(
-        reason, f"not run: {reason.value}", state, retry_after=NO_SERVER_RETRY_S
-    )
+    return Refusal(reason, f"not run: {reason.value}", state, retry_after=retry_after)
 
 
 def _describe_attempt(attempt, result, seconds, wait):
@@ -361,6 +391,7 @@
         "outcome": result.outcome.value,
         "detail": result.detail,
         "kept": result.kept,
+        "via": result.via,
         "ms": round(seconds * 1000.0),
         "first_ms": round(result.latency_sample.head_latency * 1000.0)
         if result.latency_sample
--- a/tanagerwalk/gateway/pool.py
+++ b/tanagerwalk/gateway/pool.py
@@ -2,22 +2,18 @@
 
 from dataclasses import dataclass
 
-import structlog
-from expression import Error
-
-from .connections import open_connection
-
-log = structlog.get_logger(__name__)
+from ..decisions.paths import PathState
+from .connections import Connection
 
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 IDLE_TIMEOUT_MARGIN_S = 1.0
 MAX_IDLE_PER_SERVER = 16
-MS_PER_S = 1000.0
 
 
 @dataclass(slots=True)
 class _IdleConnection:
-    connection: object
+    connection: Connection
+    kept_at: float
     expires_at: float
 
 
@@ -28,26 +24,21 @@
 
     Parameters
     ----------
-    connect_timeout : float
-        Connect timeout in seconds.
+    connector : ServerConnector
+        Opens new connections.
     paths : PathTable
-        Records which servers this instance can connect to.
+        Tells which kept connections are worth using.
     clock : callable
         Returns monotonic time in seconds.
-
-    Attributes
-    ----------
-    connect : callable
-        Opens a TCP connection, like `open_connection`.
     """
 
-    def __init__(self, connect_timeout, paths, clock):
-        self._connect_timeout = connect_timeout
+    def __init__(self, connector, paths, clock):
+        self.connector = connector
         self._paths = paths
         self._clock = clock
-        self.connect = open_connection
         self._idle = {}
         self.opened_count = 0
+        connector.on_probed = self.keep
 
     def acquire_idle(self, server):
         """Return a pooled connection to a server, or None.
@@ -60,11 +51,20 @@
         idle = self._idle.get((server.id, server.address), [])
         while idle:
             entry = idle.pop()
-            if entry.connection.is_reusable() and self._clock() < entry.expires_at:
+            if self._is_usable(server, entry):
                 return entry.connection
             entry.connection.abort()
         return None
 
+    def _is_usable(self, server, entry):
+        """Return whether an idle connection can be used, by the path that works."""
+        connection = entry.connection
+        if not connection.is_reusable() or self._clock() >= entry.expires_at:
+            return False
+        if connection.via is None:
+            return not self._paths.is_doubtful(entry.kept_at)
+        return self._paths.get_state(server.id) is not PathState.DIRECT
+
     async def open(self, server, limit):
         """Open a new connection to a server.
 
@@ -79,36 +79,11 @@
         -------
         Result of Connection, or of str
         """
-        timeout = min(self._connect_timeout, limit)
-        if timeout <= 0.0:
-            return Error("no time left")
-        result = await self.connect(server.address, timeout)
-        if result.is_error():
-            self._record_failure(server, result.error)
-            return result
-        self.opened_count += 1
-        self._record_opened(server)
+        result = await self.connector.connect(server, limit)
+        if result.is_ok():
+            self.opened_count += 1
         return result
 
-    def _record_failure(self, server, cause):
-        if self._paths.record_failure(server.id, self._clock()):
-            log.info(
-                "server unreachable",
-                server=server.id,
-                service=server.service,
-                cause=cause,
-            )
-
-    def _record_opened(self, server):
-        lost_for = self._paths.record_opened(server.id, self._clock())
-        if lost_for is not None:
-            log.info(
-                "server reachable again",
-                server=server.id,
-                service=server.service,
-                after_ms=round(lost_for * MS_PER_S),
-            )
-
     def release(self, server, connection, head):
         """Return a connection to the pool, or abort it if it is not reusable.
 
@@ -124,20 +99,34 @@
         if not connection.is_reusable():
             connection.abort()
             return
-        expires_at = self._clock() + parse_idle_timeout(head)
+        self.keep(server, connection, parse_idle_timeout(head))
+
+    def keep(self, server, connection, idle_timeout=DEFAULT_IDLE_TIMEOUT_S):
+        """Keep a connection that is not in use.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        connection : Connection
+            The connection.
+        idle_timeout : float
+            Seconds for which it may be used.
+        """
+        now = self._clock()
         idle = self._idle.setdefault((server.id, server.address), [])
-        idle.append(_IdleConnection(connection, expires_at))
+        idle.append(_IdleConnection(connection, now, now + idle_timeout))
         if len(idle) > MAX_IDLE_PER_SERVER:
             idle.pop(0).connection.abort()
 
     def close_idle_to(self, server):
-        """Close the idle connections to a server that is gone."""
-        self._paths.forget(server.id)
+        """Close the idle connections to a server."""
         for entry in self._idle.pop((server.id, server.address), []):
             entry.connection.abort()
 
     def close(self):
         """Close all idle connections."""
+        self.connector.close()
         for idle in self._idle.values():
             for entry in idle:
                 entry.connection.abort()
--- /dev/null
+++ b/tanagerwalk/gateway/tunnels.py
@@ -0,0 +1,315 @@
+"""Connections to backend servers through another instance.
+
+An instance that can't connect to a server asks another one to connect for it. The bytes
+then pass in authenticated frames over the connection between the two instances. The end
+of the server's stream is a frame of its own, so that a broken tunnel never looks like
+the orderly end of a response.
+"""
+
+import asyncio
+from enum import Enum
+
+import structlog
+from expression import Error, Ok
+
+from ..decisions.paths import PathState
+from ..ids import BackendServerId
+from ..peers.frames import MAX_PAYLOAD_BYTES
+from ..peers.rpc import MessageKind, PeerClient
+from .connections import (
+    Connection,
+    has_pending_reset,
+    open_connection,
+    set_socket_options,
+)
+
+log = structlog.get_logger(__name__)
+
+CHUNK_BYTES = 64 * 1024
+# Each tunnel takes two descriptors and up to a few hundred kilobytes of buffers.
+MAX_TUNNELS = 200
+SERVER_CONNECT_TIMEOUT_S = 0.25
+TUNNEL_TIMEOUT_S = 0.5
+
+
+class TunnelFrame(Enum):
+    """Kind of a frame in an open tunnel.
+
+    DATA: bytes of the connection to the server. END: the server has closed it.
+    STOPPING: the instance at the other end stops; the tunnel should not be reused.
+    """
+
+    DATA = 1
+    END = 2
+    STOPPING = 3
+
+
+class TunnelFault(Enum):
+    """Why an instance opens no tunnel to a server."""
+
+    STOPPING = "stopping"
+    TOO_MANY = "too_many"
+    UNKNOWN_SERVER = "unknown_server"
+    UNREACHABLE = "unreachable"
+
+
+class TunnelServer:
+    """Connects to backend servers for other instances.
+
+    Parameters
+    ----------
+    servers : ServerPool
+        The registered servers; no other address is connected to.
+    paths : PathTable
+        Tells which servers this instance can't connect to either.
+
+    Attributes
+    ----------
+    dial : callable
+        Opens a TCP connection, like `open_connection`.
+    """
+
+    def __init__(self, servers, paths):
+        self._servers = servers
+        self._paths = paths
+        self._channels = set()
+        self._stopping = False
+        self.dial = open_connection
+
+    @property
+    def tunnel_count(self):
+        """Number of open tunnels."""
+        return len(self._channels)
+
+    def stop_accepting(self):
+        """Open no more tunnels, and ask the other ends not to reuse the open ones."""
+        self._stopping = True
+        for channel in self._channels:
+            if not channel.is_closing:
+                channel.write(TunnelFrame.STOPPING.value, b"")
+
+    async def open(self, payload, sender):
+        """Connect to the server whose id is the payload of a request.
+
+        Returns
+        -------
+        Result of callable, or of str
+            Coroutine function that serves the tunnel on a Channel, or the fault.
+        """
+        server_id = BackendServerId(payload.decode("utf-8", "replace"))
+        result = await self._connect(server_id)
+        if result.is_error():
+            fault = result.error.value
+            log.info("tunnel refused", server=server_id, peer=sender, fault=fault)
+            return Error(fault)
+        stream = result.ok
+        return Ok(lambda channel: self._serve(channel, stream))
+
+    async def _connect(self, server_id):
+        if self._stopping:
+            return Error(TunnelFault.STOPPING)
+        if self.tunnel_count >= MAX_TUNNELS:
+            return Error(TunnelFault.TOO_MANY)
+        usage = self._servers.find(server_id)
+        if usage is None or not usage.accepts_requests:
+            return Error(TunnelFault.UNKNOWN_SERVER)
+        if self._paths.get_state(server_id) is not PathState.DIRECT:
+            return Error(TunnelFault.UNREACHABLE)
+        result = await self.dial(
+            usage.server.address, SERVER_CONNECT_TIMEOUT_S, _ServerStream
+        )
+        return Error(TunnelFault.UNREACHABLE) if result.is_error() else result
+
+    async def _serve(self, channel, stream):
+        set_socket_options(channel.writer.get_extra_info("socket"))
+        self._channels.add(channel)
+        pumps = [
+            asyncio.create_task(_forward_requests(channel, stream)),
+            asyncio.create_task(_forward_responses(stream, channel)),
+        ]
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self._channels.discard(channel)
+            stream.abort()
+            for pump in pumps:
+                pump.cancel()
+            _log_defects(await asyncio.gather(*pumps, return_exceptions=True))
+
+
+def _log_defects(results):
+    """Log what is neither a cancellation nor the loss of a connection."""
+    for result in results:
+        if isinstance(result, Exception) and not isinstance(result, OSError):
+            log.error("tunnel failed", problem=repr(result))
+
+
+async def _forward_requests(channel, stream):
+    """Write what comes through the tunnel to the server, until the tunnel ends."""
+    while True:
+        frame = await channel.read()
+        if frame.is_error():
+            return
+        kind, payload = frame.ok
+        if kind == TunnelFrame.DATA.value:
+            stream.writer.write(payload)
+            await stream.writer.drain()
+
+
+async def _forward_responses(stream, channel):
+    """Write what the server sends to the tunnel, until it closes the connection."""
+    while data := await stream.reader.read(CHUNK_BYTES):
+        channel.write(TunnelFrame.DATA.value, data)
+        await channel.writer.drain()
+    if not stream.was_reset:
+        channel.write(TunnelFrame.END.value, b"")
+        await channel.writer.drain()
+
+
+class _ServerStream(asyncio.StreamReaderProtocol):
+    """Reader and writer of a connection to a server."""
+
+    def __init__(self):
+        self.reader = asyncio.StreamReader(limit=CHUNK_BYTES)
+        self.writer = None
+        self.was_reset = False
+        super().__init__(self.reader)
+
+    def connection_made(self, transport):
+        super().connection_made(transport)
+        set_socket_options(transport.get_extra_info("socket"))
+        loop = asyncio.get_running_loop()
+        self.writer = asyncio.StreamWriter(transport, self, self.reader, loop)
+
+    def eof_received(self):
+        self.was_reset = has_pending_reset(self.writer.transport)
+        return super().eof_received()
+
+    def abort(self):
+        """Abort the connection immediately."""
+        self.writer.transport.abort()
+
+
+class TunnelClient:
+    """Opens connections to backend servers through other instances.
+
+    Parameters
+    ----------
+    peers : TunnelPeers
+        Orders the instances to ask.
+    get_peers : callable
+        Returns the Peer of each other instance, by incarnation.
+    get_address : callable
+        Takes an incarnation and returns the `IP:PORT` at which the instance serves
+        its peers, or None.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, peers, get_peers, get_address, clock):
+        self._peers = peers
+        self._get_peers = get_peers
+        self._get_address = get_address
+        self._clock = clock
+        self._client = None
+
+    def authenticate(self, secret, own_id):
+        """Start to ask other instances, with the key of the fleet."""
+        self._client = PeerClient(secret, own_id, TUNNEL_TIMEOUT_S)
+
+    def rank_peers(self, server):
+        """Return the instances to ask for a connection to a server, in order."""
+        if self._client is None:
+            return []
+        domain = server.failure_domain
+        return self._peers.rank(domain, self._get_peers(), self._clock())
+
+    async def open(self, peer_id, server):
+        """Open a connection to a server through an instance.
+
+        Parameters
+        ----------
+        peer_id : str
+            Incarnation of the instance.
+        server : RegisteredServer
+            The server.
+
+        Returns
+        -------
+        Result of Connection, or of str
+        """
+        address = self._get_address(peer_id)
+        if address is None:
+            return Error("unknown instance")
+        payload = server.id.encode()
+        result = await self._client.open_stream(
+            address, MessageKind.OPEN_TUNNEL, payload
+        )
+        if result.is_error():
+            self._peers.record_failure(peer_id, self._clock())
+            return Error(f"tunnel {result.error.value}")
+        self._peers.record_success(peer_id, self._clock())
+        connection = Connection(peer_id)
+        connection.connection_made(TunnelTransport(result.ok, connection))
+        return Ok(connection)
+
+
+class TunnelTransport:
+    """The part of a transport that Connection uses, over a tunnel.
+
+    Parameters
+    ----------
+    channel : Channel
+        Connection to the other instance.
+    connection : Connection
+        Receives the bytes of the server.
+    """
+
+    def __init__(self, channel, connection):
+        self._channel = channel
+        self._connection = connection
+        self._readable = asyncio.Event()
+        self._readable.set()
+        self._task = asyncio.get_running_loop().create_task(self._read())
+
+    async def _read(self):
+        while True:
+            frame = await self._channel.read()
+            if frame.is_error():
+                self._connection.connection_lost(None)
+                return
+            await self._readable.wait()
+            kind, payload = frame.ok
+            if kind == TunnelFrame.DATA.value:
+                self._connection.data_received(payload)
+            elif kind == TunnelFrame.END.value:
+                self._connection.eof_received()
+                return
+            elif kind == TunnelFrame.STOPPING.value:
+                self._connection.retire()
+
+    def write(self, data):
+        """Send bytes to the server."""
+        if self._channel.is_closing:
+            # The reader reports the loss.
+            return
+        for start in range(0, len(data), MAX_PAYLOAD_BYTES):
+            chunk = data[start : start + MAX_PAYLOAD_BYTES]
+            self._channel.write(TunnelFrame.DATA.value, chunk)
+
+    def pause_reading(self):
+        """Deliver no more bytes until `resume_reading`."""
+        self._readable.clear()
+
+    def resume_reading(self):
+        """Deliver bytes again."""
+        self._readable.set()
+
+    def abort(self):
+        """Close the tunnel; the instance at its end then aborts the connection."""
+        self._task.cancel()
+        self._channel.close()
+
+    def get_extra_info(self, name):
+        """Return information on the connection to the other instance."""
+        return self._channel.writer.get_extra_info(name)
--- a/tanagerwalk/peers/rpc.py
+++ b/tanagerwalk/peers/rpc.py
@@ -32,6 +32,7 @@
     KEEP_BILLS = 3
     DROP_BILLS = 4
     FETCH_CHANGES = 5
+    OPEN_TUNNEL = 6
 
 
 class RequestFault(Enum):
@@ -61,6 +62,7 @@
     def __init__(self, secret):
         self.secret = secret
         self._handlers = {}
+        self._stream_handlers = {}
         self._server = None
         self._connections = set()
         self.dropped = Counter()
@@ -82,6 +84,20 @@
         """
         self._handlers[kind.value] = handler
 
+    def register_stream_handler(self, kind, open_stream):
+        """Register the handler of requests that take over their connection.
+
+        Parameters
+        ----------
+        kind : MessageKind
+            Kind of request.
+        open_stream : callable
+            Coroutine function that takes the payload (bytes) and the sender
+            (InstanceId). It returns a Result of a coroutine function that takes the
+            Channel and uses it until it returns, or of an error text.
+        """
+        self._stream_handlers[kind.value] = open_stream
+
     async def start(self, address, port):
         """Start to listen.
 
@@ -137,12 +153,24 @@
             if frame.is_error():
                 return frame.error
             kind, payload = frame.ok
+            if kind in self._stream_handlers:
+                await self._serve_stream(channel, kind, payload, handshake.ok)
+                return FrameFault.CLOSED
             status, response = await self._dispatch(kind, payload, handshake.ok)
             channel.write(status, response)
             await channel.writer.drain()
             self.bytes_received += len(payload)
             self.bytes_sent += len(response)
 
+    async def _serve_stream(self, channel, kind, payload, sender):
+        result = await self._stream_handlers[kind](payload, sender)
+        if result.is_error():
+            channel.write(_STATUS_FAILED, result.error.encode())
+            await channel.writer.drain()
+            return
+        channel.write(_STATUS_OK, b"")
+        await result.ok(channel)
+
     async def _dispatch(self, kind, payload, sender):
         handler = self._handlers.get(kind)
         if handler is None:
@@ -221,6 +249,46 @@
         except OSError:
             return Error(RequestFault.UNREACHABLE)
 
+    async def open_stream(self, address, kind, payload):
+        """Send a request that takes over its connection.
+
+        Parameters
+        ----------
+        address : str
+            `IP:PORT` of the peer.
+        kind : MessageKind
+            Kind of request.
+        payload : bytes
+            Encoded request.
+
+        Returns
+        -------
+        Result of Channel, or of RequestFault
+        """
+        try:
+            async with asyncio.timeout(self._timeout):
+                connection = await self._connect(address)
+                if connection is None:
+                    return Error(RequestFault.BROKEN)
+                return await self._open_stream_on(connection.channel, kind, payload)
+        except TimeoutError:
+            return Error(RequestFault.TIMED_OUT)
+        except OSError:
+            return Error(RequestFault.UNREACHABLE)
+
+    async def _open_stream_on(self, channel, kind, payload):
+        accepted = False
+        try:
+            channel.write(kind.value, payload)
+            frame = await channel.read()
+            accepted = frame.is_ok() and frame.ok[0] == _STATUS_OK
+        finally:
+            if not accepted:
+                channel.close()
+        if accepted:
+            return Ok(channel)
+        return Error(RequestFault.BROKEN if frame.is_error() else RequestFault.FAILED)
+
     async def _request_with_retry(self, address, kind, payload):
         idle = self._take_idle(address)
         if idle is not None:
--- a/tanagerwalk/standins/paths.py
+++ b/tanagerwalk/standins/paths.py
@@ -5,7 +5,7 @@
 
 from expression import Error
 
-from ..gateway.connections import open_connection
+from ..gateway.connections import Connection, open_connection
 
 # Time after which the kernel's timeouts end a connection whose peer is out of reach.
 DEAD_CONNECTION_TIMEOUT_S = 3.0
@@ -28,14 +28,15 @@
 
     Parameters
     ----------
-    pool : ConnectionPool
-        Pool of the instance, which from now on connects through this path.
+    instance : GatewayInstance
+        The instance, which from now on connects through this path.
     """
 
-    def __init__(self, pool):
+    def __init__(self, instance):
         self._cut = None
         self._connections = []
-        pool.connect = self._connect
+        instance.connection_pool.connector.dial = self._dial
+        instance.tunnel_server.dial = self._dial
 
     def cut(self, how):
         """Cut the path."""
@@ -54,13 +55,13 @@
         """Let new connections through."""
         self._cut = None
 
-    async def _connect(self, address, timeout):
+    async def _dial(self, address, timeout, create_protocol=Connection):
         if self._cut is Cut.SILENT:
             await asyncio.sleep(timeout)
             return Error("TimeoutError")
         if self._cut is not None:
             return Error("ConnectionRefusedError")
-        result = await open_connection(address, timeout)
+        result = await open_connection(address, timeout, create_protocol)
         if result.is_ok():
             self._connections.append(result.ok)
         return result
--- a/test/decisions/test_selection.py
+++ b/test/decisions/test_selection.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tanagerwalk.decisions.paths import PathTable
 from tanagerwalk.decisions.prompt_affinity import compute_affinity
 from tanagerwalk.decisions.relays import Role, Scope
 from tanagerwalk.decisions.selection import MAX_FAILURE_PAUSE_S, Home, ServerPool
@@ -30,7 +31,7 @@
 
 
 def build_pool(*servers, shared=None):
-    pool = ServerPool(HOME, shared or SharedLoadTable(), random.Random(1))
+    pool = ServerPool(HOME, shared or SharedLoadTable(), PathTable(), random.Random(1))
     pool.replace_servers(servers)
     return pool
 
@@ -247,7 +248,7 @@
         }
         loads[hash_server("s7")] = SharedLoad(0, 0)
         shared.update(OTHER, "other", 1, loads, 0.0)
-        pool = ServerPool(HOME, shared, random.Random(seed))
+        pool = ServerPool(HOME, shared, PathTable(), random.Random(seed))
         pool.replace_servers(servers)
         name = pool.choose("drafts", 0.5).id
         counts[name] = counts.get(name, 0) + 1
--- a/test/gateway/test_change_feed.py
+++ b/test/gateway/test_change_feed.py
@@ -73,7 +73,7 @@
 
 async def test_no_changes_without_the_key_of_the_fleet(cluster):
     watcher = find_watcher(cluster)
-    address = f"127.0.0.1:{watcher.change_server.port}"
+    address = f"127.0.0.1:{watcher.peer_server.port}"
     client = PeerClient("another key", InstanceId("forger"), 1.0)
     request = encode(ChangesRequest(0))
     result = await client.request(address, MessageKind.FETCH_CHANGES, request)
@@ -85,8 +85,8 @@
     async with GatewayCluster() as cluster:
         await cluster.build(drafts=0, desks=0, instances=1)
         (instance,) = cluster.instances
-        instance.change_server.authenticate(None)
-        address = f"127.0.0.1:{instance.change_server.port}"
+        instance.peer_server.secret = None
+        address = f"127.0.0.1:{instance.peer_server.port}"
         client = PeerClient("guess", InstanceId("forger"), 1.0)
         request = encode(ChangesRequest(0))
         result = await client.request(address, MessageKind.FETCH_CHANGES, request)
--- a/test/gateway/test_cut_from_servers.py
+++ b/test/gateway/test_cut_from_servers.py
@@ -45,7 +45,7 @@
 async def test_first_attempts_at_instances_cut_from_all_servers_are_served(how):
     async with GatewayCluster() as cluster:
         await cluster.build(instances=3)
-        paths = [ServerPath(i.connection_pool) for i in cluster.instances]
+        paths = [ServerPath(i) for i in cluster.instances]
         await count_served(cluster, cluster.instances)
         for path in paths[:2]:
             path.cut(how)
@@ -66,7 +66,7 @@
 async def test_request_is_refused_early_if_no_instance_reaches_a_server(how):
     async with GatewayCluster() as cluster:
         await cluster.build(instances=2)
-        paths = [ServerPath(i.connection_pool) for i in cluster.instances]
+        paths = [ServerPath(i) for i in cluster.instances]
         await count_served(cluster, cluster.instances)
         for path in paths:
             path.cut(how)
