Heed servers that leave, or that ask not to be called for a while

What callers would have seen: requests sent to a server that is going, and answers 503 from one that had asked for a pause. Cause: no code read Server-Leaving or the Retry-After of a server; only the store's list told of leaving servers, seconds later. Change: platform/egress.py decodes both once into a ServerNotice, from any answer. A leaving server is not chosen any more by the instance that passed the answer on, its connections are not kept, and the others are told by datagram until its entry is gone; the mark belongs to one start of the server. If all servers hold, a request is refused at once with a Retry-After of that time and up to 0.5 s more. What came through a tunnel is told to the instance at its end, whose connection it is. Not a number, negative, infinite and a date are no hold, and logged. Not done: a hold is not told to other instances as a hint.

--- a/tanagerwalk/decisions/attempts.py
+++ b/tanagerwalk/decisions/attempts.py
@@ -13,6 +13,7 @@
 MAX_RESUME_WAIT_S = 2.0
 MEAN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_SHARE = 1.0 / 3.0
+MAX_HOLD_SPREAD_S = 0.5
 NOT_RUN_OUTCOMES = frozenset({Outcome.NOT_SENT, Outcome.REJECTED, Outcome.MISDIRECTED})
 # Fraction of the retry budget that may be used after each outcome.
 BUDGET_SHARES = {
@@ -115,7 +116,7 @@
     return MAX_PATH_WAIT_SHARE * client_timeout
 
 
-def find_retry_after(time_left, random):
+def find_retry_after(time_left, random, hold=0.0):
     """Return when a refused client should come back, in seconds.
 
     Parameters
@@ -124,6 +125,10 @@
         Seconds until the client's deadline.
     random : random.Random
         Spreads the clients that are refused at the same time.
+    hold : float
+        Seconds until a server takes requests again.
     """
+    if hold > 0.0:
+        return hold + MAX_HOLD_SPREAD_S * random.random()
     spread = MEAN_RETRY_AFTER_S * (0.5 + random.random())
     return min(spread, max(0.0, MAX_RETRY_AFTER_SHARE * time_left))
--- /dev/null
+++ b/tanagerwalk/decisions/locations.py
@@ -0,0 +1,30 @@
+"""Location of a gateway instance, and what distance to a server costs."""
+
+from dataclasses import dataclass, field
+
+from ..ids import FailureDomain, Region
+
+# In units of load.
+REMOTE_DOMAIN_COST = 0.02
+REMOTE_REGION_COST = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class Home:
+    """Location of this instance, and the region of each failure domain."""
+
+    failure_domain: FailureDomain
+    region: Region
+    regions: dict[FailureDomain, Region] = field(default_factory=dict)
+
+    def is_same_region(self, failure_domain):
+        """Return whether a failure domain is in the region of this instance."""
+        return self.regions.get(failure_domain) == self.region
+
+    def estimate_distance_cost(self, failure_domain):
+        """Return the cost of sending to a failure domain, in units of load."""
+        if failure_domain == self.failure_domain:
+            return 0.0
+        if self.is_same_region(failure_domain):
+            return REMOTE_DOMAIN_COST
+        return REMOTE_REGION_COST
--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -1,9 +1,8 @@
 """Selection of the backend server for a request."""
 
-from dataclasses import dataclass, field
+import zlib
 
-from ..ids import BackendServerId, FailureDomain, Region
-from ..registry import ServerState
+from ..ids import BackendServerId
 from .paths import PathState
 from .server_usage import ServerUsage
 from .shared_loads import SharedLoad
@@ -12,8 +11,6 @@
 MAX_FAILURE_PAUSE_S = 4.0
 # Reaches MAX_FAILURE_PAUSE_S; an unbounded exponent would overflow.
 MAX_PAUSE_DOUBLINGS = 8
-REMOTE_DOMAIN_COST = 0.02
-REMOTE_REGION_COST = 0.15
 INITIAL_MEAN_WORK_TOKENS = 800.0
 WORK_SMOOTHING = 0.05
 # The cost of load is linear plus quadratic: a short wait does not exceed a latency
@@ -23,27 +20,6 @@
 SAMPLE_SIZE = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Home:
-    """Location of this instance, and the region of each failure domain."""
-
-    failure_domain: FailureDomain
-    region: Region
-    regions: dict[FailureDomain, Region] = field(default_factory=dict)
-
-    def is_same_region(self, failure_domain):
-        """Return whether a failure domain is in the region of this instance."""
-        return self.regions.get(failure_domain) == self.region
-
-    def estimate_distance_cost(self, failure_domain):
-        """Return the cost of sending to a failure domain, in units of load."""
-        if failure_domain == self.failure_domain:
-            return 0.0
-        if self.is_same_region(failure_domain):
-            return REMOTE_DOMAIN_COST
-        return REMOTE_REGION_COST
-
-
 class ServerPool:
     """All backend servers and what this instance knows about their usage.
 
@@ -131,10 +107,34 @@
             Takes a RegisteredServer and returns whether it may be used.
         """
         return any(
-            usage.server.state is ServerState.READY and is_allowed(usage.server)
+            usage.accepts_requests and is_allowed(usage.server)
             for usage in self.list_usages(service)
         )
 
+    def find_hold(self, service, now, is_allowed):
+        """Return the seconds until a server of a service takes requests again.
+
+        Parameters
+        ----------
+        service : ServiceName
+            The service.
+        now : float
+            Monotonic time in seconds.
+        is_allowed : callable
+            Takes a RegisteredServer and returns whether it may be used.
+
+        Returns
+        -------
+        float
+            0 if a server takes requests, or if none exists that will.
+        """
+        holds = [
+            max(0.0, usage.held_until - now)
+            for usage in self.list_usages(service)
+            if usage.accepts_requests and is_allowed(usage.server)
+        ]
+        return min(holds, default=0.0)
+
     def estimate_wait(self, service, now, is_allowed=None):
         """Return the estimated wait at the least loaded server, in seconds.
 
@@ -150,8 +150,9 @@
         loads = [
             self._estimate_load(usage, now)
             for usage in self.list_usages(service)
-            if usage.server.state is ServerState.READY
+            if usage.accepts_requests
             and usage.paused_until <= now
+            and usage.held_until <= now
             and not self._paths.is_unreachable(usage.server.id)
             and (is_allowed is None or is_allowed(usage.server))
         ]
@@ -181,6 +182,7 @@
             usage
             for usage in self.list_usages(service)
             if usage.accepts_requests
+            and usage.held_until <= now
             and not self._paths.is_unreachable(usage.server.id)
             and usage.server.id not in tried
             and (is_allowed is None or is_allowed(usage.server))
@@ -190,6 +192,7 @@
         ready = [
             usage for usage in ready if usage.server.id not in self._possibly_leaving
         ] or ready
+        ready = [usage for usage in ready if usage.has_room(now)] or ready
         if len(ready) > SAMPLING_THRESHOLD:
             ready = self._sample_candidates(ready, affinity)
         # If all servers are paused, try the one whose pause ends first.
@@ -369,6 +372,62 @@
             usage.failures = 0
             usage.paused_until = float("-inf")
 
+    def record_notice(self, server_id, notice, now):
+        """Record what a server says about itself; it holds for its present life.
+
+        Parameters
+        ----------
+        server_id : BackendServerId
+            The server.
+        notice : ServerNotice
+            The notice.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the server is now known to leave, and was not before.
+        """
+        usage = self._usages.get(server_id)
+        if usage is None:
+            return False
+        if notice.hold > 0.0:
+            usage.held_until = max(usage.held_until, now + notice.hold)
+        is_new = notice.is_leaving and not usage.is_leaving
+        usage.is_leaving = usage.is_leaving or notice.is_leaving
+        return is_new
+
+    def list_leaving(self):
+        """Return the `hash_life` of each server that has said that it leaves."""
+        return [
+            hash_life(usage.server)
+            for usage in self._usages.values()
+            if usage.is_leaving
+        ]
+
+    def mark_leaving(self, lives):
+        """Record servers that other instances report as leaving.
+
+        Parameters
+        ----------
+        lives : collection of int
+            The `hash_life` of each.
+
+        Returns
+        -------
+        list of BackendServerId
+            Servers that were not known to leave.
+        """
+        found = [
+            usage
+            for usage in self._usages.values()
+            if not usage.is_leaving and hash_life(usage.server) in lives
+        ]
+        for usage in found:
+            usage.is_leaving = True
+        return [usage.server.id for usage in found]
+
     def mark_address_reused(self, server):
         """Record that another server answers at the address of this one."""
         usage = self._usages.get(server.id)
@@ -376,6 +435,11 @@
             usage.address_reused = True
 
 
+def hash_life(server):
+    """Return a 32-bit key of one start of a server, for messages between instances."""
+    return zlib.crc32(f"{server.id}|{server.born}".encode())
+
+
 def compute_failure_pause(failures):
     """Return the seconds for which a server is paused after failures in a row.
 
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..registry import RegisteredServer, ServerState
+from .server_notices import find_resume_limit
 
 REPORT_LIFETIME_S = 1.5
 # A queue that takes longer to build up is seen in a newer report.
@@ -81,6 +82,10 @@
         Whether another server now answers at the server's address.
     runs_models : bool
         Whether the server is known to be an engine.
+    is_leaving : bool
+        Whether the server has said that it leaves.
+    held_until : float
+        Monotonic time until which the server wants no requests from this instance.
     """
 
     server: RegisteredServer
@@ -94,11 +99,18 @@
     last_activity_at: float = float("-inf")
     address_reused: bool = False
     runs_models: bool = False
+    is_leaving: bool = False
+    held_until: float = float("-inf")
 
     @property
     def accepts_requests(self):
-        """Whether the server is registered as ready, and still at its address."""
-        return self.server.state is ServerState.READY and not self.address_reused
+        """Whether the server is ready, at its address and not about to leave."""
+        is_ready = self.server.state is ServerState.READY and not self.is_leaving
+        return is_ready and not self.address_reused
+
+    def has_room(self, now):
+        """Return whether the server takes one more request after a hold, if any."""
+        return self.in_flight + 1 <= find_resume_limit(now - self.held_until)
 
     def estimate_load(self, now, shared, mean_work):
         """Return the load of the server; 1 means fully used.
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -11,11 +11,12 @@
 
 from ..controllers.loop import poll_until
 from ..decisions.freshness import Freshness, find_age_limit
+from ..decisions.locations import Home
 from ..decisions.paths import PathTable
 from ..decisions.peers import Peer
 from ..decisions.relays import RelaySelection
 from ..decisions.rendezvous import find_rank
-from ..decisions.selection import Home, ServerPool
+from ..decisions.selection import ServerPool
 from ..decisions.shared_loads import SharedLoadTable
 from ..decisions.tunnel_peers import TunnelPeers
 from ..decisions.watchers import WatcherSelection
@@ -146,7 +147,7 @@
         )
 
     def _create_connections(self):
-        self.tunnel_server = TunnelServer(self.servers, self.paths)
+        self.tunnel_server = TunnelServer(self.servers, self.paths, self.clock)
         self.tunnel_client = TunnelClient(
             TunnelPeers(self.settings.failure_domain, self.random),
             lambda: self.membership.peers,
--- a/tanagerwalk/gateway/attempts.py
+++ b/tanagerwalk/gateway/attempts.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from ..decisions.latency_baselines import LatencySample
+from ..decisions.server_notices import ServerNotice
 from ..decisions.server_usage import Work
 from ..ids import ModelName
 from ..registry import RegisteredServer
@@ -72,6 +73,8 @@
         Whether the server closes the connection after the response.
     headers : list of tuple of (bytes, bytes)
         Headers that are forwarded to the client.
+    notice : ServerNotice
+        What the server says about itself.
     """
 
     kind: ResponseKind
@@ -81,6 +84,7 @@
     load: tuple[int, int, int] | None = None
     closes_connection: bool = False
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    notice: ServerNotice = ServerNotice()
 
 
 class Outcome(Enum):
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -282,6 +282,11 @@
         )
         return not self.closed and is_idle and self._keep_alive
 
+    def send_notice(self, notice):
+        """Tell a ServerNotice to the instance through which the server is reached."""
+        if self.via is not None and not self.closed:
+            self._transport.send_notice(notice)
+
     def retire(self):
         """Serve no further request; close now if there is none."""
         self._keep_alive = False
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 
+import structlog
 from expression import Error, Ok
 
 from ..decisions.events import EventSplitter
@@ -14,6 +15,8 @@
 from .attempts import Attempt, AttemptResult, ClassifiedHead, Outcome, ResponseKind
 from .requests import GatewayRequest
 
+log = structlog.get_logger(__name__)
+
 # Events after which the pause between them is reported.
 REPORTED_EVENTS = 6
 
@@ -183,6 +186,7 @@
             # Engines send the head with the first token, after prompt processing.
             attempt.work.prefill = 0.0
         self._servers.record_answer(attempt.server, head.load, self._clock())
+        self._record_notice(connection, attempt.server, head.notice)
         if head.kind is ResponseKind.UNSIGNED:
             return AttemptResult(Outcome.LOST, f"status {raw.status} unsigned"), None
         is_stream = plan.request.route.repeatability is Repeatability.STREAM
@@ -198,6 +202,19 @@
             return _build_failure(body.error), None
         return _build_result(raw, head, body.ok), raw
 
+    def _record_notice(self, connection, server, notice):
+        """Take notice of what a server says; so must the instance that reaches it."""
+        if notice.is_empty:
+            return
+        connection.send_notice(notice)
+        if notice.is_leaving:
+            connection.retire()
+        if self._servers.record_notice(server.id, notice, self._clock()):
+            self._pool.close_idle_to(server)
+            log.info("server leaving", server=server.id, told_by=None)
+        if notice.hold > 0.0:
+            log.info("server on hold", server=server.id, seconds=notice.hold)
+
     async def _wait_for_head(self, connection, attempt, timeouts):
         """Wait for the response head while the server may still send it.
 
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -176,6 +176,8 @@
         servers = self._context.servers
         if not servers.has_server(self._service, self._allows_server):
             return False
+        if self._find_hold() > 0.0:
+            return False
         now = self._clock()
         if self._unreachable_since is None:
             self._unreachable_since = now
@@ -186,6 +188,11 @@
         await asyncio.sleep(PATH_POLL_INTERVAL_S)
         return True
 
+    def _find_hold(self):
+        """Return the seconds for which every server wants no requests."""
+        servers = self._context.servers
+        return servers.find_hold(self._service, self._clock(), self._allows_server)
+
     async def _attempt(self, server):
         now = self._clock()
         if self._history.sent == 0:
@@ -326,7 +333,8 @@
             return Ok(None)
         ran = self._history.may_have_run
         state = RunState.UNKNOWN if ran else RunState.NOT_RUN
-        retry_after = find_retry_after(self._time_left, self._context.random)
+        hold = self._find_hold()
+        retry_after = find_retry_after(self._time_left, self._context.random, hold)
         return Error(_refuse(reason, state, retry_after))
 
     def _deliver(self, result):
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -29,6 +29,7 @@
 MAX_LOADS = 60
 MAX_SIDES = 80
 MAX_BLAMES = 16
+MAX_LEAVING = 24
 RELAYED_LIFETIME_S = 1.5
 
 
@@ -48,6 +49,8 @@
         Side overrides by service and session hash.
     tallies : dict of (ServiceName, int) to Tally
         Tallies of the active roll-outs.
+    leaving : tuple of int
+        Servers that have said that they leave, by `hash_life`.
     """
 
     scope: Scope
@@ -55,11 +58,12 @@
     blames: dict
     sides: dict
     tallies: dict
+    leaving: tuple[int, ...] = ()
 
     @property
     def is_empty(self):
-        """Whether there is neither a load nor a crash record or side override."""
-        return not self.loads and not self.blames and not self.sides
+        """Whether nothing but tallies would be told."""
+        return not (self.loads or self.blames or self.sides or self.leaving)
 
 
 class LoadSharing(asyncio.DatagramProtocol):
@@ -184,7 +188,10 @@
             self._apply_other_sections(message, scope, domain, now)
 
     def _apply_other_sections(self, message, scope, domain, now):
-        """Process crash records, side overrides and tallies of a message."""
+        """Process crash records, leaving servers, side overrides and tallies."""
+        if message.leaving:
+            for server_id in self._servers.mark_leaving(message.leaving):
+                log.info("server leaving", server=server_id, told_by=message.sender)
         blames = {Fingerprint(b.fingerprint): b.servers for b in message.blames or ()}
         if blames:
             self._quarantine.merge_blames(blames)
@@ -254,6 +261,7 @@
             self._quarantine.list_recent_blames(),
             self._list_own_sides(),
             tallies,
+            self._choose_leaving(),
         )
 
     def _list_own_sides(self):
@@ -283,6 +291,7 @@
             self._relayed_blames.list(sources, now) | own.blames,
             self._relayed_sides.list(sources, now) | own.sides,
             tallies,
+            own.leaving,
         )
 
     def _send(self, contents, receiver_ids):
@@ -323,6 +332,7 @@
                 self._failure_domain,
                 part,
                 parts,
+                list(contents.leaving) or None,
             )
         for key, tally in contents.tallies.items():
             for latencies in encode_latencies(*key, tally):
@@ -336,6 +346,11 @@
                     parts=1,
                 )
 
+    def _choose_leaving(self):
+        """Return leaving servers to tell of; a sample if there are many."""
+        leaving = self._servers.list_leaving()
+        return tuple(self._random.sample(leaving, min(len(leaving), MAX_LEAVING)))
+
     def stop(self):
         """Close the socket."""
         if self._transport is not None:
--- a/tanagerwalk/gateway/tunnels.py
+++ b/tanagerwalk/gateway/tunnels.py
@@ -13,8 +13,11 @@
 from expression import Error, Ok
 
 from ..decisions.paths import PathState
+from ..decisions.server_notices import ServerNotice, find_hold
 from ..ids import BackendServerId
+from ..peers.codec import decode, encode
 from ..peers.frames import MAX_PAYLOAD_BYTES
+from ..peers.gen.loads.ttypes import TunnelNotice
 from ..peers.rpc import MessageKind, PeerClient
 from .connections import (
     Connection,
@@ -25,6 +28,7 @@
 
 log = structlog.get_logger(__name__)
 
+MS_PER_S = 1000.0
 CHUNK_BYTES = 64 * 1024
 # Each tunnel takes two descriptors and up to a few hundred kilobytes of buffers.
 MAX_TUNNELS = 200
@@ -37,11 +41,13 @@
 
     DATA: bytes of the connection to the server. END: the server has closed it.
     STOPPING: the instance at the other end stops; the tunnel should not be reused.
+    NOTICE: what the server has said about itself, for the instance connected to it.
     """
 
     DATA = 1
     END = 2
     STOPPING = 3
+    NOTICE = 4
 
 
 class TunnelFault(Enum):
@@ -50,6 +56,7 @@
     STOPPING = "stopping"
     TOO_MANY = "too_many"
     UNKNOWN_SERVER = "unknown_server"
+    ON_HOLD = "on_hold"
     UNREACHABLE = "unreachable"
 
 
@@ -62,6 +69,8 @@
         The registered servers; no other address is connected to.
     paths : PathTable
         Tells which servers this instance can't connect to either.
+    clock : callable
+        Returns monotonic time in seconds.
 
     Attributes
     ----------
@@ -69,9 +78,10 @@
         Opens a TCP connection, like `open_connection`.
     """
 
-    def __init__(self, servers, paths):
+    def __init__(self, servers, paths, clock):
         self._servers = servers
         self._paths = paths
+        self._clock = clock
         self._channels = set()
         self._stopping = False
         self.dial = open_connection
@@ -103,7 +113,7 @@
             log.info("tunnel refused", server=server_id, peer=sender, fault=fault)
             return Error(fault)
         stream = result.ok
-        return Ok(lambda channel: self._serve(channel, stream))
+        return Ok(lambda channel: self._serve(channel, stream, server_id))
 
     async def _connect(self, server_id):
         if self._stopping:
@@ -113,6 +123,8 @@
         usage = self._servers.find(server_id)
         if usage is None or not usage.accepts_requests:
             return Error(TunnelFault.UNKNOWN_SERVER)
+        if usage.held_until > self._clock():
+            return Error(TunnelFault.ON_HOLD)
         if self._paths.get_state(server_id) is not PathState.DIRECT:
             return Error(TunnelFault.UNREACHABLE)
         result = await self.dial(
@@ -120,11 +132,11 @@
         )
         return Error(TunnelFault.UNREACHABLE) if result.is_error() else result
 
-    async def _serve(self, channel, stream):
+    async def _serve(self, channel, stream, server_id):
         set_socket_options(channel.writer.get_extra_info("socket"))
         self._channels.add(channel)
         pumps = [
-            asyncio.create_task(_forward_requests(channel, stream)),
+            asyncio.create_task(self._forward_requests(channel, stream, server_id)),
             asyncio.create_task(_forward_responses(stream, channel)),
         ]
         try:
@@ -136,6 +148,29 @@
                 pump.cancel()
             _log_defects(await asyncio.gather(*pumps, return_exceptions=True))
 
+    async def _forward_requests(self, channel, stream, server_id):
+        """Write what comes through the tunnel to the server, until the tunnel ends."""
+        while True:
+            frame = await channel.read()
+            if frame.is_error():
+                return
+            kind, payload = frame.ok
+            if kind == TunnelFrame.DATA.value:
+                stream.writer.write(payload)
+                await stream.writer.drain()
+            elif kind == TunnelFrame.NOTICE.value:
+                self._record_notice(server_id, payload)
+
+    def _record_notice(self, server_id, payload):
+        result = decode(TunnelNotice, payload)
+        if result.is_error():
+            log.warning("malformed notice", server=server_id, problem=result.error)
+            return
+        hold = find_hold((result.ok.hold_ms or 0) / MS_PER_S)
+        notice = ServerNotice(bool(result.ok.is_leaving), hold)
+        if self._servers.record_notice(server_id, notice, self._clock()):
+            log.info("server leaving", server=server_id, told_by="tunnel")
+
 
 def _log_defects(results):
     """Log what is neither a cancellation nor the loss of a connection."""
@@ -144,18 +179,6 @@
             log.error("tunnel failed", problem=repr(result))
 
 
-async def _forward_requests(channel, stream):
-    """Write what comes through the tunnel to the server, until the tunnel ends."""
-    while True:
-        frame = await channel.read()
-        if frame.is_error():
-            return
-        kind, payload = frame.ok
-        if kind == TunnelFrame.DATA.value:
-            stream.writer.write(payload)
-            await stream.writer.drain()
-
-
 async def _forward_responses(stream, channel):
     """Write what the server sends to the tunnel, until it closes the connection."""
     while data := await stream.reader.read(CHUNK_BYTES):
@@ -297,6 +320,14 @@
             chunk = data[start : start + MAX_PAYLOAD_BYTES]
             self._channel.write(TunnelFrame.DATA.value, chunk)
 
+    def send_notice(self, notice):
+        """Tell a ServerNotice to the instance that is connected to the server."""
+        if not self._channel.is_closing:
+            payload = encode(
+                TunnelNotice(notice.is_leaving, int(notice.hold * MS_PER_S))
+            )
+            self._channel.write(TunnelFrame.NOTICE.value, payload)
+
     def pause_reading(self):
         """Deliver no more bytes until `resume_reading`."""
         self._readable.clear()
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -625,6 +625,74 @@
         return not (self == other)
 
 
+class TunnelNotice(object):
+    """
+    Attributes:
+     - is_leaving
+     - hold_ms
+
+    """
+
+
+    def __init__(self, is_leaving=None, hold_ms=None,):
+        self.is_leaving = is_leaving
+        self.hold_ms = hold_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.is_leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.hold_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TunnelNotice')
+        if self.is_leaving is not None:
+            oprot.writeFieldBegin('is_leaving', TType.BOOL, 1)
+            oprot.writeBool(self.is_leaving)
+            oprot.writeFieldEnd()
+        if self.hold_ms is not None:
+            oprot.writeFieldBegin('hold_ms', TType.I32, 2)
+            oprot.writeI32(self.hold_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadMessage(object):
     """
     Attributes:
@@ -638,11 +706,12 @@
      - domain
      - part
      - parts
+     - leaving
 
     """
 
 
-    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None, scope=None, domain=None, part=None, parts=None,):
+    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None, scope=None, domain=None, part=None, parts=None, leaving=None,):
         self.sender = sender
         self.sequence = sequence
         self.loads = loads
@@ -653,6 +722,7 @@
         self.domain = domain
         self.part = part
         self.parts = parts
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -737,6 +807,16 @@
                     self.parts = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readI64()
+                        self.leaving.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -758,29 +838,29 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter77 in self.loads:
-                iter77.write(oprot)
+            for iter83 in self.loads:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blames is not None:
             oprot.writeFieldBegin('blames', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.blames))
-            for iter78 in self.blames:
-                iter78.write(oprot)
+            for iter84 in self.blames:
+                iter84.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sides is not None:
             oprot.writeFieldBegin('sides', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.sides))
-            for iter79 in self.sides:
-                iter79.write(oprot)
+            for iter85 in self.sides:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter80 in self.tallies:
-                iter80.write(oprot)
+            for iter86 in self.tallies:
+                iter86.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.scope is not None:
@@ -799,6 +879,13 @@
             oprot.writeFieldBegin('parts', TType.I32, 10)
             oprot.writeI32(self.parts)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 11)
+            oprot.writeListBegin(TType.I64, len(self.leaving))
+            for iter87 in self.leaving:
+                oprot.writeI64(iter87)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -862,6 +949,12 @@
     (3, TType.LIST, 'routes', (TType.STRUCT, [RouteTally, None], False), None, ),  # 3
     (4, TType.LIST, 'latencies', (TType.STRUCT, [LatencyTally, None], False), None, ),  # 4
 )
+all_structs.append(TunnelNotice)
+TunnelNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'is_leaving', None, None, ),  # 1
+    (2, TType.I32, 'hold_ms', None, None, ),  # 2
+)
 all_structs.append(LoadMessage)
 LoadMessage.thrift_spec = (
     None,  # 0
@@ -875,6 +968,7 @@
     (8, TType.STRING, 'domain', 'UTF8', None, ),  # 8
     (9, TType.I32, 'part', None, None, ),  # 9
     (10, TType.I32, 'parts', None, None, ),  # 10
+    (11, TType.LIST, 'leaving', (TType.I64, None, False), None, ),  # 11
 )
 fix_spec(all_structs)
 del all_structs
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -52,6 +52,13 @@
   4: optional list<LatencyTally> latencies
 }
 
+// What a backend server said about itself in an answer that came through a tunnel; sent
+// to the instance that is connected to the server.
+struct TunnelNotice {
+  1: bool is_leaving
+  2: i32 hold_ms
+}
+
 // Whose data a message holds.
 enum Scope {
   // The sender's own.
@@ -77,4 +84,6 @@
   // A sum is split into parts by the server's hash, so that each fits a datagram.
   9: i32 part
   10: i32 parts
+  // Backend servers that have said that they leave, by a hash of id and start time.
+  11: optional list<i64> leaving
 }
--- a/tanagerwalk/platform/egress.py
+++ b/tanagerwalk/platform/egress.py
@@ -1,5 +1,10 @@
 """Encodes attempts as HTTP requests to backend servers and classifies responses."""
 
+import math
+
+import structlog
+
+from ..decisions.server_notices import ServerNotice, find_hold
 from ..gateway.attempts import ClassifiedHead, ResponseKind
 from .names import (
     ACCOUNT,
@@ -13,9 +18,13 @@
     NOT_RUN,
     PRIORITY,
     RESERVED_HEADERS,
+    RETRY_AFTER,
+    SERVER_LEAVING,
     SIGNATURE,
 )
 
+log = structlog.get_logger(__name__)
+
 MS_PER_S = 1000.0
 # Not forwarded in either direction.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -33,6 +42,8 @@
         b"content-length",
     }
 )
+UNAVAILABLE_STATUS = 503
+LEAVING = b"1"
 # Another server now listens at the address.
 MISDIRECTED_STATUS = 421
 MIN_SERVER_ERROR_STATUS = 500
@@ -143,9 +154,33 @@
         load=_parse_load(head.get_header(ENGINE_LOAD)),
         closes_connection=(head.get_header(b"connection") or b"").lower() == b"close",
         headers=_list_end_to_end_headers(head),
+        notice=_parse_notice(head),
     )
 
 
+def _parse_notice(head):
+    """Parse what the server says about itself, in whatever answer."""
+    is_leaving = (head.get_header(SERVER_LEAVING) or b"").strip() == LEAVING
+    hold = 0.0
+    if head.status == UNAVAILABLE_STATUS:
+        hold = find_hold(_parse_retry_after(head.get_header(RETRY_AFTER)))
+    return ServerNotice(is_leaving, hold)
+
+
+def _parse_retry_after(value):
+    """Parse a number of seconds; anything else, such as a date, is logged and None."""
+    if value is None:
+        return None
+    try:
+        seconds = float(value)
+    except ValueError:
+        seconds = math.nan
+    if math.isfinite(seconds):
+        return seconds
+    log.warning("invalid Retry-After of a server", value=value.decode("latin-1"))
+    return None
+
+
 def _list_end_to_end_headers(head):
     """Return the headers of a response that are forwarded to the client."""
     named = {
--- a/tanagerwalk/platform/names.py
+++ b/tanagerwalk/platform/names.py
@@ -27,6 +27,10 @@
 KV_CACHE_BACKUP = b"x-tanagerwalk-kv-backup"
 KV_CACHE_SOURCE = b"kv-from"
 KV_CACHE_FETCH = b"kv-fetch"
+# In all answers of a backend server that leaves.
+SERVER_LEAVING = b"server-leaving"
+# With status 503: seconds for which the backend server wants no requests.
+RETRY_AFTER = b"retry-after"
 LAST_EVENT_ID = b"last-event-id"
 SESSION = b"session"
 
--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -53,12 +53,18 @@
         Seconds before each event of a stream, and before a plain response.
     confidence : dict of str to int
         Confidence that each model reports for its answers; 100 if not given.
+    is_leaving : bool
+        Whether all answers say that the server leaves.
+    retry_after : str
+        Value of that header in refusals; empty for none.
     """
 
     fault: str = ""
     times: int = -1
     delay: float = 0.0
     confidence: dict[str, int] = field(default_factory=dict)
+    is_leaving: bool = False
+    retry_after: str = ""
 
 
 class BackendStandIn:
@@ -168,7 +174,10 @@
             return
         request.rejected = fault in ("refuse", "misdirect")
         if fault == "refuse":
-            self._write(request, "503 Service Unavailable", b"", _NOT_EXECUTED_HEADERS)
+            headers = list(_NOT_EXECUTED_HEADERS)
+            if self.server.behaviour.retry_after:
+                headers.append(f"Retry-After: {self.server.behaviour.retry_after}")
+            self._write(request, "503 Service Unavailable", b"", headers)
         elif fault == "misdirect":
             self._write(request, "421 Misdirected Request", b"", [])
         elif fault == "error":
@@ -240,6 +249,8 @@
     def _encode_head(self, request, status, lines, signed=True):
         attempt_id = request.headers.get("x-tanagerwalk-attempt-id", "")
         head = [f"HTTP/1.1 {status}", f"X-Tanagerwalk-Attempt-Id: {attempt_id}", *lines]
+        if self.server.behaviour.is_leaving:
+            head.append("Server-Leaving: 1")
         if signed:
             head.append(f"X-Tanagerwalk-Response-Seal: {self.server.id}.{attempt_id}")
         return ("\r\n".join(head) + "\r\n\r\n").encode()
