--- /dev/null
+++ b/tanagerwalk/decisions/server_usage_table.py
@@ -0,0 +1,262 @@
+"""The backend servers that an instance knows, and what it records about each."""
+
+import zlib
+
+from ..ids import BackendServerId
+from .server_usage import ServerUsage
+
+FAILURE_PAUSE_S = 0.5
+MAX_FAILURE_PAUSE_S = 4.0
+# Reaches MAX_FAILURE_PAUSE_S; an unbounded exponent would overflow.
+MAX_PAUSE_DOUBLINGS = 8
+INITIAL_MEAN_WORK_TOKENS = 800.0
+WORK_SMOOTHING = 0.05
+
+
+class ServerUsageTable:
+    """The registered backend servers and this instance's usage of each.
+
+    Attributes
+    ----------
+    mean_work : float
+        Mean cost of a request for an engine, in tokens.
+    """
+
+    def __init__(self):
+        self._usages: dict[BackendServerId, ServerUsage] = {}
+        self.mean_work = INITIAL_MEAN_WORK_TOKENS
+
+    def replace_servers(self, servers):
+        """Replace the list of registered servers.
+
+        Parameters
+        ----------
+        servers : iterable of RegisteredServer
+            The complete list.
+
+        Returns
+        -------
+        list of RegisteredServer
+            Servers that were removed or have been restarted.
+        """
+        listed = {server.id: server for server in servers}
+        gone = []
+        for server_id, usage in list(self._usages.items()):
+            entry = listed.get(server_id)
+            if entry is None or not _is_same_start(entry, usage.server):
+                gone.append(usage.server)
+                del self._usages[server_id]
+        for server in listed.values():
+            usage = self._usages.get(server.id)
+            if usage is None:
+                self._usages[server.id] = ServerUsage(server)
+            else:
+                usage.server = server
+        return gone
+
+    def find(self, server_id):
+        """Return the ServerUsage of a server, or None if it is unknown."""
+        return self._usages.get(server_id)
+
+    def list_usages(self, service):
+        """Return the ServerUsage of each server of a service."""
+        return [
+            usage for usage in self._usages.values() if usage.server.service == service
+        ]
+
+    def list_releases(self, service):
+        """Return the releases that the servers of a service run."""
+        return frozenset(usage.server.release for usage in self.list_usages(service))
+
+    def has_server(self, service, is_allowed):
+        """Return whether a service has a server that accepts requests.
+
+        Parameters
+        ----------
+        service : ServiceName
+            The service.
+        is_allowed : callable
+            Takes a RegisteredServer and returns whether it may be used.
+        """
+        return any(
+            usage.accepts_requests and is_allowed(usage.server)
+            for usage in self.list_usages(service)
+        )
+
+    def find_hold(self, service, now, is_allowed):
+        """Return the seconds until a server of a service takes requests again.
+
+        Parameters
+        ----------
+        service : ServiceName
+            The service.
+        now : float
+            Monotonic time in seconds.
+        is_allowed : callable
+            Takes a RegisteredServer and returns whether it may be used.
+
+        Returns
+        -------
+        float
+            0 if a server takes requests, or if none exists that will.
+        """
+        holds = [
+            max(0.0, usage.held_until - now)
+            for usage in self.list_usages(service)
+            if usage.accepts_requests and is_allowed(usage.server)
+        ]
+        return min(holds, default=0.0)
+
+    def record_sent(self, server, work=None):
+        """Record a request that is sent to a server.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        work : Work or None
+            Cost of the request for an engine; the caller updates it later.
+        """
+        usage = self._usages.get(server.id)
+        if usage is None:
+            return
+        usage.in_flight += 1
+        if work is not None:
+            usage.runs_models = True
+            usage.work.append(work)
+            weighted_work = 0.5 * work.prefill + work.decode
+            self.mean_work += WORK_SMOOTHING * (weighted_work - self.mean_work)
+
+    def record_ended(self, server, work=None):
+        """Record the end of a request."""
+        usage = self._usages.get(server.id)
+        if usage is None:
+            return
+        usage.in_flight = max(0, usage.in_flight - 1)
+        usage.work = [other for other in usage.work if other is not work]
+
+    def record_answer(self, server, load, now):
+        """Record an answer of a server and the load that it reports.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        load : tuple of (int, int, int) or None
+            Running requests, waiting requests and slots.
+        now : float
+            Monotonic time in seconds.
+        """
+        usage = self._usages.get(server.id)
+        if usage is None:
+            return
+        usage.failures = 0
+        usage.last_activity_at = now
+        if load is not None:
+            usage.other_requests = max(0, load[0] + load[1] - usage.in_flight)
+            usage.reported_queue = load[1]
+            usage.reported_at = now
+
+    def record_activity(self, server, now):
+        """Record that a server has sent data."""
+        usage = self._usages.get(server.id)
+        if usage is not None:
+            usage.last_activity_at = now
+
+    def record_failure(self, server, now):
+        """Pause a server that failed; the pause doubles with each failure in a row."""
+        usage = self._usages.get(server.id)
+        if usage is None:
+            return
+        usage.failures += 1
+        usage.paused_until = now + compute_failure_pause(usage.failures)
+
+    def end_pause(self, server):
+        """Use a server again whose failures were those of the path to it."""
+        usage = self._usages.get(server.id)
+        if usage is not None:
+            usage.failures = 0
+            usage.paused_until = float("-inf")
+
+    def record_notice(self, server_id, notice, now):
+        """Record what a server says about itself; it holds for its present life.
+
+        Parameters
+        ----------
+        server_id : BackendServerId
+            The server.
+        notice : ServerNotice
+            The notice.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the server is now known to leave, and was not before.
+        """
+        usage = self._usages.get(server_id)
+        if usage is None:
+            return False
+        if notice.hold > 0.0:
+            usage.held_until = max(usage.held_until, now + notice.hold)
+        is_new = notice.is_leaving and not usage.is_leaving
+        usage.is_leaving = usage.is_leaving or notice.is_leaving
+        return is_new
+
+    def list_leaving(self):
+        """Return the `hash_life` of each server that has said that it leaves."""
+        return [
+            hash_life(usage.server)
+            for usage in self._usages.values()
+            if usage.is_leaving
+        ]
+
+    def mark_leaving(self, lives):
+        """Record servers that other instances report as leaving.
+
+        Parameters
+        ----------
+        lives : collection of int
+            The `hash_life` of each.
+
+        Returns
+        -------
+        list of BackendServerId
+            Servers that were not known to leave.
+        """
+        found = [
+            usage
+            for usage in self._usages.values()
+            if not usage.is_leaving and hash_life(usage.server) in lives
+        ]
+        for usage in found:
+            usage.is_leaving = True
+        return [usage.server.id for usage in found]
+
+    def mark_address_reused(self, server):
+        """Record that another server answers at the address of this one."""
+        usage = self._usages.get(server.id)
+        if usage is not None:
+            usage.address_reused = True
+
+
+def hash_life(server):
+    """Return a 32-bit key of one start of a server, for messages between instances."""
+    return zlib.crc32(f"{server.id}|{server.born}".encode())
+
+
+def compute_failure_pause(failures):
+    """Return the seconds for which a server is paused after failures in a row.
+
+    Parameters
+    ----------
+    failures : int
+        Number of failures without an answer in between, at least 1.
+    """
+    doublings = min(failures - 1, MAX_PAUSE_DOUBLINGS)
+    return min(MAX_FAILURE_PAUSE_S, FAILURE_PAUSE_S * 2**doublings)
+
+
+def _is_same_start(entry, known):
+    return entry.born == known.born and entry.address == known.address
--- /dev/null
+++ b/tanagerwalk/gateway/answer_recorder.py
@@ -0,0 +1,81 @@
+"""Records what answers say about the releases of a roll-out."""
+
+from ..decisions.latency_baselines import LatencyBaselines
+from ..decisions.load_curve import LoadCurve
+from ..decisions.tallies import AnswerKind
+from .attempts import Outcome
+
+OUTCOMES_WITH_RESPONSE = frozenset(
+    {Outcome.DELIVERED, Outcome.DECLINED, Outcome.FAILED}
+)
+
+
+class AnswerRecorder:
+    """Counts answers for the active roll-outs, and learns what is usual.
+
+    Parameters
+    ----------
+    cluster_state : ClusterState
+        Provides the operators' roll-out orders.
+    get_tallies : callable
+        Takes the service and the revision of an order, and returns its TallyBook.
+    """
+
+    def __init__(self, cluster_state, get_tallies):
+        self._cluster_state = cluster_state
+        self._get_tallies = get_tallies
+        self._latency_baselines = LatencyBaselines()
+        self._load_curve = LoadCurve()
+
+    def record_attempt(self, request, attempt, result):
+        """Update the latency baselines and count the result for a roll-out."""
+        order = self._cluster_state.orders.get(attempt.server.service)
+        is_target = order is not None and attempt.server.release == order.target
+        route = request.route
+        key = (route.name, attempt.model)
+        is_bad = result.outcome in (Outcome.FAILED, Outcome.SILENT)
+        if (
+            result.latency_sample is not None
+            and result.outcome in OUTCOMES_WITH_RESPONSE
+        ):
+            is_bad = is_bad or self._latency_baselines.is_slow(
+                key, result.latency_sample, route.objective, route.gap_objective
+            )
+            if not is_target:
+                self._latency_baselines.record(key, result.latency_sample)
+        if order is None or (
+            result.outcome not in OUTCOMES_WITH_RESPONSE and not is_bad
+        ):
+            return
+        book = self._get_tallies((order.service, order.revision))
+        book.own.record(route.name, is_target, is_bad)
+
+    def record_latency(self, request, attempt, sample, load):
+        """Count the latency of an answer for a roll-out, maybe before the answer ends.
+
+        Parameters
+        ----------
+        request : GatewayRequest
+            The request.
+        attempt : Attempt
+            The attempt that is being answered.
+        sample : LatencySample
+            What was measured so far.
+        load : tuple of (int, int, int) or None
+            Running requests, waiting requests and slots that the server reported.
+        """
+        seconds = sample.comparable_latency
+        if seconds is None:
+            return
+        order = self._cluster_state.orders.get(attempt.server.service)
+        is_target = order is not None and attempt.server.release == order.target
+        if sample.has_events and load is not None:
+            running = load[0]
+            if not is_target:
+                self._load_curve.record(running, seconds)
+            seconds = self._load_curve.normalize(running, seconds)
+        if order is None:
+            return
+        book = self._get_tallies((order.service, order.revision))
+        kind = AnswerKind(request.route.name, attempt.model)
+        book.own.record_latency(kind, is_target, seconds)
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -7,7 +7,7 @@
 import uuid
 
 import structlog
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client import CONTENT_TYPE_LATEST
 
 from ..controllers.loop import poll_until
 from ..decisions.freshness import Freshness, find_age_limit
@@ -25,6 +25,7 @@
 from ..outcomes import Refusal, RefusalReason
 from ..peers.rpc import MessageKind, PeerServer
 from ..supervisor import Supervisor
+from .answer_recorder import AnswerRecorder
 from .change_feed import ChangeServer, SharedFeed, StoreFeed
 from .clocks import read_boot_clock
 from .cluster_state import ClusterState
@@ -57,7 +58,9 @@
 STOP_MARGIN_S = 0.6
 # Cap for logs and metrics; the age is infinite until the first confirmation.
 MAX_REPORTED_AGE_S = 1e6
-STOPPING_RETRY_S = 0.05
+STOPPING_REFUSAL = Refusal(
+    RefusalReason.STOPPING, "this instance is stopping", retry_after=0.05
+)
 DRAIN_POLL_INTERVAL_S = 0.05
 # Used until the store has been listed and the peers are known.
 DEFAULT_INSTANCE_COUNT = 9
@@ -235,6 +238,7 @@
             attempt_runner,
             self.servers,
             self.rollouts,
+            AnswerRecorder(self.cluster_state, self.rollouts.get_tallies),
             self.quarantine,
             self.metrics,
             self.clock,
@@ -264,8 +268,7 @@
         self.metrics.manifest_age.set(min(self.freshness.age, MAX_REPORTED_AGE_S))
         self.metrics.store_calls.set(self.store.calls)
         self.metrics.in_flight.set(self.client_listener.in_flight)
-        page = generate_latest(self.metrics.registry)
-        return encode_ok_response(page, CONTENT_TYPE_LATEST)
+        return encode_ok_response(self.metrics.render(), CONTENT_TYPE_LATEST)
 
     def _get_client_limits(self):
         manifest = self.cluster_state.manifest
@@ -318,7 +321,7 @@
             Writes the response.
         """
         if self.rejecting_requests:
-            self.codec.refuse(responder, _build_stopping_refusal())
+            self.codec.refuse(responder, STOPPING_REFUSAL)
             return
         parsed = self.codec.parse_request(raw)
         if parsed.is_error():
@@ -401,11 +404,3 @@
         await self.feed.close()
         self.connection_pool.close()
         self.store.close()
-
-
-def _build_stopping_refusal():
-    return Refusal(
-        RefusalReason.STOPPING,
-        "this instance is stopping",
-        retry_after=STOPPING_RETRY_S,
-    )
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -5,7 +5,6 @@
 from functools import partial
 from random import Random
 
-import structlog
 from expression import Error, Ok
 
 from ..decisions.attempts import (
@@ -22,13 +21,13 @@
 from ..decisions.server_usage import estimate_work
 from ..manifest import Repeatability
 from ..outcomes import Refusal, RefusalReason, RunState
+from .answer_recorder import AnswerRecorder
 from .attempts import Attempt, Outcome
 from .exchange import AttemptPlan, AttemptRunner, AttemptTimeouts, StreamProgress
 from .metrics import GatewayMetrics
 from .quarantine import QuarantineFilter
 from .release_rollouts import ReleaseRolloutController
-
-log = structlog.get_logger(__name__)
+from .request_log import describe_attempt, log_request_end
 
 PATH_POLL_INTERVAL_S = 0.05
 UNRESPONSIVE_TIMEOUT_SHARE = 0.3
@@ -54,6 +53,8 @@
         Selects servers and tracks their health.
     rollouts : ReleaseRolloutController
         Restricts a request to the releases of its side of a roll-out.
+    recorder : AnswerRecorder
+        Counts the answers of releases that are rolled out.
     quarantine : QuarantineFilter
         Records which requests crash servers.
     metrics : GatewayMetrics
@@ -67,6 +68,7 @@
     attempt_runner: AttemptRunner
     servers: ServerPool
     rollouts: ReleaseRolloutController
+    recorder: AnswerRecorder
     quarantine: QuarantineFilter
     metrics: GatewayMetrics
     clock: object
@@ -215,14 +217,14 @@
             self._choose_timeouts(),
             self._accepts_head,
             self._progress,
-            partial(self._context.rollouts.record_latency, self._request, attempt),
+            partial(self._context.recorder.record_latency, self._request, attempt),
         )
         result = await self._context.attempt_runner.run(plan)
-        self._context.rollouts.record_attempt(self._request, attempt, result)
+        self._context.recorder.record_attempt(self._request, attempt, result)
         self._context.quarantine.record_attempt(self._request, attempt, result)
         self._context.metrics.attempts.labels(result.outcome.value).inc()
         self._attempt_log.append(
-            _describe_attempt(attempt, result, self._clock() - now, wait)
+            describe_attempt(attempt, result, self._clock() - now, wait)
         )
         return result
 
@@ -353,35 +355,14 @@
         self._log_end(refusal.reason.value, run_state=refusal.run_state.value)
         return result
 
-    def _measure_time_to_first_event(self):
-        """Return the milliseconds until the first event was forwarded, or None."""
-        first_event_at = self._progress.first_event_at
-        if first_event_at is None:
-            return None
-        return round((first_event_at - self._request.raw.received_at) * 1000.0)
-
     def _log_end(self, end, **inputs):
         request = self._request
         metrics = self._context.metrics
         metrics.requests.labels(end).inc()
         elapsed = self._clock() - request.raw.received_at
         metrics.latency.labels(request.route.name).observe(elapsed)
-        log.info(
-            "request",
-            id=request.id.decode("latin-1"),
-            route=request.route.name,
-            account=request.account,
-            session=None
-            if request.session is None
-            else request.session.decode("latin-1"),
-            manifest=request.manifest.revision,
-            end=end,
-            ms=round(elapsed * 1000.0),
-            first_ms=self._measure_time_to_first_event(),
-            max_gap_ms=round(self._progress.max_gap * 1000.0),
-            prompt=request.prompt_info.prompt_tokens,
-            attempts=self._attempt_log,
-            **inputs,
+        log_request_end(
+            request, end, elapsed, self._progress, self._attempt_log, **inputs
         )
 
 
@@ -389,25 +370,3 @@
     if state is not RunState.NOT_RUN:
         return Refusal(reason, f"no complete answer: {reason.value}", state)
     return Refusal(reason, f"not run: {reason.value}", state, retry_after=retry_after)
-
-
-def _describe_attempt(attempt, result, seconds, wait):
-    """Return the log fields of an attempt, with times in milliseconds."""
-    return {
-        "server": attempt.server.id,
-        "release": attempt.server.release,
-        "model": attempt.model,
-        "outcome": result.outcome.value,
-        "detail": result.detail,
-        "kept": result.kept,
-        "via": result.via,
-        "ms": round(seconds * 1000.0),
-        "first_ms": round(result.latency_sample.head_latency * 1000.0)
-        if result.latency_sample
-        else None,
-        "gap_ms": round(result.latency_sample.event_interval * 1000.0)
-        if result.latency_sample
-        else None,
-        "load": result.load,
-        "wait_ms": round(wait * 1000.0),
-    }
--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -1,6 +1,12 @@
 """Prometheus metrics of a gateway instance."""
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
 
 LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0)
 
@@ -41,6 +47,10 @@
             registry=self.registry,
         )
 
+    def render(self):
+        """Return all metrics as a page of text."""
+        return generate_latest(self.registry)
+
     def _create_counter(self, name, text, labels):
         return Counter(
             f"tanagerwalk_gateway_{name}", text, labels, registry=self.registry
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -4,8 +4,6 @@
 
 import structlog
 
-from ..decisions.latency_baselines import LatencyBaselines
-from ..decisions.load_curve import LoadCurve
 from ..decisions.relays import Role
 from ..decisions.release_evidence import RecentLatencies
 from ..decisions.release_rollouts import (
@@ -18,10 +16,9 @@
     find_write_delay,
     is_bad_in_phase,
 )
-from ..decisions.tallies import AnswerKind, TallyBook
+from ..decisions.tallies import TallyBook
 from ..ids import ServiceName
 from ..writes import ABSENT, Write
-from .attempts import Outcome
 from .rollout_records import decode_state, encode_state
 
 log = structlog.get_logger(__name__)
@@ -31,9 +28,6 @@
 STEP_INTERVAL_S = 0.25
 WRITE_RETRY_S = 0.7
 MAX_STATE_AGE_S = 2.5
-OUTCOMES_WITH_RESPONSE = frozenset(
-    {Outcome.DELIVERED, Outcome.DECLINED, Outcome.FAILED}
-)
 
 
 class ReleaseRolloutController:
@@ -105,8 +99,6 @@
         self._tallies = {}
         self._recent_latencies = {}
         self._role = Role.FLAT
-        self._latency_baselines = LatencyBaselines()
-        self._load_curve = LoadCurve()
         mirror.subscribe(self._load_states)
 
     def apply_bounds(self, bounds):
@@ -196,59 +188,6 @@
         state = self._get_state(order)
         return order.target if state.phase is RolloutPhase.ROLLED_BACK else None
 
-    def record_attempt(self, request, attempt, result):
-        """Update the latency baselines and count the result for a roll-out."""
-        order = self._cluster_state.orders.get(attempt.server.service)
-        is_target = order is not None and attempt.server.release == order.target
-        route = request.route
-        key = (route.name, attempt.model)
-        is_bad = result.outcome in (Outcome.FAILED, Outcome.SILENT)
-        if (
-            result.latency_sample is not None
-            and result.outcome in OUTCOMES_WITH_RESPONSE
-        ):
-            is_bad = is_bad or self._latency_baselines.is_slow(
-                key, result.latency_sample, route.objective, route.gap_objective
-            )
-            if not is_target:
-                self._latency_baselines.record(key, result.latency_sample)
-        if order is None or (
-            result.outcome not in OUTCOMES_WITH_RESPONSE and not is_bad
-        ):
-            return
-        book = self._get_tallies((order.service, order.revision))
-        book.own.record(route.name, is_target, is_bad)
-
-    def record_latency(self, request, attempt, sample, load):
-        """Count the latency of an answer for a roll-out, maybe before the answer ends.
-
-        Parameters
-        ----------
-        request : GatewayRequest
-            The request.
-        attempt : Attempt
-            The attempt that is being answered.
-        sample : LatencySample
-            What was measured so far.
-        load : tuple of (int, int, int) or None
-            Running requests, waiting requests and slots that the server reported.
-        """
-        seconds = sample.comparable_latency
-        if seconds is None:
-            return
-        order = self._cluster_state.orders.get(attempt.server.service)
-        is_target = order is not None and attempt.server.release == order.target
-        if sample.has_events and load is not None:
-            running = load[0]
-            if not is_target:
-                self._load_curve.record(running, seconds)
-            seconds = self._load_curve.normalize(running, seconds)
-        if order is None:
-            return
-        book = self._get_tallies((order.service, order.revision))
-        kind = AnswerKind(request.route.name, attempt.model)
-        book.own.record_latency(kind, is_target, seconds)
-
     def _get_chooser(self, service):
         chooser = self._choosers.get(service)
         if chooser is None:
@@ -320,7 +259,7 @@
         if state.phase.is_final:
             return
         now = self._clock()
-        tally = self._get_tallies(key).sum_fleet(self._role)
+        tally = self.get_tallies(key).sum_fleet(self._role)
         recent = self._recent_latencies.setdefault(key, RecentLatencies()).find(
             tally, now, state.phase is RolloutPhase.FULL
         )
@@ -432,9 +371,10 @@
         tally : Tally
             Answers and bad answers of both releases, since the order.
         """
-        self._get_tallies(key).record_received(scope, domain, sender, tally)
+        self.get_tallies(key).record_received(scope, domain, sender, tally)
 
-    def _get_tallies(self, key):
+    def get_tallies(self, key):
+        """Return the TallyBook of a roll-out, by service and revision of its order."""
         if key not in self._tallies:
             self._tallies[key] = TallyBook(self._failure_domain)
         return self._tallies[key]
--- a/test/decisions/test_selection.py
+++ b/test/decisions/test_selection.py
@@ -8,8 +8,9 @@
 from tanagerwalk.decisions.paths import PathTable
 from tanagerwalk.decisions.prompt_affinity import compute_affinity
 from tanagerwalk.decisions.relays import Role, Scope
-from tanagerwalk.decisions.selection import MAX_FAILURE_PAUSE_S, ServerPool
+from tanagerwalk.decisions.selection import ServerPool
 from tanagerwalk.decisions.server_usage import estimate_work
+from tanagerwalk.decisions.server_usage_table import MAX_FAILURE_PAUSE_S
 from tanagerwalk.decisions.shared_loads import (
     NO_LOAD,
     ReportSource,
