Let the soak's servers leave by word and ask for pauses

Two faults, announce_leaving and hold_requests, and a check that no gateway calls a server 2.5 s after it passed on that the server leaves, restarts and pauses excused. The check finds a planted violation (test_checks.py).

--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -32,6 +32,7 @@
             attempt_id = arrival.request.headers.get("x-tanagerwalk-attempt-id", "")
             arrivals[attempt_id].append(arrival)
     requests_by_id = {request.id: request for request in requests}
+    leaving_since = _find_leaving_times(requests)
     violations = [
         f"request {request_id!r} arrived but was never sent: "
         f"{[_describe_arrival(arrival) for arrival in arrivals[request_id]]}"
@@ -47,9 +48,24 @@
         violations += _check_drained_servers(
             arrivals[request.id], fleet.drain_times, is_undisturbed
         )
+        violations += _check_leaving_servers(
+            request, arrivals[request.id], leaving_since, is_undisturbed
+        )
     return violations
 
 
+def _find_leaving_times(requests):
+    """Return when each gateway first passed on that a server leaves."""
+    times = {}
+    for request in requests:
+        if request.reply is None or "server-leaving" not in request.reply.headers:
+            continue
+        seal = request.reply.headers.get("x-tanagerwalk-response-seal", "")
+        key = request.gateway, seal.rpartition(".")[0]
+        times[key] = min(times.get(key, request.ended_at), request.ended_at)
+    return times
+
+
 def _describe_arrival(arrival):
     request = arrival.request
     return f"{request.method} {request.target} at {arrival.server_id} {request.headers}"
@@ -117,3 +133,14 @@
         if is_undisturbed(drained_at - CONTACT_DELAY_S, arrival.received_at):
             delay = arrival.received_at - drained_at
             yield f"{arrival.server_id} was called {delay:.2f} s after it was drained"
+
+
+def _check_leaving_servers(request, arrivals, leaving_since, is_undisturbed):
+    for arrival in arrivals:
+        told_at = leaving_since.get((request.gateway, arrival.server_id))
+        if told_at is None or request.sent_at <= told_at + DRAIN_LIMIT_S:
+            continue
+        # A restart or a pause of the gateway since then excuses it.
+        if is_undisturbed(told_at, arrival.received_at):
+            delay = request.sent_at - told_at
+            yield f"{arrival.server_id} was called {delay:.2f} s after it left"
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -15,6 +15,9 @@
 MIN_REPLICAS = 2
 # A restart counts as a disturbance for this long.
 RESTART_DISTURBANCE_S = 8.0
+# Time for which a server goes on answering after it has said that it leaves.
+LEAVING_S = 5.0
+RETRY_AFTER_VALUES = ("0.5", "2", "-1", "nan", "soon")
 SERVER_FAULTS = (
     "refuse",
     "misdirect",
@@ -75,6 +78,7 @@
                 self._replace_server,
             ),
             *(self._remove_undrained_server, self._update_manifest, self._revoke_key),
+            *(self._announce_leaving, self._hold_requests),
         )
 
     async def run(self, seconds):
@@ -171,6 +175,22 @@
         if len(replicas) > MIN_REPLICAS:
             await self._fleet.remove_server(server_id)
 
+    async def _announce_leaving(self):
+        """Let a server say that it leaves, while its entry says ready."""
+        server_id = self._choose_server()
+        await self._fleet.add_server(server_id.partition("-")[0])
+        server = self._fleet.servers[server_id]
+        server.behaviour = Behaviour(is_leaving=True)
+        await asyncio.sleep(LEAVING_S)
+        if server_id in self._fleet.servers:
+            await self._fleet.remove_server(server_id)
+
+    async def _hold_requests(self):
+        """Let a server turn a few requests away for a while."""
+        hold = self._random.choice(RETRY_AFTER_VALUES)
+        server = self._fleet.servers[self._choose_server()]
+        server.behaviour = Behaviour("refuse", 2, retry_after=hold)
+
     async def _update_manifest(self):
         await self._fleet.write_manifest()
 
--- a/test/soak/test_checks.py
+++ b/test/soak/test_checks.py
@@ -99,3 +99,19 @@
         BOOKING, BOOKING_REPLY, arrivals, drain_times={"desk-0": drained_at}
     )
     assert bool(violations) is is_violation
+
+
+@pytest.mark.parametrize(("sent_at", "is_violation"), [(12.7, True), (12.5, False)])
+def test_request_to_a_server_that_said_it_leaves_is_found(sent_at, is_violation):
+    told = dataclasses.replace(
+        BOOKING,
+        reply=dataclasses.replace(
+            BOOKING_REPLY, headers=SEAL_HEADERS | {"server-leaving": "1"}
+        ),
+        ended_at=10.1,
+    )
+    later = dataclasses.replace(PLAN, id="2", sent_at=sent_at)
+    arrivals = [build_arrival(told), build_arrival(later, received_at=sent_at + 0.1)]
+    fleet = SimpleNamespace(arrivals=[arrivals], revoked_at=None, drain_times={})
+    violations = find_violations(fleet, [told, later], lambda begin, end: True)
+    assert bool(violations) is is_violation
