Order what the store says by its era first

What callers would have seen: an instance ignored everything written after that, as revisions were lower than those it knew: new keys and manifests for as long as the revisions took to catch up. Cause: state from the store was ordered by revision alone, and no code read the header. Change: platform/store.py combines era and revision into one number that orders by the era first, for entries, watches, deletions and conditional writes; it is the only place that knows. A watch or a condition of an earlier era isn't sent, since the store may have given out that revision again; the copy is then listed anew. Messages between instances carry the same numbers, so none of the old era overrides the new. A manifest with a lower version of the operators never replaces a newer one, and a server that was draining stays so for its life, whatever an older copy lists. Servers that the copy lacks keep their two seconds of grace, and instances that it lacks are known until they have had time to register again. Without the header nothing changes.

--- a/tanagerwalk/changes.py
+++ b/tanagerwalk/changes.py
@@ -5,6 +5,29 @@
 from .ids import Revision
 from .writes import Entry
 
+# The store's own revisions are far smaller.
+REVISIONS_PER_ERA = 1 << 44
+
+
+def combine_revision(era, revision):
+    """Return a Revision that orders by the era of the store first.
+
+    A store that is restored from an older copy gives out revisions again, in a new era.
+
+    Parameters
+    ----------
+    era : int
+        Number of times that the store was restored.
+    revision : int
+        The store's own revision; 0 stands for an absent key in every era.
+    """
+    return Revision(era * REVISIONS_PER_ERA + revision if revision else 0)
+
+
+def split_revision(revision):
+    """Return the era of a Revision and the store's own revision in it."""
+    return divmod(revision, REVISIONS_PER_ERA)
+
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
--- a/tanagerwalk/decisions/server_usage_table.py
+++ b/tanagerwalk/decisions/server_usage_table.py
@@ -3,6 +3,7 @@
 import zlib
 
 from ..ids import BackendServerId
+from ..registry import ServerState
 from .server_usage import ServerUsage
 
 FAILURE_PAUSE_S = 0.5
@@ -50,8 +51,11 @@
             usage = self._usages.get(server.id)
             if usage is None:
                 self._usages[server.id] = ServerUsage(server)
-            else:
-                usage.server = server
+                continue
+            # An older copy of the store may list it as ready again.
+            was_draining = usage.server.state is ServerState.DRAINING
+            usage.is_leaving = usage.is_leaving or was_draining
+            usage.server = server
         return gone
 
     def find(self, server_id):
--- a/tanagerwalk/gateway/cluster_state.py
+++ b/tanagerwalk/gateway/cluster_state.py
@@ -69,6 +69,9 @@
         manifest = self._decode(self._codec.parse_manifest, entry)
         if manifest is None:
             return
+        if self.manifest is not None and manifest.is_older_than(self.manifest):
+            log.info("ignored older manifest", revision=entry.revision)
+            return
         self.manifest = manifest
         log.info(
             "manifest in force",
--- a/tanagerwalk/gateway/membership.py
+++ b/tanagerwalk/gateway/membership.py
@@ -10,6 +10,7 @@
 from ..decisions.peers import Peer
 from ..ids import FailureDomain
 from ..writes import StoreFault
+from .clocks import read_boot_clock
 
 log = structlog.get_logger(__name__)
 
@@ -17,6 +18,8 @@
 RENEW_INTERVAL_S = 4.0
 RETRY_INTERVAL_S = 0.6
 LOAD_POLL_INTERVAL_S = 0.05
+# Longest time until an instance has renewed its lease in vain, and registered again.
+RESTORE_GRACE_S = 1.25 * (RENEW_INTERVAL_S + 2.0 * RETRY_INTERVAL_S)
 
 
 class _PeerRecord(msgspec.Struct, frozen=True):
@@ -85,10 +88,22 @@
                 FailureDomain(record.failure_domain),
                 record.changes_port,
             )
+        peers = self._keep_lost_peers(peers)
         if peers != self.peers:
             self.peers = peers
             self._notify_subscribers()
 
+    def _keep_lost_peers(self, peers):
+        """Return the peers with those that a restored store has lost.
+
+        They write their entries again once they find that their leases are gone.
+        """
+        grace_left = self._mirror.restored_at + RESTORE_GRACE_S - read_boot_clock()
+        if grace_left <= 0.0 or self.peers.keys() <= peers.keys():
+            return peers
+        asyncio.get_running_loop().call_later(grace_left, self._read_peers)
+        return self.peers | peers
+
     async def run(self):
         """Register this instance and renew its lease until cancelled.
 
--- a/tanagerwalk/gateway/mirror.py
+++ b/tanagerwalk/gateway/mirror.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from ..changes import Changes
+from ..changes import Changes, split_revision
 from ..decisions.change_log import ChangeLog
 from ..ids import Revision
 from ..writes import StoreFault
@@ -51,6 +51,8 @@
         Boot time in seconds up to which no change is missing.
     reconnected_at : float
         Boot time in seconds at which the store was last regained after an outage.
+    restored_at : float
+        Boot time in seconds at which it was found to be restored from an older copy.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         self._random = random
         self._grace_prefix = grace_prefix
         self._revision = None
+        self._last_revision = Revision(0)
         self._is_disconnected = False
         self._grace_deadlines = {}
         self._subscribers = []
@@ -76,6 +79,7 @@
         self.change_log = ChangeLog()
         self.confirmed_at = float("-inf")
         self.reconnected_at = float("-inf")
+        self.restored_at = float("-inf")
 
     def subscribe(self, subscriber):
         """Call `subscriber` without arguments after each change."""
@@ -165,6 +169,10 @@
         log.info("store regained", prefix=self._prefix)
 
     def _apply_snapshot(self, snapshot):
+        if self._is_restored(snapshot.revision):
+            # What the copy lacks is written again, as after an outage.
+            self.reconnected_at = read_boot_clock()
+            self.restored_at = self.reconnected_at
         current = {entry.key for entry in snapshot.entries}
         missing = [key for key in self.entries if key not in current]
         if not self.change_log.is_started:
@@ -178,6 +186,14 @@
         self._record_changes(changes)
         self._notify_subscribers()
 
+    def _is_restored(self, revision):
+        """Return whether a revision is the first of a later era of the store."""
+        era, _ = split_revision(revision)
+        is_later = era > split_revision(self._last_revision)[0]
+        was_read = self._last_revision > 0
+        self._last_revision = max(self._last_revision, revision)
+        return is_later and was_read
+
     def _apply_changes(self, changes):
         self._revision = Revision(max(self._revision, changes.revision))
         self._record_changes(changes)
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -299,16 +299,16 @@
     async def _write_phase(self, order, state):
         """Write a new phase unless another instance wrote one first."""
         service = order.service
-        known = self._revisions.get(service)
+        known = self._find_revision(service)
         delay = find_write_delay(self._is_watcher(), self._random)
         await asyncio.sleep(delay)
-        if self._revisions.get(service) != known:
+        if self._find_revision(service) != known:
             return
         status = self._codec.encode_rollout_status(service, state.target, state.phase)
         write = Write(
             key=ROLLOUT_PREFIX + service,
             value=encode_state(state),
-            revision=ABSENT if known is None else known,
+            revision=known,
             extra_puts=(status,),
         )
         result = await self._store.write(write)
@@ -323,6 +323,11 @@
         if result.is_error() or not result.ok.applied:
             await asyncio.sleep(WRITE_RETRY_S)
 
+    def _find_revision(self, service):
+        """Return the revision of the stored state, which a restored store may lack."""
+        entry = self._mirror.entries.get(ROLLOUT_PREFIX + service)
+        return ABSENT if entry is None else entry.revision
+
     # Exchanged with other instances.
 
     def set_role(self, role):
--- a/tanagerwalk/manifest.py
+++ b/tanagerwalk/manifest.py
@@ -166,6 +166,8 @@
         Limits on client requests.
     account_priorities : dict of ClientAccountId to int
         Priorities that take precedence over the route's.
+    version : int or None
+        The operators' own number, which grows; None if it is not a number.
     """
 
     revision: Revision
@@ -175,6 +177,17 @@
     needs_keys: bool
     limits: ClientLimits = ClientLimits()
     account_priorities: dict[ClientAccountId, int] = field(default_factory=dict)
+    version: int | None = None
+
+    def is_older_than(self, other):
+        """Return whether the operators wrote this manifest before another one.
+
+        A store that was restored from an older copy holds an older manifest under a
+        newer revision, until the operators write theirs again.
+        """
+        if self.version is None or other.version is None:
+            return self.revision < other.revision
+        return self.version < other.version
 
     def find_route(self, host, path):
         """Return the route with the longest matching prefix, or None."""
--- a/tanagerwalk/platform/manifests.py
+++ b/tanagerwalk/platform/manifests.py
@@ -134,6 +134,7 @@
             for tenant in tenants
             if tenant.priority is not None
         },
+        version=wire.version if isinstance(wire.version, int) else None,
     )
     return Ok(manifest)
 
--- a/tanagerwalk/platform/names.py
+++ b/tanagerwalk/platform/names.py
@@ -27,6 +27,8 @@
 KV_CACHE_BACKUP = b"x-tanagerwalk-kv-backup"
 KV_CACHE_SOURCE = b"kv-from"
 KV_CACHE_FETCH = b"kv-fetch"
+# In all answers of the store; rises each time that it is restored from an older copy.
+STORE_ERA = b"store-era"
 # In all answers of a backend server that leaves.
 SERVER_LEAVING = b"server-leaving"
 # With status 503: seconds for which the backend server wants no requests.
--- a/tanagerwalk/platform/store.py
+++ b/tanagerwalk/platform/store.py
@@ -2,15 +2,21 @@
 
 import asyncio
 import base64
+from dataclasses import dataclass, replace
+from functools import partial
 from urllib.parse import quote
 
 import msgspec
+import structlog
 from expression import Error, Ok
 
-from ..changes import Changes, Snapshot
+from ..changes import Changes, Snapshot, combine_revision, split_revision
 from ..gateway.connections import open_connection
 from ..ids import Revision
 from ..writes import Entry, StoreFault, WriteOutcome
+from .names import STORE_ERA
+
+log = structlog.get_logger(__name__)
 
 CONNECT_TIMEOUT_S = 0.8
 CALL_TIMEOUT_S = 1.5
@@ -64,9 +70,24 @@
     items: list[_Item] = []
 
 
+@dataclass(frozen=True, slots=True)
+class _Response:
+    """Status and body of a response, and the era of the store that it speaks for."""
+
+    status: int
+    body: bytes
+    era: int
+
+    def decode(self, kind, convert):
+        """Return the Result of converting the body, decoded as `kind`."""
+        return _decode(self.status, self.body, kind).map(partial(convert, self.era))
+
+
 class MetadataStore:
     """Client of the metadata store that reuses idle connections.
 
+    Revisions are ordered over all eras of the store; see `combine_revision`.
+
     Every method returns a Result whose error is a `StoreFault`. After `UNKNOWN` a
     write may have taken effect, or may still do so; it is never retried here.
 
@@ -79,6 +100,8 @@
     ----------
     calls : int
         Number of calls so far.
+    era : int
+        The newest era that the store has told.
     """
 
     def __init__(self, address):
@@ -86,6 +109,7 @@
         self._host = b"%s:%d" % (address[0].encode(), address[1])
         self._idle = []
         self.calls = 0
+        self.era = 0
 
     async def get(self, key):
         """Read one key; a missing key is None.
@@ -98,11 +122,9 @@
         result = await self._request("GET", path)
         if result.is_error():
             return result
-        status, body = result.ok
-        if status == NOT_FOUND_STATUS:
+        if result.ok.status == NOT_FOUND_STATUS:
             return Ok(None)
-        item = _decode(status, body, _KeyResponse)
-        return item.map(_convert_item)
+        return result.ok.decode(_KeyResponse, _convert_item)
 
     async def list(self, prefix, may_be_old=False):
         """Read all entries under a prefix, page by page.
@@ -132,15 +154,19 @@
             result = await self._request("GET", path)
             if result.is_error():
                 return result
-            page = _decode(*result.ok, _RangeResponse)
+            page = result.ok.decode(_RangeResponse, _convert_page)
             if page.is_error():
                 return page
-            for item in page.ok.items:
-                entries[item.key] = _convert_item(item)
-                after = item.key
-            revision = page.ok.current_rev if revision is None else revision
-            if not page.ok.more_pages or not page.ok.items:
-                return Ok(Snapshot(tuple(entries.values()), Revision(revision)))
+            snapshot, has_more = page.ok
+            if revision is not None and _is_other_era(snapshot.revision, revision):
+                # The store was restored between two pages.
+                return Error(StoreFault.UNKNOWN)
+            for entry in snapshot.entries:
+                entries[entry.key] = entry
+                after = entry.key
+            revision = snapshot.revision if revision is None else revision
+            if not has_more or not snapshot.entries:
+                return Ok(Snapshot(tuple(entries.values()), revision))
 
     async def wait_for_changes(self, prefix, after, wait):
         """Wait for changes under a prefix by long polling.
@@ -158,17 +184,21 @@
         -------
         Result of Changes, or of StoreFault
         """
+        era, own_revision = split_revision(after)
+        if era != self.era:
+            # The store may have given out this revision again.
+            return Ok(Changes(compacted=True))
         path = (
-            f"/api/kv-watch?prefix={quote(prefix, safe='')}&after={after}"
+            f"/api/kv-watch?prefix={quote(prefix, safe='')}&after={own_revision}"
             f"&wait_ms={int(wait * MS_PER_S)}"
         )
         result = await self._request("GET", path, timeout=wait + WATCH_TIMEOUT_MARGIN_S)
         if result.is_error():
             return result
-        status, body = result.ok
-        if status == COMPACTED_STATUS:
+        response = result.ok
+        if response.status == COMPACTED_STATUS or response.era != era:
             return Ok(Changes(compacted=True))
-        return _decode(status, body, _WatchResponse).map(_convert_changes)
+        return response.decode(_WatchResponse, _convert_changes)
 
     async def write(self, write):
         """Write a key on condition that it still has the expected revision.
@@ -182,20 +212,24 @@
         -------
         Result of WriteOutcome, or of StoreFault
         """
+        era, own_revision = split_revision(write.revision)
+        if own_revision and era != self.era:
+            return Ok(WriteOutcome(False, Revision(0)))
         puts = [(write.key, write.value), *write.extra_puts]
         body = {
-            "expect": [{"key": write.key, "revision": write.revision}],
+            "expect": [{"key": write.key, "revision": own_revision}],
             "puts": [_build_put(k, v, write.lease) for k, v in puts if v is not None],
             "remove": [write.key] if write.value is None else [],
         }
         result = await self._request("POST", "/api/kv-txn", msgspec.json.encode(body))
         if result.is_error():
             return result
-        status, content = result.ok
-        if status == CONFLICT_STATUS:
-            return _decode(OK_STATUS, content, _ConflictResponse).map(_convert_conflict)
-        written = _decode(status, content, _WriteResponse)
-        return written.map(lambda w: WriteOutcome(True, Revision(w.revision)))
+        response = result.ok
+        if response.status == CONFLICT_STATUS:
+            conflict = replace(response, status=OK_STATUS)
+            return conflict.decode(_ConflictResponse, _convert_conflict)
+        written = response.decode(_WriteResponse, _convert_written)
+        return written.map(lambda revision: WriteOutcome(True, revision))
 
     async def put(self, key, value, lease=0):
         """Write a key unconditionally.
@@ -208,7 +242,7 @@
         result = await self._request("POST", "/api/kv-txn", msgspec.json.encode(body))
         if result.is_error():
             return result
-        return _decode(*result.ok, _WriteResponse).map(lambda w: Revision(w.revision))
+        return result.ok.decode(_WriteResponse, _convert_written)
 
     async def grant_lease(self, ttl):
         """Create a lease that expires after `ttl` seconds.
@@ -221,7 +255,7 @@
         result = await self._request("POST", "/api/kv-lease", body)
         if result.is_error():
             return result
-        return _decode(*result.ok, _LeaseResponse).map(lambda granted: granted.lease)
+        return result.ok.decode(_LeaseResponse, lambda era, granted: granted.lease)
 
     async def renew_lease(self, lease):
         """Renew a lease; `REJECTED` means that it may have ended.
@@ -233,7 +267,7 @@
         result = await self._request("POST", f"/api/kv-keep/{lease}")
         if result.is_error():
             return result
-        status, _ = result.ok
+        status = result.ok.status
         if status == NOT_FOUND_STATUS:
             return Error(StoreFault.REJECTED)
         return Ok(None) if status == OK_STATUS else Error(StoreFault.UNKNOWN)
@@ -243,9 +277,10 @@
 
         Returns
         -------
-        Result of tuple, or of StoreFault
+        Result of None, or of StoreFault
         """
-        return await self._request("DELETE", f"/api/kv-lease-end/{lease}")
+        result = await self._request("DELETE", f"/api/kv-lease-end/{lease}")
+        return result.map(lambda response: None)
 
     async def _request(self, method, path, body=b"", timeout=CALL_TIMEOUT_S):
         self.calls += 1
@@ -268,7 +303,20 @@
             return Error(StoreFault.UNKNOWN)
         if connection.is_reusable():
             self._idle.append(connection)
-        return Ok((head.ok.status, content.ok))
+        era = self._read_era(head.ok)
+        return Ok(_Response(head.ok.status, content.ok, era))
+
+    def _read_era(self, head):
+        """Return the era of a response, and remember the newest one."""
+        value = head.get_header(STORE_ERA) or b"0"
+        if not value.strip().isdigit():
+            log.warning("invalid era of the store", value=value.decode("latin-1"))
+            return self.era
+        era = int(value)
+        if era > self.era:
+            log.info("store restored from an older copy", era=era, before=self.era)
+            self.era = era
+        return era
 
     async def _get_connection(self):
         while self._idle:
@@ -304,20 +352,37 @@
         return Error(StoreFault.UNKNOWN)
 
 
-def _convert_item(item):
-    return Entry(item.key, base64.b64decode(item.value), Revision(item.revision))
+def _convert_item(era, item):
+    value = base64.b64decode(item.value)
+    return Entry(item.key, value, combine_revision(era, item.revision))
+
+
+def _convert_page(era, wire):
+    """Return the Snapshot of a page, and whether there are further pages."""
+    entries = tuple(_convert_item(era, item) for item in wire.items)
+    return Snapshot(entries, combine_revision(era, wire.current_rev)), wire.more_pages
+
 
+def _is_other_era(revision, other):
+    return split_revision(revision)[0] != split_revision(other)[0]
 
-def _convert_changes(wire):
+
+def _convert_changes(era, wire):
     return Changes(
-        written=tuple(_convert_item(e) for e in wire.events if not e.deleted),
-        deleted=tuple((e.key, Revision(e.revision)) for e in wire.events if e.deleted),
-        revision=Revision(wire.current_rev),
+        written=tuple(_convert_item(era, e) for e in wire.events if not e.deleted),
+        deleted=tuple(
+            (e.key, combine_revision(era, e.revision)) for e in wire.events if e.deleted
+        ),
+        revision=combine_revision(era, wire.current_rev),
     )
 
 
-def _convert_conflict(wire):
-    existing = _convert_item(wire.items[0]) if wire.items else None
+def _convert_written(era, wire):
+    return combine_revision(era, wire.revision)
+
+
+def _convert_conflict(era, wire):
+    existing = _convert_item(era, wire.items[0]) if wire.items else None
     if existing is not None and existing.revision == 0:
         existing = None
     return WriteOutcome(False, Revision(0), existing)
--- a/tanagerwalk/standins/metadata.py
+++ b/tanagerwalk/standins/metadata.py
@@ -34,6 +34,8 @@
         Number of following transactions that take effect, but whose response is lost.
     page_items : int
         Maximum number of items in a page of a range call.
+    era : int
+        Number of times that the store was restored from a copy.
     """
 
     def __init__(self):
@@ -44,6 +46,7 @@
         self.revision = 10
         self.items = {}
         self.leases = {}
+        self.era = 0
         self.calls = []
         self._history = []
         self._compacted = 0
@@ -71,7 +74,10 @@
             if self.mode == "reset":
                 request.transport.abort()
                 return web.Response(status=500)
-            return await handler(request)
+            response = await handler(request)
+            if self.era:
+                response.headers["Store-Era"] = str(self.era)
+            return response
 
         return handle
 
@@ -90,6 +96,21 @@
         self._compacted = self.revision
         self._history.clear()
 
+    def take_copy(self):
+        """Return a copy of all items, for `restore`."""
+        return dict(self.items), dict(self.leases), self.revision
+
+    async def restore(self, copy):
+        """Go on from an older copy, in a new era, without any history."""
+        items, leases, revision = copy
+        self.items = dict(items)
+        self.leases = dict(leases)
+        self.revision = revision
+        self.era += 1
+        self._history.clear()
+        async with self._changed:
+            self._changed.notify_all()
+
     def read(self, key):
         """Return the value of an item, or None if there is no such key."""
         item = self.items.get(key)
@@ -127,7 +148,7 @@
     async def _watch(self, request):
         prefix = request.query["prefix"]
         after = int(request.query["after"])
-        if after < self._compacted:
+        if after < self._compacted or after > self.revision:
             return web.Response(status=410)
         wait = int(request.query["wait_ms"]) / MS_PER_S
         try:
