--- a/tanagerwalk/decisions/release_evidence.py
+++ b/tanagerwalk/decisions/release_evidence.py
@@ -24,7 +24,7 @@
 
 
 def is_bad_release(tally, slow_ratio=SLOW_RATIO):
-    """Return whether the target release fails or dawdles more often than the base.
+    """Return whether the target release fails more often or is slower than the base.
 
     A release may be bad on one route only, so each route is tested on its own, and
     then all routes together.
--- a/tanagerwalk/ui/why.py
+++ b/tanagerwalk/ui/why.py
@@ -92,8 +92,11 @@
     steps = [f"request {line['id']}: {line['end']} after {line['ms']} ms"]
     for number, attempt in enumerate(line["attempts"], 1):
         model = f" with {attempt['model']}" if attempt["model"] else ""
+        # Lines of earlier builds don't tell the path.
+        via = f" through {attempt['via']}" if attempt.get("via") else ""
         steps.append(
-            f"  attempt {number} at {attempt['server']}{model}: {attempt['outcome']}"
+            f"  attempt {number} at {attempt['server']}{model}{via}:"
+            f" {attempt['outcome']}"
             f" ({attempt['detail'] or 'whole'}) after {attempt['ms']} ms,"
             f" expected wait {attempt['wait_ms']} ms, server's load {attempt['load']}"
         )
--- a/test/ui/test_why.py
+++ b/test/ui/test_why.py
@@ -19,7 +19,7 @@
 
 
 def test_golden_cases_cover_each_kind():
-    assert CASES == ["cut", "late", "refused"]
+    assert CASES == ["cut", "late", "refused", "unreachable"]
 
 
 @pytest.mark.parametrize("name", CASES)
