Show an instance that believes a restored manifest, in a failing test

Hypothesis 2 fails on: an instance that starts between the restore and the operators' next write takes the older manifest of the copy for the newest, and serves a key that was withdrawn (200).

--- a/test/gateway/test_store_restore.py
+++ b/test/gateway/test_store_restore.py
@@ -1,6 +1,7 @@
 """A store that comes back from an older copy, in a new era."""
 
 import asyncio
+import random
 
 import pytest
 import pytest_asyncio
@@ -181,3 +182,80 @@
     assert combine_revision(3, 0) == 0
     assert split_revision(combine_revision(3, 7)) == (3, 7)
     assert combine_revision(1, 1) > combine_revision(0, 10**9)
+
+
+# Guards against CONFIG: an instance that starts between a restore and the operators'
+# next write takes the older manifest of the copy for the newest, and accepts a key that
+# was withdrawn.
+async def test_instance_that_starts_after_a_restore_learns_of_the_newer_manifest(
+    cluster,
+):
+    await cluster.store.put(
+        "op/config", build_manifest(2, **build_accounts(API_KEY, OTHER_KEY))
+    )
+    await wait_for_version(cluster, 2)
+    copy = cluster.store.take_copy()
+    await cluster.store.put("op/config", build_manifest(3))
+    await wait_for_version(cluster, 3)
+    await cluster.store.restore(copy)
+    await wait_for_era(cluster, 1)
+    started = await cluster.add_instance("gateway-late")
+    assert await call(cluster, OTHER_KEY, started) in (401, 503)
+    await wait_for_version(cluster, 3)
+    assert await call(cluster, OTHER_KEY, started) == 401
+
+
+class RestoreWalk:
+    """Random writes, restores and compactions of the store of a cluster."""
+
+    def __init__(self, cluster, seed):
+        self.random = random.Random(seed)
+        self.cluster = cluster
+        self.version = 1
+        self.copies = [cluster.store.take_copy()]
+
+    async def write(self):
+        self.version += self.random.randint(1, 3)
+        await self.cluster.store.put("op/config", build_manifest(self.version))
+
+    async def copy(self):
+        self.copies.append(self.cluster.store.take_copy())
+
+    async def compact(self):
+        self.cluster.store.compact()
+
+    async def restore(self):
+        """Restore an old copy; the operators and the servers then write theirs again."""
+        await self.cluster.store.restore(self.random.choice(self.copies))
+        await asyncio.sleep(0.6 * self.random.random())
+        await self.cluster.store.put("op/config", build_manifest(self.version))
+        for server in self.cluster.servers.values():
+            await self.cluster.store.put(*server.build_entry("desk", "a-1"))
+
+    async def step(self):
+        action = self.random.choice([self.write, self.copy, self.compact, self.restore])
+        await action()
+        await asyncio.sleep(0.4 * self.random.random())
+
+
+async def record_versions(cluster, seen):
+    while True:
+        for instance in cluster.instances:
+            manifest = instance.cluster_state.manifest
+            seen.setdefault(instance.incarnation, []).append(manifest.version)
+        await asyncio.sleep(0.01)
+
+
+# Guards against CONFIG: a change that a restore hides, or a manifest that goes back.
+@pytest.mark.parametrize("seed", range(8))
+async def test_newest_manifest_is_in_force_after_any_series_of_restores(cluster, seed):
+    walk = RestoreWalk(cluster, seed)
+    seen = {}
+    recorder = asyncio.create_task(record_versions(cluster, seen))
+    for _ in range(12):
+        await walk.step()
+    await wait_for_version(cluster, walk.version)
+    recorder.cancel()
+    for versions in seen.values():
+        assert versions == sorted(versions)
+    assert await call(cluster) == 200
