Ask other instances for the manifest after a restore of the store

What callers saw: a request handled by a manifest older than one that had been acknowledged longer ago than the bound. Cause: a store that comes back from an older copy lacks the newest manifest until the operators write it again. Ordering by era protects instances that have seen the newer one; one that starts then, or was cut off from the store, took the older for the newest and counted it as confirmed. Class: what is acknowledged lives on in the fleet, but only the store was asked. Change: in a new era an instance asks up to eight others for a newer manifest, by the operators' version, before a read of the store counts as a confirmation and before it is ready.

--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -35,6 +35,7 @@
 from .fleet_key import FleetKey
 from .forwarding import ForwardFilter
 from .listener import Listener
+from .manifest_recovery import ManifestRecovery, ManifestServer
 from .membership import MembershipController
 from .metrics import GatewayMetrics
 from .mirror import Mirror
@@ -111,7 +112,6 @@
         self.servers = ServerPool(home, self.shared_loads, self.paths, self.random)
         self._create_connections()
         self._create_mirror()
-        self.mirror.subscribe_to_confirmations(self.freshness.confirm)
         self.cluster_state = ClusterState(
             self.mirror,
             self.codec,
@@ -135,6 +135,7 @@
         )
 
         self._create_membership()
+        self._create_manifest_recovery()
         self.quarantine = QuarantineFilter(self.servers, self.clock)
         self.sharing = LoadSharing(
             self.incarnation,
@@ -208,6 +209,18 @@
             self.random,
         )
 
+    def _create_manifest_recovery(self):
+        ManifestServer(self.cluster_state).register(self.peer_server)
+        self.manifest_recovery = ManifestRecovery(
+            self.mirror,
+            self.cluster_state,
+            self.freshness.confirm,
+            lambda: self.membership.peers,
+            self._get_peer_address,
+            self.incarnation,
+            self.random,
+        )
+
     def _update_peers(self):
         self.watchers.set_peers(self.membership.peers)
         self.relays.set_peers(self.membership.peers)
@@ -221,6 +234,7 @@
         secret = await self.fleet_key.find()
         self.peer_server.secret = secret
         self.feed.authenticate(secret)
+        self.manifest_recovery.authenticate(secret)
         self.tunnel_client.authenticate(secret, self.incarnation)
         self.sharing.authenticate(secret)
 
@@ -307,6 +321,7 @@
         return (
             not self.stopping
             and self.cluster_state.is_complete
+            and not self.manifest_recovery.is_pending
             and self.freshness.is_fresh()
         )
 
@@ -360,6 +375,7 @@
         await self.peer_server.start(*listeners.peers)
         await self.client_listener.start(listeners.clients)
         self.supervisor.run(self.mirror.run())
+        self.supervisor.run(self.manifest_recovery.run())
         self.supervisor.run(self.rollouts.run())
         self.supervisor.run(self.membership.run())
         self.supervisor.run_once(self._authenticate())
@@ -402,5 +418,6 @@
         self.sharing.stop()
         await self.peer_server.stop()
         await self.feed.close()
+        await self.manifest_recovery.close()
         self.connection_pool.close()
         self.store.close()
--- a/tanagerwalk/gateway/cluster_state.py
+++ b/tanagerwalk/gateway/cluster_state.py
@@ -23,6 +23,8 @@
     ----------
     manifest : Manifest or None
         The newest manifest that could be decoded.
+    manifest_entry : Entry or None
+        The entry that it was decoded from.
     orders : dict of ServiceName to RolloutOrder
         Roll-outs that the operators ordered, by service.
     """
@@ -34,7 +36,9 @@
         self._on_server_removed = on_server_removed
         self._decoded = {}
         self._subscribers = []
+        self._ignored_revision = None
         self.manifest = None
+        self.manifest_entry = None
         self.orders = {}
         mirror.subscribe(self._load_operator_entries)
         mirror.subscribe(self._load_servers)
@@ -70,9 +74,33 @@
         if manifest is None:
             return
         if self.manifest is not None and manifest.is_older_than(self.manifest):
-            log.info("ignored older manifest", revision=entry.revision)
+            if self._ignored_revision != entry.revision:
+                log.info("ignored older manifest", revision=entry.revision)
+            self._ignored_revision = entry.revision
             return
+        self._put_in_force(manifest, entry)
+
+    def adopt_manifest(self, entry):
+        """Put a manifest of another instance in force if it is newer than the own.
+
+        Its revision may be of an earlier era of the store, so that only the version of
+        the operators tells which is newer.
+
+        Parameters
+        ----------
+        entry : Entry
+            The entry that the other instance decoded its manifest from.
+        """
+        result = self._codec.parse_manifest(entry.key, entry.value, entry.revision)
+        if result.is_error():
+            log.warning("cannot decode manifest of a peer", problem=result.error)
+            return
+        if self.manifest is None or self.manifest.is_older_than(result.ok):
+            self._put_in_force(result.ok, entry)
+
+    def _put_in_force(self, manifest, entry):
         self.manifest = manifest
+        self.manifest_entry = entry
         log.info(
             "manifest in force",
             revision=manifest.revision,
--- a/tanagerwalk/gateway/mirror.py
+++ b/tanagerwalk/gateway/mirror.py
@@ -85,6 +85,11 @@
         """Call `subscriber` without arguments after each change."""
         self._subscribers.append(subscriber)
 
+    @property
+    def era(self):
+        """Era of the store that the copy was read in, or None before the first read."""
+        return None if self._revision is None else split_revision(self._revision)[0]
+
     def list_entries(self, prefix):
         """Return the entries under a prefix."""
         return [e for key, e in self.entries.items() if key.startswith(prefix)]
--- a/tanagerwalk/peers/changes.thrift
+++ b/tanagerwalk/peers/changes.thrift
@@ -29,3 +29,14 @@
   // Time since the sender regained the store after an outage; absent if it never did.
   6: optional i64 reconnected_ago_ms
 }
+
+// Asks for the manifest in force, if it is newer than that of the sender.
+struct ManifestRequest {
+  // The operators' version of the sender's manifest.
+  1: i64 version
+}
+
+struct ManifestResponse {
+  // Absent if the asked instance has no newer manifest.
+  1: optional WrittenEntry entry
+}
--- a/tanagerwalk/peers/gen/changes/ttypes.py
+++ b/tanagerwalk/peers/gen/changes/ttypes.py
@@ -348,6 +348,121 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class ManifestRequest(object):
+    """
+    Attributes:
+     - version
+
+    """
+
+
+    def __init__(self, version=None,):
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ManifestRequest')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ManifestResponse(object):
+    """
+    Attributes:
+     - entry
+
+    """
+
+
+    def __init__(self, entry=None,):
+        self.entry = entry
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.entry = WrittenEntry()
+                    self.entry.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ManifestResponse')
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRUCT, 1)
+            self.entry.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(ChangesRequest)
 ChangesRequest.thrift_spec = (
     None,  # 0
@@ -376,5 +491,15 @@
     (5, TType.BOOL, 'compacted', None, None, ),  # 5
     (6, TType.I64, 'reconnected_ago_ms', None, None, ),  # 6
 )
+all_structs.append(ManifestRequest)
+ManifestRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+)
+all_structs.append(ManifestResponse)
+ManifestResponse.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'entry', [WrittenEntry, None], None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/tanagerwalk/peers/rpc.py
+++ b/tanagerwalk/peers/rpc.py
@@ -33,6 +33,7 @@
     DROP_BILLS = 4
     FETCH_CHANGES = 5
     OPEN_TUNNEL = 6
+    FETCH_MANIFEST = 7
 
 
 class RequestFault(Enum):
--- a/test/gateway/test_store_restore.py
+++ b/test/gateway/test_store_restore.py
@@ -205,6 +205,15 @@
     assert await call(cluster, OTHER_KEY, started) == 401
 
 
+async def test_instance_without_others_serves_by_the_restored_copy():
+    async with GatewayCluster() as built:
+        await built.store.restore(built.store.take_copy())
+        began = asyncio.get_running_loop().time()
+        await built.build(drafts=0, desks=1, instances=1)
+        assert asyncio.get_running_loop().time() - began < 3.0
+        assert await call(built) == 200
+
+
 class RestoreWalk:
     """Random writes, restores and compactions of the store of a cluster."""
 
@@ -225,7 +234,7 @@
         self.cluster.store.compact()
 
     async def restore(self):
-        """Restore an old copy; the operators and the servers then write theirs again."""
+        """Restore an old copy; the operators and servers then write theirs again."""
         await self.cluster.store.restore(self.random.choice(self.copies))
         await asyncio.sleep(0.6 * self.random.random())
         await self.cluster.store.put("op/config", build_manifest(self.version))
@@ -258,4 +267,6 @@
     recorder.cancel()
     for versions in seen.values():
         assert versions == sorted(versions)
-    assert await call(cluster) == 200
+    data = cluster.encode("GET", "/jobs/7")
+    reply = await cluster.send(data)
+    assert reply.status == 200, reply.headers
