Don't take the crashes of one request for a common cause

What callers saw: a request that had crashed three servers was sent to servers again and again. Cause: three servers of a failure domain that crash within two seconds counted as a common cause, whatever ran on them; in a domain of six or fewer that is what one crashing request does, so it was never blamed. Change: only servers count that neither this request nor one with two crashes ran on. What the old rule guarded, a power failure that hits a much-asked request on several servers at once, is told by its answers: a request answered in the last ten seconds isn't blamed. 'tanagerwalk serve' uses the same decision.

--- a/tanagerwalk/decisions/quarantine.py
+++ b/tanagerwalk/decisions/quarantine.py
@@ -1,6 +1,6 @@
 """Quarantine of requests that crash the backend servers that run them."""
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -10,6 +10,11 @@
 MIN_CORRELATED_SERVERS = 3
 CORRELATED_SHARE = 0.5
 MAX_RECENT_CRASHES = 256
+# Crashes of requests that are answered elsewhere have other causes.
+ANSWER_LIFETIME_S = 10.0
+MAX_ANSWERS = 4096
+# Crashes from which on a request explains those of the servers that ran it.
+MIN_EXPLAINING_CRASHES = 2
 
 
 class QuarantineState(Enum):
@@ -36,6 +41,15 @@
     incarnations: set[str] = field(default_factory=set)
 
 
+@dataclass(slots=True)
+class _DownServer:
+    """A server that crashed lately, and the requests that were in flight on it."""
+
+    failure_domain: str
+    crashed_at: float
+    fingerprints: set[str] = field(default_factory=set)
+
+
 class Quarantine:
     """Tracks the requests that were in flight when backend servers crashed.
 
@@ -49,7 +63,8 @@
     def __init__(self, settings):
         self._settings = settings
         self._blames = OrderedDict()
-        self._recent = deque(maxlen=MAX_RECENT_CRASHES)
+        self._down = OrderedDict()
+        self._answered_at = OrderedDict()
 
     def __len__(self):
         return len(self._blames)
@@ -81,8 +96,9 @@
     def record_crash(self, fingerprint, record, domain_size, now):
         """Blame a request that was in flight on a backend server that crashed.
 
-        If many servers of a failure domain go down together, a common cause such as
-        a power failure is assumed and no request is blamed.
+        A request is not blamed if it has been answered lately, or if many servers of
+        the failure domain go down together that ran other requests: a common cause such
+        as a power failure is assumed.
 
         Parameters
         ----------
@@ -101,19 +117,47 @@
             All backend servers that crashed while running the request, to be sent to
             the peers; None if the request is not blamed.
         """
-        self._recent.append((now, record.failure_domain, record.incarnation))
-        if self._is_correlated(record.failure_domain, domain_size, now):
+        self._record_down(fingerprint, record, now)
+        if self._was_answered(fingerprint, now):
+            return None
+        if self._has_common_cause(fingerprint, record, domain_size, now):
             return None
         return self.add_crashes(fingerprint, (record.incarnation,), now)
 
-    def _is_correlated(self, domain, domain_size, now):
-        down = {
-            incarnation
-            for at, other, incarnation in self._recent
-            if other == domain and now - at <= CORRELATION_WINDOW_S
-        }
+    def _record_down(self, fingerprint, record, now):
+        down = self._down.get(record.incarnation)
+        if down is None:
+            down = _DownServer(record.failure_domain, now)
+            self._down[record.incarnation] = down
+        down.fingerprints.add(fingerprint)
+        if len(self._down) > MAX_RECENT_CRASHES:
+            self._down.popitem(last=False)
+
+    def _was_answered(self, fingerprint, now):
+        answered_at = self._answered_at.get(fingerprint, float("-inf"))
+        return now - answered_at <= ANSWER_LIFETIME_S
+
+    def _has_common_cause(self, fingerprint, record, domain_size, now):
+        unexplained = [
+            down
+            for incarnation, down in self._down.items()
+            if incarnation != record.incarnation
+            and down.failure_domain == record.failure_domain
+            and now - down.crashed_at <= CORRELATION_WINDOW_S
+            and not self._is_explained(down, fingerprint)
+        ]
         threshold = max(MIN_CORRELATED_SERVERS, domain_size * CORRELATED_SHARE)
-        return len(down) >= threshold
+        return len(unexplained) + 1 >= threshold
+
+    def _is_explained(self, down, fingerprint):
+        """Return whether this request, or another one, has crashed a server."""
+        if fingerprint in down.fingerprints:
+            return True
+        blames = [self._blames.get(other) for other in down.fingerprints]
+        return any(
+            blame is not None and len(blame.incarnations) >= MIN_EXPLAINING_CRASHES
+            for blame in blames
+        )
 
     def add_crashes(self, fingerprint, incarnations, now):
         """Add crashes to the record of a request and return all recorded ones.
@@ -141,8 +185,20 @@
             self._blames.popitem(last=False)
         return frozenset(blame.incarnations)
 
-    def clear(self, fingerprint):
-        """Delete the record of a suspect request that was answered."""
+    def record_answer(self, fingerprint, now):
+        """Record that a request was answered; a suspect one is cleared.
+
+        Parameters
+        ----------
+        fingerprint : Fingerprint
+            The request.
+        now : float
+            Monotonic time in seconds.
+        """
+        self._answered_at[fingerprint] = now
+        self._answered_at.move_to_end(fingerprint)
+        if len(self._answered_at) > MAX_ANSWERS:
+            self._answered_at.popitem(last=False)
         blame = self._blames.get(fingerprint)
         if blame is not None and len(blame.incarnations) < self._settings.crashes:
             del self._blames[fingerprint]
--- a/tanagerwalk/filters/quarantine.py
+++ b/tanagerwalk/filters/quarantine.py
@@ -64,7 +64,7 @@
         context.grant = None
         result = await proceed(context)
         if result.is_ok():
-            self._quarantine.clear(context.fingerprint)
+            self._quarantine.record_answer(context.fingerprint, self._clock())
             return result
         failure = result.error
         if not isinstance(failure, AttemptFailure) or not failure.crashed:
--- a/tanagerwalk/gateway/quarantine.py
+++ b/tanagerwalk/gateway/quarantine.py
@@ -51,7 +51,7 @@
             return Error(refuse_quarantined(False))
         result = await proceed(request)
         if result.is_ok():
-            self._quarantine.clear(request.fingerprint)
+            self._quarantine.record_answer(request.fingerprint, self._clock())
         return result
 
     def record_attempt(self, request, attempt, result):
--- a/test/decisions/test_quarantine.py
+++ b/test/decisions/test_quarantine.py
@@ -48,13 +48,47 @@
     assert QuarantineState.QUARANTINED not in suspects
 
 
+# Guards against BUDGET: a request that crashes one server after the other in a small
+# failure domain, which looks like a common cause.
+@pytest.mark.parametrize("domain_size", range(1, 10))
+def test_crashes_of_one_request_are_its_own_in_a_domain_of_any_size(domain_size):
+    quarantine = Quarantine(BOUNDS)
+    for number in range(BOUNDS.crashes):
+        record = make_record(f"s{number}")
+        quarantine.record_crash("f", record, domain_size, 0.1 * number)
+    assert quarantine.get_state("f", 1.0) is QuarantineState.QUARANTINED
+
+
+# Guards against BUDGET: two such requests, each of which looks like the other's excuse.
+def test_two_requests_that_crash_servers_in_turn_are_both_quarantined():
+    quarantine = Quarantine(replace(BOUNDS, crashes=3))
+    for number in range(4):
+        for offset, fingerprint in enumerate("fg"):
+            record = make_record(f"{fingerprint}{number}")
+            now = 0.3 * number + 0.1 * offset
+            quarantine.record_crash(fingerprint, record, 6, now)
+    assert quarantine.get_state("f", 2.0) is QuarantineState.QUARANTINED
+    assert quarantine.get_state("g", 2.0) is QuarantineState.QUARANTINED
+
+
+def test_request_that_was_answered_is_not_blamed_for_a_power_failure():
+    quarantine = Quarantine(BOUNDS)
+    quarantine.record_answer("f", 0.0)
+    for number in range(3):
+        quarantine.record_crash("f", make_record(f"s{number}"), 3, 1.0)
+    assert quarantine.get_state("f", 1.0) is QuarantineState.CLEAR
+    for number in range(3):
+        quarantine.record_crash("f", make_record(f"t{number}"), 3, 12.0 + 3.0 * number)
+    assert quarantine.get_state("f", 20.0) is QuarantineState.QUARANTINED
+
+
 def test_answer_clears_a_suspect_but_not_a_quarantined_request():
     quarantine = Quarantine(BOUNDS)
     crash(quarantine, "s1", 0.0)
-    quarantine.clear("f")
+    quarantine.record_answer("f", 0.0)
     assert quarantine.get_state("f", 0.0) is QuarantineState.CLEAR
     quarantine.add_crashes("f", ("s1.1", "s2.1"), 0.0)
-    quarantine.clear("f")
+    quarantine.record_answer("f", 0.0)
     assert quarantine.get_state("f", 0.0) is QuarantineState.QUARANTINED
 
 
--- a/test/gateway/test_crashing_requests.py
+++ b/test/gateway/test_crashing_requests.py
@@ -86,8 +86,8 @@
     assert count_sends(cluster) == before
 
 
-# Guards against BUDGET: servers that come back under the id that they had, each crash of
-# which counts as the same.
+# Guards against BUDGET: servers that come back under the id that they had, so that each
+# crash counts as the same one.
 async def test_crashes_of_a_server_that_keeps_its_id_count_each(cluster):
     for name in ("desk-1", "desk-2", "desk-3"):
         await cluster.store.remove(f"servers/{name}")
@@ -100,7 +100,7 @@
         key, value = server.build_entry("desk", "a-1")
         value = value.replace(b'"born": 1', f'"born": {born}'.encode())
         await cluster.store.put(key, value)
-        assert await poll_until(lambda: is_born(first, born), 0.02, WAIT_S)
+        await wait_until_born(first, born)
     before = count_sends(cluster, "/bookings/crashing")
     assert before == 3
     for _ in range(10):
@@ -109,9 +109,12 @@
     assert count_sends(cluster, "/bookings/crashing") - before <= MAX_LATER_SENDS
 
 
-def is_born(instance, born):
-    usage = instance.servers.find("desk-0")
-    return usage is not None and usage.server.born == born
+async def wait_until_born(instance, born):
+    def is_born():
+        usage = instance.servers.find("desk-0")
+        return usage is not None and usage.server.born == born
+
+    assert await poll_until(is_born, 0.02, WAIT_S)
 
 
 # Guards against BUDGET: servers that end without closing their connections.
