Count each crash of a server that comes back under its id

What callers saw: a request that crashes servers was sent on without end where servers come back under the id that they had. Cause: crashes were counted by the server's id, so that its second crash was none. Change: a crash is named by a 32-bit hash of the id and the start of the server, as for servers that leave. In the log of crashes the hash stands in place of the id.

--- a/tanagerwalk/gateway/quarantine.py
+++ b/tanagerwalk/gateway/quarantine.py
@@ -7,6 +7,7 @@
 from expression import Error
 
 from ..decisions.quarantine import Quarantine, QuarantineState, refuse_quarantined
+from ..decisions.server_usage_table import hash_life
 from ..ids import FailureDomain, Fingerprint, Incarnation
 from ..settings import QuarantineSettings
 from .attempts import Outcome
@@ -59,7 +60,7 @@
         if result.outcome is not Outcome.LOST:
             return
         server = attempt.server
-        crashed = _CrashedServer(server.failure_domain, Incarnation(server.id))
+        crashed = _CrashedServer(server.failure_domain, _name_life(server))
         usages = self._servers.list_usages(server.service)
         domain_size = sum(
             usage.server.failure_domain == server.failure_domain for usage in usages
@@ -102,6 +103,11 @@
             self._quarantine.add_crashes(fingerprint, incarnations, self._clock())
 
 
+def _name_life(server):
+    """Return a short name of one start of a server, which may keep its id."""
+    return Incarnation(f"{hash_life(server):08x}")
+
+
 def compute_fingerprint(request):
     """Return a hash of method, target, key and body, equal for resent requests."""
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
