Tell the other instances of crash records, the worst and newest first

What callers saw: a request that crashed three servers, as seen by several instances, was sent on by instances that had not learned of it. Cause: of the 32 records that were shared, the first 16 were sent; a renewed one kept its old place; a relay passed on what its own members told in place of a fuller record from another failure domain; and a record was told by the instance that made it alone, so that one that started after that one's end knew nothing. Change: a record that changes is told for six rounds, those with the most crashes first and of these the newest; relays tell what is new to them; each instance reminds of two records with several crashes a round. Crash records have messages of their own, so that none is left out. Ruled out by reading: the message's signature and its size.

--- a/tanagerwalk/decisions/quarantine.py
+++ b/tanagerwalk/decisions/quarantine.py
@@ -13,8 +13,8 @@
 # Crashes of requests that are answered elsewhere have other causes.
 ANSWER_LIFETIME_S = 10.0
 MAX_ANSWERS = 4096
-# Crashes from which on a request explains those of the servers that ran it.
-MIN_EXPLAINING_CRASHES = 2
+# From this number on, crashes are likely to be a request's own.
+MIN_REPEATED_CRASHES = 2
 
 
 class QuarantineState(Enum):
@@ -86,6 +86,24 @@
             return QuarantineState.QUARANTINED
         return QuarantineState.SUSPECT
 
+    def list_crashes(self, fingerprint, now):
+        """Return the servers that crashed while they ran a request.
+
+        Returns
+        -------
+        frozenset of Incarnation
+        """
+        blame = self._find(fingerprint, now)
+        return frozenset() if blame is None else frozenset(blame.incarnations)
+
+    def list_repeated(self, now):
+        """Return the fingerprints of the requests that crashed several servers."""
+        return [
+            fingerprint
+            for fingerprint, blame in self._blames.items()
+            if len(blame.incarnations) >= MIN_REPEATED_CRASHES and blame.expires > now
+        ]
+
     def _find(self, fingerprint, now):
         blame = self._blames.get(fingerprint)
         if blame is None or blame.expires > now:
@@ -155,7 +173,7 @@
             return True
         blames = [self._blames.get(other) for other in down.fingerprints]
         return any(
-            blame is not None and len(blame.incarnations) >= MIN_EXPLAINING_CRASHES
+            blame is not None and len(blame.incarnations) >= MIN_REPEATED_CRASHES
             for blame in blames
         )
 
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -136,7 +136,7 @@
 
         self._create_membership()
         self._create_manifest_recovery()
-        self.quarantine = QuarantineFilter(self.servers, self.clock)
+        self.quarantine = QuarantineFilter(self.servers, self.clock, self.random)
         self.sharing = LoadSharing(
             self.incarnation,
             settings.failure_domain,
--- a/tanagerwalk/gateway/quarantine.py
+++ b/tanagerwalk/gateway/quarantine.py
@@ -6,6 +6,7 @@
 import structlog
 from expression import Error
 
+from ..decisions.crash_news import CrashNews
 from ..decisions.quarantine import Quarantine, QuarantineState, refuse_quarantined
 from ..decisions.server_usage_table import hash_life
 from ..ids import FailureDomain, Fingerprint, Incarnation
@@ -15,7 +16,6 @@
 log = structlog.get_logger(__name__)
 
 DIGEST_BYTES = 12
-MAX_SHARED_BLAMES = 32
 LIMITS = QuarantineSettings(crashes=3, lifetime=60.0, capacity=512)
 
 
@@ -36,13 +36,15 @@
         Lists the servers of a service.
     clock : callable
         Returns monotonic time in seconds.
+    random : random.Random
+        Chooses which older records the others are reminded of.
     """
 
-    def __init__(self, servers, clock):
+    def __init__(self, servers, clock, random):
         self._servers = servers
         self._clock = clock
         self._quarantine = Quarantine(LIMITS)
-        self._recent_blames = {}
+        self._news = CrashNews(self._quarantine, random)
 
     async def handle(self, request, proceed):
         """Refuse a quarantined request; pass other requests to the next filter."""
@@ -68,39 +70,46 @@
         blamed = self._quarantine.record_crash(
             request.fingerprint, crashed, domain_size, self._clock()
         )
-        if blamed:
-            self._recent_blames[request.fingerprint] = (blamed, self._clock())
-            log.info(
-                "crash blamed", id=request.id.decode("latin-1"), servers=sorted(blamed)
-            )
+        if blamed is None:
+            return
+        self._news.record(request.fingerprint)
+        log.info(
+            "crash blamed",
+            id=request.id.decode("latin-1"),
+            server=server.id,
+            crashes=len(blamed),
+        )
 
     def is_quarantined(self, request):
         """Return whether a request has crashed enough servers to be refused."""
         state = self._quarantine.get_state(request.fingerprint, self._clock())
         return state is QuarantineState.QUARANTINED
 
-    def list_recent_blames(self):
-        """Return the newest crash records by fingerprint, for the other instances."""
-        now = self._clock()
-        lifetime = LIMITS.lifetime
-        self._recent_blames = {
-            key: record
-            for key, record in self._recent_blames.items()
-            if now - record[1] < lifetime
-        }
-        newest = list(self._recent_blames.items())[-MAX_SHARED_BLAMES:]
-        return {fingerprint: blame[0] for fingerprint, blame in newest}
-
-    def merge_blames(self, blames):
+    def choose_news(self):
+        """Return the crash records to tell the others in this round of messages.
+
+        Returns
+        -------
+        dict of Fingerprint to frozenset of Incarnation
+        """
+        return self._news.choose(self._clock())
+
+    def merge_blames(self, blames, passes_on):
         """Merge the crash records of another instance.
 
         Parameters
         ----------
         blames : dict of Fingerprint to collection of Incarnation
             Servers that crashed while they ran each request.
+        passes_on : bool
+            Whether to tell what was not known here, as a relay does.
         """
+        now = self._clock()
         for fingerprint, incarnations in blames.items():
-            self._quarantine.add_crashes(fingerprint, incarnations, self._clock())
+            before = self._quarantine.list_crashes(fingerprint, now)
+            merged = self._quarantine.add_crashes(fingerprint, incarnations, now)
+            if passes_on and merged != before:
+                self._news.record(fingerprint)
 
 
 def _name_life(server):
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -116,7 +116,6 @@
         self._get_peers = get_peers
         self._clock = clock
         self._random = random
-        self._relayed_blames = RelayedItems(RELAYED_LIFETIME_S)
         self._relayed_sides = RelayedItems(RELAYED_LIFETIME_S)
         self._secret = None
         self._transport = None
@@ -194,9 +193,7 @@
                 log.info("server leaving", server=server_id, told_by=message.sender)
         blames = {Fingerprint(b.fingerprint): b.servers for b in message.blames or ()}
         if blames:
-            self._quarantine.merge_blames(blames)
-        for fingerprint, servers in blames.items():
-            self._relayed_blames.record(scope, fingerprint, servers, now)
+            self._quarantine.merge_blames(blames, self._role is Role.RELAY)
         for encoded in message.sides or ():
             service = ServiceName(encoded.service_name)
             overrides = decode_sides(encoded)
@@ -258,7 +255,7 @@
         return Contents(
             Scope.INSTANCE,
             loads,
-            self._quarantine.list_recent_blames(),
+            self._quarantine.choose_news(),
             self._list_own_sides(),
             tallies,
             self._choose_leaving(),
@@ -288,7 +285,7 @@
         return Contents(
             scope,
             loads,
-            self._relayed_blames.list(sources, now) | own.blames,
+            own.blames,
             self._relayed_sides.list(sources, now) | own.sides,
             tallies,
             own.leaving,
@@ -311,12 +308,9 @@
         parts = -(-len(contents.loads) // MAX_LOADS) or 1
         tallies = [encode_tally(*key, tally) for key, tally in contents.tallies.items()]
         sides = list(contents.sides.items())
-        blames = list(contents.blames.items())
         sides_per_part = min(MAX_SIDES, -(-len(sides) // parts))
-        blames_per_part = min(MAX_BLAMES, -(-len(blames) // parts))
         for part in range(parts):
             part_sides = sides[part * sides_per_part :][:sides_per_part]
-            part_blames = blames[part * blames_per_part :][:blames_per_part]
             yield LoadMessage(
                 self._incarnation,
                 self._sequence,
@@ -325,7 +319,7 @@
                     for key, load in contents.loads.items()
                     if key % parts == part
                 ],
-                [CrashBlame(f, sorted(servers)) for f, servers in part_blames] or None,
+                None,
                 encode_sides(dict(part_sides)) or None,
                 tallies or None,
                 contents.scope.value,
@@ -336,15 +330,23 @@
             )
         for key, tally in contents.tallies.items():
             for latencies in encode_latencies(*key, tally):
-                yield LoadMessage(
-                    self._incarnation,
-                    self._sequence,
-                    tallies=[latencies],
-                    scope=contents.scope.value,
-                    domain=self._failure_domain,
-                    part=0,
-                    parts=1,
-                )
+                yield self._build_message(contents.scope, tallies=[latencies])
+        blames = [CrashBlame(f, sorted(s)) for f, s in contents.blames.items()]
+        for start in range(0, len(blames), MAX_BLAMES):
+            part_blames = blames[start : start + MAX_BLAMES]
+            yield self._build_message(contents.scope, blames=part_blames)
+
+    def _build_message(self, scope, **section):
+        """Return a message without loads, of one section."""
+        return LoadMessage(
+            self._incarnation,
+            self._sequence,
+            scope=scope.value,
+            domain=self._failure_domain,
+            part=0,
+            parts=1,
+            **section,
+        )
 
     def _choose_leaving(self):
         """Return leaving servers to tell of; a sample if there are many."""
--- a/test/gateway/test_sharing.py
+++ b/test/gateway/test_sharing.py
@@ -66,7 +66,7 @@
         None,
         shared,
         RelaySelection("own", "a-1"),
-        SimpleNamespace(merge_blames=lambda blames: None),
+        SimpleNamespace(merge_blames=lambda blames, passes_on: None),
         SimpleNamespace(record_peer_tally=lambda *tally: None),
         dict,
         lambda: 10.0,
@@ -145,7 +145,7 @@
         for n in range(servers)
     }
     sides = {("drafts", n * 2**55): True for n in range(200)}
-    blames = {f"{n:032x}": [f"i-{n}"] for n in range(20)}
+    blames = {f"{n:032x}": [f"{n + i:08x}" for i in range(3)] for n in range(34)}
     tally = Tally({f"route-{n}": SideCount(900, 90) for n in range(5)}, {})
     for number in range(24):
         kind = AnswerKind(f"route-{number % 5}", f"model-{number}")
@@ -156,6 +156,8 @@
     assert max(len(sign(SECRET, encode(message))) for message in messages) <= 1400
     told = {load.server for message in messages for load in message.loads or ()}
     assert told == set(loads)
+    told = {blame.fingerprint for message in messages for blame in message.blames or ()}
+    assert told == set(blames)
     received = Tally()
     for message in messages:
         for encoded in message.tallies or ():
