Count servers that end without an answer as crashed, and no broken tunnel

What callers saw: a request that ends its servers without a word, or whose caller leaves first, was sent on without end; and a request whose tunnels broke three times, or that got three answers that make no sense, could be refused though it crashed nothing. Cause: an attempt counted as a crash if its connection was lost, by whatever path, or its answer was invalid; a timeout or a caller that left counted never. Change: only a direct connection that the server breaks off counts at once. Other attempts without an answer count when the server is gone from the store, or has started anew, within 15 s, unless it left as planned or had been silent before the request was sent to it.

--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -13,6 +13,8 @@
 DECODE_TOKENS = 300.0
 # Time for which a request occupies a slot of an engine.
 MEAN_SLOT_TIME_S = 1.5
+# A sound server that has requests sends something within this time.
+MAX_SILENCE_S = 1.0
 # Time that even an idle engine needs to process a long prompt.
 PREFILL_ALLOWANCE_S = 0.9
 
@@ -108,6 +110,10 @@
         is_ready = self.server.state is ServerState.READY and not self.is_leaving
         return is_ready and not self.address_reused
 
+    def is_silent(self, now):
+        """Return whether the server has requests, but has sent nothing for a while."""
+        return self.in_flight > 0 and now - self.last_activity_at > MAX_SILENCE_S
+
     def has_room(self, now):
         """Return whether the server takes one more request after a hold, if any."""
         return self.in_flight + 1 <= find_resume_limit(now - self.held_until)
--- a/tanagerwalk/decisions/server_usage_table.py
+++ b/tanagerwalk/decisions/server_usage_table.py
@@ -167,6 +167,11 @@
         if usage is not None:
             usage.last_activity_at = now
 
+    def is_silent(self, server, now):
+        """Return whether a server has requests, but has sent nothing for a while."""
+        usage = self._usages.get(server.id)
+        return usage is not None and usage.is_silent(now)
+
     def record_failure(self, server, now):
         """Pause a server that failed; the pause doubles with each failure in a row."""
         usage = self._usages.get(server.id)
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -167,6 +167,7 @@
     def _forget_server(self, server):
         self.paths.forget(server.id)
         self.connection_pool.close_idle_to(server)
+        self.quarantine.record_end(server)
 
     def _create_mirror(self):
         self.watchers = WatcherSelection(self.incarnation, self.settings.failure_domain)
--- a/tanagerwalk/gateway/attempts.py
+++ b/tanagerwalk/gateway/attempts.py
@@ -29,6 +29,8 @@
         Scheduling priority at the engine, 0 to 9; None for the engine's default.
     work : Work or None
         Estimated cost at an inference engine; None for a service without models.
+    was_silent : bool
+        Whether the server had been silent before the request was sent to it.
     """
 
     server: RegisteredServer
@@ -37,6 +39,7 @@
     last_event: int | None = None
     priority: int | None = None
     work: Work | None = None
+    was_silent: bool = False
 
 
 class ResponseKind(Enum):
@@ -132,6 +135,8 @@
         Whether the connection had been opened for an earlier request.
     via : str or None
         Incarnation of the instance through which the server was reached, if any.
+    broke_off : bool
+        Whether the connection was closed before the response was complete.
     """
 
     outcome: Outcome
@@ -144,3 +149,4 @@
     load: tuple[int, int, int] | None = None
     kept: bool = False
     via: str | None = None
+    broke_off: bool = False
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -13,6 +13,7 @@
 from ..decisions.latency_baselines import LatencySample
 from ..manifest import Repeatability
 from .attempts import Attempt, AttemptResult, ClassifiedHead, Outcome, ResponseKind
+from .connections import ConnectionFailure
 from .requests import GatewayRequest
 
 log = structlog.get_logger(__name__)
@@ -92,6 +93,8 @@
     on_latency : callable
         Takes a LatencySample, and the load that the server reported, once there is
         enough to compare with other answers, long before the end of a slow one.
+    on_abandoned : callable
+        Called without arguments if the client leaves before the answer.
     """
 
     request: GatewayRequest
@@ -100,6 +103,7 @@
     accepts_head: Callable[[ClassifiedHead], bool]
     progress: StreamProgress
     on_latency: Callable[[LatencySample, tuple[int, int, int] | None], None]
+    on_abandoned: Callable[[], None]
 
 
 class AttemptRunner:
@@ -168,6 +172,10 @@
                 self._pool.release(attempt.server, connection, head)
                 connection = None
             return result
+        except asyncio.CancelledError:
+            if connection is not None:
+                plan.on_abandoned()
+            raise
         finally:
             self._servers.record_ended(attempt.server, attempt.work)
             if connection is not None:
@@ -270,7 +278,7 @@
             timer.count_events(len(events), self._clock())
             await self._forward_events(request, raw, head, data, progress)
         if splitter.has_partial:
-            return AttemptResult(Outcome.LOST, "ended inside an event")
+            return AttemptResult(Outcome.LOST, "ended inside an event", broke_off=True)
         if not progress.head_sent:
             await self._forward_events(request, raw, head, b"", progress)
         request.responder.finish_stream()
@@ -366,7 +374,8 @@
     """Return the AttemptResult for a ConnectionFailure, or None for a timeout."""
     if cause is None:
         return AttemptResult(Outcome.SILENT, "no answer in time")
-    return AttemptResult(Outcome.LOST, f"connection {cause.value}")
+    broke_off = cause is ConnectionFailure.CLOSED
+    return AttemptResult(Outcome.LOST, f"connection {cause.value}", broke_off=broke_off)
 
 
 async def _wait_at_most(work, seconds):
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -208,6 +208,7 @@
             model=None if model is None else model.name,
             last_event=self._progress.last_event,
             work=self._estimate_work(model),
+            was_silent=self._context.servers.is_silent(server, now),
         )
         self._current_server_id = server.id
         wait = self._estimate_wait()
@@ -218,6 +219,7 @@
             self._accepts_head,
             self._progress,
             partial(self._context.recorder.record_latency, self._request, attempt),
+            partial(self._context.quarantine.suspect, self._request, attempt),
         )
         result = await self._context.attempt_runner.run(plan)
         self._context.recorder.record_attempt(self._request, attempt, result)
--- a/tanagerwalk/gateway/quarantine.py
+++ b/tanagerwalk/gateway/quarantine.py
@@ -7,9 +7,11 @@
 from expression import Error
 
 from ..decisions.crash_news import CrashNews
+from ..decisions.crash_suspicions import CrashSuspicions
 from ..decisions.quarantine import Quarantine, QuarantineState, refuse_quarantined
 from ..decisions.server_usage_table import hash_life
 from ..ids import FailureDomain, Fingerprint, Incarnation
+from ..registry import ServerState
 from ..settings import QuarantineSettings
 from .attempts import Outcome
 
@@ -44,6 +46,7 @@
         self._servers = servers
         self._clock = clock
         self._quarantine = Quarantine(LIMITS)
+        self._suspicions = CrashSuspicions()
         self._news = CrashNews(self._quarantine, random)
 
     async def handle(self, request, proceed):
@@ -58,24 +61,49 @@
         return result
 
     def record_attempt(self, request, attempt, result):
-        """Treat a lost connection as a crash of the server and record it."""
-        if result.outcome is not Outcome.LOST:
+        """Record an attempt under which the server crashed, or may have crashed."""
+        if result.outcome is Outcome.LOST and result.broke_off and result.via is None:
+            self._record_crash(request.fingerprint, attempt.server)
+        elif result.outcome in (Outcome.LOST, Outcome.SILENT):
+            self.suspect(request, attempt)
+
+    def suspect(self, request, attempt):
+        """Record an attempt that got no answer, for whatever reason."""
+        usage = self._servers.find(attempt.server.id)
+        if usage is None or usage.is_leaving or attempt.was_silent:
             return
-        server = attempt.server
+        life = _name_life(attempt.server)
+        self._suspicions.record(request.fingerprint, life, self._clock())
+
+    def record_end(self, server):
+        """Blame what a server left unanswered that ended without saying so.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server, as it was last registered.
+        """
+        fingerprints = self._suspicions.pop(_name_life(server), self._clock())
+        if server.state is ServerState.DRAINING:
+            return
+        for fingerprint in fingerprints:
+            self._record_crash(fingerprint, server)
+
+    def _record_crash(self, fingerprint, server):
         crashed = _CrashedServer(server.failure_domain, _name_life(server))
         usages = self._servers.list_usages(server.service)
         domain_size = sum(
             usage.server.failure_domain == server.failure_domain for usage in usages
         )
         blamed = self._quarantine.record_crash(
-            request.fingerprint, crashed, domain_size, self._clock()
+            fingerprint, crashed, domain_size, self._clock()
         )
         if blamed is None:
             return
-        self._news.record(request.fingerprint)
+        self._news.record(fingerprint)
         log.info(
             "crash blamed",
-            id=request.id.decode("latin-1"),
+            request=fingerprint,
             server=server.id,
             crashes=len(blamed),
         )
--- a/test/gateway/test_crashing_requests.py
+++ b/test/gateway/test_crashing_requests.py
@@ -5,6 +5,7 @@
 import pytest_asyncio
 
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.decisions.quarantine import CORRELATION_WINDOW_S
 from tanagerwalk.standins.backend import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
@@ -79,6 +80,8 @@
     for number in range(40):
         data = cluster.encode("POST", f"/bookings/{number}", b"slot")
         await cluster.send(data, first)
+    # Crashes of other requests at the same time would be a common cause.
+    await asyncio.sleep(1.1 * CORRELATION_WINDOW_S)
     await send(cluster, first)
     await asyncio.sleep(NEWS_S)
     before = count_sends(cluster)
--- /dev/null
+++ b/test/gateway/test_quarantine_filter.py
@@ -0,0 +1,101 @@
+"""Which attempts the gateway counts as crashes of their servers."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from tanagerwalk.decisions.paths import PathTable
+from tanagerwalk.decisions.selection import ServerPool
+from tanagerwalk.decisions.shared_loads import SharedLoadTable
+from tanagerwalk.gateway.attempts import Attempt, AttemptResult, Outcome
+from tanagerwalk.gateway.quarantine import LIMITS, QuarantineFilter
+from tanagerwalk.registry import RegisteredServer, ServerState
+
+REQUEST = SimpleNamespace(fingerprint="crashing", id=b"try-1")
+LOST = AttemptResult(Outcome.LOST, broke_off=True)
+SILENT = AttemptResult(Outcome.SILENT)
+
+
+def build_server(name, state=ServerState.READY):
+    address = ("10.0.0.1", 80)
+    return RegisteredServer(name, "desk", address, "a-1", "v1", 8, state, born=1)
+
+
+SERVERS = [build_server(f"s{number}") for number in range(LIMITS.crashes)]
+
+
+@pytest.fixture
+def servers():
+    pool = ServerPool(None, SharedLoadTable(), PathTable(), random.Random(1))
+    pool.replace_servers(SERVERS)
+    return pool
+
+
+@pytest.fixture
+def quarantine(servers):
+    return QuarantineFilter(servers, lambda: 10.0, random.Random(1))
+
+
+def record_all(quarantine, result, **attempt):
+    for server in SERVERS:
+        quarantine.record_attempt(REQUEST, Attempt(server, 1.0, **attempt), result)
+
+
+@pytest.mark.parametrize(
+    ("result", "before_ends", "after_ends"),
+    [
+        (LOST, True, True),
+        (SILENT, False, True),
+        (AttemptResult(Outcome.LOST, "connection malformed"), False, True),
+        (AttemptResult(Outcome.LOST, broke_off=True, via="gateway-2"), False, True),
+        (AttemptResult(Outcome.REJECTED), False, False),
+        (AttemptResult(Outcome.NOT_SENT), False, False),
+        (AttemptResult(Outcome.FAILED), False, False),
+    ],
+)
+def test_attempt_counts_at_once_or_when_its_server_ends(
+    quarantine, result, before_ends, after_ends
+):
+    record_all(quarantine, result)
+    assert quarantine.is_quarantined(REQUEST) is before_ends
+    for server in SERVERS:
+        quarantine.record_end(server)
+    assert quarantine.is_quarantined(REQUEST) is after_ends
+
+
+def test_attempt_that_a_client_abandoned_counts_when_its_server_ends(quarantine):
+    for server in SERVERS:
+        quarantine.suspect(REQUEST, Attempt(server, 1.0))
+        quarantine.record_end(server)
+    assert quarantine.is_quarantined(REQUEST)
+
+
+def test_silence_of_a_server_that_left_as_planned_does_not_count(servers, quarantine):
+    record_all(quarantine, SILENT)
+    for server in SERVERS:
+        quarantine.record_end(build_server(server.id, ServerState.DRAINING))
+    assert not quarantine.is_quarantined(REQUEST)
+    servers.find("s0").is_leaving = True
+    record_all(quarantine, SILENT)
+    for server in SERVERS:
+        quarantine.record_end(server)
+    assert not quarantine.is_quarantined(REQUEST)
+
+
+# Guards against the refusal of a request that was sent on from one dark server to
+# others, which had gone dark at the same time.
+def test_silence_that_began_before_the_request_does_not_count(quarantine):
+    record_all(quarantine, SILENT, was_silent=True)
+    for server in SERVERS:
+        quarantine.record_end(server)
+    assert not quarantine.is_quarantined(REQUEST)
+
+
+def test_server_with_requests_that_sends_nothing_is_silent(servers):
+    usage = servers.find("s0")
+    assert not servers.is_silent(usage.server, 10.0)
+    servers.record_sent(usage.server)
+    servers.record_activity(usage.server, 9.5)
+    assert not servers.is_silent(usage.server, 10.0)
+    assert servers.is_silent(usage.server, 10.6)
