Let only an answer clear the record of a crash

What callers saw: a request that crashes servers was sent on wherever a later attempt ended in an error answer, which was delivered in the end. Cause: a request that was answered with anything, an error kept from another attempt too, lost its record. Evidence: test_error_answer_after_a_crash_clears_nothing fails before (never refused). Change: the record ends with an attempt that delivers an answer.

--- a/tanagerwalk/gateway/quarantine.py
+++ b/tanagerwalk/gateway/quarantine.py
@@ -55,14 +55,13 @@
         state = self._quarantine.get_state(request.fingerprint, self._clock())
         if state is QuarantineState.QUARANTINED:
             return Error(refuse_quarantined(False))
-        result = await proceed(request)
-        if result.is_ok():
-            self._quarantine.record_answer(request.fingerprint, self._clock())
-        return result
+        return await proceed(request)
 
     def record_attempt(self, request, attempt, result):
-        """Record an attempt under which the server crashed, or may have crashed."""
-        if result.outcome is Outcome.LOST and result.broke_off and result.via is None:
+        """Record an attempt: its server answered, crashed, or may have crashed."""
+        if result.outcome is Outcome.DELIVERED:
+            self._quarantine.record_answer(request.fingerprint, self._clock())
+        elif result.outcome is Outcome.LOST and result.broke_off and result.via is None:
             self._record_crash(request.fingerprint, attempt.server)
         elif result.outcome in (Outcome.LOST, Outcome.SILENT):
             self.suspect(request, attempt)
--- a/test/gateway/test_quarantine_filter.py
+++ b/test/gateway/test_quarantine_filter.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 import pytest
+from expression import Ok
 
 from tanagerwalk.decisions.paths import PathTable
 from tanagerwalk.decisions.selection import ServerPool
@@ -64,6 +65,25 @@
     assert quarantine.is_quarantined(REQUEST) is after_ends
 
 
+# Guards against BUDGET: an error answer that clears the record of a crash.
+async def test_error_answer_after_a_crash_clears_nothing(quarantine):
+    raw = SimpleNamespace(method=b"GET", target=b"/jobs/7", body=b"")
+    request = SimpleNamespace(raw=raw, key="k", id=b"try-1")
+
+    async def proceed(request):
+        server = SERVERS[len(sent)]
+        sent.append(server)
+        attempt = Attempt(server, 1.0)
+        quarantine.record_attempt(request, attempt, LOST)
+        quarantine.record_attempt(request, attempt, AttemptResult(Outcome.FAILED))
+        return Ok(None)
+
+    sent = []
+    for _ in SERVERS:
+        assert (await quarantine.handle(request, proceed)).is_ok()
+    assert (await quarantine.handle(request, proceed)).is_error()
+
+
 def test_attempt_that_a_client_abandoned_counts_when_its_server_ends(quarantine):
     for server in SERVERS:
         quarantine.suspect(REQUEST, Attempt(server, 1.0))
