Check the quarantine before each attempt

What callers saw: a request that had come before the fleet learned of its third crash still went to servers, as often as its route allows. Cause: the quarantine was asked when a request came, and after an attempt only to forbid a repeat of what may have run; an attempt that a server had turned away was repeated. Change: asked before each attempt; a refusal says 'not run' only if no attempt may have run.

--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -123,6 +123,8 @@
         Result of None, or of Refusal
         """
         while True:
+            if self._context.quarantine.is_quarantined(self._request):
+                return self._log_result(self._give_up(RefusalReason.QUARANTINED))
             if self._would_miss_deadline():
                 return self._log_result(self._give_up(RefusalReason.QUEUE_FULL))
             server = self._choose_server()
@@ -337,6 +339,8 @@
             return Ok(None)
         ran = self._history.may_have_run
         state = RunState.UNKNOWN if ran else RunState.NOT_RUN
+        if reason is RefusalReason.QUARANTINED:
+            return Error(_refuse(reason, state))
         hold = self._find_hold()
         retry_after = find_retry_after(self._time_left, self._context.random, hold)
         return Error(_refuse(reason, state, retry_after))
--- a/test/gateway/test_crashing_requests.py
+++ b/test/gateway/test_crashing_requests.py
@@ -130,3 +130,18 @@
         await cluster.store.remove(f"servers/{name}")
     set_behaviour(cluster, Behaviour("reset"))
     assert await count_later_sends(cluster) <= MAX_LATER_SENDS
+
+
+# Guards against BUDGET: a request that goes on to servers although it was quarantined
+# after it came.
+async def test_request_that_becomes_quarantined_meanwhile_is_sent_no_more(cluster):
+    set_behaviour(cluster, Behaviour("refuse"))
+    first = cluster.instances[0]
+
+    def learn_of_crashes(request, attempt, result):
+        first.quarantine.merge_blames({request.fingerprint: ("a", "b", "c")}, False)
+
+    first.quarantine.record_attempt = learn_of_crashes
+    reply = await send(cluster, first)
+    assert reply.status == 503
+    assert count_sends(cluster) == 1
