Let a crash record end when its request comes no more, and not before

What callers saw: a request that came again a minute after its third crash was sent to three more servers. Cause: a record ended 60 s after the last crash, however often the request was refused since. Evidence: test_record_of_a_request_that_comes_no_more_ends (nine of nine instances kept it) and test_record_of_a_request_that_comes_again_stays_in_the_whole_fleet, both red before. Change: a record is told with the time it has left; a refused request renews it, for ten minutes at most, so that it is tried again at last.

--- a/tanagerwalk/decisions/crash_news.py
+++ b/tanagerwalk/decisions/crash_news.py
@@ -42,18 +42,21 @@
 
         Returns
         -------
-        dict of Fingerprint to frozenset of Incarnation
-            Servers that crashed while they ran each request.
+        dict of Fingerprint to CrashRecord
         """
-        changed = {
-            fingerprint: self._quarantine.list_crashes(fingerprint, now)
-            for fingerprint in reversed(self._rounds_left)
-        }
-        ranked = sorted(changed, key=lambda each: -len(changed[each]))
-        told = {each: changed[each] for each in ranked[:MAX_TOLD] if changed[each]}
-        for fingerprint in ranked[:MAX_TOLD]:
+        records = self._find_records(reversed(self._rounds_left), now)
+        for fingerprint in self._rounds_left.keys() - records.keys():
+            del self._rounds_left[fingerprint]
+        ranked = sorted(records, key=lambda each: -len(records[each].incarnations))
+        told = ranked[:MAX_TOLD]
+        for fingerprint in told:
             self._count_round(fingerprint)
-        return told | self._choose_reminders(now)
+        reminders = self._find_records(self._choose_reminders(now), now)
+        return {each: records[each] for each in told} | reminders
+
+    def _find_records(self, fingerprints, now):
+        found = {each: self._quarantine.find_record(each, now) for each in fingerprints}
+        return {each: record for each, record in found.items() if record is not None}
 
     def _count_round(self, fingerprint):
         self._rounds_left[fingerprint] -= 1
@@ -66,5 +69,4 @@
             for fingerprint in self._quarantine.list_repeated(now)
             if fingerprint not in self._rounds_left
         ]
-        chosen = self._random.sample(older, min(len(older), MAX_REMINDERS))
-        return {each: self._quarantine.list_crashes(each, now) for each in chosen}
+        return self._random.sample(older, min(len(older), MAX_REMINDERS))
--- a/tanagerwalk/decisions/quarantine.py
+++ b/tanagerwalk/decisions/quarantine.py
@@ -13,6 +13,8 @@
 # Crashes of requests that are answered elsewhere have other causes.
 ANSWER_LIFETIME_S = 10.0
 MAX_ANSWERS = 4096
+# A request that goes on to come is tried again at last.
+MAX_RENEWAL_S = 600.0
 # From this number on, crashes are likely to be a request's own.
 MIN_REPEATED_CRASHES = 2
 
@@ -33,14 +35,33 @@
     ----------
     expires : float
         Monotonic time at which the record expires, in seconds.
+    renewable_until : float
+        Monotonic time up to which the request, if it comes again, renews the record.
     incarnations : set of Incarnation
         Backend servers that crashed.
     """
 
     expires: float
+    renewable_until: float
     incarnations: set[str] = field(default_factory=set)
 
 
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """What an instance tells the others of a request.
+
+    Parameters
+    ----------
+    incarnations : frozenset of Incarnation
+        Backend servers that crashed while they ran it.
+    lifetime : float
+        Seconds until the record expires.
+    """
+
+    incarnations: frozenset[str]
+    lifetime: float
+
+
 @dataclass(slots=True)
 class _DownServer:
     """A server that crashed lately, and the requests that were in flight on it."""
@@ -86,15 +107,34 @@
             return QuarantineState.QUARANTINED
         return QuarantineState.SUSPECT
 
-    def list_crashes(self, fingerprint, now):
-        """Return the servers that crashed while they ran a request.
+    def renew(self, fingerprint, now):
+        """Extend the record of a quarantined request that has come again."""
+        blame = self._blames[fingerprint]
+        if now < blame.renewable_until:
+            blame.expires = max(blame.expires, now + self._settings.lifetime)
+
+    def find_record(self, fingerprint, now):
+        """Return the CrashRecord of a request, or None if it is not blamed."""
+        blame = self._find(fingerprint, now)
+        if blame is None:
+            return None
+        return CrashRecord(frozenset(blame.incarnations), blame.expires - now)
+
+    def merge_record(self, fingerprint, record, now):
+        """Merge the CrashRecord of another instance.
 
         Returns
         -------
-        frozenset of Incarnation
+        bool
+            Whether it tells of a crash that was not known here.
         """
-        blame = self._find(fingerprint, now)
-        return frozenset() if blame is None else frozenset(blame.incarnations)
+        known = self.find_record(fingerprint, now)
+        lifetime = min(record.lifetime, self._settings.lifetime)
+        merged = self._add(fingerprint, record.incarnations, lifetime, now)
+        blame = self._blames.get(fingerprint)
+        if blame is not None:
+            blame.expires = max(blame.expires, now + lifetime)
+        return known is None or merged != known.incarnations
 
     def list_repeated(self, now):
         """Return the fingerprints of the requests that crashed several servers."""
@@ -189,15 +229,18 @@
         now : float
             Monotonic time in seconds.
         """
+        return self._add(fingerprint, incarnations, self._settings.lifetime, now)
+
+    def _add(self, fingerprint, incarnations, lifetime, now):
         blame = self._find(fingerprint, now)
         if blame is None:
-            blame = self._blames[fingerprint] = Blame(now)
+            blame = self._blames[fingerprint] = Blame(now, now + MAX_RENEWAL_S)
         # Crashes beyond the quarantine threshold are not stored.
         missing = self._settings.crashes - len(blame.incarnations)
         fresh = sorted(set(incarnations) - blame.incarnations)[: max(0, missing)]
+        blame.incarnations.update(fresh)
         if fresh:
-            blame.incarnations.update(fresh)
-            blame.expires = now + self._settings.lifetime
+            blame.expires = max(blame.expires, now + lifetime)
         self._blames.move_to_end(fingerprint)
         while len(self._blames) > self._settings.capacity:
             self._blames.popitem(last=False)
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -6,12 +6,14 @@
 from expression import Error
 
 from ..decisions.latency_histograms import MAX_BUCKET, LatencyHistogram
+from ..decisions.quarantine import CrashRecord
 from ..decisions.relays import Scope
 from ..decisions.shared_loads import SharedLoad
 from ..decisions.tallies import AnswerKind, SideCount, Tally
-from ..ids import RouteName
+from ..ids import Fingerprint, Incarnation, RouteName
 from ..peers.codec import decode
 from ..peers.gen.loads.ttypes import (
+    CrashBlame,
     LatencyTally,
     LoadMessage,
     RouteTally,
@@ -89,6 +91,19 @@
     return SharedLoad(load.in_flight, load.tokens, silence, heard_ago)
 
 
+def encode_blame(fingerprint, record):
+    """Convert a CrashRecord to a CrashBlame message."""
+    lifetime_ms = int(record.lifetime * MS_PER_S)
+    return CrashBlame(fingerprint, sorted(record.incarnations), lifetime_ms)
+
+
+def decode_blame(blame):
+    """Convert a CrashBlame message to a Fingerprint and a CrashRecord."""
+    lifetime = max(0, blame.lifetime_ms or 0) / MS_PER_S
+    incarnations = frozenset(map(Incarnation, blame.servers or ()))
+    return Fingerprint(blame.fingerprint or ""), CrashRecord(incarnations, lifetime)
+
+
 def encode_tally(service, order, tally):
     """Convert a Tally to a TrialTally message."""
     empty = SideCount()
--- a/tanagerwalk/gateway/quarantine.py
+++ b/tanagerwalk/gateway/quarantine.py
@@ -52,11 +52,19 @@
     async def handle(self, request, proceed):
         """Refuse a quarantined request; pass other requests to the next filter."""
         request.fingerprint = compute_fingerprint(request)
-        state = self._quarantine.get_state(request.fingerprint, self._clock())
-        if state is QuarantineState.QUARANTINED:
+        if self.refuses(request.fingerprint):
             return Error(refuse_quarantined(False))
         return await proceed(request)
 
+    def refuses(self, fingerprint):
+        """Return whether a request that has come is refused; it then stays so."""
+        now = self._clock()
+        state = self._quarantine.get_state(fingerprint, now)
+        if state is not QuarantineState.QUARANTINED:
+            return False
+        self._quarantine.renew(fingerprint, now)
+        return True
+
     def record_attempt(self, request, attempt, result):
         """Record an attempt: its server answered, crashed, or may have crashed."""
         if result.outcome is Outcome.DELIVERED:
@@ -117,25 +125,24 @@
 
         Returns
         -------
-        dict of Fingerprint to frozenset of Incarnation
+        dict of Fingerprint to CrashRecord
         """
         return self._news.choose(self._clock())
 
-    def merge_blames(self, blames, passes_on):
+    def merge_records(self, records, passes_on):
         """Merge the crash records of another instance.
 
         Parameters
         ----------
-        blames : dict of Fingerprint to collection of Incarnation
-            Servers that crashed while they ran each request.
+        records : dict of Fingerprint to CrashRecord
+            The records.
         passes_on : bool
             Whether to tell what was not known here, as a relay does.
         """
         now = self._clock()
-        for fingerprint, incarnations in blames.items():
-            before = self._quarantine.list_crashes(fingerprint, now)
-            merged = self._quarantine.add_crashes(fingerprint, incarnations, now)
-            if passes_on and merged != before:
+        for fingerprint, record in records.items():
+            is_news = self._quarantine.merge_record(fingerprint, record, now)
+            if passes_on and is_news:
                 self._news.record(fingerprint)
 
 
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -8,14 +8,16 @@
 from ..decisions.relayed_items import RelayedItems
 from ..decisions.relays import Role, Scope
 from ..decisions.shared_loads import ReportSource, SharedLoad, hash_server
-from ..ids import FailureDomain, Fingerprint, ServiceName
+from ..ids import FailureDomain, ServiceName
 from ..peers.codec import encode
-from ..peers.gen.loads.ttypes import CrashBlame, LoadMessage
+from ..peers.gen.loads.ttypes import LoadMessage
 from .load_messages import (
+    decode_blame,
     decode_load,
     decode_message,
     decode_sides,
     decode_tally,
+    encode_blame,
     encode_latencies,
     encode_load,
     encode_sides,
@@ -43,8 +45,8 @@
         Whose data this is.
     loads : dict of int to SharedLoad
         Loads by server hash.
-    blames : dict of Fingerprint to collection of str
-        Crashed servers by the request that they ran.
+    blames : dict of Fingerprint to CrashRecord
+        Crashes by the request that caused them.
     sides : dict of (ServiceName, int) to bool
         Side overrides by service and session hash.
     tallies : dict of (ServiceName, int) to Tally
@@ -191,9 +193,8 @@
         if message.leaving:
             for server_id in self._servers.mark_leaving(message.leaving):
                 log.info("server leaving", server=server_id, told_by=message.sender)
-        blames = {Fingerprint(b.fingerprint): b.servers for b in message.blames or ()}
-        if blames:
-            self._quarantine.merge_blames(blames, self._role is Role.RELAY)
+        records = dict(map(decode_blame, message.blames or ()))
+        self._quarantine.merge_records(records, self._role is Role.RELAY)
         for encoded in message.sides or ():
             service = ServiceName(encoded.service_name)
             overrides = decode_sides(encoded)
@@ -331,7 +332,7 @@
         for key, tally in contents.tallies.items():
             for latencies in encode_latencies(*key, tally):
                 yield self._build_message(contents.scope, tallies=[latencies])
-        blames = [CrashBlame(f, sorted(s)) for f, s in contents.blames.items()]
+        blames = [encode_blame(*item) for item in contents.blames.items()]
         for start in range(0, len(blames), MAX_BLAMES):
             part_blames = blames[start : start + MAX_BLAMES]
             yield self._build_message(contents.scope, blames=part_blames)
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -140,13 +140,15 @@
     Attributes:
      - fingerprint
      - servers
+     - lifetime_ms
 
     """
 
 
-    def __init__(self, fingerprint=None, servers=None,):
+    def __init__(self, fingerprint=None, servers=None, lifetime_ms=None,):
         self.fingerprint = fingerprint
         self.servers = servers
+        self.lifetime_ms = lifetime_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -172,6 +174,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.lifetime_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -193,6 +200,10 @@
                 oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.lifetime_ms is not None:
+            oprot.writeFieldBegin('lifetime_ms', TType.I32, 3)
+            oprot.writeI32(self.lifetime_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -916,6 +927,7 @@
     None,  # 0
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'servers', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.I32, 'lifetime_ms', None, None, ),  # 3
 )
 all_structs.append(SessionSides)
 SessionSides.thrift_spec = (
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -16,6 +16,8 @@
 struct CrashBlame {
   1: string fingerprint
   2: list<string> servers
+  // Time until the record expires.
+  3: optional i32 lifetime_ms
 }
 
 // Sessions, by hash, that use another release of a roll-out than the one their hash
--- a/test/gateway/test_crash_news.py
+++ b/test/gateway/test_crash_news.py
@@ -8,7 +8,7 @@
 from tanagerwalk.decisions.peers import Peer
 from tanagerwalk.decisions.relays import RELAY_PERIOD_S, RelaySelection, Role
 from tanagerwalk.decisions.shared_loads import SharedLoadTable
-from tanagerwalk.gateway.quarantine import QuarantineFilter
+from tanagerwalk.gateway.quarantine import LIMITS, QuarantineFilter
 from tanagerwalk.gateway.sharing import LoadSharing
 
 DOMAINS = ("a-1", "b-1", "c-1")
@@ -122,6 +122,28 @@
     assert fleet.count_quarantined("crashing") == size
 
 
+# Guards against a record that instances remind each other of for ever.
+def test_record_of_a_request_that_comes_no_more_ends():
+    fleet = Fleet(9)
+    for server in ("s1", "s2", "s3"):
+        fleet.crash(0, "crashing", server)
+    fleet.play(LIMITS.lifetime / 2)
+    assert fleet.count_quarantined("crashing") == 9
+    fleet.play(LIMITS.lifetime)
+    assert fleet.count_quarantined("crashing") == 0
+
+
+# Guards against BUDGET: a request that outlives its record by coming again and again.
+def test_record_of_a_request_that_comes_again_stays_in_the_whole_fleet():
+    fleet = Fleet(9)
+    for server in ("s1", "s2", "s3"):
+        fleet.crash(0, "crashing", server)
+    for _ in range(8):
+        fleet.play(LIMITS.lifetime / 3)
+        fleet.members[4].quarantine.refuses("crashing")
+    assert fleet.count_quarantined("crashing") == 9
+
+
 def test_roles_are_as_in_a_large_fleet():
     fleet = Fleet(30)
     fleet.play(4 * RELAY_PERIOD_S)
--- a/test/gateway/test_crashing_requests.py
+++ b/test/gateway/test_crashing_requests.py
@@ -5,7 +5,7 @@
 import pytest_asyncio
 
 from tanagerwalk.controllers.loop import poll_until
-from tanagerwalk.decisions.quarantine import CORRELATION_WINDOW_S
+from tanagerwalk.decisions.quarantine import CORRELATION_WINDOW_S, CrashRecord
 from tanagerwalk.standins.backend import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
@@ -139,7 +139,8 @@
     first = cluster.instances[0]
 
     def learn_of_crashes(request, attempt, result):
-        first.quarantine.merge_blames({request.fingerprint: ("a", "b", "c")}, False)
+        record = CrashRecord(frozenset("abc"), 60.0)
+        first.quarantine.merge_records({request.fingerprint: record}, False)
 
     first.quarantine.record_attempt = learn_of_crashes
     reply = await send(cluster, first)
--- a/test/gateway/test_sharing.py
+++ b/test/gateway/test_sharing.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from tanagerwalk.decisions.latency_histograms import LatencyHistogram
+from tanagerwalk.decisions.quarantine import CrashRecord
 from tanagerwalk.decisions.relays import RelaySelection, Scope
 from tanagerwalk.decisions.shared_loads import (
     SharedLoad,
@@ -66,7 +67,7 @@
         None,
         shared,
         RelaySelection("own", "a-1"),
-        SimpleNamespace(merge_blames=lambda blames, passes_on: None),
+        SimpleNamespace(merge_records=lambda records, passes_on: None),
         SimpleNamespace(record_peer_tally=lambda *tally: None),
         dict,
         lambda: 10.0,
@@ -145,7 +146,8 @@
         for n in range(servers)
     }
     sides = {("drafts", n * 2**55): True for n in range(200)}
-    blames = {f"{n:032x}": [f"{n + i:08x}" for i in range(3)] for n in range(34)}
+    crashed = CrashRecord(frozenset(f"{n:08x}" for n in range(3)), 60.0)
+    blames = {f"{n:032x}": crashed for n in range(34)}
     tally = Tally({f"route-{n}": SideCount(900, 90) for n in range(5)}, {})
     for number in range(24):
         kind = AnswerKind(f"route-{number % 5}", f"model-{number}")
