Drop the crash records with the fewest crashes first

Evidence: test_records_with_the_fewest_crashes_go_first fails before. Change: beyond the capacity, the record with the fewest crashes goes, the oldest of these.

--- a/tanagerwalk/decisions/quarantine.py
+++ b/tanagerwalk/decisions/quarantine.py
@@ -243,9 +243,13 @@
             blame.expires = max(blame.expires, now + lifetime)
         self._blames.move_to_end(fingerprint)
         while len(self._blames) > self._settings.capacity:
-            self._blames.popitem(last=False)
+            del self._blames[self._find_weakest()]
         return frozenset(blame.incarnations)
 
+    def _find_weakest(self):
+        """Return the fingerprint with the fewest crashes, the oldest of these."""
+        return min(self._blames, key=lambda each: len(self._blames[each].incarnations))
+
     def record_answer(self, fingerprint, now):
         """Record that a request was answered; a suspect one is cleared.
 
--- a/test/decisions/test_quarantine.py
+++ b/test/decisions/test_quarantine.py
@@ -92,6 +92,18 @@
     assert quarantine.get_state("f", 0.0) is QuarantineState.QUARANTINED
 
 
+# Guards against BUDGET: records of single crashes, as a power failure leaves by the
+# hundred, that crowd out the one of a request that is quarantined.
+def test_records_with_the_fewest_crashes_go_first():
+    quarantine = Quarantine(BOUNDS)
+    for number in range(BOUNDS.crashes):
+        crash(quarantine, f"s{number}", 3.0 * number)
+    for number in range(10 * CAPACITY):
+        crash(quarantine, f"t{number}", 10.0 + 3.0 * number, f"f{number}")
+    assert len(quarantine) == CAPACITY
+    assert quarantine.get_state("f", 50.0) is QuarantineState.QUARANTINED
+
+
 class QuarantineMachine(RuleBasedStateMachine):
     """Two instances that share crashes; the records and crashes kept are bounded."""
 
