Bound what an answer may cost an instance before it ends

Cause: a connection kept every byte of a head, of informational answers, trailers, chunk extensions and of answers to others; a body and an event of a stream were read whole. Change: a connection fails after 1 MiB in a row that belong to no answer that is waited for, a body after 16 MiB, and an event of a stream after 1 MiB. The store's client and tunnels use the same connections.

--- a/tanagerwalk/decisions/events.py
+++ b/tanagerwalk/decisions/events.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+MAX_EVENT_BYTES = 1024 * 1024
 BLANK_LINES = (b"\n\n", b"\r\n\r\n")
 
 
@@ -35,6 +36,11 @@
             self._buffer = self._buffer[end:]
             events.append(StreamEvent(raw, _parse_number(raw)))
 
+    @property
+    def is_overlong(self):
+        """Whether the buffer holds more than one event may have."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
     @property
     def has_partial(self):
         """Whether the buffer holds an incomplete event."""
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -20,6 +20,10 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
 READ_HIGH_WATER_BYTES = 256 * 1024
+# Bytes in a row that belong to no answer that is waited for, such as those of a head
+# that does not end.
+MAX_UNUSED_BYTES = 1024 * 1024
+MAX_BODY_BYTES = 16 * 1024 * 1024
 NO_BODY_STATUSES = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
 
@@ -79,6 +83,7 @@
         self._response_heads = deque()
         self._body_chunks = deque()
         self._buffered_bytes = 0
+        self._unused_bytes = 0
         self._waiter = None
         self._failure = ConnectionFailure.CLOSED
         self._clean_end = False
@@ -104,10 +109,13 @@
             self.abort()
             return
         self.received = True
+        self._unused_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(ConnectionFailure.MALFORMED)
+        if self._unused_bytes > MAX_UNUSED_BYTES:
+            self._fail(ConnectionFailure.MALFORMED)
         if self._buffered_bytes > READ_HIGH_WATER_BYTES and not self.closed:
             self._transport.pause_reading()
         self._notify_reader()
@@ -164,11 +172,13 @@
         has_body = status not in NO_BODY_STATUSES and not self._has_no_body
         self._body_ends_at_close = has_body and framed is None
         self._response_heads.append(head)
+        self._unused_bytes = 0
 
     def on_body(self, data):
         """Queue a fragment of the body."""
         if self._pending_responses == 0 or self._discarding:
             return
+        self._unused_bytes = 0
         self._body_chunks.append(data)
         self._buffered_bytes += len(data)
 
@@ -182,6 +192,7 @@
             self._end_body()
 
     def _end_body(self):
+        self._unused_bytes = 0
         self._body_chunks.append(None)
         self._pending_responses -= 1
 
@@ -258,13 +269,14 @@
         return Ok(chunk)
 
     async def read_body(self):
-        """Read the remaining body.
+        """Read the remaining body, of at most MAX_BODY_BYTES.
 
         Returns
         -------
         Result of bytes, or of ConnectionFailure
         """
         parts = []
+        size = 0
         while True:
             result = await self.read_chunk()
             if result.is_error():
@@ -272,6 +284,10 @@
             if not result.ok:
                 return Ok(b"".join(parts))
             parts.append(result.ok)
+            size += len(result.ok)
+            if size > MAX_BODY_BYTES:
+                self._fail(ConnectionFailure.MALFORMED)
+                return Error(ConnectionFailure.MALFORMED)
 
     def is_reusable(self):
         """Return whether another request can be sent on this connection."""
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -268,6 +268,8 @@
             if not result.ok:
                 break
             events = splitter.feed(result.ok)
+            if splitter.is_overlong:
+                return AttemptResult(Outcome.LOST, "event too long")
             if not events:
                 continue
             wait = timeouts.idle
--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -10,6 +10,14 @@
 
 ADDRESS = "127.0.0.1"
 EVENT_COUNT = 5
+FILLER = b"x" * 65536
+FILLER_CHUNK = b"%x\r\n%s\r\n" % (len(FILLER), FILLER)
+# What follows the head, and what is repeated then.
+ENDLESS_STARTS = {
+    "endless_head": (b"X-Filler: ", FILLER),
+    "endless_body": (b"\r\n", FILLER_CHUNK),
+    "endless_event": (b"\r\n", FILLER_CHUNK),
+}
 
 
 @dataclass(slots=True)
@@ -47,6 +55,8 @@
         - `unsigned`: no response seal
         - `torn`: a stream ends inside its third event
         - `cut`: a stream ends after its second event
+        - `endless_head`, `endless_body`, `endless_event`: a header, a body or an event
+          of a stream without end
     times : int
         Number of requests affected by the fault; -1 for all.
     delay : float
@@ -83,6 +93,7 @@
         self._ip = ip
         self.behaviour = Behaviour()
         self.requests = []
+        self.endless_bytes = 0
         self.connections = set()
         self._server = None
 
@@ -134,6 +145,14 @@
         self._parser = httptools.HttpRequestParser(self)
         self._task = None
         self._request = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+
+    def pause_writing(self):
+        self._writable.clear()
+
+    def resume_writing(self):
+        self._writable.set()
 
     def connection_made(self, transport):
         self.transport = transport
@@ -172,6 +191,8 @@
         if fault == "reset":
             self.transport.abort()
             return
+        if fault in ENDLESS_STARTS:
+            await self._write_endlessly(request, fault)
         request.rejected = fault in ("refuse", "misdirect")
         if fault == "refuse":
             headers = list(_NOT_EXECUTED_HEADERS)
@@ -190,6 +211,17 @@
             await self._answer_plain(request, fault)
         request.finished = True
 
+    async def _write_endlessly(self, request, fault):
+        """Send bytes as fast as they are taken, until the connection is closed."""
+        head = self._encode_head(request, "200 OK", ["Transfer-Encoding: chunked"])
+        start, filler = ENDLESS_STARTS[fault]
+        self.transport.write(head[: -len(b"\r\n")] + start)
+        while not self.transport.is_closing():
+            self.transport.write(filler)
+            self.server.endless_bytes += len(filler)
+            await asyncio.sleep(0)
+            await self._writable.wait()
+
     async def _answer_plain(self, request, fault):
         await asyncio.sleep(self.server.behaviour.delay)
         body = f"{self.server.id} did {request.target}".encode()
