Bound the bodies that an entry instance reads

Evidence: test_body_without_end_is_given_up; without the bound, the call ends only with its timeout. That was read, not run: read_body is new with the test. Change: all clients read bodies through one function that stops at 16 MiB.

--- a/tanagerwalk/clients/engines.py
+++ b/tanagerwalk/clients/engines.py
@@ -11,7 +11,7 @@
 from ..messages import AttemptFailure, Usage
 from ..outcomes import RetryReason
 from .attempts import REQUEST_ID_HEADER, build_timeout, classify_status, run_attempt
-from .http import build_url
+from .http import build_url, read_body
 from .loads import parse_adapter_slots, parse_load
 
 DATA_PREFIX = b"data: "
@@ -143,7 +143,7 @@
                 # The engine does not have the model loaded, so nothing was run.
                 return Error(AttemptFailure(RetryReason.VERSION_MISSING, sent=False))
             if response.status != OK_STATUS:
-                return Ok(ChatOutcome(response.status, error=await response.read()))
+                return Ok(ChatOutcome(response.status, error=await read_body(response)))
             return await _read_stream(response, on_text)
 
     async def read_load(self, address, timeout, models=True):
@@ -167,7 +167,7 @@
         base = f"http://{address}"
         try:
             async with self._http.get(f"{base}/metrics", timeout=limit) as response:
-                page = await response.text()
+                page = (await read_body(response)).decode(errors="replace")
             running, waiting = parse_load(page)
             versions = await self._read_models(base, limit) if models else None
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
@@ -178,7 +178,7 @@
 
     async def _read_models(self, base, limit):
         async with self._http.get(f"{base}/v1/models", timeout=limit) as response:
-            models = msgspec.json.decode(await response.read(), type=_Models)
+            models = msgspec.json.decode(await read_body(response), type=_Models)
         return frozenset(model.id for model in models.data)
 
 
--- a/tanagerwalk/clients/http.py
+++ b/tanagerwalk/clients/http.py
@@ -7,6 +7,7 @@
 
 # Headers that aiohttp adds to requests that lack them.
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
+MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
 def build_session(keep_connections=True):
@@ -48,3 +49,30 @@
         Path and query, already quoted.
     """
     return URL(f"http://{address}{path}", encoded=True)
+
+
+async def read_body(response):
+    """Read the body of a response, of at most MAX_BODY_BYTES.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        The response.
+
+    Returns
+    -------
+    bytes
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        If the body is longer, or the connection ends before it does.
+    """
+    parts = []
+    size = 0
+    async for part in response.content.iter_any():
+        parts.append(part)
+        size += len(part)
+        if size > MAX_BODY_BYTES:
+            raise aiohttp.ClientPayloadError("the body is too long")
+    return b"".join(parts)
--- a/tanagerwalk/clients/keyvalue.py
+++ b/tanagerwalk/clients/keyvalue.py
@@ -9,6 +9,7 @@
 
 from ..ids import Revision
 from ..writes import ABSENT, Entry, NewerRead, StoreFault, Write, WriteOutcome
+from .http import read_body
 
 RANGE_END_ALL = b"\0"
 REJECTED_STATUSES = frozenset({400, 404, 413})
@@ -97,7 +98,7 @@
             async with self._http.post(
                 self._base_url + path, json=body, timeout=self._timeout
             ) as response:
-                content = await response.read()
+                content = await read_body(response)
                 if response.status in REJECTED_STATUSES:
                     return Error(StoreFault.REJECTED)
                 if response.status != 200:
--- a/tanagerwalk/clients/orders.py
+++ b/tanagerwalk/clients/orders.py
@@ -7,6 +7,7 @@
 
 from ..decisions.orders import OrderOutcome
 from ..decisions.placement import MoveKind
+from .http import read_body
 from .responses import read_retry_after
 
 FENCING_HEADER = "X-Fencing-Token"
@@ -102,7 +103,7 @@
                 headers={FENCING_HEADER: str(order.token)},
                 timeout=self._timeout,
             ) as response:
-                return _classify_response(kind, response, await response.read())
+                return _classify_response(kind, response, await read_body(response))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return OrderResult(OrderOutcome.NOT_SENT)
         except (aiohttp.ClientError, TimeoutError):
--- a/tanagerwalk/clients/ratings.py
+++ b/tanagerwalk/clients/ratings.py
@@ -6,6 +6,8 @@
 import msgspec
 from expression import Error, Ok
 
+from .http import read_body
+
 OK_STATUS = 200
 MAX_RETRY_AFTER_S = 60.0
 
@@ -77,7 +79,7 @@
             async with self._http.post(
                 self._url, json=body, timeout=self._timeout
             ) as response:
-                content = await response.read()
+                content = await read_body(response)
                 if response.status != OK_STATUS:
                     return Error(_read_failure(response))
                 rating = msgspec.json.decode(content, type=_Rating).rating
--- a/tanagerwalk/clients/services.py
+++ b/tanagerwalk/clients/services.py
@@ -9,7 +9,7 @@
 
 from ..decisions.servers import LoadReport
 from .attempts import REQUEST_ID_HEADER, build_timeout, classify_status, run_attempt
-from .http import build_url
+from .http import build_url, read_body
 from .loads import parse_load
 
 IDEMPOTENCY_HEADER = "Idempotency-Key"
@@ -103,7 +103,7 @@
             headers=headers,
             timeout=self._timeout,
         ) as response:
-            content = await response.read()
+            content = await read_body(response)
             failure = classify_status(response)
             if failure is not None:
                 return Error(failure)
@@ -126,7 +126,8 @@
             async with self._http.get(
                 f"http://{address}/metrics", timeout=limit
             ) as response:
-                running, waiting = parse_load(await response.text())
+                page = await read_body(response)
+            running, waiting = parse_load(page.decode(errors="replace"))
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             return Error(
                 f"cannot read load of service {address}: {type(error).__name__}"
--- a/tanagerwalk/clients/targets.py
+++ b/tanagerwalk/clients/targets.py
@@ -15,6 +15,7 @@
     Region,
     ServiceName,
 )
+from .http import read_body
 
 ENTRY_ROLE = "entry"
 LEAVING_STATE = "leaving"
@@ -89,7 +90,7 @@
                     and self._last_list is not None
                 ):
                     return Ok(self._last_list)
-                content = await response.read()
+                content = await read_body(response)
                 if response.status != OK_STATUS:
                     return Error(
                         f"instance list returned HTTP status {response.status}"
--- a/test/clients/test_http.py
+++ b/test/clients/test_http.py
@@ -12,7 +12,12 @@
 import pytest
 
 from tanagerwalk.clients.engines import ChatAttempt, EngineClient
-from tanagerwalk.clients.http import build_session, build_url
+from tanagerwalk.clients.http import (
+    MAX_BODY_BYTES,
+    build_session,
+    build_url,
+    read_body,
+)
 from tanagerwalk.clients.services import ServiceAttempt, ServiceClient
 from tanagerwalk.settings import parse_settings
 
@@ -165,3 +170,27 @@
         async with run_recorder(answer) as (_, address), build_session() as http:
             await call(http, address)
     assert not other.heads
+
+
+# Guards against a body without end that fills the memory of an entry instance.
+async def test_body_without_end_is_given_up():
+    chunk = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+    sent = 0
+
+    async def serve(reader, writer):
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        while not writer.is_closing():
+            writer.write(chunk)
+            sent += len(chunk)
+            await writer.drain()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    async with build_session() as http:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            async with http.get(build_url(address, "/")) as response:
+                await read_body(response)
+    server.close()
+    assert sent <= 2 * MAX_BODY_BYTES
