--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import struct
+import time
 from dataclasses import dataclass, field
 
 import httptools
@@ -22,7 +23,10 @@
 
 @dataclass(slots=True)
 class ReceivedRequest:
-    """A request as the backend server received it; header names in lower case."""
+    """A request as the backend server received it; header names in lower case.
+
+    `received_at` is a monotonic time in seconds.
+    """
 
     method: str
     target: str
@@ -31,6 +35,7 @@
     cancelled: bool = False
     finished: bool = False
     rejected: bool = False
+    received_at: float = field(default_factory=time.monotonic)
 
 
 @dataclass(slots=True)
@@ -67,6 +72,8 @@
         Whether all answers say that the server leaves.
     retry_after : str
         Value of that header in refusals; empty for none.
+    limit : str
+        Requests a second that all answers name as the server's limit; empty for none.
     """
 
     fault: str = ""
@@ -75,6 +82,7 @@
     confidence: dict[str, int] = field(default_factory=dict)
     is_leaving: bool = False
     retry_after: str = ""
+    limit: str = ""
 
 
 class BackendStandIn:
@@ -283,6 +291,8 @@
         head = [f"HTTP/1.1 {status}", f"X-Tanagerwalk-Attempt-Id: {attempt_id}", *lines]
         if self.server.behaviour.is_leaving:
             head.append("Server-Leaving: 1")
+        if self.server.behaviour.limit:
+            head.append(f"Server-Limit: {self.server.behaviour.limit}")
         if signed:
             head.append(f"X-Tanagerwalk-Response-Seal: {self.server.id}.{attempt_id}")
         return ("\r\n".join(head) + "\r\n\r\n").encode()
