Keep to the limits that servers name, as a fleet

What callers of a server in need saw: it got as many requests as any other, 12 in 4 s where 11 were allowed, 24 where 19 were. Cause: no code read the header; and no means existed to share a bound on a server's requests among instances. Class: a server's word binds the fleet, not the instance that heard it. Change: each answer's limit is told to the other instances, newest word first, and its end too. A limit is shared by the first instances of a rendezvous order, so many that each sends a request in 4.5 s or more often; a part that isn't used within half a second is given up. A request that only limits keep back waits a sixteenth of its caller's time at most, else it is refused at once with the time when a place comes free. It doesn't cross to the other side of a roll-out meanwhile. Tried and left: equal parts for every instance at random times.

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -1,7 +1,8 @@
 """Selection of the backend server for a request."""
 
 from .paths import PathState
-from .server_usage_table import ServerUsageTable
+from .server_limits import LimitQueue, ServerLimits
+from .server_usage_table import ServerUsageTable, hash_life
 from .shared_loads import SharedLoad
 
 # The cost of load is linear plus quadratic: a short wait does not exceed a latency
@@ -24,6 +25,11 @@
         Tells which servers can't be reached at present.
     random : random.Random
         Breaks ties and samples the candidates in a large fleet.
+
+    Attributes
+    ----------
+    limits : ServerLimits
+        Limits that the servers name.
     """
 
     def __init__(self, home, shared, paths, random):
@@ -32,6 +38,7 @@
         self._shared = shared
         self._paths = paths
         self._random = random
+        self.limits = ServerLimits(random)
         self._possibly_leaving = frozenset()
 
     def set_possibly_leaving(self, server_ids):
@@ -61,7 +68,7 @@
             for usage in self.list_usages(service)
             if usage.accepts_requests
             and usage.paused_until <= now
-            and usage.held_until <= now
+            and self._find_block(usage, now) <= 0.0
             and not self._paths.is_unreachable(usage.server.id)
             and (is_allowed is None or is_allowed(usage.server))
         ]
@@ -91,7 +98,7 @@
             usage
             for usage in self.list_usages(service)
             if usage.accepts_requests
-            and usage.held_until <= now
+            and self._find_block(usage, now) <= 0.0
             and not self._paths.is_unreachable(usage.server.id)
             and usage.server.id not in tried
             and (is_allowed is None or is_allowed(usage.server))
@@ -118,6 +125,94 @@
             ),
         ).server
 
+    def replace_servers(self, servers):
+        """Replace the list of registered servers, and forget the limits of those gone.
+
+        See `ServerUsageTable.replace_servers`.
+        """
+        gone = super().replace_servers(servers)
+        for server in gone:
+            self.limits.forget(hash_life(server))
+        return gone
+
+    def find_hold(self, service, now, is_allowed):
+        """Return the seconds until a server of a service takes requests again.
+
+        Parameters
+        ----------
+        service : ServiceName
+            The service.
+        now : float
+            Monotonic time in seconds.
+        is_allowed : callable
+            Takes a RegisteredServer and returns whether it may be used.
+
+        Returns
+        -------
+        float
+            0 if a server takes requests, or if none exists that will.
+        """
+        usages = self._list_allowed(service, is_allowed)
+        return min((self._find_block(usage, now) for usage in usages), default=0.0)
+
+    def find_limit_queue(self, service, now, is_allowed):
+        """Return how the servers that are kept back only by their limits take requests.
+
+        Parameters
+        ----------
+        service : ServiceName
+            The service.
+        now : float
+            Monotonic time in seconds.
+        is_allowed : callable
+            Takes a RegisteredServer and returns whether it may be used.
+
+        Returns
+        -------
+        LimitQueue or None
+            None if there is no such server.
+        """
+        if self.limits.is_empty:
+            return None
+        lives = [
+            hash_life(usage.server)
+            for usage in self._list_allowed(service, is_allowed)
+            if usage.held_until <= now
+        ]
+        limited = [life for life in lives if self.limits.has_limit(life)]
+        if not limited:
+            return None
+        wait = min(self.limits.find_wait(life, now) for life in limited)
+        return LimitQueue(wait, sum(map(self.limits.find_rate, limited)))
+
+    def _list_allowed(self, service, is_allowed):
+        return [
+            usage
+            for usage in self.list_usages(service)
+            if usage.accepts_requests and is_allowed(usage.server)
+        ]
+
+    def _find_block(self, usage, now):
+        """Return the seconds for which a server takes no request of this instance."""
+        held = max(0.0, usage.held_until - now)
+        if self.limits.is_empty:
+            return held
+        return max(held, self.limits.find_wait(hash_life(usage.server), now))
+
+    def record_limit(self, server, rate, now):
+        """Record the limit in an answer of a server; return whether it was not known.
+
+        See `ServerLimits.record`.
+        """
+        if rate is None and self.limits.is_empty:
+            return False
+        return self.limits.record(hash_life(server), rate, now)
+
+    def spend_limit(self, server, now):
+        """Count a request that is about to be sent against the limit of its server."""
+        if not self.limits.is_empty:
+            self.limits.record_sent(hash_life(server), now)
+
     def _sample_candidates(self, usages, affinity):
         """Return a random sample of servers plus the one preferred by affinity.
 
--- a/tanagerwalk/decisions/server_notices.py
+++ b/tanagerwalk/decisions/server_notices.py
@@ -19,15 +19,18 @@
         Whether the server leaves and wants no new requests.
     hold : float
         Seconds for which it wants no requests; 0 for none.
+    limit : float or None
+        Requests per second that it takes from all instances; None for any number.
     """
 
     is_leaving: bool = False
     hold: float = 0.0
+    limit: float | None = None
 
     @property
-    def is_empty(self):
-        """Whether there is nothing to take notice of."""
-        return not self.is_leaving and self.hold <= 0.0
+    def asks_for_rest(self):
+        """Whether the server wants no requests, for a while or for good."""
+        return self.is_leaving or self.hold > 0.0
 
 
 def find_hold(retry_after):
--- a/tanagerwalk/decisions/server_usage_table.py
+++ b/tanagerwalk/decisions/server_usage_table.py
@@ -87,30 +87,6 @@
             for usage in self.list_usages(service)
         )
 
-    def find_hold(self, service, now, is_allowed):
-        """Return the seconds until a server of a service takes requests again.
-
-        Parameters
-        ----------
-        service : ServiceName
-            The service.
-        now : float
-            Monotonic time in seconds.
-        is_allowed : callable
-            Takes a RegisteredServer and returns whether it may be used.
-
-        Returns
-        -------
-        float
-            0 if a server takes requests, or if none exists that will.
-        """
-        holds = [
-            max(0.0, usage.held_until - now)
-            for usage in self.list_usages(service)
-            if usage.accepts_requests and is_allowed(usage.server)
-        ]
-        return min(holds, default=0.0)
-
     def record_sent(self, server, work=None):
         """Record a request that is sent to a server.
 
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -225,6 +225,7 @@
     def _update_peers(self):
         self.watchers.set_peers(self.membership.peers)
         self.relays.set_peers(self.membership.peers)
+        self.servers.limits.set_members(self.incarnation, self.membership.peers)
 
     def _find_rank(self, name):
         """Return how many instances come before this one for a name."""
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -212,7 +212,9 @@
 
     def _record_notice(self, connection, server, notice):
         """Take notice of what a server says; so must the instance that reaches it."""
-        if notice.is_empty:
+        if self._servers.record_limit(server, notice.limit, self._clock()):
+            log.info("server limit", server=server.id, requests_per_s=notice.limit)
+        if not notice.asks_for_rest:
             return
         connection.send_notice(notice)
         if notice.is_leaving:
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -1,6 +1,7 @@
 """Runs the attempts of one request until one delivers a response."""
 
 import asyncio
+import math
 from dataclasses import dataclass
 from functools import partial
 from random import Random
@@ -110,6 +111,7 @@
         self._attempt_log = []
         self._current_server_id = None
         self._unreachable_since = None
+        self._waited_for_limit = 0.0
 
     @property
     def _time_left(self):
@@ -160,17 +162,19 @@
         choose = partial(self._context.servers.choose, affinity=self._affinity)
         rolled_back = self._context.rollouts.find_rolled_back_release(service)
         # Prefer untried servers of the request's roll-out side, then tried ones, and
-        # only then servers of the other side.
+        # only then servers of the other side, unless one of the own will take it soon.
         for tried in (self._tried, frozenset()):
             server = choose(service, now, tried, self._allows_server)
             if server is not None:
                 return server
+        if self._find_limit_queue() is not None:
+            return None
         return choose(
             service, now, frozenset(), lambda server: server.release != rolled_back
         )
 
     async def _wait_for_path(self):
-        """Wait a moment if servers exist but can't be reached.
+        """Wait a moment if servers exist but can't be reached, or have limits.
 
         Returns
         -------
@@ -180,22 +184,55 @@
         servers = self._context.servers
         if not servers.has_server(self._service, self._allows_server):
             return False
+        queue = self._find_limit_queue()
+        if queue is not None and queue.wait > 0.0:
+            return await self._wait_for_limit(queue)
         if self._find_hold() > 0.0:
             return False
         now = self._clock()
         if self._unreachable_since is None:
             self._unreachable_since = now
         waited = now - self._unreachable_since
-        limit = find_path_wait(self._history, self._request.client_timeout)
-        if waited >= limit or self._time_left <= PATH_POLL_INTERVAL_S:
+        if waited >= self._max_wait or self._time_left <= PATH_POLL_INTERVAL_S:
             return False
         await asyncio.sleep(PATH_POLL_INTERVAL_S)
         return True
 
+    async def _wait_for_limit(self, queue):
+        """Wait until a server with a limit takes a request, if that is soon."""
+        waiting = self._context.servers.limits.waiting
+        expected = queue.estimate_wait(waiting[self._service])
+        if self._waited_for_limit + expected > min(self._max_wait, self._time_left):
+            return False
+        waiting[self._service] += 1
+        try:
+            await asyncio.sleep(queue.wait)
+        finally:
+            waiting[self._service] -= 1
+        self._waited_for_limit += queue.wait
+        return True
+
+    @property
+    def _max_wait(self):
+        return find_path_wait(self._history, self._request.client_timeout)
+
+    def _find_limit_queue(self):
+        """Return the LimitQueue of the allowed servers, or None if none has a limit."""
+        servers = self._context.servers
+        now = self._clock()
+        return servers.find_limit_queue(self._service, now, self._allows_server)
+
     def _find_hold(self):
         """Return the seconds for which every server wants no requests."""
         servers = self._context.servers
-        return servers.find_hold(self._service, self._clock(), self._allows_server)
+        now = self._clock()
+        hold = servers.find_hold(self._service, now, self._allows_server)
+        queue = self._find_limit_queue()
+        if hold > 0.0 and queue is not None:
+            waiting = servers.limits.waiting[self._service]
+            hold = max(hold, queue.estimate_wait(waiting))
+        # Without a part of any limit, the client's next attempt finds another instance.
+        return hold if math.isfinite(hold) else 0.0
 
     async def _attempt(self, server):
         now = self._clock()
@@ -203,6 +240,7 @@
             self._budget.record_request(now)
         else:
             self._budget.record_retry(now)
+        self._context.servers.spend_limit(server, now)
         model = self._models[self._model_index] if self._models else None
         attempt = Attempt(
             server=server,
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -8,6 +8,7 @@
 from ..decisions.latency_histograms import MAX_BUCKET, LatencyHistogram
 from ..decisions.quarantine import CrashRecord
 from ..decisions.relays import Scope
+from ..decisions.server_limits import LimitNews
 from ..decisions.shared_loads import SharedLoad
 from ..decisions.tallies import AnswerKind, SideCount, Tally
 from ..ids import Fingerprint, Incarnation, RouteName
@@ -17,6 +18,7 @@
     LatencyTally,
     LoadMessage,
     RouteTally,
+    ServerLimit,
     ServerLoad,
     SessionSides,
     TrialTally,
@@ -104,6 +106,17 @@
     return Fingerprint(blame.fingerprint or ""), CrashRecord(incarnations, lifetime)
 
 
+def encode_limit(life, news):
+    """Convert a LimitNews to a ServerLimit message; `life` is the server's hash."""
+    return ServerLimit(life, news.rate, int(news.heard_ago * MS_PER_S))
+
+
+def decode_limit(limit):
+    """Convert a ServerLimit message to the server's hash and a LimitNews."""
+    heard_ago = max(0, limit.heard_ago_ms or 0) / MS_PER_S
+    return limit.server, LimitNews(limit.rate, heard_ago)
+
+
 def encode_tally(service, order, tally):
     """Convert a Tally to a TrialTally message."""
     empty = SideCount()
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -1,24 +1,27 @@
 """Exchanges backend server loads and roll-out data with the other instances."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import structlog
 
 from ..decisions.relayed_items import RelayedItems
 from ..decisions.relays import Role, Scope
+from ..decisions.server_limits import LimitNews
 from ..decisions.shared_loads import ReportSource, SharedLoad, hash_server
 from ..ids import FailureDomain, ServiceName
 from ..peers.codec import encode
 from ..peers.gen.loads.ttypes import LoadMessage
 from .load_messages import (
     decode_blame,
+    decode_limit,
     decode_load,
     decode_message,
     decode_sides,
     decode_tally,
     encode_blame,
     encode_latencies,
+    encode_limit,
     encode_load,
     encode_sides,
     encode_tally,
@@ -53,6 +56,8 @@
         Tallies of the active roll-outs.
     leaving : tuple of int
         Servers that have said that they leave, by `hash_life`.
+    limits : dict of int to LimitNews
+        Limits that servers name, by `hash_life`.
     """
 
     scope: Scope
@@ -61,11 +66,13 @@
     sides: dict
     tallies: dict
     leaving: tuple[int, ...] = ()
+    limits: dict[int, LimitNews] = field(default_factory=dict)
 
     @property
     def is_empty(self):
         """Whether nothing but tallies would be told."""
-        return not (self.loads or self.blames or self.sides or self.leaving)
+        sections = (self.loads, self.blames, self.sides, self.leaving, self.limits)
+        return not any(sections)
 
 
 class LoadSharing(asyncio.DatagramProtocol):
@@ -189,10 +196,12 @@
             self._apply_other_sections(message, scope, domain, now)
 
     def _apply_other_sections(self, message, scope, domain, now):
-        """Process crash records, leaving servers, side overrides and tallies."""
+        """Process whatever a message tells beside loads."""
         if message.leaving:
             for server_id in self._servers.mark_leaving(message.leaving):
                 log.info("server leaving", server=server_id, told_by=message.sender)
+        for limit in message.limits or ():
+            self._merge_limit(*decode_limit(limit), now, message.sender)
         records = dict(map(decode_blame, message.blames or ()))
         self._quarantine.merge_records(records, self._role is Role.RELAY)
         for encoded in message.sides or ():
@@ -211,6 +220,11 @@
                 decode_tally(encoded),
             )
 
+    def _merge_limit(self, life, news, now, sender):
+        if self._servers.limits.merge(life, news, now):
+            rate = news.rate
+            log.info("server limit", life=life, requests_per_s=rate, told_by=sender)
+
     def error_received(self, exc):
         """Ignore unreachable peers; their entries expire with their leases."""
 
@@ -260,6 +274,7 @@
             self._list_own_sides(),
             tallies,
             self._choose_leaving(),
+            self._servers.limits.list_news(now),
         )
 
     def _list_own_sides(self):
@@ -290,6 +305,7 @@
             self._relayed_sides.list(sources, now) | own.sides,
             tallies,
             own.leaving,
+            own.limits,
         )
 
     def _send(self, contents, receiver_ids):
@@ -336,6 +352,9 @@
         for start in range(0, len(blames), MAX_BLAMES):
             part_blames = blames[start : start + MAX_BLAMES]
             yield self._build_message(contents.scope, blames=part_blames)
+        if contents.limits:
+            limits = [encode_limit(*item) for item in contents.limits.items()]
+            yield self._build_message(contents.scope, limits=limits)
 
     def _build_message(self, scope, **section):
         """Return a message without loads, of one section."""
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -222,6 +222,85 @@
         return not (self == other)
 
 
+class ServerLimit(object):
+    """
+    Attributes:
+     - server
+     - rate
+     - heard_ago_ms
+
+    """
+
+
+    def __init__(self, server=None, rate=None, heard_ago_ms=None,):
+        self.server = server
+        self.rate = rate
+        self.heard_ago_ms = heard_ago_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.server = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.heard_ago_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerLimit')
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.I64, 1)
+            oprot.writeI64(self.server)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 2)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        if self.heard_ago_ms is not None:
+            oprot.writeFieldBegin('heard_ago_ms', TType.I32, 3)
+            oprot.writeI32(self.heard_ago_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SessionSides(object):
     """
     Attributes:
@@ -718,11 +797,12 @@
      - part
      - parts
      - leaving
+     - limits
 
     """
 
 
-    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None, scope=None, domain=None, part=None, parts=None, leaving=None,):
+    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None, scope=None, domain=None, part=None, parts=None, leaving=None, limits=None,):
         self.sender = sender
         self.sequence = sequence
         self.loads = loads
@@ -734,6 +814,7 @@
         self.part = part
         self.parts = parts
         self.leaving = leaving
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -828,6 +909,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = ServerLimit()
+                        _elem88.read(iprot)
+                        self.limits.append(_elem88)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -849,29 +941,29 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter83 in self.loads:
-                iter83.write(oprot)
+            for iter89 in self.loads:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blames is not None:
             oprot.writeFieldBegin('blames', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.blames))
-            for iter84 in self.blames:
-                iter84.write(oprot)
+            for iter90 in self.blames:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sides is not None:
             oprot.writeFieldBegin('sides', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.sides))
-            for iter85 in self.sides:
-                iter85.write(oprot)
+            for iter91 in self.sides:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter86 in self.tallies:
-                iter86.write(oprot)
+            for iter92 in self.tallies:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.scope is not None:
@@ -893,8 +985,15 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 11)
             oprot.writeListBegin(TType.I64, len(self.leaving))
-            for iter87 in self.leaving:
-                oprot.writeI64(iter87)
+            for iter93 in self.leaving:
+                oprot.writeI64(iter93)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter94 in self.limits:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -929,6 +1028,13 @@
     (2, TType.LIST, 'servers', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.I32, 'lifetime_ms', None, None, ),  # 3
 )
+all_structs.append(ServerLimit)
+ServerLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'server', None, None, ),  # 1
+    (2, TType.DOUBLE, 'rate', None, None, ),  # 2
+    (3, TType.I32, 'heard_ago_ms', None, None, ),  # 3
+)
 all_structs.append(SessionSides)
 SessionSides.thrift_spec = (
     None,  # 0
@@ -981,6 +1087,7 @@
     (9, TType.I32, 'part', None, None, ),  # 9
     (10, TType.I32, 'parts', None, None, ),  # 10
     (11, TType.LIST, 'leaving', (TType.I64, None, False), None, ),  # 11
+    (12, TType.LIST, 'limits', (TType.STRUCT, [ServerLimit, None], False), None, ),  # 12
 )
 fix_spec(all_structs)
 del all_structs
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -20,6 +20,15 @@
   3: optional i32 lifetime_ms
 }
 
+// Limit that a backend server names; `server` is a hash of id and start time.
+struct ServerLimit {
+  1: i64 server
+  // Requests per second of the fleet; absent if it names no limit any more.
+  2: optional double rate
+  // Time since the server said so.
+  3: i32 heard_ago_ms
+}
+
 // Sessions, by hash, that use another release of a roll-out than the one their hash
 // assigns them to.
 struct SessionSides {
@@ -88,4 +97,5 @@
   10: i32 parts
   // Backend servers that have said that they leave, by a hash of id and start time.
   11: optional list<i64> leaving
+  12: optional list<ServerLimit> limits
 }
--- a/tanagerwalk/platform/egress.py
+++ b/tanagerwalk/platform/egress.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from ..decisions.server_limits import parse_limit
 from ..decisions.server_notices import ServerNotice, find_hold
 from ..gateway.attempts import ClassifiedHead, ResponseKind
 from .names import (
@@ -20,6 +21,7 @@
     RESERVED_HEADERS,
     RETRY_AFTER,
     SERVER_LEAVING,
+    SERVER_LIMIT,
     SIGNATURE,
 )
 
@@ -164,7 +166,16 @@
     hold = 0.0
     if head.status == UNAVAILABLE_STATUS:
         hold = find_hold(_parse_retry_after(head.get_header(RETRY_AFTER)))
-    return ServerNotice(is_leaving, hold)
+    return ServerNotice(is_leaving, hold, _parse_limit(head.get_header(SERVER_LIMIT)))
+
+
+def _parse_limit(value):
+    if value is None:
+        return None
+    limit = parse_limit(value)
+    if limit is None:
+        log.warning("invalid limit of a server", value=value.decode("latin-1"))
+    return limit
 
 
 def _parse_retry_after(value):
--- a/tanagerwalk/platform/names.py
+++ b/tanagerwalk/platform/names.py
@@ -31,6 +31,8 @@
 STORE_ERA = b"store-era"
 # In all answers of a backend server that leaves.
 SERVER_LEAVING = b"server-leaving"
+# In all answers of a backend server in need: requests a second that it takes.
+SERVER_LIMIT = b"server-limit"
 # With status 503: seconds for which the backend server wants no requests.
 RETRY_AFTER = b"retry-after"
 LAST_EVENT_ID = b"last-event-id"
--- a/test/gateway/test_crash_news.py
+++ b/test/gateway/test_crash_news.py
@@ -7,6 +7,7 @@
 
 from tanagerwalk.decisions.peers import Peer
 from tanagerwalk.decisions.relays import RELAY_PERIOD_S, RelaySelection, Role
+from tanagerwalk.decisions.server_limits import ServerLimits
 from tanagerwalk.decisions.shared_loads import SharedLoadTable
 from tanagerwalk.gateway.quarantine import LIMITS, QuarantineFilter
 from tanagerwalk.gateway.sharing import LoadSharing
@@ -38,7 +39,10 @@
         relays = RelaySelection(name, domain)
         relays.set_peers(others)
         servers = SimpleNamespace(
-            list_own_loads=lambda now: {}, list_leaving=list, list_usages=lambda s: []
+            list_own_loads=lambda now: {},
+            list_leaving=list,
+            list_usages=lambda service: [],
+            limits=ServerLimits(self.random),
         )
         rollouts = SimpleNamespace(
             set_role=lambda role: None,
--- a/test/gateway/test_server_limits.py
+++ b/test/gateway/test_limited_servers.py
@@ -6,6 +6,7 @@
 import pytest_asyncio
 
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.decisions.server_usage_table import hash_life
 from tanagerwalk.standins.backend import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
@@ -67,3 +68,53 @@
     statuses = await send_for(cluster, NEWS_S + 2.0 * WINDOW_S)
     assert count_most(server, began + NEWS_S) <= allow(limit)
     assert set(statuses) == {200}
+
+
+async def test_instances_that_were_not_told_keep_to_the_limit_too(cluster):
+    cluster.servers["desk-0"].behaviour = Behaviour(limit="2")
+    first, second, _ = cluster.instances
+    server = first.servers.find("desk-0").server
+    while not first.servers.limits.has_limit(hash_life(server)):
+        await cluster.send(cluster.encode("GET", "/jobs/7"), first)
+    assert await poll_until(
+        lambda: second.servers.limits.has_limit(hash_life(server)), 0.02, NEWS_S
+    )
+    cluster.servers["desk-0"].behaviour = Behaviour()
+    await send_for(cluster, NEWS_S)
+    assert await poll_until(
+        lambda: (
+            not any(
+                i.servers.limits.has_limit(hash_life(server)) for i in cluster.instances
+            )
+        ),
+        0.02,
+        NEWS_S,
+    )
+    seen = len(cluster.servers["desk-0"].requests)
+    await send_for(cluster, 1.0)
+    assert len(cluster.servers["desk-0"].requests) - seen > 20
+
+
+# Guards against LIMIT, and against requests that wait for a place that they won't get.
+async def test_requests_beyond_the_limits_of_all_servers_are_refused_at_once(cluster):
+    limit = 3.0
+    for server in cluster.servers.values():
+        server.behaviour = Behaviour(limit=str(limit))
+    await send_for(cluster, NEWS_S)
+    began = time.monotonic()
+    tasks = [
+        cluster.send(cluster.encode("GET", "/jobs/7"), instance)
+        for instance in cluster.instances
+        for _ in range(40)
+    ]
+    replies = await asyncio.gather(*tasks)
+    # A sixteenth of the clients' four seconds, and some time to answer.
+    assert time.monotonic() - began < 0.25 + 0.5
+    refused = [reply for reply in replies if reply.status == 503]
+    assert {reply.status for reply in replies} <= {200, 503}
+    assert len(refused) > 80
+    times = [float(reply.headers["retry-after"]) for reply in refused]
+    assert min(times) > 0.0
+    assert len(set(times)) > 10
+    for server in cluster.servers.values():
+        assert count_most(server, began - NEWS_S + 1.0) <= allow(limit)
