Write the fleet's key again after a restore, and follow one that replaces it

An instance that started after a restore to a copy without the key got none, or made another: the fleet was split in two that believe each other nothing, so that crash records, limits, manifests and tunnels ended at the gap. Evidence: test_key_of_the_fleet_that_the_copy_lacks_is_written_again and test_key_of_the_fleet_that_another_replaces_is_followed fail before. Supervisor.run_once has no use left and goes.

--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -225,9 +225,8 @@
         """Return how many instances come before this one for a name."""
         return find_rank(name.encode(), self.incarnation, self.membership.peers)
 
-    async def _authenticate(self):
-        """Exchange data with other instances once the key is known."""
-        secret = await self.fleet_key.find()
+    def _authenticate(self, secret):
+        """Exchange data with other instances, with the key of the fleet."""
         self.peer_server.secret = secret
         self.feed.authenticate(secret)
         self.manifest_recovery.authenticate(secret)
@@ -345,7 +344,7 @@
         self.supervisor.run(self.manifest_recovery.run())
         self.supervisor.run(self.rollouts.run())
         self.supervisor.run(self.membership.run())
-        self.supervisor.run_once(self._authenticate())
+        self.supervisor.run(self.fleet_key.run(self._authenticate))
         self.supervisor.run(self.sharing.run())
         log.info("listening", instance=self.settings.instance)
 
--- a/tanagerwalk/supervisor.py
+++ b/tanagerwalk/supervisor.py
@@ -29,12 +29,6 @@
         task.add_done_callback(self._handle_done)
         self._tasks.append(task)
 
-    def run_once(self, coroutine):
-        """Start a coroutine that may return, but must not fail."""
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(self._handle_returned)
-        self._tasks.append(task)
-
     def begin_shutdown(self):
         """Accept that coroutines return from now on; exceptions remain failures."""
         self._stopping = True
@@ -47,10 +41,6 @@
         log.critical("controller failed", exc_info=task.exception())
         self.failed.set()
 
-    def _handle_returned(self, task):
-        if not task.cancelled() and task.exception() is not None:
-            self._handle_done(task)
-
     async def close(self):
         """Cancel all tasks and wait for them to finish."""
         self._closing = True
--- a/test/gateway/test_store_restore.py
+++ b/test/gateway/test_store_restore.py
@@ -8,6 +8,7 @@
 
 from tanagerwalk.changes import combine_revision, split_revision
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.gateway.app import FLEET_KEY_NAME
 from tanagerwalk.platform.store import MetadataStore
 from tanagerwalk.standins.gateway_cluster import (
     API_KEY,
@@ -214,6 +215,33 @@
         assert await call(built) == 200
 
 
+# Guards against a fleet that is split by two keys, or an instance that gets none, so
+# that crash records, limits and manifests aren't told.
+async def test_key_of_the_fleet_that_the_copy_lacks_is_written_again(cluster):
+    assert await cluster.wait_until_connected()
+    items, leases, revision = cluster.store.take_copy()
+    items.pop(FLEET_KEY_NAME)
+    before = cluster.store.read(FLEET_KEY_NAME)
+    await cluster.store.restore((items, leases, revision))
+    await cluster.add_instance("gateway-late")
+    assert await cluster.wait_until_connected()
+    assert await poll_until(lambda: len(find_secrets(cluster)) == 1, 0.05, WAIT_S)
+    assert find_secrets(cluster) == {cluster.store.read(FLEET_KEY_NAME).hex()}
+    assert cluster.store.read(FLEET_KEY_NAME) == before
+
+
+async def test_key_of_the_fleet_that_another_replaces_is_followed(cluster):
+    assert await cluster.wait_until_connected()
+    await cluster.store.put(FLEET_KEY_NAME, b"another key" * 3)
+    expected = {(b"another key" * 3).hex()}
+    assert await poll_until(lambda: find_secrets(cluster) == expected, 0.05, WAIT_S)
+
+
+def find_secrets(cluster):
+    """Return the keys of the fleet that the instances use."""
+    return {instance.peer_server.secret for instance in cluster.instances}
+
+
 class RestoreWalk:
     """Random writes, restores and compactions of the store of a cluster."""
 
