Don't use servers that only a restored copy lists until they write again

What callers would have seen: a server that had left before a restore got requests again, as the older copy lists it (DRAIN). Change: entries of servers that a copy of a new era brings, and that this instance did not know any more, are left out until they change. A server that began just before the restore waits for its next heartbeat.

--- a/tanagerwalk/gateway/mirror.py
+++ b/tanagerwalk/gateway/mirror.py
@@ -72,6 +72,8 @@
         self._last_revision = Revision(0)
         self._is_disconnected = False
         self._grace_deadlines = {}
+        self._unconfirmed = {}
+        self._last_era = 0
         self._subscribers = []
         self._confirmation_subscribers = []
         self.entries = {}
@@ -208,11 +210,27 @@
 
     def _record_changes(self, changes):
         self.change_log.record(changes)
+        era, _ = split_revision(changes.revision)
+        if era > self._last_era and self.is_loaded:
+            self._doubt_new_servers(changes.written)
+        self._last_era = max(self._last_era, era)
         for entry in changes.written:
             self._write(entry)
         for key, revision in changes.deleted:
             self._delete(key, revision)
 
+    def _doubt_new_servers(self, entries):
+        """Leave out servers that only a restored copy lists, until they write again.
+
+        They may have left before the restore.
+        """
+        self._unconfirmed = {
+            entry.key: entry.revision
+            for entry in entries
+            if entry.key.startswith(self._grace_prefix)
+            and entry.key not in self.entries
+        }
+
     def _is_newer(self, entry):
         known = self.entries.get(entry.key)
         return known is None or known.revision < entry.revision
@@ -220,6 +238,9 @@
     def _write(self, entry):
         if not self._is_newer(entry):
             return
+        if self._unconfirmed.get(entry.key) == entry.revision:
+            return
+        self._unconfirmed.pop(entry.key, None)
         self.entries[entry.key] = entry
         self._grace_deadlines.pop(entry.key, None)
 
--- a/test/gateway/test_store_restore.py
+++ b/test/gateway/test_store_restore.py
@@ -215,6 +215,23 @@
         assert await call(built) == 200
 
 
+# Guards against DRAIN: a server that has left and that an older copy lists again.
+async def test_server_that_had_left_is_not_used_until_it_registers_again(cluster):
+    copy = cluster.store.take_copy()
+    await cluster.store.remove("servers/desk-0")
+    first = cluster.instances[0]
+    assert await poll_until(lambda: not first.servers.find("desk-0"), 0.02, WAIT_S)
+    await cluster.store.restore(copy)
+    await wait_for_era(cluster, 1)
+    server = cluster.servers["desk-0"]
+    seen = len(server.requests)
+    for _ in range(20):
+        assert await call(cluster) == 200
+    assert len(server.requests) == seen
+    await cluster.store.put(*server.build_entry("desk", "a-1"))
+    assert await poll_until(lambda: first.servers.find("desk-0"), 0.02, WAIT_S)
+
+
 # Guards against a fleet that is split by two keys, or an instance that gets none, so
 # that crash records, limits and manifests aren't told.
 async def test_key_of_the_fleet_that_the_copy_lacks_is_written_again(cluster):
