Tell the others of every session on the target release of a roll-out

Cause: sessions whose release follows from their hash weren't told, but since an instance sends a session to the target only while it has a share left, so that a session which goes on elsewhere changes back. Evidence: test_session_on_the_target_stays_there_at_an_instance_without_a_share_left fails before. Change: sessions on the target are told as well.

--- a/tanagerwalk/decisions/release_rollouts.py
+++ b/tanagerwalk/decisions/release_rollouts.py
@@ -306,7 +306,10 @@
         self._pin(hash_session(self._service, session), False, now)
 
     def list_side_overrides(self, now):
-        """Return the sessions here whose release differs from the one their hash gives.
+        """Return the sessions here that others might send to another release.
+
+        These are the sessions on the target release, as another instance may have no
+        share left, and those that are not on it though their hash says so.
 
         Parameters
         ----------
@@ -323,7 +326,7 @@
         return {
             key: side
             for key, (side, _) in self._pins.items()
-            if side is not (key < threshold)
+            if side or key < threshold
         }
 
     def add_side_overrides(self, overrides, now):
--- a/test/decisions/test_release_rollouts.py
+++ b/test/decisions/test_release_rollouts.py
@@ -228,6 +228,20 @@
     ] == sides
 
 
+# Guards against PINNED: a session whose release follows from its hash, but that goes on
+# at an instance which has used up its share of the target.
+def test_session_on_the_target_stays_there_at_an_instance_without_a_share_left():
+    first = ReleaseChooser("drafts", 0.15, 5.0)
+    second = ReleaseChooser("drafts", 0.15, 5.0, local_slack=0.0)
+    rollout = build_rollout()
+    sessions = [b"s%d" % n for n in range(40)]
+    conditions = RoutingConditions()
+    sides = [first.choose(rollout, s, 0.5, conditions) for s in sessions]
+    assert True in sides
+    second.add_side_overrides(first.list_side_overrides(0.6), 0.7)
+    assert [second.choose(rollout, s, 1.0, conditions) for s in sessions] == sides
+
+
 # Guards against EXPOSURE in a large fleet, whose instances each sent a few requests
 # beyond their share; and if traffic ends soon after the order.
 @pytest.mark.parametrize("instances", [3, 9, 75, 200, 340])
