Tell all sessions' sides, not the first eighty

Evidence: test_messages_fit_a_packet_whatever_the_number_of_servers, which now asks that all 200 sides are told, fails before for 0, 1 and 68 servers. Change: sides have messages of their own, four at most; of more than 320, a random sample.

--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -33,6 +33,7 @@
 # Keep a message within one packet of 1,400 bytes.
 MAX_LOADS = 60
 MAX_SIDES = 80
+MAX_SIDE_MESSAGES = 4
 MAX_BLAMES = 16
 MAX_LEAVING = 24
 RELAYED_LIFETIME_S = 1.5
@@ -329,30 +330,27 @@
     def _build_messages(self, contents):
         parts = -(-len(contents.loads) // MAX_LOADS) or 1
         tallies = [encode_tally(*key, tally) for key, tally in contents.tallies.items()]
-        sides = list(contents.sides.items())
-        sides_per_part = min(MAX_SIDES, -(-len(sides) // parts))
         for part in range(parts):
-            part_sides = sides[part * sides_per_part :][:sides_per_part]
-            yield LoadMessage(
-                self._incarnation,
-                self._sequence,
-                [
-                    encode_load(key, load)
-                    for key, load in contents.loads.items()
-                    if key % parts == part
-                ],
-                None,
-                encode_sides(dict(part_sides)) or None,
-                tallies or None,
-                contents.scope.value,
-                self._failure_domain,
+            loads = [
+                encode_load(key, load)
+                for key, load in contents.loads.items()
+                if key % parts == part
+            ]
+            yield self._build_message(
+                contents.scope,
                 part,
                 parts,
-                list(contents.leaving) or None,
+                loads=loads,
+                tallies=tallies or None,
+                leaving=list(contents.leaving) or None,
             )
         for key, tally in contents.tallies.items():
             for latencies in encode_latencies(*key, tally):
                 yield self._build_message(contents.scope, tallies=[latencies])
+        sides = self._choose_sides(contents.sides)
+        for start in range(0, len(sides), MAX_SIDES):
+            part_sides = encode_sides(dict(sides[start : start + MAX_SIDES]))
+            yield self._build_message(contents.scope, sides=part_sides)
         blames = [encode_blame(*item) for item in contents.blames.items()]
         for start in range(0, len(blames), MAX_BLAMES):
             part_blames = blames[start : start + MAX_BLAMES]
@@ -361,18 +359,22 @@
             limits = [encode_limit(*item) for item in contents.limits.items()]
             yield self._build_message(contents.scope, limits=limits)
 
-    def _build_message(self, scope, **section):
-        """Return a message without loads, of one section."""
+    def _build_message(self, scope, part=0, parts=1, **sections):
         return LoadMessage(
             self._incarnation,
             self._sequence,
             scope=scope.value,
             domain=self._failure_domain,
-            part=0,
-            parts=1,
-            **section,
+            part=part,
+            parts=parts,
+            **sections,
         )
 
+    def _choose_sides(self, sides):
+        """Return the sessions' sides to tell of; a sample if there are many."""
+        count = min(len(sides), MAX_SIDES * MAX_SIDE_MESSAGES)
+        return self._random.sample(list(sides.items()), count)
+
     def _choose_leaving(self):
         """Return leaving servers to tell of; a sample if there are many."""
         leaving = self._servers.list_leaving()
--- a/test/gateway/test_sharing.py
+++ b/test/gateway/test_sharing.py
@@ -160,6 +160,8 @@
     assert told == set(loads)
     told = {blame.fingerprint for message in messages for blame in message.blames or ()}
     assert told == set(blames)
+    told = {s for m in messages for each in m.sides or () for s in each.on_target}
+    assert told == {key for _, key in sides}
     received = Tally()
     for message in messages:
         for encoded in message.tallies or ():
