Keep a request that its servers keep off on its side of a roll-out

Change: the other side is tried only if the own servers don't take requests for another reason than their own word.

--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -160,12 +160,12 @@
         choose = partial(self._context.servers.choose, affinity=self._affinity)
         rolled_back = self._context.rollouts.find_rolled_back_release(service)
         # Prefer untried servers of the request's roll-out side, then tried ones, and
-        # only then servers of the other side, unless one of the own will take it soon.
+        # only then servers of the other side, unless the own ones keep it off.
         for tried in (self._tried, frozenset()):
             server = choose(service, now, tried, self._allows_server)
             if server is not None:
                 return server
-        if self._place_wait.find_limit_queue() is not None:
+        if self._place_wait.is_kept_off():
             return None
         return choose(
             service, now, frozenset(), lambda server: server.release != rolled_back
--- a/tanagerwalk/gateway/place_wait.py
+++ b/tanagerwalk/gateway/place_wait.py
@@ -83,6 +83,10 @@
         self._waited_for_limit += queue.wait
         return True
 
+    def is_kept_off(self):
+        """Return whether servers take no request now by their own word."""
+        return self.find_limit_queue() is not None or self.find_hold() > 0.0
+
     def find_limit_queue(self):
         """Return the LimitQueue of the allowed servers, or None if none has a limit."""
         now = self._clock()
--- a/test/gateway/test_limited_servers.py
+++ b/test/gateway/test_limited_servers.py
@@ -1,8 +1,10 @@
 """Servers that name the requests a second that they take from all instances."""
 
 import asyncio
+import json
 import time
 
+import pytest
 import pytest_asyncio
 
 from tanagerwalk.controllers.loop import poll_until
@@ -109,3 +111,27 @@
     assert len(set(times)) > 10
     for server in cluster.servers.values():
         assert count_most(server, began - NEWS_S + 1.0) <= allow(limit)
+
+
+# Guards against EXPOSURE and PINNED: requests that the servers of the release in use
+# keep off, by a limit or for a time, and that go to the release on trial instead.
+@pytest.mark.parametrize(
+    "behaviour", [Behaviour(limit="1"), Behaviour("refuse", retry_after="9")]
+)
+async def test_request_that_is_kept_off_stays_on_its_side_of_a_roll_out(
+    cluster, behaviour
+):
+    await cluster.add_server("desk-new", "desk", "v2")
+    for name in ("desk-0", "desk-1"):
+        cluster.servers[name].behaviour = behaviour
+    order = {"service": "desk", "target": "v2", "duration_s": 60}
+    await cluster.store.put("op/rollout/desk", json.dumps(order).encode())
+    assert await poll_until(
+        lambda: cluster.store.read("status/rollout/desk") is not None, 0.02, WAIT_S
+    )
+    await send_for(cluster, 1.0)
+    seen = len(cluster.servers["desk-new"].requests)
+    statuses = await send_for(cluster, 2.0)
+    assert len(statuses) > 150
+    assert len(cluster.servers["desk-new"].requests) - seen <= 0.15 * len(statuses)
+    assert 503 in statuses
