--- a/tanagerwalk/decisions/quarantine.py
+++ b/tanagerwalk/decisions/quarantine.py
@@ -13,7 +13,7 @@
 # Crashes of requests that are answered elsewhere have other causes.
 ANSWER_LIFETIME_S = 10.0
 MAX_ANSWERS = 4096
-# A request that goes on to come is tried again at last.
+# A request that keeps coming is tried again after this time.
 MAX_RENEWAL_S = 600.0
 # From this number on, crashes are likely to be a request's own.
 MIN_REPEATED_CRASHES = 2
