--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -17,6 +17,10 @@
 RESTART_DISTURBANCE_S = 8.0
 # Time for which a server goes on answering after it has said that it leaves.
 LEAVING_S = 5.0
+# Age of the copy from which the store is restored, and time until it is written again.
+MAX_COPY_AGE_S = 3.0
+MAX_REWRITE_DELAY_S = 1.0
+LIMIT_VALUES = ("0", "2.5", "20", "-1", "nan", "few")
 RETRY_AFTER_VALUES = ("0.5", "2", "-1", "nan", "soon")
 SERVER_FAULTS = (
     "refuse",
@@ -32,6 +36,9 @@
     "cut",
     "unsigned",
     "redirect",
+    "endless_head",
+    "endless_body",
+    "endless_event",
 )
 LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 STORE_FAULTS = ("busy", "silent", "reset")
@@ -78,7 +85,8 @@
                 self._replace_server,
             ),
             *(self._remove_undrained_server, self._update_manifest, self._revoke_key),
-            *(self._announce_leaving, self._hold_requests),
+            *(self._announce_leaving, self._hold_requests, self._name_limit),
+            *(self._restore_store,),
         )
 
     async def run(self, seconds):
@@ -191,6 +199,21 @@
         server = self._fleet.servers[self._choose_server()]
         server.behaviour = Behaviour("refuse", 2, retry_after=hold)
 
+    async def _name_limit(self):
+        """Let a server name a limit for a while."""
+        server = self._fleet.servers[self._choose_server()]
+        server.behaviour = Behaviour(limit=self._random.choice(LIMIT_VALUES))
+        await asyncio.sleep(self._random.uniform(0.2, MAX_DISTURBANCE_S))
+        server.behaviour = Behaviour(delay=0.01)
+
+    async def _restore_store(self):
+        """Let the store come back from an older copy, which is then written again."""
+        copy = self._fleet.store.take_copy()
+        await asyncio.sleep(self._random.uniform(0.2, MAX_COPY_AGE_S))
+        await self._fleet.store.restore(copy)
+        await self._disturb(self._random.uniform(0.0, MAX_REWRITE_DELAY_S))
+        await self._fleet.write_again()
+
     async def _update_manifest(self):
         await self._fleet.write_manifest()
 
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -180,13 +180,26 @@
     async def write_manifest(self, revoke=False):
         """Write the next manifest version; `revoke` removes the second key for good."""
         self.manifest_version += 1
-        is_revoked = revoke or self.revoked_at is not None
+        await self._put_manifest(revoke or self.revoked_at is not None)
+        if revoke and self.revoked_at is None:
+            self.revoked_at = time.monotonic()
+
+    async def _put_manifest(self, is_revoked):
         keys = list(API_KEYS[:1] if is_revoked else API_KEYS)
         accounts = [{"name": "archive", "api_keys": keys}]
         manifest = build_manifest(self.manifest_version, tenants=accounts)
         await self.store.put("op/config", manifest)
-        if revoke and self.revoked_at is None:
-            self.revoked_at = time.monotonic()
+
+    async def write_again(self):
+        """Write what the operators and the servers had written before a restore."""
+        await self._put_manifest(self.revoked_at is not None)
+        for server_id in list(self.servers):
+            is_draining = server_id in self.drain_times
+            await self._register(server_id, "draining" if is_draining else "ready")
+        gone = self.store.items.keys() - {f"servers/{each}" for each in self.servers}
+        for key in gone:
+            if key.startswith("servers/"):
+                await self.store.remove(key)
 
     async def add_server(self, service):
         """Start a backend server behind a link and register it as ready."""
