--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -11,6 +11,7 @@
 
 ADDRESS = "127.0.0.1"
 EVENT_COUNT = 5
+CRASH_DELAY_S = 0.03
 FILLER = b"x" * 65536
 FILLER_CHUNK = b"%x\r\n%s\r\n" % (len(FILLER), FILLER)
 # What follows the head, and what is repeated then.
@@ -74,6 +75,9 @@
         Value of that header in refusals; empty for none.
     limit : str
         Requests a second that all answers name as the server's limit; empty for none.
+    crashing_part : str
+        Part of a prompt on which the server crashes once it has sent the head of its
+        answer; empty for none.
     """
 
     fault: str = ""
@@ -83,6 +87,7 @@
     is_leaving: bool = False
     retry_after: str = ""
     limit: str = ""
+    crashing_part: str = ""
 
 
 class BackendStandIn:
@@ -103,6 +108,7 @@
         self.requests = []
         self.endless_bytes = 0
         self.connections = set()
+        self.has_crashed = False
         self._server = None
 
     async def start(self):
@@ -136,6 +142,11 @@
         for connection in list(self.connections):
             connection.transport.abort()
 
+    async def crash(self):
+        """End as a process does that crashes: all connections break off."""
+        self.has_crashed = True
+        await self.stop()
+
     def take_fault(self):
         """Return the fault for the next request and count it against `times`."""
         behaviour = self.behaviour
@@ -264,6 +275,9 @@
             "X-Tanagerwalk-Engine-Load: 1,0,8",
         ]
         self.transport.write(self._encode_head(request, "200 OK", extra))
+        if self._crashes_on(request):
+            await asyncio.sleep(CRASH_DELAY_S)
+            await self.server.crash()
         for number in range(first, EVENT_COUNT + 1):
             await asyncio.sleep(self.server.behaviour.delay)
             if fault == "cut" and number == 3:
@@ -278,6 +292,12 @@
             self._write_chunk(event)
         self.transport.write(b"0\r\n\r\n")
 
+    def _crashes_on(self, request):
+        part = self.server.behaviour.crashing_part
+        prefix = request.headers.get("x-tanagerwalk-prompt-prefix", "")
+        ids = [entry.partition(":")[0] for entry in prefix.split(",")]
+        return bool(part) and part in ids[:-1]
+
     def _write_chunk(self, data):
         self.transport.write(b"%x\r\n%s\r\n" % (len(data), data))
 
