--- /dev/null
+++ b/tanagerwalk/decisions/part_quarantine.py
@@ -0,0 +1,410 @@
+"""Quarantine of prompt parts on which backend servers crash.
+
+Requests with such a part need not be alike, so crashes are counted for each part, over
+all requests of the fleet. Sound parts that share requests or servers with it collect
+crashes too; answers tell them apart, since a part on which each server crashes is never
+answered. Of parts that explain the same crashes the deepest one is blamed, which the
+fewest requests share.
+"""
+
+import hashlib
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from ..ids import Incarnation, PartKey
+from .quarantine import QuarantineState
+from .recent_crashes import RecentCrashes
+
+LIFETIME_S = 60.0
+CAPACITY = 512
+MAX_CRASHES_KEPT = 16
+MAX_ANSWERED = 4096
+MAX_REFUTED = 256
+MAX_SHARED_PARTS = 64
+KEY_BYTES = 8
+KEY_PREFIX = "part-"
+# A part that was answered this long before its first crash is probably sound.
+ESTABLISHED_S = 60.0
+GUILTY_WEIGHT = 4
+ESTABLISHED_GUILTY_WEIGHT = 8
+# Answers to requests without an established part, while none with it is answered.
+MIN_OTHER_ANSWERS = 20
+# An answer that another instance knows of is worth telling if it is this much newer.
+ANSWER_NEWS_S = 1.0
+FIRST_TRIAL_S = 60.0
+MAX_TRIAL_INTERVAL_S = 3600.0
+
+
+class CrashWeight(IntEnum):
+    """How strongly a crash speaks against a request that was in flight.
+
+    PRESENT: its answer had not begun. BEGUN: its answer had begun just before.
+    """
+
+    PRESENT = 1
+    BEGUN = 2
+
+
+@dataclass(frozen=True, slots=True)
+class PartRecord:
+    """What an instance tells the others of a part.
+
+    Parameters
+    ----------
+    crashes : dict of Incarnation to CrashWeight
+        Backend servers that crashed since the part was last answered.
+    depth : int
+        Number of parts before it in its prompts.
+    lifetime : float
+        Seconds until the record expires.
+    answered_ago : float or None
+        Seconds since a request with the part was answered; None if that is not known.
+    """
+
+    crashes: dict[Incarnation, CrashWeight]
+    depth: int
+    lifetime: float
+    answered_ago: float | None = None
+
+    @property
+    def incarnations(self):
+        """Backend servers that crashed."""
+        return self.crashes.keys()
+
+
+@dataclass(slots=True)
+class _Crash:
+    weight: CrashWeight
+    at: float
+
+
+@dataclass(slots=True)
+class _Suspicion:
+    """Crashes of one part, and the trials since it was found guilty."""
+
+    depth: int
+    expires: float
+    other_answers: int
+    crashes: dict[Incarnation, _Crash] = field(default_factory=dict)
+    next_trial_at: float = float("inf")
+    trial_interval: float = FIRST_TRIAL_S
+
+
+class PartQuarantine:
+    """Finds the parts on which servers crash, from the crashes and answers of requests.
+
+    Parameters
+    ----------
+    lifetime : float
+        Seconds after which a part that doesn't come any more is forgotten.
+    capacity : int
+        Maximum number of parts with crashes.
+    """
+
+    def __init__(self, lifetime=LIFETIME_S, capacity=CAPACITY):
+        self._lifetime = lifetime
+        self._capacity = capacity
+        self._suspicions = OrderedDict()
+        self._answered_at = OrderedDict()
+        self._refuted = OrderedDict()
+        self._recent_crashes = RecentCrashes()
+        self._answer_count = 0
+        self._guilty = frozenset()
+        self._explained = frozenset()
+
+    def __len__(self):
+        return len(self._suspicions)
+
+    @property
+    def explained(self):
+        """Crashed servers for which a guilty part is to blame."""
+        return self._explained
+
+    def get_state(self, part, now):
+        """Return the QuarantineState of a part at monotonic time `now`."""
+        suspicion = self._find(part, now)
+        if suspicion is None:
+            return QuarantineState.CLEAR
+        if part in self._guilty:
+            return QuarantineState.QUARANTINED
+        if self._is_established(part, suspicion):
+            return QuarantineState.CLEAR
+        if self._weigh(part, suspicion) >= CrashWeight.BEGUN:
+            return QuarantineState.SUSPECT
+        return QuarantineState.CLEAR
+
+    def renew(self, part, now):
+        """Extend the record of a part that has come again."""
+        suspicion = self._suspicions[part]
+        suspicion.expires = max(suspicion.expires, now + self._lifetime)
+
+    def take_trial(self, part, now):
+        """Return whether a request with a guilty part may be tried now, and count it.
+
+        Trials are rare and become rarer; only one instance may ask for one.
+        """
+        suspicion = self._suspicions[part]
+        if now < suspicion.next_trial_at:
+            return False
+        interval = min(2.0 * suspicion.trial_interval, MAX_TRIAL_INTERVAL_S)
+        suspicion.trial_interval = interval
+        suspicion.next_trial_at = now + interval
+        return True
+
+    def record_answer(self, parts, now):
+        """Record that a request was answered completely.
+
+        Parameters
+        ----------
+        parts : iterable of PartKey
+            Parts of its prompt that other requests may share.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        list of PartKey
+            Those that were suspected until now.
+        """
+        self._answer_count += 1
+        cleared = []
+        for part in parts:
+            suspicion = self._suspicions.get(part)
+            if suspicion is not None and self._weigh(part, suspicion) > 0:
+                cleared.append(part)
+            self._record_answered_at(part, now)
+        if cleared:
+            self._judge()
+        return cleared
+
+    def _record_answered_at(self, part, at):
+        self._answered_at[part] = max(at, self._get_answered_at(part))
+        self._answered_at.move_to_end(part)
+        if len(self._answered_at) > MAX_ANSWERED:
+            self._answered_at.popitem(last=False)
+
+    def _get_answered_at(self, part):
+        return self._answered_at.get(part, float("-inf"))
+
+    def is_answered(self, part, now):
+        """Return whether a request with a part was answered not long ago."""
+        return now - self._get_answered_at(part) <= ESTABLISHED_S
+
+    def record_crash(self, part, depth, server, domain_size, weight, now):
+        """Record a server that crashed while a request with a part was in flight.
+
+        A common cause of several crashes, such as a power failure, is not recorded.
+
+        Parameters
+        ----------
+        part : PartKey
+            The part.
+        depth : int
+            Number of parts before it in the prompt.
+        server : ServerRecord
+            The server.
+        domain_size : int
+            Number of servers listed in its failure domain.
+        weight : CrashWeight
+            How far the request had come.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it is worth telling: the part is not known to be answered, or
+            has crashed several servers.
+        """
+        self._recent_crashes.record(part, server, now)
+        if self._recent_crashes.has_common_cause(
+            part, server, domain_size, now, self._is_repeated
+        ):
+            return False
+        is_news = self._add(part, depth, {server.incarnation: weight}, now)
+        self._judge()
+        suspicion = self._suspicions.get(part)
+        if not is_news or suspicion is None:
+            return False
+        return self._is_repeated(part) or not self._is_established(part, suspicion)
+
+    def _is_repeated(self, part):
+        """Return whether a part has crashed several servers."""
+        suspicion = self._suspicions.get(part)
+        if suspicion is None:
+            return False
+        return self._weigh(part, suspicion) >= GUILTY_WEIGHT
+
+    def find_record(self, part, now):
+        """Return the PartRecord of a part, or None if there is nothing to tell."""
+        suspicion = self._find(part, now)
+        answered_at = self._get_answered_at(part)
+        if suspicion is None and now - answered_at > ESTABLISHED_S:
+            return None
+        answered_ago = now - answered_at if part in self._answered_at else None
+        if suspicion is None:
+            return PartRecord({}, 0, self._lifetime, answered_ago)
+        crashes = {
+            life: crash.weight
+            for life, crash in suspicion.crashes.items()
+            if crash.at > answered_at
+        }
+        lifetime = suspicion.expires - now
+        return PartRecord(crashes, suspicion.depth, lifetime, answered_ago)
+
+    def merge_record(self, part, record, now):
+        """Merge the PartRecord of another instance.
+
+        Returns
+        -------
+        bool
+            Whether the others should be told: it tells of a crash that was not known
+            here, or a newer answer is.
+        """
+        answered_at = self._get_answered_at(part)
+        if record.answered_ago is not None and now - record.answered_ago > answered_at:
+            self._record_answered_at(part, now - record.answered_ago)
+        is_news = self._add(part, record.depth, record.crashes, now, record.lifetime)
+        self._judge()
+        if not record.crashes or now - answered_at > ESTABLISHED_S:
+            return is_news
+        told_ago = record.answered_ago
+        knows_newer = told_ago is None or now - answered_at < told_ago - ANSWER_NEWS_S
+        return is_news or knows_newer
+
+    def refute(self, life):
+        """Forget the crash of a server that answers: it has not crashed."""
+        if not any(life in each.crashes for each in self._suspicions.values()):
+            return
+        self._refuted[life] = True
+        if len(self._refuted) > MAX_REFUTED:
+            self._refuted.popitem(last=False)
+        for suspicion in self._suspicions.values():
+            suspicion.crashes.pop(life, None)
+        self._judge()
+
+    def list_repeated(self, now):
+        """Return the guilty parts, of which those are reminded that start later."""
+        return [part for part in self._guilty if self._find(part, now) is not None]
+
+    def _find(self, part, now):
+        suspicion = self._suspicions.get(part)
+        if suspicion is None or suspicion.expires > now:
+            return suspicion
+        del self._suspicions[part]
+        self._judge()
+        return None
+
+    def _add(self, part, depth, crashes, now, lifetime=None):
+        """Add crashes of a part; return whether one of them was not known."""
+        fresh = {
+            life: weight
+            for life, weight in crashes.items()
+            if life not in self._refuted and self._is_stronger(part, life, weight)
+        }
+        if not fresh:
+            return False
+        suspicion = self._suspicions.get(part)
+        if suspicion is None:
+            suspicion = _Suspicion(depth, now, self._answer_count)
+            self._suspicions[part] = suspicion
+        elif self._weigh(part, suspicion) == 0:
+            suspicion.other_answers = self._answer_count
+        for life, weight in fresh.items():
+            known = suspicion.crashes.get(life)
+            at = now if known is None else known.at
+            suspicion.crashes[life] = _Crash(weight, at)
+        while len(suspicion.crashes) > MAX_CRASHES_KEPT:
+            del suspicion.crashes[next(iter(suspicion.crashes))]
+        lifetime = self._lifetime if lifetime is None else lifetime
+        expires = now + min(lifetime, self._lifetime)
+        suspicion.expires = max(suspicion.expires, expires)
+        self._evict()
+        return True
+
+    def _is_stronger(self, part, life, weight):
+        suspicion = self._suspicions.get(part)
+        known = None if suspicion is None else suspicion.crashes.get(life)
+        return known is None or weight > known.weight
+
+    def _evict(self):
+        """Drop the parts with the least weight, which never are guilty ones."""
+        while len(self._suspicions) > self._capacity:
+            weakest = min(
+                self._suspicions,
+                key=lambda each: self._weigh(each, self._suspicions[each]),
+            )
+            del self._suspicions[weakest]
+
+    def _weigh(self, part, suspicion):
+        """Return the weight of the crashes since the part was last answered."""
+        answered_at = self._get_answered_at(part)
+        crashes = suspicion.crashes.values()
+        return sum(crash.weight for crash in crashes if crash.at > answered_at)
+
+    def _is_established(self, part, suspicion):
+        """Return whether the part was answered not long before its first crash."""
+        answered_at = self._get_answered_at(part)
+        unanswered = [c.at for c in suspicion.crashes.values() if c.at > answered_at]
+        return not unanswered or min(unanswered) - answered_at <= ESTABLISHED_S
+
+    def _judge(self):
+        """Find the guilty parts: the deepest ones that explain the crashes."""
+        guilty = set()
+        explained = set()
+        for part in sorted(self._suspicions, key=self._rank):
+            suspicion = self._suspicions[part]
+            answered_at = self._get_answered_at(part)
+            unexplained = {
+                life: crash.weight
+                for life, crash in suspicion.crashes.items()
+                if crash.at > answered_at and life not in explained
+            }
+            if self._is_guilty(part, suspicion, sum(unexplained.values())):
+                guilty.add(part)
+                explained.update(unexplained)
+        for part in guilty - self._guilty:
+            self._begin_trials(self._suspicions[part])
+        self._guilty = frozenset(guilty)
+        self._explained = frozenset(explained)
+
+    def _rank(self, part):
+        suspicion = self._suspicions[part]
+        return -suspicion.depth, -self._weigh(part, suspicion), part
+
+    def _is_guilty(self, part, suspicion, weight):
+        if not self._is_established(part, suspicion):
+            return weight >= GUILTY_WEIGHT
+        other_answers = self._answer_count - suspicion.other_answers
+        return weight >= ESTABLISHED_GUILTY_WEIGHT and other_answers > MIN_OTHER_ANSWERS
+
+    def _begin_trials(self, suspicion):
+        last_crash_at = max(crash.at for crash in suspicion.crashes.values())
+        suspicion.next_trial_at = last_crash_at + suspicion.trial_interval
+
+
+def list_shared_keys(prompt_parts):
+    """Return the keys of the parts that other requests may share, all but the last.
+
+    Parameters
+    ----------
+    prompt_parts : sequence of str
+        Ids of the parts of a prompt, in order.
+
+    Returns
+    -------
+    tuple of PartKey
+    """
+    return tuple(map(compute_part_key, prompt_parts[:-1][:MAX_SHARED_PARTS]))
+
+
+def compute_part_key(part):
+    """Return a hash of a part's id; it stands for the part in messages and logs."""
+    digest = hashlib.blake2b(part.encode(errors="replace"), digest_size=KEY_BYTES)
+    return PartKey(KEY_PREFIX + digest.hexdigest())
+
+
+def is_part_key(key):
+    """Return whether a key of a crash record stands for a part, not for a request."""
+    return key.startswith(KEY_PREFIX)
--- a/tanagerwalk/decisions/quarantine.py
+++ b/tanagerwalk/decisions/quarantine.py
@@ -5,11 +5,8 @@
 from enum import Enum
 
 from ..outcomes import Refusal, RefusalReason, RunState
+from .recent_crashes import RecentCrashes
 
-CORRELATION_WINDOW_S = 2.0
-MIN_CORRELATED_SERVERS = 3
-CORRELATED_SHARE = 0.5
-MAX_RECENT_CRASHES = 256
 # Crashes of requests that are answered elsewhere have other causes.
 ANSWER_LIFETIME_S = 10.0
 MAX_ANSWERS = 4096
@@ -62,15 +59,6 @@
     lifetime: float
 
 
-@dataclass(slots=True)
-class _DownServer:
-    """A server that crashed lately, and the requests that were in flight on it."""
-
-    failure_domain: str
-    crashed_at: float
-    fingerprints: set[str] = field(default_factory=set)
-
-
 class Quarantine:
     """Tracks the requests that were in flight when backend servers crashed.
 
@@ -84,8 +72,9 @@
     def __init__(self, settings):
         self._settings = settings
         self._blames = OrderedDict()
-        self._down = OrderedDict()
+        self._recent_crashes = RecentCrashes()
         self._answered_at = OrderedDict()
+        self._explained = frozenset()
 
     def __len__(self):
         return len(self._blames)
@@ -175,47 +164,25 @@
             All backend servers that crashed while running the request, to be sent to
             the peers; None if the request is not blamed.
         """
-        self._record_down(fingerprint, record, now)
+        self._recent_crashes.record(fingerprint, record, now)
+        if record.incarnation in self._explained:
+            return None
         if self._was_answered(fingerprint, now):
             return None
-        if self._has_common_cause(fingerprint, record, domain_size, now):
+        if self._recent_crashes.has_common_cause(
+            fingerprint, record, domain_size, now, self._is_repeated
+        ):
             return None
         return self.add_crashes(fingerprint, (record.incarnation,), now)
 
-    def _record_down(self, fingerprint, record, now):
-        down = self._down.get(record.incarnation)
-        if down is None:
-            down = _DownServer(record.failure_domain, now)
-            self._down[record.incarnation] = down
-        down.fingerprints.add(fingerprint)
-        if len(self._down) > MAX_RECENT_CRASHES:
-            self._down.popitem(last=False)
-
     def _was_answered(self, fingerprint, now):
         answered_at = self._answered_at.get(fingerprint, float("-inf"))
         return now - answered_at <= ANSWER_LIFETIME_S
 
-    def _has_common_cause(self, fingerprint, record, domain_size, now):
-        unexplained = [
-            down
-            for incarnation, down in self._down.items()
-            if incarnation != record.incarnation
-            and down.failure_domain == record.failure_domain
-            and now - down.crashed_at <= CORRELATION_WINDOW_S
-            and not self._is_explained(down, fingerprint)
-        ]
-        threshold = max(MIN_CORRELATED_SERVERS, domain_size * CORRELATED_SHARE)
-        return len(unexplained) + 1 >= threshold
-
-    def _is_explained(self, down, fingerprint):
-        """Return whether this request, or another one, has crashed a server."""
-        if fingerprint in down.fingerprints:
-            return True
-        blames = [self._blames.get(other) for other in down.fingerprints]
-        return any(
-            blame is not None and len(blame.incarnations) >= MIN_REPEATED_CRASHES
-            for blame in blames
-        )
+    def _is_repeated(self, fingerprint):
+        """Return whether a request has crashed several servers."""
+        blame = self._blames.get(fingerprint)
+        return blame is not None and len(blame.incarnations) >= MIN_REPEATED_CRASHES
 
     def add_crashes(self, fingerprint, incarnations, now):
         """Add crashes to the record of a request and return all recorded ones.
@@ -231,13 +198,32 @@
         """
         return self._add(fingerprint, incarnations, self._settings.lifetime, now)
 
+    def set_explained(self, incarnations):
+        """Replace the crashed servers for which no whole request is to blame.
+
+        Parameters
+        ----------
+        incarnations : frozenset of Incarnation
+            The servers, which crashed on what several requests share.
+        """
+        if incarnations == self._explained:
+            return
+        self._explained = incarnations
+        for fingerprint, blame in list(self._blames.items()):
+            blame.incarnations -= incarnations
+            if not blame.incarnations:
+                del self._blames[fingerprint]
+
     def _add(self, fingerprint, incarnations, lifetime, now):
+        incarnations = set(incarnations) - self._explained
         blame = self._find(fingerprint, now)
+        if blame is None and not incarnations:
+            return frozenset()
         if blame is None:
             blame = self._blames[fingerprint] = Blame(now, now + MAX_RENEWAL_S)
         # Crashes beyond the quarantine threshold are not stored.
         missing = self._settings.crashes - len(blame.incarnations)
-        fresh = sorted(set(incarnations) - blame.incarnations)[: max(0, missing)]
+        fresh = sorted(incarnations - blame.incarnations)[: max(0, missing)]
         blame.incarnations.update(fresh)
         if fresh:
             blame.expires = max(blame.expires, now + lifetime)
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -29,6 +29,7 @@
 from .clocks import read_boot_clock
 from .cluster_state import ClusterState
 from .connector import ServerConnector
+from .crash_check import CrashCheck
 from .exchange import AttemptRunner
 from .execution import ExecutionContext
 from .fleet_key import FleetKey
@@ -131,6 +132,9 @@
         self._create_membership()
         self._create_manifest_recovery()
         self.quarantine = QuarantineFilter(self.servers, self.clock, self.random)
+        self.crash_check = CrashCheck(
+            self.connection_pool.connector, self.quarantine.record_end
+        )
         self.sharing = LoadSharing(
             self.incarnation,
             settings.failure_domain,
@@ -144,6 +148,9 @@
             self.random,
         )
 
+        self.quarantine.on_news = self.sharing.tell_crashes
+        self.quarantine.is_first_in_line = lambda key: self._find_rank(key) == 0
+
     def _create_connections(self):
         self.tunnel_server = TunnelServer(self.servers, self.paths, self.clock)
         self.tunnel_client = TunnelClient(
@@ -249,6 +256,7 @@
             self.rollouts,
             AnswerRecorder(self.cluster_state, self.rollouts.get_tallies),
             self.quarantine,
+            self.crash_check,
             self.metrics,
             self.clock,
             self.random,
@@ -385,5 +393,6 @@
         await self.peer_server.stop()
         await self.feed.close()
         await self.manifest_recovery.close()
+        self.crash_check.close()
         self.connection_pool.close()
         self.store.close()
--- a/tanagerwalk/gateway/attempts.py
+++ b/tanagerwalk/gateway/attempts.py
@@ -137,6 +137,8 @@
         Incarnation of the instance through which the server was reached, if any.
     broke_off : bool
         Whether the connection was closed before the response was complete.
+    written_for : float or None
+        Seconds from the response head to the end; None without a head.
     """
 
     outcome: Outcome
@@ -150,3 +152,14 @@
     kept: bool = False
     via: str | None = None
     broke_off: bool = False
+    written_for: float | None = None
+
+    @property
+    def is_success(self):
+        """Whether the response was delivered and has a 2xx status."""
+        return self.outcome is Outcome.DELIVERED and 200 <= self.status < 300
+
+    @property
+    def has_answered(self):
+        """Whether the server completed a response, be it an error."""
+        return self.outcome is Outcome.DELIVERED or self.head is not None
--- a/tanagerwalk/gateway/connector.py
+++ b/tanagerwalk/gateway/connector.py
@@ -12,6 +12,8 @@
 log = structlog.get_logger(__name__)
 
 CONNECT_TIMEOUT_S = 0.4
+# A server that has just been used accepts a connection within a round trip.
+CHECK_TIMEOUT_S = 0.15
 # Between the instances that are asked for one connection.
 NEXT_PEER_DELAY_S = 0.08
 MIN_PROBE_PAUSE_S = 0.25
@@ -85,6 +87,21 @@
             return await self._connect_indirectly(server, [*tunnels, direct], timeout)
         return await self._connect_directly(server, direct, tunnels, timeout)
 
+    async def check(self, server):
+        """Return whether a server that was reached directly still accepts connections.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        """
+        result = await self.dial(server.address, CHECK_TIMEOUT_S)
+        if result.is_error():
+            self._record_lost(server, result)
+            return False
+        self.on_probed(server, result.ok)
+        return True
+
     async def _connect_directly(self, server, direct, tunnels, timeout):
         tunnel_delay = self._paths.find_tunnel_delay(self._clock())
         delays = itertools.chain([tunnel_delay], itertools.repeat(NEXT_PEER_DELAY_S))
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -165,6 +165,7 @@
                 load=timer.load,
                 kept=kept,
                 via=via,
+                written_for=timer.measure_writing(self._clock()),
             )
             if head is not None and result.outcome is not Outcome.DECLINED:
                 self._pool.release(attempt.server, connection, head)
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -1,5 +1,6 @@
 """Runs the attempts of one request until one delivers a response."""
 
+import asyncio
 from dataclasses import dataclass
 from functools import partial
 from random import Random
@@ -21,6 +22,7 @@
 from ..outcomes import Refusal, RefusalReason, RunState
 from .answer_recorder import AnswerRecorder
 from .attempts import Attempt, Outcome
+from .crash_check import CrashCheck
 from .exchange import AttemptPlan, AttemptRunner, AttemptTimeouts, StreamProgress
 from .metrics import GatewayMetrics
 from .place_wait import PlaceWait
@@ -55,6 +57,8 @@
         Counts the answers of releases that are rolled out.
     quarantine : QuarantineFilter
         Records which requests crash servers.
+    crash_check : CrashCheck
+        Finds out which servers have crashed.
     metrics : GatewayMetrics
         Metrics of the instance.
     clock : callable
@@ -68,6 +72,7 @@
     rollouts: ReleaseRolloutController
     recorder: AnswerRecorder
     quarantine: QuarantineFilter
+    crash_check: CrashCheck
     metrics: GatewayMetrics
     clock: object
     random: Random
@@ -201,12 +206,24 @@
         result = await self._context.attempt_runner.run(plan)
         self._context.recorder.record_attempt(self._request, attempt, result)
         self._context.quarantine.record_attempt(self._request, attempt, result)
+        await self._check_for_crash(server, result)
         self._context.metrics.attempts.labels(result.outcome.value).inc()
         self._attempt_log.append(
             describe_attempt(attempt, result, self._clock() - now, wait)
         )
         return result
 
+    async def _check_for_crash(self, server, result):
+        """Find out whether a server that broke off the connection has crashed.
+
+        A request that may be the cause goes on to no other server before.
+        """
+        if not result.broke_off or result.via is not None:
+            return
+        check = self._context.crash_check.start(server)
+        if self._context.quarantine.may_be_guilty(self._request):
+            await asyncio.shield(check)
+
     def _estimate_wait(self):
         """Return the expected queueing time at the allowed servers, in seconds."""
         servers = self._context.servers
@@ -283,7 +300,8 @@
         else:
             self._tried.add(self._attempt_log[-1]["server"])
             self._report_server_failure(result)
-        if self._context.quarantine.is_quarantined(self._request):
+        is_quarantined = self._context.quarantine.is_quarantined(self._request)
+        if is_quarantined or self._request.is_trial:
             history.repeatable = False
         share = BUDGET_SHARES.get(outcome, 1.0)
         allows = self._budget.allows(self._clock(), share)
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -2,16 +2,18 @@
 
 import hashlib
 import hmac
+from functools import singledispatch
 
 from expression import Error
 
 from ..decisions.latency_histograms import MAX_BUCKET, LatencyHistogram
+from ..decisions.part_quarantine import CrashWeight, PartRecord, is_part_key
 from ..decisions.quarantine import CrashRecord
 from ..decisions.relays import Scope
 from ..decisions.server_limits import LimitNews
 from ..decisions.shared_loads import SharedLoad
 from ..decisions.tallies import AnswerKind, SideCount, Tally
-from ..ids import Fingerprint, Incarnation, RouteName
+from ..ids import Fingerprint, Incarnation, PartKey, RouteName
 from ..peers.codec import decode
 from ..peers.gen.loads.ttypes import (
     CrashBlame,
@@ -93,17 +95,62 @@
     return SharedLoad(load.in_flight, load.tokens, silence, heard_ago)
 
 
-def encode_blame(fingerprint, record):
-    """Convert a CrashRecord to a CrashBlame message."""
+@singledispatch
+def encode_blame(record, key):
+    """Convert a CrashRecord or a PartRecord to a CrashBlame message.
+
+    Parameters
+    ----------
+    record : CrashRecord or PartRecord
+        The record.
+    key : Fingerprint or PartKey
+        The request or the part.
+    """
+    raise TypeError(f"no crash record: {record!r}")
+
+
+@encode_blame.register
+def _(record: CrashRecord, key):
     lifetime_ms = int(record.lifetime * MS_PER_S)
-    return CrashBlame(fingerprint, sorted(record.incarnations), lifetime_ms)
+    return CrashBlame(key, sorted(record.incarnations), lifetime_ms)
+
+
+@encode_blame.register
+def _(record: PartRecord, key):
+    begun = [
+        life for life, weight in record.crashes.items() if weight is CrashWeight.BEGUN
+    ]
+    answered_ago_ms = None
+    if record.answered_ago is not None:
+        answered_ago_ms = int(record.answered_ago * MS_PER_S)
+    return CrashBlame(
+        key,
+        sorted(record.crashes),
+        int(record.lifetime * MS_PER_S),
+        sorted(begun),
+        answered_ago_ms,
+        record.depth,
+    )
 
 
 def decode_blame(blame):
-    """Convert a CrashBlame message to a Fingerprint and a CrashRecord."""
+    """Convert a CrashBlame message to its key and a CrashRecord or PartRecord."""
+    key = blame.fingerprint or ""
     lifetime = max(0, blame.lifetime_ms or 0) / MS_PER_S
-    incarnations = frozenset(map(Incarnation, blame.servers or ()))
-    return Fingerprint(blame.fingerprint or ""), CrashRecord(incarnations, lifetime)
+    lives = list(map(Incarnation, blame.servers or ()))
+    if not is_part_key(key):
+        return Fingerprint(key), CrashRecord(frozenset(lives), lifetime)
+    # A relay of an earlier version passes on no more than the servers.
+    begun = lives if blame.begun is None else blame.begun
+    crashes = {
+        life: CrashWeight.BEGUN if life in begun else CrashWeight.PRESENT
+        for life in lives
+    }
+    answered_ago = None
+    if blame.answered_ago_ms is not None:
+        answered_ago = max(0, blame.answered_ago_ms) / MS_PER_S
+    depth = max(0, blame.depth or 0)
+    return PartKey(key), PartRecord(crashes, depth, lifetime, answered_ago)
 
 
 def encode_limit(life, news):
--- a/tanagerwalk/gateway/quarantine.py
+++ b/tanagerwalk/gateway/quarantine.py
@@ -1,4 +1,4 @@
-"""Refuses requests that repeatedly crashed backend servers."""
+"""Refuses requests that crashed backend servers, or that share what crashes them."""
 
 import hashlib
 from dataclasses import dataclass
@@ -7,7 +7,13 @@
 from expression import Error
 
 from ..decisions.crash_news import CrashNews
-from ..decisions.crash_suspicions import CrashSuspicions
+from ..decisions.crash_records import CrashRecords
+from ..decisions.crash_suspicions import (
+    DECLINED_LIFETIME_S,
+    CrashSuspicions,
+    Suspicion,
+)
+from ..decisions.part_quarantine import CrashWeight, PartQuarantine, list_shared_keys
 from ..decisions.quarantine import Quarantine, QuarantineState, refuse_quarantined
 from ..decisions.server_usage_table import hash_life
 from ..ids import FailureDomain, Fingerprint, Incarnation
@@ -19,6 +25,9 @@
 
 DIGEST_BYTES = 12
 LIMITS = QuarantineSettings(crashes=3, lifetime=60.0, capacity=512)
+# A server that has been writing an answer for longer did not crash on its prompt.
+JUST_BEGUN_S = 0.5
+OUTCOMES_WITHOUT_ANSWER = frozenset({Outcome.LOST, Outcome.SILENT, Outcome.DECLINED})
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +39,7 @@
 
 
 class QuarantineFilter:
-    """Counts the crashes that a request caused and refuses it after several.
+    """Counts the crashes of requests and their parts, and refuses the guilty ones.
 
     Parameters
     ----------
@@ -40,47 +49,119 @@
         Returns monotonic time in seconds.
     random : random.Random
         Chooses which older records the others are reminded of.
+
+    Attributes
+    ----------
+    on_news : callable
+        Called without arguments when the others should be told at once.
+    is_first_in_line : callable
+        Takes a key and returns whether this instance tries it again, of all instances.
     """
 
     def __init__(self, servers, clock, random):
         self._servers = servers
         self._clock = clock
         self._quarantine = Quarantine(LIMITS)
+        self._parts = PartQuarantine()
         self._suspicions = CrashSuspicions()
-        self._news = CrashNews(self._quarantine, random)
+        self._records = CrashRecords(self._quarantine, self._parts)
+        self._news = CrashNews(self._records, random)
+        self.on_news = _ignore_news
+        self.is_first_in_line = _deny_trial
 
     async def handle(self, request, proceed):
         """Refuse a quarantined request; pass other requests to the next filter."""
         request.fingerprint = compute_fingerprint(request)
-        if self.refuses(request.fingerprint):
+        parts = request.prompt_info.parts
+        request.shared_parts = list_shared_keys([part for part, _ in parts])
+        if self.refuses(request):
             return Error(refuse_quarantined(False))
         return await proceed(request)
 
-    def refuses(self, fingerprint):
+    def refuses(self, request):
         """Return whether a request that has come is refused; it then stays so."""
         now = self._clock()
-        state = self._quarantine.get_state(fingerprint, now)
-        if state is not QuarantineState.QUARANTINED:
+        state = self._quarantine.get_state(request.fingerprint, now)
+        if state is QuarantineState.QUARANTINED:
+            self._quarantine.renew(request.fingerprint, now)
+            return True
+        part = self._find_guilty_part(request)
+        if part is None:
             return False
-        self._quarantine.renew(fingerprint, now)
-        return True
+        self._parts.renew(part, now)
+        request.is_trial = self.is_first_in_line(part) and self._parts.take_trial(
+            part, now
+        )
+        if request.is_trial:
+            log.info("trial of a quarantined part", part=part)
+        return not request.is_trial
+
+    def _find_guilty_part(self, request):
+        now = self._clock()
+        for part in request.shared_parts:
+            if self._parts.get_state(part, now) is QuarantineState.QUARANTINED:
+                return part
+        return None
+
+    def is_quarantined(self, request):
+        """Return whether a request must not be sent to servers any more."""
+        state = self._quarantine.get_state(request.fingerprint, self._clock())
+        if state is QuarantineState.QUARANTINED:
+            return True
+        return not request.is_trial and self._find_guilty_part(request) is not None
+
+    def may_be_guilty(self, request):
+        """Return whether a part of a request may be what servers crash on."""
+        now = self._clock()
+        return not all(
+            self._parts.is_answered(part, now) for part in request.shared_parts
+        )
 
     def record_attempt(self, request, attempt, result):
         """Record an attempt: its server answered, crashed, or may have crashed."""
+        if result.has_answered:
+            self._parts.refute(_name_life(attempt.server))
         if result.outcome is Outcome.DELIVERED:
-            self._quarantine.record_answer(request.fingerprint, self._clock())
-        elif result.outcome is Outcome.LOST and result.broke_off and result.via is None:
+            self._record_answer(request, result)
+        elif result.outcome in OUTCOMES_WITHOUT_ANSWER:
+            self._suspect_attempt(request, attempt, result)
+        if result.outcome is Outcome.LOST and result.broke_off and result.via is None:
             self._record_crash(request.fingerprint, attempt.server)
-        elif result.outcome in (Outcome.LOST, Outcome.SILENT):
-            self.suspect(request, attempt)
+
+    def _record_answer(self, request, result):
+        now = self._clock()
+        self._quarantine.record_answer(request.fingerprint, now)
+        if not result.is_success:
+            return
+        for part in self._parts.record_answer(request.shared_parts, now):
+            self._news.record(part)
+        self._update_explained()
+
+    def _suspect_attempt(self, request, attempt, result):
+        if result.outcome is Outcome.DECLINED:
+            # Such a request goes on to another server, which may crash as well.
+            suspicion = Suspicion(
+                request.fingerprint,
+                request.shared_parts,
+                CrashWeight.BEGUN,
+                DECLINED_LIFETIME_S,
+            )
+        else:
+            suspicion = Suspicion(
+                request.fingerprint, request.shared_parts, _weigh(result)
+            )
+        self._suspect(suspicion, attempt)
 
     def suspect(self, request, attempt):
-        """Record an attempt that got no answer, for whatever reason."""
+        """Record an attempt whose client left before the answer."""
+        self._suspect(Suspicion(request.fingerprint, request.shared_parts), attempt)
+
+    def _suspect(self, suspicion, attempt):
         usage = self._servers.find(attempt.server.id)
         if usage is None or usage.is_leaving or attempt.was_silent:
             return
         life = _name_life(attempt.server)
-        self._suspicions.record(request.fingerprint, life, self._clock())
+        self._suspicions.record(suspicion, life, attempt.server, self._clock())
 
     def record_end(self, server):
         """Blame what a server left unanswered that ended without saying so.
@@ -90,20 +171,43 @@
         server : RegisteredServer
             The server, as it was last registered.
         """
-        fingerprints = self._suspicions.pop(_name_life(server), self._clock())
+        suspicions = self._suspicions.pop(_name_life(server), self._clock())
         if server.state is ServerState.DRAINING:
             return
-        for fingerprint in fingerprints:
-            self._record_crash(fingerprint, server)
+        for suspicion in suspicions:
+            self._record_crash(suspicion.fingerprint, server)
+            self._blame_parts(suspicion, server)
+        self._update_explained()
+        if suspicions:
+            self.on_news()
+
+    def _blame_parts(self, suspicion, server):
+        if suspicion.weight is None:
+            return
+        crashed = self._describe(server)
+        now = self._clock()
+        for depth, part in enumerate(suspicion.shared_parts):
+            is_news = self._parts.record_crash(
+                part, depth, crashed, self._count_domain(server), suspicion.weight, now
+            )
+            if not is_news:
+                continue
+            self._news.record(part)
+            log.info(
+                "crash blamed on a part",
+                part=part,
+                depth=depth,
+                server=server.id,
+                weight=suspicion.weight.name.lower(),
+                state=self._parts.get_state(part, now).value,
+            )
 
     def _record_crash(self, fingerprint, server):
-        crashed = _CrashedServer(server.failure_domain, _name_life(server))
-        usages = self._servers.list_usages(server.service)
-        domain_size = sum(
-            usage.server.failure_domain == server.failure_domain for usage in usages
-        )
         blamed = self._quarantine.record_crash(
-            fingerprint, crashed, domain_size, self._clock()
+            fingerprint,
+            self._describe(server),
+            self._count_domain(server),
+            self._clock(),
         )
         if blamed is None:
             return
@@ -115,17 +219,26 @@
             crashes=len(blamed),
         )
 
-    def is_quarantined(self, request):
-        """Return whether a request has crashed enough servers to be refused."""
-        state = self._quarantine.get_state(request.fingerprint, self._clock())
-        return state is QuarantineState.QUARANTINED
+    def _describe(self, server):
+        return _CrashedServer(server.failure_domain, _name_life(server))
+
+    def _count_domain(self, server):
+        """Return the number of servers of a service in a server's failure domain."""
+        usages = self._servers.list_usages(server.service)
+        return sum(
+            usage.server.failure_domain == server.failure_domain for usage in usages
+        )
+
+    def _update_explained(self):
+        """Don't count what a part is to blame for against whole requests."""
+        self._quarantine.set_explained(self._parts.explained)
 
     def choose_news(self):
         """Return the crash records to tell the others in this round of messages.
 
         Returns
         -------
-        dict of Fingerprint to CrashRecord
+        dict of Fingerprint to CrashRecord, and of PartKey to PartRecord
         """
         return self._news.choose(self._clock())
 
@@ -134,16 +247,37 @@
 
         Parameters
         ----------
-        records : dict of Fingerprint to CrashRecord
+        records : dict of Fingerprint to CrashRecord, and of PartKey to PartRecord
             The records.
         passes_on : bool
             Whether to tell what was not known here, as a relay does.
         """
         now = self._clock()
-        for fingerprint, record in records.items():
-            is_news = self._quarantine.merge_record(fingerprint, record, now)
-            if passes_on and is_news:
-                self._news.record(fingerprint)
+        for key, record in records.items():
+            is_news = self._records.merge_record(key, record, now)
+            if is_news and (passes_on or self._parts.is_answered(key, now)):
+                self._news.record(key)
+        self._update_explained()
+        for life in {life for each in records.values() for life in each.incarnations}:
+            server = self._suspicions.find_server(life)
+            if server is not None:
+                self.record_end(server)
+
+
+def _weigh(result):
+    """Return the CrashWeight of a lost attempt, or None if its answer was under way."""
+    if result.written_for is None:
+        return CrashWeight.PRESENT
+    return CrashWeight.BEGUN if result.written_for <= JUST_BEGUN_S else None
+
+
+def _ignore_news():
+    pass
+
+
+def _deny_trial(part):
+    del part
+    return False
 
 
 def _name_life(server):
--- a/tanagerwalk/gateway/requests.py
+++ b/tanagerwalk/gateway/requests.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..ids import ClientAccountId, Fingerprint
+from ..ids import ClientAccountId, Fingerprint, PartKey
 from ..manifest import Manifest, Route
 
 
@@ -98,6 +98,10 @@
         Monotonic time in seconds at which the request expires.
     fingerprint : Fingerprint
         Hash that identifies repeated requests with the same content.
+    shared_parts : tuple of PartKey
+        Parts of the prompt that other requests may share, in order.
+    is_trial : bool
+        Whether the request is sent although a part of it is quarantined.
     """
 
     raw: RawRequest
@@ -116,3 +120,5 @@
     account: ClientAccountId | None = None
     deadline: float = 0.0
     fingerprint: Fingerprint = Fingerprint("")
+    shared_parts: tuple[PartKey, ...] = ()
+    is_trial: bool = False
--- a/tanagerwalk/gateway/response_timer.py
+++ b/tanagerwalk/gateway/response_timer.py
@@ -39,6 +39,10 @@
         """Record the response head at monotonic time `now`."""
         self._head_at = now
 
+    def measure_writing(self, now):
+        """Return the seconds since the response head, or None if there was none."""
+        return None if self._head_at is None else now - self._head_at
+
     def count_events(self, count, now):
         """Count events of a stream that came at monotonic time `now`."""
         if self._first_event_at is None:
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -252,6 +252,29 @@
         self._shared.set_role(role, len(self._get_peers()))
         self._rollouts.set_role(role)
 
+    def tell_crashes(self):
+        """Tell the others of crashes at once, ahead of the next round."""
+        if self._secret is None:
+            return
+        now = self._clock()
+        records = self._quarantine.choose_news()
+        for scope, receiver_ids in self._list_receivers(now):
+            messages = self._build_blame_messages(scope, records)
+            self._send_messages(messages, receiver_ids)
+
+    def _list_receivers(self, now):
+        """Return to whom each scope is sent, as (Scope, list of str) tuples."""
+        if self._role is Role.FLAT:
+            return [(Scope.INSTANCE, list(self._get_peers()))]
+        relays = self._relays.list_relays(now)
+        if self._role is Role.MEMBER:
+            return [(Scope.INSTANCE, relays)]
+        return [
+            (Scope.INSTANCE, relays),
+            (Scope.DOMAIN, relays + self._relays.list_remote_relays(now)),
+            (Scope.FLEET, self._relays.list_members()),
+        ]
+
     def _send_round(self, now):
         self._sequence += 1
         own = self._collect_own(now)
@@ -320,9 +343,12 @@
             if contents.is_empty and self._was_idle:
                 return
             self._was_idle = not contents.loads
+        self._send_messages(self._build_messages(contents), receiver_ids)
+
+    def _send_messages(self, messages, receiver_ids):
         peers = self._get_peers()
         addresses = [peers[i].address for i in receiver_ids if i in peers]
-        for message in self._build_messages(contents):
+        for message in messages:
             datagram = sign(self._secret, encode(message))
             for address in addresses:
                 self._transport.sendto(datagram, address)
@@ -351,14 +377,16 @@
         for start in range(0, len(sides), MAX_SIDES):
             part_sides = encode_sides(dict(sides[start : start + MAX_SIDES]))
             yield self._build_message(contents.scope, sides=part_sides)
-        blames = [encode_blame(*item) for item in contents.blames.items()]
-        for start in range(0, len(blames), MAX_BLAMES):
-            part_blames = blames[start : start + MAX_BLAMES]
-            yield self._build_message(contents.scope, blames=part_blames)
+        yield from self._build_blame_messages(contents.scope, contents.blames)
         if contents.limits:
             limits = [encode_limit(*item) for item in contents.limits.items()]
             yield self._build_message(contents.scope, limits=limits)
 
+    def _build_blame_messages(self, scope, records):
+        blames = [encode_blame(record, key) for key, record in records.items()]
+        for start in range(0, len(blames), MAX_BLAMES):
+            yield self._build_message(scope, blames=blames[start : start + MAX_BLAMES])
+
     def _build_message(self, scope, part=0, parts=1, **sections):
         return LoadMessage(
             self._incarnation,
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -141,14 +141,20 @@
      - fingerprint
      - servers
      - lifetime_ms
+     - begun
+     - answered_ago_ms
+     - depth
 
     """
 
 
-    def __init__(self, fingerprint=None, servers=None, lifetime_ms=None,):
+    def __init__(self, fingerprint=None, servers=None, lifetime_ms=None, begun=None, answered_ago_ms=None, depth=None,):
         self.fingerprint = fingerprint
         self.servers = servers
         self.lifetime_ms = lifetime_ms
+        self.begun = begun
+        self.answered_ago_ms = answered_ago_ms
+        self.depth = depth
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -179,6 +185,26 @@
                     self.lifetime_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.begun = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.begun.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.answered_ago_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.depth = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -196,14 +222,29 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.servers))
-            for iter6 in self.servers:
-                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            for iter12 in self.servers:
+                oprot.writeString(iter12.encode('utf-8') if sys.version_info[0] == 2 else iter12)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lifetime_ms is not None:
             oprot.writeFieldBegin('lifetime_ms', TType.I32, 3)
             oprot.writeI32(self.lifetime_ms)
             oprot.writeFieldEnd()
+        if self.begun is not None:
+            oprot.writeFieldBegin('begun', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.begun))
+            for iter13 in self.begun:
+                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.answered_ago_ms is not None:
+            oprot.writeFieldBegin('answered_ago_ms', TType.I32, 5)
+            oprot.writeI32(self.answered_ago_ms)
+            oprot.writeFieldEnd()
+        if self.depth is not None:
+            oprot.writeFieldBegin('depth', TType.I32, 6)
+            oprot.writeI32(self.depth)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -333,20 +374,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.on_target = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readI64()
-                        self.on_target.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readI64()
+                        self.on_target.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.on_base = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = iprot.readI64()
-                        self.on_base.append(_elem18)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readI64()
+                        self.on_base.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -367,15 +408,15 @@
         if self.on_target is not None:
             oprot.writeFieldBegin('on_target', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.on_target))
-            for iter19 in self.on_target:
-                oprot.writeI64(iter19)
+            for iter26 in self.on_target:
+                oprot.writeI64(iter26)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.on_base is not None:
             oprot.writeFieldBegin('on_base', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.on_base))
-            for iter20 in self.on_base:
-                oprot.writeI64(iter20)
+            for iter27 in self.on_base:
+                oprot.writeI64(iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -536,22 +577,22 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.target = {}
-                    (_ktype22, _vtype23, _size21) = iprot.readMapBegin()
-                    for _i25 in range(_size21):
-                        _key26 = iprot.readI16()
-                        _val27 = iprot.readI32()
-                        self.target[_key26] = _val27
+                    (_ktype29, _vtype30, _size28) = iprot.readMapBegin()
+                    for _i32 in range(_size28):
+                        _key33 = iprot.readI16()
+                        _val34 = iprot.readI32()
+                        self.target[_key33] = _val34
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.base = {}
-                    (_ktype29, _vtype30, _size28) = iprot.readMapBegin()
-                    for _i32 in range(_size28):
-                        _key33 = iprot.readI16()
-                        _val34 = iprot.readI32()
-                        self.base[_key33] = _val34
+                    (_ktype36, _vtype37, _size35) = iprot.readMapBegin()
+                    for _i39 in range(_size35):
+                        _key40 = iprot.readI16()
+                        _val41 = iprot.readI32()
+                        self.base[_key40] = _val41
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -576,17 +617,17 @@
         if self.target is not None:
             oprot.writeFieldBegin('target', TType.MAP, 3)
             oprot.writeMapBegin(TType.I16, TType.I32, len(self.target))
-            for kiter35, viter36 in self.target.items():
-                oprot.writeI16(kiter35)
-                oprot.writeI32(viter36)
+            for kiter42, viter43 in self.target.items():
+                oprot.writeI16(kiter42)
+                oprot.writeI32(viter43)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.base is not None:
             oprot.writeFieldBegin('base', TType.MAP, 4)
             oprot.writeMapBegin(TType.I16, TType.I32, len(self.base))
-            for kiter37, viter38 in self.base.items():
-                oprot.writeI16(kiter37)
-                oprot.writeI32(viter38)
+            for kiter44, viter45 in self.base.items():
+                oprot.writeI16(kiter44)
+                oprot.writeI32(viter45)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -646,22 +687,22 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.routes = []
-                    (_etype42, _size39) = iprot.readListBegin()
-                    for _i43 in range(_size39):
-                        _elem44 = RouteTally()
-                        _elem44.read(iprot)
-                        self.routes.append(_elem44)
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = RouteTally()
+                        _elem51.read(iprot)
+                        self.routes.append(_elem51)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.latencies = []
-                    (_etype48, _size45) = iprot.readListBegin()
-                    for _i49 in range(_size45):
-                        _elem50 = LatencyTally()
-                        _elem50.read(iprot)
-                        self.latencies.append(_elem50)
+                    (_etype55, _size52) = iprot.readListBegin()
+                    for _i56 in range(_size52):
+                        _elem57 = LatencyTally()
+                        _elem57.read(iprot)
+                        self.latencies.append(_elem57)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -686,15 +727,15 @@
         if self.routes is not None:
             oprot.writeFieldBegin('routes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter51 in self.routes:
-                iter51.write(oprot)
+            for iter58 in self.routes:
+                iter58.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.latencies is not None:
             oprot.writeFieldBegin('latencies', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.latencies))
-            for iter52 in self.latencies:
-                iter52.write(oprot)
+            for iter59 in self.latencies:
+                iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -838,44 +879,44 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = ServerLoad()
-                        _elem58.read(iprot)
-                        self.loads.append(_elem58)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = ServerLoad()
+                        _elem65.read(iprot)
+                        self.loads.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.blames = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = CrashBlame()
-                        _elem64.read(iprot)
-                        self.blames.append(_elem64)
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = CrashBlame()
+                        _elem71.read(iprot)
+                        self.blames.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.sides = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = SessionSides()
-                        _elem70.read(iprot)
-                        self.sides.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = SessionSides()
+                        _elem77.read(iprot)
+                        self.sides.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.tallies = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = TrialTally()
-                        _elem76.read(iprot)
-                        self.tallies.append(_elem76)
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = TrialTally()
+                        _elem83.read(iprot)
+                        self.tallies.append(_elem83)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -902,21 +943,21 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = iprot.readI64()
-                        self.leaving.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readI64()
+                        self.leaving.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = ServerLimit()
-                        _elem88.read(iprot)
-                        self.limits.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = ServerLimit()
+                        _elem95.read(iprot)
+                        self.limits.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -941,29 +982,29 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter89 in self.loads:
-                iter89.write(oprot)
+            for iter96 in self.loads:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blames is not None:
             oprot.writeFieldBegin('blames', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.blames))
-            for iter90 in self.blames:
-                iter90.write(oprot)
+            for iter97 in self.blames:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sides is not None:
             oprot.writeFieldBegin('sides', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.sides))
-            for iter91 in self.sides:
-                iter91.write(oprot)
+            for iter98 in self.sides:
+                iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter92 in self.tallies:
-                iter92.write(oprot)
+            for iter99 in self.tallies:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.scope is not None:
@@ -985,15 +1026,15 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 11)
             oprot.writeListBegin(TType.I64, len(self.leaving))
-            for iter93 in self.leaving:
-                oprot.writeI64(iter93)
+            for iter100 in self.leaving:
+                oprot.writeI64(iter100)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter94 in self.limits:
-                iter94.write(oprot)
+            for iter101 in self.limits:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1027,6 +1068,9 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'servers', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.I32, 'lifetime_ms', None, None, ),  # 3
+    (4, TType.LIST, 'begun', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.I32, 'answered_ago_ms', None, None, ),  # 5
+    (6, TType.I32, 'depth', None, None, ),  # 6
 )
 all_structs.append(ServerLimit)
 ServerLimit.thrift_spec = (
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -12,12 +12,19 @@
   5: optional i32 heard_ago_ms
 }
 
-// A request that was in flight at these servers when they crashed.
+// A request, or a part that prompts share, that was in flight at these servers when they
+// crashed.
 struct CrashBlame {
   1: string fingerprint
   2: list<string> servers
   // Time until the record expires.
   3: optional i32 lifetime_ms
+  // For a part only: those of the servers that had just begun to answer.
+  4: optional list<string> begun
+  // Time since a request with the part was last answered; absent if it never was.
+  5: optional i32 answered_ago_ms
+  // Number of parts before it in a prompt.
+  6: optional i32 depth
 }
 
 // Limit that a backend server names; `server` is a hash of id and start time.
--- a/test/gateway/test_crash_news.py
+++ b/test/gateway/test_crash_news.py
@@ -18,6 +18,10 @@
 LOSS_SHARE = 0.03
 
 
+def build_request(fingerprint):
+    return SimpleNamespace(fingerprint=fingerprint, shared_parts=(), is_trial=False)
+
+
 class Fleet:
     """Instances that exchange messages by a queue, with a clock of their own."""
 
@@ -93,7 +97,7 @@
         quarantine._news.record(fingerprint)
 
     def count_quarantined(self, fingerprint):
-        request = SimpleNamespace(fingerprint=fingerprint)
+        request = build_request(fingerprint)
         return sum(each.quarantine.is_quarantined(request) for each in self.members)
 
 
@@ -144,7 +148,7 @@
         fleet.crash(0, "crashing", server)
     for _ in range(8):
         fleet.play(LIMITS.lifetime / 3)
-        fleet.members[4].quarantine.refuses("crashing")
+        fleet.members[4].quarantine.refuses(build_request("crashing"))
     assert fleet.count_quarantined("crashing") == 9
 
 
--- a/test/gateway/test_crashing_requests.py
+++ b/test/gateway/test_crashing_requests.py
@@ -5,7 +5,8 @@
 import pytest_asyncio
 
 from tanagerwalk.controllers.loop import poll_until
-from tanagerwalk.decisions.quarantine import CORRELATION_WINDOW_S, CrashRecord
+from tanagerwalk.decisions.quarantine import CrashRecord
+from tanagerwalk.decisions.recent_crashes import CORRELATION_WINDOW_S
 from tanagerwalk.standins.backend import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
--- a/test/gateway/test_quarantine_filter.py
+++ b/test/gateway/test_quarantine_filter.py
@@ -11,9 +11,12 @@
 from tanagerwalk.decisions.shared_loads import SharedLoadTable
 from tanagerwalk.gateway.attempts import Attempt, AttemptResult, Outcome
 from tanagerwalk.gateway.quarantine import LIMITS, QuarantineFilter
+from tanagerwalk.gateway.requests import PromptInfo
 from tanagerwalk.registry import RegisteredServer, ServerState
 
-REQUEST = SimpleNamespace(fingerprint="crashing", id=b"try-1")
+REQUEST = SimpleNamespace(
+    fingerprint="crashing", shared_parts=(), is_trial=False, id=b"try-1"
+)
 LOST = AttemptResult(Outcome.LOST, broke_off=True)
 SILENT = AttemptResult(Outcome.SILENT)
 
@@ -68,7 +71,9 @@
 # Guards against BUDGET: an error answer that clears the record of a crash.
 async def test_error_answer_after_a_crash_clears_nothing(quarantine):
     raw = SimpleNamespace(method=b"GET", target=b"/jobs/7", body=b"")
-    request = SimpleNamespace(raw=raw, key="k", id=b"try-1")
+    request = SimpleNamespace(
+        raw=raw, key="k", id=b"try-1", prompt_info=PromptInfo(), is_trial=False
+    )
 
     async def proceed(request):
         server = SERVERS[len(sent)]
