Judge parts by how few of them explain all crashes

Change: only an answer on a connection that is older than the crash refutes it; the part that explains most is chosen first, a deeper one if it explains two thirds of that, and a guilty part stays so unless another one explains all its crashes or it is answered; a server that breaks off a connection was not dark.

Ruled out: loss of messages (the fleets lose up to a fifth of them).

--- a/tanagerwalk/decisions/part_quarantine.py
+++ b/tanagerwalk/decisions/part_quarantine.py
@@ -21,6 +21,8 @@
 MAX_CRASHES_KEPT = 16
 MAX_ANSWERED = 4096
 MAX_REFUTED = 256
+# A crash may be heard of this much later.
+MAX_NEWS_DELAY_S = 2.0
 MAX_SHARED_PARTS = 64
 KEY_BYTES = 8
 KEY_PREFIX = "part-"
@@ -30,6 +32,8 @@
 ESTABLISHED_GUILTY_WEIGHT = 8
 # Answers to requests without an established part, while none with it is answered.
 MIN_OTHER_ANSWERS = 20
+# A deeper part that explains this share of the crashes of another is preferred.
+SIMILAR_SHARE = 2.0 / 3.0
 # An answer that another instance knows of is worth telling if it is this much newer.
 ANSWER_NEWS_S = 1.0
 FIRST_TRIAL_S = 60.0
@@ -191,17 +195,15 @@
         """Return whether a request with a part was answered not long ago."""
         return now - self._get_answered_at(part) <= ESTABLISHED_S
 
-    def record_crash(self, part, depth, server, domain_size, weight, now):
-        """Record a server that crashed while a request with a part was in flight.
+    def record_crash(self, parts, server, domain_size, weight, now):
+        """Record a server that crashed while a request was in flight.
 
         A common cause of several crashes, such as a power failure, is not recorded.
 
         Parameters
         ----------
-        part : PartKey
-            The part.
-        depth : int
-            Number of parts before it in the prompt.
+        parts : sequence of PartKey
+            Parts of its prompt that other requests may share, in order.
         server : ServerRecord
             The server.
         domain_size : int
@@ -213,19 +215,25 @@
 
         Returns
         -------
-        bool
-            Whether it is worth telling: the part is not known to be answered, or
-            has crashed several servers.
+        list of PartKey
+            Those worth telling of: they are not known to be answered, or have crashed
+            several servers.
         """
-        self._recent_crashes.record(part, server, now)
-        if self._recent_crashes.has_common_cause(
-            part, server, domain_size, now, self._is_repeated
-        ):
-            return False
-        is_news = self._add(part, depth, {server.incarnation: weight}, now)
+        crashes = {server.incarnation: weight}
+        news = []
+        for depth, part in enumerate(parts):
+            self._recent_crashes.record(part, server, now)
+            has_common_cause = self._recent_crashes.has_common_cause(
+                part, server, domain_size, now, self._is_repeated
+            )
+            if not has_common_cause and self._add(part, depth, crashes, now):
+                news.append(part)
         self._judge()
+        return [part for part in news if self._is_worth_telling(part)]
+
+    def _is_worth_telling(self, part):
         suspicion = self._suspicions.get(part)
-        if not is_news or suspicion is None:
+        if suspicion is None:
             return False
         return self._is_repeated(part) or not self._is_established(part, suspicion)
 
@@ -240,16 +248,13 @@
         """Return the PartRecord of a part, or None if there is nothing to tell."""
         suspicion = self._find(part, now)
         answered_at = self._get_answered_at(part)
-        if suspicion is None and now - answered_at > ESTABLISHED_S:
+        is_recent = now - answered_at <= ESTABLISHED_S
+        if suspicion is None and not is_recent:
             return None
-        answered_ago = now - answered_at if part in self._answered_at else None
+        answered_ago = now - answered_at if is_recent else None
         if suspicion is None:
             return PartRecord({}, 0, self._lifetime, answered_ago)
-        crashes = {
-            life: crash.weight
-            for life, crash in suspicion.crashes.items()
-            if crash.at > answered_at
-        }
+        crashes = self._list_unanswered(part, suspicion)
         lifetime = suspicion.expires - now
         return PartRecord(crashes, suspicion.depth, lifetime, answered_ago)
 
@@ -263,26 +268,51 @@
             here, or a newer answer is.
         """
         answered_at = self._get_answered_at(part)
-        if record.answered_ago is not None and now - record.answered_ago > answered_at:
-            self._record_answered_at(part, now - record.answered_ago)
+        told_at = float("-inf")
+        if record.answered_ago is not None:
+            told_at = now - record.answered_ago
+        if told_at > answered_at:
+            self._record_answered_at(part, told_at)
         is_news = self._add(part, record.depth, record.crashes, now, record.lifetime)
-        self._judge()
+        if is_news or told_at > answered_at:
+            self._judge()
         if not record.crashes or now - answered_at > ESTABLISHED_S:
             return is_news
-        told_ago = record.answered_ago
-        knows_newer = told_ago is None or now - answered_at < told_ago - ANSWER_NEWS_S
-        return is_news or knows_newer
-
-    def refute(self, life):
-        """Forget the crash of a server that answers: it has not crashed."""
-        if not any(life in each.crashes for each in self._suspicions.values()):
-            return
+        return is_news or answered_at > told_at + ANSWER_NEWS_S
+
+    def refute(self, life, connected_at):
+        """Forget a crash if a connection that is older than it has brought an answer.
+
+        An answer on a newer connection may be of a later start of the server, of which
+        an instance that is cut off from the store doesn't know.
+
+        Parameters
+        ----------
+        life : Incarnation
+            The server.
+        connected_at : float
+            Monotonic time at which the connection was opened, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether a crash is forgotten.
+        """
+        latest = connected_at + MAX_NEWS_DELAY_S
+        disproved = [
+            suspicion
+            for suspicion in self._suspicions.values()
+            if life in suspicion.crashes and suspicion.crashes[life].at > latest
+        ]
+        if not disproved:
+            return False
         self._refuted[life] = True
         if len(self._refuted) > MAX_REFUTED:
             self._refuted.popitem(last=False)
-        for suspicion in self._suspicions.values():
-            suspicion.crashes.pop(life, None)
+        for suspicion in disproved:
+            del suspicion.crashes[life]
         self._judge()
+        return True
 
     def list_repeated(self, now):
         """Return the guilty parts, of which those are reminded that start later."""
@@ -339,9 +369,7 @@
 
     def _weigh(self, part, suspicion):
         """Return the weight of the crashes since the part was last answered."""
-        answered_at = self._get_answered_at(part)
-        crashes = suspicion.crashes.values()
-        return sum(crash.weight for crash in crashes if crash.at > answered_at)
+        return sum(self._list_unanswered(part, suspicion).values())
 
     def _is_established(self, part, suspicion):
         """Return whether the part was answered not long before its first crash."""
@@ -350,40 +378,87 @@
         return not unanswered or min(unanswered) - answered_at <= ESTABLISHED_S
 
     def _judge(self):
-        """Find the guilty parts: the deepest ones that explain the crashes."""
-        guilty = set()
-        explained = set()
-        for part in sorted(self._suspicions, key=self._rank):
-            suspicion = self._suspicions[part]
-            answered_at = self._get_answered_at(part)
-            unexplained = {
-                life: crash.weight
-                for life, crash in suspicion.crashes.items()
-                if crash.at > answered_at and life not in explained
-            }
-            if self._is_guilty(part, suspicion, sum(unexplained.values())):
+        """Find the guilty parts: few and deep ones that explain the crashes."""
+        crashes = {
+            part: self._list_unanswered(part, suspicion)
+            for part, suspicion in self._suspicions.items()
+            if self._is_heavy(part, suspicion)
+        }
+        guilty = self._select_guilty(crashes)
+        for part in self._guilty & crashes.keys():
+            # Another guilty part has to explain all crashes of one that is released.
+            lives = crashes[part].keys()
+            if not any(lives <= crashes[other].keys() for other in guilty):
                 guilty.add(part)
-                explained.update(unexplained)
         for part in guilty - self._guilty:
             self._begin_trials(self._suspicions[part])
         self._guilty = frozenset(guilty)
-        self._explained = frozenset(explained)
+        self._explained = frozenset().union(*(crashes[part] for part in guilty))
 
-    def _rank(self, part):
-        suspicion = self._suspicions[part]
-        return -suspicion.depth, -self._weigh(part, suspicion), part
+    def _select_guilty(self, crashes):
+        """Return parts that explain the crashes, the one that explains most first.
+
+        A deeper part is preferred if it explains nearly as many; the fewest requests
+        share it.
+
+        Parameters
+        ----------
+        crashes : dict of PartKey to dict of Incarnation to CrashWeight
+            The crashes of the parts that have enough of them to be guilty.
+        """
+        guilty = set()
+        explained = set()
+        while True:
+            weights = {
+                part: _sum_unexplained(lives, explained)
+                for part, lives in crashes.items()
+            }
+            heavy = {
+                part: weight
+                for part, weight in weights.items()
+                if weight >= self._find_guilty_weight(part)
+            }
+            if not heavy:
+                return guilty
+            enough = SIMILAR_SHARE * max(heavy.values())
+            chosen = min(
+                (part for part, weight in heavy.items() if weight >= enough),
+                key=lambda each: (-self._suspicions[each].depth, -heavy[each], each),
+            )
+            guilty.add(chosen)
+            explained.update(crashes[chosen])
 
-    def _is_guilty(self, part, suspicion, weight):
+    def _list_unanswered(self, part, suspicion):
+        """Return the crashes since a part was last answered, with their weights."""
+        answered_at = self._get_answered_at(part)
+        return {
+            life: crash.weight
+            for life, crash in suspicion.crashes.items()
+            if crash.at > answered_at
+        }
+
+    def _is_heavy(self, part, suspicion):
+        weight = self._weigh(part, suspicion)
+        if weight < self._find_guilty_weight(part):
+            return False
         if not self._is_established(part, suspicion):
-            return weight >= GUILTY_WEIGHT
-        other_answers = self._answer_count - suspicion.other_answers
-        return weight >= ESTABLISHED_GUILTY_WEIGHT and other_answers > MIN_OTHER_ANSWERS
+            return True
+        return self._answer_count - suspicion.other_answers > MIN_OTHER_ANSWERS
+
+    def _find_guilty_weight(self, part):
+        if self._is_established(part, self._suspicions[part]):
+            return ESTABLISHED_GUILTY_WEIGHT
+        return GUILTY_WEIGHT
 
     def _begin_trials(self, suspicion):
         last_crash_at = max(crash.at for crash in suspicion.crashes.values())
         suspicion.next_trial_at = last_crash_at + suspicion.trial_interval
 
 
+def _sum_unexplained(crashes, explained):
+    return sum(weight for life, weight in crashes.items() if life not in explained)
+
+
 def list_shared_keys(prompt_parts):
     """Return the keys of the parts that other requests may share, all but the last.
 
--- a/tanagerwalk/gateway/attempts.py
+++ b/tanagerwalk/gateway/attempts.py
@@ -137,6 +137,8 @@
         Incarnation of the instance through which the server was reached, if any.
     broke_off : bool
         Whether the connection was closed before the response was complete.
+    connected_at : float
+        Monotonic time at which the connection was opened, in seconds.
     written_for : float or None
         Seconds from the response head to the end; None without a head.
     """
@@ -152,6 +154,7 @@
     kept: bool = False
     via: str | None = None
     broke_off: bool = False
+    connected_at: float = float("inf")
     written_for: float | None = None
 
     @property
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections import deque
 from dataclasses import dataclass
 from enum import Enum
@@ -72,10 +73,13 @@
         Whether the connection has been closed or aborted.
     received : bool
         Whether any data was received since the last request was sent.
+    opened_at : float
+        Monotonic time at which it was opened, in seconds.
     """
 
     def __init__(self, via=None):
         self.via = via
+        self.opened_at = time.monotonic()
         self.closed = False
         self.received = False
         self._transport = None
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -165,6 +165,7 @@
                 load=timer.load,
                 kept=kept,
                 via=via,
+                connected_at=connection.opened_at,
                 written_for=timer.measure_writing(self._clock()),
             )
             if head is not None and result.outcome is not Outcome.DECLINED:
--- a/tanagerwalk/gateway/quarantine.py
+++ b/tanagerwalk/gateway/quarantine.py
@@ -120,7 +120,7 @@
     def record_attempt(self, request, attempt, result):
         """Record an attempt: its server answered, crashed, or may have crashed."""
         if result.has_answered:
-            self._parts.refute(_name_life(attempt.server))
+            self._refute_crash(attempt.server, result)
         if result.outcome is Outcome.DELIVERED:
             self._record_answer(request, result)
         elif result.outcome in OUTCOMES_WITHOUT_ANSWER:
@@ -128,6 +128,11 @@
         if result.outcome is Outcome.LOST and result.broke_off and result.via is None:
             self._record_crash(request.fingerprint, attempt.server)
 
+    def _refute_crash(self, server, result):
+        if self._parts.refute(_name_life(server), result.connected_at):
+            self._update_explained()
+            log.info("server has not crashed", server=server.id)
+
     def _record_answer(self, request, result):
         now = self._clock()
         self._quarantine.record_answer(request.fingerprint, now)
@@ -150,15 +155,17 @@
             suspicion = Suspicion(
                 request.fingerprint, request.shared_parts, _weigh(result)
             )
-        self._suspect(suspicion, attempt)
+        # A server that was silent before, but broke off the connection, was not dark.
+        self._suspect(suspicion, attempt, attempt.was_silent and not result.broke_off)
 
     def suspect(self, request, attempt):
         """Record an attempt whose client left before the answer."""
-        self._suspect(Suspicion(request.fingerprint, request.shared_parts), attempt)
+        suspicion = Suspicion(request.fingerprint, request.shared_parts)
+        self._suspect(suspicion, attempt, attempt.was_silent)
 
-    def _suspect(self, suspicion, attempt):
+    def _suspect(self, suspicion, attempt, was_dark):
         usage = self._servers.find(attempt.server.id)
-        if usage is None or usage.is_leaving or attempt.was_silent:
+        if usage is None or usage.is_leaving or was_dark:
             return
         life = _name_life(attempt.server)
         self._suspicions.record(suspicion, life, attempt.server, self._clock())
@@ -184,19 +191,20 @@
     def _blame_parts(self, suspicion, server):
         if suspicion.weight is None:
             return
-        crashed = self._describe(server)
         now = self._clock()
-        for depth, part in enumerate(suspicion.shared_parts):
-            is_news = self._parts.record_crash(
-                part, depth, crashed, self._count_domain(server), suspicion.weight, now
-            )
-            if not is_news:
-                continue
+        blamed = self._parts.record_crash(
+            suspicion.shared_parts,
+            self._describe(server),
+            self._count_domain(server),
+            suspicion.weight,
+            now,
+        )
+        for part in blamed:
             self._news.record(part)
             log.info(
                 "crash blamed on a part",
                 part=part,
-                depth=depth,
+                request=suspicion.fingerprint,
                 server=server.id,
                 weight=suspicion.weight.name.lower(),
                 state=self._parts.get_state(part, now).value,
--- a/test/gateway/test_quarantine_filter.py
+++ b/test/gateway/test_quarantine_filter.py
@@ -117,6 +117,46 @@
     assert not quarantine.is_quarantined(REQUEST)
 
 
+# Guards against BUDGET: a crash that isn't counted, since the server had been busy with
+# a long prompt when the request came.
+def test_server_that_was_silent_but_broke_off_an_answer_has_crashed(quarantine):
+    request = SimpleNamespace(
+        fingerprint="new", shared_parts=("dead",), is_trial=False, id=b"try-1"
+    )
+    broken = AttemptResult(Outcome.LOST, broke_off=True, written_for=0.05)
+    for server in SERVERS[:2]:
+        attempt = Attempt(server, 1.0, was_silent=True)
+        quarantine.record_attempt(request, attempt, broken)
+        quarantine.record_end(server)
+    assert quarantine.is_quarantined(request)
+
+
+# Guards against BUDGET: an answer that is declined once its head is there, after which
+# its server crashes.
+def test_declined_answer_counts_if_its_server_crashes_soon(quarantine):
+    request = SimpleNamespace(
+        fingerprint="new", shared_parts=("dead",), is_trial=False, id=b"try-1"
+    )
+    for server in SERVERS[:2]:
+        declined = AttemptResult(Outcome.DECLINED, written_for=0.0)
+        quarantine.record_attempt(request, Attempt(server, 1.0), declined)
+        quarantine.record_end(server)
+    assert quarantine.is_quarantined(request)
+
+
+# Guards against LOST: a request that its server had been answering for a while is no
+# cause of the crash.
+def test_answer_under_way_does_not_count_against_its_parts(quarantine):
+    request = SimpleNamespace(
+        fingerprint="new", shared_parts=("sound",), is_trial=False, id=b"try-1"
+    )
+    broken = AttemptResult(Outcome.LOST, broke_off=True, written_for=2.0)
+    for server in SERVERS[:2]:
+        quarantine.record_attempt(request, Attempt(server, 1.0), broken)
+        quarantine.record_end(server)
+    assert not quarantine.is_quarantined(request)
+
+
 def test_server_with_requests_that_sends_nothing_is_silent(servers):
     usage = servers.find("s0")
     assert not servers.is_silent(usage.server, 10.0)
