--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -26,9 +26,11 @@
 from .decisions.demand import DemandMeter
 from .decisions.facts import FactTable
 from .decisions.orders import OrderTracker
+from .decisions.part_quarantine import PartQuarantine
 from .decisions.partners import PartnerChooser
 from .decisions.quarantine import Quarantine
 from .decisions.ratings import RatingGate
+from .decisions.rendezvous import find_rank
 from .decisions.servers import Home, ServerTable
 from .decisions.version_rollouts import RolloutTracker
 from .external import ExternalClients
@@ -92,6 +94,9 @@
         self.metrics.spared.set_function(lambda: len(self.rollout_tracker.spared))
         self.demand = DemandMeter()
         self.quarantine = Quarantine(settings.quarantine)
+        self.part_quarantine = PartQuarantine(
+            settings.quarantine.lifetime, settings.quarantine.capacity
+        )
         rollouts = settings.rollouts
         self.rating_gate = RatingGate(rollouts.rating_rate, rollouts.rating_burst)
         self.plan_inputs = PlanInputCollector(
@@ -263,6 +268,11 @@
         )
         self.admin = AdminApi(self.metrics, lambda: describe_instance(self))
 
+    def is_first_in_line(self, key):
+        """Return whether this instance comes first of all in the order for a key."""
+        others = [peer.incarnation for peer in self.membership.peers]
+        return find_rank(key.encode(), self.incarnation, others) == 0
+
     def _count_domain_peers(self):
         domain = self.settings.instance.failure_domain
         return sum(
--- a/tanagerwalk/chains.py
+++ b/tanagerwalk/chains.py
@@ -13,6 +13,7 @@
 from .filters.dispatch import DispatchFilter
 from .filters.guard import DispatchGuardFilter
 from .filters.hedge import HedgeFilter
+from .filters.part_blames import PartBlames
 from .filters.plan import PlanFilter
 from .filters.quarantine import QuarantineFilter, QuarantineGuardFilter
 from .filters.retry import RetryFilter
@@ -73,6 +74,13 @@
             HedgeFilter(HedgeDelays(), hedge_budget, instance.metrics, instance.clock),
             QuarantineFilter(
                 instance.quarantine,
+                PartBlames(
+                    instance.part_quarantine,
+                    instance.facts,
+                    settings.quarantine.lifetime,
+                    instance.is_first_in_line,
+                    instance.clock,
+                ),
                 instance.facts,
                 instance.table,
                 settings.quarantine,
--- a/tanagerwalk/clients/attempts.py
+++ b/tanagerwalk/clients/attempts.py
@@ -56,6 +56,11 @@
         return Error(AttemptFailure(RetryReason.CONNECT_FAILED, sent=False))
     except TimeoutError:
         return Error(AttemptFailure(RetryReason.ATTEMPT_TIMEOUT, sent=True))
+    except aiohttp.ClientPayloadError:
+        failure = AttemptFailure(
+            RetryReason.CONNECTION_LOST, sent=True, crashed=True, has_begun=True
+        )
+        return Error(failure)
     except (aiohttp.ClientError, ConnectionError):
         failure = AttemptFailure(RetryReason.CONNECTION_LOST, sent=True, crashed=True)
         return Error(failure)
--- a/tanagerwalk/clients/engines.py
+++ b/tanagerwalk/clients/engines.py
@@ -214,4 +214,7 @@
             finish_reason = choice.finish_reason or finish_reason
             if choice.delta.content:
                 await on_text(choice.delta.content)
-    return Error(AttemptFailure(RetryReason.INCOMPLETE_ANSWER, True, crashed=True))
+    failure = AttemptFailure(
+        RetryReason.INCOMPLETE_ANSWER, True, crashed=True, has_begun=True
+    )
+    return Error(failure)
--- a/tanagerwalk/filters/authentication.py
+++ b/tanagerwalk/filters/authentication.py
@@ -7,6 +7,7 @@
 
 from ..ids import ClassName, Fingerprint
 from ..outcomes import Refusal, RefusalReason
+from .part_blames import list_shared_messages
 
 RETRY_AFTER_NOT_READY_S = 2.0
 
@@ -50,6 +51,7 @@
         context.work_class = work_class
         context.deadline = context.arrived + work_class.patience
         context.fingerprint = compute_fingerprint(context)
+        context.shared_parts = list_shared_messages(context.payload)
         return await proceed(context)
 
 
--- a/tanagerwalk/filters/quarantine.py
+++ b/tanagerwalk/filters/quarantine.py
@@ -4,6 +4,7 @@
 
 from ..decisions.backends import FailureKind
 from ..decisions.facts import Topic
+from ..decisions.part_quarantine import is_part_key
 from ..decisions.quarantine import QuarantineState, refuse_quarantined
 from ..messages import AttemptFailure
 from ..outcomes import RetryReason
@@ -22,6 +23,8 @@
         Exchanges blame with the peers.
     table : ServerTable
         Backend servers; failures are recorded there.
+    part_blames : PartBlames
+        Tracks the messages that requests share.
     settings : QuarantineSettings
         Lifetime of blame records.
     notify_peers : callable
@@ -37,6 +40,7 @@
     def __init__(
         self,
         quarantine,
+        part_blames,
         facts,
         table,
         settings,
@@ -46,6 +50,7 @@
         clock,
     ):
         self._quarantine = quarantine
+        self._part_blames = part_blames
         self._facts = facts
         self._table = table
         self._settings = settings
@@ -58,24 +63,26 @@
     async def handle(self, context, proceed):
         """Run an attempt unless the request is quarantined."""
         state = self._quarantine.get_state(context.fingerprint, self._clock())
-        if state is QuarantineState.QUARANTINED:
+        if state is QuarantineState.QUARANTINED or self._part_blames.refuses(context):
             return Error(refuse_quarantined(context.sent))
         context.suspect = state is QuarantineState.SUSPECT
         context.grant = None
         result = await proceed(context)
         if result.is_ok():
             self._quarantine.record_answer(context.fingerprint, self._clock())
+            self._part_blames.record_answer(context)
             return result
         failure = result.error
         if not isinstance(failure, AttemptFailure) or not failure.crashed:
             return result
-        await self._attribute_crash(context)
+        await self._attribute_crash(context, failure)
         state = self._quarantine.get_state(context.fingerprint, self._clock())
-        if state is QuarantineState.QUARANTINED:
+        is_guilty = self._part_blames.is_guilty(context)
+        if state is QuarantineState.QUARANTINED or is_guilty:
             return Error(refuse_quarantined(sent=True))
         return result
 
-    async def _attribute_crash(self, context):
+    async def _attribute_crash(self, context, failure):
         server = self._table.servers.get(context.grant.server)
         if server is None or self._table.leaving_tracker.is_confirmed(
             server.record.incarnation
@@ -93,6 +100,8 @@
         )
         now = self._clock()
         self._table.record_failure(record.id, now, FailureKind.UNREACHABLE)
+        self._part_blames.record_crash(context, failure, record, domain_size)
+        self._quarantine.set_explained(self._part_blames.explained)
         incarnations = self._quarantine.record_crash(
             context.fingerprint, record, domain_size, now
         )
@@ -109,6 +118,8 @@
         await self._notify_peers()
 
     def _handle_fact(self, fact):
+        if is_part_key(fact.key):
+            return
         incarnations = fact.value.decode(errors="replace").split(INCARNATION_SEPARATOR)
         self._quarantine.add_crashes(fact.key, incarnations, self._clock())
 
--- a/tanagerwalk/messages.py
+++ b/tanagerwalk/messages.py
@@ -10,6 +10,7 @@
     AttemptId,
     BackendServerId,
     Fingerprint,
+    PartKey,
     RequestId,
     VersionName,
 )
@@ -125,6 +126,8 @@
         which may mean that it crashed.
     closing : bool
         Whether the server refused and closed the connection.
+    has_begun : bool
+        Whether the head of a response had been received.
     """
 
     reason: RetryReason
@@ -133,6 +136,7 @@
     retry_after: float | None = None
     crashed: bool = False
     closing: bool = False
+    has_begun: bool = False
 
 
 class Sink:
@@ -201,6 +205,7 @@
     account: ClientAccount | None = None
     work_class: WorkClass | None = None
     fingerprint: Fingerprint = Fingerprint("")
+    shared_parts: tuple[PartKey, ...] = ()
     deadline: float = 0.0
     session: Session | None = None
     plan: Plan | None = None
--- a/tanagerwalk/standins/engine.py
+++ b/tanagerwalk/standins/engine.py
@@ -69,7 +69,8 @@
 class EngineStandIn(StandIn):
     """Generates the words `VERSION-0 VERSION-1 ...`, one token each.
 
-    Crashes on a request whose last message contains `poison`.
+    Crashes on a request whose last message contains `poison`, and as soon as it begins
+    to answer one of which another message does.
 
     Parameters
     ----------
@@ -218,6 +219,10 @@
     async def _stream(self, request, body):
         response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
         await response.prepare(request)
+        if "poison" in str(body["messages"][:-1]):
+            self.crashed = True
+            await self.crash()
+            return response
         total = int(body.get("max_tokens", DEFAULT_TOKENS))
         first = _count_generated_tokens(body)
         for number in range(first, total):
--- a/tanagerwalk/standins/entry_cluster.py
+++ b/tanagerwalk/standins/entry_cluster.py
@@ -208,9 +208,10 @@
         async with self.http.post(url, json=body, headers=headers) as response:
             return response.status, await response.read(), response.headers
 
-    async def chat(self, instance, work_class, text, **headers):
-        """Request one chat completion of a work class."""
-        body = {"model": work_class, "messages": [{"role": "user", "content": text}]}
+    async def chat(self, instance, work_class, *texts, **headers):
+        """Request one chat completion of a work class, for a chat with these texts."""
+        messages = [{"role": "user", "content": text} for text in texts]
+        body = {"model": work_class, "messages": messages}
         return await self.post(instance, "/v1/chat/completions", body, **headers)
 
     async def call(self, instance, work_class, body, **headers):
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -74,6 +74,24 @@
     assert count_crashes(fleet) == 2
 
 
+# Guards against a message that requests share, on which each engine crashes: each new
+# request with it would lose two more.
+async def test_message_that_crashes_engines_is_refused_in_every_request(fleet):
+    instances = list(fleet.instances.values())
+    await fleet.wait_until(lambda: all(len(i.membership.peers) > 8 for i in instances))
+    for number, instance in enumerate(instances):
+        await fleet.chat(instance, "label", "system", f"sound {number}")
+        await fleet.chat(instance, "label", "system", "poison", f"spine {number}")
+        exchange_blame(fleet)
+    assert count_crashes(fleet) == 2
+    for number, instance in enumerate(instances):
+        texts = ["system", "poison", f"again {number}"]
+        _, content, _ = await fleet.chat(instance, "label", *texts)
+        assert json.loads(content)["error"]["run_state"] == "not_run"
+        status, _, _ = await fleet.chat(instance, "label", "system", f"new {number}")
+        assert status == 200
+
+
 async def test_other_requests_on_a_crashed_server_are_answered_and_cleared(fleet):
     first, *_ = fleet.instances.values()
     for engine in fleet.engines.values():
