Tell of crashes before loads, and end attempts that wait with a quarantined part

Causes: a relay sent the records of crashes last in each round, where a full link drops them; one domain heard after 0.5 s, the others after 1.6, 2.7, 4.5 and 6 s, each domain's members at one moment (log of a trial). And requests that waited in engines' queues when the part was found went on to end them, up to 5.5 s later.

Ruled out: that relays did not know (they did after 0.1 s), and that other records were told in place of this one (log of a scratch copy).

Change: what is urgent goes first in a round; a relay passes on a newly guilty part at once; an attempt with it whose answer has not begun is ended. Log lines name the parts that are quarantined and released.

--- a/tanagerwalk/decisions/part_quarantine.py
+++ b/tanagerwalk/decisions/part_quarantine.py
@@ -120,6 +120,11 @@
     def __len__(self):
         return len(self._suspicions)
 
+    @property
+    def guilty(self):
+        """The quarantined parts."""
+        return self._guilty
+
     @property
     def explained(self):
         """Crashed servers for which a guilty part is to blame."""
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -21,7 +21,7 @@
 from ..manifest import Repeatability
 from ..outcomes import Refusal, RefusalReason, RunState
 from .answer_recorder import AnswerRecorder
-from .attempts import Attempt, Outcome
+from .attempts import Attempt, AttemptResult, Outcome
 from .crash_check import CrashCheck
 from .exchange import AttemptPlan, AttemptRunner, AttemptTimeouts, StreamProgress
 from .metrics import GatewayMetrics
@@ -203,7 +203,9 @@
             partial(self._context.recorder.record_latency, self._request, attempt),
             partial(self._context.quarantine.suspect, self._request, attempt),
         )
-        result = await self._context.attempt_runner.run(plan)
+        result = AttemptResult(Outcome.LOST, "part quarantined")
+        async with self._context.quarantine.guard(self._request, self._progress):
+            result = await self._context.attempt_runner.run(plan)
         self._context.recorder.record_attempt(self._request, attempt, result)
         self._context.quarantine.record_attempt(self._request, attempt, result)
         await self._check_for_crash(server, result)
--- a/tanagerwalk/gateway/quarantine.py
+++ b/tanagerwalk/gateway/quarantine.py
@@ -20,6 +20,7 @@
 from ..registry import ServerState
 from ..settings import QuarantineSettings
 from .attempts import Outcome
+from .running_requests import RunningRequests
 
 log = structlog.get_logger(__name__)
 
@@ -66,6 +67,8 @@
         self._suspicions = CrashSuspicions()
         self._records = CrashRecords(self._quarantine, self._parts)
         self._news = CrashNews(self._records, random)
+        self._running = RunningRequests()
+        self._known_guilty = frozenset()
         self.on_news = _ignore_news
         self.is_first_in_line = _deny_trial
 
@@ -117,6 +120,18 @@
             self._parts.is_answered(part, now) for part in request.shared_parts
         )
 
+    def guard(self, request, progress):
+        """Return a context manager that ends an attempt once its part is quarantined.
+
+        Parameters
+        ----------
+        request : GatewayRequest
+            The request.
+        progress : StreamProgress
+            What the client has received; an answer under way is not ended.
+        """
+        return self._running.guard(request, progress)
+
     def record_attempt(self, request, attempt, result):
         """Record an attempt: its server answered, crashed, or may have crashed."""
         if result.has_answered:
@@ -130,7 +145,7 @@
 
     def _refute_crash(self, server, result):
         if self._parts.refute(_name_life(server), result.connected_at):
-            self._update_explained()
+            self._apply_judgement()
             log.info("server has not crashed", server=server.id)
 
     def _record_answer(self, request, result):
@@ -140,7 +155,7 @@
             return
         for part in self._parts.record_answer(request.shared_parts, now):
             self._news.record(part)
-        self._update_explained()
+        self._apply_judgement()
 
     def _suspect_attempt(self, request, attempt, result):
         if result.outcome is Outcome.DECLINED:
@@ -184,7 +199,7 @@
         for suspicion in suspicions:
             self._record_crash(suspicion.fingerprint, server)
             self._blame_parts(suspicion, server)
-        self._update_explained()
+        self._apply_judgement()
         if suspicions:
             self.on_news()
 
@@ -237,8 +252,15 @@
             usage.server.failure_domain == server.failure_domain for usage in usages
         )
 
-    def _update_explained(self):
-        """Don't count what a part is to blame for against whole requests."""
+    def _apply_judgement(self):
+        """Log which parts are quarantined, and blame no whole request for them."""
+        guilty = self._parts.guilty
+        for part in guilty - self._known_guilty:
+            log.info("part quarantined", part=part)
+            self._running.end(part)
+        for part in self._known_guilty - guilty:
+            log.info("part released", part=part)
+        self._known_guilty = guilty
         self._quarantine.set_explained(self._parts.explained)
 
     def choose_news(self):
@@ -265,7 +287,10 @@
             is_news = self._records.merge_record(key, record, now)
             if is_news and (passes_on or self._parts.is_answered(key, now)):
                 self._news.record(key)
-        self._update_explained()
+        known_guilty = self._known_guilty
+        self._apply_judgement()
+        if passes_on and self._known_guilty - known_guilty:
+            self.on_news()
         for life in {life for each in records.values() for life in each.incarnations}:
             server = self._suspicions.find_server(life)
             if server is not None:
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -354,6 +354,11 @@
                 self._transport.sendto(datagram, address)
 
     def _build_messages(self, contents):
+        # What is urgent goes first, since a full link drops the last messages.
+        yield from self._build_blame_messages(contents.scope, contents.blames)
+        if contents.limits:
+            limits = [encode_limit(*item) for item in contents.limits.items()]
+            yield self._build_message(contents.scope, limits=limits)
         parts = -(-len(contents.loads) // MAX_LOADS) or 1
         tallies = [encode_tally(*key, tally) for key, tally in contents.tallies.items()]
         for part in range(parts):
@@ -377,10 +382,6 @@
         for start in range(0, len(sides), MAX_SIDES):
             part_sides = encode_sides(dict(sides[start : start + MAX_SIDES]))
             yield self._build_message(contents.scope, sides=part_sides)
-        yield from self._build_blame_messages(contents.scope, contents.blames)
-        if contents.limits:
-            limits = [encode_limit(*item) for item in contents.limits.items()]
-            yield self._build_message(contents.scope, limits=limits)
 
     def _build_blame_messages(self, scope, records):
         blames = [encode_blame(record, key) for key, record in records.items()]
