--- a/test/gateway/test_server_notices.py
+++ b/test/gateway/test_server_notices.py
@@ -109,6 +109,50 @@
     assert 1 <= len(server.requests) - seen <= 3
 
 
+async def lose_entry(cluster, server_id, value):
+    """Let the entry of a server be missing for a moment, or unreadable."""
+    key, entry = cluster.servers[server_id].build_entry("desk", "a-1")
+    if value is None:
+        await cluster.store.remove(key)
+    else:
+        await cluster.store.put(key, value)
+    pools = [instance.servers for instance in cluster.instances]
+    assert await poll_until(
+        lambda: not any(pool.find(server_id) for pool in pools), 0.02, WAIT_S
+    )
+    await cluster.store.put(key, entry)
+    assert await poll_until(
+        lambda: all(pool.find(server_id) for pool in pools), 0.02, WAIT_S
+    )
+
+
+NOTICES = {
+    "rest": Behaviour("refuse", retry_after="3"),
+    "leaving": Behaviour(is_leaving=True),
+    "limit": Behaviour("refuse", limit="0.1"),
+}
+
+
+# Guards against BUDGET, DRAIN and LIMIT: a server's word that is forgotten because its
+# entry in the store was gone for a moment.
+@pytest.mark.parametrize("value", [None, b"not an entry"])
+@pytest.mark.parametrize("notice", NOTICES)
+async def test_notice_outlives_an_entry_that_is_gone_for_a_moment(
+    cluster, notice, value
+):
+    first = cluster.instances[0]
+    cluster.servers["desk-0"].behaviour = NOTICES[notice]
+    while not count_requests(cluster, "desk-0"):
+        await send_jobs(cluster, 1, first)
+    await lose_entry(cluster, "desk-0", value)
+    seen = count_requests(cluster, "desk-0")
+    for _ in range(10):
+        await send_jobs(cluster, 1, first)
+    # A limit lets one request through now and then.
+    allowed = 1 if notice == "limit" else 0
+    assert count_requests(cluster, "desk-0") <= seen + allowed
+
+
 async def test_request_is_refused_at_once_if_every_server_is_on_hold(cluster):
     for name in ("desk-0", "desk-1"):
         cluster.servers[name].behaviour = Behaviour("refuse", retry_after="2")
--- a/test/gateway/test_tunnels.py
+++ b/test/gateway/test_tunnels.py
@@ -146,3 +146,28 @@
     writer.close()
     assert reply.complete
     assert reply.body.count(b"id: ") == 5
+
+
+# Guards against BUDGET and DRAIN: requests through tunnels that were opened before the
+# instance at the other end heard that the server rests or leaves.
+@pytest.mark.parametrize(
+    "behaviour",
+    [Behaviour("refuse", retry_after="3"), Behaviour(is_leaving=True)],
+    ids=["rest", "leaving"],
+)
+async def test_kept_tunnel_heeds_what_the_far_instance_has_heard(cluster, behaviour):
+    first, second = cluster.instances
+    server = cluster.servers["desk-0"]
+    server.behaviour = Behaviour(delay=0.2)
+    data = [cluster.encode("GET", "/jobs/7") for _ in range(6)]
+    await asyncio.gather(*(cluster.send(each, first) for each in data))
+    assert second.tunnel_server.tunnel_count >= 3
+    server.behaviour = behaviour
+    await cluster.send(cluster.encode("GET", "/jobs/7"), second)
+    # The news of the leaving is not what keeps the first instance away.
+    first.servers.mark_leaving = lambda lives: []
+    await asyncio.sleep(0.5)
+    seen = len(server.requests)
+    for _ in range(6):
+        await cluster.send(cluster.encode("GET", "/jobs/7"), first)
+    assert len(server.requests) == seen
