Keep a server's rest, leaving mark and limit while its entry is gone

Callers and operators saw: a server that had asked for rest got four and five requests from each of two instances in the middle of it (BUDGET).

Ruled out: that the change of the manifest clears a rest (sends came 0.6 s after it).

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -125,15 +125,11 @@
             ),
         ).server
 
-    def replace_servers(self, servers):
-        """Replace the list of registered servers, and forget the limits of those gone.
-
-        See `ServerUsageTable.replace_servers`.
-        """
-        gone = super().replace_servers(servers)
-        for server in gone:
-            self.limits.forget(hash_life(server))
-        return gone
+    def _keep_missing(self, usage):
+        forgotten = super()._keep_missing(usage)
+        for life in forgotten:
+            self.limits.forget(life)
+        return forgotten
 
     def find_hold(self, service, now, is_allowed):
         """Return the seconds until a server of a service takes requests again.
--- a/tanagerwalk/decisions/server_usage_table.py
+++ b/tanagerwalk/decisions/server_usage_table.py
@@ -4,6 +4,7 @@
 
 from ..ids import BackendServerId
 from ..registry import ServerState
+from .missing_servers import MissingServers
 from .server_usage import ServerUsage
 
 FAILURE_PAUSE_S = 0.5
@@ -25,6 +26,7 @@
 
     def __init__(self):
         self._usages: dict[BackendServerId, ServerUsage] = {}
+        self._missing = MissingServers()
         self.mean_work = INITIAL_MEAN_WORK_TOKENS
 
     def replace_servers(self, servers):
@@ -47,10 +49,12 @@
             if entry is None or not _is_same_start(entry, usage.server):
                 gone.append(usage.server)
                 del self._usages[server_id]
+                self._keep_missing(usage)
         for server in listed.values():
             usage = self._usages.get(server.id)
             if usage is None:
-                self._usages[server.id] = ServerUsage(server)
+                usage = self._missing.restore(hash_life(server), server)
+                self._usages[server.id] = usage
                 continue
             # An older copy of the store may list it as ready again.
             was_draining = usage.server.state is ServerState.DRAINING
@@ -58,6 +62,18 @@
             usage.server = server
         return gone
 
+    def _keep_missing(self, usage):
+        """Remember what a server said whose entry is gone.
+
+        Returns
+        -------
+        list of int
+            The `hash_life` of servers that are forgotten for it.
+        """
+        was_draining = usage.server.state is ServerState.DRAINING
+        usage.is_leaving = usage.is_leaving or was_draining
+        return self._missing.keep(hash_life(usage.server), usage)
+
     def find(self, server_id):
         """Return the ServerUsage of a server, or None if it is unknown."""
         return self._usages.get(server_id)
@@ -180,7 +196,7 @@
         bool
             Whether the server is now known to leave, and was not before.
         """
-        usage = self._usages.get(server_id)
+        usage = self._usages.get(server_id) or self._missing.find(server_id)
         if usage is None:
             return False
         if notice.hold > 0.0:
@@ -210,6 +226,7 @@
         list of BackendServerId
             Servers that were not known to leave.
         """
+        self._missing.mark_leaving(lives)
         found = [
             usage
             for usage in self._usages.values()
