--- a/tanagerwalk/decisions/server_usage_table.py
+++ b/tanagerwalk/decisions/server_usage_table.py
@@ -22,9 +22,12 @@
     ----------
     mean_work : float
         Mean cost of a request for an engine, in tokens.
+    on_kept_off : callable
+        Takes the id of a server that wants no requests, for a while or for good.
     """
 
     def __init__(self):
+        self.on_kept_off = _ignore
         self._usages: dict[BackendServerId, ServerUsage] = {}
         self._missing = MissingServers()
         self.mean_work = INITIAL_MEAN_WORK_TOKENS
@@ -60,6 +63,8 @@
             was_draining = usage.server.state is ServerState.DRAINING
             usage.is_leaving = usage.is_leaving or was_draining
             usage.server = server
+            if server.state is ServerState.DRAINING and not was_draining:
+                self.on_kept_off(server.id)
         return gone
 
     def _keep_missing(self, usage):
@@ -203,6 +208,8 @@
             usage.held_until = max(usage.held_until, now + notice.hold)
         is_new = notice.is_leaving and not usage.is_leaving
         usage.is_leaving = usage.is_leaving or notice.is_leaving
+        if is_new or notice.hold > 0.0:
+            self.on_kept_off(server_id)
         return is_new
 
     def list_leaving(self):
@@ -234,6 +241,7 @@
         ]
         for usage in found:
             usage.is_leaving = True
+            self.on_kept_off(usage.server.id)
         return [usage.server.id for usage in found]
 
     def mark_address_reused(self, server):
@@ -243,6 +251,10 @@
             usage.address_reused = True
 
 
+def _ignore(server_id):
+    del server_id
+
+
 def hash_life(server):
     """Return a 32-bit key of one start of a server, for messages between instances."""
     return zlib.crc32(f"{server.id}|{server.born}".encode())
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -153,6 +153,7 @@
 
     def _create_connections(self):
         self.tunnel_server = TunnelServer(self.servers, self.paths, self.clock)
+        self.servers.on_kept_off = self.tunnel_server.retire
         self.tunnel_client = TunnelClient(
             TunnelPeers(self.settings.failure_domain, self.random),
             lambda: self.membership.peers,
--- a/tanagerwalk/gateway/tunnels.py
+++ b/tanagerwalk/gateway/tunnels.py
@@ -40,7 +40,8 @@
     """Kind of a frame in an open tunnel.
 
     DATA: bytes of the connection to the server. END: the server has closed it.
-    STOPPING: the instance at the other end stops; the tunnel should not be reused.
+    STOPPING: the instance at the other end stops, or the server wants no requests; the
+    tunnel should not be reused.
     NOTICE: what the server has said about itself, for the instance connected to it.
     """
 
@@ -82,7 +83,7 @@
         self._servers = servers
         self._paths = paths
         self._clock = clock
-        self._channels = set()
+        self._channels = {}
         self._stopping = False
         self.dial = open_connection
 
@@ -94,9 +95,21 @@
     def stop_accepting(self):
         """Open no more tunnels, and ask the other ends not to reuse the open ones."""
         self._stopping = True
-        for channel in self._channels:
-            if not channel.is_closing:
-                channel.write(TunnelFrame.STOPPING.value, b"")
+        _ask_for_no_reuse(self._channels)
+
+    def retire(self, server_id):
+        """Ask the other ends not to reuse the tunnels to a server.
+
+        Parameters
+        ----------
+        server_id : BackendServerId
+            A server that wants no requests, for a while or for good.
+        """
+        _ask_for_no_reuse(
+            channel
+            for channel, tunnel_server_id in self._channels.items()
+            if tunnel_server_id == server_id
+        )
 
     async def open(self, payload, sender):
         """Connect to the server whose id is the payload of a request.
@@ -134,7 +147,7 @@
 
     async def _serve(self, channel, stream, server_id):
         set_socket_options(channel.writer.get_extra_info("socket"))
-        self._channels.add(channel)
+        self._channels[channel] = server_id
         pumps = [
             asyncio.create_task(self._forward_requests(channel, stream, server_id)),
             asyncio.create_task(_forward_responses(stream, channel)),
@@ -142,7 +155,7 @@
         try:
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
         finally:
-            self._channels.discard(channel)
+            del self._channels[channel]
             stream.abort()
             for pump in pumps:
                 pump.cancel()
@@ -172,6 +185,12 @@
             log.info("server leaving", server=server_id, told_by="tunnel")
 
 
+def _ask_for_no_reuse(channels):
+    for channel in channels:
+        if not channel.is_closing:
+            channel.write(TunnelFrame.STOPPING.value, b"")
+
+
 def _log_defects(results):
     """Log what is neither a cancellation nor the loss of a connection."""
     for result in results:
