Take only confirmed crashes of others for the end of a server

Cause: an instance tells of a broken answer by its request before it knows whether the server lives; the others took that for the end of the server, blamed it on parts, and two such quarantined sound ones (15 lines "part quarantined" at 1.2 s, while answers were being reset).

Change: only the records of parts, which are made once a server accepts no connection, end a server for others.

Shown: test_broken_answers_that_others_tell_of_are_no_crashes failed before and passes.

--- a/tanagerwalk/gateway/quarantine.py
+++ b/tanagerwalk/gateway/quarantine.py
@@ -13,7 +13,12 @@
     CrashSuspicions,
     Suspicion,
 )
-from ..decisions.part_quarantine import CrashWeight, PartQuarantine, list_shared_keys
+from ..decisions.part_quarantine import (
+    CrashWeight,
+    PartQuarantine,
+    is_part_key,
+    list_shared_keys,
+)
 from ..decisions.quarantine import Quarantine, QuarantineState, refuse_quarantined
 from ..decisions.server_usage_table import hash_life
 from ..ids import FailureDomain, Fingerprint, Incarnation
@@ -291,7 +296,9 @@
         self._apply_judgement()
         if passes_on and self._known_guilty - known_guilty:
             self.on_news()
-        for life in {life for each in records.values() for life in each.incarnations}:
+        # Only the records of parts are of servers that accept no connection any more.
+        parts = [record for key, record in records.items() if is_part_key(key)]
+        for life in {life for record in parts for life in record.incarnations}:
             server = self._suspicions.find_server(life)
             if server is not None:
                 self.record_end(server)
--- a/test/gateway/test_quarantine_filter.py
+++ b/test/gateway/test_quarantine_filter.py
@@ -7,7 +7,9 @@
 from expression import Ok
 
 from tanagerwalk.decisions.paths import PathTable
+from tanagerwalk.decisions.quarantine import CrashRecord
 from tanagerwalk.decisions.selection import ServerPool
+from tanagerwalk.decisions.server_usage_table import hash_life
 from tanagerwalk.decisions.shared_loads import SharedLoadTable
 from tanagerwalk.gateway.attempts import Attempt, AttemptResult, Outcome
 from tanagerwalk.gateway.quarantine import LIMITS, QuarantineFilter
@@ -144,6 +146,21 @@
     assert quarantine.is_quarantined(request)
 
 
+# Guards against LOST: broken answers of servers that live, which another instance tells
+# of by the requests, are taken for crashes and blamed on the parts.
+def test_broken_answers_that_others_tell_of_are_no_crashes(quarantine):
+    request = SimpleNamespace(
+        fingerprint="new", shared_parts=("sound",), is_trial=False, id=b"try-1"
+    )
+    broken = AttemptResult(Outcome.LOST, broke_off=True, written_for=0.05)
+    for server in SERVERS[:2]:
+        quarantine.record_attempt(request, Attempt(server, 1.0), broken)
+        life = f"{hash_life(server):08x}"
+        told = {"other": CrashRecord(frozenset({life}), 60.0)}
+        quarantine.merge_records(told, False)
+    assert not quarantine.is_quarantined(request)
+
+
 # Guards against LOST: a request that its server had been answering for a while is no
 # cause of the crash.
 def test_answer_under_way_does_not_count_against_its_parts(quarantine):
