Log why a request goes to a release of a roll-out, and count contradictions

Cause: the request line tells the release but not why it was chosen, so that the hypotheses of docs/incidents/sessions-between-releases.md can't be told apart. Ruled out: no logic changes; the order of the checks is as before. Change: a request line during a roll-out says the side, its reason, the phase that the instance knew and the age of its copy; a gauge counts sides that another instance told differently.

--- a/tanagerwalk/decisions/release_rollouts.py
+++ b/tanagerwalk/decisions/release_rollouts.py
@@ -173,6 +173,34 @@
     return LATE_WRITE_S + LATE_WRITES_SPREAD_S * random.random()
 
 
+class SideReason(Enum):
+    """Why a request goes to the base or to the target release.
+
+    PHASE: all requests go there. SERVED_HERE: this instance served the session before.
+    TOLD: another instance has told the session's release. HASH: the hash of the
+    session. NO_SHARE: the hash says the target, whose share is used up. QUEUE: the
+    servers of the base have a queue. STALE: the state of the roll-out is too old.
+    NO_TARGET: no server of the target is known.
+    """
+
+    PHASE = "phase"
+    SERVED_HERE = "served_here"
+    TOLD = "told"
+    HASH = "hash"
+    NO_SHARE = "no_share"
+    QUEUE = "queue"
+    STALE = "stale"
+    NO_TARGET = "no_target"
+
+
+@dataclass(frozen=True, slots=True)
+class SideChoice:
+    """Whether a request goes to the target release, and why."""
+
+    is_target: bool
+    reason: SideReason
+
+
 @dataclass(frozen=True, slots=True)
 class RoutingConditions:
     """What an instance knows about a roll-out when a session starts.
@@ -220,6 +248,11 @@
         release.
     local_slack : float
         Requests beyond the share that this instance may send to the target.
+
+    Attributes
+    ----------
+    contradictions : int
+        How often another instance told another release of a session served here.
     """
 
     def __init__(self, service, canary_share, session_gap, local_slack=MAX_LOCAL_SLACK):
@@ -230,6 +263,7 @@
         self._requests = 0
         self._target_requests = 0
         self._order = None
+        self.contradictions = 0
 
     def set_bounds(self, canary_share, session_gap, local_slack=MAX_LOCAL_SLACK):
         """Apply changed bounds; running sessions keep their release.
@@ -250,7 +284,11 @@
         self._gap = session_gap * PIN_FACTOR
 
     def choose(self, rollout, session, now, conditions):
-        """Return whether a request goes to the target release.
+        """Return whether a request goes to the target release, like `decide`."""
+        return self.decide(rollout, session, now, conditions).is_target
+
+    def decide(self, rollout, session, now, conditions):
+        """Return the SideChoice of a request.
 
         Parameters
         ----------
@@ -264,42 +302,49 @@
             Load of the releases and age of this instance's state.
         """
         if rollout.phase is RolloutPhase.ROLLED_BACK:
-            return False
+            return SideChoice(False, SideReason.PHASE)
         if rollout.phase in (RolloutPhase.FULL, RolloutPhase.COMPLETE):
-            return True
+            return SideChoice(True, SideReason.PHASE)
         self._reset_counters(rollout)
         key = hash_session(self._service, session)
         pinned = self._find_pin(key, now)
         self._requests += 1
-        if rollout.phase is RolloutPhase.RAMP and pinned is False:
-            # In the ramp phase a running session may move to the new release.
-            pinned = None
-        chosen = (
-            self._assign_side(rollout, key, conditions) if pinned is None else pinned
-        )
-        self._target_requests += chosen
-        self._pin(key, chosen, now)
+        if pinned is None or not self._keeps(pinned, rollout):
+            chosen = self._assign_side(rollout, key, conditions)
+        else:
+            chosen = pinned
+        self._target_requests += chosen.is_target
+        self._pin(key, chosen.is_target, now)
         return chosen
 
+    def _keeps(self, pinned, rollout):
+        """Return whether a running session may not move to the target release."""
+        return pinned.is_target or rollout.phase is not RolloutPhase.RAMP
+
     def _assign_side(self, rollout, key, conditions):
-        """Return whether a session without a pin goes to the target release."""
-        if not conditions.has_recent_state or not conditions.has_target:
-            return False
+        """Return the SideChoice of a session without a pin."""
+        if not conditions.has_recent_state:
+            return SideChoice(False, SideReason.STALE)
+        if not conditions.has_target:
+            return SideChoice(False, SideReason.NO_TARGET)
+        reason = SideReason.HASH
         share = self._share
         max_target_requests = self._canary_share * self._requests
         if rollout.phase is RolloutPhase.RAMP:
             share = min(1.0, share * RAMP_FACTOR)
             max_target_requests = share * self._requests
         elif conditions.is_base_overloaded:
+            reason = SideReason.QUEUE
             share = min(1.0, share * OVERFLOW_FACTOR)
             expected = self._requests / max(conditions.progress, MIN_PROGRESS)
             max_target_requests = max(
                 max_target_requests, OVERFLOW_EXPOSURE * self._canary_share * expected
             )
-        return (
-            key < share * HASH_RANGE
-            and self._target_requests + 1.0 <= max_target_requests + self._local_slack
-        )
+        if key >= share * HASH_RANGE:
+            return SideChoice(False, SideReason.HASH)
+        if self._target_requests + 1.0 > max_target_requests + self._local_slack:
+            return SideChoice(False, SideReason.NO_SHARE)
+        return SideChoice(True, reason)
 
     def record_session(self, session, now):
         """Pin a session to the current release while no roll-out runs."""
@@ -332,6 +377,9 @@
     def add_side_overrides(self, overrides, now):
         """Add the sessions whose release another instance reports to differ."""
         for key, side in overrides.items():
+            known = self._pins.get(key)
+            if known is not None and now - known[1] <= self._gap:
+                self.contradictions += known[0] is not side
             self._peer_pins[key] = (side, now)
 
     def _reset_counters(self, rollout):
@@ -343,10 +391,13 @@
         self._pins = {key: (False, at) for key, (_, at) in self._pins.items()}
 
     def _find_pin(self, key, now):
-        for pins in (self._pins, self._peer_pins):
+        for pins, reason in (
+            (self._pins, SideReason.SERVED_HERE),
+            (self._peer_pins, SideReason.TOLD),
+        ):
             pin = pins.get(key)
             if pin is not None and now - pin[1] <= self._gap:
-                return pin[0]
+                return SideChoice(pin[0], reason)
         return None
 
     def _pin(self, key, side, now):
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -291,6 +291,8 @@
     def _render_metrics(self):
         self.metrics.manifest_age.set(min(self.freshness.age, MAX_REPORTED_AGE_S))
         self.metrics.store_calls.set(self.store.calls)
+        contradictions = self.rollouts.count_contradictions()
+        self.metrics.session_contradictions.set(contradictions)
         self.metrics.in_flight.set(self.client_listener.in_flight)
         return encode_ok_response(self.metrics.render(), CONTENT_TYPE_LATEST)
 
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -103,9 +103,8 @@
         self._models = self._plan_models(route)
         self._model_index = 0
         self._affinity = self._compute_affinity()
-        self._allows_server = context.rollouts.build_server_filter(
-            request, self._service
-        )
+        self._assignment = context.rollouts.assign(request, self._service)
+        self._allows_server = self._assignment.allows_server
         self._history = AttemptHistory(route.repeatable, route.max_attempts)
         self._progress = StreamProgress(last_event=request.last_event)
         self._kept_answer = None
@@ -362,6 +361,7 @@
         metrics.requests.labels(end).inc()
         elapsed = self._clock() - request.raw.received_at
         metrics.latency.labels(request.route.name).observe(elapsed)
+        inputs |= self._assignment.describe()
         log_request_end(
             request, end, elapsed, self._progress, self._attempt_log, **inputs
         )
--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -40,7 +40,11 @@
             "Calls to the store so far.",
             registry=self.registry,
         )
-
+        self.session_contradictions = Gauge(
+            "tanagerwalk_gateway_session_contradictions",
+            "Times that two instances knew another release of one session.",
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "tanagerwalk_gateway_in_flight",
             "Requests that are being answered.",
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -1,6 +1,8 @@
 """Runs the roll-outs of releases that operators order."""
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
 
 import structlog
 
@@ -11,6 +13,7 @@
     RolloutPhase,
     RolloutState,
     RoutingConditions,
+    SideChoice,
     find_local_slack,
     find_next_phase,
     find_write_delay,
@@ -30,6 +33,39 @@
 MAX_STATE_AGE_S = 2.5
 
 
+@dataclass(frozen=True, slots=True)
+class ReleaseAssignment:
+    """The releases that a request may use, and how they were chosen.
+
+    Parameters
+    ----------
+    allows_server : callable
+        Takes a RegisteredServer and returns whether it is allowed.
+    choice : SideChoice or None
+        The side of the roll-out; None without a roll-out.
+    phase : RolloutPhase or None
+        The phase that this instance knew.
+    state_age : float
+        Seconds since its copy of the store was confirmed.
+    """
+
+    allows_server: Callable
+    choice: SideChoice | None = None
+    phase: RolloutPhase | None = None
+    state_age: float = 0.0
+
+    def describe(self):
+        """Return the log fields of the assignment; none without a roll-out."""
+        if self.choice is None:
+            return {}
+        return {
+            "on_target": self.choice.is_target,
+            "side_reason": self.choice.reason.value,
+            "phase": self.phase.value,
+            "state_age": round(self.state_age, 2),
+        }
+
+
 class ReleaseRolloutController:
     """Advances each roll-out together with the other instances.
 
@@ -114,8 +150,8 @@
 
     # Called for each request.
 
-    def build_server_filter(self, request, service):
-        """Return a predicate for the servers that may run a request.
+    def assign(self, request, service):
+        """Return the ReleaseAssignment of a request.
 
         Parameters
         ----------
@@ -123,11 +159,6 @@
             The request.
         service : ServiceName
             The service of the request.
-
-        Returns
-        -------
-        callable
-            Takes a RegisteredServer and returns whether it is allowed.
         """
         now = self._clock()
         session = request.session or request.id
@@ -138,12 +169,21 @@
             # A release that is registered while the request runs may be the target
             # of a new roll-out, so that only the releases known now are allowed.
             known = self._servers.list_releases(service)
-            return lambda server: server.release in known
+            return ReleaseAssignment(lambda server: server.release in known)
         state = self._get_state(order)
         conditions = self._get_conditions(order, now)
-        is_target = chooser.choose(state, session, now, conditions)
+        choice = chooser.decide(state, session, now, conditions)
         target = order.target
-        return lambda server: (server.release == target) == is_target
+        return ReleaseAssignment(
+            lambda server: (server.release == target) == choice.is_target,
+            choice,
+            state.phase,
+            self._freshness.age,
+        )
+
+    def count_contradictions(self):
+        """Return how often two instances knew another release of one session."""
+        return sum(chooser.contradictions for chooser in self._choosers.values())
 
     def list_side_overrides(self):
         """Return the sessions whose release differs from the one their hash gives.
