Let two owners decide on a session's release in a roll-out

Cause: each instance chose by hash, its own share, its own view of queues, of servers and of the store, remembered its own sessions from the start of their last request, forgot them after the full phase, and told the others by sample and after the fact. Change: rendezvous hashing names two owners a session. Whoever serves it asks them while a roll-out runs; they answer what they know, or propose by hash, share and queue, and record it. Sessions from before the order are told to them first. Requests are counted over the fleet for the share. Instances of an earlier version own nothing and are told sides by sample as before.

--- a/tanagerwalk/decisions/tallies.py
+++ b/tanagerwalk/decisions/tallies.py
@@ -48,12 +48,21 @@
         Answers of the release that it replaces.
     target_latencies, base_latencies : dict of AnswerKind to LatencyHistogram
         Their latencies.
+    target_starts, base_starts : int
+        Requests that were assigned to each release.
     """
 
     target: dict[RouteName, SideCount] = field(default_factory=dict)
     base: dict[RouteName, SideCount] = field(default_factory=dict)
     target_latencies: dict[AnswerKind, LatencyHistogram] = field(default_factory=dict)
     base_latencies: dict[AnswerKind, LatencyHistogram] = field(default_factory=dict)
+    target_starts: int = 0
+    base_starts: int = 0
+
+    def record_start(self, is_target):
+        """Count one request that was assigned to a release."""
+        self.target_starts += is_target
+        self.base_starts += not is_target
 
     def record(self, route, is_target, is_bad):
         """Count one answer."""
@@ -92,6 +101,8 @@
 
     def add(self, other):
         """Add a tally of other answers."""
+        self.target_starts += other.target_starts
+        self.base_starts += other.base_starts
         for own, peer, create in self._pair_sides(other):
             for key, count in peer.items():
                 own.setdefault(key, create()).add(count)
@@ -101,6 +112,8 @@
 
         The counts of an instance only grow, so the higher ones are the newer ones.
         """
+        self.target_starts = max(self.target_starts, other.target_starts)
+        self.base_starts = max(self.base_starts, other.base_starts)
         for own, peer, create in self._pair_sides(other):
             for key, count in peer.items():
                 own.setdefault(key, create()).raise_to(count)
@@ -177,6 +190,21 @@
             total.raise_to(other_relay)
         return total
 
+    def count_fleet_starts(self, role):
+        """Return the requests of the fleet, and those on the target.
+
+        Parameters
+        ----------
+        role : Role
+            How this instance takes part in the exchange of messages.
+
+        Returns
+        -------
+        tuple of (int, int)
+        """
+        total = self.sum_fleet(role)
+        return total.target_starts + total.base_starts, total.target_starts
+
     def sum_fleet(self, role):
         """Return the Tally of all instances.
 
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -42,6 +42,7 @@
 from .pool import ConnectionPool
 from .probes import ProbeListener, encode_ok_response, encode_readiness_response
 from .quarantine import QuarantineFilter
+from .release_assignment import ReleaseAssigner
 from .release_rollouts import STORE_PREFIX, ReleaseRolloutController
 from .request_handler import MAX_REPORTED_AGE_S, RequestHandler
 from .routing import RouteFilter
@@ -118,13 +119,19 @@
             self.store,
             self.mirror,
             self.cluster_state,
-            self.servers,
             self.codec,
-            self.freshness,
-            bounds,
             settings.failure_domain,
             lambda: self.feed.is_watcher,
-            self.count_instances,
+            self.clock,
+            self.random,
+        )
+        self.assigner = ReleaseAssigner(
+            self.incarnation,
+            self.cluster_state,
+            self.rollouts,
+            self.servers,
+            self.freshness,
+            bounds,
             self.clock,
             self.random,
         )
@@ -143,11 +150,12 @@
             self.relays,
             self.quarantine,
             self.rollouts,
+            self.assigner,
             lambda: self.membership.peers,
             self.clock,
             self.random,
         )
-
+        self.assigner.send_notes = self.sharing.send_notes
         self.quarantine.on_news = self.sharing.tell_crashes
         self.quarantine.is_first_in_line = lambda key: self._find_rank(key) == 0
 
@@ -199,7 +207,12 @@
             self.mirror,
             PEER_PREFIX,
             self.incarnation,
-            lambda: Peer(self.sharing.address, own_domain, self.peer_server.port),
+            lambda: Peer(
+                self.sharing.address,
+                own_domain,
+                self.peer_server.port,
+                owns_sessions=True,
+            ),
             self.random,
         )
         self.relays = RelaySelection(self.incarnation, own_domain)
@@ -227,6 +240,7 @@
     def _update_peers(self):
         self.watchers.set_peers(self.membership.peers)
         self.relays.set_peers(self.membership.peers)
+        self.assigner.set_peers(self.membership.peers)
         self.servers.limits.set_members(self.incarnation, self.membership.peers)
 
     def _find_rank(self, name):
@@ -255,6 +269,7 @@
             attempt_runner,
             self.servers,
             self.rollouts,
+            self.assigner,
             AnswerRecorder(self.cluster_state, self.rollouts.get_tallies),
             self.quarantine,
             self.crash_check,
@@ -291,7 +306,7 @@
     def _render_metrics(self):
         self.metrics.manifest_age.set(min(self.freshness.age, MAX_REPORTED_AGE_S))
         self.metrics.store_calls.set(self.store.calls)
-        contradictions = self.rollouts.count_contradictions()
+        contradictions = self.assigner.count_contradictions()
         self.metrics.session_contradictions.set(contradictions)
         self.metrics.in_flight.set(self.client_listener.in_flight)
         return encode_ok_response(self.metrics.render(), CONTENT_TYPE_LATEST)
@@ -325,7 +340,7 @@
         limit = find_age_limit(bounds.strict_revocation, bounds.revocation_delay)
         self.freshness.set_limit(limit)
         self.forward_filter.apply_bounds(bounds)
-        self.rollouts.apply_bounds(bounds)
+        self.assigner.apply_bounds(bounds)
         log.info("settings reloaded", bounds_changed=changed)
 
     def is_ready(self):
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -27,6 +27,7 @@
 from .metrics import GatewayMetrics
 from .place_wait import PlaceWait
 from .quarantine import QuarantineFilter
+from .release_assignment import ReleaseAssigner
 from .release_rollouts import ReleaseRolloutController
 from .request_log import describe_attempt, log_request_end
 
@@ -52,6 +53,8 @@
     servers : ServerPool
         Selects servers and tracks their health.
     rollouts : ReleaseRolloutController
+        Knows releases that were rolled back.
+    assigner : ReleaseAssigner
         Restricts a request to the releases of its side of a roll-out.
     recorder : AnswerRecorder
         Counts the answers of releases that are rolled out.
@@ -70,6 +73,7 @@
     attempt_runner: AttemptRunner
     servers: ServerPool
     rollouts: ReleaseRolloutController
+    assigner: ReleaseAssigner
     recorder: AnswerRecorder
     quarantine: QuarantineFilter
     crash_check: CrashCheck
@@ -103,17 +107,16 @@
         self._models = self._plan_models(route)
         self._model_index = 0
         self._affinity = self._compute_affinity()
-        self._assignment = context.rollouts.assign(request, self._service)
-        self._allows_server = self._assignment.allows_server
+        self._assignment = None
+        self._allows_server = None
+        self._place_wait = None
         self._history = AttemptHistory(route.repeatable, route.max_attempts)
         self._progress = StreamProgress(last_event=request.last_event)
         self._kept_answer = None
         self._tried = set()
         self._attempt_log = []
         self._current_server_id = None
-        self._place_wait = PlaceWait(
-            context.servers, request, service, self._allows_server, self._clock
-        )
+        self._last_release = None
 
     @property
     def _time_left(self):
@@ -126,6 +129,26 @@
         -------
         Result of None, or of Refusal
         """
+        await self._assign()
+        try:
+            return await self._run_attempts()
+        finally:
+            self._context.assigner.end(self._assignment, self._last_release)
+
+    async def _assign(self):
+        """Choose the releases that the request may use."""
+        context = self._context
+        self._assignment = await context.assigner.assign(self._request, self._service)
+        self._allows_server = self._assignment.allows_server
+        self._place_wait = PlaceWait(
+            context.servers,
+            self._request,
+            self._service,
+            self._allows_server,
+            self._clock,
+        )
+
+    async def _run_attempts(self):
         while True:
             if self._context.quarantine.is_quarantined(self._request):
                 return self._log_result(self._give_up(RefusalReason.QUARANTINED))
@@ -192,6 +215,7 @@
             was_silent=self._context.servers.is_silent(server, now),
         )
         self._current_server_id = server.id
+        self._last_release = server.release
         wait = self._estimate_wait()
         plan = AttemptPlan(
             self._request,
@@ -361,7 +385,8 @@
         metrics.requests.labels(end).inc()
         elapsed = self._clock() - request.raw.received_at
         metrics.latency.labels(request.route.name).observe(elapsed)
-        inputs |= self._assignment.describe()
+        if self._assignment is not None:
+            inputs |= self._assignment.describe()
         log_request_end(
             request, end, elapsed, self._progress, self._attempt_log, **inputs
         )
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -173,12 +173,20 @@
         base = tally.base.get(route, empty)
         counts = (target.answers, target.bad, base.answers, base.bad)
         routes.append(RouteTally(route, *counts))
-    return TrialTally(service, order, routes)
+    return TrialTally(
+        service,
+        order,
+        routes,
+        target_starts=tally.target_starts,
+        base_starts=tally.base_starts,
+    )
 
 
 def decode_tally(encoded):
     """Convert a TrialTally message to a Tally."""
-    tally = Tally()
+    tally = Tally(
+        target_starts=encoded.target_starts or 0, base_starts=encoded.base_starts or 0
+    )
     for latencies in encoded.latencies or ():
         kind = AnswerKind(RouteName(latencies.route), latencies.model)
         tally.target_latencies[kind] = _decode_histogram(latencies.target)
--- a/tanagerwalk/gateway/membership.py
+++ b/tanagerwalk/gateway/membership.py
@@ -27,6 +27,7 @@
     port: int
     failure_domain: str = ""
     changes_port: int = 0
+    owns_sessions: bool = False
 
 
 class MembershipController:
@@ -87,6 +88,7 @@
                 (record.address, record.port),
                 FailureDomain(record.failure_domain),
                 record.changes_port,
+                record.owns_sessions,
             )
         peers = self._keep_lost_peers(peers)
         if peers != self.peers:
@@ -124,7 +126,9 @@
         if granted.is_error():
             return False
         own = self._get_own_peer()
-        record = _PeerRecord(*own.address, own.failure_domain, own.changes_port)
+        record = _PeerRecord(
+            *own.address, own.failure_domain, own.changes_port, own.owns_sessions
+        )
         value = msgspec.json.encode(record)
         result = await self._store.put(self._key, value, granted.ok)
         if result.is_error():
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -1,20 +1,14 @@
 """Runs the roll-outs of releases that operators order."""
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass
 
 import structlog
 
 from ..decisions.relays import Role
 from ..decisions.release_evidence import RecentLatencies
 from ..decisions.release_rollouts import (
-    ReleaseChooser,
     RolloutPhase,
     RolloutState,
-    RoutingConditions,
-    SideChoice,
-    find_local_slack,
     find_next_phase,
     find_write_delay,
     is_bad_in_phase,
@@ -30,40 +24,6 @@
 ROLLOUT_PREFIX = STORE_PREFIX + "rollout/"
 STEP_INTERVAL_S = 0.25
 WRITE_RETRY_S = 0.7
-MAX_STATE_AGE_S = 2.5
-
-
-@dataclass(frozen=True, slots=True)
-class ReleaseAssignment:
-    """The releases that a request may use, and how they were chosen.
-
-    Parameters
-    ----------
-    allows_server : callable
-        Takes a RegisteredServer and returns whether it is allowed.
-    choice : SideChoice or None
-        The side of the roll-out; None without a roll-out.
-    phase : RolloutPhase or None
-        The phase that this instance knew.
-    state_age : float
-        Seconds since its copy of the store was confirmed.
-    """
-
-    allows_server: Callable
-    choice: SideChoice | None = None
-    phase: RolloutPhase | None = None
-    state_age: float = 0.0
-
-    def describe(self):
-        """Return the log fields of the assignment; none without a roll-out."""
-        if self.choice is None:
-            return {}
-        return {
-            "on_target": self.choice.is_target,
-            "side_reason": self.choice.reason.value,
-            "phase": self.phase.value,
-            "state_age": round(self.state_age, 2),
-        }
 
 
 class ReleaseRolloutController:
@@ -80,20 +40,12 @@
         Local copy of the store.
     cluster_state : ClusterState
         Provides the operators' roll-out orders.
-    servers : ServerPool
-        Provides the releases and the waiting times of the servers.
     codec : PlatformCodec
         Encodes the roll-out status for the operators.
-    freshness : Freshness
-        Tells how old the copy of the store is.
-    bounds : Bounds
-        Configured limits of the deployment.
     failure_domain : FailureDomain
         Where this instance runs.
     is_watcher : callable
         Returns whether this instance watches the store itself.
-    count_instances : callable
-        Returns the number of instances of the fleet.
     clock : callable
         Returns monotonic time in seconds.
     random : random.Random
@@ -105,29 +57,20 @@
         store,
         mirror,
         cluster_state,
-        servers,
         codec,
-        freshness,
-        bounds,
         failure_domain,
         is_watcher,
-        count_instances,
         clock,
         random,
     ):
         self._store = store
         self._mirror = mirror
         self._cluster_state = cluster_state
-        self._servers = servers
         self._codec = codec
-        self._freshness = freshness
         self._failure_domain = failure_domain
         self._is_watcher = is_watcher
-        self._count_instances = count_instances
         self._clock = clock
         self._random = random
-        self._bounds = bounds
-        self._choosers = {}
         self._states = {}
         self._revisions = {}
         self._started_at = {}
@@ -137,105 +80,36 @@
         self._role = Role.FLAT
         mirror.subscribe(self._load_states)
 
-    def apply_bounds(self, bounds):
-        """Apply changed Bounds to new sessions."""
-        self._bounds = bounds
-        for chooser in self._choosers.values():
-            chooser.set_bounds(*self._get_chooser_bounds())
-
-    def _get_chooser_bounds(self):
-        bounds = self._bounds
-        slack = find_local_slack(bounds.canary_slack, self._count_instances())
-        return bounds.canary_share, bounds.session_gap, slack
-
     # Called for each request.
 
-    def assign(self, request, service):
-        """Return the ReleaseAssignment of a request.
-
-        Parameters
-        ----------
-        request : GatewayRequest
-            The request.
-        service : ServiceName
-            The service of the request.
-        """
-        now = self._clock()
-        session = request.session or request.id
-        chooser = self._get_chooser(service)
-        order = self._cluster_state.orders.get(service)
-        if order is None:
-            chooser.record_session(session, now)
-            # A release that is registered while the request runs may be the target
-            # of a new roll-out, so that only the releases known now are allowed.
-            known = self._servers.list_releases(service)
-            return ReleaseAssignment(lambda server: server.release in known)
-        state = self._get_state(order)
-        conditions = self._get_conditions(order, now)
-        choice = chooser.decide(state, session, now, conditions)
-        target = order.target
-        return ReleaseAssignment(
-            lambda server: (server.release == target) == choice.is_target,
-            choice,
-            state.phase,
-            self._freshness.age,
-        )
-
-    def count_contradictions(self):
-        """Return how often two instances knew another release of one session."""
-        return sum(chooser.contradictions for chooser in self._choosers.values())
+    def record_start(self, order, is_target):
+        """Count a request that was assigned to a release of an order's roll-out."""
+        self.get_tallies((order.service, order.revision)).own.record_start(is_target)
 
-    def list_side_overrides(self):
-        """Return the sessions whose release differs from the one their hash gives.
+    def count_starts(self, order):
+        """Return the requests of the fleet since an order, and those on the target.
 
         Returns
         -------
-        dict of ServiceName to dict of int to bool
-            Whether each session is on the target release, by hash of the session.
+        tuple of (int, int)
         """
-        now = self._clock()
-        return {
-            service: chooser.list_side_overrides(now)
-            for service, chooser in self._choosers.items()
-        }
-
-    def merge_side_overrides(self, service, overrides):
-        """Merge the side overrides that another instance reports for a service."""
-        self._get_chooser(service).add_side_overrides(overrides, self._clock())
+        tally = self.get_tallies((order.service, order.revision))
+        return tally.count_fleet_starts(self._role)
 
-    def _get_conditions(self, order, now):
-        def is_target(server):
-            return server.release == order.target
-
-        def is_base(server):
-            return server.release != order.target
-
-        service = order.service
-        started = self._started_at.get((service, order.revision), now)
-        return RoutingConditions(
-            has_recent_state=self._freshness.age < MAX_STATE_AGE_S,
-            has_target=self._servers.has_server(service, is_target),
-            base_wait=self._servers.estimate_wait(service, now, is_base),
-            target_wait=self._servers.estimate_wait(service, now, is_target),
-            progress=(now - started) / max(order.duration, 1.0),
-        )
+    def find_progress(self, order, now):
+        """Return the part of a roll-out's duration that has passed at `now`."""
+        started = self._started_at.get((order.service, order.revision), now)
+        return (now - started) / max(order.duration, 1.0)
 
     def find_rolled_back_release(self, service):
         """Return the rolled-back release, which gets no more requests, or None."""
         order = self._cluster_state.orders.get(service)
         if order is None:
             return None
-        state = self._get_state(order)
+        state = self.get_state(order)
         return order.target if state.phase is RolloutPhase.ROLLED_BACK else None
 
-    def _get_chooser(self, service):
-        chooser = self._choosers.get(service)
-        if chooser is None:
-            chooser = ReleaseChooser(service, *self._get_chooser_bounds())
-            self._choosers[service] = chooser
-        return chooser
-
-    def _get_state(self, order):
+    def get_state(self, order):
         """Return the RolloutState of an order.
 
         A rollback that this instance decided applies before it is written to the store.
@@ -318,8 +192,6 @@
         key = (order.service, order.revision)
         self._started_at.setdefault(key, self._clock())
         self._discard_old_tallies(order)
-        # The number of instances may have changed since the last roll-out.
-        self.apply_bounds(self._bounds)
         state = RolloutState(
             order.service, order.target, order.revision, RolloutPhase.CANARY
         )
@@ -397,7 +269,7 @@
     def _list_active_tallies(self):
         for order in self._cluster_state.orders.values():
             key = (order.service, order.revision)
-            if key in self._tallies and not self._get_state(order).phase.is_final:
+            if key in self._tallies and not self.get_state(order).phase.is_final:
                 yield key, self._tallies[key]
 
     def record_peer_tally(self, key, scope, domain, sender, tally):
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -27,6 +27,7 @@
     encode_tally,
     sign,
 )
+from .session_notes import decode_note, encode_note
 
 log = structlog.get_logger(__name__)
 
@@ -35,6 +36,7 @@
 MAX_SIDES = 80
 MAX_SIDE_MESSAGES = 4
 MAX_BLAMES = 16
+MAX_NOTES = 20
 MAX_LEAVING = 24
 RELAYED_LIFETIME_S = 1.5
 
@@ -94,7 +96,9 @@
     quarantine : QuarantineFilter
         Provides and merges crash records.
     rollouts : ReleaseRolloutController
-        Provides and merges side overrides and tallies.
+        Provides and merges tallies.
+    assigner : ReleaseAssigner
+        Provides and merges side overrides, and receives notes about sessions.
     get_peers : callable
         Returns the Peer of each other instance, by incarnation.
     clock : callable
@@ -112,6 +116,7 @@
         relays,
         quarantine,
         rollouts,
+        assigner,
         get_peers,
         clock,
         random,
@@ -123,6 +128,7 @@
         self._relays = relays
         self._quarantine = quarantine
         self._rollouts = rollouts
+        self._assigner = assigner
         self._get_peers = get_peers
         self._clock = clock
         self._random = random
@@ -184,6 +190,9 @@
         self._relays.record_heard(message.sender, now)
         scope = Scope(message.scope)
         domain = FailureDomain(message.domain)
+        if message.notes:
+            self._receive_notes(message)
+            return
         if not self._shared.accepts(scope):
             return
         if scope is Scope.DOMAIN and domain != self._failure_domain:
@@ -201,6 +210,24 @@
         if self._shared.update(source, message.sender, message.sequence, loads, now):
             self._apply_other_sections(message, scope, domain, now)
 
+    def _receive_notes(self, message):
+        notes = [decode_note(encoded) for encoded in message.notes]
+        readable = [note for note in notes if note is not None]
+        self._assigner.receive(message.sender, readable)
+
+    def send_notes(self, receiver_id, notes):
+        """Send SessionNotes to another instance at once."""
+        if self._secret is None:
+            return
+        encoded = [encode_note(note) for note in notes]
+        messages = [
+            self._build_message(
+                Scope.INSTANCE, notes=encoded[start : start + MAX_NOTES]
+            )
+            for start in range(0, len(encoded), MAX_NOTES)
+        ]
+        self._send_messages(messages, [receiver_id])
+
     def _apply_other_sections(self, message, scope, domain, now):
         """Process whatever a message tells beside loads."""
         if message.leaving:
@@ -213,7 +240,7 @@
         for encoded in message.sides or ():
             service = ServiceName(encoded.service_name)
             overrides = decode_sides(encoded)
-            self._rollouts.merge_side_overrides(service, overrides)
+            self._assigner.merge_side_overrides(service, overrides)
             for session, on_target in overrides.items():
                 key = (service, session)
                 self._relayed_sides.record(scope, key, on_target, now)
@@ -309,7 +336,7 @@
     def _list_own_sides(self):
         return {
             (service, session): on_target
-            for service, overrides in self._rollouts.list_side_overrides().items()
+            for service, overrides in self._assigner.list_side_overrides().items()
             for session, on_target in overrides.items()
         }
 
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -16,6 +16,27 @@
 all_structs = []
 
 
+class SessionNoteKind(object):
+    ASK = 0
+    ANSWER = 1
+    BEGIN = 2
+    END = 3
+
+    _VALUES_TO_NAMES = {
+        0: "ASK",
+        1: "ANSWER",
+        2: "BEGIN",
+        3: "END",
+    }
+
+    _NAMES_TO_VALUES = {
+        "ASK": 0,
+        "ANSWER": 1,
+        "BEGIN": 2,
+        "END": 3,
+    }
+
+
 class Scope(object):
     INSTANCE = 0
     DOMAIN = 1
@@ -655,15 +676,19 @@
      - order
      - routes
      - latencies
+     - target_starts
+     - base_starts
 
     """
 
 
-    def __init__(self, service_name=None, order=None, routes=None, latencies=None,):
+    def __init__(self, service_name=None, order=None, routes=None, latencies=None, target_starts=None, base_starts=None,):
         self.service_name = service_name
         self.order = order
         self.routes = routes
         self.latencies = latencies
+        self.target_starts = target_starts
+        self.base_starts = base_starts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -706,6 +731,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.target_starts = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.base_starts = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -738,6 +773,148 @@
                 iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.target_starts is not None:
+            oprot.writeFieldBegin('target_starts', TType.I64, 5)
+            oprot.writeI64(self.target_starts)
+            oprot.writeFieldEnd()
+        if self.base_starts is not None:
+            oprot.writeFieldBegin('base_starts', TType.I64, 6)
+            oprot.writeI64(self.base_starts)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SessionNote(object):
+    """
+    Attributes:
+     - kind
+     - service_name
+     - order
+     - session
+     - request
+     - lifetime_ms
+     - on_target
+     - is_known
+
+    """
+
+
+    def __init__(self, kind=None, service_name=None, order=None, session=None, request=None, lifetime_ms=None, on_target=None, is_known=None,):
+        self.kind = kind
+        self.service_name = service_name
+        self.order = order
+        self.session = session
+        self.request = request
+        self.lifetime_ms = lifetime_ms
+        self.on_target = on_target
+        self.is_known = is_known
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.kind = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.order = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.session = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.request = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.lifetime_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.on_target = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.is_known = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SessionNote')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.I32, 1)
+            oprot.writeI32(self.kind)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.I64, 3)
+            oprot.writeI64(self.order)
+            oprot.writeFieldEnd()
+        if self.session is not None:
+            oprot.writeFieldBegin('session', TType.I64, 4)
+            oprot.writeI64(self.session)
+            oprot.writeFieldEnd()
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.I64, 5)
+            oprot.writeI64(self.request)
+            oprot.writeFieldEnd()
+        if self.lifetime_ms is not None:
+            oprot.writeFieldBegin('lifetime_ms', TType.I32, 6)
+            oprot.writeI32(self.lifetime_ms)
+            oprot.writeFieldEnd()
+        if self.on_target is not None:
+            oprot.writeFieldBegin('on_target', TType.BOOL, 7)
+            oprot.writeBool(self.on_target)
+            oprot.writeFieldEnd()
+        if self.is_known is not None:
+            oprot.writeFieldBegin('is_known', TType.BOOL, 8)
+            oprot.writeBool(self.is_known)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -839,11 +1016,12 @@
      - parts
      - leaving
      - limits
+     - notes
 
     """
 
 
-    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None, scope=None, domain=None, part=None, parts=None, leaving=None, limits=None,):
+    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None, scope=None, domain=None, part=None, parts=None, leaving=None, limits=None, notes=None,):
         self.sender = sender
         self.sequence = sequence
         self.loads = loads
@@ -856,6 +1034,7 @@
         self.parts = parts
         self.leaving = leaving
         self.limits = limits
+        self.notes = notes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -961,6 +1140,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.notes = []
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = SessionNote()
+                        _elem101.read(iprot)
+                        self.notes.append(_elem101)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -982,29 +1172,29 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter96 in self.loads:
-                iter96.write(oprot)
+            for iter102 in self.loads:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blames is not None:
             oprot.writeFieldBegin('blames', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.blames))
-            for iter97 in self.blames:
-                iter97.write(oprot)
+            for iter103 in self.blames:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sides is not None:
             oprot.writeFieldBegin('sides', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.sides))
-            for iter98 in self.sides:
-                iter98.write(oprot)
+            for iter104 in self.sides:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter99 in self.tallies:
-                iter99.write(oprot)
+            for iter105 in self.tallies:
+                iter105.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.scope is not None:
@@ -1026,15 +1216,22 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 11)
             oprot.writeListBegin(TType.I64, len(self.leaving))
-            for iter100 in self.leaving:
-                oprot.writeI64(iter100)
+            for iter106 in self.leaving:
+                oprot.writeI64(iter106)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter101 in self.limits:
-                iter101.write(oprot)
+            for iter107 in self.limits:
+                iter107.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.notes is not None:
+            oprot.writeFieldBegin('notes', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.notes))
+            for iter108 in self.notes:
+                iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1110,6 +1307,20 @@
     (2, TType.I64, 'order', None, None, ),  # 2
     (3, TType.LIST, 'routes', (TType.STRUCT, [RouteTally, None], False), None, ),  # 3
     (4, TType.LIST, 'latencies', (TType.STRUCT, [LatencyTally, None], False), None, ),  # 4
+    (5, TType.I64, 'target_starts', None, None, ),  # 5
+    (6, TType.I64, 'base_starts', None, None, ),  # 6
+)
+all_structs.append(SessionNote)
+SessionNote.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'kind', None, None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'order', None, None, ),  # 3
+    (4, TType.I64, 'session', None, None, ),  # 4
+    (5, TType.I64, 'request', None, None, ),  # 5
+    (6, TType.I32, 'lifetime_ms', None, None, ),  # 6
+    (7, TType.BOOL, 'on_target', None, None, ),  # 7
+    (8, TType.BOOL, 'is_known', None, None, ),  # 8
 )
 all_structs.append(TunnelNotice)
 TunnelNotice.thrift_spec = (
@@ -1132,6 +1343,7 @@
     (10, TType.I32, 'parts', None, None, ),  # 10
     (11, TType.LIST, 'leaving', (TType.I64, None, False), None, ),  # 11
     (12, TType.LIST, 'limits', (TType.STRUCT, [ServerLimit, None], False), None, ),  # 12
+    (13, TType.LIST, 'notes', (TType.STRUCT, [SessionNote, None], False), None, ),  # 13
 )
 fix_spec(all_structs)
 del all_structs
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -36,8 +36,7 @@
   3: i32 heard_ago_ms
 }
 
-// Sessions, by hash, that use another release of a roll-out than the one their hash
-// assigns them to.
+// Sessions, by hash, whose release the instances of an earlier version have to be told.
 struct SessionSides {
   1: string service_name
   2: list<i64> on_target
@@ -68,6 +67,36 @@
   2: i64 order
   3: list<RouteTally> routes
   4: optional list<LatencyTally> latencies
+  // Requests that were assigned to each release.
+  5: optional i64 target_starts
+  6: optional i64 base_starts
+}
+
+// What an instance tells an owner of a session during a roll-out, and its answer.
+enum SessionNoteKind {
+  // A request begins; the owner answers which release the session uses.
+  ASK = 0
+  ANSWER = 1
+  // A request begins on a release.
+  BEGIN = 2
+  // A request has ended on a release.
+  END = 3
+}
+
+// `session` is a hash; `request` a random number that identifies a request.
+struct SessionNote {
+  1: SessionNoteKind kind
+  2: string service_name
+  // Revision of the order that started the roll-out.
+  3: i64 order
+  4: i64 session
+  5: i64 request
+  // Time until the request's deadline or, after its end, until the session expires.
+  6: optional i32 lifetime_ms
+  // Absent in the answer of an owner that cannot tell.
+  7: optional bool on_target
+  // Whether the owner knows the session, rather than proposing a release for it.
+  8: optional bool is_known
 }
 
 // What a backend server said about itself in an answer that came through a tunnel; sent
@@ -105,4 +134,5 @@
   // Backend servers that have said that they leave, by a hash of id and start time.
   11: optional list<i64> leaving
   12: optional list<ServerLimit> limits
+  13: optional list<SessionNote> notes
 }
--- a/test/decisions/test_release_evidence.py
+++ b/test/decisions/test_release_evidence.py
@@ -11,6 +11,11 @@
     find_bucket,
 )
 from tanagerwalk.decisions.load_curve import DEFAULT_SLOPE, LoadCurve
+from tanagerwalk.decisions.release_choice import (
+    ReleaseChooser,
+    RoutingConditions,
+    hash_session,
+)
 from tanagerwalk.decisions.release_evidence import (
     RECENT_S,
     RecentLatencies,
@@ -19,10 +24,8 @@
     is_slow_release,
 )
 from tanagerwalk.decisions.release_rollouts import (
-    ReleaseChooser,
     RolloutPhase,
     RolloutState,
-    RoutingConditions,
     find_next_phase,
 )
 from tanagerwalk.decisions.tallies import AnswerKind, Tally
@@ -121,7 +124,8 @@
     source = random.Random(seed)
     fleet = Fleet(scenario, source)
     choosers = [
-        ReleaseChooser("drafts", CANARY_SHARE, SESSION_GAP_S) for _ in range(INSTANCES)
+        ReleaseChooser("drafts", CANARY_SHARE, SESSION_GAP_S, CANARY_SLACK)
+        for _ in range(INSTANCES)
     ]
     recent = RecentLatencies()
     rollout = RolloutState("drafts", "v2", 7, RolloutPhase.CANARY)
@@ -132,10 +136,12 @@
         rate = rate or scenario.late_rate
         for _ in range(int(rate * STEP_S + source.random())):
             chooser = source.choice(choosers)
-            session = b"%d" % source.getrandbits(40)
-            is_target = now >= 0.0 and chooser.choose(
-                rollout, session, now, RoutingConditions()
+            key = hash_session("drafts", b"%d" % source.getrandbits(40))
+            conditions = RoutingConditions(
+                starts=sent[True] + sent[False], target_starts=sent[True]
             )
+            choice = chooser.choose_new(rollout.phase, key, conditions)
+            is_target = now >= 0.0 and choice.is_target
             fleet.start(is_target, now)
             sent[is_target] += now >= 0.0
         fleet.advance(now)
--- a/test/gateway/rollout_fleet.py
+++ b/test/gateway/rollout_fleet.py
@@ -14,7 +14,8 @@
 
 from tanagerwalk.decisions.peers import Peer
 from tanagerwalk.decisions.relays import RelaySelection
-from tanagerwalk.decisions.shared_loads import SharedLoadTable
+from tanagerwalk.decisions.shared_loads import SharedLoad, SharedLoadTable
+from tanagerwalk.gateway.release_assignment import ReleaseAssigner
 from tanagerwalk.gateway.release_rollouts import ReleaseRolloutController
 from tanagerwalk.gateway.rollout_records import decode_state
 from tanagerwalk.gateway.sharing import LoadSharing
@@ -98,6 +99,7 @@
     started: float
     ended: float = float("inf")
     instance: str = ""
+    reason: str = ""
 
 
 @dataclass
@@ -174,6 +176,22 @@
             subscriber()
 
 
+class _ClusterState:
+    def __init__(self):
+        self.orders = {}
+        self.seen_at = {}
+        self._subscribers = []
+
+    def subscribe(self, subscriber):
+        self._subscribers.append(subscriber)
+
+    def see_order(self, order):
+        self.seen_at[(order.service, order.target)] = asyncio.get_running_loop().time()
+        self.orders = self.orders | {order.service: order}
+        for subscriber in self._subscribers:
+            subscriber()
+
+
 class _Servers:
     """What an instance knows of the backend servers of both releases."""
 
@@ -182,17 +200,22 @@
         self._fleet = fleet
         self.limits = SimpleNamespace(list_news=lambda now: {})
 
-    def _list(self, service):
+    def list_known(self, service):
         now = self._fleet.loop.time()
-        for release, known_at in self._fleet.list_releases(service):
-            if now >= known_at + self._instance.target_delay * (known_at > 0.0):
+        for release, started_at in self._fleet.list_releases(service):
+            # Changes of the store are seen in their order.
+            order_seen_at = self._instance.cluster_state.seen_at.get(
+                (service, release), now
+            )
+            known_at = max(started_at, order_seen_at) + self._instance.target_delay
+            if release == "v1" or now >= known_at:
                 yield SimpleNamespace(release=release)
 
     def has_server(self, service, is_allowed):
-        return any(map(is_allowed, self._list(service)))
+        return any(map(is_allowed, self.list_known(service)))
 
     def list_releases(self, service):
-        return {server.release for server in self._list(service)}
+        return {server.release for server in self.list_known(service)}
 
     def estimate_wait(self, service, now, is_allowed):
         start, end = self._fleet.scenario.queue
@@ -204,7 +227,7 @@
         return 2.0 if has_queue else 0.0
 
     def list_own_loads(self, now):
-        return {}
+        return {"server": SharedLoad(1, 100.0)}
 
     def list_leaving(self):
         return []
@@ -222,8 +245,8 @@
         self.target_delay = self.random.uniform(0.0, scenario.unseen_target)
         self.peers = {}
         self.mirror = _Mirror()
-        self.cluster_state = SimpleNamespace(orders={})
-        servers = _Servers(self, fleet)
+        self.cluster_state = _ClusterState()
+        self.servers = servers = _Servers(self, fleet)
         clock = fleet.loop.time
         bounds = SimpleNamespace(
             canary_share=CANARY_SHARE,
@@ -235,13 +258,19 @@
             fleet.store,
             self.mirror,
             self.cluster_state,
-            servers,
             codec,
-            self,
-            bounds,
             self.domain,
             lambda: number < 2 * len(DOMAINS),
-            lambda: 1 + len(self.peers),
+            clock,
+            self.random,
+        )
+        self.assigner = ReleaseAssigner(
+            self.name,
+            self.cluster_state,
+            self.rollouts,
+            servers,
+            self,
+            bounds,
             clock,
             self.random,
         )
@@ -257,12 +286,14 @@
             self.relays,
             quarantine,
             self.rollouts,
+            self.assigner,
             lambda: self.peers,
             clock,
             self.random,
         )
         self.sharing.authenticate(FLEET_KEY)
         self.sharing.connection_made(self)
+        self.assigner.send_notes = self.sharing.send_notes
         self.tasks = []
 
     @property
@@ -287,11 +318,18 @@
         self.mirror.write(entry)
 
     def see_order(self, order):
-        self.cluster_state.orders = self.cluster_state.orders | {order.service: order}
+        self.cluster_state.see_order(order)
 
     def see_peers(self, peers):
         self.peers = {name: peer for name, peer in peers.items() if name != self.name}
         self.relays.set_peers(self.peers)
+        self.assigner.set_peers(self.peers)
+
+    def _pick_release(self, service, is_allowed):
+        """Return the newest allowed release, or the newest one of the other side."""
+        known = list(self.servers.list_known(service))
+        allowed = [server for server in known if is_allowed(server)]
+        return (allowed or known)[-1].release
 
     async def serve(self, session, service, duration):
         """Serve a request and return it as Served."""
@@ -303,14 +341,16 @@
             id=b"%d" % fleet.request_count,
             deadline=now + CLIENT_TIMEOUT_S,
         )
-        assignment = self.rollouts.assign(request, service)
-        release = fleet.pick_release(service, assignment.allows_server)
+        assignment = await self.assigner.assign(request, service)
+        release = self._pick_release(service, assignment.allows_server)
         served = Served(session, service, release, fleet.loop.time())
         served.instance = self.name
+        served.reason = str(assignment.describe())
         fleet.served.append(served)
         fleet.record_answer(self, service, release)
         await asyncio.sleep(duration)
         served.ended = fleet.loop.time()
+        self.assigner.end(assignment, release)
 
 
 class RolloutFleet:
@@ -375,7 +415,7 @@
 
     def _publish_peers(self, delay):
         peers = {
-            instance.name: Peer((instance.name, 0), instance.domain)
+            instance.name: Peer((instance.name, 0), instance.domain, owns_sessions=True)
             for instance in self.instances
         }
         for instance in self.instances:
@@ -394,7 +434,8 @@
         old = self.instances[place]
         old.stop()
         new = _Instance(self, old.number, number + 1)
-        new.cluster_state.orders = {given.service: given for _, given in self._orders}
+        for _, given in self._orders:
+            new.see_order(given)
         new.mirror.entries = dict(self.store.entries)
         self.instances[place] = new
         new.rollouts._load_states()
@@ -413,15 +454,6 @@
         """Return the release that was ordered last."""
         return self._orders[-1][0].target if self._orders else "v1"
 
-    def pick_release(self, service, is_allowed):
-        """Return the newest allowed release but one that was completed and stopped."""
-        allowed = [
-            release
-            for release, _ in self.list_releases(service)
-            if is_allowed(SimpleNamespace(release=release))
-        ]
-        return allowed[-1] if allowed else "v1"
-
     def record_answer(self, instance, service, release):
         """Count an answer, every second one of a bad release as bad."""
         order = next(
--- a/test/gateway/test_crash_news.py
+++ b/test/gateway/test_crash_news.py
@@ -53,8 +53,8 @@
             list_own_tallies=dict,
             list_domain_tallies=dict,
             list_fleet_tallies=dict,
-            list_side_overrides=dict,
         )
+        assigner = SimpleNamespace(list_side_overrides=dict)
         quarantine = QuarantineFilter(servers, lambda: self.now, self.random)
         sharing = LoadSharing(
             name,
@@ -64,6 +64,7 @@
             relays,
             quarantine,
             rollouts,
+            assigner,
             lambda: others,
             lambda: self.now,
             self.random,
--- a/test/gateway/test_sharing.py
+++ b/test/gateway/test_sharing.py
@@ -46,12 +46,15 @@
     tally = Tally(
         {"plans": SideCount(9, 2)},
         {"plans": SideCount(90, 1), "notes": SideCount(30, 0)},
+        target_starts=12,
+        base_starts=150,
     )
     message = LoadMessage("sender", 1, [], tallies=[encode_tally("drafts", 7, tally)])
     (encoded,) = decode(LoadMessage, encode(message)).ok.tallies
     assert (encoded.service_name, encoded.order) == ("drafts", 7)
     merged = decode_tally(encoded)
     assert merged.base == tally.base
+    assert (merged.target_starts, merged.base_starts) == (12, 150)
     assert merged.target == tally.target | {"notes": SideCount()}
 
 
@@ -69,6 +72,7 @@
         RelaySelection("own", "a-1"),
         SimpleNamespace(merge_records=lambda records, passes_on: None),
         SimpleNamespace(record_peer_tally=lambda *tally: None),
+        SimpleNamespace(receive=lambda sender, notes: None),
         dict,
         lambda: 10.0,
         random.Random(1),
