Split the building of load messages from their exchange

Ruled out: a change of the messages: the code is moved, and the notes are built beside the rest. Change: load_message_builder.py builds the messages of a round; sharing.py sends and receives. Result: test_sharing.py, test_crash_news.py and test_session_notes.py pass, and the fleets of 9 instances of test_session_releases.py.

--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -1,17 +1,15 @@
 """Exchanges backend server loads and roll-out data with the other instances."""
 
 import asyncio
-from dataclasses import dataclass, field
 
 import structlog
 
 from ..decisions.relayed_items import RelayedItems
 from ..decisions.relays import Role, Scope
-from ..decisions.server_limits import LimitNews
-from ..decisions.shared_loads import ReportSource, SharedLoad, hash_server
+from ..decisions.shared_loads import ReportSource, hash_server
 from ..ids import FailureDomain, ServiceName
 from ..peers.codec import encode
-from ..peers.gen.loads.ttypes import LoadMessage
+from .load_message_builder import Contents, LoadMessageBuilder
 from .load_messages import (
     decode_blame,
     decode_limit,
@@ -19,65 +17,16 @@
     decode_message,
     decode_sides,
     decode_tally,
-    encode_blame,
-    encode_latencies,
-    encode_limit,
-    encode_load,
-    encode_sides,
-    encode_tally,
     sign,
 )
-from .session_notes import decode_note, encode_note
+from .session_notes import decode_note
 
 log = structlog.get_logger(__name__)
 
-# Keep a message within one packet of 1,400 bytes.
-MAX_LOADS = 60
-MAX_SIDES = 80
-MAX_SIDE_MESSAGES = 4
-MAX_BLAMES = 16
-MAX_NOTES = 20
 MAX_LEAVING = 24
 RELAYED_LIFETIME_S = 1.5
 
 
-@dataclass(frozen=True, slots=True)
-class Contents:
-    """What one round of messages tells about an instance, a domain or the fleet.
-
-    Parameters
-    ----------
-    scope : Scope
-        Whose data this is.
-    loads : dict of int to SharedLoad
-        Loads by server hash.
-    blames : dict of Fingerprint to CrashRecord
-        Crashes by the request that caused them.
-    sides : dict of (ServiceName, int) to bool
-        Side overrides by service and session hash.
-    tallies : dict of (ServiceName, int) to Tally
-        Tallies of the active roll-outs.
-    leaving : tuple of int
-        Servers that have said that they leave, by `hash_life`.
-    limits : dict of int to LimitNews
-        Limits that servers name, by `hash_life`.
-    """
-
-    scope: Scope
-    loads: dict[int, SharedLoad]
-    blames: dict
-    sides: dict
-    tallies: dict
-    leaving: tuple[int, ...] = ()
-    limits: dict[int, LimitNews] = field(default_factory=dict)
-
-    @property
-    def is_empty(self):
-        """Whether nothing but tallies would be told."""
-        sections = (self.loads, self.blames, self.sides, self.leaving, self.limits)
-        return not any(sections)
-
-
 class LoadSharing(asyncio.DatagramProtocol):
     """Sends and receives load messages as UDP datagrams.
 
@@ -135,7 +84,7 @@
         self._relayed_sides = RelayedItems(RELAYED_LIFETIME_S)
         self._secret = None
         self._transport = None
-        self._sequence = 0
+        self._builder = LoadMessageBuilder(incarnation, failure_domain, random)
         self._role = Role.FLAT
         self._was_idle = False
         self.rejected = 0
@@ -219,13 +168,7 @@
         """Send SessionNotes to another instance at once."""
         if self._secret is None:
             return
-        encoded = [encode_note(note) for note in notes]
-        messages = [
-            self._build_message(
-                Scope.INSTANCE, notes=encoded[start : start + MAX_NOTES]
-            )
-            for start in range(0, len(encoded), MAX_NOTES)
-        ]
+        messages = self._builder.build_notes(notes)
         self._send_messages(messages, [receiver_id])
 
     def _apply_other_sections(self, message, scope, domain, now):
@@ -286,7 +229,7 @@
         now = self._clock()
         records = self._quarantine.choose_news()
         for scope, receiver_ids in self._list_receivers(now):
-            messages = self._build_blame_messages(scope, records)
+            messages = self._builder.build_blames(scope, records)
             self._send_messages(messages, receiver_ids)
 
     def _list_receivers(self, now):
@@ -303,7 +246,7 @@
         ]
 
     def _send_round(self, now):
-        self._sequence += 1
+        self._builder.begin_round()
         own = self._collect_own(now)
         if self._role is Role.FLAT:
             self._send(own, self._get_peers())
@@ -370,7 +313,7 @@
             if contents.is_empty and self._was_idle:
                 return
             self._was_idle = not contents.loads
-        self._send_messages(self._build_messages(contents), receiver_ids)
+        self._send_messages(self._builder.build(contents), receiver_ids)
 
     def _send_messages(self, messages, receiver_ids):
         peers = self._get_peers()
@@ -380,57 +323,6 @@
             for address in addresses:
                 self._transport.sendto(datagram, address)
 
-    def _build_messages(self, contents):
-        # What is urgent goes first, since a full link drops the last messages.
-        yield from self._build_blame_messages(contents.scope, contents.blames)
-        if contents.limits:
-            limits = [encode_limit(*item) for item in contents.limits.items()]
-            yield self._build_message(contents.scope, limits=limits)
-        parts = -(-len(contents.loads) // MAX_LOADS) or 1
-        tallies = [encode_tally(*key, tally) for key, tally in contents.tallies.items()]
-        for part in range(parts):
-            loads = [
-                encode_load(key, load)
-                for key, load in contents.loads.items()
-                if key % parts == part
-            ]
-            yield self._build_message(
-                contents.scope,
-                part,
-                parts,
-                loads=loads,
-                tallies=tallies or None,
-                leaving=list(contents.leaving) or None,
-            )
-        for key, tally in contents.tallies.items():
-            for latencies in encode_latencies(*key, tally):
-                yield self._build_message(contents.scope, tallies=[latencies])
-        sides = self._choose_sides(contents.sides)
-        for start in range(0, len(sides), MAX_SIDES):
-            part_sides = encode_sides(dict(sides[start : start + MAX_SIDES]))
-            yield self._build_message(contents.scope, sides=part_sides)
-
-    def _build_blame_messages(self, scope, records):
-        blames = [encode_blame(record, key) for key, record in records.items()]
-        for start in range(0, len(blames), MAX_BLAMES):
-            yield self._build_message(scope, blames=blames[start : start + MAX_BLAMES])
-
-    def _build_message(self, scope, part=0, parts=1, **sections):
-        return LoadMessage(
-            self._incarnation,
-            self._sequence,
-            scope=scope.value,
-            domain=self._failure_domain,
-            part=part,
-            parts=parts,
-            **sections,
-        )
-
-    def _choose_sides(self, sides):
-        """Return the sessions' sides to tell of; a sample if there are many."""
-        count = min(len(sides), MAX_SIDES * MAX_SIDE_MESSAGES)
-        return self._random.sample(list(sides.items()), count)
-
     def _choose_leaving(self):
         """Return leaving servers to tell of; a sample if there are many."""
         leaving = self._servers.list_leaving()
--- a/test/gateway/test_sharing.py
+++ b/test/gateway/test_sharing.py
@@ -16,6 +16,7 @@
     hash_server,
 )
 from tanagerwalk.decisions.tallies import AnswerKind, SideCount, Tally
+from tanagerwalk.gateway.load_message_builder import Contents
 from tanagerwalk.gateway.load_messages import (
     decode_load,
     decode_tally,
@@ -23,7 +24,7 @@
     encode_tally,
     sign,
 )
-from tanagerwalk.gateway.sharing import Contents, LoadSharing
+from tanagerwalk.gateway.sharing import LoadSharing
 from tanagerwalk.peers.codec import decode, encode
 from tanagerwalk.peers.gen.loads.ttypes import LoadMessage
 
@@ -158,7 +159,7 @@
         tally.base_latencies[kind] = LatencyHistogram(dict.fromkeys(range(30), 900))
     tallies = {("drafts", 7): tally}
     contents = Contents(Scope.FLEET, loads, blames, sides, tallies)
-    messages = list(sharing._build_messages(contents))
+    messages = list(sharing._builder.build(contents))
     assert max(len(sign(SECRET, encode(message))) for message in messages) <= 1400
     told = {load.server for message in messages for load in message.loads or ()}
     assert told == set(loads)
