Read the conditions of a roll-out only where they decide, and count starts alone

Cause: each request and each question of a roll-out summed all tallies of the fleet with their histograms, and estimated waits, also where a known session needs neither. Ruled out: a change of the choice: the order of the checks is as before. Change: the conditions are read when a new session needs them; starts are summed without the histograms.

--- a/tanagerwalk/decisions/release_choice.py
+++ b/tanagerwalk/decisions/release_choice.py
@@ -6,11 +6,12 @@
 """
 
 import hashlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from .release_rollouts import RolloutPhase
 from .session_records import SessionRecords
+from .tallies import StartCount
 
 # Part of the allowed canary share that the session hash assigns to the target in the
 # canary phase; in the ramp phase, RAMP_FACTOR times as much.
@@ -99,8 +100,8 @@
         Seconds that a request waits for a server of the base and the target release.
     progress : float
         Part of the roll-out's duration that has passed, from 0 to 1.
-    starts, target_starts : int
-        Requests of the fleet since the order, and those that went to the target.
+    starts : StartCount
+        Requests of the fleet since the order.
     """
 
     has_recent_state: bool = True
@@ -108,8 +109,15 @@
     base_wait: float = 0.0
     target_wait: float = 0.0
     progress: float = 1.0
-    starts: int = 0
-    target_starts: int = 0
+    starts: StartCount = field(default_factory=StartCount)
+
+    def find_obstacle(self):
+        """Return the SideReason that keeps new sessions off the target, or None."""
+        if not self.has_recent_state:
+            return SideReason.STALE
+        if not self.has_target:
+            return SideReason.NO_TARGET
+        return None
 
     @property
     def is_base_overloaded(self):
@@ -191,7 +199,7 @@
         """Return whether a session may go to the target in the canary phase."""
         return key < min(1.0, self._share * OVERFLOW_FACTOR) * HASH_RANGE
 
-    def choose_new(self, phase, key, conditions):
+    def choose_new(self, phase, key, read_conditions):
         """Return the SideChoice of a new session, or of a request without a session.
 
         Parameters
@@ -200,37 +208,38 @@
             The phase of the roll-out.
         key : int
             Hash of the session or the request.
-        conditions : RoutingConditions
-            Load of the releases and age of this instance's state.
+        read_conditions : callable
+            Returns the RoutingConditions, if they matter.
         """
         if phase is RolloutPhase.ROLLED_BACK:
             return SideChoice(False, SideReason.PHASE)
         if phase in (RolloutPhase.FULL, RolloutPhase.COMPLETE):
             return SideChoice(True, SideReason.PHASE)
-        if not conditions.has_recent_state:
-            return SideChoice(False, SideReason.STALE)
-        if not conditions.has_target:
-            return SideChoice(False, SideReason.NO_TARGET)
+        conditions = read_conditions()
+        obstacle = conditions.find_obstacle()
+        if obstacle is not None:
+            return SideChoice(False, obstacle)
         reason = SideReason.HASH
         share = self._share
-        max_target_starts = self._canary_share * conditions.starts
+        starts = conditions.starts.total
+        max_target_starts = self._canary_share * starts
         if phase is RolloutPhase.RAMP:
             share = min(1.0, share * RAMP_FACTOR)
-            max_target_starts = share * conditions.starts
+            max_target_starts = share * starts
         elif conditions.is_base_overloaded:
             reason = SideReason.QUEUE
             share = min(1.0, share * OVERFLOW_FACTOR)
-            expected = conditions.starts / max(conditions.progress, MIN_PROGRESS)
+            expected = starts / max(conditions.progress, MIN_PROGRESS)
             max_target_starts = max(
                 max_target_starts, OVERFLOW_EXPOSURE * self._canary_share * expected
             )
         if key >= share * HASH_RANGE:
             return SideChoice(False, SideReason.HASH)
-        if conditions.target_starts + 1.0 > max_target_starts + self._slack:
+        if conditions.starts.target + 1.0 > max_target_starts + self._slack:
             return SideChoice(False, SideReason.NO_SHARE)
         return SideChoice(True, reason)
 
-    def answer(self, phase, key, now, conditions, has_learned):
+    def answer(self, phase, key, now, read_conditions, has_learned):
         """Return the OwnerAnswer of this instance as an owner of a session.
 
         Parameters
@@ -241,22 +250,22 @@
             Hash of the session.
         now : float
             Monotonic time in seconds.
-        conditions : RoutingConditions
-            Load of the releases and age of this instance's state.
+        read_conditions : callable
+            Returns the RoutingConditions, if they matter.
         has_learned : bool
             Whether all running sessions have been told to this owner.
         """
         known = self.owned.find(key, now)
         if known and phase is not RolloutPhase.ROLLED_BACK:
             return OwnerAnswer(True, is_known=True)
-        choice = self.choose_new(phase, key, conditions)
         if phase is RolloutPhase.CANARY and known is not None:
             return OwnerAnswer(False, is_known=True)
         if phase is RolloutPhase.CANARY and not has_learned:
             return OwnerAnswer()
+        choice = self.choose_new(phase, key, read_conditions)
         return OwnerAnswer(choice.is_target, is_known=known is not None)
 
-    def decide(self, phase, key, answers, now, conditions):
+    def decide(self, phase, key, answers, now, read_conditions):
         """Return the SideChoice of a request of a session.
 
         Parameters
@@ -269,11 +278,11 @@
             What the owners say, in their order; OwnerAnswer() for one that is silent.
         now : float
             Monotonic time in seconds.
-        conditions : RoutingConditions
-            Load of the releases and age of this instance's state.
+        read_conditions : callable
+            Returns the RoutingConditions, if they matter.
         """
         if phase is RolloutPhase.ROLLED_BACK or phase is RolloutPhase.COMPLETE:
-            return self.choose_new(phase, key, conditions)
+            return self.choose_new(phase, key, read_conditions)
         known = self._list_known(key, answers, now)
         if phase is RolloutPhase.CANARY:
             self.contradictions += len({is_target for _, is_target in known}) > 1
@@ -291,13 +300,12 @@
             return SideChoice(False, reason)
         if proposals and not proposals[0]:
             return SideChoice(False, SideReason.PROPOSED)
-        if not conditions.has_recent_state:
-            return SideChoice(False, SideReason.STALE)
-        if not conditions.has_target:
-            return SideChoice(False, SideReason.NO_TARGET)
-        if proposals:
-            return SideChoice(True, SideReason.PROPOSED)
-        return self.choose_new(phase, key, conditions)
+        if not proposals:
+            return self.choose_new(phase, key, read_conditions)
+        obstacle = read_conditions().find_obstacle()
+        if obstacle is not None:
+            return SideChoice(False, obstacle)
+        return SideChoice(True, SideReason.PROPOSED)
 
     def _list_known(self, key, answers, now):
         """Return what is known of a session, as (SideReason, bool) tuples."""
--- a/tanagerwalk/decisions/tallies.py
+++ b/tanagerwalk/decisions/tallies.py
@@ -25,6 +25,34 @@
         self.bad = max(self.bad, other.bad)
 
 
+@dataclass(slots=True)
+class StartCount:
+    """Number of requests that were assigned to each release."""
+
+    target: int = 0
+    base: int = 0
+
+    @property
+    def total(self):
+        """Number of all requests."""
+        return self.target + self.base
+
+    def record(self, is_target):
+        """Count one request."""
+        self.target += is_target
+        self.base += not is_target
+
+    def add(self, other):
+        """Add another count."""
+        self.target += other.target
+        self.base += other.base
+
+    def raise_to(self, other):
+        """Raise both numbers to those of another count of the same requests."""
+        self.target = max(self.target, other.target)
+        self.base = max(self.base, other.base)
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerKind:
     """Answers whose latencies can be compared: those of one route and model.
@@ -48,7 +76,7 @@
         Answers of the release that it replaces.
     target_latencies, base_latencies : dict of AnswerKind to LatencyHistogram
         Their latencies.
-    target_starts, base_starts : int
+    starts : StartCount
         Requests that were assigned to each release.
     """
 
@@ -56,13 +84,7 @@
     base: dict[RouteName, SideCount] = field(default_factory=dict)
     target_latencies: dict[AnswerKind, LatencyHistogram] = field(default_factory=dict)
     base_latencies: dict[AnswerKind, LatencyHistogram] = field(default_factory=dict)
-    target_starts: int = 0
-    base_starts: int = 0
-
-    def record_start(self, is_target):
-        """Count one request that was assigned to a release."""
-        self.target_starts += is_target
-        self.base_starts += not is_target
+    starts: StartCount = field(default_factory=StartCount)
 
     def record(self, route, is_target, is_bad):
         """Count one answer."""
@@ -101,8 +123,7 @@
 
     def add(self, other):
         """Add a tally of other answers."""
-        self.target_starts += other.target_starts
-        self.base_starts += other.base_starts
+        self.starts.add(other.starts)
         for own, peer, create in self._pair_sides(other):
             for key, count in peer.items():
                 own.setdefault(key, create()).add(count)
@@ -112,8 +133,7 @@
 
         The counts of an instance only grow, so the higher ones are the newer ones.
         """
-        self.target_starts = max(self.target_starts, other.target_starts)
-        self.base_starts = max(self.base_starts, other.base_starts)
+        self.starts.raise_to(other.starts)
         for own, peer, create in self._pair_sides(other):
             for key, count in peer.items():
                 own.setdefault(key, create()).raise_to(count)
@@ -180,30 +200,7 @@
 
     def sum_domain(self):
         """Return the Tally of the failure domain, as a relay knows it."""
-        total = Tally()
-        total.add(self.own)
-        for (domain, _), tally in self._received[Scope.INSTANCE].items():
-            if domain == self._failure_domain:
-                total.add(tally)
-        other_relay = self._received[Scope.DOMAIN].get(self._failure_domain)
-        if other_relay is not None:
-            total.raise_to(other_relay)
-        return total
-
-    def count_fleet_starts(self, role):
-        """Return the requests of the fleet, and those on the target.
-
-        Parameters
-        ----------
-        role : Role
-            How this instance takes part in the exchange of messages.
-
-        Returns
-        -------
-        tuple of (int, int)
-        """
-        total = self.sum_fleet(role)
-        return total.target_starts + total.base_starts, total.target_starts
+        return self._sum_domain(Tally, _get_tally)
 
     def sum_fleet(self, role):
         """Return the Tally of all instances.
@@ -213,19 +210,45 @@
         role : Role
             How this instance takes part in the exchange of messages.
         """
-        total = Tally()
-        if role is Role.MEMBER:
-            total.add(self.own)
-            for tally in self._received[Scope.FLEET].values():
-                total.raise_to(tally)
-            return total
+        return self._sum_fleet(role, Tally, _get_tally)
+
+    def sum_fleet_starts(self, role):
+        """Return the StartCount of all instances, as `sum_fleet` has it."""
+        return self._sum_fleet(role, StartCount, _get_starts)
+
+    def _sum_domain(self, create, read):
+        total = create()
+        total.add(read(self.own))
+        for (domain, _), tally in self._received[Scope.INSTANCE].items():
+            if domain == self._failure_domain:
+                total.add(read(tally))
+        other_relay = self._received[Scope.DOMAIN].get(self._failure_domain)
+        if other_relay is not None:
+            total.raise_to(read(other_relay))
+        return total
+
+    def _sum_fleet(self, role, create, read):
+        """Return the sum of what `read` returns of the tallies of all instances."""
         if role is Role.RELAY:
-            total = self.sum_domain()
+            total = self._sum_domain(create, read)
             for domain, tally in self._received[Scope.DOMAIN].items():
                 if domain != self._failure_domain:
-                    total.add(tally)
+                    total.add(read(tally))
+            return total
+        total = create()
+        total.add(read(self.own))
+        if role is Role.MEMBER:
+            for tally in self._received[Scope.FLEET].values():
+                total.raise_to(read(tally))
             return total
-        total.add(self.own)
         for tally in self._received[Scope.INSTANCE].values():
-            total.add(tally)
+            total.add(read(tally))
         return total
+
+
+def _get_tally(tally):
+    return tally
+
+
+def _get_starts(tally):
+    return tally.starts
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -12,7 +12,7 @@
 from ..decisions.relays import Scope
 from ..decisions.server_limits import LimitNews
 from ..decisions.shared_loads import SharedLoad
-from ..decisions.tallies import AnswerKind, SideCount, Tally
+from ..decisions.tallies import AnswerKind, SideCount, StartCount, Tally
 from ..ids import Fingerprint, Incarnation, PartKey, RouteName
 from ..peers.codec import decode
 from ..peers.gen.loads.ttypes import (
@@ -177,16 +177,15 @@
         service,
         order,
         routes,
-        target_starts=tally.target_starts,
-        base_starts=tally.base_starts,
+        target_starts=tally.starts.target,
+        base_starts=tally.starts.base,
     )
 
 
 def decode_tally(encoded):
     """Convert a TrialTally message to a Tally."""
-    tally = Tally(
-        target_starts=encoded.target_starts or 0, base_starts=encoded.base_starts or 0
-    )
+    starts = StartCount(encoded.target_starts or 0, encoded.base_starts or 0)
+    tally = Tally(starts=starts)
     for latencies in encoded.latencies or ():
         kind = AnswerKind(RouteName(latencies.route), latencies.model)
         tally.target_latencies[kind] = _decode_histogram(latencies.target)
--- a/tanagerwalk/gateway/release_assignment.py
+++ b/tanagerwalk/gateway/release_assignment.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 
 import structlog
 
@@ -180,8 +181,8 @@
     def _choose_alone(self, order, key):
         """Return the SideChoice of a request without a session."""
         phase = self._rollouts.get_state(order).phase
-        conditions = self._conditions.read(order)
-        return self._choosers.get(order.service).choose_new(phase, key, conditions)
+        chooser = self._choosers.get(order.service)
+        return chooser.choose_new(phase, key, partial(self._conditions.read, order))
 
     async def _choose(self, order, key, number, deadline):
         """Return the SideChoice of a request of a session."""
@@ -206,7 +207,7 @@
             key,
             [answers.get(owner, OwnerAnswer()) for owner in asked],
             self._clock(),
-            self._conditions.read(order),
+            partial(self._conditions.read, order),
         )
         begin = replace(note, kind=NoteKind.BEGIN, is_target=choice.is_target)
         for owner in owners:
--- a/tanagerwalk/gateway/release_conditions.py
+++ b/tanagerwalk/gateway/release_conditions.py
@@ -53,15 +53,13 @@
         service = order.service
         has_target = self._servers.has_server(service, is_target)
         known_for = self._find_target_age(order, has_target, now)
-        starts, target_starts = self._rollouts.count_starts(order)
         return RoutingConditions(
             has_recent_state=self.state_age < MAX_STATE_AGE_S,
             has_target=has_target and known_for >= target_known_for,
             base_wait=self._servers.estimate_wait(service, now, is_base),
             target_wait=self._servers.estimate_wait(service, now, is_target),
             progress=self._rollouts.find_progress(order, now),
-            starts=starts,
-            target_starts=target_starts,
+            starts=self._rollouts.count_starts(order),
         )
 
     def _find_target_age(self, order, has_target, now):
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -84,17 +84,13 @@
 
     def record_start(self, order, is_target):
         """Count a request that was assigned to a release of an order's roll-out."""
-        self.get_tallies((order.service, order.revision)).own.record_start(is_target)
+        book = self.get_tallies((order.service, order.revision))
+        book.own.starts.record(is_target)
 
     def count_starts(self, order):
-        """Return the requests of the fleet since an order, and those on the target.
-
-        Returns
-        -------
-        tuple of (int, int)
-        """
-        tally = self.get_tallies((order.service, order.revision))
-        return tally.count_fleet_starts(self._role)
+        """Return the StartCount of the fleet since an order."""
+        book = self.get_tallies((order.service, order.revision))
+        return book.sum_fleet_starts(self._role)
 
     def find_progress(self, order, now):
         """Return the part of a roll-out's duration that has passed at `now`."""
--- a/tanagerwalk/gateway/session_ownership.py
+++ b/tanagerwalk/gateway/session_ownership.py
@@ -1,6 +1,7 @@
 """Records of the sessions that an instance owns during a roll-out."""
 
 from dataclasses import replace
+from functools import partial
 
 from ..decisions.release_choice import OwnerAnswer, has_learned_sessions
 from .session_notes import NoteKind, SessionNote
@@ -56,7 +57,7 @@
             self._rollouts.get_state(order).phase,
             note.session,
             now,
-            self._conditions.read(order, TARGET_NEWS_S),
+            partial(self._conditions.read, order, TARGET_NEWS_S),
             self._has_learned(order, now, chooser.gap),
         )
         if answer.is_target is not None:
--- a/test/decisions/test_release_choice.py
+++ b/test/decisions/test_release_choice.py
@@ -15,6 +15,7 @@
     hash_session,
 )
 from tanagerwalk.decisions.release_rollouts import RolloutPhase
+from tanagerwalk.decisions.tallies import StartCount
 
 SHARE = 0.15
 GAP_S = 5.0
@@ -22,7 +23,7 @@
 CANARY = RolloutPhase.CANARY
 RAMP = RolloutPhase.RAMP
 # Far enough that no cap applies.
-ROOM = RoutingConditions(starts=10_000)
+ROOM = RoutingConditions(starts=StartCount(0, 10_000))
 LOW_KEY = 1
 HIGH_KEY = HASH_RANGE - 1
 
@@ -31,13 +32,17 @@
     return ReleaseChooser("drafts", share, GAP_S, slack)
 
 
+def count_starts(total, target):
+    return StartCount(target, total - target)
+
+
 def list_keys(count):
     return [hash_session("drafts", b"s%d" % n) for n in range(count)]
 
 
 def ask(chooser, key, phase=CANARY, now=1.0, conditions=ROOM, has_learned=True):
     """Return the answer of an owner, which records it."""
-    answer = chooser.answer(phase, key, now, conditions, has_learned)
+    answer = chooser.answer(phase, key, now, lambda: conditions, has_learned)
     if answer.is_target is not None:
         chooser.owned.begin(key, 1, answer.is_target, now + 1.0, now)
     return answer
@@ -46,7 +51,7 @@
 def serve(asker, owner, key, phase=CANARY, now=1.0, conditions=ROOM):
     """Serve a request of a session as an instance that asks one owner."""
     answers = [ask(owner, key, phase, now)]
-    return asker.decide(phase, key, answers, now, conditions).is_target
+    return asker.decide(phase, key, answers, now, lambda: conditions).is_target
 
 
 def test_session_that_began_before_the_order_stays_on_its_release():
@@ -75,7 +80,9 @@
     keys = list_keys(200)
     asker = build_chooser(0.5)
     assert not any(serve(asker, owner, key, conditions=conditions) for key in keys)
-    assert not any(asker.choose_new(CANARY, key, conditions).is_target for key in keys)
+    assert not any(
+        asker.choose_new(CANARY, key, lambda: conditions).is_target for key in keys
+    )
 
 
 @pytest.mark.parametrize(
@@ -90,7 +97,7 @@
 def test_later_phases_move_every_session(phase, on_target, answers):
     chooser = build_chooser()
     chooser.served.end(HIGH_KEY, 0, False, GAP_S, 0.0)
-    choice = chooser.decide(phase, HIGH_KEY, answers, 0.1, ROOM)
+    choice = chooser.decide(phase, HIGH_KEY, answers, 0.1, lambda: ROOM)
     assert choice.is_target is on_target
     assert ask(chooser, HIGH_KEY, phase).is_target is on_target
 
@@ -103,7 +110,7 @@
     target_starts = chosen = 0
     for starts, number in enumerate(numbers):
         key = hash_session("drafts", b"s%d" % number)
-        conditions = RoutingConditions(starts=starts, target_starts=target_starts)
+        conditions = RoutingConditions(starts=count_starts(starts, target_starts))
         answer = ask(chooser, key, conditions=conditions)
         target_starts += answer.is_target
         if number not in sessions:
@@ -117,7 +124,9 @@
     asker, owner = build_chooser(), build_chooser()
     first = serve(asker, owner, key, now=0.0)
     for step, is_recent in enumerate(recent_states):
-        conditions = RoutingConditions(has_recent_state=is_recent, starts=10_000)
+        conditions = RoutingConditions(
+            has_recent_state=is_recent, starts=StartCount(0, 10_000)
+        )
         assert serve(asker, owner, key, now=step, conditions=conditions) is first
 
 
@@ -129,8 +138,7 @@
             base_wait=base_wait,
             target_wait=target_wait,
             progress=0.2,
-            starts=starts,
-            target_starts=target_starts,
+            starts=count_starts(starts, target_starts),
         )
         target_starts += ask(chooser, key, conditions=conditions).is_target
     return target_starts
@@ -153,7 +161,7 @@
 def test_session_that_went_to_the_target_in_a_queue_stays_there():
     owner = build_chooser()
     key = int(3 * 0.9 * SHARE * HASH_RANGE)
-    queue = RoutingConditions(base_wait=2.0, starts=10_000)
+    queue = RoutingConditions(base_wait=2.0, starts=StartCount(0, 10_000))
     assert ask(owner, key, conditions=queue).is_target
     assert build_chooser().is_shared(CANARY, key)
     assert serve(build_chooser(), owner, key)
@@ -166,7 +174,7 @@
     keys = list_keys(40)
     sides = [serve(build_chooser(), owner, key) for key in keys]
     assert True in sides
-    full = RoutingConditions(starts=100, target_starts=100)
+    full = RoutingConditions(starts=StartCount(100, 0))
     assert [ask(owner, key, conditions=full).is_target for key in keys] == sides
 
 
@@ -183,8 +191,8 @@
         own = 0
         for request in range(requests):
             key = hash_session("drafts", b"%d.%d" % (number, request))
-            conditions = RoutingConditions(starts=request, target_starts=own)
-            own += chooser.choose_new(CANARY, key, conditions).is_target
+            conditions = RoutingConditions(starts=count_starts(request, own))
+            own += chooser.choose_new(CANARY, key, lambda c=conditions: c).is_target
         chosen += own
     assert chosen <= SHARE * instances * requests + SLACK
 
@@ -217,27 +225,27 @@
 )
 def test_one_owner_that_knows_a_session_on_the_target_is_enough(phase, answers):
     stale = RoutingConditions(has_recent_state=False)
-    choice = build_chooser().decide(phase, HIGH_KEY, answers, 0.0, stale)
+    choice = build_chooser().decide(phase, HIGH_KEY, answers, 0.0, lambda: stale)
     assert (choice.is_target, choice.reason) == (True, SideReason.OWNER)
 
 
 def test_knowledge_goes_before_a_proposal():
     answers = [OwnerAnswer(True, False), OwnerAnswer(False, True)]
-    choice = build_chooser().decide(CANARY, LOW_KEY, answers, 0.0, ROOM)
+    choice = build_chooser().decide(CANARY, LOW_KEY, answers, 0.0, lambda: ROOM)
     assert not choice.is_target
 
 
 # Guards against PINNED: owners that can't be reached leave a session where it is.
 def test_session_without_owners_stays_on_the_base_in_the_canary_phase():
     silent = [OwnerAnswer(), OwnerAnswer()]
-    choice = build_chooser().decide(CANARY, LOW_KEY, silent, 0.0, ROOM)
+    choice = build_chooser().decide(CANARY, LOW_KEY, silent, 0.0, lambda: ROOM)
     assert (choice.is_target, choice.reason) == (False, SideReason.NO_OWNER)
 
 
 def test_session_served_here_on_the_target_stays_there_without_owners():
     chooser = build_chooser()
     chooser.served.begin(HIGH_KEY, 1, True, 3.0, 0.0)
-    choice = chooser.decide(RAMP, HIGH_KEY, [OwnerAnswer()], 1.0, ROOM)
+    choice = chooser.decide(RAMP, HIGH_KEY, [OwnerAnswer()], 1.0, lambda: ROOM)
     assert (choice.is_target, choice.reason) == (True, SideReason.SERVED_HERE)
 
 
--- a/test/decisions/test_release_evidence.py
+++ b/test/decisions/test_release_evidence.py
@@ -28,7 +28,7 @@
     RolloutState,
     find_next_phase,
 )
-from tanagerwalk.decisions.tallies import AnswerKind, Tally
+from tanagerwalk.decisions.tallies import AnswerKind, StartCount, Tally
 
 # Bounds of the users' sites: share and slack of requests to a release that proves bad.
 CANARY_SHARE = 0.15
@@ -137,10 +137,8 @@
         for _ in range(int(rate * STEP_S + source.random())):
             chooser = source.choice(choosers)
             key = hash_session("drafts", b"%d" % source.getrandbits(40))
-            conditions = RoutingConditions(
-                starts=sent[True] + sent[False], target_starts=sent[True]
-            )
-            choice = chooser.choose_new(rollout.phase, key, conditions)
+            conditions = RoutingConditions(starts=StartCount(sent[True], sent[False]))
+            choice = chooser.choose_new(rollout.phase, key, lambda c=conditions: c)
             is_target = now >= 0.0 and choice.is_target
             fleet.start(is_target, now)
             sent[is_target] += now >= 0.0
--- a/test/gateway/test_release_assignment.py
+++ b/test/gateway/test_release_assignment.py
@@ -9,6 +9,7 @@
 from tanagerwalk.decisions.peers import Peer
 from tanagerwalk.decisions.release_choice import SideReason, hash_session
 from tanagerwalk.decisions.release_rollouts import RolloutPhase, RolloutState
+from tanagerwalk.decisions.tallies import StartCount
 from tanagerwalk.gateway.release_assignment import ReleaseAssigner
 from tanagerwalk.gateway.settings import Bounds
 from tanagerwalk.registry import RolloutOrder
@@ -30,7 +31,7 @@
         )
         rollouts = SimpleNamespace(
             get_state=lambda order: RolloutState("drafts", "v2", 7, self.phase),
-            count_starts=lambda order: (10_000, 0),
+            count_starts=lambda order: StartCount(0, 10_000),
             find_progress=lambda order, now: 0.2,
             record_start=lambda order, is_target: None,
         )
--- a/test/gateway/test_session_notes.py
+++ b/test/gateway/test_session_notes.py
@@ -8,7 +8,7 @@
 from virtual_time import run_in_virtual_time
 
 from tanagerwalk.decisions.release_choice import OwnerAnswer
-from tanagerwalk.decisions.tallies import Tally
+from tanagerwalk.decisions.tallies import StartCount, Tally
 from tanagerwalk.gateway.load_messages import decode_tally, encode_tally
 from tanagerwalk.gateway.membership import _PeerRecord
 from tanagerwalk.gateway.session_inquiries import ANSWER_TIMEOUT_S, SessionInquiries
@@ -82,7 +82,7 @@
 
 
 def test_counts_of_requests_are_read_by_the_other_build():
-    tally = Tally(target_starts=3, base_starts=40)
+    tally = Tally(starts=StartCount(3, 40))
     message = ttypes.LoadMessage(
         "sender", 1, scope=0, tallies=[encode_tally("drafts", 7, tally)]
     )
@@ -92,7 +92,7 @@
     message = earlier.LoadMessage("sender", 1, scope=0, tallies=[sent])
     (received,) = decode(ttypes.LoadMessage, encode(message)).ok.tallies
     decoded = decode_tally(received)
-    assert (decoded.target_starts, decoded.base_starts) == (0, 0)
+    assert decoded.starts == StartCount()
     assert decoded.target["r"].answers == 1
 
 
--- a/test/gateway/test_sharing.py
+++ b/test/gateway/test_sharing.py
@@ -15,7 +15,7 @@
     SharedLoadTable,
     hash_server,
 )
-from tanagerwalk.decisions.tallies import AnswerKind, SideCount, Tally
+from tanagerwalk.decisions.tallies import AnswerKind, SideCount, StartCount, Tally
 from tanagerwalk.gateway.load_message_builder import Contents
 from tanagerwalk.gateway.load_messages import (
     decode_load,
@@ -47,15 +47,14 @@
     tally = Tally(
         {"plans": SideCount(9, 2)},
         {"plans": SideCount(90, 1), "notes": SideCount(30, 0)},
-        target_starts=12,
-        base_starts=150,
+        starts=StartCount(12, 150),
     )
     message = LoadMessage("sender", 1, [], tallies=[encode_tally("drafts", 7, tally)])
     (encoded,) = decode(LoadMessage, encode(message)).ok.tallies
     assert (encoded.service_name, encoded.order) == ("drafts", 7)
     merged = decode_tally(encoded)
     assert merged.base == tally.base
-    assert (merged.target_starts, merged.base_starts) == (12, 150)
+    assert merged.starts == StartCount(12, 150)
     assert merged.target == tally.target | {"notes": SideCount()}
 
 
