--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,9 +22,9 @@
 from tanagerwalk.standins.metadata import MetadataStandIn
 
 GATEWAYS = 3
-SECONDS = 10
-STREAMS_PER_S = 2  # to each gateway
-BOOKINGS_PER_S = 2  # to each gateway
+SECONDS = 12
+STREAMS_PER_S = 4  # to each gateway
+BOOKINGS_PER_S = 3  # to each gateway
 ROUTE_TIMEOUT_S = 1.5
 CLIENT_TIMEOUT_S = 3.0
 STREAM_TIMEOUT_S = 12.0
--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -43,7 +43,7 @@
 [limits]
 cpu_share = 0.537
 cores = 2
-memory_mb = {memory_mb}
+memory_mb = 300
 max_fds = 4100
 [bounds]
 contact_ms = 3000
@@ -125,7 +125,7 @@
         Folder for settings and logs.
     """
 
-    def __init__(self, name, ip, place, store, folder, memory_mb=300):
+    def __init__(self, name, ip, place, store, folder):
         self.name = name
         self.ip = ip
         self.zone = place[0]
@@ -146,7 +146,6 @@
                 ready=self.ready,
                 peers=find_free_port(ip),
                 store=store,
-                memory_mb=memory_mb,
             )
         )
 
@@ -193,17 +192,6 @@
             await asyncio.sleep(0.1)
         return False
 
-    def read_peak_memory_mb(self):
-        """Return the highest resident memory so far, in MB; 0 if it has ended."""
-        try:
-            text = Path(f"/proc/{self.process.pid}/status").read_text()
-        except OSError:
-            return 0.0
-        for line in text.splitlines():
-            if line.startswith("VmHWM:"):
-                return int(line.split()[1]) / 1024.0
-        return 0.0
-
     async def stop(self, number=signal.SIGKILL):
         """Send a signal and wait for the end."""
         if self.is_running:
@@ -238,7 +226,7 @@
         """Loopback address of the stand-ins."""
         return f"{self.network}.250"
 
-    async def add_gateways(self, count, store_address, memory_mb=300):
+    async def add_gateways(self, count, store_address):
         """Start gateways in turn over the zones; return whether all are ready."""
         for _ in range(count):
             index = len(self.gateways)
@@ -249,7 +237,6 @@
                     ZONES[index % len(ZONES)],
                     store_address,
                     self.folder,
-                    memory_mb,
                 )
             )
         for gateway in self.gateways:
