--- a/review/3/case.py
+++ b/review/3/case.py
@@ -26,8 +26,8 @@
 
 GATEWAYS = 2
 CLIENTS = 6  # of each gateway
-SECONDS = 60.0
-PAUSE_S = 0.5
+SECONDS = 70.0
+PAUSE_S = 1.33
 CLIENT_TIMEOUT_S = 3.0
 HANDSHAKE_S = 0.001
 MAX_CLOSED = 3
