--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """An engine at its limit of connections resets new ones, while another one is full."""
 
 import asyncio
+import random
 import socket
 import struct
 import time
@@ -29,7 +30,7 @@
 SECONDS = 70.0
 PAUSE_S = 1.33
 CLIENT_TIMEOUT_S = 3.0
-HANDSHAKE_S = 0.001
+MAX_HANDSHAKE_S = 0.001
 MAX_CLOSED = 3
 
 
@@ -56,7 +57,7 @@
     """Has as many connections as it accepts, from other callers."""
 
     async def _serve(self, reader, writer):
-        await asyncio.sleep(HANDSHAKE_S)
+        await asyncio.sleep(MAX_HANDSHAKE_S * random.random())
         sock = writer.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         writer.transport.abort()
--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -354,10 +354,18 @@
 
 
 def finish(main):
-    """Run a case, and exit with its verdict."""
+    """Run a case, and exit with its verdict; SIGTERM ends it, and what it started."""
     try:
-        verdict = asyncio.run(main())
+        verdict = asyncio.run(_run_until_stopped(main))
+    except asyncio.CancelledError:
+        verdict = NOT_RUN
     except Exception as error:
         print(f"could not run: {error!r}", file=sys.stderr)
         verdict = NOT_RUN
     sys.exit(verdict)
+
+
+async def _run_until_stopped(main):
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await main()
