Read entries with deeply nested values without ending the process

Cause: msgspec raises RecursionError for nested values, also in fields that nobody uses, and every reader of the store caught MsgspecError alone. The exception passed through the subscribers of Mirror into Mirror.run, whose end ends the process.

decode_json (documents.py) returns a Result for any document. All readers of the store use it: servers, roll-out orders, the manifest, entries of instances, records of roll-outs, and the responses of the store itself.

--- a/tanagerwalk/gateway/membership.py
+++ b/tanagerwalk/gateway/membership.py
@@ -8,6 +8,7 @@
 
 from ..controllers.loop import poll_until
 from ..decisions.peers import Peer
+from ..documents import decode_json
 from ..ids import FailureDomain
 from ..writes import StoreFault
 from .clocks import read_boot_clock
@@ -79,11 +80,11 @@
         for key, entry in self._mirror.entries.items():
             if not key.startswith(self._prefix) or key == self._key:
                 continue
-            try:
-                record = msgspec.json.decode(entry.value, type=_PeerRecord)
-            except msgspec.MsgspecError as error:
-                log.warning("cannot decode peer entry", key=key, problem=str(error))
+            decoded = decode_json(entry.value, _PeerRecord)
+            if decoded.is_error():
+                log.warning("cannot decode peer entry", key=key, problem=decoded.error)
                 continue
+            record = decoded.ok
             peers[key.removeprefix(self._prefix)] = Peer(
                 (record.address, record.port),
                 FailureDomain(record.failure_domain),
--- a/tanagerwalk/gateway/rollout_records.py
+++ b/tanagerwalk/gateway/rollout_records.py
@@ -4,9 +4,11 @@
 from expression import Error, Ok
 
 from ..decisions.release_rollouts import RolloutPhase, RolloutState
+from ..documents import decode_json
 from ..ids import ReleaseName
 
 MS_PER_S = 1000.0
+PHASE_BY_NAME = {phase.value: phase for phase in RolloutPhase}
 
 
 class _RolloutRecord(msgspec.Struct, frozen=True):
@@ -38,11 +40,13 @@
     Result of RolloutState, or of str
         The error is one line for the log.
     """
-    try:
-        record = msgspec.json.decode(value, type=_RolloutRecord)
-        phase = RolloutPhase(record.phase)
-    except (msgspec.MsgspecError, ValueError) as error:
-        return Error(str(error))
+    decoded = decode_json(value, _RolloutRecord)
+    if decoded.is_error():
+        return decoded
+    record = decoded.ok
+    phase = PHASE_BY_NAME.get(record.phase)
+    if phase is None:
+        return Error(f"unknown phase {record.phase!r}")
     elapsed = record.elapsed_ms / MS_PER_S
     target = ReleaseName(record.target)
     return Ok(RolloutState(service, target, record.order, phase, elapsed))
--- a/tanagerwalk/platform/manifests.py
+++ b/tanagerwalk/platform/manifests.py
@@ -3,6 +3,7 @@
 import msgspec
 from expression import Error, Ok
 
+from ..documents import decode_json
 from ..ids import ClientAccountId, ModelName, Revision, RouteName, ServiceName
 from ..manifest import (
     ClientLimits,
@@ -88,9 +89,6 @@
     tenants: list[_Tenant] | None = None
 
 
-_DECODER = msgspec.json.Decoder(_Manifest)
-
-
 def parse_manifest(data, revision):
     """Decode a manifest.
 
@@ -106,10 +104,10 @@
     Result of Manifest, or of str
         The error is one line for the log.
     """
-    try:
-        wire = _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        return Error(f"manifest at revision {revision}: {error}")
+    decoded = decode_json(data, _Manifest)
+    if decoded.is_error():
+        return Error(f"manifest at revision {revision}: {decoded.error}")
+    wire = decoded.ok
     unknown = [
         route.name for route in wire.routes if route.kind not in REPEATABILITY_BY_KIND
     ]
--- a/tanagerwalk/platform/servers.py
+++ b/tanagerwalk/platform/servers.py
@@ -4,6 +4,7 @@
 from expression import Error, Ok
 
 from ..decisions.release_rollouts import RolloutPhase
+from ..documents import decode_json
 from ..ids import BackendServerId, FailureDomain, ReleaseName, ServiceName
 from ..registry import RegisteredServer, RolloutOrder, ServerState
 from .addresses import parse_address
@@ -41,10 +42,6 @@
     duration_s: float
 
 
-_SERVER_DECODER = msgspec.json.Decoder(_Server)
-_ROLLOUT_ORDER_DECODER = msgspec.json.Decoder(_RolloutOrder)
-
-
 def parse_server(key, data):
     """Decode the store entry that a backend server registered.
 
@@ -61,10 +58,10 @@
         The error is one line for the log: other writers of the store may leave an
         entry that does not describe a server.
     """
-    try:
-        wire = _SERVER_DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Error(f"entry {key}: {error}")
+    decoded = decode_json(data, _Server)
+    if decoded.is_error():
+        return Error(f"entry {key}: {decoded.error}")
+    wire = decoded.ok
     state = SERVER_STATE_BY_NAME.get(wire.state)
     address = parse_address(wire.address)
     if state is None or address is None or wire.slots < 1 or not wire.service:
@@ -99,10 +96,10 @@
     Result of RolloutOrder, or of str
         The error is one line for the log.
     """
-    try:
-        wire = _ROLLOUT_ORDER_DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Error(f"roll-out order {key}: {error}")
+    decoded = decode_json(data, _RolloutOrder)
+    if decoded.is_error():
+        return Error(f"roll-out order {key}: {decoded.error}")
+    wire = decoded.ok
     service = key.removeprefix(ROLLOUT_ORDER_PREFIX)
     if wire.service != service:
         return Error(f"roll-out order {key}: is for service {wire.service!r}")
--- a/tanagerwalk/platform/store.py
+++ b/tanagerwalk/platform/store.py
@@ -11,6 +11,7 @@
 from expression import Error, Ok
 
 from ..changes import Changes, Snapshot, combine_revision, split_revision
+from ..documents import decode_json
 from ..gateway.connections import open_connection
 from ..ids import Revision
 from ..writes import Entry, StoreFault, WriteOutcome
@@ -346,10 +347,12 @@
         return Error(StoreFault.REJECTED)
     if status != OK_STATUS:
         return Error(StoreFault.UNKNOWN)
-    try:
-        return Ok(msgspec.json.decode(body, type=kind))
-    except msgspec.MsgspecError:
-        return Error(StoreFault.UNKNOWN)
+    return decode_json(body, kind).map_error(_report_unreadable)
+
+
+def _report_unreadable(problem):
+    log.warning("unreadable response of the store", problem=problem)
+    return StoreFault.UNKNOWN
 
 
 def _convert_item(era, item):
