Read nested documents in `serve` without an exception

A nested response of the key-value store, the instance list or the rating service raised RecursionError out of the controller that read it, which ends the process; a nested record of a claim or a session ended the request with status 500.

All of them use decode_json. A claim or a session that cannot be read refuses the request as not run or unconfirmed; unreadable bills are logged and the others are listed.

--- a/tanagerwalk/api/payloads.py
+++ b/tanagerwalk/api/payloads.py
@@ -3,6 +3,7 @@
 import msgspec
 from expression import Error, Ok
 
+from ..documents import decode_json
 from ..outcomes import Interface, Refusal, RefusalReason
 
 # The router sets these itself, or cannot pass on the parts of the engine's response
@@ -75,12 +76,15 @@
     -------
     Result of CheckedBody, or of Refusal
     """
+    decoded = decode_json(content, dict)
+    if decoded.is_error():
+        return _refuse(f"the body is not a valid request: {decoded.error}")
+    payload = decoded.ok
+    if interface is Interface.SERVICE:
+        return Ok(CheckedBody(payload, class_name))
     try:
-        payload = msgspec.json.decode(content, type=dict)
-        if interface is Interface.SERVICE:
-            return Ok(CheckedBody(payload, class_name))
         body = msgspec.convert(payload, ChatBody)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except msgspec.ValidationError as error:
         return _refuse(f"the body is not a valid request: {error}")
     violation = _find_violation(payload, body)
     if violation is not None:
--- a/tanagerwalk/clients/attempts.py
+++ b/tanagerwalk/clients/attempts.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import aiohttp
-import msgspec
 from expression import Error
 
 from ..messages import AttemptFailure
@@ -64,8 +63,6 @@
     except (aiohttp.ClientError, ConnectionError):
         failure = AttemptFailure(RetryReason.CONNECTION_LOST, sent=True, crashed=True)
         return Error(failure)
-    except msgspec.DecodeError:
-        return Error(AttemptFailure(RetryReason.SERVER_ERROR, sent=True))
 
 
 async def is_connection_refused(address, limit=PROBE_TIMEOUT_S):
--- a/tanagerwalk/clients/engines.py
+++ b/tanagerwalk/clients/engines.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok
 
 from ..decisions.servers import LoadReport
+from ..documents import decode_json
 from ..messages import AttemptFailure, Usage
 from ..outcomes import RetryReason
 from .attempts import REQUEST_ID_HEADER, build_timeout, classify_status, run_attempt
@@ -85,9 +86,6 @@
     data: list[_Model]
 
 
-_CHUNK_DECODER = msgspec.json.Decoder(_Chunk)
-
-
 class EngineClient:
     """Sends chat completions to model engines and reads their load.
 
@@ -178,8 +176,10 @@
 
     async def _read_models(self, base, limit):
         async with self._http.get(f"{base}/v1/models", timeout=limit) as response:
-            models = msgspec.json.decode(await read_body(response), type=_Models)
-        return frozenset(model.id for model in models.data)
+            models = decode_json(await read_body(response), _Models)
+        if models.is_error():
+            raise ValueError(models.error)
+        return frozenset(model.id for model in models.ok.data)
 
 
 def _encode_body(attempt):
@@ -207,7 +207,10 @@
             if finish_reason is None:
                 break
             return Ok(ChatOutcome(OK_STATUS, usage, finish_reason))
-        chunk = _CHUNK_DECODER.decode(data)
+        decoded = decode_json(data, _Chunk)
+        if decoded.is_error():
+            return Error(AttemptFailure(RetryReason.SERVER_ERROR, sent=True))
+        chunk = decoded.ok
         if chunk.usage is not None:
             usage = Usage(chunk.usage.prompt_tokens, chunk.usage.completion_tokens)
         for choice in chunk.choices:
--- a/tanagerwalk/clients/keyvalue.py
+++ b/tanagerwalk/clients/keyvalue.py
@@ -5,12 +5,16 @@
 
 import aiohttp
 import msgspec
+import structlog
 from expression import Error, Ok
 
+from ..documents import decode_json
 from ..ids import Revision
 from ..writes import ABSENT, Entry, NewerRead, StoreFault, Write, WriteOutcome
 from .http import read_body
 
+log = structlog.get_logger(__name__)
+
 RANGE_END_ALL = b"\0"
 REJECTED_STATUSES = frozenset({400, 404, 413})
 
@@ -103,11 +107,11 @@
                     return Error(StoreFault.REJECTED)
                 if response.status != 200:
                     return Error(StoreFault.UNKNOWN)
-                return Ok(msgspec.json.decode(content, type=response_type))
         except aiohttp.ClientConnectorError:
             return Error(StoreFault.NOT_APPLIED)
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
+        except (aiohttp.ClientError, TimeoutError):
             return Error(StoreFault.UNKNOWN)
+        return decode_json(content, response_type).map_error(_report_unreadable)
 
     async def get(self, key):
         """Read one key.
@@ -248,7 +252,7 @@
                 return await _read_events(response)
         except TimeoutError:
             return Ok([])
-        except (aiohttp.ClientError, msgspec.DecodeError):
+        except aiohttp.ClientError:
             return Error(StoreFault.UNKNOWN)
 
     async def grant_lease(self, ttl):
@@ -287,11 +291,19 @@
         return result.map(lambda _response: None)
 
 
+def _report_unreadable(problem):
+    log.warning("unreadable response of the store", problem=problem)
+    return StoreFault.UNKNOWN
+
+
 async def _read_events(response):
     if response.status != 200:
         return Error(StoreFault.UNKNOWN)
     async for line in response.content:
-        result = msgspec.json.decode(line, type=_WatchResponse).result
+        decoded = decode_json(line, _WatchResponse)
+        if decoded.is_error():
+            return decoded.map_error(_report_unreadable)
+        result = decoded.ok.result
         if result.canceled:
             return Error(StoreFault.UNKNOWN)
         entries = [event.kv.to_entry() for event in result.events if event.kv.key]
--- a/tanagerwalk/clients/orders.py
+++ b/tanagerwalk/clients/orders.py
@@ -7,6 +7,7 @@
 
 from ..decisions.orders import OrderOutcome
 from ..decisions.placement import MoveKind
+from ..documents import decode_json
 from .http import read_body
 from .responses import read_retry_after
 
@@ -137,10 +138,10 @@
 
 
 def _read_message(content):
-    try:
-        body = msgspec.json.decode(content, type=_ErrorBody)
-    except msgspec.DecodeError:
+    decoded = decode_json(content, _ErrorBody)
+    if decoded.is_error():
         return ""
+    body = decoded.ok
     if body.error is not None:
         return body.error.message
     return body.message if body.object == "error" else ""
--- a/tanagerwalk/clients/pins.py
+++ b/tanagerwalk/clients/pins.py
@@ -1,12 +1,16 @@
 """Session pins: stored versions of sessions whose ids were chosen by the caller."""
 
 import msgspec
+import structlog
 from cachetools import LRUCache
 from expression import Error, Ok
 
 from ..decisions.sessions import SessionClaims
+from ..documents import decode_json
 from ..writes import StoreFault, Write
 
+log = structlog.get_logger(__name__)
+
 PIN_PREFIX = "tanagerwalk/sessions/"
 MAX_CACHED_PINS = 10_000
 MAX_WRITE_ATTEMPTS = 3
@@ -54,7 +58,9 @@
         found = await self._reader.get(key)
         if found.is_error():
             return found
-        return Ok(self._decode_and_cache(key, found.ok.value) if found.ok else None)
+        if found.ok is None:
+            return found
+        return self._decode_and_cache(key, found.ok.value)
 
     async def pin(self, session_id, claims):
         """Create a session unless it exists already.
@@ -90,12 +96,16 @@
                 self._retention.invalidate()
             return result
         existing = result.ok.existing
-        return Ok(self._decode_and_cache(key, existing.value if existing else value))
+        return self._decode_and_cache(key, existing.value if existing else value)
 
     def _decode_and_cache(self, key, value):
-        claims = msgspec.json.decode(value, type=SessionClaims)
-        self._cache[key] = claims
-        return claims
+        """Return the Result of SessionClaims that an entry holds."""
+        decoded = decode_json(value, SessionClaims)
+        if decoded.is_error():
+            log.warning("cannot decode a session", key=key, problem=decoded.error)
+            return Error(StoreFault.UNREADABLE)
+        self._cache[key] = decoded.ok
+        return decoded
 
 
 def _make_key(account, session_id):
--- a/tanagerwalk/clients/ratings.py
+++ b/tanagerwalk/clients/ratings.py
@@ -6,6 +6,7 @@
 import msgspec
 from expression import Error, Ok
 
+from ..documents import decode_json
 from .http import read_body
 
 OK_STATUS = 200
@@ -82,11 +83,14 @@
                 content = await read_body(response)
                 if response.status != OK_STATUS:
                     return Error(_read_failure(response))
-                rating = msgspec.json.decode(content, type=_Rating).rating
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
+        except (aiohttp.ClientError, TimeoutError) as error:
             return Error(
                 RatingFailure(f"rating service failed: {type(error).__name__}")
             )
+        decoded = decode_json(content, _Rating)
+        if decoded.is_error():
+            return Error(RatingFailure(f"rating is malformed: {decoded.error}"))
+        rating = decoded.ok.rating
         if not 0.0 <= rating <= 1.0:
             return Error(RatingFailure(f"rating {rating} is not between 0 and 1"))
         return Ok(rating)
--- a/tanagerwalk/clients/targets.py
+++ b/tanagerwalk/clients/targets.py
@@ -7,6 +7,7 @@
 from expression import Error, Ok
 
 from ..decisions.servers import ServerRecord, ServerRole
+from ..documents import decode_json
 from ..ids import (
     BackendServerId,
     FailureDomain,
@@ -95,13 +96,15 @@
                     return Error(
                         f"instance list returned HTTP status {response.status}"
                     )
-                groups = msgspec.json.decode(content, type=list[_TargetGroup])
-                self._last_list = _build_list(groups)
+                groups = decode_json(content, list[_TargetGroup])
+                if groups.is_error():
+                    return Error(f"instance list is malformed: {groups.error}")
+                self._last_list = _build_list(groups.ok)
                 self._last_etag = response.headers.get("ETag")
                 return Ok(self._last_list)
         except (aiohttp.ClientError, TimeoutError) as error:
             return Error(f"instance list request failed: {type(error).__name__}")
-        except (msgspec.DecodeError, KeyError, ValueError) as error:
+        except (KeyError, ValueError) as error:
             return Error(f"instance list is malformed: {error}")
 
 
--- a/tanagerwalk/controllers/billing.py
+++ b/tanagerwalk/controllers/billing.py
@@ -9,6 +9,7 @@
 import structlog
 
 from ..decisions.bills import BatchId, Bill
+from ..documents import decode_json
 from ..writes import ABSENT, Write
 from .loop import run_periodically
 
@@ -254,10 +255,15 @@
     Result of list of Bill, or of StoreFault
     """
     listed = await store.list(BILL_PREFIX)
-    return listed.map(
-        lambda entries: [
-            bill
-            for entry in entries
-            for bill in msgspec.json.decode(entry.value, type=list[Bill])
-        ]
-    )
+    return listed.map(_decode_bills)
+
+
+def _decode_bills(entries):
+    bills = []
+    for entry in entries:
+        decoded = decode_json(entry.value, list[Bill])
+        if decoded.is_error():
+            log.error("cannot decode bills", key=entry.key, problem=decoded.error)
+            continue
+        bills += decoded.ok
+    return bills
--- a/tanagerwalk/controllers/configuration.py
+++ b/tanagerwalk/controllers/configuration.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-import msgspec
 import structlog
 
 from ..decisions.configuration import NO_REVISION
 from ..decisions.patches import Patch, apply_patch
+from ..documents import decode_json
 from .loop import run_periodically
 
 log = structlog.get_logger(__name__)
@@ -99,11 +99,10 @@
 
     def _apply_patch(self, entry, started_at):
         """Apply a patch to the current text; return whether it applies."""
-        try:
-            patch = msgspec.json.decode(entry.value, type=Patch)
-        except msgspec.DecodeError:
+        patch = decode_json(entry.value, Patch)
+        if patch.is_error():
             return False
-        patched = apply_patch(self._state.text, patch)
+        patched = apply_patch(self._state.text, patch.ok)
         if patched.is_error():
             return False
         self.accept(entry.revision, patched.ok, started_at)
--- a/tanagerwalk/decisions/claims.py
+++ b/tanagerwalk/decisions/claims.py
@@ -13,6 +13,7 @@
 import msgspec
 from expression import Error, Ok
 
+from ..documents import decode_json
 from ..ids import Fingerprint, Incarnation, VersionName
 from ..messages import Answer, Usage
 from ..outcomes import Refusal, RefusalReason, RunState
@@ -226,7 +227,15 @@
             self._acquire(outcome.revision)
             return
         entry = outcome.existing
-        existing = entry and msgspec.json.decode(entry.value, type=ClaimRecord)
+        existing = None
+        if entry is not None:
+            decoded = decode_json(entry.value, ClaimRecord)
+            if decoded.is_error():
+                # Of another writer, and so no write of ours.
+                self._in_doubt = False
+                self._refuse(refuse_unavailable())
+                return
+            existing = decoded.ok
         if existing and existing.nonce == self.record.nonce:
             self._acquire(entry.revision)
             return
--- a/tanagerwalk/decisions/exposure.py
+++ b/tanagerwalk/decisions/exposure.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..documents import decode_json
 from ..ids import Incarnation
 
 GRANT_LIFETIME_S = 60.0
@@ -76,10 +77,7 @@
 
 def decode_ledger(value):
     """Decode what `encode_ledger` wrote; None if it is malformed."""
-    try:
-        return msgspec.json.decode(value, type=Ledger)
-    except msgspec.DecodeError:
-        return None
+    return decode_json(value, Ledger).default_value(None)
 
 
 class AbandonedGrantDetector:
--- a/tanagerwalk/decisions/halts.py
+++ b/tanagerwalk/decisions/halts.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..documents import decode_json
 from ..ids import SectionHash
 from ..outcomes import HaltCause, VersionState
 from .evidence import EPOCHS_KEPT, Arm, Counts
@@ -48,10 +49,7 @@
 
 def decode_halt(value):
     """Decode what `encode_halt` wrote; None if it is malformed."""
-    try:
-        return msgspec.json.decode(value, type=Halt)
-    except msgspec.DecodeError:
-        return None
+    return decode_json(value, Halt).default_value(None)
 
 
 def hash_section(version):
--- a/tanagerwalk/filters/part_blames.py
+++ b/tanagerwalk/filters/part_blames.py
@@ -11,9 +11,12 @@
     list_shared_keys,
 )
 from ..decisions.quarantine import QuarantineState
+from ..documents import decode_json
 
 log = structlog.get_logger(__name__)
 
+KNOWN_WEIGHTS = frozenset(CrashWeight)
+
 # An engine that has generated this many pieces did not crash on the prompt.
 MAX_PIECES_JUST_BEGUN = 8
 
@@ -125,14 +128,16 @@
     def _handle_fact(self, fact):
         if not is_part_key(fact.key):
             return
-        try:
-            value = msgspec.json.decode(fact.value, type=_BlameValue)
-            crashes = {
-                life: CrashWeight(weight) for life, weight in value.crashes.items()
-            }
-        except (msgspec.DecodeError, ValueError) as error:
-            log.warning("cannot decode blame of a part", problem=str(error))
+        decoded = decode_json(fact.value, _BlameValue)
+        if decoded.is_error():
+            log.warning("cannot decode blame of a part", problem=decoded.error)
+            return
+        value = decoded.ok
+        weights = set(value.crashes.values())
+        if not weights <= KNOWN_WEIGHTS:
+            log.warning("unknown weights of crashes", weights=sorted(weights))
             return
+        crashes = {life: CrashWeight(weight) for life, weight in value.crashes.items()}
         now = self._clock()
         lifetime = fact.expires - now
         answered_ago = value.answered_ago
--- a/tanagerwalk/writes.py
+++ b/tanagerwalk/writes.py
@@ -14,13 +14,14 @@
     `NOT_APPLIED` means that the call did not reach the store, and `REJECTED` that the
     store refused it as malformed; neither took effect. With `UNKNOWN`, a write may
     have taken effect or may still take effect later. `STALE` is an answer of another
-    instance that has lost the store.
+    instance that has lost the store, `UNREADABLE` a value that another writer left.
     """
 
     NOT_APPLIED = "not_applied"
     REJECTED = "rejected"
     UNKNOWN = "unknown"
     STALE = "stale"
+    UNREADABLE = "unreadable"
 
 
 @dataclass(frozen=True, slots=True)
