Use no server whose address is no numeric address and port

One whose host is a long or empty label, holds a zero byte, or whose port is over 65,535 was accepted; connecting raised UnicodeError, ValueError or OverflowError, which nothing up to the listener turned into an answer, and the connection of the client whose request was sent there was closed. Host names were looked up.

parse_address (addresses.py) takes an IP number and a port from 1 to 65,535 alone, and a server's address must be one that can be connected to. The gateway's settings use the same function.

--- a/tanagerwalk/platform/servers.py
+++ b/tanagerwalk/platform/servers.py
@@ -3,11 +3,11 @@
 import msgspec
 from expression import Error, Ok
 
+from ..addresses import is_connectable, parse_address
 from ..decisions.release_rollouts import RolloutPhase
 from ..documents import decode_json
 from ..ids import BackendServerId, FailureDomain, ReleaseName, ServiceName
 from ..registry import RegisteredServer, RolloutOrder, ServerState
-from .addresses import parse_address
 from .names import (
     ROLLOUT_ORDER_PREFIX,
     ROLLOUT_STATUS_PREFIX,
@@ -17,6 +17,8 @@
     STATE_RUNNING,
 )
 
+# Characters of a foreign text that go into a log line.
+MAX_LOGGED = 80
 FINAL_STATE_BY_PHASE = {
     RolloutPhase.COMPLETE: STATE_COMPLETE,
     RolloutPhase.ROLLED_BACK: STATE_ROLLED_BACK,
@@ -64,8 +66,12 @@
     wire = decoded.ok
     state = SERVER_STATE_BY_NAME.get(wire.state)
     address = parse_address(wire.address)
-    if state is None or address is None or wire.slots < 1 or not wire.service:
-        return Error(f"entry {key}: invalid backend server (state {wire.state!r})")
+    if address is None or not is_connectable(address):
+        return Error(f"entry {key}: invalid address {wire.address[:MAX_LOGGED]!r}")
+    if state is None or wire.slots < 1 or not wire.service:
+        return Error(
+            f"entry {key}: invalid backend server (state {wire.state[:MAX_LOGGED]!r})"
+        )
     server = RegisteredServer(
         id=BackendServerId(key.removeprefix(SERVER_PREFIX)),
         service=ServiceName(wire.service),
--- a/tanagerwalk/platform/settings.py
+++ b/tanagerwalk/platform/settings.py
@@ -5,9 +5,9 @@
 import msgspec
 from expression import Error, Ok
 
+from ..addresses import parse_address
 from ..gateway.settings import Bounds, GatewaySettings, Listeners, StoreAddress
 from ..ids import FailureDomain, InstanceId, Region
-from .addresses import parse_address
 
 MS_PER_S = 1000.0
 # Must match the port of `metrics` in deploy/system.toml.
