Use no server whose entry has a field of another type or an impossible number

`slots` of 10**400 raised OverflowError in the choice of a server, for each request of its service; an id with a line break added header lines to every request sent to that server; `born` of thousands of digits, an empty zone or version and fields of another type that are not used counted as a server's.

Cause: the decoder knew the types of the fields it uses, and no ranges. _Server now states type and range of each field of the page, and the id must be one ASCII word.

--- a/tanagerwalk/platform/servers.py
+++ b/tanagerwalk/platform/servers.py
@@ -1,5 +1,8 @@
 """Decodes entries of backend servers and roll-out orders; encodes roll-out status."""
 
+import re
+from typing import Annotated, Any
+
 import msgspec
 from expression import Error, Ok
 
@@ -26,15 +29,30 @@
 SERVER_STATE_BY_NAME = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
 
 
+# An id goes into the header of each request to its server, so that it must be one word.
+SERVER_ID_PATTERN = re.compile(r"[\x21-\x7e]{1,200}")
+MAX_SLOTS = 1_000_000
+# Numbers up to here are exact in JSON, and fit the messages between instances.
+MAX_INTEGER = 2**53
+
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+
+
 class _Server(msgspec.Struct, frozen=True):
-    service: str
+    service: _Name
     address: str
-    zone: str
+    zone: _Name
     # Version of the server's software; model weights are versioned separately.
-    version: str
-    slots: int
+    version: _Name
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: str
-    born: int = 0
+    # Not used, but an entry without them is not a server's.
+    cold_left_ms: float
+    sequence: _Count
+    born: _Count = 0
+    stage: str | None = None
+    models: list[Any] | None = None
 
 
 class _RolloutOrder(msgspec.Struct, frozen=True):
@@ -68,12 +86,13 @@
     address = parse_address(wire.address)
     if address is None or not is_connectable(address):
         return Error(f"entry {key}: invalid address {wire.address[:MAX_LOGGED]!r}")
-    if state is None or wire.slots < 1 or not wire.service:
-        return Error(
-            f"entry {key}: invalid backend server (state {wire.state[:MAX_LOGGED]!r})"
-        )
+    if state is None:
+        return Error(f"entry {key}: unknown state {wire.state[:MAX_LOGGED]!r}")
+    server_id = key.removeprefix(SERVER_PREFIX)
+    if SERVER_ID_PATTERN.fullmatch(server_id) is None:
+        return Error(f"entry {key!r}: invalid id of a backend server")
     server = RegisteredServer(
-        id=BackendServerId(key.removeprefix(SERVER_PREFIX)),
+        id=BackendServerId(server_id),
         service=ServiceName(wire.service),
         address=address,
         failure_domain=FailureDomain(wire.zone),
