--- a/test/platform/test_records.py
+++ b/test/platform/test_records.py
@@ -18,6 +18,8 @@
     "version": "v1",
     "slots": 6,
     "state": "ready",
+    "cold_left_ms": 0,
+    "sequence": 4,
     "born": 12,
     "new_field": {},
 }
