Relay an endless body in small chunks in linear time and in turns

On related paths: a chunk of the body cost an object each, so that chunks of one byte kept the loop too; blank lines made an event every two bytes, each of which copied the rest of the buffer.

EventSplitter copies and searches each byte once. A Connection joins chunks as they come, gives at most 16 KiB to a reader, and other tasks their turn before every read of more. Framing counts against the bound on bytes that are no body, so that tiny chunks end. An event may have 256 KiB. Reading is resumed at a low-water mark.

--- a/tanagerwalk/decisions/events.py
+++ b/tanagerwalk/decisions/events.py
@@ -1,9 +1,14 @@
 """Splits a stream of server-sent events into complete events."""
 
+import re
 from dataclasses import dataclass
 
-MAX_EVENT_BYTES = 1024 * 1024
-BLANK_LINES = (b"\n\n", b"\r\n\r\n")
+MAX_EVENT_BYTES = 256 * 1024
+# Further blank lines belong to the event before.
+BLANK_LINES = re.compile(rb"\n\n+|(?:\r\n){2,}")
+MAX_BLANK_LINE_BYTES = 4
+# More digits are no number of an event; `int` rejects thousands of them.
+MAX_NUMBER_DIGITS = 15
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,22 +24,30 @@
 
     An engine may stop in the middle of an event. No part of that event may reach the
     client, because another engine sends the event again from its start.
+
+    Each byte is copied and searched once, however small the pieces are in which it
+    comes.
     """
 
     def __init__(self):
-        self._buffer = b""
+        self._buffer = bytearray()
+        # No blank line begins before.
+        self._searched = 0
 
     def feed(self, data):
         """Append bytes and return the events that are now complete."""
         self._buffer += data
         events = []
-        while True:
-            end = _find_event_end(self._buffer)
-            if end is None:
-                return events
-            raw = self._buffer[:end]
-            self._buffer = self._buffer[end:]
+        start = 0
+        for match in BLANK_LINES.finditer(self._buffer, self._searched):
+            raw = bytes(self._buffer[start : match.end()])
             events.append(StreamEvent(raw, _parse_number(raw)))
+            start = match.end()
+        # A match keeps the buffer from being resized.
+        match = None
+        del self._buffer[:start]
+        self._searched = max(0, len(self._buffer) - MAX_BLANK_LINE_BYTES + 1)
+        return events
 
     @property
     def is_overlong(self):
@@ -47,14 +60,15 @@
         return bool(self._buffer)
 
 
-def _find_event_end(data):
-    ends = [data.find(mark) + len(mark) for mark in BLANK_LINES if mark in data]
-    return min(ends) if ends else None
-
-
 def _parse_number(raw):
     for line in raw.splitlines():
         name, _, value = line.partition(b":")
-        if name == b"id" and value.strip().isdigit():
-            return int(value)
+        if name == b"id":
+            return _parse_digits(value.strip())
     return None
+
+
+def _parse_digits(digits):
+    if not digits.isdigit() or len(digits) > MAX_NUMBER_DIGITS:
+        return None
+    return int(digits)
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -21,9 +21,12 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
 READ_HIGH_WATER_BYTES = 256 * 1024
-# Bytes in a row that belong to no answer that is waited for, such as those of a head
-# that does not end.
-MAX_UNUSED_BYTES = 1024 * 1024
+READ_LOW_WATER_BYTES = 64 * 1024
+# Most that a reader gets before other tasks have their turn.
+MAX_CHUNK_BYTES = 16 * 1024
+# Bytes of a response that are not its body: those of a head that does not end, of
+# responses to others, and the framing of a body in tiny pieces.
+MAX_OVERHEAD_BYTES = 1024 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024
 NO_BODY_STATUSES = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
@@ -85,9 +88,10 @@
         self._transport = None
         self._parser = httptools.HttpResponseParser(self)
         self._response_heads = deque()
-        self._body_chunks = deque()
-        self._buffered_bytes = 0
-        self._unused_bytes = 0
+        self._body = bytearray()
+        self._has_body_end = False
+        self._is_paused = False
+        self._overhead_bytes = 0
         self._waiter = None
         self._failure = ConnectionFailure.CLOSED
         self._clean_end = False
@@ -113,14 +117,15 @@
             self.abort()
             return
         self.received = True
-        self._unused_bytes += len(data)
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(ConnectionFailure.MALFORMED)
-        if self._unused_bytes > MAX_UNUSED_BYTES:
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self._fail(ConnectionFailure.MALFORMED)
-        if self._buffered_bytes > READ_HIGH_WATER_BYTES and not self.closed:
+        if len(self._body) > READ_HIGH_WATER_BYTES and not self.closed:
+            self._is_paused = True
             self._transport.pause_reading()
         self._notify_reader()
 
@@ -176,18 +181,16 @@
         has_body = status not in NO_BODY_STATUSES and not self._has_no_body
         self._body_ends_at_close = has_body and framed is None
         self._response_heads.append(head)
-        self._unused_bytes = 0
 
     def on_body(self, data):
-        """Queue a fragment of the body."""
+        """Append a fragment of the body."""
         if self._pending_responses == 0 or self._discarding:
             return
-        self._unused_bytes = 0
-        self._body_chunks.append(data)
-        self._buffered_bytes += len(data)
+        self._overhead_bytes -= len(data)
+        self._body += data
 
     def on_message_complete(self):
-        """Queue the end-of-body marker."""
+        """Mark the end of the body."""
         final = self._parser.get_status_code() >= FIRST_FINAL_STATUS
         if self._discarding:
             self._discarding = False
@@ -196,8 +199,7 @@
             self._end_body()
 
     def _end_body(self):
-        self._unused_bytes = 0
-        self._body_chunks.append(None)
+        self._has_body_end = True
         self._pending_responses -= 1
 
     def _fail(self, failure):
@@ -235,6 +237,7 @@
         """
         self._matches_request = matches_request
         self.received = False
+        self._overhead_bytes = 0
         self._has_no_body = has_no_body
         self._pending_responses += 1
         self._transport.write(data)
@@ -253,25 +256,37 @@
         return Ok(self._response_heads.popleft())
 
     async def read_chunk(self):
-        """Wait for the next fragment of the body.
+        """Wait for the next part of the body, of at most MAX_CHUNK_BYTES.
+
+        Other tasks have their turn before every call returns, even if the server sends
+        as fast as it is read.
 
         Returns
         -------
         Result of bytes, or of ConnectionFailure
             Empty at the end of the body.
         """
-        while not self._body_chunks:
+        if self._body:
+            await asyncio.sleep(0)
+        while not self._body:
+            if self._has_body_end:
+                self._has_body_end = False
+                return Ok(b"")
             if self.closed:
                 return Error(self._failure)
             await self._wait_for_data()
-        chunk = self._body_chunks.popleft()
-        if chunk is None:
-            return Ok(b"")
-        self._buffered_bytes -= len(chunk)
-        if not self.closed:
-            self._transport.resume_reading()
+        chunk = bytes(self._body[:MAX_CHUNK_BYTES])
+        del self._body[:MAX_CHUNK_BYTES]
+        self._resume_reading()
         return Ok(chunk)
 
+    def _resume_reading(self):
+        if self.closed or not self._is_paused:
+            return
+        if len(self._body) <= READ_LOW_WATER_BYTES:
+            self._is_paused = False
+            self._transport.resume_reading()
+
     async def read_body(self):
         """Read the remaining body, of at most MAX_BODY_BYTES.
 
@@ -297,7 +312,8 @@
         """Return whether another request can be sent on this connection."""
         is_idle = (
             self._pending_responses == 0
-            and not self._body_chunks
+            and not self._body
+            and not self._has_body_end
             and not self._response_heads
         )
         return not self.closed and is_idle and self._keep_alive
--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -15,7 +15,14 @@
 FILLER = b"x" * 65536
 FILLER_CHUNK = b"%x\r\n%s\r\n" % (len(FILLER), FILLER)
 # What follows the head, and what is repeated then.
+PIECES = b"3c\r\n%s\r\n" % (b"x" * 60) * 1000
+TINY_PIECES = b"1\r\nx\r\n" * 10000
+BLANK_LINES = b"10000\r\n%s\r\n" % (b"\n" * 65536)
 ENDLESS_STARTS = {
+    "endless_pieces": (b"\r\n", PIECES),
+    "endless_tiny_pieces": (b"\r\n", TINY_PIECES),
+    "endless_blank_lines": (b"\r\n", BLANK_LINES),
+    "endless_header_lines": (b"", b"X-A: b\r\n" * 8000),
     "endless_head": (b"X-Filler: ", FILLER),
     "endless_body": (b"\r\n", FILLER_CHUNK),
     "endless_event": (b"\r\n", FILLER_CHUNK),
@@ -63,6 +70,8 @@
         - `cut`: a stream ends after its second event
         - `endless_head`, `endless_body`, `endless_event`: a header, a body or an event
           of a stream without end
+        - `endless_pieces`, `endless_tiny_pieces`: a body without end, in small chunks
+        - `endless_blank_lines`, `endless_header_lines`: those, without end
     times : int
         Number of requests affected by the fault; -1 for all.
     delay : float
--- a/test/gateway/test_endless_answers.py
+++ b/test/gateway/test_endless_answers.py
@@ -1,6 +1,7 @@
 """Bytes of a server that are no answer and have no end."""
 
 import asyncio
+import time
 
 import pytest
 import pytest_asyncio
@@ -47,6 +48,39 @@
     assert (await cluster.send(cluster.encode("GET", "/jobs/7"))).status == 200
 
 
+# The rules bound an answer at half a second past the timeout of its route.
+MAX_DELAY_S = 0.5
+STREAMS = 4
+BOOKINGS = 12
+ENDLESS_FAULTS = [
+    "endless_event",
+    "endless_pieces",
+    "endless_tiny_pieces",
+    "endless_blank_lines",
+    "endless_header_lines",
+]
+
+
+# Guards against an endless answer that keeps the event loop for itself: the gateway
+# answered no other request and no readiness probe for tens of seconds.
+@pytest.mark.parametrize("fault", ENDLESS_FAULTS)
+async def test_other_requests_are_answered_beside_endless_streams(cluster, fault):
+    cluster.servers["draft-0"].behaviour = Behaviour(fault)
+    streams = [await cluster.connect() for _ in range(STREAMS)]
+    for _, writer in streams:
+        writer.write(cluster.encode_plan())
+    delays = []
+    for _ in range(BOOKINGS):
+        started_at = time.monotonic()
+        reply = await cluster.send(cluster.encode("POST", "/bookings/7", b"slot"))
+        delays.append(time.monotonic() - started_at)
+        assert reply.status == 200
+        await asyncio.sleep(0.05)
+    for _, writer in streams:
+        writer.transport.abort()
+    assert max(delays) <= MAX_DELAY_S
+
+
 class Transport:
     def write(self, data):
         pass
