Treat a connection that was lost before it is used as a value

On related paths the same exception came out of the client of the store and of the clients of other instances, both read by Mirror.run, whose end ends the process; and of tunnels and the writes to clients.

Connection.send returns a Result and writes nothing to a connection that is closing. Such an attempt is CLOSED: not run, another server is tried at once, three times at most, and then the refusal says that the request has not run. A frame to a peer and bytes to a client that has left are dropped; the reader of the same connection reports the loss. aiohttp, which `serve` uses, raises errors of its own that it catches.

--- a/tanagerwalk/decisions/attempts.py
+++ b/tanagerwalk/decisions/attempts.py
@@ -14,7 +14,10 @@
 MEAN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_SHARE = 1.0 / 3.0
 MAX_HOLD_SPREAD_S = 0.5
-NOT_RUN_OUTCOMES = frozenset({Outcome.NOT_SENT, Outcome.REJECTED, Outcome.MISDIRECTED})
+# A server at its limit of connections resets each new one.
+MAX_CLOSED_ATTEMPTS = 3
+UNSENT_OUTCOMES = frozenset({Outcome.NOT_SENT, Outcome.CLOSED})
+NOT_RUN_OUTCOMES = UNSENT_OUTCOMES | {Outcome.REJECTED, Outcome.MISDIRECTED}
 # Fraction of the retry budget that may be used after each outcome.
 BUDGET_SHARES = {
     Outcome.DECLINED: 0.75,
@@ -48,6 +51,8 @@
         Maximum number of backend servers that it may be sent to.
     sent : int
         Number of attempts that reached a backend server.
+    closed : int
+        Number of attempts whose connection was lost before the request was written.
     may_have_run : bool
         Whether a backend server may have run the request.
     started : bool
@@ -59,14 +64,17 @@
     repeatable: bool
     max_attempts: int
     sent: int = 0
+    closed: int = 0
     may_have_run: bool = False
     started: bool = False
     has_kept_answer: bool = False
 
     def record(self, outcome):
         """Record the outcome of an attempt."""
-        if outcome is not Outcome.NOT_SENT:
+        if outcome not in UNSENT_OUTCOMES:
             self.sent += 1
+        if outcome is Outcome.CLOSED:
+            self.closed += 1
         if outcome not in NOT_RUN_OUTCOMES:
             self.may_have_run = True
 
@@ -87,9 +95,11 @@
     """
     may_repeat = history.repeatable or not history.may_have_run
     within_limits = (
-        history.sent < history.max_attempts and time_left > MIN_TIME_FOR_ATTEMPT_S
+        history.sent < history.max_attempts
+        and history.closed < MAX_CLOSED_ATTEMPTS
+        and time_left > MIN_TIME_FOR_ATTEMPT_S
     )
-    needs_budget = outcome is not Outcome.NOT_SENT
+    needs_budget = outcome not in UNSENT_OUTCOMES
     if may_repeat and within_limits and (budget_allows or not needs_budget):
         return NextAction.ANOTHER
     if history.started:
--- a/tanagerwalk/gateway/attempts.py
+++ b/tanagerwalk/gateway/attempts.py
@@ -93,7 +93,8 @@
 class Outcome(Enum):
     """How an attempt ended.
 
-    NOT_SENT: no connection could be opened. REJECTED and MISDIRECTED: the server
+    NOT_SENT: no connection could be opened. CLOSED: the connection was lost before the
+    request was written to it. REJECTED and MISDIRECTED: the server
     did not run the request. FAILED: an error response. DECLINED: the gateway
     discarded a response of low confidence. LOST: the connection broke or the
     response was invalid. SILENT: a timeout expired.
@@ -101,6 +102,7 @@
 
     DELIVERED = "delivered"
     NOT_SENT = "not_sent"
+    CLOSED = "closed"
     REJECTED = "rejected"
     MISDIRECTED = "misdirected"
     FAILED = "failed"
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -124,7 +124,7 @@
             self._fail(ConnectionFailure.MALFORMED)
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self._fail(ConnectionFailure.MALFORMED)
-        if len(self._body) > READ_HIGH_WATER_BYTES and not self.closed:
+        if self._is_open and len(self._body) > READ_HIGH_WATER_BYTES:
             self._is_paused = True
             self._transport.pause_reading()
         self._notify_reader()
@@ -214,6 +214,11 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    @property
+    def _is_open(self):
+        # A reset closes the transport some turns before `connection_lost` is called.
+        return not self.closed and not self._transport.is_closing()
+
     async def _wait_for_data(self):
         self._waiter = asyncio.get_running_loop().create_future()
         try:
@@ -234,13 +239,24 @@
             Whether the response has no body regardless of its headers, as for HEAD.
         matches_request : callable
             Takes a ResponseHead and returns whether it belongs to this request.
+
+        Returns
+        -------
+        Result of None, or of ConnectionFailure
+            With an error nothing was written: the connection has been lost, which may
+            happen right after it was opened.
         """
+        if not self._is_open:
+            # uvloop raises RuntimeError for a write to a connection that was lost.
+            self._fail(ConnectionFailure.CLOSED)
+            return Error(ConnectionFailure.CLOSED)
         self._matches_request = matches_request
         self.received = False
         self._overhead_bytes = 0
         self._has_no_body = has_no_body
         self._pending_responses += 1
         self._transport.write(data)
+        return Ok(None)
 
     async def read_head(self):
         """Wait for the head of the response.
@@ -281,7 +297,7 @@
         return Ok(chunk)
 
     def _resume_reading(self):
-        if self.closed or not self._is_paused:
+        if not self._is_open or not self._is_paused:
             return
         if len(self._body) <= READ_LOW_WATER_BYTES:
             self._is_paused = False
@@ -316,7 +332,7 @@
             and not self._has_body_end
             and not self._response_heads
         )
-        return not self.closed and is_idle and self._keep_alive
+        return self._is_open and is_idle and self._keep_alive
 
     def send_notice(self, notice):
         """Tell a ServerNotice to the instance through which the server is reached."""
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -152,11 +152,13 @@
                     return AttemptResult(Outcome.NOT_SENT, opened.error)
                 connection = opened.ok
             via = connection.via
-            connection.send(
+            sent = connection.send(
                 self._codec.encode_attempt(request, attempt),
                 has_no_body=request.raw.method == b"HEAD",
                 matches_request=partial(self._codec.is_response_to, request),
             )
+            if sent.is_error():
+                return AttemptResult(Outcome.CLOSED, "lost before it was used")
             result, head = await self._read_response(connection, plan, timer)
             timer.report()
             result = dataclasses.replace(
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -38,7 +38,13 @@
 MIN_QUEUE_FULL_WAIT_S = 2.0
 QUEUE_FULL_WAIT_SHARE = 0.7
 PAUSING_OUTCOMES = frozenset(
-    {Outcome.NOT_SENT, Outcome.LOST, Outcome.SILENT, Outcome.MISDIRECTED}
+    {
+        Outcome.NOT_SENT,
+        Outcome.CLOSED,
+        Outcome.LOST,
+        Outcome.SILENT,
+        Outcome.MISDIRECTED,
+    }
 )
 
 
--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -195,7 +195,7 @@
             raise _LimitExceededError(_build_header_refusal(self._limits))
         for name, value in self._headers:
             if name.lower() == b"expect" and value.lower() == b"100-continue":
-                self._transport.write(CONTINUE_RESPONSE)
+                self.write(CONTINUE_RESPONSE)
 
     def on_body(self, data):
         """Append a body fragment and restart the receive timeout."""
@@ -220,9 +220,13 @@
         )
         self._pending.append((raw, self._parser.should_keep_alive()))
         if len(self._pending) >= MAX_PIPELINED_REQUESTS:
-            self._transport.pause_reading()
+            self._pause_reading()
         self._handle_next()
 
+    def _pause_reading(self):
+        if not self._transport.is_closing():
+            self._transport.pause_reading()
+
     # Request handling.
 
     def _handle_next(self):
@@ -264,8 +268,12 @@
             self._start_timeout(self._limits.idle_timeout, self.close_if_idle)
 
     def write(self, data):
-        """Write bytes to the transport."""
-        self._transport.write(data)
+        """Write bytes to the transport.
+
+        They are dropped if the client has left, of which `connection_lost` tells.
+        """
+        if not self._transport.is_closing():
+            self._transport.write(data)
 
     async def wait_writable(self):
         """Wait until the write buffer is below its high-water mark."""
--- a/tanagerwalk/gateway/tunnels.py
+++ b/tanagerwalk/gateway/tunnels.py
@@ -169,6 +169,8 @@
                 return
             kind, payload = frame.ok
             if kind == TunnelFrame.DATA.value:
+                if stream.writer.transport.is_closing():
+                    return
                 stream.writer.write(payload)
                 await stream.writer.drain()
             elif kind == TunnelFrame.NOTICE.value:
@@ -187,8 +189,7 @@
 
 def _ask_for_no_reuse(channels):
     for channel in channels:
-        if not channel.is_closing:
-            channel.write(TunnelFrame.STOPPING.value, b"")
+        channel.write(TunnelFrame.STOPPING.value, b"")
 
 
 def _log_defects(results):
@@ -332,20 +333,18 @@
 
     def write(self, data):
         """Send bytes to the server."""
-        if self._channel.is_closing:
-            # The reader reports the loss.
-            return
         for start in range(0, len(data), MAX_PAYLOAD_BYTES):
             chunk = data[start : start + MAX_PAYLOAD_BYTES]
             self._channel.write(TunnelFrame.DATA.value, chunk)
 
+    def is_closing(self):
+        """Return whether the connection to the other instance is closed or lost."""
+        return self._channel.is_closing
+
     def send_notice(self, notice):
         """Tell a ServerNotice to the instance that is connected to the server."""
-        if not self._channel.is_closing:
-            payload = encode(
-                TunnelNotice(notice.is_leaving, int(notice.hold * MS_PER_S))
-            )
-            self._channel.write(TunnelFrame.NOTICE.value, payload)
+        payload = encode(TunnelNotice(notice.is_leaving, int(notice.hold * MS_PER_S)))
+        self._channel.write(TunnelFrame.NOTICE.value, payload)
 
     def pause_reading(self):
         """Deliver no more bytes until `resume_reading`."""
--- a/tanagerwalk/peers/frames.py
+++ b/tanagerwalk/peers/frames.py
@@ -116,6 +116,9 @@
     def write(self, kind, payload):
         """Write one frame to the connection's send buffer.
 
+        On a connection that was lost it is dropped, and the reader reports the loss:
+        a frame may be lost on its way in any case.
+
         Parameters
         ----------
         kind : int
@@ -123,6 +126,9 @@
         payload : bytes
             At most `MAX_PAYLOAD_BYTES`.
         """
+        if self.is_closing:
+            # uvloop would raise RuntimeError.
+            return
         authenticated = _MAC_PREFIX.pack(self._sent_count, kind) + payload
         mac = _compute_hmac(self._sending_key, authenticated)[:MAC_BYTES]
         self._sent_count += 1
--- a/tanagerwalk/platform/store.py
+++ b/tanagerwalk/platform/store.py
@@ -270,7 +270,8 @@
         connection = await self._get_connection()
         if connection is None:
             return Error(StoreFault.NOT_APPLIED)
-        connection.send(self._encode(method, path, body))
+        if connection.send(self._encode(method, path, body)).is_error():
+            return Error(StoreFault.NOT_APPLIED)
         try:
             async with asyncio.timeout(timeout):
                 head = await connection.read_head()
--- a/test/decisions/test_gateway_rules.py
+++ b/test/decisions/test_gateway_rules.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from tanagerwalk.decisions.attempts import (
+    MAX_CLOSED_ATTEMPTS,
     AttemptHistory,
     NextAction,
     decide_next_action,
@@ -33,7 +34,12 @@
 MODELS = [ModelChoice("s", 0.02, 0.07), ModelChoice("m", 0.15, 0.5)]
 MODELS.append(ModelChoice("l", 0.3, 1.0))
 MAY_HAVE_RUN = [Outcome.FAILED, Outcome.LOST, Outcome.SILENT, Outcome.DECLINED]
-HAS_NOT_RUN = [Outcome.NOT_SENT, Outcome.REJECTED, Outcome.MISDIRECTED]
+HAS_NOT_RUN = [
+    Outcome.NOT_SENT,
+    Outcome.CLOSED,
+    Outcome.REJECTED,
+    Outcome.MISDIRECTED,
+]
 
 
 @pytest.mark.parametrize("outcome", MAY_HAVE_RUN)
@@ -227,3 +233,13 @@
 @pytest.mark.parametrize(("peers", "most"), [(8, 30), (68, 50), (300, 50)])
 def test_rate_of_load_messages_is_bounded_in_a_large_fleet(peers, most):
     assert peers / compute_period(peers) <= most
+
+
+def test_resets_before_the_request_is_written_end_the_attempts():
+    history = AttemptHistory(repeatable=False, max_attempts=1)
+    actions = []
+    for _ in range(MAX_CLOSED_ATTEMPTS):
+        history.record(Outcome.CLOSED)
+        actions.append(decide_next_action(history, Outcome.CLOSED, 1.0, False))
+    assert actions[:-1] == [NextAction.ANOTHER] * (MAX_CLOSED_ATTEMPTS - 1)
+    assert actions[-1] is NextAction.REFUSE_NOT_RUN
--- a/test/gateway/test_connections.py
+++ b/test/gateway/test_connections.py
@@ -34,6 +34,9 @@
     def abort(self):
         self.aborted = True
 
+    def is_closing(self):
+        return self.aborted
+
     def resume_reading(self):
         pass
 
--- a/test/gateway/test_endless_answers.py
+++ b/test/gateway/test_endless_answers.py
@@ -88,6 +88,9 @@
     def get_extra_info(self, name):
         return None
 
+    def is_closing(self):
+        return False
+
     def pause_reading(self):
         pass
 
