Watch the store from the oldest page of a list

An engine on an older page, removed in between, stayed in its list for good: requests reached it later than drain_ms, and bookings that ran there when it exited were lost.

Cause, as the review read it: MetadataStore.list returned the revision of the first page. The watch from there never reports a removal that is earlier than that and later than an older page. It returns the smallest revision of all pages now; changes that a newer page has already are reported again and ignored by their revisions.

Before: test_copy_is_current_whatever_the_age_of_its_pages failed on an example of four changes, with a page three changes behind. `serve` lists in one response, so that it has no such gap.

--- a/tanagerwalk/platform/store.py
+++ b/tanagerwalk/platform/store.py
@@ -119,8 +119,9 @@
         Returns
         -------
         Result of Snapshot, or of StoreFault
-            The revision is that of the first page: later pages may or may not
-            include changes made since, and a watch from there reports them all.
+            The revision is the smallest of all pages, of which an old read may answer
+            each from another time. Pages may or may not include changes made since,
+            and a watch from there reports them all.
         """
         entries = {}
         revision = None
@@ -144,7 +145,7 @@
             for entry in snapshot.entries:
                 entries[entry.key] = entry
                 after = entry.key
-            revision = snapshot.revision if revision is None else revision
+            revision = min(snapshot.revision, revision or snapshot.revision)
             if not has_more:
                 return Ok(Snapshot(tuple(entries.values()), revision))
             if not snapshot.entries:
