Take no repeated refusal for the answer to a request that runs

Clients were told "not run" for requests that ran (REFUSED), or the request ran at a second server or twice at one (TWICE).

A request that a server had rejected was sent to it again over the connection on which it had been rejected; a repeated refusal bears the same attempt id there, and nothing tells it from the answer. And a refusal without an attempt id was taken for the answer to whatever request was waiting.

A request goes to a server that has rejected it over a new connection only. On a kept connection an answer without an attempt id belongs to no request, like one with another id; one with two ids belongs to none. A success that is marked as not executed contradicts itself and promises nothing.

--- a/tanagerwalk/gateway/attempts.py
+++ b/tanagerwalk/gateway/attempts.py
@@ -31,6 +31,10 @@
         Estimated cost at an inference engine; None for a service without models.
     was_silent : bool
         Whether the server had been silent before the request was sent to it.
+    was_rejected : bool
+        Whether the server has rejected this request before. It then goes over a new
+        connection: on one that is kept, the rejection, which bears the same attempt
+        id, could come once more.
     """
 
     server: RegisteredServer
@@ -40,6 +44,7 @@
     priority: int | None = None
     work: Work | None = None
     was_silent: bool = False
+    was_rejected: bool = False
 
 
 class ResponseKind(Enum):
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -144,7 +144,8 @@
         connection = None
         timer = ResponseTimer(self._clock(), request, plan.on_latency)
         try:
-            connection = self._pool.acquire_idle(attempt.server)
+            if not attempt.was_rejected:
+                connection = self._pool.acquire_idle(attempt.server)
             kept = connection is not None
             if not kept:
                 opened = await self._pool.open(attempt.server, attempt.time_left)
@@ -155,7 +156,7 @@
             sent = connection.send(
                 self._codec.encode_attempt(request, attempt),
                 has_no_body=request.raw.method == b"HEAD",
-                matches_request=partial(self._codec.is_response_to, request),
+                matches_request=partial(self._codec.is_response_to, request, kept),
             )
             if sent.is_error():
                 return AttemptResult(Outcome.CLOSED, "lost before it was used")
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -120,6 +120,7 @@
         self._progress = StreamProgress(last_event=request.last_event)
         self._kept_answer = None
         self._tried = set()
+        self._rejected_by = set()
         self._attempt_log = []
         self._current_server_id = None
         self._last_release = None
@@ -219,6 +220,7 @@
             last_event=self._progress.last_event,
             work=self._estimate_work(model),
             was_silent=self._context.servers.is_silent(server, now),
+            was_rejected=server.id in self._rejected_by,
         )
         self._current_server_id = server.id
         self._last_release = server.release
@@ -330,6 +332,8 @@
             self._affinity = self._compute_affinity()
         else:
             self._tried.add(self._attempt_log[-1]["server"])
+            if outcome is Outcome.REJECTED:
+                self._rejected_by.add(self._current_server_id)
             self._report_server_failure(result)
         is_quarantined = self._context.quarantine.is_quarantined(self._request)
         if is_quarantined or self._request.is_trial:
--- a/tanagerwalk/platform/egress.py
+++ b/tanagerwalk/platform/egress.py
@@ -104,28 +104,34 @@
     return named - {b""}
 
 
-def is_response_to(request, head):
+def is_response_to(request, is_kept, head):
     """Return whether a response belongs to a request.
 
-    A response with another attempt id does not; one without an attempt id is
-    accepted here.
+    A response with another attempt id does not. One without an attempt id does only on
+    a new connection: on a kept one it may be to an earlier request, of which a faulty
+    server writes the answer once more.
 
     Parameters
     ----------
     request : GatewayRequest
         The request that was sent.
+    is_kept : bool
+        Whether the connection had carried another request before.
     head : ResponseHead
         Status and headers of the response.
     """
-    echoed_id = head.get_header(ATTEMPT_ID)
-    return echoed_id is None or echoed_id == request.id
+    echoed_ids = {value for name, value in head.headers if name == ATTEMPT_ID}
+    if not echoed_ids:
+        return not is_kept
+    return echoed_ids == {request.id}
 
 
 def classify_head(head):
     """Classify a backend server's response by its status and headers.
 
-    A not-executed header or status 421 takes precedence over the rest of the head.
-    A success status counts only with an echoed attempt id and a signature.
+    A not-executed header or status 421 takes precedence over the rest of the head. A
+    success status counts only with an echoed attempt id and a signature, and without a
+    not-executed header, which contradicts it.
 
     Parameters
     ----------
@@ -137,12 +143,13 @@
     ClassifiedHead
     """
     echoed_id = head.get_header(ATTEMPT_ID)
-    not_run = head.get_header(NOT_RUN) is not None or head.status == MISDIRECTED_STATUS
+    is_marked = head.get_header(NOT_RUN) is not None
+    not_run = is_marked or head.status == MISDIRECTED_STATUS
     is_signed = head.get_header(SIGNATURE) is not None
     is_success = head.status in SUCCESS_STATUSES
-    if not_run:
+    if not_run and not is_success:
         kind = ResponseKind.REJECTED
-    elif is_success and (echoed_id is None or not is_signed):
+    elif is_success and (echoed_id is None or not is_signed or is_marked):
         kind = ResponseKind.UNSIGNED
     elif head.status >= MIN_SERVER_ERROR_STATUS:
         kind = ResponseKind.FAILED
--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -57,6 +57,9 @@
 
         - `refuse`: status 503, marked as not executed
         - `misdirect`: status 421
+        - `contradictory`: status 200, marked as not executed
+        - `two_ids`: status 503, marked as not executed, with another attempt id, too;
+          the connection is closed then
         - `error`: status 500
         - `redirect`: status 302 to another path
         - `reset`: the connection is aborted once the request has been read
@@ -229,6 +232,12 @@
             self._write(request, "503 Service Unavailable", b"", headers)
         elif fault == "misdirect":
             self._write(request, "421 Misdirected Request", b"", [])
+        elif fault == "contradictory":
+            self._write(request, "200 OK", b"done", _NOT_EXECUTED_HEADERS)
+        elif fault == "two_ids":
+            headers = [*_NOT_EXECUTED_HEADERS, "X-Tanagerwalk-Attempt-Id: other"]
+            self._write(request, "503 Service Unavailable", b"", headers)
+            self.transport.close()
         elif fault == "error":
             self._write(request, "500 Internal Server Error", b"broken")
         elif fault == "redirect":
--- a/test/gateway/test_gateway_requests.py
+++ b/test/gateway/test_gateway_requests.py
@@ -311,3 +311,11 @@
     assert reply.status == 200
     (seen,) = list_seen_requests(world, "/jobs/")
     assert seen.finished
+
+
+@pytest.mark.parametrize("fault", ["contradictory", "two_ids"])
+async def test_answer_that_contradicts_itself_is_no_promise(world, fault):
+    set_service_fault(world, "desk", fault)
+    reply = await world.send(world.encode("POST", "/bookings/7", b"slot"))
+    assert reply.status == 502
+    assert len(list_seen_requests(world, "/bookings/")) == 1
