Go on with a stream by its events alone

An answer below 500 counted as the answer to the request and was sent as a second response into the stream. Any success went on with it: 204 and an empty 200 ended it as complete, and text with blank lines passed as events without numbers. On the same path: events before a gap in one read counted as delivered though they were dropped with it, so that the next server went on behind them; and a stream without numbers began anew within itself.

A response goes on with a stream only with the status and Content-Type of the first one, with numbered events that follow, and ends it only after one of these; anything else is an attempt that failed, and the stream goes on elsewhere or is broken off. Events before a gap are forwarded. A stream without numbers is not resumed. A second response is never written behind a first (responder.py).

--- a/tanagerwalk/decisions/events.py
+++ b/tanagerwalk/decisions/events.py
@@ -13,10 +13,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
-    """One complete event: its bytes and its numeric id, if it has one."""
+    """One complete event: its bytes and its numeric id, if it has one.
+
+    An event without content consists of comments and blank lines.
+    """
 
     data: bytes
     number: int | None
+    has_content: bool = True
 
 
 class EventSplitter:
@@ -41,7 +45,7 @@
         start = 0
         for match in BLANK_LINES.finditer(self._buffer, self._searched):
             raw = bytes(self._buffer[start : match.end()])
-            events.append(StreamEvent(raw, _parse_number(raw)))
+            events.append(_parse_event(raw))
             start = match.end()
         # A match keeps the buffer from being resized.
         match = None
@@ -60,12 +64,14 @@
         return bool(self._buffer)
 
 
-def _parse_number(raw):
+def _parse_event(raw):
+    has_content = False
     for line in raw.splitlines():
         name, _, value = line.partition(b":")
         if name == b"id":
-            return _parse_digits(value.strip())
-    return None
+            return StreamEvent(raw, _parse_digits(value.strip()))
+        has_content = has_content or bool(name)
+    return StreamEvent(raw, None, has_content)
 
 
 def _parse_digits(digits):
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -3,12 +3,13 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 
 import structlog
 from expression import Error, Ok
 
+from ..decisions.event_order import join_consecutive
 from ..decisions.events import EventSplitter
 from ..decisions.latency_baselines import LatencySample
 from ..manifest import Repeatability
@@ -16,41 +17,11 @@
 from .connections import ConnectionFailure
 from .requests import GatewayRequest
 from .response_timer import ResponseTimer
+from .stream_progress import StreamProgress
 
 log = structlog.get_logger(__name__)
 
 
-@dataclass(slots=True)
-class StreamProgress:
-    """The part of a stream that the client has received.
-
-    Parameters
-    ----------
-    last_event : int or None
-        Number of the last complete event that was forwarded.
-    head_sent : bool
-        Whether the status and headers were forwarded.
-    first_event_at : float or None
-        Monotonic time at which the first events were forwarded.
-    max_gap : float
-        Longest pause between two forwarded events, in seconds.
-    """
-
-    last_event: int | None = None
-    head_sent: bool = False
-    first_event_at: float | None = None
-    last_event_at: float = field(default=0.0)
-    max_gap: float = 0.0
-
-    def record_events(self, now):
-        """Update the times after events were forwarded."""
-        if self.first_event_at is None:
-            self.first_event_at = now
-        else:
-            self.max_gap = max(self.max_gap, now - self.last_event_at)
-        self.last_event_at = now
-
-
 @dataclass(frozen=True, slots=True)
 class AttemptTimeouts:
     """Timeouts of one attempt, in seconds.
@@ -202,6 +173,9 @@
             return AttemptResult(Outcome.LOST, f"status {raw.status} unsigned"), None
         is_stream = plan.request.route.repeatability is Repeatability.STREAM
         if head.kind is ResponseKind.ANSWERED and head.is_success:
+            if not plan.progress.is_continued_by(raw):
+                detail = f"status {raw.status} does not continue the stream"
+                return AttemptResult(Outcome.LOST, detail), None
             if not plan.accepts_head(head):
                 detail = f"confidence {head.confidence}"
                 return AttemptResult(Outcome.DECLINED, detail), None
@@ -211,7 +185,7 @@
         body = await _wait_at_most(connection.read_body(), plan.timeouts.idle)
         if body.is_error():
             return _build_failure(body.error), None
-        return _build_result(raw, head, body.ok), raw
+        return _build_result(raw, head, body.ok, plan.progress), raw
 
     def _record_notice(self, connection, server, notice):
         """Take notice of what a server says; so must the instance that reaches it."""
@@ -265,6 +239,8 @@
         """Forward a stream to the client in whole events."""
         request, progress, timeouts = plan.request, plan.progress, plan.timeouts
         splitter = EventSplitter()
+        is_resumed = progress.head_sent
+        resumed_after = progress.last_event
         wait = timeouts.idle if progress.head_sent else timeouts.head
         while True:
             result = await _wait_at_most(connection.read_chunk(), wait)
@@ -279,11 +255,16 @@
                 continue
             wait = timeouts.idle
             self._servers.record_activity(plan.attempt.server, self._clock())
-            data = _join_consecutive(events, progress)
-            if data is None:
+            joined = join_consecutive(events, progress.last_event, is_resumed)
+            progress.record_joined(joined)
+            if joined.data:
+                timer.count_events(len(events), self._clock())
+                await self._forward_events(request, raw, head, joined.data, progress)
+            if not joined.is_whole:
                 return AttemptResult(Outcome.LOST, "events out of order")
-            timer.count_events(len(events), self._clock())
-            await self._forward_events(request, raw, head, data, progress)
+        if is_resumed and progress.last_event == resumed_after:
+            # An empty rest does not prove that nothing is missing.
+            return AttemptResult(Outcome.LOST, "no event of the rest")
         if splitter.has_partial:
             return AttemptResult(Outcome.LOST, "ended inside an event", broke_off=True)
         if not progress.head_sent:
@@ -295,36 +276,17 @@
         if data:
             progress.record_events(self._clock())
         if not progress.head_sent:
-            progress.head_sent = True
+            progress.record_head(raw)
             request.responder.start_stream(raw.status, raw.reason, head.headers, data)
             return
         await request.responder.write(data)
 
 
-def _join_consecutive(events, progress):
-    """Return the bytes of events that continue the client's stream.
-
-    Returns None if an event is missing or repeated.
-    """
-    parts = []
-    for event in events:
-        if not _follows(event, progress.last_event):
-            return None
-        if event.number is not None:
-            progress.last_event = event.number
-        parts.append(event.data)
-    return b"".join(parts)
-
-
-def _follows(event, last):
-    """Return whether an event is unnumbered or directly follows number `last`."""
-    return event.number is None or last is None or event.number == last + 1
-
-
-def _build_result(raw, head, body):
+def _build_result(raw, head, body, progress):
     if head.kind is ResponseKind.REJECTED:
         outcome = Outcome.MISDIRECTED if head.misdirected else Outcome.REJECTED
-    elif head.kind is ResponseKind.FAILED:
+    elif head.kind is ResponseKind.FAILED or progress.head_sent:
+        # An error has no place in a stream that has begun, whatever its status.
         outcome = Outcome.FAILED
     else:
         outcome = Outcome.DELIVERED
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -23,13 +23,14 @@
 from .answer_recorder import AnswerRecorder
 from .attempts import Attempt, AttemptResult, Outcome
 from .crash_check import CrashCheck
-from .exchange import AttemptPlan, AttemptRunner, AttemptTimeouts, StreamProgress
+from .exchange import AttemptPlan, AttemptRunner, AttemptTimeouts
 from .metrics import GatewayMetrics
 from .place_wait import PlaceWait
 from .quarantine import QuarantineFilter
 from .release_assignment import ReleaseAssigner
 from .release_rollouts import ReleaseRolloutController
 from .request_log import describe_attempt, log_request_end
+from .stream_progress import StreamProgress
 
 UNRESPONSIVE_TIMEOUT_SHARE = 0.3
 MIN_UNRESPONSIVE_TIMEOUT_S = 0.5
@@ -336,7 +337,8 @@
                 self._rejected_by.add(self._current_server_id)
             self._report_server_failure(result)
         is_quarantined = self._context.quarantine.is_quarantined(self._request)
-        if is_quarantined or self._request.is_trial:
+        is_fixed = not self._progress.can_resume
+        if is_quarantined or is_fixed or self._request.is_trial:
             history.repeatable = False
         share = BUDGET_SHARES.get(outcome, 1.0)
         allows = self._budget.allows(self._clock(), share)
--- a/tanagerwalk/gateway/responder.py
+++ b/tanagerwalk/gateway/responder.py
@@ -1,5 +1,9 @@
 """Serializes HTTP responses to clients."""
 
+import structlog
+
+log = structlog.get_logger(__name__)
+
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -51,6 +55,11 @@
         body : bytes
             Response body; not sent for a HEAD request.
         """
+        if self.started:
+            # Whatever it is, it has no place in a response that has begun.
+            log.error("second response dropped", status=status)
+            self._connection.abort()
+            return
         length = (b"Content-Length", str(len(body)).encode())
         head = self._encode_head(status, reason, [*headers, length])
         self.started = True
--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -60,6 +60,7 @@
         - `contradictory`: status 200, marked as not executed
         - `two_ids`: status 503, marked as not executed, with another attempt id, too;
           the connection is closed then
+        - `raw`: the bytes of `raw`, with `@id` replaced by the attempt id
         - `error`: status 500
         - `redirect`: status 302 to another path
         - `reset`: the connection is aborted once the request has been read
@@ -87,6 +88,8 @@
         Value of that header in refusals; empty for none.
     limit : str
         Requests a second that all answers name as the server's limit; empty for none.
+    raw : bytes
+        Answer for the fault `raw`.
     crashing_part : str
         Part of a prompt on which the server crashes once it has sent the head of its
         answer; empty for none.
@@ -99,6 +102,7 @@
     is_leaving: bool = False
     retry_after: str = ""
     limit: str = ""
+    raw: bytes = b""
     crashing_part: str = ""
 
 
@@ -232,6 +236,11 @@
             self._write(request, "503 Service Unavailable", b"", headers)
         elif fault == "misdirect":
             self._write(request, "421 Misdirected Request", b"", [])
+        elif fault == "raw":
+            attempt_id = request.headers["x-tanagerwalk-attempt-id"].encode()
+            self.transport.write(self.server.behaviour.raw.replace(b"@id", attempt_id))
+            if b"connection: close" in self.server.behaviour.raw:
+                self.transport.close()
         elif fault == "contradictory":
             self._write(request, "200 OK", b"done", _NOT_EXECUTED_HEADERS)
         elif fault == "two_ids":
