Fail an attempt of `serve` whose rest of a text is an error

EngineClient reports it as a failed attempt if text was generated before: another engine goes on, or the stream ends with an error event.

--- a/tanagerwalk/clients/engines.py
+++ b/tanagerwalk/clients/engines.py
@@ -119,7 +119,7 @@
         Result of ChatOutcome, or of AttemptFailure
             Ok only if the stream ended with the end marker, or the engine rejected
             the request itself with a status of 400 to 499; 404 (version not loaded)
-            and 429 are failures.
+            and 429 are failures, as is any status but 200 for the rest of a text.
         """
         return await run_attempt(self._exchange(attempt, on_text), deadline)
 
@@ -140,6 +140,9 @@
             if response.status == NOT_FOUND_STATUS:
                 # The engine does not have the model loaded, so nothing was run.
                 return Error(AttemptFailure(RetryReason.VERSION_MISSING, sent=False))
+            if response.status != OK_STATUS and attempt.generated:
+                # The caller has part of the answer already.
+                return Error(AttemptFailure(RetryReason.SERVER_ERROR, sent=True))
             if response.status != OK_STATUS:
                 return Ok(ChatOutcome(response.status, error=await read_body(response)))
             return await _read_stream(response, on_text)
--- a/test/clients/test_foreign_documents.py
+++ b/test/clients/test_foreign_documents.py
@@ -98,3 +98,33 @@
     assert decode_halt(text.encode()) is None
     assert decode_ledger(text.encode()) is None
     assert decode_json(text.encode(), ClaimRecord).is_error()
+
+
+class FixedStatusServer(StandIn):
+    """Answers every call with an error text."""
+
+    status = 400
+
+    def list_routes(self):
+        return [web.route("*", "/{path:.*}", self._answer)]
+
+    async def _answer(self, request):
+        return web.Response(status=self.status, text="no such parameter")
+
+
+# Guards against an error of the next engine that is written into the caller's stream.
+@pytest.mark.parametrize("status", [201, 204, 302, 400, 401, 403, 413, 422])
+async def test_error_is_no_rest_of_a_generated_text(http, status):
+    server = FixedStatusServer()
+    server.status = status
+    await server.start()
+
+    async def ignore(text):
+        del text
+
+    client = EngineClient(http, SETTINGS.retries)
+    begun = ChatAttempt("1", server.address, "a", {"messages": []}, "some text")
+    fresh = ChatAttempt("2", server.address, "a", {"messages": []})
+    assert (await client.complete(begun, 1.0, ignore)).is_error()
+    assert (await client.complete(fresh, 1.0, ignore)).ok.status == status
+    await server.stop()
