--- a/tanagerwalk/gateway/pool.py
+++ b/tanagerwalk/gateway/pool.py
@@ -7,6 +7,7 @@
 
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 IDLE_TIMEOUT_MARGIN_S = 1.0
+MAX_IDLE_TIMEOUT_S = 3600.0
 MAX_IDLE_PER_SERVER = 16
 
 
@@ -150,5 +151,6 @@
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
         if name.lower() == b"timeout" and seconds.isdigit():
-            return max(0.0, int(seconds) - IDLE_TIMEOUT_MARGIN_S)
+            stated = min(MAX_IDLE_TIMEOUT_S, float(seconds))
+            return max(0.0, stated - IDLE_TIMEOUT_MARGIN_S)
     return DEFAULT_IDLE_TIMEOUT_S
--- a/tanagerwalk/platform/egress.py
+++ b/tanagerwalk/platform/egress.py
@@ -24,6 +24,7 @@
     SERVER_LIMIT,
     SIGNATURE,
 )
+from .numbers import parse_count
 
 log = structlog.get_logger(__name__)
 
@@ -159,7 +160,7 @@
         kind=kind,
         is_success=is_success,
         misdirected=head.status == MISDIRECTED_STATUS,
-        confidence=_parse_int(head.get_header(CONFIDENCE)),
+        confidence=parse_count(head.get_header(CONFIDENCE)),
         load=_parse_load(head.get_header(ENGINE_LOAD)),
         closes_connection=(head.get_header(b"connection") or b"").lower() == b"close",
         headers=_list_end_to_end_headers(head),
@@ -212,15 +213,9 @@
     ]
 
 
-def _parse_int(value):
-    return int(value) if value is not None and value.strip().isdigit() else None
-
-
 def _parse_load(value):
     """Parse a load header: running requests, waiting requests and slots."""
     if value is None:
         return None
-    parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    return tuple(int(part) for part in parts)
+    counts = tuple(map(parse_count, value.split(b",")))
+    return None if len(counts) != 3 or None in counts else counts
--- a/tanagerwalk/platform/ingress.py
+++ b/tanagerwalk/platform/ingress.py
@@ -20,6 +20,7 @@
     TOKEN_COUNT,
     UNKNOWN_RUN_STATUS,
 )
+from .numbers import parse_count, parse_number
 
 MS_PER_S = 1000.0
 DEFAULT_CLIENT_TIMEOUT_S = 30.0
@@ -54,8 +55,8 @@
         return _reject("header host is missing")
     if not headers.get(ATTEMPT_ID):
         return _reject(f"header {ATTEMPT_ID.decode()} is missing")
-    timeout_ms = _parse_number(headers.get(DEADLINE_MS))
-    last_event = _parse_number(headers.get(LAST_EVENT_ID))
+    timeout_ms = parse_number(headers.get(DEADLINE_MS))
+    last_event = parse_number(headers.get(LAST_EVENT_ID))
     key = headers.get(API_KEY)
     request = GatewayRequest(
         raw=raw,
@@ -83,14 +84,6 @@
     return name if colon and port.isdigit() else host
 
 
-def _parse_number(value):
-    """Parse a non-negative number; return None if it is absent or malformed."""
-    try:
-        return max(0.0, float(value)) if value is not None else None
-    except ValueError:
-        return None
-
-
 def _parse_prompt_info(headers):
     """Parse the headers that describe the prompt.
 
@@ -98,14 +91,15 @@
     counts become 0 and malformed parts are skipped.
     """
     numbers = headers.get(TOKEN_COUNT, b"").split(b",")
-    counts = [int(n) if n.strip().isdigit() else 0 for n in numbers]
+    counts = [parse_count(number) or 0 for number in numbers]
     parts = []
     for entry in headers.get(PROMPT_PREFIX, b"").split(b","):
         part, _, tokens = entry.strip().partition(b":")
-        if tokens.isdigit():
-            parts.append((part.decode("latin-1"), int(tokens)))
+        count = parse_count(tokens)
+        if count is not None:
+            parts.append((part.decode("latin-1"), count))
     output = counts[1] if len(counts) > 1 else 0
-    hint = _parse_number(headers.get(LENGTH_HINT))
+    hint = parse_number(headers.get(LENGTH_HINT))
     expected = None if hint is None else int(hint)
     return PromptInfo(counts[0], output, tuple(parts), expected)
 
