Answer a request whose handling fails by a defect

RequestHandler logs the exception and answers 502, which promises nothing. A response that has begun is broken off, as before.

--- a/tanagerwalk/gateway/request_handler.py
+++ b/tanagerwalk/gateway/request_handler.py
@@ -1,8 +1,9 @@
 """Handles the requests of clients from their parsing to their refusal."""
 
 import structlog
+from expression import Error
 
-from ..outcomes import Refusal, RefusalReason
+from ..outcomes import Refusal, RefusalReason, RunState
 
 log = structlog.get_logger(__name__)
 
@@ -12,6 +13,10 @@
     RefusalReason.STOPPING, "this instance is stopping", retry_after=0.05
 )
 
+DEFECT_REFUSAL = Refusal(
+    RefusalReason.INTERNAL_ERROR, "the request failed by a defect", RunState.UNKNOWN
+)
+
 
 class RequestHandler:
     """Parses requests, runs the filter chain and sends refusals.
@@ -60,11 +65,19 @@
             return
         request = parsed.ok
         request.responder = responder
-        result = await self._chain(request)
+        result = await self._run_chain(request)
         if result.is_error() and not responder.started:
             self._log_refusal(request, result.error)
             self._codec.refuse(responder, result.error)
 
+    async def _run_chain(self, request):
+        """Return the Result of the chain; a defect costs one request its answer."""
+        try:
+            return await self._chain(request)
+        except Exception:
+            log.exception("request failed", id=request.id.decode("latin-1"))
+            return Error(DEFECT_REFUSAL)
+
     def _log_refusal(self, request, refusal):
         self._metrics.refusals.labels(refusal.reason.value).inc()
         log.info(
