Read messages of other instances without an exception

Messages bear a MAC, so that only an instance of another build or a defect sends one.

Messages state which fields they must have; numbers have ranges; decode returns any exception of thrift as an error; a defect in the handling of one load message is logged and costs that message.

--- a/tanagerwalk/gateway/change_feed.py
+++ b/tanagerwalk/gateway/change_feed.py
@@ -1,7 +1,9 @@
 """Reads changes of the store, from other instances where possible, and serves them."""
 
+from functools import singledispatch
+
 import structlog
-from expression import Ok
+from expression import Error, Ok
 
 from ..changes import Changes, ConfirmedChanges
 from ..decisions.freshness import (
@@ -194,7 +196,11 @@
             return None
         if response.ok.compacted:
             return None
-        return decode_changes(response.ok, asked_at)
+        changes = read_changes(response.ok, asked_at)
+        if changes.is_error():
+            log.warning("ignored changes", peer=peer_id, problem=changes.error)
+            return None
+        return changes.ok
 
     def _record_fault(self, peer_id, fault):
         log.info("watcher did not answer", peer=peer_id, fault=fault.value)
@@ -286,6 +292,38 @@
     )
 
 
+def read_changes(response, asked_at):
+    """Return the Result of `decode_changes`, or of str if a field is missing."""
+    if response.age_ms is None or response.revision is None:
+        return Error("changes without age or revision")
+    entries = [*(response.written or ()), *(response.deleted or ())]
+    if not all(map(is_complete, entries)):
+        return Error("changes with an incomplete entry")
+    return Ok(decode_changes(response, asked_at))
+
+
+@singledispatch
+def is_complete(entry):
+    """Return whether a WrittenEntry or a DeletedEntry has all of its fields.
+
+    Parameters
+    ----------
+    entry : WrittenEntry or DeletedEntry
+        The entry.
+    """
+    raise TypeError(f"no entry: {entry!r}")
+
+
+@is_complete.register
+def _(entry: WrittenEntry):
+    return None not in (entry.key, entry.value, entry.revision)
+
+
+@is_complete.register
+def _(entry: DeletedEntry):
+    return None not in (entry.key, entry.revision)
+
+
 def decode_changes(response, asked_at):
     """Convert a ChangesResponse to ConfirmedChanges.
 
@@ -298,13 +336,13 @@
     """
     changes = Changes(
         written=tuple(
-            Entry(e.key, e.value, Revision(e.revision)) for e in response.written
+            Entry(e.key, e.value, Revision(e.revision)) for e in response.written or ()
         ),
-        deleted=tuple((e.key, Revision(e.revision)) for e in response.deleted),
+        deleted=tuple((e.key, Revision(e.revision)) for e in response.deleted or ()),
         revision=Revision(response.revision),
     )
     reconnected_at = float("-inf")
     if response.reconnected_ago_ms is not None:
-        reconnected_at = asked_at - response.reconnected_ago_ms / MS_PER_S
-    confirmed_at = asked_at - response.age_ms / MS_PER_S
+        reconnected_at = asked_at - max(0, response.reconnected_ago_ms) / MS_PER_S
+    confirmed_at = asked_at - max(0, response.age_ms) / MS_PER_S
     return ConfirmedChanges(changes, confirmed_at, reconnected_at)
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import math
 from functools import singledispatch
 
 from expression import Error
@@ -32,6 +33,17 @@
 MAC_BYTES = 16
 # Histograms of both releases for one message; a hundred bytes each.
 MAX_LATENCIES = 8
+MAX_INT32 = 2**31 - 1
+# Fields that all versions of a message set.
+REQUIRED_FIELDS = {
+    ServerLoad: ("server", "in_flight", "tokens"),
+    CrashBlame: ("fingerprint",),
+    ServerLimit: ("server",),
+    SessionSides: ("service_name", "on_target", "on_base"),
+    TrialTally: ("service_name", "order"),
+    RouteTally: ("route", "target_answers", "target_bad", "base_answers", "base_bad"),
+    LatencyTally: ("route",),
+}
 KNOWN_SCOPES = frozenset(scope.value for scope in Scope)
 
 
@@ -69,9 +81,28 @@
         return Error(f"unknown scope {message.scope}")
     if not message.parts or message.part not in range(message.parts):
         return Error(f"part {message.part} of {message.parts}")
+    for section in _list_sections(message):
+        missing = _find_missing(section)
+        if missing is not None:
+            return Error(f"{type(section).__name__} without {missing}")
     return result
 
 
+def _list_sections(message):
+    """Yield the structs of a LoadMessage, and those that they hold."""
+    for name in ("loads", "blames", "sides", "tallies", "limits"):
+        yield from getattr(message, name) or ()
+    for tally in message.tallies or ():
+        yield from tally.routes or ()
+        yield from tally.latencies or ()
+
+
+def _find_missing(section):
+    """Return the name of a required field that is not set, or None."""
+    names = REQUIRED_FIELDS[type(section)]
+    return next((name for name in names if getattr(section, name) is None), None)
+
+
 def encode_load(key, load):
     """Convert a SharedLoad to a ServerLoad message; `key` is the server's hash."""
     heard_ago_ms = None
@@ -79,9 +110,9 @@
         heard_ago_ms = int(load.heard_ago * MS_PER_S)
     return ServerLoad(
         key,
-        load.in_flight,
-        int(load.tokens),
-        int(load.silence * MS_PER_S) or None,
+        min(MAX_INT32, load.in_flight),
+        int(min(MAX_INT32, load.tokens)),
+        int(min(MAX_INT32, load.silence * MS_PER_S)) or None,
         heard_ago_ms,
     )
 
@@ -90,9 +121,10 @@
     """Convert a ServerLoad message to a SharedLoad."""
     heard_ago = float("inf")
     if load.heard_ago_ms is not None:
-        heard_ago = load.heard_ago_ms / MS_PER_S
-    silence = (load.silence_ms or 0) / MS_PER_S
-    return SharedLoad(load.in_flight, load.tokens, silence, heard_ago)
+        heard_ago = max(0, load.heard_ago_ms) / MS_PER_S
+    silence = max(0, load.silence_ms or 0) / MS_PER_S
+    in_flight = max(0, load.in_flight)
+    return SharedLoad(in_flight, max(0, load.tokens), silence, heard_ago)
 
 
 @singledispatch
@@ -159,9 +191,15 @@
 
 
 def decode_limit(limit):
-    """Convert a ServerLimit message to the server's hash and a LimitNews."""
+    """Convert a ServerLimit message to the server's hash and a LimitNews.
+
+    A rate that no server can name counts as none.
+    """
     heard_ago = max(0, limit.heard_ago_ms or 0) / MS_PER_S
-    return limit.server, LimitNews(limit.rate, heard_ago)
+    rate = limit.rate
+    if rate is not None and not 0.0 <= rate < math.inf:
+        rate = None
+    return limit.server, LimitNews(rate, heard_ago)
 
 
 def encode_tally(service, order, tally):
@@ -184,7 +222,8 @@
 
 def decode_tally(encoded):
     """Convert a TrialTally message to a Tally."""
-    starts = StartCount(encoded.target_starts or 0, encoded.base_starts or 0)
+    target_starts = max(0, encoded.target_starts or 0)
+    starts = StartCount(target_starts, max(0, encoded.base_starts or 0))
     tally = Tally(starts=starts)
     for latencies in encoded.latencies or ():
         kind = AnswerKind(RouteName(latencies.route), latencies.model)
@@ -192,12 +231,15 @@
         tally.base_latencies[kind] = _decode_histogram(latencies.base)
     for counts in encoded.routes or ():
         route = RouteName(counts.route)
-        target = SideCount(counts.target_answers, counts.target_bad)
-        tally.target[route] = target
-        tally.base[route] = SideCount(counts.base_answers, counts.base_bad)
+        tally.target[route] = _decode_count(counts.target_answers, counts.target_bad)
+        tally.base[route] = _decode_count(counts.base_answers, counts.base_bad)
     return tally
 
 
+def _decode_count(answers, bad):
+    return SideCount(max(0, answers), max(0, bad))
+
+
 def encode_latencies(service, order, tally):
     """Convert the latencies of a Tally to TrialTally messages of bounded size.
 
--- a/tanagerwalk/gateway/manifest_recovery.py
+++ b/tanagerwalk/gateway/manifest_recovery.py
@@ -18,6 +18,7 @@
 )
 from ..peers.rpc import MessageKind, PeerClient
 from ..writes import Entry
+from .change_feed import is_complete
 
 log = structlog.get_logger(__name__)
 
@@ -175,6 +176,9 @@
             log.warning("malformed manifest", peer=peer_id, problem=response.error)
             return False
         told = response.ok.entry
+        if told is not None and not is_complete(told):
+            log.warning("incomplete manifest", peer=peer_id)
+            return False
         if told is not None:
             entry = Entry(told.key, told.value, Revision(told.revision))
             self._cluster_state.adopt_manifest(entry)
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -124,15 +124,23 @@
             return
         result = decode_message(self._secret, data)
         if result.is_error():
-            self.rejected += 1
-            log.warning(
-                "rejected load message",
-                sender=addr[0],
-                problem=result.error,
-                count=self.rejected,
-            )
+            self._count_rejected(addr, result.error)
             return
-        self._process(result.ok)
+        try:
+            self._process(result.ok)
+        except Exception:
+            # The event loop would close the socket.
+            log.exception("load message failed")
+            self._count_rejected(addr, "defect")
+
+    def _count_rejected(self, addr, problem):
+        self.rejected += 1
+        log.warning(
+            "rejected load message",
+            sender=addr[0],
+            problem=problem,
+            count=self.rejected,
+        )
 
     def _process(self, message):
         now = self._clock()
--- a/tanagerwalk/peers/codec.py
+++ b/tanagerwalk/peers/codec.py
@@ -4,7 +4,6 @@
 
 from expression import Error, Ok
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
-from thrift.protocol.TProtocol import TProtocolException
 from thrift.TSerialization import deserialize, serialize
 
 # Protects against payloads that decompress to an excessive size.
@@ -45,7 +44,8 @@
     """
     try:
         return Ok(deserialize(kind(), _decompress(payload), _PROTOCOL_FACTORY))
-    except (EOFError, TProtocolException, ValueError, TypeError, zlib.error) as error:
+    except Exception as error:
+        # thrift raises exceptions of many kinds, some only in its accelerated parts.
         return Error(f"malformed {kind.__name__}: {type(error).__name__}")
 
 
