Know no instance whose entry names no address

Load messages to it raised ValueError or OverflowError in the task that sends them, and questions to its other port in the copy of the store; either ends the process.

--- a/tanagerwalk/gateway/membership.py
+++ b/tanagerwalk/gateway/membership.py
@@ -6,6 +6,7 @@
 import msgspec
 import structlog
 
+from ..addresses import is_connectable
 from ..controllers.loop import poll_until
 from ..decisions.peers import Peer
 from ..documents import decode_json
@@ -30,6 +31,12 @@
     changes_port: int = 0
     owns_sessions: bool = False
 
+    @property
+    def is_reachable(self):
+        """Whether messages can be sent to the addresses that it names."""
+        ports = [self.port] + ([self.changes_port] if self.changes_port else [])
+        return all(is_connectable((self.address, port)) for port in ports)
+
 
 class MembershipController:
     """Maintains this instance's entry and reads the entries of its peers.
@@ -85,6 +92,9 @@
                 log.warning("cannot decode peer entry", key=key, problem=decoded.error)
                 continue
             record = decoded.ok
+            if not record.is_reachable:
+                log.warning("peer entry without an address", key=key)
+                continue
             peers[key.removeprefix(self._prefix)] = Peer(
                 (record.address, record.port),
                 FailureDomain(record.failure_domain),
--- a/test/gateway/test_foreign_entries.py
+++ b/test/gateway/test_foreign_entries.py
@@ -1,6 +1,7 @@
 """Entries of the metadata store that other writers have left there."""
 
 import asyncio
+import json
 
 import pytest
 import pytest_asyncio
@@ -66,3 +67,35 @@
 async def test_nested_value_of_any_key_is_ignored(cluster, key, value):
     await cluster.store.put(key, value.encode())
     await check_that_store_is_followed(cluster)
+
+
+ODD_PEERS = [
+    {"address": "h" * 70, "port": 9},
+    {"address": "", "port": 9},
+    {"address": "\x00", "port": 9},
+    {"address": "peer.example", "port": 9},
+    {"address": "0.0.0.0", "port": 9},
+    {"address": "::1%lo", "port": 9},
+    {"address": "127.0.0.1", "port": 0},
+    {"address": "127.0.0.1", "port": -1},
+    {"address": "127.0.0.1", "port": 65536},
+    {"address": "127.0.0.1", "port": 10**30},
+    {"address": "127.0.0.1", "port": 9, "changes_port": -1},
+    {"address": "127.0.0.1", "port": 9, "changes_port": 65536},
+    {"address": "127.0.0.1", "port": 9, "changes_port": 10**30},
+    {"address": "127.0.0.1", "port": 9, "changes_port": "9"},
+    {"address": "127.0.0.1", "port": 9, "failure_domain": None},
+]
+
+
+# Guards against an address of another instance that ends the task that sends to it.
+@pytest.mark.parametrize("peer", ODD_PEERS)
+async def test_odd_peer_is_no_instance(cluster, peer):
+    (instance,) = cluster.instances
+    assert await poll_until(lambda: instance.sharing.has_key, 0.01, 2.0)
+    value = json.dumps(peer).encode()
+    await cluster.store.put("tanagerwalk/instance/other.1", value)
+    await check_that_store_is_followed(cluster)
+    assert instance.membership.peers == {}
+    await asyncio.sleep(2.0 * instance.shared_loads.period)
+    assert not instance.failed.is_set()
