Let clients read their answers slowly

Connections of clients have keep-alive alone now; those to servers, the store and instances are as they were.

--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -13,7 +13,7 @@
 
 from ..manifest import ClientLimits
 from ..outcomes import Refusal, RefusalReason
-from .connections import set_socket_options
+from .connections import set_client_socket_options
 from .requests import RawRequest
 from .responder import Responder
 
@@ -121,7 +121,7 @@
         """Configure the socket and start the idle timeout."""
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        set_socket_options(transport.get_extra_info("socket"))
+        set_client_socket_options(transport.get_extra_info("socket"))
         self._listener.connections.add(self)
         self._limits = self._listener.get_limits()
         self._start_timeout(self._limits.idle_timeout, self.close_if_idle)
