Bear odd targets, entries and numbers in `serve`

An odd target or pair is logged and left out, a value that can't be read is empty, and numbers have bounds. aiohttp's LineTooLong fails the attempt.

--- a/tanagerwalk/clients/attempts.py
+++ b/tanagerwalk/clients/attempts.py
@@ -3,8 +3,10 @@
 import asyncio
 
 import aiohttp
+from aiohttp.http_exceptions import LineTooLong
 from expression import Error
 
+from ..addresses import is_connectable, parse_address
 from ..messages import AttemptFailure
 from ..outcomes import RetryReason
 from .responses import read_retry_after
@@ -60,6 +62,8 @@
             RetryReason.CONNECTION_LOST, sent=True, crashed=True, has_begun=True
         )
         return Error(failure)
+    except LineTooLong:
+        return Error(AttemptFailure(RetryReason.SERVER_ERROR, sent=True))
     except (aiohttp.ClientError, ConnectionError):
         failure = AttemptFailure(RetryReason.CONNECTION_LOST, sent=True, crashed=True)
         return Error(failure)
@@ -78,10 +82,12 @@
     limit : float
         Timeout in seconds.
     """
-    host, _, port = address.rpartition(":")
+    parsed = parse_address(address)
+    if parsed is None or not is_connectable(parsed):
+        return False
     try:
         async with asyncio.timeout(limit):
-            _, writer = await asyncio.open_connection(host, int(port))
+            _, writer = await asyncio.open_connection(*parsed)
     except ConnectionRefusedError:
         return True
     except (OSError, TimeoutError):
--- a/tanagerwalk/clients/engines.py
+++ b/tanagerwalk/clients/engines.py
@@ -7,6 +7,7 @@
 import msgspec
 from expression import Error, Ok
 
+from ..addresses import parse_address
 from ..decisions.servers import LoadReport
 from ..documents import decode_json
 from ..messages import AttemptFailure, Usage
@@ -124,6 +125,8 @@
         return await run_attempt(self._exchange(attempt, on_text), deadline)
 
     async def _exchange(self, attempt, on_text):
+        if parse_address(attempt.address) is None:
+            return Error(AttemptFailure(RetryReason.CONNECT_FAILED, sent=False))
         async with self._http.post(
             build_url(attempt.address, "/v1/chat/completions"),
             data=_encode_body(attempt),
--- a/tanagerwalk/clients/keyvalue.py
+++ b/tanagerwalk/clients/keyvalue.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from typing import Annotated
 
 import aiohttp
 import msgspec
@@ -19,21 +20,18 @@
 REJECTED_STATUSES = frozenset({400, 404, 413})
 
 
+# 64-bit numbers, which etcd writes as text.
+_Number = Annotated[str, msgspec.Meta(pattern=r"^-?[0-9]{1,19}$")]
+
+
 class _KeyValuePair(msgspec.Struct, frozen=True):
     key: str = ""
     value: str = ""
     mod_revision: str = "0"
 
-    def to_entry(self):
-        return Entry(
-            base64.b64decode(self.key).decode(),
-            base64.b64decode(self.value),
-            Revision(int(self.mod_revision)),
-        )
-
 
 class _Header(msgspec.Struct, frozen=True):
-    revision: str = "0"
+    revision: _Number = "0"
 
 
 class _RangeResponse(msgspec.Struct, frozen=True):
@@ -68,8 +66,8 @@
 
 
 class _LeaseResponse(msgspec.Struct, frozen=True):
-    ID: str = "0"
-    TTL: str = "0"
+    ID: _Number = "0"
+    TTL: _Number = "0"
 
 
 class _KeepAliveResponse(msgspec.Struct, frozen=True):
@@ -122,7 +120,7 @@
         """
         body = {"key": _encode(key)}
         result = await self._call("/v3/kv/range", body, _RangeResponse)
-        return result.map(lambda r: r.kvs[0].to_entry() if r.kvs else None)
+        return result.bind(lambda response: _convert_first(response.kvs))
 
     async def get_newer(self, key, after):
         """Read one key if it was modified after a revision.
@@ -133,7 +131,7 @@
         """
         body = {"key": _encode(key), "min_mod_revision": str(after + 1)}
         result = await self._call("/v3/kv/range", body, _RangeResponse)
-        return result.map(_read_newer)
+        return result.bind(_read_newer)
 
     async def list(self, prefix):
         """Read all keys that begin with `prefix`.
@@ -144,7 +142,7 @@
         """
         body = {"key": _encode(prefix), "range_end": _encode_range_end(prefix)}
         result = await self._call("/v3/kv/range", body, _RangeResponse)
-        return result.map(lambda r: [pair.to_entry() for pair in r.kvs])
+        return result.map(lambda response: _convert_readable(response.kvs))
 
     async def create(self, key, value, lease=0):
         """Write a key if it does not exist yet.
@@ -195,7 +193,7 @@
         Result of WriteOutcome, or of StoreFault
         """
         result = await self._call("/v3/kv/txn", _render_write(write), _TxnResponse)
-        return result.map(lambda txn: _read_outcome(txn, txn.header))
+        return result.bind(lambda txn: _read_outcome(txn, txn.header))
 
     async def write_all(self, writes):
         """Perform conditional writes of distinct keys in one transaction.
@@ -216,7 +214,7 @@
         nested = [{"request_txn": _render_write(write)} for write in writes]
         body = {"compare": [], "success": nested, "failure": []}
         result = await self._call("/v3/kv/txn", body, _TxnResponse)
-        return result.map(_read_outcomes)
+        return result.bind(_read_outcomes)
 
     async def wait_for_change(self, prefix, after, limit):
         """Wait until a key under `prefix` is modified after a revision.
@@ -291,6 +289,33 @@
         return result.map(lambda _response: None)
 
 
+def _convert_first(pairs):
+    """Return the Result of the first pair's Entry, None without one, or StoreFault."""
+    return _convert(pairs[0]) if pairs else Ok(None)
+
+
+def _convert_readable(pairs):
+    """Return the entries of the pairs that can be read; the others are logged."""
+    results = map(_convert, pairs)
+    return [result.ok for result in results if result.is_ok()]
+
+
+def _convert(pair):
+    """Return the Result of an Entry; a value that can't be read is empty."""
+    try:
+        key = base64.b64decode(pair.key, validate=True).decode()
+        revision = Revision(int(pair.mod_revision))
+    except ValueError as error:
+        log.warning("unreadable pair of the store", problem=str(error))
+        return Error(StoreFault.UNREADABLE)
+    try:
+        value = base64.b64decode(pair.value, validate=True)
+    except ValueError as error:
+        log.warning("unreadable value of the store", key=key, problem=str(error))
+        value = b""
+    return Ok(Entry(key, value, revision))
+
+
 def _report_unreadable(problem):
     log.warning("unreadable response of the store", problem=problem)
     return StoreFault.UNKNOWN
@@ -306,7 +331,7 @@
         result = decoded.ok.result
         if result.canceled:
             return Error(StoreFault.UNKNOWN)
-        entries = [event.kv.to_entry() for event in result.events if event.kv.key]
+        entries = _convert_readable(e.kv for e in result.events if e.kv.key)
         if entries:
             return Ok(entries)
     return Error(StoreFault.UNKNOWN)
@@ -314,15 +339,24 @@
 
 def _read_outcomes(txn):
     # Nested responses have no revision; all share that of the outer transaction.
-    return [_read_outcome(each.response_txn, txn.header) for each in txn.responses]
+    nested = [each.response_txn or _TxnResponse() for each in txn.responses]
+    outcomes = [_read_outcome(each, txn.header) for each in nested]
+    faulty = [outcome for outcome in outcomes if outcome.is_error()]
+    return faulty[0] if faulty else Ok([outcome.ok for outcome in outcomes])
 
 
 def _read_outcome(txn, header):
-    existing = None
-    for operation in txn.responses:
-        if operation.response_range is not None and operation.response_range.kvs:
-            existing = operation.response_range.kvs[0].to_entry()
-    return WriteOutcome(txn.succeeded, Revision(int(header.revision)), existing)
+    """Return the Result of a WriteOutcome, or of StoreFault."""
+    pairs = [
+        pair
+        for operation in txn.responses
+        if operation.response_range is not None
+        for pair in operation.response_range.kvs[:1]
+    ]
+    revision = Revision(int(header.revision))
+    return _convert_first(pairs[-1:]).map(
+        lambda existing: WriteOutcome(txn.succeeded, revision, existing)
+    )
 
 
 def _render_write(write):
@@ -342,8 +376,8 @@
 
 
 def _read_newer(response):
-    entry = response.kvs[0].to_entry() if response.kvs else None
-    return NewerRead(entry, Revision(int(response.header.revision)))
+    revision = Revision(int(response.header.revision))
+    return _convert_first(response.kvs).map(lambda entry: NewerRead(entry, revision))
 
 
 def _render_operation(write, key):
--- a/tanagerwalk/clients/responses.py
+++ b/tanagerwalk/clients/responses.py
@@ -1,5 +1,10 @@
 """Parsing of response headers common to all backend servers."""
 
+import math
+
+# A server that names a longer time is asked again after this one.
+MAX_RETRY_AFTER_S = 3600.0
+
 
 def read_retry_after(headers):
     """Return the seconds of a `Retry-After` header, or None.
@@ -11,8 +16,10 @@
     headers : mapping of str to str
         Headers of the response.
     """
-    raw = headers.get("Retry-After")
     try:
-        return max(0.0, float(raw)) if raw is not None else None
+        seconds = float(headers.get("Retry-After", "nan"))
     except ValueError:
         return None
+    if math.isnan(seconds):
+        return None
+    return min(MAX_RETRY_AFTER_S, max(0.0, seconds))
--- a/tanagerwalk/clients/services.py
+++ b/tanagerwalk/clients/services.py
@@ -7,7 +7,10 @@
 import msgspec
 from expression import Error, Ok
 
+from ..addresses import parse_address
 from ..decisions.servers import LoadReport
+from ..messages import AttemptFailure
+from ..outcomes import RetryReason
 from .attempts import REQUEST_ID_HEADER, build_timeout, classify_status, run_attempt
 from .http import build_url, read_body
 from .loads import parse_load
@@ -95,6 +98,8 @@
         }
         if attempt.idempotency_key:
             headers[IDEMPOTENCY_HEADER] = attempt.idempotency_key
+        if parse_address(attempt.address) is None:
+            return Error(AttemptFailure(RetryReason.CONNECT_FAILED, sent=False))
         http = self._http if attempt.idempotent else self._unpooled_http
         async with http.post(
             build_url(attempt.address, f"/{attempt.work_class}"),
--- a/tanagerwalk/clients/targets.py
+++ b/tanagerwalk/clients/targets.py
@@ -4,8 +4,10 @@
 
 import aiohttp
 import msgspec
+import structlog
 from expression import Error, Ok
 
+from ..addresses import is_connectable, parse_address
 from ..decisions.servers import ServerRecord, ServerRole
 from ..documents import decode_json
 from ..ids import (
@@ -18,6 +20,10 @@
 )
 from .http import read_body
 
+log = structlog.get_logger(__name__)
+
+# Characters of a foreign text that go into a log line.
+MAX_LOGGED = 80
 ENTRY_ROLE = "entry"
 LEAVING_STATE = "leaving"
 OK_STATUS = 200
@@ -112,7 +118,7 @@
     servers = []
     peers = []
     for group in groups:
-        for address in group.targets:
+        for address in filter(_is_usable, group.targets):
             if group.labels["role"] == ENTRY_ROLE:
                 peers.append(_read_peer(address, group.labels))
             else:
@@ -120,6 +126,14 @@
     return InstanceList(tuple(servers), tuple(peers))
 
 
+def _is_usable(address):
+    parsed = parse_address(address)
+    if parsed is not None and is_connectable(parsed):
+        return True
+    log.warning("target without an address", address=address[:MAX_LOGGED])
+    return False
+
+
 def _read_peer(address, labels):
     return PeerRecord(
         id=InstanceId(labels["id"]),
