--- a/tanagerwalk/clients/keyvalue.py
+++ b/tanagerwalk/clients/keyvalue.py
@@ -2,17 +2,24 @@
 
 import asyncio
 import base64
-from typing import Annotated
 
 import aiohttp
-import msgspec
 import structlog
 from expression import Error, Ok
 
 from ..documents import decode_json
 from ..ids import Revision
-from ..writes import ABSENT, Entry, NewerRead, StoreFault, Write, WriteOutcome
+from ..writes import ABSENT, NewerRead, StoreFault, Write, WriteOutcome
 from .http import read_body
+from .keyvalue_messages import (
+    KeepAliveResponse,
+    LeaseResponse,
+    RangeResponse,
+    TxnResponse,
+    WatchResponse,
+    convert_first,
+    convert_readable,
+)
 
 log = structlog.get_logger(__name__)
 
@@ -20,60 +27,6 @@
 REJECTED_STATUSES = frozenset({400, 404, 413})
 
 
-# 64-bit numbers, which etcd writes as text.
-_Number = Annotated[str, msgspec.Meta(pattern=r"^-?[0-9]{1,19}$")]
-
-
-class _KeyValuePair(msgspec.Struct, frozen=True):
-    key: str = ""
-    value: str = ""
-    mod_revision: str = "0"
-
-
-class _Header(msgspec.Struct, frozen=True):
-    revision: _Number = "0"
-
-
-class _RangeResponse(msgspec.Struct, frozen=True):
-    header: _Header = _Header()
-    kvs: list[_KeyValuePair] = []
-
-
-class _OperationResponse(msgspec.Struct, frozen=True):
-    response_range: _RangeResponse | None = None
-    response_txn: "_TxnResponse | None" = None
-
-
-class _TxnResponse(msgspec.Struct, frozen=True):
-    header: _Header = _Header()
-    succeeded: bool = False
-    responses: list[_OperationResponse] = []
-
-
-class _Event(msgspec.Struct, frozen=True):
-    kv: _KeyValuePair = _KeyValuePair()
-    type: str = "PUT"
-
-
-class _WatchResult(msgspec.Struct, frozen=True):
-    header: _Header = _Header()
-    events: list[_Event] = []
-    canceled: bool = False
-
-
-class _WatchResponse(msgspec.Struct, frozen=True):
-    result: _WatchResult = _WatchResult()
-
-
-class _LeaseResponse(msgspec.Struct, frozen=True):
-    ID: _Number = "0"
-    TTL: _Number = "0"
-
-
-class _KeepAliveResponse(msgspec.Struct, frozen=True):
-    result: _LeaseResponse = _LeaseResponse()
-
-
 class KeyValueClient:
     """Client for the etcd operations that the router needs.
 
@@ -119,8 +72,8 @@
         Result of Entry or None, or of StoreFault
         """
         body = {"key": _encode(key)}
-        result = await self._call("/v3/kv/range", body, _RangeResponse)
-        return result.bind(lambda response: _convert_first(response.kvs))
+        result = await self._call("/v3/kv/range", body, RangeResponse)
+        return result.bind(lambda response: convert_first(response.kvs))
 
     async def get_newer(self, key, after):
         """Read one key if it was modified after a revision.
@@ -130,7 +83,7 @@
         Result of NewerRead, or of StoreFault
         """
         body = {"key": _encode(key), "min_mod_revision": str(after + 1)}
-        result = await self._call("/v3/kv/range", body, _RangeResponse)
+        result = await self._call("/v3/kv/range", body, RangeResponse)
         return result.bind(_read_newer)
 
     async def list(self, prefix):
@@ -141,8 +94,8 @@
         Result of list of Entry, or of StoreFault
         """
         body = {"key": _encode(prefix), "range_end": _encode_range_end(prefix)}
-        result = await self._call("/v3/kv/range", body, _RangeResponse)
-        return result.map(lambda response: _convert_readable(response.kvs))
+        result = await self._call("/v3/kv/range", body, RangeResponse)
+        return result.map(lambda response: convert_readable(response.kvs))
 
     async def create(self, key, value, lease=0):
         """Write a key if it does not exist yet.
@@ -192,7 +145,7 @@
         -------
         Result of WriteOutcome, or of StoreFault
         """
-        result = await self._call("/v3/kv/txn", _render_write(write), _TxnResponse)
+        result = await self._call("/v3/kv/txn", _render_write(write), TxnResponse)
         return result.bind(lambda txn: _read_outcome(txn, txn.header))
 
     async def write_all(self, writes):
@@ -213,7 +166,7 @@
         """
         nested = [{"request_txn": _render_write(write)} for write in writes]
         body = {"compare": [], "success": nested, "failure": []}
-        result = await self._call("/v3/kv/txn", body, _TxnResponse)
+        result = await self._call("/v3/kv/txn", body, TxnResponse)
         return result.bind(_read_outcomes)
 
     async def wait_for_change(self, prefix, after, limit):
@@ -262,7 +215,7 @@
             The lease id.
         """
         body = {"TTL": str(int(ttl))}
-        result = await self._call("/v3/lease/grant", body, _LeaseResponse)
+        result = await self._call("/v3/lease/grant", body, LeaseResponse)
         return result.map(lambda response: int(response.ID))
 
     async def keep_lease(self, lease):
@@ -274,7 +227,7 @@
             False if the lease has expired.
         """
         body = {"ID": str(lease)}
-        result = await self._call("/v3/lease/keepalive", body, _KeepAliveResponse)
+        result = await self._call("/v3/lease/keepalive", body, KeepAliveResponse)
         return result.map(lambda response: int(response.result.TTL) > 0)
 
     async def revoke_lease(self, lease):
@@ -285,37 +238,10 @@
         Result of None, or of StoreFault
         """
         body = {"ID": str(lease)}
-        result = await self._call("/v3/lease/revoke", body, _LeaseResponse)
+        result = await self._call("/v3/lease/revoke", body, LeaseResponse)
         return result.map(lambda _response: None)
 
 
-def _convert_first(pairs):
-    """Return the Result of the first pair's Entry, None without one, or StoreFault."""
-    return _convert(pairs[0]) if pairs else Ok(None)
-
-
-def _convert_readable(pairs):
-    """Return the entries of the pairs that can be read; the others are logged."""
-    results = map(_convert, pairs)
-    return [result.ok for result in results if result.is_ok()]
-
-
-def _convert(pair):
-    """Return the Result of an Entry; a value that can't be read is empty."""
-    try:
-        key = base64.b64decode(pair.key, validate=True).decode()
-        revision = Revision(int(pair.mod_revision))
-    except ValueError as error:
-        log.warning("unreadable pair of the store", problem=str(error))
-        return Error(StoreFault.UNREADABLE)
-    try:
-        value = base64.b64decode(pair.value, validate=True)
-    except ValueError as error:
-        log.warning("unreadable value of the store", key=key, problem=str(error))
-        value = b""
-    return Ok(Entry(key, value, revision))
-
-
 def _report_unreadable(problem):
     log.warning("unreadable response of the store", problem=problem)
     return StoreFault.UNKNOWN
@@ -325,13 +251,13 @@
     if response.status != 200:
         return Error(StoreFault.UNKNOWN)
     async for line in response.content:
-        decoded = decode_json(line, _WatchResponse)
+        decoded = decode_json(line, WatchResponse)
         if decoded.is_error():
             return decoded.map_error(_report_unreadable)
         result = decoded.ok.result
         if result.canceled:
             return Error(StoreFault.UNKNOWN)
-        entries = _convert_readable(e.kv for e in result.events if e.kv.key)
+        entries = convert_readable(e.kv for e in result.events if e.kv.key)
         if entries:
             return Ok(entries)
     return Error(StoreFault.UNKNOWN)
@@ -339,7 +265,7 @@
 
 def _read_outcomes(txn):
     # Nested responses have no revision; all share that of the outer transaction.
-    nested = [each.response_txn or _TxnResponse() for each in txn.responses]
+    nested = [each.response_txn or TxnResponse() for each in txn.responses]
     outcomes = [_read_outcome(each, txn.header) for each in nested]
     faulty = [outcome for outcome in outcomes if outcome.is_error()]
     return faulty[0] if faulty else Ok([outcome.ok for outcome in outcomes])
@@ -354,7 +280,7 @@
         for pair in operation.response_range.kvs[:1]
     ]
     revision = Revision(int(header.revision))
-    return _convert_first(pairs[-1:]).map(
+    return convert_first(pairs[-1:]).map(
         lambda existing: WriteOutcome(txn.succeeded, revision, existing)
     )
 
@@ -377,7 +303,7 @@
 
 def _read_newer(response):
     revision = Revision(int(response.header.revision))
-    return _convert_first(response.kvs).map(lambda entry: NewerRead(entry, revision))
+    return convert_first(response.kvs).map(lambda entry: NewerRead(entry, revision))
 
 
 def _render_operation(write, key):
--- a/tanagerwalk/decisions/crash_records.py
+++ b/tanagerwalk/decisions/crash_records.py
@@ -1,6 +1,6 @@
 """What is known of crashes, of requests and of parts that prompts share."""
 
-from .part_quarantine import is_part_key
+from .part_records import is_part_key
 
 
 class CrashRecords:
--- a/tanagerwalk/decisions/crash_suspicions.py
+++ b/tanagerwalk/decisions/crash_suspicions.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ..ids import Fingerprint, PartKey
-from .part_quarantine import CrashWeight
+from .part_records import CrashWeight
 
 SUSPICION_LIFETIME_S = 15.0
 # The same for a request whose answer was declined; a crash follows soon or never.
--- a/tanagerwalk/decisions/part_quarantine.py
+++ b/tanagerwalk/decisions/part_quarantine.py
@@ -7,12 +7,11 @@
 fewest requests share.
 """
 
-import hashlib
 from collections import OrderedDict
 from dataclasses import dataclass, field
-from enum import IntEnum
 
-from ..ids import Incarnation, PartKey
+from ..ids import Incarnation
+from .part_records import CrashWeight, PartRecord
 from .quarantine import QuarantineState
 from .recent_crashes import RecentCrashes
 
@@ -23,9 +22,6 @@
 MAX_REFUTED = 256
 # A crash may be heard of this much later.
 MAX_NEWS_DELAY_S = 2.0
-MAX_SHARED_PARTS = 64
-KEY_BYTES = 8
-KEY_PREFIX = "part-"
 # A part that was answered this long before its first crash is probably sound.
 ESTABLISHED_S = 60.0
 GUILTY_WEIGHT = 4
@@ -40,43 +36,6 @@
 MAX_TRIAL_INTERVAL_S = 3600.0
 
 
-class CrashWeight(IntEnum):
-    """How strongly a crash speaks against a request that was in flight.
-
-    PRESENT: its answer had not begun. BEGUN: its answer had begun just before.
-    """
-
-    PRESENT = 1
-    BEGUN = 2
-
-
-@dataclass(frozen=True, slots=True)
-class PartRecord:
-    """What an instance tells the others of a part.
-
-    Parameters
-    ----------
-    crashes : dict of Incarnation to CrashWeight
-        Backend servers that crashed since the part was last answered.
-    depth : int
-        Number of parts before it in its prompts.
-    lifetime : float
-        Seconds until the record expires.
-    answered_ago : float or None
-        Seconds since a request with the part was answered; None if that is not known.
-    """
-
-    crashes: dict[Incarnation, CrashWeight]
-    depth: int
-    lifetime: float
-    answered_ago: float | None = None
-
-    @property
-    def incarnations(self):
-        """Backend servers that crashed."""
-        return self.crashes.keys()
-
-
 @dataclass(slots=True)
 class _Crash:
     weight: CrashWeight
@@ -462,29 +421,3 @@
 
 def _sum_unexplained(crashes, explained):
     return sum(weight for life, weight in crashes.items() if life not in explained)
-
-
-def list_shared_keys(prompt_parts):
-    """Return the keys of the parts that other requests may share, all but the last.
-
-    Parameters
-    ----------
-    prompt_parts : sequence of str
-        Ids of the parts of a prompt, in order.
-
-    Returns
-    -------
-    tuple of PartKey
-    """
-    return tuple(map(compute_part_key, prompt_parts[:-1][:MAX_SHARED_PARTS]))
-
-
-def compute_part_key(part):
-    """Return a hash of a part's id; it stands for the part in messages and logs."""
-    digest = hashlib.blake2b(part.encode(errors="replace"), digest_size=KEY_BYTES)
-    return PartKey(KEY_PREFIX + digest.hexdigest())
-
-
-def is_part_key(key):
-    """Return whether a key of a crash record stands for a part, not for a request."""
-    return key.startswith(KEY_PREFIX)
--- a/tanagerwalk/filters/part_blames.py
+++ b/tanagerwalk/filters/part_blames.py
@@ -4,7 +4,7 @@
 import structlog
 
 from ..decisions.facts import Topic
-from ..decisions.part_quarantine import (
+from ..decisions.part_records import (
     CrashWeight,
     PartRecord,
     is_part_key,
--- a/tanagerwalk/filters/quarantine.py
+++ b/tanagerwalk/filters/quarantine.py
@@ -4,7 +4,7 @@
 
 from ..decisions.backends import FailureKind
 from ..decisions.facts import Topic
-from ..decisions.part_quarantine import is_part_key
+from ..decisions.part_records import is_part_key
 from ..decisions.quarantine import QuarantineState, refuse_quarantined
 from ..messages import AttemptFailure
 from ..outcomes import RetryReason
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -31,7 +31,7 @@
 from .connector import ServerConnector
 from .crash_check import CrashCheck
 from .exchange import AttemptRunner
-from .execution import ExecutionContext
+from .execution_context import ExecutionContext
 from .fleet_key import FleetKey
 from .forwarding import ForwardFilter
 from .listener import Listener
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -6,8 +6,6 @@
 """
 
 import asyncio
-import contextlib
-import socket
 import time
 from collections import deque
 from dataclasses import dataclass
@@ -16,18 +14,8 @@
 import httptools
 from expression import Error, Ok
 
-USER_TIMEOUT_MS = 2500
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 3
-KEEPALIVE_OPTIONS = (
-    # Nagle's algorithm would hold back small events.
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-)
+from .socket_options import has_pending_reset, set_socket_options
+
 READ_HIGH_WATER_BYTES = 256 * 1024
 READ_LOW_WATER_BYTES = 64 * 1024
 # Most that a reader gets before other tasks have their turn.
@@ -358,47 +346,6 @@
         self._fail(ConnectionFailure.CLOSED)
 
 
-def has_pending_reset(transport):
-    """Return whether a connection reset follows the data already received.
-
-    The event loop may report such a reset as an orderly end of the stream; only the
-    socket error tells them apart.
-
-    Parameters
-    ----------
-    transport : asyncio.Transport
-        Transport whose stream has ended.
-    """
-    sock = transport.get_extra_info("socket")
-    if sock is None:
-        return False
-    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
-
-
-def set_socket_options(sock):
-    """Set short timeouts that detect a dead server, store or instance."""
-    user_timeout = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    _set_options(sock, (*KEEPALIVE_OPTIONS, user_timeout))
-
-
-def set_client_socket_options(sock):
-    """Set short timeouts that detect a dead client, but bear one that reads slowly.
-
-    TCP_USER_TIMEOUT would also bound for how long a client's window may stay closed,
-    though the client answers every probe and goes on reading.
-    """
-    _set_options(sock, KEEPALIVE_OPTIONS)
-
-
-def _set_options(sock, options):
-    if sock is None:
-        return
-    for level, name, value in options:
-        # The transport may have been closed in the meantime.
-        with contextlib.suppress(OSError):
-            sock.setsockopt(level, name, value)
-
-
 async def open_connection(address, timeout, create_protocol=Connection):
     """Open a TCP connection.
 
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -1,9 +1,7 @@
 """Runs the attempts of one request until one delivers a response."""
 
 import asyncio
-from dataclasses import dataclass
 from functools import partial
-from random import Random
 
 from expression import Error, Ok
 
@@ -16,19 +14,12 @@
 )
 from ..decisions.model_selection import is_confident_enough, plan_models
 from ..decisions.prompt_affinity import compute_affinity
-from ..decisions.selection import ServerPool
 from ..decisions.server_usage import estimate_work
 from ..manifest import Repeatability
 from ..outcomes import Refusal, RefusalReason, RunState
-from .answer_recorder import AnswerRecorder
 from .attempts import Attempt, AttemptResult, Outcome
-from .crash_check import CrashCheck
-from .exchange import AttemptPlan, AttemptRunner, AttemptTimeouts
-from .metrics import GatewayMetrics
+from .exchange import AttemptPlan, AttemptTimeouts
 from .place_wait import PlaceWait
-from .quarantine import QuarantineFilter
-from .release_assignment import ReleaseAssigner
-from .release_rollouts import ReleaseRolloutController
 from .request_log import describe_attempt, log_request_end
 from .stream_progress import StreamProgress
 
@@ -49,46 +40,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class ExecutionContext:
-    """Components of the instance that request executions share.
-
-    Parameters
-    ----------
-    attempt_runner : AttemptRunner
-        Runs single attempts.
-    servers : ServerPool
-        Selects servers and tracks their health.
-    rollouts : ReleaseRolloutController
-        Knows releases that were rolled back.
-    assigner : ReleaseAssigner
-        Restricts a request to the releases of its side of a roll-out.
-    recorder : AnswerRecorder
-        Counts the answers of releases that are rolled out.
-    quarantine : QuarantineFilter
-        Records which requests crash servers.
-    crash_check : CrashCheck
-        Finds out which servers have crashed.
-    metrics : GatewayMetrics
-        Metrics of the instance.
-    clock : callable
-        Returns monotonic time in seconds.
-    random : random.Random
-        Spreads the times at which refused clients come back.
-    """
-
-    attempt_runner: AttemptRunner
-    servers: ServerPool
-    rollouts: ReleaseRolloutController
-    assigner: ReleaseAssigner
-    recorder: AnswerRecorder
-    quarantine: QuarantineFilter
-    crash_check: CrashCheck
-    metrics: GatewayMetrics
-    clock: object
-    random: Random
-
-
 class RequestExecution:
     """Runs one request: selects servers, repeats attempts and delivers the response.
 
--- /dev/null
+++ b/tanagerwalk/gateway/execution_context.py
@@ -0,0 +1,53 @@
+"""Components of a gateway instance that the executions of requests share."""
+
+from dataclasses import dataclass
+from random import Random
+
+from ..decisions.selection import ServerPool
+from .answer_recorder import AnswerRecorder
+from .crash_check import CrashCheck
+from .exchange import AttemptRunner
+from .metrics import GatewayMetrics
+from .quarantine import QuarantineFilter
+from .release_assignment import ReleaseAssigner
+from .release_rollouts import ReleaseRolloutController
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutionContext:
+    """Components of the instance that request executions share.
+
+    Parameters
+    ----------
+    attempt_runner : AttemptRunner
+        Runs single attempts.
+    servers : ServerPool
+        Selects servers and tracks their health.
+    rollouts : ReleaseRolloutController
+        Knows releases that were rolled back.
+    assigner : ReleaseAssigner
+        Restricts a request to the releases of its side of a roll-out.
+    recorder : AnswerRecorder
+        Counts the answers of releases that are rolled out.
+    quarantine : QuarantineFilter
+        Records which requests crash servers.
+    crash_check : CrashCheck
+        Finds out which servers have crashed.
+    metrics : GatewayMetrics
+        Metrics of the instance.
+    clock : callable
+        Returns monotonic time in seconds.
+    random : random.Random
+        Spreads the times at which refused clients come back.
+    """
+
+    attempt_runner: AttemptRunner
+    servers: ServerPool
+    rollouts: ReleaseRolloutController
+    assigner: ReleaseAssigner
+    recorder: AnswerRecorder
+    quarantine: QuarantineFilter
+    crash_check: CrashCheck
+    metrics: GatewayMetrics
+    clock: object
+    random: Random
--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -13,9 +13,9 @@
 
 from ..manifest import ClientLimits
 from ..outcomes import Refusal, RefusalReason
-from .connections import set_client_socket_options
 from .requests import RawRequest
 from .responder import Responder
+from .socket_options import set_client_socket_options
 
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 MAX_PIPELINED_REQUESTS = 8
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -8,7 +8,7 @@
 from expression import Error
 
 from ..decisions.latency_histograms import MAX_BUCKET, LatencyHistogram
-from ..decisions.part_quarantine import CrashWeight, PartRecord, is_part_key
+from ..decisions.part_records import CrashWeight, PartRecord, is_part_key
 from ..decisions.quarantine import CrashRecord
 from ..decisions.relays import Scope
 from ..decisions.server_limits import LimitNews
--- a/tanagerwalk/gateway/quarantine.py
+++ b/tanagerwalk/gateway/quarantine.py
@@ -13,12 +13,8 @@
     CrashSuspicions,
     Suspicion,
 )
-from ..decisions.part_quarantine import (
-    CrashWeight,
-    PartQuarantine,
-    is_part_key,
-    list_shared_keys,
-)
+from ..decisions.part_quarantine import PartQuarantine
+from ..decisions.part_records import CrashWeight, is_part_key, list_shared_keys
 from ..decisions.quarantine import Quarantine, QuarantineState, refuse_quarantined
 from ..decisions.server_usage_table import hash_life
 from ..ids import FailureDomain, Fingerprint, Incarnation
--- a/tanagerwalk/gateway/tunnels.py
+++ b/tanagerwalk/gateway/tunnels.py
@@ -19,12 +19,8 @@
 from ..peers.frames import MAX_PAYLOAD_BYTES
 from ..peers.gen.loads.ttypes import TunnelNotice
 from ..peers.rpc import MessageKind, PeerClient
-from .connections import (
-    Connection,
-    has_pending_reset,
-    open_connection,
-    set_socket_options,
-)
+from .connections import Connection, open_connection
+from .socket_options import has_pending_reset, set_socket_options
 
 log = structlog.get_logger(__name__)
 
--- a/test/decisions/test_leases.py
+++ b/test/decisions/test_leases.py
@@ -8,7 +8,6 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from tanagerwalk.clients.keyvalue import Entry, StoreFault, WriteOutcome
 from tanagerwalk.decisions.leases import (
     DomainLease,
     LeasePhase,
@@ -16,6 +15,7 @@
     choose_look_interval,
     rank_instance,
 )
+from tanagerwalk.writes import Entry, StoreFault, WriteOutcome
 
 TIMES = LeaseTimes(ttl=10.0, margin=2.0, look_interval=1.0)
 # Over one TTL and the wait after it, clocks drift apart by less than the margin.
--- a/test/decisions/test_part_quarantine.py
+++ b/test/decisions/test_part_quarantine.py
@@ -13,11 +13,9 @@
     FIRST_TRIAL_S,
     LIFETIME_S,
     MAX_NEWS_DELAY_S,
-    CrashWeight,
     PartQuarantine,
-    PartRecord,
-    list_shared_keys,
 )
+from tanagerwalk.decisions.part_records import CrashWeight, PartRecord, list_shared_keys
 from tanagerwalk.decisions.quarantine import QuarantineState
 
 PROMPT = ("first", "caller", "dead")
--- a/test/gateway/test_earlier_messages.py
+++ b/test/gateway/test_earlier_messages.py
@@ -6,7 +6,7 @@
 import earlier_load_types as earlier
 import pytest
 
-from tanagerwalk.decisions.part_quarantine import CrashWeight, PartRecord
+from tanagerwalk.decisions.part_records import CrashWeight, PartRecord
 from tanagerwalk.decisions.quarantine import CrashRecord
 from tanagerwalk.gateway.load_messages import decode_blame, encode_blame
 from tanagerwalk.peers.codec import decode, encode
