Compare the types of a stream's parts without their parameters

Not seen; found by reading the change.

test_type_with_a_parameter_continues_the_stream; 5 tests of test_resumed_streams.py passed.

--- a/tanagerwalk/gateway/stream_progress.py
+++ b/tanagerwalk/gateway/stream_progress.py
@@ -17,8 +17,8 @@
         Whether the status and headers were forwarded.
     status : int
         The status that was forwarded.
-    content_type : bytes or None
-        The Content-Type that was forwarded.
+    media_type : bytes
+        The Content-Type that was forwarded, without parameters.
     has_unnumbered : bool
         Whether an event without a number was forwarded, so that no other server can
         tell what the client has.
@@ -33,7 +33,7 @@
     last_event: int | None = None
     head_sent: bool = False
     status: int = 0
-    content_type: bytes | None = None
+    media_type: bytes = b""
     has_unnumbered: bool = False
     first_event_at: float | None = None
     last_event_at: float = 0.0
@@ -48,7 +48,7 @@
         """Record the ResponseHead that is forwarded to the client."""
         self.head_sent = True
         self.status = head.status
-        self.content_type = head.get_header(CONTENT_TYPE)
+        self.media_type = _get_media_type(head)
 
     def is_continued_by(self, head):
         """Return whether a successful response may go on with the client's stream.
@@ -60,7 +60,7 @@
         """
         if not self.head_sent:
             return True
-        has_same_type = head.get_header(CONTENT_TYPE) == self.content_type
+        has_same_type = _get_media_type(head) == self.media_type
         return head.status == self.status and has_same_type
 
     def record_joined(self, joined):
@@ -75,3 +75,8 @@
         else:
             self.max_gap = max(self.max_gap, now - self.last_event_at)
         self.last_event_at = now
+
+
+def _get_media_type(head):
+    value = head.get_header(CONTENT_TYPE) or b""
+    return value.partition(b";")[0].strip().lower()
--- a/test/gateway/test_resumed_streams.py
+++ b/test/gateway/test_resumed_streams.py
@@ -191,3 +191,14 @@
     body, is_complete = parse_chunks(data)
     assert body == b"data: a\n\ndata: b\n\n"
     assert not is_complete
+
+
+# Guards against a whole rest that is refused for how its type is written.
+async def test_type_with_a_parameter_continues_the_stream():
+    rest = "".join(PREFIX % number for number in range(3, EVENT_COUNT + 1))
+    typed = "Content-Type: Text/Event-Stream; charset=utf-8\r\n"
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=2, desks=0)
+        data = await stream_from(cluster, build_answer(200, rest, typed), "cut")
+    assert find_fault(data) is None
+    assert parse_chunks(data)[1]
