Pass on no unsigned answer below 500

Its 401 or 404, which bears no seal, was the answer to the client's request, though the manifest allows it (DENIED counts a 401, 403 or 404 from any machine).

Any status below 500 counts only with the echoed attempt id and a seal, as a success did before; else the attempt is lost and another server is tried.

Before: 11 of 13 statuses failed test_answer_of_another_system_is_no_answer.

--- a/tanagerwalk/gateway/attempts.py
+++ b/tanagerwalk/gateway/attempts.py
@@ -50,8 +50,8 @@
 class ResponseKind(Enum):
     """How the status and headers of a response are classified.
 
-    REJECTED: the server states that it did not run the request. UNSIGNED: a success
-    status without the signature or the echoed attempt id. FAILED: a 5xx status.
+    REJECTED: the server states that it did not run the request. UNSIGNED: a status
+    below 500 without the signature or the echoed attempt id. FAILED: a 5xx status.
     ANSWERED: everything else.
     """
 
--- a/tanagerwalk/platform/egress.py
+++ b/tanagerwalk/platform/egress.py
@@ -130,9 +130,10 @@
 def classify_head(head):
     """Classify a backend server's response by its status and headers.
 
-    A not-executed header or status 421 takes precedence over the rest of the head. A
-    success status counts only with an echoed attempt id and a signature, and without a
-    not-executed header, which contradicts it.
+    A not-executed header or status 421 takes precedence over the rest of the head,
+    except for a success status, which contradicts it. Any other status below 500 counts
+    only with an echoed attempt id and a signature: a server signs its answers, and
+    another system may listen at the address.
 
     Parameters
     ----------
@@ -150,10 +151,10 @@
     is_success = head.status in SUCCESS_STATUSES
     if not_run and not is_success:
         kind = ResponseKind.REJECTED
-    elif is_success and (echoed_id is None or not is_signed or is_marked):
-        kind = ResponseKind.UNSIGNED
     elif head.status >= MIN_SERVER_ERROR_STATUS:
         kind = ResponseKind.FAILED
+    elif echoed_id is None or not is_signed or is_marked:
+        kind = ResponseKind.UNSIGNED
     else:
         kind = ResponseKind.ANSWERED
     return ClassifiedHead(
--- a/test/gateway/test_foreign_entries.py
+++ b/test/gateway/test_foreign_entries.py
@@ -1,11 +1,12 @@
 """Entries of the metadata store that other writers have left there."""
 
 import asyncio
+import contextlib
 import json
 
 import pytest
 import pytest_asyncio
-from odd_servers import NESTED, list_odd_entries
+from odd_servers import NESTED, encode_server, list_odd_entries
 
 from tanagerwalk.controllers.loop import poll_until
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
@@ -99,3 +100,51 @@
     assert instance.membership.peers == {}
     await asyncio.sleep(2.0 * instance.shared_loads.period)
     assert not instance.failed.is_set()
+
+
+FOREIGN_STATUSES = [200, 204, 301, 302, 304, 400, 401, 403, 404, 405, 410, 451, 499]
+
+
+class ForeignServer:
+    """A server of another system: it knows neither attempt ids nor seals."""
+
+    def __init__(self, status):
+        self._answer = (
+            f"HTTP/1.1 {status} Foreign\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+        self._server = None
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *exc):
+        self._server.close()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(self._answer)
+        writer.close()
+
+
+# Guards against an answer of whoever listens at the address of an odd entry: clients
+# were told 401 or 404 for requests that the manifest allows.
+@pytest.mark.parametrize("status", FOREIGN_STATUSES)
+async def test_answer_of_another_system_is_no_answer(cluster, status):
+    async with ForeignServer(status) as server:
+        entry = encode_server(address=server.address)
+        await cluster.store.put("servers/other", entry)
+        find = cluster.instances[0].servers.find
+        assert await poll_until(lambda: find("other"), 0.01, 2.0)
+        statuses = set()
+        for _ in range(8):
+            cluster.instances[0].servers.end_pause(find("other").server)
+            reply = await cluster.send(cluster.encode("GET", "/jobs/1"))
+            statuses.add(reply.status)
+    assert statuses == {200}
