Promise clients nothing that no server has stated

An unmarked 429 was final, an unmarked 503 was kept and delivered after the last attempt.

Such an answer is an attempt that failed; the client gets 502 at the end, which promises nothing.

--- a/tanagerwalk/gateway/attempts.py
+++ b/tanagerwalk/gateway/attempts.py
@@ -50,15 +50,16 @@
 class ResponseKind(Enum):
     """How the status and headers of a response are classified.
 
-    REJECTED: the server states that it did not run the request. UNSIGNED: a status
-    below 500 without the signature or the echoed attempt id. FAILED: a 5xx status.
+    REJECTED: the server states that it did not run the request. UNTRUSTED: a status
+    below 500 without the signature or the echoed attempt id, or one that promises what
+    the server does not state. FAILED: any other 5xx status.
     ANSWERED: everything else.
     """
 
     ANSWERED = "answered"
     FAILED = "failed"
     REJECTED = "rejected"
-    UNSIGNED = "unsigned"
+    UNTRUSTED = "untrusted"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -169,8 +169,8 @@
             attempt.work.prefill = 0.0
         self._servers.record_answer(attempt.server, head.load, self._clock())
         self._record_notice(connection, attempt.server, head.notice)
-        if head.kind is ResponseKind.UNSIGNED:
-            return AttemptResult(Outcome.LOST, f"status {raw.status} unsigned"), None
+        if head.kind is ResponseKind.UNTRUSTED:
+            return AttemptResult(Outcome.LOST, f"status {raw.status} untrusted"), None
         is_stream = plan.request.route.repeatability is Repeatability.STREAM
         if head.kind is ResponseKind.ANSWERED and head.is_success:
             if not plan.progress.is_continued_by(raw):
--- a/tanagerwalk/platform/egress.py
+++ b/tanagerwalk/platform/egress.py
@@ -49,6 +49,8 @@
 LEAVING = b"1"
 # Another server now listens at the address.
 MISDIRECTED_STATUS = 421
+# To clients these promise that the request has not run; only a mark proves it.
+PROMISE_STATUSES = frozenset({408, 429, UNAVAILABLE_STATUS})
 MIN_SERVER_ERROR_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
 
@@ -131,9 +133,10 @@
     """Classify a backend server's response by its status and headers.
 
     A not-executed header or status 421 takes precedence over the rest of the head,
-    except for a success status, which contradicts it. Any other status below 500 counts
-    only with an echoed attempt id and a signature: a server signs its answers, and
-    another system may listen at the address.
+    except for a success status, which contradicts it. Without either, a status that
+    promises clients that their request has not run is not passed on. Any other status
+    below 500 counts only with an echoed attempt id and a signature: a server signs its
+    answers, and another system may listen at the address.
 
     Parameters
     ----------
@@ -151,10 +154,12 @@
     is_success = head.status in SUCCESS_STATUSES
     if not_run and not is_success:
         kind = ResponseKind.REJECTED
+    elif head.status in PROMISE_STATUSES:
+        kind = ResponseKind.UNTRUSTED
     elif head.status >= MIN_SERVER_ERROR_STATUS:
         kind = ResponseKind.FAILED
     elif echoed_id is None or not is_signed or is_marked:
-        kind = ResponseKind.UNSIGNED
+        kind = ResponseKind.UNTRUSTED
     else:
         kind = ResponseKind.ANSWERED
     return ClassifiedHead(
--- a/test/gateway/test_gateway_requests.py
+++ b/test/gateway/test_gateway_requests.py
@@ -319,3 +319,23 @@
     reply = await world.send(world.encode("POST", "/bookings/7", b"slot"))
     assert reply.status == 502
     assert len(list_seen_requests(world, "/bookings/")) == 1
+
+
+# Guards against a promise that no server has made: it answered with the status of one,
+# and the request may have run.
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("path", ["/bookings/7", "/jobs/7", "/plans/7"])
+async def test_unmarked_refusal_is_no_promise(world, status, path):
+    raw = (
+        b"HTTP/1.1 %d Busy\r\nX-Tanagerwalk-Attempt-Id: @id\r\n"
+        b"X-Tanagerwalk-Response-Seal: s\r\nContent-Length: 0\r\n\r\n"
+    )
+    for server in world.servers.values():
+        server.behaviour = Behaviour("raw", raw=raw % status)
+    if path == "/plans/7":
+        reply = await world.send(world.encode_plan())
+    else:
+        reply = await world.send(world.encode("POST", path, b"slot"))
+    assert reply.status == 502
+    if path == "/bookings/7":
+        assert len(list_seen_requests(world, "/bookings/")) == 1
