--- a/tanagerwalk/outcomes.py
+++ b/tanagerwalk/outcomes.py
@@ -104,6 +104,8 @@
     HEADER_TOO_LARGE = "header_too_large"
     MODEL_NOT_NAMED = "model_not_named"
     RECEIVE_TIMEOUT = "receive_timeout"
+    MEMORY_FULL = "memory_full"
+    DESCRIPTORS_FULL = "descriptors_full"
 
 
 HTTP_STATUS = {
