--- a/tanagerwalk/api/callers.py
+++ b/tanagerwalk/api/callers.py
@@ -9,7 +9,7 @@
 from sanic.response import json as json_response
 from sanic.response import raw
 
-from ..decisions.claims import correct_run_state
+from ..decisions.submissions import correct_run_state
 from ..filters.submission import describe_submission
 from ..ids import RequestId
 from ..messages import RequestContext, Sink
--- a/tanagerwalk/decisions/part_quarantine.py
+++ b/tanagerwalk/decisions/part_quarantine.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from ..ids import Incarnation
+from .part_guilt import select_guilty
 from .part_records import CrashWeight, PartRecord
 from .quarantine import QuarantineState
 from .recent_crashes import RecentCrashes
@@ -28,8 +29,6 @@
 ESTABLISHED_GUILTY_WEIGHT = 8
 # Answers to requests without an established part, while none with it is answered.
 MIN_OTHER_ANSWERS = 20
-# A deeper part that explains this share of the crashes of another is preferred.
-SIMILAR_SHARE = 2.0 / 3.0
 # An answer that another instance knows of is worth telling if it is this much newer.
 ANSWER_NEWS_S = 1.0
 FIRST_TRIAL_S = 60.0
@@ -348,7 +347,11 @@
             for part, suspicion in self._suspicions.items()
             if self._is_heavy(part, suspicion)
         }
-        guilty = self._select_guilty(crashes)
+        guilty = select_guilty(
+            crashes,
+            {part: self._find_guilty_weight(part) for part in crashes},
+            {part: self._suspicions[part].depth for part in crashes},
+        )
         for part in self._guilty & crashes.keys():
             # Another guilty part has to explain all crashes of one that is released.
             lives = crashes[part].keys()
@@ -359,39 +362,6 @@
         self._guilty = frozenset(guilty)
         self._explained = frozenset().union(*(crashes[part] for part in guilty))
 
-    def _select_guilty(self, crashes):
-        """Return parts that explain the crashes, the one that explains most first.
-
-        A deeper part is preferred if it explains nearly as many; the fewest requests
-        share it.
-
-        Parameters
-        ----------
-        crashes : dict of PartKey to dict of Incarnation to CrashWeight
-            The crashes of the parts that have enough of them to be guilty.
-        """
-        guilty = set()
-        explained = set()
-        while True:
-            weights = {
-                part: _sum_unexplained(lives, explained)
-                for part, lives in crashes.items()
-            }
-            heavy = {
-                part: weight
-                for part, weight in weights.items()
-                if weight >= self._find_guilty_weight(part)
-            }
-            if not heavy:
-                return guilty
-            enough = SIMILAR_SHARE * max(heavy.values())
-            chosen = min(
-                (part for part, weight in heavy.items() if weight >= enough),
-                key=lambda each: (-self._suspicions[each].depth, -heavy[each], each),
-            )
-            guilty.add(chosen)
-            explained.update(crashes[chosen])
-
     def _list_unanswered(self, part, suspicion):
         """Return the crashes since a part was last answered, with their weights."""
         answered_at = self._get_answered_at(part)
@@ -417,7 +387,3 @@
     def _begin_trials(self, suspicion):
         last_crash_at = max(crash.at for crash in suspicion.crashes.values())
         suspicion.next_trial_at = last_crash_at + suspicion.trial_interval
-
-
-def _sum_unexplained(crashes, explained):
-    return sum(weight for life, weight in crashes.items() if life not in explained)
--- a/tanagerwalk/filters/submission.py
+++ b/tanagerwalk/filters/submission.py
@@ -2,7 +2,7 @@
 
 from expression import Error
 
-from ..decisions.claims import Submission, correct_run_state
+from ..decisions.submissions import Submission, correct_run_state
 
 
 class SubmissionFilter:
