--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -5,10 +5,12 @@
 import random
 import time
 import uuid
+from functools import partial
 
 import structlog
 from prometheus_client import CONTENT_TYPE_LATEST
 
+from ..bound_sockets import bind_pair, bind_stream
 from ..controllers.loop import poll_until
 from ..decisions.freshness import Freshness, find_age_limit
 from ..decisions.locations import Home
@@ -40,6 +42,7 @@
 from .metrics import GatewayMetrics
 from .mirror import Mirror
 from .pool import ConnectionPool
+from .port_wait import PortWait
 from .probes import ProbeListener, encode_ok_response, encode_readiness_response
 from .quarantine import QuarantineFilter
 from .release_assignment import ReleaseAssigner
@@ -298,6 +301,8 @@
             self._get_client_limits,
             self.clock,
         )
+        self.port_wait = PortWait()
+        self._has_peer_ports = asyncio.Event()
         self.readiness_listener = ProbeListener(
             lambda: encode_readiness_response(self.is_ready())
         )
@@ -347,6 +352,7 @@
         """Return whether this instance should receive new connections."""
         return (
             not self.stopping
+            and self.client_listener.is_open
             and self.cluster_state.is_complete
             and not self.manifest_recovery.is_pending
             and self.freshness.is_fresh()
@@ -355,25 +361,40 @@
     async def start(self):
         """Open the listeners and start the controllers that watch the store.
 
-        Raises
-        ------
-        OSError
-            If a listener cannot bind its address.
+        A listener whose port is in use opens later; everything else starts meanwhile.
         """
-        listeners = self.settings.listeners
-        await self.readiness_listener.start(listeners.readiness)
-        await self.metrics_listener.start(listeners.metrics)
-        await self.sharing.start(listeners.peers)
-        await self.peer_server.start(*listeners.peers)
-        await self.client_listener.start(listeners.clients)
+        await self._open_listeners()
         self.supervisor.run(self.mirror.run())
         self.supervisor.run(self.manifest_recovery.run())
         self.supervisor.run(self.rollouts.run())
-        self.supervisor.run(self.membership.run())
+        self.supervisor.run(self._run_membership())
         self.supervisor.run(self.fleet_key.run(self._authenticate))
         self.supervisor.run(self.sharing.run())
         log.info("listening", instance=self.settings.instance)
 
+    async def _open_listeners(self):
+        listeners = self.settings.listeners
+        for name, address, listener in (
+            ("readiness", listeners.readiness, self.readiness_listener),
+            ("metrics", listeners.metrics, self.metrics_listener),
+            ("clients", listeners.clients, self.client_listener),
+        ):
+            await self.port_wait.open(
+                name, partial(bind_stream, address), listener.serve
+            )
+        bind_peers = partial(bind_pair, listeners.peers[0], listeners.peer_ports)
+        await self.port_wait.open("peers", bind_peers, self._serve_peers)
+
+    async def _serve_peers(self, sockets):
+        await self.sharing.serve(sockets.datagram)
+        await self.peer_server.serve(sockets.stream)
+        self._has_peer_ports.set()
+
+    async def _run_membership(self):
+        """Register this instance once it has an address for the others."""
+        await self._has_peer_ports.wait()
+        await self.membership.run()
+
     async def stop(self):
         """Shut down gracefully: finish the requests in flight, then close everything.
 
@@ -384,6 +405,7 @@
         self.stopping = True
         self.client_listener.closing = True
         self.supervisor.begin_shutdown()
+        self.port_wait.close()
         self.tunnel_server.stop_accepting()
         grace = self.settings.bounds.shutdown_grace - STOP_MARGIN_S
         await asyncio.sleep(min(ACCEPT_AFTER_STOP_S, grace))
@@ -402,6 +424,7 @@
 
     async def close(self):
         """Stop the controllers and abort every connection immediately."""
+        self.port_wait.close()
         await self.supervisor.close()
         self.client_listener.stop_accepting()
         self.client_listener.abort()
--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from ..bound_sockets import BACKLOG
 from ..manifest import ClientLimits
 from ..outcomes import Refusal, RefusalReason
 from .requests import RawRequest
@@ -52,13 +53,18 @@
         self.connections = set()
         self._server = None
 
-    async def start(self, address):
-        """Start listening on an (IP, port) tuple."""
+    async def serve(self, sock):
+        """Accept connections on a socket that listens."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: ClientConnection(self), *address, backlog=1024, reuse_address=True
+            lambda: ClientConnection(self), sock=sock, backlog=BACKLOG
         )
 
+    @property
+    def is_open(self):
+        """Whether the listener has its port."""
+        return self._server is not None
+
     @property
     def port(self):
         """Port that the listener is bound to."""
--- a/tanagerwalk/gateway/probes.py
+++ b/tanagerwalk/gateway/probes.py
@@ -4,6 +4,8 @@
 
 import httptools
 
+from ..bound_sockets import BACKLOG
+
 READY_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 NOT_READY_RESPONSE = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 
@@ -40,11 +42,11 @@
         self.render_response = render_response
         self._server = None
 
-    async def start(self, address):
-        """Start listening on an (IP, port) tuple."""
+    async def serve(self, sock):
+        """Accept connections on a socket that listens."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _ProbeConnection(self), *address, reuse_address=True
+            lambda: _ProbeConnection(self), sock=sock, backlog=BACKLOG
         )
 
     @property
--- a/tanagerwalk/gateway/settings.py
+++ b/tanagerwalk/gateway/settings.py
@@ -7,12 +7,29 @@
 
 @dataclass(frozen=True, slots=True)
 class Listeners:
-    """Listen addresses of an instance, each an (IP, port) tuple."""
+    """Listen addresses of an instance, each an (IP, port) tuple.
+
+    Parameters
+    ----------
+    clients, readiness, metrics : tuple of (str, int)
+        The addresses.
+    peers : tuple of (str, int)
+        Address for other instances, with the first port that may be used.
+    last_peer_port : int
+        Last port that may be used for other instances; 0 for the first one only.
+    """
 
     clients: tuple[str, int]
     readiness: tuple[str, int]
     metrics: tuple[str, int]
     peers: tuple[str, int]
+    last_peer_port: int = 0
+
+    @property
+    def peer_ports(self):
+        """The ports that may be used for other instances, in order."""
+        first = self.peers[1]
+        return range(first, max(first, self.last_peer_port) + 1)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -98,16 +98,10 @@
         """Whether the key of the fleet is known."""
         return self._secret is not None
 
-    async def start(self, address):
-        """Listen at an (IP, port) tuple.
-
-        Raises
-        ------
-        OSError
-            If the address cannot be bound.
-        """
+    async def serve(self, sock):
+        """Receive datagrams on a bound socket; none can be sent before."""
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        await loop.create_datagram_endpoint(lambda: self, sock=sock)
 
     @property
     def address(self):
@@ -324,6 +318,8 @@
         self._send_messages(self._builder.build(contents), receiver_ids)
 
     def _send_messages(self, messages, receiver_ids):
+        if self._transport is None:
+            return
         peers = self._get_peers()
         addresses = [peers[i].address for i in receiver_ids if i in peers]
         for message in messages:
--- a/tanagerwalk/peers/rpc.py
+++ b/tanagerwalk/peers/rpc.py
@@ -9,6 +9,7 @@
 import structlog
 from expression import Error, Ok
 
+from ..bound_sockets import BACKLOG, bind_stream
 from .frames import MAX_PAYLOAD_BYTES, Channel, FrameFault
 
 log = structlog.get_logger(__name__)
@@ -107,7 +108,16 @@
         OSError
             If the address cannot be bound.
         """
-        self._server = await asyncio.start_server(self._serve, address, port)
+        result = bind_stream((address, port))
+        if result.is_error():
+            raise result.error
+        await self.serve(result.ok)
+
+    async def serve(self, sock):
+        """Accept connections on a socket that listens."""
+        self._server = await asyncio.start_server(
+            self._serve, sock=sock, backlog=BACKLOG
+        )
 
     @property
     def port(self):
--- a/tanagerwalk/platform/settings.py
+++ b/tanagerwalk/platform/settings.py
@@ -5,7 +5,7 @@
 import msgspec
 from expression import Error, Ok
 
-from ..addresses import parse_address
+from ..addresses import MAX_PORT, parse_address
 from ..gateway.settings import Bounds, GatewaySettings, Listeners, StoreAddress
 from ..ids import FailureDomain, InstanceId, Region
 
@@ -55,8 +55,7 @@
     region: str
     listen: _Listen
     platform: _Platform
-    # First and last port of the range for traffic between instances; the first is
-    # used.
+    # First and last port of the range for traffic between instances.
     port_range: list[int]
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
@@ -80,11 +79,13 @@
         wire = msgspec.convert(tomllib.loads(text), _Settings, strict=False)
     except (tomllib.TOMLDecodeError, msgspec.MsgspecError) as error:
         return Error(f"settings: {error}")
+    first_port = wire.port_range[0] if wire.port_range else None
     addresses = {}
     for name, raw in (
         ("listen.front", wire.listen.front),
         ("listen.ready", wire.listen.ready),
         ("platform.address", wire.platform.address),
+        ("port_range", f"{wire.ip}:{first_port}"),
     ):
         address = parse_address(raw)
         if address is None:
@@ -99,7 +100,8 @@
             clients=addresses["listen.front"],
             readiness=addresses["listen.ready"],
             metrics=(wire.ip, METRICS_PORT),
-            peers=(wire.ip, wire.port_range[0]),
+            peers=addresses["port_range"],
+            last_peer_port=min(wire.port_range[-1], MAX_PORT),
         ),
         store=StoreAddress(addresses["platform.address"], wire.platform.value_bytes),
         bounds=_convert_bounds(wire.bounds),
