--- a/tanagerwalk/clients/http.py
+++ b/tanagerwalk/clients/http.py
@@ -1,8 +1,10 @@
 """HTTP sessions for calls to backend servers and the platform."""
 
+import functools
 import warnings
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 # Headers that aiohttp adds to requests that lack them.
@@ -10,6 +12,30 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
+class StrictResponseHandler(ResponseHandler):
+    """Connection whose loss by an error ends no body as if it were complete.
+
+    A body without framing ends with the connection. aiohttp takes any end for that,
+    also a reset, which says that the rest of the body is lost.
+    """
+
+    def connection_lost(self, exc):
+        """Fail the body that is being received, if the connection failed."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"connection lost: {exc}"))
+        super().connection_lost(exc)
+
+
+class StrictConnector(aiohttp.TCPConnector):
+    """Connector whose connections are StrictResponseHandlers."""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        # aiohttp has no public option for the class of connections.
+        self._factory = functools.partial(StrictResponseHandler, loop=self._loop)
+
+
 def build_session(keep_connections=True):
     """Return a session that sends each request exactly once and unmodified.
 
@@ -25,7 +51,7 @@
     http = aiohttp.ClientSession(
         # A connection limit shared by all calls would let slow ones block fast ones,
         # such as drafts block lookups.
-        connector=aiohttp.TCPConnector(limit=0, force_close=not keep_connections),
+        connector=StrictConnector(limit=0, force_close=not keep_connections),
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=SKIPPED_HEADERS,
         auto_decompress=False,
--- a/tanagerwalk/standins/entry_cluster.py
+++ b/tanagerwalk/standins/entry_cluster.py
@@ -117,8 +117,12 @@
         return standin
 
     def _register(self, standin, name, region, domain, **labels):
+        self.register_server(standin.address, name, region, domain, **labels)
+
+    def register_server(self, address, name, region="r1", domain="r1-a", **labels):
+        """Register a backend server at any address with the platform."""
         self.platform.add(
-            standin.address,
+            address,
             id=name,
             region=region,
             failure_domain=domain,
