--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -25,6 +25,7 @@
 from ..filters.chain import link_filters
 from ..manifest import ClientLimits
 from ..peers.rpc import MessageKind, PeerServer
+from ..process_memory import find_room, read_sizes
 from ..supervisor import Supervisor
 from .answer_recorder import AnswerRecorder
 from .change_feed import ChangeServer, SharedFeed, StoreFeed
@@ -36,9 +37,11 @@
 from .execution_context import ExecutionContext
 from .fleet_key import FleetKey
 from .forwarding import ForwardFilter
+from .heap_trim import HeapTrim
 from .listener import Listener
 from .manifest_recovery import ManifestRecovery, ManifestServer
 from .membership import MembershipController
+from .memory import MemoryBudget, find_capacity
 from .metrics import GatewayMetrics
 from .mirror import Mirror
 from .pool import ConnectionPool
@@ -94,12 +97,21 @@
         self.random = random.Random(seed)
         self.incarnation = f"{settings.instance}.{uuid.uuid4().hex[:8]}"
         self.metrics = GatewayMetrics()
+        self.heap_trim = HeapTrim(clock)
+        self.memory = self._create_memory()
         self.supervisor = Supervisor()
         self.stopping = False
         self._create_state()
         self._create_filter_chain()
         self._create_listeners()
 
+    def _create_memory(self):
+        limit = self.settings.memory_limit
+        room = None if limit is None else find_room(limit, read_sizes())
+        memory = MemoryBudget(find_capacity(room), self.clock)
+        memory.on_peak_over = self.heap_trim.schedule
+        return memory
+
     def _create_state(self):
         settings = self.settings
         bounds = settings.bounds
@@ -297,18 +309,30 @@
     def _create_listeners(self):
         self.client_listener = Listener(
             self.request_handler.handle,
-            self.codec.refuse,
+            self._refuse_unread,
             self._get_client_limits,
+            self.memory,
             self.clock,
+            self.random,
         )
         self.port_wait = PortWait()
         self._has_peer_ports = asyncio.Event()
+        self.client_listener.on_stalled_reader = self.metrics.stalled_readers.inc
         self.readiness_listener = ProbeListener(
             lambda: encode_readiness_response(self.is_ready())
         )
         self.metrics_listener = ProbeListener(self._render_metrics)
 
+    def _refuse_unread(self, responder, refusal):
+        """Refuse a request that has not been read to its end."""
+        self.metrics.refusals.labels(refusal.reason.value).inc()
+        self.codec.refuse(responder, refusal)
+
     def _render_metrics(self):
+        self.metrics.memory_used.set(self.memory.used)
+        self.metrics.memory_capacity.set(self.memory.capacity)
+        self.metrics.waiting_answers.set(self.memory.waiting_count)
+        self.metrics.resident_memory.set(read_sizes().resident)
         self.metrics.manifest_age.set(min(self.freshness.age, MAX_REPORTED_AGE_S))
         self.metrics.store_calls.set(self.store.calls)
         contradictions = self.assigner.count_contradictions()
@@ -435,5 +459,6 @@
         await self.feed.close()
         await self.manifest_recovery.close()
         self.crash_check.close()
+        self.heap_trim.close()
         self.connection_pool.close()
         self.store.close()
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -8,16 +8,18 @@
 import asyncio
 import time
 from collections import deque
-from dataclasses import dataclass
-from enum import Enum
 
 import httptools
 from expression import Error, Ok
 
+from .memory import SMALL_ANSWER_BYTES, UNCOUNTED
+from .response_heads import ConnectionFailure, ResponseHead, match_any_response
 from .socket_options import has_pending_reset, set_socket_options
 
-READ_HIGH_WATER_BYTES = 256 * 1024
-READ_LOW_WATER_BYTES = 64 * 1024
+READ_HIGH_WATER_BYTES = 64 * 1024
+READ_LOW_WATER_BYTES = 16 * 1024
+# Larger bodies of requests are not copied to join them to their heads.
+MAX_JOINED_BYTES = 16 * 1024
 # Most that a reader gets before other tasks have their turn.
 MAX_CHUNK_BYTES = 16 * 1024
 # Bytes of a response that are not its body: those of a head that does not end, of
@@ -28,35 +30,6 @@
 FIRST_FINAL_STATUS = 200
 
 
-class ConnectionFailure(Enum):
-    """Why a connection ended before the response was complete."""
-
-    CLOSED = "closed"
-    MALFORMED = "malformed"
-
-
-@dataclass(frozen=True, slots=True)
-class ResponseHead:
-    """Status line and headers of a response; header names are in lower case."""
-
-    status: int
-    reason: bytes
-    headers: list[tuple[bytes, bytes]]
-
-    def get_header(self, name):
-        """Return the first value of the header `name` (in lower case), or None."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-
-def match_any_response(head):
-    """Accept every response as the one to the pending request."""
-    del head
-    return True
-
-
 class Connection(asyncio.Protocol):
     """A client connection that carries one request at a time, without pipelining.
 
@@ -85,6 +58,9 @@
         self._parser = httptools.HttpResponseParser(self)
         self._response_heads = deque()
         self._body = bytearray()
+        self._memory = UNCOUNTED
+        self._held_size = 0
+        self._reads_whole_body = False
         self._has_body_end = False
         self._is_paused = False
         self._overhead_bytes = 0
@@ -120,11 +96,35 @@
             self._fail(ConnectionFailure.MALFORMED)
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self._fail(ConnectionFailure.MALFORMED)
-        if self._is_open and len(self._body) > READ_HIGH_WATER_BYTES:
-            self._is_paused = True
-            self._transport.pause_reading()
+        self._count_body()
+        self._pause_if_full()
         self._notify_reader()
 
+    def _count_body(self):
+        """Tell how much memory the body takes that has not been taken yet."""
+        change = len(self._body) - self._held_size
+        if change:
+            self._held_size += change
+            self._memory.hold(change)
+
+    def _pause_if_full(self):
+        if not self._is_open or self._is_paused or self._has_body_end:
+            return
+        if self._reads_whole_body:
+            if len(self._body) <= SMALL_ANSWER_BYTES:
+                return
+            if self._memory.may_read_on(self._resume_transport):
+                return
+        elif len(self._body) <= READ_HIGH_WATER_BYTES:
+            return
+        self._is_paused = True
+        self._transport.pause_reading()
+
+    def _resume_transport(self):
+        self._is_paused = False
+        if self._is_open:
+            self._transport.resume_reading()
+
     def eof_received(self):
         """Complete a response that is delimited by the end of the connection."""
         if (
@@ -197,12 +197,15 @@
     def _end_body(self):
         self._has_body_end = True
         self._pending_responses -= 1
+        # It holds on to the request, and the connection may be kept for long.
+        self._matches_request = match_any_response
 
     def _fail(self, failure):
         if self.closed:
             return
         self.closed = True
         self._failure = failure
+        self._memory.stop_waiting()
         self._transport.abort()
         self._notify_reader()
 
@@ -224,17 +227,28 @@
 
     # Public interface.
 
-    def send(self, data, has_no_body=False, matches_request=match_any_response):
+    def send(
+        self,
+        head,
+        body=b"",
+        has_no_body=False,
+        matches_request=match_any_response,
+        memory=UNCOUNTED,
+    ):
         """Send a request.
 
         Parameters
         ----------
-        data : bytes
-            The complete request.
+        head : bytes
+            The head of the request, or all of it.
+        body : bytes
+            The body of the request.
         has_no_body : bool
             Whether the response has no body regardless of its headers, as for HEAD.
         matches_request : callable
             Takes a ResponseHead and returns whether it belongs to this request.
+        memory : RequestMemory or UncountedMemory
+            Counts what is held of the response.
 
         Returns
         -------
@@ -251,7 +265,14 @@
         self._overhead_bytes = 0
         self._has_no_body = has_no_body
         self._pending_responses += 1
-        self._transport.write(data)
+        self._memory = memory
+        self._held_size = 0
+        self._reads_whole_body = False
+        if len(body) <= MAX_JOINED_BYTES:
+            self._transport.write(head + body)
+        else:
+            self._transport.write(head)
+            self._transport.write(body)
         return Ok(None)
 
     async def read_head(self):
@@ -289,36 +310,39 @@
             await self._wait_for_data()
         chunk = bytes(self._body[:MAX_CHUNK_BYTES])
         del self._body[:MAX_CHUNK_BYTES]
-        self._resume_reading()
+        self._count_body()
+        if self._is_paused and len(self._body) <= READ_LOW_WATER_BYTES:
+            self._resume_transport()
         return Ok(chunk)
 
-    def _resume_reading(self):
-        if not self._is_open or not self._is_paused:
-            return
-        if len(self._body) <= READ_LOW_WATER_BYTES:
-            self._is_paused = False
-            self._transport.resume_reading()
-
     async def read_body(self):
         """Read the remaining body, of at most MAX_BODY_BYTES.
 
+        Its memory stays counted until that of its request is released.
+
         Returns
         -------
-        Result of bytes, or of ConnectionFailure
+        Result of bytes-like, or of ConnectionFailure
         """
-        parts = []
-        size = 0
-        while True:
-            result = await self.read_chunk()
-            if result.is_error():
-                return result
-            if not result.ok:
-                return Ok(b"".join(parts))
-            parts.append(result.ok)
-            size += len(result.ok)
-            if size > MAX_BODY_BYTES:
+        self._reads_whole_body = True
+        if self._is_paused:
+            self._is_paused = False
+            self._pause_if_full()
+            if not self._is_paused:
+                self._resume_transport()
+        while not self._has_body_end:
+            if len(self._body) > MAX_BODY_BYTES:
                 self._fail(ConnectionFailure.MALFORMED)
-                return Error(ConnectionFailure.MALFORMED)
+            if self.closed:
+                return Error(self._failure)
+            await self._wait_for_data()
+        self._has_body_end = False
+        if len(self._body) > MAX_BODY_BYTES:
+            self._fail(ConnectionFailure.MALFORMED)
+            return Error(ConnectionFailure.MALFORMED)
+        body, self._body = self._body, bytearray()
+        self._held_size = 0
+        return Ok(body)
 
     def is_reusable(self):
         """Return whether another request can be sent on this connection."""
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -126,8 +126,10 @@
             via = connection.via
             sent = connection.send(
                 self._codec.encode_attempt(request, attempt),
+                request.raw.body,
                 has_no_body=request.raw.method == b"HEAD",
                 matches_request=partial(self._codec.is_response_to, request, kept),
+                memory=request.raw.memory,
             )
             if sent.is_error():
                 return AttemptResult(Outcome.CLOSED, "lost before it was used")
--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -8,18 +8,29 @@
 
 import asyncio
 from collections import deque
+from dataclasses import dataclass
 
 import httptools
 
 from ..bound_sockets import BACKLOG
 from ..manifest import ClientLimits
-from ..outcomes import Refusal, RefusalReason
+from ..outcomes import Refusal
+from .memory import CONNECTION_BYTES, RequestMemory
+from .receive_refusals import (
+    LimitExceededError,
+    build_malformed_refusal,
+    build_timeout_refusal,
+)
+from .request_assembly import RequestAssembly
 from .requests import RawRequest
 from .responder import Responder
 from .socket_options import set_client_socket_options
+from .unread_answers import UnreadAnswerWatch
 
-WRITE_HIGH_WATER_BYTES = 256 * 1024
 MAX_PIPELINED_REQUESTS = 8
+# After a refusal, what the client still sends is dropped for so long. Closed with
+# unread bytes, the connection would be reset, and the refusal could be lost.
+LINGER_S = 2.0
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -35,21 +46,30 @@
         Takes a Responder and a Refusal and sends the error response.
     get_limits : callable
         Returns the current ClientLimits.
+    memory : MemoryBudget
+        Memory for requests and answers.
     clock : callable
         Returns monotonic time in seconds.
+    random : random.Random
+        Spreads the times at which refused clients come back.
 
     Attributes
     ----------
     closing : bool
         Whether responses carry `Connection: close`, so that clients reconnect.
+    on_stalled_reader : callable
+        Called without arguments when a client that reads no answer is reset.
     """
 
-    def __init__(self, handle, refuse, get_limits, clock):
+    def __init__(self, handle, refuse, get_limits, memory, clock, random):
         self.handle = handle
         self.refuse = refuse
         self.get_limits = get_limits
+        self.memory = memory
         self.clock = clock
+        self.random = random
         self.closing = False
+        self.on_stalled_reader = _ignore
         self.connections = set()
         self._server = None
 
@@ -91,8 +111,20 @@
             connection.abort()
 
 
+@dataclass(frozen=True, slots=True)
+class _QueuedRequest:
+    """A request that waits for those before it, or a Refusal in place of one."""
+
+    content: RawRequest | Refusal
+    keep_alive: bool
+    memory: RequestMemory
+
+
 class ClientConnection(asyncio.Protocol):
-    """A client connection: parses requests and handles them one after another."""
+    """A client connection: parses requests and handles them one after another.
+
+    The next one is handled once the client has taken the answer to the one before.
+    """
 
     def __init__(self, listener):
         self._listener = listener
@@ -101,34 +133,33 @@
         self._limits = ClientLimits()
         self._pending = deque()
         self._handler_task = None
+        self._assembly = None
+        self._header_size = 0
+        self._piece_size = 0
+        self._has_new_body = False
+        # Of the request that is handled or whose answer has not been taken yet.
+        self._handled_memory = None
+        self._unread_watch = None
         self._timeout_handle = None
         self._writable = asyncio.Event()
         self._writable.set()
         self._input_ended = False
-        self._receiving = False
-        self._reset_request()
-
-    def _reset_request(self):
-        self._target = b""
-        self._headers = []
-        self._body = []
-        self._header_size = 0
-        self._body_size = 0
-        self._in_header = True
 
     @property
     def busy(self):
         """Whether a request is being handled or partially received."""
-        return self._handler_task is not None or self._receiving
+        return self._handler_task is not None or self._assembly is not None
 
     # Called by the event loop.
 
     def connection_made(self, transport):
         """Configure the socket and start the idle timeout."""
         self._transport = transport
-        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        # Tells when the client has not taken everything yet, and when it has.
+        transport.set_write_buffer_limits(high=0)
         set_client_socket_options(transport.get_extra_info("socket"))
         self._listener.connections.add(self)
+        self._listener.memory.reserve(CONNECTION_BYTES)
         self._limits = self._listener.get_limits()
         self._start_timeout(self._limits.idle_timeout, self.close_if_idle)
 
@@ -136,22 +167,29 @@
         """Feed received bytes to the parser; they may hold several requests."""
         if self._input_ended:
             return
-        if self._in_header:
+        self._piece_size = len(data)
+        if self._assembly is not None and self._assembly.is_in_head:
             self._header_size += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._refuse_and_close(
-                _build_malformed_refusal("upgrades are not supported")
+                build_malformed_refusal("upgrades are not supported")
             )
         except httptools.HttpParserError as error:
             cause = error.__context__
-            if isinstance(cause, _LimitExceededError):
+            if isinstance(cause, LimitExceededError):
                 self._refuse_and_close(cause.refusal)
             else:
-                self._refuse_and_close(_build_malformed_refusal(str(error)))
-        if self._receiving and self._in_header:
-            self._check_header_size()
+                self._refuse_and_close(build_malformed_refusal(str(error)))
+        if self._assembly is None:
+            return
+        if self._assembly.is_in_head:
+            self._check_partial_head()
+        elif self._has_new_body:
+            # Once for all fragments: a body may come in chunks of one byte.
+            self._has_new_body = False
+            self._start_timeout(self._limits.header_timeout, self._on_receive_timeout)
 
     def eof_received(self):
         """Close the connection: a half-closed one is treated as a disconnect."""
@@ -162,69 +200,68 @@
         del exc
         self._listener.connections.discard(self)
         self._input_ended = True
-        self._pending.clear()
         self._cancel_timeout()
         self._writable.set()
-        if self._handler_task is not None:
-            self._handler_task.cancel()
+        self._drop_received()
+        for queued in self._pending:
+            queued.memory.release()
+        self._pending.clear()
+        self._listener.memory.release(CONNECTION_BYTES)
+        if self._handler_task is None:
+            self._release_handled()
+            return
+        # A task that is cancelled before its first step doesn't release anything.
+        self._handler_task.add_done_callback(lambda _: self._release_handled())
+        self._handler_task.cancel()
 
     def pause_writing(self):
-        """Block writers in `wait_writable` until the write buffer has drained."""
+        """Block writers in `wait_writable` until the write buffer is empty."""
         self._writable.clear()
 
     def resume_writing(self):
-        """Unblock the writers that wait in `wait_writable`."""
+        """Unblock the writers in `wait_writable`, or take the next request."""
         self._writable.set()
+        if self._unread_watch is not None and not self._transport.is_closing():
+            self._release_handled()
+            self._continue()
 
     # Called by the parser.
 
     def on_message_begin(self):
-        """Reset the parsing state and start the receive timeout."""
-        self._reset_request()
-        self._receiving = True
+        """Start to assemble a request, and the receive timeout."""
+        # Unless there was another request before it in the same piece.
+        self._header_size = self._piece_size
         self._limits = self._listener.get_limits()
+        memory = self._listener.memory.create_request_memory()
+        self._assembly = RequestAssembly(self._limits, memory, self._listener.random)
         self._start_timeout(self._limits.header_timeout, self._on_receive_timeout)
 
     def on_url(self, url):
         """Append a fragment of the request target."""
-        self._target += url
+        self._assembly.add_target(url)
 
     def on_header(self, name, value):
         """Store a request header."""
-        self._headers.append((name, value))
+        self._assembly.add_header(name, value)
 
     def on_headers_complete(self):
-        """Check the header size and reply to `Expect: 100-continue`."""
-        self._in_header = False
-        size = sum(len(n) + len(v) + 4 for n, v in self._headers) + len(self._target)
-        if size > self._limits.header_size:
-            raise _LimitExceededError(_build_header_refusal(self._limits))
-        for name, value in self._headers:
-            if name.lower() == b"expect" and value.lower() == b"100-continue":
-                self.write(CONTINUE_RESPONSE)
+        """Check the sizes, reserve memory and reply to `Expect: 100-continue`."""
+        if self._assembly.complete_head():
+            self.write(CONTINUE_RESPONSE)
 
     def on_body(self, data):
-        """Append a body fragment and restart the receive timeout."""
-        self._body_size += len(data)
-        if self._body_size > self._limits.body_size:
-            raise _LimitExceededError(_build_body_refusal(self._limits))
-        self._body.append(data)
-        self._start_timeout(self._limits.header_timeout, self._on_receive_timeout)
+        """Append a body fragment."""
+        self._assembly.add_body(data)
+        self._has_new_body = True
 
     def on_message_complete(self):
         """Queue the complete request for handling."""
         self._cancel_timeout()
-        self._receiving = False
-        self._in_header = True
-        self._header_size = 0
-        raw = RawRequest(
-            method=self._parser.get_method(),
-            target=self._target,
-            headers=self._headers,
-            body=b"".join(self._body),
-            received_at=self._listener.clock(),
-        )
-        self._pending.append((raw, self._parser.should_keep_alive()))
+        self._piece_size = 0
+        assembly, self._assembly = self._assembly, None
+        raw = assembly.build(self._parser.get_method(), self._listener.clock())
+        keep_alive = self._parser.should_keep_alive()
+        self._pending.append(_QueuedRequest(raw, keep_alive, assembly.memory))
         if len(self._pending) >= MAX_PIPELINED_REQUESTS:
             self._pause_reading()
         self._handle_next()
@@ -236,11 +273,12 @@
     # Request handling.
 
     def _handle_next(self):
-        if self._handler_task is not None or not self._pending:
+        if self._handled_memory is not None or not self._pending:
             return
-        raw, keep_alive = self._pending.popleft()
+        queued = self._pending.popleft()
+        self._handled_memory = queued.memory
         self._cancel_timeout()
-        coroutine = self._handle(raw, keep_alive)
+        coroutine = self._handle(queued.content, queued.keep_alive)
         self._handler_task = asyncio.get_running_loop().create_task(coroutine)
 
     async def _handle(self, raw, keep_alive):
@@ -255,24 +293,74 @@
                 await self._listener.handle(raw, responder)
         finally:
             self._handler_task = None
-            self._finish_response(responder)
+            self._finish_response(responder, is_refused)
 
-    def _finish_response(self, responder):
+    def _finish_response(self, responder, is_refused):
         if self._transport.is_closing():
+            self._release_handled()
             return
         if not responder.finished:
             self.abort()
+            self._release_handled()
             return
+        if not self._writable.is_set():
+            self._watch_unread(responder)
         if not responder.keep_alive:
             self._input_ended = True
+            self._close(is_refused)
+            return
+        if self._unread_watch is None:
+            self._release_handled()
+            self._continue()
+
+    def _close(self, is_refused):
+        """Close once everything has been taken; after a refusal, drop what comes."""
+        if not is_refused or not self._transport.can_write_eof():
             self._transport.close()
             return
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        self._start_timeout(LINGER_S, self._transport.close)
+
+    def _continue(self):
+        """Take the next request, or wait for it."""
+        if self._input_ended and not self._pending:
+            return
         self._transport.resume_reading()
         if self._pending:
             self._handle_next()
-        elif not self._receiving:
+        elif self._assembly is None:
             self._start_timeout(self._limits.idle_timeout, self.close_if_idle)
 
+    def _watch_unread(self, responder):
+        self._handled_memory.shrink_to(self._transport.get_write_buffer_size())
+        self._unread_watch = UnreadAnswerWatch(
+            self._transport,
+            self._limits.idle_timeout,
+            responder.client_waits_until,
+            self._listener.clock,
+            self._reset_stalled,
+        )
+
+    def _reset_stalled(self):
+        self._listener.on_stalled_reader()
+        self.abort()
+
+    def _release_handled(self):
+        """Release the memory of the request that was handled and has been answered."""
+        if self._unread_watch is not None:
+            self._unread_watch.cancel()
+            self._unread_watch = None
+        if self._handled_memory is not None:
+            self._handled_memory.release()
+            self._handled_memory = None
+
+    def _drop_received(self):
+        """Release what has been received of a request that will not be handled."""
+        if self._assembly is not None:
+            self._assembly.memory.release()
+            self._assembly = None
+
     def write(self, data):
         """Write bytes to the transport.
 
@@ -281,8 +369,13 @@
         if not self._transport.is_closing():
             self._transport.write(data)
 
+    def write_parts(self, parts):
+        """Write a list of bytes to the transport, without a copy of them all."""
+        if not self._transport.is_closing():
+            self._transport.writelines(parts)
+
     async def wait_writable(self):
-        """Wait until the write buffer is below its high-water mark."""
+        """Wait until the write buffer is empty."""
         await self._writable.wait()
 
     @property
@@ -292,23 +385,25 @@
 
     # Refusals, timeouts and closing.
 
-    def _check_header_size(self):
-        if self._header_size > self._limits.header_size:
-            self._refuse_and_close(_build_header_refusal(self._limits))
+    def _check_partial_head(self):
+        try:
+            self._assembly.check_partial_head(self._header_size)
+        except LimitExceededError as error:
+            self._refuse_and_close(error.refusal)
 
     def _refuse_and_close(self, refusal):
         """Stop parsing, handle the queued requests, send the refusal and close."""
         if self._input_ended:
             return
         self._input_ended = True
-        self._receiving = False
         self._cancel_timeout()
-        self._pending.append((refusal, False))
+        self._drop_received()
+        memory = self._listener.memory.create_request_memory()
+        self._pending.append(_QueuedRequest(refusal, False, memory))
         self._handle_next()
 
     def _on_receive_timeout(self):
-        message = "the request did not arrive in time"
-        self._refuse_and_close(Refusal(RefusalReason.RECEIVE_TIMEOUT, message))
+        self._refuse_and_close(build_timeout_refusal())
 
     def close_if_idle(self):
         """Close the connection unless a request is in progress or queued."""
@@ -334,23 +429,5 @@
             self._timeout_handle = None
 
 
-class _LimitExceededError(Exception):
-    """Raised in a parser callback when a request exceeds a size limit."""
-
-    def __init__(self, refusal):
-        super().__init__(refusal.message)
-        self.refusal = refusal
-
-
-def _build_malformed_refusal(detail):
-    return Refusal(RefusalReason.INVALID_REQUEST, f"malformed request: {detail}")
-
-
-def _build_header_refusal(limits):
-    message = f"the header is larger than {limits.header_size} bytes"
-    return Refusal(RefusalReason.HEADER_TOO_LARGE, message)
-
-
-def _build_body_refusal(limits):
-    message = f"the body is larger than {limits.body_size} bytes"
-    return Refusal(RefusalReason.REQUEST_TOO_LARGE, message)
+def _ignore():
+    pass
--- /dev/null
+++ b/tanagerwalk/gateway/memory.py
@@ -0,0 +1,277 @@
+"""Memory that requests and their answers take, bounded over all connections."""
+
+import itertools
+
+import structlog
+
+from ..decisions.resource_budget import ResourceBudget
+
+log = structlog.get_logger(__name__)
+
+# Share of the room of the process that requests and answers may take. The rest is for
+# manifests, copies, fragmentation and the last bytes that a paused connection read.
+BUDGET_SHARE = 0.6
+MIN_CAPACITY_BYTES = 8 * 1024 * 1024
+# Without a limit.
+DEFAULT_CAPACITY_BYTES = 64 * 1024 * 1024
+# Part of the capacity that stays free for small requests when large ones come, for
+# answers when requests come, and for requests when large answers come.
+LARGE_REQUEST_SPARE_SHARE = 0.45
+SMALL_REQUEST_SPARE_SHARE = 0.15
+LARGE_ANSWER_SPARE_SHARE = 0.35
+SMALL_REQUEST_BYTES = 64 * 1024
+# What an answer may always hold, so that small ones never wait.
+SMALL_ANSWER_BYTES = 64 * 1024
+# A connection may receive so much before it is paused.
+MAX_READ_BYTES = 256 * 1024
+# Objects of an open connection, and of a request and its connection to a server.
+CONNECTION_BYTES = 4 * 1024
+REQUEST_BYTES = 8 * 1024
+# Objects of one header: a tuple, two strings of bytes and a place in a list.
+HEADER_BYTES = 160
+LOG_INTERVAL_S = 5.0
+# A peak is over once the use has fallen from above the first to below the second.
+PEAK_SHARE = 0.25
+CALM_SHARE = 0.125
+
+
+def find_capacity(room):
+    """Return the capacity of the budget in bytes.
+
+    Parameters
+    ----------
+    room : int or None
+        How much the process may grow, in bytes; None without a limit.
+    """
+    if room is None:
+        return DEFAULT_CAPACITY_BYTES
+    return max(MIN_CAPACITY_BYTES, int(BUDGET_SHARE * room))
+
+
+class MemoryBudget:
+    """Memory for requests and answers of all connections.
+
+    Requests are refused when it is full. Answers, which a server has made or makes, are
+    never: reading them stops, and goes on in the order of their requests. One answer at
+    a time may go beyond the capacity, so that there is always one that goes on.
+
+    Parameters
+    ----------
+    capacity : int
+        Most that may be in use, in bytes.
+    clock : callable
+        Returns monotonic time in seconds.
+
+    Attributes
+    ----------
+    on_peak_over : callable
+        Called without arguments when most of what was in use has been released.
+    """
+
+    def __init__(self, capacity, clock):
+        self._budget = ResourceBudget(capacity)
+        self._clock = clock
+        self._numbers = itertools.count()
+        self._waiting = {}
+        self._exceeding = None
+        self._is_refusing = False
+        self._logged_at = None
+        self._had_peak = False
+        self.on_peak_over = _ignore
+
+    @property
+    def used(self):
+        """Bytes in use."""
+        return self._budget.used
+
+    @property
+    def capacity(self):
+        """Bytes that may be in use."""
+        return self._budget.capacity
+
+    @property
+    def waiting_count(self):
+        """Number of answers that are not read on for lack of room."""
+        return len(self._waiting)
+
+    def create_request_memory(self):
+        """Return the RequestMemory of a new request."""
+        return RequestMemory(self, next(self._numbers))
+
+    def reserve(self, amount):
+        """Count bytes that are in use already."""
+        self._budget.reserve(amount)
+        if self._budget.used > PEAK_SHARE * self._budget.capacity:
+            self._had_peak = True
+
+    def try_reserve(self, amount, spare):
+        """Reserve bytes if they fit and leave a spare part; return whether they do."""
+        if not self._budget.try_reserve(amount, spare):
+            self._log_refusing()
+            return False
+        if self._budget.used > PEAK_SHARE * self._budget.capacity:
+            self._had_peak = True
+        return True
+
+    def release(self, amount):
+        """Give bytes back, and let answers that wait for room go on."""
+        self._budget.release(amount)
+        if self._waiting:
+            self._resume_waiting()
+        is_calm = self._budget.used < CALM_SHARE * self._budget.capacity
+        if is_calm and (self._had_peak or self._is_refusing):
+            self._end_peak()
+
+    def _end_peak(self):
+        if self._had_peak:
+            self._had_peak = False
+            self.on_peak_over()
+        if self._is_refusing:
+            self._is_refusing = False
+            log.info("memory has room again", used=self.used, capacity=self.capacity)
+
+    def _log_refusing(self):
+        now = self._clock()
+        self._is_refusing = True
+        if self._logged_at is None or now - self._logged_at >= LOG_INTERVAL_S:
+            self._logged_at = now
+            log.warning(
+                "memory full",
+                used=self.used,
+                capacity=self.capacity,
+                refused=self._budget.refused,
+            )
+
+    # Answers.
+
+    def may_read_on(self, memory, resume):
+        """Return whether an answer may grow; if not, `resume` is called once it may.
+
+        Parameters
+        ----------
+        memory : RequestMemory
+            Memory of its request.
+        resume : callable
+            Called without arguments.
+        """
+        if self._answer_room > 0:
+            return True
+        if self._exceeding is None:
+            self._exceeding = memory
+        if self._exceeding is memory:
+            return True
+        self._waiting[memory] = resume
+        return False
+
+    def stop_waiting(self, memory):
+        """Forget that an answer waits for room."""
+        self._waiting.pop(memory, None)
+
+    def leave(self, memory):
+        """Let the next answer go beyond the capacity instead of one that has ended."""
+        self._waiting.pop(memory, None)
+        if self._exceeding is not memory:
+            return
+        self._exceeding = None
+        if self._waiting:
+            self._exceeding = min(self._waiting, key=_get_number)
+            self._waiting.pop(self._exceeding)()
+
+    @property
+    def _answer_room(self):
+        capacity = self._budget.capacity
+        return (1.0 - LARGE_ANSWER_SPARE_SHARE) * capacity - self._budget.used
+
+    def _resume_waiting(self):
+        for _ in range(int(self._answer_room // MAX_READ_BYTES)):
+            if not self._waiting:
+                return
+            oldest = min(self._waiting, key=_get_number)
+            self._waiting.pop(oldest)()
+
+
+class RequestMemory:
+    """Memory of one request and its answers; has one owner, who releases it.
+
+    Parameters
+    ----------
+    budget : MemoryBudget
+        Budget that it is taken from.
+    number : int
+        Place in the order of requests.
+    """
+
+    __slots__ = ("_budget", "_is_released", "number", "size")
+
+    def __init__(self, budget, number):
+        self._budget = budget
+        self._is_released = False
+        self.number = number
+        self.size = 0
+
+    def try_grow(self, amount):
+        """Reserve bytes of the request; return whether they fit."""
+        is_large = self.size + amount > SMALL_REQUEST_BYTES
+        share = LARGE_REQUEST_SPARE_SHARE if is_large else SMALL_REQUEST_SPARE_SHARE
+        if not self._budget.try_reserve(amount, int(share * self._budget.capacity)):
+            return False
+        self.size += amount
+        return True
+
+    def hold(self, amount):
+        """Count bytes of an answer that have been read; negative for released ones."""
+        if self._is_released:
+            return
+        self.size += amount
+        if amount >= 0:
+            self._budget.reserve(amount)
+        else:
+            self._budget.release(-amount)
+
+    def shrink_to(self, size):
+        """Release what goes beyond a size in bytes."""
+        if self.size > size:
+            self.hold(size - self.size)
+
+    def may_read_on(self, resume):
+        """Return whether an answer may be read on; see MemoryBudget."""
+        return self._is_released or self._budget.may_read_on(self, resume)
+
+    def stop_waiting(self):
+        """Forget that an answer waits for room."""
+        self._budget.stop_waiting(self)
+
+    def release(self):
+        """Release everything; once is enough, and more often does no harm."""
+        if self._is_released:
+            return
+        self._is_released = True
+        size, self.size = self.size, 0
+        self._budget.leave(self)
+        self._budget.release(size)
+
+
+class UncountedMemory:
+    """Stands for the memory of a request that has no client, such as the store's."""
+
+    def hold(self, amount):
+        """Count nothing."""
+
+    def may_read_on(self, resume):
+        """Let every answer go on."""
+        del resume
+        return True
+
+    def stop_waiting(self):
+        """Do nothing: no answer waits."""
+
+
+UNCOUNTED = UncountedMemory()
+
+
+def _get_number(memory):
+    return memory.number
+
+
+def _ignore():
+    pass
--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -30,25 +30,35 @@
             registry=self.registry,
             buckets=LATENCY_BUCKETS_S,
         )
-        self.manifest_age = Gauge(
-            "tanagerwalk_gateway_manifest_age_seconds",
-            "Time since the manifest was confirmed.",
+        self.stalled_readers = Counter(
+            "tanagerwalk_gateway_stalled_readers",
+            "Connections reset because their clients read no answer.",
             registry=self.registry,
         )
-        self.store_calls = Gauge(
-            "tanagerwalk_gateway_store_calls",
-            "Calls to the store so far.",
-            registry=self.registry,
+        self.manifest_age = self._create_gauge(
+            "manifest_age_seconds", "Time since the manifest was confirmed."
+        )
+        self.store_calls = self._create_gauge(
+            "store_calls", "Calls to the store so far."
         )
-        self.session_contradictions = Gauge(
-            "tanagerwalk_gateway_session_contradictions",
+        self.session_contradictions = self._create_gauge(
+            "session_contradictions",
             "Times that two instances knew another release of one session.",
-            registry=self.registry,
         )
-        self.in_flight = Gauge(
-            "tanagerwalk_gateway_in_flight",
-            "Requests that are being answered.",
-            registry=self.registry,
+        self.in_flight = self._create_gauge(
+            "in_flight", "Requests that are being answered."
+        )
+        self.memory_used = self._create_gauge(
+            "memory_used_bytes", "Memory of requests and answers."
+        )
+        self.memory_capacity = self._create_gauge(
+            "memory_capacity_bytes", "Memory that requests and answers may take."
+        )
+        self.waiting_answers = self._create_gauge(
+            "waiting_answers", "Answers that are not read on for lack of memory."
+        )
+        self.resident_memory = self._create_gauge(
+            "resident_memory_bytes", "Memory of the process."
         )
 
     def render(self):
@@ -59,3 +69,6 @@
         return Counter(
             f"tanagerwalk_gateway_{name}", text, labels, registry=self.registry
         )
+
+    def _create_gauge(self, name, text):
+        return Gauge(f"tanagerwalk_gateway_{name}", text, registry=self.registry)
--- a/tanagerwalk/gateway/requests.py
+++ b/tanagerwalk/gateway/requests.py
@@ -4,6 +4,7 @@
 
 from ..ids import ClientAccountId, Fingerprint, PartKey
 from ..manifest import Manifest, Route
+from .memory import UNCOUNTED, RequestMemory, UncountedMemory
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +23,8 @@
         Complete body, with any chunked encoding removed.
     received_at : float
         Monotonic time in seconds at which the request was complete.
+    memory : RequestMemory or UncountedMemory
+        Counts the memory that the request and its answers take.
     """
 
     method: bytes
@@ -29,6 +32,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     received_at: float
+    memory: RequestMemory | UncountedMemory = UNCOUNTED
 
 
 @dataclass(frozen=True, slots=True)
--- a/tanagerwalk/gateway/responder.py
+++ b/tanagerwalk/gateway/responder.py
@@ -2,6 +2,8 @@
 
 import structlog
 
+# Larger bodies are not copied to join them to their heads.
+MAX_JOINED_BYTES = 16 * 1024
 log = structlog.get_logger(__name__)
 
 REASON_PHRASES = {
@@ -31,6 +33,8 @@
         Whether the complete response has been sent.
     keep_alive : bool
         Whether the connection stays open for further requests.
+    client_waits_until : float
+        Monotonic time in seconds until which the client waits for the response.
     """
 
     def __init__(self, connection, is_head_request, keep_alive):
@@ -38,6 +42,7 @@
         self.keep_alive = keep_alive and not connection.closes_after_response
         self.started = False
         self.finished = False
+        self.client_waits_until = 0.0
         self._chunked = False
         self._is_head_request = is_head_request
 
@@ -64,7 +69,12 @@
         head = self._encode_head(status, reason, [*headers, length])
         self.started = True
         self.finished = True
-        self._connection.write(head if self._is_head_request else head + body)
+        if self._is_head_request:
+            self._connection.write(head)
+        elif len(body) <= MAX_JOINED_BYTES:
+            self._connection.write(head + body)
+        else:
+            self._connection.write_parts([head, body])
 
     def start_stream(self, status, reason, headers, first_chunk):
         """Send the head and the first chunk of a streamed response."""
--- /dev/null
+++ b/tanagerwalk/gateway/response_heads.py
@@ -0,0 +1,33 @@
+"""Heads of responses, and why one may not be complete."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class ConnectionFailure(Enum):
+    """Why a connection ended before the response was complete."""
+
+    CLOSED = "closed"
+    MALFORMED = "malformed"
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Status line and headers of a response; header names are in lower case."""
+
+    status: int
+    reason: bytes
+    headers: list[tuple[bytes, bytes]]
+
+    def get_header(self, name):
+        """Return the first value of the header `name` (in lower case), or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+def match_any_response(head):
+    """Accept every response as the one to the pending request."""
+    del head
+    return True
--- a/tanagerwalk/gateway/settings.py
+++ b/tanagerwalk/gateway/settings.py
@@ -85,7 +85,11 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
-    """Settings of one gateway instance."""
+    """Settings of one gateway instance.
+
+    `memory_limit` is the most resident memory of the process in bytes, None without a
+    limit; `max_descriptors` the most file descriptors.
+    """
 
     instance: InstanceId
     failure_domain: FailureDomain
@@ -95,3 +99,4 @@
     bounds: Bounds = Bounds()
     regions: dict[FailureDomain, Region] = field(default_factory=dict)
     max_descriptors: int = 1024
+    memory_limit: int | None = None
--- a/tanagerwalk/platform/egress.py
+++ b/tanagerwalk/platform/egress.py
@@ -56,7 +56,7 @@
 
 
 def encode_attempt(request, attempt):
-    """Encode the HTTP request of an attempt.
+    """Encode the head of an attempt's HTTP request; the body is the client's.
 
     Reserved and hop-by-hop headers of the client are dropped; the gateway sets its
     own account, priority, deadline and expected server.
@@ -95,7 +95,7 @@
     lines.append(b"%s: %s" % (EXPECTED_SERVER, attempt.server.id.encode()))
     if request.raw.body or request.raw.method not in (b"GET", b"HEAD", b"DELETE"):
         lines.append(b"Content-Length: %d" % len(request.raw.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + request.raw.body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def _list_connection_headers(request):
--- a/tanagerwalk/platform/settings.py
+++ b/tanagerwalk/platform/settings.py
@@ -10,6 +10,7 @@
 from ..ids import FailureDomain, InstanceId, Region
 
 MS_PER_S = 1000.0
+BYTES_PER_MB = 1000000
 # Must match the port of `metrics` in deploy/system.toml.
 METRICS_PORT = 9464
 
@@ -106,6 +107,7 @@
         store=StoreAddress(addresses["platform.address"], wire.platform.value_bytes),
         bounds=_convert_bounds(wire.bounds),
         max_descriptors=wire.limits.max_fds,
+        memory_limit=int(wire.limits.memory_mb * BYTES_PER_MB),
     )
     return Ok(settings)
 
--- a/tanagerwalk/ui/gateway.py
+++ b/tanagerwalk/ui/gateway.py
@@ -17,6 +17,7 @@
 from ..platform.names import SETTINGS_VARIABLE
 from ..platform.settings import parse_settings
 from ..platform.store import MetadataStore
+from ..process_memory import map_large_blocks
 
 log = structlog.get_logger(__name__)
 
@@ -35,6 +36,7 @@
     """Run a gateway instance until SIGTERM or SIGINT, then drain it."""
     sink = LogSink(sys.stdout.fileno())
     configure_logs(sink=sink)
+    map_large_blocks()
     settings = _read_settings(path)
     failed = uvloop.run(_run_until_stopped(path, settings, sink))
     if failed:
