--- a/tanagerwalk/ui/gateway.py
+++ b/tanagerwalk/ui/gateway.py
@@ -1,8 +1,10 @@
 """Command `gateway`: run a gateway instance on the users' platform."""
 
 import asyncio
+import contextlib
+import os
 import signal
-import sys
+import time
 from pathlib import Path
 
 import click
@@ -22,6 +24,11 @@
 log = structlog.get_logger(__name__)
 
 SETTINGS_POLL_S = 2.0
+SETTINGS_RETRY_S = 0.05
+SETTINGS_LOG_INTERVAL_S = 10.0
+STANDARD_STREAMS = (0, 1, 2)
+STANDARD_OUTPUT = 1
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 @click.command()
@@ -34,39 +41,68 @@
 )
 def gateway(path):
     """Run a gateway instance until SIGTERM or SIGINT, then drain it."""
-    sink = LogSink(sys.stdout.fileno())
+    open_missing_streams()
+    sink = LogSink(STANDARD_OUTPUT)
     configure_logs(sink=sink)
     map_large_blocks()
-    settings = _read_settings(path)
+    settings = wait_for_settings(path)
     failed = uvloop.run(_run_until_stopped(path, settings, sink))
     if failed:
         raise click.ClickException("a controller failed; see the log")
 
 
-def _read_settings(path):
-    result = _load_settings(path)
-    if result.is_error():
-        raise click.ClickException(f"{path}: {result.error}")
+def open_missing_streams():
+    """Open the null device for each standard stream that the parent has closed.
+
+    Otherwise the next socket would get its number, and the log would go there.
+    """
+    for descriptor in STANDARD_STREAMS:
+        with contextlib.suppress(OSError):
+            if not _is_open(descriptor):
+                # The lowest number that is free, which is this one.
+                os.open(os.devnull, os.O_RDWR)
+
+
+def _is_open(descriptor):
+    try:
+        os.fstat(descriptor)
+    except OSError:
+        return False
+    return True
+
+
+def wait_for_settings(path):
+    """Return the settings as soon as the file is there and complete.
+
+    The platform writes the file at each start, maybe after the process has begun.
+    """
+    last_problem, logged_at = None, 0.0
+    while (result := _load_settings(path)).is_error():
+        now = time.monotonic()
+        is_new = result.error != last_problem
+        if is_new or now - logged_at >= SETTINGS_LOG_INTERVAL_S:
+            log.error("no settings yet", path=path, problem=result.error)
+            last_problem, logged_at = result.error, now
+        time.sleep(SETTINGS_RETRY_S)
     return result.ok
 
 
 def _load_settings(path):
     try:
-        text = Path(path).read_text()
-    except OSError as error:
-        return Error(error.strerror)
-    return parse_settings(text)
+        return parse_settings(Path(path).read_text())
+    except (OSError, ValueError, RecursionError) as error:
+        return Error(str(error))
 
 
 async def _run_until_stopped(path, settings, sink):
     loop = asyncio.get_running_loop()
-    store = MetadataStore(settings.store.address)
-    instance = GatewayInstance(settings, store, PlatformCodec())
     stop_requested = asyncio.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, stop_requested.set)
     reload_requested = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
+    store = MetadataStore(settings.store.address)
+    instance = GatewayInstance(settings, store, PlatformCodec())
     await instance.start()
     settings_watcher = asyncio.create_task(
         _watch_settings(path, instance, reload_requested, sink)
@@ -79,6 +115,8 @@
         wait.cancel()
     settings_watcher.cancel()
     await instance.stop()
+    # The loop puts back the default actions, which would end the process by a signal.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, *STOP_SIGNALS})
     return instance.failed.is_set()
 
 
