--- a/tanagerwalk/bound_sockets.py
+++ b/tanagerwalk/bound_sockets.py
@@ -4,6 +4,7 @@
 tens of megabytes of address space each; one that is given a socket has no need to.
 """
 
+import errno
 import socket
 from dataclasses import dataclass
 
@@ -20,6 +21,11 @@
     datagram: socket.socket
 
 
+def lacks_descriptors(error):
+    """Return whether an OSError says that no descriptor is left."""
+    return error.errno in (errno.EMFILE, errno.ENFILE)
+
+
 def bind_stream(address):
     """Return the Result of a TCP socket that listens, or of an OSError.
 
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -12,6 +12,11 @@
 
 from ..bound_sockets import bind_pair, bind_stream
 from ..controllers.loop import poll_until
+from ..decisions.descriptor_budget import (
+    DescriptorBudget,
+    DescriptorKind,
+    find_descriptor_capacity,
+)
 from ..decisions.freshness import Freshness, find_age_limit
 from ..decisions.locations import Home
 from ..decisions.paths import PathTable
@@ -29,10 +34,12 @@
 from ..supervisor import Supervisor
 from .answer_recorder import AnswerRecorder
 from .change_feed import ChangeServer, SharedFeed, StoreFeed
+from .client_admission import ClientAdmission
 from .clocks import read_boot_clock
 from .cluster_state import ClusterState
 from .connector import ServerConnector
 from .crash_check import CrashCheck
+from .descriptors import LimitedDial, read_system_limit
 from .exchange import AttemptRunner
 from .execution_context import ExecutionContext
 from .fleet_key import FleetKey
@@ -70,6 +77,10 @@
 DEFAULT_INSTANCE_COUNT = 9
 
 
+def _make_no_room():
+    return False
+
+
 class GatewayInstance:
     """A gateway instance: listeners, filter chain and local copy of the store.
 
@@ -100,6 +111,9 @@
         self.heap_trim = HeapTrim(clock)
         self.memory = self._create_memory()
         self.supervisor = Supervisor()
+        self.descriptors = DescriptorBudget(
+            find_descriptor_capacity(settings.max_descriptors, read_system_limit())
+        )
         self.stopping = False
         self._create_state()
         self._create_filter_chain()
@@ -175,12 +189,15 @@
         self.quarantine.is_first_in_line = lambda key: self._find_rank(key) == 0
 
     def _create_connections(self):
+        peer_part = self.descriptors.parts[DescriptorKind.PEER]
         self.tunnel_server = TunnelServer(self.servers, self.paths, self.clock)
+        self.tunnel_server.dial = LimitedDial(peer_part, _make_no_room).open
         self.servers.on_kept_off = self.tunnel_server.retire
         self.tunnel_client = TunnelClient(
             TunnelPeers(self.settings.failure_domain, self.random),
             lambda: self.membership.peers,
             self._get_peer_address,
+            peer_part,
             self.clock,
         )
         connector = ServerConnector(
@@ -188,6 +205,10 @@
         )
         connector.on_reachable = self.servers.end_pause
         self.connection_pool = ConnectionPool(connector, self.paths, self.clock)
+        connector.dial = LimitedDial(
+            self.descriptors.parts[DescriptorKind.SERVER],
+            self.connection_pool.close_longest_idle,
+        ).open
 
     def _forget_server(self, server):
         self.paths.forget(server.id)
@@ -210,6 +231,9 @@
             self.store, ALL_KEYS, self.feed, self.random, self.codec.server_prefix
         )
         self.peer_server = PeerServer(None)
+        peer_part = self.descriptors.parts[DescriptorKind.PEER]
+        self.peer_server.reserve = peer_part.try_reserve
+        self.peer_server.release = peer_part.release
         ChangeServer(self.mirror).register(self.peer_server)
         self.peer_server.register_stream_handler(
             MessageKind.OPEN_TUNNEL, self.tunnel_server.open
@@ -307,11 +331,14 @@
         )
 
     def _create_listeners(self):
+        clients = self.descriptors.parts[DescriptorKind.CLIENT]
+        self.admission = ClientAdmission(clients, self.clock)
         self.client_listener = Listener(
             self.request_handler.handle,
             self._refuse_unread,
             self._get_client_limits,
             self.memory,
+            self.admission,
             self.clock,
             self.random,
         )
@@ -338,6 +365,7 @@
         contradictions = self.assigner.count_contradictions()
         self.metrics.session_contradictions.set(contradictions)
         self.metrics.in_flight.set(self.client_listener.in_flight)
+        self.metrics.set_descriptors(self.descriptors, self.admission)
         return encode_ok_response(self.metrics.render(), CONTENT_TYPE_LATEST)
 
     def _get_client_limits(self):
--- a/tanagerwalk/gateway/attempts.py
+++ b/tanagerwalk/gateway/attempts.py
@@ -8,6 +8,7 @@
 from ..decisions.server_usage import Work
 from ..ids import ModelName
 from ..registry import RegisteredServer
+from .connect_faults import ConnectFault
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,6 +150,8 @@
         Monotonic time at which the connection was opened, in seconds.
     written_for : float or None
         Seconds from the response head to the end; None without a head.
+    fault : ConnectFault or None
+        Why this instance could not try to connect; the server isn't to blame.
     """
 
     outcome: Outcome
@@ -164,6 +167,7 @@
     broke_off: bool = False
     connected_at: float = float("inf")
     written_for: float | None = None
+    fault: ConnectFault | None = None
 
     @property
     def is_success(self):
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -12,6 +12,8 @@
 import httptools
 from expression import Error, Ok
 
+from ..bound_sockets import lacks_descriptors
+from .connect_faults import ConnectFault
 from .memory import SMALL_ANSWER_BYTES, UNCOUNTED
 from .response_heads import ConnectionFailure, ResponseHead, match_any_response
 from .socket_options import has_pending_reset, set_socket_options
@@ -47,12 +49,15 @@
         Whether any data was received since the last request was sent.
     opened_at : float
         Monotonic time at which it was opened, in seconds.
+    on_closed : callable or None
+        Called once without arguments when it is closed.
     """
 
     def __init__(self, via=None):
         self.via = via
         self.opened_at = time.monotonic()
         self.closed = False
+        self.on_closed = None
         self.received = False
         self._transport = None
         self._parser = httptools.HttpResponseParser(self)
@@ -207,8 +212,15 @@
         self._failure = failure
         self._memory.stop_waiting()
         self._transport.abort()
+        self.report_closed()
         self._notify_reader()
 
+    def report_closed(self):
+        """Tell once whoever counts the open connections."""
+        on_closed, self.on_closed = self.on_closed, None
+        if on_closed is not None:
+            on_closed()
+
     def _notify_reader(self):
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
@@ -384,13 +396,15 @@
 
     Returns
     -------
-    Result of asyncio.Protocol, or of str
-        The error is the name of the exception.
+    Result of asyncio.Protocol, or of ConnectFault or str
+        The error is the name of the exception, or says that this process can't connect.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout):
             _, protocol = await loop.create_connection(create_protocol, *address)
     except (OSError, TimeoutError) as error:
+        if lacks_descriptors(error):
+            return Error(ConnectFault.DESCRIPTORS_FULL)
         return Error(type(error).__name__)
     return Ok(protocol)
--- a/tanagerwalk/gateway/connector.py
+++ b/tanagerwalk/gateway/connector.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import itertools
+from functools import partial
 
 import structlog
 from expression import Error
 
 from ..decisions.paths import PathState
+from .connect_faults import ConnectFault
 from .connections import open_connection
 
 log = structlog.get_logger(__name__)
@@ -78,41 +80,51 @@
         state = self._paths.get_state(server.id)
         if state is PathState.UNREACHABLE:
             return Error("unreachable")
-        direct = self._dial(server, timeout)
+        faults = set()
+        direct = _note_fault(partial(self._dial, server, timeout), faults)
         tunnels = [
-            self._tunnels.open(peer_id, server)
+            _note_fault(partial(self._tunnels.open, peer_id, server), faults)
             for peer_id in self._tunnels.rank_peers(server)
         ]
         if state is PathState.INDIRECT:
-            return await self._connect_indirectly(server, [*tunnels, direct], timeout)
-        return await self._connect_directly(server, direct, tunnels, timeout)
+            openers = [*tunnels, direct]
+            return await self._connect_indirectly(server, openers, timeout, faults)
+        return await self._connect_directly(server, direct, tunnels, timeout, faults)
 
     async def check(self, server):
         """Return whether a server that was reached directly still accepts connections.
 
+        One that can't be checked for want of descriptors counts as accepting them.
+
         Parameters
         ----------
         server : RegisteredServer
             The server.
         """
         result = await self.dial(server.address, CHECK_TIMEOUT_S)
+        if result.is_error() and isinstance(result.error, ConnectFault):
+            return True
         if result.is_error():
             self._record_lost(server, result)
             return False
         self.on_probed(server, result.ok)
         return True
 
-    async def _connect_directly(self, server, direct, tunnels, timeout):
+    async def _connect_directly(self, server, direct, tunnels, timeout, faults):
         tunnel_delay = self._paths.find_tunnel_delay(self._clock())
         delays = itertools.chain([tunnel_delay], itertools.repeat(NEXT_PEER_DELAY_S))
         result = await open_first([direct, *tunnels], delays, timeout)
+        if faults:
+            return _prefer_fault(result, faults)
         if result.is_error() or result.ok.via is not None:
             self._record_lost(server, result)
         return result
 
-    async def _connect_indirectly(self, server, openers, timeout):
+    async def _connect_indirectly(self, server, openers, timeout, faults):
         delays = itertools.repeat(NEXT_PEER_DELAY_S)
         result = await open_first(openers, delays, timeout)
+        if result.is_error() and faults:
+            return _prefer_fault(result, faults)
         if result.is_error():
             self._record_lost(server, result)
         elif result.ok.via is None:
@@ -190,6 +202,21 @@
             task.cancel()
 
 
+async def _note_fault(open_, faults):
+    """Open a connection, and note if this instance couldn't try to.
+
+    Neither the server nor its path can then be blamed.
+    """
+    result = await open_()
+    if result.is_error() and isinstance(result.error, ConnectFault):
+        faults.add(result.error)
+    return result
+
+
+def _prefer_fault(result, faults):
+    return Error(next(iter(faults))) if result.is_error() else result
+
+
 def _abort_unused(server, connection):
     del server
     connection.abort()
--- /dev/null
+++ b/tanagerwalk/gateway/descriptors.py
@@ -0,0 +1,117 @@
+"""Keeps the connections of the process within its limit of descriptors."""
+
+import resource
+import time
+
+import structlog
+from expression import Error
+
+from .connect_faults import ConnectFault
+from .connections import Connection, open_connection
+
+log = structlog.get_logger(__name__)
+
+LOG_INTERVAL_S = 5.0
+
+
+def raise_system_limit(max_descriptors):
+    """Raise the soft limit of the operating system as far as the settings allow.
+
+    Parameters
+    ----------
+    max_descriptors : int
+        Limit of the settings.
+    """
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = max_descriptors
+    if hard != resource.RLIM_INFINITY:
+        wanted = min(hard, wanted)
+    if soft == resource.RLIM_INFINITY or soft >= wanted:
+        return
+    try:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+    except (OSError, ValueError) as error:
+        log.warning("descriptor limit not raised", wanted=wanted, problem=str(error))
+
+
+def read_system_limit():
+    """Return how many descriptors the operating system allows the process."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return 2**31 if soft == resource.RLIM_INFINITY else soft
+
+
+class LimitedDial:
+    """Opens TCP connections within a part of the descriptors.
+
+    Parameters
+    ----------
+    part : DescriptorPart
+        Descriptors that may be used.
+    make_room : callable
+        Closes a connection that is not in use, and returns whether there was one.
+    dial : callable
+        Opens a TCP connection, like `open_connection`.
+    """
+
+    def __init__(self, part, make_room, dial=open_connection):
+        self._part = part
+        self._make_room = make_room
+        self._dial = dial
+        self._notice = RareNotice("out of descriptors")
+
+    async def open(self, address, timeout, create_protocol=Connection):
+        """Open a TCP connection, like `open_connection`.
+
+        Returns
+        -------
+        Result of asyncio.Protocol, or of ConnectFault or str
+            With a ConnectFault, the address has nothing to do with it.
+        """
+        if not self._reserve():
+            self._notice.log(used=self._part.used)
+            return Error(ConnectFault.DESCRIPTORS_FULL)
+        protocol = None
+        try:
+            result = await self._dial(address, timeout, create_protocol)
+            if result.is_ok():
+                protocol = result.ok
+                protocol.on_closed = self._part.release
+        finally:
+            if protocol is None:
+                self._part.release()
+        if protocol is not None and protocol.closed:
+            protocol.report_closed()
+        if result.is_error() and result.error is ConnectFault.DESCRIPTORS_FULL:
+            self._notice.log(used=self._part.used)
+            self._make_room()
+        return result
+
+    def _reserve(self):
+        while not self._part.try_reserve():
+            if not self._make_room():
+                return False
+        return True
+
+
+class RareNotice:
+    """Logs an event at most once in LOG_INTERVAL_S, with how often it happened.
+
+    Parameters
+    ----------
+    event : str
+        The event.
+    """
+
+    def __init__(self, event):
+        self._event = event
+        self._count = 0
+        self._logged_at = float("-inf")
+
+    def log(self, **inputs):
+        """Count the event, and log it unless that was done lately."""
+        self._count += 1
+        now = time.monotonic()
+        if now - self._logged_at < LOG_INTERVAL_S:
+            return
+        self._logged_at = now
+        log.warning(self._event, count=self._count, **inputs)
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -14,6 +14,7 @@
 from ..decisions.latency_baselines import LatencySample
 from ..manifest import Repeatability
 from .attempts import Attempt, AttemptResult, ClassifiedHead, Outcome, ResponseKind
+from .connect_faults import ConnectFault
 from .connections import ConnectionFailure
 from .requests import GatewayRequest
 from .response_timer import ResponseTimer
@@ -121,7 +122,7 @@
             if not kept:
                 opened = await self._pool.open(attempt.server, attempt.time_left)
                 if opened.is_error():
-                    return AttemptResult(Outcome.NOT_SENT, opened.error)
+                    return _build_unsent(opened.error)
                 connection = opened.ok
             via = connection.via
             sent = connection.send(
@@ -296,6 +297,12 @@
     return AttemptResult(outcome, detail, raw.status, raw.reason, head, body)
 
 
+def _build_unsent(error):
+    if isinstance(error, ConnectFault):
+        return AttemptResult(Outcome.NOT_SENT, error.value, fault=error)
+    return AttemptResult(Outcome.NOT_SENT, error)
+
+
 def _build_failure(cause):
     """Return the AttemptResult for a ConnectionFailure, or None for a timeout."""
     if cause is None:
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -29,6 +29,8 @@
 STREAM_IDLE_TIMEOUT_S = 2.0
 MIN_QUEUE_FULL_WAIT_S = 2.0
 QUEUE_FULL_WAIT_SHARE = 0.7
+# Before the next attempt of a request that may have run, if no descriptor is left.
+FAULT_PAUSE_S = 0.1
 PAUSING_OUTCOMES = frozenset(
     {
         Outcome.NOT_SENT,
@@ -123,6 +125,11 @@
                 if result.head is not None:
                     self._deliver(result)
                 return self._log_result(Ok(None))
+            if result.fault is not None and self._history.may_have_run:
+                await asyncio.sleep(min(FAULT_PAUSE_S, max(0.0, self._time_left)))
+            elif result.fault is not None:
+                reason = RefusalReason.DESCRIPTORS_FULL
+                return self._log_result(self._give_up(reason))
             action = self._decide_next_action(result)
             if action is not NextAction.ANOTHER:
                 return self._log_result(self._finish_without_answer(action))
@@ -297,7 +304,7 @@
 
     def _report_server_failure(self, result):
         server = self._context.servers.find(self._attempt_log[-1]["server"])
-        if server is None:
+        if server is None or result.fault is not None:
             return
         if result.outcome is Outcome.MISDIRECTED:
             self._context.servers.mark_address_reused(server.server)
--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -24,7 +24,7 @@
 from .request_assembly import RequestAssembly
 from .requests import RawRequest
 from .responder import Responder
-from .socket_options import set_client_socket_options
+from .socket_options import set_client_socket_options, set_reset_on_close
 from .unread_answers import UnreadAnswerWatch
 
 MAX_PIPELINED_REQUESTS = 8
@@ -48,6 +48,8 @@
         Returns the current ClientLimits.
     memory : MemoryBudget
         Memory for requests and answers.
+    admission : ClientAdmission
+        Decides which connections stay open.
     clock : callable
         Returns monotonic time in seconds.
     random : random.Random
@@ -61,11 +63,12 @@
         Called without arguments when a client that reads no answer is reset.
     """
 
-    def __init__(self, handle, refuse, get_limits, memory, clock, random):
+    def __init__(self, handle, refuse, get_limits, memory, admission, clock, random):
         self.handle = handle
         self.refuse = refuse
         self.get_limits = get_limits
         self.memory = memory
+        self.admission = admission
         self.clock = clock
         self.random = random
         self.closing = False
@@ -160,6 +163,10 @@
         set_client_socket_options(transport.get_extra_info("socket"))
         self._listener.connections.add(self)
         self._listener.memory.reserve(CONNECTION_BYTES)
+        if not self._listener.admission.admit(self):
+            set_reset_on_close(transport.get_extra_info("socket"))
+            self.abort()
+            return
         self._limits = self._listener.get_limits()
         self._start_timeout(self._limits.idle_timeout, self.close_if_idle)
 
@@ -199,6 +206,7 @@
         """Cancel the request in progress after the client disconnected."""
         del exc
         self._listener.connections.discard(self)
+        self._listener.admission.leave(self)
         self._input_ended = True
         self._cancel_timeout()
         self._writable.set()
@@ -231,6 +239,7 @@
         """Start to assemble a request, and the receive timeout."""
         # Unless there was another request before it in the same piece.
         self._header_size = self._piece_size
+        self._listener.admission.end_idle(self)
         self._limits = self._listener.get_limits()
         memory = self._listener.memory.create_request_memory()
         self._assembly = RequestAssembly(self._limits, memory, self._listener.random)
@@ -330,6 +339,7 @@
         if self._pending:
             self._handle_next()
         elif self._assembly is None:
+            self._listener.admission.begin_idle(self)
             self._start_timeout(self._limits.idle_timeout, self.close_if_idle)
 
     def _watch_unread(self, responder):
--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -61,10 +61,36 @@
             "resident_memory_bytes", "Memory of the process."
         )
 
+        self.descriptors = self._create_gauge(
+            "descriptors", "Descriptors in use by kind.", ["kind"]
+        )
+        self.descriptors_refused = self._create_gauge(
+            "descriptors_refused", "Descriptors refused so far by kind.", ["kind"]
+        )
+        self.client_resets = self._create_gauge(
+            "client_resets", "New client connections reset so far for want of room."
+        )
+        self.client_idle_closed = self._create_gauge(
+            "client_idle_closed", "Idle client connections closed so far for new ones."
+        )
+
+    def set_descriptors(self, budget, admission):
+        """Take over the figures of a DescriptorBudget and a ClientAdmission."""
+        for kind, part in budget.parts.items():
+            self.descriptors.labels(kind.value).set(part.used)
+            self.descriptors_refused.labels(kind.value).set(part.refused)
+        self.client_resets.set(admission.resets)
+        self.client_idle_closed.set(admission.closed_idle)
+
     def render(self):
         """Return all metrics as a page of text."""
         return generate_latest(self.registry)
 
+    def _create_gauge(self, name, text, labels=()):
+        return Gauge(
+            f"tanagerwalk_gateway_{name}", text, labels, registry=self.registry
+        )
+
     def _create_counter(self, name, text, labels):
         return Counter(
             f"tanagerwalk_gateway_{name}", text, labels, registry=self.registry
--- a/tanagerwalk/gateway/pool.py
+++ b/tanagerwalk/gateway/pool.py
@@ -120,6 +120,21 @@
         if len(idle) > MAX_IDLE_PER_SERVER:
             idle.pop(0).connection.abort()
 
+    def close_longest_idle(self):
+        """Close the connection that has been kept for longest.
+
+        Returns
+        -------
+        bool
+            Whether there was one.
+        """
+        kept = [key for key, idle in self._idle.items() if idle]
+        if not kept:
+            return False
+        oldest = min(kept, key=lambda key: self._idle[key][0].kept_at)
+        self._idle[oldest].pop(0).connection.abort()
+        return True
+
     def close_idle_to(self, server):
         """Close the idle connections to a server."""
         for entry in self._idle.pop((server.id, server.address), []):
--- a/tanagerwalk/gateway/probes.py
+++ b/tanagerwalk/gateway/probes.py
@@ -7,6 +7,9 @@
 from ..bound_sockets import BACKLOG
 
 READY_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+# Beyond it the oldest connection is closed.
+MAX_CONNECTIONS = 16
+IDLE_TIMEOUT_S = 30.0
 NOT_READY_RESPONSE = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -40,6 +43,7 @@
 
     def __init__(self, render_response):
         self.render_response = render_response
+        self.connections = {}
         self._server = None
 
     async def serve(self, sock):
@@ -64,10 +68,30 @@
     def __init__(self, listener):
         self._listener = listener
         self._transport = None
+        self._timeout_handle = None
         self._parser = httptools.HttpRequestParser(self)
 
     def connection_made(self, transport):
         self._transport = transport
+        self._listener.connections[self] = True
+        if len(self._listener.connections) > MAX_CONNECTIONS:
+            next(iter(self._listener.connections)).close()
+        self._restart_timeout()
+
+    def connection_lost(self, exc):
+        del exc
+        self._timeout_handle.cancel()
+        self._listener.connections.pop(self, None)
+
+    def close(self):
+        self._listener.connections.pop(self, None)
+        self._transport.close()
+
+    def _restart_timeout(self):
+        if self._timeout_handle is not None:
+            self._timeout_handle.cancel()
+        loop = asyncio.get_running_loop()
+        self._timeout_handle = loop.call_later(IDLE_TIMEOUT_S, self.close)
 
     def data_received(self, data):
         try:
@@ -76,6 +100,7 @@
             self._transport.abort()
 
     def on_message_complete(self):
+        self._restart_timeout()
         self._transport.write(self._listener.render_response())
         if not self._parser.should_keep_alive():
             self._transport.close()
--- a/tanagerwalk/gateway/socket_options.py
+++ b/tanagerwalk/gateway/socket_options.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import struct
 
 USER_TIMEOUT_MS = 2500
 KEEPALIVE_IDLE_S = 2
@@ -34,6 +35,12 @@
     return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
 
 
+def set_reset_on_close(sock):
+    """Make the next close reset the connection, so that its peer knows at once."""
+    linger = struct.pack("ii", 1, 0)
+    _set_options(sock, ((socket.SOL_SOCKET, socket.SO_LINGER, linger),))
+
+
 def set_socket_options(sock):
     """Set short timeouts that detect a dead server, store or instance."""
     user_timeout = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/tanagerwalk/gateway/tunnels.py
+++ b/tanagerwalk/gateway/tunnels.py
@@ -18,7 +18,8 @@
 from ..peers.codec import decode, encode
 from ..peers.frames import MAX_PAYLOAD_BYTES
 from ..peers.gen.loads.ttypes import TunnelNotice
-from ..peers.rpc import MessageKind, PeerClient
+from ..peers.rpc import MessageKind, PeerClient, RequestFault
+from .connect_faults import ConnectFault
 from .connections import Connection, open_connection
 from .socket_options import has_pending_reset, set_socket_options
 
@@ -139,7 +140,11 @@
         result = await self.dial(
             usage.server.address, SERVER_CONNECT_TIMEOUT_S, _ServerStream
         )
-        return Error(TunnelFault.UNREACHABLE) if result.is_error() else result
+        if result.is_ok():
+            return result
+        if isinstance(result.error, ConnectFault):
+            return Error(TunnelFault.TOO_MANY)
+        return Error(TunnelFault.UNREACHABLE)
 
     async def _serve(self, channel, stream, server_id):
         set_socket_options(channel.writer.get_extra_info("socket"))
@@ -212,6 +217,8 @@
         self.reader = asyncio.StreamReader(limit=CHUNK_BYTES)
         self.writer = None
         self.was_reset = False
+        self.closed = False
+        self.on_closed = None
         super().__init__(self.reader)
 
     def connection_made(self, transport):
@@ -224,6 +231,17 @@
         self.was_reset = has_pending_reset(self.writer.transport)
         return super().eof_received()
 
+    def connection_lost(self, exc):
+        super().connection_lost(exc)
+        self.closed = True
+        self.report_closed()
+
+    def report_closed(self):
+        """Tell once whoever counts the open connections."""
+        on_closed, self.on_closed = self.on_closed, None
+        if on_closed is not None:
+            on_closed()
+
     def abort(self):
         """Abort the connection immediately."""
         self.writer.transport.abort()
@@ -241,11 +259,14 @@
     get_address : callable
         Takes an incarnation and returns the `IP:PORT` at which the instance serves
         its peers, or None.
+    part : DescriptorPart
+        Descriptors that tunnels may use.
     clock : callable
         Returns monotonic time in seconds.
     """
 
-    def __init__(self, peers, get_peers, get_address, clock):
+    def __init__(self, peers, get_peers, get_address, part, clock):
+        self._part = part
         self._peers = peers
         self._get_peers = get_peers
         self._get_address = get_address
@@ -275,15 +296,31 @@
 
         Returns
         -------
-        Result of Connection, or of str
+        Result of Connection, or of ConnectFault or str
         """
         address = self._get_address(peer_id)
         if address is None:
             return Error("unknown instance")
+        if not self._part.try_reserve():
+            return Error(ConnectFault.DESCRIPTORS_FULL)
+        connection = None
+        try:
+            result = await self._open(peer_id, address, server)
+            connection = result.ok if result.is_ok() else None
+        finally:
+            if connection is None:
+                self._part.release()
+            else:
+                connection.on_closed = self._part.release
+        return result
+
+    async def _open(self, peer_id, address, server):
         payload = server.id.encode()
         result = await self._client.open_stream(
             address, MessageKind.OPEN_TUNNEL, payload
         )
+        if result.is_error() and result.error is RequestFault.DESCRIPTORS_FULL:
+            return Error(ConnectFault.DESCRIPTORS_FULL)
         if result.is_error():
             self._peers.record_failure(peer_id, self._clock())
             return Error(f"tunnel {result.error.value}")
--- a/tanagerwalk/peers/rpc.py
+++ b/tanagerwalk/peers/rpc.py
@@ -9,7 +9,7 @@
 import structlog
 from expression import Error, Ok
 
-from ..bound_sockets import BACKLOG, bind_stream
+from ..bound_sockets import BACKLOG, bind_stream, lacks_descriptors
 from .frames import MAX_PAYLOAD_BYTES, Channel, FrameFault
 
 log = structlog.get_logger(__name__)
@@ -41,12 +41,19 @@
     """Why a request to a peer failed."""
 
     UNREACHABLE = "unreachable"
+    DESCRIPTORS_FULL = "descriptors_full"
     TIMED_OUT = "timed_out"
     BROKEN = "broken"
     FAILED = "failed"
     TOO_LARGE = "too_large"
 
 
+def _classify(error):
+    if lacks_descriptors(error):
+        return RequestFault.DESCRIPTORS_FULL
+    return RequestFault.UNREACHABLE
+
+
 class PeerServer:
     """Serves the requests of other entry instances.
 
@@ -59,6 +66,10 @@
     ----------
     dropped : Counter of FrameFault
         Number of connections closed because of an invalid frame, by fault.
+    reserve : callable
+        Returns whether there is a descriptor for one more connection.
+    release : callable
+        Gives the descriptor back.
     """
 
     def __init__(self, secret):
@@ -68,6 +79,8 @@
         self._server = None
         self._connections = set()
         self.dropped = Counter()
+        self.reserve = _always
+        self.release = _ignore
         self.bytes_received = 0
         self.bytes_sent = 0
 
@@ -138,7 +151,8 @@
 
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
-        if self.secret is None or len(self._connections) >= MAX_CONNECTIONS:
+        is_full = len(self._connections) >= MAX_CONNECTIONS
+        if self.secret is None or is_full or not self.reserve():
             writer.close()
             return
         channel = Channel(reader, writer, self.secret)
@@ -151,6 +165,7 @@
             pass
         finally:
             self._connections.discard(task)
+            self.release()
             channel.close()
 
     async def _serve_requests(self, channel):
@@ -199,6 +214,14 @@
         return _STATUS_OK, response
 
 
+def _always():
+    return True
+
+
+def _ignore():
+    pass
+
+
 @dataclass(slots=True)
 class _Connection:
     address: str
@@ -257,8 +280,8 @@
                 return await self._request_with_retry(address, kind, payload)
         except TimeoutError:
             return Error(RequestFault.TIMED_OUT)
-        except OSError:
-            return Error(RequestFault.UNREACHABLE)
+        except OSError as error:
+            return Error(_classify(error))
 
     async def open_stream(self, address, kind, payload):
         """Send a request that takes over its connection.
@@ -284,8 +307,8 @@
                 return await self._open_stream_on(connection.channel, kind, payload)
         except TimeoutError:
             return Error(RequestFault.TIMED_OUT)
-        except OSError:
-            return Error(RequestFault.UNREACHABLE)
+        except OSError as error:
+            return Error(_classify(error))
 
     async def _open_stream_on(self, channel, kind, payload):
         accepted = False
--- a/tanagerwalk/ui/gateway.py
+++ b/tanagerwalk/ui/gateway.py
@@ -13,6 +13,7 @@
 from expression import Error
 
 from ..gateway.app import GatewayInstance
+from ..gateway.descriptors import raise_system_limit
 from ..logs import configure_logs
 from ..logsink import LogSink
 from ..platform.codec import PlatformCodec
@@ -101,6 +102,7 @@
         loop.add_signal_handler(signal_number, stop_requested.set)
     reload_requested = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
+    raise_system_limit(settings.max_descriptors)
     store = MetadataStore(settings.store.address)
     instance = GatewayInstance(settings, store, PlatformCodec())
     await instance.start()
--- /dev/null
+++ b/test/gateway/test_descriptor_limit.py
@@ -0,0 +1,107 @@
+"""Test of a gateway process whose connections exceed its limit of descriptors."""
+
+import asyncio
+import contextlib
+import resource
+
+import pytest
+from gateway_process import GatewayProcessRig
+
+from tanagerwalk.decisions.descriptor_budget import DescriptorBudget, DescriptorKind
+from tanagerwalk.standins.gateway_cluster import API_KEY, HOST, GatewayCluster
+
+SYSTEM_LIMIT = 400
+CLIENT_COUNT = 600
+BATCH = 50
+REQUEST = (
+    f"GET /open/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Tanagerwalk-Key: {API_KEY}\r\n"
+    "X-Tanagerwalk-Attempt-Id: {}\r\nX-Tanagerwalk-Deadline-Ms: 4000\r\n\r\n"
+)
+
+
+def limit_descriptors():
+    resource.setrlimit(resource.RLIMIT_NOFILE, (SYSTEM_LIMIT, SYSTEM_LIMIT))
+
+
+@contextlib.asynccontextmanager
+async def connect_idle(rig, count):
+    """Hold idle connections to the listener of clients."""
+    writers = []
+    try:
+        for _ in range(0, count, BATCH):
+            opened = await asyncio.gather(
+                *(rig.connect() for _ in range(BATCH)), return_exceptions=True
+            )
+            writers += [each[1] for each in opened if isinstance(each, tuple)]
+        yield
+    finally:
+        for writer in writers:
+            writer.transport.abort()
+
+
+async def send_request(rig, number):
+    """Return the first line of the response on a new connection, or nothing."""
+    try:
+        async with asyncio.timeout(2.0):
+            reader, writer = await rig.connect()
+            writer.write(REQUEST.format(f"a-{number}").encode())
+            line = await reader.readline()
+            writer.close()
+    except (OSError, TimeoutError):
+        return b""
+    return line
+
+
+@pytest.mark.parametrize("max_fds", [4200, SYSTEM_LIMIT + 200])
+async def test_idle_clients_leave_descriptors_for_others(tmp_path, max_fds):
+    """Idle clients took all descriptors: no request was served, nor a probe."""
+    rig = GatewayProcessRig(tmp_path, max_fds=max_fds)
+    rig.preexec = limit_descriptors
+    async with rig, connect_idle(rig, CLIENT_COUNT):
+        await asyncio.sleep(1.1)
+        assert await rig.is_ready(), rig.log
+        lines = [await send_request(rig, number) for number in range(30)]
+        assert lines == [b"HTTP/1.1 200 OK\r\n"] * 30, rig.log
+        assert "server unreachable" not in rig.log
+        page = await rig.fetch_metrics()
+        assert "tanagerwalk_gateway_client_idle_closed" in page
+        assert rig.count_descriptors() < SYSTEM_LIMIT
+
+
+async def test_request_without_descriptor_is_refused_unrun():
+    """Out of descriptors, a server was blamed and the request got another status."""
+    async with GatewayCluster() as cluster:
+        await cluster.build(desks=1)
+        [instance] = cluster.instances
+        part = instance.descriptors.parts[DescriptorKind.SERVER]
+        while part.try_reserve():
+            pass
+        reply = await cluster.send(cluster.encode("GET", "/jobs/1"))
+        assert reply.status == 503
+        assert b"descriptors_full" in reply.body
+        assert "retry-after" in reply.headers
+        for _ in range(3):
+            part.release()
+        assert (await cluster.send(cluster.encode("GET", "/jobs/2"))).status == 200
+
+
+async def test_kept_connection_makes_room_for_a_new_one():
+    """A kept connection must not cost a request to another server."""
+    async with GatewayCluster() as cluster:
+        await cluster.build(desks=1)
+        [instance] = cluster.instances
+        await cluster.send(cluster.encode("GET", "/jobs/1"))
+        part = instance.descriptors.parts[DescriptorKind.SERVER]
+        while part.try_reserve():
+            pass
+        assert (await cluster.send(cluster.encode_plan())).status == 200
+
+
+def test_no_kind_starves_another():
+    """The sum never exceeds the capacity, and each kind keeps a part of its own."""
+    budget = DescriptorBudget(1000)
+    for part in budget.parts.values():
+        while part.try_reserve():
+            pass
+        assert part.used >= part.own
+    assert budget.total.used <= budget.total.capacity
