--- a/tanagerwalk/decisions/descriptor_budget.py
+++ b/tanagerwalk/decisions/descriptor_budget.py
@@ -23,7 +23,7 @@
 RESERVED_FOR_FILES = 200
 # Descriptors of the process itself: streams, event loop, what libraries open.
 RESERVED_FOR_PROCESS = 32
-MIN_CAPACITY = 64
+MIN_CAPACITY = 16
 # Part of the capacity that no other kind can take. The rest is for whoever needs it.
 OWN_SHARES = {
     DescriptorKind.CLIENT: 0.4,
