--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -73,7 +73,7 @@
         self.clock = clock
         self.wall_clock = wall_clock
         self.random = random.Random(seed)
-        self.supervisor = Supervisor()
+        self.supervisor = Supervisor(self.metrics.controller_restarts)
         self.external = ExternalClients(settings)
         self.store = self.external.store
         self._wire_state()
@@ -280,11 +280,6 @@
             for peer in self.membership.peers
         )
 
-    @property
-    def failed(self):
-        """Event that is set when a controller fails and the process must exit."""
-        return self.supervisor.failed
-
     @property
     def peers_port(self):
         """Port on which this instance accepts connections from peers."""
@@ -307,22 +302,22 @@
         await self.callers.listener.start(instance.address, instance.callers_port)
         await self.admin.listener.start(instance.address, instance.admin_port)
         await self.external.peer_server.start(instance.address, instance.peers_port)
-        for run in (
-            self.configuration_controller.run,
-            self.membership.run,
-            self.exchange.run,
-            self.load.run,
-            self.rollouts.run,
-            self.evidence.run,
-            self.records.billing.run,
-            self.records.holding.run,
-            self.halt_controller.run,
-            self.exposure_controller.run,
-            self.leases.run,
-            self.order_controller.run,
-            self.gate.run,
+        for name, run in (
+            ("configuration", self.configuration_controller.run),
+            ("membership", self.membership.run),
+            ("exchange", self.exchange.run),
+            ("load", self.load.run),
+            ("rollouts", self.rollouts.run),
+            ("evidence", self.evidence.run),
+            ("billing", self.records.billing.run),
+            ("holding", self.records.holding.run),
+            ("halts", self.halt_controller.run),
+            ("exposure", self.exposure_controller.run),
+            ("leases", self.leases.run),
+            ("orders", self.order_controller.run),
+            ("gate", self.gate.run),
         ):
-            self.supervisor.run(run())
+            self.supervisor.run(name, run)
         log.info(
             "listening",
             instance=instance.id,
--- a/tanagerwalk/controllers/halts.py
+++ b/tanagerwalk/controllers/halts.py
@@ -98,6 +98,8 @@
 
     async def run(self):
         """Sync the halts with the store until cancelled."""
+        # An earlier run may have failed in the middle of a poll.
+        self._poll_requested.set()
         while True:
             await self._poll_requested.wait()
             self._poll_requested.clear()
--- a/tanagerwalk/controllers/loop.py
+++ b/tanagerwalk/controllers/loop.py
@@ -54,7 +54,8 @@
     """Tasks that a controller starts without waiting for them.
 
     An exception in a task indicates a broken invariant. The controller raises it in
-    its next step by calling `raise_failure`, so that the supervisor notices it.
+    its next step by calling `raise_failure`, so that the supervisor notices it and
+    starts the controller again.
     """
 
     def __init__(self):
@@ -77,15 +78,16 @@
             self._failure = task.exception()
 
     def raise_failure(self):
-        """Raise the exception of a failed task, if there is one.
+        """Raise the exception of a failed task once, if there is one.
 
         Raises
         ------
         Exception
             The exception of the task that failed last.
         """
-        if self._failure is not None:
-            raise self._failure
+        failure, self._failure = self._failure, None
+        if failure is not None:
+            raise failure
 
     def cancel(self):
         """Cancel all running tasks."""
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -22,6 +22,7 @@
 from ..decisions.shared_loads import SharedLoadTable
 from ..decisions.tunnel_peers import TunnelPeers
 from ..decisions.watchers import WatcherSelection
+from ..defects import DefectLog
 from ..filters.chain import link_filters
 from ..manifest import ClientLimits
 from ..peers.rpc import MessageKind, PeerServer
@@ -94,7 +95,10 @@
         self.random = random.Random(seed)
         self.incarnation = f"{settings.instance}.{uuid.uuid4().hex[:8]}"
         self.metrics = GatewayMetrics()
-        self.supervisor = Supervisor()
+        self.supervisor = Supervisor(self.metrics.controller_restarts)
+        self.subscriber_defects = DefectLog(
+            "subscriber failed", self.metrics.subscriber_failures
+        )
         self.stopping = False
         self._create_state()
         self._create_filter_chain()
@@ -116,6 +120,7 @@
             self.codec,
             self.servers,
             self._forget_server,
+            self.subscriber_defects,
         )
 
         self.rollouts = ReleaseRolloutController(
@@ -127,6 +132,7 @@
             lambda: self.feed.is_watcher,
             self.clock,
             self.random,
+            self.subscriber_defects,
         )
         self.assigner = ReleaseAssigner(
             self.incarnation,
@@ -195,7 +201,12 @@
             self.random,
         )
         self.mirror = Mirror(
-            self.store, ALL_KEYS, self.feed, self.random, self.codec.server_prefix
+            self.store,
+            ALL_KEYS,
+            self.feed,
+            self.random,
+            self.codec.server_prefix,
+            self.subscriber_defects,
         )
         self.peer_server = PeerServer(None)
         ChangeServer(self.mirror).register(self.peer_server)
@@ -217,6 +228,7 @@
                 owns_sessions=True,
             ),
             self.random,
+            self.subscriber_defects,
         )
         self.relays = RelaySelection(self.incarnation, own_domain)
         self.membership.subscribe(self._update_peers)
@@ -320,10 +332,10 @@
         manifest = self.cluster_state.manifest
         return ClientLimits() if manifest is None else manifest.limits
 
-    @property
-    def failed(self):
-        """Event that is set when a controller has failed and the process must exit."""
-        return self.supervisor.failed
+    def count_defects(self):
+        """Return how many exceptions of controllers and subscribers were contained."""
+        logs = (self.supervisor.defects, self.subscriber_defects)
+        return sum(log.counts.total() for log in logs)
 
     def count_instances(self):
         """Return the number of gateway instances known to this one, itself included."""
@@ -364,12 +376,13 @@
         A listener whose port is in use opens later; everything else starts meanwhile.
         """
         await self._open_listeners()
-        self.supervisor.run(self.mirror.run())
-        self.supervisor.run(self.manifest_recovery.run())
-        self.supervisor.run(self.rollouts.run())
-        self.supervisor.run(self._run_membership())
-        self.supervisor.run(self.fleet_key.run(self._authenticate))
-        self.supervisor.run(self.sharing.run())
+        run = self.supervisor.run
+        run("mirror", lambda: self.mirror.run())
+        run("manifest_recovery", lambda: self.manifest_recovery.run())
+        run("rollouts", lambda: self.rollouts.run())
+        run("membership", self._run_membership)
+        run("fleet_key", lambda: self.fleet_key.run(self._authenticate))
+        run("sharing", lambda: self.sharing.run())
         log.info("listening", instance=self.settings.instance)
 
     async def _open_listeners(self):
--- a/tanagerwalk/gateway/cluster_state.py
+++ b/tanagerwalk/gateway/cluster_state.py
@@ -2,6 +2,8 @@
 
 import structlog
 
+from ..defects import DefectLog, Subscribers
+
 log = structlog.get_logger(__name__)
 
 
@@ -18,6 +20,8 @@
         Receives the list of registered servers.
     on_server_removed : callable
         Takes each RegisteredServer that is no longer registered.
+    defects : DefectLog or None
+        Records the exceptions of subscribers; a log of its own if None.
 
     Attributes
     ----------
@@ -29,23 +33,23 @@
         Roll-outs that the operators ordered, by service.
     """
 
-    def __init__(self, mirror, codec, servers, on_server_removed):
+    def __init__(self, mirror, codec, servers, on_server_removed, defects=None):
         self._mirror = mirror
         self._codec = codec
         self._servers = servers
         self._on_server_removed = on_server_removed
         self._decoded = {}
-        self._subscribers = []
+        self._subscribers = Subscribers(defects or DefectLog("subscriber failed"))
         self._ignored_revision = None
         self.manifest = None
         self.manifest_entry = None
         self.orders = {}
-        mirror.subscribe(self._load_operator_entries)
+        mirror.subscribe(self._load_operator_entries, is_needed=True)
         mirror.subscribe(self._load_servers)
 
     def subscribe(self, subscriber):
         """Call `subscriber` without arguments whenever the orders are reloaded."""
-        self._subscribers.append(subscriber)
+        self._subscribers.add(subscriber)
 
     @property
     def is_complete(self):
@@ -64,8 +68,7 @@
         if orders != self.orders:
             log.info("rollout orders", orders=[repr(o) for o in orders.values()])
         self.orders = orders
-        for subscriber in self._subscribers:
-            subscriber()
+        self._subscribers.call()
 
     def _update_manifest(self, entry):
         if self.manifest is not None and entry.revision <= self.manifest.revision:
--- a/tanagerwalk/gateway/fleet_key.py
+++ b/tanagerwalk/gateway/fleet_key.py
@@ -58,7 +58,8 @@
         handle_key : callable
             Takes the key (str) once it is known, and each that replaces it.
         """
-        handle_key(await self.find())
+        # A run after a failed one keeps the key, which the store may have lost.
+        handle_key(await self.find() if self._value is None else self._value.hex())
         lost_at = math.inf
         loop = asyncio.get_running_loop()
         while True:
--- a/tanagerwalk/gateway/manifest_recovery.py
+++ b/tanagerwalk/gateway/manifest_recovery.py
@@ -105,7 +105,7 @@
         self._checked_era = 0
         self._deferred_time = float("-inf")
         self.is_pending = False
-        mirror.subscribe(self._check_era)
+        mirror.subscribe(self._check_era, is_needed=True)
         mirror.subscribe_to_confirmations(self._handle_confirmation)
 
     def authenticate(self, secret):
@@ -126,6 +126,8 @@
 
     async def run(self):
         """Ask the other instances in each new era, until cancelled."""
+        # An earlier run may have failed before it had asked.
+        self._check_era()
         while True:
             await self._must_ask.wait()
             self._must_ask.clear()
--- a/tanagerwalk/gateway/membership.py
+++ b/tanagerwalk/gateway/membership.py
@@ -9,6 +9,7 @@
 from ..addresses import is_connectable
 from ..controllers.loop import poll_until
 from ..decisions.peers import Peer
+from ..defects import DefectLog, Subscribers
 from ..documents import decode_json
 from ..ids import FailureDomain
 from ..writes import StoreFault
@@ -55,6 +56,8 @@
         Returns the Peer as which the others know this instance.
     random : random.Random
         Source of jitter.
+    defects : DefectLog or None
+        Records the exceptions of subscribers; a log of its own if None.
 
     Attributes
     ----------
@@ -62,7 +65,9 @@
         The other instances, by incarnation.
     """
 
-    def __init__(self, store, mirror, prefix, incarnation, get_own_peer, random):
+    def __init__(
+        self, store, mirror, prefix, incarnation, get_own_peer, random, defects=None
+    ):
         self._store = store
         self._mirror = mirror
         self._prefix = prefix
@@ -70,17 +75,13 @@
         self._get_own_peer = get_own_peer
         self._random = random
         self._lease = None
-        self._subscribers = []
+        self._subscribers = Subscribers(defects or DefectLog("subscriber failed"))
         self.peers = {}
         mirror.subscribe(self._read_peers)
 
     def subscribe(self, subscriber):
         """Call `subscriber` without arguments whenever the peers have changed."""
-        self._subscribers.append(subscriber)
-
-    def _notify_subscribers(self):
-        for subscriber in self._subscribers:
-            subscriber()
+        self._subscribers.add(subscriber)
 
     def _read_peers(self):
         peers = {}
@@ -104,7 +105,9 @@
         peers = self._keep_lost_peers(peers)
         if peers != self.peers:
             self.peers = peers
-            self._notify_subscribers()
+            self._subscribers.call()
+            return
+        self._subscribers.retry()
 
     def _keep_lost_peers(self, peers):
         """Return the peers with those that a restored store has lost.
--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -23,6 +23,12 @@
         self.attempts = self._create_counter(
             "attempts", "Attempts by outcome.", ["outcome"]
         )
+        self.controller_restarts = self._create_counter(
+            "controller_restarts", "Controllers started again.", ["controller"]
+        )
+        self.subscriber_failures = self._create_counter(
+            "subscriber_failures", "Exceptions of subscribers.", ["subscriber"]
+        )
         self.latency = Histogram(
             "tanagerwalk_gateway_seconds",
             "Time until the end of the answer.",
--- a/tanagerwalk/gateway/mirror.py
+++ b/tanagerwalk/gateway/mirror.py
@@ -6,6 +6,7 @@
 
 from ..changes import Changes, split_revision
 from ..decisions.change_log import ChangeLog
+from ..defects import DefectLog, Subscribers
 from ..ids import Revision
 from ..writes import StoreFault
 from .clocks import read_boot_clock
@@ -38,6 +39,8 @@
         Prefix of the keys that stay for a grace period if they were deleted during
         an outage of the store. Their leases may have expired only because they
         could not be renewed.
+    defects : DefectLog or None
+        Records the exceptions of subscribers; a log of its own if None.
 
     Attributes
     ----------
@@ -62,6 +65,7 @@
         feed,
         random,
         grace_prefix,
+        defects=None,
     ):
         self._store = store
         self._prefix = prefix
@@ -74,8 +78,9 @@
         self._grace_deadlines = {}
         self._unconfirmed = {}
         self._last_era = 0
-        self._subscribers = []
-        self._confirmation_subscribers = []
+        defects = defects or DefectLog("subscriber failed")
+        self._subscribers = Subscribers(defects)
+        self._confirmation_subscribers = Subscribers(defects)
         self.entries = {}
         self.is_loaded = False
         self.change_log = ChangeLog()
@@ -83,9 +88,13 @@
         self.reconnected_at = float("-inf")
         self.restored_at = float("-inf")
 
-    def subscribe(self, subscriber):
-        """Call `subscriber` without arguments after each change."""
-        self._subscribers.append(subscriber)
+    def subscribe(self, subscriber, is_needed=False):
+        """Call `subscriber` without arguments after each change.
+
+        One that raises is called again after the next read. Meanwhile, if it is
+        needed, the copy is not confirmed: what is served from it would be stale.
+        """
+        self._subscribers.add(subscriber, is_needed)
 
     @property
     def era(self):
@@ -105,10 +114,14 @@
 
         The times are those of `read_boot_clock`.
         """
-        self._confirmation_subscribers.append(subscriber)
+        self._confirmation_subscribers.add(subscriber)
 
     async def run(self):
-        """Keep the copy up to date until cancelled."""
+        """Keep the copy up to date until cancelled.
+
+        Lists the store again if an earlier run failed: it may have lost changes.
+        """
+        self._revision = None
         while True:
             if self._revision is None:
                 result = await self._read_snapshot()
@@ -160,8 +173,9 @@
     def _confirm(self, time):
         self.confirmed_at = max(self.confirmed_at, time)
         self.is_loaded = True
-        for subscriber in self._confirmation_subscribers:
-            subscriber(time)
+        self._subscribers.retry()
+        if self._subscribers.has_needed:
+            self._confirmation_subscribers.call(time)
 
     def _record_fault(self, fault):
         if not self._is_disconnected:
@@ -275,5 +289,4 @@
         return expired
 
     def _notify_subscribers(self):
-        for subscriber in self._subscribers:
-            subscriber()
+        self._subscribers.call()
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -14,6 +14,7 @@
     is_bad_in_phase,
 )
 from ..decisions.tallies import TallyBook
+from ..defects import DefectLog
 from ..ids import ServiceName
 from ..writes import ABSENT, Write
 from .rollout_records import decode_state, encode_state
@@ -50,6 +51,8 @@
         Returns monotonic time in seconds.
     random : random.Random
         Source of jitter.
+    defects : DefectLog or None
+        Records the exceptions of single roll-outs; a log of its own if None.
     """
 
     def __init__(
@@ -62,7 +65,9 @@
         is_watcher,
         clock,
         random,
+        defects=None,
     ):
+        self._defects = defects or DefectLog("subscriber failed")
         self._store = store
         self._mirror = mirror
         self._cluster_state = cluster_state
@@ -126,7 +131,14 @@
         while True:
             await asyncio.sleep(STEP_INTERVAL_S * (0.75 + 0.5 * self._random.random()))
             for order in list(self._cluster_state.orders.values()):
-                await self._advance(order)
+                await self._try_to_advance(order)
+
+    async def _try_to_advance(self, order):
+        try:
+            await self._advance(order)
+        except Exception as error:
+            # The roll-outs of other services go on.
+            self._defects.record(f"rollout of {order.service}", error)
 
     def _load_states(self):
         for key, entry in self._mirror.entries.items():
--- a/tanagerwalk/metrics.py
+++ b/tanagerwalk/metrics.py
@@ -52,6 +52,9 @@
         self.platform_faults = self._add_counter(
             "platform_faults", "Failed calls to the platform.", ["service"]
         )
+        self.controller_restarts = self._add_counter(
+            "controller_restarts", "Controllers started again.", ["controller"]
+        )
         self.latency = Histogram(
             "tanagerwalk_latency_seconds",
             "Time to the whole answer.",
--- a/tanagerwalk/ui/gateway.py
+++ b/tanagerwalk/ui/gateway.py
@@ -36,9 +36,7 @@
     sink = LogSink(sys.stdout.fileno())
     configure_logs(sink=sink)
     settings = _read_settings(path)
-    failed = uvloop.run(_run_until_stopped(path, settings, sink))
-    if failed:
-        raise click.ClickException("a controller failed; see the log")
+    uvloop.run(_run_until_stopped(path, settings, sink))
 
 
 def _read_settings(path):
@@ -66,18 +64,15 @@
     reload_requested = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
     await instance.start()
-    settings_watcher = asyncio.create_task(
-        _watch_settings(path, instance, reload_requested, sink)
+    instance.supervisor.run(
+        "settings", lambda: _watch_settings(path, instance, reload_requested, sink)
     )
-    stop_waits = [
-        asyncio.create_task(e.wait()) for e in (stop_requested, instance.failed)
-    ]
-    await asyncio.wait(stop_waits, return_when=asyncio.FIRST_COMPLETED)
-    for wait in stop_waits:
-        wait.cancel()
-    settings_watcher.cancel()
-    await instance.stop()
-    return instance.failed.is_set()
+    await stop_requested.wait()
+    try:
+        await instance.stop()
+    except Exception:
+        # The process ends anyway, and its requests are answered.
+        log.critical("stop failed", exc_info=True)
 
 
 async def _watch_settings(path, instance, reload_requested, sink):
@@ -94,15 +89,22 @@
         except TimeoutError:
             sink.flush()
         mtime = _read_mtime(path)
-        if not reload_requested.is_set() and mtime == last_mtime:
+        if mtime != last_mtime:
+            reload_requested.set()
+        if not reload_requested.is_set():
             continue
-        reload_requested.clear()
         last_mtime = mtime
-        result = _load_settings(path)
-        if result.is_error():
-            log.error("settings not reloaded", path=path, problem=result.error)
-            continue
-        instance.apply_settings(result.ok)
+        _reload_settings(path, instance)
+        # Only now: a run after a failed one reads the settings again.
+        reload_requested.clear()
+
+
+def _reload_settings(path, instance):
+    result = _load_settings(path)
+    if result.is_error():
+        log.error("settings not reloaded", path=path, problem=result.error)
+        return
+    instance.apply_settings(result.ok)
 
 
 def _read_mtime(path):
