--- a/tanagerwalk/ui/gateway.py
+++ b/tanagerwalk/ui/gateway.py
@@ -47,9 +47,7 @@
     configure_logs(sink=sink)
     map_large_blocks()
     settings = wait_for_settings(path)
-    failed = uvloop.run(_run_until_stopped(path, settings, sink))
-    if failed:
-        raise click.ClickException("a controller failed; see the log")
+    uvloop.run(_run_until_stopped(path, settings, sink))
 
 
 def open_missing_streams():
@@ -106,20 +104,17 @@
     store = MetadataStore(settings.store.address)
     instance = GatewayInstance(settings, store, PlatformCodec())
     await instance.start()
-    settings_watcher = asyncio.create_task(
-        _watch_settings(path, instance, reload_requested, sink)
+    instance.supervisor.run(
+        "settings", lambda: _watch_settings(path, instance, reload_requested, sink)
     )
-    stop_waits = [
-        asyncio.create_task(e.wait()) for e in (stop_requested, instance.failed)
-    ]
-    await asyncio.wait(stop_waits, return_when=asyncio.FIRST_COMPLETED)
-    for wait in stop_waits:
-        wait.cancel()
-    settings_watcher.cancel()
-    await instance.stop()
+    await stop_requested.wait()
+    try:
+        await instance.stop()
+    except Exception:
+        # The process ends anyway, and its requests are answered.
+        log.critical("stop failed", exc_info=True)
     # The loop puts back the default actions, which would end the process by a signal.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, *STOP_SIGNALS})
-    return instance.failed.is_set()
 
 
 async def _watch_settings(path, instance, reload_requested, sink):
@@ -136,15 +131,22 @@
         except TimeoutError:
             sink.flush()
         mtime = _read_mtime(path)
-        if not reload_requested.is_set() and mtime == last_mtime:
+        if mtime != last_mtime:
+            reload_requested.set()
+        if not reload_requested.is_set():
             continue
-        reload_requested.clear()
         last_mtime = mtime
-        result = _load_settings(path)
-        if result.is_error():
-            log.error("settings not reloaded", path=path, problem=result.error)
-            continue
-        instance.apply_settings(result.ok)
+        _reload_settings(path, instance)
+        # Only now: a run after a failed one reads the settings again.
+        reload_requested.clear()
+
+
+def _reload_settings(path, instance):
+    result = _load_settings(path)
+    if result.is_error():
+        log.error("settings not reloaded", path=path, problem=result.error)
+        return
+    instance.apply_settings(result.ok)
 
 
 def _read_mtime(path):
