--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -11,7 +11,6 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from ..bound_sockets import bind_pair, bind_stream
-from ..controllers.loop import poll_until
 from ..decisions.freshness import Freshness, find_age_limit
 from ..decisions.locations import Home
 from ..decisions.paths import PathTable
@@ -41,6 +40,7 @@
 from .membership import MembershipController
 from .metrics import GatewayMetrics
 from .mirror import Mirror
+from .planned_stop import PlannedStop
 from .pool import ConnectionPool
 from .port_wait import PortWait
 from .probes import ProbeListener, encode_ok_response, encode_readiness_response
@@ -50,6 +50,7 @@
 from .request_handler import MAX_REPORTED_AGE_S, RequestHandler
 from .routing import RouteFilter
 from .sharing import LoadSharing
+from .stop_control import StopControl
 from .tunnels import TunnelClient, TunnelServer
 
 log = structlog.get_logger(__name__)
@@ -58,11 +59,6 @@
 ALL_KEYS = ""
 FLEET_KEY_NAME = STORE_PREFIX + "fleet-key"
 PEER_PREFIX = STORE_PREFIX + "instance/"
-# While stopping, new connections and requests are still served for this long.
-ACCEPT_AFTER_STOP_S = 2.6
-# Part of the shutdown grace period that is reserved for closing everything.
-STOP_MARGIN_S = 0.6
-DRAIN_POLL_INTERVAL_S = 0.05
 # Used until the store has been listed and the peers are known.
 DEFAULT_INSTANCE_COUNT = 9
 
@@ -96,6 +92,7 @@
         self.metrics = GatewayMetrics()
         self.supervisor = Supervisor()
         self.stopping = False
+        self.stop_control = StopControl()
         self._create_state()
         self._create_filter_chain()
         self._create_listeners()
@@ -276,6 +273,7 @@
             AnswerRecorder(self.cluster_state, self.rollouts.get_tallies),
             self.quarantine,
             self.crash_check,
+            self.stop_control,
             self.metrics,
             self.clock,
             self.random,
@@ -303,6 +301,14 @@
         )
         self.port_wait = PortWait()
         self._has_peer_ports = asyncio.Event()
+        self.planned_stop = PlannedStop(
+            self.stop_control,
+            self.request_handler,
+            self.client_listener,
+            self.tunnel_server,
+            self.membership,
+            self.clock,
+        )
         self.readiness_listener = ProbeListener(
             lambda: encode_readiness_response(self.is_ready())
         )
@@ -398,30 +404,15 @@
     async def stop(self):
         """Shut down gracefully: finish the requests in flight, then close everything.
 
-        Requests still running at the end of the grace period are aborted.
+        Requests still running at the end of the grace period are ended with an answer.
         """
         log.info("stopping", in_flight=self.client_listener.in_flight)
-        stopping_since = self.clock()
         self.stopping = True
-        self.client_listener.closing = True
         self.supervisor.begin_shutdown()
         self.port_wait.close()
-        self.tunnel_server.stop_accepting()
-        grace = self.settings.bounds.shutdown_grace - STOP_MARGIN_S
-        await asyncio.sleep(min(ACCEPT_AFTER_STOP_S, grace))
-        self.request_handler.is_stopping = True
-        self.client_listener.close_idle()
-        time_left = grace - (self.clock() - stopping_since)
-        await poll_until(self._is_drained, DRAIN_POLL_INTERVAL_S, time_left)
-        log.info("stopped", in_flight=self.client_listener.in_flight)
-        await self.membership.deregister()
+        await self.planned_stop.run(self.settings.bounds.shutdown_grace)
         await self.close()
 
-    def _is_drained(self):
-        self.client_listener.close_idle()
-        in_flight = self.client_listener.in_flight + self.tunnel_server.tunnel_count
-        return in_flight == 0
-
     async def close(self):
         """Stop the controllers and abort every connection immediately."""
         self.port_wait.close()
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -29,6 +29,7 @@
 STREAM_IDLE_TIMEOUT_S = 2.0
 MIN_QUEUE_FULL_WAIT_S = 2.0
 QUEUE_FULL_WAIT_SHARE = 0.7
+STOPPING_RETRY_AFTER_S = 0.05
 PAUSING_OUTCOMES = frozenset(
     {
         Outcome.NOT_SENT,
@@ -76,6 +77,7 @@
         self._attempt_log = []
         self._current_server_id = None
         self._last_release = None
+        self._is_under_way = False
 
     @property
     def _time_left(self):
@@ -186,9 +188,7 @@
             partial(self._context.recorder.record_latency, self._request, attempt),
             partial(self._context.quarantine.suspect, self._request, attempt),
         )
-        result = AttemptResult(Outcome.LOST, "part quarantined")
-        async with self._context.quarantine.guard(self._request, self._progress):
-            result = await self._context.attempt_runner.run(plan)
+        result = await self._run_attempt(plan)
         self._context.recorder.record_attempt(self._request, attempt, result)
         self._context.quarantine.record_attempt(self._request, attempt, result)
         await self._check_for_crash(server, result)
@@ -198,6 +198,12 @@
         )
         return result
 
+    async def _run_attempt(self, plan):
+        self._is_under_way = True
+        async with self._context.quarantine.guard(self._request, self._progress):
+            return await self._context.attempt_runner.run(plan)
+        return AttemptResult(Outcome.LOST, "part quarantined")
+
     async def _check_for_crash(self, server, result):
         """Find out whether a server that broke off the connection has crashed.
 
@@ -275,6 +281,7 @@
         outcome = result.outcome
         history = self._history
         history.record(outcome)
+        self._is_under_way = False
         history.started = self._progress.head_sent
         if outcome is Outcome.FAILED:
             self._kept_answer = result
@@ -322,6 +329,8 @@
         state = RunState.UNKNOWN if ran else RunState.NOT_RUN
         if reason is RefusalReason.QUARANTINED:
             return Error(_refuse(reason, state))
+        if reason is RefusalReason.STOPPING:
+            return Error(_refuse(reason, state, STOPPING_RETRY_AFTER_S))
         hold = self._place_wait.find_hold()
         retry_after = find_retry_after(self._time_left, self._context.random, hold)
         return Error(_refuse(reason, state, retry_after))
@@ -330,6 +339,13 @@
         headers = result.head.headers
         self._request.responder.send(result.status, result.reason, headers, result.body)
 
+    def end_by_stop(self):
+        """Return the Result for a request that still runs when the instance stops."""
+        if self._request.responder.finished:
+            return Ok(None)
+        self._history.may_have_run = self._history.may_have_run or self._is_under_way
+        return self._log_result(self._give_up(RefusalReason.STOPPING))
+
     def log_client_disconnect(self):
         """Log that the client disconnected before the end of its response."""
         self._log_end("left", running=self._current_server_id)
--- a/tanagerwalk/gateway/execution_context.py
+++ b/tanagerwalk/gateway/execution_context.py
@@ -11,6 +11,7 @@
 from .quarantine import QuarantineFilter
 from .release_assignment import ReleaseAssigner
 from .release_rollouts import ReleaseRolloutController
+from .stop_control import StopControl
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +34,8 @@
         Records which requests crash servers.
     crash_check : CrashCheck
         Finds out which servers have crashed.
+    stop_control : StopControl
+        Ends requests at the end of a planned stop.
     metrics : GatewayMetrics
         Metrics of the instance.
     clock : callable
@@ -48,6 +51,7 @@
     recorder: AnswerRecorder
     quarantine: QuarantineFilter
     crash_check: CrashCheck
+    stop_control: StopControl
     metrics: GatewayMetrics
     clock: object
     random: Random
--- a/tanagerwalk/gateway/forwarding.py
+++ b/tanagerwalk/gateway/forwarding.py
@@ -35,10 +35,12 @@
         budget = self._get_retry_budget(service)
         execution = RequestExecution(self._context, request, service, budget)
         try:
-            return await execution.run()
+            async with self._context.stop_control.guard():
+                return await execution.run()
         except asyncio.CancelledError:
             execution.log_client_disconnect()
             raise
+        return execution.end_by_stop()
 
     def apply_bounds(self, bounds):
         """Apply changed Bounds, also to the existing retry budgets."""
