--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -92,7 +92,7 @@
         self.metrics = GatewayMetrics()
         self.supervisor = Supervisor()
         self.stopping = False
-        self.stop_control = StopControl()
+        self.stop_control = StopControl(clock)
         self._create_state()
         self._create_filter_chain()
         self._create_listeners()
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -83,6 +83,10 @@
     def _time_left(self):
         return self._request.deadline - self._clock()
 
+    @property
+    def _kind(self):
+        return self._request.route.name, self._service
+
     async def run(self):
         """Run attempts until the request is answered or has to be refused.
 
@@ -113,6 +117,8 @@
         while True:
             if self._context.quarantine.is_quarantined(self._request):
                 return self._log_result(self._give_up(RefusalReason.QUARANTINED))
+            if not self._context.stop_control.has_time(self._request, self._kind):
+                return self._log_result(self._give_up(RefusalReason.STOPPING))
             if self._would_miss_deadline():
                 return self._log_result(self._give_up(RefusalReason.QUEUE_FULL))
             server = self._choose_server()
@@ -199,10 +205,18 @@
         return result
 
     async def _run_attempt(self, plan):
+        """Return the AttemptResult; record how long the answer took."""
+        durations = self._context.stop_control.durations
+        token = durations.begin(self._kind, self._clock())
         self._is_under_way = True
-        async with self._context.quarantine.guard(self._request, self._progress):
-            return await self._context.attempt_runner.run(plan)
-        return AttemptResult(Outcome.LOST, "part quarantined")
+        result = AttemptResult(Outcome.LOST, "part quarantined")
+        try:
+            async with self._context.quarantine.guard(self._request, self._progress):
+                result = await self._context.attempt_runner.run(plan)
+        finally:
+            lasted = result.is_success or result.outcome is Outcome.SILENT
+            durations.end(self._kind, token, self._clock(), lasted)
+        return result
 
     async def _check_for_crash(self, server, result):
         """Find out whether a server that broke off the connection has crashed.
--- a/tanagerwalk/gateway/execution_context.py
+++ b/tanagerwalk/gateway/execution_context.py
@@ -35,7 +35,7 @@
     crash_check : CrashCheck
         Finds out which servers have crashed.
     stop_control : StopControl
-        Ends requests at the end of a planned stop.
+        Knows which attempts can still end before a planned stop.
     metrics : GatewayMetrics
         Metrics of the instance.
     clock : callable
--- a/tanagerwalk/gateway/planned_stop.py
+++ b/tanagerwalk/gateway/planned_stop.py
@@ -26,7 +26,7 @@
     Parameters
     ----------
     stop_control : StopControl
-        Ends the requests that still run in the end.
+        Knows which requests can still end, and ends the others.
     request_handler : RequestHandler
         Refuses all requests in the end.
     client_listener : Listener
@@ -59,6 +59,7 @@
         """Run the steps within the shutdown grace period, in seconds."""
         closes_at = self._clock() + grace - CLOSE_RESERVE_S
         ends_at = self._clock() + grace - STOP_MARGIN_S
+        self._stop_control.begin(ends_at)
         self._client_listener.closing = True
         self._tunnel_server.stop_accepting()
         await asyncio.sleep(min(ACCEPT_AFTER_STOP_S, ends_at - self._clock()))
--- a/tanagerwalk/gateway/stop_control.py
+++ b/tanagerwalk/gateway/stop_control.py
@@ -1,14 +1,52 @@
-"""How the last requests end in a planned stop."""
+"""What a planned stop allows: which requests still begin, and how the last ones end."""
 
 import asyncio
+import math
+
+from ..decisions.answer_durations import AnswerDurations
 
 
 class StopControl:
-    """Ends the requests that still run at the end of a planned stop."""
+    """Decides which requests can end before a planned stop, and ends the others.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns monotonic time in seconds.
 
-    def __init__(self):
+    Attributes
+    ----------
+    durations : AnswerDurations
+        How long answers take, by route and service.
+    """
+
+    def __init__(self, clock):
+        self.durations = AnswerDurations()
+        self._clock = clock
+        self._ends_at = math.inf
         self._guards = set()
 
+    def begin(self, ends_at):
+        """Begin a stop that ends what still runs at monotonic time `ends_at`."""
+        self._ends_at = ends_at
+
+    def has_time(self, request, kind):
+        """Return whether an attempt that begins now is likely to end before the stop.
+
+        Parameters
+        ----------
+        request : GatewayRequest
+            The request; its deadline is the worst case.
+        kind : hashable
+            Kind of its answer, as in `durations`.
+        """
+        if math.isinf(self._ends_at):
+            return True
+        now = self._clock()
+        is_strict = not request.route.repeatable
+        duration = self.durations.estimate(kind, now, is_strict)
+        return min(duration, request.deadline - now) <= self._ends_at - now
+
     def guard(self):
         """Return a context manager whose block `end_all` ends without an exception."""
         return _Guard(self._guards)
--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -56,6 +56,7 @@
         Empty, or one of
 
         - `refuse`: status 503, marked as not executed
+        - `late_refuse`: the same, after `delay`
         - `misdirect`: status 421
         - `contradictory`: status 200, marked as not executed
         - `two_ids`: status 503, marked as not executed, with another attempt id, too;
@@ -228,6 +229,9 @@
             return
         if fault in ENDLESS_STARTS:
             await self._write_endlessly(request, fault)
+        if fault == "late_refuse":
+            await asyncio.sleep(self.server.behaviour.delay)
+            fault = "refuse"
         request.rejected = fault in ("refuse", "misdirect")
         if fault == "refuse":
             headers = list(_NOT_EXECUTED_HEADERS)
--- a/test/gateway/test_planned_stop.py
+++ b/test/gateway/test_planned_stop.py
@@ -25,8 +25,6 @@
 CLIENT_PAUSE_S = 0.15
 DEADLINE_MS = "12000"
 WAIT_S = 5.0
-# Statuses that promise that a request has not run.
-NOT_RUN_STATUSES = {408, 421, 429, 503}
 
 
 def lengthen_timeouts():
@@ -127,8 +125,7 @@
     """Return the ids of the requests that a server has seen."""
     return {
         request.headers["x-tanagerwalk-attempt-id"]
-        for server in cluster.servers.values()
-        for request in server.requests
+        for request in list_requests(cluster)
         if not request.rejected
     }
 
@@ -151,6 +148,28 @@
     return clients
 
 
+# Guards against LOST: requests that came late in the grace were passed on to servers
+# that couldn't answer before its end, and were cut with no answer.
+async def test_no_request_that_was_passed_on_ends_without_an_answer(cluster):
+    set_behaviour(cluster, delay=SLOW_S)
+    for server in cluster.servers.values():
+        if server.id.startswith("draft"):
+            server.behaviour = Behaviour(delay=SLOW_S / 5)
+    clients = await stop_under_load(cluster, 2.5 * SLOW_S)
+    passed_on = list_passed_on(cluster)
+    cut = [sent for sent in clients.sent if sent.reply is None]
+    assert [sent for sent in cut if sent.attempt_id in passed_on] == []
+    late = [sent for sent in clients.sent if sent.reply and sent.reply.status != 200]
+    assert late
+    for sent in late:
+        assert sent.reply.status == 503
+        assert sent.attempt_id not in passed_on
+        assert sent.seconds < 0.3
+        assert float(sent.reply.headers["retry-after"]) < 0.5
+    early = [sent for sent in clients.sent if 0 < sent.since_signal < 1.0]
+    assert {sent.reply.status for sent in early} == {200}
+
+
 async def test_short_requests_are_served_while_new_connections_come(cluster):
     """Guards against refusals that a stop doesn't call for."""
     clients = await stop_under_load(cluster, 1.0)
@@ -169,7 +188,7 @@
     await instance.stop()
     reply = await asyncio.wait_for(running, 1.0)
     assert reply.status in (502, 504)
-    requests = [r for server in cluster.servers.values() for r in server.requests]
+    requests = list_requests(cluster)
     assert await poll_until(lambda: all(r.cancelled for r in requests), 0.01, 0.5)
 
 
@@ -209,3 +228,21 @@
         await asyncio.sleep(0.01)
     await stopping
     writer.close()
+
+
+# Guards against a retry that can't end before the stop, of a request that has not run.
+@pytest.mark.parametrize("kind", ["once", "again"])
+async def test_rejected_request_is_refused_if_its_retry_cannot_end(cluster, kind):
+    set_behaviour(cluster, delay=SLOW_S)
+    assert (await cluster.send(encode(cluster, kind, 1))).status == 200
+    set_behaviour(cluster, fault="late_refuse", delay=1.9)
+    seen = len(list_requests(cluster))
+    running = asyncio.create_task(cluster.send(encode(cluster, kind, 2)))
+    assert await poll_until(lambda: len(list_requests(cluster)) > seen, 0.01, WAIT_S)
+    await cluster.instances.pop().stop()
+    assert (await running).status == 503
+    assert len(list_requests(cluster)) == seen + 1
+
+
+def list_requests(cluster):
+    return [r for server in cluster.servers.values() for r in server.requests]
