--- a/tanagerwalk/gateway/tunnels.py
+++ b/tanagerwalk/gateway/tunnels.py
@@ -30,6 +30,8 @@
 MAX_TUNNELS = 200
 SERVER_CONNECT_TIMEOUT_S = 0.25
 TUNNEL_TIMEOUT_S = 0.5
+# Time in which a new tunnel gets the request that it was opened for.
+FIRST_USE_TIMEOUT_S = 0.2
 
 
 class TunnelFrame(Enum):
@@ -309,6 +311,7 @@
         self._connection = connection
         self._readable = asyncio.Event()
         self._readable.set()
+        self._is_used = False
         self._task = asyncio.get_running_loop().create_task(self._read())
 
     async def _read(self):
@@ -325,10 +328,19 @@
                 self._connection.eof_received()
                 return
             elif kind == TunnelFrame.STOPPING.value:
-                self._connection.retire()
+                self._retire()
+
+    def _retire(self):
+        """Serve no further request; the one that it was opened for may still come."""
+        if self._is_used:
+            self._connection.retire()
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(FIRST_USE_TIMEOUT_S, self._connection.retire)
 
     def write(self, data):
         """Send bytes to the server."""
+        self._is_used = True
         for start in range(0, len(data), MAX_PAYLOAD_BYTES):
             chunk = data[start : start + MAX_PAYLOAD_BYTES]
             self._channel.write(TunnelFrame.DATA.value, chunk)
--- a/test/gateway/test_tunnels.py
+++ b/test/gateway/test_tunnels.py
@@ -88,6 +88,18 @@
     assert first.connection_pool.acquire_idle(usage.server) is None
 
 
+# Guards against a request that was refused because the instance at the other end began
+# to stop between the opening of its tunnel and its sending.
+async def test_new_tunnel_is_used_once_although_its_instance_stops(cluster):
+    (_, second) = cluster.instances
+    data = cluster.encode("POST", "/bookings/7", b"slot")
+    task = asyncio.create_task(cluster.send(data))
+    assert await poll_until(lambda: second.tunnel_server.tunnel_count == 1, 1e-9, 1.0)
+    second.tunnel_server.stop_accepting()
+    assert (await task).status == 200
+    assert await poll_until(lambda: second.tunnel_server.tunnel_count == 0, 0.01, 1.0)
+
+
 async def test_direct_path_is_used_again_once_it_works(cluster):
     await cluster.send(cluster.encode("GET", "/jobs/7"))
     first = cluster.instances[0]
