--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -31,6 +31,7 @@
 QUEUE_FULL_WAIT_SHARE = 0.7
 # Before the next attempt of a request that may have run, if no descriptor is left.
 FAULT_PAUSE_S = 0.1
+STOPPING_RETRY_AFTER_S = 0.05
 PAUSING_OUTCOMES = frozenset(
     {
         Outcome.NOT_SENT,
@@ -78,11 +79,16 @@
         self._attempt_log = []
         self._current_server_id = None
         self._last_release = None
+        self._is_under_way = False
 
     @property
     def _time_left(self):
         return self._request.deadline - self._clock()
 
+    @property
+    def _kind(self):
+        return self._request.route.name, self._service
+
     async def run(self):
         """Run attempts until the request is answered or has to be refused.
 
@@ -113,6 +119,8 @@
         while True:
             if self._context.quarantine.is_quarantined(self._request):
                 return self._log_result(self._give_up(RefusalReason.QUARANTINED))
+            if not self._context.stop_control.has_time(self._request, self._kind):
+                return self._log_result(self._give_up(RefusalReason.STOPPING))
             if self._would_miss_deadline():
                 return self._log_result(self._give_up(RefusalReason.QUEUE_FULL))
             server = self._choose_server()
@@ -193,9 +201,7 @@
             partial(self._context.recorder.record_latency, self._request, attempt),
             partial(self._context.quarantine.suspect, self._request, attempt),
         )
-        result = AttemptResult(Outcome.LOST, "part quarantined")
-        async with self._context.quarantine.guard(self._request, self._progress):
-            result = await self._context.attempt_runner.run(plan)
+        result = await self._run_attempt(plan)
         self._context.recorder.record_attempt(self._request, attempt, result)
         self._context.quarantine.record_attempt(self._request, attempt, result)
         await self._check_for_crash(server, result)
@@ -205,6 +211,20 @@
         )
         return result
 
+    async def _run_attempt(self, plan):
+        """Return the AttemptResult; record how long the answer took."""
+        durations = self._context.stop_control.durations
+        token = durations.begin(self._kind, self._clock())
+        self._is_under_way = True
+        result = AttemptResult(Outcome.LOST, "part quarantined")
+        try:
+            async with self._context.quarantine.guard(self._request, self._progress):
+                result = await self._context.attempt_runner.run(plan)
+        finally:
+            lasted = result.is_success or result.outcome is Outcome.SILENT
+            durations.end(self._kind, token, self._clock(), lasted)
+        return result
+
     async def _check_for_crash(self, server, result):
         """Find out whether a server that broke off the connection has crashed.
 
@@ -282,6 +302,7 @@
         outcome = result.outcome
         history = self._history
         history.record(outcome)
+        self._is_under_way = False
         history.started = self._progress.head_sent
         if outcome is Outcome.FAILED:
             self._kept_answer = result
@@ -329,6 +350,8 @@
         state = RunState.UNKNOWN if ran else RunState.NOT_RUN
         if reason is RefusalReason.QUARANTINED:
             return Error(_refuse(reason, state))
+        if reason is RefusalReason.STOPPING:
+            return Error(_refuse(reason, state, STOPPING_RETRY_AFTER_S))
         hold = self._place_wait.find_hold()
         retry_after = find_retry_after(self._time_left, self._context.random, hold)
         return Error(_refuse(reason, state, retry_after))
@@ -337,6 +360,13 @@
         headers = result.head.headers
         self._request.responder.send(result.status, result.reason, headers, result.body)
 
+    def end_by_stop(self):
+        """Return the Result for a request that still runs when the instance stops."""
+        if self._request.responder.finished:
+            return Ok(None)
+        self._history.may_have_run = self._history.may_have_run or self._is_under_way
+        return self._log_result(self._give_up(RefusalReason.STOPPING))
+
     def log_client_disconnect(self):
         """Log that the client disconnected before the end of its response."""
         self._log_end("left", running=self._current_server_id)
