--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -66,7 +66,6 @@
         self.resident_memory = self._create_gauge(
             "resident_memory_bytes", "Memory of the process."
         )
-
         self.descriptors = self._create_gauge(
             "descriptors", "Descriptors in use by kind.", ["kind"]
         )
@@ -101,6 +100,3 @@
         return Counter(
             f"tanagerwalk_gateway_{name}", text, labels, registry=self.registry
         )
-
-    def _create_gauge(self, name, text):
-        return Gauge(f"tanagerwalk_gateway_{name}", text, registry=self.registry)
