--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -27,6 +27,7 @@
 from .socket_options import set_client_socket_options, set_reset_on_close
 from .unread_answers import UnreadAnswerWatch
 
+WRITE_HIGH_WATER_BYTES = 16 * 1024
 MAX_PIPELINED_REQUESTS = 8
 # After a refusal, what the client still sends is dropped for so long. Closed with
 # unread bytes, the connection would be reset, and the refusal could be lost.
@@ -114,7 +115,7 @@
             connection.abort()
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _QueuedRequest:
     """A request that waits for those before it, or a Refusal in place of one."""
 
@@ -158,8 +159,8 @@
     def connection_made(self, transport):
         """Configure the socket and start the idle timeout."""
         self._transport = transport
-        # Tells when the client has not taken everything yet, and when it has.
-        transport.set_write_buffer_limits(high=0)
+        # Tells when the client has left an answer, and when it has taken all of it.
+        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES, low=0)
         set_client_socket_options(transport.get_extra_info("socket"))
         self._listener.connections.add(self)
         self._listener.memory.reserve(CONNECTION_BYTES)
--- a/test/gateway/test_memory_limit.py
+++ b/test/gateway/test_memory_limit.py
@@ -80,13 +80,13 @@
 
 
 async def serve_small_requests(rig):
-    """Return the statuses of small requests, one after another."""
-    statuses = Counter()
+    """Return the statuses of small requests that come one after another."""
+    sends = []
     for number in range(SMALL_REQUESTS):
-        reply = await send_booking(rig, f"small-{number}", b"slot")
-        statuses[reply.status] += 1
+        send = send_booking(rig, f"small-{number}", b"slot")
+        sends.append(asyncio.create_task(send))
         await asyncio.sleep(0.02)
-    return statuses
+    return Counter(reply.status for reply in await asyncio.gather(*sends))
 
 
 async def read_gauge(rig, name):
