--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -287,7 +287,6 @@
             return
         queued = self._pending.popleft()
         self._handled_memory = queued.memory
-        self._cancel_timeout()
         coroutine = self._handle(queued.content, queued.keep_alive)
         self._handler_task = asyncio.get_running_loop().create_task(coroutine)
 
--- a/test/gateway/test_memory_limit.py
+++ b/test/gateway/test_memory_limit.py
@@ -299,3 +299,39 @@
         for writer in writers:
             writer.transport.abort()
         assert await wait_until_unused(rig)
+
+
+# Guards against a body that stops behind other requests of its connection: its limit
+# of time was dropped when the next of them was handled, and it stayed for ever.
+async def test_body_that_stops_behind_other_requests_ends_in_time(tmp_path):
+    async with run_process(tmp_path) as rig:
+        for server in rig.servers:
+            server.behaviour = Behaviour(delay=0.2)
+        reader, writer = await rig.connect()
+        heads = [encode_head(number, "GET", "/jobs/1") for number in range(2)]
+        last = encode_head("last", "POST", "/jobs/1", "Content-Length: 90000")
+        writer.write(b"".join(heads) + last + b"x" * 80000)
+        async with asyncio.timeout(4.0):
+            replies = [await read_reply(reader) for _ in range(3)]
+        assert [reply.status for reply in replies] == [200, 200, 408]
+        assert await wait_until_unused(rig)
+        writer.close()
+
+
+# Guards against answers of more than the whole budget at once: none may be cut.
+async def test_answers_beyond_the_budget_are_all_delivered(tmp_path):
+    size = 8000000
+    async with run_process(tmp_path) as rig:
+        for server in rig.servers:
+            server.behaviour = Behaviour("raw", raw=encode_answer(size))
+
+        async def fetch(number):
+            reader, writer = await rig.connect()
+            writer.write(encode_head(number, "GET", "/jobs/1"))
+            reply = await read_reply(reader)
+            writer.close()
+            return reply.status, len(reply.body)
+
+        replies = await asyncio.gather(*(fetch(number) for number in range(20)))
+        assert replies == [(200, size)] * 20
+        assert await wait_until_unused(rig)
