--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -141,6 +141,7 @@
         self._header_size = 0
         self._piece_size = 0
         self._has_new_body = False
+        self._owes_continue = False
         # Of the request that is handled or whose answer has not been taken yet.
         self._handled_memory = None
         self._unread_watch = None
@@ -194,6 +195,8 @@
             return
         if self._assembly.is_in_head:
             self._check_partial_head()
+        elif self._owes_continue:
+            self._cancel_timeout()
         elif self._has_new_body:
             # Once for all fragments: a body may come in chunks of one byte.
             self._has_new_body = False
@@ -256,11 +259,18 @@
 
     def on_headers_complete(self):
         """Check the sizes, reserve memory and reply to `Expect: 100-continue`."""
-        if self._assembly.complete_head():
+        if not self._assembly.complete_head():
+            return
+        if self._handled_memory is None:
             self.write(CONTINUE_RESPONSE)
+            return
+        # It would end up inside the answer to another request. Until that has ended,
+        # the client waits, and so do the limits of time for its body.
+        self._owes_continue = True
 
     def on_body(self, data):
-        """Append a body fragment."""
+        """Append a body fragment; a client may send it without `100 Continue`."""
+        self._owes_continue = False
         self._assembly.add_body(data)
         self._has_new_body = True
 
@@ -268,6 +278,7 @@
         """Queue the complete request for handling."""
         self._cancel_timeout()
         self._piece_size = 0
+        self._owes_continue = False
         assembly, self._assembly = self._assembly, None
         raw = assembly.build(self._parser.get_method(), self._listener.clock())
         keep_alive = self._parser.should_keep_alive()
@@ -338,6 +349,10 @@
         self._transport.resume_reading()
         if self._pending:
             self._handle_next()
+        elif self._owes_continue:
+            self._owes_continue = False
+            self.write(CONTINUE_RESPONSE)
+            self._start_timeout(self._limits.header_timeout, self._on_receive_timeout)
         elif self._assembly is None:
             self._listener.admission.begin_idle(self)
             self._start_timeout(self._limits.idle_timeout, self.close_if_idle)
@@ -370,6 +385,7 @@
         if self._assembly is not None:
             self._assembly.memory.release()
             self._assembly = None
+            self._owes_continue = False
 
     def write(self, data):
         """Write bytes to the transport.
--- a/test/gateway/test_listener.py
+++ b/test/gateway/test_listener.py
@@ -3,6 +3,7 @@
 import pytest
 import pytest_asyncio
 
+from tanagerwalk.standins.backend import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
 HEAD = "POST /open/1 HTTP/1.1\r\nHost: desk.example\r\nX-Tanagerwalk-Attempt-Id: a\r\n"
@@ -73,3 +74,22 @@
     writer.write(b"ok")
     assert (await read_reply(reader)).status == 200
     writer.close()
+
+
+# Guards against an interim answer in the midst of the answer to another request.
+@pytest.mark.parametrize("waits", [True, False])
+async def test_100_continue_follows_the_answer_before_it(world, waits):
+    server = world.servers["desk-0"]
+    server.behaviour = Behaviour(delay=0.3)
+    reader, writer = await world.connect()
+    head = HEAD + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+    writer.write(world.encode("GET", "/jobs/1") + head.encode())
+    if not waits:
+        writer.write(b"ok")
+    assert (await read_reply(reader)).status == 200
+    if waits:
+        assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+        writer.write(b"ok")
+    assert (await read_reply(reader)).status == 200
+    assert [request.body for request in server.requests] == [b"", b"ok"]
+    writer.close()
