--- a/test/gateway/test_descriptor_limit.py
+++ b/test/gateway/test_descriptor_limit.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import contextlib
+import os
 import resource
 
 import pytest
 from gateway_process import GatewayProcessRig
 
 from tanagerwalk.decisions.descriptor_budget import DescriptorBudget, DescriptorKind
+from tanagerwalk.decisions.paths import PathState
+from tanagerwalk.gateway.connect_faults import ConnectFault
+from tanagerwalk.gateway.connections import open_connection
+from tanagerwalk.peers.rpc import MessageKind, PeerClient, RequestFault
 from tanagerwalk.standins.gateway_cluster import API_KEY, HOST, GatewayCluster
 
 SYSTEM_LIMIT = 400
@@ -105,3 +110,38 @@
             pass
         assert part.used >= part.own
     assert budget.total.used <= budget.total.capacity
+
+
+@contextlib.contextmanager
+def use_all_descriptors():
+    """Leave this process without a free descriptor."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (SYSTEM_LIMIT, hard))
+    taken = []
+    try:
+        with contextlib.suppress(OSError):
+            while True:
+                taken.append(os.open(os.devnull, os.O_RDONLY))
+        yield
+    finally:
+        for descriptor in taken:
+            os.close(descriptor)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+async def test_system_without_descriptors_blames_no_address():
+    """EMFILE counted as an unreachable server, a crash or an unreachable instance."""
+    async with GatewayCluster() as cluster:
+        await cluster.build(desks=1)
+        [instance] = cluster.instances
+        server = instance.servers.find("desk-0").server
+        client = PeerClient("secret", "other", 1.0)
+        address = f"127.0.0.1:{instance.peer_server.port}"
+        with use_all_descriptors():
+            opened = await open_connection(server.address, 1.0)
+            is_alive = await instance.connection_pool.connector.check(server)
+            asked = await client.request(address, MessageKind.FETCH_CHANGES, b"")
+        assert opened.error is ConnectFault.DESCRIPTORS_FULL
+        assert is_alive
+        assert instance.paths.get_state(server.id) is PathState.DIRECT
+        assert asked.error is RequestFault.DESCRIPTORS_FULL
