--- a/test/gateway/test_descriptor_limit.py
+++ b/test/gateway/test_descriptor_limit.py
@@ -8,6 +8,7 @@
 import pytest
 from gateway_process import GatewayProcessRig
 
+from tanagerwalk.controllers.loop import poll_until
 from tanagerwalk.decisions.descriptor_budget import DescriptorBudget, DescriptorKind
 from tanagerwalk.decisions.paths import PathState
 from tanagerwalk.gateway.connect_faults import ConnectFault
@@ -145,3 +146,19 @@
         assert is_alive
         assert instance.paths.get_state(server.id) is PathState.DIRECT
         assert asked.error is RequestFault.DESCRIPTORS_FULL
+
+
+async def test_descriptors_are_given_back():
+    """Counts that don't go down would refuse requests after some hours."""
+    async with GatewayCluster() as cluster:
+        await cluster.build()
+        [instance] = cluster.instances
+        parts = instance.descriptors.parts
+        requests = (cluster.send(cluster.encode("GET", "/jobs/1")) for _ in range(40))
+        await asyncio.gather(*requests)
+        assert parts[DescriptorKind.SERVER].used > 0
+        for server in cluster.servers.values():
+            await server.stop()
+        await cluster.send(cluster.encode("GET", "/jobs/1"))
+        instance.connection_pool.close()
+        assert await poll_until(lambda: instance.descriptors.total.used == 0, 0.02, 2.0)
