--- a/tanagerwalk/logs.py
+++ b/tanagerwalk/logs.py
@@ -1,5 +1,6 @@
 """Structured logging as JSON lines."""
 
+import json
 import logging
 import sys
 
@@ -33,6 +34,35 @@
     )
 
 
+def route_standard_logs(sink):
+    """Send what libraries log by the module `logging` to a sink, as JSON lines.
+
+    By default it would go to standard error, where a write may wait for a reader.
+
+    Parameters
+    ----------
+    sink : LogSink
+        Receives the lines.
+    """
+    logging.basicConfig(handlers=[_SinkHandler(sink)], level=logging.WARNING)
+    logging.captureWarnings(capture=True)
+
+
+class _SinkHandler(logging.Handler):
+    def __init__(self, sink):
+        super().__init__()
+        self._sink = sink
+
+    def emit(self, record):
+        entry = {
+            "event": "message of a library",
+            "library": record.name,
+            "level": record.levelname.lower(),
+            "message": self.format(record),
+        }
+        self._sink.msg(json.dumps(entry))
+
+
 def _choose_factory(stream, sink):
     if sink is not None:
         return lambda *_: sink
--- a/tanagerwalk/ui/gateway.py
+++ b/tanagerwalk/ui/gateway.py
@@ -14,7 +14,7 @@
 
 from ..gateway.app import GatewayInstance
 from ..gateway.descriptors import raise_system_limit
-from ..logs import configure_logs
+from ..logs import configure_logs, route_standard_logs
 from ..logsink import LogSink
 from ..platform.codec import PlatformCodec
 from ..platform.names import SETTINGS_VARIABLE
@@ -45,6 +45,7 @@
     open_missing_streams()
     sink = LogSink(STANDARD_OUTPUT)
     configure_logs(sink=sink)
+    route_standard_logs(sink)
     map_large_blocks()
     settings = wait_for_settings(path)
     uvloop.run(_run_until_stopped(path, settings, sink))
--- a/test/test_logsink.py
+++ b/test/test_logsink.py
@@ -2,6 +2,10 @@
 
 import json
 import os
+import subprocess
+import sys
+
+import pytest
 
 from tanagerwalk.logsink import (
     MAX_BUFFERED_BYTES,
@@ -95,3 +99,35 @@
     sink.msg("x")
     sink.msg("y")
     os.close(writer)
+
+
+SCRIPT = """
+import logging, sys
+from tanagerwalk.logs import route_standard_logs
+from tanagerwalk.logsink import LogSink
+if sys.argv[1:] == ["routed"]:
+    route_standard_logs(LogSink(1))
+for _ in range(4000):
+    logging.getLogger("asyncio").error("task failed " + 90 * "x")
+"""
+
+
+def run_script(timeout, *arguments):
+    """Run the script with a standard error that nobody reads."""
+    command = [sys.executable, "-c", SCRIPT, *arguments]
+    reader, writer = os.pipe()
+    try:
+        return subprocess.run(
+            command, stdout=subprocess.PIPE, stderr=writer, timeout=timeout, check=True
+        )
+    finally:
+        os.close(reader)
+        os.close(writer)
+
+
+def test_logs_of_libraries_wait_for_no_reader():
+    """What the event loop logged blocked the process if nobody read standard error."""
+    with pytest.raises(subprocess.TimeoutExpired):
+        run_script(2.0)
+    lines = run_script(20.0, "routed").stdout.splitlines()
+    assert "task failed" in json.loads(lines[0])["message"]
--- a/test/ui/test_gateway_start.py
+++ b/test/ui/test_gateway_start.py
@@ -95,3 +95,21 @@
         assert os.readlink(f"/proc/{process.pid}/fd/{number}") == os.devnull
     process.send_signal(signal.SIGTERM)
     assert await process.wait() == 0
+
+
+async def test_streams_without_a_reader_end_nothing(tmp_path):
+    """Broken pipes at both standard streams must not end the process or its stop."""
+    path = tmp_path / "settings.toml"
+    write_settings(path)
+    reader, writer = os.pipe()
+    os.close(reader)
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "tanagerwalk", "gateway", "--settings", str(path)),
+        stdout=writer,
+        stderr=writer,
+    )
+    os.close(writer)
+    await asyncio.sleep(1.0)
+    assert process.returncode is None
+    process.send_signal(signal.SIGTERM)
+    assert await process.wait() == 0
