--- a/tanagerwalk/gateway/descriptors.py
+++ b/tanagerwalk/gateway/descriptors.py
@@ -1,5 +1,6 @@
 """Keeps the connections of the process within its limit of descriptors."""
 
+import asyncio
 import resource
 import time
 
@@ -12,6 +13,8 @@
 log = structlog.get_logger(__name__)
 
 LOG_INTERVAL_S = 5.0
+# After an abort, the event loop closes the descriptor in one of its next turns.
+CLOSE_DELAY_S = 0.002
 
 
 def raise_system_limit(max_descriptors):
@@ -72,7 +75,7 @@
             return Error(ConnectFault.DESCRIPTORS_FULL)
         protocol = None
         try:
-            result = await self._dial(address, timeout, create_protocol)
+            result = await self._dial_with_room(address, timeout, create_protocol)
             if result.is_ok():
                 protocol = result.ok
                 protocol.on_closed = self._part.release
@@ -81,11 +84,19 @@
                 self._part.release()
         if protocol is not None and protocol.closed:
             protocol.report_closed()
-        if result.is_error() and result.error is ConnectFault.DESCRIPTORS_FULL:
-            self._notice.log(used=self._part.used)
-            self._make_room()
         return result
 
+    async def _dial_with_room(self, address, timeout, create_protocol):
+        """Try once more if the system has no descriptor but a connection can close."""
+        result = await self._dial(address, timeout, create_protocol)
+        if not result.is_error() or result.error is not ConnectFault.DESCRIPTORS_FULL:
+            return result
+        self._notice.log(used=self._part.used)
+        if not self._make_room():
+            return result
+        await asyncio.sleep(CLOSE_DELAY_S)
+        return await self._dial(address, timeout, create_protocol)
+
     def _reserve(self):
         while not self._part.try_reserve():
             if not self._make_room():
--- a/test/gateway/test_descriptor_limit.py
+++ b/test/gateway/test_descriptor_limit.py
@@ -6,13 +6,15 @@
 import resource
 
 import pytest
+from expression import Error, Ok
 from gateway_process import GatewayProcessRig
 
 from tanagerwalk.controllers.loop import poll_until
 from tanagerwalk.decisions.descriptor_budget import DescriptorBudget, DescriptorKind
 from tanagerwalk.decisions.paths import PathState
 from tanagerwalk.gateway.connect_faults import ConnectFault
-from tanagerwalk.gateway.connections import open_connection
+from tanagerwalk.gateway.connections import Connection, open_connection
+from tanagerwalk.gateway.descriptors import LimitedDial
 from tanagerwalk.peers.rpc import MessageKind, PeerClient, RequestFault
 from tanagerwalk.standins.gateway_cluster import API_KEY, HOST, GatewayCluster
 
@@ -162,3 +164,23 @@
         await cluster.send(cluster.encode("GET", "/jobs/1"))
         instance.connection_pool.close()
         assert await poll_until(lambda: instance.descriptors.total.used == 0, 0.02, 2.0)
+
+
+async def test_connection_closes_for_a_system_without_descriptors():
+    """EMFILE refused a request although a kept connection could have been closed."""
+    budget = DescriptorBudget(100)
+    results = [Error(ConnectFault.DESCRIPTORS_FULL), Ok(Connection())]
+    closed = []
+
+    async def dial(*_):
+        return results.pop(0)
+
+    def make_room():
+        closed.append(True)
+        return True
+
+    part = budget.parts[DescriptorKind.SERVER]
+    result = await LimitedDial(part, make_room, dial).open(("127.0.0.1", 1), 1.0)
+    assert result.is_ok()
+    assert closed == [True]
+    assert part.used == 1
