--- a/test/gateway/test_descriptor_limit.py
+++ b/test/gateway/test_descriptor_limit.py
@@ -2,12 +2,20 @@
 
 import asyncio
 import contextlib
+import os
 import resource
 
 import pytest
+from expression import Error, Ok
 from gateway_process import GatewayProcessRig
 
+from tanagerwalk.controllers.loop import poll_until
 from tanagerwalk.decisions.descriptor_budget import DescriptorBudget, DescriptorKind
+from tanagerwalk.decisions.paths import PathState
+from tanagerwalk.gateway.connect_faults import ConnectFault
+from tanagerwalk.gateway.connections import Connection, open_connection
+from tanagerwalk.gateway.descriptors import LimitedDial
+from tanagerwalk.peers.rpc import MessageKind, PeerClient, RequestFault
 from tanagerwalk.standins.gateway_cluster import API_KEY, HOST, GatewayCluster
 
 SYSTEM_LIMIT = 400
@@ -105,3 +113,74 @@
             pass
         assert part.used >= part.own
     assert budget.total.used <= budget.total.capacity
+
+
+@contextlib.contextmanager
+def use_all_descriptors():
+    """Leave this process without a free descriptor."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (SYSTEM_LIMIT, hard))
+    taken = []
+    try:
+        with contextlib.suppress(OSError):
+            while True:
+                taken.append(os.open(os.devnull, os.O_RDONLY))
+        yield
+    finally:
+        for descriptor in taken:
+            os.close(descriptor)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+async def test_system_without_descriptors_blames_no_address():
+    """EMFILE counted as an unreachable server, a crash or an unreachable instance."""
+    async with GatewayCluster() as cluster:
+        await cluster.build(desks=1)
+        [instance] = cluster.instances
+        server = instance.servers.find("desk-0").server
+        client = PeerClient("secret", "other", 1.0)
+        address = f"127.0.0.1:{instance.peer_server.port}"
+        with use_all_descriptors():
+            opened = await open_connection(server.address, 1.0)
+            is_alive = await instance.connection_pool.connector.check(server)
+            asked = await client.request(address, MessageKind.FETCH_CHANGES, b"")
+        assert opened.error is ConnectFault.DESCRIPTORS_FULL
+        assert is_alive
+        assert instance.paths.get_state(server.id) is PathState.DIRECT
+        assert asked.error is RequestFault.DESCRIPTORS_FULL
+
+
+async def test_descriptors_are_given_back():
+    """Counts that don't go down would refuse requests after some hours."""
+    async with GatewayCluster() as cluster:
+        await cluster.build()
+        [instance] = cluster.instances
+        parts = instance.descriptors.parts
+        requests = (cluster.send(cluster.encode("GET", "/jobs/1")) for _ in range(40))
+        await asyncio.gather(*requests)
+        assert parts[DescriptorKind.SERVER].used > 0
+        for server in cluster.servers.values():
+            await server.stop()
+        await cluster.send(cluster.encode("GET", "/jobs/1"))
+        instance.connection_pool.close()
+        assert await poll_until(lambda: instance.descriptors.total.used == 0, 0.02, 2.0)
+
+
+async def test_connection_closes_for_a_system_without_descriptors():
+    """EMFILE refused a request although a kept connection could have been closed."""
+    budget = DescriptorBudget(100)
+    results = [Error(ConnectFault.DESCRIPTORS_FULL), Ok(Connection())]
+    closed = []
+
+    async def dial(*_):
+        return results.pop(0)
+
+    def make_room():
+        closed.append(True)
+        return True
+
+    part = budget.parts[DescriptorKind.SERVER]
+    result = await LimitedDial(part, make_room, dial).open(("127.0.0.1", 1), 1.0)
+    assert result.is_ok()
+    assert closed == [True]
+    assert part.used == 1
