--- a/test/gateway/test_planned_stop.py
+++ b/test/gateway/test_planned_stop.py
@@ -7,6 +7,7 @@
 
 import pytest
 import pytest_asyncio
+from gateway_process import GatewayProcessRig
 
 from tanagerwalk.controllers.loop import poll_until
 from tanagerwalk.gateway.planned_stop import ACCEPT_AFTER_STOP_S
@@ -17,8 +18,11 @@
     build_manifest,
     read_reply,
 )
+from tanagerwalk.standins.paths import Cut, ServerPath
 
 GRACE_S = 4.0
+# As in the settings of the rig.
+PROCESS_GRACE_S = 3.0
 SLOW_S = 1.5
 # Longer than the grace.
 STUCK_S = 30.0
@@ -246,3 +250,44 @@
 
 def list_requests(cluster):
     return [r for server in cluster.servers.values() for r in server.requests]
+
+
+# Guards against a client that gets no answer because the instance through which its
+# own one reaches the server has stopped.
+@pytest.mark.parametrize("kind", ["once", "again", "stream"])
+async def test_tunnel_that_is_cut_by_a_stop_costs_no_answer(cluster, kind):
+    (first,) = cluster.instances
+    bounds = dataclasses.replace(BOUNDS, shutdown_grace=2.0)
+    second = await cluster.add_instance("gateway-1", bounds)
+    assert await cluster.wait_until_connected()
+    ServerPath(first).cut(Cut.RESET)
+    set_behaviour(cluster, delay=STUCK_S)
+    running = asyncio.create_task(cluster.send(encode(cluster, kind, 1), first))
+    assert await poll_until(lambda: list_passed_on(cluster), 0.01, WAIT_S)
+    cluster.instances.remove(second)
+    await second.stop()
+    reply = await asyncio.wait_for(running, WAIT_S)
+    assert reply.status in (502, 504)
+
+
+# Guards against SIGKILL, and so against cut requests, because the stop waits for the
+# store longer than the grace allows.
+@pytest.mark.parametrize("mode", ["up", "silent"])
+async def test_process_answers_and_ends_within_the_grace(tmp_path, mode):
+    routes = lengthen_timeouts()
+    async with GatewayProcessRig(tmp_path, manifest={"routes": routes}) as rig:
+        assert await rig.wait_for_log("membership entry written", WAIT_S)
+        for server in rig.servers:
+            server.behaviour = Behaviour(delay=STUCK_S)
+        cluster = GatewayCluster()
+        reader, writer = await rig.connect()
+        writer.write(encode(cluster, "once", 1))
+        assert await poll_until(lambda: any(s.requests for s in rig.servers), 0.01, 5.0)
+        rig.store.mode = mode
+        stopped_at = time.monotonic()
+        stopping = asyncio.create_task(rig.stop())
+        reply = await read_reply(reader)
+        assert reply.status in (502, 504)
+        assert await stopping == 0
+        assert time.monotonic() - stopped_at < PROCESS_GRACE_S
+        writer.close()
