--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -193,7 +193,9 @@
 
     def _create_connections(self):
         peer_part = self.descriptors.parts[DescriptorKind.PEER]
-        self.tunnel_server = TunnelServer(self.servers, self.paths, self.clock)
+        self.tunnel_server = TunnelServer(
+            self.servers, self.paths, self.memory, self.clock
+        )
         self.tunnel_server.dial = LimitedDial(peer_part, _make_no_room).open
         self.servers.on_kept_off = self.tunnel_server.retire
         self.tunnel_client = TunnelClient(
--- a/tanagerwalk/gateway/memory.py
+++ b/tanagerwalk/gateway/memory.py
@@ -113,6 +113,11 @@
             self._had_peak = True
         return True
 
+    def has_room(self, amount):
+        """Return whether bytes fit beside the part that stays free for requests."""
+        spare = LARGE_ANSWER_SPARE_SHARE * self.capacity
+        return self.used + amount + spare <= self.capacity
+
     def release(self, amount):
         """Give bytes back, and let answers that wait for room go on."""
         self._budget.release(amount)
--- a/tanagerwalk/gateway/tunnels.py
+++ b/tanagerwalk/gateway/tunnels.py
@@ -16,7 +16,6 @@
 from ..decisions.server_notices import ServerNotice, find_hold
 from ..ids import BackendServerId
 from ..peers.codec import decode, encode
-from ..peers.frames import MAX_PAYLOAD_BYTES
 from ..peers.gen.loads.ttypes import TunnelNotice
 from ..peers.rpc import MessageKind, PeerClient, RequestFault
 from .connect_faults import ConnectFault
@@ -27,8 +26,10 @@
 
 MS_PER_S = 1000.0
 CHUNK_BYTES = 64 * 1024
-# Each tunnel takes two descriptors and up to a few hundred kilobytes of buffers.
+# Each tunnel takes two descriptors.
 MAX_TUNNELS = 200
+# Buffers of a tunnel whose two ends take nothing.
+TUNNEL_BYTES = 256 * 1024
 SERVER_CONNECT_TIMEOUT_S = 0.25
 TUNNEL_TIMEOUT_S = 0.5
 # Time in which a new tunnel gets the request that it was opened for.
@@ -69,6 +70,8 @@
         The registered servers; no other address is connected to.
     paths : PathTable
         Tells which servers this instance can't connect to either.
+    memory : MemoryBudget
+        Memory for the buffers of tunnels.
     clock : callable
         Returns monotonic time in seconds.
 
@@ -78,9 +81,10 @@
         Opens a TCP connection, like `open_connection`.
     """
 
-    def __init__(self, servers, paths, clock):
+    def __init__(self, servers, paths, memory, clock):
         self._servers = servers
         self._paths = paths
+        self._memory = memory
         self._clock = clock
         self._channels = {}
         self._stopping = False
@@ -139,6 +143,8 @@
             return Error(TunnelFault.ON_HOLD)
         if self._paths.get_state(server_id) is not PathState.DIRECT:
             return Error(TunnelFault.UNREACHABLE)
+        if not self._memory.has_room(TUNNEL_BYTES):
+            return Error(TunnelFault.TOO_MANY)
         result = await self.dial(
             usage.server.address, SERVER_CONNECT_TIMEOUT_S, _ServerStream
         )
@@ -151,6 +157,7 @@
     async def _serve(self, channel, stream, server_id):
         set_socket_options(channel.writer.get_extra_info("socket"))
         self._channels[channel] = server_id
+        self._memory.reserve(TUNNEL_BYTES)
         pumps = [
             asyncio.create_task(self._forward_requests(channel, stream, server_id)),
             asyncio.create_task(_forward_responses(stream, channel)),
@@ -159,6 +166,7 @@
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
         finally:
             del self._channels[channel]
+            self._memory.release(TUNNEL_BYTES)
             stream.abort()
             for pump in pumps:
                 pump.cancel()
@@ -378,8 +386,8 @@
     def write(self, data):
         """Send bytes to the server."""
         self._is_used = True
-        for start in range(0, len(data), MAX_PAYLOAD_BYTES):
-            chunk = data[start : start + MAX_PAYLOAD_BYTES]
+        for start in range(0, len(data), CHUNK_BYTES):
+            chunk = data[start : start + CHUNK_BYTES]
             self._channel.write(TunnelFrame.DATA.value, chunk)
 
     def is_closing(self):
--- a/test/gateway/test_tunnels.py
+++ b/test/gateway/test_tunnels.py
@@ -7,7 +7,7 @@
 
 from tanagerwalk.controllers.loop import poll_until
 from tanagerwalk.decisions.paths import PathState
-from tanagerwalk.gateway.tunnels import TunnelFault
+from tanagerwalk.gateway.tunnels import CHUNK_BYTES, TunnelFault, TunnelTransport
 from tanagerwalk.ids import InstanceId
 from tanagerwalk.peers.rpc import MessageKind, PeerClient, RequestFault
 from tanagerwalk.standins.backend import Behaviour
@@ -183,3 +183,45 @@
     for _ in range(6):
         await cluster.send(cluster.encode("GET", "/jobs/7"), first)
     assert len(server.requests) == seen
+
+
+# Guards against buffers of tunnels that take more memory than the instance may use.
+async def test_tunnels_beyond_the_memory_of_the_instance_are_refused(cluster):
+    (_, second) = cluster.instances
+    free = second.memory.capacity - second.memory.used
+    second.memory.reserve(free)
+    assert (await second.tunnel_server.open(b"desk-0", "x")).error == "too_many"
+    second.memory.release(free)
+    used = second.memory.used
+    cluster.servers["desk-0"].behaviour = Behaviour(delay=0.3)
+    task = asyncio.create_task(cluster.send(cluster.encode("GET", "/jobs/7")))
+    assert await poll_until(lambda: second.tunnel_server.tunnel_count == 1, 0.01, 1.0)
+    assert second.memory.used > used
+    assert (await task).status == 200
+    cluster.instances[0].connection_pool.close()
+    assert await poll_until(lambda: second.memory.used == used, 0.01, 1.0)
+
+
+# Guards against frames that the other instance has to hold whole: a body of 4 MB took
+# several copies of 2 MB there.
+async def test_large_body_passes_in_small_frames():
+    class Channel:
+        sizes = ()
+        is_closing = False
+
+        async def read(self):
+            await asyncio.sleep(3600)
+
+        def write(self, kind, payload):
+            del kind
+            self.sizes += (len(payload),)
+
+        def close(self):
+            pass
+
+    channel = Channel()
+    transport = TunnelTransport(channel, None)
+    transport.write(bytes(4_000_000))
+    transport.abort()
+    assert sum(channel.sizes) == 4_000_000
+    assert max(channel.sizes) <= CHUNK_BYTES
