--- a/tanagerwalk/gateway/request_handler.py
+++ b/tanagerwalk/gateway/request_handler.py
@@ -57,11 +57,11 @@
             Writes the response.
         """
         if self.is_stopping:
-            self._codec.refuse(responder, STOPPING_REFUSAL)
+            self._refuse(responder, STOPPING_REFUSAL)
             return
         parsed = self._codec.parse_request(raw)
         if parsed.is_error():
-            self._codec.refuse(responder, parsed.error)
+            self._refuse(responder, parsed.error)
             return
         request = parsed.ok
         request.responder = responder
@@ -69,7 +69,7 @@
         result = await self._run_chain(request)
         if result.is_error() and not responder.started:
             self._log_refusal(request, result.error)
-            self._codec.refuse(responder, result.error)
+            self._refuse(responder, result.error)
 
     async def _run_chain(self, request):
         """Return the Result of the chain; a defect costs one request its answer."""
@@ -79,8 +79,11 @@
             log.exception("request failed", id=request.id.decode("latin-1"))
             return Error(DEFECT_REFUSAL)
 
-    def _log_refusal(self, request, refusal):
+    def _refuse(self, responder, refusal):
         self._metrics.refusals.labels(refusal.reason.value).inc()
+        self._codec.refuse(responder, refusal)
+
+    def _log_refusal(self, request, refusal):
         log.info(
             "refused",
             id=request.id.decode("latin-1"),
--- a/test/gateway/test_request_handler.py
+++ b/test/gateway/test_request_handler.py
@@ -31,3 +31,22 @@
         assert (await read_reply(reader)).status == 200
         writer.close()
     assert not instance.count_defects()
+
+
+# Guards against refusals that no metric tells: only those of the chain were counted.
+async def test_every_refusal_is_counted():
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=1)
+        (instance,) = cluster.instances
+        for data in (
+            cluster.encode("GET", "/jobs/1", X_Tanagerwalk_Attempt_Id=""),
+            cluster.encode("POST", "/jobs/1", b"x" * 70000),
+            cluster.encode("GET", "/nowhere/1"),
+        ):
+            assert 400 <= (await cluster.send(data)).status < 500
+        instance.request_handler.is_stopping = True
+        reply = await cluster.send(cluster.encode("GET", "/jobs/1"))
+        assert reply.status == 503
+        page = instance.metrics.render().decode()
+    for reason in ("invalid_request", "request_too_large", "class_unknown", "stopping"):
+        assert f'refusals_total{{reason="{reason}"}} 1.0' in page
