--- a/test/gateway/test_memory_limit.py
+++ b/test/gateway/test_memory_limit.py
@@ -1,6 +1,7 @@
 """Memory of a gateway process stays below its limit, whatever lawful clients do."""
 
 import asyncio
+import resource
 import socket
 from collections import Counter
 from contextlib import asynccontextmanager
@@ -46,9 +47,16 @@
     return ANSWER_HEAD % size + b"x" * size
 
 
+def limit_address_space():
+    size = MEMORY_LIMIT_MB * 2**20
+    resource.setrlimit(resource.RLIMIT_AS, (size, size))
+
+
 @asynccontextmanager
-async def run_process(folder):
-    async with GatewayProcessRig(folder, MEMORY_LIMIT_MB, manifest=MANIFEST) as rig:
+async def run_process(folder, preexec=None):
+    process = GatewayProcessRig(folder, MEMORY_LIMIT_MB, manifest=MANIFEST)
+    process.preexec = preexec
+    async with process as rig:
         try:
             yield rig
         finally:
@@ -335,3 +343,21 @@
         replies = await asyncio.gather(*(fetch(number) for number in range(20)))
         assert replies == [(200, size)] * 20
         assert await wait_until_unused(rig)
+
+
+# Guards against a limit of the address space, beyond which allocations fail and a
+# library may end the process: with 300 bodies of 60 kB it ended by SIGSEGV.
+async def test_process_lives_within_a_limit_of_the_address_space(tmp_path):
+    async with run_process(tmp_path, limit_address_space) as rig:
+        for server in rig.servers:
+            server.behaviour = Behaviour(delay=0.3)
+        sizes = [60000] * 300 + [BODY_BYTES] * 30
+        sends = [send_booking(rig, n, BODY[:size]) for n, size in enumerate(sizes)]
+        replies = await asyncio.gather(*sends)
+        runs = count_runs(rig)
+        for number, reply in enumerate(replies):
+            assert reply.status in (200, 429, 503)
+            assert runs[f"try-{number}"] == (reply.status == 200)
+        assert sum(reply.status == 200 for reply in replies[:300]) > 100
+        assert await serve_small_requests(rig) == {200: SMALL_REQUESTS}
+        assert await wait_until_unused(rig)
