--- a/tanagerwalk/bound_sockets.py
+++ b/tanagerwalk/bound_sockets.py
@@ -15,11 +15,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerSockets:
-    """A listening TCP socket and a UDP socket of the same address and port."""
+    """A TCP socket and a UDP socket of the same address and port."""
 
     stream: socket.socket
     datagram: socket.socket
 
+    def close(self):
+        """Close both."""
+        self.stream.close()
+        self.datagram.close()
+
 
 def lacks_descriptors(error):
     """Return whether an OSError says that no descriptor is left."""
@@ -27,7 +32,10 @@
 
 
 def bind_stream(address):
-    """Return the Result of a TCP socket that listens, or of an OSError.
+    """Return the Result of a TCP socket, or of an OSError.
+
+    The event loop makes it listen, which may fail too if another process has bound the
+    port at the same time.
 
     Parameters
     ----------
@@ -35,13 +43,12 @@
         Numeric IP address and port; port 0 for any free one.
     """
 
-    def listen(sock):
+    def bind(sock):
         # A port that a former process has just left counts as free.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
-        sock.listen(BACKLOG)
 
-    return _open(address, socket.SOCK_STREAM, listen)
+    return _open(address, socket.SOCK_STREAM, bind)
 
 
 def bind_datagram(address):
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -459,8 +459,8 @@
         await self.port_wait.open("peers", bind_peers, self._serve_peers)
 
     async def _serve_peers(self, sockets):
-        await self.sharing.serve(sockets.datagram)
         await self.peer_server.serve(sockets.stream)
+        await self.sharing.serve(sockets.datagram)
         self._has_peer_ports.set()
 
     async def _run_membership(self):
--- a/tanagerwalk/gateway/descriptors.py
+++ b/tanagerwalk/gateway/descriptors.py
@@ -13,6 +13,7 @@
 log = structlog.get_logger(__name__)
 
 LOG_INTERVAL_S = 5.0
+UNLIMITED = 2**31
 # After an abort, the event loop closes the descriptor in one of its next turns.
 CLOSE_DELAY_S = 0.002
 
@@ -25,13 +26,13 @@
     max_descriptors : int
         Limit of the settings.
     """
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     wanted = max_descriptors
-    if hard != resource.RLIM_INFINITY:
-        wanted = min(hard, wanted)
-    if soft == resource.RLIM_INFINITY or soft >= wanted:
-        return
     try:
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if hard != resource.RLIM_INFINITY:
+            wanted = min(hard, wanted)
+        if soft == resource.RLIM_INFINITY or soft >= wanted:
+            return
         resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
     except (OSError, ValueError) as error:
         log.warning("descriptor limit not raised", wanted=wanted, problem=str(error))
@@ -39,8 +40,12 @@
 
 def read_system_limit():
     """Return how many descriptors the operating system allows the process."""
-    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return 2**31 if soft == resource.RLIM_INFINITY else soft
+    try:
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    except OSError as error:
+        log.warning("descriptor limit not read", problem=str(error))
+        return UNLIMITED
+    return UNLIMITED if soft == resource.RLIM_INFINITY else soft
 
 
 class LimitedDial:
--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -78,7 +78,7 @@
         self._server = None
 
     async def serve(self, sock):
-        """Accept connections on a socket that listens."""
+        """Accept connections on a bound socket."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: ClientConnection(self), sock=sock, backlog=BACKLOG
--- a/tanagerwalk/gateway/port_wait.py
+++ b/tanagerwalk/gateway/port_wait.py
@@ -30,7 +30,8 @@
         name : str
             Name of the listener for the log.
         bind : callable
-            Returns the Result of what `serve` takes, or of an OSError.
+            Returns the Result of what `serve` takes, which can be closed, or of an
+            OSError.
         serve : callable
             Coroutine function that takes bound sockets and serves them.
         """
@@ -68,5 +69,6 @@
     try:
         await serve(result.ok)
     except OSError as error:
+        result.ok.close()
         return Error(error)
     return Ok(None)
--- a/tanagerwalk/gateway/probes.py
+++ b/tanagerwalk/gateway/probes.py
@@ -47,7 +47,7 @@
         self._server = None
 
     async def serve(self, sock):
-        """Accept connections on a socket that listens."""
+        """Accept connections on a bound socket."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: _ProbeConnection(self), sock=sock, backlog=BACKLOG
--- a/tanagerwalk/peers/rpc.py
+++ b/tanagerwalk/peers/rpc.py
@@ -127,7 +127,7 @@
         await self.serve(result.ok)
 
     async def serve(self, sock):
-        """Accept connections on a socket that listens."""
+        """Accept connections on a bound socket."""
         self._server = await asyncio.start_server(
             self._serve, sock=sock, backlog=BACKLOG
         )
--- a/test/ui/test_gateway_ports.py
+++ b/test/ui/test_gateway_ports.py
@@ -8,9 +8,13 @@
 import socket
 
 import pytest
+from expression import Ok
 from gateway_process import GatewayProcessRig
 
+from tanagerwalk.bound_sockets import bind_stream
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.gateway.port_wait import PortWait
+from tanagerwalk.gateway.probes import ProbeListener
 from tanagerwalk.platform.settings import METRICS_PORT
 
 # Longer than a start takes.
@@ -127,3 +131,21 @@
         return await poll_until(lambda: any(pages), 0.02, seconds)
     finally:
         task.cancel()
+
+
+async def test_port_that_is_lost_before_it_listens_is_waited_for():
+    """Another process that binds at the same moment makes `listen` fail, not `bind`."""
+    first, second = (socket.socket() for _ in range(2))
+    for each in (first, second):
+        each.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    first.bind(("127.0.0.1", 0))
+    second.bind(first.getsockname())
+    first.listen()
+    listener = ProbeListener(lambda: b"")
+    ports = [Ok(second), bind_stream(("127.0.0.1", 0))]
+    wait = PortWait()
+    await wait.open("metrics", lambda: ports.pop(0), listener.serve)
+    assert second.fileno() == -1
+    assert await poll_until(lambda: not ports and listener.port > 0, 0.02, 2.0)
+    listener.stop()
+    first.close()
