--- a/tanagerwalk/bound_sockets.py
+++ b/tanagerwalk/bound_sockets.py
@@ -20,6 +20,10 @@
     stream: socket.socket
     datagram: socket.socket
 
+    def fileno(self):
+        """Return the lower descriptor of both, -1 if one is closed."""
+        return min(self.stream.fileno(), self.datagram.fileno())
+
     def close(self):
         """Close both."""
         self.stream.close()
--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -87,7 +87,10 @@
     @property
     def is_open(self):
         """Whether the listener has its port."""
-        return self._server is not None
+        if self._server is None:
+            return False
+        # uvloop gives None for a socket that could not listen.
+        return all(each is not None for each in self._server.sockets)
 
     @property
     def port(self):
--- a/tanagerwalk/gateway/port_wait.py
+++ b/tanagerwalk/gateway/port_wait.py
@@ -1,6 +1,8 @@
 """Opens listeners, and waits for those whose port is in use."""
 
 import asyncio
+import errno
+import os
 
 import structlog
 from expression import Error, Ok
@@ -71,4 +73,8 @@
     except OSError as error:
         result.ok.close()
         return Error(error)
+    if result.ok.fileno() < 0:
+        # uvloop closes a socket that can't listen, without an exception.
+        result.ok.close()
+        return Error(OSError(errno.EADDRINUSE, os.strerror(errno.EADDRINUSE)))
     return Ok(None)
--- a/test/ui/test_gateway_ports.py
+++ b/test/ui/test_gateway_ports.py
@@ -8,6 +8,7 @@
 import socket
 
 import pytest
+import uvloop
 from expression import Ok
 from gateway_process import GatewayProcessRig
 
@@ -133,8 +134,16 @@
         task.cancel()
 
 
-async def test_port_that_is_lost_before_it_listens_is_waited_for():
-    """Another process that binds at the same moment makes `listen` fail, not `bind`."""
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_port_that_is_lost_before_it_listens_is_waited_for(run):
+    """Another process that binds at the same moment makes `listen` fail, not `bind`.
+
+    uvloop raises nothing then.
+    """
+    run(lose_port())
+
+
+async def lose_port():
     first, second = (socket.socket() for _ in range(2))
     for each in (first, second):
         each.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
