--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -78,7 +78,7 @@
         self._server = None
 
     async def serve(self, sock):
-        """Accept connections on a socket that listens."""
+        """Accept connections on a bound socket."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: ClientConnection(self), sock=sock, backlog=BACKLOG
@@ -87,7 +87,10 @@
     @property
     def is_open(self):
         """Whether the listener has its port."""
-        return self._server is not None
+        if self._server is None:
+            return False
+        # uvloop gives None for a socket that could not listen.
+        return all(each is not None for each in self._server.sockets)
 
     @property
     def port(self):
--- a/tanagerwalk/gateway/port_wait.py
+++ b/tanagerwalk/gateway/port_wait.py
@@ -1,6 +1,8 @@
 """Opens listeners, and waits for those whose port is in use."""
 
 import asyncio
+import errno
+import os
 
 import structlog
 from expression import Error, Ok
@@ -30,7 +32,8 @@
         name : str
             Name of the listener for the log.
         bind : callable
-            Returns the Result of what `serve` takes, or of an OSError.
+            Returns the Result of what `serve` takes, which can be closed, or of an
+            OSError.
         serve : callable
             Coroutine function that takes bound sockets and serves them.
         """
@@ -68,5 +71,10 @@
     try:
         await serve(result.ok)
     except OSError as error:
+        result.ok.close()
         return Error(error)
+    if result.ok.fileno() < 0:
+        # uvloop closes a socket that can't listen, without an exception.
+        result.ok.close()
+        return Error(OSError(errno.EADDRINUSE, os.strerror(errno.EADDRINUSE)))
     return Ok(None)
