--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -182,6 +182,10 @@
         has_body = status not in NO_BODY_STATUSES and not self._has_no_body
         self._body_ends_at_close = has_body and framed is None
         self._response_heads.append(head)
+        if self._has_no_body:
+            # The parser can't be told, and would wait for the length in the head.
+            self._keep_alive = False
+            self._end_body()
 
     def on_body(self, data):
         """Append a fragment of the body."""
--- a/test/gateway/test_connections.py
+++ b/test/gateway/test_connections.py
@@ -1,5 +1,6 @@
 """Response framing: responses without a length, resets and unexpected data."""
 
+import asyncio
 import socket
 
 from tanagerwalk.gateway.connections import Connection, ConnectionFailure
@@ -91,3 +92,16 @@
     assert (await connection.read_head()).ok.get_header(b"id") == b"mine"
     assert (await connection.read_body()).ok == b"ok"
     assert not connection.is_reusable()
+
+
+async def test_answer_to_head_request_ends_with_its_head():
+    """Guards against waiting for a body that an answer to HEAD doesn't have."""
+    for framing in (b"Content-Length: 4", b"Transfer-Encoding: chunked", b"X-A: b"):
+        connection = Connection()
+        connection.connection_made(FakeTransport())
+        connection.send(b"request", has_no_body=True)
+        connection.data_received(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n")
+        assert (await connection.read_head()).ok.status == 200
+        async with asyncio.timeout(1.0):
+            assert (await connection.read_body()).ok == b""
+        assert not connection.is_reusable()
