--- a/tanagerwalk/gateway/mirror.py
+++ b/tanagerwalk/gateway/mirror.py
@@ -14,6 +14,8 @@
 log = structlog.get_logger(__name__)
 
 RECONNECT_GRACE_S = 2.0
+# Longer than three heartbeats of a server: by then the entry of one that left is gone.
+CONFIRMATION_GRACE_S = 4.0
 # Older changes, as other instances may have, count as an outage of the store.
 MAX_CHANGES_AGE_S = 3.0
 
@@ -195,7 +197,8 @@
             self.reconnected_at = read_boot_clock()
             self.restored_at = self.reconnected_at
         current = {entry.key for entry in snapshot.entries}
-        missing = [key for key in self.entries if key not in current]
+        known = [*self.entries, *self._unconfirmed]
+        missing = [key for key in known if key not in current]
         if not self.change_log.is_started:
             self.change_log.start(snapshot.revision)
         changes = Changes(
@@ -226,6 +229,7 @@
         self.change_log.record(changes)
         era, _ = split_revision(changes.revision)
         if era > self._last_era and self.is_loaded:
+            self._last_era = era
             self._doubt_new_servers(changes.written)
         self._last_era = max(self._last_era, era)
         for entry in changes.written:
@@ -236,14 +240,35 @@
     def _doubt_new_servers(self, entries):
         """Leave out servers that only a restored copy lists, until they write again.
 
-        They may have left before the restore.
+        They may have left before the restore. Those that are still listed after a
+        grace period are used, as they may have written before the copy was read.
         """
         self._unconfirmed = {
-            entry.key: entry.revision
+            entry.key: entry
             for entry in entries
             if entry.key.startswith(self._grace_prefix)
             and entry.key not in self.entries
         }
+        if self._unconfirmed:
+            self._schedule_confirmation(self._last_era)
+
+    def _schedule_confirmation(self, era):
+        asyncio.get_running_loop().call_later(
+            CONFIRMATION_GRACE_S, self._confirm_listed, era
+        )
+
+    def _confirm_listed(self, era):
+        if era != self._last_era or not self._unconfirmed:
+            return
+        if self._is_disconnected:
+            # Their entries may have been removed meanwhile.
+            self._schedule_confirmation(era)
+            return
+        listed, self._unconfirmed = self._unconfirmed, {}
+        log.info("servers of a restored store used", keys=sorted(listed))
+        for entry in listed.values():
+            self._write(entry)
+        self._notify_subscribers()
 
     def _is_newer(self, entry):
         known = self.entries.get(entry.key)
@@ -252,13 +277,17 @@
     def _write(self, entry):
         if not self._is_newer(entry):
             return
-        if self._unconfirmed.get(entry.key) == entry.revision:
+        doubted = self._unconfirmed.get(entry.key)
+        if doubted is not None and doubted.revision == entry.revision:
             return
         self._unconfirmed.pop(entry.key, None)
         self.entries[entry.key] = entry
         self._grace_deadlines.pop(entry.key, None)
 
     def _delete(self, key, revision):
+        doubted = self._unconfirmed.get(key)
+        if doubted is not None and doubted.revision <= revision:
+            del self._unconfirmed[key]
         known = self.entries.get(key)
         if known is None or known.revision > revision:
             return
--- a/test/gateway/test_mirror.py
+++ b/test/gateway/test_mirror.py
@@ -178,3 +178,77 @@
     task.cancel()
     assert lists == [True, False]
     assert mirror.entries["op/config"].value == b"2"
+
+
+async def restore_unread(standin, monkeypatch, *keys):
+    """Return a mirror that first reads of `keys` in a restored copy of the store."""
+    monkeypatch.setattr(mirror_module, "CONFIRMATION_GRACE_S", 0.6)
+    mirror, task = await run_mirror(standin)
+    standin.mode = "busy"
+    await asyncio.sleep(0.4)
+    for key in keys:
+        await standin.put(key, b"1")
+    await standin.restore(standin.take_copy())
+    standin.mode = "up"
+    assert await poll_until(lambda: mirror.era == 1, 0.01, 5.0)
+    return mirror, task
+
+
+async def test_server_that_stays_listed_after_a_restore_is_used_in_the_end(
+    standin, monkeypatch
+):
+    """Guards against an instance that refuses a service which the others serve."""
+    mirror, task = await restore_unread(standin, monkeypatch, "servers/quiet")
+    assert "servers/quiet" not in mirror.entries
+    told = []
+    mirror.subscribe(lambda: told.append("servers/quiet" in mirror.entries))
+    assert await poll_until(lambda: "servers/quiet" in mirror.entries, 0.01, 3.0)
+    assert told == [True]
+    task.cancel()
+
+
+@pytest.mark.parametrize("ending", ["removed", "missing in the next list"])
+async def test_server_that_is_gone_after_a_restore_is_never_used(
+    standin, monkeypatch, ending
+):
+    """Guards against requests to a server that had left before the restore."""
+    mirror, task = await restore_unread(standin, monkeypatch, "servers/gone")
+    if ending == "removed":
+        await standin.remove("servers/gone")
+    else:
+        items, leases, revision = standin.take_copy()
+        items.pop("servers/gone")
+        await standin.restore((items, leases, revision))
+    for _ in range(25):
+        await asyncio.sleep(0.05)
+        assert "servers/gone" not in mirror.entries
+    task.cancel()
+
+
+async def test_listed_server_is_not_used_while_the_store_is_out(standin, monkeypatch):
+    """Guards against a server that was removed while nothing could be read."""
+    mirror, task = await restore_unread(standin, monkeypatch, "servers/gone")
+    standin.mode = "busy"
+    await asyncio.sleep(1.5)
+    assert "servers/gone" not in mirror.entries
+    await standin.remove("servers/gone")
+    standin.mode = "up"
+    await asyncio.sleep(1.0)
+    assert "servers/gone" not in mirror.entries
+    task.cancel()
+
+
+async def test_second_restore_starts_the_grace_of_a_listed_server_anew(
+    standin, monkeypatch
+):
+    """Guards against a server that left: each copy lists it for a while again."""
+    mirror, task = await restore_unread(standin, monkeypatch, "servers/gone")
+    await asyncio.sleep(0.3)
+    await standin.restore(standin.take_copy())
+    assert await poll_until(lambda: mirror.era == 2, 0.01, 5.0)
+    await asyncio.sleep(0.4)
+    assert "servers/gone" not in mirror.entries
+    await standin.remove("servers/gone")
+    await asyncio.sleep(0.5)
+    assert "servers/gone" not in mirror.entries
+    task.cancel()
