--- a/tanagerwalk/gateway/tunnels.py
+++ b/tanagerwalk/gateway/tunnels.py
@@ -360,6 +360,15 @@
         self._task = asyncio.get_running_loop().create_task(self._read())
 
     async def _read(self):
+        try:
+            await self._read_frames()
+        except Exception:
+            # The request would wait for its deadline.
+            log.exception("tunnel failed")
+            self._channel.close()
+            self._connection.connection_lost(None)
+
+    async def _read_frames(self):
         while True:
             frame = await self._channel.read()
             if frame.is_error():
--- a/tanagerwalk/platform/settings.py
+++ b/tanagerwalk/platform/settings.py
@@ -1,5 +1,6 @@
 """Decodes the settings file of a gateway instance, in the platform's TOML format."""
 
+import math
 import tomllib
 
 import msgspec
@@ -80,6 +81,10 @@
         wire = msgspec.convert(tomllib.loads(text), _Settings, strict=False)
     except (tomllib.TOMLDecodeError, msgspec.MsgspecError) as error:
         return Error(f"settings: {error}")
+    except RecursionError:
+        return Error("settings: values are nested too deeply")
+    if not math.isfinite(wire.limits.memory_mb * BYTES_PER_MB):
+        return Error(f"settings: limits.memory_mb = {wire.limits.memory_mb}")
     first_port = wire.port_range[0] if wire.port_range else None
     addresses = {}
     for name, raw in (
--- a/tanagerwalk/platform/store.py
+++ b/tanagerwalk/platform/store.py
@@ -280,7 +280,8 @@
         except TimeoutError:
             connection.abort()
             return Error(StoreFault.UNKNOWN)
-        except asyncio.CancelledError:
+        except BaseException:
+            # Cancelled, or a defect: whatever may still arrive belongs to no call.
             connection.abort()
             raise
         if content.is_error():
