--- a/tanagerwalk/controllers/configuration.py
+++ b/tanagerwalk/controllers/configuration.py
@@ -45,6 +45,7 @@
         self._clock = clock
         self._random = random
         self._listeners = []
+        self._must_tell = False
         self._watched_revision = NO_REVISION
 
     def add_listener(self, callback):
@@ -53,6 +54,8 @@
 
     async def run(self):
         """Watch and poll the declaration until cancelled."""
+        # A listener may have failed in an earlier run.
+        self._tell_listeners()
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._watch())
             interval = self._settings.poll_interval
@@ -129,5 +132,12 @@
             return
         self._metrics.revision.set(self._state.revision)
         log.info("declaration in force", revision=self._state.revision)
+        self._must_tell = True
+        self._tell_listeners()
+
+    def _tell_listeners(self):
+        if not self._must_tell:
+            return
         for callback in self._listeners:
             callback()
+        self._must_tell = False
--- a/test/controllers/test_configuration.py
+++ b/test/controllers/test_configuration.py
@@ -92,3 +92,29 @@
         await demo.wait_until(lambda i=instance: i.configuration.revision == revision)
         assert "cost = 0.0006" in instance.configuration.text
         assert instance.metrics.patch_misfits._value.get() == 0
+
+
+async def test_listener_that_failed_is_told_of_the_text_by_the_next_run():
+    """Guards against a declaration that is in force but that a part never saw."""
+    store, told = FakeStore(), []
+    state = ConfigurationState(30.0)
+    settings = parse_settings().ok.configuration
+    controller = ConfigurationController(
+        store, state, settings, Metrics(), lambda: 0.0, random.Random(1)
+    )
+
+    def listen():
+        told.append(state.revision)
+        if len(told) == 1:
+            raise MemoryError
+
+    later = []
+    controller.add_listener(listen)
+    controller.add_listener(lambda: later.append(state.revision))
+    with pytest.raises(ExceptionGroup):
+        await controller.run()
+    task = asyncio.create_task(controller.run())
+    for _ in range(50):
+        await asyncio.sleep(0)
+    assert (told, later) == ([1, 1], [1])
+    task.cancel()
