--- a/tanagerwalk/gateway/connector.py
+++ b/tanagerwalk/gateway/connector.py
@@ -170,7 +170,11 @@
                 state = self._paths.get_state(server.id)
                 if state is PathState.DIRECT:
                     return
-                await self._probe_paths(server, state)
+                try:
+                    await self._probe_paths(server, state)
+                except Exception:
+                    # Without probes the server would be out of use for good.
+                    log.exception("probe failed", server=server.id)
                 pause = min(2.0 * pause, MAX_PROBE_PAUSE_S)
         finally:
             del self._probes[server.id]
--- a/test/gateway/test_controller_defects.py
+++ b/test/gateway/test_controller_defects.py
@@ -6,11 +6,14 @@
 
 import pytest
 import pytest_asyncio
+from expression import Error
 
 from tanagerwalk import supervisor as supervisor_module
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.decisions.paths import PathState
 from tanagerwalk.gateway import fleet_key as fleet_key_module
 from tanagerwalk.gateway import membership as membership_module
+from tanagerwalk.gateway.tunnels import TunnelTransport
 from tanagerwalk.standins.gateway_cluster import API_KEY, GatewayCluster, build_manifest
 
 WAIT_S = 8.0
@@ -247,3 +250,46 @@
     assert await poll_until(lambda: has_started_rollout(cluster), 0.01, WAIT_S)
     assert not instance.supervisor.defects.counts
     assert instance.subscriber_defects.counts["rollout of drafts"]
+
+
+@pytest.mark.parametrize("error", [ValueError, MemoryError])
+async def test_server_is_probed_on_after_a_probe_that_fails(
+    cluster, monkeypatch, error
+):
+    """Guards against a server that an instance takes for unreachable for good."""
+    (instance,) = cluster.instances
+    connector = instance.connection_pool.connector
+    server = instance.servers.find("desk-0").server
+    fault = Fault(connector._probe_paths, error, 2)
+    monkeypatch.setattr(connector, "_probe_paths", fault)
+    connector._record_lost(server, Error("refused"))
+    assert instance.paths.get_state(server.id) is PathState.UNREACHABLE
+    assert await poll_until(
+        lambda: instance.paths.get_state(server.id) is PathState.DIRECT, 0.02, WAIT_S
+    )
+    assert not fault.times_left
+
+
+async def test_tunnel_that_fails_ends_its_connection():
+    """Guards against a request that waits for its deadline after a defect."""
+
+    class Channel:
+        closed = False
+
+        async def read(self):
+            raise MemoryError
+
+        def close(self):
+            self.closed = True
+
+    class Connection:
+        lost = 0
+
+        def connection_lost(self, error):
+            del error
+            self.lost += 1
+
+    channel, connection = Channel(), Connection()
+    TunnelTransport(channel, connection)
+    assert await poll_until(lambda: connection.lost, 0.01, 1.0)
+    assert (connection.lost, channel.closed) == (1, True)
