--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -1,21 +1,13 @@
 """Assembles the components of a gateway instance and controls its lifecycle."""
 
-import asyncio
 import dataclasses
 import random
 import time
 import uuid
-from functools import partial
 
 import structlog
 from prometheus_client import CONTENT_TYPE_LATEST
 
-from ..bound_sockets import bind_pair, bind_stream
-from ..decisions.descriptor_budget import (
-    DescriptorBudget,
-    DescriptorKind,
-    find_descriptor_capacity,
-)
 from ..decisions.freshness import Freshness, find_age_limit
 from ..decisions.locations import Home
 from ..decisions.paths import PathTable
@@ -30,31 +22,27 @@
 from ..filters.chain import link_filters
 from ..manifest import ClientLimits
 from ..peers.rpc import MessageKind, PeerServer
-from ..process_memory import find_room, read_sizes
 from ..supervisor import Supervisor
 from .answer_recorder import AnswerRecorder
 from .change_feed import ChangeServer, SharedFeed, StoreFeed
-from .client_admission import ClientAdmission
 from .clocks import read_boot_clock
 from .cluster_state import ClusterState
 from .connector import ServerConnector
 from .crash_check import CrashCheck
-from .descriptors import LimitedDial, read_system_limit
 from .exchange import AttemptRunner
 from .execution_context import ExecutionContext
 from .fleet_key import FleetKey
 from .forwarding import ForwardFilter
-from .heap_trim import HeapTrim
+from .instance_ports import InstancePorts
 from .listener import Listener
 from .manifest_recovery import ManifestRecovery, ManifestServer
 from .membership import MembershipController
-from .memory import MemoryBudget, find_capacity
 from .metrics import GatewayMetrics
 from .mirror import Mirror
 from .planned_stop import PlannedStop
 from .pool import ConnectionPool
-from .port_wait import PortWait
 from .probes import ProbeListener, encode_ok_response, encode_readiness_response
+from .process_limits import ProcessLimits
 from .quarantine import QuarantineFilter
 from .release_assignment import ReleaseAssigner
 from .release_rollouts import STORE_PREFIX, ReleaseRolloutController
@@ -74,10 +62,6 @@
 DEFAULT_INSTANCE_COUNT = 9
 
 
-def _make_no_room():
-    return False
-
-
 class GatewayInstance:
     """A gateway instance: listeners, filter chain and local copy of the store.
 
@@ -105,11 +89,7 @@
         self.random = random.Random(seed)
         self.incarnation = f"{settings.instance}.{uuid.uuid4().hex[:8]}"
         self.metrics = GatewayMetrics()
-        self.heap_trim = HeapTrim(clock)
-        self.memory = self._create_memory()
-        self.descriptors = DescriptorBudget(
-            find_descriptor_capacity(settings.max_descriptors, read_system_limit())
-        )
+        self.limits = ProcessLimits(settings, clock)
         self.supervisor = Supervisor(self.metrics.controller_restarts)
         self.subscriber_defects = DefectLog(
             "subscriber failed", self.metrics.subscriber_failures
@@ -120,13 +100,6 @@
         self._create_filter_chain()
         self._create_listeners()
 
-    def _create_memory(self):
-        limit = self.settings.memory_limit
-        room = None if limit is None else find_room(limit, read_sizes())
-        memory = MemoryBudget(find_capacity(room), self.clock)
-        memory.on_peak_over = self.heap_trim.schedule
-        return memory
-
     def _create_state(self):
         settings = self.settings
         bounds = settings.bounds
@@ -192,17 +165,16 @@
         self.quarantine.is_first_in_line = lambda key: self._find_rank(key) == 0
 
     def _create_connections(self):
-        peer_part = self.descriptors.parts[DescriptorKind.PEER]
         self.tunnel_server = TunnelServer(
-            self.servers, self.paths, self.memory, self.clock
+            self.servers, self.paths, self.limits.memory, self.clock
         )
-        self.tunnel_server.dial = LimitedDial(peer_part, _make_no_room).open
+        self.tunnel_server.dial = self.limits.limit_tunnel_dial()
         self.servers.on_kept_off = self.tunnel_server.retire
         self.tunnel_client = TunnelClient(
             TunnelPeers(self.settings.failure_domain, self.random),
             lambda: self.membership.peers,
             self._get_peer_address,
-            peer_part,
+            self.limits.peer_part,
             self.clock,
         )
         connector = ServerConnector(
@@ -210,10 +182,9 @@
         )
         connector.on_reachable = self.servers.end_pause
         self.connection_pool = ConnectionPool(connector, self.paths, self.clock)
-        connector.dial = LimitedDial(
-            self.descriptors.parts[DescriptorKind.SERVER],
-            self.connection_pool.close_longest_idle,
-        ).open
+        connector.dial = self.limits.limit_server_dial(
+            self.connection_pool.close_longest_idle
+        )
 
     def _forget_server(self, server):
         self.paths.forget(server.id)
@@ -241,9 +212,7 @@
             self.subscriber_defects,
         )
         self.peer_server = PeerServer(None)
-        peer_part = self.descriptors.parts[DescriptorKind.PEER]
-        self.peer_server.reserve = peer_part.try_reserve
-        self.peer_server.release = peer_part.release
+        self.limits.limit_peers(self.peer_server)
         ChangeServer(self.mirror).register(self.peer_server)
         self.peer_server.register_stream_handler(
             MessageKind.OPEN_TUNNEL, self.tunnel_server.open
@@ -343,19 +312,15 @@
         )
 
     def _create_listeners(self):
-        clients = self.descriptors.parts[DescriptorKind.CLIENT]
-        self.admission = ClientAdmission(clients, self.clock)
         self.client_listener = Listener(
             self.request_handler.handle,
             self._refuse_unread,
             self._get_client_limits,
-            self.memory,
-            self.admission,
+            self.limits.memory,
+            self.limits.admission,
             self.clock,
             self.random,
         )
-        self.port_wait = PortWait()
-        self._has_peer_ports = asyncio.Event()
         self.client_listener.on_stalled_reader = self.metrics.stalled_readers.inc
         self.planned_stop = PlannedStop(
             self.stop_control,
@@ -369,6 +334,14 @@
             lambda: encode_readiness_response(self.is_ready())
         )
         self.metrics_listener = ProbeListener(self._render_metrics)
+        self.ports = InstancePorts(
+            self.settings.listeners,
+            self.client_listener,
+            self.readiness_listener,
+            self.metrics_listener,
+            self.peer_server,
+            self.sharing,
+        )
 
     def _refuse_unread(self, responder, refusal):
         """Refuse a request that has not been read to its end."""
@@ -376,16 +349,12 @@
         self.codec.refuse(responder, refusal)
 
     def _render_metrics(self):
-        self.metrics.memory_used.set(self.memory.used)
-        self.metrics.memory_capacity.set(self.memory.capacity)
-        self.metrics.waiting_answers.set(self.memory.waiting_count)
-        self.metrics.resident_memory.set(read_sizes().resident)
+        self.limits.report(self.metrics)
         self.metrics.manifest_age.set(min(self.freshness.age, MAX_REPORTED_AGE_S))
         self.metrics.store_calls.set(self.store.calls)
         contradictions = self.assigner.count_contradictions()
         self.metrics.session_contradictions.set(contradictions)
         self.metrics.in_flight.set(self.client_listener.in_flight)
-        self.metrics.set_descriptors(self.descriptors, self.admission)
         return encode_ok_response(self.metrics.render(), CONTENT_TYPE_LATEST)
 
     def _get_client_limits(self):
@@ -435,7 +404,7 @@
 
         A listener whose port is in use opens later; everything else starts meanwhile.
         """
-        await self._open_listeners()
+        await self.ports.open()
         run = self.supervisor.run
         run("mirror", lambda: self.mirror.run())
         run("manifest_recovery", lambda: self.manifest_recovery.run())
@@ -445,27 +414,9 @@
         run("sharing", lambda: self.sharing.run())
         log.info("listening", instance=self.settings.instance)
 
-    async def _open_listeners(self):
-        listeners = self.settings.listeners
-        for name, address, listener in (
-            ("readiness", listeners.readiness, self.readiness_listener),
-            ("metrics", listeners.metrics, self.metrics_listener),
-            ("clients", listeners.clients, self.client_listener),
-        ):
-            await self.port_wait.open(
-                name, partial(bind_stream, address), listener.serve
-            )
-        bind_peers = partial(bind_pair, listeners.peers[0], listeners.peer_ports)
-        await self.port_wait.open("peers", bind_peers, self._serve_peers)
-
-    async def _serve_peers(self, sockets):
-        await self.peer_server.serve(sockets.stream)
-        await self.sharing.serve(sockets.datagram)
-        self._has_peer_ports.set()
-
     async def _run_membership(self):
         """Register this instance once it has an address for the others."""
-        await self._has_peer_ports.wait()
+        await self.ports.wait_for_peer_ports()
         await self.membership.run()
 
     async def stop(self):
@@ -476,23 +427,18 @@
         log.info("stopping", in_flight=self.client_listener.in_flight)
         self.stopping = True
         self.supervisor.begin_shutdown()
-        self.port_wait.close()
+        self.ports.stop_waiting()
         await self.planned_stop.run(self.settings.bounds.shutdown_grace)
         await self.close()
 
     async def close(self):
         """Stop the controllers and abort every connection immediately."""
-        self.port_wait.close()
+        self.ports.stop_waiting()
         await self.supervisor.close()
-        self.client_listener.stop_accepting()
-        self.client_listener.abort()
-        self.readiness_listener.stop()
-        self.metrics_listener.stop()
-        self.sharing.stop()
-        await self.peer_server.stop()
+        await self.ports.close()
         await self.feed.close()
         await self.manifest_recovery.close()
         self.crash_check.close()
-        self.heap_trim.close()
+        self.limits.close()
         self.connection_pool.close()
         self.store.close()
--- a/tanagerwalk/gateway/probes.py
+++ b/tanagerwalk/gateway/probes.py
@@ -53,6 +53,11 @@
             lambda: _ProbeConnection(self), sock=sock, backlog=BACKLOG
         )
 
+    @property
+    def is_open(self):
+        """Whether the listener has its port."""
+        return self._server is not None
+
     @property
     def port(self):
         """Port that the listener is bound to."""
--- a/test/gateway/test_descriptor_limit.py
+++ b/test/gateway/test_descriptor_limit.py
@@ -81,7 +81,7 @@
     async with GatewayCluster() as cluster:
         await cluster.build(desks=1)
         [instance] = cluster.instances
-        part = instance.descriptors.parts[DescriptorKind.SERVER]
+        part = instance.limits.descriptors.parts[DescriptorKind.SERVER]
         while part.try_reserve():
             pass
         reply = await cluster.send(cluster.encode("GET", "/jobs/1"))
@@ -99,7 +99,7 @@
         await cluster.build(desks=1)
         [instance] = cluster.instances
         await cluster.send(cluster.encode("GET", "/jobs/1"))
-        part = instance.descriptors.parts[DescriptorKind.SERVER]
+        part = instance.limits.descriptors.parts[DescriptorKind.SERVER]
         while part.try_reserve():
             pass
         assert (await cluster.send(cluster.encode_plan())).status == 200
@@ -155,7 +155,7 @@
     async with GatewayCluster() as cluster:
         await cluster.build()
         [instance] = cluster.instances
-        parts = instance.descriptors.parts
+        parts = instance.limits.descriptors.parts
         requests = (cluster.send(cluster.encode("GET", "/jobs/1")) for _ in range(40))
         await asyncio.gather(*requests)
         assert parts[DescriptorKind.SERVER].used > 0
@@ -163,7 +163,9 @@
             await server.stop()
         await cluster.send(cluster.encode("GET", "/jobs/1"))
         instance.connection_pool.close()
-        assert await poll_until(lambda: instance.descriptors.total.used == 0, 0.02, 2.0)
+        assert await poll_until(
+            lambda: instance.limits.descriptors.total.used == 0, 0.02, 2.0
+        )
 
 
 async def test_connection_closes_for_a_system_without_descriptors():
--- a/test/gateway/test_tunnels.py
+++ b/test/gateway/test_tunnels.py
@@ -188,18 +188,18 @@
 # Guards against buffers of tunnels that take more memory than the instance may use.
 async def test_tunnels_beyond_the_memory_of_the_instance_are_refused(cluster):
     (_, second) = cluster.instances
-    free = second.memory.capacity - second.memory.used
-    second.memory.reserve(free)
+    free = second.limits.memory.capacity - second.limits.memory.used
+    second.limits.memory.reserve(free)
     assert (await second.tunnel_server.open(b"desk-0", "x")).error == "too_many"
-    second.memory.release(free)
-    used = second.memory.used
+    second.limits.memory.release(free)
+    used = second.limits.memory.used
     cluster.servers["desk-0"].behaviour = Behaviour(delay=0.3)
     task = asyncio.create_task(cluster.send(cluster.encode("GET", "/jobs/7")))
     assert await poll_until(lambda: second.tunnel_server.tunnel_count == 1, 0.01, 1.0)
-    assert second.memory.used > used
+    assert second.limits.memory.used > used
     assert (await task).status == 200
     cluster.instances[0].connection_pool.close()
-    assert await poll_until(lambda: second.memory.used == used, 0.01, 1.0)
+    assert await poll_until(lambda: second.limits.memory.used == used, 0.01, 1.0)
 
 
 # Guards against frames that the other instance has to hold whole: a body of 4 MB took
--- a/test/ui/test_gateway_ports.py
+++ b/test/ui/test_gateway_ports.py
@@ -42,6 +42,9 @@
         ports = self.ports | {"metrics": METRICS_PORT}
         for name, kind in self.taken:
             taken = socket.socket(socket.AF_INET, kind)
+            if kind is socket.SOCK_STREAM:
+                # Connections of an earlier rig to this port may not be forgotten yet.
+                taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             taken.bind((self.ip, ports[name]))
             if kind is socket.SOCK_STREAM:
                 taken.listen()
@@ -155,6 +158,8 @@
     wait = PortWait()
     await wait.open("metrics", lambda: ports.pop(0), listener.serve)
     assert second.fileno() == -1
-    assert await poll_until(lambda: not ports and listener.port > 0, 0.02, 2.0)
+    assert await poll_until(lambda: listener.is_open, 0.02, 2.0)
+    assert not ports
+    assert listener.port > 0
     listener.stop()
     first.close()
