--- /dev/null
+++ b/tanagerwalk/gateway/client_connection.py
@@ -0,0 +1,368 @@
+"""A client's HTTP/1.1 connection: parsing, queueing and the answers in turn."""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+
+import httptools
+
+from ..manifest import ClientLimits
+from ..outcomes import Refusal
+from .memory import CONNECTION_BYTES, RequestMemory
+from .receive_refusals import (
+    LimitExceededError,
+    build_malformed_refusal,
+    build_timeout_refusal,
+)
+from .request_assembly import RequestAssembly
+from .requests import RawRequest
+from .responder import Responder
+from .socket_options import set_client_socket_options, set_reset_on_close
+from .unread_answers import UnreadAnswerWatch
+
+WRITE_HIGH_WATER_BYTES = 16 * 1024
+MAX_PIPELINED_REQUESTS = 8
+# After a refusal, what the client still sends is dropped for so long. Closed with
+# unread bytes, the connection would be reset, and the refusal could be lost.
+LINGER_S = 2.0
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+@dataclass(slots=True)
+class _QueuedRequest:
+    """A request that waits for those before it, or a Refusal in place of one."""
+
+    content: RawRequest | Refusal
+    keep_alive: bool
+    memory: RequestMemory
+
+
+class ClientConnection(asyncio.Protocol):
+    """A client connection: parses requests and handles them one after another.
+
+    The next one is handled once the client has taken the answer to the one before.
+    """
+
+    def __init__(self, listener):
+        self._listener = listener
+        self._transport = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._limits = ClientLimits()
+        self._pending = deque()
+        self._handler_task = None
+        self._assembly = None
+        self._header_size = 0
+        self._piece_size = 0
+        self._has_new_body = False
+        self._owes_continue = False
+        # Of the request that is handled or whose answer has not been taken yet.
+        self._handled_memory = None
+        self._unread_watch = None
+        self._timeout_handle = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._input_ended = False
+
+    @property
+    def busy(self):
+        """Whether a request is being handled or partially received."""
+        return self._handler_task is not None or self._assembly is not None
+
+    # Called by the event loop.
+
+    def connection_made(self, transport):
+        """Configure the socket and start the idle timeout."""
+        self._transport = transport
+        # Tells when the client has left an answer, and when it has taken all of it.
+        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES, low=0)
+        set_client_socket_options(transport.get_extra_info("socket"))
+        self._listener.connections.add(self)
+        self._listener.memory.reserve(CONNECTION_BYTES)
+        if not self._listener.admission.admit(self):
+            set_reset_on_close(transport.get_extra_info("socket"))
+            self.abort()
+            return
+        self._limits = self._listener.get_limits()
+        self._start_timeout(self._limits.idle_timeout, self.close_if_idle)
+
+    def data_received(self, data):
+        """Feed received bytes to the parser; they may hold several requests."""
+        if self._input_ended:
+            return
+        self._piece_size = len(data)
+        if self._assembly is not None and self._assembly.is_in_head:
+            self._header_size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse_and_close(
+                build_malformed_refusal("upgrades are not supported")
+            )
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            if isinstance(cause, LimitExceededError):
+                self._refuse_and_close(cause.refusal)
+            else:
+                self._refuse_and_close(build_malformed_refusal(str(error)))
+        if self._assembly is None:
+            return
+        if self._assembly.is_in_head:
+            self._check_partial_head()
+        elif self._owes_continue:
+            self._cancel_timeout()
+        elif self._has_new_body:
+            # Once for all fragments: a body may come in chunks of one byte.
+            self._has_new_body = False
+            self._start_timeout(self._limits.header_timeout, self._on_receive_timeout)
+
+    def eof_received(self):
+        """Close the connection: a half-closed one is treated as a disconnect."""
+        return False
+
+    def connection_lost(self, exc):
+        """Cancel the request in progress after the client disconnected."""
+        del exc
+        self._listener.connections.discard(self)
+        self._listener.admission.leave(self)
+        self._input_ended = True
+        self._cancel_timeout()
+        self._writable.set()
+        self._drop_received()
+        for queued in self._pending:
+            queued.memory.release()
+        self._pending.clear()
+        self._listener.memory.release(CONNECTION_BYTES)
+        if self._handler_task is None:
+            self._release_handled()
+            return
+        # A task that is cancelled before its first step doesn't release anything.
+        self._handler_task.add_done_callback(lambda _: self._release_handled())
+        self._handler_task.cancel()
+
+    def pause_writing(self):
+        """Block writers in `wait_writable` until the write buffer is empty."""
+        self._writable.clear()
+
+    def resume_writing(self):
+        """Unblock the writers in `wait_writable`, or take the next request."""
+        self._writable.set()
+        if self._unread_watch is not None and not self._transport.is_closing():
+            self._release_handled()
+            self._continue()
+
+    # Called by the parser.
+
+    def on_message_begin(self):
+        """Start to assemble a request, and the receive timeout."""
+        # Unless there was another request before it in the same piece.
+        self._header_size = self._piece_size
+        self._listener.admission.end_idle(self)
+        self._limits = self._listener.get_limits()
+        memory = self._listener.memory.create_request_memory()
+        self._assembly = RequestAssembly(self._limits, memory, self._listener.random)
+        self._start_timeout(self._limits.header_timeout, self._on_receive_timeout)
+
+    def on_url(self, url):
+        """Append a fragment of the request target."""
+        self._assembly.add_target(url)
+
+    def on_header(self, name, value):
+        """Store a request header."""
+        self._assembly.add_header(name, value)
+
+    def on_headers_complete(self):
+        """Check the sizes, reserve memory and reply to `Expect: 100-continue`."""
+        if not self._assembly.complete_head():
+            return
+        if self._handled_memory is None:
+            self.write(CONTINUE_RESPONSE)
+            return
+        # It would end up inside the answer to another request. Until that has ended,
+        # the client waits, and so do the limits of time for its body.
+        self._owes_continue = True
+
+    def on_body(self, data):
+        """Append a body fragment; a client may send it without `100 Continue`."""
+        self._owes_continue = False
+        self._assembly.add_body(data)
+        self._has_new_body = True
+
+    def on_message_complete(self):
+        """Queue the complete request for handling."""
+        self._cancel_timeout()
+        self._piece_size = 0
+        self._owes_continue = False
+        assembly, self._assembly = self._assembly, None
+        raw = assembly.build(self._parser.get_method(), self._listener.clock())
+        keep_alive = self._parser.should_keep_alive()
+        self._pending.append(_QueuedRequest(raw, keep_alive, assembly.memory))
+        if len(self._pending) >= MAX_PIPELINED_REQUESTS:
+            self._pause_reading()
+        self._handle_next()
+
+    def _pause_reading(self):
+        if not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    # Request handling.
+
+    def _handle_next(self):
+        if self._handled_memory is not None or not self._pending:
+            return
+        queued = self._pending.popleft()
+        self._handled_memory = queued.memory
+        coroutine = self._handle(queued.content, queued.keep_alive)
+        self._handler_task = asyncio.get_running_loop().create_task(coroutine)
+
+    async def _handle(self, raw, keep_alive):
+        """Handle a RawRequest, or send a Refusal that was queued in place of one."""
+        is_refused = isinstance(raw, Refusal)
+        is_head_request = not is_refused and raw.method == b"HEAD"
+        responder = Responder(self, is_head_request, keep_alive)
+        try:
+            if is_refused:
+                self._listener.refuse(responder, raw)
+            else:
+                await self._listener.handle(raw, responder)
+        finally:
+            self._handler_task = None
+            self._finish_response(responder, is_refused)
+
+    def _finish_response(self, responder, is_refused):
+        if self._transport.is_closing():
+            self._release_handled()
+            return
+        if not responder.finished:
+            self.abort()
+            self._release_handled()
+            return
+        if not self._writable.is_set():
+            self._watch_unread(responder)
+        if not responder.keep_alive:
+            self._input_ended = True
+            self._close(is_refused)
+            return
+        if self._unread_watch is None:
+            self._release_handled()
+            self._continue()
+
+    def _close(self, is_refused):
+        """Close once everything has been taken; after a refusal, drop what comes."""
+        if not is_refused or not self._transport.can_write_eof():
+            self._transport.close()
+            return
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        self._start_timeout(LINGER_S, self._transport.close)
+
+    def _continue(self):
+        """Take the next request, or wait for it."""
+        if self._input_ended and not self._pending:
+            return
+        self._transport.resume_reading()
+        if self._pending:
+            self._handle_next()
+        elif self._owes_continue:
+            self._owes_continue = False
+            self.write(CONTINUE_RESPONSE)
+            self._start_timeout(self._limits.header_timeout, self._on_receive_timeout)
+        elif self._assembly is None:
+            self._listener.admission.begin_idle(self)
+            self._start_timeout(self._limits.idle_timeout, self.close_if_idle)
+
+    def _watch_unread(self, responder):
+        self._handled_memory.shrink_to(self._transport.get_write_buffer_size())
+        self._unread_watch = UnreadAnswerWatch(
+            self._transport,
+            self._limits.idle_timeout,
+            responder.client_waits_until,
+            self._listener.clock,
+            self._reset_stalled,
+        )
+
+    def _reset_stalled(self):
+        self._listener.on_stalled_reader()
+        self.abort()
+
+    def _release_handled(self):
+        """Release the memory of the request that was handled and has been answered."""
+        if self._unread_watch is not None:
+            self._unread_watch.cancel()
+            self._unread_watch = None
+        if self._handled_memory is not None:
+            self._handled_memory.release()
+            self._handled_memory = None
+
+    def _drop_received(self):
+        """Release what has been received of a request that will not be handled."""
+        if self._assembly is not None:
+            self._assembly.memory.release()
+            self._assembly = None
+            self._owes_continue = False
+
+    def write(self, data):
+        """Write bytes to the transport.
+
+        They are dropped if the client has left, of which `connection_lost` tells.
+        """
+        if not self._transport.is_closing():
+            self._transport.write(data)
+
+    def write_parts(self, parts):
+        """Write a list of bytes to the transport, without a copy of them all."""
+        if not self._transport.is_closing():
+            self._transport.writelines(parts)
+
+    async def wait_writable(self):
+        """Wait until the write buffer is empty."""
+        await self._writable.wait()
+
+    @property
+    def closes_after_response(self):
+        """Whether responses close the connection."""
+        return self._listener.closing
+
+    # Refusals, timeouts and closing.
+
+    def _check_partial_head(self):
+        try:
+            self._assembly.check_partial_head(self._header_size)
+        except LimitExceededError as error:
+            self._refuse_and_close(error.refusal)
+
+    def _refuse_and_close(self, refusal):
+        """Stop parsing, handle the queued requests, send the refusal and close."""
+        if self._input_ended:
+            return
+        self._input_ended = True
+        self._cancel_timeout()
+        self._drop_received()
+        memory = self._listener.memory.create_request_memory()
+        self._pending.append(_QueuedRequest(refusal, False, memory))
+        self._handle_next()
+
+    def _on_receive_timeout(self):
+        self._refuse_and_close(build_timeout_refusal())
+
+    def close_if_idle(self):
+        """Close the connection unless a request is in progress or queued."""
+        if not self.busy and not self._pending:
+            self._transport.close()
+
+    def abort(self):
+        """Reset the connection.
+
+        With an orderly close, a client could mistake a truncated response for a
+        complete one.
+        """
+        self._input_ended = True
+        self._transport.abort()
+
+    def _start_timeout(self, seconds, action):
+        self._cancel_timeout()
+        self._timeout_handle = asyncio.get_running_loop().call_later(seconds, action)
+
+    def _cancel_timeout(self):
+        if self._timeout_handle is not None:
+            self._timeout_handle.cancel()
+            self._timeout_handle = None
