--- a/test/gateway/test_memory_limit.py
+++ b/test/gateway/test_memory_limit.py
@@ -61,6 +61,7 @@
             yield rig
         finally:
             assert rig.process.returncode is None
+            assert "Traceback" not in rig.log
             assert rig.read_memory_mb("VmHWM") < MEMORY_LIMIT_MB
 
 
