--- a/tanagerwalk/process_memory.py
+++ b/tanagerwalk/process_memory.py
@@ -18,6 +18,10 @@
 # back to the system as soon as they are freed.
 M_MMAP_THRESHOLD = -3
 MAPPED_BLOCK_BYTES = 256 * 1024
+# How much free memory at the end of the heap is kept for the next request. The library
+# no longer adapts it once the parameter above is set.
+M_TRIM_THRESHOLD = -1
+KEPT_HEAP_BYTES = 4 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +88,7 @@
 def map_large_blocks():
     """Have the C library give large blocks back to the system once they are freed."""
     _call_libc("mallopt", M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES)
+    _call_libc("mallopt", M_TRIM_THRESHOLD, KEPT_HEAP_BYTES)
 
 
 def trim_heap():
