--- a/tanagerwalk/decisions/answer_durations.py
+++ b/tanagerwalk/decisions/answer_durations.py
@@ -9,6 +9,8 @@
 HIGH_QUANTILE = 0.95
 # Applied to the longest known duration if an answer must not be cut.
 STRICT_FACTOR = 1.25
+# Applied to the time for which one has been due that may take still longer.
+OVERDUE_FACTOR = 5.0
 
 
 @dataclass(slots=True)
@@ -77,7 +79,7 @@
             Monotonic time in seconds.
         is_strict : bool
             Whether the answer must not be cut: the longest known duration counts, and
-            nothing is known if one that is due takes longer already.
+            the longest time for which one has been due, each with a margin.
 
         Returns
         -------
@@ -91,7 +93,10 @@
         longest = max(entry.recent)
         if not is_strict:
             return _find_quantile([*entry.recent, *(a for a in ages if a > longest)])
-        return math.inf if max(ages, default=0.0) > longest else STRICT_FACTOR * longest
+        overdue = max(ages, default=0.0)
+        if overdue > longest:
+            return OVERDUE_FACTOR * overdue
+        return STRICT_FACTOR * longest
 
 
 def _find_quantile(durations):
