--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -102,6 +102,11 @@
         """Number of connections with a request in progress."""
         return sum(connection.busy for connection in self.connections)
 
+    @property
+    def is_drained(self):
+        """Whether no request is in progress, and every byte has been sent."""
+        return not any(c.busy or c.has_unsent for c in self.connections)
+
     def close_idle(self):
         """Close all connections without a request in progress."""
         for connection in list(self.connections):
@@ -158,6 +163,11 @@
         """Whether a request is being handled or partially received."""
         return self._handler_task is not None or self._assembly is not None
 
+    @property
+    def has_unsent(self):
+        """Whether the client hasn't taken all bytes that were written for it."""
+        return self._transport.get_write_buffer_size() > 0
+
     # Called by the event loop.
 
     def connection_made(self, transport):
--- a/tanagerwalk/gateway/planned_stop.py
+++ b/tanagerwalk/gateway/planned_stop.py
@@ -75,7 +75,7 @@
     def _has_told_clients(self):
         """Return whether clients have got every byte that there was for them."""
         self._client_listener.close_idle()
-        return not self._client_listener.connections
+        return self._client_listener.is_drained
 
     async def _end_requests(self):
         """Answer the requests that still run, and wait until clients have it."""
--- a/test/gateway/test_planned_stop.py
+++ b/test/gateway/test_planned_stop.py
@@ -291,3 +291,21 @@
         assert await stopping == 0
         assert time.monotonic() - stopped_at < PROCESS_GRACE_S
         writer.close()
+
+
+async def test_idle_connections_that_still_come_do_not_hold_up_the_stop(cluster):
+    """Guards against stops that last the whole grace although nothing runs."""
+    instance = cluster.instances.pop()
+
+    async def knock():
+        while True:
+            _, writer = await cluster.connect(instance)
+            await asyncio.sleep(0.002)
+            writer.close()
+
+    knocking = [asyncio.create_task(knock()) for _ in range(20)]
+    started_at = time.monotonic()
+    await instance.stop()
+    assert time.monotonic() - started_at < ACCEPT_AFTER_STOP_S + 0.3
+    for task in knocking:
+        task.cancel()
