--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -68,6 +68,11 @@
         """Whether a request is being handled or partially received."""
         return self._handler_task is not None or self._assembly is not None
 
+    @property
+    def has_unsent(self):
+        """Whether the client hasn't taken all bytes that were written for it."""
+        return self._transport.get_write_buffer_size() > 0
+
     # Called by the event loop.
 
     def connection_made(self, transport):
--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -79,6 +79,11 @@
         """Number of connections with a request in progress."""
         return sum(connection.busy for connection in self.connections)
 
+    @property
+    def is_drained(self):
+        """Whether no request is in progress, and every byte has been sent."""
+        return not any(c.busy or c.has_unsent for c in self.connections)
+
     def close_idle(self):
         """Close all connections without a request in progress."""
         for connection in list(self.connections):
