--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -87,6 +87,7 @@
         self._builder = LoadMessageBuilder(incarnation, failure_domain, random)
         self._role = Role.FLAT
         self._was_idle = False
+        self._unsendable = set()
         self.rejected = 0
 
     def authenticate(self, secret):
@@ -325,7 +326,16 @@
         for message in messages:
             datagram = sign(self._secret, encode(message))
             for address in addresses:
-                self._transport.sendto(datagram, address)
+                self._send_datagram(datagram, address)
+
+    def _send_datagram(self, datagram, address):
+        try:
+            self._transport.sendto(datagram, address)
+        except (OSError, ValueError) as error:
+            # An address of another family; the messages to the others go on.
+            if address not in self._unsendable:
+                log.warning("cannot send", receiver=address[0], problem=str(error))
+            self._unsendable.add(address)
 
     def _choose_leaving(self):
         """Return leaving servers to tell of; a sample if there are many."""
--- a/test/gateway/test_foreign_entries.py
+++ b/test/gateway/test_foreign_entries.py
@@ -6,6 +6,7 @@
 
 import pytest
 import pytest_asyncio
+import uvloop
 from odd_servers import NESTED, encode_server, list_odd_entries
 
 from tanagerwalk.controllers.loop import poll_until
@@ -19,10 +20,10 @@
         yield built
 
 
-async def check_that_store_is_followed(cluster):
+async def check_that_store_is_followed(cluster, instance=None):
     """Assert that the instance runs, serves, and learns of a new server."""
     await asyncio.sleep(0.1)
-    (instance,) = cluster.instances
+    instance = instance or cluster.instances[0]
     assert not instance.count_defects()
     reader, writer = await cluster.connect()
     for _ in range(4):
@@ -148,3 +149,33 @@
             reply = await cluster.send(cluster.encode("GET", "/jobs/1"))
             statuses.add(reply.status)
     assert statuses == {200}
+
+
+# Guards against an address of another family, for which the event loop of a process
+# raises, that ends the sending of load messages at all instances.
+@pytest.mark.parametrize("address", ["::1", "fe80::1", "::ffff:127.0.0.1", "240.0.0.1"])
+def test_peer_of_another_address_family_stops_no_messages(address):
+    async def run():
+        async with GatewayCluster() as cluster:
+            await cluster.build(drafts=0, desks=1, instances=2)
+            assert await cluster.wait_until_connected()
+            await check_beside_peer(cluster, address)
+
+    uvloop.run(run())
+
+
+async def check_beside_peer(cluster, address):
+    first, second = cluster.instances
+    peer = json.dumps({"address": address, "port": 9, "changes_port": 9}).encode()
+    # Before and after the other one in the order of the entries.
+    for key in ("tanagerwalk/instance/a.1", "tanagerwalk/instance/z.1"):
+        await cluster.store.put(key, peer)
+    assert await poll_until(lambda: len(first.membership.peers) == 3, 0.01, 3.0)
+    heard = []
+    second.sharing._process = heard.append
+    # An idle instance sends nothing.
+    first.sharing._was_idle = False
+    assert await poll_until(lambda: heard, 0.01, 10.0 * first.shared_loads.period)
+    for instance in cluster.instances:
+        assert not instance.count_defects()
+    await check_that_store_is_followed(cluster, first)
