--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -82,13 +82,13 @@
 
 
 def _check_forwarded_request(request, arrivals):
-    method, body, _ = REQUEST_KINDS[request.kind]
+    method, _, _ = REQUEST_KINDS[request.kind]
     for arrival in arrivals:
         received = arrival.request
         if (received.method, received.target, received.body) != (
             method,
             request.target,
-            body,
+            request.body,
         ):
             yield f"{request.target} arrived as {received.method} {received.target}"
         if received.headers.get("x-tanagerwalk-tenant") != "archive":
--- a/test/soak/clients.py
+++ b/test/soak/clients.py
@@ -5,12 +5,19 @@
 import time
 from dataclasses import dataclass
 
-from soak.fleet import API_KEYS
+from soak.fleet import API_KEYS, CLIENT_LIMITS
 from tanagerwalk.standins.gateway_cluster import HOST, read_reply
 
 REQUEST_DEADLINE_S = 4.0
 CLIENT_TIMEOUT_S = REQUEST_DEADLINE_S + 2.0
 MEAN_PAUSE_S = 0.03
+LARGE_SHARE = 0.02
+MAX_PADDING = CLIENT_LIMITS["max_body_bytes"] - 100
+BURST_SIZE = 60
+BURST_INTERVAL_S = 2.0
+PIPELINED = 10
+SLOW_PAUSE_S = 0.05
+IDLE_CONNECTIONS = 60
 # Per kind: method, body and whether the request may run more than once.
 REQUEST_KINDS = {
     "bookings": ("POST", b"slot", False),
@@ -39,6 +46,8 @@
         Monotonic time at which the reply was complete or the request failed.
     reply : Reply or None
         None if no reply arrived.
+    padding : int
+        Bytes by which the body is longer than usual.
     """
 
     id: str
@@ -48,6 +57,12 @@
     sent_at: float
     ended_at: float | None = None
     reply: object = None
+    padding: int = 0
+
+    @property
+    def body(self):
+        """Body of the request."""
+        return REQUEST_KINDS[self.kind][1] + b"x" * self.padding
 
     @property
     def target(self):
@@ -56,7 +71,8 @@
 
     def encode(self):
         """Return the bytes of the request."""
-        method, body, _ = REQUEST_KINDS[self.kind]
+        method, _, _ = REQUEST_KINDS[self.kind]
+        body = self.body
         lines = [
             f"{method} {self.target} HTTP/1.1",
             f"Host: {HOST}",
@@ -109,15 +125,65 @@
 
     async def _send_request(self, gateway, reader, writer):
         """Send one request; return whether the connection can be reused."""
+        request = self._make_request(gateway)
+        writer.write(request.encode())
+        return await self._read_reply(request, reader)
+
+    def _make_request(self, gateway):
+        """Return a recorded request, one in LARGE_SHARE with a large body."""
+        is_large = self._random.random() < LARGE_SHARE
         request = ClientRequest(
             id=_encode_base36(next(self._id_numbers)),
             kind=self._random.choice(tuple(REQUEST_KINDS)),
             key=self._random.choice(API_KEYS),
             gateway=gateway.name,
             sent_at=time.monotonic(),
+            padding=self._random.randrange(MAX_PADDING) if is_large else 0,
         )
         self.requests.append(request)
-        writer.write(request.encode())
+        return request
+
+    async def run_bursts(self, gateway):
+        """Send bursts of requests on connections of their own, until cancelled."""
+        while True:
+            await asyncio.sleep(BURST_INTERVAL_S * 2.0 * self._random.random())
+            await asyncio.gather(
+                *(self._send_alone(gateway) for _ in range(BURST_SIZE))
+            )
+
+    async def _send_alone(self, gateway):
+        streams = await self._connect(gateway)
+        if streams is not None:
+            await self._send_request(gateway, *streams)
+            streams[1].transport.abort()
+
+    async def run_slow_reader(self, gateway):
+        """Send many requests at once and read the replies slowly, until cancelled."""
+        while True:
+            await asyncio.sleep(SLOW_PAUSE_S)
+            streams = await self._connect(gateway)
+            if streams is None:
+                continue
+            reader, writer = streams
+            requests = [self._make_request(gateway) for _ in range(PIPELINED)]
+            writer.write(b"".join(request.encode() for request in requests))
+            for request in requests:
+                await asyncio.sleep(SLOW_PAUSE_S)
+                if not await self._read_reply(request, reader):
+                    break
+            writer.transport.abort()
+
+    async def run_idle(self, gateway):
+        """Keep idle connections open until cancelled."""
+        idle = []
+        while True:
+            idle = [s for s in idle if not s[0].at_eof() and not s[1].is_closing()]
+            if len(idle) < IDLE_CONNECTIONS:
+                idle += filter(None, [await self._connect(gateway)])
+            await asyncio.sleep(0.0 if len(idle) < IDLE_CONNECTIONS else MEAN_PAUSE_S)
+
+    async def _read_reply(self, request, reader):
+        """Read a reply; return whether the connection can be reused."""
         try:
             async with asyncio.timeout(CLIENT_TIMEOUT_S):
                 request.reply = await read_reply(reader)
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -1,6 +1,7 @@
 """The soak's fleet: gateway processes, stand-ins and the links between them."""
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -9,6 +10,7 @@
 import time
 from dataclasses import dataclass, field
 
+from soak.exits import LIMITS_SETTINGS, Exit, limit_descriptors, read_peak_mb
 from soak.links import FaultyLink
 from tanagerwalk.standins.backend import BackendStandIn
 from tanagerwalk.standins.gateway_cluster import build_manifest
@@ -20,6 +22,11 @@
 REVOCATION_LIMIT_S = 5.0
 DRAIN_LIMIT_S = 2.5
 GRACE_S = 3.0
+# What clients may send, enough of which fills the memory of a process.
+CLIENT_LIMITS = {"max_header_bytes": 4096, "max_body_bytes": 1_000_000}
+# Until the platform starts a process again that has ended.
+RESTART_PAUSE_S = 0.3
+MEMORY_INTERVAL_S = 0.2
 API_KEYS = ("key-that-stays", "key-that-goes")
 SETTINGS_TEMPLATE = """
 node_name = "{name}"
@@ -85,6 +92,12 @@
     health_port: int = 0
     process: asyncio.subprocess.Process | None = None
     start_count: int = 0
+    # The signal that was sent to each process to stop it.
+    stop_signals: dict[int, int] = field(default_factory=dict)
+    is_closed: bool = False
+    exits: list[Exit] = field(default_factory=list)
+    peaks_mb: dict[str, float] = field(default_factory=dict)
+    watches: set[asyncio.Task] = field(default_factory=set)
     # Restarts may overlap, and two processes can't listen on the same ports.
     restart_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
@@ -100,7 +113,32 @@
                 *("--settings", str(self.folder / f"{self.name}.toml")),
                 stdout=file,
                 stderr=file,
+                preexec_fn=limit_descriptors,
             )
+        watch = asyncio.create_task(self._watch(self.process))
+        self.watches.add(watch)
+        watch.add_done_callback(self.watches.discard)
+
+    async def _watch(self, process):
+        """Record how a process ends, and start another if nothing stopped it."""
+        name = f"{self.name}.{self.start_count}"
+        while process.returncode is None:
+            self._read_memory(name, process)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(MEMORY_INTERVAL_S):
+                    await process.wait()
+        sent = self.stop_signals.get(process.pid)
+        self.exits.append(Exit(name, process.returncode, sent))
+        if sent is not None:
+            return
+        await asyncio.sleep(RESTART_PAUSE_S)
+        async with self.restart_lock:
+            if process is self.process and not self.is_closed:
+                await self.start()
+
+    def _read_memory(self, name, process):
+        peak = max(self.peaks_mb.get(name, 0.0), read_peak_mb(process.pid))
+        self.peaks_mb[name] = peak
 
     def _write_settings(self):
         self.client_port, self.health_port, peer_port = (
@@ -113,7 +151,7 @@
             "peers": peer_port,
         }
         path = self.folder / f"{self.name}.toml"
-        path.write_text(SETTINGS_TEMPLATE.format(**identity, **ports))
+        path.write_text(SETTINGS_TEMPLATE.format(**identity, **ports) + LIMITS_SETTINGS)
 
     def send_signal(self, signal_number):
         """Send a signal to the process if it is running."""
@@ -129,6 +167,9 @@
     async def stop(self, signal_number):
         """Send a signal to the process and wait until it has exited."""
         self.send_signal(signal.SIGCONT)
+        if self.process.returncode is None:
+            self._read_memory(f"{self.name}.{self.start_count}", self.process)
+            self.stop_signals[self.process.pid] = signal_number
         self.send_signal(signal_number)
         await self.process.wait()
 
@@ -187,7 +228,9 @@
     async def _put_manifest(self, is_revoked):
         keys = list(API_KEYS[:1] if is_revoked else API_KEYS)
         accounts = [{"name": "archive", "api_keys": keys}]
-        manifest = build_manifest(self.manifest_version, tenants=accounts)
+        manifest = build_manifest(
+            self.manifest_version, tenants=accounts, limits=CLIENT_LIMITS
+        )
         await self.store.put("op/config", manifest)
 
     async def write_again(self):
@@ -235,8 +278,11 @@
     async def stop(self):
         """Kill the gateway processes and stop the stand-ins and links."""
         for gateway in self.gateways:
-            if gateway.process is not None and gateway.process.returncode is None:
-                await gateway.stop(signal.SIGKILL)
+            gateway.is_closed = True
+            async with gateway.restart_lock:
+                if gateway.process is not None and gateway.process.returncode is None:
+                    await gateway.stop(signal.SIGKILL)
+            await asyncio.gather(*gateway.watches)
             gateway.link.stop()
         for server_id, server in self.servers.items():
             self.links[server_id].stop()
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -7,6 +7,7 @@
 
 from soak.checks import find_violations
 from soak.clients import REQUEST_KINDS, Clients
+from soak.exits import find_exit_violations
 from soak.faults import FaultInjector
 from soak.fleet import Fleet
 
@@ -55,6 +56,11 @@
             for gateway in fleet.gateways
             for _ in range(CLIENTS_PER_GATEWAY)
         ]
+        tasks += [
+            asyncio.create_task(run(gateway))
+            for gateway in fleet.gateways
+            for run in (clients.run_bursts, clients.run_slow_reader, clients.run_idle)
+        ]
         await asyncio.sleep(WARM_UP_S)
         await injector.run(seconds)
         timeout = RECOVERY_TIMEOUT_S if timed else UNTIMED_RECOVERY_TIMEOUT_S
@@ -67,7 +73,11 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await fleet.stop()
-    return Report(violations, _summarize(clients.requests, injector.injected_faults))
+    exits = [ended for gateway in fleet.gateways for ended in gateway.exits]
+    peaks = {k: v for gateway in fleet.gateways for k, v in gateway.peaks_mb.items()}
+    violations += find_exit_violations(exits, peaks)
+    summary = _summarize(clients.requests, injector.injected_faults)
+    return Report(violations, f"{summary}; peak {max(peaks.values()):.0f} MB")
 
 
 def _treat_as_disturbed(begin, end):
