--- a/tanagerwalk/clients/batches.py
+++ b/tanagerwalk/clients/batches.py
@@ -3,10 +3,13 @@
 import asyncio
 from dataclasses import dataclass
 
+import structlog
 from expression import Error, Ok
 
 from ..writes import StoreFault, Write
 
+log = structlog.get_logger(__name__)
+
 # etcd allows 128 operations per transaction; the enclosing transaction counts as one.
 MAX_WRITES = 100
 MAX_BYTES = 512 * 1024
@@ -112,6 +115,10 @@
     async def _send(self, batch):
         try:
             results = await self._call(batch)
+        except Exception:
+            # Without a result each writer would wait for good.
+            log.exception("batch of writes failed", writes=len(batch))
+            results = [Error(StoreFault.UNKNOWN)] * len(batch)
         finally:
             self._running -= 1
         for item, result in zip(batch, results, strict=True):
--- a/test/clients/test_batches.py
+++ b/test/clients/test_batches.py
@@ -146,3 +146,23 @@
     client.release.set()
     assert (await probe).is_ok()
     assert all(result.is_ok() for result in await send_all(store, make_writes(5)))
+
+
+@pytest.mark.parametrize("count", [1, 3])
+async def test_write_whose_call_raises_has_an_unknown_outcome(monkeypatch, count):
+    """Guards against a writer that waits for good after a defect."""
+    client = FakeClient()
+
+    async def fail(_writes):
+        raise MemoryError
+
+    monkeypatch.setattr(client, "write_all", fail)
+    store = BatchingStore(client)
+    async with asyncio.timeout(0.5):
+        results = await send_all(store, make_writes(count))
+    assert [result.error for result in results] == [StoreFault.UNKNOWN] * count
+    monkeypatch.undo()
+    client.release.set()
+    async with asyncio.timeout(0.5):
+        (result,) = await send_all(store, make_writes(1))
+    assert result.is_ok()
