--- /dev/null
+++ b/test/gateway/test_review_memory.py
@@ -0,0 +1,103 @@
+"""Memory of a gateway process that its budget doesn't see, or gives to the wrong ones.
+
+Found in a review; each test shows a fault.
+"""
+
+import asyncio
+from collections import Counter
+
+from gateway.test_memory_limit import (
+    BODY_BYTES,
+    encode_answer,
+    encode_head,
+    open_stalled_reader,
+    run_process,
+    send_booking,
+    serve_small_requests,
+)
+
+from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.gateway_cluster import GatewayCluster
+
+STALLED_READERS = 60
+WAITING_ANSWER = encode_answer(400000)
+
+
+# Guards against unread answers of which only the bytes not yet sent are counted, while
+# all of each stays in memory: 60 of 8 MB took 317 MB with 37 MB counted.
+async def test_unread_answers_count_for_what_they_take(tmp_path):
+    async with run_process(tmp_path) as rig:
+        for server in rig.servers:
+            server.behaviour = Behaviour("raw", raw=encode_answer(8000000))
+        socks = [
+            await open_stalled_reader(rig, encode_head(n, "GET", "/jobs/1"))
+            for n in range(STALLED_READERS)
+        ]
+        # Until their clients' time is over, and a little longer.
+        await asyncio.sleep(5.0)
+        for sock in socks:
+            sock.close()
+
+
+# Guards against bodies that are announced but trickle, and keep all larger requests out
+# for ever while the process takes no more memory than an idle one.
+async def test_trickling_bodies_do_not_keep_others_out(tmp_path):
+    async with run_process(tmp_path) as rig:
+        writers = []
+        statuses = Counter()
+
+        async def open_trickle(size):
+            _, writer = await rig.connect()
+            length = f"Content-Length: {size}"
+            writer.write(encode_head("slow", "POST", "/bookings/7", length))
+            writers.append(writer)
+
+        for size in [BODY_BYTES] * 20 + [400000] * 10 + [90000] * 10:
+            await open_trickle(size)
+        for number in range(12):
+            await asyncio.sleep(0.5)
+            await open_trickle(90000)
+            for writer in writers:
+                writer.write(b"x")
+            reply = await send_booking(rig, f"try-{number}", b"x" * 100000)
+            statuses[reply.status] += 1
+        for writer in writers:
+            writer.transport.abort()
+        assert statuses[200] >= 6, statuses
+
+
+# Guards against a few clients whose pipelined tiny requests, parsed far beyond the
+# number that may wait, take the memory of all others.
+async def test_pipelined_tiny_requests_do_not_keep_others_out(tmp_path):
+    async with run_process(tmp_path) as rig:
+        for server in rig.servers:
+            server.behaviour = Behaviour(delay=0.3)
+        writers = []
+        for _ in range(12):
+            _, writer = await rig.connect()
+            writer.write(encode_head(1, "GET", "/jobs/1") * 1200)
+            writers.append(writer)
+        await asyncio.sleep(0.5)
+        statuses = await serve_small_requests(rig)
+        for writer in writers:
+            writer.transport.abort()
+        assert set(statuses) == {200}, statuses
+
+
+# Guards against a server that is kept off, and a release that counts as bad, because
+# this instance had no memory to read an answer that had come in time.
+async def test_server_is_not_blamed_for_an_answer_that_waits_for_memory():
+    async with GatewayCluster() as cluster:
+        await cluster.build(desks=1)
+        [instance] = cluster.instances
+        cluster.servers["desk-0"].behaviour = Behaviour("raw", raw=WAITING_ANSWER)
+        memory = instance.memory
+        other = memory.create_request_memory()
+        other.hold(memory.capacity)
+        assert other.may_read_on(lambda: None)
+        other.shrink_to(int(0.8 * memory.capacity))
+        data = cluster.encode("GET", "/jobs/1", X_Tanagerwalk_Deadline_Ms="1500")
+        await cluster.send(data)
+        usage = instance.servers.find("desk-0")
+        assert usage.paused_until <= instance.clock()
+        other.release()
--- a/test/test_build.py
+++ b/test/test_build.py
@@ -2,6 +2,7 @@
 
 import importlib.util
 import json
+import shutil
 import sys
 from pathlib import Path
 
@@ -106,3 +107,16 @@
 def test_deploy_file_runs_this_build():
     text = (PATH.parent / "system.toml").read_text()
     assert 'build = "python3 deploy/build.py"' in text
+
+
+# Guards against an install that counts as whole although a part of a library that the
+# gateway imports is cut short: the process then ends at its start.
+def test_install_with_a_broken_part_of_a_library_is_not_whole(repository):
+    package = Path(importlib.util.find_spec("thrift").origin).parent
+    shutil.copytree(package, repository.deps / "thrift")
+    part = repository.deps / "thrift" / "protocol" / "TBinaryProtocol.py"
+    part.write_text(part.read_text()[:1000])
+    stamp = repository.module.make_stamp(repository.root)
+    (repository.deps / repository.module.STAMP).write_text(json.dumps(stamp))
+    modules = [name for name in repository.module.MODULES if name.startswith("thrift")]
+    assert not repository.module.is_whole(repository.deps, repository.root, modules)
