--- a/tanagerwalk/gateway/port_wait.py
+++ b/tanagerwalk/gateway/port_wait.py
@@ -70,7 +70,10 @@
         return result
     try:
         await serve(result.ok)
-    except OSError as error:
+    except Exception as error:
+        if not isinstance(error, OSError):
+            # Without another attempt the listener would stay closed.
+            log.exception("listener failed to open")
         result.ok.close()
         return Error(error)
     if result.ok.fileno() < 0:
--- a/test/gateway/test_controller_defects.py
+++ b/test/gateway/test_controller_defects.py
@@ -6,13 +6,14 @@
 
 import pytest
 import pytest_asyncio
-from expression import Error
+from expression import Error, Ok
 
 from tanagerwalk import supervisor as supervisor_module
 from tanagerwalk.controllers.loop import poll_until
 from tanagerwalk.decisions.paths import PathState
 from tanagerwalk.gateway import fleet_key as fleet_key_module
 from tanagerwalk.gateway import membership as membership_module
+from tanagerwalk.gateway import port_wait as port_wait_module
 from tanagerwalk.gateway.tunnels import TunnelTransport
 from tanagerwalk.standins.gateway_cluster import API_KEY, GatewayCluster, build_manifest
 
@@ -293,3 +294,29 @@
     TunnelTransport(channel, connection)
     assert await poll_until(lambda: connection.lost, 0.01, 1.0)
     assert (connection.lost, channel.closed) == (1, True)
+
+
+class FakeSocket:
+    def close(self):
+        pass
+
+    def fileno(self):
+        return 3
+
+
+async def test_listener_whose_opening_raises_is_opened_later(monkeypatch):
+    """Guards against a listener that stays closed, and a start that ends."""
+    monkeypatch.setattr(port_wait_module, "RETRY_PAUSE_S", 0.01)
+    served = []
+
+    async def serve(sockets):
+        served.append(sockets)
+        if len(served) <= 2:
+            raise MemoryError
+
+    wait = port_wait_module.PortWait()
+    await wait.open("clients", lambda: Ok("sockets"), serve)
+    assert await poll_until(lambda: len(served) == 3, 0.01, 1.0)
+    await asyncio.sleep(0.05)
+    assert len(served) == 3
+    wait.close()
