--- a/test/gateway/test_controller_defects.py
+++ b/test/gateway/test_controller_defects.py
@@ -315,7 +315,7 @@
             raise MemoryError
 
     wait = port_wait_module.PortWait()
-    await wait.open("clients", lambda: Ok("sockets"), serve)
+    await wait.open("clients", lambda: Ok(FakeSocket()), serve)
     assert await poll_until(lambda: len(served) == 3, 0.01, 1.0)
     await asyncio.sleep(0.05)
     assert len(served) == 3
