--- a/tanagerwalk/api/admin.py
+++ b/tanagerwalk/api/admin.py
@@ -16,12 +16,14 @@
         Metrics served at `/metrics`.
     report_status : callable
         Returns the object served as JSON at `/status`.
+    bounds : ConnectionBounds
+        Limits of the connections.
     """
 
-    def __init__(self, metrics, report_status):
+    def __init__(self, metrics, report_status, bounds):
         self._metrics = metrics
         self._report_status = report_status
-        self.listener = Listener("admin")
+        self.listener = Listener("admin", bounds)
         app = self.listener.app
         app.add_route(self._handle_metrics, "/metrics", methods=["GET"])
         app.add_route(self._handle_status, "/status", methods=["GET"])
--- a/tanagerwalk/api/callers.py
+++ b/tanagerwalk/api/callers.py
@@ -5,6 +5,7 @@
 import uuid
 
 import msgspec
+from expression import Error
 from sanic.exceptions import SanicException
 from sanic.response import json as json_response
 from sanic.response import raw
@@ -12,8 +13,10 @@
 from ..decisions.submissions import correct_run_state
 from ..filters.submission import describe_submission
 from ..ids import RequestId
+from ..memory import ANSWER_COPIES, RequestMemory, estimate_decoded_bytes
 from ..messages import RequestContext, Sink
 from ..outcomes import Interface, Refusal, RefusalReason
+from .connections import RefusedError, make_memory_refusal
 from .listener import Listener
 from .payloads import read_body
 
@@ -98,9 +101,11 @@
         Returns monotonic time in seconds.
     request_size : int
         Maximum size of a request body in bytes.
+    bounds : ConnectionBounds
+        Limits of the connections.
     """
 
-    def __init__(self, handler, is_ready, metrics, clock, request_size):
+    def __init__(self, handler, is_ready, metrics, clock, request_size, bounds):
         self._handler = handler
         self._is_ready = is_ready
         self._metrics = metrics
@@ -108,13 +113,14 @@
         self.in_flight = 0
         self.draining = False
         self.stopping = False
-        self.listener = Listener("callers")
+        self.listener = Listener("callers", bounds)
         app = self.listener.app
         app.config.REQUEST_MAX_SIZE = request_size
         app.add_route(self._handle_chat, "/v1/chat/completions", methods=["POST"])
         app.add_route(
             self._handle_service_call, "/v1/classes/<name:str>", methods=["POST"]
         )
+        app.exception(RefusedError)(self._handle_refused)
         app.add_route(self._handle_ready, "/health/ready", methods=["GET"])
 
     async def _handle_ready(self, request):
@@ -122,12 +128,16 @@
         return json_response({"ready": ready}, status=OK_STATUS if ready else 503)
 
     async def _handle_chat(self, request):
-        return await self._serve(request, read_body(request.body, Interface.CHAT))
+        return await self._serve(request, _read_request(request, Interface.CHAT))
 
     async def _handle_service_call(self, request, name):
-        body = read_body(request.body, Interface.SERVICE, name)
+        body = _read_request(request, Interface.SERVICE, name)
         return await self._serve(request, body, Interface.SERVICE)
 
+    async def _handle_refused(self, request, error):
+        del request
+        return self._refuse(error.refusal)
+
     async def _serve(self, request, checked, interface=Interface.CHAT):
         if checked.is_error():
             return self._refuse(checked.error)
@@ -138,6 +148,7 @@
         if self.stopping:
             submission = describe_submission(context)
             return self._refuse(correct_run_state(_make_stopping_refusal(), submission))
+        context.memory = RequestMemory(request.stream.memory)
         sink = None
         if checked.ok.stream:
             sink = StreamSink(request, context)
@@ -145,6 +156,8 @@
         self.in_flight += 1
         try:
             result = await self._handler(context)
+            if result.is_ok():
+                request.stream.reserve(len(result.ok.content) * ANSWER_COPIES)
             if sink is not None:
                 return await _finish_stream(sink, context, result)
             return _render_result(result, context, interface)
@@ -152,6 +165,7 @@
             self._metrics.hang_ups.inc()
             raise
         finally:
+            context.memory.end()
             self.in_flight -= 1
 
     def _refuse(self, refusal):
@@ -176,6 +190,17 @@
         )
 
 
+def _read_request(request, interface, class_name=""):
+    """Return the checked body of a request, if there is memory to decode it."""
+    body = request.body
+    amount = estimate_decoded_bytes(body) - len(body)
+    if not request.stream.try_reserve(max(0, amount)):
+        return Error(make_memory_refusal(request.stream.memory, amount))
+    # What is received is not needed any more once it is decoded.
+    request.body = b""
+    return read_body(body, interface, class_name)
+
+
 def make_headers(context, version):
     """Return the headers common to all responses.
 
--- a/tanagerwalk/api/listener.py
+++ b/tanagerwalk/api/listener.py
@@ -5,6 +5,8 @@
 
 from sanic import Sanic
 
+from .connections import BoundedConnection
+
 MAX_RESPONSE_TIME_S = 24 * 3600
 BACKLOG = 1024
 
@@ -16,10 +18,13 @@
     ----------
     name : str
         Prefix of the application's name, which must be unique in the process.
+    bounds : ConnectionBounds
+        Limits of its connections.
     """
 
-    def __init__(self, name):
+    def __init__(self, name, bounds):
         self.app = Sanic(f"{name}-{uuid.uuid4().hex[:8]}", configure_logging=False)
+        self.app.ctx.bounds = bounds
         self.app.config.MOTD = False
         self.app.config.ACCESS_LOG = False
         # TOUCHUP rewrites sanic's methods, which works for one application only.
@@ -27,6 +32,8 @@
         # The filter chain enforces a deadline per request: the `patience` of its
         # class. Sanic's own timeout only has to be longer than any of them.
         self.app.config.RESPONSE_TIMEOUT = MAX_RESPONSE_TIME_S
+        # The same holds for unread answers, which `read_timeout` ends.
+        self.app.config.GRACEFUL_TCP_CLOSE_TIMEOUT = MAX_RESPONSE_TIME_S
         self._server = None
         self.port = 0
 
@@ -43,7 +50,10 @@
         sock.bind((address, port))
         self.port = sock.getsockname()[1]
         self._server = await self.app.create_server(
-            sock=sock, backlog=BACKLOG, return_asyncio_server=True
+            sock=sock,
+            backlog=BACKLOG,
+            return_asyncio_server=True,
+            protocol=BoundedConnection,
         )
         await self._server.startup()
 
--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -9,6 +9,7 @@
 
 from .api.admin import AdminApi
 from .api.callers import CallersApi
+from .api.connections import ConnectionBounds
 from .chains import build_chain
 from .controllers.configuration import ConfigurationController
 from .controllers.evidence import EvidenceController
@@ -33,9 +34,11 @@
 from .decisions.rendezvous import find_rank
 from .decisions.servers import Home, ServerTable
 from .decisions.version_rollouts import RolloutTracker
+from .descriptors import ADMIN_CONNECTIONS, find_max_connections
 from .external import ExternalClients
 from .gate import Gate
 from .ids import Incarnation
+from .memory import Memory, find_capacity
 from .metrics import Metrics
 from .peers.reconcile import ByteBudget, Reconciler
 from .planning import PlanInputCollector
@@ -74,7 +77,8 @@
         self.wall_clock = wall_clock
         self.random = random.Random(seed)
         self.supervisor = Supervisor(self.metrics.controller_restarts)
-        self.external = ExternalClients(settings)
+        self.memory = Memory(find_capacity(settings.limits.memory))
+        self.external = ExternalClients(settings, self.memory)
         self.store = self.external.store
         self._wire_state()
         self._wire_controllers()
@@ -259,14 +263,27 @@
 
     def _wire_apis(self):
         settings = self.settings
+        self.callers_bounds = self._make_bounds(find_max_connections())
+        self.metrics.watch_bounds(self.callers_bounds)
         self.callers = CallersApi(
             build_chain(self),
             self.is_ready,
             self.metrics,
             self.clock,
             settings.limits.request_size,
+            self.callers_bounds,
+        )
+        self.admin = AdminApi(
+            self.metrics,
+            lambda: describe_instance(self),
+            self._make_bounds(ADMIN_CONNECTIONS),
+        )
+
+    def _make_bounds(self, max_connections):
+        limits = self.settings.limits
+        return ConnectionBounds(
+            self.memory, max_connections, limits.receive_timeout, limits.read_timeout
         )
-        self.admin = AdminApi(self.metrics, lambda: describe_instance(self))
 
     def is_first_in_line(self, key):
         """Return whether this instance comes first of all in the order for a key."""
--- a/tanagerwalk/clients/attempts.py
+++ b/tanagerwalk/clients/attempts.py
@@ -34,7 +34,7 @@
     )
 
 
-async def run_attempt(exchange, limit):
+async def run_attempt(exchange, limit, held):
     """Run one HTTP exchange and return its failures as values.
 
     Parameters
@@ -43,6 +43,8 @@
         Coroutine that performs the exchange and returns a Result.
     limit : float
         Timeout in seconds.
+    held : HeldAnswer
+        The answer. Its context ends with the attempt.
 
     Returns
     -------
@@ -51,12 +53,15 @@
         returned such a failure.
     """
     try:
-        async with asyncio.timeout(limit):
-            return await exchange
+        with held:
+            async with asyncio.timeout(limit):
+                return await exchange
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
         return Error(AttemptFailure(RetryReason.CONNECT_FAILED, sent=False))
     except TimeoutError:
-        return Error(AttemptFailure(RetryReason.ATTEMPT_TIMEOUT, sent=True))
+        own = held.has_waited
+        reason = RetryReason.OWN_LIMIT if own else RetryReason.ATTEMPT_TIMEOUT
+        return Error(AttemptFailure(reason, sent=True))
     except aiohttp.ClientPayloadError:
         failure = AttemptFailure(
             RetryReason.CONNECTION_LOST, sent=True, crashed=True, has_begun=True
--- a/tanagerwalk/clients/engines.py
+++ b/tanagerwalk/clients/engines.py
@@ -1,5 +1,6 @@
 """Client for model engines that serve the streaming OpenAI chat-completions API."""
 
+import sys
 from dataclasses import dataclass
 from typing import Any
 
@@ -10,6 +11,7 @@
 from ..addresses import parse_address
 from ..decisions.servers import LoadReport
 from ..documents import decode_json
+from ..memory import Memory
 from ..messages import AttemptFailure, Usage
 from ..outcomes import RetryReason
 from .attempts import REQUEST_ID_HEADER, build_timeout, classify_status, run_attempt
@@ -96,9 +98,12 @@
         Session used for all calls.
     retries : RetrySettings
         Timeouts.
+    memory : Memory or None
+        Counts the answers that are being received; None to count none.
     """
 
-    def __init__(self, http, retries):
+    def __init__(self, http, retries, memory=None):
+        self._memory = memory or Memory(sys.maxsize)
         self._http = http
         self._timeout = build_timeout(retries)
 
@@ -122,9 +127,10 @@
             the request itself with a status of 400 to 499; 404 (version not loaded)
             and 429 are failures, as is any status but 200 for the rest of a text.
         """
-        return await run_attempt(self._exchange(attempt, on_text), deadline)
+        held = self._memory.hold_answer()
+        return await run_attempt(self._exchange(attempt, on_text, held), deadline, held)
 
-    async def _exchange(self, attempt, on_text):
+    async def _exchange(self, attempt, on_text, held):
         if parse_address(attempt.address) is None:
             return Error(AttemptFailure(RetryReason.CONNECT_FAILED, sent=False))
         async with self._http.post(
@@ -147,8 +153,9 @@
                 # The caller has part of the answer already.
                 return Error(AttemptFailure(RetryReason.SERVER_ERROR, sent=True))
             if response.status != OK_STATUS:
-                return Ok(ChatOutcome(response.status, error=await read_body(response)))
-            return await _read_stream(response, on_text)
+                error = await read_body(response, held)
+                return Ok(ChatOutcome(response.status, error=error))
+            return await _read_stream(response, on_text, held)
 
     async def read_load(self, address, timeout, models=True):
         """Read an engine's load and, optionally, its loaded versions.
@@ -202,10 +209,11 @@
     return msgspec.json.encode(body)
 
 
-async def _read_stream(response, on_text):
+async def _read_stream(response, on_text, held):
     usage = Usage()
     finish_reason = None
     async for line in response.content:
+        held.count(len(line))
         if not line.startswith(DATA_PREFIX):
             continue
         data = line[len(DATA_PREFIX) :].strip()
--- a/tanagerwalk/clients/http.py
+++ b/tanagerwalk/clients/http.py
@@ -10,6 +10,8 @@
 # Headers that aiohttp adds to requests that lack them.
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# What a connection holds of an answer that isn't taken is a small multiple of this.
+READ_BUFFER_BYTES = 32 * 1024
 
 
 class StrictResponseHandler(ResponseHandler):
@@ -55,6 +57,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=SKIPPED_HEADERS,
         auto_decompress=False,
+        read_bufsize=READ_BUFFER_BYTES,
         trust_env=False,
     )
     with warnings.catch_warnings():
@@ -77,13 +80,15 @@
     return URL(f"http://{address}{path}", encoded=True)
 
 
-async def read_body(response):
+async def read_body(response, held=None):
     """Read the body of a response, of at most MAX_BODY_BYTES.
 
     Parameters
     ----------
     response : aiohttp.ClientResponse
         The response.
+    held : HeldAnswer or None
+        Counts the body in memory, and makes its reception wait for room.
 
     Returns
     -------
@@ -97,6 +102,8 @@
     parts = []
     size = 0
     async for part in response.content.iter_any():
+        if held is not None:
+            await held.grow(len(part))
         parts.append(part)
         size += len(part)
         if size > MAX_BODY_BYTES:
--- a/tanagerwalk/clients/services.py
+++ b/tanagerwalk/clients/services.py
@@ -1,5 +1,6 @@
 """Client for plain services, to which calls are passed through."""
 
+import sys
 from dataclasses import dataclass
 from typing import Any
 
@@ -9,6 +10,7 @@
 
 from ..addresses import parse_address
 from ..decisions.servers import LoadReport
+from ..memory import Memory
 from ..messages import AttemptFailure
 from ..outcomes import RetryReason
 from .attempts import REQUEST_ID_HEADER, build_timeout, classify_status, run_attempt
@@ -68,9 +70,12 @@
         is written to it, and then it is unknown whether the call ran.
     retries : RetrySettings
         Timeouts.
+    memory : Memory or None
+        Counts the answers that are being received; None to count none.
     """
 
-    def __init__(self, http, unpooled_http, retries):
+    def __init__(self, http, unpooled_http, retries, memory=None):
+        self._memory = memory or Memory(sys.maxsize)
         self._http = http
         self._unpooled_http = unpooled_http
         self._timeout = build_timeout(retries)
@@ -89,9 +94,10 @@
         -------
         Result of ServiceOutcome, or of AttemptFailure
         """
-        return await run_attempt(self._exchange(attempt), deadline)
+        held = self._memory.hold_answer()
+        return await run_attempt(self._exchange(attempt, held), deadline, held)
 
-    async def _exchange(self, attempt):
+    async def _exchange(self, attempt, held):
         headers = {
             "Content-Type": "application/json",
             REQUEST_ID_HEADER: attempt.attempt,
@@ -108,7 +114,7 @@
             headers=headers,
             timeout=self._timeout,
         ) as response:
-            content = await read_body(response)
+            content = await read_body(response, held)
             failure = classify_status(response)
             if failure is not None:
                 return Error(failure)
--- a/tanagerwalk/decisions/retries.py
+++ b/tanagerwalk/decisions/retries.py
@@ -88,6 +88,12 @@
         None to retry, otherwise the final refusal.
     """
     run_state = RunState.UNKNOWN if state.sent else RunState.NOT_RUN
+    if failure.reason is RetryReason.OWN_LIMIT and not state.sent:
+        return Refusal(
+            RefusalReason.DESCRIPTORS_FULL,
+            "this instance has no descriptor left for the request",
+            retry_after=RETRY_AFTER_FAILURE_S,
+        )
     if state.sent and not state.idempotent:
         return Refusal(
             RefusalReason.BACKEND_FAILED,
--- a/tanagerwalk/external.py
+++ b/tanagerwalk/external.py
@@ -17,6 +17,8 @@
     ----------
     settings : Settings
         Addresses and timeouts.
+    memory : Memory
+        Counts the answers of backend servers.
 
     Attributes
     ----------
@@ -30,7 +32,7 @@
     peer_server : PeerServer
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, memory):
         self._http = build_session()
         self._unpooled_http = build_session(keep_connections=False)
         platform = settings.platform
@@ -38,8 +40,10 @@
         self.store = KeyValueClient(self._http, platform.keyvalue, timeout)
         self.targets = TargetsClient(self._http, platform.instances, timeout)
         self.ratings = RatingsClient(self._http, platform.ratings, timeout)
-        self.engines = EngineClient(self._http, settings.retries)
-        self.services = ServiceClient(self._http, self._unpooled_http, settings.retries)
+        self.engines = EngineClient(self._http, settings.retries, memory)
+        self.services = ServiceClient(
+            self._http, self._unpooled_http, settings.retries, memory
+        )
         self.orders = OrderClient(self._unpooled_http, settings.orders)
         peers = settings.peers
         self.peer_server = PeerServer(peers.secret)
--- a/tanagerwalk/filters/dispatch.py
+++ b/tanagerwalk/filters/dispatch.py
@@ -50,9 +50,10 @@
         else:
             result = await self._call_engine(context, max_silence)
         if result.is_error():
-            server = context.grant.server
-            return Error(dataclasses.replace(result.error, server=server))
+            return Error(_name_server(result.error, context))
         answer = self._make_answer(result.ok, context)
+        if context.memory is not None:
+            context.memory.keep_answer(len(answer.content))
         return Ok(
             dataclasses.replace(
                 answer, usage=_compute_usage(answer, context, resumed_pieces)
@@ -75,10 +76,12 @@
         attempt = context.attempt
         remaining = max(0.0, context.deadline - self._clock())
         loop = asyncio.get_running_loop()
+        is_writing = False
         try:
             async with asyncio.timeout(max_silence) as silence_timeout:
 
                 async def handle_text(text):
+                    nonlocal is_writing
                     # Late text of an abandoned attempt must not reach the caller.
                     if context.attempt != attempt:
                         return
@@ -86,13 +89,18 @@
                         loop.time() + self._get_max_silence(context)
                     )
                     context.generated.append(text)
+                    is_writing = True
                     await context.sink.write(text)
+                    is_writing = False
 
                 return await self._engines.complete(
                     _make_chat_attempt(context), remaining, handle_text
                 )
         except TimeoutError:
-            return Error(AttemptFailure(RetryReason.ATTEMPT_TIMEOUT, sent=True))
+            # A caller that doesn't read on is no fault of the engine.
+            own = is_writing
+            reason = RetryReason.OWN_LIMIT if own else RetryReason.ATTEMPT_TIMEOUT
+            return Error(AttemptFailure(reason, sent=True))
 
     @singledispatchmethod
     def _make_answer(self, outcome, context):
@@ -116,6 +124,13 @@
         return Answer(outcome.status, outcome.content, outcome.content_type)
 
 
+def _name_server(failure, context):
+    """Return a failure with its server, unless the server has no part in it."""
+    if failure.reason is RetryReason.OWN_LIMIT:
+        return failure
+    return dataclasses.replace(failure, server=context.grant.server)
+
+
 def _compute_usage(answer, context, resumed_pieces):
     """Return the usage of all attempts that generated the answer.
 
--- a/tanagerwalk/messages.py
+++ b/tanagerwalk/messages.py
@@ -188,6 +188,8 @@
         Monotonic arrival time in seconds.
     sink : Sink
         Receives the answer incrementally.
+    memory : RequestMemory or None
+        Counts the whole answers of the request until it ends; None to count none.
     """
 
     request_id: RequestId
@@ -202,6 +204,7 @@
     wants_session: bool = False
     arrived: float = 0.0
     sink: Sink = field(default_factory=Sink)
+    memory: Any = None
     account: ClientAccount | None = None
     work_class: WorkClass | None = None
     fingerprint: Fingerprint = Fingerprint("")
--- a/tanagerwalk/metrics.py
+++ b/tanagerwalk/metrics.py
@@ -114,6 +114,33 @@
         for cause in HaltCause:
             self.halts.labels(cause.value)
 
+    def watch_bounds(self, bounds):
+        """Add the metrics of memory and of the connections of callers.
+
+        Parameters
+        ----------
+        bounds : ConnectionBounds
+            What they are read from.
+        """
+        budget = bounds.memory.budget
+        memory = self._add_gauge("memory_used", "Bytes that bodies and answers take.")
+        memory.set_function(lambda: budget.used)
+        capacity = self._add_gauge("memory_capacity", "Bytes that they may take.")
+        capacity.set(budget.capacity)
+        peak = self._add_gauge("memory_peak", "Most bytes that they ever took.")
+        peak.set_function(lambda: budget.peak)
+        unread = self._add_gauge("unread", "Bytes of answers that callers don't read.")
+        unread.set_function(lambda: bounds.memory.unread)
+        closed = self._add_labelled_gauge(
+            "connections_closed", "Callers' connections closed at a limit.", ["reason"]
+        )
+        closed.labels("idle").set_function(lambda: bounds.closed_idle)
+        closed.labels("new").set_function(lambda: bounds.reset_new)
+        closed.labels("reader_stopped").set_function(lambda: bounds.reset_stalled)
+
+    def _add_labelled_gauge(self, name, text, labels):
+        return Gauge(f"tanagerwalk_{name}", text, labels, registry=self.registry)
+
     def _add_counter(self, name, text, labels=()):
         return Counter(f"tanagerwalk_{name}", text, labels, registry=self.registry)
 
--- a/tanagerwalk/outcomes.py
+++ b/tanagerwalk/outcomes.py
@@ -40,6 +40,7 @@
     ATTEMPT_TIMEOUT = "attempt_timeout"
     SUSPECTED = "suspected"
     VERSION_MISSING = "version_missing"
+    OWN_LIMIT = "own_limit"
 
 
 class HaltCause(Enum):
@@ -126,6 +127,7 @@
     RefusalReason.DEADLINE_EXCEEDED: 504,
     RefusalReason.BACKEND_FAILED: 502,
     RefusalReason.INTERNAL_ERROR: 500,
+    RefusalReason.RECEIVE_TIMEOUT: 408,
 }
 DEFAULT_HTTP_STATUS = 503
 
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -80,7 +80,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitSettings:
-    """Queue and concurrency limits."""
+    """Queue and concurrency limits, and those of the process."""
 
     queue_length: int
     request_size: int
@@ -88,6 +88,10 @@
     max_concurrency: int
     short_reserve: float
     long_factor: float
+    memory: int
+    descriptors: int
+    receive_timeout: float
+    read_timeout: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/tanagerwalk/standins/service.py
+++ b/tanagerwalk/standins/service.py
@@ -21,6 +21,8 @@
     closing : bool
         Whether a 503 response also closes the connection, as a server does that is
         shutting down.
+    padding : int
+        Bytes that are added to each answer.
     runs : list of str
         Idempotency key of each call that took effect, in order of execution.
     """
@@ -31,6 +33,7 @@
         self.lose_answers = 0
         self.refuse = False
         self.closing = False
+        self.padding = 0
         self.runs = []
         self.running = 0
 
@@ -69,4 +72,7 @@
         if self.lose_answers > 0:
             self.lose_answers -= 1
             request.transport.abort()
-        return web.json_response({"number": number, "asked": body})
+        answer = {"number": number, "asked": body}
+        if self.padding:
+            answer["padding"] = "x" * self.padding
+        return web.json_response(answer)
--- a/tanagerwalk/ui/serve.py
+++ b/tanagerwalk/ui/serve.py
@@ -9,6 +9,7 @@
 
 from ..app import EntryInstance
 from ..logs import configure_logs
+from ..memory import return_freed_blocks
 from ..settings import parse_settings
 from .common import fail, read_settings, settings_option
 
@@ -22,6 +23,7 @@
     settings = read_settings(settings_path)
     check_secrets(settings)
     configure_logs()
+    return_freed_blocks()
     try:
         uvloop.run(run_until_stopped(settings))
     except OSError as error:
