--- a/tanagerwalk/api/connections.py
+++ b/tanagerwalk/api/connections.py
@@ -158,6 +158,19 @@
         self._sending = 0
         self._stall_timer = None
 
+    def connection_made(self, transport):
+        """Accept a connection, if need be in place of one that is idle."""
+        super().connection_made(transport)
+        if len(self.connections) <= self.bounds.max_connections:
+            return
+        idle = [c for c in self.connections if c is not self and c.is_idle()]
+        if idle:
+            self.bounds.closed_idle += 1
+            min(idle, key=lambda connection: connection.last_used).drop()
+            return
+        self.bounds.reset_new += 1
+        self.drop()
+
     @property
     def last_used(self):
         """Monotonic time at which something was sent or received."""
--- a/tanagerwalk/clients/attempts.py
+++ b/tanagerwalk/clients/attempts.py
@@ -7,6 +7,7 @@
 from expression import Error
 
 from ..addresses import is_connectable, parse_address
+from ..descriptors import is_own_limit
 from ..messages import AttemptFailure
 from ..outcomes import RetryReason
 from .responses import read_retry_after
@@ -56,7 +57,11 @@
         with held:
             async with asyncio.timeout(limit):
                 return await exchange
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+    except aiohttp.ClientConnectorError as error:
+        own = is_own_limit(error.os_error)
+        reason = RetryReason.OWN_LIMIT if own else RetryReason.CONNECT_FAILED
+        return Error(AttemptFailure(reason, sent=False))
+    except aiohttp.ConnectionTimeoutError:
         return Error(AttemptFailure(RetryReason.CONNECT_FAILED, sent=False))
     except TimeoutError:
         own = held.has_waited
--- a/tanagerwalk/ui/serve.py
+++ b/tanagerwalk/ui/serve.py
@@ -8,6 +8,7 @@
 import uvloop
 
 from ..app import EntryInstance
+from ..descriptors import raise_limit
 from ..logs import configure_logs
 from ..memory import return_freed_blocks
 from ..settings import parse_settings
@@ -24,6 +25,7 @@
     check_secrets(settings)
     configure_logs()
     return_freed_blocks()
+    raise_limit(settings.limits.descriptors)
     try:
         uvloop.run(run_until_stopped(settings))
     except OSError as error:
--- a/test/clients/test_own_limits.py
+++ b/test/clients/test_own_limits.py
@@ -1,6 +1,10 @@
 """Failures by a limit of the own process, which are no fault of a server."""
 
 import asyncio
+import errno
+
+import aiohttp
+import pytest
 
 from tanagerwalk.clients.attempts import run_attempt
 from tanagerwalk.memory import Memory
@@ -38,3 +42,16 @@
     async with asyncio.timeout(LIMIT_S):
         await asyncio.gather(*map(receive, answers))
     assert memory.budget.used == 0
+
+
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS])
+async def test_error_of_own_limit_has_reason(number):
+    """Guards against a lack of descriptors that counts as an unreachable server."""
+
+    async def connect():
+        key = aiohttp.client_reqrep.ConnectionKey("h", 1, False, True, None, None, None)
+        raise aiohttp.ClientConnectorError(key, OSError(number, "no descriptor"))
+
+    result = await run_attempt(connect(), LIMIT_S, Memory(1).hold_answer())
+    assert result.error.reason is RetryReason.OWN_LIMIT
+    assert not result.error.sent
--- a/test/test_process_limits.py
+++ b/test/test_process_limits.py
@@ -185,3 +185,29 @@
     await limited.check_serving()
     assert limited.read_peak_mb() < MEMORY_MB
     assert await limited.process.stop() == 0
+
+
+async def test_idle_connections_leave_descriptors(process_world):
+    """Guards against idle connections that take the descriptors of all else."""
+    limited = await LimitedProcess.start(process_world, descriptors=DESCRIPTORS)
+    idle = [await limited.connect() for _ in range(IDLE_CONNECTIONS)]
+    await limited.check_serving()
+    closed = 'tanagerwalk_connections_closed{reason="idle"}'
+    await limited.wait_for_metric(closed, lambda count: count > IDLE_CONNECTIONS // 2)
+    assert limited.count_descriptors() < DESCRIPTORS
+    for _, writer in idle:
+        writer.close()
+    assert await limited.process.stop() == 0
+
+
+async def test_busy_connections_leave_descriptors(process_world):
+    """Guards against busy connections that take the descriptors of all else."""
+    limited = await LimitedProcess.start(process_world, descriptors=DESCRIPTORS)
+    busy = [await limited.send(b"{", 9) for _ in range(IDLE_CONNECTIONS)]
+    reset = 'tanagerwalk_connections_closed{reason="new"}'
+    await limited.wait_for_metric(reset, lambda count: count > IDLE_CONNECTIONS // 2)
+    for _, writer in busy:
+        writer.close()
+    await asyncio.sleep(0.2)
+    await limited.check_serving()
+    assert await limited.process.stop() == 0
