--- a/tanagerwalk/clients/attempts.py
+++ b/tanagerwalk/clients/attempts.py
@@ -7,6 +7,7 @@
 from expression import Error
 
 from ..addresses import is_connectable, parse_address
+from ..descriptors import is_own_limit
 from ..messages import AttemptFailure
 from ..outcomes import RetryReason
 from .responses import read_retry_after
@@ -34,7 +35,7 @@
     )
 
 
-async def run_attempt(exchange, limit):
+async def run_attempt(exchange, limit, held):
     """Run one HTTP exchange and return its failures as values.
 
     Parameters
@@ -43,6 +44,8 @@
         Coroutine that performs the exchange and returns a Result.
     limit : float
         Timeout in seconds.
+    held : HeldAnswer
+        The answer. Its context ends with the attempt.
 
     Returns
     -------
@@ -51,12 +54,19 @@
         returned such a failure.
     """
     try:
-        async with asyncio.timeout(limit):
-            return await exchange
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        with held:
+            async with asyncio.timeout(limit):
+                return await exchange
+    except aiohttp.ClientConnectorError as error:
+        own = is_own_limit(error.os_error)
+        reason = RetryReason.OWN_LIMIT if own else RetryReason.CONNECT_FAILED
+        return Error(AttemptFailure(reason, sent=False))
+    except aiohttp.ConnectionTimeoutError:
         return Error(AttemptFailure(RetryReason.CONNECT_FAILED, sent=False))
     except TimeoutError:
-        return Error(AttemptFailure(RetryReason.ATTEMPT_TIMEOUT, sent=True))
+        own = held.has_waited
+        reason = RetryReason.OWN_LIMIT if own else RetryReason.ATTEMPT_TIMEOUT
+        return Error(AttemptFailure(reason, sent=True))
     except aiohttp.ClientPayloadError:
         failure = AttemptFailure(
             RetryReason.CONNECTION_LOST, sent=True, crashed=True, has_begun=True
--- a/tanagerwalk/ui/serve.py
+++ b/tanagerwalk/ui/serve.py
@@ -8,7 +8,9 @@
 import uvloop
 
 from ..app import EntryInstance
+from ..descriptors import raise_limit
 from ..logs import configure_logs
+from ..memory import return_freed_blocks
 from ..settings import parse_settings
 from .common import fail, read_settings, settings_option
 
@@ -22,6 +24,8 @@
     settings = read_settings(settings_path)
     check_secrets(settings)
     configure_logs()
+    return_freed_blocks()
+    raise_limit(settings.limits.descriptors)
     try:
         uvloop.run(run_until_stopped(settings))
     except OSError as error:
