--- a/tanagerwalk/api/listener.py
+++ b/tanagerwalk/api/listener.py
@@ -1,10 +1,10 @@
 """HTTP listener based on sanic."""
 
-import socket
 import uuid
 
 from sanic import Sanic
 
+from ..bound_sockets import bind_stream
 from .connections import BoundedConnection
 
 MAX_RESPONSE_TIME_S = 24 * 3600
@@ -45,9 +45,10 @@
         OSError
             If the address cannot be bound.
         """
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((address, port))
+        bound = bind_stream((address, port))
+        if bound.is_error():
+            raise bound.error
+        sock = bound.ok
         self.port = sock.getsockname()[1]
         self._server = await self.app.create_server(
             sock=sock,
--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -42,6 +42,7 @@
 from .metrics import Metrics
 from .peers.reconcile import ByteBudget, Reconciler
 from .planning import PlanInputCollector
+from .port_wait import listen_when_free
 from .records import RecordDependencies, Records
 from .status import describe_instance
 from .supervisor import Supervisor
@@ -308,7 +309,7 @@
         return is_informed and bool(self.table.servers)
 
     async def start(self):
-        """Open the listeners and start the controllers.
+        """Open the listeners, once their ports are free, and start the controllers.
 
         Raises
         ------
@@ -316,9 +317,12 @@
             If a listener cannot bind its address.
         """
         instance = self.settings.instance
-        await self.callers.listener.start(instance.address, instance.callers_port)
-        await self.admin.listener.start(instance.address, instance.admin_port)
-        await self.external.peer_server.start(instance.address, instance.peers_port)
+        for name, start, port in (
+            ("admin", self.admin.listener.start, instance.admin_port),
+            ("peers", self.external.peer_server.start, instance.peers_port),
+            ("callers", self.callers.listener.start, instance.callers_port),
+        ):
+            await listen_when_free(name, start, instance.address, port)
         for name, run in (
             ("configuration", self.configuration_controller.run),
             ("membership", self.membership.run),
--- a/tanagerwalk/memory.py
+++ b/tanagerwalk/memory.py
@@ -1,22 +1,12 @@
 """Memory that bodies of requests and answers take, within the limit of the process."""
 
 import asyncio
-import ctypes
 import os
-import resource
 from collections import deque
-from pathlib import Path
-
-import structlog
 
 from .decisions.resource_budget import ResourceBudget
+from .process_memory import find_room, read_sizes
 
-log = structlog.get_logger(__name__)
-
-# Options of glibc's mallopt.
-M_TRIM_THRESHOLD = -1
-M_MMAP_THRESHOLD = -3
-LARGE_BLOCK_BYTES = 128 * 1024
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 SMALL_BODY_BYTES = 64 * 1024
 # Part of the budget that bodies which aren't small leave to others.
@@ -31,7 +21,6 @@
 ANSWER_COPIES = 3
 VALUE_BYTES = 64
 WIDE_CHARACTER_BYTES = 4
-STATM_SIZE, STATM_RESIDENT = 0, 1
 
 
 class Memory:
@@ -230,36 +219,6 @@
     limit : int
         Most memory that the process may take, in bytes; 0 for that of the system.
     """
-    size, resident = read_usage()
-    rooms = [_get_system_memory() - resident]
-    if limit:
-        rooms.append(limit - resident)
-    for kind in (resource.RLIMIT_AS, resource.RLIMIT_DATA):
-        soft, _ = resource.getrlimit(kind)
-        if soft != resource.RLIM_INFINITY:
-            rooms.append(soft - size)
-    return max(0, int((min(rooms) - TABLES_BYTES) * USABLE_SHARE))
-
-
-def return_freed_blocks():
-    """Make the allocator give large blocks back to the system once they are freed.
-
-    It would otherwise keep blocks of the size that was last freed.
-    """
-    try:
-        allocator = ctypes.CDLL(None)
-        allocator.mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES)
-        allocator.mallopt(M_TRIM_THRESHOLD, LARGE_BLOCK_BYTES)
-    except (OSError, AttributeError) as error:
-        log.info("allocator has no options", error=str(error))
-
-
-def read_usage():
-    """Return the address space and the resident memory of this process, in bytes."""
-    page = os.sysconf("SC_PAGE_SIZE")
-    fields = Path("/proc/self/statm").read_text().split()
-    return int(fields[STATM_SIZE]) * page, int(fields[STATM_RESIDENT]) * page
-
-
-def _get_system_memory():
-    return os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+    system = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+    room = find_room(min(limit or system, system), read_sizes())
+    return max(0, int((room - TABLES_BYTES) * USABLE_SHARE))
--- a/tanagerwalk/ui/serve.py
+++ b/tanagerwalk/ui/serve.py
@@ -10,7 +10,7 @@
 from ..app import EntryInstance
 from ..descriptors import raise_limit
 from ..logs import configure_logs
-from ..memory import return_freed_blocks
+from ..process_memory import map_large_blocks
 from ..settings import parse_settings
 from .common import fail, read_settings, settings_option
 
@@ -24,7 +24,7 @@
     settings = read_settings(settings_path)
     check_secrets(settings)
     configure_logs()
-    return_freed_blocks()
+    map_large_blocks()
     raise_limit(settings.limits.descriptors)
     try:
         uvloop.run(run_until_stopped(settings))
@@ -57,8 +57,17 @@
     stop_requested = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
-    await instance.start()
-    await stop_requested.wait()
+    starting = asyncio.create_task(instance.start())
+    stop_wait = asyncio.create_task(stop_requested.wait())
+    await asyncio.wait((starting, stop_wait), return_when=asyncio.FIRST_COMPLETED)
+    if not starting.done():
+        # A port is still in use, and nothing has been served.
+        starting.cancel()
+        await asyncio.gather(starting, return_exceptions=True)
+        await instance.close()
+        return
+    await starting
+    await stop_wait
     try:
         await instance.stop()
     except Exception:
--- a/test/test_process_limits.py
+++ b/test/test_process_limits.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import pytest
+from processes import start_process
 from test_processes import ProcessWorld
 
 BYTES_PER_MB = 1000 * 1000
@@ -211,3 +212,45 @@
     await asyncio.sleep(0.2)
     await limited.check_serving()
     assert await limited.process.stop() == 0
+
+
+@pytest.mark.parametrize("name", ["callers_port", "admin_port", "peers_port"])
+async def test_port_in_use_is_waited_for(process_world, name):
+    """Guards against a start that ends as a port is still in use."""
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        process = await start_at_port(process_world, name, taken.getsockname()[1])
+        await process.wait_for_event("port in use")
+    listening = await process.wait_for_event("listening")
+    assert listening[name]
+    assert await process.stop() == 0
+
+
+async def test_stop_while_port_is_in_use(process_world):
+    """Guards against a planned stop that counts as a fault while a port is in use."""
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        process = await start_at_port(
+            process_world, "admin_port", taken.getsockname()[1]
+        )
+        await process.wait_for_event("port in use")
+        async with asyncio.timeout(LIMIT_S):
+            assert await process.stop() == 0
+
+
+async def test_foreign_address_ends_start(process_world):
+    """Guards against a wait for an address that the machine doesn't have."""
+    path = process_world.folder / "entry-1.ini"
+    text = process_world.make_settings("entry-1")
+    path.write_text(text.replace("[instance]", "[instance]\naddress = 192.0.2.1", 1))
+    process = await start_process("serve", "--settings", str(path))
+    async with asyncio.timeout(LIMIT_S):
+        assert await process.subprocess.wait() == 1
+
+
+async def start_at_port(world, name, port):
+    """Start an instance with one port that is given."""
+    path = world.folder / "entry-1.ini"
+    text = world.make_settings("entry-1")
+    path.write_text(text.replace("[instance]", f"[instance]\n{name} = {port}", 1))
+    process = await start_process("serve", "--settings", str(path))
+    world.processes["entry-1"] = process
+    return process
