--- a/tanagerwalk/api/callers.py
+++ b/tanagerwalk/api/callers.py
@@ -1,6 +1,7 @@
 """Public API for callers: chat completions and calls to plain services."""
 
 import asyncio
+import math
 import time
 import uuid
 
@@ -15,7 +16,7 @@
 from ..ids import RequestId
 from ..memory import ANSWER_COPIES, RequestMemory, estimate_decoded_bytes
 from ..messages import RequestContext, Sink
-from ..outcomes import Interface, Refusal, RefusalReason
+from ..outcomes import Interface, Refusal, RefusalReason, RunState
 from .connections import RefusedError, make_memory_refusal
 from .listener import Listener
 from .payloads import read_body
@@ -103,9 +104,24 @@
         Maximum size of a request body in bytes.
     bounds : ConnectionBounds
         Limits of the connections.
+    durations : DurationEstimates
+        What is known of the durations of requests.
+
+    Attributes
+    ----------
+    draining : bool
+        Whether a planned stop has begun.
+    drain_deadline : float
+        Monotonic time at which it cuts what runs.
+    stopping : bool
+        Whether no further request is accepted.
     """
 
-    def __init__(self, handler, is_ready, metrics, clock, request_size, bounds):
+    def __init__(
+        self, handler, is_ready, metrics, clock, request_size, bounds, durations
+    ):
+        self._durations = durations
+        self.drain_deadline = math.inf
         self._handler = handler
         self._is_ready = is_ready
         self._metrics = metrics
@@ -113,6 +129,7 @@
         self.in_flight = 0
         self.draining = False
         self.stopping = False
+        self._cuts = set()
         self.listener = Listener("callers", bounds)
         app = self.listener.app
         app.config.REQUEST_MAX_SIZE = request_size
@@ -145,7 +162,7 @@
         if self.draining:
             # Close the connection so that the next request goes to another instance.
             request.stream.keep_alive = False
-        if self.stopping:
+        if self.stopping or self._outlasts_stop(context):
             submission = describe_submission(context)
             return self._refuse(correct_run_state(_make_stopping_refusal(), submission))
         context.memory = RequestMemory(request.stream.memory)
@@ -155,7 +172,7 @@
             context.sink = sink
         self.in_flight += 1
         try:
-            result = await self._handler(context)
+            result = await self._run(context)
             if result.is_ok():
                 request.stream.reserve(len(result.ok.content) * ANSWER_COPIES)
             if sink is not None:
@@ -168,6 +185,34 @@
             context.memory.end()
             self.in_flight -= 1
 
+    def _outlasts_stop(self, context):
+        """Return whether a request is known to take longer than a planned stop."""
+        if not self.draining:
+            return False
+        shortest = self._durations.find_shortest(context.class_name)
+        return self._clock() + shortest > self.drain_deadline
+
+    async def _run(self, context):
+        """Run a request to its end, or until `cut_running` is called."""
+        try:
+            async with asyncio.timeout(None) as cut:
+                self._cuts.add(cut)
+                return await self._handler(context)
+        except TimeoutError:
+            if not cut.expired():
+                raise
+            refusal = _make_cut_refusal(context)
+            self._metrics.refusals.labels(refusal.reason.value).inc()
+            return Error(correct_run_state(refusal, describe_submission(context)))
+        finally:
+            self._cuts.discard(cut)
+
+    def cut_running(self):
+        """End the requests that run, each with a final answer."""
+        now = asyncio.get_running_loop().time()
+        for cut in self._cuts:
+            cut.reschedule(now)
+
     def _refuse(self, refusal):
         """Refuse a request before the filter chain, and count it as the chain would."""
         self._metrics.refusals.labels(refusal.reason.value).inc()
@@ -289,6 +334,19 @@
     )
 
 
+def _make_cut_refusal(context):
+    """Return the refusal of a request that runs at the end of a planned stop."""
+    # A claimed request goes on without its caller.
+    is_claimable = context.idempotency_key is not None
+    if not context.sent and context.grant is None and not is_claimable:
+        return _make_stopping_refusal()
+    return Refusal(
+        RefusalReason.DEADLINE_EXCEEDED,
+        "this instance stopped before the answer came; the request may have run",
+        RunState.UNKNOWN,
+    )
+
+
 def _make_stopping_refusal():
     return Refusal(
         RefusalReason.STOPPING,
--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -50,6 +50,8 @@
 log = structlog.get_logger(__name__)
 
 DRAIN_POLL_S = 0.02
+# Time for callers to read the answers to requests that are cut.
+FINAL_ANSWERS_S = 2.0
 SLOW_BURST_BYTES = 64 * 1024
 
 
@@ -273,6 +275,7 @@
             self.clock,
             settings.limits.request_size,
             self.callers_bounds,
+            self.durations,
         )
         self.admin = AdminApi(
             self.metrics,
@@ -354,12 +357,17 @@
         instance = self.settings.instance
         log.info("stopping", in_flight=self.callers.in_flight)
         self.supervisor.begin_shutdown()
+        limit = instance.drain_notice + instance.drain_limit
+        self.callers.drain_deadline = self.clock() + limit
         self.callers.draining = True
         await asyncio.sleep(instance.drain_notice)
         self.callers.stopping = True
         await self.callers.listener.stop()
         deadline = self.clock() + instance.drain_limit
-        await poll_until(self._is_quiet, DRAIN_POLL_S, instance.drain_limit)
+        if not await poll_until(self._is_quiet, DRAIN_POLL_S, instance.drain_limit):
+            log.warning("drain limit reached", in_flight=self.callers.in_flight)
+            self.callers.cut_running()
+            await poll_until(self._is_answered, DRAIN_POLL_S, FINAL_ANSWERS_S)
         await self.records.drain(max(0.0, deadline - self.clock()))
         await self.leases.release()
         await self.exposure_controller.release()
@@ -368,9 +376,13 @@
 
     def _is_quiet(self):
         """Return whether all answers are sent and no claimed request is running."""
+        is_running = self.records.claims.has_running_requests()
+        return self._is_answered() and not is_running
+
+    def _is_answered(self):
+        """Return whether no connection waits for an answer any more."""
         open_connections = self.callers.listener.close_idle()
-        in_flight = self.callers.in_flight or open_connections
-        return not in_flight and not self.records.claims.has_running_requests()
+        return not self.callers.in_flight and not open_connections
 
     async def close(self):
         """Stop the controllers and close all connections without draining."""
--- a/tanagerwalk/decisions/durations.py
+++ b/tanagerwalk/decisions/durations.py
@@ -23,6 +23,11 @@
         mean = self._means.setdefault(key, seconds)
         self._means[key] = mean + DURATION_SMOOTHING * (seconds - mean)
 
+    def find_shortest(self, work_class):
+        """Return the shortest mean of a class over its versions, 0 if none is known."""
+        means = [mean for key, mean in self._means.items() if key[0] == work_class]
+        return min(means, default=0.0)
+
     def estimate(self, work_class, version, lateness):
         """Return the expected duration of an attempt, in seconds."""
         return self._means.get((work_class, version), lateness * self._default_share)
--- a/test/test_process_stop.py
+++ b/test/test_process_stop.py
@@ -119,3 +119,38 @@
         assert status == 409
         assert b'"run_state":"unknown"' in content
         await world.processes["entry-2"].stop(signal.SIGKILL)
+
+
+async def test_requests_at_end_of_drain_limit_get_final_answer(tmp_path):
+    """Guards against requests cut without an answer at the end of a planned stop."""
+    async with PeerProcessWorld(tmp_path) as world:
+        world.drain_limit = 1
+        process = await start_two_instances(world)
+        world.services["booking-1"].delay = 5.0
+        world.engines["engine-1"].token_delay = 0.5
+        body = build_chat_request("label", stream=True, max_tokens=40)
+        tasks = [
+            asyncio.create_task(world.send_request(process, *request))
+            for request in (
+                ("/v1/chat/completions", body),
+                ("/v1/chat/completions", {**body, "stream": False}),
+                ("/v1/classes/status", {}),
+            )
+        ]
+        key = {"Idempotency-Key": "slot-1"}
+        tasks.append(
+            asyncio.create_task(
+                world.send_request(process, "/v1/classes/booking", {}, **key)
+            )
+        )
+        await asyncio.sleep(0.8)
+        process.send_signal(signal.SIGTERM)
+        stream, chat, *calls = await asyncio.gather(*tasks)
+        assert stream[0] == 200
+        assert b'"refused"' in stream[1]
+        assert b"[DONE]" not in stream[1]
+        for status, content, _ in (chat, *calls):
+            assert status == 504
+            assert b'"run_state":"unknown"' in content
+        assert await process.subprocess.wait() == 0
+        await world.processes["entry-2"].stop(signal.SIGKILL)
