--- a/tanagerwalk/app.py
+++ b/tanagerwalk/app.py
@@ -42,6 +42,7 @@
 from .metrics import Metrics
 from .peers.reconcile import ByteBudget, Reconciler
 from .planning import PlanInputCollector
+from .port_wait import listen_when_free
 from .records import RecordDependencies, Records
 from .status import describe_instance
 from .supervisor import Supervisor
@@ -49,6 +50,8 @@
 log = structlog.get_logger(__name__)
 
 DRAIN_POLL_S = 0.02
+# Time for callers to read the answers to requests that are cut.
+FINAL_ANSWERS_S = 2.0
 SLOW_BURST_BYTES = 64 * 1024
 
 
@@ -272,6 +275,7 @@
             self.clock,
             settings.limits.request_size,
             self.callers_bounds,
+            self.durations,
         )
         self.admin = AdminApi(
             self.metrics,
@@ -308,7 +312,7 @@
         return is_informed and bool(self.table.servers)
 
     async def start(self):
-        """Open the listeners and start the controllers.
+        """Open the listeners, once their ports are free, and start the controllers.
 
         Raises
         ------
@@ -316,9 +320,12 @@
             If a listener cannot bind its address.
         """
         instance = self.settings.instance
-        await self.callers.listener.start(instance.address, instance.callers_port)
-        await self.admin.listener.start(instance.address, instance.admin_port)
-        await self.external.peer_server.start(instance.address, instance.peers_port)
+        for name, start, port in (
+            ("admin", self.admin.listener.start, instance.admin_port),
+            ("peers", self.external.peer_server.start, instance.peers_port),
+            ("callers", self.callers.listener.start, instance.callers_port),
+        ):
+            await listen_when_free(name, start, instance.address, port)
         for name, run in (
             ("configuration", self.configuration_controller.run),
             ("membership", self.membership.run),
@@ -350,12 +357,17 @@
         instance = self.settings.instance
         log.info("stopping", in_flight=self.callers.in_flight)
         self.supervisor.begin_shutdown()
+        limit = instance.drain_notice + instance.drain_limit
+        self.callers.drain_deadline = self.clock() + limit
         self.callers.draining = True
         await asyncio.sleep(instance.drain_notice)
         self.callers.stopping = True
         await self.callers.listener.stop()
         deadline = self.clock() + instance.drain_limit
-        await poll_until(self._is_quiet, DRAIN_POLL_S, instance.drain_limit)
+        if not await poll_until(self._is_quiet, DRAIN_POLL_S, instance.drain_limit):
+            log.warning("drain limit reached", in_flight=self.callers.in_flight)
+            self.callers.cut_running()
+            await poll_until(self._is_answered, DRAIN_POLL_S, FINAL_ANSWERS_S)
         await self.records.drain(max(0.0, deadline - self.clock()))
         await self.leases.release()
         await self.exposure_controller.release()
@@ -364,9 +376,13 @@
 
     def _is_quiet(self):
         """Return whether all answers are sent and no claimed request is running."""
+        is_running = self.records.claims.has_running_requests()
+        return self._is_answered() and not is_running
+
+    def _is_answered(self):
+        """Return whether no connection waits for an answer any more."""
         open_connections = self.callers.listener.close_idle()
-        in_flight = self.callers.in_flight or open_connections
-        return not in_flight and not self.records.claims.has_running_requests()
+        return not self.callers.in_flight and not open_connections
 
     async def close(self):
         """Stop the controllers and close all connections without draining."""
