--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -276,7 +276,9 @@
             self._start_timeout(self._limits.idle_timeout, self.close_if_idle)
 
     def _watch_unread(self, responder):
-        self._handled_memory.shrink_to(self._transport.get_write_buffer_size())
+        # The transport keeps all of a body until its last byte has been taken.
+        unsent = self._transport.get_write_buffer_size()
+        self._handled_memory.shrink_to(max(unsent, responder.body_size))
         self._unread_watch = UnreadAnswerWatch(
             self._transport,
             self._limits.idle_timeout,
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -91,7 +91,7 @@
     def data_received(self, data):
         """Feed received bytes to the parser; abort if no response is pending."""
         if self._pending_responses == 0:
-            self.abort()
+            self._fail(ConnectionFailure.CLOSED)
             return
         self.received = True
         self._overhead_bytes += len(data)
@@ -379,11 +379,15 @@
         """Serve no further request; close now if there is none."""
         self._keep_alive = False
         if self._pending_responses == 0:
-            self.abort()
+            self._fail(ConnectionFailure.CLOSED)
 
     def abort(self):
-        """Abort the connection immediately."""
+        """Abort the connection immediately, and drop what hasn't been read."""
         self._fail(ConnectionFailure.CLOSED)
+        # The parser and the connection refer to each other, so that they stay until
+        # the garbage collector comes by.
+        self._body = bytearray()
+        self._count_body()
 
 
 async def open_connection(address, timeout, create_protocol=Connection):
--- a/tanagerwalk/gateway/responder.py
+++ b/tanagerwalk/gateway/responder.py
@@ -35,6 +35,8 @@
         Whether the connection stays open for further requests.
     client_waits_until : float
         Monotonic time in seconds until which the client waits for the response.
+    body_size : int
+        Bytes of a complete body that was sent, 0 for a stream.
     """
 
     def __init__(self, connection, is_head_request, keep_alive):
@@ -43,6 +45,7 @@
         self.started = False
         self.finished = False
         self.client_waits_until = 0.0
+        self.body_size = 0
         self._chunked = False
         self._is_head_request = is_head_request
 
@@ -74,6 +77,7 @@
         elif len(body) <= MAX_JOINED_BYTES:
             self._connection.write(head + body)
         else:
+            self.body_size = len(body)
             self._connection.write_parts([head, body])
 
     def start_stream(self, status, reason, headers, first_chunk):
--- a/test/gateway/test_review_memory.py
+++ b/test/gateway/test_memory_pressure.py
@@ -1,6 +1,6 @@
 """Memory of a gateway process that its budget doesn't see, or gives to the wrong ones.
 
-Found in a review; each test shows a fault.
+Each test shows one way to take the memory of others.
 """
 
 import asyncio
--- a/test/gateway/test_review_probe_memory.py
+++ b/test/gateway/test_probe_memory.py
@@ -1,4 +1,4 @@
-"""Clients of the probe listeners that don't read. Found in a review."""
+"""Clients of the probe listeners that don't read."""
 
 import asyncio
 import time
--- a/test/gateway/test_review_tunnel_memory.py
+++ b/test/gateway/test_tunnel_memory.py
@@ -1,4 +1,4 @@
-"""Memory of a gateway process that holds tunnels for others. Found in a review."""
+"""Memory of a gateway process that holds tunnels for others."""
 
 import asyncio
 import json
