--- a/tanagerwalk/gateway/connector.py
+++ b/tanagerwalk/gateway/connector.py
@@ -83,7 +83,7 @@
         faults = set()
         direct = _note_fault(partial(self._dial, server, timeout), faults)
         tunnels = [
-            _note_fault(partial(self._tunnels.open, peer_id, server), faults)
+            self._open_tunnel(peer_id, server)
             for peer_id in self._tunnels.rank_peers(server)
         ]
         if state is PathState.INDIRECT:
@@ -131,6 +131,16 @@
             self._record_direct(server)
         return result
 
+    async def _open_tunnel(self, peer_id, server):
+        """Open a tunnel; a fault of this instance is only one more way that failed.
+
+        Whether the server can be blamed depends on the direct path alone.
+        """
+        result = await self._tunnels.open(peer_id, server)
+        if result.is_error() and isinstance(result.error, ConnectFault):
+            return Error(f"tunnel {result.error.value}")
+        return result
+
     async def _dial(self, server, timeout):
         return await self.dial(server.address, timeout)
 
