--- a/tanagerwalk/platform/settings.py
+++ b/tanagerwalk/platform/settings.py
@@ -14,6 +14,9 @@
 BYTES_PER_MB = 1000000
 # Must match the port of `metrics` in deploy/system.toml.
 METRICS_PORT = 9464
+# Larger numbers count as this one: eleven days in ms, and no limit of a process.
+MAX_NUMBER = 10**9
+NUMBER_SECTIONS = ("limits", "bounds", "platform")
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -79,12 +82,14 @@
     """
     try:
         wire = msgspec.convert(tomllib.loads(text), _Settings, strict=False)
-    except (tomllib.TOMLDecodeError, msgspec.MsgspecError) as error:
+    except (ValueError, OverflowError, msgspec.MsgspecError) as error:
         return Error(f"settings: {error}")
     except RecursionError:
         return Error("settings: values are nested too deeply")
-    if not math.isfinite(wire.limits.memory_mb * BYTES_PER_MB):
-        return Error(f"settings: limits.memory_mb = {wire.limits.memory_mb}")
+    problem = _find_odd_number(wire)
+    if problem is not None:
+        return Error(f"settings: {problem}")
+    limits = _bound_numbers(wire.limits)
     first_port = wire.port_range[0] if wire.port_range else None
     addresses = {}
     for name, raw in (
@@ -109,14 +114,41 @@
             peers=addresses["port_range"],
             last_peer_port=min(wire.port_range[-1], MAX_PORT),
         ),
-        store=StoreAddress(addresses["platform.address"], wire.platform.value_bytes),
-        bounds=_convert_bounds(wire.bounds),
-        max_descriptors=wire.limits.max_fds,
-        memory_limit=int(wire.limits.memory_mb * BYTES_PER_MB),
+        store=StoreAddress(
+            addresses["platform.address"], _bound_numbers(wire.platform).value_bytes
+        ),
+        bounds=_convert_bounds(_bound_numbers(wire.bounds)),
+        max_descriptors=limits.max_fds,
+        memory_limit=int(limits.memory_mb * BYTES_PER_MB),
     )
     return Ok(settings)
 
 
+def _find_odd_number(wire):
+    """Return the name and value of a number that is negative or not finite, or None."""
+    for section in NUMBER_SECTIONS:
+        for name, value in _list_numbers(getattr(wire, section)):
+            # Also false for NaN.
+            if not 0 <= value < math.inf:
+                return f"{section}.{name} = {value}"
+    return None
+
+
+def _bound_numbers(section):
+    """Return a copy of a section whose numbers are at most MAX_NUMBER."""
+    bounded = {name: min(value, MAX_NUMBER) for name, value in _list_numbers(section)}
+    return msgspec.structs.replace(section, **bounded)
+
+
+def _list_numbers(section):
+    fields = ((name, getattr(section, name)) for name in section.__struct_fields__)
+    return [
+        (name, value)
+        for name, value in fields
+        if isinstance(value, int | float) and not isinstance(value, bool)
+    ]
+
+
 def _convert_bounds(wire):
     return Bounds(
         drain_timeout=wire.drain_ms / MS_PER_S,
