--- a/deploy/build.py
+++ b/deploy/build.py
@@ -20,7 +20,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 PIP = (sys.executable, "-m", "pip")
 STAMP = "installed.json"
-# What the programs import, at least one module of each library with compiled parts.
+# The programs, which import all that they need at their start, and at least one module
+# of each library with compiled parts.
 MODULES = (
     "aiohttp",
     "cachetools",
@@ -33,7 +34,10 @@
     "sanic",
     "sortedcontainers",
     "structlog",
-    "thrift",
+    "tanagerwalk.ui.gateway",
+    "tanagerwalk.ui.serve",
+    "thrift.TSerialization",
+    "thrift.protocol.TCompactProtocol",
     "uvloop",
     "yarl",
 )
@@ -49,7 +53,7 @@
     pip : tuple of str
         Command that runs pip.
     modules : tuple of str
-        Modules that have to be importable from the folder alone.
+        Modules that have to be importable from the folder and the repository alone.
 
     Returns
     -------
@@ -70,7 +74,7 @@
         stamp = json.loads((folder / STAMP).read_text())
     except (OSError, ValueError):
         return False
-    return stamp == make_stamp(root) and _can_import(folder, modules)
+    return stamp == make_stamp(root) and _can_import(folder, root, modules)
 
 
 def make_stamp(root):
@@ -94,7 +98,7 @@
     if subprocess.run(command, check=False).returncode != 0:
         print("build: pip failed", file=sys.stderr)
         return False
-    if not _can_import(new, modules):
+    if not _can_import(new, root, modules):
         print("build: a library can't be imported", file=sys.stderr)
         return False
     (new / STAMP).write_text(json.dumps(make_stamp(root)))
@@ -106,11 +110,14 @@
     return True
 
 
-def _can_import(folder, modules):
-    """Return whether a new Python can import the modules from the folder alone."""
+def _can_import(folder, root, modules):
+    """Return whether a new Python can import the modules with a folder of libraries.
+
+    The modules may be of the repository too.
+    """
     # -S leaves out the libraries of the machine, -B writes nothing.
     command = [sys.executable, "-S", "-B", "-c", f"import {', '.join(modules)}"]
-    environment = os.environ | {"PYTHONPATH": str(folder)}
+    environment = os.environ | {"PYTHONPATH": f"{folder}{os.pathsep}{root}"}
     result = subprocess.run(
         command, env=environment, cwd=folder, capture_output=True, check=False
     )
--- a/test/test_build.py
+++ b/test/test_build.py
@@ -24,9 +24,7 @@
     """A repository with a fake pip that counts its installs."""
 
     def __init__(self, folder):
-        spec = importlib.util.spec_from_file_location("build", PATH)
-        self.module = importlib.util.module_from_spec(spec)
-        spec.loader.exec_module(self.module)
+        self.module = self.load_module()
         self.root = folder
         self.deps = folder / "target" / "deps"
         self.requirements = folder / "requirements.txt"
@@ -35,10 +33,17 @@
         self.count.write_text("0")
         (folder / "pip.py").write_text(FAKE_PIP)
 
-    def build(self, pip_status=0):
+    @staticmethod
+    def load_module():
+        spec = importlib.util.spec_from_file_location("build", PATH)
+        module = importlib.util.module_from_spec(spec)
+        spec.loader.exec_module(module)
+        return module
+
+    def build(self, pip_status=0, module="littlelib"):
         pip = (sys.executable, str(self.root / "pip.py"), str(self.count))
         command = (*pip, str(pip_status))
-        return self.module.build(self.root, command, ("littlelib",))
+        return self.module.build(self.root, command, (module,))
 
     @property
     def installs(self):
@@ -120,3 +125,39 @@
     (repository.deps / repository.module.STAMP).write_text(json.dumps(stamp))
     modules = [name for name in repository.module.MODULES if name.startswith("thrift")]
     assert not repository.module.is_whole(repository.deps, repository.root, modules)
+
+
+def copy_thrift(repository):
+    """Copy a library with a valid stamp; return its folder and its listed modules."""
+    package = Path(importlib.util.find_spec("thrift").origin).parent
+    shutil.copytree(package, repository.deps / "thrift")
+    stamp = repository.module.make_stamp(repository.root)
+    (repository.deps / repository.module.STAMP).write_text(json.dumps(stamp))
+    modules = [name for name in repository.module.MODULES if name.startswith("thrift")]
+    return repository.deps / "thrift", modules
+
+
+# Guards against a check that finds every install broken, the whole ones too.
+def test_install_with_a_whole_library_is_whole(repository):
+    _, modules = copy_thrift(repository)
+    assert modules
+    assert repository.module.is_whole(repository.deps, repository.root, modules)
+
+
+# Guards against an install that counts as whole although the programs can't start.
+def test_install_without_a_part_that_a_program_imports_is_replaced(repository):
+    (repository.root / "program.py").write_text("from littlelib import value")
+    assert repository.build(module="program")
+    assert repository.build(module="program")
+    assert repository.installs == 1
+    (repository.deps / "littlelib.py").write_text("")
+    assert repository.build(module="program")
+    assert repository.installs == 2
+
+
+# Guards against a list of modules that can't be imported where all libraries are.
+def test_programs_are_imported_from_the_repository():
+    repository = Repository.load_module()
+    libraries = Path(importlib.util.find_spec("msgspec").origin).parent.parent
+    assert {"tanagerwalk.ui.gateway", "tanagerwalk.ui.serve"} <= set(repository.MODULES)
+    assert repository._can_import(libraries, PATH.parent.parent, repository.MODULES)
