--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from ..ids import Revision
 from ..registry import RegisteredServer, ServerState
 from .server_notices import find_resume_limit
 
@@ -80,8 +81,9 @@
         Requests that were waiting, according to the same report.
     reported_at, last_activity_at : float
         Monotonic times of the server's last report and of the last data from it.
-    address_reused : bool
-        Whether another server now answers at the server's address.
+    reused_at : Revision or None
+        Revision of the entry at whose address another server has answered. A later one
+        shows that the server is there.
     runs_models : bool
         Whether the server is known to be an engine.
     is_leaving : bool
@@ -99,7 +101,7 @@
     reported_queue: int = 0
     reported_at: float = float("-inf")
     last_activity_at: float = float("-inf")
-    address_reused: bool = False
+    reused_at: Revision | None = None
     runs_models: bool = False
     is_leaving: bool = False
     held_until: float = float("-inf")
@@ -108,7 +110,12 @@
     def accepts_requests(self):
         """Whether the server is ready, at its address and not about to leave."""
         is_ready = self.server.state is ServerState.READY and not self.is_leaving
-        return is_ready and not self.address_reused
+        return is_ready and not self.is_address_reused
+
+    @property
+    def is_address_reused(self):
+        """Whether another server has answered since the server wrote its entry."""
+        return self.reused_at is not None and self.server.revision <= self.reused_at
 
     def is_silent(self, now):
         """Return whether the server has requests, but has sent nothing for a while."""
--- a/tanagerwalk/decisions/server_usage_table.py
+++ b/tanagerwalk/decisions/server_usage_table.py
@@ -248,7 +248,7 @@
         """Record that another server answers at the address of this one."""
         usage = self._usages.get(server.id)
         if usage is not None:
-            usage.address_reused = True
+            usage.reused_at = usage.server.revision
 
 
 def _ignore(server_id):
--- a/tanagerwalk/platform/codec.py
+++ b/tanagerwalk/platform/codec.py
@@ -43,5 +43,4 @@
     @staticmethod
     def parse_server(key, data, revision):
         """Decode a backend server's entry; see `servers.parse_server`."""
-        del revision
-        return parse_server(key, data)
+        return parse_server(key, data, revision)
--- a/tanagerwalk/platform/servers.py
+++ b/tanagerwalk/platform/servers.py
@@ -62,7 +62,7 @@
     duration_s: float
 
 
-def parse_server(key, data):
+def parse_server(key, data, revision):
     """Decode the store entry that a backend server registered.
 
     Parameters
@@ -71,6 +71,8 @@
         Store key.
     data : bytes
         Value of the key, JSON.
+    revision : Revision
+        Store revision at which it was written.
 
     Returns
     -------
@@ -100,6 +102,7 @@
         slots=wire.slots,
         state=state,
         born=wire.born,
+        revision=revision,
     )
     return Ok(server)
 
--- a/tanagerwalk/registry.py
+++ b/tanagerwalk/registry.py
@@ -1,9 +1,9 @@
 """Backend servers and roll-out orders as registered in the platform's store."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
-from .ids import BackendServerId, FailureDomain, ReleaseName, ServiceName
+from .ids import BackendServerId, FailureDomain, ReleaseName, Revision, ServiceName
 
 
 class ServerState(Enum):
@@ -35,6 +35,8 @@
         Whether the server accepts new requests.
     born : int
         Start time as Unix time in milliseconds; 0 if not reported.
+    revision : Revision
+        Revision of the store at which the server has written the entry.
     """
 
     id: BackendServerId
@@ -45,6 +47,7 @@
     slots: int
     state: ServerState
     born: int = 0
+    revision: Revision = field(default=Revision(0), compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/test/platform/test_records.py
+++ b/test/platform/test_records.py
@@ -44,7 +44,7 @@
 
 
 def test_server_is_decoded():
-    server = parse_server("servers/i-1", json.dumps(SERVER).encode()).ok
+    server = parse_server("servers/i-1", json.dumps(SERVER).encode(), 1).ok
     assert server.id == "i-1"
     assert server.address == ("10.0.0.1", 80)
     assert server.state is ServerState.READY
@@ -64,12 +64,12 @@
 )
 def test_invalid_server_entry_is_an_error(change):
     data = json.dumps(SERVER | change).encode()
-    assert parse_server("servers/i-1", data).is_error()
+    assert parse_server("servers/i-1", data, 1).is_error()
 
 
 @pytest.mark.parametrize("data", [b"", b"\xff\xfe", b"[]", b"{", b"null"])
 def test_undecodable_server_entry_is_an_error(data):
-    assert parse_server("servers/i-1", data).is_error()
+    assert parse_server("servers/i-1", data, 1).is_error()
 
 
 def test_longest_matching_route_prefix_is_chosen():
