--- a/tanagerwalk/memory.py
+++ b/tanagerwalk/memory.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 from collections import deque
+from dataclasses import replace
 
 from .decisions.resource_budget import ResourceBudget
 from .process_memory import find_room, read_sizes
@@ -13,6 +14,8 @@
 SPARE_DIVISOR = 4
 # Memory for tables, declarations and connections, which the budget doesn't count.
 TABLES_BYTES = 24 * 1024 * 1024
+# Address space for the stacks of threads that start later.
+THREADS_BYTES = 64 * 1024 * 1024
 # Part of the rest that is used, as freed memory isn't all given back.
 USABLE_SHARE = 0.6
 # The parts that were received, the whole body, and the one encoded for a server.
@@ -220,5 +223,7 @@
         Most memory that the process may take, in bytes; 0 for that of the system.
     """
     system = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
-    room = find_room(min(limit or system, system), read_sizes())
+    sizes = read_sizes()
+    grown = replace(sizes, address_space=sizes.address_space + THREADS_BYTES)
+    room = find_room(min(limit or system, system), grown)
     return max(0, int((room - TABLES_BYTES) * USABLE_SHARE))
--- a/tanagerwalk/process_memory.py
+++ b/tanagerwalk/process_memory.py
@@ -21,6 +21,8 @@
 # How much free memory at the end of the heap is kept for the next request. The library
 # no longer adapts it once the parameter above is set.
 M_TRIM_THRESHOLD = -1
+# Most heaps that threads get.
+M_ARENA_MAX = -8
 KEPT_HEAP_BYTES = 4 * 1024 * 1024
 
 
@@ -91,6 +93,11 @@
     _call_libc("mallopt", M_TRIM_THRESHOLD, KEPT_HEAP_BYTES)
 
 
+def share_heap():
+    """Have all threads use one heap; each further one takes 64 MB of address space."""
+    _call_libc("mallopt", M_ARENA_MAX, 1)
+
+
 def trim_heap():
     """Give the free memory of the C library back to the system."""
     _call_libc("malloc_trim", 0)
--- a/tanagerwalk/ui/serve.py
+++ b/tanagerwalk/ui/serve.py
@@ -10,7 +10,7 @@
 from ..app import EntryInstance
 from ..descriptors import raise_limit
 from ..logs import configure_logs
-from ..process_memory import map_large_blocks
+from ..process_memory import map_large_blocks, share_heap
 from ..settings import parse_settings
 from .common import fail, read_settings, settings_option
 
@@ -25,6 +25,7 @@
     check_secrets(settings)
     configure_logs()
     map_large_blocks()
+    share_heap()
     raise_limit(settings.limits.descriptors)
     try:
         uvloop.run(run_until_stopped(settings))
--- a/test/processes.py
+++ b/test/processes.py
@@ -42,9 +42,14 @@
         return self.subprocess.returncode
 
 
-async def start_process(*arguments):
-    """Start `tanagerwalk ARGUMENTS`."""
+async def start_process(*arguments, preexec=None):
+    """Start `tanagerwalk ARGUMENTS`; `preexec` runs in the new process before."""
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "tanagerwalk", *arguments, stdout=asyncio.subprocess.PIPE
+        sys.executable,
+        "-m",
+        "tanagerwalk",
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+        preexec_fn=preexec,
     )
     return Process(process)
--- a/test/test_process_limits.py
+++ b/test/test_process_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import resource
 import socket
 from collections import Counter
 from importlib import resources
@@ -14,6 +15,7 @@
 BYTES_PER_MB = 1000 * 1000
 KB_BYTES = 1024
 MEMORY_MB = 150
+ADDRESS_SPACE_BYTES = 300_000_000
 LARGE_BODY_BYTES = 3_900_000
 LARGE_BODIES = 60
 STALLED_BODIES = 40
@@ -150,6 +152,21 @@
     assert await limited.process.stop() == 0
 
 
+async def test_bodies_stay_within_address_space(process_world):
+    """Guards against bodies and threads that use up a limit of the address space."""
+
+    def limit():
+        resource.setrlimit(resource.RLIMIT_AS, (ADDRESS_SPACE_BYTES,) * 2)
+
+    process_world.preexec = limit
+    limited = await LimitedProcess.start(process_world)
+    body = build_body(900_000)
+    answers = await asyncio.gather(*[limited.ask(body) for _ in range(LARGE_BODIES)])
+    assert {answer[0] for answer in answers} == {200, 503}
+    await limited.check_serving()
+    assert await limited.process.stop() == 0
+
+
 async def test_body_that_stops_gives_its_memory_back(process_world):
     """Guards against bodies that stop and hold their memory for a day."""
     limited = await LimitedProcess.start(
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -18,11 +18,14 @@
         super().__init__()
         self.folder = folder
         self.processes = {}
+        self.preexec = None
 
     async def start_instance(self, name, extra=""):
         path = self.folder / f"{name}.ini"
         path.write_text(self.make_settings(name, extra=extra))
-        process = await start_process("serve", "--settings", str(path))
+        process = await start_process(
+            "serve", "--settings", str(path), preexec=self.preexec
+        )
         self.processes[name] = process
         process.listening = await process.wait_for_event("listening")
         return process
