--- a/tanagerwalk/gateway/answer_recorder.py
+++ b/tanagerwalk/gateway/answer_recorder.py
@@ -28,7 +28,12 @@
         self._load_curve = LoadCurve()
 
     def record_attempt(self, request, attempt, result):
-        """Update the latency baselines and count the result for a roll-out."""
+        """Update the latency baselines and count the result for a roll-out.
+
+        A fault of this instance says nothing about the release.
+        """
+        if result.fault is not None:
+            return
         order = self._cluster_state.orders.get(attempt.server.service)
         is_target = order is not None and attempt.server.release == order.target
         route = request.route
--- a/tanagerwalk/gateway/attempts.py
+++ b/tanagerwalk/gateway/attempts.py
@@ -8,7 +8,7 @@
 from ..decisions.server_usage import Work
 from ..ids import ModelName
 from ..registry import RegisteredServer
-from .connect_faults import ConnectFault
+from .connect_faults import ConnectFault, ReadFault
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,8 +150,9 @@
         Monotonic time at which the connection was opened, in seconds.
     written_for : float or None
         Seconds from the response head to the end; None without a head.
-    fault : ConnectFault or None
-        Why this instance could not try to connect; the server isn't to blame.
+    fault : ConnectFault, ReadFault or None
+        Why this instance could not connect, or not read on; the server isn't to
+        blame. With a ReadFault, it has run the request.
     """
 
     outcome: Outcome
@@ -167,13 +168,20 @@
     broke_off: bool = False
     connected_at: float = float("inf")
     written_for: float | None = None
-    fault: ConnectFault | None = None
+    fault: ConnectFault | ReadFault | None = None
 
     @property
     def is_success(self):
         """Whether the response was delivered and has a 2xx status."""
         return self.outcome is Outcome.DELIVERED and 200 <= self.status < 300
 
+    @property
+    def has_lasted(self):
+        """Whether its duration tells how long the server takes for an answer."""
+        return self.is_success or (
+            self.outcome is Outcome.SILENT and self.fault is None
+        )
+
     @property
     def has_answered(self):
         """Whether the server completed a response, be it an error."""
--- a/tanagerwalk/gateway/connect_faults.py
+++ b/tanagerwalk/gateway/connect_faults.py
@@ -1,4 +1,4 @@
-"""Why this instance could not try to connect."""
+"""Faults of this instance that keep it from connecting, or from reading."""
 
 from enum import Enum
 
@@ -7,3 +7,9 @@
     """A fault of this instance that says nothing about the address it connects to."""
 
     DESCRIPTORS_FULL = "descriptors_full"
+
+
+class ReadFault(Enum):
+    """A fault of this instance that says nothing about the server that answers."""
+
+    MEMORY_FULL = "memory_full"
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -47,6 +47,8 @@
         Whether the connection has been closed or aborted.
     received : bool
         Whether any data was received since the last request was sent.
+    has_waited : bool
+        Whether the last response has waited for memory of this instance.
     opened_at : float
         Monotonic time at which it was opened, in seconds.
     on_closed : callable or None
@@ -59,6 +61,7 @@
         self.closed = False
         self.on_closed = None
         self.received = False
+        self.has_waited = False
         self._transport = None
         self._parser = httptools.HttpResponseParser(self)
         self._response_heads = deque()
@@ -120,6 +123,7 @@
                 return
             if self._memory.may_read_on(self._resume_transport):
                 return
+            self.has_waited = True
         elif len(self._body) <= READ_HIGH_WATER_BYTES:
             return
         self._is_paused = True
@@ -278,6 +282,7 @@
             return Error(ConnectionFailure.CLOSED)
         self._matches_request = matches_request
         self.received = False
+        self.has_waited = False
         self._overhead_bytes = 0
         self._has_no_body = has_no_body
         self._pending_responses += 1
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -14,7 +14,7 @@
 from ..decisions.latency_baselines import LatencySample
 from ..manifest import Repeatability
 from .attempts import Attempt, AttemptResult, ClassifiedHead, Outcome, ResponseKind
-from .connect_faults import ConnectFault
+from .connect_faults import ConnectFault, ReadFault
 from .connections import ConnectionFailure
 from .requests import GatewayRequest
 from .response_timer import ResponseTimer
@@ -135,10 +135,12 @@
             if sent.is_error():
                 return AttemptResult(Outcome.CLOSED, "lost before it was used")
             result, head = await self._read_response(connection, plan, timer)
-            timer.report()
+            has_waited = connection.has_waited
+            if not has_waited:
+                timer.report()
             result = dataclasses.replace(
                 result,
-                latency_sample=timer.build_sample(),
+                latency_sample=None if has_waited else timer.build_sample(),
                 load=timer.load,
                 kept=kept,
                 via=via,
@@ -185,11 +187,23 @@
             if is_stream:
                 result = await self._relay_stream(connection, plan, raw, head, timer)
                 return result, raw if result.outcome is Outcome.DELIVERED else None
-        body = await _wait_at_most(connection.read_body(), plan.timeouts.idle)
+        body = await self._read_body(connection, plan)
         if body.is_error():
             return _build_failure(body.error), None
         return _build_result(raw, head, body.ok, plan.progress), raw
 
+    async def _read_body(self, connection, plan):
+        """Return the body; time in which it waits for memory is not the server's.
+
+        An answer that has waited may still come until the deadline of the request.
+        """
+        result = await _wait_at_most(connection.read_body(), plan.timeouts.idle)
+        if not _has_timed_out(result) or not connection.has_waited:
+            return result
+        time_left = plan.request.deadline - self._clock()
+        result = await _wait_at_most(connection.read_body(), time_left)
+        return Error(ReadFault.MEMORY_FULL) if _has_timed_out(result) else result
+
     def _record_notice(self, connection, server, notice):
         """Take notice of what a server says; so must the instance that reaches it."""
         if self._servers.record_limit(server, notice.limit, self._clock()):
@@ -218,8 +232,7 @@
             remaining = timeouts.head - (wait_started_at - sent_at)
             limit = min(timeouts.unresponsive, remaining)
             result = await self._read_head(connection, limit)
-            timed_out = result.is_error() and result.error is None
-            if not timed_out or limit >= remaining:
+            if not _has_timed_out(result) or limit >= remaining:
                 return result
             if not self._servers.is_worth_waiting_for(
                 attempt.server,
@@ -304,13 +317,22 @@
 
 
 def _build_failure(cause):
-    """Return the AttemptResult for a ConnectionFailure, or None for a timeout."""
+    """Return the AttemptResult for a ConnectionFailure or a fault of this instance.
+
+    None stands for a timeout.
+    """
+    if isinstance(cause, ReadFault):
+        return AttemptResult(Outcome.SILENT, "no memory in time", fault=cause)
     if cause is None:
         return AttemptResult(Outcome.SILENT, "no answer in time")
     broke_off = cause is ConnectionFailure.CLOSED
     return AttemptResult(Outcome.LOST, f"connection {cause.value}", broke_off=broke_off)
 
 
+def _has_timed_out(result):
+    return result.is_error() and result.error is None
+
+
 async def _wait_at_most(work, seconds):
     """Await `work`, which returns a Result; on a timeout return Error(None)."""
     async with _TimeLimit(seconds) as limit:
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -18,6 +18,7 @@
 from ..manifest import Repeatability
 from ..outcomes import Refusal, RefusalReason, RunState
 from .attempts import Attempt, AttemptResult, Outcome
+from .connect_faults import ConnectFault
 from .exchange import AttemptPlan, AttemptTimeouts
 from .place_wait import PlaceWait
 from .request_log import describe_attempt, log_request_end
@@ -133,9 +134,10 @@
                 if result.head is not None:
                     self._deliver(result)
                 return self._log_result(Ok(None))
-            if result.fault is not None and self._history.may_have_run:
+            is_unconnected = isinstance(result.fault, ConnectFault)
+            if is_unconnected and self._history.may_have_run:
                 await asyncio.sleep(min(FAULT_PAUSE_S, max(0.0, self._time_left)))
-            elif result.fault is not None:
+            elif is_unconnected:
                 reason = RefusalReason.DESCRIPTORS_FULL
                 return self._log_result(self._give_up(reason))
             action = self._decide_next_action(result)
@@ -221,8 +223,7 @@
             async with self._context.quarantine.guard(self._request, self._progress):
                 result = await self._context.attempt_runner.run(plan)
         finally:
-            lasted = result.is_success or result.outcome is Outcome.SILENT
-            durations.end(self._kind, token, self._clock(), lasted)
+            durations.end(self._kind, token, self._clock(), result.has_lasted)
         return result
 
     async def _check_for_crash(self, server, result):
--- a/test/gateway/test_memory_pressure.py
+++ b/test/gateway/test_memory_pressure.py
@@ -91,13 +91,15 @@
         await cluster.build(desks=1)
         [instance] = cluster.instances
         cluster.servers["desk-0"].behaviour = Behaviour("raw", raw=WAITING_ANSWER)
-        memory = instance.memory
+        memory = instance.limits.memory
         other = memory.create_request_memory()
         other.hold(memory.capacity)
         assert other.may_read_on(lambda: None)
         other.shrink_to(int(0.8 * memory.capacity))
         data = cluster.encode("GET", "/jobs/1", X_Tanagerwalk_Deadline_Ms="1500")
-        await cluster.send(data)
+        reply = await cluster.send(data)
+        assert reply.status == 504
+        assert b"not run" not in reply.body
         usage = instance.servers.find("desk-0")
         assert usage.paused_until <= instance.clock()
         other.release()
