--- a/tanagerwalk/gateway/probes.py
+++ b/tanagerwalk/gateway/probes.py
@@ -10,6 +10,8 @@
 # Beyond it the oldest connection is closed.
 MAX_CONNECTIONS = 16
 IDLE_TIMEOUT_S = 30.0
+# Largest request; more of one that doesn't end closes its connection.
+MAX_REQUEST_BYTES = 64 * 1024
 NOT_READY_RESPONSE = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -70,14 +72,21 @@
 
 
 class _ProbeConnection(asyncio.Protocol):
+    """Answers one request after another, each once the one before has been taken."""
+
     def __init__(self, listener):
         self._listener = listener
         self._transport = None
         self._timeout_handle = None
         self._parser = httptools.HttpRequestParser(self)
+        self._received_bytes = 0
+        self._unanswered = 0
+        self._is_writable = True
+        self._keeps_alive = True
 
     def connection_made(self, transport):
         self._transport = transport
+        transport.set_write_buffer_limits(high=0)
         self._listener.connections[self] = True
         if len(self._listener.connections) > MAX_CONNECTIONS:
             next(iter(self._listener.connections)).close()
@@ -99,13 +108,46 @@
         self._timeout_handle = loop.call_later(IDLE_TIMEOUT_S, self.close)
 
     def data_received(self, data):
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._transport.abort()
+        if self._received_bytes > MAX_REQUEST_BYTES:
+            self._transport.abort()
+        if self._unanswered and not self._transport.is_closing():
+            self._transport.pause_reading()
+            self._answer_next()
 
     def on_message_complete(self):
+        self._received_bytes = 0
+        self._unanswered += 1
+        self._keeps_alive = self._parser.should_keep_alive()
+
+    def pause_writing(self):
+        self._is_writable = False
+
+    def resume_writing(self):
+        self._is_writable = True
+        self._continue()
+
+    def _answer_next(self):
+        """Answer a request; others have their turn before the next one."""
+        if self._transport.is_closing():
+            return
         self._restart_timeout()
+        self._unanswered -= 1
         self._transport.write(self._listener.render_response())
-        if not self._parser.should_keep_alive():
+        if self._is_writable:
+            asyncio.get_running_loop().call_soon(self._continue)
+
+    def _continue(self):
+        # It may only be called off once the loop has tried to send the answer.
+        if self._transport.is_closing() or not self._is_writable:
+            return
+        if self._unanswered:
+            self._answer_next()
+        elif self._keeps_alive:
+            self._transport.resume_reading()
+        else:
             self._transport.close()
