--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -22,6 +22,9 @@
 
 WRITE_HIGH_WATER_BYTES = 16 * 1024
 MAX_PIPELINED_REQUESTS = 8
+# Most that is parsed at once beside the rest of a body whose length is known. The
+# parser can't stop within it, so that it bounds the requests beyond those above.
+PARSED_BYTES = 1024
 # After a refusal, what the client still sends is dropped for so long. Closed with
 # unread bytes, the connection would be reset, and the refusal could be lost.
 LINGER_S = 2.0
@@ -53,6 +56,8 @@
         self._assembly = None
         self._header_size = 0
         self._piece_size = 0
+        # Received, but not parsed before some of the queued requests are answered.
+        self._unparsed = b""
         self._has_new_body = False
         self._owes_continue = False
         # Of the request that is handled or whose answer has not been taken yet.
@@ -91,9 +96,45 @@
         self._start_timeout(self._limits.idle_timeout, self.close_if_idle)
 
     def data_received(self, data):
-        """Feed received bytes to the parser; they may hold several requests."""
-        if self._input_ended:
-            return
+        """Parse received bytes until enough requests are queued; keep the rest."""
+        view = memoryview(data)
+        start = 0
+        while start < len(view) and not self._input_ended:
+            if len(self._pending) >= MAX_PIPELINED_REQUESTS:
+                self._keep_unparsed(bytes(view[start:]))
+                return
+            size = PARSED_BYTES
+            if self._assembly is not None:
+                size = max(size, self._assembly.missing_size)
+            self._parse(view[start : start + size])
+            start += size
+
+    def _keep_unparsed(self, data):
+        """Keep bytes for later; the client can't do anything about the delay."""
+        self._listener.memory.reserve(len(data))
+        self._unparsed = data
+        self._cancel_timeout()
+
+    def _take_unparsed(self):
+        data, self._unparsed = self._unparsed, b""
+        self._listener.memory.release(len(data))
+        return data
+
+    def _read_on(self):
+        """Parse what is left, and read again if that is not too much already."""
+        data = self._take_unparsed()
+        if data and not self._input_ended:
+            self.data_received(data)
+            if self._assembly is not None and self._timeout_handle is None:
+                self._await_rest()
+        if not self._unparsed and len(self._pending) < MAX_PIPELINED_REQUESTS:
+            self._transport.resume_reading()
+
+    def _await_rest(self):
+        if not self._owes_continue and not self._unparsed:
+            self._start_timeout(self._limits.header_timeout, self._on_receive_timeout)
+
+    def _parse(self, data):
         self._piece_size = len(data)
         if self._assembly is not None and self._assembly.is_in_head:
             self._header_size += len(data)
@@ -133,6 +174,7 @@
         self._cancel_timeout()
         self._writable.set()
         self._drop_received()
+        self._take_unparsed()
         for queued in self._pending:
             queued.memory.release()
         self._pending.clear()
@@ -264,7 +306,9 @@
         """Take the next request, or wait for it."""
         if self._input_ended and not self._pending:
             return
-        self._transport.resume_reading()
+        self._read_on()
+        if self._handled_memory is not None:
+            return
         if self._pending:
             self._handle_next()
         elif self._owes_continue:
--- a/tanagerwalk/gateway/request_assembly.py
+++ b/tanagerwalk/gateway/request_assembly.py
@@ -35,9 +35,15 @@
         self._headers = []
         self._body = b""
         self._reserved_body_size = 0
+        self._announced_size = 0
         self.memory = memory
         self.is_in_head = True
 
+    @property
+    def missing_size(self):
+        """Bytes of a body of known length that have not arrived yet, 0 without one."""
+        return self._announced_size - len(self._body)
+
     def add_target(self, data):
         """Append a fragment of the request target."""
         self._target += data
@@ -74,7 +80,7 @@
                 is_asked = True
         if length > self._limits.body_size:
             raise LimitExceededError(build_body_refusal(self._limits))
-        self._reserved_body_size = length
+        self._reserved_body_size = self._announced_size = length
         size += HEADER_BYTES * len(self._headers) + REQUEST_BYTES + length
         self._reserve(size - self.memory.size)
         return is_asked
--- a/test/gateway/test_memory_pressure.py
+++ b/test/gateway/test_memory_pressure.py
@@ -17,7 +17,7 @@
 )
 
 from tanagerwalk.standins.backend import Behaviour
-from tanagerwalk.standins.gateway_cluster import GatewayCluster
+from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
 STALLED_READERS = 60
 WAITING_ANSWER = encode_answer(400000)
@@ -84,6 +84,25 @@
         assert set(statuses) == {200}, statuses
 
 
+# Guards against a request that is refused as late because its bytes wait here, behind
+# others of its connection, for longer than a client may take to send them.
+async def test_pipelined_requests_that_wait_here_are_all_answered(tmp_path):
+    async with run_process(tmp_path) as rig:
+        for server in rig.servers:
+            server.behaviour = Behaviour(delay=0.3)
+        reader, writer = await rig.connect()
+        length = "Content-Length: 5000"
+        requests = [
+            encode_head(number, "POST", "/jobs/1", length) + b"x" * 5000
+            for number in range(16)
+        ]
+        writer.write(b"".join(requests))
+        async with asyncio.timeout(8.0):
+            replies = [await read_reply(reader) for _ in requests]
+        assert [reply.status for reply in replies] == [200] * 16
+        writer.close()
+
+
 # Guards against a server that is kept off, and a release that counts as bad, because
 # this instance had no memory to read an answer that had come in time.
 async def test_server_is_not_blamed_for_an_answer_that_waits_for_memory():
