--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -15,18 +15,14 @@
 from ..decisions.model_selection import is_confident_enough, plan_models
 from ..decisions.prompt_affinity import compute_affinity
 from ..decisions.server_usage import estimate_work
-from ..manifest import Repeatability
 from ..outcomes import Refusal, RefusalReason, RunState
+from .attempt_timeouts import choose_timeouts
 from .attempts import Attempt, AttemptResult, Outcome
-from .exchange import AttemptPlan, AttemptTimeouts
+from .exchange import AttemptPlan
 from .place_wait import PlaceWait
 from .request_log import describe_attempt, log_request_end
 from .stream_progress import StreamProgress
 
-UNRESPONSIVE_TIMEOUT_SHARE = 0.3
-MIN_UNRESPONSIVE_TIMEOUT_S = 0.5
-MAX_UNRESPONSIVE_TIMEOUT_S = 2.0
-STREAM_IDLE_TIMEOUT_S = 2.0
 MIN_QUEUE_FULL_WAIT_S = 2.0
 QUEUE_FULL_WAIT_SHARE = 0.7
 # Before the next attempt of a request that may have run, if no descriptor is left.
@@ -195,7 +191,11 @@
         plan = AttemptPlan(
             self._request,
             attempt,
-            self._choose_timeouts(),
+            choose_timeouts(
+                self._request.route,
+                self._history.max_attempts - self._history.sent,
+                self._time_left,
+            ),
             self._accepts_head,
             self._progress,
             partial(self._context.recorder.record_latency, self._request, attempt),
@@ -265,28 +265,6 @@
         choices = [service.make_model_choice(name) for name in route.models]
         return plan_models(choices, route.max_attempts)
 
-    def _choose_timeouts(self):
-        """Return the timeouts of the next attempt.
-
-        They are shorter than the deadline only if another attempt can follow.
-        """
-        time_left = self._time_left
-        if not self._request.route.repeatable:
-            return AttemptTimeouts(time_left, time_left, time_left)
-        attempts_left = self._history.max_attempts - self._history.sent
-        if attempts_left <= 1:
-            return AttemptTimeouts(time_left, time_left, time_left)
-        unresponsive = max(
-            MIN_UNRESPONSIVE_TIMEOUT_S, time_left * UNRESPONSIVE_TIMEOUT_SHARE
-        )
-        unresponsive = min(MAX_UNRESPONSIVE_TIMEOUT_S, unresponsive)
-        idle = time_left
-        if self._request.route.repeatability is Repeatability.STREAM:
-            idle = STREAM_IDLE_TIMEOUT_S
-        return AttemptTimeouts(
-            min(time_left, unresponsive), min(time_left, idle), time_left
-        )
-
     def _accepts_head(self, head):
         """Return whether to deliver this response instead of asking a larger model."""
         if self._progress.head_sent or self._model_index + 1 >= len(self._models):
