--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -286,6 +286,7 @@
         )
         context = ExecutionContext(
             attempt_runner,
+            self.connection_pool,
             self.servers,
             self.rollouts,
             self.assigner,
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -76,6 +76,8 @@
         self._current_server_id = None
         self._last_release = None
         self._is_under_way = False
+        # Whether only servers with an open connection can be asked.
+        self._needs_kept = False
 
     @property
     def _time_left(self):
@@ -120,6 +122,9 @@
             if self._would_miss_deadline():
                 return self._log_result(self._give_up(RefusalReason.QUEUE_FULL))
             server = self._choose_server()
+            if server is None and self._needs_kept:
+                reason = RefusalReason.DESCRIPTORS_FULL
+                return self._log_result(self._give_up(reason))
             if server is None and await self._place_wait.wait(self._history):
                 continue
             if server is None:
@@ -129,15 +134,22 @@
                 if result.head is not None:
                     self._deliver(result)
                 return self._log_result(Ok(None))
-            if result.fault is not None and self._history.may_have_run:
-                await asyncio.sleep(min(FAULT_PAUSE_S, max(0.0, self._time_left)))
-            elif result.fault is not None:
-                reason = RefusalReason.DESCRIPTORS_FULL
-                return self._log_result(self._give_up(reason))
+            await self._bear_fault(result.fault)
             action = self._decide_next_action(result)
             if action is not NextAction.ANOTHER:
                 return self._log_result(self._finish_without_answer(action))
 
+    async def _bear_fault(self, fault):
+        """Go on after an attempt that this instance couldn't make, if there is a fault.
+
+        A request that has not run is refused, unless a connection to another server is
+        open; one that may have run waits.
+        """
+        may_have_run = self._history.may_have_run
+        self._needs_kept = fault is not None and not may_have_run
+        if fault is not None and may_have_run:
+            await asyncio.sleep(min(FAULT_PAUSE_S, max(0.0, self._time_left)))
+
     def _would_miss_deadline(self):
         """Return whether the queues leave too little time before the deadline.
 
@@ -155,6 +167,8 @@
         now = self._clock()
         service = self._service
         choose = partial(self._context.servers.choose, affinity=self._affinity)
+        if self._needs_kept:
+            return choose(service, now, self._tried, self._has_kept_connection)
         rolled_back = self._context.rollouts.find_rolled_back_release(service)
         # Prefer untried servers of the request's roll-out side, then tried ones, and
         # only then servers of the other side, unless the own ones keep it off.
@@ -168,6 +182,10 @@
             service, now, frozenset(), lambda server: server.release != rolled_back
         )
 
+    def _has_kept_connection(self, server):
+        has_kept = self._context.pool.has_idle(server)
+        return has_kept and self._allows_server(server)
+
     async def _attempt(self, server):
         now = self._clock()
         if self._history.sent == 0:
--- a/tanagerwalk/gateway/execution_context.py
+++ b/tanagerwalk/gateway/execution_context.py
@@ -8,6 +8,7 @@
 from .crash_check import CrashCheck
 from .exchange import AttemptRunner
 from .metrics import GatewayMetrics
+from .pool import ConnectionPool
 from .quarantine import QuarantineFilter
 from .release_assignment import ReleaseAssigner
 from .release_rollouts import ReleaseRolloutController
@@ -22,6 +23,8 @@
     ----------
     attempt_runner : AttemptRunner
         Runs single attempts.
+    pool : ConnectionPool
+        Tells to which servers a connection is kept.
     servers : ServerPool
         Selects servers and tracks their health.
     rollouts : ReleaseRolloutController
@@ -45,6 +48,7 @@
     """
 
     attempt_runner: AttemptRunner
+    pool: ConnectionPool
     servers: ServerPool
     rollouts: ReleaseRolloutController
     assigner: ReleaseAssigner
--- a/tanagerwalk/gateway/pool.py
+++ b/tanagerwalk/gateway/pool.py
@@ -57,6 +57,17 @@
             entry.connection.abort()
         return None
 
+    def has_idle(self, server):
+        """Return whether a pooled connection to a server can be used.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        """
+        idle = self._idle.get((server.id, server.address), [])
+        return any(self._is_usable(server, entry) for entry in idle)
+
     def _is_usable(self, server, entry):
         """Return whether an idle connection can be used, by the path that works."""
         connection = entry.connection
