--- a/tanagerwalk/decisions/sliding_retry_budget.py
+++ b/tanagerwalk/decisions/sliding_retry_budget.py
@@ -51,6 +51,39 @@
         self._retries.append(now)
         self._expire(now)
 
+    def record_attempt(self, now, is_retry):
+        """Count an attempt, the first of a request or a later one."""
+        record = self.record_retry if is_retry else self.record_request
+        record(now)
+
+    def withdraw_attempt(self, recorded_at, is_retry):
+        """Count an attempt no longer that turned out not to be sent.
+
+        Parameters
+        ----------
+        recorded_at : float
+            Monotonic time at which it was recorded, in seconds.
+        is_retry : bool
+            Whether it was recorded as a retry.
+        """
+        times = self._retries if is_retry else self._requests
+        # They are in order, and it was recorded lately, or has left the window.
+        index = len(times) - 1
+        while index >= 0 and times[index] > recorded_at:
+            index -= 1
+        if index >= 0 and times[index] == recorded_at:
+            del times[index]
+
+    @property
+    def request_count(self):
+        """Number of first attempts in the window."""
+        return len(self._requests)
+
+    @property
+    def retry_count(self):
+        """Number of attempts beyond the first in the window."""
+        return len(self._retries)
+
     def allows(self, now, share=1.0):
         """Return whether another retry fits into a fraction of the budget.
 
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -7,6 +7,7 @@
 
 from ..decisions.attempts import (
     BUDGET_SHARES,
+    UNSENT_OUTCOMES,
     AttemptHistory,
     NextAction,
     decide_next_action,
@@ -188,10 +189,9 @@
 
     async def _attempt(self, server):
         now = self._clock()
-        if self._history.sent == 0:
-            self._budget.record_request(now)
-        else:
-            self._budget.record_retry(now)
+        is_retry = self._history.sent > 0
+        # Before it is sent, so that others see it at once.
+        self._budget.record_attempt(now, is_retry)
         self._context.servers.spend_limit(server, now)
         model = self._models[self._model_index] if self._models else None
         attempt = Attempt(
@@ -220,6 +220,8 @@
             partial(self._context.quarantine.suspect, self._request, attempt),
         )
         result = await self._run_attempt(plan)
+        if result.outcome in UNSENT_OUTCOMES:
+            self._budget.withdraw_attempt(now, is_retry)
         self._context.recorder.record_attempt(self._request, attempt, result)
         self._context.quarantine.record_attempt(self._request, attempt, result)
         await self._check_for_crash(server, result)
