--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -7,6 +7,7 @@
 
 from ..decisions.attempts import (
     BUDGET_SHARES,
+    UNSENT_OUTCOMES,
     AttemptHistory,
     NextAction,
     decide_next_action,
@@ -15,19 +16,15 @@
 from ..decisions.model_selection import is_confident_enough, plan_models
 from ..decisions.prompt_affinity import compute_affinity
 from ..decisions.server_usage import estimate_work
-from ..manifest import Repeatability
 from ..outcomes import Refusal, RefusalReason, RunState
+from .attempt_timeouts import choose_timeouts
 from .attempts import Attempt, AttemptResult, Outcome
 from .connect_faults import ConnectFault
-from .exchange import AttemptPlan, AttemptTimeouts
+from .exchange import AttemptPlan
 from .place_wait import PlaceWait
 from .request_log import describe_attempt, log_request_end
 from .stream_progress import StreamProgress
 
-UNRESPONSIVE_TIMEOUT_SHARE = 0.3
-MIN_UNRESPONSIVE_TIMEOUT_S = 0.5
-MAX_UNRESPONSIVE_TIMEOUT_S = 2.0
-STREAM_IDLE_TIMEOUT_S = 2.0
 MIN_QUEUE_FULL_WAIT_S = 2.0
 QUEUE_FULL_WAIT_SHARE = 0.7
 # Before the next attempt of a request that may have run, if no descriptor is left.
@@ -81,6 +78,8 @@
         self._current_server_id = None
         self._last_release = None
         self._is_under_way = False
+        # Whether only servers with an open connection can be asked.
+        self._needs_kept = False
 
     @property
     def _time_left(self):
@@ -125,6 +124,9 @@
             if self._would_miss_deadline():
                 return self._log_result(self._give_up(RefusalReason.QUEUE_FULL))
             server = self._choose_server()
+            if server is None and self._needs_kept:
+                reason = RefusalReason.DESCRIPTORS_FULL
+                return self._log_result(self._give_up(reason))
             if server is None and await self._place_wait.wait(self._history):
                 continue
             if server is None:
@@ -134,16 +136,23 @@
                 if result.head is not None:
                     self._deliver(result)
                 return self._log_result(Ok(None))
-            is_unconnected = isinstance(result.fault, ConnectFault)
-            if is_unconnected and self._history.may_have_run:
-                await asyncio.sleep(min(FAULT_PAUSE_S, max(0.0, self._time_left)))
-            elif is_unconnected:
-                reason = RefusalReason.DESCRIPTORS_FULL
-                return self._log_result(self._give_up(reason))
+            await self._bear_fault(result.fault)
             action = self._decide_next_action(result)
             if action is not NextAction.ANOTHER:
                 return self._log_result(self._finish_without_answer(action))
 
+    async def _bear_fault(self, fault):
+        """Go on after an attempt for which this instance couldn't connect.
+
+        A request that has not run is refused, unless a connection to another server is
+        open; one that may have run waits.
+        """
+        is_unconnected = isinstance(fault, ConnectFault)
+        may_have_run = self._history.may_have_run
+        self._needs_kept = is_unconnected and not may_have_run
+        if is_unconnected and may_have_run:
+            await asyncio.sleep(min(FAULT_PAUSE_S, max(0.0, self._time_left)))
+
     def _would_miss_deadline(self):
         """Return whether the queues leave too little time before the deadline.
 
@@ -161,6 +170,8 @@
         now = self._clock()
         service = self._service
         choose = partial(self._context.servers.choose, affinity=self._affinity)
+        if self._needs_kept:
+            return choose(service, now, self._tried, self._has_kept_connection)
         rolled_back = self._context.rollouts.find_rolled_back_release(service)
         # Prefer untried servers of the request's roll-out side, then tried ones, and
         # only then servers of the other side, unless the own ones keep it off.
@@ -174,12 +185,15 @@
             service, now, frozenset(), lambda server: server.release != rolled_back
         )
 
+    def _has_kept_connection(self, server):
+        has_kept = self._context.pool.has_idle(server)
+        return has_kept and self._allows_server(server)
+
     async def _attempt(self, server):
         now = self._clock()
-        if self._history.sent == 0:
-            self._budget.record_request(now)
-        else:
-            self._budget.record_retry(now)
+        is_retry = self._history.sent > 0
+        # Before it is sent, so that others see it at once.
+        self._budget.record_attempt(now, is_retry)
         self._context.servers.spend_limit(server, now)
         model = self._models[self._model_index] if self._models else None
         attempt = Attempt(
@@ -197,13 +211,19 @@
         plan = AttemptPlan(
             self._request,
             attempt,
-            self._choose_timeouts(),
+            choose_timeouts(
+                self._request.route,
+                self._history.max_attempts - self._history.sent,
+                self._time_left,
+            ),
             self._accepts_head,
             self._progress,
             partial(self._context.recorder.record_latency, self._request, attempt),
             partial(self._context.quarantine.suspect, self._request, attempt),
         )
         result = await self._run_attempt(plan)
+        if result.outcome in UNSENT_OUTCOMES:
+            self._budget.withdraw_attempt(now, is_retry)
         self._context.recorder.record_attempt(self._request, attempt, result)
         self._context.quarantine.record_attempt(self._request, attempt, result)
         await self._check_for_crash(server, result)
@@ -266,28 +286,6 @@
         choices = [service.make_model_choice(name) for name in route.models]
         return plan_models(choices, route.max_attempts)
 
-    def _choose_timeouts(self):
-        """Return the timeouts of the next attempt.
-
-        They are shorter than the deadline only if another attempt can follow.
-        """
-        time_left = self._time_left
-        if not self._request.route.repeatable:
-            return AttemptTimeouts(time_left, time_left, time_left)
-        attempts_left = self._history.max_attempts - self._history.sent
-        if attempts_left <= 1:
-            return AttemptTimeouts(time_left, time_left, time_left)
-        unresponsive = max(
-            MIN_UNRESPONSIVE_TIMEOUT_S, time_left * UNRESPONSIVE_TIMEOUT_SHARE
-        )
-        unresponsive = min(MAX_UNRESPONSIVE_TIMEOUT_S, unresponsive)
-        idle = time_left
-        if self._request.route.repeatability is Repeatability.STREAM:
-            idle = STREAM_IDLE_TIMEOUT_S
-        return AttemptTimeouts(
-            min(time_left, unresponsive), min(time_left, idle), time_left
-        )
-
     def _accepts_head(self, head):
         """Return whether to deliver this response instead of asking a larger model."""
         if self._progress.head_sent or self._model_index + 1 >= len(self._models):
