--- a/tanagerwalk/descriptors.py
+++ b/tanagerwalk/descriptors.py
@@ -28,7 +28,9 @@
         The limit in force.
     """
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    wanted = min(bound, hard) if bound else hard
+    wanted = hard
+    if bound and (hard == resource.RLIM_INFINITY or bound < hard):
+        wanted = bound
     if soft == wanted:
         return soft
     resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
