--- a/test/api/test_limits.py
+++ b/test/api/test_limits.py
@@ -1,6 +1,8 @@
 """Requests to an instance that stops or lacks memory."""
 
+import asyncio
 import json
+import socket
 
 import pytest
 
@@ -73,3 +75,34 @@
     budget = instance.memory.budget
     await demo.wait_until(lambda: budget.used == 0)
     assert budget.peak > 900_000
+
+
+async def test_caller_that_stops_reading_is_no_fault_of_the_engine(demo):
+    """Guards against engines blamed for the silence of a caller that reads nothing."""
+    instance = next(iter(demo.instances.values()))
+    for engine in demo.engines.values():
+        engine.token_delay = 0.0
+    # After the first attempt has ended by its caller's silence, at half the patience.
+    instance.callers_bounds.read_timeout = 4.5
+    sock = socket.socket()
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    address = ("127.0.0.1", instance.callers.listener.port)
+    await asyncio.get_running_loop().sock_connect(sock, address)
+    reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+    message = {"role": "user", "content": "deed"}
+    body = json.dumps(
+        {"model": "label", "messages": [message], "stream": True, "max_tokens": 500_000}
+    ).encode()
+    head = (
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+        f"Authorization: Bearer desk-key\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    writer.write(head.encode() + body)
+    await demo.wait_until(lambda: instance.memory.unread > 0)
+    await demo.wait_until(lambda: not instance.callers.in_flight)
+    retries = instance.metrics.retries
+    assert retries.labels("attempt_timeout")._value.get() == 0
+    servers = instance.table.servers.values()
+    assert all(server.paused_until < instance.clock() for server in servers)
+    writer.close()
