--- a/tanagerwalk/ui/serve.py
+++ b/tanagerwalk/ui/serve.py
@@ -16,6 +16,8 @@
 
 log = structlog.get_logger(__name__)
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 
 @click.command()
 @settings_option
@@ -56,8 +58,23 @@
     loop = asyncio.get_running_loop()
     instance = EntryInstance(settings)
     stop_requested = asyncio.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop_requested.set)
+
+    def request_stop(*_):
+        loop.call_soon_threadsafe(stop_requested.set)
+
+    # Handlers of the loop would give way to the default actions at its end, by which
+    # a further signal ends the process. A mask would hold for one thread only.
+    _handle_signals(request_stop)
+    await _serve_until(stop_requested, instance)
+    _handle_signals(signal.SIG_IGN)
+
+
+def _handle_signals(handler):
+    for signal_number in STOP_SIGNALS:
+        signal.signal(signal_number, handler)
+
+
+async def _serve_until(stop_requested, instance):
     starting = asyncio.create_task(instance.start())
     stop_wait = asyncio.create_task(stop_requested.wait())
     await asyncio.wait((starting, stop_wait), return_when=asyncio.FIRST_COMPLETED)
--- a/test/test_process_limits.py
+++ b/test/test_process_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import resource
+import signal
 import socket
 from collections import Counter
 from importlib import resources
@@ -25,6 +26,8 @@
 UNREAD_ANSWERS = 40
 RECEIVE_BUFFER_BYTES = 4096
 LIMIT_S = 20.0
+REPEATED_STOPS = 3
+SIGNAL_PAUSE_S = 0.002
 
 
 class LimitedProcess:
@@ -271,3 +274,13 @@
     process = await start_process("serve", "--settings", str(path))
     world.processes["entry-1"] = process
     return process
+
+
+async def test_signals_during_the_end_keep_its_status(process_world):
+    """Guards against a second signal that ends the process after its planned stop."""
+    for _ in range(REPEATED_STOPS):
+        process = await process_world.start_instance("entry-1")
+        while process.subprocess.returncode is None:
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(SIGNAL_PAUSE_S)
+        assert process.subprocess.returncode == 0
