--- a/tanagerwalk/descriptors.py
+++ b/tanagerwalk/descriptors.py
@@ -9,9 +9,7 @@
 # One for the client and one for the backend server of its request.
 DESCRIPTORS_PER_REQUEST = 2
 MIN_CONNECTIONS = 8
-OWN_LIMIT_ERRORS = frozenset(
-    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
-)
+OWN_LIMIT_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 
 def raise_limit(bound=0):
