--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -1,6 +1,7 @@
 """A client's HTTP/1.1 connection: parsing, queueing and the answers in turn."""
 
 import asyncio
+import math
 from collections import deque
 from dataclasses import dataclass
 
@@ -12,6 +13,7 @@
 from .receive_refusals import (
     LimitExceededError,
     build_malformed_refusal,
+    build_memory_refusal,
     build_timeout_refusal,
 )
 from .request_assembly import RequestAssembly
@@ -28,6 +30,8 @@
 # After a refusal, what the client still sends is dropped for so long. Closed with
 # unread bytes, the connection would be reset, and the refusal could be lost.
 LINGER_S = 2.0
+# Time after which the pace of a body is known.
+MIN_PACE_AGE_S = 1.0
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -58,6 +62,8 @@
         self._piece_size = 0
         # Received, but not parsed before some of the queued requests are answered.
         self._unparsed = b""
+        self._pace_since = math.inf
+        self._paced_size = 0
         self._has_new_body = False
         self._owes_continue = False
         # Of the request that is handled or whose answer has not been taken yet.
@@ -206,7 +212,10 @@
         self._listener.admission.end_idle(self)
         self._limits = self._listener.get_limits()
         memory = self._listener.memory.create_request_memory()
-        self._assembly = RequestAssembly(self._limits, memory, self._listener.random)
+        self._pace_since = math.inf
+        self._assembly = RequestAssembly(
+            self._limits, memory, self._listener.random, self._make_room
+        )
         self._start_timeout(self._limits.header_timeout, self._on_receive_timeout)
 
     def on_url(self, url):
@@ -219,6 +228,8 @@
 
     def on_headers_complete(self):
         """Check the sizes, reserve memory and reply to `Expect: 100-continue`."""
+        self._pace_since = self._listener.clock()
+        self._paced_size = 0
         if not self._assembly.complete_head():
             return
         if self._handled_memory is None:
@@ -247,6 +258,36 @@
             self._pause_reading()
         self._handle_next()
 
+    def _make_room(self):
+        return self._listener.make_room(self)
+
+    def measure_pace(self, now):
+        """Return how fast the body of a request arrived since it was last measured.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        float
+            Bytes per second, infinite without an unfinished body, for one that hasn't
+            been expected for long, and while this instance keeps it waiting.
+        """
+        age = now - self._pace_since
+        is_held_up = self._owes_continue or len(self._pending) >= MAX_PIPELINED_REQUESTS
+        if self._assembly is None or is_held_up or age < MIN_PACE_AGE_S:
+            return math.inf
+        growth = self._assembly.body_size - self._paced_size
+        self._pace_since = now
+        self._paced_size = self._assembly.body_size
+        return growth / age
+
+    def refuse_slow_body(self):
+        """Refuse a request whose body arrives slowly, for the sake of others."""
+        self._refuse_and_close(build_memory_refusal(self._listener.random))
+
     def _pause_reading(self):
         if not self._transport.is_closing():
             self._transport.pause_reading()
--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -11,6 +11,12 @@
 from ..bound_sockets import BACKLOG
 from .client_connection import ClientConnection
 
+# A body that arrives more slowly gives way to others when the memory is full.
+SLOW_BODY_BYTES_PER_S = 64 * 1024
+MAX_REFUSED_AT_ONCE = 8
+# Searches go through all connections.
+ROOM_SEARCH_INTERVAL_S = 0.05
+
 
 class Listener:
     """Accepts client connections and tracks those that are open.
@@ -52,6 +58,7 @@
         self.closing = False
         self.on_stalled_reader = _ignore
         self.connections = set()
+        self._next_search_at = 0.0
         self._server = None
 
     async def serve(self, sock):
@@ -79,6 +86,36 @@
         """Number of connections with a request in progress."""
         return sum(connection.busy for connection in self.connections)
 
+    def make_room(self, asking):
+        """Refuse the requests whose bodies arrive slowest, for the sake of another.
+
+        None of them has been passed on.
+
+        Parameters
+        ----------
+        asking : ClientConnection
+            Connection that receives the other request.
+
+        Returns
+        -------
+        bool
+            Whether any was refused.
+        """
+        now = self.clock()
+        if now < self._next_search_at:
+            return False
+        self._next_search_at = now + ROOM_SEARCH_INTERVAL_S
+        paces = [
+            (connection.measure_pace(now), connection)
+            for connection in self.connections
+            if connection is not asking
+        ]
+        slow = [item for item in paces if item[0] < SLOW_BODY_BYTES_PER_S]
+        slow.sort(key=_get_pace)
+        for _, connection in slow[:MAX_REFUSED_AT_ONCE]:
+            connection.refuse_slow_body()
+        return bool(slow)
+
     @property
     def is_drained(self):
         """Whether no request is in progress, and every byte has been sent."""
@@ -100,5 +137,9 @@
             connection.abort()
 
 
+def _get_pace(item):
+    return item[0]
+
+
 def _ignore():
     pass
--- a/tanagerwalk/gateway/memory.py
+++ b/tanagerwalk/gateway/memory.py
@@ -113,6 +113,13 @@
             self._had_peak = True
         return True
 
+    def fits(self, amount, spare):
+        """Return whether bytes fit and leave a spare part."""
+        if self.used + amount + spare <= self.capacity:
+            return True
+        self._log_refusing()
+        return False
+
     def has_room(self, amount):
         """Return whether bytes fit beside the part that stays free for requests."""
         spare = LARGE_ANSWER_SPARE_SHARE * self.capacity
@@ -216,13 +223,20 @@
 
     def try_grow(self, amount):
         """Reserve bytes of the request; return whether they fit."""
-        is_large = self.size + amount > SMALL_REQUEST_BYTES
-        share = LARGE_REQUEST_SPARE_SHARE if is_large else SMALL_REQUEST_SPARE_SHARE
-        if not self._budget.try_reserve(amount, int(share * self._budget.capacity)):
+        if not self._budget.try_reserve(amount, self._find_spare(amount)):
             return False
         self.size += amount
         return True
 
+    def fits(self, amount):
+        """Return whether so many more bytes of the request would fit now."""
+        return self._budget.fits(amount, self._find_spare(amount))
+
+    def _find_spare(self, amount):
+        is_large = self.size + amount > SMALL_REQUEST_BYTES
+        share = LARGE_REQUEST_SPARE_SHARE if is_large else SMALL_REQUEST_SPARE_SHARE
+        return int(share * self._budget.capacity)
+
     def hold(self, amount):
         """Count bytes of an answer that have been read; negative for released ones."""
         if self._is_released:
--- a/tanagerwalk/gateway/request_assembly.py
+++ b/tanagerwalk/gateway/request_assembly.py
@@ -9,10 +9,14 @@
 )
 from .requests import RawRequest
 
-# Steps in which memory is reserved for a body of unknown length.
+# Steps in which memory is reserved for a body, as it arrives.
 BODY_STEP_BYTES = 16 * 1024
 
 
+def _make_no_room():
+    return False
+
+
 class RequestAssembly:
     """One request that is being received, within its limits and its memory.
 
@@ -26,10 +30,14 @@
         Counts the memory of the request.
     random : random.Random
         Spreads the times at which refused clients come back.
+    make_room : callable
+        Called without arguments if the memory doesn't allow more; returns whether it
+        may now.
     """
 
-    def __init__(self, limits, memory, random):
+    def __init__(self, limits, memory, random, make_room=_make_no_room):
         self._limits = limits
+        self._make_room = make_room
         self._random = random
         self._target = b""
         self._headers = []
@@ -39,6 +47,11 @@
         self.memory = memory
         self.is_in_head = True
 
+    @property
+    def body_size(self):
+        """Bytes of the body that have arrived."""
+        return len(self._body)
+
     @property
     def missing_size(self):
         """Bytes of a body of known length that have not arrived yet, 0 without one."""
@@ -59,7 +72,10 @@
         self._reserve(size + HEADER_BYTES * len(self._headers) - self.memory.size)
 
     def complete_head(self):
-        """Check the sizes and reserve the memory of the whole request.
+        """Check the sizes and the memory of the whole request.
+
+        Of the body, only what has arrived is reserved, so that one that doesn't arrive
+        takes nothing from others.
 
         Returns
         -------
@@ -80,9 +96,11 @@
                 is_asked = True
         if length > self._limits.body_size:
             raise LimitExceededError(build_body_refusal(self._limits))
-        self._reserved_body_size = self._announced_size = length
-        size += HEADER_BYTES * len(self._headers) + REQUEST_BYTES + length
-        self._reserve(size - self.memory.size)
+        self._announced_size = length
+        self._reserved_body_size = min(length, BODY_STEP_BYTES)
+        size += HEADER_BYTES * len(self._headers) + REQUEST_BYTES
+        self._reserve(size + self._reserved_body_size - self.memory.size)
+        self._check_room(length - self._reserved_body_size)
         return is_asked
 
     def add_body(self, data):
@@ -122,5 +140,14 @@
         )
 
     def _reserve(self, amount):
-        if amount > 0 and not self.memory.try_grow(amount):
+        if amount <= 0 or self.memory.try_grow(amount):
+            return
+        if not (self._make_room() and self.memory.try_grow(amount)):
+            raise LimitExceededError(build_memory_refusal(self._random))
+
+    def _check_room(self, amount):
+        """Check whether the rest of the request would fit if it came now."""
+        if amount <= 0 or self.memory.fits(amount):
+            return
+        if not (self._make_room() and self.memory.fits(amount)):
             raise LimitExceededError(build_memory_refusal(self._random))
--- a/test/gateway/test_memory_pressure.py
+++ b/test/gateway/test_memory_pressure.py
@@ -7,7 +7,9 @@
 from collections import Counter
 
 from gateway.test_memory_limit import (
+    BODY,
     BODY_BYTES,
+    count_runs,
     encode_answer,
     encode_head,
     open_stalled_reader,
@@ -66,6 +68,30 @@
         assert statuses[200] >= 6, statuses
 
 
+# Guards against bodies that are nearly complete, trickle on, and keep others out.
+async def test_bodies_that_come_to_trickle_give_way_to_others(tmp_path):
+    async with run_process(tmp_path) as rig:
+        writers = []
+        for number in range(20):
+            _, writer = await rig.connect()
+            length = f"Content-Length: {BODY_BYTES}"
+            writer.write(encode_head(f"slow-{number}", "POST", "/bookings/7", length))
+            writer.write(b"x" * (BODY_BYTES - 1000))
+            writers.append(writer)
+        statuses = Counter()
+        for number in range(12):
+            await asyncio.sleep(0.4)
+            for writer in writers:
+                writer.write(b"x")
+            reply = await send_booking(rig, f"try-{number}", BODY)
+            statuses[reply.status] += 1
+        runs = count_runs(rig)
+        for writer in writers:
+            writer.transport.abort()
+        assert statuses[200] >= 6, statuses
+        assert not any(runs[f"slow-{number}"] for number in range(20))
+
+
 # Guards against a few clients whose pipelined tiny requests, parsed far beyond the
 # number that may wait, take the memory of all others.
 async def test_pipelined_tiny_requests_do_not_keep_others_out(tmp_path):
