--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -369,6 +369,7 @@
             self._limits.idle_timeout,
             responder.client_waits_until,
             self._listener.clock,
+            self._listener.memory.has_waiting,
             self._reset_stalled,
         )
 
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -14,7 +14,13 @@
 
 from ..bound_sockets import lacks_descriptors
 from .connect_faults import ConnectFault
-from .memory import SMALL_ANSWER_BYTES, UNCOUNTED
+from .memory import (
+    MAX_READ_BYTES,
+    SMALL_ANSWER_BYTES,
+    TIGHT_ANSWER_BYTES,
+    TIGHT_READ_BYTES,
+    UNCOUNTED,
+)
 from .response_heads import ConnectionFailure, ResponseHead, match_any_response
 from .socket_options import has_pending_reset, set_socket_options
 
@@ -30,9 +36,12 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 NO_BODY_STATUSES = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
+# All connections receive into the same memory, as what is received is parsed at once.
+READ_BUFFER = memoryview(bytearray(MAX_READ_BYTES))
+TIGHT_READ_BUFFER = READ_BUFFER[:TIGHT_READ_BYTES]
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A client connection that carries one request at a time, without pipelining.
 
     Parameters
@@ -91,6 +100,15 @@
         self._transport = transport
         set_socket_options(transport.get_extra_info("socket"))
 
+    def get_buffer(self, sizehint):
+        """Return memory for what comes next: little while memory is tight."""
+        del sizehint
+        return TIGHT_READ_BUFFER if self._memory.is_tight else READ_BUFFER
+
+    def buffer_updated(self, nbytes):
+        """Take what was received into the buffer."""
+        self.data_received(READ_BUFFER[:nbytes])
+
     def data_received(self, data):
         """Feed received bytes to the parser; abort if no response is pending."""
         if self._pending_responses == 0:
@@ -118,13 +136,18 @@
     def _pause_if_full(self):
         if not self._is_open or self._is_paused or self._has_body_end:
             return
+        is_tight = self._memory.is_tight
         if self._reads_whole_body:
-            if len(self._body) <= SMALL_ANSWER_BYTES:
+            if len(self._body) <= (
+                TIGHT_ANSWER_BYTES if is_tight else SMALL_ANSWER_BYTES
+            ):
                 return
             if self._memory.may_read_on(self._resume_transport):
                 return
             self.has_waited = True
-        elif len(self._body) <= READ_HIGH_WATER_BYTES:
+        elif len(self._body) <= (
+            TIGHT_ANSWER_BYTES if is_tight else READ_HIGH_WATER_BYTES
+        ):
             return
         self._is_paused = True
         self._transport.pause_reading()
--- a/tanagerwalk/gateway/memory.py
+++ b/tanagerwalk/gateway/memory.py
@@ -18,12 +18,15 @@
 # answers when requests come, and for requests when large answers come.
 LARGE_REQUEST_SPARE_SHARE = 0.45
 SMALL_REQUEST_SPARE_SHARE = 0.15
-LARGE_ANSWER_SPARE_SHARE = 0.35
+LARGE_ANSWER_SPARE_SHARE = 0.45
 SMALL_REQUEST_BYTES = 64 * 1024
-# What an answer may always hold, so that small ones never wait.
+# What an answer may hold without asking, so that small ones don't wait; less of it
+# once answers have no room left, as many may wait then.
 SMALL_ANSWER_BYTES = 64 * 1024
-# A connection may receive so much before it is paused.
-MAX_READ_BYTES = 256 * 1024
+TIGHT_ANSWER_BYTES = 16 * 1024
+# A connection to a server may receive so much before it is paused.
+MAX_READ_BYTES = 64 * 1024
+TIGHT_READ_BYTES = 16 * 1024
 # Objects of an open connection, and of a request and its connection to a server.
 CONNECTION_BYTES = 4 * 1024
 REQUEST_BYTES = 8 * 1024
@@ -94,6 +97,10 @@
         """Number of answers that are not read on for lack of room."""
         return len(self._waiting)
 
+    def has_waiting(self):
+        """Return whether answers are not read on for lack of room."""
+        return bool(self._waiting)
+
     def create_request_memory(self):
         """Return the RequestMemory of a new request."""
         return RequestMemory(self, next(self._numbers))
@@ -156,6 +163,11 @@
 
     # Answers.
 
+    @property
+    def is_tight(self):
+        """Whether answers have no room left."""
+        return self._answer_room <= 0
+
     def may_read_on(self, memory, resume):
         """Return whether an answer may grow; if not, `resume` is called once it may.
 
@@ -256,6 +268,11 @@
         """Return whether an answer may be read on; see MemoryBudget."""
         return self._is_released or self._budget.may_read_on(self, resume)
 
+    @property
+    def is_tight(self):
+        """Whether answers have no room left."""
+        return self._budget.is_tight
+
     def stop_waiting(self):
         """Forget that an answer waits for room."""
         self._budget.stop_waiting(self)
@@ -273,6 +290,8 @@
 class UncountedMemory:
     """Stands for the memory of a request that has no client, such as the store's."""
 
+    is_tight = False
+
     def hold(self, amount):
         """Count nothing."""
 
--- a/tanagerwalk/gateway/unread_answers.py
+++ b/tanagerwalk/gateway/unread_answers.py
@@ -10,6 +10,9 @@
 log = structlog.get_logger(__name__)
 
 INT_FORMAT = "i"
+CHECK_INTERVAL_S = 0.25
+# Seconds without a byte taken that are borne while other answers wait for memory.
+PRESSED_TIMEOUT_S = 0.5
 
 
 class UnreadAnswerWatch:
@@ -28,40 +31,51 @@
         Monotonic time in seconds until which the client waits for its answer.
     clock : callable
         Returns monotonic time in seconds.
+    is_pressed : callable
+        Returns whether other answers wait for the memory that this one takes.
     on_stalled : callable
         Called without arguments, once.
     """
 
-    def __init__(self, transport, idle_timeout, waits_until, clock, on_stalled):
+    def __init__(
+        self, transport, idle_timeout, waits_until, clock, is_pressed, on_stalled
+    ):
         self._transport = transport
         self._idle_timeout = idle_timeout
         self._waits_until = waits_until
         self._clock = clock
+        self._is_pressed = is_pressed
         self._on_stalled = on_stalled
+        self._taken_at = clock()
         self._unread = count_unread_bytes(transport)
         self._handle = None
-        self._schedule(idle_timeout)
+        self._schedule()
 
     def cancel(self):
         """Watch no longer."""
         self._handle.cancel()
 
-    def _schedule(self, seconds):
+    def _schedule(self):
         loop = asyncio.get_running_loop()
+        seconds = min(self._idle_timeout, CHECK_INTERVAL_S)
         self._handle = loop.call_later(seconds, self._check)
 
     def _check(self):
         unread = count_unread_bytes(self._transport)
-        has_read = unread < self._unread
+        now = self._clock()
+        if unread < self._unread:
+            self._taken_at = now
         self._unread = unread
-        patience = self._waits_until - self._clock()
-        if has_read:
-            self._schedule(self._idle_timeout)
-        elif patience > 0.0:
-            self._schedule(min(patience, self._idle_timeout))
-        else:
-            log.info("stalled reader reset", unread_bytes=unread)
-            self._on_stalled()
+        if now < self._waits_until or now - self._taken_at < self._find_limit():
+            self._schedule()
+            return
+        log.info("stalled reader reset", unread_bytes=unread)
+        self._on_stalled()
+
+    def _find_limit(self):
+        if self._is_pressed():
+            return min(PRESSED_TIMEOUT_S, self._idle_timeout)
+        return self._idle_timeout
 
 
 def count_unread_bytes(transport):
--- a/test/gateway/test_memory_budget.py
+++ b/test/gateway/test_memory_budget.py
@@ -3,6 +3,7 @@
 import resource
 
 from tanagerwalk.gateway.memory import (
+    LARGE_ANSWER_SPARE_SHARE,
     MAX_READ_BYTES,
     MIN_CAPACITY_BYTES,
     SMALL_REQUEST_BYTES,
@@ -79,7 +80,9 @@
     for number, answer in enumerate(answers):
         answer.may_read_on(lambda number=number: resumed.append(number))
     # Room for two reads.
-    filler.shrink_to(int(0.65 * CAPACITY) - 2 * MAX_READ_BYTES)
+    filler.shrink_to(
+        int((1.0 - LARGE_ANSWER_SPARE_SHARE) * CAPACITY) - 2 * MAX_READ_BYTES
+    )
     assert resumed == [1, 2]
     answers[3].stop_waiting()
     filler.release()
--- a/test/gateway/test_memory_pressure.py
+++ b/test/gateway/test_memory_pressure.py
@@ -18,6 +18,7 @@
     serve_small_requests,
 )
 
+from tanagerwalk.controllers.loop import poll_until
 from tanagerwalk.standins.backend import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
@@ -41,6 +42,27 @@
             sock.close()
 
 
+# Guards against answers that wait behind unread ones, hold much each, and thus take the
+# memory of small requests: 133 of 200 were refused.
+async def test_small_requests_go_on_beside_many_unread_answers(tmp_path):
+    async with run_process(tmp_path) as rig:
+        for server in rig.servers:
+            server.behaviour = Behaviour("raw", raw=encode_answer(8000000))
+        socks = [
+            await open_stalled_reader(rig, encode_head(n, "GET", "/jobs/1"))
+            for n in range(200)
+        ]
+        assert await poll_until(lambda: len(count_runs(rig)) == 200, 0.05, 3.0)
+        for server in rig.servers:
+            server.behaviour = Behaviour()
+        statuses = Counter()
+        for _ in range(5):
+            statuses += await serve_small_requests(rig)
+        for sock in socks:
+            sock.close()
+        assert set(statuses) == {200}, statuses
+
+
 # Guards against bodies that are announced but trickle, and keep all larger requests out
 # for ever while the process takes no more memory than an idle one.
 async def test_trickling_bodies_do_not_keep_others_out(tmp_path):
