--- a/test/gateway/test_memory_pressure.py
+++ b/test/gateway/test_memory_pressure.py
@@ -7,7 +7,9 @@
 from collections import Counter
 
 from gateway.test_memory_limit import (
+    BODY,
     BODY_BYTES,
+    count_runs,
     encode_answer,
     encode_head,
     open_stalled_reader,
@@ -16,6 +18,7 @@
     serve_small_requests,
 )
 
+from tanagerwalk.controllers.loop import poll_until
 from tanagerwalk.standins.backend import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
@@ -39,6 +42,27 @@
             sock.close()
 
 
+# Guards against answers that wait behind unread ones, hold much each, and thus take the
+# memory of small requests: 133 of 200 were refused.
+async def test_small_requests_go_on_beside_many_unread_answers(tmp_path):
+    async with run_process(tmp_path) as rig:
+        for server in rig.servers:
+            server.behaviour = Behaviour("raw", raw=encode_answer(8000000))
+        socks = [
+            await open_stalled_reader(rig, encode_head(n, "GET", "/jobs/1"))
+            for n in range(200)
+        ]
+        assert await poll_until(lambda: len(count_runs(rig)) == 200, 0.05, 3.0)
+        for server in rig.servers:
+            server.behaviour = Behaviour()
+        statuses = Counter()
+        for _ in range(5):
+            statuses += await serve_small_requests(rig)
+        for sock in socks:
+            sock.close()
+        assert set(statuses) == {200}, statuses
+
+
 # Guards against bodies that are announced but trickle, and keep all larger requests out
 # for ever while the process takes no more memory than an idle one.
 async def test_trickling_bodies_do_not_keep_others_out(tmp_path):
@@ -66,6 +90,30 @@
         assert statuses[200] >= 6, statuses
 
 
+# Guards against bodies that are nearly complete, trickle on, and keep others out.
+async def test_bodies_that_come_to_trickle_give_way_to_others(tmp_path):
+    async with run_process(tmp_path) as rig:
+        writers = []
+        for number in range(20):
+            _, writer = await rig.connect()
+            length = f"Content-Length: {BODY_BYTES}"
+            writer.write(encode_head(f"slow-{number}", "POST", "/bookings/7", length))
+            writer.write(b"x" * (BODY_BYTES - 1000))
+            writers.append(writer)
+        statuses = Counter()
+        for number in range(12):
+            await asyncio.sleep(0.4)
+            for writer in writers:
+                writer.write(b"x")
+            reply = await send_booking(rig, f"try-{number}", BODY)
+            statuses[reply.status] += 1
+        runs = count_runs(rig)
+        for writer in writers:
+            writer.transport.abort()
+        assert statuses[200] >= 6, statuses
+        assert not any(runs[f"slow-{number}"] for number in range(20))
+
+
 # Guards against a few clients whose pipelined tiny requests, parsed far beyond the
 # number that may wait, take the memory of all others.
 async def test_pipelined_tiny_requests_do_not_keep_others_out(tmp_path):
