--- a/tanagerwalk/external.py
+++ b/tanagerwalk/external.py
@@ -7,7 +7,8 @@
 from .clients.ratings import RatingsClient
 from .clients.services import ServiceClient
 from .clients.targets import TargetsClient
-from .peers.rpc import PeerClient, PeerServer
+from .peers.rpc import PeerClient
+from .peers.server import PeerServer
 
 
 class ExternalClients:
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -21,7 +21,8 @@
 from ..defects import DefectLog
 from ..filters.chain import link_filters
 from ..manifest import ClientLimits
-from ..peers.rpc import MessageKind, PeerServer
+from ..peers.rpc import MessageKind
+from ..peers.server import PeerServer
 from ..supervisor import Supervisor
 from .answer_recorder import AnswerRecorder
 from .change_feed import ChangeServer, SharedFeed, StoreFeed
--- a/tanagerwalk/records.py
+++ b/tanagerwalk/records.py
@@ -19,7 +19,8 @@
 from .filters.claim import ClaimFilter
 from .ids import Incarnation
 from .metrics import Metrics
-from .peers.rpc import PeerClient, PeerServer
+from .peers.rpc import PeerClient
+from .peers.server import PeerServer
 from .settings import Settings
 
 log = structlog.get_logger(__name__)
--- a/test/peers/test_rpc.py
+++ b/test/peers/test_rpc.py
@@ -8,7 +8,8 @@
 
 from tanagerwalk.ids import InstanceId
 from tanagerwalk.peers.frames import MAX_PAYLOAD_BYTES, Channel, FrameFault
-from tanagerwalk.peers.rpc import MessageKind, PeerClient, PeerServer, RequestFault
+from tanagerwalk.peers.rpc import MessageKind, PeerClient, RequestFault
+from tanagerwalk.peers.server import PeerServer
 
 SECRET = "shared"
 KIND = MessageKind.EXCHANGE
