--- a/tanagerwalk/gateway/process_limits.py
+++ b/tanagerwalk/gateway/process_limits.py
@@ -67,9 +67,16 @@
         return LimitedDial(self.peer_part, _make_no_room).open
 
     def limit_peers(self, peer_server):
-        """Have a PeerServer keep to the descriptors for other instances."""
+        """Have a PeerServer keep to the descriptors, and count its memory."""
         peer_server.reserve = self.peer_part.try_reserve
         peer_server.release = self.peer_part.release
+        peer_server.hold_memory = self._hold_peer_memory
+
+    def _hold_peer_memory(self, change):
+        if change > 0:
+            self.memory.reserve(change)
+        elif change < 0:
+            self.memory.release(-change)
 
     def report(self, metrics):
         """Write what is in use into the GatewayMetrics."""
--- a/tanagerwalk/peers/server.py
+++ b/tanagerwalk/peers/server.py
@@ -14,6 +14,12 @@
 HANDSHAKE_TIMEOUT_S = 5.0
 SERVER_IDLE_TIMEOUT_S = 120.0
 MAX_CONNECTIONS = 1024
+# Longer than any peer waits for its answer.
+SEND_TIMEOUT_S = 10.0
+# For the last bytes of a connection that is closed.
+CLOSE_TIMEOUT_S = 2.0
+# Answers under way to all peers together.
+MAX_UNSENT_BYTES = 16 * 1024 * 1024
 
 
 class PeerServer:
@@ -32,6 +38,8 @@
         Returns whether there is a descriptor for one more connection.
     release : callable
         Gives the descriptor back.
+    hold_memory : callable
+        Takes by how many bytes the answers under way have grown, or shrunk.
     """
 
     def __init__(self, secret):
@@ -40,9 +48,12 @@
         self._stream_handlers = {}
         self._server = None
         self._connections = set()
+        self._is_stopping = False
         self.dropped = Counter()
         self.reserve = _always
         self.release = _ignore
+        self.hold_memory = _ignore
+        self._unsent_bytes = 0
         self.bytes_received = 0
         self.bytes_sent = 0
 
@@ -106,6 +117,7 @@
         if self._server is None:
             return
         self._server.close()
+        self._is_stopping = True
         tasks = list(self._connections)
         for task in tasks:
             task.cancel()
@@ -127,8 +139,10 @@
             pass
         finally:
             self._connections.discard(task)
-            self.release()
-            channel.close()
+            try:
+                await self._close(channel)
+            finally:
+                self.release()
 
     async def _serve_requests(self, channel):
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
@@ -145,16 +159,50 @@
                 await self._serve_stream(channel, kind, payload, handshake.ok)
                 return FrameFault.CLOSED
             status, response = await self._dispatch(kind, payload, handshake.ok)
-            channel.write(status, response)
-            await channel.writer.drain()
+            sent = await self._send(channel, status, response)
             self.bytes_received += len(payload)
-            self.bytes_sent += len(response)
+            self.bytes_sent += sent
+            del payload, response
+
+    async def _send(self, channel, status, response):
+        """Send an answer if there is room, and return its size in bytes.
+
+        A peer that doesn't read holds it up until SEND_TIMEOUT_S, so that many could
+        fill the memory.
+        """
+        size = len(response)
+        if self._unsent_bytes + size > MAX_UNSENT_BYTES:
+            log.warning("too many answers to peers under way", size=size)
+            status, response, size = STATUS_FAILED, b"", 0
+        self._count_unsent(size)
+        try:
+            channel.write(status, response)
+            del response
+            async with asyncio.timeout(SEND_TIMEOUT_S):
+                await channel.writer.drain()
+        finally:
+            self._count_unsent(-size)
+        return size
+
+    async def _close(self, channel):
+        """Close a connection, and abort it if its last bytes are not taken."""
+        channel.close()
+        if self._is_stopping:
+            return
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await channel.writer.wait_closed()
+        except (TimeoutError, OSError):
+            channel.writer.transport.abort()
+
+    def _count_unsent(self, change):
+        self._unsent_bytes += change
+        self.hold_memory(change)
 
     async def _serve_stream(self, channel, kind, payload, sender):
         result = await self._stream_handlers[kind](payload, sender)
         if result.is_error():
-            channel.write(STATUS_FAILED, result.error.encode())
-            await channel.writer.drain()
+            await self._send(channel, STATUS_FAILED, result.error.encode())
             return
         channel.write(STATUS_OK, b"")
         await result.ok(channel)
@@ -180,5 +228,5 @@
     return True
 
 
-def _ignore():
-    pass
+def _ignore(*arguments):
+    del arguments
