--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -51,7 +51,8 @@
 from .routing import RouteFilter
 from .sharing import LoadSharing
 from .stop_control import StopControl
-from .tunnels import TunnelClient, TunnelServer
+from .tunnel_client import TunnelClient
+from .tunnels import TunnelServer
 
 log = structlog.get_logger(__name__)
 
--- /dev/null
+++ b/tanagerwalk/gateway/tunnel_client.py
@@ -0,0 +1,188 @@
+"""The side of tunnels that asks another instance for a connection to a server."""
+
+import asyncio
+
+import structlog
+from expression import Error, Ok
+
+from ..peers.codec import encode
+from ..peers.gen.loads.ttypes import TunnelNotice
+from ..peers.rpc import MessageKind, PeerClient, RequestFault
+from .connect_faults import ConnectFault
+from .connections import Connection
+from .tunnels import CHUNK_BYTES, MS_PER_S, TunnelFrame
+
+log = structlog.get_logger(__name__)
+
+TUNNEL_TIMEOUT_S = 0.5
+# Time in which a new tunnel gets the request that it was opened for.
+FIRST_USE_TIMEOUT_S = 0.2
+
+
+class TunnelClient:
+    """Opens connections to backend servers through other instances.
+
+    Parameters
+    ----------
+    peers : TunnelPeers
+        Orders the instances to ask.
+    get_peers : callable
+        Returns the Peer of each other instance, by incarnation.
+    get_address : callable
+        Takes an incarnation and returns the `IP:PORT` at which the instance serves
+        its peers, or None.
+    part : DescriptorPart
+        Descriptors that tunnels may use.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, peers, get_peers, get_address, part, clock):
+        self._part = part
+        self._peers = peers
+        self._get_peers = get_peers
+        self._get_address = get_address
+        self._clock = clock
+        self._client = None
+
+    def authenticate(self, secret, own_id):
+        """Start to ask other instances, with the key of the fleet."""
+        self._client = PeerClient(secret, own_id, TUNNEL_TIMEOUT_S)
+
+    def rank_peers(self, server):
+        """Return the instances to ask for a connection to a server, in order."""
+        if self._client is None:
+            return []
+        domain = server.failure_domain
+        return self._peers.rank(domain, self._get_peers(), self._clock())
+
+    async def open(self, peer_id, server):
+        """Open a connection to a server through an instance.
+
+        Parameters
+        ----------
+        peer_id : str
+            Incarnation of the instance.
+        server : RegisteredServer
+            The server.
+
+        Returns
+        -------
+        Result of Connection, or of ConnectFault or str
+        """
+        address = self._get_address(peer_id)
+        if address is None:
+            return Error("unknown instance")
+        if not self._part.try_reserve():
+            return Error(ConnectFault.DESCRIPTORS_FULL)
+        connection = None
+        try:
+            result = await self._open(peer_id, address, server)
+            connection = result.ok if result.is_ok() else None
+        finally:
+            if connection is None:
+                self._part.release()
+            else:
+                connection.on_closed = self._part.release
+        return result
+
+    async def _open(self, peer_id, address, server):
+        payload = server.id.encode()
+        result = await self._client.open_stream(
+            address, MessageKind.OPEN_TUNNEL, payload
+        )
+        if result.is_error() and result.error is RequestFault.DESCRIPTORS_FULL:
+            return Error(ConnectFault.DESCRIPTORS_FULL)
+        if result.is_error():
+            self._peers.record_failure(peer_id, self._clock())
+            return Error(f"tunnel {result.error.value}")
+        self._peers.record_success(peer_id, self._clock())
+        connection = Connection(peer_id)
+        connection.connection_made(TunnelTransport(result.ok, connection))
+        return Ok(connection)
+
+
+class TunnelTransport:
+    """The part of a transport that Connection uses, over a tunnel.
+
+    Parameters
+    ----------
+    channel : Channel
+        Connection to the other instance.
+    connection : Connection
+        Receives the bytes of the server.
+    """
+
+    def __init__(self, channel, connection):
+        self._channel = channel
+        self._connection = connection
+        self._readable = asyncio.Event()
+        self._readable.set()
+        self._is_used = False
+        self._task = asyncio.get_running_loop().create_task(self._read())
+
+    async def _read(self):
+        try:
+            await self._read_frames()
+        except Exception:
+            log.exception("tunnel failed")
+            self._channel.close()
+        finally:
+            # The request would wait for its deadline.
+            self._connection.connection_lost(None)
+
+    async def _read_frames(self):
+        while True:
+            frame = await self._channel.read()
+            if frame.is_error():
+                return
+            await self._readable.wait()
+            kind, payload = frame.ok
+            if kind == TunnelFrame.DATA.value:
+                self._connection.data_received(payload)
+            elif kind == TunnelFrame.END.value:
+                self._connection.eof_received()
+                return
+            elif kind == TunnelFrame.STOPPING.value:
+                self._retire()
+
+    def _retire(self):
+        """Serve no further request; the one that it was opened for may still come."""
+        if self._is_used:
+            self._connection.retire()
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(FIRST_USE_TIMEOUT_S, self._connection.retire)
+
+    def write(self, data):
+        """Send bytes to the server."""
+        self._is_used = True
+        for start in range(0, len(data), CHUNK_BYTES):
+            chunk = data[start : start + CHUNK_BYTES]
+            self._channel.write(TunnelFrame.DATA.value, chunk)
+
+    def is_closing(self):
+        """Return whether the connection to the other instance is closed or lost."""
+        return self._channel.is_closing
+
+    def send_notice(self, notice):
+        """Tell a ServerNotice to the instance that is connected to the server."""
+        payload = encode(TunnelNotice(notice.is_leaving, int(notice.hold * MS_PER_S)))
+        self._channel.write(TunnelFrame.NOTICE.value, payload)
+
+    def pause_reading(self):
+        """Deliver no more bytes until `resume_reading`."""
+        self._readable.clear()
+
+    def resume_reading(self):
+        """Deliver bytes again."""
+        self._readable.set()
+
+    def abort(self):
+        """Close the tunnel; the instance at its end then aborts the connection."""
+        self._task.cancel()
+        self._channel.close()
+
+    def get_extra_info(self, name):
+        """Return information on the connection to the other instance."""
+        return self._channel.writer.get_extra_info(name)
--- a/test/gateway/test_closed_sockets.py
+++ b/test/gateway/test_closed_sockets.py
@@ -15,7 +15,8 @@
     set_reset_on_close,
     set_socket_options,
 )
-from tanagerwalk.gateway.tunnels import TunnelFrame, TunnelTransport
+from tanagerwalk.gateway.tunnel_client import TunnelTransport
+from tanagerwalk.gateway.tunnels import TunnelFrame
 
 
 class ChannelLostAfterEnd:
--- a/test/gateway/test_controller_defects.py
+++ b/test/gateway/test_controller_defects.py
@@ -14,7 +14,7 @@
 from tanagerwalk.gateway import fleet_key as fleet_key_module
 from tanagerwalk.gateway import membership as membership_module
 from tanagerwalk.gateway import port_wait as port_wait_module
-from tanagerwalk.gateway.tunnels import TunnelTransport
+from tanagerwalk.gateway.tunnel_client import TunnelTransport
 from tanagerwalk.standins.gateway_cluster import API_KEY, GatewayCluster, build_manifest
 
 WAIT_S = 8.0
--- a/test/gateway/test_tunnels.py
+++ b/test/gateway/test_tunnels.py
@@ -7,7 +7,8 @@
 
 from tanagerwalk.controllers.loop import poll_until
 from tanagerwalk.decisions.paths import PathState
-from tanagerwalk.gateway.tunnels import CHUNK_BYTES, TunnelFault, TunnelTransport
+from tanagerwalk.gateway.tunnel_client import TunnelTransport
+from tanagerwalk.gateway.tunnels import CHUNK_BYTES, TunnelFault
 from tanagerwalk.ids import InstanceId
 from tanagerwalk.peers.rpc import MessageKind, PeerClient, RequestFault
 from tanagerwalk.standins.backend import Behaviour
