--- a/test/gateway/test_memory_limit.py
+++ b/test/gateway/test_memory_limit.py
@@ -48,7 +48,7 @@
 
 
 def limit_address_space():
-    size = MEMORY_LIMIT_MB * 2**20
+    size = MEMORY_LIMIT_MB * 1000000
     resource.setrlimit(resource.RLIMIT_AS, (size, size))
 
 
--- a/test/gateway_process.py
+++ b/test/gateway_process.py
@@ -14,7 +14,8 @@
 from tanagerwalk.standins.gateway_cluster import build_manifest
 from tanagerwalk.standins.metadata import MetadataStandIn
 
-KB_PER_MB = 1024.0
+# The system counts in units of 1,024 bytes, settings in units of 1,000,000.
+KB_PER_MB = 1000000.0 / 1024.0
 READY_TIMEOUT_S = 15.0
 LIMITS_TEMPLATE = """
 [limits]
