--- a/tanagerwalk/gateway/tunnels.py
+++ b/tanagerwalk/gateway/tunnels.py
@@ -7,11 +7,14 @@
 """
 
 import asyncio
+import math
 from enum import Enum
+from functools import partial
 
 import structlog
 from expression import Error, Ok
 
+from ..controllers.loop import poll_until
 from ..decisions.paths import PathState
 from ..decisions.server_notices import ServerNotice, find_hold
 from ..ids import BackendServerId
@@ -30,6 +33,8 @@
 MAX_TUNNELS = 200
 # Buffers of a tunnel whose two ends take nothing.
 TUNNEL_BYTES = 256 * 1024
+# Between two looks for memory for a larger frame.
+ROOM_INTERVAL_S = 0.05
 SERVER_CONNECT_TIMEOUT_S = 0.25
 TUNNEL_TIMEOUT_S = 0.5
 # Time in which a new tunnel gets the request that it was opened for.
@@ -174,8 +179,15 @@
 
     async def _forward_requests(self, channel, stream, server_id):
         """Write what comes through the tunnel to the server, until the tunnel ends."""
+        memory = _FrameMemory(self._memory)
+        try:
+            await self._forward_frames(channel, stream, server_id, memory)
+        finally:
+            memory.release()
+
+    async def _forward_frames(self, channel, stream, server_id, memory):
         while True:
-            frame = await channel.read()
+            frame = await channel.read(wait_for_room=memory.reserve)
             if frame.is_error():
                 return
             kind, payload = frame.ok
@@ -186,6 +198,7 @@
                 await stream.writer.drain()
             elif kind == TunnelFrame.NOTICE.value:
                 self._record_notice(server_id, payload)
+            memory.release()
 
     def _record_notice(self, server_id, payload):
         result = decode(TunnelNotice, payload)
@@ -198,6 +211,32 @@
             log.info("server leaving", server=server_id, told_by="tunnel")
 
 
+class _FrameMemory:
+    """Memory of a frame that is larger than the buffers of its tunnel.
+
+    Instances of earlier releases send whole bodies in one frame.
+    """
+
+    def __init__(self, budget):
+        self._budget = budget
+        self._size = 0
+
+    async def reserve(self, size):
+        """Wait until there is room for a frame, and count it."""
+        if size <= CHUNK_BYTES:
+            return
+        has_room = partial(self._budget.has_room, size)
+        await poll_until(has_room, ROOM_INTERVAL_S, math.inf)
+        self._budget.reserve(size)
+        self._size = size
+
+    def release(self):
+        """Release the memory of the frame."""
+        if self._size:
+            size, self._size = self._size, 0
+            self._budget.release(size)
+
+
 def _ask_for_no_reuse(channels):
     for channel in channels:
         channel.write(TunnelFrame.STOPPING.value, b"")
--- a/tanagerwalk/peers/frames.py
+++ b/tanagerwalk/peers/frames.py
@@ -134,13 +134,16 @@
         self._sent_count += 1
         self.writer.write(_HEADER.pack(len(payload), kind) + mac + payload)
 
-    async def read(self, limit=MAX_PAYLOAD_BYTES):
+    async def read(self, limit=MAX_PAYLOAD_BYTES, wait_for_room=None):
         """Read one frame.
 
         Parameters
         ----------
         limit : int
             Maximum payload size in bytes.
+        wait_for_room : callable or None
+            Coroutine function that takes the size of the payload, and returns once
+            there is memory for it.
 
         Returns
         -------
@@ -152,6 +155,8 @@
             size, kind = _HEADER.unpack(header)
             if size > limit:
                 return Error(FrameFault.TOO_LARGE)
+            if wait_for_room is not None:
+                await wait_for_room(size)
             mac = await self.reader.readexactly(MAC_BYTES)
             payload = await self.reader.readexactly(size)
         except (EOFError, OSError):
