--- a/tanagerwalk/controllers/halts.py
+++ b/tanagerwalk/controllers/halts.py
@@ -46,6 +46,7 @@
         self._random = random
         self._polled_sections = set()
         self._poll_requested = asyncio.Event()
+        self._has_begun = False
         # Whether the first poll has finished: a new instance serves no requests
         # before. A failed poll counts too, since during a store outage halts come
         # from peers only.
@@ -98,10 +99,13 @@
 
     async def run(self):
         """Sync the halts with the store until cancelled."""
-        # An earlier run may have failed in the middle of a poll.
-        self._poll_requested.set()
+        if self._has_begun:
+            # An earlier run may have failed in the middle of a poll.
+            self._poll_requested.set()
         while True:
             await self._poll_requested.wait()
+            # Before, no declaration names the sections to poll.
+            self._has_begun = True
             self._poll_requested.clear()
             await self.poll(self._tracker.list_section_hashes() - self._polled_sections)
             jitter = 1.0 + JITTER * (2.0 * self._random.random() - 1.0)
