Reproduce servers that fall over under what they reject

Cause: not known yet. Callers of brittle servers got 503 and 502: in a run of three instances and five servers at 1.3 times their capacity, 14 of 1,618 requests were served in ten seconds.

--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -89,6 +89,9 @@
         Value of that header in refusals; empty for none.
     limit : str
         Requests a second that all answers name as the server's limit; empty for none.
+    brittle : str
+        Rejections a second that all answers name as more than the server bears; empty
+        for none.
     raw : bytes
         Answer for the fault `raw`.
     crashing_part : str
@@ -103,6 +106,7 @@
     is_leaving: bool = False
     retry_after: str = ""
     limit: str = ""
+    brittle: str = ""
     raw: bytes = b""
     crashing_part: str = ""
 
@@ -116,11 +120,25 @@
         Id of the server.
     ip : str
         Loopback address to listen on.
+    places : Places or None
+        Slots and queue; None for a server that takes any number of requests.
+
+    Attributes
+    ----------
+    falls : list of float
+        Monotonic times at which the server fell over, in seconds.
+    is_down : bool
+        Whether it has fallen over and not started again.
     """
 
-    def __init__(self, server_id, ip=ADDRESS):
+    def __init__(self, server_id, ip=ADDRESS, places=None):
         self.id = server_id
         self._ip = ip
+        self.places = places
+        self.falls = []
+        self.is_down = False
+        self._port = 0
+        self._born = 1
         self.behaviour = Behaviour()
         self.requests = []
         self.endless_bytes = 0
@@ -131,12 +149,15 @@
     async def start(self):
         """Listen on a free port."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _Connection(self), self._ip, 0)
+        self._server = await loop.create_server(
+            lambda: _Connection(self), self._ip, self._port
+        )
+        self._port = self._server.sockets[0].getsockname()[1]
 
     @property
     def address(self):
         """`IP:port` of the server."""
-        return f"{self._ip}:{self._server.sockets[0].getsockname()[1]}"
+        return f"{self._ip}:{self._port}"
 
     def build_entry(self, service, zone, version="v1", state="ready"):
         """Return the key and the value of the server's entry in the metadata store."""
@@ -145,11 +166,11 @@
             "address": self.address,
             "zone": zone,
             "version": version,
-            "slots": 8,
+            "slots": 8 if self.places is None else self.places.slots,
             "state": state,
             "cold_left_ms": 0,
             "sequence": 1,
-            "born": 1,
+            "born": self._born,
         }
         return f"servers/{self.id}", json.dumps(entry).encode()
 
@@ -164,6 +185,26 @@
         self.has_crashed = True
         await self.stop()
 
+    async def fall(self, seconds):
+        """Fall over, and start again after some seconds, at the same address.
+
+        Returns
+        -------
+        bool
+            False if it is down already.
+        """
+        if self.is_down:
+            return False
+        self.is_down = True
+        self.falls.append(time.monotonic())
+        await self.stop()
+        await asyncio.sleep(seconds)
+        self.places.clear()
+        self._born += 1
+        await self.start()
+        self.is_down = False
+        return True
+
     def take_fault(self):
         """Return the fault for the next request and count it against `times`."""
         behaviour = self.behaviour
@@ -221,6 +262,21 @@
         self._task = asyncio.get_running_loop().create_task(self._answer(self._request))
 
     async def _answer(self, request):
+        places = self.server.places
+        if places is None:
+            await self._answer_at_once(request)
+            return
+        if not await places.enter():
+            request.rejected = True
+            headers = _NOT_EXECUTED_HEADERS
+            self._write(request, "503 Service Unavailable", b"", headers)
+            return
+        try:
+            await self._answer_at_once(request)
+        finally:
+            places.leave()
+
+    async def _answer_at_once(self, request):
         fault = self.server.take_fault()
         if fault == "silent":
             await asyncio.sleep(3600)
@@ -344,6 +400,10 @@
             head.append("Server-Leaving: 1")
         if self.server.behaviour.limit:
             head.append(f"Server-Limit: {self.server.behaviour.limit}")
+        if self.server.behaviour.brittle:
+            head.append(f"Server-Brittle: {self.server.behaviour.brittle}")
+        if self.server.places is not None:
+            head.append(f"X-Tanagerwalk-Engine-Load: {self.server.places.load}")
         if signed:
             head.append(f"X-Tanagerwalk-Response-Seal: {self.server.id}.{attempt_id}")
         return ("\r\n".join(head) + "\r\n\r\n").encode()
--- a/tanagerwalk/standins/gateway_cluster.py
+++ b/tanagerwalk/standins/gateway_cluster.py
@@ -129,9 +129,11 @@
         for number in range(instances):
             await self.add_instance(f"gateway-{number}")
 
-    async def add_server(self, server_id, service, version="v1", domain="a-1"):
+    async def add_server(
+        self, server_id, service, version="v1", domain="a-1", places=None
+    ):
         """Start a backend server and register it in the store."""
-        server = BackendStandIn(server_id)
+        server = BackendStandIn(server_id, places=places)
         await server.start()
         self.servers[server_id] = server
         await self.store.put(*server.build_entry(service, domain, version))
