Bound the time from an acknowledged change to its being in force

Cause: a pause between two reads of the store (0.8 s of a bound of 2.5), a read whose answer is lost (given up after 2.5 s) and the next one over another dead connection each fitted the bound, and nothing bounded their sum. Callers had requests handled by an older manifest. The class of fault: waits that are each bounded, in a chain that isn't.

Change: a watch or a list whose answer is overdue is made once more on a new connection beside the first, and the idle connections, which may be as dead, are dropped. A second watch, of the operators' entries alone, ends the pause before the next read as soon as they write. The bound follows from apply_ms, too, no longer from drain_ms alone.

--- a/tanagerwalk/decisions/freshness.py
+++ b/tanagerwalk/decisions/freshness.py
@@ -4,6 +4,10 @@
 REVOCATION_MARGIN_S = 1.0
 # Allows for a store whose clock runs a little fast.
 WATCH_MARGIN_S = 0.1
+# A watch, or a list, that is not answered by then is made once more on a new
+# connection: a lost answer and the pause before stay within the time for a change.
+OVERDUE_WATCH_S = 0.3
+OVERDUE_LIST_S = 0.6
 # Pause between two watches as a share of the time within which a change has to take
 # effect; all changes during a pause arrive in one call of the store.
 PAUSE_SHARE = 0.32
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -40,6 +40,7 @@
 from .membership import MembershipController
 from .metrics import GatewayMetrics
 from .mirror import Mirror
+from .operator_watch import OperatorWatch
 from .permits import ServerPermits
 from .planned_stop import PlannedStop
 from .pool import ConnectionPool
@@ -206,7 +207,7 @@
             self.watchers,
             self._get_peer_address,
             self.incarnation,
-            lambda: self.settings.bounds.drain_timeout,
+            self._find_change_delay,
             self.count_instances,
             self.clock,
             self.random,
@@ -219,6 +220,13 @@
             self.codec.server_prefix,
             self.subscriber_defects,
         )
+        self.operator_watch = OperatorWatch(
+            self.store,
+            self.codec.operator_prefix,
+            self.mirror,
+            self.feed,
+            self.random,
+        )
         self.peer_server = PeerServer(None)
         self.limits.limit_peers(self.peer_server)
         ChangeServer(self.mirror).register(self.peer_server)
@@ -226,6 +234,11 @@
             MessageKind.OPEN_TUNNEL, self.tunnel_server.open
         )
 
+    def _find_change_delay(self):
+        """Return the seconds within which any change of the store takes effect."""
+        bounds = self.settings.bounds
+        return min(bounds.drain_timeout, bounds.change_delay)
+
     def _create_membership(self):
         own_domain = self.settings.failure_domain
         self.membership = MembershipController(
@@ -419,6 +432,7 @@
         await self.ports.open()
         run = self.supervisor.run
         run("mirror", lambda: self.mirror.run())
+        run("operator_watch", lambda: self.operator_watch.run())
         run("manifest_recovery", lambda: self.manifest_recovery.run())
         run("rollouts", lambda: self.rollouts.run())
         run("membership", self._run_membership)
--- a/tanagerwalk/gateway/change_feed.py
+++ b/tanagerwalk/gateway/change_feed.py
@@ -7,6 +7,7 @@
 
 from ..changes import Changes, ConfirmedChanges
 from ..decisions.freshness import (
+    OVERDUE_WATCH_S,
     find_confirmed_time,
     find_direct_read_pause,
     find_retry_pause,
@@ -23,11 +24,12 @@
 from ..peers.rpc import MessageKind, PeerClient, RequestFault
 from ..writes import Entry
 from .clocks import read_boot_clock
+from .hedged_calls import call_hedged
 
 log = structlog.get_logger(__name__)
 
 MS_PER_S = 1000.0
-WATCH_TIMEOUT_S = 1.0
+WATCH_TIMEOUT_S = 0.8
 PEER_TIMEOUT_S = 0.5
 PEER_POLL_INTERVAL_S = 0.6
 # Older changes of a peer show that it has lost the store.
@@ -68,6 +70,20 @@
         Result of ConfirmedChanges, or of StoreFault
         """
         wait = self._wait if may_wait else 0.0
+
+        def watch(calls_before):
+            # Changes that there are come at once.
+            return self._watch(revision, 0.0 if calls_before else wait)
+
+        return await call_hedged(
+            watch, wait + OVERDUE_WATCH_S, OVERDUE_WATCH_S, self._suspect_connections
+        )
+
+    def _suspect_connections(self):
+        log.info("store did not answer in time", prefix=self._prefix)
+        self._store.drop_idle()
+
+    async def _watch(self, revision, wait):
         started_at = read_boot_clock()
         result = await self._store.wait_for_changes(self._prefix, revision, wait)
         if result.is_error():
@@ -95,7 +111,7 @@
         changes, or None.
     own_id : str
         Incarnation of this instance.
-    get_drain_timeout : callable
+    get_change_delay : callable
         Returns the seconds within which changes have to take effect.
     count_instances : callable
         Returns the number of instances of the fleet.
@@ -111,7 +127,7 @@
         selection,
         get_address,
         own_id,
-        get_drain_timeout,
+        get_change_delay,
         count_instances,
         clock,
         random,
@@ -120,7 +136,7 @@
         self._selection = selection
         self._get_address = get_address
         self._own_id = own_id
-        self._get_drain_timeout = get_drain_timeout
+        self._get_change_delay = get_change_delay
         self._count_instances = count_instances
         self._clock = clock
         self._random = random
@@ -227,7 +243,7 @@
         """Seconds until the next read."""
         if self.is_watcher:
             is_shared = self._client is not None and self._selection.is_shared
-            return find_watch_pause(self._get_drain_timeout(), is_shared)
+            return find_watch_pause(self._get_change_delay(), is_shared)
         return PEER_POLL_INTERVAL_S
 
     @property
--- a/tanagerwalk/gateway/mirror.py
+++ b/tanagerwalk/gateway/mirror.py
@@ -1,15 +1,18 @@
 """Maintains a local copy of the metadata store."""
 
 import asyncio
+import contextlib
 
 import structlog
 
 from ..changes import Changes, split_revision
 from ..decisions.change_log import ChangeLog
+from ..decisions.freshness import OVERDUE_LIST_S
 from ..defects import DefectLog, Subscribers
 from ..ids import Revision
 from ..writes import StoreFault
 from .clocks import read_boot_clock
+from .hedged_calls import call_hedged
 
 log = structlog.get_logger(__name__)
 
@@ -80,6 +83,7 @@
         self._grace_deadlines = {}
         self._unconfirmed = {}
         self._last_era = 0
+        self._is_awake = asyncio.Event()
         defects = defects or DefectLog("subscriber failed")
         self._subscribers = Subscribers(defects)
         self._confirmation_subscribers = Subscribers(defects)
@@ -98,6 +102,15 @@
         """
         self._subscribers.add(subscriber, is_needed)
 
+    @property
+    def revision(self):
+        """Revision up to which changes were read, or None while the copy is listed."""
+        return self._revision
+
+    def wake(self):
+        """Read the changes now instead of after a pause."""
+        self._is_awake.set()
+
     @property
     def era(self):
         """Era of the store that the copy was read in, or None before the first read."""
@@ -134,7 +147,13 @@
                 pause = self._feed.retry_pause
                 await asyncio.sleep(pause * (0.5 + self._random.random()))
             elif self.is_loaded and self._revision is not None:
-                await asyncio.sleep(self._feed.pause)
+                await self._pause(self._feed.pause)
+
+    async def _pause(self, seconds):
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._is_awake.wait()
+        self._is_awake.clear()
 
     async def _read_snapshot(self):
         """List the prefix.
@@ -143,7 +162,13 @@
         one follows a gap in the history and has to be current.
         """
         started_at = read_boot_clock()
-        result = await self._store.list(self._prefix, not self.change_log.is_started)
+        may_be_old = not self.change_log.is_started
+        result = await call_hedged(
+            lambda calls_before: self._store.list(self._prefix, may_be_old),
+            OVERDUE_LIST_S,
+            OVERDUE_LIST_S,
+            self._store.drop_idle,
+        )
         if result.is_ok():
             self._record_answer()
             self._apply_snapshot(result.ok)
--- a/tanagerwalk/gateway/settings.py
+++ b/tanagerwalk/gateway/settings.py
@@ -48,6 +48,8 @@
     ----------
     drain_timeout : float
         Time after which a draining backend server must receive no more requests.
+    change_delay : float
+        Time after which a change of the manifest must be in force.
     shutdown_grace : float
         Time between SIGTERM and SIGKILL.
     strict_revocation : bool
@@ -70,6 +72,7 @@
     """
 
     drain_timeout: float = 2.5
+    change_delay: float = 2.5
     shutdown_grace: float = 8.0
     strict_revocation: bool = False
     revocation_delay: float = 5.0
--- a/tanagerwalk/platform/settings.py
+++ b/tanagerwalk/platform/settings.py
@@ -152,6 +152,7 @@
 def _convert_bounds(wire):
     return Bounds(
         drain_timeout=wire.drain_ms / MS_PER_S,
+        change_delay=wire.apply_ms / MS_PER_S,
         shutdown_grace=wire.grace_s,
         strict_revocation=wire.strict_revoke,
         revocation_delay=wire.revoke_ms / MS_PER_S,
--- a/tanagerwalk/platform/store.py
+++ b/tanagerwalk/platform/store.py
@@ -279,6 +279,8 @@
                 content = await connection.read_body() if head.is_ok() else head
         except TimeoutError:
             connection.abort()
+            # The others may have been cut with it.
+            self.drop_idle()
             return Error(StoreFault.UNKNOWN)
         except BaseException:
             # Cancelled, or a defect: whatever may still arrive belongs to no call.
@@ -320,12 +322,16 @@
             lines.append(b"Content-Length: %d" % len(body))
         return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
-    def close(self):
-        """Close the idle connections."""
+    def drop_idle(self):
+        """Close the idle connections, so that the next call opens a new one."""
         for connection in self._idle:
             connection.abort()
         self._idle.clear()
 
+    def close(self):
+        """Close the idle connections at the end."""
+        self.drop_idle()
+
 
 def _is_other_era(revision, other):
     return split_revision(revision)[0] != split_revision(other)[0]
--- a/tanagerwalk/standins/metadata.py
+++ b/tanagerwalk/standins/metadata.py
@@ -32,6 +32,9 @@
         is aborted).
     lost_writes : int
         Number of following transactions that take effect, but whose response is lost.
+    lost_answers : int
+        Number of following watches whose answer is lost; their connections return
+        nothing any more.
     page_items : int
         Maximum number of items in a page of a range call.
     era : int
@@ -42,6 +45,9 @@
         super().__init__()
         self.mode = "up"
         self.lost_writes = 0
+        self.lost_answers = 0
+        self._silent_transports = set()
+        self._transports = set()
         self.page_items = PAGE_ITEMS
         self.revision = 10
         self.items = {}
@@ -74,7 +80,16 @@
             if self.mode == "reset":
                 request.transport.abort()
                 return web.Response(status=500)
+            self._transports.add(request.transport)
+            if request.transport in self._silent_transports:
+                await asyncio.sleep(3600)
             response = await handler(request)
+            if request.transport in self._silent_transports:
+                await asyncio.sleep(3600)
+            if self.lost_answers > 0 and request.path == "/api/kv-watch":
+                self.lost_answers -= 1
+                self._silent_transports.add(request.transport)
+                await asyncio.sleep(3600)
             if self.era:
                 response.headers["Store-Era"] = str(self.era)
             return response
@@ -96,6 +111,10 @@
         self._compacted = self.revision
         self._history.clear()
 
+    def silence_connections(self):
+        """Let the connections that are open now return nothing any more."""
+        self._silent_transports |= self._transports
+
     def take_copy(self):
         """Return a copy of all items, for `restore`."""
         return dict(self.items), dict(self.leases), self.revision
--- /dev/null
+++ b/test/gateway/test_late_changes.py
@@ -0,0 +1,112 @@
+"""Time between the store's acknowledgement of a change and its being in force."""
+
+import asyncio
+import random
+import time
+
+import pytest
+
+from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.standins.gateway_cluster import GatewayCluster, build_manifest
+
+# The rule's bound, from the acknowledgement on.
+BOUND_S = 2.5
+POLL_S = 0.01
+SHARED_DOMAIN_SIZE = 6
+
+
+class Changes:
+    """Writes manifests, and measures when all instances have put them in force."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.version = 1
+        self.delays = []
+        self._tasks = []
+
+    async def write(self):
+        """Write the next version; its delay is measured meanwhile."""
+        self.version += 1
+        await self.cluster.store.put("op/config", build_manifest(self.version))
+        self._tasks.append(asyncio.create_task(self._measure(self.version)))
+
+    async def _measure(self, version):
+        acked_at = time.monotonic()
+        await poll_until(lambda: self._is_in_force(version), POLL_S, 4.0 * BOUND_S)
+        self.delays.append(time.monotonic() - acked_at)
+
+    def _is_in_force(self, version):
+        instances = self.cluster.instances
+        return all(i.cluster_state.manifest.version >= version for i in instances)
+
+    async def wait(self):
+        """Wait until all are in force; return the longest delay in seconds."""
+        await asyncio.gather(*self._tasks)
+        return max(self.delays)
+
+    async def wait_for_read(self):
+        """Wait until the first instance has just read changes."""
+        mirror = self.cluster.instances[0].mirror
+        before = mirror.confirmed_at
+        await poll_until(lambda: mirror.confirmed_at > before, 0.001, BOUND_S)
+
+
+# Guards against CONFIG: a pause, a lost answer and a pause that are each short enough.
+async def test_change_is_in_force_in_time_if_the_answer_to_its_read_is_lost():
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=1, instances=1)
+        changes = Changes(cluster)
+        await changes.wait_for_read()
+        cluster.store.lost_answers = 1
+        await changes.write()
+        assert await changes.wait() <= BOUND_S
+
+
+# Guards against CONFIG: dead connections, each of which costs one timeout.
+async def test_change_is_in_force_in_time_if_all_open_connections_are_dead():
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=1, instances=1)
+        store = cluster.instances[0].store
+        calls = [store.get("op/config") for _ in range(3)]
+        await asyncio.gather(*calls)
+        changes = Changes(cluster)
+        await changes.wait_for_read()
+        cluster.store.silence_connections()
+        await changes.write()
+        assert await changes.wait() <= BOUND_S
+
+
+# Guards against CONFIG where one instance watches the store for others.
+async def test_change_is_in_force_in_time_in_a_domain_that_shares_its_watcher():
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=1, instances=SHARED_DOMAIN_SIZE)
+        assert await cluster.wait_until_connected()
+        await asyncio.sleep(1.0)
+        assert sum(i.feed.is_watcher for i in cluster.instances) == 1
+        changes = Changes(cluster)
+        cluster.store.lost_answers = 1
+        await changes.write()
+        assert await changes.wait() <= BOUND_S
+
+
+# Guards against CONFIG under anything that may come between ack and force.
+@pytest.mark.parametrize("seed", range(3))
+async def test_changes_are_in_force_in_time_whatever_the_store_does(seed):
+    numbers = random.Random(seed)
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=1, instances=3)
+        assert await cluster.wait_until_connected()
+        changes = Changes(cluster)
+        for _ in range(16):
+            step = numbers.choice(["lose", "silence", "compact", "write", "storm"])
+            if step == "lose":
+                cluster.store.lost_answers = numbers.randint(1, 2)
+            if step == "silence":
+                cluster.store.silence_connections()
+            if step == "compact":
+                cluster.store.compact()
+            for _ in range(5 if step == "storm" else 1):
+                await changes.write()
+                await asyncio.sleep(0.05 * numbers.random())
+            await asyncio.sleep(0.8 * numbers.random())
+        assert await changes.wait() <= BOUND_S
