--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -51,9 +51,22 @@
         violations += _check_leaving_servers(
             request, arrivals[request.id], leaving_since, is_undisturbed
         )
+    violations += _check_brittle_servers(fleet, is_undisturbed)
     return violations
 
 
+def _check_brittle_servers(fleet, is_undisturbed):
+    for each in fleet.brittle_times:
+        if not is_undisturbed(each.begin - 2.0 * CONTACT_DELAY_S, each.end):
+            continue
+        servers = [n for n in fleet.falls if n.startswith(each.service)]
+        falls = [
+            at for n in servers for at in fleet.falls[n] if each.begin <= at <= each.end
+        ]
+        if len(falls) > 2.0 + 0.1 * len(servers):
+            yield f"servers of {each.service} fell over {len(falls)} times"
+
+
 def _find_leaving_times(requests):
     """Return when each gateway first passed on that a server leaves."""
     times = {}
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -4,6 +4,7 @@
 import signal
 import time
 
+from soak.fleet import BrittleTime
 from soak.links import LinkFault
 from tanagerwalk.standins.backend import Behaviour
 
@@ -20,6 +21,9 @@
 # Age of the copy from which the store is restored, and time until it is written again.
 MAX_COPY_AGE_S = 3.0
 MAX_REWRITE_DELAY_S = 1.0
+# Rejections a second that brittle servers bear, and until they let fewer requests wait.
+BRITTLE_VALUES = ("0", "2", "5.5")
+CONTACT_S = 3.0
 LIMIT_VALUES = ("0", "2.5", "20", "-1", "nan", "few")
 RETRY_AFTER_VALUES = ("0.5", "2", "-1", "nan", "soon")
 SERVER_FAULTS = (
@@ -86,7 +90,8 @@
             ),
             *(self._remove_undrained_server, self._update_manifest, self._revoke_key),
             *(self._announce_leaving, self._hold_requests, self._name_limit),
-            *(self._restore_store,),
+            *(self._restore_store, self._become_brittle),
+            *(self._lose_store_answers, self._silence_store_connections),
         )
 
     async def run(self, seconds):
@@ -206,6 +211,34 @@
         await asyncio.sleep(self._random.uniform(0.2, MAX_DISTURBANCE_S))
         server.behaviour = Behaviour(delay=0.01)
 
+    async def _become_brittle(self):
+        """Let the servers of a service fall over under rejections for a while."""
+        service = self._random.choice(("drafts", "desk"))
+        bearable = self._random.choice(BRITTLE_VALUES)
+        servers = [s for n, s in self._fleet.servers.items() if n.startswith(service)]
+        for server in servers:
+            server.behaviour = Behaviour(brittle=bearable, delay=0.01)
+        await asyncio.sleep(CONTACT_S)
+        begin = time.monotonic()
+        queues = {server.id: server.places.queue for server in servers}
+        for server in servers:
+            server.places.brittle = float(bearable)
+            server.places.queue = 1
+        await asyncio.sleep(self._random.uniform(1.0, MAX_DISTURBANCE_S))
+        self._fleet.brittle_times.append(BrittleTime(service, begin, time.monotonic()))
+        for server in servers:
+            server.places.brittle = None
+            server.places.queue = queues[server.id]
+            server.behaviour = Behaviour(delay=0.01)
+
+    async def _lose_store_answers(self):
+        self._fleet.store.lost_answers = self._random.randint(1, 2)
+        await self._disturb(0.1)
+
+    async def _silence_store_connections(self):
+        self._fleet.store.silence_connections()
+        await self._disturb(0.1)
+
     async def _restore_store(self):
         """Let the store come back from an older copy, which is then written again."""
         copy = self._fleet.store.take_copy()
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -15,9 +15,13 @@
 from tanagerwalk.standins.backend import BackendStandIn
 from tanagerwalk.standins.gateway_cluster import build_manifest
 from tanagerwalk.standins.metadata import MetadataStandIn
+from tanagerwalk.standins.places import Places
 
 GATEWAY_COUNT = 3
 SERVER_COUNTS = {"drafts": 3, "desk": 3}
+SERVER_SLOTS = 8
+SERVER_QUEUE = 8
+FALL_S = 1.0
 # The same limits as revoke_ms, drain_ms and grace_s in SETTINGS_TEMPLATE.
 REVOCATION_LIMIT_S = 5.0
 DRAIN_LIMIT_S = 2.5
@@ -174,6 +178,15 @@
         await self.process.wait()
 
 
+@dataclass(frozen=True)
+class BrittleTime:
+    """Monotonic times between which the servers of a service were brittle."""
+
+    service: str
+    begin: float
+    end: float
+
+
 @dataclass
 class Fleet:
     """Everything that a soak starts, except the clients.
@@ -194,6 +207,9 @@
     manifest_version: int = 0
     revoked_at: float | None = None
     drain_times: dict[str, float] = field(default_factory=dict)
+    brittle_times: list[BrittleTime] = field(default_factory=list)
+    falls: dict[str, list[float]] = field(default_factory=dict)
+    fall_tasks: set[asyncio.Task] = field(default_factory=set)
 
     @property
     def standin_ip(self):
@@ -247,7 +263,10 @@
     async def add_server(self, service):
         """Start a backend server behind a link and register it as ready."""
         server_id = f"{service}-{len(self.arrivals)}"
-        server = BackendStandIn(server_id, self.standin_ip)
+        places = Places(SERVER_SLOTS, SERVER_QUEUE)
+        server = BackendStandIn(server_id, self.standin_ip, places)
+        places.on_fall = lambda: self._start_fall(server)
+        self.falls[server_id] = server.falls
         server.requests = ArrivalRecorder(server_id)
         await server.start()
         link = FaultyLink(server.address, self.standin_ip)
@@ -263,6 +282,16 @@
         entry = json.loads(value) | {"address": self.links[server_id].address}
         await self.store.put(key, json.dumps(entry).encode())
 
+    def _start_fall(self, server):
+        task = asyncio.create_task(self._fall(server))
+        self.fall_tasks.add(task)
+        task.add_done_callback(self.fall_tasks.discard)
+
+    async def _fall(self, server):
+        if await server.fall(FALL_S) and server.id in self.servers:
+            is_draining = server.id in self.drain_times
+            await self._register(server.id, "draining" if is_draining else "ready")
+
     async def drain_server(self, server_id):
         """Register a backend server as draining."""
         await self._register(server_id, "draining")
@@ -284,6 +313,9 @@
                     await gateway.stop(signal.SIGKILL)
             await asyncio.gather(*gateway.watches)
             gateway.link.stop()
+        for task in self.fall_tasks:
+            task.cancel()
+        await asyncio.gather(*self.fall_tasks, return_exceptions=True)
         for server_id, server in self.servers.items():
             self.links[server_id].stop()
             await server.stop()
--- a/test/soak/test_checks.py
+++ b/test/soak/test_checks.py
@@ -7,7 +7,7 @@
 
 from soak.checks import find_violations
 from soak.clients import ClientRequest
-from soak.fleet import API_KEYS, Arrival
+from soak.fleet import API_KEYS, Arrival, BrittleTime
 from tanagerwalk.standins.backend import EVENT_COUNT, ReceivedRequest
 from tanagerwalk.standins.gateway_cluster import Reply
 
@@ -35,7 +35,11 @@
 
 def check(sent, reply, arrivals, revoked_at=None, drain_times=None):
     fleet = SimpleNamespace(
-        arrivals=[arrivals], revoked_at=revoked_at, drain_times=drain_times or {}
+        arrivals=[arrivals],
+        revoked_at=revoked_at,
+        drain_times=drain_times or {},
+        brittle_times=[],
+        falls={},
     )
     sent = dataclasses.replace(sent, reply=reply)
     return find_violations(fleet, [sent], lambda begin, end: True)
@@ -112,6 +116,25 @@
     )
     later = dataclasses.replace(PLAN, id="2", sent_at=sent_at)
     arrivals = [build_arrival(told), build_arrival(later, received_at=sent_at + 0.1)]
-    fleet = SimpleNamespace(arrivals=[arrivals], revoked_at=None, drain_times={})
+    fleet = SimpleNamespace(
+        arrivals=[arrivals],
+        revoked_at=None,
+        drain_times={},
+        brittle_times=[],
+        falls={},
+    )
     violations = find_violations(fleet, [told, later], lambda begin, end: True)
     assert bool(violations) is is_violation
+
+
+def test_servers_that_fall_over_too_often_are_found():
+    fleet = SimpleNamespace(
+        arrivals=[],
+        revoked_at=None,
+        drain_times={},
+        brittle_times=[BrittleTime("desk", 10.0, 12.0)],
+        falls={"desk-0": [10.5, 11.5], "desk-1": [11.0], "drafts-0": [11.0]},
+    )
+    found = find_violations(fleet, [], lambda begin, end: True)
+    assert found == ["servers of desk fell over 3 times"]
+    assert not find_violations(fleet, [], lambda begin, end: False)
