Check a server again after the wait for a permit, and ask a lost store less

A server may have asked for rest while a request waited for its permit; such a permit is given back unused. The watch of the operators' entries leaves it to the mirror to find out when a store is back, so that a store that is down gets no more calls than before. A hold begins right before its attempt, so that no defect before it can leave one.

--- a/tanagerwalk/decisions/permits.py
+++ b/tanagerwalk/decisions/permits.py
@@ -125,11 +125,6 @@
         """Whether no request holds a permit or waits for one."""
         return not self._permits and not self._waiting
 
-    @property
-    def waiting_count(self):
-        """Number of requests that wait."""
-        return len(self._waiting)
-
     def count_in_use(self, life):
         """Return how many requests are at a server."""
         room = self._rooms.get(life)
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -225,7 +225,6 @@
             self.codec.operator_prefix,
             self.mirror,
             self.feed,
-            self.random,
         )
         self.peer_server = PeerServer(None)
         self.limits.limit_peers(self.peer_server)
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -215,7 +215,6 @@
         return has_kept and self._allows_server(server)
 
     async def _attempt(self, server, hold):
-        hold = hold or self._permit_wait.begin(server)
         now = self._clock()
         is_retry = self._history.sent > 0
         # Before it is sent, so that others see it at once.
@@ -247,6 +246,7 @@
             partial(self._context.recorder.record_latency, self._request, attempt),
             partial(self._context.quarantine.suspect, self._request, attempt),
         )
+        hold = hold or self._permit_wait.begin(server)
         result = None
         try:
             result = await self._run_attempt(plan)
--- a/tanagerwalk/gateway/operator_watch.py
+++ b/tanagerwalk/gateway/operator_watch.py
@@ -27,16 +27,13 @@
         The local copy.
     feed : SharedFeed
         Tells whether this instance watches the store.
-    random : random.Random
-        Source of jitter.
     """
 
-    def __init__(self, store, prefix, mirror, feed, random):
+    def __init__(self, store, prefix, mirror, feed):
         self._store = store
         self._prefix = prefix
         self._mirror = mirror
         self._feed = feed
-        self._random = random
         self._revision = Revision(0)
 
     async def run(self):
@@ -55,7 +52,8 @@
             self._prefix, self._revision, WAIT_S
         )
         if result.is_error():
-            return self._feed.retry_pause * (0.5 + self._random.random())
+            # The mirror finds out when the store is back.
+            return IDLE_PAUSE_S
         changes = result.ok
         if changes.compacted:
             # The mirror will find out, too, and list the store again.
--- a/tanagerwalk/gateway/permit_coordinator.py
+++ b/tanagerwalk/gateway/permit_coordinator.py
@@ -42,11 +42,6 @@
         self._ledgers = {}
         self._used_at = {}
 
-    @property
-    def waiting_count(self):
-        """Number of requests that wait for a place."""
-        return sum(ledger.waiting_count for ledger in self._ledgers.values())
-
     def receive(self, sender, note):
         """Process an ASK, a RENEW or an END of an instance."""
         now = self._clock()
--- a/tanagerwalk/gateway/permit_wait.py
+++ b/tanagerwalk/gateway/permit_wait.py
@@ -78,11 +78,15 @@
             return result
         hold = result.ok
         usage = self._servers.find_life(hold.life)
-        if usage is None or not usage.accepts_requests:
+        if usage is None or not self._is_usable(usage):
             self._permits.end(hold, Ending.UNUSED)
             return Ok((None, hold))
         return Ok((usage.server, hold))
 
+    def _is_usable(self, usage):
+        """Return whether a server still takes requests, after a wait."""
+        return usage.accepts_requests and usage.held_until <= self._clock()
+
     def begin(self, server):
         """Return the Hold of an attempt that needs no permit."""
         return self._permits.begin(server)
