Let one coordinator of permits grant a place, and listen after a stall

Cause: an instance that suspects the coordinator asks the next in order, which then granted beside the first one, and a coordinator that stood still for a second took all leases for ended when it went on. Callers of brittle servers would see them fall.

Change: the first two in order are told of all requests, also by those that suspect them; the next in order uses half of the known room while it hears the first; a ledger that was not run for 0.3 s listens again before it grants. A permit follows the server that its holder names. Tries beyond the known room that end in rejections become rarer.

--- a/tanagerwalk/decisions/permits.py
+++ b/tanagerwalk/decisions/permits.py
@@ -20,6 +20,8 @@
 WARM_UP_S = 0.4
 # An abandoned request may still be at its server for as long.
 LINGER_S = 0.25
+# A coordinator that was not run for so long doesn't know what has happened meanwhile.
+STALL_S = 0.3
 GRANT_WINDOW_S = 1.0
 # Of a request, as long as nothing tells.
 TYPICAL_WORK_S = 0.25
@@ -104,14 +106,31 @@
         Monotonic time in seconds.
     queued_share : float
         Requests beyond the slots that may be tried; see `ServerRoom`.
+    warm_up : float
+        Seconds for which it only listens.
+
+    Attributes
+    ----------
+    share : float
+        Part of the known room that it may use, as long as another instance grants
+        permits, too.
     """
 
     def __init__(
-        self, find_slots, find_bearable, lives, now, queued_share=QUEUED_SHARE
+        self,
+        find_slots,
+        find_bearable,
+        lives,
+        now,
+        queued_share=QUEUED_SHARE,
+        warm_up=WARM_UP_S,
     ):
         self._find_slots = find_slots
         self._find_bearable = find_bearable
-        self._begun_at = now
+        self._warm_up = warm_up
+        self._warm_at = now + warm_up
+        self._seen_at = now
+        self.share = 1.0
         self._rooms = {}
         self._permits = {}
         self._waiting = {}
@@ -125,6 +144,11 @@
         """Whether no request holds a permit or waits for one."""
         return not self._permits and not self._waiting
 
+    @property
+    def has_waiting(self):
+        """Whether a request waits for a place."""
+        return bool(self._waiting)
+
     def count_in_use(self, life):
         """Return how many requests are at a server."""
         room = self._rooms.get(life)
@@ -146,6 +170,7 @@
         -------
         Granted, Queued or Denied
         """
+        self._check_for_stall(now)
         permit = self._permits.get(key)
         if permit is not None and not permit.is_lingering:
             return Granted(permit.life)
@@ -161,10 +186,20 @@
         wait = self.estimate_wait(now)
         if wait > request.patience and not request.is_urgent:
             return Denied(wait)
-        latest_at = max(now, self._begun_at + WARM_UP_S) + request.patience
+        latest_at = max(now, self._warm_at) + request.patience
         self._waiting[key] = _Waiting(request, latest_at, now + LEASE_S)
         return Queued()
 
+    def _check_for_stall(self, now):
+        """Listen again after a stall, in which renewals could not be heard."""
+        gap = now - self._seen_at
+        self._seen_at = now
+        if gap <= STALL_S:
+            return
+        self._warm_at = now + self._warm_up
+        for lease in (*self._permits.values(), *self._waiting.values()):
+            lease.expires_at += gap
+
     def estimate_wait(self, now):
         """Return the seconds until one more request would get a place."""
         while self._granted_at and self._granted_at[0] <= now - GRANT_WINDOW_S:
@@ -180,6 +215,10 @@
         """Prolong a permit, or note one that another instance has granted."""
         self._waiting.pop(key, None)
         permit = self._permits.get(key)
+        if permit is not None and permit.life != life:
+            # Its holder uses the permit of another coordinator.
+            self._get_room(permit.life).end(key, Ending.UNUSED, now)
+            permit = None
         if permit is None:
             permit = self._permits[key] = _Permit(life, now, 0.0)
             self._get_room(life).begin(key, now)
@@ -233,6 +272,7 @@
         dict of PermitKey to Granted or Denied
             The requests that wait no longer.
         """
+        self._check_for_stall(now)
         self._expire(now)
         decided = {}
         if self._is_warm(now):
@@ -275,7 +315,7 @@
                 del self._rooms[life]
 
     def _is_warm(self, now):
-        return now >= self._begun_at + WARM_UP_S
+        return now >= self._warm_at
 
     def _choose(self, lives, now):
         """Return the server that has most room, or None."""
@@ -285,7 +325,7 @@
             if self._find_slots(life) is None:
                 continue
             room = self._get_room(life)
-            if room.use < least and room.has_place(bearable, now):
+            if room.use < least and room.has_place(bearable, now, self.share):
                 best, least = life, room.use
         return best
 
--- a/tanagerwalk/decisions/server_room.py
+++ b/tanagerwalk/decisions/server_room.py
@@ -12,8 +12,11 @@
 # Of the rejections that a server bears, those that may be risked or have come.
 RISK_SHARE = 0.5
 REJECTION_PAUSE_S = 0.05
-# After a rejection, no more requests than have found a place are tried for this time.
+# After a rejection, no more requests than have found a place are tried for this time;
+# it doubles each time that one tried in vain.
 NO_GROWTH_S = 3.0
+MAX_GROWTH_DOUBLINGS = 4
+FORGETTING_S = 30.0
 FAILURE_PAUSE_S = 0.5
 MAX_PAUSE_DOUBLINGS = 3
 
@@ -65,6 +68,7 @@
         self._tried = {}
         self._rejected_at = deque()
         self._failures = 0
+        self._vain_tries = 0
         self._paused_until = -math.inf
         self._grows_from = -math.inf
         self.in_use = 0
@@ -79,7 +83,7 @@
         """Part of the known room that is in use; over 1 while more is tried."""
         return self.in_use / self._proven
 
-    def has_place(self, bearable, now):
+    def has_place(self, bearable, now, share=1.0):
         """Return whether the server may get one more request.
 
         Parameters
@@ -88,12 +92,16 @@
             Rejections per second that the server bears.
         now : float
             Monotonic time in seconds.
+        share : float
+            Part of the known room that may be used; below 1, no more is tried.
         """
         if now < self._paused_until:
             return False
         self._advance(now)
-        if self.in_use < self._find_safe_limit(bearable):
+        if self.in_use < share * self._find_safe_limit(bearable):
             return True
+        if share < 1.0:
+            return False
         if self.in_use >= self._limit or now < self._grows_from:
             return False
         if self.in_use >= self._slots and self._tried:
@@ -140,7 +148,14 @@
         self._rejected_at.append(now)
         self._proven = max(1, min(self._proven, peak - 1))
         self._paused_until = max(self._paused_until, now + REJECTION_PAUSE_S)
-        self._grows_from = now + NO_GROWTH_S
+        # What was tried may have taken the place of the one that was rejected.
+        self._tried = {key: v for key, v in self._tried.items() if v[0] < peak}
+        if now < self._grows_from:
+            return
+        is_first = now - self._grows_from > FORGETTING_S
+        self._vain_tries = 0 if is_first else self._vain_tries + 1
+        doublings = min(self._vain_tries, MAX_GROWTH_DOUBLINGS)
+        self._grows_from = now + NO_GROWTH_S * 2**doublings
 
     def _record_failure(self, now):
         # All that a server held fails at once when it ends.
--- a/tanagerwalk/gateway/permit_coordinator.py
+++ b/tanagerwalk/gateway/permit_coordinator.py
@@ -18,6 +18,8 @@
 
 # A ledger that nobody has used for this time is dropped; the next one begins anew.
 IDLE_LIFETIME_S = 3.0
+# Of the known room of a server.
+DEPUTY_SHARE = 0.5
 # Of a service that the coordinator doesn't know to be brittle yet.
 UNKNOWN_BEARABLE_PER_S = 1.0
 
@@ -31,13 +33,17 @@
         The servers, and what they say of themselves.
     send : callable
         Takes the incarnation of an instance and a PermitNote, and sends the note.
+    is_deputy : callable
+        Takes a service and returns whether another instance, which comes first, still
+        grants its permits; this one then uses DEPUTY_SHARE of the places.
     clock : callable
         Returns monotonic time in seconds.
     """
 
-    def __init__(self, servers, send, clock):
+    def __init__(self, servers, send, is_deputy, clock):
         self._servers = servers
         self._send = send
+        self._is_deputy = is_deputy
         self._clock = clock
         self._ledgers = {}
         self._used_at = {}
@@ -52,8 +58,10 @@
         key = PermitKey(sender, note.requests[0])
         if note.kind is PermitNoteKind.END:
             ledger.end(key, note.ending, now)
-            self._advance(note.service, ledger, now)
+            if ledger.has_waiting:
+                self._advance(note.service, ledger, now)
             return
+        ledger.share = DEPUTY_SHARE if self._is_deputy(note.service) else 1.0
         request = PermitRequest(note.lives, note.wait, note.is_urgent)
         self._answer(note.service, key, ledger.ask(key, request, now))
 
@@ -68,6 +76,7 @@
                 log.info("permits ended", service=service)
 
     def _advance(self, service, ledger, now):
+        ledger.share = DEPUTY_SHARE if self._is_deputy(service) else 1.0
         for key, decision in ledger.advance(now).items():
             self._answer(service, key, decision)
 
--- a/tanagerwalk/gateway/permits.py
+++ b/tanagerwalk/gateway/permits.py
@@ -106,15 +106,21 @@
         self._suspected_until = {}
         self._brittle_since = {}
         self._holds = {}
+        # Services whose last renewal named requests.
+        self._holding = set()
         self._inquiries = {}
         self._isolated = {}
-        self._coordinator = PermitCoordinator(servers, self._send, clock)
+        self._heard_at = {}
+        self._coordinator = PermitCoordinator(
+            servers, self._send, self._is_deputy, clock
+        )
         self.send_notes = _drop
 
     def set_peers(self, peers):
         """Replace the known instances, given as Peer by incarnation."""
         able = [peer_id for peer_id, peer in peers.items() if peer.grants_permits]
         self._members = (self._own_id, *able)
+        self._heard_at = {p: at for p, at in self._heard_at.items() if p in able}
         self._ranked.clear()
 
     def is_needed(self, service):
@@ -192,6 +198,7 @@
 
     def receive(self, sender, note):
         """Process a PermitNote of an instance, be it this one."""
+        self._heard_at[sender] = self._clock()
         if note.kind not in ANSWER_KINDS:
             self._coordinator.receive(sender, note)
             return
@@ -245,6 +252,9 @@
         finally:
             del self._inquiries[note.requests[0]]
         log.info("coordinator did not answer", peer=coordinator, service=note.service)
+        self._send(
+            coordinator, _build_end(note.service, note.requests[0], Ending.UNUSED)
+        )
         self._suspected_until[coordinator] = self._clock() + SUSPICION_S
         return None
 
@@ -259,6 +269,7 @@
                 (),
                 now,
                 queued_share=0.0,
+                warm_up=0.0,
             )
         key = PermitKey(self._own_id, number)
         ledger.advance(now)
@@ -285,7 +296,15 @@
     def _renew(self, service):
         """Tell the coordinators which requests of this instance are at servers."""
         holds = [hold for hold in self._holds.values() if hold.service == service]
-        coordinators = self._list_coordinators(service, INFORMED_COORDINATORS)
+        is_first = self._rank_members(service)[0] == self._own_id
+        if not holds and service not in self._holding and not is_first:
+            return
+        if not holds:
+            # The last word that the requests named before have ended.
+            self._holding.discard(service)
+        else:
+            self._holding.add(service)
+        coordinators = self._list_informed(service)
         is_complete = len(holds) <= MAX_RENEWED
         for start in range(0, len(holds) or 1, MAX_RENEWED):
             part = holds[start : start + MAX_RENEWED]
@@ -301,26 +320,49 @@
             isolated.advance(now)
 
     def _renew_one(self, hold):
+        self._holding.add(hold.service)
         note = _build_renewal(hold.service, [hold], is_complete=False)
-        for coordinator in self._list_coordinators(hold.service, INFORMED_COORDINATORS):
+        for coordinator in self._list_informed(hold.service):
             self._send(coordinator, note)
 
     def _tell_end(self, service, number, ending):
         note = _build_end(service, number, ending)
-        for coordinator in self._list_coordinators(service, INFORMED_COORDINATORS):
+        for coordinator in self._list_informed(service):
             self._send(coordinator, note)
 
+    def _is_deputy(self, service):
+        """Return whether an instance before this one in order is heard."""
+        ranked = self._rank_members(service)
+        before = ranked[: ranked.index(self._own_id)]
+        since = self._clock() - MAX_SILENCE_S
+        return any(self._heard_at.get(member, since) > since for member in before)
+
+    def _list_informed(self, service):
+        """Return the instances that count the requests of this one.
+
+        The first in order may only be suspected by this instance, and grant permits to
+        the others.
+        """
+        first = self._rank_members(service)[:INFORMED_COORDINATORS]
+        answering = self._list_coordinators(service, INFORMED_COORDINATORS)
+        return dict.fromkeys([*first, *answering])
+
     def _list_coordinators(self, service, count):
         """Return the first instances in order that are not suspected."""
         now = self._clock()
+        answering = [
+            member
+            for member in self._rank_members(service)
+            if self._suspected_until.get(member, now) <= now
+        ]
+        return answering[:count]
+
+    def _rank_members(self, service):
         ranked = self._ranked.get(service)
         if ranked is None:
             key = f"permits {service}".encode()
             ranked = self._ranked[service] = rank_members(key, self._members)
-        answering = [
-            member for member in ranked if self._suspected_until.get(member, now) <= now
-        ]
-        return answering[:count]
+        return ranked
 
     def _send(self, receiver, note):
         if receiver == self._own_id:
--- a/test/decisions/test_permits.py
+++ b/test/decisions/test_permits.py
@@ -9,6 +9,7 @@
     LEASE_S,
     LINGER_S,
     NAMING_DELAY_S,
+    STALL_S,
     WARM_UP_S,
     Denied,
     Granted,
@@ -28,7 +29,18 @@
 
 def build_ledger(lives=(LIFE,), bearable=BEARABLE):
     slots = dict.fromkeys(lives, SLOTS)
-    return PermitLedger(slots.get, lambda: bearable, lives, 0.0)
+    ledger = PermitLedger(slots.get, lambda: bearable, lives, 0.0)
+    advance(ledger, 0.0, WARM)
+    return ledger
+
+
+def advance(ledger, since, until):
+    """Advance without a stall, and return what was decided."""
+    decided = {}
+    steps = 1 + int((until - since) / (0.5 * STALL_S))
+    for step in range(1, steps + 1):
+        decided |= ledger.advance(since + (until - since) * step / steps)
+    return decided
 
 
 def fill(ledger, now=WARM):
@@ -92,14 +104,13 @@
     key = PermitKey("other", 1)
     ledger.ask(key, REQUEST, WARM)
     later = WARM + REQUEST.patience + 0.01
-    ledger.renew_all("holder", dict.fromkeys(range(SLOTS + 1), LIFE), later)
-    assert isinstance(ledger.advance(later)[key], Denied)
+    assert isinstance(advance(ledger, WARM, later)[key], Denied)
 
 
 def test_permits_of_a_holder_that_is_gone_expire():
     ledger = build_ledger()
     fill(ledger)
-    ledger.advance(WARM + LEASE_S + 0.01)
+    advance(ledger, WARM, WARM + LEASE_S + 0.01)
     assert ledger.count_in_use(LIFE) == 0
     assert ledger.is_idle
 
@@ -124,17 +135,46 @@
     assert ledger.count_in_use(LIFE) == len(keys) - 1
 
 
+# Guards against a server that is taken for free, as two coordinators have granted
+# places for one request.
+def test_place_is_counted_at_the_server_that_the_holder_names():
+    ledger = build_ledger((LIFE, OTHER))
+    key = PermitKey("holder", 1)
+    ledger.ask(key, REQUEST, WARM)
+    ledger.renew(key, OTHER, WARM)
+    assert ledger.count_in_use(LIFE) == 0
+    assert ledger.count_in_use(OTHER) == 1
+
+
 # Guards against a coordinator that takes over and grants places that are in use.
 def test_new_coordinator_hears_of_the_permits_before_it_grants_any():
-    ledger = build_ledger()
+    slots = {LIFE: SLOTS}
+    ledger = PermitLedger(slots.get, lambda: BEARABLE, (LIFE,), 0.0)
     key = PermitKey("late", 1)
     assert ledger.ask(key, REQUEST, 0.0) == Queued()
     for number in range(SLOTS + 1):
         ledger.renew(PermitKey("holder", number), LIFE, 0.2)
-    assert ledger.advance(WARM) == {}
+    assert advance(ledger, 0.2, WARM) == {}
     assert ledger.count_in_use(LIFE) == SLOTS + 1
 
 
+# Guards against a coordinator that was frozen, and takes all places for free then.
+def test_coordinator_that_stood_still_listens_before_it_grants():
+    ledger = build_ledger()
+    keys = fill(ledger)
+    now = WARM + 2.0 * LEASE_S
+    assert ledger.ask(PermitKey("other", 1), REQUEST, now) == Queued()
+    assert ledger.advance(now + 0.1) == {}
+    assert ledger.count_in_use(LIFE) == len(keys)
+
+
+# Guards against two coordinators that grant the same places.
+def test_deputy_uses_a_part_of_the_places():
+    ledger = build_ledger()
+    ledger.share = 0.5
+    assert len(fill(ledger)) == 0.5 * SLOTS
+
+
 def test_server_with_most_room_is_chosen():
     ledger = build_ledger((LIFE, OTHER))
     request = PermitRequest((LIFE, OTHER), 0.5)
