Wait in a test until the store has been read again

Change: the test waits until the instance is ready, for five seconds at most, and still asks for 200.

--- a/test/gateway/test_odd_peer_messages.py
+++ b/test/gateway/test_odd_peer_messages.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 from thrift.Thrift import TType
 
+from tanagerwalk.controllers.loop import poll_until
 from tanagerwalk.decisions.shared_loads import hash_server
 from tanagerwalk.gateway.change_feed import read_changes
 from tanagerwalk.gateway.load_messages import sign
@@ -15,6 +16,7 @@
 from tanagerwalk.peers.gen.loads import ttypes as loads
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
+WAIT_S = 5.0
 KINDS = [
     changes.ChangesRequest,
     changes.ChangesResponse,
@@ -108,6 +110,8 @@
                     encode(built)
 
         process()
+        # The store was not read meanwhile.
+        assert await poll_until(instance.is_ready, 0.02, WAIT_S)
         for path in ("/jobs/1", "/bookings/1"):
             reply = await cluster.send(cluster.encode("POST", path, b"slot"))
             assert reply.status == 200
