Add the time of a pause to the timeouts of connecting

Cause: a connection that was being opened while the event loop stood still (a suspended process, a long step) ended by its timeout as soon as the loop went on, before the answer that had come meanwhile was read. The server then counted as unreachable, and the peer in between as silent.

What callers saw: 503 for all requests to a service whose only server, or only tunnel, was being connected to, until a probe found the path again (0.13 s and more, twice as long after each probe).

Change: opening a connection, directly or through another instance, gets the time for which the loop was late once more, at most the timeout itself.

--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -13,6 +13,7 @@
 from expression import Error, Ok
 
 from ..bound_sockets import lacks_descriptors
+from ..stalls import StallTolerantTimeout
 from .connect_faults import ConnectFault
 from .memory import (
     MAX_READ_BYTES,
@@ -437,7 +438,7 @@
     """
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout):
+        async with StallTolerantTimeout(timeout):
             _, protocol = await loop.create_connection(create_protocol, *address)
     except (OSError, TimeoutError) as error:
         if lacks_descriptors(error):
--- a/tanagerwalk/gateway/connector.py
+++ b/tanagerwalk/gateway/connector.py
@@ -8,6 +8,7 @@
 from expression import Error
 
 from ..decisions.paths import PathState
+from ..stalls import measure_stall
 from .connect_faults import ConnectFault
 from .connections import open_connection
 
@@ -252,7 +253,8 @@
     delays : iterable of float
         Seconds after which the second one and those that follow start.
     timeout : float
-        Seconds after which all are cancelled.
+        Seconds after which all are cancelled, beside those for which the event loop
+        stood still.
 
     Returns
     -------
@@ -269,11 +271,14 @@
         while waiting or running:
             if waiting:
                 running.add(loop.create_task(waiting.pop(0)))
-            remaining = ends_at - loop.time()
+            remaining = max(0.0, ends_at - loop.time())
             delay = min(remaining, next(delays)) if waiting else remaining
+            due_at = loop.time() + delay
             done, running = await asyncio.wait(
-                running, timeout=max(0.0, delay), return_when=asyncio.FIRST_COMPLETED
+                running, timeout=delay, return_when=asyncio.FIRST_COMPLETED
             )
+            now = loop.time()
+            ends_at = max(ends_at, now + measure_stall(now - due_at, timeout))
             opened = [task.result() for task in done]
             succeeded = [each for each in opened if each.is_ok()]
             for extra in succeeded[1:]:
--- a/tanagerwalk/peers/rpc.py
+++ b/tanagerwalk/peers/rpc.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok
 
 from ..bound_sockets import lacks_descriptors
+from ..stalls import StallTolerantTimeout
 from .frames import MAX_PAYLOAD_BYTES, Channel
 
 CLIENT_IDLE_TIMEOUT_S = 60.0
@@ -125,7 +126,7 @@
         Result of Channel, or of RequestFault
         """
         try:
-            async with asyncio.timeout(self._timeout):
+            async with StallTolerantTimeout(self._timeout):
                 connection = await self._connect(address)
                 if connection is None:
                     return Error(RequestFault.BROKEN)
