Make up for four lost answers of the store in a row

Cause: a read of the store was made at most three times; the last call had its own timeout of 2.5 s, which no further call cut short. Answers lost in a row, or kept connections that were dead beside lost answers, added up to more than the time for a change.

What callers saw: a change acknowledged by the store in force after 3.9 s (three lost answers and dead connections, or four lost answers) and 5.0 s (four and dead ones), of 2.5 s.

Change: a watch is made up to five times, first when it is overdue by 0.2 s, then each 0.2 s. A list is long and stays at three calls. The calls get their delays as a list, which one module of decisions makes.

--- a/tanagerwalk/decisions/freshness.py
+++ b/tanagerwalk/decisions/freshness.py
@@ -5,9 +5,13 @@
 # Allows for a store whose clock runs a little fast.
 WATCH_MARGIN_S = 0.1
 # A watch, or a list, that is not answered by then is made once more on a new
-# connection: a lost answer and the pause before stay within the time for a change.
-OVERDUE_WATCH_S = 0.3
+# connection. Four lost answers in a row, the wait of the first watch, and the pause
+# before it stay within the time for a change.
+OVERDUE_WATCH_S = 0.2
+MAX_WATCHES = 5
+# A list is long, so that few of them are made at once.
 OVERDUE_LIST_S = 0.6
+MAX_LISTS = 3
 # Pause between two watches as a share of the time within which a change has to take
 # effect; all changes during a pause arrive in one call of the store.
 PAUSE_SHARE = 0.32
@@ -91,6 +95,22 @@
     return asked_at + wait - WATCH_MARGIN_S
 
 
+def list_watch_delays(wait):
+    """Return the seconds after which each watch but the last is made once more.
+
+    Parameters
+    ----------
+    wait : float
+        Seconds that the store may wait for a change before it answers the first one.
+    """
+    return [wait + OVERDUE_WATCH_S, *[OVERDUE_WATCH_S] * (MAX_WATCHES - 2)]
+
+
+def list_snapshot_delays():
+    """Return the same for the lists of all entries."""
+    return [OVERDUE_LIST_S] * (MAX_LISTS - 1)
+
+
 def find_watch_pause(drain_timeout, is_shared):
     """Return the seconds between two watches.
 
--- a/tanagerwalk/gateway/change_feed.py
+++ b/tanagerwalk/gateway/change_feed.py
@@ -7,11 +7,11 @@
 
 from ..changes import Changes, ConfirmedChanges
 from ..decisions.freshness import (
-    OVERDUE_WATCH_S,
     find_confirmed_time,
     find_direct_read_pause,
     find_retry_pause,
     find_watch_pause,
+    list_watch_delays,
 )
 from ..ids import Revision
 from ..peers.codec import decode, encode
@@ -76,7 +76,7 @@
             return self._watch(revision, 0.0 if calls_before else wait)
 
         return await call_hedged(
-            watch, wait + OVERDUE_WATCH_S, OVERDUE_WATCH_S, self._suspect_connections
+            watch, list_watch_delays(wait), self._suspect_connections
         )
 
     def _suspect_connections(self):
--- a/tanagerwalk/gateway/hedged_calls.py
+++ b/tanagerwalk/gateway/hedged_calls.py
@@ -2,20 +2,17 @@
 
 import asyncio
 
-MAX_CALLS = 3
 
-
-async def call_hedged(call, first_delay, next_delay, on_overdue):
+async def call_hedged(call, delays, on_overdue):
     """Return the first answer to a call that may be repeated.
 
     Parameters
     ----------
     call : callable
         Takes the number of calls before and returns a coroutine of a Result.
-    first_delay : float
-        Seconds after which the answer to the first call is overdue.
-    next_delay : float
-        The same for those that follow.
+    delays : iterable of float
+        Seconds after which the answer to each call is overdue, except to the last one,
+        which is waited for as long as it takes.
     on_overdue : callable
         Called without arguments before each further call.
 
@@ -25,10 +22,9 @@
         The first that is no error; the last error if there is none.
     """
     running = set()
-    delays = [first_delay, *[next_delay] * (MAX_CALLS - 2), None]
     result = None
     try:
-        for number, delay in enumerate(delays):
+        for number, delay in enumerate([*delays, None]):
             running.add(asyncio.create_task(call(number)))
             result, running = await _wait_for_answer(running, delay, result)
             if result is not None and (result.is_ok() or not running):
--- a/tanagerwalk/gateway/mirror.py
+++ b/tanagerwalk/gateway/mirror.py
@@ -7,7 +7,7 @@
 
 from ..changes import Changes, split_revision
 from ..decisions.change_log import ChangeLog
-from ..decisions.freshness import OVERDUE_LIST_S
+from ..decisions.freshness import list_snapshot_delays
 from ..defects import DefectLog, Subscribers
 from ..ids import Revision
 from ..writes import StoreFault
@@ -165,8 +165,7 @@
         may_be_old = not self.change_log.is_started
         result = await call_hedged(
             lambda calls_before: self._store.list(self._prefix, may_be_old),
-            OVERDUE_LIST_S,
-            OVERDUE_LIST_S,
+            list_snapshot_delays(),
             self._store.drop_idle,
         )
         if result.is_ok():
--- a/test/gateway/test_late_changes.py
+++ b/test/gateway/test_late_changes.py
@@ -76,6 +76,22 @@
         assert await changes.wait() <= BOUND_S
 
 
+# Guards against CONFIG: answers lost in a row, of the read and of the watch beside it,
+# and dead connections on top.
+@pytest.mark.parametrize("are_dead", [False, True], ids=["alive", "dead"])
+@pytest.mark.parametrize("lost", [2, 3, 4])
+async def test_change_is_in_force_in_time_if_answers_are_lost_in_a_row(lost, are_dead):
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=1, instances=1)
+        changes = Changes(cluster)
+        await changes.wait_for_read()
+        cluster.store.lost_answers = lost
+        if are_dead:
+            cluster.store.silence_connections()
+        await changes.write()
+        assert await changes.wait() <= BOUND_S
+
+
 # Guards against CONFIG where one instance watches the store for others.
 async def test_change_is_in_force_in_time_in_a_domain_that_shares_its_watcher():
     async with GatewayCluster() as cluster:
