Use no old list of a store that has been restored

Cause: an instance that starts lists the store by a read that may be seconds old. After a restore, such a list may be of the era before. Its revision was taken for one of the new era, which gives the same numbers out again, so that the watch from there left out what had been written below it.

What callers saw: an instance that started alone soon after a restore ran the manifest of before (version 2 for 3), until the operators wrote the next one. Beside another instance, it had the newer one from there.

Change: if the store's era shows that it was restored, the first list is made again by a read that is current. The stand-in answers such reads from an old copy, and loses answers to lists.

--- a/tanagerwalk/gateway/mirror.py
+++ b/tanagerwalk/gateway/mirror.py
@@ -163,11 +163,10 @@
         """
         started_at = read_boot_clock()
         may_be_old = not self.change_log.is_started
-        result = await call_hedged(
-            lambda calls_before: self._store.list(self._prefix, may_be_old),
-            list_snapshot_delays(),
-            self._store.drop_idle,
-        )
+        result = await self._list(may_be_old)
+        if may_be_old and result.is_ok() and split_revision(result.ok.revision)[0] > 0:
+            # It may be of the era before, whose revisions mean other changes.
+            result = await self._list(may_be_old=False)
         if result.is_ok():
             self._record_answer()
             self._apply_snapshot(result.ok)
@@ -175,6 +174,13 @@
                 self._confirm(started_at)
         return result
 
+    async def _list(self, may_be_old):
+        return await call_hedged(
+            lambda calls_before: self._store.list(self._prefix, may_be_old),
+            list_snapshot_delays(),
+            self._store.drop_idle,
+        )
+
     async def _read_changes(self):
         result = await self._feed.read(self._revision, may_wait=self.is_loaded)
         if result.is_error():
--- a/tanagerwalk/standins/metadata.py
+++ b/tanagerwalk/standins/metadata.py
@@ -35,6 +35,10 @@
     lost_answers : int
         Number of following watches whose answer is lost; their connections return
         nothing any more.
+    lost_lists : int
+        The same for the pages of lists.
+    old_copy : tuple or None
+        What `take_copy` returned; reads that may be old are answered from it.
     page_items : int
         Maximum number of items in a page of a range call.
     era : int
@@ -46,6 +50,8 @@
         self.mode = "up"
         self.lost_writes = 0
         self.lost_answers = 0
+        self.lost_lists = 0
+        self.old_copy = None
         self._silent_transports = set()
         self._transports = set()
         self.page_items = PAGE_ITEMS
@@ -86,8 +92,7 @@
             response = await handler(request)
             if request.transport in self._silent_transports:
                 await asyncio.sleep(3600)
-            if self.lost_answers > 0 and request.path == "/api/kv-watch":
-                self.lost_answers -= 1
+            if self._loses_answer(request.path):
                 self._silent_transports.add(request.transport)
                 await asyncio.sleep(3600)
             if self.era:
@@ -96,6 +101,16 @@
 
         return handle
 
+    def _loses_answer(self, path):
+        """Return whether the answer to a call is lost, and count it if so."""
+        if self.lost_answers > 0 and path == "/api/kv-watch":
+            self.lost_answers -= 1
+            return True
+        if self.lost_lists > 0 and path == "/api/kv-range":
+            self.lost_lists -= 1
+            return True
+        return False
+
     # Called directly by tests and the demo.
 
     async def put(self, key, value):
@@ -154,13 +169,16 @@
     async def _range(self, request):
         prefix = request.query["prefix"]
         after = request.query.get("after", "")
-        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+        items, revision = self.items, self.revision
+        if self.old_copy is not None and request.query.get("stale_ok") == "1":
+            items, _, revision = self.old_copy
+        keys = sorted(k for k in items if k.startswith(prefix) and k > after)
         page = keys[: self.page_items]
         return web.json_response(
             {
-                "items": [self._render(key, self.items[key]) for key in page],
+                "items": [self._render(key, items[key]) for key in page],
                 "more_pages": len(keys) > len(page),
-                "current_rev": self.revision,
+                "current_rev": revision,
             }
         )
 
--- a/test/gateway/test_late_changes.py
+++ b/test/gateway/test_late_changes.py
@@ -92,15 +92,30 @@
         assert await changes.wait() <= BOUND_S
 
 
+# Guards against CONFIG where the history is gone and the list after it gets no answer.
+@pytest.mark.parametrize("lost", [1, 2])
+async def test_change_is_in_force_in_time_if_answers_to_lists_are_lost(lost):
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=1, instances=1)
+        changes = Changes(cluster)
+        await changes.wait_for_read()
+        cluster.store.lost_lists = lost
+        await changes.write()
+        cluster.store.compact()
+        assert await changes.wait() <= BOUND_S
+        assert cluster.store.lost_lists == 0
+
+
 # Guards against CONFIG where one instance watches the store for others.
-async def test_change_is_in_force_in_time_in_a_domain_that_shares_its_watcher():
+@pytest.mark.parametrize("lost", [1, 2, 3])
+async def test_change_is_in_force_in_time_in_a_domain_that_shares_its_watcher(lost):
     async with GatewayCluster() as cluster:
         await cluster.build(drafts=0, desks=1, instances=SHARED_DOMAIN_SIZE)
         assert await cluster.wait_until_connected()
         await asyncio.sleep(1.0)
         assert sum(i.feed.is_watcher for i in cluster.instances) == 1
         changes = Changes(cluster)
-        cluster.store.lost_answers = 1
+        cluster.store.lost_answers = lost
         await changes.write()
         assert await changes.wait() <= BOUND_S
 
--- a/test/gateway/test_store_restore.py
+++ b/test/gateway/test_store_restore.py
@@ -259,6 +259,27 @@
     return {instance.peer_server.secret for instance in cluster.instances}
 
 
+# Guards against CONFIG: an instance that starts after a restore reads an old list, of
+# the era before, and takes its revision for one of the new era.
+@pytest.mark.parametrize("others", [0, 1], ids=["alone", "beside another"])
+async def test_old_list_of_the_era_before_hides_no_later_change(others):
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=1, instances=others)
+        store = cluster.store
+        copy = store.take_copy()
+        await store.put("op/config", build_manifest(2))
+        for _ in range(5):
+            await store.put("op/other", b"{}")
+        store.old_copy = store.take_copy()
+        await store.restore(copy)
+        await store.put("op/config", build_manifest(2))
+        await store.put("op/config", build_manifest(3))
+        for _ in range(9):
+            await store.put("op/other", b"{}")
+        late = await cluster.add_instance("late")
+        assert late.cluster_state.manifest.version == 3
+
+
 class RestoreWalk:
     """Random writes, restores and compactions of the store of a cluster."""
 
