--- a/test/gateway/test_late_changes.py
+++ b/test/gateway/test_late_changes.py
@@ -1,13 +1,18 @@
 """Time between the store's acknowledgement of a change and its being in force."""
 
 import asyncio
+import json
 import random
 import time
 
 import pytest
 
 from tanagerwalk.controllers.loop import poll_until
-from tanagerwalk.standins.gateway_cluster import GatewayCluster, build_manifest
+from tanagerwalk.standins.gateway_cluster import (
+    GatewayCluster,
+    build_manifest,
+    read_reply,
+)
 
 # The rule's bound, from the acknowledgement on.
 BOUND_S = 2.5
@@ -24,10 +29,11 @@
         self.delays = []
         self._tasks = []
 
-    async def write(self):
+    async def write(self, manifest=None):
         """Write the next version; its delay is measured meanwhile."""
         self.version += 1
-        await self.cluster.store.put("op/config", build_manifest(self.version))
+        manifest = manifest or build_manifest(self.version)
+        await self.cluster.store.put("op/config", manifest)
         self._tasks.append(asyncio.create_task(self._measure(self.version)))
 
     async def _measure(self, version):
@@ -106,6 +112,46 @@
         assert cluster.store.lost_lists == 0
 
 
+def move_routes(version, moves):
+    """Return a manifest in which routes lead to copies of their services."""
+    manifest = json.loads(build_manifest(version))
+    for route in manifest["routes"]:
+        route["service"] = moves[route["service"]]
+    copies = [s | {"name": moves[s["name"]]} for s in manifest["services"]]
+    manifest["services"] += copies
+    return json.dumps(manifest).encode()
+
+
+# Guards against CONFIG: a choice that was made before a change and outlives it, of a
+# session, on a kept connection of a client or of a server.
+async def test_sessions_and_connections_follow_a_route_to_its_new_service():
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=2, desks=2, instances=2)
+        await cluster.add_server("new-draft", "new-drafts")
+        await cluster.add_server("new-desk", "new-desk")
+        connections = [await cluster.connect(i) for i in cluster.instances]
+
+        async def send_all():
+            for reader, writer in connections:
+                writer.write(cluster.encode_plan(Session="s1"))
+                assert (await read_reply(reader)).status == 200
+                writer.write(cluster.encode("GET", "/jobs/7", Session="s1"))
+                assert (await read_reply(reader)).status == 200
+
+        await send_all()
+        changes = Changes(cluster)
+        moves = {"drafts": "new-drafts", "desk": "new-desk"}
+        await changes.write(move_routes(2, moves))
+        assert await changes.wait() <= BOUND_S
+        for server in cluster.servers.values():
+            server.requests.clear()
+        await send_all()
+        reached = {name for name, s in cluster.servers.items() if s.requests}
+        assert reached == {"new-draft", "new-desk"}
+        for _, writer in connections:
+            writer.close()
+
+
 # Guards against CONFIG where one instance watches the store for others.
 @pytest.mark.parametrize("lost", [1, 2, 3])
 async def test_change_is_in_force_in_time_in_a_domain_that_shares_its_watcher(lost):
