Let refused clients finish sending

Cause: after a refusal that closes the connection, what the client still sent was dropped for 2 s, however it went on; then the connection was closed with unread bytes and so reset.

What callers saw: a client that needs longer to send its body, as on a slow link, got a broken pipe in place of its refusal, of which it already had the 150 bytes.

Change: the 2 s begin anew with what the client sends, for at most 10 s.

Measured: test_client_that_takes_long_to_send_gets_its_refusal failed before with BrokenPipeError and passes now; the other new test holds the bound. That this was the broken pipe of test_large_bodies_at_once_stay_below_the_limit is suspected, not shown.

--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -27,9 +27,11 @@
 # Most that is parsed at once beside the rest of a body whose length is known. The
 # parser can't stop within it, so that it bounds the requests beyond those above.
 PARSED_BYTES = 1024
-# After a refusal, what the client still sends is dropped for so long. Closed with
-# unread bytes, the connection would be reset, and the refusal could be lost.
+# After a refusal, what the client still sends is dropped until it pauses for so long,
+# or takes too long in all. Closed with unread bytes, the connection would be reset, and
+# the refusal could be lost.
 LINGER_S = 2.0
+MAX_LINGER_S = 10.0
 # Time after which the pace of a body is known.
 MIN_PACE_AGE_S = 1.0
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -73,6 +75,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._input_ended = False
+        self._linger_ends_at = None
 
     @property
     def busy(self):
@@ -103,6 +106,9 @@
 
     def data_received(self, data):
         """Parse received bytes until enough requests are queued; keep the rest."""
+        if self._linger_ends_at is not None:
+            self._linger()
+            return
         view = memoryview(data)
         start = 0
         while start < len(view) and not self._input_ended:
@@ -341,7 +347,13 @@
             return
         self._transport.write_eof()
         self._transport.resume_reading()
-        self._start_timeout(LINGER_S, self._transport.close)
+        self._linger_ends_at = self._listener.clock() + MAX_LINGER_S
+        self._linger()
+
+    def _linger(self):
+        """Close once the client has stopped sending for a moment."""
+        left = max(0.0, self._linger_ends_at - self._listener.clock())
+        self._start_timeout(min(LINGER_S, left), self._transport.close)
 
     def _continue(self):
         """Take the next request, or wait for it."""
--- a/test/gateway/test_listener.py
+++ b/test/gateway/test_listener.py
@@ -1,12 +1,17 @@
 """Requests that the listener refuses before routing, and body decoding."""
 
+import asyncio
+
 import pytest
 import pytest_asyncio
 
+from tanagerwalk.gateway import client_connection
+from tanagerwalk.gateway.client_connection import LINGER_S
 from tanagerwalk.standins.backend import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
 HEAD = "POST /open/1 HTTP/1.1\r\nHost: desk.example\r\nX-Tanagerwalk-Attempt-Id: a\r\n"
+SEND_PAUSE_S = 0.05
 SMUGGLED_REQUEST = "GET /jobs/9 HTTP/1.1\r\nHost: desk.example\r\n\r\n"
 
 
@@ -67,6 +72,33 @@
     assert reply.status == status
 
 
+# Guards against a client that loses its refusal, as its connection is reset while it
+# still sends.
+async def test_client_that_takes_long_to_send_gets_its_refusal(world):
+    reader, writer = await world.connect()
+    writer.write((HEAD + "Content-Length: 70000\r\n\r\n").encode())
+    for _ in range(int(1.5 * LINGER_S / SEND_PAUSE_S)):
+        writer.write(b"x" * 100)
+        await asyncio.sleep(SEND_PAUSE_S)
+        assert not writer.transport.is_closing()
+    assert (await read_reply(reader)).status == 413
+    writer.close()
+
+
+# Guards against a refused client that sends without end and keeps its connection.
+async def test_client_that_never_stops_sending_is_closed(world, monkeypatch):
+    monkeypatch.setattr(client_connection, "MAX_LINGER_S", 0.5)
+    reader, writer = await world.connect()
+    writer.write((HEAD + "Content-Length: 70000\r\n\r\n").encode())
+
+    async def send_until_closed():
+        while not writer.transport.is_closing():
+            writer.write(b"x" * 100)
+            await asyncio.sleep(0.01)
+
+    await asyncio.wait_for(send_until_closed(), 0.5 * LINGER_S)
+
+
 async def test_expect_100_continue_is_answered(world):
     reader, writer = await world.connect()
     writer.write((HEAD + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n").encode())
