--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -9,6 +9,7 @@
 
 from ..manifest import ClientLimits
 from ..outcomes import Refusal
+from .body_pace import BodyPace
 from .memory import CONNECTION_BYTES, RequestMemory
 from .receive_refusals import (
     LimitExceededError,
@@ -32,8 +33,6 @@
 # the refusal could be lost.
 LINGER_S = 2.0
 MAX_LINGER_S = 10.0
-# Time after which the pace of a body is known.
-MIN_PACE_AGE_S = 1.0
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -64,8 +63,7 @@
         self._piece_size = 0
         # Received, but not parsed before some of the queued requests are answered.
         self._unparsed = b""
-        self._pace_since = math.inf
-        self._paced_size = 0
+        self._pace = BodyPace(listener.clock)
         self._has_new_body = False
         self._owes_continue = False
         # Of the request that is handled or whose answer has not been taken yet.
@@ -218,7 +216,7 @@
         self._listener.admission.end_idle(self)
         self._limits = self._listener.get_limits()
         memory = self._listener.memory.create_request_memory()
-        self._pace_since = math.inf
+        self._pace.stop()
         self._assembly = RequestAssembly(
             self._limits, memory, self._listener.random, self._make_room
         )
@@ -234,8 +232,7 @@
 
     def on_headers_complete(self):
         """Check the sizes, reserve memory and reply to `Expect: 100-continue`."""
-        self._pace_since = self._listener.clock()
-        self._paced_size = 0
+        self._pace.start()
         if not self._assembly.complete_head():
             return
         if self._handled_memory is None:
@@ -281,14 +278,10 @@
             Bytes per second, infinite without an unfinished body, for one that hasn't
             been expected for long, and while this instance keeps it waiting.
         """
-        age = now - self._pace_since
         is_held_up = self._owes_continue or len(self._pending) >= MAX_PIPELINED_REQUESTS
-        if self._assembly is None or is_held_up or age < MIN_PACE_AGE_S:
+        if self._assembly is None or is_held_up:
             return math.inf
-        growth = self._assembly.body_size - self._paced_size
-        self._pace_since = now
-        self._paced_size = self._assembly.body_size
-        return growth / age
+        return self._pace.measure(self._assembly.body_size, now)
 
     def refuse_slow_body(self):
         """Refuse a request whose body arrives slowly, for the sake of others."""
--- a/test/gateway/brittle_load.py
+++ b/test/gateway/brittle_load.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.places import Places
 
 SERVERS = 5
--- a/test/gateway/test_crashing_parts.py
+++ b/test/gateway/test_crashing_parts.py
@@ -5,7 +5,7 @@
 
 import pytest_asyncio
 
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
 CRASHING_PART = "dead"
--- a/test/gateway/test_crashing_requests.py
+++ b/test/gateway/test_crashing_requests.py
@@ -7,7 +7,7 @@
 from tanagerwalk.controllers.loop import poll_until
 from tanagerwalk.decisions.quarantine import CrashRecord
 from tanagerwalk.decisions.recent_crashes import CORRELATION_WINDOW_S
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
 WAIT_S = 5.0
--- a/test/gateway/test_endless_answers.py
+++ b/test/gateway/test_endless_answers.py
@@ -7,7 +7,7 @@
 import pytest_asyncio
 
 from tanagerwalk.gateway.connections import Connection, ConnectionFailure
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
 # What one attempt may cost an instance; its memory is a few hundred megabytes.
--- a/test/gateway/test_gateway_requests.py
+++ b/test/gateway/test_gateway_requests.py
@@ -6,7 +6,8 @@
 import pytest_asyncio
 
 from tanagerwalk.controllers.loop import poll_until
-from tanagerwalk.standins.backend import EVENT_COUNT, Behaviour
+from tanagerwalk.standins.backend import EVENT_COUNT
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import (
     API_KEY,
     LARGE_MODEL,
--- a/test/gateway/test_gateway_rollouts.py
+++ b/test/gateway/test_gateway_rollouts.py
@@ -11,7 +11,7 @@
 from tanagerwalk.decisions.relays import Scope
 from tanagerwalk.decisions.server_usage import ServerUsage
 from tanagerwalk.decisions.tallies import Tally
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
 ORDER = {"service": "desk", "target": "v2", "duration_s": 7}
--- a/test/gateway/test_golden_sessions.py
+++ b/test/gateway/test_golden_sessions.py
@@ -7,7 +7,7 @@
 import os
 from pathlib import Path
 
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import SMALL_MODEL, GatewayCluster
 
 FILE = Path(__file__).parent.parent / "golden" / "gateway" / "sessions.json"
--- a/test/gateway/test_limited_servers.py
+++ b/test/gateway/test_limited_servers.py
@@ -9,7 +9,7 @@
 
 from tanagerwalk.controllers.loop import poll_until
 from tanagerwalk.decisions.server_usage_table import hash_life
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
 WAIT_S = 5.0
--- a/test/gateway/test_listener.py
+++ b/test/gateway/test_listener.py
@@ -7,7 +7,7 @@
 
 from tanagerwalk.gateway import client_connection
 from tanagerwalk.gateway.client_connection import LINGER_S
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
 HEAD = "POST /open/1 HTTP/1.1\r\nHost: desk.example\r\nX-Tanagerwalk-Attempt-Id: a\r\n"
--- a/test/gateway/test_memory_limit.py
+++ b/test/gateway/test_memory_limit.py
@@ -10,7 +10,7 @@
 from gateway_process import GatewayProcessRig
 
 from tanagerwalk.controllers.loop import poll_until
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import API_KEY, HOST, read_reply
 
 MEMORY_LIMIT_MB = 150
--- a/test/gateway/test_memory_pressure.py
+++ b/test/gateway/test_memory_pressure.py
@@ -19,7 +19,7 @@
 )
 
 from tanagerwalk.controllers.loop import poll_until
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
 STALLED_READERS = 60
--- a/test/gateway/test_planned_stop.py
+++ b/test/gateway/test_planned_stop.py
@@ -11,7 +11,7 @@
 
 from tanagerwalk.controllers.loop import poll_until
 from tanagerwalk.gateway.planned_stop import ACCEPT_AFTER_STOP_S
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import (
     BOUNDS,
     GatewayCluster,
--- a/test/gateway/test_reset_connections.py
+++ b/test/gateway/test_reset_connections.py
@@ -18,7 +18,7 @@
 from tanagerwalk.peers.rpc import MessageKind, PeerClient
 from tanagerwalk.platform import store as store_module
 from tanagerwalk.platform.store import MetadataStore
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
 ADDRESS = "127.0.0.1"
--- a/test/gateway/test_resumed_streams.py
+++ b/test/gateway/test_resumed_streams.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from tanagerwalk.standins.backend import EVENT_COUNT, Behaviour
+from tanagerwalk.standins.backend import EVENT_COUNT
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
 IDS = "X-Tanagerwalk-Attempt-Id: @id\r\nX-Tanagerwalk-Response-Seal: s.@id\r\n"
--- a/test/gateway/test_reused_addresses.py
+++ b/test/gateway/test_reused_addresses.py
@@ -6,7 +6,7 @@
 import pytest_asyncio
 
 from tanagerwalk.controllers.loop import poll_until
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
 WAIT_S = 3.0
--- a/test/gateway/test_server_notices.py
+++ b/test/gateway/test_server_notices.py
@@ -14,7 +14,7 @@
 )
 from tanagerwalk.gateway.connections import ResponseHead
 from tanagerwalk.platform.egress import classify_head
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 from tanagerwalk.standins.paths import Cut, ServerPath
 
--- a/test/gateway/test_slow_readers.py
+++ b/test/gateway/test_slow_readers.py
@@ -4,7 +4,7 @@
 import socket
 import time
 
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import ADDRESS, GatewayCluster
 
 WINDOW_BYTES = 2048
--- a/test/gateway/test_tunnels.py
+++ b/test/gateway/test_tunnels.py
@@ -11,7 +11,7 @@
 from tanagerwalk.gateway.tunnels import CHUNK_BYTES, TunnelFault
 from tanagerwalk.ids import InstanceId
 from tanagerwalk.peers.rpc import MessageKind, PeerClient, RequestFault
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 from tanagerwalk.standins.paths import Cut, ServerPath
 
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -6,7 +6,7 @@
 
 from soak.fleet import BrittleTime
 from soak.links import LinkFault
-from tanagerwalk.standins.backend import Behaviour
+from tanagerwalk.standins.behaviours import Behaviour
 
 MIN_INTERVAL_S = 0.1
 MAX_INTERVAL_S = 0.8
