--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -159,8 +159,10 @@
 
     def connection_lost(self, exc):
         self.server.connections.discard(self)
-        if self._task is not None and not self._task.done():
-            self._request.cancelled = True
+        if self._task is None or self._task.done():
+            return
+        self._request.cancelled = True
+        if not self.server.behaviour.keeps_abandoned:
             self._task.cancel()
 
     def data_received(self, data):
--- a/tanagerwalk/standins/behaviours.py
+++ b/tanagerwalk/standins/behaviours.py
@@ -67,6 +67,8 @@
         for none.
     raw : bytes
         Answer for the fault `raw`.
+    keeps_abandoned : bool
+        Whether the server goes on with a request whose connection has closed.
     crashing_part : str
         Part of a prompt on which the server crashes once it has sent the head of its
         answer; empty for none.
@@ -81,4 +83,5 @@
     limit: str = ""
     brittle: str = ""
     raw: bytes = b""
+    keeps_abandoned: bool = False
     crashing_part: str = ""
--- a/test/gateway/brittle_load.py
+++ b/test/gateway/brittle_load.py
@@ -18,7 +18,9 @@
 CONTACT_S = 3.0
 BRITTLE = 6
 FALL_S = 3.0
-CAPACITY_PER_S = SERVERS * SLOTS / WORK_S
+# How long a client waits that leaves; its request has begun to run by then.
+PATIENCE_S = 0.1
+LEFT = -1
 
 
 @dataclass(frozen=True)
@@ -41,12 +43,19 @@
         Requests as a share of the servers' capacity.
     seed : int
         Seed of the requests' times.
+    leaving : float
+        Share of the clients that leave after `PATIENCE_S`. The servers go on with
+        their requests.
+    work : float
+        Seconds that a request takes.
     """
 
-    def __init__(self, cluster, load, seed=1):
+    def __init__(self, cluster, load, seed=1, leaving=0.0, work=WORK_S):
         self.cluster = cluster
+        self.leaving = leaving
+        self.work = work
         self.outcomes = []
-        self._rate = load * CAPACITY_PER_S
+        self._rate = load * SERVERS * SLOTS / work
         self._random = random.Random(seed)
         self._tasks = set()
 
@@ -56,7 +65,7 @@
             places = Places(SLOTS, QUEUE)
             name = f"desk-{number}"
             server = await self.cluster.add_server(name, "desk", places=places)
-            server.behaviour = Behaviour(delay=WORK_S)
+            server.behaviour = self._behave()
             places.on_fall = lambda server=server: self._start(self._fall(server))
 
     async def run(self, seconds):
@@ -71,7 +80,7 @@
     async def become_brittle(self):
         """Say so in all answers; be so, with less room, from the contact time on."""
         for server in self.cluster.servers.values():
-            server.behaviour = Behaviour(delay=WORK_S, brittle=str(BRITTLE))
+            server.behaviour = self._behave(brittle=str(BRITTLE))
         await asyncio.sleep(CONTACT_S)
         for server in self.cluster.servers.values():
             server.places.queue = SMALL_QUEUE
@@ -80,7 +89,7 @@
     async def become_sound(self):
         """End all that `become_brittle` began."""
         for server in self.cluster.servers.values():
-            server.behaviour = Behaviour(delay=WORK_S)
+            server.behaviour = self._behave()
             server.places.brittle = None
             server.places.queue = QUEUE
 
@@ -96,6 +105,10 @@
         """Return the statuses of the requests that were sent in a time."""
         return Counter(o.status for o in self.outcomes if since <= o.sent_at < until)
 
+    def _behave(self, brittle=""):
+        keeps = self.leaving > 0.0
+        return Behaviour(delay=self.work, brittle=brittle, keeps_abandoned=keeps)
+
     def _start(self, work):
         task = asyncio.create_task(work)
         self._tasks.add(task)
@@ -109,11 +122,13 @@
     async def _send(self, instance):
         sent_at = time.monotonic()
         status = 0
+        leaves = self._random.random() < self.leaving
         try:
-            reply = await self.cluster.send(
-                self.cluster.encode("GET", "/jobs/7"), instance
-            )
-            status = reply.status
+            async with asyncio.timeout(PATIENCE_S if leaves else None):
+                data = self.cluster.encode("GET", "/jobs/7")
+                status = (await self.cluster.send(data, instance)).status
+        except TimeoutError:
+            status = LEFT
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         seconds = time.monotonic() - sent_at
--- a/test/gateway/test_brittle_servers.py
+++ b/test/gateway/test_brittle_servers.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from brittle_load import SERVERS, BrittleLoad
+from brittle_load import LEFT, SERVERS, BrittleLoad
 
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
@@ -36,3 +36,24 @@
         room = min(1.0, 1.0 / load) * statuses.total()
         assert statuses[200] >= MIN_SERVED_SHARE * room, statuses
         assert statuses.keys() <= NOT_RUN_OR_SERVED
+
+
+# Guards against LIMIT: requests whose clients have left, and which the servers go on
+# with, hold places that nobody counts.
+@pytest.mark.parametrize("work", [0.25, 1.0])
+async def test_brittle_servers_stay_up_although_clients_leave(work):
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=0, instances=3)
+        assert await cluster.wait_until_connected()
+        brittle = BrittleLoad(cluster, load=0.9, leaving=0.3, work=work)
+        await brittle.add_servers()
+        traffic = asyncio.create_task(brittle.run(WARM_UP_S + BRITTLE_S))
+        await asyncio.sleep(WARM_UP_S)
+        began = time.monotonic()
+        await brittle.become_brittle()
+        await traffic
+        falls = brittle.count_falls()
+        await brittle.wait()
+        statuses = brittle.count_statuses(began, began + BRITTLE_S)
+        assert falls <= ALLOWED_FALLS, statuses
+        assert statuses.keys() <= NOT_RUN_OR_SERVED | {LEFT}
