Let refused clients that still send make room for others

Cause: a refused client may now send for 10 s, and its connection counted as busy for those who want its descriptor.

Change: such a connection counts as idle, and makes room as idle ones do.

Measured: the new test failed before (the new connection was reset) and passes now.

--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -341,6 +341,7 @@
         self._transport.write_eof()
         self._transport.resume_reading()
         self._linger_ends_at = self._listener.clock() + MAX_LINGER_S
+        self._listener.admission.begin_idle(self)
         self._linger()
 
     def _linger(self):
--- a/test/gateway/test_listener.py
+++ b/test/gateway/test_listener.py
@@ -5,7 +5,9 @@
 import pytest
 import pytest_asyncio
 
+from tanagerwalk.decisions.descriptor_budget import DescriptorKind
 from tanagerwalk.gateway import client_connection
+from tanagerwalk.gateway.client_admission import MIN_IDLE_S
 from tanagerwalk.gateway.client_connection import LINGER_S
 from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
@@ -99,6 +101,22 @@
     await asyncio.wait_for(send_until_closed(), 0.5 * LINGER_S)
 
 
+# Guards against refused clients that keep all descriptors while they go on sending.
+async def test_refused_client_that_still_sends_makes_room_for_another(world):
+    part = world.instances[0].limits.descriptors.parts[DescriptorKind.CLIENT]
+    reader, writer = await world.connect()
+    writer.write((HEAD + "Content-Length: 70000\r\n\r\n").encode())
+    assert (await read_reply(reader)).status == 413
+    while part.try_reserve():
+        pass
+    ends_at = asyncio.get_running_loop().time() + 1.5 * MIN_IDLE_S
+    while asyncio.get_running_loop().time() < ends_at:
+        writer.write(b"x" * 100)
+        await asyncio.sleep(SEND_PAUSE_S)
+    assert (await world.send(world.encode("GET", "/jobs/7"))).status == 200
+    writer.close()
+
+
 async def test_expect_100_continue_is_answered(world):
     reader, writer = await world.connect()
     writer.write((HEAD + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n").encode())
