Name the delay of changes by what it is

find_watch_pause took it under the name of the time for draining, of which it has been the lesser one since. A rename only; no behaviour changes.

--- a/tanagerwalk/decisions/freshness.py
+++ b/tanagerwalk/decisions/freshness.py
@@ -111,17 +111,17 @@
     return [OVERDUE_LIST_S] * (MAX_LISTS - 1)
 
 
-def find_watch_pause(drain_timeout, is_shared):
+def find_watch_pause(change_delay, is_shared):
     """Return the seconds between two watches.
 
     Parameters
     ----------
-    drain_timeout : float
+    change_delay : float
         Seconds within which changes have to take effect.
     is_shared : bool
         Whether other instances read the changes from this one.
     """
-    return (SHARED_PAUSE_SHARE if is_shared else PAUSE_SHARE) * drain_timeout
+    return (SHARED_PAUSE_SHARE if is_shared else PAUSE_SHARE) * change_delay
 
 
 def find_retry_pause(watchers):
