Watch the operators' entries with fewer calls

Cause: the watch that wakes the copy of the store when operators write was made anew every 5 s, by each instance that watches for its failure domain.

Change: it waits for 30 s, the store's longest. Nothing relies on it: a change that it misses is read after the pause between two reads.

--- a/tanagerwalk/gateway/operator_watch.py
+++ b/tanagerwalk/gateway/operator_watch.py
@@ -4,8 +4,9 @@
 
 from ..ids import Revision
 
-# Watches that wait long are few calls; the copy is read meanwhile in any case.
-WAIT_S = 5.0
+# The store's longest: watches that wait long are few calls, and the copy is read
+# meanwhile in any case.
+WAIT_S = 30.0
 # A series of changes arrives in a few reads.
 MIN_PAUSE_S = 0.1
 IDLE_PAUSE_S = 1.0
