Watch the operators' entries only where reads pause for long

Cause: the watch that wakes the copy of the store ran at each instance that watches the store. One that reads for its failure domain pauses for 0.3 s only, so that the watch saves little there, and each change costs a call of the watch and a read of its own.

Change: the watch runs at instances that watch for themselves alone.

--- a/tanagerwalk/gateway/change_feed.py
+++ b/tanagerwalk/gateway/change_feed.py
@@ -238,12 +238,20 @@
         self._next_direct_read = now + pause * (0.5 + self._random.random())
         return True
 
+    @property
+    def _is_shared(self):
+        return self._client is not None and self._selection.is_shared
+
+    @property
+    def has_long_pauses(self):
+        """Whether this instance watches the store, and for itself alone."""
+        return self.is_watcher and not self._is_shared
+
     @property
     def pause(self):
         """Seconds until the next read."""
         if self.is_watcher:
-            is_shared = self._client is not None and self._selection.is_shared
-            return find_watch_pause(self._get_change_delay(), is_shared)
+            return find_watch_pause(self._get_change_delay(), self._is_shared)
         return PEER_POLL_INTERVAL_S
 
     @property
--- a/tanagerwalk/gateway/operator_watch.py
+++ b/tanagerwalk/gateway/operator_watch.py
@@ -16,7 +16,8 @@
     """Watches the operators' entries, of which there are few changes.
 
     The mirror reads changes of all entries with pauses in between, as servers write
-    all the time. This watch only ends a pause; what it misses is read after it.
+    all the time. This watch only ends a pause; what it misses is read after it. An
+    instance that reads for others pauses too briefly to need it.
 
     Parameters
     ----------
@@ -27,7 +28,7 @@
     mirror : Mirror
         The local copy.
     feed : SharedFeed
-        Tells whether this instance watches the store.
+        Tells whether this instance watches the store, with long pauses.
     """
 
     def __init__(self, store, prefix, mirror, feed):
@@ -46,7 +47,7 @@
     async def _watch(self):
         """Wait for a change; return how long to pause then, in seconds."""
         revision = self._mirror.revision
-        if revision is None or not self._feed.is_watcher:
+        if revision is None or not self._feed.has_long_pauses:
             return IDLE_PAUSE_S
         self._revision = max(self._revision, revision)
         result = await self._store.wait_for_changes(
