Decode allowed regions, evacuations and cold servers

Cause: no code read a route's or an account's allowed regions, the operators' requests to evacuate a failure domain, the rate that cold servers bear, nor the bounds that belong to them; the time for which a server stays cold was dropped. Change: typed fields in the manifest, the registry and the bounds; nothing uses them yet.

--- a/tanagerwalk/gateway/settings.py
+++ b/tanagerwalk/gateway/settings.py
@@ -69,6 +69,11 @@
         Requests of a session that are less than this apart stay on the same release.
     contact_delay : float
         Time without disruption after which an instance counts as connected.
+    evacuation_delay : float
+        Time after which an evacuated failure domain must receive no more requests.
+    cold_overrun, cold_slack : float
+        A cold server may receive `cold_overrun` times the requests that it bears in a
+        second, plus `cold_slack` requests, summed over all instances.
     """
 
     drain_timeout: float = 2.5
@@ -84,6 +89,9 @@
     rollback_delay: float = 5.0
     session_gap: float = 5.0
     contact_delay: float = 3.0
+    evacuation_delay: float = 5.0
+    cold_overrun: float = 1.5
+    cold_slack: float = 5.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tanagerwalk/manifest.py
+++ b/tanagerwalk/manifest.py
@@ -4,7 +4,14 @@
 from enum import Enum
 
 from .decisions.model_selection import ModelChoice
-from .ids import ClientAccountId, ModelName, Revision, RouteName, ServiceName
+from .ids import (
+    ClientAccountId,
+    ModelName,
+    Region,
+    Revision,
+    RouteName,
+    ServiceName,
+)
 
 
 class Repeatability(Enum):
@@ -56,6 +63,8 @@
         Models to choose from, smallest first; empty if the client names the model.
     gap_objective : float
         Objective for the longest pause between stream events, in seconds.
+    allowed_regions : frozenset of Region
+        Regions in which the requests may be processed; empty for all regions.
     """
 
     name: RouteName
@@ -71,6 +80,7 @@
     resumable: bool = False
     models: tuple[ModelName, ...] = ()
     gap_objective: float = 0.0
+    allowed_regions: frozenset[Region] = frozenset()
 
     @property
     def repeatable(self):
@@ -104,6 +114,10 @@
         Capacity of an engine's KV cache, in tokens; 0 for a plain service.
     models : tuple of ModelOffer
         Models that the engines run; empty for a plain service.
+    cold_start : float
+        Seconds for which a server is cold after its start; 0 if it never is.
+    cold_rate : float
+        Requests per second that a cold server bears, summed over all callers.
     """
 
     name: ServiceName
@@ -111,6 +125,8 @@
     slots: int = 0
     kv_capacity: int = 0
     models: tuple[ModelOffer, ...] = ()
+    cold_start: float = 0.0
+    cold_rate: float = 0.0
 
     @property
     def runs_models(self):
@@ -166,6 +182,9 @@
         Limits on client requests.
     account_priorities : dict of ClientAccountId to int
         Priorities that take precedence over the route's.
+    account_regions : dict of ClientAccountId to frozenset of Region
+        Regions in which the requests of an account may be processed; accounts that
+        aren't listed may use all regions.
     version : int or None
         The operators' own number, which grows; None if it is not a number.
     """
@@ -177,6 +196,9 @@
     needs_keys: bool
     limits: ClientLimits = ClientLimits()
     account_priorities: dict[ClientAccountId, int] = field(default_factory=dict)
+    account_regions: dict[ClientAccountId, frozenset[Region]] = field(
+        default_factory=dict
+    )
     version: int | None = None
 
     def is_older_than(self, other):
@@ -189,6 +211,29 @@
             return self.revision < other.revision
         return self.version < other.version
 
+    def find_allowed_regions(self, route, account):
+        """Return the regions in which a request may be processed.
+
+        Parameters
+        ----------
+        route : Route
+            The route of the request.
+        account : ClientAccountId or None
+            The account that sent it.
+
+        Returns
+        -------
+        frozenset of Region or None
+            None if all regions are allowed. Where both the route and the account name
+            regions, only those that both name are allowed, which may be none.
+        """
+        of_account = self.account_regions.get(account)
+        if not route.allowed_regions:
+            return of_account
+        if of_account is None:
+            return route.allowed_regions
+        return route.allowed_regions & of_account
+
     def find_route(self, host, path):
         """Return the route with the longest matching prefix, or None."""
         for route in self.routes.get(host, ()):
--- a/tanagerwalk/platform/codec.py
+++ b/tanagerwalk/platform/codec.py
@@ -3,8 +3,19 @@
 from .egress import classify_head, encode_attempt, is_response_to
 from .ingress import parse_request, refuse
 from .manifests import parse_manifest
-from .names import MANIFEST_KEY, OPERATOR_PREFIX, ROLLOUT_ORDER_PREFIX, SERVER_PREFIX
-from .servers import encode_rollout_status, parse_rollout_order, parse_server
+from .names import (
+    EVACUATION_PREFIX,
+    MANIFEST_KEY,
+    OPERATOR_PREFIX,
+    ROLLOUT_ORDER_PREFIX,
+    SERVER_PREFIX,
+)
+from .servers import (
+    encode_rollout_status,
+    parse_evacuation,
+    parse_rollout_order,
+    parse_server,
+)
 
 
 class PlatformCodec:
@@ -21,6 +32,7 @@
     encode_attempt = staticmethod(encode_attempt)
     is_response_to = staticmethod(is_response_to)
     classify_head = staticmethod(classify_head)
+    parse_evacuation = staticmethod(parse_evacuation)
     parse_rollout_order = staticmethod(parse_rollout_order)
     encode_rollout_status = staticmethod(encode_rollout_status)
 
@@ -34,6 +46,11 @@
         """Return whether a store key is that of a roll-out order."""
         return key.startswith(ROLLOUT_ORDER_PREFIX)
 
+    @staticmethod
+    def is_evacuation(key):
+        """Return whether a store key requests the evacuation of a failure domain."""
+        return key.startswith(EVACUATION_PREFIX)
+
     @staticmethod
     def parse_manifest(key, data, revision):
         """Decode the manifest; see `manifests.parse_manifest`."""
--- a/tanagerwalk/platform/manifests.py
+++ b/tanagerwalk/platform/manifests.py
@@ -4,7 +4,14 @@
 from expression import Error, Ok
 
 from ..documents import decode_json
-from ..ids import ClientAccountId, ModelName, Revision, RouteName, ServiceName
+from ..ids import (
+    ClientAccountId,
+    ModelName,
+    Region,
+    Revision,
+    RouteName,
+    ServiceName,
+)
 from ..manifest import (
     ClientLimits,
     Manifest,
@@ -47,6 +54,8 @@
     public: bool = False
     can_resume: bool = False
     target_gap_ms: float = 0.0
+    # Names of regions; empty for all.
+    allowed_regions: list[str] = []
 
 
 class _Model(msgspec.Struct, frozen=True):
@@ -66,6 +75,10 @@
     max_conns: int = 100
     # Present if the servers of the service run models.
     engine: _Engine | None = None
+    # Time for which a server is cold after its start.
+    cold_start_s: float = 0.0
+    # Requests per second that a cold server bears, from all instances together.
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -79,6 +92,8 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    # Names of regions; empty for all.
+    allowed_regions: list[str] = []
 
 
 class _Manifest(msgspec.Struct, frozen=True):
@@ -132,6 +147,11 @@
             for tenant in tenants
             if tenant.priority is not None
         },
+        account_regions={
+            ClientAccountId(tenant.name): frozenset(map(Region, tenant.allowed_regions))
+            for tenant in tenants
+            if tenant.allowed_regions
+        },
         version=wire.version if isinstance(wire.version, int) else None,
     )
     return Ok(manifest)
@@ -155,19 +175,20 @@
         resumable=wire.can_resume,
         models=tuple(map(ModelName, wire.sizes)),
         gap_objective=wire.target_gap_ms / MS_PER_S,
+        allowed_regions=frozenset(map(Region, wire.allowed_regions)),
     )
 
 
 def _convert_service(wire):
-    if wire.engine is None:
-        return Service(ServiceName(wire.name), wire.max_conns)
-    engine = wire.engine
+    engine = wire.engine or _Engine(slots=0)
     return Service(
         name=ServiceName(wire.name),
         max_connections=wire.max_conns,
         slots=engine.slots,
         kv_capacity=engine.kv_capacity,
         models=tuple(ModelOffer(ModelName(m.name), m.cost) for m in engine.models),
+        cold_start=wire.cold_start_s,
+        cold_rate=wire.cold_per_s,
     )
 
 
--- a/tanagerwalk/platform/servers.py
+++ b/tanagerwalk/platform/servers.py
@@ -12,6 +12,7 @@
 from ..ids import BackendServerId, FailureDomain, ReleaseName, ServiceName
 from ..registry import RegisteredServer, RolloutOrder, ServerState
 from .names import (
+    EVACUATION_PREFIX,
     ROLLOUT_ORDER_PREFIX,
     ROLLOUT_STATUS_PREFIX,
     SERVER_PREFIX,
@@ -32,6 +33,7 @@
 # An id goes into the header of each request to its server, so that it must be one word.
 SERVER_ID_PATTERN = re.compile(r"[\x21-\x7e]{1,200}")
 MAX_SLOTS = 1_000_000
+MS_PER_S = 1000.0
 # Numbers up to here are exact in JSON, and fit the messages between instances.
 MAX_INTEGER = 2**53
 
@@ -47,8 +49,9 @@
     version: _Name
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: str
-    # Not used, but an entry without them is not a server's.
+    # How much longer the server stays cold.
     cold_left_ms: float
+    # Not used, but an entry without it is not a server's.
     sequence: _Count
     born: _Count = 0
     stage: str | None = None
@@ -102,6 +105,7 @@
         slots=wire.slots,
         state=state,
         born=wire.born,
+        cold_left=max(0.0, wire.cold_left_ms) / MS_PER_S,
         revision=revision,
     )
     return Ok(server)
@@ -137,6 +141,30 @@
     return Ok(order)
 
 
+def parse_evacuation(key, data, revision):
+    """Decode an operator's request to evacuate a failure domain.
+
+    Parameters
+    ----------
+    key : str
+        Store key, which names the failure domain.
+    data : bytes
+        Value of the key; not used, as the key says everything.
+    revision : int
+        Store revision at which it was written; not used.
+
+    Returns
+    -------
+    Result of FailureDomain, or of str
+        The error is one line for the log.
+    """
+    del data, revision
+    name = key.removeprefix(EVACUATION_PREFIX)
+    if not name:
+        return Error(f"evacuation {key!r}: names no failure domain")
+    return Ok(FailureDomain(name))
+
+
 def encode_rollout_status(service, target, phase):
     """Return the store key and value that report a roll-out's status to operators.
 
--- a/tanagerwalk/platform/settings.py
+++ b/tanagerwalk/platform/settings.py
@@ -45,6 +45,9 @@
     canary_slack: float = 0.0
     rollback_ms: float = 5000.0
     session_s: float = 5.0
+    evacuate_ms: float = 5000.0
+    cold_overrun: float = 1.5
+    cold_slack: float = 5.0
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -164,4 +167,7 @@
         rollback_delay=wire.rollback_ms / MS_PER_S,
         session_gap=wire.session_s,
         contact_delay=wire.contact_ms / MS_PER_S,
+        evacuation_delay=wire.evacuate_ms / MS_PER_S,
+        cold_overrun=wire.cold_overrun,
+        cold_slack=wire.cold_slack,
     )
--- a/tanagerwalk/registry.py
+++ b/tanagerwalk/registry.py
@@ -35,6 +35,8 @@
         Whether the server accepts new requests.
     born : int
         Start time as Unix time in milliseconds; 0 if not reported.
+    cold_left : float
+        Seconds for which the server stays cold after it has written the entry.
     revision : Revision
         Revision of the store at which the server has written the entry.
     """
@@ -47,6 +49,7 @@
     slots: int
     state: ServerState
     born: int = 0
+    cold_left: float = 0.0
     revision: Revision = field(default=Revision(0), compare=False)
 
 
