Process requests in the regions that their route and account allow

Cause: nothing read the allowed regions of routes and accounts, so that requests ran in every region, and passed through instances in every region. Change: one predicate of servers, composed once for each request, obeys both the manifest that the request began with and the one in force; it holds for every choice of a server. Tunnels, new or kept, lead through instances in the allowed regions or in the own region only. Without an allowed server, or with none in reach, the request is refused at once with a reason of its own.

--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -50,6 +50,7 @@
 from .release_assignment import ReleaseAssigner
 from .release_rollouts import STORE_PREFIX, ReleaseRolloutController
 from .request_handler import MAX_REPORTED_AGE_S, RequestHandler
+from .request_regions import RegionRules
 from .routing import RouteFilter
 from .sharing import LoadSharing
 from .stop_control import StopControl
@@ -109,10 +110,10 @@
         bounds = settings.bounds
         limit = find_age_limit(bounds.strict_revocation, bounds.revocation_delay)
         self.freshness = Freshness(limit, read_boot_clock)
-        home = Home(settings.failure_domain, settings.region, settings.regions)
+        self.home = Home(settings.failure_domain, settings.region, settings.regions)
         self.shared_loads = SharedLoadTable()
         self.paths = PathTable()
-        self.servers = ServerPool(home, self.shared_loads, self.paths, self.random)
+        self.servers = ServerPool(self.home, self.shared_loads, self.paths, self.random)
         self._create_connections()
         self._create_mirror()
         self.cluster_state = ClusterState(
@@ -122,6 +123,7 @@
             self._forget_server,
             self.subscriber_defects,
         )
+        self._create_region_rules()
 
         self.rollouts = ReleaseRolloutController(
             self.store,
@@ -173,6 +175,17 @@
         self.quarantine.on_news = self.sharing.tell_crashes
         self.quarantine.is_first_in_line = lambda key: self._find_rank(key) == 0
 
+    def _create_region_rules(self):
+        self.region_rules = RegionRules(
+            self.home,
+            lambda: self.cluster_state.manifest,
+            lambda: self.membership.peers,
+            self.servers,
+            self.paths,
+            self.clock,
+        )
+        self.cluster_state.on_manifest = self.region_rules.check_manifest
+
     def _create_connections(self):
         self.tunnel_server = TunnelServer(
             self.servers, self.paths, self.limits.memory, self.clock
@@ -316,6 +329,7 @@
             self.quarantine,
             self.crash_check,
             self.permits,
+            self.region_rules,
             self.stop_control,
             self.metrics,
             self.clock,
--- a/tanagerwalk/gateway/cluster_state.py
+++ b/tanagerwalk/gateway/cluster_state.py
@@ -31,6 +31,8 @@
         The entry that it was decoded from.
     orders : dict of ServiceName to RolloutOrder
         Roll-outs that the operators ordered, by service.
+    on_manifest : callable
+        Takes each Manifest that is put in force.
     """
 
     def __init__(self, mirror, codec, servers, on_server_removed, defects=None):
@@ -44,6 +46,7 @@
         self.manifest = None
         self.manifest_entry = None
         self.orders = {}
+        self.on_manifest = _ignore
         mirror.subscribe(self._load_operator_entries, is_needed=True)
         mirror.subscribe(self._load_servers)
 
@@ -110,6 +113,7 @@
             routes=sum(map(len, manifest.routes.values())),
             keys=len(manifest.accounts),
         )
+        self.on_manifest(manifest)
 
     def _load_servers(self):
         servers = []
@@ -138,3 +142,7 @@
         value = result.ok if result.is_ok() else None
         self._decoded[entry.key] = (entry.revision, value)
         return value
+
+
+def _ignore(manifest):
+    del manifest
--- a/tanagerwalk/gateway/connect_faults.py
+++ b/tanagerwalk/gateway/connect_faults.py
@@ -4,9 +4,14 @@
 
 
 class ConnectFault(Enum):
-    """A fault of this instance that says nothing about the address it connects to."""
+    """A fault of this instance that says nothing about the address it connects to.
+
+    DESCRIPTORS_FULL: it has no descriptor left. NO_ALLOWED_PATH: only instances through
+    which the request may not pass are known to reach the address.
+    """
 
     DESCRIPTORS_FULL = "descriptors_full"
+    NO_ALLOWED_PATH = "no_allowed_path"
 
 
 class ReadFault(Enum):
--- a/tanagerwalk/gateway/connector.py
+++ b/tanagerwalk/gateway/connector.py
@@ -61,7 +61,7 @@
         self.on_probed = _abort_unused
         self.on_reachable = _ignore
 
-    async def connect(self, server, limit):
+    async def connect(self, server, limit, allows_peer=None):
         """Open a connection to a server.
 
         Parameters
@@ -70,10 +70,13 @@
             The server.
         limit : float
             Longest time in seconds.
+        allows_peer : callable or None
+            Takes an incarnation and returns whether the connection may lead through
+            that instance; None if it may lead through all.
 
         Returns
         -------
-        Result of Connection, or of str
+        Result of Connection, or of ConnectFault or str
         """
         timeout = min(CONNECT_TIMEOUT_S, limit)
         if timeout <= 0.0:
@@ -85,9 +88,12 @@
         direct = _note_fault(partial(self._dial, server, timeout), faults)
         tunnels = [
             self._open_tunnel(peer_id, server)
-            for peer_id in self._tunnels.rank_peers(server)
+            for peer_id in self._tunnels.rank_peers(server, allows_peer)
         ]
         if state is PathState.INDIRECT:
+            if allows_peer is not None:
+                # Others may still use the instances that weren't asked.
+                faults.add(ConnectFault.NO_ALLOWED_PATH)
             openers = [*tunnels, direct]
             return await self._connect_indirectly(server, openers, timeout, faults)
         return await self._connect_directly(server, direct, tunnels, timeout, faults)
@@ -229,7 +235,10 @@
 
 
 def _prefer_fault(result, faults):
-    return Error(next(iter(faults))) if result.is_error() else result
+    """Return a Result, whose error is a fault; a want of descriptors comes first."""
+    if result.is_ok():
+        return result
+    return Error(min(faults, key=list(ConnectFault).index))
 
 
 def _abort_unused(server, connection):
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -65,6 +65,9 @@
         enough to compare with other answers, long before the end of a slow one.
     on_abandoned : callable
         Called without arguments if the client leaves before the answer.
+    allows_peer : callable or None
+        Takes the incarnation of another instance and returns whether the request may
+        pass through it; None if it may pass through any.
     """
 
     request: GatewayRequest
@@ -74,6 +77,7 @@
     progress: StreamProgress
     on_latency: Callable[[LatencySample, tuple[int, int, int] | None], None]
     on_abandoned: Callable[[], None]
+    allows_peer: Callable[[str], bool] | None = None
 
 
 class AttemptRunner:
@@ -117,10 +121,12 @@
         timer = ResponseTimer(self._clock(), request, plan.on_latency)
         try:
             if not attempt.was_rejected:
-                connection = self._pool.acquire_idle(attempt.server)
+                connection = self._pool.acquire_idle(attempt.server, plan.allows_peer)
             kept = connection is not None
             if not kept:
-                opened = await self._pool.open(attempt.server, attempt.time_left)
+                opened = await self._pool.open(
+                    attempt.server, attempt.time_left, plan.allows_peer
+                )
                 if opened.is_error():
                     return _build_unsent(opened.error)
                 connection = opened.ok
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -68,6 +68,7 @@
         self._model_index = 0
         self._affinity = self._compute_affinity()
         self._assignment = None
+        self._regions = context.region_rules.begin(request)
         self._allows_server = None
         self._place_wait = None
         self._permit_wait = PermitWait(
@@ -110,12 +111,13 @@
         """Choose the releases that the request may use."""
         context = self._context
         self._assignment = await context.assigner.assign(self._request, self._service)
-        self._allows_server = self._assignment.allows_server
+        allows_release = self._assignment.allows_server
+        self._allows_server = self._regions.restrict_to_reach(allows_release)
         self._place_wait = PlaceWait(
             context.servers,
             self._request,
             self._service,
-            self._allows_server,
+            self._regions.restrict(allows_release),
             self._clock,
         )
 
@@ -135,6 +137,10 @@
             if server is None and self._needs_kept:
                 reason = RefusalReason.DESCRIPTORS_FULL
                 return self._log_result(self._give_up(reason))
+            if server is None:
+                reason = self._find_region_refusal()
+                if reason is not None:
+                    return self._log_result(self._give_up(reason))
             if server is None and await self._place_wait.wait(self._history):
                 continue
             if server is None:
@@ -157,6 +163,10 @@
             return RefusalReason.STOPPING
         return RefusalReason.QUEUE_FULL if self._would_miss_deadline() else None
 
+    def _find_region_refusal(self):
+        may_have_run = self._history.may_have_run
+        return self._regions.find_refusal(self._service, may_have_run)
+
     async def _acquire_permit(self, server):
         """Wait for a permit for a server; see `PermitWait.acquire`."""
         allows = self._has_kept_connection if self._needs_kept else self._allows_server
@@ -164,7 +174,9 @@
             self._service, self._clock(), self._tried, allows
         )
         # Only the servers of the other side may be left.
-        return await self._permit_wait.acquire(candidates or [server], self._history)
+        return await self._permit_wait.acquire(
+            candidates or [server], self._history, self._regions.allows_server
+        )
 
     async def _bear_fault(self, fault):
         """Go on after an attempt for which this instance couldn't connect.
@@ -172,7 +184,7 @@
         A request that has not run is refused, unless a connection to another server is
         open; one that may have run waits.
         """
-        is_unconnected = isinstance(fault, ConnectFault)
+        is_unconnected = fault is ConnectFault.DESCRIPTORS_FULL
         may_have_run = self._history.may_have_run
         self._needs_kept = is_unconnected and not may_have_run
         if is_unconnected and may_have_run:
@@ -206,12 +218,14 @@
                 return server
         if self._place_wait.is_kept_off():
             return None
-        return choose(
-            service, now, frozenset(), lambda server: server.release != rolled_back
+        allows_server = self._regions.restrict_to_reach(
+            lambda server: server.release != rolled_back
         )
+        return choose(service, now, frozenset(), allows_server)
 
     def _has_kept_connection(self, server):
-        has_kept = self._context.pool.has_idle(server)
+        peer_filter = self._regions.find_peer_filter()
+        has_kept = self._context.pool.has_idle(server, peer_filter)
         return has_kept and self._allows_server(server)
 
     async def _attempt(self, server, hold):
@@ -245,6 +259,7 @@
             self._progress,
             partial(self._context.recorder.record_latency, self._request, attempt),
             partial(self._context.quarantine.suspect, self._request, attempt),
+            self._regions.find_peer_filter(),
         )
         hold = hold or self._permit_wait.begin(server)
         result = None
@@ -256,6 +271,7 @@
             self._budget.withdraw_attempt(now, is_retry)
         self._context.recorder.record_attempt(self._request, attempt, result)
         self._context.quarantine.record_attempt(self._request, attempt, result)
+        self._regions.record_fault(server, result.fault)
         await self._check_for_crash(server, result)
         self._context.metrics.attempts.labels(result.outcome.value).inc()
         self._attempt_log.append(
@@ -383,7 +399,8 @@
             return Error(_refuse(reason, state, STOPPING_RETRY_AFTER_S))
         hold = max(self._place_wait.find_hold(), self._permit_wait.denied_wait)
         retry_after = find_retry_after(self._time_left, self._context.random, hold)
-        return Error(_refuse(reason, state, retry_after))
+        message = self._regions.describe_refusal(reason)
+        return Error(_refuse(reason, state, retry_after, message))
 
     def _deliver(self, result):
         headers = result.head.headers
@@ -416,12 +433,14 @@
         metrics.latency.labels(request.route.name).observe(elapsed)
         if self._assignment is not None:
             inputs |= self._assignment.describe()
+        inputs |= self._regions.describe()
         log_request_end(
             request, end, elapsed, self._progress, self._attempt_log, **inputs
         )
 
 
-def _refuse(reason, state, retry_after=None):
+def _refuse(reason, state, retry_after=None, message=None):
+    message = message or reason.value
     if state is not RunState.NOT_RUN:
-        return Refusal(reason, f"no complete answer: {reason.value}", state)
-    return Refusal(reason, f"not run: {reason.value}", state, retry_after=retry_after)
+        return Refusal(reason, f"no complete answer: {message}", state)
+    return Refusal(reason, f"not run: {message}", state, retry_after=retry_after)
--- a/tanagerwalk/gateway/execution_context.py
+++ b/tanagerwalk/gateway/execution_context.py
@@ -13,6 +13,7 @@
 from .quarantine import QuarantineFilter
 from .release_assignment import ReleaseAssigner
 from .release_rollouts import ReleaseRolloutController
+from .request_regions import RegionRules
 from .stop_control import StopControl
 
 
@@ -40,6 +41,8 @@
         Finds out which servers have crashed.
     permits : ServerPermits
         Permits to send requests to brittle servers.
+    region_rules : RegionRules
+        Restricts requests to the regions in which they may be processed.
     stop_control : StopControl
         Knows which attempts can still end before a planned stop.
     metrics : GatewayMetrics
@@ -59,6 +62,7 @@
     quarantine: QuarantineFilter
     crash_check: CrashCheck
     permits: ServerPermits
+    region_rules: RegionRules
     stop_control: StopControl
     metrics: GatewayMetrics
     clock: object
--- a/tanagerwalk/gateway/permit_wait.py
+++ b/tanagerwalk/gateway/permit_wait.py
@@ -50,7 +50,7 @@
         """Whether the servers are brittle."""
         return self._permits.is_needed(self._service)
 
-    async def acquire(self, candidates, history):
+    async def acquire(self, candidates, history, is_allowed):
         """Wait for a place at one of some servers.
 
         Parameters
@@ -59,6 +59,8 @@
             The servers, the best first.
         history : AttemptHistory
             Attempts so far.
+        is_allowed : callable
+            Takes a RegisteredServer and returns whether it may still be used.
 
         Returns
         -------
@@ -78,7 +80,8 @@
             return result
         hold = result.ok
         usage = self._servers.find_life(hold.life)
-        if usage is None or not self._is_usable(usage):
+        is_usable = usage is not None and self._is_usable(usage)
+        if not is_usable or not is_allowed(usage.server):
             self._permits.end(hold, Ending.UNUSED)
             return Ok((None, hold))
         return Ok((usage.server, hold))
--- a/tanagerwalk/gateway/pool.py
+++ b/tanagerwalk/gateway/pool.py
@@ -11,7 +11,7 @@
 MAX_IDLE_PER_SERVER = 16
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _IdleConnection:
     connection: Connection
     kept_at: float
@@ -41,32 +41,42 @@
         self.opened_count = 0
         connector.on_probed = self.keep
 
-    def acquire_idle(self, server):
+    def acquire_idle(self, server, allows_peer=None):
         """Return a pooled connection to a server, or None.
 
         Parameters
         ----------
         server : RegisteredServer
             The server.
+        allows_peer : callable or None
+            Takes an incarnation and returns whether the connection may lead through
+            that instance; None if it may lead through all.
         """
         idle = self._idle.get((server.id, server.address), [])
-        while idle:
-            entry = idle.pop()
-            if self._is_usable(server, entry):
+        for entry in reversed(idle.copy()):
+            if not self._is_usable(server, entry):
+                idle.remove(entry)
+                entry.connection.abort()
+            elif _is_allowed(entry, allows_peer):
+                idle.remove(entry)
                 return entry.connection
-            entry.connection.abort()
         return None
 
-    def has_idle(self, server):
+    def has_idle(self, server, allows_peer=None):
         """Return whether a pooled connection to a server can be used.
 
         Parameters
         ----------
         server : RegisteredServer
             The server.
+        allows_peer : callable or None
+            As for `acquire_idle`.
         """
         idle = self._idle.get((server.id, server.address), [])
-        return any(self._is_usable(server, entry) for entry in idle)
+        return any(
+            self._is_usable(server, entry) and _is_allowed(entry, allows_peer)
+            for entry in idle
+        )
 
     def _is_usable(self, server, entry):
         """Return whether an idle connection can be used, by the path that works."""
@@ -77,7 +87,7 @@
             return not self._paths.is_doubtful(entry.kept_at)
         return self._paths.get_state(server.id) is not PathState.DIRECT
 
-    async def open(self, server, limit):
+    async def open(self, server, limit, allows_peer=None):
         """Open a new connection to a server.
 
         Parameters
@@ -86,12 +96,14 @@
             The server.
         limit : float
             Seconds left until the deadline of the request.
+        allows_peer : callable or None
+            As for `acquire_idle`.
 
         Returns
         -------
-        Result of Connection, or of str
+        Result of Connection, or of ConnectFault or str
         """
-        result = await self.connector.connect(server, limit)
+        result = await self.connector.connect(server, limit, allows_peer)
         if result.is_ok():
             self.opened_count += 1
         return result
@@ -160,6 +172,11 @@
         self._idle.clear()
 
 
+def _is_allowed(entry, allows_peer):
+    via = entry.connection.via
+    return allows_peer is None or via is None or allows_peer(via)
+
+
 def parse_idle_timeout(head):
     """Return how long a connection may stay idle in the pool, in seconds.
 
--- /dev/null
+++ b/tanagerwalk/gateway/request_regions.py
@@ -0,0 +1,209 @@
+"""The regions in which one request may be processed, by the manifests that bind it."""
+
+import structlog
+
+from ..decisions.allowed_regions import (
+    REFUSAL_MESSAGES,
+    AllowedRegions,
+    find_regions,
+    intersect_regions,
+    list_unknown_regions,
+)
+from .connect_faults import ConnectFault
+
+log = structlog.get_logger(__name__)
+
+# How long a server that only instances elsewhere reach is not tried again.
+NO_PATH_S = 1.0
+
+
+class RegionRules:
+    """What the instance knows about regions, for all requests.
+
+    Parameters
+    ----------
+    home : Home
+        Location of this instance, and the region of each failure domain.
+    get_manifest : callable
+        Returns the Manifest in force.
+    get_peers : callable
+        Returns the Peer of each other instance, by incarnation.
+    servers : ServerPool
+        The servers.
+    paths : PathTable
+        Tells which servers can't be reached.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, home, get_manifest, get_peers, servers, paths, clock):
+        self.home = home
+        self.get_manifest = get_manifest
+        self._get_peers = get_peers
+        self._servers = servers
+        self._paths = paths
+        self._clock = clock
+        self._pathless_until = {}
+
+    def begin(self, request):
+        """Return the RequestRegions of a request that has been routed."""
+        return RequestRegions(self, request)
+
+    def find_peer_domain(self, peer_id):
+        """Return the failure domain of an instance, or None if it is not known."""
+        peer = self._get_peers().get(peer_id)
+        return None if peer is None else peer.failure_domain
+
+    def list_servers(self, service):
+        """Return the servers of a service that accept requests."""
+        usages = self._servers.list_usages(service)
+        return [usage.server for usage in usages if usage.accepts_requests]
+
+    def record_no_path(self, server, regions):
+        """Record that no instance in some regions reaches a server for this one."""
+        now = self._clock()
+        self._pathless_until = {
+            key: until for key, until in self._pathless_until.items() if until > now
+        }
+        if (server.id, regions) not in self._pathless_until:
+            log.info(
+                "no path in allowed regions",
+                server=server.id,
+                regions=sorted(regions),
+            )
+        self._pathless_until[server.id, regions] = now + NO_PATH_S
+
+    def is_reachable(self, server, regions):
+        """Return whether a path through some regions to a server may work."""
+        if self._paths.is_unreachable(server.id):
+            return False
+        if not self._pathless_until:
+            return True
+        until = self._pathless_until.get((server.id, regions), float("-inf"))
+        return until <= self._clock()
+
+    def check_manifest(self, manifest):
+        """Log the regions that a new manifest names and no failure domain is in."""
+        unknown = list_unknown_regions(manifest, self.home)
+        if unknown:
+            log.warning(
+                "manifest names unknown regions",
+                revision=manifest.revision,
+                regions=unknown,
+            )
+
+
+class RequestRegions:
+    """Restricts one request to the regions that the manifests allow.
+
+    Both the manifest that it was routed with and the one in force bind, so that a
+    change also holds for requests that wait or are tried again.
+
+    Parameters
+    ----------
+    rules : RegionRules
+        What the instance knows about regions.
+    request : GatewayRequest
+        The request.
+    """
+
+    def __init__(self, rules, request):
+        self._rules = rules
+        self._request = request
+        self._first = find_regions(request.manifest, request)
+        self._manifest = request.manifest
+        self._allowed = AllowedRegions(rules.home, self._first)
+
+    @property
+    def allowed(self):
+        """The AllowedRegions at present."""
+        manifest = self._rules.get_manifest()
+        if manifest is not self._manifest:
+            self._manifest = manifest
+            present = find_regions(manifest, self._request)
+            regions = intersect_regions(self._first, present)
+            self._allowed = AllowedRegions(self._rules.home, regions)
+        return self._allowed
+
+    def allows_server(self, server):
+        """Return whether a RegisteredServer may run the request."""
+        return self.allowed.allows_server(server)
+
+    def restrict(self, allows_server):
+        """Return a predicate of servers that obeys the regions beside another one."""
+        return lambda server: self.allows_server(server) and allows_server(server)
+
+    def restrict_to_reach(self, allows_server):
+        """Return the same for servers to which a path in the regions may work."""
+        return lambda server: (
+            self.allows_server(server)
+            and self._is_reachable(server)
+            and allows_server(server)
+        )
+
+    def _is_reachable(self, server):
+        allowed = self.allowed
+        return not allowed.is_restricted or self._rules.is_reachable(
+            server, allowed.regions
+        )
+
+    def allows_peer(self, peer_id):
+        """Return whether the request may pass through an instance.
+
+        Parameters
+        ----------
+        peer_id : str
+            Incarnation of the instance; one that is not known any more is not allowed.
+        """
+        allowed = self.allowed
+        if not allowed.is_restricted:
+            return True
+        return allowed.allows_peer(self._rules.find_peer_domain(peer_id))
+
+    def find_peer_filter(self):
+        """Return `allows_peer`, or None if the request may pass through any."""
+        return self.allows_peer if self.allowed.is_restricted else None
+
+    def record_fault(self, server, fault):
+        """Record the ConnectFault of an attempt, if any."""
+        regions = self.allowed.regions
+        if fault is ConnectFault.NO_ALLOWED_PATH and regions is not None:
+            self._rules.record_no_path(server, regions)
+
+    def find_refusal(self, service, may_have_run):
+        """Return the reason to refuse the request at once, or None.
+
+        Parameters
+        ----------
+        service : ServiceName
+            The service that runs it.
+        may_have_run : bool
+            Whether it may have run, so that it is worth waiting for a path.
+
+        Returns
+        -------
+        RefusalReason or None
+        """
+        allowed = self.allowed
+        if not allowed.is_restricted:
+            return None
+
+        def is_reachable(server):
+            return may_have_run or self._is_reachable(server)
+
+        servers = self._rules.list_servers(service)
+        return allowed.find_refusal(servers, is_reachable)
+
+    def describe_refusal(self, reason):
+        """Return what to tell the client, or None if the reason is another one."""
+        message = REFUSAL_MESSAGES.get(reason)
+        if message is None:
+            return None
+        regions = ", ".join(sorted(self.allowed.regions or ()))
+        return f"{message} ({regions})" if regions else message
+
+    def describe(self):
+        """Return the log fields of the regions; none if all are allowed."""
+        if not self.allowed.is_restricted:
+            return {}
+        return {"allowed_regions": sorted(self.allowed.regions)}
--- a/tanagerwalk/gateway/tunnel_client.py
+++ b/tanagerwalk/gateway/tunnel_client.py
@@ -49,12 +49,27 @@
         """Start to ask other instances, with the key of the fleet."""
         self._client = PeerClient(secret, own_id, TUNNEL_TIMEOUT_S)
 
-    def rank_peers(self, server):
-        """Return the instances to ask for a connection to a server, in order."""
+    def rank_peers(self, server, allows_peer=None):
+        """Return the instances to ask for a connection to a server, in order.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        allows_peer : callable or None
+            Takes an incarnation and returns whether that instance may be asked; None
+            if all may be.
+
+        Returns
+        -------
+        list of str
+        """
         if self._client is None:
             return []
-        domain = server.failure_domain
-        return self._peers.rank(domain, self._get_peers(), self._clock())
+        peers = self._get_peers()
+        if allows_peer is not None:
+            peers = {peer_id: p for peer_id, p in peers.items() if allows_peer(peer_id)}
+        return self._peers.rank(server.failure_domain, peers, self._clock())
 
     async def open(self, peer_id, server):
         """Open a connection to a server through an instance.
--- a/tanagerwalk/standins/gateway_cluster.py
+++ b/tanagerwalk/standins/gateway_cluster.py
@@ -25,6 +25,11 @@
     canary_share=0.15,
     canary_slack=30.0,
 )
+REGIONS = {
+    FailureDomain("a-1"): Region("a"),
+    FailureDomain("b-1"): Region("b"),
+    FailureDomain("c-1"): Region("c"),
+}
 SMALL_MODEL = "model-s"
 LARGE_MODEL = "model-l"
 
@@ -68,6 +73,27 @@
     return json.dumps(manifest | changes).encode()
 
 
+def build_regional_manifest(version, of_routes=None, of_account=(), **changes):
+    """Return an encoded manifest that names allowed regions.
+
+    Parameters
+    ----------
+    version : int
+        Version of the manifest.
+    of_routes : dict of str to list of str or None
+        Regions by name of the route.
+    of_account : list of str
+        Regions of the only account.
+    **changes
+        Replace top-level fields.
+    """
+    manifest = json.loads(build_manifest(version, **changes))
+    for route in manifest["routes"]:
+        route["allowed_regions"] = (of_routes or {}).get(route["name"], [])
+    manifest["tenants"][0]["allowed_regions"] = list(of_account)
+    return json.dumps(manifest).encode()
+
+
 def _build_route(name, prefix, kind, service, **changes):
     route = {
         "name": name,
@@ -139,9 +165,9 @@
         await self.store.put(*server.build_entry(service, domain, version))
         return server
 
-    async def add_instance(self, name, bounds=BOUNDS):
+    async def add_instance(self, name, bounds=BOUNDS, domain="a-1"):
         """Start a gateway instance and wait until it is ready."""
-        instance = self.build_instance(name, bounds)
+        instance = self.build_instance(name, bounds, domain)
         await instance.start()
         self.instances.append(instance)
         await poll_until(instance.is_ready, 0.01, READY_TIMEOUT_S)
@@ -164,16 +190,16 @@
             for instance in self.instances
         )
 
-    def build_instance(self, name, bounds=BOUNDS):
+    def build_instance(self, name, bounds=BOUNDS, domain="a-1"):
         """Return a gateway instance that is not started."""
         host, _, port = self.store.address.rpartition(":")
         address = (host, int(port))
         any_port = (ADDRESS, 0)
         settings = GatewaySettings(
             instance=InstanceId(name),
-            failure_domain=FailureDomain("a-1"),
-            region=Region("a"),
-            regions={FailureDomain("a-1"): Region("a")},
+            failure_domain=FailureDomain(domain),
+            region=REGIONS[FailureDomain(domain)],
+            regions=REGIONS,
             listeners=Listeners(any_port, any_port, any_port, any_port),
             store=StoreAddress(address),
             bounds=bounds,
