Refuse early where only instances elsewhere reach the allowed regions

Cause: a request whose allowed servers only instances in other regions reach tried each in turn, 0.4 s each, and its failures paused the servers for all requests.

--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -210,6 +210,7 @@
 
     def _forget_server(self, server):
         self.paths.forget(server.id)
+        self.region_rules.forget_server(server)
         self.connection_pool.close_idle_to(server)
         self.quarantine.record_end(server)
 
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -234,6 +234,7 @@
         # Before it is sent, so that others see it at once.
         self._budget.record_attempt(now, is_retry)
         self._context.servers.spend_limit(server, now)
+        self._regions.record_attempt(server)
         model = self._models[self._model_index] if self._models else None
         attempt = Attempt(
             server=server,
@@ -271,7 +272,7 @@
             self._budget.withdraw_attempt(now, is_retry)
         self._context.recorder.record_attempt(self._request, attempt, result)
         self._context.quarantine.record_attempt(self._request, attempt, result)
-        self._regions.record_fault(server, result.fault)
+        self._regions.record_result(server, result)
         await self._check_for_crash(server, result)
         self._context.metrics.attempts.labels(result.outcome.value).inc()
         self._attempt_log.append(
--- a/tanagerwalk/gateway/request_regions.py
+++ b/tanagerwalk/gateway/request_regions.py
@@ -9,11 +9,13 @@
     intersect_regions,
     list_unknown_regions,
 )
+from ..decisions.attempts import UNSENT_OUTCOMES
+from ..decisions.paths import PathState
 from .connect_faults import ConnectFault
 
 log = structlog.get_logger(__name__)
 
-# How long a server that only instances elsewhere reach is not tried again.
+# Between two tries of a server that only instances elsewhere reach.
 NO_PATH_S = 1.0
 
 
@@ -59,29 +61,49 @@
         usages = self._servers.list_usages(service)
         return [usage.server for usage in usages if usage.accepts_requests]
 
+    def record_attempt(self, server, regions):
+        """Let no other request try a server at the same time that had no path."""
+        key = (server.id, regions)
+        if key in self._pathless_until:
+            self._pathless_until[key] = self._clock() + NO_PATH_S
+
+    def record_path(self, server, regions):
+        """Record that a path through some regions to a server works."""
+        if self._pathless_until.pop((server.id, regions), None) is not None:
+            log.info(
+                "path in allowed regions", server=server.id, regions=sorted(regions)
+            )
+
     def record_no_path(self, server, regions):
         """Record that no instance in some regions reaches a server for this one."""
-        now = self._clock()
-        self._pathless_until = {
-            key: until for key, until in self._pathless_until.items() if until > now
-        }
-        if (server.id, regions) not in self._pathless_until:
+        key = (server.id, regions)
+        if key not in self._pathless_until:
             log.info(
-                "no path in allowed regions",
-                server=server.id,
-                regions=sorted(regions),
+                "no path in allowed regions", server=server.id, regions=sorted(regions)
             )
-        self._pathless_until[server.id, regions] = now + NO_PATH_S
+        self._pathless_until[key] = self._clock() + NO_PATH_S
+
+    def is_direct(self, server):
+        """Return whether this instance reaches a server by itself."""
+        return self._paths.get_state(server.id) is PathState.DIRECT
 
     def is_reachable(self, server, regions):
         """Return whether a path through some regions to a server may work."""
         if self._paths.is_unreachable(server.id):
             return False
-        if not self._pathless_until:
+        if not self._pathless_until or self.is_direct(server):
             return True
         until = self._pathless_until.get((server.id, regions), float("-inf"))
         return until <= self._clock()
 
+    def forget_server(self, server):
+        """Drop what is known about a server that is gone."""
+        self._pathless_until = {
+            key: until
+            for key, until in self._pathless_until.items()
+            if key[0] != server.id
+        }
+
     def check_manifest(self, manifest):
         """Log the regions that a new manifest names and no failure domain is in."""
         unknown = list_unknown_regions(manifest, self.home)
@@ -113,6 +135,7 @@
         self._first = find_regions(request.manifest, request)
         self._manifest = request.manifest
         self._allowed = AllowedRegions(rules.home, self._first)
+        self._found_no_path = False
 
     @property
     def allowed(self):
@@ -143,9 +166,12 @@
 
     def _is_reachable(self, server):
         allowed = self.allowed
-        return not allowed.is_restricted or self._rules.is_reachable(
-            server, allowed.regions
-        )
+        if not allowed.is_restricted:
+            return True
+        # One attempt in vain is enough for a request that could be refused instead.
+        if self._found_no_path and not self._rules.is_direct(server):
+            return False
+        return self._rules.is_reachable(server, allowed.regions)
 
     def allows_peer(self, peer_id):
         """Return whether the request may pass through an instance.
@@ -164,11 +190,21 @@
         """Return `allows_peer`, or None if the request may pass through any."""
         return self.allows_peer if self.allowed.is_restricted else None
 
-    def record_fault(self, server, fault):
-        """Record the ConnectFault of an attempt, if any."""
+    def record_attempt(self, server):
+        """Record an attempt that begins."""
+        if self.allowed.is_restricted:
+            self._rules.record_attempt(server, self.allowed.regions)
+
+    def record_result(self, server, result):
+        """Record the AttemptResult of an attempt."""
         regions = self.allowed.regions
-        if fault is ConnectFault.NO_ALLOWED_PATH and regions is not None:
+        if regions is None:
+            return
+        if result.fault is ConnectFault.NO_ALLOWED_PATH:
+            self._found_no_path = True
             self._rules.record_no_path(server, regions)
+        elif result.outcome not in UNSENT_OUTCOMES:
+            self._rules.record_path(server, regions)
 
     def find_refusal(self, service, may_have_run):
         """Return the reason to refuse the request at once, or None.
