Test the decisions on allowed regions and their decoding

Cause: the predicate, the reasons of refusals and the regions in manifests had only tests through whole instances.

--- a/test/platform/test_records.py
+++ b/test/platform/test_records.py
@@ -9,7 +9,11 @@
 from tanagerwalk.platform.servers import parse_rollout_order, parse_server
 from tanagerwalk.platform.settings import parse_settings
 from tanagerwalk.registry import ServerState
-from tanagerwalk.standins.gateway_cluster import HOST, build_manifest
+from tanagerwalk.standins.gateway_cluster import (
+    HOST,
+    build_manifest,
+    build_regional_manifest,
+)
 
 SERVER = {
     "service": "desk",
@@ -94,6 +98,27 @@
     assert manifest.limits.header_size == 4096
 
 
+def test_allowed_regions_are_decoded():
+    data = build_regional_manifest(1, {"jobs": ["a", "b"]}, ["b", "c"])
+    manifest = parse_manifest(data, 5).ok
+    jobs = manifest.find_route(HOST, "/jobs/1")
+    assert jobs.allowed_regions == {"a", "b"}
+    assert manifest.account_regions == {"archive": {"b", "c"}}
+    assert manifest.find_allowed_regions(jobs, "archive") == {"b"}
+    plans = manifest.find_route(HOST, "/plans/1")
+    assert manifest.find_allowed_regions(plans, None) is None
+
+
+@pytest.mark.parametrize("regions", ["a", [1], {"a": 1}])
+def test_allowed_regions_that_are_no_list_of_names_are_an_error(regions):
+    data = build_regional_manifest(1, {"jobs": regions})
+    assert parse_manifest(data, 5).is_error()
+
+
+def test_regions_of_failure_domains_are_decoded():
+    assert parse_settings(SETTINGS).ok.regions == {"a-1": "a"}
+
+
 @pytest.mark.parametrize("data", [b"", b"{}", b'{"routes":[{}],"services":[]}'])
 def test_invalid_manifest_is_an_error(data):
     assert parse_manifest(data, 5).is_error()
