--- a/tanagerwalk/gateway/request_regions.py
+++ b/tanagerwalk/gateway/request_regions.py
@@ -158,16 +158,18 @@
 
     def restrict_to_reach(self, allows_server):
         """Return the same for servers to which a path in the regions may work."""
-        return lambda server: (
-            self.allows_server(server)
-            and self._is_reachable(server)
-            and allows_server(server)
-        )
 
-    def _is_reachable(self, server):
-        allowed = self.allowed
-        if not allowed.is_restricted:
-            return True
+        def allows(server):
+            allowed = self.allowed
+            if allowed.is_restricted and not (
+                allowed.allows_server(server) and self._is_reachable(server, allowed)
+            ):
+                return False
+            return allows_server(server)
+
+        return allows
+
+    def _is_reachable(self, server, allowed):
         # One attempt in vain is enough for a request that could be refused instead.
         if self._found_no_path and not self._rules.is_direct(server):
             return False
@@ -225,7 +227,7 @@
             return None
 
         def is_reachable(server):
-            return may_have_run or self._is_reachable(server)
+            return may_have_run or self._is_reachable(server, allowed)
 
         servers = self._rules.list_servers(service)
         return allowed.find_refusal(servers, is_reachable)
