Check a manifest before it is sent

Cause: errors in a manifest, entries that never match and limits that contradict each other showed only once it was in force.

--- a/tanagerwalk/ui/commands.py
+++ b/tanagerwalk/ui/commands.py
@@ -14,6 +14,7 @@
     "apply",
     "bills",
     "check",
+    "config-check",
     "demo",
     "diff",
     "gateway",
@@ -37,7 +38,8 @@
         """Return the command with this name, or None if there is none."""
         if cmd_name not in COMMANDS:
             return None
-        return getattr(import_module(f".{cmd_name}", __package__), cmd_name)
+        module = cmd_name.replace("-", "_")
+        return getattr(import_module(f".{module}", __package__), module)
 
 
 @click.group(cls=CommandGroup)
