Refuse early where the allowed regions have just been cut off

Cause: with all its servers behind a lost link, a request with allowed regions connected to each in turn, 0.4 s each. Change: it connects in vain for a second at most before it is refused, unless it may have run. A test of sessions in a roll-out.

--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -161,6 +161,8 @@
             return RefusalReason.QUARANTINED
         if not self._context.stop_control.has_time(self._request, self._kind):
             return RefusalReason.STOPPING
+        if self._regions.has_connected_in_vain(self._history.may_have_run):
+            return RefusalReason.ALLOWED_REGIONS_UNREACHABLE
         return RefusalReason.QUEUE_FULL if self._would_miss_deadline() else None
 
     def _find_region_refusal(self):
--- a/tanagerwalk/gateway/request_regions.py
+++ b/tanagerwalk/gateway/request_regions.py
@@ -11,12 +11,15 @@
 )
 from ..decisions.attempts import UNSENT_OUTCOMES
 from ..decisions.paths import PathState
+from .attempts import Outcome
 from .connect_faults import ConnectFault
 
 log = structlog.get_logger(__name__)
 
 # Between two tries of a server that only instances elsewhere reach.
 NO_PATH_S = 1.0
+# A request that could be refused connects in vain for so long at most, in total.
+MAX_CONNECTING_S = 1.0
 
 
 class RegionRules:
@@ -44,7 +47,7 @@
         self._get_peers = get_peers
         self._servers = servers
         self._paths = paths
-        self._clock = clock
+        self.clock = clock
         self._pathless_until = {}
 
     def begin(self, request):
@@ -65,7 +68,7 @@
         """Let no other request try a server at the same time that had no path."""
         key = (server.id, regions)
         if key in self._pathless_until:
-            self._pathless_until[key] = self._clock() + NO_PATH_S
+            self._pathless_until[key] = self.clock() + NO_PATH_S
 
     def record_path(self, server, regions):
         """Record that a path through some regions to a server works."""
@@ -81,7 +84,7 @@
             log.info(
                 "no path in allowed regions", server=server.id, regions=sorted(regions)
             )
-        self._pathless_until[key] = self._clock() + NO_PATH_S
+        self._pathless_until[key] = self.clock() + NO_PATH_S
 
     def is_direct(self, server):
         """Return whether this instance reaches a server by itself."""
@@ -94,7 +97,7 @@
         if not self._pathless_until or self.is_direct(server):
             return True
         until = self._pathless_until.get((server.id, regions), float("-inf"))
-        return until <= self._clock()
+        return until <= self.clock()
 
     def forget_server(self, server):
         """Drop what is known about a server that is gone."""
@@ -136,6 +139,8 @@
         self._manifest = request.manifest
         self._allowed = AllowedRegions(rules.home, self._first)
         self._found_no_path = False
+        self._began_at = 0.0
+        self._connecting_s = 0.0
 
     @property
     def allowed(self):
@@ -194,6 +199,7 @@
 
     def record_attempt(self, server):
         """Record an attempt that begins."""
+        self._began_at = self._rules.clock()
         if self.allowed.is_restricted:
             self._rules.record_attempt(server, self.allowed.regions)
 
@@ -202,12 +208,28 @@
         regions = self.allowed.regions
         if regions is None:
             return
+        if result.outcome is Outcome.NOT_SENT:
+            self._connecting_s += self._rules.clock() - self._began_at
         if result.fault is ConnectFault.NO_ALLOWED_PATH:
             self._found_no_path = True
             self._rules.record_no_path(server, regions)
         elif result.outcome not in UNSENT_OUTCOMES:
             self._rules.record_path(server, regions)
 
+    def has_connected_in_vain(self, may_have_run):
+        """Return whether to refuse the request rather than to try more servers.
+
+        Parameters
+        ----------
+        may_have_run : bool
+            Whether it may have run, so that it is worth trying all.
+        """
+        return (
+            not may_have_run
+            and self._connecting_s >= MAX_CONNECTING_S
+            and self.allowed.is_restricted
+        )
+
     def find_refusal(self, service, may_have_run):
         """Return the reason to refuse the request at once, or None.
 
--- a/test/gateway/region_fleet.py
+++ b/test/gateway/region_fleet.py
@@ -327,10 +327,20 @@
             instance = self.random.choice(list(self.instances.values()))
             tasks.append(asyncio.create_task(instance.send(*self.random.choice(kinds))))
         self.ends.update(await asyncio.gather(*tasks))
+
+    async def close(self):
+        """Stop what runs in the background."""
         for instance in self.instances.values():
             instance.close()
+        await asyncio.sleep(0)
 
 
 def play(build):
     """Build a RegionFleet by a coroutine function in virtual time; return it."""
-    return run_in_virtual_time(build())
+
+    async def run():
+        fleet = await build()
+        await fleet.close()
+        return fleet
+
+    return run_in_virtual_time(run())
--- a/test/gateway/test_allowed_regions.py
+++ b/test/gateway/test_allowed_regions.py
@@ -1,6 +1,7 @@
 """Requests of routes and accounts that may be processed in some regions only."""
 
 import asyncio
+import json
 
 import pytest
 import pytest_asyncio
@@ -207,6 +208,30 @@
     assert count_by_region(cluster, "desk") == {"a": 0, "b": 2, "c": 0}
 
 
+# Guards against a session that stays where it was, or goes where its release is.
+async def test_pinned_sessions_obey_a_narrowed_manifest(cluster):
+    server = await cluster.add_server("desk-new", "desk", "v2", DOMAINS["a"])
+    order = json.dumps({"service": "desk", "target": "v2", "duration_s": 60})
+    await cluster.store.put("op/rollout/desk", order.encode())
+
+    async def send_sessions():
+        for number in range(60):
+            name = f"session-{number}"
+            data = cluster.encode("GET", "/jobs/7", X_Tanagerwalk_Session=name)
+            assert (await cluster.send(data)).status == 200
+
+    assert await poll_until(
+        lambda: "desk" in cluster.instances[0].cluster_state.orders, 0.01, WAIT_S
+    )
+    await send_sessions()
+    assert server.requests
+    await put_manifest(cluster, 2, {"jobs": ["b"]})
+    seen = count_by_region(cluster, "desk"), len(server.requests)
+    await send_sessions()
+    now = count_by_region(cluster, "desk"), len(server.requests)
+    assert now == ({**seen[0], "b": seen[0]["b"] + 60}, seen[1])
+
+
 # Guards against a body that passes through an instance in a region that is neither
 # allowed nor that of the instance the client has connected to.
 @pytest.mark.parametrize("begins_open", [False, True], ids=["new", "kept"])
--- a/test/gateway/test_region_fleet.py
+++ b/test/gateway/test_region_fleet.py
@@ -7,6 +7,7 @@
 
 from tanagerwalk.decisions.paths import PathState
 from tanagerwalk.gateway.connector import CONNECT_TIMEOUT_S
+from tanagerwalk.gateway.request_regions import MAX_CONNECTING_S
 from tanagerwalk.manifest import Manifest, Repeatability, Route, SplitShare
 
 REQUESTS = 800
@@ -101,7 +102,21 @@
     assert fleet.ends["deadline_exceeded"] == 0
 
 
-# Guards against a late refusal: a request that tries each server in vain in turn.
+# Guards against a late refusal: a request that tries each server in vain in turn, of
+# which the last one is in reach of nobody either.
+def test_request_to_a_region_that_has_just_been_cut_off_is_refused_soon():
+    async def build():
+        fleet = RegionFleet(build_manifest({"jobs": ["b"]}, {}), 1)
+        fleet.cut.add(("a", "b"))
+        reason = await fleet.instances["at-a-1"].send("jobs", None)
+        fleet.ends[reason] += 1
+        assert asyncio.get_running_loop().time() < MAX_CONNECTING_S + CONNECT_TIMEOUT_S
+        return fleet
+
+    assert play(build).ends == {"allowed_regions_unreachable": 1}
+
+
+# The same for servers that only instances elsewhere reach.
 def test_request_without_an_allowed_path_is_refused_after_one_attempt():
     async def build():
         fleet = RegionFleet(build_manifest({"jobs": ["b"]}, {}), 1)
