Keep the limits of cold servers over all instances

A backend server that has just started looks idle to every instance at once, and crashes well above the rate that its service names. Server limits now also come from being cold: parts of the rate by rendezvous order, spaced so that any one second holds with certainty, growing for a while afterwards.

--- /dev/null
+++ b/tanagerwalk/decisions/cold_servers.py
@@ -0,0 +1,220 @@
+"""Servers that have just started, or that are slow again, and bear few requests."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum
+
+from ..registry import RegisteredServer
+from .limit_parts import ColdLimit
+from .server_usage_table import hash_life
+
+# A cold server is slow: it is worth as much as one that is used to this share already.
+COLD_LOAD = 0.5
+# A server that names a longer time is used like any other after this one.
+MAX_COLD_S = 600.0
+# Once a server is warm, its limit grows for a while before it ends: it looks idle to
+# all instances at the same moment.
+WARM_UP_S = 3.0
+WARM_UP_GROWTH_PER_S = 3.0
+# A server that has crashed may be back before its new entry is seen.
+RESTART_WAIT_S = 6.0
+# Starts of servers that are remembered, to tell a new one from one that is back.
+MAX_KNOWN_STARTS = 4096
+# A time that is longer by less is no news.
+MIN_EXTENSION_S = 0.5
+
+
+class ColdReason(Enum):
+    """Why a server is taken for cold."""
+
+    ENTRY = "entry"
+    STARTED = "started"
+    CRASHED = "crashed"
+    EVACUATION_ENDED = "evacuation ended"
+
+
+@dataclass(frozen=True, slots=True)
+class ColdPolicy:
+    """How the cold servers of a service are treated.
+
+    Parameters
+    ----------
+    duration : float
+        Seconds for which a server is cold after its start.
+    rate : float
+        Requests per second that a cold server bears.
+    overrun, slack : float
+        In any one second it may get `overrun` times as many, plus `slack`.
+    """
+
+    duration: float
+    rate: float
+    overrun: float
+    slack: float
+
+    def find_limit(self, warm_for):
+        """Return the ColdLimit of a server.
+
+        Parameters
+        ----------
+        warm_for : float
+            Seconds since the server became warm; negative while it is cold.
+
+        Returns
+        -------
+        ColdLimit or None
+            None once the server is treated like any other.
+        """
+        if warm_for >= WARM_UP_S:
+            return None
+        rate = self.rate * (1.0 + WARM_UP_GROWTH_PER_S * max(0.0, warm_for))
+        return ColdLimit(rate, self.overrun * rate + self.slack)
+
+
+@dataclass(slots=True)
+class _ColdServer:
+    server: RegisteredServer
+    until: float
+
+
+class ColdServers:
+    """The servers that are cold as far as this instance knows, by `hash_life`.
+
+    Attributes
+    ----------
+    find_policy : callable
+        Takes a ServiceName and returns its ColdPolicy, or None if its servers are never
+        cold.
+    on_cold : callable
+        Takes a RegisteredServer that is cold, the seconds for which it is, and the
+        ColdReason.
+    on_warm : callable
+        Takes a RegisteredServer that is treated like any other from now on.
+    """
+
+    def __init__(self):
+        self.find_policy = _find_no_policy
+        self.on_cold = _ignore
+        self.on_warm = _ignore
+        self._cold = {}
+        # The revision of the newest entry of each start of a server.
+        self._known = OrderedDict()
+
+    @property
+    def is_empty(self):
+        """Whether no server is cold or has been lately."""
+        return not self._cold
+
+    def observe(self, servers, now):
+        """Find out from the list of servers which are cold.
+
+        A start that wasn't listed before is new, unless nothing was listed before. The
+        time in an entry counts from when the entry is first seen.
+
+        Parameters
+        ----------
+        servers : iterable of RegisteredServer
+            All servers.
+        now : float
+            Monotonic time in seconds.
+        """
+        is_first_list = not self._known
+        for server in servers:
+            start = (hash_life(server), server.address)
+            known_revision = self._known.get(start)
+            if known_revision == server.revision:
+                continue
+            self._known[start] = server.revision
+            self._known.move_to_end(start)
+            if known_revision is None and not is_first_list:
+                self.record_start(server, now)
+            self.record_left(server, server.cold_left, now, ColdReason.ENTRY)
+        while len(self._known) > MAX_KNOWN_STARTS:
+            self._known.popitem(last=False)
+
+    def record_start(self, server, now, reason=ColdReason.STARTED):
+        """Take a server for cold for as long as its service says.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        now : float
+            Monotonic time in seconds.
+        reason : ColdReason
+            Why it is cold.
+        """
+        policy = self.find_policy(server.service)
+        if policy is not None:
+            self.record_left(server, policy.duration, now, reason)
+
+    def record_crash(self, server, now):
+        """Take a server that has crashed for cold if it answers again.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        now : float
+            Monotonic time in seconds.
+        """
+        policy = self.find_policy(server.service)
+        if policy is not None:
+            left = RESTART_WAIT_S + policy.duration
+            self.record_left(server, left, now, ColdReason.CRASHED)
+
+    def record_left(self, server, left, now, reason):
+        """Take a server for cold for some seconds; a longer time that is known holds.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        left : float
+            The seconds; nothing is recorded if they aren't positive.
+        now : float
+            Monotonic time in seconds.
+        reason : ColdReason
+            Why it is cold.
+        """
+        if left <= 0.0 or self.find_policy(server.service) is None:
+            return
+        until = now + min(left, MAX_COLD_S)
+        cold = self._cold.setdefault(hash_life(server), _ColdServer(server, now))
+        if until >= cold.until + MIN_EXTENSION_S:
+            self.on_cold(server, until - now, reason)
+        cold.until = max(cold.until, until)
+
+    def find_limit(self, life, now):
+        """Return the ColdLimit of a server, or None if it has none."""
+        cold = self._cold.get(life)
+        if cold is None:
+            return None
+        policy = self.find_policy(cold.server.service)
+        limit = None if policy is None else policy.find_limit(now - cold.until)
+        if limit is None:
+            del self._cold[life]
+            self.on_warm(cold.server)
+        return limit
+
+    def find_load(self, life, now):
+        """Return what is added to the load of a server because it is slow."""
+        cold = self._cold.get(life)
+        is_cold = cold is not None and now < cold.until
+        return COLD_LOAD if is_cold else 0.0
+
+    def count(self, now):
+        """Return the number of servers that are cold."""
+        return sum(now < cold.until for cold in self._cold.values())
+
+    def forget(self, life):
+        """Forget a server that has ended."""
+        self._cold.pop(life, None)
+
+
+def _find_no_policy(service):
+    del service
+
+
+def _ignore(*event):
+    del event
--- /dev/null
+++ b/tanagerwalk/decisions/limit_parts.py
@@ -0,0 +1,92 @@
+"""Division of a limit on the requests of all instances into equal parts."""
+
+import math
+from dataclasses import dataclass
+
+# A server that names less is asked from time to time, to hear when its need has ended.
+MIN_RATE_PER_S = 0.1
+# More instances with a smaller part each could send at the same time by chance.
+PART_INTERVAL_S = 4.5
+# The time in which the requests to a cold server are counted.
+COLD_WINDOW_S = 1.0
+# Requests are sent a little later than planned, and not all equally so.
+INTERVAL_MARGIN = 1.05
+
+
+@dataclass(frozen=True, slots=True)
+class LimitParts:
+    """Which instances have a part of a limit, and how often each of them may send.
+
+    Parameters
+    ----------
+    count : int
+        Number of instances with a part: the first ones in a rendezvous order.
+    interval : float
+        Seconds from one request of an instance to its next one.
+    is_spaced : bool
+        Whether two requests of an instance are never closer than the interval; else a
+        late request leaves the time of the next one as it was.
+    """
+
+    count: int
+    interval: float
+    is_spaced: bool = False
+
+    def restrict(self, other):
+        """Return the parts with which both limits hold."""
+        return LimitParts(
+            min(self.count, other.count),
+            max(self.interval, other.interval),
+            self.is_spaced or other.is_spaced,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ColdLimit:
+    """What a cold server takes from all instances together.
+
+    Parameters
+    ----------
+    rate : float
+        Requests per second.
+    most : float
+        Requests in any one second.
+    """
+
+    rate: float
+    most: float
+
+
+def divide_stated_limit(rate, members):
+    """Return the LimitParts of a limit that a server names.
+
+    Parameters
+    ----------
+    rate : float
+        Requests per second that the server takes from all instances.
+    members : int
+        Number of instances.
+    """
+    rate = max(MIN_RATE_PER_S, rate)
+    count = min(members, math.ceil(PART_INTERVAL_S * rate))
+    return LimitParts(count, count / rate)
+
+
+def divide_cold_limit(limit, members):
+    """Return the LimitParts of the limit of a cold server.
+
+    In a large fleet, each part allows one request per second. Instances that know other
+    members, and divide the limit otherwise, then add no more than as many again.
+
+    Parameters
+    ----------
+    limit : ColdLimit
+        The limit.
+    members : int
+        Number of instances.
+    """
+    rate = max(MIN_RATE_PER_S, limit.rate)
+    count = min(members, max(1, math.ceil(rate), int(limit.most / 2.0)))
+    requests_in_window = max(1, int(limit.most / count))
+    interval = max(count / rate, COLD_WINDOW_S / requests_in_window)
+    return LimitParts(count, INTERVAL_MARGIN * interval, is_spaced=True)
--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -1,6 +1,7 @@
 """Selection of the backend server for a request."""
 
 from .brittleness import BrittleServices
+from .cold_servers import ColdReason
 from .paths import PathState
 from .server_limits import LimitQueue, ServerLimits
 from .server_usage_table import ServerUsageTable, hash_life
@@ -30,7 +31,7 @@
     Attributes
     ----------
     limits : ServerLimits
-        Limits that the servers name.
+        Limits of the servers: those that they name, and those of cold ones.
     brittle : BrittleServices
         Which services fall over under rejections.
     """
@@ -45,6 +46,21 @@
         self.brittle = BrittleServices()
         self._possibly_leaving = frozenset()
 
+    def mark_cold(self, failure_domains, now):
+        """Take the servers of failure domains for cold, as after a start.
+
+        Parameters
+        ----------
+        failure_domains : collection of FailureDomain
+            The failure domains.
+        now : float
+            Monotonic time in seconds.
+        """
+        for server in self.list_servers():
+            if server.failure_domain in failure_domains:
+                reason = ColdReason.EVACUATION_ENDED
+                self.limits.cold.record_start(server, now, reason)
+
     def set_possibly_leaving(self, server_ids):
         """Set the servers that may be leaving; they are used only as a last resort.
 
@@ -223,11 +239,12 @@
             for usage in self._list_allowed(service, is_allowed)
             if usage.held_until <= now
         ]
-        limited = [life for life in lives if self.limits.has_limit(life)]
+        limited = [life for life in lives if self.limits.has_limit(life, now)]
         if not limited:
             return None
         wait = min(self.limits.find_wait(life, now) for life in limited)
-        return LimitQueue(wait, sum(map(self.limits.find_rate, limited)))
+        rate = sum(self.limits.find_rate(life, now) for life in limited)
+        return LimitQueue(wait, rate)
 
     def _list_allowed(self, service, is_allowed):
         return [
@@ -236,6 +253,10 @@
             if usage.accepts_requests and is_allowed(usage.server)
         ]
 
+    def is_free(self, usage, now):
+        """Return whether a server takes a request of this instance by its own word."""
+        return self._find_block(usage, now) <= 0.0
+
     def _find_block(self, usage, now):
         """Return the seconds for which a server takes no request of this instance."""
         held = max(0.0, usage.held_until - now)
@@ -291,10 +312,11 @@
 
     def _score(self, usage, now):
         distance = self._home.estimate_distance_cost(usage.server.failure_domain)
-        return self._estimate_load(usage, now) + distance, self._random.random()
+        load = self._estimate_load(usage, now) + self._find_cold_load(usage, now)
+        return load + distance, self._random.random()
 
     def _score_with_affinity(self, usage, now, affinity, preferred):
-        load = self._estimate_load(usage, now)
+        load = self._estimate_load(usage, now) + self._find_cold_load(usage, now)
         cost = LINEAR_LOAD_WEIGHT * load + load * load
         if usage is not preferred:
             cost += affinity.cache_miss_cost
@@ -302,6 +324,10 @@
             cost += affinity.remote_cost
         return cost, self._random.random()
 
+    def _find_cold_load(self, usage, now):
+        cold = self.limits.cold
+        return 0.0 if cold.is_empty else cold.find_load(hash_life(usage.server), now)
+
     def _estimate_load(self, usage, now):
         shared = self._shared.sum(usage.server.id, now)
         return usage.estimate_load(now, shared, self.mean_work)
--- a/tanagerwalk/decisions/server_limits.py
+++ b/tanagerwalk/decisions/server_limits.py
@@ -1,23 +1,25 @@
-"""Limits that servers name on the requests of all instances together.
+"""Limits of servers on the requests of all instances together.
 
-A limit is shared by so many instances, the first ones in a rendezvous order, that each
-sends about one request per PART_INTERVAL_S; in a small fleet by all. The intervals of
-the instances begin at random times, and a request that isn't sent soon after its
-interval began is not sent later, so that an idle fleet doesn't send all at once.
+A server may name a limit, and one that is cold has one. It is shared by some instances,
+the first ones in a rendezvous order; in a small fleet by all. The intervals of the
+instances begin at random times, and a request that isn't sent soon after its interval
+began is not sent later, so that an idle fleet doesn't send all at once.
 """
 
 import math
 from collections import Counter
 from dataclasses import dataclass
 
+from .cold_servers import ColdServers
+from .limit_parts import divide_cold_limit, divide_stated_limit
 from .rendezvous import find_rank
 from .server_statements import ServerStatements
 
-# A server that names less is asked from time to time, to hear when its need has ended.
-MIN_RATE_PER_S = 0.1
 UNUSED_LIFETIME_S = 0.5
-# More instances with a smaller part each could send at the same time by chance.
-PART_INTERVAL_S = 4.5
+# Until an instance knows the others after its start: how many there are at least.
+UNSETTLED_MEMBERS = 9
+# Time in which all instances that start together have registered.
+SETTLE_S = 6.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,8 +54,12 @@
 
     Attributes
     ----------
+    cold : ColdServers
+        The servers whose limits come from being cold.
     waiting : Counter of ServiceName
         Requests of this instance that wait for a server with a limit.
+    delayed, turned_away : int
+        Requests so far that have waited for such a server, and that could not.
     """
 
     def __init__(self, random):
@@ -64,7 +70,11 @@
         self._own_id = ""
         self._peer_ids = ()
         self._ranks = {}
+        self._settled_at = -math.inf
+        self.cold = ColdServers()
         self.waiting = Counter()
+        self.delayed = 0
+        self.turned_away = 0
 
     def set_members(self, own_id, peer_ids):
         """Replace the instances that share the limits, given by their incarnations."""
@@ -72,30 +82,34 @@
         self._peer_ids = tuple(peer_ids)
         self._ranks.clear()
 
+    def begin_settling(self, now):
+        """Record that this instance begins to learn of the others."""
+        self._settled_at = now + SETTLE_S
+
     @property
     def is_empty(self):
         """Whether no server has a limit."""
-        return self._statements.is_empty
+        return self._statements.is_empty and self.cold.is_empty
 
     def record(self, life, rate, now):
         """Record the limit in an answer of a server; see `ServerStatements.record`."""
-        had_limit = self.has_limit(life)
         is_news = self._statements.record(life, rate, now)
-        self._begin(life, had_limit, now)
+        self._begin(life, now)
         return is_news
 
     def merge(self, life, statement, now):
         """Merge the Statement of another instance; return whether it was not known."""
-        had_limit = self.has_limit(life)
         is_news = self._statements.merge(life, statement, now)
-        self._begin(life, had_limit, now)
+        self._begin(life, now)
         return is_news
 
-    def _begin(self, life, had_limit, now):
-        if had_limit or not self.has_limit(life):
-            return
-        interval = self._find_interval(self._statements.get(life))
-        self._next_at[life] = now + interval * self._random.random()
+    def _begin(self, life, now):
+        """Choose when the first request may be sent to a server, if it has a limit."""
+        parts = self._find_parts(life, now)
+        if parts is None:
+            self._next_at.pop(life, None)
+        elif life not in self._next_at:
+            self._next_at[life] = now + parts.interval * self._random.random()
 
     def list_news(self, now):
         """Return the newest Statement by `hash_life`, and drop what is outdated."""
@@ -104,56 +118,70 @@
     def forget(self, life):
         """Forget the limit of a server that has ended."""
         self._statements.forget(life)
+        self.cold.forget(life)
         self._next_at.pop(life, None)
         self._ranks.pop(life, None)
 
-    def has_limit(self, life):
-        """Return whether a server has named a limit and not ended it."""
-        return self._statements.get(life) is not None
+    def has_limit(self, life, now):
+        """Return whether a server is cold, or has named a limit and not ended it."""
+        return self._find_parts(life, now) is not None
 
     def find_wait(self, life, now):
         """Return the seconds until this instance may send a request to a server.
 
         Infinite if it has no part of the server's limit.
         """
-        if not self.has_limit(life):
+        parts = self._find_parts(life, now)
+        if parts is None:
             return 0.0
-        if not self._has_part(life, self._statements.get(life)):
+        if not self._has_part(life, parts):
             return math.inf
-        self._skip_unused(life, now)
-        return max(0.0, self._next_at[life] - now)
+        return max(0.0, self._find_next(life, parts, now) - now)
 
     def record_sent(self, life, now):
         """Count a request that is sent to a server."""
-        if not self.has_limit(life):
+        parts = self._find_parts(life, now)
+        if parts is None:
             return
-        self._skip_unused(life, now)
-        self._next_at[life] += self._find_interval(self._statements.get(life))
+        sent_at = self._find_next(life, parts, now)
+        if parts.is_spaced:
+            sent_at = max(sent_at, now)
+        self._next_at[life] = sent_at + parts.interval
 
-    def find_rate(self, life):
+    def find_rate(self, life, now):
         """Return the requests per second of this instance's part of a limit."""
-        rate = self._statements.get(life)
-        if not self._has_part(life, rate):
+        parts = self._find_parts(life, now)
+        if parts is None or not self._has_part(life, parts):
             return 0.0
-        return 1.0 / self._find_interval(rate)
-
-    def _count_parts(self, rate):
-        parts = math.ceil(PART_INTERVAL_S * max(MIN_RATE_PER_S, rate))
-        return min(1 + len(self._peer_ids), parts)
+        return 1.0 / parts.interval
 
-    def _has_part(self, life, rate):
+    def _find_parts(self, life, now):
+        """Return the LimitParts of a server, or None if it has no limit."""
+        members = 1 + len(self._peer_ids)
+        parts = None
+        rate = self._statements.get(life)
+        if rate is not None:
+            parts = divide_stated_limit(rate, members)
+        cold_limit = self.cold.find_limit(life, now)
+        if cold_limit is None:
+            return parts
+        if now < self._settled_at:
+            members = max(members, UNSETTLED_MEMBERS)
+        cold_parts = divide_cold_limit(cold_limit, members)
+        return cold_parts if parts is None else parts.restrict(cold_parts)
+
+    def _has_part(self, life, parts):
         rank = self._ranks.get(life)
         if rank is None:
             rank = find_rank(b"%d" % life, self._own_id, self._peer_ids)
             self._ranks[life] = rank
-        return rank < self._count_parts(rate)
-
-    def _find_interval(self, rate):
-        return self._count_parts(rate) / max(MIN_RATE_PER_S, rate)
+        return rank < parts.count
 
-    def _skip_unused(self, life, now):
+    def _find_next(self, life, parts, now):
+        """Return when the next request may be sent, without those not sent in time."""
+        self._begin(life, now)
         unused = now - UNUSED_LIFETIME_S - self._next_at[life]
-        if unused <= 0.0:
-            return
-        interval = self._find_interval(self._statements.get(life))
-        self._next_at[life] += interval * math.ceil(unused / interval)
+        if unused > 0.0 and not parts.is_spaced:
+            intervals = math.ceil(unused / parts.interval)
+            self._next_at[life] += parts.interval * intervals
+        return self._next_at[life]
--- a/tanagerwalk/decisions/server_usage_table.py
+++ b/tanagerwalk/decisions/server_usage_table.py
@@ -95,6 +95,10 @@
         """Return the services that have servers."""
         return {usage.server.service for usage in self._usages.values()}
 
+    def list_servers(self):
+        """Return all servers that are registered."""
+        return [usage.server for usage in self._usages.values()]
+
     def list_lives(self, service):
         """Return the `hash_life` of each server of a service."""
         return [
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -28,6 +28,7 @@
 from .change_feed import ChangeServer, SharedFeed, StoreFeed
 from .clocks import read_boot_clock
 from .cluster_state import ClusterState
+from .cold_watch import ColdWatch
 from .connector import ServerConnector
 from .crash_check import CrashCheck
 from .exchange import AttemptRunner
@@ -122,6 +123,13 @@
             self._forget_server,
             self.subscriber_defects,
         )
+        self.cold_watch = ColdWatch(
+            self.servers,
+            self.cluster_state,
+            lambda: self.settings.bounds,
+            self.clock,
+        )
+        self.mirror.subscribe(self.cold_watch.update)
 
         self.rollouts = ReleaseRolloutController(
             self.store,
@@ -149,7 +157,7 @@
         self._create_manifest_recovery()
         self.quarantine = QuarantineFilter(self.servers, self.clock, self.random)
         self.crash_check = CrashCheck(
-            self.connection_pool.connector, self.quarantine.record_end
+            self.connection_pool.connector, self._record_crash
         )
         self.permits = ServerPermits(
             self.incarnation, self.servers, self.metrics, self.clock, self.random
@@ -200,6 +208,10 @@
         self.connection_pool.close_idle_to(server)
         self.quarantine.record_end(server)
 
+    def _record_crash(self, server):
+        self.quarantine.record_end(server)
+        self.cold_watch.record_crash(server)
+
     def _create_mirror(self):
         self.watchers = WatcherSelection(self.incarnation, self.settings.failure_domain)
         self.feed = SharedFeed(
@@ -378,6 +390,7 @@
         self.metrics.store_calls.set(self.store.calls)
         contradictions = self.assigner.count_contradictions()
         self.metrics.session_contradictions.set(contradictions)
+        self.metrics.set_limits(self.servers.limits, self.clock())
         self.metrics.in_flight.set(self.client_listener.in_flight)
         return encode_ok_response(self.metrics.render(), CONTENT_TYPE_LATEST)
 
--- /dev/null
+++ b/tanagerwalk/gateway/cold_watch.py
@@ -0,0 +1,80 @@
+"""Tells the limits of servers which of them are cold, and logs it."""
+
+import structlog
+
+from ..decisions.cold_servers import ColdPolicy
+
+log = structlog.get_logger(__name__)
+
+
+class ColdWatch:
+    """Connects the ColdServers to the manifest and the list of servers.
+
+    Parameters
+    ----------
+    servers : ServerPool
+        The servers.
+    cluster_state : ClusterState
+        Has the manifest.
+    get_bounds : callable
+        Returns the Bounds in force.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, servers, cluster_state, get_bounds, clock):
+        self._servers = servers
+        self._cluster_state = cluster_state
+        self._get_bounds = get_bounds
+        self._clock = clock
+        self._has_list = False
+        self._cold = servers.limits.cold
+        self._cold.find_policy = self._find_policy
+        self._cold.on_cold = _log_cold
+        self._cold.on_warm = _log_warm
+
+    def update(self):
+        """Take over the list of servers."""
+        if self._cluster_state.manifest is None:
+            return
+        now = self._clock()
+        if not self._has_list:
+            self._has_list = True
+            self._servers.limits.begin_settling(now)
+        self._cold.observe(self._servers.list_servers(), now)
+
+    def mark_cold(self, failure_domains):
+        """Take the servers of failure domains for cold, as after a start."""
+        self._servers.mark_cold(failure_domains, self._clock())
+
+    def record_crash(self, server):
+        """Take a server that has crashed for cold if it answers again."""
+        self._cold.record_crash(server, self._clock())
+
+    def _find_policy(self, name):
+        """Return the ColdPolicy of a service, or None if it has none."""
+        manifest = self._cluster_state.manifest
+        service = None if manifest is None else manifest.services.get(name)
+        if service is None or service.cold_start <= 0.0 or service.cold_rate <= 0.0:
+            return None
+        bounds = self._get_bounds()
+        return ColdPolicy(
+            service.cold_start,
+            service.cold_rate,
+            bounds.cold_overrun,
+            bounds.cold_slack,
+        )
+
+
+def _log_cold(server, seconds, reason):
+    log.info(
+        "server cold",
+        server=server.id,
+        service=server.service,
+        seconds=round(seconds, 1),
+        reason=reason.value,
+    )
+
+
+def _log_warm(server):
+    log.info("server warm", server=server.id, service=server.service)
--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -57,6 +57,15 @@
         self.in_flight = self._create_gauge(
             "in_flight", "Requests that are being answered."
         )
+        self.cold_servers = self._create_gauge(
+            "cold_servers", "Servers that are cold and get few requests."
+        )
+        self.limit_waits = self._create_gauge(
+            "limit_waits", "Times so far that a request waited for a limited server."
+        )
+        self.limit_refusals = self._create_gauge(
+            "limit_refusals", "Requests so far for which that wait was too long."
+        )
         self.memory_used = self._create_gauge(
             "memory_used_bytes", "Memory of requests and answers."
         )
@@ -90,6 +99,12 @@
         self.client_resets.set(admission.resets)
         self.client_idle_closed.set(admission.closed_idle)
 
+    def set_limits(self, limits, now):
+        """Take over the figures of ServerLimits."""
+        self.cold_servers.set(limits.cold.count(now))
+        self.limit_waits.set(limits.delayed)
+        self.limit_refusals.set(limits.turned_away)
+
     def render(self):
         """Return all metrics as a page of text."""
         return generate_latest(self.registry)
--- a/tanagerwalk/gateway/permit_wait.py
+++ b/tanagerwalk/gateway/permit_wait.py
@@ -85,7 +85,7 @@
 
     def _is_usable(self, usage):
         """Return whether a server still takes requests, after a wait."""
-        return usage.accepts_requests and usage.held_until <= self._clock()
+        return usage.accepts_requests and self._servers.is_free(usage, self._clock())
 
     def begin(self, server):
         """Return the Hold of an attempt that needs no permit."""
--- a/tanagerwalk/gateway/place_wait.py
+++ b/tanagerwalk/gateway/place_wait.py
@@ -70,11 +70,14 @@
 
     async def _wait_for_limit(self, queue, max_wait):
         """Wait until a server with a limit takes a request, if that is soon."""
-        waiting = self._servers.limits.waiting
+        limits = self._servers.limits
+        waiting = limits.waiting
         expected = queue.estimate_wait(waiting[self._service])
         time_left = self._request.deadline - self._clock()
         if self._waited_for_limit + expected > min(max_wait, time_left):
+            limits.turned_away += 1
             return False
+        limits.delayed += 1
         waiting[self._service] += 1
         try:
             await asyncio.sleep(queue.wait)
--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -10,10 +10,13 @@
 import httptools
 
 from .behaviours import ENDLESS_STARTS, Behaviour
+from .coldness import Coldness
 
 ADDRESS = "127.0.0.1"
 EVENT_COUNT = 5
 CRASH_DELAY_S = 0.03
+HEALTH_PATH = "/health"
+MS_PER_S = 1000.0
 
 
 @dataclass(slots=True)
@@ -51,6 +54,8 @@
         Monotonic times at which the server fell over, in seconds.
     is_down : bool
         Whether it has fallen over and not started again.
+    coldness : Coldness
+        Whether it is cold, and what it bears then.
     """
 
     def __init__(self, server_id, ip=ADDRESS, places=None):
@@ -59,6 +64,7 @@
         self.places = places
         self.falls = []
         self.is_down = False
+        self.coldness = Coldness()
         self._port = 0
         self._born = 1
         self.behaviour = Behaviour()
@@ -90,7 +96,7 @@
             "version": version,
             "slots": 8 if self.places is None else self.places.slots,
             "state": state,
-            "cold_left_ms": 0,
+            "cold_left_ms": round(self.coldness.find_left() * MS_PER_S),
             "sequence": 1,
             "born": self._born,
         }
@@ -121,8 +127,10 @@
         self.falls.append(time.monotonic())
         await self.stop()
         await asyncio.sleep(seconds)
-        self.places.clear()
+        if self.places is not None:
+            self.places.clear()
         self._born += 1
+        self.coldness.begin_start()
         await self.start()
         self.is_down = False
         return True
@@ -183,6 +191,8 @@
     def on_message_complete(self):
         self._request.method = self._parser.get_method().decode()
         self.server.requests.append(self._request)
+        if self._request.target != HEALTH_PATH:
+            self.server.coldness.take()
         self._task = asyncio.get_running_loop().create_task(self._answer(self._request))
 
     async def _answer(self, request):
@@ -326,6 +336,9 @@
             head.append(f"Server-Limit: {self.server.behaviour.limit}")
         if self.server.behaviour.brittle:
             head.append(f"Server-Brittle: {self.server.behaviour.brittle}")
+        cold_left = self.server.coldness.find_left()
+        if request.target == HEALTH_PATH and cold_left > 0.0:
+            head.append(f"X-Tanagerwalk-Cold-Ms: {round(cold_left * MS_PER_S)}")
         if self.server.places is not None:
             head.append(f"X-Tanagerwalk-Engine-Load: {self.server.places.load}")
         if signed:
--- a/test/decisions/test_missing_servers.py
+++ b/test/decisions/test_missing_servers.py
@@ -62,11 +62,11 @@
 def test_limit_holds_while_the_entry_is_gone(pool):
     pool.record_limit(SERVER, 0.5, 0.0)
     pool.replace_servers([])
-    assert pool.limits.has_limit(hash_life(SERVER))
+    assert pool.limits.has_limit(hash_life(SERVER), 0.0)
 
 
 def test_number_of_missing_servers_is_bounded(pool):
     for born in range(2, MAX_MISSING + 10):
         pool.record_limit(pool.find("s1").server, 0.5, 0.0)
         pool.replace_servers([replace(SERVER, born=born)])
-    assert not pool.limits.has_limit(hash_life(SERVER))
+    assert not pool.limits.has_limit(hash_life(SERVER), 0.0)
--- a/test/decisions/test_server_limits.py
+++ b/test/decisions/test_server_limits.py
@@ -87,7 +87,7 @@
     waits = [limits.find_wait(LIFE, 0.0) for limits in fleet]
     assert waits.count(math.inf) == 4
     without = fleet[waits.index(math.inf)]
-    assert without.find_rate(LIFE) == 0.0
+    assert without.find_rate(LIFE, 0.0) == 0.0
     assert LimitQueue(math.inf, 0.0).estimate_wait(3) == math.inf
 
 
@@ -95,9 +95,9 @@
     limits = build_limits()
     assert limits.record(LIFE, 2.0, 10.0)
     assert not limits.merge(LIFE, Statement(None, 1.0), 10.5)
-    assert limits.has_limit(LIFE)
+    assert limits.has_limit(LIFE, 10.5)
     assert limits.merge(LIFE, Statement(None, 0.1), 11.0)
-    assert not limits.has_limit(LIFE)
+    assert not limits.has_limit(LIFE, 11.0)
     assert limits.find_wait(LIFE, 11.0) == 0.0
     assert not limits.merge(LIFE, Statement(2.0, 1.0), 11.0)
     assert limits.merge(LIFE, Statement(3.0, 0.0), 12.0)
@@ -108,7 +108,7 @@
     limits.record(LIFE, 2.0, 10.0)
     assert limits.list_news(11.0) == {LIFE: Statement(2.0, 1.0)}
     assert limits.list_news(10.1 + NEWS_LIFETIME_S) == {}
-    assert limits.has_limit(LIFE)
+    assert limits.has_limit(LIFE, 20.0)
     limits.record(LIFE, None, 20.0)
     assert limits.list_news(20.0) == {LIFE: Statement(None, 0.0)}
     limits.list_news(20.1 + ENDED_LIFETIME_S)
--- a/test/gateway/test_limited_servers.py
+++ b/test/gateway/test_limited_servers.py
@@ -48,6 +48,11 @@
     )
 
 
+def has_limit(instance, server):
+    """Return whether an instance knows that a server has a limit."""
+    return instance.servers.limits.has_limit(hash_life(server), instance.clock())
+
+
 def allow(limit):
     return 1.5 * limit * WINDOW_S + 5.0
 
@@ -67,19 +72,13 @@
     cluster.servers["desk-0"].behaviour = Behaviour(limit="2")
     first, second, _ = cluster.instances
     server = first.servers.find("desk-0").server
-    while not first.servers.limits.has_limit(hash_life(server)):
+    while not has_limit(first, server):
         await cluster.send(cluster.encode("GET", "/jobs/7"), first)
-    assert await poll_until(
-        lambda: second.servers.limits.has_limit(hash_life(server)), 0.02, NEWS_S
-    )
+    assert await poll_until(lambda: has_limit(second, server), 0.02, NEWS_S)
     cluster.servers["desk-0"].behaviour = Behaviour()
     await send_for(cluster, NEWS_S)
     assert await poll_until(
-        lambda: (
-            not any(
-                i.servers.limits.has_limit(hash_life(server)) for i in cluster.instances
-            )
-        ),
+        lambda: not any(has_limit(i, server) for i in cluster.instances),
         0.02,
         NEWS_S,
     )
