--- a/tanagerwalk/decisions/limit_parts.py
+++ b/tanagerwalk/decisions/limit_parts.py
@@ -56,6 +56,10 @@
     rate: float
     most: float
 
+    def scale(self, share):
+        """Return a share of the limit."""
+        return ColdLimit(share * self.rate, share * self.most)
+
 
 def divide_stated_limit(rate, members):
     """Return the LimitParts of a limit that a server names.
--- a/tanagerwalk/decisions/server_limits.py
+++ b/tanagerwalk/decisions/server_limits.py
@@ -18,6 +18,8 @@
 UNUSED_LIFETIME_S = 0.5
 # Until an instance knows the others after its start: how many there are at least.
 UNSETTLED_MEMBERS = 9
+# Share of a limit that is used meanwhile: the others may not know each other either.
+UNSETTLED_SHARE = 0.5
 # Time in which all instances that start together have registered.
 SETTLE_S = 6.0
 
@@ -167,6 +169,7 @@
             return parts
         if now < self._settled_at:
             members = max(members, UNSETTLED_MEMBERS)
+            cold_limit = cold_limit.scale(UNSETTLED_SHARE)
         cold_parts = divide_cold_limit(cold_limit, members)
         return cold_parts if parts is None else parts.restrict(cold_parts)
 
