--- a/tanagerwalk/decisions/limit_parts.py
+++ b/tanagerwalk/decisions/limit_parts.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass
+from functools import lru_cache
 
 # A server that names less is asked from time to time, to hear when its need has ended.
 MIN_RATE_PER_S = 0.1
@@ -11,6 +12,7 @@
 COLD_WINDOW_S = 1.0
 # Requests are sent a little later than planned, and not all equally so.
 INTERVAL_MARGIN = 1.05
+MAX_CACHED_DIVISIONS = 512
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +63,7 @@
         return ColdLimit(share * self.rate, share * self.most)
 
 
+@lru_cache(MAX_CACHED_DIVISIONS)
 def divide_stated_limit(rate, members):
     """Return the LimitParts of a limit that a server names.
 
@@ -76,6 +79,7 @@
     return LimitParts(count, count / rate)
 
 
+@lru_cache(MAX_CACHED_DIVISIONS)
 def divide_cold_limit(limit, members):
     """Return the LimitParts of the limit of a cold server.
 
--- a/tanagerwalk/decisions/server_limits.py
+++ b/tanagerwalk/decisions/server_limits.py
@@ -96,18 +96,17 @@
     def record(self, life, rate, now):
         """Record the limit in an answer of a server; see `ServerStatements.record`."""
         is_news = self._statements.record(life, rate, now)
-        self._begin(life, now)
+        self._begin(life, self._find_parts(life, now), now)
         return is_news
 
     def merge(self, life, statement, now):
         """Merge the Statement of another instance; return whether it was not known."""
         is_news = self._statements.merge(life, statement, now)
-        self._begin(life, now)
+        self._begin(life, self._find_parts(life, now), now)
         return is_news
 
-    def _begin(self, life, now):
+    def _begin(self, life, parts, now):
         """Choose when the first request may be sent to a server, if it has a limit."""
-        parts = self._find_parts(life, now)
         if parts is None:
             self._next_at.pop(life, None)
         elif life not in self._next_at:
@@ -182,7 +181,7 @@
 
     def _find_next(self, life, parts, now):
         """Return when the next request may be sent, without those not sent in time."""
-        self._begin(life, now)
+        self._begin(life, parts, now)
         unused = now - UNUSED_LIFETIME_S - self._next_at[life]
         if unused > 0.0 and not parts.is_spaced:
             intervals = math.ceil(unused / parts.interval)
