--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -28,6 +28,7 @@
 from .change_feed import ChangeServer, SharedFeed, StoreFeed
 from .clocks import read_boot_clock
 from .cluster_state import ClusterState
+from .cold_watch import ColdWatch
 from .connector import ServerConnector
 from .crash_check import CrashCheck
 from .exchange import AttemptRunner
@@ -124,6 +125,7 @@
             self.subscriber_defects,
         )
         self._create_region_rules()
+        self._create_cold_watch()
 
         self.rollouts = ReleaseRolloutController(
             self.store,
@@ -151,7 +153,7 @@
         self._create_manifest_recovery()
         self.quarantine = QuarantineFilter(self.servers, self.clock, self.random)
         self.crash_check = CrashCheck(
-            self.connection_pool.connector, self.quarantine.record_end
+            self.connection_pool.connector, self._record_crash
         )
         self.permits = ServerPermits(
             self.incarnation, self.servers, self.metrics, self.clock, self.random
@@ -186,6 +188,15 @@
         )
         self.cluster_state.on_manifest = self.region_rules.check_manifest
 
+    def _create_cold_watch(self):
+        self.cold_watch = ColdWatch(
+            self.servers,
+            self.cluster_state,
+            lambda: self.settings.bounds,
+            self.clock,
+        )
+        self.mirror.subscribe(self.cold_watch.update)
+
     def _create_connections(self):
         self.tunnel_server = TunnelServer(
             self.servers, self.paths, self.limits.memory, self.clock
@@ -214,6 +225,10 @@
         self.connection_pool.close_idle_to(server)
         self.quarantine.record_end(server)
 
+    def _record_crash(self, server):
+        self.quarantine.record_end(server)
+        self.cold_watch.record_crash(server)
+
     def _create_mirror(self):
         self.watchers = WatcherSelection(self.incarnation, self.settings.failure_domain)
         self.feed = SharedFeed(
@@ -393,6 +408,7 @@
         self.metrics.store_calls.set(self.store.calls)
         contradictions = self.assigner.count_contradictions()
         self.metrics.session_contradictions.set(contradictions)
+        self.metrics.set_limits(self.servers.limits, self.clock())
         self.metrics.in_flight.set(self.client_listener.in_flight)
         return encode_ok_response(self.metrics.render(), CONTENT_TYPE_LATEST)
 
