Send nothing to evacuated failure domains

Operators write op/evacuate/NAME to request that no more requests go to the servers of a failure domain. Nothing read these entries: with two gateways, 532 requests reached the domain later than 3 s after the request, in 3 s.

Cause: ClusterState decoded the manifest and the roll-out orders only.

Change: ClusterState decodes the entries, EvacuationController puts them in force, and ServerUsage.accepts_requests is false for the servers of the domain, so that each way to choose a server leaves them out. Coordinators of permits grant no places there, and instances that know open no tunnels for those that don't. Pauses between reads of the store follow the evacuation delay too. A service without other servers is refused at once with a reason of its own.

--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -90,6 +90,8 @@
         Whether the server has said that it leaves.
     held_until : float
         Monotonic time until which the server wants no requests from this instance.
+    is_evacuated : bool
+        Whether the operators evacuate the failure domain of the server.
     """
 
     server: RegisteredServer
@@ -105,9 +107,15 @@
     runs_models: bool = False
     is_leaving: bool = False
     held_until: float = float("-inf")
+    is_evacuated: bool = False
 
     @property
     def accepts_requests(self):
+        """Whether the server is in service and its failure domain not evacuated."""
+        return self.is_in_service and not self.is_evacuated
+
+    @property
+    def is_in_service(self):
         """Whether the server is ready, at its address and not about to leave."""
         is_ready = self.server.state is ServerState.READY and not self.is_leaving
         return is_ready and not self.is_address_reused
--- a/tanagerwalk/decisions/server_usage_table.py
+++ b/tanagerwalk/decisions/server_usage_table.py
@@ -24,10 +24,16 @@
         Mean cost of a request for an engine, in tokens.
     on_kept_off : callable
         Takes the id of a server that wants no requests, for a while or for good.
+    evacuated : frozenset of FailureDomain
+        Failure domains whose servers get no requests; see `set_evacuated`.
+    on_evacuation_end : callable
+        Takes the frozenset of failure domains whose evacuation has just ended.
     """
 
     def __init__(self):
         self.on_kept_off = _ignore
+        self.evacuated = frozenset()
+        self.on_evacuation_end = _ignore
         self._usages: dict[BackendServerId, ServerUsage] = {}
         self._usages_by_life = {}
         self._missing = MissingServers()
@@ -69,8 +75,30 @@
         self._usages_by_life = {
             hash_life(usage.server): usage for usage in self._usages.values()
         }
+        self._mark_evacuated()
         return gone
 
+    def set_evacuated(self, failure_domains):
+        """Set the failure domains whose servers get no requests.
+
+        Parameters
+        ----------
+        failure_domains : frozenset of FailureDomain
+            All of them; ones without servers may be among them.
+        """
+        ended = self.evacuated - failure_domains
+        self.evacuated = failure_domains
+        self._mark_evacuated()
+        if ended:
+            self.on_evacuation_end(ended)
+
+    def _mark_evacuated(self):
+        for usage in self._usages.values():
+            was_evacuated = usage.is_evacuated
+            usage.is_evacuated = usage.server.failure_domain in self.evacuated
+            if usage.is_evacuated and not was_evacuated:
+                self.on_kept_off(usage.server.id)
+
     def _keep_missing(self, usage):
         """Remember what a server said whose entry is gone.
 
@@ -128,6 +156,23 @@
             for usage in self.list_usages(service)
         )
 
+    def is_evacuated(self, service, is_allowed):
+        """Return whether only evacuations keep a service without servers.
+
+        Parameters
+        ----------
+        service : ServiceName
+            The service.
+        is_allowed : callable
+            Takes a RegisteredServer and returns whether it may be used.
+        """
+        in_service = [
+            usage
+            for usage in self.list_usages(service)
+            if usage.is_in_service and is_allowed(usage.server)
+        ]
+        return bool(in_service) and all(usage.is_evacuated for usage in in_service)
+
     def record_sent(self, server, work=None):
         """Record a request that is sent to a server.
 
@@ -271,8 +316,8 @@
             usage.reused_at = usage.server.revision
 
 
-def _ignore(server_id):
-    del server_id
+def _ignore(what):
+    del what
 
 
 def hash_life(server):
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -30,6 +30,7 @@
 from .cluster_state import ClusterState
 from .connector import ServerConnector
 from .crash_check import CrashCheck
+from .evacuation import EvacuationController
 from .exchange import AttemptRunner
 from .execution_context import ExecutionContext
 from .fleet_key import FleetKey
@@ -122,6 +123,14 @@
             self._forget_server,
             self.subscriber_defects,
         )
+        self.evacuation = EvacuationController(
+            self.mirror,
+            self.cluster_state,
+            self.servers,
+            self.metrics.evacuated,
+            lambda: self.settings.bounds.evacuation_delay,
+            self.random,
+        )
 
         self.rollouts = ReleaseRolloutController(
             self.store,
@@ -236,7 +245,7 @@
     def _find_change_delay(self):
         """Return the seconds within which any change of the store takes effect."""
         bounds = self.settings.bounds
-        return min(bounds.drain_timeout, bounds.change_delay)
+        return min(bounds.drain_timeout, bounds.change_delay, bounds.evacuation_delay)
 
     def _create_membership(self):
         own_domain = self.settings.failure_domain
@@ -266,10 +275,12 @@
         )
 
     def _create_manifest_recovery(self):
-        ManifestServer(self.cluster_state).register(self.peer_server)
+        manifest_server = ManifestServer(self.cluster_state, self.evacuation.list_told)
+        manifest_server.register(self.peer_server)
         self.manifest_recovery = ManifestRecovery(
             self.mirror,
             self.cluster_state,
+            self.evacuation.adopt,
             self.freshness.confirm,
             lambda: self.membership.peers,
             self._get_peer_address,
@@ -465,6 +476,7 @@
         await self.feed.close()
         await self.manifest_recovery.close()
         self.crash_check.close()
+        self.evacuation.close()
         self.limits.close()
         self.connection_pool.close()
         self.store.close()
--- a/tanagerwalk/gateway/cluster_state.py
+++ b/tanagerwalk/gateway/cluster_state.py
@@ -31,6 +31,9 @@
         The entry that it was decoded from.
     orders : dict of ServiceName to RolloutOrder
         Roll-outs that the operators ordered, by service.
+    evacuations : dict of FailureDomain to Revision
+        Failure domains whose evacuation the operators request, with the revision of
+        the request.
     """
 
     def __init__(self, mirror, codec, servers, on_server_removed, defects=None):
@@ -44,11 +47,12 @@
         self.manifest = None
         self.manifest_entry = None
         self.orders = {}
+        self.evacuations = {}
         mirror.subscribe(self._load_operator_entries, is_needed=True)
         mirror.subscribe(self._load_servers)
 
     def subscribe(self, subscriber):
-        """Call `subscriber` without arguments whenever the orders are reloaded."""
+        """Call `subscriber` without arguments when the operators' entries are read."""
         self._subscribers.add(subscriber)
 
     @property
@@ -58,6 +62,7 @@
 
     def _load_operator_entries(self):
         orders = {}
+        evacuations = {}
         for entry in self._mirror.list_entries(self._codec.operator_prefix):
             if self._codec.is_manifest(entry.key):
                 self._update_manifest(entry)
@@ -65,9 +70,14 @@
                 order = self._decode(self._codec.parse_rollout_order, entry)
                 if order is not None:
                     orders[order.service] = order
+            elif self._codec.is_evacuation(entry.key):
+                domain = self._decode(self._codec.parse_evacuation, entry)
+                if domain is not None:
+                    evacuations[domain] = entry.revision
         if orders != self.orders:
             log.info("rollout orders", orders=[repr(o) for o in orders.values()])
         self.orders = orders
+        self.evacuations = evacuations
         self._subscribers.call()
 
     def _update_manifest(self, entry):
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -138,7 +138,7 @@
             if server is None and await self._place_wait.wait(self._history):
                 continue
             if server is None:
-                return self._log_result(self._give_up(RefusalReason.NO_BACKEND_SERVER))
+                return self._log_result(self._give_up(self._place_wait.find_reason()))
             result = await self._attempt(server, hold)
             if result.outcome is Outcome.DELIVERED:
                 if result.head is not None:
--- a/tanagerwalk/gateway/manifest_recovery.py
+++ b/tanagerwalk/gateway/manifest_recovery.py
@@ -1,4 +1,4 @@
-"""Recovers the newest manifest from other instances after a restore of the store.
+"""Recovers what a restored store lacks from other instances: manifest, evacuations.
 
 A store that is restored from an older copy lacks what was written since. Until the
 operators write their manifest again, an instance that did not see it can't tell from
@@ -30,16 +30,19 @@
 
 
 class ManifestServer:
-    """Tells other instances the manifest in force.
+    """Tells other instances the manifest and the evacuations in force.
 
     Parameters
     ----------
     cluster_state : ClusterState
         Provides the manifest.
+    list_evacuated : callable
+        Returns the evacuated failure domains.
     """
 
-    def __init__(self, cluster_state):
+    def __init__(self, cluster_state, list_evacuated):
         self._cluster_state = cluster_state
+        self._list_evacuated = list_evacuated
 
     def register(self, peer_server):
         """Answer the questions for the manifest that reach a PeerServer."""
@@ -50,15 +53,19 @@
         if request.is_error() or request.ok.version is None:
             log.warning("malformed request for the manifest", peer=sender)
             return encode(ManifestResponse())
+        entry = self._find_newer_entry(request.ok.version)
+        evacuated = sorted(self._list_evacuated())
+        return encode(ManifestResponse(entry, evacuated or None))
+
+    def _find_newer_entry(self, version):
+        """Return the WrittenEntry of the manifest in force, or None if not newer."""
         manifest = self._cluster_state.manifest
         if manifest is None or manifest.version is None:
-            return encode(ManifestResponse())
-        if manifest.version <= request.ok.version:
-            return encode(ManifestResponse())
+            return None
+        if manifest.version <= version:
+            return None
         entry = self._cluster_state.manifest_entry
-        return encode(
-            ManifestResponse(WrittenEntry(entry.key, entry.value, entry.revision))
-        )
+        return WrittenEntry(entry.key, entry.value, entry.revision)
 
 
 class ManifestRecovery:
@@ -70,6 +77,8 @@
         Local copy of the store; tells its era.
     cluster_state : ClusterState
         Holds the manifest in force, and adopts a newer one.
+    adopt_evacuated : callable
+        Takes the list of failure domains that another instance knows as evacuated.
     confirm : callable
         Takes a boot time in seconds at which the manifest in force was the newest.
     get_peers : callable
@@ -89,10 +98,19 @@
     """
 
     def __init__(
-        self, mirror, cluster_state, confirm, get_peers, get_address, own_id, random
+        self,
+        mirror,
+        cluster_state,
+        adopt_evacuated,
+        confirm,
+        get_peers,
+        get_address,
+        own_id,
+        random,
     ):
         self._mirror = mirror
         self._cluster_state = cluster_state
+        self._adopt_evacuated = adopt_evacuated
         self._confirm = confirm
         self._get_peers = get_peers
         self._get_address = get_address
@@ -177,6 +195,7 @@
         if response.is_error():
             log.warning("malformed manifest", peer=peer_id, problem=response.error)
             return False
+        self._adopt_evacuated(response.ok.evacuated or [])
         told = response.ok.entry
         if told is not None and not is_complete(told):
             log.warning("incomplete manifest", peer=peer_id)
--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -54,6 +54,9 @@
             "session_contradictions",
             "Times that two instances knew another release of one session.",
         )
+        self.evacuated = self._create_gauge(
+            "evacuated", "1 for each evacuated failure domain.", ["failure_domain"]
+        )
         self.in_flight = self._create_gauge(
             "in_flight", "Requests that are being answered."
         )
--- a/tanagerwalk/gateway/permit_coordinator.py
+++ b/tanagerwalk/gateway/permit_coordinator.py
@@ -100,7 +100,7 @@
         usage = self._servers.find_life(life)
         if usage is None or usage.server.service != service:
             return None
-        return usage.server.slots
+        return None if usage.is_evacuated else usage.server.slots
 
     def _find_bearable(self, service):
         bearable = self._servers.find_bearable(service, self._clock())
--- a/tanagerwalk/gateway/place_wait.py
+++ b/tanagerwalk/gateway/place_wait.py
@@ -4,6 +4,7 @@
 import math
 
 from ..decisions.attempts import find_path_wait
+from ..outcomes import RefusalReason
 
 PATH_POLL_INTERVAL_S = 0.05
 
@@ -84,9 +85,23 @@
         return True
 
     def is_kept_off(self):
-        """Return whether servers take no request now by their own word."""
+        """Return whether servers exist, but take no request now.
+
+        By their own word, or as all of them are evacuated.
+        """
+        if self._is_evacuated():
+            return True
         return self.find_limit_queue() is not None or self.find_hold() > 0.0
 
+    def find_reason(self):
+        """Return the RefusalReason of a request that finds no server."""
+        if self._is_evacuated():
+            return RefusalReason.EVACUATED
+        return RefusalReason.NO_BACKEND_SERVER
+
+    def _is_evacuated(self):
+        return self._servers.is_evacuated(self._service, self._allows_server)
+
     def find_limit_queue(self):
         """Return the LimitQueue of the allowed servers, or None if none has a limit."""
         now = self._clock()
--- a/tanagerwalk/gateway/tunnels.py
+++ b/tanagerwalk/gateway/tunnels.py
@@ -59,6 +59,7 @@
     TOO_MANY = "too_many"
     UNKNOWN_SERVER = "unknown_server"
     ON_HOLD = "on_hold"
+    EVACUATED = "evacuated"
     UNREACHABLE = "unreachable"
 
 
@@ -138,8 +139,10 @@
         if self.tunnel_count >= MAX_TUNNELS:
             return Error(TunnelFault.TOO_MANY)
         usage = self._servers.find(server_id)
-        if usage is None or not usage.accepts_requests:
+        if usage is None or not usage.is_in_service:
             return Error(TunnelFault.UNKNOWN_SERVER)
+        if usage.is_evacuated:
+            return Error(TunnelFault.EVACUATED)
         if usage.held_until > self._clock():
             return Error(TunnelFault.ON_HOLD)
         if self._paths.get_state(server_id) is not PathState.DIRECT:
--- a/tanagerwalk/outcomes.py
+++ b/tanagerwalk/outcomes.py
@@ -93,6 +93,7 @@
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     NO_BACKEND_SERVER = "no_backend_server"
+    EVACUATED = "evacuated"
     RETRY_BUDGET_SPENT = "retry_budget_spent"
     BACKEND_FAILED = "backend_failed"
     INTERNAL_ERROR = "internal_error"
--- a/tanagerwalk/peers/changes.thrift
+++ b/tanagerwalk/peers/changes.thrift
@@ -39,4 +39,6 @@
 struct ManifestResponse {
   // Absent if the asked instance has no newer manifest.
   1: optional WrittenEntry entry
+  // Failure domains that the asked instance knows to be evacuated.
+  2: optional list<string> evacuated
 }
--- a/tanagerwalk/peers/gen/changes/ttypes.py
+++ b/tanagerwalk/peers/gen/changes/ttypes.py
@@ -411,12 +411,14 @@
     """
     Attributes:
      - entry
+     - evacuated
 
     """
 
 
-    def __init__(self, entry=None,):
+    def __init__(self, entry=None, evacuated=None,):
         self.entry = entry
+        self.evacuated = evacuated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -433,6 +435,16 @@
                     self.entry.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.evacuated = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -447,6 +459,13 @@
             oprot.writeFieldBegin('entry', TType.STRUCT, 1)
             self.entry.write(oprot)
             oprot.writeFieldEnd()
+        if self.evacuated is not None:
+            oprot.writeFieldBegin('evacuated', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.evacuated))
+            for iter20 in self.evacuated:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -500,6 +519,7 @@
 ManifestResponse.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'entry', [WrittenEntry, None], None, ),  # 1
+    (2, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
 fix_spec(all_structs)
 del all_structs
--- a/tanagerwalk/standins/gateway_cluster.py
+++ b/tanagerwalk/standins/gateway_cluster.py
@@ -147,6 +147,15 @@
         await poll_until(instance.is_ready, 0.01, READY_TIMEOUT_S)
         return instance
 
+    async def evacuate(self, *domains):
+        """Request that nothing more is sent to failure domains, as operators do."""
+        for domain in domains:
+            await self.store.put(f"op/evacuate/{domain}", b"{}")
+
+    async def end_evacuation(self, domain):
+        """Take the evacuation of a failure domain back."""
+        await self.store.remove(f"op/evacuate/{domain}")
+
     async def wait_until_connected(self):
         """Wait until the instances know each other and the key of the fleet.
 
--- a/test/decisions/test_selection.py
+++ b/test/decisions/test_selection.py
@@ -53,6 +53,44 @@
     assert {chosen.count(f"s{n}") for n in range(4)} == {10}
 
 
+def test_load_of_an_evacuated_failure_domain_is_spread_over_the_others():
+    pool = build_pool(
+        build_server("s0"), *(build_server(f"s{n}", "a-2") for n in (1, 2))
+    )
+    pool.set_evacuated(frozenset({"a-1"}))
+    chosen = send_many(pool, 40)
+    assert [chosen.count(f"s{n}") for n in range(3)] == [0, 20, 20]
+
+
+def test_service_without_other_servers_than_evacuated_ones_has_none():
+    pool = build_pool(build_server("s0"), build_server("s1", "b-1"))
+    pool.set_evacuated(frozenset({"a-1", "b-1"}))
+    assert pool.choose("drafts", 0.0) is None
+    assert pool.list_candidates("drafts", 0.0, frozenset(), lambda server: True) == []
+    assert not pool.has_server("drafts", lambda server: True)
+    assert pool.estimate_wait("drafts", 0.0) == 0.0
+    assert pool.is_evacuated("drafts", lambda server: True)
+    assert not pool.is_evacuated("drafts", lambda server: False)
+    assert not pool.is_evacuated("desk", lambda server: True)
+
+
+def test_server_that_registers_in_an_evacuated_failure_domain_gets_nothing():
+    pool = build_pool()
+    pool.set_evacuated(frozenset({"a-1"}))
+    pool.replace_servers([build_server("s0"), build_server("s1", "b-1")])
+    assert pool.choose("drafts", 0.0).id == "s1"
+
+
+def test_end_of_an_evacuation_is_told_once():
+    pool = build_pool(build_server("s0"))
+    ended, kept_off = [], []
+    pool.on_evacuation_end, pool.on_kept_off = ended.append, kept_off.append
+    for domains in ({"a-1", "a-2"}, {"a-1"}, {"a-1"}, set()):
+        pool.set_evacuated(frozenset(domains))
+    assert ended == [{"a-2"}, {"a-1"}]
+    assert kept_off == ["s0"]
+
+
 def test_large_prompt_diverts_small_ones():
     pool = build_pool(build_server("s0"), build_server("s1"))
     pool.record_sent(pool.find("s0").server, estimate_work(50000, 1.0))
--- a/test/gateway/permit_fleet.py
+++ b/test/gateway/permit_fleet.py
@@ -94,6 +94,7 @@
     def __init__(self, life, scenario, result, on_end, random):
         self.server = SimpleNamespace(service=SERVICE, slots=scenario.slots, id=life)
         self.accepts_requests = True
+        self.is_evacuated = False
         self.life = life
         self._scenario = scenario
         self._result = result
