--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -31,6 +31,7 @@
 from .cold_watch import ColdWatch
 from .connector import ServerConnector
 from .crash_check import CrashCheck
+from .evacuation import EvacuationController
 from .exchange import AttemptRunner
 from .execution_context import ExecutionContext
 from .fleet_key import FleetKey
@@ -126,6 +127,7 @@
         )
         self._create_region_rules()
         self._create_cold_watch()
+        self._create_evacuation()
 
         self.rollouts = ReleaseRolloutController(
             self.store,
@@ -197,6 +199,17 @@
         )
         self.mirror.subscribe(self.cold_watch.update)
 
+    def _create_evacuation(self):
+        self.evacuation = EvacuationController(
+            self.mirror,
+            self.cluster_state,
+            self.servers,
+            self.metrics.evacuated,
+            lambda: self.settings.bounds.evacuation_delay,
+            self.random,
+        )
+        self.servers.on_evacuation_end = self.cold_watch.mark_cold
+
     def _create_connections(self):
         self.tunnel_server = TunnelServer(
             self.servers, self.paths, self.limits.memory, self.clock
@@ -265,7 +278,7 @@
     def _find_change_delay(self):
         """Return the seconds within which any change of the store takes effect."""
         bounds = self.settings.bounds
-        return min(bounds.drain_timeout, bounds.change_delay)
+        return min(bounds.drain_timeout, bounds.change_delay, bounds.evacuation_delay)
 
     def _create_membership(self):
         own_domain = self.settings.failure_domain
@@ -295,10 +308,12 @@
         )
 
     def _create_manifest_recovery(self):
-        ManifestServer(self.cluster_state).register(self.peer_server)
+        manifest_server = ManifestServer(self.cluster_state, self.evacuation.list_told)
+        manifest_server.register(self.peer_server)
         self.manifest_recovery = ManifestRecovery(
             self.mirror,
             self.cluster_state,
+            self.evacuation.adopt,
             self.freshness.confirm,
             lambda: self.membership.peers,
             self._get_peer_address,
@@ -496,6 +511,7 @@
         await self.feed.close()
         await self.manifest_recovery.close()
         self.crash_check.close()
+        self.evacuation.close()
         self.limits.close()
         self.connection_pool.close()
         self.store.close()
--- a/tanagerwalk/gateway/cluster_state.py
+++ b/tanagerwalk/gateway/cluster_state.py
@@ -33,6 +33,9 @@
         Roll-outs that the operators ordered, by service.
     on_manifest : callable
         Takes each Manifest that is put in force.
+    evacuations : dict of FailureDomain to Revision
+        Failure domains whose evacuation the operators request, with the revision of
+        the request.
     """
 
     def __init__(self, mirror, codec, servers, on_server_removed, defects=None):
@@ -47,11 +50,12 @@
         self.manifest_entry = None
         self.orders = {}
         self.on_manifest = _ignore
+        self.evacuations = {}
         mirror.subscribe(self._load_operator_entries, is_needed=True)
         mirror.subscribe(self._load_servers)
 
     def subscribe(self, subscriber):
-        """Call `subscriber` without arguments whenever the orders are reloaded."""
+        """Call `subscriber` without arguments when the operators' entries are read."""
         self._subscribers.add(subscriber)
 
     @property
@@ -61,6 +65,7 @@
 
     def _load_operator_entries(self):
         orders = {}
+        evacuations = {}
         for entry in self._mirror.list_entries(self._codec.operator_prefix):
             if self._codec.is_manifest(entry.key):
                 self._update_manifest(entry)
@@ -68,9 +73,14 @@
                 order = self._decode(self._codec.parse_rollout_order, entry)
                 if order is not None:
                     orders[order.service] = order
+            elif self._codec.is_evacuation(entry.key):
+                domain = self._decode(self._codec.parse_evacuation, entry)
+                if domain is not None:
+                    evacuations[domain] = entry.revision
         if orders != self.orders:
             log.info("rollout orders", orders=[repr(o) for o in orders.values()])
         self.orders = orders
+        self.evacuations = evacuations
         self._subscribers.call()
 
     def _update_manifest(self, entry):
--- a/tanagerwalk/outcomes.py
+++ b/tanagerwalk/outcomes.py
@@ -96,6 +96,7 @@
     NO_ALLOWED_REGION = "no_allowed_region"
     NO_ALLOWED_SERVER = "no_allowed_server"
     ALLOWED_REGIONS_UNREACHABLE = "allowed_regions_unreachable"
+    EVACUATED = "evacuated"
     RETRY_BUDGET_SPENT = "retry_budget_spent"
     BACKEND_FAILED = "backend_failed"
     INTERNAL_ERROR = "internal_error"
