--- a/tanagerwalk/decisions/locations.py
+++ b/tanagerwalk/decisions/locations.py
@@ -1,6 +1,7 @@
 """Location of a gateway instance, and what distance to a server costs."""
 
 from dataclasses import dataclass, field
+from enum import Enum
 
 from ..ids import FailureDomain, Region
 
@@ -9,6 +10,14 @@
 REMOTE_REGION_COST = 0.15
 
 
+class Distance(Enum):
+    """How far a backend server is from this instance."""
+
+    SAME_DOMAIN = "same_domain"
+    SAME_REGION = "same_region"
+    OTHER_REGION = "other_region"
+
+
 @dataclass(frozen=True, slots=True)
 class Home:
     """Location of this instance, and the region of each failure domain."""
@@ -17,10 +26,26 @@
     region: Region
     regions: dict[FailureDomain, Region] = field(default_factory=dict)
 
+    @property
+    def has_neighbors(self):
+        """Whether the region of this instance has other failure domains."""
+        return any(
+            region == self.region and domain != self.failure_domain
+            for domain, region in self.regions.items()
+        )
+
     def is_same_region(self, failure_domain):
         """Return whether a failure domain is in the region of this instance."""
         return self.regions.get(failure_domain) == self.region
 
+    def find_distance(self, failure_domain):
+        """Return the Distance to a failure domain."""
+        if failure_domain == self.failure_domain:
+            return Distance.SAME_DOMAIN
+        if self.is_same_region(failure_domain):
+            return Distance.SAME_REGION
+        return Distance.OTHER_REGION
+
     def estimate_distance_cost(self, failure_domain):
         """Return the cost of sending to a failure domain, in units of load."""
         if failure_domain == self.failure_domain:
--- a/tanagerwalk/decisions/prompt_affinity.py
+++ b/tanagerwalk/decisions/prompt_affinity.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from .locations import REMOTE_DOMAIN_COST
 from .rendezvous import hash_member
 
 # Costs are in units of server load; a load of 1 is about one second of engine time.
@@ -24,11 +25,14 @@
         Cost of processing the shared parts on a server that has not cached them.
     remote_cost : float
         Cost of sending the request to another region.
+    domain_cost : float
+        Cost of sending the request to another failure domain of the region.
     """
 
     key: bytes
     cache_miss_cost: float
     remote_cost: float
+    domain_cost: float = REMOTE_DOMAIN_COST
 
     def rank_server(self, server_id):
         """Return the rendezvous hash of a server; the highest is preferred."""
@@ -52,9 +56,11 @@
     shared = prompt_info.parts[:-1]
     tokens = sum(count for _, count in shared)
     key = shared[-1][0].encode() if shared else b""
+    size_cost = prompt_info.prompt_tokens * REMOTE_COST_PER_TOKEN
     return PromptAffinity(
         key=key,
         cache_miss_cost=tokens
         * (CACHE_MISS_COST_PER_TOKEN + PREFILL_COST_PER_TOKEN * weight),
-        remote_cost=REMOTE_COST + prompt_info.prompt_tokens * REMOTE_COST_PER_TOKEN,
+        remote_cost=REMOTE_COST + size_cost,
+        domain_cost=REMOTE_DOMAIN_COST + size_cost,
     )
--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -1,17 +1,15 @@
 """Selection of the backend server for a request."""
 
+from functools import partial
+
 from .brittleness import BrittleServices
+from .locations import Distance
 from .paths import PathState
+from .server_choice import UNKNOWN_TRAITS, ChoiceInputs, build_chooser
 from .server_limits import LimitQueue, ServerLimits
 from .server_usage_table import ServerUsageTable, hash_life
 from .shared_loads import SharedLoad
 
-# The cost of load is linear plus quadratic: a short wait does not exceed a latency
-# objective, a long one does.
-LINEAR_LOAD_WEIGHT = 1.0
-SAMPLING_THRESHOLD = 12
-SAMPLE_SIZE = 3
-
 
 class ServerPool(ServerUsageTable):
     """All backend servers and what this instance knows about their usage.
@@ -33,6 +31,8 @@
         Limits that the servers name.
     brittle : BrittleServices
         Which services fall over under rejections.
+    chooser : ServerChooser
+        Chooses among the servers that a request may use.
     """
 
     def __init__(self, home, shared, paths, random):
@@ -40,11 +40,16 @@
         self._home = home
         self._shared = shared
         self._paths = paths
-        self._random = random
+        self.chooser = build_chooser(home, random)
         self.limits = ServerLimits(random)
         self.brittle = BrittleServices()
         self._possibly_leaving = frozenset()
 
+    @property
+    def prefers_local(self):
+        """Whether servers of the own failure domain are preferred while they last."""
+        return self._home.has_neighbors
+
     def set_possibly_leaving(self, server_ids):
         """Set the servers that may be leaving; they are used only as a last resort.
 
@@ -78,7 +83,15 @@
         ]
         return min(loads, default=0.0)
 
-    def choose(self, service, now, tried=frozenset(), is_allowed=None, affinity=None):
+    def choose(
+        self,
+        service,
+        now,
+        tried=frozenset(),
+        is_allowed=None,
+        affinity=None,
+        traits=UNKNOWN_TRAITS,
+    ):
         """Select the best server for a request, or None if there is none.
 
         Parameters
@@ -93,6 +106,8 @@
             Takes a RegisteredServer and returns whether it may be used.
         affinity : PromptAffinity or None
             Costs of the request that depend on the server.
+        traits : RequestTraits
+            Properties of the request that decide how far it is sent.
 
         Returns
         -------
@@ -105,21 +120,25 @@
             usage for usage in ready if usage.server.id not in self._possibly_leaving
         ] or ready
         ready = [usage for usage in ready if usage.has_room(now)] or ready
-        if len(ready) > SAMPLING_THRESHOLD:
-            ready = self._sample_candidates(ready, affinity)
-        # If all servers are paused, try the one whose pause ends first.
-        unpaused = [usage for usage in ready if usage.paused_until <= now]
-        if not unpaused:
-            return min(ready, key=lambda usage: usage.paused_until).server
-        if affinity is None:
-            return min(unpaused, key=lambda usage: self._score(usage, now)).server
-        preferred = _find_preferred(ready, affinity)
-        return min(
-            unpaused,
-            key=lambda usage: self._score_with_affinity(
-                usage, now, affinity, preferred
-            ),
-        ).server
+        inputs = ChoiceInputs(
+            service,
+            now,
+            partial(self._estimate_load, now=now),
+            affinity,
+            traits,
+            partial(self._has_own_server, service, now),
+        )
+        return self.chooser.choose(ready, inputs).server
+
+    def _has_own_server(self, service, now):
+        return any(
+            self.find_distance(usage.server) is Distance.SAME_DOMAIN
+            for usage in self._list_ready(service, now, frozenset(), None)
+        )
+
+    def find_distance(self, server):
+        """Return the Distance to a server."""
+        return self._home.find_distance(server.failure_domain)
 
     def _list_ready(self, service, now, tried, is_allowed):
         return [
@@ -157,7 +176,8 @@
             usage for usage in ready if usage.server.id not in self._possibly_leaving
         ] or ready
         unpaused = [usage for usage in ready if usage.paused_until <= now] or ready
-        ordered = sorted(unpaused, key=lambda usage: self._score(usage, now))
+        inputs = ChoiceInputs(service, now, partial(self._estimate_load, now=now))
+        ordered = sorted(unpaused, key=lambda usage: self.chooser.score(usage, inputs))
         return [usage.server for usage in ordered]
 
     def find_bearable(self, service, now):
@@ -270,38 +290,6 @@
         if not self.limits.is_empty:
             self.limits.record_sent(hash_life(server), now)
 
-    def _sample_candidates(self, usages, affinity):
-        """Return a random sample of servers plus the one preferred by affinity.
-
-        In a large fleet, load data is about a second old. If all instances selected
-        the server that looks best, they would overload it together.
-        """
-        candidates = self._random.sample(usages, SAMPLE_SIZE)
-        near = [
-            usage
-            for usage in usages
-            if self._home.is_same_region(usage.server.failure_domain)
-        ]
-        candidates += self._random.sample(near, min(len(near), SAMPLE_SIZE))
-        if affinity is not None:
-            preferred = _find_preferred(near or usages, affinity)
-            if preferred is not None:
-                candidates.append(preferred)
-        return candidates
-
-    def _score(self, usage, now):
-        distance = self._home.estimate_distance_cost(usage.server.failure_domain)
-        return self._estimate_load(usage, now) + distance, self._random.random()
-
-    def _score_with_affinity(self, usage, now, affinity, preferred):
-        load = self._estimate_load(usage, now)
-        cost = LINEAR_LOAD_WEIGHT * load + load * load
-        if usage is not preferred:
-            cost += affinity.cache_miss_cost
-        if not self._home.is_same_region(usage.server.failure_domain):
-            cost += affinity.remote_cost
-        return cost, self._random.random()
-
     def _estimate_load(self, usage, now):
         shared = self._shared.sum(usage.server.id, now)
         return usage.estimate_load(now, shared, self.mean_work)
@@ -361,10 +349,3 @@
         if usage is None or not self.has_sent_since(server, since):
             return False
         return usage.may_have_queue(now, self._shared.sum(server.id, now))
-
-
-def _find_preferred(usages, affinity):
-    """Return the server that all instances prefer for a shared part, or None."""
-    if not affinity.key:
-        return None
-    return max(usages, key=lambda usage: affinity.rank_server(usage.server.id))
--- /dev/null
+++ b/tanagerwalk/decisions/spillover.py
@@ -0,0 +1,130 @@
+"""Which share of a service's requests leaves the failure domain of an instance.
+
+A proportional-integral controller adapts the share to the excess of load at the own
+servers, over what they have room for and over the load of the others. All instances of
+a failure domain decide at the same time, on loads that are up to about a second old;
+its gains are low enough for that delay.
+"""
+
+import math
+from dataclasses import dataclass
+
+# Part of the latency objective that a request may wait at the own servers.
+WAIT_SHARE = 0.35
+# Bounds of the room of a domain's engines, in units of load.
+MIN_ENGINE_ROOM = 0.1
+MAX_ENGINE_ROOM = 0.5
+# The load from which a request looks elsewhere at once, relative to the room.
+FULL_RATIO = 1.4
+# The load of a plain server is the part of its slots that is in use.
+PLAIN_ROOM = 0.8
+PLAIN_FULL = 1.0
+UPDATE_PERIOD_S = 0.2
+# Without requests for longer, the loads tell little of the time in between.
+MAX_ELAPSED_S = 1.0
+# Time constant of the mean load of a failure domain.
+SMOOTHING_S = 0.5
+# Of the other failure domains, this part is taken to receive what leaves.
+RECEIVING_PART = 0.25
+# Share per excess, and share per second and excess while there is one or none. The
+# excess is relative to the room.
+PROPORTIONAL_GAIN = 0.33
+INTEGRAL_GAIN = 0.3
+RETURN_GAIN = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """How much load the servers of a failure domain take before requests leave it.
+
+    Parameters
+    ----------
+    limit : float
+        Load up to which no request leaves.
+    full : float
+        Load from which a request is sent elsewhere if it is better off there.
+    """
+
+    limit: float
+    full: float
+
+
+def find_room(runs_models, objective):
+    """Return the Room of a domain's servers for requests with an objective.
+
+    Parameters
+    ----------
+    runs_models : bool
+        Whether the servers are engines; their load is about the wait in seconds.
+    objective : float
+        Latency objective in seconds.
+    """
+    if not runs_models:
+        return Room(PLAIN_ROOM, PLAIN_FULL)
+    limit = min(MAX_ENGINE_ROOM, max(MIN_ENGINE_ROOM, WAIT_SHARE * objective))
+    return Room(limit, FULL_RATIO * limit)
+
+
+class Spillover:
+    """The share of one kind of requests that leaves the failure domain.
+
+    Parameters
+    ----------
+    room : Room
+        Room of the own servers for these requests.
+    standing : float
+        Share to begin with.
+
+    Attributes
+    ----------
+    share : float
+        The share, 0 to 1.
+    updated_at : float or None
+        Monotonic time of the last update, in seconds.
+    """
+
+    def __init__(self, room, standing=0.0):
+        self.room = room
+        self.share = standing
+        self.updated_at = None
+        self._standing = standing
+        self._loads = {}
+
+    def is_due(self, now):
+        """Return whether the share should be adapted to the present loads."""
+        return self.updated_at is None or now - self.updated_at >= UPDATE_PERIOD_S
+
+    def update(self, own, others, now):
+        """Adapt the share to the present loads.
+
+        Parameters
+        ----------
+        own : float
+            Load of the own failure domain.
+        others : dict of FailureDomain to float
+            Loads of the others, plus the costs of their distance; not empty.
+        now : float
+            Monotonic time in seconds.
+        """
+        elapsed = 0.0
+        if self.updated_at is not None:
+            elapsed = min(MAX_ELAPSED_S, now - self.updated_at)
+        self.updated_at = now
+        own = self._smooth(None, own, elapsed)
+        loads = sorted(self._smooth(*item, elapsed) for item in others.items())
+        receiving = loads[int(RECEIVING_PART * (len(loads) - 1))]
+        limit = self.room.limit
+        excess = (own - max(limit, receiving)) / limit
+        gain = INTEGRAL_GAIN if excess > 0.0 else RETURN_GAIN
+        self._standing = _bound(self._standing + gain * excess * elapsed)
+        self.share = _bound(self._standing + PROPORTIONAL_GAIN * excess)
+
+    def _smooth(self, failure_domain, load, elapsed):
+        known = self._loads.get(failure_domain, load)
+        part = 1.0 - math.exp(-elapsed / SMOOTHING_S)
+        self._loads[failure_domain] = known + part * (load - known)
+        return self._loads[failure_domain]
+
+
+def _bound(share):
+    return min(1.0, max(0.0, share))
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -379,6 +379,8 @@
         contradictions = self.assigner.count_contradictions()
         self.metrics.session_contradictions.set(contradictions)
         self.metrics.in_flight.set(self.client_listener.in_flight)
+        if self.servers.prefers_local:
+            self.metrics.set_departures(self.servers.chooser, self.clock())
         return encode_ok_response(self.metrics.render(), CONTENT_TYPE_LATEST)
 
     def _get_client_limits(self):
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -15,6 +15,7 @@
 )
 from ..decisions.model_selection import is_confident_enough, plan_models
 from ..decisions.prompt_affinity import compute_affinity
+from ..decisions.server_choice import RequestTraits
 from ..decisions.server_usage import estimate_work
 from ..outcomes import Refusal, RefusalReason, RunState
 from .attempt_timeouts import choose_timeouts
@@ -67,6 +68,7 @@
         self._models = self._plan_models(route)
         self._model_index = 0
         self._affinity = self._compute_affinity()
+        self._traits = RequestTraits(route.objective, len(request.raw.body))
         self._assignment = None
         self._allows_server = None
         self._place_wait = None
@@ -194,7 +196,9 @@
     def _choose_server(self):
         now = self._clock()
         service = self._service
-        choose = partial(self._context.servers.choose, affinity=self._affinity)
+        choose = partial(
+            self._context.servers.choose, affinity=self._affinity, traits=self._traits
+        )
         if self._needs_kept:
             return choose(service, now, self._tried, self._has_kept_connection)
         rolled_back = self._context.rollouts.find_rolled_back_release(service)
@@ -257,7 +261,9 @@
         self._context.recorder.record_attempt(self._request, attempt, result)
         self._context.quarantine.record_attempt(self._request, attempt, result)
         await self._check_for_crash(server, result)
-        self._context.metrics.attempts.labels(result.outcome.value).inc()
+        self._context.metrics.count_attempt(
+            result.outcome, self._context.servers.find_distance(server)
+        )
         self._attempt_log.append(
             describe_attempt(attempt, result, self._clock() - now, wait)
         )
--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -23,6 +23,20 @@
         self.attempts = self._create_counter(
             "attempts", "Attempts by outcome.", ["outcome"]
         )
+        self.distances = self._create_counter(
+            "attempt_distances", "Attempts by distance to the server.", ["distance"]
+        )
+        self.departures = self._create_gauge(
+            "departures",
+            "Servers chosen outside the own failure domain so far by reason.",
+            ["reason"],
+        )
+        self.leaving_share = self._create_gauge(
+            "leaving_share",
+            "Share of requests that leaves the own failure domain, the largest of all"
+            " kinds of requests.",
+            ["service"],
+        )
         self.permits = self._create_counter(
             "permits", "Decisions on requests to brittle servers.", ["decision"]
         )
@@ -82,6 +96,19 @@
             "client_idle_closed", "Idle client connections closed so far for new ones."
         )
 
+    def count_attempt(self, outcome, distance):
+        """Count an attempt by its Outcome and the Distance to the server."""
+        self.attempts.labels(outcome.value).inc()
+        self.distances.labels(distance.value).inc()
+
+    def set_departures(self, chooser, now):
+        """Take over the figures of a LocalServerChooser."""
+        for reason, count in chooser.departures.items():
+            self.departures.labels(reason.value).set(count)
+        self.leaving_share.clear()
+        for service, share in chooser.spillovers.find_shares(now).items():
+            self.leaving_share.labels(service).set(share)
+
     def set_descriptors(self, budget, admission):
         """Take over the figures of a DescriptorBudget and a ClientAdmission."""
         for kind, part in budget.parts.items():
--- /dev/null
+++ b/test/decisions/spillover_fleet.py
@@ -0,0 +1,268 @@
+"""A fleet in six failure domains that sends to engines, in virtual time.
+
+Each instance has its real ServerPool. The engines, the clients and the messages in
+which instances tell their loads are played here; a load is told 0.3 to 1.1 s late.
+"""
+
+import heapq
+import itertools
+import math
+import random
+from collections import Counter, defaultdict, deque
+from dataclasses import dataclass, field
+
+from tanagerwalk.decisions.locations import Distance, Home
+from tanagerwalk.decisions.paths import PathTable
+from tanagerwalk.decisions.prompt_affinity import compute_affinity
+from tanagerwalk.decisions.relays import Scope
+from tanagerwalk.decisions.selection import ServerPool
+from tanagerwalk.decisions.server_choice import RequestTraits, ServerChooser
+from tanagerwalk.decisions.server_usage import estimate_work
+from tanagerwalk.decisions.shared_loads import (
+    ReportSource,
+    SharedLoad,
+    SharedLoadTable,
+    hash_server,
+)
+from tanagerwalk.gateway.requests import PromptInfo
+from tanagerwalk.registry import RegisteredServer, ServerState
+
+SERVICE = "drafts"
+REGIONS = {f"{region}-{n}": region for region in "abc" for n in (1, 2)}
+DELAYS_S = {
+    Distance.SAME_DOMAIN: 0.0001,
+    Distance.SAME_REGION: 0.0014,
+    Distance.OTHER_REGION: 0.008,
+}
+REPORT_PERIOD_S = 0.4
+REPORT_DELAY_S = 0.3
+TOKENS_PER_S = 20000.0
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """What the fleet bears.
+
+    Parameters
+    ----------
+    load : callable
+        Takes a failure domain and a time; returns the load that the clients there
+        cause, as a share of the capacity of its servers.
+    servers, instances : int
+        Servers and instances of each failure domain; one instance less in each second.
+    slots : int
+        Requests that a server runs at a time.
+    tokens : float
+        Mean tokens of a prompt; 0 for a plain service.
+    work : float
+        Seconds that a request takes in a slot.
+    objective : float
+        Latency objective in seconds.
+    prefers_local : bool
+        Whether instances prefer their own failure domain.
+    is_slow : callable
+        Takes a server's name and a time; returns whether it is ten times slower.
+    lost : dict of str to float
+        Servers that are gone, and from when.
+    is_told : bool
+        Whether instances tell each other their loads.
+    length : float
+        Seconds of traffic.
+    """
+
+    load: object
+    servers: int = 10
+    instances: int = 12
+    slots: int = 16
+    tokens: float = 2000.0
+    work: float = 0.5
+    objective: float = 1.0
+    prefers_local: bool = True
+    is_slow: object = lambda name, now: False
+    lost: dict = field(default_factory=dict)
+    is_told: bool = True
+    length: float = 20.0
+
+
+@dataclass
+class Server:
+    """A server that reads prompts one by one and answers in its slots."""
+
+    entry: RegisteredServer
+    running: int = 0
+    queue: deque = field(default_factory=deque)
+    read_until: float = 0.0
+
+
+@dataclass
+class Trial:
+    """What was seen: attempts by second, failure domain and Distance; and waits."""
+
+    attempts: dict = field(default_factory=lambda: defaultdict(Counter))
+    waits: list = field(default_factory=list)
+    departures: Counter = field(default_factory=Counter)
+    received: Counter = field(default_factory=Counter)
+
+    def find_share(self, begin=0, end=math.inf, domain=None, distance=None):
+        """Return the share of attempts that left, or went a distance."""
+        total = Counter()
+        for (second, origin), counts in self.attempts.items():
+            if begin <= second < end and domain in (None, origin):
+                total += counts
+        if distance is not None:
+            return total[distance] / total.total()
+        return 1.0 - total[Distance.SAME_DOMAIN] / total.total()
+
+    def find_wait(self, quantile=0.95, begin=0.0, end=math.inf):
+        """Return a quantile of the seconds until the prompt was read or a slot free."""
+        waits = sorted(wait for at, wait in self.waits if begin <= at < end)
+        return waits[int(quantile * (len(waits) - 1))]
+
+
+class Fleet:
+    """Plays a scenario."""
+
+    def __init__(self, scenario, seed=1):
+        self.scenario = scenario
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.trial = Trial()
+        self._events = []
+        self._numbers = itertools.count()
+        self._servers = {}
+        self._told = {}
+        for domain in REGIONS:
+            for n in range(scenario.servers):
+                name = f"{domain}.{n}"
+                address = ("10.0.0.1", 80)
+                entry = RegisteredServer(
+                    name,
+                    SERVICE,
+                    address,
+                    domain,
+                    "v1",
+                    scenario.slots,
+                    ServerState.READY,
+                    1,
+                )
+                self._servers[name] = Server(entry)
+        self._pools = {
+            domain: [
+                self._build_pool(domain) for _ in range(scenario.instances - i % 2)
+            ]
+            for i, domain in enumerate(REGIONS)
+        }
+
+    def _build_pool(self, domain):
+        home = Home(domain, REGIONS[domain], REGIONS)
+        pool = ServerPool(home, SharedLoadTable(), PathTable(), self.random)
+        if not self.scenario.prefers_local:
+            pool.chooser = ServerChooser(home, self.random)
+        pool.replace_servers([server.entry for server in self._servers.values()])
+        return pool
+
+    def run(self):
+        """Return the Trial."""
+        for domain, pools in self._pools.items():
+            self._after(0.0, self._arrive, domain)
+            for pool in pools if self.scenario.is_told else ():
+                self._after(self.random.random() * REPORT_PERIOD_S, self._tell, pool, 1)
+        for name, at in self.scenario.lost.items():
+            self._after(at, self._lose, name)
+        while self._events and self.now < self.scenario.length:
+            self.now, _, call, parameters = heapq.heappop(self._events)
+            call(*parameters)
+        for pool in itertools.chain(*self._pools.values()):
+            if self.scenario.prefers_local:
+                self.trial.departures += pool.chooser.departures
+        return self.trial
+
+    def _after(self, seconds, call, *parameters):
+        entry = (self.now + seconds, next(self._numbers), call, parameters)
+        heapq.heappush(self._events, entry)
+
+    def _find_rate(self, domain):
+        """Return the requests per second of the clients of a failure domain."""
+        scenario = self.scenario
+        bound = scenario.slots / scenario.work
+        if scenario.tokens:
+            bound = min(bound, TOKENS_PER_S / scenario.tokens)
+        return max(0.01, scenario.load(domain, self.now) * bound * scenario.servers)
+
+    def _arrive(self, domain):
+        self._after(
+            self.random.expovariate(self._find_rate(domain)), self._arrive, domain
+        )
+        pool = self.random.choice(self._pools[domain])
+        work, affinity = self._draw_work()
+        traits = RequestTraits(self.scenario.objective, 600)
+        entry = pool.choose(SERVICE, self.now, affinity=affinity, traits=traits)
+        pool.record_sent(entry, work)
+        distance = pool.find_distance(entry)
+        self.trial.attempts[int(self.now), domain][distance] += 1
+        self.trial.received[entry.id] += 1
+        request = pool, work, self.now, DELAYS_S[distance]
+        self._after(request[3], self._receive, self._servers[entry.id], request)
+
+    def _draw_work(self):
+        if not self.scenario.tokens:
+            return None, None
+        tokens = int(min(30000.0, self.random.expovariate(1 / self.scenario.tokens)))
+        parts = (f"p{self.random.randrange(2000)}", tokens // 3), ("own", tokens)
+        info = PromptInfo(tokens, 200, parts)
+        return estimate_work(tokens, 1.0, self.now), compute_affinity(info, 1.0)
+
+    def _receive(self, server, request):
+        if server.running >= server.entry.slots:
+            server.queue.append(request)
+            return
+        server.running += 1
+        pool, work, sent_at, delay = request
+        speed = 0.1 if self.scenario.is_slow(server.entry.id, self.now) else 1.0
+        tokens = 0.0 if work is None else work.prefill
+        server.read_until = max(self.now, server.read_until)
+        server.read_until += tokens / TOKENS_PER_S / speed
+        wait = server.read_until - self.now
+        self._after(wait, self._report, server, request)
+        duration = self.scenario.work / speed * self.random.uniform(0.5, 1.5)
+        self._after(wait + duration, self._end, server, request)
+
+    def _report(self, server, request):
+        """Send the head of an answer."""
+        pool, work, sent_at, delay = request
+        self.trial.waits.append((sent_at, self.now + delay - sent_at))
+        if work is not None:
+            work.prefill = 0.0
+            self._record_answer(server, pool)
+
+    def _end(self, server, request):
+        pool, work = request[:2]
+        server.running -= 1
+        pool.record_ended(server.entry, work)
+        self._record_answer(server, pool)
+        if server.queue:
+            self._receive(server, server.queue.popleft())
+
+    def _record_answer(self, server, pool):
+        load = server.running, len(server.queue), server.entry.slots
+        pool.record_answer(server.entry, load, self.now)
+
+    def _lose(self, name):
+        """Take a server away; what it runs goes on to its end."""
+        del self._servers[name]
+        entries = [server.entry for server in self._servers.values()]
+        for pool in itertools.chain(*self._pools.values()):
+            pool.replace_servers(entries)
+
+    def _tell(self, pool, number):
+        self._after(REPORT_PERIOD_S, self._tell, pool, number + 1)
+        own = {hash_server(k): v for k, v in pool.list_own_loads(self.now).items()}
+        self._after(REPORT_DELAY_S, self._told.__setitem__, id(pool), own)
+        in_flight, tokens = Counter(), Counter()
+        for key, loads in self._told.items():
+            for server, load in loads.items() if key != id(pool) else ():
+                in_flight[server] += load.in_flight
+                tokens[server] += load.tokens
+        total = {key: SharedLoad(in_flight[key], tokens[key]) for key in in_flight}
+        source = ReportSource(Scope.INSTANCE, "others")
+        pool._shared.update(source, "others", number, total, self.now)
