--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -3,9 +3,10 @@
 from functools import partial
 
 from .brittleness import BrittleServices
+from .local_choice import build_chooser
 from .locations import Distance
 from .paths import PathState
-from .server_choice import UNKNOWN_TRAITS, ChoiceInputs, build_chooser
+from .server_choice import UNKNOWN_TRAITS, ChoiceInputs
 from .server_limits import LimitQueue, ServerLimits
 from .server_usage_table import ServerUsageTable, hash_life
 from .shared_loads import SharedLoad
@@ -126,11 +127,11 @@
             partial(self._estimate_load, now=now),
             affinity,
             traits,
-            partial(self._has_own_server, service, now),
+            partial(self._has_local_server, service, now),
         )
         return self.chooser.choose(ready, inputs).server
 
-    def _has_own_server(self, service, now):
+    def _has_local_server(self, service, now):
         return any(
             self.find_distance(usage.server) is Distance.SAME_DOMAIN
             for usage in self._list_ready(service, now, frozenset(), None)
--- a/tanagerwalk/decisions/spillover.py
+++ b/tanagerwalk/decisions/spillover.py
@@ -29,8 +29,8 @@
 # Share per excess, and share per second and excess while there is one or none. The
 # excess is relative to the room.
 PROPORTIONAL_GAIN = 0.33
-INTEGRAL_GAIN = 0.3
-RETURN_GAIN = 0.6
+INTEGRAL_GAIN = 0.5
+RETURN_GAIN = 0.8
 
 
 @dataclass(frozen=True, slots=True)
--- a/tanagerwalk/standins/gateway_cluster.py
+++ b/tanagerwalk/standins/gateway_cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from ..controllers.loop import poll_until
 from ..gateway.app import GatewayInstance
@@ -100,9 +101,15 @@
     """Gateway instances, and stand-ins for the store and the backend servers.
 
     An async context manager: starts the store on entry, stops everything on exit.
+
+    Parameters
+    ----------
+    regions : dict of str to str
+        Region of each failure domain; the instances are in a-1.
     """
 
-    def __init__(self):
+    def __init__(self, regions=MappingProxyType({"a-1": "a"})):
+        self._regions = {FailureDomain(k): Region(v) for k, v in regions.items()}
         self.store = MetadataStandIn()
         self.servers = {}
         self.instances = []
@@ -173,7 +180,7 @@
             instance=InstanceId(name),
             failure_domain=FailureDomain("a-1"),
             region=Region("a"),
-            regions={FailureDomain("a-1"): Region("a")},
+            regions=self._regions,
             listeners=Listeners(any_port, any_port, any_port, any_port),
             store=StoreAddress(address),
             bounds=bounds,
--- a/test/decisions/spillover_fleet.py
+++ b/test/decisions/spillover_fleet.py
@@ -36,6 +36,7 @@
 }
 REPORT_PERIOD_S = 0.4
 REPORT_DELAY_S = 0.3
+OBSERVATION_PERIOD_S = 0.5
 TOKENS_PER_S = 20000.0
 
 
@@ -96,12 +97,24 @@
 
 @dataclass
 class Trial:
-    """What was seen: attempts by second, failure domain and Distance; and waits."""
+    """What was seen.
+
+    Attributes
+    ----------
+    attempts : dict of (int, FailureDomain) to Counter of Distance
+        Attempts by the second and the failure domain of the instance.
+    waits : list of (float, float)
+        When each request was sent, and how long it waited until its answer began.
+    departures : Counter of Departure
+        Servers chosen in other failure domains.
+    shares : list of (float, FailureDomain, float)
+        Mean of the instances' shares at times.
+    """
 
     attempts: dict = field(default_factory=lambda: defaultdict(Counter))
     waits: list = field(default_factory=list)
     departures: Counter = field(default_factory=Counter)
-    received: Counter = field(default_factory=Counter)
+    shares: list = field(default_factory=list)
 
     def find_share(self, begin=0, end=math.inf, domain=None, distance=None):
         """Return the share of attempts that left, or went a distance."""
@@ -113,6 +126,10 @@
             return total[distance] / total.total()
         return 1.0 - total[Distance.SAME_DOMAIN] / total.total()
 
+    def list_shares(self, domain, begin, end=math.inf):
+        """Return the mean shares of a failure domain's instances in a time."""
+        return [s for at, of, s in self.shares if of == domain and begin <= at < end]
+
     def find_wait(self, quantile=0.95, begin=0.0, end=math.inf):
         """Return a quantile of the seconds until the prompt was read or a slot free."""
         waits = sorted(wait for at, wait in self.waits if begin <= at < end)
@@ -167,6 +184,8 @@
             self._after(0.0, self._arrive, domain)
             for pool in pools if self.scenario.is_told else ():
                 self._after(self.random.random() * REPORT_PERIOD_S, self._tell, pool, 1)
+        if self.scenario.prefers_local:
+            self._after(0.0, self._observe)
         for name, at in self.scenario.lost.items():
             self._after(at, self._lose, name)
         while self._events and self.now < self.scenario.length:
@@ -200,7 +219,6 @@
         pool.record_sent(entry, work)
         distance = pool.find_distance(entry)
         self.trial.attempts[int(self.now), domain][distance] += 1
-        self.trial.received[entry.id] += 1
         request = pool, work, self.now, DELAYS_S[distance]
         self._after(request[3], self._receive, self._servers[entry.id], request)
 
@@ -247,6 +265,16 @@
         load = server.running, len(server.queue), server.entry.slots
         pool.record_answer(server.entry, load, self.now)
 
+    def _observe(self):
+        self._after(OBSERVATION_PERIOD_S, self._observe)
+        for domain, pools in self._pools.items():
+            shares = [
+                pool.chooser.spillovers.find_shares(self.now).get(SERVICE, 0.0)
+                for pool in pools
+            ]
+            mean = sum(shares) / len(shares)
+            self.trial.shares.append((self.now, domain, mean))
+
     def _lose(self, name):
         """Take a server away; what it runs goes on to its end."""
         del self._servers[name]
