--- a/tanagerwalk/standins/gateway_cluster.py
+++ b/tanagerwalk/standins/gateway_cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from ..controllers.loop import poll_until
 from ..gateway.app import GatewayInstance
@@ -25,11 +26,7 @@
     canary_share=0.15,
     canary_slack=30.0,
 )
-REGIONS = {
-    FailureDomain("a-1"): Region("a"),
-    FailureDomain("b-1"): Region("b"),
-    FailureDomain("c-1"): Region("c"),
-}
+REGIONS = MappingProxyType({"a-1": "a", "b-1": "b", "c-1": "c"})
 SMALL_MODEL = "model-s"
 LARGE_MODEL = "model-l"
 
@@ -126,9 +123,15 @@
     """Gateway instances, and stand-ins for the store and the backend servers.
 
     An async context manager: starts the store on entry, stops everything on exit.
+
+    Parameters
+    ----------
+    regions : dict of str to str
+        Region of each failure domain.
     """
 
-    def __init__(self):
+    def __init__(self, regions=REGIONS):
+        self._regions = {FailureDomain(k): Region(v) for k, v in regions.items()}
         self.store = MetadataStandIn()
         self.servers = {}
         self.instances = []
@@ -207,8 +210,8 @@
         settings = GatewaySettings(
             instance=InstanceId(name),
             failure_domain=FailureDomain(domain),
-            region=REGIONS[FailureDomain(domain)],
-            regions=REGIONS,
+            region=self._regions[FailureDomain(domain)],
+            regions=self._regions,
             listeners=Listeners(any_port, any_port, any_port, any_port),
             store=StoreAddress(address),
             bounds=bounds,
