Decode the load as a value, and estimate the speed of each server

Cause: a load header with a fourth figure was dropped as a whole, and placement took all servers of a service as equally fast. Change: EngineLoad holds the counts and the reported slowdown; ServerSpeeds learns a lasting speed from durations and reports, shared between instances, and follows the last report for a moment. Placement, the estimated wait and the silence limits use it; evidence on releases is normalised by the reported slowdown.

--- a/tanagerwalk/decisions/latency_baselines.py
+++ b/tanagerwalk/decisions/latency_baselines.py
@@ -1,6 +1,6 @@
 """Detection of answers that are several times slower than usual."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 SMOOTHING = 0.1
 SLOW_RATIO = 3.5
@@ -56,6 +56,14 @@
             return self.event_interval
         return None if self.prompt_tokens else self.head_latency
 
+    def without_slowdown(self, slowdown):
+        """Return the sample as it would be if the server were not slowed down."""
+        return replace(
+            self,
+            head_latency=self.head_latency / slowdown,
+            event_interval=self.event_interval / slowdown,
+        )
+
     def normalize(self):
         """Return the head latency relative to the expected one for the prompt."""
         return self.head_latency / self.expected_head_latency
--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -68,7 +68,7 @@
             Takes a RegisteredServer and returns whether it may be used.
         """
         loads = [
-            self._estimate_load(usage, now)
+            self._estimate_load(usage, now, self._find_slowdown(usage, now))
             for usage in self.list_usages(service)
             if usage.accepts_requests
             and usage.paused_until <= now
@@ -291,20 +291,28 @@
 
     def _score(self, usage, now):
         distance = self._home.estimate_distance_cost(usage.server.failure_domain)
-        return self._estimate_load(usage, now) + distance, self._random.random()
+        slowdown = self._find_slowdown(usage, now)
+        load = self._estimate_load(usage, now, slowdown)
+        load += usage.estimate_delay(self.mean_work, slowdown)
+        return load + distance, self._random.random()
 
     def _score_with_affinity(self, usage, now, affinity, preferred):
-        load = self._estimate_load(usage, now)
+        slowdown = self._find_slowdown(usage, now)
+        load = self._estimate_load(usage, now, slowdown)
+        load += usage.estimate_delay(self.mean_work, slowdown)
         cost = LINEAR_LOAD_WEIGHT * load + load * load
         if usage is not preferred:
-            cost += affinity.cache_miss_cost
+            cost += affinity.cache_miss_cost * slowdown
         if not self._home.is_same_region(usage.server.failure_domain):
             cost += affinity.remote_cost
         return cost, self._random.random()
 
-    def _estimate_load(self, usage, now):
+    def _estimate_load(self, usage, now, slowdown):
         shared = self._shared.sum(usage.server.id, now)
-        return usage.estimate_load(now, shared, self.mean_work)
+        return usage.estimate_load(now, shared, self.mean_work, slowdown)
+
+    def _find_slowdown(self, usage, now):
+        return self.speeds.estimate(hash_life(usage.server), now)
 
     def list_own_loads(self, now):
         """Return the SharedLoad that this instance causes on each server, by id."""
--- /dev/null
+++ b/tanagerwalk/decisions/server_speeds.py
@@ -0,0 +1,190 @@
+"""Estimates how long work takes on each backend server, relative to the others."""
+
+import math
+
+from .engine_load import bound_slowdown
+from .shared_loads import SharedLoadTable
+from .speed_samples import NO_SAMPLES, SpeedSamples
+from .usual_durations import UsualDurations
+
+# After this time, a reported slowdown counts for 1 / e of its difference from the
+# mean: neighbours on a machine come and go within a second.
+REPORT_MEMORY_S = 0.4
+# Samples with which an estimate is halfway between the usual speed and what they show.
+PRIOR_SAMPLES = 2.0
+# Differences that make no difference, as a logarithm: 15 percent.
+DEAD_BAND = 0.14
+# Standard errors within which a difference may be chance.
+MIN_DEVIATIONS = 3.0
+REFRESH_PERIOD_S = 0.25
+# Several messages of an instance may be lost.
+REPORT_LIFETIME_S = 4.0
+MIN_WEIGHT = 0.2
+
+
+class _OwnSamples:
+    """What this instance has seen of one server; weights as of `updated_at`."""
+
+    __slots__ = ("reported_at", "reported_slowdown", "samples", "updated_at")
+
+    def __init__(self, now):
+        self.samples = NO_SAMPLES
+        self.updated_at = now
+        self.reported_slowdown = 1.0
+        self.reported_at = -math.inf
+
+    def get(self, now):
+        return self.samples.age(max(0.0, now - self.updated_at))
+
+    def add(self, samples, now):
+        self.samples = self.get(now).add(samples)
+        self.updated_at = max(now, self.updated_at)
+
+
+class ServerSpeeds:
+    """Slowdown of each backend server, by `hash_life`.
+
+    The estimate has a lasting and a momentary part. The lasting one is learnt by all
+    instances together: from measured durations, without what the servers report, and
+    from the mean of what they report. The momentary one is the last report that this
+    instance has received; it isn't passed on, since it would arrive too late.
+
+    Attributes
+    ----------
+    shared : SharedLoadTable
+        SpeedSamples of the other instances.
+    """
+
+    def __init__(self):
+        self.shared = SharedLoadTable(NO_SAMPLES, REPORT_LIFETIME_S)
+        self._own = {}
+        self._usual_durations = UsualDurations()
+        self._services = {}
+        self._lasting = {}
+        self._refreshed_at = -math.inf
+
+    def set_servers(self, lives_by_service):
+        """Replace the servers.
+
+        Parameters
+        ----------
+        lives_by_service : dict of ServiceName to list of int
+            The `hash_life` of each server.
+        """
+        self._services = lives_by_service
+        listed = {life for lives in lives_by_service.values() for life in lives}
+        self._own = {life: own for life, own in self._own.items() if life in listed}
+        self._refreshed_at = -math.inf
+
+    def record_report(self, life, load, now):
+        """Record the EngineLoad in an answer, if it tells a slowdown."""
+        if load is None or load.slowdown is None:
+            return
+        slowdown = load.plausible_slowdown
+        own = self._find_own(life, now)
+        own.reported_slowdown = slowdown
+        own.reported_at = now
+        own.add(SpeedSamples(reports=1.0, log_slowdown=math.log(slowdown)), now)
+
+    def record_duration(self, life, kind, sample, load, now):
+        """Record how long an answer took.
+
+        Parameters
+        ----------
+        life : int
+            `hash_life` of the server.
+        kind : hashable
+            Answers of the same kind take equally long on equal servers.
+        sample : LatencySample
+            Latency of the answer.
+        load : EngineLoad or None
+            Load that the server reported with the answer.
+        now : float
+            Monotonic time in seconds.
+        """
+        # At the time of the answer the slowdown was what the answer reports.
+        reported = 1.0 if load is None else load.plausible_slowdown
+        slowdown = reported * math.exp(self._find_lasting(life, now)[0])
+        ratio = self._usual_durations.compare(kind, sample, load, slowdown)
+        if ratio is None:
+            return
+        measured = SpeedSamples(durations=1.0, log_duration=ratio - math.log(reported))
+        self._find_own(life, now).add(measured, now)
+
+    def estimate(self, life, now):
+        """Return how long work takes on a server now; 1.0 is usual for its service."""
+        measured, mean_reported = self._find_lasting(life, now)
+        reported = self._find_reported(life, mean_reported, now)
+        if measured == reported == 0.0:
+            return 1.0
+        return bound_slowdown(math.exp(measured + reported))
+
+    def estimate_reported(self, life, now):
+        """Return the part of the estimate that the server itself reports."""
+        _, mean_reported = self._find_lasting(life, now)
+        return math.exp(self._find_reported(life, mean_reported, now))
+
+    def list_own(self, now):
+        """Return the SpeedSamples of this instance by `hash_life`."""
+        current = {life: own.get(now) for life, own in self._own.items()}
+        return {
+            life: samples
+            for life, samples in current.items()
+            if samples.weight >= MIN_WEIGHT
+        }
+
+    def _find_reported(self, life, mean, now):
+        """Return the logarithm of the slowdown that a server reports."""
+        own = self._own.get(life)
+        if own is None or own.reported_at == -math.inf:
+            return mean
+        age = max(0.0, now - own.reported_at)
+        latest = math.log(own.reported_slowdown)
+        return mean + (latest - mean) * math.exp(-age / REPORT_MEMORY_S)
+
+    def _find_own(self, life, now):
+        own = self._own.get(life)
+        if own is None:
+            own = self._own[life] = _OwnSamples(now)
+        return own
+
+    def _find_lasting(self, life, now):
+        """Return the logarithms of the measured and the mean reported slowdown."""
+        if not 0.0 <= now - self._refreshed_at < REFRESH_PERIOD_S:
+            self._refresh(now)
+        return self._lasting.get(life, (0.0, 0.0))
+
+    def _refresh(self, now):
+        self._refreshed_at = now
+        totals = self.shared.sum_by_key(now)
+        for life, own in self._own.items():
+            totals[life] = totals.get(life, NO_SAMPLES).add(own.get(now))
+        self._lasting = {}
+        for lives in self._services.values():
+            known = {life: totals[life] for life in lives if life in totals}
+            self._lasting |= self._estimate_service(known)
+
+    def _estimate_service(self, totals):
+        """Return the lasting slowdowns of the servers of one service."""
+        measured = {life: _estimate_mean(each) for life, each in totals.items()}
+        center = sum(measured.values()) / len(measured) if measured else 0.0
+        return {
+            life: (
+                self._bound(measured[life] - center, totals[life].durations),
+                totals[life].log_slowdown / (totals[life].reports + PRIOR_SAMPLES),
+            )
+            for life in totals
+        }
+
+    def _bound(self, difference, weight):
+        """Return a difference of speed, or 0 if it is small or may be chance."""
+        if weight <= 0.0:
+            return 0.0
+        error = math.sqrt(self._usual_durations.variance / weight)
+        threshold = max(DEAD_BAND, MIN_DEVIATIONS * error)
+        share = (abs(difference) - threshold) / (0.5 * threshold)
+        return difference * min(1.0, max(0.0, share))
+
+
+def _estimate_mean(samples):
+    return samples.log_duration / (samples.durations + PRIOR_SAMPLES)
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -117,15 +117,24 @@
         """Whether another server has answered since the server wrote its entry."""
         return self.reused_at is not None and self.server.revision <= self.reused_at
 
-    def is_silent(self, now):
-        """Return whether the server has requests, but has sent nothing for a while."""
-        return self.in_flight > 0 and now - self.last_activity_at > MAX_SILENCE_S
+    def is_silent(self, now, slowdown=1.0):
+        """Return whether the server has requests, but has sent nothing for a while.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        slowdown : float
+            How long work takes on the server, relative to what is usual.
+        """
+        limit = MAX_SILENCE_S * max(1.0, slowdown)
+        return self.in_flight > 0 and now - self.last_activity_at > limit
 
     def has_room(self, now):
         """Return whether the server takes one more request after a hold, if any."""
         return self.in_flight + 1 <= find_resume_limit(now - self.held_until)
 
-    def estimate_load(self, now, shared, mean_work):
+    def estimate_load(self, now, shared, mean_work, slowdown=1.0):
         """Return the load of the server; 1 means fully used.
 
         Parameters
@@ -137,19 +146,38 @@
         mean_work : float
             Mean cost of a request for an engine, in tokens; applied to the
             requests whose cost was not reported.
+        slowdown : float
+            How long work takes on the server, relative to what is usual.
         """
         # The server's own report includes requests that no instance has reported yet.
         is_recent = now - self.reported_at <= REPORT_LIFETIME_S
         others = max(shared.in_flight, self.other_requests if is_recent else 0)
         if not self.runs_models and not shared.tokens:
-            return (self.in_flight + others) / self.server.slots
+            return (self.in_flight + others) / self.server.slots * slowdown
         own = sum(work.total for work in self.work)
         unreported = others - shared.in_flight
         load = (own + shared.tokens + unreported * mean_work) / ENGINE_CAPACITY_TOKENS
         load += self._estimate_slot_wait(self.in_flight + others)
         # A stuck engine does not report its queue, but the waiting requests show it.
         silence = max(self.measure_silence(now), shared.silence)
-        return max(load, silence - PREFILL_ALLOWANCE_S)
+        allowance = PREFILL_ALLOWANCE_S * max(1.0, slowdown)
+        return max(load * slowdown, silence - allowance)
+
+    def estimate_delay(self, work, slowdown):
+        """Return the load by which one more request costs more than is usual.
+
+        Negative on a server that is faster than usual.
+
+        Parameters
+        ----------
+        work : float
+            Cost of the request for an engine, in tokens.
+        slowdown : float
+            How long work takes on the server, relative to what is usual.
+        """
+        if not self.runs_models:
+            return (slowdown - 1.0) / self.server.slots
+        return (slowdown - 1.0) * work / ENGINE_CAPACITY_TOKENS
 
     def may_have_queue(self, now, shared):
         """Return whether requests may be waiting at the server.
--- a/tanagerwalk/decisions/server_usage_table.py
+++ b/tanagerwalk/decisions/server_usage_table.py
@@ -5,6 +5,7 @@
 from ..ids import BackendServerId
 from ..registry import ServerState
 from .missing_servers import MissingServers
+from .server_speeds import ServerSpeeds
 from .server_usage import ServerUsage
 
 FAILURE_PAUSE_S = 0.5
@@ -20,6 +21,8 @@
 
     Attributes
     ----------
+    speeds : ServerSpeeds
+        Learns how long work takes on each server.
     mean_work : float
         Mean cost of a request for an engine, in tokens.
     on_kept_off : callable
@@ -27,6 +30,7 @@
     """
 
     def __init__(self):
+        self.speeds = ServerSpeeds()
         self.on_kept_off = _ignore
         self._usages: dict[BackendServerId, ServerUsage] = {}
         self._usages_by_life = {}
@@ -69,8 +73,15 @@
         self._usages_by_life = {
             hash_life(usage.server): usage for usage in self._usages.values()
         }
+        self._update_speeds()
         return gone
 
+    def _update_speeds(self):
+        lives_by_service = {}
+        for life, usage in self._usages_by_life.items():
+            lives_by_service.setdefault(usage.server.service, []).append(life)
+        self.speeds.set_servers(lives_by_service)
+
     def _keep_missing(self, usage):
         """Remember what a server said whose entry is gone.
 
@@ -163,8 +174,8 @@
         ----------
         server : RegisteredServer
             The server.
-        load : tuple of (int, int, int) or None
-            Running requests, waiting requests and slots.
+        load : EngineLoad or None
+            Load that the server reports.
         now : float
             Monotonic time in seconds.
         """
@@ -174,9 +185,10 @@
         usage.failures = 0
         usage.last_activity_at = now
         if load is not None:
-            usage.other_requests = max(0, load[0] + load[1] - usage.in_flight)
-            usage.reported_queue = load[1]
+            usage.other_requests = max(0, load.running + load.waiting - usage.in_flight)
+            usage.reported_queue = load.waiting
             usage.reported_at = now
+            self.speeds.record_report(hash_life(usage.server), load, now)
 
     def record_activity(self, server, now):
         """Record that a server has sent data."""
@@ -187,7 +199,13 @@
     def is_silent(self, server, now):
         """Return whether a server has requests, but has sent nothing for a while."""
         usage = self._usages.get(server.id)
-        return usage is not None and usage.is_silent(now)
+        if usage is None:
+            return False
+        return usage.is_silent(now, self.find_reported_slowdown(server, now))
+
+    def find_reported_slowdown(self, server, now):
+        """Return how long work takes on a server by its own reports; 1.0 is usual."""
+        return self.speeds.estimate_reported(hash_life(server), now)
 
     def record_failure(self, server, now):
         """Pause a server that failed; the pause doubles with each failure in a row."""
--- a/tanagerwalk/decisions/shared_loads.py
+++ b/tanagerwalk/decisions/shared_loads.py
@@ -100,9 +100,18 @@
         Seconds between messages of an instance.
     delay : float
         Seconds after which a load has reached all instances.
+
+    Parameters
+    ----------
+    empty : SharedLoad or SpeedSamples
+        The value of a server of which nothing was reported.
+    min_lifetime : float
+        Least time after which the last report of an instance expires, in seconds.
     """
 
-    def __init__(self):
+    def __init__(self, empty=NO_LOAD, min_lifetime=MIN_LIFETIME_S):
+        self._empty = empty
+        self._min_lifetime = min_lifetime
         self._reports = {}
         self._role = Role.FLAT
         self._own_reported = {}
@@ -177,7 +186,7 @@
             Monotonic time in seconds.
         """
         key = hash_server(server)
-        total = NO_LOAD
+        total = self._empty
         for report in self._list_reports_on(key, now):
             total = total.add(report.loads[key])
         own = self._own_reported.get(key)
@@ -216,7 +225,15 @@
             if source.scope not in scopes or age > self.lifetime:
                 continue
             for key, load in report.loads.items():
-                totals[key] = totals.get(key, NO_LOAD).add(load.age(age))
+                totals[key] = totals.get(key, self._empty).add(load.age(age))
+        return totals
+
+    def sum_by_key(self, now):
+        """Return the total over all other instances, as of now, by server hash."""
+        totals = self.sum_all(Scope, now)
+        for key, own in self._own_reported.items():
+            if key in totals:
+                totals[key] = totals[key].subtract(own)
         return totals
 
     def _list_reports_on(self, key, now):
@@ -233,7 +250,7 @@
     @property
     def lifetime(self):
         """Seconds after which the last report of an instance expires."""
-        return max(MIN_LIFETIME_S, LIFETIME_PERIODS * self.period)
+        return max(self._min_lifetime, LIFETIME_PERIODS * self.period)
 
     def expire_reports(self, now):
         """Remove the reports that have expired."""
--- a/tanagerwalk/gateway/answer_recorder.py
+++ b/tanagerwalk/gateway/answer_recorder.py
@@ -1,7 +1,9 @@
 """Records what answers say about the releases of a roll-out."""
 
+from ..decisions.engine_load import find_slowdown
 from ..decisions.latency_baselines import LatencyBaselines
 from ..decisions.load_curve import LoadCurve
+from ..decisions.server_usage_table import hash_life
 from ..decisions.tallies import AnswerKind
 from .attempts import Outcome
 
@@ -19,11 +21,17 @@
         Provides the operators' roll-out orders.
     get_tallies : callable
         Takes the service and the revision of an order, and returns its TallyBook.
+    speeds : ServerSpeeds
+        Learns from the answers how fast the servers are.
+    clock : callable
+        Returns monotonic time in seconds.
     """
 
-    def __init__(self, cluster_state, get_tallies):
+    def __init__(self, cluster_state, get_tallies, speeds, clock):
         self._cluster_state = cluster_state
         self._get_tallies = get_tallies
+        self._speeds = speeds
+        self._clock = clock
         self._latency_baselines = LatencyBaselines()
         self._load_curve = LoadCurve()
 
@@ -43,11 +51,12 @@
             result.latency_sample is not None
             and result.outcome in OUTCOMES_WITH_RESPONSE
         ):
+            sample = _remove_slowdown(result.latency_sample, result.load)
             is_bad = is_bad or self._latency_baselines.is_slow(
-                key, result.latency_sample, route.objective, route.gap_objective
+                key, sample, route.objective, route.gap_objective
             )
             if not is_target:
-                self._latency_baselines.record(key, result.latency_sample)
+                self._latency_baselines.record(key, sample)
         if order is None or (
             result.outcome not in OUTCOMES_WITH_RESPONSE and not is_bad
         ):
@@ -66,21 +75,29 @@
             The attempt that is being answered.
         sample : LatencySample
             What was measured so far.
-        load : tuple of (int, int, int) or None
-            Running requests, waiting requests and slots that the server reported.
+        load : EngineLoad or None
+            Load that the server reported.
         """
-        seconds = sample.comparable_latency
+        kind = AnswerKind(request.route.name, attempt.model)
+        life = hash_life(attempt.server)
+        self._speeds.record_duration(life, kind, sample, load, self._clock())
+        # A slow machine says nothing about the release that it runs.
+        seconds = _remove_slowdown(sample, load).comparable_latency
         if seconds is None:
             return
         order = self._cluster_state.orders.get(attempt.server.service)
         is_target = order is not None and attempt.server.release == order.target
         if sample.has_events and load is not None:
-            running = load[0]
             if not is_target:
-                self._load_curve.record(running, seconds)
-            seconds = self._load_curve.normalize(running, seconds)
+                self._load_curve.record(load.running, seconds)
+            seconds = self._load_curve.normalize(load.running, seconds)
         if order is None:
             return
         book = self._get_tallies((order.service, order.revision))
-        kind = AnswerKind(request.route.name, attempt.model)
         book.own.record_latency(kind, is_target, seconds)
+
+
+def _remove_slowdown(sample, load):
+    """Return a LatencySample without what the server's machine adds to it."""
+    slowdown = find_slowdown(load)
+    return sample if slowdown == 1.0 else sample.without_slowdown(slowdown)
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -312,7 +312,12 @@
             self.servers,
             self.rollouts,
             self.assigner,
-            AnswerRecorder(self.cluster_state, self.rollouts.get_tallies),
+            AnswerRecorder(
+                self.cluster_state,
+                self.rollouts.get_tallies,
+                self.servers.speeds,
+                self.clock,
+            ),
             self.quarantine,
             self.crash_check,
             self.permits,
--- a/tanagerwalk/gateway/attempts.py
+++ b/tanagerwalk/gateway/attempts.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from ..decisions.engine_load import EngineLoad
 from ..decisions.latency_baselines import LatencySample
 from ..decisions.server_notices import ServerNotice
 from ..decisions.server_usage import Work
@@ -77,8 +78,8 @@
         Whether the status is 421: another server now listens at the address.
     confidence : int or None
         The model's confidence in its response, 0 to 100.
-    load : tuple of (int, int, int) or None
-        Running requests, waiting requests and slots of the server.
+    load : EngineLoad or None
+        Load that the server reported.
     closes_connection : bool
         Whether the server closes the connection after the response.
     headers : list of tuple of (bytes, bytes)
@@ -91,7 +92,7 @@
     is_success: bool
     misdirected: bool = False
     confidence: int | None = None
-    load: tuple[int, int, int] | None = None
+    load: EngineLoad | None = None
     closes_connection: bool = False
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     notice: ServerNotice = ServerNotice()
@@ -138,8 +139,8 @@
         Body of the buffered response.
     latency_sample : LatencySample or None
         Latency measurements of the response.
-    load : tuple of (int, int, int) or None
-        Running requests, waiting requests and slots that the server reported.
+    load : EngineLoad or None
+        Load that the server reported.
     kept : bool
         Whether the connection had been opened for an earlier request.
     via : str or None
@@ -162,7 +163,7 @@
     head: ClassifiedHead | None = None
     body: bytes = b""
     latency_sample: LatencySample | None = None
-    load: tuple[int, int, int] | None = None
+    load: EngineLoad | None = None
     kept: bool = False
     via: str | None = None
     broke_off: bool = False
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -9,6 +9,7 @@
 import structlog
 from expression import Error, Ok
 
+from ..decisions.engine_load import EngineLoad
 from ..decisions.event_order import join_consecutive
 from ..decisions.events import EventSplitter
 from ..decisions.latency_baselines import LatencySample
@@ -72,7 +73,7 @@
     timeouts: AttemptTimeouts
     accepts_head: Callable[[ClassifiedHead], bool]
     progress: StreamProgress
-    on_latency: Callable[[LatencySample, tuple[int, int, int] | None], None]
+    on_latency: Callable[[LatencySample, EngineLoad | None], None]
     on_abandoned: Callable[[], None]
 
 
@@ -233,7 +234,10 @@
         while True:
             wait_started_at = self._clock()
             remaining = timeouts.head - (wait_started_at - sent_at)
-            limit = min(timeouts.unresponsive, remaining)
+            slowdown = self._servers.find_reported_slowdown(
+                attempt.server, wait_started_at
+            )
+            limit = min(timeouts.unresponsive * max(1.0, slowdown), remaining)
             result = await self._read_head(connection, limit)
             if not _has_timed_out(result) or limit >= remaining:
                 return result
--- a/tanagerwalk/gateway/load_message_builder.py
+++ b/tanagerwalk/gateway/load_message_builder.py
@@ -5,6 +5,7 @@
 from ..decisions.relays import Scope
 from ..decisions.server_statements import Statement
 from ..decisions.shared_loads import SharedLoad
+from ..decisions.speed_samples import SpeedSamples
 from ..peers.gen.loads.ttypes import LoadMessage
 from .load_messages import (
     encode_blame,
@@ -17,6 +18,7 @@
 )
 from .permit_notes import encode_permit_note
 from .session_notes import encode_note
+from .speed_messages import encode_speed
 
 # Keep a message within one packet of 1,400 bytes.
 MAX_LOADS = 60
@@ -24,6 +26,7 @@
 MAX_SIDE_MESSAGES = 4
 MAX_BLAMES = 16
 MAX_NOTES = 20
+MAX_SPEEDS = 40
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +51,9 @@
         Limits that servers name, by `hash_life`.
     brittle : dict of int to Statement
         Rejections per second that servers bear, by `hash_life`.
+    speeds : dict of int to SpeedSamples
+        What answers show of the servers' speeds, by `hash_life`; empty in the rounds
+        that don't tell it.
     """
 
     scope: Scope
@@ -58,12 +64,13 @@
     leaving: tuple[int, ...] = ()
     limits: dict[int, Statement] = field(default_factory=dict)
     brittle: dict[int, Statement] = field(default_factory=dict)
+    speeds: dict[int, SpeedSamples] = field(default_factory=dict)
 
     @property
     def is_empty(self):
         """Whether nothing but tallies would be told."""
-        said_by_servers = (self.leaving, self.limits, self.brittle)
-        return not any((self.loads, self.blames, self.sides, *said_by_servers))
+        of_servers = (self.leaving, self.limits, self.brittle, self.speeds)
+        return not any((self.loads, self.blames, self.sides, *of_servers))
 
 
 class LoadMessageBuilder:
@@ -131,6 +138,7 @@
         for key, tally in contents.tallies.items():
             for latencies in encode_latencies(*key, tally):
                 yield self._build_message(contents.scope, tallies=[latencies])
+        yield from self._build_speeds(contents)
         sides = self._choose_sides(contents.sides)
         for start in range(0, len(sides), MAX_SIDES):
             part_sides = encode_sides(dict(sides[start : start + MAX_SIDES]))
@@ -142,6 +150,17 @@
         for start in range(0, len(blames), MAX_BLAMES):
             yield self._build_message(scope, blames=blames[start : start + MAX_BLAMES])
 
+    def _build_speeds(self, contents):
+        """Yield the messages that tell of speeds, split into parts like the loads."""
+        parts = -(-len(contents.speeds) // MAX_SPEEDS)
+        for part in range(parts):
+            speeds = [
+                encode_speed(life, samples)
+                for life, samples in contents.speeds.items()
+                if life % parts == part
+            ]
+            yield self._build_message(contents.scope, part, parts, speeds=speeds)
+
     def _build_message(self, scope, part=0, parts=1, **sections):
         return LoadMessage(
             self._incarnation,
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -24,6 +24,7 @@
     ServerBrittleness,
     ServerLimit,
     ServerLoad,
+    ServerSpeed,
     SessionSides,
     TrialTally,
 )
@@ -41,6 +42,7 @@
     CrashBlame: ("fingerprint",),
     ServerLimit: ("server",),
     ServerBrittleness: ("server",),
+    ServerSpeed: ("server",),
     SessionSides: ("service_name", "on_target", "on_base"),
     TrialTally: ("service_name", "order"),
     RouteTally: ("route", "target_answers", "target_bad", "base_answers", "base_bad"),
@@ -92,7 +94,7 @@
 
 def _list_sections(message):
     """Yield the structs of a LoadMessage, and those that they hold."""
-    for name in ("loads", "blames", "sides", "tallies", "limits", "brittle"):
+    for name in ("loads", "blames", "sides", "tallies", "limits", "brittle", "speeds"):
         yield from getattr(message, name) or ()
     for tally in message.tallies or ():
         yield from tally.routes or ()
--- a/tanagerwalk/gateway/request_log.py
+++ b/tanagerwalk/gateway/request_log.py
@@ -61,6 +61,14 @@
         "gap_ms": round(result.latency_sample.event_interval * MS_PER_S)
         if result.latency_sample
         else None,
-        "load": result.load,
+        "load": _describe_load(result.load),
         "wait_ms": round(wait * MS_PER_S),
     }
+
+
+def _describe_load(load):
+    """Return running and waiting requests, slots, and a slowdown that was reported."""
+    if load is None:
+        return None
+    counts = [load.running, load.waiting, load.slots]
+    return counts if load.slowdown is None else [*counts, load.slowdown]
--- a/tanagerwalk/gateway/response_timer.py
+++ b/tanagerwalk/gateway/response_timer.py
@@ -20,8 +20,8 @@
 
     Attributes
     ----------
-    load : tuple of (int, int, int) or None
-        Running requests, waiting requests and slots that the server reported.
+    load : EngineLoad or None
+        Load that the server reported.
     """
 
     def __init__(self, sent_at, request, on_latency):
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -22,6 +22,7 @@
 )
 from .permit_notes import decode_permit_note
 from .session_notes import decode_note
+from .speed_sharing import SpeedSharing
 
 log = structlog.get_logger(__name__)
 
@@ -91,6 +92,7 @@
         self._relayed_sides = RelayedItems(RELAYED_LIFETIME_S)
         self._secret = None
         self._transport = None
+        self._speeds = SpeedSharing(servers.speeds)
         self._builder = LoadMessageBuilder(incarnation, failure_domain, random)
         self._role = Role.FLAT
         self._was_idle = False
@@ -160,15 +162,18 @@
             return
         if scope is Scope.DOMAIN and domain != self._failure_domain:
             self._relays.record_remote_relay(message.sender, now)
-        if message.loads is None:
-            self._apply_other_sections(message, scope, domain, now)
-            return
         names = {Scope.INSTANCE: message.sender, Scope.DOMAIN: domain}
         name = names.get(scope, "")
         source = ReportSource(scope, name, message.part, message.parts)
+        # The other relay of this domain sums up the same members.
+        is_same_sum = scope is Scope.DOMAIN and domain == self._failure_domain
+        if message.speeds and not is_same_sum:
+            self._speeds.receive(source, message, now)
+        if message.loads is None:
+            self._apply_other_sections(message, scope, domain, now)
+            return
         loads = {load.server: decode_load(load) for load in message.loads}
-        if scope is Scope.DOMAIN and domain == self._failure_domain:
-            # The other relay of this domain sums up the same members.
+        if is_same_sum:
             loads = {}
         if self._shared.update(source, message.sender, message.sequence, loads, now):
             self._apply_other_sections(message, scope, domain, now)
@@ -249,13 +254,16 @@
             if self._secret is not None:
                 self._send_round(self._clock())
             self._shared.expire_reports(self._clock())
+            self._speeds.expire_reports(self._clock())
 
     def _update_role(self):
         role = self._relays.find_role(self._clock())
         if role is not self._role:
             log.info("role in the exchange of loads", role=role.value)
         self._role = role
-        self._shared.set_role(role, len(self._get_peers()))
+        peers = len(self._get_peers())
+        self._shared.set_role(role, peers)
+        self._speeds.set_role(role, peers)
         self._rollouts.set_role(role)
 
     def tell_crashes(self):
@@ -283,6 +291,7 @@
 
     def _send_round(self, now):
         self._builder.begin_round()
+        self._speeds.begin_round(now)
         own = self._collect_own(now)
         if self._role is Role.FLAT:
             self._send(own, self._get_peers())
@@ -291,6 +300,7 @@
         self._send(own, relays)
         if self._role is Role.MEMBER:
             self._shared.set_own_reported(own.loads)
+            self._speeds.set_own_reported(own.speeds)
             return
         remote_relays = self._relays.list_remote_relays(now)
         self._send(self._collect_domain(own, now), relays + remote_relays)
@@ -311,6 +321,7 @@
             self._choose_leaving(),
             self._servers.limits.list_news(now),
             self._servers.brittle.statements.list_news(now),
+            self._speeds.list((), now),
         )
 
     def _list_own_sides(self):
@@ -343,6 +354,7 @@
             own.leaving,
             own.limits,
             own.brittle,
+            self._speeds.list(sources, now),
         )
 
     def _send(self, contents, receiver_ids):
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -469,6 +469,107 @@
         return not (self == other)
 
 
+class ServerSpeed(object):
+    """
+    Attributes:
+     - server
+     - durations
+     - log_duration
+     - reports
+     - log_slowdown
+
+    """
+
+
+    def __init__(self, server=None, durations=None, log_duration=None, reports=None, log_slowdown=None,):
+        self.server = server
+        self.durations = durations
+        self.log_duration = log_duration
+        self.reports = reports
+        self.log_slowdown = log_slowdown
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.server = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.durations = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.log_duration = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.reports = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.log_slowdown = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerSpeed')
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.I64, 1)
+            oprot.writeI64(self.server)
+            oprot.writeFieldEnd()
+        if self.durations is not None:
+            oprot.writeFieldBegin('durations', TType.I32, 2)
+            oprot.writeI32(self.durations)
+            oprot.writeFieldEnd()
+        if self.log_duration is not None:
+            oprot.writeFieldBegin('log_duration', TType.I32, 3)
+            oprot.writeI32(self.log_duration)
+            oprot.writeFieldEnd()
+        if self.reports is not None:
+            oprot.writeFieldBegin('reports', TType.I32, 4)
+            oprot.writeI32(self.reports)
+            oprot.writeFieldEnd()
+        if self.log_slowdown is not None:
+            oprot.writeFieldBegin('log_slowdown', TType.I32, 5)
+            oprot.writeI32(self.log_slowdown)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PermitNote(object):
     """
     Attributes:
@@ -1275,11 +1376,12 @@
      - notes
      - brittle
      - permits
+     - speeds
 
     """
 
 
-    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None, scope=None, domain=None, part=None, parts=None, leaving=None, limits=None, notes=None, brittle=None, permits=None,):
+    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None, scope=None, domain=None, part=None, parts=None, leaving=None, limits=None, notes=None, brittle=None, permits=None, speeds=None,):
         self.sender = sender
         self.sequence = sequence
         self.loads = loads
@@ -1295,6 +1397,7 @@
         self.notes = notes
         self.brittle = brittle
         self.permits = permits
+        self.speeds = speeds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1433,6 +1536,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 40:
+                if ftype == TType.LIST:
+                    self.speeds = []
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = ServerSpeed()
+                        _elem133.read(iprot)
+                        self.speeds.append(_elem133)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1454,29 +1568,29 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter128 in self.loads:
-                iter128.write(oprot)
+            for iter134 in self.loads:
+                iter134.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blames is not None:
             oprot.writeFieldBegin('blames', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.blames))
-            for iter129 in self.blames:
-                iter129.write(oprot)
+            for iter135 in self.blames:
+                iter135.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sides is not None:
             oprot.writeFieldBegin('sides', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.sides))
-            for iter130 in self.sides:
-                iter130.write(oprot)
+            for iter136 in self.sides:
+                iter136.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter131 in self.tallies:
-                iter131.write(oprot)
+            for iter137 in self.tallies:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.scope is not None:
@@ -1498,36 +1612,43 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 11)
             oprot.writeListBegin(TType.I64, len(self.leaving))
-            for iter132 in self.leaving:
-                oprot.writeI64(iter132)
+            for iter138 in self.leaving:
+                oprot.writeI64(iter138)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter133 in self.limits:
-                iter133.write(oprot)
+            for iter139 in self.limits:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.notes is not None:
             oprot.writeFieldBegin('notes', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.notes))
-            for iter134 in self.notes:
-                iter134.write(oprot)
+            for iter140 in self.notes:
+                iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.brittle is not None:
             oprot.writeFieldBegin('brittle', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.brittle))
-            for iter135 in self.brittle:
-                iter135.write(oprot)
+            for iter141 in self.brittle:
+                iter141.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.permits is not None:
             oprot.writeFieldBegin('permits', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.permits))
-            for iter136 in self.permits:
-                iter136.write(oprot)
+            for iter142 in self.permits:
+                iter142.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.speeds is not None:
+            oprot.writeFieldBegin('speeds', TType.LIST, 40)
+            oprot.writeListBegin(TType.STRUCT, len(self.speeds))
+            for iter143 in self.speeds:
+                iter143.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1579,6 +1700,15 @@
     (2, TType.DOUBLE, 'rejections', None, None, ),  # 2
     (3, TType.I32, 'heard_ago_ms', None, None, ),  # 3
 )
+all_structs.append(ServerSpeed)
+ServerSpeed.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'server', None, None, ),  # 1
+    (2, TType.I32, 'durations', None, None, ),  # 2
+    (3, TType.I32, 'log_duration', None, None, ),  # 3
+    (4, TType.I32, 'reports', None, None, ),  # 4
+    (5, TType.I32, 'log_slowdown', None, None, ),  # 5
+)
 all_structs.append(PermitNote)
 PermitNote.thrift_spec = (
     None,  # 0
@@ -1661,6 +1791,31 @@
     (13, TType.LIST, 'notes', (TType.STRUCT, [SessionNote, None], False), None, ),  # 13
     (14, TType.LIST, 'brittle', (TType.STRUCT, [ServerBrittleness, None], False), None, ),  # 14
     (15, TType.LIST, 'permits', (TType.STRUCT, [PermitNote, None], False), None, ),  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    (40, TType.LIST, 'speeds', (TType.STRUCT, [ServerSpeed, None], False), None, ),  # 40
 )
 fix_spec(all_structs)
 del all_structs
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -45,6 +45,20 @@
   3: i32 heard_ago_ms
 }
 
+// What answers show of a backend server's speed; `server` is a hash of id and start time.
+// Weighted sums in thousandths, in which recent answers weigh more.
+struct ServerSpeed {
+  1: i64 server
+  // Weight of the answers whose duration was compared with the usual one, and sum of the
+  // logarithms of the ratios.
+  2: i32 durations
+  3: i32 log_duration
+  // Weight of the answers that reported a slowdown of the machine, and sum of the
+  // logarithms.
+  4: optional i32 reports
+  5: optional i32 log_slowdown
+}
+
 // What instances tell each other of the permits to send requests to brittle servers.
 enum PermitNoteKind {
   // A request needs a place; the coordinator answers with one of the next three.
@@ -177,4 +191,5 @@
   13: optional list<SessionNote> notes
   14: optional list<ServerBrittleness> brittle
   15: optional list<PermitNote> permits
+  40: optional list<ServerSpeed> speeds
 }
--- a/tanagerwalk/platform/egress.py
+++ b/tanagerwalk/platform/egress.py
@@ -7,6 +7,7 @@
 from ..decisions.server_notices import ServerNotice, find_hold
 from ..decisions.server_statements import parse_statement
 from ..gateway.attempts import ClassifiedHead, ResponseKind
+from .load_headers import parse_load
 from .names import (
     ACCOUNT,
     ATTEMPT_ID,
@@ -168,7 +169,7 @@
         is_success=is_success,
         misdirected=head.status == MISDIRECTED_STATUS,
         confidence=parse_count(head.get_header(CONFIDENCE)),
-        load=_parse_load(head.get_header(ENGINE_LOAD)),
+        load=parse_load(head.get_header(ENGINE_LOAD)),
         closes_connection=(head.get_header(b"connection") or b"").lower() == b"close",
         headers=_list_end_to_end_headers(head),
         notice=_parse_notice(head),
@@ -225,11 +226,3 @@
         for n, v in head.headers
         if n not in HOP_BY_HOP_HEADERS and n not in named
     ]
-
-
-def _parse_load(value):
-    """Parse a load header: running requests, waiting requests and slots."""
-    if value is None:
-        return None
-    counts = tuple(map(parse_count, value.split(b",")))
-    return None if len(counts) != 3 or None in counts else counts
--- a/test/decisions/test_selection.py
+++ b/test/decisions/test_selection.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tanagerwalk.decisions.engine_load import EngineLoad
 from tanagerwalk.decisions.locations import Home
 from tanagerwalk.decisions.paths import PathTable
 from tanagerwalk.decisions.prompt_affinity import compute_affinity
@@ -115,10 +116,10 @@
 @pytest.mark.parametrize(
     ("load", "reported_at", "is_worth_waiting"),
     [
-        ((3, 0, 8), 1.5, False),
-        ((8, 0, 8), 1.5, True),
-        ((3, 2, 8), 1.5, True),
-        ((3, 0, 8), -1.0, True),
+        (EngineLoad(3, 0, 8), 1.5, False),
+        (EngineLoad(8, 0, 8), 1.5, True),
+        (EngineLoad(3, 2, 8), 1.5, True),
+        (EngineLoad(3, 0, 8), -1.0, True),
     ],
 )
 def test_server_without_a_queue_that_answers_others_dropped_the_request(
--- a/test/gateway/rollout_fleet.py
+++ b/test/gateway/rollout_fleet.py
@@ -15,6 +15,7 @@
 from tanagerwalk.decisions.brittleness import BrittleServices
 from tanagerwalk.decisions.peers import Peer
 from tanagerwalk.decisions.relays import RelaySelection
+from tanagerwalk.decisions.server_speeds import ServerSpeeds
 from tanagerwalk.decisions.shared_loads import SharedLoad, SharedLoadTable
 from tanagerwalk.gateway.release_assignment import ReleaseAssigner
 from tanagerwalk.gateway.release_rollouts import ReleaseRolloutController
@@ -201,6 +202,7 @@
         self._fleet = fleet
         self.limits = SimpleNamespace(list_news=lambda now: {})
         self.brittle = BrittleServices()
+        self.speeds = ServerSpeeds()
 
     def list_known(self, service):
         now = self._fleet.loop.time()
--- a/test/gateway/test_crash_news.py
+++ b/test/gateway/test_crash_news.py
@@ -9,6 +9,7 @@
 from tanagerwalk.decisions.peers import Peer
 from tanagerwalk.decisions.relays import RELAY_PERIOD_S, RelaySelection, Role
 from tanagerwalk.decisions.server_limits import ServerLimits
+from tanagerwalk.decisions.server_speeds import ServerSpeeds
 from tanagerwalk.decisions.shared_loads import SharedLoadTable
 from tanagerwalk.gateway.quarantine import LIMITS, QuarantineFilter
 from tanagerwalk.gateway.sharing import LoadSharing
@@ -49,6 +50,7 @@
             list_usages=lambda service: [],
             limits=ServerLimits(self.random),
             brittle=BrittleServices(),
+            speeds=ServerSpeeds(),
         )
         rollouts = SimpleNamespace(
             set_role=lambda role: None,
--- a/test/gateway/test_sharing.py
+++ b/test/gateway/test_sharing.py
@@ -10,6 +10,7 @@
 from tanagerwalk.decisions.latency_histograms import LatencyHistogram
 from tanagerwalk.decisions.quarantine import CrashRecord
 from tanagerwalk.decisions.relays import RelaySelection, Scope
+from tanagerwalk.decisions.server_speeds import ServerSpeeds
 from tanagerwalk.decisions.shared_loads import (
     SharedLoad,
     SharedLoadTable,
@@ -67,7 +68,7 @@
     sharing = LoadSharing(
         "own",
         "a-1",
-        None,
+        SimpleNamespace(speeds=ServerSpeeds()),
         shared,
         RelaySelection("own", "a-1"),
         SimpleNamespace(merge_records=lambda records, passes_on: None),
--- a/test/platform/test_odd_headers.py
+++ b/test/platform/test_odd_headers.py
@@ -63,18 +63,27 @@
     """Read all that the gateway reads of a head."""
     is_response_to(parse_request(build_request()).ok, True, head)
     classified = classify_head(head)
-    for number in classified.load or (classified.confidence or 0,):
-        assert 0 <= number <= MAX_NUMBER
+    assert 0 <= (classified.confidence or 0) <= MAX_NUMBER
+    check_load(classified.load)
     assert 0.0 <= classified.notice.hold < float("inf")
     assert 0.0 <= parse_idle_timeout(head) < float("inf")
 
 
+def check_load(load):
+    if load is None:
+        return
+    for count in (load.running, load.waiting, load.slots):
+        assert 0 <= count <= MAX_NUMBER
+    assert load.slowdown is None or 0.01 <= load.slowdown <= 100.0
+
+
 # Guards against a number that `int` or a float does not take, which closed the
 # connection of the client whose request was being answered.
 @pytest.mark.parametrize("value", ODD_NUMBERS)
 @pytest.mark.parametrize("name", RESPONSE_NUMBERS)
 def test_odd_number_of_a_server_is_read_without_an_exception(name, value):
-    for text in (value, b"1," + value + b",3", b"timeout=" + value):
+    loads = (b"1," + value + b",3", b"1,2,3," + value)
+    for text in (value, *loads, b"timeout=" + value):
         for status in (200, 421, 500, 503):
             read_head(build_head((name, text), status=status))
 
