--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -312,6 +312,8 @@
         return usage.estimate_load(now, shared, self.mean_work, slowdown)
 
     def _find_slowdown(self, usage, now):
+        if self.speeds.is_uniform(now):
+            return 1.0
         return self.speeds.estimate(hash_life(usage.server), now)
 
     def list_own_loads(self, now):
--- a/tanagerwalk/decisions/server_speeds.py
+++ b/tanagerwalk/decisions/server_speeds.py
@@ -11,11 +11,13 @@
 # mean: neighbours on a machine come and go within a second.
 REPORT_MEMORY_S = 0.4
 # Samples with which an estimate is halfway between the usual speed and what they show.
-PRIOR_SAMPLES = 2.0
+PRIOR_SAMPLES = 3.0
 # Differences that make no difference, as a logarithm: 15 percent.
 DEAD_BAND = 0.14
 # Standard errors within which a difference may be chance.
 MIN_DEVIATIONS = 3.0
+# Share of that threshold by which a difference exceeds it before it counts in full.
+RAMP = 0.25
 REFRESH_PERIOD_S = 0.25
 # Several messages of an instance may be lost.
 REPORT_LIFETIME_S = 4.0
@@ -25,13 +27,11 @@
 class _OwnSamples:
     """What this instance has seen of one server; weights as of `updated_at`."""
 
-    __slots__ = ("reported_at", "reported_slowdown", "samples", "updated_at")
+    __slots__ = ("samples", "updated_at")
 
     def __init__(self, now):
         self.samples = NO_SAMPLES
         self.updated_at = now
-        self.reported_slowdown = 1.0
-        self.reported_at = -math.inf
 
     def get(self, now):
         return self.samples.age(max(0.0, now - self.updated_at))
@@ -58,6 +58,7 @@
     def __init__(self):
         self.shared = SharedLoadTable(NO_SAMPLES, REPORT_LIFETIME_S)
         self._own = {}
+        self._reports = {}
         self._usual_durations = UsualDurations()
         self._services = {}
         self._lasting = {}
@@ -73,18 +74,19 @@
         """
         self._services = lives_by_service
         listed = {life for lives in lives_by_service.values() for life in lives}
-        self._own = {life: own for life, own in self._own.items() if life in listed}
+        for known in (self._own, self._reports):
+            for life in known.keys() - listed:
+                del known[life]
         self._refreshed_at = -math.inf
 
     def record_report(self, life, load, now):
         """Record the EngineLoad in an answer, if it tells a slowdown."""
         if load is None or load.slowdown is None:
             return
-        slowdown = load.plausible_slowdown
-        own = self._find_own(life, now)
-        own.reported_slowdown = slowdown
-        own.reported_at = now
-        own.add(SpeedSamples(reports=1.0, log_slowdown=math.log(slowdown)), now)
+        log_slowdown = math.log(load.plausible_slowdown)
+        self._reports[life] = log_slowdown, now
+        reported = SpeedSamples(reports=1.0, log_slowdown=log_slowdown)
+        self._find_own(life, now).add(reported, now)
 
     def record_duration(self, life, kind, sample, load, now):
         """Record how long an answer took.
@@ -111,6 +113,11 @@
         measured = SpeedSamples(durations=1.0, log_duration=ratio - math.log(reported))
         self._find_own(life, now).add(measured, now)
 
+    def is_uniform(self, now):
+        """Return whether no server is known to be slower or faster than others."""
+        self._refresh(now)
+        return not self._lasting and not self._reports
+
     def estimate(self, life, now):
         """Return how long work takes on a server now; 1.0 is usual for its service."""
         measured, mean_reported = self._find_lasting(life, now)
@@ -135,11 +142,8 @@
 
     def _find_reported(self, life, mean, now):
         """Return the logarithm of the slowdown that a server reports."""
-        own = self._own.get(life)
-        if own is None or own.reported_at == -math.inf:
-            return mean
-        age = max(0.0, now - own.reported_at)
-        latest = math.log(own.reported_slowdown)
+        latest, reported_at = self._reports.get(life, (mean, now))
+        age = max(0.0, now - reported_at)
         return mean + (latest - mean) * math.exp(-age / REPORT_MEMORY_S)
 
     def _find_own(self, life, now):
@@ -150,11 +154,13 @@
 
     def _find_lasting(self, life, now):
         """Return the logarithms of the measured and the mean reported slowdown."""
-        if not 0.0 <= now - self._refreshed_at < REFRESH_PERIOD_S:
-            self._refresh(now)
+        self._refresh(now)
         return self._lasting.get(life, (0.0, 0.0))
 
     def _refresh(self, now):
+        """Estimate the lasting slowdowns anew, if that was a while ago."""
+        if 0.0 <= now - self._refreshed_at < REFRESH_PERIOD_S:
+            return
         self._refreshed_at = now
         totals = self.shared.sum_by_key(now)
         for life, own in self._own.items():
@@ -168,21 +174,23 @@
         """Return the lasting slowdowns of the servers of one service."""
         measured = {life: _estimate_mean(each) for life, each in totals.items()}
         center = sum(measured.values()) / len(measured) if measured else 0.0
-        return {
+        slowdowns = {
             life: (
-                self._bound(measured[life] - center, totals[life].durations),
-                totals[life].log_slowdown / (totals[life].reports + PRIOR_SAMPLES),
+                self._bound(measured[life] - center, samples.durations),
+                samples.log_slowdown / (samples.reports + PRIOR_SAMPLES),
             )
-            for life in totals
+            for life, samples in totals.items()
         }
+        return {life: each for life, each in slowdowns.items() if any(each)}
 
     def _bound(self, difference, weight):
         """Return a difference of speed, or 0 if it is small or may be chance."""
         if weight <= 0.0:
             return 0.0
-        error = math.sqrt(self._usual_durations.variance / weight)
+        # Samples that fade away count for twice the sum of their weights.
+        error = math.sqrt(self._usual_durations.variance / (2.0 * weight))
         threshold = max(DEAD_BAND, MIN_DEVIATIONS * error)
-        share = (abs(difference) - threshold) / (0.5 * threshold)
+        share = (abs(difference) - threshold) / (RAMP * threshold)
         return difference * min(1.0, max(0.0, share))
 
 
--- a/tanagerwalk/decisions/speed_samples.py
+++ b/tanagerwalk/decisions/speed_samples.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 # After this time the weight of an answer has fallen to 1 / e.
-MEMORY_S = 4.0
+MEMORY_S = 6.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tanagerwalk/decisions/usual_durations.py
+++ b/tanagerwalk/decisions/usual_durations.py
@@ -74,8 +74,7 @@
 def _find_duration(sample, load):
     """Return the seconds that depend on the server's speed, or None."""
     seconds = sample.comparable_latency
+    if seconds is None or sample.has_events or load is None:
+        return seconds
     # The time to the head includes the wait in the server's queue.
-    was_queued = load is not None and load.waiting > 0
-    if seconds is None or (was_queued and not sample.has_events):
-        return None
-    return seconds
+    return seconds / (1.0 + load.waiting / max(1, load.slots))
--- /dev/null
+++ b/test/gateway/test_answer_recorder.py
@@ -0,0 +1,85 @@
+"""What slow machines prove about the release that they run: nothing."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from tanagerwalk.decisions.engine_load import EngineLoad
+from tanagerwalk.decisions.latency_baselines import LatencySample
+from tanagerwalk.decisions.release_evidence import is_bad_release, is_proved_fast
+from tanagerwalk.decisions.server_speeds import ServerSpeeds
+from tanagerwalk.decisions.tallies import TallyBook
+from tanagerwalk.gateway.answer_recorder import AnswerRecorder
+from tanagerwalk.gateway.attempts import Attempt, AttemptResult, Outcome
+from tanagerwalk.registry import RegisteredServer, ServerState
+
+SERVICE = "drafts"
+ORDER = SimpleNamespace(service=SERVICE, revision=7, target="v2")
+ROUTE = SimpleNamespace(name="letters", objective=1.0, gap_objective=0.8)
+REQUEST = SimpleNamespace(route=ROUTE)
+EVENTS = 20
+PAUSE_S = 0.04
+
+
+def build_server(release):
+    return RegisteredServer(
+        f"server-{release}",
+        SERVICE,
+        ("10.0.0.1", 80),
+        "a-1",
+        release,
+        8,
+        ServerState.READY,
+    )
+
+
+def record_answers(machine, release, told, answers=400, seed=1):
+    """Record the answers of two releases, and return their Tally.
+
+    The machines of the target are slower by `machine` and report `told`; the target
+    itself is slower by `release`.
+    """
+    source = random.Random(seed)
+    book = TallyBook("a-1")
+    recorder = AnswerRecorder(
+        SimpleNamespace(orders={SERVICE: ORDER}),
+        lambda key: book,
+        ServerSpeeds(),
+        lambda: 0.0,
+    )
+    for number in range(answers):
+        is_target = number % 8 == 7
+        slowdown = machine * release if is_target else 1.0
+        load = EngineLoad(4, 0, 8, told if is_target else 1.0)
+        pause = PAUSE_S * slowdown * source.lognormvariate(0.0, 0.3)
+        sample = LatencySample(pause, pause, EVENTS, 500)
+        attempt = Attempt(build_server("v2" if is_target else "v1"), 10.0)
+        recorder.record_latency(REQUEST, attempt, sample, load)
+        result = AttemptResult(Outcome.DELIVERED, latency_sample=sample, load=load)
+        recorder.record_attempt(REQUEST, attempt, result)
+    return book.own
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("machine", [1.7, 2.5, 4.0])
+def test_good_release_on_slow_machines_is_not_halted(machine, seed):
+    tally = record_answers(machine, release=1.0, told=machine, seed=seed)
+    assert not is_bad_release(tally)
+    assert is_proved_fast(tally)
+
+
+@pytest.mark.parametrize("machine", [2.5, 4.0])
+def test_slowness_that_the_machine_does_not_report_is_the_release_s(machine):
+    assert is_bad_release(record_answers(machine, release=1.0, told=None))
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("machine", [0.7, 1.0, 1.7, 4.0])
+def test_slow_release_is_found_whatever_its_machines(machine, seed):
+    tally = record_answers(machine, release=2.5, told=machine, seed=seed)
+    assert is_bad_release(tally)
+
+
+def test_release_excuses_itself_only_within_bounds():
+    assert is_bad_release(record_answers(1.0, release=12.0, told=100.0))
