--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -127,6 +127,14 @@
         self.is_down = False
         return True
 
+    @property
+    def load(self):
+        """Load as the server reports it."""
+        slowdown = self.behaviour.slowdown
+        if slowdown is None:
+            return self.places.load
+        return f"{self.places.load},{slowdown * 100:.0f}"
+
     def take_fault(self):
         """Return the fault for the next request and count it against `times`."""
         behaviour = self.behaviour
@@ -253,7 +261,7 @@
             await self._writable.wait()
 
     async def _answer_plain(self, request, fault):
-        await asyncio.sleep(self.server.behaviour.delay)
+        await asyncio.sleep(self.server.behaviour.step_time)
         body = f"{self.server.id} did {request.target}".encode()
         if fault == "foreign":
             other = ReceivedRequest("GET", "/", {"x-tanagerwalk-attempt-id": "other"})
@@ -290,7 +298,7 @@
             await asyncio.sleep(CRASH_DELAY_S)
             await self.server.crash()
         for number in range(first, EVENT_COUNT + 1):
-            await asyncio.sleep(self.server.behaviour.delay)
+            await asyncio.sleep(self.server.behaviour.step_time)
             if fault == "cut" and number == 3:
                 self.transport.abort()
                 return
@@ -327,7 +335,7 @@
         if self.server.behaviour.brittle:
             head.append(f"Server-Brittle: {self.server.behaviour.brittle}")
         if self.server.places is not None:
-            head.append(f"X-Tanagerwalk-Engine-Load: {self.server.places.load}")
+            head.append(f"X-Tanagerwalk-Engine-Load: {self.server.load}")
         if signed:
             head.append(f"X-Tanagerwalk-Response-Seal: {self.server.id}.{attempt_id}")
         return ("\r\n".join(head) + "\r\n\r\n").encode()
--- a/tanagerwalk/standins/behaviours.py
+++ b/tanagerwalk/standins/behaviours.py
@@ -65,6 +65,10 @@
     brittle : str
         Rejections a second that all answers name as more than the server bears; empty
         for none.
+    slowdown : float or None
+        How long work takes, relative to what is usual: a factor of `delay` that all
+        answers report with the load, from a server with places. None if it isn't
+        reported.
     raw : bytes
         Answer for the fault `raw`.
     keeps_abandoned : bool
@@ -82,6 +86,12 @@
     retry_after: str = ""
     limit: str = ""
     brittle: str = ""
+    slowdown: float | None = None
     raw: bytes = b""
     keeps_abandoned: bool = False
     crashing_part: str = ""
+
+    @property
+    def step_time(self):
+        """Seconds before each event of a stream, and before a plain response."""
+        return self.delay if self.slowdown is None else self.delay * self.slowdown
