--- a/tanagerwalk/decisions/server_speeds.py
+++ b/tanagerwalk/decisions/server_speeds.py
@@ -131,6 +131,16 @@
         _, mean_reported = self._find_lasting(life, now)
         return math.exp(self._find_reported(life, mean_reported, now))
 
+    def list_lasting(self, now):
+        """Return the lasting slowdown by `hash_life` of each server that is uneven."""
+        self._refresh(now)
+        slowdowns = {life: sum(each) for life, each in self._lasting.items()}
+        return {
+            life: bound_slowdown(math.exp(log_slowdown))
+            for life, log_slowdown in slowdowns.items()
+            if abs(log_slowdown) > DEAD_BAND
+        }
+
     def list_own(self, now):
         """Return the SpeedSamples of this instance by `hash_life`."""
         current = {life: own.get(now) for life, own in self._own.items()}
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -52,6 +52,7 @@
 from .request_handler import MAX_REPORTED_AGE_S, RequestHandler
 from .routing import RouteFilter
 from .sharing import LoadSharing
+from .speed_watch import SpeedWatch
 from .stop_control import StopControl
 from .tunnel_client import TunnelClient
 from .tunnels import TunnelServer
@@ -154,6 +155,7 @@
         self.permits = ServerPermits(
             self.incarnation, self.servers, self.metrics, self.clock, self.random
         )
+        self.speed_watch = SpeedWatch(self.servers, self.metrics, self.clock)
         self.sharing = LoadSharing(
             self.incarnation,
             settings.failure_domain,
@@ -443,6 +445,7 @@
         run("fleet_key", lambda: self.fleet_key.run(self._authenticate))
         run("sharing", lambda: self.sharing.run())
         run("permits", lambda: self.permits.run())
+        run("speed_watch", lambda: self.speed_watch.run())
         log.info("listening", instance=self.settings.instance)
 
     async def _run_membership(self):
--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -57,6 +57,9 @@
         self.in_flight = self._create_gauge(
             "in_flight", "Requests that are being answered."
         )
+        self.uneven_servers = self._create_gauge(
+            "uneven_servers", "Servers lastingly slower or faster than the others."
+        )
         self.memory_used = self._create_gauge(
             "memory_used_bytes", "Memory of requests and answers."
         )
