--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -265,6 +265,16 @@
             return False
         return statements.record(hash_life(server), bearable, now)
 
+    def record_duration(self, server, kind, sample, load, now):
+        """Learn the speed of a server from how long an answer took.
+
+        See `ServerSpeeds.record_duration`.
+        """
+        # The way to another region isn't the server's; pauses don't contain it.
+        is_near = self._home.is_same_region(server.failure_domain)
+        key = (kind, is_near or sample.has_events)
+        self.speeds.record_duration(hash_life(server), key, sample, load, now)
+
     def spend_limit(self, server, now):
         """Count a request that is about to be sent against the limit of its server."""
         if not self.limits.is_empty:
--- a/tanagerwalk/gateway/answer_recorder.py
+++ b/tanagerwalk/gateway/answer_recorder.py
@@ -3,7 +3,6 @@
 from ..decisions.engine_load import find_slowdown
 from ..decisions.latency_baselines import LatencyBaselines
 from ..decisions.load_curve import LoadCurve
-from ..decisions.server_usage_table import hash_life
 from ..decisions.tallies import AnswerKind
 from .attempts import Outcome
 
@@ -21,16 +20,16 @@
         Provides the operators' roll-out orders.
     get_tallies : callable
         Takes the service and the revision of an order, and returns its TallyBook.
-    speeds : ServerSpeeds
+    servers : ServerPool
         Learns from the answers how fast the servers are.
     clock : callable
         Returns monotonic time in seconds.
     """
 
-    def __init__(self, cluster_state, get_tallies, speeds, clock):
+    def __init__(self, cluster_state, get_tallies, servers, clock):
         self._cluster_state = cluster_state
         self._get_tallies = get_tallies
-        self._speeds = speeds
+        self._servers = servers
         self._clock = clock
         self._latency_baselines = LatencyBaselines()
         self._load_curve = LoadCurve()
@@ -52,6 +51,11 @@
             and result.outcome in OUTCOMES_WITH_RESPONSE
         ):
             sample = _remove_slowdown(result.latency_sample, result.load)
+            if result.is_success and not result.latency_sample.has_events:
+                kind = AnswerKind(route.name, attempt.model)
+                self._learn_speed(
+                    attempt.server, kind, result.latency_sample, result.load
+                )
             is_bad = is_bad or self._latency_baselines.is_slow(
                 key, sample, route.objective, route.gap_objective
             )
@@ -64,6 +68,11 @@
         book = self._get_tallies((order.service, order.revision))
         book.own.record(route.name, is_target, is_bad)
 
+    def _learn_speed(self, server, kind, sample, load):
+        """Learn how fast a server is; errors come too soon to tell."""
+        now = self._clock()
+        self._servers.record_duration(server, kind, sample, load, now)
+
     def record_latency(self, request, attempt, sample, load):
         """Count the latency of an answer for a roll-out, maybe before the answer ends.
 
@@ -79,8 +88,8 @@
             Load that the server reported.
         """
         kind = AnswerKind(request.route.name, attempt.model)
-        life = hash_life(attempt.server)
-        self._speeds.record_duration(life, kind, sample, load, self._clock())
+        if sample.has_events:
+            self._learn_speed(attempt.server, kind, sample, load)
         # A slow machine says nothing about the release that it runs.
         seconds = _remove_slowdown(sample, load).comparable_latency
         if seconds is None:
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -317,7 +317,7 @@
             AnswerRecorder(
                 self.cluster_state,
                 self.rollouts.get_tallies,
-                self.servers.speeds,
+                self.servers,
                 self.clock,
             ),
             self.quarantine,
--- a/test/decisions/speed_fleet.py
+++ b/test/decisions/speed_fleet.py
@@ -14,7 +14,6 @@
 from tanagerwalk.decisions.selection import ServerPool
 from tanagerwalk.decisions.server_speeds import ServerSpeeds
 from tanagerwalk.decisions.server_usage import estimate_work
-from tanagerwalk.decisions.server_usage_table import hash_life
 from tanagerwalk.decisions.shared_loads import (
     NO_LOAD,
     ReportSource,
@@ -220,8 +219,7 @@
         if request.work is not None:
             pause = request.seconds / EVENTS
             sample = LatencySample(pause, pause, EVENTS, PROMPT_TOKENS)
-        life = hash_life(server.entry)
-        pool.speeds.record_duration(life, "drafts", sample, load, self.now)
+        pool.record_duration(server.entry, SERVICE, sample, load, self.now)
         request.ended_at = self.now
         self.ended.append(request)
 
--- a/test/decisions/test_server_speeds.py
+++ b/test/decisions/test_server_speeds.py
@@ -1,12 +1,14 @@
 """Placement among servers that differ in speed, lastingly or from moment to moment."""
 
 import random
+from dataclasses import replace
 
 import pytest
 from speed_fleet import HOME, SERVICE, Scenario, SpeedFleet, ideal_shares
 
 from tanagerwalk.decisions.engine_load import MAX_SLOWDOWN, EngineLoad
 from tanagerwalk.decisions.latency_baselines import LatencySample
+from tanagerwalk.decisions.locations import Home
 from tanagerwalk.decisions.paths import PathTable
 from tanagerwalk.decisions.selection import ServerPool
 from tanagerwalk.decisions.server_speeds import ServerSpeeds
@@ -199,6 +201,19 @@
     assert pool.speeds.estimate(LIVES[0], 0.0) <= MAX_SLOWDOWN
 
 
+def test_way_to_another_region_does_not_count_as_slowness():
+    home = Home("a-1", "a", {"a-1": "a", "b-1": "b"})
+    pool = ServerPool(home, SharedLoadTable(), PathTable(), random.Random(1))
+    far = replace(SERVERS[1], failure_domain="b-1")
+    pool.replace_servers([SERVERS[0], far])
+    for number in range(200):
+        now = number * 0.05
+        for server, seconds in ((SERVERS[0], 0.02), (far, 0.036)):
+            sample = LatencySample(seconds)
+            pool.record_duration(server, "jobs", sample, EngineLoad(1, 0, 6), now)
+    assert pool.speeds.is_uniform(now)
+
+
 def test_slow_machine_has_more_time_until_it_counts_as_silent():
     pool = build_pool()
     for _ in range(20):
--- a/test/gateway/test_answer_recorder.py
+++ b/test/gateway/test_answer_recorder.py
@@ -7,8 +7,11 @@
 
 from tanagerwalk.decisions.engine_load import EngineLoad
 from tanagerwalk.decisions.latency_baselines import LatencySample
+from tanagerwalk.decisions.locations import Home
+from tanagerwalk.decisions.paths import PathTable
 from tanagerwalk.decisions.release_evidence import is_bad_release, is_proved_fast
-from tanagerwalk.decisions.server_speeds import ServerSpeeds
+from tanagerwalk.decisions.selection import ServerPool
+from tanagerwalk.decisions.shared_loads import SharedLoadTable
 from tanagerwalk.decisions.tallies import TallyBook
 from tanagerwalk.gateway.answer_recorder import AnswerRecorder
 from tanagerwalk.gateway.attempts import Attempt, AttemptResult, Outcome
@@ -34,6 +37,11 @@
     )
 
 
+def build_pool():
+    home = Home("a-1", "a", {"a-1": "a"})
+    return ServerPool(home, SharedLoadTable(), PathTable(), random.Random(1))
+
+
 def record_answers(machine, release, told, answers=400, seed=1):
     """Record the answers of two releases, and return their Tally.
 
@@ -45,7 +53,7 @@
     recorder = AnswerRecorder(
         SimpleNamespace(orders={SERVICE: ORDER}),
         lambda key: book,
-        ServerSpeeds(),
+        build_pool(),
         lambda: 0.0,
     )
     for number in range(answers):
@@ -81,5 +89,25 @@
     assert is_bad_release(tally)
 
 
+def test_server_that_fails_at_once_does_not_count_as_fast():
+    """Requests would go to it the more, the more of them it fails."""
+    pool = build_pool()
+    servers = [build_server("v1"), build_server("v2")]
+    pool.replace_servers(servers)
+    now = 0.0
+    recorder = AnswerRecorder(SimpleNamespace(orders={}), None, pool, lambda: now)
+    for number in range(200):
+        now = number * 0.02
+        failing = number % 2
+        outcome = Outcome.FAILED if failing else Outcome.DELIVERED
+        status = 500 if failing else 200
+        sample = LatencySample(0.002 if failing else 0.05)
+        result = AttemptResult(outcome, status=status, latency_sample=sample)
+        attempt = Attempt(servers[failing], 10.0)
+        recorder.record_latency(REQUEST, attempt, sample, None)
+        recorder.record_attempt(REQUEST, attempt, result)
+    assert pool.speeds.is_uniform(now)
+
+
 def test_release_excuses_itself_only_within_bounds():
     assert is_bad_release(record_answers(1.0, release=12.0, told=100.0))
