--- a/tanagerwalk/decisions/server_speeds.py
+++ b/tanagerwalk/decisions/server_speeds.py
@@ -1,8 +1,9 @@
 """Estimates how long work takes on each backend server, relative to the others."""
 
 import math
+from dataclasses import dataclass
 
-from .engine_load import bound_slowdown
+from .engine_load import bound_slowdown, find_slowdown
 from .shared_loads import SharedLoadTable
 from .speed_samples import NO_SAMPLES, SpeedSamples
 from .usual_durations import UsualDurations
@@ -19,11 +20,26 @@
 # Share of that threshold by which a difference exceeds it before it counts in full.
 RAMP = 0.25
 REFRESH_PERIOD_S = 0.25
-# Several messages of an instance may be lost.
-REPORT_LIFETIME_S = 4.0
+# After this time what an instance has told is forgotten; a few messages may be lost.
+PEER_LIFETIME_S = 4.0
 MIN_WEIGHT = 0.2
 
 
+@dataclass(frozen=True, slots=True)
+class _LastingSlowdown:
+    """Logarithms of the measured slowdown and of the mean that the server reports."""
+
+    measured: float = 0.0
+    reported: float = 0.0
+
+    @property
+    def total(self):
+        return self.measured + self.reported
+
+
+USUAL = _LastingSlowdown()
+
+
 class _OwnSamples:
     """What this instance has seen of one server; weights as of `updated_at`."""
 
@@ -56,7 +72,7 @@
     """
 
     def __init__(self):
-        self.shared = SharedLoadTable(NO_SAMPLES, REPORT_LIFETIME_S)
+        self.shared = SharedLoadTable(NO_SAMPLES, PEER_LIFETIME_S)
         self._own = {}
         self._reports = {}
         self._usual_durations = UsualDurations()
@@ -105,8 +121,8 @@
             Monotonic time in seconds.
         """
         # At the time of the answer the slowdown was what the answer reports.
-        reported = 1.0 if load is None else load.plausible_slowdown
-        slowdown = reported * math.exp(self._find_lasting(life, now)[0])
+        reported = find_slowdown(load)
+        slowdown = reported * math.exp(self._find_lasting(life, now).measured)
         ratio = self._usual_durations.compare(kind, sample, load, slowdown)
         if ratio is None:
             return
@@ -120,25 +136,22 @@
 
     def estimate(self, life, now):
         """Return how long work takes on a server now; 1.0 is usual for its service."""
-        measured, mean_reported = self._find_lasting(life, now)
-        reported = self._find_reported(life, mean_reported, now)
-        if measured == reported == 0.0:
-            return 1.0
-        return bound_slowdown(math.exp(measured + reported))
+        lasting = self._find_lasting(life, now)
+        reported = self._find_reported(life, lasting.reported, now)
+        return bound_slowdown(math.exp(lasting.measured + reported))
 
     def estimate_reported(self, life, now):
         """Return the part of the estimate that the server itself reports."""
-        _, mean_reported = self._find_lasting(life, now)
-        return math.exp(self._find_reported(life, mean_reported, now))
+        mean = self._find_lasting(life, now).reported
+        return math.exp(self._find_reported(life, mean, now))
 
     def list_lasting(self, now):
         """Return the lasting slowdown by `hash_life` of each server that is uneven."""
         self._refresh(now)
-        slowdowns = {life: sum(each) for life, each in self._lasting.items()}
         return {
-            life: bound_slowdown(math.exp(log_slowdown))
-            for life, log_slowdown in slowdowns.items()
-            if abs(log_slowdown) > DEAD_BAND
+            life: bound_slowdown(math.exp(lasting.total))
+            for life, lasting in self._lasting.items()
+            if abs(lasting.total) > DEAD_BAND
         }
 
     def list_own(self, now):
@@ -163,9 +176,8 @@
         return own
 
     def _find_lasting(self, life, now):
-        """Return the logarithms of the measured and the mean reported slowdown."""
         self._refresh(now)
-        return self._lasting.get(life, (0.0, 0.0))
+        return self._lasting.get(life, USUAL)
 
     def _refresh(self, now):
         """Estimate the lasting slowdowns anew, if that was a while ago."""
@@ -185,13 +197,13 @@
         measured = {life: _estimate_mean(each) for life, each in totals.items()}
         center = sum(measured.values()) / len(measured) if measured else 0.0
         slowdowns = {
-            life: (
+            life: _LastingSlowdown(
                 self._bound(measured[life] - center, samples.durations),
                 samples.log_slowdown / (samples.reports + PRIOR_SAMPLES),
             )
             for life, samples in totals.items()
         }
-        return {life: each for life, each in slowdowns.items() if any(each)}
+        return {life: each for life, each in slowdowns.items() if each != USUAL}
 
     def _bound(self, difference, weight):
         """Return a difference of speed, or 0 if it is small or may be chance."""
--- a/tanagerwalk/decisions/shared_loads.py
+++ b/tanagerwalk/decisions/shared_loads.py
@@ -94,19 +94,19 @@
 class SharedLoadTable:
     """Aggregates the loads reported by the other instances.
 
-    Attributes
-    ----------
-    period : float
-        Seconds between messages of an instance.
-    delay : float
-        Seconds after which a load has reached all instances.
-
     Parameters
     ----------
     empty : SharedLoad or SpeedSamples
         The value of a server of which nothing was reported.
     min_lifetime : float
         Least time after which the last report of an instance expires, in seconds.
+
+    Attributes
+    ----------
+    period : float
+        Seconds between messages of an instance.
+    delay : float
+        Seconds after which a load has reached all instances.
     """
 
     def __init__(self, empty=NO_LOAD, min_lifetime=MIN_LIFETIME_S):
