--- a/test/decisions/test_server_speeds.py
+++ b/test/decisions/test_server_speeds.py
@@ -162,6 +162,23 @@
     assert after < 1.1 * before
 
 
+@pytest.mark.parametrize("word", [0.25, 4.0])
+def test_large_fleet_does_not_run_to_or_from_a_server_for_its_word(word):
+    fleet = SpeedFleet(
+        Scenario(
+            slowdowns=(1.0,) * 15,
+            load=0.7,
+            instances=69,
+            work=0.2,
+            neighbour_share=0.0,
+            false_word=word,
+            seconds=12.0,
+        )
+    ).play()
+    assert 0.6 / 15.0 < fleet.find_shares(0.0, 3.0)[0] < 1.4 / 15.0
+    assert 0.8 / 15.0 < fleet.find_shares()[0] < 1.2 / 15.0
+
+
 def test_good_word_draws_requests_only_for_a_moment():
     pool = build_pool()
     pool.record_answer(SERVERS[0], EngineLoad(0, 0, 6, 0.25), 0.0)
