--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -90,7 +90,7 @@
             Takes a RegisteredServer and returns whether it may be used.
         """
         loads = [
-            self._estimate_load(usage, now)
+            self._estimate_load(usage, now, self._find_slowdown(usage, now))
             for usage in self.list_usages(service)
             if usage.accepts_requests
             and usage.paused_until <= now
@@ -144,6 +144,7 @@
             affinity,
             traits,
             partial(self._has_local_server, service, now),
+            partial(self._find_slowdown, now=now),
         )
         return self.chooser.choose(ready, inputs).server
 
@@ -307,22 +308,39 @@
             return False
         return statements.record(hash_life(server), bearable, now)
 
+    def record_duration(self, server, kind, sample, load, now):
+        """Learn the speed of a server from how long an answer took.
+
+        See `ServerSpeeds.record_duration`.
+        """
+        # The way to another region isn't the server's; pauses don't contain it.
+        is_near = self._home.is_same_region(server.failure_domain)
+        key = (kind, is_near or sample.has_events)
+        self.speeds.record_duration(hash_life(server), key, sample, load, now)
+
     def spend_limit(self, server, now):
         """Count a request that is about to be sent against the limit of its server."""
         if not self.limits.is_empty:
             self.limits.record_sent(hash_life(server), now)
 
     def _estimate_cost_load(self, usage, now):
-        """Return the load of a server, plus what it costs that a cold one is slow."""
-        load = self._estimate_load(usage, now)
+        """Return the load of a server, plus what it costs that it is slow."""
+        slowdown = self._find_slowdown(usage, now)
+        load = self._estimate_load(usage, now, slowdown)
+        load += usage.estimate_delay(self.mean_work, slowdown)
         cold = self.limits.cold
         if cold.is_empty:
             return load
         return load + cold.find_load(hash_life(usage.server), now)
 
-    def _estimate_load(self, usage, now):
+    def _estimate_load(self, usage, now, slowdown):
         shared = self._shared.sum(usage.server.id, now)
-        return usage.estimate_load(now, shared, self.mean_work)
+        return usage.estimate_load(now, shared, self.mean_work, slowdown)
+
+    def _find_slowdown(self, usage, now):
+        if self.speeds.is_uniform(now):
+            return 1.0
+        return self.speeds.estimate(hash_life(usage.server), now)
 
     def list_own_loads(self, now):
         """Return the SharedLoad that this instance causes on each server, by id."""
--- a/tanagerwalk/decisions/server_choice.py
+++ b/tanagerwalk/decisions/server_choice.py
@@ -54,6 +54,8 @@
     has_local : callable
         Returns whether the own failure domain has a server that takes requests, be it
         one that this request may not use.
+    find_slowdown : callable
+        Takes a ServerUsage and returns how long its work takes, relative to the usual.
     """
 
     service: ServiceName
@@ -62,6 +64,7 @@
     affinity: PromptAffinity | None = None
     traits: RequestTraits = UNKNOWN_TRAITS
     has_local: Callable[[], bool] = lambda: False
+    find_slowdown: Callable[[ServerUsage], float] = lambda usage: 1.0
 
 
 class ServerChooser:
@@ -132,7 +135,7 @@
         load = inputs.estimate_load(usage)
         cost = LINEAR_LOAD_WEIGHT * load + load * load
         if usage is not preferred:
-            cost += affinity.cache_miss_cost
+            cost += affinity.cache_miss_cost * inputs.find_slowdown(usage)
         if not self._home.is_same_region(usage.server.failure_domain):
             cost += affinity.remote_cost
         return cost, self._random.random()
--- a/tanagerwalk/gateway/answer_recorder.py
+++ b/tanagerwalk/gateway/answer_recorder.py
@@ -1,5 +1,6 @@
 """Records what answers say about the releases of a roll-out."""
 
+from ..decisions.engine_load import find_slowdown
 from ..decisions.latency_baselines import LatencyBaselines
 from ..decisions.load_curve import LoadCurve
 from ..decisions.tallies import AnswerKind
@@ -19,11 +20,17 @@
         Provides the operators' roll-out orders.
     get_tallies : callable
         Takes the service and the revision of an order, and returns its TallyBook.
+    servers : ServerPool
+        Learns from the answers how fast the servers are.
+    clock : callable
+        Returns monotonic time in seconds.
     """
 
-    def __init__(self, cluster_state, get_tallies):
+    def __init__(self, cluster_state, get_tallies, servers, clock):
         self._cluster_state = cluster_state
         self._get_tallies = get_tallies
+        self._servers = servers
+        self._clock = clock
         self._latency_baselines = LatencyBaselines()
         self._load_curve = LoadCurve()
 
@@ -43,11 +50,17 @@
             result.latency_sample is not None
             and result.outcome in OUTCOMES_WITH_RESPONSE
         ):
+            sample = _remove_slowdown(result.latency_sample, result.load)
+            if result.is_success and not result.latency_sample.has_events:
+                kind = AnswerKind(route.name, attempt.model)
+                self._learn_speed(
+                    attempt.server, kind, result.latency_sample, result.load
+                )
             is_bad = is_bad or self._latency_baselines.is_slow(
-                key, result.latency_sample, route.objective, route.gap_objective
+                key, sample, route.objective, route.gap_objective
             )
             if not is_target:
-                self._latency_baselines.record(key, result.latency_sample)
+                self._latency_baselines.record(key, sample)
         if order is None or (
             result.outcome not in OUTCOMES_WITH_RESPONSE and not is_bad
         ):
@@ -55,6 +68,11 @@
         book = self._get_tallies((order.service, order.revision))
         book.own.record(route.name, is_target, is_bad)
 
+    def _learn_speed(self, server, kind, sample, load):
+        """Learn how fast a server is; errors come too soon to tell."""
+        now = self._clock()
+        self._servers.record_duration(server, kind, sample, load, now)
+
     def record_latency(self, request, attempt, sample, load):
         """Count the latency of an answer for a roll-out, maybe before the answer ends.
 
@@ -66,21 +84,29 @@
             The attempt that is being answered.
         sample : LatencySample
             What was measured so far.
-        load : tuple of (int, int, int) or None
-            Running requests, waiting requests and slots that the server reported.
+        load : EngineLoad or None
+            Load that the server reported.
         """
-        seconds = sample.comparable_latency
+        kind = AnswerKind(request.route.name, attempt.model)
+        if sample.has_events:
+            self._learn_speed(attempt.server, kind, sample, load)
+        # A slow machine says nothing about the release that it runs.
+        seconds = _remove_slowdown(sample, load).comparable_latency
         if seconds is None:
             return
         order = self._cluster_state.orders.get(attempt.server.service)
         is_target = order is not None and attempt.server.release == order.target
         if sample.has_events and load is not None:
-            running = load[0]
             if not is_target:
-                self._load_curve.record(running, seconds)
-            seconds = self._load_curve.normalize(running, seconds)
+                self._load_curve.record(load.running, seconds)
+            seconds = self._load_curve.normalize(load.running, seconds)
         if order is None:
             return
         book = self._get_tallies((order.service, order.revision))
-        kind = AnswerKind(request.route.name, attempt.model)
         book.own.record_latency(kind, is_target, seconds)
+
+
+def _remove_slowdown(sample, load):
+    """Return a LatencySample without what the server's machine adds to it."""
+    slowdown = find_slowdown(load)
+    return sample if slowdown == 1.0 else sample.without_slowdown(slowdown)
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -55,6 +55,7 @@
 from .request_regions import RegionRules
 from .routing import RouteFilter
 from .sharing import LoadSharing
+from .speed_watch import SpeedWatch
 from .stop_control import StopControl
 from .tunnel_client import TunnelClient
 from .tunnels import TunnelServer
@@ -160,6 +161,7 @@
         self.permits = ServerPermits(
             self.incarnation, self.servers, self.metrics, self.clock, self.random
         )
+        self.speed_watch = SpeedWatch(self.servers, self.metrics, self.clock)
         self.sharing = LoadSharing(
             self.incarnation,
             settings.failure_domain,
@@ -356,7 +358,12 @@
             self.servers,
             self.rollouts,
             self.assigner,
-            AnswerRecorder(self.cluster_state, self.rollouts.get_tallies),
+            AnswerRecorder(
+                self.cluster_state,
+                self.rollouts.get_tallies,
+                self.servers,
+                self.clock,
+            ),
             self.quarantine,
             self.crash_check,
             self.permits,
@@ -486,6 +493,7 @@
         run("fleet_key", lambda: self.fleet_key.run(self._authenticate))
         run("sharing", lambda: self.sharing.run())
         run("permits", lambda: self.permits.run())
+        run("speed_watch", lambda: self.speed_watch.run())
         log.info("listening", instance=self.settings.instance)
 
     async def _run_membership(self):
--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -83,6 +83,9 @@
         self.limit_refusals = self._create_gauge(
             "limit_refusals", "Requests so far for which that wait was too long."
         )
+        self.uneven_servers = self._create_gauge(
+            "uneven_servers", "Servers lastingly slower or faster than the others."
+        )
         self.memory_used = self._create_gauge(
             "memory_used_bytes", "Memory of requests and answers."
         )
--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -135,6 +135,14 @@
         self.is_down = False
         return True
 
+    @property
+    def load(self):
+        """Load as the server reports it."""
+        slowdown = self.behaviour.slowdown
+        if slowdown is None:
+            return self.places.load
+        return f"{self.places.load},{slowdown * 100:.0f}"
+
     def take_fault(self):
         """Return the fault for the next request and count it against `times`."""
         behaviour = self.behaviour
@@ -263,7 +271,7 @@
             await self._writable.wait()
 
     async def _answer_plain(self, request, fault):
-        await asyncio.sleep(self.server.behaviour.delay)
+        await asyncio.sleep(self.server.behaviour.step_time)
         body = f"{self.server.id} did {request.target}".encode()
         if fault == "foreign":
             other = ReceivedRequest("GET", "/", {"x-tanagerwalk-attempt-id": "other"})
@@ -300,7 +308,7 @@
             await asyncio.sleep(CRASH_DELAY_S)
             await self.server.crash()
         for number in range(first, EVENT_COUNT + 1):
-            await asyncio.sleep(self.server.behaviour.delay)
+            await asyncio.sleep(self.server.behaviour.step_time)
             if fault == "cut" and number == 3:
                 self.transport.abort()
                 return
@@ -340,7 +348,7 @@
         if request.target == HEALTH_PATH and cold_left > 0.0:
             head.append(f"X-Tanagerwalk-Cold-Ms: {round(cold_left * MS_PER_S)}")
         if self.server.places is not None:
-            head.append(f"X-Tanagerwalk-Engine-Load: {self.server.places.load}")
+            head.append(f"X-Tanagerwalk-Engine-Load: {self.server.load}")
         if signed:
             head.append(f"X-Tanagerwalk-Response-Seal: {self.server.id}.{attempt_id}")
         return ("\r\n".join(head) + "\r\n\r\n").encode()
