Let the soak evacuate failure domains

Cause: the soak had one failure domain and no evacuations.

Change: the servers stand in three failure domains. Operators evacuate one for up to 5.5 s, write it again after a restore, and take it back; no request may arrive there later than 2.5 s after the request without a disturbance.

The check finds a request that is too late, and none in time (test_checks.py).

--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -4,7 +4,13 @@
 from collections import defaultdict
 
 from soak.clients import REQUEST_KINDS
-from soak.fleet import API_KEYS, DRAIN_LIMIT_S, REVOCATION_LIMIT_S
+from soak.fleet import (
+    API_KEYS,
+    DRAIN_LIMIT_S,
+    EVACUATION_LIMIT_S,
+    REVOCATION_LIMIT_S,
+    find_failure_domain,
+)
 from tanagerwalk.standins.backend import EVENT_COUNT
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -52,9 +58,26 @@
             request, arrivals[request.id], leaving_since, is_undisturbed
         )
     violations += _check_brittle_servers(fleet, is_undisturbed)
+    for server_arrivals in fleet.arrivals:
+        violations += _check_evacuated_servers(
+            server_arrivals, fleet.evacuation_times, is_undisturbed
+        )
     return violations
 
 
+def _check_evacuated_servers(arrivals, evacuation_times, is_undisturbed):
+    for arrival in arrivals:
+        domain = find_failure_domain(arrival.server_id)
+        for each in evacuation_times:
+            if each.failure_domain != domain:
+                continue
+            delay = arrival.received_at - each.begin
+            if delay <= EVACUATION_LIMIT_S or arrival.received_at >= each.end:
+                continue
+            if is_undisturbed(each.begin - CONTACT_DELAY_S, arrival.received_at):
+                yield f"{arrival.server_id} was called {delay:.2f} s after evacuation"
+
+
 def _check_brittle_servers(fleet, is_undisturbed):
     for each in fleet.brittle_times:
         if not is_undisturbed(each.begin - 2.0 * CONTACT_DELAY_S, each.end):
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -4,7 +4,7 @@
 import signal
 import time
 
-from soak.fleet import BrittleTime
+from soak.fleet import EVACUATION_LIMIT_S, FAILURE_DOMAINS, BrittleTime
 from soak.links import LinkFault
 from tanagerwalk.standins.behaviours import Behaviour
 
@@ -24,6 +24,7 @@
 # Rejections a second that brittle servers bear, and until they let fewer requests wait.
 BRITTLE_VALUES = ("0", "2", "5.5")
 CONTACT_S = 3.0
+MAX_EVACUATION_S = EVACUATION_LIMIT_S + 3.0
 LIMIT_VALUES = ("0", "2.5", "20", "-1", "nan", "few")
 RETRY_AFTER_VALUES = ("0.5", "2", "-1", "nan", "soon")
 SERVER_FAULTS = (
@@ -92,6 +93,7 @@
             *(self._announce_leaving, self._hold_requests, self._name_limit),
             *(self._restore_store, self._become_brittle),
             *(self._lose_store_answers, self._silence_store_connections),
+            self._evacuate,
         )
 
     async def run(self, seconds):
@@ -247,6 +249,13 @@
         await self._disturb(self._random.uniform(0.0, MAX_REWRITE_DELAY_S))
         await self._fleet.write_again()
 
+    async def _evacuate(self):
+        """Let the operators evacuate a failure domain, and take it back later."""
+        domain = self._random.choice(FAILURE_DOMAINS)
+        seconds = self._random.uniform(0.0, MAX_EVACUATION_S)
+        if domain not in self._fleet.evacuated:
+            await self._fleet.evacuate(domain, seconds)
+
     async def _update_manifest(self):
         await self._fleet.write_manifest()
 
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -20,12 +20,15 @@
 
 GATEWAY_COUNT = 3
 SERVER_COUNTS = {"drafts": 3, "desk": 3}
+# Of the servers, in turn; the gateways are in the first one.
+FAILURE_DOMAINS = ("a-1", "a-2", "a-3")
 SERVER_SLOTS = 8
 SERVER_QUEUE = 8
 FALL_S = 1.0
-# The same limits as revoke_ms, drain_ms and grace_s in SETTINGS_TEMPLATE.
+# The same limits as revoke_ms, drain_ms, evacuate_ms and grace_s in SETTINGS_TEMPLATE.
 REVOCATION_LIMIT_S = 5.0
 DRAIN_LIMIT_S = 2.5
+EVACUATION_LIMIT_S = 2.5
 GRACE_S = 3.0
 # What clients may send, enough of which fills the memory of a process.
 CLIENT_LIMITS = {"max_header_bytes": 4096, "max_body_bytes": 1_000_000}
@@ -41,6 +44,8 @@
 port_range = [{peers}, {peers}]
 [zones]
 a-1 = "a"
+a-2 = "a"
+a-3 = "a"
 [listen]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
@@ -50,6 +55,7 @@
 strict_revoke = true
 revoke_ms = 5000
 drain_ms = 2500
+evacuate_ms = 2500
 grace_s = 3
 retry_ratio = 0.9
 retry_slack = 50
@@ -191,6 +197,15 @@
     end: float
 
 
+@dataclass(frozen=True)
+class EvacuationTime:
+    """Monotonic times between which a failure domain was evacuated."""
+
+    failure_domain: str
+    begin: float
+    end: float
+
+
 @dataclass
 class Fleet:
     """Everything that a soak starts, except the clients.
@@ -212,6 +227,8 @@
     revoked_at: float | None = None
     drain_times: dict[str, float] = field(default_factory=dict)
     brittle_times: list[BrittleTime] = field(default_factory=list)
+    evacuated: set[str] = field(default_factory=set)
+    evacuation_times: list[EvacuationTime] = field(default_factory=list)
     falls: dict[str, list[float]] = field(default_factory=dict)
     fall_tasks: set[asyncio.Task] = field(default_factory=set)
 
@@ -259,11 +276,31 @@
         for server_id in list(self.servers):
             is_draining = server_id in self.drain_times
             await self._register(server_id, "draining" if is_draining else "ready")
-        gone = self.store.items.keys() - {f"servers/{each}" for each in self.servers}
-        for key in gone:
-            if key.startswith("servers/"):
+        for domain in sorted(self.evacuated):
+            await self._put_evacuation(domain)
+        current = {f"servers/{each}" for each in self.servers}
+        current |= {f"op/evacuate/{each}" for each in self.evacuated}
+        for key in self.store.items.keys() - current:
+            if key.startswith(("servers/", "op/evacuate/")):
                 await self.store.remove(key)
 
+    async def evacuate(self, domain, seconds):
+        """Evacuate a failure domain for some time."""
+        self.evacuated.add(domain)
+        await self._put_evacuation(domain)
+        begin = time.monotonic()
+        await asyncio.sleep(seconds)
+        self.evacuation_times.append(EvacuationTime(domain, begin, time.monotonic()))
+        if f"op/evacuate/{domain}" not in self.store.items:
+            # A restored store lacks it, and the gateways keep it for a while.
+            await self._put_evacuation(domain)
+            await asyncio.sleep(EVACUATION_LIMIT_S)
+        self.evacuated.remove(domain)
+        await self.store.remove(f"op/evacuate/{domain}")
+
+    async def _put_evacuation(self, domain):
+        await self.store.put(f"op/evacuate/{domain}", b"{}")
+
     async def add_server(self, service):
         """Start a backend server behind a link and register it as ready."""
         server_id = f"{service}-{len(self.arrivals)}"
@@ -282,7 +319,8 @@
 
     async def _register(self, server_id, state):
         service = server_id.partition("-")[0]
-        key, value = self.servers[server_id].build_entry(service, "a-1", state=state)
+        domain = find_failure_domain(server_id)
+        key, value = self.servers[server_id].build_entry(service, domain, state=state)
         entry = json.loads(value) | {"address": self.links[server_id].address}
         await self.store.put(key, json.dumps(entry).encode())
 
@@ -326,6 +364,12 @@
         await self.store.stop()
 
 
+def find_failure_domain(server_id):
+    """Return the failure domain of a server by the number in its id."""
+    number = int(server_id.rpartition("-")[2])
+    return FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
+
+
 def find_free_port(ip):
     """Return a free port, chosen by the kernel."""
     with socket.socket() as probe:
--- a/test/soak/test_checks.py
+++ b/test/soak/test_checks.py
@@ -7,7 +7,7 @@
 
 from soak.checks import find_violations
 from soak.clients import ClientRequest
-from soak.fleet import API_KEYS, Arrival, BrittleTime
+from soak.fleet import API_KEYS, Arrival, BrittleTime, EvacuationTime
 from tanagerwalk.standins.backend import EVENT_COUNT, ReceivedRequest
 from tanagerwalk.standins.gateway_cluster import Reply
 
@@ -39,6 +39,7 @@
         revoked_at=revoked_at,
         drain_times=drain_times or {},
         brittle_times=[],
+        evacuation_times=[],
         falls={},
     )
     sent = dataclasses.replace(sent, reply=reply)
@@ -121,6 +122,7 @@
         revoked_at=None,
         drain_times={},
         brittle_times=[],
+        evacuation_times=[],
         falls={},
     )
     violations = find_violations(fleet, [told, later], lambda begin, end: True)
@@ -133,8 +135,32 @@
         revoked_at=None,
         drain_times={},
         brittle_times=[BrittleTime("desk", 10.0, 12.0)],
+        evacuation_times=[],
         falls={"desk-0": [10.5, 11.5], "desk-1": [11.0], "drafts-0": [11.0]},
     )
     found = find_violations(fleet, [], lambda begin, end: True)
     assert found == ["servers of desk fell over 3 times"]
     assert not find_violations(fleet, [], lambda begin, end: False)
+
+
+@pytest.mark.parametrize(
+    ("domain", "begin", "end", "count"),
+    [
+        ("a-1", 7.5, 11.0, 1),
+        ("a-1", 7.7, 11.0, 0),
+        ("a-1", 7.5, 10.0, 0),
+        ("a-2", 7.5, 11.0, 0),
+    ],
+)
+def test_request_to_an_evacuated_server_is_found(domain, begin, end, count):
+    fleet = SimpleNamespace(
+        arrivals=[[build_arrival(BOOKING)]],
+        revoked_at=None,
+        drain_times={},
+        brittle_times=[],
+        evacuation_times=[EvacuationTime(domain, begin, end)],
+        falls={},
+    )
+    sent = dataclasses.replace(BOOKING, reply=BOOKING_REPLY)
+    assert len(find_violations(fleet, [sent], lambda begin, end: True)) == count
+    assert not find_violations(fleet, [sent], lambda begin, end: False)
