Take servers for cold that are back before their new entries

Nine instances sent 92 requests in one second (bound 17) to a server whose new entry came a second after it was back: the old entry stood, and nothing said that it was a new start. A server that crashed, or was out of reach on all paths, counts as started anew when it is back.

--- a/tanagerwalk/decisions/cold_servers.py
+++ b/tanagerwalk/decisions/cold_servers.py
@@ -30,6 +30,7 @@
     ENTRY = "entry"
     STARTED = "started"
     CRASHED = "crashed"
+    RETURNED = "returned"
     EVACUATION_ENDED = "evacuation ended"
 
 
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -130,6 +130,7 @@
             self.clock,
         )
         self.mirror.subscribe(self.cold_watch.update)
+        self.connection_pool.connector.on_returned = self.cold_watch.record_return
 
         self.rollouts = ReleaseRolloutController(
             self.store,
--- a/tanagerwalk/gateway/cold_watch.py
+++ b/tanagerwalk/gateway/cold_watch.py
@@ -2,7 +2,7 @@
 
 import structlog
 
-from ..decisions.cold_servers import ColdPolicy
+from ..decisions.cold_servers import ColdPolicy, ColdReason
 
 log = structlog.get_logger(__name__)
 
@@ -51,6 +51,10 @@
         """Take a server that has crashed for cold if it answers again."""
         self._cold.record_crash(server, self._clock())
 
+    def record_return(self, server):
+        """Take a server for cold that is back: it may have started anew."""
+        self._cold.record_start(server, self._clock(), ColdReason.RETURNED)
+
     def _find_policy(self, name):
         """Return the ColdPolicy of a service, or None if it has none."""
         manifest = self._cluster_state.manifest
--- a/tanagerwalk/gateway/connector.py
+++ b/tanagerwalk/gateway/connector.py
@@ -49,6 +49,9 @@
         Takes a RegisteredServer and an unused Connection to it, which a probe opened.
     on_reachable : callable
         Takes a RegisteredServer whose direct path works again.
+    on_returned : callable
+        Takes a RegisteredServer that was out of reach on all paths and no longer is; it
+        may have started anew.
     """
 
     def __init__(self, paths, tunnels, clock, random):
@@ -60,6 +63,7 @@
         self.dial = open_connection
         self.on_probed = _abort_unused
         self.on_reachable = _ignore
+        self.on_returned = _ignore
 
     async def connect(self, server, limit):
         """Open a connection to a server.
@@ -148,6 +152,8 @@
     def _record_lost(self, server, result):
         is_reached = result.is_ok()
         state = PathState.INDIRECT if is_reached else PathState.UNREACHABLE
+        if is_reached and self._paths.is_unreachable(server.id):
+            self.on_returned(server)
         if self._paths.record_lost(server.id, state, self._clock()):
             log.info(
                 "server unreachable",
@@ -162,7 +168,10 @@
             self._probes[server.id] = task
 
     def _record_direct(self, server):
+        was_unreachable = self._paths.is_unreachable(server.id)
         lost_for = self._paths.record_direct(server.id, self._clock())
+        if was_unreachable:
+            self.on_returned(server)
         if lost_for is not None:
             log.info(
                 "server reachable again",
--- a/test/decisions/test_cold_servers.py
+++ b/test/decisions/test_coldness.py
@@ -105,7 +105,7 @@
     cold = build_cold(policy=None)
     cold.observe([OLD], 10.0)
     cold.observe([replace(BACK, cold_left=5.0)], 20.0)
-    cold.record_crash(BACK, 20.0)
+    cold.record_start(BACK, 20.0)
     assert cold.is_empty
 
 
--- a/test/gateway/test_cold_servers.py
+++ b/test/gateway/test_cold_servers.py
@@ -58,9 +58,10 @@
     return [reply.status for reply in await asyncio.gather(*replies)]
 
 
-async def restart(cluster, name):
+async def restart(cluster, name, entry_delay):
     server = cluster.servers[name]
     await server.fall(DOWN_S)
+    await asyncio.sleep(entry_delay)
     await cluster.store.put(*server.build_entry("desk", "a-1"))
 
 
@@ -69,13 +70,17 @@
     return [i.servers.limits.cold.count(clock()) for i in cluster.instances]
 
 
-# Guards against FAILBACK: a server that is back looks idle to all instances at once.
-async def test_server_that_is_back_cold_gets_few_requests_until_it_is_warm(cluster):
+# Guards against FAILBACK: a server that is back looks idle to all instances at once,
+# also before its new entry is read.
+@pytest.mark.parametrize("entry_delay", [0.0, 1.0])
+async def test_server_that_is_back_cold_gets_few_requests_until_it_is_warm(
+    cluster, entry_delay
+):
     # The servers count as started a moment ago.
     await asyncio.sleep(COLD_START_S)
-    sending = asyncio.create_task(send_for(cluster, 1.0 + DOWN_S + COLD_START_S + 4.0))
+    sending = asyncio.create_task(send_for(cluster, 1.0 + DOWN_S + COLD_START_S + 5.0))
     await asyncio.sleep(1.0)
-    await restart(cluster, "desk-0")
+    await restart(cluster, "desk-0", entry_delay)
     statuses = await sending
     served = statuses.count(200) / len(statuses)
     server = cluster.servers["desk-0"]
