--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -200,6 +200,7 @@
             self.clock,
         )
         self.mirror.subscribe(self.cold_watch.update)
+        self.connection_pool.connector.on_returned = self.cold_watch.record_return
 
     def _create_evacuation(self):
         self.evacuation = EvacuationController(
