--- a/tanagerwalk/decisions/local_choice.py
+++ b/tanagerwalk/decisions/local_choice.py
@@ -3,7 +3,6 @@
 from collections import Counter
 from enum import Enum
 
-from .locations import Distance
 from .server_choice import SAMPLE_SIZE, ServerChooser, find_preferred
 from .spillover_table import SpilloverTable
 
@@ -72,7 +71,10 @@
         return chosen
 
     def _leaves(self, own, others, candidates, inputs):
-        """Return whether servers elsewhere are considered for a request."""
+        """Return whether servers elsewhere are considered for a request.
+
+        `candidates` are the own servers that it would be sent to.
+        """
         if not own:
             return True
         spillover = self.spillovers.update(inputs, own, others)
@@ -98,10 +100,7 @@
             size = 0 if self._is_own(usage) else inputs.traits.size
             return load + size * TRIP_COST_PER_BYTE, tie_breaker
         cost, tie_breaker = self._score_with_affinity(usage, inputs, preferred)
-        if (
-            self._home.find_distance(usage.server.failure_domain)
-            is Distance.SAME_REGION
-        ):
+        if self._is_near(usage) and not self._is_own(usage):
             cost += inputs.affinity.domain_cost
         return cost, tie_breaker
 
--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -1,13 +1,13 @@
 """Selection of the backend server for a request."""
 
-from functools import partial
+from functools import cached_property, partial
 
 from .brittleness import BrittleServices
 from .cold_servers import ColdReason
 from .local_choice import build_chooser
 from .locations import Distance
 from .paths import PathState
-from .server_choice import UNKNOWN_TRAITS, ChoiceInputs
+from .server_choice import LOCAL_WAIT_SHARE, UNKNOWN_TRAITS, ChoiceInputs
 from .server_limits import LimitQueue, ServerLimits
 from .server_usage_table import ServerUsageTable, hash_life
 from .shared_loads import SharedLoad
@@ -33,8 +33,8 @@
         Limits of the servers: those that they name, and those of cold ones.
     brittle : BrittleServices
         Which services fall over under rejections.
-    chooser : ServerChooser
-        Chooses among the servers that a request may use.
+    local_wait_share : float
+        Part of its latency objective that a request may wait in the own failure domain.
     """
 
     def __init__(self, home, shared, paths, random):
@@ -42,11 +42,17 @@
         self._home = home
         self._shared = shared
         self._paths = paths
-        self.chooser = build_chooser(home, random)
+        self._random = random
         self.limits = ServerLimits(random)
         self.brittle = BrittleServices()
+        self.local_wait_share = LOCAL_WAIT_SHARE
         self._possibly_leaving = frozenset()
 
+    @cached_property
+    def chooser(self):
+        """The ServerChooser among the servers that a request may use."""
+        return build_chooser(self._home, self._random)
+
     def mark_cold(self, failure_domains, now):
         """Take the servers of failure domains for cold, as after a start.
 
@@ -143,6 +149,7 @@
             partial(self._estimate_cost_load, now=now),
             affinity,
             traits,
+            self.local_wait_share * traits.objective,
             partial(self._has_local_server, service, now),
             partial(self._find_slowdown, now=now),
         )
--- a/tanagerwalk/decisions/server_choice.py
+++ b/tanagerwalk/decisions/server_choice.py
@@ -12,6 +12,8 @@
 LINEAR_LOAD_WEIGHT = 1.0
 SAMPLING_THRESHOLD = 12
 SAMPLE_SIZE = 3
+# Part of its latency objective that a request may wait in its own failure domain.
+LOCAL_WAIT_SHARE = 0.35
 # For requests whose route is not known.
 DEFAULT_OBJECTIVE_S = 1.0
 
@@ -51,6 +53,8 @@
         Costs of the request that depend on the server.
     traits : RequestTraits
         Properties of the request.
+    max_local_wait : float
+        Seconds that the request may wait in the own failure domain.
     has_local : callable
         Returns whether the own failure domain has a server that takes requests, be it
         one that this request may not use.
@@ -63,6 +67,7 @@
     estimate_load: Callable[[ServerUsage], float]
     affinity: PromptAffinity | None = None
     traits: RequestTraits = UNKNOWN_TRAITS
+    max_local_wait: float = LOCAL_WAIT_SHARE * DEFAULT_OBJECTIVE_S
     has_local: Callable[[], bool] = lambda: False
     find_slowdown: Callable[[ServerUsage], float] = lambda usage: 1.0
 
--- a/tanagerwalk/decisions/spillover.py
+++ b/tanagerwalk/decisions/spillover.py
@@ -9,8 +9,6 @@
 import math
 from dataclasses import dataclass
 
-# Part of the latency objective that a request may wait at the own servers.
-WAIT_SHARE = 0.35
 # Bounds of the room of a domain's engines, in units of load.
 MIN_ENGINE_ROOM = 0.1
 MAX_ENGINE_ROOM = 0.5
@@ -49,19 +47,19 @@
     full: float
 
 
-def find_room(runs_models, objective):
-    """Return the Room of a domain's servers for requests with an objective.
+def find_room(runs_models, max_wait):
+    """Return the Room of a domain's servers for a kind of requests.
 
     Parameters
     ----------
     runs_models : bool
         Whether the servers are engines; their load is about the wait in seconds.
-    objective : float
-        Latency objective in seconds.
+    max_wait : float
+        Seconds that such a request may wait in its own failure domain.
     """
     if not runs_models:
         return Room(PLAIN_ROOM, PLAIN_FULL)
-    limit = min(MAX_ENGINE_ROOM, max(MIN_ENGINE_ROOM, WAIT_SHARE * objective))
+    limit = min(MAX_ENGINE_ROOM, max(MIN_ENGINE_ROOM, max_wait))
     return Room(limit, FULL_RATIO * limit)
 
 
--- a/tanagerwalk/decisions/spillover_table.py
+++ b/tanagerwalk/decisions/spillover_table.py
@@ -50,7 +50,7 @@
         Spillover
         """
         runs_models = any(usage.runs_models for usage in own + others)
-        room = find_room(runs_models, inputs.traits.objective)
+        room = find_room(runs_models, inputs.max_local_wait)
         key = inputs.service, room, _list_groups(own), _list_groups(others)
         spillover = self._spillovers.get(key)
         if spillover is None:
@@ -62,14 +62,16 @@
             self._update(spillover, inputs, own, others)
         return spillover
 
-    def _update(self, spillover, inputs, own, others):
-        own_load = median_low(map(inputs.estimate_load, own))
-        other_loads = self._estimate_others(others, inputs.estimate_load)
-        spillover.update(own_load, other_loads, inputs.now)
-        self._note_share(inputs.service, spillover.share, own_load, inputs.now)
-
     def find_shares(self, now, room=None):
-        """Return the largest share that leaves, by service; for one Room or any."""
+        """Return the largest share that leaves at present, by service.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        room : Room or None
+            Only for the kinds of requests with this room.
+        """
         shares = {}
         for (service, of_room, *_), spillover in self._spillovers.items():
             is_recent = now - spillover.updated_at <= FORGETTING_S
@@ -77,6 +79,12 @@
                 shares[service] = max(shares.get(service, 0.0), spillover.share)
         return shares
 
+    def _update(self, spillover, inputs, own, others):
+        own_load = median_low(map(inputs.estimate_load, own))
+        other_loads = self._estimate_others(others, inputs.estimate_load)
+        spillover.update(own_load, other_loads, inputs.now)
+        self._note_share(inputs.service, spillover.share, own_load, inputs.now)
+
     def _estimate_others(self, others, estimate_load):
         """Return the load of each other failure domain, plus the cost of distance."""
         by_domain = {}
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -117,6 +117,7 @@
         self.shared_loads = SharedLoadTable()
         self.paths = PathTable()
         self.servers = ServerPool(self.home, self.shared_loads, self.paths, self.random)
+        self.servers.local_wait_share = bounds.local_wait_share
         self._create_connections()
         self._create_mirror()
         self.cluster_state = ClusterState(
@@ -465,6 +466,7 @@
         self.settings = dataclasses.replace(self.settings, bounds=bounds)
         limit = find_age_limit(bounds.strict_revocation, bounds.revocation_delay)
         self.freshness.set_limit(limit)
+        self.servers.local_wait_share = bounds.local_wait_share
         self.forward_filter.apply_bounds(bounds)
         self.assigner.apply_bounds(bounds)
         log.info("settings reloaded", bounds_changed=changed)
--- a/tanagerwalk/gateway/settings.py
+++ b/tanagerwalk/gateway/settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from ..decisions.server_choice import LOCAL_WAIT_SHARE
 from ..ids import FailureDomain, InstanceId, Region
 
 
@@ -74,6 +75,9 @@
     cold_overrun, cold_slack : float
         A cold server may receive `cold_overrun` times the requests that it bears in a
         second, plus `cold_slack` requests, summed over all instances.
+    local_wait_share : float
+        Part of its latency objective that a request may wait for an engine of the own
+        failure domain before it is sent to another.
     """
 
     drain_timeout: float = 2.5
@@ -92,6 +96,7 @@
     evacuation_delay: float = 5.0
     cold_overrun: float = 1.5
     cold_slack: float = 5.0
+    local_wait_share: float = LOCAL_WAIT_SHARE
 
 
 @dataclass(frozen=True, slots=True)
--- a/test/decisions/test_spillover.py
+++ b/test/decisions/test_spillover.py
@@ -94,6 +94,15 @@
     assert ("a-2" in chosen) is leaves
 
 
+@pytest.mark.parametrize(("share", "leaves"), [(0.1, True), (0.5, False)])
+def test_bound_sets_how_long_requests_may_wait(share, leaves):
+    pool = build_pool("a-1", "a-2", "b-1")
+    pool.local_wait_share = share
+    load_server(pool, "s0", tokens=6000)
+    chosen = choose_many(pool, traits=RequestTraits(1.0))
+    assert ("a-2" in chosen) is leaves
+
+
 @pytest.mark.parametrize("size", [0, 4_000_000])
 def test_large_body_waits_rather_than_travels(size):
     pool = build_pool("a-1", "a-2")
