--- a/tanagerwalk/decisions/cold_servers.py
+++ b/tanagerwalk/decisions/cold_servers.py
@@ -114,7 +114,7 @@
 
         Parameters
         ----------
-        servers : iterable of RegisteredServer
+        servers : list of RegisteredServer
             All servers.
         now : float
             Monotonic time in seconds.
@@ -132,6 +132,15 @@
             self.record_left(server, server.cold_left, now, ColdReason.ENTRY)
         while len(self._known) > MAX_KNOWN_STARTS:
             self._known.popitem(last=False)
+        self._drop_ended({hash_life(server) for server in servers}, now)
+
+    def _drop_ended(self, listed, now):
+        """Drop what is over, also of servers that are gone and never asked for."""
+        for life, cold in list(self._cold.items()):
+            if life in listed:
+                self.find_limit(life, now)
+            elif now >= cold.until:
+                del self._cold[life]
 
     def record_start(self, server, now, reason=ColdReason.STARTED):
         """Take a server for cold for as long as its service says.
--- a/test/decisions/test_coldness.py
+++ b/test/decisions/test_coldness.py
@@ -101,6 +101,17 @@
     assert cold.count(9.9 + RESTART_WAIT_S + POLICY.duration) == 1
 
 
+def test_servers_that_are_gone_are_not_kept():
+    cold = build_cold()
+    cold.observe([OLD, OTHER], 10.0)
+    cold.record_crash(OLD, 10.0)
+    cold.observe([OTHER], 10.1)
+    assert not cold.is_empty
+    cold.observe([OTHER], 10.1 + RESTART_WAIT_S + POLICY.duration)
+    assert cold.is_empty
+    assert cold.log == [ColdReason.CRASHED]
+
+
 def test_service_without_a_policy_has_no_cold_servers():
     cold = build_cold(policy=None)
     cold.observe([OLD], 10.0)
