--- a/test/decisions/spillover_fleet.py
+++ b/test/decisions/spillover_fleet.py
@@ -11,6 +11,7 @@
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 
+from tanagerwalk.decisions.engine_load import EngineLoad
 from tanagerwalk.decisions.locations import Distance, Home
 from tanagerwalk.decisions.paths import PathTable
 from tanagerwalk.decisions.prompt_affinity import compute_affinity
@@ -262,7 +263,7 @@
             self._receive(server, server.queue.popleft())
 
     def _record_answer(self, server, pool):
-        load = server.running, len(server.queue), server.entry.slots
+        load = EngineLoad(server.running, len(server.queue), server.entry.slots)
         pool.record_answer(server.entry, load, self.now)
 
     def _observe(self):
