Order competing requests by priority and fair shares, and refuse early

Engines queued whatever they were sent, in no order between routes or accounts: a burst of long prompts held back chats, and an account that sent many times its usual held back all.

While requests wait at a service's servers, an engine is told a priority by the manifest's ranks, an account beyond its max-min fair share goes behind, and a request that can't make its time is refused before it is sent. The demand is summed over the fleet in the messages of the loads. ModelSequence and DatagramSender are split off from what had grown large.

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -1,6 +1,7 @@
 """Selection of the backend server for a request."""
 
 from .brittleness import BrittleServices
+from .contention import Places
 from .paths import PathState
 from .server_limits import LimitQueue, ServerLimits
 from .server_usage_table import ServerUsageTable, hash_life
@@ -78,6 +79,24 @@
         ]
         return min(loads, default=0.0)
 
+    def count_places(self, service, now, is_allowed=None):
+        """Return the Places at the servers of a service that take requests.
+
+        Parameters
+        ----------
+        service : ServiceName
+            The service.
+        now : float
+            Monotonic time in seconds.
+        is_allowed : callable or None
+            Takes a RegisteredServer and returns whether it may be used.
+        """
+        places = Places()
+        for usage in self._list_ready(service, now, frozenset(), is_allowed):
+            shared = self._shared.sum(usage.server.id, now)
+            places = places.add(usage.count_places(now, shared))
+        return places
+
     def choose(self, service, now, tried=frozenset(), is_allowed=None, affinity=None):
         """Select the best server for a request, or None if there is none.
 
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -4,6 +4,7 @@
 
 from ..ids import Revision
 from ..registry import RegisteredServer, ServerState
+from .contention import Places
 from .server_notices import find_resume_limit
 
 REPORT_LIFETIME_S = 1.5
@@ -151,6 +152,23 @@
         silence = max(self.measure_silence(now), shared.silence)
         return max(load, silence - PREFILL_ALLOWANCE_S)
 
+    def count_places(self, now, shared):
+        """Return the Places at the server.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        shared : SharedLoad
+            Load reported by the other instances for the server.
+        """
+        is_recent = now - self.reported_at <= REPORT_LIFETIME_S
+        others = max(shared.in_flight, self.other_requests if is_recent else 0)
+        slots = self.server.slots
+        taken = self.in_flight + others
+        waiting = max(taken - slots, self.reported_queue if is_recent else 0)
+        return Places(1, slots, taken, max(0, waiting))
+
     def may_have_queue(self, now, shared):
         """Return whether requests may be waiting at the server.
 
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -29,6 +29,7 @@
 from .clocks import read_boot_clock
 from .cluster_state import ClusterState
 from .connector import ServerConnector
+from .contention import ContentionControl
 from .crash_check import CrashCheck
 from .exchange import AttemptRunner
 from .execution_context import ExecutionContext
@@ -167,6 +168,14 @@
             self.clock,
             self.random,
         )
+        self.contention = ContentionControl(
+            self.servers,
+            self.sharing.demands,
+            self.metrics,
+            self.clock,
+            self.random,
+        )
+        self.sharing.demands.list_own = self.contention.list_demands
         self.assigner.send_notes = self.sharing.send_notes
         self.sharing.on_permit_note = self.permits.receive
         self.permits.send_notes = self.sharing.send_permit_notes
@@ -316,6 +325,7 @@
             self.quarantine,
             self.crash_check,
             self.permits,
+            self.contention,
             self.stop_control,
             self.metrics,
             self.clock,
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -13,15 +13,15 @@
     decide_next_action,
     find_retry_after,
 )
-from ..decisions.model_selection import is_confident_enough, plan_models
-from ..decisions.prompt_affinity import compute_affinity
-from ..decisions.server_usage import estimate_work
+from ..decisions.model_selection import is_confident_enough
 from ..outcomes import Refusal, RefusalReason, RunState
 from .attempt_timeouts import choose_timeouts
 from .attempts import Attempt, AttemptResult, Outcome
 from .connect_faults import ConnectFault
 from .exchange import AttemptPlan
+from .model_sequence import ModelSequence
 from .permit_wait import PermitWait
+from .place_contest import PlaceContest
 from .place_wait import PlaceWait
 from .request_log import describe_attempt, log_request_end
 from .stream_progress import StreamProgress
@@ -64,15 +64,14 @@
         self._budget = budget
         self._clock = context.clock
         route = request.route
-        self._models = self._plan_models(route)
-        self._model_index = 0
-        self._affinity = self._compute_affinity()
+        self._models = ModelSequence(request, service)
         self._assignment = None
         self._allows_server = None
         self._place_wait = None
         self._permit_wait = PermitWait(
             context.permits, context.servers, request, service, context.clock
         )
+        self._place_contest = PlaceContest(context.contention, request, service)
         self._history = AttemptHistory(route.repeatable, route.max_attempts)
         self._progress = StreamProgress(last_event=request.last_event)
         self._kept_answer = None
@@ -155,7 +154,16 @@
             return RefusalReason.QUARANTINED
         if not self._context.stop_control.has_time(self._request, self._kind):
             return RefusalReason.STOPPING
-        return RefusalReason.QUEUE_FULL if self._would_miss_deadline() else None
+        if self._would_miss_deadline():
+            return RefusalReason.QUEUE_FULL
+        return self._find_early_refusal()
+
+    def _find_early_refusal(self):
+        """Return why the request isn't sent while others compete for places."""
+        if self._history.sent > 0 or self._permit_wait.is_needed:
+            return None
+        work = self._models.estimate_work(self._clock())
+        return self._place_contest.find_refusal(work, self._allows_server)
 
     async def _acquire_permit(self, server):
         """Wait for a permit for a server; see `PermitWait.acquire`."""
@@ -183,7 +191,7 @@
 
         Only checked for routes with models, before the first attempt is sent.
         """
-        if self._history.sent > 0 or not self._models:
+        if self._history.sent > 0 or self._models.current is None:
             return False
         wait = self._estimate_wait()
         return (
@@ -194,7 +202,7 @@
     def _choose_server(self):
         now = self._clock()
         service = self._service
-        choose = partial(self._context.servers.choose, affinity=self._affinity)
+        choose = partial(self._context.servers.choose, affinity=self._models.affinity)
         if self._needs_kept:
             return choose(service, now, self._tried, self._has_kept_connection)
         rolled_back = self._context.rollouts.find_rolled_back_release(service)
@@ -220,13 +228,14 @@
         # Before it is sent, so that others see it at once.
         self._budget.record_attempt(now, is_retry)
         self._context.servers.spend_limit(server, now)
-        model = self._models[self._model_index] if self._models else None
+        work = self._models.estimate_work(now)
         attempt = Attempt(
             server=server,
             time_left=self._time_left,
-            model=None if model is None else model.name,
+            model=self._models.current_name,
             last_event=self._progress.last_event,
-            work=self._estimate_work(model),
+            priority=self._place_contest.choose_priority(work),
+            work=work,
             was_silent=self._context.servers.is_silent(server, now),
             was_rejected=server.id in self._rejected_by,
         )
@@ -247,11 +256,13 @@
             partial(self._context.quarantine.suspect, self._request, attempt),
         )
         hold = hold or self._permit_wait.begin(server)
+        token = self._place_contest.begin(attempt)
         result = None
         try:
             result = await self._run_attempt(plan)
         finally:
             self._permit_wait.end(hold, result)
+            self._place_contest.end(token, result)
         if result.outcome in UNSENT_OUTCOMES:
             self._budget.withdraw_attempt(now, is_retry)
         self._context.recorder.record_attempt(self._request, attempt, result)
@@ -292,33 +303,9 @@
         servers = self._context.servers
         return servers.estimate_wait(self._service, self._clock(), self._allows_server)
 
-    def _estimate_work(self, model):
-        """Return the Work of an attempt, or None for a service without models."""
-        service = self._request.manifest.services.get(self._service)
-        if service is None or not service.runs_models:
-            return None
-        weight = 1.0 if model is None else model.weight
-        return estimate_work(
-            self._request.prompt_info.prompt_tokens, weight, self._clock()
-        )
-
-    def _compute_affinity(self):
-        """Return the PromptAffinity of the request, or None without models."""
-        if not self._models:
-            return None
-        model = self._models[self._model_index]
-        return compute_affinity(self._request.prompt_info, model.weight)
-
-    def _plan_models(self, route):
-        service = self._request.manifest.services.get(self._service)
-        if service is None or not route.models:
-            return ()
-        choices = [service.make_model_choice(name) for name in route.models]
-        return plan_models(choices, route.max_attempts)
-
     def _accepts_head(self, head):
         """Return whether to deliver this response instead of asking a larger model."""
-        if self._progress.head_sent or self._model_index + 1 >= len(self._models):
+        if self._progress.head_sent or not self._models.has_larger:
             return True
         if is_confident_enough(head.confidence, self._estimate_wait()):
             return True
@@ -337,8 +324,7 @@
             self._kept_answer = result
             history.has_kept_answer = True
         if outcome is Outcome.DECLINED:
-            self._model_index += 1
-            self._affinity = self._compute_affinity()
+            self._models.advance()
         else:
             self._tried.add(self._attempt_log[-1]["server"])
             if outcome is Outcome.REJECTED:
@@ -381,7 +367,11 @@
             return Error(_refuse(reason, state))
         if reason is RefusalReason.STOPPING:
             return Error(_refuse(reason, state, STOPPING_RETRY_AFTER_S))
-        hold = max(self._place_wait.find_hold(), self._permit_wait.denied_wait)
+        hold = max(
+            self._place_wait.find_hold(),
+            self._permit_wait.denied_wait,
+            self._place_contest.drain_time,
+        )
         retry_after = find_retry_after(self._time_left, self._context.random, hold)
         return Error(_refuse(reason, state, retry_after))
 
@@ -416,6 +406,7 @@
         metrics.latency.labels(request.route.name).observe(elapsed)
         if self._assignment is not None:
             inputs |= self._assignment.describe()
+        inputs |= self._place_contest.describe()
         log_request_end(
             request, end, elapsed, self._progress, self._attempt_log, **inputs
         )
--- a/tanagerwalk/gateway/execution_context.py
+++ b/tanagerwalk/gateway/execution_context.py
@@ -5,6 +5,7 @@
 
 from ..decisions.selection import ServerPool
 from .answer_recorder import AnswerRecorder
+from .contention import ContentionControl
 from .crash_check import CrashCheck
 from .exchange import AttemptRunner
 from .metrics import GatewayMetrics
@@ -40,6 +41,8 @@
         Finds out which servers have crashed.
     permits : ServerPermits
         Permits to send requests to brittle servers.
+    contention : ContentionControl
+        Knows for which services requests compete for places.
     stop_control : StopControl
         Knows which attempts can still end before a planned stop.
     metrics : GatewayMetrics
@@ -59,6 +62,7 @@
     quarantine: QuarantineFilter
     crash_check: CrashCheck
     permits: ServerPermits
+    contention: ContentionControl
     stop_control: StopControl
     metrics: GatewayMetrics
     clock: object
--- a/tanagerwalk/gateway/load_message_builder.py
+++ b/tanagerwalk/gateway/load_message_builder.py
@@ -6,6 +6,7 @@
 from ..decisions.server_statements import Statement
 from ..decisions.shared_loads import SharedLoad
 from ..peers.gen.loads.ttypes import LoadMessage
+from .demand_messages import encode_demand
 from .load_messages import (
     encode_blame,
     encode_brittleness,
@@ -24,6 +25,7 @@
 MAX_SIDE_MESSAGES = 4
 MAX_BLAMES = 16
 MAX_NOTES = 20
+MAX_DEMANDS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +104,13 @@
             permits = [encode_permit_note(note)]
             yield self._build_message(Scope.INSTANCE, permits=permits)
 
+    def build_demands(self, scope, demands):
+        """Yield the messages that tell of Demands, given by service."""
+        encoded = [encode_demand(*item) for item in demands.items()]
+        for start in range(0, len(encoded), MAX_DEMANDS):
+            part = encoded[start : start + MAX_DEMANDS]
+            yield self._build_message(scope, demands=part)
+
     def build(self, contents):
         """Yield the messages of one round for some Contents."""
         # What is urgent goes first, since a full link drops the last messages.
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -17,6 +17,7 @@
 from ..ids import Fingerprint, Incarnation, PartKey, RouteName
 from ..peers.codec import decode
 from ..peers.gen.loads.ttypes import (
+    AccountDemand,
     CrashBlame,
     LatencyTally,
     LoadMessage,
@@ -24,6 +25,7 @@
     ServerBrittleness,
     ServerLimit,
     ServerLoad,
+    ServiceDemand,
     SessionSides,
     TrialTally,
 )
@@ -45,6 +47,8 @@
     TrialTally: ("service_name", "order"),
     RouteTally: ("route", "target_answers", "target_bad", "base_answers", "base_bad"),
     LatencyTally: ("route",),
+    ServiceDemand: ("service_name", "offered", "done", "waiting", "accounts"),
+    AccountDemand: ("account", "offered"),
 }
 KNOWN_SCOPES = frozenset(scope.value for scope in Scope)
 
@@ -92,11 +96,13 @@
 
 def _list_sections(message):
     """Yield the structs of a LoadMessage, and those that they hold."""
-    for name in ("loads", "blames", "sides", "tallies", "limits", "brittle"):
+    for name in ("loads", "blames", "sides", "tallies", "limits", "brittle", "demands"):
         yield from getattr(message, name) or ()
     for tally in message.tallies or ():
         yield from tally.routes or ()
         yield from tally.latencies or ()
+    for demand in message.demands or ():
+        yield from demand.accounts or ()
 
 
 def _find_missing(section):
--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -26,6 +26,12 @@
         self.permits = self._create_counter(
             "permits", "Decisions on requests to brittle servers.", ["decision"]
         )
+        self.priorities = self._create_counter(
+            "priorities", "Attempts by the priority given to engines.", ["priority"]
+        )
+        self.contended = self._create_gauge(
+            "contended", "Whether requests compete for places.", ["service"]
+        )
         self.controller_restarts = self._create_counter(
             "controller_restarts", "Controllers started again.", ["controller"]
         )
--- /dev/null
+++ b/tanagerwalk/gateway/place_contest.py
@@ -0,0 +1,181 @@
+"""The part of one request in the competition for places at the servers."""
+
+from ..decisions.demands import hash_account, make_plain_work
+from ..decisions.early_refusal import (
+    Prospect,
+    find_drain_time,
+    find_early_refusal,
+)
+from ..decisions.fair_shares import find_excess
+from ..decisions.request_order import (
+    DEFAULT_PRIORITY,
+    OrderInput,
+    find_priority,
+    find_rank,
+)
+from .attempts import Outcome
+
+MS_PER_S = 1000.0
+
+
+class PlaceContest:
+    """Decides whether a request is refused early, and on its priority at an engine.
+
+    Parameters
+    ----------
+    control : ContentionControl
+        Knows for which services requests compete.
+    request : GatewayRequest
+        The request.
+    service : ServiceName
+        The service that runs it.
+
+    Attributes
+    ----------
+    drain_time : float
+        Seconds after which a request that was refused should come back.
+    """
+
+    def __init__(self, control, request, service):
+        self._control = control
+        self._request = request
+        self._service = service
+        self._account = None
+        self._found = None
+        self._work = None
+        self._fields = {}
+        # Drawn once, so that a request that looks for a server again is judged alike.
+        self._turn_draw = control.random.random()
+        self._share_draw = control.random.random()
+        self.drain_time = 0.0
+        self._order = control.find_order(request.manifest, service)
+        if not self._order.is_needed:
+            return
+        if request.account is not None and self._order.accounts > 1:
+            self._account = hash_account(request.account)
+
+    def find_refusal(self, work, allows_server):
+        """Return why the request is refused before it is sent, or None.
+
+        Parameters
+        ----------
+        work : Work or None
+            Cost of the request for an engine; None for a service without models.
+        allows_server : callable
+            Takes a RegisteredServer and returns whether the request may use it.
+
+        Returns
+        -------
+        RefusalReason or None
+        """
+        if not self._order.is_needed:
+            return None
+        is_first = self._found is None
+        self._found = self._control.find_service(self._service)
+        self._work = work or make_plain_work()
+        now = self._control.clock()
+        if is_first:
+            self._found.meter.record_offered(self._account, self._work, now)
+        # The rest of a stream is not given up.
+        if not self._is_contended or self._request.last_event is not None:
+            return None
+        places = self._control.servers.count_places(self._service, now, allows_server)
+        if not places.are_scarce:
+            return None
+        prospect = self._find_prospect(places, self._choose_priority(work), now)
+        reason = find_early_refusal(prospect, self._share_draw)
+        if reason is not None:
+            draw = self._control.random.random()
+            self.drain_time = find_drain_time(prospect, draw)
+        return reason
+
+    @property
+    def _is_contended(self):
+        return self._found is not None and self._found.state.is_contended
+
+    def _find_prospect(self, places, priority, now):
+        """Return the Prospect of the request at the servers that it may use."""
+        everywhere = self._found.places
+        wait = self._estimate_wait(priority)
+        if everywhere.waiting:
+            waiting = places.waiting / places.servers
+            wait *= waiting * everywhere.servers / everywhere.waiting
+        demand = self._found.demand
+        reading = 0.0
+        if demand.done > 0.0:
+            reading = self._work.prefill * everywhere.servers / demand.done_rate
+        excess = self._find_excess()
+        self._fields |= {
+            "expected_wait_ms": round(wait * MS_PER_S),
+            "over_share": round(excess, 2),
+        }
+        return Prospect(
+            wait,
+            reading,
+            excess,
+            self._request.deadline - now,
+            self._request.route.objective,
+        )
+
+    def _estimate_wait(self, priority):
+        found = self._found
+        return found.demand.estimate_wait(
+            DEFAULT_PRIORITY if priority is None else priority
+        )
+
+    def _find_excess(self):
+        if self._account is None:
+            return 0.0
+        demand = self._found.demand
+        return find_excess(demand, self._account, self._order.accounts)
+
+    def choose_priority(self, work):
+        """Return the priority of the next attempt; None for the engine's default.
+
+        Parameters
+        ----------
+        work : Work or None
+            Cost of the request for an engine; None for a service without models.
+        """
+        priority = self._choose_priority(work)
+        if priority is not None:
+            self._fields["priority"] = priority
+            self._control.metrics.priorities.labels(priority).inc()
+        return priority
+
+    def _choose_priority(self, work):
+        if work is None or not self._is_contended:
+            return None
+        request = self._request
+        order = OrderInput(
+            find_rank(request.manifest, request.route, request.account),
+            self._order.ranks,
+            work.total,
+            self._control.servers.mean_work,
+            self._find_excess() > 0.0,
+            request.deadline - self._control.clock(),
+            request.route.timeout,
+            request.route.objective,
+        )
+        return find_priority(order, self._estimate_wait, self._turn_draw)
+
+    def begin(self, attempt):
+        """Record that the request is sent; return a token for `end`, or None."""
+        if self._found is None:
+            return None
+        priority = attempt.priority
+        work = attempt.work or make_plain_work()
+        return self._found.meter.begin(
+            DEFAULT_PRIORITY if priority is None else priority, work
+        )
+
+    def end(self, token, result):
+        """Record how an attempt ended; an AttemptResult of None stands for no end."""
+        if token is None:
+            return
+        is_answered = result is not None and result.outcome is Outcome.DELIVERED
+        self._found.meter.end(token, is_answered, self._control.clock())
+
+    def describe(self):
+        """Return the log fields of a request that competed for a place."""
+        return self._fields
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -6,9 +6,12 @@
 
 from ..decisions.relayed_items import RelayedItems
 from ..decisions.relays import Role, Scope
+from ..decisions.shared_demands import DemandSource, SharedDemandTable
 from ..decisions.shared_loads import ReportSource, hash_server
 from ..ids import FailureDomain, ServiceName
 from ..peers.codec import encode
+from .datagram_sender import DatagramSender
+from .demand_messages import decode_demand
 from .load_message_builder import Contents, LoadMessageBuilder
 from .load_messages import (
     decode_blame,
@@ -61,6 +64,8 @@
     ----------
     on_permit_note : callable
         Takes the incarnation of the sender and a PermitNote.
+    demands : SharedDemandTable
+        Provides and stores the demand for contended services.
     """
 
     def __init__(
@@ -90,13 +95,13 @@
         self._random = random
         self._relayed_sides = RelayedItems(RELAYED_LIFETIME_S)
         self._secret = None
-        self._transport = None
+        self._sender = DatagramSender(get_peers)
         self._builder = LoadMessageBuilder(incarnation, failure_domain, random)
         self._role = Role.FLAT
         self._was_idle = False
-        self._unsendable = set()
         self.rejected = 0
         self.on_permit_note = _ignore_note
+        self.demands = SharedDemandTable()
 
     def authenticate(self, secret):
         """Start to send and to believe messages, with the key of the fleet."""
@@ -115,11 +120,11 @@
     @property
     def address(self):
         """The (IP, port) tuple of the bound socket."""
-        return self._transport.get_extra_info("sockname")
+        return self._sender.transport.get_extra_info("sockname")
 
     def connection_made(self, transport):
         """Store the transport."""
-        self._transport = transport
+        self._sender.transport = transport
 
     def datagram_received(self, data, addr):
         """Process a load message of another instance."""
@@ -163,8 +168,7 @@
         if message.loads is None:
             self._apply_other_sections(message, scope, domain, now)
             return
-        names = {Scope.INSTANCE: message.sender, Scope.DOMAIN: domain}
-        name = names.get(scope, "")
+        name = _name_source(message, scope)
         source = ReportSource(scope, name, message.part, message.parts)
         loads = {load.server: decode_load(load) for load in message.loads}
         if scope is Scope.DOMAIN and domain == self._failure_domain:
@@ -186,17 +190,15 @@
 
     def send_permit_notes(self, receiver_id, notes):
         """Send PermitNotes to another instance at once."""
-        if self._secret is None:
-            return
-        messages = self._builder.build_permit_notes(notes)
-        self._send_messages(messages, [receiver_id])
+        self._send_at_once(self._builder.build_permit_notes(notes), receiver_id)
 
     def send_notes(self, receiver_id, notes):
         """Send SessionNotes to another instance at once."""
-        if self._secret is None:
-            return
-        messages = self._builder.build_notes(notes)
-        self._send_messages(messages, [receiver_id])
+        self._send_at_once(self._builder.build_notes(notes), receiver_id)
+
+    def _send_at_once(self, messages, receiver_id):
+        if self._secret is not None:
+            self._send_messages(messages, [receiver_id])
 
     def _apply_other_sections(self, message, scope, domain, now):
         """Process whatever a message tells beside loads."""
@@ -207,6 +209,8 @@
             self._merge_limit(*decode_limit(limit), now, message.sender)
         for encoded in message.brittle or ():
             self._merge_brittleness(*decode_brittleness(encoded), now, message.sender)
+        if scope is not Scope.DOMAIN or domain != self._failure_domain:
+            self._store_demands(message, scope, now)
         records = dict(map(decode_blame, message.blames or ()))
         self._quarantine.merge_records(records, self._role is Role.RELAY)
         for encoded in message.sides or ():
@@ -225,6 +229,13 @@
                 decode_tally(encoded),
             )
 
+    def _store_demands(self, message, scope, now):
+        name = _name_source(message, scope)
+        for encoded in message.demands or ():
+            service, demand = decode_demand(encoded)
+            source = DemandSource(scope, name, service)
+            self.demands.update(source, message.sender, message.sequence, demand, now)
+
     def _merge_limit(self, life, news, now, sender):
         if self._servers.limits.merge(life, news, now):
             rate = news.value
@@ -257,6 +268,7 @@
         self._role = role
         self._shared.set_role(role, len(self._get_peers()))
         self._rollouts.set_role(role)
+        self.demands.set_role(role)
 
     def tell_crashes(self):
         """Tell the others of crashes at once, ahead of the next round."""
@@ -283,6 +295,7 @@
 
     def _send_round(self, now):
         self._builder.begin_round()
+        self._send_demands(now)
         own = self._collect_own(now)
         if self._role is Role.FLAT:
             self._send(own, self._get_peers())
@@ -296,6 +309,14 @@
         self._send(self._collect_domain(own, now), relays + remote_relays)
         self._send(self._collect_fleet(own, now), self._relays.list_members())
 
+    def _send_demands(self, now):
+        """Tell of the demand for contended services; nothing while there is none."""
+        for scope, receiver_ids in self._list_receivers(now):
+            demands = self.demands.list_told(scope, now)
+            self._send_messages(
+                self._builder.build_demands(scope, demands), receiver_ids
+            )
+
     def _collect_own(self, now):
         loads = {
             hash_server(server_id): load
@@ -354,23 +375,8 @@
         self._send_messages(self._builder.build(contents), receiver_ids)
 
     def _send_messages(self, messages, receiver_ids):
-        if self._transport is None:
-            return
-        peers = self._get_peers()
-        addresses = [peers[i].address for i in receiver_ids if i in peers]
-        for message in messages:
-            datagram = sign(self._secret, encode(message))
-            for address in addresses:
-                self._send_datagram(datagram, address)
-
-    def _send_datagram(self, datagram, address):
-        try:
-            self._transport.sendto(datagram, address)
-        except (OSError, ValueError) as error:
-            # An address of another family; the messages to the others go on.
-            if address not in self._unsendable:
-                log.warning("cannot send", receiver=address[0], problem=str(error))
-            self._unsendable.add(address)
+        datagrams = (sign(self._secret, encode(message)) for message in messages)
+        self._sender.send(datagrams, receiver_ids)
 
     def _choose_leaving(self):
         """Return leaving servers to tell of; a sample if there are many."""
@@ -379,8 +385,13 @@
 
     def stop(self):
         """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
+        self._sender.close()
+
+
+def _name_source(message, scope):
+    """Return the instance or failure domain whose data a message holds."""
+    names = {Scope.INSTANCE: message.sender, Scope.DOMAIN: message.domain}
+    return names.get(scope, "")
 
 
 def _ignore_note(sender, note):
--- a/tanagerwalk/outcomes.py
+++ b/tanagerwalk/outcomes.py
@@ -90,6 +90,7 @@
     CLAIM_UNRESOLVED = "claim_unresolved"
     ANSWER_NOT_KEPT = "answer_not_kept"
     QUEUE_FULL = "queue_full"
+    ACCOUNT_OVER_SHARE = "account_over_share"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     NO_BACKEND_SERVER = "no_backend_server"
@@ -124,6 +125,7 @@
     RefusalReason.CLAIM_UNRESOLVED: 409,
     RefusalReason.ANSWER_NOT_KEPT: 409,
     RefusalReason.QUEUE_FULL: 429,
+    RefusalReason.ACCOUNT_OVER_SHARE: 429,
     RefusalReason.DEADLINE_EXCEEDED: 504,
     RefusalReason.BACKEND_FAILED: 502,
     RefusalReason.INTERNAL_ERROR: 500,
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -1257,6 +1257,192 @@
         return not (self == other)
 
 
+class AccountDemand(object):
+    """
+    Attributes:
+     - account
+     - offered
+
+    """
+
+
+    def __init__(self, account=None, offered=None,):
+        self.account = account
+        self.offered = offered
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.account = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.offered = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AccountDemand')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.I64, 1)
+            oprot.writeI64(self.account)
+            oprot.writeFieldEnd()
+        if self.offered is not None:
+            oprot.writeFieldBegin('offered', TType.I64, 2)
+            oprot.writeI64(self.offered)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceDemand(object):
+    """
+    Attributes:
+     - service_name
+     - offered
+     - done
+     - waiting
+     - accounts
+
+    """
+
+
+    def __init__(self, service_name=None, offered=None, done=None, waiting=None, accounts=None,):
+        self.service_name = service_name
+        self.offered = offered
+        self.done = done
+        self.waiting = waiting
+        self.accounts = accounts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.offered = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.done = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.waiting = []
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = iprot.readI64()
+                        self.waiting.append(_elem79)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.accounts = []
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = AccountDemand()
+                        _elem85.read(iprot)
+                        self.accounts.append(_elem85)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceDemand')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.offered is not None:
+            oprot.writeFieldBegin('offered', TType.I64, 2)
+            oprot.writeI64(self.offered)
+            oprot.writeFieldEnd()
+        if self.done is not None:
+            oprot.writeFieldBegin('done', TType.I64, 3)
+            oprot.writeI64(self.done)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.waiting))
+            for iter86 in self.waiting:
+                oprot.writeI64(iter86)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.accounts))
+            for iter87 in self.accounts:
+                iter87.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadMessage(object):
     """
     Attributes:
@@ -1275,11 +1461,12 @@
      - notes
      - brittle
      - permits
+     - demands
 
     """
 
 
-    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None, scope=None, domain=None, part=None, parts=None, leaving=None, limits=None, notes=None, brittle=None, permits=None,):
+    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None, scope=None, domain=None, part=None, parts=None, leaving=None, limits=None, notes=None, brittle=None, permits=None, demands=None,):
         self.sender = sender
         self.sequence = sequence
         self.loads = loads
@@ -1295,6 +1482,7 @@
         self.notes = notes
         self.brittle = brittle
         self.permits = permits
+        self.demands = demands
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1318,44 +1506,44 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = ServerLoad()
-                        _elem79.read(iprot)
-                        self.loads.append(_elem79)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = ServerLoad()
+                        _elem93.read(iprot)
+                        self.loads.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.blames = []
-                    (_etype83, _size80) = iprot.readListBegin()
-                    for _i84 in range(_size80):
-                        _elem85 = CrashBlame()
-                        _elem85.read(iprot)
-                        self.blames.append(_elem85)
+                    (_etype97, _size94) = iprot.readListBegin()
+                    for _i98 in range(_size94):
+                        _elem99 = CrashBlame()
+                        _elem99.read(iprot)
+                        self.blames.append(_elem99)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.sides = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = SessionSides()
-                        _elem91.read(iprot)
-                        self.sides.append(_elem91)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = SessionSides()
+                        _elem105.read(iprot)
+                        self.sides.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.tallies = []
-                    (_etype95, _size92) = iprot.readListBegin()
-                    for _i96 in range(_size92):
-                        _elem97 = TrialTally()
-                        _elem97.read(iprot)
-                        self.tallies.append(_elem97)
+                    (_etype109, _size106) = iprot.readListBegin()
+                    for _i110 in range(_size106):
+                        _elem111 = TrialTally()
+                        _elem111.read(iprot)
+                        self.tallies.append(_elem111)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1382,54 +1570,65 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = iprot.readI64()
-                        self.leaving.append(_elem103)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readI64()
+                        self.leaving.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = ServerLimit()
-                        _elem109.read(iprot)
-                        self.limits.append(_elem109)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = ServerLimit()
+                        _elem123.read(iprot)
+                        self.limits.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.notes = []
-                    (_etype113, _size110) = iprot.readListBegin()
-                    for _i114 in range(_size110):
-                        _elem115 = SessionNote()
-                        _elem115.read(iprot)
-                        self.notes.append(_elem115)
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = SessionNote()
+                        _elem129.read(iprot)
+                        self.notes.append(_elem129)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.brittle = []
-                    (_etype119, _size116) = iprot.readListBegin()
-                    for _i120 in range(_size116):
-                        _elem121 = ServerBrittleness()
-                        _elem121.read(iprot)
-                        self.brittle.append(_elem121)
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = ServerBrittleness()
+                        _elem135.read(iprot)
+                        self.brittle.append(_elem135)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.permits = []
-                    (_etype125, _size122) = iprot.readListBegin()
-                    for _i126 in range(_size122):
-                        _elem127 = PermitNote()
-                        _elem127.read(iprot)
-                        self.permits.append(_elem127)
+                    (_etype139, _size136) = iprot.readListBegin()
+                    for _i140 in range(_size136):
+                        _elem141 = PermitNote()
+                        _elem141.read(iprot)
+                        self.permits.append(_elem141)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 60:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = ServiceDemand()
+                        _elem147.read(iprot)
+                        self.demands.append(_elem147)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1454,29 +1653,29 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter128 in self.loads:
-                iter128.write(oprot)
+            for iter148 in self.loads:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blames is not None:
             oprot.writeFieldBegin('blames', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.blames))
-            for iter129 in self.blames:
-                iter129.write(oprot)
+            for iter149 in self.blames:
+                iter149.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sides is not None:
             oprot.writeFieldBegin('sides', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.sides))
-            for iter130 in self.sides:
-                iter130.write(oprot)
+            for iter150 in self.sides:
+                iter150.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter131 in self.tallies:
-                iter131.write(oprot)
+            for iter151 in self.tallies:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.scope is not None:
@@ -1498,36 +1697,43 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 11)
             oprot.writeListBegin(TType.I64, len(self.leaving))
-            for iter132 in self.leaving:
-                oprot.writeI64(iter132)
+            for iter152 in self.leaving:
+                oprot.writeI64(iter152)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter133 in self.limits:
-                iter133.write(oprot)
+            for iter153 in self.limits:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.notes is not None:
             oprot.writeFieldBegin('notes', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.notes))
-            for iter134 in self.notes:
-                iter134.write(oprot)
+            for iter154 in self.notes:
+                iter154.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.brittle is not None:
             oprot.writeFieldBegin('brittle', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.brittle))
-            for iter135 in self.brittle:
-                iter135.write(oprot)
+            for iter155 in self.brittle:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.permits is not None:
             oprot.writeFieldBegin('permits', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.permits))
-            for iter136 in self.permits:
-                iter136.write(oprot)
+            for iter156 in self.permits:
+                iter156.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 60)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter157 in self.demands:
+                iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1643,6 +1849,21 @@
     (1, TType.BOOL, 'is_leaving', None, None, ),  # 1
     (2, TType.I32, 'hold_ms', None, None, ),  # 2
 )
+all_structs.append(AccountDemand)
+AccountDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'account', None, None, ),  # 1
+    (2, TType.I64, 'offered', None, None, ),  # 2
+)
+all_structs.append(ServiceDemand)
+ServiceDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'offered', None, None, ),  # 2
+    (3, TType.I64, 'done', None, None, ),  # 3
+    (4, TType.LIST, 'waiting', (TType.I64, None, False), None, ),  # 4
+    (5, TType.LIST, 'accounts', (TType.STRUCT, [AccountDemand, None], False), None, ),  # 5
+)
 all_structs.append(LoadMessage)
 LoadMessage.thrift_spec = (
     None,  # 0
@@ -1661,6 +1882,51 @@
     (13, TType.LIST, 'notes', (TType.STRUCT, [SessionNote, None], False), None, ),  # 13
     (14, TType.LIST, 'brittle', (TType.STRUCT, [ServerBrittleness, None], False), None, ),  # 14
     (15, TType.LIST, 'permits', (TType.STRUCT, [PermitNote, None], False), None, ),  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    None,  # 40
+    None,  # 41
+    None,  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    (60, TType.LIST, 'demands', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 60
 )
 fix_spec(all_structs)
 del all_structs
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -146,6 +146,24 @@
   2: i32 hold_ms
 }
 
+// Work that an account asked for; `account` is a hash of its id.
+struct AccountDemand {
+  1: i64 account
+  2: i64 offered
+}
+
+// Demand for a contended service within the last seconds, in prompt tokens.
+struct ServiceDemand {
+  1: string service_name
+  // What clients asked for, and what was answered.
+  2: i64 offered
+  3: i64 done
+  // What waits at the servers, by priority.
+  4: list<i64> waiting
+  // The heaviest accounts.
+  5: list<AccountDemand> accounts
+}
+
 // Whose data a message holds.
 enum Scope {
   // The sender's own.
@@ -177,4 +195,5 @@
   13: optional list<SessionNote> notes
   14: optional list<ServerBrittleness> brittle
   15: optional list<PermitNote> permits
+  60: optional list<ServiceDemand> demands
 }
--- a/test/gateway/test_odd_peer_messages.py
+++ b/test/gateway/test_odd_peer_messages.py
@@ -60,9 +60,10 @@
 
 def build_message(kind):
     """Return a strategy for a generated struct, any of whose fields may be absent."""
+    # Numbers that no field has are None.
     fields = {
         name: st.none() | build_field(ttype, spec)
-        for _, ttype, name, spec, _ in kind.thrift_spec[1:]
+        for _, ttype, name, spec, _ in filter(None, kind.thrift_spec)
     }
     return st.builds(kind, **fields)
 
