Play a fleet under bursts, a flood and repeated requests; measure what servers can do

A rate of answers over some seconds is too low just after a calm time, so that waits seemed too long and requests were refused in the first seconds of a burst. Answers count from their first part, at the priority that the request would have, and the rate is taken over the time in which the slots were in use.

The stand-in of a server serves waiting requests by priority.

--- a/tanagerwalk/decisions/contention.py
+++ b/tanagerwalk/decisions/contention.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+# With fewer slots in use, queues come from uneven placement.
+ENTER_TAKEN_SHARE = 0.75
 # Waiting requests per server.
 ENTER_WAITING = 0.25
 LEAVE_WAITING = 0.05
@@ -41,6 +43,20 @@
             self.waiting + other.waiting,
         )
 
+    def compare_queues(self, others):
+        """Return the mean queue at these servers as a multiple of that at others.
+
+        1 where nothing waits at the others.
+        """
+        if not others.waiting:
+            return 1.0
+        return (self.waiting / self.servers) / (others.waiting / others.servers)
+
+    @property
+    def use(self):
+        """The part of the slots that is in use, 0 to 1."""
+        return min(1.0, self.taken / self.slots) if self.slots else 0.0
+
     @property
     def are_scarce(self):
         """Whether requests wait, and half of the places are taken."""
@@ -62,10 +78,18 @@
 
     def update(self, places, now):
         """Take over the Places of the service; return whether the state has changed."""
-        bound = LEAVE_WAITING if self.is_contended else ENTER_WAITING
-        is_contended = places.are_scarce and places.waiting >= bound * places.servers
+        is_contended = _is_contended(places, self.is_contended)
         if is_contended is self.is_contended or now - self._changed_at < MIN_STAY_S:
             return False
         self.is_contended = is_contended
         self._changed_at = now
         return True
+
+
+def _is_contended(places, was_contended):
+    if was_contended:
+        return places.are_scarce and (places.waiting >= LEAVE_WAITING * places.servers)
+    return (
+        places.taken >= ENTER_TAKEN_SHARE * places.slots
+        and places.waiting >= ENTER_WAITING * places.servers
+    )
--- a/tanagerwalk/decisions/demands.py
+++ b/tanagerwalk/decisions/demands.py
@@ -3,7 +3,7 @@
 import hashlib
 import heapq
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from .recent_sums import WINDOW_S, RecentSum
 from .server_usage import Work
@@ -13,9 +13,12 @@
 # Accounts of which an instance tells the others, for each service.
 MAX_ACCOUNTS_TOLD = 8
 ACCOUNT_HASH_BYTES = 7
+MIN_BUSY_S = 0.75
+# Part of the work done that even the least urgent requests are counted on to get.
+MIN_RATE_SHARE = 0.1
 # Cost of a request for a service without models; only ratios matter there.
 PLAIN_WORK = 1000.0
-NO_WORK_WAITING = (0.0,) * PRIORITY_COUNT
+NO_WORK = (0.0,) * PRIORITY_COUNT
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,8 +29,8 @@
     ----------
     offered : float
         Work that clients asked for within the window, what was refused included.
-    done : float
-        Work of the requests that were answered within the window.
+    done : tuple of float
+        Work of the requests whose answers have begun within the window, by priority.
     waiting : tuple of float
         Work of the requests at servers whose answers have not begun, by priority.
     accounts : dict of int to float
@@ -35,14 +38,26 @@
     """
 
     offered: float = 0.0
-    done: float = 0.0
-    waiting: tuple[float, ...] = NO_WORK_WAITING
+    done: tuple[float, ...] = NO_WORK
+    waiting: tuple[float, ...] = NO_WORK
     accounts: dict[int, float] = field(default_factory=dict)
 
+    def scale_done(self, busy_time):
+        """Return the demand with the work that servers in full use would have done.
+
+        Parameters
+        ----------
+        busy_time : float
+            Part of the window, in seconds, for which the servers were in use. If it is
+            short, what they can do is unknown, and nothing counts as done.
+        """
+        scale = WINDOW_S / busy_time if busy_time >= MIN_BUSY_S else 0.0
+        return replace(self, done=tuple(scale * work for work in self.done))
+
     @property
     def done_rate(self):
         """Work done per second."""
-        return self.done / WINDOW_S
+        return sum(self.done) / WINDOW_S
 
     def add(self, other, sign=1.0):
         """Return the demand of both; with a `sign` of -1, that without the other."""
@@ -51,11 +66,8 @@
             accounts[account] = max(0.0, accounts.get(account, 0.0) + sign * offered)
         return Demand(
             max(0.0, self.offered + sign * other.offered),
-            max(0.0, self.done + sign * other.done),
-            tuple(
-                max(0.0, own + sign * theirs)
-                for own, theirs in zip(self.waiting, other.waiting, strict=True)
-            ),
+            _add_each(self.done, other.done, sign),
+            _add_each(self.waiting, other.waiting, sign),
             accounts,
         )
 
@@ -69,12 +81,36 @@
     def estimate_wait(self, priority):
         """Return the seconds until a new request of a priority is begun.
 
-        That is the time that the servers take for what goes before it. 0 if nothing
-        was done that would show how fast they are.
+        That is the time that the servers take for what goes before it, beside the more
+        urgent requests that come meanwhile. 0 if nothing was done that would show how
+        fast they are.
         """
-        if self.done <= 0.0:
+        if not any(self.done):
             return 0.0
-        return sum(self.waiting[: priority + 1]) / self.done_rate
+        rate = max(sum(self.done[priority:]), MIN_RATE_SHARE * sum(self.done))
+        return sum(self.waiting[: priority + 1]) / rate * WINDOW_S
+
+
+@dataclass(slots=True, eq=False)
+class SentRequest:
+    """A request at a server, until its end.
+
+    Parameters
+    ----------
+    priority : int
+        Its priority there.
+    work : Work
+        What is left of its cost; the prefill is zero once the answer has begun.
+    total : float
+        Its cost when it was sent, in prompt tokens.
+    is_done : bool
+        Whether it has been counted as done.
+    """
+
+    priority: int
+    work: Work
+    total: float
+    is_done: bool = False
 
 
 class DemandMeter:
@@ -82,9 +118,9 @@
 
     def __init__(self):
         self._offered = RecentSum()
-        self._done = RecentSum()
+        self._done = [RecentSum() for _ in range(PRIORITY_COUNT)]
         self._accounts = defaultdict(RecentSum)
-        self._running = []
+        self._sent = set()
 
     def record_offered(self, account, work, now):
         """Record a request of an account (`hash_account`, or None) that arrives."""
@@ -93,24 +129,30 @@
             self._accounts[account].add(work.total, now)
 
     def begin(self, priority, work):
-        """Record a request that is sent; return a token for `end`."""
-        token = (priority, work, work.total)
-        self._running.append(token)
-        return token
-
-    def end(self, token, is_answered, now):
-        """Record the end of a request that was sent."""
-        self._running = [other for other in self._running if other is not token]
+        """Record a request that is sent; return it as a SentRequest for `end`."""
+        sent = SentRequest(priority, work, work.total)
+        self._sent.add(sent)
+        return sent
+
+    def end(self, sent, is_answered, now):
+        """Record the end of a SentRequest."""
+        self._sent.remove(sent)
         if is_answered:
-            self._done.add(token[2], now)
+            self._count_done(sent, now)
+
+    def _count_done(self, sent, now):
+        if not sent.is_done:
+            sent.is_done = True
+            self._done[sent.priority].add(sent.total, now)
 
     def measure(self, now):
         """Return the Demand at this instance."""
-        waiting = list(NO_WORK_WAITING)
-        for priority, work, _ in self._running:
-            # It is zero once the answer has begun.
-            if work.prefill > 0.0:
-                waiting[priority] += work.total
+        waiting = list(NO_WORK)
+        for sent in self._sent:
+            if sent.work.prefill > 0.0:
+                waiting[sent.priority] += sent.work.total
+            else:
+                self._count_done(sent, now)
         offered = {
             account: amount
             for account, recent in self._accounts.items()
@@ -119,10 +161,19 @@
         for account in self._accounts.keys() - offered.keys():
             del self._accounts[account]
         return Demand(
-            self._offered.measure(now), self._done.measure(now), tuple(waiting), offered
+            self._offered.measure(now),
+            tuple(recent.measure(now) for recent in self._done),
+            tuple(waiting),
+            offered,
         )
 
 
+def _add_each(own, other, sign):
+    return tuple(
+        max(0.0, mine + sign * theirs) for mine, theirs in zip(own, other, strict=True)
+    )
+
+
 def make_plain_work():
     """Return the Work of a request for a service without models."""
     return Work(PLAIN_WORK)
--- a/tanagerwalk/decisions/fair_shares.py
+++ b/tanagerwalk/decisions/fair_shares.py
@@ -1,5 +1,7 @@
 """Max-min fair shares of the client accounts in what a service can do."""
 
+from dataclasses import dataclass
+
 # Accounts are told of with a delay, and requests come in lumps.
 SHARE_TOLERANCE = 1.1
 
@@ -22,11 +24,12 @@
     float
         In prompt tokens; infinite if nothing was done that would show the capacity.
     """
-    if demand.done <= 0.0:
+    done = sum(demand.done)
+    if done <= 0.0:
         return float("inf")
     listed = sorted(demand.accounts.values())
-    equal_share = demand.done / accounts
-    left = demand.done - max(0.0, demand.offered - sum(listed))
+    equal_share = done / accounts
+    left = done - max(0.0, demand.offered - sum(listed))
     for position, offered in enumerate(listed):
         share = left / (len(listed) - position)
         if offered > share:
@@ -35,20 +38,37 @@
     return float("inf")
 
 
-def find_excess(demand, account, accounts):
-    """Return the part of an account's work that is beyond its fair share, 0 to 1.
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """How an account stands among those that use a service.
+
+    Parameters
+    ----------
+    excess : float
+        The part of its work that is beyond its fair share, 0 to 1.
+    is_crowded_out : bool
+        Whether it stays within its share, and others don't.
+    """
+
+    excess: float = 0.0
+    is_crowded_out: bool = False
+
+
+def find_standing(demand, account, accounts):
+    """Return the Standing of an account.
 
     Parameters
     ----------
     demand : Demand
         Demand of the fleet.
-    account : int or None
-        The account, by `hash_account`; None without accounts.
+    account : int
+        The account, by `hash_account`.
     accounts : int
         Number of accounts that may send requests, at least 1.
     """
     offered = demand.accounts.get(account, 0.0)
     share = find_fair_share(demand, accounts)
     if offered <= SHARE_TOLERANCE * share:
-        return 0.0
-    return 1.0 - share / offered
+        heaviest = max(demand.accounts.values(), default=0.0)
+        return Standing(is_crowded_out=heaviest > SHARE_TOLERANCE * share)
+    return Standing(1.0 - share / offered)
--- a/tanagerwalk/decisions/recent_sums.py
+++ b/tanagerwalk/decisions/recent_sums.py
@@ -1,5 +1,6 @@
 """Sums over the last seconds."""
 
+import math
 from collections import deque
 
 WINDOW_S = 4.0
@@ -14,7 +15,7 @@
 
     def add(self, amount, now):
         """Add an amount at a monotonic time in seconds."""
-        index = int(now / BUCKET_S)
+        index = math.floor(now / BUCKET_S)
         if self._buckets and self._buckets[-1][0] == index:
             self._buckets[-1][1] += amount
         else:
@@ -22,7 +23,7 @@
 
     def measure(self, now):
         """Return the sum over the window that ends at a monotonic time."""
-        first = int((now - WINDOW_S) / BUCKET_S)
+        first = math.floor((now - WINDOW_S) / BUCKET_S)
         while self._buckets and self._buckets[0][0] <= first:
             self._buckets.popleft()
         return sum(amount for _, amount in self._buckets)
--- a/tanagerwalk/decisions/request_order.py
+++ b/tanagerwalk/decisions/request_order.py
@@ -53,13 +53,18 @@
 
 def list_ranks(manifest, service):
     """Return the priorities that requests for a service may have, in order."""
-    routes = {
-        route.priority
+    ranks = {route.priority for route in list_routes(manifest, service)}
+    return tuple(sorted(ranks | set(manifest.account_priorities.values())))
+
+
+def list_routes(manifest, service):
+    """Return the routes of a manifest that a service has a share of."""
+    return [
+        route
         for listed in manifest.routes.values()
         for route in listed
         if any(share.service == service for share in route.shares)
-    }
-    return tuple(sorted(routes | set(manifest.account_priorities.values())))
+    ]
 
 
 def find_rank(manifest, route, account):
--- a/tanagerwalk/gateway/contention.py
+++ b/tanagerwalk/gateway/contention.py
@@ -6,11 +6,14 @@
 
 from ..decisions.contention import ContentionState, Places
 from ..decisions.demands import Demand, DemandMeter
-from ..decisions.request_order import list_ranks
+from ..decisions.recent_sums import RecentSum
+from ..decisions.request_order import list_ranks, list_routes
 
 log = structlog.get_logger(__name__)
 
 REFRESH_INTERVAL_S = 0.1
+# The servers are looked at with each message to the others.
+MAX_PAUSE_S = 1.0
 
 
 class ServiceContention:
@@ -37,7 +40,28 @@
         self.demand = Demand()
         self.places = Places()
         self.state = ContentionState()
-        self.refreshed_at = float("-inf")
+        self._busy_time = RecentSum()
+        self._refreshed_at = float("-inf")
+
+    def is_due(self, now):
+        """Return whether to look at the servers again."""
+        return now - self._refreshed_at >= REFRESH_INTERVAL_S
+
+    def update_places(self, places, now):
+        """Take over the present Places; return whether contention begins or ends."""
+        since = min(now - self._refreshed_at, MAX_PAUSE_S)
+        self._busy_time.add(self.places.use * since, now)
+        self._refreshed_at = now
+        self.places = places
+        return self.state.update(places, now)
+
+    def update_demand(self, others, now):
+        """Take over the Demand of the other instances."""
+        if not self.state.is_contended:
+            self.demand = Demand()
+            return
+        demand = self.meter.measure(now).add(others)
+        self.demand = demand.scale_done(self._busy_time.measure(now))
 
 
 class ManifestOrder:
@@ -66,6 +90,12 @@
         manifest = self._manifest
         return len(set(manifest.accounts.values())) if manifest.needs_keys else 0
 
+    @cached_property
+    def longest_objective(self):
+        """The longest latency objective of requests for the service, in seconds."""
+        routes = list_routes(self._manifest, self._service)
+        return max((route.objective for route in routes), default=0.0)
+
     @property
     def is_needed(self):
         """Whether requests or accounts differ at all."""
@@ -129,17 +159,12 @@
 
     def _refresh(self, found):
         now = self.clock()
-        if now - found.refreshed_at < REFRESH_INTERVAL_S:
+        if not found.is_due(now):
             return
-        found.refreshed_at = now
-        found.places = self.servers.count_places(found.service, now)
-        if found.state.update(found.places, now):
+        places = self.servers.count_places(found.service, now)
+        if found.update_places(places, now):
             self._report_change(found)
-        if not found.state.is_contended:
-            found.demand = Demand()
-            return
-        others = self._shared.find_others(found.service, now)
-        found.demand = found.meter.measure(now).add(others)
+        found.update_demand(self._shared.find_others(found.service, now), now)
 
     def _report_change(self, found):
         is_contended = found.state.is_contended
--- a/tanagerwalk/gateway/demand_messages.py
+++ b/tanagerwalk/gateway/demand_messages.py
@@ -10,7 +10,7 @@
     return ServiceDemand(
         service,
         int(demand.offered),
-        int(demand.done),
+        list(map(int, demand.done)),
         list(map(int, demand.waiting)),
         [
             AccountDemand(account, int(offered))
@@ -21,11 +21,19 @@
 
 def decode_demand(encoded):
     """Convert a ServiceDemand message to the service and a Demand."""
-    waiting = [float(max(0, work)) for work in encoded.waiting[:PRIORITY_COUNT]]
-    waiting += [0.0] * (PRIORITY_COUNT - len(waiting))
     accounts = {
         account.account: float(max(0, account.offered)) for account in encoded.accounts
     }
-    offered, done = max(0, encoded.offered), max(0, encoded.done)
-    demand = Demand(float(offered), float(done), tuple(waiting), accounts)
+    demand = Demand(
+        float(max(0, encoded.offered)),
+        _decode_work(encoded.done),
+        _decode_work(encoded.waiting),
+        accounts,
+    )
     return ServiceName(encoded.service_name), demand
+
+
+def _decode_work(encoded):
+    """Return the work by priority; a list of another length is cut or filled up."""
+    work = [float(max(0, amount)) for amount in encoded[:PRIORITY_COUNT]]
+    return tuple(work + [0.0] * (PRIORITY_COUNT - len(work)))
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -256,13 +256,13 @@
             partial(self._context.quarantine.suspect, self._request, attempt),
         )
         hold = hold or self._permit_wait.begin(server)
-        token = self._place_contest.begin(attempt)
+        sent = self._place_contest.begin(attempt)
         result = None
         try:
             result = await self._run_attempt(plan)
         finally:
             self._permit_wait.end(hold, result)
-            self._place_contest.end(token, result)
+            self._place_contest.end(sent, result)
         if result.outcome in UNSENT_OUTCOMES:
             self._budget.withdraw_attempt(now, is_retry)
         self._context.recorder.record_attempt(self._request, attempt, result)
--- a/tanagerwalk/gateway/place_contest.py
+++ b/tanagerwalk/gateway/place_contest.py
@@ -1,12 +1,12 @@
 """The part of one request in the competition for places at the servers."""
 
-from ..decisions.demands import hash_account, make_plain_work
+from ..decisions.demands import PRIORITY_COUNT, hash_account, make_plain_work
 from ..decisions.early_refusal import (
     Prospect,
     find_drain_time,
     find_early_refusal,
 )
-from ..decisions.fair_shares import find_excess
+from ..decisions.fair_shares import Standing, find_standing
 from ..decisions.request_order import (
     DEFAULT_PRIORITY,
     OrderInput,
@@ -82,7 +82,7 @@
         places = self._control.servers.count_places(self._service, now, allows_server)
         if not places.are_scarce:
             return None
-        prospect = self._find_prospect(places, self._choose_priority(work), now)
+        prospect = self._find_prospect(places, self._find_priority(work), now)
         reason = find_early_refusal(prospect, self._share_draw)
         if reason is not None:
             draw = self._control.random.random()
@@ -96,38 +96,31 @@
     def _find_prospect(self, places, priority, now):
         """Return the Prospect of the request at the servers that it may use."""
         everywhere = self._found.places
-        wait = self._estimate_wait(priority)
-        if everywhere.waiting:
-            waiting = places.waiting / places.servers
-            wait *= waiting * everywhere.servers / everywhere.waiting
-        demand = self._found.demand
-        reading = 0.0
-        if demand.done > 0.0:
-            reading = self._work.prefill * everywhere.servers / demand.done_rate
-        excess = self._find_excess()
+        rate = self._found.demand.done_rate
+        queue_ratio = places.compare_queues(everywhere)
+        prospect = Prospect(
+            wait=queue_ratio * self._estimate_wait(priority),
+            reading=self._work.prefill * everywhere.servers / rate if rate else 0.0,
+            last_wait=queue_ratio * self._estimate_wait(PRIORITY_COUNT - 1),
+            standing=self._find_standing(),
+            time_left=self._request.deadline - now,
+            objective=self._request.route.objective,
+            longest_objective=self._order.longest_objective,
+        )
         self._fields |= {
-            "expected_wait_ms": round(wait * MS_PER_S),
-            "over_share": round(excess, 2),
+            "expected_wait_ms": round(prospect.wait * MS_PER_S),
+            "over_share": round(prospect.standing.excess, 2),
         }
-        return Prospect(
-            wait,
-            reading,
-            excess,
-            self._request.deadline - now,
-            self._request.route.objective,
-        )
+        return prospect
 
     def _estimate_wait(self, priority):
-        found = self._found
-        return found.demand.estimate_wait(
-            DEFAULT_PRIORITY if priority is None else priority
-        )
+        return self._found.demand.estimate_wait(priority)
 
-    def _find_excess(self):
+    def _find_standing(self):
         if self._account is None:
-            return 0.0
+            return Standing()
         demand = self._found.demand
-        return find_excess(demand, self._account, self._order.accounts)
+        return find_standing(demand, self._account, self._order.accounts)
 
     def choose_priority(self, work):
         """Return the priority of the next attempt; None for the engine's default.
@@ -137,22 +130,24 @@
         work : Work or None
             Cost of the request for an engine; None for a service without models.
         """
-        priority = self._choose_priority(work)
-        if priority is not None:
-            self._fields["priority"] = priority
-            self._control.metrics.priorities.labels(priority).inc()
-        return priority
-
-    def _choose_priority(self, work):
         if work is None or not self._is_contended:
             return None
+        priority = self._find_priority(work)
+        self._fields["priority"] = priority
+        self._control.metrics.priorities.labels(priority).inc()
+        return priority
+
+    def _find_priority(self, work):
+        """Return the place in the order, which engines are told under contention."""
+        if work is None:
+            return DEFAULT_PRIORITY
         request = self._request
         order = OrderInput(
             find_rank(request.manifest, request.route, request.account),
             self._order.ranks,
             work.total,
             self._control.servers.mean_work,
-            self._find_excess() > 0.0,
+            self._find_standing().excess > 0.0,
             request.deadline - self._control.clock(),
             request.route.timeout,
             request.route.objective,
@@ -160,21 +155,20 @@
         return find_priority(order, self._estimate_wait, self._turn_draw)
 
     def begin(self, attempt):
-        """Record that the request is sent; return a token for `end`, or None."""
+        """Record that the request is sent; return a SentRequest for `end`, or None."""
         if self._found is None:
             return None
         priority = attempt.priority
-        work = attempt.work or make_plain_work()
-        return self._found.meter.begin(
-            DEFAULT_PRIORITY if priority is None else priority, work
-        )
+        if priority is None:
+            priority = self._find_priority(attempt.work)
+        return self._found.meter.begin(priority, attempt.work or make_plain_work())
 
-    def end(self, token, result):
+    def end(self, sent, result):
         """Record how an attempt ended; an AttemptResult of None stands for no end."""
-        if token is None:
+        if sent is None:
             return
         is_answered = result is not None and result.outcome is Outcome.DELIVERED
-        self._found.meter.end(token, is_answered, self._control.clock())
+        self._found.meter.end(sent, is_answered, self._control.clock())
 
     def describe(self):
         """Return the log fields of a request that competed for a place."""
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -1364,28 +1364,33 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I64:
-                    self.done = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.done = []
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = iprot.readI64()
+                        self.done.append(_elem79)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.waiting = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = iprot.readI64()
-                        self.waiting.append(_elem79)
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = iprot.readI64()
+                        self.waiting.append(_elem85)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.accounts = []
-                    (_etype83, _size80) = iprot.readListBegin()
-                    for _i84 in range(_size80):
-                        _elem85 = AccountDemand()
-                        _elem85.read(iprot)
-                        self.accounts.append(_elem85)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = AccountDemand()
+                        _elem91.read(iprot)
+                        self.accounts.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1408,21 +1413,24 @@
             oprot.writeI64(self.offered)
             oprot.writeFieldEnd()
         if self.done is not None:
-            oprot.writeFieldBegin('done', TType.I64, 3)
-            oprot.writeI64(self.done)
+            oprot.writeFieldBegin('done', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.done))
+            for iter92 in self.done:
+                oprot.writeI64(iter92)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.waiting))
-            for iter86 in self.waiting:
-                oprot.writeI64(iter86)
+            for iter93 in self.waiting:
+                oprot.writeI64(iter93)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.accounts))
-            for iter87 in self.accounts:
-                iter87.write(oprot)
+            for iter94 in self.accounts:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1506,44 +1514,44 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype91, _size88) = iprot.readListBegin()
-                    for _i92 in range(_size88):
-                        _elem93 = ServerLoad()
-                        _elem93.read(iprot)
-                        self.loads.append(_elem93)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = ServerLoad()
+                        _elem100.read(iprot)
+                        self.loads.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.blames = []
-                    (_etype97, _size94) = iprot.readListBegin()
-                    for _i98 in range(_size94):
-                        _elem99 = CrashBlame()
-                        _elem99.read(iprot)
-                        self.blames.append(_elem99)
+                    (_etype104, _size101) = iprot.readListBegin()
+                    for _i105 in range(_size101):
+                        _elem106 = CrashBlame()
+                        _elem106.read(iprot)
+                        self.blames.append(_elem106)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.sides = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = SessionSides()
-                        _elem105.read(iprot)
-                        self.sides.append(_elem105)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = SessionSides()
+                        _elem112.read(iprot)
+                        self.sides.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.tallies = []
-                    (_etype109, _size106) = iprot.readListBegin()
-                    for _i110 in range(_size106):
-                        _elem111 = TrialTally()
-                        _elem111.read(iprot)
-                        self.tallies.append(_elem111)
+                    (_etype116, _size113) = iprot.readListBegin()
+                    for _i117 in range(_size113):
+                        _elem118 = TrialTally()
+                        _elem118.read(iprot)
+                        self.tallies.append(_elem118)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1570,65 +1578,65 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = iprot.readI64()
-                        self.leaving.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = iprot.readI64()
+                        self.leaving.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = ServerLimit()
-                        _elem123.read(iprot)
-                        self.limits.append(_elem123)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = ServerLimit()
+                        _elem130.read(iprot)
+                        self.limits.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.notes = []
-                    (_etype127, _size124) = iprot.readListBegin()
-                    for _i128 in range(_size124):
-                        _elem129 = SessionNote()
-                        _elem129.read(iprot)
-                        self.notes.append(_elem129)
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = SessionNote()
+                        _elem136.read(iprot)
+                        self.notes.append(_elem136)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.brittle = []
-                    (_etype133, _size130) = iprot.readListBegin()
-                    for _i134 in range(_size130):
-                        _elem135 = ServerBrittleness()
-                        _elem135.read(iprot)
-                        self.brittle.append(_elem135)
+                    (_etype140, _size137) = iprot.readListBegin()
+                    for _i141 in range(_size137):
+                        _elem142 = ServerBrittleness()
+                        _elem142.read(iprot)
+                        self.brittle.append(_elem142)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.permits = []
-                    (_etype139, _size136) = iprot.readListBegin()
-                    for _i140 in range(_size136):
-                        _elem141 = PermitNote()
-                        _elem141.read(iprot)
-                        self.permits.append(_elem141)
+                    (_etype146, _size143) = iprot.readListBegin()
+                    for _i147 in range(_size143):
+                        _elem148 = PermitNote()
+                        _elem148.read(iprot)
+                        self.permits.append(_elem148)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 60:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype145, _size142) = iprot.readListBegin()
-                    for _i146 in range(_size142):
-                        _elem147 = ServiceDemand()
-                        _elem147.read(iprot)
-                        self.demands.append(_elem147)
+                    (_etype152, _size149) = iprot.readListBegin()
+                    for _i153 in range(_size149):
+                        _elem154 = ServiceDemand()
+                        _elem154.read(iprot)
+                        self.demands.append(_elem154)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1653,29 +1661,29 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter148 in self.loads:
-                iter148.write(oprot)
+            for iter155 in self.loads:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blames is not None:
             oprot.writeFieldBegin('blames', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.blames))
-            for iter149 in self.blames:
-                iter149.write(oprot)
+            for iter156 in self.blames:
+                iter156.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sides is not None:
             oprot.writeFieldBegin('sides', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.sides))
-            for iter150 in self.sides:
-                iter150.write(oprot)
+            for iter157 in self.sides:
+                iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter151 in self.tallies:
-                iter151.write(oprot)
+            for iter158 in self.tallies:
+                iter158.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.scope is not None:
@@ -1697,43 +1705,43 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 11)
             oprot.writeListBegin(TType.I64, len(self.leaving))
-            for iter152 in self.leaving:
-                oprot.writeI64(iter152)
+            for iter159 in self.leaving:
+                oprot.writeI64(iter159)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter153 in self.limits:
-                iter153.write(oprot)
+            for iter160 in self.limits:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.notes is not None:
             oprot.writeFieldBegin('notes', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.notes))
-            for iter154 in self.notes:
-                iter154.write(oprot)
+            for iter161 in self.notes:
+                iter161.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.brittle is not None:
             oprot.writeFieldBegin('brittle', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.brittle))
-            for iter155 in self.brittle:
-                iter155.write(oprot)
+            for iter162 in self.brittle:
+                iter162.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.permits is not None:
             oprot.writeFieldBegin('permits', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.permits))
-            for iter156 in self.permits:
-                iter156.write(oprot)
+            for iter163 in self.permits:
+                iter163.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 60)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter157 in self.demands:
-                iter157.write(oprot)
+            for iter164 in self.demands:
+                iter164.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1860,7 +1868,7 @@
     None,  # 0
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.I64, 'offered', None, None, ),  # 2
-    (3, TType.I64, 'done', None, None, ),  # 3
+    (3, TType.LIST, 'done', (TType.I64, None, False), None, ),  # 3
     (4, TType.LIST, 'waiting', (TType.I64, None, False), None, ),  # 4
     (5, TType.LIST, 'accounts', (TType.STRUCT, [AccountDemand, None], False), None, ),  # 5
 )
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -155,10 +155,10 @@
 // Demand for a contended service within the last seconds, in prompt tokens.
 struct ServiceDemand {
   1: string service_name
-  // What clients asked for, and what was answered.
+  // What clients asked for.
   2: i64 offered
-  3: i64 done
-  // What waits at the servers, by priority.
+  // What was answered, and what waits at the servers, by priority.
+  3: list<i64> done
   4: list<i64> waiting
   // The heaviest accounts.
   5: list<AccountDemand> accounts
--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -10,6 +10,7 @@
 import httptools
 
 from .behaviours import ENDLESS_STARTS, Behaviour
+from .places import DEFAULT_PRIORITY
 
 ADDRESS = "127.0.0.1"
 EVENT_COUNT = 5
@@ -190,7 +191,10 @@
         if places is None:
             await self._answer_at_once(request)
             return
-        if not await places.enter():
+        priority = request.headers.get("x-tanagerwalk-request-priority")
+        if not await places.enter(
+            DEFAULT_PRIORITY if priority is None else int(priority)
+        ):
             request.rejected = True
             headers = _NOT_EXECUTED_HEADERS
             self._write(request, "503 Service Unavailable", b"", headers)
@@ -283,8 +287,9 @@
             "Transfer-Encoding: chunked",
             "Content-Type: text/event-stream",
             f"X-Tanagerwalk-Confidence: {confidence}",
-            "X-Tanagerwalk-Engine-Load: 1,0,8",
         ]
+        if self.server.places is None:
+            extra.append("X-Tanagerwalk-Engine-Load: 1,0,8")
         self.transport.write(self._encode_head(request, "200 OK", extra))
         if self._crashes_on(request):
             await asyncio.sleep(CRASH_DELAY_S)
--- a/tanagerwalk/standins/places.py
+++ b/tanagerwalk/standins/places.py
@@ -1,10 +1,13 @@
 """The slots and the queue of a backend server stand-in."""
 
 import asyncio
+import itertools
 import time
+from bisect import insort
 from collections import deque
 
 REJECTION_WINDOW_S = 1.0
+DEFAULT_PRIORITY = 5
 
 
 class Places:
@@ -35,15 +38,22 @@
         self.rejected_at = deque()
         self.on_fall = _ignore
         self._running = 0
-        self._waiting = deque()
+        self._waiting = []
+        self._numbers = itertools.count()
 
     @property
     def load(self):
         """Running and waiting requests and slots, as a server reports them."""
         return f"{self._running},{len(self._waiting)},{self.slots}"
 
-    async def enter(self):
-        """Wait for a slot; return whether there was room for the request."""
+    async def enter(self, priority=DEFAULT_PRIORITY):
+        """Wait for a slot; return whether there was room for the request.
+
+        Parameters
+        ----------
+        priority : int
+            Requests with a lower number get a slot first.
+        """
         if self._running < self.slots:
             self._running += 1
             return True
@@ -51,21 +61,22 @@
             self._reject()
             return False
         turn = asyncio.get_running_loop().create_future()
-        self._waiting.append(turn)
+        entry = (priority, next(self._numbers), turn)
+        insort(self._waiting, entry)
         try:
             await turn
         except asyncio.CancelledError:
             if turn.done() and not turn.cancelled():
                 self.leave()
-            elif turn in self._waiting:
-                self._waiting.remove(turn)
+            elif entry in self._waiting:
+                self._waiting.remove(entry)
             raise
         return True
 
     def leave(self):
-        """Free a slot, which goes to the request that has waited longest."""
+        """Free a slot, for the most urgent request, or that which waited longest."""
         while self._waiting:
-            turn = self._waiting.popleft()
+            *_, turn = self._waiting.pop(0)
             if not turn.done():
                 turn.set_result(None)
                 return
--- /dev/null
+++ b/test/gateway/test_contention_fleet.py
@@ -0,0 +1,84 @@
+"""Loads under which the requests of a fleet compete for the places of its engines."""
+
+import pytest
+from contention_fleet import CHAT, KINDS, LONG, Burst, play
+
+BURSTS = (
+    Burst(6.0, 11.0, 2.5, kind=LONG.name),
+    Burst(11.0, 16.0, 1.7, kind=CHAT.name),
+)
+FLOODER = "account-0"
+FLOOD = (Burst(6.0, 17.0, 12.0, account=FLOODER),)
+OTHERS = [f"account-{number}" for number in range(1, 8)]
+ANSWERED = ("served", "late")
+
+
+def find_share_of_others(result, *ends):
+    """Return the mean part of the other accounts' requests with some ends."""
+    shares = [result.find_share(*ends, account=account) for account in OTHERS]
+    return sum(shares) / len(shares)
+
+
+def find_least_share(result):
+    return min(result.find_share(*ANSWERED, kind=kind.name) for kind in KINDS)
+
+
+# Load: long prompts at 2.5 times the usual for 5 s, then chats at 1.7.
+@pytest.mark.parametrize("instances", [9, 69])
+def test_chats_are_not_held_behind_a_burst_of_long_prompts(instances):
+    before = play(instances=instances, bursts=BURSTS, decides=False)
+    after = play(instances=instances, bursts=BURSTS)
+    assert before.find_share("served", kind=CHAT.name) < 0.5
+    assert after.find_share("served", kind=CHAT.name) > 0.8
+    assert after.find_share("served", kind=LONG.name) > 0.75
+    assert find_least_share(after) > 0.95
+    assert after.refused_idle == 0
+
+
+# Load: both bursts at once and without end, 1.5 times what the engines can do.
+def test_no_kind_is_shut_out_by_lasting_overload():
+    bursts = (
+        Burst(5.0, 23.0, 3.0, kind=LONG.name),
+        Burst(5.0, 23.0, 1.7, kind=CHAT.name),
+    )
+    result = play(bursts=bursts)
+    assert find_least_share(result) > 0.5 * result.find_share(*ANSWERED)
+
+
+# Load: one account at twelve times its usual for 11 s, at twice the engines' capacity.
+@pytest.mark.parametrize("instances", [9, 69])
+def test_flood_of_one_account_leaves_the_others_their_share(instances):
+    before = play(instances=instances, bursts=FLOOD, decides=False)
+    after = play(instances=instances, bursts=FLOOD)
+    assert find_share_of_others(before, "served") < 0.5
+    assert find_share_of_others(after, "served") > 0.8
+    assert find_share_of_others(after, *ANSWERED) > 0.97
+    share = after.find_share(*ANSWERED, account=FLOODER)
+    assert share > 0.25 * after.find_share(*ANSWERED)
+    assert after.reasons["account_over_share"] > 0
+
+
+# Load: the same flood, from clients that repeat six times at once.
+def test_clients_that_repeat_at_once_gain_nothing_by_it():
+    load = {"bursts": FLOOD, "repeats": 6, "waits": False}
+    before = play(**load, decides=False)
+    after = play(**load)
+    assert find_share_of_others(after, "served") > 0.85
+    assert find_share_of_others(after, *ANSWERED) > 0.9
+    assert find_share_of_others(before, *ANSWERED) < 0.85
+
+
+# Load: the same flood, while an instance dies and a fifth of the messages are lost.
+def test_death_of_an_instance_and_lost_messages_change_no_shares():
+    result = play(bursts=FLOOD, loss=0.2, kill_at=9.0)
+    assert find_share_of_others(result, *ANSWERED) > 0.95
+    assert result.refused_idle == 0
+
+
+# Load: half of the usual, which is a third of what the engines can do.
+@pytest.mark.parametrize("instances", [9, 69])
+def test_calm_load_is_sent_and_refused_as_without_an_order(instances):
+    result = play(instances=instances, load=0.5)
+    assert set(result.priorities) == {None}
+    assert not result.reasons
+    assert result.ends == play(instances=instances, load=0.5, decides=False).ends
--- a/test/gateway/test_earlier_messages.py
+++ b/test/gateway/test_earlier_messages.py
@@ -6,11 +6,13 @@
 import earlier_load_types as earlier
 import pytest
 
+from tanagerwalk.decisions.demands import Demand
 from tanagerwalk.decisions.part_records import CrashWeight, PartRecord
 from tanagerwalk.decisions.quarantine import CrashRecord
+from tanagerwalk.gateway.demand_messages import decode_demand, encode_demand
 from tanagerwalk.gateway.load_messages import decode_blame, encode_blame
 from tanagerwalk.peers.codec import decode, encode
-from tanagerwalk.peers.gen.loads.ttypes import CrashBlame, LoadMessage
+from tanagerwalk.peers.gen.loads.ttypes import CrashBlame, LoadMessage, ServiceDemand
 
 PART = "part-0123456789abcdef"
 LIFETIME_S = 30.0
@@ -70,3 +72,32 @@
     blame = CrashBlame(PART, ["s1"], -5, ["s9"], -7, -1)
     crashes = {"s1": CrashWeight.PRESENT}
     assert decode_blame(blame) == (PART, PartRecord(crashes, 0, 0.0, 0.0))
+
+
+DEMAND = Demand(70.0, tuple(range(10)), tuple(range(9, -1, -1)), {2**55: 60.0})
+
+
+def send_demand(encoded, received_type):
+    message = LoadMessage("sender", 1, demands=[encoded], scope=0, domain="a-1")
+    return decode(received_type, encode(message)).ok
+
+
+def test_demand_survives_encoding():
+    (received,) = send_demand(encode_demand("llm", DEMAND), LoadMessage).demands
+    assert decode_demand(received) == ("llm", DEMAND)
+
+
+def test_earlier_build_reads_a_message_of_demands_as_one_without_sections():
+    received = send_demand(encode_demand("llm", DEMAND), earlier.LoadMessage)
+    assert (received.sender, received.sequence) == ("sender", 1)
+    assert not any((received.loads, received.blames, received.tallies))
+
+
+def test_message_of_an_earlier_build_tells_of_no_demand():
+    message = earlier.LoadMessage("sender", 1, [], scope=0, domain="a-1")
+    assert decode(LoadMessage, encode(message)).ok.demands is None
+
+
+def test_demand_out_of_range_is_bounded():
+    _, demand = decode_demand(ServiceDemand("llm", -5, [-1, 7], [1] * 99, []))
+    assert demand == Demand(0.0, (0.0, 7.0) + (0.0,) * 8, (1.0,) * 10)
