--- a/tanagerwalk/decisions/contention.py
+++ b/tanagerwalk/decisions/contention.py
@@ -34,15 +34,6 @@
     taken: int = 0
     waiting: int = 0
 
-    def add(self, other):
-        """Return the places at the servers of both."""
-        return Places(
-            self.servers + other.servers,
-            self.slots + other.slots,
-            self.taken + other.taken,
-            self.waiting + other.waiting,
-        )
-
     def compare_queues(self, others):
         """Return the mean queue at these servers as a multiple of that at others.
 
@@ -63,6 +54,16 @@
         return self.waiting > 0 and self.taken >= MIN_TAKEN_SHARE * self.slots
 
 
+def sum_places(places):
+    """Return the Places at several servers, given those at each."""
+    return Places(
+        len(places),
+        sum(each.slots for each in places),
+        sum(each.taken for each in places),
+        sum(each.waiting for each in places),
+    )
+
+
 class ContentionState:
     """Whether a service is contended; a short lull doesn't end it.
 
--- a/tanagerwalk/decisions/demands.py
+++ b/tanagerwalk/decisions/demands.py
@@ -15,7 +15,7 @@
 ACCOUNT_HASH_BYTES = 7
 MIN_BUSY_S = 0.75
 # Part of the work done that even the least urgent requests are counted on to get.
-MIN_RATE_SHARE = 0.1
+MIN_RATE_SHARE = 0.25
 # Cost of a request for a service without models; only ratios matter there.
 PLAIN_WORK = 1000.0
 NO_WORK = (0.0,) * PRIORITY_COUNT
--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -1,7 +1,6 @@
 """Selection of the backend server for a request."""
 
 from .brittleness import BrittleServices
-from .contention import Places
 from .paths import PathState
 from .server_limits import LimitQueue, ServerLimits
 from .server_usage_table import ServerUsageTable, hash_life
@@ -79,8 +78,8 @@
         ]
         return min(loads, default=0.0)
 
-    def count_places(self, service, now, is_allowed=None):
-        """Return the Places at the servers of a service that take requests.
+    def list_places(self, service, now):
+        """Return the Places at each server of a service that takes requests.
 
         Parameters
         ----------
@@ -88,14 +87,18 @@
             The service.
         now : float
             Monotonic time in seconds.
-        is_allowed : callable or None
-            Takes a RegisteredServer and returns whether it may be used.
+
+        Returns
+        -------
+        list of (RegisteredServer, Places)
         """
-        places = Places()
-        for usage in self._list_ready(service, now, frozenset(), is_allowed):
-            shared = self._shared.sum(usage.server.id, now)
-            places = places.add(usage.count_places(now, shared))
-        return places
+        return [
+            (
+                usage.server,
+                usage.count_places(now, self._shared.sum(usage.server.id, now)),
+            )
+            for usage in self._list_ready(service, now, frozenset(), None)
+        ]
 
     def choose(self, service, now, tried=frozenset(), is_allowed=None, affinity=None):
         """Select the best server for a request, or None if there is none.
--- a/tanagerwalk/gateway/contention.py
+++ b/tanagerwalk/gateway/contention.py
@@ -4,14 +4,14 @@
 
 import structlog
 
-from ..decisions.contention import ContentionState, Places
+from ..decisions.contention import ContentionState, Places, sum_places
 from ..decisions.demands import Demand, DemandMeter
 from ..decisions.recent_sums import RecentSum
 from ..decisions.request_order import list_ranks, list_routes
 
 log = structlog.get_logger(__name__)
 
-REFRESH_INTERVAL_S = 0.1
+REFRESH_INTERVAL_S = 0.25
 # The servers are looked at with each message to the others.
 MAX_PAUSE_S = 1.0
 
@@ -39,6 +39,7 @@
         self.meter = DemandMeter()
         self.demand = Demand()
         self.places = Places()
+        self._places_by_server = []
         self.state = ContentionState()
         self._busy_time = RecentSum()
         self._refreshed_at = float("-inf")
@@ -47,13 +48,28 @@
         """Return whether to look at the servers again."""
         return now - self._refreshed_at >= REFRESH_INTERVAL_S
 
-    def update_places(self, places, now):
-        """Take over the present Places; return whether contention begins or ends."""
+    def update_places(self, places_by_server, now):
+        """Take over the present Places; return whether contention begins or ends.
+
+        Parameters
+        ----------
+        places_by_server : list of (RegisteredServer, Places)
+            The places at each server.
+        now : float
+            Monotonic time in seconds.
+        """
         since = min(now - self._refreshed_at, MAX_PAUSE_S)
         self._busy_time.add(self.places.use * since, now)
         self._refreshed_at = now
-        self.places = places
-        return self.state.update(places, now)
+        self._places_by_server = places_by_server
+        self.places = sum_places([places for _, places in places_by_server])
+        return self.state.update(self.places, now)
+
+    def count_places(self, is_allowed):
+        """Return the Places at the servers that a request may use."""
+        return sum_places(
+            [places for server, places in self._places_by_server if is_allowed(server)]
+        )
 
     def update_demand(self, others, now):
         """Take over the Demand of the other instances."""
@@ -161,7 +177,7 @@
         now = self.clock()
         if not found.is_due(now):
             return
-        places = self.servers.count_places(found.service, now)
+        places = self.servers.list_places(found.service, now)
         if found.update_places(places, now):
             self._report_change(found)
         found.update_demand(self._shared.find_others(found.service, now), now)
--- a/tanagerwalk/gateway/place_contest.py
+++ b/tanagerwalk/gateway/place_contest.py
@@ -79,7 +79,7 @@
         # The rest of a stream is not given up.
         if not self._is_contended or self._request.last_event is not None:
             return None
-        places = self._control.servers.count_places(self._service, now, allows_server)
+        places = self._found.count_places(allows_server)
         if not places.are_scarce:
             return None
         prospect = self._find_prospect(places, self._find_priority(work), now)
