--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -106,6 +106,28 @@
         ]
         return min(loads, default=0.0)
 
+    def list_places(self, service, now):
+        """Return the Places at each server of a service that takes requests.
+
+        Parameters
+        ----------
+        service : ServiceName
+            The service.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        list of (RegisteredServer, Places)
+        """
+        return [
+            (
+                usage.server,
+                usage.count_places(now, self._shared.sum(usage.server.id, now)),
+            )
+            for usage in self._list_ready(service, now, frozenset(), None)
+        ]
+
     def choose(
         self,
         service,
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -4,6 +4,7 @@
 
 from ..ids import Revision
 from ..registry import RegisteredServer, ServerState
+from .contention import Places
 from .server_notices import find_resume_limit
 
 REPORT_LIFETIME_S = 1.5
@@ -187,6 +188,23 @@
             return (slowdown - 1.0) / self.server.slots
         return (slowdown - 1.0) * work / ENGINE_CAPACITY_TOKENS
 
+    def count_places(self, now, shared):
+        """Return the Places at the server.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        shared : SharedLoad
+            Load reported by the other instances for the server.
+        """
+        is_recent = now - self.reported_at <= REPORT_LIFETIME_S
+        others = max(shared.in_flight, self.other_requests if is_recent else 0)
+        slots = self.server.slots
+        taken = self.in_flight + others
+        waiting = max(taken - slots, self.reported_queue if is_recent else 0)
+        return Places(1, slots, taken, max(0, waiting))
+
     def may_have_queue(self, now, shared):
         """Return whether requests may be waiting at the server.
 
--- /dev/null
+++ b/tanagerwalk/gateway/demand_messages.py
@@ -0,0 +1,39 @@
+"""Conversion of demands to messages between instances."""
+
+from ..decisions.demands import PRIORITY_COUNT, Demand
+from ..ids import ServiceName
+from ..peers.gen.loads.ttypes import AccountDemand, ServiceDemand
+
+
+def encode_demand(service, demand):
+    """Convert the Demand for a service to a ServiceDemand message."""
+    return ServiceDemand(
+        service,
+        int(demand.offered),
+        list(map(int, demand.done)),
+        list(map(int, demand.waiting)),
+        [
+            AccountDemand(account, int(offered))
+            for account, offered in demand.accounts.items()
+        ],
+    )
+
+
+def decode_demand(encoded):
+    """Convert a ServiceDemand message to the service and a Demand."""
+    accounts = {
+        account.account: float(max(0, account.offered)) for account in encoded.accounts
+    }
+    demand = Demand(
+        float(max(0, encoded.offered)),
+        _decode_work(encoded.done),
+        _decode_work(encoded.waiting),
+        accounts,
+    )
+    return ServiceName(encoded.service_name), demand
+
+
+def _decode_work(encoded):
+    """Return the work by priority; a list of another length is cut or filled up."""
+    work = [float(max(0, amount)) for amount in encoded[:PRIORITY_COUNT]]
+    return tuple(work + [0.0] * (PRIORITY_COUNT - len(work)))
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -17,6 +17,7 @@
 from ..ids import Fingerprint, Incarnation, PartKey, RouteName
 from ..peers.codec import decode
 from ..peers.gen.loads.ttypes import (
+    AccountDemand,
     CrashBlame,
     LatencyTally,
     LoadMessage,
@@ -25,6 +26,7 @@
     ServerLimit,
     ServerLoad,
     ServerSpeed,
+    ServiceDemand,
     SessionSides,
     TrialTally,
 )
@@ -47,7 +49,20 @@
     TrialTally: ("service_name", "order"),
     RouteTally: ("route", "target_answers", "target_bad", "base_answers", "base_bad"),
     LatencyTally: ("route",),
+    ServiceDemand: ("service_name", "offered", "done", "waiting", "accounts"),
+    AccountDemand: ("account", "offered"),
 }
+# Lists of structs in a LoadMessage.
+SECTIONS = (
+    "loads",
+    "blames",
+    "sides",
+    "tallies",
+    "limits",
+    "brittle",
+    "speeds",
+    "demands",
+)
 KNOWN_SCOPES = frozenset(scope.value for scope in Scope)
 
 
@@ -94,11 +109,13 @@
 
 def _list_sections(message):
     """Yield the structs of a LoadMessage, and those that they hold."""
-    for name in ("loads", "blames", "sides", "tallies", "limits", "brittle", "speeds"):
+    for name in SECTIONS:
         yield from getattr(message, name) or ()
     for tally in message.tallies or ():
         yield from tally.routes or ()
         yield from tally.latencies or ()
+    for demand in message.demands or ():
+        yield from demand.accounts or ()
 
 
 def _find_missing(section):
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -1358,6 +1358,200 @@
         return not (self == other)
 
 
+class AccountDemand(object):
+    """
+    Attributes:
+     - account
+     - offered
+
+    """
+
+
+    def __init__(self, account=None, offered=None,):
+        self.account = account
+        self.offered = offered
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.account = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.offered = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AccountDemand')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.I64, 1)
+            oprot.writeI64(self.account)
+            oprot.writeFieldEnd()
+        if self.offered is not None:
+            oprot.writeFieldBegin('offered', TType.I64, 2)
+            oprot.writeI64(self.offered)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceDemand(object):
+    """
+    Attributes:
+     - service_name
+     - offered
+     - done
+     - waiting
+     - accounts
+
+    """
+
+
+    def __init__(self, service_name=None, offered=None, done=None, waiting=None, accounts=None,):
+        self.service_name = service_name
+        self.offered = offered
+        self.done = done
+        self.waiting = waiting
+        self.accounts = accounts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.offered = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.done = []
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = iprot.readI64()
+                        self.done.append(_elem79)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.waiting = []
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = iprot.readI64()
+                        self.waiting.append(_elem85)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.accounts = []
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = AccountDemand()
+                        _elem91.read(iprot)
+                        self.accounts.append(_elem91)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceDemand')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.offered is not None:
+            oprot.writeFieldBegin('offered', TType.I64, 2)
+            oprot.writeI64(self.offered)
+            oprot.writeFieldEnd()
+        if self.done is not None:
+            oprot.writeFieldBegin('done', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.done))
+            for iter92 in self.done:
+                oprot.writeI64(iter92)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.waiting))
+            for iter93 in self.waiting:
+                oprot.writeI64(iter93)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.accounts))
+            for iter94 in self.accounts:
+                iter94.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadMessage(object):
     """
     Attributes:
@@ -1377,11 +1571,12 @@
      - brittle
      - permits
      - speeds
+     - demands
 
     """
 
 
-    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None, scope=None, domain=None, part=None, parts=None, leaving=None, limits=None, notes=None, brittle=None, permits=None, speeds=None,):
+    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None, scope=None, domain=None, part=None, parts=None, leaving=None, limits=None, notes=None, brittle=None, permits=None, speeds=None, demands=None,):
         self.sender = sender
         self.sequence = sequence
         self.loads = loads
@@ -1398,6 +1593,7 @@
         self.brittle = brittle
         self.permits = permits
         self.speeds = speeds
+        self.demands = demands
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1421,44 +1617,44 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = ServerLoad()
-                        _elem79.read(iprot)
-                        self.loads.append(_elem79)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = ServerLoad()
+                        _elem100.read(iprot)
+                        self.loads.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.blames = []
-                    (_etype83, _size80) = iprot.readListBegin()
-                    for _i84 in range(_size80):
-                        _elem85 = CrashBlame()
-                        _elem85.read(iprot)
-                        self.blames.append(_elem85)
+                    (_etype104, _size101) = iprot.readListBegin()
+                    for _i105 in range(_size101):
+                        _elem106 = CrashBlame()
+                        _elem106.read(iprot)
+                        self.blames.append(_elem106)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.sides = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = SessionSides()
-                        _elem91.read(iprot)
-                        self.sides.append(_elem91)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = SessionSides()
+                        _elem112.read(iprot)
+                        self.sides.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.tallies = []
-                    (_etype95, _size92) = iprot.readListBegin()
-                    for _i96 in range(_size92):
-                        _elem97 = TrialTally()
-                        _elem97.read(iprot)
-                        self.tallies.append(_elem97)
+                    (_etype116, _size113) = iprot.readListBegin()
+                    for _i117 in range(_size113):
+                        _elem118 = TrialTally()
+                        _elem118.read(iprot)
+                        self.tallies.append(_elem118)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1485,65 +1681,76 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = iprot.readI64()
-                        self.leaving.append(_elem103)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = iprot.readI64()
+                        self.leaving.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = ServerLimit()
-                        _elem109.read(iprot)
-                        self.limits.append(_elem109)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = ServerLimit()
+                        _elem130.read(iprot)
+                        self.limits.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.notes = []
-                    (_etype113, _size110) = iprot.readListBegin()
-                    for _i114 in range(_size110):
-                        _elem115 = SessionNote()
-                        _elem115.read(iprot)
-                        self.notes.append(_elem115)
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = SessionNote()
+                        _elem136.read(iprot)
+                        self.notes.append(_elem136)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.brittle = []
-                    (_etype119, _size116) = iprot.readListBegin()
-                    for _i120 in range(_size116):
-                        _elem121 = ServerBrittleness()
-                        _elem121.read(iprot)
-                        self.brittle.append(_elem121)
+                    (_etype140, _size137) = iprot.readListBegin()
+                    for _i141 in range(_size137):
+                        _elem142 = ServerBrittleness()
+                        _elem142.read(iprot)
+                        self.brittle.append(_elem142)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.permits = []
-                    (_etype125, _size122) = iprot.readListBegin()
-                    for _i126 in range(_size122):
-                        _elem127 = PermitNote()
-                        _elem127.read(iprot)
-                        self.permits.append(_elem127)
+                    (_etype146, _size143) = iprot.readListBegin()
+                    for _i147 in range(_size143):
+                        _elem148 = PermitNote()
+                        _elem148.read(iprot)
+                        self.permits.append(_elem148)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 40:
                 if ftype == TType.LIST:
                     self.speeds = []
-                    (_etype131, _size128) = iprot.readListBegin()
-                    for _i132 in range(_size128):
-                        _elem133 = ServerSpeed()
-                        _elem133.read(iprot)
-                        self.speeds.append(_elem133)
+                    (_etype152, _size149) = iprot.readListBegin()
+                    for _i153 in range(_size149):
+                        _elem154 = ServerSpeed()
+                        _elem154.read(iprot)
+                        self.speeds.append(_elem154)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 60:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype158, _size155) = iprot.readListBegin()
+                    for _i159 in range(_size155):
+                        _elem160 = ServiceDemand()
+                        _elem160.read(iprot)
+                        self.demands.append(_elem160)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1568,29 +1775,29 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter134 in self.loads:
-                iter134.write(oprot)
+            for iter161 in self.loads:
+                iter161.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blames is not None:
             oprot.writeFieldBegin('blames', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.blames))
-            for iter135 in self.blames:
-                iter135.write(oprot)
+            for iter162 in self.blames:
+                iter162.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sides is not None:
             oprot.writeFieldBegin('sides', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.sides))
-            for iter136 in self.sides:
-                iter136.write(oprot)
+            for iter163 in self.sides:
+                iter163.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter137 in self.tallies:
-                iter137.write(oprot)
+            for iter164 in self.tallies:
+                iter164.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.scope is not None:
@@ -1612,43 +1819,50 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 11)
             oprot.writeListBegin(TType.I64, len(self.leaving))
-            for iter138 in self.leaving:
-                oprot.writeI64(iter138)
+            for iter165 in self.leaving:
+                oprot.writeI64(iter165)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter139 in self.limits:
-                iter139.write(oprot)
+            for iter166 in self.limits:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.notes is not None:
             oprot.writeFieldBegin('notes', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.notes))
-            for iter140 in self.notes:
-                iter140.write(oprot)
+            for iter167 in self.notes:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.brittle is not None:
             oprot.writeFieldBegin('brittle', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.brittle))
-            for iter141 in self.brittle:
-                iter141.write(oprot)
+            for iter168 in self.brittle:
+                iter168.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.permits is not None:
             oprot.writeFieldBegin('permits', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.permits))
-            for iter142 in self.permits:
-                iter142.write(oprot)
+            for iter169 in self.permits:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 40)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter143 in self.speeds:
-                iter143.write(oprot)
+            for iter170 in self.speeds:
+                iter170.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 60)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter171 in self.demands:
+                iter171.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1773,6 +1987,21 @@
     (1, TType.BOOL, 'is_leaving', None, None, ),  # 1
     (2, TType.I32, 'hold_ms', None, None, ),  # 2
 )
+all_structs.append(AccountDemand)
+AccountDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'account', None, None, ),  # 1
+    (2, TType.I64, 'offered', None, None, ),  # 2
+)
+all_structs.append(ServiceDemand)
+ServiceDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'offered', None, None, ),  # 2
+    (3, TType.LIST, 'done', (TType.I64, None, False), None, ),  # 3
+    (4, TType.LIST, 'waiting', (TType.I64, None, False), None, ),  # 4
+    (5, TType.LIST, 'accounts', (TType.STRUCT, [AccountDemand, None], False), None, ),  # 5
+)
 all_structs.append(LoadMessage)
 LoadMessage.thrift_spec = (
     None,  # 0
@@ -1816,6 +2045,26 @@
     None,  # 38
     None,  # 39
     (40, TType.LIST, 'speeds', (TType.STRUCT, [ServerSpeed, None], False), None, ),  # 40
+    None,  # 41
+    None,  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    (60, TType.LIST, 'demands', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 60
 )
 fix_spec(all_structs)
 del all_structs
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -160,6 +160,24 @@
   2: i32 hold_ms
 }
 
+// Work that an account asked for; `account` is a hash of its id.
+struct AccountDemand {
+  1: i64 account
+  2: i64 offered
+}
+
+// Demand for a contended service within the last seconds, in prompt tokens.
+struct ServiceDemand {
+  1: string service_name
+  // What clients asked for.
+  2: i64 offered
+  // What was answered, and what waits at the servers, by priority.
+  3: list<i64> done
+  4: list<i64> waiting
+  // The heaviest accounts.
+  5: list<AccountDemand> accounts
+}
+
 // Whose data a message holds.
 enum Scope {
   // The sender's own.
@@ -192,4 +210,5 @@
   14: optional list<ServerBrittleness> brittle
   15: optional list<PermitNote> permits
   40: optional list<ServerSpeed> speeds
+  60: optional list<ServiceDemand> demands
 }
