--- a/test/gateway/contention_fleet.py
+++ b/test/gateway/contention_fleet.py
@@ -14,6 +14,7 @@
 
 from virtual_time import run_in_virtual_time
 
+from tanagerwalk.decisions.engine_load import EngineLoad
 from tanagerwalk.decisions.locations import Home
 from tanagerwalk.decisions.paths import PathTable
 from tanagerwalk.decisions.peers import Peer
@@ -137,7 +138,7 @@
 
     @property
     def load(self):
-        return self.running, len(self.queue), SLOTS
+        return EngineLoad(self.running, len(self.queue), SLOTS)
 
     async def run(self, kind, priority, on_head):
         """Run a request; return whether there was room for it."""
