Count the entries of lists in headers as memory

Callers saw nothing yet: 200 requests of legal size, each with some 2,000 entries in the header that names the parts of the prompt, took the process from 45 to 107 MB of 80.

Cause: each entry becomes a tuple, a string and a number, about 150 bytes for 7 on the wire, kept as long as the request. The budget counted the bytes on the wire.

Change: 160 bytes for each comma in the headers are reserved with the head. A client that sends no such list reserves nothing more; a single one of the largest size is served.

--- a/tanagerwalk/gateway/memory.py
+++ b/tanagerwalk/gateway/memory.py
@@ -32,6 +32,8 @@
 REQUEST_BYTES = 8 * 1024
 # Objects of one header: a tuple, two strings of bytes and a place in a list.
 HEADER_BYTES = 160
+# Objects of one entry of a list in a header: a tuple, a string and a number.
+LIST_ENTRY_BYTES = 160
 LOG_INTERVAL_S = 5.0
 # A peak is over once the use has fallen from above the first to below the second.
 PEAK_SHARE = 0.25
--- a/tanagerwalk/gateway/request_assembly.py
+++ b/tanagerwalk/gateway/request_assembly.py
@@ -1,6 +1,6 @@
 """Assembles one request from the pieces in which it arrives."""
 
-from .memory import HEADER_BYTES, REQUEST_BYTES
+from .memory import HEADER_BYTES, LIST_ENTRY_BYTES, REQUEST_BYTES
 from .receive_refusals import (
     LimitExceededError,
     build_body_refusal,
@@ -99,6 +99,7 @@
         self._announced_size = length
         self._reserved_body_size = min(length, BODY_STEP_BYTES)
         size += HEADER_BYTES * len(self._headers) + REQUEST_BYTES
+        size += LIST_ENTRY_BYTES * sum(value.count(b",") for _, value in self._headers)
         self._reserve(size + self._reserved_body_size - self.memory.size)
         self._check_room(length - self._reserved_body_size)
         return is_asked
