End streams that stall while they send bytes, and readers that stop in one

Cause: any bytes of a server renewed the wait for its stream, so that a comment or a byte now and then kept a stalled stream open without end. Nothing bounded how long a client that takes nothing holds up a stream, and its server with it. A server that then broke the stream off counted as failing.

Change: StreamWait bounds the time between two events as well as the silence. Where another attempt can follow it goes on after half of the gap for which clients wait, else the stream ends after that gap. A client that takes no byte of a stream for 5 s is reset. A break after the client held the stream up for a second has a fault of its own, which blames no server and no release.

--- a/tanagerwalk/gateway/attempt_timeouts.py
+++ b/tanagerwalk/gateway/attempt_timeouts.py
@@ -7,6 +7,13 @@
 MIN_UNRESPONSIVE_TIMEOUT_S = 0.5
 MAX_UNRESPONSIVE_TIMEOUT_S = 2.0
 STREAM_IDLE_TIMEOUT_S = 2.0
+# Clients leave a stream after a gap of these multiples of its objectives, for the first
+# event and for the pauses between events.
+CLIENT_GAP_ANSWERS = 4.0
+CLIENT_GAP_PAUSES = 8.0
+# Part of that gap after which another attempt goes on with a stalled stream, so that
+# its events come before the client leaves.
+RESUMED_GAP_SHARE = 0.5
 
 
 def choose_timeouts(route, attempts_left, time_left):
@@ -23,8 +30,9 @@
     time_left : float
         Seconds until the deadline.
     """
+    client_gap = _find_client_gap(route)
     if not route.repeatable or attempts_left <= 1:
-        return AttemptTimeouts(time_left, time_left, time_left)
+        return AttemptTimeouts(time_left, time_left, time_left, client_gap)
     unresponsive = max(
         MIN_UNRESPONSIVE_TIMEOUT_S, time_left * UNRESPONSIVE_TIMEOUT_SHARE
     )
@@ -32,5 +40,17 @@
     is_stream = route.repeatability is Repeatability.STREAM
     idle = STREAM_IDLE_TIMEOUT_S if is_stream else time_left
     return AttemptTimeouts(
-        min(time_left, unresponsive), min(time_left, idle), time_left
+        min(time_left, unresponsive),
+        min(time_left, idle),
+        time_left,
+        max(STREAM_IDLE_TIMEOUT_S, RESUMED_GAP_SHARE * client_gap),
+    )
+
+
+def _find_client_gap(route):
+    """Return the seconds between two events after which clients leave a stream."""
+    return max(
+        STREAM_IDLE_TIMEOUT_S,
+        CLIENT_GAP_ANSWERS * route.objective,
+        CLIENT_GAP_PAUSES * route.gap_objective,
     )
--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -21,7 +21,7 @@
 from .requests import RawRequest
 from .responder import Responder
 from .socket_options import set_client_socket_options, set_reset_on_close
-from .unread_answers import UnreadAnswerWatch
+from .unread_answers import UnreadAnswerWatch, wait_until_taken
 
 WRITE_HIGH_WATER_BYTES = 16 * 1024
 MAX_PIPELINED_REQUESTS = 8
@@ -413,8 +413,10 @@
             self._transport.writelines(parts)
 
     async def wait_writable(self):
-        """Wait until the write buffer is empty."""
-        await self._writable.wait()
+        """Wait until the write buffer is empty; reset a client that takes nothing."""
+        await wait_until_taken(
+            self._transport, self._writable, self._listener.clock, self._reset_stalled
+        )
 
     @property
     def closes_after_response(self):
--- a/tanagerwalk/gateway/connect_faults.py
+++ b/tanagerwalk/gateway/connect_faults.py
@@ -10,6 +10,11 @@
 
 
 class ReadFault(Enum):
-    """A fault of this instance that says nothing about the server that answers."""
+    """A fault that says nothing about the server that answers.
+
+    MEMORY_FULL: this instance had no memory to read on. CLIENT_SLOW: the client held
+    the stream up before the server broke it off.
+    """
 
     MEMORY_FULL = "memory_full"
+    CLIENT_SLOW = "client_slow"
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -19,6 +19,7 @@
 from .requests import GatewayRequest
 from .response_timer import ResponseTimer
 from .stream_progress import StreamProgress
+from .stream_wait import StreamWait
 
 log = structlog.get_logger(__name__)
 
@@ -36,11 +37,14 @@
         Between two chunks of the response body.
     head : float
         For the response head, while the server works off its queue.
+    stalled : float
+        Between two events of a stream whose server sends other bytes.
     """
 
     unresponsive: float
     idle: float
     head: float
+    stalled: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -256,15 +260,17 @@
 
     async def _relay_stream(self, connection, plan, raw, head, timer):
         """Forward a stream to the client in whole events."""
-        request, progress, timeouts = plan.request, plan.progress, plan.timeouts
+        request, progress = plan.request, plan.progress
         splitter = EventSplitter()
         is_resumed = progress.head_sent
         resumed_after = progress.last_event
-        wait = timeouts.idle if progress.head_sent else timeouts.head
+        wait = StreamWait(plan.timeouts, is_resumed, self._clock)
         while True:
-            result = await _wait_at_most(connection.read_chunk(), wait)
+            result = await _wait_at_most(connection.read_chunk(), wait.seconds)
             if result.is_error():
-                return _build_failure(result.error)
+                is_held_up = result.error is not None and wait.is_held_up
+                cause = ReadFault.CLIENT_SLOW if is_held_up else result.error
+                return _build_failure(cause)
             if not result.ok:
                 break
             events = splitter.feed(result.ok)
@@ -272,13 +278,14 @@
                 return AttemptResult(Outcome.LOST, "event too long")
             if not events:
                 continue
-            wait = timeouts.idle
+            wait.begin_forwarding()
             self._servers.record_activity(plan.attempt.server, self._clock())
             joined = join_consecutive(events, progress.last_event, is_resumed)
             progress.record_joined(joined)
             if joined.data:
                 timer.count_events(len(events), self._clock())
                 await self._forward_events(request, raw, head, joined.data, progress)
+            wait.end_forwarding(any(event.has_content for event in events))
             if not joined.is_whole:
                 return AttemptResult(Outcome.LOST, "events out of order")
         if is_resumed and progress.last_event == resumed_after:
@@ -324,6 +331,8 @@
 
     None stands for a timeout.
     """
+    if cause is ReadFault.CLIENT_SLOW:
+        return AttemptResult(Outcome.LOST, "held up by the client", fault=cause)
     if isinstance(cause, ReadFault):
         return AttemptResult(Outcome.SILENT, "no memory in time", fault=cause)
     if cause is None:
--- a/tanagerwalk/gateway/unread_answers.py
+++ b/tanagerwalk/gateway/unread_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import fcntl
+import math
 import struct
 import termios
 
@@ -13,6 +14,9 @@
 CHECK_INTERVAL_S = 0.25
 # Seconds without a byte taken that are borne while other answers wait for memory.
 PRESSED_TIMEOUT_S = 0.5
+# Seconds without a byte taken of a stream that its server goes on with. Servers break
+# off what stays unread for some seconds, and would seem to be at fault.
+STREAM_TIMEOUT_S = 5.0
 
 
 class UnreadAnswerWatch:
@@ -78,6 +82,36 @@
         return self._idle_timeout
 
 
+async def wait_until_taken(transport, writable, clock, on_stalled):
+    """Wait until a client has taken what was sent of a stream, or has left.
+
+    Parameters
+    ----------
+    transport : asyncio.Transport
+        Connection of the client.
+    writable : asyncio.Event
+        Set while nothing waits for the client, and once it has left.
+    clock : callable
+        Returns monotonic time in seconds.
+    on_stalled : callable
+        Called without arguments if the client takes nothing for STREAM_TIMEOUT_S.
+    """
+    if writable.is_set():
+        return
+    watch = UnreadAnswerWatch(
+        transport, STREAM_TIMEOUT_S, -math.inf, clock, _is_never_pressed, on_stalled
+    )
+    try:
+        await writable.wait()
+    finally:
+        watch.cancel()
+
+
+def _is_never_pressed():
+    """Return False: a stream holds little memory."""
+    return False
+
+
 def count_unread_bytes(transport):
     """Return how many bytes wait for a client, here and in its socket.
 
--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from .behaviours import ENDLESS_STARTS, Behaviour
+from .behaviours import ENDLESS_STARTS, STALL_INTERVAL_S, STALL_PIECES, Behaviour
 
 ADDRESS = "127.0.0.1"
 EVENT_COUNT = 5
@@ -294,6 +294,9 @@
             if fault == "cut" and number == 3:
                 self.transport.abort()
                 return
+            if fault in STALL_PIECES and number == 3:
+                await self._stall(STALL_PIECES[fault])
+                return
             event = f"id: {number}\ndata: {model} token {number}\n\n".encode()
             if fault == "torn" and number == 3:
                 self._write_chunk(event[:9])
@@ -303,6 +306,11 @@
             self._write_chunk(event)
         self.transport.write(b"0\r\n\r\n")
 
+    async def _stall(self, piece):
+        while not self.transport.is_closing():
+            self._write_chunk(piece)
+            await asyncio.sleep(STALL_INTERVAL_S)
+
     def _crashes_on(self, request):
         part = self.server.behaviour.crashing_part
         prefix = request.headers.get("x-tanagerwalk-prompt-prefix", "")
--- a/tanagerwalk/standins/behaviours.py
+++ b/tanagerwalk/standins/behaviours.py
@@ -18,6 +18,10 @@
     "endless_event": (b"\r\n", FILLER_CHUNK),
 }
 
+# What a stream repeats for ever after its second event.
+STALL_PIECES = {"stalled_comments": b": wait\n\n", "stalled_bytes": b"x"}
+STALL_INTERVAL_S = 0.2
+
 
 @dataclass(slots=True)
 class Behaviour:
@@ -46,6 +50,8 @@
         - `unsigned`: no response seal
         - `torn`: a stream ends inside its third event
         - `cut`: a stream ends after its second event
+        - `stalled_comments`, `stalled_bytes`: a stream sends no event after its second
+          one, but a comment or a byte now and then, for ever
         - `endless_head`, `endless_body`, `endless_event`: a header, a body or an event
           of a stream without end
         - `endless_pieces`, `endless_tiny_pieces`: a body without end, in small chunks
