Prefer servers whose memory has room for the tokens of a request

Cause: the capacity of a server's memory was decoded and never used; long prompts fill it long before they fill what a server may queue.

Change: each instance sums the tokens of its requests on a server, prompt and expected output, and adds the mean for each request that other instances report. A server without room is passed over while one of the next best has some. Without a capacity in the manifest nothing changes.

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -5,6 +5,7 @@
 from .server_limits import LimitQueue, ServerLimits
 from .server_usage_table import ServerUsageTable, hash_life
 from .shared_loads import SharedLoad
+from .token_room import TokenRoom
 
 # The cost of load is linear plus quadratic: a short wait does not exceed a latency
 # objective, a long one does.
@@ -33,6 +34,8 @@
         Limits that the servers name.
     brittle : BrittleServices
         Which services fall over under rejections.
+    token_room : TokenRoom
+        Tokens that the servers hold.
     """
 
     def __init__(self, home, shared, paths, random):
@@ -43,6 +46,7 @@
         self._random = random
         self.limits = ServerLimits(random)
         self.brittle = BrittleServices()
+        self.token_room = TokenRoom()
         self._possibly_leaving = frozenset()
 
     def set_possibly_leaving(self, server_ids):
@@ -121,6 +125,11 @@
             ),
         ).server
 
+    def has_token_room(self, server, tokens, capacity, now):
+        """Return whether a server has memory for a request; see `TokenRoom.fits`."""
+        others = self._shared.sum(server.id, now).in_flight
+        return self.token_room.fits(server.id, others, tokens, capacity)
+
     def _list_ready(self, service, now, tried, is_allowed):
         return [
             usage
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -16,6 +16,7 @@
 from ..decisions.model_selection import is_confident_enough, plan_models
 from ..decisions.prompt_affinity import compute_affinity
 from ..decisions.server_usage import estimate_work
+from ..decisions.token_room import choose_with_room, estimate_held_tokens
 from ..outcomes import Refusal, RefusalReason, RunState
 from .attempt_timeouts import choose_timeouts
 from .attempts import Attempt, AttemptResult, Outcome
@@ -67,6 +68,8 @@
         self._models = self._plan_models(route)
         self._model_index = 0
         self._affinity = self._compute_affinity()
+        self._held_tokens = estimate_held_tokens(request.prompt_info)
+        self._token_capacity = self._find_token_capacity()
         self._assignment = None
         self._allows_server = None
         self._place_wait = None
@@ -200,8 +203,9 @@
         rolled_back = self._context.rollouts.find_rolled_back_release(service)
         # Prefer untried servers of the request's roll-out side, then tried ones, and
         # only then servers of the other side, unless the own ones keep it off.
+        choose_allowed = partial(choose, service, now, is_allowed=self._allows_server)
         for tried in (self._tried, frozenset()):
-            server = choose(service, now, tried, self._allows_server)
+            server = choose_with_room(choose_allowed, self._has_token_room, tried)
             if server is not None:
                 return server
         if self._place_wait.is_kept_off():
@@ -210,6 +214,11 @@
             service, now, frozenset(), lambda server: server.release != rolled_back
         )
 
+    def _has_token_room(self, server):
+        return self._context.servers.has_token_room(
+            server, self._held_tokens, self._token_capacity, self._clock()
+        )
+
     def _has_kept_connection(self, server):
         has_kept = self._context.pool.has_idle(server)
         return has_kept and self._allows_server(server)
@@ -248,9 +257,11 @@
         )
         hold = hold or self._permit_wait.begin(server)
         result = None
+        self._context.servers.token_room.record_sent(server.id, self._held_tokens)
         try:
             result = await self._run_attempt(plan)
         finally:
+            self._context.servers.token_room.record_ended(server.id, self._held_tokens)
             self._permit_wait.end(hold, result)
         if result.outcome in UNSENT_OUTCOMES:
             self._budget.withdraw_attempt(now, is_retry)
@@ -302,6 +313,11 @@
             self._request.prompt_info.prompt_tokens, weight, self._clock()
         )
 
+    def _find_token_capacity(self):
+        """Return the tokens that each server of the service holds, or 0."""
+        service = self._request.manifest.services.get(self._service)
+        return 0 if service is None else service.kv_capacity
+
     def _compute_affinity(self):
         """Return the PromptAffinity of the request, or None without models."""
         if not self._models:
