Keep crowds of callers from ending or holding up serve

Callers saw no answer within 10 s, beside each of three crowds; with the first, the process took 220 MB of 120 as well.

Causes, all in what a connection may take before its request is whole: - Bodies in chunks of two bytes: each piece is an object of its own, of which only the bytes counted, and a connection that had received many kept its turn until they ended. - Heads that stop: nothing ended them, as each byte renewed the time, and only idle connections gave way when there were as many as there may be. - Requests sent ahead: a handler that waits for nothing kept its turn for all of them, megabytes of answers fitted into the socket, and the connections were never idle.

Change: 64 bytes count for each piece, and others have their turn after 16 pieces and after each request; a head has receive_timeout; at the limit of connections the slowest head gives way, or one with 16 kB sent ahead; the socket's buffer is 128 kB. A connection dropped before its first request no longer logs an AttributeError of the library.

--- a/tanagerwalk/api/connections.py
+++ b/tanagerwalk/api/connections.py
@@ -1,6 +1,8 @@
 """Connections of clients that keep within the limits of the process."""
 
 import asyncio
+import contextlib
+import socket
 from dataclasses import dataclass
 
 import structlog
@@ -16,6 +18,16 @@
 
 MEMORY_RETRY_AFTER_S = 1.0
 RECEIVE_RETRY_AFTER_S = 1.0
+# Objects of one piece of a body, which may come in pieces of a few bytes.
+PIECE_BYTES = 64
+# A head that has been coming for longer gives way to new connections.
+MIN_HEAD_S = 1.0
+# Pieces of a body after which other connections have their turn.
+PIECES_PER_TURN = 16
+# Bytes sent ahead, while a request runs, for which a connection gives way to new ones.
+AHEAD_BYTES = 16 * 1024
+# Of answers that were not read, before the process itself keeps more of them.
+SEND_BUFFER_BYTES = 128 * 1024
 
 
 class RefusedError(SanicException):
@@ -45,12 +57,12 @@
     max_connections : int
         Most connections that may be open.
     receive_timeout : float
-        Longest silence within a body, in seconds.
+        Longest time for a head, and longest silence within a body, in seconds.
     read_timeout : float
         Longest time in seconds that a client may read nothing of what waits for it.
     closed_idle, reset_new, reset_stalled : int
-        Idle connections closed in favour of new ones, new ones that were reset
-        unread, and clients reset as they had stopped reading.
+        Connections closed in favour of new ones, new ones that were reset unread, and
+        clients reset as they had stopped reading.
     """
 
     memory: Memory
@@ -65,13 +77,16 @@
 class BoundedHttp(Http):
     """HTTP exchange whose body is reserved in memory before it is received."""
 
-    __slots__ = ("_bounds", "_is_refused", "_reserved")
+    __slots__ = ("_bounds", "_is_refused", "_piece_count", "_reserved", "head_since")
 
     def __init__(self, protocol):
         super().__init__(protocol)
         self._bounds = protocol.bounds
         self._reserved = 0
         self._is_refused = False
+        self._piece_count = 0
+        # Monotonic time at which a head began to come, None while none does.
+        self.head_since = None
 
     def init_for_request(self):
         """Give back what the previous request took."""
@@ -108,9 +123,19 @@
         Raises
         ------
         RefusedError
-            If there is no room for the body.
+            If there is no room for the body, or the head has not come in time.
         """
-        await super().http1_request_header()
+        # Requests that were sent ahead leave other connections their turns.
+        await asyncio.sleep(0)
+        self.head_since = self.protocol.loop.time()
+        try:
+            async with asyncio.timeout(self._bounds.receive_timeout):
+                await super().http1_request_header()
+        except TimeoutError:
+            self.keep_alive = False
+            raise RefusedError(make_receive_refusal()) from None
+        finally:
+            self.head_since = None
         # A larger body is refused as soon as it is read.
         if self.request_bytes and self.request_bytes <= self.request_max_size:
             self._reserve_body(self.request_bytes)
@@ -124,6 +149,9 @@
             If there is no room for it, or the client has stopped sending.
         """
         before = self.request_bytes
+        self._piece_count += 1
+        if self._piece_count % PIECES_PER_TURN == 0:
+            await asyncio.sleep(0)
         try:
             async with asyncio.timeout(self._bounds.receive_timeout):
                 data = await super().read()
@@ -132,12 +160,12 @@
             self.keep_alive = False
             raise RefusedError(make_receive_refusal()) from None
         grown = self.request_bytes - before
-        if grown and not self._is_refused:
-            self._reserve_body(grown)
+        if data and not self._is_refused:
+            self._reserve_body(grown, PIECE_BYTES)
         return data
 
-    def _reserve_body(self, size):
-        amount = estimate_body_bytes(size)
+    def _reserve_body(self, size, overhead=0):
+        amount = estimate_body_bytes(size) + overhead
         if self.try_reserve(amount):
             return
         self._is_refused = True
@@ -159,18 +187,33 @@
         self._stall_timer = None
 
     def connection_made(self, transport):
-        """Accept a connection, if need be in place of one that is idle."""
+        """Accept a connection, if need be in place of another one."""
         super().connection_made(transport)
+        # The client may have left already.
+        with contextlib.suppress(OSError, ValueError):
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         if len(self.connections) <= self.bounds.max_connections:
             return
-        idle = [c for c in self.connections if c is not self and c.is_idle()]
-        if idle:
+        other = self._find_replaceable()
+        if other is not None:
             self.bounds.closed_idle += 1
-            min(idle, key=lambda connection: connection.last_used).drop()
+            other.drop()
             return
         self.bounds.reset_new += 1
         self.drop()
 
+    def _find_replaceable(self):
+        """Return the connection that is idle longest, or one that misbehaves."""
+        others = [c for c in self.connections if c is not self]
+        idle = [c for c in others if c.is_idle()]
+        if idle:
+            return min(idle, key=lambda connection: connection.last_used)
+        slow = [c for c in others if c.head_age >= MIN_HEAD_S]
+        if slow:
+            return max(slow, key=lambda connection: connection.head_age)
+        return next((c for c in others if c.sends_ahead), None)
+
     @property
     def last_used(self):
         """Monotonic time at which something was sent or received."""
@@ -181,6 +224,20 @@
         is_between = self.http is None or self.http.stage is Stage.IDLE
         return is_between and not self.recv_buffer and not self._unread
 
+    @property
+    def head_age(self):
+        """Seconds since the head began that is being received, 0 without one."""
+        if self.http is None or self.http.head_since is None:
+            return 0.0
+        return self.loop.time() - self.http.head_since
+
+    @property
+    def sends_ahead(self):
+        """Whether many requests wait here for the one that runs."""
+        if self.http is None or self.http.request_body is not None:
+            return False
+        return len(self.recv_buffer) >= AHEAD_BYTES
+
     def drop(self):
         """Close the connection at once."""
         self.connections.discard(self)
@@ -193,6 +250,12 @@
         finally:
             self._release_last()
 
+    async def receive_more(self):
+        """Receive more, unless the connection was dropped while it was idle."""
+        if self.transport is None and self.http.stage is Stage.IDLE:
+            raise asyncio.CancelledError
+        await super().receive_more()
+
     def _setup_connection(self, *arguments, **options):
         super()._setup_connection(*arguments, **options)
         self._last_http = self._http
@@ -254,9 +317,9 @@
 
 
 def make_receive_refusal():
-    """Return the refusal of a request whose body has not come."""
+    """Return the refusal of a request that has not come as a whole."""
     return Refusal(
         RefusalReason.RECEIVE_TIMEOUT,
-        "the body of the request did not come in time",
+        "the request did not come in time",
         retry_after=RECEIVE_RETRY_AFTER_S,
     )
