--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -11,6 +11,7 @@
 from .server_limits import LimitQueue, ServerLimits
 from .server_usage_table import ServerUsageTable, hash_life
 from .shared_loads import SharedLoad
+from .token_room import TokenRoom
 
 
 class ServerPool(ServerUsageTable):
@@ -35,6 +36,8 @@
         Which services fall over under rejections.
     local_wait_share : float
         Part of its latency objective that a request may wait in the own failure domain.
+    token_room : TokenRoom
+        Tokens that the servers hold.
     """
 
     def __init__(self, home, shared, paths, random):
@@ -46,6 +49,7 @@
         self.limits = ServerLimits(random)
         self.brittle = BrittleServices()
         self.local_wait_share = LOCAL_WAIT_SHARE
+        self.token_room = TokenRoom()
         self._possibly_leaving = frozenset()
 
     @cached_property
@@ -187,6 +191,11 @@
         """Return the Distance to a server."""
         return self._home.find_distance(server.failure_domain)
 
+    def has_token_room(self, server, tokens, capacity, now):
+        """Return whether a server has memory for a request; see `TokenRoom.fits`."""
+        others = self._shared.sum(server.id, now).in_flight
+        return self.token_room.fits(server.id, others, tokens, capacity)
+
     def _list_ready(self, service, now, tried, is_allowed):
         return [
             usage
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -15,6 +15,7 @@
 )
 from ..decisions.model_selection import is_confident_enough
 from ..decisions.server_choice import RequestTraits
+from ..decisions.token_room import choose_with_room, estimate_held_tokens
 from ..outcomes import Refusal, RefusalReason, RunState
 from .attempt_timeouts import choose_timeouts
 from .attempts import Attempt, AttemptResult, Outcome
@@ -67,6 +68,8 @@
         route = request.route
         self._models = ModelSequence(request, service)
         self._traits = RequestTraits(route.objective, len(request.raw.body))
+        self._held_tokens = estimate_held_tokens(request.prompt_info)
+        self._token_capacity = self._find_token_capacity()
         self._assignment = None
         self._regions = context.region_rules.begin(request)
         self._place_wait = None
@@ -230,8 +233,9 @@
         rolled_back = self._context.rollouts.find_rolled_back_release(service)
         # Prefer untried servers of the request's roll-out side, then tried ones, and
         # only then servers of the other side, unless the own ones keep it off.
+        choose_allowed = partial(choose, service, now, is_allowed=self._allows_server)
         for tried in (self._tried, frozenset()):
-            server = choose(service, now, tried, self._allows_server)
+            server = choose_with_room(choose_allowed, self._has_token_room, tried)
             if server is not None:
                 return server
         if self._place_wait.is_kept_off():
@@ -241,6 +245,11 @@
         )
         return choose(service, now, frozenset(), allows_server)
 
+    def _has_token_room(self, server):
+        return self._context.servers.has_token_room(
+            server, self._held_tokens, self._token_capacity, self._clock()
+        )
+
     def _has_kept_connection(self, server):
         peer_filter = self._regions.find_peer_filter()
         has_kept = self._context.pool.has_idle(server, peer_filter)
@@ -284,9 +293,11 @@
         hold = hold or self._permit_wait.begin(server)
         sent = self._place_contest.begin(attempt)
         result = None
+        self._context.servers.token_room.record_sent(server.id, self._held_tokens)
         try:
             result = await self._run_attempt(plan)
         finally:
+            self._context.servers.token_room.record_ended(server.id, self._held_tokens)
             self._permit_wait.end(hold, result)
             self._place_contest.end(sent, result)
         if result.outcome in UNSENT_OUTCOMES:
@@ -332,6 +343,11 @@
         servers = self._context.servers
         return servers.estimate_wait(self._service, self._clock(), self._allows_server)
 
+    def _find_token_capacity(self):
+        """Return the tokens that each server of the service holds, or 0."""
+        service = self._request.manifest.services.get(self._service)
+        return 0 if service is None else service.kv_capacity
+
     def _accepts_head(self, head):
         """Return whether to deliver this response instead of asking a larger model."""
         if self._progress.head_sent or not self._models.has_larger:
