Move the memory that a request takes at engines out of its execution

Change: RequestTokens knows what one request takes; nothing else changes. Measured: tests of requests, forwarding and resumed streams pass (60).

--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -15,7 +15,7 @@
 )
 from ..decisions.model_selection import is_confident_enough
 from ..decisions.server_choice import RequestTraits
-from ..decisions.token_room import choose_with_room, estimate_held_tokens
+from ..decisions.token_room import choose_with_room
 from ..outcomes import Refusal, RefusalReason, RunState
 from .attempt_timeouts import choose_timeouts
 from .attempts import Attempt, AttemptResult, Outcome
@@ -26,6 +26,7 @@
 from .place_contest import PlaceContest
 from .place_wait import PlaceWait
 from .request_log import describe_attempt, log_request_end
+from .request_tokens import RequestTokens
 from .stream_progress import StreamProgress
 
 MIN_QUEUE_FULL_WAIT_S = 2.0
@@ -68,8 +69,7 @@
         route = request.route
         self._models = ModelSequence(request, service)
         self._traits = RequestTraits(route.objective, len(request.raw.body))
-        self._held_tokens = estimate_held_tokens(request.prompt_info)
-        self._token_capacity = self._find_token_capacity()
+        self._tokens = RequestTokens(context.servers, request, service, context.clock)
         self._assignment = None
         self._regions = context.region_rules.begin(request)
         self._place_wait = None
@@ -235,7 +235,7 @@
         # only then servers of the other side, unless the own ones keep it off.
         choose_allowed = partial(choose, service, now, is_allowed=self._allows_server)
         for tried in (self._tried, frozenset()):
-            server = choose_with_room(choose_allowed, self._has_token_room, tried)
+            server = choose_with_room(choose_allowed, self._tokens.has_room, tried)
             if server is not None:
                 return server
         if self._place_wait.is_kept_off():
@@ -245,11 +245,6 @@
         )
         return choose(service, now, frozenset(), allows_server)
 
-    def _has_token_room(self, server):
-        return self._context.servers.has_token_room(
-            server, self._held_tokens, self._token_capacity, self._clock()
-        )
-
     def _has_kept_connection(self, server):
         peer_filter = self._regions.find_peer_filter()
         has_kept = self._context.pool.has_idle(server, peer_filter)
@@ -293,11 +288,11 @@
         hold = hold or self._permit_wait.begin(server)
         sent = self._place_contest.begin(attempt)
         result = None
-        self._context.servers.token_room.record_sent(server.id, self._held_tokens)
+        self._tokens.begin(server)
         try:
             result = await self._run_attempt(plan)
         finally:
-            self._context.servers.token_room.record_ended(server.id, self._held_tokens)
+            self._tokens.end(server)
             self._permit_wait.end(hold, result)
             self._place_contest.end(sent, result)
         if result.outcome in UNSENT_OUTCOMES:
@@ -343,11 +338,6 @@
         servers = self._context.servers
         return servers.estimate_wait(self._service, self._clock(), self._allows_server)
 
-    def _find_token_capacity(self):
-        """Return the tokens that each server of the service holds, or 0."""
-        service = self._request.manifest.services.get(self._service)
-        return 0 if service is None else service.kv_capacity
-
     def _accepts_head(self, head):
         """Return whether to deliver this response instead of asking a larger model."""
         if self._progress.head_sent or not self._models.has_larger:
