--- a/tanagerwalk/decisions/allowed_regions.py
+++ b/tanagerwalk/decisions/allowed_regions.py
@@ -92,7 +92,7 @@
     return first & second
 
 
-def find_regions(manifest, request):
+def find_regions(manifest, request, route=None):
     """Return the regions that a manifest allows for a request, None for all.
 
     Parameters
@@ -101,8 +101,10 @@
         The manifest.
     request : GatewayRequest
         The request; its account counts even if its route needs no key.
+    route : Route or None
+        The route of the request in the manifest; found if it is not given.
     """
-    route = manifest.find_route(request.host, request.path)
+    route = route or manifest.find_route(request.host, request.path)
     account = request.account or manifest.accounts.get(request.key)
     if route is None:
         return manifest.account_regions.get(account)
--- a/tanagerwalk/decisions/cold_servers.py
+++ b/tanagerwalk/decisions/cold_servers.py
@@ -123,14 +123,15 @@
         for server in servers:
             start = (hash_life(server), server.address)
             known_revision = self._known.get(start)
-            if known_revision == server.revision:
-                continue
             self._known[start] = server.revision
             self._known.move_to_end(start)
+            if known_revision == server.revision:
+                continue
             if known_revision is None and not is_first_list:
                 self.record_start(server, now)
             self.record_left(server, server.cold_left, now, ColdReason.ENTRY)
-        while len(self._known) > MAX_KNOWN_STARTS:
+        # Those that are listed now come last, and are all kept.
+        while len(self._known) > max(MAX_KNOWN_STARTS, len(servers)):
             self._known.popitem(last=False)
         self._drop_ended({hash_life(server) for server in servers}, now)
 
--- a/tanagerwalk/decisions/limit_parts.py
+++ b/tanagerwalk/decisions/limit_parts.py
@@ -94,7 +94,7 @@
         Number of instances.
     """
     rate = max(MIN_RATE_PER_S, limit.rate)
-    count = min(members, max(1, math.ceil(rate), int(limit.most / 2.0)))
+    count = min(members, max(1, int(limit.most / 2.0)))
     requests_in_window = max(1, int(limit.most / count))
     interval = max(count / rate, COLD_WINDOW_S / requests_in_window)
     return LimitParts(count, INTERVAL_MARGIN * interval, is_spaced=True)
--- a/tanagerwalk/decisions/rendezvous.py
+++ b/tanagerwalk/decisions/rendezvous.py
@@ -35,6 +35,31 @@
     return sum(hash_member(key, other) > own_hash for other in others)
 
 
+def is_among_first(key, own, others, count):
+    """Return whether fewer than `count` members come before `own` for a key.
+
+    Cheaper than `find_rank` where `count` is much smaller than the number of members.
+
+    Parameters
+    ----------
+    key : bytes
+        What the members are ordered for.
+    own : str
+        Id of the member in question.
+    others : iterable of str
+        Ids of the other members.
+    count : int
+        Number of members that are among the first.
+    """
+    own_hash = hash_member(key, own)
+    before = 0
+    for other in others:
+        before += hash_member(key, other) > own_hash
+        if before >= count:
+            return False
+    return before < count
+
+
 def rank_members(key, members):
     """Return the members in rendezvous order for a key.
 
--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -310,9 +310,16 @@
         return [
             usage
             for usage in self.list_usages(service)
-            if usage.accepts_requests and is_allowed(usage.server)
+            if usage.accepts_requests
+            and not self._is_crashed(usage)
+            and is_allowed(usage.server)
         ]
 
+    def _is_crashed(self, usage):
+        """Return whether a server that would be cold once it is back is away."""
+        is_away = self._paths.is_unreachable(usage.server.id)
+        return is_away and not self.limits.cold.is_empty
+
     def is_free(self, usage, now):
         """Return whether a server takes a request of this instance by its own word."""
         return self._find_block(usage, now) <= 0.0
--- a/tanagerwalk/decisions/server_limits.py
+++ b/tanagerwalk/decisions/server_limits.py
@@ -12,7 +12,7 @@
 
 from .cold_servers import ColdServers
 from .limit_parts import divide_cold_limit, divide_stated_limit
-from .rendezvous import find_rank
+from .rendezvous import is_among_first
 from .server_statements import ServerStatements
 
 UNUSED_LIFETIME_S = 0.5
@@ -71,7 +71,8 @@
         self._next_at = {}
         self._own_id = ""
         self._peer_ids = ()
-        self._ranks = {}
+        # How many instances have a part of each limit, and whether this one has.
+        self._parts = {}
         self._settled_at = -math.inf
         self.cold = ColdServers()
         self.waiting = Counter()
@@ -82,7 +83,7 @@
         """Replace the instances that share the limits, given by their incarnations."""
         self._own_id = own_id
         self._peer_ids = tuple(peer_ids)
-        self._ranks.clear()
+        self._parts.clear()
 
     def begin_settling(self, now):
         """Record that this instance begins to learn of the others."""
@@ -121,7 +122,7 @@
         self._statements.forget(life)
         self.cold.forget(life)
         self._next_at.pop(life, None)
-        self._ranks.pop(life, None)
+        self._parts.pop(life, None)
 
     def has_limit(self, life, now):
         """Return whether a server is cold, or has named a limit and not ended it."""
@@ -173,11 +174,12 @@
         return cold_parts if parts is None else parts.restrict(cold_parts)
 
     def _has_part(self, life, parts):
-        rank = self._ranks.get(life)
-        if rank is None:
-            rank = find_rank(b"%d" % life, self._own_id, self._peer_ids)
-            self._ranks[life] = rank
-        return rank < parts.count
+        known_count, has_part = self._parts.get(life, (0, False))
+        if known_count != parts.count:
+            key = b"%d" % life
+            has_part = is_among_first(key, self._own_id, self._peer_ids, parts.count)
+            self._parts[life] = parts.count, has_part
+        return has_part
 
     def _find_next(self, life, parts, now):
         """Return when the next request may be sent, without those not sent in time."""
--- a/tanagerwalk/gateway/connector.py
+++ b/tanagerwalk/gateway/connector.py
@@ -100,7 +100,10 @@
                 faults.add(ConnectFault.NO_ALLOWED_PATH)
             openers = [*tunnels, direct]
             return await self._connect_indirectly(server, openers, timeout, faults)
-        return await self._connect_directly(server, direct, tunnels, timeout, faults)
+        is_restricted = allows_peer is not None
+        return await self._connect_directly(
+            server, direct, tunnels, timeout, faults, is_restricted
+        )
 
     async def check(self, server):
         """Return whether a server that was reached directly still accepts connections.
@@ -121,12 +124,18 @@
         self.on_probed(server, result.ok)
         return True
 
-    async def _connect_directly(self, server, direct, tunnels, timeout, faults):
+    async def _connect_directly(
+        self, server, direct, tunnels, timeout, faults, is_restricted
+    ):
         tunnel_delay = self._paths.find_tunnel_delay(self._clock())
         delays = itertools.chain([tunnel_delay], itertools.repeat(NEXT_PEER_DELAY_S))
         result = await open_first([direct, *tunnels], delays, timeout)
         if faults:
             return _prefer_fault(result, faults)
+        if result.is_error() and is_restricted:
+            # Others may still use the instances that weren't asked.
+            self._record_lost(server, result, PathState.INDIRECT)
+            return Error(ConnectFault.NO_ALLOWED_PATH)
         if result.is_error() or result.ok.via is not None:
             self._record_lost(server, result)
         return result
@@ -155,9 +164,10 @@
     async def _dial(self, server, timeout):
         return await self.dial(server.address, timeout)
 
-    def _record_lost(self, server, result):
+    def _record_lost(self, server, result, state=None):
         is_reached = result.is_ok()
-        state = PathState.INDIRECT if is_reached else PathState.UNREACHABLE
+        if state is None:
+            state = PathState.INDIRECT if is_reached else PathState.UNREACHABLE
         if is_reached and self._paths.is_unreachable(server.id):
             self.on_returned(server)
         if self._paths.record_lost(server.id, state, self._clock()):
--- a/tanagerwalk/gateway/request_regions.py
+++ b/tanagerwalk/gateway/request_regions.py
@@ -135,7 +135,7 @@
     def __init__(self, rules, request):
         self._rules = rules
         self._request = request
-        self._first = find_regions(request.manifest, request)
+        self._first = find_regions(request.manifest, request, request.route)
         self._manifest = request.manifest
         self._allowed = AllowedRegions(rules.home, self._first)
         self._found_no_path = False
--- a/tanagerwalk/platform/manifests.py
+++ b/tanagerwalk/platform/manifests.py
@@ -24,6 +24,8 @@
 )
 
 MS_PER_S = 1000.0
+# Larger times and rates count as this one.
+MAX_NUMBER = 1e9
 REPEATABILITY_BY_KIND = {
     "idempotent": Repeatability.IDEMPOTENT,
     "non_idempotent": Repeatability.NON_IDEMPOTENT,
@@ -187,8 +189,8 @@
         slots=engine.slots,
         kv_capacity=engine.kv_capacity,
         models=tuple(ModelOffer(ModelName(m.name), m.cost) for m in engine.models),
-        cold_start=wire.cold_start_s,
-        cold_rate=wire.cold_per_s,
+        cold_start=min(max(0.0, wire.cold_start_s), MAX_NUMBER),
+        cold_rate=min(max(0.0, wire.cold_per_s), MAX_NUMBER),
     )
 
 
--- a/test/decisions/test_coldness.py
+++ b/test/decisions/test_coldness.py
@@ -191,3 +191,14 @@
         in_second = parts.count * (1 + int(1.0 / parts.interval))
         assert in_second <= limit.most
         assert parts.count / parts.interval <= rate
+
+
+# A long-lived server whose entry never changes was taken for a new start.
+def test_server_that_stays_listed_is_not_forgotten(monkeypatch):
+    monkeypatch.setattr("tanagerwalk.decisions.cold_servers.MAX_KNOWN_STARTS", 8)
+    cold = build_cold()
+    steady = [replace(OLD, id=f"steady-{number}") for number in range(4)]
+    cold.observe(steady, 0.0)
+    for born in range(2, 22):
+        cold.observe([*steady, replace(OLD, born=born)], float(born))
+    assert cold.log.count(ColdReason.STARTED) == 20
--- a/test/gateway/region_fleet.py
+++ b/test/gateway/region_fleet.py
@@ -19,12 +19,14 @@
 from tanagerwalk.decisions.peers import Peer
 from tanagerwalk.decisions.selection import ServerPool
 from tanagerwalk.decisions.server_usage_table import hash_life
+from tanagerwalk.decisions.shared_demands import SharedDemandTable
 from tanagerwalk.decisions.shared_loads import SharedLoadTable
 from tanagerwalk.decisions.sliding_retry_budget import SlidingRetryBudget
 from tanagerwalk.decisions.tunnel_peers import TunnelPeers
 from tanagerwalk.gateway.attempts import AttemptResult, Outcome
 from tanagerwalk.gateway.connect_faults import ConnectFault
 from tanagerwalk.gateway.connector import ServerConnector
+from tanagerwalk.gateway.contention import ContentionControl
 from tanagerwalk.gateway.execution import RequestExecution
 from tanagerwalk.gateway.metrics import GatewayMetrics
 from tanagerwalk.gateway.pool import ConnectionPool
@@ -130,6 +132,9 @@
             crash_check=None,
             permits=Permits(fleet.is_brittle),
             region_rules=rules,
+            contention=ContentionControl(
+                self.servers, SharedDemandTable(), GatewayMetrics(), clock, fleet.random
+            ),
             stop_control=MagicMock(),
             metrics=GatewayMetrics(),
             clock=clock,
--- a/test/gateway/test_connector_faults.py
+++ b/test/gateway/test_connector_faults.py
@@ -67,3 +67,24 @@
     connector.close()
     assert result.error is ConnectFault.DESCRIPTORS_FULL
     assert paths.get_state("desk-0") is PathState.DIRECT
+
+
+class RefusedTunnels(FullTunnels):
+    async def open(self, peer_id, server):
+        return Error("ConnectionRefusedError")
+
+
+# Guards against a server that one request with allowed regions puts out for all others,
+# which may still reach it through the instances that this request may not pass.
+async def test_restricted_request_does_not_put_a_server_out_for_others():
+    async def refuse(address, timeout, create_protocol=None):
+        return Error("ConnectionRefusedError")
+
+    paths = PathTable()
+    tunnels = RefusedTunnels()
+    connector = ServerConnector(paths, tunnels, time.monotonic, random.Random(1))
+    connector.dial = refuse
+    result = await connector.connect(Server(), 1.0, lambda peer_id: False)
+    connector.close()
+    assert result.error is ConnectFault.NO_ALLOWED_PATH
+    assert paths.get_state("desk-0") is PathState.INDIRECT
--- a/test/platform/test_records.py
+++ b/test/platform/test_records.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tanagerwalk.manifest import Repeatability
-from tanagerwalk.platform.manifests import parse_manifest
+from tanagerwalk.platform.manifests import MAX_NUMBER, parse_manifest
 from tanagerwalk.platform.servers import parse_rollout_order, parse_server
 from tanagerwalk.platform.settings import parse_settings
 from tanagerwalk.registry import ServerState
@@ -145,3 +145,13 @@
     error = parse_settings(SETTINGS.replace(old, new)).error
     assert error.startswith("settings: ")
     assert "\n" not in error
+
+
+# A rate near the largest float made each choice of a server raise an overflow.
+def test_huge_numbers_of_a_service_are_bounded():
+    service = {"name": "desk", "cold_per_s": 1.3e308, "cold_start_s": -1.0}
+    wire = {"version": 1, "routes": [], "services": [service]}
+    data = json.dumps(wire).encode()
+    found = parse_manifest(data, 1).ok.services["desk"]
+    assert found.cold_rate <= MAX_NUMBER
+    assert found.cold_start == 0.0
