--- a/tanagerwalk/decisions/contention.py
+++ b/tanagerwalk/decisions/contention.py
@@ -27,12 +27,15 @@
         Requests at the servers.
     waiting : int
         Those of them that wait for a slot.
+    in_use : int
+        Slots in use; a long queue at one server fills none at others.
     """
 
     servers: int = 0
     slots: int = 0
     taken: int = 0
     waiting: int = 0
+    in_use: int = 0
 
     def compare_queues(self, others):
         """Return the mean queue at these servers as a multiple of that at others.
@@ -51,7 +54,7 @@
     @property
     def are_scarce(self):
         """Whether requests wait, and half of the places are taken."""
-        return self.waiting > 0 and self.taken >= MIN_TAKEN_SHARE * self.slots
+        return self.waiting > 0 and self.in_use >= MIN_TAKEN_SHARE * self.slots
 
 
 def sum_places(places):
@@ -61,6 +64,7 @@
         sum(each.slots for each in places),
         sum(each.taken for each in places),
         sum(each.waiting for each in places),
+        sum(each.in_use for each in places),
     )
 
 
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -203,7 +203,7 @@
         slots = self.server.slots
         taken = self.in_flight + others
         waiting = max(taken - slots, self.reported_queue if is_recent else 0)
-        return Places(1, slots, taken, max(0, waiting))
+        return Places(1, slots, taken, max(0, waiting), min(slots, taken))
 
     def may_have_queue(self, now, shared):
         """Return whether requests may be waiting at the server.
--- a/tanagerwalk/gateway/answer_recorder.py
+++ b/tanagerwalk/gateway/answer_recorder.py
@@ -108,5 +108,5 @@
 
 def _remove_slowdown(sample, load):
     """Return a LatencySample without what the server's machine adds to it."""
-    slowdown = find_slowdown(load)
+    slowdown = max(1.0, find_slowdown(load))
     return sample if slowdown == 1.0 else sample.without_slowdown(slowdown)
--- a/tanagerwalk/gateway/request_tokens.py
+++ b/tanagerwalk/gateway/request_tokens.py
@@ -21,9 +21,11 @@
     def __init__(self, servers, request, service, clock):
         self._servers = servers
         self._clock = clock
-        self._tokens = estimate_held_tokens(request.prompt_info)
         declared = request.manifest.services.get(service)
         self._capacity = 0 if declared is None else declared.kv_capacity
+        # A client may declare more than any server can hold.
+        tokens = estimate_held_tokens(request.prompt_info)
+        self._tokens = min(tokens, self._capacity)
 
     def has_room(self, server):
         """Return whether a server has memory for the request."""
@@ -33,8 +35,10 @@
 
     def begin(self, server):
         """Count the request as sent to a server."""
-        self._servers.token_room.record_sent(server.id, self._tokens)
+        if self._capacity:
+            self._servers.token_room.record_sent(server.id, self._tokens)
 
     def end(self, server):
         """Count the end of the request on a server."""
-        self._servers.token_room.record_ended(server.id, self._tokens)
+        if self._capacity:
+            self._servers.token_room.record_ended(server.id, self._tokens)
