Name and describe the new parts in the usual terms

Comments were fragments without their subject, or riddles.

Change: names and comments only, tests follow the renames. Names on the wire, headers, metrics, log events and settings are unchanged.

--- a/tanagerwalk/api/connections.py
+++ b/tanagerwalk/api/connections.py
@@ -18,15 +18,15 @@
 
 MEMORY_RETRY_AFTER_S = 1.0
 RECEIVE_RETRY_AFTER_S = 1.0
-# Objects of one piece of a body, which may come in pieces of a few bytes.
+# Memory of the objects for one received piece of a body, which may be a few bytes.
 PIECE_BYTES = 64
-# A head that has been coming for longer gives way to new connections.
+# A connection whose head takes longer to arrive gives way to new ones.
 MIN_HEAD_S = 1.0
 # Pieces of a body after which other connections have their turn.
 PIECES_PER_TURN = 16
 # Bytes sent ahead, while a request runs, for which a connection gives way to new ones.
 AHEAD_BYTES = 16 * 1024
-# Of answers that were not read, before the process itself keeps more of them.
+# Socket buffer for unread answers; what exceeds it stays in the memory of the process.
 SEND_BUFFER_BYTES = 128 * 1024
 
 
@@ -85,7 +85,7 @@
         self._reserved = 0
         self._is_refused = False
         self._piece_count = 0
-        # Monotonic time at which a head began to come, None while none does.
+        # Monotonic time at which the present head began to arrive, or None.
         self.head_since = None
 
     def init_for_request(self):
@@ -125,7 +125,7 @@
         RefusedError
             If there is no room for the body, or the head has not come in time.
         """
-        # Requests that were sent ahead leave other connections their turns.
+        # Other connections run between the requests that a client has sent ahead.
         await asyncio.sleep(0)
         self.head_since = self.protocol.loop.time()
         try:
--- a/tanagerwalk/decisions/cold_servers.py
+++ b/tanagerwalk/decisions/cold_servers.py
@@ -8,19 +8,21 @@
 from .limit_parts import ColdLimit
 from .server_usage_table import hash_life
 
-# A cold server is slow: it is worth as much as one that is used to this share already.
+# Added to the load of a cold server, since it is slow.
 COLD_LOAD = 0.5
-# A server that names a longer time is used like any other after this one.
+# Longest time for which a server is taken for cold, whatever it reports.
 MAX_COLD_S = 600.0
-# Once a server is warm, its limit grows for a while before it ends: it looks idle to
-# all instances at the same moment.
+# Time for which the limit of a warm server grows before it ends: all instances see the
+# server idle at the same moment.
 WARM_UP_S = 3.0
+# Growth of that limit per second, as a multiple of the rate of the cold server.
 WARM_UP_GROWTH_PER_S = 3.0
-# A server that has crashed may be back before its new entry is seen.
+# Time allowed for the restart of a crashed server, which may be back before its new
+# entry is seen.
 RESTART_WAIT_S = 6.0
-# Starts of servers that are remembered, to tell a new one from one that is back.
+# Starts of servers that are remembered, to recognize a new one.
 MAX_KNOWN_STARTS = 4096
-# A time that is longer by less is no news.
+# An extension of the cold time by less is not reported to `on_cold`.
 MIN_EXTENSION_S = 0.5
 
 
@@ -129,13 +131,13 @@
             self._known.move_to_end(start)
             if known_revision is None and not is_first_list:
                 self.record_start(server, now)
-            self.record_left(server, server.cold_left, now, ColdReason.ENTRY)
+            self.record_cold_time(server, server.cold_left, now, ColdReason.ENTRY)
         while len(self._known) > MAX_KNOWN_STARTS:
             self._known.popitem(last=False)
         self._drop_ended({hash_life(server) for server in servers}, now)
 
     def _drop_ended(self, listed, now):
-        """Drop what is over, also of servers that are gone and never asked for."""
+        """Forget servers whose limit has ended, also those that are not listed."""
         for life, cold in list(self._cold.items()):
             if life in listed:
                 self.find_limit(life, now)
@@ -156,7 +158,7 @@
         """
         policy = self.find_policy(server.service)
         if policy is not None:
-            self.record_left(server, policy.duration, now, reason)
+            self.record_cold_time(server, policy.duration, now, reason)
 
     def record_crash(self, server, now):
         """Take a server that has crashed for cold if it answers again.
@@ -170,33 +172,36 @@
         """
         policy = self.find_policy(server.service)
         if policy is not None:
-            left = RESTART_WAIT_S + policy.duration
-            self.record_left(server, left, now, ColdReason.CRASHED)
+            seconds = RESTART_WAIT_S + policy.duration
+            self.record_cold_time(server, seconds, now, ColdReason.CRASHED)
 
-    def record_left(self, server, left, now, reason):
-        """Take a server for cold for some seconds; a longer time that is known holds.
+    def record_cold_time(self, server, seconds, now, reason):
+        """Take a server for cold, unless it is known to be cold for longer.
 
         Parameters
         ----------
         server : RegisteredServer
             The server.
-        left : float
-            The seconds; nothing is recorded if they aren't positive.
+        seconds : float
+            For how long it is cold from now on; nothing is recorded unless positive.
         now : float
             Monotonic time in seconds.
         reason : ColdReason
             Why it is cold.
         """
-        if left <= 0.0 or self.find_policy(server.service) is None:
+        if seconds <= 0.0 or self.find_policy(server.service) is None:
             return
-        until = now + min(left, MAX_COLD_S)
+        until = now + min(seconds, MAX_COLD_S)
         cold = self._cold.setdefault(hash_life(server), _ColdServer(server, now))
         if until >= cold.until + MIN_EXTENSION_S:
             self.on_cold(server, until - now, reason)
         cold.until = max(cold.until, until)
 
     def find_limit(self, life, now):
-        """Return the ColdLimit of a server, or None if it has none."""
+        """Return the ColdLimit of a server, or None if it has none.
+
+        Forgets a server whose limit has ended, and calls `on_warm`.
+        """
         cold = self._cold.get(life)
         if cold is None:
             return None
@@ -208,7 +213,7 @@
         return limit
 
     def find_load(self, life, now):
-        """Return what is added to the load of a server because it is slow."""
+        """Return what is added to the load of a server while it is cold."""
         cold = self._cold.get(life)
         is_cold = cold is not None and now < cold.until
         return COLD_LOAD if is_cold else 0.0
--- a/tanagerwalk/decisions/contention.py
+++ b/tanagerwalk/decisions/contention.py
@@ -2,14 +2,15 @@
 
 from dataclasses import dataclass
 
-# With fewer slots in use, queues come from uneven placement.
+# Share of the slots in use from which a service is contended; with fewer, queues come
+# from uneven placement.
 ENTER_TAKEN_SHARE = 0.75
 # Waiting requests per server.
 ENTER_WAITING = 0.25
 LEAVE_WAITING = 0.05
-# Bounds the changes, each of which is logged.
+# Least time between two changes of the state, each of which is logged.
 MIN_STAY_S = 2.0
-# With fewer places taken, no request is refused for want of a place.
+# With a smaller share of the slots in use, no request is refused for want of a place.
 MIN_TAKEN_SHARE = 0.5
 
 
--- a/tanagerwalk/decisions/demands.py
+++ b/tanagerwalk/decisions/demands.py
@@ -12,9 +12,12 @@
 PRIORITY_COUNT = 10
 # Accounts of which an instance tells the others, for each service.
 MAX_ACCOUNTS_TOLD = 8
+# Fits a signed integer of 64 bits in a message.
 ACCOUNT_HASH_BYTES = 7
+# A shorter busy time shows too little of what the servers can do.
 MIN_BUSY_S = 0.75
-# Part of the work done that even the least urgent requests are counted on to get.
+# Least part of the work done that a priority and the less urgent ones are assumed to
+# get.
 MIN_RATE_SHARE = 0.25
 # Cost of a request for a service without models; only ratios matter there.
 PLAIN_WORK = 1000.0
--- a/tanagerwalk/decisions/early_refusal.py
+++ b/tanagerwalk/decisions/early_refusal.py
@@ -5,13 +5,17 @@
 from ..outcomes import RefusalReason
 from .fair_shares import Standing
 
-# Estimates of shorter waits are too coarse.
+# No request is refused while the longest wait is shorter: estimates are too coarse.
 MIN_WAIT_S = 0.25
+# Part of its remaining time that a request may be expected to wait.
 MAX_WAIT_SHARE = 0.8
-# Fair shares left to an account whose requests hold up only less urgent ones.
+# Fair shares left to an account whose requests delay only less urgent ones.
 LENIENT_SHARES = 2.0
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 10.0
+# Multiples of the wait over which the retries of refused clients are spread.
+MIN_RETRY_SPREAD = 0.75
+MAX_RETRY_SPREAD = 1.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,8 +26,8 @@
     ----------
     wait : float
         Seconds until it is begun.
-    reading : float
-        Seconds that a server then takes to read its prompt.
+    prefill_time : float
+        Seconds that a server then takes to process its prompt.
     last_wait : float
         Seconds until the least urgent request that comes now is begun.
     standing : Standing
@@ -35,7 +39,7 @@
     """
 
     wait: float
-    reading: float
+    prefill_time: float
     last_wait: float
     standing: Standing
     time_left: float
@@ -45,16 +49,17 @@
     @property
     def total_wait(self):
         """Seconds until the first part of its answer."""
-        return self.wait + self.reading
+        return self.wait + self.prefill_time
 
 
 def find_early_refusal(prospect, draw):
     """Return why a request is refused at once, as RefusalReason; None if it isn't.
 
-    Of the requests of an account beyond its share, a part goes as soon as waits exceed
-    the objective, so that what is left is its share. Where only less urgent requests
-    wait too long, an account is left twice its share. Of others, those go that would
-    miss their deadlines, unless it is another account that crowds them out.
+    If an account exceeds its fair share, a part of its requests is refused once their
+    wait exceeds their objective, so that the rest equals its share. If only less urgent
+    requests wait longer than their objective, the account keeps twice its share. Of the
+    other requests, those that would miss their deadlines are refused, unless their
+    account keeps to its share and another one does not.
 
     Parameters
     ----------
@@ -83,12 +88,12 @@
     return 0.0
 
 
-def find_drain_time(prospect, draw):
-    """Return when a refused client should come back, in seconds.
+def choose_retry_delay(prospect, draw):
+    """Return the seconds after which a refused client should retry.
 
-    By then the servers have done what waits now; `draw`, from 0 to 1, spreads those
-    that are refused together.
+    By then the servers have begun what waits now. `draw`, a random number from 0 to 1,
+    spreads the clients that are refused together.
     """
     wait = max(prospect.wait, prospect.last_wait - prospect.longest_objective)
-    spread = wait * (0.75 + 0.5 * draw)
+    spread = wait * (MIN_RETRY_SPREAD + (MAX_RETRY_SPREAD - MIN_RETRY_SPREAD) * draw)
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, spread))
--- a/tanagerwalk/decisions/evacuations.py
+++ b/tanagerwalk/decisions/evacuations.py
@@ -5,15 +5,16 @@
 
 from ..ids import FailureDomain, Revision
 
+# Share of the delay after which all instances have stopped, counted from when the
+# request was last known not to exist.
+STOP_SHARE = 0.5
 # Instances stop at different moments, so that each sees in the reported loads what
 # the ones before it have moved.
 SPREAD_SHARE = 0.2
-# Counted from the last time at which the request was known not to exist.
-STOP_SHARE = 0.5
 # A store that was restored from an older copy may lack a request that holds on. It
 # is kept until the operators have had time to write it again.
 RESTORE_GRACE_S = 30.0
-# Of an evacuation that only another instance has told of.
+# Revision of an evacuation that is known only from another instance.
 NO_REVISION = Revision(0)
 
 
--- a/tanagerwalk/decisions/fair_shares.py
+++ b/tanagerwalk/decisions/fair_shares.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-# Accounts are told of with a delay, and requests come in lumps.
+# Multiple of its share from which an account exceeds it: reports arrive with a delay,
+# and requests in bursts.
 SHARE_TOLERANCE = 1.1
 
 
--- a/tanagerwalk/decisions/limit_parts.py
+++ b/tanagerwalk/decisions/limit_parts.py
@@ -8,10 +8,12 @@
 MIN_RATE_PER_S = 0.1
 # More instances with a smaller part each could send at the same time by chance.
 PART_INTERVAL_S = 4.5
-# The time in which the requests to a cold server are counted.
+# Window in which the requests to a cold server are counted.
 COLD_WINDOW_S = 1.0
 # Requests are sent a little later than planned, and not all equally so.
 INTERVAL_MARGIN = 1.05
+# Differing views of the members, in each of which the whole limit is divided.
+MEMBER_VIEWS = 2.0
 MAX_CACHED_DIVISIONS = 512
 
 
@@ -51,16 +53,16 @@
     ----------
     rate : float
         Requests per second.
-    most : float
-        Requests in any one second.
+    max_in_window : float
+        Requests within any COLD_WINDOW_S.
     """
 
     rate: float
-    most: float
+    max_in_window: float
 
     def scale(self, share):
         """Return a share of the limit."""
-        return ColdLimit(share * self.rate, share * self.most)
+        return ColdLimit(share * self.rate, share * self.max_in_window)
 
 
 @lru_cache(MAX_CACHED_DIVISIONS)
@@ -83,8 +85,9 @@
 def divide_cold_limit(limit, members):
     """Return the LimitParts of the limit of a cold server.
 
-    In a large fleet, each part allows one request per second. Instances that know other
-    members, and divide the limit otherwise, then add no more than as many again.
+    In a large fleet, each part allows about one request per second. The parts fill
+    about half of the limit, so that it also holds if some instances know other members,
+    and divide it otherwise.
 
     Parameters
     ----------
@@ -94,7 +97,9 @@
         Number of instances.
     """
     rate = max(MIN_RATE_PER_S, limit.rate)
-    count = min(members, max(1, math.ceil(rate), int(limit.most / 2.0)))
-    requests_in_window = max(1, int(limit.most / count))
+    count = min(
+        members, max(1, math.ceil(rate), int(limit.max_in_window / MEMBER_VIEWS))
+    )
+    requests_in_window = max(1, int(limit.max_in_window / count))
     interval = max(count / rate, COLD_WINDOW_S / requests_in_window)
     return LimitParts(count, INTERVAL_MARGIN * interval, is_spaced=True)
--- a/tanagerwalk/decisions/local_choice.py
+++ b/tanagerwalk/decisions/local_choice.py
@@ -7,7 +7,7 @@
 from .spillover_table import SpilloverTable
 
 # Cost of sending a body to another failure domain, in units of load.
-TRIP_COST_PER_BYTE = 2.5e-6
+TRANSFER_COST_PER_BYTE = 2.5e-6
 # The parts of a prompt are more likely to be cached where a whole region sends them
 # than where one failure domain does, by up to this probability.
 CACHE_HIT_GAIN = 0.25
@@ -64,7 +64,8 @@
         if preferred is not None:
             candidates.append(preferred)
         chosen = min(
-            candidates, key=lambda usage: self._score_trip(usage, inputs, preferred)
+            candidates,
+            key=lambda usage: self._score_with_transfer(usage, inputs, preferred),
         )
         if not self._is_own(chosen):
             self.departures[_find_reason(own, leaves, inputs)] += 1
@@ -88,17 +89,19 @@
         if affinity is None or not affinity.key:
             return None
         near = own + [usage for usage in others if self._is_near(usage)]
-        is_worth_trip = CACHE_HIT_GAIN * affinity.cache_miss_cost > affinity.domain_cost
-        if leaves or is_worth_trip:
+        is_worth_transfer = (
+            CACHE_HIT_GAIN * affinity.cache_miss_cost > affinity.domain_cost
+        )
+        if leaves or is_worth_transfer:
             return find_preferred(near or others, affinity)
         return find_preferred(own, affinity)
 
-    def _score_trip(self, usage, inputs, preferred):
-        """Return the cost of a server, with that of the trip of a request's bytes."""
+    def _score_with_transfer(self, usage, inputs, preferred):
+        """Return the cost of a server, with that of sending the body there."""
         if inputs.affinity is None:
             load, tie_breaker = self.score(usage, inputs)
             size = 0 if self._is_own(usage) else inputs.traits.size
-            return load + size * TRIP_COST_PER_BYTE, tie_breaker
+            return load + size * TRANSFER_COST_PER_BYTE, tie_breaker
         cost, tie_breaker = self._score_with_affinity(usage, inputs, preferred)
         if self._is_near(usage) and not self._is_own(usage):
             cost += inputs.affinity.domain_cost
@@ -116,7 +119,7 @@
 
 def build_chooser(home, random):
     """Return the ServerChooser for the location of an instance."""
-    if home.has_neighbors:
+    if home.has_other_domains:
         return LocalServerChooser(home, random)
     return ServerChooser(home, random)
 
--- a/tanagerwalk/decisions/locations.py
+++ b/tanagerwalk/decisions/locations.py
@@ -27,7 +27,7 @@
     regions: dict[FailureDomain, Region] = field(default_factory=dict)
 
     @property
-    def has_neighbors(self):
+    def has_other_domains(self):
         """Whether the region of this instance has other failure domains."""
         return any(
             region == self.region and domain != self.failure_domain
--- a/tanagerwalk/decisions/request_order.py
+++ b/tanagerwalk/decisions/request_order.py
@@ -9,14 +9,16 @@
 from .demands import PRIORITY_COUNT
 
 DEFAULT_PRIORITY = 5
-# A prompt that is so much longer than the mean goes behind shorter ones of its rank.
+# A request with more work than this multiple of the mean goes behind the others of its
+# rank.
 LONG_WORK_FACTOR = 3.0
-# Part of the requests that would wait beyond their objective that go first instead, so
-# that no rank is shut out.
+# Of the requests that would wait beyond their objective, this part goes behind those of
+# the first rank, so that no rank is shut out.
 TURN_SHARE = 0.25
-# Of a request's time; before, none is moved up.
+# Share of its timeout: a request with more time left is not moved up.
 AGED_TIME_SHARE = 0.5
-# In objectives: with less time left, a request is moved up by one rank or by two.
+# Multiples of the latency objective: with less time left than the first, a request is
+# moved up by one rank; with less than the second, by two.
 SHORT_TIME = 2.0
 SHORTEST_TIME = 1.0
 
@@ -82,7 +84,8 @@
     estimate_wait : callable
         Takes a priority and returns the seconds that a request of it would wait.
     draw : float
-        Random number from 0 to 1; those under `TURN_SHARE` have their turn.
+        Random number from 0 to 1; below `TURN_SHARE`, a request that would wait too
+        long goes behind the first rank.
     """
     index = order.ranks.index(order.rank)
     moved = max(0, index - _count_ranks_up(order))
--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -74,8 +74,8 @@
 
     @property
     def prefers_local(self):
-        """Whether servers of the own failure domain are preferred while they last."""
-        return self._home.has_neighbors
+        """Whether servers of the own failure domain are preferred."""
+        return self._home.has_other_domains
 
     def set_possibly_leaving(self, server_ids):
         """Set the servers that may be leaving; they are used only as a last resort.
@@ -314,7 +314,7 @@
         ]
 
     def is_free(self, usage, now):
-        """Return whether a server takes a request of this instance by its own word."""
+        """Return whether no hold or limit keeps this instance off a server."""
         return self._find_block(usage, now) <= 0.0
 
     def _find_block(self, usage, now):
@@ -351,7 +351,8 @@
 
         See `ServerSpeeds.record_duration`.
         """
-        # The way to another region isn't the server's; pauses don't contain it.
+        # The time to the head contains the round trip to another region; pauses between
+        # events do not.
         is_near = self._home.is_same_region(server.failure_domain)
         key = (kind, is_near or sample.has_events)
         self.speeds.record_duration(hash_life(server), key, sample, load, now)
@@ -362,10 +363,10 @@
             self.limits.record_sent(hash_life(server), now)
 
     def _estimate_cost_load(self, usage, now):
-        """Return the load of a server, plus what it costs that it is slow."""
+        """Return the load of a server, plus what a slow or cold one adds to it."""
         slowdown = self._find_slowdown(usage, now)
         load = self._estimate_load(usage, now, slowdown)
-        load += usage.estimate_delay(self.mean_work, slowdown)
+        load += usage.estimate_extra_load(self.mean_work, slowdown)
         cold = self.limits.cold
         if cold.is_empty:
             return load
--- a/tanagerwalk/decisions/server_limits.py
+++ b/tanagerwalk/decisions/server_limits.py
@@ -16,7 +16,8 @@
 from .server_statements import ServerStatements
 
 UNUSED_LIFETIME_S = 0.5
-# Until an instance knows the others after its start: how many there are at least.
+# Least number of members assumed while an instance that has just started may not know
+# all of them.
 UNSETTLED_MEMBERS = 9
 # Share of a limit that is used meanwhile: the others may not know each other either.
 UNSETTLED_SHARE = 0.5
--- a/tanagerwalk/decisions/server_speeds.py
+++ b/tanagerwalk/decisions/server_speeds.py
@@ -13,15 +13,16 @@
 REPORT_MEMORY_S = 0.4
 # Samples with which an estimate is halfway between the usual speed and what they show.
 PRIOR_SAMPLES = 3.0
-# Differences that make no difference, as a logarithm: 15 percent.
+# Smaller differences of speed are ignored; logarithm of a ratio of 1.15.
 DEAD_BAND = 0.14
-# Standard errors within which a difference may be chance.
-MIN_DEVIATIONS = 3.0
-# Share of that threshold by which a difference exceeds it before it counts in full.
+# With fewer standard errors, a difference is taken for chance.
+MIN_STANDARD_ERRORS = 3.0
+# A difference counts in part where it exceeds its threshold by less than this share.
 RAMP = 0.25
 REFRESH_PERIOD_S = 0.25
-# After this time what an instance has told is forgotten; a few messages may be lost.
+# Time after which the report of an instance expires; a few messages may be lost.
 PEER_LIFETIME_S = 4.0
+# Servers with samples of less weight are not reported to other instances.
 MIN_WEIGHT = 0.2
 
 
@@ -120,13 +121,14 @@
         now : float
             Monotonic time in seconds.
         """
-        # At the time of the answer the slowdown was what the answer reports.
+        # The answer reports the slowdown of its own time, not that of now.
         reported = find_slowdown(load)
         slowdown = reported * math.exp(self._find_lasting(life, now).measured)
-        ratio = self._usual_durations.compare(kind, sample, load, slowdown)
-        if ratio is None:
+        log_ratio = self._usual_durations.compare(kind, sample, load, slowdown)
+        if log_ratio is None:
             return
-        measured = SpeedSamples(durations=1.0, log_duration=ratio - math.log(reported))
+        log_duration = log_ratio - math.log(reported)
+        measured = SpeedSamples(durations=1.0, log_duration=log_duration)
         self._find_own(life, now).add(measured, now)
 
     def is_uniform(self, now):
@@ -209,9 +211,10 @@
         """Return a difference of speed, or 0 if it is small or may be chance."""
         if weight <= 0.0:
             return 0.0
-        # Samples that fade away count for twice the sum of their weights.
+        # The mean of exponentially weighted samples has the variance of one sample,
+        # divided by twice the sum of the weights.
         error = math.sqrt(self._usual_durations.variance / (2.0 * weight))
-        threshold = max(DEAD_BAND, MIN_DEVIATIONS * error)
+        threshold = max(DEAD_BAND, MIN_STANDARD_ERRORS * error)
         share = (abs(difference) - threshold) / (RAMP * threshold)
         return difference * min(1.0, max(0.0, share))
 
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -172,8 +172,8 @@
         allowance = PREFILL_ALLOWANCE_S * max(1.0, slowdown)
         return max(load * slowdown, silence - allowance)
 
-    def estimate_delay(self, work, slowdown):
-        """Return the load by which one more request costs more than is usual.
+    def estimate_extra_load(self, work, slowdown):
+        """Return how much more load one request adds than at the usual speed.
 
         Negative on a server that is faster than usual.
 
--- a/tanagerwalk/decisions/server_usage_table.py
+++ b/tanagerwalk/decisions/server_usage_table.py
@@ -26,7 +26,7 @@
     mean_work : float
         Mean cost of a request for an engine, in tokens.
     on_kept_off : callable
-        Takes the id of a server that wants no requests, for a while or for good.
+        Takes the id of a server that gets no more requests, for a while or for good.
     evacuated : frozenset of FailureDomain
         Failure domains whose servers get no requests; see `set_evacuated`.
     on_evacuation_end : callable
--- a/tanagerwalk/decisions/shared_demands.py
+++ b/tanagerwalk/decisions/shared_demands.py
@@ -9,7 +9,7 @@
 # Longer than a message takes through both relays, with one of them lost.
 REPORT_LIFETIME_S = 2.0
 NO_DEMAND = Demand()
-# Whose demand is summed up with the own one in a message of each scope.
+# Scopes of the reports that a message of each scope adds to the own demand.
 SUMMED_SCOPES = {
     Scope.INSTANCE: frozenset(),
     Scope.DOMAIN: frozenset({Scope.INSTANCE}),
--- a/tanagerwalk/decisions/spillover.py
+++ b/tanagerwalk/decisions/spillover.py
@@ -18,15 +18,17 @@
 PLAIN_ROOM = 0.8
 PLAIN_FULL = 1.0
 UPDATE_PERIOD_S = 0.2
-# Without requests for longer, the loads tell little of the time in between.
+# Longest time between two updates that the integral counts: after a longer one, the
+# loads say little about the time in between.
 MAX_ELAPSED_S = 1.0
 # Time constant of the mean load of a failure domain.
 SMOOTHING_S = 0.5
-# Of the other failure domains, this part is taken to receive what leaves.
+# The load to compare with is this quantile of the loads of the other failure domains,
+# since the least loaded ones receive what leaves.
 RECEIVING_PART = 0.25
-# Share per excess, and share per second and excess while there is one or none. The
-# excess is relative to the room.
+# Share per excess; the excess is relative to the room.
 PROPORTIONAL_GAIN = 0.33
+# Share per second and excess, while the excess is positive and while it is not.
 INTEGRAL_GAIN = 0.5
 RETURN_GAIN = 0.8
 
@@ -70,7 +72,7 @@
     ----------
     room : Room
         Room of the own servers for these requests.
-    standing : float
+    initial_share : float
         Share to begin with.
 
     Attributes
@@ -81,11 +83,11 @@
         Monotonic time of the last update, in seconds.
     """
 
-    def __init__(self, room, standing=0.0):
+    def __init__(self, room, initial_share=0.0):
         self.room = room
-        self.share = standing
+        self.share = initial_share
         self.updated_at = None
-        self._standing = standing
+        self._integral = initial_share
         self._loads = {}
 
     def is_due(self, now):
@@ -114,8 +116,8 @@
         limit = self.room.limit
         excess = (own - max(limit, receiving)) / limit
         gain = INTEGRAL_GAIN if excess > 0.0 else RETURN_GAIN
-        self._standing = _bound(self._standing + gain * excess * elapsed)
-        self.share = _bound(self._standing + PROPORTIONAL_GAIN * excess)
+        self._integral = _bound(self._integral + gain * excess * elapsed)
+        self.share = _bound(self._integral + PROPORTIONAL_GAIN * excess)
 
     def _smooth(self, failure_domain, load, elapsed):
         known = self._loads.get(failure_domain, load)
--- a/tanagerwalk/decisions/spillover_table.py
+++ b/tanagerwalk/decisions/spillover_table.py
@@ -8,11 +8,12 @@
 
 log = structlog.get_logger(__name__)
 
-# Servers of another failure domain whose loads stand for all of it.
+# Servers that are drawn to estimate the load of another failure domain.
 SAMPLE_SIZE = 3
 # A share that no request has asked for in this time is forgotten.
 FORGETTING_S = 10.0
-# A service counts as leaving from this share, until it has been below for a time.
+# Requests of a service are logged as leaving from this share, until it has been below
+# it for LEAVING_S.
 LEAVING_SHARE = 0.05
 LEAVING_S = 5.0
 
@@ -56,8 +57,8 @@
         if spillover is None:
             self._forget_unused(inputs.now)
             shares = self.find_shares(inputs.now, room)
-            standing = shares.get(inputs.service, 0.0)
-            spillover = self._spillovers[key] = Spillover(room, standing)
+            initial_share = shares.get(inputs.service, 0.0)
+            spillover = self._spillovers[key] = Spillover(room, initial_share)
         if spillover.is_due(inputs.now):
             self._update(spillover, inputs, own, others)
         return spillover
--- a/tanagerwalk/decisions/token_room.py
+++ b/tanagerwalk/decisions/token_room.py
@@ -6,8 +6,8 @@
 
 INITIAL_MEAN_TOKENS = 800.0
 MEAN_SMOOTHING = 0.05
-# Servers without room that a choice passes over. Those that it prefers are the least
-# loaded, so that the others have hardly more.
+# Servers without room that a choice passes over. The choice begins with the least
+# loaded ones, so that others hardly have more room.
 MAX_PASSED_OVER = 3
 
 
--- a/tanagerwalk/decisions/usual_durations.py
+++ b/tanagerwalk/decisions/usual_durations.py
@@ -5,7 +5,7 @@
 from .load_curve import LoadCurve
 
 SMOOTHING = 0.02
-# Until there are more answers of a kind, they tell nothing about their servers.
+# With fewer answers of a kind, none is compared.
 MIN_ANSWERS = 5
 MIN_DURATION_S = 0.0005
 # A single answer counts as no more than this many times faster or slower than usual.
@@ -65,10 +65,10 @@
         if count + 1 < MIN_ANSWERS:
             return None
         limit = math.log(MAX_RATIO)
-        ratio = min(limit, max(-limit, observed - mean))
-        deviation = ratio - expected
+        log_ratio = min(limit, max(-limit, observed - mean))
+        deviation = log_ratio - expected
         self.variance += SMOOTHING * (deviation * deviation - self.variance)
-        return ratio
+        return log_ratio
 
 
 def _find_duration(sample, load):
--- a/tanagerwalk/gateway/answer_recorder.py
+++ b/tanagerwalk/gateway/answer_recorder.py
@@ -69,7 +69,7 @@
         book.own.record(route.name, is_target, is_bad)
 
     def _learn_speed(self, server, kind, sample, load):
-        """Learn how fast a server is; errors come too soon to tell."""
+        """Learn how fast a server is from a successful answer; errors come sooner."""
         now = self._clock()
         self._servers.record_duration(server, kind, sample, load, now)
 
--- a/tanagerwalk/gateway/attempt_timeouts.py
+++ b/tanagerwalk/gateway/attempt_timeouts.py
@@ -7,10 +7,10 @@
 MIN_UNRESPONSIVE_TIMEOUT_S = 0.5
 MAX_UNRESPONSIVE_TIMEOUT_S = 2.0
 STREAM_IDLE_TIMEOUT_S = 2.0
-# Clients leave a stream after a gap of these multiples of its objectives, for the first
-# event and for the pauses between events.
-CLIENT_GAP_ANSWERS = 4.0
-CLIENT_GAP_PAUSES = 8.0
+# Clients leave a stream after a gap of these multiples of its latency objective and of
+# its objective for the pauses between events.
+CLIENT_GAP_PER_OBJECTIVE = 4.0
+CLIENT_GAP_PER_GAP_OBJECTIVE = 8.0
 # Part of that gap after which another attempt goes on with a stalled stream, so that
 # its events come before the client leaves.
 RESUMED_GAP_SHARE = 0.5
@@ -51,6 +51,6 @@
     """Return the seconds between two events after which clients leave a stream."""
     return max(
         STREAM_IDLE_TIMEOUT_S,
-        CLIENT_GAP_ANSWERS * route.objective,
-        CLIENT_GAP_PAUSES * route.gap_objective,
+        CLIENT_GAP_PER_OBJECTIVE * route.objective,
+        CLIENT_GAP_PER_GAP_OBJECTIVE * route.gap_objective,
     )
--- a/tanagerwalk/gateway/contention.py
+++ b/tanagerwalk/gateway/contention.py
@@ -12,8 +12,9 @@
 log = structlog.get_logger(__name__)
 
 REFRESH_INTERVAL_S = 0.25
-# The servers are looked at with each message to the others.
-MAX_PAUSE_S = 1.0
+# Longest time that one observation of the places stands for; the servers are observed
+# with each round of messages.
+MAX_INTERVAL_S = 1.0
 
 
 class ServiceContention:
@@ -32,6 +33,8 @@
         Demand of the fleet; empty while the service isn't contended.
     places : Places
         Places at its servers.
+    state : ContentionState
+        Whether the service is contended.
     """
 
     def __init__(self, service):
@@ -58,8 +61,8 @@
         now : float
             Monotonic time in seconds.
         """
-        since = min(now - self._refreshed_at, MAX_PAUSE_S)
-        self._busy_time.add(self.places.use * since, now)
+        elapsed = min(now - self._refreshed_at, MAX_INTERVAL_S)
+        self._busy_time.add(self.places.use * elapsed, now)
         self._refreshed_at = now
         self._places_by_server = places_by_server
         self.places = sum_places([places for _, places in places_by_server])
--- a/tanagerwalk/gateway/datagram_sender.py
+++ b/tanagerwalk/gateway/datagram_sender.py
@@ -38,7 +38,7 @@
         try:
             self.transport.sendto(datagram, address)
         except (OSError, ValueError) as error:
-            # An address of another family; the messages to the others go on.
+            # The address may be of another family; the other receivers get theirs.
             if address not in self._unsendable:
                 log.warning("cannot send", receiver=address[0], problem=str(error))
             self._unsendable.add(address)
--- a/tanagerwalk/gateway/evacuation.py
+++ b/tanagerwalk/gateway/evacuation.py
@@ -132,7 +132,7 @@
             self._timer = loop.call_later(due_at - now, self._advance)
 
     def close(self):
-        """Begin or end nothing by itself any more."""
+        """Cancel the timer of the next change."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -96,7 +96,7 @@
     @property
     def _allows_server(self):
         """The predicate of servers by release and regions, to be used at once."""
-        return self._regions.restrict_to_reach(self._assignment.allows_server)
+        return self._regions.restrict_to_reachable(self._assignment.allows_server)
 
     @property
     def _kind(self):
@@ -167,7 +167,7 @@
             return RefusalReason.QUARANTINED
         if not self._context.stop_control.has_time(self._request, self._kind):
             return RefusalReason.STOPPING
-        if self._regions.has_connected_in_vain(self._history.may_have_run):
+        if self._regions.has_spent_connect_time(self._history.may_have_run):
             return RefusalReason.ALLOWED_REGIONS_UNREACHABLE
         if self._would_miss_deadline():
             return RefusalReason.QUEUE_FULL
@@ -240,7 +240,7 @@
                 return server
         if self._place_wait.is_kept_off():
             return None
-        allows_server = self._regions.restrict_to_reach(
+        allows_server = self._regions.restrict_to_reachable(
             lambda server: server.release != rolled_back
         )
         return choose(service, now, frozenset(), allows_server)
@@ -405,7 +405,7 @@
         hold = max(
             self._place_wait.find_hold(),
             self._permit_wait.denied_wait,
-            self._place_contest.drain_time,
+            self._place_contest.retry_delay,
         )
         retry_after = find_retry_after(self._time_left, self._context.random, hold)
         message = self._regions.describe_refusal(reason)
--- a/tanagerwalk/gateway/place_contest.py
+++ b/tanagerwalk/gateway/place_contest.py
@@ -3,7 +3,7 @@
 from ..decisions.demands import PRIORITY_COUNT, hash_account, make_plain_work
 from ..decisions.early_refusal import (
     Prospect,
-    find_drain_time,
+    choose_retry_delay,
     find_early_refusal,
 )
 from ..decisions.fair_shares import Standing, find_standing
@@ -32,8 +32,8 @@
 
     Attributes
     ----------
-    drain_time : float
-        Seconds after which a request that was refused should come back.
+    retry_delay : float
+        Seconds after which the client of a refused request should retry.
     """
 
     def __init__(self, control, request, service):
@@ -41,13 +41,13 @@
         self._request = request
         self._service = service
         self._account = None
-        self._found = None
+        self._contention = None
         self._work = None
         self._fields = {}
-        # Drawn once, so that a request that looks for a server again is judged alike.
+        # Drawn once, so that each further look for a server decides alike.
         self._turn_draw = control.random.random()
         self._share_draw = control.random.random()
-        self.drain_time = 0.0
+        self.retry_delay = 0.0
         self._order = control.find_order(request.manifest, service)
         if not self._order.is_needed:
             return
@@ -70,37 +70,38 @@
         """
         if not self._order.is_needed:
             return None
-        is_first = self._found is None
-        self._found = self._control.find_service(self._service)
+        is_first = self._contention is None
+        self._contention = self._control.find_service(self._service)
         self._work = work or make_plain_work()
         now = self._control.clock()
         if is_first:
-            self._found.meter.record_offered(self._account, self._work, now)
-        # The rest of a stream is not given up.
+            self._contention.meter.record_offered(self._account, self._work, now)
+        # The rest of a stream that has begun is not refused.
         if not self._is_contended or self._request.last_event is not None:
             return None
-        places = self._found.count_places(allows_server)
+        places = self._contention.count_places(allows_server)
         if not places.are_scarce:
             return None
         prospect = self._find_prospect(places, self._find_priority(work), now)
         reason = find_early_refusal(prospect, self._share_draw)
         if reason is not None:
             draw = self._control.random.random()
-            self.drain_time = find_drain_time(prospect, draw)
+            self.retry_delay = choose_retry_delay(prospect, draw)
         return reason
 
     @property
     def _is_contended(self):
-        return self._found is not None and self._found.state.is_contended
+        return self._contention is not None and self._contention.state.is_contended
 
     def _find_prospect(self, places, priority, now):
         """Return the Prospect of the request at the servers that it may use."""
-        everywhere = self._found.places
-        rate = self._found.demand.done_rate
+        everywhere = self._contention.places
+        rate = self._contention.demand.done_rate
         queue_ratio = places.compare_queues(everywhere)
+        prefill_time = self._work.prefill * everywhere.servers / rate if rate else 0.0
         prospect = Prospect(
             wait=queue_ratio * self._estimate_wait(priority),
-            reading=self._work.prefill * everywhere.servers / rate if rate else 0.0,
+            prefill_time=prefill_time,
             last_wait=queue_ratio * self._estimate_wait(PRIORITY_COUNT - 1),
             standing=self._find_standing(),
             time_left=self._request.deadline - now,
@@ -114,12 +115,12 @@
         return prospect
 
     def _estimate_wait(self, priority):
-        return self._found.demand.estimate_wait(priority)
+        return self._contention.demand.estimate_wait(priority)
 
     def _find_standing(self):
         if self._account is None:
             return Standing()
-        demand = self._found.demand
+        demand = self._contention.demand
         return find_standing(demand, self._account, self._order.accounts)
 
     def choose_priority(self, work):
@@ -138,7 +139,7 @@
         return priority
 
     def _find_priority(self, work):
-        """Return the place in the order, which engines are told under contention."""
+        """Return the priority by the order of requests, as under contention."""
         if work is None:
             return DEFAULT_PRIORITY
         request = self._request
@@ -156,19 +157,19 @@
 
     def begin(self, attempt):
         """Record that the request is sent; return a SentRequest for `end`, or None."""
-        if self._found is None:
+        if self._contention is None:
             return None
         priority = attempt.priority
         if priority is None:
             priority = self._find_priority(attempt.work)
-        return self._found.meter.begin(priority, attempt.work or make_plain_work())
+        return self._contention.meter.begin(priority, attempt.work or make_plain_work())
 
     def end(self, sent, result):
-        """Record how an attempt ended; an AttemptResult of None stands for no end."""
+        """Record how an attempt ended; `result` is None if it was aborted."""
         if sent is None:
             return
         is_answered = result is not None and result.outcome is Outcome.DELIVERED
-        self._found.meter.end(sent, is_answered, self._control.clock())
+        self._contention.meter.end(sent, is_answered, self._control.clock())
 
     def describe(self):
         """Return the log fields of a request that competed for a place."""
--- a/tanagerwalk/gateway/request_regions.py
+++ b/tanagerwalk/gateway/request_regions.py
@@ -16,9 +16,9 @@
 
 log = structlog.get_logger(__name__)
 
-# Between two tries of a server that only instances elsewhere reach.
-NO_PATH_S = 1.0
-# A request that could be refused connects in vain for so long at most, in total.
+# Time between two attempts at a server that only instances elsewhere reach.
+PATH_RETRY_INTERVAL_S = 1.0
+# Total time for which a request that has not run may fail to connect.
 MAX_CONNECTING_S = 1.0
 
 
@@ -65,10 +65,10 @@
         return [usage.server for usage in usages if usage.accepts_requests]
 
     def record_attempt(self, server, regions):
-        """Let no other request try a server at the same time that had no path."""
+        """Keep other requests off a server without a path while one tries it again."""
         key = (server.id, regions)
         if key in self._pathless_until:
-            self._pathless_until[key] = self.clock() + NO_PATH_S
+            self._pathless_until[key] = self.clock() + PATH_RETRY_INTERVAL_S
 
     def record_path(self, server, regions):
         """Record that a path through some regions to a server works."""
@@ -84,7 +84,7 @@
             log.info(
                 "no path in allowed regions", server=server.id, regions=sorted(regions)
             )
-        self._pathless_until[key] = self.clock() + NO_PATH_S
+        self._pathless_until[key] = self.clock() + PATH_RETRY_INTERVAL_S
 
     def is_direct(self, server):
         """Return whether this instance reaches a server by itself."""
@@ -135,9 +135,9 @@
     def __init__(self, rules, request):
         self._rules = rules
         self._request = request
-        self._first = find_regions(request.manifest, request)
+        self._initial_regions = find_regions(request.manifest, request)
         self._manifest = request.manifest
-        self._allowed = AllowedRegions(rules.home, self._first)
+        self._allowed = AllowedRegions(rules.home, self._initial_regions)
         self._found_no_path = False
         self._began_at = 0.0
         self._connecting_s = 0.0
@@ -149,7 +149,7 @@
         if manifest is not self._manifest:
             self._manifest = manifest
             present = find_regions(manifest, self._request)
-            regions = intersect_regions(self._first, present)
+            regions = intersect_regions(self._initial_regions, present)
             self._allowed = AllowedRegions(self._rules.home, regions)
         return self._allowed
 
@@ -158,13 +158,13 @@
         return self.allowed.allows_server(server)
 
     def restrict(self, allows_server):
-        """Return a predicate of servers that obeys the regions beside another one."""
+        """Return a predicate for servers that are allowed and fulfil another one."""
         return lambda server: self.allows_server(server) and allows_server(server)
 
-    def restrict_to_reach(self, allows_server):
-        """Return the same for servers to which a path in the regions may work.
+    def restrict_to_reachable(self, allows_server):
+        """Return a predicate as `restrict` does, for servers that may be reachable.
 
-        It goes by the regions at present, so that it has to be used at once.
+        It applies the regions allowed at present, and has to be used at once.
         """
         allowed = self.allowed
         if not allowed.is_restricted:
@@ -176,7 +176,7 @@
         )
 
     def _is_reachable(self, server, allowed):
-        # One attempt in vain is enough for a request that could be refused instead.
+        # After one attempt without a path, only servers on a direct path are tried.
         if self._found_no_path and not self._rules.is_direct(server):
             return False
         return self._rules.is_reachable(server, allowed.regions)
@@ -217,7 +217,7 @@
         elif result.outcome not in UNSENT_OUTCOMES:
             self._rules.record_path(server, regions)
 
-    def has_connected_in_vain(self, may_have_run):
+    def has_spent_connect_time(self, may_have_run):
         """Return whether to refuse the request rather than to try more servers.
 
         Parameters
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -342,7 +342,7 @@
             self._choose_leaving(),
             self._servers.limits.list_news(now),
             self._servers.brittle.statements.list_news(now),
-            self._speeds.list((), now),
+            self._speeds.list_totals((), now),
         )
 
     def _list_own_sides(self):
@@ -375,7 +375,7 @@
             own.leaving,
             own.limits,
             own.brittle,
-            self._speeds.list(sources, now),
+            self._speeds.list_totals(sources, now),
         )
 
     def _send(self, contents, receiver_ids):
--- a/tanagerwalk/gateway/speed_sharing.py
+++ b/tanagerwalk/gateway/speed_sharing.py
@@ -29,7 +29,7 @@
         if self._is_due:
             self._told_at = now
 
-    def list(self, sources, now):
+    def list_totals(self, sources, now):
         """Return SpeedSamples by `hash_life` for a round; empty if it tells none.
 
         Parameters
--- a/tanagerwalk/gateway/stream_wait.py
+++ b/tanagerwalk/gateway/stream_wait.py
@@ -38,9 +38,10 @@
 
     @property
     def is_held_up(self):
-        """Whether the client has held the stream up for long.
+        """Whether the client has held the stream up for HELD_UP_S at some time.
 
-        What the server sent before it broke off is still read afterwards.
+        The server may have broken the stream off then, which shows only when what it
+        sent before has been read.
         """
         return self._longest_hold >= HELD_UP_S
 
--- a/tanagerwalk/platform/load_headers.py
+++ b/tanagerwalk/platform/load_headers.py
@@ -4,9 +4,9 @@
 from ..repeated_warnings import RepeatedWarning
 from .numbers import parse_count, parse_number
 
-COUNTS = 3
+COUNT_FIELDS = 3
 USUAL_PERCENT = 100.0
-# Further from the usual than any machine can be.
+# Values beyond these bounds are taken for errors.
 MIN_PERCENT = 1.0
 MAX_PERCENT = 10_000.0
 # Enough to recognize a value in the log.
@@ -37,13 +37,13 @@
     if text is None:
         return None
     fields = text.split(b",")
-    counts = [parse_count(field) for field in fields[:COUNTS]]
-    if len(counts) < COUNTS or None in counts:
+    counts = [parse_count(field) for field in fields[:COUNT_FIELDS]]
+    if len(counts) < COUNT_FIELDS or None in counts:
         _invalid_counts.record(value=_quote(text))
         return None
-    if len(fields) == COUNTS:
+    if len(fields) == COUNT_FIELDS:
         return EngineLoad(*counts)
-    slowdown = _parse_slowdown(fields[COUNTS])
+    slowdown = _parse_slowdown(fields[COUNT_FIELDS])
     if slowdown is None:
         _invalid_slowdown.record(value=_quote(text))
     return EngineLoad(*counts, slowdown)
--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -97,7 +97,7 @@
             "version": version,
             "slots": 8 if self.places is None else self.places.slots,
             "state": state,
-            "cold_left_ms": round(self.coldness.find_left() * MS_PER_S),
+            "cold_left_ms": round(self.coldness.find_remaining_time() * MS_PER_S),
             "sequence": 1,
             "born": self._born,
         }
@@ -357,7 +357,7 @@
             head.append(f"Server-Limit: {self.server.behaviour.limit}")
         if self.server.behaviour.brittle:
             head.append(f"Server-Brittle: {self.server.behaviour.brittle}")
-        cold_left = self.server.coldness.find_left()
+        cold_left = self.server.coldness.find_remaining_time()
         if request.target == HEALTH_PATH and cold_left > 0.0:
             head.append(f"X-Tanagerwalk-Cold-Ms: {round(cold_left * MS_PER_S)}")
         if self.server.places is not None:
--- a/tanagerwalk/standins/coldness.py
+++ b/tanagerwalk/standins/coldness.py
@@ -45,7 +45,7 @@
         """Become cold after a start."""
         self.begin(self.start_time)
 
-    def find_left(self):
+    def find_remaining_time(self):
         """Return the seconds for which the server stays cold; 0 if it is warm."""
         return max(0.0, self._until - self._clock())
 
--- a/test/decisions/test_coldness.py
+++ b/test/decisions/test_coldness.py
@@ -89,9 +89,9 @@
 def test_longer_time_that_is_known_holds_and_a_huge_one_is_cut():
     cold = build_cold()
     cold.record_start(OLD, 10.0)
-    cold.record_left(OLD, 0.5, 11.0, ColdReason.ENTRY)
+    cold.record_cold_time(OLD, 0.5, 11.0, ColdReason.ENTRY)
     assert cold.count(13.9) == 1
-    cold.record_left(OLD, 1e300, 11.0, ColdReason.ENTRY)
+    cold.record_cold_time(OLD, 1e300, 11.0, ColdReason.ENTRY)
     assert cold.count(11.1 + MAX_COLD_S) == 0
 
 
@@ -189,5 +189,5 @@
     for members in range(1, 400):
         parts = divide_cold_limit(limit, members)
         in_second = parts.count * (1 + int(1.0 / parts.interval))
-        assert in_second <= limit.most
+        assert in_second <= limit.max_in_window
         assert parts.count / parts.interval <= rate
--- a/test/decisions/test_contention.py
+++ b/test/decisions/test_contention.py
@@ -8,7 +8,7 @@
 from tanagerwalk.decisions.demands import Demand, DemandMeter
 from tanagerwalk.decisions.early_refusal import (
     Prospect,
-    find_drain_time,
+    choose_retry_delay,
     find_early_refusal,
 )
 from tanagerwalk.decisions.fair_shares import Standing, find_standing
@@ -33,7 +33,7 @@
 TURN = 0.1
 PROSPECT = Prospect(
     wait=0.0,
-    reading=0.1,
+    prefill_time=0.1,
     last_wait=0.0,
     standing=Standing(),
     time_left=15.0,
@@ -125,7 +125,7 @@
 
 def test_clients_come_back_spread_around_the_time_when_the_queue_has_drained():
     prospect = replace(PROSPECT, wait=4.0, last_wait=4.0)
-    times = [find_drain_time(prospect, draw / 10.0) for draw in range(11)]
+    times = [choose_retry_delay(prospect, draw / 10.0) for draw in range(11)]
     assert times == sorted(times)
     assert times[0] < times[5] == 4.0 < times[-1]
 
--- a/test/gateway/contention_fleet.py
+++ b/test/gateway/contention_fleet.py
@@ -348,7 +348,7 @@
         waiting = sum(len(e.queue) for e in self.engines.values())
         if not waiting and taken < 0.5 * SLOTS * len(self.engines):
             self.result.refused_idle += 1
-        return "refused", contest.drain_time
+        return "refused", contest.retry_delay
 
     async def _attempt(self, instance, contest, server, kind, request):
         work = estimate_work(kind.tokens, 1.0, self.clock())
