--- a/test/gateway/test_gateway_rollouts.py
+++ b/test/gateway/test_gateway_rollouts.py
@@ -103,15 +103,13 @@
     choose = instance.servers.choose
     filters = []
 
-    def choose_after_order(
-        service, now, tried=frozenset(), is_allowed=None, affinity=None
-    ):
+    def choose_after_order(service, now, tried=frozenset(), is_allowed=None, **others):
         if filters:
             known = next(iter(instance.servers.list_usages("desk"))).server
             late = dataclasses.replace(known, id="late", release="v2", slots=1000)
             instance.servers._usages["late"] = ServerUsage(late)
         filters.append(is_allowed)
-        return choose(service, now, tried, is_allowed, affinity)
+        return choose(service, now, tried, is_allowed, **others)
 
     instance.servers.choose = choose_after_order
     await world.send(request)
