--- a/tanagerwalk/decisions/demands.py
+++ b/tanagerwalk/decisions/demands.py
@@ -62,8 +62,15 @@
         """Work done per second."""
         return sum(self.done) / WINDOW_S
 
-    def add(self, other, sign=1.0):
-        """Return the demand of both; with a `sign` of -1, that without the other."""
+    def add(self, other):
+        """Return the demand of both."""
+        return self._add_times(other, 1.0)
+
+    def subtract(self, other):
+        """Return the demand without that of the other, at least none."""
+        return self._add_times(other, -1.0)
+
+    def _add_times(self, other, sign):
         accounts = dict(self.accounts)
         for account, offered in other.accounts.items():
             accounts[account] = max(0.0, accounts.get(account, 0.0) + sign * offered)
--- a/tanagerwalk/decisions/shared_demands.py
+++ b/tanagerwalk/decisions/shared_demands.py
@@ -7,7 +7,7 @@
 from .relays import Role, Scope
 
 # Longer than a message takes through both relays, with one of them lost.
-REPORT_LIFETIME_S = 2.0
+DEMAND_LIFETIME_S = 2.0
 NO_DEMAND = Demand()
 # Scopes of the reports that a message of each scope adds to the own demand.
 SUMMED_SCOPES = {
@@ -91,7 +91,7 @@
         self._reports = {
             source: report
             for source, report in self._reports.items()
-            if now - report.received_at <= REPORT_LIFETIME_S
+            if now - report.received_at <= DEMAND_LIFETIME_S
         }
         totals = {}
         for source, report in self._reports.items():
@@ -104,7 +104,7 @@
         """Return the demand of all other instances for a service."""
         total = self.sum_all(frozenset(Scope), now).get(service, NO_DEMAND)
         own = self._own_reported.get(service)
-        return total if own is None else total.add(own, -1.0)
+        return total if own is None else total.subtract(own)
 
     def list_told(self, scope, now):
         """Return the Demand of a scope for each contended service, to tell others."""
--- a/tanagerwalk/decisions/spillover_table.py
+++ b/tanagerwalk/decisions/spillover_table.py
@@ -9,13 +9,13 @@
 log = structlog.get_logger(__name__)
 
 # Servers that are drawn to estimate the load of another failure domain.
-SAMPLE_SIZE = 3
+LOAD_SAMPLE_SIZE = 3
 # A share that no request has asked for in this time is forgotten.
 FORGETTING_S = 10.0
 # Requests of a service are logged as leaving from this share, until it has been below
-# it for LEAVING_S.
-LEAVING_SHARE = 0.05
-LEAVING_S = 5.0
+# it for SPILLING_S.
+SPILLING_SHARE = 0.05
+SPILLING_S = 5.0
 
 
 class SpilloverTable:
@@ -93,7 +93,7 @@
             by_domain.setdefault(usage.server.failure_domain, []).append(usage)
         loads = {}
         for domain, usages in by_domain.items():
-            sample = self._random.sample(usages, min(len(usages), SAMPLE_SIZE))
+            sample = self._random.sample(usages, min(len(usages), LOAD_SAMPLE_SIZE))
             distance = self._home.estimate_distance_cost(domain)
             loads[domain] = median_low(map(estimate_load, sample)) + distance
         return loads
@@ -108,11 +108,11 @@
     def _note_share(self, service, share, own_load, now):
         """Log when requests of a service begin or cease to leave."""
         left_at = self._left_at.get(service)
-        if share >= LEAVING_SHARE:
+        if share >= SPILLING_SHARE:
             self._left_at[service] = now
             if left_at is None:
                 _log_change("requests leave failure domain", service, share, own_load)
-        elif left_at is not None and now - left_at > LEAVING_S:
+        elif left_at is not None and now - left_at > SPILLING_S:
             del self._left_at[service]
             _log_change("requests stay in failure domain", service, share, own_load)
 
--- a/tanagerwalk/gateway/connector.py
+++ b/tanagerwalk/gateway/connector.py
@@ -22,6 +22,8 @@
 MIN_PROBE_PAUSE_S = 0.25
 MAX_PROBE_PAUSE_S = 2.0
 MS_PER_S = 1000.0
+# Which fault is told if there are several: one of this instance comes first.
+FAULT_ORDER = (ConnectFault.DESCRIPTORS_FULL, ConnectFault.NO_ALLOWED_PATH)
 
 
 class ServerConnector:
@@ -257,7 +259,7 @@
     """Return a Result, whose error is a fault; a want of descriptors comes first."""
     if result.is_ok():
         return result
-    return Error(min(faults, key=list(ConnectFault).index))
+    return Error(min(faults, key=FAULT_ORDER.index))
 
 
 def _abort_unused(server, connection):
