Let requests that a fall cuts off end as unknown in the brittle tests

Cause: a fall of a stand-in cuts off the requests that run on it. An idempotent one that two full servers have rejected before has no attempt left then, and is truly answered as one that may have run (502). The tests allowed falls, but no such answer. Change: the stand-in counts the requests under way that its falls cut off (health checks and requests whose client has left are not counted).

--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -55,6 +55,8 @@
         Monotonic times at which the server fell over, in seconds.
     is_down : bool
         Whether it has fallen over and not started again.
+    cut_off : int
+        Number of requests under way that its falls have cut off.
     coldness : Coldness
         Whether it is cold, and what it bears then.
     """
@@ -65,6 +67,7 @@
         self.places = places
         self.falls = []
         self.is_down = False
+        self.cut_off = 0
         self.coldness = Coldness()
         self._port = 0
         self._born = 1
@@ -126,6 +129,7 @@
             return False
         self.is_down = True
         self.falls.append(time.monotonic())
+        self.cut_off += sum(each.is_under_way for each in self.connections)
         await self.stop()
         await asyncio.sleep(seconds)
         if self.places is not None:
@@ -164,6 +168,13 @@
         self._writable = asyncio.Event()
         self._writable.set()
 
+    @property
+    def is_under_way(self):
+        """Whether a request other than a health check waits for its answer."""
+        if self._task is None or self._task.done():
+            return False
+        return self._request.target != HEALTH_PATH
+
     def pause_writing(self):
         self._writable.clear()
 
--- a/test/gateway/brittle_load.py
+++ b/test/gateway/brittle_load.py
@@ -101,6 +101,10 @@
         """Return how often servers fell over."""
         return sum(len(server.falls) for server in self.cluster.servers.values())
 
+    def count_cut_off(self):
+        """Return how many requests under way were cut off by the falls."""
+        return sum(server.cut_off for server in self.cluster.servers.values())
+
     def count_statuses(self, since, until):
         """Return the statuses of the requests that were sent in a time."""
         return Counter(o.status for o in self.outcomes if since <= o.sent_at < until)
