Move the connections, the store's copy and the metrics page out of app.py

Change: the tunnels and the pool are built in server_links, the feed and the mirror in store_copy, the page of metrics in metrics_page; peer_directory answers who the other instances are. _create_state calls one short function for each part. The order of construction and of the subscribers stays. Three calls of private methods in tests name the public ones that took their place; what they assert is unchanged.

--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -6,18 +6,14 @@
 import uuid
 
 import structlog
-from prometheus_client import CONTENT_TYPE_LATEST
 
 from ..decisions.freshness import Freshness, find_age_limit
 from ..decisions.locations import Home
 from ..decisions.paths import PathTable
 from ..decisions.peers import Peer
 from ..decisions.relays import RelaySelection
-from ..decisions.rendezvous import find_rank
 from ..decisions.selection import ServerPool
 from ..decisions.shared_loads import SharedLoadTable
-from ..decisions.tunnel_peers import TunnelPeers
-from ..decisions.watchers import WatcherSelection
 from ..defects import DefectLog
 from ..filters.chain import link_filters
 from ..manifest import ClientLimits
@@ -25,11 +21,10 @@
 from ..peers.server import PeerServer
 from ..supervisor import Supervisor
 from .answer_recorder import AnswerRecorder
-from .change_feed import ChangeServer, SharedFeed, StoreFeed
+from .change_feed import ChangeServer
 from .clocks import read_boot_clock
 from .cluster_state import ClusterState
 from .cold_watch import ColdWatch
-from .connector import ServerConnector
 from .contention import ContentionControl
 from .crash_check import CrashCheck
 from .evacuation import EvacuationController
@@ -42,33 +37,32 @@
 from .manifest_recovery import ManifestRecovery, ManifestServer
 from .membership import MembershipController
 from .metrics import GatewayMetrics
-from .mirror import Mirror
-from .operator_watch import OperatorWatch
+from .metrics_page import MetricsPage
+from .peer_directory import PeerDirectory
 from .permits import ServerPermits
 from .planned_stop import PlannedStop
-from .pool import ConnectionPool
-from .probes import ProbeListener, encode_ok_response, encode_readiness_response
+from .probes import ProbeListener, encode_readiness_response
 from .process_limits import ProcessLimits
 from .quarantine import QuarantineFilter
 from .release_assignment import ReleaseAssigner
 from .release_rollouts import STORE_PREFIX, ReleaseRolloutController
-from .request_handler import MAX_REPORTED_AGE_S, RequestHandler
+from .request_handler import RequestHandler
 from .request_regions import RegionRules
 from .routing import RouteFilter
+from .server_links import (
+    build_connection_pool,
+    build_tunnel_client,
+    build_tunnel_server,
+)
 from .sharing import LoadSharing
 from .speed_watch import SpeedWatch
 from .stop_control import StopControl
-from .tunnel_client import TunnelClient
-from .tunnels import TunnelServer
+from .store_copy import StoreCopy
 
 log = structlog.get_logger(__name__)
 
-# The mirror watches the empty key prefix, which matches every key in the store.
-ALL_KEYS = ""
 FLEET_KEY_NAME = STORE_PREFIX + "fleet-key"
 PEER_PREFIX = STORE_PREFIX + "instance/"
-# Used until the store has been listed and the peers are known.
-DEFAULT_INSTANCE_COUNT = 9
 
 
 class GatewayInstance:
@@ -118,83 +112,79 @@
         self.shared_loads = SharedLoadTable()
         self.paths = PathTable()
         self.servers = ServerPool(self.home, self.shared_loads, self.paths, self.random)
+        self.directory = PeerDirectory(self.incarnation)
         self._create_connections()
-        self._create_mirror()
-        self.cluster_state = ClusterState(
-            self.mirror,
-            self.codec,
-            self.servers,
-            self._forget_server,
-            self.subscriber_defects,
-        )
+        self._create_store_copy()
+        self._create_peer_server()
+        self._create_cluster_state()
         self._create_region_rules()
         self._create_cold_watch()
         self._create_evacuation()
-
-        self.rollouts = ReleaseRolloutController(
-            self.store,
-            self.mirror,
-            self.cluster_state,
-            self.codec,
-            settings.failure_domain,
-            lambda: self.feed.is_watcher,
-            self.clock,
-            self.random,
-            self.subscriber_defects,
-        )
-        self.assigner = ReleaseAssigner(
-            self.incarnation,
-            self.cluster_state,
-            self.rollouts,
-            self.servers,
-            self.freshness,
-            bounds,
-            self.clock,
-            self.random,
-        )
-
+        self._create_releases()
         self._create_membership()
         self._create_manifest_recovery()
-        self.quarantine = QuarantineFilter(self.servers, self.clock, self.random)
-        self.crash_check = CrashCheck(
-            self.connection_pool.connector, self._record_crash
-        )
+        self._create_quarantine()
         self.permits = ServerPermits(
             self.incarnation, self.servers, self.metrics, self.clock, self.random
         )
         self.speed_watch = SpeedWatch(self.servers, self.metrics, self.clock)
-        self.sharing = LoadSharing(
-            self.incarnation,
-            settings.failure_domain,
+        self._create_sharing()
+        self._create_contention()
+
+    def _create_connections(self):
+        domain = self.settings.failure_domain
+        self.tunnel_server = build_tunnel_server(
+            self.servers, self.paths, self.limits, self.clock
+        )
+        self.tunnel_client = build_tunnel_client(
+            domain, self.directory, self.limits, self.clock, self.random
+        )
+        self.connection_pool = build_connection_pool(
             self.servers,
-            self.shared_loads,
-            self.relays,
-            self.quarantine,
-            self.rollouts,
-            self.assigner,
-            lambda: self.membership.peers,
+            self.paths,
+            self.tunnel_client,
+            self.limits,
             self.clock,
             self.random,
         )
-        self.contention = ContentionControl(
-            self.servers,
-            self.sharing.demands,
-            self.metrics,
+
+    def _create_store_copy(self):
+        self.store_copy = StoreCopy(
+            self.store,
+            self.codec,
+            self.directory,
+            self.incarnation,
+            self.settings.failure_domain,
+            lambda: self.settings.bounds,
+            self.subscriber_defects,
             self.clock,
             self.random,
         )
-        self.sharing.demands.list_own = self.contention.list_demands
-        self.assigner.send_notes = self.sharing.send_notes
-        self.sharing.on_permit_note = self.permits.receive
-        self.permits.send_notes = self.sharing.send_permit_notes
-        self.quarantine.on_news = self.sharing.tell_crashes
-        self.quarantine.is_first_in_line = lambda key: self._find_rank(key) == 0
+        self.feed = self.store_copy.feed
+        self.mirror = self.store_copy.mirror
+
+    def _create_peer_server(self):
+        self.peer_server = PeerServer(None)
+        self.limits.limit_peers(self.peer_server)
+        ChangeServer(self.mirror).register(self.peer_server)
+        self.peer_server.register_stream_handler(
+            MessageKind.OPEN_TUNNEL, self.tunnel_server.open
+        )
+
+    def _create_cluster_state(self):
+        self.cluster_state = ClusterState(
+            self.mirror,
+            self.codec,
+            self.servers,
+            self._forget_server,
+            self.subscriber_defects,
+        )
 
     def _create_region_rules(self):
         self.region_rules = RegionRules(
             self.home,
             lambda: self.cluster_state.manifest,
-            lambda: self.membership.peers,
+            self.directory.get_peers,
             self.servers,
             self.paths,
             self.clock,
@@ -222,28 +212,68 @@
         )
         self.servers.on_evacuation_end = self.cold_watch.mark_cold
 
-    def _create_connections(self):
-        self.tunnel_server = TunnelServer(
-            self.servers, self.paths, self.limits.memory, self.clock
+    def _create_releases(self):
+        settings = self.settings
+        self.rollouts = ReleaseRolloutController(
+            self.store,
+            self.mirror,
+            self.cluster_state,
+            self.codec,
+            settings.failure_domain,
+            lambda: self.feed.is_watcher,
+            self.clock,
+            self.random,
+            self.subscriber_defects,
         )
-        self.tunnel_server.dial = self.limits.limit_tunnel_dial()
-        self.servers.on_kept_off = self.tunnel_server.retire
-        self.tunnel_client = TunnelClient(
-            TunnelPeers(self.settings.failure_domain, self.random),
-            lambda: self.membership.peers,
-            self._get_peer_address,
-            self.limits.peer_part,
+        self.assigner = ReleaseAssigner(
+            self.incarnation,
+            self.cluster_state,
+            self.rollouts,
+            self.servers,
+            self.freshness,
+            settings.bounds,
             self.clock,
+            self.random,
         )
-        connector = ServerConnector(
-            self.paths, self.tunnel_client, self.clock, self.random
+
+    def _create_quarantine(self):
+        self.quarantine = QuarantineFilter(self.servers, self.clock, self.random)
+        self.quarantine.is_first_in_line = lambda key: (
+            self.directory.find_rank(key) == 0
         )
-        connector.on_reachable = self.servers.end_pause
-        self.connection_pool = ConnectionPool(connector, self.paths, self.clock)
-        connector.dial = self.limits.limit_server_dial(
-            self.connection_pool.close_longest_idle
+        self.crash_check = CrashCheck(
+            self.connection_pool.connector, self._record_crash
         )
 
+    def _create_sharing(self):
+        self.sharing = LoadSharing(
+            self.incarnation,
+            self.settings.failure_domain,
+            self.servers,
+            self.shared_loads,
+            self.relays,
+            self.quarantine,
+            self.rollouts,
+            self.assigner,
+            self.directory.get_peers,
+            self.clock,
+            self.random,
+        )
+        self.assigner.send_notes = self.sharing.send_notes
+        self.sharing.on_permit_note = self.permits.receive
+        self.permits.send_notes = self.sharing.send_permit_notes
+        self.quarantine.on_news = self.sharing.tell_crashes
+
+    def _create_contention(self):
+        self.contention = ContentionControl(
+            self.servers,
+            self.sharing.demands,
+            self.metrics,
+            self.clock,
+            self.random,
+        )
+        self.sharing.demands.list_own = self.contention.list_demands
+
     def _forget_server(self, server):
         self.paths.forget(server.id)
         self.region_rules.forget_server(server)
@@ -254,44 +284,6 @@
         self.quarantine.record_end(server)
         self.cold_watch.record_crash(server)
 
-    def _create_mirror(self):
-        self.watchers = WatcherSelection(self.incarnation, self.settings.failure_domain)
-        self.feed = SharedFeed(
-            StoreFeed(self.store, ALL_KEYS),
-            self.watchers,
-            self._get_peer_address,
-            self.incarnation,
-            self._find_change_delay,
-            self.count_instances,
-            self.clock,
-            self.random,
-        )
-        self.mirror = Mirror(
-            self.store,
-            ALL_KEYS,
-            self.feed,
-            self.random,
-            self.codec.server_prefix,
-            self.subscriber_defects,
-        )
-        self.operator_watch = OperatorWatch(
-            self.store,
-            self.codec.operator_prefix,
-            self.mirror,
-            self.feed,
-        )
-        self.peer_server = PeerServer(None)
-        self.limits.limit_peers(self.peer_server)
-        ChangeServer(self.mirror).register(self.peer_server)
-        self.peer_server.register_stream_handler(
-            MessageKind.OPEN_TUNNEL, self.tunnel_server.open
-        )
-
-    def _find_change_delay(self):
-        """Return the seconds within which any change of the store takes effect."""
-        bounds = self.settings.bounds
-        return min(bounds.drain_timeout, bounds.change_delay, bounds.evacuation_delay)
-
     def _create_membership(self):
         own_domain = self.settings.failure_domain
         self.membership = MembershipController(
@@ -309,13 +301,14 @@
             self.random,
             self.subscriber_defects,
         )
+        self.directory.membership = self.membership
         self.relays = RelaySelection(self.incarnation, own_domain)
         self.membership.subscribe(self._update_peers)
         self.fleet_key = FleetKey(
             self.store,
             self.mirror,
             FLEET_KEY_NAME,
-            self._find_rank,
+            self.directory.find_rank,
             self.random,
         )
 
@@ -327,22 +320,19 @@
             self.cluster_state,
             self.evacuation.adopt,
             self.freshness.confirm,
-            lambda: self.membership.peers,
-            self._get_peer_address,
+            self.directory.get_peers,
+            self.directory.get_address,
             self.incarnation,
             self.random,
         )
 
     def _update_peers(self):
-        self.watchers.set_peers(self.membership.peers)
-        self.relays.set_peers(self.membership.peers)
-        self.assigner.set_peers(self.membership.peers)
-        self.permits.set_peers(self.membership.peers)
-        self.servers.limits.set_members(self.incarnation, self.membership.peers)
-
-    def _find_rank(self, name):
-        """Return how many instances come before this one for a name."""
-        return find_rank(name.encode(), self.incarnation, self.membership.peers)
+        peers = self.directory.get_peers()
+        self.store_copy.watchers.set_peers(peers)
+        self.relays.set_peers(peers)
+        self.assigner.set_peers(peers)
+        self.permits.set_peers(peers)
+        self.servers.limits.set_members(self.incarnation, peers)
 
     def _authenticate(self, secret):
         """Exchange data with other instances, with the key of the fleet."""
@@ -352,12 +342,6 @@
         self.tunnel_client.authenticate(secret, self.incarnation)
         self.sharing.authenticate(secret)
 
-    def _get_peer_address(self, peer_id):
-        peer = self.membership.peers.get(peer_id)
-        if peer is None or not peer.changes_port:
-            return None
-        return f"{peer.address[0]}:{peer.changes_port}"
-
     def _create_filter_chain(self):
         attempt_runner = AttemptRunner(
             self.connection_pool, self.servers, self.codec, self.clock
@@ -385,7 +369,7 @@
             self.random,
         )
         self.forward_filter = ForwardFilter(
-            context, self.settings.bounds, self.count_instances, self.random
+            context, self.settings.bounds, self.store_copy.count_instances, self.random
         )
         chain = link_filters(
             [
@@ -420,7 +404,17 @@
         self.readiness_listener = ProbeListener(
             lambda: encode_readiness_response(self.is_ready())
         )
-        self.metrics_listener = ProbeListener(self._render_metrics)
+        self.metrics_page = MetricsPage(
+            self.metrics,
+            self.limits,
+            self.freshness,
+            self.store,
+            self.assigner,
+            self.servers,
+            self.client_listener,
+            self.clock,
+        )
+        self.metrics_listener = ProbeListener(self.metrics_page.render)
         self.ports = InstancePorts(
             self.settings.listeners,
             self.client_listener,
@@ -435,18 +429,6 @@
         self.metrics.refusals.labels(refusal.reason.value).inc()
         self.codec.refuse(responder, refusal)
 
-    def _render_metrics(self):
-        self.limits.report(self.metrics)
-        self.metrics.manifest_age.set(min(self.freshness.age, MAX_REPORTED_AGE_S))
-        self.metrics.store_calls.set(self.store.calls)
-        contradictions = self.assigner.count_contradictions()
-        self.metrics.session_contradictions.set(contradictions)
-        self.metrics.set_limits(self.servers.limits, self.clock())
-        self.metrics.in_flight.set(self.client_listener.in_flight)
-        if self.servers.prefers_local:
-            self.metrics.set_departures(self.servers.chooser, self.clock())
-        return encode_ok_response(self.metrics.render(), CONTENT_TYPE_LATEST)
-
     def _get_client_limits(self):
         manifest = self.cluster_state.manifest
         return ClientLimits() if manifest is None else manifest.limits
@@ -456,12 +438,6 @@
         logs = (self.supervisor.defects, self.subscriber_defects)
         return sum(log.counts.total() for log in logs)
 
-    def count_instances(self):
-        """Return the number of gateway instances known to this one, itself included."""
-        if not self.mirror.is_loaded:
-            return DEFAULT_INSTANCE_COUNT
-        return 1 + len(self.membership.peers)
-
     def apply_settings(self, settings):
         """Apply changed bounds; all other settings require a restart.
 
@@ -497,7 +473,7 @@
         await self.ports.open()
         run = self.supervisor.run
         run("mirror", lambda: self.mirror.run())
-        run("operator_watch", lambda: self.operator_watch.run())
+        run("operator_watch", lambda: self.store_copy.operator_watch.run())
         run("manifest_recovery", lambda: self.manifest_recovery.run())
         run("rollouts", lambda: self.rollouts.run())
         run("membership", self._run_membership)
--- a/test/gateway/test_evacuation.py
+++ b/test/gateway/test_evacuation.py
@@ -162,10 +162,10 @@
     await cluster.evacuate("a-2")
     assert await wait_for(cluster, "a-2")
     line = b'tanagerwalk_gateway_evacuated{failure_domain="a-2"} 1.0'
-    assert line in first._render_metrics()
+    assert line in first.metrics_page.render()
     await cluster.end_evacuation("a-2")
     assert await wait_for(cluster)
-    assert line not in first._render_metrics()
+    assert line not in first.metrics_page.render()
     assert ended == [{"a-2"}]
 
 
@@ -306,7 +306,7 @@
     bounds = dataclasses.replace(BOUNDS, evacuation_delay=1.0)
     async with GatewayCluster() as cluster:
         instance = cluster.build_instance("gateway", bounds)
-        assert instance._find_change_delay() == 1.0
+        assert instance.store_copy.find_change_delay() == 1.0
         await instance.close()
 
 
--- a/test/gateway/test_local_servers.py
+++ b/test/gateway/test_local_servers.py
@@ -52,5 +52,5 @@
         assert read_metric(
             instance, "attempt_distances_total", distance="same_region"
         ) == len(cluster.servers["a-2"].requests)
-        instance._render_metrics()
+        instance.metrics_page.render()
         assert read_metric(instance, "departures", reason="no_server") == 5
