Split the gateway's app.py into the composition root and the lifecycle

Change: components.py creates and connects the parts, instance.py starts, stops and closes them; readiness.py tells whether an instance is ready, client_listener.py builds the listener for clients. FLEET_KEY_NAME moved to components. Two tests set or read the moved readiness.is_stopping and store_copy.count_instances; what they assert is unchanged.

--- /dev/null
+++ b/tanagerwalk/gateway/client_listener.py
@@ -0,0 +1,49 @@
+"""Builds the listener for clients."""
+
+from ..manifest import ClientLimits
+from .listener import Listener
+
+
+def build_client_listener(
+    request_handler, codec, cluster_state, limits, metrics, clock, random
+):
+    """Return the Listener that has the requests of clients handled.
+
+    Parameters
+    ----------
+    request_handler : RequestHandler
+        Handles the requests.
+    codec : PlatformCodec
+        Encodes refusals.
+    cluster_state : ClusterState
+        Provides the limits for clients.
+    limits : ProcessLimits
+        Budgets of memory and descriptors.
+    metrics : GatewayMetrics
+        Counts refusals and stalled readers.
+    clock : callable
+        Returns monotonic time in seconds.
+    random : random.Random
+        Spreads the times at which refused clients come back.
+    """
+
+    def refuse_unread(responder, refusal):
+        """Refuse a request that has not been read to its end."""
+        metrics.refusals.labels(refusal.reason.value).inc()
+        codec.refuse(responder, refusal)
+
+    def get_client_limits():
+        manifest = cluster_state.manifest
+        return ClientLimits() if manifest is None else manifest.limits
+
+    listener = Listener(
+        request_handler.handle,
+        refuse_unread,
+        get_client_limits,
+        limits.memory,
+        limits.admission,
+        clock,
+        random,
+    )
+    listener.on_stalled_reader = metrics.stalled_readers.inc
+    return listener
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/components.py
@@ -1,12 +1,9 @@
-"""Assembles the components of a gateway instance and controls its lifecycle."""
+"""Composition root: creates the components of an instance and connects them."""
 
-import dataclasses
 import random
 import time
 import uuid
 
-import structlog
-
 from ..decisions.freshness import Freshness, find_age_limit
 from ..decisions.locations import Home
 from ..decisions.paths import PathTable
@@ -16,12 +13,13 @@
 from ..decisions.shared_loads import SharedLoadTable
 from ..defects import DefectLog
 from ..filters.chain import link_filters
-from ..manifest import ClientLimits
 from ..peers.rpc import MessageKind
 from ..peers.server import PeerServer
 from ..supervisor import Supervisor
+from . import server_links
 from .answer_recorder import AnswerRecorder
 from .change_feed import ChangeServer
+from .client_listener import build_client_listener
 from .clocks import read_boot_clock
 from .cluster_state import ClusterState
 from .cold_watch import ColdWatch
@@ -33,7 +31,6 @@
 from .fleet_key import FleetKey
 from .forwarding import ForwardFilter
 from .instance_ports import InstancePorts
-from .listener import Listener
 from .manifest_recovery import ManifestRecovery, ManifestServer
 from .membership import MembershipController
 from .metrics import GatewayMetrics
@@ -44,29 +41,23 @@
 from .probes import ProbeListener, encode_readiness_response
 from .process_limits import ProcessLimits
 from .quarantine import QuarantineFilter
+from .readiness import Readiness
 from .release_assignment import ReleaseAssigner
 from .release_rollouts import STORE_PREFIX, ReleaseRolloutController
 from .request_handler import RequestHandler
 from .request_regions import RegionRules
 from .routing import RouteFilter
-from .server_links import (
-    build_connection_pool,
-    build_tunnel_client,
-    build_tunnel_server,
-)
 from .sharing import LoadSharing
 from .speed_watch import SpeedWatch
 from .stop_control import StopControl
 from .store_copy import StoreCopy
 
-log = structlog.get_logger(__name__)
-
 FLEET_KEY_NAME = STORE_PREFIX + "fleet-key"
 PEER_PREFIX = STORE_PREFIX + "instance/"
 
 
-class GatewayInstance:
-    """A gateway instance: listeners, filter chain and local copy of the store.
+class Components:
+    """The listeners, the filter chain and everything they work with.
 
     Must be created inside a running event loop.
 
@@ -97,7 +88,6 @@
         self.subscriber_defects = DefectLog(
             "subscriber failed", self.metrics.subscriber_failures
         )
-        self.stopping = False
         self.stop_control = StopControl(clock)
         self._create_state()
         self._create_filter_chain()
@@ -133,13 +123,13 @@
 
     def _create_connections(self):
         domain = self.settings.failure_domain
-        self.tunnel_server = build_tunnel_server(
+        self.tunnel_server = server_links.build_tunnel_server(
             self.servers, self.paths, self.limits, self.clock
         )
-        self.tunnel_client = build_tunnel_client(
+        self.tunnel_client = server_links.build_tunnel_client(
             domain, self.directory, self.limits, self.clock, self.random
         )
-        self.connection_pool = build_connection_pool(
+        self.connection_pool = server_links.build_connection_pool(
             self.servers,
             self.paths,
             self.tunnel_client,
@@ -193,10 +183,7 @@
 
     def _create_cold_watch(self):
         self.cold_watch = ColdWatch(
-            self.servers,
-            self.cluster_state,
-            lambda: self.settings.bounds,
-            self.clock,
+            self.servers, self.cluster_state, lambda: self.settings.bounds, self.clock
         )
         self.mirror.subscribe(self.cold_watch.update)
         self.connection_pool.connector.on_returned = self.cold_watch.record_return
@@ -213,13 +200,12 @@
         self.servers.on_evacuation_end = self.cold_watch.mark_cold
 
     def _create_releases(self):
-        settings = self.settings
         self.rollouts = ReleaseRolloutController(
             self.store,
             self.mirror,
             self.cluster_state,
             self.codec,
-            settings.failure_domain,
+            self.settings.failure_domain,
             lambda: self.feed.is_watcher,
             self.clock,
             self.random,
@@ -231,7 +217,7 @@
             self.rollouts,
             self.servers,
             self.freshness,
-            settings.bounds,
+            self.settings.bounds,
             self.clock,
             self.random,
         )
@@ -266,11 +252,7 @@
 
     def _create_contention(self):
         self.contention = ContentionControl(
-            self.servers,
-            self.sharing.demands,
-            self.metrics,
-            self.clock,
-            self.random,
+            self.servers, self.sharing.demands, self.metrics, self.clock, self.random
         )
         self.sharing.demands.list_own = self.contention.list_demands
 
@@ -334,14 +316,6 @@
         self.permits.set_peers(peers)
         self.servers.limits.set_members(self.incarnation, peers)
 
-    def _authenticate(self, secret):
-        """Exchange data with other instances, with the key of the fleet."""
-        self.peer_server.secret = secret
-        self.feed.authenticate(secret)
-        self.manifest_recovery.authenticate(secret)
-        self.tunnel_client.authenticate(secret, self.incarnation)
-        self.sharing.authenticate(secret)
-
     def _create_filter_chain(self):
         attempt_runner = AttemptRunner(
             self.connection_pool, self.servers, self.codec, self.clock
@@ -353,10 +327,7 @@
             self.rollouts,
             self.assigner,
             AnswerRecorder(
-                self.cluster_state,
-                self.rollouts.get_tallies,
-                self.servers,
-                self.clock,
+                self.cluster_state, self.rollouts.get_tallies, self.servers, self.clock
             ),
             self.quarantine,
             self.crash_check,
@@ -371,28 +342,23 @@
         self.forward_filter = ForwardFilter(
             context, self.settings.bounds, self.store_copy.count_instances, self.random
         )
-        chain = link_filters(
-            [
-                RouteFilter(self.cluster_state, self.freshness),
-                self.quarantine,
-                self.forward_filter,
-            ]
-        )
+        route_filter = RouteFilter(self.cluster_state, self.freshness)
+        chain = link_filters([route_filter, self.quarantine, self.forward_filter])
         self.request_handler = RequestHandler(
             chain, self.codec, self.freshness, self.metrics
         )
 
     def _create_listeners(self):
-        self.client_listener = Listener(
-            self.request_handler.handle,
-            self._refuse_unread,
-            self._get_client_limits,
-            self.limits.memory,
-            self.limits.admission,
+        self.client_listener = build_client_listener(
+            self.request_handler,
+            self.codec,
+            self.cluster_state,
+            self.limits,
+            self.metrics,
             self.clock,
             self.random,
         )
-        self.client_listener.on_stalled_reader = self.metrics.stalled_readers.inc
+        self._create_probes()
         self.planned_stop = PlannedStop(
             self.stop_control,
             self.request_handler,
@@ -401,8 +367,24 @@
             self.membership,
             self.clock,
         )
+        self.ports = InstancePorts(
+            self.settings.listeners,
+            self.client_listener,
+            self.readiness_listener,
+            self.metrics_listener,
+            self.peer_server,
+            self.sharing,
+        )
+
+    def _create_probes(self):
+        self.readiness = Readiness(
+            self.client_listener,
+            self.cluster_state,
+            self.manifest_recovery,
+            self.freshness,
+        )
         self.readiness_listener = ProbeListener(
-            lambda: encode_readiness_response(self.is_ready())
+            lambda: encode_readiness_response(self.readiness.is_ready())
         )
         self.metrics_page = MetricsPage(
             self.metrics,
@@ -415,100 +397,3 @@
             self.clock,
         )
         self.metrics_listener = ProbeListener(self.metrics_page.render)
-        self.ports = InstancePorts(
-            self.settings.listeners,
-            self.client_listener,
-            self.readiness_listener,
-            self.metrics_listener,
-            self.peer_server,
-            self.sharing,
-        )
-
-    def _refuse_unread(self, responder, refusal):
-        """Refuse a request that has not been read to its end."""
-        self.metrics.refusals.labels(refusal.reason.value).inc()
-        self.codec.refuse(responder, refusal)
-
-    def _get_client_limits(self):
-        manifest = self.cluster_state.manifest
-        return ClientLimits() if manifest is None else manifest.limits
-
-    def count_defects(self):
-        """Return how many exceptions of controllers and subscribers were contained."""
-        logs = (self.supervisor.defects, self.subscriber_defects)
-        return sum(log.counts.total() for log in logs)
-
-    def apply_settings(self, settings):
-        """Apply changed bounds; all other settings require a restart.
-
-        Parameters
-        ----------
-        settings : GatewaySettings
-            The reloaded settings.
-        """
-        bounds = settings.bounds
-        changed = bounds != self.settings.bounds
-        self.settings = dataclasses.replace(self.settings, bounds=bounds)
-        limit = find_age_limit(bounds.strict_revocation, bounds.revocation_delay)
-        self.freshness.set_limit(limit)
-        self.forward_filter.apply_bounds(bounds)
-        self.assigner.apply_bounds(bounds)
-        log.info("settings reloaded", bounds_changed=changed)
-
-    def is_ready(self):
-        """Return whether this instance should receive new connections."""
-        return (
-            not self.stopping
-            and self.client_listener.is_open
-            and self.cluster_state.is_complete
-            and not self.manifest_recovery.is_pending
-            and self.freshness.is_fresh()
-        )
-
-    async def start(self):
-        """Open the listeners and start the controllers that watch the store.
-
-        A listener whose port is in use opens later; everything else starts meanwhile.
-        """
-        await self.ports.open()
-        run = self.supervisor.run
-        run("mirror", lambda: self.mirror.run())
-        run("operator_watch", lambda: self.store_copy.operator_watch.run())
-        run("manifest_recovery", lambda: self.manifest_recovery.run())
-        run("rollouts", lambda: self.rollouts.run())
-        run("membership", self._run_membership)
-        run("fleet_key", lambda: self.fleet_key.run(self._authenticate))
-        run("sharing", lambda: self.sharing.run())
-        run("permits", lambda: self.permits.run())
-        run("speed_watch", lambda: self.speed_watch.run())
-        log.info("listening", instance=self.settings.instance)
-
-    async def _run_membership(self):
-        """Register this instance once it has an address for the others."""
-        await self.ports.wait_for_peer_ports()
-        await self.membership.run()
-
-    async def stop(self):
-        """Shut down gracefully: finish the requests in flight, then close everything.
-
-        Requests still running at the end of the grace period are ended with an answer.
-        """
-        log.info("stopping", in_flight=self.client_listener.in_flight)
-        self.stopping = True
-        self.supervisor.begin_shutdown()
-        self.ports.stop_waiting()
-        await self.planned_stop.run(self.settings.bounds.shutdown_grace)
-        await self.close()
-
-    async def close(self):
-        """Stop the controllers and abort every connection immediately."""
-        self.ports.stop_waiting()
-        await self.supervisor.close()
-        await self.ports.close()
-        await self.feed.close()
-        await self.manifest_recovery.close()
-        self.crash_check.close()
-        self.evacuation.close()
-        self.limits.close()
-        self.connection_pool.close()
-        self.store.close()
--- a/tanagerwalk/standins/gateway_cluster.py
+++ b/tanagerwalk/standins/gateway_cluster.py
@@ -6,7 +6,7 @@
 from types import MappingProxyType
 
 from ..controllers.loop import poll_until
-from ..gateway.app import GatewayInstance
+from ..gateway.instance import GatewayInstance
 from ..gateway.settings import Bounds, GatewaySettings, Listeners, StoreAddress
 from ..ids import FailureDomain, InstanceId, Region
 from ..platform.codec import PlatformCodec
--- a/tanagerwalk/ui/gateway.py
+++ b/tanagerwalk/ui/gateway.py
@@ -12,8 +12,8 @@
 import uvloop
 from expression import Error
 
-from ..gateway.app import GatewayInstance
 from ..gateway.descriptors import raise_system_limit
+from ..gateway.instance import GatewayInstance
 from ..logs import configure_logs, route_standard_logs
 from ..logsink import LogSink
 from ..platform.codec import PlatformCodec
--- a/test/gateway/test_gateway_instance.py
+++ b/test/gateway/test_gateway_instance.py
@@ -33,7 +33,7 @@
 async def test_readiness_fails_while_the_instance_stops(world):
     instance = world.instances[0]
     assert (await fetch(instance.readiness_listener.port, "/api/ready")).status == 200
-    instance.stopping = True
+    instance.readiness.is_stopping = True
     assert (await fetch(instance.readiness_listener.port, "/api/ready")).status == 503
 
 
--- a/test/gateway/test_store_restore.py
+++ b/test/gateway/test_store_restore.py
@@ -8,7 +8,7 @@
 
 from tanagerwalk.changes import combine_revision, split_revision
 from tanagerwalk.controllers.loop import poll_until
-from tanagerwalk.gateway.app import FLEET_KEY_NAME
+from tanagerwalk.gateway.components import FLEET_KEY_NAME
 from tanagerwalk.platform.store import MetadataStore
 from tanagerwalk.standins.gateway_cluster import (
     API_KEY,
@@ -133,7 +133,7 @@
     await cluster.store.restore((kept, {}, revision))
     await wait_for_era(cluster, 1)
     for _ in range(20):
-        assert all(i.count_instances() == 2 for i in cluster.instances)
+        assert all(i.store_copy.count_instances() == 2 for i in cluster.instances)
         await asyncio.sleep(0.4)
     entries = [key for key in cluster.store.items if "/instance/" in key]
     assert len(entries) == 2
--- a/test/gateway/test_tunnel_memory.py
+++ b/test/gateway/test_tunnel_memory.py
@@ -6,7 +6,7 @@
 from gateway.test_memory_limit import run_process
 
 from tanagerwalk.controllers.loop import poll_until
-from tanagerwalk.gateway.app import FLEET_KEY_NAME
+from tanagerwalk.gateway.components import FLEET_KEY_NAME
 from tanagerwalk.gateway.tunnels import TunnelFrame
 from tanagerwalk.ids import InstanceId
 from tanagerwalk.peers.frames import MAX_PAYLOAD_BYTES
