Count a request once as evidence on each release

Attempts of one request are no independent evidence: two requests of one client that failed on both servers of the target counted as four bad answers of four, and halted a good release. The recorder now counts a request once for each release, as bad if any answer of that release to it was.

--- a/tanagerwalk/decisions/tallies.py
+++ b/tanagerwalk/decisions/tallies.py
@@ -9,7 +9,7 @@
 
 @dataclass(slots=True)
 class SideCount:
-    """Number of answers of one release on one route, and how many were bad."""
+    """Number of requests that one release answered, and how many of them badly."""
 
     answers: int = 0
     bad: int = 0
@@ -53,6 +53,14 @@
         self.base = max(self.base, other.base)
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutSide:
+    """One of the two releases of a roll-out, given by the revision of its order."""
+
+    order: int
+    is_target: bool
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerKind:
     """Answers whose latencies can be compared: those of one route and model.
@@ -87,12 +95,17 @@
     starts: StartCount = field(default_factory=StartCount)
 
     def record(self, route, is_target, is_bad):
-        """Count one answer."""
+        """Count one request that a release answered."""
         side = self.target if is_target else self.base
         count = side.setdefault(route, SideCount())
         count.answers += 1
         count.bad += is_bad
 
+    def mark_bad(self, route, is_target):
+        """Count a request as bad that was counted as answered well before."""
+        side = self.target if is_target else self.base
+        side[route].bad += 1
+
     def record_latency(self, kind, is_target, seconds):
         """Count the latency of one answer of an AnswerKind."""
         side = self.target_latencies if is_target else self.base_latencies
--- a/tanagerwalk/gateway/answer_recorder.py
+++ b/tanagerwalk/gateway/answer_recorder.py
@@ -3,7 +3,7 @@
 from ..decisions.engine_load import find_slowdown
 from ..decisions.latency_baselines import LatencyBaselines
 from ..decisions.load_curve import LoadCurve
-from ..decisions.tallies import AnswerKind
+from ..decisions.tallies import AnswerKind, RolloutSide
 from .attempts import Outcome
 
 OUTCOMES_WITH_RESPONSE = frozenset(
@@ -37,7 +37,9 @@
     def record_attempt(self, request, attempt, result):
         """Update the latency baselines and count the result for a roll-out.
 
-        A fault of this instance says nothing about the release.
+        A request counts once for each release, and as bad if any answer was: its
+        attempts are no independent evidence. A fault of this instance says nothing
+        about the release.
         """
         if result.fault is not None:
             return
@@ -65,8 +67,17 @@
             result.outcome not in OUTCOMES_WITH_RESPONSE and not is_bad
         ):
             return
-        book = self._get_tallies((order.service, order.revision))
-        book.own.record(route.name, is_target, is_bad)
+        self._count_answer(order, request, is_target, is_bad)
+
+    def _count_answer(self, order, request, is_target, is_bad):
+        tally = self._get_tallies((order.service, order.revision)).own
+        side = RolloutSide(order.revision, is_target)
+        was_bad = request.counted_answers.get(side)
+        request.counted_answers[side] = is_bad or bool(was_bad)
+        if was_bad is None:
+            tally.record(request.route.name, is_target, is_bad)
+        elif is_bad and not was_bad:
+            tally.mark_bad(request.route.name, is_target)
 
     def _learn_speed(self, server, kind, sample, load):
         """Learn how fast a server is from a successful answer; errors come sooner."""
--- a/tanagerwalk/gateway/requests.py
+++ b/tanagerwalk/gateway/requests.py
@@ -1,7 +1,8 @@
 """Client requests: the raw HTTP request and its decoded form."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from ..decisions.tallies import RolloutSide
 from ..ids import ClientAccountId, Fingerprint, PartKey
 from ..manifest import Manifest, Route
 from .memory import UNCOUNTED, RequestMemory, UncountedMemory
@@ -106,6 +107,8 @@
         Parts of the prompt that other requests may share, in order.
     is_trial : bool
         Whether the request is sent although a part of it is quarantined.
+    counted_answers : dict of RolloutSide to bool
+        Releases whose answer was counted for a roll-out, and whether it was bad.
     """
 
     raw: RawRequest
@@ -126,3 +129,4 @@
     fingerprint: Fingerprint = Fingerprint("")
     shared_parts: tuple[PartKey, ...] = ()
     is_trial: bool = False
+    counted_answers: dict[RolloutSide, bool] = field(default_factory=dict)
