Create the gateway's metrics in a function for each kind

Change: one short function for each kind of metric; names, texts and order stay. Measured: test_gateway_instance and test_local_servers pass (6).

--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -16,6 +16,16 @@
 
     def __init__(self):
         self.registry = CollectorRegistry()
+        self._create_request_metrics()
+        self._create_choice_metrics()
+        self._create_defect_metrics()
+        self._create_answer_metrics()
+        self._create_state_metrics()
+        self._create_server_metrics()
+        self._create_memory_metrics()
+        self._create_descriptor_metrics()
+
+    def _create_request_metrics(self):
         self.requests = self._create_counter("requests", "Requests by end.", ["end"])
         self.refusals = self._create_counter(
             "refusals", "Refusals by reason.", ["reason"]
@@ -26,6 +36,8 @@
         self.distances = self._create_counter(
             "attempt_distances", "Attempts by distance to the server.", ["distance"]
         )
+
+    def _create_choice_metrics(self):
         self.departures = self._create_gauge(
             "departures",
             "Servers chosen outside the own failure domain so far by reason.",
@@ -46,12 +58,16 @@
         self.contended = self._create_gauge(
             "contended", "Whether requests compete for places.", ["service"]
         )
+
+    def _create_defect_metrics(self):
         self.controller_restarts = self._create_counter(
             "controller_restarts", "Controllers started again.", ["controller"]
         )
         self.subscriber_failures = self._create_counter(
             "subscriber_failures", "Exceptions of subscribers.", ["subscriber"]
         )
+
+    def _create_answer_metrics(self):
         self.latency = Histogram(
             "tanagerwalk_gateway_seconds",
             "Time until the end of the answer.",
@@ -64,6 +80,8 @@
             "Connections reset because their clients read no answer.",
             registry=self.registry,
         )
+
+    def _create_state_metrics(self):
         self.manifest_age = self._create_gauge(
             "manifest_age_seconds", "Time since the manifest was confirmed."
         )
@@ -80,6 +98,8 @@
         self.in_flight = self._create_gauge(
             "in_flight", "Requests that are being answered."
         )
+
+    def _create_server_metrics(self):
         self.cold_servers = self._create_gauge(
             "cold_servers", "Servers that are cold and get few requests."
         )
@@ -92,6 +112,8 @@
         self.uneven_servers = self._create_gauge(
             "uneven_servers", "Servers lastingly slower or faster than the others."
         )
+
+    def _create_memory_metrics(self):
         self.memory_used = self._create_gauge(
             "memory_used_bytes", "Memory of requests and answers."
         )
@@ -104,6 +126,8 @@
         self.resident_memory = self._create_gauge(
             "resident_memory_bytes", "Memory of the process."
         )
+
+    def _create_descriptor_metrics(self):
         self.descriptors = self._create_gauge(
             "descriptors", "Descriptors in use by kind.", ["kind"]
         )
