Check manifests for repeated entries and for regions without servers

Cause: config-check said nothing of a service that is there twice, of a key in two accounts (in both cases the last entry counts) and of allowed regions in which no server of the service runs. Change: find_repetitions reads the first two from the file, as a parsed manifest holds only what counts.

--- a/tanagerwalk/decisions/allowed_regions.py
+++ b/tanagerwalk/decisions/allowed_regions.py
@@ -34,7 +34,7 @@
 
     def allows_server(self, server):
         """Return whether a RegisteredServer may run the requests."""
-        return self._contains(server.failure_domain)
+        return self.allows_domain(server.failure_domain)
 
     def allows_peer(self, failure_domain):
         """Return whether the requests may pass through an instance.
@@ -47,11 +47,11 @@
         failure_domain : FailureDomain
             Where the other instance runs.
         """
-        return self._contains(failure_domain) or self.home.is_same_region(
+        return self.allows_domain(failure_domain) or self.home.is_same_region(
             failure_domain
         )
 
-    def _contains(self, failure_domain):
+    def allows_domain(self, failure_domain):
         """Return whether a failure domain is allowed; one of no known region isn't."""
         if self.regions is None:
             return True
@@ -126,6 +126,5 @@
     list of Region
     """
     named = set().union(*manifest.account_regions.values())
-    for routes in manifest.routes.values():
-        named.update(*(route.allowed_regions for route in routes))
+    named.update(*(route.allowed_regions for route in manifest.list_routes()))
     return sorted(named - set(home.regions.values()) - {home.region})
--- a/tanagerwalk/decisions/manifest_check.py
+++ b/tanagerwalk/decisions/manifest_check.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from itertools import product
+from itertools import chain, product
 
-from .allowed_regions import list_unknown_regions
+from ..manifest import Repetitions
+from .allowed_regions import AllowedRegions, list_unknown_regions
 
 
 class Severity(Enum):
@@ -39,7 +40,7 @@
         return f"{self.severity.value}: {self.subject}: {self.message}"
 
 
-def check_manifest(manifest, home=None):
+def check_manifest(manifest, home=None, repetitions=None, servers=None):
     """Return the findings on a manifest, in the order of its entries.
 
     Parameters
@@ -48,19 +49,25 @@
         The manifest.
     home : Home or None
         Knows the regions that exist; None if they are not known.
+    repetitions : Repetitions or None
+        Entries that the manifest held more than once; None for no such entries.
+    servers : list of RegisteredServer or None
+        The backend servers of all services; None if they or the regions are not known.
 
     Returns
     -------
     list of Finding
     """
     findings = []
-    for routes in manifest.routes.values():
-        for route in routes:
-            findings += _check_route(route, routes, manifest)
+    for route in manifest.list_routes():
+        findings += _check_route(route, manifest)
     for service in manifest.services.values():
         findings += _check_service(service, manifest)
     findings += _check_accounts(manifest)
     findings += _check_regions(manifest, home)
+    findings += _check_repetitions(repetitions or Repetitions())
+    if home is not None and servers is not None:
+        findings += _check_allowed_servers(manifest, home, servers)
     return findings
 
 
@@ -72,8 +79,8 @@
     return Finding(Severity.WARNING, subject, message)
 
 
-def _check_route(route, routes_of_host, manifest):
-    yield from _check_match(route, routes_of_host)
+def _check_route(route, manifest):
+    yield from _check_match(route, manifest.routes[route.host])
     yield from _check_shares(route, manifest.services)
     yield from _check_times(route)
 
@@ -121,10 +128,8 @@
 
 def _check_service(service, manifest):
     subject = f"service {service.name}"
-    routes = (route for routes in manifest.routes.values() for route in routes)
-    if not any(
-        share.service == service.name for route in routes for share in route.shares
-    ):
+    shares = chain.from_iterable(route.shares for route in manifest.list_routes())
+    if not any(share.service == service.name for share in shares):
         yield _warn(subject, "no route leads to it")
     if service.max_connections < 1:
         yield _error(subject, "its servers accept no connection")
@@ -138,13 +143,8 @@
     names = {*manifest.account_priorities, *manifest.account_regions}
     for name in sorted(names - set(manifest.accounts.values())):
         yield _warn(f"account {name}", "never matches, since it has no key")
-    closed = [
-        route.name
-        for routes in manifest.routes.values()
-        for route in routes
-        if not route.public
-    ]
-    if manifest.needs_keys and not manifest.accounts and closed:
+    has_closed = any(not route.public for route in manifest.list_routes())
+    if manifest.needs_keys and not manifest.accounts and has_closed:
         yield _error("accounts", "no key is accepted, but routes need one")
 
 
@@ -152,10 +152,52 @@
     if home is not None:
         for region in list_unknown_regions(manifest, home):
             yield _error(f"region {region}", "no failure domain is in it")
-    for routes in manifest.routes.values():
-        for route, account in product(routes, sorted(manifest.account_regions)):
-            if manifest.find_allowed_regions(route, account) == frozenset():
-                yield _warn(
-                    f"route {route.name}",
-                    f"has no allowed region in common with account {account}",
-                )
+    accounts = sorted(manifest.account_regions)
+    for route, account in product(manifest.list_routes(), accounts):
+        if manifest.find_allowed_regions(route, account) == frozenset():
+            yield _warn(
+                f"route {route.name}",
+                f"has no allowed region in common with account {account}",
+            )
+
+
+def _check_repetitions(repetitions):
+    for service in repetitions.services:
+        yield _error(
+            f"service {service}", "is there more than once, and only the last counts"
+        )
+    for account, owner in repetitions.overridden_accounts:
+        yield _error(
+            f"account {account}", f"one of its keys counts for account {owner}"
+        )
+
+
+def _check_allowed_servers(manifest, home, servers):
+    """Yield findings on routes whose requests find no server where they may run."""
+    domains = {}
+    for server in servers:
+        domains.setdefault(server.service, set()).add(server.failure_domain)
+    for route in manifest.list_routes():
+        services = [share.service for share in route.shares if share.weight > 0.0]
+        for service in services:
+            yield from _check_servers_of_route(
+                route, service, domains.get(service, ()), manifest, home
+            )
+
+
+def _check_servers_of_route(route, service, domains, manifest, home):
+    subject = f"route {route.name}"
+    told = set()
+    for account in (None, *sorted(manifest.account_regions)):
+        regions = manifest.find_allowed_regions(route, account)
+        allowed = AllowedRegions(home, regions)
+        if not regions or regions in told or any(map(allowed.allows_domain, domains)):
+            continue
+        told.add(regions)
+        names = ("region " if len(regions) == 1 else "regions ") + ", ".join(
+            sorted(regions)
+        )
+        of_account = "" if account is None else f" (account {account})"
+        yield _warn(
+            subject, f"no server of service {service} is in {names}{of_account}"
+        )
--- a/tanagerwalk/decisions/manifest_differences.py
+++ b/tanagerwalk/decisions/manifest_differences.py
@@ -33,9 +33,7 @@
 
 
 def _index_routes(manifest):
-    return {
-        route.name: route for routes in manifest.routes.values() for route in routes
-    }
+    return {route.name: route for route in manifest.list_routes()}
 
 
 def _index_accounts(manifest):
--- a/tanagerwalk/manifest.py
+++ b/tanagerwalk/manifest.py
@@ -234,6 +234,10 @@
             return route.allowed_regions
         return route.allowed_regions & of_account
 
+    def list_routes(self):
+        """Return the routes of all hosts."""
+        return [route for routes in self.routes.values() for route in routes]
+
     def find_route(self, host, path):
         """Return the route with the longest matching prefix, or None."""
         for route in self.routes.get(host, ()):
@@ -242,6 +246,22 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class Repetitions:
+    """Entries that a manifest holds more than once, of which only the last counts.
+
+    Parameters
+    ----------
+    services : tuple of ServiceName
+        Services with several entries.
+    overridden_accounts : tuple of (ClientAccountId, ClientAccountId)
+        Accounts of which another one has a key too, and the account that has it.
+    """
+
+    services: tuple[ServiceName, ...] = ()
+    overridden_accounts: tuple[tuple[ClientAccountId, ClientAccountId], ...] = ()
+
+
 def sort_routes(routes):
     """Group routes by host, longest prefix first.
 
--- a/tanagerwalk/platform/manifests.py
+++ b/tanagerwalk/platform/manifests.py
@@ -1,5 +1,7 @@
 """Decodes the manifest, which operators write to the metadata store as JSON."""
 
+from collections import Counter
+
 import msgspec
 from expression import Error, Ok
 
@@ -17,6 +19,7 @@
     Manifest,
     ModelOffer,
     Repeatability,
+    Repetitions,
     Route,
     Service,
     SplitShare,
@@ -159,6 +162,41 @@
     return Ok(manifest)
 
 
+def find_repetitions(data):
+    """Return the entries that a manifest holds more than once.
+
+    Parameters
+    ----------
+    data : bytes
+        The manifest, JSON.
+
+    Returns
+    -------
+    Result of Repetitions, or of str
+    """
+    return decode_json(data, _Manifest).map(
+        lambda wire: Repetitions(
+            services=_find_repeated_services(wire.services),
+            overridden_accounts=_find_overridden_accounts(wire.tenants or []),
+        )
+    )
+
+
+def _find_repeated_services(services):
+    counts = Counter(service.name for service in services)
+    return tuple(ServiceName(name) for name, count in counts.items() if count > 1)
+
+
+def _find_overridden_accounts(tenants):
+    owners = {key: tenant.name for tenant in tenants for key in tenant.api_keys}
+    pairs = dict.fromkeys(
+        (ClientAccountId(tenant.name), ClientAccountId(owners[key]))
+        for tenant in tenants
+        for key in tenant.api_keys
+    )
+    return tuple((account, owner) for account, owner in pairs if account != owner)
+
+
 def _convert_route(wire):
     shares = [SplitShare(ServiceName(s.service), s.weight) for s in wire.split]
     if not shares:
--- a/test/decisions/test_manifest_check.py
+++ b/test/decisions/test_manifest_check.py
@@ -1,6 +1,7 @@
 """Findings on manifests, and differences between two of them."""
 
 import json
+from types import SimpleNamespace
 
 import pytest
 
@@ -86,6 +87,46 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("of_route", "of_account", "domains", "expected"),
+    [
+        (["a"], [], ["b-1"], "no server of service desk is in region a"),
+        (["a"], [], ["b-1", "a-1"], None),
+        (["b", "a"], [], ["x-1"], "no server of service desk is in regions a, b"),
+        (
+            ["a", "b"],
+            ["b"],
+            ["a-1"],
+            "no server of service desk is in region b (account archive)",
+        ),
+        # The account adds nothing to what is wrong with the route alone.
+        (["a"], ["a"], ["b-1"], "no server of service desk is in region a"),
+        # Without any common region, servers make no difference.
+        (
+            ["a"],
+            ["b"],
+            ["a-1"],
+            "has no allowed region in common with account archive",
+        ),
+    ],
+)
+def test_allowed_regions_without_servers_are_told(
+    of_route, of_account, domains, expected
+):
+    def edit(manifest):
+        manifest["routes"] = manifest["routes"][2:3]
+        del manifest["services"][0]
+        edit_account(allowed_regions=of_account)(manifest)
+        manifest["routes"][0]["allowed_regions"] = of_route
+
+    servers = [
+        SimpleNamespace(service="desk", failure_domain=domain) for domain in domains
+    ]
+    findings = check_manifest(parse(edit), HOME, servers=servers)
+    wanted = [] if expected is None else [f"warning: route jobs: {expected}"]
+    assert list(map(str, findings)) == wanted
+
+
 def test_regions_are_not_checked_if_none_are_known():
     assert check_manifest(parse(edit_route(allowed_regions=["x"]))) == []
 
