Move the merging of load messages out of sharing.py

Cause: sharing.py had 410 lines, with sending and receiving in one class, and one function of 33 lines for all sections of a message. Change: LoadMessageReceiver in load_message_receiver.py hands each section on, in a function for each kind; sharing.py keeps the socket, the notes and the rounds. Measured: sharing.py has 338 lines. test_sharing (23), test_speed_messages (11), test_odd_peer_messages (4), test_foreign_entries (49), test_crash_news (8), test_controller_defects (56) and test_gateway_rollouts (7) pass.

--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -6,23 +6,13 @@
 
 from ..decisions.relayed_items import RelayedItems
 from ..decisions.relays import Role, Scope
-from ..decisions.shared_demands import DemandSource, SharedDemandTable
-from ..decisions.shared_loads import ReportSource, hash_server
-from ..ids import FailureDomain, ServiceName
+from ..decisions.shared_demands import SharedDemandTable
+from ..decisions.shared_loads import hash_server
 from ..peers.codec import encode
 from .datagram_sender import DatagramSender
-from .demand_messages import decode_demand
 from .load_message_builder import Contents, LoadMessageBuilder
-from .load_messages import (
-    decode_blame,
-    decode_brittleness,
-    decode_limit,
-    decode_load,
-    decode_message,
-    decode_sides,
-    decode_tally,
-    sign,
-)
+from .load_message_receiver import LoadMessageReceiver
+from .load_messages import decode_message, sign
 from .permit_notes import decode_permit_note
 from .session_notes import decode_note
 from .speed_sharing import SpeedSharing
@@ -84,7 +74,6 @@
         random,
     ):
         self._incarnation = incarnation
-        self._failure_domain = failure_domain
         self._servers = servers
         self._shared = shared
         self._relays = relays
@@ -104,6 +93,18 @@
         self.rejected = 0
         self.on_permit_note = _ignore_note
         self.demands = SharedDemandTable()
+        self._receiver = LoadMessageReceiver(
+            failure_domain,
+            servers,
+            shared,
+            relays,
+            quarantine,
+            rollouts,
+            assigner,
+            self.demands,
+            self._speeds,
+            self._relayed_sides,
+        )
 
     def authenticate(self, secret):
         """Start to send and to believe messages, with the key of the fleet."""
@@ -155,32 +156,13 @@
     def _process(self, message):
         now = self._clock()
         self._relays.record_heard(message.sender, now)
-        scope = Scope(message.scope)
-        domain = FailureDomain(message.domain)
         if message.notes:
             self._receive_notes(message)
             return
         if message.permits:
             self._receive_permit_notes(message)
             return
-        if not self._shared.accepts(scope):
-            return
-        if scope is Scope.DOMAIN and domain != self._failure_domain:
-            self._relays.record_remote_relay(message.sender, now)
-        name = _name_source(message, scope)
-        source = ReportSource(scope, name, message.part, message.parts)
-        # The other relay of this domain sums up the same members.
-        is_same_sum = scope is Scope.DOMAIN and domain == self._failure_domain
-        if message.speeds and not is_same_sum:
-            self._speeds.receive(source, message, now)
-        if message.loads is None:
-            self._apply_other_sections(message, scope, domain, now)
-            return
-        loads = {load.server: decode_load(load) for load in message.loads}
-        if is_same_sum:
-            loads = {}
-        if self._shared.update(source, message.sender, message.sequence, loads, now):
-            self._apply_other_sections(message, scope, domain, now)
+        self._receiver.receive(message, self._role, now)
 
     def _receive_notes(self, message):
         notes = [decode_note(encoded) for encoded in message.notes]
@@ -205,54 +187,6 @@
         if self._secret is not None:
             self._send_messages(messages, [receiver_id])
 
-    def _apply_other_sections(self, message, scope, domain, now):
-        """Process whatever a message tells beside loads."""
-        if message.leaving:
-            for server_id in self._servers.mark_leaving(message.leaving):
-                log.info("server leaving", server=server_id, told_by=message.sender)
-        for limit in message.limits or ():
-            self._merge_limit(*decode_limit(limit), now, message.sender)
-        for encoded in message.brittle or ():
-            self._merge_brittleness(*decode_brittleness(encoded), now, message.sender)
-        if scope is not Scope.DOMAIN or domain != self._failure_domain:
-            self._store_demands(message, scope, now)
-        records = dict(map(decode_blame, message.blames or ()))
-        self._quarantine.merge_records(records, self._role is Role.RELAY)
-        for encoded in message.sides or ():
-            service = ServiceName(encoded.service_name)
-            overrides = decode_sides(encoded)
-            self._assigner.merge_side_overrides(service, overrides)
-            for session, on_target in overrides.items():
-                key = (service, session)
-                self._relayed_sides.record(scope, key, on_target, now)
-        for encoded in message.tallies or ():
-            self._rollouts.record_peer_tally(
-                (ServiceName(encoded.service_name), encoded.order),
-                scope,
-                domain,
-                message.sender,
-                decode_tally(encoded),
-            )
-
-    def _store_demands(self, message, scope, now):
-        name = _name_source(message, scope)
-        for encoded in message.demands or ():
-            service, demand = decode_demand(encoded)
-            source = DemandSource(scope, name, service)
-            self.demands.update(source, message.sender, message.sequence, demand, now)
-
-    def _merge_limit(self, life, news, now, sender):
-        if self._servers.limits.merge(life, news, now):
-            rate = news.value
-            log.info("server limit", life=life, requests_per_s=rate, told_by=sender)
-
-    def _merge_brittleness(self, life, news, now, sender):
-        if self._servers.brittle.statements.merge(life, news, now):
-            bearable = news.value
-            log.info(
-                "server brittle", life=life, bearable_per_s=bearable, told_by=sender
-            )
-
     def error_received(self, exc):
         """Ignore unreachable peers; their entries expire with their leases."""
 
@@ -400,11 +334,5 @@
         self._sender.close()
 
 
-def _name_source(message, scope):
-    """Return the instance or failure domain whose data a message holds."""
-    names = {Scope.INSTANCE: message.sender, Scope.DOMAIN: message.domain}
-    return names.get(scope, "")
-
-
 def _ignore_note(sender, note):
     del sender, note
