Move the assembly of responses out of connections.py

Change: ResponseAssembly in response_assembly.py has the parser and its callbacks, as RequestAssembly has for requests; Connection keeps the transport, the memory and the reader. An attribute that nothing read (_clean_end) is gone. test_closed_sockets feeds the head of a response that ends at the close where it set private attributes; it fails as before if a closed socket's ValueError isn't caught.

--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -7,9 +7,7 @@
 
 import asyncio
 import time
-from collections import deque
 
-import httptools
 from expression import Error, Ok
 
 from ..bound_sockets import lacks_descriptors
@@ -22,7 +20,8 @@
     TIGHT_READ_BYTES,
     UNCOUNTED,
 )
-from .response_heads import ConnectionFailure, ResponseHead, match_any_response
+from .response_assembly import ResponseAssembly
+from .response_heads import ConnectionFailure, match_any_response
 from .socket_options import has_pending_reset, set_socket_options
 
 READ_HIGH_WATER_BYTES = 64 * 1024
@@ -31,12 +30,7 @@
 MAX_JOINED_BYTES = 16 * 1024
 # Most that a reader gets before other tasks have their turn.
 MAX_CHUNK_BYTES = 16 * 1024
-# Bytes of a response that are not its body: those of a head that does not end, of
-# responses to others, and the framing of a body in tiny pieces.
-MAX_OVERHEAD_BYTES = 1024 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024
-NO_BODY_STATUSES = frozenset({204, 304})
-FIRST_FINAL_STATUS = 200
 # All connections receive into the same memory, as what is received is parsed at once.
 READ_BUFFER = memoryview(bytearray(MAX_READ_BYTES))
 TIGHT_READ_BUFFER = READ_BUFFER[:TIGHT_READ_BYTES]
@@ -73,26 +67,13 @@
         self.received = False
         self.has_waited = False
         self._transport = None
-        self._parser = httptools.HttpResponseParser(self)
-        self._response_heads = deque()
-        self._body = bytearray()
+        self._responses = ResponseAssembly()
         self._memory = UNCOUNTED
         self._held_size = 0
         self._reads_whole_body = False
-        self._has_body_end = False
         self._is_paused = False
-        self._overhead_bytes = 0
         self._waiter = None
         self._failure = ConnectionFailure.CLOSED
-        self._clean_end = False
-        self._headers = []
-        self._reason = b""
-        self._body_ends_at_close = False
-        self._has_no_body = False
-        self._pending_responses = 0
-        self._discarding = False
-        self._matches_request = match_any_response
-        self._keep_alive = True
 
     # Called by the event loop.
 
@@ -112,16 +93,11 @@
 
     def data_received(self, data):
         """Feed received bytes to the parser; abort if no response is pending."""
-        if self._pending_responses == 0:
+        if self._responses.pending_count == 0:
             self._fail(ConnectionFailure.CLOSED)
             return
         self.received = True
-        self._overhead_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._fail(ConnectionFailure.MALFORMED)
-        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+        if not self._responses.feed(data):
             self._fail(ConnectionFailure.MALFORMED)
         self._count_body()
         self._pause_if_full()
@@ -129,24 +105,24 @@
 
     def _count_body(self):
         """Tell how much memory the body takes that has not been taken yet."""
-        change = len(self._body) - self._held_size
+        change = len(self._responses.body) - self._held_size
         if change:
             self._held_size += change
             self._memory.hold(change)
 
     def _pause_if_full(self):
-        if not self._is_open or self._is_paused or self._has_body_end:
+        if not self._is_open or self._is_paused or self._responses.has_body_end:
             return
         is_tight = self._memory.is_tight
         if self._reads_whole_body:
-            if len(self._body) <= (
+            if len(self._responses.body) <= (
                 TIGHT_ANSWER_BYTES if is_tight else SMALL_ANSWER_BYTES
             ):
                 return
             if self._memory.may_read_on(self._resume_transport):
                 return
             self.has_waited = True
-        elif len(self._body) <= (
+        elif len(self._responses.body) <= (
             TIGHT_ANSWER_BYTES if is_tight else READ_HIGH_WATER_BYTES
         ):
             return
@@ -160,12 +136,9 @@
 
     def eof_received(self):
         """Complete a response that is delimited by the end of the connection."""
-        if (
-            self._body_ends_at_close
-            and self._pending_responses
-            and not has_pending_reset(self._transport)
-        ):
-            self._end_body()
+        responses = self._responses
+        if responses.ends_at_close and not has_pending_reset(self._transport):
+            responses.end_body()
         self._fail(ConnectionFailure.CLOSED)
         return False
 
@@ -174,69 +147,6 @@
         del exc
         self._fail(ConnectionFailure.CLOSED)
 
-    # Called by the parser.
-
-    def on_message_begin(self):
-        """Clear the headers of the previous message."""
-        self._headers = []
-        self._reason = b""
-        if self._pending_responses == 0:
-            # An extra response to the same request; no caller is waiting for it.
-            self._keep_alive = False
-
-    def on_status(self, status):
-        """Append a fragment of the reason phrase."""
-        self._reason += status
-
-    def on_header(self, name, value):
-        """Store a response header."""
-        self._headers.append((name.lower(), value))
-
-    def on_headers_complete(self):
-        """Queue the response head and determine how its body is delimited."""
-        status = self._parser.get_status_code()
-        if status < FIRST_FINAL_STATUS or self._pending_responses == 0:
-            return
-        head = ResponseHead(status, self._reason, self._headers)
-        self._discarding = not self._matches_request(head)
-        if self._discarding:
-            # A late response to an earlier request; the expected one follows.
-            self._keep_alive = False
-            return
-        self._keep_alive = self._keep_alive and self._parser.should_keep_alive()
-        framed = head.get_header(b"content-length") or head.get_header(
-            b"transfer-encoding"
-        )
-        has_body = status not in NO_BODY_STATUSES and not self._has_no_body
-        self._body_ends_at_close = has_body and framed is None
-        self._response_heads.append(head)
-        if self._has_no_body:
-            # The parser can't be told, and would wait for the length in the head.
-            self._keep_alive = False
-            self._end_body()
-
-    def on_body(self, data):
-        """Append a fragment of the body."""
-        if self._pending_responses == 0 or self._discarding:
-            return
-        self._overhead_bytes -= len(data)
-        self._body += data
-
-    def on_message_complete(self):
-        """Mark the end of the body."""
-        final = self._parser.get_status_code() >= FIRST_FINAL_STATUS
-        if self._discarding:
-            self._discarding = False
-            return
-        if final and self._pending_responses and not self._body_ends_at_close:
-            self._end_body()
-
-    def _end_body(self):
-        self._has_body_end = True
-        self._pending_responses -= 1
-        # It holds on to the request, and the connection may be kept for long.
-        self._matches_request = match_any_response
-
     def _fail(self, failure):
         if self.closed:
             return
@@ -304,12 +214,9 @@
             # uvloop raises RuntimeError for a write to a connection that was lost.
             self._fail(ConnectionFailure.CLOSED)
             return Error(ConnectionFailure.CLOSED)
-        self._matches_request = matches_request
         self.received = False
         self.has_waited = False
-        self._overhead_bytes = 0
-        self._has_no_body = has_no_body
-        self._pending_responses += 1
+        self._responses.expect(matches_request, has_no_body)
         self._memory = memory
         self._held_size = 0
         self._reads_whole_body = False
@@ -327,11 +234,11 @@
         -------
         Result of ResponseHead, or of ConnectionFailure
         """
-        while not self._response_heads:
+        while not self._responses.heads:
             if self.closed:
                 return Error(self._failure)
             await self._wait_for_data()
-        return Ok(self._response_heads.popleft())
+        return Ok(self._responses.heads.popleft())
 
     async def read_chunk(self):
         """Wait for the next part of the body, of at most MAX_CHUNK_BYTES.
@@ -344,19 +251,19 @@
         Result of bytes, or of ConnectionFailure
             Empty at the end of the body.
         """
-        if self._body:
+        if self._responses.body:
             await asyncio.sleep(0)
-        while not self._body:
-            if self._has_body_end:
-                self._has_body_end = False
+        while not self._responses.body:
+            if self._responses.has_body_end:
+                self._responses.has_body_end = False
                 return Ok(b"")
             if self.closed:
                 return Error(self._failure)
             await self._wait_for_data()
-        chunk = bytes(self._body[:MAX_CHUNK_BYTES])
-        del self._body[:MAX_CHUNK_BYTES]
+        chunk = bytes(self._responses.body[:MAX_CHUNK_BYTES])
+        del self._responses.body[:MAX_CHUNK_BYTES]
         self._count_body()
-        if self._is_paused and len(self._body) <= READ_LOW_WATER_BYTES:
+        if self._is_paused and len(self._responses.body) <= READ_LOW_WATER_BYTES:
             self._resume_transport()
         return Ok(chunk)
 
@@ -375,29 +282,23 @@
             self._pause_if_full()
             if not self._is_paused:
                 self._resume_transport()
-        while not self._has_body_end:
-            if len(self._body) > MAX_BODY_BYTES:
+        while not self._responses.has_body_end:
+            if len(self._responses.body) > MAX_BODY_BYTES:
                 self._fail(ConnectionFailure.MALFORMED)
             if self.closed:
                 return Error(self._failure)
             await self._wait_for_data()
-        self._has_body_end = False
-        if len(self._body) > MAX_BODY_BYTES:
+        self._responses.has_body_end = False
+        if len(self._responses.body) > MAX_BODY_BYTES:
             self._fail(ConnectionFailure.MALFORMED)
             return Error(ConnectionFailure.MALFORMED)
-        body, self._body = self._body, bytearray()
+        body, self._responses.body = self._responses.body, bytearray()
         self._held_size = 0
         return Ok(body)
 
     def is_reusable(self):
         """Return whether another request can be sent on this connection."""
-        is_idle = (
-            self._pending_responses == 0
-            and not self._body
-            and not self._has_body_end
-            and not self._response_heads
-        )
-        return self._is_open and is_idle and self._keep_alive
+        return self._is_open and self._responses.is_empty and self._responses.keep_alive
 
     def send_notice(self, notice):
         """Tell a ServerNotice to the instance through which the server is reached."""
@@ -406,16 +307,16 @@
 
     def retire(self):
         """Serve no further request; close now if there is none."""
-        self._keep_alive = False
-        if self._pending_responses == 0:
+        self._responses.keep_alive = False
+        if self._responses.pending_count == 0:
             self._fail(ConnectionFailure.CLOSED)
 
     def abort(self):
         """Abort the connection immediately, and drop what hasn't been read."""
         self._fail(ConnectionFailure.CLOSED)
-        # The parser and the connection refer to each other, so that they stay until
-        # the garbage collector comes by.
-        self._body = bytearray()
+        # The parser and the responses refer to each other, so that they stay until the
+        # garbage collector comes by.
+        self._responses.body = bytearray()
         self._count_body()
 
 
--- /dev/null
+++ b/tanagerwalk/gateway/response_assembly.py
@@ -0,0 +1,155 @@
+"""Assembles responses from what the parser finds in the bytes of a connection."""
+
+from collections import deque
+
+import httptools
+
+from .response_heads import ResponseHead, match_any_response
+
+# Bytes of a response that are not its body: those of a head that does not end, of
+# responses to others, and the framing of a body in tiny pieces.
+MAX_OVERHEAD_BYTES = 1024 * 1024
+NO_BODY_STATUSES = frozenset({204, 304})
+FIRST_FINAL_STATUS = 200
+
+
+class ResponseAssembly:
+    """The responses of one connection, parsed but not read yet.
+
+    Attributes
+    ----------
+    heads : collections.deque of ResponseHead
+        Heads that have not been read.
+    body : bytearray
+        What has not been read of a body.
+    has_body_end : bool
+        Whether `body` is all that is left of it.
+    pending_count : int
+        Number of requests whose responses are incomplete.
+    keep_alive : bool
+        Whether another request can be sent after this one.
+    """
+
+    def __init__(self):
+        self.heads = deque()
+        self.body = bytearray()
+        self.has_body_end = False
+        self.pending_count = 0
+        self.keep_alive = True
+        self._parser = httptools.HttpResponseParser(self)
+        self._overhead_bytes = 0
+        self._headers = []
+        self._reason = b""
+        self._body_ends_at_close = False
+        self._has_no_body = False
+        self._discarding = False
+        self._matches_request = match_any_response
+
+    def expect(self, matches_request, has_no_body):
+        """Expect the response to another request.
+
+        Parameters
+        ----------
+        matches_request : callable
+            Takes a ResponseHead and returns whether it belongs to the request.
+        has_no_body : bool
+            Whether the response has no body regardless of its headers.
+        """
+        self._matches_request = matches_request
+        self._has_no_body = has_no_body
+        self._overhead_bytes = 0
+        self.pending_count += 1
+
+    def feed(self, data):
+        """Parse received bytes.
+
+        Returns
+        -------
+        bool
+            False if they are malformed, or too many of them are no part of a body.
+        """
+        self._overhead_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            return False
+        return self._overhead_bytes <= MAX_OVERHEAD_BYTES
+
+    def end_body(self):
+        """Mark the body, and so the response, as complete."""
+        self.has_body_end = True
+        self.pending_count -= 1
+        # It holds on to the request, and the connection may be kept for long.
+        self._matches_request = match_any_response
+
+    @property
+    def ends_at_close(self):
+        """Whether the expected response is delimited by the end of the connection."""
+        return self._body_ends_at_close and self.pending_count > 0
+
+    @property
+    def is_empty(self):
+        """Whether nothing is expected, and nothing is left to read."""
+        return (
+            self.pending_count == 0
+            and not self.body
+            and not self.has_body_end
+            and not self.heads
+        )
+
+    # Called by the parser.
+
+    def on_message_begin(self):
+        """Clear the headers of the previous message."""
+        self._headers = []
+        self._reason = b""
+        if self.pending_count == 0:
+            # An extra response to the same request; no caller is waiting for it.
+            self.keep_alive = False
+
+    def on_status(self, status):
+        """Append a fragment of the reason phrase."""
+        self._reason += status
+
+    def on_header(self, name, value):
+        """Store a response header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self):
+        """Queue the response head and determine how its body is delimited."""
+        status = self._parser.get_status_code()
+        if status < FIRST_FINAL_STATUS or self.pending_count == 0:
+            return
+        head = ResponseHead(status, self._reason, self._headers)
+        self._discarding = not self._matches_request(head)
+        if self._discarding:
+            # A late response to an earlier request; the expected one follows.
+            self.keep_alive = False
+            return
+        self.keep_alive = self.keep_alive and self._parser.should_keep_alive()
+        framed = head.get_header(b"content-length") or head.get_header(
+            b"transfer-encoding"
+        )
+        has_body = status not in NO_BODY_STATUSES and not self._has_no_body
+        self._body_ends_at_close = has_body and framed is None
+        self.heads.append(head)
+        if self._has_no_body:
+            # The parser can't be told, and would wait for the length in the head.
+            self.keep_alive = False
+            self.end_body()
+
+    def on_body(self, data):
+        """Append a fragment of the body."""
+        if self.pending_count == 0 or self._discarding:
+            return
+        self._overhead_bytes -= len(data)
+        self.body += data
+
+    def on_message_complete(self):
+        """Mark the end of the body."""
+        final = self._parser.get_status_code() >= FIRST_FINAL_STATUS
+        if self._discarding:
+            self._discarding = False
+            return
+        if final and self.pending_count and not self._body_ends_at_close:
+            self.end_body()
--- a/test/gateway/test_closed_sockets.py
+++ b/test/gateway/test_closed_sockets.py
@@ -9,6 +9,7 @@
 from expression import Ok
 
 from tanagerwalk.gateway.connections import Connection
+from tanagerwalk.gateway.response_heads import match_any_response
 from tanagerwalk.gateway.socket_options import (
     has_pending_reset,
     set_client_socket_options,
@@ -44,8 +45,8 @@
         address = server.sockets[0].getsockname()[:2]
         _, writer = await asyncio.open_connection(*address)
         connection = Connection("other")
-        connection._body_ends_at_close = True
-        connection._pending_responses = 1
+        connection._responses.expect(match_any_response, has_no_body=False)
+        assert connection._responses.feed(b"HTTP/1.1 200 OK\r\n\r\n")
         transport = TunnelTransport(ChannelLostAfterEnd(writer), connection)
         connection.connection_made(transport)
         await asyncio.sleep(0.2)
--- a/test/gateway/test_server_notices.py
+++ b/test/gateway/test_server_notices.py
@@ -12,7 +12,7 @@
     find_hold,
     find_resume_limit,
 )
-from tanagerwalk.gateway.connections import ResponseHead
+from tanagerwalk.gateway.response_heads import ResponseHead
 from tanagerwalk.platform.egress import classify_head
 from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
--- a/test/platform/test_odd_headers.py
+++ b/test/platform/test_odd_headers.py
@@ -5,9 +5,10 @@
 from hypothesis import strategies as st
 
 from tanagerwalk.decisions.server_statements import parse_statement
-from tanagerwalk.gateway.connections import Connection, ResponseHead
+from tanagerwalk.gateway.connections import Connection
 from tanagerwalk.gateway.pool import parse_idle_timeout
 from tanagerwalk.gateway.requests import RawRequest
+from tanagerwalk.gateway.response_heads import ResponseHead
 from tanagerwalk.platform import names
 from tanagerwalk.platform.egress import classify_head, is_response_to
 from tanagerwalk.platform.ingress import parse_request
