Do not blame a release for single servers that fail

Failures of one server come together, but the test took every answer as independent.

Answers of the target are now counted by route and server too (TrialTally, a new optional field, only for servers that failed). Where some servers fail significantly more often than the others, and these gave a third of the answers at least, only the others are compared with the base. Failures of one server alone count from the eighth on, while others answer.

--- a/tanagerwalk/decisions/release_evidence.py
+++ b/tanagerwalk/decisions/release_evidence.py
@@ -7,7 +7,15 @@
 from .tallies import SideCount
 
 MIN_BAD_ANSWERS = 3
+# A lone failure does not tell a failing server from others.
+MIN_BAD_OF_SERVER = 2
+# Fewer failures of a single server are no evidence while others answer.
+MIN_BAD_ON_ONE_SERVER = 8
+# The others tell about the release if they gave this share of its answers.
+MIN_OTHERS_SHARE = 1 / 3
 SIGNIFICANCE_LEVEL = 0.002
+# That servers fail more often than the others of a release that fails too.
+SERVER_SIGNIFICANCE_LEVEL = 0.02
 MIN_BASE_RATE = 0.02
 # A release that is slower than the base by less than this is not called slow.
 SLOW_RATIO = 2**0.5
@@ -39,14 +47,51 @@
     totals = SideCount(), SideCount()
     for route, target in tally.target.items():
         base = tally.base.get(route, SideCount())
-        if is_significantly_worse(target, base):
+        if is_failing_release(target, base, tally.list_target_servers(route)):
             return True
         totals[0].add(target)
         totals[1].add(base)
-    return is_significantly_worse(*totals) or is_slow_release(tally, slow_ratio)
+    is_failing = is_failing_release(*totals, tally.list_target_servers())
+    return is_failing or is_slow_release(tally, slow_ratio)
 
 
-def is_significantly_worse(target, base):
+def is_failing_release(target, base, servers):
+    """Return whether the target fails more often than the base, on all its servers.
+
+    The failures of one server come together, be it cut off, overloaded or broken. If
+    some servers fail significantly more often than the target's other ones, only those
+    others count: a release that is bad fails there as well.
+
+    Parameters
+    ----------
+    target, base : SideCount
+        Answer counts of the two releases.
+    servers : list of SideCount
+        Answer counts of the target's servers; those without failures may be missing.
+    """
+    if not is_significantly_worse(target, base):
+        return False
+    failing = SideCount()
+    by_failures = sorted(servers, key=lambda count: count.bad, reverse=True)
+    for number, server in enumerate(by_failures, start=1):
+        if server.bad < MIN_BAD_OF_SERVER:
+            break
+        failing.add(server)
+        others = target.subtract(failing)
+        if others.answers < MIN_OTHERS_SHARE * target.answers:
+            break
+        if is_significantly_worse(others, base):
+            continue
+        if server.bad >= MIN_BAD_ANSWERS and target.bad < MIN_BAD_ON_ONE_SERVER:
+            return False
+        # Of all sets of so many servers, this one was chosen for its failures.
+        level = SERVER_SIGNIFICANCE_LEVEL / math.comb(len(servers), number)
+        if is_significantly_worse(failing, others, level):
+            return False
+    return True
+
+
+def is_significantly_worse(target, base, level=SIGNIFICANCE_LEVEL):
     """Return whether the target release fails significantly more often than the base.
 
     One-sided binomial test against the failure rate of the base release, which is
@@ -56,14 +101,13 @@
     ----------
     target, base : SideCount
         Answer counts of the two releases.
+    level : float
+        Probability of the failures at which they are significant.
     """
     if target.bad < MIN_BAD_ANSWERS:
         return False
     rate = max(MIN_BASE_RATE, (base.bad + 0.5) / (base.answers + 1.0))
-    return (
-        compute_binomial_tail(target.bad, target.answers, min(rate, 0.99))
-        < SIGNIFICANCE_LEVEL
-    )
+    return compute_binomial_tail(target.bad, target.answers, min(rate, 0.99)) < level
 
 
 def compute_binomial_tail(bad, answers, rate):
--- a/tanagerwalk/decisions/tallies.py
+++ b/tanagerwalk/decisions/tallies.py
@@ -19,6 +19,12 @@
         self.answers += other.answers
         self.bad += other.bad
 
+    def subtract(self, other):
+        """Return what remains of this count without that of some of its answers."""
+        return SideCount(
+            max(0, self.answers - other.answers), max(0, self.bad - other.bad)
+        )
+
     def raise_to(self, other):
         """Raise both numbers to those of another count of the same answers."""
         self.answers = max(self.answers, other.answers)
@@ -61,6 +67,14 @@
     is_target: bool
 
 
+@dataclass(frozen=True, slots=True)
+class RouteServer:
+    """A backend server, given by `hash_server`, and a route that it serves."""
+
+    route: RouteName
+    server: int
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerKind:
     """Answers whose latencies can be compared: those of one route and model.
@@ -86,6 +100,8 @@
         Their latencies.
     starts : StartCount
         Requests that were assigned to each release.
+    target_servers : dict of RouteServer to SideCount
+        Answers of the target's servers.
     """
 
     target: dict[RouteName, SideCount] = field(default_factory=dict)
@@ -93,18 +109,53 @@
     target_latencies: dict[AnswerKind, LatencyHistogram] = field(default_factory=dict)
     base_latencies: dict[AnswerKind, LatencyHistogram] = field(default_factory=dict)
     starts: StartCount = field(default_factory=StartCount)
+    target_servers: dict[RouteServer, SideCount] = field(default_factory=dict)
 
-    def record(self, route, is_target, is_bad):
-        """Count one request that a release answered."""
-        side = self.target if is_target else self.base
-        count = side.setdefault(route, SideCount())
-        count.answers += 1
-        count.bad += is_bad
+    def record(self, route, is_target, is_bad, server=None):
+        """Count one request that a release answered.
 
-    def mark_bad(self, route, is_target):
+        Parameters
+        ----------
+        route : RouteName
+            Route of the request.
+        is_target : bool
+            Whether the release that is rolled out answered.
+        is_bad : bool
+            Whether it answered badly.
+        server : int or None
+            `hash_server` of the server that answered; None is not counted by server.
+        """
+        answer = SideCount(1, int(is_bad))
+        self._add_answer(route, is_target, answer, server)
+
+    def mark_bad(self, route, is_target, server=None):
         """Count a request as bad that was counted as answered well before."""
+        self._add_answer(route, is_target, SideCount(0, 1), server)
+
+    def _add_answer(self, route, is_target, answer, server):
         side = self.target if is_target else self.base
-        side[route].bad += 1
+        side.setdefault(route, SideCount()).add(answer)
+        if is_target and server is not None:
+            key = RouteServer(route, server)
+            self.target_servers.setdefault(key, SideCount()).add(answer)
+
+    def list_target_servers(self, route=None):
+        """Return the SideCounts of the target's servers on one route or on all.
+
+        Parameters
+        ----------
+        route : RouteName or None
+            The route; None for the sums over all routes.
+
+        Returns
+        -------
+        list of SideCount
+        """
+        counts = {}
+        for key, count in self.target_servers.items():
+            if route is None or key.route == route:
+                counts.setdefault(key.server, SideCount()).add(count)
+        return list(counts.values())
 
     def record_latency(self, kind, is_target, seconds):
         """Count the latency of one answer of an AnswerKind."""
@@ -130,6 +181,7 @@
         return (
             (self.target, other.target, SideCount),
             (self.base, other.base, SideCount),
+            (self.target_servers, other.target_servers, SideCount),
             (self.target_latencies, other.target_latencies, LatencyHistogram),
             (self.base_latencies, other.base_latencies, LatencyHistogram),
         )
--- a/tanagerwalk/gateway/answer_recorder.py
+++ b/tanagerwalk/gateway/answer_recorder.py
@@ -3,6 +3,7 @@
 from ..decisions.engine_load import find_slowdown
 from ..decisions.latency_baselines import LatencyBaselines
 from ..decisions.load_curve import LoadCurve
+from ..decisions.shared_loads import hash_server
 from ..decisions.tallies import AnswerKind, RolloutSide
 from .attempts import Outcome
 
@@ -67,17 +68,19 @@
             result.outcome not in OUTCOMES_WITH_RESPONSE and not is_bad
         ):
             return
-        self._count_answer(order, request, is_target, is_bad)
+        self._count_answer(order, request, attempt.server, is_bad)
 
-    def _count_answer(self, order, request, is_target, is_bad):
+    def _count_answer(self, order, request, server, is_bad):
+        is_target = server.release == order.target
         tally = self._get_tallies((order.service, order.revision)).own
+        key = hash_server(server.id)
         side = RolloutSide(order.revision, is_target)
         was_bad = request.counted_answers.get(side)
         request.counted_answers[side] = is_bad or bool(was_bad)
         if was_bad is None:
-            tally.record(request.route.name, is_target, is_bad)
+            tally.record(request.route.name, is_target, is_bad, key)
         elif is_bad and not was_bad:
-            tally.mark_bad(request.route.name, is_target)
+            tally.mark_bad(request.route.name, is_target, key)
 
     def _learn_speed(self, server, kind, sample, load):
         """Learn how fast a server is from a successful answer; errors come sooner."""
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -13,7 +13,7 @@
 from ..decisions.relays import Scope
 from ..decisions.server_statements import Statement
 from ..decisions.shared_loads import SharedLoad
-from ..decisions.tallies import AnswerKind, SideCount, StartCount, Tally
+from ..decisions.tallies import AnswerKind, RouteServer, SideCount, StartCount, Tally
 from ..ids import Fingerprint, Incarnation, PartKey, RouteName
 from ..peers.codec import decode
 from ..peers.gen.loads.ttypes import (
@@ -26,6 +26,7 @@
     ServerLimit,
     ServerLoad,
     ServerSpeed,
+    ServerTally,
     ServiceDemand,
     SessionSides,
     TrialTally,
@@ -37,6 +38,8 @@
 MAC_BYTES = 16
 # Histograms of both releases for one message; a hundred bytes each.
 MAX_LATENCIES = 8
+# Servers of a release for one message; route names may have many characters.
+MAX_SERVERS = 12
 MAX_INT32 = 2**31 - 1
 # Fields that all versions of a message set.
 REQUIRED_FIELDS = {
@@ -49,6 +52,7 @@
     TrialTally: ("service_name", "order"),
     RouteTally: ("route", "target_answers", "target_bad", "base_answers", "base_bad"),
     LatencyTally: ("route",),
+    ServerTally: ("route", "server", "answers", "bad"),
     ServiceDemand: ("service_name", "offered", "done", "waiting", "accounts"),
     AccountDemand: ("account", "offered"),
 }
@@ -114,6 +118,7 @@
     for tally in message.tallies or ():
         yield from tally.routes or ()
         yield from tally.latencies or ()
+        yield from tally.servers or ()
     for demand in message.demands or ():
         yield from demand.accounts or ()
 
@@ -265,9 +270,30 @@
         route = RouteName(counts.route)
         tally.target[route] = _decode_count(counts.target_answers, counts.target_bad)
         tally.base[route] = _decode_count(counts.base_answers, counts.base_bad)
+    for counts in encoded.servers or ():
+        key = RouteServer(RouteName(counts.route), counts.server)
+        tally.target_servers[key] = _decode_count(counts.answers, counts.bad)
     return tally
 
 
+def encode_servers(service, order, tally):
+    """Convert the counts of servers that failed to TrialTally messages of bounded size.
+
+    Returns
+    -------
+    list of TrialTally
+    """
+    servers = [
+        ServerTally(key.route, key.server, count.answers, count.bad)
+        for key, count in tally.target_servers.items()
+        if count.bad
+    ]
+    return [
+        TrialTally(service, order, [], servers=servers[start : start + MAX_SERVERS])
+        for start in range(0, len(servers), MAX_SERVERS)
+    ]
+
+
 def _decode_count(answers, bad):
     return SideCount(max(0, answers), max(0, bad))
 
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -1026,6 +1026,96 @@
         return not (self == other)
 
 
+class ServerTally(object):
+    """
+    Attributes:
+     - route
+     - server
+     - answers
+     - bad
+
+    """
+
+
+    def __init__(self, route=None, server=None, answers=None, bad=None,):
+        self.route = route
+        self.server = server
+        self.answers = answers
+        self.bad = bad
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.server = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.answers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.bad = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerTally')
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 1)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.I64, 2)
+            oprot.writeI64(self.server)
+            oprot.writeFieldEnd()
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.I32, 3)
+            oprot.writeI32(self.answers)
+            oprot.writeFieldEnd()
+        if self.bad is not None:
+            oprot.writeFieldBegin('bad', TType.I32, 4)
+            oprot.writeI32(self.bad)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class TrialTally(object):
     """
     Attributes:
@@ -1035,17 +1125,19 @@
      - latencies
      - target_starts
      - base_starts
+     - servers
 
     """
 
 
-    def __init__(self, service_name=None, order=None, routes=None, latencies=None, target_starts=None, base_starts=None,):
+    def __init__(self, service_name=None, order=None, routes=None, latencies=None, target_starts=None, base_starts=None, servers=None,):
         self.service_name = service_name
         self.order = order
         self.routes = routes
         self.latencies = latencies
         self.target_starts = target_starts
         self.base_starts = base_starts
+        self.servers = servers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1098,6 +1190,17 @@
                     self.base_starts = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.servers = []
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = ServerTally()
+                        _elem77.read(iprot)
+                        self.servers.append(_elem77)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1119,15 +1222,15 @@
         if self.routes is not None:
             oprot.writeFieldBegin('routes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter72 in self.routes:
-                iter72.write(oprot)
+            for iter78 in self.routes:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.latencies is not None:
             oprot.writeFieldBegin('latencies', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.latencies))
-            for iter73 in self.latencies:
-                iter73.write(oprot)
+            for iter79 in self.latencies:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.target_starts is not None:
@@ -1138,6 +1241,13 @@
             oprot.writeFieldBegin('base_starts', TType.I64, 6)
             oprot.writeI64(self.base_starts)
             oprot.writeFieldEnd()
+        if self.servers is not None:
+            oprot.writeFieldBegin('servers', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.servers))
+            for iter80 in self.servers:
+                iter80.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1467,31 +1577,31 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.done = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = iprot.readI64()
-                        self.done.append(_elem79)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = iprot.readI64()
+                        self.done.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.waiting = []
-                    (_etype83, _size80) = iprot.readListBegin()
-                    for _i84 in range(_size80):
-                        _elem85 = iprot.readI64()
-                        self.waiting.append(_elem85)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = iprot.readI64()
+                        self.waiting.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.accounts = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = AccountDemand()
-                        _elem91.read(iprot)
-                        self.accounts.append(_elem91)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = AccountDemand()
+                        _elem98.read(iprot)
+                        self.accounts.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1516,22 +1626,22 @@
         if self.done is not None:
             oprot.writeFieldBegin('done', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.done))
-            for iter92 in self.done:
-                oprot.writeI64(iter92)
+            for iter99 in self.done:
+                oprot.writeI64(iter99)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.LIST, 4)
             oprot.writeListBegin(TType.I64, len(self.waiting))
-            for iter93 in self.waiting:
-                oprot.writeI64(iter93)
+            for iter100 in self.waiting:
+                oprot.writeI64(iter100)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.accounts))
-            for iter94 in self.accounts:
-                iter94.write(oprot)
+            for iter101 in self.accounts:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1617,44 +1727,44 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = ServerLoad()
-                        _elem100.read(iprot)
-                        self.loads.append(_elem100)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = ServerLoad()
+                        _elem107.read(iprot)
+                        self.loads.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.blames = []
-                    (_etype104, _size101) = iprot.readListBegin()
-                    for _i105 in range(_size101):
-                        _elem106 = CrashBlame()
-                        _elem106.read(iprot)
-                        self.blames.append(_elem106)
+                    (_etype111, _size108) = iprot.readListBegin()
+                    for _i112 in range(_size108):
+                        _elem113 = CrashBlame()
+                        _elem113.read(iprot)
+                        self.blames.append(_elem113)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.sides = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = SessionSides()
-                        _elem112.read(iprot)
-                        self.sides.append(_elem112)
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = SessionSides()
+                        _elem119.read(iprot)
+                        self.sides.append(_elem119)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.tallies = []
-                    (_etype116, _size113) = iprot.readListBegin()
-                    for _i117 in range(_size113):
-                        _elem118 = TrialTally()
-                        _elem118.read(iprot)
-                        self.tallies.append(_elem118)
+                    (_etype123, _size120) = iprot.readListBegin()
+                    for _i124 in range(_size120):
+                        _elem125 = TrialTally()
+                        _elem125.read(iprot)
+                        self.tallies.append(_elem125)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1681,76 +1791,76 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = iprot.readI64()
-                        self.leaving.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readI64()
+                        self.leaving.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = ServerLimit()
-                        _elem130.read(iprot)
-                        self.limits.append(_elem130)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = ServerLimit()
+                        _elem137.read(iprot)
+                        self.limits.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.notes = []
-                    (_etype134, _size131) = iprot.readListBegin()
-                    for _i135 in range(_size131):
-                        _elem136 = SessionNote()
-                        _elem136.read(iprot)
-                        self.notes.append(_elem136)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = SessionNote()
+                        _elem143.read(iprot)
+                        self.notes.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.brittle = []
-                    (_etype140, _size137) = iprot.readListBegin()
-                    for _i141 in range(_size137):
-                        _elem142 = ServerBrittleness()
-                        _elem142.read(iprot)
-                        self.brittle.append(_elem142)
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = ServerBrittleness()
+                        _elem149.read(iprot)
+                        self.brittle.append(_elem149)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.permits = []
-                    (_etype146, _size143) = iprot.readListBegin()
-                    for _i147 in range(_size143):
-                        _elem148 = PermitNote()
-                        _elem148.read(iprot)
-                        self.permits.append(_elem148)
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = PermitNote()
+                        _elem155.read(iprot)
+                        self.permits.append(_elem155)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 40:
                 if ftype == TType.LIST:
                     self.speeds = []
-                    (_etype152, _size149) = iprot.readListBegin()
-                    for _i153 in range(_size149):
-                        _elem154 = ServerSpeed()
-                        _elem154.read(iprot)
-                        self.speeds.append(_elem154)
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = ServerSpeed()
+                        _elem161.read(iprot)
+                        self.speeds.append(_elem161)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 60:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype158, _size155) = iprot.readListBegin()
-                    for _i159 in range(_size155):
-                        _elem160 = ServiceDemand()
-                        _elem160.read(iprot)
-                        self.demands.append(_elem160)
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = ServiceDemand()
+                        _elem167.read(iprot)
+                        self.demands.append(_elem167)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1775,29 +1885,29 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter161 in self.loads:
-                iter161.write(oprot)
+            for iter168 in self.loads:
+                iter168.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blames is not None:
             oprot.writeFieldBegin('blames', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.blames))
-            for iter162 in self.blames:
-                iter162.write(oprot)
+            for iter169 in self.blames:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sides is not None:
             oprot.writeFieldBegin('sides', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.sides))
-            for iter163 in self.sides:
-                iter163.write(oprot)
+            for iter170 in self.sides:
+                iter170.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter164 in self.tallies:
-                iter164.write(oprot)
+            for iter171 in self.tallies:
+                iter171.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.scope is not None:
@@ -1819,50 +1929,50 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 11)
             oprot.writeListBegin(TType.I64, len(self.leaving))
-            for iter165 in self.leaving:
-                oprot.writeI64(iter165)
+            for iter172 in self.leaving:
+                oprot.writeI64(iter172)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter166 in self.limits:
-                iter166.write(oprot)
+            for iter173 in self.limits:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.notes is not None:
             oprot.writeFieldBegin('notes', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.notes))
-            for iter167 in self.notes:
-                iter167.write(oprot)
+            for iter174 in self.notes:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.brittle is not None:
             oprot.writeFieldBegin('brittle', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.brittle))
-            for iter168 in self.brittle:
-                iter168.write(oprot)
+            for iter175 in self.brittle:
+                iter175.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.permits is not None:
             oprot.writeFieldBegin('permits', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.permits))
-            for iter169 in self.permits:
-                iter169.write(oprot)
+            for iter176 in self.permits:
+                iter176.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 40)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter170 in self.speeds:
-                iter170.write(oprot)
+            for iter177 in self.speeds:
+                iter177.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 60)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter171 in self.demands:
-                iter171.write(oprot)
+            for iter178 in self.demands:
+                iter178.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1959,6 +2069,14 @@
     (3, TType.MAP, 'target', (TType.I16, None, TType.I32, None, False), None, ),  # 3
     (4, TType.MAP, 'base', (TType.I16, None, TType.I32, None, False), None, ),  # 4
 )
+all_structs.append(ServerTally)
+ServerTally.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'server', None, None, ),  # 2
+    (3, TType.I32, 'answers', None, None, ),  # 3
+    (4, TType.I32, 'bad', None, None, ),  # 4
+)
 all_structs.append(TrialTally)
 TrialTally.thrift_spec = (
     None,  # 0
@@ -1968,6 +2086,7 @@
     (4, TType.LIST, 'latencies', (TType.STRUCT, [LatencyTally, None], False), None, ),  # 4
     (5, TType.I64, 'target_starts', None, None, ),  # 5
     (6, TType.I64, 'base_starts', None, None, ),  # 6
+    (7, TType.LIST, 'servers', (TType.STRUCT, [ServerTally, None], False), None, ),  # 7
 )
 all_structs.append(SessionNote)
 SessionNote.thrift_spec = (
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -114,8 +114,16 @@
   4: map<i16, i32> base
 }
 
-// Response counts of the sender for one roll-out, since its order. The latencies of one
-// roll-out may be spread over several messages.
+// Responses on one route of one server of the target release, given by its hash.
+struct ServerTally {
+  1: string route
+  2: i64 server
+  3: i32 answers
+  4: i32 bad
+}
+
+// Response counts of the sender for one roll-out, since its order. The latencies and the
+// servers of one roll-out may be spread over several messages.
 struct TrialTally {
   1: string service_name
   2: i64 order
@@ -124,6 +132,8 @@
   // Requests that were assigned to each release.
   5: optional i64 target_starts
   6: optional i64 base_starts
+  // Servers of the target release that gave bad responses.
+  7: optional list<ServerTally> servers
 }
 
 // What an instance tells an owner of a session during a roll-out, and its answer.
--- /dev/null
+++ b/test/decisions/test_server_failures.py
@@ -0,0 +1,96 @@
+"""Failures of single servers and of releases, as answers of a roll-out show them."""
+
+import random
+from dataclasses import dataclass
+
+import pytest
+
+from tanagerwalk.decisions.release_evidence import is_bad_release
+from tanagerwalk.decisions.tallies import Tally
+
+SEEDS = range(40)
+REQUESTS = 3000
+TARGET_SHARE = 0.12
+USUAL_RATE = 0.005
+# A bad release has to be halted a while after its fiftieth bad answer at the latest.
+MAX_BAD_ANSWERS = 50
+# Share of the good releases that may be halted by chance.
+MAX_FALSE_HALTS = 0.05
+
+
+@dataclass(frozen=True)
+class Pattern:
+    """How often the servers of a release fail.
+
+    Parameters
+    ----------
+    rates : tuple of float
+        Failure rates of the target's servers.
+    between : tuple of (float, float)
+        Part of the roll-out in which they are so; USUAL_RATE holds outside of it.
+    weights : tuple of float or None
+        Shares of the target's requests that its servers get; None for equal ones.
+    bad_route : str or None
+        Only route with these rates; None if all have them.
+    """
+
+    rates: tuple[float, ...]
+    between: tuple[float, float] = (0.0, 1.0)
+    weights: tuple[float, ...] | None = None
+    bad_route: str | None = None
+
+
+GOOD = {
+    "no failures": Pattern((USUAL_RATE,) * 6),
+    "one of six fails for a while": Pattern((1.0, *(USUAL_RATE,) * 5), (0.4, 0.5)),
+    "one of two fails for a while": Pattern((1.0, USUAL_RATE), (0.6, 0.65)),
+    "one of six fails throughout": Pattern((0.45, *(USUAL_RATE,) * 5), (0.1, 1.0)),
+    "a third fails for a while": Pattern((1.0,) * 2 + (USUAL_RATE,) * 4, (0.5, 0.6)),
+}
+BAD = {
+    "half of the answers": Pattern((0.43,) * 6),
+    "a tenth of the answers": Pattern((0.1,) * 6),
+    "two servers": Pattern((0.43,) * 2),
+    "one server": Pattern((0.43,)),
+    "one route": Pattern((0.5,) * 6, bad_route="plans"),
+    "one server gets most requests": Pattern((0.43,) * 4, weights=(85, 5, 5, 5)),
+    "one server fails more often": Pattern((1.0, *(0.15,) * 5)),
+    "turns bad": Pattern((0.43,) * 6, (0.7, 1.0)),
+}
+
+
+def count_bad_answers(pattern, seed):
+    """Return the target's bad answers until it is halted, or None if it isn't."""
+    source = random.Random(seed)
+    tally = Tally()
+    first, last = (int(part * REQUESTS) for part in pattern.between)
+    servers = range(len(pattern.rates))
+    bad_answers = 0
+    for number in range(REQUESTS):
+        route = source.choice(("plans", "notes"))
+        is_target = source.random() < TARGET_SHARE
+        [server] = source.choices(servers, pattern.weights)
+        is_usual = not is_target or pattern.bad_route not in (None, route)
+        is_usual = is_usual or not first <= number < last
+        rate = USUAL_RATE if is_usual else pattern.rates[server]
+        is_bad = source.random() < rate
+        tally.record(route, is_target, is_bad, server)
+        bad_answers += is_target and is_bad
+        if is_target and is_bad_release(tally):
+            return bad_answers
+    return None
+
+
+@pytest.mark.parametrize("name", GOOD)
+def test_good_release_is_not_halted_for_servers_that_fail(name):
+    """A good release was halted for the failures of a few of its servers."""
+    results = [count_bad_answers(GOOD[name], seed) for seed in SEEDS]
+    halted = len(SEEDS) - results.count(None)
+    assert halted <= MAX_FALSE_HALTS * len(SEEDS)
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_bad_release_is_halted_whatever_its_servers(name):
+    results = [count_bad_answers(BAD[name], seed) for seed in SEEDS]
+    assert None not in results
+    assert max(results) <= MAX_BAD_ANSWERS
