Keep requests off engines that answer errors at once

An error response paused nobody, and an engine that fails has no queue, so all instances took it for the best: 95, 93, 75, 59 and 50 attempts of about 1,375, against 20 or so at each sound engine; by second 8 as many attempts failed as were answered. Distance has little to do with it: in the model of six failure domains with one of them evacuated, the busiest domain gets 1.05 to 1.12 times the mean.

Change: an error counts as load of an engine for 5 s, by the loads that instances tell each other anyway, and two in a row pause the server for the instance. Not counted as places, so contention and limits of places are as before. Messages are unchanged.

The new tests fail without the change (constants set to none).

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -393,12 +393,14 @@
         return {
             server_id: SharedLoad(
                 usage.in_flight,
-                sum(work.total for work in usage.work),
+                usage.sum_tokens(now),
                 usage.measure_silence(now),
                 now - usage.last_activity_at,
             )
             for server_id, usage in self._usages.items()
-            if usage.in_flight or now - usage.last_activity_at <= self._shared.period
+            if usage.in_flight
+            or usage.has_recent_error(now)
+            or now - usage.last_activity_at <= self._shared.period
         }
 
     def has_sent_since(self, server, since):
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -19,6 +19,12 @@
 MAX_SILENCE_S = 1.0
 # Time that even an idle engine needs to process a long prompt.
 PREFILL_ALLOWANCE_S = 0.9
+# What an error response of an engine adds to its load, in tokens, and for how long. An
+# engine that fails at once would seem to be idle, and attract requests.
+ERROR_TOKENS = 2000.0
+ERROR_LIFETIME_S = 5.0
+# Errors in a row that pause a server; a single one may be the request's fault.
+PAUSING_ERRORS = 2
 
 
 @dataclass(slots=True)
@@ -76,6 +82,10 @@
         Number of requests of this instance on the server.
     work : list of Work
         Costs of these requests, if the server is an engine.
+    errors : int
+        Error responses to this instance since the last successful one.
+    last_error_at : float
+        Monotonic time of the last error response.
     other_requests : int
         Requests of other instances, according to the server's last report.
     reported_queue : int
@@ -99,6 +109,8 @@
     in_flight: int = 0
     work: list[Work] = field(default_factory=list)
     failures: int = 0
+    errors: int = 0
+    last_error_at: float = float("-inf")
     paused_until: float = float("-inf")
     other_requests: int = 0
     reported_queue: int = 0
@@ -163,7 +175,7 @@
         others = max(shared.in_flight, self.other_requests if is_recent else 0)
         if not self.runs_models and not shared.tokens:
             return (self.in_flight + others) / self.server.slots * slowdown
-        own = sum(work.total for work in self.work)
+        own = self.sum_tokens(now)
         unreported = others - shared.in_flight
         load = (own + shared.tokens + unreported * mean_work) / ENGINE_CAPACITY_TOKENS
         load += self._estimate_slot_wait(self.in_flight + others)
@@ -172,6 +184,15 @@
         allowance = PREFILL_ALLOWANCE_S * max(1.0, slowdown)
         return max(load * slowdown, silence - allowance)
 
+    def sum_tokens(self, now):
+        """Return the tokens that this instance counts at an engine, with its errors."""
+        tokens = sum(work.total for work in self.work)
+        return tokens + ERROR_TOKENS if self.has_recent_error(now) else tokens
+
+    def has_recent_error(self, now):
+        """Return whether an engine's last error response still counts as load."""
+        return self.runs_models and now - self.last_error_at <= ERROR_LIFETIME_S
+
     def estimate_extra_load(self, work, slowdown):
         """Return how much more load one request adds than at the usual speed.
 
--- a/tanagerwalk/decisions/server_usage_table.py
+++ b/tanagerwalk/decisions/server_usage_table.py
@@ -6,7 +6,7 @@
 from ..registry import ServerState
 from .missing_servers import MissingServers
 from .server_speeds import ServerSpeeds
-from .server_usage import ServerUsage
+from .server_usage import PAUSING_ERRORS, ServerUsage
 
 FAILURE_PAUSE_S = 0.5
 MAX_FAILURE_PAUSE_S = 4.0
@@ -264,6 +264,23 @@
         usage.failures += 1
         usage.paused_until = now + compute_failure_pause(usage.failures)
 
+    def record_error(self, server, now):
+        """Record an error response; several in a row pause the server."""
+        usage = self._usages.get(server.id)
+        if usage is None:
+            return
+        usage.errors += 1
+        usage.last_error_at = now
+        if usage.errors >= PAUSING_ERRORS:
+            pause = compute_failure_pause(usage.errors - PAUSING_ERRORS + 1)
+            usage.paused_until = max(usage.paused_until, now + pause)
+
+    def record_success(self, server):
+        """Record a successful answer."""
+        usage = self._usages.get(server.id)
+        if usage is not None:
+            usage.errors = 0
+
     def end_pause(self, server):
         """Use a server again whose failures were those of the path to it."""
         usage = self._usages.get(server.id)
--- a/tanagerwalk/gateway/answer_recorder.py
+++ b/tanagerwalk/gateway/answer_recorder.py
@@ -41,6 +41,7 @@
         """
         if result.fault is not None:
             return
+        self._record_health(attempt.server, result)
         order = self._cluster_state.orders.get(attempt.server.service)
         is_target = order is not None and attempt.server.release == order.target
         route = request.route
@@ -68,6 +69,13 @@
         book = self._get_tallies((order.service, order.revision))
         book.own.record(route.name, is_target, is_bad)
 
+    def _record_health(self, server, result):
+        """Tell the servers' usage of an error response, or of an answer without one."""
+        if result.outcome is Outcome.FAILED:
+            self._servers.record_error(server, self._clock())
+        elif result.is_success or result.outcome is Outcome.DECLINED:
+            self._servers.record_success(server)
+
     def _learn_speed(self, server, kind, sample, load):
         """Learn how fast a server is from a successful answer; errors come sooner."""
         now = self._clock()
--- a/test/decisions/spillover_fleet.py
+++ b/test/decisions/spillover_fleet.py
@@ -64,8 +64,12 @@
         Whether instances prefer their own failure domain.
     is_slow : callable
         Takes a server's name and a time; returns whether it is ten times slower.
+    fails : callable
+        Takes a server's name and a time; returns whether it answers errors at once.
     lost : dict of str to float
         Servers that are gone, and from when.
+    evacuated : dict of FailureDomain to (float, float)
+        Failure domains that get no requests, and from when until when.
     is_told : bool
         Whether instances tell each other their loads.
     length : float
@@ -81,7 +85,9 @@
     objective: float = 1.0
     prefers_local: bool = True
     is_slow: object = lambda name, now: False
+    fails: object = lambda name, now: False
     lost: dict = field(default_factory=dict)
+    evacuated: dict = field(default_factory=dict)
     is_told: bool = True
     length: float = 20.0
 
@@ -104,6 +110,10 @@
     ----------
     attempts : dict of (int, FailureDomain) to Counter of Distance
         Attempts by the second and the failure domain of the instance.
+    chosen : dict of int to Counter of str
+        Attempts by the second and the server.
+    errors : Counter of int
+        Attempts that failed, by the second.
     waits : list of (float, float)
         When each request was sent, and how long it waited until its answer began.
     departures : Counter of Departure
@@ -113,6 +123,8 @@
     """
 
     attempts: dict = field(default_factory=lambda: defaultdict(Counter))
+    chosen: dict = field(default_factory=lambda: defaultdict(Counter))
+    errors: Counter = field(default_factory=Counter)
     waits: list = field(default_factory=list)
     departures: Counter = field(default_factory=Counter)
     shares: list = field(default_factory=list)
@@ -131,6 +143,20 @@
         """Return the mean shares of a failure domain's instances in a time."""
         return [s for at, of, s in self.shares if of == domain and begin <= at < end]
 
+    def find_busiest(self, begin, end, but=()):
+        """Return the attempts at the busiest server, as a multiple of the mean."""
+        total = self._sum_chosen(begin, end)
+        counts = [count for name, count in total.items() if name not in but]
+        return max(counts) * len(counts) / sum(counts)
+
+    def find_error_share(self, begin, end):
+        """Return the share of the attempts in some seconds that failed."""
+        errors = sum(self.errors[second] for second in range(begin, end))
+        return errors / self._sum_chosen(begin, end).total()
+
+    def _sum_chosen(self, begin, end):
+        return sum((self.chosen[second] for second in range(begin, end)), Counter())
+
     def find_wait(self, quantile=0.95, begin=0.0, end=math.inf):
         """Return a quantile of the seconds until the prompt was read or a slot free."""
         waits = sorted(wait for at, wait in self.waits if begin <= at < end)
@@ -189,6 +215,9 @@
             self._after(0.0, self._observe)
         for name, at in self.scenario.lost.items():
             self._after(at, self._lose, name)
+        for domain, (begin, end) in self.scenario.evacuated.items():
+            self._after(begin, self._evacuate, {domain})
+            self._after(end, self._evacuate, set())
         while self._events and self.now < self.scenario.length:
             self.now, _, call, parameters = heapq.heappop(self._events)
             call(*parameters)
@@ -213,13 +242,16 @@
         self._after(
             self.random.expovariate(self._find_rate(domain)), self._arrive, domain
         )
-        pool = self.random.choice(self._pools[domain])
+        self._send(domain, self.random.choice(self._pools[domain]))
+
+    def _send(self, domain, pool):
         work, affinity = self._draw_work()
         traits = RequestTraits(self.scenario.objective, 600)
         entry = pool.choose(SERVICE, self.now, affinity=affinity, traits=traits)
         pool.record_sent(entry, work)
         distance = pool.find_distance(entry)
         self.trial.attempts[int(self.now), domain][distance] += 1
+        self.trial.chosen[int(self.now)][entry.id] += 1
         request = pool, work, self.now, DELAYS_S[distance]
         self._after(request[3], self._receive, self._servers[entry.id], request)
 
@@ -232,6 +264,9 @@
         return estimate_work(tokens, 1.0, self.now), compute_affinity(info, 1.0)
 
     def _receive(self, server, request):
+        if self.scenario.fails(server.entry.id, self.now):
+            self._fail(server, request)
+            return
         if server.running >= server.entry.slots:
             server.queue.append(request)
             return
@@ -258,10 +293,21 @@
         pool, work = request[:2]
         server.running -= 1
         pool.record_ended(server.entry, work)
+        pool.record_success(server.entry)
         self._record_answer(server, pool)
         if server.queue:
             self._receive(server, server.queue.popleft())
 
+    def _fail(self, server, request):
+        """Answer an error; the request comes once more as another one."""
+        pool, work = request[:2]
+        self.trial.errors[int(self.now)] += 1
+        pool.record_ended(server.entry, work)
+        self._record_answer(server, pool)
+        pool.record_error(server.entry, self.now)
+        domain = pool._home.failure_domain
+        self._after(request[3], self._send, domain, pool)
+
     def _record_answer(self, server, pool):
         load = EngineLoad(server.running, len(server.queue), server.entry.slots)
         pool.record_answer(server.entry, load, self.now)
@@ -283,6 +329,10 @@
         for pool in itertools.chain(*self._pools.values()):
             pool.replace_servers(entries)
 
+    def _evacuate(self, domains):
+        for pool in itertools.chain(*self._pools.values()):
+            pool.set_evacuated(frozenset(domains))
+
     def _tell(self, pool, number):
         self._after(REPORT_PERIOD_S, self._tell, pool, number + 1)
         own = {hash_server(k): v for k, v in pool.list_own_loads(self.now).items()}
--- a/test/decisions/test_selection.py
+++ b/test/decisions/test_selection.py
@@ -254,6 +254,38 @@
     assert pool.choose("drafts", 0.1).id == "s0"
 
 
+def test_engine_that_answers_errors_at_once_does_not_seem_idle():
+    shared = SharedLoadTable()
+    servers = [build_server("s0"), build_server("s1")]
+    pool = build_pool(*servers)
+    other = build_pool(*servers, shared=shared)
+    for server in servers:
+        send_many(other, 1)
+        pool.record_sent(server, estimate_work(100, 1.0))
+    pool.record_ended(servers[0], pool.find("s0").work[0])
+    pool.record_answer(servers[0], EngineLoad(0, 0, 8), 0.0)
+    assert pool.choose("drafts", 0.0).id == "s0"
+    pool.record_error(servers[0], 0.0)
+    assert {pool.choose("drafts", 4.9).id for _ in range(9)} == {"s1"}
+    told = pool.list_own_loads(4.9)
+    loads = {hash_server(name): load for name, load in told.items()}
+    shared.update(OTHER, "other", 1, loads, 4.9)
+    assert {other.choose("drafts", 4.9).id for _ in range(9)} == {"s1"}
+    assert pool.choose("drafts", 5.1).id == "s0"
+
+
+def test_several_errors_in_a_row_pause_a_server():
+    servers = [build_server("s0"), build_server("s1")]
+    pool = build_pool(*servers)
+    pool.record_error(servers[0], 0.0)
+    pool.record_success(servers[0])
+    pool.record_error(servers[0], 0.0)
+    assert pool.find("s0").paused_until <= 0.0
+    pool.record_error(servers[0], 0.0)
+    assert {pool.choose("drafts", 0.4).id for _ in range(9)} == {"s1"}
+    assert "s0" in {pool.choose("drafts", 0.6).id for _ in range(30)}
+
+
 def test_restarted_server_with_the_same_id_has_no_usage():
     pool = build_pool(build_server("s0"))
     pool.record_sent(pool.find("s0").server)
--- a/test/decisions/test_spillover.py
+++ b/test/decisions/test_spillover.py
@@ -236,6 +236,23 @@
     assert trial.find_share(11, 15, "a-1") < 0.05
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_failing_servers_attract_no_requests_under_an_evacuation(seed):
+    failing = {"a-2.0", "b-1.0", "c-2.1"}
+    scenario = Scenario(
+        lambda domain, now: 0.7,
+        servers=5,
+        instances=6,
+        tokens=400.0,
+        evacuated={"a-1": (2.0, 9.0)},
+        fails=lambda name, now: name in failing and now >= 3.0,
+        length=8.0,
+    )
+    trial = Fleet(scenario, seed).run()
+    assert trial.find_error_share(4, 8) < 0.05
+    assert trial.find_busiest(4, 8, but=failing) < 1.3
+
+
 def test_instances_without_news_go_by_what_they_see():
     scenario = Scenario(lambda domain, now: 0.5, is_told=False, length=8.0)
     trial = Fleet(scenario).run()
--- a/test/gateway/test_answer_recorder.py
+++ b/test/gateway/test_answer_recorder.py
@@ -111,3 +111,20 @@
 
 def test_release_excuses_itself_only_within_bounds():
     assert is_bad_release(record_answers(1.0, release=12.0, told=100.0))
+
+
+def test_errors_of_a_server_pause_it_and_other_answers_do_not():
+    pool = build_pool()
+    server = build_server("v1")
+    pool.replace_servers([server])
+    recorder = AnswerRecorder(
+        SimpleNamespace(orders={}), lambda key: None, pool, lambda: 0.0
+    )
+    failed, declined = (
+        AttemptResult(outcome) for outcome in (Outcome.FAILED, Outcome.DECLINED)
+    )
+    for result in (failed, declined, failed):
+        recorder.record_attempt(REQUEST, Attempt(server, 10.0), result)
+    assert pool.find(server.id).paused_until <= 0.0
+    recorder.record_attempt(REQUEST, Attempt(server, 10.0), failed)
+    assert pool.find(server.id).paused_until > 0.0
