--- a/tanagerwalk/gateway/answer_recorder.py
+++ b/tanagerwalk/gateway/answer_recorder.py
@@ -44,6 +44,7 @@
         """
         if result.fault is not None:
             return
+        self._record_health(attempt.server, result)
         order = self._cluster_state.orders.get(attempt.server.service)
         is_target = order is not None and attempt.server.release == order.target
         route = request.route
@@ -82,6 +83,13 @@
         elif is_bad and not was_bad:
             tally.mark_bad(request.route.name, is_target, key)
 
+    def _record_health(self, server, result):
+        """Tell the servers' usage of an error response, or of an answer without one."""
+        if result.outcome is Outcome.FAILED:
+            self._servers.record_error(server, self._clock())
+        elif result.is_success or result.outcome is Outcome.DECLINED:
+            self._servers.record_success(server)
+
     def _learn_speed(self, server, kind, sample, load):
         """Learn how fast a server is from a successful answer; errors come sooner."""
         now = self._clock()
--- a/test/gateway/test_answer_recorder.py
+++ b/test/gateway/test_answer_recorder.py
@@ -168,3 +168,20 @@
         recorder.record_attempt(build_request(), attempt, result)
     assert book.own.target == {"letters": SideCount(90, 15)}
     assert not is_bad_release(book.own)
+
+
+def test_errors_of_a_server_pause_it_and_other_answers_do_not():
+    pool = build_pool()
+    server = build_server("v1")
+    pool.replace_servers([server])
+    recorder = AnswerRecorder(
+        SimpleNamespace(orders={}), lambda key: None, pool, lambda: 0.0
+    )
+    failed, declined = (
+        AttemptResult(outcome) for outcome in (Outcome.FAILED, Outcome.DECLINED)
+    )
+    for result in (failed, declined, failed):
+        recorder.record_attempt(build_request(), Attempt(server, 10.0), result)
+    assert pool.find(server.id).paused_until <= 0.0
+    recorder.record_attempt(build_request(), Attempt(server, 10.0), failed)
+    assert pool.find(server.id).paused_until > 0.0
