Measure speeds only of services whose servers report slowdowns

Cause: every service was measured and told of, also where loads have three figures and nothing says that speeds vary. With servers of unequal speed the choices then differed from those of builds without the estimate, and messages with speeds went out each second.

Change: ServerSpeeds heeds a service from the first slowdown that one of its servers reports, here or at another instance. For the others nothing is recorded, told or estimated. Speeds told by an instance of an earlier build count only where slowdowns are reported.

--- a/tanagerwalk/decisions/server_speeds.py
+++ b/tanagerwalk/decisions/server_speeds.py
@@ -77,7 +77,9 @@
         self._own = {}
         self._reports = {}
         self._usual_durations = UsualDurations()
+        self._lives_by_service = {}
         self._services = {}
+        self._reporting = set()
         self._lasting = {}
         self._refreshed_at = -math.inf
 
@@ -89,24 +91,30 @@
         lives_by_service : dict of ServiceName to list of int
             The `hash_life` of each server.
         """
-        self._services = lives_by_service
-        listed = {life for lives in lives_by_service.values() for life in lives}
+        self._lives_by_service = lives_by_service
+        self._services = {
+            life: service
+            for service, lives in lives_by_service.items()
+            for life in lives
+        }
+        self._reporting &= lives_by_service.keys()
         for known in (self._own, self._reports):
-            for life in known.keys() - listed:
+            for life in known.keys() - self._services.keys():
                 del known[life]
         self._refreshed_at = -math.inf
 
     def record_report(self, life, load, now):
         """Record the EngineLoad in an answer, if it tells a slowdown."""
-        if load is None or load.slowdown is None:
+        if load is None or load.slowdown is None or life not in self._services:
             return
+        self._reporting.add(self._services[life])
         log_slowdown = math.log(load.plausible_slowdown)
         self._reports[life] = log_slowdown, now
         reported = SpeedSamples(reports=1.0, log_slowdown=log_slowdown)
         self._find_own(life, now).add(reported, now)
 
     def record_duration(self, life, kind, sample, load, now):
-        """Record how long an answer took.
+        """Record how long an answer took, if servers of its service report slowdowns.
 
         Parameters
         ----------
@@ -121,6 +129,8 @@
         now : float
             Monotonic time in seconds.
         """
+        if self._services.get(life) not in self._reporting:
+            return
         # The answer reports the slowdown of its own time, not that of now.
         reported = find_slowdown(load)
         slowdown = reported * math.exp(self._find_lasting(life, now).measured)
@@ -190,9 +200,12 @@
         for life, own in self._own.items():
             totals[life] = totals.get(life, NO_SAMPLES).add(own.get(now))
         self._lasting = {}
-        for lives in self._services.values():
+        for service, lives in self._lives_by_service.items():
             known = {life: totals[life] for life in lives if life in totals}
-            self._lasting |= self._estimate_service(known)
+            if any(samples.reports > 0.0 for samples in known.values()):
+                self._reporting.add(service)
+            if service in self._reporting:
+                self._lasting |= self._estimate_service(known)
 
     def _estimate_service(self, totals):
         """Return the lasting slowdowns of the servers of one service."""
--- a/test/gateway/test_speed_messages.py
+++ b/test/gateway/test_speed_messages.py
@@ -6,6 +6,8 @@
 import earlier_load_types as earlier
 import pytest
 
+from tanagerwalk.decisions.engine_load import EngineLoad
+from tanagerwalk.decisions.latency_baselines import LatencySample
 from tanagerwalk.decisions.relays import RelaySelection, Role, Scope
 from tanagerwalk.decisions.server_speeds import ServerSpeeds
 from tanagerwalk.decisions.shared_loads import SharedLoadTable
@@ -14,6 +16,7 @@
 from tanagerwalk.gateway.load_messages import decode_message, sign
 from tanagerwalk.gateway.sharing import LoadSharing
 from tanagerwalk.gateway.speed_messages import decode_speed, encode_speed
+from tanagerwalk.gateway.speed_sharing import SpeedSharing
 from tanagerwalk.peers.codec import decode, encode
 from tanagerwalk.peers.gen.loads.ttypes import LoadMessage, ServerSpeed
 
@@ -54,6 +57,21 @@
         sharing.datagram_received(sign(SECRET, encode(message)), ("10.0.0.1", 1))
 
 
+@pytest.mark.parametrize("slowdown", [None, 1.0])
+def test_speeds_are_told_only_where_servers_report_slowdowns(slowdown):
+    speeds = ServerSpeeds()
+    speeds.set_servers({"drafts": [LIFE]})
+    load = EngineLoad(1, 0, 6, slowdown)
+    for number in range(20):
+        now = 0.1 * number
+        speeds.record_report(LIFE, load, now)
+        speeds.record_duration(LIFE, "jobs", LatencySample(0.1), load, now)
+    told = SpeedSharing(speeds)
+    told.begin_round(2.0)
+    messages = build_messages(Scope.INSTANCE, told.list_totals((), 2.0))
+    assert len(messages) == (0 if slowdown is None else 1)
+
+
 def test_samples_survive_encoding():
     assert decode_speed(encode_speed(LIFE, SAMPLES)) == (LIFE, SAMPLES)
 
