Let a setting turn off the preference for the own failure domain

Cause: the preference is in force wherever the settings name several failure domains in the own region, so also in deployments that never asked for it. Neither the manifest nor the platform's settings tell whether traffic between failure domains costs anything.

Change: [routing] prefer_own_zone in the settings file of an instance, default true. Turned off, servers are chosen as before there was a preference.

The tests of the setting could not run before it existed.

--- a/tanagerwalk/decisions/local_choice.py
+++ b/tanagerwalk/decisions/local_choice.py
@@ -119,7 +119,7 @@
 
 def build_chooser(home, random):
     """Return the ServerChooser for the location of an instance."""
-    if home.has_other_domains:
+    if home.keeps_requests:
         return LocalServerChooser(home, random)
     return ServerChooser(home, random)
 
--- a/tanagerwalk/decisions/locations.py
+++ b/tanagerwalk/decisions/locations.py
@@ -20,14 +20,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Home:
-    """Location of this instance, and the region of each failure domain."""
+    """Location of this instance, and the region of each failure domain.
+
+    `prefers_own_domain` states whether requests stay in the failure domain while its
+    servers have room, if its region has others.
+    """
 
     failure_domain: FailureDomain
     region: Region
     regions: dict[FailureDomain, Region] = field(default_factory=dict)
+    prefers_own_domain: bool = True
+
+    @property
+    def keeps_requests(self):
+        """Whether requests stay in this failure domain while its servers have room."""
+        return self.prefers_own_domain and self._has_other_domains
 
     @property
-    def has_other_domains(self):
+    def _has_other_domains(self):
         """Whether the region of this instance has other failure domains."""
         return any(
             region == self.region and domain != self.failure_domain
--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -75,7 +75,7 @@
     @property
     def prefers_local(self):
         """Whether servers of the own failure domain are preferred."""
-        return self._home.has_other_domains
+        return self._home.keeps_requests
 
     def set_possibly_leaving(self, server_ids):
         """Set the servers that may be leaving; they are used only as a last resort.
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -114,7 +114,12 @@
         bounds = settings.bounds
         limit = find_age_limit(bounds.strict_revocation, bounds.revocation_delay)
         self.freshness = Freshness(limit, read_boot_clock)
-        self.home = Home(settings.failure_domain, settings.region, settings.regions)
+        self.home = Home(
+            settings.failure_domain,
+            settings.region,
+            settings.regions,
+            settings.prefers_own_domain,
+        )
         self.shared_loads = SharedLoadTable()
         self.paths = PathTable()
         self.servers = ServerPool(self.home, self.shared_loads, self.paths, self.random)
--- a/tanagerwalk/gateway/settings.py
+++ b/tanagerwalk/gateway/settings.py
@@ -99,7 +99,8 @@
     """Settings of one gateway instance.
 
     `memory_limit` is the most resident memory of the process in bytes, None without a
-    limit; `max_descriptors` the most file descriptors.
+    limit; `max_descriptors` the most file descriptors. `prefers_own_domain` states
+    whether requests stay in the own failure domain while its servers have room.
     """
 
     instance: InstanceId
@@ -111,3 +112,4 @@
     regions: dict[FailureDomain, Region] = field(default_factory=dict)
     max_descriptors: int = 1024
     memory_limit: int | None = None
+    prefers_own_domain: bool = True
--- a/tanagerwalk/platform/settings.py
+++ b/tanagerwalk/platform/settings.py
@@ -56,6 +56,11 @@
     min_ttl_ms: int = 1000
 
 
+class _Routing(msgspec.Struct, frozen=True):
+    # Whether requests stay in the own zone while its servers have room.
+    prefer_own_zone: bool = True
+
+
 class _Settings(msgspec.Struct, frozen=True):
     node_name: str
     ip: str
@@ -67,6 +72,7 @@
     port_range: list[int]
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
+    routing: _Routing = _Routing()
     zones: dict[str, str] = {}
 
 
@@ -123,6 +129,7 @@
         bounds=_convert_bounds(_bound_numbers(wire.bounds)),
         max_descriptors=limits.max_fds,
         memory_limit=int(limits.memory_mb * BYTES_PER_MB),
+        prefers_own_domain=wire.routing.prefer_own_zone,
     )
     return Ok(settings)
 
--- a/test/decisions/test_spillover.py
+++ b/test/decisions/test_spillover.py
@@ -25,9 +25,9 @@
 PLAIN_LOAD = 0.07
 
 
-def build_pool(*domains, regions=REGIONS, slots=16, seed=1):
+def build_pool(*domains, regions=REGIONS, slots=16, seed=1, prefers_own_domain=True):
     """Return a pool in a-1 with a server for each of some failure domains."""
-    home = Home("a-1", "a", regions)
+    home = Home("a-1", "a", regions, prefers_own_domain)
     pool = ServerPool(home, SharedLoadTable(), PathTable(), random.Random(seed))
     address = ("10.0.0.1", 80)
     pool.replace_servers(
@@ -188,6 +188,29 @@
     domains = [f"{'abc'[n % 3]}-1" for n in range(servers)]
     regions = {"a-1": "a", "b-1": "b", "c-1": "c"}
     pool = build_pool(*domains, regions=regions, slots=8, seed=7)
+    assert hash_choices(pool, has_prompts) == expected
+
+
+@pytest.mark.parametrize(
+    ("servers", "has_prompts", "expected"),
+    [
+        (6, False, 272235231),
+        (6, True, 3916521498),
+        (30, False, 2635540987),
+        (30, True, 1246431702),
+    ],
+)
+def test_without_the_preference_servers_are_chosen_as_before(
+    servers, has_prompts, expected
+):
+    domains = [list(REGIONS)[n % len(REGIONS)] for n in range(servers)]
+    pool = build_pool(*domains, slots=8, seed=7, prefers_own_domain=False)
+    assert hash_choices(pool, has_prompts) == expected
+    assert not pool.prefers_local
+
+
+def hash_choices(pool, has_prompts):
+    """Return a hash of the servers that 500 requests get."""
     chosen = []
     for n in range(500):
         affinity = work = None
@@ -199,7 +222,7 @@
         if n % 7 == 0:
             pool.record_failure(server, 0.1 * n)
         chosen.append(server.id)
-    assert zlib.crc32(",".join(chosen).encode()) == expected
+    return zlib.crc32(",".join(chosen).encode())
 
 
 def test_fleet_with_room_stays_in_its_domains():
--- a/test/platform/test_records.py
+++ b/test/platform/test_records.py
@@ -130,6 +130,13 @@
     assert parse_rollout_order("op/rollout/other", data, 7).is_error()
 
 
+@pytest.mark.parametrize("value", ["true", "false"])
+def test_preference_for_the_own_failure_domain_can_be_turned_off(value):
+    text = f"{SETTINGS}\n[routing]\nprefer_own_zone = {value}\n"
+    assert parse_settings(SETTINGS).ok.prefers_own_domain
+    assert parse_settings(text).ok.prefers_own_domain == (value == "true")
+
+
 def test_settings_are_decoded():
     settings = parse_settings(SETTINGS).ok
     assert settings.listeners.clients == ("10.1.0.40", 8227)
