Send bodies through tunnels as the other instance takes them

Cause: TunnelTransport.write copied a whole body into the buffer of the connection to the other instance. The copy wasn't counted, and when the request ended the connection was closed in order, so that an instance that took nothing kept the copy here for as long as its connection lasted. Besides, a failed connection to a server kept a reference to its request, and with it the body, until the garbage collector came by.

Change: the transport keeps references to the body and writes chunk by chunk. An aborted tunnel drops what wasn't taken and resets the connection. An aborted Connection lets go of its request. A connection that still has bytes of its last request to send isn't kept for another one.

FakeTransport of test_connections gained the method that Connection now asks.

--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -397,7 +397,12 @@
             and not self._has_body_end
             and not self._response_heads
         )
-        return self._is_open and is_idle and self._keep_alive
+        return self._is_open and is_idle and self._keep_alive and not self._has_unsent
+
+    @property
+    def _has_unsent(self):
+        """Whether a part of the last request waits for the server to take it."""
+        return self._transport.get_write_buffer_size() > 0
 
     def send_notice(self, notice):
         """Tell a ServerNotice to the instance through which the server is reached."""
@@ -417,6 +422,8 @@
         # the garbage collector comes by.
         self._body = bytearray()
         self._count_body()
+        # It holds on to the request.
+        self._matches_request = match_any_response
 
 
 async def open_connection(address, timeout, create_protocol=Connection):
--- a/tanagerwalk/gateway/tunnel_client.py
+++ b/tanagerwalk/gateway/tunnel_client.py
@@ -1,6 +1,7 @@
 """The side of tunnels that asks another instance for a connection to a server."""
 
 import asyncio
+from collections import deque
 
 import structlog
 from expression import Error, Ok
@@ -120,6 +121,9 @@
 class TunnelTransport:
     """The part of a transport that Connection uses, over a tunnel.
 
+    What the other instance does not take yet is kept uncopied, and is dropped when the
+    tunnel is aborted.
+
     Parameters
     ----------
     channel : Channel
@@ -134,6 +138,8 @@
         self._readable = asyncio.Event()
         self._readable.set()
         self._is_used = False
+        self._unsent = deque()
+        self._sender = None
         self._task = asyncio.get_running_loop().create_task(self._read())
 
     async def _read(self):
@@ -172,9 +178,33 @@
     def write(self, data):
         """Send bytes to the server."""
         self._is_used = True
-        for start in range(0, len(data), CHUNK_BYTES):
-            chunk = data[start : start + CHUNK_BYTES]
-            self._channel.write(TunnelFrame.DATA.value, chunk)
+        view = memoryview(data)
+        for start in range(0, len(view), CHUNK_BYTES):
+            self._unsent.append(view[start : start + CHUNK_BYTES])
+        if self._sender is None:
+            self._send_next()
+        if self._unsent and self._sender is None:
+            self._sender = asyncio.get_running_loop().create_task(self._send_rest())
+
+    def _send_next(self):
+        self._channel.write(TunnelFrame.DATA.value, self._unsent.popleft())
+
+    async def _send_rest(self):
+        """Send chunk by chunk as the other instance takes them."""
+        try:
+            while self._unsent:
+                await self._channel.writer.drain()
+                self._send_next()
+        except OSError:
+            # `_read` reports the loss.
+            self._unsent.clear()
+        finally:
+            self._sender = None
+
+    def get_write_buffer_size(self):
+        """Return how many bytes the other instance has not taken yet."""
+        unsent = sum(map(len, self._unsent))
+        return unsent + self._channel.writer.transport.get_write_buffer_size()
 
     def is_closing(self):
         """Return whether the connection to the other instance is closed or lost."""
@@ -196,7 +226,10 @@
     def abort(self):
         """Close the tunnel; the instance at its end then aborts the connection."""
         self._task.cancel()
-        self._channel.close()
+        if self._sender is not None:
+            self._sender.cancel()
+        self._unsent.clear()
+        self._channel.abort()
 
     def get_extra_info(self, name):
         """Return information on the connection to the other instance."""
--- a/tanagerwalk/peers/frames.py
+++ b/tanagerwalk/peers/frames.py
@@ -123,7 +123,7 @@
         ----------
         kind : int
             Kind of the frame, 0 to 255.
-        payload : bytes
+        payload : bytes or memoryview
             At most `MAX_PAYLOAD_BYTES`.
         """
         if self.is_closing:
@@ -177,6 +177,13 @@
         """Close the connection without waiting for the peer."""
         self.writer.close()
 
+    def abort(self):
+        """Close the connection, and drop what the peer has not taken."""
+        if self.writer.transport.get_write_buffer_size() > 0:
+            self.writer.transport.abort()
+        else:
+            self.writer.close()
+
 
 def _compute_hmac(key, content):
     return hmac.digest(key, content, hashlib.sha256)
--- a/test/gateway/test_connections.py
+++ b/test/gateway/test_connections.py
@@ -41,6 +41,9 @@
     def resume_reading(self):
         pass
 
+    def get_write_buffer_size(self):
+        return 0
+
 
 def build_connection(error=0):
     connection = Connection()
--- a/test/gateway/test_tunnel_memory.py
+++ b/test/gateway/test_tunnel_memory.py
@@ -1,18 +1,26 @@
 """Memory of a gateway process that holds tunnels for others."""
 
 import asyncio
+import contextlib
 import json
+from contextlib import asynccontextmanager
 
-from gateway.test_memory_limit import run_process
+from expression import Ok
+from gateway.test_memory_limit import BODY, run_process, send_booking
+from soak.fleet import find_free_port
 
 from tanagerwalk.controllers.loop import poll_until
-from tanagerwalk.gateway.app import FLEET_KEY_NAME
+from tanagerwalk.gateway.app import FLEET_KEY_NAME, PEER_PREFIX
 from tanagerwalk.gateway.tunnels import TunnelFrame
 from tanagerwalk.ids import InstanceId
 from tanagerwalk.peers.frames import MAX_PAYLOAD_BYTES
 from tanagerwalk.peers.rpc import MessageKind, PeerClient
+from tanagerwalk.peers.server import PeerServer
 
 TUNNELS = 60
+# Clients whose bodies pass through tunnels, and how many each sends, one by one.
+SENDERS = 8
+TURNS = 8
 
 
 async def accept_and_never_read(reader, writer):
@@ -49,3 +57,63 @@
         for channel in channels:
             channel.writer.transport.abort()
         server.close()
+
+
+async def _never_read(channel):
+    channel.writer.transport.pause_reading()
+    try:
+        await asyncio.sleep(3600.0)
+    finally:
+        channel.writer.transport.abort()
+
+
+async def _accept_tunnel(payload, sender):
+    del payload, sender
+    return Ok(_never_read)
+
+
+@asynccontextmanager
+async def run_peer(rig):
+    """Register another instance, which opens tunnels and reads nothing from them."""
+    assert await poll_until(lambda: rig.store.read(FLEET_KEY_NAME), 0.05, 5.0)
+    peer = PeerServer(rig.store.read(FLEET_KEY_NAME).hex())
+    peer.register_stream_handler(MessageKind.OPEN_TUNNEL, _accept_tunnel)
+    await peer.start(rig.ip, 0)
+    record = {"address": rig.ip, "port": peer.port, "changes_port": peer.port}
+    record["failure_domain"] = "a-1"
+    await rig.store.put(f"{PEER_PREFIX}other", json.dumps(record).encode())
+    try:
+        yield
+    finally:
+        await peer.stop()
+
+
+async def replace_desks(rig, address):
+    """Leave one server of the service, which only the other instance reaches."""
+    key, value = rig.servers[-1].build_entry("desk", "a-1")
+    entry = json.loads(value) | {"address": address}
+    await rig.store.put("servers/desk-far", json.dumps(entry).encode())
+    for server in rig.servers:
+        if server.id.startswith("desk"):
+            await rig.store.remove(f"servers/{server.id}")
+    return key, value
+
+
+# Guards against bodies that are copied for a tunnel whose other end takes nothing, and
+# that stay after their requests have ended.
+async def test_bodies_that_tunnels_do_not_take_stay_below_the_limit(tmp_path):
+    async with run_process(tmp_path) as rig, run_peer(rig):
+        entry = await replace_desks(rig, f"{rig.ip}:{find_free_port(rig.ip)}")
+        await asyncio.sleep(1.0)
+
+        async def send_in_turn(number):
+            for turn in range(TURNS):
+                with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                    await send_booking(rig, f"far-{number}-{turn}", BODY)
+
+        await asyncio.gather(*map(send_in_turn, range(SENDERS)))
+        assert '"via": "other"' in rig.log
+        await rig.store.put(*entry)
+        await rig.store.remove("servers/desk-far")
+        await asyncio.sleep(1.0)
+        assert (await send_booking(rig, "ordinary", b"slot")).status == 200
--- a/test/gateway/test_tunnels.py
+++ b/test/gateway/test_tunnels.py
@@ -1,6 +1,7 @@
 """Connections to backend servers through another instance."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 import pytest_asyncio
@@ -204,12 +205,17 @@
 
 
 # Guards against frames that the other instance has to hold whole: a body of 4 MB took
-# several copies of 2 MB there.
-async def test_large_body_passes_in_small_frames():
+# several copies of 2 MB there; and against a copy of the body that waits here.
+async def test_large_body_passes_in_small_frames_as_they_are_taken():
     class Channel:
         sizes = ()
+        taken = asyncio.Event()
         is_closing = False
 
+        @property
+        def writer(self):
+            return self
+
         async def read(self):
             await asyncio.sleep(3600)
 
@@ -217,12 +223,22 @@
             del kind
             self.sizes += (len(payload),)
 
-        def close(self):
+        async def drain(self):
+            await self.taken.wait()
+
+        def abort(self):
             pass
 
     channel = Channel()
-    transport = TunnelTransport(channel, None)
+    connection = SimpleNamespace(connection_lost=lambda error: None)
+    transport = TunnelTransport(channel, connection)
     transport.write(bytes(4_000_000))
+    await asyncio.sleep(0.05)
+    assert sum(channel.sizes) == CHUNK_BYTES
+    transport.write(b"end")
+    channel.taken.set()
+    await asyncio.sleep(0.05)
     transport.abort()
-    assert sum(channel.sizes) == 4_000_000
+    assert sum(channel.sizes) == 4_000_003
     assert max(channel.sizes) <= CHUNK_BYTES
+    assert channel.sizes[-1] == 3
