--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -298,7 +298,13 @@
 
     def is_reusable(self):
         """Return whether another request can be sent on this connection."""
-        return self._is_open and self._responses.is_empty and self._responses.keep_alive
+        is_idle = self._responses.is_empty and not self._has_unsent
+        return self._is_open and is_idle and self._responses.keep_alive
+
+    @property
+    def _has_unsent(self):
+        """Whether a part of the last request waits for the server to take it."""
+        return self._transport.get_write_buffer_size() > 0
 
     def send_notice(self, notice):
         """Tell a ServerNotice to the instance through which the server is reached."""
@@ -314,9 +320,7 @@
     def abort(self):
         """Abort the connection immediately, and drop what hasn't been read."""
         self._fail(ConnectionFailure.CLOSED)
-        # The parser and the responses refer to each other, so that they stay until the
-        # garbage collector comes by.
-        self._responses.body = bytearray()
+        self._responses.drop()
         self._count_body()
 
 
--- a/tanagerwalk/gateway/response_assembly.py
+++ b/tanagerwalk/gateway/response_assembly.py
@@ -82,6 +82,15 @@
         # It holds on to the request, and the connection may be kept for long.
         self._matches_request = match_any_response
 
+    def drop(self):
+        """Let go of what hasn't been read, and of the request.
+
+        The parser refers to this object, which would keep both until the garbage
+        collector comes by.
+        """
+        self.body = bytearray()
+        self._matches_request = match_any_response
+
     @property
     def ends_at_close(self):
         """Whether the expected response is delimited by the end of the connection."""
