Check planned stops in the soak, and name the senders to a cold server

Cause: a report of requests that a planned stop cuts can't be checked by the soak, and a cold server that got too much didn't tell from which gateways.

Change: an answer that a server gave in full must reach its client although the gateway is stopped with SIGTERM meanwhile, unless it was paused at that time. The line on a cold server has the requests of each gateway.

Result: the check's own test finds the violation and passes five valid runs.

--- a/test/soak/cold_checks.py
+++ b/test/soak/cold_checks.py
@@ -1,5 +1,7 @@
 """Checks what cold servers got from all gateways together."""
 
+from collections import Counter
+
 from soak.fleet import DRAIN_LIMIT_S
 from soak.manifest import MAX_COLD_PER_S
 
@@ -32,29 +34,31 @@
     for cold in fleet.cold_times:
         arrivals = _list_arrivals(fleet, cold, gateways)
         count, at = find_busiest_second(sorted(arrivals))
+        senders = Counter(arrivals[t] for t in arrivals if at <= t < at + WINDOW_S)
         if count <= MAX_COLD_PER_S:
             continue
         if cold.is_start or is_undisturbed(cold.begin - CONTACT_DELAY_S, at + WINDOW_S):
             cause = "start" if cold.is_start else "new entry"
             violations.append(
                 f"{cold.server_id} got {count} requests in the second that began "
-                f"{at - cold.begin:.2f} s after its {cause}, while cold"
+                f"{at - cold.begin:.2f} s after its {cause}, while cold; "
+                f"from {dict(senders)}"
             )
     return violations
 
 
 def _list_arrivals(fleet, cold, gateways):
-    """Return the times of the requests that count against the limit."""
+    """Return the gateways of the requests that count against the limit, by time."""
     begin = cold.begin if cold.is_start else cold.listed_at + DRAIN_LIMIT_S
     excused = {gateway.name for gateway in fleet.gateways if _is_new(gateway, cold)}
-    return [
-        arrival.received_at
+    return {
+        arrival.received_at: gateways.get(_find_attempt_id(arrival))
         for arrivals in fleet.arrivals
         for arrival in arrivals
         if arrival.server_id == cold.server_id
         and begin <= arrival.received_at < cold.end
         and gateways.get(_find_attempt_id(arrival)) not in excused
-    ]
+    }
 
 
 def _is_new(gateway, cold):
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -5,7 +5,7 @@
 import time
 from dataclasses import dataclass
 
-from soak.fleet import DRAIN_LIMIT_S, EVACUATION_LIMIT_S
+from soak.fleet import DRAIN_LIMIT_S, EVACUATION_LIMIT_S, GRACE_S
 from soak.links import LinkFault
 from soak.records import BrittleTime, SlowTime
 from soak.servers import FAILURE_DOMAINS, find_work_time
@@ -15,6 +15,8 @@
 MAX_INTERVAL_S = 0.8
 MAX_DISTURBANCE_S = 3.0
 MAX_PAUSE_S = 2.5
+# In which a gateway handles what has come meanwhile.
+CATCH_UP_S = 1.0
 # Servers of a service that must remain when one is removed without draining.
 MIN_REPLICAS = 2
 # A restart counts as a disturbance for this long.
@@ -192,8 +194,11 @@
 
     async def _pause_gateway(self):
         gateway = self._choose_gateway()
+        seconds = self._random.uniform(0.1, MAX_PAUSE_S)
+        now = time.monotonic()
+        gateway.pauses.append((now - GRACE_S, now + seconds + CATCH_UP_S))
         gateway.send_signal(signal.SIGSTOP)
-        await self._disturb(gateway.name, self._random.uniform(0.1, MAX_PAUSE_S))
+        await self._disturb(gateway.name, seconds)
         gateway.send_signal(signal.SIGCONT)
 
     async def _kill_gateway(self):
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -88,6 +88,8 @@
     start_times: list[float] = field(default_factory=list)
     # The signal that was sent to each process to stop it, and its monotonic time.
     stop_signals: dict[int, tuple[int, float]] = field(default_factory=dict)
+    # Monotonic times between which a planned stop may not be in time for a pause.
+    pauses: list[tuple[float, float]] = field(default_factory=list)
     is_closed: bool = False
     exits: list[Exit] = field(default_factory=list)
     peaks_mb: dict[str, float] = field(default_factory=dict)
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -13,6 +13,7 @@
 from soak.fleet import Fleet
 from soak.floods import MAX_STARVED_S, find_starved_accounts
 from soak.speed_checks import find_speed_violations
+from soak.stop_checks import find_stop_violations
 
 CLIENTS_PER_GATEWAY = 3
 WARM_UP_S = 2.0
@@ -74,6 +75,8 @@
         violations = find_violations(fleet, clients.requests, is_undisturbed)
         violations += find_cold_violations(fleet, clients.requests, is_undisturbed)
         violations += find_speed_violations(fleet, clients.requests, is_undisturbed)
+        if timed:
+            violations += find_stop_violations(fleet, clients.requests)
         violations += [f"not served after the faults: {name}" for name in unserved]
         violations += [f"not served beside a flood: {name}" for name in starved]
     finally:
--- a/test/soak/test_server_checks.py
+++ b/test/soak/test_server_checks.py
@@ -1,6 +1,7 @@
-"""The checks of cold and slow servers and of accounts find what they are for."""
+"""The checks of cold and slow servers, accounts and stops find what they are for."""
 
 import dataclasses
+import signal
 from types import SimpleNamespace
 
 import pytest
@@ -11,6 +12,7 @@
 from soak.manifest import API_KEYS, FLOODING_KEY, MAX_COLD_PER_S
 from soak.records import Arrival, ColdTime, SlowTime
 from soak.speed_checks import find_speed_violations
+from soak.stop_checks import find_stop_violations
 from tanagerwalk.standins.backend import ReceivedRequest
 from tanagerwalk.standins.gateway_cluster import Reply
 
@@ -21,7 +23,9 @@
 
 
 def build_fleet(arrivals, cold_times=(), slow_times=(), started_at=0.0):
-    gateway = SimpleNamespace(name="gateway-0", start_times=[started_at])
+    gateway = SimpleNamespace(
+        name="gateway-0", start_times=[started_at], stop_signals={}, pauses=[]
+    )
     return SimpleNamespace(
         arrivals=[arrivals],
         cold_times=cold_times,
@@ -115,3 +119,25 @@
 )
 def test_only_answers_of_the_flooded_engines_count_as_served(changes, served):
     assert list_served([build_request(**changes)]) == served
+
+
+@pytest.mark.parametrize(
+    ("signal_number", "changes", "reply", "pauses", "is_violation"),
+    [
+        (signal.SIGTERM, {"finished": True}, None, [], True),
+        (signal.SIGKILL, {"finished": True}, None, [], False),
+        (signal.SIGTERM, {}, None, [], False),
+        (signal.SIGTERM, {"finished": True, "rejected": True}, None, [], False),
+        (signal.SIGTERM, {"finished": True}, ANSWER, [], False),
+        (signal.SIGTERM, {"finished": True}, None, [(11.0, 13.0)], False),
+    ],
+)
+def test_answer_that_a_stop_cuts_is_found(
+    signal_number, changes, reply, pauses, is_violation
+):
+    fleet = build_fleet([build_arrival(11.5, **changes)])
+    (gateway,) = fleet.gateways
+    gateway.stop_signals, gateway.pauses = {1: (signal_number, 12.0)}, pauses
+    assert bool(find_stop_violations(fleet, [build_request(reply)])) is is_violation
+    gateway.stop_signals = {1: (signal_number, 13.5)}
+    assert not find_stop_violations(fleet, [build_request(reply)])
