Check servers that close idle connections for a crash

Cause: an instance that had nothing to send to a server while it was down, and read its new entry late, took it for warm and sent without a limit.

Change: if a server of a service with a cold time closes a direct connection that was kept after a response, the instance connects anew, as it does after a request that broke off. A refused connection shows a crash, and the server is cold when it is back. An open one is kept for later requests.

--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -159,6 +159,7 @@
         self.crash_check = CrashCheck(
             self.connection_pool.connector, self._record_crash
         )
+        self.connection_pool.on_lost = self._check_idle_server
         self.permits = ServerPermits(
             self.incarnation, self.servers, self.metrics, self.clock, self.random
         )
@@ -250,6 +251,16 @@
         self.connection_pool.close_idle_to(server)
         self.quarantine.record_end(server)
 
+    def _check_idle_server(self, server):
+        """Find out whether a server that closed an idle connection has crashed.
+
+        If so, it is cold when it is back, which no request may show.
+        """
+        usage = self.servers.find(server.id)
+        is_in_service = usage is not None and usage.is_in_service
+        if is_in_service and self.cold_watch.may_become_cold(server):
+            self.crash_check.start(server)
+
     def _record_crash(self, server):
         self.quarantine.record_end(server)
         self.cold_watch.record_crash(server)
--- a/tanagerwalk/gateway/cold_watch.py
+++ b/tanagerwalk/gateway/cold_watch.py
@@ -47,6 +47,10 @@
         """Take the servers of failure domains for cold, as after a start."""
         self._servers.mark_cold(failure_domains, self._clock())
 
+    def may_become_cold(self, server):
+        """Return whether a server is cold after a start."""
+        return self._find_policy(server.service) is not None
+
     def record_crash(self, server):
         """Take a server that has crashed for cold if it answers again."""
         self._cold.record_crash(server, self._clock())
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -63,6 +63,8 @@
         Monotonic time at which it was opened, in seconds.
     on_closed : callable or None
         Called once without arguments when it is closed.
+    on_lost : callable or None
+        Called without arguments when the other end closes it, or it breaks.
     """
 
     def __init__(self, via=None):
@@ -70,6 +72,7 @@
         self.opened_at = time.monotonic()
         self.closed = False
         self.on_closed = None
+        self.on_lost = None
         self.received = False
         self.has_waited = False
         self._transport = None
@@ -166,12 +169,14 @@
             and not has_pending_reset(self._transport)
         ):
             self._end_body()
+        self._report_lost()
         self._fail(ConnectionFailure.CLOSED)
         return False
 
     def connection_lost(self, exc):
         """Fail the pending response."""
         del exc
+        self._report_lost()
         self._fail(ConnectionFailure.CLOSED)
 
     # Called by the parser.
@@ -253,6 +258,11 @@
         if on_closed is not None:
             on_closed()
 
+    def _report_lost(self):
+        on_lost, self.on_lost = self.on_lost, None
+        if on_lost is not None and not self.closed:
+            on_lost()
+
     def _notify_reader(self):
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/tanagerwalk/gateway/pool.py
+++ b/tanagerwalk/gateway/pool.py
@@ -31,10 +31,17 @@
         Tells which kept connections are worth using.
     clock : callable
         Returns monotonic time in seconds.
+
+    Attributes
+    ----------
+    on_lost : callable
+        Takes a RegisteredServer that has closed a direct connection which was kept
+        after a response.
     """
 
     def __init__(self, connector, paths, clock):
         self.connector = connector
+        self.on_lost = _ignore
         self._paths = paths
         self._clock = clock
         self._idle = {}
@@ -59,6 +66,7 @@
                 entry.connection.abort()
             elif _is_allowed(entry, allows_peer):
                 idle.remove(entry)
+                entry.connection.on_lost = None
                 return entry.connection
         return None
 
@@ -124,6 +132,8 @@
             connection.abort()
             return
         self.keep(server, connection, parse_idle_timeout(head))
+        if connection.via is None:
+            connection.on_lost = lambda: self.on_lost(server)
 
     def keep(self, server, connection, idle_timeout=DEFAULT_IDLE_TIMEOUT_S):
         """Keep a connection that is not in use.
@@ -172,6 +182,10 @@
         self._idle.clear()
 
 
+def _ignore(server):
+    del server
+
+
 def _is_allowed(entry, allows_peer):
     via = entry.connection.via
     return allows_peer is None or via is None or allows_peer(via)
--- a/test/gateway/test_cold_servers.py
+++ b/test/gateway/test_cold_servers.py
@@ -124,3 +124,13 @@
         WAIT_S,
     )
     assert await poll_until(lambda: count_cold(cluster) == [0] * 3, 0.02, WAIT_S)
+
+
+# Guards against FAILBACK where no request shows that the server was down.
+async def test_server_that_crashed_while_nothing_was_sent_is_known_to_be_cold(cluster):
+    await asyncio.sleep(COLD_START_S)
+    await send_for(cluster, 1.0)
+    server = cluster.servers["desk-0"]
+    await server.fall(DOWN_S)
+    await send_for(cluster, 1.5)
+    assert 0 < server.coldness.most <= MOST
