Give the soak two regions, and a route that may use one of them

Cause: the soak had one region, so that no request could leave its regions.

Change: each third server is in a second region, and bookings may run in the first one only, all the time; retries, tunnels, restarts and restores must not change that. Before service is checked again, servers are added until each service has one there.

--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -9,8 +9,8 @@
     EVACUATION_LIMIT_S,
     REVOCATION_LIMIT_S,
 )
-from soak.manifest import ACCOUNTS_BY_KEY, API_KEYS
-from soak.servers import find_failure_domain
+from soak.manifest import ACCOUNTS_BY_KEY, ALLOWED_REGIONS, API_KEYS
+from soak.servers import find_failure_domain, find_region
 from tanagerwalk.standins.backend import EVENT_COUNT
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -119,8 +119,12 @@
 
 def _check_forwarded_request(request, arrivals):
     method, _, _ = REQUEST_KINDS[request.kind]
+    regions = ALLOWED_REGIONS.get(request.kind)
     for arrival in arrivals:
         received = arrival.request
+        region = find_region(arrival.server_id)
+        if regions is not None and region not in regions:
+            yield f"{request.target} arrived at {arrival.server_id} in region {region}"
         if (received.method, received.target, received.body) != (
             method,
             request.target,
--- a/test/soak/cold_checks.py
+++ b/test/soak/cold_checks.py
@@ -33,8 +33,8 @@
     violations = []
     for cold in fleet.cold_times:
         arrivals = _list_arrivals(fleet, cold, gateways)
-        count, at = find_busiest_second(sorted(arrivals))
-        senders = Counter(arrivals[t] for t in arrivals if at <= t < at + WINDOW_S)
+        count, at = find_busiest_second(sorted(time for time, _ in arrivals))
+        senders = Counter(name for t, name in arrivals if at <= t < at + WINDOW_S)
         if count <= MAX_COLD_PER_S:
             continue
         if cold.is_start or is_undisturbed(cold.begin - CONTACT_DELAY_S, at + WINDOW_S):
@@ -48,17 +48,17 @@
 
 
 def _list_arrivals(fleet, cold, gateways):
-    """Return the gateways of the requests that count against the limit, by time."""
+    """Return the time and the gateway of each request that counts."""
     begin = cold.begin if cold.is_start else cold.listed_at + DRAIN_LIMIT_S
     excused = {gateway.name for gateway in fleet.gateways if _is_new(gateway, cold)}
-    return {
-        arrival.received_at: gateways.get(_find_attempt_id(arrival))
+    return [
+        (arrival.received_at, gateways.get(_find_attempt_id(arrival)))
         for arrivals in fleet.arrivals
         for arrival in arrivals
         if arrival.server_id == cold.server_id
         and begin <= arrival.received_at < cold.end
         and gateways.get(_find_attempt_id(arrival)) not in excused
-    }
+    ]
 
 
 def _is_new(gateway, cold):
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -49,7 +49,7 @@
 [zones]
 a-1 = "a"
 a-2 = "a"
-a-3 = "a"
+b-1 = "b"
 [listen]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
--- a/test/soak/manifest.py
+++ b/test/soak/manifest.py
@@ -1,4 +1,4 @@
-"""Manifest of the soak: client accounts and services whose servers may be cold."""
+"""Manifest of the soak: accounts, regions, and services with cold servers."""
 
 import json
 
@@ -14,6 +14,8 @@
 }
 # The account that floods comes before all others.
 ACCOUNT_PRIORITIES = {"archive": 5, "annex": 9, "press": 1}
+# Regions by route; other routes may use all.
+ALLOWED_REGIONS = {"bookings": ("a",)}
 # What clients may send, enough of which fills the memory of a process.
 CLIENT_LIMITS = {"max_header_bytes": 4096, "max_body_bytes": 1_000_000}
 COLD_START_S = 2.0
@@ -32,13 +34,17 @@
     is_revoked : bool
         Whether the second key is missing.
     """
-    services = json.loads(build_manifest())["services"]
+    usual = json.loads(build_manifest())
+    routes, services = usual["routes"], usual["services"]
+    for route in routes:
+        route["allowed_regions"] = ALLOWED_REGIONS.get(route["name"], ())
     for service in services:
         service["cold_start_s"] = COLD_START_S
         service["cold_per_s"] = COLD_RATE_PER_S
     return build_manifest(
         version,
         tenants=_list_accounts(is_revoked),
+        routes=routes,
         services=services,
         limits=CLIENT_LIMITS,
     )
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -10,8 +10,10 @@
 from soak.cold_checks import find_cold_violations
 from soak.exits import find_exit_violations
 from soak.faults import FaultInjector
-from soak.fleet import Fleet
+from soak.fleet import SERVER_COUNTS, Fleet
 from soak.floods import MAX_STARVED_S, find_starved_accounts
+from soak.manifest import ALLOWED_REGIONS
+from soak.servers import find_region
 from soak.speed_checks import find_speed_violations
 from soak.stop_checks import find_stop_violations
 
@@ -97,10 +99,22 @@
     return False
 
 
+async def _add_allowed_servers(fleet):
+    """Add servers until each service has one in the regions of all routes."""
+    allowed = set.intersection(*map(set, ALLOWED_REGIONS.values()))
+    for service in SERVER_COUNTS:
+        while not any(
+            server_id.startswith(service) and find_region(server_id) in allowed
+            for server_id in fleet.servers
+        ):
+            await fleet.add_server(service)
+
+
 async def _wait_for_recovery(fleet, clients, timeout):
     """Return each (gateway, kind) that gets no reply with status 200 in time."""
     for server in fleet.servers.values():
         server.behaviour.times = 0
+    await _add_allowed_servers(fleet)
     begin = len(clients.requests)
     unserved = {(g.name, kind) for g in fleet.gateways for kind in REQUEST_KINDS}
     for _ in range(int(timeout / POLL_S)):
--- a/test/soak/test_checks.py
+++ b/test/soak/test_checks.py
@@ -18,7 +18,7 @@
 PLAN = ClientRequest("1", "plans", API_KEYS[0], "gateway-0", 10.0)
 
 
-def build_arrival(sent, received_at=10.1, **changes):
+def build_arrival(sent, received_at=10.1, server_id="desk-0", **changes):
     body = b"slot" if sent.kind == "bookings" else b"deed book"
     headers = {
         "x-tanagerwalk-attempt-id": sent.id,
@@ -27,7 +27,7 @@
     received = dataclasses.replace(
         ReceivedRequest("POST", sent.target, headers, body), **changes
     )
-    return Arrival(received_at, "desk-0", received)
+    return Arrival(received_at, server_id, received)
 
 
 def encode_events(*numbers):
@@ -81,6 +81,17 @@
     assert expected in violation
 
 
+@pytest.mark.parametrize(
+    ("sent", "server_id", "count"),
+    [(BOOKING, "desk-2", 1), (BOOKING, "desk-1", 0), (PLAN, "drafts-2", 0)],
+)
+def test_request_outside_of_its_regions_is_found(sent, server_id, count):
+    arrivals = [build_arrival(sent, server_id=server_id)]
+    found = check(sent, None, arrivals)
+    assert len(found) == count
+    assert all("in region b" in line for line in found)
+
+
 def test_unsent_request_is_found():
     unsent = dataclasses.replace(BOOKING, id="2")
     (violation,) = check(
