--- a/tanagerwalk/gateway/instance.py
+++ b/tanagerwalk/gateway/instance.py
@@ -13,20 +13,7 @@
 class GatewayInstance(Components):
     """A gateway instance, from the start of its controllers to its end.
 
-    Must be created inside a running event loop.
-
-    Parameters
-    ----------
-    settings : GatewaySettings
-        Validated settings.
-    store : MetadataStore
-        Client of the platform's metadata store.
-    codec : PlatformCodec
-        Encodes and decodes the platform's wire and storage formats.
-    clock : callable
-        Returns monotonic time in seconds.
-    seed : int or None
-        Seed for jitter and load balancing; None for a random seed.
+    The parameters are those of `Components`.
     """
 
     def apply_settings(self, settings):
