Read an answer that came while the event loop stood still

Cause: while the loop of an instance stood still beyond the time that it waits for an answer, the pause counted as the silence of the server: the request was sent again although the answer lay in the socket, or ended as unknown. Change: waits for a response head, body or chunk use the timeout that a pause of the process doesn't use up, as connecting does, but never add time beyond the deadline of the request. Result: the new test fails on the code before on both loops (two requests arrived, one is wanted) and passes now.

--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -14,6 +14,7 @@
 from ..decisions.events import EventSplitter
 from ..decisions.latency_baselines import LatencySample
 from ..manifest import Repeatability
+from ..stalls import StallTolerantTimeout
 from .attempts import Attempt, AttemptResult, ClassifiedHead, Outcome, ResponseKind
 from .connect_faults import ConnectFault, ReadFault
 from .connections import ConnectionFailure
@@ -208,11 +209,14 @@
 
         An answer that has waited may still come until the deadline of the request.
         """
-        result = await _wait_at_most(connection.read_body(), plan.timeouts.idle)
+        time_left = plan.request.deadline - self._clock()
+        result = await _wait_at_most(
+            connection.read_body(), plan.timeouts.idle, time_left
+        )
         if not _has_timed_out(result) or not connection.has_waited:
             return result
         time_left = plan.request.deadline - self._clock()
-        result = await _wait_at_most(connection.read_body(), time_left)
+        result = await _wait_at_most(connection.read_body(), time_left, time_left)
         return Error(ReadFault.MEMORY_FULL) if _has_timed_out(result) else result
 
     def _record_notice(self, connection, server, notice):
@@ -248,7 +252,7 @@
                 attempt.server, wait_started_at
             )
             limit = min(timeouts.unresponsive * max(1.0, slowdown), remaining)
-            result = await self._read_head(connection, limit)
+            result = await self._read_head(connection, limit, remaining)
             if not _has_timed_out(result) or limit >= remaining:
                 return result
             if not self._servers.is_worth_waiting_for(
@@ -259,9 +263,9 @@
             ):
                 return result
 
-    async def _read_head(self, connection, seconds):
+    async def _read_head(self, connection, seconds, longest):
         """Return the raw and the classified head of the response to this request."""
-        async with _TimeLimit(seconds) as limit:
+        async with _TimeLimit(seconds, longest) as limit:
             result = await connection.read_head()
             if result.is_error():
                 return result
@@ -276,7 +280,10 @@
         resumed_after = progress.last_event
         wait = StreamWait(plan.timeouts, is_resumed, self._clock)
         while True:
-            result = await _wait_at_most(connection.read_chunk(), wait.seconds)
+            time_left = request.deadline - self._clock()
+            result = await _wait_at_most(
+                connection.read_chunk(), wait.seconds, time_left
+            )
             if result.is_error():
                 is_held_up = result.error is not None and wait.is_held_up
                 cause = ReadFault.CLIENT_SLOW if is_held_up else result.error
@@ -355,9 +362,9 @@
     return result.is_error() and result.error is None
 
 
-async def _wait_at_most(work, seconds):
+async def _wait_at_most(work, seconds, longest):
     """Await `work`, which returns a Result; on a timeout return Error(None)."""
-    async with _TimeLimit(seconds) as limit:
+    async with _TimeLimit(seconds, longest) as limit:
         return await work
     return Error(limit.cause)
 
@@ -365,13 +372,14 @@
 class _TimeLimit:
     """A timeout that ends its `async with` block instead of raising TimeoutError.
 
+    A pause of this process is added to it, up to `longest` seconds in all.
     `cause` stands for an expired timeout where others give a ConnectionFailure.
     """
 
     cause = None
 
-    def __init__(self, seconds):
-        self._timeout = asyncio.timeout(max(0.0, seconds))
+    def __init__(self, seconds, longest):
+        self._timeout = StallTolerantTimeout(max(0.0, seconds), longest)
 
     async def __aenter__(self):
         await self._timeout.__aenter__()
--- a/tanagerwalk/stalls.py
+++ b/tanagerwalk/stalls.py
@@ -1,6 +1,7 @@
 """Timeouts that a pause of this process doesn't use up."""
 
 import asyncio
+import math
 
 # An event loop that is this late has stood still: the process was suspended, or one
 # step took long.
@@ -21,27 +22,34 @@
     ----------
     seconds : float
         The timeout in seconds.
+    longest : float
+        Seconds since the beginning after which nothing is added any more, because
+        the caller has no use for a later answer.
     """
 
-    def __init__(self, seconds):
+    def __init__(self, seconds, longest=math.inf):
         self._seconds = seconds
+        self._longest = longest
         self._scope = asyncio.timeout(None)
         self._timer = None
 
     async def __aenter__(self):
         await self._scope.__aenter__()
         loop = asyncio.get_running_loop()
-        due_at = loop.time() + self._seconds
-        self._timer = loop.call_at(due_at, self._extend, due_at)
+        now = loop.time()
+        due_at = now + self._seconds
+        ends_at = now + self._longest
+        self._timer = loop.call_at(due_at, self._extend, due_at, ends_at)
         return self
 
     async def __aexit__(self, kind, error, trace):
         self._timer.cancel()
         return await self._scope.__aexit__(kind, error, trace)
 
-    def _extend(self, due_at):
+    def _extend(self, due_at, ends_at):
         now = asyncio.get_running_loop().time()
-        self._scope.reschedule(now + measure_stall(now - due_at, self._seconds))
+        extended = now + measure_stall(now - due_at, self._seconds)
+        self._scope.reschedule(max(now, min(extended, ends_at)))
 
 
 def measure_stall(lateness, timeout):
--- a/test/gateway/test_stalled_loop.py
+++ b/test/gateway/test_stalled_loop.py
@@ -1,17 +1,22 @@
 """Requests while the event loop of their instance stands still for a moment."""
 
 import asyncio
+import contextlib
 import socket
+import threading
 import time
 
 import pytest
 import uvloop
 
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.gateway.attempt_timeouts import MAX_UNRESPONSIVE_TIMEOUT_S
 from tanagerwalk.gateway.connections import open_connection
 from tanagerwalk.gateway.connector import CONNECT_TIMEOUT_S
 from tanagerwalk.gateway.tunnel_client import TUNNEL_TIMEOUT_S
 from tanagerwalk.stalls import StallTolerantTimeout
+from tanagerwalk.standins.backend import BackendStandIn
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 from tanagerwalk.standins.paths import Cut, ServerPath
 
@@ -19,6 +24,9 @@
 SLACK_S = 0.1
 # Longer than any timeout of a connection.
 STALL_S = 0.2 + max(CONNECT_TIMEOUT_S, TUNNEL_TIMEOUT_S)
+# When a server answers, and a pause in which that happens and a timeout ends.
+ANSWER_S = 0.3
+ANSWER_STALL_S = 0.2 + MAX_UNRESPONSIVE_TIMEOUT_S
 RUNNERS = [asyncio.run, uvloop.run]
 
 
@@ -77,6 +85,55 @@
     assert result.is_ok()
 
 
+@contextlib.contextmanager
+def run_loop_in_thread():
+    """Run an event loop of its own in a thread."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+    try:
+        yield loop
+    finally:
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+        loop.close()
+
+
+async def add_threaded_server(cluster, loop):
+    """Register a server that goes on while the loop of the cluster stands still."""
+    server = BackendStandIn("desk-0")
+    server.behaviour = Behaviour(delay=ANSWER_S)
+    start = asyncio.run_coroutine_threadsafe(server.start(), loop)
+    await asyncio.wrap_future(start)
+    await cluster.store.put(*server.build_entry("desk", "a-1"))
+    return server
+
+
+def count_jobs(server):
+    return sum(each.target == "/jobs/7" for each in server.requests)
+
+
+# Guards against requests that are sent again after a pause of the process, although
+# their answers had come.
+@pytest.mark.parametrize("run", RUNNERS, ids=["asyncio", "uvloop"])
+def test_answer_that_came_while_the_loop_stood_still_is_read(run):
+    async def send(loop):
+        async with GatewayCluster() as cluster:
+            await cluster.build(drafts=0, desks=0, instances=0)
+            server = await add_threaded_server(cluster, loop)
+            await cluster.add_instance("gateway-0")
+            reply = asyncio.create_task(cluster.send(cluster.encode("GET", "/jobs/7")))
+            assert await poll_until(lambda: count_jobs(server) > 0, 0.01, WAIT_S)
+            asyncio.get_running_loop().call_soon(time.sleep, ANSWER_STALL_S)
+            status = (await reply).status
+            stop = asyncio.run_coroutine_threadsafe(server.stop(), loop)
+            await asyncio.wrap_future(stop)
+            return status, count_jobs(server)
+
+    with run_loop_in_thread() as loop:
+        assert run(send(loop)) == (200, 1)
+
+
 # Guards against a server that never answers and is waited for without end.
 @pytest.mark.parametrize("stall", [0.0, 0.2, 0.6])
 @pytest.mark.parametrize("run", RUNNERS, ids=["asyncio", "uvloop"])
