Give each run of the tests a loopback address of its own

Cause: stand-ins and instances listened at ports of 127.0.0.1 that the kernel chose, so a run or a worker could get a port that another still called, or that a stand-in which had fallen over was to take again. Change: stand-ins, clusters and their instances listen at one address, which the tests choose by the id of their process; the soak and the rigs did so already. The demo and the commands stay at 127.0.0.1. The settings of the foreign-address test replace the address, as a second one would be an error of its own.

--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -9,11 +9,11 @@
 
 import httptools
 
+from .addresses import find_address
 from .behaviours import ENDLESS_STARTS, STALL_INTERVAL_S, STALL_PIECES, Behaviour
 from .coldness import Coldness
 from .places import DEFAULT_PRIORITY
 
-ADDRESS = "127.0.0.1"
 EVENT_COUNT = 5
 CRASH_DELAY_S = 0.03
 HEALTH_PATH = "/health"
@@ -44,8 +44,8 @@
     ----------
     server_id : str
         Id of the server.
-    ip : str
-        Loopback address to listen on.
+    ip : str or None
+        Loopback address to listen on; None for that of all stand-ins.
     places : Places or None
         Slots and queue; None for a server that takes any number of requests.
 
@@ -61,9 +61,9 @@
         Whether it is cold, and what it bears then.
     """
 
-    def __init__(self, server_id, ip=ADDRESS, places=None):
+    def __init__(self, server_id, ip=None, places=None):
         self.id = server_id
-        self._ip = ip
+        self._ip = ip or find_address()
         self.places = places
         self.falls = []
         self.is_down = False
--- a/tanagerwalk/standins/entry_cluster.py
+++ b/tanagerwalk/standins/entry_cluster.py
@@ -10,6 +10,7 @@
 from ..controllers.loop import poll_until
 from ..settings import parse_settings
 from ..ui.apply import put_declaration
+from .addresses import find_address
 from .engine import EngineStandIn
 from .keyvalue import KeyValueStandIn
 from .platform import PlatformStandIn
@@ -21,6 +22,7 @@
 SETTINGS_TEMPLATE = """
 [instance]
 id = {name}
+address = {address}
 region = {region}
 failure_domain = {failure_domain}
 drain_notice = 0
@@ -146,6 +148,7 @@
         """
         text = SETTINGS_TEMPLATE.format(
             name=name,
+            address=find_address(),
             region=region,
             failure_domain=domain,
             keyvalue=keyvalue or self.keyvalue.address,
@@ -166,7 +169,7 @@
         await instance.start()
         self.instances[name] = instance
         self.platform.add(
-            f"127.0.0.1:{instance.peers_port}",
+            f"{find_address()}:{instance.peers_port}",
             id=name,
             role="entry",
             region=region,
@@ -207,7 +210,7 @@
         tuple of int, bytes and mapping
             Status, body and headers.
         """
-        url = f"http://127.0.0.1:{instance.callers.listener.port}{path}"
+        url = f"http://{find_address()}:{instance.callers.listener.port}{path}"
         headers = {"Authorization": f"Bearer {key}", **headers}
         async with self.http.post(url, json=body, headers=headers) as response:
             return response.status, await response.read(), response.headers
--- a/tanagerwalk/standins/gateway_cluster.py
+++ b/tanagerwalk/standins/gateway_cluster.py
@@ -11,10 +11,10 @@
 from ..ids import FailureDomain, InstanceId, Region
 from ..platform.codec import PlatformCodec
 from ..platform.store import MetadataStore
+from .addresses import find_address
 from .backend import BackendStandIn
 from .metadata import MetadataStandIn
 
-ADDRESS = "127.0.0.1"
 READY_TIMEOUT_S = 10.0
 API_KEY = "key-of-the-desk"
 HOST = "desk.example"
@@ -206,7 +206,7 @@
         """Return a gateway instance that is not started."""
         host, _, port = self.store.address.rpartition(":")
         address = (host, int(port))
-        any_port = (ADDRESS, 0)
+        any_port = (find_address(), 0)
         settings = GatewaySettings(
             instance=InstanceId(name),
             failure_domain=FailureDomain(domain),
@@ -251,7 +251,8 @@
     async def connect(self, instance=None):
         """Open a connection to an instance, by default the first one."""
         instance = instance or self.instances[0]
-        return await asyncio.open_connection(ADDRESS, instance.client_listener.port)
+        port = instance.client_listener.port
+        return await asyncio.open_connection(find_address(), port)
 
     async def send(self, data, instance=None):
         """Send a request on a new connection and return the `Reply`."""
--- a/tanagerwalk/standins/link.py
+++ b/tanagerwalk/standins/link.py
@@ -3,7 +3,8 @@
 import asyncio
 from contextlib import suppress
 
-ADDRESS = "127.0.0.1"
+from .addresses import find_address
+
 CHUNK_BYTES = 65536
 
 
@@ -29,9 +30,9 @@
 
     async def start(self):
         """Start listening, and set `address` to `IP:port`."""
-        self._server = await asyncio.start_server(self._accept, ADDRESS, 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"{ADDRESS}:{port}"
+        self._server = await asyncio.start_server(self._accept, find_address(), 0)
+        address, port = self._server.sockets[0].getsockname()
+        self.address = f"{address}:{port}"
 
     async def stop(self):
         """Stop listening and close every connection."""
--- a/tanagerwalk/standins/server.py
+++ b/tanagerwalk/standins/server.py
@@ -6,9 +6,9 @@
 import structlog
 from aiohttp import web
 
-log = structlog.get_logger(__name__)
+from .addresses import find_address
 
-ADDRESS = "127.0.0.1"
+log = structlog.get_logger(__name__)
 
 
 class StandIn:
@@ -29,10 +29,10 @@
         app.add_routes([*self.list_routes(), web.post("/standin", self._control)])
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self._runner.setup()
-        self._site = web.TCPSite(self._runner, ADDRESS, 0)
+        self._site = web.TCPSite(self._runner, find_address(), 0)
         await self._site.start()
-        port = self._runner.addresses[0][1]
-        self.address = f"{ADDRESS}:{port}"
+        address, port = self._runner.addresses[0]
+        self.address = f"{address}:{port}"
 
     async def stop(self):
         """Stop listening and close every connection."""
--- a/test/api/test_callers.py
+++ b/test/api/test_callers.py
@@ -6,6 +6,8 @@
 import aiohttp
 import pytest
 
+from tanagerwalk.standins.addresses import find_address
+
 MESSAGE = {"role": "user", "content": "deed book"}
 
 
@@ -71,7 +73,7 @@
 
 async def test_keep_alive_connection_is_refused_and_closed_while_stopping(demo):
     first, _ = demo.instances.values()
-    url = f"http://127.0.0.1:{first.callers.listener.port}/v1/chat/completions"
+    url = f"http://{find_address()}:{first.callers.listener.port}/v1/chat/completions"
     headers = {"Authorization": "Bearer desk-key"}
     async with aiohttp.ClientSession(headers=headers) as http:
         async with http.post(url, json=make_chat_body("label")) as response:
--- a/test/api/test_limits.py
+++ b/test/api/test_limits.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from tanagerwalk.standins.addresses import find_address
+
 LONG_S = 1.0
 LEFT_S = 0.4
 
@@ -46,7 +48,7 @@
     instance = next(iter(demo.instances.values()))
     budget = instance.memory.budget
     budget.reserve(budget.capacity)
-    url = f"http://127.0.0.1:{instance.callers.listener.port}/v1/classes/status"
+    url = f"http://{find_address()}:{instance.callers.listener.port}/v1/classes/status"
     headers = {"Authorization": "Bearer desk-key"}
 
     async def send_chunks():
@@ -87,7 +89,7 @@
     sock = socket.socket()
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    address = ("127.0.0.1", instance.callers.listener.port)
+    address = (find_address(), instance.callers.listener.port)
     await asyncio.get_running_loop().sock_connect(sock, address)
     reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
     message = {"role": "user", "content": "deed"}
--- a/test/clients/test_attempts.py
+++ b/test/clients/test_attempts.py
@@ -13,6 +13,7 @@
 from tanagerwalk.clients.services import ServiceAttempt, ServiceClient
 from tanagerwalk.outcomes import RetryReason
 from tanagerwalk.settings import parse_settings
+from tanagerwalk.standins.addresses import find_address
 
 RETRIES = parse_settings("[retries]\nidle_timeout = 0.2\n").ok.retries
 TIME_LIMIT_S = 5.0
@@ -135,17 +136,17 @@
             await asyncio.sleep(0.05)
         writer.close()
 
-    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    server = await asyncio.start_server(answer, find_address(), 0)
     try:
-        yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        yield f"{find_address()}:{server.sockets[0].getsockname()[1]}"
     finally:
         server.close()
 
 
 def find_unused_address():
     with socket.socket() as closed:
-        closed.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{closed.getsockname()[1]}"
+        closed.bind((find_address(), 0))
+        return f"{find_address()}:{closed.getsockname()[1]}"
 
 
 async def complete(address, limit=TIME_LIMIT_S, on_text=None):
--- a/test/clients/test_stopped_heads.py
+++ b/test/clients/test_stopped_heads.py
@@ -13,6 +13,7 @@
 from tanagerwalk.clients.services import ServiceAttempt, ServiceClient
 from tanagerwalk.outcomes import RetryReason
 from tanagerwalk.settings import parse_settings
+from tanagerwalk.standins.addresses import find_address
 
 RETRIES = parse_settings().ok.retries
 LIMIT_S = 2.0
@@ -114,9 +115,9 @@
         with contextlib.suppress(OSError):
             await writer.wait_closed()
 
-    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    server = await asyncio.start_server(handle, find_address(), 0)
     try:
-        yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        yield f"{find_address()}:{server.sockets[0].getsockname()[1]}"
     finally:
         server.close()
         await asyncio.gather(*handlers, return_exceptions=True)
--- a/test/conftest.py
+++ b/test/conftest.py
@@ -1,17 +1,23 @@
 """Shared pytest fixtures and the hypothesis profile."""
 
 import gc
+import os
 
 import pytest
 import pytest_asyncio
 from hypothesis import settings
+from loopback import choose_network
 
 from tanagerwalk.logs import configure_logs
+from tanagerwalk.standins.addresses import ADDRESS_VARIABLE
 from tanagerwalk.standins.entry_cluster import EntryCluster, build_demo
 
 settings.register_profile("ci", derandomize=True, deadline=None)
 settings.load_profile("ci")
 
+# No other run of the tests, and no other worker of this one, uses this address.
+os.environ[ADDRESS_VARIABLE] = f"{choose_network()}.202"
+
 
 @pytest.fixture(autouse=True)
 def quiet_logs():
--- a/test/gateway/test_change_feed.py
+++ b/test/gateway/test_change_feed.py
@@ -21,6 +21,7 @@
 from tanagerwalk.peers.codec import decode, encode
 from tanagerwalk.peers.gen.changes.ttypes import ChangesRequest, ChangesResponse
 from tanagerwalk.peers.rpc import MessageKind, PeerClient, RequestFault
+from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, build_manifest
 from tanagerwalk.writes import Entry, StoreFault
 
@@ -73,7 +74,7 @@
 
 async def test_no_changes_without_the_key_of_the_fleet(cluster):
     watcher = find_watcher(cluster)
-    address = f"127.0.0.1:{watcher.peer_server.port}"
+    address = f"{find_address()}:{watcher.peer_server.port}"
     client = PeerClient("another key", InstanceId("forger"), 1.0)
     request = encode(ChangesRequest(0))
     result = await client.request(address, MessageKind.FETCH_CHANGES, request)
@@ -86,7 +87,7 @@
         await cluster.build(drafts=0, desks=0, instances=1)
         (instance,) = cluster.instances
         instance.peer_server.secret = None
-        address = f"127.0.0.1:{instance.peer_server.port}"
+        address = f"{find_address()}:{instance.peer_server.port}"
         client = PeerClient("guess", InstanceId("forger"), 1.0)
         request = encode(ChangesRequest(0))
         result = await client.request(address, MessageKind.FETCH_CHANGES, request)
--- a/test/gateway/test_closed_sockets.py
+++ b/test/gateway/test_closed_sockets.py
@@ -17,6 +17,7 @@
 )
 from tanagerwalk.gateway.tunnel_client import TunnelTransport
 from tanagerwalk.gateway.tunnels import TunnelFrame
+from tanagerwalk.standins.addresses import find_address
 
 
 class ChannelLostAfterEnd:
@@ -40,7 +41,7 @@
 # an option of a closed socket, which ends the task that reads the tunnel.
 def test_end_through_a_lost_tunnel_reaches_the_reader():
     async def run():
-        server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        server = await asyncio.start_server(lambda *_: None, find_address(), 0)
         address = server.sockets[0].getsockname()[:2]
         _, writer = await asyncio.open_connection(*address)
         connection = Connection("other")
@@ -59,7 +60,7 @@
 # since it looked up the socket.
 def test_options_of_a_closed_socket_are_left_alone():
     async def run():
-        server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        server = await asyncio.start_server(lambda *_: None, find_address(), 0)
         address = server.sockets[0].getsockname()[:2]
         _, writer = await asyncio.open_connection(*address)
         sock = writer.get_extra_info("socket")
--- a/test/gateway/test_descriptor_limit.py
+++ b/test/gateway/test_descriptor_limit.py
@@ -16,6 +16,7 @@
 from tanagerwalk.gateway.connections import Connection, open_connection
 from tanagerwalk.gateway.descriptors import LimitedDial
 from tanagerwalk.peers.rpc import MessageKind, PeerClient, RequestFault
+from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.gateway_cluster import API_KEY, HOST, GatewayCluster
 
 SYSTEM_LIMIT = 400
@@ -139,7 +140,7 @@
         [instance] = cluster.instances
         server = instance.servers.find("desk-0").server
         client = PeerClient("secret", "other", 1.0)
-        address = f"127.0.0.1:{instance.peer_server.port}"
+        address = f"{find_address()}:{instance.peer_server.port}"
         with use_all_descriptors():
             opened = await open_connection(server.address, 1.0)
             is_alive = await instance.connection_pool.connector.check(server)
--- a/test/gateway/test_foreign_entries.py
+++ b/test/gateway/test_foreign_entries.py
@@ -10,6 +10,7 @@
 from odd_servers import NESTED, encode_server, list_odd_entries
 
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
 
@@ -116,7 +117,7 @@
         self._server = None
 
     async def __aenter__(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._serve, find_address(), 0)
         return self
 
     async def __aexit__(self, *exc):
@@ -124,7 +125,7 @@
 
     @property
     def address(self):
-        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return f"{find_address()}:{self._server.sockets[0].getsockname()[1]}"
 
     async def _serve(self, reader, writer):
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
--- a/test/gateway/test_gateway_instance.py
+++ b/test/gateway/test_gateway_instance.py
@@ -6,8 +6,8 @@
 import pytest_asyncio
 
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.gateway_cluster import (
-    ADDRESS,
     BOUNDS,
     GatewayCluster,
     read_reply,
@@ -22,7 +22,7 @@
 
 
 async def fetch(port, path):
-    reader, writer = await asyncio.open_connection(ADDRESS, port)
+    reader, writer = await asyncio.open_connection(find_address(), port)
     writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
     try:
         return await read_reply(reader)
--- a/test/gateway/test_repeated_refusals.py
+++ b/test/gateway/test_repeated_refusals.py
@@ -6,9 +6,9 @@
 import pytest
 
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
-ADDRESS = "127.0.0.1"
 RUN_S = 0.15
 REFUSED_STATUSES = {408, 421, 429, 503}
 NOT_EXECUTED = "X-Tanagerwalk-Not-Executed: 1"
@@ -53,11 +53,11 @@
         self.repeated = 0
 
     async def start(self):
-        self._server = await asyncio.start_server(self._serve, ADDRESS, 0)
+        self._server = await asyncio.start_server(self._serve, find_address(), 0)
 
     @property
     def address(self):
-        return f"{ADDRESS}:{self._server.sockets[0].getsockname()[1]}"
+        return f"{find_address()}:{self._server.sockets[0].getsockname()[1]}"
 
     def stop(self):
         self._server.close()
--- a/test/gateway/test_reset_connections.py
+++ b/test/gateway/test_reset_connections.py
@@ -18,10 +18,10 @@
 from tanagerwalk.peers.rpc import MessageKind, PeerClient
 from tanagerwalk.platform import store as store_module
 from tanagerwalk.platform.store import MetadataStore
+from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
-ADDRESS = "127.0.0.1"
 # Turns of the event loop between the reset and the use of the connection; the loop
 # notices the reset in one of them.
 TURNS = range(6)
@@ -32,7 +32,7 @@
     """A server at its limit of connections, which resets each new one."""
 
     def __init__(self, turns):
-        self._listener = socket.create_server((ADDRESS, 0))
+        self._listener = socket.create_server((find_address(), 0))
         self.turns = turns
 
     def __enter__(self):
@@ -47,7 +47,7 @@
 
     @property
     def address_text(self):
-        return f"{ADDRESS}:{self.address[1]}"
+        return f"{find_address()}:{self.address[1]}"
 
     def reset_after(self, open_connection):
         """Wrap a function that opens a connection: those to this server are reset."""
--- a/test/gateway/test_slow_readers.py
+++ b/test/gateway/test_slow_readers.py
@@ -4,8 +4,10 @@
 import socket
 import time
 
+
+from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.behaviours import Behaviour
-from tanagerwalk.standins.gateway_cluster import ADDRESS, GatewayCluster
+from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
 WINDOW_BYTES = 2048
 READ_BYTES = 128
@@ -24,7 +26,7 @@
     with socket.socket() as sock:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
         sock.settimeout(SLOW_S)
-        sock.connect((ADDRESS, port))
+        sock.connect((find_address(), port))
         sock.sendall(request)
         received = b""
         started_at = time.monotonic()
--- a/test/gateway/test_stalled_loop.py
+++ b/test/gateway/test_stalled_loop.py
@@ -15,6 +15,7 @@
 from tanagerwalk.gateway.connector import CONNECT_TIMEOUT_S
 from tanagerwalk.gateway.tunnel_client import TUNNEL_TIMEOUT_S
 from tanagerwalk.stalls import StallTolerantTimeout
+from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.backend import BackendStandIn
 from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
@@ -80,7 +81,7 @@
         asyncio.get_running_loop().call_soon(time.sleep, STALL_S)
         return await open_connection(address, CONNECT_TIMEOUT_S)
 
-    with socket.create_server(("127.0.0.1", 0)) as listener:
+    with socket.create_server((find_address(), 0)) as listener:
         result = run(connect(listener.getsockname()))
     assert result.is_ok()
 
--- a/test/gateway/test_stalled_streams.py
+++ b/test/gateway/test_stalled_streams.py
@@ -12,9 +12,10 @@
 from tanagerwalk.gateway.connect_faults import ReadFault
 from tanagerwalk.gateway.exchange import AttemptTimeouts
 from tanagerwalk.gateway.stream_wait import HELD_UP_S, StreamWait
+from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.backend import EVENT_COUNT
 from tanagerwalk.standins.behaviours import STALL_PIECES, Behaviour
-from tanagerwalk.standins.gateway_cluster import ADDRESS, GatewayCluster, read_reply
+from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
 TIMEOUTS = AttemptTimeouts(unresponsive=1.0, idle=2.0, head=9.0, stalled=4.0)
 SLOW_EVENT_S = 1.5
@@ -118,7 +119,7 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     sock.setblocking(False)
     port = cluster.instances[0].client_listener.port
-    await loop.sock_connect(sock, (ADDRESS, port))
+    await loop.sock_connect(sock, (find_address(), port))
     await loop.sock_sendall(sock, cluster.encode_plan())
     return sock
 
--- a/test/gateway/test_stopped_answer_heads.py
+++ b/test/gateway/test_stopped_answer_heads.py
@@ -9,6 +9,7 @@
 import pytest_asyncio
 
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 from tanagerwalk.standins.paths import Cut, ServerPath
 
@@ -125,7 +126,7 @@
         self._server = None
 
     async def __aenter__(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._serve, find_address(), 0)
         return self
 
     async def __aexit__(self, *exc):
--- a/test/gateway/test_tunnels.py
+++ b/test/gateway/test_tunnels.py
@@ -11,6 +11,7 @@
 from tanagerwalk.gateway.tunnels import CHUNK_BYTES, TunnelFault
 from tanagerwalk.ids import InstanceId
 from tanagerwalk.peers.rpc import MessageKind, PeerClient, RequestFault
+from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 from tanagerwalk.standins.paths import Cut, ServerPath
@@ -114,7 +115,7 @@
 
 
 async def open_tunnel(instance, server_id, secret):
-    address = f"127.0.0.1:{instance.peer_server.port}"
+    address = f"{find_address()}:{instance.peer_server.port}"
     client = PeerClient(secret, InstanceId("other"), 1.0)
     return await client.open_stream(
         address, MessageKind.OPEN_TUNNEL, server_id.encode()
--- a/test/gateway_process.py
+++ b/test/gateway_process.py
@@ -1,11 +1,11 @@
 """A real gateway process, as the deploy file starts it, between stand-ins."""
 
 import asyncio
-import os
 import signal
 import sys
 from pathlib import Path
 
+from loopback import choose_network
 from soak.fleet import SETTINGS_TEMPLATE, find_free_port
 
 from tanagerwalk.controllers.loop import poll_until
@@ -17,6 +17,8 @@
 # The system counts in units of 1,024 bytes, settings in units of 1,000,000.
 KB_PER_MB = 1000000.0 / 1024.0
 READY_TIMEOUT_S = 15.0
+# Last byte of the address of a rig.
+RIG_HOST = 201
 LIMITS_TEMPLATE = """
 [limits]
 memory_mb = {memory_mb}
@@ -24,12 +26,6 @@
 """
 
 
-def choose_address():
-    """Return a loopback address for this process alone."""
-    pid = os.getpid()
-    return f"127.{10 + pid % 200}.{pid // 200 % 250}.201"
-
-
 class GatewayProcessRig:
     """A gateway process with its store and backend servers, started on entry.
 
@@ -51,7 +47,7 @@
         self, folder, memory_mb=150, max_fds=4200, manifest=None, server_count=2
     ):
         self.folder = Path(folder)
-        self.ip = choose_address()
+        self.ip = f"{choose_network()}.{RIG_HOST}"
         self.memory_mb = memory_mb
         self.max_fds = max_fds
         self.manifest = manifest or {}
--- a/test/peers/test_rpc.py
+++ b/test/peers/test_rpc.py
@@ -10,6 +10,7 @@
 from tanagerwalk.peers.frames import MAX_PAYLOAD_BYTES, Channel, FrameFault
 from tanagerwalk.peers.rpc import MessageKind, PeerClient, RequestFault
 from tanagerwalk.peers.server import PeerServer
+from tanagerwalk.standins.addresses import find_address
 
 SECRET = "shared"
 KIND = MessageKind.EXCHANGE
@@ -24,12 +25,12 @@
         self.sent = []
 
     async def start(self):
-        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        self.server = await asyncio.start_server(self._accept, find_address(), 0)
+        return f"{find_address()}:{self.server.sockets[0].getsockname()[1]}"
 
     async def _accept(self, reader, writer):
         server_reader, server_writer = await asyncio.open_connection(
-            "127.0.0.1", self.port
+            find_address(), self.port
         )
         await asyncio.gather(
             self._forward(reader, server_writer, self._record),
@@ -54,7 +55,7 @@
 
     started = PeerServer(SECRET)
     started.register_handler(KIND, echo)
-    await started.start("127.0.0.1", 0)
+    await started.start(find_address(), 0)
     yield started
     await started.stop()
 
@@ -67,7 +68,7 @@
 
 
 def get_address(server):
-    return f"127.0.0.1:{server.port}"
+    return f"{find_address()}:{server.port}"
 
 
 async def test_requests_are_answered_over_one_connection(server, client):
@@ -147,7 +148,7 @@
     proxy = TamperingProxy(server.port)
     address = await proxy.start()
     assert (await client.request(address, KIND, b"once")).is_ok()
-    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    reader, writer = await asyncio.open_connection(find_address(), server.port)
     for chunk in proxy.sent:
         writer.write(chunk)
     await reader.read()
@@ -164,14 +165,14 @@
     ],
 )
 async def test_bad_bytes_are_counted(server, content, fault):
-    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    reader, writer = await asyncio.open_connection(find_address(), server.port)
     writer.write(content)
     await reader.read()
     assert server.dropped[fault] == 1
 
 
 async def test_signed_hello_that_is_malformed_is_counted(server):
-    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    reader, writer = await asyncio.open_connection(find_address(), server.port)
     Channel(reader, writer, SECRET).write(0, b"\xff\xff")
     await reader.read()
     assert server.dropped[FrameFault.MALFORMED] == 1
@@ -185,9 +186,9 @@
 
     server = PeerServer(SECRET)
     server.register_handler(KIND, answer)
-    await server.start("127.0.0.1", 0)
+    await server.start(find_address(), 0)
     client = PeerClient(SECRET, InstanceId("i1"), 5.0)
-    address = f"127.0.0.1:{server.port}"
+    address = f"{find_address()}:{server.port}"
     assert (await client.request(address, KIND, b"first")).ok == b"first"
     for connection in client._idle:
         connection.channel.writer.transport.abort()
--- a/test/peers/test_unread_answers.py
+++ b/test/peers/test_unread_answers.py
@@ -12,6 +12,7 @@
 from tanagerwalk.peers.frames import Channel
 from tanagerwalk.peers.rpc import STATUS_FAILED, STATUS_OK, MessageKind, PeerClient
 from tanagerwalk.peers.server import MAX_UNSENT_BYTES, PeerServer
+from tanagerwalk.standins.addresses import find_address
 
 SECRET = "shared"
 KIND = MessageKind.FETCH_CHANGES
@@ -54,7 +55,7 @@
 async def start():
     """Return a Desk that listens with small buffers of the system."""
     desk = Desk()
-    sock = bind_stream(("127.0.0.1", 0)).ok
+    sock = bind_stream((find_address(), 0)).ok
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BYTES)
     await desk.server.serve(sock)
     return desk
@@ -65,7 +66,7 @@
     sock = socket.socket()
     # Otherwise the system takes all of the answer.
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
-    sock.connect(("127.0.0.1", port))
+    sock.connect((find_address(), port))
     sock.setblocking(False)
     reader, writer = await asyncio.open_connection(sock=sock, limit=1024)
     channel = Channel(reader, writer, SECRET)
@@ -95,7 +96,7 @@
         assert await poll_until(lambda: desk.is_idle, 0.02, 3.0)
         assert desk.most_held == LARGE
         client = PeerClient(SECRET, InstanceId("i2"), 2.0)
-        reply = await client.request(f"127.0.0.1:{desk.server.port}", KIND, b"9")
+        reply = await client.request(f"{find_address()}:{desk.server.port}", KIND, b"9")
         assert reply.ok == bytes(9)
         await client.close()
         channel.writer.transport.abort()
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -4,13 +4,14 @@
 import contextlib
 import json
 import math
-import os
 import signal
 import socket
 import sys
 import time
 from dataclasses import dataclass, field
 
+from loopback import choose_network
+
 from soak.exits import LIMITS_SETTINGS, Exit, limit_descriptors, read_peak_mb
 from soak.links import FaultyLink
 from tanagerwalk.standins.backend import BackendStandIn
@@ -64,12 +65,6 @@
 """
 
 
-def choose_network():
-    """Return the first three bytes of loopback addresses for this process alone."""
-    pid = os.getpid()
-    return f"127.{10 + pid % 200}.{pid // 200 % 250}"
-
-
 @dataclass
 class Arrival:
     """A request that reached a backend server, with the time of its arrival."""
--- a/test/test_misbehaving_callers.py
+++ b/test/test_misbehaving_callers.py
@@ -12,6 +12,8 @@
 from test_process_limits import BYTES_PER_MB, LimitedProcess
 from test_processes import ProcessWorld
 
+from tanagerwalk.standins.addresses import find_address
+
 MEMORY_MB = 120
 DESCRIPTORS = 300
 TIMEOUT_S = 2
@@ -67,7 +69,7 @@
         process = limited.process
         name = "admin_port" if door == "admin" else "callers_port"
         path = "/metrics" if door == "admin" else door
-        address = ("127.0.0.1", process.listening[name])
+        address = (find_address(), process.listening[name])
         crowd = [
             asyncio.create_task(crowds.join_crowd(address, send(_encode, path)))
             for _ in range(CROWDS[send])
--- a/test/test_paused_lease_holder.py
+++ b/test/test_paused_lease_holder.py
@@ -7,11 +7,12 @@
 from controllers.test_order_controller import count_copies, format_declaration
 from test_processes import ProcessWorld
 
+from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.engine import WeightStore
 
 
 async def read_order_status(world, process):
-    url = f"http://127.0.0.1:{process.listening['admin_port']}/status"
+    url = f"http://{find_address()}:{process.listening['admin_port']}/status"
     async with world.http.get(url) as response:
         return (await response.json())["orders"]
 
@@ -26,7 +27,7 @@
 
 def register_instance(world, process):
     world.platform.add(
-        f"127.0.0.1:{process.listening['peers_port']}",
+        f"{find_address()}:{process.listening['peers_port']}",
         id=process.listening["instance"],
         role="entry",
         region="r1",
--- a/test/test_process_bills.py
+++ b/test/test_process_bills.py
@@ -7,6 +7,7 @@
 
 from tanagerwalk.clients.keyvalue import KeyValueClient
 from tanagerwalk.controllers.billing import read_bills
+from tanagerwalk.standins.addresses import find_address
 
 ADOPTION_POLLS = 200
 REQUEST_COUNT = 5
@@ -26,7 +27,7 @@
         process = await self.start_instance(name)
         ports = process.listening
         self.platform.add(
-            f"127.0.0.1:{ports['peers_port']}",
+            f"{find_address()}:{ports['peers_port']}",
             id=name,
             role="entry",
             region="r1",
--- a/test/test_process_limits.py
+++ b/test/test_process_limits.py
@@ -15,6 +15,8 @@
 from processes import start_process
 from test_processes import ProcessWorld
 
+from tanagerwalk.standins.addresses import find_address
+
 BYTES_PER_MB = 1000 * 1000
 KB_BYTES = 1024
 MEMORY_MB = 150
@@ -63,7 +65,7 @@
         sock = socket.socket()
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        address = ("127.0.0.1", self.process.listening["callers_port"])
+        address = (find_address(), self.process.listening["callers_port"])
         await asyncio.get_running_loop().sock_connect(sock, address)
         return await asyncio.open_connection(sock=sock, limit=RECEIVE_BUFFER_BYTES)
 
@@ -108,7 +110,9 @@
     async def read_metric(self, name):
         """Return the value of a metric."""
         port = self.process.listening["admin_port"]
-        async with self.world.http.get(f"http://127.0.0.1:{port}/metrics") as page:
+        async with self.world.http.get(
+            f"http://{find_address()}:{port}/metrics"
+        ) as page:
             lines = (await page.text()).splitlines()
         return next(float(line.split()[1]) for line in lines if line.startswith(name))
 
@@ -239,7 +243,7 @@
 @pytest.mark.parametrize("name", ["callers_port", "admin_port", "peers_port"])
 async def test_port_in_use_is_waited_for(process_world, name):
     """Guards against a start that ends as a port is still in use."""
-    with socket.create_server(("127.0.0.1", 0)) as taken:
+    with socket.create_server((find_address(), 0)) as taken:
         process = await start_at_port(process_world, name, taken.getsockname()[1])
         await process.wait_for_event("port in use")
     listening = await process.wait_for_event("listening")
@@ -249,7 +253,7 @@
 
 async def test_stop_while_port_is_in_use(process_world):
     """Guards against a planned stop that counts as a fault while a port is in use."""
-    with socket.create_server(("127.0.0.1", 0)) as taken:
+    with socket.create_server((find_address(), 0)) as taken:
         process = await start_at_port(
             process_world, "admin_port", taken.getsockname()[1]
         )
@@ -262,7 +266,9 @@
     """Guards against a wait for an address that the machine doesn't have."""
     path = process_world.folder / "entry-1.ini"
     text = process_world.make_settings("entry-1")
-    path.write_text(text.replace("[instance]", "[instance]\naddress = 192.0.2.1", 1))
+    own = f"address = {find_address()}"
+    assert own in text
+    path.write_text(text.replace(own, "address = 192.0.2.1"))
     process = await start_process("serve", "--settings", str(path))
     async with asyncio.timeout(LIMIT_S):
         assert await process.subprocess.wait() == 1
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -8,6 +8,7 @@
 import pytest_asyncio
 from processes import start_process
 
+from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.entry_cluster import EntryCluster
 
 
@@ -31,13 +32,15 @@
         return process
 
     async def send_request(self, process, path, body, **headers):
-        url = f"http://127.0.0.1:{process.listening['callers_port']}{path}"
+        url = f"http://{find_address()}:{process.listening['callers_port']}{path}"
         headers = {"Authorization": "Bearer desk-key", **headers}
         async with self.http.post(url, json=body, headers=headers) as response:
             return response.status, await response.read(), response.headers
 
     async def wait_until_ready(self, process):
-        url = f"http://127.0.0.1:{process.listening['callers_port']}/health/ready"
+        url = (
+            f"http://{find_address()}:{process.listening['callers_port']}/health/ready"
+        )
         while True:
             async with self.http.get(url) as response:
                 if response.status == 200:
--- a/test/ui/test_gateway_ports.py
+++ b/test/ui/test_gateway_ports.py
@@ -17,6 +17,7 @@
 from tanagerwalk.gateway.port_wait import PortWait
 from tanagerwalk.gateway.probes import ProbeListener
 from tanagerwalk.platform.settings import METRICS_PORT
+from tanagerwalk.standins.addresses import find_address
 
 START_TIMEOUT_S = 15.0
 MAX_ADDRESS_SPACE_MB = 150.0
@@ -154,11 +155,11 @@
     first, second = (socket.socket() for _ in range(2))
     for each in (first, second):
         each.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    first.bind(("127.0.0.1", 0))
+    first.bind((find_address(), 0))
     second.bind(first.getsockname())
     first.listen()
     listener = ProbeListener(lambda: b"")
-    ports = [Ok(second), bind_stream(("127.0.0.1", 0))]
+    ports = [Ok(second), bind_stream((find_address(), 0))]
     wait = PortWait()
     await wait.open("metrics", lambda: ports.pop(0), listener.serve)
     assert second.fileno() == -1
--- a/test/ui/test_gateway_start.py
+++ b/test/ui/test_gateway_start.py
@@ -8,12 +8,13 @@
 from pathlib import Path
 
 import pytest
+from loopback import choose_network
 from processes import start_process
 from soak.fleet import SETTINGS_TEMPLATE, find_free_port
 
 from tanagerwalk.controllers.loop import poll_until
 
-ADDRESS = "127.91.7.1"
+ADDRESS = f"{choose_network()}.203"
 
 
 async def test_sighup_during_start_does_not_end_the_process(tmp_path):
