--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -4,13 +4,14 @@
 import contextlib
 import json
 import math
-import os
 import signal
 import socket
 import sys
 import time
 from dataclasses import dataclass, field
 
+from loopback import choose_network
+
 from soak.exits import LIMITS_SETTINGS, Exit, limit_descriptors, read_peak_mb
 from soak.links import FaultyLink
 from soak.manifest import COLD_START_S, MAX_COLD_PER_S, encode_manifest
@@ -68,12 +69,6 @@
 """
 
 
-def choose_network():
-    """Return the first three bytes of loopback addresses for this process alone."""
-    pid = os.getpid()
-    return f"127.{10 + pid % 200}.{pid // 200 % 250}"
-
-
 @dataclass
 class GatewayProcess:
     """A gateway process, its addresses and its link to the store."""
