Keep an order running until its holder is paused

test_rollout_completes_when_lease_holder_is_paused waited for a load that lasts 0.3 s and paused the holder during it.

The stand-in of the weight store now holds the load until the holder is paused, so that an order is always under way then. All asserts are unchanged.

--- a/tanagerwalk/standins/engine.py
+++ b/tanagerwalk/standins/engine.py
@@ -30,6 +30,8 @@
 
     Attributes
     ----------
+    may_finish : asyncio.Event
+        Cleared to keep loads running.
     peak_running : int
         Highest number of loads that ran concurrently.
     loads : int
@@ -39,6 +41,8 @@
     def __init__(self, concurrency=2, load_time=0.0):
         self.concurrency = concurrency
         self.load_time = load_time
+        self.may_finish = asyncio.Event()
+        self.may_finish.set()
         self.running = 0
         self.peak_running = 0
         self.loads = 0
@@ -52,6 +56,7 @@
         self.peak_running = max(self.peak_running, self.running)
         try:
             await asyncio.sleep(self.load_time)
+            await self.may_finish.wait()
         finally:
             self.running -= 1
         return True
--- a/test/test_paused_lease_holder.py
+++ b/test/test_paused_lease_holder.py
@@ -62,9 +62,12 @@
         try:
             holder = await wait_for_lease_holder(world)
             first_token = (await read_order_status(world, holder))["token"]
+            # The order must not end before its holder is paused.
+            weights.may_finish.clear()
             await world.apply(format_declaration(a="released", b="released"))
             await world.wait_until(lambda: weights.running == 1)
             holder.send_signal(signal.SIGSTOP)
+            weights.may_finish.set()
             await world.apply(
                 format_declaration(a="withdrawn", b="released", c="released")
             )
