Count only places that may be used now, and sum reported requests in one pass

Cause: paused servers and those that may be leaving counted as free places; each look at the places summed the reports of all peers once for each server. Change: list_places leaves both out; SharedLoadTable.count_requests sums the requests of all servers in one pass. Measured: a look at 800 servers (timing loop, median of 15): 54.8 ms before, 7.8 ms after at a relay with 22 members; 8.5 and 4.9 ms at a member; 21.5 and 5.7 ms with 8 flat peers. test_only_servers_that_may_be_used_now_have_places fails on the old code. The calls in test_review_findings.py pass a number of requests in place of a SharedLoad; their checks are the same.

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -10,7 +10,7 @@
 from .server_choice import LOCAL_WAIT_SHARE, UNKNOWN_TRAITS, ChoiceInputs
 from .server_limits import LimitQueue, ServerLimits
 from .server_usage_table import ServerUsageTable, hash_life
-from .shared_loads import SharedLoad
+from .shared_loads import SharedLoad, hash_server
 from .token_room import TokenRoom
 
 
@@ -111,7 +111,7 @@
         return min(loads, default=0.0)
 
     def list_places(self, service, now):
-        """Return the Places at each server of a service that takes requests.
+        """Return the Places at each server of a service that may be used now.
 
         Parameters
         ----------
@@ -124,12 +124,15 @@
         -------
         list of (RegisteredServer, Places)
         """
+        others = self._shared.count_requests(now)
         return [
             (
                 usage.server,
-                usage.count_places(now, self._shared.sum(usage.server.id, now)),
+                usage.count_places(now, others.get(hash_server(usage.server.id), 0)),
             )
             for usage in self._list_ready(service, now, frozenset(), None)
+            if usage.paused_until <= now
+            and usage.server.id not in self._possibly_leaving
         ]
 
     def choose(
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -188,18 +188,18 @@
             return (slowdown - 1.0) / self.server.slots
         return (slowdown - 1.0) * work / ENGINE_CAPACITY_TOKENS
 
-    def count_places(self, now, shared):
+    def count_places(self, now, other_requests):
         """Return the Places at the server.
 
         Parameters
         ----------
         now : float
             Monotonic time in seconds.
-        shared : SharedLoad
-            Load reported by the other instances for the server.
+        other_requests : int
+            Requests that the other instances have reported to be on the server.
         """
         is_recent = now - self.reported_at <= REPORT_LIFETIME_S
-        others = max(shared.in_flight, self.other_requests if is_recent else 0)
+        others = max(other_requests, self.other_requests if is_recent else 0)
         slots = self.server.slots
         taken = self.in_flight + others
         waiting = max(taken - slots, self.reported_queue if is_recent else 0)
--- a/tanagerwalk/decisions/shared_loads.py
+++ b/tanagerwalk/decisions/shared_loads.py
@@ -1,6 +1,7 @@
 """Load on backend servers caused by other instances, as last reported by them."""
 
 import zlib
+from collections import defaultdict
 from dataclasses import dataclass
 
 from ..ids import BackendServerId
@@ -236,6 +237,20 @@
                 totals[key] = totals[key].subtract(own)
         return totals
 
+    def count_requests(self, now):
+        """Return the requests of all other instances, by server hash."""
+        lifetime = self.lifetime
+        counts = defaultdict(int)
+        for report in self._reports.values():
+            if now - report.received_at > lifetime:
+                continue
+            for key, load in report.loads.items():
+                counts[key] += load.in_flight
+        for key, own in self._own_reported.items():
+            if key in counts:
+                counts[key] = max(0, counts[key] - own.in_flight)
+        return counts
+
     def _list_reports_on(self, key, now):
         """Return the reports that mention a server and have not expired."""
         lifetime = self.lifetime
--- a/test/decisions/test_review_findings.py
+++ b/test/decisions/test_review_findings.py
@@ -5,7 +5,6 @@
 from tanagerwalk.decisions.latency_baselines import LatencyBaselines, LatencySample
 from tanagerwalk.decisions.recent_sums import RecentSum
 from tanagerwalk.decisions.server_usage import ServerUsage
-from tanagerwalk.decisions.shared_loads import SharedLoad
 from tanagerwalk.gateway.answer_recorder import _remove_slowdown
 from tanagerwalk.registry import RegisteredServer, ServerState
 
@@ -25,9 +24,9 @@
 
 def test_places_are_not_scarce_while_most_slots_are_free():
     usages = [ServerUsage(server(n)) for n in range(56)]
-    loads = [SharedLoad(80 if n < 10 else 0, 0.0) for n in range(56)]
-    pairs = zip(usages, loads, strict=True)
-    places = [usage.count_places(10.0, load) for usage, load in pairs]
+    requests = [80 if n < 10 else 0 for n in range(56)]
+    pairs = zip(usages, requests, strict=True)
+    places = [usage.count_places(10.0, others) for usage, others in pairs]
     assert not sum_places(places).are_scarce
 
 
@@ -35,7 +34,7 @@
     usages = [ServerUsage(server(n)) for n in range(56)]
     usages[0].other_requests = usages[0].reported_queue = 10**15 - 1
     usages[0].reported_at = 10.0
-    places = [usage.count_places(10.0, SharedLoad(0, 0.0)) for usage in usages]
+    places = [usage.count_places(10.0, 0) for usage in usages]
     assert not sum_places(places).are_scarce
 
 
--- a/test/decisions/test_selection.py
+++ b/test/decisions/test_selection.py
@@ -75,6 +75,16 @@
     assert not pool.is_evacuated("desk", lambda server: True)
 
 
+def test_only_servers_that_may_be_used_now_have_places():
+    servers = [build_server(f"s{n}") for n in range(4)]
+    pool = build_pool(*servers)
+    pool.record_failure(servers[0], 0.0)
+    pool.set_possibly_leaving({"s1"})
+    assert [s.id for s, _ in pool.list_places("drafts", 0.1)] == ["s2", "s3"]
+    places = pool.list_places("drafts", MAX_FAILURE_PAUSE_S)
+    assert [s.id for s, _ in places] == ["s0", "s2", "s3"]
+
+
 def test_server_that_registers_in_an_evacuated_failure_domain_gets_nothing():
     pool = build_pool()
     pool.set_evacuated(frozenset({"a-1"}))
