Look at the limits of servers once a round, and at one server for the log

Cause: a refused request looked through the limits of all servers up to three times, and each attempt estimated the wait at all servers for its log line only.

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -110,6 +110,13 @@
         ]
         return min(loads, default=0.0)
 
+    def estimate_server_wait(self, server, now):
+        """Return the estimated wait at a server in seconds; 0 if it isn't known."""
+        usage = self._usages.get(server.id)
+        if usage is None:
+            return 0.0
+        return self._estimate_load(usage, now, self._find_slowdown(usage, now))
+
     def list_places(self, service, now):
         """Return the Places at each server of a service that may be used now.
 
--- a/tanagerwalk/gateway/place_wait.py
+++ b/tanagerwalk/gateway/place_wait.py
@@ -7,6 +7,9 @@
 from ..outcomes import RefusalReason
 
 PATH_POLL_INTERVAL_S = 0.05
+# Time for which one look at the limits of all servers stands; the steps that follow on
+# each other in one round of a request need no look of their own.
+LIMIT_LOOK_LIFETIME_S = 0.005
 
 
 class PlaceWait:
@@ -34,6 +37,8 @@
         self._clock = clock
         self._unreachable_since = None
         self._waited_for_limit = 0.0
+        self._limit_queue = None
+        self._looked_at = float("-inf")
 
     async def wait(self, history):
         """Wait a moment if servers exist but can't be reached, or have limits.
@@ -85,6 +90,7 @@
         finally:
             waiting[self._service] -= 1
         self._waited_for_limit += queue.wait
+        self._looked_at = float("-inf")
         return True
 
     def is_kept_off(self):
@@ -108,7 +114,12 @@
     def find_limit_queue(self):
         """Return the LimitQueue of the allowed servers, or None if none has a limit."""
         now = self._clock()
-        return self._servers.find_limit_queue(self._service, now, self._allows_server)
+        if now - self._looked_at > LIMIT_LOOK_LIFETIME_S:
+            self._looked_at = now
+            self._limit_queue = self._servers.find_limit_queue(
+                self._service, now, self._allows_server
+            )
+        return self._limit_queue
 
     def find_hold(self):
         """Return the seconds for which every server wants no requests."""
