Judge contention at the servers a request may use; refuse for long queues by degrees

Contention was judged over the whole service, although regions or a release may leave a request few servers; queue_full was a threshold that all instances crossed together; a request that had been accepted could be refused by a later estimate; Retry-After was cut at 10 s, true or not, without spread; a few answers made absurd waits; the lowest rank was shut out while the first asked for more than the engines can do. Change: - ServiceContention keeps a state for each set of failure domains and releases that requests use; PlaceContest decides by it. - The part refused (queue_full) grows from none at 0.6 of the time left to all at 1.0. After a wait for a server only a request that would miss its deadline is refused. - Retry-After is at most the longest timeout of the service's routes, and stays spread. - With fewer than 20 requests done in the window, waits and shares are unknown.

--- a/tanagerwalk/decisions/contention.py
+++ b/tanagerwalk/decisions/contention.py
@@ -43,7 +43,7 @@
 
         1 where nothing waits at the others.
         """
-        if not others.waiting:
+        if not others.waiting or not self.servers:
             return 1.0
         return (self.waiting / self.servers) / (others.waiting / others.servers)
 
--- a/tanagerwalk/decisions/demands.py
+++ b/tanagerwalk/decisions/demands.py
@@ -14,8 +14,10 @@
 MAX_ACCOUNTS_TOLD = 8
 # Fits a signed integer of 64 bits in a message.
 ACCOUNT_HASH_BYTES = 7
-# A shorter busy time shows too little of what the servers can do.
-MIN_BUSY_S = 0.75
+# A shorter time in use, or fewer requests done, show too little of what servers can do.
+MIN_MEASURED_S = 0.75
+MIN_REQUESTS_DONE = 20
+MEAN_SMOOTHING = 0.05
 # Least part of the work done that a priority and the less urgent ones are assumed to
 # get.
 MIN_RATE_SHARE = 0.25
@@ -45,16 +47,26 @@
     waiting: tuple[float, ...] = NO_WORK
     accounts: dict[int, float] = field(default_factory=dict)
 
-    def scale_done(self, busy_time):
+    def scale_done(self, busy_time, measured_time, mean_work):
         """Return the demand with the work that servers in full use would have done.
 
+        If they were in use for a short time, or few requests were done, what they can
+        do is unknown, and nothing counts as done.
+
         Parameters
         ----------
         busy_time : float
-            Part of the window, in seconds, for which the servers were in use. If it is
-            short, what they can do is unknown, and nothing counts as done.
+            Part of the window, in seconds, that the servers would have taken for the
+            same work in full use.
+        measured_time : float
+            Part of the window, in seconds, for which they were in use.
+        mean_work : float
+            Mean work of a request, in prompt tokens.
         """
-        scale = WINDOW_S / busy_time if busy_time >= MIN_BUSY_S else 0.0
+        has_evidence = sum(self.done) >= MIN_REQUESTS_DONE * mean_work
+        if measured_time < MIN_MEASURED_S or not has_evidence:
+            return replace(self, done=NO_WORK)
+        scale = WINDOW_S / busy_time
         return replace(self, done=tuple(scale * work for work in self.done))
 
     @property
@@ -124,9 +136,16 @@
 
 
 class DemandMeter:
-    """Measures the demand for one service at this instance."""
+    """Measures the demand for one service at this instance.
+
+    Attributes
+    ----------
+    mean_work : float
+        Mean work of the requests of late, in prompt tokens; 0 before the first.
+    """
 
     def __init__(self):
+        self.mean_work = 0.0
         self._offered = RecentSum()
         self._done = [RecentSum() for _ in range(PRIORITY_COUNT)]
         self._accounts = defaultdict(RecentSum)
@@ -134,6 +153,8 @@
 
     def record_offered(self, account, work, now):
         """Record a request of an account (`hash_account`, or None) that arrives."""
+        smoothing = MEAN_SMOOTHING if self.mean_work else 1.0
+        self.mean_work += smoothing * (work.total - self.mean_work)
         self._offered.add(work.total, now)
         if account is not None:
             self._accounts[account].add(work.total, now)
--- a/tanagerwalk/decisions/early_refusal.py
+++ b/tanagerwalk/decisions/early_refusal.py
@@ -7,12 +7,15 @@
 
 # No request is refused while the longest wait is shorter: estimates are too coarse.
 MIN_WAIT_S = 0.25
-# Part of its remaining time that a request may be expected to wait.
-MAX_WAIT_SHARE = 0.8
+# Expected waits as parts of the remaining time: of the requests that would wait longer
+# than the first, a part is refused, which grows with the wait; beyond the second, all.
+# All instances learn of the same queue at once, and a threshold would make them refuse
+# and accept in turn.
+FIRST_REFUSED_WAIT_SHARE = 0.6
+LAST_ACCEPTED_WAIT_SHARE = 1.0
 # Fair shares left to an account whose requests delay only less urgent ones.
 LENIENT_SHARES = 2.0
 MIN_RETRY_AFTER_S = 0.2
-MAX_RETRY_AFTER_S = 10.0
 # Multiples of the wait over which the retries of refused clients are spread.
 MIN_RETRY_SPREAD = 0.75
 MAX_RETRY_SPREAD = 1.25
@@ -34,8 +37,9 @@
         How its account stands among the others.
     time_left, objective : float
         Seconds until it expires, and its latency objective.
-    longest_objective : float
-        The longest latency objective of requests for the service.
+    longest_objective, longest_timeout : float
+        The longest latency objective and timeout of requests for the service, in
+        seconds.
     """
 
     wait: float
@@ -45,6 +49,7 @@
     time_left: float
     objective: float
     longest_objective: float
+    longest_timeout: float
 
     @property
     def total_wait(self):
@@ -58,8 +63,8 @@
     If an account exceeds its fair share, a part of its requests is refused once their
     wait exceeds their objective, so that the rest equals its share. If only less urgent
     requests wait longer than their objective, the account keeps twice its share. Of the
-    other requests, those that would miss their deadlines are refused, unless their
-    account keeps to its share and another one does not.
+    other requests, the nearer they would come to their deadlines, the more are refused,
+    unless their account keeps to its share and another one does not.
 
     Parameters
     ----------
@@ -70,15 +75,41 @@
     """
     if prospect.last_wait < MIN_WAIT_S:
         return None
-    if draw < _find_refused_share(prospect):
+    over_share = _find_part_over_share(prospect)
+    if draw < over_share:
         return RefusalReason.ACCOUNT_OVER_SHARE
-    misses_deadline = prospect.total_wait > MAX_WAIT_SHARE * prospect.time_left
-    if misses_deadline and not prospect.standing.is_crowded_out:
+    if draw < over_share + (1.0 - over_share) * _find_late_part(prospect):
         return RefusalReason.QUEUE_FULL
     return None
 
 
-def _find_refused_share(prospect):
+def find_late_refusal(prospect):
+    """Return why a request is refused that was accepted before and hasn't been sent.
+
+    Only if it can't be begun before its deadline, whatever the estimates were before.
+
+    Parameters
+    ----------
+    prospect : Prospect
+        What the request can expect.
+    """
+    if prospect.standing.is_crowded_out or prospect.total_wait <= prospect.time_left:
+        return None
+    return RefusalReason.QUEUE_FULL
+
+
+def _find_late_part(prospect):
+    """Return the part of such requests that is refused for their wait, 0 to 1."""
+    if prospect.standing.is_crowded_out:
+        return 0.0
+    first = FIRST_REFUSED_WAIT_SHARE * prospect.time_left
+    last = LAST_ACCEPTED_WAIT_SHARE * prospect.time_left
+    if prospect.total_wait >= last:
+        return 1.0
+    return max(0.0, (prospect.total_wait - first) / (last - first))
+
+
+def _find_part_over_share(prospect):
     """Return the part of its account's requests that are refused, 0 to 1."""
     excess = prospect.standing.excess
     if prospect.total_wait > prospect.objective:
@@ -91,9 +122,10 @@
 def choose_retry_delay(prospect, draw):
     """Return the seconds after which a refused client should retry.
 
-    By then the servers have begun what waits now. `draw`, a random number from 0 to 1,
-    spreads the clients that are refused together.
+    By then the servers have begun what waits now, or it has expired. `draw`, a random
+    number from 0 to 1, spreads the clients that are refused together.
     """
     wait = max(prospect.wait, prospect.last_wait - prospect.longest_objective)
+    wait = min(wait, prospect.longest_timeout / MAX_RETRY_SPREAD)
     spread = wait * (MIN_RETRY_SPREAD + (MAX_RETRY_SPREAD - MIN_RETRY_SPREAD) * draw)
-    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, spread))
+    return max(MIN_RETRY_AFTER_S, spread)
--- a/tanagerwalk/decisions/request_order.py
+++ b/tanagerwalk/decisions/request_priorities.py
@@ -1,4 +1,4 @@
-"""Order of competing requests: their priorities at the engines.
+"""Priorities of competing requests at the engines.
 
 Each rank of the manifest has a band of the engines' priorities. Within its band, a
 request may go behind others of its rank, but not into the band of the next rank.
@@ -13,7 +13,7 @@
 # rank.
 LONG_WORK_FACTOR = 3.0
 # Of the requests that would wait beyond their objective, this part goes behind those of
-# the first rank, so that no rank is shut out.
+# the first rank, or among them if even these wait too long: no rank is shut out.
 TURN_SHARE = 0.25
 # Share of its timeout: a request with more time left is not moved up.
 AGED_TIME_SHARE = 0.5
@@ -24,8 +24,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OrderInput:
-    """What decides on the place of a request.
+class PriorityInputs:
+    """What decides on the priority of a request.
 
     Parameters
     ----------
@@ -53,64 +53,45 @@
     objective: float
 
 
-def list_ranks(manifest, service):
-    """Return the priorities that requests for a service may have, in order."""
-    ranks = {route.priority for route in list_routes(manifest, service)}
-    return tuple(sorted(ranks | set(manifest.account_priorities.values())))
-
-
-def list_routes(manifest, service):
-    """Return the routes of a manifest that a service has a share of."""
-    return [
-        route
-        for listed in manifest.routes.values()
-        for route in listed
-        if any(share.service == service for share in route.shares)
-    ]
-
-
-def find_rank(manifest, route, account):
-    """Return the priority of a request; that of its account goes before the route's."""
-    return manifest.account_priorities.get(account, route.priority)
-
-
-def find_priority(order, estimate_wait, draw):
+def find_priority(inputs, estimate_wait, draw):
     """Return the priority of a request at an engine, 0 to 9; 0 is served first.
 
     Parameters
     ----------
-    order : OrderInput
+    inputs : PriorityInputs
         What decides on it.
     estimate_wait : callable
         Takes a priority and returns the seconds that a request of it would wait.
     draw : float
         Random number from 0 to 1; below `TURN_SHARE`, a request that would wait too
-        long goes behind the first rank.
+        long is moved up to the first rank.
     """
-    index = order.ranks.index(order.rank)
-    moved = max(0, index - _count_ranks_up(order))
-    steps = int(order.is_over_share) + int(_is_long(order))
+    index = inputs.ranks.index(inputs.rank)
+    moved = max(0, index - _count_ranks_up(inputs))
+    steps = int(inputs.is_over_share) + int(_is_long(inputs))
     if moved < index:
         # Behind the requests that have that rank by the manifest.
         steps = PRIORITY_COUNT
-    priority = _place(moved, len(order.ranks), steps)
-    if order.is_over_share or draw >= TURN_SHARE:
-        return priority
-    if estimate_wait(priority) <= order.objective:
+    priority = _place(moved, len(inputs.ranks), steps)
+    if inputs.is_over_share or draw >= TURN_SHARE:
         return priority
-    return min(priority, _place(0, len(order.ranks), PRIORITY_COUNT))
+    behind_first = min(priority, _place(0, len(inputs.ranks), PRIORITY_COUNT))
+    for moved_up in (priority, behind_first):
+        if estimate_wait(moved_up) <= inputs.objective:
+            return moved_up
+    return min(priority, _place(0, len(inputs.ranks), steps=0))
 
 
-def _count_ranks_up(order):
-    if order.is_over_share or order.time_left > AGED_TIME_SHARE * order.timeout:
+def _count_ranks_up(inputs):
+    if inputs.is_over_share or inputs.time_left > AGED_TIME_SHARE * inputs.timeout:
         return 0
-    is_short = order.time_left < SHORT_TIME * order.objective
-    is_shortest = order.time_left < SHORTEST_TIME * order.objective
+    is_short = inputs.time_left < SHORT_TIME * inputs.objective
+    is_shortest = inputs.time_left < SHORTEST_TIME * inputs.objective
     return int(is_short) + int(is_shortest)
 
 
-def _is_long(order):
-    return order.work > LONG_WORK_FACTOR * order.mean_work
+def _is_long(inputs):
+    return inputs.work > LONG_WORK_FACTOR * inputs.mean_work
 
 
 def _place(index, ranks, steps):
--- a/tanagerwalk/decisions/shared_demands.py
+++ b/tanagerwalk/decisions/shared_demands.py
@@ -50,7 +50,7 @@
     Attributes
     ----------
     list_own : callable
-        Returns the Demand of this instance for each contended service, by service.
+        Returns the Demand of this instance for each service that needs it.
     """
 
     def __init__(self):
@@ -107,7 +107,7 @@
         return total if own is None else total.subtract(own)
 
     def list_told(self, scope, now):
-        """Return the Demand of a scope for each contended service, to tell others."""
+        """Return the Demand of a scope for each service that needs it."""
         totals = self.sum_all(SUMMED_SCOPES[scope], now)
         own = self.list_own()
         if self._role is Role.MEMBER:
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -30,7 +30,7 @@
 from .cluster_state import ClusterState
 from .cold_watch import ColdWatch
 from .connector import ServerConnector
-from .contention import ContentionControl
+from .contention_monitor import ContentionMonitor
 from .crash_check import CrashCheck
 from .evacuation import EvacuationController
 from .exchange import AttemptRunner
@@ -176,14 +176,14 @@
             self.clock,
             self.random,
         )
-        self.contention = ContentionControl(
+        self.contention = ContentionMonitor(
             self.servers,
             self.sharing.demands,
             self.metrics,
             self.clock,
             self.random,
         )
-        self.sharing.demands.list_own = self.contention.list_demands
+        self.sharing.demands.list_own = self.contention.refresh_all
         self.assigner.send_notes = self.sharing.send_notes
         self.sharing.on_permit_note = self.permits.receive
         self.permits.send_notes = self.sharing.send_permit_notes
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -76,7 +76,14 @@
         self._permit_wait = PermitWait(
             context.permits, context.servers, request, service, context.clock
         )
-        self._place_contest = PlaceContest(context.contention, request, service)
+        self._place_contest = PlaceContest(
+            context.contention,
+            request,
+            service,
+            self._regions.restrict(
+                lambda server: self._assignment.allows_server(server)
+            ),
+        )
         self._history = AttemptHistory(route.repeatable, route.max_attempts)
         self._progress = StreamProgress(last_event=request.last_event)
         self._kept_answer = None
@@ -85,6 +92,7 @@
         self._attempt_log = []
         self._current_server_id = None
         self._last_release = None
+        self._is_accepted = False
         self._is_under_way = False
         # Whether only servers with an open connection can be asked.
         self._needs_kept = False
@@ -132,6 +140,7 @@
             reason = self._find_refusal()
             if reason is not None:
                 return self._log_result(self._give_up(reason))
+            self._is_accepted = True
             server, hold = self._choose_server(), None
             if server is not None and self._permit_wait.is_needed:
                 acquired = await self._acquire_permit(server)
@@ -178,7 +187,7 @@
         if self._history.sent > 0 or self._permit_wait.is_needed:
             return None
         work = self._models.estimate_work(self._clock())
-        return self._place_contest.find_refusal(work, self._allows_server)
+        return self._place_contest.find_refusal(work)
 
     def _find_region_refusal(self):
         may_have_run = self._history.may_have_run
@@ -210,15 +219,14 @@
     def _would_miss_deadline(self):
         """Return whether the queues leave too little time before the deadline.
 
-        Only checked for routes with models, before the first attempt is sent.
+        Only checked for routes with models, before the first attempt is sent. Once the
+        request has been accepted, only if the queues leave no time at all.
         """
         if self._history.sent > 0 or self._models.current is None:
             return False
         wait = self._estimate_wait()
-        return (
-            wait > MIN_QUEUE_FULL_WAIT_S
-            and wait > QUEUE_FULL_WAIT_SHARE * self._time_left
-        )
+        share = 1.0 if self._is_accepted else QUEUE_FULL_WAIT_SHARE
+        return wait > MIN_QUEUE_FULL_WAIT_S and wait > share * self._time_left
 
     def _choose_server(self):
         now = self._clock()
@@ -270,7 +278,7 @@
         )
         self._current_server_id = server.id
         self._last_release = server.release
-        wait = self._estimate_wait()
+        wait = self._context.servers.estimate_server_wait(server, now)
         plan = AttemptPlan(
             self._request,
             attempt,
--- a/tanagerwalk/gateway/execution_context.py
+++ b/tanagerwalk/gateway/execution_context.py
@@ -5,7 +5,7 @@
 
 from ..decisions.selection import ServerPool
 from .answer_recorder import AnswerRecorder
-from .contention import ContentionControl
+from .contention_monitor import ContentionMonitor
 from .crash_check import CrashCheck
 from .exchange import AttemptRunner
 from .metrics import GatewayMetrics
@@ -44,7 +44,7 @@
         Permits to send requests to brittle servers.
     region_rules : RegionRules
         Restricts requests to the regions in which they may be processed.
-    contention : ContentionControl
+    contention : ContentionMonitor
         Knows for which services requests compete for places.
     stop_control : StopControl
         Knows which attempts can still end before a planned stop.
@@ -66,7 +66,7 @@
     crash_check: CrashCheck
     permits: ServerPermits
     region_rules: RegionRules
-    contention: ContentionControl
+    contention: ContentionMonitor
     stop_control: StopControl
     metrics: GatewayMetrics
     clock: object
--- a/tanagerwalk/gateway/place_contest.py
+++ b/tanagerwalk/gateway/place_contest.py
@@ -1,17 +1,19 @@
 """The part of one request in the competition for places at the servers."""
 
+from functools import partial
+
 from ..decisions.demands import PRIORITY_COUNT, hash_account, make_plain_work
 from ..decisions.early_refusal import (
     Prospect,
     choose_retry_delay,
     find_early_refusal,
+    find_late_refusal,
 )
 from ..decisions.fair_shares import Standing, find_standing
-from ..decisions.request_order import (
+from ..decisions.request_priorities import (
     DEFAULT_PRIORITY,
-    OrderInput,
+    PriorityInputs,
     find_priority,
-    find_rank,
 )
 from .attempts import Outcome
 
@@ -23,12 +25,15 @@
 
     Parameters
     ----------
-    control : ContentionControl
-        Knows for which services requests compete.
+    monitor : ContentionMonitor
+        Knows for which servers requests compete.
     request : GatewayRequest
         The request.
     service : ServiceName
         The service that runs it.
+    allows_server : callable
+        Takes a RegisteredServer and returns whether the request may use it, by its
+        failure domain and release alone.
 
     Attributes
     ----------
@@ -36,77 +41,77 @@
         Seconds after which the client of a refused request should retry.
     """
 
-    def __init__(self, control, request, service):
-        self._control = control
+    def __init__(self, monitor, request, service, allows_server):
+        self._monitor = monitor
         self._request = request
         self._service = service
+        self._allows_server = allows_server
         self._account = None
         self._contention = None
-        self._work = None
         self._fields = {}
-        # Drawn once, so that each further look for a server decides alike.
-        self._turn_draw = control.random.random()
-        self._share_draw = control.random.random()
+        # Drawn once, so that each attempt has the same priority.
+        self._turn_draw = monitor.random.random()
+        self._refusal_draw = monitor.random.random()
         self.retry_delay = 0.0
-        self._order = control.find_order(request.manifest, service)
-        if not self._order.is_needed:
-            return
-        if request.account is not None and self._order.accounts > 1:
+        self._policy = monitor.find_policy(request.manifest, service)
+        if request.account is not None and self._policy.accounts > 1:
             self._account = hash_account(request.account)
 
-    def find_refusal(self, work, allows_server):
+    def find_refusal(self, work):
         """Return why the request is refused before it is sent, or None.
 
+        The first call decides whether it is accepted. Later ones, after waits for a
+        server, refuse it only if it would miss its deadline.
+
         Parameters
         ----------
         work : Work or None
             Cost of the request for an engine; None for a service without models.
-        allows_server : callable
-            Takes a RegisteredServer and returns whether the request may use it.
 
         Returns
         -------
         RefusalReason or None
         """
-        if not self._order.is_needed:
+        if not self._policy.has_differences:
             return None
         is_first = self._contention is None
-        self._contention = self._control.find_service(self._service)
-        self._work = work or make_plain_work()
-        now = self._control.clock()
+        self._contention = self._monitor.refresh(self._service)
+        now = self._monitor.clock()
         if is_first:
-            self._contention.meter.record_offered(self._account, self._work, now)
+            offered = work or make_plain_work()
+            self._contention.meter.record_offered(self._account, offered, now)
+        subset = self._find_subset(now)
         # The rest of a stream that has begun is not refused.
-        if not self._is_contended or self._request.last_event is not None:
-            return None
-        places = self._contention.count_places(allows_server)
-        if not places.are_scarce:
+        is_resumed = self._request.last_event is not None
+        if is_resumed or not (subset.is_contended and subset.places.are_scarce):
             return None
-        prospect = self._find_prospect(places, self._find_priority(work), now)
-        reason = find_early_refusal(prospect, self._share_draw)
+        prospect = self._find_prospect(subset, work, now)
+        if is_first:
+            reason = find_early_refusal(prospect, self._refusal_draw)
+        else:
+            reason = find_late_refusal(prospect)
         if reason is not None:
-            draw = self._control.random.random()
+            draw = self._monitor.random.random()
             self.retry_delay = choose_retry_delay(prospect, draw)
         return reason
 
-    @property
-    def _is_contended(self):
-        return self._contention is not None and self._contention.state.is_contended
+    def _find_subset(self, now):
+        """Return the ServerSubset that the request may use."""
+        return self._contention.find_subset(self._allows_server, now)
 
-    def _find_prospect(self, places, priority, now):
+    def _find_prospect(self, subset, work, now):
         """Return the Prospect of the request at the servers that it may use."""
-        everywhere = self._contention.places
-        rate = self._contention.demand.done_rate
-        queue_ratio = places.compare_queues(everywhere)
-        prefill_time = self._work.prefill * everywhere.servers / rate if rate else 0.0
+        contention = self._contention
+        priority = self._find_priority(subset, work, now)
         prospect = Prospect(
-            wait=queue_ratio * self._estimate_wait(priority),
-            prefill_time=prefill_time,
-            last_wait=queue_ratio * self._estimate_wait(PRIORITY_COUNT - 1),
+            wait=contention.estimate_wait(subset, priority),
+            prefill_time=contention.estimate_prefill_time(work or make_plain_work()),
+            last_wait=contention.estimate_wait(subset, PRIORITY_COUNT - 1),
             standing=self._find_standing(),
             time_left=self._request.deadline - now,
             objective=self._request.route.objective,
-            longest_objective=self._order.longest_objective,
+            longest_objective=self._policy.longest_objective,
+            longest_timeout=self._policy.longest_timeout,
         )
         self._fields |= {
             "expected_wait_ms": round(prospect.wait * MS_PER_S),
@@ -114,14 +119,11 @@
         }
         return prospect
 
-    def _estimate_wait(self, priority):
-        return self._contention.demand.estimate_wait(priority)
-
     def _find_standing(self):
         if self._account is None:
             return Standing()
         demand = self._contention.demand
-        return find_standing(demand, self._account, self._order.accounts)
+        return find_standing(demand, self._account, self._policy.accounts)
 
     def choose_priority(self, work):
         """Return the priority of the next attempt; None for the engine's default.
@@ -131,29 +133,34 @@
         work : Work or None
             Cost of the request for an engine; None for a service without models.
         """
-        if work is None or not self._is_contended:
+        if work is None or self._contention is None:
+            return None
+        now = self._monitor.clock()
+        subset = self._find_subset(now)
+        if not subset.is_contended:
             return None
-        priority = self._find_priority(work)
+        priority = self._find_priority(subset, work, now)
         self._fields["priority"] = priority
-        self._control.metrics.priorities.labels(priority).inc()
+        self._monitor.metrics.priorities.labels(priority).inc()
         return priority
 
-    def _find_priority(self, work):
-        """Return the priority by the order of requests, as under contention."""
+    def _find_priority(self, subset, work, now):
+        """Return the priority that the request has under contention."""
         if work is None:
             return DEFAULT_PRIORITY
         request = self._request
-        order = OrderInput(
-            find_rank(request.manifest, request.route, request.account),
-            self._order.ranks,
+        inputs = PriorityInputs(
+            self._policy.find_rank(request),
+            self._policy.ranks,
             work.total,
-            self._control.servers.mean_work,
+            self._monitor.servers.mean_work,
             self._find_standing().excess > 0.0,
-            request.deadline - self._control.clock(),
+            request.deadline - now,
             request.route.timeout,
             request.route.objective,
         )
-        return find_priority(order, self._estimate_wait, self._turn_draw)
+        estimate_wait = partial(self._contention.estimate_wait, subset)
+        return find_priority(inputs, estimate_wait, self._turn_draw)
 
     def begin(self, attempt):
         """Record that the request is sent; return a SentRequest for `end`, or None."""
@@ -161,7 +168,8 @@
             return None
         priority = attempt.priority
         if priority is None:
-            priority = self._find_priority(attempt.work)
+            now = self._monitor.clock()
+            priority = self._find_priority(self._find_subset(now), attempt.work, now)
         return self._contention.meter.begin(priority, attempt.work or make_plain_work())
 
     def end(self, sent, result):
@@ -169,7 +177,7 @@
         if sent is None:
             return
         is_answered = result is not None and result.outcome is Outcome.DELIVERED
-        self._contention.meter.end(sent, is_answered, self._control.clock())
+        self._contention.meter.end(sent, is_answered, self._monitor.clock())
 
     def describe(self):
         """Return the log fields of a request that competed for a place."""
--- a/test/decisions/test_contention.py
+++ b/test/decisions/test_contention.py
@@ -1,5 +1,6 @@
 """Order, fair shares and early refusal of requests that compete for places."""
 
+import itertools
 from dataclasses import replace
 
 import pytest
@@ -10,16 +11,17 @@
     Prospect,
     choose_retry_delay,
     find_early_refusal,
+    find_late_refusal,
 )
 from tanagerwalk.decisions.fair_shares import Standing, find_standing
 from tanagerwalk.decisions.recent_sums import WINDOW_S, RecentSum
 from tanagerwalk.decisions.relays import Role, Scope
-from tanagerwalk.decisions.request_order import OrderInput, find_priority
+from tanagerwalk.decisions.request_priorities import PriorityInputs, find_priority
 from tanagerwalk.decisions.server_usage import estimate_work
 from tanagerwalk.decisions.shared_demands import DemandSource, SharedDemandTable
 from tanagerwalk.outcomes import RefusalReason
 
-ORDER = OrderInput(
+INPUTS = PriorityInputs(
     rank=1,
     ranks=(1, 3),
     work=1000.0,
@@ -39,12 +41,13 @@
     time_left=15.0,
     objective=1.0,
     longest_objective=4.0,
+    longest_timeout=20.0,
 )
 QUEUED = Places(servers=10, slots=160, taken=200, waiting=40)
 
 
 def place(draw=NO_TURN, wait=0.0, **changes):
-    return find_priority(replace(ORDER, **changes), lambda priority: wait, draw)
+    return find_priority(replace(INPUTS, **changes), lambda priority: wait, draw)
 
 
 def build_demand(done, **accounts):
@@ -79,6 +82,16 @@
     assert place(TURN, wait=2.0, rank=3) < place(wait=2.0, rank=3)
 
 
+def test_part_of_the_least_urgent_go_among_the_first_if_all_wait_too_long():
+    def find(behind_first):
+        waits = [0.0, 0.0, 0.0, 0.0, behind_first, 9.0, 9.0, 9.0, 9.0, 9.0]
+        inputs = replace(INPUTS, rank=3)
+        return find_priority(inputs, waits.__getitem__, TURN)
+
+    assert find(behind_first=0.5) == 4
+    assert find(behind_first=2.0) == place() == 0
+
+
 def test_account_under_its_share_is_crowded_out_by_the_one_beyond():
     demand = build_demand(100.0, a1=300.0, a2=20.0, a3=10.0)
     assert find_standing(demand, 1, 3).excess == pytest.approx(1.0 - 70.0 / 300.0)
@@ -130,6 +143,36 @@
     assert times[0] < times[5] == 4.0 < times[-1]
 
 
+@pytest.mark.parametrize("longest", [4.0, 20.0])
+def test_no_client_is_told_to_wait_longer_than_any_request_that_waits(longest):
+    prospect = replace(PROSPECT, wait=300.0, last_wait=300.0, longest_timeout=longest)
+    times = [choose_retry_delay(prospect, draw / 10.0) for draw in range(11)]
+    assert 0.5 * longest < times[0] < times[-1] <= longest
+
+
+def test_part_refused_grows_with_the_wait_until_the_deadline_is_missed():
+    refused = [
+        sum(
+            find_early_refusal(
+                replace(PROSPECT, wait=float(wait), last_wait=float(wait)), draw / 100.0
+            )
+            is not None
+            for draw in range(100)
+        )
+        for wait in range(16)
+    ]
+    steps = [after - before for before, after in itertools.pairwise(refused)]
+    assert (refused[8], refused[15]) == (0, 100)
+    assert min(steps) >= 0
+    assert max(steps) <= 20
+
+
+def test_accepted_request_is_refused_only_if_it_would_miss_its_deadline():
+    assert find_late_refusal(replace(PROSPECT, wait=14.0, last_wait=14.0)) is None
+    prospect = replace(PROSPECT, wait=15.0, last_wait=15.0)
+    assert find_late_refusal(prospect) is RefusalReason.QUEUE_FULL
+
+
 def test_contention_begins_with_a_queue_and_changes_seldom():
     state = ContentionState()
     assert not state.update(replace(QUEUED, waiting=0), 0.0)
@@ -157,6 +200,22 @@
     assert demand.estimate_wait(9) == pytest.approx(20.0 * WINDOW_S)
 
 
+def test_few_answers_tell_no_wait_and_no_share():
+    demand = replace(build_demand(19_000.0, a1=90_000.0), waiting=(9e6,) * 10)
+    unknown = demand.scale_done(WINDOW_S, WINDOW_S, 1000.0)
+    assert unknown.estimate_wait(9) == 0.0
+    assert find_standing(unknown, 1, 2) == Standing()
+    known = replace(demand, done=demand.done[:9] + (1000.0,))
+    assert known.scale_done(WINDOW_S, WINDOW_S, 1000.0).estimate_wait(9) > 1000.0
+
+
+def test_mean_work_follows_the_requests_of_late():
+    meter = DemandMeter()
+    for tokens in (700, 1700):
+        meter.record_offered(None, estimate_work(tokens, 1.0), 0.0)
+    assert 1000.0 < meter.mean_work < 1500.0
+
+
 def test_request_waits_until_its_answer_begins_and_is_done_at_its_end():
     meter = DemandMeter()
     work = estimate_work(700, 1.0)
--- a/test/gateway/contention_fleet.py
+++ b/test/gateway/contention_fleet.py
@@ -23,7 +23,7 @@
 from tanagerwalk.decisions.server_usage import estimate_work
 from tanagerwalk.decisions.shared_loads import SharedLoadTable
 from tanagerwalk.gateway.attempts import Outcome
-from tanagerwalk.gateway.contention import ContentionControl
+from tanagerwalk.gateway.contention_monitor import ContentionMonitor
 from tanagerwalk.gateway.metrics import GatewayMetrics
 from tanagerwalk.gateway.place_contest import PlaceContest
 from tanagerwalk.gateway.sharing import LoadSharing
@@ -38,6 +38,7 @@
 MAX_ATTEMPTS = 3
 DEFAULT_PRIORITY = 5
 WARM_UP_S = 5.0
+STEP_S = 0.25
 
 
 @dataclass(frozen=True)
@@ -80,7 +81,8 @@
 class Scenario:
     """What the fleet bears; `decides` tells whether it does more than choose servers.
 
-    `repeats` is how often clients come back, `waits` whether they heed Retry-After.
+    `queue` is the most requests that wait at an engine, `repeats` is how often clients
+    come back, `waits` whether they heed Retry-After.
     """
 
     instances: int = 9
@@ -88,6 +90,7 @@
     load: float = 1.0
     bursts: tuple[Burst, ...] = ()
     accounts: int = 8
+    queue: int = QUEUE
     repeats: int = 1
     waits: bool = True
     loss: float = 0.0
@@ -100,13 +103,22 @@
 class Result:
     """What was seen: requests by (kind, account, end) and what engines were told.
 
-    The ends are those of what a client wanted, after all that it repeated.
+    The ends are those of what a client wanted, after all that it repeated. `decided`
+    and `refused` count the requests that came, and those refused, by step of
+    `STEP_S`.
     """
 
     ends: Counter = field(default_factory=Counter)
     reasons: Counter = field(default_factory=Counter)
     priorities: Counter = field(default_factory=Counter)
     refused_idle: int = 0
+    decided: Counter = field(default_factory=Counter)
+    refused: Counter = field(default_factory=Counter)
+
+    def count_decided(self, begin, end):
+        """Return (decided, refused) for each step of a time in seconds."""
+        steps = range(int(begin / STEP_S), int(end / STEP_S))
+        return [(self.decided[step], self.refused[step]) for step in steps]
 
     def find_share(self, *ends, **wanted):
         """Return the part of the requests of a kind or account with some ends."""
@@ -121,7 +133,8 @@
 class Engine:
     """Runs requests in slots, by priority; reads one prompt at a time."""
 
-    def __init__(self, number):
+    def __init__(self, number, capacity):
+        self.capacity = capacity
         self.server = RegisteredServer(
             f"engine-{number}",
             SERVICE,
@@ -142,7 +155,7 @@
 
     async def run(self, kind, priority, on_head):
         """Run a request; return whether there was room for it."""
-        if len(self.queue) >= QUEUE:
+        if len(self.queue) >= self.capacity:
             return False
         if self.running < SLOTS:
             self.running += 1
@@ -188,7 +201,9 @@
         self.random = random.Random(seed)
         self.clock = asyncio.get_running_loop().time
         self.result = Result()
-        self.engines = {f"engine-{n}": Engine(n) for n in range(scenario.engines)}
+        self.engines = {
+            f"engine-{n}": Engine(n, scenario.queue) for n in range(scenario.engines)
+        }
         self.accounts = [f"account-{n}" for n in range(scenario.accounts)]
         self._tasks = set()
         self._build_manifest()
@@ -245,11 +260,11 @@
         )
         sharing.authenticate("key of the fleet")
         sharing.connection_made(SimpleNamespace(sendto=self._send))
-        control = ContentionControl(
+        monitor = ContentionMonitor(
             servers, sharing.demands, GatewayMetrics(), self.clock, self.random
         )
-        sharing.demands.list_own = control.list_demands
-        return SimpleNamespace(sharing=sharing, servers=servers, control=control)
+        sharing.demands.list_own = monitor.refresh_all
+        return SimpleNamespace(sharing=sharing, servers=servers, monitor=monitor)
 
     def _send(self, datagram, address):
         if self.random.random() >= self.scenario.loss:
@@ -325,10 +340,11 @@
             last_event=None,
             deadline=now + left,
         )
-        contest = PlaceContest(instance.control, request, SERVICE)
+        self.result.decided[int(now / STEP_S)] += 1
+        contest = PlaceContest(instance.monitor, request, SERVICE, lambda server: True)
         if self.scenario.decides:
             work = estimate_work(kind.tokens, 1.0, now)
-            reason = contest.find_refusal(work, lambda server: True)
+            reason = contest.find_refusal(work)
             if reason is not None:
                 return self._record_refusal(reason, contest)
         tried = set()
@@ -344,6 +360,7 @@
 
     def _record_refusal(self, reason, contest):
         self.result.reasons[reason.value] += 1
+        self.result.refused[int(self.clock() / STEP_S)] += 1
         taken = sum(e.running + len(e.queue) for e in self.engines.values())
         waiting = sum(len(e.queue) for e in self.engines.values())
         if not waiting and taken < 0.5 * SLOTS * len(self.engines):
--- a/test/gateway/region_fleet.py
+++ b/test/gateway/region_fleet.py
@@ -26,7 +26,7 @@
 from tanagerwalk.gateway.attempts import AttemptResult, Outcome
 from tanagerwalk.gateway.connect_faults import ConnectFault
 from tanagerwalk.gateway.connector import ServerConnector
-from tanagerwalk.gateway.contention import ContentionControl
+from tanagerwalk.gateway.contention_monitor import ContentionMonitor
 from tanagerwalk.gateway.execution import RequestExecution
 from tanagerwalk.gateway.metrics import GatewayMetrics
 from tanagerwalk.gateway.pool import ConnectionPool
@@ -132,7 +132,7 @@
             crash_check=None,
             permits=Permits(fleet.is_brittle),
             region_rules=rules,
-            contention=ContentionControl(
+            contention=ContentionMonitor(
                 self.servers, SharedDemandTable(), GatewayMetrics(), clock, fleet.random
             ),
             stop_control=MagicMock(),
--- a/test/gateway/test_contended_engines.py
+++ b/test/gateway/test_contended_engines.py
@@ -60,9 +60,9 @@
 # Load: two requests for each slot, then two of an account that goes first.
 async def test_requests_of_an_urgent_account_pass_those_that_wait(cluster):
     patient = send(cluster, 9, "key-p")
-    controls = [instance.contention for instance in cluster.instances]
+    monitors = [instance.contention for instance in cluster.instances]
     assert await poll_until(
-        lambda: all("drafts" in control.list_demands() for control in controls),
+        lambda: all(monitor.refresh("drafts").is_contended for monitor in monitors),
         0.02,
         WAIT_S,
     )
--- a/test/gateway/test_contention_fleet.py
+++ b/test/gateway/test_contention_fleet.py
@@ -45,6 +45,36 @@
     assert find_least_share(result) > 0.5 * result.find_share(*ANSWERED)
 
 
+# Load: chats that fill the engines 1.6 times, and the reverse, with queues to wait in.
+@pytest.mark.parametrize(("chats", "longs"), [(4.5, 1.0), (0.3, 6.0)])
+@pytest.mark.parametrize("queue", [33, 600])
+def test_each_rank_is_served_while_another_asks_for_everything(chats, longs, queue):
+    bursts = (
+        Burst(0.0, 24.0, chats, kind=CHAT.name),
+        Burst(0.0, 24.0, longs, kind=LONG.name),
+    )
+    load = {"engines": 3, "accounts": 1, "queue": queue, "length": 24.0}
+    result = play(bursts=bursts, **load)
+    assert find_least_share(result) > 0.25 * result.find_share(*ANSWERED)
+
+
+# Load: chats of one account, twice what the engines can do, with long queues.
+def test_part_refused_for_long_queues_is_steady():
+    only_chats = (Burst(0.0, 30.0, 0.0, kind=LONG.name),)
+    load = {"load": 6.0, "accounts": 1, "engines": 4, "queue": 600}
+    result = play(instances=69, repeats=0, length=28.0, bursts=only_chats, **load)
+    counts = result.count_decided(18.0, 28.0)
+    share = sum(refused for _, refused in counts) / sum(count for count, _ in counts)
+    # 1 if each request is refused by a draw of its own.
+    deviations = [
+        (refused - share * count) ** 2 / (count * share * (1.0 - share))
+        for count, refused in counts
+    ]
+    assert sum(deviations) < 2.0 * len(deviations)
+    assert set(result.reasons) == {"queue_full"}
+    assert result.find_share("expired") == 0.0
+
+
 # Load: one account at twelve times its usual for 11 s, at twice the engines' capacity.
 @pytest.mark.parametrize("instances", [9, 69])
 def test_flood_of_one_account_leaves_the_others_their_share(instances):
