Model engines that preempt in the fleet that competes for them

Change: engines of the fleet model may preempt, and read a prompt that was put off again. A test holds the bounds of the burst for chats, and the stated least part of each rank; in calm nothing is put off.

--- a/test/gateway/contention_fleet.py
+++ b/test/gateway/contention_fleet.py
@@ -82,7 +82,8 @@
     """What the fleet bears; `decides` tells whether it does more than choose servers.
 
     `queue` is the most requests that wait at an engine, `repeats` is how often clients
-    come back, `waits` whether they heed Retry-After.
+    come back, `waits` whether they heed Retry-After. `preempts` tells whether an engine
+    puts off a running request for a more urgent one, and reads its prompt again later.
     """
 
     instances: int = 9
@@ -97,6 +98,7 @@
     kill_at: float = float("inf")
     length: float = 20.0
     decides: bool = True
+    preempts: bool = False
 
 
 @dataclass
@@ -112,6 +114,7 @@
     reasons: Counter = field(default_factory=Counter)
     priorities: Counter = field(default_factory=Counter)
     refused_idle: int = 0
+    put_off: int = 0
     decided: Counter = field(default_factory=Counter)
     refused: Counter = field(default_factory=Counter)
 
@@ -133,7 +136,7 @@
 class Engine:
     """Runs requests in slots, by priority; reads one prompt at a time."""
 
-    def __init__(self, number, capacity):
+    def __init__(self, number, capacity, preempts):
         self.capacity = capacity
         self.server = RegisteredServer(
             f"engine-{number}",
@@ -146,6 +149,9 @@
         )
         self.running = 0
         self.queue = []
+        self.put_off = 0
+        self._preempts = preempts
+        self._steps = {}
         self._numbers = itertools.count()
         self._reading = asyncio.Lock()
 
@@ -157,28 +163,59 @@
         """Run a request; return whether there was room for it."""
         if len(self.queue) >= self.capacity:
             return False
-        if self.running < SLOTS:
-            self.running += 1
-        else:
-            await self._wait(priority)
+        entry = (priority, next(self._numbers))
+        left = SimpleNamespace(events=kind.events)
+        while True:
+            if self.running < SLOTS:
+                self.running += 1
+            else:
+                self._put_off_for(priority)
+                await self._wait(entry)
+            if await self._process(entry, kind, left, on_head):
+                return True
+
+    async def _process(self, entry, kind, left, on_head):
+        """Return whether a request has ended; otherwise it was put off."""
+        step = asyncio.create_task(self._produce(kind, left, on_head))
+        self._steps[entry] = step
         try:
-            async with self._reading:
-                await asyncio.sleep(kind.tokens / TOKENS_PER_S)
-            on_head()
-            await asyncio.sleep(kind.events * EVENT_S)
+            await asyncio.wait({step})
+            return not step.cancelled()
         finally:
+            step.cancel()
+            del self._steps[entry]
             self._leave()
-        return True
 
-    async def _wait(self, priority):
+    async def _produce(self, kind, left, on_head):
+        async with self._reading:
+            await asyncio.sleep(kind.tokens / TOKENS_PER_S)
+        on_head()
+        begin = asyncio.get_running_loop().time()
+        events = left.events
+        try:
+            await asyncio.sleep(events * EVENT_S)
+        finally:
+            elapsed = asyncio.get_running_loop().time() - begin
+            left.events = max(0.0, events - elapsed / EVENT_S)
+
+    def _put_off_for(self, priority):
+        """Take the slot of the least urgent request that is less urgent than others."""
+        if not self._preempts:
+            return
+        last = max((e for e, step in self._steps.items() if not step.cancelling()))
+        if last[0] > priority:
+            self.put_off += 1
+            self._steps[last].cancel()
+
+    async def _wait(self, entry):
         future = asyncio.get_running_loop().create_future()
-        entry = (priority, next(self._numbers), future)
-        heapq.heappush(self.queue, entry)
+        queued = (*entry, future)
+        heapq.heappush(self.queue, queued)
         try:
             await future
         except asyncio.CancelledError:
-            if entry in self.queue:
-                self.queue.remove(entry)
+            if queued in self.queue:
+                self.queue.remove(queued)
                 heapq.heapify(self.queue)
             elif not future.cancelled():
                 self._leave()
@@ -202,7 +239,8 @@
         self.clock = asyncio.get_running_loop().time
         self.result = Result()
         self.engines = {
-            f"engine-{n}": Engine(n, scenario.queue) for n in range(scenario.engines)
+            f"engine-{n}": Engine(n, scenario.queue, scenario.preempts)
+            for n in range(scenario.engines)
         }
         self.accounts = [f"account-{n}" for n in range(scenario.accounts)]
         self._tasks = set()
@@ -286,6 +324,7 @@
         await asyncio.gather(*self._tasks)
         for run in runs:
             run.cancel()
+        self.result.put_off = sum(each.put_off for each in self.engines.values())
         return self.result
 
     def _kill(self, run):
--- a/test/gateway/test_contention_fleet.py
+++ b/test/gateway/test_contention_fleet.py
@@ -35,6 +35,15 @@
     assert after.refused_idle == 0
 
 
+# Load: the same bursts, at engines that put off running requests for more urgent ones.
+def test_engines_that_preempt_shut_out_no_kind_and_nothing_is_put_off_in_calm():
+    result = play(bursts=BURSTS, preempts=True)
+    assert result.find_share("served", kind=CHAT.name) > 0.75
+    assert find_least_share(result) > 0.25 * result.find_share(*ANSWERED)
+    assert result.put_off > 0
+    assert play(load=0.5, preempts=True).put_off == 0
+
+
 # Load: both bursts at once and without end, 1.5 times what the engines can do.
 def test_no_kind_is_shut_out_by_lasting_overload():
     bursts = (
