Look for the servers of a request once in calm

Cause: a request in calm looked three times for the set of servers that it may use. Change: without contention, only the early refusal does, which tells that the set is in use.

--- a/tanagerwalk/decisions/contention.py
+++ b/tanagerwalk/decisions/contention.py
@@ -41,7 +41,7 @@
     def compare_queues(self, others):
         """Return the mean queue at these servers as a multiple of that at others.
 
-        1 where nothing waits at the others.
+        1 where nothing waits at the others, or without servers.
         """
         if not others.waiting or not self.servers:
             return 1.0
--- a/tanagerwalk/decisions/service_contention.py
+++ b/tanagerwalk/decisions/service_contention.py
@@ -100,6 +100,7 @@
         self.demand = Demand()
         self.whole = ServerSubset(frozenset())
         self._subsets = {}
+        # One server of each group, to ask whether a request may use the group.
         self._examples = {}
         self._places_by_group = {}
         self._busy_time = RecentSum()
--- a/tanagerwalk/gateway/place_contest.py
+++ b/tanagerwalk/gateway/place_contest.py
@@ -80,7 +80,7 @@
         if is_first:
             offered = work or make_plain_work()
             self._contention.meter.record_offered(self._account, offered, now)
-        subset = self._find_subset(now)
+        subset = self._contention.find_subset(self._allows_server, now)
         # The rest of a stream that has begun is not refused.
         is_resumed = self._request.last_event is not None
         if is_resumed or not (subset.is_contended and subset.places.are_scarce):
@@ -96,7 +96,9 @@
         return reason
 
     def _find_subset(self, now):
-        """Return the ServerSubset that the request may use."""
+        """Return the ServerSubset of the request; in calm, all servers will do."""
+        if not self._contention.is_contended:
+            return self._contention.whole
         return self._contention.find_subset(self._allows_server, now)
 
     def _find_prospect(self, subset, work, now):
