--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -10,7 +10,7 @@
 from .server_choice import LOCAL_WAIT_SHARE, UNKNOWN_TRAITS, ChoiceInputs
 from .server_limits import LimitQueue, ServerLimits
 from .server_usage_table import ServerUsageTable, hash_life
-from .shared_loads import SharedLoad
+from .shared_loads import SharedLoad, hash_server
 from .token_room import TokenRoom
 
 
@@ -110,8 +110,15 @@
         ]
         return min(loads, default=0.0)
 
+    def estimate_server_wait(self, server, now):
+        """Return the estimated wait at a server in seconds; 0 if it isn't known."""
+        usage = self._usages.get(server.id)
+        if usage is None:
+            return 0.0
+        return self._estimate_load(usage, now, self._find_slowdown(usage, now))
+
     def list_places(self, service, now):
-        """Return the Places at each server of a service that takes requests.
+        """Return the Places at each server of a service that may be used now.
 
         Parameters
         ----------
@@ -124,12 +131,15 @@
         -------
         list of (RegisteredServer, Places)
         """
+        others = self._shared.count_requests(now)
         return [
             (
                 usage.server,
-                usage.count_places(now, self._shared.sum(usage.server.id, now)),
+                usage.count_places(now, others.get(hash_server(usage.server.id), 0)),
             )
             for usage in self._list_ready(service, now, frozenset(), None)
+            if usage.paused_until <= now
+            and usage.server.id not in self._possibly_leaving
         ]
 
     def choose(
--- a/tanagerwalk/gateway/components.py
+++ b/tanagerwalk/gateway/components.py
@@ -23,7 +23,7 @@
 from .clocks import read_boot_clock
 from .cluster_state import ClusterState
 from .cold_watch import ColdWatch
-from .contention import ContentionControl
+from .contention_monitor import ContentionMonitor
 from .crash_check import CrashCheck
 from .evacuation import EvacuationController
 from .exchange import AttemptRunner
@@ -257,10 +257,10 @@
         self.quarantine.on_news = self.sharing.tell_crashes
 
     def _create_contention(self):
-        self.contention = ContentionControl(
+        self.contention = ContentionMonitor(
             self.servers, self.sharing.demands, self.metrics, self.clock, self.random
         )
-        self.sharing.demands.list_own = self.contention.list_demands
+        self.sharing.demands.list_own = self.contention.refresh_all
 
     def _forget_server(self, server):
         self.paths.forget(server.id)
--- a/test/gateway/contention_fleet.py
+++ b/test/gateway/contention_fleet.py
@@ -23,7 +23,7 @@
 from tanagerwalk.decisions.server_usage import estimate_work
 from tanagerwalk.decisions.shared_loads import SharedLoadTable
 from tanagerwalk.gateway.attempts import Outcome
-from tanagerwalk.gateway.contention import ContentionControl
+from tanagerwalk.gateway.contention_monitor import ContentionMonitor
 from tanagerwalk.gateway.metrics import GatewayMetrics
 from tanagerwalk.gateway.place_contest import PlaceContest
 from tanagerwalk.gateway.sharing import LoadSharing
@@ -38,6 +38,7 @@
 MAX_ATTEMPTS = 3
 DEFAULT_PRIORITY = 5
 WARM_UP_S = 5.0
+STEP_S = 0.25
 
 
 @dataclass(frozen=True)
@@ -80,7 +81,9 @@
 class Scenario:
     """What the fleet bears; `decides` tells whether it does more than choose servers.
 
-    `repeats` is how often clients come back, `waits` whether they heed Retry-After.
+    `queue` is the most requests that wait at an engine, `repeats` is how often clients
+    come back, `waits` whether they heed Retry-After. `preempts` tells whether an engine
+    puts off a running request for a more urgent one, and reads its prompt again later.
     """
 
     instances: int = 9
@@ -88,25 +91,37 @@
     load: float = 1.0
     bursts: tuple[Burst, ...] = ()
     accounts: int = 8
+    queue: int = QUEUE
     repeats: int = 1
     waits: bool = True
     loss: float = 0.0
     kill_at: float = float("inf")
     length: float = 20.0
     decides: bool = True
+    preempts: bool = False
 
 
 @dataclass
 class Result:
     """What was seen: requests by (kind, account, end) and what engines were told.
 
-    The ends are those of what a client wanted, after all that it repeated.
+    The ends are those of what a client wanted, after all that it repeated. `decided`
+    and `refused` count the requests that came, and those refused, by step of
+    `STEP_S`.
     """
 
     ends: Counter = field(default_factory=Counter)
     reasons: Counter = field(default_factory=Counter)
     priorities: Counter = field(default_factory=Counter)
     refused_idle: int = 0
+    put_off: int = 0
+    decided: Counter = field(default_factory=Counter)
+    refused: Counter = field(default_factory=Counter)
+
+    def count_decided(self, begin, end):
+        """Return (decided, refused) for each step of a time in seconds."""
+        steps = range(int(begin / STEP_S), int(end / STEP_S))
+        return [(self.decided[step], self.refused[step]) for step in steps]
 
     def find_share(self, *ends, **wanted):
         """Return the part of the requests of a kind or account with some ends."""
@@ -121,7 +136,8 @@
 class Engine:
     """Runs requests in slots, by priority; reads one prompt at a time."""
 
-    def __init__(self, number):
+    def __init__(self, number, capacity, preempts):
+        self.capacity = capacity
         self.server = RegisteredServer(
             f"engine-{number}",
             SERVICE,
@@ -133,6 +149,9 @@
         )
         self.running = 0
         self.queue = []
+        self.put_off = 0
+        self._preempts = preempts
+        self._steps = {}
         self._numbers = itertools.count()
         self._reading = asyncio.Lock()
 
@@ -142,30 +161,61 @@
 
     async def run(self, kind, priority, on_head):
         """Run a request; return whether there was room for it."""
-        if len(self.queue) >= QUEUE:
+        if len(self.queue) >= self.capacity:
             return False
-        if self.running < SLOTS:
-            self.running += 1
-        else:
-            await self._wait(priority)
+        entry = (priority, next(self._numbers))
+        left = SimpleNamespace(events=kind.events)
+        while True:
+            if self.running < SLOTS:
+                self.running += 1
+            else:
+                self._put_off_for(priority)
+                await self._wait(entry)
+            if await self._process(entry, kind, left, on_head):
+                return True
+
+    async def _process(self, entry, kind, left, on_head):
+        """Return whether a request has ended; otherwise it was put off."""
+        step = asyncio.create_task(self._produce(kind, left, on_head))
+        self._steps[entry] = step
         try:
-            async with self._reading:
-                await asyncio.sleep(kind.tokens / TOKENS_PER_S)
-            on_head()
-            await asyncio.sleep(kind.events * EVENT_S)
+            await asyncio.wait({step})
+            return not step.cancelled()
         finally:
+            step.cancel()
+            del self._steps[entry]
             self._leave()
-        return True
 
-    async def _wait(self, priority):
+    async def _produce(self, kind, left, on_head):
+        async with self._reading:
+            await asyncio.sleep(kind.tokens / TOKENS_PER_S)
+        on_head()
+        begin = asyncio.get_running_loop().time()
+        events = left.events
+        try:
+            await asyncio.sleep(events * EVENT_S)
+        finally:
+            elapsed = asyncio.get_running_loop().time() - begin
+            left.events = max(0.0, events - elapsed / EVENT_S)
+
+    def _put_off_for(self, priority):
+        """Take the slot of the least urgent request that is less urgent than others."""
+        if not self._preempts:
+            return
+        last = max((e for e, step in self._steps.items() if not step.cancelling()))
+        if last[0] > priority:
+            self.put_off += 1
+            self._steps[last].cancel()
+
+    async def _wait(self, entry):
         future = asyncio.get_running_loop().create_future()
-        entry = (priority, next(self._numbers), future)
-        heapq.heappush(self.queue, entry)
+        queued = (*entry, future)
+        heapq.heappush(self.queue, queued)
         try:
             await future
         except asyncio.CancelledError:
-            if entry in self.queue:
-                self.queue.remove(entry)
+            if queued in self.queue:
+                self.queue.remove(queued)
                 heapq.heapify(self.queue)
             elif not future.cancelled():
                 self._leave()
@@ -188,7 +238,10 @@
         self.random = random.Random(seed)
         self.clock = asyncio.get_running_loop().time
         self.result = Result()
-        self.engines = {f"engine-{n}": Engine(n) for n in range(scenario.engines)}
+        self.engines = {
+            f"engine-{n}": Engine(n, scenario.queue, scenario.preempts)
+            for n in range(scenario.engines)
+        }
         self.accounts = [f"account-{n}" for n in range(scenario.accounts)]
         self._tasks = set()
         self._build_manifest()
@@ -245,11 +298,11 @@
         )
         sharing.authenticate("key of the fleet")
         sharing.connection_made(SimpleNamespace(sendto=self._send))
-        control = ContentionControl(
+        monitor = ContentionMonitor(
             servers, sharing.demands, GatewayMetrics(), self.clock, self.random
         )
-        sharing.demands.list_own = control.list_demands
-        return SimpleNamespace(sharing=sharing, servers=servers, control=control)
+        sharing.demands.list_own = monitor.refresh_all
+        return SimpleNamespace(sharing=sharing, servers=servers, monitor=monitor)
 
     def _send(self, datagram, address):
         if self.random.random() >= self.scenario.loss:
@@ -271,6 +324,7 @@
         await asyncio.gather(*self._tasks)
         for run in runs:
             run.cancel()
+        self.result.put_off = sum(each.put_off for each in self.engines.values())
         return self.result
 
     def _kill(self, run):
@@ -325,10 +379,11 @@
             last_event=None,
             deadline=now + left,
         )
-        contest = PlaceContest(instance.control, request, SERVICE)
+        self.result.decided[int(now / STEP_S)] += 1
+        contest = PlaceContest(instance.monitor, request, SERVICE, lambda server: True)
         if self.scenario.decides:
             work = estimate_work(kind.tokens, 1.0, now)
-            reason = contest.find_refusal(work, lambda server: True)
+            reason = contest.find_refusal(work)
             if reason is not None:
                 return self._record_refusal(reason, contest)
         tried = set()
@@ -344,6 +399,7 @@
 
     def _record_refusal(self, reason, contest):
         self.result.reasons[reason.value] += 1
+        self.result.refused[int(self.clock() / STEP_S)] += 1
         taken = sum(e.running + len(e.queue) for e in self.engines.values())
         waiting = sum(len(e.queue) for e in self.engines.values())
         if not waiting and taken < 0.5 * SLOTS * len(self.engines):
