Leave refusals to the contest while requests compete for places

Cause: before the contest judged a request, an older estimate refused it with `queue_full` if the mean wait at the servers left too little time. It knows neither priorities nor shares, so that accounts within their share were refused as often as the one that floods.

--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -169,9 +169,12 @@
             return RefusalReason.STOPPING
         if self._regions.has_spent_connect_time(self._history.may_have_run):
             return RefusalReason.ALLOWED_REGIONS_UNREACHABLE
-        if self._would_miss_deadline():
+        reason = self._find_early_refusal()
+        # The contest knows what goes before the request; this estimate doesn't.
+        is_judged = reason is not None or self._place_contest.is_contended
+        if not is_judged and self._would_miss_deadline():
             return RefusalReason.QUEUE_FULL
-        return self._find_early_refusal()
+        return reason
 
     def _find_early_refusal(self):
         """Return why the request isn't sent while others compete for places."""
--- a/tanagerwalk/gateway/place_contest.py
+++ b/tanagerwalk/gateway/place_contest.py
@@ -77,7 +77,7 @@
         if is_first:
             self._contention.meter.record_offered(self._account, self._work, now)
         # The rest of a stream that has begun is not refused.
-        if not self._is_contended or self._request.last_event is not None:
+        if not self.is_contended or self._request.last_event is not None:
             return None
         places = self._contention.count_places(allows_server)
         if not places.are_scarce:
@@ -90,7 +90,8 @@
         return reason
 
     @property
-    def _is_contended(self):
+    def is_contended(self):
+        """Whether the request competes with others, as far as is known."""
         return self._contention is not None and self._contention.state.is_contended
 
     def _find_prospect(self, places, priority, now):
@@ -131,7 +132,7 @@
         work : Work or None
             Cost of the request for an engine; None for a service without models.
         """
-        if work is None or not self._is_contended:
+        if work is None or not self.is_contended:
             return None
         priority = self._find_priority(work)
         self._fields["priority"] = priority
