Count one fall of a brittle server once in the soak

Cause: a server that rejects several requests in one turn of the loop starts several falls before the first one has begun; the fleet counted each.

Change: a fall is counted where it begins, and only while the server is up.

--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -315,13 +315,19 @@
         self.cold_times.append(cold)
 
     def _start_fall(self, server):
+        self._start_task(self._fall(server))
+
+    async def _fall(self, server):
         """Let a server crash since it had to reject too many requests."""
         if not server.is_down:
             self.falls[server.id].append(time.monotonic())
-            self._start_restart(server)
+            await self.restart_server(server)
 
     def _start_restart(self, server):
-        task = asyncio.create_task(self.restart_server(server))
+        self._start_task(self.restart_server(server))
+
+    def _start_task(self, coroutine):
+        task = asyncio.create_task(coroutine)
         self.restart_tasks.add(task)
         task.add_done_callback(self.restart_tasks.discard)
 
