Let only crowded-out accounts pass the general estimate of waits

Cause: left all refusals to the contest.

Change: the general estimate holds again for all requests but those of an account that keeps to its share while another one doesn't.

--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -170,11 +170,9 @@
         if self._regions.has_spent_connect_time(self._history.may_have_run):
             return RefusalReason.ALLOWED_REGIONS_UNREACHABLE
         reason = self._find_early_refusal()
-        # The contest knows what goes before the request; this estimate doesn't.
-        is_judged = reason is not None or self._place_contest.is_contended
-        if not is_judged and self._would_miss_deadline():
-            return RefusalReason.QUEUE_FULL
-        return reason
+        if reason is not None or self._place_contest.is_crowded_out:
+            return reason
+        return RefusalReason.QUEUE_FULL if self._would_miss_deadline() else None
 
     def _find_early_refusal(self):
         """Return why the request isn't sent while others compete for places."""
--- a/tanagerwalk/gateway/place_contest.py
+++ b/tanagerwalk/gateway/place_contest.py
@@ -94,6 +94,11 @@
         """Whether the request competes with others, as far as is known."""
         return self._contention is not None and self._contention.state.is_contended
 
+    @property
+    def is_crowded_out(self):
+        """Whether the request's account keeps to its share, and another doesn't."""
+        return self.is_contended and self._find_standing().is_crowded_out
+
     def _find_prospect(self, places, priority, now):
         """Return the Prospect of the request at the servers that it may use."""
         everywhere = self._contention.places
