--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -178,9 +178,10 @@
             return RefusalReason.STOPPING
         if self._regions.has_spent_connect_time(self._history.may_have_run):
             return RefusalReason.ALLOWED_REGIONS_UNREACHABLE
-        if self._would_miss_deadline():
-            return RefusalReason.QUEUE_FULL
-        return self._find_early_refusal()
+        reason = self._find_early_refusal()
+        if reason is not None or self._place_contest.is_crowded_out:
+            return reason
+        return RefusalReason.QUEUE_FULL if self._would_miss_deadline() else None
 
     def _find_early_refusal(self):
         """Return why the request isn't sent while others compete for places."""
--- a/tanagerwalk/gateway/place_contest.py
+++ b/tanagerwalk/gateway/place_contest.py
@@ -95,6 +95,14 @@
             self.retry_delay = choose_retry_delay(prospect, draw)
         return reason
 
+    @property
+    def is_crowded_out(self):
+        """Whether the request's account keeps to its share, and another doesn't."""
+        if self._contention is None:
+            return False
+        subset = self._find_subset(self._monitor.clock())
+        return subset.is_contended and self._find_standing().is_crowded_out
+
     def _find_subset(self, now):
         """Return the ServerSubset of the request; in calm, all servers will do."""
         if not self._contention.is_contended:
