Grant slots of cold servers' limits to other instances; take parts by registration

Cause: with few cold servers before many instances most instances have no part of any limit and refuse, and instances that start together each take a part, since they know few others.

Change: an instance whose own part gives a request no place in time asks holders of parts for one slot (ASK_SLOT, in the notes of the permits). A slot is taken when the server is chosen and checked right before the bytes are sent; the next one is spaced from the end of the window, or from the send if that is known. Until 6 s after its registration was read (by a copy of the store that is as fresh), an instance has a part of a cold server's limit only if fewer instances registered before it than there are parts: the copy of the store contains all earlier registrations, so at most that many take one.

Also: AttemptRunner asks may_send right before it sends; the new outcome WITHHELD is an unsent attempt, at most three per request.

--- a/tanagerwalk/decisions/attempts.py
+++ b/tanagerwalk/decisions/attempts.py
@@ -16,7 +16,8 @@
 MAX_HOLD_SPREAD_S = 0.5
 # A server at its limit of connections resets each new one.
 MAX_CLOSED_ATTEMPTS = 3
-UNSENT_OUTCOMES = frozenset({Outcome.NOT_SENT, Outcome.CLOSED})
+MAX_WITHHELD_ATTEMPTS = 3
+UNSENT_OUTCOMES = frozenset({Outcome.NOT_SENT, Outcome.CLOSED, Outcome.WITHHELD})
 NOT_RUN_OUTCOMES = UNSENT_OUTCOMES | {Outcome.REJECTED, Outcome.MISDIRECTED}
 # Fraction of the retry budget that may be used after each outcome.
 BUDGET_SHARES = {
@@ -53,6 +54,8 @@
         Number of attempts that reached a backend server.
     closed : int
         Number of attempts whose connection was lost before the request was written.
+    withheld : int
+        Number of attempts that were not sent though there was a connection.
     may_have_run : bool
         Whether a backend server may have run the request.
     started : bool
@@ -65,6 +68,7 @@
     max_attempts: int
     sent: int = 0
     closed: int = 0
+    withheld: int = 0
     may_have_run: bool = False
     started: bool = False
     has_kept_answer: bool = False
@@ -75,6 +79,8 @@
             self.sent += 1
         if outcome is Outcome.CLOSED:
             self.closed += 1
+        if outcome is Outcome.WITHHELD:
+            self.withheld += 1
         if outcome not in NOT_RUN_OUTCOMES:
             self.may_have_run = True
 
@@ -97,6 +103,7 @@
     within_limits = (
         history.sent < history.max_attempts
         and history.closed < MAX_CLOSED_ATTEMPTS
+        and history.withheld < MAX_WITHHELD_ATTEMPTS
         and time_left > MIN_TIME_FOR_ATTEMPT_S
     )
     needs_budget = outcome not in UNSENT_OUTCOMES
--- a/tanagerwalk/decisions/limit_parts.py
+++ b/tanagerwalk/decisions/limit_parts.py
@@ -1,7 +1,7 @@
 """Division of a limit on the requests of all instances into equal parts."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import lru_cache
 
 # A server that names less is asked from time to time, to hear when its need has ended.
@@ -30,11 +30,15 @@
     is_spaced : bool
         Whether two requests of an instance are never closer than the interval; else a
         late request leaves the time of the next one as it was.
+    by_registration : bool
+        Whether those that registered first have the parts, instead of the first ones
+        in a rendezvous order.
     """
 
     count: int
     interval: float
     is_spaced: bool = False
+    by_registration: bool = False
 
     def restrict(self, other):
         """Return the parts with which both limits hold."""
@@ -42,6 +46,7 @@
             min(self.count, other.count),
             max(self.interval, other.interval),
             self.is_spaced or other.is_spaced,
+            self.by_registration or other.by_registration,
         )
 
 
@@ -101,3 +106,18 @@
     requests_in_window = max(1, int(limit.max_in_window / count))
     interval = max(count / rate, COLD_WINDOW_S / requests_in_window)
     return LimitParts(count, INTERVAL_MARGIN * interval, is_spaced=True)
+
+
+@lru_cache(MAX_CACHED_DIVISIONS)
+def divide_by_registration(limit):
+    """Return the LimitParts of a cold server's limit if the members aren't known.
+
+    Those that registered first have the parts.
+
+    Parameters
+    ----------
+    limit : ColdLimit
+        The limit.
+    """
+    parts = divide_cold_limit(limit, math.inf)
+    return replace(parts, by_registration=True)
--- a/tanagerwalk/decisions/peers.py
+++ b/tanagerwalk/decisions/peers.py
@@ -22,6 +22,9 @@
         Whether it keeps records of sessions for others, as earlier versions do not.
     grants_permits : bool
         Whether it grants permits for brittle servers, as earlier versions do not.
+    grants_slots : bool
+        Whether it grants slots of its parts of servers' limits, as earlier versions do
+        not.
     """
 
     address: tuple[str, int]
@@ -29,6 +32,7 @@
     changes_port: int = 0
     owns_sessions: bool = False
     grants_permits: bool = False
+    grants_slots: bool = False
 
 
 def rank_domains(key, own_id, own_domain, peers):
--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -292,19 +292,26 @@
         LimitQueue or None
             None if there is no such server.
         """
-        if self.limits.is_empty:
+        limited = self.list_limited(service, now, is_allowed)
+        if not limited:
             return None
+        wait = min(self.limits.find_wait(life, now) for life in limited)
+        rate = sum(self.limits.find_rate(life, now) for life in limited)
+        return LimitQueue(wait, rate)
+
+    def list_limited(self, service, now, is_allowed):
+        """Return the `hash_life` of the servers that only their limits keep back.
+
+        See `find_limit_queue`.
+        """
+        if self.limits.is_empty:
+            return []
         lives = [
             hash_life(usage.server)
             for usage in self._list_allowed(service, is_allowed)
             if usage.held_until <= now
         ]
-        limited = [life for life in lives if self.limits.has_limit(life, now)]
-        if not limited:
-            return None
-        wait = min(self.limits.find_wait(life, now) for life in limited)
-        rate = sum(self.limits.find_rate(life, now) for life in limited)
-        return LimitQueue(wait, rate)
+        return [life for life in lives if self.limits.has_limit(life, now)]
 
     def _list_allowed(self, service, is_allowed):
         return [
@@ -364,10 +371,28 @@
         key = (kind, is_near or sample.has_events)
         self.speeds.record_duration(hash_life(server), key, sample, load, now)
 
-    def spend_limit(self, server, now):
-        """Count a request that is about to be sent against the limit of its server."""
-        if not self.limits.is_empty:
-            self.limits.record_sent(hash_life(server), now)
+    def take_slot(self, server, now):
+        """Return a SendSlot for a request to a server, or None if it has no limit."""
+        if self.limits.is_empty:
+            return None
+        return self.limits.take_slot(hash_life(server), now)
+
+    def admit(self, server, slot, now):
+        """Return whether a request may still be sent to a server that was chosen.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        slot : SendSlot or None
+            What was taken of its limit for the request.
+        now : float
+            Monotonic time in seconds.
+        """
+        usage = self._usages.get(server.id)
+        if usage is not None and not usage.accepts_requests:
+            return False
+        return self.limits.is_empty or self.limits.admit(hash_life(server), slot, now)
 
     def _estimate_cost_load(self, usage, now):
         """Return the load of a server, plus what a slow or cold one adds to it."""
--- a/tanagerwalk/decisions/server_limits.py
+++ b/tanagerwalk/decisions/server_limits.py
@@ -4,6 +4,9 @@
 the first ones in a rendezvous order; in a small fleet by all. The intervals of the
 instances begin at random times, and a request that isn't sent soon after its interval
 began is not sent later, so that an idle fleet doesn't send all at once.
+
+An instance may give a slot of its own part to another one, which then sends the request
+in its place.
 """
 
 import math
@@ -11,17 +14,17 @@
 from dataclasses import dataclass
 
 from .cold_servers import ColdServers
-from .limit_parts import divide_cold_limit, divide_stated_limit
-from .rendezvous import is_among_first
+from .limit_parts import divide_by_registration, divide_cold_limit, divide_stated_limit
+from .rendezvous import is_among_first, rank_members
+from .send_slots import SEND_WINDOW_S, SendSlot
 from .server_statements import ServerStatements
 
-UNUSED_LIFETIME_S = 0.5
-# Least number of members assumed while an instance that has just started may not know
-# all of them.
-UNSETTLED_MEMBERS = 9
-# Share of a limit that is used meanwhile: the others may not know each other either.
+# From the planned time of a request until it is sent at the latest.
+MAX_DELAY_S = 0.5
+# Share of the limit of a cold server that is used by instances that have just started:
+# others may divide it among the members that they know.
 UNSETTLED_SHARE = 0.5
-# Time in which all instances that start together have registered.
+# Time in which all instances that start together have registered, once this one has.
 SETTLE_S = 6.0
 
 
@@ -47,6 +50,18 @@
         return self.wait + waiting / self.rate
 
 
+class _Settling:
+    """What an instance that has just started knows of its registration."""
+
+    def __init__(self):
+        self.seniors = None
+        self.registered_at = math.inf
+
+    def record(self, seniors, now):
+        self.seniors = seniors
+        self.registered_at = min(self.registered_at, now)
+
+
 class ServerLimits:
     """The limits by `hash_life` of their servers, and the own part of each.
 
@@ -63,6 +78,8 @@
         Requests of this instance that wait for a server with a limit.
     delayed, turned_away : int
         Requests so far that have waited for such a server, and that could not.
+    get_copy_age : callable
+        Returns the seconds since the known members were last all that had registered.
     """
 
     def __init__(self, random):
@@ -74,7 +91,9 @@
         self._peer_ids = ()
         # How many instances have a part of each limit, and whether this one has.
         self._parts = {}
-        self._settled_at = -math.inf
+        self._ranked = {}
+        self._settling = None
+        self.get_copy_age = _get_no_age
         self.cold = ColdServers()
         self.waiting = Counter()
         self.delayed = 0
@@ -84,11 +103,46 @@
         """Replace the instances that share the limits, given by their incarnations."""
         self._own_id = own_id
         self._peer_ids = tuple(peer_ids)
+        self._forget_parts()
+
+    def begin_settling(self):
+        """Record that this instance has just started and may not know all others.
+
+        Until SETTLE_S after its registration, it has a part of the limit of a cold
+        server only by its rank in the order of registration, in which those before it
+        are known for certain.
+        """
+        self._settling = _Settling()
+        self._forget_parts()
+
+    def set_registered(self, seniors, now):
+        """Record that this instance has registered.
+
+        Parameters
+        ----------
+        seniors : sequence of str
+            Incarnations that are registered and did so before, the first one first.
+        now : float
+            Monotonic time in seconds.
+        """
+        if self._settling is None:
+            return
+        self._settling.record(tuple(seniors), now)
+        self._forget_parts()
+
+    def _forget_parts(self):
         self._parts.clear()
+        self._ranked.clear()
 
-    def begin_settling(self, now):
-        """Record that this instance begins to learn of the others."""
-        self._settled_at = now + SETTLE_S
+    def _is_settling(self, now):
+        settling = self._settling
+        if settling is None:
+            return False
+        if now - settling.registered_at < SETTLE_S + self.get_copy_age():
+            return True
+        self._settling = None
+        self._forget_parts()
+        return False
 
     @property
     def is_empty(self):
@@ -124,6 +178,7 @@
         self.cold.forget(life)
         self._next_at.pop(life, None)
         self._parts.pop(life, None)
+        self._ranked.pop(life, None)
 
     def has_limit(self, life, now):
         """Return whether a server is cold, or has named a limit and not ended it."""
@@ -143,13 +198,98 @@
 
     def record_sent(self, life, now):
         """Count a request that is sent to a server."""
+        slot = self._take(life, now)
+        if slot is not None:
+            self._shorten(slot, now)
+
+    def take_slot(self, life, now, max_wait=0.0):
+        """Take the next slot of the own part of a limit, for a request to be sent.
+
+        Parameters
+        ----------
+        life : int
+            `hash_life` of the server.
+        now : float
+            Monotonic time in seconds.
+        max_wait : float
+            Seconds in which the slot has to begin.
+
+        Returns
+        -------
+        SendSlot or None
+            None if the server has no limit, or no slot begins in time.
+        """
+        if self.find_wait(life, now) > max_wait:
+            return None
+        return self._take(life, now)
+
+    def _take(self, life, now):
         parts = self._find_parts(life, now)
         if parts is None:
-            return
-        sent_at = self._find_next(life, parts, now)
-        if parts.is_spaced:
-            sent_at = max(sent_at, now)
-        self._next_at[life] = sent_at + parts.interval
+            return None
+        planned_at = self._find_next(life, parts, now)
+        begins_at = max(planned_at, now)
+        ends_at = begins_at + SEND_WINDOW_S
+        # However late in its slot a request is sent, the next one isn't too close.
+        next_at = (ends_at if parts.is_spaced else planned_at) + parts.interval
+        self._next_at[life] = next_at
+        return SendSlot(life, begins_at, ends_at, next_at if parts.is_spaced else None)
+
+    def _shorten(self, slot, now):
+        """Let the next slot begin sooner, since a request was sent before its end."""
+        if slot.next_at is not None and self._next_at.get(slot.life) == slot.next_at:
+            self._next_at[slot.life] -= max(0.0, slot.ends_at - now)
+
+    def admit(self, life, slot, now):
+        """Return whether a request may be sent to a server now, and count it if so.
+
+        Parameters
+        ----------
+        life : int
+            `hash_life` of the server.
+        slot : SendSlot or None
+            What was taken for the request; None if the server had no limit then.
+        now : float
+            Monotonic time in seconds.
+        """
+        if not self.has_limit(life, now):
+            return True
+        if slot is None:
+            slot = self.take_slot(life, now)
+        if slot is None or not slot.is_open(now):
+            return False
+        self._shorten(slot, now)
+        return True
+
+    def list_holders(self, life, now):
+        """Return the other instances that have a part of a server's limit.
+
+        Parameters
+        ----------
+        life : int
+            `hash_life` of the server.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        list of str
+            Incarnations, without a certain order; those with a part as this instance
+            knows the members.
+        """
+        parts = self._find_parts(life, now)
+        if parts is None:
+            return []
+        ranked = self._ranked.get(life)
+        if ranked is None:
+            ranked = rank_members(b"%d" % life, (self._own_id, *self._peer_ids))
+            self._ranked[life] = ranked
+        holders = [m for m in ranked[: parts.count] if m != self._own_id]
+        if not parts.by_registration:
+            return holders
+        # All may have started at once.
+        seniors = self._settling.seniors or ()
+        return list(dict.fromkeys((*seniors[: parts.count], *holders)))
 
     def find_rate(self, life, now):
         """Return the requests per second of this instance's part of a limit."""
@@ -168,13 +308,17 @@
         cold_limit = self.cold.find_limit(life, now)
         if cold_limit is None:
             return parts
-        if now < self._settled_at:
-            members = max(members, UNSETTLED_MEMBERS)
-            cold_limit = cold_limit.scale(UNSETTLED_SHARE)
-        cold_parts = divide_cold_limit(cold_limit, members)
+        if self._is_settling(now):
+            # Any number may have started at the same time.
+            cold_parts = divide_by_registration(cold_limit.scale(UNSETTLED_SHARE))
+        else:
+            cold_parts = divide_cold_limit(cold_limit, members)
         return cold_parts if parts is None else parts.restrict(cold_parts)
 
     def _has_part(self, life, parts):
+        if parts.by_registration:
+            seniors = self._settling.seniors
+            return seniors is not None and len(seniors) < parts.count
         known_count, has_part = self._parts.get(life, (0, False))
         if known_count != parts.count:
             key = b"%d" % life
@@ -185,8 +329,12 @@
     def _find_next(self, life, parts, now):
         """Return when the next request may be sent, without those not sent in time."""
         self._begin(life, parts, now)
-        unused = now - UNUSED_LIFETIME_S - self._next_at[life]
+        unused = now + SEND_WINDOW_S - MAX_DELAY_S - self._next_at[life]
         if unused > 0.0 and not parts.is_spaced:
             intervals = math.ceil(unused / parts.interval)
             self._next_at[life] += parts.interval * intervals
         return self._next_at[life]
+
+
+def _get_no_age():
+    return 0.0
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -38,6 +38,7 @@
 from .fleet_key import FleetKey
 from .forwarding import ForwardFilter
 from .instance_ports import InstancePorts
+from .limit_slots import LimitSlots
 from .listener import Listener
 from .manifest_recovery import ManifestRecovery, ManifestServer
 from .membership import MembershipController
@@ -162,6 +163,9 @@
         self.permits = ServerPermits(
             self.incarnation, self.servers, self.metrics, self.clock, self.random
         )
+        self.limit_slots = LimitSlots(
+            self.incarnation, self.servers, self.metrics, self.clock, self.random
+        )
         self.speed_watch = SpeedWatch(self.servers, self.metrics, self.clock)
         self.sharing = LoadSharing(
             self.incarnation,
@@ -186,7 +190,9 @@
         self.sharing.demands.list_own = self.contention.list_demands
         self.assigner.send_notes = self.sharing.send_notes
         self.sharing.on_permit_note = self.permits.receive
+        self.sharing.on_slot_note = self.limit_slots.receive
         self.permits.send_notes = self.sharing.send_permit_notes
+        self.limit_slots.send_notes = self.sharing.send_permit_notes
         self.quarantine.on_news = self.sharing.tell_crashes
         self.quarantine.is_first_in_line = lambda key: self._find_rank(key) == 0
 
@@ -208,6 +214,9 @@
             lambda: self.settings.bounds,
             self.clock,
         )
+        limits = self.servers.limits
+        limits.get_copy_age = lambda: read_boot_clock() - self.mirror.confirmed_at
+        limits.begin_settling()
         self.mirror.subscribe(self.cold_watch.update)
         self.connection_pool.connector.on_returned = self.cold_watch.record_return
 
@@ -305,6 +314,7 @@
                 self.peer_server.port,
                 owns_sessions=True,
                 grants_permits=True,
+                grants_slots=True,
             ),
             self.random,
             self.subscriber_defects,
@@ -338,7 +348,11 @@
         self.relays.set_peers(self.membership.peers)
         self.assigner.set_peers(self.membership.peers)
         self.permits.set_peers(self.membership.peers)
-        self.servers.limits.set_members(self.incarnation, self.membership.peers)
+        self.limit_slots.set_peers(self.membership.peers)
+        limits = self.servers.limits
+        limits.set_members(self.incarnation, self.membership.peers)
+        if self.membership.seniors is not None:
+            limits.set_registered(self.membership.seniors, self.clock())
 
     def _find_rank(self, name):
         """Return how many instances come before this one for a name."""
@@ -377,6 +391,7 @@
             self.quarantine,
             self.crash_check,
             self.permits,
+            self.limit_slots,
             self.region_rules,
             self.contention,
             self.stop_control,
--- a/tanagerwalk/gateway/attempts.py
+++ b/tanagerwalk/gateway/attempts.py
@@ -102,7 +102,8 @@
     """How an attempt ended.
 
     NOT_SENT: no connection could be opened. CLOSED: the connection was lost before the
-    request was written to it. REJECTED and MISDIRECTED: the server
+    request was written to it. WITHHELD: once there was a connection, the request could
+    not be sent to the server any more. REJECTED and MISDIRECTED: the server
     did not run the request. FAILED: an error response. DECLINED: the gateway
     discarded a response of low confidence. LOST: the connection broke or the
     response was invalid. SILENT: a timeout expired.
@@ -111,6 +112,7 @@
     DELIVERED = "delivered"
     NOT_SENT = "not_sent"
     CLOSED = "closed"
+    WITHHELD = "withheld"
     REJECTED = "rejected"
     MISDIRECTED = "misdirected"
     FAILED = "failed"
--- a/tanagerwalk/gateway/cold_watch.py
+++ b/tanagerwalk/gateway/cold_watch.py
@@ -27,7 +27,6 @@
         self._cluster_state = cluster_state
         self._get_bounds = get_bounds
         self._clock = clock
-        self._has_list = False
         self._cold = servers.limits.cold
         self._cold.find_policy = self._find_policy
         self._cold.on_cold = _log_cold
@@ -37,11 +36,7 @@
         """Take over the list of servers."""
         if self._cluster_state.manifest is None:
             return
-        now = self._clock()
-        if not self._has_list:
-            self._has_list = True
-            self._servers.limits.begin_settling(now)
-        self._cold.observe(self._servers.list_servers(), now)
+        self._cold.observe(self._servers.list_servers(), self._clock())
 
     def mark_cold(self, failure_domains):
         """Take the servers of failure domains for cold, as after a start."""
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -73,6 +73,9 @@
     allows_peer : callable or None
         Takes the incarnation of another instance and returns whether the request may
         pass through it; None if it may pass through any.
+    may_send : callable
+        Takes the incarnation of the instance through which the connection leads, or
+        None, and returns whether the request may be sent now; called right before.
     """
 
     request: GatewayRequest
@@ -83,6 +86,7 @@
     on_latency: Callable[[LatencySample, EngineLoad | None], None]
     on_abandoned: Callable[[], None]
     allows_peer: Callable[[str], bool] | None = None
+    may_send: Callable[[str | None], bool] = lambda via: True
 
 
 class AttemptRunner:
@@ -136,6 +140,11 @@
                     return _build_unsent(opened.error)
                 connection = opened.ok
             via = connection.via
+            if not plan.may_send(via):
+                if not kept:
+                    self._pool.keep(attempt.server, connection)
+                    connection = None
+                return AttemptResult(Outcome.WITHHELD, "may not be sent any more")
             sent = connection.send(
                 self._codec.encode_attempt(request, attempt),
                 request.raw.body,
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -121,6 +121,7 @@
         self._assignment = await context.assigner.assign(self._request, self._service)
         self._place_wait = PlaceWait(
             context.servers,
+            context.limit_slots,
             self._request,
             self._service,
             self._regions.restrict(self._assignment.allows_server),
@@ -147,7 +148,7 @@
                 reason = self._find_region_refusal()
                 if reason is not None:
                     return self._log_result(self._give_up(reason))
-            if server is None and await self._place_wait.wait(self._history):
+            if server is None and await self._wait_for_place():
                 continue
             if server is None:
                 return self._log_result(self._give_up(self._place_wait.find_reason()))
@@ -161,6 +162,12 @@
             if action is not NextAction.ANOTHER:
                 return self._log_result(self._finish_without_answer(action))
 
+    async def _wait_for_place(self):
+        """Wait for a server; see `PlaceWait.wait`."""
+        # A slot is no permit: with it alone, a brittle server may be asked too often.
+        may_ask = not self._permit_wait.is_needed
+        return await self._place_wait.wait(self._history, may_ask)
+
     def _find_refusal(self):
         """Return the reason why no more attempt is made, or None."""
         if self._context.quarantine.is_quarantined(self._request):
@@ -230,6 +237,9 @@
         )
         if self._needs_kept:
             return choose(service, now, self._tried, self._has_kept_connection)
+        granted = self._place_wait.find_granted_server()
+        if granted is not None and self._allows_server(granted):
+            return granted
         rolled_back = self._context.rollouts.find_rolled_back_release(service)
         # Prefer untried servers of the request's roll-out side, then tried ones, and
         # only then servers of the other side, unless the own ones keep it off.
@@ -255,7 +265,7 @@
         is_retry = self._history.sent > 0
         # Before it is sent, so that others see it at once.
         self._budget.record_attempt(now, is_retry)
-        self._context.servers.spend_limit(server, now)
+        slot = self._place_wait.take_slot(server)
         self._regions.record_attempt(server)
         work = self._models.estimate_work(now)
         attempt = Attempt(
@@ -284,6 +294,7 @@
             partial(self._context.recorder.record_latency, self._request, attempt),
             partial(self._context.quarantine.suspect, self._request, attempt),
             self._regions.find_peer_filter(),
+            partial(self._may_send, server, slot),
         )
         hold = hold or self._permit_wait.begin(server)
         sent = self._place_contest.begin(attempt)
@@ -309,6 +320,15 @@
         )
         return result
 
+    def _may_send(self, server, slot, via):
+        """Return whether a request may still be sent, now that it is connected."""
+        regions = self._regions
+        if not regions.allows_server(server):
+            return False
+        if via is not None and not regions.allows_peer(via):
+            return False
+        return self._context.servers.admit(server, slot, self._clock())
+
     async def _run_attempt(self, plan):
         """Return the AttemptResult; record how long the answer took."""
         durations = self._context.stop_control.durations
@@ -360,7 +380,7 @@
             history.has_kept_answer = True
         if outcome is Outcome.DECLINED:
             self._models.advance()
-        else:
+        elif outcome is not Outcome.WITHHELD:
             self._tried.add(self._attempt_log[-1]["server"])
             if outcome is Outcome.REJECTED:
                 self._rejected_by.add(self._current_server_id)
--- a/tanagerwalk/gateway/execution_context.py
+++ b/tanagerwalk/gateway/execution_context.py
@@ -8,6 +8,7 @@
 from .contention import ContentionControl
 from .crash_check import CrashCheck
 from .exchange import AttemptRunner
+from .limit_slots import LimitSlots
 from .metrics import GatewayMetrics
 from .permits import ServerPermits
 from .pool import ConnectionPool
@@ -42,6 +43,8 @@
         Finds out which servers have crashed.
     permits : ServerPermits
         Permits to send requests to brittle servers.
+    limit_slots : LimitSlots
+        Slots of limits that other instances grant.
     region_rules : RegionRules
         Restricts requests to the regions in which they may be processed.
     contention : ContentionControl
@@ -65,6 +68,7 @@
     quarantine: QuarantineFilter
     crash_check: CrashCheck
     permits: ServerPermits
+    limit_slots: LimitSlots
     region_rules: RegionRules
     contention: ContentionControl
     stop_control: StopControl
--- a/tanagerwalk/gateway/membership.py
+++ b/tanagerwalk/gateway/membership.py
@@ -32,6 +32,7 @@
     changes_port: int = 0
     owns_sessions: bool = False
     grants_permits: bool = False
+    grants_slots: bool = False
 
     @property
     def is_reachable(self):
@@ -64,6 +65,10 @@
     ----------
     peers : dict of str to Peer
         The other instances, by incarnation.
+    seniors : tuple of str or None
+        Incarnations of those that registered before this one, the first one first; all
+        of them, as the store gives out its entries in order. None while the entry of
+        this instance has not been read.
     """
 
     def __init__(
@@ -78,6 +83,7 @@
         self._lease = None
         self._subscribers = Subscribers(defects or DefectLog("subscriber failed"))
         self.peers = {}
+        self.seniors = None
         mirror.subscribe(self._read_peers)
 
     def subscribe(self, subscriber):
@@ -103,14 +109,28 @@
                 record.changes_port,
                 record.owns_sessions,
                 record.grants_permits,
+                record.grants_slots,
             )
         peers = self._keep_lost_peers(peers)
-        if peers != self.peers:
+        seniors = self._list_seniors()
+        if (peers, seniors) != (self.peers, self.seniors):
             self.peers = peers
+            self.seniors = seniors
             self._subscribers.call()
             return
         self._subscribers.retry()
 
+    def _list_seniors(self):
+        own = self._mirror.entries.get(self._key)
+        if own is None:
+            return None
+        earlier = [
+            (entry.revision, key)
+            for key, entry in self._mirror.entries.items()
+            if key.startswith(self._prefix) and entry.revision < own.revision
+        ]
+        return tuple(key.removeprefix(self._prefix) for _, key in sorted(earlier))
+
     def _keep_lost_peers(self, peers):
         """Return the peers with those that a restored store has lost.
 
@@ -148,6 +168,7 @@
             own.changes_port,
             own.owns_sessions,
             own.grants_permits,
+            own.grants_slots,
         )
         value = msgspec.json.encode(record)
         result = await self._store.put(self._key, value, granted.ok)
--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -89,6 +89,9 @@
         self.limit_refusals = self._create_gauge(
             "limit_refusals", "Requests so far for which that wait was too long."
         )
+        self.limit_slots = self._create_counter(
+            "limit_slots", "Questions for slots of other instances.", ["answer"]
+        )
         self.uneven_servers = self._create_gauge(
             "uneven_servers", "Servers lastingly slower or faster than the others."
         )
--- a/tanagerwalk/gateway/permit_notes.py
+++ b/tanagerwalk/gateway/permit_notes.py
@@ -1,4 +1,4 @@
-"""Notes about permits that the instances exchange while servers are brittle."""
+"""Notes about permits and slots that the instances exchange."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -17,6 +17,8 @@
 
     ASK: a request needs a place; the coordinator answers with one of the next three.
     RENEW: which requests of the sender are at servers. END: a request has ended.
+    ASK_SLOT: a request needs a slot of the receiver's part of a server's limit; the
+    answer is one of the next two.
     """
 
     ASK = 0
@@ -25,11 +27,25 @@
     DENIED = 3
     RENEW = 4
     END = 5
+    ASK_SLOT = 6
+    SLOT_GRANTED = 7
+    SLOT_DENIED = 8
 
 
 ANSWER_KINDS = frozenset(
     {PermitNoteKind.GRANTED, PermitNoteKind.QUEUED, PermitNoteKind.DENIED}
 )
+SLOT_KINDS = frozenset(
+    {
+        PermitNoteKind.ASK_SLOT,
+        PermitNoteKind.SLOT_GRANTED,
+        PermitNoteKind.SLOT_DENIED,
+    }
+)
+# Notes that name the server of each request.
+PLACING_KINDS = frozenset(
+    {PermitNoteKind.GRANTED, PermitNoteKind.RENEW, PermitNoteKind.SLOT_GRANTED}
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +63,7 @@
     lives : tuple of int
         `hash_life` of servers: those that may be asked for, or that of each request.
     wait : float
-        Seconds that a request waits, or until a place may come free.
+        Seconds that a request waits, or until a place may come free or a slot begins.
     is_urgent : bool
         Whether the request has been at a server before.
     is_complete : bool
@@ -92,8 +108,7 @@
     is_single = kind is not PermitNoteKind.RENEW
     if is_single and len(requests) != 1:
         return None
-    has_servers = kind in (PermitNoteKind.GRANTED, PermitNoteKind.RENEW)
-    if has_servers and len(requests) != len(lives):
+    if kind in PLACING_KINDS and len(requests) != len(lives):
         return None
     ending = message.ending if message.ending in endings else Ending.UNUSED.value
     return PermitNote(
--- a/tanagerwalk/gateway/place_wait.py
+++ b/tanagerwalk/gateway/place_wait.py
@@ -4,6 +4,7 @@
 import math
 
 from ..decisions.attempts import find_path_wait
+from ..decisions.server_usage_table import hash_life
 from ..outcomes import RefusalReason
 
 PATH_POLL_INTERVAL_S = 0.05
@@ -16,6 +17,8 @@
     ----------
     servers : ServerPool
         The servers.
+    limit_slots : LimitSlots
+        Asks other instances for slots of the limits of servers.
     request : GatewayRequest
         The request.
     service : ServiceName
@@ -26,22 +29,26 @@
         Returns monotonic time in seconds.
     """
 
-    def __init__(self, servers, request, service, allows_server, clock):
+    def __init__(self, servers, limit_slots, request, service, allows_server, clock):
         self._servers = servers
+        self._limit_slots = limit_slots
         self._request = request
         self._service = service
         self._allows_server = allows_server
         self._clock = clock
         self._unreachable_since = None
         self._waited_for_limit = 0.0
+        self._granted = None
 
-    async def wait(self, history):
+    async def wait(self, history, may_ask=True):
         """Wait a moment if servers exist but can't be reached, or have limits.
 
         Parameters
         ----------
         history : AttemptHistory
             Attempts so far.
+        may_ask : bool
+            Whether other instances may be asked for a slot of a limit.
 
         Returns
         -------
@@ -53,7 +60,7 @@
         max_wait = find_path_wait(history, self._request.client_timeout)
         queue = self.find_limit_queue()
         if queue is not None and queue.wait > 0.0:
-            return await self._wait_for_limit(queue, max_wait)
+            return await self._wait_for_limit(queue, max_wait, may_ask)
         if self.find_hold() > 0.0:
             return False
         return await self._wait_for_path(max_wait)
@@ -69,13 +76,16 @@
         await asyncio.sleep(PATH_POLL_INTERVAL_S)
         return True
 
-    async def _wait_for_limit(self, queue, max_wait):
+    async def _wait_for_limit(self, queue, max_wait, may_ask):
         """Wait until a server with a limit takes a request, if that is soon."""
         limits = self._servers.limits
         waiting = limits.waiting
         expected = queue.estimate_wait(waiting[self._service])
         time_left = self._request.deadline - self._clock()
-        if self._waited_for_limit + expected > min(max_wait, time_left):
+        patience = min(max_wait, time_left) - self._waited_for_limit
+        if expected > patience:
+            if may_ask and await self._acquire_slot(patience):
+                return True
             limits.turned_away += 1
             return False
         limits.delayed += 1
@@ -87,6 +97,42 @@
         self._waited_for_limit += queue.wait
         return True
 
+    async def _acquire_slot(self, patience):
+        """Return whether another instance grants a slot; wait until it begins."""
+        began = self._clock()
+        lives = self._servers.list_limited(self._service, began, self._allows_server)
+        slot = await self._limit_slots.acquire(self._service, lives, patience)
+        if slot is not None:
+            await asyncio.sleep(max(0.0, slot.begins_at - self._clock()))
+        self._granted = slot
+        self._waited_for_limit += self._clock() - began
+        return slot is not None
+
+    def find_granted_server(self):
+        """Return the server at which another instance has granted a slot, or None."""
+        slot, now = self._granted, self._clock()
+        if slot is None:
+            return None
+        usage = self._servers.find_life(slot.life)
+        is_usable = usage is not None and usage.accepts_requests
+        if not is_usable or usage.held_until > now or not slot.is_open(now):
+            self._granted = None
+            return None
+        return usage.server
+
+    def take_slot(self, server):
+        """Return a SendSlot for a request to a server, or None if it has no limit.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server, to which the request is about to be sent.
+        """
+        granted, self._granted = self._granted, None
+        if granted is not None and granted.life == hash_life(server):
+            return granted
+        return self._servers.take_slot(server, self._clock())
+
     def is_kept_off(self):
         """Return whether servers exist, but take no request now.
 
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -23,7 +23,7 @@
     decode_tally,
     sign,
 )
-from .permit_notes import decode_permit_note
+from .permit_notes import SLOT_KINDS, decode_permit_note
 from .session_notes import decode_note
 from .speed_sharing import SpeedSharing
 
@@ -65,6 +65,8 @@
     ----------
     on_permit_note : callable
         Takes the incarnation of the sender and a PermitNote.
+    on_slot_note : callable
+        The same for a note about slots of limits.
     demands : SharedDemandTable
         Provides and stores the demand for contended services.
     """
@@ -103,6 +105,7 @@
         self._was_idle = False
         self.rejected = 0
         self.on_permit_note = _ignore_note
+        self.on_slot_note = _ignore_note
         self.demands = SharedDemandTable()
 
     def authenticate(self, secret):
@@ -190,8 +193,11 @@
     def _receive_permit_notes(self, message):
         notes = [decode_permit_note(encoded) for encoded in message.permits]
         for note in notes:
-            if note is not None:
-                self.on_permit_note(message.sender, note)
+            if note is None:
+                continue
+            is_of_slot = note.kind in SLOT_KINDS
+            handle = self.on_slot_note if is_of_slot else self.on_permit_note
+            handle(message.sender, note)
 
     def send_permit_notes(self, receiver_id, notes):
         """Send PermitNotes to another instance at once."""
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -23,6 +23,9 @@
     DENIED = 3
     RENEW = 4
     END = 5
+    ASK_SLOT = 6
+    SLOT_GRANTED = 7
+    SLOT_DENIED = 8
 
     _VALUES_TO_NAMES = {
         0: "ASK",
@@ -31,6 +34,9 @@
         3: "DENIED",
         4: "RENEW",
         5: "END",
+        6: "ASK_SLOT",
+        7: "SLOT_GRANTED",
+        8: "SLOT_DENIED",
     }
 
     _NAMES_TO_VALUES = {
@@ -40,6 +46,9 @@
         "DENIED": 3,
         "RENEW": 4,
         "END": 5,
+        "ASK_SLOT": 6,
+        "SLOT_GRANTED": 7,
+        "SLOT_DENIED": 8,
     }
 
 
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -70,6 +70,11 @@
   RENEW = 4
   // A request has ended, or waits no longer.
   END = 5
+  // A request needs a slot of the receiver's part of a server's limit; the answer is one
+  // of the next two.
+  ASK_SLOT = 6
+  SLOT_GRANTED = 7
+  SLOT_DENIED = 8
 }
 
 struct PermitNote {
@@ -77,10 +82,11 @@
   2: string service_name
   // Numbers that the holder gave its requests; one, but for RENEW.
   3: list<i64> requests
-  // Hashes of id and start time. ASK: the servers that the request may use, the best
-  // first. GRANTED and RENEW: the server of each request.
+  // Hashes of id and start time. ASK and ASK_SLOT: the servers that the request may use,
+  // the best first. GRANTED, RENEW and SLOT_GRANTED: the server of each request.
   4: optional list<i64> servers
-  // ASK: time for which the request waits. DENIED: time until a place may come free.
+  // ASK and ASK_SLOT: time for which the request waits. DENIED: time until a place may
+  // come free. SLOT_GRANTED and SLOT_DENIED: time until the next slot begins.
   5: optional i32 wait_ms
   // ASK: whether the request has been at a server before.
   6: optional bool is_urgent
