--- a/tanagerwalk/gateway/components.py
+++ b/tanagerwalk/gateway/components.py
@@ -31,6 +31,7 @@
 from .fleet_key import FleetKey
 from .forwarding import ForwardFilter
 from .instance_ports import InstancePorts
+from .limit_slots import LimitSlots
 from .manifest_recovery import ManifestRecovery, ManifestServer
 from .membership import MembershipController
 from .metrics import GatewayMetrics
@@ -122,6 +123,9 @@
         self.permits = ServerPermits(
             self.incarnation, self.servers, self.metrics, self.clock, self.random
         )
+        self.limit_slots = LimitSlots(
+            self.incarnation, self.servers, self.metrics, self.clock, self.random
+        )
         self.speed_watch = SpeedWatch(self.servers, self.metrics, self.clock)
         self._create_sharing()
         self._create_contention()
@@ -190,6 +194,9 @@
         self.cold_watch = ColdWatch(
             self.servers, self.cluster_state, lambda: self.settings.bounds, self.clock
         )
+        limits = self.servers.limits
+        limits.get_copy_age = lambda: read_boot_clock() - self.mirror.confirmed_at
+        limits.begin_settling()
         self.mirror.subscribe(self.cold_watch.update)
         self.connection_pool.connector.on_returned = self.cold_watch.record_return
 
@@ -254,6 +261,8 @@
         self.assigner.send_notes = self.sharing.send_notes
         self.sharing.on_permit_note = self.permits.receive
         self.permits.send_notes = self.sharing.send_permit_notes
+        self.sharing.on_slot_note = self.limit_slots.receive
+        self.limit_slots.send_notes = self.sharing.send_permit_notes
         self.quarantine.on_news = self.sharing.tell_crashes
 
     def _create_contention(self):
@@ -295,6 +304,7 @@
                 self.peer_server.port,
                 owns_sessions=True,
                 grants_permits=True,
+                grants_slots=True,
             ),
             self.random,
             self.subscriber_defects,
@@ -330,7 +340,11 @@
         self.relays.set_peers(peers)
         self.assigner.set_peers(peers)
         self.permits.set_peers(peers)
-        self.servers.limits.set_members(self.incarnation, peers)
+        self.limit_slots.set_peers(peers)
+        limits = self.servers.limits
+        limits.set_members(self.incarnation, peers)
+        if self.membership.seniors is not None:
+            limits.set_registered(self.membership.seniors, self.clock())
 
     def _create_filter_chain(self):
         attempt_runner = AttemptRunner(
@@ -348,6 +362,7 @@
             self.quarantine,
             self.crash_check,
             self.permits,
+            self.limit_slots,
             self.region_rules,
             self.contention,
             self.stop_control,
--- a/test/gateway/test_slow_readers.py
+++ b/test/gateway/test_slow_readers.py
@@ -4,7 +4,6 @@
 import socket
 import time
 
-
 from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
