Count the heads of answers, and let them wait for memory

Cause: a head of an answer could take 1 MB on the connection, and more than twenty times as much in objects, none of it in the budget. The parser of a connection that had been given up kept its part of a head until the garbage collector came by.

An attempt whose time ends while its head waits isn't the server's fault. An aborted connection lets go of its parser.

--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -16,6 +16,7 @@
 from ..stalls import StallTolerantTimeout
 from .connect_faults import ConnectFault
 from .memory import (
+    HEADER_BYTES,
     MAX_READ_BYTES,
     SMALL_ANSWER_BYTES,
     TIGHT_ANSWER_BYTES,
@@ -34,6 +35,8 @@
 # Bytes of a response that are not its body: those of a head that does not end, of
 # responses to others, and the framing of a body in tiny pieces.
 MAX_OVERHEAD_BYTES = 1024 * 1024
+# Most memory that a head takes, with the objects of its headers.
+MAX_HEAD_BYTES = 1024 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024
 NO_BODY_STATUSES = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
@@ -77,6 +80,8 @@
         self._response_heads = deque()
         self._body = bytearray()
         self._memory = UNCOUNTED
+        self._head_size = 0
+        self._is_in_head = True
         self._held_size = 0
         self._reads_whole_body = False
         self._has_body_end = False
@@ -112,24 +117,31 @@
 
     def data_received(self, data):
         """Feed received bytes to the parser; abort if no response is pending."""
+        if self.closed:
+            return
         if self._pending_responses == 0:
             self._fail(ConnectionFailure.CLOSED)
             return
         self.received = True
         self._overhead_bytes += len(data)
+        head_size = self._head_size
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(ConnectionFailure.MALFORMED)
-        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+        if self._is_in_head and self._head_size == head_size:
+            # A part of a long header, which the parser keeps.
+            self._head_size += len(data)
+        is_overlong = self._overhead_bytes > MAX_OVERHEAD_BYTES
+        if is_overlong or self._head_size > MAX_HEAD_BYTES:
             self._fail(ConnectionFailure.MALFORMED)
-        self._count_body()
+        self._count_memory()
         self._pause_if_full()
         self._notify_reader()
 
-    def _count_body(self):
-        """Tell how much memory the body takes that has not been taken yet."""
-        change = len(self._body) - self._held_size
+    def _count_memory(self):
+        """Tell how much memory the head and the body take that were not taken yet."""
+        change = self._head_size + len(self._body) - self._held_size
         if change:
             self._held_size += change
             self._memory.hold(change)
@@ -138,8 +150,8 @@
         if not self._is_open or self._is_paused or self._has_body_end:
             return
         is_tight = self._memory.is_tight
-        if self._reads_whole_body:
-            if len(self._body) <= (
+        if self._reads_whole_body or self._is_in_head:
+            if self._head_size + len(self._body) <= (
                 TIGHT_ANSWER_BYTES if is_tight else SMALL_ANSWER_BYTES
             ):
                 return
@@ -191,6 +203,7 @@
     def on_header(self, name, value):
         """Store a response header."""
         self._headers.append((name.lower(), value))
+        self._head_size += HEADER_BYTES + len(name) + len(value)
 
     def on_headers_complete(self):
         """Queue the response head and determine how its body is delimited."""
@@ -203,6 +216,7 @@
             # A late response to an earlier request; the expected one follows.
             self._keep_alive = False
             return
+        self._is_in_head = False
         self._keep_alive = self._keep_alive and self._parser.should_keep_alive()
         framed = head.get_header(b"content-length") or head.get_header(
             b"transfer-encoding"
@@ -311,6 +325,8 @@
         self._has_no_body = has_no_body
         self._pending_responses += 1
         self._memory = memory
+        self._head_size = 0
+        self._is_in_head = True
         self._held_size = 0
         self._reads_whole_body = False
         if len(body) <= MAX_JOINED_BYTES:
@@ -323,6 +339,8 @@
     async def read_head(self):
         """Wait for the head of the response.
 
+        Its memory stays counted until that of its request is released.
+
         Returns
         -------
         Result of ResponseHead, or of ConnectionFailure
@@ -331,6 +349,8 @@
             if self.closed:
                 return Error(self._failure)
             await self._wait_for_data()
+        self._held_size -= self._head_size
+        self._head_size = 0
         return Ok(self._response_heads.popleft())
 
     async def read_chunk(self):
@@ -355,7 +375,7 @@
             await self._wait_for_data()
         chunk = bytes(self._body[:MAX_CHUNK_BYTES])
         del self._body[:MAX_CHUNK_BYTES]
-        self._count_body()
+        self._count_memory()
         if self._is_paused and len(self._body) <= READ_LOW_WATER_BYTES:
             self._resume_transport()
         return Ok(chunk)
@@ -418,10 +438,13 @@
     def abort(self):
         """Abort the connection immediately, and drop what hasn't been read."""
         self._fail(ConnectionFailure.CLOSED)
-        # The parser and the connection refer to each other, so that they stay until
-        # the garbage collector comes by.
+        # The parser refers to the connection. Without it, and what it holds of a head,
+        # nothing stays until the garbage collector comes by.
+        self._parser = None
         self._body = bytearray()
-        self._count_body()
+        self._headers = []
+        self._head_size = 0
+        self._count_memory()
         # It holds on to the request.
         self._matches_request = match_any_response
 
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -175,6 +175,8 @@
         """Return the AttemptResult, and the raw head if the connection is reusable."""
         attempt = plan.attempt
         head_result = await self._wait_for_head(connection, attempt, plan.timeouts)
+        if _has_timed_out(head_result) and connection.has_waited:
+            return _build_failure(ReadFault.MEMORY_FULL), None
         if head_result.is_error():
             return _build_failure(head_result.error), None
         raw, head = head_result.ok
--- a/test/gateway/test_memory_pressure.py
+++ b/test/gateway/test_memory_pressure.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections import Counter
 
+import pytest
 from gateway.test_memory_limit import (
     BODY,
     BODY_BYTES,
@@ -16,6 +17,7 @@
     run_process,
     send_booking,
     serve_small_requests,
+    wait_until_unused,
 )
 
 from tanagerwalk.controllers.loop import poll_until
@@ -23,9 +25,20 @@
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
 STALLED_READERS = 60
+ENDLESS_HEADS = 120
 WAITING_ANSWER = encode_answer(400000)
 
 
+async def send_until_served(rig):
+    """Return whether an ordinary request is answered in one of some attempts."""
+    for number in range(50):
+        reply = await send_booking(rig, f"ordinary-{number}", b"slot")
+        if reply.status == 200:
+            return True
+        await asyncio.sleep(0.2)
+    return False
+
+
 # Guards against unread answers of which only the bytes not yet sent are counted, while
 # all of each stays in memory: 60 of 8 MB took 317 MB with 37 MB counted.
 async def test_unread_answers_count_for_what_they_take(tmp_path):
@@ -170,3 +183,25 @@
         usage = instance.servers.find("desk-0")
         assert usage.paused_until <= instance.clock()
         other.release()
+
+
+# Guards against heads of answers that don't end, or have very many headers, none of
+# which was counted: a MB of them takes more than twenty times as much memory.
+@pytest.mark.parametrize("fields", [b"a:b\r\n" * 180000, b"a: " + b"b" * 900000])
+async def test_endless_heads_of_answers_stay_below_the_limit(tmp_path, fields):
+    async with run_process(tmp_path) as rig:
+        for server in rig.servers:
+            server.behaviour = Behaviour("raw", raw=b"HTTP/1.1 200 OK\r\n" + fields)
+        writers = []
+        for number in range(ENDLESS_HEADS):
+            _, writer = await rig.connect()
+            writer.write(encode_head(number, "GET", "/jobs/1"))
+            writers.append(writer)
+        assert await poll_until(lambda: len(count_runs(rig)) >= 8, 0.05, 5.0)
+        await asyncio.sleep(2.0)
+        for server in rig.servers:
+            server.behaviour = Behaviour()
+        for writer in writers:
+            writer.transport.abort()
+        assert await send_until_served(rig)
+        assert await wait_until_unused(rig)
