Admit other instances beside a crowd at their port

Cause: connections that hadn't authenticated themselves held all descriptors for other instances for up to 5 s each, and a crowd that came again kept sound instances out.

Change: without a descriptor, or at the limit of connections, a new connection takes the place of the one that has been in its handshake for longest.

Tests: four crowds of 400 connections that come again (silent, part of a hello, byte by byte, a frame over the limit) at a process with 80 MB and 300 descriptors: it lives within both, an ordinary request and another instance are served.

--- a/tanagerwalk/peers/server.py
+++ b/tanagerwalk/peers/server.py
@@ -48,6 +48,9 @@
         self._stream_handlers = {}
         self._server = None
         self._connections = set()
+        # Connections that have not authenticated themselves yet, the oldest first.
+        self._handshakes = {}
+        self._replaced = set()
         self._is_stopping = False
         self.dropped = Counter()
         self.reserve = _always
@@ -125,8 +128,7 @@
 
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
-        is_full = len(self._connections) >= MAX_CONNECTIONS
-        if self.secret is None or is_full or not self.reserve():
+        if self.secret is None or not self._admit():
             writer.close()
             return
         channel = Channel(reader, writer, self.secret)
@@ -142,11 +144,39 @@
             try:
                 await self._close(channel)
             finally:
-                self.release()
+                self._release(channel)
+
+    def _admit(self):
+        """Return whether there is a descriptor for one more connection.
+
+        If there is none, the oldest connection in its handshake gives up its own: an
+        instance completes the handshake at once.
+        """
+        if len(self._connections) < MAX_CONNECTIONS and self.reserve():
+            return True
+        if not self._handshakes:
+            return False
+        oldest = next(iter(self._handshakes))
+        del self._handshakes[oldest]
+        self._replaced.add(oldest)
+        oldest.writer.transport.abort()
+        return True
+
+    def _release(self, channel):
+        if channel not in self._replaced:
+            self.release()
+        self._replaced.discard(channel)
+
+    async def _shake_hands(self, channel):
+        self._handshakes[channel] = None
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                return await channel.handshake_as_server()
+        finally:
+            self._handshakes.pop(channel, None)
 
     async def _serve_requests(self, channel):
-        async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-            handshake = await channel.handshake_as_server()
+        handshake = await self._shake_hands(channel)
         if handshake.is_error():
             return handshake.error
         while True:
--- a/test/crowds.py
+++ b/test/crowds.py
@@ -98,8 +98,11 @@
     yield encode(path, method="GET")[:-2]
 
 
-async def join_crowd(address, pieces):
-    """Send pieces, read nothing, and stay connected until cancelled."""
+async def join_crowd(address, pieces, stays=True):
+    """Send pieces, read nothing, and stay connected until cancelled.
+
+    With `stays` false, return once the connection has ended.
+    """
     loop = asyncio.get_running_loop()
     with socket.socket() as sock:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
@@ -111,4 +114,7 @@
                     await asyncio.sleep(PAUSE_S)
                     continue
                 await loop.sock_sendall(sock, piece)
-        await asyncio.sleep(3600.0)
+            while not stays and await loop.sock_recv(sock, WINDOW_BYTES):
+                pass
+        if stays:
+            await asyncio.sleep(3600.0)
--- a/test/gateway/test_misbehaving_clients.py
+++ b/test/gateway/test_misbehaving_clients.py
@@ -59,7 +59,7 @@
 }
 
 
-async def _send_ordinary_request(rig):
+async def send_ordinary_request(rig):
     """Send an ordinary request until it is not refused; return its status."""
     deadline = time.monotonic() + RETRY_S
     status = None
@@ -93,7 +93,7 @@
             for _ in range(CROWDS[send])
         ]
         await asyncio.sleep(CROWD_S)
-        status = await _send_ordinary_request(rig)
+        status = await send_ordinary_request(rig)
         is_ready = await rig.is_ready()
         peak = rig.read_memory_mb("VmHWM")
         descriptors = rig.count_descriptors()
--- /dev/null
+++ b/test/gateway/test_peer_crowds.py
@@ -0,0 +1,96 @@
+"""A gateway process outlives crowds at the port for other instances.
+
+While a crowd is connected, an ordinary request and another instance are served.
+"""
+
+import asyncio
+import struct
+import time
+
+import crowds
+import pytest
+from gateway.test_misbehaving_clients import (
+    CROWD_S,
+    MANIFEST,
+    MAX_FDS,
+    MEMORY_LIMIT_MB,
+    RETRY_S,
+    send_ordinary_request,
+)
+from gateway_process import GatewayProcessRig
+
+from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.gateway.app import FLEET_KEY_NAME
+from tanagerwalk.ids import InstanceId
+from tanagerwalk.peers.frames import MAX_HELLO_BYTES, MAX_PAYLOAD_BYTES
+from tanagerwalk.peers.rpc import MessageKind, PeerClient, RequestFault
+
+CROWD = 400
+FRAME_HEADER = struct.Struct("!IB")
+MAC = bytes(16)
+
+
+def send_nothing():
+    yield b""
+
+
+def send_part_of_hello():
+    yield FRAME_HEADER.pack(MAX_HELLO_BYTES, 0) + MAC + b"x" * (MAX_HELLO_BYTES - 1)
+
+
+def send_bytewise():
+    for byte in FRAME_HEADER.pack(MAX_HELLO_BYTES, 0) + MAC + b"x" * 400:
+        yield bytes([byte])
+        yield None
+
+
+def send_large_frame():
+    yield FRAME_HEADER.pack(MAX_PAYLOAD_BYTES, 0) + MAC
+    for _ in range(64):
+        yield b"x" * 32768
+
+
+async def ask_as_instance(rig):
+    """Ask for a tunnel to an unknown server until the request is answered."""
+    client = PeerClient(rig.store.read(FLEET_KEY_NAME).hex(), InstanceId("o"), 1.0)
+    address = f"{rig.ip}:{rig.ports['peers']}"
+    deadline = time.monotonic() + RETRY_S
+    error = None
+    while error is not RequestFault.FAILED and time.monotonic() < deadline:
+        result = await client.request(address, MessageKind.OPEN_TUNNEL, b"unknown")
+        error = result.error
+        await asyncio.sleep(0.1)
+    return error is RequestFault.FAILED
+
+
+@pytest.mark.parametrize(
+    "send", [send_nothing, send_part_of_hello, send_bytewise, send_large_frame]
+)
+async def test_process_outlives_the_crowd(tmp_path, send):
+    async def join_again():
+        """Connect again and again, as each connection ends."""
+        while True:
+            await crowds.join_crowd((rig.ip, rig.ports["peers"]), send(), stays=False)
+            await asyncio.sleep(0.1)
+
+    async with GatewayProcessRig(tmp_path, MEMORY_LIMIT_MB, MAX_FDS, MANIFEST) as rig:
+        assert await poll_until(lambda: rig.store.read(FLEET_KEY_NAME), 0.05, 5.0)
+        crowd = [asyncio.create_task(join_again()) for _ in range(CROWD)]
+        await asyncio.sleep(CROWD_S)
+        status = await send_ordinary_request(rig)
+        is_instance_served = await ask_as_instance(rig)
+        is_ready = await rig.is_ready()
+        peak = rig.read_memory_mb("VmHWM")
+        descriptors = rig.count_descriptors()
+        for task in crowd:
+            task.cancel()
+        await asyncio.gather(*crowd, return_exceptions=True)
+        seen = f"{peak:.0f} MB, {descriptors} descriptors, {status}, {is_ready}"
+        print("SEEN", seen, is_instance_served)
+        assert rig.process.returncode is None, seen
+        assert peak < MEMORY_LIMIT_MB, seen
+        assert descriptors < MAX_FDS, seen
+        assert status == 200, seen
+        assert is_ready, seen
+        assert is_instance_served, seen
+        assert "Traceback" not in rig.log
