Let answers go on beside one that stays unread beyond the budget

Cause: the one answer that may go beyond the budget kept this right until its client had taken all of it. While a client left its answer unread, no other answer went on until that client's time was over.

Change: an answer that has been read whole gives the right to the oldest that waits, if its length is known and it leaves a quarter of the budget to requests. MemoryBudget decides it in one place, when an answer ends, asks or is released. Nobody's answer is cut for it.

--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -92,6 +92,7 @@
         self._clean_end = False
         self._headers = []
         self._reason = b""
+        self._body_size = None
         self._body_ends_at_close = False
         self._has_no_body = False
         self._pending_responses = 0
@@ -155,7 +156,7 @@
                 TIGHT_ANSWER_BYTES if is_tight else SMALL_ANSWER_BYTES
             ):
                 return
-            if self._memory.may_read_on(self._resume_transport):
+            if self._memory.may_read_on(self._resume_transport, self._missing_size):
                 return
             self.has_waited = True
         elif len(self._body) <= (
@@ -165,6 +166,13 @@
         self._is_paused = True
         self._transport.pause_reading()
 
+    @property
+    def _missing_size(self):
+        """Bytes of the body that are still to come, or None if that is not known."""
+        if self._is_in_head or self._body_size is None:
+            return None
+        return max(0, self._body_size - len(self._body))
+
     def _resume_transport(self):
         self._is_paused = False
         if self._is_open:
@@ -222,6 +230,7 @@
             b"transfer-encoding"
         )
         has_body = status not in NO_BODY_STATUSES and not self._has_no_body
+        self._body_size = head.content_length
         self._body_ends_at_close = has_body and framed is None
         self._response_heads.append(head)
         if self._has_no_body:
@@ -407,6 +416,7 @@
             return Error(ConnectionFailure.MALFORMED)
         body, self._body = self._body, bytearray()
         self._held_size = 0
+        self._memory.end_reading()
         return Ok(body)
 
     def is_reusable(self):
--- a/tanagerwalk/gateway/memory.py
+++ b/tanagerwalk/gateway/memory.py
@@ -1,6 +1,8 @@
 """Memory that requests and their answers take, bounded over all connections."""
 
 import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
 
 import structlog
 
@@ -19,6 +21,8 @@
 LARGE_REQUEST_SPARE_SHARE = 0.45
 SMALL_REQUEST_SPARE_SHARE = 0.15
 LARGE_ANSWER_SPARE_SHARE = 0.45
+# Part that answers leave free which go on while others stay unread.
+UNREAD_ANSWER_SPARE_SHARE = 0.25
 SMALL_REQUEST_BYTES = 64 * 1024
 # What an answer may hold without asking, so that small ones don't wait; less of it
 # once answers have no room left, as many may wait then.
@@ -58,7 +62,9 @@
 
     Requests are refused when it is full. Answers, which a server has made or makes, are
     never: reading them stops, and goes on in the order of their requests. One answer at
-    a time may go beyond the capacity, so that there is always one that goes on.
+    a time may go beyond the capacity, so that there is always one that goes on. Once it
+    has been read whole, and while its client takes it, the next one goes on if it
+    leaves room for small requests.
 
     Parameters
     ----------
@@ -79,6 +85,7 @@
         self._numbers = itertools.count()
         self._waiting = {}
         self._exceeding = None
+        self._has_exceeding_ended = False
         self._is_refusing = False
         self._logged_at = None
         self._had_peak = False
@@ -170,7 +177,7 @@
         """Whether answers have no room left."""
         return self._answer_room <= 0
 
-    def may_read_on(self, memory, resume):
+    def may_read_on(self, memory, resume, missing_size=None):
         """Return whether an answer may grow; if not, `resume` is called once it may.
 
         Parameters
@@ -179,16 +186,45 @@
             Memory of its request.
         resume : callable
             Called without arguments.
+        missing_size : int or None
+            Bytes that the answer still gets, if they are known.
         """
         if self._answer_room > 0:
             return True
         if self._exceeding is None:
             self._exceeding = memory
         if self._exceeding is memory:
+            self._has_exceeding_ended = False
             return True
-        self._waiting[memory] = resume
+        if self._has_exceeding_ended and self._fits_unread(missing_size):
+            self._exceeding = memory
+            self._has_exceeding_ended = False
+            return True
+        self._waiting[memory] = _WaitingAnswer(resume, missing_size)
         return False
 
+    def end_reading(self, memory):
+        """Note that an answer has been read whole, and let the next one go on."""
+        if self._exceeding is memory:
+            self._has_exceeding_ended = True
+            self._replace_ended()
+
+    def _replace_ended(self):
+        """Let the oldest answer go on if that beyond the capacity is only unread."""
+        if not self._has_exceeding_ended or not self._waiting:
+            return
+        oldest = min(self._waiting, key=_get_number)
+        if self._fits_unread(self._waiting[oldest].missing_size):
+            self._exceeding = oldest
+            self._has_exceeding_ended = False
+            self._waiting.pop(oldest).resume()
+
+    def _fits_unread(self, missing_size):
+        if missing_size is None:
+            return False
+        limit = (1.0 - UNREAD_ANSWER_SPARE_SHARE) * self.capacity
+        return self.used + missing_size <= limit
+
     def stop_waiting(self, memory):
         """Forget that an answer waits for room."""
         self._waiting.pop(memory, None)
@@ -199,9 +235,10 @@
         if self._exceeding is not memory:
             return
         self._exceeding = None
+        self._has_exceeding_ended = False
         if self._waiting:
             self._exceeding = min(self._waiting, key=_get_number)
-            self._waiting.pop(self._exceeding)()
+            self._waiting.pop(self._exceeding).resume()
 
     @property
     def _answer_room(self):
@@ -213,7 +250,16 @@
             if not self._waiting:
                 return
             oldest = min(self._waiting, key=_get_number)
-            self._waiting.pop(oldest)()
+            self._waiting.pop(oldest).resume()
+        self._replace_ended()
+
+
+@dataclass(frozen=True, slots=True)
+class _WaitingAnswer:
+    """How to read on an answer, and how many bytes it still gets, if known."""
+
+    resume: Callable[[], None]
+    missing_size: int | None
 
 
 class RequestMemory:
@@ -266,9 +312,13 @@
         if self.size > size:
             self.hold(size - self.size)
 
-    def may_read_on(self, resume):
+    def may_read_on(self, resume, missing_size=None):
         """Return whether an answer may be read on; see MemoryBudget."""
-        return self._is_released or self._budget.may_read_on(self, resume)
+        return self._is_released or self._budget.may_read_on(self, resume, missing_size)
+
+    def end_reading(self):
+        """Note that the answer has been read whole; see MemoryBudget."""
+        self._budget.end_reading(self)
 
     @property
     def is_tight(self):
@@ -297,11 +347,14 @@
     def hold(self, amount):
         """Count nothing."""
 
-    def may_read_on(self, resume):
+    def may_read_on(self, resume, missing_size=None):
         """Let every answer go on."""
-        del resume
+        del resume, missing_size
         return True
 
+    def end_reading(self):
+        """Do nothing: no answer waits."""
+
     def stop_waiting(self):
         """Do nothing: no answer waits."""
 
--- a/tanagerwalk/gateway/response_heads.py
+++ b/tanagerwalk/gateway/response_heads.py
@@ -26,6 +26,12 @@
                 return value
         return None
 
+    @property
+    def content_length(self):
+        """The size of the body in bytes that the head states, or None."""
+        value = self.get_header(b"content-length")
+        return int(value) if value is not None and value.isdigit() else None
+
 
 def match_any_response(head):
     """Accept every response as the one to the pending request."""
--- a/test/gateway/test_memory_budget.py
+++ b/test/gateway/test_memory_budget.py
@@ -72,6 +72,35 @@
     assert budget.used == 0
 
 
+# Guards against answers that wait for as long as one client leaves its answer unread.
+def test_next_answer_goes_on_once_the_one_beyond_the_capacity_has_been_read():
+    budget = build_budget()
+    filler = fill(budget, int(0.55 * CAPACITY))
+    answers = [budget.create_request_memory() for _ in range(4)]
+    resumed = []
+    for number, answer in enumerate(answers):
+        can_go_on = answer.may_read_on(lambda n=number: resumed.append(n), LARGE_BYTES)
+        assert can_go_on == (number == 0)
+    answers[0].hold(LARGE_BYTES)
+    assert resumed == []
+    answers[0].end_reading()
+    assert resumed == [1]
+    answers[2].end_reading()
+    assert resumed == [1]
+    answers[1].hold(LARGE_BYTES)
+    answers[1].end_reading()
+    # One more would take the room of small requests.
+    assert resumed == [1]
+    small = budget.create_request_memory()
+    assert small.try_grow(SMALL_REQUEST_BYTES)
+    small.release()
+    answers[0].release()
+    assert resumed == [1, 2]
+    for memory in [*answers, filler]:
+        memory.release()
+    assert budget.used == 0
+
+
 def test_answers_go_on_when_there_is_room_again():
     budget = build_budget()
     filler = fill(budget, CAPACITY)
--- a/test/gateway/test_memory_pressure.py
+++ b/test/gateway/test_memory_pressure.py
@@ -14,6 +14,7 @@
     encode_answer,
     encode_head,
     open_stalled_reader,
+    read_gauge,
     run_process,
     send_booking,
     serve_small_requests,
@@ -205,3 +206,27 @@
             writer.transport.abort()
         assert await send_until_served(rig)
         assert await wait_until_unused(rig)
+
+
+# Guards against an answer that has been read whole, goes beyond the budget while its
+# client leaves it unread, and lets no other answer go on until its time is over.
+async def test_answers_go_on_beside_those_that_stay_unread(tmp_path):
+    async with run_process(tmp_path) as rig:
+        for server in rig.servers:
+            server.behaviour = Behaviour("raw", raw=encode_answer(4000000))
+        capacity = await read_gauge(rig, "memory_capacity_bytes")
+        socks = []
+        while await read_gauge(rig, "memory_used_bytes") < 0.55 * capacity:
+            head = encode_head(f"unread-{len(socks)}", "GET", "/jobs/1")
+            socks.append(await open_stalled_reader(rig, head))
+            await asyncio.sleep(0.1)
+        for server in rig.servers:
+            server.behaviour = Behaviour("raw", raw=WAITING_ANSWER)
+        reader, writer = await rig.connect()
+        head = encode_head("ordinary", "GET", "/jobs/1").replace(b": 4000", b": 2500")
+        writer.write(head)
+        reply = await read_reply(reader)
+        assert (reply.status, len(reply.body)) == (200, 400000)
+        writer.close()
+        for sock in socks:
+            sock.close()
