--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -96,19 +96,21 @@
 
     def data_received(self, data):
         """Feed received bytes to the parser; abort if no response is pending."""
+        if self.closed:
+            return
         if self._responses.pending_count == 0:
             self._fail(ConnectionFailure.CLOSED)
             return
         self.received = True
         if not self._responses.feed(data):
             self._fail(ConnectionFailure.MALFORMED)
-        self._count_body()
+        self._count_memory()
         self._pause_if_full()
         self._notify_reader()
 
-    def _count_body(self):
-        """Tell how much memory the body takes that has not been taken yet."""
-        change = len(self._responses.body) - self._held_size
+    def _count_memory(self):
+        """Tell how much memory the head and the body take that were not taken yet."""
+        change = self._responses.size - self._held_size
         if change:
             self._held_size += change
             self._memory.hold(change)
@@ -117,12 +119,14 @@
         if not self._is_open or self._is_paused or self._responses.has_body_end:
             return
         is_tight = self._memory.is_tight
-        if self._reads_whole_body:
-            if len(self._responses.body) <= (
+        if self._reads_whole_body or self._responses.is_in_head:
+            if self._responses.size <= (
                 TIGHT_ANSWER_BYTES if is_tight else SMALL_ANSWER_BYTES
             ):
                 return
-            if self._memory.may_read_on(self._resume_transport):
+            if self._memory.may_read_on(
+                self._resume_transport, self._responses.missing_size
+            ):
                 return
             self.has_waited = True
         elif len(self._responses.body) <= (
@@ -240,6 +244,8 @@
     async def read_head(self):
         """Wait for the head of the response.
 
+        Its memory stays counted until that of its request is released.
+
         Returns
         -------
         Result of ResponseHead, or of ConnectionFailure
@@ -248,7 +254,10 @@
             if self.closed:
                 return Error(self._failure)
             await self._wait_for_data()
-        return Ok(self._responses.heads.popleft())
+        head = self._responses.take_head()
+        # Its memory stays counted as the request's.
+        self._held_size = self._responses.size
+        return Ok(head)
 
     async def read_chunk(self):
         """Wait for the next part of the body, of at most MAX_CHUNK_BYTES.
@@ -272,7 +281,7 @@
             await self._wait_for_data()
         chunk = bytes(self._responses.body[:MAX_CHUNK_BYTES])
         del self._responses.body[:MAX_CHUNK_BYTES]
-        self._count_body()
+        self._count_memory()
         if self._is_paused and len(self._responses.body) <= READ_LOW_WATER_BYTES:
             self._resume_transport()
         return Ok(chunk)
@@ -304,6 +313,7 @@
             return Error(ConnectionFailure.MALFORMED)
         body, self._responses.body = self._responses.body, bytearray()
         self._held_size = 0
+        self._memory.end_reading()
         return Ok(body)
 
     def is_reusable(self):
@@ -331,7 +341,7 @@
         """Abort the connection immediately, and drop what hasn't been read."""
         self._fail(ConnectionFailure.CLOSED)
         self._responses.drop()
-        self._count_body()
+        self._count_memory()
 
 
 async def open_connection(address, timeout, create_protocol=Connection):
--- a/tanagerwalk/gateway/response_assembly.py
+++ b/tanagerwalk/gateway/response_assembly.py
@@ -4,11 +4,14 @@
 
 import httptools
 
+from .memory import HEADER_BYTES
 from .response_heads import ResponseHead, match_any_response
 
 # Bytes of a response that are not its body: those of a head that does not end, of
 # responses to others, and the framing of a body in tiny pieces.
 MAX_OVERHEAD_BYTES = 1024 * 1024
+# Most memory that a head takes, with the objects of its headers.
+MAX_HEAD_BYTES = 1024 * 1024
 NO_BODY_STATUSES = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
 
@@ -24,6 +27,8 @@
         What has not been read of a body.
     has_body_end : bool
         Whether `body` is all that is left of it.
+    is_in_head : bool
+        Whether the head is still to come, or to be completed.
     pending_count : int
         Number of requests whose responses are incomplete.
     keep_alive : bool
@@ -34,12 +39,15 @@
         self.heads = deque()
         self.body = bytearray()
         self.has_body_end = False
+        self.is_in_head = True
         self.pending_count = 0
         self.keep_alive = True
         self._parser = httptools.HttpResponseParser(self)
         self._overhead_bytes = 0
+        self._head_size = 0
         self._headers = []
         self._reason = b""
+        self._body_size = None
         self._body_ends_at_close = False
         self._has_no_body = False
         self._discarding = False
@@ -58,6 +66,8 @@
         self._matches_request = matches_request
         self._has_no_body = has_no_body
         self._overhead_bytes = 0
+        self._head_size = 0
+        self.is_in_head = True
         self.pending_count += 1
 
     def feed(self, data):
@@ -69,11 +79,21 @@
             False if they are malformed, or too many of them are no part of a body.
         """
         self._overhead_bytes += len(data)
+        head_size = self._head_size
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return False
-        return self._overhead_bytes <= MAX_OVERHEAD_BYTES
+        if self.is_in_head and self._head_size == head_size:
+            # A part of a long header, which the parser keeps.
+            self._head_size += len(data)
+        is_overlong = self._overhead_bytes > MAX_OVERHEAD_BYTES
+        return not is_overlong and self._head_size <= MAX_HEAD_BYTES
+
+    def take_head(self):
+        """Return the first head that has not been read."""
+        self._head_size = 0
+        return self.heads.popleft()
 
     def end_body(self):
         """Mark the body, and so the response, as complete."""
@@ -85,12 +105,27 @@
     def drop(self):
         """Let go of what hasn't been read, and of the request.
 
-        The parser refers to this object, which would keep both until the garbage
-        collector comes by.
+        The parser refers to this object. Without it, and what it holds of a head,
+        nothing stays until the garbage collector comes by.
         """
+        self._parser = None
         self.body = bytearray()
+        self._headers = []
+        self._head_size = 0
         self._matches_request = match_any_response
 
+    @property
+    def size(self):
+        """Bytes of memory that the head and the body take that were not read yet."""
+        return self._head_size + len(self.body)
+
+    @property
+    def missing_size(self):
+        """Bytes of the body that are still to come, or None if that is not known."""
+        if self.is_in_head or self._body_size is None:
+            return None
+        return max(0, self._body_size - len(self.body))
+
     @property
     def ends_at_close(self):
         """Whether the expected response is delimited by the end of the connection."""
@@ -123,6 +158,7 @@
     def on_header(self, name, value):
         """Store a response header."""
         self._headers.append((name.lower(), value))
+        self._head_size += HEADER_BYTES + len(name) + len(value)
 
     def on_headers_complete(self):
         """Queue the response head and determine how its body is delimited."""
@@ -135,11 +171,13 @@
             # A late response to an earlier request; the expected one follows.
             self.keep_alive = False
             return
+        self.is_in_head = False
         self.keep_alive = self.keep_alive and self._parser.should_keep_alive()
         framed = head.get_header(b"content-length") or head.get_header(
             b"transfer-encoding"
         )
         has_body = status not in NO_BODY_STATUSES and not self._has_no_body
+        self._body_size = head.content_length
         self._body_ends_at_close = has_body and framed is None
         self.heads.append(head)
         if self._has_no_body:
