Run the tests that bear load in parallel, the others one at a time

Change: pytest-xdist with a third of the cores that the process may use, at least one worker, for all but the tests with the marker serial; then these, one at a time. Both parts always run, and a failure in either fails make test. One test id held the time of a compression, which differed between the workers.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+PYTEST := CI=true $(BIN)/python -m pytest -p no:cacheprovider
+# The instances that the tests start need processor time too.
+WORKERS := $(shell cores=$$(nproc); echo $$(( cores < 3 ? 1 : cores / 3 )))
 
 .PHONY: demo test lint format soak bench thrift clean
 
@@ -13,8 +16,12 @@
 demo: $(VENV)/installed
 	$(BIN)/python -m tanagerwalk demo
 
+# Both parts always run; a failure in either fails the target.
 test: $(VENV)/installed
-	CI=true $(BIN)/python -m pytest -p no:cacheprovider
+	@status=0; \
+	$(PYTEST) -m "not serial" --numprocesses $(WORKERS) --dist worksteal || status=1; \
+	$(PYTEST) -m serial || status=1; \
+	exit $$status
 
 lint: $(VENV)/installed
 	$(BIN)/ruff format --check .
--- a/test/api/test_limits.py
+++ b/test/api/test_limits.py
@@ -8,6 +8,8 @@
 
 from tanagerwalk.standins.addresses import find_address
 
+pytestmark = pytest.mark.serial
+
 LONG_S = 1.0
 LEFT_S = 0.4
 
--- a/test/clients/test_http.py
+++ b/test/clients/test_http.py
@@ -20,10 +20,11 @@
 )
 from tanagerwalk.clients.services import ServiceAttempt, ServiceClient
 from tanagerwalk.settings import parse_settings
+from tanagerwalk.standins.addresses import find_address
 
 RETRIES = parse_settings("").ok.retries
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n%s\r\n{}"
-GZIPPED_BODY = gzip.compress(b"{}")
+GZIPPED_BODY = gzip.compress(b"{}", mtime=0)
 
 
 class Recorder:
@@ -57,10 +58,10 @@
 @asynccontextmanager
 async def run_recorder(*answers):
     recorder = Recorder(answers)
-    server = await asyncio.start_server(recorder.serve, "127.0.0.1", 0)
+    server = await asyncio.start_server(recorder.serve, find_address(), 0)
     port = server.sockets[0].getsockname()[1]
     try:
-        yield recorder, f"127.0.0.1:{port}"
+        yield recorder, f"{find_address()}:{port}"
     finally:
         server.close()
 
@@ -186,8 +187,8 @@
             sent += len(chunk)
             await writer.drain()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    server = await asyncio.start_server(serve, find_address(), 0)
+    address = f"{find_address()}:{server.sockets[0].getsockname()[1]}"
     async with build_session() as http:
         with pytest.raises(aiohttp.ClientPayloadError):
             async with http.get(build_url(address, "/")) as response:
--- a/test/controllers/test_order_controller.py
+++ b/test/controllers/test_order_controller.py
@@ -7,6 +7,8 @@
 from tanagerwalk.decisions.leases import LeasePhase
 from tanagerwalk.standins.engine import LOAD_PATH, WeightStore
 
+pytestmark = pytest.mark.serial
+
 VERSION = """
 [version {name}]
 state = {state}
--- a/test/filters/test_session.py
+++ b/test/filters/test_session.py
@@ -3,6 +3,10 @@
 import asyncio
 import json
 
+import pytest
+
+pytestmark = pytest.mark.serial
+
 SESSION_HEADERS = {"X-Session": "deed-book-7"}
 
 
--- a/test/gateway/test_allowed_regions.py
+++ b/test/gateway/test_allowed_regions.py
@@ -14,6 +14,8 @@
 )
 from tanagerwalk.standins.paths import Cut, ServerPath
 
+pytestmark = pytest.mark.serial
+
 WAIT_S = 5.0
 DOMAINS = {"a": "a-1", "b": "b-1", "c": "c-1"}
 
--- a/test/gateway/test_brittle_servers.py
+++ b/test/gateway/test_brittle_servers.py
@@ -11,6 +11,8 @@
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 from tanagerwalk.standins.places import Places
 
+pytestmark = pytest.mark.serial
+
 ALLOWED_FALLS = 2.0 + 0.1 * SERVERS
 WARM_UP_S = 1.5
 BRITTLE_S = 10.0
--- a/test/gateway/test_contended_engines.py
+++ b/test/gateway/test_contended_engines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 import pytest_asyncio
 
 from tanagerwalk.controllers.loop import poll_until
@@ -9,6 +10,8 @@
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, build_manifest
 from tanagerwalk.standins.places import Places
 
+pytestmark = pytest.mark.serial
+
 PRIORITY = "x-tanagerwalk-request-priority"
 ACCOUNT = "x-tanagerwalk-tenant"
 EVENT_S = 0.2
--- a/test/gateway/test_cut_from_servers.py
+++ b/test/gateway/test_cut_from_servers.py
@@ -7,6 +7,8 @@
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 from tanagerwalk.standins.paths import Cut, ServerPath
 
+pytestmark = pytest.mark.serial
+
 # The rules' limits: when they begin to count, and what they then allow.
 CONTACT_S = 3.0
 MIN_SERVED_RATIO = 2.0 / 3.0
--- a/test/gateway/test_descriptor_limit.py
+++ b/test/gateway/test_descriptor_limit.py
@@ -19,6 +19,8 @@
 from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.gateway_cluster import API_KEY, HOST, GatewayCluster
 
+pytestmark = pytest.mark.serial
+
 SYSTEM_LIMIT = 400
 CLIENT_COUNT = 600
 BATCH = 50
--- a/test/gateway/test_endless_answers.py
+++ b/test/gateway/test_endless_answers.py
@@ -10,6 +10,8 @@
 from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
+pytestmark = pytest.mark.serial
+
 # What one attempt may cost an instance; its memory is a few hundred megabytes.
 MAX_BYTES = 32 * 2**20
 FILLER = b"x" * 65536
--- a/test/gateway/test_memory_limit.py
+++ b/test/gateway/test_memory_limit.py
@@ -13,6 +13,8 @@
 from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import API_KEY, HOST, read_reply
 
+pytestmark = pytest.mark.serial
+
 MEMORY_LIMIT_MB = 150
 BODY_BYTES = 4 * 1024 * 1024
 MANIFEST = {
--- a/test/gateway/test_memory_pressure.py
+++ b/test/gateway/test_memory_pressure.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections import Counter
 
+import pytest
 from gateway.test_memory_limit import (
     BODY,
     BODY_BYTES,
@@ -22,6 +23,8 @@
 from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
+pytestmark = pytest.mark.serial
+
 STALLED_READERS = 60
 WAITING_ANSWER = encode_answer(400000)
 
--- a/test/gateway/test_misbehaving_clients.py
+++ b/test/gateway/test_misbehaving_clients.py
@@ -18,6 +18,8 @@
 from tanagerwalk.platform.settings import METRICS_PORT
 from tanagerwalk.standins.behaviours import Behaviour
 
+pytestmark = pytest.mark.serial
+
 MEMORY_LIMIT_MB = 80
 # Of which 200 are kept for files.
 MAX_FDS = 500
--- a/test/gateway/test_planned_stop.py
+++ b/test/gateway/test_planned_stop.py
@@ -20,6 +20,8 @@
 )
 from tanagerwalk.standins.paths import Cut, ServerPath
 
+pytestmark = pytest.mark.serial
+
 GRACE_S = 4.0
 # As in the settings of the rig.
 PROCESS_GRACE_S = 3.0
--- a/test/gateway/test_probe_memory.py
+++ b/test/gateway/test_probe_memory.py
@@ -8,6 +8,8 @@
 
 from tanagerwalk.platform.settings import METRICS_PORT
 
+pytestmark = pytest.mark.serial
+
 
 # Guards against a client of the metrics that pipelines requests and reads no answer:
 # each is rendered at once, and the readiness check had no answer for a second.
--- a/test/gateway/test_slow_readers.py
+++ b/test/gateway/test_slow_readers.py
@@ -4,11 +4,14 @@
 import socket
 import time
 
+import pytest
 
 from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
+pytestmark = pytest.mark.serial
+
 WINDOW_BYTES = 2048
 READ_BYTES = 128
 READ_PAUSE_S = 0.25
--- a/test/gateway/test_stalled_loop.py
+++ b/test/gateway/test_stalled_loop.py
@@ -21,6 +21,8 @@
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 from tanagerwalk.standins.paths import Cut, ServerPath
 
+pytestmark = pytest.mark.serial
+
 WAIT_S = 5.0
 SLACK_S = 0.1
 # Longer than any timeout of a connection.
--- a/test/gateway/test_stalled_streams.py
+++ b/test/gateway/test_stalled_streams.py
@@ -17,6 +17,8 @@
 from tanagerwalk.standins.behaviours import STALL_PIECES, Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
+pytestmark = pytest.mark.serial
+
 TIMEOUTS = AttemptTimeouts(unresponsive=1.0, idle=2.0, head=9.0, stalled=4.0)
 SLOW_EVENT_S = 1.5
 # More than the client gap of the cluster's route.
--- a/test/gateway/test_tunnel_memory.py
+++ b/test/gateway/test_tunnel_memory.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+import pytest
 from gateway.test_memory_limit import run_process
 
 from tanagerwalk.controllers.loop import poll_until
@@ -12,6 +13,8 @@
 from tanagerwalk.peers.frames import MAX_PAYLOAD_BYTES
 from tanagerwalk.peers.rpc import MessageKind, PeerClient
 
+pytestmark = pytest.mark.serial
+
 TUNNELS = 60
 
 
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -7,6 +7,8 @@
 from soak.fleet import Fleet
 from soak.run import run_soak
 
+pytestmark = pytest.mark.serial
+
 SEEDS = [
     1,
     # A reload signal (SIGHUP) during startup ended the process.
--- a/test/test_misbehaving_callers.py
+++ b/test/test_misbehaving_callers.py
@@ -14,6 +14,8 @@
 
 from tanagerwalk.standins.addresses import find_address
 
+pytestmark = pytest.mark.serial
+
 MEMORY_MB = 120
 DESCRIPTORS = 300
 TIMEOUT_S = 2
--- a/test/test_paused_lease_holder.py
+++ b/test/test_paused_lease_holder.py
@@ -10,6 +10,8 @@
 from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.engine import WeightStore
 
+pytestmark = pytest.mark.serial
+
 
 async def read_order_status(world, process):
     url = f"http://{find_address()}:{process.listening['admin_port']}/status"
--- a/test/test_process_limits.py
+++ b/test/test_process_limits.py
@@ -17,6 +17,8 @@
 
 from tanagerwalk.standins.addresses import find_address
 
+pytestmark = pytest.mark.serial
+
 BYTES_PER_MB = 1000 * 1000
 KB_BYTES = 1024
 MEMORY_MB = 150
--- a/test/test_process_stop.py
+++ b/test/test_process_stop.py
@@ -10,6 +10,8 @@
 
 from tanagerwalk.clients.keyvalue import KeyValueClient
 
+pytestmark = pytest.mark.serial
+
 STREAM_COUNT = 6
 BOOKING_COUNT = 4
 
