--- a/test/gateway/test_contended_engines.py
+++ b/test/gateway/test_contended_engines.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import pytest
 import pytest_asyncio
 
 from tanagerwalk.controllers.loop import poll_until
@@ -10,6 +11,8 @@
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, build_manifest
 from tanagerwalk.standins.places import Places
 
+pytestmark = pytest.mark.serial
+
 PRIORITY = "x-tanagerwalk-request-priority"
 ACCOUNT = "x-tanagerwalk-tenant"
 EVENT_S = 0.2
--- a/test/gateway/test_memory_pressure.py
+++ b/test/gateway/test_memory_pressure.py
@@ -25,6 +25,8 @@
 from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
+pytestmark = pytest.mark.serial
+
 STALLED_READERS = 60
 ENDLESS_HEADS = 120
 WAITING_ANSWER = encode_answer(400000)
--- a/test/gateway/test_tunnel_memory.py
+++ b/test/gateway/test_tunnel_memory.py
@@ -5,6 +5,7 @@
 import json
 from contextlib import asynccontextmanager
 
+import pytest
 from expression import Ok
 from gateway.test_memory_limit import BODY, run_process, send_booking
 from soak.fleet import find_free_port
@@ -17,6 +18,8 @@
 from tanagerwalk.peers.rpc import MessageKind, PeerClient
 from tanagerwalk.peers.server import PeerServer
 
+pytestmark = pytest.mark.serial
+
 TUNNELS = 60
 # Clients whose bodies pass through tunnels, and how many each sends, one by one.
 SENDERS = 8
