Keep new sessions off a target whose servers are all held back while the base has room

Cause: servers of the target that are cold or on hold counted as targets, also for an instance without a slot; its canary requests were refused while the base had room. Change: the conditions of a roll-out have no target then. If neither side has room, or the base has no server, nothing changes. The stubs of the servers in two tests learn find_hold and assert what they did before.

--- a/tanagerwalk/decisions/release_choice.py
+++ b/tanagerwalk/decisions/release_choice.py
@@ -95,7 +95,7 @@
     has_recent_state : bool
         Whether its state of the roll-out is recent enough to include a rollback.
     has_target : bool
-        Whether the target release has a server.
+        Whether the target release has a server that takes requests, or none does.
     base_wait, target_wait : float
         Seconds that a request waits for a server of the base and the target release.
     progress : float
--- a/tanagerwalk/gateway/release_conditions.py
+++ b/tanagerwalk/gateway/release_conditions.py
@@ -55,13 +55,22 @@
         known_for = self._find_target_age(order, has_target, now)
         return RoutingConditions(
             has_recent_state=self.state_age < MAX_STATE_AGE_S,
-            has_target=has_target and known_for >= target_known_for,
+            has_target=has_target
+            and known_for >= target_known_for
+            and not self._is_blocked(service, now, is_target, is_base),
             base_wait=self._servers.estimate_wait(service, now, is_base),
             target_wait=self._servers.estimate_wait(service, now, is_target),
             progress=self._rollouts.find_progress(order, now),
             starts=self._rollouts.count_starts(order),
         )
 
+    def _is_blocked(self, service, now, is_target, is_base):
+        """Return whether holds or limits keep only the target from taking a request."""
+        if self._servers.find_hold(service, now, is_target) <= 0.0:
+            return False
+        has_base = self._servers.has_server(service, is_base)
+        return has_base and self._servers.find_hold(service, now, is_base) <= 0.0
+
     def _find_target_age(self, order, has_target, now):
         """Return the seconds since a server of the target was first known."""
         key = (order.service, order.revision)
--- a/test/gateway/rollout_fleet.py
+++ b/test/gateway/rollout_fleet.py
@@ -221,6 +221,9 @@
     def list_releases(self, service):
         return {server.release for server in self.list_known(service)}
 
+    def find_hold(self, service, now, is_allowed):
+        return 0.0
+
     def estimate_wait(self, service, now, is_allowed):
         start, end = self._fleet.scenario.queue
         is_base = not is_allowed(SimpleNamespace(release=self._fleet.get_newest()))
--- a/test/gateway/test_release_assignment.py
+++ b/test/gateway/test_release_assignment.py
@@ -38,6 +38,7 @@
         servers = SimpleNamespace(
             has_server=lambda service, is_allowed: True,
             estimate_wait=lambda service, now, is_allowed: 0.0,
+            find_hold=lambda service, now, is_allowed: 0.0,
             list_releases=lambda service: {"v1"},
         )
         self.assigner = ReleaseAssigner(
