Name the sums of speed samples and their modules for what they hold

Cause: `durations` and `reports` were weights, `log_duration` and `log_slowdown` sums; speed_messages, speed_sharing and speed_watch didn't say whose speed.

Change: duration_weight, log_duration_sum, report_weight and log_slowdown_sum; the modules are server_speed_samples, _messages, _sharing and _watch, and so are two test modules. Messages between instances are unchanged.

The tests of server speeds, speed messages, speed watch, sharing, crash news, the answer recorder, boundaries and the gateway instance pass.

--- a/tanagerwalk/decisions/server_speeds.py
+++ b/tanagerwalk/decisions/server_speeds.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 
 from .engine_load import bound_slowdown, find_slowdown
+from .server_speed_samples import NO_SAMPLES, SpeedSamples
 from .shared_loads import SharedLoadTable
-from .speed_samples import NO_SAMPLES, SpeedSamples
 from .usual_durations import UsualDurations
 
 # After this time, a reported slowdown counts for 1 / e of its difference from the
@@ -110,7 +110,7 @@
         self._reporting.add(self._services[life])
         log_slowdown = math.log(load.plausible_slowdown)
         self._reports[life] = log_slowdown, now
-        reported = SpeedSamples(reports=1.0, log_slowdown=log_slowdown)
+        reported = SpeedSamples(report_weight=1.0, log_slowdown_sum=log_slowdown)
         self._find_own(life, now).add(reported, now)
 
     def record_duration(self, life, kind, sample, load, now):
@@ -138,7 +138,7 @@
         if log_ratio is None:
             return
         log_duration = log_ratio - math.log(reported)
-        measured = SpeedSamples(durations=1.0, log_duration=log_duration)
+        measured = SpeedSamples(duration_weight=1.0, log_duration_sum=log_duration)
         self._find_own(life, now).add(measured, now)
 
     def is_uniform(self, now):
@@ -202,7 +202,7 @@
         self._lasting = {}
         for service, lives in self._lives_by_service.items():
             known = {life: totals[life] for life in lives if life in totals}
-            if any(samples.reports > 0.0 for samples in known.values()):
+            if any(samples.report_weight > 0.0 for samples in known.values()):
                 self._reporting.add(service)
             if service in self._reporting:
                 self._lasting |= self._estimate_service(known)
@@ -213,8 +213,8 @@
         center = sum(measured.values()) / len(measured) if measured else 0.0
         slowdowns = {
             life: _LastingSlowdown(
-                self._bound(measured[life] - center, samples.durations),
-                samples.log_slowdown / (samples.reports + PRIOR_SAMPLES),
+                self._bound(measured[life] - center, samples.duration_weight),
+                samples.log_slowdown_sum / (samples.report_weight + PRIOR_SAMPLES),
             )
             for life, samples in totals.items()
         }
@@ -233,4 +233,4 @@
 
 
 def _estimate_mean(samples):
-    return samples.log_duration / (samples.durations + PRIOR_SAMPLES)
+    return samples.log_duration_sum / (samples.duration_weight + PRIOR_SAMPLES)
--- a/tanagerwalk/gateway/app.py
+++ b/tanagerwalk/gateway/app.py
@@ -55,8 +55,8 @@
 from .request_handler import MAX_REPORTED_AGE_S, RequestHandler
 from .request_regions import RegionRules
 from .routing import RouteFilter
+from .server_speed_watch import SpeedWatch
 from .sharing import LoadSharing
-from .speed_watch import SpeedWatch
 from .stop_control import StopControl
 from .tunnel_client import TunnelClient
 from .tunnels import TunnelServer
--- a/tanagerwalk/gateway/load_message_builder.py
+++ b/tanagerwalk/gateway/load_message_builder.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass, field
 
 from ..decisions.relays import Scope
+from ..decisions.server_speed_samples import SpeedSamples
 from ..decisions.server_statements import Statement
 from ..decisions.shared_loads import SharedLoad
-from ..decisions.speed_samples import SpeedSamples
 from ..peers.gen.loads.ttypes import LoadMessage
 from .demand_messages import encode_demand
 from .load_messages import (
@@ -18,8 +18,8 @@
     encode_tally,
 )
 from .permit_notes import encode_permit_note
+from .server_speed_messages import encode_speed
 from .session_notes import encode_note
-from .speed_messages import encode_speed
 
 # Keep a message within one packet of 1,400 bytes.
 MAX_LOADS = 60
--- a/tanagerwalk/gateway/speed_messages.py
+++ b/tanagerwalk/gateway/server_speed_messages.py
@@ -3,7 +3,7 @@
 import math
 
 from ..decisions.engine_load import MAX_SLOWDOWN
-from ..decisions.speed_samples import SpeedSamples
+from ..decisions.server_speed_samples import SpeedSamples
 from ..peers.gen.loads.ttypes import ServerSpeed
 
 THOUSANDTHS = 1000.0
@@ -16,13 +16,13 @@
 def encode_speed(life, samples):
     """Convert SpeedSamples to a ServerSpeed message; `life` is the server's hash."""
     reports, log_slowdown = None, None
-    if samples.reports > 0.0:
-        reports = _encode_sum(samples.reports)
-        log_slowdown = _encode_sum(samples.log_slowdown)
+    if samples.report_weight > 0.0:
+        reports = _encode_sum(samples.report_weight)
+        log_slowdown = _encode_sum(samples.log_slowdown_sum)
     return ServerSpeed(
         life,
-        _encode_sum(samples.durations),
-        _encode_sum(samples.log_duration),
+        _encode_sum(samples.duration_weight),
+        _encode_sum(samples.log_duration_sum),
         reports,
         log_slowdown,
     )
--- a/tanagerwalk/gateway/speed_sharing.py
+++ b/tanagerwalk/gateway/server_speed_sharing.py
@@ -2,8 +2,8 @@
 
 import math
 
-from ..decisions.speed_samples import NO_SAMPLES
-from .speed_messages import decode_speed
+from ..decisions.server_speed_samples import NO_SAMPLES
+from .server_speed_messages import decode_speed
 
 # Lasting speeds change rarely, so they are told less often than loads.
 TELL_PERIOD_S = 1.0
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -24,8 +24,8 @@
     sign,
 )
 from .permit_notes import decode_permit_note
+from .server_speed_sharing import SpeedSharing
 from .session_notes import decode_note
-from .speed_sharing import SpeedSharing
 
 log = structlog.get_logger(__name__)
 
--- a/test/decisions/speed_fleet.py
+++ b/test/decisions/speed_fleet.py
@@ -12,6 +12,7 @@
 from tanagerwalk.decisions.paths import PathTable
 from tanagerwalk.decisions.relays import Role, Scope
 from tanagerwalk.decisions.selection import ServerPool
+from tanagerwalk.decisions.server_speed_samples import NO_SAMPLES
 from tanagerwalk.decisions.server_speeds import ServerSpeeds
 from tanagerwalk.decisions.server_usage import estimate_work
 from tanagerwalk.decisions.shared_loads import (
@@ -20,7 +21,6 @@
     SharedLoadTable,
     hash_server,
 )
-from tanagerwalk.decisions.speed_samples import NO_SAMPLES
 from tanagerwalk.registry import RegisteredServer, ServerState
 
 SERVICE = "drafts"
--- a/test/decisions/test_server_speeds.py
+++ b/test/decisions/test_server_speeds.py
@@ -13,11 +13,11 @@
 from tanagerwalk.decisions.paths import PathTable
 from tanagerwalk.decisions.relays import Scope
 from tanagerwalk.decisions.selection import ServerPool
+from tanagerwalk.decisions.server_speed_samples import SpeedSamples
 from tanagerwalk.decisions.server_speeds import ServerSpeeds
 from tanagerwalk.decisions.server_usage import MAX_SILENCE_S
 from tanagerwalk.decisions.server_usage_table import hash_life
 from tanagerwalk.decisions.shared_loads import ReportSource, SharedLoadTable
-from tanagerwalk.decisions.speed_samples import SpeedSamples
 from tanagerwalk.registry import RegisteredServer, ServerState
 
 MIXED = (0.7, 1.7, 0.7)
--- a/test/gateway/test_speed_messages.py
+++ b/test/gateway/test_server_speed_messages.py
@@ -9,14 +9,14 @@
 from tanagerwalk.decisions.engine_load import EngineLoad
 from tanagerwalk.decisions.latency_baselines import LatencySample
 from tanagerwalk.decisions.relays import RelaySelection, Role, Scope
+from tanagerwalk.decisions.server_speed_samples import SpeedSamples
 from tanagerwalk.decisions.server_speeds import ServerSpeeds
 from tanagerwalk.decisions.shared_loads import SharedLoadTable
-from tanagerwalk.decisions.speed_samples import SpeedSamples
 from tanagerwalk.gateway.load_message_builder import Contents, LoadMessageBuilder
 from tanagerwalk.gateway.load_messages import decode_message, sign
+from tanagerwalk.gateway.server_speed_messages import decode_speed, encode_speed
+from tanagerwalk.gateway.server_speed_sharing import SpeedSharing
 from tanagerwalk.gateway.sharing import LoadSharing
-from tanagerwalk.gateway.speed_messages import decode_speed, encode_speed
-from tanagerwalk.gateway.speed_sharing import SpeedSharing
 from tanagerwalk.peers.codec import decode, encode
 from tanagerwalk.peers.gen.loads.ttypes import LoadMessage, ServerSpeed
 
@@ -119,9 +119,9 @@
 
 def test_impossible_sums_are_bounded():
     _, samples = decode_speed(ServerSpeed(LIFE, -5, 2**31 - 1, 1000, -(2**31)))
-    assert samples.durations == samples.log_duration == 0.0
-    assert samples.reports == 1.0
-    assert -3.0 < samples.log_slowdown < 0.0
+    assert samples.duration_weight == samples.log_duration_sum == 0.0
+    assert samples.report_weight == 1.0
+    assert -3.0 < samples.log_slowdown_sum < 0.0
 
 
 def test_speed_without_a_server_is_rejected():
--- a/test/gateway/test_speed_watch.py
+++ b/test/gateway/test_server_speed_watch.py
@@ -9,7 +9,7 @@
 from tanagerwalk.decisions.selection import ServerPool
 from tanagerwalk.decisions.shared_loads import SharedLoadTable
 from tanagerwalk.gateway.metrics import GatewayMetrics
-from tanagerwalk.gateway.speed_watch import SpeedWatch
+from tanagerwalk.gateway.server_speed_watch import SpeedWatch
 from tanagerwalk.logs import configure_logs
 from tanagerwalk.registry import RegisteredServer, ServerState
 
