--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -14,8 +14,8 @@
 from .load_message_receiver import LoadMessageReceiver
 from .load_messages import decode_message, sign
 from .permit_notes import SLOT_KINDS, decode_permit_note
+from .server_speed_sharing import SpeedSharing
 from .session_notes import decode_note
-from .speed_sharing import SpeedSharing
 
 log = structlog.get_logger(__name__)
 
