Give the fleets in tests what requests need now

Change: slots of limits in the fleet of regions; the routes as a list in two others. Result: test_region_fleet and test_place_contest pass.

--- a/test/gateway/contention_fleet.py
+++ b/test/gateway/contention_fleet.py
@@ -263,7 +263,7 @@
             for kind in KINDS
         }
         self.manifest = SimpleNamespace(
-            routes={"host": tuple(self.routes.values())},
+            list_routes=self.routes.values,
             account_priorities={},
             accounts={name: name for name in self.accounts},
             needs_keys=True,
--- a/test/gateway/region_fleet.py
+++ b/test/gateway/region_fleet.py
@@ -28,6 +28,7 @@
 from tanagerwalk.gateway.connector import ServerConnector
 from tanagerwalk.gateway.contention_monitor import ContentionMonitor
 from tanagerwalk.gateway.execution import RequestExecution
+from tanagerwalk.gateway.limit_slots import LimitSlots
 from tanagerwalk.gateway.metrics import GatewayMetrics
 from tanagerwalk.gateway.pool import ConnectionPool
 from tanagerwalk.gateway.request_regions import RegionRules
@@ -131,6 +132,9 @@
             quarantine=self,
             crash_check=None,
             permits=Permits(fleet.is_brittle),
+            limit_slots=LimitSlots(
+                name, self.servers, GatewayMetrics(), clock, fleet.random
+            ),
             region_rules=rules,
             contention=ContentionMonitor(
                 self.servers, SharedDemandTable(), GatewayMetrics(), clock, fleet.random
--- a/test/gateway/test_place_contest.py
+++ b/test/gateway/test_place_contest.py
@@ -46,7 +46,7 @@
         patient = SimpleNamespace(priority=7, objective=1.0, timeout=TIMEOUT_S)
         patient.shares = route.shares
         self.manifest = SimpleNamespace(
-            routes={"host": (route, patient)},
+            list_routes=lambda: (route, patient),
             account_priorities={},
             accounts={},
             needs_keys=False,
