--- a/tanagerwalk/decisions/early_refusal.py
+++ b/tanagerwalk/decisions/early_refusal.py
@@ -75,10 +75,10 @@
     """
     if prospect.last_wait < MIN_WAIT_S:
         return None
-    over_share = _find_part_over_share(prospect)
+    over_share = _find_refused_over_share(prospect)
     if draw < over_share:
         return RefusalReason.ACCOUNT_OVER_SHARE
-    if draw < over_share + (1.0 - over_share) * _find_late_part(prospect):
+    if draw < over_share + (1.0 - over_share) * _find_refused_for_wait(prospect):
         return RefusalReason.QUEUE_FULL
     return None
 
@@ -98,7 +98,7 @@
     return RefusalReason.QUEUE_FULL
 
 
-def _find_late_part(prospect):
+def _find_refused_for_wait(prospect):
     """Return the part of such requests that is refused for their wait, 0 to 1."""
     if prospect.standing.is_crowded_out:
         return 0.0
@@ -109,7 +109,7 @@
     return max(0.0, (prospect.total_wait - first) / (last - first))
 
 
-def _find_part_over_share(prospect):
+def _find_refused_over_share(prospect):
     """Return the part of its account's requests that are refused, 0 to 1."""
     excess = prospect.standing.excess
     if prospect.total_wait > prospect.objective:
--- a/tanagerwalk/decisions/local_choice.py
+++ b/tanagerwalk/decisions/local_choice.py
@@ -119,7 +119,7 @@
 
 def build_chooser(home, random):
     """Return the ServerChooser for the location of an instance."""
-    if home.keeps_requests:
+    if home.prefers_local:
         return LocalServerChooser(home, random)
     return ServerChooser(home, random)
 
--- a/tanagerwalk/decisions/locations.py
+++ b/tanagerwalk/decisions/locations.py
@@ -32,7 +32,7 @@
     prefers_own_domain: bool = True
 
     @property
-    def keeps_requests(self):
+    def prefers_local(self):
         """Whether requests stay in this failure domain while its servers have room."""
         return self.prefers_own_domain and self._has_other_domains
 
--- a/tanagerwalk/decisions/manifest_check.py
+++ b/tanagerwalk/decisions/manifest_check.py
@@ -187,13 +187,17 @@
 
 def _check_servers_of_route(route, service, domains, manifest, home):
     subject = f"route {route.name}"
-    told = set()
+    reported = set()
     for account in (None, *sorted(manifest.account_regions)):
         regions = manifest.find_allowed_regions(route, account)
         allowed = AllowedRegions(home, regions)
-        if not regions or regions in told or any(map(allowed.allows_domain, domains)):
+        if (
+            not regions
+            or regions in reported
+            or any(map(allowed.allows_domain, domains))
+        ):
             continue
-        told.add(regions)
+        reported.add(regions)
         names = ("region " if len(regions) == 1 else "regions ") + ", ".join(
             sorted(regions)
         )
--- a/tanagerwalk/decisions/release_evidence.py
+++ b/tanagerwalk/decisions/release_evidence.py
@@ -8,9 +8,9 @@
 
 MIN_BAD_ANSWERS = 3
 # A lone failure does not tell a failing server from others.
-MIN_BAD_OF_SERVER = 2
+MIN_BAD_OF_FAILING_SERVER = 2
 # Fewer failures of a single server are no evidence while others answer.
-MIN_BAD_ON_ONE_SERVER = 8
+MIN_BAD_BESIDE_FAILING_SERVER = 8
 # The others tell about the release if they gave this share of its answers.
 MIN_OTHERS_SHARE = 1 / 3
 SIGNIFICANCE_LEVEL = 0.002
@@ -74,7 +74,7 @@
     failing = SideCount()
     by_failures = sorted(servers, key=lambda count: count.bad, reverse=True)
     for number, server in enumerate(by_failures, start=1):
-        if server.bad < MIN_BAD_OF_SERVER:
+        if server.bad < MIN_BAD_OF_FAILING_SERVER:
             break
         failing.add(server)
         others = target.subtract(failing)
@@ -82,7 +82,7 @@
             break
         if is_significantly_worse(others, base):
             continue
-        if server.bad >= MIN_BAD_ANSWERS and target.bad < MIN_BAD_ON_ONE_SERVER:
+        if server.bad >= MIN_BAD_ANSWERS and target.bad < MIN_BAD_BESIDE_FAILING_SERVER:
             return False
         # Of all sets of so many servers, this one was chosen for its failures.
         level = SERVER_SIGNIFICANCE_LEVEL / math.comb(len(servers), number)
--- a/tanagerwalk/decisions/request_priorities.py
+++ b/tanagerwalk/decisions/request_priorities.py
@@ -14,7 +14,7 @@
 LONG_WORK_FACTOR = 3.0
 # Of the requests that would wait beyond their objective, this part goes behind those of
 # the first rank, or among them if even these wait too long: no rank is shut out.
-TURN_SHARE = 0.25
+MOVED_UP_SHARE = 0.25
 # Share of its timeout: a request with more time left is not moved up.
 AGED_TIME_SHARE = 0.5
 # Multiples of the latency objective: with less time left than the first, a request is
@@ -63,7 +63,7 @@
     estimate_wait : callable
         Takes a priority and returns the seconds that a request of it would wait.
     draw : float
-        Random number from 0 to 1; below `TURN_SHARE`, a request that would wait too
+        Random number from 0 to 1; below `MOVED_UP_SHARE`, a request that would wait too
         long is moved up to the first rank.
     """
     index = inputs.ranks.index(inputs.rank)
@@ -73,7 +73,7 @@
         # Behind the requests that have that rank by the manifest.
         steps = PRIORITY_COUNT
     priority = _place(moved, len(inputs.ranks), steps)
-    if inputs.is_over_share or draw >= TURN_SHARE:
+    if inputs.is_over_share or draw >= MOVED_UP_SHARE:
         return priority
     behind_first = min(priority, _place(0, len(inputs.ranks), PRIORITY_COUNT))
     for moved_up in (priority, behind_first):
--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -75,7 +75,7 @@
     @property
     def prefers_local(self):
         """Whether servers of the own failure domain are preferred."""
-        return self._home.keeps_requests
+        return self._home.prefers_local
 
     def set_possibly_leaving(self, server_ids):
         """Set the servers that may be leaving; they are used only as a last resort.
@@ -302,14 +302,14 @@
         LimitQueue or None
             None if there is no such server.
         """
-        limited = self.list_limited(service, now, is_allowed)
+        limited = self.list_limited_lives(service, now, is_allowed)
         if not limited:
             return None
         wait = min(self.limits.find_wait(life, now) for life in limited)
         rate = sum(self.limits.find_rate(life, now) for life in limited)
         return LimitQueue(wait, rate)
 
-    def list_limited(self, service, now, is_allowed):
+    def list_limited_lives(self, service, now, is_allowed):
         """Return the `hash_life` of the servers that only their limits keep back.
 
         See `find_limit_queue`.
--- a/tanagerwalk/decisions/server_limits.py
+++ b/tanagerwalk/decisions/server_limits.py
@@ -20,10 +20,10 @@
 from .server_statements import ServerStatements
 
 # From the planned time of a request until it is sent at the latest.
-MAX_DELAY_S = 0.5
+MAX_SEND_DELAY_S = 0.5
 # Share of the limit of a cold server that is used by instances that have just started:
 # others may divide it among the members that they know.
-UNSETTLED_SHARE = 0.5
+SETTLING_SHARE = 0.5
 # Time in which all instances that start together have registered, once this one has.
 SETTLE_S = 6.0
 
@@ -54,11 +54,11 @@
     """What an instance that has just started knows of its registration."""
 
     def __init__(self):
-        self.seniors = None
+        self.registered_before = None
         self.registered_at = math.inf
 
-    def record(self, seniors, now):
-        self.seniors = seniors
+    def record(self, registered_before, now):
+        self.registered_before = registered_before
         self.registered_at = min(self.registered_at, now)
 
 
@@ -76,7 +76,7 @@
         The servers whose limits come from being cold.
     waiting : Counter of ServiceName
         Requests of this instance that wait for a server with a limit.
-    delayed, turned_away : int
+    wait_count, refusal_count : int
         Requests so far that have waited for such a server, and that could not.
     get_copy_age : callable
         Returns the seconds since the known members were last all that had registered.
@@ -96,8 +96,8 @@
         self.get_copy_age = _get_no_age
         self.cold = ColdServers()
         self.waiting = Counter()
-        self.delayed = 0
-        self.turned_away = 0
+        self.wait_count = 0
+        self.refusal_count = 0
 
     def set_members(self, own_id, peer_ids):
         """Replace the instances that share the limits, given by their incarnations."""
@@ -115,19 +115,19 @@
         self._settling = _Settling()
         self._forget_parts()
 
-    def set_registered(self, seniors, now):
+    def set_registered(self, registered_before, now):
         """Record that this instance has registered.
 
         Parameters
         ----------
-        seniors : sequence of str
+        registered_before : sequence of str
             Incarnations that are registered and did so before, the first one first.
         now : float
             Monotonic time in seconds.
         """
         if self._settling is None:
             return
-        self._settling.record(tuple(seniors), now)
+        self._settling.record(tuple(registered_before), now)
         self._forget_parts()
 
     def _forget_parts(self):
@@ -200,7 +200,7 @@
         """Count a request that is sent to a server."""
         slot = self._take(life, now)
         if slot is not None:
-            self._shorten(slot, now)
+            self._begin_next_sooner(slot, now)
 
     def take_slot(self, life, now, max_wait=0.0):
         """Take the next slot of the own part of a limit, for a request to be sent.
@@ -235,7 +235,7 @@
         self._next_at[life] = next_at
         return SendSlot(life, begins_at, ends_at, next_at if parts.is_spaced else None)
 
-    def _shorten(self, slot, now):
+    def _begin_next_sooner(self, slot, now):
         """Let the next slot begin sooner, since a request was sent before its end."""
         if slot.next_at is not None and self._next_at.get(slot.life) == slot.next_at:
             self._next_at[slot.life] -= max(0.0, slot.ends_at - now)
@@ -258,7 +258,7 @@
             slot = self.take_slot(life, now)
         if slot is None or not slot.is_open(now):
             return False
-        self._shorten(slot, now)
+        self._begin_next_sooner(slot, now)
         return True
 
     def list_holders(self, life, now):
@@ -288,8 +288,8 @@
         if not parts.by_registration:
             return holders
         # All may have started at once.
-        seniors = self._settling.seniors or ()
-        return list(dict.fromkeys((*seniors[: parts.count], *holders)))
+        registered_before = self._settling.registered_before or ()
+        return list(dict.fromkeys((*registered_before[: parts.count], *holders)))
 
     def find_rate(self, life, now):
         """Return the requests per second of this instance's part of a limit."""
@@ -310,15 +310,17 @@
             return parts
         if self._is_settling(now):
             # Any number may have started at the same time.
-            cold_parts = divide_by_registration(cold_limit.scale(UNSETTLED_SHARE))
+            cold_parts = divide_by_registration(cold_limit.scale(SETTLING_SHARE))
         else:
             cold_parts = divide_cold_limit(cold_limit, members)
         return cold_parts if parts is None else parts.restrict(cold_parts)
 
     def _has_part(self, life, parts):
         if parts.by_registration:
-            seniors = self._settling.seniors
-            return seniors is not None and len(seniors) < parts.count
+            registered_before = self._settling.registered_before
+            return (
+                registered_before is not None and len(registered_before) < parts.count
+            )
         known_count, has_part = self._parts.get(life, (0, False))
         if known_count != parts.count:
             key = b"%d" % life
@@ -329,9 +331,9 @@
     def _find_next(self, life, parts, now):
         """Return when the next request may be sent, without those not sent in time."""
         self._begin(life, parts, now)
-        unused = now + SEND_WINDOW_S - MAX_DELAY_S - self._next_at[life]
-        if unused > 0.0 and not parts.is_spaced:
-            intervals = math.ceil(unused / parts.interval)
+        overdue = now + SEND_WINDOW_S - MAX_SEND_DELAY_S - self._next_at[life]
+        if overdue > 0.0 and not parts.is_spaced:
+            intervals = math.ceil(overdue / parts.interval)
             self._next_at[life] += parts.interval * intervals
         return self._next_at[life]
 
--- a/tanagerwalk/decisions/service_policies.py
+++ b/tanagerwalk/decisions/service_policies.py
@@ -25,7 +25,7 @@
         return tuple(sorted(ranks | set(self._manifest.account_priorities.values())))
 
     @cached_property
-    def accounts(self):
+    def account_count(self):
         """Number of accounts among which the service is shared."""
         manifest = self._manifest
         return len(set(manifest.accounts.values())) if manifest.needs_keys else 0
@@ -52,9 +52,9 @@
     @property
     def has_differences(self):
         """Whether requests differ in priority or account at all."""
-        return len(self.ranks) > 1 or self.accounts > 1
+        return len(self.ranks) > 1 or self.account_count > 1
 
-    def find_rank(self, request):
+    def find_request_rank(self, request):
         """Return the priority of a request; that of its account goes first."""
         priorities = self._manifest.account_priorities
         return priorities.get(request.account, request.route.priority)
--- a/tanagerwalk/gateway/components.py
+++ b/tanagerwalk/gateway/components.py
@@ -266,10 +266,10 @@
         self.quarantine.on_news = self.sharing.tell_crashes
 
     def _create_contention(self):
-        self.contention = ContentionMonitor(
+        self.contention_monitor = ContentionMonitor(
             self.servers, self.sharing.demands, self.metrics, self.clock, self.random
         )
-        self.sharing.demands.list_own = self.contention.refresh_all
+        self.sharing.demands.list_own = self.contention_monitor.refresh_all
 
     def _forget_server(self, server):
         self.paths.forget(server.id)
@@ -343,8 +343,8 @@
         self.limit_slots.set_peers(peers)
         limits = self.servers.limits
         limits.set_members(self.incarnation, peers)
-        if self.membership.seniors is not None:
-            limits.set_registered(self.membership.seniors, self.clock())
+        if self.membership.registered_before is not None:
+            limits.set_registered(self.membership.registered_before, self.clock())
 
     def _create_filter_chain(self):
         attempt_runner = AttemptRunner(
@@ -364,7 +364,7 @@
             self.permits,
             self.limit_slots,
             self.region_rules,
-            self.contention,
+            self.contention_monitor,
             self.stop_control,
             self.metrics,
             self.clock,
--- a/tanagerwalk/gateway/contention_monitor.py
+++ b/tanagerwalk/gateway/contention_monitor.py
@@ -36,7 +36,7 @@
         self._policies = {}
         self._manifest = None
 
-    def find_policy(self, manifest, service):
+    def find_service_policy(self, manifest, service):
         """Return the ServicePolicy of a service."""
         if manifest is not self._manifest:
             self._manifest = manifest
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -77,7 +77,7 @@
             context.permits, context.servers, request, service, context.clock
         )
         self._place_contest = PlaceContest(
-            context.contention,
+            context.contention_monitor,
             request,
             service,
             self._regions.restrict(
@@ -174,8 +174,8 @@
     async def _wait_for_place(self):
         """Wait for a server; see `PlaceWait.wait`."""
         # A slot is no permit: with it alone, a brittle server may be asked too often.
-        may_ask = not self._permit_wait.is_needed
-        return await self._place_wait.wait(self._history, may_ask)
+        may_ask_others = not self._permit_wait.is_needed
+        return await self._place_wait.wait(self._history, may_ask_others)
 
     def _find_refusal(self):
         """Return the reason why no more attempt is made, or None."""
--- a/tanagerwalk/gateway/execution_context.py
+++ b/tanagerwalk/gateway/execution_context.py
@@ -47,7 +47,7 @@
         Slots of limits that other instances grant.
     region_rules : RegionRules
         Restricts requests to the regions in which they may be processed.
-    contention : ContentionMonitor
+    contention_monitor : ContentionMonitor
         Knows for which services requests compete for places.
     stop_control : StopControl
         Knows which attempts can still end before a planned stop.
@@ -70,7 +70,7 @@
     permits: ServerPermits
     limit_slots: LimitSlots
     region_rules: RegionRules
-    contention: ContentionMonitor
+    contention_monitor: ContentionMonitor
     stop_control: StopControl
     metrics: GatewayMetrics
     clock: object
--- a/tanagerwalk/gateway/limit_slots.py
+++ b/tanagerwalk/gateway/limit_slots.py
@@ -16,9 +16,9 @@
 # Instances that are asked for one request.
 MAX_ASKED = 4
 # Time for which an instance that has no slot is not asked again, at most.
-MAX_SPENT_S = 1.0
+MAX_ASK_PAUSE_S = 1.0
 # A note has to fit a packet.
-MAX_SERVERS = 64
+MAX_SERVERS_ASKED_FOR = 64
 
 
 class LimitSlots:
@@ -56,13 +56,13 @@
         self._granting = frozenset()
         self._answers = {}
         # When an instance that had no slot for a service may be asked again.
-        self._spent_until = {}
+        self._ask_again_at = {}
         self.send_notes = _drop
 
     def set_peers(self, peers):
         """Replace the known instances, given as Peer by incarnation."""
         self._granting = frozenset(p for p, peer in peers.items() if peer.grants_slots)
-        self._spent_until.clear()
+        self._ask_again_at.clear()
 
     async def acquire(self, service, lives, patience):
         """Ask other instances for a slot, one after the other.
@@ -80,7 +80,7 @@
         -------
         SendSlot or None
         """
-        lives = tuple(lives[:MAX_SERVERS])
+        lives = tuple(lives[:MAX_SERVERS_ASKED_FOR])
         latest_at = self._clock() + patience
         for holder in self._choose_holders(service, lives, latest_at):
             time_left = latest_at - self._clock()
@@ -99,7 +99,7 @@
         able = [
             holder
             for holder in sorted(holders & self._granting)
-            if self._spent_until.get((holder, service), now) < latest_at
+            if self._ask_again_at.get((holder, service), now) < latest_at
         ]
         return self._random.sample(able, min(len(able), MAX_ASKED))
 
@@ -122,8 +122,8 @@
         note = answer.result()
         self._metrics.limit_slots.labels(note.kind.name.lower()).inc()
         if note.kind is PermitNoteKind.SLOT_DENIED:
-            spent_for = min(note.wait, MAX_SPENT_S)
-            self._spent_until[holder, service] = self._clock() + spent_for
+            pause = min(note.wait, MAX_ASK_PAUSE_S)
+            self._ask_again_at[holder, service] = self._clock() + pause
             return None
         if note.kind is not PermitNoteKind.SLOT_GRANTED or note.lives[0] not in lives:
             return None
--- a/tanagerwalk/gateway/load_message_builder.py
+++ b/tanagerwalk/gateway/load_message_builder.py
@@ -14,7 +14,7 @@
     encode_latencies,
     encode_limit,
     encode_load,
-    encode_servers,
+    encode_server_tallies,
     encode_sides,
     encode_tally,
 )
@@ -131,7 +131,7 @@
             yield self._build_message(contents.scope, brittle=brittle)
         # Before the sums, which count against the release what no server accounts for.
         for key, tally in contents.tallies.items():
-            for servers in encode_servers(*key, tally):
+            for servers in encode_server_tallies(*key, tally):
                 yield self._build_message(contents.scope, tallies=[servers])
         parts = -(-len(contents.loads) // MAX_LOADS) or 1
         tallies = [encode_tally(*key, tally) for key, tally in contents.tallies.items()]
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -39,7 +39,7 @@
 # Histograms of both releases for one message; a hundred bytes each.
 MAX_LATENCIES = 8
 # Servers of a release for one message; route names may have many characters.
-MAX_SERVERS = 12
+MAX_TALLIED_SERVERS = 12
 MAX_INT32 = 2**31 - 1
 # Fields that all versions of a message set.
 REQUIRED_FIELDS = {
@@ -276,7 +276,7 @@
     return tally
 
 
-def encode_servers(service, order, tally):
+def encode_server_tallies(service, order, tally):
     """Convert the counts of servers that failed to TrialTally messages of bounded size.
 
     Returns
@@ -289,8 +289,10 @@
         if count.bad
     ]
     return [
-        TrialTally(service, order, [], servers=servers[start : start + MAX_SERVERS])
-        for start in range(0, len(servers), MAX_SERVERS)
+        TrialTally(
+            service, order, [], servers=servers[start : start + MAX_TALLIED_SERVERS]
+        )
+        for start in range(0, len(servers), MAX_TALLIED_SERVERS)
     ]
 
 
--- a/tanagerwalk/gateway/membership.py
+++ b/tanagerwalk/gateway/membership.py
@@ -65,7 +65,7 @@
     ----------
     peers : dict of str to Peer
         The other instances, by incarnation.
-    seniors : tuple of str or None
+    registered_before : tuple of str or None
         Incarnations of those that registered before this one, the first one first; all
         of them, as the store gives out its entries in order. None while the entry of
         this instance has not been read.
@@ -83,7 +83,7 @@
         self._lease = None
         self._subscribers = Subscribers(defects or DefectLog("subscriber failed"))
         self.peers = {}
-        self.seniors = None
+        self.registered_before = None
         mirror.subscribe(self._read_peers)
 
     def subscribe(self, subscriber):
@@ -112,15 +112,15 @@
                 record.grants_slots,
             )
         peers = self._keep_lost_peers(peers)
-        seniors = self._list_seniors()
-        if (peers, seniors) != (self.peers, self.seniors):
+        registered_before = self._list_registered_before()
+        if (peers, registered_before) != (self.peers, self.registered_before):
             self.peers = peers
-            self.seniors = seniors
+            self.registered_before = registered_before
             self._subscribers.call()
             return
         self._subscribers.retry()
 
-    def _list_seniors(self):
+    def _list_registered_before(self):
         own = self._mirror.entries.get(self._key)
         if own is None:
             return None
--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -168,8 +168,8 @@
     def set_limits(self, limits, now):
         """Take over the figures of ServerLimits."""
         self.cold_servers.set(limits.cold.count(now))
-        self.limit_waits.set(limits.delayed)
-        self.limit_refusals.set(limits.turned_away)
+        self.limit_waits.set(limits.wait_count)
+        self.limit_refusals.set(limits.refusal_count)
 
     def render(self):
         """Return all metrics as a page of text."""
--- a/tanagerwalk/gateway/place_contest.py
+++ b/tanagerwalk/gateway/place_contest.py
@@ -50,11 +50,11 @@
         self._contention = None
         self._fields = {}
         # Drawn once, so that each attempt has the same priority.
-        self._turn_draw = monitor.random.random()
+        self._move_up_draw = monitor.random.random()
         self._refusal_draw = monitor.random.random()
         self.retry_delay = 0.0
-        self._policy = monitor.find_policy(request.manifest, service)
-        if request.account is not None and self._policy.accounts > 1:
+        self._policy = monitor.find_service_policy(request.manifest, service)
+        if request.account is not None and self._policy.account_count > 1:
             self._account = hash_account(request.account)
 
     def find_refusal(self, work):
@@ -133,7 +133,7 @@
         if self._account is None:
             return Standing()
         demand = self._contention.demand
-        return find_standing(demand, self._account, self._policy.accounts)
+        return find_standing(demand, self._account, self._policy.account_count)
 
     def choose_priority(self, work):
         """Return the priority of the next attempt; None for the engine's default.
@@ -160,7 +160,7 @@
             return DEFAULT_PRIORITY
         request = self._request
         inputs = PriorityInputs(
-            self._policy.find_rank(request),
+            self._policy.find_request_rank(request),
             self._policy.ranks,
             work.total,
             self._monitor.servers.mean_work,
@@ -170,7 +170,7 @@
             request.route.objective,
         )
         estimate_wait = partial(self._contention.estimate_wait, subset)
-        return find_priority(inputs, estimate_wait, self._turn_draw)
+        return find_priority(inputs, estimate_wait, self._move_up_draw)
 
     def begin(self, attempt):
         """Record that the request is sent; return a SentRequest for `end`, or None."""
--- a/tanagerwalk/gateway/place_wait.py
+++ b/tanagerwalk/gateway/place_wait.py
@@ -10,7 +10,7 @@
 PATH_POLL_INTERVAL_S = 0.05
 # Time for which one look at the limits of all servers stands; the steps that follow on
 # each other in one round of a request need no look of their own.
-LIMIT_LOOK_LIFETIME_S = 0.005
+LIMIT_QUEUE_LIFETIME_S = 0.005
 
 
 class PlaceWait:
@@ -42,17 +42,17 @@
         self._unreachable_since = None
         self._waited_for_limit = 0.0
         self._limit_queue = None
-        self._looked_at = float("-inf")
+        self._queue_read_at = float("-inf")
         self._granted = None
 
-    async def wait(self, history, may_ask=True):
+    async def wait(self, history, may_ask_others=True):
         """Wait a moment if servers exist but can't be reached, or have limits.
 
         Parameters
         ----------
         history : AttemptHistory
             Attempts so far.
-        may_ask : bool
+        may_ask_others : bool
             Whether other instances may be asked for a slot of a limit.
 
         Returns
@@ -65,7 +65,7 @@
         max_wait = find_path_wait(history, self._request.client_timeout)
         queue = self.find_limit_queue()
         if queue is not None and queue.wait > 0.0:
-            return await self._wait_for_limit(queue, max_wait, may_ask)
+            return await self._wait_for_limit(queue, max_wait, may_ask_others)
         if self.find_hold() > 0.0:
             return False
         return await self._wait_for_path(max_wait)
@@ -81,7 +81,7 @@
         await asyncio.sleep(PATH_POLL_INTERVAL_S)
         return True
 
-    async def _wait_for_limit(self, queue, max_wait, may_ask):
+    async def _wait_for_limit(self, queue, max_wait, may_ask_others):
         """Wait until a server with a limit takes a request, if that is soon."""
         limits = self._servers.limits
         waiting = limits.waiting
@@ -89,30 +89,32 @@
         time_left = self._request.deadline - self._clock()
         patience = min(max_wait, time_left) - self._waited_for_limit
         if expected > patience:
-            if may_ask and await self._acquire_slot(patience):
+            if may_ask_others and await self._acquire_slot(patience):
                 return True
-            limits.turned_away += 1
+            limits.refusal_count += 1
             return False
-        limits.delayed += 1
+        limits.wait_count += 1
         waiting[self._service] += 1
         try:
             await asyncio.sleep(queue.wait)
         finally:
             waiting[self._service] -= 1
         self._waited_for_limit += queue.wait
-        self._looked_at = float("-inf")
+        self._queue_read_at = float("-inf")
         return True
 
     async def _acquire_slot(self, patience):
         """Return whether another instance grants a slot; wait until it begins."""
         began = self._clock()
-        lives = self._servers.list_limited(self._service, began, self._allows_server)
+        lives = self._servers.list_limited_lives(
+            self._service, began, self._allows_server
+        )
         slot = await self._limit_slots.acquire(self._service, lives, patience)
         if slot is not None:
             await asyncio.sleep(max(0.0, slot.begins_at - self._clock()))
         self._granted = slot
         self._waited_for_limit += self._clock() - began
-        self._looked_at = float("-inf")
+        self._queue_read_at = float("-inf")
         return slot is not None
 
     def find_granted_server(self):
@@ -161,8 +163,8 @@
     def find_limit_queue(self):
         """Return the LimitQueue of the allowed servers, or None if none has a limit."""
         now = self._clock()
-        if now - self._looked_at > LIMIT_LOOK_LIFETIME_S:
-            self._looked_at = now
+        if now - self._queue_read_at > LIMIT_QUEUE_LIFETIME_S:
+            self._queue_read_at = now
             self._limit_queue = self._servers.find_limit_queue(
                 self._service, now, self._allows_server
             )
--- a/tanagerwalk/gateway/response_assembly.py
+++ b/tanagerwalk/gateway/response_assembly.py
@@ -50,7 +50,7 @@
         self._body_size = None
         self._body_ends_at_close = False
         self._has_no_body = False
-        self._discarding = False
+        self._is_discarding = False
         self._matches_request = match_any_response
 
     def expect(self, matches_request, has_no_body):
@@ -166,8 +166,8 @@
         if status < FIRST_FINAL_STATUS or self.pending_count == 0:
             return
         head = ResponseHead(status, self._reason, self._headers)
-        self._discarding = not self._matches_request(head)
-        if self._discarding:
+        self._is_discarding = not self._matches_request(head)
+        if self._is_discarding:
             # A late response to an earlier request; the expected one follows.
             self.keep_alive = False
             return
@@ -187,7 +187,7 @@
 
     def on_body(self, data):
         """Append a fragment of the body."""
-        if self.pending_count == 0 or self._discarding:
+        if self.pending_count == 0 or self._is_discarding:
             return
         self._overhead_bytes -= len(data)
         self.body += data
@@ -195,8 +195,8 @@
     def on_message_complete(self):
         """Mark the end of the body."""
         final = self._parser.get_status_code() >= FIRST_FINAL_STATUS
-        if self._discarding:
-            self._discarding = False
+        if self._is_discarding:
+            self._is_discarding = False
             return
         if final and self.pending_count and not self._body_ends_at_close:
             self.end_body()
--- a/tanagerwalk/gateway/tunnel_client.py
+++ b/tanagerwalk/gateway/tunnel_client.py
@@ -139,8 +139,8 @@
         self._readable.set()
         self._is_used = False
         self._unsent = deque()
-        self._sender = None
-        self._task = asyncio.get_running_loop().create_task(self._read())
+        self._send_task = None
+        self._read_task = asyncio.get_running_loop().create_task(self._read())
 
     async def _read(self):
         try:
@@ -181,10 +181,10 @@
         view = memoryview(data)
         for start in range(0, len(view), CHUNK_BYTES):
             self._unsent.append(view[start : start + CHUNK_BYTES])
-        if self._sender is None:
+        if self._send_task is None:
             self._send_next()
-        if self._unsent and self._sender is None:
-            self._sender = asyncio.get_running_loop().create_task(self._send_rest())
+        if self._unsent and self._send_task is None:
+            self._send_task = asyncio.get_running_loop().create_task(self._send_rest())
 
     def _send_next(self):
         self._channel.write(TunnelFrame.DATA.value, self._unsent.popleft())
@@ -199,7 +199,7 @@
             # `_read` reports the loss.
             self._unsent.clear()
         finally:
-            self._sender = None
+            self._send_task = None
 
     def get_write_buffer_size(self):
         """Return how many bytes the other instance has not taken yet."""
@@ -225,9 +225,9 @@
 
     def abort(self):
         """Close the tunnel; the instance at its end then aborts the connection."""
-        self._task.cancel()
-        if self._sender is not None:
-            self._sender.cancel()
+        self._read_task.cancel()
+        if self._send_task is not None:
+            self._send_task.cancel()
         self._unsent.clear()
         self._channel.abort()
 
--- a/test/decisions/test_contention.py
+++ b/test/decisions/test_contention.py
@@ -31,8 +31,8 @@
     timeout=15.0,
     objective=1.0,
 )
-NO_TURN = 0.9
-TURN = 0.1
+NOT_MOVED_UP = 0.9
+MOVED_UP = 0.1
 PROSPECT = Prospect(
     wait=0.0,
     prefill_time=0.1,
@@ -46,7 +46,7 @@
 QUEUED = Places(servers=10, slots=160, taken=200, waiting=40)
 
 
-def place(draw=NO_TURN, wait=0.0, **changes):
+def place(draw=NOT_MOVED_UP, wait=0.0, **changes):
     return find_priority(replace(INPUTS, **changes), lambda priority: wait, draw)
 
 
@@ -78,15 +78,15 @@
 
 
 def test_part_of_the_least_urgent_go_first_only_if_they_wait_too_long():
-    assert place(TURN, rank=3) == place(rank=3)
-    assert place(TURN, wait=2.0, rank=3) < place(wait=2.0, rank=3)
+    assert place(MOVED_UP, rank=3) == place(rank=3)
+    assert place(MOVED_UP, wait=2.0, rank=3) < place(wait=2.0, rank=3)
 
 
 def test_part_of_the_least_urgent_go_among_the_first_if_all_wait_too_long():
     def find(behind_first):
         waits = [0.0, 0.0, 0.0, 0.0, behind_first, 9.0, 9.0, 9.0, 9.0, 9.0]
         inputs = replace(INPUTS, rank=3)
-        return find_priority(inputs, waits.__getitem__, TURN)
+        return find_priority(inputs, waits.__getitem__, MOVED_UP)
 
     assert find(behind_first=0.5) == 4
     assert find(behind_first=2.0) == place() == 0
--- a/test/gateway/region_fleet.py
+++ b/test/gateway/region_fleet.py
@@ -136,7 +136,7 @@
                 name, self.servers, GatewayMetrics(), clock, fleet.random
             ),
             region_rules=rules,
-            contention=ContentionMonitor(
+            contention_monitor=ContentionMonitor(
                 self.servers, SharedDemandTable(), GatewayMetrics(), clock, fleet.random
             ),
             stop_control=MagicMock(),
--- a/test/gateway/test_contended_engines.py
+++ b/test/gateway/test_contended_engines.py
@@ -74,7 +74,7 @@
 # Load: two requests for each slot, then two of an account that goes first.
 async def test_requests_of_an_urgent_account_pass_those_that_wait(cluster):
     patient = send(cluster, 9, "key-p")
-    monitors = [instance.contention for instance in cluster.instances]
+    monitors = [instance.contention_monitor for instance in cluster.instances]
     assert await poll_until(
         lambda: all(monitor.refresh("drafts").is_contended for monitor in monitors),
         0.02,
--- a/test/gateway/test_sharing.py
+++ b/test/gateway/test_sharing.py
@@ -28,7 +28,7 @@
     decode_load,
     decode_tally,
     encode_load,
-    encode_servers,
+    encode_server_tallies,
     encode_tally,
     sign,
 )
@@ -61,7 +61,10 @@
             RouteServer("plans", 1): SideCount(5, 0),
         },
     )
-    tallies = [encode_tally("drafts", 7, tally), *encode_servers("drafts", 7, tally)]
+    tallies = [
+        encode_tally("drafts", 7, tally),
+        *encode_server_tallies("drafts", 7, tally),
+    ]
     message = LoadMessage("sender", 1, [], tallies=tallies)
     merged = Tally()
     for encoded in decode(LoadMessage, encode(message)).ok.tallies:
