--- a/tanagerwalk/decisions/attempts.py
+++ b/tanagerwalk/decisions/attempts.py
@@ -16,6 +16,7 @@
 MAX_HOLD_SPREAD_S = 0.5
 # A server at its limit of connections resets each new one.
 MAX_CLOSED_ATTEMPTS = 3
+# Each has found a server that takes no request once it was connected.
 MAX_WITHHELD_ATTEMPTS = 3
 UNSENT_OUTCOMES = frozenset({Outcome.NOT_SENT, Outcome.CLOSED, Outcome.WITHHELD})
 NOT_RUN_OUTCOMES = UNSENT_OUTCOMES | {Outcome.REJECTED, Outcome.MISDIRECTED}
--- a/tanagerwalk/decisions/contention.py
+++ b/tanagerwalk/decisions/contention.py
@@ -1,4 +1,4 @@
-"""Whether the requests for a service compete for places at its servers."""
+"""Whether requests compete for places at some servers."""
 
 from dataclasses import dataclass
 
@@ -54,7 +54,7 @@
 
     @property
     def are_scarce(self):
-        """Whether requests wait, and half of the places are taken."""
+        """Whether requests wait, and half of the slots are in use."""
         return self.waiting > 0 and self.in_use >= MIN_TAKEN_SHARE * self.slots
 
 
@@ -70,7 +70,7 @@
 
 
 class ContentionState:
-    """Whether a service is contended; a short lull doesn't end it.
+    """Whether some servers are contended; a change is kept for MIN_STAY_S.
 
     Attributes
     ----------
@@ -83,7 +83,7 @@
         self._changed_at = float("-inf")
 
     def update(self, places, now):
-        """Take over the Places of the service; return whether the state has changed."""
+        """Take over the Places at the servers; return whether the state has changed."""
         is_contended = _is_contended(places, self.is_contended)
         if is_contended is self.is_contended or now - self._changed_at < MIN_STAY_S:
             return False
--- a/tanagerwalk/decisions/demands.py
+++ b/tanagerwalk/decisions/demands.py
@@ -14,9 +14,11 @@
 MAX_ACCOUNTS_TOLD = 8
 # Fits a signed integer of 64 bits in a message.
 ACCOUNT_HASH_BYTES = 7
-# A shorter time in use, or fewer requests done, show too little of what servers can do.
+# Servers that were in use for fewer seconds, or did fewer requests, within the window
+# show too little of what they can do.
 MIN_MEASURED_S = 0.75
 MIN_REQUESTS_DONE = 20
+# Weight of the newest request in the mean work.
 MEAN_SMOOTHING = 0.05
 # Least part of the work done that a priority and the less urgent ones are assumed to
 # get.
--- a/tanagerwalk/decisions/early_refusal.py
+++ b/tanagerwalk/decisions/early_refusal.py
@@ -36,7 +36,7 @@
     standing : Standing
         How its account stands among the others.
     time_left, objective : float
-        Seconds until it expires, and its latency objective.
+        Time until it expires, and its latency objective, in seconds.
     longest_objective, longest_timeout : float
         The longest latency objective and timeout of requests for the service, in
         seconds.
@@ -99,7 +99,7 @@
 
 
 def _find_refused_for_wait(prospect):
-    """Return the part of such requests that is refused for their wait, 0 to 1."""
+    """Return the fraction of such requests that is refused for their wait, 0 to 1."""
     if prospect.standing.is_crowded_out:
         return 0.0
     first = FIRST_REFUSED_WAIT_SHARE * prospect.time_left
@@ -110,7 +110,7 @@
 
 
 def _find_refused_over_share(prospect):
-    """Return the part of its account's requests that are refused, 0 to 1."""
+    """Return the fraction of its account's requests that is refused, 0 to 1."""
     excess = prospect.standing.excess
     if prospect.total_wait > prospect.objective:
         return excess
--- a/tanagerwalk/decisions/release_evidence.py
+++ b/tanagerwalk/decisions/release_evidence.py
@@ -9,12 +9,13 @@
 MIN_BAD_ANSWERS = 3
 # A lone failure does not tell a failing server from others.
 MIN_BAD_OF_FAILING_SERVER = 2
-# Fewer failures of a single server are no evidence while others answer.
+# With fewer bad answers in all, a release isn't bad if some servers gave
+# MIN_BAD_ANSWERS or more each and the others are in order.
 MIN_BAD_BESIDE_FAILING_SERVER = 8
 # The others tell about the release if they gave this share of its answers.
 MIN_OTHERS_SHARE = 1 / 3
 SIGNIFICANCE_LEVEL = 0.002
-# That servers fail more often than the others of a release that fails too.
+# Significance level at which some servers fail more often than the release's others.
 SERVER_SIGNIFICANCE_LEVEL = 0.02
 MIN_BASE_RATE = 0.02
 # A release that is slower than the base by less than this is not called slow.
@@ -84,7 +85,7 @@
             continue
         if server.bad >= MIN_BAD_ANSWERS and target.bad < MIN_BAD_BESIDE_FAILING_SERVER:
             return False
-        # Of all sets of so many servers, this one was chosen for its failures.
+        # Bonferroni correction: of all sets of `number` servers, the worst was taken.
         level = SERVER_SIGNIFICANCE_LEVEL / math.comb(len(servers), number)
         if is_significantly_worse(failing, others, level):
             return False
--- a/tanagerwalk/decisions/send_slots.py
+++ b/tanagerwalk/decisions/send_slots.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-# For a grant to arrive, or a connection to be opened.
+# Length of a slot in seconds, in which a grant arrives and a connection is opened.
 SEND_WINDOW_S = 0.1
 
 
--- a/tanagerwalk/decisions/server_limits.py
+++ b/tanagerwalk/decisions/server_limits.py
@@ -19,12 +19,13 @@
 from .send_slots import SEND_WINDOW_S, SendSlot
 from .server_statements import ServerStatements
 
-# From the planned time of a request until it is sent at the latest.
+# Seconds from the planned time of a request until it is sent at the latest.
 MAX_SEND_DELAY_S = 0.5
 # Share of the limit of a cold server that is used by instances that have just started:
 # others may divide it among the members that they know.
 SETTLING_SHARE = 0.5
-# Time in which all instances that start together have registered, once this one has.
+# Seconds after its own registration in which an instance counts as just started: all
+# that started with it have registered by then.
 SETTLE_S = 6.0
 
 
@@ -51,7 +52,15 @@
 
 
 class _Settling:
-    """What an instance that has just started knows of its registration."""
+    """What an instance that has just started knows of its registration.
+
+    Attributes
+    ----------
+    registered_before : tuple of str or None
+        Incarnations that registered before it; None until it has read its own entry.
+    registered_at : float
+        Monotonic time in seconds at which it first read its own entry.
+    """
 
     def __init__(self):
         self.registered_before = None
@@ -79,7 +88,7 @@
     wait_count, refusal_count : int
         Requests so far that have waited for such a server, and that could not.
     get_copy_age : callable
-        Returns the seconds since the known members were last all that had registered.
+        Returns the age in seconds of the copy of the store that lists the members.
     """
 
     def __init__(self, random):
@@ -91,6 +100,7 @@
         self._peer_ids = ()
         # How many instances have a part of each limit, and whether this one has.
         self._parts = {}
+        # All instances in the rendezvous order of each limit, by `hash_life`.
         self._ranked = {}
         self._settling = None
         self.get_copy_age = _get_no_age
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -80,6 +80,7 @@
             context.contention_monitor,
             request,
             service,
+            # The assignment is made later, and looked up at each call.
             self._regions.restrict(
                 lambda server: self._assignment.allows_server(server)
             ),
--- a/tanagerwalk/gateway/limit_slots.py
+++ b/tanagerwalk/gateway/limit_slots.py
@@ -11,13 +11,13 @@
 
 log = structlog.get_logger(__name__)
 
-# A later answer would hardly leave time to send the request.
+# Seconds; a later answer would hardly leave time to send the request.
 ANSWER_TIMEOUT_S = 0.08
 # Instances that are asked for one request.
 MAX_ASKED = 4
-# Time for which an instance that has no slot is not asked again, at most.
+# Most seconds for which an instance that had no slot is not asked again.
 MAX_ASK_PAUSE_S = 1.0
-# A note has to fit a packet.
+# Servers that one question names; a note has to fit a packet.
 MAX_SERVERS_ASKED_FOR = 64
 
 
--- a/tanagerwalk/gateway/load_message_builder.py
+++ b/tanagerwalk/gateway/load_message_builder.py
@@ -129,7 +129,8 @@
         if contents.brittle:
             brittle = [encode_brittleness(*item) for item in contents.brittle.items()]
             yield self._build_message(contents.scope, brittle=brittle)
-        # Before the sums, which count against the release what no server accounts for.
+        # Before the sums: without the counts by server, the failures of a single server
+        # would count against its release.
         for key, tally in contents.tallies.items():
             for servers in encode_server_tallies(*key, tally):
                 yield self._build_message(contents.scope, tallies=[servers])
--- a/tanagerwalk/gateway/memory.py
+++ b/tanagerwalk/gateway/memory.py
@@ -21,7 +21,8 @@
 LARGE_REQUEST_SPARE_SHARE = 0.45
 SMALL_REQUEST_SPARE_SHARE = 0.15
 LARGE_ANSWER_SPARE_SHARE = 0.45
-# Part that answers leave free which go on while others stay unread.
+# Part of the capacity that stays free when an answer goes on beside one that was read
+# whole from its server and that its client has not taken.
 UNREAD_ANSWER_SPARE_SHARE = 0.25
 SMALL_REQUEST_BYTES = 64 * 1024
 # What an answer may hold without asking, so that small ones don't wait; less of it
--- a/tanagerwalk/gateway/place_wait.py
+++ b/tanagerwalk/gateway/place_wait.py
@@ -8,8 +8,7 @@
 from ..outcomes import RefusalReason
 
 PATH_POLL_INTERVAL_S = 0.05
-# Time for which one look at the limits of all servers stands; the steps that follow on
-# each other in one round of a request need no look of their own.
+# Seconds for which a LimitQueue is used again by the next steps of the same round.
 LIMIT_QUEUE_LIFETIME_S = 0.005
 
 
--- a/tanagerwalk/gateway/response_assembly.py
+++ b/tanagerwalk/gateway/response_assembly.py
@@ -105,8 +105,8 @@
     def drop(self):
         """Let go of what hasn't been read, and of the request.
 
-        The parser refers to this object. Without it, and what it holds of a head,
-        nothing stays until the garbage collector comes by.
+        The parser and this object refer to each other, and would keep their memory
+        until the next garbage collection.
         """
         self._parser = None
         self.body = bytearray()
--- a/tanagerwalk/peers/server.py
+++ b/tanagerwalk/peers/server.py
@@ -13,7 +13,7 @@
 log = structlog.get_logger(__name__)
 
 HANDSHAKE_TIMEOUT_S = 5.0
-# Time that a handshake has before another connection may take its place.
+# Seconds that a handshake has before another connection may take its place.
 MIN_HANDSHAKE_S = 0.25
 SERVER_IDLE_TIMEOUT_S = 120.0
 MAX_CONNECTIONS = 1024
@@ -54,6 +54,7 @@
         # When connections that have not authenticated themselves yet were opened, the
         # oldest first.
         self._handshakes = {}
+        # Connections that were reset, whose descriptors others use.
         self._replaced = set()
         self._is_stopping = False
         self.dropped = Counter()
@@ -153,8 +154,8 @@
     def _admit(self):
         """Return whether there is a descriptor for one more connection.
 
-        If there is none, the oldest connection gives up its own that has not completed
-        its handshake, which takes an instance a moment.
+        If there is none, the connection that has been in its handshake for longest is
+        reset, if that is for MIN_HANDSHAKE_S at least, and its descriptor is used.
         """
         if len(self._connections) < MAX_CONNECTIONS and self.reserve():
             return True
--- a/test/decisions/test_gateway_rules.py
+++ b/test/decisions/test_gateway_rules.py
@@ -244,7 +244,7 @@
         (Outcome.WITHHELD, MAX_WITHHELD_ATTEMPTS),
     ],
 )
-def test_attempts_end_before_the_request_is_written(outcome, most):
+def test_attempts_that_send_nothing_are_limited(outcome, most):
     history = AttemptHistory(repeatable=False, max_attempts=1)
     actions = []
     for _ in range(most):
--- a/test/decisions/test_server_failures.py
+++ b/test/decisions/test_server_failures.py
@@ -83,7 +83,7 @@
 
 @pytest.mark.parametrize("name", GOOD)
 def test_good_release_is_not_halted_for_servers_that_fail(name):
-    """A good release was halted for the failures of a few of its servers."""
+    """Guards against a halt of a release for failures of a few of its servers."""
     results = [count_bad_answers(GOOD[name], seed) for seed in SEEDS]
     halted = len(SEEDS) - results.count(None)
     assert halted <= MAX_FALSE_HALTS * len(SEEDS)
--- a/test/decisions/test_server_speeds.py
+++ b/test/decisions/test_server_speeds.py
@@ -43,7 +43,7 @@
 
 
 def report_usual(present, lasting):
-    """Return the fourth figure of a server that knows nothing of its machine."""
+    """Return the slowdown that a server reports which knows nothing of its machine."""
     del present, lasting
     return 1.0
 
@@ -127,7 +127,7 @@
 
 @pytest.mark.parametrize("report", [None, report_usual])
 @pytest.mark.parametrize("runs_models", [False, True])
-def test_equal_servers_are_chosen_as_before(runs_models, report):
+def test_equal_servers_are_chosen_as_without_speeds(runs_models, report):
     scenario = {
         "slowdowns": (1.0,) * 6,
         "load": 0.9,
@@ -141,8 +141,8 @@
 
 
 @pytest.mark.parametrize("runs_models", [False, True])
-def test_servers_with_three_figures_are_chosen_as_before(runs_models):
-    """Measured speeds moved requests where no server says that its speed varies."""
+def test_servers_that_report_no_slowdown_are_chosen_as_without_speeds(runs_models):
+    """Guards against measured speeds that count where no server reports a slowdown."""
     scenario = {"slowdowns": MIXED * 2, "load": 0.9, "runs_models": runs_models}
     before, after = play_both(scenario)
     chosen = [[each.server.entry.id for each in f.ended] for f in (before, after)]
--- a/test/gateway/test_answer_recorder.py
+++ b/test/gateway/test_answer_recorder.py
@@ -138,7 +138,7 @@
 
 
 def test_good_release_is_not_halted_for_two_requests_that_failed_twice():
-    """Two requests that failed on both servers counted as four bad answers of four."""
+    """Guards against attempts of one request that count as separate bad answers."""
     failed_twice = [("v2", Outcome.FAILED), ("v2", Outcome.SILENT)]
     answered = [[("v1", Outcome.DELIVERED)]] * 50
     assert not is_bad_release(record_requests(answered + [failed_twice] * 2))
@@ -159,7 +159,7 @@
 
 
 def test_answers_are_counted_by_server():
-    """The failures of one server of three halted the release that it ran."""
+    """Guards against a halt of a release for failures of one of its servers."""
     book = TallyBook("a-1")
     recorder = build_recorder(book)
     for number in range(90):
--- a/test/gateway/test_peer_crowds.py
+++ b/test/gateway/test_peer_crowds.py
@@ -18,9 +18,9 @@
     send_ordinary_request,
 )
 from gateway_process import GatewayProcessRig
-from tanagerwalk.gateway.app import FLEET_KEY_NAME
 
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.gateway.components import FLEET_KEY_NAME
 from tanagerwalk.ids import InstanceId
 from tanagerwalk.peers.frames import MAX_HELLO_BYTES, MAX_PAYLOAD_BYTES
 from tanagerwalk.peers.rpc import MessageKind, PeerClient, RequestFault
--- a/test/gateway/test_withheld_requests.py
+++ b/test/gateway/test_withheld_requests.py
@@ -78,7 +78,7 @@
     assert count_withheld(instance) == 1
 
 
-# Guards against EVAC: the server was only checked before the connection was made.
+# Guards against EVAC by requests that were connecting when the evacuation began.
 async def test_request_is_not_sent_to_a_domain_that_is_evacuated_meanwhile(cluster):
     [instance] = cluster.instances
 
@@ -89,7 +89,7 @@
     await check_sent_elsewhere(cluster, evacuate)
 
 
-# Guards against HOME, in the same way.
+# Guards against HOME by requests that were connecting when the manifest changed.
 async def test_request_is_not_sent_to_a_region_that_is_excluded_meanwhile(cluster):
     async def narrow(server):
         [allowed] = set(REGIONS.values()) - {REGIONS[server.id]}
