--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -77,9 +77,10 @@
             context.permits, context.servers, request, service, context.clock
         )
         self._place_contest = PlaceContest(
-            context.contention,
+            context.contention_monitor,
             request,
             service,
+            # The assignment is made later, and looked up at each call.
             self._regions.restrict(
                 lambda server: self._assignment.allows_server(server)
             ),
@@ -174,8 +175,8 @@
     async def _wait_for_place(self):
         """Wait for a server; see `PlaceWait.wait`."""
         # A slot is no permit: with it alone, a brittle server may be asked too often.
-        may_ask = not self._permit_wait.is_needed
-        return await self._place_wait.wait(self._history, may_ask)
+        may_ask_others = not self._permit_wait.is_needed
+        return await self._place_wait.wait(self._history, may_ask_others)
 
     def _find_refusal(self):
         """Return the reason why no more attempt is made, or None."""
