Let the head of an answer wait for memory until the deadline

Cause: while the budget is full, reading from the server stops, also within a head. Nothing arrives then, so the attempt ended at its timeout for unresponsive servers, and the request was sent again although it had run.

Change: a head that has waited for memory may come until the deadline of the request, by the same function as a body.

Result: the new test saw two requests at the servers before, one now, and passes, as does that of the server that is not blamed (test_memory_pressure.py, these two run).

--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -7,7 +7,7 @@
 from functools import partial
 
 import structlog
-from expression import Error, Ok
+from expression import Error
 
 from ..decisions.engine_load import EngineLoad
 from ..decisions.event_order import join_consecutive
@@ -185,8 +185,9 @@
         """Return the AttemptResult, and the raw head if the connection is reusable."""
         attempt = plan.attempt
         head_result = await self._wait_for_head(connection, attempt, plan.timeouts)
-        if _has_timed_out(head_result) and connection.has_waited:
-            return _build_failure(ReadFault.MEMORY_FULL), None
+        head_result = await self._wait_for_memory(
+            connection, plan, head_result, partial(self._read_head, connection)
+        )
         if head_result.is_error():
             return _build_failure(head_result.error), None
         raw, head = head_result.ok
@@ -216,18 +217,24 @@
         return _build_result(raw, head, body.ok, plan.progress), raw
 
     async def _read_body(self, connection, plan):
-        """Return the body; time in which it waits for memory is not the server's.
-
-        An answer that has waited may still come until the deadline of the request.
-        """
         time_left = plan.request.deadline - self._clock()
         result = await _wait_at_most(
             connection.read_body(), plan.timeouts.idle, time_left
         )
+        return await self._wait_for_memory(
+            connection, plan, result, connection.read_body
+        )
+
+    async def _wait_for_memory(self, connection, plan, result, read):
+        """Return `result`, or that of another `read` if it waited here and timed out.
+
+        Time in which an answer waits for memory is not the server's: it may still come
+        until the deadline of the request.
+        """
         if not _has_timed_out(result) or not connection.has_waited:
             return result
         time_left = plan.request.deadline - self._clock()
-        result = await _wait_at_most(connection.read_body(), time_left, time_left)
+        result = await _wait_at_most(read(), time_left, time_left)
         return Error(ReadFault.MEMORY_FULL) if _has_timed_out(result) else result
 
     def _record_notice(self, connection, server, notice):
@@ -263,7 +270,7 @@
                 attempt.server, wait_started_at
             )
             limit = min(timeouts.unresponsive * max(1.0, slowdown), remaining)
-            result = await self._read_head(connection, limit, remaining)
+            result = await _wait_at_most(self._read_head(connection), limit, remaining)
             if not _has_timed_out(result) or limit >= remaining:
                 return result
             if not self._servers.is_worth_waiting_for(
@@ -274,14 +281,10 @@
             ):
                 return result
 
-    async def _read_head(self, connection, seconds, longest):
+    async def _read_head(self, connection):
         """Return the raw and the classified head of the response to this request."""
-        async with _TimeLimit(seconds, longest) as limit:
-            result = await connection.read_head()
-            if result.is_error():
-                return result
-            return Ok((result.ok, self._codec.classify_head(result.ok)))
-        return Error(limit.cause)
+        result = await connection.read_head()
+        return result.map(lambda raw: (raw, self._codec.classify_head(raw)))
 
     async def _relay_stream(self, connection, plan, raw, head, timer):
         """Forward a stream to the client in whole events."""
--- a/test/gateway/test_memory_pressure.py
+++ b/test/gateway/test_memory_pressure.py
@@ -8,6 +8,7 @@
 
 import pytest
 from gateway.test_memory_limit import (
+    ANSWER_HEAD,
     BODY,
     BODY_BYTES,
     count_runs,
@@ -22,6 +23,7 @@
 )
 
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.gateway.attempt_timeouts import UNRESPONSIVE_TIMEOUT_SHARE
 from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
@@ -30,6 +32,9 @@
 STALLED_READERS = 60
 ENDLESS_HEADS = 120
 WAITING_ANSWER = encode_answer(400000)
+# More than is read without asking while memory is tight.
+LONG_HEADER = b"X-Long: %s\r\n\r\n" % (b"x" * 40000)
+ANSWER_WITH_LONG_HEAD = (ANSWER_HEAD % 2)[:-2] + LONG_HEADER + b"ok"
 
 
 async def send_until_served(rig):
@@ -188,6 +193,28 @@
         other.release()
 
 
+# Guards against an attempt that ends, and is repeated, while the head of its answer
+# waits for memory: the server is then silent only because nothing is read.
+async def test_head_that_waits_for_memory_may_come_until_the_deadline():
+    async with GatewayCluster() as cluster:
+        await cluster.build(desks=2)
+        [instance] = cluster.instances
+        for server in cluster.servers.values():
+            server.behaviour = Behaviour("raw", raw=ANSWER_WITH_LONG_HEAD)
+        memory = instance.limits.memory
+        other = memory.create_request_memory()
+        other.hold(memory.capacity)
+        assert other.may_read_on(lambda: None)
+        other.shrink_to(int(0.8 * memory.capacity))
+        data = cluster.encode("GET", "/jobs/1", X_Tanagerwalk_Deadline_Ms="4000")
+        reply = asyncio.create_task(cluster.send(data))
+        assert await poll_until(memory.has_waiting, 0.01, 1.0)
+        await asyncio.sleep(4.0 * UNRESPONSIVE_TIMEOUT_SHARE + 0.2)
+        other.release()
+        assert (await reply).status == 200
+        assert sum(len(each.requests) for each in cluster.servers.values()) == 1
+
+
 # Guards against heads of answers that don't end, or have very many headers, none of
 # which was counted: a MB of them takes more than twenty times as much memory.
 @pytest.mark.parametrize("fields", [b"a:b\r\n" * 180000, b"a: " + b"b" * 900000])
