Don't count unwanted responses as the head that is expected

Cause: until the expected head came, each piece of a late response's body counted as a part of a long header, and the headers of late and interim responses stayed counted.

Change: a late response and an interim one leave no bytes behind; the parser's callbacks tell whether a piece was part of an unfinished header.

Result: the four cases of the new test failed before and pass now; the tests of connections (9), endless answers (17) and stopped heads (44) pass.

--- a/tanagerwalk/gateway/response_assembly.py
+++ b/tanagerwalk/gateway/response_assembly.py
@@ -45,6 +45,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._overhead_bytes = 0
         self._head_size = 0
+        # Whether the last data had the end of a header, a head or a message.
+        self._has_progress = False
         self._headers = []
         self._reason = b""
         self._body_size = None
@@ -79,12 +81,12 @@
             False if they are malformed, or too many of them are no part of a body.
         """
         self._overhead_bytes += len(data)
-        head_size = self._head_size
+        self._has_progress = False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return False
-        if self.is_in_head and self._head_size == head_size:
+        if self.is_in_head and not self._discarding and not self._has_progress:
             # A part of a long header, which the parser keeps.
             self._head_size += len(data)
         is_overlong = self._overhead_bytes > MAX_OVERHEAD_BYTES
@@ -157,19 +159,28 @@
 
     def on_header(self, name, value):
         """Store a response header."""
+        self._has_progress = True
+        if self._discarding:
+            # A trailer.
+            return
         self._headers.append((name.lower(), value))
         self._head_size += HEADER_BYTES + len(name) + len(value)
 
     def on_headers_complete(self):
         """Queue the response head and determine how its body is delimited."""
+        self._has_progress = True
+        if self.pending_count == 0:
+            return
         status = self._parser.get_status_code()
-        if status < FIRST_FINAL_STATUS or self.pending_count == 0:
+        if status < FIRST_FINAL_STATUS:
+            self._drop_head()
             return
         head = ResponseHead(status, self._reason, self._headers)
         self._discarding = not self._matches_request(head)
         if self._discarding:
             # A late response to an earlier request; the expected one follows.
             self.keep_alive = False
+            self._drop_head()
             return
         self.is_in_head = False
         self.keep_alive = self.keep_alive and self._parser.should_keep_alive()
@@ -185,6 +196,11 @@
             self.keep_alive = False
             self.end_body()
 
+    def _drop_head(self):
+        """Let go of a head that is not that of the expected response."""
+        self._headers = []
+        self._head_size = 0
+
     def on_body(self, data):
         """Append a fragment of the body."""
         if self.pending_count == 0 or self._discarding:
@@ -194,6 +210,7 @@
 
     def on_message_complete(self):
         """Mark the end of the body."""
+        self._has_progress = True
         final = self._parser.get_status_code() >= FIRST_FINAL_STATUS
         if self._discarding:
             self._discarding = False
--- a/test/gateway/test_connections.py
+++ b/test/gateway/test_connections.py
@@ -3,7 +3,10 @@
 import asyncio
 import socket
 
+import pytest
+
 from tanagerwalk.gateway.connections import Connection, ConnectionFailure
+from tanagerwalk.gateway.memory import MemoryBudget
 
 PARTIAL_RESPONSE = b"HTTP/1.1 200 OK\r\nX-A: b\r\n\r\nhalf"
 
@@ -97,6 +100,41 @@
     assert not connection.is_reusable()
 
 
+LATE_HEAD = b"HTTP/1.1 200 OK\r\nId: late\r\n"
+UNWANTED = {
+    "length": [LATE_HEAD + b"Content-Length: 60000\r\n\r\n", *[b"x" * 20000] * 3],
+    "one piece": [LATE_HEAD + b"Content-Length: 20000\r\n\r\n" + b"x" * 20000],
+    "trailers": [
+        LATE_HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n",
+        b"X-A: b\r\n" * 1000,
+        b"\r\n",
+    ],
+    "interim": [b"HTTP/1.1 103 Early Hints\r\nX-A: %s\r\n\r\n" % (b"b" * 20000)],
+}
+
+
+# Guards against the body of a response to another request that takes the room of heads
+# and waits for memory that nothing holds.
+@pytest.mark.parametrize("unwanted", UNWANTED)
+async def test_unwanted_response_counts_no_memory(unwanted):
+    memory = MemoryBudget(10_000_000, lambda: 0.0).create_request_memory()
+    connection = Connection()
+    connection.connection_made(FakeTransport())
+    connection.send(
+        b"request",
+        matches_request=lambda head: head.get_header(b"id") == b"mine",
+        memory=memory,
+    )
+    for piece in UNWANTED[unwanted]:
+        connection.data_received(piece)
+        assert memory.size == 0
+    connection.data_received(b"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n")
+    assert memory.size > 0
+    connection.data_received(b"\r\nok")
+    assert (await connection.read_head()).ok.get_header(b"id") == b"mine"
+    assert (await connection.read_body()).ok == b"ok"
+
+
 async def test_answer_to_head_request_ends_with_its_head():
     """Guards against waiting for a body that an answer to HEAD doesn't have."""
     for framing in (b"Content-Length: 4", b"Transfer-Encoding: chunked", b"X-A: b"):
