Keep a kept connection on which a request was not sent

Cause: a new connection went to the pool if its request was withheld, while one that had been kept was aborted.

Change: both are put back. One that was kept expires when it would have, as the server counts from its last response; so the pool's times are now the connection's own, and its loss is reported as before.

--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -55,6 +55,9 @@
         Whether the last response has waited for memory of this instance.
     opened_at : float
         Monotonic time at which it was opened, in seconds.
+    idle_since, idle_until : float or None
+        Monotonic times, in seconds, at which it was last put into a pool and at which
+        it expires there; None if it has not been in one.
     on_closed : callable or None
         Called once without arguments when it is closed.
     on_lost : callable or None
@@ -64,6 +67,8 @@
     def __init__(self, via=None):
         self.via = via
         self.opened_at = time.monotonic()
+        self.idle_since = None
+        self.idle_until = None
         self.closed = False
         self.on_closed = None
         self.on_lost = None
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -142,9 +142,8 @@
                 connection = opened.ok
             via = connection.via
             if not plan.may_send(via):
-                if not kept:
-                    self._pool.keep(attempt.server, connection)
-                    connection = None
+                self._pool.put_back(attempt.server, connection)
+                connection = None
                 return AttemptResult(Outcome.WITHHELD, "may not be sent any more")
             sent = connection.send(
                 self._codec.encode_attempt(request, attempt),
--- a/tanagerwalk/gateway/pool.py
+++ b/tanagerwalk/gateway/pool.py
@@ -1,9 +1,6 @@
 """Pool of keep-alive connections to backend servers."""
 
-from dataclasses import dataclass
-
 from ..decisions.paths import PathState
-from .connections import Connection
 
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 IDLE_TIMEOUT_MARGIN_S = 1.0
@@ -11,13 +8,6 @@
 MAX_IDLE_PER_SERVER = 16
 
 
-@dataclass(slots=True, eq=False)
-class _IdleConnection:
-    connection: Connection
-    kept_at: float
-    expires_at: float
-
-
 class ConnectionPool:
     """Pools idle connections to backend servers, keyed by server id and address.
 
@@ -60,14 +50,14 @@
             that instance; None if it may lead through all.
         """
         idle = self._idle.get((server.id, server.address), [])
-        for entry in reversed(idle.copy()):
-            if not self._is_usable(server, entry):
-                idle.remove(entry)
-                entry.connection.abort()
-            elif _is_allowed(entry, allows_peer):
-                idle.remove(entry)
-                entry.connection.on_lost = None
-                return entry.connection
+        for connection in reversed(idle.copy()):
+            if not self._is_usable(server, connection):
+                idle.remove(connection)
+                connection.abort()
+            elif _is_allowed(connection, allows_peer):
+                idle.remove(connection)
+                connection.on_lost = None
+                return connection
         return None
 
     def has_idle(self, server, allows_peer=None):
@@ -82,17 +72,16 @@
         """
         idle = self._idle.get((server.id, server.address), [])
         return any(
-            self._is_usable(server, entry) and _is_allowed(entry, allows_peer)
-            for entry in idle
+            self._is_usable(server, connection) and _is_allowed(connection, allows_peer)
+            for connection in idle
         )
 
-    def _is_usable(self, server, entry):
+    def _is_usable(self, server, connection):
         """Return whether an idle connection can be used, by the path that works."""
-        connection = entry.connection
-        if not connection.is_reusable() or self._clock() >= entry.expires_at:
+        if not connection.is_reusable() or self._clock() >= connection.idle_until:
             return False
         if connection.via is None:
-            return not self._paths.is_doubtful(entry.kept_at)
+            return not self._paths.is_doubtful(connection.idle_since)
         return self._paths.get_state(server.id) is not PathState.DIRECT
 
     async def open(self, server, limit, allows_peer=None):
@@ -132,6 +121,33 @@
             connection.abort()
             return
         self.keep(server, connection, parse_idle_timeout(head))
+        self._watch(server, connection)
+
+    def put_back(self, server, connection):
+        """Keep a connection on which nothing was sent since it was acquired or opened.
+
+        One that was kept before expires when it would have without being acquired. It
+        is aborted if it is not reusable.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        connection : Connection
+            The connection.
+        """
+        if not connection.is_reusable():
+            connection.abort()
+            return
+        if connection.idle_until is None:
+            self.keep(server, connection)
+            return
+        self._add_idle(server, connection)
+        if connection.received:
+            self._watch(server, connection)
+
+    def _watch(self, server, connection):
+        """Have `on_lost` called if the server closes a direct connection."""
         if connection.via is None:
             connection.on_lost = lambda: self.on_lost(server)
 
@@ -147,11 +163,15 @@
         idle_timeout : float
             Seconds for which it may be used.
         """
-        now = self._clock()
+        connection.idle_since = self._clock()
+        connection.idle_until = connection.idle_since + idle_timeout
+        self._add_idle(server, connection)
+
+    def _add_idle(self, server, connection):
         idle = self._idle.setdefault((server.id, server.address), [])
-        idle.append(_IdleConnection(connection, now, now + idle_timeout))
+        idle.append(connection)
         if len(idle) > MAX_IDLE_PER_SERVER:
-            idle.pop(0).connection.abort()
+            idle.pop(0).abort()
 
     def close_longest_idle(self):
         """Close the connection that has been kept for longest.
@@ -164,21 +184,21 @@
         kept = [key for key, idle in self._idle.items() if idle]
         if not kept:
             return False
-        oldest = min(kept, key=lambda key: self._idle[key][0].kept_at)
-        self._idle[oldest].pop(0).connection.abort()
+        oldest = min(kept, key=lambda key: self._idle[key][0].idle_since)
+        self._idle[oldest].pop(0).abort()
         return True
 
     def close_idle_to(self, server):
         """Close the idle connections to a server."""
-        for entry in self._idle.pop((server.id, server.address), []):
-            entry.connection.abort()
+        for connection in self._idle.pop((server.id, server.address), []):
+            connection.abort()
 
     def close(self):
         """Close all idle connections."""
         self.connector.close()
         for idle in self._idle.values():
-            for entry in idle:
-                entry.connection.abort()
+            for connection in idle:
+                connection.abort()
         self._idle.clear()
 
 
@@ -186,8 +206,8 @@
     del server
 
 
-def _is_allowed(entry, allows_peer):
-    via = entry.connection.via
+def _is_allowed(connection, allows_peer):
+    via = connection.via
     return allows_peer is None or via is None or allows_peer(via)
 
 
--- a/test/gateway/test_withheld_requests.py
+++ b/test/gateway/test_withheld_requests.py
@@ -1,12 +1,16 @@
 """Requests that may not be sent any more once their connection is open."""
 
 import json
+from types import SimpleNamespace
 
 import pytest
 import pytest_asyncio
+from gateway.test_connections import build_connection
 
 from tanagerwalk.controllers.loop import poll_until
-from tanagerwalk.gateway.attempts import Outcome
+from tanagerwalk.gateway.attempts import Attempt, Outcome
+from tanagerwalk.gateway.exchange import AttemptPlan, AttemptRunner
+from tanagerwalk.gateway.pool import ConnectionPool
 from tanagerwalk.standins.gateway_cluster import (
     GatewayCluster,
     build_manifest,
@@ -130,3 +134,42 @@
     assert count_withheld(instance) == is_spent
     sent = sum(len(server.requests) for server in cluster.servers.values())
     assert sent == (0 if is_spent else 1)
+
+
+# Guards against the loss of a kept connection by a request that was not sent on it, and
+# against one that is kept for longer than the server keeps it.
+async def test_kept_connection_of_a_withheld_request_stays_as_it_was():
+    now = 0.0
+    lost = []
+    paths = SimpleNamespace(is_doubtful=lambda since: False)
+    pool = ConnectionPool(SimpleNamespace(), paths, lambda: now)
+    pool.on_lost = lost.append
+    servers = SimpleNamespace(record_sent=lambda *_: None, record_ended=lambda *_: None)
+    server = SimpleNamespace(id="desk-a", address=("127.0.0.1", 1))
+    connection = build_connection()
+    connection.data_received(
+        b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=6\r\nContent-Length: 0\r\n\r\n"
+    )
+    head = (await connection.read_head()).ok
+    await connection.read_body()
+    pool.release(server, connection, head)
+    plan = AttemptPlan(
+        request=None,
+        attempt=Attempt(server, 1.0),
+        timeouts=None,
+        accepts_head=None,
+        progress=None,
+        on_latency=None,
+        on_abandoned=None,
+        may_send=lambda via: False,
+    )
+    now = 3.0
+    result = await AttemptRunner(pool, servers, None, lambda: now).run(plan)
+    assert result.outcome is Outcome.WITHHELD
+    assert not connection.closed
+    now = 4.9
+    assert pool.has_idle(server)
+    now = 5.0
+    assert not pool.has_idle(server)
+    connection.eof_received()
+    assert lost == [server]
