--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -14,7 +14,6 @@
 from ..decisions.events import EventSplitter
 from ..decisions.latency_baselines import LatencySample
 from ..manifest import Repeatability
-from ..stalls import StallTolerantTimeout
 from .attempts import Attempt, AttemptResult, ClassifiedHead, Outcome, ResponseKind
 from .connect_faults import ConnectFault, ReadFault
 from .connections import ConnectionFailure
@@ -22,6 +21,7 @@
 from .response_timer import ResponseTimer
 from .stream_progress import StreamProgress
 from .stream_wait import StreamWait
+from .time_limits import has_timed_out, wait_at_most
 
 log = structlog.get_logger(__name__)
 
@@ -217,7 +217,7 @@
 
     async def _read_body(self, connection, plan):
         time_left = plan.request.deadline - self._clock()
-        result = await _wait_at_most(
+        result = await wait_at_most(
             connection.read_body(), plan.timeouts.idle, time_left
         )
         return await self._wait_for_memory(
@@ -230,11 +230,11 @@
         Time in which an answer waits for memory is not the server's: it may still come
         until the deadline of the request.
         """
-        if not _has_timed_out(result) or not connection.has_waited:
+        if not has_timed_out(result) or not connection.has_waited:
             return result
         time_left = plan.request.deadline - self._clock()
-        result = await _wait_at_most(read(), time_left, time_left)
-        return Error(ReadFault.MEMORY_FULL) if _has_timed_out(result) else result
+        result = await wait_at_most(read(), time_left, time_left)
+        return Error(ReadFault.MEMORY_FULL) if has_timed_out(result) else result
 
     def _record_notice(self, connection, server, notice):
         """Take notice of what a server says; so must the instance that reaches it."""
@@ -269,8 +269,8 @@
                 attempt.server, wait_started_at
             )
             limit = min(timeouts.unresponsive * max(1.0, slowdown), remaining)
-            result = await _wait_at_most(self._read_head(connection), limit, remaining)
-            if not _has_timed_out(result) or limit >= remaining:
+            result = await wait_at_most(self._read_head(connection), limit, remaining)
+            if not has_timed_out(result) or limit >= remaining:
                 return result
             if not self._servers.is_worth_waiting_for(
                 attempt.server,
@@ -294,7 +294,7 @@
         wait = StreamWait(plan.timeouts, is_resumed, self._clock)
         while True:
             time_left = request.deadline - self._clock()
-            result = await _wait_at_most(
+            result = await wait_at_most(
                 connection.read_chunk(), wait.seconds, time_left
             )
             if result.is_error():
@@ -369,37 +369,3 @@
         return AttemptResult(Outcome.SILENT, "no answer in time")
     broke_off = cause is ConnectionFailure.CLOSED
     return AttemptResult(Outcome.LOST, f"connection {cause.value}", broke_off=broke_off)
-
-
-def _has_timed_out(result):
-    return result.is_error() and result.error is None
-
-
-async def _wait_at_most(work, seconds, longest):
-    """Await `work`, which returns a Result; on a timeout return Error(None)."""
-    async with _TimeLimit(seconds, longest) as limit:
-        return await work
-    return Error(limit.cause)
-
-
-class _TimeLimit:
-    """A timeout that ends its `async with` block instead of raising TimeoutError.
-
-    A pause of this process is added to it, up to `longest` seconds in all.
-    `cause` stands for an expired timeout where others give a ConnectionFailure.
-    """
-
-    cause = None
-
-    def __init__(self, seconds, longest):
-        self._timeout = StallTolerantTimeout(max(0.0, seconds), longest)
-
-    async def __aenter__(self):
-        await self._timeout.__aenter__()
-        return self
-
-    async def __aexit__(self, kind, error, trace):
-        try:
-            return await self._timeout.__aexit__(kind, error, trace)
-        except TimeoutError:
-            return True
