Excuse a release only few servers; count and tell these over all routes

At most one server and a tenth of those that answered (rounded up, eight at most) are now left out, only if they gave most of the bad answers, and at a level of 0.005 instead of 0.02. Answers are counted by server over all routes; a route on which the failures exceed its share of them counts for itself, so that a release that is bad on a route of one server is halted. A failure on a second server counts as an answer of it.

--- a/tanagerwalk/decisions/release_evidence.py
+++ b/tanagerwalk/decisions/release_evidence.py
@@ -13,9 +13,15 @@
 MIN_BAD_ON_ONE_SERVER = 8
 # The others tell about the release if they gave this share of its answers.
 MIN_OTHERS_SHARE = 1 / 3
+# Of the servers that answered, so many may fail by themselves (and one more).
+MAX_FAILING_SHARE = 0.1
+MAX_FAILING_SERVERS = 8
+# A server's failures on a route exceed the route's share of them by less than this; a
+# release that is bad on a route of few servers has all of its failures there.
+MAX_ROUTE_EXCESS = 1.5
 SIGNIFICANCE_LEVEL = 0.002
 # That servers fail more often than the others of a release that fails too.
-SERVER_SIGNIFICANCE_LEVEL = 0.02
+SERVER_SIGNIFICANCE_LEVEL = 0.005
 MIN_BASE_RATE = 0.02
 # Terms of a falling sum below this share of it don't change it.
 NEGLIGIBLE_SHARE = 1e-12
@@ -46,51 +52,84 @@
     slow_ratio : float
         Factor by which the target may be slower than the base.
     """
-    totals = SideCount(), SideCount()
-    for route, target in tally.target.items():
-        base = tally.base.get(route, SideCount())
-        if is_failing_release(target, base, tally.list_target_servers(route)):
-            return True
-        totals[0].add(target)
-        totals[1].add(base)
-    is_failing = is_failing_release(*totals, tally.list_target_servers())
-    return is_failing or is_slow_release(tally, slow_ratio)
-
-
-def is_failing_release(target, base, servers):
-    """Return whether the target fails more often than the base, on all its servers.
+    return is_failing_release(tally) or is_slow_release(tally, slow_ratio)
 
-    The failures of one server come together, be it cut off, overloaded or broken. If
-    some servers fail significantly more often than the target's other ones, only those
-    others count: a release that is bad fails there as well.
 
-    Parameters
-    ----------
-    target, base : SideCount
-        Answer counts of the two releases.
-    servers : list of SideCount
-        Answer counts of the target's servers; those without failures may be missing.
+def is_failing_release(tally):
+    """Return whether the target fails more often than the base, on all its servers.
+
+    The failures of one server come together, be it cut off, overloaded or broken, and
+    say nothing about the release.
     """
-    if not is_significantly_worse(target, base):
+    if not _fails_without(tally, SideCount()):
         return False
+    return _fails_without(tally, find_failing_servers(tally))
+
+
+def _fails_without(tally, failing):
+    """Return whether the target fails without the SideCount of some servers."""
+    target, base = _sum_sides(tally)
+    if is_significantly_worse(target.subtract(failing), base):
+        return True
+    return any(
+        is_significantly_worse(
+            _subtract_share(count, failing, target), tally.base.get(route, SideCount())
+        )
+        for route, count in tally.target.items()
+    )
+
+
+def _subtract_share(count, failing, target):
+    """Return the SideCount of a route without its share of some servers' failures.
+
+    Servers are not counted by route. All answers are kept, so that the failures that
+    remain count for less rather than more.
+    """
+    share = min(1.0, MAX_ROUTE_EXCESS * count.answers / max(1, target.answers))
+    return count.subtract(SideCount(0, math.ceil(share * failing.bad)))
+
+
+def _sum_sides(tally):
+    target, base = SideCount(), SideCount()
+    for count in tally.target.values():
+        target.add(count)
+    for count in tally.base.values():
+        base.add(count)
+    return target, base
+
+
+def find_failing_servers(tally):
+    """Return the SideCount of the few servers that the target's failures come from.
+
+    They gave most of its bad answers, and fail significantly more often than its other
+    servers, which don't fail more often than the base. It is empty if there are none.
+    """
+    target, base = _sum_sides(tally)
+    counts = tally.target_servers.values()
+    servers = sorted(counts, key=lambda count: count.bad, reverse=True)
     failing = SideCount()
-    by_failures = sorted(servers, key=lambda count: count.bad, reverse=True)
-    for number, server in enumerate(by_failures, start=1):
+    limit = compute_failing_limit(len(servers))
+    for number, server in enumerate(servers[:limit], start=1):
         if server.bad < MIN_BAD_OF_SERVER:
             break
         failing.add(server)
         others = target.subtract(failing)
         if others.answers < MIN_OTHERS_SHARE * target.answers:
             break
-        if is_significantly_worse(others, base):
+        if 2 * failing.bad <= target.bad or is_significantly_worse(others, base):
             continue
         if server.bad >= MIN_BAD_ANSWERS and target.bad < MIN_BAD_ON_ONE_SERVER:
-            return False
+            return failing
         # Of all sets of so many servers, this one was chosen for its failures.
         level = SERVER_SIGNIFICANCE_LEVEL / math.comb(len(servers), number)
         if is_significantly_worse(failing, others, level):
-            return False
-    return True
+            return failing
+    return SideCount()
+
+
+def compute_failing_limit(servers):
+    """Return how many of some servers may fail by themselves."""
+    return min(MAX_FAILING_SERVERS, 1 + math.ceil(MAX_FAILING_SHARE * servers))
 
 
 def is_significantly_worse(target, base, level=SIGNIFICANCE_LEVEL):
--- a/tanagerwalk/decisions/tallies.py
+++ b/tanagerwalk/decisions/tallies.py
@@ -21,9 +21,8 @@
 
     def subtract(self, other):
         """Return what remains of this count without that of some of its answers."""
-        return SideCount(
-            max(0, self.answers - other.answers), max(0, self.bad - other.bad)
-        )
+        answers = max(0, self.answers - other.answers)
+        return SideCount(answers, min(answers, max(0, self.bad - other.bad)))
 
     def raise_to(self, other):
         """Raise both numbers to those of another count of the same answers."""
@@ -68,11 +67,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RouteServer:
-    """A backend server, given by `hash_server`, and a route that it serves."""
+class CountedAnswer:
+    """What a request was counted as: its server, by `hash_server`, and the outcome."""
 
-    route: RouteName
     server: int
+    is_bad: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,8 +99,8 @@
         Their latencies.
     starts : StartCount
         Requests that were assigned to each release.
-    target_servers : dict of RouteServer to SideCount
-        Answers of the target's servers.
+    target_servers : dict of int to SideCount
+        Answers of the target's servers, by `hash_server`, on all routes.
     """
 
     target: dict[RouteName, SideCount] = field(default_factory=dict)
@@ -109,7 +108,7 @@
     target_latencies: dict[AnswerKind, LatencyHistogram] = field(default_factory=dict)
     base_latencies: dict[AnswerKind, LatencyHistogram] = field(default_factory=dict)
     starts: StartCount = field(default_factory=StartCount)
-    target_servers: dict[RouteServer, SideCount] = field(default_factory=dict)
+    target_servers: dict[int, SideCount] = field(default_factory=dict)
 
     def record(self, route, is_target, is_bad, server=None):
         """Count one request that a release answered.
@@ -126,36 +125,30 @@
             `hash_server` of the server that answered; None is not counted by server.
         """
         answer = SideCount(1, int(is_bad))
-        self._add_answer(route, is_target, answer, server)
-
-    def mark_bad(self, route, is_target, server=None):
-        """Count a request as bad that was counted as answered well before."""
-        self._add_answer(route, is_target, SideCount(0, 1), server)
-
-    def _add_answer(self, route, is_target, answer, server):
-        side = self.target if is_target else self.base
-        side.setdefault(route, SideCount()).add(answer)
+        self._add_answer(route, is_target, answer)
         if is_target and server is not None:
-            key = RouteServer(route, server)
-            self.target_servers.setdefault(key, SideCount()).add(answer)
+            self._add_server(server, answer)
 
-    def list_target_servers(self, route=None):
-        """Return the SideCounts of the target's servers on one route or on all.
+    def mark_bad(self, route, is_target, server=None, is_other_server=False):
+        """Count a request as bad that was counted as answered well before.
 
         Parameters
         ----------
-        route : RouteName or None
-            The route; None for the sums over all routes.
-
-        Returns
-        -------
-        list of SideCount
+        route, is_target, server
+            As for `record`.
+        is_other_server : bool
+            Whether the request was counted for another server of the release.
         """
-        counts = {}
-        for key, count in self.target_servers.items():
-            if route is None or key.route == route:
-                counts.setdefault(key.server, SideCount()).add(count)
-        return list(counts.values())
+        self._add_answer(route, is_target, SideCount(0, 1))
+        if is_target and server is not None:
+            self._add_server(server, SideCount(int(is_other_server), 1))
+
+    def _add_answer(self, route, is_target, answer):
+        side = self.target if is_target else self.base
+        side.setdefault(route, SideCount()).add(answer)
+
+    def _add_server(self, server, answer):
+        self.target_servers.setdefault(server, SideCount()).add(answer)
 
     def record_latency(self, kind, is_target, seconds):
         """Count the latency of one answer of an AnswerKind."""
--- a/tanagerwalk/gateway/answer_recorder.py
+++ b/tanagerwalk/gateway/answer_recorder.py
@@ -4,7 +4,7 @@
 from ..decisions.latency_baselines import LatencyBaselines
 from ..decisions.load_curve import LoadCurve
 from ..decisions.shared_loads import hash_server
-from ..decisions.tallies import AnswerKind, RolloutSide
+from ..decisions.tallies import AnswerKind, CountedAnswer, RolloutSide
 from .attempts import Outcome
 
 OUTCOMES_WITH_RESPONSE = frozenset(
@@ -76,12 +76,14 @@
         tally = self._get_tallies((order.service, order.revision)).own
         key = hash_server(server.id)
         side = RolloutSide(order.revision, is_target)
-        was_bad = request.counted_answers.get(side)
-        request.counted_answers[side] = is_bad or bool(was_bad)
-        if was_bad is None:
+        counted = request.counted_answers.get(side)
+        if counted is None:
+            request.counted_answers[side] = CountedAnswer(key, is_bad)
             tally.record(request.route.name, is_target, is_bad, key)
-        elif is_bad and not was_bad:
-            tally.mark_bad(request.route.name, is_target, key)
+        elif is_bad and not counted.is_bad:
+            request.counted_answers[side] = CountedAnswer(key, is_bad)
+            is_other = key != counted.server
+            tally.mark_bad(request.route.name, is_target, key, is_other)
 
     def _record_health(self, server, result):
         """Tell the servers' usage of an error response, or of an answer without one."""
--- a/tanagerwalk/gateway/load_message_builder.py
+++ b/tanagerwalk/gateway/load_message_builder.py
@@ -14,7 +14,6 @@
     encode_latencies,
     encode_limit,
     encode_load,
-    encode_servers,
     encode_sides,
     encode_tally,
 )
@@ -129,10 +128,6 @@
         if contents.brittle:
             brittle = [encode_brittleness(*item) for item in contents.brittle.items()]
             yield self._build_message(contents.scope, brittle=brittle)
-        # Before the sums, which count against the release what no server accounts for.
-        for key, tally in contents.tallies.items():
-            for servers in encode_servers(*key, tally):
-                yield self._build_message(contents.scope, tallies=[servers])
         parts = -(-len(contents.loads) // MAX_LOADS) or 1
         tallies = [encode_tally(*key, tally) for key, tally in contents.tallies.items()]
         for part in range(parts):
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -1,6 +1,7 @@
 """Conversion of loads, tallies and sessions' sides to messages between instances."""
 
 import hashlib
+import heapq
 import hmac
 import math
 from functools import singledispatch
@@ -13,7 +14,7 @@
 from ..decisions.relays import Scope
 from ..decisions.server_statements import Statement
 from ..decisions.shared_loads import SharedLoad
-from ..decisions.tallies import AnswerKind, RouteServer, SideCount, StartCount, Tally
+from ..decisions.tallies import AnswerKind, SideCount, StartCount, Tally
 from ..ids import Fingerprint, Incarnation, PartKey, RouteName
 from ..peers.codec import decode
 from ..peers.gen.loads.ttypes import (
@@ -38,8 +39,8 @@
 MAC_BYTES = 16
 # Histograms of both releases for one message; a hundred bytes each.
 MAX_LATENCIES = 8
-# Servers of a release for one message; route names may have many characters.
-MAX_SERVERS = 12
+# Failing servers of a release that a message tells.
+MAX_SERVERS = 8
 MAX_INT32 = 2**31 - 1
 # Fields that all versions of a message set.
 REQUIRED_FIELDS = {
@@ -52,7 +53,7 @@
     TrialTally: ("service_name", "order"),
     RouteTally: ("route", "target_answers", "target_bad", "base_answers", "base_bad"),
     LatencyTally: ("route",),
-    ServerTally: ("route", "server", "answers", "bad"),
+    ServerTally: ("server", "answers", "bad"),
     ServiceDemand: ("service_name", "offered", "done", "waiting", "accounts"),
     AccountDemand: ("account", "offered"),
 }
@@ -254,6 +255,7 @@
         routes,
         target_starts=tally.starts.target,
         base_starts=tally.starts.base,
+        servers=_encode_servers(tally.target_servers),
     )
 
 
@@ -271,27 +273,15 @@
         tally.target[route] = _decode_count(counts.target_answers, counts.target_bad)
         tally.base[route] = _decode_count(counts.base_answers, counts.base_bad)
     for counts in encoded.servers or ():
-        key = RouteServer(RouteName(counts.route), counts.server)
-        tally.target_servers[key] = _decode_count(counts.answers, counts.bad)
+        tally.target_servers[counts.server] = _decode_count(counts.answers, counts.bad)
     return tally
 
 
-def encode_servers(service, order, tally):
-    """Convert the counts of servers that failed to TrialTally messages of bounded size.
-
-    Returns
-    -------
-    list of TrialTally
-    """
-    servers = [
-        ServerTally(key.route, key.server, count.answers, count.bad)
-        for key, count in tally.target_servers.items()
-        if count.bad
-    ]
-    return [
-        TrialTally(service, order, [], servers=servers[start : start + MAX_SERVERS])
-        for start in range(0, len(servers), MAX_SERVERS)
-    ]
+def _encode_servers(counts):
+    """Return ServerTally messages of the servers that failed most; None without any."""
+    failing = [item for item in counts.items() if item[1].bad]
+    most = heapq.nlargest(MAX_SERVERS, failing, key=lambda item: item[1].bad)
+    return [ServerTally(key, count.answers, count.bad) for key, count in most] or None
 
 
 def _decode_count(answers, bad):
--- a/tanagerwalk/gateway/requests.py
+++ b/tanagerwalk/gateway/requests.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from ..decisions.tallies import RolloutSide
+from ..decisions.tallies import CountedAnswer, RolloutSide
 from ..ids import ClientAccountId, Fingerprint, PartKey
 from ..manifest import Manifest, Route
 from .memory import UNCOUNTED, RequestMemory, UncountedMemory
@@ -107,7 +107,7 @@
         Parts of the prompt that other requests may share, in order.
     is_trial : bool
         Whether the request is sent although a part of it is quarantined.
-    counted_answers : dict of RolloutSide to bool
+    counted_answers : dict of RolloutSide to CountedAnswer
         Releases whose answer was counted for a roll-out, and whether it was bad.
     """
 
@@ -129,4 +129,4 @@
     fingerprint: Fingerprint = Fingerprint("")
     shared_parts: tuple[PartKey, ...] = ()
     is_trial: bool = False
-    counted_answers: dict[RolloutSide, bool] = field(default_factory=dict)
+    counted_answers: dict[RolloutSide, CountedAnswer] = field(default_factory=dict)
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -1038,7 +1038,6 @@
 class ServerTally(object):
     """
     Attributes:
-     - route
      - server
      - answers
      - bad
@@ -1046,8 +1045,7 @@
     """
 
 
-    def __init__(self, route=None, server=None, answers=None, bad=None,):
-        self.route = route
+    def __init__(self, server=None, answers=None, bad=None,):
         self.server = server
         self.answers = answers
         self.bad = bad
@@ -1062,21 +1060,16 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
                 if ftype == TType.I64:
                     self.server = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
+            elif fid == 2:
                 if ftype == TType.I32:
                     self.answers = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 3:
                 if ftype == TType.I32:
                     self.bad = iprot.readI32()
                 else:
@@ -1091,20 +1084,16 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('ServerTally')
-        if self.route is not None:
-            oprot.writeFieldBegin('route', TType.STRING, 1)
-            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
-            oprot.writeFieldEnd()
         if self.server is not None:
-            oprot.writeFieldBegin('server', TType.I64, 2)
+            oprot.writeFieldBegin('server', TType.I64, 1)
             oprot.writeI64(self.server)
             oprot.writeFieldEnd()
         if self.answers is not None:
-            oprot.writeFieldBegin('answers', TType.I32, 3)
+            oprot.writeFieldBegin('answers', TType.I32, 2)
             oprot.writeI32(self.answers)
             oprot.writeFieldEnd()
         if self.bad is not None:
-            oprot.writeFieldBegin('bad', TType.I32, 4)
+            oprot.writeFieldBegin('bad', TType.I32, 3)
             oprot.writeI32(self.bad)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2081,10 +2070,9 @@
 all_structs.append(ServerTally)
 ServerTally.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'route', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'server', None, None, ),  # 2
-    (3, TType.I32, 'answers', None, None, ),  # 3
-    (4, TType.I32, 'bad', None, None, ),  # 4
+    (1, TType.I64, 'server', None, None, ),  # 1
+    (2, TType.I32, 'answers', None, None, ),  # 2
+    (3, TType.I32, 'bad', None, None, ),  # 3
 )
 all_structs.append(TrialTally)
 TrialTally.thrift_spec = (
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -120,16 +120,15 @@
   4: map<i16, i32> base
 }
 
-// Responses on one route of one server of the target release, given by its hash.
+// Responses of one server of the target release, given by its hash.
 struct ServerTally {
-  1: string route
-  2: i64 server
-  3: i32 answers
-  4: i32 bad
+  1: i64 server
+  2: i32 answers
+  3: i32 bad
 }
 
-// Response counts of the sender for one roll-out, since its order. The latencies and the
-// servers of one roll-out may be spread over several messages.
+// Response counts of the sender for one roll-out, since its order. The latencies of one
+// roll-out may be spread over several messages.
 struct TrialTally {
   1: string service_name
   2: i64 order
@@ -138,7 +137,7 @@
   // Requests that were assigned to each release.
   5: optional i64 target_starts
   6: optional i64 base_starts
-  // Servers of the target release that gave bad responses.
+  // Servers of the target release that gave most of the bad responses.
   7: optional list<ServerTally> servers
 }
 
--- a/test/decisions/test_server_failures.py
+++ b/test/decisions/test_server_failures.py
@@ -1,6 +1,7 @@
 """Failures of single servers and of releases, as answers of a roll-out show them."""
 
 import random
+import sys
 from dataclasses import dataclass
 
 import pytest
@@ -19,6 +20,9 @@
 MAX_BAD_ANSWERS = 50
 # Share of the good releases that may be halted by chance.
 MAX_FALSE_HALTS = 0.05
+# Lines of code that a test of the evidence may run: some ten milliseconds.
+MAX_LINES = 100_000
+ONE_RATE_SEEDS = range(20)
 
 
 @dataclass(frozen=True)
@@ -99,6 +103,95 @@
     assert max(results) <= MAX_BAD_ANSWERS
 
 
+def build_tally():
+    """Return a Tally with many answers of a good base."""
+    return Tally(base={"plans": SideCount(4000, 20)})
+
+
+def find_halts(servers, answers, rate, seed):
+    """Return whether a release is halted by the plain test, and by the evidence."""
+    source = random.Random(seed)
+    tally = build_tally()
+    is_worse = False
+    for _ in range(answers):
+        tally.record("plans", True, source.random() < rate, source.randrange(servers))
+        worse_now = is_significantly_worse(tally.target["plans"], tally.base["plans"])
+        is_worse = is_worse or worse_now
+        if worse_now and is_bad_release(tally):
+            return True, True
+    return is_worse, False
+
+
+@pytest.mark.parametrize(
+    ("servers", "answers", "rate"),
+    [
+        (1, 300, 0.06),
+        (2, 300, 0.06),
+        (6, 300, 0.06),
+        (6, 300, 0.1),
+        (12, 400, 0.06),
+        (40, 800, 0.06),
+        (100, 2000, 0.06),
+        (400, 2000, 0.06),
+    ],
+)
+def test_release_of_one_rate_is_halted_as_by_the_plain_test(servers, answers, rate):
+    """Its worst servers, chosen out of many, excused a release."""
+    halts = [find_halts(servers, answers, rate, seed) for seed in ONE_RATE_SEEDS]
+    plain, found = (sum(each) for each in zip(*halts, strict=True))
+    assert found == plain > 0
+
+
+@pytest.mark.parametrize(("servers", "answers"), [(40, 800), (100, 2000), (400, 2000)])
+def test_release_of_one_rate_stays_halted_by_its_evidence(servers, answers):
+    """The evidence at its end, in which the worst servers stood out once more."""
+    for seed in ONE_RATE_SEEDS:
+        source = random.Random(seed)
+        tally = build_tally()
+        for _ in range(answers):
+            server = source.randrange(servers)
+            tally.record("plans", True, source.random() < 0.06, server)
+        assert is_significantly_worse(tally.target["plans"], tally.base["plans"])
+        assert is_bad_release(tally)
+
+
+def count_lines(function, *args):
+    """Return the number of lines that a call runs."""
+    lines = 0
+
+    def trace(frame, event, arg):
+        nonlocal lines
+        lines += event == "line"
+        return trace
+
+    sys.settrace(trace)
+    try:
+        function(*args)
+    finally:
+        sys.settrace(None)
+    return lines
+
+
+@pytest.mark.parametrize("rate", [0.02, 0.06])
+def test_evidence_of_many_servers_is_cheap(rate):
+    """The event loop stood still for seconds while tails of 20,000 terms were added."""
+    source = random.Random(1)
+    tally = build_tally()
+    for _ in range(20_000):
+        tally.record("plans", True, source.random() < rate, source.randrange(400))
+    assert count_lines(is_bad_release, tally) <= MAX_LINES
+
+
+@pytest.mark.parametrize("others", [2, 5, 20])
+def test_release_bad_on_a_route_that_one_server_serves_is_halted(others):
+    tally = build_tally()
+    tally.base["notes"] = SideCount(4000, 20)
+    for number in range(50 * (others + 1)):
+        server = number % (others + 1)
+        tally.record("plans" if server else "notes", True, server == 0, server)
+    assert is_bad_release(tally)
+
+
 def test_failures_beyond_a_server_s_answers_prove_nothing():
     """More failures than answers were taken for significant, whatever the rates."""
     assert not is_significantly_worse(SideCount(0, 9), SideCount(400, 2))
--- a/test/gateway/test_answer_recorder.py
+++ b/test/gateway/test_answer_recorder.py
@@ -12,7 +12,7 @@
 from tanagerwalk.decisions.release_evidence import is_bad_release, is_proved_fast
 from tanagerwalk.decisions.selection import ServerPool
 from tanagerwalk.decisions.server_usage_table import hash_life
-from tanagerwalk.decisions.shared_loads import SharedLoadTable
+from tanagerwalk.decisions.shared_loads import SharedLoadTable, hash_server
 from tanagerwalk.decisions.tallies import SideCount, TallyBook
 from tanagerwalk.gateway.answer_recorder import AnswerRecorder
 from tanagerwalk.gateway.attempts import Attempt, AttemptResult, Outcome
@@ -189,3 +189,18 @@
     assert pool.find(server.id).paused_until <= 0.0
     recorder.record_attempt(build_request(), Attempt(server, 10.0), failed)
     assert pool.find(server.id).paused_until > 0.0
+
+
+def test_failure_on_a_second_server_counts_as_an_answer_of_it():
+    """A server that gave one bad answer and no others had no answers at all."""
+    book = TallyBook("a-1")
+    recorder = build_recorder(book)
+    request = build_request()
+    servers = [build_server("v2", number) for number in range(2)]
+    for server, outcome in zip(
+        servers, (Outcome.DECLINED, Outcome.FAILED), strict=True
+    ):
+        recorder.record_attempt(request, Attempt(server, 10.0), AttemptResult(outcome))
+    assert book.own.target == {"letters": SideCount(1, 1)}
+    counts = [book.own.target_servers[hash_server(server.id)] for server in servers]
+    assert counts == [SideCount(1, 0), SideCount(1, 1)]
--- a/test/gateway/test_sharing.py
+++ b/test/gateway/test_sharing.py
@@ -18,7 +18,6 @@
 )
 from tanagerwalk.decisions.tallies import (
     AnswerKind,
-    RouteServer,
     SideCount,
     StartCount,
     Tally,
@@ -28,7 +27,6 @@
     decode_load,
     decode_tally,
     encode_load,
-    encode_servers,
     encode_tally,
     sign,
 )
@@ -56,18 +54,13 @@
         {"plans": SideCount(9, 2)},
         {"plans": SideCount(90, 1), "notes": SideCount(30, 0)},
         starts=StartCount(12, 150),
-        target_servers={
-            RouteServer("plans", 2**32 - 1): SideCount(4, 2),
-            RouteServer("plans", 1): SideCount(5, 0),
-        },
+        target_servers={2**32 - 1: SideCount(4, 2), 1: SideCount(5, 0)},
     )
-    tallies = [encode_tally("drafts", 7, tally), *encode_servers("drafts", 7, tally)]
-    message = LoadMessage("sender", 1, [], tallies=tallies)
-    merged = Tally()
-    for encoded in decode(LoadMessage, encode(message)).ok.tallies:
-        assert (encoded.service_name, encoded.order) == ("drafts", 7)
-        merged.raise_to(decode_tally(encoded))
-    assert merged.target_servers == {RouteServer("plans", 2**32 - 1): SideCount(4, 2)}
+    message = LoadMessage("sender", 1, [], tallies=[encode_tally("drafts", 7, tally)])
+    (encoded,) = decode(LoadMessage, encode(message)).ok.tallies
+    assert (encoded.service_name, encoded.order) == ("drafts", 7)
+    merged = decode_tally(encoded)
+    assert merged.target_servers == {2**32 - 1: SideCount(4, 2)}
     assert merged.base == tally.base
     assert merged.starts == StartCount(12, 150)
     assert merged.target == tally.target | {"notes": SideCount()}
@@ -171,9 +164,8 @@
     for number in range(24):
         kind = AnswerKind(f"route-{number % 5}", f"model-{number}")
         tally.base_latencies[kind] = LatencyHistogram(dict.fromkeys(range(30), 900))
-    for number in range(40):
-        key = RouteServer(f"route-{number % 5}", 2**32 - 1 - number)
-        tally.target_servers[key] = SideCount(90000, 9000)
+    for number in range(400):
+        tally.target_servers[2**32 - 1 - number] = SideCount(90000, 9000 + number)
     tallies = {("drafts", 7): tally}
     contents = Contents(Scope.FLEET, loads, blames, sides, tallies)
     messages = list(sharing._builder.build(contents))
@@ -190,4 +182,11 @@
             received.raise_to(decode_tally(encoded))
     assert received.target == tally.target
     assert received.base_latencies == tally.base_latencies
-    assert received.target_servers == tally.target_servers
+    worst = dict(list(tally.target_servers.items())[-8:])
+    assert received.target_servers == worst
+    # A lost message must not separate the sums from the servers that explain them.
+    for message in messages:
+        for encoded in message.tallies or ():
+            assert decode_tally(encoded).target_servers == (
+                worst if encoded.routes else {}
+            )
