--- a/tanagerwalk/decisions/release_evidence.py
+++ b/tanagerwalk/decisions/release_evidence.py
@@ -8,9 +8,10 @@
 
 MIN_BAD_ANSWERS = 3
 # A lone failure does not tell a failing server from others.
-MIN_BAD_OF_SERVER = 2
-# Fewer failures of a single server are no evidence while others answer.
-MIN_BAD_ON_ONE_SERVER = 8
+MIN_BAD_OF_FAILING_SERVER = 2
+# With fewer bad answers in all, a release isn't bad if some servers gave
+# MIN_BAD_ANSWERS or more each and the others are in order.
+MIN_BAD_BESIDE_FAILING_SERVER = 8
 # The others tell about the release if they gave this share of its answers.
 MIN_OTHERS_SHARE = 1 / 3
 # Of the servers that answered, so many may fail by themselves (and one more).
@@ -20,7 +21,7 @@
 # release that is bad on a route of few servers has all of its failures there.
 MAX_ROUTE_EXCESS = 1.5
 SIGNIFICANCE_LEVEL = 0.002
-# That servers fail more often than the others of a release that fails too.
+# Significance level at which some servers fail more often than the release's others.
 SERVER_SIGNIFICANCE_LEVEL = 0.005
 MIN_BASE_RATE = 0.02
 # Terms of a falling sum below this share of it don't change it.
@@ -110,7 +111,7 @@
     failing = SideCount()
     limit = compute_failing_limit(len(servers))
     for number, server in enumerate(servers[:limit], start=1):
-        if server.bad < MIN_BAD_OF_SERVER:
+        if server.bad < MIN_BAD_OF_FAILING_SERVER:
             break
         failing.add(server)
         others = target.subtract(failing)
@@ -118,9 +119,9 @@
             break
         if 2 * failing.bad <= target.bad or is_significantly_worse(others, base):
             continue
-        if server.bad >= MIN_BAD_ANSWERS and target.bad < MIN_BAD_ON_ONE_SERVER:
+        if server.bad >= MIN_BAD_ANSWERS and target.bad < MIN_BAD_BESIDE_FAILING_SERVER:
             return failing
-        # Of all sets of so many servers, this one was chosen for its failures.
+        # Bonferroni correction: of all sets of `number` servers, the worst was taken.
         level = SERVER_SIGNIFICANCE_LEVEL / math.comb(len(servers), number)
         if is_significantly_worse(failing, others, level):
             return failing
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -40,7 +40,7 @@
 # Histograms of both releases for one message; a hundred bytes each.
 MAX_LATENCIES = 8
 # Failing servers of a release that a message tells.
-MAX_SERVERS = 8
+MAX_TALLIED_SERVERS = 8
 MAX_INT32 = 2**31 - 1
 # Fields that all versions of a message set.
 REQUIRED_FIELDS = {
@@ -280,7 +280,7 @@
 def _encode_servers(counts):
     """Return ServerTally messages of the servers that failed most; None without any."""
     failing = [item for item in counts.items() if item[1].bad]
-    most = heapq.nlargest(MAX_SERVERS, failing, key=lambda item: item[1].bad)
+    most = heapq.nlargest(MAX_TALLIED_SERVERS, failing, key=lambda item: item[1].bad)
     return [ServerTally(key, count.answers, count.bad) for key, count in most] or None
 
 
--- a/test/decisions/test_server_failures.py
+++ b/test/decisions/test_server_failures.py
@@ -90,7 +90,7 @@
 
 @pytest.mark.parametrize("name", GOOD)
 def test_good_release_is_not_halted_for_servers_that_fail(name):
-    """A good release was halted for the failures of a few of its servers."""
+    """Guards against a halt of a release for failures of a few of its servers."""
     results = [count_bad_answers(GOOD[name], seed) for seed in SEEDS]
     halted = len(SEEDS) - results.count(None)
     assert halted <= MAX_FALSE_HALTS * len(SEEDS)
@@ -136,7 +136,7 @@
     ],
 )
 def test_release_of_one_rate_is_halted_as_by_the_plain_test(servers, answers, rate):
-    """Its worst servers, chosen out of many, excused a release."""
+    """Guards against a release excused by its worst servers, chosen out of many."""
     halts = [find_halts(servers, answers, rate, seed) for seed in ONE_RATE_SEEDS]
     plain, found = (sum(each) for each in zip(*halts, strict=True))
     assert found == plain > 0
@@ -144,7 +144,7 @@
 
 @pytest.mark.parametrize(("servers", "answers"), [(40, 800), (100, 2000), (400, 2000)])
 def test_release_of_one_rate_stays_halted_by_its_evidence(servers, answers):
-    """The evidence at its end, in which the worst servers stood out once more."""
+    """Guards against an excuse once the answers of many servers are in."""
     for seed in ONE_RATE_SEEDS:
         source = random.Random(seed)
         tally = build_tally()
@@ -174,7 +174,7 @@
 
 @pytest.mark.parametrize("rate", [0.02, 0.06])
 def test_evidence_of_many_servers_is_cheap(rate):
-    """The event loop stood still for seconds while tails of 20,000 terms were added."""
+    """Guards against sums of many terms, which hold up the event loop."""
     source = random.Random(1)
     tally = build_tally()
     for _ in range(20_000):
@@ -193,6 +193,6 @@
 
 
 def test_failures_beyond_a_server_s_answers_prove_nothing():
-    """More failures than answers were taken for significant, whatever the rates."""
+    """Guards against an empty tail, which passes for significant."""
     assert not is_significantly_worse(SideCount(0, 9), SideCount(400, 2))
     assert is_significantly_worse(SideCount(9, 12), SideCount(400, 2))
