--- a/tanagerwalk/gateway/load_message_builder.py
+++ b/tanagerwalk/gateway/load_message_builder.py
@@ -14,7 +14,6 @@
     encode_latencies,
     encode_limit,
     encode_load,
-    encode_server_tallies,
     encode_sides,
     encode_tally,
 )
@@ -129,11 +128,6 @@
         if contents.brittle:
             brittle = [encode_brittleness(*item) for item in contents.brittle.items()]
             yield self._build_message(contents.scope, brittle=brittle)
-        # Before the sums: without the counts by server, the failures of a single server
-        # would count against its release.
-        for key, tally in contents.tallies.items():
-            for servers in encode_server_tallies(*key, tally):
-                yield self._build_message(contents.scope, tallies=[servers])
         parts = -(-len(contents.loads) // MAX_LOADS) or 1
         tallies = [encode_tally(*key, tally) for key, tally in contents.tallies.items()]
         for part in range(parts):
