Use a granted slot also after a timer that is early

Cause: uvloop rounds timers to milliseconds, so that the wait for a granted slot may end up to 0.5 ms before it begins; the slot was then taken for closed and lost. Change: wait again until the slot has begun. Measured: test_granted_slot_is_used_after_a_timer_that_is_early fails before the change and passes after it.

--- a/tanagerwalk/gateway/place_wait.py
+++ b/tanagerwalk/gateway/place_wait.py
@@ -109,12 +109,17 @@
         lives = self._servers.list_limited(self._service, began, self._allows_server)
         slot = await self._limit_slots.acquire(self._service, lives, patience)
         if slot is not None:
-            await asyncio.sleep(max(0.0, slot.begins_at - self._clock()))
+            await self._sleep_until(slot.begins_at)
         self._granted = slot
         self._waited_for_limit += self._clock() - began
         self._looked_at = float("-inf")
         return slot is not None
 
+    async def _sleep_until(self, time):
+        # Timers may run out a little early.
+        while (time_left := time - self._clock()) > 0.0:
+            await asyncio.sleep(time_left)
+
     def find_granted_server(self):
         """Return the server at which another instance has granted a slot, or None."""
         slot, now = self._granted, self._clock()
