Let the holder of a slot serve its own requests too

Cause: a question may book a slot up to 30 s ahead, while a request of the holder waits without booking or is refused. Others that ask often take every slot. Change: no slot is granted while a request of the holder waits for one.

--- a/tanagerwalk/decisions/server_limits.py
+++ b/tanagerwalk/decisions/server_limits.py
@@ -13,6 +13,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from .booking_horizon import BookingHorizon
 from .cold_servers import ColdServers
 from .limit_parts import divide_by_registration, divide_cold_limit, divide_stated_limit
 from .rendezvous import is_among_first, rank_members
@@ -72,6 +73,8 @@
 
     Attributes
     ----------
+    booking_horizon : BookingHorizon
+        How far ahead slots are granted to other instances.
     cold : ColdServers
         The servers whose limits come from being cold.
     waiting : Counter of ServiceName
@@ -94,6 +97,7 @@
         self._ranked = {}
         self._settling = None
         self.get_copy_age = _get_no_age
+        self.booking_horizon = BookingHorizon()
         self.cold = ColdServers()
         self.waiting = Counter()
         self.delayed = 0
--- a/tanagerwalk/gateway/limit_slots.py
+++ b/tanagerwalk/gateway/limit_slots.py
@@ -24,7 +24,8 @@
 class LimitSlots:
     """Asks instances that have a part of a server's limit for slots, and grants them.
 
-    Each instance grants only slots of its own part, which it then doesn't use itself.
+    Each instance grants only slots of its own part, which it then doesn't use itself,
+    and none while a request of its own waits for one.
     The one that asks counts the time in which it may send from its question on: however
     long the messages take, the request is sent within the slot or not at all.
 
@@ -157,7 +158,10 @@
         limited = [life for life in question.lives if limits.has_limit(life, now)]
         waits = {life: limits.find_wait(life, now) for life in limited}
         life = min(waits, key=waits.get, default=None)
-        slot = None if life is None else limits.take_slot(life, now, question.wait)
+        slot = None
+        if life is not None and limits.waiting[question.service] == 0:
+            horizon = limits.booking_horizon.find(question.service, now)
+            slot = limits.take_slot(life, now, min(question.wait, horizon))
         if slot is None:
             wait = waits.get(life, math.inf)
             return dataclasses.replace(
--- a/tanagerwalk/gateway/place_wait.py
+++ b/tanagerwalk/gateway/place_wait.py
@@ -89,6 +89,8 @@
         time_left = self._request.deadline - self._clock()
         patience = min(max_wait, time_left) - self._waited_for_limit
         if expected > patience:
+            now = self._clock()
+            limits.booking_horizon.record_turned_away(self._service, patience, now)
             if may_ask and await self._acquire_slot(patience):
                 return True
             limits.turned_away += 1
--- a/test/gateway/test_limit_slots.py
+++ b/test/gateway/test_limit_slots.py
@@ -131,6 +131,17 @@
     run(play)
 
 
+def test_slot_for_which_an_own_request_waits_is_not_granted():
+    async def play(pair):
+        limits = pair.limits[pair.holder]
+        await asyncio.sleep(limits.find_wait(LIFE, pair.clock()) - 0.1)
+        limits.waiting["desk"] = 1
+        assert await pair.acquire() is None
+        assert limits.find_wait(LIFE, pair.clock()) < 0.1
+
+    run(play)
+
+
 @pytest.mark.parametrize(
     "note",
     [
