Pause holders of slots that answer late or not at all

Cause: an instance whose answers come after the timeout, or never, was asked again for each request. Each late grant lost one of its slots. Change: it isn't asked for 1 s, and for twice as long after each further failure up to 8 s, until it answers in time. Questions at the same time count once. Measured: test_holder_without_an_answer_in_time_is_asked_less_and_less fails before the change (questions 0.1 s apart) and passes after it; the test of questions at the same time fails without the guard that it is for.

--- a/tanagerwalk/decisions/booking_horizon.py
+++ b/tanagerwalk/decisions/booking_horizon.py
@@ -12,7 +12,7 @@
     """
 
     def __init__(self):
-        # The patience of the last request that was turned away, and until when it holds.
+        # Patience of the last request that was turned away, and until when it counts.
         self._patience = {}
 
     def record_turned_away(self, service, patience, now):
--- a/tanagerwalk/gateway/limit_slots.py
+++ b/tanagerwalk/gateway/limit_slots.py
@@ -8,6 +8,7 @@
 
 from ..decisions.send_slots import SEND_WINDOW_S, SendSlot
 from .permit_notes import PermitNote, PermitNoteKind
+from .slot_holders import SlotHolders
 
 log = structlog.get_logger(__name__)
 
@@ -15,8 +16,6 @@
 ANSWER_TIMEOUT_S = 0.08
 # Instances that are asked for one request.
 MAX_ASKED = 4
-# Time for which an instance that has no slot is not asked again, at most.
-MAX_SPENT_S = 1.0
 # A note has to fit a packet.
 MAX_SERVERS = 64
 
@@ -56,14 +55,13 @@
         self._random = random
         self._granting = frozenset()
         self._answers = {}
-        # When an instance that had no slot for a service may be asked again.
-        self._spent_until = {}
+        self._holders = SlotHolders()
         self.send_notes = _drop
 
     def set_peers(self, peers):
         """Replace the known instances, given as Peer by incarnation."""
         self._granting = frozenset(p for p, peer in peers.items() if peer.grants_slots)
-        self._spent_until.clear()
+        self._holders.retain(self._granting)
 
     async def acquire(self, service, lives, patience):
         """Ask other instances for a slot, one after the other.
@@ -100,7 +98,7 @@
         able = [
             holder
             for holder in sorted(holders & self._granting)
-            if self._spent_until.get((holder, service), now) < latest_at
+            if self._holders.may_ask(holder, service, latest_at, now)
         ]
         return self._random.sample(able, min(len(able), MAX_ASKED))
 
@@ -117,18 +115,29 @@
             await asyncio.wait([answer], timeout=min(ANSWER_TIMEOUT_S, patience))
         finally:
             del self._answers[number]
-        if not answer.done():
+        slot = None
+        if answer.done():
+            slot = self._read_answer(holder, answer.result(), lives, asked_at)
+        else:
             self._metrics.limit_slots.labels("unanswered").inc()
-            return None
-        note = answer.result()
+            self._holders.record_failure(holder, asked_at, self._clock())
+        return slot
+
+    def _read_answer(self, holder, note, lives, asked_at):
+        """Return the SendSlot in an answer, or None if it has none that can be used."""
+        now = self._clock()
         self._metrics.limit_slots.labels(note.kind.name.lower()).inc()
         if note.kind is PermitNoteKind.SLOT_DENIED:
-            spent_for = min(note.wait, MAX_SPENT_S)
-            self._spent_until[holder, service] = self._clock() + spent_for
+            self._holders.record_denied(holder, note.service, note.wait, now)
             return None
-        if note.kind is not PermitNoteKind.SLOT_GRANTED or note.lives[0] not in lives:
+        slot = None
+        if note.lives[0] in lives:
+            slot = self._build_slot(note, asked_at)
+        if slot is None:
+            self._holders.record_failure(holder, asked_at, now)
             return None
-        return self._build_slot(note, asked_at)
+        self._holders.record_granted(holder)
+        return slot
 
     def _build_slot(self, note, asked_at):
         """Return the slot that was granted, as this instance's clock shows it.
--- a/tanagerwalk/gateway/place_wait.py
+++ b/tanagerwalk/gateway/place_wait.py
@@ -119,8 +119,10 @@
 
     async def _sleep_until(self, time):
         # Timers may run out a little early.
-        while (time_left := time - self._clock()) > 0.0:
+        time_left = time - self._clock()
+        while time_left > 0.0:
             await asyncio.sleep(time_left)
+            time_left = time - self._clock()
 
     def find_granted_server(self):
         """Return the server at which another instance has granted a slot, or None."""
--- a/test/gateway/test_limit_slots.py
+++ b/test/gateway/test_limit_slots.py
@@ -1,6 +1,7 @@
 """Slots of limits that instances grant each other."""
 
 import asyncio
+import itertools
 import random
 from types import SimpleNamespace
 
@@ -131,6 +132,46 @@
     run(play)
 
 
+@pytest.mark.parametrize("delay", [ANSWER_TIMEOUT_S, 1000.0])
+def test_holder_without_an_answer_in_time_is_asked_less_and_less(delay):
+    async def play(pair):
+        await pair.wait_for_slot()
+        asked_at = []
+        for _ in range(2000):
+            asked = pair.sent.count(PermitNoteKind.ASK_SLOT)
+            began = pair.clock()
+            assert await pair.acquire() is None
+            if pair.sent.count(PermitNoteKind.ASK_SLOT) > asked:
+                asked_at.append(began)
+            await asyncio.sleep(0.02)
+        pauses = [later - at for at, later in itertools.pairwise(asked_at)]
+        assert pauses[:5] == pytest.approx([1.1, 2.1, 4.1, 8.1, 8.1], abs=0.05)
+        pair.delay = 0.01
+        await asyncio.sleep(10.0)
+        await pair.wait_for_slot()
+        assert await pair.acquire() is not None
+        pair.delay = 1000.0
+        await asyncio.sleep(10.0)
+        assert await pair.acquire() is None
+        asked = pair.sent.count(PermitNoteKind.ASK_SLOT)
+        await asyncio.sleep(1.1)
+        assert await pair.acquire() is None
+        assert pair.sent.count(PermitNoteKind.ASK_SLOT) == asked + 1
+
+    run(play, delay)
+
+
+def test_questions_at_the_same_time_count_once_if_they_are_not_answered():
+    async def play(pair):
+        await asyncio.gather(*[pair.acquire() for _ in range(9)])
+        asked = pair.sent.count(PermitNoteKind.ASK_SLOT)
+        await asyncio.sleep(1.1)
+        await pair.acquire()
+        assert pair.sent.count(PermitNoteKind.ASK_SLOT) == asked + 1
+
+    run(play, 1000.0)
+
+
 def test_slot_for_which_an_own_request_waits_is_not_granted():
     async def play(pair):
         limits = pair.limits[pair.holder]
