Ask for slots only at servers that the request can use

Cause: the servers for which slots were asked for were filtered neither by the paths of this instance (except while a server was cold), nor by the regions that the request may reach at present, nor by what it had tried; and a granted server could be out of reach by the time of its slot. Such slots were spent on attempts that failed. Change: unreachable servers and those that the regions exclude are left out of the question, tried ones and ones without room unless there are no others. A granted server that is out of reach by then is not chosen. Measured: the new tests of PlaceWait fail before the change and pass after it; those of list_askable fail with a stand-in that returns all servers. test_limited_servers and test_cold_servers of the gateway pass.

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -305,23 +305,28 @@
         limited = self.list_limited(service, now, is_allowed)
         if not limited:
             return None
-        wait = min(self.limits.find_wait(life, now) for life in limited)
-        rate = sum(self.limits.find_rate(life, now) for life in limited)
+        lives = [hash_life(server) for server in limited]
+        wait = min(self.limits.find_wait(life, now) for life in lives)
+        rate = sum(self.limits.find_rate(life, now) for life in lives)
         return LimitQueue(wait, rate)
 
     def list_limited(self, service, now, is_allowed):
-        """Return the `hash_life` of the servers that only their limits keep back.
+        """Return the RegisteredServers that only their limits keep back.
 
         See `find_limit_queue`.
         """
         if self.limits.is_empty:
             return []
-        lives = [
-            hash_life(usage.server)
+        return [
+            usage.server
             for usage in self._list_allowed(service, is_allowed)
             if usage.held_until <= now
+            and self.limits.has_limit(hash_life(usage.server), now)
         ]
-        return [life for life in lives if self.limits.has_limit(life, now)]
+
+    def is_reachable(self, server):
+        """Return whether this instance has a path to a server, as far as it knows."""
+        return not self._paths.is_unreachable(server.id)
 
     def _list_allowed(self, service, is_allowed):
         return [
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -24,7 +24,7 @@
 from .model_sequence import ModelSequence
 from .permit_wait import PermitWait
 from .place_contest import PlaceContest
-from .place_wait import PlaceWait
+from .place_wait import PlaceWait, list_askable
 from .request_log import describe_attempt, log_request_end
 from .request_tokens import RequestTokens
 from .stream_progress import StreamProgress
@@ -174,8 +174,14 @@
     async def _wait_for_place(self):
         """Wait for a server; see `PlaceWait.wait`."""
         # A slot is no permit: with it alone, a brittle server may be asked too often.
-        may_ask = not self._permit_wait.is_needed
-        return await self._place_wait.wait(self._history, may_ask)
+        if self._permit_wait.is_needed:
+            return await self._place_wait.wait(self._history)
+        return await self._place_wait.wait(self._history, self._list_askable)
+
+    def _list_askable(self, servers):
+        """Return where a slot of another instance may be used; see `list_askable`."""
+        has_room = self._tokens.has_room
+        return list_askable(servers, self._allows_server, has_room, self._tried)
 
     def _find_refusal(self):
         """Return the reason why no more attempt is made, or None."""
--- a/tanagerwalk/gateway/place_wait.py
+++ b/tanagerwalk/gateway/place_wait.py
@@ -45,15 +45,16 @@
         self._looked_at = float("-inf")
         self._granted = None
 
-    async def wait(self, history, may_ask=True):
+    async def wait(self, history, choose_askable=None):
         """Wait a moment if servers exist but can't be reached, or have limits.
 
         Parameters
         ----------
         history : AttemptHistory
             Attempts so far.
-        may_ask : bool
-            Whether other instances may be asked for a slot of a limit.
+        choose_askable : callable or None
+            Takes RegisteredServers that only limits keep back, and returns those at
+            which other instances may be asked for a slot. None if they aren't asked.
 
         Returns
         -------
@@ -65,7 +66,7 @@
         max_wait = find_path_wait(history, self._request.client_timeout)
         queue = self.find_limit_queue()
         if queue is not None and queue.wait > 0.0:
-            return await self._wait_for_limit(queue, max_wait, may_ask)
+            return await self._wait_for_limit(queue, max_wait, choose_askable)
         if self.find_hold() > 0.0:
             return False
         return await self._wait_for_path(max_wait)
@@ -81,7 +82,7 @@
         await asyncio.sleep(PATH_POLL_INTERVAL_S)
         return True
 
-    async def _wait_for_limit(self, queue, max_wait, may_ask):
+    async def _wait_for_limit(self, queue, max_wait, choose_askable):
         """Wait until a server with a limit takes a request, if that is soon."""
         limits = self._servers.limits
         waiting = limits.waiting
@@ -91,7 +92,7 @@
         if expected > patience:
             now = self._clock()
             limits.booking_horizon.record_turned_away(self._service, patience, now)
-            if may_ask and await self._acquire_slot(patience):
+            if choose_askable and await self._acquire_slot(choose_askable, patience):
                 return True
             limits.turned_away += 1
             return False
@@ -105,10 +106,12 @@
         self._looked_at = float("-inf")
         return True
 
-    async def _acquire_slot(self, patience):
+    async def _acquire_slot(self, choose_askable, patience):
         """Return whether another instance grants a slot; wait until it begins."""
         began = self._clock()
-        lives = self._servers.list_limited(self._service, began, self._allows_server)
+        servers = self._servers.list_limited(self._service, began, self._allows_server)
+        reachable = [s for s in servers if self._servers.is_reachable(s)]
+        lives = [hash_life(server) for server in choose_askable(reachable)]
         slot = await self._limit_slots.acquire(self._service, lives, patience)
         if slot is not None:
             await self._sleep_until(slot.begins_at)
@@ -130,8 +133,13 @@
         if slot is None:
             return None
         usage = self._servers.find_life(slot.life)
-        is_usable = usage is not None and usage.accepts_requests
-        if not is_usable or usage.held_until > now or not slot.is_open(now):
+        is_usable = (
+            usage is not None
+            and usage.accepts_requests
+            and usage.held_until <= now
+            and self._servers.is_reachable(usage.server)
+        )
+        if not is_usable or not slot.is_open(now):
             self._granted = None
             return None
         return usage.server
@@ -187,3 +195,27 @@
             hold = max(hold, queue.estimate_wait(waiting))
         # Without a part of any limit, the client's next attempt finds another instance.
         return hold if math.isfinite(hold) else 0.0
+
+
+def list_askable(servers, allows_server, has_room, tried):
+    """Return the servers at which a request would use a slot of another instance.
+
+    Parameters
+    ----------
+    servers : list of RegisteredServer
+        Servers that only their limits keep back.
+    allows_server : callable
+        Takes a server and returns whether the request may use it now.
+    has_room : callable
+        Takes a server and returns whether it has room; others are left out unless
+        there are only such.
+    tried : set of BackendServerId
+        Servers that have failed the request; left out unless there are only such.
+
+    Returns
+    -------
+    list of RegisteredServer
+    """
+    allowed = [server for server in servers if allows_server(server)]
+    untried = [server for server in allowed if server.id not in tried] or allowed
+    return [server for server in untried if has_room(server)] or untried
--- a/test/gateway/cold_fleet.py
+++ b/test/gateway/cold_fleet.py
@@ -244,7 +244,7 @@
         while True:
             server = place_wait.find_granted_server()
             server = server or pool.choose(SERVICE, self.clock())
-            if server is not None or not await place_wait.wait(history):
+            if server is not None or not await place_wait.wait(history, list):
                 return server
 
     async def _run(self, pool, server):
--- a/test/gateway/test_place_wait.py
+++ b/test/gateway/test_place_wait.py
@@ -5,11 +5,12 @@
 import random
 from types import SimpleNamespace
 
+import pytest
 from virtual_time import run_in_virtual_time
 
 from tanagerwalk.decisions.attempts import AttemptHistory
 from tanagerwalk.decisions.locations import Home
-from tanagerwalk.decisions.paths import PathTable
+from tanagerwalk.decisions.paths import PathState, PathTable
 from tanagerwalk.decisions.selection import ServerPool
 from tanagerwalk.decisions.send_slots import SendSlot
 from tanagerwalk.decisions.server_usage_table import hash_life
@@ -17,7 +18,7 @@
 from tanagerwalk.gateway.limit_slots import LimitSlots
 from tanagerwalk.gateway.metrics import GatewayMetrics
 from tanagerwalk.gateway.permit_notes import PermitNote, PermitNoteKind
-from tanagerwalk.gateway.place_wait import PlaceWait
+from tanagerwalk.gateway.place_wait import PlaceWait, list_askable
 from tanagerwalk.registry import RegisteredServer, ServerState
 
 SERVERS = [
@@ -57,6 +58,9 @@
             self.clock,
         )
 
+    def lose_path(self, server):
+        self.paths.record_lost(server.id, PathState.UNREACHABLE, self.clock())
+
     async def _grant(self, service, lives, patience):
         del service, patience
         self.asked.append(lives)
@@ -66,7 +70,7 @@
         return SendSlot(lives[0], begins_at, begins_at + 0.1)
 
     async def wait(self):
-        return await self.place_wait.wait(AttemptHistory(True, 3))
+        return await self.place_wait.wait(AttemptHistory(True, 3), list)
 
     async def wait_for_slot(self):
         """Return whether the request gets a slot of the own parts."""
@@ -99,6 +103,51 @@
     run(play)
 
 
+def test_slots_are_asked_for_at_servers_that_can_be_used():
+    async def play(waiting):
+        waiting.lose_path(SERVERS[0])
+        assert await waiting.wait()
+        assert waiting.asked == [[hash_life(SERVERS[1])]]
+
+    run(play)
+
+
+def test_slot_at_a_server_that_is_out_of_reach_by_now_is_not_used():
+    async def play(waiting):
+        assert await waiting.wait()
+        waiting.lose_path(SERVERS[0])
+        assert waiting.place_wait.find_granted_server() is None
+
+    run(play)
+
+
+# A server of three may be of another region, tried before, or without room.
+@pytest.mark.parametrize(
+    ("allowed", "roomy", "tried", "askable"),
+    [
+        ("012", "012", "", "012"),
+        ("01", "012", "", "01"),
+        ("", "012", "", ""),
+        ("012", "012", "0", "12"),
+        ("01", "012", "01", "01"),
+        ("012", "12", "1", "2"),
+        ("012", "0", "0", "12"),
+        ("012", "", "2", "01"),
+    ],
+)
+def test_slots_are_asked_for_where_a_request_would_be_sent(
+    allowed, roomy, tried, askable
+):
+    servers = [SimpleNamespace(id=name) for name in "012"]
+    usable = list_askable(
+        servers,
+        lambda server: server.id in allowed,
+        lambda server: server.id in roomy,
+        set(tried),
+    )
+    assert "".join(server.id for server in usable) == askable
+
+
 # Guards against others that book each slot before the holder's own requests may.
 def test_holder_serves_its_own_requests_while_others_ask():
     seconds = 100
