Remember who has no slot by server

Cause: one instance that had no slot for some servers of a service was not asked for any other server of that service either. Change: a denial is remembered for the holder and each server of the question; the holder is asked if one of the servers may have a slot in time. Measured: test_denial_for_some_servers_leaves_questions_for_others fails before the change and passes after it.

--- a/tanagerwalk/gateway/limit_slots.py
+++ b/tanagerwalk/gateway/limit_slots.py
@@ -81,7 +81,7 @@
         """
         lives = tuple(lives[:MAX_SERVERS])
         latest_at = self._clock() + patience
-        for holder in self._choose_holders(service, lives, latest_at):
+        for holder in self._choose_holders(lives, latest_at):
             time_left = latest_at - self._clock()
             if time_left <= 0.0:
                 break
@@ -90,7 +90,7 @@
                 return slot
         return None
 
-    def _choose_holders(self, service, lives, latest_at):
+    def _choose_holders(self, lives, latest_at):
         """Return the instances to ask that may have a slot in time, in random order."""
         now = self._clock()
         limits = self._servers.limits
@@ -98,7 +98,7 @@
         able = [
             holder
             for holder in sorted(holders & self._granting)
-            if self._holders.may_ask(holder, service, latest_at, now)
+            if self._holders.may_ask(holder, lives, latest_at, now)
         ]
         return self._random.sample(able, min(len(able), MAX_ASKED))
 
@@ -128,7 +128,7 @@
         now = self._clock()
         self._metrics.limit_slots.labels(note.kind.name.lower()).inc()
         if note.kind is PermitNoteKind.SLOT_DENIED:
-            self._holders.record_denied(holder, note.service, note.wait, now)
+            self._holders.record_denied(holder, lives, note.wait, now)
             return None
         slot = None
         if note.lives[0] in lives:
--- a/tanagerwalk/gateway/slot_holders.py
+++ b/tanagerwalk/gateway/slot_holders.py
@@ -15,7 +15,7 @@
     """
 
     def __init__(self):
-        # When an instance that had no slot for a service may be asked again.
+        # When an instance may have a slot, by it and the `hash_life` of the server.
         self._spent_until = {}
         # The length and the end of the last pause of each instance.
         self._pauses = {}
@@ -25,22 +25,23 @@
         self._spent_until.clear()
         self._pauses = {h: p for h, p in self._pauses.items() if h in holders}
 
-    def record_denied(self, holder, service, wait, now):
-        """Record that an instance has no slot.
+    def record_denied(self, holder, lives, wait, now):
+        """Record that an instance has no slot for any of some servers.
 
         Parameters
         ----------
         holder : str
             Incarnation of the instance.
-        service : ServiceName
-            The service of the servers.
+        lives : sequence of int
+            `hash_life` of the servers.
         wait : float
             Seconds until it expects to have one.
         now : float
             Monotonic time in seconds.
         """
         self._pauses.pop(holder, None)
-        self._spent_until[holder, service] = now + min(wait, MAX_SPENT_S)
+        spent_until = now + min(wait, MAX_SPENT_S)
+        self._spent_until |= {(holder, life): spent_until for life in lives}
 
     def record_granted(self, holder):
         """Record that an instance has granted a slot that can be used."""
@@ -64,19 +65,21 @@
         length = min(max(MIN_PAUSE_S, 2.0 * length), MAX_PAUSE_S)
         self._pauses[holder] = length, now + length
 
-    def may_ask(self, holder, service, latest_at, now):
+    def may_ask(self, holder, lives, latest_at, now):
         """Return whether an instance may have a slot that begins by a certain time.
 
         Parameters
         ----------
         holder : str
             Incarnation of the instance.
-        service : ServiceName
-            The service of the servers.
+        lives : sequence of int
+            `hash_life` of the servers, of which one is enough.
         latest_at, now : float
             Monotonic times in seconds.
         """
         _, paused_until = self._pauses.get(holder, (0.0, now))
         if paused_until > now:
             return False
-        return self._spent_until.get((holder, service), now) < latest_at
+        return any(
+            self._spent_until.get((holder, life), now) < latest_at for life in lives
+        )
--- a/test/gateway/test_limit_slots.py
+++ b/test/gateway/test_limit_slots.py
@@ -25,11 +25,13 @@
 from tanagerwalk.peers.gen.loads.ttypes import LoadMessage
 
 LIFE = 7
+# Of a server whose limit has the same holder.
+OTHER_LIFE = 8
 # One instance of two has a part, and may send once in ten seconds.
 RATE_PER_S = 0.1
 NAMES = ("gateway-0", "gateway-1")
 PEER = Peer(("127.0.0.1", 1), grants_slots=True)
-ASK = PermitNote(PermitNoteKind.ASK_SLOT, "desk", (5,), (LIFE, 8), 0.25)
+ASK = PermitNote(PermitNoteKind.ASK_SLOT, "desk", (5,), (LIFE, OTHER_LIFE), 0.25)
 
 
 class Pair:
@@ -51,6 +53,7 @@
         limits = self.limits[name] = ServerLimits(random.Random(1))
         limits.set_members(name, [other])
         limits.record(LIFE, RATE_PER_S, self.clock())
+        limits.record(OTHER_LIFE, RATE_PER_S, self.clock())
         servers = SimpleNamespace(limits=limits)
         slots = LimitSlots(
             name, servers, GatewayMetrics(), self.clock, random.Random(2)
@@ -172,6 +175,21 @@
     run(play, 1000.0)
 
 
+def test_denial_for_some_servers_leaves_questions_for_others():
+    async def play(pair):
+        slots, limits = pair.slots[pair.asker], pair.limits[pair.holder]
+        await pair.wait_for_slot()
+        assert await pair.acquire() is not None
+        await asyncio.sleep(limits.find_wait(OTHER_LIFE, pair.clock()))
+        assert await pair.acquire() is None
+        slot = await slots.acquire("desk", [LIFE, OTHER_LIFE], 0.25)
+        assert slot.life == OTHER_LIFE
+        assert await pair.acquire() is None
+        assert pair.sent.count(PermitNoteKind.ASK_SLOT) == 3
+
+    run(play)
+
+
 def test_slot_for_which_an_own_request_waits_is_not_granted():
     async def play(pair):
         limits = pair.limits[pair.holder]
