Drop a method of limits that only tests used

Cause: ServerLimits.record_sent had no caller outside the tests. Change: the tests take a slot and have it admitted, as requests do, with the same asserts. What is left of it is one method. Measured: test_server_limits, test_coldness and test_withheld_requests pass.

--- a/tanagerwalk/decisions/server_limits.py
+++ b/tanagerwalk/decisions/server_limits.py
@@ -200,12 +200,6 @@
             return math.inf
         return max(0.0, self._find_next(life, parts, now) - now)
 
-    def record_sent(self, life, now):
-        """Count a request that is sent to a server."""
-        slot = self._take(life, now)
-        if slot is not None:
-            self._shorten(slot, now)
-
     def take_slot(self, life, now, max_wait=0.0):
         """Take the next slot of the own part of a limit, for a request to be sent.
 
@@ -225,9 +219,6 @@
         """
         if self.find_wait(life, now) > max_wait:
             return None
-        return self._take(life, now)
-
-    def _take(self, life, now):
         parts = self._find_parts(life, now)
         if parts is None:
             return None
--- a/test/decisions/test_coldness.py
+++ b/test/decisions/test_coldness.py
@@ -166,7 +166,7 @@
     limits.cold.record_start(BACK, 10.0)
     wait = limits.find_wait(LIFE, 10.0)
     assert wait < 1.0 / POLICY.rate * 1.1
-    limits.record_sent(LIFE, 12.0)
+    assert limits.admit(LIFE, limits.take_slot(LIFE, 12.0), 12.0)
     assert limits.find_wait(LIFE, 12.0) >= 1.0 / POLICY.rate
 
 
--- a/test/decisions/test_server_limits.py
+++ b/test/decisions/test_server_limits.py
@@ -43,7 +43,8 @@
         now = start + 0.5 + step * STEP_S
         for limits in fleet:
             while limits.find_wait(LIFE, now) <= 0.0:
-                limits.record_sent(LIFE, now)
+                slot = limits.take_slot(LIFE, now)
+                assert limits.admit(LIFE, slot, now)
                 sent.append(now)
     return sent
 
--- a/test/gateway/test_withheld_requests.py
+++ b/test/gateway/test_withheld_requests.py
@@ -121,7 +121,7 @@
             WAIT_S,
         )
         for life in lives if is_spent else ():
-            limits.record_sent(life, now())
+            assert limits.admit(life, limits.take_slot(life, now()), now())
 
     change_once_connected(instance, become_cold)
     reply = await cluster.send(cluster.encode("GET", "/jobs/7"))
