--- a/tanagerwalk/decisions/server_limits.py
+++ b/tanagerwalk/decisions/server_limits.py
@@ -13,6 +13,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from .booking_horizon import BookingHorizon
 from .cold_servers import ColdServers
 from .limit_parts import divide_by_registration, divide_cold_limit, divide_stated_limit
 from .rendezvous import is_among_first, rank_members
@@ -81,6 +82,8 @@
 
     Attributes
     ----------
+    booking_horizon : BookingHorizon
+        How far ahead slots are granted to other instances.
     cold : ColdServers
         The servers whose limits come from being cold.
     waiting : Counter of ServiceName
@@ -104,6 +107,7 @@
         self._ranked = {}
         self._settling = None
         self.get_copy_age = _get_no_age
+        self.booking_horizon = BookingHorizon()
         self.cold = ColdServers()
         self.waiting = Counter()
         self.wait_count = 0
@@ -206,12 +210,6 @@
             return math.inf
         return max(0.0, self._find_next(life, parts, now) - now)
 
-    def record_sent(self, life, now):
-        """Count a request that is sent to a server."""
-        slot = self._take(life, now)
-        if slot is not None:
-            self._begin_next_sooner(slot, now)
-
     def take_slot(self, life, now, max_wait=0.0):
         """Take the next slot of the own part of a limit, for a request to be sent.
 
@@ -231,9 +229,6 @@
         """
         if self.find_wait(life, now) > max_wait:
             return None
-        return self._take(life, now)
-
-    def _take(self, life, now):
         parts = self._find_parts(life, now)
         if parts is None:
             return None
--- a/tanagerwalk/gateway/limit_slots.py
+++ b/tanagerwalk/gateway/limit_slots.py
@@ -8,6 +8,7 @@
 
 from ..decisions.send_slots import SEND_WINDOW_S, SendSlot
 from .permit_notes import PermitNote, PermitNoteKind
+from .slot_holders import SlotHolders
 
 log = structlog.get_logger(__name__)
 
@@ -15,8 +16,6 @@
 ANSWER_TIMEOUT_S = 0.08
 # Instances that are asked for one request.
 MAX_ASKED = 4
-# Most seconds for which an instance that had no slot is not asked again.
-MAX_ASK_PAUSE_S = 1.0
 # Servers that one question names; a note has to fit a packet.
 MAX_SERVERS_ASKED_FOR = 64
 
@@ -24,7 +23,8 @@
 class LimitSlots:
     """Asks instances that have a part of a server's limit for slots, and grants them.
 
-    Each instance grants only slots of its own part, which it then doesn't use itself.
+    Each instance grants only slots of its own part, which it then doesn't use itself,
+    and none while a request of its own waits for one.
     The one that asks counts the time in which it may send from its question on: however
     long the messages take, the request is sent within the slot or not at all.
 
@@ -55,14 +55,13 @@
         self._random = random
         self._granting = frozenset()
         self._answers = {}
-        # When an instance that had no slot for a service may be asked again.
-        self._ask_again_at = {}
+        self._holders = SlotHolders()
         self.send_notes = _drop
 
     def set_peers(self, peers):
         """Replace the known instances, given as Peer by incarnation."""
         self._granting = frozenset(p for p, peer in peers.items() if peer.grants_slots)
-        self._ask_again_at.clear()
+        self._holders.retain(self._granting)
 
     async def acquire(self, service, lives, patience):
         """Ask other instances for a slot, one after the other.
@@ -82,7 +81,7 @@
         """
         lives = tuple(lives[:MAX_SERVERS_ASKED_FOR])
         latest_at = self._clock() + patience
-        for holder in self._choose_holders(service, lives, latest_at):
+        for holder in self._choose_holders(lives, latest_at):
             time_left = latest_at - self._clock()
             if time_left <= 0.0:
                 break
@@ -91,7 +90,7 @@
                 return slot
         return None
 
-    def _choose_holders(self, service, lives, latest_at):
+    def _choose_holders(self, lives, latest_at):
         """Return the instances to ask that may have a slot in time, in random order."""
         now = self._clock()
         limits = self._servers.limits
@@ -99,7 +98,7 @@
         able = [
             holder
             for holder in sorted(holders & self._granting)
-            if self._ask_again_at.get((holder, service), now) < latest_at
+            if self._holders.may_ask(holder, lives, latest_at, now)
         ]
         return self._random.sample(able, min(len(able), MAX_ASKED))
 
@@ -116,18 +115,29 @@
             await asyncio.wait([answer], timeout=min(ANSWER_TIMEOUT_S, patience))
         finally:
             del self._answers[number]
-        if not answer.done():
+        slot = None
+        if answer.done():
+            slot = self._read_answer(holder, answer.result(), lives, asked_at)
+        else:
             self._metrics.limit_slots.labels("unanswered").inc()
-            return None
-        note = answer.result()
+            self._holders.record_failure(holder, asked_at, self._clock())
+        return slot
+
+    def _read_answer(self, holder, note, lives, asked_at):
+        """Return the SendSlot in an answer, or None if it has none that can be used."""
+        now = self._clock()
         self._metrics.limit_slots.labels(note.kind.name.lower()).inc()
         if note.kind is PermitNoteKind.SLOT_DENIED:
-            pause = min(note.wait, MAX_ASK_PAUSE_S)
-            self._ask_again_at[holder, service] = self._clock() + pause
+            self._holders.record_denied(holder, lives, note.wait, now)
             return None
-        if note.kind is not PermitNoteKind.SLOT_GRANTED or note.lives[0] not in lives:
+        slot = None
+        if note.lives[0] in lives:
+            slot = self._build_slot(note, asked_at)
+        if slot is None:
+            self._holders.record_failure(holder, asked_at, now)
             return None
-        return self._build_slot(note, asked_at)
+        self._holders.record_granted(holder)
+        return slot
 
     def _build_slot(self, note, asked_at):
         """Return the slot that was granted, as this instance's clock shows it.
@@ -157,7 +167,10 @@
         limited = [life for life in question.lives if limits.has_limit(life, now)]
         waits = {life: limits.find_wait(life, now) for life in limited}
         life = min(waits, key=waits.get, default=None)
-        slot = None if life is None else limits.take_slot(life, now, question.wait)
+        slot = None
+        if life is not None and limits.waiting[question.service] == 0:
+            horizon = limits.booking_horizon.find(question.service, now)
+            slot = limits.take_slot(life, now, min(question.wait, horizon))
         if slot is None:
             wait = waits.get(life, math.inf)
             return dataclasses.replace(
--- a/tanagerwalk/gateway/place_wait.py
+++ b/tanagerwalk/gateway/place_wait.py
@@ -44,15 +44,16 @@
         self._queue_read_at = float("-inf")
         self._granted = None
 
-    async def wait(self, history, may_ask_others=True):
+    async def wait(self, history, choose_askable=None):
         """Wait a moment if servers exist but can't be reached, or have limits.
 
         Parameters
         ----------
         history : AttemptHistory
             Attempts so far.
-        may_ask_others : bool
-            Whether other instances may be asked for a slot of a limit.
+        choose_askable : callable or None
+            Takes RegisteredServers that only limits keep back, and returns those at
+            which other instances may be asked for a slot. None if they aren't asked.
 
         Returns
         -------
@@ -64,7 +65,7 @@
         max_wait = find_path_wait(history, self._request.client_timeout)
         queue = self.find_limit_queue()
         if queue is not None and queue.wait > 0.0:
-            return await self._wait_for_limit(queue, max_wait, may_ask_others)
+            return await self._wait_for_limit(queue, max_wait, choose_askable)
         if self.find_hold() > 0.0:
             return False
         return await self._wait_for_path(max_wait)
@@ -80,7 +81,7 @@
         await asyncio.sleep(PATH_POLL_INTERVAL_S)
         return True
 
-    async def _wait_for_limit(self, queue, max_wait, may_ask_others):
+    async def _wait_for_limit(self, queue, max_wait, choose_askable):
         """Wait until a server with a limit takes a request, if that is soon."""
         limits = self._servers.limits
         waiting = limits.waiting
@@ -88,7 +89,9 @@
         time_left = self._request.deadline - self._clock()
         patience = min(max_wait, time_left) - self._waited_for_limit
         if expected > patience:
-            if may_ask_others and await self._acquire_slot(patience):
+            now = self._clock()
+            limits.booking_horizon.record_turned_away(self._service, patience, now)
+            if choose_askable and await self._acquire_slot(choose_askable, patience):
                 return True
             limits.refusal_count += 1
             return False
@@ -102,28 +105,40 @@
         self._queue_read_at = float("-inf")
         return True
 
-    async def _acquire_slot(self, patience):
+    async def _acquire_slot(self, choose_askable, patience):
         """Return whether another instance grants a slot; wait until it begins."""
         began = self._clock()
-        lives = self._servers.list_limited_lives(
-            self._service, began, self._allows_server
-        )
+        servers = self._servers.list_limited(self._service, began, self._allows_server)
+        reachable = [s for s in servers if self._servers.is_reachable(s)]
+        lives = [hash_life(server) for server in choose_askable(reachable)]
         slot = await self._limit_slots.acquire(self._service, lives, patience)
         if slot is not None:
-            await asyncio.sleep(max(0.0, slot.begins_at - self._clock()))
+            await self._sleep_until(slot.begins_at)
         self._granted = slot
         self._waited_for_limit += self._clock() - began
         self._queue_read_at = float("-inf")
         return slot is not None
 
+    async def _sleep_until(self, time):
+        # Timers may run out a little early.
+        time_left = time - self._clock()
+        while time_left > 0.0:
+            await asyncio.sleep(time_left)
+            time_left = time - self._clock()
+
     def find_granted_server(self):
         """Return the server at which another instance has granted a slot, or None."""
         slot, now = self._granted, self._clock()
         if slot is None:
             return None
         usage = self._servers.find_life(slot.life)
-        is_usable = usage is not None and usage.accepts_requests
-        if not is_usable or usage.held_until > now or not slot.is_open(now):
+        is_usable = (
+            usage is not None
+            and usage.accepts_requests
+            and usage.held_until <= now
+            and self._servers.is_reachable(usage.server)
+        )
+        if not is_usable or not slot.is_open(now):
             self._granted = None
             return None
         return usage.server
@@ -179,3 +194,27 @@
             hold = max(hold, queue.estimate_wait(waiting))
         # Without a part of any limit, the client's next attempt finds another instance.
         return hold if math.isfinite(hold) else 0.0
+
+
+def list_askable(servers, allows_server, has_room, tried):
+    """Return the servers at which a request would use a slot of another instance.
+
+    Parameters
+    ----------
+    servers : list of RegisteredServer
+        Servers that only their limits keep back.
+    allows_server : callable
+        Takes a server and returns whether the request may use it now.
+    has_room : callable
+        Takes a server and returns whether it has room; others are left out unless
+        there are only such.
+    tried : set of BackendServerId
+        Servers that have failed the request; left out unless there are only such.
+
+    Returns
+    -------
+    list of RegisteredServer
+    """
+    allowed = [server for server in servers if allows_server(server)]
+    untried = [server for server in allowed if server.id not in tried] or allowed
+    return [server for server in untried if has_room(server)] or untried
