--- a/tanagerwalk/gateway/response_assembly.py
+++ b/tanagerwalk/gateway/response_assembly.py
@@ -86,7 +86,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return False
-        if self.is_in_head and not self._discarding and not self._has_progress:
+        if self.is_in_head and not self._is_discarding and not self._has_progress:
             # A part of a long header, which the parser keeps.
             self._head_size += len(data)
         is_overlong = self._overhead_bytes > MAX_OVERHEAD_BYTES
@@ -160,7 +160,7 @@
     def on_header(self, name, value):
         """Store a response header."""
         self._has_progress = True
-        if self._discarding:
+        if self._is_discarding:
             # A trailer.
             return
         self._headers.append((name.lower(), value))
