Count the servers of a group in the sums of places

Cause: sum_places counted the groups that it was given as servers. One waiting request made a service of 1,280 slots contended, the queue of a part was compared by group, and a prompt was estimated at a group's share of its time. Change: servers are summed like slots.

--- a/tanagerwalk/decisions/contention.py
+++ b/tanagerwalk/decisions/contention.py
@@ -59,9 +59,9 @@
 
 
 def sum_places(places):
-    """Return the Places at several servers, given those at each."""
+    """Return the Places at all servers, given those at each or at groups of them."""
     return Places(
-        len(places),
+        sum(each.servers for each in places),
         sum(each.slots for each in places),
         sum(each.taken for each in places),
         sum(each.waiting for each in places),
--- a/test/decisions/test_contention.py
+++ b/test/decisions/test_contention.py
@@ -18,8 +18,10 @@
 from tanagerwalk.decisions.relays import Role, Scope
 from tanagerwalk.decisions.request_priorities import PriorityInputs, find_priority
 from tanagerwalk.decisions.server_usage import estimate_work
+from tanagerwalk.decisions.service_contention import ServiceContention
 from tanagerwalk.decisions.shared_demands import DemandSource, SharedDemandTable
 from tanagerwalk.outcomes import RefusalReason
+from tanagerwalk.registry import RegisteredServer, ServerState
 
 INPUTS = PriorityInputs(
     rank=1,
@@ -242,3 +244,32 @@
         table.update(source, sender, 1, own.add(others), 0.5)
     assert table.find_others("llm", 1.0) == others
     assert table.find_others("llm", 9.0).offered == 0.0
+
+
+def observe_servers(waiting):
+    """Return the ServiceContention of eighty servers, of which four have a queue."""
+    contention = ServiceContention("llm")
+    places = []
+    for number in range(80):
+        domain = "a-1" if number < 60 else "b-1"
+        entry = RegisteredServer(
+            f"s{number}", "llm", ("", 1), domain, "v1", 16, ServerState.READY, 1
+        )
+        queue = waiting if number % 20 == 0 else 0
+        places.append((entry, Places(1, 16, 16 + queue, queue, 16)))
+    for now in (0.0, MIN_STAY_S):
+        contention.update_places(places, now)
+        contention.find_subset(lambda server: server.failure_domain == "a-1", now)
+    return contention
+
+
+def test_servers_are_counted_one_by_one_in_their_groups():
+    """A group of servers counted as one, so that one waiting request was too much."""
+    contention = observe_servers(waiting=1)
+    assert not contention.is_contended
+    subset = contention.find_subset(lambda s: s.failure_domain == "a-1", MIN_STAY_S)
+    assert subset.places.compare_queues(contention.whole.places) == pytest.approx(1.0)
+    contention.demand = build_demand(160.0 * WINDOW_S)
+    prefill_time = contention.estimate_prefill_time(estimate_work(2.0, 1.0))
+    assert prefill_time == pytest.approx(1.0)
+    assert observe_servers(waiting=10).is_contended
