Charge a request's errors to its first server alone

Cause: a request that fails everywhere paused each server that it was tried at, and only 2xx answers ended a row of errors. Change: the first error of a request counts; any delivered answer below 500 ends a row. The stand-in for a request in the test has the new field.

--- a/tanagerwalk/gateway/answer_recorder.py
+++ b/tanagerwalk/gateway/answer_recorder.py
@@ -1,5 +1,7 @@
 """Records what answers say about the releases of a roll-out."""
 
+from http import HTTPStatus
+
 from ..decisions.engine_load import find_slowdown
 from ..decisions.latency_baselines import LatencyBaselines
 from ..decisions.load_curve import LoadCurve
@@ -44,7 +46,7 @@
         """
         if result.fault is not None:
             return
-        self._record_health(attempt.server, result)
+        self._record_health(request, attempt.server, result)
         order = self._cluster_state.orders.get(attempt.server.service)
         is_target = order is not None and attempt.server.release == order.target
         route = request.route
@@ -83,11 +85,20 @@
         elif is_bad and not was_bad:
             tally.mark_bad(request.route.name, is_target, key)
 
-    def _record_health(self, server, result):
-        """Tell the servers' usage of an error response, or of an answer without one."""
+    def _record_health(self, request, server, result):
+        """Tell the servers' usage of an error response, or of an answer without one.
+
+        Only the first error of a request counts: one that fails at several servers is
+        likely to be the cause itself.
+        """
         if result.outcome is Outcome.FAILED:
-            self._servers.record_error(server, self._clock())
-        elif result.is_success or result.outcome is Outcome.DECLINED:
+            if not request.has_failed:
+                self._servers.record_error(server, self._clock())
+            request.has_failed = True
+            return
+        is_delivered = result.outcome is Outcome.DELIVERED
+        is_sound = is_delivered and result.status < HTTPStatus.INTERNAL_SERVER_ERROR
+        if is_sound or result.outcome is Outcome.DECLINED:
             self._servers.record_success(server)
 
     def _learn_speed(self, server, kind, sample, load):
--- a/tanagerwalk/gateway/requests.py
+++ b/tanagerwalk/gateway/requests.py
@@ -109,6 +109,8 @@
         Whether the request is sent although a part of it is quarantined.
     counted_answers : dict of RolloutSide to bool
         Releases whose answer was counted for a roll-out, and whether it was bad.
+    has_failed : bool
+        Whether a server has answered the request with an error.
     """
 
     raw: RawRequest
@@ -130,3 +132,4 @@
     shared_parts: tuple[PartKey, ...] = ()
     is_trial: bool = False
     counted_answers: dict[RolloutSide, bool] = field(default_factory=dict)
+    has_failed: bool = False
--- a/test/gateway/test_answer_recorder.py
+++ b/test/gateway/test_answer_recorder.py
@@ -38,7 +38,7 @@
 
 
 def build_request():
-    return SimpleNamespace(route=ROUTE, counted_answers={})
+    return SimpleNamespace(route=ROUTE, counted_answers={}, has_failed=False)
 
 
 def build_recorder(book):
@@ -174,6 +174,38 @@
     assert not is_bad_release(book.own)
 
 
+def record_results(*results, servers=2):
+    """Record the results of requests, each in turn at all servers; return the pool."""
+    pool = build_pool()
+    entries = [build_server("v1", number) for number in range(servers)]
+    pool.replace_servers(entries)
+    recorder = AnswerRecorder(
+        SimpleNamespace(orders={}), lambda key: None, pool, lambda: 0.0
+    )
+    for result in results:
+        request = build_request()
+        for entry in entries:
+            recorder.record_attempt(request, Attempt(entry, 10.0), result)
+    return pool
+
+
+FAILED = AttemptResult(Outcome.FAILED)
+
+
+def test_request_that_fails_everywhere_is_charged_to_its_first_server():
+    """Each server that was tried with a bad request counted its error."""
+    pool = record_results(FAILED, FAILED, servers=3)
+    usages = pool.list_usages(SERVICE)
+    assert [usage.errors for usage in usages] == [2, 0, 0]
+
+
+@pytest.mark.parametrize("status", [200, 301, 404, 422])
+def test_any_answer_below_500_ends_a_row_of_errors(status):
+    answered = AttemptResult(Outcome.DELIVERED, status=status)
+    pool = record_results(FAILED, answered, FAILED, servers=1)
+    assert [usage.errors for usage in pool.list_usages(SERVICE)] == [1]
+
+
 def test_errors_of_a_server_pause_it_and_other_answers_do_not():
     pool = build_pool()
     server = build_server("v1")
