Tell errors apart from loads, and count them in choices alone

Cause: errors were added to an engine's tokens and summed over the fleet, so that idle engines seemed to have a wait of seconds and requests were refused for lack of time. Pauses for errors took away places in the measure of contention, and a row of errors never expired. Change: instances tell the number of recent errors as a field of its own; it adds to the cost of a choice, up to twenty instances, and not to the wait. Pauses for errors and for failures are kept apart: the former keep their places, and a connection to the server ends only the latter. A row begins anew after ERROR_LIFETIME_S. The simulated fleet passes the new field on. Not done: a success ends no pause. Result: the new tests of test_selection fail before (a wait of 2.02 s; no places; paused) and pass, as do test_spillover, test_server_speeds and test_sharing.

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -120,6 +120,9 @@
     def list_places(self, service, now):
         """Return the Places at each server of a service that may be used now.
 
+        A pause for errors takes away no places: the server is reachable, and is used
+        if the others are paused.
+
         Parameters
         ----------
         service : ServiceName
@@ -138,7 +141,7 @@
                 usage.count_places(now, others.get(hash_server(usage.server.id), 0)),
             )
             for usage in self._list_ready(service, now, frozenset(), None)
-            if usage.paused_until <= now
+            if usage.failure_paused_until <= now
             and usage.server.id not in self._possibly_leaving
         ]
 
@@ -405,9 +408,11 @@
         return self.limits.is_empty or self.limits.admit(hash_life(server), slot, now)
 
     def _estimate_cost_load(self, usage, now):
-        """Return the load of a server, plus what a slow or cold one adds to it."""
+        """Return the load of a server, plus what errors, slowness or a start add."""
         slowdown = self._find_slowdown(usage, now)
-        load = self._estimate_load(usage, now, slowdown)
+        shared = self._shared.sum(usage.server.id, now)
+        load = usage.estimate_load(now, shared, self.mean_work, slowdown)
+        load += usage.estimate_error_load(now, shared.errors)
         load += usage.estimate_extra_load(self.mean_work, slowdown)
         cold = self.limits.cold
         if cold.is_empty:
@@ -428,9 +433,10 @@
         return {
             server_id: SharedLoad(
                 usage.in_flight,
-                usage.sum_tokens(now),
+                usage.sum_tokens(),
                 usage.measure_silence(now),
                 now - usage.last_activity_at,
+                int(usage.has_recent_error(now)),
             )
             for server_id, usage in self._usages.items()
             if usage.in_flight
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -19,9 +19,11 @@
 MAX_SILENCE_S = 1.0
 # Time that even an idle engine needs to process a long prompt.
 PREFILL_ALLOWANCE_S = 0.9
-# What an error response of an engine adds to its load, in tokens, and for how long. An
-# engine that fails at once would seem to be idle, and attract requests.
-ERROR_TOKENS = 2000.0
+# Load that an error response of an engine adds for each instance that has got one, the
+# most instances that count, and for how long. An engine that fails at once would seem
+# to be idle, and attract requests.
+ERROR_LOAD = 0.1
+MAX_COUNTED_ERRORS = 20
 ERROR_LIFETIME_S = 5.0
 # Errors in a row that pause a server; a single one may be the request's fault.
 PAUSING_ERRORS = 2
@@ -86,6 +88,8 @@
         Error responses to this instance since the last successful one.
     last_error_at : float
         Monotonic time of the last error response.
+    failure_paused_until, error_paused_until : float
+        Monotonic times until which failures and error responses pause the server.
     other_requests : int
         Requests of other instances, according to the server's last report.
     reported_queue : int
@@ -111,7 +115,8 @@
     failures: int = 0
     errors: int = 0
     last_error_at: float = float("-inf")
-    paused_until: float = float("-inf")
+    failure_paused_until: float = float("-inf")
+    error_paused_until: float = float("-inf")
     other_requests: int = 0
     reported_queue: int = 0
     reported_at: float = float("-inf")
@@ -122,6 +127,11 @@
     held_until: float = float("-inf")
     is_evacuated: bool = False
 
+    @property
+    def paused_until(self):
+        """Monotonic time until which the server is used only if all are paused."""
+        return max(self.failure_paused_until, self.error_paused_until)
+
     @property
     def accepts_requests(self):
         """Whether the server is in service and its failure domain not evacuated."""
@@ -175,7 +185,7 @@
         others = max(shared.in_flight, self.other_requests if is_recent else 0)
         if not self.runs_models and not shared.tokens:
             return (self.in_flight + others) / self.server.slots * slowdown
-        own = self.sum_tokens(now)
+        own = self.sum_tokens()
         unreported = others - shared.in_flight
         load = (own + shared.tokens + unreported * mean_work) / ENGINE_CAPACITY_TOKENS
         load += self._estimate_slot_wait(self.in_flight + others)
@@ -184,15 +194,29 @@
         allowance = PREFILL_ALLOWANCE_S * max(1.0, slowdown)
         return max(load * slowdown, silence - allowance)
 
-    def sum_tokens(self, now):
-        """Return the tokens that this instance counts at an engine, with its errors."""
-        tokens = sum(work.total for work in self.work)
-        return tokens + ERROR_TOKENS if self.has_recent_error(now) else tokens
+    def sum_tokens(self):
+        """Return the tokens of the requests of this instance at an engine."""
+        return sum(work.total for work in self.work)
 
     def has_recent_error(self, now):
-        """Return whether an engine's last error response still counts as load."""
+        """Return whether an engine's last error response still counts."""
         return self.runs_models and now - self.last_error_at <= ERROR_LIFETIME_S
 
+    def estimate_error_load(self, now, other_errors):
+        """Return the load to add for recent error responses in a choice of servers.
+
+        It is no wait: the server may be idle.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        other_errors : int
+            Other instances that have got an error response of late.
+        """
+        errors = other_errors + self.has_recent_error(now)
+        return ERROR_LOAD * min(errors, MAX_COUNTED_ERRORS)
+
     def estimate_extra_load(self, work, slowdown):
         """Return how much more load one request adds than at the usual speed.
 
--- a/tanagerwalk/decisions/server_usage_table.py
+++ b/tanagerwalk/decisions/server_usage_table.py
@@ -6,7 +6,7 @@
 from ..registry import ServerState
 from .missing_servers import MissingServers
 from .server_speeds import ServerSpeeds
-from .server_usage import PAUSING_ERRORS, ServerUsage
+from .server_usage import ERROR_LIFETIME_S, PAUSING_ERRORS, ServerUsage
 
 FAILURE_PAUSE_S = 0.5
 MAX_FAILURE_PAUSE_S = 4.0
@@ -262,21 +262,23 @@
         if usage is None:
             return
         usage.failures += 1
-        usage.paused_until = now + compute_failure_pause(usage.failures)
+        usage.failure_paused_until = now + compute_failure_pause(usage.failures)
 
     def record_error(self, server, now):
         """Record an error response; several in a row pause the server."""
         usage = self._usages.get(server.id)
         if usage is None:
             return
+        if now - usage.last_error_at > ERROR_LIFETIME_S:
+            usage.errors = 0
         usage.errors += 1
         usage.last_error_at = now
         if usage.errors >= PAUSING_ERRORS:
             pause = compute_failure_pause(usage.errors - PAUSING_ERRORS + 1)
-            usage.paused_until = max(usage.paused_until, now + pause)
+            usage.error_paused_until = now + pause
 
     def record_success(self, server):
-        """Record a successful answer."""
+        """Record an answer that is no error."""
         usage = self._usages.get(server.id)
         if usage is not None:
             usage.errors = 0
@@ -286,7 +288,7 @@
         usage = self._usages.get(server.id)
         if usage is not None:
             usage.failures = 0
-            usage.paused_until = float("-inf")
+            usage.failure_paused_until = float("-inf")
 
     def record_notice(self, server_id, notice, now):
         """Record what a server says about itself; it holds for its present life.
--- a/tanagerwalk/decisions/shared_loads.py
+++ b/tanagerwalk/decisions/shared_loads.py
@@ -29,12 +29,15 @@
         Waiting time of the oldest request without a response head, in seconds.
     heard_ago : float
         Seconds since the server last sent data.
+    errors : int
+        Number of instances that have got an error response of late.
     """
 
     in_flight: int
     tokens: float
     silence: float = 0.0
     heard_ago: float = float("inf")
+    errors: int = 0
 
     def add(self, other):
         """Return the load that both cause together."""
@@ -43,6 +46,7 @@
             self.tokens + other.tokens,
             max(self.silence, other.silence),
             min(self.heard_ago, other.heard_ago),
+            self.errors + other.errors,
         )
 
     def subtract(self, part):
@@ -52,12 +56,17 @@
             max(0.0, self.tokens - part.tokens),
             self.silence,
             self.heard_ago,
+            max(0, self.errors - part.errors),
         )
 
     def age(self, seconds):
         """Return the load as it is when it was reported `seconds` ago."""
         return SharedLoad(
-            self.in_flight, self.tokens, self.silence, self.heard_ago + seconds
+            self.in_flight,
+            self.tokens,
+            self.silence,
+            self.heard_ago + seconds,
+            self.errors,
         )
 
 
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -140,6 +140,7 @@
         int(min(MAX_INT32, load.tokens)),
         int(min(MAX_INT32, load.silence * MS_PER_S)) or None,
         heard_ago_ms,
+        min(MAX_INT32, load.errors) or None,
     )
 
 
@@ -150,7 +151,9 @@
         heard_ago = max(0, load.heard_ago_ms) / MS_PER_S
     silence = max(0, load.silence_ms or 0) / MS_PER_S
     in_flight = max(0, load.in_flight)
-    return SharedLoad(in_flight, max(0, load.tokens), silence, heard_ago)
+    tokens = max(0, load.tokens)
+    errors = max(0, load.errors or 0)
+    return SharedLoad(in_flight, tokens, silence, heard_ago, errors)
 
 
 @singledispatch
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -99,16 +99,18 @@
      - tokens
      - silence_ms
      - heard_ago_ms
+     - errors
 
     """
 
 
-    def __init__(self, server=None, in_flight=None, tokens=None, silence_ms=None, heard_ago_ms=None,):
+    def __init__(self, server=None, in_flight=None, tokens=None, silence_ms=None, heard_ago_ms=None, errors=None,):
         self.server = server
         self.in_flight = in_flight
         self.tokens = tokens
         self.silence_ms = silence_ms
         self.heard_ago_ms = heard_ago_ms
+        self.errors = errors
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -144,6 +146,11 @@
                     self.heard_ago_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.errors = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -174,6 +181,10 @@
             oprot.writeFieldBegin('heard_ago_ms', TType.I32, 5)
             oprot.writeI32(self.heard_ago_ms)
             oprot.writeFieldEnd()
+        if self.errors is not None:
+            oprot.writeFieldBegin('errors', TType.I32, 6)
+            oprot.writeI32(self.errors)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2008,6 +2019,7 @@
     (3, TType.I32, 'tokens', None, None, ),  # 3
     (4, TType.I32, 'silence_ms', None, None, ),  # 4
     (5, TType.I32, 'heard_ago_ms', None, None, ),  # 5
+    (6, TType.I32, 'errors', None, None, ),  # 6
 )
 all_structs.append(CrashBlame)
 CrashBlame.thrift_spec = (
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -10,6 +10,8 @@
   4: optional i32 silence_ms
   // Time since the server last sent anything; absent if it never has.
   5: optional i32 heard_ago_ms
+  // Number of instances that got an error response of late; absent if none did.
+  6: optional i32 errors
 }
 
 // A request, or a part that prompts share, that was in flight at these servers when they
--- a/test/decisions/spillover_fleet.py
+++ b/test/decisions/spillover_fleet.py
@@ -337,11 +337,15 @@
         self._after(REPORT_PERIOD_S, self._tell, pool, number + 1)
         own = {hash_server(k): v for k, v in pool.list_own_loads(self.now).items()}
         self._after(REPORT_DELAY_S, self._told.__setitem__, id(pool), own)
-        in_flight, tokens = Counter(), Counter()
+        in_flight, tokens, errors = Counter(), Counter(), Counter()
         for key, loads in self._told.items():
             for server, load in loads.items() if key != id(pool) else ():
                 in_flight[server] += load.in_flight
                 tokens[server] += load.tokens
-        total = {key: SharedLoad(in_flight[key], tokens[key]) for key in in_flight}
+                errors[server] += load.errors
+        total = {
+            key: SharedLoad(in_flight[key], tokens[key], errors=errors[key])
+            for key in in_flight
+        }
         source = ReportSource(Scope.INSTANCE, "others")
         pool._shared.update(source, "others", number, total, self.now)
--- a/test/decisions/test_selection.py
+++ b/test/decisions/test_selection.py
@@ -10,7 +10,7 @@
 from tanagerwalk.decisions.prompt_affinity import compute_affinity
 from tanagerwalk.decisions.relays import Role, Scope
 from tanagerwalk.decisions.selection import ServerPool
-from tanagerwalk.decisions.server_usage import estimate_work
+from tanagerwalk.decisions.server_usage import ERROR_LIFETIME_S, estimate_work
 from tanagerwalk.decisions.server_usage_table import MAX_FAILURE_PAUSE_S
 from tanagerwalk.decisions.shared_loads import (
     NO_LOAD,
@@ -296,6 +296,46 @@
     assert "s0" in {pool.choose("drafts", 0.6).id for _ in range(30)}
 
 
+def test_errors_that_many_instances_got_keep_off_but_are_no_wait():
+    """One error at each of twenty instances counted as two seconds of queue."""
+    shared = SharedLoadTable()
+    server = build_server("s0")
+    pool = build_pool(server, build_server("s1"), shared=shared)
+    for number in range(20):
+        other = build_pool(server)
+        send_many(other, 1)
+        other.record_ended(server, other.find("s0").work[0])
+        other.record_error(server, 0.0)
+        loads = {hash_server("s0"): other.list_own_loads(0.1)["s0"]}
+        source = ReportSource(Scope.INSTANCE, f"i{number}")
+        shared.update(source, source.name, 1, loads, 0.1)
+    for name, tokens in (("s0", 100), ("s1", 3000)):
+        pool.record_sent(pool.find(name).server, estimate_work(tokens, 1.0))
+    assert pool.choose("drafts", 0.2).id == "s1"
+    assert pool.estimate_server_wait(server, 0.2) < 0.1
+    pool.record_sent(pool.find("s1").server, estimate_work(60000, 1.0))
+    assert pool.choose("drafts", 0.2).id == "s0"
+
+
+def test_server_that_errors_pause_keeps_its_places():
+    server = build_server("s0")
+    pool = build_pool(server)
+    for _ in range(2):
+        pool.record_error(server, 0.0)
+    assert pool.find("s0").paused_until > 0.0
+    assert [s.id for s, _ in pool.list_places("drafts", 0.1)] == ["s0"]
+
+
+def test_errors_far_apart_are_none_in_a_row():
+    server = build_server("s0")
+    pool = build_pool(server)
+    pool.record_error(server, 0.0)
+    pool.record_error(server, ERROR_LIFETIME_S + 0.1)
+    assert pool.find("s0").paused_until <= 0.0
+    pool.record_error(server, 2.0 * ERROR_LIFETIME_S)
+    assert pool.find("s0").paused_until > 2.0 * ERROR_LIFETIME_S
+
+
 def test_restarted_server_with_the_same_id_has_no_usage():
     pool = build_pool(build_server("s0"))
     pool.record_sent(pool.find("s0").server)
--- a/test/gateway/test_sharing.py
+++ b/test/gateway/test_sharing.py
@@ -43,6 +43,7 @@
         SharedLoad(3, 4000.0),
         SharedLoad(3, 4000.0, silence=1.25, heard_ago=0.5),
         SharedLoad(0, 0.0, heard_ago=0.0),
+        SharedLoad(0, 0.0, errors=7),
     ],
 )
 def test_load_survives_encoding(load):
