--- a/tanagerwalk/gateway/slot_holders.py
+++ b/tanagerwalk/gateway/slot_holders.py
@@ -1,7 +1,7 @@
 """Which instances with parts of limits may be asked for a slot at present."""
 
 # Time for which an instance that has no slot is not asked again, at most.
-MAX_SPENT_S = 1.0
+MAX_ASK_PAUSE_S = 1.0
 # Times for which an instance without a usable answer is not asked again.
 MIN_PAUSE_S = 1.0
 MAX_PAUSE_S = 8.0
@@ -16,13 +16,13 @@
 
     def __init__(self):
         # When an instance may have a slot, by it and the `hash_life` of the server.
-        self._spent_until = {}
+        self._ask_again_at = {}
         # The length and the end of the last pause of each instance.
         self._pauses = {}
 
     def retain(self, holders):
         """Forget all but some instances, and who has had no slot."""
-        self._spent_until.clear()
+        self._ask_again_at.clear()
         self._pauses = {h: p for h, p in self._pauses.items() if h in holders}
 
     def record_denied(self, holder, lives, wait, now):
@@ -40,8 +40,8 @@
             Monotonic time in seconds.
         """
         self._pauses.pop(holder, None)
-        spent_until = now + min(wait, MAX_SPENT_S)
-        self._spent_until |= {(holder, life): spent_until for life in lives}
+        ask_again_at = now + min(wait, MAX_ASK_PAUSE_S)
+        self._ask_again_at |= {(holder, life): ask_again_at for life in lives}
 
     def record_granted(self, holder):
         """Record that an instance has granted a slot that can be used."""
@@ -81,5 +81,5 @@
         if paused_until > now:
             return False
         return any(
-            self._spent_until.get((holder, life), now) < latest_at for life in lives
+            self._ask_again_at.get((holder, life), now) < latest_at for life in lives
         )
