Run five more modules of tests one at a time

Shares and crowds need a machine to themselves; the crowds at the port for instances have to run apart. Change: the marker serial for them. Result: they are collected there; checks and bounds are as before.

--- a/test/gateway/test_cold_servers.py
+++ b/test/gateway/test_cold_servers.py
@@ -15,6 +15,8 @@
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, build_manifest
 from tanagerwalk.standins.places import Places
 
+pytestmark = pytest.mark.serial
+
 WAIT_S = 5.0
 INSTANCES = 3
 SERVERS = 4
--- a/test/gateway/test_combined_changes.py
+++ b/test/gateway/test_combined_changes.py
@@ -6,6 +6,8 @@
 import random
 import time
 
+import pytest
+
 from tanagerwalk.controllers.loop import poll_until
 from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import (
@@ -19,6 +21,8 @@
 from tanagerwalk.standins.paths import Cut, ServerPath
 from tanagerwalk.standins.places import Places
 
+pytestmark = pytest.mark.serial
+
 WAIT_S = 5.0
 SLOTS = 6
 QUEUE = 30
--- a/test/gateway/test_gateway_rollouts.py
+++ b/test/gateway/test_gateway_rollouts.py
@@ -14,6 +14,8 @@
 from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 
+pytestmark = pytest.mark.serial
+
 ORDER = {"service": "desk", "target": "v2", "duration_s": 7}
 
 
--- a/test/gateway/test_peer_crowds.py
+++ b/test/gateway/test_peer_crowds.py
@@ -25,6 +25,8 @@
 from tanagerwalk.peers.frames import MAX_HELLO_BYTES, MAX_PAYLOAD_BYTES
 from tanagerwalk.peers.rpc import MessageKind, PeerClient, RequestFault
 
+pytestmark = pytest.mark.serial
+
 CROWD = 400
 FRAME_HEADER = struct.Struct("!IB")
 MAC = bytes(16)
--- a/test/gateway/test_uneven_servers.py
+++ b/test/gateway/test_uneven_servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import pytest
 import pytest_asyncio
 
 from tanagerwalk.decisions.server_usage_table import hash_life
@@ -10,6 +11,8 @@
 from tanagerwalk.standins.gateway_cluster import GatewayCluster
 from tanagerwalk.standins.places import Places
 
+pytestmark = pytest.mark.serial
+
 INSTANCES = 3
 SLOTS = 6
 WORK_S = 0.06
