Release the body of a request as soon as it has ended

Cause: the contest for places got a predicate that refers to the execution of the request, which holds the contest: a cycle. The request's body then stayed until the next garbage collection. Change: the contest is created when the releases are assigned, so that the predicate refers to the assignment alone.

--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -76,15 +76,7 @@
         self._permit_wait = PermitWait(
             context.permits, context.servers, request, service, context.clock
         )
-        self._place_contest = PlaceContest(
-            context.contention_monitor,
-            request,
-            service,
-            # The assignment is made later, and looked up at each call.
-            self._regions.restrict(
-                lambda server: self._assignment.allows_server(server)
-            ),
-        )
+        self._place_contest = None
         self._history = AttemptHistory(route.repeatable, route.max_attempts)
         self._progress = StreamProgress(last_event=request.last_event)
         self._kept_answer = None
@@ -128,12 +120,18 @@
         """Choose the releases that the request may use."""
         context = self._context
         self._assignment = await context.assigner.assign(self._request, self._service)
+        # Predicates that refer to this object would keep the body of the request until
+        # the next garbage collection.
+        allows_server = self._regions.restrict(self._assignment.allows_server)
+        self._place_contest = PlaceContest(
+            context.contention_monitor, self._request, self._service, allows_server
+        )
         self._place_wait = PlaceWait(
             context.servers,
             context.limit_slots,
             self._request,
             self._service,
-            self._regions.restrict(self._assignment.allows_server),
+            allows_server,
             self._clock,
         )
 
