Keep the queue of answers that wait for memory in a module of its own

Cause: memory.py held the budget, what one request takes of it and the order in which answers go on; which answer goes beyond the capacity was set in four places. Change: answer_queue.py and request_memory.py; no change of behaviour.

--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -10,7 +10,7 @@
 from ..manifest import ClientLimits
 from ..outcomes import Refusal
 from .body_pace import BodyPace
-from .memory import CONNECTION_BYTES, RequestMemory
+from .memory import CONNECTION_BYTES
 from .receive_refusals import (
     LimitExceededError,
     build_malformed_refusal,
@@ -18,6 +18,7 @@
     build_timeout_refusal,
 )
 from .request_assembly import RequestAssembly
+from .request_memory import RequestMemory
 from .requests import RawRequest
 from .responder import Responder
 from .socket_options import set_client_socket_options, set_reset_on_close
@@ -375,7 +376,7 @@
             self._limits.idle_timeout,
             responder.client_waits_until,
             self._listener.clock,
-            self._listener.memory.has_waiting,
+            self._listener.memory.answers.has_waiting,
             self._reset_stalled,
         )
 
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -12,14 +12,14 @@
 
 from ..bound_sockets import lacks_descriptors
 from ..stalls import StallTolerantTimeout
-from .connect_faults import ConnectFault
-from .memory import (
+from .answer_queue import (
     MAX_READ_BYTES,
     SMALL_ANSWER_BYTES,
     TIGHT_ANSWER_BYTES,
     TIGHT_READ_BYTES,
-    UNCOUNTED,
 )
+from .connect_faults import ConnectFault
+from .request_memory import UNCOUNTED
 from .response_assembly import ResponseAssembly
 from .response_heads import ConnectionFailure, match_any_response
 from .socket_options import has_pending_reset, set_socket_options
--- a/tanagerwalk/gateway/process_limits.py
+++ b/tanagerwalk/gateway/process_limits.py
@@ -82,7 +82,7 @@
         """Write what is in use into the GatewayMetrics."""
         metrics.memory_used.set(self.memory.used)
         metrics.memory_capacity.set(self.memory.capacity)
-        metrics.waiting_answers.set(self.memory.waiting_count)
+        metrics.waiting_answers.set(self.memory.answers.waiting_count)
         metrics.resident_memory.set(read_sizes().resident)
         metrics.set_descriptors(self.descriptors, self.admission)
 
--- a/tanagerwalk/gateway/requests.py
+++ b/tanagerwalk/gateway/requests.py
@@ -5,7 +5,7 @@
 from ..decisions.tallies import CountedAnswer, RolloutSide
 from ..ids import ClientAccountId, Fingerprint, PartKey
 from ..manifest import Manifest, Route
-from .memory import UNCOUNTED, RequestMemory, UncountedMemory
+from .request_memory import UNCOUNTED, RequestMemory, UncountedMemory
 
 
 @dataclass(frozen=True, slots=True)
--- a/test/gateway/test_memory_budget.py
+++ b/test/gateway/test_memory_budget.py
@@ -2,14 +2,13 @@
 
 import resource
 
+from tanagerwalk.gateway.answer_queue import LARGE_ANSWER_SPARE_SHARE, MAX_READ_BYTES
 from tanagerwalk.gateway.memory import (
-    LARGE_ANSWER_SPARE_SHARE,
-    MAX_READ_BYTES,
     MIN_CAPACITY_BYTES,
-    SMALL_REQUEST_BYTES,
     MemoryBudget,
     find_capacity,
 )
+from tanagerwalk.gateway.request_memory import SMALL_REQUEST_BYTES
 from tanagerwalk.process_memory import MemorySizes, find_room, read_sizes
 
 CAPACITY = 10_000_000
@@ -61,7 +60,7 @@
     assert not answers[2].may_read_on(lambda: resumed.append(2))
     assert not answers[1].may_read_on(lambda: resumed.append(1))
     assert answers[0].may_read_on(lambda: resumed.append(0))
-    assert budget.waiting_count == 2
+    assert budget.answers.waiting_count == 2
     answers[0].release()
     assert resumed == [1]
     assert answers[1].may_read_on(lambda: resumed.append(1))
--- a/test/gateway/test_memory_pressure.py
+++ b/test/gateway/test_memory_pressure.py
@@ -208,7 +208,7 @@
         other.shrink_to(int(0.8 * memory.capacity))
         data = cluster.encode("GET", "/jobs/1", X_Tanagerwalk_Deadline_Ms="4000")
         reply = asyncio.create_task(cluster.send(data))
-        assert await poll_until(memory.has_waiting, 0.01, 1.0)
+        assert await poll_until(memory.answers.has_waiting, 0.01, 1.0)
         await asyncio.sleep(4.0 * UNRESPONSIVE_TIMEOUT_SHARE + 0.2)
         other.release()
         assert (await reply).status == 200
