Log rejected datagrams at most once in five seconds

Cause: anyone can send to the port of the instances, and each datagram got a line in the log: 1,367 in three seconds from 30 senders. Three modules each limited such lines in their own way. Change: RateLimitedWarning, also for memory and descriptors; the check of a process beside a crowd stands once in the tests, with the same bounds.

--- a/tanagerwalk/gateway/client_admission.py
+++ b/tanagerwalk/gateway/client_admission.py
@@ -1,6 +1,8 @@
 """Admits client connections as long as there are descriptors for them."""
 
-from .descriptors import RareNotice
+import time
+
+from ..repeated_warnings import RateLimitedWarning
 
 # A client may just be sending on a connection that has been idle for less.
 MIN_IDLE_S = 1.0
@@ -30,7 +32,7 @@
         self._admitted = set()
         # In the order in which they became idle, with the time.
         self._idle = {}
-        self._notice = RareNotice("no descriptors for clients")
+        self._warning = RateLimitedWarning("no descriptors for clients", time.monotonic)
         self.closed_idle = 0
         self.resets = 0
 
@@ -38,7 +40,7 @@
         """Return whether a new connection may stay open."""
         if not self._part.try_reserve() and not self._replace_idle():
             self.resets += 1
-            self._notice.log(used=self._part.used, resets=self.resets)
+            self._warning.record(used=self._part.used, resets=self.resets)
             return False
         self._admitted.add(connection)
         self.begin_idle(connection)
@@ -49,7 +51,7 @@
         if connection is None or self._clock() - since < MIN_IDLE_S:
             return False
         self.closed_idle += 1
-        self._notice.log(used=self._part.used, closed_idle=self.closed_idle)
+        self._warning.record(used=self._part.used, closed_idle=self.closed_idle)
         self.leave(connection)
         connection.close_if_idle()
         return self._part.try_reserve()
--- a/tanagerwalk/gateway/descriptors.py
+++ b/tanagerwalk/gateway/descriptors.py
@@ -7,12 +7,12 @@
 import structlog
 from expression import Error
 
+from ..repeated_warnings import RateLimitedWarning
 from .connect_faults import ConnectFault
 from .connections import Connection, open_connection
 
 log = structlog.get_logger(__name__)
 
-LOG_INTERVAL_S = 5.0
 UNLIMITED = 2**31
 # After an abort, the event loop closes the descriptor in one of its next turns.
 CLOSE_DELAY_S = 0.002
@@ -65,7 +65,7 @@
         self._part = part
         self._make_room = make_room
         self._dial = dial
-        self._notice = RareNotice("out of descriptors")
+        self._warning = RateLimitedWarning("out of descriptors", time.monotonic)
 
     async def open(self, address, timeout, create_protocol=Connection):
         """Open a TCP connection, like `open_connection`.
@@ -76,7 +76,7 @@
             With a ConnectFault, the address has nothing to do with it.
         """
         if not self._reserve():
-            self._notice.log(used=self._part.used)
+            self._warning.record(used=self._part.used)
             return Error(ConnectFault.DESCRIPTORS_FULL)
         protocol = None
         try:
@@ -96,7 +96,7 @@
         result = await self._dial(address, timeout, create_protocol)
         if not result.is_error() or result.error is not ConnectFault.DESCRIPTORS_FULL:
             return result
-        self._notice.log(used=self._part.used)
+        self._warning.record(used=self._part.used)
         if not self._make_room():
             return result
         await asyncio.sleep(CLOSE_DELAY_S)
@@ -107,27 +107,3 @@
             if not self._make_room():
                 return False
         return True
-
-
-class RareNotice:
-    """Logs an event at most once in LOG_INTERVAL_S, with how often it happened.
-
-    Parameters
-    ----------
-    event : str
-        The event.
-    """
-
-    def __init__(self, event):
-        self._event = event
-        self._count = 0
-        self._logged_at = float("-inf")
-
-    def log(self, **inputs):
-        """Count the event, and log it unless that was done lately."""
-        self._count += 1
-        now = time.monotonic()
-        if now - self._logged_at < LOG_INTERVAL_S:
-            return
-        self._logged_at = now
-        log.warning(self._event, count=self._count, **inputs)
--- a/tanagerwalk/gateway/memory.py
+++ b/tanagerwalk/gateway/memory.py
@@ -5,6 +5,7 @@
 import structlog
 
 from ..decisions.resource_budget import ResourceBudget
+from ..repeated_warnings import RateLimitedWarning
 from .answer_queue import LARGE_ANSWER_SPARE_SHARE, AnswerQueue
 from .request_memory import RequestMemory
 
@@ -23,7 +24,6 @@
 HEADER_BYTES = 160
 # Objects of one entry of a list in a header: a tuple, a string and a number.
 LIST_ENTRY_BYTES = 160
-LOG_INTERVAL_S = 5.0
 # A peak is over once the use has fallen from above the first to below the second.
 PEAK_SHARE = 0.25
 CALM_SHARE = 0.125
@@ -66,10 +66,9 @@
     def __init__(self, capacity, clock):
         self._budget = ResourceBudget(capacity)
         self.answers = AnswerQueue(self._budget)
-        self._clock = clock
         self._numbers = itertools.count()
         self._is_refusing = False
-        self._logged_at = None
+        self._warning = RateLimitedWarning("memory full", clock)
         self._had_peak = False
         self.on_peak_over = _ignore
 
@@ -132,16 +131,10 @@
             log.info("memory has room again", used=self.used, capacity=self.capacity)
 
     def _log_refusing(self):
-        now = self._clock()
         self._is_refusing = True
-        if self._logged_at is None or now - self._logged_at >= LOG_INTERVAL_S:
-            self._logged_at = now
-            log.warning(
-                "memory full",
-                used=self.used,
-                capacity=self.capacity,
-                refused=self._budget.refused,
-            )
+        self._warning.record(
+            used=self.used, capacity=self.capacity, refused=self._budget.refused
+        )
 
 
 def _ignore():
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -9,6 +9,7 @@
 from ..decisions.shared_demands import SharedDemandTable
 from ..decisions.shared_loads import hash_server
 from ..peers.codec import encode
+from ..repeated_warnings import RateLimitedWarning
 from .datagram_sender import DatagramSender
 from .load_message_builder import Contents, LoadMessageBuilder
 from .load_message_receiver import LoadMessageReceiver
@@ -92,7 +93,8 @@
         self._builder = LoadMessageBuilder(incarnation, failure_domain, random)
         self._role = Role.FLAT
         self._was_idle = False
-        self.rejected = 0
+        # Anyone can send to the port.
+        self._rejected = RateLimitedWarning("rejected load message", clock)
         self.on_permit_note = _ignore_note
         self.on_slot_note = _ignore_note
         self.demands = SharedDemandTable()
@@ -138,23 +140,19 @@
             return
         result = decode_message(self._secret, data)
         if result.is_error():
-            self._count_rejected(addr, result.error)
+            self._rejected.record(sender=addr[0], problem=result.error)
             return
         try:
             self._process(result.ok)
         except Exception:
             # The event loop would close the socket.
             log.exception("load message failed")
-            self._count_rejected(addr, "defect")
-
-    def _count_rejected(self, addr, problem):
-        self.rejected += 1
-        log.warning(
-            "rejected load message",
-            sender=addr[0],
-            problem=problem,
-            count=self.rejected,
-        )
+            self._rejected.record(sender=addr[0], problem="defect")
+
+    @property
+    def rejected(self):
+        """Number of datagrams that weren't believed."""
+        return self._rejected.count
 
     def _process(self, message):
         now = self._clock()
--- a/tanagerwalk/repeated_warnings.py
+++ b/tanagerwalk/repeated_warnings.py
@@ -4,6 +4,8 @@
 
 log = structlog.get_logger(__name__)
 
+LOG_INTERVAL_S = 5.0
+
 
 class RepeatedWarning:
     """Logs the occurrences 1, 2, 4, 8 and so on of a problem, with their number.
@@ -23,3 +25,29 @@
         self.count += 1
         if self.count & (self.count - 1) == 0:
             log.warning(self._problem, count=self.count, **details)
+
+
+class RateLimitedWarning:
+    """Logs a problem at most once in LOG_INTERVAL_S, with how often it has occurred.
+
+    Parameters
+    ----------
+    problem : str
+        The event of the log line.
+    clock : callable
+        Returns monotonic time in seconds.
+    """
+
+    def __init__(self, problem, clock):
+        self._problem = problem
+        self._clock = clock
+        self._logged_at = float("-inf")
+        self.count = 0
+
+    def record(self, **details):
+        """Count an occurrence, and log it unless one was logged lately."""
+        self.count += 1
+        now = self._clock()
+        if now - self._logged_at >= LOG_INTERVAL_S:
+            self._logged_at = now
+            log.warning(self._problem, count=self.count, **details)
--- a/test/gateway/test_misbehaving_clients.py
+++ b/test/gateway/test_misbehaving_clients.py
@@ -81,9 +81,31 @@
     return (rig.ip, port), "/api/ready"
 
 
+async def check_process(rig, crowd):
+    """Check a process while a crowd, a list of tasks, is there; then end the crowd."""
+    status = await send_ordinary_request(rig)
+    is_ready = await rig.is_ready()
+    peak = rig.read_memory_mb("VmHWM")
+    descriptors = rig.count_descriptors()
+    seen = (
+        f"{peak:.0f} MB, {descriptors} descriptors, {status}, ready: {is_ready}, "
+        f"{rig.process.returncode}"
+    )
+    print("SEEN", seen)
+    for task in crowd:
+        task.cancel()
+    await asyncio.gather(*crowd, return_exceptions=True)
+    assert rig.process.returncode is None, seen
+    assert peak < MEMORY_LIMIT_MB, seen
+    assert descriptors < MAX_FDS, seen
+    assert status == 200, seen
+    assert is_ready, seen
+    assert "Traceback" not in rig.log
+
+
 @pytest.mark.parametrize("door", DOORS)
 @pytest.mark.parametrize("send", CROWDS, ids=lambda send: send.__name__)
-async def test_process_outlives_the_crowd(tmp_path, send, door):
+async def test_process_outlives_the_clients(tmp_path, send, door):
     """Clients beyond control ended processes, which ran out of memory."""
     rig = GatewayProcessRig(tmp_path, MEMORY_LIMIT_MB, MAX_FDS, MANIFEST)
     async with rig:
@@ -95,21 +117,4 @@
             for _ in range(CROWDS[send])
         ]
         await asyncio.sleep(CROWD_S)
-        status = await send_ordinary_request(rig)
-        is_ready = await rig.is_ready()
-        peak = rig.read_memory_mb("VmHWM")
-        descriptors = rig.count_descriptors()
-        seen = (
-            f"{peak:.0f} MB, {descriptors} descriptors, {status}, ready: {is_ready}, "
-            f"{rig.process.returncode}"
-        )
-        print(f"SEEN {send.__name__} {door}: {seen}")
-        for task in crowd:
-            task.cancel()
-        await asyncio.gather(*crowd, return_exceptions=True)
-        assert rig.process.returncode is None, seen
-        assert peak < MEMORY_LIMIT_MB, seen
-        assert descriptors < MAX_FDS, seen
-        assert status == 200, seen
-        assert is_ready, seen
-        assert "Traceback" not in rig.log
+        await check_process(rig, crowd)
--- a/test/gateway/test_peer_crowds.py
+++ b/test/gateway/test_peer_crowds.py
@@ -15,7 +15,7 @@
     MAX_FDS,
     MEMORY_LIMIT_MB,
     RETRY_S,
-    send_ordinary_request,
+    check_process,
 )
 from gateway_process import GatewayProcessRig
 
@@ -28,6 +28,8 @@
 pytestmark = pytest.mark.serial
 
 CROWD = 400
+SENDERS_OF_A_SIZE = 10
+MAX_LOGGED = 50
 FRAME_HEADER = struct.Struct("!IB")
 MAC = bytes(16)
 
@@ -68,7 +70,7 @@
 @pytest.mark.parametrize(
     "send", [send_nothing, send_part_of_hello, send_bytewise, send_large_frame]
 )
-async def test_process_outlives_the_crowd(tmp_path, send):
+async def test_process_outlives_connections(tmp_path, send):
     async def join_again():
         """Connect again and again, as each connection ends."""
         while True:
@@ -79,20 +81,32 @@
         assert await poll_until(lambda: rig.store.read(FLEET_KEY_NAME), 0.05, 5.0)
         crowd = [asyncio.create_task(join_again()) for _ in range(CROWD)]
         await asyncio.sleep(CROWD_S)
-        status = await send_ordinary_request(rig)
         is_instance_served = await ask_as_instance(rig)
-        is_ready = await rig.is_ready()
-        peak = rig.read_memory_mb("VmHWM")
-        descriptors = rig.count_descriptors()
-        for task in crowd:
-            task.cancel()
-        await asyncio.gather(*crowd, return_exceptions=True)
-        seen = f"{peak:.0f} MB, {descriptors} descriptors, {status}, {is_ready}"
-        print("SEEN", seen, is_instance_served)
-        assert rig.process.returncode is None, seen
-        assert peak < MEMORY_LIMIT_MB, seen
-        assert descriptors < MAX_FDS, seen
-        assert status == 200, seen
-        assert is_ready, seen
-        assert is_instance_served, seen
-        assert "Traceback" not in rig.log
+        await check_process(rig, crowd)
+        assert is_instance_served
+
+
+# Guards against datagrams of strangers, which get a line in the log each.
+async def test_process_outlives_datagrams(tmp_path):
+    async def send_again(data):
+        loop = asyncio.get_running_loop()
+        address = rig.ip, rig.ports["peers"]
+        transport, _ = await loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, remote_addr=address
+        )
+        try:
+            while True:
+                transport.sendto(data)
+                await asyncio.sleep(0.01)
+        finally:
+            transport.abort()
+
+    async with GatewayProcessRig(tmp_path, MEMORY_LIMIT_MB, MAX_FDS, MANIFEST) as rig:
+        assert await poll_until(lambda: rig.store.read(FLEET_KEY_NAME), 0.05, 5.0)
+        sizes = [1, 400, 60000] * SENDERS_OF_A_SIZE
+        crowd = [asyncio.create_task(send_again(b"x" * size)) for size in sizes]
+        await asyncio.sleep(CROWD_S)
+        is_instance_served = await ask_as_instance(rig)
+        await check_process(rig, crowd)
+        assert is_instance_served
+        assert 0 < rig.log.count("rejected load message") < MAX_LOGGED
--- a/test/gateway/test_sharing.py
+++ b/test/gateway/test_sharing.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from structlog.testing import capture_logs
 
 from tanagerwalk.decisions.latency_histograms import LatencyHistogram
 from tanagerwalk.decisions.quarantine import CrashRecord
@@ -31,6 +32,7 @@
     sign,
 )
 from tanagerwalk.gateway.sharing import LoadSharing
+from tanagerwalk.logs import configure_logs
 from tanagerwalk.peers.codec import decode, encode
 from tanagerwalk.peers.gen.loads.ttypes import LoadMessage
 
@@ -128,6 +130,17 @@
     assert sharing.rejected == 1
 
 
+# Guards against a line in the log for each datagram that anyone sends.
+def test_many_forged_messages_are_logged_once():
+    configure_logs("debug")
+    sharing, _ = build_sharing()
+    with capture_logs() as lines:
+        for _ in range(1000):
+            sharing.datagram_received(b"x" * 400, ("10.0.0.1", 1))
+    assert [line["event"] for line in lines] == ["rejected load message"]
+    assert sharing.rejected == 1000
+
+
 @given(st.binary(max_size=400))
 def test_random_datagrams_change_nothing(data):
     sharing, shared = build_sharing()
