--- a/test/gateway/test_answer_recorder.py
+++ b/test/gateway/test_answer_recorder.py
@@ -6,7 +6,7 @@
 import pytest
 
 from tanagerwalk.decisions.engine_load import EngineLoad
-from tanagerwalk.decisions.latency_baselines import LatencySample
+from tanagerwalk.decisions.latency_baselines import LatencyBaselines, LatencySample
 from tanagerwalk.decisions.locations import Home
 from tanagerwalk.decisions.paths import PathTable
 from tanagerwalk.decisions.release_evidence import is_bad_release, is_proved_fast
@@ -14,7 +14,7 @@
 from tanagerwalk.decisions.server_usage_table import hash_life
 from tanagerwalk.decisions.shared_loads import SharedLoadTable, hash_server
 from tanagerwalk.decisions.tallies import SideCount, TallyBook
-from tanagerwalk.gateway.answer_recorder import AnswerRecorder
+from tanagerwalk.gateway.answer_recorder import AnswerRecorder, _remove_slowdown
 from tanagerwalk.gateway.attempts import Attempt, AttemptResult, Outcome
 from tanagerwalk.registry import RegisteredServer, ServerState
 
@@ -236,3 +236,12 @@
     assert book.own.target == {"letters": SideCount(1, 1)}
     counts = [book.own.target_servers[hash_server(server.id)] for server in servers]
     assert counts == [SideCount(1, 0), SideCount(1, 1)]
+
+
+def test_report_of_a_fast_machine_makes_no_answer_slow():
+    baselines = LatencyBaselines()
+    sample = LatencySample(0.05, 0.033, 29, 800)
+    for _ in range(50):
+        baselines.record("k", sample)
+    fast = _remove_slowdown(sample, EngineLoad(1, 0, 16, 0.01))
+    assert not baselines.is_slow("k", fast, 1.0, 0.8)
