Write bills to the store when their copying raises

Cause: an exception while bills were copied to peers ended the wait of their answers as if the copies were held: nothing was written to the store at once, and no bill was counted as at risk. In a flush it ended the task. Change: copying that raises is logged and counts as no copy. Result: three tests of test_bill_copies.py failed before and pass; those of test_billing.py pass.

--- a/tanagerwalk/controllers/billing.py
+++ b/tanagerwalk/controllers/billing.py
@@ -113,9 +113,7 @@
 
     async def _replicate(self, batch, futures):
         try:
-            batch.holders = await self._replicator.replicate(
-                [(batch.batch_id, batch.bills)]
-            )
+            batch.holders = await self._copy([batch])
             if not batch.holders:
                 await self._write_without_peers(batch)
         finally:
@@ -123,6 +121,17 @@
                 if not future.done():
                     future.set_result(None)
 
+    async def _copy(self, batches):
+        """Return the peers that hold copies of batches; none if copying raised."""
+        try:
+            return await self._replicator.replicate(
+                [(batch.batch_id, batch.bills) for batch in batches]
+            )
+        except Exception:
+            # The bills still have to reach the store before the answers end.
+            log.exception("copying of bills failed", batches=len(batches))
+            return []
+
     async def _write_without_peers(self, batch):
         """Write a batch to the store at once because no peer holds a copy."""
         try:
@@ -184,9 +193,7 @@
         unreplicated = unreplicated[:MAX_CONCURRENT_BATCHES]
         if not unreplicated:
             return
-        holders = await self._replicator.replicate(
-            [(b.batch_id, b.bills) for b in unreplicated]
-        )
+        holders = await self._copy(unreplicated)
         for batch in unreplicated:
             batch.holders = holders
 
