Drop copies of a batch that was written while it was copied

Cause: a flush that ended before the first copy of a batch didn't know the holders, so that they kept the copy and wrote it once more later. A second copy, made by a failed flush, replaced the holders of the first. Change: holders are added, and copies of written batches dropped at once.

--- a/tanagerwalk/controllers/billing.py
+++ b/tanagerwalk/controllers/billing.py
@@ -34,7 +34,7 @@
     bills: bytes
     count: int
     created_at: float
-    holders: list[str] = field(default_factory=list)
+    holders: set[str] = field(default_factory=set)
 
 
 class BillingController:
@@ -113,8 +113,8 @@
 
     async def _replicate(self, batch, futures):
         try:
-            batch.holders = await self._copy([batch])
-            if not batch.holders:
+            await self._copy([batch])
+            if not batch.holders and self._is_unwritten(batch):
                 await self._write_without_peers(batch)
         finally:
             for future in futures:
@@ -122,15 +122,22 @@
                     future.set_result(None)
 
     async def _copy(self, batches):
-        """Return the peers that hold copies of batches; none if copying raised."""
+        """Copy batches to peers and record the holders; none if copying raises."""
         try:
-            return await self._replicator.replicate(
+            holders = await self._replicator.replicate(
                 [(batch.batch_id, batch.bills) for batch in batches]
             )
         except Exception:
             # The bills still have to reach the store before the answers end.
             log.exception("copying of bills failed", batches=len(batches))
-            return []
+            return
+        for batch in batches:
+            batch.holders.update(holders)
+        # A flush that ended meanwhile did not know these holders.
+        await self._drop_copies([b for b in batches if not self._is_unwritten(b)])
+
+    def _is_unwritten(self, batch):
+        return batch.batch_id.sequence in self._unwritten_batches
 
     async def _write_without_peers(self, batch):
         """Write a batch to the store at once because no peer holds a copy."""
@@ -139,7 +146,7 @@
                 await self._write([batch])
         except TimeoutError:
             self._metrics.platform_faults.labels("keyvalue").inc()
-        if batch.batch_id.sequence in self._unwritten_batches:
+        if self._is_unwritten(batch):
             self._metrics.bills_at_risk.inc(batch.count)
             log.error(
                 "bills are confirmed neither by a peer nor by the store",
@@ -191,11 +198,8 @@
             batch for batch in self._unwritten_batches.values() if not batch.holders
         ]
         unreplicated = unreplicated[:MAX_CONCURRENT_BATCHES]
-        if not unreplicated:
-            return
-        holders = await self._copy(unreplicated)
-        for batch in unreplicated:
-            batch.holders = holders
+        if unreplicated:
+            await self._copy(unreplicated)
 
     def _log_if_overdue(self):
         oldest = min(batch.created_at for batch in self._unwritten_batches.values())
--- a/test/controllers/test_bill_copies.py
+++ b/test/controllers/test_bill_copies.py
@@ -83,3 +83,16 @@
     assert not await billing.flush()
     store.outage = False
     assert await billing.flush()
+
+
+# Guards against copies that the holders keep until they write them a second time.
+async def test_batch_that_is_written_while_it_is_copied_is_dropped_by_its_holders():
+    billing, _, replicator = build_billing()
+    replicator.may_copy.clear()
+    recording = asyncio.ensure_future(billing.record(BILL))
+    await asyncio.sleep(0)
+    await billing.flush()
+    assert billing.count_unwritten() == 0
+    replicator.may_copy.set()
+    await recording
+    assert sorted(replicator.dropped) == [("b:1", [0]), ("c:1", [0])]
