Refuse settings of serve that are not finite

Cause: a comparison with nan is false, so that nan passed the check for negative numbers, and inf wasn't looked at. Change: such a number is a problem of the settings, one of 400 digits too.

--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -1,6 +1,7 @@
 """Typed, validated settings of one process, read from INI."""
 
 import configparser
+import math
 from dataclasses import dataclass, fields
 from importlib import resources
 
@@ -231,10 +232,13 @@
             continue
         try:
             number = field.type(raw)
-        except ValueError:
+            is_finite = math.isfinite(number)
+        except (ValueError, OverflowError):
             problems.append(f'[{section.name}] {field.name} = "{raw}" is not a number')
             continue
         if number < 0:
             problems.append(f"[{section.name}] {field.name} = {raw} is negative")
+        elif not is_finite:
+            problems.append(f"[{section.name}] {field.name} = {raw} is not finite")
         values[field.name] = number
     return kind(**values) if len(values) == len(fields(kind)) else None
