Refuse numbers of a declaration that are not finite

Cause: inf passed as a cost, a lateness of 400 digits as a duration, and nan or inf as tokens or exposure raised out of the parser, which ended the task that reads the store. Change: such a number is a problem of the declaration.

--- a/tanagerwalk/declarations.py
+++ b/tanagerwalk/declarations.py
@@ -6,6 +6,7 @@
 
 import configparser
 import hashlib
+import math
 import re
 from dataclasses import dataclass, field
 
@@ -135,11 +136,12 @@
 
 
 def parse_duration(raw):
-    """Convert a duration such as `300 ms` or `2 m` to seconds; None if malformed."""
+    """Convert a duration such as `300 ms` to seconds; None if malformed or infinite."""
     match = DURATION_PATTERN.match(raw.strip())
     if match is None:
         return None
-    return float(match[1]) * DURATION_UNITS_S[match[2]]
+    seconds = float(match[1]) * DURATION_UNITS_S[match[2]]
+    return seconds if math.isfinite(seconds) else None
 
 
 def parse_declaration(text):
@@ -218,6 +220,9 @@
         except ValueError:
             self.report(f'{key} = "{raw}" is not a number')
             return 0.0
+        if not math.isfinite(number):
+            self.report(f"{key} = {raw} is not finite")
+            return 0.0
         if not minimum <= number <= maximum:
             self.report(f"{key} = {raw} is not between {minimum:g} and {maximum:g}")
         return number
