Refuse a declaration whose sections differ in spaces only

Cause: [class a] and [class a] name one class, and the later one replaced the earlier without a word. Change: the repeated section is a problem of the declaration.

--- a/tanagerwalk/declarations.py
+++ b/tanagerwalk/declarations.py
@@ -185,7 +185,11 @@
         if kind not in sections or not name.strip():
             problems.append(f"unknown section [{title}]")
             continue
-        sections[kind][name.strip()] = _SectionReader(title, parser[title])
+        name = name.strip()
+        if name in sections[kind]:
+            problems.append(f"section [{title}] repeats [{kind} {name}]")
+            continue
+        sections[kind][name] = _SectionReader(title, parser[title])
     return sections
 
 
--- a/test/test_declarations.py
+++ b/test/test_declarations.py
@@ -76,6 +76,14 @@
     assert any(key in problem for problem in parse_declaration(text).error)
 
 
+# Guards against a section that replaces another one unseen.
+@pytest.mark.parametrize("title", ["class  label", "class label ", "class\tlabel"])
+def test_repeated_section_is_a_problem(title):
+    text = f"{VALID}[{title}]\nlateness = 1 s\n"
+    (problem,) = parse_declaration(text).error
+    assert title.strip() in problem
+
+
 def write_line(key, value):
     return f"{key} = {value}"
 
