Bear declarations, leases and files that are not UTF-8

Cause: the declaration and the holder of a lease were decoded without a catch, so that one value of the store ended the task that follows it; the commands ended with a traceback, `report` for a stored declaration with problems too. Change: decode_text; such a declaration is refused like one with problems, and `apply` replaces it; files are told in one line.

--- a/tanagerwalk/controllers/configuration.py
+++ b/tanagerwalk/controllers/configuration.py
@@ -6,7 +6,7 @@
 
 from ..decisions.configuration import NO_REVISION
 from ..decisions.patches import Patch, apply_patch
-from ..documents import decode_json
+from ..documents import decode_json, decode_text
 from .loop import run_periodically
 
 log = structlog.get_logger(__name__)
@@ -76,11 +76,20 @@
             self._metrics.platform_faults.labels("keyvalue").inc()
             return
         if result.ok.entry is not None:
-            entry = result.ok.entry
-            self.accept(entry.revision, entry.value.decode(), sent_at)
+            self._accept_entry(result.ok.entry, sent_at)
         elif result.ok.revision >= known > NO_REVISION:
             self._state.confirm(known, sent_at)
 
+    def _accept_entry(self, entry, confirmed_at):
+        text = decode_text(entry.value)
+        if text.is_ok():
+            self.accept(entry.revision, text.ok, confirmed_at)
+            return
+        self._state.refuse(entry.revision)
+        log.error(
+            "declaration refused", revision=entry.revision, problems=(text.error,)
+        )
+
     async def _watch(self):
         """Apply patches as they arrive; read the full text if one does not apply."""
         while True:
--- a/tanagerwalk/decisions/configuration.py
+++ b/tanagerwalk/decisions/configuration.py
@@ -58,7 +58,7 @@
             return ()
         result = parse_declaration(text)
         if result.is_error():
-            self._refused = max(self._refused, revision)
+            self.refuse(revision)
             return result.error
         self.declaration = result.ok
         self.revision = revision
@@ -67,6 +67,10 @@
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
         return ()
 
+    def refuse(self, revision):
+        """Record that the declaration of a revision cannot be read."""
+        self._refused = max(self._refused, revision)
+
     def confirm(self, revision, confirmed_at):
         """Record that `revision` was the newest at a monotonic time in seconds."""
         if revision == self.revision:
--- a/tanagerwalk/decisions/leases.py
+++ b/tanagerwalk/decisions/leases.py
@@ -134,7 +134,7 @@
             self._record_absence(now, rank)
             return
         self._absence_seen = False
-        self.holder = entry.value.decode().partition(" ")[0]
+        self.holder = entry.value.decode("utf-8", "replace").partition(" ")[0]
         if self.phase is LeasePhase.IN_DOUBT and entry.value == self.value:
             self._acquire(entry.revision, now)
             return
--- a/tanagerwalk/documents.py
+++ b/tanagerwalk/documents.py
@@ -1,4 +1,4 @@
-"""Decoding of JSON documents that other programs have written.
+"""Decoding of JSON documents and texts that other programs have written.
 
 `msgspec` reports most defects of a document by an exception of its own, but deeply
 nested values exhaust the interpreter's stack, and some texts raise a plain ValueError.
@@ -32,6 +32,25 @@
         return Error(f"{type(error).__name__}: {error}")
 
 
+def decode_text(data):
+    """Decode a text that should be UTF-8.
+
+    Parameters
+    ----------
+    data : bytes
+        The text.
+
+    Returns
+    -------
+    Result of str, or of str
+        The error is one line for the log.
+    """
+    try:
+        return Ok(data.decode())
+    except UnicodeDecodeError:
+        return Error("not UTF-8")
+
+
 @functools.cache
 def _get_decoder(kind):
     return msgspec.json.Decoder(kind)
--- a/tanagerwalk/ui/apply.py
+++ b/tanagerwalk/ui/apply.py
@@ -59,7 +59,7 @@
     if current.is_error():
         return Error("cannot reach the key-value service")
     current_revision = current.ok.revision if current.ok else Revision(0)
-    if current.ok and current.ok.value.decode() == text:
+    if current.ok and current.ok.value == text.encode():
         return Ok(current_revision)
     if after != current_revision:
         return Error(
@@ -68,7 +68,8 @@
         )
     extra_puts = ()
     if current.ok:
-        patch = make_patch(current.ok.value.decode(), text)
+        # No instance has a text that is not UTF-8, so that none applies the patch.
+        patch = make_patch(current.ok.value.decode("utf-8", "replace"), text)
         extra_puts = ((PATCH_KEY, msgspec.json.encode(patch)),)
     written = await store.write(
         Write(DECLARATION_KEY, text.encode(), current_revision, extra_puts=extra_puts)
@@ -85,6 +86,6 @@
     if fault is StoreFault.NOT_APPLIED:
         return Error("cannot reach the key-value service")
     current = await store.get(DECLARATION_KEY)
-    if current.is_ok() and current.ok is not None and current.ok.value.decode() == text:
+    if current.is_ok() and current.ok is not None and current.ok.value == text.encode():
         return Ok(current.ok.revision)
     return Error("the key-value service did not respond; apply again to be sure")
--- a/tanagerwalk/ui/common.py
+++ b/tanagerwalk/ui/common.py
@@ -22,9 +22,11 @@
 def read_text(path):
     """Return the text of a file, or exit with an error message."""
     try:
-        return Path(path).read_text()
+        return Path(path).read_text(encoding="utf-8")
     except OSError as error:
         return fail(f"{path}: {error.strerror}")
+    except UnicodeDecodeError:
+        return fail(f"{path}: not UTF-8")
 
 
 def read_settings(path):
--- a/tanagerwalk/ui/diff.py
+++ b/tanagerwalk/ui/diff.py
@@ -18,7 +18,7 @@
     """
     wanted = read_text(declaration)
     entry = read_declaration(settings_path)
-    current = entry.value.decode() if entry else ""
+    current = entry.value.decode("utf-8", "replace") if entry else ""
     title = f"revision {entry.revision}" if entry else "no declaration in force"
     lines = list(
         difflib.unified_diff(
--- a/tanagerwalk/ui/report.py
+++ b/tanagerwalk/ui/report.py
@@ -6,6 +6,7 @@
 import click
 
 from ..declarations import EMPTY_DECLARATION, parse_declaration
+from ..documents import decode_text
 from ..reports import FleetReport
 from .common import fail, read_declaration, settings_option
 
@@ -26,7 +27,10 @@
     entry = read_declaration(settings_path)
     declaration = EMPTY_DECLARATION
     if entry is not None:
-        declaration = parse_declaration(entry.value.decode()).ok
+        parsed = decode_text(entry.value).bind(parse_declaration)
+        if parsed.is_error():
+            fail("the declaration in force is not valid")
+        declaration = parsed.ok
     for line in render_report(fleet, declaration):
         click.echo(line)
 
--- a/tanagerwalk/ui/show.py
+++ b/tanagerwalk/ui/show.py
@@ -13,4 +13,4 @@
     if entry is None:
         fail("no declaration is in force")
     click.echo(f"revision {entry.revision}", err=True)
-    click.echo(entry.value.decode(), nl=False)
+    click.echo(entry.value, nl=False)
--- a/test/ui/test_commands.py
+++ b/test/ui/test_commands.py
@@ -1,13 +1,17 @@
 """Tests of the commands for operators, run through the command group."""
 
 import asyncio
+import importlib
 import threading
 
 import pytest
 from click.testing import CliRunner
 
+from tanagerwalk.controllers.configuration import DECLARATION_KEY
 from tanagerwalk.standins.keyvalue import KeyValueStandIn
 from tanagerwalk.ui.commands import COMMANDS, cli
+from tanagerwalk.ui.common import read_settings, run_with_store
+from tanagerwalk.writes import ABSENT, Write
 
 DECLARATION = """
 [class label]
@@ -141,3 +145,31 @@
     applied = invoke("apply", "--settings", settings, declaration)
     assert applied.exit_code == 1
     assert applied.stderr == "tanagerwalk: cannot reach the key-value service\n"
+
+
+async def fetch_no_metrics(addresses):
+    del addresses
+    return []
+
+
+# Guards against a traceback where the store holds what another program wrote.
+@pytest.mark.parametrize(
+    "value", [b"[class label]\n; \xff\n", b"[class label]\ncost = x\n"]
+)
+def test_stored_declaration_that_cannot_be_read_can_be_replaced(
+    settings, declaration, monkeypatch, value
+):
+    async def write(client):
+        return await client.write(Write(DECLARATION_KEY, value, ABSENT))
+
+    assert run_with_store(read_settings(settings), write).is_ok()
+    assert invoke("show", "--settings", settings).stdout_bytes == value
+    assert invoke("diff", "--settings", settings, declaration).exit_code == 1
+    module = importlib.import_module("tanagerwalk.ui.report")
+    monkeypatch.setattr(module, "_fetch_all_metrics", fetch_no_metrics)
+    reported = invoke("report", "--settings", settings, "127.0.0.1:1")
+    assert reported.exit_code == 1
+    assert reported.stderr == "tanagerwalk: the declaration in force is not valid\n"
+    applied = invoke("apply", "--settings", settings, "--after", 1, declaration)
+    assert applied.output == "revision 2\n"
+    assert invoke("show", "--settings", settings).stdout == DECLARATION
