Treat a long line of a watch as a fault of the store

Cause: a change of more than 512 KiB in one line raised LineTooLong, which is no ClientError, and ended the task that follows the declaration. Change: it is a fault; the poll reads the value. A test also shows that an empty list of tools is refused, as it was. Result: both sizes of test_long_line_of_a_watch_is_read_or_a_fault failed before (LineTooLong) and pass; the other tests of odd responses pass.

--- a/tanagerwalk/clients/keyvalue.py
+++ b/tanagerwalk/clients/keyvalue.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import structlog
+from aiohttp.http_exceptions import LineTooLong
 from expression import Error, Ok
 
 from ..documents import decode_json
@@ -203,6 +204,9 @@
                 return await _read_events(response)
         except TimeoutError:
             return Ok([])
+        except LineTooLong:
+            # It is no ClientError. The value is still read by `get`.
+            return Error(StoreFault.UNKNOWN)
         except aiohttp.ClientError:
             return Error(StoreFault.UNKNOWN)
 
--- a/test/api/test_payloads.py
+++ b/test/api/test_payloads.py
@@ -20,6 +20,7 @@
 
 UNSUPPORTED = [
     ({"tools": [{}]}, 'parameter "tools" is not supported'),
+    ({"tools": []}, 'parameter "tools" is not supported'),
     ({"logprobs": True}, 'parameter "logprobs" is not supported'),
     ({"priority": 1}, 'parameter "priority" is not supported'),
     ({"n": 2}, 'parameter "n" must be 1'),
--- a/test/clients/test_odd_responses.py
+++ b/test/clients/test_odd_responses.py
@@ -130,6 +130,17 @@
         assert result.is_error() or 0 <= result.ok.running <= 1e15
 
 
+# Guards against a large value of the store that raises where changes are watched.
+@pytest.mark.parametrize("size", [600_000, 5_000_000])
+async def test_long_line_of_a_watch_is_read_or_a_fault(http, server, size):
+    client = KeyValueClient(http, f"http://{server.address}", 5.0)
+    value = base64.b64encode(b"x" * size).decode()
+    pair = GOOD_PAIR | {"value": value}
+    server.body = json.dumps({"result": {"events": [{"kv": pair}]}}) + "\n"
+    changed = await client.wait_for_change("a", 0, 5.0)
+    assert changed.is_error() or len(changed.ok[-1].value) == size
+
+
 # Guards against a line without end that raises out of the attempt.
 @pytest.mark.parametrize("prefix", ["data: ", ""])
 async def test_line_without_end_fails_the_attempt(http, server, prefix):
