Send no chunks in answer to a HEAD request

Cause: a stream was framed and ended with a last chunk for HEAD requests too, which the client took for the beginning of the next answer. Change: the responder writes only the head of a stream for HEAD.

--- a/tanagerwalk/gateway/responder.py
+++ b/tanagerwalk/gateway/responder.py
@@ -81,24 +81,34 @@
             self._connection.write_parts([head, body])
 
     def start_stream(self, status, reason, headers, first_chunk):
-        """Send the head and the first chunk of a streamed response."""
+        """Send the head and the first chunk of a streamed response.
+
+        The response to a HEAD request has no chunks.
+        """
         self._chunked = True
         framing = (b"Transfer-Encoding", b"chunked")
         head = self._encode_head(status, reason, [*headers, framing])
         self.started = True
-        self._connection.write(head + _encode_chunk(first_chunk))
+        self._connection.write(head + self._encode_chunk(first_chunk))
 
     async def write(self, data):
         """Send a chunk of a streamed response and wait for the write buffer."""
-        if not data:
+        chunk = self._encode_chunk(data)
+        if not chunk:
             return
-        self._connection.write(_encode_chunk(data))
+        self._connection.write(chunk)
         await self._connection.wait_writable()
 
     def finish_stream(self):
         """Send the terminating chunk of a streamed response."""
         self.finished = True
-        self._connection.write(b"0\r\n\r\n")
+        if not self._is_head_request:
+            self._connection.write(b"0\r\n\r\n")
+
+    def _encode_chunk(self, data):
+        if not data or self._is_head_request:
+            return b""
+        return b"%x\r\n%s\r\n" % (len(data), data)
 
     def _encode_head(self, status, reason, headers):
         self.keep_alive = self.keep_alive and not self._connection.closes_after_response
@@ -108,9 +118,3 @@
         lines = [b"HTTP/1.1 %d %s" % (status, phrase)]
         lines.extend(b"%s: %s" % header for header in headers)
         return b"\r\n".join(lines) + b"\r\n\r\n"
-
-
-def _encode_chunk(data):
-    if not data:
-        return b""
-    return b"%x\r\n%s\r\n" % (len(data), data)
