Forget what is known of earlier orders on each instance

Cause: tallies were dropped only by the instance that writes the first phase of the next order; starts and rollbacks were never dropped, and a late tally of another instance brought an old one back. Change: each step of a roll-out drops what is known of earlier orders, but for the order of the loaded state, to which a restored store may go back. Result: the first two tests of test_earlier_orders.py failed before and pass, with those of release roll-outs and conditions; the third is for the new method.

--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -173,6 +173,7 @@
     async def _advance(self, order):
         if not self._mirror.is_loaded:
             return
+        self._forget_earlier_orders(order)
         key = (order.service, order.revision)
         state = self._states.get(order.service)
         if state is None or state.order != order.revision:
@@ -199,22 +200,24 @@
     async def _start(self, order):
         key = (order.service, order.revision)
         self._started_at.setdefault(key, self._clock())
-        self._discard_old_tallies(order)
         state = RolloutState(
             order.service, order.target, order.revision, RolloutPhase.CANARY
         )
         await self._write_phase(order, state)
 
-    def _discard_old_tallies(self, order):
-        """Delete the tallies for earlier orders of the service."""
-        old = [
-            key
-            for key in self._tallies
-            if key[0] == order.service and key[1] < order.revision
-        ]
-        for key in old:
-            del self._tallies[key]
+    def _forget_earlier_orders(self, order):
+        """Delete what is known of earlier orders of the service."""
+        state = self._states.get(order.service)
+        # A restored store may go back to the order of the loaded state.
+        first_kept = order.revision if state is None else state.order
+        known = self._tallies.keys() | self._started_at.keys() | self._rolled_back
+        for key in known:
+            if key[0] != order.service or key[1] >= min(first_kept, order.revision):
+                continue
+            self._tallies.pop(key, None)
             self._recent_latencies.pop(key, None)
+            self._started_at.pop(key, None)
+            self._rolled_back.discard(key)
 
     async def _write_phase(self, order, state):
         """Write a new phase unless another instance wrote one first."""
--- /dev/null
+++ b/test/gateway/test_earlier_orders.py
@@ -0,0 +1,96 @@
+"""What is kept of a roll-out once another order of the service has followed."""
+
+import random
+from types import SimpleNamespace
+
+from tanagerwalk.decisions.relays import Scope
+from tanagerwalk.decisions.release_rollouts import RolloutPhase, RolloutState
+from tanagerwalk.decisions.tallies import SideCount, Tally
+from tanagerwalk.gateway.release_rollouts import (
+    ROLLOUT_PREFIX,
+    ReleaseRolloutController,
+)
+from tanagerwalk.gateway.rollout_records import encode_state
+from tanagerwalk.registry import RolloutOrder
+from tanagerwalk.writes import Entry
+
+FIRST = RolloutOrder("desk", "v2", 20.0, 7)
+SECOND = RolloutOrder("desk", "v3", 20.0, 9)
+
+
+class Mirror:
+    """Holds what other instances have written to the store."""
+
+    is_loaded = True
+
+    def __init__(self):
+        self.entries = {}
+        self._callback = None
+
+    def subscribe(self, callback):
+        self._callback = callback
+
+    def load(self, order, revision, phase=RolloutPhase.CANARY):
+        key = ROLLOUT_PREFIX + order.service
+        state = RolloutState(order.service, order.target, order.revision, phase)
+        self.entries[key] = Entry(key, encode_state(state), revision)
+        self._callback()
+
+
+def build_controller():
+    mirror = Mirror()
+    cluster_state = SimpleNamespace(orders={"desk": FIRST})
+    controller = ReleaseRolloutController(
+        None,
+        mirror,
+        cluster_state,
+        None,
+        "a-1",
+        lambda: True,
+        lambda: 10.0,
+        random.Random(1),
+    )
+    return controller, mirror, cluster_state
+
+
+async def follow(controller, mirror, cluster_state):
+    """Take part in the first roll-out, then in one that others have started."""
+    mirror.load(FIRST, 8)
+    controller.record_start(FIRST, True)
+    await controller._advance(FIRST)
+    controller._rolled_back.add(("desk", FIRST.revision))
+    cluster_state.orders = {"desk": SECOND}
+    mirror.load(SECOND, 10)
+    controller.record_start(SECOND, True)
+    await controller._advance(SECOND)
+
+
+# Guards against memory that grows with each order that another instance started.
+async def test_earlier_orders_are_forgotten():
+    controller, mirror, cluster_state = build_controller()
+    await follow(controller, mirror, cluster_state)
+    assert controller._tallies.keys() == {("desk", SECOND.revision)}
+    assert controller._recent_latencies.keys() == {("desk", SECOND.revision)}
+    assert controller._started_at.keys() == {("desk", SECOND.revision)}
+    assert controller._rolled_back == set()
+
+
+async def test_late_tally_of_an_earlier_order_is_forgotten():
+    controller, mirror, cluster_state = build_controller()
+    await follow(controller, mirror, cluster_state)
+    late = Tally({"plans": SideCount(9, 2)}, {})
+    key = ("desk", FIRST.revision)
+    controller.record_peer_tally(key, Scope.INSTANCE, "a-1", "other", late)
+    mirror.load(SECOND, 11, RolloutPhase.COMPLETE)
+    await controller._advance(SECOND)
+    assert controller._tallies.keys() == {("desk", SECOND.revision)}
+
+
+async def test_earlier_order_goes_on_after_a_restore_of_the_store():
+    controller, mirror, cluster_state = build_controller()
+    mirror.load(FIRST, 8)
+    cluster_state.orders = {"desk": SECOND}
+    controller._forget_earlier_orders(SECOND)
+    cluster_state.orders = {"desk": FIRST}
+    await controller._advance(FIRST)
+    assert controller.find_progress(FIRST, 12.0) == 0.1
