End the wait for a claim's release at the deadline of the request

Cause: a request whose key was being released waited for up to 3 s, whatever its own deadline. Change: the filter knows the clock and waits no longer than the request. Result: test_wait_for_a_release_ends_at_the_deadline failed before (3.0 s of a deadline of 0.1 s) and passes; the tests of claims pass.

--- a/tanagerwalk/filters/claim.py
+++ b/tanagerwalk/filters/claim.py
@@ -76,16 +76,19 @@
         Returns the incarnations of the live instances, or None if unknown.
     wall_clock : callable
         Returns wall-clock time in seconds since the epoch.
+    clock : callable
+        Returns monotonic time in seconds.
     """
 
     def __init__(
-        self, store, retention, incarnation, list_live_incarnations, wall_clock
+        self, store, retention, incarnation, list_live_incarnations, wall_clock, clock
     ):
         self._store = store
         self._retention = retention
         self._incarnation = incarnation
         self._list_live_incarnations = list_live_incarnations
         self._wall_clock = wall_clock
+        self._clock = clock
         self._tasks = set()
         self._open_claims = {}
 
@@ -110,9 +113,8 @@
     async def _run_with_claim(self, context, proceed):
         context.sink = DetachableSink(context.sink)
         key = f"{CLAIM_PREFIX}{context.account.name}/{context.idempotency_key}"
-        await poll_until(
-            lambda: not self._is_releasing(key), RELEASE_POLL_S, MAX_RELEASE_WAIT_S
-        )
+        longest = min(MAX_RELEASE_WAIT_S, context.deadline - self._clock())
+        await poll_until(lambda: not self._is_releasing(key), RELEASE_POLL_S, longest)
         if self._is_releasing(key):
             return Error(refuse_unavailable())
         open_claim = self._open_claims.get(key)
--- a/tanagerwalk/records.py
+++ b/tanagerwalk/records.py
@@ -82,6 +82,7 @@
             dependencies.incarnation,
             dependencies.membership.list_live,
             dependencies.wall_clock,
+            dependencies.clock,
         )
 
     def _wire_sessions(self, dependencies):
--- /dev/null
+++ b/test/filters/test_cancelled_claims.py
@@ -0,0 +1,73 @@
+"""Claims whose run is cancelled, and requests that wait for a claim's release."""
+
+import asyncio
+import time
+
+from expression import Error, Ok
+
+from tanagerwalk.decisions.claims import ClaimRecord
+from tanagerwalk.declarations import ClientAccount, WorkClass
+from tanagerwalk.documents import decode_json
+from tanagerwalk.filters.claim import MAX_RELEASE_WAIT_S, ClaimFilter
+from tanagerwalk.messages import RequestContext
+from tanagerwalk.outcomes import Interface, RefusalReason
+from tanagerwalk.writes import StoreFault, WriteOutcome
+
+
+class Store:
+    """Applies every write, or none while there is an outage."""
+
+    def __init__(self):
+        self.records = []
+        self.outage = False
+
+    async def write(self, write):
+        if self.outage:
+            return Error(StoreFault.UNKNOWN)
+        self.records.append(decode_json(write.value, ClaimRecord).ok)
+        return Ok(WriteOutcome(True, len(self.records)))
+
+
+class Retention:
+    """Supplies one lease."""
+
+    async def get(self):
+        return Ok(7)
+
+
+def build_filter():
+    store = Store()
+    claims = ClaimFilter(
+        store, Retention(), "a.1", lambda: None, time.time, time.monotonic
+    )
+    return claims, store
+
+
+def build_context(patience=1.0):
+    context = RequestContext("r1", {}, "", "booking", Interface.SERVICE)
+    context.work_class = WorkClass(
+        "booking", Interface.SERVICE, 0, 1, patience, 0, False
+    )
+    context.account = ClientAccount("desk", "", frozenset(), frozenset())
+    context.idempotency_key = "slot-1"
+    context.fingerprint = "f"
+    context.deadline = time.monotonic() + patience
+    return context
+
+
+async def cancel_run(context):
+    del context
+    raise asyncio.CancelledError
+
+
+async def test_wait_for_a_release_ends_at_the_deadline():
+    claims, store = build_filter()
+    context = build_context()
+    key = f"tanagerwalk/claims/desk/{context.idempotency_key}"
+    claims._open_claims[key] = claims._make_claim(key, context)
+    claims._is_releasing = lambda key: True
+    started = time.monotonic()
+    result = await claims.handle(build_context(patience=0.1), cancel_run)
+    assert result.error.reason is RefusalReason.CLAIM_UNAVAILABLE
+    assert time.monotonic() - started < MAX_RELEASE_WAIT_S / 2
+    assert not store.records
