Record a claim whose run is cancelled as unresolved

Cause: such a claim was never settled: it counted as running until the process ended, took one of the open claims, and a planned stop waited for it. Change: it is settled like a run that was cut off. Result: test_claim_whose_run_is_cancelled_is_recorded_as_unresolved failed before (the claim stayed open) and passes; the tests of claims pass.

--- a/tanagerwalk/filters/claim.py
+++ b/tanagerwalk/filters/claim.py
@@ -161,7 +161,7 @@
         """Write until the outcome of the claim is recorded in the store."""
         if claim.phase is ClaimPhase.RUNNING:
             # The run was cancelled, so its outcome is unknown.
-            return
+            claim.finish(Error(_refuse_cut_off("by a cancellation")))
         while claim.phase is not ClaimPhase.SETTLED:
             if not await self._write_settlement(claim):
                 await asyncio.sleep(SETTLE_RETRY_S)
@@ -222,13 +222,16 @@
         return await proceed(context)
     except Exception:
         # The request may have been sent before the error.
-        refusal = Refusal(
-            RefusalReason.BACKEND_FAILED,
-            "the request was cut off by an internal error; it may have run",
-            RunState.UNKNOWN,
-        )
         log.exception("run of a claimed request failed", request=context.request_id)
-        return Error(refusal)
+        return Error(_refuse_cut_off("by an internal error"))
+
+
+def _refuse_cut_off(cause):
+    return Refusal(
+        RefusalReason.BACKEND_FAILED,
+        f"the request was cut off {cause}; it may have run",
+        RunState.UNKNOWN,
+    )
 
 
 async def _deliver_decision(decision, context):
--- a/test/filters/test_cancelled_claims.py
+++ b/test/filters/test_cancelled_claims.py
@@ -3,9 +3,11 @@
 import asyncio
 import time
 
+import pytest
 from expression import Error, Ok
 
-from tanagerwalk.decisions.claims import ClaimRecord
+from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.decisions.claims import ClaimRecord, ClaimState
 from tanagerwalk.declarations import ClientAccount, WorkClass
 from tanagerwalk.documents import decode_json
 from tanagerwalk.filters.claim import MAX_RELEASE_WAIT_S, ClaimFilter
@@ -13,6 +15,8 @@
 from tanagerwalk.outcomes import Interface, RefusalReason
 from tanagerwalk.writes import StoreFault, WriteOutcome
 
+WAIT_S = 2.0
+
 
 class Store:
     """Applies every write, or none while there is an outage."""
@@ -60,6 +64,16 @@
     raise asyncio.CancelledError
 
 
+# Guards against a claim that stays open, and is counted, until the process ends.
+async def test_claim_whose_run_is_cancelled_is_recorded_as_unresolved():
+    claims, store = build_filter()
+    with pytest.raises(asyncio.CancelledError):
+        await claims.handle(build_context(), cancel_run)
+    assert await poll_until(lambda: not claims.open_count, 0.02, WAIT_S)
+    assert store.records[-1].state is ClaimState.UNRESOLVED
+    assert not claims.has_running_requests()
+
+
 async def test_wait_for_a_release_ends_at_the_deadline():
     claims, store = build_filter()
     context = build_context()
