Test one of many routes at a lower level

Cause: each route of a release was tested on its own at the level of a single test, so that the chance of a false halt grew with their number.

Change: the level of a route's failures is divided by the number of routes (Bonferroni). That of its latencies is divided by the square root of it: the base is slowed down before the comparison, so scores of a good release are mostly far below zero. All routes together are tested as before.

--- a/tanagerwalk/decisions/release_evidence.py
+++ b/tanagerwalk/decisions/release_evidence.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import deque
+from statistics import NormalDist
 
 from .latency_histograms import compute_rank_score
 from .tallies import SideCount
@@ -38,13 +39,15 @@
 MIN_SLOW_ANSWERS = 4
 RECENT_S = 4.0
 MIN_PROOF_ANSWERS = 4
+STANDARD_NORMAL = NormalDist()
 
 
 def is_bad_release(tally, slow_ratio=SLOW_RATIO):
     """Return whether the target release fails more often or is slower than the base.
 
     A release may be bad on one route only, so each route is tested on its own, and
-    then all routes together.
+    then all routes together. The more routes there are, the more often chance alone
+    makes one of them look bad, so the level of each test falls with their number.
 
     Parameters
     ----------
@@ -72,9 +75,14 @@
     target, base = _sum_sides(tally)
     if is_significantly_worse(target.subtract(failing), base):
         return True
+    routes = len(tally.target.keys() | tally.base.keys())
+    # Bonferroni correction.
+    level = SIGNIFICANCE_LEVEL / max(1, routes)
     return any(
         is_significantly_worse(
-            _subtract_share(count, failing, target), tally.base.get(route, SideCount())
+            _subtract_share(count, failing, target),
+            tally.base.get(route, SideCount()),
+            level,
         )
         for route, count in tally.target.items()
     )
@@ -197,13 +205,32 @@
     ratio : float
         Factor by which the target may be slower.
     """
-    groups = [*tally.list_latency_pairs().values()]
-    groups.append([pair for pairs in groups for pair in pairs])
-    return any(
-        _count_targets(pairs) >= MIN_SLOW_ANSWERS
-        and compute_rank_score(pairs, ratio) >= SLOW_SCORE
-        for pairs in groups
-    )
+    groups = [
+        pairs
+        for pairs in tally.list_latency_pairs().values()
+        if any(base.total for _, base in pairs)
+    ]
+    if _is_slower([pair for pairs in groups for pair in pairs], ratio):
+        return True
+    score = find_slow_score(len(groups))
+    return any(_is_slower(pairs, ratio, score) for pairs in groups)
+
+
+def find_slow_score(routes):
+    """Return the rank score from which a release is slow on one of some routes.
+
+    The base is slowed down before the comparison, so most scores of a good release are
+    far below zero. A correction for the number of routes would be too strict; one for
+    its square root is not.
+    """
+    chance = STANDARD_NORMAL.cdf(-SLOW_SCORE) / math.sqrt(max(1, routes))
+    return -STANDARD_NORMAL.inv_cdf(chance)
+
+
+def _is_slower(pairs, ratio, score=SLOW_SCORE):
+    if _count_targets(pairs) < MIN_SLOW_ANSWERS:
+        return False
+    return compute_rank_score(pairs, ratio) >= score
 
 
 def is_proved_fast(tally):
