Leave out bursts of failures that strike both releases

Cause: failures that come together, such as those of one cut or one burst of load, counted as independent, and the target was compared with all answers of the base so far. A cause that strikes both releases for a second counted most against the one that got more requests than before.

Change: each instance keeps the fleet's counts of a roll-out by second. A release that looks bad is tested again without the seconds in which the base failed significantly more often than otherwise. Failures of the target don't decide what is left out, and a release that did not look bad before doesn't now. No message changes. The binomial tail moves to a module of its own.

--- a/tanagerwalk/decisions/release_evidence.py
+++ b/tanagerwalk/decisions/release_evidence.py
@@ -5,6 +5,7 @@
 from statistics import NormalDist
 
 from .latency_histograms import compute_rank_score
+from .significance import is_tail_below
 from .tallies import SideCount
 
 MIN_BAD_ANSWERS = 3
@@ -25,8 +26,6 @@
 # Significance level at which some servers fail more often than the release's others.
 SERVER_SIGNIFICANCE_LEVEL = 0.005
 MIN_BASE_RATE = 0.02
-# Terms of a falling sum below this share of it don't change it.
-NEGLIGIBLE_SHARE = 1e-12
 # A release that is slower than the base by less than this is not called slow.
 SLOW_RATIO = 2**0.5
 # Once the base gets no more requests, the load may differ between the two.
@@ -42,7 +41,7 @@
 STANDARD_NORMAL = NormalDist()
 
 
-def is_bad_release(tally, slow_ratio=SLOW_RATIO):
+def is_bad_release(tally, slow_ratio=SLOW_RATIO, history=None):
     """Return whether the target release fails more often or is slower than the base.
 
     A release may be bad on one route only, so each route is tested on its own, and
@@ -55,16 +54,32 @@
         Answers of both releases.
     slow_ratio : float
         Factor by which the target may be slower than the base.
+    history : FailureHistory or None
+        The answers by period.
     """
-    return is_failing_release(tally) or is_slow_release(tally, slow_ratio)
+    return is_failing_release(tally, history) or is_slow_release(tally, slow_ratio)
 
 
-def is_failing_release(tally):
+def is_failing_release(tally, history=None):
     """Return whether the target fails more often than the base, on all its servers.
 
     The failures of one server come together, be it cut off, overloaded or broken, and
-    say nothing about the release.
+    say nothing about the release. Neither do those in a burst that strikes both.
+
+    Parameters
+    ----------
+    tally : Tally
+        Answers of both releases.
+    history : FailureHistory or None
+        The answers by period.
     """
+    if not _fails_beyond_servers(tally):
+        return False
+    return history is None or _fails_beyond_servers(history.remove_bursts(tally))
+
+
+def _fails_beyond_servers(tally):
+    """Return whether the target fails also without the few servers that fail most."""
     if not _fails_without(tally, SideCount()):
         return False
     return _fails_without(tally, find_failing_servers(tally))
@@ -72,7 +87,7 @@
 
 def _fails_without(tally, failing):
     """Return whether the target fails without the SideCount of some servers."""
-    target, base = _sum_sides(tally)
+    target, base = tally.sum_target(), tally.sum_base()
     if is_significantly_worse(target.subtract(failing), base):
         return True
     routes = len(tally.target.keys() | tally.base.keys())
@@ -98,22 +113,13 @@
     return count.subtract(SideCount(0, math.ceil(share * failing.bad)))
 
 
-def _sum_sides(tally):
-    target, base = SideCount(), SideCount()
-    for count in tally.target.values():
-        target.add(count)
-    for count in tally.base.values():
-        base.add(count)
-    return target, base
-
-
 def find_failing_servers(tally):
     """Return the SideCount of the few servers that the target's failures come from.
 
     They gave most of its bad answers, and fail significantly more often than its other
     servers, which don't fail more often than the base. It is empty if there are none.
     """
-    target, base = _sum_sides(tally)
+    target, base = tally.sum_target(), tally.sum_base()
     counts = tally.target_servers.values()
     servers = sorted(counts, key=lambda count: count.bad, reverse=True)
     failing = SideCount()
@@ -161,40 +167,6 @@
     return is_tail_below(level, bad, target.answers, min(rate, 0.99))
 
 
-def is_tail_below(level, bad, answers, rate):
-    """Return whether `bad` or more failures in `answers` trials are that improbable.
-
-    Parameters
-    ----------
-    level : float
-        Probability, below a half.
-    bad, answers : int
-        Numbers of failures and of trials.
-    rate : float
-        Probability of each failure.
-    """
-    if bad <= rate * answers:
-        # The median is about there.
-        return False
-    odds = rate / (1.0 - rate)
-    term = math.exp(
-        math.lgamma(answers + 1)
-        - math.lgamma(bad + 1)
-        - math.lgamma(answers - bad + 1)
-        + bad * math.log(rate)
-        + (answers - bad) * math.log1p(-rate)
-    )
-    total = 0.0
-    for count in range(bad, answers + 1):
-        total += term
-        if total >= level:
-            return False
-        if term <= NEGLIGIBLE_SHARE * total:
-            break
-        term *= odds * (answers - count) / (count + 1)
-    return True
-
-
 def is_slow_release(tally, ratio):
     """Return whether the target is slower than the base by more than a ratio.
 
--- a/tanagerwalk/decisions/release_rollouts.py
+++ b/tanagerwalk/decisions/release_rollouts.py
@@ -74,7 +74,7 @@
     elapsed: float = 0.0
 
 
-def find_next_phase(rollout, duration, elapsed, tally, recent=None):
+def find_next_phase(rollout, duration, elapsed, tally, recent=None, history=None):
     """Return the phase that a roll-out should change to, or None for no change.
 
     Parameters
@@ -89,6 +89,8 @@
         Answer counts of all instances.
     recent : Tally or None
         Latencies of the last seconds.
+    history : FailureHistory or None
+        The answers by period.
 
     Returns
     -------
@@ -96,7 +98,7 @@
     """
     if rollout.phase.is_final:
         return None
-    if is_bad_in_phase(rollout.phase, tally, recent):
+    if is_bad_in_phase(rollout.phase, tally, recent, history):
         return RolloutPhase.ROLLED_BACK
     if rollout.phase is RolloutPhase.CANARY:
         # Until then no running session may move to the target release.
@@ -117,7 +119,7 @@
     return RolloutPhase.COMPLETE if elapsed >= ready_at else None
 
 
-def is_bad_in_phase(phase, tally, recent=None):
+def is_bad_in_phase(phase, tally, recent=None, history=None):
     """Return whether answers prove in a phase that the target release is bad.
 
     Parameters
@@ -128,10 +130,12 @@
         Answers of both releases.
     recent : Tally or None
         Latencies of the last seconds.
+    history : FailureHistory or None
+        The answers by period.
     """
     is_alone = phase is RolloutPhase.FULL
     ratio = SLOW_RATIO_ALONE if is_alone else SLOW_RATIO
-    if is_bad_release(tally, ratio):
+    if is_bad_release(tally, ratio, history):
         return True
     return recent is not None and is_slow_release(recent, ratio)
 
--- a/tanagerwalk/decisions/tallies.py
+++ b/tanagerwalk/decisions/tallies.py
@@ -155,6 +155,14 @@
         side = self.target_latencies if is_target else self.base_latencies
         side.setdefault(kind, LatencyHistogram()).record(seconds)
 
+    def sum_target(self):
+        """Return the SideCount of the target on all routes."""
+        return _sum_counts(self.target)
+
+    def sum_base(self):
+        """Return the SideCount of the base on all routes."""
+        return _sum_counts(self.base)
+
     def list_latency_pairs(self):
         """Return the latencies of target and base by route.
 
@@ -196,6 +204,16 @@
             for key, count in peer.items():
                 own.setdefault(key, create()).raise_to(count)
 
+    def subtract_answers(self, other):
+        """Return a Tally of the answers without those of another, and no latencies."""
+        return Tally(
+            target=_subtract_all(self.target, other.target, SideCount()),
+            base=_subtract_all(self.base, other.base, SideCount()),
+            target_servers=_subtract_all(
+                self.target_servers, other.target_servers, SideCount()
+            ),
+        )
+
     def list_recent_latencies(self, earlier, keep_base):
         """Return a Tally of the latencies since an earlier state of this tally.
 
@@ -209,16 +227,23 @@
         """
         base = self.base_latencies
         if not keep_base:
-            base = _subtract_all(base, earlier.base_latencies)
-        target = _subtract_all(self.target_latencies, earlier.target_latencies)
+            base = _subtract_all(base, earlier.base_latencies, LatencyHistogram())
+        target = _subtract_all(
+            self.target_latencies, earlier.target_latencies, LatencyHistogram()
+        )
         return Tally(target_latencies=target, base_latencies=base)
 
 
-def _subtract_all(histograms, earlier):
-    empty = LatencyHistogram()
+def _sum_counts(counts):
+    total = SideCount()
+    for count in counts.values():
+        total.add(count)
+    return total
+
+
+def _subtract_all(counts, others, empty):
     return {
-        kind: histogram.subtract(earlier.get(kind, empty))
-        for kind, histogram in histograms.items()
+        key: count.subtract(others.get(key, empty)) for key, count in counts.items()
     }
 
 
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from ..decisions.failure_bursts import FailureHistory
 from ..decisions.relays import Role
 from ..decisions.release_evidence import RecentLatencies
 from ..decisions.release_rollouts import (
@@ -82,6 +83,7 @@
         self._rolled_back = set()
         self._tallies = {}
         self._recent_latencies = {}
+        self._failure_histories = {}
         self._role = Role.FLAT
         mirror.subscribe(self._load_states)
 
@@ -185,12 +187,14 @@
         recent = self._recent_latencies.setdefault(key, RecentLatencies()).find(
             tally, now, state.phase is RolloutPhase.FULL
         )
-        is_bad = is_bad_in_phase(state.phase, tally, recent)
+        history = self._failure_histories.setdefault(key, FailureHistory())
+        history.record(tally, now)
+        is_bad = is_bad_in_phase(state.phase, tally, recent, history)
         if is_bad and key not in self._rolled_back:
             self._rolled_back.add(key)
             log.warning("release halted", service=order.service, tally=repr(tally))
         elapsed = now - self._started_at[key]
-        phase = find_next_phase(state, order.duration, elapsed, tally, recent)
+        phase = find_next_phase(state, order.duration, elapsed, tally, recent, history)
         if key in self._rolled_back:
             phase = RolloutPhase.ROLLED_BACK
         if phase is not None:
@@ -215,6 +219,7 @@
         for key in old:
             del self._tallies[key]
             self._recent_latencies.pop(key, None)
+            self._failure_histories.pop(key, None)
 
     async def _write_phase(self, order, state):
         """Write a new phase unless another instance wrote one first."""
