--- /dev/null
+++ b/tanagerwalk/decisions/failure_bursts.py
@@ -0,0 +1,150 @@
+"""Bursts of failures that strike both releases of a roll-out.
+
+Failures that one cause brings about, such as a link that is cut or a service that
+others depend on, come within a second or so. They prove less about a release than as
+many that are independent. Such a cause strikes the base release too, so the answers of
+both are left out while the base fails unusually often. Once the base gets no more
+requests, there is nothing to compare with, and one short burst is left out.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+from .significance import is_tail_below
+from .tallies import SideCount, Tally
+
+PERIOD_S = 1.0
+# Bursts in earlier periods are no longer left out.
+MAX_PERIODS = 120
+MIN_BAD_IN_BURST = 2
+# A base with fewer answers than this share of the target's can't show a burst.
+MIN_BASE_SHARE = 0.1
+# A burst may last from one period into the next one.
+PERIODS_OF_BURST = 2
+# A release that turns bad without a base is halted for more bad answers all the same.
+MAX_BAD_WITHOUT_BASE = 25
+# Significance level at which the base fails more often in a period than in others.
+BURST_SIGNIFICANCE_LEVEL = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Period:
+    """Answers of both releases in one period, and the sum of those of the base."""
+
+    number: int
+    answers: Tally
+    base: SideCount
+
+    @property
+    def is_without_base(self):
+        """Whether the base had too few answers to compare the target with."""
+        return self.base.answers < MIN_BASE_SHARE * self.answers.sum_target().answers
+
+    @property
+    def base_rate(self):
+        """Share of the base's answers that were bad."""
+        return self.base.bad / self.base.answers if self.base.answers else 0.0
+
+
+class FailureHistory:
+    """Answers of both releases of a roll-out by period."""
+
+    def __init__(self):
+        self._periods = deque(maxlen=MAX_PERIODS)
+        self._newest = None
+
+    def record(self, tally, now):
+        """Record the newest Tally of all answers, which must not change afterwards.
+
+        Parameters
+        ----------
+        tally : Tally
+            All answers so far.
+        now : float
+            Monotonic time in seconds.
+        """
+        if self._newest is not None:
+            self._add(int(now // PERIOD_S), tally.subtract_answers(self._newest))
+        self._newest = tally
+
+    def _add(self, number, answers):
+        if self._periods and self._periods[-1].number == number:
+            self._periods[-1].answers.add(answers)
+            self._periods[-1].base.add(answers.sum_base())
+        else:
+            self._periods.append(Period(number, answers, answers.sum_base()))
+
+    def remove_bursts(self, tally):
+        """Return a Tally without the answers in bursts.
+
+        Parameters
+        ----------
+        tally : Tally
+            All answers so far.
+        """
+        bursts = self._list_bursts(tally.sum_base())
+        bursts += self._find_burst_without_base()
+        for period in bursts:
+            tally = tally.subtract_answers(period.answers)
+        return tally
+
+    def _find_burst_without_base(self):
+        """Return successive periods in which the target failed more than in others.
+
+        It is compared with itself while the base has too few answers.
+
+        Returns
+        -------
+        list of Period
+            Empty if there is no burst.
+        """
+        periods = [period for period in self._periods if period.is_without_base]
+        spans = [
+            periods[start : start + PERIODS_OF_BURST] for start in range(len(periods))
+        ]
+        worst = max(spans, key=_rank_span, default=[])
+        count = _sum_targets(worst)
+        if count.bad > MAX_BAD_WITHOUT_BASE:
+            return []
+        others = _sum_targets(periods).subtract(count)
+        # Bonferroni correction: of all spans, the worst was taken.
+        level = BURST_SIGNIFICANCE_LEVEL / max(1, len(spans))
+        return worst if _is_burst(count, others, level) else []
+
+    def _list_bursts(self, base):
+        """Return the periods in which the base failed more often than otherwise.
+
+        Parameters
+        ----------
+        base : SideCount
+            All answers of the base.
+        """
+        bursts = []
+        periods = sorted(self._periods, key=lambda each: each.base_rate, reverse=True)
+        for period in periods:
+            base = base.subtract(period.base)
+            if not _is_burst(period.base, base):
+                break
+            bursts.append(period)
+        return bursts
+
+
+def _sum_targets(periods):
+    total = SideCount()
+    for period in periods:
+        total.add(period.answers.sum_target())
+    return total
+
+
+def _rank_span(periods):
+    """Return the sort key of successive periods, highest for the worst ones."""
+    count = _sum_targets(periods)
+    return count.bad, -count.answers
+
+
+def _is_burst(count, others, level=BURST_SIGNIFICANCE_LEVEL):
+    """Return whether a SideCount has significantly more failures than the others."""
+    if count.bad < MIN_BAD_IN_BURST:
+        return False
+    rate = (others.bad + 0.5) / (others.answers + 1.0)
+    return is_tail_below(level, count.bad, count.answers, rate)
