Name the capacity of a failure domain for what it is

Cause: a newcomer stumbled over `Room`, which the package also uses for memory and descriptors. Change: Room is DomainCapacity, and the constants are limits of load.

--- a/tanagerwalk/decisions/local_choice.py
+++ b/tanagerwalk/decisions/local_choice.py
@@ -82,7 +82,7 @@
         if self._random.random() < spillover.share:
             return True
         # Requests that arrive at the same moment fill a server before the share rises.
-        return min(map(inputs.estimate_load, candidates)) >= spillover.room.full
+        return min(map(inputs.estimate_load, candidates)) >= spillover.capacity.full
 
     def _find_preferred(self, own, others, leaves, affinity):
         """Return the server that is most likely to have cached the prompt, or None."""
--- a/tanagerwalk/decisions/spillover.py
+++ b/tanagerwalk/decisions/spillover.py
@@ -9,13 +9,13 @@
 import math
 from dataclasses import dataclass
 
-# Bounds of the room of a domain's engines, in units of load.
-MIN_ENGINE_ROOM = 0.1
-MAX_ENGINE_ROOM = 0.5
-# The load from which a request looks elsewhere at once, relative to the room.
+# Bounds of the load up to which no request leaves a domain's engines.
+MIN_ENGINE_LIMIT = 0.1
+MAX_ENGINE_LIMIT = 0.5
+# The load from which a request looks elsewhere at once, relative to the limit.
 FULL_RATIO = 1.4
 # The load of a plain server is the part of its slots that is in use.
-PLAIN_ROOM = 0.8
+PLAIN_LIMIT = 0.8
 PLAIN_FULL = 1.0
 UPDATE_PERIOD_S = 0.2
 # Longest time between two updates that the integral counts: after a longer one, the
@@ -26,7 +26,7 @@
 # The load to compare with is this quantile of the loads of the other failure domains,
 # since the least loaded ones receive what leaves.
 RECEIVING_PART = 0.25
-# Share per excess; the excess is relative to the room.
+# Share per excess; the excess is relative to the limit.
 PROPORTIONAL_GAIN = 0.33
 # Share per second and excess, while the excess is positive and while it is not.
 INTEGRAL_GAIN = 0.5
@@ -34,7 +34,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Room:
+class DomainCapacity:
     """How much load the servers of a failure domain take before requests leave it.
 
     Parameters
@@ -49,8 +49,8 @@
     full: float
 
 
-def find_room(runs_models, max_wait):
-    """Return the Room of a domain's servers for a kind of requests.
+def find_capacity(runs_models, max_wait):
+    """Return the DomainCapacity of a domain's servers for a kind of requests.
 
     Parameters
     ----------
@@ -60,9 +60,9 @@
         Seconds that such a request may wait in its own failure domain.
     """
     if not runs_models:
-        return Room(PLAIN_ROOM, PLAIN_FULL)
-    limit = min(MAX_ENGINE_ROOM, max(MIN_ENGINE_ROOM, max_wait))
-    return Room(limit, FULL_RATIO * limit)
+        return DomainCapacity(PLAIN_LIMIT, PLAIN_FULL)
+    limit = min(MAX_ENGINE_LIMIT, max(MIN_ENGINE_LIMIT, max_wait))
+    return DomainCapacity(limit, FULL_RATIO * limit)
 
 
 class Spillover:
@@ -70,8 +70,8 @@
 
     Parameters
     ----------
-    room : Room
-        Room of the own servers for these requests.
+    capacity : DomainCapacity
+        Capacity of the own servers for these requests.
     initial_share : float
         Share to begin with.
 
@@ -83,8 +83,8 @@
         Monotonic time of the last update, in seconds.
     """
 
-    def __init__(self, room, initial_share=0.0):
-        self.room = room
+    def __init__(self, capacity, initial_share=0.0):
+        self.capacity = capacity
         self.share = initial_share
         self.updated_at = None
         self._integral = initial_share
@@ -113,7 +113,7 @@
         own = self._smooth(None, own, elapsed)
         loads = sorted(self._smooth(*item, elapsed) for item in others.items())
         receiving = loads[int(RECEIVING_PART * (len(loads) - 1))]
-        limit = self.room.limit
+        limit = self.capacity.limit
         excess = (own - max(limit, receiving)) / limit
         gain = INTEGRAL_GAIN if excess > 0.0 else RETURN_GAIN
         self._integral = _bound(self._integral + gain * excess * elapsed)
--- a/tanagerwalk/decisions/spillover_table.py
+++ b/tanagerwalk/decisions/spillover_table.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from .spillover import Spillover, find_room
+from .spillover import Spillover, find_capacity
 
 log = structlog.get_logger(__name__)
 
@@ -51,32 +51,32 @@
         Spillover
         """
         runs_models = any(usage.runs_models for usage in own + others)
-        room = find_room(runs_models, inputs.max_local_wait)
-        key = inputs.service, room, _list_groups(own), _list_groups(others)
+        capacity = find_capacity(runs_models, inputs.max_local_wait)
+        key = inputs.service, capacity, _list_groups(own), _list_groups(others)
         spillover = self._spillovers.get(key)
         if spillover is None:
             self._forget_unused(inputs.now)
-            shares = self.find_shares(inputs.now, room)
+            shares = self.find_shares(inputs.now, capacity)
             initial_share = shares.get(inputs.service, 0.0)
-            spillover = self._spillovers[key] = Spillover(room, initial_share)
+            spillover = self._spillovers[key] = Spillover(capacity, initial_share)
         if spillover.is_due(inputs.now):
             self._update(spillover, inputs, own, others)
         return spillover
 
-    def find_shares(self, now, room=None):
+    def find_shares(self, now, capacity=None):
         """Return the largest share that leaves at present, by service.
 
         Parameters
         ----------
         now : float
             Monotonic time in seconds.
-        room : Room or None
-            Only for the kinds of requests with this room.
+        capacity : DomainCapacity or None
+            Only for the kinds of requests with this capacity.
         """
         shares = {}
-        for (service, of_room, *_), spillover in self._spillovers.items():
+        for (service, of_capacity, *_), spillover in self._spillovers.items():
             is_recent = now - spillover.updated_at <= FORGETTING_S
-            if is_recent and room in (None, of_room):
+            if is_recent and capacity in (None, of_capacity):
                 shares[service] = max(shares.get(service, 0.0), spillover.share)
         return shares
 
