Take requests that are being answered for no wait of others

Cause: the load of an engine contains the token generation of its requests. With an objective below 0.5 s the limit of the load is 0.1 to 0.18, which eight requests in sixteen slots reach although no other one waits. Change: the limit is at least that part of the load plus the least limit.

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -191,6 +191,7 @@
             self.local_wait_share * traits.objective,
             partial(self._has_local_server, service, now),
             partial(self._find_slowdown, now=now),
+            partial(self._estimate_answering_load, now=now),
         )
         return self.chooser.choose(ready, inputs).server
 
@@ -424,6 +425,11 @@
             return load
         return load + cold.find_load(hash_life(usage.server), now)
 
+    def _estimate_answering_load(self, usage, now):
+        shared = self._shared.sum(usage.server.id, now)
+        load = usage.estimate_answering_load(now, shared, self.mean_decode)
+        return load * self._find_slowdown(usage, now)
+
     def _estimate_load(self, usage, now, slowdown):
         shared = self._shared.sum(usage.server.id, now)
         return usage.estimate_load(now, shared, self.mean_work, slowdown)
--- a/tanagerwalk/decisions/server_choice.py
+++ b/tanagerwalk/decisions/server_choice.py
@@ -60,6 +60,9 @@
         one that this request may not use.
     find_slowdown : callable
         Takes a ServerUsage and returns how long its work takes, relative to the usual.
+    estimate_answering_load : callable
+        Takes a ServerUsage and returns the part of its load that keeps no other
+        request waiting.
     """
 
     service: ServiceName
@@ -70,6 +73,7 @@
     max_local_wait: float = LOCAL_WAIT_SHARE * DEFAULT_OBJECTIVE_S
     has_local: Callable[[], bool] = lambda: False
     find_slowdown: Callable[[ServerUsage], float] = lambda usage: 1.0
+    estimate_answering_load: Callable[[ServerUsage], float] = lambda usage: 0.0
 
 
 class ServerChooser:
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -180,9 +180,7 @@
         slowdown : float
             How long work takes on the server, relative to what is usual.
         """
-        # The server's own report includes requests that no instance has reported yet.
-        is_recent = now - self.reported_at <= REPORT_LIFETIME_S
-        others = max(shared.in_flight, self.other_requests if is_recent else 0)
+        others = self._count_others(now, shared.in_flight)
         if not self.runs_models and not shared.tokens:
             return (self.in_flight + others) / self.server.slots * slowdown
         own = self.sum_tokens()
@@ -194,6 +192,32 @@
         allowance = PREFILL_ALLOWANCE_S * max(1.0, slowdown)
         return max(load * slowdown, silence - allowance)
 
+    def estimate_answering_load(self, now, shared, mean_decode):
+        """Return the part of the load that keeps no other request waiting.
+
+        An engine generates tokens for the requests in its slots at the same time.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        shared : SharedLoad
+            Load reported by the other instances for the server.
+        mean_decode : float
+            Mean cost of token generation for a request, in tokens.
+        """
+        if not self.runs_models and not shared.tokens:
+            return 0.0
+        others = self._count_others(now, shared.in_flight)
+        running = min(self.in_flight + others, self.server.slots)
+        return running * mean_decode / ENGINE_CAPACITY_TOKENS
+
+    def _count_others(self, now, told):
+        """Return the requests of other instances, told by them or by the server."""
+        # The server's own report includes requests that no instance has reported yet.
+        is_recent = now - self.reported_at <= REPORT_LIFETIME_S
+        return max(told, self.other_requests if is_recent else 0)
+
     def sum_tokens(self):
         """Return the tokens of the requests of this instance at an engine."""
         return sum(work.total for work in self.work)
--- a/tanagerwalk/decisions/server_usage_table.py
+++ b/tanagerwalk/decisions/server_usage_table.py
@@ -6,7 +6,7 @@
 from ..registry import ServerState
 from .missing_servers import MissingServers
 from .server_speeds import ServerSpeeds
-from .server_usage import ERROR_LIFETIME_S, PAUSING_ERRORS, ServerUsage
+from .server_usage import DECODE_TOKENS, ERROR_LIFETIME_S, PAUSING_ERRORS, ServerUsage
 
 FAILURE_PAUSE_S = 0.5
 MAX_FAILURE_PAUSE_S = 4.0
@@ -25,6 +25,8 @@
         Learns how long work takes on each server.
     mean_work : float
         Mean cost of a request for an engine, in tokens.
+    mean_decode : float
+        The part of it that token generation causes, in tokens.
     on_kept_off : callable
         Takes the id of a server that gets no more requests, for a while or for good.
     evacuated : frozenset of FailureDomain
@@ -42,6 +44,7 @@
         self._usages_by_life = {}
         self._missing = MissingServers()
         self.mean_work = INITIAL_MEAN_WORK_TOKENS
+        self.mean_decode = DECODE_TOKENS
 
     def replace_servers(self, servers):
         """Replace the list of registered servers.
@@ -207,6 +210,7 @@
             usage.work.append(work)
             weighted_work = 0.5 * work.prefill + work.decode
             self.mean_work += WORK_SMOOTHING * (weighted_work - self.mean_work)
+            self.mean_decode += WORK_SMOOTHING * (work.decode - self.mean_decode)
 
     def record_ended(self, server, work=None):
         """Record the end of a request."""
--- a/tanagerwalk/decisions/spillover.py
+++ b/tanagerwalk/decisions/spillover.py
@@ -9,7 +9,8 @@
 import math
 from dataclasses import dataclass
 
-# Bounds of the load up to which no request leaves a domain's engines.
+# Bounds of the load up to which no request leaves a domain's engines. The lower one
+# comes on top of the load of requests that are being answered.
 MIN_ENGINE_LIMIT = 0.1
 MAX_ENGINE_LIMIT = 0.5
 # The load from which a request looks elsewhere at once, relative to the limit.
@@ -48,6 +49,12 @@
     limit: float
     full: float
 
+    def raise_limit(self, limit):
+        """Return the capacity with a limit that is at least as high as another."""
+        if limit <= self.limit:
+            return self
+        return DomainCapacity(limit, FULL_RATIO * limit)
+
 
 def find_capacity(runs_models, max_wait):
     """Return the DomainCapacity of a domain's servers for a kind of requests.
@@ -77,6 +84,8 @@
 
     Attributes
     ----------
+    capacity : DomainCapacity
+        The capacity as of the last update.
     share : float
         The share, 0 to 1.
     updated_at : float or None
@@ -85,6 +94,7 @@
 
     def __init__(self, capacity, initial_share=0.0):
         self.capacity = capacity
+        self._least_capacity = capacity
         self.share = initial_share
         self.updated_at = None
         self._integral = initial_share
@@ -94,7 +104,7 @@
         """Return whether the share should be adapted to the present loads."""
         return self.updated_at is None or now - self.updated_at >= UPDATE_PERIOD_S
 
-    def update(self, own, others, now):
+    def update(self, own, others, now, answering=0.0):
         """Adapt the share to the present loads.
 
         Parameters
@@ -105,6 +115,8 @@
             Loads of the others, plus the costs of their distance; not empty.
         now : float
             Monotonic time in seconds.
+        answering : float
+            Part of the own load that keeps no other request waiting.
         """
         elapsed = 0.0
         if self.updated_at is not None:
@@ -113,6 +125,8 @@
         own = self._smooth(None, own, elapsed)
         loads = sorted(self._smooth(*item, elapsed) for item in others.items())
         receiving = loads[int(RECEIVING_PART * (len(loads) - 1))]
+        least_limit = answering + MIN_ENGINE_LIMIT
+        self.capacity = self._least_capacity.raise_limit(least_limit)
         limit = self.capacity.limit
         excess = (own - max(limit, receiving)) / limit
         gain = INTEGRAL_GAIN if excess > 0.0 else RETURN_GAIN
--- a/tanagerwalk/decisions/spillover_table.py
+++ b/tanagerwalk/decisions/spillover_table.py
@@ -83,7 +83,8 @@
     def _update(self, spillover, inputs, own, others):
         own_load = median_low(map(inputs.estimate_load, own))
         other_loads = self._estimate_others(others, inputs.estimate_load)
-        spillover.update(own_load, other_loads, inputs.now)
+        answering = median_low(map(inputs.estimate_answering_load, own))
+        spillover.update(own_load, other_loads, inputs.now, answering)
         self._note_share(inputs.service, spillover.share, own_load, inputs.now)
 
     def _estimate_others(self, others, estimate_load):
