Begin with the latest share of the same servers

Cause: a share was kept without a limit of time, and a new kind of requests took over the largest share of all kinds, also of those that use other own servers. After an evacuation, or a change of servers and back, a share applied that no longer fitted.

--- a/tanagerwalk/decisions/spillover_table.py
+++ b/tanagerwalk/decisions/spillover_table.py
@@ -1,10 +1,12 @@
 """How much of each service's requests an instance sends out of its failure domain."""
 
+from dataclasses import dataclass
 from statistics import median_low
 
 import structlog
 
-from .spillover import Spillover, find_capacity
+from ..ids import ServiceName
+from .spillover import MAX_ELAPSED_S, DomainCapacity, Spillover, find_capacity
 
 log = structlog.get_logger(__name__)
 
@@ -18,6 +20,34 @@
 SPILLING_S = 5.0
 
 
+@dataclass(frozen=True, slots=True)
+class RequestKind:
+    """What the requests have in common that one share applies to.
+
+    Parameters
+    ----------
+    service : ServiceName
+        Their service.
+    capacity : DomainCapacity
+        Capacity of the own servers for them.
+    own_groups, other_groups : frozenset of (FailureDomain, ReleaseName)
+        Servers that they may use, in the own failure domain and elsewhere.
+    """
+
+    service: ServiceName
+    capacity: DomainCapacity
+    own_groups: frozenset
+    other_groups: frozenset
+
+    def shares_servers(self, other):
+        """Return whether requests of another kind fill the same own servers."""
+        return (
+            self.service == other.service
+            and self.capacity == other.capacity
+            and not self.own_groups.isdisjoint(other.own_groups)
+        )
+
+
 class SpilloverTable:
     """The shares of requests that leave, by service and kind of request.
 
@@ -52,34 +82,55 @@
         """
         runs_models = any(usage.runs_models for usage in own + others)
         capacity = find_capacity(runs_models, inputs.max_local_wait)
-        key = inputs.service, capacity, _list_groups(own), _list_groups(others)
-        spillover = self._spillovers.get(key)
-        if spillover is None:
-            self._forget_unused(inputs.now)
-            shares = self.find_shares(inputs.now, capacity)
-            initial_share = shares.get(inputs.service, 0.0)
-            spillover = self._spillovers[key] = Spillover(capacity, initial_share)
+        kind = RequestKind(
+            inputs.service, capacity, _list_groups(own), _list_groups(others)
+        )
+        spillover = self._find_or_create(kind, inputs.now)
         if spillover.is_due(inputs.now):
             self._update(spillover, inputs, own, others)
         return spillover
 
-    def find_shares(self, now, capacity=None):
+    def find_shares(self, now):
         """Return the largest share that leaves at present, by service.
 
         Parameters
         ----------
         now : float
             Monotonic time in seconds.
-        capacity : DomainCapacity or None
-            Only for the kinds of requests with this capacity.
         """
         shares = {}
-        for (service, of_capacity, *_), spillover in self._spillovers.items():
-            is_recent = now - spillover.updated_at <= FORGETTING_S
-            if is_recent and capacity in (None, of_capacity):
-                shares[service] = max(shares.get(service, 0.0), spillover.share)
+        for kind, spillover in self._spillovers.items():
+            if now - spillover.updated_at <= FORGETTING_S:
+                known = shares.get(kind.service, 0.0)
+                shares[kind.service] = max(known, spillover.share)
         return shares
 
+    def _find_or_create(self, kind, now):
+        """Return the Spillover of a kind of requests.
+
+        When servers come or go, requests become another kind. It goes on with the
+        latest share of the same servers; one of an earlier time may no longer fit.
+        """
+        spillover = self._spillovers.get(kind)
+        if spillover is not None and now - spillover.updated_at <= MAX_ELAPSED_S:
+            return spillover
+        self._forget_unused(now)
+        latest = self._find_latest(kind)
+        if latest is None or latest is not spillover:
+            initial_share = 0.0 if latest is None else latest.share
+            spillover = Spillover(kind.capacity, initial_share)
+            self._spillovers[kind] = spillover
+        return spillover
+
+    def _find_latest(self, kind):
+        """Return the last Spillover that was updated for a similar kind, or None."""
+        similar = [
+            spillover
+            for known, spillover in self._spillovers.items()
+            if known.shares_servers(kind)
+        ]
+        return max(similar, key=lambda spillover: spillover.updated_at, default=None)
+
     def _update(self, spillover, inputs, own, others):
         own_load = median_low(map(inputs.estimate_load, own))
         other_loads = self._estimate_others(others, inputs.estimate_load)
