Log lasting changes of the share, and domains without servers

Cause: only the begin and the end were logged, not a share that rose from 0.1 to 0.9, and nothing at all where the own failure domain has no server that takes requests. Change: a module of its own logs these too; a share that swings is logged once.

--- a/tanagerwalk/decisions/local_choice.py
+++ b/tanagerwalk/decisions/local_choice.py
@@ -68,9 +68,14 @@
             key=lambda usage: self._score_with_transfer(usage, inputs, preferred),
         )
         if not self._is_own(chosen):
-            self.departures[_find_reason(own, leaves, inputs)] += 1
+            self._record_departure(_find_reason(own, leaves, inputs), inputs)
         return chosen
 
+    def _record_departure(self, reason, inputs):
+        self.departures[reason] += 1
+        if reason is Departure.NO_SERVER:
+            self.spillovers.note_no_server(inputs.service, inputs.now)
+
     def _leaves(self, own, others, candidates, inputs):
         """Return whether servers elsewhere are considered for a request.
 
--- a/tanagerwalk/decisions/spillover_table.py
+++ b/tanagerwalk/decisions/spillover_table.py
@@ -3,21 +3,14 @@
 from dataclasses import dataclass
 from statistics import median_low
 
-import structlog
-
 from ..ids import ServiceName
 from .spillover import MAX_ELAPSED_S, DomainCapacity, Spillover, find_capacity
-
-log = structlog.get_logger(__name__)
+from .spillover_log import SpilloverLog
 
 # Servers that are drawn to estimate the load of another failure domain.
 LOAD_SAMPLE_SIZE = 3
 # A share that no request has asked for in this time is forgotten.
 FORGETTING_S = 10.0
-# Requests of a service are logged as leaving from this share, until it has been below
-# it for SPILLING_S.
-SPILLING_SHARE = 0.05
-SPILLING_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +56,7 @@
         self._home = home
         self._random = random
         self._spillovers = {}
-        self._left_at = {}
+        self._log = SpilloverLog()
 
     def update(self, inputs, own, others):
         """Return the Spillover of a kind of requests, adapted to the present loads.
@@ -90,6 +83,10 @@
             self._update(spillover, inputs, own, others)
         return spillover
 
+    def note_no_server(self, service, now):
+        """Log that all requests of a service leave, as the own servers take none."""
+        self._log.note(service, 1.0, None, now)
+
     def find_shares(self, now):
         """Return the largest share that leaves at present, by service.
 
@@ -136,7 +133,8 @@
         other_loads = self._estimate_others(others, inputs.estimate_load)
         answering = median_low(map(inputs.estimate_answering_load, own))
         spillover.update(own_load, other_loads, inputs.now, answering)
-        self._note_share(inputs.service, spillover.share, own_load, inputs.now)
+        share = self.find_shares(inputs.now)[inputs.service]
+        self._log.note(inputs.service, share, own_load, inputs.now)
 
     def _estimate_others(self, others, estimate_load):
         """Return the load of each other failure domain, plus the cost of distance."""
@@ -157,24 +155,9 @@
             if now - spillover.updated_at <= FORGETTING_S
         }
 
-    def _note_share(self, service, share, own_load, now):
-        """Log when requests of a service begin or cease to leave."""
-        left_at = self._left_at.get(service)
-        if share >= SPILLING_SHARE:
-            self._left_at[service] = now
-            if left_at is None:
-                _log_change("requests leave failure domain", service, share, own_load)
-        elif left_at is not None and now - left_at > SPILLING_S:
-            del self._left_at[service]
-            _log_change("requests stay in failure domain", service, share, own_load)
-
 
 def _list_groups(usages):
     """Return what distinguishes the servers that different requests may use."""
     return frozenset(
         (usage.server.failure_domain, usage.server.release) for usage in usages
     )
-
-
-def _log_change(event, service, share, own_load):
-    log.info(event, service=service, share=round(share, 2), own_load=round(own_load, 2))
