--- a/tanagerwalk/decisions/local_choice.py
+++ b/tanagerwalk/decisions/local_choice.py
@@ -68,9 +68,14 @@
             key=lambda usage: self._score_with_transfer(usage, inputs, preferred),
         )
         if not self._is_own(chosen):
-            self.departures[_find_reason(own, leaves, inputs)] += 1
+            self._record_departure(_find_reason(own, leaves, inputs), inputs)
         return chosen
 
+    def _record_departure(self, reason, inputs):
+        self.departures[reason] += 1
+        if reason is Departure.NO_SERVER:
+            self.spillovers.note_no_server(inputs.service, inputs.now)
+
     def _leaves(self, own, others, candidates, inputs):
         """Return whether servers elsewhere are considered for a request.
 
@@ -82,7 +87,7 @@
         if self._random.random() < spillover.share:
             return True
         # Requests that arrive at the same moment fill a server before the share rises.
-        return min(map(inputs.estimate_load, candidates)) >= spillover.room.full
+        return min(map(inputs.estimate_load, candidates)) >= spillover.capacity.full
 
     def _find_preferred(self, own, others, leaves, affinity):
         """Return the server that is most likely to have cached the prompt, or None."""
--- a/tanagerwalk/decisions/spillover_table.py
+++ b/tanagerwalk/decisions/spillover_table.py
@@ -1,21 +1,44 @@
 """How much of each service's requests an instance sends out of its failure domain."""
 
+from dataclasses import dataclass
 from statistics import median_low
 
-import structlog
-
-from .spillover import Spillover, find_room
-
-log = structlog.get_logger(__name__)
+from ..ids import ServiceName
+from .spillover import MAX_ELAPSED_S, DomainCapacity, Spillover, find_capacity
+from .spillover_log import SpilloverLog
 
 # Servers that are drawn to estimate the load of another failure domain.
 LOAD_SAMPLE_SIZE = 3
 # A share that no request has asked for in this time is forgotten.
 FORGETTING_S = 10.0
-# Requests of a service are logged as leaving from this share, until it has been below
-# it for SPILLING_S.
-SPILLING_SHARE = 0.05
-SPILLING_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class RequestKind:
+    """What the requests have in common that one share applies to.
+
+    Parameters
+    ----------
+    service : ServiceName
+        Their service.
+    capacity : DomainCapacity
+        Capacity of the own servers for them.
+    own_groups, other_groups : frozenset of (FailureDomain, ReleaseName)
+        Servers that they may use, in the own failure domain and elsewhere.
+    """
+
+    service: ServiceName
+    capacity: DomainCapacity
+    own_groups: frozenset
+    other_groups: frozenset
+
+    def shares_servers(self, other):
+        """Return whether requests of another kind fill the same own servers."""
+        return (
+            self.service == other.service
+            and self.capacity == other.capacity
+            and not self.own_groups.isdisjoint(other.own_groups)
+        )
 
 
 class SpilloverTable:
@@ -33,7 +56,7 @@
         self._home = home
         self._random = random
         self._spillovers = {}
-        self._left_at = {}
+        self._log = SpilloverLog()
 
     def update(self, inputs, own, others):
         """Return the Spillover of a kind of requests, adapted to the present loads.
@@ -51,40 +74,67 @@
         Spillover
         """
         runs_models = any(usage.runs_models for usage in own + others)
-        room = find_room(runs_models, inputs.max_local_wait)
-        key = inputs.service, room, _list_groups(own), _list_groups(others)
-        spillover = self._spillovers.get(key)
-        if spillover is None:
-            self._forget_unused(inputs.now)
-            shares = self.find_shares(inputs.now, room)
-            initial_share = shares.get(inputs.service, 0.0)
-            spillover = self._spillovers[key] = Spillover(room, initial_share)
+        capacity = find_capacity(runs_models, inputs.max_local_wait)
+        kind = RequestKind(
+            inputs.service, capacity, _list_groups(own), _list_groups(others)
+        )
+        spillover = self._find_or_create(kind, inputs.now)
         if spillover.is_due(inputs.now):
             self._update(spillover, inputs, own, others)
         return spillover
 
-    def find_shares(self, now, room=None):
+    def note_no_server(self, service, now):
+        """Log that all requests of a service leave, as the own servers take none."""
+        self._log.note(service, 1.0, None, now)
+
+    def find_shares(self, now):
         """Return the largest share that leaves at present, by service.
 
         Parameters
         ----------
         now : float
             Monotonic time in seconds.
-        room : Room or None
-            Only for the kinds of requests with this room.
         """
         shares = {}
-        for (service, of_room, *_), spillover in self._spillovers.items():
-            is_recent = now - spillover.updated_at <= FORGETTING_S
-            if is_recent and room in (None, of_room):
-                shares[service] = max(shares.get(service, 0.0), spillover.share)
+        for kind, spillover in self._spillovers.items():
+            if now - spillover.updated_at <= FORGETTING_S:
+                known = shares.get(kind.service, 0.0)
+                shares[kind.service] = max(known, spillover.share)
         return shares
 
+    def _find_or_create(self, kind, now):
+        """Return the Spillover of a kind of requests.
+
+        When servers come or go, requests become another kind. It goes on with the
+        latest share of the same servers; one of an earlier time may no longer fit.
+        """
+        spillover = self._spillovers.get(kind)
+        if spillover is not None and now - spillover.updated_at <= MAX_ELAPSED_S:
+            return spillover
+        self._forget_unused(now)
+        latest = self._find_latest(kind)
+        if latest is None or latest is not spillover:
+            initial_share = 0.0 if latest is None else latest.share
+            spillover = Spillover(kind.capacity, initial_share)
+            self._spillovers[kind] = spillover
+        return spillover
+
+    def _find_latest(self, kind):
+        """Return the last Spillover that was updated for a similar kind, or None."""
+        similar = [
+            spillover
+            for known, spillover in self._spillovers.items()
+            if known.shares_servers(kind)
+        ]
+        return max(similar, key=lambda spillover: spillover.updated_at, default=None)
+
     def _update(self, spillover, inputs, own, others):
         own_load = median_low(map(inputs.estimate_load, own))
         other_loads = self._estimate_others(others, inputs.estimate_load)
-        spillover.update(own_load, other_loads, inputs.now)
-        self._note_share(inputs.service, spillover.share, own_load, inputs.now)
+        answering = median_low(map(inputs.estimate_answering_load, own))
+        spillover.update(own_load, other_loads, inputs.now, answering)
+        share = self.find_shares(inputs.now)[inputs.service]
+        self._log.note(inputs.service, share, own_load, inputs.now)
 
     def _estimate_others(self, others, estimate_load):
         """Return the load of each other failure domain, plus the cost of distance."""
@@ -105,24 +155,9 @@
             if now - spillover.updated_at <= FORGETTING_S
         }
 
-    def _note_share(self, service, share, own_load, now):
-        """Log when requests of a service begin or cease to leave."""
-        left_at = self._left_at.get(service)
-        if share >= SPILLING_SHARE:
-            self._left_at[service] = now
-            if left_at is None:
-                _log_change("requests leave failure domain", service, share, own_load)
-        elif left_at is not None and now - left_at > SPILLING_S:
-            del self._left_at[service]
-            _log_change("requests stay in failure domain", service, share, own_load)
-
 
 def _list_groups(usages):
     """Return what distinguishes the servers that different requests may use."""
     return frozenset(
         (usage.server.failure_domain, usage.server.release) for usage in usages
     )
-
-
-def _log_change(event, service, share, own_load):
-    log.info(event, service=service, share=round(share, 2), own_load=round(own_load, 2))
