Notice the return of the store sooner in instances that ask others

Cause: an instance that asks a watcher for changes paused for 0.6 s after each answer, also while every answer was old. After an outage of the store it went on refusing keys for up to 0.7 s after its watcher had the store back.

Change: while the answers of all peers in reach are old, it asks each 0.15 s. The store itself gets no more calls; direct reads keep their own pause.

Result: test_return_of_the_store_is_noticed_soon failed before (a pause of 0.6 s where at most 0.2 is wanted) and passes; the 11 tests of the module pass.

--- a/tanagerwalk/gateway/change_feed.py
+++ b/tanagerwalk/gateway/change_feed.py
@@ -32,6 +32,9 @@
 WATCH_TIMEOUT_S = 0.8
 PEER_TIMEOUT_S = 0.5
 PEER_POLL_INTERVAL_S = 0.6
+# While the copies of all peers that answer are old, so that the return of the store is
+# noticed soon.
+OUTAGE_POLL_INTERVAL_S = 0.15
 # Older changes of a peer show that it has lost the store.
 MAX_PEER_AGE_S = 2.2
 MAX_REPORTED_AGE_S = 1e6
@@ -143,6 +146,7 @@
         self._client = None
         self._was_watcher = None
         self._next_direct_read = None
+        self._has_old_answer = False
 
     def authenticate(self, secret):
         """Start to ask other instances, with the key of the fleet."""
@@ -172,9 +176,11 @@
                 continue
             if read_boot_clock() - answer.confirmed_at <= MAX_PEER_AGE_S:
                 self._next_direct_read = None
+                self._has_old_answer = False
                 return Ok(answer)
             if newest is None or answer.confirmed_at > newest.confirmed_at:
                 newest = answer
+        self._has_old_answer = newest is not None
         if newest is not None and not self._may_read_directly():
             return Ok(newest)
         result = await self._store_feed.read(revision, may_wait=False)
@@ -252,6 +258,8 @@
         """Seconds until the next read."""
         if self.is_watcher:
             return find_watch_pause(self._get_change_delay(), self._is_shared)
+        if self._has_old_answer:
+            return OUTAGE_POLL_INTERVAL_S
         return PEER_POLL_INTERVAL_S
 
     @property
--- a/test/gateway/test_change_feed.py
+++ b/test/gateway/test_change_feed.py
@@ -11,6 +11,7 @@
 from tanagerwalk.decisions.watchers import MIN_DOMAIN_SIZE
 from tanagerwalk.gateway.change_feed import (
     MAX_PEER_AGE_S,
+    PEER_POLL_INTERVAL_S,
     SharedFeed,
     StoreFeed,
     decode_changes,
@@ -231,3 +232,14 @@
     result = await feed.read(Revision(5))
     assert feed._store_feed.reads == 1
     assert read_boot_clock() - result.ok.confirmed_at <= MAX_PEER_AGE_S
+
+
+async def test_return_of_the_store_is_noticed_soon():
+    """A watcher that lost the store has it back a moment after it was asked."""
+    old, fresh = build_response(9.0), build_response(0.1)
+    feed = build_feed({"own": old, "far": old}, FAULT)
+    await feed.read(Revision(5))
+    assert feed.pause <= 0.2
+    feed._client.results = {"own": fresh, "far": old}
+    await feed.read(Revision(5))
+    assert feed.pause == PEER_POLL_INTERVAL_S
