Tell clients to come back after the outage, not in the middle of it

Cause: a client that was refused because the copy of the store was old was told to retry after 0.2 s, however long the store had been out for everybody. Its one retry met the same refusal. A client of an instance that had just started was told to wait for 1 s, though the first copy took 0.1 to 0.25 s.

Change: once the peers that an instance asks have old copies too, Retry-After is about the age of the copy, spread by half, and at most a third of the client's time. An instance that only knows itself to be cut off still says 0.2 s, so that the client finds another. Before the first copy it is the time since the start, from 0.3 to 1 s.

Result: with the old constant in the new functions four tests of test_store_outage.py fail (0.03 of patient clients come back after an outage of 6 s, 0.6 wanted; 0.2 s told where 1.5 is wanted); with the change all 9 pass. Also passed: test_boundaries, test_gateway_rules, test_change_feed, test_gateway_requests, test_mirror, test_golden_sessions, test_late_changes.

--- a/tanagerwalk/decisions/freshness.py
+++ b/tanagerwalk/decisions/freshness.py
@@ -22,6 +22,13 @@
 RETRIES_PER_S = 45.0
 DIRECT_READS_PER_S = 30.0
 MIN_RETRY_PAUSE_S = 0.2
+# When a refused client should retry. Another instance probably has a recent copy, or
+# this one will soon.
+MIN_CLIENT_RETRY_S = 0.2
+MIN_START_RETRY_S = 0.3
+MAX_START_RETRY_S = 1.0
+# Part of its time for which a client is told to wait at most.
+MAX_CLIENT_RETRY_SHARE = 1.0 / 3.0
 
 
 class Freshness:
@@ -39,6 +46,7 @@
     def __init__(self, limit, clock):
         self._limit = limit
         self._clock = clock
+        self._started_at = clock()
         self._confirmed_at = float("-inf")
 
     def set_limit(self, limit):
@@ -54,6 +62,11 @@
         """Seconds since the manifest was last known to be the newest."""
         return self._clock() - self._confirmed_at
 
+    @property
+    def uptime(self):
+        """Seconds since the start of this instance."""
+        return self._clock() - self._started_at
+
     def is_fresh(self):
         """Return whether keys may be accepted."""
         return self.age <= self._limit
@@ -75,6 +88,42 @@
     return revocation_delay - REVOCATION_MARGIN_S
 
 
+def choose_stale_retry_delay(age, client_timeout, is_store_out, draw):
+    """Return the seconds after which a client should retry whose key was refused.
+
+    While the store is out for other instances too, they refuse the client as well, and
+    it retries a few times only. The outage is expected to last for as long again as it
+    has lasted.
+
+    Parameters
+    ----------
+    age : float
+        Age of the manifest in seconds.
+    client_timeout : float
+        Seconds that the client waits in all.
+    is_store_out : bool
+        Whether the copies of other instances are known to be old, too.
+    draw : float
+        Random number from 0 to 1, which spreads the clients.
+    """
+    if not is_store_out:
+        return MIN_CLIENT_RETRY_S
+    longest = MAX_CLIENT_RETRY_SHARE * client_timeout
+    return max(MIN_CLIENT_RETRY_S, min(longest, age * (0.5 + draw)))
+
+
+def find_start_retry_delay(uptime):
+    """Return the seconds after which a client should retry before the first copy.
+
+    Parameters
+    ----------
+    uptime : float
+        Seconds since the start of the instance: the longer it has waited for the
+        store, the longer it will.
+    """
+    return min(MAX_START_RETRY_S, max(MIN_START_RETRY_S, uptime))
+
+
 def find_confirmed_time(asked_at, answered_at, wait, is_empty):
     """Return the time up to which the answer to a watch covers all changes.
 
--- a/tanagerwalk/gateway/routing.py
+++ b/tanagerwalk/gateway/routing.py
@@ -2,11 +2,9 @@
 
 from expression import Error
 
+from ..decisions.freshness import choose_stale_retry_delay, find_start_retry_delay
 from ..outcomes import Refusal, RefusalReason
 
-STALE_RETRY_S = 0.2
-MISSING_RETRY_S = 1.0
-
 
 class RouteFilter:
     """Authenticates a request and finds its route in the manifest.
@@ -17,23 +15,29 @@
         Provides the manifest.
     freshness : Freshness
         Tells whether the manifest is recent enough to accept keys.
+    is_store_out : callable
+        Returns whether other instances are known to have lost the store, too.
+    random : random.Random
+        Spreads the times at which refused clients come back.
     """
 
-    def __init__(self, cluster_state, freshness):
+    def __init__(self, cluster_state, freshness, is_store_out, random):
         self._cluster_state = cluster_state
         self._freshness = freshness
+        self._is_store_out = is_store_out
+        self._random = random
 
     async def handle(self, request, proceed):
         """Refuse what the manifest does not allow; pass the rest to the next filter."""
         manifest = self._cluster_state.manifest
         if manifest is None or not self._cluster_state.is_complete:
-            return Error(_refuse_without_manifest())
+            return Error(self._refuse_without_manifest())
         route = manifest.find_route(request.host, request.path)
         needs_key = manifest.needs_keys and not (route and route.public)
         # Checked first, because a stale manifest may lack a route or a key that a
         # newer one has.
         if needs_key and not self._freshness.is_fresh():
-            return Error(_refuse_stale(self._freshness.age))
+            return Error(self._refuse_stale(request))
         if route is None:
             message = f"no route for host {request.host} and path {request.path}"
             return Error(Refusal(RefusalReason.CLASS_UNKNOWN, message))
@@ -52,18 +56,22 @@
             return Error(Refusal(RefusalReason.MODEL_NOT_NAMED, message))
         return await proceed(request)
 
+    def _refuse_without_manifest(self):
+        return Refusal(
+            RefusalReason.MANIFEST_MISSING,
+            "this instance has not read the manifest yet",
+            retry_after=find_start_retry_delay(self._freshness.uptime),
+        )
 
-def _refuse_without_manifest():
-    return Refusal(
-        RefusalReason.MANIFEST_MISSING,
-        "this instance has not read the manifest yet",
-        retry_after=MISSING_RETRY_S,
-    )
-
-
-def _refuse_stale(age):
-    return Refusal(
-        RefusalReason.MANIFEST_STALE,
-        f"this instance last confirmed the manifest {age:.1f} s ago",
-        retry_after=STALE_RETRY_S,
-    )
+    def _refuse_stale(self, request):
+        age = self._freshness.age
+        return Refusal(
+            RefusalReason.MANIFEST_STALE,
+            f"this instance last confirmed the manifest {age:.1f} s ago",
+            retry_after=choose_stale_retry_delay(
+                age,
+                request.client_timeout,
+                self._is_store_out(),
+                self._random.random(),
+            ),
+        )
