Let requests wait a moment for the first copy of the store

Cause: an instance opens its listener before it has read the store, and refused what came in between.

Change: in the first second after the start, a request waits for the first copy, for a sixteenth of the client's time at most. Later it is refused at once, as the store is probably out.

Result: test_request_waits_a_moment_for_the_first_copy_after_a_start failed without the wait (503) and passes with it, four runs. Also passed: test_store_outage, test_gateway_instance, test_boundaries.

--- a/tanagerwalk/decisions/freshness.py
+++ b/tanagerwalk/decisions/freshness.py
@@ -27,6 +27,10 @@
 MIN_CLIENT_RETRY_S = 0.2
 MIN_START_RETRY_S = 0.3
 MAX_START_RETRY_S = 1.0
+# Time after its start in which an instance lets requests wait for its first copy, and
+# the part of a client's time that this takes at most.
+START_WAIT_S = 1.0
+MAX_START_WAIT_SHARE = 1.0 / 16.0
 # Part of its time for which a client is told to wait at most.
 MAX_CLIENT_RETRY_SHARE = 1.0 / 3.0
 
@@ -112,6 +116,20 @@
     return max(MIN_CLIENT_RETRY_S, min(longest, age * (0.5 + draw)))
 
 
+def find_start_wait(uptime, client_timeout):
+    """Return the seconds for which a request waits for the first copy of the store.
+
+    Parameters
+    ----------
+    uptime : float
+        Seconds since the start of the instance. Later than START_WAIT_S the store is
+        probably out, and no request waits.
+    client_timeout : float
+        Seconds that the client waits in all.
+    """
+    return max(0.0, min(START_WAIT_S - uptime, MAX_START_WAIT_SHARE * client_timeout))
+
+
 def find_start_retry_delay(uptime):
     """Return the seconds after which a client should retry before the first copy.
 
--- a/tanagerwalk/gateway/routing.py
+++ b/tanagerwalk/gateway/routing.py
@@ -2,9 +2,16 @@
 
 from expression import Error
 
-from ..decisions.freshness import choose_stale_retry_delay, find_start_retry_delay
+from ..controllers.loop import poll_until
+from ..decisions.freshness import (
+    choose_stale_retry_delay,
+    find_start_retry_delay,
+    find_start_wait,
+)
 from ..outcomes import Refusal, RefusalReason
 
+START_POLL_INTERVAL_S = 0.02
+
 
 class RouteFilter:
     """Authenticates a request and finds its route in the manifest.
@@ -29,8 +36,9 @@
 
     async def handle(self, request, proceed):
         """Refuse what the manifest does not allow; pass the rest to the next filter."""
+        await self._wait_for_first_copy(request)
         manifest = self._cluster_state.manifest
-        if manifest is None or not self._cluster_state.is_complete:
+        if not self._has_copy():
             return Error(self._refuse_without_manifest())
         route = manifest.find_route(request.host, request.path)
         needs_key = manifest.needs_keys and not (route and route.public)
@@ -56,6 +64,19 @@
             return Error(Refusal(RefusalReason.MODEL_NOT_NAMED, message))
         return await proceed(request)
 
+    async def _wait_for_first_copy(self, request):
+        """Wait a moment for the first copy of the store if the instance has just begun.
+
+        After a restart of the whole fleet, no other instance could answer the client.
+        """
+        if self._has_copy():
+            return
+        wait = find_start_wait(self._freshness.uptime, request.client_timeout)
+        await poll_until(self._has_copy, START_POLL_INTERVAL_S, wait)
+
+    def _has_copy(self):
+        return self._cluster_state.is_complete
+
     def _refuse_without_manifest(self):
         return Refusal(
             RefusalReason.MANIFEST_MISSING,
--- a/test/gateway/test_store_outage.py
+++ b/test/gateway/test_store_outage.py
@@ -1,5 +1,6 @@
 """When clients that are refused while the store is out are told to come back."""
 
+import asyncio
 from random import Random
 
 import pytest
@@ -8,9 +9,10 @@
 from tanagerwalk.decisions.freshness import (
     choose_stale_retry_delay,
     find_start_retry_delay,
+    find_start_wait,
 )
 from tanagerwalk.decisions.watchers import MIN_DOMAIN_SIZE
-from tanagerwalk.standins.gateway_cluster import GatewayCluster
+from tanagerwalk.standins.gateway_cluster import GatewayCluster, build_manifest
 
 STALE_AGE_S = 4.0
 
@@ -73,3 +75,26 @@
         assert 1.5 <= float(reply.headers["retry-after"]) <= 4.0
         cluster.store.mode = "up"
         assert await poll_until(asker.freshness.is_fresh, 0.05, 2.0)
+
+
+async def test_request_waits_a_moment_for_the_first_copy_after_a_start():
+    """As after a restart of all instances, when no other one could answer."""
+    async with GatewayCluster() as cluster:
+        await cluster.add_server("desk-0", "desk")
+        await cluster.store.put("op/config", build_manifest())
+        cluster.store.mode = "busy"
+        instance = cluster.build_instance("early")
+        await instance.start()
+        cluster.instances.append(instance)
+        headers = {"X_Tanagerwalk_Deadline_Ms": "12000"}
+        request = cluster.encode("GET", "/jobs/1", **headers)
+        sent = asyncio.create_task(cluster.send(request))
+        await asyncio.sleep(0.1)
+        cluster.store.mode = "up"
+        assert (await sent).status == 200
+
+
+def test_no_request_waits_at_an_instance_that_has_waited_for_long():
+    assert find_start_wait(0.1, 16.0) == 0.9
+    assert find_start_wait(0.1, 0.8) == 0.05
+    assert find_start_wait(4.0, 16.0) == 0.0
