Take a server for cold that refused a connection and is back

Cause: a server that is down refuses connections. If it is back while a tunnel to it is still being tried, its path went from direct to indirect and never to unreachable, so that its return, a new and cold start, wasn't noticed. The same held for a request with allowed regions, and while the path was indirect already.

Change: the connector records a refused connection in the PathTable. Whatever path reaches the server next, on_returned is called once. A path that only times out says nothing of the server, as before. A check (CrashCheck) and a probe count too; the probe's method is now public, for the tests.

Result: three of the four new tests of the connector (no network) failed on the code before (nothing was told to have returned), and pass; the fourth, of a path that is cut, passed before and after. With them test_paths, test_tunnels and test_controller_defects, where a name in a test follows the renamed method.

--- a/tanagerwalk/decisions/paths.py
+++ b/tanagerwalk/decisions/paths.py
@@ -41,6 +41,7 @@
 
     def __init__(self):
         self._lost: dict[BackendServerId, _LostPath] = {}
+        self._refused: set[BackendServerId] = set()
         self._indirect_at = float("-inf")
 
     def get_state(self, server_id):
@@ -90,9 +91,28 @@
         path = self._lost.pop(server_id, None)
         return None if path is None else now - path.lost_at
 
+    def record_refused(self, server_id):
+        """Record that a server refused a connection, since it was down."""
+        self._refused.add(server_id)
+
+    def record_reached(self, server_id):
+        """Record that a connection was opened, by whatever path.
+
+        To be called before the path is recorded.
+
+        Returns
+        -------
+        bool
+            Whether the server was down or out of reach on all paths before.
+        """
+        was_down = server_id in self._refused
+        self._refused.discard(server_id)
+        return was_down or self.is_unreachable(server_id)
+
     def forget(self, server_id):
         """Drop what is known about a server that is gone."""
         self._lost.pop(server_id, None)
+        self._refused.discard(server_id)
 
     def is_doubtful(self, last_used_at):
         """Return whether a kept direct connection may be as dead as new ones.
--- a/tanagerwalk/gateway/connector.py
+++ b/tanagerwalk/gateway/connector.py
@@ -22,6 +22,8 @@
 MIN_PROBE_PAUSE_S = 0.25
 MAX_PROBE_PAUSE_S = 2.0
 MS_PER_S = 1000.0
+# Error of a dial to a host that is up, but where nothing listens.
+REFUSED = ConnectionRefusedError.__name__
 # Which fault is told if there are several: one of this instance comes first.
 FAULT_ORDER = (ConnectFault.DESCRIPTORS_FULL, ConnectFault.NO_ALLOWED_PATH)
 
@@ -52,8 +54,8 @@
     on_reachable : callable
         Takes a RegisteredServer whose direct path works again.
     on_returned : callable
-        Takes a RegisteredServer that was out of reach on all paths and no longer is; it
-        may have started anew.
+        Takes a RegisteredServer that was down, or out of reach on all paths, and no
+        longer is; it may have started anew.
     """
 
     def __init__(self, paths, tunnels, clock, random):
@@ -117,12 +119,13 @@
         server : RegisteredServer
             The server.
         """
-        result = await self.dial(server.address, CHECK_TIMEOUT_S)
+        result = await self._dial(server, CHECK_TIMEOUT_S)
         if result.is_error() and isinstance(result.error, ConnectFault):
             return True
         if result.is_error():
             self._record_lost(server, result)
             return False
+        self._record_reached(server)
         self.on_probed(server, result.ok)
         return True
 
@@ -132,6 +135,8 @@
         tunnel_delay = self._paths.find_tunnel_delay(self._clock())
         delays = itertools.chain([tunnel_delay], itertools.repeat(NEXT_PEER_DELAY_S))
         result = await open_first([direct, *tunnels], delays, timeout)
+        if result.is_ok():
+            self._record_reached(server)
         if faults:
             return _prefer_fault(result, faults)
         if result.is_error() and is_restricted:
@@ -149,7 +154,9 @@
             return _prefer_fault(result, faults)
         if result.is_error():
             self._record_lost(server, result)
-        elif result.ok.via is None:
+            return result
+        self._record_reached(server)
+        if result.ok.via is None:
             self._record_direct(server)
         return result
 
@@ -164,14 +171,19 @@
         return result
 
     async def _dial(self, server, timeout):
-        return await self.dial(server.address, timeout)
+        result = await self.dial(server.address, timeout)
+        if result.is_error() and result.error == REFUSED:
+            self._paths.record_refused(server.id)
+        return result
+
+    def _record_reached(self, server):
+        if self._paths.record_reached(server.id):
+            self.on_returned(server)
 
     def _record_lost(self, server, result, state=None):
         is_reached = result.is_ok()
         if state is None:
             state = PathState.INDIRECT if is_reached else PathState.UNREACHABLE
-        if is_reached and self._paths.is_unreachable(server.id):
-            self.on_returned(server)
         if self._paths.record_lost(server.id, state, self._clock()):
             log.info(
                 "server unreachable",
@@ -186,10 +198,7 @@
             self._probes[server.id] = task
 
     def _record_direct(self, server):
-        was_unreachable = self._paths.is_unreachable(server.id)
         lost_for = self._paths.record_direct(server.id, self._clock())
-        if was_unreachable:
-            self.on_returned(server)
         if lost_for is not None:
             log.info(
                 "server reachable again",
@@ -205,11 +214,10 @@
         try:
             while True:
                 await asyncio.sleep(pause * (0.5 + self._random.random()))
-                state = self._paths.get_state(server.id)
-                if state is PathState.DIRECT:
+                if self._paths.get_state(server.id) is PathState.DIRECT:
                     return
                 try:
-                    await self._probe_paths(server, state)
+                    await self.probe_once(server)
                 except Exception:
                     # Without probes the server would be out of use for good.
                     log.exception("probe failed", server=server.id)
@@ -217,9 +225,18 @@
         finally:
             del self._probes[server.id]
 
-    async def _probe_paths(self, server, state):
-        result = await self.dial(server.address, CONNECT_TIMEOUT_S)
+    async def probe_once(self, server):
+        """Try the lost paths to a server once.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        """
+        state = self._paths.get_state(server.id)
+        result = await self._dial(server, CONNECT_TIMEOUT_S)
         if result.is_ok():
+            self._record_reached(server)
             self._record_direct(server)
             self.on_probed(server, result.ok)
             return
@@ -234,6 +251,7 @@
         # The server may have gone, or a direct connection opened, in the meantime.
         is_lost = self._paths.get_state(server.id) is not PathState.DIRECT
         if result.is_ok():
+            self._record_reached(server)
             if is_lost:
                 self._record_lost(server, result)
             self.on_probed(server, result.ok)
--- a/test/decisions/test_paths.py
+++ b/test/decisions/test_paths.py
@@ -73,3 +73,16 @@
 def test_peer_without_a_port_for_tunnels_is_not_asked():
     peers = {"a-0": Peer(("10.0.0.1", 1), "a")}
     assert TunnelPeers("a", random.Random(1)).rank("a", peers, 0.0) == []
+
+
+def test_server_that_refused_a_connection_was_down_until_it_is_reached():
+    paths = PathTable()
+    assert not paths.record_reached("s")
+    paths.record_refused("s")
+    assert paths.record_reached("s")
+    assert not paths.record_reached("s")
+    paths.record_lost("s", PathState.UNREACHABLE, 1.0)
+    assert paths.record_reached("s")
+    paths.record_refused("s")
+    paths.forget("s")
+    assert not paths.record_reached("s")
--- a/test/gateway/test_connector_faults.py
+++ b/test/gateway/test_connector_faults.py
@@ -2,12 +2,13 @@
 
 import random
 import time
+from types import SimpleNamespace
 
-from expression import Error
+from expression import Error, Ok
 
 from tanagerwalk.decisions.paths import PathState, PathTable
 from tanagerwalk.gateway.connect_faults import ConnectFault
-from tanagerwalk.gateway.connector import ServerConnector
+from tanagerwalk.gateway.connector import REFUSED, ServerConnector
 
 
 class FullTunnels:
@@ -88,3 +89,76 @@
     connector.close()
     assert result.error is ConnectFault.NO_ALLOWED_PATH
     assert paths.get_state("desk-0") is PathState.INDIRECT
+
+
+class OpenTunnels(FullTunnels):
+    async def open(self, peer_id, server):
+        return Ok(SimpleNamespace(via=peer_id, abort=lambda: None))
+
+
+def build_connector(tunnels, dial):
+    connector = ServerConnector(PathTable(), tunnels, time.monotonic, random.Random(1))
+    connector.dial = dial
+    connector.returned = []
+    connector.on_returned = connector.returned.append
+    return connector
+
+
+async def refuse_connection(address, timeout, create_protocol=None):
+    return Error(REFUSED)
+
+
+async def time_out(address, timeout, create_protocol=None):
+    return Error("TimeoutError")
+
+
+async def open_direct(address, timeout, create_protocol=None):
+    return Ok(SimpleNamespace(via=None, abort=lambda: None))
+
+
+# Guards against a new start of a server that is missed since the server is back
+# while a tunnel to it is tried, and never counts as unreachable.
+async def test_server_that_refused_has_returned_once_a_tunnel_reaches_it():
+    connector = build_connector(OpenTunnels(), refuse_connection)
+    server = Server()
+    assert (await connector.connect(server, 1.0)).is_ok()
+    assert connector.returned == [server]
+    connector.dial = open_direct
+    await connector.probe_once(server)
+    connector.close()
+    assert connector.returned == [server]
+
+
+async def test_server_that_refused_a_restricted_request_has_returned():
+    connector = build_connector(RefusedTunnels(), refuse_connection)
+    server = Server()
+    await connector.connect(server, 1.0, lambda peer_id: False)
+    assert connector.returned == []
+    connector.dial = open_direct
+    await connector.probe_once(server)
+    connector.close()
+    assert connector.returned == [server]
+
+
+async def test_server_that_refuses_while_tunnels_reach_it_has_returned():
+    connector = build_connector(OpenTunnels(), time_out)
+    server = Server()
+    assert (await connector.connect(server, 1.0)).is_ok()
+    assert connector.returned == []
+    connector.dial = refuse_connection
+    await connector.probe_once(server)
+    connector.dial = open_direct
+    await connector.probe_once(server)
+    connector.close()
+    assert connector.returned == [server]
+
+
+# A path that is cut says nothing about the server, which others still reach.
+async def test_server_behind_a_cut_path_has_not_returned():
+    connector = build_connector(OpenTunnels(), time_out)
+    server = Server()
+    assert (await connector.connect(server, 1.0)).is_ok()
+    connector.dial = open_direct
+    await connector.probe_once(server)
+    connector.close()
+    assert connector.returned == []
--- a/test/gateway/test_controller_defects.py
+++ b/test/gateway/test_controller_defects.py
@@ -266,8 +266,8 @@
     (instance,) = cluster.instances
     connector = instance.connection_pool.connector
     server = instance.servers.find("desk-0").server
-    fault = Fault(connector._probe_paths, error, 2)
-    monkeypatch.setattr(connector, "_probe_paths", fault)
+    fault = Fault(connector.probe_once, error, 2)
+    monkeypatch.setattr(connector, "probe_once", fault)
     connector._record_lost(server, Error("refused"))
     assert instance.paths.get_state(server.id) is PathState.UNREACHABLE
     assert await poll_until(
