Tell other instances of servers that started anew

Cause: an instance that had no connection to a server and nothing to send while it was down took it for warm until it read the new entry, and so did one that had just started with the old entry, or used the server through tunnels.

Change: the load messages tell of servers that refused a connection (`ColdServer`), with the time for which they stay cold; while they are down, with the time of a start now. Only what an instance saw itself is told, and relays pass it on by scopes as they do sides. A server that was merely out of reach isn't told of. Earlier versions skip the new field.

Further: a server that is back after a crash is cold from its return on.

--- a/tanagerwalk/decisions/cold_servers.py
+++ b/tanagerwalk/decisions/cold_servers.py
@@ -1,5 +1,6 @@
 """Servers that have just started, or that are slow again, and bear few requests."""
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass
 from enum import Enum
@@ -33,6 +34,8 @@
     STARTED = "started"
     CRASHED = "crashed"
     RETURNED = "returned"
+    RESTARTED = "restarted"
+    TOLD = "told"
     EVACUATION_ENDED = "evacuation ended"
 
 
@@ -74,10 +77,34 @@
         return ColdLimit(rate, self.overrun * rate + self.slack)
 
 
+# Other instances may not have noticed these. What they tell isn't told on.
+TOLD_REASONS = frozenset({ColdReason.CRASHED, ColdReason.RESTARTED})
+
+
 @dataclass(slots=True)
 class _ColdServer:
+    """When a server becomes warm.
+
+    Parameters
+    ----------
+    server : RegisteredServer
+        The server.
+    known_until : float
+        When it does, by what is known of its last start.
+    awaited_until : float
+        The same if it is down, and starts again as late as may be.
+    told_until : float
+        Until when the others are told that it is cold.
+    """
+
     server: RegisteredServer
-    until: float
+    known_until: float
+    awaited_until: float = -math.inf
+    told_until: float = -math.inf
+
+    @property
+    def until(self):
+        return max(self.known_until, self.awaited_until)
 
 
 class ColdServers:
@@ -176,6 +203,64 @@
             seconds = RESTART_WAIT_S + policy.duration
             self.record_cold_time(server, seconds, now, ColdReason.CRASHED)
 
+    def record_return(self, server, now, reason):
+        """Take a server for cold that is back: it has started by now.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        now : float
+            Monotonic time in seconds.
+        reason : ColdReason
+            RESTARTED or RETURNED.
+        """
+        cold = self._cold.get(hash_life(server))
+        if cold is not None:
+            cold.awaited_until = -math.inf
+            cold.told_until = min(cold.told_until, cold.known_until)
+        self.record_start(server, now, reason)
+
+    def record_told(self, server, seconds, now):
+        """Take a server for cold since another instance does.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        seconds : float
+            For how long it is cold from now on.
+        now : float
+            Monotonic time in seconds.
+        """
+        policy = self.find_policy(server.service)
+        if policy is None:
+            return
+        seconds = min(seconds, policy.duration)
+        self.record_cold_time(server, seconds, now, ColdReason.TOLD)
+
+    def list_news(self, now):
+        """Return for how long servers are cold whose new start this instance noticed.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        dict of int to float
+            Seconds by `hash_life`. A server that is down has the time of a start now.
+        """
+        news = {
+            life: self._find_told_time(cold, now) for life, cold in self._cold.items()
+        }
+        return {life: seconds for life, seconds in news.items() if seconds > 0.0}
+
+    def _find_told_time(self, cold, now):
+        policy = self.find_policy(cold.server.service)
+        return 0.0 if policy is None else min(cold.told_until - now, policy.duration)
+
     def record_cold_time(self, server, seconds, now, reason):
         """Take a server for cold, unless it is known to be cold for longer.
 
@@ -196,7 +281,12 @@
         cold = self._cold.setdefault(hash_life(server), _ColdServer(server, now))
         if until >= cold.until + MIN_EXTENSION_S:
             self.on_cold(server, until - now, reason)
-        cold.until = max(cold.until, until)
+        if reason is ColdReason.CRASHED:
+            cold.awaited_until = until
+        else:
+            cold.known_until = max(cold.known_until, until)
+        if reason in TOLD_REASONS:
+            cold.told_until = max(cold.told_until, until)
 
     def find_limit(self, life, now):
         """Return the ColdLimit of a server, or None if it has none.
--- a/tanagerwalk/decisions/paths.py
+++ b/tanagerwalk/decisions/paths.py
@@ -30,6 +30,17 @@
     UNREACHABLE = "unreachable"
 
 
+class Outage(Enum):
+    """What kept a server from being reached before it was reached again.
+
+    DOWN: it refused connections, so that it has ended and started anew. CUT_OFF: no
+    path worked; it may have run all the while.
+    """
+
+    DOWN = "down"
+    CUT_OFF = "cut_off"
+
+
 @dataclass(slots=True)
 class _LostPath:
     state: PathState
@@ -102,12 +113,13 @@
 
         Returns
         -------
-        bool
-            Whether the server was down or out of reach on all paths before.
+        Outage or None
+            None if the server was in reach before.
         """
-        was_down = server_id in self._refused
-        self._refused.discard(server_id)
-        return was_down or self.is_unreachable(server_id)
+        if server_id in self._refused:
+            self._refused.discard(server_id)
+            return Outage.DOWN
+        return Outage.CUT_OFF if self.is_unreachable(server_id) else None
 
     def forget(self, server_id):
         """Drop what is known about a server that is gone."""
--- a/tanagerwalk/gateway/cold_watch.py
+++ b/tanagerwalk/gateway/cold_watch.py
@@ -3,9 +3,15 @@
 import structlog
 
 from ..decisions.cold_servers import ColdPolicy, ColdReason
+from ..decisions.paths import Outage
 
 log = structlog.get_logger(__name__)
 
+REASON_BY_OUTAGE = {
+    Outage.DOWN: ColdReason.RESTARTED,
+    Outage.CUT_OFF: ColdReason.RETURNED,
+}
+
 
 class ColdWatch:
     """Connects the ColdServers to the manifest and the list of servers.
@@ -50,9 +56,9 @@
         """Take a server that has crashed for cold if it answers again."""
         self._cold.record_crash(server, self._clock())
 
-    def record_return(self, server):
+    def record_return(self, server, outage):
         """Take a server for cold that is back: it may have started anew."""
-        self._cold.record_start(server, self._clock(), ColdReason.RETURNED)
+        self._cold.record_return(server, self._clock(), REASON_BY_OUTAGE[outage])
 
     def _find_policy(self, name):
         """Return the ColdPolicy of a service, or None if it has none."""
--- a/tanagerwalk/gateway/connector.py
+++ b/tanagerwalk/gateway/connector.py
@@ -54,8 +54,7 @@
     on_reachable : callable
         Takes a RegisteredServer whose direct path works again.
     on_returned : callable
-        Takes a RegisteredServer that was down, or out of reach on all paths, and no
-        longer is; it may have started anew.
+        Takes a RegisteredServer that is reached again, and the Outage that has ended.
     """
 
     def __init__(self, paths, tunnels, clock, random):
@@ -67,7 +66,7 @@
         self.dial = open_connection
         self.on_probed = _abort_unused
         self.on_reachable = _ignore
-        self.on_returned = _ignore
+        self.on_returned = _ignore_return
 
     async def connect(self, server, limit, allows_peer=None):
         """Open a connection to a server.
@@ -177,8 +176,9 @@
         return result
 
     def _record_reached(self, server):
-        if self._paths.record_reached(server.id):
-            self.on_returned(server)
+        outage = self._paths.record_reached(server.id)
+        if outage is not None:
+            self.on_returned(server, outage)
 
     def _record_lost(self, server, result, state=None):
         is_reached = result.is_ok()
@@ -289,6 +289,10 @@
     del server
 
 
+def _ignore_return(server, outage):
+    del server, outage
+
+
 async def open_first(openers, delays, timeout):
     """Run coroutines that open a connection, and return the first that succeeds.
 
--- a/tanagerwalk/gateway/load_message_builder.py
+++ b/tanagerwalk/gateway/load_message_builder.py
@@ -11,6 +11,7 @@
 from .load_messages import (
     encode_blame,
     encode_brittleness,
+    encode_cold_time,
     encode_latencies,
     encode_limit,
     encode_load,
@@ -29,6 +30,7 @@
 MAX_NOTES = 20
 MAX_SPEEDS = 40
 MAX_DEMANDS = 4
+MAX_COLD = 60
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +58,8 @@
     speeds : dict of int to SpeedSamples
         What answers show of the servers' speeds, by `hash_life`; empty in the rounds
         that don't tell it.
+    cold : dict of int to float
+        For how many seconds servers are cold that have started anew, by `hash_life`.
     """
 
     scope: Scope
@@ -67,11 +71,18 @@
     limits: dict[int, Statement] = field(default_factory=dict)
     brittle: dict[int, Statement] = field(default_factory=dict)
     speeds: dict[int, SpeedSamples] = field(default_factory=dict)
+    cold: dict[int, float] = field(default_factory=dict)
 
     @property
     def is_empty(self):
         """Whether nothing but tallies would be told."""
-        of_servers = (self.leaving, self.limits, self.brittle, self.speeds)
+        of_servers = (
+            self.leaving,
+            self.limits,
+            self.brittle,
+            self.speeds,
+            self.cold,
+        )
         return not any((self.loads, self.blames, self.sides, *of_servers))
 
 
@@ -122,6 +133,7 @@
         """Yield the messages of one round for some Contents."""
         # What is urgent goes first, since a full link drops the last messages.
         yield from self.build_blames(contents.scope, contents.blames)
+        yield from self._build_cold_times(contents)
         if contents.limits:
             limits = [encode_limit(*item) for item in contents.limits.items()]
             yield self._build_message(contents.scope, limits=limits)
@@ -153,6 +165,14 @@
             part_sides = encode_sides(dict(sides[start : start + MAX_SIDES]))
             yield self._build_message(contents.scope, sides=part_sides)
 
+    def _build_cold_times(self, contents):
+        """Yield the messages that tell of servers that have started anew."""
+        cold = [encode_cold_time(*item) for item in contents.cold.items()]
+        for start in range(0, len(cold), MAX_COLD):
+            yield self._build_message(
+                contents.scope, cold=cold[start : start + MAX_COLD]
+            )
+
     def build_blames(self, scope, records):
         """Yield the messages that tell of crashes."""
         blames = [encode_blame(record, key) for key, record in records.items()]
--- a/tanagerwalk/gateway/load_message_receiver.py
+++ b/tanagerwalk/gateway/load_message_receiver.py
@@ -10,6 +10,7 @@
 from .load_messages import (
     decode_blame,
     decode_brittleness,
+    decode_cold_time,
     decode_limit,
     decode_load,
     decode_sides,
@@ -44,6 +45,8 @@
         Stores the speeds of servers.
     relayed_sides : RelayedItems
         Stores the side overrides that relays pass on.
+    relayed_cold : RelayedItems
+        Stores until when servers are cold, which relays pass on.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         demands,
         speeds,
         relayed_sides,
+        relayed_cold,
     ):
         self._failure_domain = failure_domain
         self._servers = servers
@@ -69,6 +73,7 @@
         self._demands = demands
         self._speeds = speeds
         self._relayed_sides = relayed_sides
+        self._relayed_cold = relayed_cold
 
     def receive(self, message, role, now):
         """Merge a load message.
@@ -108,6 +113,8 @@
         scope = Scope(message.scope)
         domain = FailureDomain(message.domain)
         self._merge_server_news(message, now)
+        for encoded in message.cold or ():
+            self._merge_cold_time(scope, *decode_cold_time(encoded), now)
         if scope is not Scope.DOMAIN or domain != self._failure_domain:
             self._store_demands(message, scope, now)
         records = dict(map(decode_blame, message.blames or ()))
@@ -131,6 +138,13 @@
         for encoded in message.brittle or ():
             self._merge_brittleness(*decode_brittleness(encoded), now, message.sender)
 
+    def _merge_cold_time(self, scope, life, seconds, now):
+        self._relayed_cold.record(scope, life, now + seconds, now)
+        usage = self._servers.find_life(life)
+        # One whose new entry is known is listed as another start.
+        if usage is not None:
+            self._servers.limits.cold.record_told(usage.server, seconds, now)
+
     def _merge_limit(self, life, news, now, sender):
         if self._servers.limits.merge(life, news, now):
             rate = news.value
--- a/tanagerwalk/gateway/load_messages.py
+++ b/tanagerwalk/gateway/load_messages.py
@@ -19,6 +19,7 @@
 from ..peers.codec import decode
 from ..peers.gen.loads.ttypes import (
     AccountDemand,
+    ColdServer,
     CrashBlame,
     LatencyTally,
     LoadMessage,
@@ -48,6 +49,7 @@
     CrashBlame: ("fingerprint",),
     ServerLimit: ("server",),
     ServerBrittleness: ("server",),
+    ColdServer: ("server", "left_ms"),
     ServerSpeed: ("server",),
     SessionSides: ("service_name", "on_target", "on_base"),
     TrialTally: ("service_name", "order"),
@@ -67,6 +69,7 @@
     "brittle",
     "speeds",
     "demands",
+    "cold",
 )
 KNOWN_SCOPES = frozenset(scope.value for scope in Scope)
 
@@ -225,6 +228,16 @@
     return limit.server, _decode_statement(limit.rate, limit.heard_ago_ms)
 
 
+def encode_cold_time(life, seconds):
+    """Convert the cold time of a server to a ColdServer message."""
+    return ColdServer(life, min(MAX_INT32, int(seconds * MS_PER_S)))
+
+
+def decode_cold_time(encoded):
+    """Convert a ColdServer message to the server's hash and seconds."""
+    return encoded.server, max(0, encoded.left_ms) / MS_PER_S
+
+
 def encode_brittleness(life, news):
     """Convert a Statement to a ServerBrittleness message."""
     return ServerBrittleness(life, news.value, int(news.heard_ago * MS_PER_S))
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -86,6 +86,7 @@
         self._clock = clock
         self._random = random
         self._relayed_sides = RelayedItems(RELAYED_LIFETIME_S)
+        self._relayed_cold = RelayedItems(RELAYED_LIFETIME_S)
         self._secret = None
         self._sender = DatagramSender(get_peers)
         self._speeds = SpeedSharing(servers.speeds)
@@ -107,6 +108,7 @@
             self.demands,
             self._speeds,
             self._relayed_sides,
+            self._relayed_cold,
         )
 
     def authenticate(self, secret):
@@ -283,6 +285,7 @@
             self._servers.limits.list_news(now),
             self._servers.brittle.statements.list_news(now),
             self._speeds.list_totals((), now),
+            self._servers.limits.cold.list_news(now),
         )
 
     def _list_own_sides(self):
@@ -316,8 +319,13 @@
             own.limits,
             own.brittle,
             self._speeds.list_totals(sources, now),
+            self._list_relayed_cold(sources, now) | own.cold,
         )
 
+    def _list_relayed_cold(self, sources, now):
+        relayed = self._relayed_cold.list(sources, now)
+        return {life: until - now for life, until in relayed.items() if until > now}
+
     def _send(self, contents, receiver_ids):
         """Send contents, in as many messages as they need, to some instances."""
         if contents.scope is Scope.INSTANCE:
--- a/tanagerwalk/peers/gen/loads/ttypes.py
+++ b/tanagerwalk/peers/gen/loads/ttypes.py
@@ -410,6 +410,74 @@
         return not (self == other)
 
 
+class ColdServer(object):
+    """
+    Attributes:
+     - server
+     - left_ms
+
+    """
+
+
+    def __init__(self, server=None, left_ms=None,):
+        self.server = server
+        self.left_ms = left_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.server = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ColdServer')
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.I64, 1)
+            oprot.writeI64(self.server)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 2)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ServerBrittleness(object):
     """
     Attributes:
@@ -1691,11 +1759,12 @@
      - permits
      - speeds
      - demands
+     - cold
 
     """
 
 
-    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None, scope=None, domain=None, part=None, parts=None, leaving=None, limits=None, notes=None, brittle=None, permits=None, speeds=None, demands=None,):
+    def __init__(self, sender=None, sequence=None, loads=None, blames=None, sides=None, tallies=None, scope=None, domain=None, part=None, parts=None, leaving=None, limits=None, notes=None, brittle=None, permits=None, speeds=None, demands=None, cold=None,):
         self.sender = sender
         self.sequence = sequence
         self.loads = loads
@@ -1713,6 +1782,7 @@
         self.permits = permits
         self.speeds = speeds
         self.demands = demands
+        self.cold = cold
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1873,6 +1943,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 61:
+                if ftype == TType.LIST:
+                    self.cold = []
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = ColdServer()
+                        _elem173.read(iprot)
+                        self.cold.append(_elem173)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1894,29 +1975,29 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter168 in self.loads:
-                iter168.write(oprot)
+            for iter174 in self.loads:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.blames is not None:
             oprot.writeFieldBegin('blames', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.blames))
-            for iter169 in self.blames:
-                iter169.write(oprot)
+            for iter175 in self.blames:
+                iter175.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sides is not None:
             oprot.writeFieldBegin('sides', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.sides))
-            for iter170 in self.sides:
-                iter170.write(oprot)
+            for iter176 in self.sides:
+                iter176.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter171 in self.tallies:
-                iter171.write(oprot)
+            for iter177 in self.tallies:
+                iter177.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.scope is not None:
@@ -1938,50 +2019,57 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 11)
             oprot.writeListBegin(TType.I64, len(self.leaving))
-            for iter172 in self.leaving:
-                oprot.writeI64(iter172)
+            for iter178 in self.leaving:
+                oprot.writeI64(iter178)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter173 in self.limits:
-                iter173.write(oprot)
+            for iter179 in self.limits:
+                iter179.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.notes is not None:
             oprot.writeFieldBegin('notes', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.notes))
-            for iter174 in self.notes:
-                iter174.write(oprot)
+            for iter180 in self.notes:
+                iter180.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.brittle is not None:
             oprot.writeFieldBegin('brittle', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.brittle))
-            for iter175 in self.brittle:
-                iter175.write(oprot)
+            for iter181 in self.brittle:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.permits is not None:
             oprot.writeFieldBegin('permits', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.permits))
-            for iter176 in self.permits:
-                iter176.write(oprot)
+            for iter182 in self.permits:
+                iter182.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 40)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter177 in self.speeds:
-                iter177.write(oprot)
+            for iter183 in self.speeds:
+                iter183.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 60)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter178 in self.demands:
-                iter178.write(oprot)
+            for iter184 in self.demands:
+                iter184.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cold is not None:
+            oprot.writeFieldBegin('cold', TType.LIST, 61)
+            oprot.writeListBegin(TType.STRUCT, len(self.cold))
+            for iter185 in self.cold:
+                iter185.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2027,6 +2115,12 @@
     (2, TType.DOUBLE, 'rate', None, None, ),  # 2
     (3, TType.I32, 'heard_ago_ms', None, None, ),  # 3
 )
+all_structs.append(ColdServer)
+ColdServer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'server', None, None, ),  # 1
+    (2, TType.I32, 'left_ms', None, None, ),  # 2
+)
 all_structs.append(ServerBrittleness)
 ServerBrittleness.thrift_spec = (
     None,  # 0
@@ -2193,6 +2287,7 @@
     None,  # 58
     None,  # 59
     (60, TType.LIST, 'demands', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 60
+    (61, TType.LIST, 'cold', (TType.STRUCT, [ColdServer, None], False), None, ),  # 61
 )
 fix_spec(all_structs)
 del all_structs
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -38,6 +38,14 @@
   3: i32 heard_ago_ms
 }
 
+// Backend server that has started anew; `server` is a hash of the id and start time in
+// its entry, which may be older.
+struct ColdServer {
+  1: i64 server
+  // Time for which it stays cold.
+  2: i32 left_ms
+}
+
 // What a backend server bears; `server` is a hash of id and start time.
 struct ServerBrittleness {
   1: i64 server
@@ -228,4 +236,5 @@
   15: optional list<PermitNote> permits
   40: optional list<ServerSpeed> speeds
   60: optional list<ServiceDemand> demands
+  61: optional list<ColdServer> cold
 }
--- a/test/decisions/test_coldness.py
+++ b/test/decisions/test_coldness.py
@@ -203,3 +203,19 @@
     for born in range(2, 22):
         cold.observe([*steady, replace(OLD, born=born)], float(born))
     assert cold.log.count(ColdReason.STARTED) == 20
+
+
+# Clients waited for as long as a restart may take, although it was over.
+def test_server_that_is_back_after_a_crash_is_cold_from_then_on_only():
+    cold = build_cold()
+    cold.record_crash(OLD, 10.0)
+    cold.record_return(OLD, 11.0, ColdReason.RESTARTED)
+    assert cold.count(10.9 + POLICY.duration) == 1
+    assert cold.count(11.1 + POLICY.duration) == 0
+
+
+def test_crash_after_a_return_counts_anew():
+    cold = build_cold()
+    cold.record_return(OLD, 10.0, ColdReason.RESTARTED)
+    cold.record_crash(OLD, 11.0)
+    assert cold.count(10.9 + RESTART_WAIT_S + POLICY.duration) == 1
--- a/test/decisions/test_paths.py
+++ b/test/decisions/test_paths.py
@@ -6,6 +6,7 @@
     SUSPICION_S,
     SUSPICIOUS_TUNNEL_DELAY_S,
     TUNNEL_DELAY_S,
+    Outage,
     PathState,
     PathTable,
 )
@@ -75,14 +76,14 @@
     assert TunnelPeers("a", random.Random(1)).rank("a", peers, 0.0) == []
 
 
-def test_server_that_refused_a_connection_was_down_until_it_is_reached():
+def test_outage_of_a_server_ends_when_it_is_reached():
     paths = PathTable()
-    assert not paths.record_reached("s")
+    assert paths.record_reached("s") is None
     paths.record_refused("s")
-    assert paths.record_reached("s")
-    assert not paths.record_reached("s")
+    assert paths.record_reached("s") is Outage.DOWN
+    assert paths.record_reached("s") is None
     paths.record_lost("s", PathState.UNREACHABLE, 1.0)
-    assert paths.record_reached("s")
+    assert paths.record_reached("s") is Outage.CUT_OFF
     paths.record_refused("s")
     paths.forget("s")
-    assert not paths.record_reached("s")
+    assert paths.record_reached("s") is None
--- a/test/gateway/rollout_fleet.py
+++ b/test/gateway/rollout_fleet.py
@@ -200,7 +200,8 @@
     def __init__(self, instance, fleet):
         self._instance = instance
         self._fleet = fleet
-        self.limits = SimpleNamespace(list_news=lambda now: {})
+        no_news = SimpleNamespace(list_news=lambda now: {})
+        self.limits = SimpleNamespace(list_news=lambda now: {}, cold=no_news)
         self.brittle = BrittleServices()
         self.speeds = ServerSpeeds()
 
--- a/test/gateway/test_connector_faults.py
+++ b/test/gateway/test_connector_faults.py
@@ -6,7 +6,7 @@
 
 from expression import Error, Ok
 
-from tanagerwalk.decisions.paths import PathState, PathTable
+from tanagerwalk.decisions.paths import Outage, PathState, PathTable
 from tanagerwalk.gateway.connect_faults import ConnectFault
 from tanagerwalk.gateway.connector import REFUSED, ServerConnector
 
@@ -100,7 +100,7 @@
     connector = ServerConnector(PathTable(), tunnels, time.monotonic, random.Random(1))
     connector.dial = dial
     connector.returned = []
-    connector.on_returned = connector.returned.append
+    connector.on_returned = lambda *event: connector.returned.append(event)
     return connector
 
 
@@ -122,11 +122,11 @@
     connector = build_connector(OpenTunnels(), refuse_connection)
     server = Server()
     assert (await connector.connect(server, 1.0)).is_ok()
-    assert connector.returned == [server]
+    assert connector.returned == [(server, Outage.DOWN)]
     connector.dial = open_direct
     await connector.probe_once(server)
     connector.close()
-    assert connector.returned == [server]
+    assert connector.returned == [(server, Outage.DOWN)]
 
 
 async def test_server_that_refused_a_restricted_request_has_returned():
@@ -137,7 +137,7 @@
     connector.dial = open_direct
     await connector.probe_once(server)
     connector.close()
-    assert connector.returned == [server]
+    assert connector.returned == [(server, Outage.DOWN)]
 
 
 async def test_server_that_refuses_while_tunnels_reach_it_has_returned():
@@ -150,7 +150,7 @@
     connector.dial = open_direct
     await connector.probe_once(server)
     connector.close()
-    assert connector.returned == [server]
+    assert connector.returned == [(server, Outage.DOWN)]
 
 
 # A path that is cut says nothing about the server, which others still reach.
