--- a/tanagerwalk/decisions/cold_servers.py
+++ b/tanagerwalk/decisions/cold_servers.py
@@ -1,10 +1,11 @@
 """Servers that have just started, or that are slow again, and bear few requests."""
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass
 from enum import Enum
 
-from ..registry import RegisteredServer
+from ..registry import ENTRY_LIFETIME_S, RegisteredServer
 from .limit_parts import ColdLimit
 from .server_usage_table import hash_life
 
@@ -33,6 +34,8 @@
     STARTED = "started"
     CRASHED = "crashed"
     RETURNED = "returned"
+    RESTARTED = "restarted"
+    TOLD = "told"
     EVACUATION_ENDED = "evacuation ended"
 
 
@@ -74,10 +77,47 @@
         return ColdLimit(rate, self.overrun * rate + self.slack)
 
 
+# Other instances may not have noticed these. What they tell isn't told on.
+TOLD_REASONS = frozenset({ColdReason.CRASHED, ColdReason.RESTARTED})
+# With these, the server may have run all the while.
+ASSUMED_REASONS = frozenset(
+    {ColdReason.RETURNED, ColdReason.RESTARTED, ColdReason.TOLD}
+)
+
+
 @dataclass(slots=True)
 class _ColdServer:
+    """When a server becomes warm.
+
+    Parameters
+    ----------
+    server : RegisteredServer
+        The server.
+    known_until : float
+        When it does, by what is known of its last start.
+    assumed_until, assumed_at : float
+        The same by a start that was assumed, and when it was.
+    awaited_until : float
+        The same if it is down, and starts again as late as may be.
+    told_until : float
+        Until when the others are told that it is cold.
+    """
+
     server: RegisteredServer
-    until: float
+    known_until: float
+    assumed_until: float = -math.inf
+    assumed_at: float = -math.inf
+    awaited_until: float = -math.inf
+    told_until: float = -math.inf
+
+    @property
+    def until(self):
+        return max(self.known_until, self.assumed_until, self.awaited_until)
+
+    def drop_assumed(self):
+        """Take the start that was assumed for one that never was."""
+        self.assumed_until = -math.inf
+        self.told_until = self.awaited_until
 
 
 class ColdServers:
@@ -102,6 +142,7 @@
         self._cold = {}
         # The revision of the newest entry of each start of a server.
         self._known = OrderedDict()
+        self._listed = frozenset()
 
     @property
     def is_empty(self):
@@ -135,12 +176,31 @@
         # Those that are listed now come last, and are all kept.
         while len(self._known) > max(MAX_KNOWN_STARTS, len(servers)):
             self._known.popitem(last=False)
-        self._drop_ended({hash_life(server) for server in servers}, now)
+        self._listed = frozenset(map(hash_life, servers))
+        self._drop_ended(now)
+
+    def confirm_starts(self, confirmed_at, now):
+        """Find out whose start was assumed though they ran on.
+
+        A server that has started anew replaces its entry, or else it expires.
+
+        Parameters
+        ----------
+        confirmed_at : float
+            Monotonic time in seconds up to which the list of servers is complete.
+        now : float
+            The present, likewise.
+        """
+        for life, cold in self._cold.items():
+            is_over = confirmed_at >= cold.assumed_at + ENTRY_LIFETIME_S
+            if is_over and life in self._listed:
+                cold.drop_assumed()
+        self._drop_ended(now)
 
-    def _drop_ended(self, listed, now):
+    def _drop_ended(self, now):
         """Forget servers whose limit has ended, also those that are not listed."""
         for life, cold in list(self._cold.items()):
-            if life in listed:
+            if life in self._listed:
                 self.find_limit(life, now)
             elif now >= cold.until:
                 del self._cold[life]
@@ -176,6 +236,64 @@
             seconds = RESTART_WAIT_S + policy.duration
             self.record_cold_time(server, seconds, now, ColdReason.CRASHED)
 
+    def record_return(self, server, now, reason):
+        """Take a server for cold that is back: it has started by now.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        now : float
+            Monotonic time in seconds.
+        reason : ColdReason
+            RESTARTED or RETURNED.
+        """
+        cold = self._cold.get(hash_life(server))
+        if cold is not None:
+            cold.awaited_until = -math.inf
+            cold.told_until = min(cold.told_until, cold.until)
+        self.record_start(server, now, reason)
+
+    def record_told(self, server, seconds, now):
+        """Take a server for cold since another instance does.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        seconds : float
+            For how long it is cold from now on.
+        now : float
+            Monotonic time in seconds.
+        """
+        policy = self.find_policy(server.service)
+        if policy is None:
+            return
+        seconds = min(seconds, policy.duration)
+        self.record_cold_time(server, seconds, now, ColdReason.TOLD)
+
+    def list_news(self, now):
+        """Return for how long servers are cold whose new start this instance noticed.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        dict of int to float
+            Seconds by `hash_life`. A server that is down has the time of a start now.
+        """
+        news = {
+            life: self._find_told_time(cold, now) for life, cold in self._cold.items()
+        }
+        return {life: seconds for life, seconds in news.items() if seconds > 0.0}
+
+    def _find_told_time(self, cold, now):
+        policy = self.find_policy(cold.server.service)
+        return 0.0 if policy is None else min(cold.told_until - now, policy.duration)
+
     def record_cold_time(self, server, seconds, now, reason):
         """Take a server for cold, unless it is known to be cold for longer.
 
@@ -196,7 +314,15 @@
         cold = self._cold.setdefault(hash_life(server), _ColdServer(server, now))
         if until >= cold.until + MIN_EXTENSION_S:
             self.on_cold(server, until - now, reason)
-        cold.until = max(cold.until, until)
+        if reason is ColdReason.CRASHED:
+            cold.awaited_until = until
+        elif reason in ASSUMED_REASONS:
+            cold.assumed_until = max(cold.assumed_until, until)
+            cold.assumed_at = now
+        else:
+            cold.known_until = max(cold.known_until, until)
+        if reason in TOLD_REASONS:
+            cold.told_until = max(cold.told_until, until)
 
     def find_limit(self, life, now):
         """Return the ColdLimit of a server, or None if it has none.
--- a/tanagerwalk/decisions/paths.py
+++ b/tanagerwalk/decisions/paths.py
@@ -30,6 +30,17 @@
     UNREACHABLE = "unreachable"
 
 
+class Outage(Enum):
+    """What kept a server from being reached before it was reached again.
+
+    DOWN: it refused connections, so that it has ended and started anew. CUT_OFF: no
+    path worked; it may have run all the while.
+    """
+
+    DOWN = "down"
+    CUT_OFF = "cut_off"
+
+
 @dataclass(slots=True)
 class _LostPath:
     state: PathState
@@ -41,6 +52,7 @@
 
     def __init__(self):
         self._lost: dict[BackendServerId, _LostPath] = {}
+        self._refused: set[BackendServerId] = set()
         self._indirect_at = float("-inf")
 
     def get_state(self, server_id):
@@ -90,9 +102,29 @@
         path = self._lost.pop(server_id, None)
         return None if path is None else now - path.lost_at
 
+    def record_refused(self, server_id):
+        """Record that a server refused a connection, since it was down."""
+        self._refused.add(server_id)
+
+    def record_reached(self, server_id):
+        """Record that a connection was opened, by whatever path.
+
+        To be called before the path is recorded.
+
+        Returns
+        -------
+        Outage or None
+            None if the server was in reach before.
+        """
+        if server_id in self._refused:
+            self._refused.discard(server_id)
+            return Outage.DOWN
+        return Outage.CUT_OFF if self.is_unreachable(server_id) else None
+
     def forget(self, server_id):
         """Drop what is known about a server that is gone."""
         self._lost.pop(server_id, None)
+        self._refused.discard(server_id)
 
     def is_doubtful(self, last_used_at):
         """Return whether a kept direct connection may be as dead as new ones.
--- a/tanagerwalk/gateway/cold_watch.py
+++ b/tanagerwalk/gateway/cold_watch.py
@@ -3,9 +3,17 @@
 import structlog
 
 from ..decisions.cold_servers import ColdPolicy, ColdReason
+from ..decisions.paths import Outage
+from ..registry import ENTRY_LIFETIME_S
+from .clocks import read_boot_clock
 
 log = structlog.get_logger(__name__)
 
+REASON_BY_OUTAGE = {
+    Outage.DOWN: ColdReason.RESTARTED,
+    Outage.CUT_OFF: ColdReason.RETURNED,
+}
+
 
 class ColdWatch:
     """Connects the ColdServers to the manifest and the list of servers.
@@ -18,14 +26,17 @@
         Has the manifest.
     get_bounds : callable
         Returns the Bounds in force.
+    get_reconnected_at : callable
+        Returns the boot time in seconds at which the store was last regained.
     clock : callable
         Returns monotonic time in seconds.
     """
 
-    def __init__(self, servers, cluster_state, get_bounds, clock):
+    def __init__(self, servers, cluster_state, get_bounds, get_reconnected_at, clock):
         self._servers = servers
         self._cluster_state = cluster_state
         self._get_bounds = get_bounds
+        self._get_reconnected_at = get_reconnected_at
         self._clock = clock
         self._cold = servers.limits.cold
         self._cold.find_policy = self._find_policy
@@ -38,6 +49,21 @@
             return
         self._cold.observe(self._servers.list_servers(), self._clock())
 
+    def confirm(self, confirmed_at):
+        """End the limits of servers that have not started anew.
+
+        Parameters
+        ----------
+        confirmed_at : float
+            Boot time in seconds up to which the list of servers is complete.
+        """
+        # Entries may have outlived their servers while the store was out.
+        if confirmed_at < self._get_reconnected_at() + ENTRY_LIFETIME_S:
+            return
+        now = self._clock()
+        age = read_boot_clock() - confirmed_at
+        self._cold.confirm_starts(now - age, now)
+
     def mark_cold(self, failure_domains):
         """Take the servers of failure domains for cold, as after a start."""
         self._servers.mark_cold(failure_domains, self._clock())
@@ -50,9 +76,9 @@
         """Take a server that has crashed for cold if it answers again."""
         self._cold.record_crash(server, self._clock())
 
-    def record_return(self, server):
+    def record_return(self, server, outage):
         """Take a server for cold that is back: it may have started anew."""
-        self._cold.record_start(server, self._clock(), ColdReason.RETURNED)
+        self._cold.record_return(server, self._clock(), REASON_BY_OUTAGE[outage])
 
     def _find_policy(self, name):
         """Return the ColdPolicy of a service, or None if it has none."""
--- a/test/decisions/test_paths.py
+++ b/test/decisions/test_paths.py
@@ -6,6 +6,7 @@
     SUSPICION_S,
     SUSPICIOUS_TUNNEL_DELAY_S,
     TUNNEL_DELAY_S,
+    Outage,
     PathState,
     PathTable,
 )
@@ -73,3 +74,16 @@
 def test_peer_without_a_port_for_tunnels_is_not_asked():
     peers = {"a-0": Peer(("10.0.0.1", 1), "a")}
     assert TunnelPeers("a", random.Random(1)).rank("a", peers, 0.0) == []
+
+
+def test_outage_of_a_server_ends_when_it_is_reached():
+    paths = PathTable()
+    assert paths.record_reached("s") is None
+    paths.record_refused("s")
+    assert paths.record_reached("s") is Outage.DOWN
+    assert paths.record_reached("s") is None
+    paths.record_lost("s", PathState.UNREACHABLE, 1.0)
+    assert paths.record_reached("s") is Outage.CUT_OFF
+    paths.record_refused("s")
+    paths.forget("s")
+    assert paths.record_reached("s") is None
