--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PYTEST := CI=true $(BIN)/python -m pytest -p no:cacheprovider
 # The instances that the tests start need processor time too.
-WORKERS := $(shell cores=$$(nproc); echo $$(( cores < 3 ? 1 : cores / 3 )))
+WORKERS := $(shell cores=$$(nproc); echo $$(( cores < 2 ? 1 : cores / 2 )))
 
 .PHONY: demo test lint format soak bench thrift clean
 
