Ignore answers of the store after a lease was resigned

Cause: an answer to a call that was under way when the lease was given up moved its phase, some to HELD, though no order could be sent any more. Change: none is processed after resigning.

--- a/tanagerwalk/decisions/leases.py
+++ b/tanagerwalk/decisions/leases.py
@@ -129,6 +129,8 @@
         rank : int
             Rank of this instance among the candidates; 0 tries first.
         """
+        if self.resigned:
+            return
         if entry is None:
             self.holder = ""
             self._record_absence(now, rank)
@@ -151,12 +153,16 @@
 
     def record_read_failure(self, now):
         """Schedule another attempt after the key could not be read."""
+        if self.resigned:
+            return
         is_in_doubt = self.phase is LeasePhase.IN_DOUBT
         pause = self._retry_interval if is_in_doubt else self._times.look_interval
         self.due = now + pause
 
     def record_grant(self, result, sent_at, now):
         """Process the response to the lease grant request sent at `sent_at`."""
+        if self.resigned:
+            return
         if result.is_error():
             self._start_seeking(now + self._times.look_interval)
             return
@@ -166,6 +172,8 @@
 
     def record_create(self, result, now):
         """Process the response to the creation of the key."""
+        if self.resigned:
+            return
         if result.is_error():
             self._set_phase(LeasePhase.IN_DOUBT, now + self._retry_interval)
             return
@@ -181,6 +189,8 @@
         succeeds after the holder had to stop, it resumes with the same token, because
         the key existed all the time.
         """
+        if self.resigned:
+            return
         if result.is_error():
             self.due = now + self._retry_interval
             return
--- a/test/decisions/test_leases.py
+++ b/test/decisions/test_leases.py
@@ -1,5 +1,6 @@
 """Leases and fencing under pauses, clock drift, lost responses and outages."""
 
+import math
 from dataclasses import dataclass, field
 
 import pytest
@@ -260,6 +261,31 @@
     assert not holder.may_order(1.0, checks_fencing=True)
 
 
+# Guards against a late answer that has the lease looked for, or used, again.
+@pytest.mark.parametrize(
+    "record",
+    [
+        lambda lease: lease.record_grant(Ok(9), 1.0, 1.0),
+        lambda lease: lease.record_grant(Error(StoreFault.UNKNOWN), 1.0, 1.0),
+        lambda lease: lease.record_create(Ok(WriteOutcome(True, 9)), 1.0),
+        lambda lease: lease.record_create(Ok(WriteOutcome(False, 9)), 1.0),
+        lambda lease: lease.record_create(Error(StoreFault.UNKNOWN), 1.0),
+        lambda lease: lease.record_renewal(Ok(True), 1.0, 1.0),
+        lambda lease: lease.record_renewal(Ok(False), 1.0, 1.0),
+        lambda lease: lease.record_renewal(Error(StoreFault.UNKNOWN), 1.0, 1.0),
+        lambda lease: lease.record_entry(None, 1.0, 0),
+        lambda lease: lease.record_entry(Entry(lease.key, b"b.1 5", 5), 1.0, 0),
+        lambda lease: lease.record_read_failure(1.0),
+    ],
+)
+def test_answer_after_resigning_does_not_move_the_phase(record):
+    holder = take_lease()
+    holder.resign()
+    record(holder)
+    assert (holder.phase, holder.due) == (LeasePhase.SEEKING, math.inf)
+    assert holder.lease == 0
+
+
 def test_store_reads_hardly_grow_with_the_fleet():
     """340 instances in 6 failure domains make far fewer than 340 reads per second."""
     reads = sum(1.0 / choose_look_interval(2.0, rank) for rank in range(57))
