Refuse a request without exposure as such, not as withdrawn

Cause: the last check before an attempt told a caller that the version takes no more work (410) when only its budget of exposure was spent. Change: it is exposure_spent with a time to come back; another step or plan may follow it, as it might before.

--- a/tanagerwalk/decisions/cascades.py
+++ b/tanagerwalk/decisions/cascades.py
@@ -11,6 +11,7 @@
 ESCALATABLE_REASONS = frozenset(
     {
         RefusalReason.VERSION_WITHDRAWN,
+        RefusalReason.EXPOSURE_SPENT,
         RefusalReason.NO_BACKEND_SERVER,
         RefusalReason.DEADLINE_UNREACHABLE,
         RefusalReason.BACKEND_FAILED,
--- a/tanagerwalk/filters/guard.py
+++ b/tanagerwalk/filters/guard.py
@@ -6,6 +6,7 @@
 from ..decisions.versions import is_allowed
 from ..messages import AttemptFailure
 from ..outcomes import Interface, Refusal, RefusalReason, RetryReason
+from .plan import RETRY_AFTER_EXPOSURE_S
 
 OK_STATUS = 200
 
@@ -64,14 +65,23 @@
         )
         key = (context.work_class.name, context.version)
         halted = self._rollouts.is_halted(key, context.account.versions)
-        if allowed and not halted and self._rollouts.holds_required_exposure(context):
-            return None
+        if allowed and not halted:
+            return self._check_exposure(context)
         return Refusal(
             RefusalReason.VERSION_WITHDRAWN,
             f'version "{context.version}" takes no more work of the account',
             retry_after=None if context.session else 0.0,
         )
 
+    def _check_exposure(self, context):
+        if self._rollouts.holds_required_exposure(context):
+            return None
+        return Refusal(
+            RefusalReason.EXPOSURE_SPENT,
+            f'version "{context.version}" is on trial and has to wait',
+            retry_after=RETRY_AFTER_EXPOSURE_S,
+        )
+
     def _record_evidence(self, context, result, started):
         key = (context.work_class.name, context.version)
         now = self._clock()
--- a/test/decisions/test_halts.py
+++ b/test/decisions/test_halts.py
@@ -191,6 +191,7 @@
 
 REFUSALS = [
     (RefusalReason.VERSION_WITHDRAWN, RunState.NOT_RUN, True, True, True),
+    (RefusalReason.EXPOSURE_SPENT, RunState.NOT_RUN, True, True, True),
     (RefusalReason.NO_BACKEND_SERVER, RunState.NOT_RUN, False, True, True),
     (RefusalReason.NO_BACKEND_SERVER, RunState.UNKNOWN, False, False, False),
     (RefusalReason.NO_BACKEND_SERVER, RunState.UNKNOWN, True, True, True),
