Record the failures of hedged attempts that are not returned

Cause: only the failure that a hedge returns was recorded, so that a server that failed second attempts was chosen again, and was tried again by a retry. Change: FailureRecorder, from the retry filter, which both filters use. Result: the three cases of test_failure_of_the_second_server_is_recorded fail without the call of the recorder and pass; the other tests of hedges pass.

--- a/tanagerwalk/chains.py
+++ b/tanagerwalk/chains.py
@@ -11,6 +11,7 @@
 from .filters.count import CountFilter
 from .filters.demand import DemandFilter
 from .filters.dispatch import DispatchFilter
+from .filters.failure_recorder import FailureRecorder
 from .filters.guard import DispatchGuardFilter
 from .filters.hedge import HedgeFilter
 from .filters.part_blames import PartBlames
@@ -36,6 +37,7 @@
     )
     retries = settings.retries
     budget = RetryBudget(retries.budget_ratio, retries.budget_burst)
+    failures = FailureRecorder(instance.table, instance.clock)
     hedge_budget = RetryBudget(retries.hedge_ratio, retries.hedge_burst)
     runner = CascadeRunner(
         instance.configuration,
@@ -67,11 +69,18 @@
                 retries,
                 budget,
                 instance.table,
+                failures,
                 instance.metrics,
                 instance.clock,
                 instance.random,
             ),
-            HedgeFilter(HedgeDelays(), hedge_budget, instance.metrics, instance.clock),
+            HedgeFilter(
+                HedgeDelays(),
+                hedge_budget,
+                instance.metrics,
+                instance.clock,
+                failures.record,
+            ),
             QuarantineFilter(
                 instance.quarantine,
                 PartBlames(
--- a/tanagerwalk/filters/hedge.py
+++ b/tanagerwalk/filters/hedge.py
@@ -21,13 +21,17 @@
         Counters.
     clock : callable
         Returns monotonic time in seconds.
+    on_failure : callable
+        Takes the RequestContext and the AttemptFailure of an attempt that failed
+        beside another one.
     """
 
-    def __init__(self, delays, budget, metrics, clock):
+    def __init__(self, delays, budget, metrics, clock, on_failure):
         self._delays = delays
         self._budget = budget
         self._metrics = metrics
         self._clock = clock
+        self._on_failure = on_failure
 
     async def handle(self, context, proceed):
         """Run an attempt, and a second one in parallel if the first is slow."""
@@ -69,16 +73,31 @@
             done, pending = await asyncio.wait(
                 pending, return_when=asyncio.FIRST_COMPLETED
             )
+            for task in done - {first}:
+                if task.result().is_error():
+                    self._record_failure(context, tasks[task], task.result())
             # If both have completed, prefer the first attempt.
             for task in sorted(done, key=lambda task: task is not first):
                 if task.result().is_ok():
                     self._count_outcome(task is not first, done)
+                    self._record_first_failure(context, first)
                     _copy_attempt(context, tasks[task])
                     return task.result()
         self._metrics.hedges.labels("failed").inc()
         context.sent = context.sent or any(_was_sent(task.result()) for task in tasks)
         return first.result()
 
+    def _record_first_failure(self, context, first):
+        """Record a failure of the first attempt, whose result is not returned."""
+        if first.done() and first.result().is_error():
+            self._record_failure(context, context, first.result())
+
+    def _record_failure(self, context, attempted, result):
+        failure = result.error
+        if isinstance(failure, AttemptFailure):
+            self._on_failure(attempted, failure)
+            context.tried |= attempted.tried
+
     def _count_outcome(self, won, done):
         self._metrics.hedges.labels("won" if won else "lost").inc()
         if len(done) > 1:
--- a/tanagerwalk/filters/retry.py
+++ b/tanagerwalk/filters/retry.py
@@ -5,14 +5,12 @@
 
 from expression import Error
 
-from ..decisions.leaving import Suspicion
 from ..decisions.retries import (
     RetryState,
     choose_backoff,
-    classify_failure,
     decide_retry,
 )
-from ..outcomes import Refusal, RetryReason, RunState
+from ..outcomes import Refusal, RunState
 
 
 class RetryFilter:
@@ -25,7 +23,9 @@
     budget : RetryBudget
         Limits the retries of this instance.
     table : ServerTable
-        Lists the backend servers and records failures.
+        Lists the backend servers.
+    failures : FailureRecorder
+        Records failed attempts.
     metrics : Metrics
         Counters.
     clock : callable
@@ -34,10 +34,11 @@
         Source of jitter.
     """
 
-    def __init__(self, settings, budget, table, metrics, clock, random):
+    def __init__(self, settings, budget, table, failures, metrics, clock, random):
         self._settings = settings
         self._budget = budget
         self._table = table
+        self._failures = failures
         self._metrics = metrics
         self._clock = clock
         self._random = random
@@ -66,9 +67,7 @@
     def _record_and_decide(self, context, failure, attempts):
         now = self._clock()
         context.sent = context.sent or failure.sent
-        if failure.server is not None:
-            context.tried.add(failure.server)
-            self._record_failure(context, failure, now)
+        self._failures.record(context, failure)
         state = RetryState(
             idempotent=context.work_class.idempotent,
             sent=context.sent,
@@ -87,37 +86,6 @@
         if backoff > 0.0:
             await asyncio.sleep(backoff)
 
-    def _record_failure(self, context, failure, now):
-        if failure.reason is RetryReason.VERSION_MISSING:
-            self._table.forget_version(failure.server, context.version)
-            return
-        grant = context.grant
-        is_granted = grant is not None and grant.server == failure.server
-        self._table.record_failure(
-            failure.server,
-            now,
-            classify_failure(failure.reason),
-            failure.retry_after,
-            grant.incarnation if is_granted else None,
-        )
-        self._record_suspicion(context.grant, failure, now)
-
-    def _record_suspicion(self, grant, failure, now):
-        """Record a failure that suggests that its incarnation is leaving."""
-        suspicion = infer_suspicion(failure)
-        if suspicion is None or grant is None or grant.server != failure.server:
-            return
-        self._table.suspect_leaving(grant.incarnation, suspicion, now)
-
-
-def infer_suspicion(failure):
-    """Return why a failure suggests that its server is leaving, or None."""
-    if failure.closing:
-        return Suspicion.CLOSING_REFUSAL
-    if failure.reason is RetryReason.CONNECT_FAILED:
-        return Suspicion.CONNECT_FAILED
-    return None
-
 
 def _correct_run_state(refusal, context):
     """Replace `NOT_RUN` by `UNKNOWN` if an earlier attempt was sent."""
--- a/test/filters/test_hedge.py
+++ b/test/filters/test_hedge.py
@@ -33,6 +33,11 @@
 }
 
 
+def fail(server):
+    """Return the result of an attempt that a server failed."""
+    return Error(AttemptFailure(RetryReason.SERVER_ERROR, sent=True, server=server))
+
+
 class ScriptedChain:
     """The rest of the chain: runs scripted attempts, each on its own server."""
 
@@ -62,11 +67,17 @@
     return context
 
 
-def make_filter(metrics, tokens=1):
+def ignore_failure(context, failure):
+    del context, failure
+
+
+def make_filter(metrics, tokens=1, on_failure=ignore_failure):
     delays = HedgeDelays()
     for _ in range(20):
         delays.record("lookup", DELAY_S)
-    return HedgeFilter(delays, RetryBudget(0.0, tokens), metrics, lambda: 0.0)
+    return HedgeFilter(
+        delays, RetryBudget(0.0, tokens), metrics, lambda: 0.0, on_failure
+    )
 
 
 @pytest.mark.parametrize("case", CASES)
@@ -98,3 +109,25 @@
     running.cancel()
     await asyncio.wait([running])
     assert calls.cancelled == 2
+
+
+# Guards against a server that fails every hedge and is chosen again and again.
+@pytest.mark.parametrize(
+    "script",
+    [
+        ((NEVER_S, Ok(1)), (0, fail("s2"))),
+        ((SLOW_S, Ok(1)), (0, fail("s2"))),
+        ((2 * SLOW_S, fail("s1")), (0, fail("s2"))),
+    ],
+)
+async def test_failure_of_the_second_server_is_recorded(script):
+    recorded = []
+    hedge = make_filter(Metrics(), on_failure=lambda *each: recorded.append(each))
+    context = make_context()
+    running = asyncio.create_task(hedge.handle(context, ScriptedChain(*script)))
+    assert await poll_until(lambda: recorded, DELAY_S, SLOW_S * 100)
+    running.cancel()
+    await asyncio.wait([running])
+    ((second, failure),) = recorded
+    assert failure.server == "s2"
+    assert second.grant.server == "s2"
