Refuse datagrams that were received before

Cause: only loads, and with them what their message tells, were checked by sequence, and only until the report expired. A recorded datagram that was sent again renewed crash records, brought old limits back as new, asked for permits, moved sessions and made its sender heard; an own one counted as another's load. Change: ReplayWindow keeps the MACs of the newest datagrams of each sender and refuses what is older; datagrams in another order are taken. Each message has a number of its own, so that equal notes differ; a build that numbers rounds is still understood. Own datagrams are refused. Two tests follow: one called the removed begin_round, one draws numbers in any order and begins with a new window for each example.

--- a/tanagerwalk/gateway/load_message_builder.py
+++ b/tanagerwalk/gateway/load_message_builder.py
@@ -94,10 +94,6 @@
         self._random = random
         self._sequence = 0
 
-    def begin_round(self):
-        """Begin a round, whose messages replace those of the rounds before."""
-        self._sequence += 1
-
     def build_notes(self, notes):
         """Yield the messages that hold some SessionNotes."""
         encoded = [encode_note(note) for note in notes]
@@ -171,6 +167,8 @@
             yield self._build_message(contents.scope, part, parts, speeds=speeds)
 
     def _build_message(self, scope, part=0, parts=1, **sections):
+        # No two messages are equal, as the second would be taken for a replay.
+        self._sequence += 1
         return LoadMessage(
             self._incarnation,
             self._sequence,
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -6,6 +6,7 @@
 
 from ..decisions.relayed_items import RelayedItems
 from ..decisions.relays import Role, Scope
+from ..decisions.replay_window import ReplayWindow
 from ..decisions.shared_demands import SharedDemandTable
 from ..decisions.shared_loads import hash_server
 from ..peers.codec import encode
@@ -13,7 +14,7 @@
 from .datagram_sender import DatagramSender
 from .load_message_builder import Contents, LoadMessageBuilder
 from .load_message_receiver import LoadMessageReceiver
-from .load_messages import decode_message, sign
+from .load_messages import MAC_BYTES, decode_message, sign
 from .permit_notes import SLOT_KINDS, decode_permit_note
 from .server_speed_sharing import SpeedSharing
 from .session_notes import decode_note
@@ -93,6 +94,7 @@
         self._builder = LoadMessageBuilder(incarnation, failure_domain, random)
         self._role = Role.FLAT
         self._was_idle = False
+        self._replays = ReplayWindow()
         # Anyone can send to the port.
         self._rejected = RateLimitedWarning("rejected load message", clock)
         self.on_permit_note = _ignore_note
@@ -142,6 +144,9 @@
         if result.is_error():
             self._rejected.record(sender=addr[0], problem=result.error)
             return
+        if not self._is_new(result.ok, data[:MAC_BYTES]):
+            self._rejected.record(sender=addr[0], problem="replayed")
+            return
         try:
             self._process(result.ok)
         except Exception:
@@ -149,6 +154,12 @@
             log.exception("load message failed")
             self._rejected.record(sender=addr[0], problem="defect")
 
+    def _is_new(self, message, mac):
+        """Return whether a message was not received before, or sent by this one."""
+        if message.sender == self._incarnation:
+            return False
+        return self._replays.accept(message.sender, message.sequence, mac)
+
     @property
     def rejected(self):
         """Number of datagrams that weren't believed."""
@@ -240,7 +251,6 @@
         ]
 
     def _send_round(self, now):
-        self._builder.begin_round()
         self._speeds.begin_round(now)
         self._send_demands(now)
         own = self._collect_own(now)
--- a/test/gateway/test_odd_peer_messages.py
+++ b/test/gateway/test_odd_peer_messages.py
@@ -7,6 +7,7 @@
 from thrift.Thrift import TType
 
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.decisions.replay_window import ReplayWindow
 from tanagerwalk.decisions.shared_loads import hash_server
 from tanagerwalk.gateway.change_feed import read_changes
 from tanagerwalk.gateway.load_messages import sign
@@ -98,6 +99,8 @@
         )
         @given(build_heard_message())
         def process(message):
+            # Else most examples would be refused, as their numbers are not in order.
+            sharing._replays = ReplayWindow()
             datagram = sign(sharing._secret, encode(message))
             sharing.datagram_received(datagram, ("127.0.0.1", 1))
             sharing._send_round(instance.clock())
--- a/test/gateway/test_server_speed_messages.py
+++ b/test/gateway/test_server_speed_messages.py
@@ -27,7 +27,6 @@
 
 def build_messages(scope, speeds, sender="other", domain="a-1"):
     builder = LoadMessageBuilder(sender, domain, random.Random(1))
-    builder.begin_round()
     contents = Contents(scope, {}, {}, {}, {}, speeds=speeds)
     return [m for m in builder.build(contents) if m.speeds is not None]
 
