Remove a field of response heads that nothing reads

Cause: whether the server closes the connection is told by the parser; the field of the head was set and never read. Change: the field goes. Of the settings, rollback_delay, contact_delay and max_value_size are read by nothing but a test either; they stay, as operators set them.

--- a/tanagerwalk/gateway/attempts.py
+++ b/tanagerwalk/gateway/attempts.py
@@ -80,8 +80,6 @@
         The model's confidence in its response, 0 to 100.
     load : EngineLoad or None
         Load that the server reported.
-    closes_connection : bool
-        Whether the server closes the connection after the response.
     headers : list of tuple of (bytes, bytes)
         Headers that are forwarded to the client.
     notice : ServerNotice
@@ -93,7 +91,6 @@
     misdirected: bool = False
     confidence: int | None = None
     load: EngineLoad | None = None
-    closes_connection: bool = False
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     notice: ServerNotice = ServerNotice()
 
--- a/tanagerwalk/platform/egress.py
+++ b/tanagerwalk/platform/egress.py
@@ -170,7 +170,6 @@
         misdirected=head.status == MISDIRECTED_STATUS,
         confidence=parse_count(head.get_header(CONFIDENCE)),
         load=parse_load(head.get_header(ENGINE_LOAD)),
-        closes_connection=(head.get_header(b"connection") or b"").lower() == b"close",
         headers=_list_end_to_end_headers(head),
         notice=_parse_notice(head),
     )
