Test shares with late views, cuts, crowded neighbors and evacuations

Cause: a review suspected swinging shares, a median that hides a crowded domain, and that the nearest domain gets all of an evacuated one's load. Change: the fleet of the tests delays and cuts messages and has cold servers; tests bound the turns of the mean share. Measured: no fault found.

--- a/test/decisions/spillover_fleet.py
+++ b/test/decisions/spillover_fleet.py
@@ -1,7 +1,8 @@
 """A fleet in six failure domains that sends to engines, in virtual time.
 
 Each instance has its real ServerPool. The engines, the clients and the messages in
-which instances tell their loads are played here; a load is told 0.3 to 1.1 s late.
+which instances tell their loads are played here; a load is told 0.3 to 1.1 s late,
+unless a scenario delays the messages more.
 """
 
 import heapq
@@ -11,6 +12,7 @@
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 
+from tanagerwalk.decisions.cold_servers import ColdPolicy
 from tanagerwalk.decisions.engine_load import EngineLoad
 from tanagerwalk.decisions.locations import Distance, Home
 from tanagerwalk.decisions.paths import PathTable
@@ -36,7 +38,6 @@
     Distance.OTHER_REGION: 0.008,
 }
 REPORT_PERIOD_S = 0.4
-REPORT_DELAY_S = 0.3
 OBSERVATION_PERIOD_S = 0.5
 TOKENS_PER_S = 20000.0
 
@@ -72,6 +73,13 @@
         Failure domains that get no requests, and from when until when.
     is_told : bool
         Whether instances tell each other their loads.
+    report_delay : float
+        Seconds until a message has arrived.
+    is_cut : callable
+        Takes a failure domain and a time; returns whether its instances exchange no
+        messages with those of the others.
+    cold : ColdPolicy or None
+        How servers are treated after an evacuation, if they are cold then.
     length : float
         Seconds of traffic.
     """
@@ -89,6 +97,9 @@
     lost: dict = field(default_factory=dict)
     evacuated: dict = field(default_factory=dict)
     is_told: bool = True
+    report_delay: float = 0.3
+    is_cut: object = lambda domain, now: False
+    cold: ColdPolicy | None = None
     length: float = 20.0
 
 
@@ -143,6 +154,22 @@
         """Return the mean shares of a failure domain's instances in a time."""
         return [s for at, of, s in self.shares if of == domain and begin <= at < end]
 
+    def count_turns(self, domain, swing):
+        """Return how often the mean share of a failure domain turns back by a swing."""
+        turns, direction, extreme = 0, 1, 0.0
+        for share in self.list_shares(domain, 0.0):
+            if (extreme - share) * direction > swing:
+                turns, direction, extreme = turns + 1, -direction, share
+            elif (share - extreme) * direction > 0.0:
+                extreme = share
+        return turns
+
+    def find_part(self, domain, begin, end):
+        """Return the attempts at a failure domain, as a part of all."""
+        total = self._sum_chosen(begin, end)
+        names = [name for name in total if name.startswith(domain)]
+        return sum(total[name] for name in names) / total.total()
+
     def find_busiest(self, begin, end, but=()):
         """Return the attempts at the busiest server, as a multiple of the mean."""
         total = self._sum_chosen(begin, end)
@@ -200,6 +227,7 @@
     def _build_pool(self, domain):
         home = Home(domain, REGIONS[domain], REGIONS)
         pool = ServerPool(home, SharedLoadTable(), PathTable(), self.random)
+        pool.limits.cold.find_policy = lambda service: self.scenario.cold
         if not self.scenario.prefers_local:
             pool.chooser = ServerChooser(home, self.random)
         pool.replace_servers([server.entry for server in self._servers.values()])
@@ -249,6 +277,7 @@
         traits = RequestTraits(self.scenario.objective, 600)
         entry = pool.choose(SERVICE, self.now, affinity=affinity, traits=traits)
         pool.record_sent(entry, work)
+        pool.take_slot(entry, self.now)
         distance = pool.find_distance(entry)
         self.trial.attempts[int(self.now), domain][distance] += 1
         self.trial.chosen[int(self.now)][entry.id] += 1
@@ -331,15 +360,17 @@
 
     def _evacuate(self, domains):
         for pool in itertools.chain(*self._pools.values()):
+            ended = pool.evacuated - domains
             pool.set_evacuated(frozenset(domains))
+            pool.mark_cold(ended, self.now)
 
     def _tell(self, pool, number):
         self._after(REPORT_PERIOD_S, self._tell, pool, number + 1)
         own = {hash_server(k): v for k, v in pool.list_own_loads(self.now).items()}
-        self._after(REPORT_DELAY_S, self._told.__setitem__, id(pool), own)
+        self._after(self.scenario.report_delay, self._told.__setitem__, pool, own)
         in_flight, tokens, errors = Counter(), Counter(), Counter()
-        for key, loads in self._told.items():
-            for server, load in loads.items() if key != id(pool) else ():
+        for sender, loads in self._told.items():
+            for server, load in loads.items() if self._hears(pool, sender) else ():
                 in_flight[server] += load.in_flight
                 tokens[server] += load.tokens
                 errors[server] += load.errors
@@ -349,3 +380,9 @@
         }
         source = ReportSource(Scope.INSTANCE, "others")
         pool._shared.update(source, "others", number, total, self.now)
+
+    def _hears(self, pool, sender):
+        """Return whether messages of another instance reach one."""
+        domains = {other._home.failure_domain for other in (pool, sender)}
+        is_cut = any(self.scenario.is_cut(domain, self.now) for domain in domains)
+        return sender is not pool and (len(domains) == 1 or not is_cut)
