Test that servers that leave or arrive count at once

Cause: a review suspected that they stay in the estimate. Measured: no fault; the lists are made for each request, and both tests pass on the code as it is. The mean over 0.5 s is late, but a request looks elsewhere at once when its candidates are full.

--- a/test/decisions/test_spillover_table.py
+++ b/test/decisions/test_spillover_table.py
@@ -61,3 +61,24 @@
     load_server(pool, "s2", tokens=6000)
     chosen = choose_many(pool, now=now, is_allowed=allow_release("v2"))
     assert set(chosen) == {"a-1"}
+
+
+def test_servers_that_leave_and_arrive_count_at_once():
+    pool = build_pool("a-1", "a-1", "a-2", "b-1")
+    entries = pool.list_servers()
+    load_server(pool, "s0", tokens=40000)
+    assert set(choose_many(pool, now=0.0)) == {"a-1"}
+    pool.replace_servers(entry for entry in entries if entry.id != "s1")
+    assert set(choose_many(pool, now=0.01)) == {"a-2"}
+    pool.replace_servers(entries)
+    assert set(choose_many(pool, now=0.02)) == {"a-1"}
+
+
+def test_neighbor_whose_idle_servers_leave_gets_no_more_at_once():
+    pool = build_pool("a-1", "a-2", "a-2", "b-1")
+    entries = pool.list_servers()
+    load_server(pool, "s0", tokens=40000)
+    load_server(pool, "s1", tokens=60000)
+    assert set(choose_many(pool, now=0.0)) == {"a-2"}
+    pool.replace_servers(entry for entry in entries if entry.id != "s2")
+    assert set(choose_many(pool, now=0.01)) == {"b-1"}
