Say what the hashes in test_spillover are, and that a call records

Cause: a newcomer stumbled over the bare numbers; has_changed also stored. Change: names only. Measured: test_spillover.py, test_spillover_log.py, test_spillover_table.py and test_boundaries.py pass (48).

--- a/tanagerwalk/decisions/spillover_log.py
+++ b/tanagerwalk/decisions/spillover_log.py
@@ -22,8 +22,8 @@
     logged_share: float
     changed_at: float | None = None
 
-    def has_changed(self, share, now):
-        """Return whether the share has differed from the logged one for a while."""
+    def record_change(self, share, now):
+        """Record a share; return whether it differs lastingly from the logged one."""
         is_changed = abs(share - self.logged_share) >= LOGGED_CHANGE
         if not is_changed or share < SPILLING_SHARE:
             self.changed_at = None
@@ -63,7 +63,7 @@
             del self._leaving[service]
             _log("requests stay in failure domain", service, share, own_load)
             return
-        if leaving.has_changed(share, now):
+        if leaving.record_change(share, now):
             self._leaving[service] = _LeavingService(now, share)
             _log("share that leaves failure domain changed", service, share, own_load)
 
--- a/test/decisions/test_spillover.py
+++ b/test/decisions/test_spillover.py
@@ -175,7 +175,7 @@
 
 
 @pytest.mark.parametrize(
-    ("servers", "has_prompts", "expected"),
+    ("servers", "has_prompts", "expected_hash"),
     [
         (6, False, 3415200247),
         (6, True, 2440455118),
@@ -183,16 +183,16 @@
         (30, True, 2937802293),
     ],
 )
-def test_one_domain_per_region_is_served_as_before(servers, has_prompts, expected):
-    """Guards the exact choices made before there was a preference."""
+def test_one_domain_per_region_is_served_as_before(servers, has_prompts, expected_hash):
+    """The hashes are of choices made before there was a preference."""
     domains = [f"{'abc'[n % 3]}-1" for n in range(servers)]
     regions = {"a-1": "a", "b-1": "b", "c-1": "c"}
     pool = build_pool(*domains, regions=regions, slots=8, seed=7)
-    assert hash_choices(pool, has_prompts) == expected
+    assert hash_choices(pool, has_prompts) == expected_hash
 
 
 @pytest.mark.parametrize(
-    ("servers", "has_prompts", "expected"),
+    ("servers", "has_prompts", "expected_hash"),
     [
         (6, False, 272235231),
         (6, True, 3916521498),
@@ -201,16 +201,16 @@
     ],
 )
 def test_without_the_preference_servers_are_chosen_as_before(
-    servers, has_prompts, expected
+    servers, has_prompts, expected_hash
 ):
     domains = [list(REGIONS)[n % len(REGIONS)] for n in range(servers)]
     pool = build_pool(*domains, slots=8, seed=7, prefers_own_domain=False)
-    assert hash_choices(pool, has_prompts) == expected
+    assert hash_choices(pool, has_prompts) == expected_hash
     assert not pool.prefers_local
 
 
 def hash_choices(pool, has_prompts):
-    """Return a hash of the servers that 500 requests get."""
+    """Return a hash of the servers that 500 requests get, in this order."""
     chosen = []
     for n in range(500):
         affinity = work = None
