End the limits of servers whose entries show that they ran on

Cause: after a partition, an instance took all servers that had been out of reach for cold for as long as their service says, though none had ended.

Change: a cold time that follows from an assumed start (out of reach, refused, told by another instance) ends once a copy of the store that was current 4 s after the return, and 4 s after the end of an outage of the store, still lists the same start: a server that starts anew replaces its entry, or it expires after three heartbeats. Crashes whose server isn't back, starts, entries and evacuations are not touched. The time of three heartbeats moved from the mirror to the registry, as two modules use it now; a test of the mirror that sets it follows.

With cold times up to 4 s this only shortens the time in which the limit grows: a start right before the end of a cut can't be told from none any sooner by the entries.

--- a/tanagerwalk/decisions/cold_servers.py
+++ b/tanagerwalk/decisions/cold_servers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..registry import RegisteredServer
+from ..registry import ENTRY_LIFETIME_S, RegisteredServer
 from .limit_parts import ColdLimit
 from .server_usage_table import hash_life
 
@@ -79,6 +79,10 @@
 
 # Other instances may not have noticed these. What they tell isn't told on.
 TOLD_REASONS = frozenset({ColdReason.CRASHED, ColdReason.RESTARTED})
+# With these, the server may have run all the while.
+ASSUMED_REASONS = frozenset(
+    {ColdReason.RETURNED, ColdReason.RESTARTED, ColdReason.TOLD}
+)
 
 
 @dataclass(slots=True)
@@ -91,6 +95,8 @@
         The server.
     known_until : float
         When it does, by what is known of its last start.
+    assumed_until, assumed_at : float
+        The same by a start that was assumed, and when it was.
     awaited_until : float
         The same if it is down, and starts again as late as may be.
     told_until : float
@@ -99,12 +105,19 @@
 
     server: RegisteredServer
     known_until: float
+    assumed_until: float = -math.inf
+    assumed_at: float = -math.inf
     awaited_until: float = -math.inf
     told_until: float = -math.inf
 
     @property
     def until(self):
-        return max(self.known_until, self.awaited_until)
+        return max(self.known_until, self.assumed_until, self.awaited_until)
+
+    def drop_assumed(self):
+        """Take the start that was assumed for one that never was."""
+        self.assumed_until = -math.inf
+        self.told_until = self.awaited_until
 
 
 class ColdServers:
@@ -129,6 +142,7 @@
         self._cold = {}
         # The revision of the newest entry of each start of a server.
         self._known = OrderedDict()
+        self._listed = frozenset()
 
     @property
     def is_empty(self):
@@ -162,12 +176,31 @@
         # Those that are listed now come last, and are all kept.
         while len(self._known) > max(MAX_KNOWN_STARTS, len(servers)):
             self._known.popitem(last=False)
-        self._drop_ended({hash_life(server) for server in servers}, now)
+        self._listed = frozenset(map(hash_life, servers))
+        self._drop_ended(now)
+
+    def confirm_starts(self, confirmed_at, now):
+        """Find out whose start was assumed though they ran on.
+
+        A server that has started anew replaces its entry, or else it expires.
+
+        Parameters
+        ----------
+        confirmed_at : float
+            Monotonic time in seconds up to which the list of servers is complete.
+        now : float
+            The present, likewise.
+        """
+        for life, cold in self._cold.items():
+            is_over = confirmed_at >= cold.assumed_at + ENTRY_LIFETIME_S
+            if is_over and life in self._listed:
+                cold.drop_assumed()
+        self._drop_ended(now)
 
-    def _drop_ended(self, listed, now):
+    def _drop_ended(self, now):
         """Forget servers whose limit has ended, also those that are not listed."""
         for life, cold in list(self._cold.items()):
-            if life in listed:
+            if life in self._listed:
                 self.find_limit(life, now)
             elif now >= cold.until:
                 del self._cold[life]
@@ -218,7 +251,7 @@
         cold = self._cold.get(hash_life(server))
         if cold is not None:
             cold.awaited_until = -math.inf
-            cold.told_until = min(cold.told_until, cold.known_until)
+            cold.told_until = min(cold.told_until, cold.until)
         self.record_start(server, now, reason)
 
     def record_told(self, server, seconds, now):
@@ -283,6 +316,9 @@
             self.on_cold(server, until - now, reason)
         if reason is ColdReason.CRASHED:
             cold.awaited_until = until
+        elif reason in ASSUMED_REASONS:
+            cold.assumed_until = max(cold.assumed_until, until)
+            cold.assumed_at = now
         else:
             cold.known_until = max(cold.known_until, until)
         if reason in TOLD_REASONS:
--- a/tanagerwalk/gateway/cold_watch.py
+++ b/tanagerwalk/gateway/cold_watch.py
@@ -4,6 +4,8 @@
 
 from ..decisions.cold_servers import ColdPolicy, ColdReason
 from ..decisions.paths import Outage
+from ..registry import ENTRY_LIFETIME_S
+from .clocks import read_boot_clock
 
 log = structlog.get_logger(__name__)
 
@@ -24,14 +26,17 @@
         Has the manifest.
     get_bounds : callable
         Returns the Bounds in force.
+    get_reconnected_at : callable
+        Returns the boot time in seconds at which the store was last regained.
     clock : callable
         Returns monotonic time in seconds.
     """
 
-    def __init__(self, servers, cluster_state, get_bounds, clock):
+    def __init__(self, servers, cluster_state, get_bounds, get_reconnected_at, clock):
         self._servers = servers
         self._cluster_state = cluster_state
         self._get_bounds = get_bounds
+        self._get_reconnected_at = get_reconnected_at
         self._clock = clock
         self._cold = servers.limits.cold
         self._cold.find_policy = self._find_policy
@@ -44,6 +49,21 @@
             return
         self._cold.observe(self._servers.list_servers(), self._clock())
 
+    def confirm(self, confirmed_at):
+        """End the limits of servers that have not started anew.
+
+        Parameters
+        ----------
+        confirmed_at : float
+            Boot time in seconds up to which the list of servers is complete.
+        """
+        # Entries may have outlived their servers while the store was out.
+        if confirmed_at < self._get_reconnected_at() + ENTRY_LIFETIME_S:
+            return
+        now = self._clock()
+        age = read_boot_clock() - confirmed_at
+        self._cold.confirm_starts(now - age, now)
+
     def mark_cold(self, failure_domains):
         """Take the servers of failure domains for cold, as after a start."""
         self._servers.mark_cold(failure_domains, self._clock())
--- a/tanagerwalk/gateway/components.py
+++ b/tanagerwalk/gateway/components.py
@@ -192,12 +192,17 @@
 
     def _create_cold_watch(self):
         self.cold_watch = ColdWatch(
-            self.servers, self.cluster_state, lambda: self.settings.bounds, self.clock
+            self.servers,
+            self.cluster_state,
+            lambda: self.settings.bounds,
+            lambda: self.mirror.reconnected_at,
+            self.clock,
         )
         limits = self.servers.limits
         limits.get_copy_age = lambda: read_boot_clock() - self.mirror.confirmed_at
         limits.begin_settling()
         self.mirror.subscribe(self.cold_watch.update)
+        self.mirror.subscribe_to_confirmations(self.cold_watch.confirm)
         self.connection_pool.connector.on_returned = self.cold_watch.record_return
 
     def _create_evacuation(self):
--- a/tanagerwalk/gateway/mirror.py
+++ b/tanagerwalk/gateway/mirror.py
@@ -10,6 +10,7 @@
 from ..decisions.freshness import list_snapshot_delays
 from ..defects import DefectLog, Subscribers
 from ..ids import Revision
+from ..registry import ENTRY_LIFETIME_S
 from ..writes import StoreFault
 from .clocks import read_boot_clock
 from .hedged_calls import call_hedged
@@ -17,8 +18,6 @@
 log = structlog.get_logger(__name__)
 
 RECONNECT_GRACE_S = 2.0
-# Longer than three heartbeats of a server: by then the entry of one that left is gone.
-CONFIRMATION_GRACE_S = 4.0
 # Older changes, as other instances may have, count as an outage of the store.
 MAX_CHANGES_AGE_S = 3.0
 
@@ -284,7 +283,7 @@
 
     def _schedule_confirmation(self, era):
         asyncio.get_running_loop().call_later(
-            CONFIRMATION_GRACE_S, self._confirm_listed, era
+            ENTRY_LIFETIME_S, self._confirm_listed, era
         )
 
     def _confirm_listed(self, era):
--- a/tanagerwalk/registry.py
+++ b/tanagerwalk/registry.py
@@ -5,6 +5,10 @@
 
 from .ids import BackendServerId, FailureDomain, ReleaseName, Revision, ServiceName
 
+# Longer than three heartbeats of a server: by then the entry of one that left is gone,
+# and one that has started has written a new entry.
+ENTRY_LIFETIME_S = 4.0
+
 
 class ServerState(Enum):
     """Whether a registered backend server accepts new requests."""
--- a/test/decisions/test_coldness.py
+++ b/test/decisions/test_coldness.py
@@ -23,7 +23,7 @@
 )
 from tanagerwalk.decisions.server_usage_table import hash_life
 from tanagerwalk.decisions.shared_loads import SharedLoadTable
-from tanagerwalk.registry import RegisteredServer, ServerState
+from tanagerwalk.registry import ENTRY_LIFETIME_S, RegisteredServer, ServerState
 
 POLICY = ColdPolicy(duration=4.0, rate=8.0, overrun=1.5, slack=5.0)
 OLD = RegisteredServer(
@@ -219,3 +219,42 @@
     cold.record_return(OLD, 10.0, ColdReason.RESTARTED)
     cold.record_crash(OLD, 11.0)
     assert cold.count(10.9 + RESTART_WAIT_S + POLICY.duration) == 1
+
+
+ASSUMED = [ColdReason.RETURNED, ColdReason.RESTARTED]
+
+
+# Clients waited for servers that had run on while their paths were cut.
+@pytest.mark.parametrize("reason", ASSUMED)
+def test_server_whose_entry_stays_has_not_started_anew(reason):
+    policy = replace(POLICY, duration=30.0)
+    cold = build_cold(policy)
+    cold.observe([OLD], 0.0)
+    cold.record_return(OLD, 10.0, reason)
+    cold.confirm_starts(9.9 + ENTRY_LIFETIME_S, 15.0)
+    assert cold.count(15.0) == 1
+    cold.confirm_starts(10.1 + ENTRY_LIFETIME_S, 16.0)
+    assert cold.find_limit(hash_life(OLD), 16.0) is None
+    assert cold.list_news(16.0) == {}
+
+
+def test_entry_that_stays_ends_no_time_that_is_known():
+    policy = replace(POLICY, duration=30.0)
+    cold = build_cold(policy)
+    cold.observe([OLD, OTHER], 0.0)
+    cold.record_start(OLD, 10.0)
+    cold.record_return(OLD, 11.0, ColdReason.RETURNED)
+    cold.record_crash(OTHER, 10.0)
+    cold.confirm_starts(30.0, 30.0)
+    assert cold.count(30.0) == 2
+
+
+# The new start of a server whose entry is gone may not be listed yet.
+def test_server_that_is_not_listed_stays_cold():
+    policy = replace(POLICY, duration=30.0)
+    cold = build_cold(policy)
+    cold.observe([OLD], 0.0)
+    cold.record_return(OLD, 10.0, ColdReason.RETURNED)
+    cold.observe([], 12.0)
+    cold.confirm_starts(30.0, 30.0)
+    assert cold.count(30.0) == 1
--- a/test/gateway/test_mirror.py
+++ b/test/gateway/test_mirror.py
@@ -182,7 +182,7 @@
 
 async def restore_unread(standin, monkeypatch, *keys):
     """Return a mirror that first reads of `keys` in a restored copy of the store."""
-    monkeypatch.setattr(mirror_module, "CONFIRMATION_GRACE_S", 0.6)
+    monkeypatch.setattr(mirror_module, "ENTRY_LIFETIME_S", 0.6)
     mirror, task = await run_mirror(standin)
     standin.mode = "busy"
     await asyncio.sleep(0.4)
