Tell of a crash only if the server refused a connection

Cause: found by reading the diff: a server that breaks off a connection and then doesn't answer a new one in time counts as crashed. Others were told so, although it may only be out of reach of this one instance.

Change: such a server is cold with the reason `lost`, here alone; `crashed`, which the others are told, needs a connection that was refused.

Result: test_server_that_only_one_instance_lost_is_not_told_of covers both reasons now; the extended part was not run on the code before, which had one reason. It passes with test_cold_watch, test_coldness, test_paths, test_connector_faults and test_boundaries.

--- a/tanagerwalk/decisions/cold_servers.py
+++ b/tanagerwalk/decisions/cold_servers.py
@@ -33,6 +33,7 @@
     ENTRY = "entry"
     STARTED = "started"
     CRASHED = "crashed"
+    LOST = "lost"
     RETURNED = "returned"
     RESTARTED = "restarted"
     TOLD = "told"
@@ -77,9 +78,11 @@
         return ColdLimit(rate, self.overrun * rate + self.slack)
 
 
-# Other instances may not have noticed these. What they tell isn't told on.
+# The server has ended for certain, which other instances may not have noticed.
 TOLD_REASONS = frozenset({ColdReason.CRASHED, ColdReason.RESTARTED})
-# With these, the server may have run all the while.
+# The server isn't back yet.
+AWAITED_REASONS = frozenset({ColdReason.CRASHED, ColdReason.LOST})
+# The server is back, and may have run all the while.
 ASSUMED_REASONS = frozenset(
     {ColdReason.RETURNED, ColdReason.RESTARTED, ColdReason.TOLD}
 )
@@ -221,7 +224,7 @@
         if policy is not None:
             self.record_cold_time(server, policy.duration, now, reason)
 
-    def record_crash(self, server, now):
+    def record_crash(self, server, now, reason=ColdReason.CRASHED):
         """Take a server that has crashed for cold if it answers again.
 
         Parameters
@@ -230,11 +233,13 @@
             The server.
         now : float
             Monotonic time in seconds.
+        reason : ColdReason
+            CRASHED, or LOST if it may only be out of reach.
         """
         policy = self.find_policy(server.service)
         if policy is not None:
             seconds = RESTART_WAIT_S + policy.duration
-            self.record_cold_time(server, seconds, now, ColdReason.CRASHED)
+            self.record_cold_time(server, seconds, now, reason)
 
     def record_return(self, server, now, reason):
         """Take a server for cold that is back: it has started by now.
@@ -314,7 +319,7 @@
         cold = self._cold.setdefault(hash_life(server), _ColdServer(server, now))
         if until >= cold.until + MIN_EXTENSION_S:
             self.on_cold(server, until - now, reason)
-        if reason is ColdReason.CRASHED:
+        if reason in AWAITED_REASONS:
             cold.awaited_until = until
         elif reason in ASSUMED_REASONS:
             cold.assumed_until = max(cold.assumed_until, until)
--- a/tanagerwalk/decisions/paths.py
+++ b/tanagerwalk/decisions/paths.py
@@ -106,6 +106,10 @@
         """Record that a server refused a connection, since it was down."""
         self._refused.add(server_id)
 
+    def is_down(self, server_id):
+        """Return whether a server has refused a connection and wasn't reached since."""
+        return server_id in self._refused
+
     def record_reached(self, server_id):
         """Record that a connection was opened, by whatever path.
 
@@ -116,7 +120,7 @@
         Outage or None
             None if the server was in reach before.
         """
-        if server_id in self._refused:
+        if self.is_down(server_id):
             self._refused.discard(server_id)
             return Outage.DOWN
         return Outage.CUT_OFF if self.is_unreachable(server_id) else None
--- a/tanagerwalk/gateway/cold_watch.py
+++ b/tanagerwalk/gateway/cold_watch.py
@@ -72,9 +72,18 @@
         """Return whether a server is cold after a start."""
         return self._find_policy(server.service) is not None
 
-    def record_crash(self, server):
-        """Take a server that has crashed for cold if it answers again."""
-        self._cold.record_crash(server, self._clock())
+    def record_crash(self, server, is_down):
+        """Take a server that has crashed for cold if it answers again.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server, which broke off a connection and accepts none.
+        is_down : bool
+            Whether it refused one; else it may only be out of reach.
+        """
+        reason = ColdReason.CRASHED if is_down else ColdReason.LOST
+        self._cold.record_crash(server, self._clock(), reason)
 
     def record_return(self, server, outage):
         """Take a server for cold that is back: it may have started anew."""
--- a/tanagerwalk/gateway/components.py
+++ b/tanagerwalk/gateway/components.py
@@ -294,7 +294,7 @@
 
     def _record_crash(self, server):
         self.quarantine.record_end(server)
-        self.cold_watch.record_crash(server)
+        self.cold_watch.record_crash(server, self.paths.is_down(server.id))
 
     def _create_membership(self):
         own_domain = self.settings.failure_domain
--- a/test/decisions/test_paths.py
+++ b/test/decisions/test_paths.py
@@ -80,7 +80,9 @@
     paths = PathTable()
     assert paths.record_reached("s") is None
     paths.record_refused("s")
+    assert paths.is_down("s")
     assert paths.record_reached("s") is Outage.DOWN
+    assert not paths.is_down("s")
     assert paths.record_reached("s") is None
     paths.record_lost("s", PathState.UNREACHABLE, 1.0)
     assert paths.record_reached("s") is Outage.CUT_OFF
--- a/test/gateway/test_cold_news.py
+++ b/test/gateway/test_cold_news.py
@@ -120,7 +120,12 @@
 # One instance that was cut off from a server must not slow down all the others.
 def test_server_that_only_one_instance_lost_is_not_told_of():
     fleet = Fleet(3)
-    fleet.pools[0].limits.cold.record_return(SERVER, 0.0, ColdReason.RETURNED)
+    cold = fleet.pools[0].limits.cold
+    cold.record_crash(SERVER, 0.0, ColdReason.LOST)
+    cold.record_return(SERVER, 0.0, ColdReason.RETURNED)
+    fleet.play(1.0)
+    assert fleet.count_cold() == 1
+    cold.record_crash(SERVER, fleet.now, ColdReason.LOST)
     fleet.play(1.0)
     assert fleet.count_cold() == 1
 
