Do not halt a release for one burst once it is alone

Cause: in the full phase the base gets no requests, so that a burst of failures can't be compared.

Change: of the seconds without the base, two successive ones are left out if the target failed significantly more often there than in the others without the base (Bonferroni over the spans), and gave 25 bad answers at most.

--- a/tanagerwalk/decisions/failure_bursts.py
+++ b/tanagerwalk/decisions/failure_bursts.py
@@ -3,7 +3,8 @@
 Failures that one cause brings about, such as a link that is cut or a service that
 others depend on, come within a second or so. They prove less about a release than as
 many that are independent. Such a cause strikes the base release too, so the answers of
-both are left out while the base fails unusually often.
+both are left out while the base fails unusually often. Once the base gets no more
+requests, there is nothing to compare with, and one short burst is left out.
 """
 
 from collections import deque
@@ -16,6 +17,12 @@
 # Bursts in earlier periods are no longer left out.
 MAX_PERIODS = 120
 MIN_BAD_IN_BURST = 2
+# A base with fewer answers than this share of the target's can't show a burst.
+MIN_BASE_SHARE = 0.1
+# A burst may last from one period into the next one.
+PERIODS_OF_BURST = 2
+# A release that turns bad without a base is halted for more bad answers all the same.
+MAX_BAD_WITHOUT_BASE = 25
 # Significance level at which the base fails more often in a period than in others.
 BURST_SIGNIFICANCE_LEVEL = 0.05
 
@@ -28,6 +35,11 @@
     answers: Tally
     base: SideCount
 
+    @property
+    def is_without_base(self):
+        """Whether the base had too few answers to compare the target with."""
+        return self.base.answers < MIN_BASE_SHARE * self.answers.sum_target().answers
+
     @property
     def base_rate(self):
         """Share of the base's answers that were bad."""
@@ -70,10 +82,35 @@
         tally : Tally
             All answers so far.
         """
-        for period in self._list_bursts(tally.sum_base()):
+        bursts = self._list_bursts(tally.sum_base())
+        bursts += self._find_burst_without_base()
+        for period in bursts:
             tally = tally.subtract_answers(period.answers)
         return tally
 
+    def _find_burst_without_base(self):
+        """Return successive periods in which the target failed more than in others.
+
+        It is compared with itself while the base has too few answers.
+
+        Returns
+        -------
+        list of Period
+            Empty if there is no burst.
+        """
+        periods = [period for period in self._periods if period.is_without_base]
+        spans = [
+            periods[start : start + PERIODS_OF_BURST] for start in range(len(periods))
+        ]
+        worst = max(spans, key=_rank_span, default=[])
+        count = _sum_targets(worst)
+        if count.bad > MAX_BAD_WITHOUT_BASE:
+            return []
+        others = _sum_targets(periods).subtract(count)
+        # Bonferroni correction: of all spans, the worst was taken.
+        level = BURST_SIGNIFICANCE_LEVEL / max(1, len(spans))
+        return worst if _is_burst(count, others, level) else []
+
     def _list_bursts(self, base):
         """Return the periods in which the base failed more often than otherwise.
 
@@ -92,9 +129,22 @@
         return bursts
 
 
-def _is_burst(count, others):
+def _sum_targets(periods):
+    total = SideCount()
+    for period in periods:
+        total.add(period.answers.sum_target())
+    return total
+
+
+def _rank_span(periods):
+    """Return the sort key of successive periods, highest for the worst ones."""
+    count = _sum_targets(periods)
+    return count.bad, -count.answers
+
+
+def _is_burst(count, others, level=BURST_SIGNIFICANCE_LEVEL):
     """Return whether a SideCount has significantly more failures than the others."""
     if count.bad < MIN_BAD_IN_BURST:
         return False
     rate = (others.bad + 0.5) / (others.answers + 1.0)
-    return is_tail_below(BURST_SIGNIFICANCE_LEVEL, count.bad, count.answers, rate)
+    return is_tail_below(level, count.bad, count.answers, rate)
--- a/test/decisions/test_failure_bursts.py
+++ b/test/decisions/test_failure_bursts.py
@@ -61,6 +61,7 @@
     "moments": Bursts(moments=3, last=19.0),
     "moments of little traffic of the target": Bursts(moments=2, last=11.0),
     "a moment in the ramp": Bursts(moments=1, first=13.0, last=18.0),
+    "a moment without the base": Bursts(moments=1, moment=0.5, first=21.0, last=23.0),
 }
 BAD = {
     "a tenth": Bursts(target_rate=0.1),
@@ -68,6 +69,8 @@
     "half, a good base": Bursts(target_rate=0.43, base_rate=0.0),
     "half, with moments": Bursts(target_rate=0.43, moments=3),
     "half, late": Bursts(target_rate=0.43, bad_from=18.0),
+    "half, without the base": Bursts(target_rate=0.43, bad_from=20.0),
+    "a fifth, late": Bursts(target_rate=0.2, bad_from=18.0),
     "a fifth, with falls": Bursts(target_rate=0.2, falls=0.6),
 }
 # Of a release that fails little more than the base allows, some seeds are not halted.
