Take back the longer Retry-After in an outage of the store

The time told before the first copy stays.

Result: test_first_copy, test_boundaries, test_change_feed and test_gateway_rules pass.

--- a/tanagerwalk/decisions/freshness.py
+++ b/tanagerwalk/decisions/freshness.py
@@ -22,17 +22,13 @@
 RETRIES_PER_S = 45.0
 DIRECT_READS_PER_S = 30.0
 MIN_RETRY_PAUSE_S = 0.2
-# When a refused client should retry. Another instance probably has a recent copy, or
-# this one will soon.
-MIN_CLIENT_RETRY_S = 0.2
+# When a client should retry that was refused before the first copy.
 MIN_START_RETRY_S = 0.3
 MAX_START_RETRY_S = 1.0
 # Time after its start in which an instance lets requests wait for its first copy, and
 # the part of a client's time that this takes at most.
 START_WAIT_S = 1.0
 MAX_START_WAIT_SHARE = 1.0 / 16.0
-# Part of its time for which a client is told to wait at most.
-MAX_CLIENT_RETRY_SHARE = 1.0 / 3.0
 
 
 class Freshness:
@@ -92,30 +88,6 @@
     return revocation_delay - REVOCATION_MARGIN_S
 
 
-def choose_stale_retry_delay(age, client_timeout, is_store_out, draw):
-    """Return the seconds after which a client should retry whose key was refused.
-
-    While the store is out for other instances too, they refuse the client as well, and
-    it retries a few times only. The outage is expected to last for as long again as it
-    has lasted.
-
-    Parameters
-    ----------
-    age : float
-        Age of the manifest in seconds.
-    client_timeout : float
-        Seconds that the client waits in all.
-    is_store_out : bool
-        Whether the copies of other instances are known to be old, too.
-    draw : float
-        Random number from 0 to 1, which spreads the clients.
-    """
-    if not is_store_out:
-        return MIN_CLIENT_RETRY_S
-    longest = MAX_CLIENT_RETRY_SHARE * client_timeout
-    return max(MIN_CLIENT_RETRY_S, min(longest, age * (0.5 + draw)))
-
-
 def find_start_wait(uptime, client_timeout):
     """Return the seconds for which a request waits for the first copy of the store.
 
--- a/tanagerwalk/gateway/change_feed.py
+++ b/tanagerwalk/gateway/change_feed.py
@@ -244,10 +244,6 @@
         self._next_direct_read = now + pause * (0.5 + self._random.random())
         return True
 
-    def is_out_for_others(self):
-        """Return whether the peers that were asked last have lost the store."""
-        return self._has_old_answer
-
     @property
     def _is_shared(self):
         return self._client is not None and self._selection.is_shared
--- a/tanagerwalk/gateway/components.py
+++ b/tanagerwalk/gateway/components.py
@@ -373,12 +373,7 @@
         self.forward_filter = ForwardFilter(
             context, self.settings.bounds, self.store_copy.count_instances, self.random
         )
-        route_filter = RouteFilter(
-            self.cluster_state,
-            self.freshness,
-            self.feed.is_out_for_others,
-            self.random,
-        )
+        route_filter = RouteFilter(self.cluster_state, self.freshness)
         chain = link_filters([route_filter, self.quarantine, self.forward_filter])
         self.request_handler = RequestHandler(
             chain, self.codec, self.freshness, self.metrics
--- a/tanagerwalk/gateway/routing.py
+++ b/tanagerwalk/gateway/routing.py
@@ -3,13 +3,10 @@
 from expression import Error
 
 from ..controllers.loop import poll_until
-from ..decisions.freshness import (
-    choose_stale_retry_delay,
-    find_start_retry_delay,
-    find_start_wait,
-)
+from ..decisions.freshness import find_start_retry_delay, find_start_wait
 from ..outcomes import Refusal, RefusalReason
 
+STALE_RETRY_S = 0.2
 START_POLL_INTERVAL_S = 0.02
 
 
@@ -22,17 +19,11 @@
         Provides the manifest.
     freshness : Freshness
         Tells whether the manifest is recent enough to accept keys.
-    is_store_out : callable
-        Returns whether other instances are known to have lost the store, too.
-    random : random.Random
-        Spreads the times at which refused clients come back.
     """
 
-    def __init__(self, cluster_state, freshness, is_store_out, random):
+    def __init__(self, cluster_state, freshness):
         self._cluster_state = cluster_state
         self._freshness = freshness
-        self._is_store_out = is_store_out
-        self._random = random
 
     async def handle(self, request, proceed):
         """Refuse what the manifest does not allow; pass the rest to the next filter."""
@@ -45,7 +36,7 @@
         # Checked first, because a stale manifest may lack a route or a key that a
         # newer one has.
         if needs_key and not self._freshness.is_fresh():
-            return Error(self._refuse_stale(request))
+            return Error(_refuse_stale(self._freshness.age))
         if route is None:
             message = f"no route for host {request.host} and path {request.path}"
             return Error(Refusal(RefusalReason.CLASS_UNKNOWN, message))
@@ -84,15 +75,10 @@
             retry_after=find_start_retry_delay(self._freshness.uptime),
         )
 
-    def _refuse_stale(self, request):
-        age = self._freshness.age
-        return Refusal(
-            RefusalReason.MANIFEST_STALE,
-            f"this instance last confirmed the manifest {age:.1f} s ago",
-            retry_after=choose_stale_retry_delay(
-                age,
-                request.client_timeout,
-                self._is_store_out(),
-                self._random.random(),
-            ),
-        )
+
+def _refuse_stale(age):
+    return Refusal(
+        RefusalReason.MANIFEST_STALE,
+        f"this instance last confirmed the manifest {age:.1f} s ago",
+        retry_after=STALE_RETRY_S,
+    )
