Refuse a request that a stop ends before its assignment

Cause: since the contest for places is made after the assignment of a release, and the log line at the end looked it up without a check. A request that waited for its session's owners got a 502 when the instance stopped, where it had not run, and a client that left wasn't counted. Change: both are described together, if there are any. Result: the two tests of test_unassigned_requests.py; the first got a 502 before, and both pass.

--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -474,10 +474,10 @@
         metrics.requests.labels(end).inc()
         elapsed = self._clock() - request.raw.received_at
         metrics.latency.labels(request.route.name).observe(elapsed)
+        # None if the request ends while it waits for its assignment.
         if self._assignment is not None:
-            inputs |= self._assignment.describe()
+            inputs |= self._assignment.describe() | self._place_contest.describe()
         inputs |= self._regions.describe()
-        inputs |= self._place_contest.describe()
         log_request_end(
             request, end, elapsed, self._progress, self._attempt_log, **inputs
         )
