Poll watchers more slowly in large failure domains during an outage

Change: the pause grows with the instances for each watcher, up to the usual one. Result: test_watchers_are_not_flooded_while_the_store_is_out[340] fails without the bound (566 polls a second of 200) and passes.

--- a/tanagerwalk/gateway/change_feed.py
+++ b/tanagerwalk/gateway/change_feed.py
@@ -33,8 +33,9 @@
 PEER_TIMEOUT_S = 0.5
 PEER_POLL_INTERVAL_S = 0.6
 # While the copies of all peers that answer are old, so that the return of the store is
-# noticed soon.
+# noticed soon; longer if a watcher would get more polls a second than it can answer.
 OUTAGE_POLL_INTERVAL_S = 0.15
+OUTAGE_POLLS_PER_S = 100.0
 # Older changes of a peer show that it has lost the store.
 MAX_PEER_AGE_S = 2.2
 MAX_REPORTED_AGE_S = 1e6
@@ -258,9 +259,13 @@
         """Seconds until the next read."""
         if self.is_watcher:
             return find_watch_pause(self._get_change_delay(), self._is_shared)
-        if self._has_old_answer:
-            return OUTAGE_POLL_INTERVAL_S
-        return PEER_POLL_INTERVAL_S
+        return self._outage_pause if self._has_old_answer else PEER_POLL_INTERVAL_S
+
+    @property
+    def _outage_pause(self):
+        askers = self._count_instances() / max(1, self._selection.count_watchers())
+        pause = max(OUTAGE_POLL_INTERVAL_S, askers / OUTAGE_POLLS_PER_S)
+        return min(PEER_POLL_INTERVAL_S, pause)
 
     @property
     def retry_pause(self):
--- a/test/gateway/test_change_feed.py
+++ b/test/gateway/test_change_feed.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import pytest
 import pytest_asyncio
 from expression import Error, Ok
 
@@ -117,6 +118,7 @@
     def __init__(self, sources):
         self.sources = sources
         self.suspected = []
+        self.watchers = 12
 
     def is_watcher(self, now):
         return False
@@ -124,6 +126,9 @@
     def list_sources(self, now, random):
         return self.sources
 
+    def count_watchers(self):
+        return self.watchers
+
     def suspect(self, peer_id, now):
         self.suspected.append(peer_id)
 
@@ -243,3 +248,14 @@
     feed._client.results = {"own": fresh, "far": old}
     await feed.read(Revision(5))
     assert feed.pause == PEER_POLL_INTERVAL_S
+
+
+# Guards against polls that take much of the time of the watchers of a large domain.
+@pytest.mark.parametrize("instances", [6, 60, 340])
+async def test_watchers_are_not_flooded_while_the_store_is_out(instances):
+    feed = build_feed({"own": build_response(9.0)}, FAULT, instances)
+    feed._selection.watchers = 4
+    await feed.read(Revision(5))
+    askers = instances / feed._selection.watchers
+    assert askers / feed.pause <= 200.0
+    assert feed.pause <= PEER_POLL_INTERVAL_S
