Let requests leave servers that answer slowly

Cause: the load of requests that are being answered, below which none leaves a failure domain, was multiplied by the slowness of the servers, and counted with a mean over all services. A domain five times as slow kept all requests, and a small model's counted as if they were a large one's. Change: slowness doesn't count, and an instance's own requests count by their own work.

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -432,8 +432,7 @@
 
     def _estimate_answering_load(self, usage, now):
         shared = self._shared.sum(usage.server.id, now)
-        load = usage.estimate_answering_load(now, shared, self.mean_decode)
-        return load * self._find_slowdown(usage, now)
+        return usage.estimate_answering_load(now, shared, self.mean_decode)
 
     def _estimate_load(self, usage, now, slowdown):
         shared = self._shared.sum(usage.server.id, now)
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -1,6 +1,7 @@
 """Usage of one backend server as known to this instance, and costs of requests."""
 
 from dataclasses import dataclass, field
+from statistics import fmean
 
 from ..ids import Revision
 from ..registry import RegisteredServer, ServerState
@@ -195,7 +196,8 @@
     def estimate_answering_load(self, now, shared, mean_decode):
         """Return the part of the load that keeps no other request waiting.
 
-        An engine generates tokens for the requests in its slots at the same time.
+        An engine generates tokens for the requests in its slots at the same time. That
+        it does so slowly is no reason to keep requests.
 
         Parameters
         ----------
@@ -204,10 +206,13 @@
         shared : SharedLoad
             Load reported by the other instances for the server.
         mean_decode : float
-            Mean cost of token generation for a request, in tokens.
+            Mean cost of token generation for a request, in tokens; used if this
+            instance has no request at the server.
         """
         if not self.runs_models and not shared.tokens:
             return 0.0
+        if self.work:
+            mean_decode = fmean(work.decode for work in self.work)
         others = self._count_others(now, shared.in_flight)
         running = min(self.in_flight + others, self.server.slots)
         return running * mean_decode / ENGINE_CAPACITY_TOKENS
--- a/tanagerwalk/decisions/spillover.py
+++ b/tanagerwalk/decisions/spillover.py
@@ -9,8 +9,8 @@
 import math
 from dataclasses import dataclass
 
-# Bounds of the load up to which no request leaves a domain's engines. The lower one
-# comes on top of the load of requests that are being answered.
+# Bounds of the load up to which no request leaves a domain's engines. It is at least
+# the lower one above the load of requests that are being answered.
 MIN_ENGINE_LIMIT = 0.1
 MAX_ENGINE_LIMIT = 0.5
 # The load from which a request looks elsewhere at once, relative to the limit.
--- a/test/decisions/test_spillover_table.py
+++ b/test/decisions/test_spillover_table.py
@@ -4,6 +4,9 @@
 
 from test_spillover import build_pool, choose_many, load_server
 
+from tanagerwalk.decisions.server_choice import RequestTraits
+from tanagerwalk.decisions.server_usage import estimate_work
+
 
 def load_for(pool, seconds, begin=0.0, tokens=40000, **more):
     """Send requests each 0.1 s while the own server has a load."""
@@ -82,3 +85,29 @@
     assert set(choose_many(pool, now=0.0)) == {"a-2"}
     pool.replace_servers(entry for entry in entries if entry.id != "s2")
     assert set(choose_many(pool, now=0.01)) == {"b-1"}
+
+
+# Guards against a slow domain that keeps its requests, as what it answers takes long.
+def test_requests_leave_servers_that_answer_slowly():
+    pool = build_pool("a-1", "a-2", "b-1", slots=64)
+    for name, requests in {"s0": 40, "s1": 10, "s2": 10}.items():
+        for _ in range(requests):
+            work = replace(estimate_work(50, 1.0), prefill=0.0)
+            pool.record_sent(pool.find(name).server, work)
+    slowdowns = {"s0": 5.0}
+    pool._find_slowdown = lambda usage, now: slowdowns.get(usage.server.id, 1.0)
+    traits = RequestTraits(1.0)
+    chosen = [choose_many(pool, 5, now=0.2 * n, traits=traits) for n in range(100)]
+    assert sum(chosen, []).count("a-1") < 400
+
+
+# Guards against a small model's requests that count as if they were those of a large.
+def test_requests_of_a_small_model_count_by_their_own_work():
+    pool = build_pool("a-1", "a-2", slots=64)
+    for _ in range(60):
+        pool.record_sent(pool.find("s0").server, estimate_work(800, 0.05))
+    # As after requests of another service.
+    pool.mean_decode = 250.0
+    usage = pool.find("s0")
+    load = pool._estimate_cost_load(usage, 0.0)
+    assert pool._estimate_answering_load(usage, 0.0) <= load
