Release a claim whose write was cancelled or failed

Cause: if a claim's task was cancelled, or raised, while the result of its write was awaited, the settlement took the claim for its own, which set it to running, and then wrote without a pause and without an end. The key stayed claimed, and the instance counted a running request. Change: such a claim is abandoned: in doubt, not run, and released by the settlement. The model test of claims interrupts writes too.

--- a/tanagerwalk/decisions/claims.py
+++ b/tanagerwalk/decisions/claims.py
@@ -226,6 +226,18 @@
         self.phase = ClaimPhase.RUNNING
         self.decision = Ok(None)
 
+    def abandon(self):
+        """Give up claiming; the request has not run.
+
+        The last write may take effect, so the claim has yet to be released.
+        """
+        if self.phase is not ClaimPhase.CLAIMING:
+            raise AssertionError(
+                f"cannot abandon claim {self.key} in phase {self.phase.value}"
+            )
+        self._in_doubt = True
+        self._refuse(refuse_unavailable())
+
     def finish(self, result):
         """Record the outcome of the run, which determines the claim's final state.
 
--- a/tanagerwalk/filters/claim.py
+++ b/tanagerwalk/filters/claim.py
@@ -159,6 +159,9 @@
 
     async def _settle_claim(self, claim):
         """Write until the outcome of the claim is recorded in the store."""
+        if claim.phase is ClaimPhase.CLAIMING:
+            # A cancellation or an error came before the result of the write.
+            claim.abandon()
         if claim.phase is ClaimPhase.RUNNING:
             # The run was cancelled, so its outcome is unknown.
             claim.finish(Error(_refuse_cut_off("by a cancellation")))
--- a/test/decisions/test_claims.py
+++ b/test/decisions/test_claims.py
@@ -66,6 +66,14 @@
     def write(self, index, fate):
         self._write(self._pick(index, _has_pending_write), fate)
 
+    @precondition(lambda self: self._count(_is_claiming))
+    @rule(index=INDEXES, fate=FATES)
+    def interrupt_write(self, index, fate):
+        chosen = self._pick(index, _is_claiming)
+        self.store.send(chosen.claim.make_write(lease=7), fate)
+        chosen.claim.abandon()
+        self._report(chosen)
+
     @precondition(lambda self: self._count(_is_running))
     @rule(index=INDEXES, result=st.sampled_from(["answer", "refused", "unknown"]))
     def run(self, index, result):
@@ -156,6 +164,10 @@
     return submission.claim.phase is not ClaimPhase.SETTLED
 
 
+def _is_claiming(submission):
+    return submission.claim.phase is ClaimPhase.CLAIMING
+
+
 def _is_running(submission):
     return submission.claim.phase is ClaimPhase.RUNNING
 
