Keep the success of a hedged call whose other attempt raised

Cause: when both attempts ended in the same wake-up, the results were read in order, so an exception in one of them was raised although the other had succeeded. The answer was lost, and the call ended with a defect. Change: a success is looked for first; what the other attempt raised is logged. Without a success it is raised, as before. Result: the four new cases of test_hedge.py (either attempt, an error or a cancellation) failed before with what was raised, and pass; so do the other 11 tests of the module.

--- a/tanagerwalk/filters/hedge.py
+++ b/tanagerwalk/filters/hedge.py
@@ -3,10 +3,14 @@
 import asyncio
 import dataclasses
 
+import structlog
+
 from ..decisions.hedges import may_hedge
 from ..messages import AttemptFailure
 from ..outcomes import Interface
 
+log = structlog.get_logger(__name__)
+
 
 class HedgeFilter:
     """Hedges idempotent calls of plain services whose class allows it.
@@ -73,27 +77,30 @@
             done, pending = await asyncio.wait(
                 pending, return_when=asyncio.FIRST_COMPLETED
             )
+            winner = _find_success(done, first)
+            if winner is None:
+                _raise_first_error(done)
             for task in done - {first}:
-                if task.result().is_error():
-                    self._record_failure(context, tasks[task], task.result())
-            # If both have completed, prefer the first attempt.
-            for task in sorted(done, key=lambda task: task is not first):
-                if task.result().is_ok():
-                    self._count_outcome(task is not first, done)
-                    self._record_first_failure(context, first)
-                    _copy_attempt(context, tasks[task])
-                    return task.result()
+                self._record_failure(context, tasks[task], task)
+            if winner is not None:
+                self._count_outcome(winner is not first, done)
+                if first.done():
+                    self._record_failure(context, context, first)
+                _copy_attempt(context, tasks[winner])
+                return winner.result()
         self._metrics.hedges.labels("failed").inc()
         context.sent = context.sent or any(_was_sent(task.result()) for task in tasks)
         return first.result()
 
-    def _record_first_failure(self, context, first):
-        """Record a failure of the first attempt, whose result is not returned."""
-        if first.done() and first.result().is_error():
-            self._record_failure(context, context, first.result())
-
-    def _record_failure(self, context, attempted, result):
-        failure = result.error
+    def _record_failure(self, context, attempted, task):
+        """Record a failure of a completed attempt whose result is not returned."""
+        if _has_raised(task):
+            error = None if task.cancelled() else task.exception()
+            log.error("attempt of a hedged call raised", exc_info=error)
+            return
+        if task.result().is_ok():
+            return
+        failure = task.result().error
         if isinstance(failure, AttemptFailure):
             self._on_failure(attempted, failure)
             context.tried |= attempted.tried
@@ -104,6 +111,26 @@
             self._metrics.hedges.labels("dropped").inc()
 
 
+def _has_raised(task):
+    return task.cancelled() or task.exception() is not None
+
+
+def _find_success(done, first):
+    """Return an attempt that succeeded, preferably the first one, or None."""
+    succeeded = [
+        task for task in done if not _has_raised(task) and task.result().is_ok()
+    ]
+    if first in succeeded:
+        return first
+    return succeeded[0] if succeeded else None
+
+
+def _raise_first_error(done):
+    for task in done:
+        # Raises what the attempt raised.
+        task.result()
+
+
 def _was_sent(result):
     failure = result.error
     return isinstance(failure, AttemptFailure) and failure.sent
--- a/test/filters/test_hedge.py
+++ b/test/filters/test_hedge.py
@@ -131,3 +131,28 @@
     ((second, failure),) = recorded
     assert failure.server == "s2"
     assert second.grant.server == "s2"
+
+
+# Guards against an exception that discards the answer of the other attempt.
+@pytest.mark.parametrize("raising", [0, 1])
+@pytest.mark.parametrize("error", [RuntimeError, asyncio.CancelledError])
+async def test_success_is_kept_when_the_other_attempt_raises_with_it(raising, error):
+    barrier = asyncio.Event()
+    waiting = []
+
+    async def proceed(context):
+        number = len(waiting)
+        waiting.append(context)
+        server = f"s{number}"
+        context.grant = Grant(Ticket("a", "lookup", 10.0), server, "s:1", server)
+        await barrier.wait()
+        if number == raising:
+            raise error
+        return Ok(number)
+
+    context = make_context()
+    running = asyncio.create_task(make_filter(Metrics()).handle(context, proceed))
+    assert await poll_until(lambda: len(waiting) == 2, DELAY_S, SLOW_S * 100)
+    barrier.set()
+    assert await running == Ok(1 - raising)
+    assert context.grant.server == f"s{1 - raising}"
