Name what a load message of the same failure domain counts twice

Cause: the condition in LoadMessageReceiver.receive joined two facts under a name that told neither, and loads were decoded and then replaced. A review stumbled over it. Change: the facts have names of their own; behaviour is the same.

--- a/tanagerwalk/gateway/load_message_receiver.py
+++ b/tanagerwalk/gateway/load_message_receiver.py
@@ -91,21 +91,27 @@
         if not self._shared.accepts(scope):
             return
         domain = FailureDomain(message.domain)
-        if scope is Scope.DOMAIN and domain != self._failure_domain:
+        is_domain_total = scope is Scope.DOMAIN
+        is_own_domain = domain == self._failure_domain
+        if is_domain_total and not is_own_domain:
             self._relays.record_remote_relay(message.sender, now)
+        # The other relay of this domain sends the total of the same instances, which
+        # this one hears itself.
+        is_counted_already = is_domain_total and is_own_domain
         name = _name_source(message, scope)
         source = ReportSource(scope, name, message.part, message.parts)
-        # The other relay of this domain sums up the same members.
-        is_same_sum = scope is Scope.DOMAIN and domain == self._failure_domain
-        if message.speeds and not is_same_sum:
+        if message.speeds and not is_counted_already:
             self._speeds.receive(source, message, now)
         if message.loads is None:
             self._merge_other_sections(message, role, now)
             return
         loads = {load.server: decode_load(load) for load in message.loads}
-        if is_same_sum:
-            loads = {}
-        if self._shared.update(source, message.sender, message.sequence, loads, now):
+        # An update without loads still records the sequence number.
+        new_loads = {} if is_counted_already else loads
+        is_newest = self._shared.update(
+            source, message.sender, message.sequence, new_loads, now
+        )
+        if is_newest:
             self._merge_other_sections(message, role, now)
 
     def _merge_other_sections(self, message, role, now):
