--- a/test/ui/test_commands.py
+++ b/test/ui/test_commands.py
@@ -154,16 +154,25 @@
 
 # Guards against a traceback where the store holds what another program wrote.
 @pytest.mark.parametrize(
-    "value", [b"[class label]\n; \xff\n", b"[class label]\ncost = x\n"]
+    "value",
+    [
+        b"[class label]\n; \xff\n",
+        b"[class label]\ncost = x\n",
+        b"[class label]\nlateness = 1 s\n[class  label]\nlateness = 2 s\n",
+        b"[class label]\nlateness = 1 s\ncost = inf\n",
+    ],
 )
 def test_stored_declaration_that_cannot_be_read_can_be_replaced(
-    settings, declaration, monkeypatch, value
+    settings, declaration, monkeypatch, tmp_path, value
 ):
     async def write(client):
         return await client.write(Write(DECLARATION_KEY, value, ABSENT))
 
     assert run_with_store(read_settings(settings), write).is_ok()
     assert invoke("show", "--settings", settings).stdout_bytes == value
+    shown = tmp_path / "shown.ini"
+    shown.write_bytes(value)
+    assert invoke("check", shown).exit_code == 1
     assert invoke("diff", "--settings", settings, declaration).exit_code == 1
     module = importlib.import_module("tanagerwalk.ui.report")
     monkeypatch.setattr(module, "_fetch_all_metrics", fetch_no_metrics)
