Forget expired relayed items also on instances that relay nothing

Cause: items expired only when they were listed, which only relays do. Members and flat instances kept one for each life of a cold server and each session for good.

Change: items expire when one is recorded, too, oldest first.

Result: test_relayed_items_that_are_never_listed_do_not_pile_up failed before; it passes now, with the rest of test_relays.

--- a/tanagerwalk/decisions/relayed_items.py
+++ b/tanagerwalk/decisions/relayed_items.py
@@ -1,5 +1,7 @@
 """Items that a relay passes on for a while, such as crash records."""
 
+from collections import OrderedDict
+
 from .relays import Scope
 
 
@@ -14,7 +16,8 @@
 
     def __init__(self, lifetime):
         self._lifetime = lifetime
-        self._items = {}
+        # The oldest come first.
+        self._items = OrderedDict()
 
     def record(self, scope, key, value, now):
         """Add an item that a message of another instance contained.
@@ -22,24 +25,26 @@
         Items of the own failure domain are not replaced by what another domain
         passes on, so that each relay passes on what its members tell.
         """
+        self._expire(now)
         known = self._items.get(key)
-        is_known_better = (
-            known is not None
-            and known[0] is Scope.INSTANCE
-            and now - known[2] <= self._lifetime
-        )
+        is_known_better = known is not None and known[0] is Scope.INSTANCE
         if scope is Scope.INSTANCE or not is_known_better:
             self._items[key] = (scope, value, now)
+            self._items.move_to_end(key)
 
     def list(self, scopes, now):
         """Return the items by key that messages of some scopes brought recently."""
-        self._items = {
-            key: item
-            for key, item in self._items.items()
-            if now - item[2] <= self._lifetime
-        }
+        self._expire(now)
         return {
             key: value
             for key, (scope, value, _) in self._items.items()
             if scope in scopes
         }
+
+    def _expire(self, now):
+        """Forget items that are no longer passed on; most instances list none."""
+        while self._items:
+            key, (_, _, recorded_at) = next(iter(self._items.items()))
+            if now - recorded_at <= self._lifetime:
+                return
+            del self._items[key]
--- a/test/decisions/test_relays.py
+++ b/test/decisions/test_relays.py
@@ -228,3 +228,12 @@
     assert items.list({Scope.INSTANCE}, 2.0) == {}
     assert items.list({Scope.DOMAIN}, 2.0) == {"session": False}
     assert items.list({Scope.DOMAIN}, 4.0) == {}
+
+
+# Instances that pass nothing on never list the items.
+def test_relayed_items_that_are_never_listed_do_not_pile_up():
+    items = RelayedItems(1.5)
+    for life in range(100):
+        items.record(Scope.FLEET, life, True, float(life))
+        items.record(Scope.FLEET, "renewed", True, float(life))
+    assert set(items._items) == {98, 99, "renewed"}
