Count refusals on a lost path once while others reach the server

Cause: a path that rejects connections looks like a server that is down. Each probe was refused, so that the next tunnel ended another outage, and every instance was told of another restart.

Change: once an outage was reported as DOWN, refusals are ignored while the server is only reached through other instances. They count again once no path works, or the direct one did. test_server_that_refuses_while_tunnels_reach_it_has_returned is unchanged: the first refusal on an indirect path still counts.

--- a/tanagerwalk/decisions/paths.py
+++ b/tanagerwalk/decisions/paths.py
@@ -53,6 +53,8 @@
     def __init__(self):
         self._lost: dict[BackendServerId, _LostPath] = {}
         self._refused: set[BackendServerId] = set()
+        # Servers whose last outage was reported as DOWN.
+        self._reported: set[BackendServerId] = set()
         self._indirect_at = float("-inf")
 
     def get_state(self, server_id):
@@ -99,11 +101,19 @@
         float or None
             Seconds for which the direct path was lost; None if it was not.
         """
+        self._reported.discard(server_id)
         path = self._lost.pop(server_id, None)
         return None if path is None else now - path.lost_at
 
     def record_refused(self, server_id):
-        """Record that a server refused a connection, since it was down."""
+        """Record that a server refused a connection, since it was down.
+
+        A path that rejects connections looks the same. While others reach the server,
+        that counts only once.
+        """
+        is_indirect = self.get_state(server_id) is PathState.INDIRECT
+        if is_indirect and server_id in self._reported:
+            return
         self._refused.add(server_id)
 
     def is_down(self, server_id):
@@ -122,13 +132,17 @@
         """
         if self.is_down(server_id):
             self._refused.discard(server_id)
+            self._reported.add(server_id)
             return Outage.DOWN
+        if self.get_state(server_id) is PathState.DIRECT:
+            self._reported.discard(server_id)
         return Outage.CUT_OFF if self.is_unreachable(server_id) else None
 
     def forget(self, server_id):
         """Drop what is known about a server that is gone."""
         self._lost.pop(server_id, None)
         self._refused.discard(server_id)
+        self._reported.discard(server_id)
 
     def is_doubtful(self, last_used_at):
         """Return whether a kept direct connection may be as dead as new ones.
--- a/test/gateway/test_connector_faults.py
+++ b/test/gateway/test_connector_faults.py
@@ -153,6 +153,24 @@
     assert connector.returned == [(server, Outage.DOWN)]
 
 
+# Guards against one instance that keeps a server cold for the whole fleet, since its
+# own path rejects connections.
+async def test_path_that_rejects_connections_counts_as_one_outage():
+    connector = build_connector(OpenTunnels(), refuse_connection)
+    server = Server()
+    for _ in range(5):
+        assert (await connector.connect(server, 1.0)).is_ok()
+        await connector.probe_once(server)
+    assert connector.returned == [(server, Outage.DOWN)]
+    connector._tunnels = RefusedTunnels()
+    await connector.connect(server, 1.0)
+    await connector.probe_once(server)
+    connector._tunnels = OpenTunnels()
+    await connector.probe_once(server)
+    connector.close()
+    assert connector.returned == 2 * [(server, Outage.DOWN)]
+
+
 # A path that is cut says nothing about the server, which others still reach.
 async def test_server_behind_a_cut_path_has_not_returned():
     connector = build_connector(OpenTunnels(), time_out)
