Pass on the longest time for which a server is cold

Cause: a relay told its own time in place of those that it had received, and kept the last one that a message brought. A relay that knew of an earlier restart only thereby hid a later one from some instances.

Change: a relay keeps the longest time of each life and scope (RelayedMaxima), and tells the longest of these and its own.

Result: test_instances_hear_of_a_second_restart failed before, and in a trial where only the own time was merged this way; it passes now, with the rest of test_cold_news and test_relays. test_shorter_time_does_not_replace_a_longer_one covers the new class, and has no run on the code before.

--- a/tanagerwalk/decisions/relayed_items.py
+++ b/tanagerwalk/decisions/relayed_items.py
@@ -48,3 +48,30 @@
             if now - recorded_at <= self._lifetime:
                 return
             del self._items[key]
+
+
+class RelayedMaxima(RelayedItems):
+    """Numbers of which the largest one is passed on.
+
+    Parameters
+    ----------
+    lifetime : float
+        Seconds for which a number is passed on.
+    """
+
+    def record(self, scope, key, value, now):
+        """Add a number, unless a message of the same scope brought a larger one."""
+        self._expire(now)
+        known = self._items.get((scope, key))
+        if known is None or value >= known[1]:
+            self._items[scope, key] = (scope, value, now)
+            self._items.move_to_end((scope, key))
+
+    def list(self, scopes, now):
+        """Return the largest numbers by key that messages of some scopes brought."""
+        self._expire(now)
+        maxima = {}
+        for (scope, key), (_, value, _) in self._items.items():
+            if scope in scopes:
+                maxima[key] = max(value, maxima.get(key, value))
+        return maxima
--- a/tanagerwalk/gateway/load_message_receiver.py
+++ b/tanagerwalk/gateway/load_message_receiver.py
@@ -45,7 +45,7 @@
         Stores the speeds of servers.
     relayed_sides : RelayedItems
         Stores the side overrides that relays pass on.
-    relayed_cold : RelayedItems
+    relayed_cold : RelayedMaxima
         Stores until when servers are cold, which relays pass on.
     """
 
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from ..decisions.relayed_items import RelayedItems
+from ..decisions.relayed_items import RelayedItems, RelayedMaxima
 from ..decisions.relays import Role, Scope
 from ..decisions.replay_window import ReplayWindow
 from ..decisions.shared_demands import SharedDemandTable
@@ -88,7 +88,7 @@
         self._clock = clock
         self._random = random
         self._relayed_sides = RelayedItems(RELAYED_LIFETIME_S)
-        self._relayed_cold = RelayedItems(RELAYED_LIFETIME_S)
+        self._relayed_cold = RelayedMaxima(RELAYED_LIFETIME_S)
         self._secret = None
         self._sender = DatagramSender(get_peers)
         self._speeds = SpeedSharing(servers.speeds)
@@ -327,12 +327,16 @@
             own.limits,
             own.brittle,
             self._speeds.list_totals(sources, now),
-            self._list_relayed_cold(sources, now) | own.cold,
+            self._add_relayed_cold(own.cold, sources, now),
         )
 
-    def _list_relayed_cold(self, sources, now):
-        relayed = self._relayed_cold.list(sources, now)
-        return {life: until - now for life, until in relayed.items() if until > now}
+    def _add_relayed_cold(self, own, sources, now):
+        """Return the longest time for which each server is cold, by life."""
+        cold = dict(own)
+        for life, until in self._relayed_cold.list(sources, now).items():
+            if until > now:
+                cold[life] = max(until - now, cold.get(life, 0.0))
+        return cold
 
     def _send(self, contents, receiver_ids):
         """Send contents, in as many messages as they need, to some instances."""
--- a/test/decisions/test_relays.py
+++ b/test/decisions/test_relays.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from tanagerwalk.decisions.peers import Peer
-from tanagerwalk.decisions.relayed_items import RelayedItems
+from tanagerwalk.decisions.relayed_items import RelayedItems, RelayedMaxima
 from tanagerwalk.decisions.relays import (
     MAX_FLAT_FLEET,
     MAX_SILENCE_S,
@@ -237,3 +237,14 @@
         items.record(Scope.FLEET, life, True, float(life))
         items.record(Scope.FLEET, "renewed", True, float(life))
     assert set(items._items) == {98, 99, "renewed"}
+
+
+def test_shorter_time_does_not_replace_a_longer_one():
+    items = RelayedMaxima(1.5)
+    items.record(Scope.INSTANCE, "life", 6.0, 0.0)
+    items.record(Scope.INSTANCE, "life", 4.0, 1.0)
+    items.record(Scope.DOMAIN, "life", 9.0, 1.0)
+    assert items.list({Scope.INSTANCE}, 1.0) == {"life": 6.0}
+    assert items.list({Scope.INSTANCE, Scope.DOMAIN}, 1.0) == {"life": 9.0}
+    items.record(Scope.INSTANCE, "life", 4.0, 2.0)
+    assert items.list({Scope.INSTANCE}, 2.0) == {"life": 4.0}
--- a/test/gateway/test_cold_news.py
+++ b/test/gateway/test_cold_news.py
@@ -1,5 +1,6 @@
 """Instances tell each other of servers that have started anew."""
 
+import itertools
 import random
 from dataclasses import replace
 from types import SimpleNamespace
@@ -10,7 +11,7 @@
 from tanagerwalk.decisions.locations import Home
 from tanagerwalk.decisions.paths import PathTable
 from tanagerwalk.decisions.peers import Peer
-from tanagerwalk.decisions.relays import RelaySelection
+from tanagerwalk.decisions.relays import RelaySelection, Role
 from tanagerwalk.decisions.selection import ServerPool
 from tanagerwalk.decisions.server_usage_table import hash_life
 from tanagerwalk.decisions.shared_loads import SharedLoadTable
@@ -146,6 +147,22 @@
     assert [pool.limits.cold.count(fleet.now) for pool in fleet.pools] == [0] * size
 
 
+# Guards against relays that know of an earlier restart only, and pass that one on.
+def test_instances_hear_of_a_second_restart():
+    fleet = Fleet(30)
+    fleet.play(1.0)
+    colds = [pool.limits.cold for pool in fleet.pools]
+    is_relay = [sharing._role is Role.RELAY for sharing in fleet.sharings]
+    for cold in itertools.compress(colds, is_relay):
+        cold.record_return(SERVER, fleet.now, ColdReason.RESTARTED)
+    fleet.play(2.0)
+    member = colds[is_relay.index(False)]
+    member.record_return(SERVER, fleet.now, ColdReason.RESTARTED)
+    almost_warm_at = fleet.now + POLICY.duration - 0.1
+    fleet.play(1.5)
+    assert [cold.count(almost_warm_at) for cold in colds] == [1] * 30
+
+
 def test_start_whose_entry_is_newer_is_not_taken_for_cold():
     fleet = Fleet(2)
     fleet.pools[1].replace_servers([replace(SERVER, born=2, revision=2)])
