--- a/test/gateway/test_connector_faults.py
+++ b/test/gateway/test_connector_faults.py
@@ -180,3 +180,15 @@
     await connector.probe_once(server)
     connector.close()
     assert connector.returned == []
+
+
+# A packet that is lost must not count as a crash that every instance is told of.
+async def test_only_a_refused_check_shows_that_a_server_is_down():
+    connector = build_connector(RefusedTunnels(), time_out)
+    server = Server()
+    assert not await connector.check(server)
+    assert not connector._paths.is_down(server.id)
+    connector.dial = refuse_connection
+    assert not await connector.check(server)
+    connector.close()
+    assert connector._paths.is_down(server.id)
