Leave a server unreachable if a restricted request fails, too

Cause: a restricted request that was under way when another attempt found the server unreachable marked its path as indirect. The return of the server then went unnoticed, and it was limited as one that is still awaited.

Change: such a request doesn't replace the state.

Result: test_restricted_request_leaves_a_server_unreachable failed before; it passes now, with the rest of test_connector_faults.

--- a/tanagerwalk/gateway/connector.py
+++ b/tanagerwalk/gateway/connector.py
@@ -139,8 +139,10 @@
         if faults:
             return _prefer_fault(result, faults)
         if result.is_error() and is_restricted:
-            # Others may still use the instances that weren't asked.
-            self._record_lost(server, result, PathState.INDIRECT)
+            # Others may still use the instances that weren't asked, unless those
+            # have failed meanwhile.
+            if not self._paths.is_unreachable(server.id):
+                self._record_lost(server, result, PathState.INDIRECT)
             return Error(ConnectFault.NO_ALLOWED_PATH)
         if result.is_error() or result.ok.via is not None:
             self._record_lost(server, result)
--- a/test/gateway/test_connector_faults.py
+++ b/test/gateway/test_connector_faults.py
@@ -192,3 +192,23 @@
     assert not await connector.check(server)
     connector.close()
     assert connector._paths.is_down(server.id)
+
+
+# Guards against a return that is missed, so that the limit lasts longer than it must.
+async def test_restricted_request_leaves_a_server_unreachable():
+    connector = build_connector(RefusedTunnels(), None)
+    server = Server()
+
+    async def fail_beside_check(address, timeout, create_protocol=None):
+        connector.dial = time_out
+        await connector.check(server)
+        return Error("TimeoutError")
+
+    connector.dial = fail_beside_check
+    result = await connector.connect(server, 1.0, lambda peer_id: False)
+    assert result.error is ConnectFault.NO_ALLOWED_PATH
+    assert connector._paths.is_unreachable(server.id)
+    connector.dial = open_direct
+    await connector.probe_once(server)
+    connector.close()
+    assert connector.returned == [(server, Outage.CUT_OFF)]
