--- a/test/gateway/test_connector_faults.py
+++ b/test/gateway/test_connector_faults.py
@@ -153,6 +153,24 @@
     assert connector.returned == [(server, Outage.DOWN)]
 
 
+# Guards against one instance that keeps a server cold for the whole fleet, since its
+# own path rejects connections.
+async def test_path_that_rejects_connections_counts_as_one_outage():
+    connector = build_connector(OpenTunnels(), refuse_connection)
+    server = Server()
+    for _ in range(5):
+        assert (await connector.connect(server, 1.0)).is_ok()
+        await connector.probe_once(server)
+    assert connector.returned == [(server, Outage.DOWN)]
+    connector._tunnels = RefusedTunnels()
+    await connector.connect(server, 1.0)
+    await connector.probe_once(server)
+    connector._tunnels = OpenTunnels()
+    await connector.probe_once(server)
+    connector.close()
+    assert connector.returned == 2 * [(server, Outage.DOWN)]
+
+
 # A path that is cut says nothing about the server, which others still reach.
 async def test_server_behind_a_cut_path_has_not_returned():
     connector = build_connector(OpenTunnels(), time_out)
@@ -162,3 +180,35 @@
     await connector.probe_once(server)
     connector.close()
     assert connector.returned == []
+
+
+# A packet that is lost must not count as a crash that every instance is told of.
+async def test_only_a_refused_check_shows_that_a_server_is_down():
+    connector = build_connector(RefusedTunnels(), time_out)
+    server = Server()
+    assert not await connector.check(server)
+    assert not connector._paths.is_down(server.id)
+    connector.dial = refuse_connection
+    assert not await connector.check(server)
+    connector.close()
+    assert connector._paths.is_down(server.id)
+
+
+# Guards against a return that is missed, so that the limit lasts longer than it must.
+async def test_restricted_request_leaves_a_server_unreachable():
+    connector = build_connector(RefusedTunnels(), None)
+    server = Server()
+
+    async def fail_beside_check(address, timeout, create_protocol=None):
+        connector.dial = time_out
+        await connector.check(server)
+        return Error("TimeoutError")
+
+    connector.dial = fail_beside_check
+    result = await connector.connect(server, 1.0, lambda peer_id: False)
+    assert result.error is ConnectFault.NO_ALLOWED_PATH
+    assert connector._paths.is_unreachable(server.id)
+    connector.dial = open_direct
+    await connector.probe_once(server)
+    connector.close()
+    assert connector.returned == [(server, Outage.CUT_OFF)]
