Allow for the age of reported loads where few servers are compared

Cause: instances that compare all servers of a small service by the same reports, up to a second old, send to the one that looked idle.

Change: in such a choice, the part of the reported requests that has probably been replaced since moves to the server's recent mean plus a random part (decisions/unseen_requests.py). Own requests count in full; fresh reports decide alone; a sample of a large service stays as it was. record_ended takes the seconds that a request took.

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -7,11 +7,17 @@
 from .local_choice import build_chooser
 from .locations import Distance
 from .paths import PathState
-from .server_choice import LOCAL_WAIT_SHARE, UNKNOWN_TRAITS, ChoiceInputs
+from .server_choice import (
+    LOCAL_WAIT_SHARE,
+    SAMPLING_THRESHOLD,
+    UNKNOWN_TRAITS,
+    ChoiceInputs,
+)
 from .server_limits import LimitQueue, ServerLimits
 from .server_usage_table import ServerUsageTable, hash_life
 from .shared_loads import SharedLoad, hash_server
 from .token_room import TokenRoom
+from .unseen_requests import UnseenRequests
 
 
 class ServerPool(ServerUsageTable):
@@ -51,6 +57,7 @@
         self.local_wait_share = LOCAL_WAIT_SHARE
         self.token_room = TokenRoom()
         self._possibly_leaving = frozenset()
+        self._unseen = UnseenRequests(shared, random)
 
     @cached_property
     def chooser(self):
@@ -186,6 +193,7 @@
             service,
             now,
             partial(self._estimate_cost_load, now=now),
+            self._build_draw(ready, service, now),
             affinity,
             traits,
             self.local_wait_share * traits.objective,
@@ -194,6 +202,21 @@
         )
         return self.chooser.choose(ready, inputs).server
 
+    def _build_draw(self, ready, service, now):
+        """Return the callable that tells the load of a server in one choice."""
+        if len(ready) > SAMPLING_THRESHOLD:
+            # The sample already keeps instances from sending to one server.
+            return partial(self._estimate_cost_load, now=now)
+        self._unseen.refresh(service, self.list_usages(service), now)
+        return partial(self._draw_cost_load, now=now)
+
+    def _draw_cost_load(self, usage, now):
+        shared = self._shared.sum(usage.server.id, now)
+        reported = usage.count_others(now, shared.in_flight)
+        slowdown = self._find_slowdown(usage, now)
+        unseen = self._unseen.draw(usage, reported, slowdown, now)
+        return self._add_costs(usage, now, shared, slowdown, unseen)
+
     def _has_local_server(self, service, now):
         return any(
             self.find_distance(usage.server) is Distance.SAME_DOMAIN
@@ -245,7 +268,8 @@
             usage for usage in ready if usage.server.id not in self._possibly_leaving
         ] or ready
         unpaused = [usage for usage in ready if usage.paused_until <= now] or ready
-        inputs = ChoiceInputs(service, now, partial(self._estimate_cost_load, now=now))
+        estimate_load = partial(self._estimate_cost_load, now=now)
+        inputs = ChoiceInputs(service, now, estimate_load, estimate_load)
         ordered = sorted(unpaused, key=lambda usage: self.chooser.score(usage, inputs))
         return [usage.server for usage in ordered]
 
@@ -378,6 +402,12 @@
             return False
         return statements.record(hash_life(server), bearable, now)
 
+    def record_ended(self, server, work=None, seconds=None):
+        """Record the end of a request, and the seconds that it took, if known."""
+        super().record_ended(server, work)
+        if seconds is not None:
+            self._unseen.record_duration(server.service, seconds)
+
     def record_duration(self, server, kind, sample, load, now):
         """Learn the speed of a server from how long an answer took.
 
@@ -413,10 +443,13 @@
         return self.limits.is_empty or self.limits.admit(hash_life(server), slot, now)
 
     def _estimate_cost_load(self, usage, now):
-        """Return the load of a server, plus what errors, slowness or a start add."""
         slowdown = self._find_slowdown(usage, now)
         shared = self._shared.sum(usage.server.id, now)
-        load = usage.estimate_load(now, shared, self.mean_work, slowdown)
+        return self._add_costs(usage, now, shared, slowdown)
+
+    def _add_costs(self, usage, now, shared, slowdown, unseen=0.0):
+        """Return the load of a server, plus what errors, slowness or a start add."""
+        load = usage.estimate_load(now, shared, self.mean_work, slowdown, unseen)
         load += usage.estimate_error_load(now, shared.errors)
         load += usage.estimate_extra_load(self.mean_work, slowdown)
         cold = self.limits.cold
--- a/tanagerwalk/decisions/server_choice.py
+++ b/tanagerwalk/decisions/server_choice.py
@@ -49,6 +49,9 @@
         Monotonic time in seconds.
     estimate_load : callable
         Takes a ServerUsage and returns its load.
+    draw_load : callable
+        Takes a ServerUsage and returns its load, with a random part for what may have
+        changed since it was reported.
     affinity : PromptAffinity or None
         Costs of the request that depend on the server.
     traits : RequestTraits
@@ -65,6 +68,7 @@
     service: ServiceName
     now: float
     estimate_load: Callable[[ServerUsage], float]
+    draw_load: Callable[[ServerUsage], float]
     affinity: PromptAffinity | None = None
     traits: RequestTraits = UNKNOWN_TRAITS
     max_local_wait: float = LOCAL_WAIT_SHARE * DEFAULT_OBJECTIVE_S
@@ -114,7 +118,7 @@
     def score(self, usage, inputs):
         """Return the cost of a server for a request without a prompt."""
         distance = self._home.estimate_distance_cost(usage.server.failure_domain)
-        return inputs.estimate_load(usage) + distance, self._random.random()
+        return inputs.draw_load(usage) + distance, self._random.random()
 
     def _sample_candidates(self, usages, affinity):
         """Return a random sample of servers plus the one preferred by affinity.
@@ -137,7 +141,7 @@
 
     def _score_with_affinity(self, usage, inputs, preferred):
         affinity = inputs.affinity
-        load = inputs.estimate_load(usage)
+        load = inputs.draw_load(usage)
         cost = LINEAR_LOAD_WEIGHT * load + load * load
         if usage is not preferred:
             cost += affinity.cache_miss_cost * inputs.find_slowdown(usage)
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -165,7 +165,21 @@
         """Return whether the server takes one more request after a hold, if any."""
         return self.in_flight + 1 <= find_resume_limit(now - self.held_until)
 
-    def estimate_load(self, now, shared, mean_work, slowdown=1.0):
+    def count_others(self, now, reported):
+        """Return the requests of other instances on the server, as last reported.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        reported : int
+            Requests that the other instances have reported to be on the server.
+        """
+        # The server's own report includes requests that no instance has reported yet.
+        is_recent = now - self.reported_at <= REPORT_LIFETIME_S
+        return max(reported, self.other_requests if is_recent else 0)
+
+    def estimate_load(self, now, shared, mean_work, slowdown=1.0, unseen=0.0):
         """Return the load of the server; 1 means fully used.
 
         Parameters
@@ -179,15 +193,17 @@
             requests whose cost was not reported.
         slowdown : float
             How long work takes on the server, relative to what is usual.
+        unseen : float
+            Requests of other instances that were not reported, less those that were
+            and have ended.
         """
-        # The server's own report includes requests that no instance has reported yet.
-        is_recent = now - self.reported_at <= REPORT_LIFETIME_S
-        others = max(shared.in_flight, self.other_requests if is_recent else 0)
+        others = max(0.0, self.count_others(now, shared.in_flight) + unseen)
         if not self.runs_models and not shared.tokens:
             return (self.in_flight + others) / self.server.slots * slowdown
         own = self.sum_tokens()
         unreported = others - shared.in_flight
-        load = (own + shared.tokens + unreported * mean_work) / ENGINE_CAPACITY_TOKENS
+        other_tokens = max(0.0, shared.tokens + unreported * mean_work)
+        load = (own + other_tokens) / ENGINE_CAPACITY_TOKENS
         load += self._estimate_slot_wait(self.in_flight + others)
         # A stuck engine does not report its queue, but the waiting requests show it.
         silence = max(self.measure_silence(now), shared.silence)
@@ -244,7 +260,7 @@
             Requests that the other instances have reported to be on the server.
         """
         is_recent = now - self.reported_at <= REPORT_LIFETIME_S
-        others = max(other_requests, self.other_requests if is_recent else 0)
+        others = self.count_others(now, other_requests)
         slots = self.server.slots
         taken = self.in_flight + others
         waiting = max(taken - slots, self.reported_queue if is_recent else 0)
--- a/tanagerwalk/decisions/shared_loads.py
+++ b/tanagerwalk/decisions/shared_loads.py
@@ -260,6 +260,22 @@
                 counts[key] = max(0, counts[key] - own.in_flight)
         return counts
 
+    def estimate_age(self, now):
+        """Return how old the reported loads are in the mean, or None without reports.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        lifetime = self.lifetime
+        ages = [now - report.received_at for report in self._reports.values()]
+        ages = [age for age in ages if age <= lifetime]
+        if not ages:
+            return None
+        # A relay's sums hold loads from up to one period before each step.
+        return sum(ages) / len(ages) + (self.delay - self.period) / 2.0
+
     def _list_reports_on(self, key, now):
         """Return the reports that mention a server and have not expired."""
         lifetime = self.lifetime
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -128,7 +128,8 @@
         # time choose different servers.
         self._servers.record_sent(attempt.server, attempt.work)
         connection = None
-        timer = ResponseTimer(self._clock(), request, plan.on_latency)
+        started_at = self._clock()
+        timer = ResponseTimer(started_at, request, plan.on_latency)
         try:
             if not attempt.was_rejected:
                 connection = self._pool.acquire_idle(attempt.server, plan.allows_peer)
@@ -176,7 +177,8 @@
                 plan.on_abandoned()
             raise
         finally:
-            self._servers.record_ended(attempt.server, attempt.work)
+            seconds = self._clock() - started_at
+            self._servers.record_ended(attempt.server, attempt.work, seconds)
             if connection is not None:
                 connection.abort()
 
--- a/test/decisions/speed_fleet.py
+++ b/test/decisions/speed_fleet.py
@@ -214,7 +214,7 @@
         if request.work is not None:
             request.work.prefill = 0.0
         pool.record_answer(server.entry, load, self.now)
-        pool.record_ended(server.entry, request.work)
+        pool.record_ended(server.entry, request.work, self.now - request.sent_at)
         sample = LatencySample(self.now - request.sent_at)
         if request.work is not None:
             pause = request.seconds / EVENTS
