Let the reports in the model of cold servers have an age

Cause: its stand-in for the shared loads had neither count_requests nor estimate_age, so that each choice raised AttributeError (50 failures seen in test_cold_fleet.py and after since, before the run was ended).

Change: the stand-in counts its requests by server and tells how old they are. No check is changed.

--- a/test/gateway/cold_fleet.py
+++ b/test/gateway/cold_fleet.py
@@ -15,7 +15,7 @@
 from tanagerwalk.decisions.paths import PathTable
 from tanagerwalk.decisions.peers import Peer
 from tanagerwalk.decisions.selection import ServerPool
-from tanagerwalk.decisions.shared_loads import SharedLoad
+from tanagerwalk.decisions.shared_loads import SharedLoad, hash_server
 from tanagerwalk.gateway.limit_slots import LimitSlots
 from tanagerwalk.gateway.metrics import GatewayMetrics
 from tanagerwalk.gateway.place_wait import PlaceWait
@@ -103,16 +103,25 @@
     def __init__(self):
         self.current = Counter()
         self._reported = Counter()
+        self._reported_at = 0.0
 
     async def report(self):
         while True:
             self._reported = Counter(self.current)
+            self._reported_at = asyncio.get_running_loop().time()
             await asyncio.sleep(MAX_NEWS_DELAY_S)
 
     def sum(self, server_id, now):
         del now
         return SharedLoad(self._reported[server_id], 0.0)
 
+    def count_requests(self, now):
+        del now
+        return {hash_server(name): count for name, count in self._reported.items()}
+
+    def estimate_age(self, now):
+        return now - self._reported_at
+
 
 class Fleet:
     """Plays a Scenario."""
