Leave out a burst of a release once

Cause: a second in which the base has few answers and fails is a burst both by comparison with the base and without it, and was subtracted twice.

Change: the periods to leave out are made distinct by their number.

Measured, without a network, a release that fails 7.5 % in 14 seconds of the canary phase, then 8 good seconds and a burst of 20 bad answers in 60: bad answers that remained 22 of 980 and not halted, now 42 of 1040 and halted. Failed before: test_burst_is_left_out_once.

--- a/tanagerwalk/decisions/failure_bursts.py
+++ b/tanagerwalk/decisions/failure_bursts.py
@@ -84,7 +84,9 @@
         """
         bursts = self._list_bursts(tally.sum_base())
         bursts += self._find_burst_without_base()
-        for period in bursts:
+        # The base may have failed in a period in which it had few answers.
+        distinct = {period.number: period for period in bursts}
+        for period in distinct.values():
             tally = tally.subtract_answers(period.answers)
         return tally
 
--- a/test/decisions/test_failure_bursts.py
+++ b/test/decisions/test_failure_bursts.py
@@ -172,3 +172,23 @@
         SideCount(60, 9),
         SideCount(400, 11),
     )
+
+
+def play_seconds(history, tally, seconds, start=0):
+    """Record (target answers, bad ones, base answers, bad ones) of each second."""
+    history.record(copy_tally(tally), float(start))
+    for now, (answers, bad, base_answers, base_bad) in enumerate(seconds, start + 1):
+        for number in range(answers):
+            tally.record("plans", True, number < bad, server=(number + now) % 10)
+        for number in range(base_answers):
+            tally.record("plans", False, number < base_bad)
+        history.record(copy_tally(tally), float(now))
+
+
+def test_burst_is_left_out_once():
+    """Guards against a second that is a burst with and without the base."""
+    history, tally = FailureHistory(), Tally()
+    seconds = [(40, 3, 60, 0)] * 14 + [(60, 0, 4, 0)] * 8 + [(60, 20, 4, 3)]
+    play_seconds(history, tally, seconds)
+    assert is_failing_release(tally, history)
+    assert history.remove_bursts(tally).sum_target() == SideCount(1040, 42)
