Keep small histories of running roll-outs only

Cause: each second kept a count for each server and route, also those without an answer, and histories stayed after the last phase. A step looked for bursts twice while a release was bad.

Change: a second holds only the counts that grew; the history is dropped in a final phase; find_next_phase takes the verdict that the step already has.

Failed before: test_period_holds_only_servers_that_answered, test_history_of_a_finished_rollout_is_forgotten, test_bursts_are_looked_for_once_a_step.

--- a/tanagerwalk/decisions/failure_bursts.py
+++ b/tanagerwalk/decisions/failure_bursts.py
@@ -64,7 +64,7 @@
             Monotonic time in seconds.
         """
         if self._newest is not None:
-            self._add(int(now // PERIOD_S), tally.subtract_answers(self._newest))
+            self._add(int(now // PERIOD_S), tally.list_recent_answers(self._newest))
         self._newest = tally
 
     def _add(self, number, answers):
--- a/tanagerwalk/decisions/release_rollouts.py
+++ b/tanagerwalk/decisions/release_rollouts.py
@@ -74,7 +74,7 @@
     elapsed: float = 0.0
 
 
-def find_next_phase(rollout, duration, elapsed, tally, recent=None, history=None):
+def find_next_phase(rollout, duration, elapsed, tally, recent=None, is_bad=None):
     """Return the phase that a roll-out should change to, or None for no change.
 
     Parameters
@@ -89,8 +89,8 @@
         Answer counts of all instances.
     recent : Tally or None
         Latencies of the last seconds.
-    history : FailureHistory or None
-        The answers by period.
+    is_bad : bool or None
+        What `is_bad_in_phase` returned; None to call it.
 
     Returns
     -------
@@ -98,7 +98,9 @@
     """
     if rollout.phase.is_final:
         return None
-    if is_bad_in_phase(rollout.phase, tally, recent, history):
+    if is_bad is None:
+        is_bad = is_bad_in_phase(rollout.phase, tally, recent)
+    if is_bad:
         return RolloutPhase.ROLLED_BACK
     if rollout.phase is RolloutPhase.CANARY:
         # Until then no running session may move to the target release.
--- a/tanagerwalk/decisions/tallies.py
+++ b/tanagerwalk/decisions/tallies.py
@@ -214,6 +214,17 @@
             ),
         )
 
+    def list_recent_answers(self, earlier):
+        """Return a Tally of the answers since an earlier state of this tally.
+
+        It has neither latencies nor the routes and servers without such answers.
+        """
+        return Tally(
+            target=_list_increases(self.target, earlier.target),
+            base=_list_increases(self.base, earlier.base),
+            target_servers=_list_increases(self.target_servers, earlier.target_servers),
+        )
+
     def list_recent_latencies(self, earlier, keep_base):
         """Return a Tally of the latencies since an earlier state of this tally.
 
@@ -247,6 +258,17 @@
     }
 
 
+def _list_increases(counts, earlier):
+    """Return the SideCounts by which some have grown, without those that haven't."""
+    empty = SideCount()
+    increases = {}
+    for key, count in counts.items():
+        known = earlier.get(key, empty)
+        if count.answers > known.answers:
+            increases[key] = count.subtract(known)
+    return increases
+
+
 class TallyBook:
     """Tallies of one roll-out: the own one and those of other instances.
 
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -182,6 +182,7 @@
             await self._start(order)
             return
         if state.phase.is_final:
+            self._failure_histories.pop(key, None)
             return
         now = self._clock()
         tally = self.get_tallies(key).sum_fleet(self._role)
@@ -195,7 +196,7 @@
             self._rolled_back.add(key)
             log.warning("release halted", service=order.service, tally=repr(tally))
         elapsed = now - self._started_at[key]
-        phase = find_next_phase(state, order.duration, elapsed, tally, recent, history)
+        phase = find_next_phase(state, order.duration, elapsed, tally, recent, is_bad)
         if key in self._rolled_back:
             phase = RolloutPhase.ROLLED_BACK
         if phase is not None:
--- a/test/decisions/test_failure_bursts.py
+++ b/test/decisions/test_failure_bursts.py
@@ -201,3 +201,13 @@
     idle = [(0, 0, 0, 0)] * 60
     play_seconds(history, tally, [(0, 0, 20, 0)] * 30 + alone + idle + alone[-1:])
     assert history.remove_bursts(tally).sum_target() == SideCount(110, 6)
+
+
+def test_period_holds_only_servers_that_answered():
+    """Guards against memory that grows with servers and periods."""
+    history, tally = FailureHistory(), Tally()
+    for server in range(400):
+        tally.record("plans", True, False, server)
+    play_seconds(history, tally, [(5, 0, 0, 0)] * 3)
+    assert {len(each.answers.target_servers) for each in history._periods} == {5}
+    assert {len(each.answers.base) for each in history._periods} == {0}
--- a/test/gateway/test_earlier_orders.py
+++ b/test/gateway/test_earlier_orders.py
@@ -2,7 +2,9 @@
 
 import random
 from types import SimpleNamespace
+from unittest.mock import AsyncMock, Mock
 
+from tanagerwalk.decisions.failure_bursts import FailureHistory
 from tanagerwalk.decisions.relays import Scope
 from tanagerwalk.decisions.release_rollouts import RolloutPhase, RolloutState
 from tanagerwalk.decisions.tallies import SideCount, Tally
@@ -94,3 +96,27 @@
     cluster_state.orders = {"desk": FIRST}
     await controller._advance(FIRST)
     assert controller.find_progress(FIRST, 12.0) == 0.1
+
+
+async def test_history_of_a_finished_rollout_is_forgotten():
+    controller, mirror, _ = build_controller()
+    mirror.load(FIRST, 8)
+    await controller._advance(FIRST)
+    assert controller._failure_histories
+    mirror.load(FIRST, 9, RolloutPhase.COMPLETE)
+    await controller._advance(FIRST)
+    assert not controller._failure_histories
+
+
+async def test_bursts_are_looked_for_once_a_step(monkeypatch):
+    controller, mirror, _ = build_controller()
+    mirror.load(FIRST, 8)
+    tally = Tally({"plans": SideCount(99, 50)}, {"plans": SideCount(99, 0)})
+    key = ("desk", FIRST.revision)
+    controller.record_peer_tally(key, Scope.INSTANCE, "a-1", "other", tally)
+    remove_bursts = Mock(side_effect=lambda tally: tally)
+    monkeypatch.setattr(FailureHistory, "remove_bursts", remove_bursts)
+    monkeypatch.setattr(controller, "_write_phase", AsyncMock())
+    await controller._advance(FIRST)
+    assert controller.get_state(FIRST).phase is RolloutPhase.ROLLED_BACK
+    remove_bursts.assert_called_once()
