Look for earlier orders only after a change

Cause: each step of each roll-out searched the known orders of all services.

Change: the search runs when the order or the stored state of the service has another revision than at the last one. A late tally of an earlier order is kept until then.

Failed before: test_earlier_orders_are_looked_for_only_after_a_change.

--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -84,6 +84,7 @@
         self._tallies = {}
         self._recent_latencies = {}
         self._failure_histories = {}
+        self._cleaned_at = {}
         self._role = Role.FLAT
         mirror.subscribe(self._load_states)
 
@@ -175,8 +176,12 @@
     async def _advance(self, order):
         if not self._mirror.is_loaded:
             return
-        self._forget_earlier_orders(order)
         key = (order.service, order.revision)
+        # Earlier orders stay known until the order or the stored state changes.
+        revisions = (order.revision, self._revisions.get(order.service))
+        if self._cleaned_at.get(order.service) != revisions:
+            self._forget_earlier_orders(order)
+            self._cleaned_at[order.service] = revisions
         state = self._states.get(order.service)
         if state is None or state.order != order.revision:
             await self._start(order)
--- a/test/gateway/test_earlier_orders.py
+++ b/test/gateway/test_earlier_orders.py
@@ -120,3 +120,14 @@
     await controller._advance(FIRST)
     assert controller.get_state(FIRST).phase is RolloutPhase.ROLLED_BACK
     remove_bursts.assert_called_once()
+
+
+async def test_earlier_orders_are_looked_for_only_after_a_change(monkeypatch):
+    """Guards against a search through all orders for each order in each step."""
+    controller, mirror, cluster_state = build_controller()
+    forget = Mock()
+    monkeypatch.setattr(controller, "_forget_earlier_orders", forget)
+    await follow(controller, mirror, cluster_state)
+    for _ in range(5):
+        await controller._advance(SECOND)
+    assert [call.args[0] for call in forget.call_args_list] == [FIRST, SECOND]
