Don't halt a release for answers before a late start

Cause: an instance that starts after a burst gets the counts of the others but not their periods, so it could not leave the burst out, and its verdict rolls the release back for all.

Change: an instance that finds the roll-out running leaves out what others counted of the target until a second after its first step; other instances have judged it. Its own answers count, so that an instance on its own judges all that it knows. The base's answers stay for comparison.

Failed before: test_instance_that_starts_late_leaves_earlier_answers_to_others. The two new cases of test_failure_bursts failed only for want of the parameter.

--- a/tanagerwalk/decisions/failure_bursts.py
+++ b/tanagerwalk/decisions/failure_bursts.py
@@ -14,6 +14,8 @@
 from .tallies import SideCount, Tally
 
 PERIOD_S = 1.0
+# By then an instance that starts late has the counts of the others.
+LATE_START_S = 1.0
 # Bursts in earlier periods are no longer left out.
 MAX_PERIODS = 120
 MIN_BAD_IN_BURST = 2
@@ -47,13 +49,23 @@
 
 
 class FailureHistory:
-    """Answers of both releases of a roll-out by period."""
+    """Answers of both releases of a roll-out by period.
 
-    def __init__(self):
+    Parameters
+    ----------
+    is_late : bool
+        Whether the roll-out was running already. The periods of what other instances
+        counted before are unknown then, so the target's answers in them don't count.
+    """
+
+    def __init__(self, is_late=False):
+        self._is_late = is_late
         self._periods = deque(maxlen=MAX_PERIODS)
         self._newest = None
+        self._started_at = None
+        self._earlier = Tally()
 
-    def record(self, tally, now):
+    def record(self, tally, now, own=None):
         """Record the newest Tally of all answers, which must not change afterwards.
 
         Parameters
@@ -62,8 +74,16 @@
             All answers so far.
         now : float
             Monotonic time in seconds.
+        own : Tally or None
+            The answers that this instance counted itself; None for no such answers.
         """
-        if self._newest is not None:
+        if self._started_at is None:
+            self._started_at = now
+        if self._is_late and now - self._started_at < LATE_START_S:
+            self._earlier = tally.subtract_answers(own or Tally())
+            # The base may get no more requests to compare with.
+            self._earlier.base.clear()
+        elif self._newest is not None:
             self._add(int(now // PERIOD_S), tally.list_recent_answers(self._newest))
         self._newest = tally
 
@@ -75,13 +95,14 @@
             self._periods.append(Period(number, answers, answers.sum_base()))
 
     def remove_bursts(self, tally):
-        """Return a Tally without the answers in bursts.
+        """Return a Tally without the answers in bursts and those before a late start.
 
         Parameters
         ----------
         tally : Tally
             All answers so far.
         """
+        tally = tally.subtract_answers(self._earlier)
         bursts = self._list_bursts(tally.sum_base())
         bursts += self._find_burst_without_base()
         # The base may have failed in a period in which it had few answers.
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -190,12 +190,13 @@
             self._failure_histories.pop(key, None)
             return
         now = self._clock()
-        tally = self.get_tallies(key).sum_fleet(self._role)
+        book = self.get_tallies(key)
+        tally = book.sum_fleet(self._role)
         recent = self._recent_latencies.setdefault(key, RecentLatencies()).find(
             tally, now, state.phase is RolloutPhase.FULL
         )
-        history = self._failure_histories.setdefault(key, FailureHistory())
-        history.record(tally, now)
+        history = self._failure_histories.setdefault(key, FailureHistory(is_late=True))
+        history.record(tally, now, book.own)
         is_bad = is_bad_in_phase(state.phase, tally, recent, history)
         if is_bad and key not in self._rolled_back:
             self._rolled_back.add(key)
@@ -210,6 +211,7 @@
     async def _start(self, order):
         key = (order.service, order.revision)
         self._started_at.setdefault(key, self._clock())
+        self._failure_histories.setdefault(key, FailureHistory())
         state = RolloutState(
             order.service, order.target, order.revision, RolloutPhase.CANARY
         )
--- a/test/decisions/test_failure_bursts.py
+++ b/test/decisions/test_failure_bursts.py
@@ -211,3 +211,29 @@
     play_seconds(history, tally, [(5, 0, 0, 0)] * 3)
     assert {len(each.answers.target_servers) for each in history._periods} == {5}
     assert {len(each.answers.base) for each in history._periods} == {0}
+
+
+def play_burst():
+    """Return a Tally and a FailureHistory with a burst of a good release."""
+    history, tally = FailureHistory(), Tally()
+    play_seconds(history, tally, [(5, 0, 45, 0)] * 10 + [(30, 12, 30, 12)])
+    return tally, history
+
+
+def test_late_history_leaves_earlier_bursts_to_others():
+    """Guards against an instance that starts after a burst and halts the release."""
+    tally, history = play_burst()
+    late = FailureHistory(is_late=True)
+    late.record(copy_tally(tally), 11.0)
+    assert is_failing_release(tally)
+    assert not is_failing_release(tally, history)
+    assert not is_failing_release(tally, late)
+    play_seconds(late, tally, [(30, 12, 30, 0)] * 3, start=12)
+    assert is_failing_release(tally, late)
+
+
+def test_late_history_of_the_only_instance_counts_all_answers():
+    tally, _ = play_burst()
+    late = FailureHistory(is_late=True)
+    late.record(copy_tally(tally), 11.0, own=tally)
+    assert is_failing_release(tally, late)
--- a/test/gateway/test_earlier_orders.py
+++ b/test/gateway/test_earlier_orders.py
@@ -131,3 +131,28 @@
     for _ in range(5):
         await controller._advance(SECOND)
     assert [call.args[0] for call in forget.call_args_list] == [FIRST, SECOND]
+
+
+async def advance_with_bad_answers(controller, mirror):
+    """Advance a running roll-out whose target failed often by another's counts."""
+    mirror.load(FIRST, 8)
+    tally = Tally({"plans": SideCount(99, 50)}, {"plans": SideCount(99, 0)})
+    key = ("desk", FIRST.revision)
+    controller.record_peer_tally(key, Scope.INSTANCE, "a-1", "other", tally)
+    await controller._advance(FIRST)
+    return controller.get_state(FIRST).phase
+
+
+async def test_instance_that_starts_late_leaves_earlier_answers_to_others(monkeypatch):
+    late, mirror, _ = build_controller()
+    monkeypatch.setattr(late, "_write_phase", AsyncMock())
+    phase = await advance_with_bad_answers(late, mirror)
+    assert phase is RolloutPhase.CANARY
+
+
+async def test_instance_that_saw_the_order_counts_all_answers(monkeypatch):
+    controller, mirror, _ = build_controller()
+    monkeypatch.setattr(controller, "_write_phase", AsyncMock())
+    await controller._advance(FIRST)
+    phase = await advance_with_bad_answers(controller, mirror)
+    assert phase is RolloutPhase.ROLLED_BACK
