--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -84,6 +84,7 @@
         self._tallies = {}
         self._recent_latencies = {}
         self._failure_histories = {}
+        self._cleaned_at = {}
         self._role = Role.FLAT
         mirror.subscribe(self._load_states)
 
@@ -175,27 +176,33 @@
     async def _advance(self, order):
         if not self._mirror.is_loaded:
             return
-        self._forget_earlier_orders(order)
         key = (order.service, order.revision)
+        # Earlier orders stay known until the order or the stored state changes.
+        revisions = (order.revision, self._revisions.get(order.service))
+        if self._cleaned_at.get(order.service) != revisions:
+            self._forget_earlier_orders(order)
+            self._cleaned_at[order.service] = revisions
         state = self._states.get(order.service)
         if state is None or state.order != order.revision:
             await self._start(order)
             return
         if state.phase.is_final:
+            self._failure_histories.pop(key, None)
             return
         now = self._clock()
-        tally = self.get_tallies(key).sum_fleet(self._role)
+        book = self.get_tallies(key)
+        tally = book.sum_fleet(self._role)
         recent = self._recent_latencies.setdefault(key, RecentLatencies()).find(
             tally, now, state.phase is RolloutPhase.FULL
         )
-        history = self._failure_histories.setdefault(key, FailureHistory())
-        history.record(tally, now)
+        history = self._failure_histories.setdefault(key, FailureHistory(is_late=True))
+        history.record(tally, now, book.own)
         is_bad = is_bad_in_phase(state.phase, tally, recent, history)
         if is_bad and key not in self._rolled_back:
             self._rolled_back.add(key)
             log.warning("release halted", service=order.service, tally=repr(tally))
         elapsed = now - self._started_at[key]
-        phase = find_next_phase(state, order.duration, elapsed, tally, recent, history)
+        phase = find_next_phase(state, order.duration, elapsed, tally, recent, is_bad)
         if key in self._rolled_back:
             phase = RolloutPhase.ROLLED_BACK
         if phase is not None:
@@ -204,6 +211,7 @@
     async def _start(self, order):
         key = (order.service, order.revision)
         self._started_at.setdefault(key, self._clock())
+        self._failure_histories.setdefault(key, FailureHistory())
         state = RolloutState(
             order.service, order.target, order.revision, RolloutPhase.CANARY
         )
--- a/test/decisions/test_failure_bursts.py
+++ b/test/decisions/test_failure_bursts.py
@@ -172,3 +172,68 @@
         SideCount(60, 9),
         SideCount(400, 11),
     )
+
+
+def play_seconds(history, tally, seconds, start=0):
+    """Record (target answers, bad ones, base answers, bad ones) of each second."""
+    history.record(copy_tally(tally), float(start))
+    for now, (answers, bad, base_answers, base_bad) in enumerate(seconds, start + 1):
+        for number in range(answers):
+            tally.record("plans", True, number < bad, server=(number + now) % 10)
+        for number in range(base_answers):
+            tally.record("plans", False, number < base_bad)
+        history.record(copy_tally(tally), float(now))
+
+
+def test_burst_is_left_out_once():
+    """Guards against a second that is a burst with and without the base."""
+    history, tally = FailureHistory(), Tally()
+    seconds = [(40, 3, 60, 0)] * 14 + [(60, 0, 4, 0)] * 8 + [(60, 20, 4, 3)]
+    play_seconds(history, tally, seconds)
+    assert is_failing_release(tally, history)
+    assert history.remove_bursts(tally).sum_target() == SideCount(1040, 42)
+
+
+def test_bursts_far_apart_are_not_one():
+    """Guards against idle seconds that make others look successive."""
+    history, tally = FailureHistory(), Tally()
+    alone = [(10, 0, 0, 0)] * 10 + [(10, 6, 0, 0)]
+    idle = [(0, 0, 0, 0)] * 60
+    play_seconds(history, tally, [(0, 0, 20, 0)] * 30 + alone + idle + alone[-1:])
+    assert history.remove_bursts(tally).sum_target() == SideCount(110, 6)
+
+
+def test_period_holds_only_servers_that_answered():
+    """Guards against memory that grows with servers and periods."""
+    history, tally = FailureHistory(), Tally()
+    for server in range(400):
+        tally.record("plans", True, False, server)
+    play_seconds(history, tally, [(5, 0, 0, 0)] * 3)
+    assert {len(each.answers.target_servers) for each in history._periods} == {5}
+    assert {len(each.answers.base) for each in history._periods} == {0}
+
+
+def play_burst():
+    """Return a Tally and a FailureHistory with a burst of a good release."""
+    history, tally = FailureHistory(), Tally()
+    play_seconds(history, tally, [(5, 0, 45, 0)] * 10 + [(30, 12, 30, 12)])
+    return tally, history
+
+
+def test_late_history_leaves_earlier_bursts_to_others():
+    """Guards against an instance that starts after a burst and halts the release."""
+    tally, history = play_burst()
+    late = FailureHistory(is_late=True)
+    late.record(copy_tally(tally), 11.0)
+    assert is_failing_release(tally)
+    assert not is_failing_release(tally, history)
+    assert not is_failing_release(tally, late)
+    play_seconds(late, tally, [(30, 12, 30, 0)] * 3, start=12)
+    assert is_failing_release(tally, late)
+
+
+def test_late_history_of_the_only_instance_counts_all_answers():
+    tally, _ = play_burst()
+    late = FailureHistory(is_late=True)
+    late.record(copy_tally(tally), 11.0, own=tally)
+    assert is_failing_release(tally, late)
--- a/test/gateway/test_earlier_orders.py
+++ b/test/gateway/test_earlier_orders.py
@@ -2,7 +2,9 @@
 
 import random
 from types import SimpleNamespace
+from unittest.mock import AsyncMock, Mock
 
+from tanagerwalk.decisions.failure_bursts import FailureHistory
 from tanagerwalk.decisions.relays import Scope
 from tanagerwalk.decisions.release_rollouts import RolloutPhase, RolloutState
 from tanagerwalk.decisions.tallies import SideCount, Tally
@@ -94,3 +96,63 @@
     cluster_state.orders = {"desk": FIRST}
     await controller._advance(FIRST)
     assert controller.find_progress(FIRST, 12.0) == 0.1
+
+
+async def test_history_of_a_finished_rollout_is_forgotten():
+    controller, mirror, _ = build_controller()
+    mirror.load(FIRST, 8)
+    await controller._advance(FIRST)
+    assert controller._failure_histories
+    mirror.load(FIRST, 9, RolloutPhase.COMPLETE)
+    await controller._advance(FIRST)
+    assert not controller._failure_histories
+
+
+async def test_bursts_are_looked_for_once_a_step(monkeypatch):
+    controller, mirror, _ = build_controller()
+    mirror.load(FIRST, 8)
+    tally = Tally({"plans": SideCount(99, 50)}, {"plans": SideCount(99, 0)})
+    key = ("desk", FIRST.revision)
+    controller.record_peer_tally(key, Scope.INSTANCE, "a-1", "other", tally)
+    remove_bursts = Mock(side_effect=lambda tally: tally)
+    monkeypatch.setattr(FailureHistory, "remove_bursts", remove_bursts)
+    monkeypatch.setattr(controller, "_write_phase", AsyncMock())
+    await controller._advance(FIRST)
+    assert controller.get_state(FIRST).phase is RolloutPhase.ROLLED_BACK
+    remove_bursts.assert_called_once()
+
+
+async def test_earlier_orders_are_looked_for_only_after_a_change(monkeypatch):
+    """Guards against a search through all orders for each order in each step."""
+    controller, mirror, cluster_state = build_controller()
+    forget = Mock()
+    monkeypatch.setattr(controller, "_forget_earlier_orders", forget)
+    await follow(controller, mirror, cluster_state)
+    for _ in range(5):
+        await controller._advance(SECOND)
+    assert [call.args[0] for call in forget.call_args_list] == [FIRST, SECOND]
+
+
+async def advance_with_bad_answers(controller, mirror):
+    """Advance a running roll-out whose target failed often by another's counts."""
+    mirror.load(FIRST, 8)
+    tally = Tally({"plans": SideCount(99, 50)}, {"plans": SideCount(99, 0)})
+    key = ("desk", FIRST.revision)
+    controller.record_peer_tally(key, Scope.INSTANCE, "a-1", "other", tally)
+    await controller._advance(FIRST)
+    return controller.get_state(FIRST).phase
+
+
+async def test_instance_that_starts_late_leaves_earlier_answers_to_others(monkeypatch):
+    late, mirror, _ = build_controller()
+    monkeypatch.setattr(late, "_write_phase", AsyncMock())
+    phase = await advance_with_bad_answers(late, mirror)
+    assert phase is RolloutPhase.CANARY
+
+
+async def test_instance_that_saw_the_order_counts_all_answers(monkeypatch):
+    controller, mirror, _ = build_controller()
+    monkeypatch.setattr(controller, "_write_phase", AsyncMock())
+    await controller._advance(FIRST)
+    phase = await advance_with_bad_answers(controller, mirror)
+    assert phase is RolloutPhase.ROLLED_BACK
