--- a/test/gateway/test_earlier_orders.py
+++ b/test/gateway/test_rollout_histories.py
@@ -1,4 +1,4 @@
-"""What is kept of a roll-out once another order of the service has followed."""
+"""What an instance keeps of a running roll-out, and of earlier ones."""
 
 import random
 from types import SimpleNamespace
