Clarify comments that readers of the decisions stumbled on

Cause: a first reader found docstrings that were vague, or that claimed more than the code knows (a refused connection was called a certain end). Change: comments and docstrings in tanagerwalk/decisions/.

--- a/tanagerwalk/decisions/cold_servers.py
+++ b/tanagerwalk/decisions/cold_servers.py
@@ -28,7 +28,13 @@
 
 
 class ColdReason(Enum):
-    """Why a server is taken for cold."""
+    """Why a server is taken for cold.
+
+    ENTRY: its entry says so. STARTED: a start that wasn't listed before. CRASHED: it
+    refused a connection. LOST: it broke off a connection and accepts none. RESTARTED:
+    it is back after it had refused one. RETURNED: it was out of reach. TOLD: another
+    instance saw its restart. EVACUATION_ENDED: requests may be sent to it again.
+    """
 
     ENTRY = "entry"
     STARTED = "started"
@@ -78,11 +84,12 @@
         return ColdLimit(rate, self.overrun * rate + self.slack)
 
 
-# The server has ended for certain, which other instances may not have noticed.
+# The server refused a connection, which other instances may not have noticed.
 TOLD_REASONS = frozenset({ColdReason.CRASHED, ColdReason.RESTARTED})
-# The server isn't back yet.
+# The server isn't known to be back yet.
 AWAITED_REASONS = frozenset({ColdReason.CRASHED, ColdReason.LOST})
-# The server is back, and may have run all the while.
+# The server is back. That it started anew is assumed: it may have been out of reach, or
+# a path may have rejected connections.
 ASSUMED_REASONS = frozenset(
     {ColdReason.RETURNED, ColdReason.RESTARTED, ColdReason.TOLD}
 )
@@ -90,18 +97,19 @@
 
 @dataclass(slots=True)
 class _ColdServer:
-    """When a server becomes warm.
+    """Until when a server is cold. All times are monotonic, in seconds.
 
     Parameters
     ----------
     server : RegisteredServer
         The server.
     known_until : float
-        When it does, by what is known of its last start.
+        Until when it is cold after its last known start.
     assumed_until, assumed_at : float
-        The same by a start that was assumed, and when it was.
+        Until when it is cold after a start that is only assumed, and when that was
+        assumed.
     awaited_until : float
-        The same if it is down, and starts again as late as may be.
+        If it is down: until when it is cold after the latest start that is waited for.
     told_until : float
         Until when the others are told that it is cold.
     """
@@ -118,8 +126,9 @@
         return max(self.known_until, self.assumed_until, self.awaited_until)
 
     def drop_assumed(self):
-        """Take the start that was assumed for one that never was."""
+        """Forget the assumed start: the server ran on."""
         self.assumed_until = -math.inf
+        # A later outage of the server is still told.
         self.told_until = self.awaited_until
 
 
@@ -183,9 +192,10 @@
         self._drop_ended(now)
 
     def confirm_starts(self, confirmed_at, now):
-        """Find out whose start was assumed though they ran on.
+        """Drop the assumed starts of servers that ran on.
 
-        A server that has started anew replaces its entry, or else it expires.
+        A server that starts anew replaces its entry, or the entry expires. One that is
+        listed with the same start ENTRY_LIFETIME_S later has run all the while.
 
         Parameters
         ----------
@@ -278,7 +288,7 @@
         self.record_cold_time(server, seconds, now, ColdReason.TOLD)
 
     def list_news(self, now):
-        """Return for how long servers are cold whose new start this instance noticed.
+        """Return for how long servers stay cold whose crash or restart was seen here.
 
         Parameters
         ----------
@@ -288,7 +298,8 @@
         Returns
         -------
         dict of int to float
-            Seconds by `hash_life`. A server that is down has the time of a start now.
+            Seconds by `hash_life`. For a server that is still down, the cold time of a
+            start.
         """
         news = {
             life: self._find_told_time(cold, now) for life, cold in self._cold.items()
--- a/tanagerwalk/decisions/failure_bursts.py
+++ b/tanagerwalk/decisions/failure_bursts.py
@@ -3,8 +3,9 @@
 Failures that one cause brings about, such as a link that is cut or a service that
 others depend on, come within a second or so. They prove less about a release than as
 many that are independent. Such a cause strikes the base release too, so the answers of
-both are left out while the base fails unusually often. Once the base gets no more
-requests, there is nothing to compare with, and one short burst is left out.
+both are left out while the base fails unusually often. In seconds in which the base
+gets few requests or none, the target is compared with itself, and one burst of at most
+two seconds is left out.
 """
 
 from collections import deque
@@ -14,9 +15,9 @@
 from .tallies import SideCount, Tally
 
 PERIOD_S = 1.0
-# By then an instance that starts late has the counts of the others.
+# By then an instance that joins a running roll-out has the counts of the others.
 LATE_START_S = 1.0
-# Bursts in earlier periods are no longer left out.
+# Number of periods that are kept; bursts in earlier ones are no longer left out.
 MAX_PERIODS = 120
 MIN_BAD_IN_BURST = 2
 # A base with fewer answers than this share of the target's can't show a burst.
@@ -31,7 +32,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Period:
-    """Answers of both releases in one period, and the sum of those of the base."""
+    """Answers of both releases in one period of PERIOD_S.
+
+    Parameters
+    ----------
+    number : int
+        Monotonic time of the period, in periods.
+    answers : Tally
+        Answers by route and server.
+    base : SideCount
+        Sum of the base's answers.
+    """
 
     number: int
     answers: Tally
@@ -54,8 +65,8 @@
     Parameters
     ----------
     is_late : bool
-        Whether the roll-out was running already. The periods of what other instances
-        counted before are unknown then, so the target's answers in them don't count.
+        Whether the roll-out was running when this instance began to record. When the
+        others' answers came is unknown then, so the target's among them don't count.
     """
 
     def __init__(self, is_late=False):
@@ -105,7 +116,7 @@
         tally = tally.subtract_answers(self._earlier)
         bursts = self._list_bursts(tally.sum_base())
         bursts += self._find_burst_without_base()
-        # The base may have failed in a period in which it had few answers.
+        # A period may be in both lists.
         distinct = {period.number: period for period in bursts}
         for period in distinct.values():
             tally = tally.subtract_answers(period.answers)
--- a/tanagerwalk/decisions/freshness.py
+++ b/tanagerwalk/decisions/freshness.py
@@ -22,11 +22,12 @@
 RETRIES_PER_S = 45.0
 DIRECT_READS_PER_S = 30.0
 MIN_RETRY_PAUSE_S = 0.2
-# When a client should retry that was refused before the first copy.
+# Bounds of the seconds after which a client that was refused before the first copy
+# should retry.
 MIN_START_RETRY_S = 0.3
 MAX_START_RETRY_S = 1.0
-# Time after its start in which an instance lets requests wait for its first copy, and
-# the part of a client's time that this takes at most.
+# How long after its start an instance lets requests wait for its first copy, and the
+# largest part of a client's time that such a wait takes.
 START_WAIT_S = 1.0
 MAX_START_WAIT_SHARE = 1.0 / 16.0
 
--- a/tanagerwalk/decisions/leases.py
+++ b/tanagerwalk/decisions/leases.py
@@ -74,7 +74,8 @@
     holder : str
         Incarnation of the last known holder; empty if there is none.
     resigned : bool
-        Whether this instance permanently gave up the lease.
+        Whether this instance permanently gave up the lease. Responses to calls sent
+        before that change nothing.
     """
 
     def __init__(self, failure_domain: FailureDomain, incarnation: Incarnation, times):
--- a/tanagerwalk/decisions/paths.py
+++ b/tanagerwalk/decisions/paths.py
@@ -33,8 +33,8 @@
 class Outage(Enum):
     """What kept a server from being reached before it was reached again.
 
-    DOWN: it refused connections, so that it has ended and started anew. CUT_OFF: no
-    path worked; it may have run all the while.
+    DOWN: it refused connections, so it is taken to have ended and started anew.
+    CUT_OFF: no path worked; it may have run all the while.
     """
 
     DOWN = "down"
@@ -106,10 +106,10 @@
         return None if path is None else now - path.lost_at
 
     def record_refused(self, server_id):
-        """Record that a server refused a connection, since it was down.
+        """Record that a connection to a server was refused; it is taken to be down.
 
-        A path that rejects connections looks the same. While others reach the server,
-        that counts only once.
+        A path that rejects connections looks the same. While other paths reach the
+        server, such refusals count only once.
         """
         is_indirect = self.get_state(server_id) is PathState.INDIRECT
         if is_indirect and server_id in self._reported:
--- a/tanagerwalk/decisions/relayed_items.py
+++ b/tanagerwalk/decisions/relayed_items.py
@@ -42,7 +42,10 @@
         }
 
     def _expire(self, now):
-        """Forget items that are no longer passed on; most instances list none."""
+        """Forget items that are no longer passed on.
+
+        Instances that never list items forget them here too.
+        """
         while self._items:
             key, (_, _, recorded_at) = next(iter(self._items.items()))
             if now - recorded_at <= self._lifetime:
@@ -51,7 +54,7 @@
 
 
 class RelayedMaxima(RelayedItems):
-    """Numbers of which the largest one is passed on.
+    """Numbers of which the largest is passed on; one is kept for each scope and key.
 
     Parameters
     ----------
--- a/tanagerwalk/decisions/release_evidence.py
+++ b/tanagerwalk/decisions/release_evidence.py
@@ -44,9 +44,9 @@
 def is_bad_release(tally, slow_ratio=SLOW_RATIO, history=None):
     """Return whether the target release fails more often or is slower than the base.
 
-    A release may be bad on one route only, so each route is tested on its own, and
-    then all routes together. The more routes there are, the more often chance alone
-    makes one of them look bad, so the level of each test falls with their number.
+    All routes are tested together, and each on its own, since a release may be bad on
+    one route only. The more routes there are, the more often chance alone makes one of
+    them look bad, so the level of the test of one route falls with their number.
 
     Parameters
     ----------
@@ -177,6 +177,7 @@
     ratio : float
         Factor by which the target may be slower.
     """
+    # A route without answers of the base can't be compared.
     groups = [
         pairs
         for pairs in tally.list_latency_pairs().values()
@@ -191,9 +192,13 @@
 def find_slow_score(routes):
     """Return the rank score from which a release is slow on one of some routes.
 
-    The base is slowed down before the comparison, so most scores of a good release are
-    far below zero. A correction for the number of routes would be too strict; one for
-    its square root is not.
+    The level falls with the square root of the number of routes only: the base is
+    slowed down before the comparison, so a good release rarely scores above zero.
+
+    Parameters
+    ----------
+    routes : int
+        Number of routes that are tested.
     """
     chance = STANDARD_NORMAL.cdf(-SLOW_SCORE) / math.sqrt(max(1, routes))
     return -STANDARD_NORMAL.inv_cdf(chance)
--- a/tanagerwalk/decisions/release_rollouts.py
+++ b/tanagerwalk/decisions/release_rollouts.py
@@ -90,7 +90,7 @@
     recent : Tally or None
         Latencies of the last seconds.
     is_bad : bool or None
-        What `is_bad_in_phase` returned; None to call it.
+        What `is_bad_in_phase` returned; None to call it without a history of failures.
 
     Returns
     -------
--- a/tanagerwalk/decisions/replay_window.py
+++ b/tanagerwalk/decisions/replay_window.py
@@ -5,14 +5,25 @@
 
 from ..ids import Incarnation
 
-# Datagrams of a sender; the newer half stays when there are more.
+# Datagrams remembered of each sender; the newer half is kept when there are more.
 MAX_REMEMBERED = 256
+# The sender that was silent for longest is forgotten when there are more.
 MAX_SENDERS = 1024
 
 
 @dataclass(slots=True)
 class _Received:
-    """What was received of a sender: the newest digests, and where they begin."""
+    """The digests remembered of one sender.
+
+    Parameters
+    ----------
+    highest : int
+        Highest sequence number received.
+    lowest : int
+        Lower sequence numbers are refused.
+    sequences : dict of bytes to int
+        Sequence number of each digest.
+    """
 
     highest: int
     lowest: int
@@ -22,7 +33,7 @@
 class ReplayWindow:
     """Remembers the newest datagrams of each sender, which may arrive in any order.
 
-    Older ones are refused without a look at what they are. Instances of an earlier
+    Datagrams older than those are refused, whether new or not. Instances of an earlier
     version give several datagrams one sequence number, so that a number alone does not
     identify a datagram.
     """
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -214,8 +214,8 @@
     def estimate_answering_load(self, now, shared, mean_decode):
         """Return the part of the load that keeps no other request waiting.
 
-        An engine generates tokens for the requests in its slots at the same time. That
-        it does so slowly is no reason to keep requests.
+        An engine generates tokens for all requests in its slots at the same time, so
+        these make no other request wait and are no reason to send requests elsewhere.
 
         Parameters
         ----------
--- a/tanagerwalk/decisions/shared_loads.py
+++ b/tanagerwalk/decisions/shared_loads.py
@@ -273,7 +273,7 @@
         ages = [age for age in ages if age <= lifetime]
         if not ages:
             return None
-        # A relay's sums hold loads from up to one period before each step.
+        # Each step through a relay after the first adds half a period in the mean.
         return sum(ages) / len(ages) + (self.delay - self.period) / 2.0
 
     def _list_reports_on(self, key, now):
--- a/tanagerwalk/decisions/spillover_table.py
+++ b/tanagerwalk/decisions/spillover_table.py
@@ -33,7 +33,10 @@
     other_groups: frozenset
 
     def shares_servers(self, other):
-        """Return whether requests of another kind fill the same own servers."""
+        """Return whether a share fits another kind.
+
+        It does if the capacity and some own servers are the same.
+        """
         return (
             self.service == other.service
             and self.capacity == other.capacity
@@ -84,7 +87,7 @@
         return spillover
 
     def note_no_server(self, service, now):
-        """Log that all requests of a service leave, as the own servers take none."""
+        """Note for the log that requests leave as no own server takes them."""
         self._log.note(service, 1.0, None, now)
 
     def find_shares(self, now):
@@ -157,7 +160,7 @@
 
 
 def _list_groups(usages):
-    """Return what distinguishes the servers that different requests may use."""
+    """Return the pairs of failure domain and release of some servers."""
     return frozenset(
         (usage.server.failure_domain, usage.server.release) for usage in usages
     )
--- a/tanagerwalk/decisions/tallies.py
+++ b/tanagerwalk/decisions/tallies.py
@@ -259,7 +259,7 @@
 
 
 def _list_increases(counts, earlier):
-    """Return the SideCounts by which some have grown, without those that haven't."""
+    """Return by how much each SideCount has grown, without those that haven't."""
     empty = SideCount()
     increases = {}
     for key, count in counts.items():
--- a/tanagerwalk/decisions/unseen_requests.py
+++ b/tanagerwalk/decisions/unseen_requests.py
@@ -10,12 +10,14 @@
 
 from .shared_loads import hash_server
 
+# The means over all servers of a service are computed this often at most.
 REFRESH_INTERVAL_S = 0.1
 # Time constant of the mean of the requests at a server.
 MEAN_TIME_S = 2.0
-# The random part goes up to this multiple of the mean over the servers, either way.
+# The random part goes up to this multiple of the mean over the servers, either way;
+# less on a slow server.
 SPREAD = 1.5
-# Used until requests of the service have ended.
+# Mean duration of a request until some of the service have ended.
 INITIAL_DURATION_S = 0.5
 MIN_DURATION_S = 0.001
 # Least weight of the latest request in the mean duration.
@@ -91,7 +93,7 @@
         self._durations.setdefault(service, _MeanDuration()).record(seconds)
 
     def refresh(self, service, usages, now):
-        """Look at the servers of a service again, if it is due.
+        """Update the means of a service's servers if REFRESH_INTERVAL_S has passed.
 
         Parameters
         ----------
@@ -117,14 +119,15 @@
         requests.reported_at = None if age is None else now - age
 
     def draw(self, usage, reported, slowdown, now):
-        """Draw the difference between the requests at a server and those reported.
+        """Draw an estimate of the other instances' present requests, less the reported.
 
         Parameters
         ----------
         usage : ServerUsage
             The server.
         reported : int
-            Requests of the other instances there, as last reported.
+            Requests of the other instances there, by their reports and the server's
+            own.
         slowdown : float
             How long work takes there; a slower server is sent fewer requests.
         now : float
