Rename what readers of the decisions stumbled on

Cause: names that a first reader misread: _earlier for answers that don't count, told_until for what is still to tell, unreported for a signed difference. Change: private names and locals, and three methods (find_answers_since, resembles, _find_or_add); no name on the wire and no log value changes.

--- a/tanagerwalk/decisions/cold_servers.py
+++ b/tanagerwalk/decisions/cold_servers.py
@@ -85,7 +85,7 @@
 
 
 # The server refused a connection, which other instances may not have noticed.
-TOLD_REASONS = frozenset({ColdReason.CRASHED, ColdReason.RESTARTED})
+REASONS_TO_TELL = frozenset({ColdReason.CRASHED, ColdReason.RESTARTED})
 # The server isn't known to be back yet.
 AWAITED_REASONS = frozenset({ColdReason.CRASHED, ColdReason.LOST})
 # The server is back. That it started anew is assumed: it may have been out of reach, or
@@ -110,7 +110,7 @@
         assumed.
     awaited_until : float
         If it is down: until when it is cold after the latest start that is waited for.
-    told_until : float
+    tell_until : float
         Until when the others are told that it is cold.
     """
 
@@ -119,7 +119,7 @@
     assumed_until: float = -math.inf
     assumed_at: float = -math.inf
     awaited_until: float = -math.inf
-    told_until: float = -math.inf
+    tell_until: float = -math.inf
 
     @property
     def until(self):
@@ -129,7 +129,7 @@
         """Forget the assumed start: the server ran on."""
         self.assumed_until = -math.inf
         # A later outage of the server is still told.
-        self.told_until = self.awaited_until
+        self.tell_until = self.awaited_until
 
 
 class ColdServers:
@@ -266,7 +266,7 @@
         cold = self._cold.get(hash_life(server))
         if cold is not None:
             cold.awaited_until = -math.inf
-            cold.told_until = min(cold.told_until, cold.until)
+            cold.tell_until = min(cold.tell_until, cold.until)
         self.record_start(server, now, reason)
 
     def record_told(self, server, seconds, now):
@@ -302,13 +302,14 @@
             start.
         """
         news = {
-            life: self._find_told_time(cold, now) for life, cold in self._cold.items()
+            life: self._find_time_to_tell(cold, now)
+            for life, cold in self._cold.items()
         }
         return {life: seconds for life, seconds in news.items() if seconds > 0.0}
 
-    def _find_told_time(self, cold, now):
+    def _find_time_to_tell(self, cold, now):
         policy = self.find_policy(cold.server.service)
-        return 0.0 if policy is None else min(cold.told_until - now, policy.duration)
+        return 0.0 if policy is None else min(cold.tell_until - now, policy.duration)
 
     def record_cold_time(self, server, seconds, now, reason):
         """Take a server for cold, unless it is known to be cold for longer.
@@ -337,8 +338,8 @@
             cold.assumed_at = now
         else:
             cold.known_until = max(cold.known_until, until)
-        if reason in TOLD_REASONS:
-            cold.told_until = max(cold.told_until, until)
+        if reason in REASONS_TO_TELL:
+            cold.tell_until = max(cold.tell_until, until)
 
     def find_limit(self, life, now):
         """Return the ColdLimit of a server, or None if it has none.
--- a/tanagerwalk/decisions/failure_bursts.py
+++ b/tanagerwalk/decisions/failure_bursts.py
@@ -74,7 +74,7 @@
         self._periods = deque(maxlen=MAX_PERIODS)
         self._newest = None
         self._started_at = None
-        self._earlier = Tally()
+        self._uncounted = Tally()
 
     def record(self, tally, now, own=None):
         """Record the newest Tally of all answers, which must not change afterwards.
@@ -91,11 +91,11 @@
         if self._started_at is None:
             self._started_at = now
         if self._is_late and now - self._started_at < LATE_START_S:
-            self._earlier = tally.subtract_answers(own or Tally())
+            self._uncounted = tally.subtract_answers(own or Tally())
             # The base may get no more requests to compare with.
-            self._earlier.base.clear()
+            self._uncounted.base.clear()
         elif self._newest is not None:
-            self._add(int(now // PERIOD_S), tally.list_recent_answers(self._newest))
+            self._add(int(now // PERIOD_S), tally.find_answers_since(self._newest))
         self._newest = tally
 
     def _add(self, number, answers):
@@ -113,7 +113,7 @@
         tally : Tally
             All answers so far.
         """
-        tally = tally.subtract_answers(self._earlier)
+        tally = tally.subtract_answers(self._uncounted)
         bursts = self._list_bursts(tally.sum_base())
         bursts += self._find_burst_without_base()
         # A period may be in both lists.
@@ -155,10 +155,11 @@
             All answers of the base.
         """
         bursts = []
+        others = base
         periods = sorted(self._periods, key=lambda each: each.base_rate, reverse=True)
         for period in periods:
-            base = base.subtract(period.base)
-            if not _is_burst(period.base, base):
+            others = others.subtract(period.base)
+            if not _is_burst(period.base, others):
                 break
             bursts.append(period)
         return bursts
--- a/tanagerwalk/decisions/replay_window.py
+++ b/tanagerwalk/decisions/replay_window.py
@@ -58,7 +58,7 @@
         bool
             False if it was received before, or is too old to tell.
         """
-        received = self._find(sender, sequence)
+        received = self._find_or_add(sender, sequence)
         if sequence < received.lowest or digest in received.sequences:
             return False
         received.highest = max(received.highest, sequence)
@@ -67,7 +67,7 @@
             _forget_older_half(received)
         return True
 
-    def _find(self, sender: Incarnation, sequence):
+    def _find_or_add(self, sender: Incarnation, sequence):
         received = self._received.get(sender)
         if received is None:
             lowest = sequence - MAX_REMEMBERED
--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -202,8 +202,9 @@
         if not self.runs_models and not shared.tokens:
             return (self.in_flight + others) / self.server.slots * slowdown
         own = self.sum_tokens()
-        unreported = others - shared.in_flight
-        other_tokens = max(0.0, shared.tokens + unreported * mean_work)
+        # Requests beyond those whose cost was reported; negative if some have ended.
+        difference = others - shared.in_flight
+        other_tokens = max(0.0, shared.tokens + difference * mean_work)
         load = (own + other_tokens) / ENGINE_CAPACITY_TOKENS
         load += self._estimate_slot_wait(self.in_flight + others)
         # A stuck engine does not report its queue, but the waiting requests show it.
--- a/tanagerwalk/decisions/spillover_table.py
+++ b/tanagerwalk/decisions/spillover_table.py
@@ -32,7 +32,7 @@
     own_groups: frozenset
     other_groups: frozenset
 
-    def shares_servers(self, other):
+    def resembles(self, other):
         """Return whether a share fits another kind.
 
         It does if the capacity and some own servers are the same.
@@ -127,7 +127,7 @@
         similar = [
             spillover
             for known, spillover in self._spillovers.items()
-            if known.shares_servers(kind)
+            if known.resembles(kind)
         ]
         return max(similar, key=lambda spillover: spillover.updated_at, default=None)
 
--- a/tanagerwalk/decisions/tallies.py
+++ b/tanagerwalk/decisions/tallies.py
@@ -214,15 +214,15 @@
             ),
         )
 
-    def list_recent_answers(self, earlier):
+    def find_answers_since(self, earlier):
         """Return a Tally of the answers since an earlier state of this tally.
 
         It has neither latencies nor the routes and servers without such answers.
         """
         return Tally(
-            target=_list_increases(self.target, earlier.target),
-            base=_list_increases(self.base, earlier.base),
-            target_servers=_list_increases(self.target_servers, earlier.target_servers),
+            target=_find_increases(self.target, earlier.target),
+            base=_find_increases(self.base, earlier.base),
+            target_servers=_find_increases(self.target_servers, earlier.target_servers),
         )
 
     def list_recent_latencies(self, earlier, keep_base):
@@ -258,7 +258,7 @@
     }
 
 
-def _list_increases(counts, earlier):
+def _find_increases(counts, earlier):
     """Return by how much each SideCount has grown, without those that haven't."""
     empty = SideCount()
     increases = {}
--- a/tanagerwalk/decisions/unseen_requests.py
+++ b/tanagerwalk/decisions/unseen_requests.py
@@ -143,15 +143,15 @@
         requests = self._requests.get(service)
         if requests is None or requests.reported_at is None:
             return 0.0
-        change = self._estimate_change(service, now - requests.reported_at)
-        if change == 0.0:
+        replaced = self._estimate_replaced_part(service, now - requests.reported_at)
+        if replaced == 0.0:
             return 0.0
         mean = requests.means.get(usage.server.id, reported)
         spread = SPREAD * requests.fleet_mean / slowdown
         drawn = mean + self._random.uniform(-spread, spread)
-        return change * (drawn - reported)
+        return replaced * (drawn - reported)
 
-    def _estimate_change(self, service, age):
+    def _estimate_replaced_part(self, service, age):
         """Return the part of the reported requests that has probably been replaced."""
         durations = self._durations.get(service)
         duration = INITIAL_DURATION_S if durations is None else durations.seconds
