--- a/tanagerwalk/decisions/server_usage.py
+++ b/tanagerwalk/decisions/server_usage.py
@@ -202,8 +202,9 @@
         if not self.runs_models and not shared.tokens:
             return (self.in_flight + others) / self.server.slots * slowdown
         own = self.sum_tokens()
-        unreported = others - shared.in_flight
-        other_tokens = max(0.0, shared.tokens + unreported * mean_work)
+        # Requests beyond those whose cost was reported; negative if some have ended.
+        difference = others - shared.in_flight
+        other_tokens = max(0.0, shared.tokens + difference * mean_work)
         load = (own + other_tokens) / ENGINE_CAPACITY_TOKENS
         load += self._estimate_slot_wait(self.in_flight + others)
         # A stuck engine does not report its queue, but the waiting requests show it.
@@ -214,8 +215,8 @@
     def estimate_answering_load(self, now, shared, mean_decode):
         """Return the part of the load that keeps no other request waiting.
 
-        An engine generates tokens for the requests in its slots at the same time. That
-        it does so slowly is no reason to keep requests.
+        An engine generates tokens for all requests in its slots at the same time, so
+        these make no other request wait and are no reason to send requests elsewhere.
 
         Parameters
         ----------
