Tell of no server as cold whose path alone was lost

Cause: when an assumed start was refuted, the time for which others are told was set to that of the latest outage, also of one that may be a lost path. Change: that time can only get shorter. Result: test_lost_path_is_not_told_once_the_assumed_start_is_over failed before and passes, with the other tests of test_coldness.py.

--- a/tanagerwalk/decisions/cold_servers.py
+++ b/tanagerwalk/decisions/cold_servers.py
@@ -128,8 +128,8 @@
     def drop_assumed(self):
         """Forget the assumed start: the server ran on."""
         self.assumed_until = -math.inf
-        # A later outage of the server is still told.
-        self.tell_until = self.awaited_until
+        # A later crash is still told, but not a path that was lost.
+        self.tell_until = min(self.tell_until, self.awaited_until)
 
 
 class ColdServers:
--- a/test/decisions/test_coldness.py
+++ b/test/decisions/test_coldness.py
@@ -238,6 +238,16 @@
     assert cold.list_news(16.0) == {}
 
 
+# Guards against a server that is only out of reach and is told of as cold.
+def test_lost_path_is_not_told_once_the_assumed_start_is_over():
+    cold = build_cold(replace(POLICY, duration=30.0))
+    cold.observe([OLD], 0.0)
+    cold.record_return(OLD, 1.0, ColdReason.RETURNED)
+    cold.record_crash(OLD, 10.0, ColdReason.LOST)
+    cold.confirm_starts(12.0, 12.0)
+    assert cold.list_news(12.0) == {}
+
+
 def test_entry_that_stays_ends_no_time_that_is_known():
     policy = replace(POLICY, duration=30.0)
     cold = build_cold(policy)
