Say in comments what a newcomer had to guess

Change: reword them and add the missing Parameters and Attributes; the thrift file changes in comments only, so the generated code stays.

--- a/tanagerwalk/controllers/billing.py
+++ b/tanagerwalk/controllers/billing.py
@@ -122,7 +122,10 @@
                     future.set_result(None)
 
     async def _copy(self, batches):
-        """Copy batches to peers and record the holders; none if copying raises."""
+        """Copy batches to peers and record the holders.
+
+        An error is logged and adds none.
+        """
         try:
             holders = await self._replicator.replicate(
                 [(batch.batch_id, batch.bills) for batch in batches]
@@ -133,7 +136,8 @@
             return
         for batch in batches:
             batch.holders.update(holders)
-        # A flush that ended meanwhile did not know these holders.
+        # A flush that wrote a batch meanwhile did not know these holders, so drop
+        # theirs.
         await self._drop_copies([b for b in batches if not self._is_unwritten(b)])
 
     def _is_unwritten(self, batch):
--- a/tanagerwalk/documents.py
+++ b/tanagerwalk/documents.py
@@ -43,7 +43,7 @@
     Returns
     -------
     Result of str, or of str
-        The error is one line for the log.
+        The text, or the problem in one line for the log.
     """
     try:
         return Ok(data.decode())
--- a/tanagerwalk/filters/hedge.py
+++ b/tanagerwalk/filters/hedge.py
@@ -26,8 +26,8 @@
     clock : callable
         Returns monotonic time in seconds.
     on_failure : callable
-        Takes the RequestContext and the AttemptFailure of an attempt that failed
-        beside another one.
+        Takes the RequestContext and the AttemptFailure of a failed attempt whose result
+        isn't returned.
     """
 
     def __init__(self, delays, budget, metrics, clock, on_failure):
@@ -80,6 +80,8 @@
             winner = _find_success(done, first)
             if winner is None:
                 _raise_first_error(done)
+            # A failure of the first attempt is returned unless another one succeeds,
+            # and the RetryFilter records what is returned.
             for task in done - {first}:
                 self._record_failure(context, tasks[task], task)
             if winner is not None:
@@ -93,7 +95,10 @@
         return first.result()
 
     def _record_failure(self, context, attempted, task):
-        """Record a failure of a completed attempt whose result is not returned."""
+        """Record a failure of an attempt whose result is dropped.
+
+        An exception is logged.
+        """
         if _has_raised(task):
             error = None if task.cancelled() else task.exception()
             log.error("attempt of a hedged call raised", exc_info=error)
--- a/tanagerwalk/gateway/answer_queue.py
+++ b/tanagerwalk/gateway/answer_queue.py
@@ -57,7 +57,9 @@
         return limit - self._budget.used
 
     def may_read_on(self, memory, resume, missing_size=None):
-        """Return whether an answer may grow; if not, `resume` is called once it may.
+        """Return whether an answer may grow.
+
+        If not, queue it and call `resume` once it may.
 
         Parameters
         ----------
@@ -87,7 +89,7 @@
         self._waiting.pop(memory, None)
 
     def leave(self, memory):
-        """Let the next answer go beyond the capacity instead of one that has ended."""
+        """Forget an answer that has ended, and let the next one exceed the capacity."""
         self._waiting.pop(memory, None)
         if self._exceeding is not memory:
             return
@@ -117,7 +119,10 @@
         return self._budget.used + missing_size <= limit
 
     def _replace_ended(self):
-        """Let the oldest answer go on if that beyond the capacity is only unread."""
+        """Let the oldest answer go on if it may.
+
+        It may once the one beyond the capacity has been read.
+        """
         if not self._has_exceeding_ended or not self._waiting:
             return
         oldest = self._find_oldest()
--- a/tanagerwalk/gateway/answer_recorder.py
+++ b/tanagerwalk/gateway/answer_recorder.py
@@ -138,7 +138,8 @@
         if order is None:
             return
         if not sample.has_events and not self._servers.is_near(attempt.server):
-            # The few servers of a new release may be farther away than the base's.
+            # Without events the latency contains the round trip, and the few servers of
+            # a new release may be farther away than those of the base.
             return
         book = self._get_tallies((order.service, order.revision))
         book.own.record_latency(kind, is_target, seconds)
--- a/tanagerwalk/gateway/change_feed.py
+++ b/tanagerwalk/gateway/change_feed.py
@@ -32,9 +32,11 @@
 WATCH_TIMEOUT_S = 0.8
 PEER_TIMEOUT_S = 0.5
 PEER_POLL_INTERVAL_S = 0.6
-# While the copies of all peers that answer are old, so that the return of the store is
-# noticed soon; longer if a watcher would get more polls a second than it can answer.
+# Interval while all peers that answer have old copies: short, so that the return of the
+# store is noticed soon.
 OUTAGE_POLL_INTERVAL_S = 0.15
+# A watcher gets about this many of these polls a second at most; in large fleets
+# PEER_POLL_INTERVAL_S is the longest interval, and it may get more.
 OUTAGE_POLLS_PER_S = 100.0
 # Older changes of a peer show that it has lost the store.
 MAX_PEER_AGE_S = 2.2
--- a/tanagerwalk/gateway/cold_watch.py
+++ b/tanagerwalk/gateway/cold_watch.py
@@ -50,7 +50,7 @@
         self._cold.observe(self._servers.list_servers(), self._clock())
 
     def confirm(self, confirmed_at):
-        """End the limits of servers that have not started anew.
+        """End the limits of servers that were assumed to have started anew but ran on.
 
         Parameters
         ----------
@@ -61,6 +61,7 @@
         if confirmed_at < self._get_reconnected_at() + ENTRY_LIFETIME_S:
             return
         now = self._clock()
+        # The boot clock also counts suspensions; ColdServers uses the monotonic clock.
         age = read_boot_clock() - confirmed_at
         self._cold.confirm_starts(now - age, now)
 
@@ -86,7 +87,15 @@
         self._cold.record_crash(server, self._clock(), reason)
 
     def record_return(self, server, outage):
-        """Take a server for cold that is back: it may have started anew."""
+        """Take a server for cold that is back: it may have started anew.
+
+        Parameters
+        ----------
+        server : RegisteredServer
+            The server.
+        outage : Outage
+            What kept it from being reached.
+        """
         self._cold.record_return(server, self._clock(), REASON_BY_OUTAGE[outage])
 
     def _find_policy(self, name):
--- a/tanagerwalk/gateway/connector.py
+++ b/tanagerwalk/gateway/connector.py
@@ -22,7 +22,7 @@
 MIN_PROBE_PAUSE_S = 0.25
 MAX_PROBE_PAUSE_S = 2.0
 MS_PER_S = 1000.0
-# Error of a dial to a host that is up, but where nothing listens.
+# What a dial returns if the host is up and nothing listens on the port.
 REFUSED = ConnectionRefusedError.__name__
 # Which fault is told if there are several: one of this instance comes first.
 FAULT_ORDER = (ConnectFault.DESCRIPTORS_FULL, ConnectFault.NO_ALLOWED_PATH)
@@ -139,8 +139,8 @@
         if faults:
             return _prefer_fault(result, faults)
         if result.is_error() and is_restricted:
-            # Others may still use the instances that weren't asked, unless those
-            # have failed meanwhile.
+            # Instances that weren't asked may still reach the server, unless a check
+            # has found meanwhile that none does.
             if not self._paths.is_unreachable(server.id):
                 self._record_lost(server, result, PathState.INDIRECT)
             return Error(ConnectFault.NO_ALLOWED_PATH)
--- a/tanagerwalk/gateway/load_message_builder.py
+++ b/tanagerwalk/gateway/load_message_builder.py
@@ -59,7 +59,7 @@
         What answers show of the servers' speeds, by `hash_life`; empty in the rounds
         that don't tell it.
     cold : dict of int to float
-        For how many seconds servers are cold that have started anew, by `hash_life`.
+        Seconds for which servers that have started anew stay cold, by `hash_life`.
     """
 
     scope: Scope
@@ -187,7 +187,8 @@
             yield self._build_message(contents.scope, part, parts, speeds=speeds)
 
     def _build_message(self, scope, part=0, parts=1, **sections):
-        # No two messages are equal, as the second would be taken for a replay.
+        # Each message has its own number, as receivers drop a second equal one as a
+        # replay.
         self._sequence += 1
         return LoadMessage(
             self._incarnation,
--- a/tanagerwalk/gateway/load_message_receiver.py
+++ b/tanagerwalk/gateway/load_message_receiver.py
@@ -46,7 +46,7 @@
     relayed_sides : RelayedItems
         Stores the side overrides that relays pass on.
     relayed_cold : RelayedMaxima
-        Stores until when servers are cold, which relays pass on.
+        Stores the times until which servers are cold, for relays to pass on.
     """
 
     def __init__(
@@ -147,7 +147,8 @@
     def _merge_cold_time(self, scope, life, seconds, now):
         self._relayed_cold.record(scope, life, now + seconds, now)
         usage = self._servers.find_life(life)
-        # One whose new entry is known is listed as another start.
+        # A server whose new entry is known has another life hash, and is not found
+        # here.
         if usage is not None:
             self._servers.limits.cold.record_told(usage.server, seconds, now)
 
--- a/tanagerwalk/gateway/memory.py
+++ b/tanagerwalk/gateway/memory.py
@@ -45,8 +45,8 @@
 class MemoryBudget:
     """Memory for requests and answers of all connections.
 
-    Requests are refused when it is full. Answers, which a server has made or makes, are
-    never: reading them stops.
+    Requests are refused when it is full. Answers are never refused: reading them stops,
+    see AnswerQueue.
 
     Parameters
     ----------
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -177,7 +177,8 @@
         if not self._mirror.is_loaded:
             return
         key = (order.service, order.revision)
-        # Earlier orders stay known until the order or the stored state changes.
+        # The search runs over all orders, so only after the order or stored state
+        # changed.
         revisions = (order.revision, self._revisions.get(order.service))
         if self._cleaned_at.get(order.service) != revisions:
             self._forget_earlier_orders(order)
@@ -195,6 +196,7 @@
         recent = self._recent_latencies.setdefault(key, RecentLatencies()).find(
             tally, now, state.phase is RolloutPhase.FULL
         )
+        # `_start` has made the history if this instance saw the order before it ran.
         history = self._failure_histories.setdefault(key, FailureHistory(is_late=True))
         history.record(tally, now, book.own)
         is_bad = is_bad_in_phase(state.phase, tally, recent, history)
@@ -220,7 +222,7 @@
     def _forget_earlier_orders(self, order):
         """Delete what is known of earlier orders of the service."""
         state = self._states.get(order.service)
-        # A restored store may go back to the order of the loaded state.
+        # A restore of the store may bring back the order of the loaded state.
         first_kept = order.revision if state is None else state.order
         known = self._tallies.keys() | self._started_at.keys() | self._rolled_back
         for key in known:
--- a/tanagerwalk/gateway/routing.py
+++ b/tanagerwalk/gateway/routing.py
@@ -56,7 +56,7 @@
         return await proceed(request)
 
     async def _wait_for_first_copy(self, request):
-        """Wait a moment for the first copy of the store if the instance has just begun.
+        """Wait for the first copy of the store if the instance has just started.
 
         After a restart of the whole fleet, no other instance could answer the client.
         """
--- a/tanagerwalk/gateway/sharing.py
+++ b/tanagerwalk/gateway/sharing.py
@@ -96,7 +96,7 @@
         self._role = Role.FLAT
         self._was_idle = False
         self._replays = ReplayWindow()
-        # Anyone can send to the port.
+        # Rate-limited, as anyone can send to the port.
         self._rejected = RateLimitedWarning("rejected load message", clock)
         self.on_permit_note = _ignore_note
         self.on_slot_note = _ignore_note
@@ -157,14 +157,14 @@
             self._rejected.record(sender=addr[0], problem="defect")
 
     def _is_new(self, message, mac):
-        """Return whether a message was not received before, or sent by this one."""
+        """Return whether a message is neither a replay nor this instance's own."""
         if message.sender == self._incarnation:
             return False
         return self._replays.accept(message.sender, message.sequence, mac)
 
     @property
     def rejected(self):
-        """Number of datagrams that weren't believed."""
+        """Number of datagrams that were refused or whose processing failed."""
         return self._rejected.count
 
     def _process(self, message):
@@ -331,7 +331,10 @@
         )
 
     def _add_relayed_cold(self, own, sources, now):
-        """Return the longest time for which each server is cold, by life."""
+        """Return the seconds for which each server stays cold, by life.
+
+        The times that relays pass on are included.
+        """
         cold = dict(own)
         for life, until in self._relayed_cold.list(sources, now).items():
             if until > now:
--- a/tanagerwalk/peers/loads.thrift
+++ b/tanagerwalk/peers/loads.thrift
@@ -38,8 +38,8 @@
   3: i32 heard_ago_ms
 }
 
-// Backend server that has started anew; `server` is a hash of the id and start time in
-// its entry, which may be older.
+// Backend server that has started anew. `server` is a hash of the id and start time in
+// the entry that the sender has, which may be that of the earlier start.
 struct ColdServer {
   1: i64 server
   // Time for which it stays cold.
@@ -217,6 +217,7 @@
 // One without loads only adds tallies; their counts only grow.
 struct LoadMessage {
   1: string sender
+  // Increases with each message of the sender.
   2: i64 sequence
   3: optional list<ServerLoad> loads
   4: optional list<CrashBlame> blames
--- a/tanagerwalk/registry.py
+++ b/tanagerwalk/registry.py
@@ -5,8 +5,8 @@
 
 from .ids import BackendServerId, FailureDomain, ReleaseName, Revision, ServiceName
 
-# Longer than three heartbeats of a server: by then the entry of one that left is gone,
-# and one that has started has written a new entry.
+# Longest time for which the entry of a server that has left stays listed: more than
+# three heartbeats. One that has started anew has replaced its entry by then.
 ENTRY_LIFETIME_S = 4.0
 
 
--- a/tanagerwalk/repeated_warnings.py
+++ b/tanagerwalk/repeated_warnings.py
@@ -14,6 +14,11 @@
     ----------
     problem : str
         The event of the log line.
+
+    Attributes
+    ----------
+    count : int
+        Number of occurrences.
     """
 
     def __init__(self, problem):
@@ -36,6 +41,11 @@
         The event of the log line.
     clock : callable
         Returns monotonic time in seconds.
+
+    Attributes
+    ----------
+    count : int
+        Number of occurrences.
     """
 
     def __init__(self, problem, clock):
--- a/tanagerwalk/settings.py
+++ b/tanagerwalk/settings.py
@@ -232,6 +232,7 @@
             continue
         try:
             number = field.type(raw)
+            # isfinite raises OverflowError for integers beyond the floats.
             is_finite = math.isfinite(number)
         except (ValueError, OverflowError):
             problems.append(f'[{section.name}] {field.name} = "{raw}" is not a number')
--- a/tanagerwalk/ui/apply.py
+++ b/tanagerwalk/ui/apply.py
@@ -68,7 +68,8 @@
         )
     extra_puts = ()
     if current.ok:
-        # No instance has a text that is not UTF-8, so that none applies the patch.
+        # If the stored text is not UTF-8, no instance has it, so none applies this
+        # patch.
         patch = make_patch(current.ok.value.decode("utf-8", "replace"), text)
         extra_puts = ((PATCH_KEY, msgspec.json.encode(patch)),)
     written = await store.write(
--- a/test/decisions/test_coldness.py
+++ b/test/decisions/test_coldness.py
@@ -205,7 +205,7 @@
     assert cold.log.count(ColdReason.STARTED) == 20
 
 
-# Clients waited for as long as a restart may take, although it was over.
+# Guards against clients that wait as long as a restart may take although it is over.
 def test_server_that_is_back_after_a_crash_is_cold_from_then_on_only():
     cold = build_cold()
     cold.record_crash(OLD, 10.0)
@@ -224,7 +224,7 @@
 ASSUMED = [ColdReason.RETURNED, ColdReason.RESTARTED]
 
 
-# Clients waited for servers that had run on while their paths were cut.
+# Guards against clients that wait for servers that ran on while paths were cut.
 @pytest.mark.parametrize("reason", ASSUMED)
 def test_server_whose_entry_stays_has_not_started_anew(reason):
     policy = replace(POLICY, duration=30.0)
--- a/test/decisions/test_release_routes.py
+++ b/test/decisions/test_release_routes.py
@@ -110,7 +110,7 @@
 
 
 def test_one_route_of_several_takes_a_higher_score():
-    """Guards against a halt by four latencies of one of three routes, at 3.09."""
+    """Guards against a halt by few latencies of one of several routes."""
     assert find_slow_score(1) == pytest.approx(3.0)
     assert find_slow_score(3) > 3.1
     assert find_slow_score(60) < 3.6
--- a/test/decisions/test_spillover.py
+++ b/test/decisions/test_spillover.py
@@ -184,7 +184,7 @@
     ],
 )
 def test_one_domain_per_region_is_served_as_before(servers, has_prompts, expected_hash):
-    """The hashes are of choices made before there was a preference."""
+    """Each hash stands for the choices without a preference for the own domain."""
     domains = [f"{'abc'[n % 3]}-1" for n in range(servers)]
     regions = {"a-1": "a", "b-1": "b", "c-1": "c"}
     pool = build_pool(*domains, regions=regions, slots=8, seed=7)
--- a/test/gateway/test_cold_news.py
+++ b/test/gateway/test_cold_news.py
@@ -94,8 +94,8 @@
         return sum(pool.limits.has_limit(LIFE, self.now) for pool in self.pools)
 
 
-# Guards against FAILBACK by instances that had nothing to send while the server was
-# down, and haven't read its new entry.
+# Guards against overload of a restarted server by instances that sent it nothing while
+# it was down, and haven't read its new entry.
 @pytest.mark.parametrize("size", [3, 30])
 def test_instances_that_noticed_nothing_hear_of_a_restart(size):
     fleet = Fleet(size)
--- a/test/gateway/test_odd_peer_messages.py
+++ b/test/gateway/test_odd_peer_messages.py
@@ -99,7 +99,7 @@
         )
         @given(build_heard_message())
         def process(message):
-            # Else most examples would be refused, as their numbers are not in order.
+            # A kept window would refuse most examples, as their numbers are arbitrary.
             sharing._replays = ReplayWindow()
             datagram = sign(sharing._secret, encode(message))
             sharing.datagram_received(datagram, ("127.0.0.1", 1))
