Name variables and methods for what they hold or do

Cause: a newcomer stumbled on askers, _cleaned_at, confirm and others. Change: renames, with their uses and tests; no behaviour.

--- a/tanagerwalk/controllers/billing.py
+++ b/tanagerwalk/controllers/billing.py
@@ -113,7 +113,7 @@
 
     async def _replicate(self, batch, futures):
         try:
-            await self._copy([batch])
+            await self._copy_to_peers([batch])
             if not batch.holders and self._is_unwritten(batch):
                 await self._write_without_peers(batch)
         finally:
@@ -121,7 +121,7 @@
                 if not future.done():
                     future.set_result(None)
 
-    async def _copy(self, batches):
+    async def _copy_to_peers(self, batches):
         """Copy batches to peers and record the holders.
 
         An error is logged and adds none.
@@ -203,7 +203,7 @@
         ]
         unreplicated = unreplicated[:MAX_CONCURRENT_BATCHES]
         if unreplicated:
-            await self._copy(unreplicated)
+            await self._copy_to_peers(unreplicated)
 
     def _log_if_overdue(self):
         oldest = min(batch.created_at for batch in self._unwritten_batches.values())
--- a/tanagerwalk/filters/claim.py
+++ b/tanagerwalk/filters/claim.py
@@ -113,8 +113,8 @@
     async def _run_with_claim(self, context, proceed):
         context.sink = DetachableSink(context.sink)
         key = f"{CLAIM_PREFIX}{context.account.name}/{context.idempotency_key}"
-        longest = min(MAX_RELEASE_WAIT_S, context.deadline - self._clock())
-        await poll_until(lambda: not self._is_releasing(key), RELEASE_POLL_S, longest)
+        max_wait = min(MAX_RELEASE_WAIT_S, context.deadline - self._clock())
+        await poll_until(lambda: not self._is_releasing(key), RELEASE_POLL_S, max_wait)
         if self._is_releasing(key):
             return Error(refuse_unavailable())
         open_claim = self._open_claims.get(key)
--- a/tanagerwalk/filters/hedge.py
+++ b/tanagerwalk/filters/hedge.py
@@ -79,7 +79,7 @@
             )
             winner = _find_success(done, first)
             if winner is None:
-                _raise_first_error(done)
+                _raise_error(done)
             # A failure of the first attempt is returned unless another one succeeds,
             # and the RetryFilter records what is returned.
             for task in done - {first}:
@@ -94,7 +94,7 @@
         context.sent = context.sent or any(_was_sent(task.result()) for task in tasks)
         return first.result()
 
-    def _record_failure(self, context, attempted, task):
+    def _record_failure(self, context, attempt_context, task):
         """Record a failure of an attempt whose result is dropped.
 
         An exception is logged.
@@ -107,8 +107,8 @@
             return
         failure = task.result().error
         if isinstance(failure, AttemptFailure):
-            self._on_failure(attempted, failure)
-            context.tried |= attempted.tried
+            self._on_failure(attempt_context, failure)
+            context.tried |= attempt_context.tried
 
     def _count_outcome(self, won, done):
         self._metrics.hedges.labels("won" if won else "lost").inc()
@@ -130,9 +130,9 @@
     return succeeded[0] if succeeded else None
 
 
-def _raise_first_error(done):
+def _raise_error(done):
+    """Raise what an attempt has raised, if one has."""
     for task in done:
-        # Raises what the attempt raised.
         task.result()
 
 
--- a/tanagerwalk/gateway/answer_queue.py
+++ b/tanagerwalk/gateway/answer_queue.py
@@ -35,7 +35,7 @@
         self._budget = budget
         self._waiting = {}
         self._exceeding = None
-        self._has_exceeding_ended = False
+        self._is_exceeding_read = False
 
     @property
     def waiting_count(self):
@@ -81,8 +81,8 @@
     def end_reading(self, memory):
         """Note that an answer has been read whole, and let the next one go on."""
         if self._exceeding is memory:
-            self._has_exceeding_ended = True
-            self._replace_ended()
+            self._is_exceeding_read = True
+            self._replace_read()
 
     def stop_waiting(self, memory):
         """Forget that an answer waits for room."""
@@ -104,12 +104,12 @@
             if not self._waiting:
                 return
             self._resume(self._find_oldest())
-        self._replace_ended()
+        self._replace_read()
 
     def _may_exceed(self, memory, missing_size):
         if self._exceeding is None or self._exceeding is memory:
             return True
-        return self._has_exceeding_ended and self._fits_unread(missing_size)
+        return self._is_exceeding_read and self._fits_unread(missing_size)
 
     def _fits_unread(self, missing_size):
         """Return whether an answer of known size fits beside the unread one."""
@@ -118,12 +118,12 @@
         limit = (1.0 - UNREAD_ANSWER_SPARE_SHARE) * self._budget.capacity
         return self._budget.used + missing_size <= limit
 
-    def _replace_ended(self):
+    def _replace_read(self):
         """Let the oldest answer go on if it may.
 
         It may once the one beyond the capacity has been read.
         """
-        if not self._has_exceeding_ended or not self._waiting:
+        if not self._is_exceeding_read or not self._waiting:
             return
         oldest = self._find_oldest()
         if self._fits_unread(self._waiting[oldest].missing_size):
@@ -132,7 +132,7 @@
 
     def _let_exceed(self, memory):
         self._exceeding = memory
-        self._has_exceeding_ended = False
+        self._is_exceeding_read = False
 
     def _find_oldest(self):
         return min(self._waiting, key=_get_number)
--- a/tanagerwalk/gateway/change_feed.py
+++ b/tanagerwalk/gateway/change_feed.py
@@ -149,7 +149,7 @@
         self._client = None
         self._was_watcher = None
         self._next_direct_read = None
-        self._has_old_answer = False
+        self._are_peers_outdated = False
 
     def authenticate(self, secret):
         """Start to ask other instances, with the key of the fleet."""
@@ -179,11 +179,11 @@
                 continue
             if read_boot_clock() - answer.confirmed_at <= MAX_PEER_AGE_S:
                 self._next_direct_read = None
-                self._has_old_answer = False
+                self._are_peers_outdated = False
                 return Ok(answer)
             if newest is None or answer.confirmed_at > newest.confirmed_at:
                 newest = answer
-        self._has_old_answer = newest is not None
+        self._are_peers_outdated = newest is not None
         if newest is not None and not self._may_read_directly():
             return Ok(newest)
         result = await self._store_feed.read(revision, may_wait=False)
@@ -261,12 +261,13 @@
         """Seconds until the next read."""
         if self.is_watcher:
             return find_watch_pause(self._get_change_delay(), self._is_shared)
-        return self._outage_pause if self._has_old_answer else PEER_POLL_INTERVAL_S
+        return self._outage_pause if self._are_peers_outdated else PEER_POLL_INTERVAL_S
 
     @property
     def _outage_pause(self):
-        askers = self._count_instances() / max(1, self._selection.count_watchers())
-        pause = max(OUTAGE_POLL_INTERVAL_S, askers / OUTAGE_POLLS_PER_S)
+        watchers = max(1, self._selection.count_watchers())
+        instances_per_watcher = self._count_instances() / watchers
+        pause = max(OUTAGE_POLL_INTERVAL_S, instances_per_watcher / OUTAGE_POLLS_PER_S)
         return min(PEER_POLL_INTERVAL_S, pause)
 
     @property
--- a/tanagerwalk/gateway/cold_watch.py
+++ b/tanagerwalk/gateway/cold_watch.py
@@ -49,7 +49,7 @@
             return
         self._cold.observe(self._servers.list_servers(), self._clock())
 
-    def confirm(self, confirmed_at):
+    def confirm_starts(self, confirmed_at):
         """End the limits of servers that were assumed to have started anew but ran on.
 
         Parameters
--- a/tanagerwalk/gateway/components.py
+++ b/tanagerwalk/gateway/components.py
@@ -202,7 +202,7 @@
         limits.get_copy_age = lambda: read_boot_clock() - self.mirror.confirmed_at
         limits.begin_settling()
         self.mirror.subscribe(self.cold_watch.update)
-        self.mirror.subscribe_to_confirmations(self.cold_watch.confirm)
+        self.mirror.subscribe_to_confirmations(self.cold_watch.confirm_starts)
         self.connection_pool.connector.on_returned = self.cold_watch.record_return
 
     def _create_evacuation(self):
--- a/tanagerwalk/gateway/load_message_builder.py
+++ b/tanagerwalk/gateway/load_message_builder.py
@@ -30,7 +30,7 @@
 MAX_NOTES = 20
 MAX_SPEEDS = 40
 MAX_DEMANDS = 4
-MAX_COLD = 60
+MAX_COLD_SERVERS = 60
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,9 +164,9 @@
     def _build_cold_times(self, contents):
         """Yield the messages that tell of servers that have started anew."""
         cold = [encode_cold_time(*item) for item in contents.cold.items()]
-        for start in range(0, len(cold), MAX_COLD):
+        for start in range(0, len(cold), MAX_COLD_SERVERS):
             yield self._build_message(
-                contents.scope, cold=cold[start : start + MAX_COLD]
+                contents.scope, cold=cold[start : start + MAX_COLD_SERVERS]
             )
 
     def build_blames(self, scope, records):
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -84,7 +84,7 @@
         self._tallies = {}
         self._recent_latencies = {}
         self._failure_histories = {}
-        self._cleaned_at = {}
+        self._forgotten_for = {}
         self._role = Role.FLAT
         mirror.subscribe(self._load_states)
 
@@ -180,9 +180,9 @@
         # The search runs over all orders, so only after the order or stored state
         # changed.
         revisions = (order.revision, self._revisions.get(order.service))
-        if self._cleaned_at.get(order.service) != revisions:
+        if self._forgotten_for.get(order.service) != revisions:
             self._forget_earlier_orders(order)
-            self._cleaned_at[order.service] = revisions
+            self._forgotten_for[order.service] = revisions
         state = self._states.get(order.service)
         if state is None or state.order != order.revision:
             await self._start(order)
--- a/test/decisions/test_failure_bursts.py
+++ b/test/decisions/test_failure_bursts.py
@@ -15,7 +15,7 @@
 MAX_BAD_ANSWERS = 50
 DURATION_S = 24.0
 STEP_S = 0.25
-RATE = 50.0
+RATE_PER_S = 50.0
 ROUTES = ("plans", "notes")
 TARGET_SERVERS = range(6)
 BASE_SERVERS = range(100, 115)
@@ -121,7 +121,7 @@
     for step in range(int(DURATION_S / STEP_S)):
         now = step * STEP_S
         share = next(share for start, share in SHARES if now >= start)
-        for _ in range(int(RATE * STEP_S + fleet.random.random())):
+        for _ in range(int(RATE_PER_S * STEP_S + fleet.random.random())):
             is_target = fleet.random.random() < share
             server = fleet.random.choice(TARGET_SERVERS if is_target else BASE_SERVERS)
             route = fleet.random.choice(ROUTES)
--- a/test/gateway/test_change_feed.py
+++ b/test/gateway/test_change_feed.py
@@ -256,6 +256,6 @@
     feed = build_feed({"own": build_response(9.0)}, FAULT, instances)
     feed._selection.watchers = 4
     await feed.read(Revision(5))
-    askers = instances / feed._selection.watchers
-    assert askers / feed.pause <= 200.0
+    instances_per_watcher = instances / feed._selection.watchers
+    assert instances_per_watcher / feed.pause <= 200.0
     assert feed.pause <= PEER_POLL_INTERVAL_S
--- a/test/gateway/test_cold_watch.py
+++ b/test/gateway/test_cold_watch.py
@@ -47,5 +47,5 @@
     watch.update()
     watch.record_return(SERVER, Outage.CUT_OFF)
     now = RETURNED_AT + ENTRY_LIFETIME_S + 1.0
-    watch.confirm(confirmed_at + 100.0)
+    watch.confirm_starts(confirmed_at + 100.0)
     assert cold.count(now) == is_cold
