--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,144 +1,96 @@
-"""Case 9: a crowd that sends its bodies slowly locks all other clients out."""
+"""Case 9: large entries of another writer end all gateways, again and again."""
 
 import asyncio
-import resource
+import os
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "rig-2"))
 
-from rig2 import (  # noqa: E402
-    CLIENT_LIMITS,
-    CannotRunError,
-    encode_head,
-    read_reply,
-    run_case,
-)
+from rig2 import CLIENT_LIMITS, encode_head, read_reply, run_case  # noqa: E402
 
 from tanagerwalk.standins.gateway_cluster import build_manifest  # noqa: E402
-
-CROWD = 2600
-CONNECTIONS_AT_ONCE = 50
-# Of a legal body; the crowd sends one byte now and then.
-BODY_BYTES = 1000
-BYTE_INTERVAL_S = 2.0
-NEEDED_DESCRIPTORS = CROWD + 500
-# contact_ms of the settings.
-CONTACT_S = 3.0
-# Clients that try, as in the rule.
-CLIENTS = 7
-WATCH_S = 9.0
-TRY_PAUSE_S = 0.2
-TRY_TIMEOUT_S = 1.0
-
-
-async def join_crowd(rig, gateway, number):
-    """Hold one connection, with a body that arrives slowly."""
-    head = encode_head(
-        "POST",
-        f"/bookings/{number}",
-        f"slow-{number}",
-        f"Content-Length: {BODY_BYTES}",
-        deadline_ms=20000,
-    )
-    try:
-        _, writer = await gateway.connect()
-        writer.write(head)
-        if not rig.has_trouble:
-            writer.write(b"x" * BODY_BYTES)
-        while not writer.is_closing():
-            if rig.has_trouble:
-                writer.write(b"x")
-            await writer.drain()
-            await asyncio.sleep(BYTE_INTERVAL_S)
-    except OSError:
-        return
-
-
-async def try_once(gateway, attempt_id):
-    """Open a new connection and ask; return the status, or what went wrong."""
+from tanagerwalk.standins.metadata import MetadataStandIn  # noqa: E402
+
+GATEWAYS = 3
+ENTRIES = 120
+# value_bytes of the settings: the largest value that the store takes.
+LARGE_BYTES = 1048576
+SMALL_BYTES = 100
+WRITE_PAUSE_S = 0.3
+# About so much text is in one page of the store; at least one item is.
+PAGE_CHARS = 1_000_000
+# Ends of processes, on two machines at least, from which the rule is broken.
+MAX_ENDS = 2
+MIN_MACHINES = 2
+LAST_WATCH_S = 12.0
+ANSWER_TIMEOUT_S = 3.0
+
+
+class PagedStore(MetadataStandIn):
+    """The project's store, whose pages end at about 1 MB, as the users' pages say."""
+
+    async def _range(self, request):
+        prefix, after = request.query["prefix"], request.query.get("after", "")
+        sizes = [
+            len(self.items[key].value)
+            for key in sorted(self.items)
+            if key.startswith(prefix) and key > after
+        ]
+        total = count = 0
+        for size in sizes:
+            if count and total + size > PAGE_CHARS:
+                break
+            total += size
+            count += 1
+        # There is no await between this and the page that is built from it.
+        self.page_items = min(500, max(1, count))
+        return await super()._range(request)
+
+
+async def ask(rig, gateway, attempt_id):
+    """Send an ordinary request and record its answer."""
     writer = None
     try:
-        async with asyncio.timeout(TRY_TIMEOUT_S):
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
             reader, writer = await gateway.connect()
-            writer.write(encode_head("GET", "/jobs/1", attempt_id, deadline_ms=2000))
-            return (await read_reply(reader)).status
+            writer.write(encode_head("GET", "/jobs/1", attempt_id))
+            outcome = (await read_reply(reader)).status
     except (OSError, EOFError, TimeoutError) as error:
-        return type(error).__name__
+        outcome = type(error).__name__
     finally:
         if writer is not None:
             writer.transport.abort()
-
-
-class Door:
-    """What ordinary clients see of a machine: since when it takes nobody."""
-
-    def __init__(self, rig, gateway):
-        self.longest_s = 0.0
-        self.outcomes = {}
-        self._rig = rig
-        self._gateway = gateway
-        self._taken_at = time.monotonic()
-
-    async def watch(self, client):
-        """Try again and again as one client."""
-        ends_at = time.monotonic() + WATCH_S
-        number = 0
-        while time.monotonic() < ends_at:
-            number += 1
-            attempt_id = f"job-{client}-{number}"
-            outcome = await try_once(self._gateway, attempt_id)
-            self._rig.record.write(f"answer to {attempt_id}: {outcome}")
-            self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
-            # Any answer shows that the connection was taken.
-            if isinstance(outcome, int):
-                self._taken_at = time.monotonic()
-            await asyncio.sleep(TRY_PAUSE_S)
-
-    async def check_readiness(self):
-        """Measure for how long it takes nobody while it says that it is ready."""
-        ends_at = time.monotonic() + WATCH_S
-        while time.monotonic() < ends_at:
-            if not await self._gateway.is_ready():
-                self._taken_at = time.monotonic()
-            refused_s = time.monotonic() - self._taken_at
-            self.longest_s = max(self.longest_s, refused_s)
-            await asyncio.sleep(TRY_PAUSE_S)
+    rig.record.write(f"answer to {attempt_id} of {gateway.name}: {outcome}")
 
 
 async def play(rig):
-    """Return whether a ready machine takes nobody for contact_ms."""
-    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if hard != resource.RLIM_INFINITY and hard < NEEDED_DESCRIPTORS:
-        raise CannotRunError(f"{hard} descriptors")
-    resource.setrlimit(resource.RLIMIT_NOFILE, (NEEDED_DESCRIPTORS, hard))
+    """Return whether processes have ended three times on two machines or more."""
     await rig.store.put("op/config", build_manifest(limits=CLIENT_LIMITS))
     for number in range(2):
         await rig.start_server(f"desk-{number}", "desk")
         await rig.start_server(f"drafts-{number}", "drafts")
-    await rig.start_gateways(1)
-    gateway = rig.gateways[0]
-    rig.record.write(f"before the crowd: {await try_once(gateway, 'job-before')}")
-    crowd = []
-    for number in range(CROWD):
-        crowd.append(asyncio.create_task(join_crowd(rig, gateway, number)))
-        if number % CONNECTIONS_AT_ONCE == 0:
-            await asyncio.sleep(0.05)
-    await asyncio.sleep(1.0)
-    rig.record.write(f"{sum(not task.done() for task in crowd)} of the crowd are in")
-    door = Door(rig, gateway)
-    await asyncio.gather(*map(door.watch, range(CLIENTS)), door.check_readiness())
-    for task in crowd:
-        task.cancel()
-    await asyncio.gather(*crowd, return_exceptions=True)
-    rig.record.write(f"outcomes of {CLIENTS} ordinary clients: {door.outcomes}")
-    rig.record.write(
-        f"ready, and took nobody for {door.longest_s:.1f} s; "
-        f"peak of the process {gateway.peak_mb:.0f} MB, ends {gateway.ends}"
-    )
-    return door.longest_s > CONTACT_S
-
-
-run_case(FOLDER, play)
+    await rig.start_gateways(GATEWAYS)
+    size = LARGE_BYTES if rig.has_trouble else SMALL_BYTES
+    for number in range(ENTRIES):
+        if min(len(gateway.ends) for gateway in rig.gateways) > MAX_ENDS:
+            break
+        await rig.store.put(f"servers/other-{number}", os.urandom(size))
+        await asyncio.sleep(WRITE_PAUSE_S)
+        if number % 10 == 0:
+            sizes = [f"{gateway.read_memory_mb():.0f} MB" for gateway in rig.gateways]
+            rig.record.write(f"{number + 1} entries of {size} bytes: {sizes}")
+    rig.record.write("no further entry is written")
+    await asyncio.sleep(LAST_WATCH_S)
+    for gateway in rig.gateways:
+        await ask(rig, gateway, f"job-{gateway.name}")
+        rig.record.write(
+            f"{gateway.name}: ended {len(gateway.ends)} times, "
+            f"ready: {await gateway.is_ready()}"
+        )
+    ended = [gateway for gateway in rig.gateways if len(gateway.ends) > MAX_ENDS]
+    return len(ended) >= MIN_MACHINES
+
+
+run_case(FOLDER, play, PagedStore)
--- a/review/rig-2/rig2.py
+++ b/review/rig-2/rig2.py
@@ -253,12 +253,12 @@
 class Rig:
     """A temporary folder, the store, the servers and the gateways of a case."""
 
-    def __init__(self, case_folder):
+    def __init__(self, case_folder, create_store):
         self.record = Record(case_folder)
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.network = choose_network()
-        self.store = MetadataStandIn()
+        self.store = create_store()
         self.servers = []
         self.gateways = []
 
@@ -350,7 +350,7 @@
     return [shutil.which(program) or program, *arguments]
 
 
-def run_case(case_folder, play):
+def run_case(case_folder, play, create_store=MetadataStandIn):
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if neither.
 
     Parameters
@@ -359,12 +359,14 @@
         Folder of the case, which gets `record.txt`.
     play : callable
         Coroutine function that takes the Rig and returns whether the rule was broken.
+    create_store : callable
+        Returns the stand-in of the store.
     """
-    sys.exit(asyncio.run(_run(case_folder, play)))
+    sys.exit(asyncio.run(_run(case_folder, play, create_store)))
 
 
-async def _run(case_folder, play):
-    rig = Rig(case_folder)
+async def _run(case_folder, play, create_store):
+    rig = Rig(case_folder, create_store)
     asyncio.get_running_loop().set_exception_handler(_ignore_closed_connections)
     task = asyncio.current_task()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
