Pass a key on that was deleted and written again between two reads

Seen: instances that ask another one for changes of the store lacked a key, for an order or an evacuation until it was written once more. Cause: ChangeLog.record handled the deletions of a read after its writes and dropped the newer entry, whatever its revision. Evidence: test_key_that_is_written_again_in_the_same_read_is_passed_on failed before (written was empty) and passes now. Fix: a deletion older than the written entry is passed over.

--- a/tanagerwalk/decisions/change_log.py
+++ b/tanagerwalk/decisions/change_log.py
@@ -39,6 +39,10 @@
             self._written.pop(entry.key, None)
             self._written[entry.key] = entry
         for key, revision in changes.deleted:
+            written = self._written.get(key)
+            if written is not None and written.revision > revision:
+                # It was written again.
+                continue
             self._written.pop(key, None)
             self._deleted.pop(key, None)
             self._deleted[key] = revision
--- a/test/decisions/test_change_log.py
+++ b/test/decisions/test_change_log.py
@@ -73,3 +73,14 @@
                 assert copy == copies[-1]
     finally:
         change_log_module.MAX_CHANGES = limit
+
+
+# Guards against a key that other instances lack for good: it was deleted and written
+# again between two reads of the store, and they were told of the deletion alone.
+def test_key_that_is_written_again_in_the_same_read_is_passed_on():
+    log = ChangeLog()
+    log.start(Revision(0))
+    again = Entry("op/evacuate/a-1", b"", Revision(7))
+    deleted = ((again.key, Revision(6)),)
+    log.record(Changes((again,), deleted, Revision(7)))
+    assert log.list_since(Revision(5)).written == (again,)
