Record very many changes of the store without work by their square

Cause: the log of changes copied all of its keys to find the oldest, for each of the 16,000 that it drops, and a plain dict passes all dropped keys at each search. Fix: ordered dicts, and the oldest key alone is looked at.

--- a/tanagerwalk/decisions/change_log.py
+++ b/tanagerwalk/decisions/change_log.py
@@ -1,5 +1,8 @@
 """Recent changes of the store, kept so that other instances can ask for them."""
 
+from collections import OrderedDict
+from itertools import islice
+
 from ..changes import Changes
 from ..ids import Revision
 
@@ -16,8 +19,9 @@
     def __init__(self):
         self._first = None
         self._last = Revision(0)
-        self._written = {}
-        self._deleted = {}
+        # Dropping the first key of a plain dict passes all that were dropped before.
+        self._written = OrderedDict()
+        self._deleted = OrderedDict()
 
     def start(self, revision):
         """Begin at a revision of the store; changes up to it are not known."""
@@ -73,7 +77,7 @@
         self._first = max(self._first, revision)
 
     def _find_oldest(self):
-        oldest = [(r, k) for k, r in list(self._deleted.items())[:1]]
-        oldest += [(e.revision, k) for k, e in list(self._written.items())[:1]]
+        oldest = [(r, k) for k, r in islice(self._deleted.items(), 1)]
+        oldest += [(e.revision, k) for k, e in islice(self._written.items(), 1)]
         revision, key = min(oldest)
         return key, revision
