Replace a key of the fleet that cannot be one

Seen: whatever another writer left at the key became the secret of the fleet, an empty value too, or one of a megabyte. Cause: FleetKey believed any value. Evidence: test_unusable_key_is_replaced failed before for all four values, passes now. Fix: lengths of 16 to 1,024 bytes are keys. An instance that finds none writes one at the revision of what stands there.

--- a/tanagerwalk/gateway/fleet_key.py
+++ b/tanagerwalk/gateway/fleet_key.py
@@ -11,6 +11,9 @@
 log = structlog.get_logger(__name__)
 
 KEY_BYTES = 32
+# Lengths in bytes that a key of any build may have; others were left by other writers.
+MIN_KEY_BYTES = 16
+MAX_KEY_BYTES = 1024
 POLL_INTERVAL_S = 0.1
 # After a start, the other instances may not be known yet.
 MAX_OFFER_DELAY_S = 0.4
@@ -64,7 +67,7 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(FOLLOW_INTERVAL_S)
-            entry = self._mirror.entries.get(self._key_name)
+            entry = self._read_entry()
             if entry is None:
                 lost_at = min(lost_at, loop.time())
                 if loop.time() - lost_at >= self._find_write_delay():
@@ -77,6 +80,11 @@
                 log.info("fleet key replaced", revision=entry.revision)
                 handle_key(entry.value.hex())
 
+    def _read_entry(self):
+        """Return the Entry of the key, or None if the store has no usable one."""
+        entry = self._mirror.entries.get(self._key_name)
+        return entry if entry is not None and is_usable(entry.value) else None
+
     def _find_write_delay(self):
         return RANK_DELAY_S * self._find_rank(self._key_name)
 
@@ -90,7 +98,7 @@
         offer_at = MAX_OFFER_DELAY_S * self._random.random()
         waited = 0.0
         while True:
-            entry = self._mirror.entries.get(self._key_name)
+            entry = self._read_entry()
             if entry is not None:
                 log.info("fleet key known", revision=entry.revision)
                 self._value = entry.value
@@ -112,7 +120,23 @@
         return self._find_rank(self._key_name) == 0
 
     async def _write(self, value):
-        """Write a key if the store has none."""
+        """Write a key if the store has none that is usable."""
         result = await self._store.write(Write(self._key_name, value, ABSENT))
+        existing = result.ok.existing if result.is_ok() else None
+        if existing is not None and not is_usable(existing.value):
+            log.warning("unusable fleet key replaced", size=len(existing.value))
+            write = Write(self._key_name, value, existing.revision)
+            result = await self._store.write(write)
         applied = result.is_ok() and result.ok.applied
         log.info("fleet key offered", applied=applied)
+
+
+def is_usable(value):
+    """Return whether a value can be the key of the fleet.
+
+    Parameters
+    ----------
+    value : bytes
+        The value.
+    """
+    return MIN_KEY_BYTES <= len(value) <= MAX_KEY_BYTES
--- a/test/gateway/test_fleet_key.py
+++ b/test/gateway/test_fleet_key.py
@@ -61,3 +61,13 @@
 async def test_existing_key_is_kept(standin):
     await standin.put(NAME, b"k" * KEY_BYTES)
     assert await find_keys(standin, (0,)) == [(b"k" * KEY_BYTES).hex()]
+
+
+# Guards against a fleet that another writer's entry leaves without a key, or with an
+# empty one that anybody knows.
+@pytest.mark.parametrize("value", [b"", b"short", b"k" * 5000, b"k" * 1_048_576])
+async def test_unusable_key_is_replaced(standin, value):
+    await standin.put(NAME, value)
+    keys = await find_keys(standin, (0, 1))
+    assert len(set(keys)) == 1
+    assert len(bytes.fromhex(keys[0])) == KEY_BYTES
