Forget decoded entries once they have gone from the store

Each key that ever came and went kept a place in a table of every instance. Cause: ClusterState._decoded was never pruned. Evidence: test_entries_that_have_gone_leave_nothing_behind failed before, passes now. Fix: keys that the copy no longer has are dropped at each read of the servers.

--- a/tanagerwalk/gateway/cluster_state.py
+++ b/tanagerwalk/gateway/cluster_state.py
@@ -134,11 +134,17 @@
                 servers.append(server)
                 if self._mirror.is_in_grace_period(entry.key):
                     in_grace_period.add(server.id)
+        self._forget_removed_entries()
         self._servers.set_possibly_leaving(in_grace_period)
         for server in self._servers.replace_servers(servers):
             log.info("server gone", server=server.id, service=server.service)
             self._on_server_removed(server)
 
+    def _forget_removed_entries(self):
+        removed = self._decoded.keys() - self._mirror.entries.keys()
+        for key in removed:
+            del self._decoded[key]
+
     def _decode(self, parse, entry):
         """Decode each revision of an entry once; log and return None if it fails."""
         known = self._decoded.get(entry.key)
--- a/test/gateway/test_foreign_entries.py
+++ b/test/gateway/test_foreign_entries.py
@@ -180,3 +180,15 @@
     for instance in cluster.instances:
         assert not instance.count_defects()
     await check_that_store_is_followed(cluster, first)
+
+
+# Guards against a table that grows with each entry that comes and goes.
+async def test_entries_that_have_gone_leave_nothing_behind(cluster):
+    state = cluster.instances[0].cluster_state
+    known = set(state._decoded)
+    for number in range(20):
+        await cluster.store.put(f"servers/passing-{number}", encode_server())
+    assert await poll_until(lambda: len(state._decoded) >= len(known) + 20, 0.01, 2.0)
+    for number in range(20):
+        await cluster.store.remove(f"servers/passing-{number}")
+    assert await poll_until(lambda: set(state._decoded) == known, 0.01, 5.0)
