Keep of the store's entries what is read of them, and count it

Cause: the copy of the store kept the value of every key, and nothing counted it. Lists and watches were read whole, up to 16 MiB, after which a watch failed for good. The same reduction holds for what other instances pass on. Log lines about others' entries are limited. test_old_pages.py answers the method that lists and watches now call; its checks are the same. The stand-in of the store ends its pages at 1 MB, as the users' pages say.

--- a/tanagerwalk/changes.py
+++ b/tanagerwalk/changes.py
@@ -34,10 +34,20 @@
     """All entries under a prefix.
 
     Pages are read one after another, so that an entry may be newer than `revision`.
+
+    Parameters
+    ----------
+    entries : tuple of Entry
+        The entries.
+    revision : Revision
+        Store revision from which to watch for changes.
+    is_whole : bool
+        Whether these are all entries. Otherwise there were too many to hold.
     """
 
     entries: tuple[Entry, ...]
     revision: Revision
+    is_whole: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,17 +65,25 @@
     compacted : bool
         Whether the store has compacted the history since the revision; the prefix
         must be listed again.
+    unread_count : int
+        Number of changes that were left out, as no instance reads their keys.
     """
 
     written: tuple[Entry, ...] = ()
     deleted: tuple[tuple[str, Revision], ...] = ()
     revision: Revision = Revision(0)
     compacted: bool = False
+    unread_count: int = 0
 
     @property
     def is_empty(self):
-        """Whether there are neither writes nor deletions."""
-        return not self.written and not self.deleted
+        """Whether the store has reported neither writes nor deletions."""
+        return not self.has_effect and not self.unread_count
+
+    @property
+    def has_effect(self):
+        """Whether there are writes or deletions that an instance reads."""
+        return bool(self.written or self.deleted)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tanagerwalk/gateway/change_feed.py
+++ b/tanagerwalk/gateway/change_feed.py
@@ -13,6 +13,7 @@
     find_watch_pause,
     list_watch_delays,
 )
+from ..entry_reduction import WHOLE_ENTRIES, ReducedChanges, estimate_entry_bytes
 from ..ids import Revision
 from ..peers.codec import decode, encode
 from ..peers.gen.changes.ttypes import (
@@ -41,6 +42,8 @@
 # Older changes of a peer show that it has lost the store.
 MAX_PEER_AGE_S = 2.2
 MAX_REPORTED_AGE_S = 1e6
+# With the objects of its entries; the frame that carries it is smaller.
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
 
 class StoreFeed:
@@ -125,6 +128,8 @@
         Returns monotonic time in seconds.
     random : random.Random
         Spreads the calls of the fleet over time.
+    reduction : WholeEntries or EntryReduction
+        Tells what is read of the entries that other instances pass on.
     """
 
     def __init__(
@@ -137,6 +142,7 @@
         count_instances,
         clock,
         random,
+        reduction=WHOLE_ENTRIES,
     ):
         self._store_feed = store_feed
         self._selection = selection
@@ -146,6 +152,7 @@
         self._count_instances = count_instances
         self._clock = clock
         self._random = random
+        self._reduction = reduction
         self._client = None
         self._was_watcher = None
         self._next_direct_read = None
@@ -221,7 +228,7 @@
             return None
         if response.ok.compacted:
             return None
-        changes = read_changes(response.ok, asked_at)
+        changes = read_changes(response.ok, asked_at, self._reduction)
         if changes.is_error():
             log.warning("ignored changes", peer=peer_id, problem=changes.error)
             return None
@@ -303,9 +310,19 @@
             log.warning("malformed request for changes", peer=sender)
             return encode(ChangesResponse(0, 0, [], [], True))
         changes = self._mirror.change_log.list_since(request.ok.revision)
+        if _exceeds_answer(changes):
+            # The peer asks the store instead.
+            changes = Changes(compacted=True)
         return encode(encode_changes(changes, self._mirror, read_boot_clock()))
 
 
+def _exceeds_answer(changes):
+    """Return whether changes are more than an answer to a peer takes."""
+    written = sum(estimate_entry_bytes(entry) for entry in changes.written)
+    deleted = sum(len(key) for key, _ in changes.deleted)
+    return written + deleted > MAX_ANSWER_BYTES
+
+
 def encode_changes(changes, mirror, now):
     """Convert Changes to a ChangesResponse message, with the age of the copy.
 
@@ -332,14 +349,14 @@
     )
 
 
-def read_changes(response, asked_at):
+def read_changes(response, asked_at, reduction=WHOLE_ENTRIES):
     """Return the Result of `decode_changes`, or of str if a field is missing."""
     if response.age_ms is None or response.revision is None:
         return Error("changes without age or revision")
     entries = [*(response.written or ()), *(response.deleted or ())]
     if not all(map(is_complete, entries)):
         return Error("changes with an incomplete entry")
-    return Ok(decode_changes(response, asked_at))
+    return Ok(decode_changes(response, asked_at, reduction))
 
 
 @singledispatch
@@ -364,7 +381,7 @@
     return None not in (entry.key, entry.revision)
 
 
-def decode_changes(response, asked_at):
+def decode_changes(response, asked_at, reduction=WHOLE_ENTRIES):
     """Convert a ChangesResponse to ConfirmedChanges.
 
     Parameters
@@ -373,16 +390,19 @@
         Response of a peer.
     asked_at : float
         Boot time at which the request was sent, in seconds.
+    reduction : WholeEntries or EntryReduction
+        Tells what is read of the entries; an older build may pass on whole ones.
     """
-    changes = Changes(
-        written=tuple(
-            Entry(e.key, e.value, Revision(e.revision)) for e in response.written or ()
-        ),
-        deleted=tuple((e.key, Revision(e.revision)) for e in response.deleted or ()),
-        revision=Revision(response.revision),
-    )
+    changes = ReducedChanges(reduction)
+    for entry in response.written or ():
+        if changes.is_read(entry.key):
+            changes.add_written(Entry(entry.key, entry.value, Revision(entry.revision)))
+    for entry in response.deleted or ():
+        if changes.is_read(entry.key):
+            changes.add_deleted(entry.key, Revision(entry.revision))
     reconnected_at = float("-inf")
     if response.reconnected_ago_ms is not None:
         reconnected_at = asked_at - max(0, response.reconnected_ago_ms) / MS_PER_S
     confirmed_at = asked_at - max(0, response.age_ms) / MS_PER_S
-    return ConfirmedChanges(changes, confirmed_at, reconnected_at)
+    built = changes.build(Revision(response.revision))
+    return ConfirmedChanges(built, confirmed_at, reconnected_at)
--- a/tanagerwalk/gateway/components.py
+++ b/tanagerwalk/gateway/components.py
@@ -36,6 +36,7 @@
 from .membership import MembershipController
 from .metrics import GatewayMetrics
 from .metrics_page import MetricsPage
+from .own_keys import FLEET_KEY_NAME, PEER_PREFIX
 from .peer_directory import PeerDirectory
 from .permits import ServerPermits
 from .planned_stop import PlannedStop
@@ -44,7 +45,7 @@
 from .quarantine import QuarantineFilter
 from .readiness import Readiness
 from .release_assignment import ReleaseAssigner
-from .release_rollouts import STORE_PREFIX, ReleaseRolloutController
+from .release_rollouts import ReleaseRolloutController
 from .request_handler import RequestHandler
 from .request_regions import RegionRules
 from .routing import RouteFilter
@@ -53,9 +54,6 @@
 from .stop_control import StopControl
 from .store_copy import StoreCopy
 
-FLEET_KEY_NAME = STORE_PREFIX + "fleet-key"
-PEER_PREFIX = STORE_PREFIX + "instance/"
-
 
 class Components:
     """The listeners, the filter chain and everything they work with.
@@ -161,6 +159,7 @@
         )
         self.feed = self.store_copy.feed
         self.mirror = self.store_copy.mirror
+        self.mirror.memory.hold = self.limits.hold_store_copy
 
     def _create_peer_server(self):
         self.peer_server = PeerServer(None)
--- a/tanagerwalk/gateway/mirror.py
+++ b/tanagerwalk/gateway/mirror.py
@@ -13,6 +13,7 @@
 from ..registry import ENTRY_LIFETIME_S
 from ..writes import StoreFault
 from .clocks import read_boot_clock
+from .entry_table import EntryMemory, EntryTable
 from .hedged_calls import call_hedged
 
 log = structlog.get_logger(__name__)
@@ -48,8 +49,10 @@
 
     Attributes
     ----------
-    entries : dict of str to Entry
-        All entries under the prefix, by key.
+    entries : EntryTable
+        The entries under the prefix, by key.
+    memory : EntryMemory
+        Counts the memory of the copy.
     is_loaded : bool
         Whether the copy has been current at least once.
     change_log : ChangeLog
@@ -80,13 +83,14 @@
         self._last_revision = Revision(0)
         self._is_disconnected = False
         self._grace_deadlines = {}
-        self._unconfirmed = {}
+        self.memory = EntryMemory(grace_prefix)
+        self._unconfirmed = EntryTable(self.memory)
         self._last_era = 0
         self._is_awake = asyncio.Event()
         defects = defects or DefectLog("subscriber failed")
         self._subscribers = Subscribers(defects)
         self._confirmation_subscribers = Subscribers(defects)
-        self.entries = {}
+        self.entries = EntryTable(self.memory)
         self.is_loaded = False
         self.change_log = ChangeLog()
         self.confirmed_at = float("-inf")
@@ -193,6 +197,9 @@
             return result
         self._apply_changes(confirmed.changes)
         self._confirm(confirmed.confirmed_at)
+        if self.memory.may_list_again:
+            log.info("store listed again for entries that were left out")
+            self._revision = None
         return result
 
     def _record_age(self, age):
@@ -225,9 +232,8 @@
             # What the copy lacks is written again, as after an outage.
             self.reconnected_at = read_boot_clock()
             self.restored_at = self.reconnected_at
-        current = {entry.key for entry in snapshot.entries}
-        known = [*self.entries, *self._unconfirmed]
-        missing = [key for key in known if key not in current]
+        missing = self._list_missing(snapshot)
+        self.memory.has_left_out = not snapshot.is_whole
         if not self.change_log.is_started:
             self.change_log.start(snapshot.revision)
         changes = Changes(
@@ -239,6 +245,14 @@
         self._record_changes(changes)
         self._notify_subscribers()
 
+    def _list_missing(self, snapshot):
+        """Return the keys that a list proves to be deleted."""
+        if not snapshot.is_whole:
+            return []
+        current = {entry.key for entry in snapshot.entries}
+        known = [*self.entries, *self._unconfirmed]
+        return [key for key in known if key not in current]
+
     def _is_restored(self, revision):
         """Return whether a revision is the first of a later era of the store."""
         era, _ = split_revision(revision)
@@ -251,7 +265,7 @@
         self._revision = Revision(max(self._revision, changes.revision))
         self._record_changes(changes)
         expired = self._pop_expired()
-        if changes.written or changes.deleted or expired:
+        if changes.has_effect or expired:
             self._notify_subscribers()
 
     def _record_changes(self, changes):
@@ -272,15 +286,18 @@
         They may have left before the restore. Those that are still listed after a
         grace period are used, as they may have written before the copy was read.
         """
-        self._unconfirmed = {
-            entry.key: entry
-            for entry in entries
-            if entry.key.startswith(self._grace_prefix)
-            and entry.key not in self.entries
-        }
+        self._take_unconfirmed()
+        for entry in entries:
+            is_server = entry.key.startswith(self._grace_prefix)
+            if is_server and entry.key not in self.entries:
+                self._unconfirmed.put(entry)
         if self._unconfirmed:
             self._schedule_confirmation(self._last_era)
 
+    def _take_unconfirmed(self):
+        """Return the entries that are doubted, and doubt them no longer."""
+        return [self._unconfirmed.discard(key) for key in list(self._unconfirmed)]
+
     def _schedule_confirmation(self, era):
         asyncio.get_running_loop().call_later(
             ENTRY_LIFETIME_S, self._confirm_listed, era
@@ -293,9 +310,9 @@
             # Their entries may have been removed meanwhile.
             self._schedule_confirmation(era)
             return
-        listed, self._unconfirmed = self._unconfirmed, {}
-        log.info("servers of a restored store used", keys=sorted(listed))
-        for entry in listed.values():
+        listed = self._take_unconfirmed()
+        log.info("servers of a restored store used", keys=[e.key for e in listed])
+        for entry in listed:
             self._write(entry)
         self._notify_subscribers()
 
@@ -309,14 +326,14 @@
         doubted = self._unconfirmed.get(entry.key)
         if doubted is not None and doubted.revision == entry.revision:
             return
-        self._unconfirmed.pop(entry.key, None)
-        self.entries[entry.key] = entry
-        self._grace_deadlines.pop(entry.key, None)
+        self._unconfirmed.discard(entry.key)
+        if self.entries.put(entry):
+            self._grace_deadlines.pop(entry.key, None)
 
     def _delete(self, key, revision):
         doubted = self._unconfirmed.get(key)
         if doubted is not None and doubted.revision <= revision:
-            del self._unconfirmed[key]
+            self._unconfirmed.discard(key)
         known = self.entries.get(key)
         if known is None or known.revision > revision:
             return
@@ -329,7 +346,7 @@
             remaining = RECONNECT_GRACE_S - since_reconnect
             asyncio.get_running_loop().call_later(remaining, self._remove_expired)
             return
-        del self.entries[key]
+        self.entries.discard(key)
         self._grace_deadlines.pop(key, None)
 
     def _remove_expired(self):
@@ -343,7 +360,7 @@
         ]
         for key in expired:
             del self._grace_deadlines[key]
-            self.entries.pop(key, None)
+            self.entries.discard(key)
         return expired
 
     def _notify_subscribers(self):
--- a/tanagerwalk/gateway/operator_watch.py
+++ b/tanagerwalk/gateway/operator_watch.py
@@ -62,6 +62,6 @@
             self._mirror.wake()
             return IDLE_PAUSE_S
         self._revision = max(self._revision, changes.revision)
-        if not changes.is_empty:
+        if changes.has_effect:
             self._mirror.wake()
         return MIN_PAUSE_S
--- a/tanagerwalk/gateway/process_limits.py
+++ b/tanagerwalk/gateway/process_limits.py
@@ -30,11 +30,14 @@
         Descriptors of connections.
     admission : ClientAdmission
         Decides which connections of clients stay open.
+    store_copy_bytes : int
+        Memory of the copy of the store.
     """
 
     def __init__(self, settings, clock):
         limit = settings.memory_limit
         room = None if limit is None else find_room(limit, read_sizes())
+        self.store_copy_bytes = 0
         self._heap_trim = HeapTrim(clock)
         self.memory = MemoryBudget(find_capacity(room), clock)
         self.memory.on_peak_over = self._heap_trim.schedule
@@ -70,9 +73,14 @@
         """Have a PeerServer keep to the descriptors, and count its memory."""
         peer_server.reserve = self.peer_part.try_reserve
         peer_server.release = self.peer_part.release
-        peer_server.hold_memory = self._hold_peer_memory
+        peer_server.hold_memory = self._hold_memory
 
-    def _hold_peer_memory(self, change):
+    def hold_store_copy(self, change):
+        """Count bytes of the copy of the store; negative for bytes given back."""
+        self.store_copy_bytes += change
+        self._hold_memory(change)
+
+    def _hold_memory(self, change):
         if change > 0:
             self.memory.reserve(change)
         elif change < 0:
@@ -82,6 +90,7 @@
         """Write what is in use into the GatewayMetrics."""
         metrics.memory_used.set(self.memory.used)
         metrics.memory_capacity.set(self.memory.capacity)
+        metrics.store_copy_memory.set(self.store_copy_bytes)
         metrics.waiting_answers.set(self.memory.answers.waiting_count)
         metrics.resident_memory.set(read_sizes().resident)
         metrics.set_descriptors(self.descriptors, self.admission)
--- a/tanagerwalk/gateway/release_rollouts.py
+++ b/tanagerwalk/gateway/release_rollouts.py
@@ -18,12 +18,11 @@
 from ..defects import DefectLog
 from ..ids import ServiceName
 from ..writes import ABSENT, Write
+from .own_keys import ROLLOUT_PREFIX
 from .rollout_records import decode_state, encode_state
 
 log = structlog.get_logger(__name__)
 
-STORE_PREFIX = "tanagerwalk/"
-ROLLOUT_PREFIX = STORE_PREFIX + "rollout/"
 STEP_INTERVAL_S = 0.25
 WRITE_RETRY_S = 0.7
 
--- a/tanagerwalk/gateway/rollout_records.py
+++ b/tanagerwalk/gateway/rollout_records.py
@@ -8,6 +8,8 @@
 from ..ids import ReleaseName
 
 MS_PER_S = 1000.0
+# Characters of a foreign text that go into a log line.
+MAX_LOGGED = 80
 PHASE_BY_NAME = {phase.value: phase for phase in RolloutPhase}
 
 
@@ -46,7 +48,7 @@
     record = decoded.ok
     phase = PHASE_BY_NAME.get(record.phase)
     if phase is None:
-        return Error(f"unknown phase {record.phase!r}")
+        return Error(f"unknown phase {record.phase[:MAX_LOGGED]!r}")
     elapsed = record.elapsed_ms / MS_PER_S
     target = ReleaseName(record.target)
     return Ok(RolloutState(service, target, record.order, phase, elapsed))
--- a/tanagerwalk/gateway/store_copy.py
+++ b/tanagerwalk/gateway/store_copy.py
@@ -19,7 +19,8 @@
     store : MetadataStore
         Client of the store.
     codec : PlatformCodec
-        Names the key prefixes of backend servers and of operators.
+        Names the key prefixes of backend servers and of operators, and tells what is
+        read of entries.
     directory : PeerDirectory
         Knows the instances that pass changes on.
     incarnation : str
@@ -71,6 +72,7 @@
             self.count_instances,
             clock,
             random,
+            codec.entry_reduction,
         )
         self.mirror = Mirror(
             store, ALL_KEYS, self.feed, random, codec.server_prefix, defects
--- a/tanagerwalk/platform/codec.py
+++ b/tanagerwalk/platform/codec.py
@@ -1,6 +1,7 @@
 """The single interface through which the gateway uses the platform's formats."""
 
 from .egress import classify_head, encode_attempt, is_response_to
+from .entries import EntryReduction
 from .ingress import parse_request, refuse
 from .manifests import parse_manifest
 from .names import (
@@ -27,6 +28,7 @@
 
     operator_prefix = OPERATOR_PREFIX
     server_prefix = SERVER_PREFIX
+    entry_reduction = EntryReduction()
     parse_request = staticmethod(parse_request)
     refuse = staticmethod(refuse)
     encode_attempt = staticmethod(encode_attempt)
--- a/tanagerwalk/platform/servers.py
+++ b/tanagerwalk/platform/servers.py
@@ -37,13 +37,18 @@
 # Numbers up to here are exact in JSON, and fit the messages between instances.
 MAX_INTEGER = 2**53
 
-_Name = Annotated[str, msgspec.Meta(min_length=1)]
+# More than any name has; an entry must not take more memory than this allows.
+MAX_NAME_CHARACTERS = 200
+MAX_ADDRESS_CHARACTERS = 100
+
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)]
+_Address = Annotated[str, msgspec.Meta(max_length=MAX_ADDRESS_CHARACTERS)]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
 class _Server(msgspec.Struct, frozen=True):
     service: _Name
-    address: str
+    address: _Address
     zone: _Name
     # Version of the server's software; model weights are versioned separately.
     version: _Name
@@ -59,9 +64,9 @@
 
 
 class _RolloutOrder(msgspec.Struct, frozen=True):
-    service: str
+    service: _Name
     # Software version to roll out.
-    target: str
+    target: _Name
     duration_s: float
 
 
@@ -111,6 +116,21 @@
     return Ok(server)
 
 
+def decode_server(data):
+    """Decode a server's entry that `parse_server` accepts, to encode it anew.
+
+    Fields that the gateway doesn't use are left out.
+    """
+    return msgspec.structs.replace(
+        msgspec.json.decode(data, type=_Server), stage=None, models=None
+    )
+
+
+def decode_order(data):
+    """Decode a roll-out order that `parse_rollout_order` accepts, to encode it anew."""
+    return msgspec.json.decode(data, type=_RolloutOrder)
+
+
 def parse_rollout_order(key, data, revision):
     """Decode an operator's order to roll out a release.
 
@@ -134,7 +154,9 @@
     wire = decoded.ok
     service = key.removeprefix(ROLLOUT_ORDER_PREFIX)
     if wire.service != service:
-        return Error(f"roll-out order {key}: is for service {wire.service!r}")
+        return Error(
+            f"roll-out order {key}: is for service {wire.service[:MAX_LOGGED]!r}"
+        )
     order = RolloutOrder(
         ServiceName(service), ReleaseName(wire.target), wire.duration_s, revision
     )
--- a/tanagerwalk/platform/store.py
+++ b/tanagerwalk/platform/store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import base64
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from urllib.parse import quote
 
 import msgspec
@@ -10,19 +10,20 @@
 from expression import Error, Ok
 
 from ..changes import Changes, Snapshot, split_revision
+from ..entry_reduction import WHOLE_ENTRIES, ReducedChanges, estimate_entry_bytes
 from ..gateway.connections import open_connection
 from ..ids import Revision
 from ..writes import StoreFault, WriteOutcome
 from .names import STORE_ERA
 from .numbers import parse_count
 from .store_messages import (
-    decode_changes,
+    ItemCollector,
     decode_conflict,
     decode_entry,
     decode_granted,
-    decode_page,
     decode_written,
 )
+from .store_responses import OK_STATUS, Response, read_envelope
 
 log = structlog.get_logger(__name__)
 
@@ -34,33 +35,11 @@
 # With more restores than this, revisions would not fit the messages between instances.
 MAX_ERA = 2**16
 MAX_LOGGED_BYTES = 80
-OK_STATUS = 200
 NOT_FOUND_STATUS = 404
 CONFLICT_STATUS = 412
 COMPACTED_STATUS = 410
-# With these the store guarantees that the call had no effect.
-REJECTED_STATUSES = frozenset({400, 403, 404, 413, 429, 503})
-
-
-@dataclass(frozen=True, slots=True)
-class _Response:
-    """Status and body of a response, and the era of the store that it speaks for."""
-
-    status: int
-    body: bytes
-    era: int
-
-    def decode(self, decode_body):
-        """Return the Result of the body, by a function of `store_messages`."""
-        if self.status in REJECTED_STATUSES:
-            return Error(StoreFault.REJECTED)
-        if self.status != OK_STATUS:
-            return Error(StoreFault.UNKNOWN)
-        decoded = decode_body(self.era, self.body)
-        if decoded.is_error():
-            log.warning("unreadable response of the store", problem=decoded.error)
-            return Error(StoreFault.UNKNOWN)
-        return decoded
+# Most memory that a list takes; more entries than this are left out.
+MAX_LISTED_BYTES = 24 * 1024 * 1024
 
 
 class MetadataStore:
@@ -75,6 +54,8 @@
     ----------
     address : tuple of (str, int)
         IP address and port.
+    reduction : WholeEntries or EntryReduction
+        Tells what lists and watches return of the entries that they find.
 
     Attributes
     ----------
@@ -84,8 +65,9 @@
         The newest era that the store has told.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, reduction=WHOLE_ENTRIES):
         self._address = address
+        self._reduction = reduction
         self._host = b"%s:%d" % (address[0].encode(), address[1])
         self._idle = []
         self.calls = 0
@@ -123,7 +105,8 @@
             each from another time. Pages may or may not include changes made since,
             and a watch from there reports them all.
         """
-        entries = {}
+        listed = ReducedChanges(WHOLE_ENTRIES)
+        is_whole = True
         revision = None
         after = ""
         while True:
@@ -132,10 +115,10 @@
                 path += "&stale_ok=1"
             if after:
                 path += f"&after={quote(after, safe='')}"
-            result = await self._request("GET", path)
+            result = await self._request_items(path, CALL_TIMEOUT_S)
             if result.is_error():
                 return result
-            page = result.ok.decode(decode_page)
+            page = result.ok.decode_items(ItemCollector.build_page)
             if page.is_error():
                 return page
             snapshot, has_more = page.ok
@@ -143,12 +126,15 @@
                 # The store was restored between two pages.
                 return Error(StoreFault.UNKNOWN)
             for entry in snapshot.entries:
-                entries[entry.key] = entry
-                after = entry.key
+                if listed.size + estimate_entry_bytes(entry) > MAX_LISTED_BYTES:
+                    is_whole = False
+                    continue
+                listed.add_written(entry)
             revision = min(snapshot.revision, revision or snapshot.revision)
             if not has_more:
-                return Ok(Snapshot(tuple(entries.values()), revision))
-            if not snapshot.entries:
+                return Ok(Snapshot(listed.written, revision, is_whole))
+            after = result.ok.items.last_key
+            if after is None:
                 # Nothing tells where the next page begins.
                 return Error(StoreFault.UNKNOWN)
 
@@ -176,13 +162,13 @@
             f"/api/kv-watch?prefix={quote(prefix, safe='')}&after={own_revision}"
             f"&wait_ms={int(wait * MS_PER_S)}"
         )
-        result = await self._request("GET", path, timeout=wait + WATCH_TIMEOUT_MARGIN_S)
+        result = await self._request_items(path, wait + WATCH_TIMEOUT_MARGIN_S)
         if result.is_error():
             return result
         response = result.ok
         if response.status == COMPACTED_STATUS or response.era != era:
             return Ok(Changes(compacted=True))
-        return response.decode(decode_changes)
+        return response.decode_items(ItemCollector.build_changes)
 
     async def write(self, write):
         """Write a key on condition that it still has the expected revision.
@@ -267,16 +253,51 @@
         return result.map(lambda response: None)
 
     async def _request(self, method, path, body=b"", timeout=CALL_TIMEOUT_S):
+        async def read(connection, limit):
+            head = await connection.read_head()
+            content = await connection.read_body() if head.is_ok() else head
+            return content.map(
+                lambda body: Response(head.ok.status, body, self._read_era(head.ok))
+            )
+
+        return await self._call(self._encode(method, path, body), timeout, read)
+
+    async def _request_items(self, path, timeout):
+        """Make a call whose response has items; see `read_envelope`."""
+
+        async def read(connection, limit):
+            head = await connection.read_head()
+            if head.is_error():
+                return head
+            era = self._read_era(head.ok)
+            items = ItemCollector(era, self._reduction)
+            content = await read_envelope(connection, head.ok, items, limit)
+            return content.map(lambda body: Response(head.ok.status, body, era, items))
+
+        return await self._call(self._encode("GET", path), timeout, read)
+
+    async def _call(self, request, timeout, read):
+        """Send a request and return the Result of reading its response.
+
+        Parameters
+        ----------
+        request : bytes
+            The encoded request.
+        timeout : float
+            Timeout of the call in seconds.
+        read : callable
+            Coroutine function that takes the Connection and the asyncio.Timeout, and
+            returns a Result of Response, or of ConnectionFailure.
+        """
         self.calls += 1
         connection = await self._get_connection()
         if connection is None:
             return Error(StoreFault.NOT_APPLIED)
-        if connection.send(self._encode(method, path, body)).is_error():
+        if connection.send(request).is_error():
             return Error(StoreFault.NOT_APPLIED)
         try:
-            async with asyncio.timeout(timeout):
-                head = await connection.read_head()
-                content = await connection.read_body() if head.is_ok() else head
+            async with asyncio.timeout(timeout) as limit:
+                response = await read(connection, limit)
         except TimeoutError:
             connection.abort()
             # The others may have been cut with it.
@@ -286,13 +307,12 @@
             # Cancelled, or a defect: whatever may still arrive belongs to no call.
             connection.abort()
             raise
-        if content.is_error():
+        if response.is_error():
             connection.abort()
             return Error(StoreFault.UNKNOWN)
         if connection.is_reusable():
             self._idle.append(connection)
-        era = self._read_era(head.ok)
-        return Ok(_Response(head.ok.status, content.ok, era))
+        return response
 
     def _read_era(self, head):
         """Return the era of a response, and remember the newest one."""
@@ -314,7 +334,7 @@
         result = await open_connection(self._address, CONNECT_TIMEOUT_S)
         return result.ok if result.is_ok() else None
 
-    def _encode(self, method, path, body):
+    def _encode(self, method, path, body=b""):
         lines = [f"{method} {path} HTTP/1.1".encode(), b"Host: " + self._host]
         if body:
             lines.append(b"Content-Type: application/json")
--- a/tanagerwalk/platform/store_messages.py
+++ b/tanagerwalk/platform/store_messages.py
@@ -2,17 +2,22 @@
 
 import base64
 import binascii
+import time
 from typing import Annotated
 
 import msgspec
-import structlog
+from expression import Ok
 
-from ..changes import REVISIONS_PER_ERA, Changes, Snapshot, combine_revision
+from ..changes import REVISIONS_PER_ERA, Snapshot, combine_revision
 from ..documents import decode_json
+from ..entry_reduction import WHOLE_ENTRIES, ReducedChanges
 from ..ids import Revision
+from ..repeated_warnings import RateLimitedWarning
 from ..writes import Entry, WriteOutcome
 
-log = structlog.get_logger(__name__)
+# Another writer may leave any number of them.
+_UNREADABLE_ITEMS = RateLimitedWarning("unreadable item of the store", time.monotonic)
+_UNREADABLE_VALUES = RateLimitedWarning("unreadable value", time.monotonic)
 
 _Revision = Annotated[int, msgspec.Meta(ge=0, lt=REVISIONS_PER_ERA)]
 
@@ -39,6 +44,75 @@
     events: list[msgspec.Raw] = []
 
 
+class ItemCollector:
+    """Collects the items of a response, one by one, reduced to what is read of them.
+
+    Parameters
+    ----------
+    era : int
+        Era of the store that the response speaks for.
+    reduction : WholeEntries or EntryReduction
+        Tells what is read.
+
+    Attributes
+    ----------
+    changes : ReducedChanges
+        The items.
+    last_key : str or None
+        Key of the last item, whether it is read or not.
+    """
+
+    def __init__(self, era, reduction=WHOLE_ENTRIES):
+        self._era = era
+        self.changes = ReducedChanges(reduction)
+        self.last_key = None
+
+    def add(self, raw):
+        """Add an item in JSON; one that can't be read is logged."""
+        decoded = decode_json(raw, _Item)
+        if decoded.is_error():
+            _UNREADABLE_ITEMS.record(problem=decoded.error)
+            return
+        item = decoded.ok
+        self.last_key = item.key
+        if not self.changes.is_read(item.key):
+            return
+        if item.deleted:
+            revision = combine_revision(self._era, item.revision)
+            self.changes.add_deleted(item.key, revision)
+        else:
+            self.changes.add_written(_convert_item(self._era, item))
+
+    def build_page(self, envelope):
+        """Return the Result of a page's Snapshot, and whether there are further pages.
+
+        Parameters
+        ----------
+        envelope : bytes
+            The response; items that are still in it are added.
+        """
+        decoded = decode_json(envelope, _RangeResponse)
+        if decoded.is_error():
+            return decoded
+        page = decoded.ok
+        self._add_all(page.items)
+        revision = combine_revision(self._era, page.current_rev)
+        return Ok((Snapshot(self.changes.written, revision), page.more_pages))
+
+    def build_changes(self, envelope):
+        """Return the Result of the Changes that a watch reports; see `build_page`."""
+        decoded = decode_json(envelope, _WatchResponse)
+        if decoded.is_error():
+            return decoded
+        self._add_all(decoded.ok.events)
+        revision = combine_revision(self._era, decoded.ok.current_rev)
+        return Ok(self.changes.build(revision))
+
+    def _add_all(self, raws):
+        for raw in raws:
+            self.add(raw)
+
+
 class _WriteResponse(msgspec.Struct, frozen=True):
     revision: _Revision
 
@@ -73,14 +147,12 @@
 
 def decode_page(era, body):
     """Return the Result of a page's Snapshot, and whether there are further pages."""
-    return decode_json(body, _RangeResponse).map(lambda wire: _convert_page(era, wire))
+    return ItemCollector(era).build_page(body)
 
 
 def decode_changes(era, body):
     """Return the Result of the Changes that a watch reports."""
-    return decode_json(body, _WatchResponse).map(
-        lambda wire: _convert_changes(era, wire)
-    )
+    return ItemCollector(era).build_changes(body)
 
 
 def decode_written(era, body):
@@ -111,7 +183,7 @@
         if decoded.is_ok():
             items.append(decoded.ok)
         else:
-            log.warning("unreadable item of the store", problem=decoded.error)
+            _UNREADABLE_ITEMS.record(problem=decoded.error)
     return items
 
 
@@ -125,26 +197,10 @@
     try:
         return base64.b64decode(item.value, validate=True)
     except (binascii.Error, ValueError) as error:
-        log.warning("unreadable value", key=item.key, problem=str(error))
+        _UNREADABLE_VALUES.record(key=item.key, problem=str(error))
         return b""
 
 
-def _convert_page(era, wire):
-    entries = tuple(_convert_item(era, item) for item in _decode_items(wire.items))
-    return Snapshot(entries, combine_revision(era, wire.current_rev)), wire.more_pages
-
-
-def _convert_changes(era, wire):
-    events = _decode_items(wire.events)
-    return Changes(
-        written=tuple(_convert_item(era, e) for e in events if not e.deleted),
-        deleted=tuple(
-            (e.key, combine_revision(era, e.revision)) for e in events if e.deleted
-        ),
-        revision=combine_revision(era, wire.current_rev),
-    )
-
-
 def _convert_conflict(era, wire):
     items = _decode_items(wire.items)
     existing = _convert_item(era, items[0]) if items else None
--- a/tanagerwalk/standins/gateway_cluster.py
+++ b/tanagerwalk/standins/gateway_cluster.py
@@ -217,7 +217,8 @@
             bounds=bounds,
         )
         codec = PlatformCodec()
-        return GatewayInstance(settings, MetadataStore(address), codec, seed=1)
+        store = MetadataStore(address, codec.entry_reduction)
+        return GatewayInstance(settings, store, codec, seed=1)
 
     def encode(self, method, path, body=b"", **headers):
         """Return the bytes of a request.
--- a/tanagerwalk/standins/metadata.py
+++ b/tanagerwalk/standins/metadata.py
@@ -9,6 +9,8 @@
 from .server import StandIn
 
 PAGE_ITEMS = 500
+# A page ends before the item that exceeds it, but has one item at least.
+PAGE_CHARACTERS = 1_000_000
 MS_PER_S = 1000.0
 
 
@@ -173,7 +175,7 @@
         if self.old_copy is not None and request.query.get("stale_ok") == "1":
             items, _, revision = self.old_copy
         keys = sorted(k for k in items if k.startswith(prefix) and k > after)
-        page = keys[: self.page_items]
+        page = self._select_page(keys, items)
         return web.json_response(
             {
                 "items": [self._render(key, items[key]) for key in page],
@@ -182,6 +184,14 @@
             }
         )
 
+    def _select_page(self, keys, items):
+        size = 0
+        for count, key in enumerate(keys[: self.page_items]):
+            size += len(items[key].value)
+            if count and size > PAGE_CHARACTERS:
+                return keys[:count]
+        return keys[: self.page_items]
+
     async def _watch(self, request):
         prefix = request.query["prefix"]
         after = int(request.query["after"])
--- a/tanagerwalk/ui/gateway.py
+++ b/tanagerwalk/ui/gateway.py
@@ -102,8 +102,9 @@
     reload_requested = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
     raise_system_limit(settings.max_descriptors)
-    store = MetadataStore(settings.store.address)
-    instance = GatewayInstance(settings, store, PlatformCodec())
+    codec = PlatformCodec()
+    store = MetadataStore(settings.store.address, codec.entry_reduction)
+    instance = GatewayInstance(settings, store, codec)
     await instance.start()
     instance.supervisor.run(
         "settings", lambda: _watch_settings(path, instance, reload_requested, sink)
--- a/test/gateway/test_change_feed.py
+++ b/test/gateway/test_change_feed.py
@@ -9,10 +9,12 @@
 
 from tanagerwalk.changes import Changes, ConfirmedChanges
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.decisions.change_log import ChangeLog
 from tanagerwalk.decisions.watchers import MIN_DOMAIN_SIZE
 from tanagerwalk.gateway.change_feed import (
     MAX_PEER_AGE_S,
     PEER_POLL_INTERVAL_S,
+    ChangeServer,
     SharedFeed,
     StoreFeed,
     decode_changes,
@@ -21,8 +23,13 @@
 from tanagerwalk.gateway.clocks import read_boot_clock
 from tanagerwalk.ids import InstanceId, Revision
 from tanagerwalk.peers.codec import decode, encode
-from tanagerwalk.peers.gen.changes.ttypes import ChangesRequest, ChangesResponse
+from tanagerwalk.peers.gen.changes.ttypes import (
+    ChangesRequest,
+    ChangesResponse,
+    WrittenEntry,
+)
 from tanagerwalk.peers.rpc import MessageKind, PeerClient, RequestFault
+from tanagerwalk.platform.entries import EntryReduction
 from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, build_manifest
 from tanagerwalk.writes import Entry, StoreFault
@@ -259,3 +266,30 @@
     instances_per_watcher = instances / feed._selection.watchers
     assert instances_per_watcher / feed.pause <= 200.0
     assert feed.pause <= PEER_POLL_INTERVAL_S
+
+
+# Guards against large entries that an instance of an older build passes on whole.
+def test_entries_of_a_watcher_are_reduced():
+    large = WrittenEntry("servers/other", b"x" * 1_000_000, 7)
+    unread = WrittenEntry("other/a", b"x" * 1_000_000, 8)
+    response = ChangesResponse(9, 100, [large, unread], [], False)
+    changes = decode_changes(response, 20.0, EntryReduction()).changes
+    assert changes.written == ()
+    assert changes.deleted == (("servers/other", Revision(7)),)
+
+
+# Guards against an answer of many megabytes that is built for each peer that asks.
+async def test_changes_that_exceed_an_answer_are_not_passed_on():
+    log = ChangeLog()
+    log.start(Revision(1))
+    copy = type("Copy", (), {"confirmed_at": 0.0, "reconnected_at": 0.0})
+    copy.change_log = log
+    server = ChangeServer(copy)
+    request = encode(ChangesRequest(1))
+    for revision, is_compacted in [(2, False), (4000, True)]:
+        written = tuple(
+            Entry(f"servers/{n}", b"x" * 2000, Revision(n)) for n in range(2, revision)
+        )
+        log.record(Changes(written, (), Revision(revision)))
+        answer = decode(ChangesResponse, await server._serve(request, "peer")).ok
+        assert answer.compacted is is_compacted
--- a/test/gateway/test_old_pages.py
+++ b/test/gateway/test_old_pages.py
@@ -12,7 +12,9 @@
 
 from tanagerwalk.gateway.change_feed import StoreFeed
 from tanagerwalk.gateway.mirror import Mirror
-from tanagerwalk.platform.store import MetadataStore, _Response
+from tanagerwalk.platform.store import MetadataStore
+from tanagerwalk.platform.store_messages import ItemCollector
+from tanagerwalk.platform.store_responses import Response
 
 PAGE_ITEMS = 2
 KEYS = ["a", "b", "c", "d", "e", "f"]
@@ -43,14 +45,14 @@
     def revision(self):
         return len(self.changes)
 
-    async def _request(self, method, path, body=b"", timeout=0.0):
+    async def _request_items(self, path, timeout):
         url = urlsplit(path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if url.path == "/api/kv-range":
             answer = self._range(query)
         else:
             answer = self._watch(int(query["after"]))
-        return Ok(_Response(200, json.dumps(answer).encode(), 0))
+        return Ok(Response(200, json.dumps(answer).encode(), 0, ItemCollector(0)))
 
     def _range(self, query):
         age = next(self.ages, 0) if "stale_ok" in query else 0
