Tell a reset that a write has met first from the end of an answer

Cause: only the error of the socket told the reset from an orderly end, and a write of the upload that met it first had taken that error. Fix: the state of the connection is asked, too; a reset closes it, an end does not. The end of a tunnel has been checked where the engine's connection is, and is believed.

--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -148,13 +148,16 @@
 
     def eof_received(self):
         """Complete a response that is delimited by the end of the connection."""
-        responses = self._responses
-        if responses.ends_at_close and not has_pending_reset(self._transport):
-            responses.end_body()
+        if self._responses.ends_at_close and not self._was_reset():
+            self._responses.end_body()
         self._report_lost()
         self._fail(ConnectionFailure.CLOSED)
         return False
 
+    def _was_reset(self):
+        # The instance at the other end of a tunnel reports no end after a reset.
+        return self.via is None and has_pending_reset(self._transport)
+
     def connection_lost(self, exc):
         """Fail the pending response."""
         del exc
--- a/tanagerwalk/gateway/socket_options.py
+++ b/tanagerwalk/gateway/socket_options.py
@@ -16,6 +16,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
 )
+# First byte of TCP_INFO: the state of the connection, as the kernel numbers it.
+TCP_STATE_CLOSED = 7
 # What the event loops raise for the socket of a closed transport: uvloop a ValueError,
 # also if the socket was looked up before.
 CLOSED_SOCKET_ERRORS = (OSError, ValueError)
@@ -24,8 +26,9 @@
 def has_pending_reset(transport):
     """Return whether a connection reset follows the data already received.
 
-    The event loop may report such a reset as an orderly end of the stream; only the
-    socket error tells them apart.
+    The event loop may report such a reset as an orderly end of the stream. The socket
+    error tells them apart, unless a write has met the reset first and taken the error;
+    the state of the connection still does then.
 
     Parameters
     ----------
@@ -36,7 +39,11 @@
     if sock is None:
         return False
     try:
-        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0:
+            return True
+        # After an orderly end of the stream the connection is still open for writing.
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return state[0] == TCP_STATE_CLOSED
     except CLOSED_SOCKET_ERRORS:
         # Aborted meanwhile: what is missing of the stream can't be told any more.
         return True
--- a/test/gateway/test_closed_sockets.py
+++ b/test/gateway/test_closed_sockets.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import socket
 
 import uvloop
 from expression import Ok
@@ -57,6 +58,37 @@
     uvloop.run(run())
 
 
+async def connect_to(end):
+    """Return a transport whose peer has ended the connection by a function of it."""
+    server = await asyncio.start_server(
+        lambda _, writer: end(writer), find_address(), 0
+    )
+    address = server.sockets[0].getsockname()[:2]
+    _, writer = await asyncio.open_connection(*address)
+    writer.transport.pause_reading()
+    await asyncio.sleep(0.05)
+    server.close()
+    return writer.transport
+
+
+def reset(writer):
+    set_reset_on_close(writer.get_extra_info("socket"))
+    writer.transport.abort()
+
+
+# Guards against MIXED: a write has met the reset first, and has taken the error that
+# would tell it from an orderly end.
+def test_reset_is_told_from_an_end_after_its_error_was_taken():
+    async def run(end):
+        transport = await connect_to(end)
+        sock = transport.get_extra_info("socket")
+        sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return has_pending_reset(transport)
+
+    assert uvloop.run(run(reset))
+    assert not uvloop.run(run(lambda writer: writer.close()))
+
+
 # Guards against a callback that ends in the middle because its connection was closed
 # since it looked up the socket.
 def test_options_of_a_closed_socket_are_left_alone():
