Take an answer with an unknown status for no answer

`serve` handed 000, 099 and an unasked 101 to its callers as results. Cause: any status below 200 counted as interim, and none had an upper bound; `serve` took all below 500 for results. Fix: a status outside 100 to 599 makes the head malformed, so that the attempt is lost and another server may be asked; in `serve` a final status below 200 is an error.

--- a/tanagerwalk/clients/attempts.py
+++ b/tanagerwalk/clients/attempts.py
@@ -15,6 +15,7 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 UNAVAILABLE_STATUS = 503
 OVERLOAD_STATUSES = frozenset({429, 503})
+FIRST_FINAL_STATUS = 200
 SERVER_ERROR_STATUS = 500
 PROBE_TIMEOUT_S = 0.3
 
@@ -122,7 +123,7 @@
             retry_after=wait,
             closing=_is_shutting_down(response),
         )
-    if response.status >= SERVER_ERROR_STATUS:
+    if not FIRST_FINAL_STATUS <= response.status < SERVER_ERROR_STATUS:
         return AttemptFailure(RetryReason.SERVER_ERROR, sent=True)
     return None
 
--- a/tanagerwalk/gateway/response_assembly.py
+++ b/tanagerwalk/gateway/response_assembly.py
@@ -13,7 +13,9 @@
 # Most memory that a head takes, with the objects of its headers.
 MAX_HEAD_BYTES = 1024 * 1024
 NO_BODY_STATUSES = frozenset({204, 304})
+FIRST_STATUS = 100
 FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
 
 
 class ResponseAssembly:
@@ -53,6 +55,7 @@
         self._body_ends_at_close = False
         self._has_no_body = False
         self._is_discarding = False
+        self._has_invalid_status = False
         self._matches_request = match_any_response
 
     def expect(self, matches_request, has_no_body):
@@ -78,7 +81,8 @@
         Returns
         -------
         bool
-            False if they are malformed, or too many of them are no part of a body.
+            False if they are malformed, have a status that HTTP doesn't know, or too
+            many of them are no part of a body.
         """
         self._overhead_bytes += len(data)
         self._has_progress = False
@@ -86,6 +90,8 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return False
+        if self._has_invalid_status:
+            return False
         if self.is_in_head and not self._is_discarding and not self._has_progress:
             # A part of a long header, which the parser keeps.
             self._head_size += len(data)
@@ -172,6 +178,9 @@
         if self.pending_count == 0:
             return
         status = self._parser.get_status_code()
+        if not FIRST_STATUS <= status <= LAST_STATUS:
+            self._has_invalid_status = True
+            return
         if status < FIRST_FINAL_STATUS:
             self._drop_head()
             return
--- a/test/clients/test_attempts.py
+++ b/test/clients/test_attempts.py
@@ -58,6 +58,10 @@
         None,
     ),
     "500": ([make_refusal("500 Bad")], RetryReason.SERVER_ERROR, False, None),
+    "000": ([make_refusal("000 Odd")], RetryReason.SERVER_ERROR, False, None),
+    "099": ([make_refusal("099 Odd")], RetryReason.SERVER_ERROR, False, None),
+    "101 unasked": ([make_refusal("101 Other")], RetryReason.SERVER_ERROR, False, None),
+    "999": ([make_refusal("999 Odd")], RetryReason.SERVER_ERROR, False, None),
 }
 ENGINE_FAULTS = {
     **SHARED_FAULTS,
