Tell taken resets from ends in what `serve` reads, too

Cause: aiohttp completes an unframed body at any end of the stream, and a reset whose error a write has taken looks like one. Fix: the connection's state is asked at the end of the stream. socket_options.py moves up one folder, as both data paths use it now.

--- a/tanagerwalk/clients/http.py
+++ b/tanagerwalk/clients/http.py
@@ -7,6 +7,8 @@
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
+from ..socket_options import has_pending_reset
+
 # Headers that aiohttp adds to requests that lack them.
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -21,13 +23,24 @@
     also a reset, which says that the rest of the body is lost.
     """
 
+    def eof_received(self):
+        """Fail the body if this end of the stream follows a reset."""
+        if has_pending_reset(self.transport):
+            self._fail_body("reset")
+        super().eof_received()
+
     def connection_lost(self, exc):
         """Fail the body that is being received, if the connection failed."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(f"connection lost: {exc}"))
+        if exc is not None:
+            self._fail_body(exc)
         super().connection_lost(exc)
 
+    def _fail_body(self, cause):
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            error = aiohttp.ClientPayloadError(f"connection lost: {cause}")
+            payload.set_exception(error)
+
 
 class StrictConnector(aiohttp.TCPConnector):
     """Connector whose connections are StrictResponseHandlers."""
--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -9,6 +9,7 @@
 
 from ..manifest import ClientLimits
 from ..outcomes import Refusal
+from ..socket_options import set_client_socket_options, set_reset_on_close
 from .body_pace import BodyPace
 from .memory import CONNECTION_BYTES
 from .receive_refusals import (
@@ -21,7 +22,6 @@
 from .request_memory import RequestMemory
 from .requests import RawRequest
 from .responder import Responder
-from .socket_options import set_client_socket_options, set_reset_on_close
 from .unread_answers import UnreadAnswerWatch, wait_until_taken
 
 WRITE_HIGH_WATER_BYTES = 16 * 1024
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -11,6 +11,7 @@
 from expression import Error, Ok
 
 from ..bound_sockets import lacks_descriptors
+from ..socket_options import has_pending_reset, set_socket_options
 from ..stalls import StallTolerantTimeout
 from .answer_queue import (
     MAX_READ_BYTES,
@@ -22,7 +23,6 @@
 from .request_memory import UNCOUNTED
 from .response_assembly import ResponseAssembly
 from .response_heads import ConnectionFailure, match_any_response
-from .socket_options import has_pending_reset, set_socket_options
 
 READ_HIGH_WATER_BYTES = 64 * 1024
 READ_LOW_WATER_BYTES = 16 * 1024
--- a/tanagerwalk/gateway/tunnels.py
+++ b/tanagerwalk/gateway/tunnels.py
@@ -20,9 +20,9 @@
 from ..ids import BackendServerId
 from ..peers.codec import decode
 from ..peers.gen.loads.ttypes import TunnelNotice
+from ..socket_options import has_pending_reset, set_socket_options
 from .connect_faults import ConnectFault
 from .connections import open_connection
-from .socket_options import has_pending_reset, set_socket_options
 
 log = structlog.get_logger(__name__)
 
--- a/test/gateway/test_closed_sockets.py
+++ b/test/gateway/test_closed_sockets.py
@@ -11,14 +11,14 @@
 
 from tanagerwalk.gateway.connections import Connection
 from tanagerwalk.gateway.response_heads import match_any_response
-from tanagerwalk.gateway.socket_options import (
+from tanagerwalk.gateway.tunnel_client import TunnelTransport
+from tanagerwalk.gateway.tunnels import TunnelFrame
+from tanagerwalk.socket_options import (
     has_pending_reset,
     set_client_socket_options,
     set_reset_on_close,
     set_socket_options,
 )
-from tanagerwalk.gateway.tunnel_client import TunnelTransport
-from tanagerwalk.gateway.tunnels import TunnelFrame
 from tanagerwalk.standins.addresses import find_address
 
 
