Take the copy of the store off the capacity, not into the use

Cause: the copy of the store counted as in use. Metrics and the end of a peak go by what requests and answers use. Fix: what the copy takes reduces the capacity. At least 4 MiB remain.

--- a/tanagerwalk/gateway/memory.py
+++ b/tanagerwalk/gateway/memory.py
@@ -15,6 +15,8 @@
 # manifests, copies, fragmentation and the last bytes that a paused connection read.
 BUDGET_SHARE = 0.6
 MIN_CAPACITY_BYTES = 8 * 1024 * 1024
+# What others than requests and answers leave to them, whatever they take.
+MIN_REMAINING_BYTES = 4 * 1024 * 1024
 # Without a limit.
 DEFAULT_CAPACITY_BYTES = 64 * 1024 * 1024
 # Objects of an open connection, and of a request and its connection to a server.
@@ -65,6 +67,7 @@
 
     def __init__(self, capacity, clock):
         self._budget = ResourceBudget(capacity)
+        self._whole_capacity = capacity
         self.answers = AnswerQueue(self._budget)
         self._numbers = itertools.count()
         self._is_refusing = False
@@ -82,6 +85,11 @@
         """Bytes that may be in use."""
         return self._budget.capacity
 
+    def set_aside(self, amount):
+        """Reduce the capacity by the bytes that something else takes in all."""
+        remaining = self._whole_capacity - amount
+        self._budget.capacity = max(MIN_REMAINING_BYTES, remaining)
+
     def create_request_memory(self):
         """Return the RequestMemory of a new request."""
         return RequestMemory(self, next(self._numbers))
--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -118,7 +118,7 @@
 
     def _create_memory_metrics(self):
         self.memory_used = self._create_gauge(
-            "memory_used_bytes", "Memory of requests, answers and the store's copy."
+            "memory_used_bytes", "Memory of requests and answers."
         )
         self.store_copy_memory = self._create_gauge(
             "store_copy_bytes", "Memory of the copy of the store."
--- a/tanagerwalk/gateway/process_limits.py
+++ b/tanagerwalk/gateway/process_limits.py
@@ -73,14 +73,14 @@
         """Have a PeerServer keep to the descriptors, and count its memory."""
         peer_server.reserve = self.peer_part.try_reserve
         peer_server.release = self.peer_part.release
-        peer_server.hold_memory = self._hold_memory
+        peer_server.hold_memory = self._hold_peer_memory
 
     def hold_store_copy(self, change):
         """Count bytes of the copy of the store; negative for bytes given back."""
         self.store_copy_bytes += change
-        self._hold_memory(change)
+        self.memory.set_aside(self.store_copy_bytes)
 
-    def _hold_memory(self, change):
+    def _hold_peer_memory(self, change):
         if change > 0:
             self.memory.reserve(change)
         elif change < 0:
--- a/test/gateway/test_memory_budget.py
+++ b/test/gateway/test_memory_budget.py
@@ -5,6 +5,7 @@
 from tanagerwalk.gateway.answer_queue import LARGE_ANSWER_SPARE_SHARE, MAX_READ_BYTES
 from tanagerwalk.gateway.memory import (
     MIN_CAPACITY_BYTES,
+    MIN_REMAINING_BYTES,
     MemoryBudget,
     find_capacity,
 )
@@ -164,3 +165,14 @@
     assert find_room(150_000_000, sizes) == 110_000_000
     monkeypatch.setattr(resource, "getrlimit", lambda kind: (150_000_000, -1))
     assert find_room(150_000_000, sizes) == 50_000_000
+
+
+# Guards against memory of other writers' entries that bodies and answers take, too.
+def test_what_is_set_aside_reduces_the_capacity_and_is_not_in_use():
+    budget = build_budget()
+    budget.set_aside(CAPACITY // 2)
+    assert (budget.used, budget.capacity) == (0, CAPACITY // 2)
+    budget.set_aside(2 * CAPACITY)
+    assert budget.capacity == MIN_REMAINING_BYTES
+    budget.set_aside(0)
+    assert budget.capacity == CAPACITY
