Bound what one response of the store takes, and list instead of a longer watch

Seen: nothing by callers; the store's part of the report of bytes without end, and found while testing: beside another busy test the answer to a watch, 420 MB of a key that was rewritten 300 times, was never read to its end, and the watch began anew. Cause: responses other than lists and watches were read up to 16 MiB each, items of a watch collected without a bound, and a watch that ends by its time is repeated from the same revision. Fix: 4 MiB for single answers, 24 MiB of collected items; a watch of more than 32 MiB, or of more items, is replaced by a list, whose pages are short. A single item longer than 16 MiB is no item. test_key_that_is_rewritten_takes_no_memory now pauses between its writes, as its siblings do: without, the stand-in's own answers, each 420 MB, took 15 GB of the machine.

--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -294,8 +294,8 @@
             self._resume_transport()
         return Ok(chunk)
 
-    async def read_body(self):
-        """Read the remaining body, of at most MAX_BODY_BYTES.
+    async def read_body(self, max_bytes=MAX_BODY_BYTES):
+        """Read the remaining body, of at most `max_bytes`.
 
         Its memory stays counted until that of its request is released.
 
@@ -310,13 +310,13 @@
             if not self._is_paused:
                 self._resume_transport()
         while not self._responses.has_body_end:
-            if len(self._responses.body) > MAX_BODY_BYTES:
+            if len(self._responses.body) > max_bytes:
                 self._fail(ConnectionFailure.MALFORMED)
             if self.closed:
                 return Error(self._failure)
             await self._wait_for_data()
         self._responses.has_body_end = False
-        if len(self._responses.body) > MAX_BODY_BYTES:
+        if len(self._responses.body) > max_bytes:
             self._fail(ConnectionFailure.MALFORMED)
             return Error(ConnectionFailure.MALFORMED)
         body, self._responses.body = self._responses.body, bytearray()
--- a/tanagerwalk/platform/item_splitter.py
+++ b/tanagerwalk/platform/item_splitter.py
@@ -4,6 +4,8 @@
 
 # A value of 1 MiB in base64, with its key and whatever else belongs to an item.
 MAX_ITEM_BYTES = 2 * 1024 * 1024
+# Longer ones are left out; one that is even longer than this has no end.
+MAX_SKIPPED_BYTES = 16 * 1024 * 1024
 # More than this beside the items is no response of the store.
 MAX_ENVELOPE_BYTES = 64 * 1024
 # Items are values in a list of the outermost object.
@@ -30,7 +32,7 @@
         self.overlong_count = 0
         self._envelope = bytearray()
         self._item = bytearray()
-        self._is_overlong = False
+        self._item_size = 0
         self._depth = 0
         self._is_in_string = False
         # Whether the next part begins with the second byte of an escape.
@@ -42,9 +44,12 @@
         return bytes(self._envelope)
 
     @property
-    def has_short_envelope(self):
-        """Whether the envelope has a length that a response of the store may have."""
-        return len(self._envelope) <= MAX_ENVELOPE_BYTES
+    def is_plausible(self):
+        """Whether the envelope and each item may be those of the store."""
+        return (
+            len(self._envelope) <= MAX_ENVELOPE_BYTES
+            and self._item_size <= MAX_SKIPPED_BYTES
+        )
 
     def feed(self, data):
         """Return the items that end in the next part of the response.
@@ -117,17 +122,18 @@
         """Add bytes to what they belong to; what stands between items is dropped."""
         if self._depth < LIST_DEPTH:
             self._envelope += data
-        elif self._depth > LIST_DEPTH and not self._is_overlong:
-            self._item += data
-            self._is_overlong = len(self._item) > MAX_ITEM_BYTES
-            if self._is_overlong:
-                self._item = bytearray()
+        elif self._depth > LIST_DEPTH:
+            self._item_size += len(data)
+            if self._item_size <= MAX_ITEM_BYTES:
+                self._item += data
+            else:
+                self._item.clear()
 
     def _take_item(self):
         """Return a list of the item that has ended, empty if it is too long."""
         item, self._item = bytes(self._item), bytearray()
-        if self._is_overlong:
-            self._is_overlong = False
+        size, self._item_size = self._item_size, 0
+        if size > MAX_ITEM_BYTES:
             self.overlong_count += 1
             return []
         return [item]
--- a/tanagerwalk/platform/store.py
+++ b/tanagerwalk/platform/store.py
@@ -40,6 +40,8 @@
 COMPACTED_STATUS = 410
 # Most memory that a list takes; more entries than this are left out.
 MAX_LISTED_BYTES = 24 * 1024 * 1024
+# An item with the longest value takes less; lists and watches have their own bounds.
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
 
 class MetadataStore:
@@ -163,6 +165,9 @@
             f"&wait_ms={int(wait * MS_PER_S)}"
         )
         result = await self._request_items(path, wait + WATCH_TIMEOUT_MARGIN_S)
+        if result.is_error() and result.error is StoreFault.OVERLONG:
+            # What a list holds is bounded.
+            return Ok(Changes(compacted=True))
         if result.is_error():
             return result
         response = result.ok
@@ -255,7 +260,9 @@
     async def _request(self, method, path, body=b"", timeout=CALL_TIMEOUT_S):
         async def read(connection, limit):
             head = await connection.read_head()
-            content = await connection.read_body() if head.is_ok() else head
+            if head.is_error():
+                return head
+            content = await connection.read_body(MAX_ANSWER_BYTES)
             return content.map(
                 lambda body: Response(head.ok.status, body, self._read_era(head.ok))
             )
@@ -287,7 +294,7 @@
             Timeout of the call in seconds.
         read : callable
             Coroutine function that takes the Connection and the asyncio.Timeout, and
-            returns a Result of Response, or of ConnectionFailure.
+            returns a Result of Response, or of ConnectionFailure or StoreFault.
         """
         self.calls += 1
         connection = await self._get_connection()
@@ -309,7 +316,8 @@
             raise
         if response.is_error():
             connection.abort()
-            return Error(StoreFault.UNKNOWN)
+            is_overlong = response.error is StoreFault.OVERLONG
+            return Error(StoreFault.OVERLONG if is_overlong else StoreFault.UNKNOWN)
         if connection.is_reusable():
             self._idle.append(connection)
         return response
--- a/tanagerwalk/platform/store_responses.py
+++ b/tanagerwalk/platform/store_responses.py
@@ -6,7 +6,6 @@
 import structlog
 from expression import Error
 
-from ..gateway.connections import ConnectionFailure
 from ..writes import StoreFault
 from .item_splitter import ItemSplitter
 from .store_messages import ItemCollector
@@ -18,6 +17,10 @@
 REJECTED_STATUSES = frozenset({400, 403, 404, 413, 429, 503})
 # Longer responses are split into their items while they are read.
 MAX_WHOLE_BYTES = 256 * 1024
+# Longest response that is read; the store tells the same in pages, too.
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+# Most memory that the items of one response take.
+MAX_ITEMS_BYTES = 24 * 1024 * 1024
 # Longest time in seconds that a response may take, while more of it arrives.
 MAX_READ_TIME_S = 10.0
 
@@ -88,21 +91,30 @@
 
     Returns
     -------
-    Result of bytes, or of ConnectionFailure
+    Result of bytes, or of StoreFault
         The envelope; that of a short response still contains its items.
     """
     size = head.content_length
     if size is not None and size <= MAX_WHOLE_BYTES:
-        return await connection.read_body()
+        return (await connection.read_body()).map_error(_report_broken)
     timeout = limit.when() - asyncio.get_running_loop().time()
     ends_at = limit.when() + MAX_READ_TIME_S
     splitter = ItemSplitter()
+    read_size = 0
     while (chunk := await connection.read_chunk()).is_ok() and chunk.ok:
         for item in splitter.feed(chunk.ok):
             items.add(item)
-        if not splitter.has_short_envelope:
-            return Error(ConnectionFailure.MALFORMED)
+        read_size += len(chunk.ok)
+        if items.changes.size > MAX_ITEMS_BYTES or read_size > MAX_RESPONSE_BYTES:
+            return Error(StoreFault.OVERLONG)
+        if not splitter.is_plausible:
+            return Error(StoreFault.UNKNOWN)
         limit.reschedule(min(ends_at, asyncio.get_running_loop().time() + timeout))
     if splitter.overlong_count:
         log.warning("overlong items of the store", count=splitter.overlong_count)
-    return chunk.map(lambda end: splitter.envelope)
+    return chunk.map(lambda end: splitter.envelope).map_error(_report_broken)
+
+
+def _report_broken(failure):
+    del failure
+    return StoreFault.UNKNOWN
--- a/tanagerwalk/writes.py
+++ b/tanagerwalk/writes.py
@@ -14,7 +14,8 @@
     `NOT_APPLIED` means that the call did not reach the store, and `REJECTED` that the
     store refused it as malformed; neither took effect. With `UNKNOWN`, a write may
     have taken effect or may still take effect later. `STALE` is an answer of another
-    instance that has lost the store, `UNREADABLE` a value that another writer left.
+    instance that has lost the store, `UNREADABLE` a value that another writer left, and
+    `OVERLONG` an answer of which more is read than an instance holds.
     """
 
     NOT_APPLIED = "not_applied"
@@ -22,6 +23,7 @@
     UNKNOWN = "unknown"
     STALE = "stale"
     UNREADABLE = "unreadable"
+    OVERLONG = "overlong"
 
 
 @dataclass(frozen=True, slots=True)
--- a/test/gateway/test_foreign_entry_memory.py
+++ b/test/gateway/test_foreign_entry_memory.py
@@ -80,6 +80,7 @@
     async with GatewayProcessRig(tmp_path, MEMORY_LIMIT_MB) as rig:
         for _ in range(REWRITES):
             await rig.store.put("servers/other", UNREADABLE)
+            await asyncio.sleep(WRITE_PAUSE_S)
         await check_beside_entries(rig)
 
 
--- a/test/platform/test_item_splitter.py
+++ b/test/platform/test_item_splitter.py
@@ -50,4 +50,4 @@
 
 def test_endless_envelope_is_noticed():
     _, splitter = split(b'{"note": "' + b"x" * 100_000, 16384)
-    assert not splitter.has_short_envelope
+    assert not splitter.is_plausible
