Let a raised idle timeout hold for connections that are idle already

Here: connections that were idle when the manifest raised the idle timeout were closed by the old one, as clients that keep to the new one sent on them. Cause: the timer of a connection was set once, when it became idle. Evidence: test_raised_idle_timeout_holds_for_idle_connections, on a new connection and on one that has carried a request, failed before (no answer), and passes now. That the users met this is not shown. Fix: when the timer runs, the timeout in force counts, and the rest of it is waited for.

--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -74,6 +74,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._input_ended = False
+        self._idle_since = 0.0
         self._linger_ends_at = None
 
     @property
@@ -101,7 +102,7 @@
             self.abort()
             return
         self._limits = self._listener.get_limits()
-        self._start_timeout(self._limits.idle_timeout, self.close_if_idle)
+        self._await_request()
 
     def data_received(self, data):
         """Parse received bytes until enough requests are queued; keep the rest."""
@@ -365,7 +366,7 @@
             self._start_timeout(self._limits.header_timeout, self._on_receive_timeout)
         elif self._assembly is None:
             self._listener.admission.begin_idle(self)
-            self._start_timeout(self._limits.idle_timeout, self.close_if_idle)
+            self._await_request()
 
     def _watch_unread(self, responder):
         # The transport keeps all of a body until its last byte has been taken.
@@ -446,6 +447,24 @@
     def _on_receive_timeout(self):
         self._refuse_and_close(build_timeout_refusal())
 
+    def _await_request(self):
+        """Start the idle timeout."""
+        self._idle_since = asyncio.get_running_loop().time()
+        self._start_timeout(self._limits.idle_timeout, self._on_idle_timeout)
+
+    def _on_idle_timeout(self):
+        """Close the connection unless the timeout has been raised meanwhile.
+
+        Clients keep to the new one, and send when the old one may have just expired.
+        """
+        self._limits = self._listener.get_limits()
+        idle_for = asyncio.get_running_loop().time() - self._idle_since
+        left = self._limits.idle_timeout - idle_for
+        if left > 0.0:
+            self._start_timeout(left, self._on_idle_timeout)
+            return
+        self.close_if_idle()
+
     def close_if_idle(self):
         """Close the connection unless a request is in progress or queued."""
         if not self.busy and not self._pending:
--- /dev/null
+++ b/test/gateway/test_idle_clients.py
@@ -0,0 +1,70 @@
+"""Connections of clients that send a request just when they have been idle for long."""
+
+import asyncio
+
+import pytest
+
+from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.standins.gateway_cluster import (
+    GatewayCluster,
+    build_manifest,
+    read_reply,
+)
+
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 1048576,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 600,
+}
+IDLE_S = 0.6
+ANSWER_TIMEOUT_S = 3.0
+
+
+async def set_idle_timeout(cluster, version, timeout_ms):
+    limits = LIMITS | {"idle_timeout_ms": timeout_ms}
+    await cluster.store.put("op/config", build_manifest(version, limits=limits))
+    revision = cluster.store.revision
+    state = cluster.instances[0].cluster_state
+    assert await poll_until(lambda: state.manifest.revision >= revision, 0.01, 3.0)
+
+
+async def build_cluster(cluster):
+    await cluster.build(drafts=0, desks=1)
+    await set_idle_timeout(cluster, 2, LIMITS["idle_timeout_ms"])
+
+
+async def read_status(reader):
+    async with asyncio.timeout(ANSWER_TIMEOUT_S):
+        return (await read_reply(reader)).status
+
+
+async def use_connection_once(cluster):
+    reader, writer = await cluster.connect()
+    writer.write(cluster.encode("GET", "/jobs/1"))
+    assert await read_status(reader) == 200
+    return reader, writer
+
+
+# Guards against LOST: the manifest raises the idle timeout, clients keep to it, and
+# their connections are closed by the old one as they send.
+@pytest.mark.parametrize("is_new", [True, False])
+async def test_raised_idle_timeout_holds_for_idle_connections(is_new):
+    async with GatewayCluster() as cluster:
+        await build_cluster(cluster)
+        opened = cluster.connect() if is_new else use_connection_once(cluster)
+        reader, writer = await opened
+        await set_idle_timeout(cluster, 3, 10000)
+        await asyncio.sleep(IDLE_S + 0.3)
+        writer.write(cluster.encode("GET", "/jobs/2"))
+        assert await read_status(reader) == 200
+        writer.close()
+
+
+async def test_idle_connection_is_closed_after_the_timeout():
+    async with GatewayCluster() as cluster:
+        await build_cluster(cluster)
+        reader, writer = await use_connection_once(cluster)
+        async with asyncio.timeout(IDLE_S + 1.0):
+            assert await reader.read(1) == b""
+        writer.close()
