Read what came during a pause before an idle connection is closed

Cause: after a pause in a callback uvloop runs the timers before it reads, and the idle timeout closed the connection without asking whether anything waited. A pause in a task instead of a callback did no harm before either. Fix: the connection is closed 20 ms after the timeout, if it is still idle. What waits is read in between.

--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -34,6 +34,9 @@
 # the refusal could be lost.
 LINGER_S = 2.0
 MAX_LINGER_S = 10.0
+# After a pause of the process, timers may come before what has been received meanwhile.
+# It is read in this time, before an idle connection is closed.
+LAST_READ_S = 0.02
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -453,7 +456,7 @@
         self._start_timeout(self._limits.idle_timeout, self._on_idle_timeout)
 
     def _on_idle_timeout(self):
-        """Close the connection unless the timeout has been raised meanwhile.
+        """Close the connection soon, unless the timeout has been raised meanwhile.
 
         Clients keep to the new one, and send when the old one may have just expired.
         """
@@ -463,7 +466,7 @@
         if left > 0.0:
             self._start_timeout(left, self._on_idle_timeout)
             return
-        self.close_if_idle()
+        self._start_timeout(LAST_READ_S, self.close_if_idle)
 
     def close_if_idle(self):
         """Close the connection unless a request is in progress or queued."""
--- a/test/gateway/test_idle_clients.py
+++ b/test/gateway/test_idle_clients.py
@@ -1,10 +1,14 @@
 """Connections of clients that send a request just when they have been idle for long."""
 
 import asyncio
+import socket
+import time
 
 import pytest
+import uvloop
 
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.gateway_cluster import (
     GatewayCluster,
     build_manifest,
@@ -68,3 +72,54 @@
         async with asyncio.timeout(IDLE_S + 1.0):
             assert await reader.read(1) == b""
         writer.close()
+
+
+class PausedLoop:
+    """Blocks the event loop in a callback for something that it has received."""
+
+    def __init__(self, seconds):
+        self._seconds = seconds
+        self._receiver, self._sender = socket.socketpair()
+        asyncio.get_running_loop().add_reader(self._receiver, self._pause)
+
+    def begin(self):
+        self._sender.send(b"x")
+
+    def _pause(self):
+        asyncio.get_running_loop().remove_reader(self._receiver)
+        time.sleep(self._seconds)
+        self._receiver.close()
+        self._sender.close()
+
+
+def ask(connection, request):
+    """Send a request on a socket and return the first line of what comes back."""
+    connection.sendall(request)
+    return connection.recv(65536).split(b"\r\n")[0]
+
+
+async def send_during_pause():
+    """Return the answer to a request that is sent while the process stands still."""
+    async with GatewayCluster() as cluster:
+        await build_cluster(cluster)
+        port = cluster.instances[0].client_listener.port
+        with socket.create_connection((find_address(), port)) as connection:
+            connection.settimeout(ANSWER_TIMEOUT_S)
+            first = cluster.encode("GET", "/jobs/1")
+            await asyncio.to_thread(ask, connection, first)
+            paused = PausedLoop(0.6 * IDLE_S)
+            await asyncio.sleep(0.7 * IDLE_S)
+            paused.begin()
+            request = cluster.encode("GET", "/jobs/2")
+
+            def send_late():
+                time.sleep(0.15 * IDLE_S)
+                return ask(connection, request)
+
+            return await asyncio.to_thread(send_late)
+
+
+# Guards against LOST: after a pause of the process in a callback, uvloop ran the timer
+# of the idle timeout before it read a request that had waited since.
+def test_request_that_came_during_a_pause_of_the_process_is_answered():
+    assert uvloop.run(send_during_pause()) == b"HTTP/1.1 200 OK"
