Bound the change log by bytes, and list other keys beside any number of servers

Seen: nothing by callers; found when the holders of others' bytes were read once more. Cause: the log for other instances kept 4,096 entries of any size, those too for which the copy of the store had no room. A list that holds too much left out what comes last, which are the key of the fleet and the other instances. Evidence: test_log_has_a_bound_of_bytes_and_the_last_change and test_list_with_too_many_servers_has_the_other_entries failed before, and pass now. Fix: 6 MiB for the log; entries of servers leave a quarter of a list to the others.

--- a/tanagerwalk/decisions/change_log.py
+++ b/tanagerwalk/decisions/change_log.py
@@ -4,9 +4,12 @@
 from itertools import islice
 
 from ..changes import Changes
+from ..entry_reduction import estimate_entry_bytes
 from ..ids import Revision
 
 MAX_CHANGES = 4096
+# Of written entries; those that the copy of the store has, too, take no more for it.
+MAX_BYTES = 6 * 1024 * 1024
 
 
 class ChangeLog:
@@ -22,6 +25,7 @@
         # Dropping the first key of a plain dict passes all that were dropped before.
         self._written = OrderedDict()
         self._deleted = OrderedDict()
+        self._size = 0
 
     def start(self, revision):
         """Begin at a revision of the store; changes up to it are not known."""
@@ -29,6 +33,7 @@
         self._last = revision
         self._written.clear()
         self._deleted.clear()
+        self._size = 0
 
     @property
     def is_started(self):
@@ -40,14 +45,15 @@
         for entry in changes.written:
             self._deleted.pop(entry.key, None)
             # Keeps the keys in the order of their last change.
-            self._written.pop(entry.key, None)
+            self._forget_written(entry.key)
             self._written[entry.key] = entry
+            self._size += estimate_entry_bytes(entry)
         for key, revision in changes.deleted:
             written = self._written.get(key)
             if written is not None and written.revision > revision:
                 # It was written again.
                 continue
-            self._written.pop(key, None)
+            self._forget_written(key)
             self._deleted.pop(key, None)
             self._deleted[key] = revision
         self._last = max(self._last, changes.revision)
@@ -67,12 +73,22 @@
         )
 
     def _trim(self):
-        while len(self._written) + len(self._deleted) > MAX_CHANGES:
+        while self._is_overlong:
             self._drop_oldest()
 
+    @property
+    def _is_overlong(self):
+        count = len(self._written) + len(self._deleted)
+        return count > MAX_CHANGES or (self._size > MAX_BYTES and count > 1)
+
+    def _forget_written(self, key):
+        entry = self._written.pop(key, None)
+        if entry is not None:
+            self._size -= estimate_entry_bytes(entry)
+
     def _drop_oldest(self):
         key, revision = self._find_oldest()
-        self._written.pop(key, None)
+        self._forget_written(key)
         self._deleted.pop(key, None)
         self._first = max(self._first, revision)
 
--- a/tanagerwalk/entry_reduction.py
+++ b/tanagerwalk/entry_reduction.py
@@ -18,6 +18,11 @@
         del key
         return True
 
+    def is_server(self, key):
+        """Return whether a key is that of a backend server, which writes it often."""
+        del key
+        return False
+
     def reduce(self, entry):
         """Return the Entry with what is read of it, or None if that is nothing."""
         return entry
--- a/tanagerwalk/platform/entries.py
+++ b/tanagerwalk/platform/entries.py
@@ -43,6 +43,10 @@
         is_known = key.startswith(PLATFORM_PREFIXES) or key.startswith(READ_PREFIXES)
         return is_known and len(key) <= MAX_KEY_CHARACTERS
 
+    def is_server(self, key):
+        """Return whether a key is that of a backend server, which writes it often."""
+        return key.startswith(SERVER_PREFIX)
+
     def reduce(self, entry):
         """Return the Entry with what is read of it, or None if that is nothing.
 
@@ -53,7 +57,7 @@
         """
         if entry.key == MANIFEST_KEY:
             return entry
-        if entry.key.startswith(SERVER_PREFIX):
+        if self.is_server(entry.key):
             return self._reduce_document(entry, parse_server, decode_server)
         if entry.key.startswith(ROLLOUT_ORDER_PREFIX):
             return self._reduce_document(entry, parse_rollout_order, decode_order)
--- a/tanagerwalk/platform/store.py
+++ b/tanagerwalk/platform/store.py
@@ -38,8 +38,10 @@
 NOT_FOUND_STATUS = 404
 CONFLICT_STATUS = 412
 COMPACTED_STATUS = 410
-# Most memory that a list takes; more entries than this are left out.
+# Most memory that a list takes; more entries than this are left out. Servers leave room
+# to the others, which are written once.
 MAX_LISTED_BYTES = 24 * 1024 * 1024
+MAX_LISTED_SERVER_BYTES = 18 * 1024 * 1024
 # An item with the longest value takes less; lists and watches have their own bounds.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
@@ -128,10 +130,10 @@
                 # The store was restored between two pages.
                 return Error(StoreFault.UNKNOWN)
             for entry in snapshot.entries:
-                if listed.size + estimate_entry_bytes(entry) > MAX_LISTED_BYTES:
+                if self._has_room(listed, entry):
+                    listed.add_written(entry)
+                else:
                     is_whole = False
-                    continue
-                listed.add_written(entry)
             revision = min(snapshot.revision, revision or snapshot.revision)
             if not has_more:
                 return Ok(Snapshot(listed.written, revision, is_whole))
@@ -140,6 +142,11 @@
                 # Nothing tells where the next page begins.
                 return Error(StoreFault.UNKNOWN)
 
+    def _has_room(self, listed, entry):
+        is_server = self._reduction.is_server(entry.key)
+        limit = MAX_LISTED_SERVER_BYTES if is_server else MAX_LISTED_BYTES
+        return listed.size + estimate_entry_bytes(entry) <= limit
+
     async def wait_for_changes(self, prefix, after, wait):
         """Wait for changes under a prefix by long polling.
 
--- a/test/decisions/test_change_log.py
+++ b/test/decisions/test_change_log.py
@@ -84,3 +84,16 @@
     deleted = ((again.key, Revision(6)),)
     log.record(Changes((again,), deleted, Revision(7)))
     assert log.list_since(Revision(5)).written == (again,)
+
+
+# Guards against large entries that the log keeps for other instances, beyond what the
+# copy of the store itself keeps.
+def test_log_has_a_bound_of_bytes_and_the_last_change():
+    log = ChangeLog()
+    log.start(Revision(0))
+    for revision in range(1, 100):
+        entry = Entry(f"instance/{revision}", b"x" * 1_000_000, Revision(revision))
+        log.record(Changes((entry,), (), Revision(revision)))
+    assert log.list_since(Revision(50)).compacted
+    assert [e.revision for e in log.list_since(Revision(98)).written] == [99]
+    assert len(log._written) < 10
--- a/test/platform/test_long_store_responses.py
+++ b/test/platform/test_long_store_responses.py
@@ -6,6 +6,7 @@
 import pytest
 import pytest_asyncio
 from aiohttp import web
+from odd_servers import SERVER
 
 from tanagerwalk.platform.entries import EntryReduction
 from tanagerwalk.platform.store import MetadataStore
@@ -110,6 +111,25 @@
     assert 10000 < len(snapshot.entries) < 40000
 
 
+# Guards against an instance that starts without the key of the fleet and the others:
+# their entries come after those of any number of servers.
+async def test_list_with_too_many_servers_has_the_other_entries(standin, store):
+    value = base64.b64encode(json.dumps(SERVER).encode()).decode()
+    servers = [f"servers/{number}" for number in range(20000)]
+    items = [
+        {"key": key, "value": value, "revision": 5}
+        for key in [*servers, "tanagerwalk/fleet-key"]
+    ]
+    standin.list_parts = lambda: [
+        b'{"items": ',
+        json.dumps(items).encode(),
+        b', "current_rev": 9}',
+    ]
+    snapshot = (await store.list("")).ok
+    assert not snapshot.is_whole
+    assert snapshot.entries[-1].key == "tanagerwalk/fleet-key"
+
+
 def repeat(start, part):
     yield start
     for _ in range(4 * MAX_SENT_BYTES // len(part)):
