Move the serving of changes and the timer of connections to modules of their own

Change: nothing but the place: change_server.py, connection_timer.py. The idle timeout in force is also asked for when a connection becomes idle, where that of its last request was taken before.

--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -11,6 +11,7 @@
 from ..outcomes import Refusal
 from ..socket_options import set_client_socket_options, set_reset_on_close
 from .body_pace import BodyPace
+from .connection_timer import ConnectionTimer
 from .memory import CONNECTION_BYTES
 from .receive_refusals import (
     LimitExceededError,
@@ -34,9 +35,6 @@
 # the refusal could be lost.
 LINGER_S = 2.0
 MAX_LINGER_S = 10.0
-# After a pause of the process, timers may come before what has been received meanwhile.
-# It is read in this time, before an idle connection is closed.
-LAST_READ_S = 0.02
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -73,11 +71,10 @@
         # Of the request that is handled or whose answer has not been taken yet.
         self._handled_memory = None
         self._unread_watch = None
-        self._timeout_handle = None
+        self._timer = ConnectionTimer()
         self._writable = asyncio.Event()
         self._writable.set()
         self._input_ended = False
-        self._idle_since = 0.0
         self._linger_ends_at = None
 
     @property
@@ -128,7 +125,7 @@
         """Keep bytes for later; the client can't do anything about the delay."""
         self._listener.memory.reserve(len(data))
         self._unparsed = data
-        self._cancel_timeout()
+        self._timer.cancel()
 
     def _take_unparsed(self):
         data, self._unparsed = self._unparsed, b""
@@ -140,14 +137,14 @@
         data = self._take_unparsed()
         if data and not self._input_ended:
             self.data_received(data)
-            if self._assembly is not None and self._timeout_handle is None:
+            if self._assembly is not None and not self._timer.is_set:
                 self._await_rest()
         if not self._unparsed and len(self._pending) < MAX_PIPELINED_REQUESTS:
             self._transport.resume_reading()
 
     def _await_rest(self):
         if not self._owes_continue and not self._unparsed:
-            self._start_timeout(self._limits.header_timeout, self._on_receive_timeout)
+            self._timer.start(self._limits.header_timeout, self._on_receive_timeout)
 
     def _parse(self, data):
         self._piece_size = len(data)
@@ -170,11 +167,11 @@
         if self._assembly.is_in_head:
             self._check_partial_head()
         elif self._owes_continue:
-            self._cancel_timeout()
+            self._timer.cancel()
         elif self._has_new_body:
             # Once for all fragments: a body may come in chunks of one byte.
             self._has_new_body = False
-            self._start_timeout(self._limits.header_timeout, self._on_receive_timeout)
+            self._timer.start(self._limits.header_timeout, self._on_receive_timeout)
 
     def eof_received(self):
         """Close the connection: a half-closed one is treated as a disconnect."""
@@ -186,7 +183,7 @@
         self._listener.connections.discard(self)
         self._listener.admission.leave(self)
         self._input_ended = True
-        self._cancel_timeout()
+        self._timer.cancel()
         self._writable.set()
         self._drop_received()
         self._take_unparsed()
@@ -225,7 +222,7 @@
         self._assembly = RequestAssembly(
             self._limits, memory, self._listener.random, self._make_room
         )
-        self._start_timeout(self._limits.header_timeout, self._on_receive_timeout)
+        self._timer.start(self._limits.header_timeout, self._on_receive_timeout)
 
     def on_url(self, url):
         """Append a fragment of the request target."""
@@ -255,7 +252,7 @@
 
     def on_message_complete(self):
         """Queue the complete request for handling."""
-        self._cancel_timeout()
+        self._timer.cancel()
         self._piece_size = 0
         self._owes_continue = False
         assembly, self._assembly = self._assembly, None
@@ -352,7 +349,7 @@
     def _linger(self):
         """Close once the client has stopped sending for a moment."""
         left = max(0.0, self._linger_ends_at - self._listener.clock())
-        self._start_timeout(min(LINGER_S, left), self._transport.close)
+        self._timer.start(min(LINGER_S, left), self._transport.close)
 
     def _continue(self):
         """Take the next request, or wait for it."""
@@ -366,7 +363,7 @@
         elif self._owes_continue:
             self._owes_continue = False
             self.write(CONTINUE_RESPONSE)
-            self._start_timeout(self._limits.header_timeout, self._on_receive_timeout)
+            self._timer.start(self._limits.header_timeout, self._on_receive_timeout)
         elif self._assembly is None:
             self._listener.admission.begin_idle(self)
             self._await_request()
@@ -441,7 +438,7 @@
         if self._input_ended:
             return
         self._input_ended = True
-        self._cancel_timeout()
+        self._timer.cancel()
         self._drop_received()
         memory = self._listener.memory.create_request_memory()
         self._pending.append(_QueuedRequest(refusal, False, memory))
@@ -451,22 +448,10 @@
         self._refuse_and_close(build_timeout_refusal())
 
     def _await_request(self):
-        """Start the idle timeout."""
-        self._idle_since = asyncio.get_running_loop().time()
-        self._start_timeout(self._limits.idle_timeout, self._on_idle_timeout)
+        self._timer.start_idle(self._get_idle_timeout, self.close_if_idle)
 
-    def _on_idle_timeout(self):
-        """Close the connection soon, unless the timeout has been raised meanwhile.
-
-        Clients keep to the new one, and send when the old one may have just expired.
-        """
-        self._limits = self._listener.get_limits()
-        idle_for = asyncio.get_running_loop().time() - self._idle_since
-        left = self._limits.idle_timeout - idle_for
-        if left > 0.0:
-            self._start_timeout(left, self._on_idle_timeout)
-            return
-        self._start_timeout(LAST_READ_S, self.close_if_idle)
+    def _get_idle_timeout(self):
+        return self._listener.get_limits().idle_timeout
 
     def close_if_idle(self):
         """Close the connection unless a request is in progress or queued."""
@@ -481,12 +466,3 @@
         """
         self._input_ended = True
         self._transport.abort()
-
-    def _start_timeout(self, seconds, action):
-        self._cancel_timeout()
-        self._timeout_handle = asyncio.get_running_loop().call_later(seconds, action)
-
-    def _cancel_timeout(self):
-        if self._timeout_handle is not None:
-            self._timeout_handle.cancel()
-            self._timeout_handle = None
--- a/tanagerwalk/gateway/components.py
+++ b/tanagerwalk/gateway/components.py
@@ -18,7 +18,7 @@
 from ..supervisor import Supervisor
 from . import server_links
 from .answer_recorder import AnswerRecorder
-from .change_feed import ChangeServer
+from .change_server import ChangeServer
 from .client_listener import build_client_listener
 from .clocks import read_boot_clock
 from .cluster_state import ClusterState
--- a/test/gateway/test_change_feed.py
+++ b/test/gateway/test_change_feed.py
@@ -14,12 +14,11 @@
 from tanagerwalk.gateway.change_feed import (
     MAX_PEER_AGE_S,
     PEER_POLL_INTERVAL_S,
-    ChangeServer,
     SharedFeed,
     StoreFeed,
     decode_changes,
-    encode_changes,
 )
+from tanagerwalk.gateway.change_server import ChangeServer, encode_changes
 from tanagerwalk.gateway.clocks import read_boot_clock
 from tanagerwalk.ids import InstanceId, Revision
 from tanagerwalk.peers.codec import decode, encode
