Log and count each client connection that ends while an answer is owed

Each end now has one line with the cause, the request's id and what was received, and a counter by cause. Attempts whose connection broke name the error, so that a timeout of the kernel shows.

--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -11,6 +11,7 @@
 from ..outcomes import Refusal
 from ..socket_options import set_client_socket_options, set_reset_on_close
 from .body_pace import BodyPace
+from .connection_ends import EndCause, UnansweredEnd, find_loss_cause
 from .connection_timer import ConnectionTimer
 from .memory import CONNECTION_BYTES
 from .receive_refusals import (
@@ -60,6 +61,8 @@
         self._limits = ClientLimits()
         self._pending = deque()
         self._handler_task = None
+        # Of the request that is handled, until its answer is complete.
+        self._responder = None
         self._assembly = None
         self._header_size = 0
         self._piece_size = 0
@@ -76,6 +79,7 @@
         self._writable.set()
         self._input_ended = False
         self._linger_ends_at = None
+        self._end_cause = None
 
     @property
     def busy(self):
@@ -99,7 +103,7 @@
         self._listener.memory.reserve(CONNECTION_BYTES)
         if not self._listener.admission.admit(self):
             set_reset_on_close(transport.get_extra_info("socket"))
-            self.abort()
+            self.abort(EndCause.NO_ROOM)
             return
         self._limits = self._listener.get_limits()
         self._await_request()
@@ -175,11 +179,13 @@
 
     def eof_received(self):
         """Close the connection: a half-closed one is treated as a disconnect."""
+        self._note_end(EndCause.CLIENT_CLOSED)
         return False
 
     def connection_lost(self, exc):
         """Cancel the request in progress after the client disconnected."""
-        del exc
+        self._note_end(find_loss_cause(exc) or EndCause.CLIENT_CLOSED)
+        self._report_unanswered()
         self._listener.connections.discard(self)
         self._listener.admission.leave(self)
         self._input_ended = True
@@ -308,6 +314,8 @@
         is_refused = isinstance(raw, Refusal)
         is_head_request = not is_refused and raw.method == b"HEAD"
         responder = Responder(self, is_head_request, keep_alive)
+        responder.received_at = None if is_refused else raw.received_at
+        self._responder = responder
         try:
             if is_refused:
                 self._listener.refuse(responder, raw)
@@ -322,9 +330,11 @@
             self._release_handled()
             return
         if not responder.finished:
-            self.abort()
+            has_begun = responder.started
+            self.abort(EndCause.BROKEN_OFF if has_begun else EndCause.NO_ANSWER)
             self._release_handled()
             return
+        self._responder = None
         if not self._writable.is_set():
             self._watch_unread(responder)
         if not responder.keep_alive:
@@ -337,6 +347,7 @@
 
     def _close(self, is_refused):
         """Close once everything has been taken; after a refusal, drop what comes."""
+        self._note_end(EndCause.AFTER_ANSWER)
         if not is_refused or not self._transport.can_write_eof():
             self._transport.close()
             return
@@ -383,7 +394,7 @@
 
     def _reset_stalled(self):
         self._listener.on_stalled_reader()
-        self.abort()
+        self.abort(EndCause.STALLED_READER)
 
     def _release_handled(self):
         """Release the memory of the request that was handled and has been answered."""
@@ -456,13 +467,46 @@
     def close_if_idle(self):
         """Close the connection unless a request is in progress or queued."""
         if not self.busy and not self._pending:
+            self._note_end(EndCause.IDLE)
             self._transport.close()
 
-    def abort(self):
+    def abort(self, cause=EndCause.BROKEN_OFF):
         """Reset the connection.
 
         With an orderly close, a client could mistake a truncated response for a
         complete one.
+
+        Parameters
+        ----------
+        cause : EndCause
+            Why it is reset.
         """
+        self._note_end(cause)
         self._input_ended = True
         self._transport.abort()
+
+    def _note_end(self, cause):
+        """Keep why the connection ends; what comes after that is only its effect."""
+        if self._end_cause is None:
+            self._end_cause = cause
+
+    def _report_unanswered(self):
+        """Report the end of the connection if an answer is owed."""
+        responder = self._responder
+        is_unread = responder is None and self._unread_watch is not None
+        is_partial = self._assembly is not None
+        if responder is None and not (is_unread or self._pending or is_partial):
+            return
+        received_at = None if responder is None else responder.received_at
+        age = None if received_at is None else self._listener.clock() - received_at
+        self._listener.on_unanswered(
+            UnansweredEnd(
+                cause=self._end_cause,
+                request_id=None if responder is None else responder.request_id,
+                has_begun=responder is not None and responder.started,
+                is_unread=is_unread,
+                queued=len(self._pending),
+                is_partial=is_partial,
+                age=age,
+            )
+        )
--- a/tanagerwalk/gateway/client_listener.py
+++ b/tanagerwalk/gateway/client_listener.py
@@ -1,6 +1,7 @@
 """Builds the listener for clients."""
 
 from ..manifest import ClientLimits
+from .connection_ends import log_unanswered_end
 from .listener import Listener
 
 
@@ -36,6 +37,10 @@
         manifest = cluster_state.manifest
         return ClientLimits() if manifest is None else manifest.limits
 
+    def report_unanswered(end):
+        metrics.unanswered.labels(end.cause.value).inc()
+        log_unanswered_end(end)
+
     listener = Listener(
         request_handler.handle,
         refuse_unread,
@@ -46,4 +51,5 @@
         random,
     )
     listener.on_stalled_reader = metrics.stalled_readers.inc
+    listener.on_unanswered = report_unanswered
     return listener
--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -58,6 +58,8 @@
     idle_since, idle_until : float or None
         Monotonic times, in seconds, at which it was last put into a pool and at which
         it expires there; None if it has not been in one.
+    loss : str or None
+        Name of the error with which it broke, None without one.
     on_closed : callable or None
         Called once without arguments when it is closed.
     on_lost : callable or None
@@ -70,6 +72,7 @@
         self.idle_since = None
         self.idle_until = None
         self.closed = False
+        self.loss = None
         self.on_closed = None
         self.on_lost = None
         self.received = False
@@ -160,7 +163,8 @@
 
     def connection_lost(self, exc):
         """Fail the pending response."""
-        del exc
+        if exc is not None:
+            self.loss = type(exc).__name__
         self._report_lost()
         self._fail(ConnectionFailure.CLOSED)
 
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -161,6 +161,7 @@
                 timer.report()
             result = dataclasses.replace(
                 result,
+                detail=_describe_loss(result, connection),
                 latency_sample=None if has_waited else timer.build_sample(),
                 load=timer.load,
                 kept=kept,
@@ -340,6 +341,13 @@
         await request.responder.write(data)
 
 
+def _describe_loss(result, connection):
+    """Return the detail of a result, with the error that broke its connection."""
+    if not result.broke_off or connection.loss is None:
+        return result.detail
+    return f"{result.detail}: {connection.loss}"
+
+
 def _build_result(raw, head, body, progress):
     if head.kind is ResponseKind.REJECTED:
         outcome = Outcome.MISDIRECTED if head.misdirected else Outcome.REJECTED
--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -10,6 +10,7 @@
 
 from ..bound_sockets import BACKLOG
 from .client_connection import ClientConnection
+from .connection_ends import EndCause, log_unanswered_end
 
 # A body that arrives more slowly gives way to others when the memory is full.
 SLOW_BODY_BYTES_PER_S = 64 * 1024
@@ -45,6 +46,8 @@
         Whether responses carry `Connection: close`, so that clients reconnect.
     on_stalled_reader : callable
         Called without arguments when a client that reads no answer is reset.
+    on_unanswered : callable
+        Takes an UnansweredEnd when a connection ends while an answer is owed.
     """
 
     def __init__(self, handle, refuse, get_limits, memory, admission, clock, random):
@@ -57,6 +60,7 @@
         self.random = random
         self.closing = False
         self.on_stalled_reader = _ignore
+        self.on_unanswered = log_unanswered_end
         self.connections = set()
         self._next_search_at = 0.0
         self._server = None
@@ -134,7 +138,7 @@
     def abort(self):
         """Abort every connection immediately."""
         for connection in list(self.connections):
-            connection.abort()
+            connection.abort(EndCause.PROCESS_END)
 
 
 def _get_pace(item):
--- a/tanagerwalk/gateway/metrics.py
+++ b/tanagerwalk/gateway/metrics.py
@@ -80,6 +80,11 @@
             "Connections reset because their clients read no answer.",
             registry=self.registry,
         )
+        self.unanswered = self._create_counter(
+            "unanswered",
+            "Client connections that ended while an answer was owed, by cause.",
+            ["cause"],
+        )
 
     def _create_state_metrics(self):
         self.manifest_age = self._create_gauge(
--- a/tanagerwalk/gateway/request_handler.py
+++ b/tanagerwalk/gateway/request_handler.py
@@ -65,6 +65,7 @@
             return
         request = parsed.ok
         request.responder = responder
+        responder.request_id = request.id
         responder.client_waits_until = raw.received_at + request.client_timeout
         result = await self._run_chain(request)
         if result.is_error() and not responder.started:
--- a/tanagerwalk/gateway/responder.py
+++ b/tanagerwalk/gateway/responder.py
@@ -37,6 +37,11 @@
         Monotonic time in seconds until which the client waits for the response.
     body_size : int
         Bytes of a complete body that was sent, 0 for a stream.
+    request_id : bytes or None
+        Id of the request, once it is known.
+    received_at : float or None
+        Monotonic time in seconds at which the request was received; None for one that
+        was refused before its end.
     """
 
     def __init__(self, connection, is_head_request, keep_alive):
@@ -46,6 +51,8 @@
         self.finished = False
         self.client_waits_until = 0.0
         self.body_size = 0
+        self.request_id = None
+        self.received_at = None
         self._chunked = False
         self._is_head_request = is_head_request
 
