Tell clients for how long they may use a connection again

Cause: nothing told clients of the idle timeout, so that a request could cross the close. The class: a decision to close that only one side knows of. Answers now carry `Keep-Alive: timeout=N`, four fifths of the idle timeout in whole seconds; the last one before a close carries `Connection: close` as before.

--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -36,6 +36,8 @@
 # the refusal could be lost.
 LINGER_S = 2.0
 MAX_LINGER_S = 10.0
+# Part of the idle timeout that clients are told, so that no request crosses the close.
+REUSABLE_SHARE = 0.8
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -436,6 +438,11 @@
         """Whether responses close the connection."""
         return self._listener.closing
 
+    @property
+    def reusable_seconds(self):
+        """Whole seconds for which clients may use the connection again, 0 for none."""
+        return int(REUSABLE_SHARE * self._get_idle_timeout())
+
     # Refusals, timeouts and closing.
 
     def _check_partial_head(self):
--- a/tanagerwalk/gateway/responder.py
+++ b/tanagerwalk/gateway/responder.py
@@ -117,10 +117,18 @@
             return b""
         return b"%x\r\n%s\r\n" % (len(data), data)
 
+    def _describe_connection(self):
+        """Return the headers that say for how long the connection may be used."""
+        if not self.keep_alive:
+            return [(b"Connection", b"close")]
+        seconds = self._connection.reusable_seconds
+        if seconds == 0:
+            return []
+        return [(b"Keep-Alive", b"timeout=%d" % seconds)]
+
     def _encode_head(self, status, reason, headers):
         self.keep_alive = self.keep_alive and not self._connection.closes_after_response
-        if not self.keep_alive:
-            headers = [*headers, (b"Connection", b"close")]
+        headers = [*headers, *self._describe_connection()]
         phrase = reason or REASON_PHRASES.get(status, b"")
         lines = [b"HTTP/1.1 %d %s" % (status, phrase)]
         lines.extend(b"%s: %s" % header for header in headers)
--- a/test/gateway/test_idle_clients.py
+++ b/test/gateway/test_idle_clients.py
@@ -65,6 +65,34 @@
         writer.close()
 
 
+# Guards against LOST: clients that aren't told the idle timeout send requests just as
+# their connections are closed by it, and get neither answer nor refusal.
+@pytest.mark.parametrize(("path", "status"), [("/jobs/1", 200), ("/none/", 404)])
+async def test_clients_are_told_of_less_than_the_idle_timeout(path, status):
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=1)
+        await set_idle_timeout(cluster, 2, 5000)
+        reply = await cluster.send(cluster.encode("GET", path))
+    assert reply.status == status
+    assert reply.headers["keep-alive"] == "timeout=4"
+
+
+async def test_idle_timeout_of_less_than_a_second_is_not_told():
+    async with GatewayCluster() as cluster:
+        await build_cluster(cluster)
+        reply = await cluster.send(cluster.encode("GET", "/jobs/1"))
+    assert "keep-alive" not in reply.headers
+
+
+async def test_last_answer_of_a_connection_names_no_idle_timeout():
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=1)
+        cluster.instances[0].client_listener.closing = True
+        reply = await cluster.send(cluster.encode("GET", "/jobs/1"))
+    assert reply.headers["connection"] == "close"
+    assert "keep-alive" not in reply.headers
+
+
 async def test_idle_connection_is_closed_after_the_timeout():
     async with GatewayCluster() as cluster:
         await build_cluster(cluster)
