Answer what is queued behind a request at work before a stop closes its connection

Callers who send a second request behind one at work got neither an answer nor a refusal to it when the instance stopped. The answer to the first carried `Connection: close`, and the connection closed with whole requests queued, unparsed or unread in the socket. It also closed behind a stream whose head had announced the end before the request came.

Class of fault: the end of a connection is decided without asking what has been received.

`Connection: close` now goes on an answer only if nothing is behind it: no queued or unparsed request, no part of one, no unread byte in the socket (FIONREAD). What comes behind an announced end is refused as not run, 503, before the connection closes. A part of a request is dropped with the refused clients' grace, so that no reset takes the last answer away.

--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -12,7 +12,7 @@
 from ..socket_options import set_client_socket_options, set_reset_on_close
 from .body_pace import BodyPace
 from .connection_ends import EndCause, UnansweredEnd, find_loss_cause
-from .connection_timer import ConnectionTimer
+from .connection_timer import LAST_READ_S, ConnectionTimer
 from .memory import CONNECTION_BYTES
 from .receive_refusals import (
     LimitExceededError,
@@ -21,9 +21,11 @@
     build_timeout_refusal,
 )
 from .request_assembly import RequestAssembly
+from .request_handler import STOPPING_REFUSAL
 from .request_memory import RequestMemory
 from .requests import RawRequest
 from .responder import Responder
+from .socket_input import has_unread_input
 from .unread_answers import UnreadAnswerWatch, wait_until_taken
 
 WRITE_HIGH_WATER_BYTES = 16 * 1024
@@ -78,6 +80,8 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._input_ended = False
+        # Whether the client has been told that no further request is handled.
+        self._has_announced_end = False
         self._linger_ends_at = None
         self._end_cause = None
 
@@ -319,6 +323,8 @@
         try:
             if is_refused:
                 self._listener.refuse(responder, raw)
+            elif self._has_announced_end:
+                self._listener.refuse(responder, STOPPING_REFUSAL)
             else:
                 await self._listener.handle(raw, responder)
         finally:
@@ -337,7 +343,9 @@
         self._responder = None
         if not self._writable.is_set():
             self._watch_unread(responder)
-        if not responder.keep_alive:
+        if responder.ends_by_stop:
+            self._has_announced_end = True
+        elif not responder.keep_alive:
             self._input_ended = True
             self._close(is_refused)
             return
@@ -345,10 +353,10 @@
             self._release_handled()
             self._continue()
 
-    def _close(self, is_refused):
-        """Close once everything has been taken; after a refusal, drop what comes."""
+    def _close(self, still_sends):
+        """Close once everything has been taken; drop what the client still sends."""
         self._note_end(EndCause.AFTER_ANSWER)
-        if not is_refused or not self._transport.can_write_eof():
+        if not still_sends or not self._transport.can_write_eof():
             self._transport.close()
             return
         self._transport.write_eof()
@@ -357,6 +365,16 @@
         self._listener.admission.begin_idle(self)
         self._linger()
 
+    def _close_once_read(self):
+        """Close behind an announced end; whole requests that wait are refused first."""
+        if has_unread_input(self._transport):
+            self._timer.start(LAST_READ_S, self._close_once_read)
+            return
+        self._input_ended = True
+        is_partial = self._assembly is not None
+        self._drop_received()
+        self._close(is_partial)
+
     def _linger(self):
         """Close once the client has stopped sending for a moment."""
         left = max(0.0, self._linger_ends_at - self._listener.clock())
@@ -371,6 +389,8 @@
             return
         if self._pending:
             self._handle_next()
+        elif self._has_announced_end:
+            self._close_once_read()
         elif self._owes_continue:
             self._owes_continue = False
             self.write(CONTINUE_RESPONSE)
@@ -433,8 +453,14 @@
 
     @property
     def closes_after_response(self):
-        """Whether responses close the connection."""
-        return self._listener.closing
+        """Whether a response that begins now closes the connection.
+
+        It does in a stop, unless another request is there or begins to arrive.
+        """
+        if not self._listener.closing:
+            return False
+        has_more = self._pending or self._unparsed or self._assembly is not None
+        return not (has_more or has_unread_input(self._transport))
 
     # Refusals, timeouts and closing.
 
--- a/tanagerwalk/gateway/responder.py
+++ b/tanagerwalk/gateway/responder.py
@@ -33,6 +33,8 @@
         Whether the complete response has been sent.
     keep_alive : bool
         Whether the connection stays open for further requests.
+    ends_by_stop : bool
+        Whether the client has been told that the connection closes for a stop alone.
     client_waits_until : float
         Monotonic time in seconds until which the client waits for the response.
     body_size : int
@@ -46,7 +48,8 @@
 
     def __init__(self, connection, is_head_request, keep_alive):
         self._connection = connection
-        self.keep_alive = keep_alive and not connection.closes_after_response
+        self.keep_alive = keep_alive
+        self.ends_by_stop = False
         self.started = False
         self.finished = False
         self.client_waits_until = 0.0
@@ -118,7 +121,9 @@
         return b"%x\r\n%s\r\n" % (len(data), data)
 
     def _encode_head(self, status, reason, headers):
-        self.keep_alive = self.keep_alive and not self._connection.closes_after_response
+        if self.keep_alive and self._connection.closes_after_response:
+            self.keep_alive = False
+            self.ends_by_stop = True
         if not self.keep_alive:
             headers = [*headers, (b"Connection", b"close")]
         phrase = reason or REASON_PHRASES.get(status, b"")
--- a/test/gateway/test_connection_ends.py
+++ b/test/gateway/test_connection_ends.py
@@ -6,6 +6,7 @@
 from structlog.testing import capture_logs
 
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.gateway.client_connection import MAX_PIPELINED_REQUESTS
 from tanagerwalk.gateway.connection_ends import EndCause, find_loss_cause
 from tanagerwalk.logs import configure_logs
 from tanagerwalk.standins.behaviours import Behaviour
@@ -74,22 +75,48 @@
         assert ends.count(EndCause.BROKEN_OFF) == 1
 
 
-async def test_request_behind_a_last_answer_is_answered_or_has_its_line():
+# Guards against LOST: a stop closed the connection behind the answer to the request at
+# work, with another whole one queued or waiting in the socket.
+@pytest.mark.parametrize("count", [1, MAX_PIPELINED_REQUESTS + 4])
+async def test_requests_behind_the_one_at_work_are_answered_in_a_stop(count):
     async with GatewayCluster() as cluster:
         await build(cluster, "", delay=0.3)
         with capture_logs() as lines:
             ends = Ends(cluster, lines)
             reader, writer = await cluster.connect()
             writer.write(cluster.encode("GET", "/jobs/1"))
-            writer.write(cluster.encode("GET", "/jobs/2"))
             server = cluster.servers["desk-0"]
             assert await poll_until(lambda: bool(server.requests), 0.01, WAIT_S)
+            server.behaviour = Behaviour()
+            for number in range(count):
+                writer.write(cluster.encode("GET", f"/jobs/{number + 2}"))
             cluster.instances[0].client_listener.closing = True
             answers = await reader.read()
             writer.close()
-        # Read as the connection ends, and the line is written then.
-        missing = sum(line["queued"] for line in ends.lines)
-        assert answers.count(b"HTTP/1.1 ") + missing == 2
+        assert answers.count(b"HTTP/1.1 200 ") == count + 1
+        assert answers.count(b"Connection: close") == 1
+        assert ends.lines == []
+
+
+# Guards against LOST: a request that came behind a stream whose head had announced the
+# end of the connection was read and dropped.
+async def test_request_behind_an_announced_end_is_refused_unrun():
+    async with GatewayCluster() as cluster:
+        await build(cluster, "", delay=0.1)
+        with capture_logs() as lines:
+            ends = Ends(cluster, lines)
+            cluster.instances[0].client_listener.closing = True
+            reader, writer = await cluster.connect()
+            writer.write(cluster.encode_plan())
+            assert b"Connection: close" in await reader.readuntil(b"\r\n\r\n")
+            writer.write(cluster.encode("GET", "/jobs/2"))
+            answers = await reader.read()
+            writer.close()
+        stream, _, rest = answers.partition(b"0\r\n\r\n")
+        assert stream.count(b"id: ") == 5
+        assert rest.startswith(b"HTTP/1.1 503 ")
+        assert cluster.servers["desk-0"].requests == []
+        assert ends.lines == []
 
 
 async def test_partial_request_that_is_left_has_its_line():
