Drop what a client sends behind its own `Connection: close`

The log told of an unanswered request, cause after_answer, where a client had sent bytes behind its last request: the parser refused them, and the refusal was queued but never sent. By HTTP these bytes are no request. They are dropped now, and the line goes to requests alone.

Before: test_nothing_is_owed_behind_the_last_request_of_a_client found that line.

--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -268,6 +268,9 @@
         assembly, self._assembly = self._assembly, None
         raw = assembly.build(self._parser.get_method(), self._listener.clock())
         keep_alive = self._parser.should_keep_alive()
+        if not keep_alive:
+            # The client has said that this is its last request.
+            self._input_ended = True
         self._pending.append(_QueuedRequest(raw, keep_alive, assembly.memory))
         if len(self._pending) >= MAX_PIPELINED_REQUESTS:
             self._pause_reading()
--- a/test/gateway/test_connection_ends.py
+++ b/test/gateway/test_connection_ends.py
@@ -119,6 +119,22 @@
         assert ends.lines == []
 
 
+# Guards against a line about what a client has sent behind its own last request.
+async def test_nothing_is_owed_behind_the_last_request_of_a_client():
+    async with GatewayCluster() as cluster:
+        await build(cluster, "")
+        with capture_logs() as lines:
+            ends = Ends(cluster, lines)
+            reader, writer = await cluster.connect()
+            last = cluster.encode("GET", "/jobs/1", Connection="close")
+            writer.write(last + cluster.encode("GET", "/jobs/2"))
+            answers = await reader.read()
+            writer.close()
+        assert answers.count(b"HTTP/1.1 ") == 1
+        assert len(cluster.servers["desk-0"].requests) == 1
+        assert ends.lines == []
+
+
 async def test_partial_request_that_is_left_has_its_line():
     async with GatewayCluster() as cluster:
         await build(cluster, "")
