Answer each request that was read, whatever fails on the way to its answer

Callers got a reset connection, neither an answer nor a refusal, if a step of their request was cancelled that wasn't their own leaving (a shared task, a timeout that met another), or if the parser of their request or the encoder of their refusal failed. The guard around the chain took `Exception` alone, and neither what is before nor after it.

Class of fault: a CancelledError is taken for the client's leaving.

A task that is cancelled itself (`Task.cancelling`) is the client's leaving, and nothing else is: any other end of the chain is answered 502, which promises nothing, one before the chain 503, as it has not run. A refusal that can't be encoded is sent without headers and body.

--- a/tanagerwalk/gateway/client_listener.py
+++ b/tanagerwalk/gateway/client_listener.py
@@ -6,33 +6,26 @@
 
 
 def build_client_listener(
-    request_handler, codec, cluster_state, limits, metrics, clock, random
+    request_handler, cluster_state, limits, metrics, clock, random
 ):
     """Return the Listener that has the requests of clients handled.
 
     Parameters
     ----------
     request_handler : RequestHandler
-        Handles the requests.
-    codec : PlatformCodec
-        Encodes refusals.
+        Handles the requests, and refuses those that have not been read to their end.
     cluster_state : ClusterState
         Provides the limits for clients.
     limits : ProcessLimits
         Budgets of memory and descriptors.
     metrics : GatewayMetrics
-        Counts refusals and stalled readers.
+        Counts stalled readers, and connections that end unanswered.
     clock : callable
         Returns monotonic time in seconds.
     random : random.Random
         Spreads the times at which refused clients come back.
     """
 
-    def refuse_unread(responder, refusal):
-        """Refuse a request that has not been read to its end."""
-        metrics.refusals.labels(refusal.reason.value).inc()
-        codec.refuse(responder, refusal)
-
     def get_client_limits():
         manifest = cluster_state.manifest
         return ClientLimits() if manifest is None else manifest.limits
@@ -43,7 +36,7 @@
 
     listener = Listener(
         request_handler.handle,
-        refuse_unread,
+        request_handler.refuse,
         get_client_limits,
         limits.memory,
         limits.admission,
--- a/tanagerwalk/gateway/components.py
+++ b/tanagerwalk/gateway/components.py
@@ -386,7 +386,6 @@
     def _create_listeners(self):
         self.client_listener = build_client_listener(
             self.request_handler,
-            self.codec,
             self.cluster_state,
             self.limits,
             self.metrics,
--- a/tanagerwalk/gateway/forwarding.py
+++ b/tanagerwalk/gateway/forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from ..decisions.sliding_retry_budget import SlidingRetryBudget
+from .cancellations import is_task_cancelled
 from .execution import RequestExecution
 
 
@@ -38,7 +39,8 @@
             async with self._context.stop_control.guard():
                 return await execution.run()
         except asyncio.CancelledError:
-            execution.log_client_disconnect()
+            if is_task_cancelled():
+                execution.log_client_disconnect()
             raise
         return execution.end_by_stop()
 
--- a/test/gateway/test_connection_ends.py
+++ b/test/gateway/test_connection_ends.py
@@ -53,6 +53,7 @@
             assert await poll_until(lambda: bool(server.requests), 0.01, WAIT_S)
             writer.close()
             (line,) = await ends.wait()
+        assert "request cancelled" not in {each["event"] for each in lines}
         assert line["cause"] == "client_closed"
         assert line["id"] == "try-1"
         assert not line["begun"]
--- a/test/gateway/test_request_handler.py
+++ b/test/gateway/test_request_handler.py
@@ -1,5 +1,7 @@
 """A defect in the handling of one request."""
 
+import asyncio
+
 import pytest
 
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
@@ -50,3 +52,56 @@
         page = instance.metrics.render().decode()
     for reason in ("invalid_request", "request_too_large", "class_unknown", "stopping"):
         assert f'refusals_total{{reason="{reason}"}} 1.0' in page
+
+
+def cancel(*args):
+    raise asyncio.CancelledError
+
+
+def fail(*args):
+    raise DefectError
+
+
+# Guards against LOST: a cancelled step that was not the client's leaving reset the
+# connection of a request that had been passed on.
+async def test_request_whose_step_is_cancelled_is_answered(monkeypatch):
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=1)
+        (instance,) = cluster.instances
+        recorder = instance.forward_filter._context.recorder
+        reader, writer = await cluster.connect()
+        with monkeypatch.context() as patch:
+            patch.setattr(type(recorder), "record_attempt", cancel)
+            writer.write(cluster.encode("POST", "/bookings/1", b"slot"))
+            assert (await read_reply(reader)).status == 502
+        writer.write(cluster.encode("POST", "/bookings/2", b"slot"))
+        assert (await read_reply(reader)).status == 200
+        writer.close()
+
+
+# Guards against LOST: what was before the chain could fail, and its request was reset.
+async def test_request_that_cannot_be_parsed_is_refused_unrun(monkeypatch):
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=1)
+        (instance,) = cluster.instances
+        reader, writer = await cluster.connect()
+        with monkeypatch.context() as patch:
+            patch.setattr(type(instance.codec), "parse_request", fail)
+            writer.write(cluster.encode("GET", "/jobs/1"))
+            assert (await read_reply(reader)).status == 503
+        writer.write(cluster.encode("GET", "/jobs/2"))
+        assert (await read_reply(reader)).status == 200
+        writer.close()
+        assert len(cluster.servers["desk-0"].requests) == 1
+
+
+# Guards against LOST: a refusal could not be encoded, and its request was reset.
+@pytest.mark.parametrize("is_whole", [True, False])
+async def test_refusal_that_cannot_be_encoded_is_sent_plainly(monkeypatch, is_whole):
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=1)
+        (instance,) = cluster.instances
+        monkeypatch.setattr(type(instance.codec), "refuse", fail)
+        request = cluster.encode("GET", "/nowhere/1")
+        reply = await cluster.send(request if is_whole else b"no request\r\n\r\n")
+        assert reply.status == 503
