Let a request outlast the check of the server that broke it off

A request that could be the cause of a crash waits for the check of its server. The check is shared: if it was cancelled, the request's connection was reset with no answer; if it failed, the request got 502, though another server could have run it.

Class of fault: the end of a shared task ends the requests that wait for it.

They wait for the end of the task now, not for its result.

Before: cancelled, IncompleteReadError (0 bytes); failed, 502 instead of 200.

--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -365,7 +365,8 @@
             return
         check = self._context.crash_check.start(server)
         if self._context.quarantine.may_be_guilty(self._request):
-            await asyncio.shield(check)
+            # However the check ends, the request goes on.
+            await asyncio.wait([check])
 
     def _estimate_wait(self):
         """Return the expected queueing time at the allowed servers, in seconds."""
--- a/test/gateway/test_request_handler.py
+++ b/test/gateway/test_request_handler.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import GatewayCluster, read_reply
 
 
@@ -79,6 +80,27 @@
         writer.close()
 
 
+# Guards against LOST: a request that waited for the check of a crashed server was reset
+# when the check was cancelled or failed.
+@pytest.mark.parametrize("end", [cancel, fail])
+async def test_check_for_a_crash_that_ends_early_costs_no_answer(monkeypatch, end):
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=2)
+        (instance,) = cluster.instances
+        quarantine = instance.forward_filter._context.quarantine
+
+        async def check(*args):
+            await asyncio.sleep(0.05)
+            end()
+
+        monkeypatch.setattr(type(instance.crash_check), "_check", check)
+        monkeypatch.setattr(type(quarantine), "may_be_guilty", lambda *args: True)
+        cluster.servers["desk-0"].behaviour = Behaviour("reset", times=1)
+        cluster.servers["desk-1"].behaviour = Behaviour("reset", times=1)
+        reply = await cluster.send(cluster.encode("GET", "/jobs/1"))
+        assert reply.status == 200
+
+
 # Guards against LOST: what was before the chain could fail, and its request was reset.
 async def test_request_that_cannot_be_parsed_is_refused_unrun(monkeypatch):
     async with GatewayCluster() as cluster:
