Close idle connections only when nothing waits in their sockets

Callers whose request had arrived, but had not been read yet, were reset with no answer when a stop closed idle connections, when an idle one gave way to a new one for want of descriptors, or after a very long pause at the idle timeout. The stop also called itself drained with such requests unread.

Class of fault: "idle" is taken from what has been read, not from what has come.

Before an idle connection is closed, its socket is asked (FIONREAD). After a refusal connections give way as before.

Before: two new tests, is_drained was true and recv gave ECONNRESET. PausedLoop of the tests moved to a module that others can use.

--- a/tanagerwalk/gateway/client_admission.py
+++ b/tanagerwalk/gateway/client_admission.py
@@ -1,11 +1,14 @@
 """Admits client connections as long as there are descriptors for them."""
 
 import time
+from itertools import islice
 
 from ..repeated_warnings import RateLimitedWarning
 
 # A client may just be sending on a connection that has been idle for less.
 MIN_IDLE_S = 1.0
+# After a pause of the process, many may have a request that has not been read.
+MAX_SEARCHED = 16
 
 
 class ClientAdmission:
@@ -47,15 +50,29 @@
         return True
 
     def _replace_idle(self):
-        connection, since = next(iter(self._idle.items()), (None, 0.0))
-        if connection is None or self._clock() - since < MIN_IDLE_S:
+        if not self._close_longest_idle():
             return False
         self.closed_idle += 1
         self._warning.record(used=self._part.used, closed_idle=self.closed_idle)
-        self.leave(connection)
-        connection.close_if_idle()
         return self._part.try_reserve()
 
+    def _close_longest_idle(self):
+        """Close the connection that has been idle for longest and has nothing unread.
+
+        Returns
+        -------
+        bool
+            Whether there was one.
+        """
+        now = self._clock()
+        for connection, since in islice(self._idle.items(), MAX_SEARCHED):
+            if now - since < MIN_IDLE_S:
+                return False
+            if connection.give_way():
+                self.leave(connection)
+                return True
+        return False
+
     def begin_idle(self, connection):
         """Note that a connection has no request, from now on."""
         if connection in self._admitted:
--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -95,6 +95,11 @@
         """Whether the client hasn't taken all bytes that were written for it."""
         return self._transport.get_write_buffer_size() > 0
 
+    @property
+    def has_unread(self):
+        """Whether bytes wait in the socket that may belong to a request."""
+        return not self._input_ended and has_unread_input(self._transport)
+
     # Called by the event loop.
 
     def connection_made(self, transport):
@@ -488,16 +493,44 @@
         self._refuse_and_close(build_timeout_refusal())
 
     def _await_request(self):
-        self._timer.start_idle(self._get_idle_timeout, self.close_if_idle)
+        self._timer.start_idle(self._get_idle_timeout, self._close_after_timeout)
 
     def _get_idle_timeout(self):
         return self._listener.get_limits().idle_timeout
 
+    def _close_after_timeout(self):
+        if has_unread_input(self._transport):
+            self._timer.start(LAST_READ_S, self._close_after_timeout)
+            return
+        self.close_if_idle()
+
     def close_if_idle(self):
-        """Close the connection unless a request is in progress or queued."""
-        if not self.busy and not self._pending:
-            self._note_end(EndCause.IDLE)
-            self._transport.close()
+        """Close the connection unless a request is in progress, queued or unread.
+
+        Returns
+        -------
+        bool
+            Whether it has been closed.
+        """
+        has_request = self.busy or self._pending or self._unread_watch is not None
+        if has_request or has_unread_input(self._transport):
+            return False
+        self._note_end(EndCause.IDLE)
+        self._transport.close()
+        return True
+
+    def give_way(self):
+        """Close for the sake of another connection, if idle or after a refusal.
+
+        Returns
+        -------
+        bool
+            Whether it has been closed.
+        """
+        if self._linger_ends_at is None:
+            return self.close_if_idle()
+        self._transport.close()
+        return True
 
     def abort(self, cause=EndCause.BROKEN_OFF):
         """Reset the connection.
--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -122,11 +122,11 @@
 
     @property
     def is_drained(self):
-        """Whether no request is in progress, and every byte has been sent."""
-        return not any(c.busy or c.has_unsent for c in self.connections)
+        """Whether no request is in progress or unread, and every byte has been sent."""
+        return not any(c.busy or c.has_unsent or c.has_unread for c in self.connections)
 
     def close_idle(self):
-        """Close all connections without a request in progress."""
+        """Close all connections without a request in progress or unread."""
         for connection in list(self.connections):
             connection.close_if_idle()
 
--- a/test/gateway/test_idle_clients.py
+++ b/test/gateway/test_idle_clients.py
@@ -6,8 +6,11 @@
 
 import pytest
 import uvloop
+from paused_loop import PausedLoop
 
 from tanagerwalk.controllers.loop import poll_until
+from tanagerwalk.decisions.descriptor_budget import DescriptorKind
+from tanagerwalk.gateway.client_admission import MIN_IDLE_S
 from tanagerwalk.standins.addresses import find_address
 from tanagerwalk.standins.gateway_cluster import (
     GatewayCluster,
@@ -74,24 +77,6 @@
         writer.close()
 
 
-class PausedLoop:
-    """Blocks the event loop in a callback for something that it has received."""
-
-    def __init__(self, seconds):
-        self._seconds = seconds
-        self._receiver, self._sender = socket.socketpair()
-        asyncio.get_running_loop().add_reader(self._receiver, self._pause)
-
-    def begin(self):
-        self._sender.send(b"x")
-
-    def _pause(self):
-        asyncio.get_running_loop().remove_reader(self._receiver)
-        time.sleep(self._seconds)
-        self._receiver.close()
-        self._sender.close()
-
-
 def ask(connection, request):
     """Send a request on a socket and return the first line of what comes back."""
     connection.sendall(request)
@@ -123,3 +108,53 @@
 # of the idle timeout before it read a request that had waited since.
 def test_request_that_came_during_a_pause_of_the_process_is_answered():
     assert uvloop.run(send_during_pause()) == b"HTTP/1.1 200 OK"
+
+
+async def use_socket_once(cluster):
+    """Return a blocking socket on which a request has been answered."""
+    port = cluster.instances[0].client_listener.port
+    connection = socket.create_connection((find_address(), port))
+    connection.settimeout(ANSWER_TIMEOUT_S)
+    first = cluster.encode("GET", "/jobs/1")
+    line = await asyncio.to_thread(ask, connection, first)
+    assert line == b"HTTP/1.1 200 OK"
+    return connection
+
+
+# Guards against LOST: a stop closed connections as idle while a request waited in their
+# sockets to be read.
+async def test_request_that_waits_as_a_stop_closes_idle_connections_is_answered():
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=1)
+        listener = cluster.instances[0].client_listener
+        with await use_socket_once(cluster) as connection:
+            listener.closing = True
+            connection.sendall(cluster.encode("GET", "/jobs/2"))
+            listener.close_idle()
+            assert not listener.is_drained
+            answer = await asyncio.to_thread(connection.recv, 65536)
+            assert answer.startswith(b"HTTP/1.1 200 OK")
+            assert b"Connection: close" in answer
+            assert await poll_until(lambda: not listener.connections, 0.01, 3.0)
+
+
+# Guards against LOST: an idle connection gave way to a new one while a request waited
+# in its socket to be read.
+async def test_connection_with_a_waiting_request_does_not_give_way():
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=0, desks=1)
+        (instance,) = cluster.instances
+        part = instance.limits.descriptors.parts[DescriptorKind.CLIENT]
+        admission = instance.client_listener.admission
+        first, second = await use_socket_once(cluster), await use_socket_once(cluster)
+        with first, second:
+            await asyncio.sleep(1.1 * MIN_IDLE_S)
+            while part.try_reserve():
+                pass
+            used = part.used
+            first.sendall(cluster.encode("GET", "/jobs/2"))
+            assert admission.admit(object())
+            assert part.used == used
+            answer = await asyncio.to_thread(first.recv, 65536)
+            assert answer.startswith(b"HTTP/1.1 200 OK")
+            assert await asyncio.to_thread(second.recv, 65536) == b""
