Read what waits in the socket before a request is refused as late

Callers whose request had come in time got 408 after a pause of the process in a callback, as for a large manifest: uvloop runs the timers before it reads. The refusal is an answer, and its promise holds, but it costs the request.

When the receive timeout finds unread bytes in the socket, 20 ms pass in which they are read; once, so that a client that sends slowly without end is refused as before.

Before: test_request_whose_rest_came_during_a_pause_is_answered got 408, with the rest of a head and of a body.

--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -490,6 +490,13 @@
         self._handle_next()
 
     def _on_receive_timeout(self):
+        """Refuse the request; what waits in the socket is read before."""
+        if has_unread_input(self._transport):
+            self._timer.start(LAST_READ_S, self._refuse_late)
+            return
+        self._refuse_late()
+
+    def _refuse_late(self):
         self._refuse_and_close(build_timeout_refusal())
 
     def _await_request(self):
