Move what a connection keeps of the handled request to a module of its own

client_connection.py had grown beyond its size. HandledRequest holds the memory of the request, watches its unread answer and describes what is owed as the connection ends. No change of behaviour.

--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -11,8 +11,9 @@
 from ..outcomes import Refusal
 from ..socket_options import set_client_socket_options, set_reset_on_close
 from .body_pace import BodyPace
-from .connection_ends import EndCause, UnansweredEnd, find_loss_cause
+from .connection_ends import EndCause, find_loss_cause
 from .connection_timer import LAST_READ_S, ConnectionTimer
+from .handled_request import HandledRequest
 from .memory import CONNECTION_BYTES
 from .receive_refusals import (
     LimitExceededError,
@@ -26,7 +27,7 @@
 from .requests import RawRequest
 from .responder import Responder
 from .socket_input import has_unread_input
-from .unread_answers import UnreadAnswerWatch, wait_until_taken
+from .unread_answers import wait_until_taken
 
 WRITE_HIGH_WATER_BYTES = 16 * 1024
 MAX_PIPELINED_REQUESTS = 8
@@ -63,8 +64,6 @@
         self._limits = ClientLimits()
         self._pending = deque()
         self._handler_task = None
-        # Of the request that is handled, until its answer is complete.
-        self._responder = None
         self._assembly = None
         self._header_size = 0
         self._piece_size = 0
@@ -73,9 +72,7 @@
         self._pace = BodyPace(listener.clock)
         self._has_new_body = False
         self._owes_continue = False
-        # Of the request that is handled or whose answer has not been taken yet.
-        self._handled_memory = None
-        self._unread_watch = None
+        self._handled = HandledRequest(listener)
         self._timer = ConnectionTimer()
         self._writable = asyncio.Event()
         self._writable.set()
@@ -194,7 +191,12 @@
     def connection_lost(self, exc):
         """Cancel the request in progress after the client disconnected."""
         self._note_end(find_loss_cause(exc) or EndCause.CLIENT_CLOSED)
-        self._report_unanswered()
+        is_partial = self._assembly is not None
+        end = self._handled.describe_end(
+            self._end_cause, len(self._pending), is_partial
+        )
+        if end is not None:
+            self._listener.on_unanswered(end)
         self._listener.connections.discard(self)
         self._listener.admission.leave(self)
         self._input_ended = True
@@ -207,10 +209,10 @@
         self._pending.clear()
         self._listener.memory.release(CONNECTION_BYTES)
         if self._handler_task is None:
-            self._release_handled()
+            self._handled.release()
             return
         # A task that is cancelled before its first step doesn't release anything.
-        self._handler_task.add_done_callback(lambda _: self._release_handled())
+        self._handler_task.add_done_callback(lambda _: self._handled.release())
         self._handler_task.cancel()
 
     def pause_writing(self):
@@ -220,8 +222,8 @@
     def resume_writing(self):
         """Unblock the writers in `wait_writable`, or take the next request."""
         self._writable.set()
-        if self._unread_watch is not None and not self._transport.is_closing():
-            self._release_handled()
+        if self._handled.is_unread and not self._transport.is_closing():
+            self._handled.release()
             self._continue()
 
     # Called by the parser.
@@ -252,7 +254,7 @@
         self._pace.start()
         if not self._assembly.complete_head():
             return
-        if self._handled_memory is None:
+        if not self._handled.is_set:
             self.write(CONTINUE_RESPONSE)
             return
         # It would end up inside the answer to another request. Until that has ended,
@@ -314,10 +316,10 @@
     # Request handling.
 
     def _handle_next(self):
-        if self._handled_memory is not None or not self._pending:
+        if self._handled.is_set or not self._pending:
             return
         queued = self._pending.popleft()
-        self._handled_memory = queued.memory
+        self._handled.begin(queued.memory)
         coroutine = self._handle(queued.content, queued.keep_alive)
         self._handler_task = asyncio.get_running_loop().create_task(coroutine)
 
@@ -327,7 +329,7 @@
         is_head_request = not is_refused and raw.method == b"HEAD"
         responder = Responder(self, is_head_request, keep_alive)
         responder.received_at = None if is_refused else raw.received_at
-        self._responder = responder
+        self._handled.responder = responder
         try:
             if is_refused:
                 self._listener.refuse(responder, raw)
@@ -341,24 +343,29 @@
 
     def _finish_response(self, responder, is_refused):
         if self._transport.is_closing():
-            self._release_handled()
+            self._handled.release()
             return
         if not responder.finished:
             has_begun = responder.started
             self.abort(EndCause.BROKEN_OFF if has_begun else EndCause.NO_ANSWER)
-            self._release_handled()
+            self._handled.release()
             return
-        self._responder = None
+        self._handled.responder = None
         if not self._writable.is_set():
-            self._watch_unread(responder)
+            self._handled.watch_unread(
+                self._transport,
+                self._limits.idle_timeout,
+                responder,
+                self._reset_stalled,
+            )
         if responder.ends_by_stop:
             self._has_announced_end = True
         elif not responder.keep_alive:
             self._input_ended = True
             self._close(is_refused)
             return
-        if self._unread_watch is None:
-            self._release_handled()
+        if not self._handled.is_unread:
+            self._handled.release()
             self._continue()
 
     def _close(self, still_sends):
@@ -393,7 +400,7 @@
         if self._input_ended and not self._pending:
             return
         self._read_on()
-        if self._handled_memory is not None:
+        if self._handled.is_set:
             return
         if self._pending:
             self._handle_next()
@@ -407,32 +414,10 @@
             self._listener.admission.begin_idle(self)
             self._await_request()
 
-    def _watch_unread(self, responder):
-        # The transport keeps all of a body until its last byte has been taken.
-        unsent = self._transport.get_write_buffer_size()
-        self._handled_memory.shrink_to(max(unsent, responder.body_size))
-        self._unread_watch = UnreadAnswerWatch(
-            self._transport,
-            self._limits.idle_timeout,
-            responder.client_waits_until,
-            self._listener.clock,
-            self._listener.memory.answers.has_waiting,
-            self._reset_stalled,
-        )
-
     def _reset_stalled(self):
         self._listener.on_stalled_reader()
         self.abort(EndCause.STALLED_READER)
 
-    def _release_handled(self):
-        """Release the memory of the request that was handled and has been answered."""
-        if self._unread_watch is not None:
-            self._unread_watch.cancel()
-            self._unread_watch = None
-        if self._handled_memory is not None:
-            self._handled_memory.release()
-            self._handled_memory = None
-
     def _drop_received(self):
         """Release what has been received of a request that will not be handled."""
         if self._assembly is not None:
@@ -519,7 +504,7 @@
         bool
             Whether it has been closed.
         """
-        has_request = self.busy or self._pending or self._unread_watch is not None
+        has_request = self.busy or self._pending or self._handled.is_unread
         if has_request or has_unread_input(self._transport):
             return False
         self._note_end(EndCause.IDLE)
@@ -558,24 +543,3 @@
         """Keep why the connection ends; what comes after that is only its effect."""
         if self._end_cause is None:
             self._end_cause = cause
-
-    def _report_unanswered(self):
-        """Report the end of the connection if an answer is owed."""
-        responder = self._responder
-        is_unread = responder is None and self._unread_watch is not None
-        is_partial = self._assembly is not None
-        if responder is None and not (is_unread or self._pending or is_partial):
-            return
-        received_at = None if responder is None else responder.received_at
-        age = None if received_at is None else self._listener.clock() - received_at
-        self._listener.on_unanswered(
-            UnansweredEnd(
-                cause=self._end_cause,
-                request_id=None if responder is None else responder.request_id,
-                has_begun=responder is not None and responder.started,
-                is_unread=is_unread,
-                queued=len(self._pending),
-                is_partial=is_partial,
-                age=age,
-            )
-        )
