Keep connections whose peer is silent for a second and goes on

Cause: with TCP_USER_TIMEOUT set, Linux does not count keep-alive probes. Probes went out after 2 s, and at 3 s one that was unanswered ended the connection. Class of fault: one lost packet taken as proof that a host is gone.

Now the kernel probes after 1 s while something has been awaited for over a second, and four times a second from 2 s of silence on: setting TCP_KEEPIDLE again makes it look at once instead of at its next whole second. A connection ends at 2.75 to 3 s after the last packet, only after every probe of the last 1.5 s was lost; with unacknowledged bytes after 2.5 s, as before. Idle connections are probed as rarely as before, outlive three lost probes (4.5 s), and aren't used from 3 s of silence on, at which they ended before.

Cost: a connection that waits gets a probe a second instead of one in two (some 100 bytes with its answer, computed).

The double of a socket in test_connections.py knew no query but two; it now also answers TCP_INFO, for which the pool asks. It is as strict about all others.

--- a/tanagerwalk/gateway/connections.py
+++ b/tanagerwalk/gateway/connections.py
@@ -11,7 +11,7 @@
 from expression import Error, Ok
 
 from ..bound_sockets import lacks_descriptors
-from ..socket_options import has_pending_reset, set_socket_options
+from ..socket_options import has_pending_reset, measure_silence, set_socket_options
 from ..stalls import StallTolerantTimeout
 from .answer_queue import (
     MAX_READ_BYTES,
@@ -20,6 +20,7 @@
     TIGHT_READ_BYTES,
 )
 from .connect_faults import ConnectFault
+from .peer_probes import PeerProbes
 from .request_memory import UNCOUNTED
 from .response_assembly import ResponseAssembly
 from .response_heads import ConnectionFailure, match_any_response
@@ -78,6 +79,7 @@
         self.received = False
         self.has_waited = False
         self._transport = None
+        self._probes = PeerProbes(None)
         self._responses = ResponseAssembly()
         self._memory = UNCOUNTED
         self._held_size = 0
@@ -91,7 +93,9 @@
     def connection_made(self, transport):
         """Set the socket options that detect a dead peer early."""
         self._transport = transport
-        set_socket_options(transport.get_extra_info("socket"))
+        sock = transport.get_extra_info("socket")
+        set_socket_options(sock)
+        self._probes = PeerProbes(sock)
 
     def get_buffer(self, sizehint):
         """Return memory for what comes next: little while memory is tight."""
@@ -112,6 +116,8 @@
         self.received = True
         if not self._responses.feed(data):
             self._fail(ConnectionFailure.MALFORMED)
+        if self._responses.pending_count == 0:
+            self._probes.stop()
         self._count_memory()
         self._pause_if_full()
         self._notify_reader()
@@ -174,6 +180,7 @@
         self.closed = True
         self._failure = failure
         self._memory.stop_waiting()
+        self._probes.stop()
         self._transport.abort()
         self.report_closed()
         self._notify_reader()
@@ -251,6 +258,7 @@
         else:
             self._transport.write(head)
             self._transport.write(body)
+        self._probes.start()
         return Ok(None)
 
     async def read_head(self):
@@ -333,6 +341,11 @@
         is_idle = self._responses.is_empty and not self._has_unsent
         return self._is_open and is_idle and self._responses.keep_alive
 
+    def measure_silence(self):
+        """Return for how long the other end has sent nothing, in seconds."""
+        sock = self._transport.get_extra_info("socket")
+        return 0.0 if sock is None else measure_silence(sock)
+
     @property
     def _has_unsent(self):
         """Whether a part of the last request waits for the server to take it."""
--- a/tanagerwalk/gateway/pool.py
+++ b/tanagerwalk/gateway/pool.py
@@ -6,6 +6,8 @@
 IDLE_TIMEOUT_MARGIN_S = 1.0
 MAX_IDLE_TIMEOUT_S = 3600.0
 MAX_IDLE_PER_SERVER = 16
+# A second after a keep-alive probe that was not answered.
+MAX_SILENCE_S = 3.0
 
 
 class ConnectionPool:
@@ -80,6 +82,9 @@
         """Return whether an idle connection can be used, by the path that works."""
         if not connection.is_reusable() or self._clock() >= connection.idle_until:
             return False
+        is_long_idle = self._clock() - connection.idle_since >= MAX_SILENCE_S
+        if is_long_idle and connection.measure_silence() >= MAX_SILENCE_S:
+            return False
         if connection.via is None:
             return not self._paths.is_doubtful(connection.idle_since)
         return self._paths.get_state(server.id) is not PathState.DIRECT
--- a/tanagerwalk/gateway/tunnels.py
+++ b/tanagerwalk/gateway/tunnels.py
@@ -23,6 +23,7 @@
 from ..socket_options import has_pending_reset, set_socket_options
 from .connect_faults import ConnectFault
 from .connections import open_connection
+from .peer_probes import PeerProbes
 
 log = structlog.get_logger(__name__)
 
@@ -159,7 +160,10 @@
         return Error(TunnelFault.UNREACHABLE)
 
     async def _serve(self, channel, stream, server_id):
-        set_socket_options(channel.writer.get_extra_info("socket"))
+        sock = channel.writer.get_extra_info("socket")
+        set_socket_options(sock)
+        probes = PeerProbes(sock)
+        probes.start()
         self._channels[channel] = server_id
         self._memory.reserve(TUNNEL_BYTES)
         pumps = [
@@ -171,6 +175,7 @@
         finally:
             del self._channels[channel]
             self._memory.release(TUNNEL_BYTES)
+            probes.stop()
             stream.abort()
             for pump in pumps:
                 pump.cancel()
@@ -267,11 +272,15 @@
         self.was_reset = False
         self.closed = False
         self.on_closed = None
+        self._probes = PeerProbes(None)
         super().__init__(self.reader)
 
     def connection_made(self, transport):
         super().connection_made(transport)
-        set_socket_options(transport.get_extra_info("socket"))
+        sock = transport.get_extra_info("socket")
+        set_socket_options(sock)
+        self._probes = PeerProbes(sock)
+        self._probes.start()
         loop = asyncio.get_running_loop()
         self.writer = asyncio.StreamWriter(transport, self, self.reader, loop)
 
@@ -281,6 +290,7 @@
 
     def connection_lost(self, exc):
         super().connection_lost(exc)
+        self._probes.stop()
         self.closed = True
         self.report_closed()
 
--- a/tanagerwalk/socket_options.py
+++ b/tanagerwalk/socket_options.py
@@ -1,10 +1,20 @@
 """Options of sockets that detect a dead peer, and the errors that they report."""
 
 import contextlib
+import fcntl
 import socket
 import struct
+import termios
 
-USER_TIMEOUT_MS = 2500
+# TCP_USER_TIMEOUT bounds for how long bytes stay unacknowledged, and also decides when
+# keep-alive probes give up, whatever their count: here after three lost ones, while
+# nothing is awaited from the peer.
+IDLE_USER_TIMEOUT_MS = 4500
+# While something is awaited and bytes are unacknowledged.
+UNACKNOWLEDGED_TIMEOUT_MS = 2500
+# While something is awaited and none are; the next probe after it ends the connection.
+SILENCE_TIMEOUT_MS = 2750
+AWAITED_KEEPALIVE_IDLE_S = 1
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
@@ -18,6 +28,9 @@
 )
 # First byte of TCP_INFO: the state of the connection, as the kernel numbers it.
 TCP_STATE_CLOSED = 7
+# Of TCP_INFO: milliseconds since the last data and the last acknowledgement came.
+LAST_RECEIVED = struct.Struct("@52xII")
+MS_PER_S = 1000.0
 # What the event loops raise for the socket of a closed transport: uvloop a ValueError,
 # also if the socket was looked up before.
 CLOSED_SOCKET_ERRORS = (OSError, ValueError)
@@ -56,9 +69,55 @@
 
 
 def set_socket_options(sock):
-    """Set short timeouts that detect a dead server, store or instance."""
-    user_timeout = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    _set_options(sock, (*KEEPALIVE_OPTIONS, user_timeout))
+    """Set timeouts that detect a dead server, store or instance.
+
+    They bear a peer that is silent for 1.5 s at any time; see `probe_peer` for one from
+    which something is awaited.
+    """
+    _set_options(sock, (*KEEPALIVE_OPTIONS, _build_user_timeout(IDLE_USER_TIMEOUT_MS)))
+
+
+def probe_peer(sock):
+    """Send a keep-alive probe now, or end the connection if its peer is gone.
+
+    Setting TCP_KEEPIDLE makes the kernel look at once how long the peer has been
+    silent, which its own timers do only each second: for less than a second, it does
+    nothing; from the user timeout on, it resets the connection if a probe was not
+    answered; in between it sends one. The keep-alive timer goes on beside this.
+    """
+    user_timeout = SILENCE_TIMEOUT_MS
+    if has_unacknowledged(sock):
+        user_timeout = UNACKNOWLEDGED_TIMEOUT_MS
+    keepalive = (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, AWAITED_KEEPALIVE_IDLE_S)
+    _set_options(sock, (_build_user_timeout(user_timeout), keepalive))
+
+
+def end_probes(sock):
+    """Put the timeouts in force again that hold while nothing is awaited."""
+    keepalive = (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    _set_options(sock, (_build_user_timeout(IDLE_USER_TIMEOUT_MS), keepalive))
+
+
+def has_unacknowledged(sock):
+    """Return whether the peer has not acknowledged all bytes written to a socket."""
+    try:
+        unacknowledged = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except CLOSED_SOCKET_ERRORS:
+        return False
+    return any(unacknowledged)
+
+
+def measure_silence(sock):
+    """Return for how long nothing has come from the peer of a connection, in seconds.
+
+    An answer to a keep-alive probe counts. It is 0 for a socket that was closed.
+    """
+    length = LAST_RECEIVED.size
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, length)
+    except CLOSED_SOCKET_ERRORS:
+        return 0.0
+    return min(LAST_RECEIVED.unpack(info)) / MS_PER_S
 
 
 def set_client_socket_options(sock):
@@ -70,6 +129,10 @@
     _set_options(sock, KEEPALIVE_OPTIONS)
 
 
+def _build_user_timeout(milliseconds):
+    return (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
 def _set_options(sock, options):
     if sock is None:
         return
--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -13,6 +13,7 @@
 from .behaviours import ENDLESS_STARTS, STALL_INTERVAL_S, STALL_PIECES, Behaviour
 from .coldness import Coldness
 from .places import DEFAULT_PRIORITY
+from .silence import accept_packets, drop_packets
 
 EVENT_COUNT = 5
 CRASH_DELAY_S = 0.03
@@ -112,6 +113,21 @@
         for connection in list(self.connections):
             connection.transport.abort()
 
+    def fall_silent(self):
+        """Answer no packet, of connections that are opened now neither."""
+        for sock in self._find_sockets():
+            drop_packets(sock)
+
+    def end_silence(self):
+        """Answer packets again."""
+        for sock in self._find_sockets():
+            accept_packets(sock)
+
+    def _find_sockets(self):
+        transports = [connection.transport for connection in self.connections]
+        accepted = [each.get_extra_info("socket") for each in transports]
+        return [*self._server.sockets, *accepted]
+
     async def crash(self):
         """End as a process does that crashes: all connections break off."""
         self.has_crashed = True
--- a/test/gateway/test_closed_sockets.py
+++ b/test/gateway/test_closed_sockets.py
@@ -14,7 +14,10 @@
 from tanagerwalk.gateway.tunnel_client import TunnelTransport
 from tanagerwalk.gateway.tunnels import TunnelFrame
 from tanagerwalk.socket_options import (
+    end_probes,
     has_pending_reset,
+    measure_silence,
+    probe_peer,
     set_client_socket_options,
     set_reset_on_close,
     set_socket_options,
@@ -102,6 +105,9 @@
         set_socket_options(sock)
         set_client_socket_options(sock)
         set_reset_on_close(sock)
+        probe_peer(sock)
+        end_probes(sock)
+        assert measure_silence(sock) == 0.0
         assert has_pending_reset(writer.transport)
         server.close()
 
--- a/test/gateway/test_connections.py
+++ b/test/gateway/test_connections.py
@@ -13,6 +13,8 @@
 
 TCP_CLOSED = b"\x07"
 TCP_CLOSE_WAIT = b"\x08"
+# TCP_INFO up to when something was last received: just now.
+JUST_RECEIVED = bytes(60)
 
 
 class FakeSocket:
@@ -26,6 +28,8 @@
     def getsockopt(self, level, name, size=0):
         if (level, name, size) == (socket.IPPROTO_TCP, socket.TCP_INFO, 1):
             return self.state
+        if (level, name, size) == (socket.IPPROTO_TCP, socket.TCP_INFO, 60):
+            return JUST_RECEIVED
         assert (level, name) == (socket.SOL_SOCKET, socket.SO_ERROR)
         return self.error
 
