Give a silent server's attempt up only if another one can begin

Cause: the timeouts of an attempt were short whenever attempts were left. Only once the attempt was over did the execution ask the retry budget, the quarantine, the planned stop and the servers, and found that nothing could follow. Class: something in hand is ended before it is known that what replaces it can begin.

Now an attempt that has timed out is given up only if its successor can begin at that moment: AttemptPlan.may_give_up asks the same decisions, without side effects. Otherwise the same connection is read on, and the question asked again each 0.25 s, until the deadline, or until the gap after which clients leave a stream. The server that is silent is its own successor only if the path to it is in doubt. A server that answered late is not recorded as failing. A permit of a brittle service may be denied, so that it counts as not to be had.

--- a/tanagerwalk/decisions/selection.py
+++ b/tanagerwalk/decisions/selection.py
@@ -252,6 +252,25 @@
             and (is_allowed is None or is_allowed(usage.server))
         ]
 
+    def list_usable(self, service, now, is_allowed):
+        """Return the servers among which `choose` chooses, in no order.
+
+        Parameters
+        ----------
+        service : ServiceName
+            The service.
+        now : float
+            Monotonic time in seconds.
+        is_allowed : callable
+            Takes a RegisteredServer and returns whether it may be used.
+
+        Returns
+        -------
+        list of RegisteredServer
+        """
+        ready = self._list_ready(service, now, frozenset(), is_allowed)
+        return [usage.server for usage in ready]
+
     def list_candidates(self, service, now, tried, is_allowed):
         """Return the servers that a request may be sent to, the best first.
 
--- a/tanagerwalk/gateway/attempt_timeouts.py
+++ b/tanagerwalk/gateway/attempt_timeouts.py
@@ -19,7 +19,8 @@
 def choose_timeouts(route, attempts_left, time_left):
     """Return the AttemptTimeouts of the next attempt.
 
-    They are shorter than the deadline only if another attempt can follow.
+    They are shorter than the deadline only if another attempt may follow. Whether one
+    can follow shows only once they are over; see `AttemptPlan.may_give_up`.
 
     Parameters
     ----------
@@ -32,7 +33,7 @@
     """
     client_gap = _find_client_gap(route)
     if not route.repeatable or attempts_left <= 1:
-        return AttemptTimeouts(time_left, time_left, time_left, client_gap)
+        return AttemptTimeouts(time_left, time_left, time_left, client_gap, client_gap)
     unresponsive = max(
         MIN_UNRESPONSIVE_TIMEOUT_S, time_left * UNRESPONSIVE_TIMEOUT_SHARE
     )
@@ -44,6 +45,7 @@
         min(time_left, idle),
         time_left,
         max(STREAM_IDLE_TIMEOUT_S, RESUMED_GAP_SHARE * client_gap),
+        client_gap,
     )
 
 
--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -25,6 +25,9 @@
 
 log = structlog.get_logger(__name__)
 
+# How often to ask whether an attempt at a silent server may be given up now.
+GIVE_UP_POLL_S = 0.25
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptTimeouts:
@@ -41,12 +44,15 @@
         For the response head, while the server works off its queue.
     stalled : float
         Between two events of a stream whose server sends other bytes.
+    client_gap : float
+        Between two events of a stream, even if no other attempt can follow.
     """
 
     unresponsive: float
     idle: float
     head: float
     stalled: float
+    client_gap: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +83,9 @@
     may_send : callable
         Takes the incarnation of the instance through which the connection leads, or
         None, and returns whether the request may be sent now; called right before.
+    may_give_up : callable
+        Takes the same and returns whether another attempt can begin now. An attempt
+        whose server is silent is given up only then, or at the deadline.
     """
 
     request: GatewayRequest
@@ -88,6 +97,7 @@
     on_abandoned: Callable[[], None]
     allows_peer: Callable[[str], bool] | None = None
     may_send: Callable[[str | None], bool] = lambda via: True
+    may_give_up: Callable[[str | None], bool] = lambda via: True
 
 
 class AttemptRunner:
@@ -186,7 +196,7 @@
     async def _read_response(self, connection, plan, timer):
         """Return the AttemptResult, and the raw head if the connection is reusable."""
         attempt = plan.attempt
-        head_result = await self._wait_for_head(connection, attempt, plan.timeouts)
+        head_result = await self._wait_for_head(connection, plan)
         head_result = await self._wait_for_memory(
             connection, plan, head_result, partial(self._read_head, connection)
         )
@@ -220,13 +230,23 @@
 
     async def _read_body(self, connection, plan):
         time_left = plan.request.deadline - self._clock()
-        result = await wait_at_most(
-            connection.read_body(), plan.timeouts.idle, time_left
-        )
+        seconds = plan.timeouts.idle
+        result = await wait_at_most(connection.read_body(), seconds, time_left)
+        while self._must_wait_on(result, connection, plan):
+            time_left = plan.request.deadline - self._clock()
+            seconds = min(GIVE_UP_POLL_S, time_left)
+            result = await wait_at_most(connection.read_body(), seconds, time_left)
         return await self._wait_for_memory(
             connection, plan, result, connection.read_body
         )
 
+    def _must_wait_on(self, result, connection, plan):
+        """Return whether a wait has timed out, but no other attempt can follow yet."""
+        is_over = plan.request.deadline <= self._clock()
+        if is_over or not has_timed_out(result):
+            return False
+        return not plan.may_give_up(connection.via)
+
     async def _wait_for_memory(self, connection, plan, result, read):
         """Return `result`, or that of another `read` if it waited here and timed out.
 
@@ -257,30 +277,33 @@
         if notice.hold > 0.0:
             log.info("server on hold", server=server.id, seconds=notice.hold)
 
-    async def _wait_for_head(self, connection, attempt, timeouts):
+    async def _wait_for_head(self, connection, plan):
         """Wait for the response head while the server may still send it.
 
         A server with a long queue responds to other requests in the meantime; an
         unreachable server responds to none, and one that responds to others without
-        a queue has dropped this one.
+        a queue has dropped this one. Even so it is waited for until another attempt
+        can begin.
         """
-        sent_at = self._clock()
+        server, timeouts = plan.attempt.server, plan.timeouts
+        sent_at = silent_since = self._clock()
+        is_overdue = False
         while True:
-            wait_started_at = self._clock()
-            remaining = timeouts.head - (wait_started_at - sent_at)
-            slowdown = self._servers.find_reported_slowdown(
-                attempt.server, wait_started_at
-            )
+            now = self._clock()
+            remaining = timeouts.head - (now - sent_at)
+            slowdown = self._servers.find_reported_slowdown(server, now)
             limit = min(timeouts.unresponsive * max(1.0, slowdown), remaining)
+            if is_overdue:
+                limit = min(GIVE_UP_POLL_S, remaining)
+            else:
+                silent_since = now
             result = await wait_at_most(self._read_head(connection), limit, remaining)
             if not has_timed_out(result) or limit >= remaining:
                 return result
-            if not self._servers.is_worth_waiting_for(
-                attempt.server,
-                wait_started_at,
-                self._clock(),
-                is_direct=connection.via is None,
-            ):
+            is_overdue = not self._servers.is_worth_waiting_for(
+                server, silent_since, self._clock(), is_direct=connection.via is None
+            )
+            if is_overdue and not self._must_wait_on(result, connection, plan):
                 return result
 
     async def _read_head(self, connection):
@@ -300,6 +323,9 @@
             result = await wait_at_most(
                 connection.read_chunk(), wait.seconds, time_left
             )
+            if wait.has_client and self._must_wait_on(result, connection, plan):
+                wait.prolong(GIVE_UP_POLL_S)
+                continue
             if result.is_error():
                 is_held_up = result.error is not None and wait.is_held_up
                 cause = ReadFault.CLIENT_SLOW if is_held_up else result.error
--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -1,6 +1,7 @@
 """Runs the attempts of one request until one delivers a response."""
 
 import asyncio
+import dataclasses
 from functools import partial
 
 from expression import Error, Ok
@@ -15,6 +16,7 @@
 )
 from ..decisions.model_selection import is_confident_enough
 from ..decisions.server_choice import RequestTraits
+from ..decisions.server_usage_table import hash_life
 from ..decisions.token_room import choose_with_room
 from ..outcomes import Refusal, RefusalReason, RunState
 from .attempt_timeouts import choose_timeouts
@@ -99,6 +101,14 @@
         """The predicate of servers by release and regions, to be used at once."""
         return self._regions.restrict_to_reachable(self._assignment.allows_server)
 
+    @property
+    def _allows_other_side(self):
+        """The same for servers of any release that wasn't rolled back."""
+        rolled_back = self._context.rollouts.find_rolled_back_release(self._service)
+        return self._regions.restrict_to_reachable(
+            lambda server: server.release != rolled_back
+        )
+
     @property
     def _kind(self):
         return self._request.route.name, self._service
@@ -254,7 +264,6 @@
         granted = self._place_wait.find_granted_server()
         if granted is not None and self._allows_server(granted):
             return granted
-        rolled_back = self._context.rollouts.find_rolled_back_release(service)
         # Prefer untried servers of the request's roll-out side, then tried ones, and
         # only then servers of the other side, unless the own ones keep it off.
         choose_allowed = partial(choose, service, now, is_allowed=self._allows_server)
@@ -264,10 +273,7 @@
                 return server
         if self._place_wait.is_kept_off():
             return None
-        allows_server = self._regions.restrict_to_reachable(
-            lambda server: server.release != rolled_back
-        )
-        return choose(service, now, frozenset(), allows_server)
+        return choose(service, now, frozenset(), self._allows_other_side)
 
     def _has_kept_connection(self, server):
         peer_filter = self._regions.find_peer_filter()
@@ -309,6 +315,7 @@
             partial(self._context.quarantine.suspect, self._request, attempt),
             self._regions.find_peer_filter(),
             partial(self._may_send, server, slot),
+            partial(self._may_give_up, server),
         )
         hold = hold or self._permit_wait.begin(server)
         sent = self._place_contest.begin(attempt)
@@ -343,6 +350,39 @@
             return False
         return self._context.servers.admit(server, slot, self._clock())
 
+    def _may_give_up(self, server, via):
+        """Return whether another attempt can begin if that at a silent server ends.
+
+        A permit for a brittle server may be denied; until then it can't be counted on.
+        """
+        outcome = Outcome.SILENT
+        history = dataclasses.replace(self._history)
+        history.record(outcome)
+        if self._find_next_action(history, outcome) is not NextAction.ANOTHER:
+            return False
+        if not self._context.stop_control.has_time(self._request, self._kind):
+            return False
+        return not self._permit_wait.is_needed and self._has_successor(server, via)
+
+    def _has_successor(self, server, via):
+        """Return whether another server than a silent one can be chosen now.
+
+        Asking the same one again may help only if the path to it is in doubt.
+        """
+        is_direct = via is None and self._context.region_rules.is_direct(server)
+        life = hash_life(server) if is_direct else None
+        return any(hash_life(other) != life for other in self._list_usable())
+
+    def _list_usable(self):
+        """Return the servers among which `_choose_server` chooses."""
+        list_usable = partial(
+            self._context.servers.list_usable, self._service, self._clock()
+        )
+        usable = list_usable(self._allows_server)
+        if usable or self._place_wait.is_kept_off():
+            return usable
+        return list_usable(self._allows_other_side)
+
     async def _run_attempt(self, plan):
         """Return the AttemptResult; record how long the answer took."""
         durations = self._context.stop_control.durations
@@ -399,6 +439,10 @@
             if outcome is Outcome.REJECTED:
                 self._rejected_by.add(self._current_server_id)
             self._report_server_failure(result)
+        return self._find_next_action(history, outcome)
+
+    def _find_next_action(self, history, outcome):
+        """Return the NextAction after an outcome that the history contains."""
         is_quarantined = self._context.quarantine.is_quarantined(self._request)
         is_fixed = not self._progress.can_resume
         if is_quarantined or is_fixed or self._request.is_trial:
--- a/tanagerwalk/gateway/stream_wait.py
+++ b/tanagerwalk/gateway/stream_wait.py
@@ -9,7 +9,8 @@
 
     Bytes that complete no event, and comments, show that the server lives, but not
     that its stream goes on. The time in which the client takes what was sent to it
-    counts for neither.
+    counts for neither. A stream that can't go on elsewhere is waited for longer, until
+    its client leaves.
 
     Parameters
     ----------
@@ -25,16 +26,30 @@
         self._timeouts = timeouts
         self._clock = clock
         self._silence = timeouts.idle if has_begun else timeouts.head
-        self._event_due_at = clock() + (
-            timeouts.stalled if has_begun else timeouts.head
+        now = clock()
+        self._event_due_at = now + (timeouts.stalled if has_begun else timeouts.head)
+        self._client_leaves_at = now + (
+            timeouts.client_gap if has_begun else timeouts.head
         )
+        self._prolonged_until = now
         self._forwarding_since = None
         self._longest_hold = 0.0
 
     @property
     def seconds(self):
         """Seconds for which the next bytes are waited for."""
-        return min(self._silence, self._event_due_at - self._clock())
+        now = self._clock()
+        regular = min(self._silence, self._event_due_at - now)
+        return max(regular, min(self._prolonged_until, self._client_leaves_at) - now)
+
+    @property
+    def has_client(self):
+        """Whether the client is likely to wait for the next event yet."""
+        return self._clock() < self._client_leaves_at
+
+    def prolong(self, seconds):
+        """Wait for some more seconds, in which `has_client` holds."""
+        self._prolonged_until = self._clock() + seconds
 
     @property
     def is_held_up(self):
@@ -63,5 +78,7 @@
         self._longest_hold = max(self._longest_hold, hold)
         if has_content:
             self._event_due_at = now + self._timeouts.stalled
+            self._client_leaves_at = now + self._timeouts.client_gap
         else:
             self._event_due_at += hold
+            self._client_leaves_at += hold
--- a/tanagerwalk/standins/backend.py
+++ b/tanagerwalk/standins/backend.py
@@ -1,6 +1,7 @@
 """Stand-in for the users' backend servers: plain services and model engines."""
 
 import asyncio
+import contextlib
 import json
 import socket
 import struct
@@ -245,6 +246,8 @@
         if fault == "late_refuse":
             await asyncio.sleep(self.server.behaviour.delay)
             fault = "refuse"
+        if fault == "late":
+            await asyncio.sleep(self.server.behaviour.pause)
         request.rejected = fault in ("refuse", "misdirect")
         if fault == "refuse":
             headers = list(_NOT_EXECUTED_HEADERS)
@@ -266,6 +269,8 @@
             self.transport.close()
         elif fault == "error":
             self._write(request, "500 Internal Server Error", b"broken")
+        elif fault == "paused_error":
+            await self._answer_paused_error(request)
         elif fault == "redirect":
             self._write(request, "302 Found", b"", ["Location: /elsewhere/"])
         elif "x-tanagerwalk-token-count" in request.headers:
@@ -303,6 +308,13 @@
         if fault == "extra":
             self._write(request, "200 OK", b"nobody's")
 
+    async def _answer_paused_error(self, request):
+        status = "500 Internal Server Error"
+        head = self._encode_head(request, status, ["Content-Length: 6"])
+        self.transport.write(head + b"bro")
+        await asyncio.sleep(self.server.behaviour.pause)
+        self.transport.write(b"ken")
+
     def _reset(self):
         sock = self.transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -328,6 +340,8 @@
             if fault == "cut" and number == 3:
                 self.transport.abort()
                 return
+            if number == 3:
+                await self._pause(fault)
             if fault in STALL_PIECES and number == 3:
                 await self._stall(STALL_PIECES[fault])
                 return
@@ -340,6 +354,15 @@
             self._write_chunk(event)
         self.transport.write(b"0\r\n\r\n")
 
+    async def _pause(self, fault):
+        pause = self.server.behaviour.pause
+        if fault == "paused":
+            await asyncio.sleep(pause)
+        if fault == "paused_events":
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause):
+                    await self._stall(STALL_PIECES["stalled_comments"])
+
     async def _stall(self, piece):
         while not self.transport.is_closing():
             self._write_chunk(piece)
--- a/tanagerwalk/standins/behaviours.py
+++ b/tanagerwalk/standins/behaviours.py
@@ -52,6 +52,10 @@
         - `cut`: a stream ends after its second event
         - `stalled_comments`, `stalled_bytes`: a stream sends no event after its second
           one, but a comment or a byte now and then, for ever
+        - `late`: no byte for `pause` seconds, then the usual response
+        - `paused`: a stream sends nothing for `pause` seconds after its second event
+        - `paused_events`: the same, but a comment now and then
+        - `paused_error`: status 500; nothing for `pause` seconds amid its body
         - `endless_head`, `endless_body`, `endless_event`: a header, a body or an event
           of a stream without end
         - `endless_pieces`, `endless_tiny_pieces`: a body without end, in small chunks
@@ -60,6 +64,8 @@
         Number of requests affected by the fault; -1 for all.
     delay : float
         Seconds before each event of a stream, and before a plain response.
+    pause : float
+        Seconds for which the faults that name it send nothing.
     confidence : dict of str to int
         Confidence that each model reports for its answers; 100 if not given.
     is_leaving : bool
@@ -87,6 +93,7 @@
     fault: str = ""
     times: int = -1
     delay: float = 0.0
+    pause: float = 0.0
     confidence: dict[str, int] = field(default_factory=dict)
     is_leaving: bool = False
     retry_after: str = ""
--- a/test/gateway/test_stalled_streams.py
+++ b/test/gateway/test_stalled_streams.py
@@ -19,7 +19,9 @@
 
 pytestmark = pytest.mark.serial
 
-TIMEOUTS = AttemptTimeouts(unresponsive=1.0, idle=2.0, head=9.0, stalled=4.0)
+TIMEOUTS = AttemptTimeouts(
+    unresponsive=1.0, idle=2.0, head=9.0, stalled=4.0, client_gap=8.0
+)
 SLOW_EVENT_S = 1.5
 # More than the client gap of the cluster's route.
 BOUND_S = 12.0
