--- a/tanagerwalk/socket_options.py
+++ b/tanagerwalk/socket_options.py
@@ -110,13 +110,16 @@
 def measure_silence(sock):
     """Return for how long nothing has come from the peer of a connection, in seconds.
 
-    An answer to a keep-alive probe counts. It is 0 for a socket that was closed.
+    An answer to a keep-alive probe counts. It is 0 for a socket that was closed, and
+    where the kernel doesn't tell.
     """
     length = LAST_RECEIVED.size
     try:
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, length)
     except CLOSED_SOCKET_ERRORS:
         return 0.0
+    if len(info) < length:
+        return 0.0
     return min(LAST_RECEIVED.unpack(info)) / MS_PER_S
 
 
