Decline a small model's answer only if another attempt can begin

Callers got 502 for a plan that a small model had begun to answer well, since its confidence was low and no larger model could be asked: the servers had begun to drain, the request was quarantined meanwhile, or a planned stop left no time.

Cause: the answer was declined by attempts left and the retry budget alone; the rest was found out once it was dropped.

Evidence: the three cases of test_answer_in_hand_is_kept_if_no_larger_model_can_follow got 502 before, and the whole answer in one run with this change. A permit of a brittle service may still be denied after a declined answer.

--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -353,26 +353,23 @@
     def _may_give_up(self, server, via):
         """Return whether another attempt can begin if that at a silent server ends.
 
-        A permit for a brittle server may be denied; until then it can't be counted on.
+        Asking the same one again may help only if the path to it is in doubt. A permit
+        for a brittle server may be denied; until then it can't be counted on.
         """
-        outcome = Outcome.SILENT
-        history = dataclasses.replace(self._history)
-        history.record(outcome)
-        if self._find_next_action(history, outcome) is not NextAction.ANOTHER:
+        if self._permit_wait.is_needed or not self._can_begin_after(Outcome.SILENT):
             return False
-        if not self._context.stop_control.has_time(self._request, self._kind):
-            return False
-        return not self._permit_wait.is_needed and self._has_successor(server, via)
-
-    def _has_successor(self, server, via):
-        """Return whether another server than a silent one can be chosen now.
-
-        Asking the same one again may help only if the path to it is in doubt.
-        """
         is_direct = via is None and self._context.region_rules.is_direct(server)
         life = hash_life(server) if is_direct else None
         return any(hash_life(other) != life for other in self._list_usable())
 
+    def _can_begin_after(self, outcome):
+        """Return whether another attempt may begin if the present one ends so."""
+        history = dataclasses.replace(self._history)
+        history.record(outcome)
+        if self._find_next_action(history, outcome) is not NextAction.ANOTHER:
+            return False
+        return self._context.stop_control.has_time(self._request, self._kind)
+
     def _list_usable(self):
         """Return the servers among which `_choose_server` chooses."""
         list_usable = partial(
@@ -418,10 +415,7 @@
             return True
         if is_confident_enough(head.confidence, self._estimate_wait()):
             return True
-        if self._history.sent + 1 >= self._history.max_attempts:
-            return True
-        share = BUDGET_SHARES[Outcome.DECLINED]
-        return not self._budget.allows(self._clock(), share)
+        return not self._can_begin_after(Outcome.DECLINED) or not self._list_usable()
 
     def _decide_next_action(self, result):
         outcome = result.outcome
--- a/test/gateway/test_silent_servers.py
+++ b/test/gateway/test_silent_servers.py
@@ -10,6 +10,7 @@
 from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import (
     BOUNDS,
+    SMALL_MODEL,
     GatewayCluster,
     build_manifest,
     read_reply,
@@ -131,6 +132,10 @@
     for name in ("draft-0", "draft-1"):
         entry = cluster.servers[name].build_entry("drafts", "a-1", state="draining")
         await cluster.store.put(*entry)
+    servers = cluster.instances[0].servers
+    assert await poll_until(
+        lambda: not servers.has_server("drafts", lambda server: True), 0.01, BOUND_S
+    )
 
 
 async def quarantine_requests(cluster, monkeypatch):
@@ -175,3 +180,21 @@
         assert (reply.status, reply.complete) == (200, True)
         assert kind == "lookup" or list_events(reply) == WHOLE
         assert count_runs(cluster) == 2
+
+
+# Guards against LOST: a whole answer of a small model dropped for a larger model's,
+# though no server took another attempt, or the instance would have refused it.
+@pytest.mark.parametrize("hinder", [drain_servers, quarantine_requests, leave_no_time])
+async def test_answer_in_hand_is_kept_if_no_larger_model_can_follow(
+    hinder, monkeypatch
+):
+    async with GatewayCluster() as cluster:
+        unsure = Behaviour("late", pause=1.0, confidence={SMALL_MODEL: 10})
+        await build(cluster, unsure)
+        task = start(cluster, cluster.encode_plan())
+        await wait_for_run(cluster)
+        await hinder(cluster, monkeypatch)
+        reply = await task
+        assert (reply.status, reply.complete) == (200, True)
+        assert list_events(reply) == WHOLE
+        assert count_runs(cluster) == 1
