Let the instances with the widest links watch the store

Cause: in each failure domain one instance, drawn by rendezvous, reads every manifest whole from the store and passes it on to eleven others. Most have links of 10 Mbit/s, which a manifest of 1,455 routes (about half a megabyte as the store sends it, computed) fills for most of a second, each 0.6 s. The others get no answer in 0.5 s, suspect the watcher, and read the store themselves, so that their links fill too. Clients' requests and answers wait behind them. The class: traffic of the system's own on the path of the requests, without a bound or an order between them.

Now the widest link of a domain comes first in the order; equal ones are ordered as before. Link rates come from the settings and are told in the membership entries; instances of earlier versions count as the narrowest.

--- a/tanagerwalk/decisions/peers.py
+++ b/tanagerwalk/decisions/peers.py
@@ -25,6 +25,9 @@
     grants_slots : bool
         Whether it grants slots of its parts of servers' limits, as earlier versions do
         not.
+    link_rate : float
+        What its machine's link carries in Mbit/s; 0 if it did not say, as earlier
+        versions do not.
     """
 
     address: tuple[str, int]
@@ -33,6 +36,7 @@
     owns_sessions: bool = False
     grants_permits: bool = False
     grants_slots: bool = False
+    link_rate: float = 0.0
 
 
 def rank_domains(key, own_id, own_domain, peers):
--- a/tanagerwalk/decisions/watchers.py
+++ b/tanagerwalk/decisions/watchers.py
@@ -1,9 +1,13 @@
 """Choice of the instance that watches the store for its failure domain.
 
 Each call to the store has a price, so in a large failure domain only the first
-instance of a rendezvous order watches it, and the others ask it for changes. Nobody is
-elected: an instance that finds the first one unreachable goes on to the next, and
-watches the store itself once it is the first of those left.
+instance of an order watches it, and the others ask it for changes. Nobody is elected:
+an instance that finds the first one unreachable goes on to the next, and watches the
+store itself once it is the first of those left.
+
+The store sends each change whole, and the watcher passes it on to its whole failure
+domain. On a narrow link that holds up the requests of clients, so the widest links come
+first, and a rendezvous order decides among equal ones.
 """
 
 from .peers import rank_domains
@@ -23,10 +27,13 @@
         Incarnation of this instance.
     failure_domain : FailureDomain
         Where this instance runs.
+    link_rate : float
+        What the link of its machine carries in Mbit/s, 0 if that is not known.
     """
 
-    def __init__(self, own_id, failure_domain):
+    def __init__(self, own_id, failure_domain, link_rate=0.0):
         self._own_id = own_id
+        self._link_rate = link_rate
         self._failure_domain = failure_domain
         self._domains = {}
         self._suspected_until = {}
@@ -40,9 +47,13 @@
         peers : dict of str to Peer
             The other instances, by incarnation.
         """
-        self._domains = rank_domains(
-            WATCHERS_KEY, self._own_id, self._failure_domain, peers
-        )
+        link_rates = {peer_id: peer.link_rate for peer_id, peer in peers.items()}
+        link_rates[self._own_id] = self._link_rate
+        domains = rank_domains(WATCHERS_KEY, self._own_id, self._failure_domain, peers)
+        self._domains = {
+            domain: sorted(members, key=link_rates.__getitem__, reverse=True)
+            for domain, members in domains.items()
+        }
         self._suspected_until = {
             peer_id: until
             for peer_id, until in self._suspected_until.items()
--- a/tanagerwalk/gateway/components.py
+++ b/tanagerwalk/gateway/components.py
@@ -11,6 +11,7 @@
 from ..decisions.relays import RelaySelection
 from ..decisions.selection import ServerPool
 from ..decisions.shared_loads import SharedLoadTable
+from ..decisions.watchers import WatcherSelection
 from ..defects import DefectLog
 from ..filters.chain import link_filters
 from ..peers.rpc import MessageKind
@@ -146,12 +147,15 @@
         )
 
     def _create_store_copy(self):
+        watchers = WatcherSelection(
+            self.incarnation, self.settings.failure_domain, self.settings.link_rate
+        )
         self.store_copy = StoreCopy(
             self.store,
             self.codec,
             self.directory,
             self.incarnation,
-            self.settings.failure_domain,
+            watchers,
             lambda: self.settings.bounds,
             self.subscriber_defects,
             self.clock,
@@ -309,6 +313,7 @@
                 owns_sessions=True,
                 grants_permits=True,
                 grants_slots=True,
+                link_rate=self.settings.link_rate,
             ),
             self.random,
             self.subscriber_defects,
--- a/tanagerwalk/gateway/membership.py
+++ b/tanagerwalk/gateway/membership.py
@@ -33,6 +33,7 @@
     owns_sessions: bool = False
     grants_permits: bool = False
     grants_slots: bool = False
+    link_rate: float = 0.0
 
     @property
     def is_reachable(self):
@@ -110,6 +111,7 @@
                 record.owns_sessions,
                 record.grants_permits,
                 record.grants_slots,
+                record.link_rate,
             )
         peers = self._keep_lost_peers(peers)
         registered_before = self._list_registered_before()
@@ -169,6 +171,7 @@
             own.owns_sessions,
             own.grants_permits,
             own.grants_slots,
+            own.link_rate,
         )
         value = msgspec.json.encode(record)
         result = await self._store.put(self._key, value, granted.ok)
--- a/tanagerwalk/gateway/settings.py
+++ b/tanagerwalk/gateway/settings.py
@@ -99,8 +99,9 @@
     """Settings of one gateway instance.
 
     `memory_limit` is the most resident memory of the process in bytes, None without a
-    limit; `max_descriptors` the most file descriptors. `prefers_own_domain` states
-    whether requests stay in the own failure domain while its servers have room.
+    limit; `max_descriptors` the most file descriptors. `link_rate` is what the
+    machine's link carries in Mbit/s, 0 if that is not known. `prefers_own_domain`
+    states whether requests stay in the own failure domain while its servers have room.
     """
 
     instance: InstanceId
@@ -112,4 +113,5 @@
     regions: dict[FailureDomain, Region] = field(default_factory=dict)
     max_descriptors: int = 1024
     memory_limit: int | None = None
+    link_rate: float = 0.0
     prefers_own_domain: bool = True
--- a/tanagerwalk/gateway/store_copy.py
+++ b/tanagerwalk/gateway/store_copy.py
@@ -1,6 +1,5 @@
 """Wires the local copy of the store to the feed that keeps it up to date."""
 
-from ..decisions.watchers import WatcherSelection
 from .change_feed import SharedFeed, StoreFeed
 from .mirror import Mirror
 from .operator_watch import OperatorWatch
@@ -25,8 +24,8 @@
         Knows the instances that pass changes on.
     incarnation : str
         Id of this instance, new at every start.
-    failure_domain : FailureDomain
-        Where this instance runs.
+    watchers : WatcherSelection
+        Tells which instances watch the store themselves.
     get_bounds : callable
         Returns the Bounds in force.
     defects : DefectLog
@@ -38,8 +37,6 @@
 
     Attributes
     ----------
-    watchers : WatcherSelection
-        Tells which instances watch the store themselves.
     feed : SharedFeed
         Provides the changes of the store.
     mirror : Mirror
@@ -54,7 +51,7 @@
         codec,
         directory,
         incarnation,
-        failure_domain,
+        watchers,
         get_bounds,
         defects,
         clock,
@@ -62,7 +59,7 @@
     ):
         self._directory = directory
         self._get_bounds = get_bounds
-        self.watchers = WatcherSelection(incarnation, failure_domain)
+        self.watchers = watchers
         self.feed = SharedFeed(
             StoreFeed(store, ALL_KEYS),
             self.watchers,
--- a/tanagerwalk/platform/settings.py
+++ b/tanagerwalk/platform/settings.py
@@ -29,6 +29,7 @@
     memory_mb: float = 128.0
     # File descriptors of the process, 200 of them reserved for files.
     max_fds: int = 1024
+    link_mbps: float = 0.0
 
 
 class _Bounds(msgspec.Struct, frozen=True):
@@ -129,6 +130,7 @@
         bounds=_convert_bounds(_bound_numbers(wire.bounds)),
         max_descriptors=limits.max_fds,
         memory_limit=int(limits.memory_mb * BYTES_PER_MB),
+        link_rate=limits.link_mbps,
         prefers_own_domain=wire.routing.prefer_own_zone,
     )
     return Ok(settings)
