--- a/test/gateway/region_fleet.py
+++ b/test/gateway/region_fleet.py
@@ -55,6 +55,9 @@
     def is_reusable(self):
         return True
 
+    def measure_silence(self):
+        return 0.0
+
     def abort(self):
         pass
 
--- a/test/gateway/test_head_requests.py
+++ b/test/gateway/test_head_requests.py
@@ -23,6 +23,9 @@
 
     closes_after_response = False
 
+    def promise_reuse(self):
+        return 0
+
     def __init__(self):
         self.data = b""
 
