Announce the close with the first refusal of a stop, whatever waits behind it

Cause: an answer announces the close only if nothing waits behind it, also when all is refused by then. Once a stop refuses every request, the next answer is announced as the last, and what is read behind it is refused. The class: an end that waits for the other side to pause.

test_first_refusal_of_a_stop_announces_the_close_whatever_waits failed before: no refusal carried the header.

--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -454,6 +454,8 @@
         """
         if not self._listener.closing:
             return False
+        if self._listener.refusing:
+            return True
         has_more = self._pending or self._unparsed or self._assembly is not None
         return not (has_more or has_unread_input(self._transport))
 
--- a/tanagerwalk/gateway/listener.py
+++ b/tanagerwalk/gateway/listener.py
@@ -42,6 +42,9 @@
 
     Attributes
     ----------
+    refusing : bool
+        Whether every request is refused by now, so that the next answer is the last
+        one, whatever waits behind it.
     closing : bool
         Whether responses carry `Connection: close`, so that clients reconnect.
     on_stalled_reader : callable
@@ -59,6 +62,7 @@
         self.clock = clock
         self.random = random
         self.closing = False
+        self.refusing = False
         self.on_stalled_reader = _ignore
         self.on_unanswered = log_unanswered_end
         self.connections = set()
--- a/tanagerwalk/gateway/planned_stop.py
+++ b/tanagerwalk/gateway/planned_stop.py
@@ -64,6 +64,7 @@
         self._tunnel_server.stop_accepting()
         await asyncio.sleep(min(ACCEPT_AFTER_STOP_S, ends_at - self._clock()))
         self._request_handler.is_stopping = True
+        self._client_listener.refusing = True
         time_left = ends_at - self._clock()
         await poll_until(self._is_drained, DRAIN_POLL_INTERVAL_S, time_left)
         await self._end_requests()
--- a/test/gateway/test_connection_ends.py
+++ b/test/gateway/test_connection_ends.py
@@ -99,6 +99,28 @@
         assert ends.lines == []
 
 
+# Guards against LOST: a client that always has a further request on its way was told of
+# no close while all was refused, and its last request was read and dropped.
+async def test_first_refusal_of_a_stop_announces_the_close_whatever_waits():
+    async with GatewayCluster() as cluster:
+        await build(cluster, "")
+        instance = cluster.instances[0]
+        with capture_logs() as lines:
+            ends = Ends(cluster, lines)
+            reader, writer = await cluster.connect()
+            instance.client_listener.closing = True
+            instance.client_listener.refusing = True
+            instance.request_handler.is_stopping = True
+            for number in range(4):
+                writer.write(cluster.encode("GET", f"/jobs/{number}"))
+            answers = await reader.read()
+            writer.close()
+        assert answers.count(b"HTTP/1.1 503 ") == 4
+        head, _, _ = answers.partition(b"\r\n\r\n")
+        assert b"Connection: close" in head
+        assert ends.lines == []
+
+
 # Guards against LOST: a request that came behind a stream whose head had announced the
 # end of the connection was read and dropped.
 async def test_request_behind_an_announced_end_is_refused_unrun():
