Keep a connection open for as long as its client was told

Cause: the time told was that of the manifest at the head of the answer, the timer's that in force at its end. The connection now keeps what it told, and the idle timeout is at least as long.

--- a/tanagerwalk/gateway/client_connection.py
+++ b/tanagerwalk/gateway/client_connection.py
@@ -82,6 +82,8 @@
         # Whether the client has been told that no further request is handled.
         self._has_announced_end = False
         self._linger_ends_at = None
+        # Seconds.
+        self._promised_reuse = 0
         self._end_cause = None
 
     @property
@@ -459,10 +461,20 @@
         has_more = self._pending or self._unparsed or self._assembly is not None
         return not (has_more or has_unread_input(self._transport))
 
-    @property
-    def reusable_seconds(self):
-        """Whole seconds for which clients may use the connection again, 0 for none."""
-        return int(REUSABLE_SHARE * self._get_idle_timeout())
+    def promise_reuse(self):
+        """Return for how long the client may use the connection again.
+
+        From now on the idle timeout is at least as long.
+
+        Returns
+        -------
+        int
+            Whole seconds, 0 for no promise.
+        """
+        self._promised_reuse = int(
+            REUSABLE_SHARE * self._listener.get_limits().idle_timeout
+        )
+        return self._promised_reuse
 
     # Refusals, timeouts and closing.
 
@@ -497,7 +509,8 @@
         self._timer.start_idle(self._get_idle_timeout, self._close_after_timeout)
 
     def _get_idle_timeout(self):
-        return self._listener.get_limits().idle_timeout
+        promised = self._promised_reuse / REUSABLE_SHARE
+        return max(self._listener.get_limits().idle_timeout, promised)
 
     def _close_after_timeout(self):
         if has_unread_input(self._transport):
--- a/tanagerwalk/gateway/responder.py
+++ b/tanagerwalk/gateway/responder.py
@@ -124,7 +124,7 @@
         """Return the headers that say for how long the connection may be used."""
         if not self.keep_alive:
             return [(b"Connection", b"close")]
-        seconds = self._connection.reusable_seconds
+        seconds = self._connection.promise_reuse()
         if seconds == 0:
             return []
         return [(b"Keep-Alive", b"timeout=%d" % seconds)]
--- a/test/gateway/test_idle_clients.py
+++ b/test/gateway/test_idle_clients.py
@@ -12,6 +12,7 @@
 from tanagerwalk.decisions.descriptor_budget import DescriptorKind
 from tanagerwalk.gateway.client_admission import MIN_IDLE_S
 from tanagerwalk.standins.addresses import find_address
+from tanagerwalk.standins.behaviours import Behaviour
 from tanagerwalk.standins.gateway_cluster import (
     GatewayCluster,
     build_manifest,
@@ -80,6 +81,24 @@
     assert reply.headers["keep-alive"] == "timeout=4"
 
 
+# Guards against LOST: clients were told of more time than a manifest that lowers the
+# idle timeout then left them.
+async def test_time_that_clients_were_told_of_holds_although_the_timeout_is_lowered():
+    async with GatewayCluster() as cluster:
+        await cluster.build(drafts=1, desks=0)
+        cluster.servers["draft-0"].behaviour = Behaviour(delay=0.2)
+        await set_idle_timeout(cluster, 2, 2500)
+        reader, writer = await cluster.connect()
+        writer.write(cluster.encode_plan())
+        assert b"Keep-Alive: timeout=2" in await reader.readuntil(b"\r\n\r\n")
+        await set_idle_timeout(cluster, 3, 500)
+        await reader.readuntil(b"0\r\n\r\n")
+        await asyncio.sleep(1.2)
+        writer.write(cluster.encode_plan())
+        assert await read_status(reader) == 200
+        writer.close()
+
+
 async def test_idle_timeout_of_less_than_a_second_is_not_told():
     async with GatewayCluster() as cluster:
         await build_cluster(cluster)
