Ask again in time whether a silent stream can go on, and end it at its deadline

Cause: a prolonged wait lasted until the next event was due, and nothing bounded it by the deadline. While prolonged, only the time asked for counts, at most up to the deadline.

test_prolonged_wait_lasts_no_longer_than_asked_for failed before.

--- a/tanagerwalk/gateway/exchange.py
+++ b/tanagerwalk/gateway/exchange.py
@@ -324,7 +324,7 @@
                 connection.read_chunk(), wait.seconds, time_left
             )
             if wait.has_client and self._must_wait_on(result, connection, plan):
-                wait.prolong(GIVE_UP_POLL_S)
+                wait.prolong(min(GIVE_UP_POLL_S, request.deadline - self._clock()))
                 continue
             if result.is_error():
                 is_held_up = result.error is not None and wait.is_held_up
--- a/tanagerwalk/gateway/stream_wait.py
+++ b/tanagerwalk/gateway/stream_wait.py
@@ -31,7 +31,7 @@
         self._client_leaves_at = now + (
             timeouts.client_gap if has_begun else timeouts.head
         )
-        self._prolonged_until = now
+        self._prolonged_until = None
         self._forwarding_since = None
         self._longest_hold = 0.0
 
@@ -39,8 +39,9 @@
     def seconds(self):
         """Seconds for which the next bytes are waited for."""
         now = self._clock()
-        regular = min(self._silence, self._event_due_at - now)
-        return max(regular, min(self._prolonged_until, self._client_leaves_at) - now)
+        if self._prolonged_until is not None:
+            return min(self._prolonged_until, self._client_leaves_at) - now
+        return min(self._silence, self._event_due_at - now)
 
     @property
     def has_client(self):
@@ -48,7 +49,7 @@
         return self._clock() < self._client_leaves_at
 
     def prolong(self, seconds):
-        """Wait for some more seconds, in which `has_client` holds."""
+        """Wait for some more seconds, or until the client leaves or gets an event."""
         self._prolonged_until = self._clock() + seconds
 
     @property
@@ -63,6 +64,7 @@
     def begin_forwarding(self):
         """Record that events have come, which the client is about to take."""
         self._silence = self._timeouts.idle
+        self._prolonged_until = None
         self._forwarding_since = self._clock()
 
     def end_forwarding(self, has_content):
--- a/test/gateway/test_stalled_streams.py
+++ b/test/gateway/test_stalled_streams.py
@@ -102,6 +102,22 @@
     assert wait.seconds == TIMEOUTS.stalled - 3.0
 
 
+# Guards against streams that are held past their deadline: once prolonged, the wait ran
+# on until the next event was due.
+def test_prolonged_wait_lasts_no_longer_than_asked_for():
+    clock = Clock()
+    wait = StreamWait(TIMEOUTS, has_begun=True, clock=clock)
+    clock.now += TIMEOUTS.idle
+    wait.prolong(0.25)
+    assert wait.seconds == 0.25
+    clock.now = TIMEOUTS.client_gap - 0.1
+    wait.prolong(0.25)
+    assert wait.seconds == pytest.approx(0.1)
+    wait.begin_forwarding()
+    wait.end_forwarding(has_content=True)
+    assert wait.seconds == TIMEOUTS.idle
+
+
 def test_time_of_a_slow_client_is_not_the_servers():
     clock = Clock()
     wait = StreamWait(TIMEOUTS, has_begun=True, clock=clock)
