Let a request leave a silent brittle server before its answer has begun

Cause: as a permit may be denied, no silent attempt at a brittle server was given up. Now only a stream that has begun, which a denied permit would cut, is waited for; another request goes on, at worst to a refusal.

test_lookup_leaves_a_brittle_server_that_hangs failed before.

--- a/tanagerwalk/gateway/execution.py
+++ b/tanagerwalk/gateway/execution.py
@@ -354,9 +354,12 @@
         """Return whether another attempt can begin if that at a silent server ends.
 
         Asking the same one again may help only if the path to it is in doubt. A permit
-        for a brittle server may be denied; until then it can't be counted on.
+        for a brittle server may be denied, so that a stream that has begun doesn't
+        count on it.
         """
-        if self._permit_wait.is_needed or not self._can_begin_after(Outcome.SILENT):
+        if self._permit_wait.is_needed and self._progress.head_sent:
+            return False
+        if not self._can_begin_after(Outcome.SILENT):
             return False
         is_direct = via is None and self._context.region_rules.is_direct(server)
         life = hash_life(server) if is_direct else None
